--- /dev/null
+++ b/Libraries/LibJobs/Job.cpp
@@ -0,0 +1,49 @@
+#include "LibJobs/Job.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace pumiceturn::jobs {
+
+namespace {
+constexpr std::int64_t kMsPerSecond = 1000;
+}
+
+std::uint32_t
+Job::Waiting() const
+{
+  const std::uint32_t settled = succeeded_ + failed_ + cancelled_ + running_;
+  return ReceivedItems() > settled ? ReceivedItems() - settled : 0;
+}
+
+ItemPlace
+Job::PlaceOf(std::uint32_t aItem) const
+{
+  const auto after =
+    std::upper_bound(frames_.begin(),
+                     frames_.end(),
+                     aItem,
+                     [](std::uint32_t aValue, const Frame& aFrame) {
+                       return aValue < aFrame.firstItem_;
+                     });
+  assert(after != frames_.begin());
+  const Frame& frame = *std::prev(after);
+  return { frame.record_, aItem - frame.recordFirstItem_ };
+}
+
+ResultSource
+Job::SourceOf(std::uint32_t aPosition) const
+{
+  const bool isCancelled =
+    phase_ == Phase::Cancelled && aPosition >= firstCancelledResult_;
+  return isCancelled ? ResultSource::Cancelled : ResultSource::Recorded;
+}
+
+std::int64_t
+Job::ExpiresUnixMs() const
+{
+  return lastRecordUnixMs_ +
+         static_cast<std::int64_t>(description_.retentionS_) * kMsPerSecond;
+}
+
+} // namespace pumiceturn::jobs
--- /dev/null
+++ b/Libraries/LibJobs/JobTable.cpp
@@ -0,0 +1,779 @@
+#include "LibJobs/JobTable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <string>
+
+namespace pumiceturn::jobs {
+
+namespace {
+
+constexpr std::int64_t kAbandonedLotMs = 3600 * 1000;
+constexpr std::size_t kMaxRememberedExpired = 65536;
+constexpr std::uint32_t kMaxReservedItems = 1U << 20U;
+constexpr auto kFirstRefusedCode = base::ResultCode::UnknownKey;
+constexpr auto kLastRefusedCode = base::ResultCode::InvalidRequest;
+
+bool
+IsFinal(Item::State aState)
+{
+  return aState == Item::State::Ended || aState == Item::State::Cancelled;
+}
+
+bool
+IsUnderway(Item::State aState)
+{
+  return aState != Item::State::Waiting && !IsFinal(aState);
+}
+
+void
+SetState(Job& aJob, Item& aItem, Item::State aState)
+{
+  aJob.running_ -= IsUnderway(aItem.state_) ? 1 : 0;
+  aJob.running_ += IsUnderway(aState) ? 1 : 0;
+  aItem.state_ = aState;
+}
+
+/// A refusal that another agent would repeat, so that the item ends with it.
+bool
+IsLastingRefusal(base::ResultCode aCode)
+{
+  return aCode == base::ResultCode::Quarantined ||
+         (aCode >= kFirstRefusedCode && aCode <= kLastRefusedCode);
+}
+
+wire::ItemResult
+ResultOf(const wire::RunEnded& aEnded)
+{
+  wire::ItemResult result;
+  result.item_ = aEnded.run_.item_;
+  result.code_ = aEnded.code_;
+  result.ran_ = aEnded.ran_;
+  result.text_ = aEnded.text_;
+  result.tokens_ = aEnded.tokens_;
+  result.detail_ = aEnded.detail_;
+  return result;
+}
+
+std::uint32_t
+MaxAttempts(const Job& aJob)
+{
+  const std::uint32_t limit = aJob.description_.maxAttempts_;
+  return limit == 0 ? kDefaultMaxAttempts : limit;
+}
+
+bool
+IsOverAndExpired(const Job& aJob, std::int64_t aUnixMs)
+{
+  return aJob.IsOver() && aUnixMs >= aJob.ExpiresUnixMs();
+}
+
+/// @return when a job may be dropped, or nothing while it has work left.
+std::optional<std::int64_t>
+DropTime(const Job& aJob)
+{
+  if (aJob.IsOver()) {
+    return aJob.ExpiresUnixMs();
+  }
+  if (aJob.phase_ == Job::Phase::Opening) {
+    return aJob.lastRecordUnixMs_ + kAbandonedLotMs;
+  }
+  return std::nullopt;
+}
+
+wire::JobDescription
+Describe(const wire::RecordRequest& aRequest, std::uint32_t aMaxAttempts)
+{
+  wire::JobDescription job;
+  job.id_ = aRequest.job_;
+  job.partner_ = aRequest.partner_;
+  job.service_ = aRequest.service_;
+  job.kind_ = aRequest.kind_;
+  job.key_ = aRequest.key_;
+  job.digest_ = aRequest.digest_;
+  job.itemCount_ = 1;
+  job.dueUnixMs_ = aRequest.deadlineUnixMs_;
+  job.retentionS_ = aRequest.retentionS_;
+  job.maxTokens_ = aRequest.maxTokens_;
+  job.maxAttempts_ = aMaxAttempts;
+  job.online_ = true;
+  job.idempotent_ = aRequest.idempotent_;
+  return job;
+}
+
+bool
+HasSameContent(const Job& aJob, const wire::JobDescription& aDescription)
+{
+  return aJob.description_.digest_ == aDescription.digest_ &&
+         aJob.description_.itemCount_ == aDescription.itemCount_;
+}
+
+bool
+IsInBounds(const wire::SubmitFrame& aFrame)
+{
+  const std::uint64_t end =
+    std::uint64_t{ aFrame.firstItem_ } + aFrame.items_.size();
+  return aFrame.last_ ? end == aFrame.job_.itemCount_
+                      : end <= aFrame.job_.itemCount_;
+}
+
+} // namespace
+
+/// Applies one record to the table.
+struct JobTable::Applier
+{
+  JobTable& table_;
+  std::int64_t wallUnixMs_;
+  joblog::LogPosition position_;
+  std::uint64_t sequence_;
+  Applied applied_;
+
+  void operator()(const JobOpened& aBody)
+  {
+    Job* job = table_.FindMutable(aBody.job_.id_);
+    if (job != nullptr) {
+      if (job->IsAccepted() && !IsOverAndExpired(*job, wallUnixMs_)) {
+        return;
+      }
+      if (!job->IsAccepted() && HasSameContent(*job, aBody.job_)) {
+        // The lot was resent after an interruption: its items are here.
+        table_.Unindex(*job);
+        job->description_ = aBody.job_;
+        job->lastRecordUnixMs_ = wallUnixMs_;
+        table_.Index(*job);
+        return;
+      }
+      table_.Erase(aBody.job_.id_);
+    }
+    Job& opened = table_.jobs_[aBody.job_.id_];
+    opened.description_ = aBody.job_;
+    opened.firstSequence_ = sequence_;
+    opened.lastRecordUnixMs_ = wallUnixMs_;
+    opened.items_.reserve(std::min(aBody.job_.itemCount_, kMaxReservedItems));
+    table_.Index(opened);
+  }
+
+  void operator()(const ItemsAccepted& aBody)
+  {
+    Job* job = table_.FindMutable(aBody.job_);
+    if (job == nullptr || job->IsAccepted()) {
+      return;
+    }
+    const std::uint32_t received = job->ReceivedItems();
+    const std::uint64_t end =
+      std::uint64_t{ aBody.firstItem_ } + aBody.items_.size();
+    const bool isGap = aBody.firstItem_ > received;
+    if (isGap || end <= received || end > job->description_.itemCount_) {
+      return;
+    }
+    job->frames_.push_back({ received, aBody.firstItem_, position_ });
+    job->items_.resize(end);
+  }
+
+  void operator()(const JobAccepted& aBody)
+  {
+    Job* job = table_.FindMutable(aBody.job_);
+    if (job == nullptr || job->IsAccepted() ||
+        job->ReceivedItems() != job->description_.itemCount_) {
+      return;
+    }
+    table_.Unindex(*job);
+    job->phase_ = Job::Phase::Accepted;
+    job->lastRecordUnixMs_ = wallUnixMs_;
+    table_.Index(*job);
+    applied_.accepted_ = aBody.job_;
+    if (job->description_.online_) {
+      // The entry runs it from here on.
+      for (Item& item : job->items_) {
+        SetState(*job, item, Item::State::Running);
+      }
+    }
+    CloseIfDone(*job);
+  }
+
+  void operator()(const ItemsEnded& aBody)
+  {
+    std::uint32_t index = 0;
+    for (const ItemEnded& ended : aBody.ended_) {
+      const bool isFirst = End(ended, index++);
+      applied_.ended_.push_back({ ended.run_, isFirst });
+    }
+  }
+
+  void operator()(const ItemStarted& aBody)
+  {
+    Item* item = table_.FindItem(aBody.run_);
+    if (item == nullptr || aBody.run_.attempt_ <= item->lastRecordedStart_) {
+      return;
+    }
+    Job& job = table_.jobs_.at(aBody.run_.job_);
+    item->lastRecordedStart_ = static_cast<std::uint16_t>(aBody.run_.attempt_);
+    item->attempt_ = std::max(item->attempt_, item->lastRecordedStart_);
+    constexpr auto kMost = std::numeric_limits<std::uint8_t>::max();
+    item->recordedStarts_ += item->recordedStarts_ < kMost ? 1 : 0;
+    if (job.description_.idempotent_) {
+      item->failures_ = std::max(item->failures_, item->recordedStarts_);
+    } else if (item->state_ == Item::State::Waiting) {
+      SetState(job, *item, Item::State::Uncertain);
+    }
+  }
+
+  void operator()(const JobCancelled& aBody)
+  {
+    Job* job = table_.FindMutable(aBody.job_);
+    if (job == nullptr || !job->IsAccepted() || job->IsOver()) {
+      return;
+    }
+    job->cancelling_ = false;
+    job->firstCancelledResult_ =
+      static_cast<std::uint32_t>(job->results_.size());
+    for (std::uint32_t index = 0; index < job->ReceivedItems(); ++index) {
+      Item& item = job->items_[index];
+      if (!IsFinal(item.state_)) {
+        SetState(*job, item, Item::State::Cancelled);
+        job->results_.push_back({ {}, 0, index });
+        ++job->cancelled_;
+      }
+    }
+    table_.Close(*job, Job::Phase::Cancelled, wallUnixMs_);
+    applied_.cancelled_ = aBody.job_;
+  }
+
+  void operator()(const EpochStarted& /*aBody*/) {}
+
+  /// @return whether it is the item's first result.
+  bool End(const ItemEnded& aEnded, std::uint32_t aIndex)
+  {
+    Item* item = table_.FindItem(aEnded.run_);
+    if (item == nullptr || IsFinal(item->state_)) {
+      return false;
+    }
+    Job& job = table_.jobs_.at(aEnded.run_.job_);
+    if (!job.IsAccepted()) {
+      return false;
+    }
+    if (job.description_.online_ && aEnded.result_.ran_ == base::Ran::NotRun) {
+      applied_.withdrawn_.push_back(aEnded.run_.job_);
+      table_.Erase(aEnded.run_.job_);
+      return true;
+    }
+    SetState(job, *item, Item::State::Ended);
+    job.results_.push_back({ position_, aIndex, aEnded.run_.item_ });
+    const bool isOk = aEnded.result_.code_ == base::ResultCode::Ok;
+    ++(isOk ? job.succeeded_ : job.failed_);
+    CloseIfDone(job);
+    return true;
+  }
+
+  void CloseIfDone(Job& aJob)
+  {
+    if (aJob.results_.size() == aJob.description_.itemCount_) {
+      table_.Close(aJob, Job::Phase::Finished, wallUnixMs_);
+      applied_.finished_.push_back(aJob.description_.id_);
+    }
+  }
+};
+
+Applied
+JobTable::Apply(const Record& aRecord,
+                joblog::LogPosition aPosition,
+                std::uint64_t aSequence)
+{
+  Applier applier{ *this, aRecord.wallUnixMs_, aPosition, aSequence, {} };
+  std::visit(applier, aRecord.body_);
+  return std::move(applier.applied_);
+}
+
+AcceptDecision
+JobTable::AcceptOnline(const wire::RecordRequest& aRequest,
+                       std::uint32_t aMaxAttempts,
+                       std::int64_t aNowUnixMs)
+{
+  if (const auto answer = AnswerFromPending(aRequest.job_, aRequest.digest_)) {
+    return { *answer, {} };
+  }
+  const Job* job = Find(aRequest.job_);
+  if (job != nullptr && job->IsAccepted() &&
+      !IsOverAndExpired(*job, aNowUnixMs)) {
+    if (job->description_.digest_ != aRequest.digest_) {
+      return { Acceptance::Conflict, {} };
+    }
+    return { job->IsOver() ? Acceptance::Finished : Acceptance::Running, {} };
+  }
+  AcceptDecision decision;
+  std::vector<Record>& records = decision.records_;
+  records.push_back(
+    { aNowUnixMs, JobOpened{ Describe(aRequest, aMaxAttempts) } });
+  records.push_back(
+    { aNowUnixMs,
+      ItemsAccepted{ aRequest.job_, 0, { { {}, aRequest.payload_ } } } });
+  records.push_back({ aNowUnixMs, JobAccepted{ aRequest.job_ } });
+  if (!aRequest.idempotent_) {
+    records.push_back(
+      { aNowUnixMs, ItemStarted{ { aRequest.job_, 0, 1 }, {} } });
+  }
+  pending_[aRequest.job_] = { aRequest.digest_, true, false };
+  return decision;
+}
+
+AcceptDecision
+JobTable::AcceptFrame(const wire::SubmitFrame& aFrame, std::int64_t aNowUnixMs)
+{
+  const wire::JobDescription& description = aFrame.job_;
+  if (const auto answer =
+        AnswerFromPending(description.id_, description.digest_)) {
+    return { *answer, {} };
+  }
+  const Job* job = Find(description.id_);
+  if (job != nullptr && IsOverAndExpired(*job, aNowUnixMs)) {
+    job = nullptr;
+  }
+  if (job != nullptr && job->IsAccepted()) {
+    const bool isSame = job->description_.digest_ == description.digest_;
+    return { isSame ? Acceptance::Duplicate : Acceptance::Conflict, {} };
+  }
+  if (job != nullptr && !HasSameContent(*job, description)) {
+    // The other lot was never accepted, so this one may take its key.
+    job = nullptr;
+  }
+  const std::uint32_t received = job == nullptr ? 0 : job->ReceivedItems();
+  if (!IsInBounds(aFrame) || aFrame.firstItem_ > received) {
+    return { Acceptance::Invalid, {} };
+  }
+  AcceptDecision decision;
+  const bool isRestart = aFrame.firstItem_ == 0;
+  if (job == nullptr || (isRestart && job->description_ != description)) {
+    decision.records_.push_back({ aNowUnixMs, JobOpened{ description } });
+  }
+  const std::uint32_t known =
+    std::min<std::uint32_t>(received - aFrame.firstItem_,
+                            static_cast<std::uint32_t>(aFrame.items_.size()));
+  if (known < aFrame.items_.size()) {
+    decision.records_.push_back(
+      { aNowUnixMs,
+        ItemsAccepted{
+          description.id_,
+          aFrame.firstItem_ + known,
+          { aFrame.items_.begin() + known, aFrame.items_.end() } } });
+  }
+  if (aFrame.last_) {
+    decision.records_.push_back({ aNowUnixMs, JobAccepted{ description.id_ } });
+  }
+  if (decision.records_.empty()) {
+    return { Acceptance::Received, {} };
+  }
+  pending_[description.id_] = { description.digest_, aFrame.last_, false };
+  return decision;
+}
+
+std::optional<Acceptance>
+JobTable::AnswerFromPending(const base::JobId& aJob,
+                            std::uint64_t aDigest) const
+{
+  const auto found = pending_.find(aJob);
+  if (found == pending_.end()) {
+    return std::nullopt;
+  }
+  if (found->second.digest_ != aDigest) {
+    return Acceptance::Conflict;
+  }
+  if (!found->second.failed_) {
+    return Acceptance::Wait;
+  }
+  return std::nullopt;
+}
+
+void
+JobTable::SettleAccept(const base::JobId& aJob, bool aIsDurable)
+{
+  const auto found = pending_.find(aJob);
+  if (found == pending_.end()) {
+    return;
+  }
+  // An acceptance whose append failed may come back in a replay. If another
+  // content were accepted under the key meanwhile, the replay would keep the
+  // first and lose the second; so the key stays bound to this content.
+  if (!aIsDurable && found->second.completesJob_) {
+    found->second.failed_ = true;
+    return;
+  }
+  pending_.erase(found);
+}
+
+bool
+JobTable::IsAccepting(const base::JobId& aJob) const
+{
+  const auto found = pending_.find(aJob);
+  return found != pending_.end() && !found->second.failed_;
+}
+
+EndDecision
+JobTable::RecordEnd(Job& aJob,
+                    const base::RunId& aRun,
+                    wire::ItemResult aResult)
+{
+  SetState(aJob, aJob.items_[aRun.item_], Item::State::Ending);
+  aResult.item_ = aRun.item_;
+  return { EndAction::Record, ItemEnded{ aRun, std::move(aResult) } };
+}
+
+std::optional<EndAction>
+JobTable::AnswerFromState(const base::RunId& aRun)
+{
+  const Item* item = FindItem(aRun);
+  if (item == nullptr || IsFinal(item->state_)) {
+    return EndAction::Forget;
+  }
+  const Job& job = jobs_.at(aRun.job_);
+  if (!job.IsAccepted()) {
+    return EndAction::Forget;
+  }
+  if (item->state_ == Item::State::Ending || job.cancelling_) {
+    return EndAction::Wait;
+  }
+  return std::nullopt;
+}
+
+EndDecision
+JobTable::DecideResult(const base::RunId& aRun,
+                       const wire::ItemResult& aResult,
+                       bool aIsRunner)
+{
+  if (const auto action = AnswerFromState(aRun)) {
+    return { *action, std::nullopt };
+  }
+  if (aResult.code_ != base::ResultCode::Ok && !aIsRunner) {
+    return { EndAction::Refuse, std::nullopt };
+  }
+  return RecordEnd(jobs_.at(aRun.job_), aRun, aResult);
+}
+
+EndDecision
+JobTable::DecideRunEnd(const wire::RunEnded& aEnded)
+{
+  if (const auto action = AnswerFromState(aEnded.run_)) {
+    return { *action, std::nullopt };
+  }
+  Job& job = jobs_.at(aEnded.run_.job_);
+  if (aEnded.code_ == base::ResultCode::Ok) {
+    return RecordEnd(job, aEnded.run_, ResultOf(aEnded));
+  }
+  const Item& item = job.items_[aEnded.run_.item_];
+  const bool isCurrent = item.attempt_ == aEnded.run_.attempt_ &&
+                         item.state_ != Item::State::Waiting;
+  if (!isCurrent) {
+    return { EndAction::Forget, std::nullopt };
+  }
+  return DecideFailure(job, aEnded);
+}
+
+EndDecision
+JobTable::DecideFailure(Job& aJob, const wire::RunEnded& aEnded)
+{
+  using base::Ran;
+  using base::ResultCode;
+  Item& item = aJob.items_[aEnded.run_.item_];
+  if (aEnded.ran_ == Ran::NotRun) {
+    if (IsLastingRefusal(aEnded.code_)) {
+      return RecordEnd(aJob, aEnded.run_, ResultOf(aEnded));
+    }
+    Requeue(aEnded.run_);
+    return { EndAction::Requeue, std::nullopt };
+  }
+  wire::ItemResult result = ResultOf(aEnded);
+  if (!aJob.description_.idempotent_) {
+    if (aEnded.ran_ != Ran::Ran) {
+      result.code_ = ResultCode::OutcomeUnknown;
+      result.ran_ = Ran::Unknown;
+    }
+    return RecordEnd(aJob, aEnded.run_, std::move(result));
+  }
+  const bool isInterrupted = aEnded.code_ == ResultCode::Preempted ||
+                             aEnded.code_ == ResultCode::Cancelled;
+  item.failures_ += isInterrupted ? 0 : 1;
+  if (item.failures_ < MaxAttempts(aJob)) {
+    Requeue(aEnded.run_);
+    return { EndAction::Requeue, std::nullopt };
+  }
+  result.code_ = ResultCode::AttemptsExhausted;
+  result.detail_ = std::string(base::NameOf(aEnded.code_)) +
+                   (aEnded.detail_.empty() ? "" : ": ") + aEnded.detail_;
+  return RecordEnd(aJob, aEnded.run_, std::move(result));
+}
+
+EndDecision
+JobTable::EndItem(const base::RunId& aRun, const wire::ItemResult& aResult)
+{
+  if (const auto action = AnswerFromState(aRun)) {
+    return { *action, std::nullopt };
+  }
+  return RecordEnd(jobs_.at(aRun.job_), aRun, aResult);
+}
+
+std::optional<Record>
+JobTable::Cancel(const base::JobId& aJob, std::int64_t aNowUnixMs)
+{
+  Job* job = FindMutable(aJob);
+  if (job == nullptr || !job->IsAccepted() || job->IsOver() ||
+      job->cancelling_) {
+    return std::nullopt;
+  }
+  job->cancelling_ = true;
+  return Record{ aNowUnixMs, JobCancelled{ aJob } };
+}
+
+std::optional<Dispatch>
+JobTable::TakeItem(const base::JobId& aJob)
+{
+  Job* job = FindMutable(aJob);
+  if (job == nullptr || job->phase_ != Job::Phase::Accepted ||
+      job->cancelling_) {
+    return std::nullopt;
+  }
+  const auto next = NextWaiting(*job);
+  if (!next) {
+    return std::nullopt;
+  }
+  Item& item = job->items_[*next];
+  SetState(*job, item, Item::State::Running);
+  constexpr auto kMost = std::numeric_limits<std::uint16_t>::max();
+  item.attempt_ += item.attempt_ < kMost ? 1 : 0;
+  if (job->description_.online_) {
+    item.attempt_ = std::max(item.attempt_, kFirstOwnerAttempt);
+  }
+  const bool recordStart = job->description_.idempotent_
+                             ? item.failures_ > item.recordedStarts_
+                             : item.recordedStarts_ == 0;
+  return Dispatch{ { aJob, *next, item.attempt_ },
+                   job->PlaceOf(*next),
+                   recordStart };
+}
+
+std::optional<std::uint32_t>
+JobTable::NextWaiting(Job& aJob)
+{
+  while (!aJob.requeued_.empty()) {
+    const std::uint32_t item = aJob.requeued_.back();
+    aJob.requeued_.pop_back();
+    if (aJob.items_[item].state_ == Item::State::Waiting) {
+      return item;
+    }
+  }
+  while (aJob.nextItem_ < aJob.ReceivedItems()) {
+    const std::uint32_t item = aJob.nextItem_++;
+    if (aJob.items_[item].state_ == Item::State::Waiting) {
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+JobTable::Requeue(const base::RunId& aRun)
+{
+  Item* item = FindItem(aRun);
+  if (item == nullptr || item->attempt_ != aRun.attempt_) {
+    return false;
+  }
+  Job& job = jobs_.at(aRun.job_);
+  const bool isStarted = item->state_ == Item::State::Running ||
+                         item->state_ == Item::State::Uncertain;
+  if (!isStarted || job.cancelling_) {
+    return false;
+  }
+  SetState(job, *item, Item::State::Waiting);
+  job.requeued_.push_back(aRun.item_);
+  return true;
+}
+
+bool
+JobTable::Orphan(const base::JobId& aJob)
+{
+  Job* job = FindMutable(aJob);
+  if (job == nullptr || job->phase_ != Job::Phase::Accepted ||
+      !job->description_.online_ ||
+      job->items_.front().state_ != Item::State::Running) {
+    return false;
+  }
+  SetState(*job, job->items_.front(), Item::State::Waiting);
+  job->requeued_.push_back(0);
+  return true;
+}
+
+bool
+JobTable::IsRunning(const base::RunId& aRun) const
+{
+  const Job* job = Find(aRun.job_);
+  if (job == nullptr || aRun.item_ >= job->ReceivedItems() ||
+      job->cancelling_) {
+    return false;
+  }
+  const Item& item = job->items_[aRun.item_];
+  return item.state_ == Item::State::Running && item.attempt_ == aRun.attempt_;
+}
+
+const Job*
+JobTable::Find(const base::JobId& aJob) const
+{
+  const auto found = jobs_.find(aJob);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const Job*
+JobTable::Find(const base::JobId& aJob, std::string_view aPartner) const
+{
+  const Job* job = Find(aJob);
+  return job != nullptr && job->description_.partner_ == aPartner ? job
+                                                                  : nullptr;
+}
+
+Job*
+JobTable::FindMutable(const base::JobId& aJob)
+{
+  const auto found = jobs_.find(aJob);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+Item*
+JobTable::FindItem(const base::RunId& aRun)
+{
+  Job* job = FindMutable(aRun.job_);
+  if (job == nullptr || aRun.item_ >= job->ReceivedItems()) {
+    return nullptr;
+  }
+  return &job->items_[aRun.item_];
+}
+
+bool
+JobTable::IsExpired(const base::JobId& aJob) const
+{
+  return expired_.contains(aJob);
+}
+
+wire::JobStatusReply
+JobTable::Status(const base::JobId& aJob, std::string_view aPartner) const
+{
+  wire::JobStatusReply reply;
+  const Job* job = Find(aJob, aPartner);
+  if (job == nullptr || !job->IsAccepted()) {
+    reply.code_ =
+      IsExpired(aJob) ? base::ResultCode::Expired : base::ResultCode::NotFound;
+    return reply;
+  }
+  reply.state_ = wire::JobState::Running;
+  if (job->IsOver()) {
+    reply.state_ = job->phase_ == Job::Phase::Finished
+                     ? wire::JobState::Finished
+                     : wire::JobState::Cancelled;
+  }
+  reply.job_ = job->description_;
+  reply.waiting_ = job->Waiting();
+  reply.running_ = job->running_;
+  reply.succeeded_ = job->succeeded_;
+  reply.failed_ = job->failed_;
+  reply.cancelled_ = job->cancelled_;
+  return reply;
+}
+
+std::vector<base::RunId>
+JobTable::UncertainRuns() const
+{
+  std::vector<base::RunId> runs;
+  ForEachUnfinished([&runs](const Job& aJob) {
+    for (std::uint32_t index = 0; index < aJob.ReceivedItems(); ++index) {
+      const Item& item = aJob.items_[index];
+      if (item.state_ == Item::State::Uncertain) {
+        runs.push_back({ aJob.description_.id_, index, item.attempt_ });
+      }
+    }
+  });
+  return runs;
+}
+
+void
+JobTable::ForEachUnfinished(const std::function<void(const Job&)>& aVisit) const
+{
+  for (const auto& [id, job] : jobs_) {
+    if (job.phase_ == Job::Phase::Accepted) {
+      aVisit(job);
+    }
+  }
+}
+
+std::size_t
+JobTable::Expire(std::int64_t aNowUnixMs)
+{
+  std::size_t count = 0;
+  while (!dropTimes_.empty() && dropTimes_.begin()->first <= aNowUnixMs) {
+    const base::JobId id = dropTimes_.begin()->second;
+    if (jobs_.at(id).IsOver()) {
+      Remember(id);
+    }
+    Erase(id);
+    ++count;
+  }
+  return count;
+}
+
+void
+JobTable::Remember(const base::JobId& aExpired)
+{
+  if (!expired_.insert(aExpired).second) {
+    return;
+  }
+  expiredOrder_.push_back(aExpired);
+  if (expiredOrder_.size() > kMaxRememberedExpired) {
+    expired_.erase(expiredOrder_.front());
+    expiredOrder_.pop_front();
+  }
+}
+
+std::optional<std::uint64_t>
+JobTable::FirstNeededSequence() const
+{
+  if (firstSequences_.empty()) {
+    return std::nullopt;
+  }
+  return firstSequences_.begin()->first;
+}
+
+void
+JobTable::Close(Job& aJob, Job::Phase aPhase, std::int64_t aUnixMs)
+{
+  Unindex(aJob);
+  aJob.phase_ = aPhase;
+  aJob.lastRecordUnixMs_ = aUnixMs;
+  aJob.requeued_ = {};
+  aJob.results_.shrink_to_fit();
+  Index(aJob);
+}
+
+void
+JobTable::Index(const Job& aJob)
+{
+  const base::JobId& id = aJob.description_.id_;
+  firstSequences_.insert({ aJob.firstSequence_, id });
+  if (const auto time = DropTime(aJob)) {
+    dropTimes_.insert({ *time, id });
+  }
+}
+
+void
+JobTable::Unindex(const Job& aJob)
+{
+  const base::JobId& id = aJob.description_.id_;
+  firstSequences_.erase({ aJob.firstSequence_, id });
+  if (const auto time = DropTime(aJob)) {
+    dropTimes_.erase({ *time, id });
+  }
+}
+
+void
+JobTable::Erase(const base::JobId& aJob)
+{
+  Unindex(jobs_.at(aJob));
+  jobs_.erase(aJob);
+}
+
+} // namespace pumiceturn::jobs
