LibKeeper: Serve jobs of owned partitions over ports

JobService takes decisions under one lock with JobTable and BatchScheduler and lets appends, messages and reads leave in order after the lock is released, so that a callee may call back at once. A fact whose append failed is appended again unchanged, because it may be in the log all the same.

--- /dev/null
+++ b/Libraries/LibKeeper/JobServiceRequests.cpp
@@ -0,0 +1,520 @@
+#include "LibKeeper/JobService.h"
+
+#include "LibJobs/RecordCodec.h"
+#include "LibKeeper/Events.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::keeper {
+
+namespace {
+
+constexpr std::uint32_t kRecoveringRetryMs = 200;
+constexpr std::uint32_t kDefaultPageItems = 1000;
+
+/// @return what an asker is told when its records were not made durable.
+base::ResultCode
+RefusalFor(base::ResultCode aCode)
+{
+  switch (aCode) {
+    case base::ResultCode::NotOwner:
+    case base::ResultCode::StaleEpoch:
+      return base::ResultCode::NotOwner;
+    case base::ResultCode::DiskFull:
+    case base::ResultCode::TooFewCopies:
+      return aCode;
+    default:
+      return base::ResultCode::NotRecorded;
+  }
+}
+
+std::uint32_t
+RetryAfterFor(base::ResultCode aCode)
+{
+  return aCode == base::ResultCode::Recovering ? kRecoveringRetryMs : 0;
+}
+
+} // namespace
+
+void
+JobService::Handle(const std::string& aPeer,
+                   const wire::RecordRequest& aRequest)
+{
+  const Route route = RouteTo(aRequest.job_);
+  wire::RecordReply reply;
+  reply.call_ = aRequest.call_;
+  reply.code_ = route.code_;
+  reply.ownerHint_ = route.ownerHint_;
+  reply.retryAfterMs_ = RetryAfterFor(route.code_);
+  if (route.partition_ == nullptr) {
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  OwnedPartition& partition = *route.partition_;
+  const bool isKnown = partition.table_.Find(aRequest.job_) != nullptr;
+  if (!isKnown && (draining_ || !ports_.hasRoom_())) {
+    reply.code_ =
+      draining_ ? base::ResultCode::Draining : base::ResultCode::DiskFull;
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  const KindLimits limits = ports_.limitsOf_(aRequest.service_, aRequest.kind_);
+  jobs::AcceptDecision decision = partition.table_.AcceptOnline(
+    aRequest, limits.maxAttempts_, ports_.wallUnixMs_());
+  const Asker asker{ aPeer, aRequest.call_ };
+  switch (decision.answer_) {
+    case jobs::Acceptance::Append:
+      Append(
+        route.index_,
+        std::move(decision.records_),
+        OnFailure::Report,
+        [this, index = route.index_, asker, job = aRequest.job_](
+          base::ResultCode aCode, std::span<const jobs::Applied> /*aApplied*/) {
+          SettleOnline(index, asker, job, aCode);
+        });
+      return;
+    case jobs::Acceptance::Wait:
+      Hold(partition, aRequest.job_, aPeer, aRequest);
+      return;
+    case jobs::Acceptance::Finished:
+      ++counts_.duplicateSubmissions_;
+      ReplyFinished(asker, *partition.table_.Find(aRequest.job_));
+      return;
+    case jobs::Acceptance::Running:
+    case jobs::Acceptance::Duplicate:
+    case jobs::Acceptance::Received:
+      AnswerRunning(partition, aPeer, aRequest);
+      return;
+    case jobs::Acceptance::Conflict:
+    case jobs::Acceptance::Invalid:
+      break;
+  }
+  ++counts_.keyConflicts_;
+  reply.code_ = base::ResultCode::KeyConflict;
+  Send(aPeer, std::move(reply));
+}
+
+void
+JobService::SettleOnline(std::uint32_t aPartition,
+                         const Asker& aAsker,
+                         const base::JobId& aJob,
+                         base::ResultCode aCode)
+{
+  wire::RecordReply reply;
+  reply.call_ = aAsker.call_;
+  reply.state_ = wire::RecordState::New;
+  const auto found = partitions_.find(aPartition);
+  if (aCode != base::ResultCode::Ok) {
+    reply.code_ = RefusalFor(aCode);
+    reply.ownerHint_ = ports_.ownerOf_(aPartition);
+  }
+  Send(aAsker.peer_, std::move(reply));
+  if (found == partitions_.end()) {
+    return;
+  }
+  OwnedPartition& partition = found->second;
+  partition.table_.SettleAccept(aJob, aCode == base::ResultCode::Ok);
+  if (aCode == base::ResultCode::Ok) {
+    partition.online_[aJob].runner_ = aAsker;
+  }
+  ReleaseHeld(partition, aJob);
+}
+
+void
+JobService::AnswerRunning(OwnedPartition& aPartition,
+                          const std::string& aPeer,
+                          const wire::RecordRequest& aRequest)
+{
+  wire::RecordReply reply;
+  reply.call_ = aRequest.call_;
+  OnlineRun& run = aPartition.online_[aRequest.job_];
+  const Asker asker{ aPeer, aRequest.call_ };
+  const bool isResent = run.runner_ == asker && !run.ownerRuns_;
+  // After a takeover nobody knows who runs an idempotent request, so the first
+  // entry that asks again runs it.
+  const bool isAdopted =
+    run.runner_.peer_.empty() && !run.ownerRuns_ && aRequest.idempotent_;
+  if (isResent || isAdopted) {
+    run.runner_ = asker;
+    reply.state_ = wire::RecordState::New;
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  ++counts_.duplicateSubmissions_;
+  if (std::find(run.waiters_.begin(), run.waiters_.end(), asker) ==
+      run.waiters_.end()) {
+    run.waiters_.push_back(asker);
+  }
+  reply.state_ = wire::RecordState::Running;
+  Send(aPeer, std::move(reply));
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::RecordResult& aResult)
+{
+  const base::JobId& id = aResult.run_.job_;
+  const Route route = RouteTo(id);
+  wire::RecordResultReply reply;
+  reply.call_ = aResult.call_;
+  reply.code_ = route.code_;
+  reply.ownerHint_ = route.ownerHint_;
+  if (route.partition_ == nullptr) {
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  OwnedPartition& partition = *route.partition_;
+  const Asker asker{ aPeer, aResult.call_ };
+  if (partition.table_.IsAccepting(id)) {
+    Hold(partition, id, aPeer, aResult);
+    return;
+  }
+  const auto online = partition.online_.find(id);
+  const bool isRunner = online != partition.online_.end() &&
+                        online->second.runner_.peer_ == aPeer &&
+                        !online->second.ownerRuns_;
+  jobs::EndDecision decision =
+    partition.table_.DecideResult(aResult.run_, aResult.result_, isRunner);
+  switch (decision.action_) {
+    case jobs::EndAction::Record:
+      AddEnd(
+        route.index_,
+        partition,
+        { std::move(*decision.record_), EndNotice::RecordResultReply, asker });
+      return;
+    case jobs::EndAction::Wait:
+      Hold(partition, id, aPeer, aResult);
+      return;
+    case jobs::EndAction::Refuse:
+    case jobs::EndAction::Requeue:
+      // Somebody else runs it, so a refusal of this sender does not end it.
+      reply.code_ = base::ResultCode::StillRunning;
+      Send(aPeer, std::move(reply));
+      return;
+    case jobs::EndAction::Forget:
+      break;
+  }
+  const jobs::Job* job = partition.table_.Find(id);
+  if (job != nullptr && job->IsOver()) {
+    ++counts_.resultsDropped_;
+    ReplyRecorded(asker, *job, aResult.result_);
+    return;
+  }
+  // A withdrawal that is reported again finds nothing, and needs nothing.
+  reply.first_ = aResult.result_.ran_ == base::Ran::NotRun;
+  reply.code_ =
+    reply.first_ ? base::ResultCode::Ok : base::ResultCode::NotFound;
+  Send(aPeer, std::move(reply));
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::SubmitFrame& aFrame)
+{
+  const base::JobId& id = aFrame.job_.id_;
+  const Route route = RouteTo(id);
+  wire::SubmitReply reply;
+  reply.call_ = aFrame.call_;
+  reply.code_ = route.code_;
+  reply.ownerHint_ = route.ownerHint_;
+  reply.job_ = aFrame.job_;
+  if (route.partition_ == nullptr) {
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  OwnedPartition& partition = *route.partition_;
+  const jobs::Job* known = partition.table_.Find(id);
+  const bool isAccepted = known != nullptr && known->IsAccepted();
+  if (!isAccepted && (draining_ || !ports_.hasRoom_())) {
+    reply.code_ =
+      draining_ ? base::ResultCode::Draining : base::ResultCode::DiskFull;
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  jobs::AcceptDecision decision =
+    partition.table_.AcceptFrame(aFrame, ports_.wallUnixMs_());
+  switch (decision.answer_) {
+    case jobs::Acceptance::Append:
+      Append(route.index_,
+             std::move(decision.records_),
+             OnFailure::Report,
+             [this,
+              index = route.index_,
+              asker = Asker{ aPeer, aFrame.call_ },
+              job = aFrame.job_](base::ResultCode aCode,
+                                 std::span<const jobs::Applied> /*aApplied*/) {
+               SettleFrame(index, asker, job, aCode);
+             });
+      return;
+    case jobs::Acceptance::Wait:
+      Hold(partition, id, aPeer, aFrame);
+      return;
+    case jobs::Acceptance::Received:
+      break;
+    case jobs::Acceptance::Duplicate:
+    case jobs::Acceptance::Running:
+    case jobs::Acceptance::Finished:
+      ++counts_.duplicateSubmissions_;
+      reply.duplicate_ = true;
+      reply.job_ = known->description_;
+      break;
+    case jobs::Acceptance::Conflict:
+      ++counts_.keyConflicts_;
+      reply.code_ = base::ResultCode::KeyConflict;
+      break;
+    case jobs::Acceptance::Invalid:
+      reply.code_ = base::ResultCode::InvalidRequest;
+      reply.detail_ = "a frame's items do not follow those received";
+      break;
+  }
+  Send(aPeer, std::move(reply));
+}
+
+void
+JobService::SettleFrame(std::uint32_t aPartition,
+                        const Asker& aAsker,
+                        const wire::JobDescription& aJob,
+                        base::ResultCode aCode)
+{
+  wire::SubmitReply reply;
+  reply.call_ = aAsker.call_;
+  reply.job_ = aJob;
+  const auto found = partitions_.find(aPartition);
+  if (aCode != base::ResultCode::Ok) {
+    reply.code_ = RefusalFor(aCode);
+    reply.ownerHint_ = ports_.ownerOf_(aPartition);
+    base::Log(
+      kJobRefused,
+      { { "job", base::ToString(aJob.id_) }, { "code", base::NameOf(aCode) } });
+  } else if (found != partitions_.end()) {
+    const jobs::Job* job = found->second.table_.Find(aJob.id_);
+    reply.job_ = job == nullptr ? aJob : job->description_;
+  }
+  Send(aAsker.peer_, std::move(reply));
+  if (found != partitions_.end()) {
+    found->second.table_.SettleAccept(aJob.id_, aCode == base::ResultCode::Ok);
+    ReleaseHeld(found->second, aJob.id_);
+  }
+}
+
+wire::JobStatusReply
+JobService::StatusOf(const OwnedPartition& aPartition,
+                     const base::JobId& aJob,
+                     const std::string& aPartner) const
+{
+  wire::JobStatusReply reply = aPartition.table_.Status(aJob, aPartner);
+  if (reply.state_ == wire::JobState::Running && !reply.job_.online_) {
+    const std::uint64_t left = reply.waiting_ + reply.running_;
+    reply.expectedFinishUnixMs_ =
+      ports_.wallUnixMs_() + scheduler_.WorkMs(reply.job_.service_, left);
+  }
+  return reply;
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::GetJob& aRequest)
+{
+  const Route route = RouteTo(aRequest.job_);
+  wire::JobStatusReply reply;
+  reply.code_ = route.code_;
+  if (route.partition_ != nullptr) {
+    reply = StatusOf(*route.partition_, aRequest.job_, aRequest.partner_);
+  }
+  reply.call_ = aRequest.call_;
+  reply.ownerHint_ = route.ownerHint_;
+  Send(aPeer, std::move(reply));
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::CancelJob& aRequest)
+{
+  const Route route = RouteTo(aRequest.job_);
+  wire::JobStatusReply reply;
+  reply.call_ = aRequest.call_;
+  reply.code_ = route.code_;
+  reply.ownerHint_ = route.ownerHint_;
+  if (route.partition_ == nullptr) {
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  OwnedPartition& partition = *route.partition_;
+  if (partition.table_.IsAccepting(aRequest.job_)) {
+    Hold(partition, aRequest.job_, aPeer, aRequest);
+    return;
+  }
+  const jobs::Job* job =
+    partition.table_.Find(aRequest.job_, aRequest.partner_);
+  if (job != nullptr && job->cancelling_) {
+    Hold(partition, aRequest.job_, aPeer, aRequest);
+    return;
+  }
+  auto record = job == nullptr ? std::nullopt
+                               : partition.table_.Cancel(aRequest.job_,
+                                                         ports_.wallUnixMs_());
+  if (!record) {
+    reply = StatusOf(partition, aRequest.job_, aRequest.partner_);
+    reply.call_ = aRequest.call_;
+    Send(aPeer, std::move(reply));
+    return;
+  }
+  Append(route.index_,
+         { std::move(*record) },
+         OnFailure::Retry,
+         [this, aPeer, aRequest](base::ResultCode /*aCode*/,
+                                 std::span<const jobs::Applied> /*aApplied*/) {
+           // Now the job is cancelled, or another owner is named.
+           Handle(
+             aPeer,
+             wire::GetJob{ aRequest.call_, aRequest.job_, aRequest.partner_ });
+         });
+}
+
+JobService::WantedResult
+JobService::Want(const jobs::Job& aJob, std::uint32_t aPosition)
+{
+  const jobs::ResultPlace& place = aJob.results_[aPosition];
+  const jobs::Item& item = aJob.items_[place.item_];
+  // Only a recorded start tells for certain; without one, an idempotent item
+  // may have run.
+  const bool isNotRun =
+    !aJob.description_.idempotent_ && item.recordedStarts_ == 0;
+  return { aJob.SourceOf(aPosition),
+           place,
+           aJob.PlaceOf(place.item_),
+           aPosition,
+           isNotRun ? base::Ran::NotRun : base::Ran::Unknown };
+}
+
+base::Result<wire::ItemResult>
+JobService::ReadResult(const WantedResult& aWanted)
+{
+  if (aWanted.source_ == jobs::ResultSource::Cancelled) {
+    BOOST_LEAF_AUTO(bytes, cache_.Get(aWanted.item_.record_));
+    BOOST_LEAF_AUTO(item, jobs::ReadItem(*bytes, aWanted.item_.index_));
+    wire::ItemResult result;
+    result.position_ = aWanted.position_;
+    result.item_ = aWanted.place_.item_;
+    result.name_ = std::move(item.name_);
+    result.code_ = base::ResultCode::Cancelled;
+    result.ran_ = aWanted.cancelledRan_;
+    return result;
+  }
+  BOOST_LEAF_AUTO(bytes, cache_.Get(aWanted.place_.record_));
+  BOOST_LEAF_AUTO(ended, jobs::ReadEnded(*bytes, aWanted.place_.index_));
+  ended.result_.position_ = aWanted.position_;
+  return std::move(ended.result_);
+}
+
+wire::ResultsPage
+JobService::ReadPage(const std::vector<WantedResult>& aWanted, bool aEndsJob)
+{
+  wire::ResultsPage page;
+  std::size_t bytes = 0;
+  for (const WantedResult& wanted : aWanted) {
+    auto read = base::Capture([&] { return ReadResult(wanted); });
+    if (const auto* failure = std::get_if<base::Failure>(&read)) {
+      page.code_ = failure->code_;
+      base::Log(kUnreadableRecord,
+                { { "code", base::NameOf(failure->code_) },
+                  { "detail", failure->detail_ } });
+      return page;
+    }
+    page.items_.push_back(std::get<wire::ItemResult>(std::move(read)));
+    bytes += page.items_.back().text_.size();
+    if (bytes >= options_.maxPageBytes_) {
+      break;
+    }
+  }
+  page.ended_ = aEndsJob && page.items_.size() == aWanted.size();
+  return page;
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::ReadResults& aRequest)
+{
+  const Route route = RouteTo(aRequest.job_);
+  wire::ResultsPage refusal;
+  refusal.call_ = aRequest.call_;
+  refusal.code_ = route.code_;
+  refusal.ownerHint_ = route.ownerHint_;
+  const jobs::Job* job = nullptr;
+  if (route.partition_ != nullptr) {
+    const jobs::JobTable& table = route.partition_->table_;
+    job = table.Find(aRequest.job_, aRequest.partner_);
+    refusal.code_ = table.Status(aRequest.job_, aRequest.partner_).code_;
+  }
+  if (refusal.code_ != base::ResultCode::Ok) {
+    Send(aPeer, std::move(refusal));
+    return;
+  }
+  const auto size = static_cast<std::uint32_t>(job->results_.size());
+  const std::uint32_t limit = aRequest.limit_ == 0
+                                ? kDefaultPageItems
+                                : std::min(aRequest.limit_, kDefaultPageItems);
+  const std::uint32_t begin = std::min(aRequest.from_, size);
+  const std::uint32_t end = begin + std::min(limit, size - begin);
+  std::vector<WantedResult> wanted;
+  wanted.reserve(end - begin);
+  for (std::uint32_t position = begin; position < end; ++position) {
+    wanted.push_back(Want(*job, position));
+  }
+  const bool endsJob = job->IsOver() && end == size;
+  outbox_.Add([this,
+               self = shared_from_this(),
+               aPeer,
+               call = aRequest.call_,
+               wanted = std::move(wanted),
+               endsJob] {
+    ports_.post_([this, self, aPeer, call, wanted, endsJob] {
+      wire::ResultsPage page = ReadPage(wanted, endsJob);
+      page.call_ = call;
+      ports_.send_(aPeer, std::move(page));
+    });
+  });
+}
+
+void
+JobService::ReplyFinished(const Asker& aAsker, const jobs::Job& aJob)
+{
+  outbox_.Add(
+    [this, self = shared_from_this(), aAsker, wanted = Want(aJob, 0)] {
+      ports_.post_([this, self, aAsker, wanted] {
+        wire::ResultsPage page = ReadPage({ wanted }, true);
+        wire::RecordReply reply;
+        reply.call_ = aAsker.call_;
+        reply.code_ = page.code_;
+        reply.state_ = wire::RecordState::Finished;
+        if (!page.items_.empty()) {
+          reply.result_ = std::move(page.items_.front());
+        }
+        ports_.send_(aAsker.peer_, std::move(reply));
+      });
+    });
+}
+
+void
+JobService::ReplyRecorded(const Asker& aAsker,
+                          const jobs::Job& aJob,
+                          const wire::ItemResult& aReported)
+{
+  outbox_.Add([this,
+               self = shared_from_this(),
+               aAsker,
+               wanted = Want(aJob, 0),
+               aReported] {
+    ports_.post_([this, self, aAsker, wanted, aReported] {
+      wire::ResultsPage page = ReadPage({ wanted }, true);
+      wire::RecordResultReply reply;
+      reply.call_ = aAsker.call_;
+      reply.code_ = page.code_;
+      if (!page.items_.empty()) {
+        reply.result_ = std::move(page.items_.front());
+        // The same result reported again, because a reply was lost, is first.
+        reply.first_ = reply.result_.code_ == aReported.code_ &&
+                       reply.result_.text_ == aReported.text_;
+      }
+      ports_.send_(aAsker.peer_, std::move(reply));
+    });
+  });
+}
+
+} // namespace pumiceturn::keeper
--- /dev/null
+++ b/Libraries/LibKeeper/JobServiceRuns.cpp
@@ -0,0 +1,734 @@
+#include "LibKeeper/JobService.h"
+
+#include "LibJobs/RecordCodec.h"
+#include "LibKeeper/Events.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::keeper {
+
+namespace {
+
+constexpr std::size_t kMaxEndsInRecord = 256;
+constexpr std::size_t kMaxBytesInRecord = 1U << 20U;
+constexpr std::size_t kMaxForwarded = 65536;
+constexpr std::size_t kMaxCollected = 1024;
+constexpr std::uint32_t kDefaultDeadlineMs = 30000;
+
+std::uint32_t
+RemainingMs(std::int64_t aDeadlineUnixMs,
+            std::int64_t aNowUnixMs,
+            std::uint32_t aAtLeast)
+{
+  const std::int64_t left = aDeadlineUnixMs - aNowUnixMs;
+  return left > aAtLeast ? static_cast<std::uint32_t>(left) : aAtLeast;
+}
+
+} // namespace
+
+void
+JobService::Handle(const std::string& aPeer, const wire::BatchGrant& aGrant)
+{
+  scheduler_.Grant(aPeer, aGrant.service_, aGrant.granted_);
+  Dispatch();
+}
+
+void
+JobService::Handle(const std::string& /*aPeer*/,
+                   const wire::RunRecorded& aRecorded)
+{
+  const auto found = forwarded_.find(aRecorded.run_);
+  if (found == forwarded_.end()) {
+    return;
+  }
+  Send(found->second, aRecorded);
+  forwarded_.erase(found);
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::Chunk& aChunk)
+{
+  const auto found = collected_.find(aChunk.run_);
+  if (found == collected_.end() ||
+      found->second.sequence_ + 1 != aChunk.sequence_) {
+    return;
+  }
+  if (found->second.agent_ != aPeer) {
+    return;
+  }
+  found->second.sequence_ = aChunk.sequence_;
+  found->second.text_ += aChunk.text_;
+}
+
+void
+JobService::Handle(const std::string& aPeer, const wire::RunEnded& aEnded)
+{
+  const base::JobId& id = aEnded.run_.job_;
+  const Route route = RouteTo(id);
+  if (route.partition_ == nullptr) {
+    const auto found = partitions_.find(route.index_);
+    if (route.code_ == base::ResultCode::NotOwner) {
+      Forward(aPeer, route.index_, aEnded);
+    } else if (found != partitions_.end()) {
+      found->second.heldUntilOwned_.push_back({ aPeer, aEnded });
+    }
+    return;
+  }
+  if (route.partition_->table_.IsAccepting(id)) {
+    Hold(*route.partition_, id, aPeer, aEnded);
+    return;
+  }
+  const bool isWithoutText = aEnded.code_ == base::ResultCode::Ok &&
+                             aEnded.text_.empty() && aEnded.lastSequence_ > 0;
+  if (!isWithoutText) {
+    DecideEnded(aPeer, route, aEnded);
+    return;
+  }
+  wire::RunEnded whole = aEnded;
+  if (TakeCollected(aPeer, whole)) {
+    DecideEnded(aPeer, route, whole);
+  }
+}
+
+bool
+JobService::TakeCollected(const std::string& aPeer, wire::RunEnded& aEnded)
+{
+  const auto found = collected_.find(aEnded.run_);
+  if (found != collected_.end() &&
+      found->second.sequence_ == aEnded.lastSequence_) {
+    aEnded.text_ = std::move(found->second.text_);
+    collected_.erase(found);
+    return true;
+  }
+  // The answer went to an entry in chunks. The agent still has them, so they
+  // are asked for once; if they do not come, the owner runs the request again.
+  if (found != collected_.end() || !scheduler_.IsAgent(aPeer) ||
+      collected_.size() >= kMaxCollected) {
+    collected_.erase(aEnded.run_);
+    return false;
+  }
+  collected_[aEnded.run_] = { aPeer, 0, {} };
+  Send(aPeer, wire::AttachRun{ aEnded.run_, 0 });
+  return false;
+}
+
+void
+JobService::Forward(const std::string& aPeer,
+                    std::uint32_t aPartition,
+                    const wire::RunEnded& aEnded)
+{
+  const std::string owner = ports_.ownerOf_(aPartition);
+  // Only what an agent reported is forwarded: two keepers with different views
+  // of the owner would otherwise send a message to and fro.
+  if (!scheduler_.IsAgent(aPeer) || owner.empty() || owner == ports_.host_) {
+    return;
+  }
+  if (forwarded_.size() >= kMaxForwarded) {
+    forwarded_.clear();
+  }
+  forwarded_[aEnded.run_] = aPeer;
+  Send(owner, aEnded);
+}
+
+void
+JobService::DecideEnded(const std::string& aPeer,
+                        const Route& aRoute,
+                        const wire::RunEnded& aEnded)
+{
+  OwnedPartition& partition = *aRoute.partition_;
+  const base::RunId& id = aEnded.run_;
+  const bool isOk = aEnded.code_ == base::ResultCode::Ok;
+  const jobs::RunInFlight* known = scheduler_.FindRun(id);
+  if (known != nullptr && known->agent_ != aPeer && !isOk) {
+    // The run is elsewhere by now; this agent's failure does not end it.
+    Send(aPeer, wire::RunRecorded{ id });
+    return;
+  }
+  jobs::EndDecision decision = partition.table_.DecideRunEnd(aEnded);
+  if (decision.action_ == jobs::EndAction::Wait) {
+    Hold(partition, id.job_, aPeer, aEnded);
+    return;
+  }
+  const auto run = scheduler_.EndRun(id, aPeer);
+  if (run && isOk && !run->online_) {
+    scheduler_.RecordServiceTime(run->service_, ports_.now_() - run->started_);
+  }
+  switch (decision.action_) {
+    case jobs::EndAction::Record: {
+      WaitingEnd end{ std::move(*decision.record_),
+                      EndNotice::RunRecorded,
+                      { aPeer, 0 } };
+      end.ended_.result_.name_ = run ? run->itemName_ : std::string();
+      NameThenRecord(aRoute, std::move(end));
+      break;
+    }
+    case jobs::EndAction::Requeue:
+      AfterRequeue(aRoute, aPeer, aEnded);
+      break;
+    case jobs::EndAction::Forget:
+    case jobs::EndAction::Refuse:
+    case jobs::EndAction::Wait:
+      if (isOk) {
+        ++counts_.resultsDropped_;
+        base::Log(kResultDropped,
+                  { { "run", base::ToString(id) }, { "agent", aPeer } });
+      }
+      Send(aPeer, wire::RunRecorded{ id });
+      break;
+  }
+  Dispatch();
+}
+
+void
+JobService::AfterRequeue(const Route& aRoute,
+                         const std::string& aPeer,
+                         const wire::RunEnded& aEnded)
+{
+  const base::RunId& id = aEnded.run_;
+  OwnedPartition& partition = *aRoute.partition_;
+  ++counts_.requeued_;
+  base::Log(kItemRequeued,
+            { { "run", base::ToString(id) },
+              { "agent", aPeer },
+              { "code", base::NameOf(aEnded.code_) },
+              { "not_run", aEnded.ran_ == base::Ran::NotRun } });
+  if (aEnded.ran_ == base::Ran::NotRun) {
+    scheduler_.Pause(
+      aPeer, ports_.now_() + std::chrono::milliseconds(aEnded.retryAfterMs_));
+  } else {
+    Send(aPeer, wire::RunRecorded{ id });
+  }
+  const jobs::Job& job = *partition.table_.Find(id.job_);
+  if (!job.description_.online_) {
+    AddWaiting(job, 1);
+  } else if (job.description_.idempotent_) {
+    orphans_.insert(id.job_);
+  } else {
+    EndWithoutRun(aRoute, id, aEnded.code_, base::Ran::NotRun, aEnded.detail_);
+  }
+}
+
+void
+JobService::EndWithoutRun(const Route& aRoute,
+                          const base::RunId& aRun,
+                          base::ResultCode aCode,
+                          base::Ran aRan,
+                          std::string aDetail)
+{
+  wire::ItemResult result;
+  result.code_ = aCode;
+  result.ran_ = aRan;
+  result.detail_ = std::move(aDetail);
+  jobs::EndDecision decision = aRoute.partition_->table_.EndItem(aRun, result);
+  if (decision.action_ == jobs::EndAction::Record) {
+    NameThenRecord(aRoute,
+                   { std::move(*decision.record_), EndNotice::Nobody, {} });
+  }
+}
+
+void
+JobService::NameThenRecord(const Route& aRoute, WaitingEnd aEnd)
+{
+  OwnedPartition& partition = *aRoute.partition_;
+  const jobs::Job& job = *partition.table_.Find(aEnd.ended_.run_.job_);
+  const wire::ItemResult& result = aEnd.ended_.result_;
+  if (result.code_ != base::ResultCode::Ok) {
+    base::Log(kItemFailed,
+              { { "run", base::ToString(aEnd.ended_.run_) },
+                { "code", base::NameOf(result.code_) },
+                { "detail", result.detail_ } });
+  }
+  if (job.description_.online_ || !result.name_.empty()) {
+    AddEnd(aRoute.index_, partition, std::move(aEnd));
+    return;
+  }
+  // The run was started by a former owner, or ends without one, so the caller's
+  // label has to be read back.
+  const jobs::ItemPlace place = job.PlaceOf(aEnd.ended_.run_.item_);
+  outbox_.Add([this,
+               self = shared_from_this(),
+               index = aRoute.index_,
+               epoch = partition.epoch_,
+               place,
+               end = std::move(aEnd)] {
+    ports_.post_([this, self, index, epoch, place, end]() mutable {
+      const auto item = ReadItemAt(place);
+      Lock lock(mutex_);
+      OwnedPartition* owned = FindEpoch(index, epoch);
+      if (owned != nullptr) {
+        if (const auto* found = std::get_if<wire::JobItem>(&item)) {
+          end.ended_.result_.name_ = found->name_;
+        }
+        AddEnd(index, *owned, std::move(end));
+      }
+      Leave(std::move(lock));
+    });
+  });
+}
+
+base::Outcome<wire::JobItem>
+JobService::ReadItemAt(const jobs::ItemPlace& aPlace)
+{
+  return base::Capture([&]() -> base::Result<wire::JobItem> {
+    BOOST_LEAF_AUTO(bytes, cache_.Get(aPlace.record_));
+    return jobs::ReadItem(*bytes, aPlace.index_);
+  });
+}
+
+void
+JobService::AddEnd(std::uint32_t aIndex,
+                   OwnedPartition& aPartition,
+                   WaitingEnd aEnd)
+{
+  aPartition.ends_.push_back(std::move(aEnd));
+  FlushEnds(aIndex, aPartition);
+}
+
+void
+JobService::FlushEnds(std::uint32_t aIndex, OwnedPartition& aPartition)
+{
+  // One record of results is on its way at a time; what ends meanwhile goes
+  // into the next, so groups grow with load and nothing waits for a timer.
+  if (aPartition.endsInFlight_ || aPartition.ends_.empty()) {
+    return;
+  }
+  std::vector<WaitingEnd>& waiting = aPartition.ends_;
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  jobs::ItemsEnded body;
+  while (count < waiting.size() && count < kMaxEndsInRecord &&
+         bytes < kMaxBytesInRecord) {
+    body.ended_.push_back(waiting[count].ended_);
+    bytes += waiting[count].ended_.result_.text_.size();
+    ++count;
+  }
+  const auto last = waiting.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<WaitingEnd> group(std::make_move_iterator(waiting.begin()),
+                                std::make_move_iterator(last));
+  waiting.erase(waiting.begin(), last);
+  aPartition.endsInFlight_ = true;
+  Append(aIndex,
+         { jobs::Record{ ports_.wallUnixMs_(), std::move(body) } },
+         OnFailure::Retry,
+         [this, aIndex, epoch = aPartition.epoch_, group = std::move(group)](
+           base::ResultCode aCode, std::span<const jobs::Applied> aApplied) {
+           SettleEnds(aIndex, epoch, group, aCode, aApplied);
+         });
+}
+
+void
+JobService::SettleEnds(std::uint32_t aIndex,
+                       std::uint64_t aEpoch,
+                       const std::vector<WaitingEnd>& aEnds,
+                       base::ResultCode aCode,
+                       std::span<const jobs::Applied> aApplied)
+{
+  OwnedPartition* partition = FindEpoch(aIndex, aEpoch);
+  for (std::size_t index = 0; index < aEnds.size(); ++index) {
+    const WaitingEnd& end = aEnds[index];
+    if (aCode != base::ResultCode::Ok || partition == nullptr) {
+      NotifyMoved(aIndex, end);
+      continue;
+    }
+    NotifyEnd(*partition, end, aApplied.front().ended_[index].first_);
+  }
+  if (partition == nullptr) {
+    return;
+  }
+  partition->endsInFlight_ = false;
+  for (const WaitingEnd& end : aEnds) {
+    ReleaseHeld(*partition, end.ended_.run_.job_);
+  }
+  FlushEnds(aIndex, *partition);
+}
+
+void
+JobService::NotifyEnd(const OwnedPartition& aPartition,
+                      const WaitingEnd& aEnd,
+                      bool aIsFirst)
+{
+  switch (aEnd.notice_) {
+    case EndNotice::Nobody:
+      return;
+    case EndNotice::RunRecorded:
+      Send(aEnd.asker_.peer_, wire::RunRecorded{ aEnd.ended_.run_ });
+      return;
+    case EndNotice::RecordResultReply:
+      break;
+  }
+  const jobs::Job* job = aPartition.table_.Find(aEnd.ended_.run_.job_);
+  if (!aIsFirst && job != nullptr && job->IsOver()) {
+    ReplyRecorded(aEnd.asker_, *job, aEnd.ended_.result_);
+    return;
+  }
+  wire::RecordResultReply reply;
+  reply.call_ = aEnd.asker_.call_;
+  reply.first_ = true;
+  Send(aEnd.asker_.peer_, std::move(reply));
+}
+
+void
+JobService::NotifyMoved(std::uint32_t aIndex, const WaitingEnd& aEnd)
+{
+  const std::string owner = ports_.ownerOf_(aIndex);
+  const Asker& asker = aEnd.asker_;
+  if (aEnd.notice_ == EndNotice::RecordResultReply) {
+    wire::RecordResultReply reply;
+    reply.call_ = asker.call_;
+    reply.code_ = base::ResultCode::NotOwner;
+    reply.ownerHint_ = owner;
+    Send(asker.peer_, std::move(reply));
+    return;
+  }
+  if (aEnd.notice_ == EndNotice::RunRecorded) {
+    const wire::ItemResult& result = aEnd.ended_.result_;
+    wire::RunEnded ended;
+    ended.run_ = aEnd.ended_.run_;
+    ended.code_ = result.code_;
+    ended.ran_ = result.ran_;
+    ended.text_ = result.text_;
+    ended.tokens_ = result.tokens_;
+    ended.detail_ = result.detail_;
+    Forward(asker.peer_, aIndex, ended);
+  }
+}
+
+void
+JobService::AddWaiting(const jobs::Job& aJob, std::uint32_t aItems)
+{
+  scheduler_.AddWork(aJob.description_,
+                     ports_.batchShareOf_(aJob.description_.partner_),
+                     aItems);
+}
+
+void
+JobService::TellDemand(const std::vector<jobs::DemandNotice>& aNotices)
+{
+  for (const jobs::DemandNotice& notice : aNotices) {
+    Send(notice.agent_, notice.demand_);
+  }
+}
+
+void
+JobService::Dispatch()
+{
+  if (draining_) {
+    return;
+  }
+  for (const std::string& service : scheduler_.Services()) {
+    DispatchService(service);
+  }
+}
+
+void
+JobService::DispatchService(const std::string& aService)
+{
+  const base::Instant now = ports_.now_();
+  const std::int64_t nowUnixMs = ports_.wallUnixMs_();
+  while (const auto assignment = scheduler_.Next(aService, now, nowUnixMs)) {
+    const jobs::Pick& pick = assignment->pick_;
+    const Route route = RouteTo(pick.job_);
+    std::optional<jobs::Dispatch> dispatch;
+    if (route.partition_ != nullptr) {
+      dispatch = route.partition_->table_.TakeItem(pick.job_);
+    }
+    if (!dispatch) {
+      // A late result ended the item while it waited.
+      scheduler_.ReturnCredit(assignment->agent_, aService);
+      continue;
+    }
+    base::Log(
+      kBatchPlaced,
+      { { "run", base::ToString(dispatch->run_) },
+        { "service", aService },
+        { "agent", assignment->agent_ },
+        { "credits_left", assignment->credits_ },
+        { "partner", pick.partner_ },
+        { "reason",
+          pick.reason_ == jobs::PickReason::Share ? "share" : "urgent" },
+        { "laxity_ms", pick.laxityMs_ },
+        { "waiting_of_job", pick.waiting_ },
+        { "partners_waiting", pick.partners_ } });
+    Load(route,
+         *dispatch,
+         { assignment->agent_, aService, {}, now, false, false });
+  }
+}
+
+void
+JobService::Load(const Route& aRoute,
+                 const jobs::Dispatch& aDispatch,
+                 jobs::RunInFlight aRun)
+{
+  const LoadingRun loading{ aRoute.index_,
+                            aRoute.partition_->epoch_,
+                            aDispatch };
+  scheduler_.AddRun(aDispatch.run_, std::move(aRun));
+  outbox_.Add([this, self = shared_from_this(), loading] {
+    ports_.post_([this, self, loading] {
+      const auto item = ReadItemAt(loading.dispatch_.place_);
+      Lock lock(mutex_);
+      OnLoaded(loading, item);
+      Leave(std::move(lock));
+    });
+  });
+}
+
+void
+JobService::OnLoaded(const LoadingRun& aLoading,
+                     const base::Outcome<wire::JobItem>& aItem)
+{
+  const base::RunId& id = aLoading.dispatch_.run_;
+  OwnedPartition* partition = FindEpoch(aLoading.partition_, aLoading.epoch_);
+  if (partition == nullptr || scheduler_.FindRun(id) == nullptr ||
+      !partition->table_.IsRunning(id)) {
+    // Cancelled, ended by a late result, or moved while the payload was read:
+    // an item that has not begun does not start.
+    DropRun(id);
+    return;
+  }
+  const Route route{ partition, aLoading.partition_, {}, {} };
+  if (const auto* failure = std::get_if<base::Failure>(&aItem)) {
+    base::Log(kUnreadableRecord,
+              { { "run", base::ToString(id) },
+                { "code", base::NameOf(failure->code_) },
+                { "detail", failure->detail_ } });
+    DropRun(id);
+    EndWithoutRun(
+      route, id, failure->code_, base::Ran::NotRun, failure->detail_);
+    return;
+  }
+  StartLoaded(route, aLoading, std::get<wire::JobItem>(aItem));
+}
+
+void
+JobService::StartLoaded(const Route& aRoute,
+                        const LoadingRun& aLoading,
+                        const wire::JobItem& aItem)
+{
+  const base::RunId& id = aLoading.dispatch_.run_;
+  if (ports_.isQuarantined_(base::HashBytes(aItem.payload_))) {
+    DropRun(id);
+    EndWithoutRun(aRoute,
+                  id,
+                  base::ResultCode::Quarantined,
+                  base::Ran::NotRun,
+                  "its content crashed endpoints");
+    return;
+  }
+  jobs::RunInFlight* run = scheduler_.FindRun(id);
+  run->itemName_ = aItem.name_;
+  if (!aLoading.dispatch_.recordStart_) {
+    SendStart(aLoading, aItem);
+    return;
+  }
+  // A non-idempotent run that leaves no trace could be run again by the next
+  // owner after this one is lost. So the start is durable before the first byte
+  // leaves.
+  Append(aLoading.partition_,
+         { jobs::Record{ ports_.wallUnixMs_(),
+                         jobs::ItemStarted{ id, run->agent_ } } },
+         OnFailure::Report,
+         [this, aLoading, aItem](base::ResultCode aCode,
+                                 std::span<const jobs::Applied> /*aApplied*/) {
+           if (aCode == base::ResultCode::Ok) {
+             SendStart(aLoading, aItem);
+           } else {
+             TakeBack(aLoading);
+           }
+         });
+}
+
+void
+JobService::SendStart(const LoadingRun& aLoading, const wire::JobItem& aItem)
+{
+  const base::RunId& id = aLoading.dispatch_.run_;
+  const OwnedPartition* partition =
+    FindEpoch(aLoading.partition_, aLoading.epoch_);
+  jobs::RunInFlight* run = scheduler_.FindRun(id);
+  if (partition == nullptr || run == nullptr ||
+      !partition->table_.IsRunning(id)) {
+    DropRun(id);
+    return;
+  }
+  run->sent_ = true;
+  run->started_ = ports_.now_();
+  ++(run->online_ ? counts_.orphansRun_ : counts_.batchStarted_);
+  outbox_.Add([this,
+               self = shared_from_this(),
+               agent = run->agent_,
+               start = MakeStart(*partition, id, aItem),
+               aLoading]() mutable {
+    if (ports_.send_(agent, std::move(start)) != base::ResultCode::Ok) {
+      Lock lock(mutex_);
+      TakeBack(aLoading);
+      Leave(std::move(lock));
+    }
+  });
+}
+
+void
+JobService::TakeBack(const LoadingRun& aLoading)
+{
+  const base::RunId& id = aLoading.dispatch_.run_;
+  OwnedPartition* partition = FindEpoch(aLoading.partition_, aLoading.epoch_);
+  DropRun(id);
+  if (partition == nullptr || !partition->table_.Requeue(id)) {
+    return;
+  }
+  ++counts_.requeued_;
+  const jobs::Job& job = *partition->table_.Find(id.job_);
+  if (job.description_.online_) {
+    orphans_.insert(id.job_);
+  } else {
+    AddWaiting(job, 1);
+  }
+}
+
+void
+JobService::DropRun(const base::RunId& aRun)
+{
+  const auto run = scheduler_.EndRun(aRun, {});
+  if (run && !run->online_) {
+    scheduler_.ReturnCredit(run->agent_, run->service_);
+  }
+}
+
+wire::StartRun
+JobService::MakeStart(const OwnedPartition& aPartition,
+                      const base::RunId& aRun,
+                      const wire::JobItem& aItem) const
+{
+  const wire::JobDescription& job =
+    aPartition.table_.Find(aRun.job_)->description_;
+  wire::StartRun start;
+  start.run_ = aRun;
+  start.service_ = job.service_;
+  start.kind_ = job.kind_;
+  start.online_ = job.online_;
+  start.idempotent_ = job.idempotent_;
+  start.dueUnixMs_ = job.dueUnixMs_;
+  start.fingerprint_ = base::HashBytes(aItem.payload_);
+  start.maxTokens_ = job.maxTokens_;
+  start.payload_ = aItem.payload_;
+  start.fence_ = aPartition.epoch_;
+  if (job.online_) {
+    // The caller may be gone, but the answer can still be read by its key.
+    const std::uint32_t usual =
+      ports_.limitsOf_(job.service_, job.kind_).deadlineMs_;
+    start.deadlineMs_ = RemainingMs(job.dueUnixMs_,
+                                    ports_.wallUnixMs_(),
+                                    usual == 0 ? kDefaultDeadlineMs : usual);
+  }
+  return start;
+}
+
+void
+JobService::EndRunsAt(const std::string& aAgent, Runs aRuns)
+{
+  std::size_t ended = 0;
+  for (const base::RunId& id : scheduler_.RunsAt(aAgent)) {
+    const Route route = RouteTo(id.job_);
+    const jobs::Job* job = route.partition_ == nullptr
+                             ? nullptr
+                             : route.partition_->table_.Find(id.job_);
+    if (job == nullptr) {
+      scheduler_.EndRun(id, {});
+      continue;
+    }
+    if (!job->description_.idempotent_ && aRuns == Runs::Idempotent) {
+      continue;
+    }
+    const bool isSent = scheduler_.FindRun(id)->sent_;
+    wire::RunEnded lost;
+    lost.run_ = id;
+    lost.code_ = base::ResultCode::EndpointLost;
+    lost.ran_ = isSent ? base::Ran::Unknown : base::Ran::NotRun;
+    lost.detail_ = aAgent;
+    DecideEnded(aAgent, route, lost);
+    ++ended;
+  }
+  if (ended > 0) {
+    base::Log(kAgentGone, { { "agent", aAgent }, { "runs", ended } });
+  }
+}
+
+void
+JobService::OrphanRequestsOf(const std::string& aEntry)
+{
+  std::size_t count = 0;
+  for (auto& [index, partition] : partitions_) {
+    std::vector<base::JobId> jobs;
+    for (const auto& [job, run] : partition.online_) {
+      if (run.runner_.peer_ == aEntry && !run.ownerRuns_) {
+        jobs.push_back(job);
+      }
+    }
+    std::sort(jobs.begin(), jobs.end());
+    for (const base::JobId& job : jobs) {
+      OrphanRequest({ &partition, index, {}, {} }, job);
+    }
+    count += jobs.size();
+  }
+  if (count > 0) {
+    base::Log(kEntryGone, { { "entry", aEntry }, { "requests", count } });
+  }
+}
+
+void
+JobService::OrphanRequest(const Route& aRoute, const base::JobId& aJob)
+{
+  OwnedPartition& partition = *aRoute.partition_;
+  const jobs::Job* job = partition.table_.Find(aJob);
+  if (job == nullptr || job->IsOver()) {
+    return;
+  }
+  partition.online_[aJob].ownerRuns_ = true;
+  if (!job->description_.idempotent_) {
+    // The started record is there and nobody can tell how the run ended.
+    EndWithoutRun(aRoute,
+                  { aJob, 0, job->items_.front().attempt_ },
+                  base::ResultCode::OutcomeUnknown,
+                  base::Ran::Unknown,
+                  "the entry that ran it was lost");
+    return;
+  }
+  if (partition.table_.Orphan(aJob)) {
+    orphans_.insert(aJob);
+  }
+}
+
+void
+JobService::PlaceOrphans()
+{
+  const base::Instant now = ports_.now_();
+  const std::set<base::JobId> waiting = orphans_;
+  for (const base::JobId& id : waiting) {
+    const Route route = RouteTo(id);
+    const jobs::Job* job =
+      route.partition_ == nullptr ? nullptr : route.partition_->table_.Find(id);
+    if (job == nullptr) {
+      orphans_.erase(id);
+      continue;
+    }
+    const std::string service = job->description_.service_;
+    const auto agent = scheduler_.AgentForOnline(service, now);
+    if (!agent) {
+      continue;
+    }
+    orphans_.erase(id);
+    const auto dispatch = route.partition_->table_.TakeItem(id);
+    if (!dispatch) {
+      continue;
+    }
+    base::Log(kOrphanPlaced,
+              { { "run", base::ToString(dispatch->run_) },
+                { "service", service },
+                { "agent", *agent },
+                { "orphans", waiting.size() } });
+    Load(route, *dispatch, { *agent, service, {}, now, true, false });
+  }
+}
+
+} // namespace pumiceturn::keeper
--- /dev/null
+++ b/Libraries/LibKeeper/Outbox.cpp
@@ -0,0 +1,34 @@
+#include "LibKeeper/Outbox.h"
+
+#include <utility>
+
+namespace pumiceturn::keeper {
+
+void
+Outbox::Add(Action aAction)
+{
+  const std::lock_guard lock(mutex_);
+  actions_.push_back(std::move(aAction));
+}
+
+void
+Outbox::Drain()
+{
+  std::unique_lock lock(mutex_);
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  while (!actions_.empty()) {
+    Action action = std::move(actions_.front());
+    actions_.pop_front();
+    lock.unlock();
+    action();
+    // A captured object's destructor may call back, so it runs unlocked.
+    action = nullptr;
+    lock.lock();
+  }
+  draining_ = false;
+}
+
+} // namespace pumiceturn::keeper
--- /dev/null
+++ b/Libraries/LibKeeper/RecordCache.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "LibBase/Result.h"
+#include "LibJobLog/LogPosition.h"
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace pumiceturn::keeper {
+
+/// The records read last from the log. Items of a frame go out one after
+/// another and results are read in pages, so without it one record would be
+/// read once for each of its items. Thread-safe.
+class RecordCache
+{
+public:
+  using Bytes = std::shared_ptr<const std::string>;
+  using Read =
+    std::function<base::Result<std::string>(const joblog::LogPosition&)>;
+
+  RecordCache(Read aRead, std::size_t aMaxBytes)
+    : read_(std::move(aRead))
+    , maxBytes_(aMaxBytes)
+  {
+  }
+
+  /// @return the record's bytes, or the error of the read.
+  base::Result<Bytes> Get(const joblog::LogPosition& aPosition);
+
+private:
+  struct Entry
+  {
+    joblog::LogPosition position_;
+    Bytes bytes_;
+  };
+
+  Bytes Find(const joblog::LogPosition& aPosition);
+
+  Read read_;
+  std::size_t maxBytes_;
+  std::mutex mutex_;
+  std::list<Entry> entries_; ///< Used last first.
+  std::size_t bytes_ = 0;
+};
+
+} // namespace pumiceturn::keeper
