--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -76,7 +76,10 @@
 
   wire::JobDescription description_;
   Phase phase_ = Phase::Opening;
-  bool cancelling_ = false; ///< A JobCancelled record is on its way.
+  /// A cancellation was asked for. It waits for the results on their way, and
+  /// no other result is let in before it.
+  bool cancelling_ = false;
+  bool cancelAppended_ = false; ///< Its record is on its way.
   std::uint64_t firstSequence_ = 0;
   std::int64_t lastRecordUnixMs_ = 0; ///< When it was opened, then finished.
   std::vector<Frame> frames_;
@@ -85,6 +88,7 @@
   std::vector<std::uint32_t> requeued_;
   std::uint32_t nextItem_ = 0; ///< First item never dispatched.
   std::uint32_t running_ = 0;
+  std::uint32_t ending_ = 0; ///< Of those running, with a result on its way.
   std::uint32_t succeeded_ = 0;
   std::uint32_t failed_ = 0;
   std::uint32_t cancelled_ = 0;
--- a/Libraries/LibJobs/JobTable.cpp
+++ b/Libraries/LibJobs/JobTable.cpp
@@ -32,6 +32,8 @@
 {
   aJob.running_ -= IsUnderway(aItem.state_) ? 1 : 0;
   aJob.running_ += IsUnderway(aState) ? 1 : 0;
+  aJob.ending_ -= aItem.state_ == Item::State::Ending ? 1 : 0;
+  aJob.ending_ += aState == Item::State::Ending ? 1 : 0;
   aItem.state_ = aState;
 }
 
@@ -511,16 +513,22 @@
   return RecordEnd(jobs_.at(aRun.job_), aRun, aResult);
 }
 
-std::optional<Record>
+CancelDecision
 JobTable::Cancel(const base::JobId& aJob, std::int64_t aNowUnixMs)
 {
   Job* job = FindMutable(aJob);
-  if (job == nullptr || !job->IsAccepted() || job->IsOver() ||
-      job->cancelling_) {
-    return std::nullopt;
+  if (job == nullptr || !job->IsAccepted() || job->IsOver()) {
+    return { CancelAction::Over, std::nullopt };
   }
   job->cancelling_ = true;
-  return Record{ aNowUnixMs, JobCancelled{ aJob } };
+  // A result whose append failed may lie in the log before the cancellation and
+  // be appended again after it: live, the item would be cancelled; after a
+  // replay it would have its result. So only one of the two is on its way.
+  if (job->ending_ > 0 || job->cancelAppended_) {
+    return { CancelAction::Wait, std::nullopt };
+  }
+  job->cancelAppended_ = true;
+  return { CancelAction::Append, Record{ aNowUnixMs, JobCancelled{ aJob } } };
 }
 
 std::optional<Dispatch>
--- a/Libraries/LibJobs/JobTable.h
+++ b/Libraries/LibJobs/JobTable.h
@@ -58,6 +58,20 @@
   std::optional<ItemEnded> record_;
 };
 
+/// What to do with a cancellation.
+enum class CancelAction : std::uint8_t
+{
+  Append, ///< Append the record.
+  Wait,   ///< Other records of the job are on their way: ask again then.
+  Over,   ///< There is no such job, or it is over.
+};
+
+struct CancelDecision
+{
+  CancelAction action_ = CancelAction::Over;
+  std::optional<Record> record_;
+};
+
 /// An item taken for dispatch.
 struct Dispatch
 {
@@ -132,11 +146,9 @@
   /// non-idempotent run has an unknown end.
   EndDecision EndItem(const base::RunId& aRun, const wire::ItemResult& aResult);
 
-  /// Decides on a cancellation.
-  /// @return the record to append, or nothing where the job is over, unknown or
-  /// being cancelled.
-  std::optional<Record> Cancel(const base::JobId& aJob,
-                               std::int64_t aNowUnixMs);
+  /// Decides on a cancellation. With Wait, results are on their way into the
+  /// log: ask again when they have settled; meanwhile nothing starts.
+  CancelDecision Cancel(const base::JobId& aJob, std::int64_t aNowUnixMs);
 
   /// Takes the next waiting item of a job for dispatch.
   std::optional<Dispatch> TakeItem(const base::JobId& aJob);
--- a/Libraries/LibKeeper/JobServiceRequests.cpp
+++ b/Libraries/LibKeeper/JobServiceRequests.cpp
@@ -341,23 +341,22 @@
     Hold(partition, aRequest.job_, aPeer, aRequest);
     return;
   }
-  const jobs::Job* job =
-    partition.table_.Find(aRequest.job_, aRequest.partner_);
-  if (job != nullptr && job->cancelling_) {
+  jobs::CancelDecision decision;
+  if (partition.table_.Find(aRequest.job_, aRequest.partner_) != nullptr) {
+    decision = partition.table_.Cancel(aRequest.job_, ports_.wallUnixMs_());
+  }
+  if (decision.action_ == jobs::CancelAction::Wait) {
     Hold(partition, aRequest.job_, aPeer, aRequest);
     return;
   }
-  auto record = job == nullptr ? std::nullopt
-                               : partition.table_.Cancel(aRequest.job_,
-                                                         ports_.wallUnixMs_());
-  if (!record) {
+  if (decision.action_ == jobs::CancelAction::Over) {
     reply = StatusOf(partition, aRequest.job_, aRequest.partner_);
     reply.call_ = aRequest.call_;
     Send(aPeer, std::move(reply));
     return;
   }
   Append(route.index_,
-         { std::move(*record) },
+         { std::move(*decision.record_) },
          OnFailure::Retry,
          [this, aPeer, aRequest](base::ResultCode /*aCode*/,
                                  std::span<const jobs::Applied> /*aApplied*/) {
--- /dev/null
+++ b/Tests/LibJobs/JobFixture.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "LibJobs/JobTable.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::jobs {
+
+constexpr std::int64_t kNow = 1'700'000'000'000;
+
+inline wire::RecordRequest
+MakeRequest(const std::string& aKey, std::uint64_t aDigest)
+{
+  wire::RecordRequest request;
+  request.call_ = 1;
+  request.job_ = base::MakeJobId("slaegtsspor", aKey);
+  request.partner_ = "slaegtsspor";
+  request.service_ = "origin-llm";
+  request.kind_ = "look-up";
+  request.key_ = aKey;
+  request.digest_ = aDigest;
+  request.deadlineUnixMs_ = kNow + 5000;
+  request.retentionS_ = 3600;
+  request.payload_ = "Where does the name come from?";
+  return request;
+}
+
+inline wire::JobDescription
+MakeLot(const std::string& aKey, std::uint64_t aDigest, std::uint32_t aItems)
+{
+  wire::JobDescription lot;
+  lot.id_ = base::MakeJobId("slaegtsspor", aKey);
+  lot.partner_ = "slaegtsspor";
+  lot.service_ = "origin-llm";
+  lot.kind_ = "lineage-batch";
+  lot.key_ = aKey;
+  lot.digest_ = aDigest;
+  lot.itemCount_ = aItems;
+  lot.dueUnixMs_ = kNow + 600'000;
+  lot.retentionS_ = 3600;
+  lot.maxAttempts_ = 3;
+  return lot;
+}
+
+/// @param aCount Items in the frame; the last one of the lot closes it.
+inline wire::SubmitFrame
+MakeFrame(const wire::JobDescription& aLot,
+          std::uint32_t aFirst,
+          std::uint32_t aCount)
+{
+  wire::SubmitFrame frame;
+  frame.call_ = 1 + aFirst;
+  frame.job_ = aLot;
+  frame.firstItem_ = aFirst;
+  for (std::uint32_t item = aFirst; item < aFirst + aCount; ++item) {
+    frame.items_.push_back(
+      { "name-" + std::to_string(item), "payload-" + std::to_string(item) });
+  }
+  frame.last_ = aFirst + aCount == aLot.itemCount_;
+  return frame;
+}
+
+inline wire::RunEnded
+MakeEnded(const base::RunId& aRun,
+          base::ResultCode aCode,
+          base::Ran aRan,
+          std::string aText = {})
+{
+  wire::RunEnded ended;
+  ended.run_ = aRun;
+  ended.code_ = aCode;
+  ended.ran_ = aRan;
+  ended.text_ = std::move(aText);
+  return ended;
+}
+
+/// A table with the log that it is a fold of.
+struct LoggedTable
+{
+  std::vector<Record> log_;
+  JobTable table_;
+
+  Applied Write(const Record& aRecord)
+  {
+    log_.push_back(aRecord);
+    return table_.Apply(aRecord, { 0, 1, log_.size() - 1 }, log_.size());
+  }
+
+  void Write(const std::vector<Record>& aRecords, const base::JobId& aJob)
+  {
+    for (const Record& record : aRecords) {
+      Write(record);
+    }
+    table_.SettleAccept(aJob, true);
+  }
+
+  Acceptance Submit(const wire::SubmitFrame& aFrame)
+  {
+    const AcceptDecision decision = table_.AcceptFrame(aFrame, kNow);
+    if (decision.answer_ == Acceptance::Append) {
+      Write(decision.records_, aFrame.job_.id_);
+    }
+    return decision.answer_;
+  }
+
+  Acceptance Ask(const wire::RecordRequest& aRequest)
+  {
+    const AcceptDecision decision = table_.AcceptOnline(aRequest, 3, kNow);
+    if (decision.answer_ == Acceptance::Append) {
+      Write(decision.records_, aRequest.job_);
+    }
+    return decision.answer_;
+  }
+
+  EndAction End(const wire::RunEnded& aEnded)
+  {
+    const EndDecision decision = table_.DecideRunEnd(aEnded);
+    if (decision.record_) {
+      Write({ kNow, ItemsEnded{ { *decision.record_ } } });
+    }
+    return decision.action_;
+  }
+
+  /// The same log read by a new owner.
+  [[nodiscard]] LoggedTable TakeOver() const
+  {
+    LoggedTable next;
+    for (const Record& record : log_) {
+      next.Write(record);
+    }
+    return next;
+  }
+
+  /// @return the recorded result at a position.
+  [[nodiscard]] wire::ItemResult ResultAt(const base::JobId& aJob,
+                                          std::uint32_t aPosition) const
+  {
+    const ResultPlace& place = table_.Find(aJob)->results_.at(aPosition);
+    return std::get<ItemsEnded>(log_.at(place.record_.offset_).body_)
+      .ended_.at(place.index_)
+      .result_;
+  }
+};
+
+} // namespace pumiceturn::jobs
--- /dev/null
+++ b/Tests/LibJobs/LaxityQueueTest.cpp
@@ -0,0 +1,162 @@
+#include "LibJobs/LaxityQueue.h"
+
+#include "LibJobs/BatchScheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+namespace pumiceturn::jobs {
+
+namespace {
+
+constexpr std::int64_t kNow = 1'000'000;
+constexpr std::int64_t kFarOff = kNow + 10'000'000;
+
+struct LaxityQueueFixture
+{
+  LaxityQueue queue_;
+
+  std::map<std::string, int> TakeMany(int aCount)
+  {
+    std::map<std::string, int> picks;
+    for (int index = 0; index < aCount; ++index) {
+      ++picks[std::string(queue_.Take(kNow).value().partner_)];
+    }
+    return picks;
+  }
+};
+
+struct BatchSchedulerFixture
+{
+  BatchScheduler scheduler_;
+  wire::JobDescription job_;
+  base::Instant now_{ std::chrono::seconds{ 10 } };
+
+  BatchSchedulerFixture()
+  {
+    job_.id_ = { 1, 1 };
+    job_.partner_ = "society";
+    job_.service_ = "origin-llm";
+    job_.dueUnixMs_ = kFarOff;
+    scheduler_.SetAgents("origin-llm", { "agent-1", "agent-2" });
+    scheduler_.LinkUp("agent-1");
+  }
+
+  std::optional<Assignment> Next()
+  {
+    return scheduler_.Next("origin-llm", now_, kNow);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(LaxityQueueFixture, "LaxityQueue_OnePartner_LeastLaxityFirst")
+{
+  queue_.Add({ 1, 1 }, "society", 1, kFarOff, 1);
+  queue_.Add({ 2, 2 }, "society", 1, kFarOff - 1000, 1);
+  // Due later than the others, but with far more work left.
+  queue_.Add({ 3, 3 }, "society", 1, kFarOff + 1000, 1000);
+  CHECK(queue_.Take(kNow)->job_ == base::JobId{ 3, 3 });
+  queue_.Remove({ 3, 3 });
+  CHECK(queue_.Take(kNow)->job_ == base::JobId{ 2, 2 });
+  CHECK(queue_.Take(kNow)->job_ == base::JobId{ 1, 1 });
+  CHECK_FALSE(queue_.Take(kNow));
+  CHECK(queue_.Waiting() == 0);
+}
+
+TEST_CASE_METHOD(LaxityQueueFixture, "LaxityQueue_TwoPartners_ShareByWeight")
+{
+  queue_.Add({ 1, 1 }, "large", 3, kFarOff, 1000);
+  queue_.Add({ 2, 2 }, "small", 1, kFarOff, 1000);
+  const auto picks = TakeMany(400);
+  CHECK(picks.at("large") == 300);
+  CHECK(picks.at("small") == 100);
+}
+
+TEST_CASE_METHOD(LaxityQueueFixture,
+                 "LaxityQueue_PartnerBackFromIdle_TakesItsShareOnly")
+{
+  // One partner has had the fleet to itself all night. When another one comes,
+  // both get their share: the first is not shut out for what it had before.
+  queue_.Add({ 1, 1 }, "night", 1, kFarOff, 2000);
+  TakeMany(1000);
+  queue_.Add({ 2, 2 }, "morning", 1, kFarOff, 1000);
+  const auto picks = TakeMany(100);
+  CHECK(picks.at("night") == 50);
+  CHECK(picks.at("morning") == 50);
+}
+
+TEST_CASE_METHOD(LaxityQueueFixture, "LaxityQueue_UrgentJob_TakesABoundedPart")
+{
+  // A huge late job of one partner must not stop the others for hours.
+  queue_.Add({ 1, 1 }, "late", 1, kNow, 10'000);
+  queue_.Add({ 2, 2 }, "first", 1, kFarOff, 10'000);
+  queue_.Add({ 3, 3 }, "second", 1, kFarOff, 10'000);
+  queue_.Add({ 4, 4 }, "third", 1, kFarOff, 10'000);
+  const auto picks = TakeMany(1000);
+  CHECK(picks.at("late") >= 250);
+  CHECK(picks.at("late") <= 300);
+  CHECK(picks.at("first") >= 220);
+}
+
+TEST_CASE_METHOD(LaxityQueueFixture,
+                 "LaxityQueue_MeasuredServiceTime_ReordersJobs")
+{
+  queue_.Add({ 1, 1 }, "society", 1, kNow + 200'000, 100);
+  queue_.Add({ 2, 2 }, "society", 1, kNow + 120'000, 1);
+  CHECK(queue_.Take(kNow)->job_ == base::JobId{ 1, 1 });
+  for (int sample = 0; sample < 200; ++sample) {
+    queue_.RecordServiceTime(std::chrono::milliseconds{ 10 });
+  }
+  CHECK(queue_.Take(kNow)->job_ == base::JobId{ 2, 2 });
+}
+
+TEST_CASE_METHOD(BatchSchedulerFixture,
+                 "BatchScheduler_NoCredit_NothingIsAssigned")
+{
+  scheduler_.AddWork(job_, 1, 5);
+  CHECK_FALSE(Next());
+  scheduler_.Grant("agent-1", "origin-llm", 2);
+  scheduler_.Grant("agent-1", "origin-llm", 2);
+  scheduler_.Grant("agent-2", "origin-llm", 9);
+  CHECK(Next()->agent_ == "agent-1");
+  CHECK(Next()->credits_ == 0);
+  CHECK_FALSE(Next());
+  scheduler_.ReturnCredit("agent-1", "origin-llm");
+  CHECK(Next());
+  scheduler_.LinkUp("agent-1");
+  scheduler_.Grant("agent-1", "origin-llm", 1);
+  CHECK(Next());
+  CHECK_FALSE(Next());
+}
+
+TEST_CASE_METHOD(BatchSchedulerFixture,
+                 "BatchScheduler_Demand_IsToldAtOnceThenCoalesced")
+{
+  CHECK(scheduler_.UrgentDemand(kNow).empty());
+  scheduler_.AddWork(job_, 1, 5);
+  const auto first = scheduler_.UrgentDemand(kNow);
+  REQUIRE(first.size() == 1);
+  CHECK(first[0].agent_ == "agent-1");
+  CHECK(first[0].demand_.waiting_ == 5);
+  scheduler_.AddWork(job_, 1, 5);
+  CHECK(scheduler_.UrgentDemand(kNow).empty());
+  CHECK(scheduler_.ChangedDemand(kNow)[0].demand_.waiting_ == 10);
+  CHECK(scheduler_.ChangedDemand(kNow).empty());
+  scheduler_.RemoveJob(job_.id_, "origin-llm");
+  CHECK(scheduler_.ChangedDemand(kNow)[0].demand_.waiting_ == 0);
+}
+
+TEST_CASE_METHOD(BatchSchedulerFixture,
+                 "BatchScheduler_RefusingAgent_IsPausedUntilItsTime")
+{
+  scheduler_.AddWork(job_, 1, 5);
+  scheduler_.Grant("agent-1", "origin-llm", 2);
+  scheduler_.Pause("agent-1", now_ + std::chrono::seconds{ 1 });
+  CHECK_FALSE(Next());
+  now_ += std::chrono::seconds{ 1 };
+  CHECK(Next());
+}
+
+} // namespace pumiceturn::jobs
