--- a/Tests/LibJobs/JobTableExplorerTest.cpp
+++ b/Tests/LibJobs/JobTableExplorerTest.cpp
@@ -226,7 +226,7 @@
   // are lost with records half written. In every order: one result, the same
   // after each takeover and for each caller, and nothing accepted is lost.
   Explorer explorer;
-  constexpr int kDepth = 8;
+  constexpr int kDepth = 7;
   explorer.Explore(World{}, kDepth);
   CAPTURE(explorer.worlds_, explorer.finished_);
   CHECK(explorer.firstViolation_ == "");
