Schema: Let hello name whom the dialing side wants

Addresses of hosts are reused. A process that listens where another was would take the link of the other's name and its messages.

--- a/Schema/Generated/Wire.capnp.h
+++ b/Schema/Generated/Wire.capnp.h
@@ -662,7 +662,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cbf6ed071b16e71, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8cbf6ed071b16e71, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4983,6 +4983,9 @@
 
   inline  ::uint32_t getProtocolVersion() const;
 
+  inline bool hasExpectedHost() const;
+  inline  ::capnp::Text::Reader getExpectedHost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5024,6 +5027,13 @@
   inline  ::uint32_t getProtocolVersion();
   inline void setProtocolVersion( ::uint32_t value);
 
+  inline bool hasExpectedHost();
+  inline  ::capnp::Text::Builder getExpectedHost();
+  inline void setExpectedHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initExpectedHost(unsigned int size);
+  inline void adoptExpectedHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownExpectedHost();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -10920,6 +10930,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::hasExpectedHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasExpectedHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getExpectedHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getExpectedHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setExpectedHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initExpectedHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptExpectedHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownExpectedHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Schema/Wire.capnp
+++ b/Schema/Wire.capnp
@@ -214,6 +214,7 @@
   host @0 :Text;
   incarnation @1 :UInt64;      # New at each process start.
   protocolVersion @2 :UInt32;
+  expectedHost @3 :Text;       # Whom the dialing side wants; another refuses.
 }
 
 # The bootstrap capability of every process.
