--- a/Libraries/LibPlatform/KeyValueClient.h
+++ b/Libraries/LibPlatform/KeyValueClient.h
@@ -27,6 +27,10 @@
   std::uint64_t revision_ = 0; ///< The store's revision that was read.
 };
 
+/// Puts a value whatever is there, for keys that name their content by its
+/// digest: two writers can only put the same.
+constexpr std::uint64_t kAnyRevision = ~std::uint64_t{ 0 };
+
 /// One compare-and-swap of a transaction: the value is put if the key's last
 /// change has the expected revision; 0 expects that the key does not exist.
 struct Swap
@@ -67,6 +71,16 @@
   /// @return all entries under a prefix, in key order.
   base::Result<RangeReply> Range(std::string_view aPrefix);
 
+  /// @return entries from the first key, included, to the end, excluded, in key
+  /// order.
+  base::Result<RangeReply> RangeBetween(std::string_view aFirst,
+                                        std::string_view aEnd);
+
+  /// Reads single keys in one call.
+  /// @return those that exist, in the order given.
+  base::Result<std::vector<KeyValue>> GetMany(
+    const std::vector<std::string>& aKeys);
+
   /// Puts all values, or none, in one call.
   /// @return the new revision; PlatformConflict when a key was changed by
   /// another writer; PlatformOutcomeUnknown when the answer was lost: read back
