--- a/Libraries/LibConfiguration/ConfigurationCache.h
+++ b/Libraries/LibConfiguration/ConfigurationCache.h
@@ -14,6 +14,9 @@
 {
 public:
   explicit Snapshot(declarations::Configuration aContent);
+  ~Snapshot() = default;
+  Snapshot(const Snapshot&) = delete; // The index points into the content.
+  Snapshot& operator=(const Snapshot&) = delete;
 
   [[nodiscard]] const declarations::Configuration& Content() const
   {
