--- /dev/null
+++ b/Libraries/LibRouting/EndpointChooser.cpp
@@ -0,0 +1,395 @@
+#include "LibRouting/EndpointChooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::routing {
+
+namespace {
+
+/// Random draws before all endpoints are looked through. Most draws succeed;
+/// the look-through is for fleets where nearly all are excluded.
+constexpr int kDraws = 8;
+
+bool
+IsExcluded(std::string_view aName, std::span<const std::string> aExcluded)
+{
+  return std::find(aExcluded.begin(), aExcluded.end(), aName) !=
+         aExcluded.end();
+}
+
+} // namespace
+
+std::string_view
+NameOf(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::LessLoaded:
+      return "less_loaded";
+    case Reason::PrefixHeld:
+      return "prefix_held";
+    case Reason::OnlyOne:
+      return "only_one";
+    case Reason::InTurn:
+      return "in_turn";
+    case Reason::AtRandom:
+      break;
+  }
+  return "at_random";
+}
+
+EndpointChooser::EndpointChooser(std::string aFailureDomain, Policy aPolicy)
+  : failureDomain_(std::move(aFailureDomain))
+  , policy_(aPolicy)
+{
+}
+
+void
+EndpointChooser::SetEndpoints(std::span<const EndpointDescription> aEndpoints)
+{
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(aEndpoints.size());
+  std::unordered_map<std::string, std::size_t> positions;
+  bool isSamePlace = aEndpoints.size() == endpoints_.size();
+  for (const EndpointDescription& description : aEndpoints) {
+    Endpoint endpoint;
+    if (const Endpoint* known = Find(description.name_)) {
+      endpoint = *known;
+    }
+    isSamePlace =
+      isSamePlace &&
+      endpoints_[endpoints.size()].description_.name_ == description.name_;
+    endpoint.description_ = description;
+    positions.emplace(description.name_, endpoints.size());
+    endpoints.push_back(std::move(endpoint));
+  }
+  endpoints_ = std::move(endpoints);
+  positions_ = std::move(positions);
+  if (!isSamePlace) {
+    prefixes_ = {}; // It names endpoints by position.
+  }
+  RebuildEligible();
+}
+
+void
+EndpointChooser::SetLinked(std::string_view aEndpoint, bool aIsLinked)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->linked_ = aIsLinked;
+    RebuildEligible();
+  }
+}
+
+void
+EndpointChooser::SetDrained(std::string_view aEndpoint, bool aIsDrained)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->drained_ = aIsDrained;
+    RebuildEligible();
+  }
+}
+
+void
+EndpointChooser::OnHeartbeat(std::string_view aEndpoint,
+                             const wire::Heartbeat& aHeartbeat,
+                             base::Instant aNow)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  const std::uint32_t reported = aHeartbeat.running_ + aHeartbeat.queuedOnline_;
+  endpoint->othersLoad_ =
+    reported > endpoint->inFlight_ ? reported - endpoint->inFlight_ : 0;
+  endpoint->expectedWaitMs_ = aHeartbeat.expectedWaitMs_;
+  endpoint->draining_ = aHeartbeat.draining_;
+  endpoint->reportedAt_ = aNow;
+  if (aHeartbeat.capacity_ > 0) {
+    endpoint->description_.capacity_ = aHeartbeat.capacity_;
+  }
+  const std::size_t position = positions_.at(std::string(aEndpoint));
+  for (const std::uint64_t prefix : aHeartbeat.prefixesAdded_) {
+    prefixes_.Add(position, prefix);
+  }
+  for (const std::uint64_t prefix : aHeartbeat.prefixesDropped_) {
+    prefixes_.Drop(position, prefix);
+  }
+  RebuildEligible();
+}
+
+void
+EndpointChooser::OnReplaced(std::string_view aEndpoint)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  endpoint->draining_ = false;
+  endpoint->othersLoad_ = 0;
+  endpoint->reportedAt_.reset();
+  prefixes_.Clear(positions_.at(std::string(aEndpoint)));
+  RebuildEligible();
+}
+
+void
+EndpointChooser::OnStarted(std::string_view aEndpoint,
+                           std::uint64_t aPrefix,
+                           bool aIsSuspect)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  ++endpoint->inFlight_;
+  endpoint->suspects_ += aIsSuspect ? 1 : 0;
+  totalLoad_ += IsEligible(*endpoint) ? 1 : 0;
+  prefixes_.Add(positions_.at(std::string(aEndpoint)), aPrefix);
+}
+
+void
+EndpointChooser::OnEnded(std::string_view aEndpoint, bool aIsSuspect)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr || endpoint->inFlight_ == 0) {
+    return; // Counted before the endpoint left the subset and came back.
+  }
+  --endpoint->inFlight_;
+  if (aIsSuspect && endpoint->suspects_ > 0) {
+    --endpoint->suspects_;
+  }
+  if (IsEligible(*endpoint) && totalLoad_ > 0) {
+    --totalLoad_;
+  }
+}
+
+std::optional<Choice>
+EndpointChooser::Choose(const ChoiceRequest& aRequest,
+                        base::Instant aNow,
+                        std::mt19937_64& aRandom)
+{
+  return std::visit(
+    [&](auto& aPolicy) { return ChooseBy(aPolicy, aRequest, aNow, aRandom); },
+    policy_);
+}
+
+bool
+EndpointChooser::HasEligible() const
+{
+  return !eligible_.empty();
+}
+
+std::optional<std::uint32_t>
+EndpointChooser::ShortestWaitMs() const
+{
+  std::optional<std::uint32_t> shortest;
+  for (const std::size_t index : eligible_) {
+    const Endpoint& endpoint = endpoints_[index];
+    if (endpoint.reportedAt_.has_value()) {
+      shortest = std::min(shortest.value_or(endpoint.expectedWaitMs_),
+                          endpoint.expectedWaitMs_);
+    }
+  }
+  return shortest;
+}
+
+std::uint32_t
+EndpointChooser::InFlight(std::string_view aEndpoint) const
+{
+  const auto found = positions_.find(std::string(aEndpoint));
+  return found == positions_.end() ? 0 : endpoints_[found->second].inFlight_;
+}
+
+EndpointChooser::Endpoint*
+EndpointChooser::Find(std::string_view aName)
+{
+  const auto found = positions_.find(std::string(aName));
+  return found == positions_.end() ? nullptr : &endpoints_[found->second];
+}
+
+bool
+EndpointChooser::IsEligible(const Endpoint& aEndpoint)
+{
+  return aEndpoint.linked_ && !aEndpoint.drained_ && !aEndpoint.draining_;
+}
+
+bool
+EndpointChooser::MayTake(const Endpoint& aEndpoint,
+                         const ChoiceRequest& aRequest) const
+{
+  return !IsExcluded(aEndpoint.description_.name_, aRequest.excluded_);
+}
+
+double
+EndpointChooser::LoadOf(const Endpoint& aEndpoint, base::Instant aNow) const
+{
+  double others = 0.0;
+  if (aEndpoint.reportedAt_.has_value()) {
+    const auto age =
+      static_cast<double>((aNow - *aEndpoint.reportedAt_).count());
+    const auto horizon = static_cast<double>(kReportHorizon.count());
+    const double weight = std::clamp(1.0 - (age / horizon), 0.0, 1.0);
+    others = weight * aEndpoint.othersLoad_;
+  }
+  const std::uint32_t capacity =
+    std::max<std::uint32_t>(aEndpoint.description_.capacity_, 1);
+  return (aEndpoint.inFlight_ + others) / capacity;
+}
+
+double
+EndpointChooser::MeanLoad() const
+{
+  return static_cast<double>(totalLoad_) /
+         static_cast<double>(std::max<std::uint64_t>(totalCapacity_, 1));
+}
+
+void
+EndpointChooser::RebuildEligible()
+{
+  eligible_.clear();
+  totalLoad_ = 0;
+  totalCapacity_ = 0;
+  for (std::size_t index = 0; index < endpoints_.size(); ++index) {
+    const Endpoint& endpoint = endpoints_[index];
+    if (IsEligible(endpoint)) {
+      eligible_.push_back(index);
+      totalLoad_ += endpoint.inFlight_ + endpoint.othersLoad_;
+      totalCapacity_ += endpoint.description_.capacity_;
+    }
+  }
+}
+
+std::optional<std::size_t>
+EndpointChooser::PickRandom(const ChoiceRequest& aRequest,
+                            std::optional<std::size_t> aOther,
+                            std::mt19937_64& aRandom) const
+{
+  if (eligible_.empty()) {
+    return std::nullopt;
+  }
+  const auto isFit = [&](std::size_t aIndex) {
+    return aIndex != aOther && MayTake(endpoints_[aIndex], aRequest);
+  };
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const std::size_t index = eligible_[aRandom() % eligible_.size()];
+    if (isFit(index)) {
+      return index;
+    }
+  }
+  const std::size_t first = aRandom() % eligible_.size();
+  for (std::size_t step = 0; step < eligible_.size(); ++step) {
+    const std::size_t index = eligible_[(first + step) % eligible_.size()];
+    if (isFit(index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t>
+EndpointChooser::PickHolder(const LeastOfTwo& aPolicy,
+                            const ChoiceRequest& aRequest,
+                            base::Instant aNow) const
+{
+  const double bound = aPolicy.affinityBound_ * MeanLoad();
+  std::optional<std::size_t> best;
+  double bestLoad = 0.0;
+  for (const std::size_t index : prefixes_.HoldersOf(aRequest.prefix_)) {
+    const Endpoint& endpoint = endpoints_[index];
+    if (!IsEligible(endpoint) || !MayTake(endpoint, aRequest)) {
+      continue;
+    }
+    const double load = LoadOf(endpoint, aNow);
+    const double oneMore =
+      1.0 / std::max<std::uint32_t>(endpoint.description_.capacity_, 1);
+    const bool isBounded = load <= bound + oneMore;
+    if (isBounded && (!best.has_value() || load < bestLoad)) {
+      best = index;
+      bestLoad = load;
+    }
+  }
+  return best;
+}
+
+Choice
+EndpointChooser::Describe(std::size_t aIndex,
+                          Reason aReason,
+                          base::Instant aNow) const
+{
+  const Endpoint& endpoint = endpoints_[aIndex];
+  Choice choice;
+  choice.endpoint_ = endpoint.description_.name_;
+  choice.reason_ = aReason;
+  choice.load_ = LoadOf(endpoint, aNow);
+  choice.reportAge_ = endpoint.reportedAt_.has_value()
+                        ? aNow - *endpoint.reportedAt_
+                        : base::Duration::max();
+  return choice;
+}
+
+std::optional<Choice>
+EndpointChooser::ChooseBy(LeastOfTwo& aPolicy,
+                          const ChoiceRequest& aRequest,
+                          base::Instant aNow,
+                          std::mt19937_64& aRandom)
+{
+  if (!aRequest.suspect_) {
+    if (const auto holder = PickHolder(aPolicy, aRequest, aNow)) {
+      return Describe(*holder, Reason::PrefixHeld, aNow);
+    }
+  }
+  const auto first = PickRandom(aRequest, std::nullopt, aRandom);
+  if (!first.has_value()) {
+    return std::nullopt;
+  }
+  const auto second = PickRandom(aRequest, first, aRandom);
+  if (!second.has_value()) {
+    return Describe(*first, Reason::OnlyOne, aNow);
+  }
+  const auto score = [&](std::size_t aIndex) {
+    const Endpoint& endpoint = endpoints_[aIndex];
+    const bool isNear = endpoint.description_.failureDomain_ == failureDomain_;
+    // A suspect beside another suspect would hide which of the two crashes
+    // the endpoint, so such an endpoint is taken only when both are alike.
+    const bool hasSuspect = aRequest.suspect_ && endpoint.suspects_ > 0;
+    constexpr double kSuspectPenalty = 1e6;
+    return LoadOf(endpoint, aNow) + (isNear ? 0.0 : aPolicy.domainPenalty_) +
+           (hasSuspect ? kSuspectPenalty : 0.0);
+  };
+  const bool isFirst = score(*first) <= score(*second);
+  Choice choice =
+    Describe(isFirst ? *first : *second, Reason::LessLoaded, aNow);
+  const Endpoint& other = endpoints_[isFirst ? *second : *first];
+  choice.other_ = other.description_.name_;
+  choice.otherLoad_ = LoadOf(other, aNow);
+  return choice;
+}
+
+std::optional<Choice>
+EndpointChooser::ChooseBy(RoundRobin& aPolicy,
+                          const ChoiceRequest& aRequest,
+                          base::Instant aNow,
+                          std::mt19937_64& /*aRandom*/)
+{
+  for (std::size_t step = 0; step < eligible_.size(); ++step) {
+    const std::size_t index = eligible_[aPolicy.next_++ % eligible_.size()];
+    if (MayTake(endpoints_[index], aRequest)) {
+      return Describe(index, Reason::InTurn, aNow);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Choice>
+EndpointChooser::ChooseBy(RandomChoice& /*aPolicy*/,
+                          const ChoiceRequest& aRequest,
+                          base::Instant aNow,
+                          std::mt19937_64& aRandom)
+{
+  const auto index = PickRandom(aRequest, std::nullopt, aRandom);
+  if (!index.has_value()) {
+    return std::nullopt;
+  }
+  return Describe(*index, Reason::AtRandom, aNow);
+}
+
+} // namespace pumiceturn::routing
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -59,6 +59,9 @@
     bool lifted_ = false;
   };
 
+  /// Keeps the table bounded before an entry is added; holds the lock.
+  void MakeRoom(std::uint64_t aFingerprint, base::Instant aNow);
+
   mutable std::mutex mutex_;
   std::unordered_map<std::uint64_t, Entry> entries_;
 };
--- /dev/null
+++ b/Libraries/LibRouting/Subset.cpp
@@ -0,0 +1,76 @@
+#include "LibRouting/Subset.h"
+
+#include "LibBase/Ids.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+
+namespace pumiceturn::routing {
+
+namespace {
+
+struct Ranked
+{
+  std::uint64_t score_ = 0;
+  std::size_t position_ = 0;
+};
+
+using Rank = std::vector<Ranked>;
+
+/// Each domain's candidates, highest score first; domains in the host's own
+/// rendezvous order, so that the remainder of an uneven division does not fall
+/// on the same domain for every host.
+std::vector<Rank>
+RankByDomain(std::string_view aHost,
+             std::span<const SubsetCandidate> aCandidates)
+{
+  const std::uint64_t seed = base::HashBytes(aHost);
+  std::map<std::string_view, Rank> byDomain;
+  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
+    const SubsetCandidate& candidate = aCandidates[index];
+    byDomain[candidate.failureDomain_].push_back(
+      Ranked{ base::HashBytes(candidate.name_, seed), index });
+  }
+  std::vector<std::pair<std::uint64_t, Rank>> ordered;
+  ordered.reserve(byDomain.size());
+  for (auto& [domain, rank] : byDomain) {
+    std::sort(rank.begin(), rank.end(), [](const Ranked& aL, const Ranked& aR) {
+      return aL.score_ > aR.score_;
+    });
+    ordered.emplace_back(base::HashBytes(domain, seed), std::move(rank));
+  }
+  std::sort(ordered.begin(), ordered.end(), [](const auto& aL, const auto& aR) {
+    return aL.first > aR.first;
+  });
+  std::vector<Rank> ranks;
+  ranks.reserve(ordered.size());
+  for (auto& [score, rank] : ordered) {
+    ranks.push_back(std::move(rank));
+  }
+  return ranks;
+}
+
+} // namespace
+
+std::vector<std::size_t>
+ChooseSubset(std::string_view aHost,
+             std::span<const SubsetCandidate> aCandidates,
+             std::size_t aWanted)
+{
+  const std::size_t wanted =
+    aWanted == 0 ? aCandidates.size() : std::min(aWanted, aCandidates.size());
+  const std::vector<Rank> ranks = RankByDomain(aHost, aCandidates);
+  std::vector<std::size_t> chosen;
+  chosen.reserve(wanted);
+  for (std::size_t round = 0; chosen.size() < wanted; ++round) {
+    for (const Rank& rank : ranks) {
+      if (round < rank.size() && chosen.size() < wanted) {
+        chosen.push_back(rank[round].position_);
+      }
+    }
+  }
+  return chosen;
+}
+
+} // namespace pumiceturn::routing
