Schema: Tell copies what is trimmed and acknowledged

Copies need the trim point to delete old segments, and the last acknowledged sequence so that a copy that began empty knows when it is whole.

--- a/Libraries/LibWire/Messages.h
+++ b/Libraries/LibWire/Messages.h
@@ -335,6 +335,8 @@
   std::uint64_t previousSequence_ = 0;
   std::uint64_t previousEpoch_ = 0;
   std::vector<LogEntry> entries_;
+  std::uint64_t trimBefore_ = 0;   ///< Records before it are not needed.
+  std::uint64_t acknowledged_ = 0; ///< Last one acknowledged by the owner.
 
   bool operator==(const AppendFrame&) const = default;
 };
--- a/Schema/Generated/Wire.capnp.h
+++ b/Schema/Generated/Wire.capnp.h
@@ -482,7 +482,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8c38846f42466d3, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d8c38846f42466d3, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3718,6 +3718,10 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline  ::uint64_t getTrimBefore() const;
+
+  inline  ::uint64_t getAcknowledged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3765,6 +3769,12 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline  ::uint64_t getTrimBefore();
+  inline void setTrimBefore( ::uint64_t value);
+
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8771,6 +8781,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AppendFrame::Reader::getTrimBefore() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendFrame::Builder::getTrimBefore() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AppendFrame::Builder::setTrimBefore( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AppendFrame::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendFrame::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AppendFrame::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t AppendAck::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Schema/Wire.capnp
+++ b/Schema/Wire.capnp
@@ -156,7 +156,7 @@
 struct CancelJob { call @0 :UInt64; job @1 :Id; partner @2 :Text; }
 
 struct LogEntry { sequence @0 :UInt64; epoch @1 :UInt64; payload @2 :Data; }
-struct AppendFrame { partition @0 :UInt32; epoch @1 :UInt64; previousSequence @2 :UInt64; previousEpoch @3 :UInt64; entries @4 :List(LogEntry); }
+struct AppendFrame { partition @0 :UInt32; epoch @1 :UInt64; previousSequence @2 :UInt64; previousEpoch @3 :UInt64; entries @4 :List(LogEntry); trimBefore @5 :UInt64; acknowledged @6 :UInt64; }
 struct AppendAck { partition @0 :UInt32; epoch @1 :UInt64; code @2 :UInt16; durableSequence @3 :UInt64; }
 struct SealPartition { call @0 :UInt64; partition @1 :UInt32; epoch @2 :UInt64; }
 struct SealReply { call @0 :UInt64; partition @1 :UInt32; code @2 :UInt16; epoch @3 :UInt64; lastSequence @4 :UInt64; lastEpoch @5 :UInt64; }
