--- /dev/null
+++ b/Libraries/LibDispatch/WaitEstimate.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+
+namespace pumiceturn::dispatch {
+
+/// Estimates how long requests wait and run, from those before. Not
+/// thread-safe.
+class WaitEstimate
+{
+public:
+  /// @param aDelay From the request to its first token.
+  void OnFirstToken(base::Duration aDelay);
+  void OnBetweenTokens(base::Duration aDelay);
+
+  /// @param aTime From the request to the end of its answer.
+  void OnOnlineFinished(base::Duration aTime, std::uint32_t aTokens);
+
+  /// @return time of a whole run, from its start at the engine; zero before
+  /// anything was measured.
+  [[nodiscard]] base::Duration ExpectedRun(std::uint32_t aMaxTokens) const;
+
+  /// @return time to generate that many tokens more.
+  [[nodiscard]] base::Duration ExpectedWork(std::uint32_t aTokens) const;
+
+  /// @param aAhead  Requests that get a place before this one.
+  /// @param aPlaces Places that online requests can have.
+  [[nodiscard]] base::Duration ExpectedWait(std::uint32_t aAhead,
+                                            std::uint32_t aPlaces) const;
+
+private:
+  double firstToken_ = 0.0; ///< Microseconds.
+  double betweenTokens_ = 0.0;
+  double onlineRun_ = 0.0;
+  double onlineTokens_ = 0.0;
+};
+
+} // namespace pumiceturn::dispatch
