--- a/Libraries/LibEndpoint/PlainServiceClient.cpp
+++ b/Libraries/LibEndpoint/PlainServiceClient.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 base::Result<PlainServiceClient>
-PlainServiceClient::Make(Options aOptions)
+PlainServiceClient::Make(const Options& aOptions)
 {
   BOOST_LEAF_AUTO(address, ConnectionPool::ParseAddress(aOptions.address_));
   return PlainServiceClient(
--- a/Libraries/LibEndpoint/PlainServiceClient.h
+++ b/Libraries/LibEndpoint/PlainServiceClient.h
@@ -37,7 +37,7 @@
   };
 
   /// @return OutOfRange for a malformed address.
-  static base::Result<PlainServiceClient> Make(Options aOptions);
+  static base::Result<PlainServiceClient> Make(const Options& aOptions);
 
   /// Sends one call, once. Each call has a connection of its own: on a reused
   /// one, a request that meets the service closing an idle connection would end
