--- a/Libraries/LibStandin/SocketStream.cpp
+++ b/Libraries/LibStandin/SocketStream.cpp
@@ -12,6 +12,7 @@
 
 constexpr int kTransferTimeoutMs = 5000;
 constexpr const char* kLoopback = "127.0.0.1";
+constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
 
 } // namespace
 
@@ -22,6 +23,13 @@
   return ::poll(&entry, 1, aTimeoutMs) > 0;
 }
 
+bool
+IsPeerOpen(int aSocket)
+{
+  pollfd entry{ aSocket, POLLRDHUP, 0 };
+  return ::poll(&entry, 1, 0) >= 0 && (entry.revents & kClosed) == 0;
+}
+
 bool
 SocketStream::is_readable() const
 {
@@ -35,7 +43,6 @@
   if (::poll(&entry, 1, kTransferTimeoutMs) <= 0) {
     return false;
   }
-  constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
   return (entry.revents & kClosed) == 0;
 }
 
--- a/Libraries/LibStandin/SocketStream.h
+++ b/Libraries/LibStandin/SocketStream.h
@@ -13,6 +13,10 @@
 bool
 WaitReadable(int aSocket, int aTimeoutMs);
 
+/// @return whether the peer has not closed. Does not wait.
+bool
+IsPeerOpen(int aSocket);
+
 /// Buffered reads and direct writes of one accepted connection. One thread uses
 /// it.
 class SocketStream : public httplib::Stream
--- a/Libraries/LibStandin/TrackingServer.cpp
+++ b/Libraries/LibStandin/TrackingServer.cpp
@@ -67,6 +67,12 @@
   }
 }
 
+bool
+TrackingServer::IsCurrentConnectionOpen()
+{
+  return currentSocket >= 0 && IsPeerOpen(currentSocket);
+}
+
 bool
 TrackingServer::process_and_close_socket(socket_t aSocket)
 {
--- a/Libraries/LibStandin/TrackingServer.h
+++ b/Libraries/LibStandin/TrackingServer.h
@@ -27,6 +27,10 @@
   /// its answer is lost.
   static void DropCurrentConnection();
 
+  /// @return whether the client of the request that this thread handles still
+  /// waits.
+  static bool IsCurrentConnectionOpen();
+
 private:
   bool process_and_close_socket(socket_t aSocket) override;
 
