--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -198,6 +198,7 @@
     ResendLater(aNow);
     return;
   }
+  recorded_ = true;
   if (!endpoint_.empty()) {
     actions_.emplace_back(
       SendToEndpoint{ endpoint_, wire::RunRecorded{ resultRun_ } });
@@ -518,6 +519,7 @@
 OnlineRequest::OnFinishedBefore(const wire::ItemResult& aResult)
 {
   CancelRunNow();
+  recorded_ = true;
   const bool isOurs = acceptedSent_ && record_ == RecordPhase::Asked;
   record_ = isOurs ? RecordPhase::Accepted : RecordPhase::Duplicate;
   if (answered_) {
--- a/Libraries/LibEntry/OnlineRequest.h
+++ b/Libraries/LibEntry/OnlineRequest.h
@@ -110,6 +110,9 @@
 
   [[nodiscard]] std::uint32_t Attempt() const { return starts_; }
 
+  /// @return whether its result is durable: agents may forget its runs.
+  [[nodiscard]] bool IsRecorded() const { return recorded_; }
+
 private:
   enum class RecordPhase : std::uint8_t
   {
@@ -213,6 +216,7 @@
   bool acceptedSent_ = false;
   bool answered_ = false;
   bool done_ = false;
+  bool recorded_ = false;
   std::optional<base::Instant> backgroundEnds_;
 };
 
--- /dev/null
+++ b/Libraries/LibEntry/RequestChecks.cpp
@@ -0,0 +1,266 @@
+#include "LibEntry/RequestChecks.h"
+
+#include "LibEntry/TokenDigest.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <span>
+
+namespace pumiceturn::entry {
+
+using base::Fail;
+using base::ResultCode;
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+
+/// Seed of the prompt prefix's hash, apart from other hashes of the same text.
+constexpr std::uint64_t kPrefixSeed = 0x70726566;
+
+template<typename Number>
+Number
+OrDefault(Number aGiven, Number aDefault)
+{
+  return aGiven == 0 ? aDefault : aGiven;
+}
+
+/// The parts of an online request that both calls have.
+struct OnlineParts
+{
+  std::string_view service_;
+  std::string_view kind_;
+  std::string_view key_;
+  std::uint32_t deadlineMs_ = 0;
+  std::string_view payload_;
+  std::uint32_t maxTokens_ = 0;
+  declarations::ServiceType type_ = declarations::SERVICE_TYPE_MODEL;
+};
+
+base::Result<const declarations::RequestKind*>
+FindAllowedKind(const configuration::Snapshot& aConfiguration,
+                const declarations::Partner& aPartner,
+                std::string_view aService,
+                std::string_view aKind)
+{
+  const auto& allowed = aPartner.services();
+  const bool isAllowed =
+    std::find(allowed.begin(), allowed.end(), aService) != allowed.end();
+  if (!isAllowed || aConfiguration.FindService(aService) == nullptr) {
+    return Fail(ResultCode::UnknownService, std::string(aService));
+  }
+  const auto* kind = aConfiguration.FindKind(aService, aKind);
+  if (kind == nullptr) {
+    return Fail(ResultCode::UnknownKind, std::string(aKind));
+  }
+  return kind;
+}
+
+base::Result<std::uint32_t>
+CheckMaxTokens(const declarations::RequestKind& aKind, std::uint32_t aAsked)
+{
+  const std::uint32_t limit = OrDefault(aKind.max_tokens(), kDefaultMaxTokens);
+  if (aAsked > limit) {
+    return Fail(ResultCode::OutOfRange,
+                fmt::format("max_tokens {} exceeds {}", aAsked, limit));
+  }
+  return OrDefault(aAsked, limit);
+}
+
+base::Result<base::Duration>
+CheckDeadline(const declarations::RequestKind& aKind,
+              std::uint32_t aAskedMs,
+              base::Duration aAllowed)
+{
+  if (aAskedMs > kLongestDeadlineMs) {
+    return Fail(
+      ResultCode::OutOfRange,
+      fmt::format("deadline_ms {} exceeds {}", aAskedMs, kLongestDeadlineMs));
+  }
+  const std::uint32_t asked =
+    OrDefault(aAskedMs, OrDefault(aKind.deadline_ms(), kDefaultDeadlineMs));
+  const base::Duration deadline =
+    std::min<base::Duration>(std::chrono::milliseconds{ asked }, aAllowed);
+  if (deadline <= base::Duration::zero()) {
+    return Fail(ResultCode::DeadlineTooShort);
+  }
+  return deadline;
+}
+
+base::Result<OnlineDescription>
+Describe(const configuration::Snapshot& aConfiguration,
+         const declarations::Partner& aPartner,
+         const OnlineParts& aParts,
+         const Arrival& aArrival)
+{
+  BOOST_LEAF_AUTO(
+    kind,
+    FindAllowedKind(aConfiguration, aPartner, aParts.service_, aParts.kind_));
+  const bool isRightCall =
+    kind->priority() == declarations::PRIORITY_ONLINE &&
+    aConfiguration.FindService(aParts.service_)->type() == aParts.type_;
+  if (!isRightCall) {
+    return Fail(ResultCode::WrongPriority, std::string(aParts.kind_));
+  }
+  const std::uint32_t limit =
+    OrDefault(kind->max_item_bytes(), kDefaultMaxItemBytes);
+  if (aParts.payload_.size() > limit) {
+    return Fail(
+      ResultCode::ItemTooLarge,
+      fmt::format("{} bytes exceed {}", aParts.payload_.size(), limit));
+  }
+  if (aParts.key_.size() > kMaxKeyBytes) {
+    return Fail(ResultCode::InvalidRequest, "request_key is too long");
+  }
+  BOOST_LEAF_AUTO(maxTokens, CheckMaxTokens(*kind, aParts.maxTokens_));
+  BOOST_LEAF_AUTO(deadline,
+                  CheckDeadline(*kind, aParts.deadlineMs_, aArrival.allowed_));
+
+  OnlineDescription description;
+  wire::RecordRequest& record = description.record_;
+  record.partner_ = aPartner.name();
+  record.service_ = aParts.service_;
+  record.kind_ = aParts.kind_;
+  record.key_ = aParts.key_.empty() ? fmt::format("made-{:016x}{:016x}",
+                                                  aArrival.random_,
+                                                  aArrival.secondRandom_)
+                                    : std::string(aParts.key_);
+  record.job_ = base::MakeJobId(record.partner_, record.key_);
+  record.payload_ = aParts.payload_;
+  record.maxTokens_ = maxTokens;
+  record.digest_ =
+    base::HashBytes(record.payload_,
+                    base::HashBytes(fmt::format(
+                      "{}/{}/{}", record.service_, record.kind_, maxTokens)));
+  record.idempotent_ =
+    kind->idempotency() == declarations::IDEMPOTENCY_IDEMPOTENT;
+  record.retentionS_ = OrDefault(kind->retention_s(), kDefaultRetentionS);
+  record.deadlineUnixMs_ =
+    base::ToUnixMs(aArrival.wallNow_) + base::ToMs(deadline);
+  description.deadline_ = aArrival.now_ + deadline;
+  description.maxAttempts_ =
+    OrDefault(kind->max_attempts(), kDefaultMaxAttempts);
+  description.fingerprint_ = MakeFingerprint(record.service_, record.payload_);
+  description.prefix_ =
+    base::HashBytes(aParts.payload_.substr(0, kPrefixBytes), kPrefixSeed);
+  description.random_ = aArrival.random_;
+  return description;
+}
+
+} // namespace
+
+base::Result<const declarations::Partner*>
+Authenticate(const configuration::Snapshot& aConfiguration,
+             std::string_view aAuthorization)
+{
+  if (!aAuthorization.starts_with(kBearer)) {
+    return Fail(ResultCode::Unauthenticated, "no bearer token was given");
+  }
+  const std::string digest = DigestToken(aAuthorization.substr(kBearer.size()));
+  const auto* partner =
+    digest.empty() ? nullptr : aConfiguration.FindPartnerByToken(digest);
+  if (partner == nullptr) {
+    return Fail(ResultCode::Unauthenticated, "the token belongs to no partner");
+  }
+  return partner;
+}
+
+base::Result<OnlineDescription>
+DescribeCall(const configuration::Snapshot& aConfiguration,
+             const declarations::Partner& aPartner,
+             const caller::CallRequest& aRequest,
+             const Arrival& aArrival)
+{
+  const OnlineParts parts{
+    aRequest.service(),
+    aRequest.kind(),
+    aRequest.request_key(),
+    aRequest.deadline_ms(),
+    aRequest.prompt(),
+    aRequest.max_tokens(),
+    declarations::SERVICE_TYPE_MODEL,
+  };
+  return Describe(aConfiguration, aPartner, parts, aArrival);
+}
+
+base::Result<OnlineDescription>
+DescribeServiceCall(const configuration::Snapshot& aConfiguration,
+                    const declarations::Partner& aPartner,
+                    const caller::ServiceCallRequest& aRequest,
+                    const Arrival& aArrival)
+{
+  const OnlineParts parts{
+    aRequest.service(),
+    aRequest.kind(),
+    aRequest.request_key(),
+    aRequest.deadline_ms(),
+    aRequest.payload(),
+    0,
+    declarations::SERVICE_TYPE_PLAIN,
+  };
+  BOOST_LEAF_AUTO(description,
+                  Describe(aConfiguration, aPartner, parts, aArrival));
+  description.streamed_ = false;
+  description.prefix_ = 0;
+  return description;
+}
+
+base::Result<LotTerms>
+DescribeLot(const configuration::Snapshot& aConfiguration,
+            const declarations::Partner& aPartner,
+            const caller::JobHeader& aHeader,
+            base::WallTime aWallNow)
+{
+  BOOST_LEAF_AUTO(
+    kind,
+    FindAllowedKind(
+      aConfiguration, aPartner, aHeader.service(), aHeader.kind()));
+  if (kind->priority() != declarations::PRIORITY_BATCH) {
+    return Fail(ResultCode::WrongPriority, aHeader.kind());
+  }
+  if (aHeader.job_key().size() > kMaxKeyBytes) {
+    return Fail(ResultCode::InvalidRequest, "job_key is too long");
+  }
+  BOOST_LEAF_AUTO(maxTokens, CheckMaxTokens(*kind, aHeader.max_tokens()));
+  const std::int64_t now = base::ToUnixMs(aWallNow);
+  constexpr std::int64_t kMsPerS = 1000;
+  const auto defaultDue =
+    static_cast<std::int64_t>(OrDefault(kind->default_due_s(), kDefaultDueS));
+  const std::int64_t due =
+    OrDefault(aHeader.due_unix_ms(), now + (defaultDue * kMsPerS));
+  const bool isTooFar =
+    kind->max_due_s() > 0 &&
+    due > now + (static_cast<std::int64_t>(kind->max_due_s()) * kMsPerS);
+  if (due <= now || isTooFar) {
+    return Fail(ResultCode::DueTimePassed,
+                due <= now ? "the due time has passed"
+                           : "the due time is further than the kind allows");
+  }
+  LotTerms terms;
+  terms.job_.partner_ = aPartner.name();
+  terms.job_.service_ = aHeader.service();
+  terms.job_.kind_ = aHeader.kind();
+  terms.job_.key_ = aHeader.job_key();
+  terms.job_.dueUnixMs_ = due;
+  terms.job_.retentionS_ = OrDefault(kind->retention_s(), kDefaultRetentionS);
+  terms.job_.maxTokens_ = maxTokens;
+  terms.job_.maxAttempts_ =
+    OrDefault(kind->max_attempts(), kDefaultMaxAttempts);
+  terms.job_.idempotent_ =
+    kind->idempotency() == declarations::IDEMPOTENCY_IDEMPOTENT;
+  terms.maxItemBytes_ = OrDefault(kind->max_item_bytes(), kDefaultMaxItemBytes);
+  terms.maxItems_ = OrDefault(kind->max_items(), kDefaultMaxItems);
+  return terms;
+}
+
+base::Result<std::string>
+CheckKey(const std::string& aKey)
+{
+  if (aKey.empty() || aKey.size() > kMaxKeyBytes) {
+    return Fail(ResultCode::InvalidRequest, "the key is empty or too long");
+  }
+  return aKey;
+}
+
+} // namespace pumiceturn::entry
