--- a/Libraries/LibEntry/LotSpool.cpp
+++ b/Libraries/LibEntry/LotSpool.cpp
@@ -105,6 +105,12 @@
   if (job.itemCount_ == 0) {
     return Fail(ResultCode::InvalidRequest, "the lot has no items");
   }
+  if (terms_.toldItems_ != 0 && terms_.toldItems_ != job.itemCount_) {
+    return Fail(ResultCode::InvalidRequest,
+                fmt::format("{} items came of {} told",
+                            job.itemCount_,
+                            terms_.toldItems_));
+  }
   job.digest_ = digest_;
   if (job.key_.empty()) {
     job.key_ = fmt::format("content-{:016x}{:016x}", digest_, secondDigest_);
--- a/Libraries/LibEntry/LotSpool.h
+++ b/Libraries/LibEntry/LotSpool.h
@@ -50,7 +50,8 @@
   base::Result<void> Add(std::string_view aName, std::string_view aPayload);
 
   /// Ends the lot: its count, digest, key and id are known then.
-  /// @return InvalidRequest for a lot without items.
+  /// @return InvalidRequest for a lot without items or with another number of
+  /// items than told, as after a broken connection.
   base::Result<void> Seal();
 
   [[nodiscard]] const wire::JobDescription& Job() const { return terms_.job_; }
--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -16,6 +16,10 @@
 /// The low byte of a run's attempt number counts; the rest tells entries apart.
 constexpr std::uint32_t kAttemptMask = 0xFF;
 
+/// Keeps the attempts of entries apart from those of owners, which count from
+/// small numbers.
+constexpr std::uint32_t kEntryAttempt = 0x80000000;
+
 /// How long a sent message may stay unanswered on a link that is up.
 constexpr base::Duration kReplyPatience{ std::chrono::seconds{ 2 } };
 
@@ -914,7 +918,8 @@
   const auto high = static_cast<std::uint32_t>(description_.random_ >> 32U);
   wire::RunId run;
   run.job_ = description_.record_.job_;
-  run.attempt_ = (high & ~kAttemptMask) | (starts_ & kAttemptMask);
+  run.attempt_ =
+    kEntryAttempt | (high & ~kAttemptMask) | (starts_ & kAttemptMask);
   return run;
 }
 
--- a/Libraries/LibEntry/RequestChecks.cpp
+++ b/Libraries/LibEntry/RequestChecks.cpp
@@ -251,6 +251,7 @@
     kind->idempotency() == declarations::IDEMPOTENCY_IDEMPOTENT;
   terms.maxItemBytes_ = OrDefault(kind->max_item_bytes(), kDefaultMaxItemBytes);
   terms.maxItems_ = OrDefault(kind->max_items(), kDefaultMaxItems);
+  terms.toldItems_ = aHeader.items();
   return terms;
 }
 
--- a/Libraries/LibEntry/RequestChecks.h
+++ b/Libraries/LibEntry/RequestChecks.h
@@ -65,6 +65,7 @@
   wire::JobDescription job_;
   std::uint32_t maxItemBytes_ = 0;
   std::uint32_t maxItems_ = 0;
+  std::uint32_t toldItems_ = 0; ///< 0: not told.
 };
 
 /// Checks the header of a lot.
--- /dev/null
+++ b/Libraries/LibEntry/ResultsReader.cpp
@@ -0,0 +1,94 @@
+#include "LibEntry/ResultsReader.h"
+
+#include "LibEntry/Replies.h"
+
+#include <utility>
+#include <variant>
+
+namespace pumiceturn::entry {
+
+using base::ResultCode;
+
+ResultsReader::ResultsReader(std::shared_ptr<EntryCore> aCore,
+                             std::shared_ptr<Stream> aStream,
+                             std::string aPartner,
+                             const caller::ReadResultsRequest& aRequest)
+  : core_(std::move(aCore))
+  , stream_(std::move(aStream))
+  , partner_(std::move(aPartner))
+  , job_(base::MakeJobId(partner_, aRequest.job_key()))
+  , from_(aRequest.from())
+  , follow_(aRequest.follow())
+{
+}
+
+void
+ResultsReader::Fetch()
+{
+  if (core_->draining_) {
+    stream_->Close(MakeRefusal(
+      base::Failure{ ResultCode::Draining, "go on at another entry" }));
+    return;
+  }
+  wire::ReadResults question;
+  question.job_ = job_;
+  question.partner_ = partner_;
+  question.from_ = from_;
+  question.limit_ = kPageItems;
+  core_->owners_->Ask(job_,
+                      std::move(question),
+                      kPagePatience,
+                      [self = shared_from_this()](OwnerCalls::Reply aReply) {
+                        self->OnPage(std::move(aReply));
+                      });
+}
+
+void
+ResultsReader::OnDrained()
+{
+  if (ended_) {
+    stream_->Close(grpc::Status::OK);
+  } else {
+    Fetch();
+  }
+}
+
+void
+ResultsReader::OnPage(OwnerCalls::Reply aReply)
+{
+  if (const auto* failure = std::get_if<base::Failure>(&aReply)) {
+    stream_->Close(MakeStatus(MakeOutcome(
+      failure->code_, base::Ran::Unspecified, 0, failure->detail_)));
+    return;
+  }
+  auto& page = std::get<wire::ResultsPage>(std::get<wire::Message>(aReply));
+  if (page.code_ != ResultCode::Ok) {
+    stream_->Close(MakeStatus(MakeOutcome(page.code_, base::Ran::Unspecified)));
+    return;
+  }
+  ended_ = page.ended_;
+  if (page.items_.empty()) {
+    EndOrWait();
+    return;
+  }
+  from_ = page.items_.back().position_ + 1;
+  for (wire::ItemResult& item : page.items_) {
+    stream_->Push(MakeItemResult(std::move(item)));
+  }
+}
+
+void
+ResultsReader::EndOrWait()
+{
+  if (ended_ || !follow_) {
+    stream_->Close(grpc::Status::OK);
+    return;
+  }
+  if (stream_->IsClosing()) {
+    return; // The caller is gone.
+  }
+  core_->context_.pool_.PostAt(base::MonotonicNow() + kFollowInterval,
+                               [self = shared_from_this()] { self->Fetch(); });
+}
+
+} // namespace pumiceturn::entry
