--- a/Libraries/LibJobLog/LogService.h
+++ b/Libraries/LibJobLog/LogService.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibJobLog/LogPosition.h"
 #include "LibNode/Context.h"
 #include "LibWire/Messages.h"
 
@@ -15,16 +16,6 @@
 
 namespace pumiceturn::joblog {
 
-/// Where a record's payload lies in this host's data folder.
-struct LogPosition
-{
-  std::uint32_t segment_ = 0;
-  std::uint32_t length_ = 0;
-  std::uint64_t offset_ = 0;
-
-  bool operator==(const LogPosition&) const = default;
-};
-
 /// A keeper's part in the replicated log: its copy on disk, ownership of
 /// partitions, takeover, sealing, repair of lost copies, retention.
 /// Thread-safe. Handlers are called in log order for one partition, without any
