LibConfiguration: Store and spread the configuration

A lost answer is settled by reading back for the write id and sending the same swap again until the head has moved on.

--- /dev/null
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -0,0 +1,499 @@
+#include "LibConfiguration/ConfigurationStore.h"
+
+#include "LibConfiguration/Difference.h"
+#include "LibConfiguration/Events.h"
+#include "LibConfiguration/Keys.h"
+#include "LibConfiguration/SwapDecision.h"
+
+#include <google/protobuf/util/message_differencer.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace pumiceturn::configuration {
+
+namespace {
+
+using base::Capture;
+using base::Fail;
+using base::Failure;
+using base::Result;
+using base::ResultCode;
+using google::protobuf::util::MessageDifferencer;
+using platform::kAnyRevision;
+using platform::KeyValue;
+using platform::Swap;
+using stored::ConfigurationHead;
+
+/// Bounds of one transaction, well inside what the service takes.
+constexpr std::size_t kMostPartsInCall = 64;
+constexpr std::size_t kMostBytesInCall = 512U << 10U;
+constexpr std::uint32_t kMostHistory = 200;
+
+std::string
+MakeWriteId()
+{
+  std::random_device device;
+  const auto half = [&] {
+    return (std::uint64_t{ device() } << 32U) | device();
+  };
+  return fmt::format("{:016x}{:016x}", half(), half());
+}
+
+Result<ConfigurationHead>
+DecodeHead(const KeyValue& aEntry)
+{
+  ConfigurationHead head;
+  if (!head.ParseFromString(aEntry.value_)) {
+    return Fail(ResultCode::CorruptRecord, aEntry.key_);
+  }
+  return head;
+}
+
+SwapAnswer
+ToAnswer(const base::Outcome<std::uint64_t>& aOutcome)
+{
+  const auto* failure = std::get_if<Failure>(&aOutcome);
+  if (failure == nullptr) {
+    return SwapAnswer::Accepted;
+  }
+  switch (failure->code_) {
+    case ResultCode::PlatformConflict:
+      return SwapAnswer::Conflict;
+    case ResultCode::PlatformUnavailable:
+    case ResultCode::BudgetExhausted:
+      return SwapAnswer::NotSent;
+    default:
+      return SwapAnswer::Unknown;
+  }
+}
+
+/// @return the parts of a head that the base does not list. They are put again
+/// even where an older version had them, because only parts of the head in
+/// force are sure to be kept.
+PartTable
+PartsNotIn(const ConfigurationHead& aBase, const Split& aSplit)
+{
+  PartTable added = aSplit.contents_;
+  for (const stored::PartReference& part : aBase.parts()) {
+    added.erase(part.digest());
+  }
+  return added;
+}
+
+std::size_t
+SizeOf(const PartTable& aParts)
+{
+  std::size_t bytes = 0;
+  for (const auto& [digest, content] : aParts) {
+    bytes += content->size();
+  }
+  return bytes;
+}
+
+/// @return digests that one head lists and the other does not.
+std::set<std::uint64_t>
+ListedOnlyIn(const ConfigurationHead& aHead, const ConfigurationHead& aOther)
+{
+  std::set<std::uint64_t> digests;
+  for (const stored::PartReference& part : aHead.parts()) {
+    digests.insert(part.digest());
+  }
+  for (const stored::PartReference& part : aOther.parts()) {
+    digests.erase(part.digest());
+  }
+  return digests;
+}
+
+/// @return the head with those parts alone.
+ConfigurationHead
+RestrictTo(const ConfigurationHead& aHead,
+           const std::set<std::uint64_t>& aDigests)
+{
+  ConfigurationHead restricted = aHead;
+  restricted.clear_parts();
+  for (const stored::PartReference& part : aHead.parts()) {
+    if (aDigests.contains(part.digest())) {
+      *restricted.add_parts() = part;
+    }
+  }
+  return restricted;
+}
+
+/// Orders or lifts a drain. @return whether that changed anything.
+bool
+SetDrained(ConfigurationHead& aHead,
+           const std::string& aHost,
+           DrainOrder aOrder)
+{
+  std::set<std::string> hosts(aHead.drained_hosts().begin(),
+                              aHead.drained_hosts().end());
+  const bool changed = aOrder == DrainOrder::Drain ? hosts.insert(aHost).second
+                                                   : hosts.erase(aHost) > 0;
+  aHead.clear_drained_hosts();
+  for (const std::string& host : hosts) {
+    aHead.add_drained_hosts(host);
+  }
+  return changed;
+}
+
+bool
+HasSameParts(const ConfigurationHead& aHead, const Split& aSplit)
+{
+  return std::equal(aHead.parts().begin(),
+                    aHead.parts().end(),
+                    aSplit.references_.begin(),
+                    aSplit.references_.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return MessageDifferencer::Equals(aLeft, aRight);
+                    });
+}
+
+HistoryEntry
+ToHistoryEntry(const ConfigurationHead& aHead)
+{
+  return HistoryEntry{
+    aHead.version(), aHead.author(), aHead.comment(), aHead.applied_unix_ms()
+  };
+}
+
+} // namespace
+
+ConfigurationStore::ConfigurationStore(platform::KeyValueClient& aClient,
+                                       Options aOptions,
+                                       Checker aChecker)
+  : client_(aClient)
+  , options_(std::move(aOptions))
+  , checker_(std::move(aChecker))
+{
+  if (!options_.wait_) {
+    options_.wait_ = [](base::Duration aWait) {
+      std::this_thread::sleep_for(aWait);
+    };
+  }
+}
+
+Result<ApplyOutcome>
+ConfigurationStore::Apply(const Change& aChange)
+{
+  BOOST_LEAF_CHECK(checker_(aChange.declarations_));
+  BOOST_LEAF_AUTO(base, ReadHead());
+  const Split split =
+    SplitDeclarations(aChange.declarations_, options_.partnerBuckets_);
+  if (base.revision_ != 0 && HasSameParts(base.head_, split)) {
+    return ApplyOutcome{ Applied{ base.head_.version(), true } };
+  }
+  if (base.head_.version() != aChange.expectedVersion_) {
+    BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
+    return ApplyOutcome{ std::move(conflict) };
+  }
+  ConfigurationHead next = base.head_;
+  next.set_version(base.head_.version() + 1);
+  next.set_write_id(MakeWriteId());
+  next.set_author(aChange.author_);
+  next.set_comment(aChange.comment_);
+  next.set_applied_unix_ms(base::ToUnixMs(aChange.now_));
+  *next.mutable_parts() = { split.references_.begin(),
+                            split.references_.end() };
+  BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
+  if (verdict == Verdict::Accepted) {
+    return ApplyOutcome{ Applied{ next.version(), false } };
+  }
+  BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
+  return ApplyOutcome{ std::move(conflict) };
+}
+
+Result<std::uint64_t>
+ConfigurationStore::Drain(const std::string& aHost,
+                          DrainOrder aOrder,
+                          const std::string& aAuthor,
+                          base::WallTime aNow)
+{
+  const bool isDrain = aOrder == DrainOrder::Drain;
+  for (std::uint32_t i = 0; i < options_.attempts_; ++i) {
+    BOOST_LEAF_AUTO(base, ReadHead());
+    ConfigurationHead next = base.head_;
+    if (!SetDrained(next, aHost, aOrder)) {
+      return base.head_.version();
+    }
+    next.set_version(base.head_.version() + 1);
+    next.set_write_id(MakeWriteId());
+    next.set_author(aAuthor);
+    next.set_comment((isDrain ? "drain " : "return ") + aHost);
+    next.set_applied_unix_ms(base::ToUnixMs(aNow));
+    BOOST_LEAF_AUTO(verdict, Write(base, next, {}));
+    if (verdict == Verdict::Accepted) {
+      return next.version();
+    }
+  }
+  return Fail(ResultCode::VersionConflict, "other changes always came first");
+}
+
+Result<std::vector<HistoryEntry>>
+ConfigurationStore::History(std::uint32_t aLimit)
+{
+  BOOST_LEAF_AUTO(current, ReadHead());
+  const std::uint64_t newest = current.head_.version();
+  const std::uint64_t limit =
+    std::min<std::uint64_t>({ aLimit, kMostHistory, newest });
+  std::vector<HistoryEntry> entries;
+  if (limit == 0) {
+    return entries;
+  }
+  BOOST_LEAF_AUTO(
+    reply,
+    client_.RangeBetween(keys::History(options_.keyPrefix_, newest - limit + 1),
+                         keys::History(options_.keyPrefix_, newest + 1)));
+  for (const KeyValue& entry : reply.entries_) {
+    BOOST_LEAF_AUTO(head, DecodeHead(entry));
+    entries.push_back(ToHistoryEntry(head));
+  }
+  std::reverse(entries.begin(), entries.end());
+  return entries;
+}
+
+Result<declarations::Configuration>
+ConfigurationStore::Get(std::uint64_t aVersion)
+{
+  ConfigurationHead head;
+  if (aVersion == 0) {
+    BOOST_LEAF_AUTO(current, ReadHead());
+    head = std::move(current.head_);
+  } else {
+    BOOST_LEAF_AUTO(kept, ReadHistory(aVersion));
+    if (!kept) {
+      return Fail(ResultCode::VersionUnknown, std::to_string(aVersion));
+    }
+    head = *std::move(kept);
+  }
+  BOOST_LEAF_AUTO(parts, ReadParts(DigestsInScope(head, {})));
+  return AssembleConfiguration(head, {}, parts);
+}
+
+Result<ConfigurationStore::HeldHead>
+ConfigurationStore::ReadHead()
+{
+  BOOST_LEAF_AUTO(entry, client_.Get(keys::Head(options_.keyPrefix_)));
+  if (!entry) {
+    return HeldHead{};
+  }
+  BOOST_LEAF_AUTO(head, DecodeHead(*entry));
+  return HeldHead{ std::move(head), entry->modRevision_ };
+}
+
+Result<std::optional<ConfigurationHead>>
+ConfigurationStore::ReadHistory(std::uint64_t aVersion)
+{
+  BOOST_LEAF_AUTO(entry,
+                  client_.Get(keys::History(options_.keyPrefix_, aVersion)));
+  if (!entry) {
+    return std::optional<ConfigurationHead>{};
+  }
+  BOOST_LEAF_AUTO(head, DecodeHead(*entry));
+  return std::optional<ConfigurationHead>{ std::move(head) };
+}
+
+Result<PartTable>
+ConfigurationStore::ReadParts(const std::vector<std::uint64_t>& aDigests)
+{
+  PartTable parts;
+  std::vector<std::string> wanted;
+  for (std::size_t i = 0; i < aDigests.size(); ++i) {
+    wanted.push_back(keys::Part(options_.keyPrefix_, aDigests[i]));
+    if (wanted.size() < kMostPartsInCall && i + 1 < aDigests.size()) {
+      continue;
+    }
+    BOOST_LEAF_AUTO(entries, client_.GetMany(wanted));
+    for (KeyValue& entry : entries) {
+      auto content = std::make_shared<std::string>(std::move(entry.value_));
+      parts.emplace(DigestOf(*content), std::move(content));
+    }
+    wanted.clear();
+  }
+  return parts;
+}
+
+Result<ConfigurationStore::Verdict>
+ConfigurationStore::Write(const HeldHead& aBase,
+                          const ConfigurationHead& aNext,
+                          const PartTable& aNewParts)
+{
+  const std::string value = aNext.SerializeAsString();
+  std::vector<Swap> swaps{
+    Swap{ keys::Head(options_.keyPrefix_), value, aBase.revision_ },
+    Swap{ keys::History(options_.keyPrefix_, aNext.version()),
+          value,
+          kAnyRevision },
+  };
+  const bool fits = aNewParts.size() <= kMostPartsInCall &&
+                    SizeOf(aNewParts) <= kMostBytesInCall;
+  if (!fits) {
+    BOOST_LEAF_CHECK(PutParts(aNewParts));
+    return Settle(aBase, aNext, swaps);
+  }
+  for (const auto& [digest, content] : aNewParts) {
+    swaps.push_back(
+      Swap{ keys::Part(options_.keyPrefix_, digest), *content, kAnyRevision });
+  }
+  return Settle(aBase, aNext, swaps);
+}
+
+/// Puts parts that do not fit one transaction before the head that lists them.
+/// Until the head is swapped nobody reads them.
+Result<void>
+ConfigurationStore::PutParts(const PartTable& aParts)
+{
+  std::vector<Swap> batch;
+  std::size_t bytes = 0;
+  for (const auto& [digest, content] : aParts) {
+    const bool full = batch.size() >= kMostPartsInCall ||
+                      bytes + content->size() > kMostBytesInCall;
+    if (full && !batch.empty()) {
+      BOOST_LEAF_CHECK(PutBatch(batch));
+      batch.clear();
+      bytes = 0;
+    }
+    batch.push_back(
+      Swap{ keys::Part(options_.keyPrefix_, digest), *content, kAnyRevision });
+    bytes += content->size();
+  }
+  return PutBatch(batch);
+}
+
+Result<void>
+ConfigurationStore::PutBatch(const std::vector<Swap>& aBatch)
+{
+  platform::Backoff backoff(options_.backoff_);
+  Failure failure;
+  for (std::uint32_t i = 0; i < options_.attempts_; ++i) {
+    // Putting an immutable part twice is harmless, so an unknown outcome needs
+    // no reading back.
+    const auto outcome =
+      Capture([&] { return client_.CompareAndSwap(aBatch); });
+    if (outcome.index() == 0) {
+      return {};
+    }
+    failure = std::get<Failure>(outcome);
+    WaitAfterFailure(backoff);
+  }
+  // The head is not written yet, so the change surely is not in force.
+  return Fail(ResultCode::PlatformUnavailable, failure.detail_);
+}
+
+Result<ConfigurationStore::Verdict>
+ConfigurationStore::Settle(const HeldHead& aBase,
+                           const ConfigurationHead& aNext,
+                           const std::vector<Swap>& aSwaps)
+{
+  SwapDecision decision(
+    { aBase.head_.version(), aNext.write_id(), options_.attempts_ });
+  platform::Backoff backoff(options_.backoff_);
+  const auto readFailed = [&](const Failure&) {
+    decision.OnReadFailed();
+    WaitAfterFailure(backoff);
+  };
+  while (true) {
+    switch (decision.Next()) {
+      case SwapStep::SendSwap: {
+        const SwapAnswer answer =
+          ToAnswer(Capture([&] { return client_.CompareAndSwap(aSwaps); }));
+        decision.OnSwap(answer);
+        if (answer == SwapAnswer::NotSent) {
+          WaitAfterFailure(backoff);
+        }
+        break;
+      }
+      case SwapStep::ReadHead: {
+        const auto outcome = Capture([&] { return ReadHead(); });
+        if (const auto* failure = std::get_if<Failure>(&outcome)) {
+          readFailed(*failure);
+          break;
+        }
+        const ConfigurationHead& head = std::get<0>(outcome).head_;
+        decision.OnHead(head.version(), head.write_id());
+        break;
+      }
+      case SwapStep::ReadHistory: {
+        const auto outcome =
+          Capture([&] { return ReadHistory(aNext.version()); });
+        if (const auto* failure = std::get_if<Failure>(&outcome)) {
+          readFailed(*failure);
+          break;
+        }
+        const auto& kept = std::get<0>(outcome);
+        decision.OnHistory(kept ? std::optional(kept->write_id())
+                                : std::nullopt);
+        break;
+      }
+      case SwapStep::Accepted:
+        base::Log(kWriteAccepted,
+                  { { "version", aNext.version() },
+                    { "write_id", aNext.write_id() },
+                    { "author", aNext.author() } });
+        return Verdict::Accepted;
+      case SwapStep::Refused:
+        base::Log(kWriteRefused,
+                  { { "version", aNext.version() },
+                    { "write_id", aNext.write_id() },
+                    { "author", aNext.author() } });
+        return Verdict::Refused;
+      case SwapStep::NotSent:
+        return Fail(ResultCode::PlatformUnavailable, "nothing was written");
+      case SwapStep::Unsettled:
+        base::Log(kWriteUnsettled,
+                  { { "version", aNext.version() },
+                    { "write_id", aNext.write_id() },
+                    { "author", aNext.author() } });
+        return Fail(ResultCode::PlatformOutcomeUnknown,
+                    "write id " + aNext.write_id());
+    }
+  }
+}
+
+Result<Conflict>
+ConfigurationStore::DescribeConflict(std::uint64_t aExpectedVersion)
+{
+  BOOST_LEAF_AUTO(current, ReadHead());
+  BOOST_LEAF_AUTO(difference, DescribeSince(aExpectedVersion, current.head_));
+  return Conflict{ current.head_.version(), std::move(difference) };
+}
+
+Result<std::string>
+ConfigurationStore::DescribeSince(std::uint64_t aVersion,
+                                  const ConfigurationHead& aCurrent)
+{
+  ConfigurationHead old;
+  if (aVersion > 0) {
+    BOOST_LEAF_AUTO(kept, ReadHistory(aVersion));
+    if (!kept) {
+      return fmt::format("version {} is not kept, so nothing can be compared\n",
+                         aVersion);
+    }
+    old = *std::move(kept);
+  }
+  // Equal parts hold equal declarations, so only the others are read. A name
+  // falls in the same part in both heads.
+  const std::set<std::uint64_t> removed = ListedOnlyIn(old, aCurrent);
+  const std::set<std::uint64_t> added = ListedOnlyIn(aCurrent, old);
+  std::vector<std::uint64_t> digests(removed.begin(), removed.end());
+  digests.insert(digests.end(), added.begin(), added.end());
+  BOOST_LEAF_AUTO(parts, ReadParts(digests));
+  BOOST_LEAF_AUTO(before,
+                  AssembleConfiguration(RestrictTo(old, removed), {}, parts));
+  BOOST_LEAF_AUTO(
+    after, AssembleConfiguration(RestrictTo(aCurrent, added), {}, parts));
+  return DescribeDifference(before, after);
+}
+
+void
+ConfigurationStore::WaitAfterFailure(platform::Backoff& aBackoff)
+{
+  static thread_local std::minstd_rand random(std::random_device{}());
+  std::uniform_real_distribution<double> uniform(0.0, 1.0);
+  options_.wait_(aBackoff.Next(uniform(random)));
+}
+
+} // namespace pumiceturn::configuration
