--- /dev/null
+++ b/Utilities/Pumicectl/Connection.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LibClient/Client.h"
+
+#include <cxxopts.hpp>
+
+#include <string>
+
+namespace pumiceturn::pumicectl {
+
+/// Adds --entry, --token and --timeout-ms.
+void
+DeclareConnection(cxxopts::Options& aOptions);
+
+/// @return a client for the entries and the token that the options or the
+/// environment (PUMICETURN_ENTRIES, PUMICETURN_TOKEN) name, or OutOfRange for
+/// an address that is no IP:port.
+base::Result<client::Client>
+MakeClient(const cxxopts::ParseResult& aArguments);
+
+/// Adds one positional argument, which Positional() reads.
+void
+DeclarePositional(cxxopts::Options& aOptions,
+                  const std::string& aName,
+                  const std::string& aHelp);
+
+/// @return the positional argument.
+/// @throws cxxopts::exceptions::exception when it is missing.
+std::string
+Positional(const cxxopts::ParseResult& aArguments, const std::string& aName);
+
+/// @return a file's text, or that of the standard input for `-`.
+base::Result<std::string>
+ReadInput(const std::string& aPath);
+
+/// @return a wall-clock time as `2026-12-31T23:59:59Z`, `-` for 0.
+std::string
+FormatTime(std::int64_t aUnixMs);
+
+} // namespace pumiceturn::pumicectl
