--- a/Schema/Generated/Wire.capnp.h
+++ b/Schema/Generated/Wire.capnp.h
@@ -482,7 +482,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d8c38846f42466d3, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d8c38846f42466d3, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -662,7 +662,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cbf6ed071b16e71, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8cbf6ed071b16e71, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3718,6 +3718,10 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline  ::uint64_t getTrimBefore() const;
+
+  inline  ::uint64_t getAcknowledged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3765,6 +3769,12 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::pumiceturn::schema::LogEntry,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline  ::uint64_t getTrimBefore();
+  inline void setTrimBefore( ::uint64_t value);
+
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4983,6 +4993,9 @@
 
   inline  ::uint32_t getProtocolVersion() const;
 
+  inline bool hasExpectedHost() const;
+  inline  ::capnp::Text::Reader getExpectedHost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5024,6 +5037,13 @@
   inline  ::uint32_t getProtocolVersion();
   inline void setProtocolVersion( ::uint32_t value);
 
+  inline bool hasExpectedHost();
+  inline  ::capnp::Text::Builder getExpectedHost();
+  inline void setExpectedHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initExpectedHost(unsigned int size);
+  inline void adoptExpectedHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownExpectedHost();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8771,6 +8791,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AppendFrame::Reader::getTrimBefore() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendFrame::Builder::getTrimBefore() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AppendFrame::Builder::setTrimBefore( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AppendFrame::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendFrame::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AppendFrame::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t AppendAck::Reader::getPartition() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10920,6 +10968,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::hasExpectedHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasExpectedHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Hello::Reader::getExpectedHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Hello::Builder::getExpectedHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setExpectedHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hello::Builder::initExpectedHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptExpectedHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownExpectedHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
