--- a/Libraries/LibAgent/StreamRunner.cpp
+++ b/Libraries/LibAgent/StreamRunner.cpp
@@ -130,12 +130,11 @@
     const std::scoped_lock lock(mutex_);
     streams_[NameOf(aStart.stream_)] = cancelled;
   }
-  Run([this,
-       start = std::move(aStart),
-       model = std::move(aModel),
-       cancelled = std::move(cancelled)] {
-    RunStream(start, model, cancelled);
-  });
+  Run(
+    [this,
+     start = std::move(aStart),
+     model = std::move(aModel),
+     cancelled = std::move(cancelled)] { RunStream(start, model, cancelled); });
 }
 
 void
--- a/Libraries/LibDispatch/Action.h
+++ b/Libraries/LibDispatch/Action.h
@@ -30,6 +30,13 @@
   bool operator==(const StreamId&) const = default;
 };
 
+/// A part of the answer; its sequence number is its place, from 1.
+struct AnswerPart
+{
+  std::string text_;
+  std::uint32_t tokens_ = 0;
+};
+
 /// How a stream ended, as the engine client knows it.
 enum class StreamResult : std::uint8_t
 {
--- a/Libraries/LibDispatch/Gate.h
+++ b/Libraries/LibDispatch/Gate.h
@@ -77,6 +77,10 @@
 
   /// Changes what the declarations say of the endpoint.
   Actions SetLimit(ConcurrencyLimit::Options aLimit, Moment aMoment);
+  void SetResumption(Resumption aResumption)
+  {
+    options_.resumption_ = aResumption;
+  }
   void SetPartitionCount(std::uint32_t aCount);
 
   /// @param aKeepers Keepers whose link is up; results that their receiver does
--- a/Libraries/LibDispatch/GateResults.cpp
+++ b/Libraries/LibDispatch/GateResults.cpp
@@ -8,14 +8,12 @@
 
 using base::Ran;
 using base::ResultCode;
-using std::chrono_literals::operator""h;
-using std::chrono_literals::operator""s;
 
 namespace {
 
-constexpr base::Duration kFirstOffer = 5s;
-constexpr base::Duration kLongestOfferInterval = 60s;
-constexpr base::Duration kKeepUnrecorded = 1h;
+constexpr base::Duration kFirstOffer{ std::chrono::seconds{ 5 } };
+constexpr base::Duration kLongestOfferInterval{ std::chrono::seconds{ 60 } };
+constexpr base::Duration kKeepUnrecorded{ std::chrono::hours{ 1 } };
 constexpr std::uint32_t kMaxOfferDoublings = 4;
 
 base::Duration
@@ -147,7 +145,7 @@
   ended.ran_ = Ran::Unknown;
   ended.detail_ = "recorded before";
   Forget(run);
-  memory_.Remember(std::move(ended));
+  memory_.Remember(ended);
   return TakeActions();
 }
 
--- a/Libraries/LibDispatch/GateStreams.cpp
+++ b/Libraries/LibDispatch/GateStreams.cpp
@@ -8,16 +8,14 @@
 
 using base::Ran;
 using base::ResultCode;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
 
 namespace {
 
 // A process that dies closes all its connections within milliseconds.
-constexpr base::Duration kCrashWindow = 200ms;
-constexpr base::Duration kLifeSign = 50ms;
-constexpr base::Duration kProbeInterval = 100ms;
-constexpr base::Duration kKeepWaitingWhileDown = 10s;
+constexpr base::Duration kCrashWindow{ std::chrono::milliseconds{ 200 } };
+constexpr base::Duration kLifeSign{ std::chrono::milliseconds{ 50 } };
+constexpr base::Duration kProbeInterval{ std::chrono::milliseconds{ 100 } };
+constexpr base::Duration kKeepWaitingWhileDown{ std::chrono::seconds{ 10 } };
 
 } // namespace
 
--- a/Libraries/LibDispatch/Run.h
+++ b/Libraries/LibDispatch/Run.h
@@ -23,13 +23,6 @@
   Finished, ///< The result is kept until it is recorded.
 };
 
-/// A part of the answer; its sequence number is its place, from 1.
-struct AnswerPart
-{
-  std::string text_;
-  std::uint32_t tokens_ = 0;
-};
-
 /// One attempt at one item, as the gate knows it.
 struct Run
 {
--- a/Libraries/LibDispatch/RunMemory.cpp
+++ b/Libraries/LibDispatch/RunMemory.cpp
@@ -13,10 +13,10 @@
 } // namespace
 
 void
-RunMemory::Remember(wire::RunEnded aEnded)
+RunMemory::Remember(const wire::RunEnded& aEnded)
 {
   const wire::RunId run = aEnded.run_;
-  if (!ended_.try_emplace(run, std::move(aEnded)).second) {
+  if (!ended_.try_emplace(run, aEnded).second) {
     return;
   }
   endedOrder_.push_back(run);
--- a/Libraries/LibDispatch/RunMemory.h
+++ b/Libraries/LibDispatch/RunMemory.h
@@ -20,7 +20,7 @@
   static constexpr std::size_t kMaxItems = 65536;
 
   /// Remembers how a run ended; the first end stays.
-  void Remember(wire::RunEnded aEnded);
+  void Remember(const wire::RunEnded& aEnded);
 
   /// @return null if nothing is remembered.
   [[nodiscard]] const wire::RunEnded* Find(const wire::RunId& aRun) const;
