--- a/Libraries/LibDispatch/Gate.cpp
+++ b/Libraries/LibDispatch/Gate.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint32_t kLeastRetryAfterMs = 50;
 constexpr std::uint32_t kRetryAfterDownMs = 1000;
 
+// An owner that is lost for so long has been taken over, and its waiting items
+// are given out by the one that did.
+constexpr base::Duration kKeepWaitingOfLost{ std::chrono::seconds{ 10 } };
+
 std::uint32_t
 RetryAfterMs(ResultCode aCode, base::Duration aExpectedWait)
 {
@@ -99,8 +103,10 @@
   if (!aOrder.online_) {
     grants_.OnRunTaken(aPeer);
   }
+  const wire::RunId id = aOrder.run_;
   Admit(aPeer, std::move(aOrder), aMoment);
   Dispatch(aMoment);
+  NoteIfQueued(id, aPeer, aMoment);
   return TakeActions();
 }
 
@@ -228,6 +234,21 @@
                    run.due_ - estimate_.ExpectedWork(run.order_.maxTokens_));
 }
 
+void
+Gate::NoteIfQueued(const wire::RunId& aRun,
+                   const std::string& aPeer,
+                   Moment aMoment)
+{
+  const auto found = runs_.find(aRun);
+  if (found == runs_.end() || found->second.phase_ != RunPhase::Waiting ||
+      !found->second.IsOnline()) {
+    return;
+  }
+  const base::Duration wait =
+    std::chrono::milliseconds{ Load(aMoment.now_).expectedWaitMs_ };
+  NoteDecision(kRunQueued, aRun, aPeer, ResultCode::Ok, wait, aMoment.now_);
+}
+
 void
 Gate::Refuse(const std::string& aPeer,
              const wire::StartRun& aOrder,
@@ -375,12 +396,20 @@
 void
 Gate::OnLinkLost(const std::string& aPeer, Moment aMoment)
 {
-  lostPeers_.try_emplace(aPeer, aMoment.now_);
+  lostPeers_.try_emplace(aPeer, aMoment.now_ + kKeepWaitingOfLost);
   grants_.OnLinkLost(aPeer);
 }
 
 Actions
 Gate::OnPeerReplaced(const std::string& aPeer, Moment aMoment)
+{
+  DropWaitingBatchOf(aPeer, aMoment);
+  Dispatch(aMoment);
+  return TakeActions();
+}
+
+void
+Gate::DropWaitingBatchOf(std::string_view aPeer, Moment aMoment)
 {
   std::vector<Run*> dropped;
   for (auto& [id, run] : runs_) {
@@ -394,8 +423,17 @@
   for (Run* run : dropped) {
     EndNotRun(*run, ResultCode::Disconnected, {}, aMoment);
   }
-  Dispatch(aMoment);
-  return TakeActions();
+}
+
+void
+Gate::DropWaitingBatchOfLost(Moment aMoment)
+{
+  for (auto& [peer, dropAt] : lostPeers_) {
+    if (dropAt <= aMoment.now_) {
+      dropAt = base::Instant::max();
+      DropWaitingBatchOf(peer, aMoment);
+    }
+  }
 }
 
 GateLoad
--- a/Libraries/LibDispatch/Gate.h
+++ b/Libraries/LibDispatch/Gate.h
@@ -139,6 +139,11 @@
   [[nodiscard]] bool AnswerRepeated(const std::string& aPeer,
                                     const wire::StartRun& aOrder);
   void Admit(const std::string& aPeer, wire::StartRun aOrder, Moment aMoment);
+  void NoteIfQueued(const wire::RunId& aRun,
+                    const std::string& aPeer,
+                    Moment aMoment);
+  void DropWaitingBatchOf(std::string_view aPeer, Moment aMoment);
+  void DropWaitingBatchOfLost(Moment aMoment);
   void Refuse(const std::string& aPeer,
               const wire::StartRun& aOrder,
               wire::ResultCode aCode,
@@ -159,6 +164,7 @@
   void EndWaiting(Urgency aUrgency, wire::ResultCode aCode, Moment aMoment);
   void EndInterrupted(Moment aMoment);
   void NoteEngineLives(Moment aMoment);
+  void StopPastDeadline(Moment aMoment);
 
   // GateDispatch.cpp: who goes next.
   void Dispatch(Moment aMoment);
@@ -223,7 +229,8 @@
   std::vector<Run*> broken_;
   std::multimap<base::Instant, Run*> deadlines_;
   std::multimap<base::Instant, Run*> offers_;
-  std::map<std::string, base::Instant, std::less<>> lostPeers_;
+  std::map<std::string, base::Instant, std::less<>>
+    lostPeers_; ///< When to drop what they have waiting.
   std::vector<std::string> keepers_;
   std::vector<std::uint64_t> epochs_;
 
--- a/Libraries/LibDispatch/GateStreams.cpp
+++ b/Libraries/LibDispatch/GateStreams.cpp
@@ -300,6 +300,19 @@
   return TakeActions();
 }
 
+void
+Gate::StopPastDeadline(Moment aMoment)
+{
+  while (!deadlines_.empty() && deadlines_.begin()->first <= aMoment.now_) {
+    Run& run = *deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    run.deadlineEntry_.reset();
+    const ResultCode code = run.mayHaveRun_ ? ResultCode::DeadlineExceeded
+                                            : ResultCode::DeadlineTooShort;
+    Stop(run, code, aMoment);
+  }
+}
+
 Actions
 Gate::OnTick(Moment aMoment)
 {
@@ -313,17 +326,8 @@
   if (engineDown_ && aMoment.now_ - downSince_ >= kKeepWaitingWhileDown) {
     EndInterrupted(aMoment);
   }
-  while (!deadlines_.empty() && deadlines_.begin()->first <= aMoment.now_) {
-    Run& run = *deadlines_.begin()->second;
-    deadlines_.erase(deadlines_.begin());
-    run.deadlineEntry_.reset();
-    const bool waits =
-      run.phase_ == RunPhase::Waiting || run.phase_ == RunPhase::Held;
-    Stop(run,
-         waits && !run.mayHaveRun_ ? ResultCode::DeadlineTooShort
-                                   : ResultCode::DeadlineExceeded,
-         aMoment);
-  }
+  StopPastDeadline(aMoment);
+  DropWaitingBatchOfLost(aMoment);
   OfferLate(aMoment);
   Dispatch(aMoment);
   return TakeActions();
