LibEntry: Start the entry function and serve operators' status and quarantine

LibRouting: count a broken run as load for a while. An endpoint that fails at once always looks idle to a least-loaded choice and would draw the traffic of the whole fleet.

--- a/Libraries/LibEntry/EndpointRouter.cpp
+++ b/Libraries/LibEntry/EndpointRouter.cpp
@@ -166,6 +166,17 @@
   }
 }
 
+void
+EndpointRouter::OnFailed(std::string_view aService,
+                         std::string_view aEndpoint,
+                         base::Instant aNow)
+{
+  const auto found = services_.find(aService);
+  if (found != services_.end()) {
+    found->second.chooser_.OnFailed(aEndpoint, aNow);
+  }
+}
+
 bool
 EndpointRouter::HasEligible(std::string_view aService) const
 {
--- a/Libraries/LibEntry/EndpointRouter.h
+++ b/Libraries/LibEntry/EndpointRouter.h
@@ -87,6 +87,9 @@
   void OnEnded(std::string_view aService,
                std::string_view aEndpoint,
                bool aIsSuspect);
+  void OnFailed(std::string_view aService,
+                std::string_view aEndpoint,
+                base::Instant aNow);
 
   /// @return whether a service is known; with none of it linked, calls are
   /// refused.
--- a/Libraries/LibEntry/EntryCore.h
+++ b/Libraries/LibEntry/EntryCore.h
@@ -13,6 +13,11 @@
 /// What the gRPC services of one entry share.
 struct EntryCore
 {
+  explicit EntryCore(node::Context aContext)
+    : context_(aContext)
+  {
+  }
+
   node::Context context_;
   std::shared_ptr<OnlineCalls> online_;
   std::shared_ptr<OwnerCalls> owners_;
--- /dev/null
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -0,0 +1,268 @@
+#include "LibEntry/EntryFunction.h"
+
+#include "LibEntry/CallerService.h"
+#include "LibEntry/EntryCore.h"
+#include "LibEntry/Events.h"
+#include "LibEntry/OperatorService.h"
+
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace pumiceturn::entry {
+
+namespace {
+
+constexpr int kKeepaliveMs = 20000;
+constexpr int kKeepaliveTimeoutMs = 5000;
+constexpr int kShortestClientPingMs = 5000;
+constexpr std::size_t kMaxGrpcBytes = std::size_t{ 64 } << 20U;
+constexpr int kMaxGrpcThreads = 32;
+constexpr int kMaxMessageBytes = 16 << 20;
+
+/// For RPCs that are still open when the server is told to stop.
+constexpr std::chrono::milliseconds kShutdownPatience{ 500 };
+
+constexpr std::uint32_t kDefaultSubset = 20;
+constexpr double kDefaultRetryShare = 0.1;
+constexpr std::uint32_t kDefaultRetryBurst = 10;
+
+routing::Policy
+ToPolicy(settings::RoutingPolicy aPolicy)
+{
+  switch (aPolicy) {
+    case settings::ROUTING_POLICY_ROUND_ROBIN:
+      return routing::RoundRobin{};
+    case settings::ROUTING_POLICY_RANDOM:
+      return routing::RandomChoice{};
+    default:
+      return routing::LeastOfTwo{};
+  }
+}
+
+EndpointRouter::Options
+MakeRouting(const settings::Settings& aSettings)
+{
+  const settings::EntrySettings& entry = aSettings.entry();
+  EndpointRouter::Options options;
+  options.host_ = aSettings.host();
+  options.failureDomain_ = aSettings.failure_domain();
+  options.subsetSize_ =
+    entry.subset_size() == 0 ? kDefaultSubset : entry.subset_size();
+  options.policy_ = ToPolicy(entry.routing());
+  options.retries_.share_ =
+    entry.retry_share() == 0.0 ? kDefaultRetryShare : entry.retry_share();
+  options.retries_.burst_ =
+    entry.retry_burst() == 0 ? kDefaultRetryBurst : entry.retry_burst();
+  options.seed_ = std::random_device{}();
+  return options;
+}
+
+bool
+IsKeeper(const settings::ListedHost& aHost)
+{
+  const auto& functions = aHost.functions();
+  return std::find(functions.begin(),
+                   functions.end(),
+                   settings::FUNCTION_KEEPER) != functions.end();
+}
+
+/// Keeps a link to each listed keeper: any may own a partition.
+void
+ConnectKeepers(const node::Context& aContext, const settings::HostList& aHosts)
+{
+  for (const settings::ListedHost& host : aHosts.hosts()) {
+    const bool isOther = host.name() != aContext.settings_.host();
+    if (IsKeeper(host) && isOther && !host.link_address().empty()) {
+      aContext.links_.Connect(host.name(), host.link_address());
+    }
+  }
+}
+
+} // namespace
+
+struct EntryFunction::State
+{
+  explicit State(node::Context aContext)
+    : core_(std::make_shared<EntryCore>(aContext))
+    , callers_(core_)
+    , operators_(core_)
+  {
+  }
+
+  std::shared_ptr<EntryCore> core_;
+  CallerService callers_;
+  OperatorService operators_;
+  std::unique_ptr<grpc::Server> server_;
+  std::string address_;
+};
+
+namespace {
+
+/// Follows the configuration and the host list for as long as the entry lives.
+void
+Follow(const std::shared_ptr<EntryCore>& aCore)
+{
+  const std::weak_ptr<EntryCore> weak = aCore;
+  aCore->context_.configuration_.Subscribe(
+    [weak](const configuration::ConfigurationCache::SnapshotPointer& aNew) {
+      if (const auto core = weak.lock()) {
+        core->online_->OnConfiguration(*aNew);
+      }
+    });
+  aCore->context_.hosts_.Subscribe(
+    [weak](const platform::HostDirectory::Snapshot& aNew) {
+      if (const auto core = weak.lock()) {
+        ConnectKeepers(core->context_, *aNew);
+        core->online_->OnHostList(*aNew);
+      }
+    });
+  aCore->online_->OnConfiguration(*aCore->context_.configuration_.Current());
+  if (const auto hosts = aCore->context_.hosts_.Current()) {
+    ConnectKeepers(aCore->context_, *hosts);
+    aCore->online_->OnHostList(*hosts);
+  }
+}
+
+void
+SetLimits(grpc::ServerBuilder& aBuilder)
+{
+  grpc::ResourceQuota quota("entry");
+  quota.Resize(kMaxGrpcBytes);
+  quota.SetMaxThreads(kMaxGrpcThreads);
+  aBuilder.SetResourceQuota(quota);
+  aBuilder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  // A caller whose connection has gone silent is noticed, and its runs are
+  // cancelled, within a few pings.
+  aBuilder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
+  aBuilder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                              kKeepaliveTimeoutMs);
+  aBuilder.AddChannelArgument(
+    GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+    kShortestClientPingMs);
+  // Two processes on one port would share its callers without knowing.
+  aBuilder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<EntryFunction>>
+EntryFunction::Start(node::Context aContext)
+{
+  auto state = std::make_unique<State>(aContext);
+  EntryCore& core = *state->core_;
+  core.online_ =
+    std::make_shared<OnlineCalls>(aContext, MakeRouting(aContext.settings_));
+  core.owners_ = std::make_shared<OwnerCalls>(aContext);
+  core.owners_->Start();
+  Follow(state->core_);
+
+  const std::string& address = aContext.settings_.entry().grpc_address();
+  grpc::ServerBuilder builder;
+  SetLimits(builder);
+  int port = 0;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(&state->callers_);
+  builder.RegisterService(&state->operators_);
+  state->server_ = builder.BuildAndStart();
+  if (state->server_ == nullptr || port == 0) {
+    return base::Fail(base::ResultCode::InputOutput,
+                      "cannot listen on " + address);
+  }
+  state->address_ =
+    fmt::format("{}:{}", address.substr(0, address.rfind(':')), port);
+  base::Log(kEntryStarted, { { "address", state->address_ } });
+  return std::unique_ptr<EntryFunction>(new EntryFunction(std::move(state)));
+}
+
+EntryFunction::EntryFunction(std::unique_ptr<State> aState)
+  : state_(std::move(aState))
+{
+}
+
+EntryFunction::~EntryFunction()
+{
+  Stop();
+}
+
+void
+EntryFunction::OnMessage(const std::string& aPeer,
+                         const wire::Message& aMessage)
+{
+  state_->core_->online_->OnMessage(aPeer, aMessage);
+  state_->core_->owners_->OnMessage(aMessage);
+}
+
+void
+EntryFunction::OnLinkState(const std::string& aPeer, wire::LinkState aState)
+{
+  state_->core_->online_->OnLinkState(aPeer, aState);
+  state_->core_->owners_->OnLinkState(aPeer, aState);
+}
+
+void
+EntryFunction::FillHeartbeat(const std::string& /*aPeer*/,
+                             wire::Heartbeat& aHeartbeat) const
+{
+  const EntryCore& core = *state_->core_;
+  aHeartbeat.draining_ = aHeartbeat.draining_ || core.draining_;
+  if (aHeartbeat.suspects_.empty()) {
+    aHeartbeat.suspects_ = core.context_.quarantine_.List(base::MonotonicNow());
+  }
+}
+
+void
+EntryFunction::BeginDrain()
+{
+  EntryCore& core = *state_->core_;
+  if (core.draining_.exchange(true)) {
+    return;
+  }
+  base::Log(
+    kEntryDraining,
+    { { "calls", core.online_->Count() }, { "open", core.openCalls_.load() } });
+}
+
+bool
+EntryFunction::IsIdle() const
+{
+  const EntryCore& core = *state_->core_;
+  return core.openCalls_ == 0 && core.online_->Count() == 0;
+}
+
+node::Readiness
+EntryFunction::GetReadiness() const
+{
+  const EntryCore& core = *state_->core_;
+  if (core.draining_) {
+    return node::Readiness::Draining;
+  }
+  const bool isReady = core.context_.configuration_.Current()->Version() > 0 &&
+                       core.context_.partitions_.Count() > 0;
+  return isReady ? node::Readiness::Ready : node::Readiness::Starting;
+}
+
+std::string
+EntryFunction::ListenAddress() const
+{
+  return state_->address_;
+}
+
+void
+EntryFunction::Stop()
+{
+  if (state_->server_ != nullptr) {
+    state_->server_->Shutdown(std::chrono::system_clock::now() +
+                              kShutdownPatience);
+    state_->server_->Wait();
+    state_->server_.reset();
+  }
+}
+
+} // namespace pumiceturn::entry
--- a/Libraries/LibEntry/EntryFunction.h
+++ b/Libraries/LibEntry/EntryFunction.h
@@ -35,6 +35,9 @@
   /// @return whether nothing is left that a shutdown would cut off.
   [[nodiscard]] bool IsIdle() const;
   [[nodiscard]] node::Readiness GetReadiness() const;
+
+  /// @return the IP:port where callers and operators are served.
+  [[nodiscard]] std::string ListenAddress() const;
   void Stop();
 
 private:
--- a/Libraries/LibEntry/OnlineAction.h
+++ b/Libraries/LibEntry/OnlineAction.h
@@ -47,6 +47,7 @@
 struct RunLeft
 {
   std::string endpoint_;
+  bool failed_ = false; ///< It broke off there.
 };
 
 /// The content crashed endpoints often enough to be refused everywhere.
--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -471,9 +471,11 @@
 void
 OnlineCalls::Do(Active& aActive, RunLeft& aAction)
 {
-  router_.OnEnded(aActive.request_.Description().record_.service_,
-                  aAction.endpoint_,
-                  aActive.suspect_);
+  const std::string& service = aActive.request_.Description().record_.service_;
+  router_.OnEnded(service, aAction.endpoint_, aActive.suspect_);
+  if (aAction.failed_) {
+    router_.OnFailed(service, aAction.endpoint_, base::MonotonicNow());
+  }
 }
 
 void
--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -599,7 +599,7 @@
 void
 OnlineRequest::OnBroken(ResultCode aCode, base::Instant aNow)
 {
-  LeaveRun();
+  LeaveRun(true);
   lostGraceEnds_.reset();
   tried_.push_back(endpoint_);
   lastBroken_ = aCode;
@@ -696,9 +696,9 @@
 }
 
 void
-OnlineRequest::LeaveRun()
+OnlineRequest::LeaveRun(bool aHasFailed)
 {
-  actions_.emplace_back(RunLeft{ endpoint_ });
+  actions_.emplace_back(RunLeft{ endpoint_, aHasFailed });
 }
 
 void
--- /dev/null
+++ b/Libraries/LibEntry/OperatorService.cpp
@@ -0,0 +1,185 @@
+#include "LibEntry/OperatorService.h"
+
+#include "LibEntry/Events.h"
+#include "LibEntry/Replies.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <map>
+#include <optional>
+#include <string_view>
+
+namespace pumiceturn::entry {
+
+namespace {
+
+using Heartbeats = std::map<std::string, wire::Heartbeat>;
+
+std::uint32_t
+ToLastHeardMs(base::Duration aSince)
+{
+  constexpr std::uint32_t kNever = std::numeric_limits<std::uint32_t>::max();
+  if (aSince == base::Duration::max()) {
+    return kNever;
+  }
+  return static_cast<std::uint32_t>(
+    std::min<std::int64_t>(base::ToMs(aSince), kNever));
+}
+
+void
+FillHosts(const node::Context& aContext,
+          const configuration::Snapshot& aConfiguration,
+          const Heartbeats& aHeartbeats,
+          operations::StatusReply& aReply)
+{
+  const auto listed = aContext.hosts_.Current();
+  if (listed == nullptr) {
+    return;
+  }
+  for (const settings::ListedHost& host : listed->hosts()) {
+    operations::HostStatus& status = *aReply.add_hosts();
+    status.set_name(host.name());
+    status.set_failure_domain(host.failure_domain());
+    const bool isSelf = host.name() == aContext.settings_.host();
+    status.set_linked(isSelf || aContext.links_.IsUp(host.name()));
+    status.set_last_heard_ms(
+      isSelf ? 0 : ToLastHeardMs(aContext.links_.SinceHeard(host.name())));
+    status.set_draining(host.state() == settings::HOST_STATE_LEAVING ||
+                        aConfiguration.IsDrained(host.name()));
+    const auto heartbeat = aHeartbeats.find(host.name());
+    if (isSelf) {
+      status.set_configuration_version(aConfiguration.Version());
+    } else if (heartbeat != aHeartbeats.end()) {
+      status.set_configuration_version(heartbeat->second.configurationVersion_);
+      status.set_draining(status.draining() || heartbeat->second.draining_);
+    }
+  }
+}
+
+void
+FillEndpoints(const node::Context& aContext,
+              const configuration::Snapshot& aConfiguration,
+              const Heartbeats& aHeartbeats,
+              operations::StatusReply& aReply)
+{
+  for (const auto& service :
+       aConfiguration.Content().declarations().services()) {
+    for (const auto& endpoint : service.endpoints()) {
+      operations::EndpointStatus& status = *aReply.add_endpoints();
+      status.set_name(endpoint.name());
+      status.set_service(service.name());
+      status.set_failure_domain(endpoint.failure_domain());
+      status.set_linked(aContext.links_.IsUp(endpoint.name()));
+      status.set_draining(aConfiguration.IsDrained(endpoint.name()));
+      const auto heartbeat = aHeartbeats.find(endpoint.name());
+      if (heartbeat == aHeartbeats.end()) {
+        continue;
+      }
+      const wire::Heartbeat& report = heartbeat->second;
+      status.set_draining(status.draining() || report.draining_);
+      status.set_running(report.running_);
+      status.set_queued_online(report.queuedOnline_);
+      status.set_capacity(report.capacity_);
+      status.set_configuration_version(report.configurationVersion_);
+    }
+  }
+}
+
+void
+FillPartitions(const node::Context& aContext, operations::StatusReply& aReply)
+{
+  for (const partition::PartitionRecord& record : aContext.partitions_.All()) {
+    operations::PartitionStatus& status = *aReply.add_partitions();
+    status.set_partition(record.partition_);
+    status.set_owner(record.owner_);
+    status.set_epoch(record.epoch_);
+    for (const std::string& copy : record.copies_) {
+      status.add_copies(copy);
+    }
+  }
+}
+
+std::optional<std::uint64_t>
+ParseFingerprint(std::string_view aText)
+{
+  constexpr int kHexadecimal = 16;
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value, kHexadecimal);
+  const bool isWhole = parsed.ec == std::errc{} && parsed.ptr == end;
+  return isWhole && !aText.empty() ? std::optional{ value } : std::nullopt;
+}
+
+} // namespace
+
+OperatorService::OperatorService(std::shared_ptr<EntryCore> aCore)
+  : core_(std::move(aCore))
+{
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::Status(grpc::CallbackServerContext* aContext,
+                        const operations::StatusRequest* /*aRequest*/,
+                        operations::StatusReply* aReply)
+{
+  const node::Context& context = core_->context_;
+  const auto configuration = context.configuration_.Current();
+  const Heartbeats heartbeats = core_->online_->Heartbeats();
+  aReply->set_configuration_version(configuration->Version());
+  FillHosts(context, *configuration, heartbeats, *aReply);
+  FillEndpoints(context, *configuration, heartbeats, *aReply);
+  FillPartitions(context, *aReply);
+  auto* reactor = aContext->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::Quarantine(grpc::CallbackServerContext* aContext,
+                            const operations::QuarantineRequest* /*aRequest*/,
+                            operations::QuarantineReply* aReply)
+{
+  constexpr std::uint32_t kMsPerS = 1000;
+  const auto listed = core_->context_.quarantine_.List(base::MonotonicNow());
+  for (const wire::Suspect& suspect : listed) {
+    operations::QuarantineEntry& entry = *aReply->add_entries();
+    entry.set_fingerprint(fmt::format("{:016x}", suspect.fingerprint_));
+    entry.set_crashes(suspect.crashes_);
+    entry.set_quarantined(suspect.crashes_ >=
+                          routing::QuarantineTable::kCrashesToQuarantine);
+    entry.set_expires_in_s(suspect.expiresInMs_ / kMsPerS);
+  }
+  auto* reactor = aContext->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::LiftQuarantine(
+  grpc::CallbackServerContext* aContext,
+  const operations::LiftQuarantineRequest* aRequest,
+  operations::LiftQuarantineReply* aReply)
+{
+  auto* reactor = aContext->DefaultReactor();
+  const auto fingerprint = ParseFingerprint(aRequest->fingerprint());
+  if (!fingerprint.has_value()) {
+    reactor->Finish(
+      MakeRefusal({ base::ResultCode::InvalidRequest,
+                    "a fingerprint is written in hexadecimal digits" }));
+    return reactor;
+  }
+  const bool isFound =
+    core_->context_.quarantine_.Lift(*fingerprint, base::MonotonicNow());
+  base::Log(kOperatorOrder,
+            { { "order", "lift" },
+              { "fingerprint", aRequest->fingerprint() },
+              { "found", isFound } });
+  aReply->set_found(isFound);
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+} // namespace pumiceturn::entry
--- a/Libraries/LibRouting/EndpointChooser.cpp
+++ b/Libraries/LibRouting/EndpointChooser.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/EndpointChooser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pumiceturn::routing {
@@ -162,6 +163,16 @@
   }
 }
 
+void
+EndpointChooser::OnFailed(std::string_view aEndpoint, base::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->failures_ =
+      std::min(FailuresOf(*endpoint, aNow) + 1.0, kMaxFailures);
+    endpoint->failedAt_ = aNow;
+  }
+}
+
 std::optional<Choice>
 EndpointChooser::Choose(const ChoiceRequest& aRequest,
                         base::Instant aNow,
@@ -232,7 +243,19 @@
   }
   const std::uint32_t capacity =
     std::max<std::uint32_t>(aEndpoint.description_.capacity_, 1);
-  return (aEndpoint.inFlight_ + others) / capacity;
+  return ((aEndpoint.inFlight_ + others) / capacity) +
+         (kFailureLoad * FailuresOf(aEndpoint, aNow));
+}
+
+double
+EndpointChooser::FailuresOf(const Endpoint& aEndpoint, base::Instant aNow)
+{
+  if (aEndpoint.failures_ == 0.0) {
+    return 0.0;
+  }
+  const auto age = static_cast<double>((aNow - aEndpoint.failedAt_).count());
+  return aEndpoint.failures_ *
+         std::exp2(-age / static_cast<double>(kFailureHalfLife.count()));
 }
 
 double
--- a/Libraries/LibRouting/EndpointChooser.h
+++ b/Libraries/LibRouting/EndpointChooser.h
@@ -91,6 +91,13 @@
   /// After this time a report says nothing more about others' load.
   static constexpr base::Duration kReportHorizon{ std::chrono::seconds{ 5 } };
 
+  /// In this time the load that a failure counts for halves.
+  static constexpr base::Duration kFailureHalfLife{ std::chrono::seconds{ 5 } };
+  /// Share of an endpoint's capacity that one failure counts for.
+  static constexpr double kFailureLoad = 0.25;
+  /// Failures counted at most, so that one that recovers is soon tried again.
+  static constexpr double kMaxFailures = 16.0;
+
   EndpointChooser(std::string aFailureDomain, Policy aPolicy);
 
   /// Replaces the set of endpoints; what is known of those that stay is kept.
@@ -115,6 +122,11 @@
                  bool aIsSuspect);
   void OnEnded(std::string_view aEndpoint, bool aIsSuspect);
 
+  /// A run broke off there. An endpoint that fails at once always looks idle
+  /// and would draw the most requests, so each failure counts as load for a
+  /// while.
+  void OnFailed(std::string_view aEndpoint, base::Instant aNow);
+
   /// @return nothing where no endpoint may take the request.
   [[nodiscard]] std::optional<Choice> Choose(const ChoiceRequest& aRequest,
                                              base::Instant aNow,
@@ -139,6 +151,8 @@
     std::uint32_t suspects_ = 0;
     std::uint32_t othersLoad_ = 0; ///< Reported beyond our own.
     std::uint32_t expectedWaitMs_ = 0;
+    double failures_ = 0.0; ///< As of failedAt_.
+    base::Instant failedAt_;
     std::optional<base::Instant> reportedAt_;
   };
 
@@ -148,6 +162,8 @@
                              const ChoiceRequest& aRequest) const;
   [[nodiscard]] double LoadOf(const Endpoint& aEndpoint,
                               base::Instant aNow) const;
+  [[nodiscard]] static double FailuresOf(const Endpoint& aEndpoint,
+                                         base::Instant aNow);
   [[nodiscard]] double MeanLoad() const;
   void RebuildEligible();
   [[nodiscard]] std::optional<std::size_t> PickRandom(
--- a/Tests/LibRouting/EndpointChooserTest.cpp
+++ b/Tests/LibRouting/EndpointChooserTest.cpp
@@ -139,6 +139,24 @@
   CHECK(Reachable(request).count("e2") == 1);
 }
 
+// Story: an engine fails each request at once. It never has anything in flight,
+// so it looks idle and would draw most of the traffic. When it has recovered,
+// it takes requests again.
+TEST_CASE_METHOD(ChooserFixture,
+                 "EndpointChooser_EndpointThatFailsAtOnce_DrawsNoTraffic")
+{
+  for (const EndpointDescription& description : descriptions_) {
+    if (description.name_ != "e3") {
+      chooser_.OnStarted(description.name_, 0, false);
+    }
+  }
+  CHECK(Reachable().count("e3") == 1);
+  chooser_.OnFailed("e3", now_);
+  CHECK(Reachable().count("e3") == 0);
+  now_ += 2 * EndpointChooser::kFailureHalfLife;
+  CHECK(Reachable().count("e3") == 1);
+}
+
 TEST_CASE("ChooseSubset_ManyHosts_SpreadsOverDomainsAndEndpoints")
 {
   std::vector<std::string> names;
