--- a/Libraries/LibEntry/EntryFunction.cpp
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -206,6 +206,12 @@
   state_->core_->owners_->OnLinkState(aPeer, aState);
 }
 
+bool
+EntryFunction::HasRun(const wire::RunId& aRun) const
+{
+  return state_->core_->online_->HasJob(aRun.job_);
+}
+
 void
 EntryFunction::FillHeartbeat(const std::string& /*aPeer*/,
                              wire::Heartbeat& aHeartbeat) const
--- a/Libraries/LibEntry/EntryFunction.h
+++ b/Libraries/LibEntry/EntryFunction.h
@@ -25,6 +25,10 @@
   void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
   void OnLinkState(const std::string& aPeer, wire::LinkState aState);
 
+  /// @return whether the end of this run is for this entry; otherwise it is for
+  /// the keeper.
+  [[nodiscard]] bool HasRun(const wire::RunId& aRun) const;
+
   /// Adds this function's part to the next heartbeat to a peer.
   void FillHeartbeat(const std::string& aPeer,
                      wire::Heartbeat& aHeartbeat) const;
--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -188,6 +188,13 @@
   }
 }
 
+bool
+OnlineCalls::HasJob(const wire::JobId& aJob) const
+{
+  const std::lock_guard lock(mutex_);
+  return callsByJob_.contains(aJob) || concluded_.contains(aJob);
+}
+
 std::size_t
 OnlineCalls::Count() const
 {
--- a/Libraries/LibEntry/OnlineCalls.h
+++ b/Libraries/LibEntry/OnlineCalls.h
@@ -53,6 +53,9 @@
 
   [[nodiscard]] std::size_t Count() const;
 
+  /// @return whether a run of this job is, or lately was, this entry's own.
+  [[nodiscard]] bool HasJob(const wire::JobId& aJob) const;
+
   /// @return the last heartbeat of each peer, for operators.
   [[nodiscard]] std::map<std::string, wire::Heartbeat> Heartbeats() const;
 
