LibDaemon: Follow the configuration in every process

Cause: a version must reach all processes, those without a watch too. Change: the daemon feeds heartbeats' versions and peers' contents to the follower; only entries watch; an agent fetches its own service's part.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "LibAgent/AgentFunction.h"
 #include "LibBase/Log.h"
 #include "LibBase/WorkerPool.h"
+#include "LibConfiguration/ConfigurationFollower.h"
 #include "LibDaemon/MessageRouter.h"
 #include "LibDaemon/PeerStrands.h"
 #include "LibEntry/EntryFunction.h"
@@ -72,6 +73,26 @@
   return options;
 }
 
+/// Entries watch the platform, so that a change spreads from them; an agent
+/// holds only its own service's part.
+configuration::ConfigurationFollower::Options
+ConfigurationOptions(const settings::Settings& aSettings)
+{
+  configuration::ConfigurationFollower::Options options;
+  options.keyPrefix_ = aSettings.platform().key_prefix();
+  options.pollInterval_ =
+    std::chrono::milliseconds{ aSettings.platform().poll_ms() };
+  if (HasFunction(aSettings, settings::FUNCTION_ENTRY)) {
+    options.platformUse_ = configuration::PlatformUse::Watch;
+  }
+  const bool isAgentAlone = aSettings.functions_size() == 1 &&
+                            HasFunction(aSettings, settings::FUNCTION_AGENT);
+  if (isAgentAlone) {
+    options.scope_ = configuration::Scope{ aSettings.agent().service() };
+  }
+  return options;
+}
+
 } // namespace
 
 /// Members are destroyed in reverse order: the functions before what they use.
@@ -104,6 +125,8 @@
   void DeliverHeartbeat(const std::string& aPeer,
                         const wire::Message& aMessage);
   void DeliverRunEnded(const std::string& aPeer, const wire::Message& aMessage);
+  void DeliverConfiguration(const std::string& aPeer,
+                            const wire::Message& aMessage);
   void ConnectToListedHosts(const settings::HostList& aHosts);
 
   [[nodiscard]] bool IsReady() const;
@@ -132,6 +155,7 @@
   partition::PartitionTable partitions_;
   routing::QuarantineTable quarantine_;
   std::unique_ptr<wire::LinkTable> links_;
+  std::unique_ptr<configuration::ConfigurationFollower> follower_;
   std::unique_ptr<agent::AgentFunction> agent_;
   std::unique_ptr<keeper::KeeperFunction> keeper_;
   std::unique_ptr<entry::EntryFunction> entry_;
@@ -148,6 +172,9 @@
   started_ = false;
   keyValue_->Stop();
   ForEachFunction([](auto& aFunction) { aFunction.Stop(); });
+  if (follower_) {
+    follower_->Stop();
+  }
   // Tasks hold references to the functions and the links.
   pool_.Stop();
   links_.reset();
@@ -177,6 +204,14 @@
   BOOST_LEAF_ASSIGN(
     links_,
     wire::LinkTable::Start(LinkOptions(settings_), std::move(handlers)));
+  follower_ = std::make_unique<configuration::ConfigurationFollower>(
+    ConfigurationOptions(settings_),
+    *keyValue_,
+    configuration_,
+    pool_,
+    [this](const std::string& aPeer, wire::Message aMessage) {
+      return links_->Send(aPeer, std::move(aMessage));
+    });
   return {};
 }
 
@@ -193,6 +228,7 @@
     BOOST_LEAF_ASSIGN(entry_, entry::EntryFunction::Start(MakeContext()));
   }
   started_ = true;
+  follower_->Start();
   return {};
 }
 
@@ -238,6 +274,9 @@
     if (!started_) {
       return;
     }
+    if (aState != wire::LinkState::Up) {
+      follower_->OnPeerLost(aPeer);
+    }
     ForEachFunction(
       [&](auto& aFunction) { aFunction.OnLinkState(aPeer, aState); });
   });
@@ -269,6 +308,8 @@
   const Receiver receiver = ReceiverOf(aMessage);
   if (receiver == Receiver::Everyone) {
     DeliverHeartbeat(aPeer, aMessage);
+  } else if (receiver == Receiver::Configuration) {
+    DeliverConfiguration(aPeer, aMessage);
   } else if (receiver == Receiver::RunStarter) {
     DeliverRunEnded(aPeer, aMessage);
   } else if (receiver == Receiver::Agent && agent_) {
@@ -289,6 +330,7 @@
 {
   const auto& heartbeat = std::get<wire::Heartbeat>(aMessage);
   quarantine_.Merge(heartbeat.suspects_, base::MonotonicNow());
+  follower_->OnHeartbeatVersion(aPeer, heartbeat.configurationVersion_);
   ForEachFunction(
     [&](auto& aFunction) { aFunction.OnMessage(aPeer, aMessage); });
 }
@@ -305,6 +347,18 @@
   }
 }
 
+void
+Daemon::State::DeliverConfiguration(const std::string& aPeer,
+                                    const wire::Message& aMessage)
+{
+  if (const auto* request = std::get_if<wire::FetchConfiguration>(&aMessage)) {
+    follower_->OnMessage(aPeer, *request);
+  } else if (const auto* content =
+               std::get_if<wire::ConfigurationContent>(&aMessage)) {
+    follower_->OnMessage(aPeer, *content);
+  }
+}
+
 void
 Daemon::State::ConnectToListedHosts(const settings::HostList& aHosts)
 {
