--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -246,7 +246,7 @@
     }
     // One message of a type that this version does not know must not cost the
     // others; a process of the next version may send it during an upgrade.
-    base::Log(kMessageDropped,
+    base::Log(kMessageUnreadable,
               { { "peer", peer_.host_ },
                 { "detail", std::get<base::Failure>(outcome).detail_ } });
   }
--- a/Libraries/LibWire/Events.h
+++ b/Libraries/LibWire/Events.h
@@ -34,9 +34,9 @@
   base::LogLevel::Warning,
   "A connection was closed because its first message was wrong or missing."
 };
-inline constexpr base::Event kMessageDropped{
+inline constexpr base::Event kMessageUnreadable{
   2006,
-  "message_dropped",
+  "message_unreadable",
   base::LogLevel::Error,
   "A peer sent a message that cannot be read; it was dropped."
 };
--- a/Tests/LibWire/LinkTableTest.cpp
+++ b/Tests/LibWire/LinkTableTest.cpp
@@ -58,6 +58,18 @@
   CHECK(b_.Table().UpPeers() == std::vector<std::string>{ "a" });
 }
 
+TEST_CASE("LinkTable_HeartbeatNow_DoesNotWaitForTheInterval")
+{
+  LinkTable::Options options = MakeOptions("a");
+  options.heartbeatInterval_ = std::chrono::hours{ 1 };
+  Recorder a{ options };
+  Recorder b{ MakeOptions("b") };
+  a.Table().Connect("b", b.Table().ListenAddress());
+  REQUIRE(a.WaitForState("b", LinkState::Up));
+  a.Table().HeartbeatNow();
+  CHECK(b.WaitForHeartbeat("a"));
+}
+
 TEST_CASE_METHOD(LinkTableFixture, "LinkTable_BothConnect_EachIsUpAndOrdered")
 {
   a_.Table().Connect("b", b_.Table().ListenAddress());
--- a/Tests/LibWire/Recorder.h
+++ b/Tests/LibWire/Recorder.h
@@ -3,6 +3,7 @@
 #include "LibBase/Result.h"
 #include "LibWire/LinkTable.h"
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -126,7 +127,7 @@
   options.host_ = std::move(aHost);
   options.listenAddress_ = std::move(aAddress);
   options.heartbeatInterval_ = std::chrono::milliseconds{ 250 };
-  options.connectTimeout_ = std::chrono::seconds{ 5 };
+  options.connectTimeout_ = std::chrono::seconds{ 2 };
   return options;
 }
 
