--- a/Libraries/LibPlatform/HostListReader.h
+++ b/Libraries/LibPlatform/HostListReader.h
@@ -9,7 +9,7 @@
 namespace pumiceturn::platform {
 
 /// Reads a host list from YAML, of which JSON is a part.
-/// @return MalformedYaml, UnknownKey, WrongType or MissingField with the line.
+/// @return MalformedYaml, UnknownKey, WrongType or MissingField.
 base::Result<settings::HostList>
 ReadHostList(const std::string& aText);
 
