LibRouting: Avoid an endpoint that failed, for a time that doubles

Counting failures as load still drew a third of the traffic: of two failing candidates one is taken. Avoided endpoints are now left out of the draw.

--- a/Benchmarks/Routing/Main.cpp
+++ b/Benchmarks/Routing/Main.cpp
@@ -60,7 +60,7 @@
     asked.prefix_ = request % 2 == 0 ? 0 : 1 + (random() % kPrefixes);
     const auto choice = chooser.Choose(asked, now, random);
     chooser.OnStarted(choice->endpoint_, asked.prefix_, false);
-    chooser.OnEnded(choice->endpoint_, false);
+    chooser.OnEnded(choice->endpoint_, false, RunEnd::Answered, now);
     ++request;
   }
 }
--- a/Benchmarks/RoutingModel/Main.cpp
+++ b/Benchmarks/RoutingModel/Main.cpp
@@ -68,12 +68,12 @@
       options.retryShare_ = share;
       options.countsFailures_ = counts;
       const ModelResult result = Model(options).Run();
-      fmt::print("{:<30}{:>18.3f}{:>12.4f}\n",
-                 fmt::format("{} {}",
-                             share,
-                             counts ? "failures as load" : "failures ignored"),
-                 Share(result.runs_, result.requests_),
-                 Share(result.good_, result.requests_));
+      fmt::print(
+        "{:<30}{:>18.3f}{:>12.4f}\n",
+        fmt::format(
+          "{} {}", share, counts ? "failed ones avoided" : "failures ignored"),
+        Share(result.runs_, result.requests_),
+        Share(result.good_, result.requests_));
     }
   }
 }
--- a/Benchmarks/RoutingModel/Model.cpp
+++ b/Benchmarks/RoutingModel/Model.cpp
@@ -10,6 +10,10 @@
 constexpr base::Duration kMeanWork{ std::chrono::seconds{ 2 } };
 constexpr base::Duration kSampleInterval{ std::chrono::milliseconds{ 50 } };
 constexpr base::Duration kFailureTime{ std::chrono::milliseconds{ 5 } };
+
+/// What an endpoint takes for the time of a run when it refuses: few answers
+/// take longer.
+constexpr base::Duration kCautiousWork{ std::chrono::seconds{ 4 } };
 constexpr std::size_t kMaxEndpointsTried = 2;
 constexpr std::size_t kDomains = 3;
 
@@ -189,10 +193,9 @@
   const Request& request = requests_[aRequest];
   EndpointChooser& chooser = entries_[request.entry_].chooser_;
   const std::string& endpoint = endpoints_[request.endpoint_].name_;
-  chooser.OnEnded(endpoint, false);
-  if (aHasFailed && options_.countsFailures_) {
-    chooser.OnFailed(endpoint, now_);
-  }
+  const bool isCounted = aHasFailed && options_.countsFailures_;
+  chooser.OnEnded(
+    endpoint, false, isCounted ? RunEnd::Broken : RunEnd::GivenUp, now_);
 }
 
 void
@@ -240,7 +243,7 @@
 {
   const auto ahead = static_cast<std::int64_t>(aEndpoint.waiting_.size());
   const base::Duration wait = kMeanWork * ahead / options_.capacity_;
-  return now_ + wait + kMeanWork > aRequest.deadline_;
+  return now_ + wait + kCautiousWork > aRequest.deadline_;
 }
 
 base::Duration
--- a/Benchmarks/RoutingModel/Model.h
+++ b/Benchmarks/RoutingModel/Model.h
@@ -23,7 +23,7 @@
   std::size_t failing_ = 0;    ///< Endpoints that fail each run at once.
   double retryShare_ = 0.1;
   bool refusesEarly_ = true;   ///< By expected wait against the deadline.
-  bool countsFailures_ = true; ///< As load of the endpoint.
+  bool countsFailures_ = true; ///< Avoids endpoints that failed lately.
   base::Duration deadline_{ std::chrono::seconds{ 6 } };
   base::Duration reportInterval_{ std::chrono::seconds{ 1 } };
   base::Duration reportDelay_{ std::chrono::milliseconds{ 500 } };
--- a/Libraries/LibEntry/EndpointRouter.cpp
+++ b/Libraries/LibEntry/EndpointRouter.cpp
@@ -158,22 +158,13 @@
 void
 EndpointRouter::OnEnded(std::string_view aService,
                         std::string_view aEndpoint,
-                        bool aIsSuspect)
+                        bool aIsSuspect,
+                        routing::RunEnd aEnd,
+                        base::Instant aNow)
 {
   const auto found = services_.find(aService);
   if (found != services_.end()) {
-    found->second.chooser_.OnEnded(aEndpoint, aIsSuspect);
-  }
-}
-
-void
-EndpointRouter::OnFailed(std::string_view aService,
-                         std::string_view aEndpoint,
-                         base::Instant aNow)
-{
-  const auto found = services_.find(aService);
-  if (found != services_.end()) {
-    found->second.chooser_.OnFailed(aEndpoint, aNow);
+    found->second.chooser_.OnEnded(aEndpoint, aIsSuspect, aEnd, aNow);
   }
 }
 
--- a/Libraries/LibEntry/EndpointRouter.h
+++ b/Libraries/LibEntry/EndpointRouter.h
@@ -86,10 +86,9 @@
                  bool aIsSuspect);
   void OnEnded(std::string_view aService,
                std::string_view aEndpoint,
-               bool aIsSuspect);
-  void OnFailed(std::string_view aService,
-                std::string_view aEndpoint,
-                base::Instant aNow);
+               bool aIsSuspect,
+               routing::RunEnd aEnd,
+               base::Instant aNow);
 
   /// @return whether a service is known; with none of it linked, calls are
   /// refused.
--- a/Libraries/LibEntry/OnlineAction.h
+++ b/Libraries/LibEntry/OnlineAction.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibRouting/EndpointChooser.h"
 #include "LibWire/Messages.h"
 
 #include <cstdint>
@@ -47,7 +48,7 @@
 struct RunLeft
 {
   std::string endpoint_;
-  bool failed_ = false; ///< It broke off there.
+  routing::RunEnd end_ = routing::RunEnd::GivenUp;
 };
 
 /// The content crashed endpoints often enough to be refused everywhere.
--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -471,11 +471,11 @@
 void
 OnlineCalls::Do(Active& aActive, RunLeft& aAction)
 {
-  const std::string& service = aActive.request_.Description().record_.service_;
-  router_.OnEnded(service, aAction.endpoint_, aActive.suspect_);
-  if (aAction.failed_) {
-    router_.OnFailed(service, aAction.endpoint_, base::MonotonicNow());
-  }
+  router_.OnEnded(aActive.request_.Description().record_.service_,
+                  aAction.endpoint_,
+                  aActive.suspect_,
+                  aAction.end_,
+                  base::MonotonicNow());
 }
 
 void
--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -574,7 +574,7 @@
 OnlineRequest::OnNotRun(Refusal aRefusal, base::Instant aNow)
 {
   --unknownRuns_;
-  LeaveRun();
+  LeaveRun(routing::RunEnd::GivenUp);
   tried_.push_back(endpoint_);
   ++refusals_;
   overloaded_ += aRefusal.code_ == ResultCode::Overloaded ? 1 : 0;
@@ -599,7 +599,7 @@
 void
 OnlineRequest::OnBroken(ResultCode aCode, base::Instant aNow)
 {
-  LeaveRun(true);
+  LeaveRun(routing::RunEnd::Broken);
   lostGraceEnds_.reset();
   tried_.push_back(endpoint_);
   lastBroken_ = aCode;
@@ -655,7 +655,7 @@
                       std::string aDetail,
                       base::Instant aNow)
 {
-  LeaveRun();
+  LeaveRun(routing::RunEnd::Answered);
   run_ = RunPhase::Over;
   lostGraceEnds_.reset();
   resultRun_ = CurrentRun();
@@ -688,7 +688,7 @@
   if (run_ == RunPhase::Running) {
     actions_.emplace_back(
       SendToEndpoint{ endpoint_, wire::CancelRun{ CurrentRun() } });
-    LeaveRun();
+    LeaveRun(routing::RunEnd::GivenUp);
   }
   run_ = RunPhase::Over;
   runAgainAt_.reset();
@@ -696,9 +696,9 @@
 }
 
 void
-OnlineRequest::LeaveRun(bool aHasFailed)
+OnlineRequest::LeaveRun(routing::RunEnd aEnd)
 {
-  actions_.emplace_back(RunLeft{ endpoint_, aHasFailed });
+  actions_.emplace_back(RunLeft{ endpoint_, aEnd });
 }
 
 void
--- a/Libraries/LibEntry/OnlineRequest.h
+++ b/Libraries/LibEntry/OnlineRequest.h
@@ -154,7 +154,7 @@
               base::Instant aNow);
   void AskForMissing();
   void CancelRunNow();
-  void LeaveRun(bool aHasFailed = false);
+  void LeaveRun(routing::RunEnd aEnd);
   void Refuse(Refusal aRefusal, base::Instant aNow);
   void Conclude(base::ResultCode aCode,
                 std::string aDetail,
--- a/Libraries/LibRouting/EndpointChooser.cpp
+++ b/Libraries/LibRouting/EndpointChooser.cpp
@@ -1,7 +1,6 @@
 #include "LibRouting/EndpointChooser.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace pumiceturn::routing {
@@ -148,12 +147,16 @@
 }
 
 void
-EndpointChooser::OnEnded(std::string_view aEndpoint, bool aIsSuspect)
+EndpointChooser::OnEnded(std::string_view aEndpoint,
+                         bool aIsSuspect,
+                         RunEnd aEnd,
+                         base::Instant aNow)
 {
   Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr || endpoint->inFlight_ == 0) {
     return; // Counted before the endpoint left the subset and came back.
   }
+  JudgeEnd(*endpoint, aEnd, aNow);
   --endpoint->inFlight_;
   if (aIsSuspect && endpoint->suspects_ > 0) {
     --endpoint->suspects_;
@@ -164,12 +167,23 @@
 }
 
 void
-EndpointChooser::OnFailed(std::string_view aEndpoint, base::Instant aNow)
+EndpointChooser::JudgeEnd(Endpoint& aEndpoint, RunEnd aEnd, base::Instant aNow)
 {
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->failures_ =
-      std::min(FailuresOf(*endpoint, aNow) + 1.0, kMaxFailures);
-    endpoint->failedAt_ = aNow;
+  switch (aEnd) {
+    case RunEnd::Answered:
+      aEndpoint.failuresInRow_ = 0;
+      aEndpoint.avoidedUntil_ = {};
+      return;
+    case RunEnd::Broken: {
+      const std::uint32_t doublings =
+        std::min(aEndpoint.failuresInRow_, kMaxAvoidanceDoublings);
+      aEndpoint.avoidedUntil_ =
+        aNow + (kShortestAvoidance * (std::int64_t{ 1 } << doublings));
+      ++aEndpoint.failuresInRow_;
+      return;
+    }
+    case RunEnd::GivenUp:
+      return;
   }
 }
 
@@ -233,29 +247,27 @@
 double
 EndpointChooser::LoadOf(const Endpoint& aEndpoint, base::Instant aNow) const
 {
-  double others = 0.0;
+  // Were an aged report taken for idleness, the endpoints heard from least
+  // would draw the most requests.
+  double weight = 0.0;
   if (aEndpoint.reportedAt_.has_value()) {
     const auto age =
       static_cast<double>((aNow - *aEndpoint.reportedAt_).count());
     const auto horizon = static_cast<double>(kReportHorizon.count());
-    const double weight = std::clamp(1.0 - (age / horizon), 0.0, 1.0);
-    others = weight * aEndpoint.othersLoad_;
+    weight = std::clamp(1.0 - (age / horizon), 0.0, 1.0);
   }
+  const double others =
+    (weight * aEndpoint.othersLoad_) + ((1.0 - weight) * MeanOthersLoad());
   const std::uint32_t capacity =
     std::max<std::uint32_t>(aEndpoint.description_.capacity_, 1);
-  return ((aEndpoint.inFlight_ + others) / capacity) +
-         (kFailureLoad * FailuresOf(aEndpoint, aNow));
+  return (aEndpoint.inFlight_ + others) / capacity;
 }
 
 double
-EndpointChooser::FailuresOf(const Endpoint& aEndpoint, base::Instant aNow)
+EndpointChooser::MeanOthersLoad() const
 {
-  if (aEndpoint.failures_ == 0.0) {
-    return 0.0;
-  }
-  const auto age = static_cast<double>((aNow - aEndpoint.failedAt_).count());
-  return aEndpoint.failures_ *
-         std::exp2(-age / static_cast<double>(kFailureHalfLife.count()));
+  return static_cast<double>(totalOthers_) /
+         static_cast<double>(std::max<std::size_t>(eligible_.size(), 1));
 }
 
 double
@@ -271,12 +283,14 @@
   eligible_.clear();
   totalLoad_ = 0;
   totalCapacity_ = 0;
+  totalOthers_ = 0;
   for (std::size_t index = 0; index < endpoints_.size(); ++index) {
     const Endpoint& endpoint = endpoints_[index];
     if (IsEligible(endpoint)) {
       eligible_.push_back(index);
       totalLoad_ += endpoint.inFlight_ + endpoint.othersLoad_;
       totalCapacity_ += endpoint.description_.capacity_;
+      totalOthers_ += endpoint.othersLoad_;
     }
   }
 }
@@ -284,6 +298,7 @@
 std::optional<std::size_t>
 EndpointChooser::PickRandom(const ChoiceRequest& aRequest,
                             std::optional<std::size_t> aOther,
+                            base::Instant aNow,
                             std::mt19937_64& aRandom) const
 {
   if (eligible_.empty()) {
@@ -294,18 +309,24 @@
   };
   for (int draw = 0; draw < kDraws; ++draw) {
     const std::size_t index = eligible_[aRandom() % eligible_.size()];
-    if (isFit(index)) {
+    if (isFit(index) && endpoints_[index].avoidedUntil_ <= aNow) {
       return index;
     }
   }
+  std::optional<std::size_t> avoided;
   const std::size_t first = aRandom() % eligible_.size();
   for (std::size_t step = 0; step < eligible_.size(); ++step) {
     const std::size_t index = eligible_[(first + step) % eligible_.size()];
-    if (isFit(index)) {
+    if (!isFit(index)) {
+      continue;
+    }
+    if (endpoints_[index].avoidedUntil_ <= aNow) {
       return index;
     }
+    avoided = index;
   }
-  return std::nullopt;
+  // Better an endpoint that failed lately than none.
+  return avoided;
 }
 
 std::optional<std::size_t>
@@ -318,7 +339,9 @@
   double bestLoad = 0.0;
   for (const std::size_t index : prefixes_.HoldersOf(aRequest.prefix_)) {
     const Endpoint& endpoint = endpoints_[index];
-    if (!IsEligible(endpoint) || !MayTake(endpoint, aRequest)) {
+    const bool isFit = IsEligible(endpoint) && MayTake(endpoint, aRequest) &&
+                       endpoint.avoidedUntil_ <= aNow;
+    if (!isFit) {
       continue;
     }
     const double load = LoadOf(endpoint, aNow);
@@ -360,11 +383,15 @@
       return Describe(*holder, Reason::PrefixHeld, aNow);
     }
   }
-  const auto first = PickRandom(aRequest, std::nullopt, aRandom);
+  const auto first = PickRandom(aRequest, std::nullopt, aNow, aRandom);
   if (!first.has_value()) {
     return std::nullopt;
   }
-  const auto second = PickRandom(aRequest, first, aRandom);
+  auto second = PickRandom(aRequest, first, aNow, aRandom);
+  // Only one of the two may be avoided when nearly all are: the other is taken.
+  if (second.has_value() && endpoints_[*second].avoidedUntil_ > aNow) {
+    second.reset();
+  }
   if (!second.has_value()) {
     return Describe(*first, Reason::OnlyOne, aNow);
   }
@@ -408,7 +435,7 @@
                           base::Instant aNow,
                           std::mt19937_64& aRandom)
 {
-  const auto index = PickRandom(aRequest, std::nullopt, aRandom);
+  const auto index = PickRandom(aRequest, std::nullopt, aNow, aRandom);
   if (!index.has_value()) {
     return std::nullopt;
   }
--- a/Libraries/LibRouting/EndpointChooser.h
+++ b/Libraries/LibRouting/EndpointChooser.h
@@ -24,7 +24,7 @@
   /// mean, so that a popular prefix does not overload one endpoint.
   double affinityBound_ = 1.25;
   /// Load (share of capacity) that another failure domain must be better by.
-  double domainPenalty_ = 0.02;
+  double domainPenalty_ = 0.0;
 };
 
 /// Baseline: each in turn.
@@ -52,6 +52,14 @@
 std::string_view
 NameOf(Reason aReason);
 
+/// How a run at an endpoint came to its end.
+enum class RunEnd : std::uint8_t
+{
+  Answered,
+  Broken,  ///< Crashed, failed or lost there.
+  GivenUp, ///< Refused by the endpoint, or cancelled: says nothing about it.
+};
+
 /// An endpoint of a service's subset as the chooser is told of it.
 struct EndpointDescription
 {
@@ -82,21 +90,20 @@
 };
 
 /// Chooses the endpoint for each request of one service. Load is the own
-/// requests in flight plus what the agent last reported beyond them, which
-/// counts less the older the report is. The cost does not grow with the number
-/// of endpoints. Not thread-safe: the owner holds the routing table's lock.
+/// requests in flight plus what the agent last reported beyond them; the older
+/// the report, the more the mean of all endpoints stands in for it. The cost
+/// does not grow with the number of endpoints. Not thread-safe: the owner holds
+/// the routing table's lock.
 class EndpointChooser
 {
 public:
   /// After this time a report says nothing more about others' load.
   static constexpr base::Duration kReportHorizon{ std::chrono::seconds{ 5 } };
 
-  /// In this time the load that a failure counts for halves.
-  static constexpr base::Duration kFailureHalfLife{ std::chrono::seconds{ 5 } };
-  /// Share of an endpoint's capacity that one failure counts for.
-  static constexpr double kFailureLoad = 0.25;
-  /// Failures counted at most, so that one that recovers is soon tried again.
-  static constexpr double kMaxFailures = 16.0;
+  /// How long an endpoint is avoided after one failure, and at most.
+  static constexpr base::Duration kShortestAvoidance{ std::chrono::seconds{
+    1 } };
+  static constexpr std::uint32_t kMaxAvoidanceDoublings = 5;
 
   EndpointChooser(std::string aFailureDomain, Policy aPolicy);
 
@@ -120,12 +127,14 @@
   void OnStarted(std::string_view aEndpoint,
                  std::uint64_t aPrefix,
                  bool aIsSuspect);
-  void OnEnded(std::string_view aEndpoint, bool aIsSuspect);
 
-  /// A run broke off there. An endpoint that fails at once always looks idle
-  /// and would draw the most requests, so each failure counts as load for a
-  /// while.
-  void OnFailed(std::string_view aEndpoint, base::Instant aNow);
+  /// Counts the end of a run. An endpoint that fails at once always looks idle
+  /// and would draw the most requests, so after a broken run it is avoided for
+  /// a time that doubles with each one in a row.
+  void OnEnded(std::string_view aEndpoint,
+               bool aIsSuspect,
+               RunEnd aEnd,
+               base::Instant aNow);
 
   /// @return nothing where no endpoint may take the request.
   [[nodiscard]] std::optional<Choice> Choose(const ChoiceRequest& aRequest,
@@ -151,8 +160,8 @@
     std::uint32_t suspects_ = 0;
     std::uint32_t othersLoad_ = 0; ///< Reported beyond our own.
     std::uint32_t expectedWaitMs_ = 0;
-    double failures_ = 0.0; ///< As of failedAt_.
-    base::Instant failedAt_;
+    std::uint32_t failuresInRow_ = 0;
+    base::Instant avoidedUntil_;
     std::optional<base::Instant> reportedAt_;
   };
 
@@ -160,15 +169,16 @@
   [[nodiscard]] static bool IsEligible(const Endpoint& aEndpoint);
   [[nodiscard]] bool MayTake(const Endpoint& aEndpoint,
                              const ChoiceRequest& aRequest) const;
+  static void JudgeEnd(Endpoint& aEndpoint, RunEnd aEnd, base::Instant aNow);
   [[nodiscard]] double LoadOf(const Endpoint& aEndpoint,
                               base::Instant aNow) const;
-  [[nodiscard]] static double FailuresOf(const Endpoint& aEndpoint,
-                                         base::Instant aNow);
   [[nodiscard]] double MeanLoad() const;
+  [[nodiscard]] double MeanOthersLoad() const;
   void RebuildEligible();
   [[nodiscard]] std::optional<std::size_t> PickRandom(
     const ChoiceRequest& aRequest,
     std::optional<std::size_t> aOther,
+    base::Instant aNow,
     std::mt19937_64& aRandom) const;
   [[nodiscard]] std::optional<std::size_t> PickHolder(
     const LeastOfTwo& aPolicy,
@@ -197,6 +207,7 @@
   std::vector<std::size_t> eligible_; ///< Positions that may take new work.
   std::uint64_t totalLoad_ = 0;       ///< Own and others', over eligible ones.
   std::uint64_t totalCapacity_ = 0;   ///< Over eligible ones.
+  std::uint64_t totalOthers_ = 0;     ///< Others' load, over eligible ones.
   PrefixEstimate prefixes_;
 };
 
--- a/Tests/LibRouting/EndpointChooserTest.cpp
+++ b/Tests/LibRouting/EndpointChooserTest.cpp
@@ -88,7 +88,9 @@
   Report("e3", busy);
   CHECK(Reachable().count("e3") == 0);
 
-  now_ += EndpointChooser::kReportHorizon;
+  wire::Heartbeat idle;
+  idle.capacity_ = 8;
+  Report("e3", idle);
   CHECK(Reachable().count("e3") == 1);
 }
 
@@ -135,28 +137,44 @@
   ChoiceRequest request;
   request.suspect_ = true;
   CHECK(Reachable(request).count("e2") == 0);
-  chooser_.OnEnded("e2", true);
+  chooser_.OnEnded("e2", true, RunEnd::GivenUp, now_);
   CHECK(Reachable(request).count("e2") == 1);
 }
 
 // Story: an engine fails each request at once. It never has anything in flight,
-// so it looks idle and would draw most of the traffic. When it has recovered,
-// it takes requests again.
+// so it looks idle and would draw most of the traffic. It is left alone for a
+// while, longer each time, and takes requests again once one was answered.
 TEST_CASE_METHOD(ChooserFixture,
                  "EndpointChooser_EndpointThatFailsAtOnce_DrawsNoTraffic")
 {
   for (const EndpointDescription& description : descriptions_) {
-    if (description.name_ != "e3") {
-      chooser_.OnStarted(description.name_, 0, false);
-    }
+    chooser_.OnStarted(description.name_, 0, false);
   }
+  chooser_.OnEnded("e3", false, RunEnd::Broken, now_);
+  CHECK(Reachable().count("e3") == 0);
+  now_ += EndpointChooser::kShortestAvoidance;
   CHECK(Reachable().count("e3") == 1);
-  chooser_.OnFailed("e3", now_);
+
+  chooser_.OnStarted("e3", 0, false);
+  chooser_.OnEnded("e3", false, RunEnd::Broken, now_);
+  now_ += EndpointChooser::kShortestAvoidance;
   CHECK(Reachable().count("e3") == 0);
-  now_ += 2 * EndpointChooser::kFailureHalfLife;
+  now_ += EndpointChooser::kShortestAvoidance;
+  chooser_.OnStarted("e3", 0, false);
+  chooser_.OnEnded("e3", false, RunEnd::Answered, now_);
   CHECK(Reachable().count("e3") == 1);
 }
 
+TEST_CASE_METHOD(ChooserFixture,
+                 "EndpointChooser_AllFailedLately_StillChoosesOne")
+{
+  for (const EndpointDescription& description : descriptions_) {
+    chooser_.OnStarted(description.name_, 0, false);
+    chooser_.OnEnded(description.name_, false, RunEnd::Broken, now_);
+  }
+  CHECK(Reachable().count("none") == 0);
+}
+
 TEST_CASE("ChooseSubset_ManyHosts_SpreadsOverDomainsAndEndpoints")
 {
   std::vector<std::string> names;
