--- a/Libraries/LibEntry/EntryFunction.h
+++ b/Libraries/LibEntry/EntryFunction.h
@@ -25,6 +25,10 @@
   void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
   void OnLinkState(const std::string& aPeer, wire::LinkState aState);
 
+  /// @return whether the end of this run is for this entry; otherwise it is for
+  /// the keeper.
+  [[nodiscard]] bool HasRun(const wire::RunId& aRun) const;
+
   /// Adds this function's part to the next heartbeat to a peer.
   void FillHeartbeat(const std::string& aPeer,
                      wire::Heartbeat& aHeartbeat) const;
@@ -35,6 +39,9 @@
   /// @return whether nothing is left that a shutdown would cut off.
   [[nodiscard]] bool IsIdle() const;
   [[nodiscard]] node::Readiness GetReadiness() const;
+
+  /// @return the IP:port where callers and operators are served.
+  [[nodiscard]] std::string ListenAddress() const;
   void Stop();
 
 private:
