LibRouting: Name content and prefix in one place

Entries and keepers must agree on a request's fingerprint, or content that crashed an endpoint in a lot would be let in online. The function moves from LibEntry unchanged.

--- a/Libraries/LibEntry/RequestChecks.cpp
+++ b/Libraries/LibEntry/RequestChecks.cpp
@@ -1,6 +1,7 @@
 #include "LibEntry/RequestChecks.h"
 
 #include "LibEntry/TokenDigest.h"
+#include "LibRouting/Fingerprint.h"
 
 #include <fmt/format.h>
 
@@ -17,7 +18,6 @@
 constexpr std::string_view kBearer = "Bearer ";
 
 /// Seed of the prompt prefix's hash, apart from other hashes of the same text.
-constexpr std::uint64_t kPrefixSeed = 0x70726566;
 
 template<typename Number>
 Number
@@ -141,9 +141,9 @@
   description.deadline_ = aArrival.now_ + deadline;
   description.maxAttempts_ =
     OrDefault(kind->max_attempts(), kDefaultMaxAttempts);
-  description.fingerprint_ = MakeFingerprint(record.service_, record.payload_);
-  description.prefix_ =
-    base::HashBytes(aParts.payload_.substr(0, kPrefixBytes), kPrefixSeed);
+  description.fingerprint_ =
+    routing::MakeFingerprint(record.service_, record.payload_);
+  description.prefix_ = routing::MakePrefix(aParts.payload_);
   description.random_ = aArrival.random_;
   return description;
 }
--- a/Libraries/LibEntry/RequestChecks.h
+++ b/Libraries/LibEntry/RequestChecks.h
@@ -35,9 +35,6 @@
 constexpr std::uint64_t kDefaultDueS = 3600;
 constexpr std::uint64_t kDefaultRetentionS = 86400;
 
-/// Leading bytes of a prompt that name its prefix for cache affinity.
-constexpr std::size_t kPrefixBytes = 256;
-
 /// @return the partner whose token it is; Unauthenticated otherwise.
 /// @param aAuthorization Metadata entry, "Bearer TOKEN".
 base::Result<const declarations::Partner*>
--- a/Libraries/LibEntry/TokenDigest.cpp
+++ b/Libraries/LibEntry/TokenDigest.cpp
@@ -1,7 +1,5 @@
 #include "LibEntry/TokenDigest.h"
 
-#include "LibBase/Ids.h"
-
 #include <fmt/format.h>
 #include <openssl/evp.h>
 
@@ -28,12 +26,4 @@
   return text;
 }
 
-std::uint64_t
-MakeFingerprint(std::string_view aService, std::string_view aPayload)
-{
-  const std::uint64_t hash =
-    base::HashBytes(aPayload, base::HashBytes(aService));
-  return hash == 0 ? 1 : hash;
-}
-
 } // namespace pumiceturn::entry
--- a/Libraries/LibEntry/TokenDigest.h
+++ b/Libraries/LibEntry/TokenDigest.h
@@ -10,9 +10,4 @@
 std::string
 DigestToken(std::string_view aToken);
 
-/// @return the hash that names a request's content in the quarantine table;
-/// never 0.
-std::uint64_t
-MakeFingerprint(std::string_view aService, std::string_view aPayload);
-
 } // namespace pumiceturn::entry
