LibKeeper: Wire the job service to log, links and configuration

Agents give the whole answer to anyone but the run's starter, so the collection of chunks goes with its test; a test of a result that an agent offers takes its place. Demand that has the same number again is told again: agents count down what they were told.

--- a/Libraries/LibJobs/BatchScheduler.cpp
+++ b/Libraries/LibJobs/BatchScheduler.cpp
@@ -25,8 +25,9 @@
                         std::uint32_t aWeight,
                         std::uint32_t aItems)
 {
-  services_[aJob.service_].queue_.Add(
-    aJob.id_, aJob.partner_, aWeight, aJob.dueUnixMs_, aItems);
+  Service& service = services_[aJob.service_];
+  service.changed_ = true;
+  service.queue_.Add(aJob.id_, aJob.partner_, aWeight, aJob.dueUnixMs_, aItems);
 }
 
 void
@@ -35,6 +36,7 @@
   const auto found = services_.find(aService);
   if (found != services_.end()) {
     found->second.queue_.Remove(aJob);
+    found->second.changed_ = true;
   }
 }
 
@@ -125,6 +127,7 @@
   if (!pick) {
     return std::nullopt;
   }
+  service.changed_ = true;
   ++best->second.used_;
   return Assignment{ *pick, best->first, best->second.Left() };
 }
@@ -277,6 +280,7 @@
                      std::vector<DemandNotice>& aNotices)
 {
   aService.toldWaiting_ = aService.queue_.Waiting();
+  aService.changed_ = false;
   const wire::BatchDemand demand = DemandOf(aName, aService, aNowUnixMs);
   for (const auto& [name, credits] : aService.agents_) {
     const auto agent = agents_.find(name);
@@ -303,13 +307,28 @@
 {
   std::vector<DemandNotice> notices;
   for (auto& [name, service] : services_) {
-    if (service.toldWaiting_ != service.queue_.Waiting()) {
+    if (service.changed_) {
       Tell(name, service, aNowUnixMs, notices);
     }
   }
   return notices;
 }
 
+void
+BatchScheduler::RepeatDemand()
+{
+  for (auto& [name, service] : services_) {
+    service.changed_ = service.changed_ || service.queue_.Waiting() > 0;
+  }
+}
+
+bool
+BatchScheduler::IsUp(std::string_view aAgent) const
+{
+  const auto found = agents_.find(aAgent);
+  return found != agents_.end() && found->second.up_;
+}
+
 std::vector<DemandNotice>
 BatchScheduler::DemandFor(const std::string& aAgent, std::int64_t aNowUnixMs)
 {
--- a/Libraries/LibJobs/BatchScheduler.h
+++ b/Libraries/LibJobs/BatchScheduler.h
@@ -112,6 +112,11 @@
   /// @return what changed since agents heard of it last.
   std::vector<DemandNotice> ChangedDemand(std::int64_t aNowUnixMs);
 
+  /// Lets ChangedDemand() tell all demand once more, for agents that missed it.
+  void RepeatDemand();
+
+  [[nodiscard]] bool IsUp(std::string_view aAgent) const;
+
   /// @return demand for an agent whose link has come up.
   std::vector<DemandNotice> DemandFor(const std::string& aAgent,
                                       std::int64_t aNowUnixMs);
@@ -145,6 +150,9 @@
     LaxityQueue queue_;
     std::map<std::string, Credits, std::less<>> agents_;
     std::uint64_t toldWaiting_ = 0;
+    /// Agents count down what they were told with each run they get, so a
+    /// number that is the same again is told again.
+    bool changed_ = false;
     std::uint32_t running_ = 0;
   };
 
--- a/Libraries/LibKeeper/JobService.cpp
+++ b/Libraries/LibKeeper/JobService.cpp
@@ -28,8 +28,7 @@
       std::is_same_v<Message, wire::CancelJob> ||
       std::is_same_v<Message, wire::BatchGrant> ||
       std::is_same_v<Message, wire::RunEnded> ||
-      std::is_same_v<Message, wire::RunRecorded> ||
-      std::is_same_v<Message, wire::Chunk>;
+      std::is_same_v<Message, wire::RunRecorded>;
     if constexpr (kIsForKeeper) {
       service_.Handle(peer_, aMessage);
     }
@@ -66,6 +65,13 @@
   Leave(std::move(lock));
 }
 
+bool
+JobService::IsAgentUp(const std::string& aAgent) const
+{
+  const Lock lock(mutex_);
+  return scheduler_.IsUp(aAgent);
+}
+
 void
 JobService::OnMessage(const std::string& aPeer, const wire::Message& aMessage)
 {
@@ -639,6 +645,7 @@
   const bool isExpiryDue = aNow >= nextExpiry_;
   if (isExpiryDue) {
     nextExpiry_ = aNow + options_.expireInterval_;
+    scheduler_.RepeatDemand();
   }
   for (auto& [index, partition] : partitions_) {
     if (partition.phase_ == OwnedPartition::Phase::Recovering) {
--- a/Libraries/LibKeeper/JobService.h
+++ b/Libraries/LibKeeper/JobService.h
@@ -75,6 +75,9 @@
   void SetAgents(const std::string& aService,
                  const std::vector<std::string>& aAgents);
 
+  /// @return whether an agent's link is known to be up.
+  [[nodiscard]] bool IsAgentUp(const std::string& aAgent) const;
+
   void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
   void OnLinkState(const std::string& aPeer, wire::LinkState aState);
 
@@ -108,14 +111,6 @@
     All,
   };
 
-  /// Chunks of an answer that went to a lost entry, asked for again.
-  struct CollectedText
-  {
-    std::string agent_;
-    std::uint64_t sequence_ = 0;
-    std::string text_;
-  };
-
   /// Whether records whose append failed are appended again.
   enum class OnFailure : std::uint8_t
   {
@@ -222,14 +217,12 @@
   void Handle(const std::string& aPeer, const wire::BatchGrant& aGrant);
   void Handle(const std::string& aPeer, const wire::RunEnded& aEnded);
   void Handle(const std::string& aPeer, const wire::RunRecorded& aRecorded);
-  void Handle(const std::string& aPeer, const wire::Chunk& aChunk);
   void Forward(const std::string& aPeer,
                std::uint32_t aPartition,
                const wire::RunEnded& aEnded);
   void DecideEnded(const std::string& aPeer,
                    const Route& aRoute,
                    const wire::RunEnded& aEnded);
-  bool TakeCollected(const std::string& aPeer, wire::RunEnded& aEnded);
   base::Outcome<wire::JobItem> ReadItemAt(const jobs::ItemPlace& aPlace);
   void NameThenRecord(const Route& aRoute, WaitingEnd aEnd);
   void AddEnd(std::uint32_t aIndex,
@@ -293,7 +286,6 @@
   std::set<base::JobId> orphans_;
   /// Who reported a run that was forwarded to its owner.
   std::unordered_map<base::RunId, std::string> forwarded_;
-  std::unordered_map<base::RunId, CollectedText> collected_;
   JobCounts counts_;
   std::size_t appendsInFlight_ = 0;
   base::Instant nextExpiry_{};
--- a/Libraries/LibKeeper/JobServiceRuns.cpp
+++ b/Libraries/LibKeeper/JobServiceRuns.cpp
@@ -2,6 +2,7 @@
 
 #include "LibJobs/RecordCodec.h"
 #include "LibKeeper/Events.h"
+#include "LibRouting/Fingerprint.h"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +14,6 @@
 constexpr std::size_t kMaxEndsInRecord = 256;
 constexpr std::size_t kMaxBytesInRecord = 1U << 20U;
 constexpr std::size_t kMaxForwarded = 65536;
-constexpr std::size_t kMaxCollected = 1024;
 constexpr std::uint32_t kDefaultDeadlineMs = 30000;
 
 std::uint32_t
@@ -46,21 +46,6 @@
   forwarded_.erase(found);
 }
 
-void
-JobService::Handle(const std::string& aPeer, const wire::Chunk& aChunk)
-{
-  const auto found = collected_.find(aChunk.run_);
-  if (found == collected_.end() ||
-      found->second.sequence_ + 1 != aChunk.sequence_) {
-    return;
-  }
-  if (found->second.agent_ != aPeer) {
-    return;
-  }
-  found->second.sequence_ = aChunk.sequence_;
-  found->second.text_ += aChunk.text_;
-}
-
 void
 JobService::Handle(const std::string& aPeer, const wire::RunEnded& aEnded)
 {
@@ -79,38 +64,7 @@
     Hold(*route.partition_, id, aPeer, aEnded);
     return;
   }
-  const bool isWithoutText = aEnded.code_ == base::ResultCode::Ok &&
-                             aEnded.text_.empty() && aEnded.lastSequence_ > 0;
-  if (!isWithoutText) {
-    DecideEnded(aPeer, route, aEnded);
-    return;
-  }
-  wire::RunEnded whole = aEnded;
-  if (TakeCollected(aPeer, whole)) {
-    DecideEnded(aPeer, route, whole);
-  }
-}
-
-bool
-JobService::TakeCollected(const std::string& aPeer, wire::RunEnded& aEnded)
-{
-  const auto found = collected_.find(aEnded.run_);
-  if (found != collected_.end() &&
-      found->second.sequence_ == aEnded.lastSequence_) {
-    aEnded.text_ = std::move(found->second.text_);
-    collected_.erase(found);
-    return true;
-  }
-  // The answer went to an entry in chunks. The agent still has them, so they
-  // are asked for once; if they do not come, the owner runs the request again.
-  if (found != collected_.end() || !scheduler_.IsAgent(aPeer) ||
-      collected_.size() >= kMaxCollected) {
-    collected_.erase(aEnded.run_);
-    return false;
-  }
-  collected_[aEnded.run_] = { aPeer, 0, {} };
-  Send(aPeer, wire::AttachRun{ aEnded.run_, 0 });
-  return false;
+  DecideEnded(aPeer, route, aEnded);
 }
 
 void
@@ -508,7 +462,9 @@
                         const wire::JobItem& aItem)
 {
   const base::RunId& id = aLoading.dispatch_.run_;
-  if (ports_.isQuarantined_(base::HashBytes(aItem.payload_))) {
+  const std::string& service = scheduler_.FindRun(id)->service_;
+  if (ports_.isQuarantined_(
+        routing::MakeFingerprint(service, aItem.payload_))) {
     DropRun(id);
     EndWithoutRun(aRoute,
                   id,
@@ -609,7 +565,8 @@
   start.online_ = job.online_;
   start.idempotent_ = job.idempotent_;
   start.dueUnixMs_ = job.dueUnixMs_;
-  start.fingerprint_ = base::HashBytes(aItem.payload_);
+  start.fingerprint_ = routing::MakeFingerprint(job.service_, aItem.payload_);
+  start.prefix_ = routing::MakePrefix(aItem.payload_);
   start.maxTokens_ = job.maxTokens_;
   start.payload_ = aItem.payload_;
   start.fence_ = aPartition.epoch_;
--- a/Libraries/LibKeeper/KeeperFunction.h
+++ b/Libraries/LibKeeper/KeeperFunction.h
@@ -39,8 +39,9 @@
 
 private:
   struct State;
-  explicit KeeperFunction(std::unique_ptr<State> aState);
-  std::unique_ptr<State> state_;
+  explicit KeeperFunction(std::shared_ptr<State> aState);
+  /// Shared with timers and subscriptions, which may outlive the function.
+  std::shared_ptr<State> state_;
 };
 
 } // namespace pumiceturn::keeper
--- a/Tests/LibKeeper/LotTest.cpp
+++ b/Tests/LibKeeper/LotTest.cpp
@@ -1,5 +1,7 @@
 #include "KeeperFixture.h"
 
+#include "LibRouting/Fingerprint.h"
+
 namespace pumiceturn::keeper {
 
 using base::Ran;
@@ -220,7 +222,8 @@
 
 TEST_CASE_METHOD(KeeperFixture, "Lot_QuarantinedContent_EndsWithItsCode")
 {
-  keeper_->quarantined_.insert(base::HashBytes("payload-0"));
+  keeper_->quarantined_.insert(
+    routing::MakeFingerprint("origin-llm", "payload-0"));
   const auto lot = Submit("lot", 2);
   keeper_->Grant("agent-1", 2);
   CHECK(keeper_->SentOne<StartRun>("agent-1").payload_ == "payload-1");
