LibDaemon: Give RunRecorded to the keeper that forwarded the result

An agent offers a result to any keeper, which passes it to the owner. The owner's answer went to the agent function of this host alone and was dropped, so the agent offered the result again and again.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -306,6 +306,11 @@
     return;
   }
   const Receiver receiver = ReceiverOf(aMessage);
+  const bool isRecorded = std::holds_alternative<wire::RunRecorded>(aMessage);
+  if (isRecorded && keeper_) {
+    // An owner's answer to a result that this keeper forwarded for an agent.
+    keeper_->OnMessage(aPeer, aMessage);
+  }
   if (receiver == Receiver::Everyone) {
     DeliverHeartbeat(aPeer, aMessage);
   } else if (receiver == Receiver::Configuration) {
@@ -318,7 +323,7 @@
     entry_->OnMessage(aPeer, aMessage);
   } else if (receiver == Receiver::Keeper && keeper_) {
     keeper_->OnMessage(aPeer, aMessage);
-  } else {
+  } else if (!isRecorded || !keeper_) {
     base::Log(node::kMessageDropped,
               { { "peer", aPeer }, { "type", aMessage.index() } });
   }
