--- a/Libraries/LibJobs/JobTable.cpp
+++ b/Libraries/LibJobs/JobTable.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::int64_t kAbandonedLotMs = 3600 * 1000;
+constexpr std::int64_t kAbandonedLotMs = 3'600'000;
 constexpr std::size_t kMaxRememberedExpired = 65536;
 constexpr std::uint32_t kMaxReservedItems = 1U << 20U;
 constexpr auto kFirstRefusedCode = base::ResultCode::UnknownKey;
--- a/Libraries/LibKeeper/JobServiceRequests.cpp
+++ b/Libraries/LibKeeper/JobServiceRequests.cpp
@@ -441,7 +441,7 @@
     job = table.Find(aRequest.job_, aRequest.partner_);
     refusal.code_ = table.Status(aRequest.job_, aRequest.partner_).code_;
   }
-  if (refusal.code_ != base::ResultCode::Ok) {
+  if (job == nullptr || refusal.code_ != base::ResultCode::Ok) {
     Send(aPeer, std::move(refusal));
     return;
   }
