--- a/Libraries/LibSettings/YamlReader.cpp
+++ b/Libraries/LibSettings/YamlReader.cpp
@@ -21,7 +21,6 @@
 namespace {
 
 using base::ResultCode;
-using google::protobuf::Descriptor;
 using google::protobuf::EnumValueDescriptor;
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
--- a/Utilities/Pumicectl/AllCommands.cpp
+++ b/Utilities/Pumicectl/AllCommands.cpp
@@ -25,6 +25,11 @@
     &kDrainCommand,
     &kUndrainCommand,
     &kCodesCommand,
+    &kStandinEngineCommand,
+    &kStandinKeyValueCommand,
+    &kStandinServiceCommand,
+    &kStandinAnswerCommand,
+    &kStandinCheckCommand,
   });
   return kCommands;
 }
--- a/Utilities/Pumicectl/ApplyCommand.cpp
+++ b/Utilities/Pumicectl/ApplyCommand.cpp
@@ -23,7 +23,7 @@
     "Who applies it",
     cxxopts::value<std::string>()->default_value(user == nullptr ? "" : user))(
     "comment", "Why", cxxopts::value<std::string>()->default_value(""));
-  DeclarePositional(aOptions, "file", "Declarations file");
+  DeclarePositional(aOptions, { { "file", "Declarations file" } });
 }
 
 base::Result<std::uint64_t>
--- a/Utilities/Pumicectl/CallCommand.cpp
+++ b/Utilities/Pumicectl/CallCommand.cpp
@@ -13,11 +13,9 @@
 Declare(cxxopts::Options& aOptions)
 {
   DeclareConnection(aOptions);
-  aOptions.add_options()("service", "Service", cxxopts::value<std::string>())(
-    "kind", "Request kind", cxxopts::value<std::string>())(
-    "key",
-    "Request key, for reading back and for sending again",
-    cxxopts::value<std::string>()->default_value(""))(
+  aOptions.add_options()("key",
+                         "Request key, for reading back and for sending again",
+                         cxxopts::value<std::string>()->default_value(""))(
     "deadline-ms",
     "Time to the whole answer; 0: the kind's default",
     cxxopts::value<std::uint32_t>()->default_value("0"))(
@@ -25,7 +23,10 @@
     "Longest answer; 0: the kind's limit",
     cxxopts::value<std::uint32_t>()->default_value("0"))(
     "plain", "Call a plain service; the prompt is its payload");
-  DeclarePositional(aOptions, "prompt", "Prompt; - reads the standard input");
+  DeclarePositional(aOptions,
+                    { { "service", "Service" },
+                      { "kind", "Request kind" },
+                      { "prompt", "Prompt; - reads the standard input" } });
 }
 
 ExitCode
@@ -61,8 +62,8 @@
 {
   BOOST_LEAF_AUTO(client, MakeClient(aArguments));
   caller::CallRequest request;
-  request.set_service(aArguments["service"].as<std::string>());
-  request.set_kind(aArguments["kind"].as<std::string>());
+  request.set_service(Positional(aArguments, "service"));
+  request.set_kind(Positional(aArguments, "kind"));
   request.set_request_key(aArguments["key"].as<std::string>());
   request.set_deadline_ms(aArguments["deadline-ms"].as<std::uint32_t>());
   request.set_max_tokens(aArguments["max-tokens"].as<std::uint32_t>());
@@ -90,8 +91,11 @@
 } // namespace
 
 const Command kCallCommand{
-  "call",  "PROMPT|-", "Call a service and print the answer as it comes",
-  Declare, Run,
+  "call",
+  "SERVICE KIND PROMPT|-",
+  "Call a service and print the answer as it comes",
+  Declare,
+  Run,
 };
 
 } // namespace pumiceturn::pumicectl
--- a/Utilities/Pumicectl/Command.h
+++ b/Utilities/Pumicectl/Command.h
@@ -24,7 +24,7 @@
 /// One command: what it takes and what it does.
 struct Command
 {
-  std::string_view name_;
+  std::string_view name_;      ///< One word, or two.
   std::string_view arguments_; ///< Positional arguments, for the help.
   std::string_view summary_;
   void (*declare_)(cxxopts::Options& aOptions);
@@ -48,6 +48,11 @@
 extern const Command kDrainCommand;
 extern const Command kUndrainCommand;
 extern const Command kCodesCommand;
+extern const Command kStandinEngineCommand;
+extern const Command kStandinKeyValueCommand;
+extern const Command kStandinServiceCommand;
+extern const Command kStandinAnswerCommand;
+extern const Command kStandinCheckCommand;
 
 /// @return all commands in the order of the help.
 std::span<const Command* const>
--- a/Utilities/Pumicectl/Connection.cpp
+++ b/Utilities/Pumicectl/Connection.cpp
@@ -87,11 +87,15 @@
 
 void
 DeclarePositional(cxxopts::Options& aOptions,
-                  const std::string& aName,
-                  const std::string& aHelp)
+                  std::initializer_list<PositionalArgument> aArguments)
 {
-  aOptions.add_options()(aName, aHelp, cxxopts::value<std::string>());
-  aOptions.parse_positional({ aName });
+  std::vector<std::string> names;
+  for (const PositionalArgument& argument : aArguments) {
+    aOptions.add_options()(
+      argument.name_, argument.help_, cxxopts::value<std::string>());
+    names.push_back(argument.name_);
+  }
+  aOptions.parse_positional(names);
 }
 
 std::string
--- a/Utilities/Pumicectl/Connection.h
+++ b/Utilities/Pumicectl/Connection.h
@@ -4,10 +4,18 @@
 
 #include <cxxopts.hpp>
 
+#include <initializer_list>
 #include <string>
 
 namespace pumiceturn::pumicectl {
 
+/// A positional argument; it may also be given as an option of that name.
+struct PositionalArgument
+{
+  std::string name_;
+  std::string help_;
+};
+
 /// Adds --entry, --token and --timeout-ms.
 void
 DeclareConnection(cxxopts::Options& aOptions);
@@ -18,14 +26,14 @@
 base::Result<client::Client>
 MakeClient(const cxxopts::ParseResult& aArguments);
 
-/// Adds one positional argument, which Positional() reads.
+/// Adds positional arguments, which Positional() reads.
 void
 DeclarePositional(cxxopts::Options& aOptions,
-                  const std::string& aName,
-                  const std::string& aHelp);
+                  std::initializer_list<PositionalArgument> aArguments);
 
 /// @return the positional argument.
-/// @throws cxxopts::exceptions::exception when it is missing.
+/// @throws cxxopts::exceptions::exception when it is missing, or when there are
+/// more than were declared.
 std::string
 Positional(const cxxopts::ParseResult& aArguments, const std::string& aName);
 
--- a/Utilities/Pumicectl/DiffCommand.cpp
+++ b/Utilities/Pumicectl/DiffCommand.cpp
@@ -18,7 +18,7 @@
   aOptions.add_options()("version",
                          "Version to compare with; 0: the one in force",
                          cxxopts::value<std::uint64_t>()->default_value("0"));
-  DeclarePositional(aOptions, "file", "Declarations file");
+  DeclarePositional(aOptions, { { "file", "Declarations file" } });
 }
 
 base::Result<ExitCode>
--- a/Utilities/Pumicectl/DrainCommand.cpp
+++ b/Utilities/Pumicectl/DrainCommand.cpp
@@ -17,7 +17,7 @@
     "author",
     "Who orders it",
     cxxopts::value<std::string>()->default_value(user == nullptr ? "" : user));
-  DeclarePositional(aOptions, "host", "Host name");
+  DeclarePositional(aOptions, { { "host", "Host name" } });
 }
 
 base::Result<ExitCode>
--- a/Utilities/Pumicectl/JobCommand.cpp
+++ b/Utilities/Pumicectl/JobCommand.cpp
@@ -10,7 +10,7 @@
 Declare(cxxopts::Options& aOptions)
 {
   DeclareConnection(aOptions);
-  DeclarePositional(aOptions, "key", "Job key");
+  DeclarePositional(aOptions, { { "key", "Job key" } });
 }
 
 base::Result<ExitCode>
--- a/Utilities/Pumicectl/LiftCommand.cpp
+++ b/Utilities/Pumicectl/LiftCommand.cpp
@@ -12,7 +12,7 @@
 {
   DeclareConnection(aOptions);
   DeclarePositional(
-    aOptions, "fingerprint", "As `pumicectl quarantine` shows it");
+    aOptions, { { "fingerprint", "As `pumicectl quarantine` shows it" } });
 }
 
 base::Result<ExitCode>
--- a/Utilities/Pumicectl/Main.cpp
+++ b/Utilities/Pumicectl/Main.cpp
@@ -19,7 +19,7 @@
   std::string list;
   for (const Command* command : AllCommands()) {
     std::string name(command->name_);
-    constexpr std::size_t kNameWidth = 12;
+    constexpr std::size_t kNameWidth = 15;
     name.resize(std::max(name.size(), kNameWidth), ' ');
     list += "  " + name + " " + std::string(command->summary_) + "\n";
   }
@@ -100,10 +100,12 @@
     PrintHelp(std::cout);
     return ExitCode::Done;
   }
+  const std::string twoWords =
+    aCount > 2 ? name + " " + aValues[2] : std::string{};
   const auto commands = AllCommands();
   const auto found = std::find_if(
     commands.begin(), commands.end(), [&](const Command* aCommand) {
-      return aCommand->name_ == name;
+      return aCommand->name_ == name || aCommand->name_ == twoWords;
     });
   if (found == commands.end()) {
     std::cerr << (name.empty() ? "" : "no command '" + name + "'\n");
@@ -111,10 +113,11 @@
     return ExitCode::Usage;
   }
   try {
-    return RunCommand(**found, aCount - 1, aValues + 1);
+    const int words = (*found)->name_ == name ? 1 : 2;
+    return RunCommand(**found, aCount - words, aValues + words);
   } catch (const cxxopts::exceptions::exception& exception) {
-    std::cerr << exception.what() << "\nsee `pumicectl " << name << " --help`"
-              << std::endl;
+    std::cerr << exception.what() << "\nsee `pumicectl " << (*found)->name_
+              << " --help`" << std::endl;
     return ExitCode::Usage;
   }
 }
--- a/Utilities/Pumicectl/ResultCommand.cpp
+++ b/Utilities/Pumicectl/ResultCommand.cpp
@@ -10,7 +10,8 @@
 Declare(cxxopts::Options& aOptions)
 {
   DeclareConnection(aOptions);
-  DeclarePositional(aOptions, "key", "Request key");
+  aOptions.add_options()("json", "Print everything as JSON");
+  DeclarePositional(aOptions, { { "key", "Request key" } });
 }
 
 base::Result<ExitCode>
@@ -18,7 +19,9 @@
 {
   BOOST_LEAF_AUTO(client, MakeClient(aArguments));
   BOOST_LEAF_AUTO(result, client.GetResult(Positional(aArguments, "key")));
-  PrintResult(result);
+  PrintResult(result,
+              aArguments.count("json") > 0 ? ResultFormat::JsonLines
+                                           : ResultFormat::Text);
   return result.outcome().code() == 0 ? ExitCode::Done : ExitCode::Failed;
 }
 
--- a/Utilities/Pumicectl/ResultPrinter.cpp
+++ b/Utilities/Pumicectl/ResultPrinter.cpp
@@ -1,14 +1,34 @@
 #include "ResultPrinter.h"
 
+#include "LibClient/StatusDecoder.h"
+
 #include <nlohmann/json.hpp>
 
 #include <iostream>
 
 namespace pumiceturn::pumicectl {
 
+namespace {
+
 void
-PrintResult(const caller::ItemResult& aResult)
+PrintText(const caller::ItemResult& aResult)
 {
+  std::cout << aResult.name() << (aResult.name().empty() ? "" : ": ")
+            << (aResult.outcome().code() == 0
+                  ? aResult.text()
+                  : client::Describe(aResult.outcome()))
+            << std::endl;
+}
+
+} // namespace
+
+void
+PrintResult(const caller::ItemResult& aResult, ResultFormat aFormat)
+{
+  if (aFormat == ResultFormat::Text) {
+    PrintText(aResult);
+    return;
+  }
   nlohmann::ordered_json line;
   line["position"] = aResult.position();
   line["item"] = aResult.item();
--- a/Utilities/Pumicectl/ResultPrinter.h
+++ b/Utilities/Pumicectl/ResultPrinter.h
@@ -2,10 +2,18 @@
 
 #include <Caller.pb.h>
 
+#include <cstdint>
+
 namespace pumiceturn::pumicectl {
 
-/// Prints a result to the standard output as one line of JSON.
+enum class ResultFormat : std::uint8_t
+{
+  Text,      ///< Name, then answer or result code.
+  JsonLines, ///< Everything.
+};
+
+/// Prints a result to the standard output.
 void
-PrintResult(const caller::ItemResult& aResult);
+PrintResult(const caller::ItemResult& aResult, ResultFormat aFormat);
 
 } // namespace pumiceturn::pumicectl
--- a/Utilities/Pumicectl/SubmitCommand.cpp
+++ b/Utilities/Pumicectl/SubmitCommand.cpp
@@ -14,11 +14,9 @@
 Declare(cxxopts::Options& aOptions)
 {
   DeclareConnection(aOptions);
-  aOptions.add_options()("service", "Service", cxxopts::value<std::string>())(
-    "kind", "Request kind", cxxopts::value<std::string>())(
-    "key",
-    "Job key; made from the content where none is given",
-    cxxopts::value<std::string>()->default_value(""))(
+  aOptions.add_options()("key",
+                         "Job key; made from the content where none is given",
+                         cxxopts::value<std::string>()->default_value(""))(
     "due-in-s",
     "Due time from now; 0: the kind's default",
     cxxopts::value<std::uint32_t>()->default_value("0"))(
@@ -28,8 +26,10 @@
     "skip-broken", "Submit the good lines where some are broken");
   DeclarePositional(
     aOptions,
-    "file",
-    R"(JSON Lines, {"name": TEXT, "prompt": TEXT} each; - reads the standard input)");
+    { { "service", "Service" },
+      { "kind", "Request kind" },
+      { "file",
+        R"(JSON Lines, {"name": TEXT, "prompt": TEXT} each; - reads the standard input)" } });
 }
 
 /// Tells each broken line by its number.
@@ -57,8 +57,8 @@
 {
   BOOST_LEAF_AUTO(client, MakeClient(aArguments));
   caller::JobHeader header;
-  header.set_service(aArguments["service"].as<std::string>());
-  header.set_kind(aArguments["kind"].as<std::string>());
+  header.set_service(Positional(aArguments, "service"));
+  header.set_kind(Positional(aArguments, "kind"));
   header.set_job_key(aArguments["key"].as<std::string>());
   header.set_max_tokens(aArguments["max-tokens"].as<std::uint32_t>());
   const std::chrono::seconds due{ aArguments["due-in-s"].as<std::uint32_t>() };
@@ -79,7 +79,7 @@
 } // namespace
 
 const Command kSubmitCommand{
-  "submit", "FILE|-", "Submit a batch job", Declare, Run,
+  "submit", "SERVICE KIND FILE|-", "Submit a batch job", Declare, Run,
 };
 
 } // namespace pumiceturn::pumicectl
