LibWire: Report a replaced peer once its link carries messages

Handlers send to the new process when they hear of it; the queue was not yet open then. The order of reports is now stated: Lost, Replaced, Up.

--- a/Libraries/LibWire/LinkLoop.cpp
+++ b/Libraries/LibWire/LinkLoop.cpp
@@ -243,16 +243,12 @@
   Connection& connection = *aConnection;
   aLink.connections_[IndexOf(side)] = kj::mv(aConnection);
   shared_.queues_.RecordHeard(aLink.peer_, base::MonotonicNow());
-  if (isReplaced) {
-    base::Log(kPeerReplaced, { { "peer", aLink.peer_ } });
-    Report(aLink, LinkState::Replaced);
-  }
-  Select(aLink);
+  Select(aLink, isReplaced);
   connection.Open();
 }
 
 void
-LinkLoop::Select(Link& aLink)
+LinkLoop::Select(Link& aLink, bool aIsReplaced)
 {
   if (aLink.current_ != nullptr) {
     return;
@@ -266,6 +262,10 @@
     base::Log(kLinkUp,
               { { "peer", aLink.peer_ },
                 { "dialed", connection->Side() == ConnectionSide::Dialed } });
+    if (aIsReplaced) {
+      base::Log(kPeerReplaced, { { "peer", aLink.peer_ } });
+      Report(aLink, LinkState::Replaced);
+    }
     Report(aLink, LinkState::Up);
     return;
   }
@@ -321,7 +321,7 @@
 void
 LinkLoop::ScheduleDial(Link& aLink)
 {
-  Select(aLink);
+  Select(aLink, false);
   if (aLink.address_.empty() || aLink.dialing_ || aLink.current_ != nullptr) {
     return;
   }
--- a/Libraries/LibWire/LinkLoop.h
+++ b/Libraries/LibWire/LinkLoop.h
@@ -66,7 +66,7 @@
   void OnGreeted(Connection& aConnection);
   void OnEnded(Connection& aConnection, const std::string& aReason);
   void Establish(Link& aLink, kj::Own<Connection> aConnection);
-  void Select(Link& aLink);
+  void Select(Link& aLink, bool aIsReplaced);
   void Drop(Link& aLink, ConnectionSide aSide, std::string_view aReason);
   void Retire(kj::Own<Connection> aConnection);
   kj::Own<Connection> MakeConnection(kj::Own<kj::AsyncIoStream> aStream,
--- a/Libraries/LibWire/LinkTable.h
+++ b/Libraries/LibWire/LinkTable.h
@@ -13,12 +13,13 @@
 
 namespace pumiceturn::wire {
 
-/// Whether messages reach a peer now.
+/// Whether messages reach a peer now. Up and Lost take turns for each peer,
+/// beginning with Up; Replaced comes between a Lost and the next Up.
 enum class LinkState : std::uint8_t
 {
   Up,   ///< A new connection; messages in flight on an older one may be lost.
   Lost, ///< Heartbeats stopped or the connection broke; a new one is tried.
-  Replaced, ///< The peer's process is another than before the loss.
+  Replaced, ///< The peer's process is another than before the loss; Up follows.
 };
 
 /// The process's links to its peers: Cap'n Proto RPC on one thread, heartbeats
@@ -41,7 +42,8 @@
 
   struct Handlers
   {
-    /// Called on the link thread; hands longer work to the worker pool.
+    /// Called on the link thread; hands longer work to the worker pool. Gets
+    /// heartbeats too. No message comes from a peer before its Up.
     std::function<void(const std::string& aPeer, Message aMessage)> message_;
     std::function<void(const std::string& aPeer, LinkState aState)> state_;
     /// Content of the next heartbeat to a peer; the table sets its sequence.
--- a/Tests/LibWire/LinkHealthTest.cpp
+++ b/Tests/LibWire/LinkHealthTest.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-using base::operator""ms;
-using base::operator""s;
+using namespace std::chrono_literals;
 
 class LinkHealthFixture
 {
--- a/Tests/LibWire/PendingCallsTest.cpp
+++ b/Tests/LibWire/PendingCallsTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-using base::operator""ms;
+using namespace std::chrono_literals;
 
 constexpr std::uint64_t kFirstId = 100;
 constexpr base::Instant kStart{};
--- a/Tests/LibWire/Recorder.h
+++ b/Tests/LibWire/Recorder.h
@@ -145,6 +145,7 @@
 NumbersOf(const std::vector<Message>& aMessages)
 {
   std::vector<std::uint64_t> numbers;
+  numbers.reserve(aMessages.size());
   for (const Message& message : aMessages) {
     numbers.push_back(std::get<Chunk>(message).sequence_);
   }
