--- a/Tests/LibConfiguration/ConfigurationFollowerTest.cpp
+++ b/Tests/LibConfiguration/ConfigurationFollowerTest.cpp
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace pumiceturn::configuration {
 
@@ -170,6 +171,19 @@
     service_->SetFaults(faults);
   }
 
+  /// Waits until a watch is open. @return whether it came to be.
+  [[nodiscard]] bool WaitForWatch() const
+  {
+    const base::Instant givenUpAt = base::MonotonicNow() + kLongestWait;
+    while (service_->Stats().watchesOpen_ == 0) {
+      if (base::MonotonicNow() > givenUpAt) {
+        return false;
+      }
+      std::this_thread::yield();
+    }
+    return true;
+  }
+
   std::unique_ptr<standin::KeyValueStandin> service_;
   Fleet fleet_;
   std::unique_ptr<platform::KeyValueClient> client_;
@@ -225,6 +239,7 @@
   Apply(5, 0);
   fleet_.Start("entry", PlatformUse::Watch, {});
   REQUIRE(fleet_.WaitFor("entry", 1));
+  REQUIRE(WaitForWatch());
   service_->SilenceWatches();
   Apply(6, 1);
   CHECK(fleet_.WaitFor("entry", 2));
