LibConfiguration: Delete old versions and the parts they alone list

A part is deleted only at the revision that was read, and only where it is older than the present head, so a change under way cannot lose its parts.

--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -192,8 +192,10 @@
     return;
   }
   const auto& entry = std::get<0>(aOutcome);
-  if (entry) {
-    replica_.TakeHead(entry->value_);
+  const bool isLower = entry && replica_.TakeHead(entry->value_) ==
+                                  ConfigurationReplica::HeadNews::Lower;
+  if (isLower) {
+    base::Log(kPlatformBehind, { { "held", replica_.Version() } });
   }
   WatchAfter(entry ? entry->modRevision_ : 0);
   OnReply(aCall, Reply::Useful, {});
--- a/Libraries/LibConfiguration/ConfigurationReplica.cpp
+++ b/Libraries/LibConfiguration/ConfigurationReplica.cpp
@@ -20,23 +20,23 @@
 {
 }
 
-bool
+ConfigurationReplica::HeadNews
 ConfigurationReplica::TakeHead(std::string_view aBytes)
 {
   stored::ConfigurationHead head;
   if (!head.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
-    return false;
+    return HeadNews::Unreadable;
   }
   // Never a lower version: an older head may come late, or from a service that
   // was restored from a backup.
   const std::uint64_t known =
     std::max(held_.version(), pending_ ? pending_->version() : 0);
   if (head.version() <= known) {
-    return false;
+    return head.version() < held_.version() ? HeadNews::Lower : HeadNews::Known;
   }
   pending_ = std::move(head);
   Reconsider();
-  return true;
+  return HeadNews::Higher;
 }
 
 bool
@@ -68,7 +68,7 @@
   if (aContent.code_ != base::ResultCode::Ok) {
     return SpreadDecision::Reply::Useless;
   }
-  const bool newHead = TakeHead(aContent.head_);
+  const bool newHead = TakeHead(aContent.head_) == HeadNews::Higher;
   const bool newParts = TakeParts(aContent.parts_);
   if (newHead || newParts) {
     return SpreadDecision::Reply::Useful;
--- a/Libraries/LibConfiguration/ConfigurationReplica.h
+++ b/Libraries/LibConfiguration/ConfigurationReplica.h
@@ -27,9 +27,17 @@
   /// What to fetch from whom.
   [[nodiscard]] SpreadDecision& Spread() { return spread_; }
 
-  /// Takes a head as it is stored.
-  /// @return whether it is above all known so far.
-  bool TakeHead(std::string_view aBytes);
+  /// How a head relates to what is known here.
+  enum class HeadNews : std::uint8_t
+  {
+    Unreadable,
+    Lower, ///< Below the version that is whole here.
+    Known,
+    Higher,
+  };
+
+  /// Takes a head as it is stored, if it is above all known so far.
+  HeadNews TakeHead(std::string_view aBytes);
 
   /// Takes parts, where their content has the digest asked for.
   /// @return whether any was missing.
--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -200,6 +200,7 @@
                             split.references_.end() };
   BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
   if (verdict == Verdict::Accepted) {
+    CollectSometimes(next.version());
     return ApplyOutcome{ Applied{ next.version(), false } };
   }
   BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
@@ -226,6 +227,7 @@
     next.set_applied_unix_ms(base::ToUnixMs(aNow));
     BOOST_LEAF_AUTO(verdict, Write(base, next, {}));
     if (verdict == Verdict::Accepted) {
+      CollectSometimes(next.version());
       return next.version();
     }
   }
@@ -453,6 +455,79 @@
   }
 }
 
+void
+ConfigurationStore::CollectSometimes(std::uint64_t aVersion)
+{
+  if (aVersion % options_.collectEvery_ != 0) {
+    return;
+  }
+  const auto outcome = Capture([&] { return CollectGarbage(); });
+  if (const auto* failure = std::get_if<Failure>(&outcome)) {
+    base::Log(kCollectionFailed, { { "reason", failure->detail_ } });
+  }
+}
+
+/// A part may be listed again by a change that runs at the same time. That
+/// change puts it anew in the call that swaps the head, or before it, unless
+/// the head it starts from lists it. So: a part that was put again since it was
+/// read has another revision, and its deletion is refused. A part put before
+/// the present head, and listed by no kept version, was put for a change whose
+/// swap expects an older head and will be refused. Parts are read before the
+/// history, so that one that became listed meanwhile is seen as listed.
+Result<void>
+ConfigurationStore::CollectGarbage()
+{
+  BOOST_LEAF_AUTO(parts,
+                  client_.RangeKeys(keys::AllParts(options_.keyPrefix_)));
+  BOOST_LEAF_AUTO(current, ReadHead());
+  BOOST_LEAF_AUTO(history,
+                  client_.Range(keys::AllHistory(options_.keyPrefix_)));
+  BOOST_LEAF_CHECK(DeleteOldHistory(current.head_.version(), history.entries_));
+  std::set<std::string> listed;
+  for (const KeyValue& entry : history.entries_) {
+    BOOST_LEAF_AUTO(head, DecodeHead(entry));
+    for (const stored::PartReference& part : head.parts()) {
+      listed.insert(keys::Part(options_.keyPrefix_, part.digest()));
+    }
+  }
+  std::erase_if(parts.entries_, [&](const KeyValue& aPart) {
+    const bool isOld = aPart.modRevision_ < current.revision_;
+    return !isOld || listed.contains(aPart.key_);
+  });
+  return DeleteInBatches(parts.entries_);
+}
+
+/// @param aHistory All entries; those that are deleted are taken out.
+Result<void>
+ConfigurationStore::DeleteOldHistory(std::uint64_t aCurrent,
+                                     std::vector<KeyValue>& aHistory)
+{
+  if (aCurrent < options_.versionsKept_) {
+    return {};
+  }
+  const std::string oldest =
+    keys::History(options_.keyPrefix_, aCurrent - options_.versionsKept_ + 1);
+  const auto firstKept = std::partition(
+    aHistory.begin(), aHistory.end(), [&](const KeyValue& aEntry) {
+      return aEntry.key_ < oldest;
+    });
+  BOOST_LEAF_CHECK(DeleteInBatches({ aHistory.begin(), firstKept }));
+  aHistory.erase(aHistory.begin(), firstKept);
+  return {};
+}
+
+Result<void>
+ConfigurationStore::DeleteInBatches(const std::vector<KeyValue>& aEntries)
+{
+  for (std::size_t i = 0; i < aEntries.size(); i += kMostPartsInCall) {
+    const auto first = aEntries.begin() + static_cast<std::ptrdiff_t>(i);
+    const std::size_t count = std::min(kMostPartsInCall, aEntries.size() - i);
+    BOOST_LEAF_CHECK(client_.DeleteMany(
+      { first, first + static_cast<std::ptrdiff_t>(count) }));
+  }
+  return {};
+}
+
 Result<Conflict>
 ConfigurationStore::DescribeConflict(std::uint64_t aExpectedVersion)
 {
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -64,6 +64,8 @@
     std::uint32_t partnerBuckets_ = kPartnerBuckets;
     std::uint32_t attempts_ = 8; ///< Of one change, while calls fail.
     platform::Backoff::Limits backoff_;
+    std::uint64_t versionsKept_ = 1000; ///< Of the history.
+    std::uint64_t collectEvery_ = 64;   ///< Versions between collections.
     /// Waits between attempts. Empty: sleeps.
     std::function<void(base::Duration)> wait_;
   };
@@ -106,6 +108,10 @@
   /// @return VersionUnknown where it is not kept.
   base::Result<declarations::Configuration> Get(std::uint64_t aVersion);
 
+  /// Deletes history beyond what is kept, and parts that no kept version lists.
+  /// Apply() and Drain() call it now and then.
+  base::Result<void> CollectGarbage();
+
 private:
   /// A head as it was read.
   struct HeldHead
@@ -133,6 +139,12 @@
   base::Result<Verdict> Settle(const HeldHead& aBase,
                                const stored::ConfigurationHead& aNext,
                                const std::vector<platform::Swap>& aSwaps);
+  base::Result<void> DeleteOldHistory(
+    std::uint64_t aCurrent,
+    std::vector<platform::KeyValue>& aHistory);
+  base::Result<void> DeleteInBatches(
+    const std::vector<platform::KeyValue>& aEntries);
+  void CollectSometimes(std::uint64_t aVersion);
   base::Result<Conflict> DescribeConflict(std::uint64_t aExpectedVersion);
   base::Result<std::string> DescribeSince(
     std::uint64_t aVersion,
--- a/Libraries/LibConfiguration/Events.h
+++ b/Libraries/LibConfiguration/Events.h
@@ -49,4 +49,11 @@
   "its own."
 };
 
+inline constexpr base::Event kCollectionFailed{
+  4108,
+  "configuration_collection_failed",
+  base::LogLevel::Warning,
+  "Old versions and parts could not be deleted; it is tried again later."
+};
+
 } // namespace pumiceturn::configuration
--- a/Libraries/LibConfiguration/Keys.h
+++ b/Libraries/LibConfiguration/Keys.h
@@ -36,4 +36,10 @@
   return fmt::format("{}configuration/history/{:020}", aPrefix, aVersion);
 }
 
+inline std::string
+AllHistory(std::string_view aPrefix)
+{
+  return fmt::format("{}configuration/history/", aPrefix);
+}
+
 } // namespace pumiceturn::configuration::keys
--- a/Libraries/LibPlatform/Gateway.cpp
+++ b/Libraries/LibPlatform/Gateway.cpp
@@ -151,6 +151,14 @@
   return ToJson(aRange).dump();
 }
 
+std::string
+EncodeKeyRange(const KeyRange& aRange)
+{
+  Json request = ToJson(aRange);
+  request["keys_only"] = true;
+  return request.dump();
+}
+
 Result<RangeReply>
 DecodeRange(std::string_view aReply)
 {
@@ -181,13 +189,18 @@
 }
 
 std::string
-EncodeDelete(std::string_view aKey, std::uint64_t aExpectedRevision)
+EncodeDeletes(const std::vector<KeyValue>& aEntries)
 {
-  Json request{ { "compare", Json::array() }, { "success", Json::array() } };
-  request["compare"].push_back(CompareRevision(aKey, aExpectedRevision));
-  request["success"].push_back(
-    Json{ { "request_delete_range", { { "key", EncodeBase64(aKey) } } } });
-  return request.dump();
+  Json compare = Json::array();
+  Json success = Json::array();
+  for (const KeyValue& entry : aEntries) {
+    compare.push_back(CompareRevision(entry.key_, entry.modRevision_));
+    success.push_back(Json{
+      { "request_delete_range", { { "key", EncodeBase64(entry.key_) } } } });
+  }
+  return Json{
+    { "compare", std::move(compare) }, { "success", std::move(success) }
+  }.dump();
 }
 
 std::string
--- a/Libraries/LibPlatform/Gateway.h
+++ b/Libraries/LibPlatform/Gateway.h
@@ -30,6 +30,10 @@
 std::string
 EncodeRange(const KeyRange& aRange);
 
+/// @return a range read that leaves the values out.
+std::string
+EncodeKeyRange(const KeyRange& aRange);
+
 /// @return MalformedMessage where the reply cannot be read.
 base::Result<RangeReply>
 DecodeRange(std::string_view aReply);
@@ -38,9 +42,9 @@
 std::string
 EncodeSwaps(const std::vector<Swap>& aSwaps);
 
-/// @return a transaction that deletes a key of an expected revision.
+/// @return a transaction that deletes keys, if all have the revisions given.
 std::string
-EncodeDelete(std::string_view aKey, std::uint64_t aExpectedRevision);
+EncodeDeletes(const std::vector<KeyValue>& aEntries);
 
 /// @return a transaction that reads single keys at one revision.
 std::string
--- a/Libraries/LibPlatform/KeyValueClient.cpp
+++ b/Libraries/LibPlatform/KeyValueClient.cpp
@@ -196,6 +196,17 @@
   return RangeBetween(range.first_, range.end_);
 }
 
+Result<RangeReply>
+KeyValueClient::RangeKeys(std::string_view aPrefix)
+{
+  const gateway::KeyRange range = gateway::RangeOfPrefix(aPrefix);
+  BOOST_LEAF_AUTO(body,
+                  state_->Call(CallKind::Read,
+                               gateway::kRangePath,
+                               gateway::EncodeKeyRange(range)));
+  return gateway::DecodeRange(body);
+}
+
 Result<RangeReply>
 KeyValueClient::RangeBetween(std::string_view aFirst, std::string_view aEnd)
 {
@@ -230,8 +241,16 @@
 Result<void>
 KeyValueClient::Delete(std::string_view aKey, std::uint64_t aExpectedRevision)
 {
-  BOOST_LEAF_CHECK(
-    state_->Change(gateway::EncodeDelete(aKey, aExpectedRevision)));
+  return DeleteMany({ KeyValue{ std::string(aKey), {}, aExpectedRevision } });
+}
+
+Result<void>
+KeyValueClient::DeleteMany(const std::vector<KeyValue>& aEntries)
+{
+  if (aEntries.empty()) {
+    return {};
+  }
+  BOOST_LEAF_CHECK(state_->Change(gateway::EncodeDeletes(aEntries)));
   return {};
 }
 
--- a/Libraries/LibPlatform/KeyValueClient.h
+++ b/Libraries/LibPlatform/KeyValueClient.h
@@ -76,6 +76,9 @@
   base::Result<RangeReply> RangeBetween(std::string_view aFirst,
                                         std::string_view aEnd);
 
+  /// @return keys under a prefix with their revisions, without values.
+  base::Result<RangeReply> RangeKeys(std::string_view aPrefix);
+
   /// Reads single keys in one call.
   /// @return those that exist, in the order given.
   base::Result<std::vector<KeyValue>> GetMany(
@@ -91,6 +94,9 @@
   base::Result<void> Delete(std::string_view aKey,
                             std::uint64_t aExpectedRevision);
 
+  /// Deletes all keys, or none where one was changed, in one call.
+  base::Result<void> DeleteMany(const std::vector<KeyValue>& aEntries);
+
   /// Reports changes under a prefix after a revision, on a thread of the
   /// client's own, until Stop(). Re-armed after errors with jittered backoff.
   /// @param aHandler Receives each change in revision order.
--- a/Tests/LibConfiguration/ConfigurationStoreTest.cpp
+++ b/Tests/LibConfiguration/ConfigurationStoreTest.cpp
@@ -1,5 +1,6 @@
 #include "LibConfiguration/ConfigurationStore.h"
 #include "LibConfiguration/Difference.h"
+#include "LibConfiguration/Keys.h"
 #include "LibStandin/KeyValueStandin.h"
 #include "Samples.h"
 
@@ -262,4 +263,49 @@
         ResultCode::VersionUnknown);
 }
 
+TEST_CASE_METHOD(StoreFixture, "CollectGarbage_OldVersions_KeepsWhatIsListed")
+{
+  ConfigurationStore::Options options = MakeOptions();
+  options.versionsKept_ = 2;
+  ConfigurationStore store(*client_, options, Check);
+  auto all = MakeDeclarations(3);
+  for (std::uint32_t i = 1; i <= 5; ++i) {
+    all.mutable_partners(0)->set_batch_share(i);
+    MustApply(all, i - 1);
+  }
+  REQUIRE(CodeOf(Capture([&] { return store.CollectGarbage(); })) ==
+          ResultCode::Ok);
+  CHECK(Get(4).declarations().partners(0).batch_share() == 4);
+  CHECK(Get(5).declarations().partners(0).batch_share() == 5);
+  CHECK(CodeOf(Capture([&] { return store_.Get(3); })) ==
+        ResultCode::VersionUnknown);
+  const auto parts =
+    Capture([&] { return client_->RangeKeys(keys::AllParts("/pumiceturn/")); });
+  // The service, two buckets of partners that never changed, and two versions
+  // of the third.
+  CHECK(std::get<0>(parts).entries_.size() == 5);
+}
+
+// A change puts its parts first, and is paused before its head. A collection
+// that deleted them would let the change put a head in force whose parts are
+// nowhere, and no host could ever load it.
+TEST_CASE_METHOD(StoreFixture, "CollectGarbage_PartsOfAChangeUnderWay_AreKept")
+{
+  MustApply(MakeDeclarations(3), 0);
+  const std::string key = keys::Part("/pumiceturn/", 1);
+  REQUIRE(CodeOf(Capture([&] {
+            return client_->CompareAndSwap(
+              { platform::Swap{ key, "part", platform::kAnyRevision } });
+          })) == ResultCode::Ok);
+  const auto collect = [&] {
+    REQUIRE(CodeOf(Capture([&] { return store_.CollectGarbage(); })) ==
+            ResultCode::Ok);
+    return std::get<0>(Capture([&] { return client_->Get(key); })).has_value();
+  };
+  CHECK(collect());
+  // Another change came first, so the paused one can only be refused.
+  MustApply(MakeDeclarations(4), 1);
+  CHECK_FALSE(collect());
+}
+
 } // namespace pumiceturn::configuration
