--- a/Libraries/LibConfiguration/SwapDecision.h
+++ b/Libraries/LibConfiguration/SwapDecision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +42,8 @@
     std::uint64_t baseVersion_ = 0; ///< Of the head the change is made from.
     std::string writeId_;
     std::uint32_t attempts_ = 8; ///< Most steps that may fail.
+
+    auto operator<=>(const Start&) const = default;
   };
 
   explicit SwapDecision(Start aStart);
@@ -59,6 +62,9 @@
   /// Reading the head or the history entry failed.
   void OnReadFailed();
 
+  /// So that an explorer of all orders of events can tell states apart.
+  auto operator<=>(const SwapDecision&) const = default;
+
 private:
   void CountFailure();
 
