--- a/Benchmarks/RoutingModel/Main.cpp
+++ b/Benchmarks/RoutingModel/Main.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <chrono>
 #include <string_view>
 
 /// Prints what the routing policy, the retry budget and early refusal do, each
@@ -30,10 +31,11 @@
 }
 
 void
-PrintImbalance()
+PrintImbalance(base::Duration aDelay)
 {
   fmt::print("load imbalance, 18 endpoints, 4 entries, reports each second and "
-             "half a second late\n");
+             "{} ms late\n",
+             base::ToMs(aDelay));
   fmt::print("{:<14}{:>8}{:>24}{:>16}\n",
              "policy",
              "load",
@@ -44,6 +46,7 @@
       ModelOptions options;
       options.policy_ = policy.policy_;
       options.load_ = load;
+      options.reportDelay_ = aDelay;
       options.refusesEarly_ = false;
       const ModelResult result = Model(options).Run();
       fmt::print("{:<14}{:>8.1f}{:>24.2f}{:>16.4f}\n",
@@ -53,12 +56,13 @@
                  Share(result.good_, result.requests_));
     }
   }
+  fmt::print("\n");
 }
 
 void
 PrintAmplification()
 {
-  fmt::print("\nretries, 6 of 18 endpoints fail each run at once, load 0.5\n");
+  fmt::print("retries, 6 of 18 endpoints fail each run at once, load 0.5\n");
   fmt::print("{:<30}{:>18}{:>12}\n", "retry share", "runs per request", "ok");
   for (const bool counts : { true, false }) {
     for (const double share : { 0.1, 1.0 }) {
@@ -107,7 +111,9 @@
 int
 main()
 {
-  pumiceturn::routing::PrintImbalance();
+  using namespace std::chrono_literals;
+  pumiceturn::routing::PrintImbalance(5ms);
+  pumiceturn::routing::PrintImbalance(500ms);
   pumiceturn::routing::PrintAmplification();
   pumiceturn::routing::PrintGoodput();
   return 0;
--- a/Benchmarks/RoutingModel/Model.h
+++ b/Benchmarks/RoutingModel/Model.h
@@ -26,7 +26,7 @@
   bool countsFailures_ = true; ///< Avoids endpoints that failed lately.
   base::Duration deadline_{ std::chrono::seconds{ 6 } };
   base::Duration reportInterval_{ std::chrono::seconds{ 1 } };
-  base::Duration reportDelay_{ std::chrono::milliseconds{ 500 } };
+  base::Duration reportDelay_{ std::chrono::milliseconds{ 5 } };
   base::Duration length_{ std::chrono::seconds{ 600 } };
   std::uint64_t seed_ = 1;
 };
--- a/Libraries/LibRouting/EndpointChooser.h
+++ b/Libraries/LibRouting/EndpointChooser.h
@@ -24,7 +24,7 @@
   /// mean, so that a popular prefix does not overload one endpoint.
   double affinityBound_ = 1.25;
   /// Load (share of capacity) that another failure domain must be better by.
-  double domainPenalty_ = 0.0;
+  double domainPenalty_ = 0.02;
 };
 
 /// Baseline: each in turn.
@@ -98,7 +98,8 @@
 {
 public:
   /// After this time a report says nothing more about others' load.
-  static constexpr base::Duration kReportHorizon{ std::chrono::seconds{ 5 } };
+  static constexpr base::Duration kReportHorizon{ std::chrono::milliseconds{
+    1000 } };
 
   /// How long an endpoint is avoided after one failure, and at most.
   static constexpr base::Duration kShortestAvoidance{ std::chrono::seconds{
