--- a/Libraries/LibDispatch/GateStreams.cpp
+++ b/Libraries/LibDispatch/GateStreams.cpp
@@ -8,16 +8,14 @@
 
 using base::Ran;
 using base::ResultCode;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
 
 namespace {
 
 // A process that dies closes all its connections within milliseconds.
-constexpr base::Duration kCrashWindow = 200ms;
-constexpr base::Duration kLifeSign = 50ms;
-constexpr base::Duration kProbeInterval = 100ms;
-constexpr base::Duration kKeepWaitingWhileDown = 10s;
+constexpr base::Duration kCrashWindow{ std::chrono::milliseconds{ 200 } };
+constexpr base::Duration kLifeSign{ std::chrono::milliseconds{ 50 } };
+constexpr base::Duration kProbeInterval{ std::chrono::milliseconds{ 100 } };
+constexpr base::Duration kKeepWaitingWhileDown{ std::chrono::seconds{ 10 } };
 
 } // namespace
 
@@ -302,6 +300,19 @@
   return TakeActions();
 }
 
+void
+Gate::StopPastDeadline(Moment aMoment)
+{
+  while (!deadlines_.empty() && deadlines_.begin()->first <= aMoment.now_) {
+    Run& run = *deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    run.deadlineEntry_.reset();
+    const ResultCode code = run.mayHaveRun_ ? ResultCode::DeadlineExceeded
+                                            : ResultCode::DeadlineTooShort;
+    Stop(run, code, aMoment);
+  }
+}
+
 Actions
 Gate::OnTick(Moment aMoment)
 {
@@ -315,17 +326,8 @@
   if (engineDown_ && aMoment.now_ - downSince_ >= kKeepWaitingWhileDown) {
     EndInterrupted(aMoment);
   }
-  while (!deadlines_.empty() && deadlines_.begin()->first <= aMoment.now_) {
-    Run& run = *deadlines_.begin()->second;
-    deadlines_.erase(deadlines_.begin());
-    run.deadlineEntry_.reset();
-    const bool waits =
-      run.phase_ == RunPhase::Waiting || run.phase_ == RunPhase::Held;
-    Stop(run,
-         waits && !run.mayHaveRun_ ? ResultCode::DeadlineTooShort
-                                   : ResultCode::DeadlineExceeded,
-         aMoment);
-  }
+  StopPastDeadline(aMoment);
+  DropWaitingBatchOfLost(aMoment);
   OfferLate(aMoment);
   Dispatch(aMoment);
   return TakeActions();
