LibEntry: Serve operators' changes of the configuration

Apply, get, history and drain run one after the other on the worker pool, so that a slow platform holds one of its threads. While it is away, get answers from what is in force here.

--- a/Libraries/LibEntry/EntryFunction.cpp
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -239,7 +239,8 @@
 EntryFunction::IsIdle() const
 {
   const EntryCore& core = *state_->core_;
-  return core.openCalls_ == 0 && core.online_->Count() == 0;
+  return core.openCalls_ == 0 && core.online_->Count() == 0 &&
+         core.owners_->Count() == 0;
 }
 
 node::Readiness
@@ -264,6 +265,8 @@
 EntryFunction::Stop()
 {
   if (state_->server_ != nullptr) {
+    // gRPC waits for every RPC, also for those that wait for an owner.
+    state_->core_->owners_->Stop();
     state_->server_->Shutdown(std::chrono::system_clock::now() +
                               kShutdownPatience);
     state_->server_->Wait();
--- a/Libraries/LibEntry/OperatorService.cpp
+++ b/Libraries/LibEntry/OperatorService.cpp
@@ -2,6 +2,7 @@
 
 #include "LibEntry/Events.h"
 #include "LibEntry/Replies.h"
+#include "LibSettings/DeclarationsFile.h"
 
 #include <fmt/format.h>
 
@@ -11,6 +12,9 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
 
 namespace pumiceturn::entry {
 
@@ -113,13 +117,204 @@
   return isWhole && !aText.empty() ? std::optional{ value } : std::nullopt;
 }
 
+configuration::ConfigurationStore::Options
+MakeStoreOptions(const settings::Settings& aSettings)
+{
+  configuration::ConfigurationStore::Options options;
+  if (!aSettings.platform().key_prefix().empty()) {
+    options.keyPrefix_ = aSettings.platform().key_prefix();
+  }
+  return options;
+}
+
+grpc::Status
+MakeOrderFailure(const base::Failure& aFailure)
+{
+  return MakeStatus(
+    MakeOutcome(aFailure.code_, base::Ran::Unspecified, 0, aFailure.detail_));
+}
+
+grpc::Status
+MakeConflict(const configuration::Conflict& aConflict)
+{
+  operations::ApplyConflict details;
+  details.set_current_version(aConflict.currentVersion_);
+  details.set_difference(aConflict.difference_);
+  const base::ResultCode code = base::ResultCode::VersionConflict;
+  return { ToStatusCode(code),
+           fmt::format("{}: version {} is in force",
+                       base::NameOf(code),
+                       aConflict.currentVersion_),
+           details.SerializeAsString() };
+}
+
 } // namespace
 
 OperatorService::OperatorService(std::shared_ptr<EntryCore> aCore)
   : core_(std::move(aCore))
+  , store_(core_->context_.keyValue_,
+           MakeStoreOptions(core_->context_.settings_),
+           settings::CheckDeclarations)
+  , strand_(core_->context_.pool_)
 {
 }
 
+grpc::ServerUnaryReactor*
+OperatorService::RunInTurn(grpc::CallbackServerContext* aContext,
+                           std::function<grpc::Status()> aStep)
+{
+  auto* reactor = aContext->DefaultReactor();
+  if (waiting_.fetch_add(1) >= kMaxWaiting) {
+    waiting_.fetch_sub(1);
+    constexpr std::uint32_t kComeBackMs = 5000;
+    reactor->Finish(MakeRefusal(
+      { base::ResultCode::Overloaded, "too many orders wait" }, kComeBackMs));
+    return reactor;
+  }
+  strand_.Post([this, reactor, step = std::move(aStep)] {
+    const grpc::Status status = step();
+    waiting_.fetch_sub(1);
+    reactor->Finish(status);
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::Apply(grpc::CallbackServerContext* aContext,
+                       const operations::ApplyRequest* aRequest,
+                       operations::ApplyReply* aReply)
+{
+  return RunInTurn(
+    aContext, [this, aRequest, aReply] { return DoApply(*aRequest, *aReply); });
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::GetConfiguration(
+  grpc::CallbackServerContext* aContext,
+  const operations::GetConfigurationRequest* aRequest,
+  declarations::Configuration* aReply)
+{
+  return RunInTurn(aContext, [this, aRequest, aReply] {
+    return DoGet(aRequest->version(), *aReply);
+  });
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::History(grpc::CallbackServerContext* aContext,
+                         const operations::HistoryRequest* aRequest,
+                         operations::HistoryReply* aReply)
+{
+  return RunInTurn(aContext, [this, aRequest, aReply] {
+    return DoHistory(aRequest->limit(), *aReply);
+  });
+}
+
+grpc::ServerUnaryReactor*
+OperatorService::Drain(grpc::CallbackServerContext* aContext,
+                       const operations::DrainRequest* aRequest,
+                       operations::DrainReply* aReply)
+{
+  return RunInTurn(
+    aContext, [this, aRequest, aReply] { return DoDrain(*aRequest, *aReply); });
+}
+
+grpc::Status
+OperatorService::DoApply(const operations::ApplyRequest& aRequest,
+                         operations::ApplyReply& aReply)
+{
+  const auto outcome = base::Capture([&] {
+    return store_.Apply({ aRequest.declarations(),
+                          aRequest.expected_version(),
+                          aRequest.author(),
+                          aRequest.comment(),
+                          base::WallNow() });
+  });
+  if (const auto* failure = std::get_if<base::Failure>(&outcome)) {
+    return MakeOrderFailure(*failure);
+  }
+  const auto& applied = std::get<configuration::ApplyOutcome>(outcome);
+  if (const auto* conflict = std::get_if<configuration::Conflict>(&applied)) {
+    return MakeConflict(*conflict);
+  }
+  const auto& accepted = std::get<configuration::Applied>(applied);
+  base::Log(kOperatorOrder,
+            { { "order", "apply" },
+              { "author", aRequest.author() },
+              { "version", accepted.version_ },
+              { "unchanged", accepted.unchanged_ } });
+  aReply.set_version(accepted.version_);
+  aReply.set_unchanged(accepted.unchanged_);
+  return grpc::Status::OK;
+}
+
+grpc::Status
+OperatorService::DoGet(std::uint64_t aVersion,
+                       declarations::Configuration& aReply)
+{
+  auto outcome = base::Capture([&] { return store_.Get(aVersion); });
+  if (const auto* failure = std::get_if<base::Failure>(&outcome)) {
+    // What is in force here is still known while the platform is away.
+    const auto held = core_->context_.configuration_.Current();
+    const bool isHeld =
+      held->Version() > 0 && (aVersion == 0 || aVersion == held->Version());
+    if (!isHeld) {
+      return MakeOrderFailure(*failure);
+    }
+    aReply = held->Content();
+    return grpc::Status::OK;
+  }
+  aReply = std::get<declarations::Configuration>(std::move(outcome));
+  return grpc::Status::OK;
+}
+
+grpc::Status
+OperatorService::DoHistory(std::uint32_t aLimit,
+                           operations::HistoryReply& aReply)
+{
+  constexpr std::uint32_t kDefaultLimit = 20;
+  const auto outcome = base::Capture(
+    [&] { return store_.History(aLimit == 0 ? kDefaultLimit : aLimit); });
+  if (const auto* failure = std::get_if<base::Failure>(&outcome)) {
+    return MakeOrderFailure(*failure);
+  }
+  for (const auto& held :
+       std::get<std::vector<configuration::HistoryEntry>>(outcome)) {
+    operations::HistoryEntry& entry = *aReply.add_entries();
+    entry.set_version(held.version_);
+    entry.set_author(held.author_);
+    entry.set_comment(held.comment_);
+    entry.set_applied_unix_ms(held.appliedUnixMs_);
+  }
+  return grpc::Status::OK;
+}
+
+grpc::Status
+OperatorService::DoDrain(const operations::DrainRequest& aRequest,
+                         operations::DrainReply& aReply)
+{
+  if (aRequest.host().empty()) {
+    return MakeOrderFailure(
+      { base::ResultCode::InvalidRequest, "no host is named" });
+  }
+  const auto outcome = base::Capture([&] {
+    return store_.Drain(aRequest.host(),
+                        aRequest.drained() ? configuration::DrainOrder::Drain
+                                           : configuration::DrainOrder::Return,
+                        aRequest.author(),
+                        base::WallNow());
+  });
+  if (const auto* failure = std::get_if<base::Failure>(&outcome)) {
+    return MakeOrderFailure(*failure);
+  }
+  aReply.set_version(std::get<std::uint64_t>(outcome));
+  base::Log(kOperatorOrder,
+            { { "order", aRequest.drained() ? "drain" : "return" },
+              { "host", aRequest.host() },
+              { "author", aRequest.author() },
+              { "version", aReply.version() } });
+  return grpc::Status::OK;
+}
+
 grpc::ServerUnaryReactor*
 OperatorService::Status(grpc::CallbackServerContext* aContext,
                         const operations::StatusRequest* /*aRequest*/,
--- a/Libraries/LibEntry/OwnerCalls.cpp
+++ b/Libraries/LibEntry/OwnerCalls.cpp
@@ -41,6 +41,12 @@
     aMessage);
 }
 
+OwnerCalls::Reply
+MakeStopped()
+{
+  return base::Failure{ ResultCode::Draining, "this entry is leaving" };
+}
+
 bool
 MustAskAgain(ResultCode aCode)
 {
@@ -78,9 +84,30 @@
 void
 OwnerCalls::Add(std::uint64_t aCall, Pending aPending)
 {
-  const std::lock_guard lock(mutex_);
-  Pending& pending = pending_.emplace(aCall, std::move(aPending)).first->second;
-  Send(pending, base::MonotonicNow());
+  {
+    const std::lock_guard lock(mutex_);
+    if (!stopped_) {
+      Pending& pending =
+        pending_.emplace(aCall, std::move(aPending)).first->second;
+      Send(pending, base::MonotonicNow());
+      return;
+    }
+  }
+  aPending.done_(MakeStopped());
+}
+
+void
+OwnerCalls::Stop()
+{
+  std::unordered_map<std::uint64_t, Pending> pending;
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+    pending.swap(pending_);
+  }
+  for (const auto& [call, left] : pending) {
+    left.done_(MakeStopped());
+  }
 }
 
 void
--- a/Libraries/LibEntry/OwnerCalls.h
+++ b/Libraries/LibEntry/OwnerCalls.h
@@ -48,6 +48,9 @@
   void OnMessage(const wire::Message& aMessage);
   void OnLinkState(const std::string& aPeer, wire::LinkState aState);
 
+  /// Ends all questions, and each one asked from now on, as Draining.
+  void Stop();
+
   [[nodiscard]] std::size_t Count() const;
 
 private:
@@ -72,6 +75,7 @@
   std::mt19937_64 random_;
   std::uint64_t nextCall_;
   std::unordered_map<std::uint64_t, Pending> pending_;
+  bool stopped_ = false;
 };
 
 template<typename Question>
