--- a/Libraries/LibJobLog/Events.h
+++ b/Libraries/LibJobLog/Events.h
@@ -46,5 +46,53 @@
   base::LogLevel::Info,
   "A segment without needed records was deleted."
 };
+inline constexpr base::Event kPartitionClaimed{
+  5201,
+  "partition_claimed",
+  base::LogLevel::Info,
+  "This host begins to take a partition over."
+};
+inline constexpr base::Event kPartitionYielded{
+  5202,
+  "partition_yielded",
+  base::LogLevel::Warning,
+  "This host is the recorded owner but its copy is unfit: another is named."
+};
+inline constexpr base::Event kPartitionHandedOver{
+  5203,
+  "partition_handed_over",
+  base::LogLevel::Info,
+  "This host leaves and names another owner."
+};
+inline constexpr base::Event kPartitionRecovering{
+  5204,
+  "partition_recovering",
+  base::LogLevel::Info,
+  "The new owner reads the partition's log."
+};
+inline constexpr base::Event kPartitionOwned{
+  5205,
+  "partition_owned",
+  base::LogLevel::Info,
+  "This host owns the partition and takes work for it."
+};
+inline constexpr base::Event kPartitionReleased{
+  5206,
+  "partition_released",
+  base::LogLevel::Info,
+  "This host owns the partition no longer."
+};
+inline constexpr base::Event kRecordSwapped{
+  5207,
+  "partition_record_swapped",
+  base::LogLevel::Info,
+  "This host asks the key-value service to change a partition's record."
+};
+inline constexpr base::Event kCopyDamaged{
+  5208,
+  "copy_damaged",
+  base::LogLevel::Error,
+  "An entry of this host's copy cannot be read; another copy goes on."
+};
 
 } // namespace pumiceturn::joblog
--- a/Libraries/LibJobLog/LogService.h
+++ b/Libraries/LibJobLog/LogService.h
@@ -16,6 +16,9 @@
 
 namespace pumiceturn::joblog {
 
+struct LogOptions;
+struct LogPorts;
+
 /// A keeper's part in the replicated log: its copy on disk, ownership of
 /// partitions, takeover, sealing, repair of lost copies, retention.
 /// Thread-safe. Handlers are called in log order for one partition, without any
@@ -47,8 +50,12 @@
                                       std::span<const LogPosition> aPositions)>;
 
   /// Opens the data folder, cuts a torn tail, and begins to claim partitions.
+  /// Also follows the partition table for the whole process.
   static base::Result<std::unique_ptr<LogService>> Start(node::Context aContext,
                                                          Handlers aHandlers);
+  /// As above, with what it needs from the process given one by one.
+  static base::Result<std::unique_ptr<LogService>>
+  Start(const LogOptions& aOptions, const LogPorts& aPorts, Handlers aHandlers);
   ~LogService();
   LogService(const LogService&) = delete;
   LogService& operator=(const LogService&) = delete;
@@ -76,12 +83,16 @@
 
   /// Hands owned partitions to other keepers, for a graceful shutdown.
   void HandOver();
+
+  /// Makes what was stored durable and begins nothing further. Appends that
+  /// have not ended are not reported any more.
   void Stop();
 
 private:
   struct State;
-  explicit LogService(std::unique_ptr<State> aState);
-  std::unique_ptr<State> state_;
+  explicit LogService(std::shared_ptr<State> aState);
+  /// Shared with tasks on the worker pool, which may end after Stop().
+  std::shared_ptr<State> state_;
 };
 
 } // namespace pumiceturn::joblog
--- a/Libraries/LibJobLog/PartitionOwner.h
+++ b/Libraries/LibJobLog/PartitionOwner.h
@@ -33,12 +33,14 @@
   bool operator==(const LoadLog&) const = default;
 };
 
-/// Sends a frame after filling it with durable entries of the own copy that
-/// follow its previous sequence, as many as one frame holds.
+/// Sends a frame after filling it with entries of the own copy that follow its
+/// previous sequence, as many as one frame holds.
 struct SendLog
 {
   std::string peer_;
   wire::AppendFrame frame_;
+  /// Behind it the disk may still hold entries that are about to be replaced.
+  std::uint64_t lastSequence_ = 0;
 
   bool operator==(const SendLog&) const = default;
 };
@@ -174,7 +176,15 @@
   {
     return acknowledged_;
   }
-  [[nodiscard]] bool HasPendingSwap() const { return swap_.has_value(); }
+  /// @return the last sequence given to an append.
+  [[nodiscard]] std::uint64_t LastSequence() const
+  {
+    return log_.lastSequence_;
+  }
+
+  /// @return whether nothing is left that time alone would bring forward, so
+  /// that ticks may be left out until something else happens.
+  [[nodiscard]] bool IsQuiet() const;
 
   /// @return everything that decides about the future, as text: two owners
   /// with equal text act alike.
--- a/Libraries/LibJobLog/PartitionOwnerCopies.cpp
+++ b/Libraries/LibJobLog/PartitionOwnerCopies.cpp
@@ -209,7 +209,8 @@
     aCopy.probe_, log_.state_.firstSequence_ - 1, log_.lastSequence_);
   aCopy.isStreaming_ = false;
   aCopy.awaitsAck_ = true;
-  aActions.emplace_back(SendLog{ aCopy.host_, MakeFrame(aCopy.probe_) });
+  aActions.emplace_back(SendLog{
+    aCopy.host_, MakeFrame(aCopy.probe_), FindCopy(options_.self_)->matched_ });
 }
 
 /// Goes on with a copy that equals the log up to its probe.
@@ -334,11 +335,13 @@
   }
 }
 
+/// Ends appends that too few copies can hold, so that callers hear of it. Their
+/// entries stay in the log, and may be replayed.
 void
 PartitionOwner::ExpireAppends(base::Instant aNow, Actions& aActions)
 {
-  while (!pending_.empty() &&
-         aNow - pending_.front().startedAt_ >= options_.appendTimeout_) {
+  while (!pending_.empty() && (isShort_ || aNow - pending_.front().startedAt_ >=
+                                             options_.appendTimeout_)) {
     aActions.emplace_back(
       CompleteAppend{ pending_.front().token_, ResultCode::TooFewCopies });
     pending_.pop_front();
@@ -429,9 +432,17 @@
                               base::Instant aNow,
                               Actions& aActions)
 {
+  const auto alive = std::count_if(
+    record_.copies_.begin(), record_.copies_.end(), [&](const auto& aHost) {
+      return !IsCopyLost(aHost, aFleet, aNow);
+    });
+  // A copy that failed stays listed, so that the same host is not chosen again
+  // at once; it is asked from time to time.
   std::erase_if(copies_, [&](const CopyProgress& aCopy) {
-    return aCopy.host_ != options_.self_ && !NeedsAckOf(aCopy.host_) &&
-           IsCopyLost(aCopy.host_, aFleet, aNow);
+    const bool isNeeded =
+      aCopy.host_ == options_.self_ || NeedsAckOf(aCopy.host_);
+    return !isNeeded && (!aFleet.IsUp(aCopy.host_) ||
+                         static_cast<std::uint32_t>(alive) >= options_.copies_);
   });
   std::set<std::string> domains;
   for (const CopyProgress& copy : copies_) {
@@ -459,6 +470,23 @@
   isShort_ = domains.size() < options_.minCopies_;
 }
 
+bool
+PartitionOwner::IsQuiet() const
+{
+  if (phase_ == Phase::Following) {
+    return true;
+  }
+  const bool isSettled = phase_ == Phase::Owned && !swap_ && !isShort_ &&
+                         pending_.empty() &&
+                         record_.copies_.size() >= options_.copies_ &&
+                         record_.copies_.size() == copies_.size();
+  return isSettled &&
+         std::all_of(
+           copies_.begin(), copies_.end(), [this](const CopyProgress& aCopy) {
+             return aCopy.isStreaming_ && aCopy.matched_ == log_.lastSequence_;
+           });
+}
+
 void
 PartitionOwner::DropUnrecorded()
 {
--- a/Libraries/LibJobLog/PartitionReplica.cpp
+++ b/Libraries/LibJobLog/PartitionReplica.cpp
@@ -35,8 +35,7 @@
 }
 
 PartitionReplica::Actions
-PartitionReplica::OnAppend(const std::string& aPeer,
-                           const wire::AppendFrame& aFrame)
+PartitionReplica::OnAppend(const std::string& aPeer, wire::AppendFrame aFrame)
 {
   Actions actions;
   if (const ResultCode refusal = CheckEpoch(aFrame.epoch_);
@@ -248,8 +247,7 @@
 
 /// @return the last sequence up to which the copy equals the owner's log.
 std::uint64_t
-PartitionReplica::AcceptEntries(const wire::AppendFrame& aFrame,
-                                Actions& aActions)
+PartitionReplica::AcceptEntries(wire::AppendFrame& aFrame, Actions& aActions)
 {
   const auto firstNew = std::find_if(
     aFrame.entries_.begin(), aFrame.entries_.end(), [this](const auto& aEntry) {
@@ -265,7 +263,8 @@
   if (firstNew == aFrame.entries_.end()) {
     return matched;
   }
-  StoreEntries store{ { firstNew, aFrame.entries_.end() } };
+  aFrame.entries_.erase(aFrame.entries_.begin(), firstNew);
+  StoreEntries store{ std::move(aFrame.entries_) };
   for (const wire::LogEntry& entry : store.entries_) {
     accepted_.Extend(entry.sequence_, entry.epoch_);
   }
--- a/Libraries/LibJobLog/PartitionReplica.h
+++ b/Libraries/LibJobLog/PartitionReplica.h
@@ -64,7 +64,7 @@
   /// @param aDurable What the disk holds.
   PartitionReplica(std::uint32_t aPartition, CopySummary aDurable);
 
-  Actions OnAppend(const std::string& aPeer, const wire::AppendFrame& aFrame);
+  Actions OnAppend(const std::string& aPeer, wire::AppendFrame aFrame);
   Actions OnSeal(const std::string& aPeer, const wire::SealPartition& aSeal);
 
   /// Tells the epoch that the key-value service has recorded, 0 for none, from
@@ -111,8 +111,7 @@
   [[nodiscard]] bool Matches(const wire::AppendFrame& aFrame) const;
   [[nodiscard]] std::uint64_t LastPossibleMatch(
     const wire::AppendFrame& aFrame) const;
-  std::uint64_t AcceptEntries(const wire::AppendFrame& aFrame,
-                              Actions& aActions);
+  std::uint64_t AcceptEntries(wire::AppendFrame& aFrame, Actions& aActions);
   void AdoptProgress(const wire::AppendFrame& aFrame,
                      std::uint64_t aMatched,
                      Actions& aActions);
--- a/Libraries/LibJobLog/SegmentStore.cpp
+++ b/Libraries/LibJobLog/SegmentStore.cpp
@@ -204,10 +204,10 @@
 
   // Of Load(), then of the sync thread alone.
   bool headerLost_ = false;
-  bool failed_ = false;
   bool endMarked_ = true;
   std::uint64_t bytesSinceRoomCheck_ = 0;
 
+  std::atomic<bool> failed_{ false };
   std::atomic<bool> hasRoom_{ true };
   std::atomic<std::uint64_t> syncs_{ 0 };
   std::thread syncThread_;
@@ -931,6 +931,19 @@
   return partitions;
 }
 
+void
+SegmentStore::MarkDamaged(std::uint32_t aPartition)
+{
+  const std::lock_guard lock(state_->mutex_);
+  state_->copies_[aPartition].MarkDamaged();
+}
+
+bool
+SegmentStore::HasFailed() const
+{
+  return state_->failed_;
+}
+
 bool
 SegmentStore::HasRoom() const
 {
--- a/Libraries/LibJobLog/SegmentStore.h
+++ b/Libraries/LibJobLog/SegmentStore.h
@@ -87,6 +87,12 @@
   [[nodiscard]] CopySummary SummaryOf(std::uint32_t aPartition) const;
   [[nodiscard]] std::vector<std::uint32_t> Partitions() const;
 
+  /// Tells that an entry of a copy turned out to be unreadable.
+  void MarkDamaged(std::uint32_t aPartition);
+
+  /// @return whether writing failed for good; a restart reads the disk again.
+  [[nodiscard]] bool HasFailed() const;
+
   [[nodiscard]] bool HasRoom() const;
   /// Asks the disk for its free space now.
   void RefreshRoom();
--- a/Tests/LibJobLog/Explorer.cpp
+++ b/Tests/LibJobLog/Explorer.cpp
@@ -388,8 +388,7 @@
   const DiskImage& disk = hosts_[aHost].disk_;
   wire::AppendFrame frame = aSend.frame_;
   for (std::uint64_t sequence = frame.previousSequence_ + 1;
-       sequence <= disk.summary_.lastSequence_ &&
-       frame.entries_.size() < kFrameEntries;
+       sequence <= aSend.lastSequence_ && frame.entries_.size() < kFrameEntries;
        ++sequence) {
     frame.entries_.push_back(wire::LogEntry{
       sequence, disk.summary_.EpochAt(sequence), disk.payloads_.at(sequence) });
