--- /dev/null
+++ b/Tests/LibKeeper/KeeperFleet.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "LibBase/Strand.h"
+#include "LibKeeper/KeeperFunction.h"
+#include "LibStandin/KeyValueStandin.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::keeper {
+
+/// Links of a process that is no keeper, with what it received.
+class TestPeer
+{
+public:
+  using Handler =
+    std::function<void(const std::string& aPeer, const wire::Message&)>;
+
+  TestPeer(const std::string& aName, Handler aHandler);
+
+  [[nodiscard]] std::string Address() const { return links_->ListenAddress(); }
+  void Connect(const std::string& aPeer, const std::string& aAddress)
+  {
+    links_->Connect(aPeer, aAddress);
+  }
+  base::ResultCode Send(const std::string& aPeer, wire::Message aMessage)
+  {
+    return links_->Send(aPeer, std::move(aMessage));
+  }
+
+private:
+  Handler handler_;
+  std::unique_ptr<wire::LinkTable> links_;
+};
+
+/// Grants credits for a few runs at a time and answers each run by its payload,
+/// until it is told to hold; results that are not recorded are offered again.
+class TestAgent
+{
+public:
+  explicit TestAgent(const std::string& aName);
+
+  [[nodiscard]] std::string Address() const { return peer_->Address(); }
+
+  /// Answers so many more runs, then keeps what it is given.
+  void AnswerAtMost(std::size_t aRuns);
+  void AnswerAll();
+
+  /// Offers what is not recorded to a keeper.
+  void Offer(const std::string& aKeeper);
+
+  /// @return whether so many runs wait for an answer within a generous time.
+  bool WaitForHeld(std::size_t aCount);
+
+private:
+  void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
+  void Answer(const std::string& aPeer, const wire::StartRun& aStart);
+  void Grant(const std::string& aPeer);
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::size_t allowed_ = 0;
+  bool answersAll_ = true;
+  std::map<std::string, std::uint64_t> granted_;
+  std::map<std::string, std::uint64_t> started_;
+  std::vector<std::pair<std::string, wire::StartRun>> held_;
+  std::map<wire::RunId, wire::RunEnded> unrecorded_;
+  std::unique_ptr<TestPeer> peer_;
+};
+
+/// One keeper with its real log, links and platform client.
+class TestKeeper
+{
+public:
+  TestKeeper(const std::string& aName,
+             const std::string& aFolder,
+             int aKeyValuePort);
+  ~TestKeeper();
+  TestKeeper(const TestKeeper&) = delete;
+  TestKeeper& operator=(const TestKeeper&) = delete;
+
+  [[nodiscard]] std::string Address() const { return links_->ListenAddress(); }
+  void Begin(const declarations::Configuration& aConfiguration,
+             const std::vector<std::pair<std::string, std::string>>& aKeepers);
+
+private:
+  static settings::Settings MakeSettings(const std::string& aName,
+                                         const std::string& aFolder);
+  void Post(const std::string& aPeer, base::WorkerPool::Task aTask);
+
+  settings::Settings settings_;
+  base::WorkerPool pool_{ 3 };
+  std::mutex strandsMutex_;
+  std::map<std::string, base::Strand> strands_;
+  metrics::Registry metrics_;
+  std::unique_ptr<platform::KeyValueClient> keyValue_;
+  platform::HostDirectory hosts_;
+  configuration::ConfigurationCache configuration_;
+  partition::PartitionTable partitions_;
+  routing::QuarantineTable quarantine_;
+  std::unique_ptr<wire::LinkTable> links_;
+  std::unique_ptr<KeeperFunction> keeper_;
+  std::atomic<bool> started_{ false };
+};
+
+/// Three keepers in three failure domains, one agent and one entry, in one
+/// process over loopback.
+class KeeperFleet
+{
+public:
+  KeeperFleet();
+  ~KeeperFleet();
+
+  /// Sends a lot, frame by frame, until it is accepted.
+  /// @return whether it was, within a generous time.
+  bool Submit(const wire::JobDescription& aLot, std::uint32_t aFrameItems);
+
+  /// Reads results until the job has ended.
+  /// @return all of them; fewer where the time ran out.
+  std::vector<wire::ItemResult> ReadAll(const base::JobId& aJob,
+                                        std::size_t aItems);
+
+  /// @return the keeper that answered last for a job.
+  [[nodiscard]] std::string Owner() const { return owner_; }
+
+  /// Ends a keeper as a lost host would.
+  void Kill(const std::string& aName) { keepers_.erase(aName); }
+
+  [[nodiscard]] std::vector<std::string> Keepers() const;
+
+  std::unique_ptr<TestAgent> agent_;
+
+private:
+  template<typename Reply, typename Question>
+  bool Ask(Question aQuestion, Reply& aReply);
+  void OnReply(const std::string& aPeer, const wire::Message& aMessage);
+
+  std::string folder_;
+  std::unique_ptr<standin::KeyValueStandin> keyValue_;
+  std::map<std::string, std::unique_ptr<TestKeeper>> keepers_;
+  std::mutex mutex_;
+  std::condition_variable replied_;
+  std::map<std::uint64_t, wire::Message> replies_;
+  std::uint64_t nextCall_ = 1;
+  std::string owner_ = "keeper-1";
+  std::unique_ptr<TestPeer> entry_;
+};
+
+} // namespace pumiceturn::keeper
