LibJobLog: Hold the partitions while a tick walks them

The temporary pointer in the range-for ended before the loop began; another thread that first learned the partition count freed the vector under it. Found by the thread sanitizer in TestLibKeeper's fleet.

--- a/Libraries/LibJobLog/LogService.cpp
+++ b/Libraries/LibJobLog/LogService.cpp
@@ -197,7 +197,9 @@
     toldOfMissing_ = true;
   }
   const FleetTracker::ViewPointer view = fleet_.View();
-  for (const auto& host : *Partitions()) {
+  // The range-for keeps no hold on what a temporary pointer points to.
+  const auto hosts = Partitions();
+  for (const auto& host : *hosts) {
     if (hasChanged || host->NeedsTick()) {
       host->Tick(view);
     }
