--- a/Libraries/LibJobLog/LogService.cpp
+++ b/Libraries/LibJobLog/LogService.cpp
@@ -350,7 +350,8 @@
   if (aState == wire::LinkState::Lost) {
     return;
   }
-  for (const auto& host : *state_->Partitions()) {
+  const auto hosts = state_->Partitions();
+  for (const auto& host : *hosts) {
     host->OnLinkUp(aPeer);
   }
 }
@@ -380,7 +381,8 @@
 LogService::HandOver()
 {
   state_->shared_->isLeaving_ = true;
-  for (const auto& host : *state_->Partitions()) {
+  const auto hosts = state_->Partitions();
+  for (const auto& host : *hosts) {
     host->HandOver(state_->fleet_.View());
   }
 }
