--- a/Libraries/LibJobs/Job.cpp
+++ b/Libraries/LibJobs/Job.cpp
@@ -46,4 +46,10 @@
          static_cast<std::int64_t>(description_.retentionS_) * kMsPerSecond;
 }
 
+std::int64_t
+FinishedRequest::ExpiresUnixMs() const
+{
+  return endedUnixMs_ + std::int64_t{ retentionS_ } * kMsPerSecond;
+}
+
 } // namespace pumiceturn::jobs
--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -111,4 +111,19 @@
   [[nodiscard]] std::int64_t ExpiresUnixMs() const;
 };
 
+/// A finished online request. A keeper holds each one for its whole retention
+/// time, so no more is kept than callers who come back need.
+struct FinishedRequest
+{
+  ResultPlace result_;
+  std::uint64_t digest_ = 0;
+  std::uint64_t partner_ = 0; ///< Hash of its name.
+  std::uint64_t firstSequence_ = 0;
+  std::int64_t endedUnixMs_ = 0;
+  std::uint32_t retentionS_ = 0;
+  bool succeeded_ = false;
+
+  [[nodiscard]] std::int64_t ExpiresUnixMs() const;
+};
+
 } // namespace pumiceturn::jobs
--- a/Libraries/LibJobs/JobTable.cpp
+++ b/Libraries/LibJobs/JobTable.cpp
@@ -73,7 +73,7 @@
 
 /// @return when a job may be dropped, or nothing while it has work left.
 std::optional<std::int64_t>
-DropTime(const Job& aJob)
+DropTimeOf(const Job& aJob)
 {
   if (aJob.IsOver()) {
     return aJob.ExpiresUnixMs();
@@ -140,10 +140,15 @@
       }
       if (!job->IsAccepted() && HasSameContent(*job, aBody.job_)) {
         // The lot was resent after an interruption: its items are here.
-        table_.Unindex(*job);
         job->description_ = aBody.job_;
         job->lastRecordUnixMs_ = wallUnixMs_;
-        table_.Index(*job);
+        table_.DropAt(aBody.job_.id_, jobs::DropTimeOf(*job));
+        return;
+      }
+      table_.Erase(aBody.job_.id_);
+    }
+    if (const auto* finished = table_.FindFinished(aBody.job_.id_)) {
+      if (wallUnixMs_ < finished->ExpiresUnixMs()) {
         return;
       }
       table_.Erase(aBody.job_.id_);
@@ -153,7 +158,8 @@
     opened.firstSequence_ = sequence_;
     opened.lastRecordUnixMs_ = wallUnixMs_;
     opened.items_.reserve(std::min(aBody.job_.itemCount_, kMaxReservedItems));
-    table_.Index(opened);
+    table_.firstSequences_.push_back({ sequence_, aBody.job_.id_ });
+    table_.DropAt(aBody.job_.id_, jobs::DropTimeOf(opened));
   }
 
   void operator()(const ItemsAccepted& aBody)
@@ -180,10 +186,8 @@
         job->ReceivedItems() != job->description_.itemCount_) {
       return;
     }
-    table_.Unindex(*job);
     job->phase_ = Job::Phase::Accepted;
     job->lastRecordUnixMs_ = wallUnixMs_;
-    table_.Index(*job);
     applied_.accepted_ = aBody.job_;
     if (job->description_.online_) {
       // The entry runs it from here on.
@@ -265,6 +269,9 @@
     const bool isOk = aEnded.result_.code_ == base::ResultCode::Ok;
     ++(isOk ? job.succeeded_ : job.failed_);
     CloseIfDone(job);
+    if (job.description_.online_) {
+      table_.Shrink(aEnded.run_.job_, isOk);
+    }
     return true;
   }
 
@@ -295,6 +302,10 @@
   if (const auto answer = AnswerFromPending(aRequest.job_, aRequest.digest_)) {
     return { *answer, {} };
   }
+  if (const auto answer =
+        AnswerFromFinished(aRequest.job_, aRequest.digest_, aNowUnixMs)) {
+    return { *answer, {} };
+  }
   const Job* job = Find(aRequest.job_);
   if (job != nullptr && job->IsAccepted() &&
       !IsOverAndExpired(*job, aNowUnixMs)) {
@@ -327,6 +338,10 @@
         AnswerFromPending(description.id_, description.digest_)) {
     return { *answer, {} };
   }
+  if (const auto answer =
+        AnswerFromFinished(description.id_, description.digest_, aNowUnixMs)) {
+    return { *answer, {} };
+  }
   const Job* job = Find(description.id_);
   if (job != nullptr && IsOverAndExpired(*job, aNowUnixMs)) {
     job = nullptr;
@@ -386,6 +401,19 @@
   return std::nullopt;
 }
 
+std::optional<Acceptance>
+JobTable::AnswerFromFinished(const base::JobId& aJob,
+                             std::uint64_t aDigest,
+                             std::int64_t aNowUnixMs) const
+{
+  const FinishedRequest* finished = FindFinished(aJob);
+  if (finished == nullptr || aNowUnixMs >= finished->ExpiresUnixMs()) {
+    return std::nullopt;
+  }
+  return finished->digest_ == aDigest ? Acceptance::Finished
+                                      : Acceptance::Conflict;
+}
+
 void
 JobTable::SettleAccept(const base::JobId& aJob, bool aIsDurable)
 {
@@ -663,6 +691,10 @@
 JobTable::Status(const base::JobId& aJob, std::string_view aPartner) const
 {
   wire::JobStatusReply reply;
+  const FinishedRequest* finished = FindFinished(aJob);
+  if (finished != nullptr && finished->partner_ == base::HashBytes(aPartner)) {
+    return StatusOf(aJob, *finished);
+  }
   const Job* job = Find(aJob, aPartner);
   if (job == nullptr || !job->IsAccepted()) {
     reply.code_ =
@@ -684,6 +716,21 @@
   return reply;
 }
 
+wire::JobStatusReply
+JobTable::StatusOf(const base::JobId& aJob, const FinishedRequest& aRequest)
+{
+  wire::JobStatusReply reply;
+  reply.state_ = wire::JobState::Finished;
+  reply.job_.id_ = aJob;
+  reply.job_.digest_ = aRequest.digest_;
+  reply.job_.itemCount_ = 1;
+  reply.job_.retentionS_ = aRequest.retentionS_;
+  reply.job_.online_ = true;
+  reply.succeeded_ = aRequest.succeeded_ ? 1 : 0;
+  reply.failed_ = aRequest.succeeded_ ? 0 : 1;
+  return reply;
+}
+
 std::vector<base::RunId>
 JobTable::UncertainRuns() const
 {
@@ -713,9 +760,14 @@
 JobTable::Expire(std::int64_t aNowUnixMs)
 {
   std::size_t count = 0;
-  while (!dropTimes_.empty() && dropTimes_.begin()->first <= aNowUnixMs) {
-    const base::JobId id = dropTimes_.begin()->second;
-    if (jobs_.at(id).IsOver()) {
+  while (!dropTimes_.empty() && dropTimes_.top().unixMs_ <= aNowUnixMs) {
+    const auto [unixMs, id] = dropTimes_.top();
+    dropTimes_.pop();
+    if (DropTimeOf(id) != unixMs) {
+      continue;
+    }
+    const Job* job = Find(id);
+    if (job == nullptr || job->IsOver()) {
       Remember(id);
     }
     Erase(id);
@@ -738,50 +790,86 @@
 }
 
 std::optional<std::uint64_t>
-JobTable::FirstNeededSequence() const
+JobTable::FirstNeededSequence()
 {
-  if (firstSequences_.empty()) {
-    return std::nullopt;
+  while (!firstSequences_.empty()) {
+    const auto& [sequence, id] = firstSequences_.front();
+    if (FirstSequenceOf(id) == sequence) {
+      return sequence;
+    }
+    firstSequences_.pop_front();
   }
-  return firstSequences_.begin()->first;
+  return std::nullopt;
 }
 
 void
 JobTable::Close(Job& aJob, Job::Phase aPhase, std::int64_t aUnixMs)
 {
-  Unindex(aJob);
   aJob.phase_ = aPhase;
   aJob.lastRecordUnixMs_ = aUnixMs;
   aJob.requeued_ = {};
   aJob.results_.shrink_to_fit();
-  Index(aJob);
+  DropAt(aJob.description_.id_, jobs::DropTimeOf(aJob));
 }
 
 void
-JobTable::Index(const Job& aJob)
+JobTable::Shrink(const base::JobId& aJob, bool aIsOk)
+{
+  const Job& job = jobs_.at(aJob);
+  FinishedRequest& finished = finished_[aJob];
+  finished.result_ = job.results_.front();
+  finished.digest_ = job.description_.digest_;
+  finished.partner_ = base::HashBytes(job.description_.partner_);
+  finished.firstSequence_ = job.firstSequence_;
+  finished.endedUnixMs_ = job.lastRecordUnixMs_;
+  constexpr std::uint64_t kMost = std::numeric_limits<std::uint32_t>::max();
+  finished.retentionS_ =
+    static_cast<std::uint32_t>(std::min(job.description_.retentionS_, kMost));
+  finished.succeeded_ = aIsOk;
+  jobs_.erase(aJob);
+  DropAt(aJob, finished.ExpiresUnixMs());
+}
+
+const FinishedRequest*
+JobTable::FindFinished(const base::JobId& aJob) const
 {
-  const base::JobId& id = aJob.description_.id_;
-  firstSequences_.insert({ aJob.firstSequence_, id });
-  if (const auto time = DropTime(aJob)) {
-    dropTimes_.insert({ *time, id });
-  }
+  const auto found = finished_.find(aJob);
+  return found == finished_.end() ? nullptr : &found->second;
 }
 
 void
-JobTable::Unindex(const Job& aJob)
+JobTable::DropAt(const base::JobId& aJob, std::optional<std::int64_t> aUnixMs)
+{
+  if (aUnixMs) {
+    dropTimes_.push({ *aUnixMs, aJob });
+  }
+}
+
+std::optional<std::int64_t>
+JobTable::DropTimeOf(const base::JobId& aJob) const
 {
-  const base::JobId& id = aJob.description_.id_;
-  firstSequences_.erase({ aJob.firstSequence_, id });
-  if (const auto time = DropTime(aJob)) {
-    dropTimes_.erase({ *time, id });
+  if (const FinishedRequest* finished = FindFinished(aJob)) {
+    return finished->ExpiresUnixMs();
   }
+  const Job* job = Find(aJob);
+  return job == nullptr ? std::nullopt : jobs::DropTimeOf(*job);
+}
+
+std::optional<std::uint64_t>
+JobTable::FirstSequenceOf(const base::JobId& aJob) const
+{
+  if (const FinishedRequest* finished = FindFinished(aJob)) {
+    return finished->firstSequence_;
+  }
+  const Job* job = Find(aJob);
+  return job == nullptr ? std::nullopt : std::optional(job->firstSequence_);
 }
 
 void
 JobTable::Erase(const base::JobId& aJob)
 {
-  Unindex(jobs_.at(aJob));
   jobs_.erase(aJob);
+  finished_.erase(aJob);
 }
 
 } // namespace pumiceturn::jobs
--- a/Libraries/LibJobs/JobTable.h
+++ b/Libraries/LibJobs/JobTable.h
@@ -7,7 +7,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
-#include <set>
+#include <queue>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
@@ -169,6 +169,10 @@
   [[nodiscard]] const Job* Find(const base::JobId& aJob,
                                 std::string_view aPartner) const;
 
+  /// @return a finished online request, or null. Find() knows it no longer.
+  [[nodiscard]] const FinishedRequest* FindFinished(
+    const base::JobId& aJob) const;
+
   /// @return whether the job's results were kept for their time and dropped.
   [[nodiscard]] bool IsExpired(const base::JobId& aJob) const;
 
@@ -188,9 +192,12 @@
   std::size_t Expire(std::int64_t aNowUnixMs);
 
   /// @return the lowest sequence that a kept job needs, or nothing.
-  [[nodiscard]] std::optional<std::uint64_t> FirstNeededSequence() const;
+  [[nodiscard]] std::optional<std::uint64_t> FirstNeededSequence();
 
-  [[nodiscard]] std::size_t JobCount() const { return jobs_.size(); }
+  [[nodiscard]] std::size_t JobCount() const
+  {
+    return jobs_.size() + finished_.size();
+  }
 
 private:
   struct Pending
@@ -206,6 +213,9 @@
   Item* FindItem(const base::RunId& aRun);
   std::optional<Acceptance> AnswerFromPending(const base::JobId& aJob,
                                               std::uint64_t aDigest) const;
+  std::optional<Acceptance> AnswerFromFinished(const base::JobId& aJob,
+                                               std::uint64_t aDigest,
+                                               std::int64_t aNowUnixMs) const;
   EndDecision RecordEnd(Job& aJob,
                         const base::RunId& aRun,
                         wire::ItemResult aResult);
@@ -213,16 +223,40 @@
   std::optional<EndAction> AnswerFromState(const base::RunId& aRun);
   static std::optional<std::uint32_t> NextWaiting(Job& aJob);
   void Remember(const base::JobId& aExpired);
-  void Index(const Job& aJob);
-  void Unindex(const Job& aJob);
+  void DropAt(const base::JobId& aJob, std::optional<std::int64_t> aUnixMs);
+  [[nodiscard]] std::optional<std::int64_t> DropTimeOf(
+    const base::JobId& aJob) const;
+  [[nodiscard]] std::optional<std::uint64_t> FirstSequenceOf(
+    const base::JobId& aJob) const;
+  void Shrink(const base::JobId& aJob, bool aIsOk);
+  static wire::JobStatusReply StatusOf(const base::JobId& aJob,
+                                       const FinishedRequest& aRequest);
   void Close(Job& aJob, Job::Phase aPhase, std::int64_t aUnixMs);
   void Erase(const base::JobId& aJob);
 
+  struct DropTime
+  {
+    std::int64_t unixMs_ = 0;
+    base::JobId job_;
+
+    auto operator<=>(const DropTime&) const = default;
+  };
+
+  struct FirstSequence
+  {
+    std::uint64_t sequence_ = 0;
+    base::JobId job_;
+  };
+
   std::unordered_map<base::JobId, Job> jobs_;
+  std::unordered_map<base::JobId, FinishedRequest> finished_;
   std::unordered_map<base::JobId, Pending> pending_;
-  /// Jobs that are over, and lots not accepted yet, by when they are dropped.
-  std::set<std::pair<std::int64_t, base::JobId>> dropTimes_;
-  std::set<std::pair<std::uint64_t, base::JobId>> firstSequences_;
+  /// When jobs that are over, and lots not accepted yet, are dropped; earliest
+  /// first. An entry that its job no longer agrees with is void.
+  std::priority_queue<DropTime, std::vector<DropTime>, std::greater<>>
+    dropTimes_;
+  /// In log order; void as above.
+  std::deque<FirstSequence> firstSequences_;
   /// Jobs dropped lately, so that their callers hear Expired. Best effort: a
   /// new owner says NotFound.
   std::unordered_set<base::JobId> expired_;
--- a/Libraries/LibKeeper/JobService.cpp
+++ b/Libraries/LibKeeper/JobService.cpp
@@ -428,7 +428,9 @@
     FlushEnds(aIndex, aPartition);
   }
   for (const base::JobId& job : applied.finished_) {
-    AfterFinished(*aPartition.table_.Find(job));
+    if (const jobs::Job* finished = aPartition.table_.Find(job)) {
+      AfterFinished(*finished);
+    }
   }
   return applied;
 }
@@ -470,30 +472,51 @@
     const bool isOk = ended.result_.code_ == base::ResultCode::Ok;
     ++(isOk ? counts_.succeeded_ : counts_.failed_);
     const jobs::Job* job = aPartition.table_.Find(id);
-    if (job == nullptr) {
+    const bool isWithdrawn =
+      std::find(aApplied.withdrawn_.begin(), aApplied.withdrawn_.end(), id) !=
+      aApplied.withdrawn_.end();
+    if (isWithdrawn) {
       ++counts_.withdrawn_;
       base::Log(kRequestWithdrawn,
                 { { "job", base::ToString(id) },
                   { "code", base::NameOf(ended.result_.code_) } });
     } else {
-      // Another attempt may still run: this result came late, and was first.
-      const jobs::Item& item = job->items_[ended.run_.item_];
-      const base::RunId latest{ id, ended.run_.item_, item.attempt_ };
-      if (const auto run = scheduler_.EndRun(latest, {})) {
-        Send(run->agent_, wire::CancelRun{ latest });
-      }
+      StopOtherAttempt(aPartition, ended.run_, job);
     }
-    if (job != nullptr && !job->description_.online_) {
+    if (job != nullptr) {
       continue;
     }
     wire::RecordReply reply;
     reply.state_ = wire::RecordState::Finished;
     reply.result_ = ended.result_;
-    reply.code_ = job == nullptr ? ended.result_.code_ : base::ResultCode::Ok;
+    reply.code_ = isWithdrawn ? ended.result_.code_ : base::ResultCode::Ok;
     ReplyWaiters(aPartition, id, reply);
   }
 }
 
+void
+JobService::StopOtherAttempt(const OwnedPartition& aPartition,
+                             const base::RunId& aEnded,
+                             const jobs::Job* aJob)
+{
+  // A result that came late may be the first, while the item runs again.
+  std::vector<base::RunId> runs;
+  const auto online = aPartition.online_.find(aEnded.job_);
+  if (aJob != nullptr) {
+    const jobs::Item& item = aJob->items_[aEnded.item_];
+    runs.push_back({ aEnded.job_, aEnded.item_, item.attempt_ });
+  } else if (online != aPartition.online_.end() && online->second.ownerRuns_) {
+    orphans_.erase(aEnded.job_);
+    runs = scheduler_.RunsWhere(
+      [&aEnded](const base::RunId& aRun) { return aRun.job_ == aEnded.job_; });
+  }
+  for (const base::RunId& id : runs) {
+    if (const auto run = scheduler_.EndRun(id, {})) {
+      Send(run->agent_, wire::CancelRun{ id });
+    }
+  }
+}
+
 void
 JobService::AfterFinished(const jobs::Job& aJob)
 {
--- a/Libraries/LibKeeper/JobService.h
+++ b/Libraries/LibKeeper/JobService.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -177,6 +178,9 @@
                  const jobs::ItemsEnded& aEnded,
                  const jobs::Applied& aApplied);
   void AfterAccepted(OwnedPartition& aPartition, const jobs::Job& aJob);
+  void StopOtherAttempt(const OwnedPartition& aPartition,
+                        const base::RunId& aEnded,
+                        const jobs::Job* aJob);
   void AfterFinished(const jobs::Job& aJob);
   void AfterCancelled(OwnedPartition& aPartition, const jobs::Job& aJob);
 
@@ -198,9 +202,9 @@
                    const Asker& aAsker,
                    const wire::JobDescription& aJob,
                    base::ResultCode aCode);
-  void ReplyFinished(const Asker& aAsker, const jobs::Job& aJob);
+  void ReplyFinished(const Asker& aAsker, const WantedResult& aWanted);
   void ReplyRecorded(const Asker& aAsker,
-                     const jobs::Job& aJob,
+                     const WantedResult& aWanted,
                      const wire::ItemResult& aReported);
   void ReplyWaiters(OwnedPartition& aPartition,
                     const base::JobId& aJob,
@@ -209,6 +213,11 @@
                                 const base::JobId& aJob,
                                 const std::string& aPartner) const;
   static WantedResult Want(const jobs::Job& aJob, std::uint32_t aPosition);
+  static std::optional<WantedResult> WantOnline(const jobs::JobTable& aTable,
+                                                const base::JobId& aJob);
+  static std::vector<WantedResult> WantPage(const jobs::JobTable& aTable,
+                                            const wire::ReadResults& aRequest,
+                                            bool& aEndsJob);
   base::Result<wire::ItemResult> ReadResult(const WantedResult& aWanted);
   wire::ResultsPage ReadPage(const std::vector<WantedResult>& aWanted,
                              bool aEndsJob);
--- a/Libraries/LibKeeper/JobServiceRequests.cpp
+++ b/Libraries/LibKeeper/JobServiceRequests.cpp
@@ -52,7 +52,8 @@
     return;
   }
   OwnedPartition& partition = *route.partition_;
-  const bool isKnown = partition.table_.Find(aRequest.job_) != nullptr;
+  const bool isKnown = partition.table_.Find(aRequest.job_) != nullptr ||
+                       partition.table_.FindFinished(aRequest.job_) != nullptr;
   if (!isKnown && (draining_ || !ports_.hasRoom_())) {
     reply.code_ =
       draining_ ? base::ResultCode::Draining : base::ResultCode::DiskFull;
@@ -79,7 +80,7 @@
       return;
     case jobs::Acceptance::Finished:
       ++counts_.duplicateSubmissions_;
-      ReplyFinished(asker, *partition.table_.Find(aRequest.job_));
+      ReplyFinished(asker, *WantOnline(partition.table_, aRequest.job_));
       return;
     case jobs::Acceptance::Running:
     case jobs::Acceptance::Duplicate:
@@ -194,10 +195,9 @@
     case jobs::EndAction::Forget:
       break;
   }
-  const jobs::Job* job = partition.table_.Find(id);
-  if (job != nullptr && job->IsOver()) {
+  if (const auto wanted = WantOnline(partition.table_, id)) {
     ++counts_.resultsDropped_;
-    ReplyRecorded(asker, *job, aResult.result_);
+    ReplyRecorded(asker, *wanted, aResult.result_);
     return;
   }
   // A withdrawal that is reported again finds nothing, and needs nothing.
@@ -255,7 +255,7 @@
     case jobs::Acceptance::Finished:
       ++counts_.duplicateSubmissions_;
       reply.duplicate_ = true;
-      reply.job_ = known->description_;
+      reply.job_ = known == nullptr ? aFrame.job_ : known->description_;
       break;
     case jobs::Acceptance::Conflict:
       ++counts_.keyConflicts_;
@@ -383,6 +383,50 @@
            isNotRun ? base::Ran::NotRun : base::Ran::Unknown };
 }
 
+std::optional<JobService::WantedResult>
+JobService::WantOnline(const jobs::JobTable& aTable, const base::JobId& aJob)
+{
+  if (const jobs::FinishedRequest* finished = aTable.FindFinished(aJob)) {
+    return WantedResult{
+      jobs::ResultSource::Recorded, finished->result_, {}, 0, {}
+    };
+  }
+  const jobs::Job* job = aTable.Find(aJob);
+  if (job == nullptr || !job->IsOver()) {
+    return std::nullopt;
+  }
+  return Want(*job, 0);
+}
+
+std::vector<JobService::WantedResult>
+JobService::WantPage(const jobs::JobTable& aTable,
+                     const wire::ReadResults& aRequest,
+                     bool& aEndsJob)
+{
+  std::vector<WantedResult> wanted;
+  const jobs::Job* job = aTable.Find(aRequest.job_);
+  if (job == nullptr) {
+    aEndsJob = true;
+    if (const auto online = WantOnline(aTable, aRequest.job_);
+        online && aRequest.from_ == 0) {
+      wanted.push_back(*online);
+    }
+    return wanted;
+  }
+  const auto size = static_cast<std::uint32_t>(job->results_.size());
+  const std::uint32_t limit = aRequest.limit_ == 0
+                                ? kDefaultPageItems
+                                : std::min(aRequest.limit_, kDefaultPageItems);
+  const std::uint32_t begin = std::min(aRequest.from_, size);
+  const std::uint32_t end = begin + std::min(limit, size - begin);
+  wanted.reserve(end - begin);
+  for (std::uint32_t position = begin; position < end; ++position) {
+    wanted.push_back(Want(*job, position));
+  }
+  aEndsJob = job->IsOver() && end == size;
+  return wanted;
+}
+
 base::Result<wire::ItemResult>
 JobService::ReadResult(const WantedResult& aWanted)
 {
@@ -435,28 +479,17 @@
   refusal.call_ = aRequest.call_;
   refusal.code_ = route.code_;
   refusal.ownerHint_ = route.ownerHint_;
-  const jobs::Job* job = nullptr;
   if (route.partition_ != nullptr) {
-    const jobs::JobTable& table = route.partition_->table_;
-    job = table.Find(aRequest.job_, aRequest.partner_);
-    refusal.code_ = table.Status(aRequest.job_, aRequest.partner_).code_;
+    refusal.code_ =
+      route.partition_->table_.Status(aRequest.job_, aRequest.partner_).code_;
   }
-  if (job == nullptr || refusal.code_ != base::ResultCode::Ok) {
+  if (route.partition_ == nullptr || refusal.code_ != base::ResultCode::Ok) {
     Send(aPeer, std::move(refusal));
     return;
   }
-  const auto size = static_cast<std::uint32_t>(job->results_.size());
-  const std::uint32_t limit = aRequest.limit_ == 0
-                                ? kDefaultPageItems
-                                : std::min(aRequest.limit_, kDefaultPageItems);
-  const std::uint32_t begin = std::min(aRequest.from_, size);
-  const std::uint32_t end = begin + std::min(limit, size - begin);
-  std::vector<WantedResult> wanted;
-  wanted.reserve(end - begin);
-  for (std::uint32_t position = begin; position < end; ++position) {
-    wanted.push_back(Want(*job, position));
-  }
-  const bool endsJob = job->IsOver() && end == size;
+  bool endsJob = false;
+  std::vector<WantedResult> wanted =
+    WantPage(route.partition_->table_, aRequest, endsJob);
   outbox_.Add([this,
                self = shared_from_this(),
                aPeer,
@@ -472,48 +505,44 @@
 }
 
 void
-JobService::ReplyFinished(const Asker& aAsker, const jobs::Job& aJob)
+JobService::ReplyFinished(const Asker& aAsker, const WantedResult& aWanted)
+{
+  outbox_.Add([this, self = shared_from_this(), aAsker, wanted = aWanted] {
+    ports_.post_([this, self, aAsker, wanted] {
+      wire::ResultsPage page = ReadPage({ wanted }, true);
+      wire::RecordReply reply;
+      reply.call_ = aAsker.call_;
+      reply.code_ = page.code_;
+      reply.state_ = wire::RecordState::Finished;
+      if (!page.items_.empty()) {
+        reply.result_ = std::move(page.items_.front());
+      }
+      ports_.send_(aAsker.peer_, std::move(reply));
+    });
+  });
+}
+
+void
+JobService::ReplyRecorded(const Asker& aAsker,
+                          const WantedResult& aWanted,
+                          const wire::ItemResult& aReported)
 {
   outbox_.Add(
-    [this, self = shared_from_this(), aAsker, wanted = Want(aJob, 0)] {
-      ports_.post_([this, self, aAsker, wanted] {
+    [this, self = shared_from_this(), aAsker, wanted = aWanted, aReported] {
+      ports_.post_([this, self, aAsker, wanted, aReported] {
         wire::ResultsPage page = ReadPage({ wanted }, true);
-        wire::RecordReply reply;
+        wire::RecordResultReply reply;
         reply.call_ = aAsker.call_;
         reply.code_ = page.code_;
-        reply.state_ = wire::RecordState::Finished;
         if (!page.items_.empty()) {
           reply.result_ = std::move(page.items_.front());
+          // The same result reported again, because a reply was lost, is first.
+          reply.first_ = reply.result_.code_ == aReported.code_ &&
+                         reply.result_.text_ == aReported.text_;
         }
         ports_.send_(aAsker.peer_, std::move(reply));
       });
     });
 }
 
-void
-JobService::ReplyRecorded(const Asker& aAsker,
-                          const jobs::Job& aJob,
-                          const wire::ItemResult& aReported)
-{
-  outbox_.Add([this,
-               self = shared_from_this(),
-               aAsker,
-               wanted = Want(aJob, 0),
-               aReported] {
-    ports_.post_([this, self, aAsker, wanted, aReported] {
-      wire::ResultsPage page = ReadPage({ wanted }, true);
-      wire::RecordResultReply reply;
-      reply.call_ = aAsker.call_;
-      reply.code_ = page.code_;
-      if (!page.items_.empty()) {
-        reply.result_ = std::move(page.items_.front());
-        // The same result reported again, because a reply was lost, is first.
-        reply.first_ = reply.result_.code_ == aReported.code_ &&
-                       reply.result_.text_ == aReported.text_;
-      }
-      ports_.send_(aAsker.peer_, std::move(reply));
-    });
-  });
-}
-
 } // namespace pumiceturn::keeper
--- a/Libraries/LibKeeper/JobServiceRuns.cpp
+++ b/Libraries/LibKeeper/JobServiceRuns.cpp
@@ -311,9 +311,9 @@
     case EndNotice::RecordResultReply:
       break;
   }
-  const jobs::Job* job = aPartition.table_.Find(aEnd.ended_.run_.job_);
-  if (!aIsFirst && job != nullptr && job->IsOver()) {
-    ReplyRecorded(aEnd.asker_, *job, aEnd.ended_.result_);
+  const auto wanted = WantOnline(aPartition.table_, aEnd.ended_.run_.job_);
+  if (!aIsFirst && wanted) {
+    ReplyRecorded(aEnd.asker_, *wanted, aEnd.ended_.result_);
     return;
   }
   wire::RecordResultReply reply;
--- a/Tests/LibJobs/JobFixture.h
+++ b/Tests/LibJobs/JobFixture.h
@@ -137,7 +137,10 @@
   [[nodiscard]] wire::ItemResult ResultAt(const base::JobId& aJob,
                                           std::uint32_t aPosition) const
   {
-    const ResultPlace& place = table_.Find(aJob)->results_.at(aPosition);
+    const FinishedRequest* online = table_.FindFinished(aJob);
+    const ResultPlace& place = online != nullptr
+                                 ? online->result_
+                                 : table_.Find(aJob)->results_.at(aPosition);
     return std::get<ItemsEnded>(log_.at(place.record_.offset_).body_)
       .ended_.at(place.index_)
       .result_;
--- a/Tests/LibJobs/JobTableExplorerTest.cpp
+++ b/Tests/LibJobs/JobTableExplorerTest.cpp
@@ -62,30 +62,37 @@
     TakeOver(aWorld, aDepth);
   }
 
+  /// @return the result that callers are given, or empty.
   std::string AnswerOf(const LoggedTable& aOwner) const
   {
+    if (aOwner.table_.FindFinished(job_) != nullptr) {
+      return aOwner.ResultAt(job_, 0).text_;
+    }
     const Job* job = aOwner.table_.Find(job_);
-    return job->SourceOf(0) == ResultSource::Cancelled
-             ? "cancelled"
-             : aOwner.ResultAt(job_, 0).text_;
+    return job != nullptr && job->IsOver() ? "cancelled" : "";
   }
 
   void Check(const World& aWorld)
   {
     const LoggedTable replayed = aWorld.owner_.TakeOver();
-    const Job* live = aWorld.owner_.table_.Find(job_);
-    const Job* next = replayed.table_.Find(job_);
-    const bool isOver = live != nullptr && live->IsOver();
-    finished_ += isOver ? 1 : 0;
-    if (isOver) {
+    const std::string live = AnswerOf(aWorld.owner_);
+    const Job* job = aWorld.owner_.table_.Find(job_);
+    if (job != nullptr && job->IsOver()) {
+      Require(job->results_.size() == 1, aWorld, "not one result");
+      Require(job->SourceOf(0) == ResultSource::Cancelled,
+              aWorld,
+              "a finished request was not taken out");
+    }
+    if (!live.empty()) {
+      ++finished_;
       // Not by place: a result that was appended again lies there twice.
-      const bool isSame = next != nullptr && next->phase_ == live->phase_ &&
-                          AnswerOf(replayed) == AnswerOf(aWorld.owner_);
-      Require(isSame, aWorld, "a replay gives another result");
-      Require(live->results_.size() == 1, aWorld, "not one result");
+      Require(
+        AnswerOf(replayed) == live, aWorld, "a replay gives another result");
     }
     Require(aWorld.answers_.size() <= 1, aWorld, "callers heard different");
-    const bool isKept = next != nullptr && next->IsAccepted();
+    const Job* next = replayed.table_.Find(job_);
+    const bool isKept = (next != nullptr && next->IsAccepted()) ||
+                        replayed.table_.FindFinished(job_) != nullptr;
     Require(!aWorld.toldAccepted_ || isKept, aWorld, "accepted, then lost");
   }
 
--- a/Tests/LibKeeper/OnlineTest.cpp
+++ b/Tests/LibKeeper/OnlineTest.cpp
@@ -180,4 +180,22 @@
   CHECK(keeper_->Sent<StartRun>("agent-2").empty());
 }
 
+TEST_CASE_METHOD(KeeperFixture, "Online_LateResultOfLostEntry_StopsOwnersRun")
+{
+  const auto request = Request("key");
+  Ask("entry-1", request);
+  keeper_->Link("entry-1", LinkState::Replaced);
+  keeper_->Pass(std::chrono::milliseconds{ 100 });
+  const auto start = keeper_->SentOne<StartRun>("agent-1");
+  keeper_->From(
+    "agent-2",
+    wire::RunEnded{
+      { request.job_, 0, 1 }, 1, ResultCode::Ok, Ran::Ran, "late", 1, 0, {} });
+  CHECK(keeper_->SentOne<wire::CancelRun>("agent-1").run_ == start.run_);
+  CHECK(keeper_->Status(request.job_).succeeded_ == 1);
+  keeper_->Pass(std::chrono::seconds{ 60 });
+  CHECK(keeper_->Status(request.job_).code_ == ResultCode::Expired);
+  CHECK(Ask("entry-2", request).state_ == RecordState::New);
+}
+
 } // namespace pumiceturn::keeper
