LibKeeper: Test what broken guards slipped past

Mutation trials: a shorter settle time, a repeated JobOpened, a failure of a former owner's run and ungrouped results passed the tests before; each now fails one.

--- a/Tests/LibJobs/JobTableTest.cpp
+++ b/Tests/LibJobs/JobTableTest.cpp
@@ -259,8 +259,12 @@
     twice.Write(record);
     twice.Write(record);
   }
-  CHECK(twice.table_.Status(lot_.id_, "slaegtsspor") ==
-        table_.Status(lot_.id_, "slaegtsspor"));
+  const wire::JobStatusReply status = table_.Status(lot_.id_, "slaegtsspor");
+  CHECK(twice.table_.Status(lot_.id_, "slaegtsspor") == status);
+  for (const Record& record : log_) {
+    twice.Write(record);
+    CHECK(twice.table_.Status(lot_.id_, "slaegtsspor") == status);
+  }
 }
 
 } // namespace pumiceturn::jobs
--- a/Tests/LibKeeper/LotTest.cpp
+++ b/Tests/LibKeeper/LotTest.cpp
@@ -69,6 +69,7 @@
   keeper_->Finish("agent-1", starts[0], "a");
   TakeOver();
   keeper_->Grant("agent-2", 9);
+  keeper_->Pass(std::chrono::milliseconds{ 500 });
   CHECK(keeper_->Sent<StartRun>("agent-2").empty());
   keeper_->Finish("agent-1", starts[1], "b");
   CHECK(keeper_->SentOne<wire::RunRecorded>("agent-1").run_ == starts[1].run_);
@@ -277,6 +278,40 @@
   CHECK(keeper_->Read(lot.id_).items_.size() == 1);
 }
 
+TEST_CASE_METHOD(KeeperFixture, "Lot_ResultsDuringAnAppend_ShareTheNextRecord")
+{
+  const auto lot = Submit("lot", 4);
+  keeper_->Grant("agent-1", 4);
+  const auto starts = keeper_->Sent<StartRun>("agent-1");
+  const std::size_t before = log_->records_.size();
+  keeper_->mode_ = AppendMode::Held;
+  for (const StartRun& start : starts) {
+    keeper_->Finish("agent-1", start, "a");
+  }
+  keeper_->Acknowledge();
+  CHECK(log_->records_.size() == before + 2);
+  CHECK(keeper_->Sent<wire::RunRecorded>("agent-1").size() == 4);
+  CHECK(keeper_->Read(lot.id_).items_.size() == 4);
+}
+
+TEST_CASE_METHOD(KeeperFixture, "Lot_FormerOwnersRunFails_RerunIsNotDisturbed")
+{
+  // After a takeover an item runs again under the same attempt number, because
+  // the former owner's dispatch left no record. Its old run then fails.
+  Submit("lot", 1);
+  keeper_->Grant("agent-1", 1);
+  const auto old = keeper_->SentOne<StartRun>("agent-1");
+  TakeOver();
+  Settle();
+  keeper_->Grant("agent-2", 1);
+  const auto rerun = keeper_->SentOne<StartRun>("agent-2");
+  REQUIRE(rerun.run_ == old.run_);
+  keeper_->Grant("agent-1", 1);
+  keeper_->Fail("agent-1", old.run_, ResultCode::EndpointLost, Ran::Unknown);
+  CHECK(keeper_->Sent<StartRun>("agent-1").empty());
+  CHECK(keeper_->SentOne<wire::RunRecorded>("agent-1").run_ == old.run_);
+}
+
 TEST_CASE_METHOD(KeeperFixture, "Lot_RefusedOrUnsent_WaitsWithoutAnAttempt")
 {
   const auto lot = Submit("lot", 1);
