LibJobs: Expect a job's finish after the jobs ahead of it

The estimate took all of the service's rate for the one job. Now the partner's jobs with less laxity count too, and the partner's share of the rate.

--- a/Libraries/LibJobs/BatchScheduler.cpp
+++ b/Libraries/LibJobs/BatchScheduler.cpp
@@ -352,10 +352,14 @@
 }
 
 std::int64_t
-BatchScheduler::WorkMs(std::string_view aService, std::uint64_t aItems) const
+BatchScheduler::ExpectedWorkMs(std::string_view aService,
+                               const base::JobId& aJob,
+                               std::uint32_t aRunning) const
 {
   const auto found = services_.find(aService);
-  return found == services_.end() ? 0 : found->second.queue_.WorkMs(aItems);
+  return found == services_.end()
+           ? 0
+           : found->second.queue_.ExpectedWorkMs(aJob, aRunning);
 }
 
 } // namespace pumiceturn::jobs
--- a/Libraries/LibJobs/BatchScheduler.h
+++ b/Libraries/LibJobs/BatchScheduler.h
@@ -122,8 +122,10 @@
                                       std::int64_t aNowUnixMs);
 
   [[nodiscard]] std::uint64_t Waiting(std::string_view aService) const;
-  [[nodiscard]] std::int64_t WorkMs(std::string_view aService,
-                                    std::uint64_t aItems) const;
+  /// As LaxityQueue::ExpectedWorkMs().
+  [[nodiscard]] std::int64_t ExpectedWorkMs(std::string_view aService,
+                                            const base::JobId& aJob,
+                                            std::uint32_t aRunning) const;
 
 private:
   struct Credits
--- a/Libraries/LibJobs/LaxityQueue.cpp
+++ b/Libraries/LibJobs/LaxityQueue.cpp
@@ -146,13 +146,42 @@
 }
 
 std::int64_t
-LaxityQueue::WorkMs(std::uint64_t aItems) const
+LaxityQueue::WorkMs(double aItems) const
 {
   // No item is done sooner than one service time, however many run at once.
-  const double shared = static_cast<double>(aItems) * serviceMs_ / parallelism_;
+  const double shared = aItems * serviceMs_ / parallelism_;
   return static_cast<std::int64_t>(std::max(shared, serviceMs_));
 }
 
+double
+LaxityQueue::ShareOf(std::uint32_t aPartner) const
+{
+  double weights = 0.0;
+  for (const auto& [served, index] : byService_) {
+    weights += partners_[index].weight_;
+  }
+  return weights == 0.0 ? 1.0 : partners_[aPartner].weight_ / weights;
+}
+
+std::int64_t
+LaxityQueue::ExpectedWorkMs(const base::JobId& aJob,
+                            std::uint32_t aRunning) const
+{
+  const auto found = entries_.find(aJob);
+  if (found == entries_.end()) {
+    return WorkMs(aRunning);
+  }
+  const std::uint32_t partner = found->second.partner_;
+  double items = aRunning;
+  for (const auto& [latestStart, job] : partners_[partner].jobs_) {
+    items += entries_.at(job).items_;
+    if (job == aJob) {
+      break;
+    }
+  }
+  return WorkMs(items / ShareOf(partner));
+}
+
 LaxityQueue::LatestStart
 LaxityQueue::LatestStartOf(const Entry& aEntry) const
 {
--- a/Libraries/LibJobs/LaxityQueue.h
+++ b/Libraries/LibJobs/LaxityQueue.h
@@ -82,8 +82,11 @@
   [[nodiscard]] std::optional<std::int64_t> LeastLaxityMs(
     std::int64_t aNowUnixMs) const;
 
-  /// @return time until so many items are done, at the measured rate.
-  [[nodiscard]] std::int64_t WorkMs(std::uint64_t aItems) const;
+  /// Estimates when a job's items are done: its partner's jobs that go first
+  /// count too, and other partners take their shares meanwhile.
+  /// @param aRunning Items of the job that run now.
+  [[nodiscard]] std::int64_t ExpectedWorkMs(const base::JobId& aJob,
+                                            std::uint32_t aRunning) const;
 
 private:
   /// Due time less remaining work. A job's laxity is this less now, so the
@@ -106,6 +109,8 @@
     std::set<std::pair<LatestStart, base::JobId>> jobs_;
   };
 
+  [[nodiscard]] std::int64_t WorkMs(double aItems) const;
+  [[nodiscard]] double ShareOf(std::uint32_t aPartner) const;
   std::uint32_t PartnerIndex(std::string_view aName, std::uint32_t aWeight);
   void Link(std::uint32_t aPartner);
   void Unlink(std::uint32_t aPartner);
--- a/Libraries/LibKeeper/JobServiceRequests.cpp
+++ b/Libraries/LibKeeper/JobServiceRequests.cpp
@@ -303,9 +303,9 @@
 {
   wire::JobStatusReply reply = aPartition.table_.Status(aJob, aPartner);
   if (reply.state_ == wire::JobState::Running && !reply.job_.online_) {
-    const std::uint64_t left = reply.waiting_ + reply.running_;
     reply.expectedFinishUnixMs_ =
-      ports_.wallUnixMs_() + scheduler_.WorkMs(reply.job_.service_, left);
+      ports_.wallUnixMs_() +
+      scheduler_.ExpectedWorkMs(reply.job_.service_, aJob, reply.running_);
   }
   return reply;
 }
--- a/Tests/LibJobs/LaxityQueueTest.cpp
+++ b/Tests/LibJobs/LaxityQueueTest.cpp
@@ -112,6 +112,21 @@
   CHECK(queue_.Take(kNow)->job_ == base::JobId{ 2, 2 });
 }
 
+TEST_CASE_METHOD(LaxityQueueFixture,
+                 "LaxityQueue_ExpectedWork_CountsJobsAheadAndShares")
+{
+  // One second for each item, one at a time.
+  queue_.Add({ 1, 1 }, "society", 1, kFarOff, 10);
+  CHECK(queue_.ExpectedWorkMs({ 1, 1 }, 0) == 10'000);
+  CHECK(queue_.ExpectedWorkMs({ 1, 1 }, 2) == 12'000);
+  queue_.Add({ 2, 2 }, "society", 1, kFarOff - 100'000, 5);
+  CHECK(queue_.ExpectedWorkMs({ 1, 1 }, 0) == 15'000);
+  CHECK(queue_.ExpectedWorkMs({ 2, 2 }, 0) == 5'000);
+  queue_.Add({ 3, 3 }, "publisher", 3, kFarOff, 1000);
+  CHECK(queue_.ExpectedWorkMs({ 2, 2 }, 0) == 20'000);
+  CHECK(queue_.ExpectedWorkMs({ 9, 9 }, 0) == 1'000);
+}
+
 TEST_CASE_METHOD(BatchSchedulerFixture,
                  "BatchScheduler_NoCredit_NothingIsAssigned")
 {
