--- a/Libraries/LibEntry/EntryFunction.cpp
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -64,27 +64,6 @@
   return options;
 }
 
-bool
-IsKeeper(const settings::ListedHost& aHost)
-{
-  const auto& functions = aHost.functions();
-  return std::find(functions.begin(),
-                   functions.end(),
-                   settings::FUNCTION_KEEPER) != functions.end();
-}
-
-/// Keeps a link to each listed keeper: any may own a partition.
-void
-ConnectKeepers(const node::Context& aContext, const settings::HostList& aHosts)
-{
-  for (const settings::ListedHost& host : aHosts.hosts()) {
-    const bool isOther = host.name() != aContext.settings_.host();
-    if (IsKeeper(host) && isOther && !host.link_address().empty()) {
-      aContext.links_.Connect(host.name(), host.link_address());
-    }
-  }
-}
-
 } // namespace
 
 struct EntryFunction::State
@@ -119,13 +98,11 @@
   aCore->context_.hosts_.Subscribe(
     [weak](const platform::HostDirectory::Snapshot& aNew) {
       if (const auto core = weak.lock()) {
-        ConnectKeepers(core->context_, *aNew);
         core->online_->OnHostList(*aNew);
       }
     });
   aCore->online_->OnConfiguration(*aCore->context_.configuration_.Current());
   if (const auto hosts = aCore->context_.hosts_.Current()) {
-    ConnectKeepers(aCore->context_, *hosts);
     aCore->online_->OnHostList(*hosts);
   }
 }
@@ -218,9 +195,6 @@
 {
   const EntryCore& core = *state_->core_;
   aHeartbeat.draining_ = aHeartbeat.draining_ || core.draining_;
-  if (aHeartbeat.suspects_.empty()) {
-    aHeartbeat.suspects_ = core.context_.quarantine_.List(base::MonotonicNow());
-  }
 }
 
 void
--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -202,6 +202,16 @@
   return calls_.size();
 }
 
+bool
+OnlineCalls::HasRun(const wire::RunId& aRun) const
+{
+  if (!OnlineRequest::IsEntryAttempt(aRun.attempt_)) {
+    return false;
+  }
+  const std::lock_guard lock(mutex_);
+  return callsByJob_.contains(aRun.job_) || concluded_.contains(aRun.job_);
+}
+
 std::map<std::string, wire::Heartbeat>
 OnlineCalls::Heartbeats() const
 {
@@ -218,7 +228,6 @@
     router_.OnLinkState(aPeer, wire::LinkState::Up);
   }
   router_.OnHeartbeat(aPeer, aMessage, now);
-  context_.quarantine_.Merge(aMessage.suspects_, now);
   heartbeats_[aPeer] = aMessage;
 }
 
--- a/Libraries/LibEntry/OnlineCalls.h
+++ b/Libraries/LibEntry/OnlineCalls.h
@@ -53,6 +53,9 @@
 
   [[nodiscard]] std::size_t Count() const;
 
+  /// @return whether a call that runs, or has ended lately, started the run.
+  [[nodiscard]] bool HasRun(const wire::RunId& aRun) const;
+
   /// @return whether a run of this job is, or lately was, this entry's own.
   [[nodiscard]] bool HasJob(const wire::JobId& aJob) const;
 
--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -107,6 +107,12 @@
 
 } // namespace
 
+bool
+OnlineRequest::IsEntryAttempt(std::uint32_t aAttempt)
+{
+  return (aAttempt & kEntryAttempt) != 0;
+}
+
 OnlineRequest::OnlineRequest(OnlineDescription aDescription)
   : description_(std::move(aDescription))
   , jitter_(description_.random_)
--- a/Libraries/LibEntry/OnlineRequest.h
+++ b/Libraries/LibEntry/OnlineRequest.h
@@ -50,6 +50,10 @@
   static constexpr std::uint32_t kMaxRefusedEndpoints = 4;
   static constexpr std::uint32_t kCrashesToBlame = 2;
 
+  /// @return whether an entry numbered this attempt; owners count from small
+  /// numbers.
+  static bool IsEntryAttempt(std::uint32_t aAttempt);
+
   explicit OnlineRequest(OnlineDescription aDescription);
 
   void Begin(base::Instant aNow);
--- a/Tests/LibEntry/EntryFunctionTest.cpp
+++ b/Tests/LibEntry/EntryFunctionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 namespace pumiceturn::entry {
 
 namespace {
@@ -359,9 +361,8 @@
     CHECK(fleet.Operators().Quarantine(context.get(), {}, &reply).ok());
     return reply;
   };
-  wire::Heartbeat heartbeat;
-  heartbeat.suspects_.push_back({ 0xABC, 2, 60000 });
-  fleet.Entry().OnMessage("agent-0", heartbeat);
+  const std::array suspects{ wire::Suspect{ 0xABC, 2, 60000 } };
+  fleet.Quarantine().Merge(suspects, base::MonotonicNow());
   REQUIRE(list().entries_size() == 1);
   CHECK(list().entries(0).quarantined());
 
--- a/Tests/LibEntry/FakeFleet.h
+++ b/Tests/LibEntry/FakeFleet.h
@@ -74,6 +74,7 @@
 
   void KillFirstAgent() { agents_[0].reset(); }
 
+  routing::QuarantineTable& Quarantine() { return quarantine_; }
   EntryFunction& Entry() { return *entry_; }
   FakePeer& Keeper() { return *keeper_; }
   FakePeer& Agent(std::size_t aIndex) { return *agents_.at(aIndex); }
