LibEntry: Queue a page of results at once

Cause: results of a page were queued one by one; gRPC could write all that was queued before the next came, which counted as the page being taken, so the same page was asked for again beside its own rest. Ruled out: doubled placement (1,800 batch_placed lines for 6 lots of 300) and the owner's positions (each item had one position). Change: MessageStream::PushAll takes a page under one lock. Conclusion: the reader asks for a page only when the one before is written.

--- a/Libraries/LibEntry/MessageStream.h
+++ b/Libraries/LibEntry/MessageStream.h
@@ -2,12 +2,15 @@
 
 #include <grpcpp/support/server_callback.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pumiceturn::entry {
 
@@ -36,13 +39,22 @@
   void SetHandlers(Handlers aHandlers) { handlers_ = std::move(aHandlers); }
 
   void Push(Message aMessage)
+  {
+    std::vector<Message> one;
+    one.push_back(std::move(aMessage));
+    PushAll(std::move(one));
+  }
+
+  /// Queues messages as one: the stream is not drained before the last of them
+  /// is written.
+  void PushAll(std::vector<Message> aMessages)
   {
     {
       const std::lock_guard lock(mutex_);
       if (closing_.has_value()) {
         return;
       }
-      queue_.push_back(std::move(aMessage));
+      std::move(aMessages.begin(), aMessages.end(), std::back_inserter(queue_));
     }
     WriteNext();
   }
--- a/Libraries/LibEntry/ResultsReader.cpp
+++ b/Libraries/LibEntry/ResultsReader.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace pumiceturn::entry {
 
@@ -72,9 +73,14 @@
     return;
   }
   from_ = page.items_.back().position_ + 1;
+  std::vector<caller::ItemResult> results;
+  results.reserve(page.items_.size());
   for (wire::ItemResult& item : page.items_) {
-    stream_->Push(MakeItemResult(std::move(item)));
+    results.push_back(MakeItemResult(std::move(item)));
   }
+  // At once: a caller faster than this loop would drain the stream in its
+  // middle, and this page would be asked for again.
+  stream_->PushAll(std::move(results));
 }
 
 void
--- a/Tests/LibEntry/EntryFunctionTest.cpp
+++ b/Tests/LibEntry/EntryFunctionTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <numeric>
 
 namespace pumiceturn::entry {
 
@@ -38,15 +39,12 @@
     }
   }
 
-  /// Three results, two on a page.
-  static wire::ResultsPage MakePage(const wire::ReadResults& aRead)
+  wire::ResultsPage MakePage(const wire::ReadResults& aRead) const
   {
-    constexpr std::uint32_t kResults = 3;
-    constexpr std::uint32_t kPage = 2;
     wire::ResultsPage page;
     page.call_ = aRead.call_;
     for (std::uint32_t position = aRead.from_;
-         position < kResults && page.items_.size() < kPage;
+         position < results_ && page.items_.size() < pageItems_;
          ++position) {
       wire::ItemResult item;
       item.position_ = position;
@@ -54,9 +52,12 @@
       item.ran_ = Ran::Ran;
       page.items_.push_back(item);
     }
-    page.ended_ = aRead.from_ + kPage >= kResults;
+    page.ended_ = aRead.from_ + pageItems_ >= results_;
     return page;
   }
+
+  std::uint32_t results_ = 3;
+  std::uint32_t pageItems_ = 2;
 };
 
 void
@@ -351,6 +352,34 @@
         std::vector<std::string>{ "result 0", "result 1", "result 2" });
 }
 
+// Story: a society reads a lot's results and finds some lines twice and the
+// last ones missing. Order: the entry queues a page's results one by one; gRPC
+// has written all that is queued before the next is there, so the page counts
+// as taken, and the same page is asked for again, beside its own rest.
+TEST_CASE("EntryFunction_CallerFasterThanThePage_GetsEachResultOnceInOrder")
+{
+  constexpr std::uint32_t kResults = 1000;
+  constexpr std::uint32_t kPage = 256;
+  constexpr int kReads = 10;
+  FakeFleet fleet(AcceptingKeeper{ kResults, kPage }, AnswerRun, AnswerRun);
+  fleet.WaitForLinks({});
+  std::vector<std::uint32_t> expected(kResults);
+  std::iota(expected.begin(), expected.end(), 0U);
+  for (int read = 0; read < kReads; ++read) {
+    const auto context = FakeFleet::MakeContext();
+    caller::ReadResultsRequest request;
+    request.set_job_key("lot-1");
+    const auto stream = fleet.Callers().ReadResults(context.get(), request);
+    std::vector<std::uint32_t> positions;
+    caller::ItemResult item;
+    while (stream->Read(&item)) {
+      positions.push_back(item.position());
+    }
+    CHECK(stream->Finish().ok());
+    CHECK(positions == expected);
+  }
+}
+
 // Story: an operator sees which content is refused and lets it run again.
 TEST_CASE("EntryFunction_QuarantineLifted_IsGoneFromTheList")
 {
