LibWire: Answer a heartbeat with the peer's own

Heartbeats were sent by both sides, each with its return and finish. Now the side that dialed calls and the other's heartbeat comes back in the result; a silent direction still shows at both ends, by the missing call or answer.

--- a/Benchmarks/Wire/Idle.cpp
+++ b/Benchmarks/Wire/Idle.cpp
@@ -10,7 +10,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -69,8 +71,13 @@
     heartbeat.partitionTableRevision_ = 1000;
     return heartbeat;
   };
-  return std::get<0>(base::Capture(
-    [&] { return LinkTable::Start(options, std::move(handlers)); }));
+  auto table = base::Capture(
+    [&] { return LinkTable::Start(options, std::move(handlers)); });
+  if (const auto* failure = std::get_if<base::Failure>(&table)) {
+    fmt::print(stderr, "{}: {}\n", aAddress, failure->detail_);
+    std::exit(EXIT_FAILURE);
+  }
+  return std::get<0>(std::move(table));
 }
 
 void
--- a/Benchmarks/Wire/Main.cpp
+++ b/Benchmarks/Wire/Main.cpp
@@ -11,8 +11,8 @@
 ///     Token chunks a second from 1, 8 and 64 peers to one process, batched by
 ///     the link table and one a call; time of a round trip.
 ///
-///   bench_wire peers --links 200 --port 46000 &
-///   bench_wire idle --links 200 --port 46000
+///   bench_wire peers --links 200 --port 21000 &
+///   bench_wire idle --links 200 --port 21000
 ///     Bytes, processor time and memory of idle links, as slopes over their
 ///     number, seen from the process that dialed them. The first command ends
 ///     by itself after --seconds.
@@ -26,8 +26,8 @@
     cxxopts::value<std::string>()->default_value("throughput"))(
     "links", "Most links", cxxopts::value<int>()->default_value("200"))(
     "port",
-    "First port of the peers",
-    cxxopts::value<int>()->default_value("46000"))(
+    "First port of the peers, below those that the system gives out",
+    cxxopts::value<int>()->default_value("21000"))(
     "seconds",
     "How long the peers stay",
     cxxopts::value<int>()->default_value("120"));
--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -95,6 +95,14 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> heartbeat(HeartbeatContext aContext) override
+  {
+    KJ_REQUIRE(connection_ != nullptr, "the connection is closed");
+    connection_->OnHeartbeat(aContext.getParams().getHeartbeat());
+    connection_->AnswerHeartbeat(aContext.getResults().initHeartbeat());
+    return kj::READY_NOW;
+  }
+
 private:
   Connection* connection_;
 };
@@ -165,17 +173,22 @@
 }
 
 void
-Connection::SendHeartbeat(const std::vector<Message>& aContent)
+Connection::SendHeartbeat(const Heartbeat& aHeartbeat)
 {
-  std::size_t bytes = 0;
-  for (const Message& message : aContent) {
-    bytes += ApproximateSize(message);
-  }
-  tasks_.add(Call(aContent, bytes).then([this] {
-    if (events_ != nullptr) {
-      events_->acknowledged_(*this, {});
-    }
-  }));
+  auto request = KJ_REQUIRE_NONNULL(remote_).heartbeatRequest();
+  Encode(request.initHeartbeat(), aHeartbeat);
+  health_.OnSent(base::MonotonicNow());
+  tasks_.add(request.send().then(
+    [this](capnp::Response<schema::Peer::HeartbeatResults>&& aResponse) {
+      health_.OnAcknowledged(base::MonotonicNow());
+      OnHeartbeat(aResponse.getHeartbeat());
+    }));
+}
+
+void
+Connection::Probe()
+{
+  tasks_.add(Call({}, 0));
 }
 
 kj::Promise<void>
@@ -232,6 +245,35 @@
   aTo.setExpectedHost(capnp::Text::Reader(aExpected.c_str(), aExpected.size()));
 }
 
+void
+Connection::OnHeartbeat(schema::Heartbeat::Reader aFrom)
+{
+  health_.OnHeard(base::MonotonicNow());
+  auto outcome = base::Capture([&] { return Decode(aFrom); });
+  if (const auto* failure = std::get_if<base::Failure>(&outcome)) {
+    LogUnreadable(*failure);
+    return;
+  }
+  std::vector<Message> messages;
+  messages.emplace_back(std::get<Heartbeat>(std::move(outcome)));
+  Receive(std::move(messages));
+}
+
+void
+Connection::AnswerHeartbeat(schema::Heartbeat::Builder aTo)
+{
+  if (open_ && events_ != nullptr) {
+    Encode(aTo, events_->heartbeat_(*this));
+  }
+}
+
+void
+Connection::LogUnreadable(const base::Failure& aFailure) const
+{
+  base::Log(kMessageUnreadable,
+            { { "peer", peer_.host_ }, { "detail", aFailure.detail_ } });
+}
+
 void
 Connection::OnDelivered(capnp::List<schema::Envelope>::Reader aEnvelopes)
 {
@@ -246,9 +288,7 @@
     }
     // One message of a type that this version does not know must not cost the
     // others; a process of the next version may send it during an upgrade.
-    base::Log(kMessageUnreadable,
-              { { "peer", peer_.host_ },
-                { "detail", std::get<base::Failure>(outcome).detail_ } });
+    LogUnreadable(std::get<base::Failure>(outcome));
   }
   Receive(std::move(messages));
 }
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Result.h"
 #include "LibWire/LinkHealth.h"
 #include "LibWire/Messages.h"
 #include "LibWire/SendQueues.h"
@@ -39,9 +40,10 @@
   std::function<void(Connection& aConnection)> greeted_;
   std::function<void(Connection& aConnection, std::vector<Message> aMessages)>
     received_;
-  /// The peer acknowledged a batch; an empty one for a heartbeat.
   std::function<void(Connection& aConnection, const SendQueues::Batch& aBatch)>
     acknowledged_;
+  /// Makes the answer to a peer's heartbeat.
+  std::function<Heartbeat(Connection& aConnection)> heartbeat_;
   std::function<void(Connection& aConnection, const std::string& aReason)>
     ended_;
 };
@@ -81,9 +83,12 @@
   /// Sends messages in one call. The peer is known by then.
   void Deliver(SendQueues::Batch aBatch);
 
-  /// Sends a heartbeat at once, past the bound of calls in flight.
-  /// @param aContent Nothing for a connection that only shows it is alive.
-  void SendHeartbeat(const std::vector<Message>& aContent);
+  /// Sends a heartbeat at once, past the bound of calls in flight. The peer
+  /// answers with its own, so one call serves both directions.
+  void SendHeartbeat(const Heartbeat& aHeartbeat);
+
+  /// Asks for a sign of life alone, on a connection that is not in use.
+  void Probe();
 
   /// Tells the owner nothing from now on.
   void Mute() { events_ = nullptr; }
@@ -101,11 +106,14 @@
   friend class PeerServer;
 
   void OnHello(schema::Hello::Reader aHello, schema::Peer::Client aBack);
+  void OnHeartbeat(schema::Heartbeat::Reader aFrom);
+  void AnswerHeartbeat(schema::Heartbeat::Builder aTo);
   void OnDelivered(capnp::List<schema::Envelope>::Reader aEnvelopes);
   void SetPeer(schema::Hello::Reader aHello);
   void WriteHello(schema::Hello::Builder aTo,
                   const std::string& aExpected) const;
   void Receive(std::vector<Message> aMessages);
+  void LogUnreadable(const base::Failure& aFailure) const;
   kj::Promise<void> Call(const std::vector<Message>& aMessages,
                          std::size_t aBytes);
   void End(const std::string& aReason);
--- a/Libraries/LibWire/LinkLoop.cpp
+++ b/Libraries/LibWire/LinkLoop.cpp
@@ -71,6 +71,9 @@
                                  const SendQueues::Batch& aBatch) {
     OnAcknowledged(aConnection, aBatch);
   };
+  events_.heartbeat_ = [this](Connection& aConnection) {
+    return MakeHeartbeat(aConnection);
+  };
   events_.ended_ = [this](Connection& aConnection, const std::string& aReason) {
     OnEnded(aConnection, aReason);
   };
@@ -162,7 +165,7 @@
 {
   for (auto& [peer, link] : links_) {
     if (link.current_ != nullptr) {
-      SendHeartbeat(link, *link.current_);
+      link.current_->SendHeartbeat(MakeHeartbeat(*link.current_));
     }
   }
 }
@@ -430,9 +433,6 @@
 {
   const std::string& peer = aConnection.Peer().host_;
   shared_.queues_.RecordHeard(peer, base::MonotonicNow());
-  if (aBatch.bytes_ == 0) {
-    return;
-  }
   shared_.queues_.Release(peer, aBatch.epoch_, aBatch.bytes_);
   Pump(peer);
 }
@@ -469,20 +469,31 @@
   }
 }
 
-void
-LinkLoop::SendHeartbeat(Link& aLink, Connection& aConnection)
+Heartbeat
+LinkLoop::MakeHeartbeat(Connection& aConnection) const
 {
-  // News goes out once, on the connection in use.
-  if (&aConnection != aLink.current_) {
-    aConnection.SendHeartbeat({});
-    return;
-  }
   Heartbeat heartbeat;
   if (shared_.handlers_.heartbeat_) {
-    heartbeat = shared_.handlers_.heartbeat_(aLink.peer_);
+    heartbeat = shared_.handlers_.heartbeat_(aConnection.Peer().host_);
   }
   heartbeat.sequence_ = aConnection.NextHeartbeatSequence();
-  aConnection.SendHeartbeat({ Message{ std::move(heartbeat) } });
+  return heartbeat;
+}
+
+/// The side that dialed sends; the other answers with its own heartbeat, which
+/// costs half of what heartbeats sent from both sides do. A connection that is
+/// not in use carries no news, so that news is not told on two ways.
+void
+LinkLoop::OnHeartbeatDue(const Link& aLink, Connection& aConnection) const
+{
+  if (aConnection.Side() == ConnectionSide::Accepted) {
+    return;
+  }
+  if (&aConnection == aLink.current_) {
+    aConnection.SendHeartbeat(MakeHeartbeat(aConnection));
+  } else {
+    aConnection.Probe();
+  }
 }
 
 void
@@ -506,7 +517,7 @@
       case LinkNeed::Nothing:
         break;
       case LinkNeed::Heartbeat:
-        SendHeartbeat(aLink, *connection);
+        OnHeartbeatDue(aLink, *connection);
         break;
       case LinkNeed::Replacement:
         Drop(aLink, connection->Side(), "silent");
--- a/Libraries/LibWire/LinkLoop.h
+++ b/Libraries/LibWire/LinkLoop.h
@@ -89,7 +89,8 @@
   void OnAcknowledged(Connection& aConnection, const SendQueues::Batch& aBatch);
   void Pump(const std::string& aPeer);
   void DeliverToSelf();
-  void SendHeartbeat(Link& aLink, Connection& aConnection);
+  Heartbeat MakeHeartbeat(Connection& aConnection) const;
+  void OnHeartbeatDue(const Link& aLink, Connection& aConnection) const;
 
   void Tick();
   void TickLink(Link& aLink);
--- a/Libraries/LibWire/MessageCodec.h
+++ b/Libraries/LibWire/MessageCodec.h
@@ -16,6 +16,10 @@
 void
 Encode(schema::Envelope::Builder aTo, const Message& aMessage);
 
+/// Writes a heartbeat, which travels outside of envelopes.
+void
+Encode(schema::Heartbeat::Builder aTo, const Heartbeat& aHeartbeat);
+
 /// Reads a message that came from another process. Nothing of the envelope is
 /// trusted.
 /// @return MalformedMessage for an unknown type, a number outside of its
@@ -23,6 +27,10 @@
 base::Result<Message>
 Decode(schema::Envelope::Reader aFrom);
 
+/// Reads a heartbeat in the same way.
+base::Result<Heartbeat>
+Decode(schema::Heartbeat::Reader aFrom);
+
 /// @return how many bytes the message takes on the wire, within a few hundred,
 /// for queue limits and buffer sizes.
 std::size_t
--- a/Libraries/LibWire/MessageDecoder.cpp
+++ b/Libraries/LibWire/MessageDecoder.cpp
@@ -584,6 +584,20 @@
   },
 } };
 
+/// A peer's bytes can lead a reader out of bounds or past its limits; Cap'n
+/// Proto then throws, and what was read so far is dropped with the message.
+template<typename Function>
+auto
+ReadSafely(Function aRead) -> base::Result<decltype(aRead())>
+{
+  try {
+    return aRead();
+  } catch (const kj::Exception& exception) {
+    return base::Fail(ResultCode::MalformedMessage,
+                      exception.getDescription().cStr());
+  }
+}
+
 } // namespace
 
 base::Result<Message>
@@ -593,14 +607,13 @@
   if (which >= kReaders.size()) {
     return base::Fail(ResultCode::MalformedMessage, "unknown message type");
   }
-  // A peer's bytes can lead a reader out of bounds or past its limits; Cap'n
-  // Proto then throws, and what was read so far is dropped with the message.
-  try {
-    return kReaders[which](aFrom);
-  } catch (const kj::Exception& exception) {
-    return base::Fail(ResultCode::MalformedMessage,
-                      exception.getDescription().cStr());
-  }
+  return ReadSafely([&] { return kReaders[which](aFrom); });
+}
+
+base::Result<Heartbeat>
+Decode(schema::Heartbeat::Reader aFrom)
+{
+  return ReadSafely([&] { return Read(aFrom); });
 }
 
 } // namespace pumiceturn::wire
--- a/Libraries/LibWire/MessageEncoder.cpp
+++ b/Libraries/LibWire/MessageEncoder.cpp
@@ -550,4 +550,10 @@
   std::visit(EnvelopeWriter{ aTo }, aMessage);
 }
 
+void
+Encode(schema::Heartbeat::Builder aTo, const Heartbeat& aHeartbeat)
+{
+  Write(aTo, aHeartbeat);
+}
+
 } // namespace pumiceturn::wire
--- a/Schema/Generated/Wire.capnp.c++
+++ b/Schema/Generated/Wire.capnp.c++
@@ -4550,7 +4550,7 @@
   0, 4, i_8cbf6ed071b16e71, nullptr, nullptr, { &s_8cbf6ed071b16e71, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<37> b_dd984c5f4111e733 = {
+static const ::capnp::_::AlignedData<48> b_dd984c5f4111e733 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      51, 231,  17,  65,  95,  76, 152, 221,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -4560,47 +4560,60 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 135,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0, 199,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      87, 105, 114, 101,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      17, 112, 119, 105,  85, 174,  80, 225,
     201, 151, 131, 114, 145, 143, 211, 198,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     215, 175,  88, 177,   0,  34, 251, 254,
     133,  44, 254, 176,  13, 142, 129, 130,
-     25,   0,   0,   0,  66,   0,   0,   0,
+     57,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    191,  89, 252, 228, 139,   9, 221, 163,
+    131,  30, 125, 196, 185,  18,  64, 179,
+     33,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
     104, 101, 108, 108, 111,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     100, 101, 108, 105, 118, 101, 114,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_dd984c5f4111e733 = b_dd984c5f4111e733.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_dd984c5f4111e733[] = {
   &s_82818e0db0fe2c85,
+  &s_a3dd098be4fc59bf,
+  &s_b34012b9c47d1e83,
   &s_c6d38f91728397c9,
   &s_e150ae5569777011,
   &s_fefb2200b158afd7,
 };
-static const uint16_t m_dd984c5f4111e733[] = {1, 0};
+static const uint16_t m_dd984c5f4111e733[] = {1, 2, 0};
 const ::capnp::_::RawSchema s_dd984c5f4111e733 = {
-  0xdd984c5f4111e733, b_dd984c5f4111e733.words, 37, d_dd984c5f4111e733, m_dd984c5f4111e733,
-  4, 2, nullptr, nullptr, nullptr, { &s_dd984c5f4111e733, nullptr, nullptr, 0, 0, nullptr }
+  0xdd984c5f4111e733, b_dd984c5f4111e733.words, 48, d_dd984c5f4111e733, m_dd984c5f4111e733,
+  6, 3, nullptr, nullptr, nullptr, { &s_dd984c5f4111e733, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_e150ae5569777011 = {
@@ -4787,6 +4800,102 @@
   0, 0, nullptr, nullptr, nullptr, { &s_82818e0db0fe2c85, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_a3dd098be4fc59bf = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    191,  89, 252, 228, 139,   9, 221, 163,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     87, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    210, 102, 150, 161,  43,  80,  54, 214,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a3dd098be4fc59bf = b_a3dd098be4fc59bf.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_a3dd098be4fc59bf[] = {
+  &s_d636502ba19666d2,
+};
+static const uint16_t m_a3dd098be4fc59bf[] = {0};
+static const uint16_t i_a3dd098be4fc59bf[] = {0};
+const ::capnp::_::RawSchema s_a3dd098be4fc59bf = {
+  0xa3dd098be4fc59bf, b_a3dd098be4fc59bf.words, 34, d_a3dd098be4fc59bf, m_a3dd098be4fc59bf,
+  1, 1, i_a3dd098be4fc59bf, nullptr, nullptr, { &s_a3dd098be4fc59bf, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_b34012b9c47d1e83 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    131,  30, 125, 196, 185,  18,  64, 179,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     87, 105, 114, 101,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    104, 101,  97, 114, 116,  98, 101,  97,
+    116,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    210, 102, 150, 161,  43,  80,  54, 214,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b34012b9c47d1e83 = b_b34012b9c47d1e83.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b34012b9c47d1e83[] = {
+  &s_d636502ba19666d2,
+};
+static const uint16_t m_b34012b9c47d1e83[] = {0};
+static const uint16_t i_b34012b9c47d1e83[] = {0};
+const ::capnp::_::RawSchema s_b34012b9c47d1e83 = {
+  0xb34012b9c47d1e83, b_b34012b9c47d1e83.words, 34, d_b34012b9c47d1e83, m_b34012b9c47d1e83,
+  1, 1, i_b34012b9c47d1e83, nullptr, nullptr, { &s_b34012b9c47d1e83, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -5120,6 +5229,16 @@
       "Wire.capnp:Peer", "deliver",
       0xdd984c5f4111e733ull, 1);
 }
+::capnp::Request< ::pumiceturn::schema::Peer::HeartbeatParams,  ::pumiceturn::schema::Peer::HeartbeatResults>
+Peer::Client::heartbeatRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::pumiceturn::schema::Peer::HeartbeatParams,  ::pumiceturn::schema::Peer::HeartbeatResults>(
+      0xdd984c5f4111e733ull, 2, sizeHint);
+}
+::kj::Promise<void> Peer::Server::heartbeat(HeartbeatContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "Wire.capnp:Peer", "heartbeat",
+      0xdd984c5f4111e733ull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -5146,6 +5265,12 @@
              ::pumiceturn::schema::Peer::DeliverParams,  ::pumiceturn::schema::Peer::DeliverResults>(context)),
         false
       };
+    case 2:
+      return {
+        heartbeat(::capnp::Capability::Server::internalGetTypedContext<
+             ::pumiceturn::schema::Peer::HeartbeatParams,  ::pumiceturn::schema::Peer::HeartbeatResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -5193,6 +5318,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::DeliverResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::HeartbeatParams
+constexpr uint16_t Peer::HeartbeatParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HeartbeatParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HeartbeatParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HeartbeatParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::HeartbeatResults
+constexpr uint16_t Peer::HeartbeatResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::HeartbeatResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::HeartbeatResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::HeartbeatResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Schema/Generated/Wire.capnp.h
+++ b/Schema/Generated/Wire.capnp.h
@@ -62,6 +62,8 @@
 CAPNP_DECLARE_SCHEMA(c6d38f91728397c9);
 CAPNP_DECLARE_SCHEMA(fefb2200b158afd7);
 CAPNP_DECLARE_SCHEMA(82818e0db0fe2c85);
+CAPNP_DECLARE_SCHEMA(a3dd098be4fc59bf);
+CAPNP_DECLARE_SCHEMA(b34012b9c47d1e83);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -681,6 +683,8 @@
   struct HelloResults;
   struct DeliverParams;
   struct DeliverResults;
+  struct HeartbeatParams;
+  struct HeartbeatResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -750,6 +754,36 @@
   };
 };
 
+struct Peer::HeartbeatParams {
+  HeartbeatParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3dd098be4fc59bf, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::HeartbeatResults {
+  HeartbeatResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b34012b9c47d1e83, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Id::Reader {
@@ -5093,6 +5127,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::pumiceturn::schema::Peer::DeliverParams,  ::pumiceturn::schema::Peer::DeliverResults> deliverRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::pumiceturn::schema::Peer::HeartbeatParams,  ::pumiceturn::schema::Peer::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -5117,6 +5153,10 @@
   typedef  ::pumiceturn::schema::Peer::DeliverResults DeliverResults;
   typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
   virtual ::kj::Promise<void> deliver(DeliverContext context);
+  typedef  ::pumiceturn::schema::Peer::HeartbeatParams HeartbeatParams;
+  typedef  ::pumiceturn::schema::Peer::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
+  virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
 
   inline  ::pumiceturn::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -5460,6 +5500,170 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::HeartbeatParams::Reader {
+public:
+  typedef HeartbeatParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeartbeat() const;
+  inline  ::pumiceturn::schema::Heartbeat::Reader getHeartbeat() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HeartbeatParams::Builder {
+public:
+  typedef HeartbeatParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeartbeat();
+  inline  ::pumiceturn::schema::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::pumiceturn::schema::Heartbeat::Reader value);
+  inline  ::pumiceturn::schema::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::pumiceturn::schema::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::pumiceturn::schema::Heartbeat> disownHeartbeat();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HeartbeatParams::Pipeline {
+public:
+  typedef HeartbeatParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pumiceturn::schema::Heartbeat::Pipeline getHeartbeat();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HeartbeatResults::Reader {
+public:
+  typedef HeartbeatResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeartbeat() const;
+  inline  ::pumiceturn::schema::Heartbeat::Reader getHeartbeat() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HeartbeatResults::Builder {
+public:
+  typedef HeartbeatResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeartbeat();
+  inline  ::pumiceturn::schema::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::pumiceturn::schema::Heartbeat::Reader value);
+  inline  ::pumiceturn::schema::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::pumiceturn::schema::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::pumiceturn::schema::Heartbeat> disownHeartbeat();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HeartbeatResults::Pipeline {
+public:
+  typedef HeartbeatResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::pumiceturn::schema::Heartbeat::Pipeline getHeartbeat();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t Id::Reader::getHigh() const {
@@ -11177,6 +11381,84 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::HeartbeatParams::Reader::hasHeartbeat() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatParams::Builder::hasHeartbeat() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pumiceturn::schema::Heartbeat::Reader Peer::HeartbeatParams::Reader::getHeartbeat() const {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pumiceturn::schema::Heartbeat::Builder Peer::HeartbeatParams::Builder::getHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pumiceturn::schema::Heartbeat::Pipeline Peer::HeartbeatParams::Pipeline::getHeartbeat() {
+  return  ::pumiceturn::schema::Heartbeat::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HeartbeatParams::Builder::setHeartbeat( ::pumiceturn::schema::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pumiceturn::schema::Heartbeat::Builder Peer::HeartbeatParams::Builder::initHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HeartbeatParams::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::pumiceturn::schema::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pumiceturn::schema::Heartbeat> Peer::HeartbeatParams::Builder::disownHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HeartbeatResults::Reader::hasHeartbeat() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HeartbeatResults::Builder::hasHeartbeat() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::pumiceturn::schema::Heartbeat::Reader Peer::HeartbeatResults::Reader::getHeartbeat() const {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::pumiceturn::schema::Heartbeat::Builder Peer::HeartbeatResults::Builder::getHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::pumiceturn::schema::Heartbeat::Pipeline Peer::HeartbeatResults::Pipeline::getHeartbeat() {
+  return  ::pumiceturn::schema::Heartbeat::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HeartbeatResults::Builder::setHeartbeat( ::pumiceturn::schema::Heartbeat::Reader value) {
+  ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::pumiceturn::schema::Heartbeat::Builder Peer::HeartbeatResults::Builder::initHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HeartbeatResults::Builder::adoptHeartbeat(
+    ::capnp::Orphan< ::pumiceturn::schema::Heartbeat>&& value) {
+  ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::pumiceturn::schema::Heartbeat> Peer::HeartbeatResults::Builder::disownHeartbeat() {
+  return ::capnp::_::PointerHelpers< ::pumiceturn::schema::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Schema/Wire.capnp
+++ b/Schema/Wire.capnp
@@ -221,4 +221,5 @@
 interface Peer {
   hello @0 (hello :Hello, back :Peer) -> (hello :Hello);
   deliver @1 (messages :List(Envelope)) -> ();
+  heartbeat @2 (heartbeat :Heartbeat) -> (heartbeat :Heartbeat);
 }
