LibStandin: Mend a hang when a server is stopped right after its start

Start now returns when the thread is on its way into the loop. A crash is counted before its connections break, so that who sees one break also sees it counted.

--- a/Libraries/LibStandin/EngineStandin.cpp
+++ b/Libraries/LibStandin/EngineStandin.cpp
@@ -534,6 +534,7 @@
   {
     const std::scoped_lock lock(mutex_);
     restart = faults_.crashRestart_;
+    ++stats_.crashes_;
   }
   // Connections first: a client that learned of the crash sooner could get a
   // new request in before the engine refuses.
@@ -541,7 +542,6 @@
   {
     const std::scoped_lock lock(mutex_);
     ++generation_;
-    ++stats_.crashes_;
     model_.Restart();
     orders_ = OrderBook{};
     feed_.Restart();
--- a/Libraries/LibStandin/StandinServer.cpp
+++ b/Libraries/LibStandin/StandinServer.cpp
@@ -22,6 +22,11 @@
                         std::to_string(server->port_));
   }
   server->thread_ = std::thread([raw = server.get()] { raw->RunThread(); });
+  {
+    // So that a crash or stop that follows at once finds a server to close.
+    std::unique_lock lock(server->mutex_);
+    server->wake_.wait(lock, [&] { return server->serving_; });
+  }
   base::Log(
     kStandinStarted,
     { { "standin", server->options_.name_ }, { "port", server->port_ } });
@@ -51,7 +56,6 @@
   }
   port_ = port;
   server_ = std::move(server);
-  serving_ = true;
   return true;
 }
 
@@ -61,7 +65,9 @@
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     TrackingServer& server = *server_;
+    serving_ = true;
     lock.unlock();
+    wake_.notify_all();
     server.listen_after_bind();
     lock.lock();
     serving_ = false;
@@ -76,8 +82,8 @@
   }
 }
 
-/// Needs the lock. The library ignores a stop that comes between the bind and
-/// its accept loop, so that moment is waited out.
+/// Needs the lock. The library ignores a stop that comes before its accept
+/// loop; once serving_ is set, the thread is on its way there without the lock.
 void
 StandinServer::CloseServer()
 {
--- a/Libraries/LibStandin/StandinServer.h
+++ b/Libraries/LibStandin/StandinServer.h
@@ -62,7 +62,7 @@
   std::mutex mutex_; ///< Guards the members below.
   std::condition_variable wake_;
   std::unique_ptr<TrackingServer> server_;
-  bool serving_ = false; ///< server_ accepts connections.
+  bool serving_ = false; ///< server_ accepts connections, or is about to.
   bool stopping_ = false;
   base::Instant restartAt_;
   std::thread thread_;
--- a/Tests/LibStandin/EngineStandinTest.cpp
+++ b/Tests/LibStandin/EngineStandinTest.cpp
@@ -77,4 +77,15 @@
   CHECK(engine_->Stats().crashes_ == 1);
 }
 
+TEST_CASE("EngineStandin_StoppedRightAfterStart_Ends")
+{
+  // A stop that came before the server's accept loop once waited for that loop
+  // while it kept the loop from beginning: the process hung.
+  for (int round = 0; round < 200; ++round) {
+    auto started = base::Capture([] { return EngineStandin::Start({}); });
+    std::get<0>(started)->Stop();
+  }
+  SUCCEED("every stand-in ended");
+}
+
 } // namespace pumiceturn::standin
