--- a/Libraries/LibEntry/EntryFunction.cpp
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -206,6 +206,12 @@
   state_->core_->owners_->OnLinkState(aPeer, aState);
 }
 
+bool
+EntryFunction::HasRun(const wire::RunId& aRun) const
+{
+  return state_->core_->online_->HasJob(aRun.job_);
+}
+
 void
 EntryFunction::FillHeartbeat(const std::string& /*aPeer*/,
                              wire::Heartbeat& aHeartbeat) const
@@ -233,7 +239,8 @@
 EntryFunction::IsIdle() const
 {
   const EntryCore& core = *state_->core_;
-  return core.openCalls_ == 0 && core.online_->Count() == 0;
+  return core.openCalls_ == 0 && core.online_->Count() == 0 &&
+         core.owners_->Count() == 0;
 }
 
 node::Readiness
@@ -258,6 +265,8 @@
 EntryFunction::Stop()
 {
   if (state_->server_ != nullptr) {
+    // gRPC waits for every RPC, also for those that wait for an owner.
+    state_->core_->owners_->Stop();
     state_->server_->Shutdown(std::chrono::system_clock::now() +
                               kShutdownPatience);
     state_->server_->Wait();
--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -188,6 +188,13 @@
   }
 }
 
+bool
+OnlineCalls::HasJob(const wire::JobId& aJob) const
+{
+  const std::lock_guard lock(mutex_);
+  return callsByJob_.contains(aJob) || concluded_.contains(aJob);
+}
+
 std::size_t
 OnlineCalls::Count() const
 {
@@ -206,6 +213,10 @@
 OnlineCalls::Handle(const std::string& aPeer, const wire::Heartbeat& aMessage)
 {
   const base::Instant now = base::MonotonicNow();
+  // A link that came up while this function started was reported to nobody.
+  if (context_.links_.IsUp(aPeer)) {
+    router_.OnLinkState(aPeer, wire::LinkState::Up);
+  }
   router_.OnHeartbeat(aPeer, aMessage, now);
   context_.quarantine_.Merge(aMessage.suspects_, now);
   heartbeats_[aPeer] = aMessage;
@@ -471,11 +482,11 @@
 void
 OnlineCalls::Do(Active& aActive, RunLeft& aAction)
 {
-  const std::string& service = aActive.request_.Description().record_.service_;
-  router_.OnEnded(service, aAction.endpoint_, aActive.suspect_);
-  if (aAction.failed_) {
-    router_.OnFailed(service, aAction.endpoint_, base::MonotonicNow());
-  }
+  router_.OnEnded(aActive.request_.Description().record_.service_,
+                  aAction.endpoint_,
+                  aActive.suspect_,
+                  aAction.end_,
+                  base::MonotonicNow());
 }
 
 void
