--- a/Libraries/LibClient/Client.cpp
+++ b/Libraries/LibClient/Client.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 #include <thread>
 
@@ -286,10 +287,17 @@
 
 base::Result<void>
 Client::ReadResults(caller::ReadResultsRequest aRequest,
-                    const ShowResult& aShow)
+                    const ShowResult& aShow,
+                    std::chrono::milliseconds aTimeout)
 {
-  const auto timeout =
-    aRequest.follow() ? std::chrono::milliseconds{ 0 } : kSubmitTimeout;
+  const bool isUnlimited = aTimeout.count() == 0 && aRequest.follow();
+  const auto limit = aTimeout.count() == 0 ? kSubmitTimeout : aTimeout;
+  const auto end = std::chrono::steady_clock::now() + limit;
+  const auto remaining = [&] {
+    return std::max(std::chrono::milliseconds{ 1 },
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                      end - std::chrono::steady_clock::now()));
+  };
   bool madeProgress = true;
   grpc::Status status;
   // A job may take hours, so only rounds that bring nothing count.
@@ -297,7 +305,8 @@
     madeProgress = false;
     status = TryEntries([&](std::size_t aEntry) {
       grpc::ClientContext context;
-      channels_.Prepare(context, timeout);
+      channels_.Prepare(
+        context, isUnlimited ? std::chrono::milliseconds{ 0 } : remaining());
       const auto stub = channels_.MakeCallerStub(aEntry);
       const auto reader = stub->ReadResults(&context, aRequest);
       caller::ItemResult result;
--- a/Libraries/LibClient/Client.h
+++ b/Libraries/LibClient/Client.h
@@ -69,8 +69,11 @@
 
   /// Reads results in the order recorded, and goes on at the next entry after
   /// the last one that was shown.
+  /// @param aTimeout For the whole of it; 0: no limit for a job that is
+  /// followed.
   base::Result<void> ReadResults(caller::ReadResultsRequest aRequest,
-                                 const ShowResult& aShow);
+                                 const ShowResult& aShow,
+                                 std::chrono::milliseconds aTimeout = {});
 
   /// @return VersionConflict, with what changed since, when another operator
   /// was first.
--- a/Libraries/LibSettings/LoadPlanFile.cpp
+++ b/Libraries/LibSettings/LoadPlanFile.cpp
@@ -37,6 +37,9 @@
   void CheckBursts();
   void CheckLots();
   void CheckFaults();
+  void CheckAddresses(
+    const google::protobuf::RepeatedPtrField<std::string>& aAddresses,
+    const std::string& aPath);
   void CheckRange(double aValue,
                   double aLeast,
                   double aMost,
@@ -70,6 +73,21 @@
       {} });
 }
 
+void
+Checker::CheckAddresses(
+  const google::protobuf::RepeatedPtrField<std::string>& aAddresses,
+  const std::string& aPath)
+{
+  for (int index = 0; index < aAddresses.size(); ++index) {
+    if (!ParseAddress(aAddresses[index])) {
+      problems_.push_back({ ResultCode::OutOfRange,
+                            fmt::format("{}[{}]", aPath, index),
+                            "expects IP:port, not '" + aAddresses[index] + "'",
+                            {} });
+    }
+  }
+}
+
 void
 Checker::RequireKind(const std::string& aKind, const std::string& aPath)
 {
@@ -140,14 +158,7 @@
     const load::FaultPlan& fault = plan_.faults(index);
     CheckMoment(fault.at_s(), path + ".at_s");
     CheckRange(fault.length_s(), 0, kMaxLengthS, path + ".length_s");
-    for (int each = 0; each < fault.addresses_size(); ++each) {
-      if (!ParseAddress(fault.addresses(each))) {
-        problems_.push_back({ ResultCode::OutOfRange,
-                              fmt::format("{}.addresses[{}]", path, each),
-                              "expects IP:port",
-                              {} });
-      }
-    }
+    CheckAddresses(fault.addresses(), path + ".addresses");
   }
 }
 
@@ -166,6 +177,7 @@
   CheckBursts();
   CheckLots();
   CheckFaults();
+  CheckAddresses(plan_.engine_addresses(), "engine_addresses");
   for (int index = 0; index < plan_.configuration_changes_at_s_size();
        ++index) {
     CheckMoment(plan_.configuration_changes_at_s(index),
--- a/Utilities/Pumicectl/Command.h
+++ b/Utilities/Pumicectl/Command.h
@@ -48,6 +48,7 @@
 extern const Command kDrainCommand;
 extern const Command kUndrainCommand;
 extern const Command kCodesCommand;
+extern const Command kLoadCommand;
 extern const Command kStandinEngineCommand;
 extern const Command kStandinKeyValueCommand;
 extern const Command kStandinServiceCommand;
--- a/Utilities/Pumicectl/Connection.cpp
+++ b/Utilities/Pumicectl/Connection.cpp
@@ -63,8 +63,8 @@
     cxxopts::value<std::uint32_t>()->default_value("10000"));
 }
 
-base::Result<client::Client>
-MakeClient(const cxxopts::ParseResult& aArguments)
+base::Result<client::Client::Options>
+ClientOptions(const cxxopts::ParseResult& aArguments)
 {
   client::Client::Options options;
   options.entries_ = SplitAtCommas(aArguments["entry"].as<std::string>());
@@ -82,6 +82,13 @@
                      : FromEnvironment(kTokenVariable, "");
   options.timeout_ =
     std::chrono::milliseconds(aArguments["timeout-ms"].as<std::uint32_t>());
+  return options;
+}
+
+base::Result<client::Client>
+MakeClient(const cxxopts::ParseResult& aArguments)
+{
+  BOOST_LEAF_AUTO(options, ClientOptions(aArguments));
   return client::Client(std::move(options));
 }
 
--- a/Utilities/Pumicectl/Connection.h
+++ b/Utilities/Pumicectl/Connection.h
@@ -20,9 +20,13 @@
 void
 DeclareConnection(cxxopts::Options& aOptions);
 
-/// @return a client for the entries and the token that the options or the
-/// environment (PUMICETURN_ENTRIES, PUMICETURN_TOKEN) name, or OutOfRange for
-/// an address that is no IP:port.
+/// @return the entries and the token that the options or the environment
+/// (PUMICETURN_ENTRIES, PUMICETURN_TOKEN) name, or OutOfRange for an address
+/// that is no IP:port.
+base::Result<client::Client::Options>
+ClientOptions(const cxxopts::ParseResult& aArguments);
+
+/// @return a client with ClientOptions().
 base::Result<client::Client>
 MakeClient(const cxxopts::ParseResult& aArguments);
 
