LibAgent: Order model, version and adapters with a fencing number

No order before the next number is taken in the platform's record by compare-and-swap; none after the record names another process or a newer configuration. That holds also where the engine ignores the number. Loads of one service are spread in time, for the weight store's rate.

--- a/Benchmarks/Dispatch/Main.cpp
+++ b/Benchmarks/Dispatch/Main.cpp
@@ -140,6 +140,8 @@
   small.name_ = "8 places, step 8 + 0.5 ms a stream";
   small.workload_.onlinePerSecond_ = 27.0; // Fills the engine.
   small.workload_.burstSize_ = 4;
+  small.workload_.onlinePromptBytes_ = 60;
+  small.workload_.batchPromptBytes_ = 100;
   NamedEngine large;
   large.name_ = "32 places, step 16 + 0.1 ms a stream";
   large.options_.maxRunning_ = 32;
@@ -148,6 +150,8 @@
   large.options_.prefillPerTokenMs_ = 0.02;
   large.workload_.onlinePerSecond_ = 62.0;
   large.workload_.burstSize_ = 8;
+  large.workload_.onlinePromptBytes_ = 60;
+  large.workload_.batchPromptBytes_ = 100;
   for (const NamedEngine& engine : { small, large }) {
     PrintIdleToFull(engine);
     for (const double load : { 0.2, 0.4, 0.6 }) {
--- a/Libraries/LibAgent/AgentCore.cpp
+++ b/Libraries/LibAgent/AgentCore.cpp
@@ -2,7 +2,11 @@
 
 #include "LibAgent/Events.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <functional>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -62,6 +66,44 @@
                    settings::FUNCTION_KEEPER) != aHost.functions().end();
 }
 
+/// A service's endpoints load one after another, this long apart, so that a
+/// roll-out stays within the rate of the weight store.
+constexpr base::Duration kLoadInterval{ std::chrono::seconds{ 2 } };
+
+OrderKeeper::Declared
+OrdersOf(const declarations::Service& aService,
+         const std::string& aEndpoint,
+         std::uint64_t aVersion)
+{
+  using endpoint::EngineOrder;
+  using endpoint::OrderType;
+  OrderKeeper::Declared declared;
+  declared.version_ = aVersion;
+  if (!aService.model_version().empty()) {
+    declared.orders_.push_back(EngineOrder{
+      OrderType::LoadModel, aService.model(), aService.model_version(), 0 });
+  }
+  for (const std::string& adapter : aService.adapters()) {
+    declared.orders_.push_back(EngineOrder{
+      OrderType::LoadAdapter, adapter, aService.model_version(), 0 });
+  }
+  for (const declarations::Endpoint& endpoint : aService.endpoints()) {
+    if (endpoint.name() == aEndpoint) {
+      break;
+    }
+    declared.delay_ += kLoadInterval;
+  }
+  return declared;
+}
+
+/// Unique to this process, so that it knows its own writes by it.
+std::string
+MakeWriteId(const settings::Settings& aSettings)
+{
+  std::random_device random;
+  return fmt::format("{}-{:08x}{:08x}", aSettings.host(), random(), random());
+}
+
 } // namespace
 
 AgentCore::AgentCore(const node::Context& aContext)
@@ -73,6 +115,9 @@
                                                Moment aMoment) {
             return StandingOf(quarantine.Check(aFingerprint, aMoment.now_));
           })
+  , orders_(aContext.keyValue_,
+            aContext.settings_.platform().key_prefix() + "fence/" + endpoint_,
+            MakeWriteId(aContext.settings_))
 {
 }
 
@@ -261,12 +306,13 @@
                 { "version", aSnapshot->Version() } });
     return;
   }
-  Declare(*service, *endpoint);
+  Declare(*service, *endpoint, aSnapshot->Version());
 }
 
 void
 AgentCore::Declare(const declarations::Service& aService,
-                   const declarations::Endpoint& aEndpoint)
+                   const declarations::Endpoint& aEndpoint,
+                   std::uint64_t aVersion)
 {
   const std::scoped_lock lock(mutex_);
   if (stopped_) {
@@ -274,6 +320,9 @@
   }
   model_ = aService.model();
   MakeRunner(aService.type());
+  if (engine_) {
+    orders_.SetDeclared(OrdersOf(aService, endpoint_, aVersion));
+  }
   dispatch::ConcurrencyLimit::Options limit = MakeGateOptions().limit_;
   limit.most_ = PlacesOf(aEndpoint);
   base::Log(kEndpointDeclared,
@@ -312,8 +361,8 @@
     endpoint::EngineClient::Options options;
     options.address_ = address;
     BOOST_LEAF_AUTO(client, endpoint::EngineClient::Make(options));
-    return Backend{ std::shared_ptr<endpoint::EngineClient>(
-      std::move(client)) };
+    engine_ = std::move(client);
+    return Backend{ engine_ };
   });
   auto* backend = std::get_if<Backend>(&made);
   if (backend == nullptr) {
@@ -362,10 +411,19 @@
   if (ticks_++ % kTicksBetweenRefreshes == 0) {
     RefreshKeepers();
     gate_.SetPartitionCount(context_.partitions_.Count());
+    RunOrders();
   }
   Do(gate_.OnTick(Now()));
 }
 
+void
+AgentCore::RunOrders()
+{
+  if (engine_ && orders_.IsDue()) {
+    runner_->Run([this] { orders_.Run(*engine_); });
+  }
+}
+
 void
 AgentCore::RefreshKeepers()
 {
@@ -444,6 +502,7 @@
     if (!runner_->IsHealthy()) {
       return;
     }
+    orders_.OnEngineRestarted();
     const std::scoped_lock lock(mutex_);
     Do(gate_.OnEngineUp(Now()));
   });
--- a/Libraries/LibAgent/AgentCore.h
+++ b/Libraries/LibAgent/AgentCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibAgent/EngineOrders.h"
 #include "LibAgent/StreamRunner.h"
 #include "LibConfiguration/ConfigurationCache.h"
 #include "LibDispatch/Gate.h"
@@ -56,8 +57,10 @@
   void OnTick();
   void RefreshKeepers();
   void Declare(const declarations::Service& aService,
-               const declarations::Endpoint& aEndpoint);
+               const declarations::Endpoint& aEndpoint,
+               std::uint64_t aVersion);
   void MakeRunner(declarations::ServiceType aType);
+  void RunOrders();
 
   /// Carries out what the gate decided. Called with mutex_ held.
   void Do(dispatch::Actions aActions);
@@ -82,6 +85,8 @@
   mutable std::mutex mutex_; ///< Guards the gate and what follows.
   dispatch::Gate gate_;
   std::unique_ptr<StreamRunner> runner_;
+  std::shared_ptr<endpoint::EngineClient> engine_; ///< Null: plain service.
+  EngineOrders orders_;
   std::string model_;
   std::array<bool, kDrainCauses> drains_{};
   std::uint32_t ticks_ = 0;
--- a/Libraries/LibAgent/Events.h
+++ b/Libraries/LibAgent/Events.h
@@ -17,5 +17,17 @@
   base::LogLevel::Info,
   "The agent serves its endpoint as the configuration declares it."
 };
+inline constexpr base::Event kOrderSent{
+  8103,
+  "order_sent",
+  base::LogLevel::Info,
+  "The engine was ordered to load what is declared."
+};
+inline constexpr base::Event kOrdersSuperseded{
+  8104,
+  "orders_superseded",
+  base::LogLevel::Warning,
+  "Another agent process or a newer configuration gives this engine its orders."
+};
 
 } // namespace pumiceturn::agent
