--- a/Libraries/LibAgent/AgentCore.cpp
+++ b/Libraries/LibAgent/AgentCore.cpp
@@ -21,7 +21,6 @@
 constexpr std::uint32_t kDefaultQueuedOnline = 256;
 constexpr std::uint32_t kDefaultFirstTokenTargetMs = 700;
 constexpr std::uint32_t kTicksBetweenRefreshes = 20;
-constexpr std::size_t kMaxSuspectsOfHeartbeat = 64;
 
 dispatch::Policy
 PolicyOf(const settings::AgentSettings& aSettings)
@@ -219,10 +218,6 @@
 AgentCore::OnMessage(const std::string& aPeer, const wire::Message& aMessage)
 {
   const Moment now = Now();
-  if (const auto* heartbeat = std::get_if<wire::Heartbeat>(&aMessage)) {
-    context_.quarantine_.Merge(heartbeat->suspects_, now.now_);
-    return;
-  }
   const std::scoped_lock lock(mutex_);
   if (const auto* start = std::get_if<wire::StartRun>(&aMessage)) {
     Do(gate_.OnStartRun(aPeer, *start, now));
@@ -269,16 +264,6 @@
   aHeartbeat.queuedOnline_ = load.onlineWaiting_;
   aHeartbeat.capacity_ = load.engineDown_ ? 0 : load.limit_;
   aHeartbeat.expectedWaitMs_ = load.expectedWaitMs_;
-  aHeartbeat.suspects_ = context_.quarantine_.List(base::MonotonicNow());
-  if (aHeartbeat.suspects_.size() > kMaxSuspectsOfHeartbeat) {
-    // The newest expire last; the older ones have been told often.
-    std::ranges::partial_sort(aHeartbeat.suspects_,
-                              aHeartbeat.suspects_.begin() +
-                                kMaxSuspectsOfHeartbeat,
-                              std::ranges::greater{},
-                              &wire::Suspect::expiresInMs_);
-    aHeartbeat.suspects_.resize(kMaxSuspectsOfHeartbeat);
-  }
 }
 
 void
