--- a/Libraries/LibJobLog/LogService.cpp
+++ b/Libraries/LibJobLog/LogService.cpp
@@ -197,7 +197,8 @@
     toldOfMissing_ = true;
   }
   const FleetTracker::ViewPointer view = fleet_.View();
-  for (const auto& host : *Partitions()) {
+  const auto hosts = Partitions();
+  for (const auto& host : *hosts) {
     if (hasChanged || host->NeedsTick()) {
       host->Tick(view);
     }
@@ -348,7 +349,8 @@
   if (aState == wire::LinkState::Lost) {
     return;
   }
-  for (const auto& host : *state_->Partitions()) {
+  const auto hosts = state_->Partitions();
+  for (const auto& host : *hosts) {
     host->OnLinkUp(aPeer);
   }
 }
@@ -378,7 +380,8 @@
 LogService::HandOver()
 {
   state_->shared_->isLeaving_ = true;
-  for (const auto& host : *state_->Partitions()) {
+  const auto hosts = state_->Partitions();
+  for (const auto& host : *hosts) {
     host->HandOver(state_->fleet_.View());
   }
 }
--- a/Libraries/LibJobLog/PartitionHost.cpp
+++ b/Libraries/LibJobLog/PartitionHost.cpp
@@ -5,6 +5,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pumiceturn::joblog {
@@ -318,9 +319,18 @@
     Drain();
     return;
   }
-  // A refusal by a full queue or a lost link is as good as a lost message: the
-  // owner sends again what stays unanswered.
-  static_cast<void>(shared_->ports_.send_(aPeer, std::move(aMessage)));
+  std::optional<wire::AppendFrame> frame;
+  if (const auto* sent = std::get_if<wire::AppendFrame>(&aMessage)) {
+    frame.emplace();
+    frame->epoch_ = sent->epoch_;
+    frame->previousSequence_ = sent->previousSequence_;
+  }
+  // Refused for a lost link is as good as lost on it: the owner begins anew
+  // when the link is up, and sends again what stays unanswered.
+  const ResultCode code = shared_->ports_.send_(aPeer, std::move(aMessage));
+  if (frame && code == ResultCode::BudgetExhausted) {
+    owner_.OnSendRefused(aPeer, *frame);
+  }
 }
 
 void
--- a/Libraries/LibJobLog/PartitionOwner.cpp
+++ b/Libraries/LibJobLog/PartitionOwner.cpp
@@ -474,12 +474,13 @@
                         base::ToMs(aNow - append.startedAt_));
   }
   for (const CopyProgress& copy : copies_) {
-    text += fmt::format("; copy {} {} {} {} {} {} {}",
+    text += fmt::format("; copy {} {} {} {} {} {} {} {}",
                         copy.host_,
                         copy.matched_,
                         copy.probe_,
                         copy.isStreaming_,
                         copy.awaitsAck_,
+                        copy.isRefused_,
                         static_cast<int>(copy.failure_),
                         aNow - copy.heardAt_ >= options_.resendAfter_);
   }
--- a/Libraries/LibJobLog/PartitionOwner.h
+++ b/Libraries/LibJobLog/PartitionOwner.h
@@ -154,6 +154,9 @@
   Actions OnLogLoaded(CopySummary aLog, base::Instant aNow);
   Actions OnReplayed();
   Actions OnLinkUp(const std::string& aPeer, base::Instant aNow);
+
+  /// The queue to a peer was full and refused a frame.
+  void OnSendRefused(const std::string& aPeer, const wire::AppendFrame& aFrame);
   Actions Tick(const FleetView& aFleet, base::Instant aNow);
 
   /// Appends payloads; a CompleteAppend with the token follows.
@@ -198,7 +201,8 @@
     std::uint64_t matched_ = 0; ///< Durable there and equal, up to here.
     std::uint64_t probe_ = 0;   ///< Where the next SendLog begins.
     bool isStreaming_ = false;  ///< Gets each append at once.
-    bool awaitsAck_ = false;    ///< A SendLog is on its way.
+    bool awaitsAck_ = false;    ///< Nothing is sent until an answer comes.
+    bool isRefused_ = false;    ///< The last frame found the queue full.
     base::Instant heardAt_{};   ///< Or when its silence began to count.
     base::ResultCode failure_ = base::ResultCode::Ok;
   };
--- a/Libraries/LibJobLog/PartitionOwnerCopies.cpp
+++ b/Libraries/LibJobLog/PartitionOwnerCopies.cpp
@@ -129,6 +129,22 @@
   return actions;
 }
 
+void
+PartitionOwner::OnSendRefused(const std::string& aPeer,
+                              const wire::AppendFrame& aFrame)
+{
+  CopyProgress* copy = FindCopy(aPeer);
+  if (copy == nullptr || aFrame.epoch_ != epoch_) {
+    return;
+  }
+  // All before this frame left, so its answers open the queue again; the copy
+  // goes on from there without sending anything twice.
+  copy->isStreaming_ = false;
+  copy->awaitsAck_ = true;
+  copy->isRefused_ = true;
+  copy->probe_ = aFrame.previousSequence_;
+}
+
 PartitionOwner::CopyProgress*
 PartitionOwner::FindCopy(std::string_view aHost)
 {
@@ -209,6 +225,7 @@
     aCopy.probe_, log_.state_.firstSequence_ - 1, log_.lastSequence_);
   aCopy.isStreaming_ = false;
   aCopy.awaitsAck_ = true;
+  aCopy.isRefused_ = false;
   aActions.emplace_back(SendLog{
     aCopy.host_, MakeFrame(aCopy.probe_), FindCopy(options_.self_)->matched_ });
 }
@@ -224,6 +241,7 @@
   }
   aCopy.isStreaming_ = true;
   aCopy.awaitsAck_ = false;
+  aCopy.isRefused_ = false;
   if (aCopy.probe_ >= log_.lastSequence_) {
     return;
   }
--- a/Tests/LibJobLog/Explorer.cpp
+++ b/Tests/LibJobLog/Explorer.cpp
@@ -377,6 +377,13 @@
                  wire::Message aMessage)
 {
   const std::size_t to = IndexOf(aTo);
+  const auto* frame = std::get_if<wire::AppendFrame>(&aMessage);
+  if (frame != nullptr && to != aFrom &&
+      std::exchange(hosts_[aFrom].refusesNext_, false)) {
+    trace_.push_back(fmt::format("the queue to {} is full", aTo));
+    hosts_[aFrom].owner_->OnSendRefused(aTo, *frame);
+    return;
+  }
   if (hosts_[to].isAlive_) {
     links_[{ aFrom, to }].push_back(std::move(aMessage));
   }
@@ -544,6 +551,9 @@
     if (host.isPaused_) {
       faults.push_back({ FaultKind::Resume, index, 0 });
     }
+    if (CanRun(index) && !host.refusesNext_ && host.owner_->Epoch() != 0) {
+      faults.push_back({ FaultKind::FillQueue, index, 0 });
+    }
     if (!host.isAlive_) {
       faults.push_back({ FaultKind::Restart, index, 0 });
     }
@@ -634,6 +644,9 @@
         fmt::format("FAULT: an answer to {} is lost", host.name_));
       ApplySwap(*host.swap_);
       break;
+    case FaultKind::FillQueue:
+      host.refusesNext_ = true;
+      break;
     case FaultKind::BeginOutage:
       trace_.emplace_back("FAULT: key-value service down");
       isOutage_ = true;
@@ -689,7 +702,7 @@
                   host.incarnation_,
                   host.stores_.size(),
                   host.seenRevision_,
-                  host.hasRead_,
+                  host.hasRead_ + 2 * host.refusesNext_,
                   host.appended_,
                   host.swap_ ? host.swap_->writeId_ : "-",
                   DescribeSummary(host.disk_.summary_),
--- a/Tests/LibJobLog/Explorer.h
+++ b/Tests/LibJobLog/Explorer.h
@@ -69,6 +69,7 @@
     std::string name_;
     bool isAlive_ = true;
     bool isPaused_ = false;
+    bool refusesNext_ = false;
     std::uint32_t incarnation_ = 1;
     DiskImage disk_;
     std::deque<ReplicaAction> stores_;
@@ -103,6 +104,7 @@
     Pause,
     Resume,
     LoseAnswer, ///< A call to the key-value service takes effect unheard.
+    FillQueue,  ///< The next frame to another host is refused.
     BeginOutage,
     PassTime,
   };
