LibJobs: Go on behind the items in flight after a takeover

Items of a lot go out in order, so what a former owner had out lies just behind the last item known to have ended. The next owner starts 256 items further on at once, and comes back to the gap when agents had time to report.

--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -86,7 +86,10 @@
   std::vector<Item> items_;
   std::vector<ResultPlace> results_; ///< In the order recorded.
   std::vector<std::uint32_t> requeued_;
-  std::uint32_t nextItem_ = 0; ///< First item never dispatched.
+  std::uint32_t nextItem_ = 0; ///< Where the search for a waiting item goes on.
+  /// Where it began. Past the last item it goes on at the first, up to here.
+  std::uint32_t searchStart_ = 0;
+  bool isSearchWrapped_ = false;
   std::uint32_t running_ = 0;
   std::uint32_t ending_ = 0; ///< Of those running, with a result on its way.
   std::uint32_t succeeded_ = 0;
--- a/Libraries/LibJobs/JobTable.cpp
+++ b/Libraries/LibJobs/JobTable.cpp
@@ -596,7 +596,22 @@
       return item;
     }
   }
-  while (aJob.nextItem_ < aJob.ReceivedItems()) {
+  if (const auto item = SearchWaiting(aJob, aJob.ReceivedItems())) {
+    return item;
+  }
+  if (aJob.isSearchWrapped_) {
+    return std::nullopt;
+  }
+  aJob.isSearchWrapped_ = true;
+  aJob.nextItem_ = 0;
+  return SearchWaiting(aJob, aJob.searchStart_);
+}
+
+std::optional<std::uint32_t>
+JobTable::SearchWaiting(Job& aJob, std::uint32_t aEnd)
+{
+  const std::uint32_t end = aJob.isSearchWrapped_ ? aJob.searchStart_ : aEnd;
+  while (aJob.nextItem_ < end) {
     const std::uint32_t item = aJob.nextItem_++;
     if (aJob.items_[item].state_ == Item::State::Waiting) {
       return item;
@@ -605,6 +620,29 @@
   return std::nullopt;
 }
 
+std::uint32_t
+JobTable::SkipInFlight(const base::JobId& aJob, std::uint32_t aInFlight)
+{
+  Job* job = FindMutable(aJob);
+  if (job == nullptr || job->phase_ != Job::Phase::Accepted) {
+    return 0;
+  }
+  const auto isKnown = [](const Item& aItem) {
+    return aItem.state_ != Item::State::Waiting || aItem.recordedStarts_ > 0;
+  };
+  const auto last =
+    std::find_if(job->items_.rbegin(), job->items_.rend(), isKnown);
+  const auto known = static_cast<std::uint64_t>(job->items_.rend() - last);
+  const std::uint64_t start = known + aInFlight;
+  if (start >= job->ReceivedItems()) {
+    return 0;
+  }
+  job->searchStart_ = static_cast<std::uint32_t>(start);
+  job->nextItem_ = job->searchStart_;
+  job->isSearchWrapped_ = false;
+  return job->ReceivedItems() - job->searchStart_;
+}
+
 bool
 JobTable::Requeue(const base::RunId& aRun)
 {
--- a/Libraries/LibJobs/JobTable.h
+++ b/Libraries/LibJobs/JobTable.h
@@ -153,6 +153,13 @@
   /// Takes the next waiting item of a job for dispatch.
   std::optional<Dispatch> TakeItem(const base::JobId& aJob);
 
+  /// After a takeover, lets a lot go on behind the items that the former owner
+  /// may have given out: items go out in order, so those run just behind the
+  /// last one that is known to have ended.
+  /// @param aInFlight Most items that a former owner has out.
+  /// @return waiting items behind them; 0 where the lot is too short.
+  std::uint32_t SkipInFlight(const base::JobId& aJob, std::uint32_t aInFlight);
+
   /// Lets a running item wait again, without counting an attempt.
   /// @return false where it does not run under this attempt.
   bool Requeue(const base::RunId& aRun);
@@ -222,6 +229,8 @@
   EndDecision DecideFailure(Job& aJob, const wire::RunEnded& aEnded);
   std::optional<EndAction> AnswerFromState(const base::RunId& aRun);
   static std::optional<std::uint32_t> NextWaiting(Job& aJob);
+  static std::optional<std::uint32_t> SearchWaiting(Job& aJob,
+                                                    std::uint32_t aEnd);
   void Remember(const base::JobId& aExpired);
   void DropAt(const base::JobId& aJob, std::optional<std::int64_t> aUnixMs);
   [[nodiscard]] std::optional<std::int64_t> DropTimeOf(
--- a/Libraries/LibKeeper/JobService.cpp
+++ b/Libraries/LibKeeper/JobService.cpp
@@ -164,13 +164,7 @@
   if (partition == nullptr) {
     return;
   }
-  bool hasWork = false;
-  partition->table_.ForEachUnfinished([&](const jobs::Job& aJob) {
-    hasWork = true;
-    if (aJob.description_.online_) {
-      partition->online_.try_emplace(aJob.description_.id_);
-    }
-  });
+  const bool hasWork = ResumeLots(*partition);
   partition->phase_ = OwnedPartition::Phase::Settling;
   partition->settlesAt_ = ports_.now_();
   if (hasWork) {
@@ -184,6 +178,27 @@
   Leave(std::move(lock));
 }
 
+bool
+JobService::ResumeLots(OwnedPartition& aPartition)
+{
+  std::vector<base::JobId> lots;
+  aPartition.table_.ForEachUnfinished([&](const jobs::Job& aJob) {
+    if (aJob.description_.online_) {
+      aPartition.online_.try_emplace(aJob.description_.id_);
+    } else {
+      lots.push_back(aJob.description_.id_);
+    }
+  });
+  // What the former owner had out is likely to be reported yet; the rest of a
+  // long lot need not wait for that.
+  for (const base::JobId& lot : lots) {
+    const std::uint32_t items =
+      aPartition.table_.SkipInFlight(lot, options_.inFlightAtTakeover_);
+    AddWaiting(*aPartition.table_.Find(lot), items);
+  }
+  return !lots.empty() || !aPartition.online_.empty();
+}
+
 void
 JobService::OnReleased(std::uint32_t aPartition)
 {
@@ -237,7 +252,9 @@
   aPartition.phase_ = OwnedPartition::Phase::Serving;
   std::vector<base::JobId> ownerless;
   aPartition.table_.ForEachUnfinished([&](const jobs::Job& aJob) {
-    if (!aJob.description_.online_) {
+    const wire::JobDescription& job = aJob.description_;
+    if (!job.online_) {
+      scheduler_.RemoveJob(job.id_, job.service_);
       AddWaiting(aJob, aJob.Waiting());
     }
   });
@@ -418,7 +435,7 @@
   jobs::Applied applied =
     aPartition.table_.Apply(aRecord, aPosition, aPartition.nextSequence_++);
   if (applied.accepted_) {
-    AfterAccepted(aPartition, *aPartition.table_.Find(*applied.accepted_));
+    AfterAccepted(*aPartition.table_.Find(*applied.accepted_));
   }
   if (const auto* ended = std::get_if<jobs::ItemsEnded>(&aRecord.body_)) {
     AfterEnds(aPartition, *ended, applied);
@@ -436,7 +453,7 @@
 }
 
 void
-JobService::AfterAccepted(OwnedPartition& aPartition, const jobs::Job& aJob)
+JobService::AfterAccepted(const jobs::Job& aJob)
 {
   const wire::JobDescription& description = aJob.description_;
   if (description.online_) {
@@ -451,10 +468,8 @@
               { "kind", description.kind_ },
               { "items", description.itemCount_ },
               { "due_unix_ms", description.dueUnixMs_ } });
-  if (aPartition.phase_ == OwnedPartition::Phase::Serving) {
-    AddWaiting(aJob, aJob.Waiting());
-    Dispatch();
-  }
+  AddWaiting(aJob, aJob.Waiting());
+  Dispatch();
 }
 
 void
--- a/Libraries/LibKeeper/JobService.h
+++ b/Libraries/LibKeeper/JobService.h
@@ -62,6 +62,8 @@
     base::Duration unknownEndGrace_{ std::chrono::seconds{ 60 } };
     /// After a takeover, agents may report what the former owner started.
     base::Duration settleTime_{ std::chrono::seconds{ 1 } };
+    /// Most items of a lot that a former owner had out.
+    std::uint32_t inFlightAtTakeover_ = 256;
     base::Duration drainGrace_{ std::chrono::seconds{ 20 } };
     base::Duration expireInterval_{ std::chrono::seconds{ 1 } };
     std::size_t maxPageBytes_ = 1U << 20U;
@@ -177,7 +179,7 @@
   void AfterEnds(OwnedPartition& aPartition,
                  const jobs::ItemsEnded& aEnded,
                  const jobs::Applied& aApplied);
-  void AfterAccepted(OwnedPartition& aPartition, const jobs::Job& aJob);
+  void AfterAccepted(const jobs::Job& aJob);
   void StopOtherAttempt(const OwnedPartition& aPartition,
                         const base::RunId& aEnded,
                         const jobs::Job* aJob);
@@ -275,6 +277,7 @@
   void OrphanRequestsOf(const std::string& aEntry);
   void OrphanRequest(const Route& aRoute, const base::JobId& aJob);
   void PlaceOrphans();
+  bool ResumeLots(OwnedPartition& aPartition);
   void BeginServing(std::uint32_t aIndex, OwnedPartition& aPartition);
   void AddWaiting(const jobs::Job& aJob, std::uint32_t aItems);
   void TellDemand(const std::vector<jobs::DemandNotice>& aNotices);
--- a/Tests/LibJobs/JobTableTest.cpp
+++ b/Tests/LibJobs/JobTableTest.cpp
@@ -151,6 +151,20 @@
   CHECK(status.failed_ == 1);
 }
 
+TEST_CASE_METHOD(JobTableFixture,
+                 "JobTable_LotAfterTakeover_GoesOnBehindItemsInFlight")
+{
+  AcceptLot();
+  End(MakeEnded(Take(), ResultCode::Ok, Ran::Ran, "first"));
+  LoggedTable next = TakeOver();
+  CHECK(next.table_.SkipInFlight(lot_.id_, 3) == 0);
+  CHECK(next.table_.SkipInFlight(lot_.id_, 1) == 2);
+  for (const std::uint32_t item : { 2U, 3U, 1U }) {
+    CHECK(next.table_.TakeItem(lot_.id_).value().run_.item_ == item);
+  }
+  CHECK_FALSE(next.table_.TakeItem(lot_.id_));
+}
+
 TEST_CASE_METHOD(JobTableFixture, "JobTable_TrueRefusal_CountsNoAttempt")
 {
   AcceptLot();
--- a/Tests/LibKeeper/LotTest.cpp
+++ b/Tests/LibKeeper/LotTest.cpp
@@ -82,6 +82,24 @@
   CHECK(page.items_[1].name_ == "name-1");
 }
 
+TEST_CASE_METHOD(KeeperFixture, "Lot_LongLotAfterTakeover_GoesOnAtOnce")
+{
+  // A long lot need not stand still while agents report what the former owner
+  // had out, and what they report need not run again.
+  const auto lot = Submit("lot", 300);
+  keeper_->Grant("agent-1", 20);
+  const auto out = keeper_->Sent<StartRun>("agent-1");
+  TakeOver();
+  keeper_->Grant("agent-2", 400);
+  CHECK(keeper_->Sent<StartRun>("agent-2").size() == 44);
+  for (const StartRun& start : out) {
+    keeper_->Finish("agent-1", start, "reported");
+  }
+  Settle();
+  CHECK(keeper_->Sent<StartRun>("agent-2").size() == 236);
+  CHECK(keeper_->Status(lot.id_).succeeded_ == 20);
+}
+
 TEST_CASE_METHOD(KeeperFixture, "Lot_OwnerLostBeforeAcknowledgement_StillOnce")
 {
   // The lot is in the log, but the owner is lost before it can say so. The
