--- a/Libraries/LibJobs/JobTable.h
+++ b/Libraries/LibJobs/JobTable.h
@@ -248,7 +248,10 @@
     std::int64_t unixMs_ = 0;
     base::JobId job_;
 
-    auto operator<=>(const DropTime&) const = default;
+    bool operator>(const DropTime& aOther) const
+    {
+      return unixMs_ > aOther.unixMs_;
+    }
   };
 
   struct FirstSequence
--- a/Tests/LibJobs/RecordCodecTest.cpp
+++ b/Tests/LibJobs/RecordCodecTest.cpp
@@ -110,8 +110,9 @@
           nullptr);
     for (int round = 0; round < 200; ++round) {
       std::string damaged = whole;
-      damaged[random() % damaged.size()] ^=
-        static_cast<char>(1U << (random() % 8));
+      char& byte = damaged[random() % damaged.size()];
+      byte = static_cast<char>(static_cast<unsigned char>(byte) ^
+                               (1U << (random() % 8)));
       const auto decoded = Decode(damaged);
       refused += decoded == nullptr ? 1 : 0;
     }
--- a/Tests/LibKeeper/KeeperFleet.cpp
+++ b/Tests/LibKeeper/KeeperFleet.cpp
@@ -48,7 +48,8 @@
   : handler_(std::move(aHandler))
 {
   wire::LinkTable::Handlers handlers;
-  handlers.message_ = [this](const std::string& aPeer, wire::Message aMessage) {
+  handlers.message_ = [this](const std::string& aPeer,
+                             const wire::Message& aMessage) {
     handler_(aPeer, aMessage);
   };
   handlers.state_ = [](const std::string&, wire::LinkState) {};
