LibWire: Take one link's state out of the link loop

Also numbers dials across links, so that a dial made before a Disconnect cannot end in the link made after it, and refuses a dialed connection that broke between its greeting and its use.

--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -93,6 +93,7 @@
 
   /// Tells the owner nothing from now on.
   void Mute() { events_ = nullptr; }
+  [[nodiscard]] bool IsMuted() const { return events_ == nullptr; }
 
   [[nodiscard]] const ProcessIdentity& Peer() const { return peer_; }
   [[nodiscard]] ConnectionSide Side() const { return side_; }
--- a/Libraries/LibWire/LinkLoop.cpp
+++ b/Libraries/LibWire/LinkLoop.cpp
@@ -31,12 +31,6 @@
   return aDuration.count() * kj::MICROSECONDS;
 }
 
-std::size_t
-IndexOf(ConnectionSide aSide)
-{
-  return static_cast<std::size_t>(aSide);
-}
-
 std::uint64_t
 MakeIncarnation(std::mt19937_64& aRandom)
 {
@@ -59,6 +53,7 @@
   , random_(std::random_device{}())
   , own_{ aShared.options_.host_, MakeIncarnation(random_) }
   , tasks_(*this)
+  , retired_(tasks_)
 {
   events_.greeted_ = [this](Connection& aConnection) {
     OnGreeted(aConnection);
@@ -134,38 +129,35 @@
 void
 LinkLoop::Obey(const ConnectCommand& aCommand)
 {
-  Link& link = GetLink(aCommand.peer_);
-  if (link.address_ == aCommand.address_) {
+  Entry& entry = GetEntry(aCommand.peer_);
+  if (entry.address_ == aCommand.address_) {
     return;
   }
-  link.address_ = aCommand.address_;
-  ++link.dialEpoch_;
-  link.dialing_ = false;
-  link.schedule_.Reset();
-  Drop(link, ConnectionSide::Dialed, "the address changed");
-  ScheduleDial(link);
+  entry.address_ = aCommand.address_;
+  entry.dial_ = 0;
+  entry.schedule_.Reset();
+  entry.link_.Drop(ConnectionSide::Dialed, "the address changed");
+  ScheduleDial(entry);
 }
 
 void
 LinkLoop::Obey(const DisconnectCommand& aCommand)
 {
-  const auto found = links_.find(aCommand.peer_);
-  if (found == links_.end()) {
+  const auto found = entries_.find(aCommand.peer_);
+  if (found == entries_.end()) {
     return;
   }
-  shared_.queues_.Close(aCommand.peer_);
-  for (kj::Own<Connection>& connection : found->second.connections_) {
-    Retire(kj::mv(connection));
-  }
-  links_.erase(found);
+  found->second.link_.Clear();
+  entries_.erase(found);
 }
 
 void
 LinkLoop::Obey(const HeartbeatCommand&)
 {
-  for (auto& [peer, link] : links_) {
-    if (link.current_ != nullptr) {
-      link.current_->SendHeartbeat(MakeHeartbeat(*link.current_));
+  for (const auto& [peer, entry] : entries_) {
+    Connection* current = entry.link_.Current();
+    if (current != nullptr) {
+      current->SendHeartbeat(MakeHeartbeat(*current));
     }
   }
 }
@@ -201,9 +193,9 @@
              "the peer calls itself by this process's name");
   kj::Own<Connection> connection = kj::mv(newcomer->connection_);
   newcomers_.erase(newcomer);
-  Link& link = GetLink(connection->Peer().host_);
-  link.peerDials_ = true;
-  Establish(link, kj::mv(connection));
+  Entry& entry = GetEntry(connection->Peer().host_);
+  entry.schedule_.Reset();
+  entry.link_.Add(kj::mv(connection));
 }
 
 void
@@ -213,98 +205,17 @@
        ++newcomer) {
     if (newcomer->connection_.get() == &aConnection) {
       base::Log(kPeerRefused, { { "detail", aReason } });
-      Retire(kj::mv(newcomer->connection_));
+      retired_.Add(kj::mv(newcomer->connection_));
       newcomers_.erase(newcomer);
       return;
     }
   }
-  Link* link = FindLink(aConnection.Peer().host_);
-  const std::size_t side = IndexOf(aConnection.Side());
-  if (link == nullptr || link->connections_[side].get() != &aConnection) {
+  Entry* entry = FindEntry(aConnection.Peer().host_);
+  if (entry == nullptr || entry->link_.At(aConnection.Side()) != &aConnection) {
     return; // A dial under way; its promise fails too.
   }
-  Drop(*link, aConnection.Side(), aReason);
-  ScheduleDial(*link);
-}
-
-void
-LinkLoop::Establish(Link& aLink, kj::Own<Connection> aConnection)
-{
-  const ConnectionSide side = aConnection->Side();
-  const std::uint64_t incarnation = aConnection->Peer().incarnation_;
-  const bool isReplaced =
-    aLink.incarnation_ != 0 && aLink.incarnation_ != incarnation;
-  aLink.incarnation_ = incarnation;
-  aLink.schedule_.Reset();
-  // Whoever opens a second connection has given up the first, which may look
-  // alive from here for longer: it went silent in the other direction.
-  Drop(aLink, side, "the peer opened another");
-  if (isReplaced) {
-    Drop(aLink, ConnectionSide::Dialed, "the peer's process was replaced");
-    Drop(aLink, ConnectionSide::Accepted, "the peer's process was replaced");
-  }
-  Connection& connection = *aConnection;
-  aLink.connections_[IndexOf(side)] = kj::mv(aConnection);
-  shared_.queues_.RecordHeard(aLink.peer_, base::MonotonicNow());
-  Select(aLink, isReplaced);
-  connection.Open();
-}
-
-void
-LinkLoop::Select(Link& aLink, bool aIsReplaced)
-{
-  if (aLink.current_ != nullptr) {
-    return;
-  }
-  for (kj::Own<Connection>& connection : aLink.connections_) {
-    if (connection.get() == nullptr) {
-      continue;
-    }
-    aLink.current_ = connection.get();
-    shared_.queues_.Open(aLink.peer_);
-    base::Log(kLinkUp,
-              { { "peer", aLink.peer_ },
-                { "dialed", connection->Side() == ConnectionSide::Dialed } });
-    if (aIsReplaced) {
-      base::Log(kPeerReplaced, { { "peer", aLink.peer_ } });
-      Report(aLink, LinkState::Replaced);
-    }
-    Report(aLink, LinkState::Up);
-    return;
-  }
-}
-
-void
-LinkLoop::Drop(Link& aLink, ConnectionSide aSide, std::string_view aReason)
-{
-  kj::Own<Connection> dropped = kj::mv(aLink.connections_[IndexOf(aSide)]);
-  if (dropped.get() == nullptr) {
-    return;
-  }
-  const bool isCurrent = aLink.current_ == dropped.get();
-  Retire(kj::mv(dropped));
-  if (!isCurrent) {
-    return;
-  }
-  aLink.current_ = nullptr;
-  shared_.queues_.Close(aLink.peer_);
-  base::Log(kLinkLost, { { "peer", aLink.peer_ }, { "reason", aReason } });
-  Report(aLink, LinkState::Lost);
-}
-
-/// A connection is often given up by a call that runs on it, so it is destroyed
-/// on a later turn of the event loop.
-void
-LinkLoop::Retire(kj::Own<Connection> aConnection)
-{
-  if (aConnection.get() == nullptr) {
-    return;
-  }
-  aConnection->Mute();
-  retired_.push_back(kj::mv(aConnection));
-  if (retired_.size() == 1) {
-    tasks_.add(kj::evalLater([this] { retired_.clear(); }));
-  }
+  entry->link_.Drop(aConnection.Side(), aReason);
+  ScheduleDial(*entry);
 }
 
 kj::Own<Connection>
@@ -322,45 +233,46 @@
 }
 
 void
-LinkLoop::ScheduleDial(Link& aLink)
+LinkLoop::ScheduleDial(Entry& aEntry)
 {
-  Select(aLink, false);
-  if (aLink.address_.empty() || aLink.dialing_ || aLink.current_ != nullptr) {
+  const Link& link = aEntry.link_;
+  if (aEntry.address_.empty() || aEntry.dial_ != 0 ||
+      link.Current() != nullptr) {
     return;
   }
-  aLink.dialing_ = true;
-  base::Duration delay = aLink.schedule_.Next(Random());
+  aEntry.dial_ = ++lastDial_;
+  base::Duration delay = aEntry.schedule_.Next(Random());
   // Where both ends dial, one of them goes first, or they would end up with
   // two connections.
-  if (aLink.peerDials_ && own_.host_ > aLink.peer_) {
+  if (link.PeerDials() && own_.host_ > link.Peer()) {
     delay += shared_.options_.heartbeatInterval_ / kTicksPerInterval;
   }
   tasks_.add(timer_.afterDelay(ToKj(delay))
-               .then([this, peer = aLink.peer_, epoch = aLink.dialEpoch_] {
-                 Dial(peer, epoch);
+               .then([this, peer = link.Peer(), dial = aEntry.dial_] {
+                 Dial(peer, dial);
                }));
 }
 
 void
-LinkLoop::Dial(const std::string& aPeer, std::uint64_t aEpoch)
+LinkLoop::Dial(const std::string& aPeer, std::uint64_t aDial)
 {
-  Link* link = FindLink(aPeer);
-  if (link == nullptr || link->dialEpoch_ != aEpoch) {
+  Entry* entry = FindDialing(aPeer, aDial);
+  if (entry == nullptr) {
     return;
   }
-  if (link->current_ != nullptr) {
-    link->dialing_ = false;
+  if (entry->link_.Current() != nullptr) {
+    entry->dial_ = 0;
     return;
   }
   const kj::Duration timeout = ToKj(shared_.options_.connectTimeout_);
-  tasks_.add(timer_.timeoutAfter(timeout, Reach(aPeer, link->address_))
+  tasks_.add(timer_.timeoutAfter(timeout, Reach(aPeer, entry->address_))
                .then(
-                 [this, aPeer, aEpoch](kj::Own<Connection>&& aConnection) {
-                   OnDialed(aPeer, aEpoch, kj::mv(aConnection));
+                 [this, aPeer, aDial](kj::Own<Connection>&& aConnection) {
+                   OnDialed(aPeer, aDial, kj::mv(aConnection));
                  },
-                 [this, aPeer, aEpoch](kj::Exception&& aException) {
+                 [this, aPeer, aDial](kj::Exception&& aException) {
                    OnDialFailed(
-                     aPeer, aEpoch, aException.getDescription().cStr());
+                     aPeer, aDial, aException.getDescription().cStr());
                  }));
 }
 
@@ -385,33 +297,41 @@
 
 void
 LinkLoop::OnDialed(const std::string& aPeer,
-                   std::uint64_t aEpoch,
+                   std::uint64_t aDial,
                    kj::Own<Connection> aConnection)
 {
-  Link* link = FindLink(aPeer);
-  if (link == nullptr || link->dialEpoch_ != aEpoch) {
-    Retire(kj::mv(aConnection));
+  Entry* entry = FindDialing(aPeer, aDial);
+  if (entry == nullptr) {
+    retired_.Add(kj::mv(aConnection));
     return;
   }
-  link->dialing_ = false;
-  Establish(*link, kj::mv(aConnection));
+  // It may have broken right after the peer's answer, and would then tell
+  // nobody.
+  if (aConnection->IsMuted()) {
+    retired_.Add(kj::mv(aConnection));
+    OnDialFailed(aPeer, aDial, "closed after hello");
+    return;
+  }
+  entry->dial_ = 0;
+  entry->schedule_.Reset();
+  entry->link_.Add(kj::mv(aConnection));
 }
 
 void
 LinkLoop::OnDialFailed(const std::string& aPeer,
-                       std::uint64_t aEpoch,
+                       std::uint64_t aDial,
                        const std::string& aReason)
 {
-  Link* link = FindLink(aPeer);
-  if (link == nullptr || link->dialEpoch_ != aEpoch) {
+  Entry* entry = FindDialing(aPeer, aDial);
+  if (entry == nullptr) {
     return;
   }
   base::Log(kConnectFailed,
             { { "peer", aPeer },
-              { "address", link->address_ },
+              { "address", entry->address_ },
               { "reason", aReason } });
-  link->dialing_ = false;
-  ScheduleDial(*link);
+  entry->dial_ = 0;
+  ScheduleDial(*entry);
 }
 
 void
@@ -444,14 +364,14 @@
     DeliverToSelf();
     return;
   }
-  Link* link = FindLink(aPeer);
-  while (link != nullptr && link->current_ != nullptr &&
-         link->current_->HasRoom()) {
+  const Entry* entry = FindEntry(aPeer);
+  Connection* current = entry == nullptr ? nullptr : entry->link_.Current();
+  while (current != nullptr && current->HasRoom()) {
     SendQueues::Batch batch = shared_.queues_.Take(aPeer, kMaxBatchBytes);
     if (batch.messages_.empty()) {
       return;
     }
-    link->current_->Deliver(std::move(batch));
+    current->Deliver(std::move(batch));
   }
 }
 
@@ -489,7 +409,7 @@
   if (aConnection.Side() == ConnectionSide::Accepted) {
     return;
   }
-  if (&aConnection == aLink.current_) {
+  if (&aConnection == aLink.Current()) {
     aConnection.SendHeartbeat(MakeHeartbeat(aConnection));
   } else {
     aConnection.Probe();
@@ -500,31 +420,30 @@
 LinkLoop::Tick()
 {
   RefuseLateNewcomers(base::MonotonicNow());
-  for (auto& [peer, link] : links_) {
-    TickLink(link);
+  for (auto& [peer, entry] : entries_) {
+    CheckHealth(entry.link_, ConnectionSide::Dialed);
+    CheckHealth(entry.link_, ConnectionSide::Accepted);
+    ScheduleDial(entry);
   }
 }
 
 void
-LinkLoop::TickLink(Link& aLink)
+LinkLoop::CheckHealth(Link& aLink, ConnectionSide aSide)
 {
-  const base::Instant now = base::MonotonicNow();
-  for (kj::Own<Connection>& connection : aLink.connections_) {
-    if (connection.get() == nullptr) {
-      continue;
-    }
-    switch (connection->Health().Check(now)) {
-      case LinkNeed::Nothing:
-        break;
-      case LinkNeed::Heartbeat:
-        OnHeartbeatDue(aLink, *connection);
-        break;
-      case LinkNeed::Replacement:
-        Drop(aLink, connection->Side(), "silent");
-        break;
-    }
+  Connection* connection = aLink.At(aSide);
+  if (connection == nullptr) {
+    return;
+  }
+  switch (connection->Health().Check(base::MonotonicNow())) {
+    case LinkNeed::Nothing:
+      return;
+    case LinkNeed::Heartbeat:
+      OnHeartbeatDue(aLink, *connection);
+      return;
+    case LinkNeed::Replacement:
+      aLink.Drop(aSide, "silent");
+      return;
   }
-  ScheduleDial(aLink);
 }
 
 void
@@ -532,32 +451,29 @@
 {
   while (!newcomers_.empty() && newcomers_.front().deadline_ <= aNow) {
     base::Log(kPeerRefused, { { "detail", "no hello in time" } });
-    Retire(kj::mv(newcomers_.front().connection_));
+    retired_.Add(kj::mv(newcomers_.front().connection_));
     newcomers_.pop_front();
   }
 }
 
-void
-LinkLoop::Report(const Link& aLink, LinkState aState) const
+LinkLoop::Entry&
+LinkLoop::GetEntry(const std::string& aPeer)
 {
-  if (shared_.handlers_.state_) {
-    shared_.handlers_.state_(aLink.peer_, aState);
-  }
+  return entries_.try_emplace(aPeer, aPeer, shared_, retired_).first->second;
 }
 
-LinkLoop::Link&
-LinkLoop::GetLink(const std::string& aPeer)
+LinkLoop::Entry*
+LinkLoop::FindEntry(const std::string& aPeer)
 {
-  Link& link = links_[aPeer];
-  link.peer_ = aPeer;
-  return link;
+  const auto found = entries_.find(aPeer);
+  return found == entries_.end() ? nullptr : &found->second;
 }
 
-LinkLoop::Link*
-LinkLoop::FindLink(const std::string& aPeer)
+LinkLoop::Entry*
+LinkLoop::FindDialing(const std::string& aPeer, std::uint64_t aDial)
 {
-  const auto found = links_.find(aPeer);
-  return found == links_.end() ? nullptr : &found->second;
+  Entry* entry = FindEntry(aPeer);
+  return entry != nullptr && entry->dial_ == aDial ? entry : nullptr;
 }
 
 double
--- a/Libraries/LibWire/LinkLoop.h
+++ b/Libraries/LibWire/LinkLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibWire/Connection.h"
+#include "LibWire/Link.h"
 #include "LibWire/LinkHealth.h"
 #include "LibWire/LinkThread.h"
 
@@ -16,10 +17,8 @@
 
 namespace pumiceturn::wire {
 
-/// All links of a process, on its link thread. A link joins two processes by
-/// name; it may hold a connection that this process dialed and one that it
-/// accepted. Messages leave on the current one. The other takes over only when
-/// the current one is lost, so that messages are not reordered while both work.
+/// All links of a process, on its link thread: accepts and dials connections,
+/// watches their health and moves messages between them and the queues.
 class LinkLoop : private kj::TaskSet::ErrorHandler
 {
 public:
@@ -31,17 +30,19 @@
   void Run(kj::WaitScope& aWaitScope);
 
 private:
-  struct Link
+  struct Entry
   {
-    std::string peer_;
+    Entry(const std::string& aPeer,
+          LinkShared& aShared,
+          RetiredConnections& aRetired)
+      : link_(aPeer, aShared, aRetired)
+    {
+    }
+
+    Link link_;
     std::string address_; ///< Empty: the peer connects to us.
-    std::array<kj::Own<Connection>, 2> connections_; ///< By ConnectionSide.
-    Connection* current_ = nullptr;
-    std::uint64_t incarnation_ = 0; ///< Of the process last reached; 0: none.
     ReconnectSchedule schedule_{ {} };
-    bool peerDials_ = false;
-    bool dialing_ = false;
-    std::uint64_t dialEpoch_ = 0; ///< Raised to give up a dial under way.
+    std::uint64_t dial_ = 0; ///< Number of the dial under way; 0: none.
   };
 
   struct Newcomer
@@ -65,23 +66,19 @@
   void OnAccepted(kj::Own<kj::AsyncIoStream> aStream);
   void OnGreeted(Connection& aConnection);
   void OnEnded(Connection& aConnection, const std::string& aReason);
-  void Establish(Link& aLink, kj::Own<Connection> aConnection);
-  void Select(Link& aLink, bool aIsReplaced);
-  void Drop(Link& aLink, ConnectionSide aSide, std::string_view aReason);
-  void Retire(kj::Own<Connection> aConnection);
   kj::Own<Connection> MakeConnection(kj::Own<kj::AsyncIoStream> aStream,
                                      ConnectionSide aSide);
 
   // Dialing.
-  void ScheduleDial(Link& aLink);
-  void Dial(const std::string& aPeer, std::uint64_t aEpoch);
+  void ScheduleDial(Entry& aEntry);
+  void Dial(const std::string& aPeer, std::uint64_t aDial);
   kj::Promise<kj::Own<Connection>> Reach(const std::string& aPeer,
                                          const std::string& aAddress);
   void OnDialed(const std::string& aPeer,
-                std::uint64_t aEpoch,
+                std::uint64_t aDial,
                 kj::Own<Connection> aConnection);
   void OnDialFailed(const std::string& aPeer,
-                    std::uint64_t aEpoch,
+                    std::uint64_t aDial,
                     const std::string& aReason);
 
   // Messages.
@@ -93,11 +90,13 @@
   void OnHeartbeatDue(const Link& aLink, Connection& aConnection) const;
 
   void Tick();
-  void TickLink(Link& aLink);
+  void CheckHealth(Link& aLink, ConnectionSide aSide);
   void RefuseLateNewcomers(base::Instant aNow);
-  void Report(const Link& aLink, LinkState aState) const;
-  Link& GetLink(const std::string& aPeer);
-  Link* FindLink(const std::string& aPeer);
+  Entry& GetEntry(const std::string& aPeer);
+  Entry* FindEntry(const std::string& aPeer);
+
+  /// @return the peer's entry if it still waits for this dial.
+  Entry* FindDialing(const std::string& aPeer, std::uint64_t aDial);
   double Random();
   void taskFailed(kj::Exception&& aException) override;
 
@@ -111,10 +110,11 @@
   ConnectionEvents events_;
   std::mt19937_64 random_;
   ProcessIdentity own_;
-  std::map<std::string, Link, std::less<>> links_;
-  std::list<Newcomer> newcomers_;
-  std::vector<kj::Own<Connection>> retired_;
+  std::uint64_t lastDial_ = 0;
   kj::TaskSet tasks_;
+  RetiredConnections retired_;
+  std::map<std::string, Entry, std::less<>> entries_;
+  std::list<Newcomer> newcomers_;
 };
 
 } // namespace pumiceturn::wire
