--- a/Benchmarks/Wire/Idle.cpp
+++ b/Benchmarks/Wire/Idle.cpp
@@ -186,6 +186,7 @@
 ServePeers(const IdlePlan& aPlan)
 {
   std::vector<std::unique_ptr<LinkTable>> peers;
+  peers.reserve(static_cast<std::size_t>(aPlan.links_));
   for (int index = 0; index < aPlan.links_; ++index) {
     peers.push_back(StartTable(PeerName(index), PeerAddress(aPlan, index)));
   }
--- a/Libraries/LibWire/FramedStream.cpp
+++ b/Libraries/LibWire/FramedStream.cpp
@@ -106,7 +106,9 @@
       if (aGot == 0) {
         return kj::Maybe<capnp::MessageReaderAndFds>(nullptr);
       }
-      KJ_REQUIRE(aGot == header->size(), "the stream ends within a header");
+      if (aGot < header->size()) {
+        return KJ_EXCEPTION(DISCONNECTED, "the stream ends within a header");
+      }
       return ReadBody(FromHeader(*header), aOptions);
     });
 }
