LibWire: Look for input also when the event loop is never idle

The loop polled only when no event was ready. Senders without pause kept it busy: heartbeats lay unread and healthy links were replaced. The test fails without the change.

--- a/Libraries/LibWire/LinkTable.cpp
+++ b/Libraries/LibWire/LinkTable.cpp
@@ -30,6 +30,9 @@
 {
   auto state =
     std::make_unique<State>(std::move(aOptions), std::move(aHandlers));
+  if (state->shared_.wake_.Descriptor() < 0) {
+    return base::Fail(ResultCode::InputOutput, "no descriptor is left");
+  }
   // A process is always reachable to itself.
   state->shared_.queues_.Open(state->shared_.options_.host_);
   std::promise<base::Outcome<std::string>> started;
--- a/Libraries/LibWire/LinkThread.cpp
+++ b/Libraries/LibWire/LinkThread.cpp
@@ -5,12 +5,16 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#include <cassert>
-
 namespace pumiceturn::wire {
 
 namespace {
 
+/// The event loop looks for input and timers only when it has nothing else to
+/// do. A few peers that send without pause keep it busy for ever: the others'
+/// messages wait, heartbeats are not sent, and healthy links count as silent.
+/// So it looks after this many events in any case.
+constexpr unsigned int kEventsBetweenPolls = 16;
+
 std::string
 WithPort(const std::string& aAddress, unsigned int aPort)
 {
@@ -29,7 +33,6 @@
 WakeSignal::WakeSignal()
   : descriptor_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
-  assert(descriptor_ >= 0);
 }
 
 WakeSignal::~WakeSignal()
@@ -51,6 +54,7 @@
               std::promise<base::Outcome<std::string>> aStarted)
 {
   kj::AsyncIoContext io = kj::setupAsyncIo();
+  io.waitScope.setBusyPollInterval(kEventsBetweenPolls);
   kj::Own<kj::ConnectionReceiver> receiver;
   try {
     receiver = Listen(io, aShared.options_.listenAddress_);
--- a/Libraries/LibWire/LinkThread.h
+++ b/Libraries/LibWire/LinkThread.h
@@ -24,7 +24,7 @@
 
   void Wake() const;
 
-  /// @return the descriptor that becomes readable.
+  /// @return the descriptor that becomes readable; -1 when none was left.
   [[nodiscard]] int Descriptor() const { return descriptor_; }
 
 private:
--- a/Tests/LibWire/LinkFailureTest.cpp
+++ b/Tests/LibWire/LinkFailureTest.cpp
@@ -215,6 +215,48 @@
   CHECK(restarted.WaitForState("a", LinkState::Up));
 }
 
+// Under full load, links to healthy peers are reported as lost, and answers on
+// them stall. Work that follows on work keeps the event loop from ever running
+// dry, so it never looks for input: heartbeats lie unread. Here a process sends
+// itself a message for each that it gets, and still must hear its peer.
+TEST_CASE_METHOD(LinkFailureFixture, "Link_LoopNeverIdle_OtherPeersAreHeard")
+{
+  std::atomic<bool> stopping{ false };
+  a_.SetHook([this, &stopping] {
+    if (!stopping) {
+      a_.Table().Send("a", MakeNumbered(0));
+    }
+  });
+  REQUIRE(a_.Table().Send("a", MakeNumbered(0)) == ResultCode::Ok);
+  REQUIRE(a_.WaitForMessages("a", 100));
+  Join(b_.Table().ListenAddress());
+  REQUIRE(b_.Table().Send("a", MakeNumbered(1)) == ResultCode::Ok);
+  CHECK(a_.WaitForMessages("b", 1));
+  stopping = true;
+  a_.Destroy();
+}
+
+// Answers from one endpoint stop, then come twice. A firewall forgot the
+// connection, and before that was noticed the agent was replaced as well. The
+// entry must hear of both: attaching to runs of the old process would wait for
+// ever.
+TEST_CASE_METHOD(LinkFailureFixture,
+                 "Link_SilentWhilePeerRestarts_IsReportedAsReplaced")
+{
+  const std::string address = b_.Table().ListenAddress();
+  Forwarder forwarder(address);
+  Join(forwarder.Address());
+  forwarder.Lose(Forwarder::Direction::Both);
+  b_.Destroy();
+  Recorder restarted{ MakeOptions("b", address) };
+  REQUIRE(a_.WaitForState("b", LinkState::Up, 2));
+  CHECK(a_.States("b") ==
+        States{
+          LinkState::Up, LinkState::Lost, LinkState::Replaced, LinkState::Up });
+  REQUIRE(a_.Table().Send("b", MakeNumbered(1)) == ResultCode::Ok);
+  CHECK(restarted.WaitForMessages("a", 1));
+}
+
 // Once a day an entry dies for want of memory. One keeper's disk stalls, its
 // link thread takes nothing in, and the entry goes on queueing messages for it
 // without bound. It must be refused instead, and lose nothing it was promised.
