--- a/Tests/LibWire/LinkFailureTest.cpp
+++ b/Tests/LibWire/LinkFailureTest.cpp
@@ -222,9 +222,9 @@
 TEST_CASE_METHOD(LinkFailureFixture, "Link_LoopNeverIdle_OtherPeersAreHeard")
 {
   std::atomic<bool> stopping{ false };
-  a_.SetHook([this, &stopping] {
+  a_.SetHook([&table = a_.Table(), &stopping] {
     if (!stopping) {
-      a_.Table().Send("a", MakeNumbered(0));
+      table.Send("a", MakeNumbered(0));
     }
   });
   REQUIRE(a_.Table().Send("a", MakeNumbered(0)) == ResultCode::Ok);
