--- a/Libraries/LibStandin/EngineStandin.cpp
+++ b/Libraries/LibStandin/EngineStandin.cpp
@@ -23,7 +23,7 @@
 using nlohmann::json;
 
 /// How often a stream that waits looks whether its client has gone.
-constexpr std::chrono::milliseconds kClosedPoll{ 20 };
+constexpr std::chrono::milliseconds kClosedPoll{ 50 };
 constexpr std::size_t kMaxCountedPrompts = std::size_t{ 1 } << 20U;
 constexpr const char* kEventStreamType = "text/event-stream";
 constexpr const char* kEndMarker = "data: [DONE]\n\n";
