--- a/Tests/Scenarios/Scenario.cpp
+++ b/Tests/Scenarios/Scenario.cpp
@@ -2,6 +2,7 @@
 
 #include "Scenarios/AgentStage.h"
 #include "Scenarios/ConfigurationStage.h"
+#include "Scenarios/CopiesStage.h"
 #include "Scenarios/EntryStage.h"
 #include "Scenarios/KeeperStage.h"
 #include "Scenarios/LinkStage.h"
@@ -20,7 +21,8 @@
                            std::unique_ptr<EntryStage>,
                            std::unique_ptr<KeeperStage>,
                            std::unique_ptr<LinkStage>,
-                           std::unique_ptr<ConfigurationStage>>;
+                           std::unique_ptr<ConfigurationStage>,
+                           std::unique_ptr<CopiesStage>>;
 
 Stage
 MakeStage(Arguments& aArguments)
@@ -41,6 +43,9 @@
   if (subject == "configuration") {
     return std::make_unique<ConfigurationStage>(aArguments);
   }
+  if (subject == "copies") {
+    return std::make_unique<CopiesStage>(aArguments);
+  }
   throw ScenarioError("unknown subject " + subject);
 }
 
