--- a/Libraries/LibConfiguration/ConfigurationCache.cpp
+++ b/Libraries/LibConfiguration/ConfigurationCache.cpp
@@ -2,6 +2,7 @@
 
 #include "LibConfiguration/Events.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -23,8 +24,10 @@
   std::map<std::string_view, Kinds> kinds_;
   std::unordered_map<std::string_view, const declarations::Endpoint*>
     endpoints_;
-  std::unordered_map<std::string_view, const declarations::Partner*> partners_;
-  std::unordered_map<std::string_view, const declarations::Partner*> tokens_;
+  // Sorted lists, because tables would take several times the memory, and there
+  // are tens of thousands of partners.
+  std::vector<const declarations::Partner*> partners_;
+  std::vector<const declarations::Partner*> tokens_;
   std::set<std::string_view> drained_;
 };
 
@@ -38,6 +41,30 @@
   return found == aTable.end() ? nullptr : found->second;
 }
 
+using Partners = std::vector<const declarations::Partner*>;
+
+std::string_view
+NameOf(const declarations::Partner* aPartner)
+{
+  return aPartner->name();
+}
+
+std::string_view
+TokenOf(const declarations::Partner* aPartner)
+{
+  return aPartner->token_sha256();
+}
+
+template<typename KeyOf>
+const declarations::Partner*
+FindSorted(const Partners& aPartners, KeyOf aKeyOf, std::string_view aKey)
+{
+  const auto found =
+    std::ranges::lower_bound(aPartners, aKey, std::ranges::less{}, aKeyOf);
+  const bool isThere = found != aPartners.end() && aKeyOf(*found) == aKey;
+  return isThere ? *found : nullptr;
+}
+
 } // namespace
 
 Snapshot::Snapshot(declarations::Configuration aContent)
@@ -53,16 +80,17 @@
       index->endpoints_.emplace(endpoint.name(), &endpoint);
     }
   }
-  const auto& partners = content_.declarations().partners();
-  index->partners_.reserve(static_cast<std::size_t>(partners.size()));
-  index->tokens_.reserve(static_cast<std::size_t>(partners.size()));
-  for (const auto& partner : partners) {
-    index->partners_.emplace(partner.name(), &partner);
+  for (const auto& partner : content_.declarations().partners()) {
+    index->partners_.push_back(&partner);
     // A partner without a token must not be found by an empty one.
     if (!partner.token_sha256().empty()) {
-      index->tokens_.emplace(partner.token_sha256(), &partner);
+      index->tokens_.push_back(&partner);
     }
   }
+  std::ranges::sort(index->partners_, std::ranges::less{}, NameOf);
+  std::ranges::sort(index->tokens_, std::ranges::less{}, TokenOf);
+  index->partners_.shrink_to_fit();
+  index->tokens_.shrink_to_fit();
   for (const std::string& host : content_.drained_hosts()) {
     index->drained_.insert(host);
   }
@@ -91,13 +119,13 @@
 const declarations::Partner*
 Snapshot::FindPartnerByToken(std::string_view aTokenDigest) const
 {
-  return FindIn(index_->tokens_, aTokenDigest);
+  return FindSorted(index_->tokens_, TokenOf, aTokenDigest);
 }
 
 const declarations::Partner*
 Snapshot::FindPartner(std::string_view aName) const
 {
-  return FindIn(index_->partners_, aName);
+  return FindSorted(index_->partners_, NameOf, aName);
 }
 
 bool
--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -15,7 +15,7 @@
 using platform::KeyValue;
 using Reply = SpreadDecision::Reply;
 
-constexpr std::chrono::milliseconds kStepInterval{ 100 };
+constexpr std::chrono::milliseconds kStepInterval{ 20 };
 constexpr std::size_t kMostPartsInCall = 64;
 /// Processes that hear of changes from peers poll this much less often.
 constexpr int kRarePollFactor = 12;
@@ -293,6 +293,14 @@
   state_->stopped_ = true;
 }
 
+void
+ConfigurationFollower::SetPollers(std::size_t aPollers)
+{
+  state_->Do([aPollers](State& aState) {
+    aState.replica_.Spread().SetPollers(aPollers);
+  });
+}
+
 void
 ConfigurationFollower::OnHeartbeatVersion(const std::string& aPeer,
                                           std::uint64_t aVersion)
--- a/Libraries/LibConfiguration/ConfigurationFollower.h
+++ b/Libraries/LibConfiguration/ConfigurationFollower.h
@@ -55,6 +55,10 @@
   /// Nothing is sent or installed afterwards, but for what is running now.
   void Stop();
 
+  /// Says how many processes use the service as this one does: for entries, the
+  /// entries of the host list.
+  void SetPollers(std::size_t aPollers);
+
   /// A peer's heartbeat carried the version it holds.
   void OnHeartbeatVersion(const std::string& aPeer, std::uint64_t aVersion);
 
--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -3,7 +3,6 @@
 #include "LibConfiguration/Difference.h"
 #include "LibConfiguration/Events.h"
 #include "LibConfiguration/Keys.h"
-#include "LibConfiguration/SwapDecision.h"
 
 #include <google/protobuf/util/message_differencer.h>
 
@@ -152,6 +151,15 @@
                     });
 }
 
+void
+LogWrite(const base::Event& aEvent, const ConfigurationHead& aNext)
+{
+  base::Log(aEvent,
+            { { "version", aNext.version() },
+              { "write_id", aNext.write_id() },
+              { "author", aNext.author() } });
+}
+
 HistoryEntry
 ToHistoryEntry(const ConfigurationHead& aHead)
 {
@@ -272,7 +280,9 @@
     head = *std::move(kept);
   }
   BOOST_LEAF_AUTO(parts, ReadParts(DigestsInScope(head, {})));
-  return AssembleConfiguration(head, {}, parts);
+  BOOST_LEAF_AUTO(configuration, AssembleConfiguration(head, {}, parts));
+  SortPartners(*configuration.mutable_declarations());
+  return configuration;
 }
 
 Result<ConfigurationStore::HeldHead>
@@ -393,68 +403,74 @@
   SwapDecision decision(
     { aBase.head_.version(), aNext.write_id(), options_.attempts_ });
   platform::Backoff backoff(options_.backoff_);
-  const auto readFailed = [&](const Failure&) {
-    decision.OnReadFailed();
-    WaitAfterFailure(backoff);
-  };
   while (true) {
     switch (decision.Next()) {
-      case SwapStep::SendSwap: {
-        const SwapAnswer answer =
-          ToAnswer(Capture([&] { return client_.CompareAndSwap(aSwaps); }));
-        decision.OnSwap(answer);
-        if (answer == SwapAnswer::NotSent) {
-          WaitAfterFailure(backoff);
-        }
+      case SwapStep::SendSwap:
+        SendSwap(aSwaps, decision, backoff);
         break;
-      }
-      case SwapStep::ReadHead: {
-        const auto outcome = Capture([&] { return ReadHead(); });
-        if (const auto* failure = std::get_if<Failure>(&outcome)) {
-          readFailed(*failure);
-          break;
-        }
-        const ConfigurationHead& head = std::get<0>(outcome).head_;
-        decision.OnHead(head.version(), head.write_id());
+      case SwapStep::ReadHead:
+        LookAtHead(decision, backoff);
         break;
-      }
-      case SwapStep::ReadHistory: {
-        const auto outcome =
-          Capture([&] { return ReadHistory(aNext.version()); });
-        if (const auto* failure = std::get_if<Failure>(&outcome)) {
-          readFailed(*failure);
-          break;
-        }
-        const auto& kept = std::get<0>(outcome);
-        decision.OnHistory(kept ? std::optional(kept->write_id())
-                                : std::nullopt);
+      case SwapStep::ReadHistory:
+        LookAtHistory(aNext.version(), decision, backoff);
         break;
-      }
       case SwapStep::Accepted:
-        base::Log(kWriteAccepted,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteAccepted, aNext);
         return Verdict::Accepted;
       case SwapStep::Refused:
-        base::Log(kWriteRefused,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteRefused, aNext);
         return Verdict::Refused;
       case SwapStep::NotSent:
         return Fail(ResultCode::PlatformUnavailable, "nothing was written");
       case SwapStep::Unsettled:
-        base::Log(kWriteUnsettled,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteUnsettled, aNext);
         return Fail(ResultCode::PlatformOutcomeUnknown,
                     "write id " + aNext.write_id());
     }
   }
 }
 
+void
+ConfigurationStore::SendSwap(const std::vector<Swap>& aSwaps,
+                             SwapDecision& aDecision,
+                             platform::Backoff& aBackoff)
+{
+  const SwapAnswer answer =
+    ToAnswer(Capture([&] { return client_.CompareAndSwap(aSwaps); }));
+  aDecision.OnSwap(answer);
+  if (answer == SwapAnswer::NotSent) {
+    WaitAfterFailure(aBackoff);
+  }
+}
+
+void
+ConfigurationStore::LookAtHead(SwapDecision& aDecision,
+                               platform::Backoff& aBackoff)
+{
+  const auto outcome = Capture([&] { return ReadHead(); });
+  if (const auto* held = std::get_if<HeldHead>(&outcome)) {
+    aDecision.OnHead(held->head_.version(), held->head_.write_id());
+    return;
+  }
+  aDecision.OnReadFailed();
+  WaitAfterFailure(aBackoff);
+}
+
+void
+ConfigurationStore::LookAtHistory(std::uint64_t aVersion,
+                                  SwapDecision& aDecision,
+                                  platform::Backoff& aBackoff)
+{
+  const auto outcome = Capture([&] { return ReadHistory(aVersion); });
+  if (outcome.index() == 0) {
+    const auto& kept = std::get<0>(outcome);
+    aDecision.OnHistory(kept ? std::optional(kept->write_id()) : std::nullopt);
+    return;
+  }
+  aDecision.OnReadFailed();
+  WaitAfterFailure(aBackoff);
+}
+
 void
 ConfigurationStore::CollectSometimes(std::uint64_t aVersion)
 {
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -3,6 +3,7 @@
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
 #include "LibConfiguration/Parts.h"
+#include "LibConfiguration/SwapDecision.h"
 #include "LibPlatform/Backoff.h"
 #include "LibPlatform/KeyValueClient.h"
 
@@ -139,6 +140,13 @@
   base::Result<Verdict> Settle(const HeldHead& aBase,
                                const stored::ConfigurationHead& aNext,
                                const std::vector<platform::Swap>& aSwaps);
+  void SendSwap(const std::vector<platform::Swap>& aSwaps,
+                SwapDecision& aDecision,
+                platform::Backoff& aBackoff);
+  void LookAtHead(SwapDecision& aDecision, platform::Backoff& aBackoff);
+  void LookAtHistory(std::uint64_t aVersion,
+                     SwapDecision& aDecision,
+                     platform::Backoff& aBackoff);
   base::Result<void> DeleteOldHistory(
     std::uint64_t aCurrent,
     std::vector<platform::KeyValue>& aHistory);
--- a/Libraries/LibConfiguration/Parts.cpp
+++ b/Libraries/LibConfiguration/Parts.cpp
@@ -135,8 +135,13 @@
   for (const std::uint64_t digest : DigestsInScope(aHead, aScope)) {
     BOOST_LEAF_CHECK(MergePart(digest, aParts, all));
   }
-  SortByName(*all.mutable_partners());
   return configuration;
 }
 
+void
+SortPartners(declarations::Declarations& aDeclarations)
+{
+  SortByName(*aDeclarations.mutable_partners());
+}
+
 } // namespace pumiceturn::configuration
--- a/Libraries/LibConfiguration/Parts.h
+++ b/Libraries/LibConfiguration/Parts.h
@@ -56,7 +56,8 @@
              const Scope& aScope,
              const PartTable& aParts);
 
-/// Puts a head's parts together, in name order.
+/// Puts a head's parts together: services by name, partners in no order that
+/// means anything, as sorting them is half of the work on every host.
 /// @return NotFound where a part is missing, CorruptRecord where one cannot be
 /// read.
 base::Result<declarations::Configuration>
@@ -64,4 +65,8 @@
                       const Scope& aScope,
                       const PartTable& aParts);
 
+/// Sorts partners by name, for people to read.
+void
+SortPartners(declarations::Declarations& aDeclarations);
+
 } // namespace pumiceturn::configuration
--- a/Libraries/LibConfiguration/SpreadDecision.cpp
+++ b/Libraries/LibConfiguration/SpreadDecision.cpp
@@ -9,6 +9,14 @@
 
 constexpr base::Duration kFirstPlatformBackoff{ 200000 };
 
+/// So many processes ask the service at once and poll at the full rate. It is
+/// enough for one of them to find a change that all watches missed: it tells
+/// the others on its heartbeats.
+constexpr std::size_t kFreePollers = 8;
+constexpr base::Duration kLongestPoll{ 60000000 };
+constexpr base::Duration kWaitForEachPoller{ 2000 };
+constexpr base::Duration kLongestPartsWait{ 1000000 };
+
 base::Duration
 Scale(base::Duration aDuration, double aFactor)
 {
@@ -37,6 +45,40 @@
 {
 }
 
+void
+SpreadDecision::SetPollers(std::size_t aPollers)
+{
+  pollers_ = aPollers;
+}
+
+base::Duration
+SpreadDecision::PollInterval() const
+{
+  const auto shares =
+    static_cast<int>(std::max<std::size_t>(1, pollers_ / kFreePollers));
+  const base::Duration longest = std::max(kLongestPoll, options_.pollInterval_);
+  return std::min(options_.pollInterval_ * shares, longest);
+}
+
+/// A change reaches all watches at once. If every process then read its parts
+/// from the service, each change would cost a call a host. Most find a peer
+/// that has them after a short wait.
+bool
+SpreadDecision::MayAskForParts(base::Instant aNow, double aRandom)
+{
+  if (!pending_ || peerFetch_) {
+    return false;
+  }
+  if (!pending_->platformFrom_) {
+    const auto others =
+      static_cast<int>(pollers_ > kFreePollers ? pollers_ - kFreePollers : 0);
+    const base::Duration window =
+      std::min(kWaitForEachPoller * others, kLongestPartsWait);
+    pending_->platformFrom_ = aNow + Scale(window, aRandom);
+  }
+  return aNow >= *pending_->platformFrom_;
+}
+
 void
 SpreadDecision::OnPeerVersion(const std::string& aPeer, std::uint64_t aVersion)
 {
@@ -61,7 +103,11 @@
   if (aVersion <= held_ || (pending_ && aVersion < pending_->version_)) {
     return;
   }
-  pending_ = Pending{ aVersion, std::move(aMissing) };
+  std::optional<base::Instant> platformFrom;
+  if (pending_ && pending_->version_ == aVersion) {
+    platformFrom = pending_->platformFrom_;
+  }
+  pending_ = Pending{ aVersion, std::move(aMissing), platformFrom };
 }
 
 void
@@ -161,14 +207,13 @@
     return std::nullopt;
   }
   SpreadRequest request;
-  const bool lacksParts = pending_ && !peerFetch_;
-  if (lacksParts) {
+  if (MayAskForParts(aNow, aRandom)) {
     request.version_ = pending_->version_;
     request.parts_ = pending_->missing_;
   } else if (aNow < nextPollAt_) {
     return std::nullopt;
   } else {
-    nextPollAt_ = aNow + Jitter(options_.pollInterval_, aRandom);
+    nextPollAt_ = aNow + Jitter(PollInterval(), aRandom);
   }
   request.call_ = ++lastCall_;
   platformCall_ = request.call_;
--- a/Libraries/LibConfiguration/SpreadDecision.h
+++ b/Libraries/LibConfiguration/SpreadDecision.h
@@ -43,6 +43,11 @@
   /// @param aRandom Uniform in [0, 1).
   SpreadDecision(Options aOptions, base::Instant aNow, double aRandom);
 
+  /// Says how many processes poll the service as this one does. More of them
+  /// poll less often each, and wait longer at random for a peer to have a
+  /// change's parts, so that the service's calls hardly grow with the fleet.
+  void SetPollers(std::size_t aPollers);
+
   /// A peer announced the version it holds.
   void OnPeerVersion(const std::string& aPeer, std::uint64_t aVersion);
 
@@ -90,6 +95,8 @@
   {
     std::uint64_t version_ = 0;
     std::vector<std::uint64_t> missing_;
+    /// When the service may be asked; set when that is first thought of.
+    std::optional<base::Instant> platformFrom_;
   };
 
   struct PeerFetch
@@ -115,7 +122,11 @@
                                                       double aRandom) const;
   [[nodiscard]] std::uint64_t HighestKnown() const;
 
+  [[nodiscard]] bool MayAskForParts(base::Instant aNow, double aRandom);
+  [[nodiscard]] base::Duration PollInterval() const;
+
   Options options_;
+  std::size_t pollers_ = 1;
   std::uint64_t held_ = 0;
   std::map<std::string, Peer> peers_;
   std::optional<Pending> pending_;
--- a/Tests/LibConfiguration/SpreadDecisionTest.cpp
+++ b/Tests/LibConfiguration/SpreadDecisionTest.cpp
@@ -199,6 +199,35 @@
   CHECK(Next());
 }
 
+// With 410 entries, each change and each poll interval would cost 410 calls of
+// the service. Each entry waits for a while at random before it asks, and polls
+// less often.
+TEST_CASE_METHOD(SpreadFixture, "Next_ManyPollers_LeavesTheServiceAlone")
+{
+  spread_.SetPollers(410);
+  spread_.OnHead(7, { 1 });
+  CHECK_FALSE(Next());
+  spread_.OnPeerVersion("keeper", 7);
+  CHECK(Next()->peer_ == "keeper");
+  spread_.OnPeerLost("keeper");
+  now_ += 399ms;
+  CHECK_FALSE(Next());
+  now_ += 3ms;
+  const auto parts = Next();
+  REQUIRE(parts);
+  CHECK(parts->parts_.size() == 1);
+  Answer(*parts, Reply::Useful);
+  spread_.OnInstalled(7);
+  spread_.PollSoon();
+  const auto poll = Next();
+  REQUIRE(poll);
+  Answer(*poll, Reply::Useful);
+  now_ += 59s;
+  CHECK_FALSE(Next());
+  now_ += 2s;
+  CHECK(Next());
+}
+
 // A host starts again while the service is down for hours. Its peers still have
 // the configuration, not all the same: it ends with the highest.
 TEST_CASE("Replica_RestartInAnOutage_TakesTheHighestOfItsPeers")
