--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -15,7 +15,8 @@
 using platform::KeyValue;
 using Reply = SpreadDecision::Reply;
 
-constexpr std::chrono::milliseconds kStepInterval{ 20 };
+constexpr std::chrono::milliseconds kIdleStepInterval{ 500 };
+constexpr std::chrono::milliseconds kBusyStepInterval{ 20 };
 constexpr std::size_t kMostPartsInCall = 64;
 /// Processes that hear of changes from peers poll this much less often.
 constexpr int kRarePollFactor = 12;
@@ -80,6 +81,7 @@
   }
 
   void Step();
+  void StepAgainSoon();
   void Fetch(const SpreadRequest& aRequest);
   void FetchFromPeer(const SpreadRequest& aRequest);
   void FetchFromPlatform(const SpreadRequest& aRequest);
@@ -102,6 +104,7 @@
   std::uniform_real_distribution<double> uniform_{ 0.0, 1.0 };
   ConfigurationReplica replica_;
   bool watching_ = false;
+  bool stepsSoon_ = false;
 };
 
 void
@@ -112,6 +115,24 @@
            replica_.Spread().Next(base::MonotonicNow(), Random())) {
     Fetch(*request);
   }
+  StepAgainSoon();
+}
+
+/// While something is fetched, waits and timeouts are counted in tens of
+/// milliseconds; else steps that often would be most of an idle host's cost.
+void
+ConfigurationFollower::State::StepAgainSoon()
+{
+  if (!replica_.Spread().IsBusy() || stepsSoon_) {
+    return;
+  }
+  stepsSoon_ = true;
+  const std::weak_ptr<State> weak = weak_from_this();
+  pool_.PostAt(base::MonotonicNow() + kBusyStepInterval, [weak] {
+    if (const auto self = weak.lock()) {
+      self->Do([](State& aState) { aState.stepsSoon_ = false; });
+    }
+  });
 }
 
 void
@@ -279,8 +300,9 @@
 void
 ConfigurationFollower::Start()
 {
+  state_->Do([](State&) {});
   const std::weak_ptr<State> weak = state_;
-  state_->pool_.PostEvery(kStepInterval, [weak] {
+  state_->pool_.PostEvery(kIdleStepInterval, [weak] {
     if (const auto self = weak.lock()) {
       self->Do([](State&) {});
     }
--- a/Libraries/LibConfiguration/ConfigurationReplica.cpp
+++ b/Libraries/LibConfiguration/ConfigurationReplica.cpp
@@ -94,7 +94,12 @@
     content.code_ = base::ResultCode::VersionUnknown;
     return content;
   }
-  content.head_ = held_.SerializeAsString();
+  // Who asks for parts of this version has its head.
+  const bool hasHead =
+    !aRequest.wantedParts_.empty() && aRequest.version_ == held_.version();
+  if (!hasHead) {
+    content.head_ = held_.SerializeAsString();
+  }
   std::size_t bytes = 0;
   for (const std::uint64_t digest : aRequest.wantedParts_) {
     const auto found = parts_.find(digest);
--- a/Libraries/LibConfiguration/SpreadDecision.h
+++ b/Libraries/LibConfiguration/SpreadDecision.h
@@ -77,6 +77,10 @@
   /// missed changes.
   void PollSoon();
 
+  /// @return whether something is being fetched, so that Next() is to be called
+  /// again soon even where nothing is heard.
+  [[nodiscard]] bool IsBusy() const { return pending_ || peerFetch_; }
+
   /// @return the next fetch to send now, or nothing. Call until nothing comes.
   std::optional<SpreadRequest> Next(base::Instant aNow, double aRandom);
 
