--- a/Libraries/LibJobLog/PartitionOwner.h
+++ b/Libraries/LibJobLog/PartitionOwner.h
@@ -33,12 +33,14 @@
   bool operator==(const LoadLog&) const = default;
 };
 
-/// Sends a frame after filling it with durable entries of the own copy that
-/// follow its previous sequence, as many as one frame holds.
+/// Sends a frame after filling it with entries of the own copy that follow its
+/// previous sequence, as many as one frame holds.
 struct SendLog
 {
   std::string peer_;
   wire::AppendFrame frame_;
+  /// Behind it the disk may still hold entries that are about to be replaced.
+  std::uint64_t lastSequence_ = 0;
 
   bool operator==(const SendLog&) const = default;
 };
@@ -152,6 +154,9 @@
   Actions OnLogLoaded(CopySummary aLog, base::Instant aNow);
   Actions OnReplayed();
   Actions OnLinkUp(const std::string& aPeer, base::Instant aNow);
+
+  /// The queue to a peer was full and refused a frame.
+  void OnSendRefused(const std::string& aPeer, const wire::AppendFrame& aFrame);
   Actions Tick(const FleetView& aFleet, base::Instant aNow);
 
   /// Appends payloads; a CompleteAppend with the token follows.
@@ -174,7 +179,15 @@
   {
     return acknowledged_;
   }
-  [[nodiscard]] bool HasPendingSwap() const { return swap_.has_value(); }
+  /// @return the last sequence given to an append.
+  [[nodiscard]] std::uint64_t LastSequence() const
+  {
+    return log_.lastSequence_;
+  }
+
+  /// @return whether nothing is left that time alone would bring forward, so
+  /// that ticks may be left out until something else happens.
+  [[nodiscard]] bool IsQuiet() const;
 
   /// @return everything that decides about the future, as text: two owners
   /// with equal text act alike.
@@ -188,7 +201,8 @@
     std::uint64_t matched_ = 0; ///< Durable there and equal, up to here.
     std::uint64_t probe_ = 0;   ///< Where the next SendLog begins.
     bool isStreaming_ = false;  ///< Gets each append at once.
-    bool awaitsAck_ = false;    ///< A SendLog is on its way.
+    bool awaitsAck_ = false;    ///< Nothing is sent until an answer comes.
+    bool isRefused_ = false;    ///< The last frame found the queue full.
     base::Instant heardAt_{};   ///< Or when its silence began to count.
     base::ResultCode failure_ = base::ResultCode::Ok;
   };
--- a/Libraries/LibWire/LinkLoop.h
+++ b/Libraries/LibWire/LinkLoop.h
@@ -66,7 +66,7 @@
   void OnGreeted(Connection& aConnection);
   void OnEnded(Connection& aConnection, const std::string& aReason);
   void Establish(Link& aLink, kj::Own<Connection> aConnection);
-  void Select(Link& aLink);
+  void Select(Link& aLink, bool aIsReplaced);
   void Drop(Link& aLink, ConnectionSide aSide, std::string_view aReason);
   void Retire(kj::Own<Connection> aConnection);
   kj::Own<Connection> MakeConnection(kj::Own<kj::AsyncIoStream> aStream,
@@ -89,7 +89,8 @@
   void OnAcknowledged(Connection& aConnection, const SendQueues::Batch& aBatch);
   void Pump(const std::string& aPeer);
   void DeliverToSelf();
-  void SendHeartbeat(Link& aLink, Connection& aConnection);
+  Heartbeat MakeHeartbeat(Connection& aConnection) const;
+  void OnHeartbeatDue(const Link& aLink, Connection& aConnection) const;
 
   void Tick();
   void TickLink(Link& aLink);
