LibConfiguration: Let tasks of the follower hold it weakly

A task that was still queued when the pool stopped kept the follower's state, which owned the strand that held the task: a leak at each shutdown, found by the address sanitizer.

--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -42,8 +42,7 @@
 
 } // namespace
 
-/// All but the constant members and stopped_ belong to the strand's tasks,
-/// which keep the state alive while they run.
+/// All but the constant members and stopped_ belong to the strand's tasks.
 struct ConfigurationFollower::State : std::enable_shared_from_this<State>
 {
   State(Options aOptions,
@@ -71,13 +70,15 @@
   template<typename Task>
   void Do(Task aTask)
   {
-    strand_.Post(
-      [self = shared_from_this(), task = std::move(aTask)]() mutable {
-        if (!self->stopped_) {
-          task(*self);
-          self->Step();
-        }
-      });
+    // The strand belongs to the state: a task that kept the state alive would
+    // keep itself too, where the pool stops before it runs.
+    strand_.Post([weak = weak_from_this(), task = std::move(aTask)]() mutable {
+      const auto self = weak.lock();
+      if (self && !self->stopped_) {
+        task(*self);
+        self->Step();
+      }
+    });
   }
 
   void Step();
