--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -24,10 +24,12 @@
 /// Suspects named on one heartbeat; the rest follows on later ones.
 constexpr std::size_t kSuspectsInHeartbeat = 32;
 
+/// @param aProcess Its own settings, or a listed host.
+template<typename Process>
 bool
-HasFunction(const settings::Settings& aSettings, settings::Function aFunction)
+HasFunction(const Process& aProcess, settings::Function aFunction)
 {
-  const auto& functions = aSettings.functions();
+  const auto& functions = aProcess.functions();
   return std::find(functions.begin(), functions.end(), aFunction) !=
          functions.end();
 }
@@ -212,6 +214,11 @@
     [this](const std::string& aPeer, wire::Message aMessage) {
       return links_->Send(aPeer, std::move(aMessage));
     });
+  configuration_.Subscribe([this](const auto&) {
+    // Peers hear of the version at once, so a change does not wait a heartbeat
+    // at each host on its way.
+    links_->HeartbeatNow();
+  });
   return {};
 }
 
@@ -371,14 +378,19 @@
   if (!entry_ && !keeper_) {
     return;
   }
+  if (entry_) {
+    // All entries poll the platform for changes, so they share its calls.
+    const auto& hosts = aHosts.hosts();
+    const auto entries = std::count_if(
+      hosts.begin(), hosts.end(), [](const settings::ListedHost& aHost) {
+        return HasFunction(aHost, settings::FUNCTION_ENTRY);
+      });
+    follower_->SetPollers(static_cast<std::size_t>(entries));
+  }
   const std::lock_guard lock(connectedMutex_);
   std::set<std::string> listed;
   for (const settings::ListedHost& host : aHosts.hosts()) {
-    const auto& functions = host.functions();
-    const bool isKeeper =
-      std::find(functions.begin(),
-                functions.end(),
-                settings::FUNCTION_KEEPER) != functions.end();
+    const bool isKeeper = HasFunction(host, settings::FUNCTION_KEEPER);
     if (!isKeeper || host.name() == settings_.host()) {
       continue;
     }
