--- a/Libraries/LibLoad/OnlineLoad.cpp
+++ b/Libraries/LibLoad/OnlineLoad.cpp
@@ -262,6 +262,10 @@
         return;
       }
       aCall->pauses_.clear();
+      // The context holds the channel, and the run may end with onEnd_. A
+      // channel that dies on its own callback thread takes down the queue that
+      // this thread polls, and the process aborts.
+      aCall->context_.reset();
       aCall->onEnd_(aStatus);
     });
 }
