--- a/Libraries/LibLoad/Report.cpp
+++ b/Libraries/LibLoad/Report.cpp
@@ -73,10 +73,11 @@
 {
   Json list = Json::array();
   for (const PostedFault& fault : aFaults) {
-    list.push_back({ { "at_s", base::ToMs(fault.at_) / kMsPerSecond },
-                     { "address", fault.address_ },
-                     { "order", fault.order_ },
-                     { "obeyed", fault.isObeyed_ } });
+    list.push_back(
+      { { "at_s", std::chrono::duration<double>(fault.at_).count() },
+        { "address", fault.address_ },
+        { "order", fault.order_ },
+        { "answered", fault.isAnswered_ } });
   }
   return list;
 }
--- a/Libraries/LibLoad/Schedule.cpp
+++ b/Libraries/LibLoad/Schedule.cpp
@@ -97,8 +97,8 @@
   }
   const double resendShare =
     aPlan.online(static_cast<int>(aStream)).resend_share();
-  for (double at = aFromS + aRandom.Gap(aPerSecond); at < aToS;
-       at += aRandom.Gap(aPerSecond)) {
+  double at = aFromS + aRandom.Gap(aPerSecond);
+  while (at < aToS) {
     Arrival arrival;
     arrival.at_ = Seconds(at);
     arrival.phase_ = PhaseAt(aPlan, arrival.at_);
@@ -106,6 +106,7 @@
     arrival.isResent_ = aRandom.Share() < resendShare;
     arrival.resendAfter_ = Seconds(aRandom.Share() * kMaxResendAfterS);
     aArrivals.push_back(std::move(arrival));
+    at += aRandom.Gap(aPerSecond);
   }
 }
 
--- a/Libraries/LibLoad/StandinOrders.cpp
+++ b/Libraries/LibLoad/StandinOrders.cpp
@@ -49,7 +49,7 @@
   };
   const auto reply = MakeClient(aOrder.address_)
                        .Post("/standin/faults", aOrder.body_, kJsonType);
-  posted.isObeyed_ = reply && reply->status == kOkStatus;
+  posted.isAnswered_ = reply && reply->status == kOkStatus;
   return posted;
 }
 
--- a/Libraries/LibLoad/StandinOrders.h
+++ b/Libraries/LibLoad/StandinOrders.h
@@ -18,7 +18,7 @@
   base::Duration at_{}; ///< Since the plan's start.
   std::string address_;
   std::string order_;
-  bool isObeyed_ = false;
+  bool isAnswered_ = false; ///< A stand-in that is told to crash cannot answer.
 };
 
 /// Posts a plan's fault orders to the stand-ins at their moments. Blocks until
--- a/Tests/Catalogue/EventCatalogueTest.cpp
+++ b/Tests/Catalogue/EventCatalogueTest.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <regex>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pumiceturn {
@@ -30,7 +31,13 @@
   std::string level_;
   std::string meaning_;
 
-  auto operator<=>(const ListedEvent&) const = default;
+  bool operator==(const ListedEvent&) const = default;
+  bool operator<(const ListedEvent& aOther) const
+  {
+    return std::tie(number_, name_, level_, meaning_) <
+           std::tie(
+             aOther.number_, aOther.name_, aOther.level_, aOther.meaning_);
+  }
 };
 
 std::ostream&
