--- a/Benchmarks/Dispatch/Main.cpp
+++ b/Benchmarks/Dispatch/Main.cpp
@@ -126,8 +126,8 @@
   fmt::print("\n{}: idle to full batch {:.1f} ms\n",
              aEngine.name_,
              outcome.idleToFullMs_);
-  fmt::print("bursts of {} over full batch: {} of {} requests' bursts met a "
-             "step that began without them; first token p50 95 99 {}\n",
+  fmt::print("bursts of {} over full batch: {} steps began while one of {} "
+             "requests waited; first token p50 95 99 {}\n",
              workload.burstSize_,
              outcome.waitingSteps_,
              outcome.firstTokenMs_.size(),
--- a/Libraries/LibDispatch/GateDispatch.cpp
+++ b/Libraries/LibDispatch/GateDispatch.cpp
@@ -114,8 +114,10 @@
   if (Screen(*run, aMoment)) {
     return true;
   }
-  if (!HasRoomForOnline() && !MakeRoom(*run, aMoment)) {
-    return false;
+  while (!HasRoomForOnline()) {
+    if (!MakeRoom(*run, aMoment)) {
+      return false;
+    }
   }
   queue_.Remove(*run);
   Start(*run, aMoment);
@@ -141,7 +143,8 @@
 Gate::MakeRoom(const Run& aFor, Moment aMoment)
 {
   if (!MayPreempt(options_.policy_) ||
-      options_.resumption_ == Resumption::None) {
+      options_.resumption_ == Resumption::None ||
+      onlineRunning_ >= limit_.Current()) {
     return false;
   }
   Run* victim = ChooseVictim(atEngine_, estimate_, aMoment.now_);
