LibAgent: Tell entries what the engine's prefix cache holds

Entries route by their own estimate; the engine's cache events, translated into the prefixes that entries route by, correct it. Each peer hears of a change once, at most 16 in a heartbeat. Events are late and with gaps; a wrong estimate costs a prefill.

--- a/Libraries/LibAgent/AgentCore.cpp
+++ b/Libraries/LibAgent/AgentCore.cpp
@@ -241,9 +241,12 @@
     case wire::LinkState::Up:
       Do(gate_.OnLinkUp(aPeer, now));
       return;
-    case wire::LinkState::Lost:
+    case wire::LinkState::Lost: {
       gate_.OnLinkLost(aPeer, now);
+      const std::scoped_lock loadLock(loadMutex_);
+      prefixes_.ForgetPeer(aPeer);
       return;
+    }
     case wire::LinkState::Replaced:
       Do(gate_.OnPeerReplaced(aPeer, now));
       return;
@@ -251,19 +254,20 @@
 }
 
 void
-AgentCore::FillHeartbeat(wire::Heartbeat& aHeartbeat) const
+AgentCore::FillHeartbeat(const std::string& aPeer,
+                         wire::Heartbeat& aHeartbeat) const
 {
-  dispatch::GateLoad load;
-  {
-    const std::scoped_lock lock(loadMutex_);
-    load = load_;
-  }
+  const std::scoped_lock lock(loadMutex_);
+  const dispatch::GateLoad& load = load_;
   aHeartbeat.draining_ = aHeartbeat.draining_ || load.draining_;
   aHeartbeat.running_ =
     load.onlineRunning_ + load.batchRunning_ + load.yielding_;
   aHeartbeat.queuedOnline_ = load.onlineWaiting_;
   aHeartbeat.capacity_ = load.engineDown_ ? 0 : load.limit_;
   aHeartbeat.expectedWaitMs_ = load.expectedWaitMs_;
+  dispatch::PrefixBook::Changes changes = prefixes_.TakeChangesFor(aPeer);
+  aHeartbeat.prefixesAdded_ = std::move(changes.added_);
+  aHeartbeat.prefixesDropped_ = std::move(changes.dropped_);
 }
 
 void
@@ -397,6 +401,7 @@
     RefreshKeepers();
     gate_.SetPartitionCount(context_.partitions_.Count());
     RunOrders();
+    PollCacheEvents();
   }
   Do(gate_.OnTick(Now()));
 }
@@ -409,6 +414,36 @@
   }
 }
 
+void
+AgentCore::PollCacheEvents()
+{
+  if (!engine_) {
+    return;
+  }
+  runner_->Run([this] {
+    std::uint64_t after = 0;
+    {
+      const std::scoped_lock lock(loadMutex_);
+      after = lastCacheEvent_;
+    }
+    const auto read =
+      base::Capture([&] { return engine_->ReadCacheEvents(after); });
+    const auto* page = std::get_if<endpoint::CacheEventPage>(&read);
+    if (page == nullptr) {
+      return;
+    }
+    const std::scoped_lock lock(loadMutex_);
+    lastCacheEvent_ = page->lastSequence_;
+    for (const endpoint::CacheEvent& event : page->events_) {
+      const bool isStored = event.change_ == endpoint::CacheChange::Stored;
+      prefixes_.OnCacheEvent(isStored ? dispatch::CacheNews::Stored
+                                      : dispatch::CacheNews::Evicted,
+                             event.prefixHash_,
+                             event.prefixBytes_);
+    }
+  });
+}
+
 void
 AgentCore::RefreshKeepers()
 {
@@ -440,9 +475,14 @@
 void
 AgentCore::Carry(dispatch::StartStream& aStart)
 {
-  if (runner_) {
-    runner_->Start(std::move(aStart), model_);
+  if (!runner_) {
+    return;
+  }
+  {
+    const std::scoped_lock lock(loadMutex_);
+    prefixes_.OnRun(aStart.prefix_, aStart.payload_);
   }
+  runner_->Start(std::move(aStart), model_);
 }
 
 void
@@ -488,6 +528,11 @@
       return;
     }
     orders_.OnEngineRestarted();
+    {
+      const std::scoped_lock lock(loadMutex_);
+      prefixes_.OnEngineRestarted();
+      lastCacheEvent_ = 0;
+    }
     const std::scoped_lock lock(mutex_);
     Do(gate_.OnEngineUp(Now()));
   });
--- a/Libraries/LibAgent/AgentCore.h
+++ b/Libraries/LibAgent/AgentCore.h
@@ -4,6 +4,7 @@
 #include "LibAgent/StreamRunner.h"
 #include "LibConfiguration/ConfigurationCache.h"
 #include "LibDispatch/Gate.h"
+#include "LibDispatch/PrefixBook.h"
 #include "LibNode/Context.h"
 #include "LibPlatform/HostDirectory.h"
 #include "LibWire/Messages.h"
@@ -38,7 +39,8 @@
 
   void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
   void OnLinkState(const std::string& aPeer, wire::LinkState aState);
-  void FillHeartbeat(wire::Heartbeat& aHeartbeat) const;
+  void FillHeartbeat(const std::string& aPeer,
+                     wire::Heartbeat& aHeartbeat) const;
 
   void SetDrain(DrainCause aCause, bool aWanted);
 
@@ -61,6 +63,7 @@
                std::uint64_t aVersion);
   void MakeRunner(declarations::ServiceType aType);
   void RunOrders();
+  void PollCacheEvents();
 
   /// Carries out what the gate decided. Called with mutex_ held.
   void Do(dispatch::Actions aActions);
@@ -93,9 +96,12 @@
   bool wasUp_ = false;
   bool stopped_ = false;
 
-  /// Read by heartbeats, which must not wait for the gate.
+  /// Guards what heartbeats read; they must not wait for the gate. Taken after
+  /// mutex_.
   mutable std::mutex loadMutex_;
   dispatch::GateLoad load_;
+  mutable dispatch::PrefixBook prefixes_; ///< With what each peer was told.
+  std::uint64_t lastCacheEvent_ = 0;
 };
 
 } // namespace pumiceturn::agent
--- a/Libraries/LibAgent/AgentFunction.cpp
+++ b/Libraries/LibAgent/AgentFunction.cpp
@@ -50,10 +50,10 @@
 }
 
 void
-AgentFunction::FillHeartbeat(const std::string& /*aPeer*/,
+AgentFunction::FillHeartbeat(const std::string& aPeer,
                              wire::Heartbeat& aHeartbeat) const
 {
-  state_->core_->FillHeartbeat(aHeartbeat);
+  state_->core_->FillHeartbeat(aPeer, aHeartbeat);
 }
 
 void
--- a/Libraries/LibDispatch/Action.h
+++ b/Libraries/LibDispatch/Action.h
@@ -79,6 +79,7 @@
   StreamId stream_;
   std::string kind_;
   std::string payload_;
+  std::uint64_t prefix_ = 0;
   std::uint32_t maxTokens_ = 0;
   std::uint32_t resumeTokens_ = 0; ///< Tokens the run already has.
   base::Duration timeLeft_{};      ///< Until the deadline; zero without one.
--- a/Libraries/LibDispatch/GateDispatch.cpp
+++ b/Libraries/LibDispatch/GateDispatch.cpp
@@ -183,6 +183,7 @@
   start.stream_ = aRun.Stream();
   start.kind_ = aRun.order_.kind_;
   start.payload_ = aRun.order_.payload_;
+  start.prefix_ = aRun.order_.prefix_;
   start.maxTokens_ = aRun.order_.maxTokens_;
   start.resumeTokens_ = aRun.tokens_;
   if (aRun.deadline_ != base::Instant::max()) {
