--- a/Benchmarks/Routing/Main.cpp
+++ b/Benchmarks/Routing/Main.cpp
@@ -53,7 +53,7 @@
     MakeLinkedChooser(aPolicy, static_cast<std::size_t>(aState.range(0)), now);
   std::mt19937_64 random{ 1 };
   std::uint64_t request = 0;
-  for (auto step : aState) {
+  while (aState.KeepRunning()) {
     now += std::chrono::microseconds{ 1 };
     ChoiceRequest asked;
     // One in two requests has a prefix that some endpoint may hold.
@@ -92,7 +92,7 @@
   wire::Heartbeat report;
   report.running_ = 3;
   report.capacity_ = kCapacity;
-  for (auto step : aState) {
+  while (aState.KeepRunning()) {
     chooser.OnHeartbeat("endpoint-1", report, now);
   }
 }
@@ -106,7 +106,7 @@
   for (const EndpointDescription& endpoint : fleet) {
     candidates.push_back({ endpoint.name_, endpoint.failureDomain_ });
   }
-  for (auto step : aState) {
+  while (aState.KeepRunning()) {
     benchmark::DoNotOptimize(ChooseSubset("host-1", candidates, 20));
   }
 }
--- a/Libraries/LibEntry/RequestChecks.cpp
+++ b/Libraries/LibEntry/RequestChecks.cpp
@@ -143,7 +143,10 @@
     OrDefault(kind->max_attempts(), kDefaultMaxAttempts);
   description.fingerprint_ =
     routing::MakeFingerprint(record.service_, record.payload_);
-  description.prefix_ = routing::MakePrefix(aParts.payload_);
+  // Plain services have no prompts: nothing to stream, nothing cached.
+  description.streamed_ = aParts.type_ == declarations::SERVICE_TYPE_MODEL;
+  description.prefix_ =
+    description.streamed_ ? routing::MakePrefix(aParts.payload_) : 0;
   description.random_ = aArrival.random_;
   return description;
 }
@@ -199,11 +202,7 @@
     0,
     declarations::SERVICE_TYPE_PLAIN,
   };
-  BOOST_LEAF_AUTO(description,
-                  Describe(aConfiguration, aPartner, parts, aArrival));
-  description.streamed_ = false;
-  description.prefix_ = 0;
-  return description;
+  return Describe(aConfiguration, aPartner, parts, aArrival);
 }
 
 base::Result<LotTerms>
--- a/Tests/LibEntry/FakeFleet.cpp
+++ b/Tests/LibEntry/FakeFleet.cpp
@@ -47,7 +47,7 @@
   links_ = Expect(base::Capture([&] {
     return wire::LinkTable::Start(
       options,
-      { [this](const std::string& aFrom, wire::Message aMessage) {
+      { [this](const std::string& aFrom, const wire::Message& aMessage) {
          OnMessage(aFrom, aMessage);
        },
         [](const std::string&, wire::LinkState) {},
--- a/Tests/LibRouting/EndpointChooserTest.cpp
+++ b/Tests/LibRouting/EndpointChooserTest.cpp
@@ -178,6 +178,7 @@
 TEST_CASE("ChooseSubset_ManyHosts_SpreadsOverDomainsAndEndpoints")
 {
   std::vector<std::string> names;
+  names.reserve(180);
   for (int index = 0; index < 180; ++index) {
     names.push_back("endpoint-" + std::to_string(index));
   }
@@ -208,6 +209,7 @@
 {
   const std::vector<std::string> names{ "a", "b", "c", "d", "e", "f", "g" };
   std::vector<SubsetCandidate> candidates;
+  candidates.reserve(names.size());
   for (const std::string& name : names) {
     candidates.push_back(SubsetCandidate{ name, "one" });
   }
