--- a/Libraries/LibEntry/LotReceiver.cpp
+++ b/Libraries/LibEntry/LotReceiver.cpp
@@ -168,7 +168,12 @@
     return;
   }
   if (reply.code_ != ResultCode::Ok) {
-    Refuse(base::Failure{ reply.code_, reply.detail_ }, Ran::NotRun);
+    // When the last frame could not be made durable everywhere, a new owner may
+    // still find it in the log and take the lot as accepted.
+    const bool mayStand =
+      aIsLast && ToStatusCode(reply.code_) == grpc::StatusCode::UNAVAILABLE;
+    Refuse(base::Failure{ reply.code_, reply.detail_ },
+           mayStand ? Ran::Unknown : Ran::NotRun);
     return;
   }
   if (aIsLast || reply.duplicate_) {
--- a/Libraries/LibEntry/OnlineRequest.cpp
+++ b/Libraries/LibEntry/OnlineRequest.cpp
@@ -35,6 +35,7 @@
     case ResultCode::Recovering:
     case ResultCode::Disconnected:
     case ResultCode::TimedOut:
+    case ResultCode::Draining: // It hands its partitions to another keeper.
       return true;
     default:
       return false;
@@ -167,9 +168,17 @@
 OnlineRequest::OnRecordReply(const wire::RecordReply& aReply,
                              base::Instant aNow)
 {
-  const bool isAwaited =
-    record_ == RecordPhase::Asked || record_ == RecordPhase::Duplicate;
-  if (done_ || !isAwaited) {
+  if (done_ || record_ == RecordPhase::Refused) {
+    return;
+  }
+  if (record_ == RecordPhase::Accepted) {
+    // Late replies say nothing new, but for a result that came without ours:
+    // the request was cancelled by its key.
+    const bool isEnded = aReply.code_ == ResultCode::Ok &&
+                         aReply.state_ == wire::RecordState::Finished;
+    if (isEnded) {
+      OnFinishedBefore(aReply.result_);
+    }
     return;
   }
   if (aReply.code_ != ResultCode::Ok) {
@@ -204,6 +213,10 @@
     SendRecord();
     return;
   }
+  if (aReply.code_ == ResultCode::StillRunning) {
+    OnNotOursToEnd();
+    return;
+  }
   if (aReply.code_ != ResultCode::Ok) {
     ResendLater(aNow);
     return;
@@ -224,6 +237,27 @@
   }
 }
 
+void
+OnlineRequest::OnNotOursToEnd()
+{
+  // The owner took this entry for lost and runs the request itself: its result
+  // is waited for like that of another call.
+  const std::optional<Refusal> refusal = refusal_;
+  result_.reset();
+  if (answered_) {
+    Finish();
+    return;
+  }
+  if (refusal.has_value()) {
+    AnswerFailed(refusal->code_, Ran::Unknown, refusal->retryAfterMs_, {});
+    Finish();
+    return;
+  }
+  run_ = RunPhase::Idle;
+  record_ = RecordPhase::Duplicate;
+  SendRecord();
+}
+
 void
 OnlineRequest::OnEndpoint(const std::string& aEndpoint, base::Instant aNow)
 {
@@ -487,7 +521,10 @@
     Refuse(Refusal{ ResultCode::Quarantined, 0 }, aNow);
     return;
   }
-  if (run_ == RunPhase::Idle) {
+  if (run_ == RunPhase::Idle && !description_.record_.idempotent_ &&
+      MayHaveRun()) {
+    Conclude(ResultCode::OutcomeUnknown, {}, aNow);
+  } else if (run_ == RunPhase::Idle) {
     Choose(false);
   }
 }
@@ -530,7 +567,8 @@
 {
   CancelRunNow();
   recorded_ = true;
-  const bool isOurs = acceptedSent_ && record_ == RecordPhase::Asked;
+  const bool isOurs = record_ == RecordPhase::Accepted ||
+                      (acceptedSent_ && record_ == RecordPhase::Asked);
   record_ = isOurs ? RecordPhase::Accepted : RecordPhase::Duplicate;
   if (answered_) {
     Finish();
@@ -544,7 +582,11 @@
                                base::Instant aNow)
 {
   unanswered_ -= unanswered_ > 0 ? 1 : 0;
-  if (IsPassing(aReply.code_)) {
+  // The call that a duplicate waited for was cancelled before it ran: the
+  // duplicate asks again, and then runs itself.
+  const bool isFree =
+    record_ == RecordPhase::Duplicate && aReply.code_ == ResultCode::Cancelled;
+  if (isFree || IsPassing(aReply.code_)) {
     const bool knowsBetter = !aReply.ownerHint_.empty() && resends_ == 0;
     if (knowsBetter) {
       ++resends_;
--- a/Libraries/LibEntry/OnlineRequest.h
+++ b/Libraries/LibEntry/OnlineRequest.h
@@ -144,6 +144,7 @@
   void ResendLater(base::Instant aNow);
   void ResendNow();
   void OnAccepted(base::Instant aNow);
+  void OnNotOursToEnd();
   void OnAnotherRuns(base::Instant aNow);
   void OnFinishedBefore(const wire::ItemResult& aResult);
   void OnRecordRefused(const wire::RecordReply& aReply, base::Instant aNow);
--- a/Libraries/LibEntry/OwnerCalls.cpp
+++ b/Libraries/LibEntry/OwnerCalls.cpp
@@ -51,8 +51,8 @@
 MustAskAgain(ResultCode aCode)
 {
   return aCode == ResultCode::NotOwner || aCode == ResultCode::StaleEpoch ||
-         aCode == ResultCode::Recovering || aCode == ResultCode::Disconnected ||
-         aCode == ResultCode::TimedOut;
+         aCode == ResultCode::Recovering || aCode == ResultCode::Draining ||
+         aCode == ResultCode::Disconnected || aCode == ResultCode::TimedOut;
 }
 
 } // namespace
--- a/Tests/LibEntry/OnlineRequestTest.cpp
+++ b/Tests/LibEntry/OnlineRequestTest.cpp
@@ -563,6 +563,60 @@
   CHECK(TakeSent<wire::RecordResult>().size() == 1);
 }
 
+// Story: the first call's client lost its connection before anything ran, and
+// its call was cancelled. The same client is back with the same key and waits
+// for that call: it must get an answer, not the old call's cancellation.
+TEST_CASE_METHOD(OnlineFixture,
+                 "OnlineRequest_FirstCallCancelledUnrun_RunsItself")
+{
+  Begin();
+  Endpoint("e1");
+  Recorded(wire::RecordState::Running);
+  wire::RecordReply cancelled;
+  cancelled.code_ = ResultCode::Cancelled;
+  On([&](OnlineRequest& aRequest) { aRequest.OnRecordReply(cancelled, now_); });
+  CHECK(Take<EmitFailed>().empty());
+  Take<ChooseEndpoint>();
+  Wait(OnlineRequest::kShortestResend);
+  Recorded(wire::RecordState::New);
+  CHECK(Take<ChooseEndpoint>().size() == 1);
+}
+
+// Story: the owner took this entry for lost, and runs the request itself. The
+// entry's run breaks off as well; its verdict must not end what still runs.
+TEST_CASE_METHOD(OnlineFixture,
+                 "OnlineRequest_OwnerRunsItItself_WaitsForItsResult")
+{
+  description_.maxAttempts_ = 1;
+  Begin();
+  Endpoint("e1");
+  Recorded();
+  Ended(ResultCode::EndpointCrashed, Ran::Ran);
+  wire::RecordResultReply refused;
+  refused.code_ = ResultCode::StillRunning;
+  TakeSent<wire::RecordRequest>();
+  On([&](OnlineRequest& aRequest) {
+    aRequest.OnRecordResultReply(refused, now_);
+  });
+  CHECK(TakeSent<wire::RecordRequest>().size() == 1);
+  Recorded(wire::RecordState::Finished,
+           MakeResult(ResultCode::Ok, Ran::Ran, "by the owner"));
+  CHECK(TakeFinished().result_.text_ == "by the owner");
+}
+
+TEST_CASE_METHOD(OnlineFixture,
+                 "OnlineRequest_CancelledByItsKey_StopsRunAndTellsCaller")
+{
+  Begin();
+  Endpoint("e1");
+  Recorded();
+  Chunk(1, "x");
+  Recorded(wire::RecordState::Finished,
+           MakeResult(ResultCode::Cancelled, Ran::Unknown, {}));
+  CHECK(TakeSent<wire::CancelRun>().size() == 1);
+  CHECK(TakeFinished().result_.code_ == ResultCode::Cancelled);
+}
+
 TEST_CASE_METHOD(OnceOnlyFixture,
                  "OnlineRequest_NonIdempotent_StartsOnlyAfterItsRecord")
 {
