--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -62,6 +62,10 @@
     context_.quarantine_.Check(aDescription.fingerprint_, now);
   aDescription.quarantined_ = suspicion == routing::Suspicion::Quarantined;
   aDescription.record_.call_ = call;
+  const std::uint32_t backoffMs = context_.settings_.entry().retry_backoff_ms();
+  if (backoffMs > 0) {
+    aDescription.backoff_ = std::chrono::milliseconds{ backoffMs };
+  }
   const wire::JobId job = aDescription.record_.job_;
   Active active{ OnlineRequest(std::move(aDescription)),
                  std::move(aSink),
