--- a/Libraries/LibJobLog/LogService.cpp
+++ b/Libraries/LibJobLog/LogService.cpp
@@ -197,6 +197,7 @@
     toldOfMissing_ = true;
   }
   const FleetTracker::ViewPointer view = fleet_.View();
+  // The range-for keeps no hold on what a temporary pointer points to.
   const auto hosts = Partitions();
   for (const auto& host : *hosts) {
     if (hasChanged || host->NeedsTick()) {
--- a/Libraries/LibWire/LinkLoop.cpp
+++ b/Libraries/LibWire/LinkLoop.cpp
@@ -71,6 +71,9 @@
                                  const SendQueues::Batch& aBatch) {
     OnAcknowledged(aConnection, aBatch);
   };
+  events_.heartbeat_ = [this](Connection& aConnection) {
+    return MakeHeartbeat(aConnection);
+  };
   events_.ended_ = [this](Connection& aConnection, const std::string& aReason) {
     OnEnded(aConnection, aReason);
   };
@@ -162,7 +165,7 @@
 {
   for (auto& [peer, link] : links_) {
     if (link.current_ != nullptr) {
-      SendHeartbeat(link, *link.current_);
+      link.current_->SendHeartbeat(MakeHeartbeat(*link.current_));
     }
   }
 }
@@ -243,16 +246,12 @@
   Connection& connection = *aConnection;
   aLink.connections_[IndexOf(side)] = kj::mv(aConnection);
   shared_.queues_.RecordHeard(aLink.peer_, base::MonotonicNow());
-  if (isReplaced) {
-    base::Log(kPeerReplaced, { { "peer", aLink.peer_ } });
-    Report(aLink, LinkState::Replaced);
-  }
-  Select(aLink);
+  Select(aLink, isReplaced);
   connection.Open();
 }
 
 void
-LinkLoop::Select(Link& aLink)
+LinkLoop::Select(Link& aLink, bool aIsReplaced)
 {
   if (aLink.current_ != nullptr) {
     return;
@@ -266,6 +265,10 @@
     base::Log(kLinkUp,
               { { "peer", aLink.peer_ },
                 { "dialed", connection->Side() == ConnectionSide::Dialed } });
+    if (aIsReplaced) {
+      base::Log(kPeerReplaced, { { "peer", aLink.peer_ } });
+      Report(aLink, LinkState::Replaced);
+    }
     Report(aLink, LinkState::Up);
     return;
   }
@@ -321,7 +324,7 @@
 void
 LinkLoop::ScheduleDial(Link& aLink)
 {
-  Select(aLink);
+  Select(aLink, false);
   if (aLink.address_.empty() || aLink.dialing_ || aLink.current_ != nullptr) {
     return;
   }
@@ -430,9 +433,6 @@
 {
   const std::string& peer = aConnection.Peer().host_;
   shared_.queues_.RecordHeard(peer, base::MonotonicNow());
-  if (aBatch.bytes_ == 0) {
-    return;
-  }
   shared_.queues_.Release(peer, aBatch.epoch_, aBatch.bytes_);
   Pump(peer);
 }
@@ -469,20 +469,31 @@
   }
 }
 
-void
-LinkLoop::SendHeartbeat(Link& aLink, Connection& aConnection)
+Heartbeat
+LinkLoop::MakeHeartbeat(Connection& aConnection) const
 {
-  // News goes out once, on the connection in use.
-  if (&aConnection != aLink.current_) {
-    aConnection.SendHeartbeat({});
-    return;
-  }
   Heartbeat heartbeat;
   if (shared_.handlers_.heartbeat_) {
-    heartbeat = shared_.handlers_.heartbeat_(aLink.peer_);
+    heartbeat = shared_.handlers_.heartbeat_(aConnection.Peer().host_);
   }
   heartbeat.sequence_ = aConnection.NextHeartbeatSequence();
-  aConnection.SendHeartbeat({ Message{ std::move(heartbeat) } });
+  return heartbeat;
+}
+
+/// The side that dialed sends; the other answers with its own heartbeat, which
+/// costs half of what heartbeats sent from both sides do. A connection that is
+/// not in use carries no news, so that news is not told on two ways.
+void
+LinkLoop::OnHeartbeatDue(const Link& aLink, Connection& aConnection) const
+{
+  if (aConnection.Side() == ConnectionSide::Accepted) {
+    return;
+  }
+  if (&aConnection == aLink.current_) {
+    aConnection.SendHeartbeat(MakeHeartbeat(aConnection));
+  } else {
+    aConnection.Probe();
+  }
 }
 
 void
@@ -506,7 +517,7 @@
       case LinkNeed::Nothing:
         break;
       case LinkNeed::Heartbeat:
-        SendHeartbeat(aLink, *connection);
+        OnHeartbeatDue(aLink, *connection);
         break;
       case LinkNeed::Replacement:
         Drop(aLink, connection->Side(), "silent");
