--- a/Libraries/LibJobLog/CopyIndex.cpp
+++ b/Libraries/LibJobLog/CopyIndex.cpp
@@ -82,6 +82,11 @@
 void
 CopyIndex::ApplyState(const CopyState& aState, const Dropped& aDropped)
 {
+  if (aState.firstSequence_ < summary_.state_.firstSequence_) {
+    // What was trimmed never comes back but by a reset.
+    MarkDamaged();
+    return;
+  }
   DropBefore(aState.firstSequence_, aDropped);
   summary_.Apply(aState);
 }
--- a/Libraries/LibJobLog/RecordFormat.cpp
+++ b/Libraries/LibJobLog/RecordFormat.cpp
@@ -161,7 +161,7 @@
 DecodeCopyState(const RecordHeader& aHeader, std::string_view aPayload)
 {
   constexpr std::size_t kStateBytes = 2 * sizeof(std::uint64_t);
-  if (aPayload.size() != kStateBytes) {
+  if (aPayload.size() != kStateBytes || aHeader.sequence_ == 0) {
     return std::nullopt;
   }
   NumberReader reader(aPayload);
