--- a/Libraries/LibKeeper/JobService.cpp
+++ b/Libraries/LibKeeper/JobService.cpp
@@ -164,13 +164,7 @@
   if (partition == nullptr) {
     return;
   }
-  bool hasWork = false;
-  partition->table_.ForEachUnfinished([&](const jobs::Job& aJob) {
-    hasWork = true;
-    if (aJob.description_.online_) {
-      partition->online_.try_emplace(aJob.description_.id_);
-    }
-  });
+  const bool hasWork = ResumeLots(*partition);
   partition->phase_ = OwnedPartition::Phase::Settling;
   partition->settlesAt_ = ports_.now_();
   if (hasWork) {
@@ -184,6 +178,27 @@
   Leave(std::move(lock));
 }
 
+bool
+JobService::ResumeLots(OwnedPartition& aPartition)
+{
+  std::vector<base::JobId> lots;
+  aPartition.table_.ForEachUnfinished([&](const jobs::Job& aJob) {
+    if (aJob.description_.online_) {
+      aPartition.online_.try_emplace(aJob.description_.id_);
+    } else {
+      lots.push_back(aJob.description_.id_);
+    }
+  });
+  // What the former owner had out is likely to be reported yet; the rest of a
+  // long lot need not wait for that.
+  for (const base::JobId& lot : lots) {
+    const std::uint32_t items =
+      aPartition.table_.SkipInFlight(lot, options_.inFlightAtTakeover_);
+    AddWaiting(*aPartition.table_.Find(lot), items);
+  }
+  return !lots.empty() || !aPartition.online_.empty();
+}
+
 void
 JobService::OnReleased(std::uint32_t aPartition)
 {
@@ -237,7 +252,9 @@
   aPartition.phase_ = OwnedPartition::Phase::Serving;
   std::vector<base::JobId> ownerless;
   aPartition.table_.ForEachUnfinished([&](const jobs::Job& aJob) {
-    if (!aJob.description_.online_) {
+    const wire::JobDescription& job = aJob.description_;
+    if (!job.online_) {
+      scheduler_.RemoveJob(job.id_, job.service_);
       AddWaiting(aJob, aJob.Waiting());
     }
   });
@@ -418,7 +435,7 @@
   jobs::Applied applied =
     aPartition.table_.Apply(aRecord, aPosition, aPartition.nextSequence_++);
   if (applied.accepted_) {
-    AfterAccepted(aPartition, *aPartition.table_.Find(*applied.accepted_));
+    AfterAccepted(*aPartition.table_.Find(*applied.accepted_));
   }
   if (const auto* ended = std::get_if<jobs::ItemsEnded>(&aRecord.body_)) {
     AfterEnds(aPartition, *ended, applied);
@@ -428,13 +445,15 @@
     FlushEnds(aIndex, aPartition);
   }
   for (const base::JobId& job : applied.finished_) {
-    AfterFinished(*aPartition.table_.Find(job));
+    if (const jobs::Job* finished = aPartition.table_.Find(job)) {
+      AfterFinished(*finished);
+    }
   }
   return applied;
 }
 
 void
-JobService::AfterAccepted(OwnedPartition& aPartition, const jobs::Job& aJob)
+JobService::AfterAccepted(const jobs::Job& aJob)
 {
   const wire::JobDescription& description = aJob.description_;
   if (description.online_) {
@@ -449,10 +468,8 @@
               { "kind", description.kind_ },
               { "items", description.itemCount_ },
               { "due_unix_ms", description.dueUnixMs_ } });
-  if (aPartition.phase_ == OwnedPartition::Phase::Serving) {
-    AddWaiting(aJob, aJob.Waiting());
-    Dispatch();
-  }
+  AddWaiting(aJob, aJob.Waiting());
+  Dispatch();
 }
 
 void
@@ -470,30 +487,51 @@
     const bool isOk = ended.result_.code_ == base::ResultCode::Ok;
     ++(isOk ? counts_.succeeded_ : counts_.failed_);
     const jobs::Job* job = aPartition.table_.Find(id);
-    if (job == nullptr) {
+    const bool isWithdrawn =
+      std::find(aApplied.withdrawn_.begin(), aApplied.withdrawn_.end(), id) !=
+      aApplied.withdrawn_.end();
+    if (isWithdrawn) {
       ++counts_.withdrawn_;
       base::Log(kRequestWithdrawn,
                 { { "job", base::ToString(id) },
                   { "code", base::NameOf(ended.result_.code_) } });
     } else {
-      // Another attempt may still run: this result came late, and was first.
-      const jobs::Item& item = job->items_[ended.run_.item_];
-      const base::RunId latest{ id, ended.run_.item_, item.attempt_ };
-      if (const auto run = scheduler_.EndRun(latest, {})) {
-        Send(run->agent_, wire::CancelRun{ latest });
-      }
+      StopOtherAttempt(aPartition, ended.run_, job);
     }
-    if (job != nullptr && !job->description_.online_) {
+    if (job != nullptr) {
       continue;
     }
     wire::RecordReply reply;
     reply.state_ = wire::RecordState::Finished;
     reply.result_ = ended.result_;
-    reply.code_ = job == nullptr ? ended.result_.code_ : base::ResultCode::Ok;
+    reply.code_ = isWithdrawn ? ended.result_.code_ : base::ResultCode::Ok;
     ReplyWaiters(aPartition, id, reply);
   }
 }
 
+void
+JobService::StopOtherAttempt(const OwnedPartition& aPartition,
+                             const base::RunId& aEnded,
+                             const jobs::Job* aJob)
+{
+  // A result that came late may be the first, while the item runs again.
+  std::vector<base::RunId> runs;
+  const auto online = aPartition.online_.find(aEnded.job_);
+  if (aJob != nullptr) {
+    const jobs::Item& item = aJob->items_[aEnded.item_];
+    runs.push_back({ aEnded.job_, aEnded.item_, item.attempt_ });
+  } else if (online != aPartition.online_.end() && online->second.ownerRuns_) {
+    orphans_.erase(aEnded.job_);
+    runs = scheduler_.RunsWhere(
+      [&aEnded](const base::RunId& aRun) { return aRun.job_ == aEnded.job_; });
+  }
+  for (const base::RunId& id : runs) {
+    if (const auto run = scheduler_.EndRun(id, {})) {
+      Send(run->agent_, wire::CancelRun{ id });
+    }
+  }
+}
+
 void
 JobService::AfterFinished(const jobs::Job& aJob)
 {
