--- a/Benchmarks/Jobs/Main.cpp
+++ b/Benchmarks/Jobs/Main.cpp
@@ -80,7 +80,7 @@
   const auto items = static_cast<std::uint32_t>(aState.range(0));
   const auto lots = static_cast<std::uint32_t>(aState.range(1));
   double bytes = 0.0;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     JobTable table;
     LaxityQueue queue;
     const std::size_t before = HeapBytes();
@@ -122,7 +122,7 @@
               kNow + static_cast<std::int64_t>(random() % 36'000'000),
               1);
   }
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     const auto pick = queue.Take(kNow);
     queue.Add(pick->job_,
               pick->partner_,
@@ -149,7 +149,7 @@
   const auto lot = MakeLot(1, items);
   Accept(table, lot);
   queue.Add(lot.id_, lot.partner_, 1, lot.dueUnixMs_, items);
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     const auto pick = queue.Take(kNow);
     const auto dispatch = table.TakeItem(pick->job_);
     table.Requeue(dispatch->run_);
@@ -164,7 +164,7 @@
 {
   std::uint32_t number = 0;
   JobTable table;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     aState.PauseTiming();
     const auto lot = MakeLot(number++, kItemsInFrame);
     const auto frame = MakeFrame(lot, 0);
@@ -191,7 +191,7 @@
   request.kind_ = "look-up";
   request.retentionS_ = 86'400;
   request.payload_ = std::string(kPayloadBytes, 'x');
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     request.key_ = "key-" + std::to_string(number++);
     request.job_ = base::MakeJobId(request.partner_, request.key_);
     const auto accepted = table.AcceptOnline(request, 3, kNow);
@@ -215,7 +215,7 @@
 {
   const auto count = static_cast<std::uint32_t>(aState.range(0));
   double bytes = 0.0;
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     JobTable table;
     const std::size_t before = HeapBytes();
     for (std::uint32_t number = 0; number < count; ++number) {
@@ -266,7 +266,7 @@
   for (const std::string& record : log) {
     bytes += record.size();
   }
-  for (auto _ : aState) {
+  while (aState.KeepRunning()) {
     JobTable table;
     for (std::size_t index = 0; index < log.size(); ++index) {
       auto record =
--- a/Libraries/LibBase/Ids.h
+++ b/Libraries/LibBase/Ids.h
@@ -18,6 +18,7 @@
   std::uint64_t high_ = 0;
   std::uint64_t low_ = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
   auto operator<=>(const JobId&) const = default;
 };
 
@@ -28,6 +29,7 @@
   std::uint32_t item_ = 0;
   std::uint32_t attempt_ = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
   auto operator<=>(const RunId&) const = default;
 };
 
--- a/Libraries/LibJobLog/ClaimDecision.cpp
+++ b/Libraries/LibJobLog/ClaimDecision.cpp
@@ -36,8 +36,8 @@
             const ClaimLimits& aLimits,
             base::Instant aNow)
 {
-  const ClaimDecision wait;
-  const ClaimDecision claim{ ClaimChoice::Claim, {} };
+  ClaimDecision wait;
+  ClaimDecision claim{ ClaimChoice::Claim, {} };
   const bool fit = aOwnCopy == OwnCopy::Whole || aRecord.copies_.empty();
   if (aRecord.owner_ == aFleet.self_) {
     // Recorded from before a restart, or named by one that left.
