--- a/Libraries/LibConfiguration/ConfigurationFollower.cpp
+++ b/Libraries/LibConfiguration/ConfigurationFollower.cpp
@@ -15,7 +15,8 @@
 using platform::KeyValue;
 using Reply = SpreadDecision::Reply;
 
-constexpr std::chrono::milliseconds kStepInterval{ 100 };
+constexpr std::chrono::milliseconds kIdleStepInterval{ 500 };
+constexpr std::chrono::milliseconds kBusyStepInterval{ 20 };
 constexpr std::size_t kMostPartsInCall = 64;
 /// Processes that hear of changes from peers poll this much less often.
 constexpr int kRarePollFactor = 12;
@@ -41,8 +42,7 @@
 
 } // namespace
 
-/// All but the constant members and stopped_ belong to the strand's tasks,
-/// which keep the state alive while they run.
+/// All but the constant members and stopped_ belong to the strand's tasks.
 struct ConfigurationFollower::State : std::enable_shared_from_this<State>
 {
   State(Options aOptions,
@@ -70,16 +70,19 @@
   template<typename Task>
   void Do(Task aTask)
   {
-    strand_.Post(
-      [self = shared_from_this(), task = std::move(aTask)]() mutable {
-        if (!self->stopped_) {
-          task(*self);
-          self->Step();
-        }
-      });
+    // The strand belongs to the state: a task that kept the state alive would
+    // keep itself too, where the pool stops before it runs.
+    strand_.Post([weak = weak_from_this(), task = std::move(aTask)]() mutable {
+      const auto self = weak.lock();
+      if (self && !self->stopped_) {
+        task(*self);
+        self->Step();
+      }
+    });
   }
 
   void Step();
+  void StepAgainSoon();
   void Fetch(const SpreadRequest& aRequest);
   void FetchFromPeer(const SpreadRequest& aRequest);
   void FetchFromPlatform(const SpreadRequest& aRequest);
@@ -102,6 +105,7 @@
   std::uniform_real_distribution<double> uniform_{ 0.0, 1.0 };
   ConfigurationReplica replica_;
   bool watching_ = false;
+  bool stepsSoon_ = false;
 };
 
 void
@@ -112,6 +116,24 @@
            replica_.Spread().Next(base::MonotonicNow(), Random())) {
     Fetch(*request);
   }
+  StepAgainSoon();
+}
+
+/// While something is fetched, waits and timeouts are counted in tens of
+/// milliseconds; else steps that often would be most of an idle host's cost.
+void
+ConfigurationFollower::State::StepAgainSoon()
+{
+  if (!replica_.Spread().IsBusy() || stepsSoon_) {
+    return;
+  }
+  stepsSoon_ = true;
+  const std::weak_ptr<State> weak = weak_from_this();
+  pool_.PostAt(base::MonotonicNow() + kBusyStepInterval, [weak] {
+    if (const auto self = weak.lock()) {
+      self->Do([](State& aState) { aState.stepsSoon_ = false; });
+    }
+  });
 }
 
 void
@@ -279,8 +301,9 @@
 void
 ConfigurationFollower::Start()
 {
+  state_->Do([](State&) {});
   const std::weak_ptr<State> weak = state_;
-  state_->pool_.PostEvery(kStepInterval, [weak] {
+  state_->pool_.PostEvery(kIdleStepInterval, [weak] {
     if (const auto self = weak.lock()) {
       self->Do([](State&) {});
     }
@@ -293,6 +316,14 @@
   state_->stopped_ = true;
 }
 
+void
+ConfigurationFollower::SetPollers(std::size_t aPollers)
+{
+  state_->Do([aPollers](State& aState) {
+    aState.replica_.Spread().SetPollers(aPollers);
+  });
+}
+
 void
 ConfigurationFollower::OnHeartbeatVersion(const std::string& aPeer,
                                           std::uint64_t aVersion)
--- a/Libraries/LibConfiguration/SpreadDecision.h
+++ b/Libraries/LibConfiguration/SpreadDecision.h
@@ -43,6 +43,11 @@
   /// @param aRandom Uniform in [0, 1).
   SpreadDecision(Options aOptions, base::Instant aNow, double aRandom);
 
+  /// Says how many processes poll the service as this one does. More of them
+  /// poll less often each, and wait longer at random for a peer to have a
+  /// change's parts, so that the service's calls hardly grow with the fleet.
+  void SetPollers(std::size_t aPollers);
+
   /// A peer announced the version it holds.
   void OnPeerVersion(const std::string& aPeer, std::uint64_t aVersion);
 
@@ -72,6 +77,10 @@
   /// missed changes.
   void PollSoon();
 
+  /// @return whether something is being fetched, so that Next() is to be called
+  /// again soon even where nothing is heard.
+  [[nodiscard]] bool IsBusy() const { return pending_ || peerFetch_; }
+
   /// @return the next fetch to send now, or nothing. Call until nothing comes.
   std::optional<SpreadRequest> Next(base::Instant aNow, double aRandom);
 
@@ -90,6 +99,8 @@
   {
     std::uint64_t version_ = 0;
     std::vector<std::uint64_t> missing_;
+    /// When the service may be asked; set when that is first thought of.
+    std::optional<base::Instant> platformFrom_;
   };
 
   struct PeerFetch
@@ -115,7 +126,11 @@
                                                       double aRandom) const;
   [[nodiscard]] std::uint64_t HighestKnown() const;
 
+  [[nodiscard]] bool MayAskForParts(base::Instant aNow, double aRandom);
+  [[nodiscard]] base::Duration PollInterval() const;
+
   Options options_;
+  std::size_t pollers_ = 1;
   std::uint64_t held_ = 0;
   std::map<std::string, Peer> peers_;
   std::optional<Pending> pending_;
