--- a/Tests/Scenarios/Arguments.cpp
+++ b/Tests/Scenarios/Arguments.cpp
@@ -22,8 +22,8 @@
   throw ScenarioError("not a time: " + aText);
 }
 
-Arguments::Arguments(YAML::Node aNode)
-  : node_(std::move(aNode))
+Arguments::Arguments(const YAML::Node& aNode)
+  : node_(aNode)
 {
   if (!node_.IsMap()) {
     throw ScenarioError("line " + std::to_string(Line()) +
--- a/Tests/Scenarios/Arguments.h
+++ b/Tests/Scenarios/Arguments.h
@@ -27,7 +27,7 @@
 class Arguments
 {
 public:
-  explicit Arguments(YAML::Node aNode);
+  explicit Arguments(const YAML::Node& aNode);
 
   /// @return an argument that must be there.
   std::string Text(const std::string& aKey);
--- a/Tests/Scenarios/Scenario.cpp
+++ b/Tests/Scenarios/Scenario.cpp
@@ -7,6 +7,8 @@
 #include "Scenarios/KeeperStage.h"
 #include "Scenarios/LinkStage.h"
 
+#include <fmt/format.h>
+
 #include <cstdlib>
 #include <memory>
 #include <variant>
@@ -130,8 +132,12 @@
         ++verdict_.expectations_;
         if (!Matches(expected, seen)) {
           verdict_.mismatches_.push_back(
-            "line " + std::to_string(entry.first.Mark().line + 1) + ": " +
-            name + "." + field + " expected " + expected + ", seen " + seen);
+            fmt::format("line {}: {}.{} expected {}, seen {}",
+                        entry.first.Mark().line + 1,
+                        name,
+                        field,
+                        expected,
+                        seen));
         }
       }
     }
