LibConfiguration: Let an apply pass over drains made since

A drain makes a new version but touches no declarations, so an operator's apply from the version before it was refused for nothing.

--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -139,18 +139,36 @@
   return changed;
 }
 
+template<typename References>
 bool
-HasSameParts(const ConfigurationHead& aHead, const Split& aSplit)
+HasSameParts(const ConfigurationHead& aHead, const References& aReferences)
 {
   return std::equal(aHead.parts().begin(),
                     aHead.parts().end(),
-                    aSplit.references_.begin(),
-                    aSplit.references_.end(),
+                    aReferences.begin(),
+                    aReferences.end(),
                     [](const auto& aLeft, const auto& aRight) {
                       return MessageDifferencer::Equals(aLeft, aRight);
                     });
 }
 
+/// @return the head that an operator's change makes of the one in force.
+ConfigurationHead
+MakeNext(const ConfigurationHead& aBase,
+         const ConfigurationStore::Change& aChange,
+         const Split& aSplit)
+{
+  ConfigurationHead next = aBase;
+  next.set_version(aBase.version() + 1);
+  next.set_write_id(MakeWriteId());
+  next.set_author(aChange.author_);
+  next.set_comment(aChange.comment_);
+  next.set_applied_unix_ms(base::ToUnixMs(aChange.now_));
+  *next.mutable_parts() = { aSplit.references_.begin(),
+                            aSplit.references_.end() };
+  return next;
+}
+
 void
 LogWrite(const base::Event& aEvent, const ConfigurationHead& aNext)
 {
@@ -188,33 +206,51 @@
 ConfigurationStore::Apply(const Change& aChange)
 {
   BOOST_LEAF_CHECK(checker_(aChange.declarations_));
-  BOOST_LEAF_AUTO(base, ReadHead());
   const Split split =
     SplitDeclarations(aChange.declarations_, options_.partnerBuckets_);
-  if (base.revision_ != 0 && HasSameParts(base.head_, split)) {
-    return ApplyOutcome{ Applied{ base.head_.version(), true } };
-  }
-  if (base.head_.version() != aChange.expectedVersion_) {
-    BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
-    return ApplyOutcome{ std::move(conflict) };
-  }
-  ConfigurationHead next = base.head_;
-  next.set_version(base.head_.version() + 1);
-  next.set_write_id(MakeWriteId());
-  next.set_author(aChange.author_);
-  next.set_comment(aChange.comment_);
-  next.set_applied_unix_ms(base::ToUnixMs(aChange.now_));
-  *next.mutable_parts() = { split.references_.begin(),
-                            split.references_.end() };
-  BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
-  if (verdict == Verdict::Accepted) {
-    CollectSometimes(next.version());
-    return ApplyOutcome{ Applied{ next.version(), false } };
+  for (std::uint32_t i = 0; i < options_.attempts_; ++i) {
+    BOOST_LEAF_AUTO(base, ReadHead());
+    if (base.revision_ != 0 && HasSameParts(base.head_, split.references_)) {
+      return ApplyOutcome{ Applied{ base.head_.version(), true } };
+    }
+    BOOST_LEAF_AUTO(isExpected, IsExpected(aChange.expectedVersion_, base));
+    if (!isExpected) {
+      BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
+      return ApplyOutcome{ std::move(conflict) };
+    }
+    const ConfigurationHead next = MakeNext(base.head_, aChange, split);
+    BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
+    if (verdict == Verdict::Accepted) {
+      CollectSometimes(next.version());
+      return ApplyOutcome{ Applied{ next.version(), false } };
+    }
+    // Another change came first. Whether it touches the declarations shows in
+    // the next round.
   }
   BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
   return ApplyOutcome{ std::move(conflict) };
 }
 
+/// @return whether the declarations are still those of the expected version. A
+/// host that was drained since does not hold up an operator's declarations.
+Result<bool>
+ConfigurationStore::IsExpected(std::uint64_t aExpectedVersion,
+                               const HeldHead& aCurrent)
+{
+  const ConfigurationHead& current = aCurrent.head_;
+  if (current.version() == aExpectedVersion) {
+    return true;
+  }
+  if (aExpectedVersion == 0) {
+    return current.parts().empty();
+  }
+  if (aExpectedVersion > current.version()) {
+    return false;
+  }
+  BOOST_LEAF_AUTO(expected, ReadHistory(aExpectedVersion));
+  return expected && HasSameParts(*expected, current.parts());
+}
+
 Result<std::uint64_t>
 ConfigurationStore::Drain(const std::string& aHost,
                           DrainOrder aOrder,
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -87,7 +87,7 @@
                      Options aOptions,
                      Checker aChecker);
 
-  /// Puts declarations in force, if the expected version still is.
+  /// Puts declarations in force, if those of the expected version still are.
   /// @return the checker's failure; PlatformUnavailable or BudgetExhausted:
   /// surely not in force; PlatformOutcomeUnknown: the service would not say
   /// within the attempts, so it may be or become in force; applying the same
@@ -132,6 +132,8 @@
   base::Result<std::optional<stored::ConfigurationHead>> ReadHistory(
     std::uint64_t aVersion);
   base::Result<PartTable> ReadParts(const std::vector<std::uint64_t>& aDigests);
+  base::Result<bool> IsExpected(std::uint64_t aExpectedVersion,
+                                const HeldHead& aCurrent);
   base::Result<Verdict> Write(const HeldHead& aBase,
                               const stored::ConfigurationHead& aNext,
                               const PartTable& aNewParts);
--- a/Tests/LibConfiguration/ConfigurationFollowerTest.cpp
+++ b/Tests/LibConfiguration/ConfigurationFollowerTest.cpp
@@ -93,7 +93,7 @@
     platform::KeyValueClient::Options options;
     options.addresses_ = { address_ };
     options.callsPerSecond_ = 1000.0;
-    options.callTimeout_ = 500ms;
+    options.callTimeout_ = 30s; // Bounds a hang; no test waits for it.
     return platform::KeyValueClient::Make(std::move(options));
   }
 
--- a/Tests/LibConfiguration/ConfigurationStoreTest.cpp
+++ b/Tests/LibConfiguration/ConfigurationStoreTest.cpp
@@ -6,6 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <thread>
+
 namespace pumiceturn::configuration {
 
 using namespace std::chrono_literals;
@@ -33,7 +37,7 @@
     platform::KeyValueClient::Options options;
     options.addresses_ = { "127.0.0.1:" + std::to_string(service_->Port()) };
     options.callsPerSecond_ = 1000.0;
-    options.callTimeout_ = 500ms;
+    options.callTimeout_ = 30s; // Bounds a hang; no test waits for it.
     return platform::KeyValueClient::Make(std::move(options));
   }
 
@@ -148,6 +152,36 @@
   CHECK(DescribeDifference(first, Get(0).declarations()).empty());
 }
 
+// The same, with both applies under way at once, so that either may come first
+// at the service and the other learns of it only there.
+TEST_CASE_METHOD(StoreFixture, "Apply_TwoOperatorsAtOnce_OneIsAccepted")
+{
+  constexpr std::uint64_t kRounds = 10;
+  for (std::uint64_t round = 0; round < kRounds; ++round) {
+    std::array<base::Outcome<ApplyOutcome>, 2> outcomes;
+    std::array<std::thread, 2> operators;
+    for (std::size_t i = 0; i < operators.size(); ++i) {
+      operators[i] = std::thread([&, i] {
+        auto all = MakeDeclarations(3);
+        *all.add_partners() = MakePartner(fmt::format("{}-{}", round, i));
+        outcomes[i] = Apply(all, round);
+      });
+    }
+    for (std::thread& one : operators) {
+      one.join();
+    }
+    const auto accepted =
+      std::count_if(outcomes.begin(), outcomes.end(), [](const auto& aOutcome) {
+        return aOutcome.index() == 0 &&
+               std::holds_alternative<Applied>(std::get<0>(aOutcome));
+      });
+    CHECK(accepted == 1);
+    CHECK(CodeOf(outcomes[0]) == ResultCode::Ok);
+    CHECK(CodeOf(outcomes[1]) == ResultCode::Ok);
+  }
+  CHECK(Get(0).version() == kRounds);
+}
+
 // The service puts a change in force and its answer is lost. Telling the
 // operator "failed" would be untrue, and applying it again as a new change
 // would put it in force twice. Reading back finds its write id.
@@ -246,6 +280,23 @@
   CHECK(Get(0).drained_hosts_size() == 0);
 }
 
+// One operator drains a broken host while another edits partners. The drain
+// makes a new version, but there is nothing in it to take into the other's
+// declarations: the apply goes through and the host stays drained.
+TEST_CASE_METHOD(StoreFixture, "Apply_HostDrainedSince_IsAccepted")
+{
+  MustApply(MakeDeclarations(3), 0);
+  const auto drained = Capture([&] {
+    return store_.Drain("north", DrainOrder::Drain, "bo", base::FromUnixMs(1));
+  });
+  REQUIRE(CodeOf(drained) == ResultCode::Ok);
+  CHECK(MustApply(MakeDeclarations(4), 1).version_ == 3);
+  CHECK(Get(0).drained_hosts_size() == 1);
+  const auto stale = Apply(MakeDeclarations(5), 1);
+  REQUIRE(stale.index() == 0);
+  CHECK(std::holds_alternative<Conflict>(std::get<0>(stale)));
+}
+
 TEST_CASE_METHOD(StoreFixture, "History_SeveralVersions_AreNewestFirst")
 {
   for (int i = 1; i <= 4; ++i) {
--- a/Tests/LibPlatform/KeyValueClientTest.cpp
+++ b/Tests/LibPlatform/KeyValueClientTest.cpp
@@ -47,6 +47,7 @@
     KeyValueClient::Options options;
     options.addresses_ = std::move(aAddresses);
     options.callsPerSecond_ = aCallsPerSecond;
+    options.callTimeout_ = 30s; // Bounds a hang; no test waits for it.
     return KeyValueClient::Make(std::move(options));
   }
 
