LibDispatch: Let old slow preemptions count for less

Where places are kept free few preemptions happen, so one slow moment would have cost batch a quarter of the places for ever.

--- a/Libraries/LibDispatch/BurstTracker.cpp
+++ b/Libraries/LibDispatch/BurstTracker.cpp
@@ -9,12 +9,23 @@
 
 constexpr double kWeightOfOne = 0.1;
 
+// Half of a preemption is the way of the cancel, the rest that of its news.
+constexpr double kCancelShare = 0.5;
+
+double
+HalvedBy(base::Duration aTime, base::Duration aHalfLife)
+{
+  return std::exp2(-static_cast<double>(aTime.count()) /
+                   static_cast<double>(aHalfLife.count()));
+}
+
 } // namespace
 
 void
 BurstTracker::OnArrival(base::Instant aNow)
 {
-  const base::Duration window{ static_cast<std::int64_t>(preemptionTime_) };
+  const base::Duration window{ static_cast<std::int64_t>(
+    PreemptionTime(aNow)) };
   if (aNow - windowStart_ > window) {
     windowStart_ = aNow;
     inWindow_ = 0;
@@ -25,13 +36,12 @@
 }
 
 void
-BurstTracker::OnPreempted(base::Duration aTime)
+BurstTracker::OnPreempted(base::Duration aTime, base::Instant aNow)
 {
   const auto time = static_cast<double>(aTime.count());
-  preemptionTime_ =
-    preemptionTime_ == 0.0
-      ? time
-      : preemptionTime_ + (time - preemptionTime_) * kWeightOfOne;
+  const double known = PreemptionTime(aNow);
+  preemptionTime_ = known == 0.0 ? time : known + (time - known) * kWeightOfOne;
+  lastPreemption_ = aNow;
 }
 
 std::uint32_t
@@ -39,7 +49,8 @@
                        base::Duration aStep,
                        base::Instant aNow) const
 {
-  if (preemptionTime_ <= static_cast<double>(aStep.count())) {
+  const double cancelTime = PreemptionTime(aNow) * kCancelShare;
+  if (cancelTime <= static_cast<double>(aStep.count())) {
     return 0;
   }
   const double most = static_cast<double>(aPlaces) * options_.maxShare_;
@@ -50,12 +61,15 @@
 double
 BurstTracker::DecayedPeak(base::Instant aNow) const
 {
-  if (peak_ == 0.0) {
-    return 0.0;
-  }
-  const double halfLives = static_cast<double>((aNow - peakTime_).count()) /
-                           static_cast<double>(options_.halfLife_.count());
-  return peak_ * std::exp2(-halfLives);
+  return peak_ * HalvedBy(aNow - peakTime_, options_.halfLife_);
+}
+
+// Where places are kept free, few preemptions happen, so an old slow one must
+// not count for ever.
+double
+BurstTracker::PreemptionTime(base::Instant aNow) const
+{
+  return preemptionTime_ * HalvedBy(aNow - lastPreemption_, options_.halfLife_);
 }
 
 } // namespace pumiceturn::dispatch
--- a/Libraries/LibDispatch/GateStreams.cpp
+++ b/Libraries/LibDispatch/GateStreams.cpp
@@ -120,7 +120,7 @@
     aEnd.ran_ == Ran::NotRun && aRun.generation_ == 1;
   if (aRun.phase_ == RunPhase::Yielding) {
     aRun.mayHaveRun_ = !certainlyNotRun;
-    bursts_.OnPreempted(aMoment.now_ - aRun.preempted_);
+    bursts_.OnPreempted(aMoment.now_ - aRun.preempted_, aMoment.now_);
     Requeue(aRun, aMoment);
     return;
   }
