LibDispatch: Let the gate keep a set number of places free

For operators who weigh the online tail more than batch. Measured (bench_dispatch, one run, 32 places, 60% load): first token p99 48.5 ms without, 41.1 with an eighth kept free, 38.6 online alone; batch 88.4% against 75.7% of the idle places. At 20% load it gains 1 to 2% of the tail for 10% of the batch, so it is off by default.

--- a/Benchmarks/Dispatch/Main.cpp
+++ b/Benchmarks/Dispatch/Main.cpp
@@ -72,6 +72,7 @@
 void
 ComparePolicies(const NamedEngine& aEngine, double aLoad)
 {
+  const auto places = static_cast<std::uint32_t>(aEngine.options_.maxRunning_);
   const NamedPolicy policies[] = {
     { "engine order", dispatch::EngineOrder{} },
     { "strict priority", dispatch::StrictPriority{} },
@@ -80,6 +81,8 @@
         static_cast<std::uint32_t>(aEngine.options_.maxRunning_ / 4) } },
     { "gate, no headroom", dispatch::BurstHeadroom{}, 0.0 },
     { "gate", dispatch::BurstHeadroom{}, 0.25 },
+    { "gate, 1/8 free", dispatch::BurstHeadroom{ places / 8 }, 0.25 },
+    { "gate, 1/4 free", dispatch::BurstHeadroom{ places / 4 }, 0.25 },
   };
   Workload workload = aEngine.workload_;
   workload.onlinePerSecond_ *= aLoad;
--- a/Libraries/LibAgent/AgentCore.cpp
+++ b/Libraries/LibAgent/AgentCore.cpp
@@ -33,7 +33,7 @@
     case settings::DISPATCH_POLICY_STATIC_HEADROOM:
       return dispatch::StaticHeadroom{ aSettings.static_headroom() };
     default:
-      return dispatch::BurstHeadroom{};
+      return dispatch::BurstHeadroom{ aSettings.static_headroom() };
   }
 }
 
--- a/Libraries/LibDispatch/Policy.cpp
+++ b/Libraries/LibDispatch/Policy.cpp
@@ -1,5 +1,7 @@
 #include "LibDispatch/Policy.h"
 
+#include <algorithm>
+
 namespace pumiceturn::dispatch {
 
 namespace {
@@ -17,9 +19,9 @@
   {
     return aPolicy.slots_;
   }
-  std::uint32_t operator()(const BurstHeadroom& /*aPolicy*/) const
+  std::uint32_t operator()(const BurstHeadroom& aPolicy) const
   {
-    return burst_;
+    return std::max(burst_, aPolicy.least_);
   }
 };
 
--- a/Libraries/LibDispatch/Policy.h
+++ b/Libraries/LibDispatch/Policy.h
@@ -22,7 +22,10 @@
 /// Places kept free by recent bursts, and batch streams preempted when these
 /// are used up.
 struct BurstHeadroom
-{};
+{
+  std::uint32_t least_ = 0; ///< Places kept free in any case: a shorter step
+                            ///< for online against less batch.
+};
 
 /// How an agent shares its engine between online and batch.
 using Policy =
