LibRouting: Spread the lifting of a quarantine

Lifted at one entry, content stayed refused by all others. A count of 0 on a heartbeat now says that it was lifted, until it crashes again.

--- a/Libraries/LibEntry/OnlineCalls.cpp
+++ b/Libraries/LibEntry/OnlineCalls.cpp
@@ -2,6 +2,8 @@
 
 #include "LibEntry/Events.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <random>
@@ -506,16 +508,15 @@
 OnlineCalls::Do(Active& aActive, BlameContent& /*aAction*/)
 {
   const std::uint64_t fingerprint = aActive.request_.Description().fingerprint_;
-  constexpr auto kLifetimeMs = static_cast<std::uint32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      routing::QuarantineTable::kDefaultLifetime)
-      .count());
-  const std::array blamed{
-    wire::Suspect{
-      fingerprint, routing::QuarantineTable::kCrashesToQuarantine, kLifetimeMs }
-  };
-  context_.quarantine_.Merge(blamed, base::MonotonicNow());
-  base::Log(kContentBlamed, { { "fingerprint", fingerprint } });
+  // What agents have told of it may be here already, or may have been lifted.
+  const base::Instant now = base::MonotonicNow();
+  const std::array blamed{ fingerprint };
+  while (context_.quarantine_.Check(fingerprint, now) !=
+         routing::Suspicion::Quarantined) {
+    context_.quarantine_.RecordCrash(blamed, now);
+  }
+  base::Log(kContentBlamed,
+            { { "fingerprint", fmt::format("{:016x}", fingerprint) } });
   // The next entry that its caller tries must know before it arrives there.
   context_.links_.HeartbeatNow();
 }
--- a/Libraries/LibEntry/OperatorService.cpp
+++ b/Libraries/LibEntry/OperatorService.cpp
@@ -340,6 +340,9 @@
   constexpr std::uint32_t kMsPerS = 1000;
   const auto listed = core_->context_.quarantine_.List(base::MonotonicNow());
   for (const wire::Suspect& suspect : listed) {
+    if (suspect.crashes_ == 0) {
+      continue; // Lifted.
+    }
     operations::QuarantineEntry& entry = *aReply->add_entries();
     entry.set_fingerprint(fmt::format("{:016x}", suspect.fingerprint_));
     entry.set_crashes(suspect.crashes_);
@@ -372,6 +375,7 @@
             { { "order", "lift" },
               { "fingerprint", aRequest->fingerprint() },
               { "found", isFound } });
+  core_->context_.links_.HeartbeatNow(); // The other entries hear of it.
   aReply->set_found(isFound);
   reactor->Finish(grpc::Status::OK);
   return reactor;
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -16,6 +16,25 @@
     std::clamp<std::int64_t>(remaining, 1, kLongest));
 }
 
+/// Puts first what a peer needs most, since a heartbeat holds only so many:
+/// what was lifted, then what crashed most, then what is newest.
+bool
+IsTellingMore(const wire::Suspect& aLeft, const wire::Suspect& aRight)
+{
+  const bool isLeftLifted = aLeft.crashes_ == 0;
+  const bool isRightLifted = aRight.crashes_ == 0;
+  if (isLeftLifted != isRightLifted) {
+    return isLeftLifted;
+  }
+  if (aLeft.crashes_ != aRight.crashes_) {
+    return aLeft.crashes_ > aRight.crashes_;
+  }
+  if (aLeft.expiresInMs_ != aRight.expiresInMs_) {
+    return aLeft.expiresInMs_ > aRight.expiresInMs_;
+  }
+  return aLeft.fingerprint_ < aRight.fingerprint_;
+}
+
 } // namespace
 
 std::vector<std::uint64_t>
@@ -44,7 +63,8 @@
     constexpr std::uint16_t kMost = std::numeric_limits<std::uint16_t>::max();
     const auto crashes =
       before == kMost ? kMost : static_cast<std::uint16_t>(before + 1);
-    entry = Entry{ crashes, aNow + kDefaultLifetime, false };
+    const bool wasLifted = entry.lifted_ || entry.crashedSinceLift_;
+    entry = Entry{ crashes, aNow + kDefaultLifetime, false, wasLifted };
     blamed.push_back(fingerprint);
   }
   return blamed;
@@ -56,7 +76,7 @@
 {
   const std::lock_guard lock(mutex_);
   for (const wire::Suspect& suspect : aSuspects) {
-    if (suspect.crashes_ == 0 || suspect.expiresInMs_ == 0) {
+    if (suspect.expiresInMs_ == 0) {
       continue;
     }
     const base::Instant expires =
@@ -69,13 +89,26 @@
     if (isLive && found->second.lifted_) {
       continue;
     }
+    if (suspect.crashes_ == 0) {
+      if (isLive && found->second.crashedSinceLift_) {
+        continue;
+      }
+      if (!isLive) {
+        MakeRoom(suspect.fingerprint_, aNow);
+        entries_[suspect.fingerprint_] = Entry{ 0, expires, true, false };
+      } else {
+        found->second.lifted_ = true;
+      }
+      continue;
+    }
     // An equal count is not taken over again: two peers that echo each other
     // would otherwise keep an entry alive for good.
     if (isLive && found->second.crashes_ >= suspect.crashes_) {
       continue;
     }
     MakeRoom(suspect.fingerprint_, aNow);
-    entries_[suspect.fingerprint_] = Entry{ suspect.crashes_, expires, false };
+    entries_[suspect.fingerprint_] =
+      Entry{ suspect.crashes_, expires, false, false };
   }
 }
 
@@ -111,16 +144,14 @@
   const std::lock_guard lock(mutex_);
   std::vector<wire::Suspect> listed;
   for (const auto& [fingerprint, entry] : entries_) {
-    if (!entry.lifted_ && entry.expires_ > aNow) {
+    if (entry.expires_ > aNow) {
+      const std::uint16_t crashes =
+        entry.lifted_ ? std::uint16_t{ 0 } : entry.crashes_;
       listed.push_back(wire::Suspect{
-        fingerprint, entry.crashes_, RemainingMs(entry.expires_, aNow) });
+        fingerprint, crashes, RemainingMs(entry.expires_, aNow) });
     }
   }
-  std::sort(listed.begin(),
-            listed.end(),
-            [](const wire::Suspect& aLeft, const wire::Suspect& aRight) {
-              return aLeft.fingerprint_ < aRight.fingerprint_;
-            });
+  std::sort(listed.begin(), listed.end(), IsTellingMore);
   return listed;
 }
 
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -38,7 +38,8 @@
     std::span<const std::uint64_t> aFingerprints,
     base::Instant aNow);
 
-  /// Takes over what a peer knows; the higher count wins.
+  /// Takes over what a peer knows: the higher count wins, and a count of 0 says
+  /// that operators lifted it.
   void Merge(std::span<const wire::Suspect> aSuspects, base::Instant aNow);
 
   [[nodiscard]] Suspicion Check(std::uint64_t aFingerprint,
@@ -48,7 +49,9 @@
   /// peers until its former expiry.
   bool Lift(std::uint64_t aFingerprint, base::Instant aNow);
 
-  /// @return everything not expired, for heartbeats and operators.
+  /// @return everything not expired, for heartbeats and operators; what was
+  /// lifted has a count of 0, so that peers hear of it. What
+  /// a peer needs most comes first.
   [[nodiscard]] std::vector<wire::Suspect> List(base::Instant aNow) const;
 
 private:
@@ -57,6 +60,9 @@
     std::uint16_t crashes_ = 0;
     base::Instant expires_;
     bool lifted_ = false;
+    /// It crashed again after it was lifted: peers that still know it as lifted
+    /// do not lift it here once more.
+    bool crashedSinceLift_ = false;
   };
 
   /// Keeps the table bounded before an entry is added; holds the lock.
--- a/Tests/LibRouting/QuarantineTableTest.cpp
+++ b/Tests/LibRouting/QuarantineTableTest.cpp
@@ -71,6 +71,27 @@
   CHECK_FALSE(table_.Lift(kPoison, now_));
 }
 
+// Story: an operator lifts a quarantine at one entry. Every entry must let the
+// content run again. It crashes two more endpoints: the entry that saw it
+// refuses it again, also while peers still tell that it was lifted.
+TEST_CASE_METHOD(QuarantineFixture,
+                 "QuarantineTable_LiftedAtOnePeer_SpreadsUntilItCrashesAgain")
+{
+  QuarantineTable peer;
+  Crash({ kPoison });
+  Crash({ kPoison });
+  peer.Merge(table_.List(now_), now_);
+  CHECK(peer.Check(kPoison, now_) == Suspicion::Quarantined);
+  CHECK(table_.Lift(kPoison, now_));
+  peer.Merge(table_.List(now_), now_);
+  CHECK(peer.Check(kPoison, now_) == Suspicion::None);
+
+  Crash({ kPoison });
+  Crash({ kPoison });
+  table_.Merge(peer.List(now_), now_);
+  CHECK(table_.Check(kPoison, now_) == Suspicion::Quarantined);
+}
+
 TEST_CASE_METHOD(QuarantineFixture,
                  "QuarantineTable_FloodOfSuspects_KeepsQuarantined")
 {
