--- a/Libraries/LibEntry/CallerService.cpp
+++ b/Libraries/LibEntry/CallerService.cpp
@@ -20,9 +20,9 @@
 
 namespace {
 
-/// When to come back after a refusal by a host that leaves: the balancer sends
-/// the caller to another one.
-constexpr std::uint32_t kRetryAfterDrainingMs = 100;
+/// When to come back after a refusal by a host that leaves or is full: the
+/// balancer sends the caller to another one.
+constexpr std::uint32_t kRetryElsewhereMs = 100;
 
 std::string_view
 AuthorizationOf(const grpc::CallbackServerContext& aContext)
@@ -58,15 +58,18 @@
   if (aCore.draining_) {
     return base::Fail(ResultCode::Draining, "this entry is leaving");
   }
+  if (aCore.openCalls_ > EntryCore::kMaxOpenCalls) {
+    return base::Fail(ResultCode::Overloaded, "too many calls are open here");
+  }
   return {};
 }
 
 grpc::Status
 MakeEntryRefusal(const Failure& aFailure)
 {
-  return MakeRefusal(
-    aFailure,
-    aFailure.code_ == ResultCode::Draining ? kRetryAfterDrainingMs : 0);
+  const bool isPassing = aFailure.code_ == ResultCode::Draining ||
+                         aFailure.code_ == ResultCode::Overloaded;
+  return MakeRefusal(aFailure, isPassing ? kRetryElsewhereMs : 0);
 }
 
 /// A partner and the job that it asks about.
--- a/Libraries/LibEntry/EntryCore.h
+++ b/Libraries/LibEntry/EntryCore.h
@@ -13,6 +13,10 @@
 /// What the gRPC services of one entry share.
 struct EntryCore
 {
+  /// RPCs with work that may be open at once; each holds its prompt and its
+  /// answer in memory.
+  static constexpr int kMaxOpenCalls = 8192;
+
   explicit EntryCore(node::Context aContext)
     : context_(aContext)
   {
--- a/Libraries/LibEntry/EntryFunction.cpp
+++ b/Libraries/LibEntry/EntryFunction.cpp
@@ -107,6 +107,20 @@
   }
 }
 
+void
+AddGauges(const std::shared_ptr<EntryCore>& aCore)
+{
+  const std::weak_ptr<EntryCore> weak = aCore;
+  aCore->context_.metrics_.AddGauge(
+    "pumiceturn_open_calls",
+    "Calls and lots that a shutdown would cut off.",
+    {},
+    [weak] {
+      const auto core = weak.lock();
+      return core == nullptr ? 0.0 : static_cast<double>(core->openCalls_);
+    });
+}
+
 void
 SetLimits(grpc::ServerBuilder& aBuilder)
 {
@@ -139,6 +153,7 @@
   core.owners_ = std::make_shared<OwnerCalls>(aContext);
   core.owners_->Start();
   Follow(state->core_);
+  AddGauges(state->core_);
 
   const std::string& address = aContext.settings_.entry().grpc_address();
   grpc::ServerBuilder builder;
