LibJobLog: Name another owner when the own disk fails; hold less a partition

A claim right after a failed write would fail again and cost a swap at each tick; the copy counts as unfit for five takeover intervals now. Tests for a flipped bit, full disks and the key-value service down throughout.

--- a/Benchmarks/JobLog/MeasureAppend.cpp
+++ b/Benchmarks/JobLog/MeasureAppend.cpp
@@ -163,6 +163,7 @@
 PrintRow(std::uint32_t aCopies, std::size_t aItems, std::size_t aInFlight)
 {
   std::vector<Comparison> rounds;
+  rounds.reserve(kRounds);
   for (int round = 0; round < kRounds; ++round) {
     rounds.push_back(Compare(aCopies, aItems, aInFlight));
   }
--- a/Libraries/LibJobLog/ClaimDecision.cpp
+++ b/Libraries/LibJobLog/ClaimDecision.cpp
@@ -8,6 +8,12 @@
 
 namespace {
 
+ClaimDecision
+Choose(ClaimChoice aChoice)
+{
+  return ClaimDecision{ aChoice, {} };
+}
+
 /// @return hosts in rendezvous order that may claim, without the owner.
 std::vector<std::string>
 ListCandidates(const partition::PartitionRecord& aRecord,
@@ -36,43 +42,42 @@
             const ClaimLimits& aLimits,
             base::Instant aNow)
 {
-  const ClaimDecision wait;
-  const ClaimDecision claim{ ClaimChoice::Claim, {} };
   const bool fit = aOwnCopy == OwnCopy::Whole || aRecord.copies_.empty();
   if (aRecord.owner_ == aFleet.self_) {
     // Recorded from before a restart, or named by one that left.
     if (fit) {
-      return claim;
+      return Choose(ClaimChoice::Claim);
     }
     const std::string successor = ChooseSuccessor(aRecord, aFleet);
-    return successor.empty() ? wait
+    return successor.empty() ? Choose(ClaimChoice::Wait)
                              : ClaimDecision{ ClaimChoice::Yield, successor };
   }
   // With too few hosts in sight it is likelier that this one is cut off.
   if (!fit || aFleet.CountUpDomains() < aLimits.minCopies_) {
-    return wait;
+    return Choose(ClaimChoice::Wait);
   }
   base::Duration ownerLost{ base::Duration::max() };
   if (!aRecord.owner_.empty()) {
     ownerLost = aFleet.LostFor(aRecord.owner_, aNow);
     if (ownerLost < aLimits.takeoverAfter_) {
-      return wait;
+      return Choose(ClaimChoice::Wait);
     }
   }
   base::Duration ownTurn = aLimits.takeoverAfter_;
   for (const std::string& candidate : ListCandidates(aRecord, aFleet)) {
     if (candidate == aFleet.self_) {
-      return ownerLost >= ownTurn ? claim : wait;
+      return Choose(ownerLost >= ownTurn ? ClaimChoice::Claim
+                                         : ClaimChoice::Wait);
     }
     if (aFleet.LostFor(candidate, aNow) >= aLimits.takeoverAfter_) {
       continue;
     }
     if (aRecord.owner_.empty()) {
-      return wait;
+      return Choose(ClaimChoice::Wait);
     }
     ownTurn += aLimits.takeoverAfter_;
   }
-  return wait;
+  return Choose(ClaimChoice::Wait);
 }
 
 std::string
--- a/Libraries/LibJobLog/PartitionHost.cpp
+++ b/Libraries/LibJobLog/PartitionHost.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kFrameBytes = 1U << 20U;
 /// Between two attempts to name another owner, in takeover intervals.
 constexpr int kYieldTakeovers = 10;
+/// From a failed write to the next claim, in takeover intervals.
+constexpr int kUnfitTakeovers = 5;
 constexpr std::uint64_t kReplayBytes = 4U << 20U;
 /// A page that begins with the entry asked for must hold one more, or the
 /// asker would make no progress.
@@ -188,10 +190,10 @@
     return;
   }
   const LogOptions& options = shared_->options_;
-  const OwnCopy ownCopy = replica_.IsWhole() && !shared_->store_->HasFailed()
-                            ? OwnCopy::Whole
-                            : OwnCopy::Unfit;
   const base::Instant now = base::MonotonicNow();
+  const bool isFit =
+    replica_.IsWhole() && !shared_->store_->HasFailed() && now >= unfitUntil_;
+  const OwnCopy ownCopy = isFit ? OwnCopy::Whole : OwnCopy::Unfit;
   const PartitionRecord& record = owner_.Record();
   const ClaimDecision decision =
     DecideClaim(record,
@@ -342,6 +344,11 @@
        ++index) {
     positions_[aFirstSequence + index] = aPositions[index];
   }
+  if (aCode != ResultCode::Ok) {
+    // A claim would only fail at the same disk, and cost a swap each time.
+    unfitUntil_ =
+      base::MonotonicNow() + kUnfitTakeovers * shared_->options_.takeoverAfter_;
+  }
   Run(replica_.OnStored(aCode));
   if (replica_.NeedsReload()) {
     replica_.Reload(shared_->store_->SummaryOf(partition_));
--- a/Libraries/LibJobLog/PartitionHost.h
+++ b/Libraries/LibJobLog/PartitionHost.h
@@ -10,7 +10,7 @@
 
 #include <atomic>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -127,7 +127,8 @@
   bool isRecordKnown_ = false;
   bool isServedElsewhere_ = false;
   base::Instant nextYieldAt_{};
-  std::deque<Work> work_;
+  base::Instant unfitUntil_{};
+  std::list<Work> work_;
   bool isDraining_ = false;
   std::uint64_t nextToken_ = 1;
   std::map<std::uint64_t, Appending> appending_;
--- a/Libraries/LibJobLog/PartitionOwner.h
+++ b/Libraries/LibJobLog/PartitionOwner.h
@@ -9,7 +9,7 @@
 #include "LibWire/Messages.h"
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
 #include <string>
 #include <variant>
@@ -311,9 +311,11 @@
   std::uint64_t trimBefore_ = 1;
   bool isShort_ = false; ///< Too few copies can be reached.
   std::vector<CopyProgress> copies_;
+  // Lists, since an empty deque of each of thousands of partitions holds half a
+  // kilobyte.
   /// Entries that the own disk does not have yet.
-  std::deque<wire::LogEntry> recent_;
-  std::deque<PendingAppend> pending_;
+  std::list<wire::LogEntry> recent_;
+  std::list<PendingAppend> pending_;
 };
 
 } // namespace pumiceturn::joblog
--- a/Libraries/LibJobLog/PartitionReplica.h
+++ b/Libraries/LibJobLog/PartitionReplica.h
@@ -5,7 +5,7 @@
 #include "LibWire/Messages.h"
 
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <optional>
 #include <string>
 #include <variant>
@@ -126,7 +126,7 @@
   std::uint64_t issuedStores_ = 0;
   std::uint64_t endedStores_ = 0;
   base::ResultCode failure_ = base::ResultCode::Ok;
-  std::deque<WaitingReply> replies_;
+  std::list<WaitingReply> replies_;
 };
 
 } // namespace pumiceturn::joblog
--- a/Tests/LibJobLog/LogServiceTest.cpp
+++ b/Tests/LibJobLog/LogServiceTest.cpp
@@ -215,6 +215,81 @@
   CHECK(fleet.SeenBy(next, 0).records_ == Records{ "one" });
 }
 
+// A bit of a copy's disk flips while its host is down. With the owner lost
+// next, a host that trusted that copy would serve a log with a hole. The copy
+// says so when it is read, is filled anew, and only then counts again.
+TEST_CASE("LogService_CopyWithFlippedBit_IsFilledAnewBeforeItCounts")
+{
+  TestFleet fleet({ .keepers_ = 2 });
+  const std::size_t owner = fleet.WaitForOwner(0);
+  const std::size_t copy = 1 - owner;
+  REQUIRE(fleet.Append(owner, 0, { "record one" }) == ResultCode::Ok);
+  REQUIRE(fleet.Append(owner, 0, { "record two" }) == ResultCode::Ok);
+  fleet.Kill(copy);
+  const std::string file = fleet.FolderOf(copy).Files().front();
+  FlipBit(file, FindText(file, "record one"));
+  fleet.Start(copy);
+  fleet.AppendUntilAcknowledged(0, "record three");
+  fleet.Wipe(owner);
+  fleet.Start(owner);
+  REQUIRE(fleet.WaitForOtherOwner(0, owner) == copy);
+  const Records records = fleet.SeenBy(copy, 0).records_;
+  REQUIRE(records.size() >= 3);
+  CHECK(records[0] == "record one");
+  CHECK(records[1] == "record two");
+  CHECK(records.back() == "record three");
+}
+
+// The disk of a copy's host fills up. The owner must not wait for it for ever:
+// another keeper gets the copy, and records are acknowledged again.
+TEST_CASE("LogService_CopysDiskFull_IsReplaced")
+{
+  auto full = std::make_shared<std::atomic<std::size_t>>(TestFleet::kNone);
+  TestFleet fleet({ .fullDisk_ = full });
+  const std::size_t owner = fleet.WaitForOwner(0);
+  const std::size_t copy = CopyBeside(fleet, owner);
+  *full = copy;
+  fleet.AppendUntilAcknowledged(0, "one");
+  CHECK(fleet.OwnerOf(0) == owner);
+  CHECK(CopyBeside(fleet, owner) == 3 - owner - copy);
+}
+
+// The owner's own disk fills up. It cannot say what its log holds any more, so
+// another copy goes on; nothing that was acknowledged is missing.
+TEST_CASE("LogService_OwnersDiskFull_LosesNothing")
+{
+  auto full = std::make_shared<std::atomic<std::size_t>>(TestFleet::kNone);
+  TestFleet fleet({ .fullDisk_ = full });
+  const std::size_t owner = fleet.WaitForOwner(0);
+  REQUIRE(fleet.Append(owner, 0, { "one" }) == ResultCode::Ok);
+  *full = owner;
+  CHECK(fleet.Append(owner, 0, { "two" }) == ResultCode::DiskFull);
+  *full = TestFleet::kNone;
+  fleet.AppendUntilAcknowledged(0, "three");
+  fleet.Kill(fleet.OwnerOf(0));
+  const std::size_t next = fleet.WaitForOwner(0);
+  REQUIRE(next != TestFleet::kNone);
+  const Records records = fleet.SeenBy(next, 0).records_;
+  REQUIRE(records.size() >= 2);
+  CHECK(records.front() == "one");
+  CHECK(records.back() == "three");
+}
+
+TEST_CASE("LogService_KeyValueDownThroughout_OwnersGoOn")
+{
+  TestFleet fleet({ .partitions_ = 4 });
+  for (std::uint32_t partition = 0; partition < 4; ++partition) {
+    fleet.AppendUntilAcknowledged(partition, "first");
+  }
+  fleet.KeyValue().SetDown(true);
+  for (int round = 0; round < 20; ++round) {
+    for (std::uint32_t partition = 0; partition < 4; ++partition) {
+      CHECK(fleet.Append(fleet.OwnerOf(partition), partition, { "more" }) ==
+            ResultCode::Ok);
+    }
+  }
+}
+
 // An owner leaves for a planned replacement. The others must serve its
 // partitions without waiting for a takeover interval.
 TEST_CASE("LogService_HandOver_NamesASuccessorAtOnce")
--- a/Tests/LibJobLog/SegmentStoreTest.cpp
+++ b/Tests/LibJobLog/SegmentStoreTest.cpp
@@ -5,9 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <fstream>
 #include <future>
-#include <set>
 
 namespace pumiceturn::joblog {
 
@@ -85,32 +83,9 @@
     }
   }
 
-  /// Segment files in order of their numbers.
   [[nodiscard]] std::vector<std::string> Files() const
   {
-    std::set<std::string> names;
-    for (const auto& entry :
-         std::filesystem::directory_iterator(folder_.Path())) {
-      names.insert(entry.path().string());
-    }
-    return { names.begin(), names.end() };
-  }
-
-  static std::uint64_t FindText(const std::string& aFile,
-                                const std::string& aText)
-  {
-    std::ifstream stream(aFile, std::ios::binary);
-    const std::string bytes(std::istreambuf_iterator<char>(stream), {});
-    return bytes.find(aText);
-  }
-
-  static void FlipBit(const std::string& aFile, std::uint64_t aOffset)
-  {
-    std::fstream stream(aFile, std::ios::binary | std::ios::in | std::ios::out);
-    stream.seekg(static_cast<std::streamoff>(aOffset));
-    const char byte = static_cast<char>(stream.get());
-    stream.seekp(static_cast<std::streamoff>(aOffset));
-    stream.put(static_cast<char>(byte ^ 0x10));
+    return folder_.Files();
   }
 
   TemporaryFolder folder_;
--- a/Tests/LibJobLog/TestFleet.cpp
+++ b/Tests/LibJobLog/TestFleet.cpp
@@ -101,6 +101,25 @@
   return handlers;
 }
 
+Disk
+TestFleet::MakeDisk(std::size_t aKeeper) const
+{
+  Disk disk = Disk::Real();
+  if (!options_.fullDisk_) {
+    return disk;
+  }
+  disk.write_ = [full = options_.fullDisk_, real = disk.write_, aKeeper](
+                  const File& aFile,
+                  std::string_view aBytes,
+                  std::uint64_t aOffset) -> base::Result<void> {
+    if (*full == aKeeper) {
+      return base::Fail(base::ResultCode::DiskFull);
+    }
+    return real(aFile, aBytes, aOffset);
+  };
+  return disk;
+}
+
 void
 TestFleet::Start(std::size_t aKeeper)
 {
@@ -109,6 +128,7 @@
   options.failureDomain_ = "domain-" + std::to_string(aKeeper);
   options.keyPrefix_ = "/test/";
   options.store_.folder_ = keepers_[aKeeper]->folder_.Path();
+  options.store_.disk_ = MakeDisk(aKeeper);
   options.copies_ = options_.copies_;
   options.minCopies_ = options_.minCopies_;
   options.proposedPartitions_ = options_.partitions_;
--- a/Tests/LibJobLog/TestFleet.h
+++ b/Tests/LibJobLog/TestFleet.h
@@ -29,6 +29,8 @@
     std::uint32_t minCopies_ = 2;
     std::uint32_t partitions_ = 1;
     base::Duration takeoverAfter_{ base::Duration{ 300000 } };
+    /// Which keeper's disk is full; kNone for none.
+    std::shared_ptr<std::atomic<std::size_t>> fullDisk_ = nullptr;
   };
 
   /// What a keeper's application saw of one partition.
@@ -73,6 +75,11 @@
   void AppendUntilAcknowledged(std::uint32_t aPartition,
                                const std::string& aRecord);
 
+  [[nodiscard]] const TemporaryFolder& FolderOf(std::size_t aKeeper) const
+  {
+    return keepers_[aKeeper]->folder_;
+  }
+
   static constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
 private:
@@ -92,6 +99,7 @@
   void TellLinksUp(std::size_t aKeeper);
   LogService::Handlers MakeHandlers(std::size_t aKeeper);
   LogPorts MakePorts(std::size_t aKeeper);
+  [[nodiscard]] Disk MakeDisk(std::size_t aKeeper) const;
 
   Options options_;
   FakeKeyValue keyValue_;
