--- a/Benchmarks/JobLog/MeasureRecovery.cpp
+++ b/Benchmarks/JobLog/MeasureRecovery.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <future>
 #include <malloc.h>
+#include <thread>
 
 namespace pumiceturn::joblog {
 
@@ -170,24 +171,34 @@
 MeasurePartitions()
 {
   constexpr double kKeepers = 3;
-  fmt::print(
-    "| partitions | keepers' budget calls/s | all owned ms | calls | swaps | "
-    "bytes written to the service | allocated KB a keeper |\n"
-    "|---|---|---|---|---|---|---|\n");
+  constexpr std::chrono::seconds kSteady{ 3 };
+  fmt::print("| partitions | all owned ms | calls | bytes written | allocated "
+             "KB a keeper | calls in 3 steady s | host lost: all owned ms | "
+             "calls |\n|---|---|---|---|---|---|---|---|\n");
   for (const std::uint32_t partitions : { 256U, 1024U, 4096U }) {
     const std::uint64_t before = AllocatedBytes();
     const base::Instant begin = base::MonotonicNow();
     LinkedFleet fleet({ .partitions_ = partitions });
     fleet.WaitUntilAllOwned();
-    const base::Duration time = base::MonotonicNow() - begin;
-    fmt::print("| {} | 5 | {:.0f} | {} | {} | {} | {:.0f} |\n",
+    const base::Duration claimed = base::MonotonicNow() - begin;
+    const std::uint64_t claimCalls = fleet.KeyValue().CallCount();
+    const std::uint64_t written = fleet.KeyValue().SwappedBytes();
+    const std::uint64_t allocated = AllocatedBytes() - before;
+    std::this_thread::sleep_for(kSteady);
+    const std::uint64_t steadyCalls = fleet.KeyValue().CallCount() - claimCalls;
+    const base::Instant lost = base::MonotonicNow();
+    fleet.Kill(0);
+    fleet.WaitUntilAllOwned();
+    const base::Duration recovered = base::MonotonicNow() - lost;
+    fmt::print("| {} | {:.0f} | {} | {} | {:.0f} | {} | {:.0f} | {} |\n",
                partitions,
-               Milliseconds(time),
-               fleet.KeyValue().CallCount(),
-               fleet.KeyValue().SwapCount(),
-               fleet.KeyValue().SwappedBytes(),
-               static_cast<double>(AllocatedBytes() - before) / 1024 /
-                 kKeepers);
+               Milliseconds(claimed),
+               claimCalls,
+               written,
+               static_cast<double>(allocated) / 1024 / kKeepers,
+               steadyCalls,
+               Milliseconds(recovered),
+               fleet.KeyValue().CallCount() - claimCalls - steadyCalls);
     std::fflush(stdout);
   }
 }
