--- a/Libraries/LibDispatch/GateDispatch.cpp
+++ b/Libraries/LibDispatch/GateDispatch.cpp
@@ -51,10 +51,15 @@
   if (!IsGated(options_.policy_)) {
     return true;
   }
-  const std::uint32_t places = limit_.Current();
-  const std::uint32_t headroom =
-    HeadroomOf(options_.policy_, bursts_.Headroom(places, aNow));
-  return AtEngineCount() + headroom < places;
+  return AtEngineCount() + Headroom(aNow) < limit_.Current();
+}
+
+std::uint32_t
+Gate::Headroom(base::Instant aNow) const
+{
+  const std::uint32_t burst =
+    bursts_.Headroom(limit_.Current(), estimate_.Step(), aNow);
+  return HeadroomOf(options_.policy_, burst);
 }
 
 // Suspects never share an endpoint: if two of them were there when it crashed,
@@ -109,8 +114,10 @@
   if (Screen(*run, aMoment)) {
     return true;
   }
-  if (!HasRoomForOnline() && !MakeRoom(*run, aMoment)) {
-    return false;
+  while (!HasRoomForOnline()) {
+    if (!MakeRoom(*run, aMoment)) {
+      return false;
+    }
   }
   queue_.Remove(*run);
   Start(*run, aMoment);
@@ -136,7 +143,8 @@
 Gate::MakeRoom(const Run& aFor, Moment aMoment)
 {
   if (!MayPreempt(options_.policy_) ||
-      options_.resumption_ == Resumption::None) {
+      options_.resumption_ == Resumption::None ||
+      onlineRunning_ >= limit_.Current()) {
     return false;
   }
   Run* victim = ChooseVictim(atEngine_, estimate_, aMoment.now_);
@@ -145,6 +153,7 @@
   }
   const base::Duration slack = SlackOf(*victim, estimate_, aMoment.now_);
   SetPhase(*victim, RunPhase::Yielding);
+  victim->preempted_ = aMoment.now_;
   ++victim->preemptions_;
   NoteDecision(kRunPreempted,
                victim->order_.run_,
@@ -174,6 +183,7 @@
   start.stream_ = aRun.Stream();
   start.kind_ = aRun.order_.kind_;
   start.payload_ = aRun.order_.payload_;
+  start.prefix_ = aRun.order_.prefix_;
   start.maxTokens_ = aRun.order_.maxTokens_;
   start.resumeTokens_ = aRun.tokens_;
   if (aRun.deadline_ != base::Instant::max()) {
