--- a/Tests/LibKeeper/KeeperFixture.h
+++ b/Tests/LibKeeper/KeeperFixture.h
@@ -305,7 +305,7 @@
 
   wire::JobDescription Submit(const std::string& aKey, std::uint32_t aItems)
   {
-    const wire::JobDescription lot = Lot(aKey, aItems);
+    wire::JobDescription lot = Lot(aKey, aItems);
     keeper_->From("entry-1", Whole(lot));
     const auto reply = keeper_->SentOne<wire::SubmitReply>("entry-1");
     REQUIRE(reply.code_ == base::ResultCode::Ok);
