--- a/Libraries/LibLoad/Report.cpp
+++ b/Libraries/LibLoad/Report.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace pumiceturn::load {
 
@@ -14,13 +15,21 @@
 
 constexpr double kMsPerSecond = 1000.0;
 
+/// @return the value to three decimals; more would only look exact.
+double
+Round(double aValue)
+{
+  constexpr double kPerUnit = 1000.0;
+  return std::round(aValue * kPerUnit) / kPerUnit;
+}
+
 Json
 ToJson(const Samples& aSamples)
 {
   const Quantiles quantiles = aSamples.Summary();
-  return { { "p50", quantiles.p50_ },
-           { "p95", quantiles.p95_ },
-           { "p99", quantiles.p99_ },
+  return { { "p50", Round(quantiles.p50_) },
+           { "p95", Round(quantiles.p95_) },
+           { "p99", Round(quantiles.p99_) },
            { "samples", quantiles.count_ } };
 }
 
@@ -34,13 +43,14 @@
 Json
 ToJson(const BatchUse& aUse)
 {
-  Json json{ { "items_per_s", aUse.itemsPerS_ },
-             { "tokens_per_s", aUse.tokensPerS_ },
-             { "length_s", aUse.lengthS_ } };
+  Json json{ { "items_per_s", Round(aUse.itemsPerS_) },
+             { "tokens_per_s", Round(aUse.tokensPerS_) },
+             { "length_s", Round(aUse.lengthS_) } };
   const bool isKnown = aUse.idleTokensPerS_ > 0;
-  json["idle_tokens_per_s"] = isKnown ? Json(aUse.idleTokensPerS_) : Json();
+  json["idle_tokens_per_s"] =
+    isKnown ? Json(Round(aUse.idleTokensPerS_)) : Json();
   json["share_of_idle_capacity"] =
-    isKnown ? Json(aUse.shareOfIdleCapacity_) : Json();
+    isKnown ? Json(Round(aUse.shareOfIdleCapacity_)) : Json();
   return json;
 }
 
@@ -63,7 +73,7 @@
     list.push_back({ { "version", spread.version_ },
                      { "accepted", spread.isAccepted_ },
                      { "everywhere", spread.isEverywhere_ },
-                     { "ms", spread.spreadMs_ } });
+                     { "ms", Round(spread.spreadMs_) } });
   }
   return list;
 }
@@ -74,7 +84,7 @@
   Json list = Json::array();
   for (const PostedFault& fault : aFaults) {
     list.push_back(
-      { { "at_s", std::chrono::duration<double>(fault.at_).count() },
+      { { "at_s", Round(std::chrono::duration<double>(fault.at_).count()) },
         { "address", fault.address_ },
         { "order", fault.order_ },
         { "answered", fault.isAnswered_ } });
@@ -93,7 +103,7 @@
       return {};
     }
     longest = std::max(longest.is_null() ? 0.0 : longest.get<double>(),
-                       spread.spreadMs_);
+                       Round(spread.spreadMs_));
   }
   return longest;
 }
@@ -167,7 +177,7 @@
   json["seed"] = aPlan.seed();
   json["online_alone"] = ToJson(recorded.alone_);
   json["online_with_batch"] = ToJson(recorded.together_);
-  json["harm_p99"] = HarmAtP99(recorded);
+  json["harm_p99"] = Round(HarmAtP99(recorded));
   json["batch"] = ToJson(MeasureBatch(aPlan, recorded.seconds_));
   json["sent"] = counts.sent_;
   json["accepted"] = counts.accepted_;
--- a/Tests/LibLoad/ReportTest.cpp
+++ b/Tests/LibLoad/ReportTest.cpp
@@ -26,7 +26,7 @@
   {
     Second& second = outcome_.recorded_.seconds_[aSecond];
     second.batchItems_ = aItems;
-    second.batchTokens_ = aItems * 10;
+    second.batchTokens_ = std::uint64_t{ aItems } * 10;
     second.onlineTokens_ = 200;
   }
 
--- a/Tests/LibMetrics/RegistryTest.cpp
+++ b/Tests/LibMetrics/RegistryTest.cpp
@@ -74,15 +74,15 @@
 
 TEST_CASE("Histogram_ManyThreads_CountsEveryValue")
 {
-  constexpr int kThreads = 4;
-  constexpr int kValues = 2000;
+  constexpr std::size_t kThreads = 4;
+  constexpr std::size_t kValues = 2000;
   Histogram histogram;
   std::vector<std::thread> threads;
   threads.reserve(kThreads);
-  for (int index = 0; index < kThreads; ++index) {
+  for (std::size_t index = 0; index < kThreads; ++index) {
     threads.emplace_back([&histogram] {
-      for (int value = 0; value < kValues; ++value) {
-        histogram.Record(value);
+      for (std::size_t value = 0; value < kValues; ++value) {
+        histogram.Record(static_cast<double>(value));
         (void)histogram.Quantile(0.5);
       }
     });
--- a/Tests/LibSettings/SettingsFileTest.cpp
+++ b/Tests/LibSettings/SettingsFileTest.cpp
@@ -21,6 +21,7 @@
     std::vector<Problem> problems = FindProblems(settings_);
     LocateProblems(reading.positions_, problems);
     std::vector<std::string> list;
+    list.reserve(problems.size());
     for (const Problem& problem : problems) {
       list.push_back(std::to_string(problem.position_.line_) + " " +
                      std::string(base::NameOf(problem.code_)) + " " +
