--- a/Libraries/LibConfiguration/ConfigurationStore.cpp
+++ b/Libraries/LibConfiguration/ConfigurationStore.cpp
@@ -3,7 +3,6 @@
 #include "LibConfiguration/Difference.h"
 #include "LibConfiguration/Events.h"
 #include "LibConfiguration/Keys.h"
-#include "LibConfiguration/SwapDecision.h"
 
 #include <google/protobuf/util/message_differencer.h>
 
@@ -140,18 +139,45 @@
   return changed;
 }
 
+template<typename References>
 bool
-HasSameParts(const ConfigurationHead& aHead, const Split& aSplit)
+HasSameParts(const ConfigurationHead& aHead, const References& aReferences)
 {
   return std::equal(aHead.parts().begin(),
                     aHead.parts().end(),
-                    aSplit.references_.begin(),
-                    aSplit.references_.end(),
+                    aReferences.begin(),
+                    aReferences.end(),
                     [](const auto& aLeft, const auto& aRight) {
                       return MessageDifferencer::Equals(aLeft, aRight);
                     });
 }
 
+/// @return the head that an operator's change makes of the one in force.
+ConfigurationHead
+MakeNext(const ConfigurationHead& aBase,
+         const ConfigurationStore::Change& aChange,
+         const Split& aSplit)
+{
+  ConfigurationHead next = aBase;
+  next.set_version(aBase.version() + 1);
+  next.set_write_id(MakeWriteId());
+  next.set_author(aChange.author_);
+  next.set_comment(aChange.comment_);
+  next.set_applied_unix_ms(base::ToUnixMs(aChange.now_));
+  *next.mutable_parts() = { aSplit.references_.begin(),
+                            aSplit.references_.end() };
+  return next;
+}
+
+void
+LogWrite(const base::Event& aEvent, const ConfigurationHead& aNext)
+{
+  base::Log(aEvent,
+            { { "version", aNext.version() },
+              { "write_id", aNext.write_id() },
+              { "author", aNext.author() } });
+}
+
 HistoryEntry
 ToHistoryEntry(const ConfigurationHead& aHead)
 {
@@ -180,33 +206,51 @@
 ConfigurationStore::Apply(const Change& aChange)
 {
   BOOST_LEAF_CHECK(checker_(aChange.declarations_));
-  BOOST_LEAF_AUTO(base, ReadHead());
   const Split split =
     SplitDeclarations(aChange.declarations_, options_.partnerBuckets_);
-  if (base.revision_ != 0 && HasSameParts(base.head_, split)) {
-    return ApplyOutcome{ Applied{ base.head_.version(), true } };
-  }
-  if (base.head_.version() != aChange.expectedVersion_) {
-    BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
-    return ApplyOutcome{ std::move(conflict) };
-  }
-  ConfigurationHead next = base.head_;
-  next.set_version(base.head_.version() + 1);
-  next.set_write_id(MakeWriteId());
-  next.set_author(aChange.author_);
-  next.set_comment(aChange.comment_);
-  next.set_applied_unix_ms(base::ToUnixMs(aChange.now_));
-  *next.mutable_parts() = { split.references_.begin(),
-                            split.references_.end() };
-  BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
-  if (verdict == Verdict::Accepted) {
-    CollectSometimes(next.version());
-    return ApplyOutcome{ Applied{ next.version(), false } };
+  for (std::uint32_t i = 0; i < options_.attempts_; ++i) {
+    BOOST_LEAF_AUTO(base, ReadHead());
+    if (base.revision_ != 0 && HasSameParts(base.head_, split.references_)) {
+      return ApplyOutcome{ Applied{ base.head_.version(), true } };
+    }
+    BOOST_LEAF_AUTO(isExpected, IsExpected(aChange.expectedVersion_, base));
+    if (!isExpected) {
+      BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
+      return ApplyOutcome{ std::move(conflict) };
+    }
+    const ConfigurationHead next = MakeNext(base.head_, aChange, split);
+    BOOST_LEAF_AUTO(verdict, Write(base, next, PartsNotIn(base.head_, split)));
+    if (verdict == Verdict::Accepted) {
+      CollectSometimes(next.version());
+      return ApplyOutcome{ Applied{ next.version(), false } };
+    }
+    // Another change came first. Whether it touches the declarations shows in
+    // the next round.
   }
   BOOST_LEAF_AUTO(conflict, DescribeConflict(aChange.expectedVersion_));
   return ApplyOutcome{ std::move(conflict) };
 }
 
+/// @return whether the declarations are still those of the expected version. A
+/// host that was drained since does not hold up an operator's declarations.
+Result<bool>
+ConfigurationStore::IsExpected(std::uint64_t aExpectedVersion,
+                               const HeldHead& aCurrent)
+{
+  const ConfigurationHead& current = aCurrent.head_;
+  if (current.version() == aExpectedVersion) {
+    return true;
+  }
+  if (aExpectedVersion == 0) {
+    return current.parts().empty();
+  }
+  if (aExpectedVersion > current.version()) {
+    return false;
+  }
+  BOOST_LEAF_AUTO(expected, ReadHistory(aExpectedVersion));
+  return expected && HasSameParts(*expected, current.parts());
+}
+
 Result<std::uint64_t>
 ConfigurationStore::Drain(const std::string& aHost,
                           DrainOrder aOrder,
@@ -272,7 +316,9 @@
     head = *std::move(kept);
   }
   BOOST_LEAF_AUTO(parts, ReadParts(DigestsInScope(head, {})));
-  return AssembleConfiguration(head, {}, parts);
+  BOOST_LEAF_AUTO(configuration, AssembleConfiguration(head, {}, parts));
+  SortPartners(*configuration.mutable_declarations());
+  return configuration;
 }
 
 Result<ConfigurationStore::HeldHead>
@@ -393,68 +439,74 @@
   SwapDecision decision(
     { aBase.head_.version(), aNext.write_id(), options_.attempts_ });
   platform::Backoff backoff(options_.backoff_);
-  const auto readFailed = [&](const Failure&) {
-    decision.OnReadFailed();
-    WaitAfterFailure(backoff);
-  };
   while (true) {
     switch (decision.Next()) {
-      case SwapStep::SendSwap: {
-        const SwapAnswer answer =
-          ToAnswer(Capture([&] { return client_.CompareAndSwap(aSwaps); }));
-        decision.OnSwap(answer);
-        if (answer == SwapAnswer::NotSent) {
-          WaitAfterFailure(backoff);
-        }
+      case SwapStep::SendSwap:
+        SendSwap(aSwaps, decision, backoff);
         break;
-      }
-      case SwapStep::ReadHead: {
-        const auto outcome = Capture([&] { return ReadHead(); });
-        if (const auto* failure = std::get_if<Failure>(&outcome)) {
-          readFailed(*failure);
-          break;
-        }
-        const ConfigurationHead& head = std::get<0>(outcome).head_;
-        decision.OnHead(head.version(), head.write_id());
+      case SwapStep::ReadHead:
+        LookAtHead(decision, backoff);
         break;
-      }
-      case SwapStep::ReadHistory: {
-        const auto outcome =
-          Capture([&] { return ReadHistory(aNext.version()); });
-        if (const auto* failure = std::get_if<Failure>(&outcome)) {
-          readFailed(*failure);
-          break;
-        }
-        const auto& kept = std::get<0>(outcome);
-        decision.OnHistory(kept ? std::optional(kept->write_id())
-                                : std::nullopt);
+      case SwapStep::ReadHistory:
+        LookAtHistory(aNext.version(), decision, backoff);
         break;
-      }
       case SwapStep::Accepted:
-        base::Log(kWriteAccepted,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteAccepted, aNext);
         return Verdict::Accepted;
       case SwapStep::Refused:
-        base::Log(kWriteRefused,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteRefused, aNext);
         return Verdict::Refused;
       case SwapStep::NotSent:
         return Fail(ResultCode::PlatformUnavailable, "nothing was written");
       case SwapStep::Unsettled:
-        base::Log(kWriteUnsettled,
-                  { { "version", aNext.version() },
-                    { "write_id", aNext.write_id() },
-                    { "author", aNext.author() } });
+        LogWrite(kWriteUnsettled, aNext);
         return Fail(ResultCode::PlatformOutcomeUnknown,
                     "write id " + aNext.write_id());
     }
   }
 }
 
+void
+ConfigurationStore::SendSwap(const std::vector<Swap>& aSwaps,
+                             SwapDecision& aDecision,
+                             platform::Backoff& aBackoff)
+{
+  const SwapAnswer answer =
+    ToAnswer(Capture([&] { return client_.CompareAndSwap(aSwaps); }));
+  aDecision.OnSwap(answer);
+  if (answer == SwapAnswer::NotSent) {
+    WaitAfterFailure(aBackoff);
+  }
+}
+
+void
+ConfigurationStore::LookAtHead(SwapDecision& aDecision,
+                               platform::Backoff& aBackoff)
+{
+  const auto outcome = Capture([&] { return ReadHead(); });
+  if (const auto* held = std::get_if<HeldHead>(&outcome)) {
+    aDecision.OnHead(held->head_.version(), held->head_.write_id());
+    return;
+  }
+  aDecision.OnReadFailed();
+  WaitAfterFailure(aBackoff);
+}
+
+void
+ConfigurationStore::LookAtHistory(std::uint64_t aVersion,
+                                  SwapDecision& aDecision,
+                                  platform::Backoff& aBackoff)
+{
+  const auto outcome = Capture([&] { return ReadHistory(aVersion); });
+  if (outcome.index() == 0) {
+    const auto& kept = std::get<0>(outcome);
+    aDecision.OnHistory(kept ? std::optional(kept->write_id()) : std::nullopt);
+    return;
+  }
+  aDecision.OnReadFailed();
+  WaitAfterFailure(aBackoff);
+}
+
 void
 ConfigurationStore::CollectSometimes(std::uint64_t aVersion)
 {
--- a/Libraries/LibConfiguration/ConfigurationStore.h
+++ b/Libraries/LibConfiguration/ConfigurationStore.h
@@ -3,6 +3,7 @@
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
 #include "LibConfiguration/Parts.h"
+#include "LibConfiguration/SwapDecision.h"
 #include "LibPlatform/Backoff.h"
 #include "LibPlatform/KeyValueClient.h"
 
@@ -86,7 +87,7 @@
                      Options aOptions,
                      Checker aChecker);
 
-  /// Puts declarations in force, if the expected version still is.
+  /// Puts declarations in force, if those of the expected version still are.
   /// @return the checker's failure; PlatformUnavailable or BudgetExhausted:
   /// surely not in force; PlatformOutcomeUnknown: the service would not say
   /// within the attempts, so it may be or become in force; applying the same
@@ -131,6 +132,8 @@
   base::Result<std::optional<stored::ConfigurationHead>> ReadHistory(
     std::uint64_t aVersion);
   base::Result<PartTable> ReadParts(const std::vector<std::uint64_t>& aDigests);
+  base::Result<bool> IsExpected(std::uint64_t aExpectedVersion,
+                                const HeldHead& aCurrent);
   base::Result<Verdict> Write(const HeldHead& aBase,
                               const stored::ConfigurationHead& aNext,
                               const PartTable& aNewParts);
@@ -139,6 +142,13 @@
   base::Result<Verdict> Settle(const HeldHead& aBase,
                                const stored::ConfigurationHead& aNext,
                                const std::vector<platform::Swap>& aSwaps);
+  void SendSwap(const std::vector<platform::Swap>& aSwaps,
+                SwapDecision& aDecision,
+                platform::Backoff& aBackoff);
+  void LookAtHead(SwapDecision& aDecision, platform::Backoff& aBackoff);
+  void LookAtHistory(std::uint64_t aVersion,
+                     SwapDecision& aDecision,
+                     platform::Backoff& aBackoff);
   base::Result<void> DeleteOldHistory(
     std::uint64_t aCurrent,
     std::vector<platform::KeyValue>& aHistory);
--- a/Libraries/LibKeeper/JobService.h
+++ b/Libraries/LibKeeper/JobService.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -61,6 +62,8 @@
     base::Duration unknownEndGrace_{ std::chrono::seconds{ 60 } };
     /// After a takeover, agents may report what the former owner started.
     base::Duration settleTime_{ std::chrono::seconds{ 1 } };
+    /// Most items of a lot that a former owner had out.
+    std::uint32_t inFlightAtTakeover_ = 256;
     base::Duration drainGrace_{ std::chrono::seconds{ 20 } };
     base::Duration expireInterval_{ std::chrono::seconds{ 1 } };
     std::size_t maxPageBytes_ = 1U << 20U;
@@ -176,7 +179,10 @@
   void AfterEnds(OwnedPartition& aPartition,
                  const jobs::ItemsEnded& aEnded,
                  const jobs::Applied& aApplied);
-  void AfterAccepted(OwnedPartition& aPartition, const jobs::Job& aJob);
+  void AfterAccepted(const jobs::Job& aJob);
+  void StopOtherAttempt(const OwnedPartition& aPartition,
+                        const base::RunId& aEnded,
+                        const jobs::Job* aJob);
   void AfterFinished(const jobs::Job& aJob);
   void AfterCancelled(OwnedPartition& aPartition, const jobs::Job& aJob);
 
@@ -198,9 +204,9 @@
                    const Asker& aAsker,
                    const wire::JobDescription& aJob,
                    base::ResultCode aCode);
-  void ReplyFinished(const Asker& aAsker, const jobs::Job& aJob);
+  void ReplyFinished(const Asker& aAsker, const WantedResult& aWanted);
   void ReplyRecorded(const Asker& aAsker,
-                     const jobs::Job& aJob,
+                     const WantedResult& aWanted,
                      const wire::ItemResult& aReported);
   void ReplyWaiters(OwnedPartition& aPartition,
                     const base::JobId& aJob,
@@ -209,6 +215,11 @@
                                 const base::JobId& aJob,
                                 const std::string& aPartner) const;
   static WantedResult Want(const jobs::Job& aJob, std::uint32_t aPosition);
+  static std::optional<WantedResult> WantOnline(const jobs::JobTable& aTable,
+                                                const base::JobId& aJob);
+  static std::vector<WantedResult> WantPage(const jobs::JobTable& aTable,
+                                            const wire::ReadResults& aRequest,
+                                            bool& aEndsJob);
   base::Result<wire::ItemResult> ReadResult(const WantedResult& aWanted);
   wire::ResultsPage ReadPage(const std::vector<WantedResult>& aWanted,
                              bool aEndsJob);
@@ -266,6 +277,7 @@
   void OrphanRequestsOf(const std::string& aEntry);
   void OrphanRequest(const Route& aRoute, const base::JobId& aJob);
   void PlaceOrphans();
+  bool ResumeLots(OwnedPartition& aPartition);
   void BeginServing(std::uint32_t aIndex, OwnedPartition& aPartition);
   void AddWaiting(const jobs::Job& aJob, std::uint32_t aItems);
   void TellDemand(const std::vector<jobs::DemandNotice>& aNotices);
