Pumicectl: End cleanly when memory runs out; write axis labels whole

Tests of LibSettings, LibMetrics, LibHttp, LibClient and LibLoad pass under address and undefined sanitizers.

--- a/Libraries/LibLoad/HtmlReport.cpp
+++ b/Libraries/LibLoad/HtmlReport.cpp
@@ -145,7 +145,7 @@
       const double value = yEnd_ * line / kGridLines;
       Append("<line class=\"grid\" x1=\"{}\" x2=\"{}\" y1=\"{:.1f}\" "
              "y2=\"{:.1f}\"/><text x=\"{}\" y=\"{:.1f}\" "
-             "text-anchor=\"end\">{:.4g}</text>",
+             "text-anchor=\"end\">{:.6g}</text>",
              kMargin,
              kWidth - kMargin,
              Y(value),
--- a/Utilities/Pumicectl/Main.cpp
+++ b/Utilities/Pumicectl/Main.cpp
@@ -1,6 +1,7 @@
 #include "Command.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -129,5 +130,11 @@
 int
 main(int aCount, char** aValues)
 {
-  return static_cast<int>(pumiceturn::pumicectl::Run(aCount, aValues));
+  try {
+    return static_cast<int>(pumiceturn::pumicectl::Run(aCount, aValues));
+  } catch (const std::exception& exception) {
+    // For example, no memory for the lot that was read.
+    std::fputs(exception.what(), stderr);
+    return static_cast<int>(pumiceturn::pumicectl::ExitCode::Failed);
+  }
 }
