--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -86,7 +86,10 @@
   std::vector<Item> items_;
   std::vector<ResultPlace> results_; ///< In the order recorded.
   std::vector<std::uint32_t> requeued_;
-  std::uint32_t nextItem_ = 0; ///< First item never dispatched.
+  std::uint32_t nextItem_ = 0; ///< Where the search for a waiting item goes on.
+  /// Where it began. Past the last item it goes on at the first, up to here.
+  std::uint32_t searchStart_ = 0;
+  bool isSearchWrapped_ = false;
   std::uint32_t running_ = 0;
   std::uint32_t ending_ = 0; ///< Of those running, with a result on its way.
   std::uint32_t succeeded_ = 0;
@@ -111,4 +114,19 @@
   [[nodiscard]] std::int64_t ExpiresUnixMs() const;
 };
 
+/// A finished online request. A keeper holds each one for its whole retention
+/// time, so no more is kept than callers who come back need.
+struct FinishedRequest
+{
+  ResultPlace result_;
+  std::uint64_t digest_ = 0;
+  std::uint64_t partner_ = 0; ///< Hash of its name.
+  std::uint64_t firstSequence_ = 0;
+  std::int64_t endedUnixMs_ = 0;
+  std::uint32_t retentionS_ = 0;
+  bool succeeded_ = false;
+
+  [[nodiscard]] std::int64_t ExpiresUnixMs() const;
+};
+
 } // namespace pumiceturn::jobs
