--- a/Libraries/LibJobLog/PartitionHost.cpp
+++ b/Libraries/LibJobLog/PartitionHost.cpp
@@ -286,11 +286,10 @@
   if (auto* delivery = std::get_if<SelfDelivery>(&aWork)) {
     Deliver(shared_->options_.host_, std::move(delivery->message_));
   } else if (auto* action = std::get_if<ReplicaAction>(&aWork)) {
-    std::visit([this](auto&& aAction) { Do(std::move(aAction)); },
-               std::move(*action));
+    std::visit([this](auto& aAction) { Do(std::move(aAction)); }, *action);
   } else {
-    std::visit([this](auto&& aAction) { Do(std::move(aAction)); },
-               std::move(std::get<OwnerAction>(aWork)));
+    std::visit([this](auto& aAction) { Do(std::move(aAction)); },
+               std::get<OwnerAction>(aWork));
   }
 }
 
--- a/Tests/LibJobLog/Explorer.cpp
+++ b/Tests/LibJobLog/Explorer.cpp
@@ -18,6 +18,8 @@
 constexpr base::Duration kTick = base::Duration{ 1000000 };
 constexpr base::Duration kTakeoverAfter = 2 * kTick;
 constexpr std::size_t kFrameEntries = 2;
+constexpr const char* kUnserved =
+  "no append is acknowledged after all faults ended";
 
 std::string
 DescribeMessage(const wire::Message& aMessage)
@@ -75,8 +77,9 @@
 
 } // namespace
 
-ModelWorld::ModelWorld(Limits aLimits)
+ModelWorld::ModelWorld(Limits aLimits, Tracing aTracing)
   : limits_(aLimits)
+  , tracing_(aTracing)
   , hosts_(kHosts)
   , now_(base::Duration{ 1000 * kTick })
 {
@@ -118,6 +121,13 @@
   return static_cast<std::size_t>(aName.front() - 'a');
 }
 
+bool
+ModelWorld::CanReach(std::size_t aFrom, std::size_t aTo) const
+{
+  return aFrom == aTo ||
+         (!hosts_[aFrom].isIsolated_ && !hosts_[aTo].isIsolated_);
+}
+
 FleetView
 ModelWorld::ViewOf(std::size_t aHost) const
 {
@@ -127,7 +137,7 @@
     KeeperView keeper;
     keeper.host_ = hosts_[index].name_;
     keeper.failureDomain_ = "domain-" + keeper.host_;
-    keeper.isUp_ = index == aHost || CanRun(index);
+    keeper.isUp_ = index == aHost || (CanRun(index) && CanReach(aHost, index));
     keeper.lostSince_ = now_ - 10 * kTakeoverAfter;
     view.keepers_.push_back(std::move(keeper));
   }
@@ -165,8 +175,7 @@
   queue.pop_front();
   Host& host = hosts_[aTo];
   const std::string& peer = hosts_[aFrom].name_;
-  trace_.push_back(
-    fmt::format("{} -> {}: {}", peer, host.name_, DescribeMessage(message)));
+  Note("{} -> {}: {}", peer, host.name_, DescribeMessage(message));
   if (const auto* frame = std::get_if<wire::AppendFrame>(&message)) {
     Perform(aTo, host.replica_->OnAppend(peer, *frame));
   } else if (const auto* seal = std::get_if<wire::SealPartition>(&message)) {
@@ -192,8 +201,7 @@
     }
     ApplyStore(host.disk_, host.stores_.front());
     host.stores_.pop_front();
-    trace_.push_back(fmt::format(
-      "{} synced: {}", host.name_, DescribeSummary(host.disk_.summary_)));
+    Note("{} synced: {}", host.name_, DescribeSummary(host.disk_.summary_));
     Perform(index, host.replica_->OnStored(ResultCode::Ok));
     return true;
   }
@@ -212,10 +220,10 @@
     host.seenRevision_ = revision_;
     host.hasRead_ = true;
     host.replica_->OnRecordedEpoch(record_.epoch_);
-    trace_.push_back(fmt::format("{} hears of epoch {}, owner {}",
-                                 host.name_,
-                                 record_.epoch_,
-                                 record_.owner_));
+    Note("{} hears of epoch {}, owner {}",
+         host.name_,
+         record_.epoch_,
+         record_.owner_);
     Perform(index, host.owner_->OnRecord(record_, ViewOf(index), now_));
     return true;
   }
@@ -234,14 +242,12 @@
     host.swap_.reset();
     // A repeated call finds its own write id where the first took effect.
     if (ApplySwap(wanted) || record_.writeId_ == wanted.writeId_) {
-      trace_.push_back(fmt::format(
-        "{} is told its swap {} applied", host.name_, wanted.writeId_));
+      Note("{} is told its swap {} applied", host.name_, wanted.writeId_);
       Perform(index,
               host.owner_->OnSwapApplied(
                 wanted.writeId_, record_.modRevision_, ViewOf(index), now_));
     } else {
-      trace_.push_back(fmt::format(
-        "{} is told its swap {} was refused", host.name_, wanted.writeId_));
+      Note("{} is told its swap {} was refused", host.name_, wanted.writeId_);
       Perform(index,
               host.owner_->OnSwapRefused(
                 wanted.writeId_, record_, ViewOf(index), now_));
@@ -262,10 +268,10 @@
   }
   record_ = aRecord;
   record_.modRevision_ = ++revision_;
-  trace_.push_back(fmt::format("record: owner {} epoch {} copies {}",
-                               record_.owner_,
-                               record_.epoch_,
-                               fmt::join(record_.copies_, ",")));
+  Note("record: owner {} epoch {} copies {}",
+       record_.owner_,
+       record_.epoch_,
+       fmt::join(record_.copies_, ","));
   CheckRecordedCopies();
   return true;
 }
@@ -274,7 +280,7 @@
 ModelWorld::PassTime()
 {
   now_ += kTick;
-  trace_.emplace_back("time passes");
+  Note("time passes");
   for (std::size_t index = 0; index < kHosts; ++index) {
     if (CanRun(index)) {
       TickHost(index);
@@ -297,7 +303,7 @@
                   ClaimLimits{ limits_.minCopies_, kTakeoverAfter },
                   now_);
     if (decision.choice_ == ClaimChoice::Claim) {
-      trace_.push_back(fmt::format("{} claims", host.name_));
+      Note("{} claims", host.name_);
       Perform(aHost, host.owner_->Claim(view, now_));
     } else if (decision.choice_ == ClaimChoice::Yield) {
       Perform(aHost, host.owner_->HandOver(decision.successor_));
@@ -311,9 +317,13 @@
                               host.name_[0]);
     const std::uint64_t token = nextToken_++;
     host.tokens_[token] = wire::LogEntry{ 0, host.owner_->Epoch(), payload };
-    trace_.push_back(fmt::format("{} appends", host.name_));
+    Note("{} appends", host.name_);
     Perform(aHost, host.owner_->Append({ payload }, token, now_));
   }
+  if (limits_.trims_ && host.owner_->IsOwned()) {
+    Perform(aHost,
+            host.owner_->Trim(host.owner_->AcknowledgedSequence(), now_));
+  }
 }
 
 // --- Actions ---
@@ -380,11 +390,11 @@
   const auto* frame = std::get_if<wire::AppendFrame>(&aMessage);
   if (frame != nullptr && to != aFrom &&
       std::exchange(hosts_[aFrom].refusesNext_, false)) {
-    trace_.push_back(fmt::format("the queue to {} is full", aTo));
+    Note("the queue to {} is full", aTo);
     hosts_[aFrom].owner_->OnSendRefused(aTo, *frame);
     return;
   }
-  if (hosts_[to].isAlive_) {
+  if (hosts_[to].isAlive_ && CanReach(aFrom, to)) {
     links_[{ aFrom, to }].push_back(std::move(aMessage));
   }
 }
@@ -433,6 +443,9 @@
     }
   } else if (const auto* state = std::get_if<StoreState>(&aAction)) {
     aDisk.summary_.Apply(state->state_);
+    aDisk.payloads_.erase(
+      aDisk.payloads_.begin(),
+      aDisk.payloads_.lower_bound(state->state_.firstSequence_));
   } else if (const auto* reset = std::get_if<StoreReset>(&aAction)) {
     aDisk = DiskImage{};
     aDisk.summary_.Apply(reset->state_);
@@ -446,21 +459,19 @@
 {
   const wire::LogEntry& entry = hosts_[aHost].tokens_.at(aToken);
   acknowledgedSinceHeal_ = true;
-  trace_.push_back(fmt::format("{} acknowledges {}/{} ({} bytes)",
-                               hosts_[aHost].name_,
-                               entry.sequence_,
-                               entry.epoch_,
-                               entry.payload_.size()));
+  Note("{} acknowledges {}/{} ({} bytes)",
+       hosts_[aHost].name_,
+       entry.sequence_,
+       entry.epoch_,
+       entry.payload_.size());
   const auto [held, isNew] = acknowledged_.try_emplace(
     entry.sequence_, Acknowledged{ entry.epoch_, entry.payload_ });
   if (!isNew && held->second.payload_ != entry.payload_) {
     Fail(
       fmt::format("two owners acknowledged at sequence {}", entry.sequence_));
   }
-  for (const auto& [epoch, log] : recovered_) {
-    const auto found = log.payloads_.find(entry.sequence_);
-    if (epoch > entry.epoch_ &&
-        (found == log.payloads_.end() || found->second != entry.payload_)) {
+  for (const auto& [epoch, disk] : recovered_) {
+    if (epoch > entry.epoch_ && !Holds(disk, entry.sequence_, entry.payload_)) {
       Fail(fmt::format("epoch {} began without {}, acknowledged by epoch {}",
                        epoch,
                        entry.sequence_,
@@ -474,17 +485,12 @@
 ModelWorld::RecordRecovered(std::size_t aHost, std::uint64_t aEpoch)
 {
   const DiskImage& disk = hosts_[aHost].disk_;
-  if (!recovered_.try_emplace(aEpoch, Recovered{ aHost, disk.payloads_ })
-         .second) {
+  if (!recovered_.try_emplace(aEpoch, disk).second) {
     Fail(fmt::format("epoch {} was begun twice", aEpoch));
   }
   for (const auto& [sequence, entry] : acknowledged_) {
     // An owner that slept through a takeover may begin late; it cannot serve.
-    if (entry.epoch_ > aEpoch) {
-      continue;
-    }
-    const auto found = disk.payloads_.find(sequence);
-    if (found == disk.payloads_.end() || found->second != entry.payload_) {
+    if (entry.epoch_ < aEpoch && !Holds(disk, sequence, entry.payload_)) {
       Fail(fmt::format("{} begins epoch {} without acknowledged {}",
                        hosts_[aHost].name_,
                        aEpoch,
@@ -493,6 +499,18 @@
   }
 }
 
+bool
+ModelWorld::Holds(const DiskImage& aDisk,
+                  std::uint64_t aSequence,
+                  const std::string& aPayload)
+{
+  if (aSequence < aDisk.summary_.state_.firstSequence_) {
+    return true;
+  }
+  const auto found = aDisk.payloads_.find(aSequence);
+  return found != aDisk.payloads_.end() && found->second == aPayload;
+}
+
 /// What takeover relies on: each copy in the record holds all that was
 /// acknowledged.
 void
@@ -506,8 +524,7 @@
       continue;
     }
     for (const auto& [sequence, entry] : acknowledged_) {
-      const auto found = disk.payloads_.find(sequence);
-      if (found == disk.payloads_.end() || found->second != entry.payload_) {
+      if (!Holds(disk, sequence, entry.payload_)) {
         Fail(fmt::format(
           "recorded copy {} lacks acknowledged {}", name, sequence));
       }
@@ -518,7 +535,7 @@
 void
 ModelWorld::Fail(std::string aWhat)
 {
-  trace_.push_back("BROKEN: " + aWhat);
+  Note("BROKEN: {}", aWhat);
   if (violation_.empty()) {
     violation_ = std::move(aWhat);
   }
@@ -557,6 +574,11 @@
     if (!host.isAlive_) {
       faults.push_back({ FaultKind::Restart, index, 0 });
     }
+    if (host.isIsolated_) {
+      faults.push_back({ FaultKind::Rejoin, index, 0 });
+    } else if (CanRun(index)) {
+      faults.push_back({ FaultKind::Isolate, index, 0 });
+    }
     if (CanRun(index) && away < kHosts - 1) {
       faults.push_back({ FaultKind::Crash, index, 0 });
       faults.push_back({ FaultKind::Pause, index, 0 });
@@ -587,6 +609,19 @@
   }
 }
 
+void
+ModelWorld::Rejoin(std::size_t aHost)
+{
+  // It writes before it hears anything.
+  TickHost(aHost);
+  for (std::size_t other = 0; other < kHosts; ++other) {
+    if (other != aHost) {
+      Perform(aHost, hosts_[aHost].owner_->OnLinkUp(hosts_[other].name_, now_));
+      Perform(other, hosts_[other].owner_->OnLinkUp(hosts_[aHost].name_, now_));
+    }
+  }
+}
+
 std::size_t
 ModelWorld::CountFaults() const
 {
@@ -600,13 +635,12 @@
   Host& host = hosts_[fault.first_];
   switch (fault.kind_) {
     case FaultKind::DeliverOther:
-      trace_.emplace_back("FAULT: another order");
+      Note("FAULT: another order");
       Deliver(fault.first_, fault.second_);
       break;
     case FaultKind::CutLink: {
       Host& other = hosts_[fault.second_];
-      trace_.push_back(
-        fmt::format("FAULT: link {}-{} cut", host.name_, other.name_));
+      Note("FAULT: link {}-{} cut", host.name_, other.name_);
       links_[{ fault.first_, fault.second_ }].clear();
       links_[{ fault.second_, fault.first_ }].clear();
       Perform(fault.first_, host.owner_->OnLinkUp(other.name_, now_));
@@ -614,41 +648,53 @@
       break;
     }
     case FaultKind::Crash:
-      trace_.push_back(fmt::format("FAULT: {} crashes", host.name_));
+      Note("FAULT: {} crashes", host.name_);
       Crash(fault.first_);
       break;
     case FaultKind::CrashWiped:
-      trace_.push_back(
-        fmt::format("FAULT: {} crashes and loses its disk", host.name_));
+      Note("FAULT: {} crashes and loses its disk", host.name_);
       Crash(fault.first_);
       host.disk_ = DiskImage{};
       isWiped_ = true;
       break;
     case FaultKind::Restart:
-      trace_.push_back(fmt::format("FAULT: {} restarts", host.name_));
+      Note("FAULT: {} restarts", host.name_);
       host.isAlive_ = true;
       Boot(fault.first_);
       break;
     case FaultKind::Pause:
-      trace_.push_back(fmt::format("FAULT: {} is paused", host.name_));
+      Note("FAULT: {} is paused", host.name_);
       host.isPaused_ = true;
       break;
     case FaultKind::Resume:
-      trace_.push_back(fmt::format("FAULT: {} wakes", host.name_));
+      Note("FAULT: {} wakes", host.name_);
       host.isPaused_ = false;
       // It writes before it hears anything.
       TickHost(fault.first_);
       break;
+    case FaultKind::Isolate:
+      Note("FAULT: {} is isolated", host.name_);
+      host.isIsolated_ = true;
+      for (auto& [ends, queue] : links_) {
+        if (!CanReach(ends.first, ends.second)) {
+          queue.clear();
+        }
+      }
+      break;
+    case FaultKind::Rejoin:
+      Note("FAULT: {} is back", host.name_);
+      host.isIsolated_ = false;
+      Rejoin(fault.first_);
+      break;
     case FaultKind::LoseAnswer:
-      trace_.push_back(
-        fmt::format("FAULT: an answer to {} is lost", host.name_));
+      Note("FAULT: an answer to {} is lost", host.name_);
       ApplySwap(*host.swap_);
       break;
     case FaultKind::FillQueue:
       host.refusesNext_ = true;
       break;
     case FaultKind::BeginOutage:
-      trace_.emplace_back("FAULT: key-value service down");
+      Note("FAULT: key-value service down");
       isOutage_ = true;
       break;
     case FaultKind::PassTime:
@@ -660,12 +706,13 @@
 void
 ModelWorld::Heal()
 {
-  trace_.emplace_back("all faults end");
+  Note("all faults end");
   isOutage_ = false;
   acknowledgedSinceHeal_ = false;
   for (std::size_t index = 0; index < kHosts; ++index) {
     Host& host = hosts_[index];
     host.isPaused_ = false;
+    host.isIsolated_ = false;
     host.appended_ = 0;
     host.incarnation_ += 1;
     if (!host.isAlive_) {
@@ -702,7 +749,7 @@
                   host.incarnation_,
                   host.stores_.size(),
                   host.seenRevision_,
-                  host.hasRead_ + 2 * host.refusesNext_,
+                  host.hasRead_ + 2 * host.refusesNext_ + 4 * host.isIsolated_,
                   host.appended_,
                   host.swap_ ? host.swap_->writeId_ : "-",
                   DescribeSummary(host.disk_.summary_),
@@ -725,15 +772,32 @@
 
 namespace {
 
+/// Runs schedules, and one of them again with a trace if it broke a rule.
 class Explorer
 {
 public:
-  explicit Explorer(ExplorationBounds aBounds)
-    : bounds_(aBounds)
+  Explorer(ModelWorld::Limits aLimits, ExplorationBounds aBounds)
+    : limits_(aLimits)
+    , bounds_(aBounds)
   {
   }
 
-  void Run(ModelWorld aWorld, std::uint32_t aStep, std::uint32_t aFaults)
+  Exploration Run()
+  {
+    Run(ModelWorld(limits_, Tracing::Off), 0);
+    seen_.states_ = visited_.size();
+    return seen_;
+  }
+
+private:
+  /// A fault, and the step before which it happens.
+  struct PlacedFault
+  {
+    std::uint32_t step_ = 0;
+    std::size_t index_ = 0;
+  };
+
+  void Run(ModelWorld aWorld, std::uint32_t aStep)
   {
     for (std::uint32_t step = aStep;
          step < bounds_.firstFaultAt_ + bounds_.faultSteps_;
@@ -741,39 +805,50 @@
       if (Finished(aWorld)) {
         return;
       }
-      if (step >= bounds_.firstFaultAt_ && aFaults > 0) {
-        const std::uint64_t state = base::HashBytes(aWorld.Describe(), aFaults);
+      const std::size_t left = bounds_.faults_ - schedule_.size();
+      if (step >= bounds_.firstFaultAt_ && left > 0) {
+        const std::uint64_t state = base::HashBytes(aWorld.Describe(), left);
         if (!visited_.insert(state).second) {
           return;
         }
-        TryFaults(aWorld, step, aFaults);
+        TryFaults(aWorld, step);
         if (!seen_.violation_.empty()) {
           return;
         }
       }
       aWorld.Step();
     }
+    ++seen_.runs_;
     FinishRun(aWorld);
+    if (!Finished(aWorld) && !aWorld.Serves()) {
+      Report(kUnserved);
+    }
+    seen_.acknowledged_ =
+      std::max<std::uint64_t>(seen_.acknowledged_, aWorld.AcknowledgedCount());
+    seen_.highestEpoch_ = std::max(seen_.highestEpoch_, aWorld.CurrentEpoch());
   }
 
-  Exploration Result()
+  void TryFaults(const ModelWorld& aWorld, std::uint32_t aStep)
   {
-    seen_.states_ = visited_.size();
-    return seen_;
+    const std::size_t count = aWorld.CountFaults();
+    for (std::size_t index = 0; index < count && seen_.violation_.empty();
+         ++index) {
+      ModelWorld other = aWorld;
+      other.ApplyFault(index);
+      schedule_.push_back(PlacedFault{ aStep, index });
+      Run(std::move(other), aStep + 1);
+      schedule_.pop_back();
+    }
   }
 
-private:
-  void TryFaults(const ModelWorld& aWorld,
-                 std::uint32_t aStep,
-                 std::uint32_t aFaults)
+  /// Ends all faults and goes on until the log serves again.
+  void FinishRun(ModelWorld& aWorld) const
   {
-    for (std::size_t index = 0; index < aWorld.CountFaults(); ++index) {
-      ModelWorld other = aWorld;
-      other.ApplyFault(index);
-      Run(std::move(other), aStep + 1, aFaults - 1);
-      if (!seen_.violation_.empty()) {
-        return;
-      }
+    aWorld.Heal();
+    for (std::uint32_t step = 0; step < bounds_.healedSteps_ &&
+                                 !aWorld.Serves() && aWorld.Violation().empty();
+         ++step) {
+      aWorld.Step();
     }
   }
 
@@ -782,40 +857,36 @@
     if (aWorld.Violation().empty()) {
       return !seen_.violation_.empty();
     }
-    Report(aWorld, aWorld.Violation());
+    Report(aWorld.Violation());
     return true;
   }
 
-  void FinishRun(ModelWorld& aWorld)
+  void Report(const std::string& aWhat)
   {
-    ++seen_.runs_;
-    aWorld.Heal();
-    for (std::uint32_t step = 0; step < bounds_.healedSteps_; ++step) {
-      if (Finished(aWorld)) {
-        return;
-      }
-      if (aWorld.Serves()) {
-        break;
-      }
-      aWorld.Step();
-    }
-    if (!aWorld.Serves()) {
-      Report(aWorld, "no append is acknowledged after all faults ended");
+    if (!seen_.violation_.empty()) {
       return;
     }
-    seen_.acknowledged_ =
-      std::max<std::uint64_t>(seen_.acknowledged_, aWorld.AcknowledgedCount());
-    seen_.highestEpoch_ = std::max(seen_.highestEpoch_, aWorld.CurrentEpoch());
-  }
-
-  void Report(const ModelWorld& aWorld, const std::string& aWhat)
-  {
+    ModelWorld world(limits_, Tracing::On);
+    auto next = schedule_.begin();
+    for (std::uint32_t step = 0;
+         step < bounds_.firstFaultAt_ + bounds_.faultSteps_;
+         ++step) {
+      if (next != schedule_.end() && next->step_ == step) {
+        world.ApplyFault(next->index_);
+        ++next;
+      } else {
+        world.Step();
+      }
+    }
+    FinishRun(world);
     seen_.violation_ = fmt::format(
-      "{}\n{}\n{}", aWhat, fmt::join(aWorld.Trace(), "\n"), aWorld.Describe());
+      "{}\n{}\n{}", aWhat, fmt::join(world.Trace(), "\n"), world.Describe());
   }
 
+  ModelWorld::Limits limits_;
   ExplorationBounds bounds_;
   Exploration seen_;
+  std::vector<PlacedFault> schedule_;
   std::unordered_set<std::uint64_t> visited_;
 };
 
@@ -824,9 +895,7 @@
 Exploration
 Explore(ModelWorld::Limits aLimits, ExplorationBounds aBounds)
 {
-  Explorer explorer(aBounds);
-  explorer.Run(ModelWorld(aLimits), 0, aBounds.faults_);
-  return explorer.Result();
+  return Explorer(aLimits, aBounds).Run();
 }
 
 } // namespace pumiceturn::joblog
--- a/Tests/LibJobLog/Explorer.h
+++ b/Tests/LibJobLog/Explorer.h
@@ -4,6 +4,8 @@
 #include "LibJobLog/PartitionOwner.h"
 #include "LibJobLog/PartitionReplica.h"
 
+#include <fmt/format.h>
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -11,10 +13,17 @@
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace pumiceturn::joblog {
 
+enum class Tracing : std::uint8_t
+{
+  Off,
+  On, ///< Keeps a line for each thing that happens.
+};
+
 /// Three keepers, their disks, links and the key-value service around the
 /// decision code of one partition, as a value that can be copied. Time passes
 /// only when nothing else is left to do, or when a fault makes it pass early.
@@ -26,11 +35,12 @@
     std::uint32_t copies_ = 2;
     std::uint32_t minCopies_ = 2;
     std::uint32_t appends_ = 3; ///< For each host that believes to be owner.
+    bool trims_ = false;        ///< Owners trim up to what is acknowledged.
   };
 
   static constexpr std::size_t kHosts = 3;
 
-  explicit ModelWorld(Limits aLimits);
+  ModelWorld(Limits aLimits, Tracing aTracing);
 
   /// Does the next thing in the fixed order: messages, disks, watch, calls;
   /// then lets time pass.
@@ -70,6 +80,7 @@
     bool isAlive_ = true;
     bool isPaused_ = false;
     bool refusesNext_ = false;
+    bool isIsolated_ = false;
     std::uint32_t incarnation_ = 1;
     DiskImage disk_;
     std::deque<ReplicaAction> stores_;
@@ -88,12 +99,6 @@
     std::string payload_;
   };
 
-  struct Recovered
-  {
-    std::size_t host_ = 0;
-    std::map<std::uint64_t, std::string> payloads_;
-  };
-
   enum class FaultKind : std::uint8_t
   {
     DeliverOther, ///< A message that is not next in the fixed order.
@@ -103,6 +108,8 @@
     Restart,
     Pause,
     Resume,
+    Isolate, ///< No peer is reached; the key-value service is.
+    Rejoin,
     LoseAnswer, ///< A call to the key-value service takes effect unheard.
     FillQueue,  ///< The next frame to another host is refused.
     BeginOutage,
@@ -118,6 +125,11 @@
 
   void Boot(std::size_t aHost);
   void Crash(std::size_t aHost);
+  void Rejoin(std::size_t aHost);
+  [[nodiscard]] bool CanReach(std::size_t aFrom, std::size_t aTo) const;
+  static bool Holds(const DiskImage& aDisk,
+                    std::uint64_t aSequence,
+                    const std::string& aPayload);
   [[nodiscard]] std::vector<Fault> Faults() const;
   [[nodiscard]] FleetView ViewOf(std::size_t aHost) const;
   [[nodiscard]] bool CanRun(std::size_t aHost) const;
@@ -142,9 +154,18 @@
   void RecordRecovered(std::size_t aHost, std::uint64_t aEpoch);
   void CheckRecordedCopies();
   void Fail(std::string aWhat);
+  template<typename... Arguments>
+  void Note(fmt::format_string<Arguments...> aFormat, Arguments&&... aArguments)
+  {
+    if (tracing_ == Tracing::On) {
+      trace_.push_back(
+        fmt::format(aFormat, std::forward<Arguments>(aArguments)...));
+    }
+  }
   [[nodiscard]] std::size_t IndexOf(const std::string& aName) const;
 
   Limits limits_;
+  Tracing tracing_;
   std::vector<Host> hosts_;
   std::map<std::pair<std::size_t, std::size_t>, std::deque<wire::Message>>
     links_;
@@ -155,7 +176,8 @@
   bool isWiped_ = false; ///< One disk was.
   base::Instant now_{};
   std::map<std::uint64_t, Acknowledged> acknowledged_;
-  std::map<std::uint64_t, Recovered> recovered_;
+  /// By epoch, what its owner's disk held when it began.
+  std::map<std::uint64_t, DiskImage> recovered_;
   bool acknowledgedSinceHeal_ = false;
   std::string violation_;
   std::vector<std::string> trace_;
--- a/Tests/LibJobLog/FakeKeyValue.cpp
+++ b/Tests/LibJobLog/FakeKeyValue.cpp
@@ -42,8 +42,8 @@
   access.watch_ =
     [this](std::string aPrefix,
            std::uint64_t aAfterRevision,
-           std::function<void(const platform::WatchEvent&)> aHandler,
-           std::function<void()>) {
+           const std::function<void(const platform::WatchEvent&)>& aHandler,
+           const std::function<void()>&) {
       std::vector<KeyValue> missed;
       {
         const std::lock_guard lock(mutex_);
