--- a/Libraries/LibConfiguration/SwapDecision.h
+++ b/Libraries/LibConfiguration/SwapDecision.h
@@ -43,6 +43,7 @@
     std::string writeId_;
     std::uint32_t attempts_ = 8; ///< Most steps that may fail.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
     auto operator<=>(const Start&) const = default;
   };
 
@@ -63,6 +64,7 @@
   void OnReadFailed();
 
   /// So that an explorer of all orders of events can tell states apart.
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
   auto operator<=>(const SwapDecision&) const = default;
 
 private:
--- a/Tests/LibConfiguration/ConfigurationStoreTest.cpp
+++ b/Tests/LibConfiguration/ConfigurationStoreTest.cpp
@@ -14,7 +14,6 @@
 
 using namespace std::chrono_literals;
 using base::Capture;
-using base::Failure;
 using base::ResultCode;
 
 namespace {
--- a/Tests/LibConfiguration/SwapExplorerTest.cpp
+++ b/Tests/LibConfiguration/SwapExplorerTest.cpp
@@ -36,6 +36,7 @@
   void OnHistory(const std::optional<std::string>&) {}
   void OnReadFailed() { step_ = SwapStep::Unsettled; }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
   auto operator<=>(const HastyDecision&) const = default;
 
 private:
@@ -94,6 +95,7 @@
     Waiting waiting_ = Waiting::Nothing;
     Versions read_{}; ///< What the service held when it was read.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
     auto operator<=>(const Operator&) const = default;
   };
 
@@ -103,6 +105,7 @@
     std::size_t operator_ = 0;
     bool awaited_ = true;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
     auto operator<=>(const Sent&) const = default;
   };
 
@@ -113,6 +116,7 @@
     std::vector<Sent> sent_{};
     int faultsLeft_ = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
     auto operator<=>(const World&) const = default;
   };
 
