Meta: Let measure.sh refuse ports that another fleet uses

Cause: two fleets on one machine took each other's ports; the second one's agents met the first one's key-value stand-in. The script looks first now.

--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -10,6 +10,14 @@
 slots=${SLOTS:-4}
 declarations=Base/$deployment/declarations.yaml
 plan=Base/$deployment/load.yaml
+# A second fleet on these ports would share or lack some of them, and both would measure
+# nonsense.
+for port in 7101 7201 7301 7400 7411; do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "port $port is taken: another fleet runs on this machine" >&2
+    exit 1
+  fi
+done
 cmake --preset release >/dev/null
 cmake --build --preset release --target pumiceturnd pumicectl
 
