--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -95,6 +95,15 @@
   return options;
 }
 
+/// Agents and keepers have no setting of their own and take the default.
+base::Duration
+QuarantineLifetime(const settings::Settings& aSettings)
+{
+  const std::uint32_t seconds = aSettings.entry().quarantine_s();
+  return seconds == 0 ? routing::QuarantineTable::kDefaultLifetime
+                      : base::Duration{ std::chrono::seconds{ seconds } };
+}
+
 } // namespace
 
 /// Members are destroyed in reverse order: the functions before what they use.
@@ -155,7 +164,7 @@
   platform::HostDirectory hosts_;
   configuration::ConfigurationCache configuration_;
   partition::PartitionTable partitions_;
-  routing::QuarantineTable quarantine_;
+  routing::QuarantineTable quarantine_{ QuarantineLifetime(settings_) };
   std::unique_ptr<wire::LinkTable> links_;
   std::unique_ptr<configuration::ConfigurationFollower> follower_;
   std::unique_ptr<agent::AgentFunction> agent_;
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -64,7 +64,7 @@
     const auto crashes =
       before == kMost ? kMost : static_cast<std::uint16_t>(before + 1);
     const bool wasLifted = entry.lifted_ || entry.crashedSinceLift_;
-    entry = Entry{ crashes, aNow + kDefaultLifetime, false, wasLifted };
+    entry = Entry{ crashes, aNow + lifetime_, false, wasLifted };
     blamed.push_back(fingerprint);
   }
   return blamed;
@@ -80,9 +80,8 @@
       continue;
     }
     const base::Instant expires =
-      aNow +
-      std::min<base::Duration>(
-        std::chrono::milliseconds{ suspect.expiresInMs_ }, kDefaultLifetime);
+      aNow + std::min<base::Duration>(
+               std::chrono::milliseconds{ suspect.expiresInMs_ }, lifetime_);
     const auto found = entries_.find(suspect.fingerprint_);
     const bool isLive =
       found != entries_.end() && found->second.expires_ > aNow;
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -30,6 +30,12 @@
     600 } };
   static constexpr std::size_t kMaxEntries = 4096;
 
+  /// @param aLifetime How long a crash is remembered.
+  explicit QuarantineTable(base::Duration aLifetime = kDefaultLifetime)
+    : lifetime_(aLifetime)
+  {
+  }
+
   /// Records that an endpoint crashed with these runs in flight. If some of
   /// them were suspect before, only those are blamed; otherwise each becomes a
   /// suspect.
@@ -68,6 +74,7 @@
   /// Keeps the table bounded before an entry is added; holds the lock.
   void MakeRoom(std::uint64_t aFingerprint, base::Instant aNow);
 
+  base::Duration lifetime_;
   mutable std::mutex mutex_;
   std::unordered_map<std::uint64_t, Entry> entries_;
 };
--- a/Tests/LibRouting/QuarantineTableTest.cpp
+++ b/Tests/LibRouting/QuarantineTableTest.cpp
@@ -92,6 +92,16 @@
   CHECK(table_.Check(kPoison, now_) == Suspicion::Quarantined);
 }
 
+TEST_CASE_METHOD(QuarantineFixture,
+                 "QuarantineTable_ShorterLifetime_ExpiresThen")
+{
+  QuarantineTable table(30s);
+  const std::array poison{ kPoison };
+  table.RecordCrash(poison, now_);
+  CHECK(table.Check(kPoison, now_ + 29s) == Suspicion::Suspect);
+  CHECK(table.Check(kPoison, now_ + 30s) == Suspicion::None);
+}
+
 TEST_CASE_METHOD(QuarantineFixture,
                  "QuarantineTable_FloodOfSuspects_KeepsQuarantined")
 {
