--- a/Libraries/LibJobLog/LogService.cpp
+++ b/Libraries/LibJobLog/LogService.cpp
@@ -316,6 +316,14 @@
     aDone(host ? ResultCode::Ok : ResultCode::NotOwner, {});
     return;
   }
+  const bool isTooLarge = std::any_of(
+    aRecords.begin(), aRecords.end(), [](const std::string& aRecord) {
+      return aRecord.size() > kMaxRecordBytes;
+    });
+  if (isTooLarge) {
+    aDone(ResultCode::ItemTooLarge, {});
+    return;
+  }
   host->Append(std::move(aRecords), std::move(aDone));
 }
 
--- a/Libraries/LibJobLog/LogService.h
+++ b/Libraries/LibJobLog/LogService.h
@@ -60,7 +60,11 @@
   LogService(const LogService&) = delete;
   LogService& operator=(const LogService&) = delete;
 
+  /// A larger record would fill a link's queue alone.
+  static constexpr std::size_t kMaxRecordBytes = 4U << 20U;
+
   /// Appends records to an owned partition as one unit of the group sync.
+  /// ItemTooLarge for a record above kMaxRecordBytes.
   void Append(std::uint32_t aPartition,
               std::vector<std::string> aRecords,
               Appended aDone);
--- a/Tests/LibJobLog/LogServiceTest.cpp
+++ b/Tests/LibJobLog/LogServiceTest.cpp
@@ -323,6 +323,15 @@
   CHECK(fleet.KeyValue().CallCount() == before);
 }
 
+TEST_CASE("LogService_RecordTooLarge_IsRefused")
+{
+  TestFleet fleet({ .keepers_ = 1, .copies_ = 1, .minCopies_ = 1 });
+  REQUIRE(fleet.WaitForOwner(0) == 0);
+  const std::string largest(LogService::kMaxRecordBytes, 'x');
+  CHECK(fleet.Append(0, 0, { largest + "x" }) == ResultCode::ItemTooLarge);
+  CHECK(fleet.Append(0, 0, { largest }) == ResultCode::Ok);
+}
+
 TEST_CASE("LogService_Trim_DropsRecordsFromReplay")
 {
   TestFleet fleet({});
