Tests: Let the keeper fleet's agent answer AttachRun

Cause: under load a link lapses; the keeper attaches to its runs, and the test's agent, unlike the real one, did not answer, so the runs hung. Change: it answers with the end it holds, nothing while it holds the run, EndpointLost otherwise.

--- a/Tests/LibKeeper/KeeperFleet.cpp
+++ b/Tests/LibKeeper/KeeperFleet.cpp
@@ -1,5 +1,6 @@
 #include "KeeperFleet.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <type_traits>
@@ -116,11 +117,36 @@
       changed_.notify_all();
     }
     Grant(aPeer);
+  } else if (const auto* attach = std::get_if<wire::AttachRun>(&aMessage)) {
+    Attach(aPeer, attach->run_);
   } else if (const auto* recorded = std::get_if<wire::RunRecorded>(&aMessage)) {
     unrecorded_.erase(recorded->run_);
   }
 }
 
+void
+TestAgent::Attach(const std::string& aPeer, const wire::RunId& aRun)
+{
+  // A busy machine can let a link lapse; what was on it is then asked for anew.
+  const auto ended = unrecorded_.find(aRun);
+  if (ended != unrecorded_.end()) {
+    peer_->Send(aPeer, ended->second);
+    return;
+  }
+  const bool isHeld =
+    std::any_of(held_.begin(), held_.end(), [&](const auto& aHeld) {
+      return aHeld.second.run_ == aRun;
+    });
+  if (isHeld) {
+    return;
+  }
+  wire::RunEnded unknown;
+  unknown.run_ = aRun;
+  unknown.code_ = base::ResultCode::EndpointLost;
+  unknown.ran_ = base::Ran::Unknown;
+  peer_->Send(aPeer, std::move(unknown));
+}
+
 void
 TestAgent::Answer(const std::string& aPeer, const wire::StartRun& aStart)
 {
--- a/Tests/LibKeeper/KeeperFleet.h
+++ b/Tests/LibKeeper/KeeperFleet.h
@@ -64,6 +64,7 @@
 private:
   void OnMessage(const std::string& aPeer, const wire::Message& aMessage);
   void Answer(const std::string& aPeer, const wire::StartRun& aStart);
+  void Attach(const std::string& aPeer, const wire::RunId& aRun);
   void Grant(const std::string& aPeer);
 
   std::mutex mutex_;
