--- a/Tests/LibAgent/AgentFixture.h
+++ b/Tests/LibAgent/AgentFixture.h
@@ -135,8 +135,9 @@
 
   void Send(wire::Message aMessage)
   {
-    CHECK(peerLinks_->Send(kEndpoint, std::move(aMessage)) ==
-          base::ResultCode::Ok);
+    const base::ResultCode sent =
+      peerLinks_->Send(kEndpoint, std::move(aMessage));
+    CHECK(sent == base::ResultCode::Ok);
   }
 
   /// @return the end that the peer was told, waiting for it.
