--- a/Tests/LibJobLog/Explorer.cpp
+++ b/Tests/LibJobLog/Explorer.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 using base::ResultCode;
-using base::operator""s;
 
 constexpr base::Duration kTick = base::Duration{ 1000000 };
 constexpr base::Duration kTakeoverAfter = 2 * kTick;
@@ -312,9 +311,10 @@
   if (host.owner_->IsOwned() && host.appended_ < limits_.appends_) {
     ++host.appended_;
     // The length alone tells payloads apart in a trace.
-    const std::string payload(100 * (aHost + 1) + 10 * host.incarnation_ +
-                                host.appended_,
-                              host.name_[0]);
+    const std::size_t length = 100 * (aHost + 1) +
+                               std::size_t{ 10 } * host.incarnation_ +
+                               host.appended_;
+    const std::string payload(length, host.name_[0]);
     const std::uint64_t token = nextToken_++;
     host.tokens_[token] = wire::LogEntry{ 0, host.owner_->Epoch(), payload };
     Note("{} appends", host.name_);
@@ -629,38 +629,64 @@
 }
 
 void
-ModelWorld::ApplyFault(std::size_t aIndex)
+ModelWorld::ApplyLinkFault(const Fault& aFault)
 {
-  const Fault fault = Faults().at(aIndex);
-  Host& host = hosts_[fault.first_];
-  switch (fault.kind_) {
+  Host& host = hosts_[aFault.first_];
+  switch (aFault.kind_) {
     case FaultKind::DeliverOther:
       Note("FAULT: another order");
-      Deliver(fault.first_, fault.second_);
+      Deliver(aFault.first_, aFault.second_);
       break;
     case FaultKind::CutLink: {
-      Host& other = hosts_[fault.second_];
+      Host& other = hosts_[aFault.second_];
       Note("FAULT: link {}-{} cut", host.name_, other.name_);
-      links_[{ fault.first_, fault.second_ }].clear();
-      links_[{ fault.second_, fault.first_ }].clear();
-      Perform(fault.first_, host.owner_->OnLinkUp(other.name_, now_));
-      Perform(fault.second_, other.owner_->OnLinkUp(host.name_, now_));
+      links_[{ aFault.first_, aFault.second_ }].clear();
+      links_[{ aFault.second_, aFault.first_ }].clear();
+      Perform(aFault.first_, host.owner_->OnLinkUp(other.name_, now_));
+      Perform(aFault.second_, other.owner_->OnLinkUp(host.name_, now_));
       break;
     }
+    case FaultKind::Isolate:
+      Note("FAULT: {} is isolated", host.name_);
+      host.isIsolated_ = true;
+      for (auto& [ends, queue] : links_) {
+        if (!CanReach(ends.first, ends.second)) {
+          queue.clear();
+        }
+      }
+      break;
+    case FaultKind::Rejoin:
+      Note("FAULT: {} is back", host.name_);
+      host.isIsolated_ = false;
+      Rejoin(aFault.first_);
+      break;
+    case FaultKind::FillQueue:
+      host.refusesNext_ = true;
+      break;
+    default:
+      break;
+  }
+}
+
+void
+ModelWorld::ApplyHostFault(const Fault& aFault)
+{
+  Host& host = hosts_[aFault.first_];
+  switch (aFault.kind_) {
     case FaultKind::Crash:
       Note("FAULT: {} crashes", host.name_);
-      Crash(fault.first_);
+      Crash(aFault.first_);
       break;
     case FaultKind::CrashWiped:
       Note("FAULT: {} crashes and loses its disk", host.name_);
-      Crash(fault.first_);
+      Crash(aFault.first_);
       host.disk_ = DiskImage{};
       isWiped_ = true;
       break;
     case FaultKind::Restart:
       Note("FAULT: {} restarts", host.name_);
       host.isAlive_ = true;
-      Boot(fault.first_);
+      Boot(aFault.first_);
       break;
     case FaultKind::Pause:
       Note("FAULT: {} is paused", host.name_);
@@ -670,29 +696,22 @@
       Note("FAULT: {} wakes", host.name_);
       host.isPaused_ = false;
       // It writes before it hears anything.
-      TickHost(fault.first_);
+      TickHost(aFault.first_);
       break;
-    case FaultKind::Isolate:
-      Note("FAULT: {} is isolated", host.name_);
-      host.isIsolated_ = true;
-      for (auto& [ends, queue] : links_) {
-        if (!CanReach(ends.first, ends.second)) {
-          queue.clear();
-        }
-      }
-      break;
-    case FaultKind::Rejoin:
-      Note("FAULT: {} is back", host.name_);
-      host.isIsolated_ = false;
-      Rejoin(fault.first_);
+    default:
       break;
+  }
+}
+
+void
+ModelWorld::ApplyServiceFault(const Fault& aFault)
+{
+  Host& host = hosts_[aFault.first_];
+  switch (aFault.kind_) {
     case FaultKind::LoseAnswer:
       Note("FAULT: an answer to {} is lost", host.name_);
       ApplySwap(*host.swap_);
       break;
-    case FaultKind::FillQueue:
-      host.refusesNext_ = true;
-      break;
     case FaultKind::BeginOutage:
       Note("FAULT: key-value service down");
       isOutage_ = true;
@@ -700,9 +719,21 @@
     case FaultKind::PassTime:
       PassTime();
       break;
+    default:
+      break;
   }
 }
 
+void
+ModelWorld::ApplyFault(std::size_t aIndex)
+{
+  // Each applies the kinds that are its own.
+  const Fault fault = Faults().at(aIndex);
+  ApplyLinkFault(fault);
+  ApplyHostFault(fault);
+  ApplyServiceFault(fault);
+}
+
 void
 ModelWorld::Heal()
 {
--- a/Tests/LibJobLog/Explorer.h
+++ b/Tests/LibJobLog/Explorer.h
@@ -131,6 +131,9 @@
                     std::uint64_t aSequence,
                     const std::string& aPayload);
   [[nodiscard]] std::vector<Fault> Faults() const;
+  void ApplyLinkFault(const Fault& aFault);
+  void ApplyHostFault(const Fault& aFault);
+  void ApplyServiceFault(const Fault& aFault);
   [[nodiscard]] FleetView ViewOf(std::size_t aHost) const;
   [[nodiscard]] bool CanRun(std::size_t aHost) const;
   bool DeliverFirst();
--- a/Tests/LibJobLog/PartitionReplicaTest.cpp
+++ b/Tests/LibJobLog/PartitionReplicaTest.cpp
@@ -15,7 +15,7 @@
   wire::AppendAck Append(std::uint64_t aEpoch,
                          std::uint64_t aPrevious,
                          std::uint64_t aPreviousEpoch,
-                         std::vector<std::uint64_t> aEntryEpochs,
+                         const std::vector<std::uint64_t>& aEntryEpochs,
                          std::uint64_t aAcknowledged = 0)
   {
     wire::AppendFrame frame;
--- a/Tests/LibJobLog/TestFleet.cpp
+++ b/Tests/LibJobLog/TestFleet.cpp
@@ -14,15 +14,15 @@
 } // namespace
 
 TestFleet::TestFleet(Options aOptions)
-  : options_(aOptions)
+  : options_(std::move(aOptions))
 {
-  for (std::size_t index = 0; index < aOptions.keepers_; ++index) {
+  for (std::size_t index = 0; index < options_.keepers_; ++index) {
     keepers_.push_back(std::make_unique<Keeper>());
-    for (std::size_t other = 0; other < aOptions.keepers_; ++other) {
+    for (std::size_t other = 0; other < options_.keepers_; ++other) {
       links_[{ index, other }] = std::make_unique<base::Strand>(pool_);
     }
   }
-  for (std::size_t index = 0; index < aOptions.keepers_; ++index) {
+  for (std::size_t index = 0; index < options_.keepers_; ++index) {
     Start(index);
   }
 }
