LibDaemon: Let an entry without a keeper follow the partitions

Cause: only a keeper's log followed the partition records, so an entry on a host without a data folder never learned any owner. Change: the daemon starts a PartitionFollower there.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -11,6 +11,7 @@
 #include "LibKeeper/KeeperFunction.h"
 #include "LibNode/Context.h"
 #include "LibNode/Events.h"
+#include "LibPartition/PartitionFollower.h"
 
 #include <algorithm>
 #include <atomic>
@@ -126,6 +127,7 @@
   base::Result<void> StartLinks();
   base::Result<void> StartFunctions();
   base::Result<void> StartStatusPages();
+  void FollowPartitions();
   void StartTimers();
 
   void OnMessage(const std::string& aPeer, wire::Message aMessage);
@@ -167,6 +169,8 @@
   routing::QuarantineTable quarantine_{ QuarantineLifetime(settings_) };
   std::unique_ptr<wire::LinkTable> links_;
   std::unique_ptr<configuration::ConfigurationFollower> follower_;
+  /// Of an entry without a keeper; a keeper's log follows the table itself.
+  std::unique_ptr<partition::PartitionFollower> partitionFollower_;
   std::unique_ptr<agent::AgentFunction> agent_;
   std::unique_ptr<keeper::KeeperFunction> keeper_;
   std::unique_ptr<entry::EntryFunction> entry_;
@@ -186,6 +190,9 @@
   if (follower_) {
     follower_->Stop();
   }
+  if (partitionFollower_) {
+    partitionFollower_->Stop();
+  }
   // Tasks hold references to the functions and the links.
   pool_.Stop();
   links_.reset();
@@ -241,6 +248,7 @@
     BOOST_LEAF_ASSIGN(keeper_, keeper::KeeperFunction::Start(MakeContext()));
   }
   if (HasFunction(settings_, settings::FUNCTION_ENTRY)) {
+    FollowPartitions();
     BOOST_LEAF_ASSIGN(entry_, entry::EntryFunction::Start(MakeContext()));
   }
   started_ = true;
@@ -248,6 +256,23 @@
   return {};
 }
 
+void
+Daemon::State::FollowPartitions()
+{
+  if (keeper_) {
+    return;
+  }
+  partition::PartitionFollower::Options options;
+  options.keyPrefix_ = settings_.platform().key_prefix();
+  partitionFollower_ = std::make_unique<partition::PartitionFollower>(
+    options,
+    partition::AccessTo(*keyValue_),
+    partitions_,
+    pool_,
+    [](const partition::PartitionRecord&) {});
+  partitionFollower_->Start();
+}
+
 base::Result<void>
 Daemon::State::StartStatusPages()
 {
