Meta: Stop hosts before stand-ins; one fleet script for all

Cause: demo and soak ended the key-value stand-in with the hosts, whose hand-over then waited out the 30 s grace; start-up stood twice. Change: finish() ends hosts first; measure.sh uses fleet.sh; the port check holds for every fleet.

--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -6,10 +6,27 @@
 state=$(mktemp -d)
 declare -A pids=()
 
+# Ends the named processes and waits for them.
+stop() {
+  local name
+  for name in "$@"; do kill "${pids[$name]}" 2>/dev/null || true; done
+  for name in "$@"; do wait "${pids[$name]}" 2>/dev/null || true; done
+}
+
+# Hosts first: they hand their partitions over through the key-value service.
 finish() {
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  local name
+  local hosts=()
+  local others=()
+  for name in "${!pids[@]}"; do
+    kill -CONT "${pids[$name]}" 2>/dev/null || true
+    case $name in
+      kv | engine-* | service*) others+=("$name") ;;
+      *) hosts+=("$name") ;;
+    esac
+  done
+  stop "${hosts[@]}"
+  stop "${others[@]}"
   rm -rf "$state"
 }
 trap finish EXIT
@@ -22,6 +39,15 @@
   pids[$name]=$!
 }
 
+# A second fleet on these ports would share or lack some of them, and both would show
+# nonsense.
+for port in 7101 7201 7301 7400 7411; do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "port $port is taken: another fleet runs on this machine" >&2
+    exit 1
+  fi
+done
+
 # Waits until a page answers, for at most 60 seconds.
 await() {
   for _ in $(seq 600); do
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -10,45 +10,10 @@
 slots=${SLOTS:-4}
 declarations=Base/$deployment/declarations.yaml
 plan=Base/$deployment/load.yaml
-# A second fleet on these ports would share or lack some of them, and both would measure
-# nonsense.
-for port in 7101 7201 7301 7400 7411; do
-  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
-    echo "port $port is taken: another fleet runs on this machine" >&2
-    exit 1
-  fi
-done
 cmake --preset release >/dev/null
 cmake --build --preset release --target pumiceturnd pumicectl
 
-daemon=build/release/Services/Pumiceturnd/pumiceturnd
-ctl=build/release/Utilities/Pumicectl/pumicectl
-state=$(mktemp -d)
-pids=()
-
-finish() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$state"
-}
-trap finish EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$state/$name.out" 2>"$state/$name.log" &
-  pids+=($!)
-}
-
-await() {
-  for _ in $(seq 300); do
-    curl -fs -o /dev/null "http://$1" && return 0
-    sleep 0.1
-  done
-  echo "no answer from $1" >&2
-  tail -n 5 "$state"/*.log >&2
-  return 1
-}
+. Meta/fleet.sh
 
 # Each endpoint of the declarations as "name domain service type", in their order.
 list_endpoints() {
