--- a/Tests/LibDispatch/TestPrefixBook.cpp
+++ b/Tests/LibDispatch/TestPrefixBook.cpp
@@ -42,7 +42,8 @@
   PrefixBook book;
   book.OnRun(7, kPayload);
   book.OnCacheEvent(CacheNews::Stored, BlockHash(), kBlock);
-  const std::uint64_t second = base::HashBytes(kPayload.substr(0, 2 * kBlock));
+  const std::uint64_t second =
+    base::HashBytes(kPayload.substr(0, std::size_t{ 2 } * kBlock));
   book.OnCacheEvent(CacheNews::Evicted, second, 2 * kBlock);
   CHECK(book.TakeChangesFor("entry-a").dropped_.empty());
 }
--- a/Tests/LibEndpoint/EngineClientTest.cpp
+++ b/Tests/LibEndpoint/EngineClientTest.cpp
@@ -111,6 +111,7 @@
   // doubled answer would differ from what the engine generates for that prompt.
   constexpr int kStreams = 64;
   std::vector<std::future<bool>> results;
+  results.reserve(kStreams);
   for (int stream = 0; stream < kStreams; ++stream) {
     results.push_back(std::async(std::launch::async, [this, stream] {
       const std::string prompt = "prompt " + std::to_string(stream);
@@ -193,6 +194,7 @@
   std::once_flag crashed;
   std::atomic<int> broken = 0;
   std::vector<std::future<bool>> results;
+  results.reserve(kStreams);
   for (int stream = 0; stream < kStreams; ++stream) {
     results.push_back(std::async(std::launch::async, [&, stream] {
       const std::string prompt = "prompt " + std::to_string(stream);
--- a/Tests/LibStandin/KeyValueStandinTest.cpp
+++ b/Tests/LibStandin/KeyValueStandinTest.cpp
@@ -322,6 +322,7 @@
   constexpr int kSwaps = 10;
   Put("sum", "0");
   std::vector<std::thread> writers;
+  writers.reserve(kWriters);
   for (int writer = 0; writer < kWriters; ++writer) {
     writers.emplace_back([this] {
       httplib::Client client("127.0.0.1", standin_->Port());
