--- a/Libraries/LibPlatform/Base64.cpp
+++ b/Libraries/LibBase/Base64.cpp
@@ -1,10 +1,10 @@
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <openssl/evp.h>
 
 #include <algorithm>
 
-namespace pumiceturn::platform {
+namespace pumiceturn::base {
 
 namespace {
 
@@ -60,4 +60,4 @@
   return bytes;
 }
 
-} // namespace pumiceturn::platform
+} // namespace pumiceturn::base
--- a/Libraries/LibPlatform/Base64.h
+++ b/Libraries/LibBase/Base64.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace pumiceturn::platform {
+namespace pumiceturn::base {
 
 /// @return the bytes in base64 with padding.
 std::string
@@ -14,4 +14,4 @@
 std::optional<std::string>
 DecodeBase64(std::string_view aText);
 
-} // namespace pumiceturn::platform
+} // namespace pumiceturn::base
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -46,12 +46,15 @@
 }
 
 spdlog::sink_ptr
-MakeSink(const std::string& aFile)
+MakeSink(const LogOptions& aOptions)
 {
-  if (aFile.empty()) {
-    return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  if (!aOptions.file_.empty()) {
+    return std::make_shared<spdlog::sinks::basic_file_sink_mt>(aOptions.file_);
   }
-  return std::make_shared<spdlog::sinks::basic_file_sink_mt>(aFile);
+  if (aOptions.target_ == LogTarget::StandardOutput) {
+    return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
+  return std::make_shared<spdlog::sinks::stderr_sink_mt>();
 }
 
 bool
@@ -109,7 +112,7 @@
   state.options_ = aOptions;
   state.logger_ = std::make_shared<spdlog::async_logger>(
     "pumiceturn",
-    MakeSink(aOptions.file_),
+    MakeSink(aOptions),
     spdlog::thread_pool(),
     spdlog::async_overflow_policy::overrun_oldest);
   state.logger_->set_level(ToSpdlog(aOptions.level_));
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -48,11 +48,18 @@
   }
 };
 
+enum class LogTarget : std::uint8_t
+{
+  StandardError,
+  StandardOutput,
+};
+
 struct LogOptions
 {
   LogFormat format_ = LogFormat::KeyValue;
   LogLevel level_ = LogLevel::Info;
-  std::string file_; ///< Empty: standard error.
+  std::string file_; ///< Empty: the target below.
+  LogTarget target_ = LogTarget::StandardError;
   std::string host_; ///< Written on each line.
 };
 
--- /dev/null
+++ b/Libraries/LibFleet/Declarations.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::fleet {
+
+/// What the system may do with a request after an attempt that may have run.
+enum class RequestKind : std::uint8_t
+{
+  Idempotent,    ///< May run more than once.
+  NonIdempotent, ///< May run at most once for each attempt of the caller.
+  Stream,        ///< A series of events; may run again only if resumable.
+  Lot,           ///< Many items, accepted at once and run later.
+};
+
+/// One service that a route leads to, with its share of the requests.
+struct RouteTarget
+{
+  std::string service_;
+  double weight_ = 1.0;
+};
+
+/// How requests for one host name and path prefix are handled.
+struct Route
+{
+  std::string name_;
+  std::string hostName_;
+  std::string pathPrefix_; ///< Begins and ends with a slash.
+  RequestKind kind_ = RequestKind::NonIdempotent;
+  bool isResumable_ = false; ///< A stream may go on at another endpoint.
+  std::vector<RouteTarget> targets_;
+  std::uint32_t maxAttempts_ = 1; ///< Endpoints for one attempt of the caller.
+  base::Duration timeout_{ std::chrono::seconds{ 15 } };
+  base::Duration latencyObjective_{ std::chrono::milliseconds{ 300 } };
+  std::uint32_t priority_ = 0;     ///< 0 is the highest.
+  base::Duration dueAfter_{ 0 };    ///< Of a lot, from its first submission.
+  base::Duration giveUpAfter_{ 0 }; ///< When a lot's item may be abandoned.
+};
+
+/// A service as declared by operators.
+struct ServiceDeclaration
+{
+  std::string name_;
+  std::uint32_t slots_ = 1; ///< Requests that an endpoint runs at once.
+  std::uint32_t maxConnections_ = 0;
+};
+
+/// What callers may send.
+struct CallerLimits
+{
+  std::uint32_t maxHeaderBytes_ = 16384;
+  std::uint64_t maxBodyBytes_ = 4194304;
+  base::Duration headerTimeout_{ std::chrono::seconds{ 3 } };
+  base::Duration idleTimeout_{ std::chrono::seconds{ 15 } };
+};
+
+/// One version of the whole configuration.
+struct Declarations
+{
+  std::uint64_t version_ = 0;
+  std::vector<Route> routes_;
+  std::vector<ServiceDeclaration> services_;
+  CallerLimits limits_;
+};
+
+/// An endpoint as it registered itself.
+struct EndpointRecord
+{
+  std::string id_; ///< New at each start of the endpoint.
+  std::string service_;
+  std::string address_; ///< IP:PORT; may pass to another service later.
+  std::string failureDomain_;
+  std::uint32_t slots_ = 1;
+  bool isDraining_ = false;
+};
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -0,0 +1,270 @@
+#include "LibFleet/EndpointTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pumiceturn::fleet {
+
+namespace {
+
+/// Added to the score of an endpoint that failed lately, in runs: it is taken
+/// only if all others fail too.
+constexpr double kAvoidedPenalty = 1000.0;
+
+/// Largest random part of a score, in runs: hosts that see the same counts
+/// should not all choose the same endpoint.
+constexpr double kScoreJitter = 0.3;
+
+constexpr std::uint32_t kMaxDoublings = 3;
+
+} // namespace
+
+EndpointTable::EndpointTable(std::string aFailureDomain, Limits aLimits)
+  : failureDomain_(std::move(aFailureDomain))
+  , limits_(aLimits)
+{
+}
+
+void
+EndpointTable::Put(const EndpointRecord& aRecord)
+{
+  Endpoint& endpoint = endpoints_[aRecord.id_];
+  endpoint.record_ = aRecord;
+  endpoint.vanishedUntil_.reset();
+}
+
+void
+EndpointTable::Remove(std::string_view aId,
+                      std::optional<base::Instant> aStoreReturnedAt,
+                      base::Instant aNow)
+{
+  const auto found = endpoints_.find(std::string(aId));
+  if (found == endpoints_.end()) {
+    return;
+  }
+  if (aStoreReturnedAt && !found->second.record_.isDraining_ &&
+      aNow - *aStoreReturnedAt < limits_.vanishedGrace_) {
+    found->second.vanishedUntil_ = *aStoreReturnedAt + limits_.vanishedGrace_;
+    return;
+  }
+  endpoints_.erase(found);
+}
+
+std::vector<std::string>
+EndpointTable::Expire(base::Instant aNow)
+{
+  std::vector<std::string> dropped;
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
+    const auto& until = entry->second.vanishedUntil_;
+    if (until && *until <= aNow) {
+      dropped.push_back(entry->first);
+      entry = endpoints_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return dropped;
+}
+
+std::vector<std::string>
+EndpointTable::Ids() const
+{
+  std::vector<std::string> ids;
+  ids.reserve(endpoints_.size());
+  for (const auto& [id, endpoint] : endpoints_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+RunCounts
+EndpointTable::CountsOf(const Endpoint& aEndpoint, base::Instant aNow) const
+{
+  RunCounts counts = aEndpoint.own_;
+  for (const auto& [peer, entry] : aEndpoint.peers_) {
+    if (aNow - entry.at_ <= limits_.peerCountLifetime_) {
+      counts.online_ += entry.counts_.online_;
+      counts.batch_ += entry.counts_.batch_;
+    }
+  }
+  return counts;
+}
+
+double
+EndpointTable::ScoreOf(const Endpoint& aEndpoint,
+                       const RunCounts& aCounts,
+                       base::Instant aNow) const
+{
+  double score = aCounts.Total();
+  if (aEndpoint.record_.failureDomain_ != failureDomain_) {
+    score += limits_.otherDomainPenalty_;
+  }
+  if (aEndpoint.avoidedUntil_ > aNow) {
+    score += kAvoidedPenalty;
+  }
+  return score;
+}
+
+std::optional<EndpointChoice>
+EndpointTable::Choose(const ChoiceRequest& aRequest,
+                      base::Instant aNow,
+                      std::mt19937_64& aRandom) const
+{
+  std::uniform_real_distribution<double> jitter(0.0, kScoreJitter);
+  const Endpoint* best = nullptr;
+  const Endpoint* bestToPreempt = nullptr;
+  double bestScore = 0.0;
+  double bestPreemptScore = 0.0;
+  std::uint32_t bestRunning = 0;
+  EndpointChoice choice;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const bool isExcluded =
+      std::find(aRequest.excluded_.begin(), aRequest.excluded_.end(), id) !=
+      aRequest.excluded_.end();
+    if (endpoint.record_.service_ != aRequest.service_ ||
+        endpoint.record_.isDraining_ || isExcluded) {
+      continue;
+    }
+    const RunCounts counts = CountsOf(endpoint, aNow);
+    if (aRequest.work_ == WorkClass::Batch &&
+        (counts.Total() + 1 + limits_.batchHeadroom_ >
+           endpoint.record_.slots_ ||
+         endpoint.avoidedUntil_ > aNow || endpoint.vanishedUntil_)) {
+      continue;
+    }
+    ++choice.candidates_;
+    const double score = ScoreOf(endpoint, counts, aNow) + jitter(aRandom);
+    if (best == nullptr || score < bestScore) {
+      best = &endpoint;
+      bestScore = score;
+      bestRunning = counts.Total();
+    }
+    if (endpoint.own_.batch_ > 0 &&
+        (bestToPreempt == nullptr || score < bestPreemptScore)) {
+      bestToPreempt = &endpoint;
+      bestPreemptScore = score;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const bool isFull = bestRunning >= best->record_.slots_;
+  if (aRequest.work_ == WorkClass::Online && isFull && bestToPreempt &&
+      bestPreemptScore < kAvoidedPenalty) {
+    best = bestToPreempt;
+    bestRunning = CountsOf(*best, aNow).Total();
+    choice.preemptsBatch_ = true;
+  }
+  choice.endpoint_ = best->record_;
+  choice.running_ = bestRunning;
+  return choice;
+}
+
+void
+EndpointTable::CountStart(const std::string& aId, WorkClass aWork)
+{
+  const auto found = endpoints_.find(aId);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  RunCounts& own = found->second.own_;
+  ++(aWork == WorkClass::Online ? own.online_ : own.batch_);
+}
+
+void
+EndpointTable::CountEnd(const std::string& aId, WorkClass aWork)
+{
+  const auto found = endpoints_.find(aId);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  RunCounts& own = found->second.own_;
+  std::uint32_t& count =
+    aWork == WorkClass::Online ? own.online_ : own.batch_;
+  // An endpoint that was dropped and registered again begins at zero while
+  // older runs there still end.
+  count -= count > 0 ? 1 : 0;
+}
+
+void
+EndpointTable::NoteFailure(const std::string& aId, base::Instant aNow)
+{
+  const auto found = endpoints_.find(aId);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  Endpoint& endpoint = found->second;
+  const std::uint32_t doublings = std::min(endpoint.failures_, kMaxDoublings);
+  const base::Duration wait = limits_.firstAvoidance_ * (1U << doublings);
+  endpoint.avoidedUntil_ = aNow + std::min(wait, limits_.longestAvoidance_);
+  ++endpoint.failures_;
+}
+
+void
+EndpointTable::NoteSuccess(const std::string& aId)
+{
+  const auto found = endpoints_.find(aId);
+  if (found != endpoints_.end()) {
+    found->second.failures_ = 0;
+    found->second.avoidedUntil_ = {};
+  }
+}
+
+void
+EndpointTable::TakePeerCounts(const std::string& aPeer,
+                              std::span<const PeerCount> aCounts,
+                              base::Instant aNow)
+{
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.peers_.erase(aPeer);
+  }
+  for (const PeerCount& count : aCounts) {
+    const auto found = endpoints_.find(count.endpoint_);
+    if (found != endpoints_.end()) {
+      found->second.peers_[aPeer] = { count.counts_, aNow };
+    }
+  }
+}
+
+std::vector<PeerCount>
+EndpointTable::OwnCounts() const
+{
+  std::vector<PeerCount> counts;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.own_.Total() > 0) {
+      counts.push_back({ id, endpoint.own_ });
+    }
+  }
+  return counts;
+}
+
+std::uint32_t
+EndpointTable::BatchToYield(const std::string& aId,
+                            base::Instant aNow,
+                            double aRandom) const
+{
+  const auto found = endpoints_.find(aId);
+  if (found == endpoints_.end() || found->second.own_.batch_ == 0) {
+    return 0;
+  }
+  const Endpoint& endpoint = found->second;
+  const RunCounts all = CountsOf(endpoint, aNow);
+  if (all.Total() <= endpoint.record_.slots_) {
+    return 0;
+  }
+  const std::uint32_t excess = all.Total() - endpoint.record_.slots_;
+  const double part = static_cast<double>(excess) * endpoint.own_.batch_ /
+                      static_cast<double>(all.batch_);
+  const auto yielded = static_cast<std::uint32_t>(std::floor(part + aRandom));
+  return std::min(yielded, endpoint.own_.batch_);
+}
+
+bool
+EndpointTable::IsUsable(const std::string& aId) const
+{
+  const auto found = endpoints_.find(aId);
+  return found != endpoints_.end() && !found->second.record_.isDraining_;
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibFleet/Declarations.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pumiceturn::fleet {
+
+/// Which work a run does: batch gives way to online.
+enum class WorkClass : std::uint8_t
+{
+  Online,
+  Batch,
+};
+
+/// Runs at one endpoint, by class.
+struct RunCounts
+{
+  std::uint32_t online_ = 0;
+  std::uint32_t batch_ = 0;
+
+  [[nodiscard]] std::uint32_t Total() const { return online_ + batch_; }
+  bool operator==(const RunCounts&) const = default;
+};
+
+/// What one host says of its runs at one endpoint.
+struct PeerCount
+{
+  std::string endpoint_;
+  RunCounts counts_;
+};
+
+/// A chosen endpoint and what was weighed, for the log.
+struct EndpointChoice
+{
+  EndpointRecord endpoint_;
+  std::uint32_t running_ = 0; ///< Runs believed there before this one.
+  std::uint32_t candidates_ = 0;
+  /// All places are taken, and an own batch run there is to give way.
+  bool preemptsBatch_ = false;
+};
+
+/// What is asked of a choice.
+struct ChoiceRequest
+{
+  std::string_view service_;
+  WorkClass work_ = WorkClass::Online;
+  std::span<const std::string> excluded_; ///< Endpoints tried before.
+};
+
+/// The endpoints of all services, and the runs that this host and its peers
+/// have at each. Engines admit in order of arrival and know no priority, so
+/// batch is held back here: a batch run starts only where places are free
+/// beyond a headroom, and is cancelled (and resumed elsewhere) when online work
+/// takes its place. Belongs to the event thread.
+class EndpointTable
+{
+public:
+  struct Limits
+  {
+    /// Places that batch leaves free at each endpoint: online requests that
+    /// arrive within one exchange between hosts (100 ms) find room at once.
+    std::uint32_t batchHeadroom_ = 1;
+
+    /// How old a peer's counts may be. Ten exchanges: a peer that is silent
+    /// for longer is stopped or cut off.
+    base::Duration peerCountLifetime_{ std::chrono::milliseconds{ 1000 } };
+
+    /// How long an endpoint is avoided after a connection to it failed or a
+    /// run broke, doubling to the longest while failures go on.
+    base::Duration firstAvoidance_{ std::chrono::milliseconds{ 400 } };
+    base::Duration longestAvoidance_{ std::chrono::milliseconds{ 3200 } };
+
+    /// How long an endpoint whose registration vanished while the store was
+    /// away stays in use after the store's return: the users say that living
+    /// ones are back within about 2 s.
+    base::Duration vanishedGrace_{ std::chrono::milliseconds{ 1900 } };
+
+    /// Load that an endpoint in another failure domain must be better by, in
+    /// runs. Bytes between failure domains are charged.
+    double otherDomainPenalty_ = 0.6;
+  };
+
+  EndpointTable(std::string aFailureDomain, Limits aLimits);
+
+  void Put(const EndpointRecord& aRecord);
+
+  /// The registration of an endpoint vanished.
+  /// @param aStoreReturnedAt When the store last came back after an outage.
+  void Remove(std::string_view aId,
+              std::optional<base::Instant> aStoreReturnedAt,
+              base::Instant aNow);
+
+  /// Drops endpoints whose grace has passed.
+  /// @return the ids that were dropped.
+  std::vector<std::string> Expire(base::Instant aNow);
+
+  /// @return ids of all endpoints, for a comparison with a full reading.
+  [[nodiscard]] std::vector<std::string> Ids() const;
+
+  /// Chooses an endpoint for a run.
+  /// @return nothing where none may take it now.
+  [[nodiscard]] std::optional<EndpointChoice> Choose(
+    const ChoiceRequest& aRequest,
+    base::Instant aNow,
+    std::mt19937_64& aRandom) const;
+
+  void CountStart(const std::string& aId, WorkClass aWork);
+  void CountEnd(const std::string& aId, WorkClass aWork);
+
+  /// A connection failed or a run broke there.
+  void NoteFailure(const std::string& aId, base::Instant aNow);
+  void NoteSuccess(const std::string& aId);
+
+  /// Takes over what a peer says of its runs; what it doesn't name is zero.
+  void TakePeerCounts(const std::string& aPeer,
+                      std::span<const PeerCount> aCounts,
+                      base::Instant aNow);
+
+  /// @return own runs at each endpoint that has any, for the peers.
+  [[nodiscard]] std::vector<PeerCount> OwnCounts() const;
+
+  /// @return how many own batch runs at an endpoint are to give way now. Where
+  /// several hosts have batch there, each takes its part.
+  [[nodiscard]] std::uint32_t BatchToYield(const std::string& aId,
+                                           base::Instant aNow,
+                                           double aRandom) const;
+
+  /// @return whether an endpoint may take new work.
+  [[nodiscard]] bool IsUsable(const std::string& aId) const;
+
+  [[nodiscard]] bool IsEmpty() const { return endpoints_.empty(); }
+
+private:
+  struct PeerEntry
+  {
+    RunCounts counts_;
+    base::Instant at_;
+  };
+  struct Endpoint
+  {
+    EndpointRecord record_;
+    RunCounts own_;
+    std::unordered_map<std::string, PeerEntry> peers_;
+    std::uint32_t failures_ = 0;
+    base::Instant avoidedUntil_;
+    std::optional<base::Instant> vanishedUntil_;
+  };
+
+  [[nodiscard]] RunCounts CountsOf(const Endpoint& aEndpoint,
+                                   base::Instant aNow) const;
+  [[nodiscard]] double ScoreOf(const Endpoint& aEndpoint,
+                               const RunCounts& aCounts,
+                               base::Instant aNow) const;
+
+  std::string failureDomain_;
+  Limits limits_;
+  std::unordered_map<std::string, Endpoint> endpoints_;
+};
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/EventSplitter.cpp
@@ -0,0 +1,72 @@
+#include "LibFleet/EventSplitter.h"
+
+#include <charconv>
+
+namespace pumiceturn::fleet {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+
+std::string_view
+TrimValue(std::string_view aValue)
+{
+  if (!aValue.empty() && aValue.front() == ' ') {
+    aValue.remove_prefix(1);
+  }
+  if (!aValue.empty() && aValue.back() == '\r') {
+    aValue.remove_suffix(1);
+  }
+  return aValue;
+}
+
+StreamEvent
+ParseEvent(std::string_view aRaw)
+{
+  StreamEvent event;
+  event.raw_ = aRaw;
+  std::string_view rest = aRaw;
+  bool hasData = false;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('\n');
+    const std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      continue;
+    }
+    const std::string_view value = TrimValue(line.substr(colon + 1));
+    if (line.starts_with("id:")) {
+      std::from_chars(value.data(), value.data() + value.size(), event.id_);
+    } else if (line.starts_with("data:") && !hasData) {
+      event.data_ = value;
+      hasData = true;
+    }
+  }
+  return event;
+}
+
+} // namespace
+
+std::optional<StreamEvent>
+EventSplitter::Next()
+{
+  const std::size_t end = buffer_.find(kEventEnd, read_);
+  if (end == std::string::npos) {
+    buffer_.erase(0, read_);
+    read_ = 0;
+    return std::nullopt;
+  }
+  const std::size_t begin = read_;
+  read_ = end + kEventEnd.size();
+  return ParseEvent(std::string_view(buffer_).substr(begin, read_ - begin));
+}
+
+void
+EventSplitter::Clear()
+{
+  buffer_.clear();
+  read_ = 0;
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -0,0 +1,65 @@
+#include "LibFleet/RouteTable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace pumiceturn::fleet {
+
+bool
+RouteTable::Install(Declarations aDeclarations)
+{
+  if (aDeclarations.version_ <= version_) {
+    return false;
+  }
+  version_ = aDeclarations.version_;
+  limits_ = aDeclarations.limits_;
+  routes_.clear();
+  for (Route& route : aDeclarations.routes_) {
+    routes_[route.hostName_].push_back(std::move(route));
+  }
+  for (auto& [name, routes] : routes_) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const Route& aLeft, const Route& aRight) {
+                       return aLeft.pathPrefix_.size() >
+                              aRight.pathPrefix_.size();
+                     });
+  }
+  return true;
+}
+
+const Route*
+RouteTable::Find(std::string_view aHostName, std::string_view aPath) const
+{
+  const auto found = routes_.find(aHostName);
+  if (found == routes_.end()) {
+    return nullptr;
+  }
+  const auto& routes = found->second;
+  const auto route =
+    std::find_if(routes.begin(), routes.end(), [aPath](const Route& aRoute) {
+      return aPath.starts_with(aRoute.pathPrefix_);
+    });
+  return route == routes.end() ? nullptr : &*route;
+}
+
+const std::string&
+RouteTable::ChooseService(const Route& aRoute, double aRandom)
+{
+  assert(!aRoute.targets_.empty());
+  double total = 0.0;
+  for (const RouteTarget& target : aRoute.targets_) {
+    total += target.weight_;
+  }
+  double left = aRandom * total;
+  for (const RouteTarget& target : aRoute.targets_) {
+    left -= target.weight_;
+    if (left < 0.0) {
+      return target.service_;
+    }
+  }
+  return aRoute.targets_.back().service_;
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -0,0 +1,591 @@
+#include "LibGateway/BatchWorker.h"
+
+#include "LibGateway/Events.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// Longest wait for the first byte of an item, and between its bytes: an
+/// engine with a free place answers within tens of ms.
+constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
+constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
+
+/// Time that an endpoint may spend on one run of an item: the longest items
+/// take about 8 s.
+constexpr std::chrono::seconds kItemPatience{ 30 };
+
+/// Pause before a failed call to the store is made again.
+constexpr std::chrono::milliseconds kStoreRetryPause{ 300 };
+
+/// How long a claim waits for its answer before another may be made.
+constexpr std::chrono::seconds kClaimTimeout{ 3 };
+
+/// Largest size of one stored page of results, before encoding. The store
+/// takes values up to 1 MB in base64.
+constexpr std::size_t kMaxPageBytes = 500000;
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusUnprocessable = 422;
+
+std::string_view
+NameOf(lots::ItemRunEnd aEnd)
+{
+  switch (aEnd) {
+    case lots::ItemRunEnd::Completed:
+      return "completed";
+    case lots::ItemRunEnd::Failed:
+      return "failed";
+    case lots::ItemRunEnd::Impossible:
+      return "impossible";
+    case lots::ItemRunEnd::NotRun:
+      return "not_run";
+    case lots::ItemRunEnd::Broken:
+      return "broken";
+    case lots::ItemRunEnd::Preempted:
+      break;
+  }
+  return "preempted";
+}
+
+/// Moves as many results as fit one page.
+std::vector<lots::ItemResult>
+TakePage(std::vector<lots::ItemResult>& aResults)
+{
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  while (count < aResults.size() &&
+         (count == 0 || bytes + aResults[count].output_.size() < kMaxPageBytes)) {
+    bytes += aResults[count].output_.size();
+    ++count;
+  }
+  const auto end = aResults.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<lots::ItemResult> page(std::make_move_iterator(aResults.begin()),
+                                     std::make_move_iterator(end));
+  aResults.erase(aResults.begin(), end);
+  return page;
+}
+
+} // namespace
+
+ItemRun::ItemRun(BatchWorker& aWorker,
+                 std::string aLot,
+                 std::size_t aItem,
+                 lots::PartialRun aProgress)
+  : worker_(aWorker)
+  , lot_(std::move(aLot))
+  , item_(aItem)
+  , progress_(std::move(aProgress))
+{
+}
+
+void
+ItemRun::Start(Shared& aShared,
+               const fleet::EndpointRecord& aEndpoint,
+               const lots::LotItem& aItem,
+               const std::string& aHostName,
+               base::Duration aPatience)
+{
+  endpoint_ = aEndpoint.id_;
+  SendTerms terms;
+  terms.endpoint_ = aEndpoint.id_;
+  terms.patience_ = aPatience;
+  terms.lastEvent_ = progress_.lastEvent_;
+  httpstream::Call call;
+  call.bytes_ = httpstream::Serialize(
+    aShared.codec_.MakeItemRequest(aItem, aHostName, terms));
+  call.echoField_ = aShared.codec_.EchoField();
+  call.echoValue_ = aItem.id_;
+  call.firstByteTimeout_ = kFirstByteTimeout;
+  call.gapTimeout_ = kGapTimeout;
+  run_ = std::make_shared<EndpointRun>(
+    aShared, aEndpoint, fleet::WorkClass::Batch);
+  run_->Start(std::move(call), *this);
+}
+
+void
+ItemRun::Cancel()
+{
+  if (run_) {
+    run_->Cancel();
+  }
+}
+
+void
+ItemRun::ReadOn()
+{
+  if (run_) {
+    run_->SetPaused(false);
+  }
+}
+
+void
+ItemRun::OnHead(const httpstream::ResponseHead& aHead)
+{
+  notes_ = worker_.shared_.codec_.ReadAnswer(aHead);
+  status_ = aHead.result_int();
+}
+
+void
+ItemRun::OnBody(std::string_view aBytes)
+{
+  if (status_ != kStatusOk) {
+    return;
+  }
+  splitter_.Append(aBytes);
+  while (const auto event = splitter_.Next()) {
+    if (event->id_ != 0 && event->id_ <= progress_.lastEvent_) {
+      continue;
+    }
+    if (progress_.lastEvent_ > 0) {
+      progress_.output_.push_back('\n');
+    }
+    progress_.output_.append(event->data_);
+    progress_.lastEvent_ = event->id_;
+  }
+  run_->SetPaused(true);
+}
+
+lots::ItemRunEnd
+ItemRun::Judge(httpstream::CallEnd aEnd) const
+{
+  if (aEnd == httpstream::CallEnd::NotConnected) {
+    return lots::ItemRunEnd::NotRun;
+  }
+  if (aEnd != httpstream::CallEnd::Complete) {
+    return lots::ItemRunEnd::Broken;
+  }
+  if (notes_.isCertainlyNotRun_) {
+    return lots::ItemRunEnd::NotRun;
+  }
+  if (status_ == kStatusUnprocessable) {
+    return lots::ItemRunEnd::Impossible;
+  }
+  if (status_ != kStatusOk) {
+    return lots::ItemRunEnd::Failed;
+  }
+  return splitter_.Remainder() > 0 ? lots::ItemRunEnd::Broken
+                                   : lots::ItemRunEnd::Completed;
+}
+
+void
+ItemRun::OnEnd(httpstream::CallEnd aEnd)
+{
+  worker_.OnRunEnd(*this, Judge(aEnd));
+}
+
+BatchWorker::BatchWorker(boost::asio::io_context& aContext,
+                         Shared& aShared,
+                         metadata::StoreClient& aStore,
+                         const lots::LotTable& aLots,
+                         const lots::HostSet& aHosts,
+                         std::string aKeyPrefix,
+                         std::string aOwnName)
+  : context_(aContext)
+  , shared_(aShared)
+  , store_(aStore)
+  , lots_(aLots)
+  , hosts_(aHosts)
+  , keyPrefix_(std::move(aKeyPrefix))
+  , ownName_(std::move(aOwnName))
+{
+}
+
+bool
+BatchWorker::IsOwn(const lots::Lot& aLot) const
+{
+  return aLot.state_.owner_ == ownName_;
+}
+
+lots::ItemLimits
+BatchWorker::LimitsOf(const lots::Lot& aLot) const
+{
+  lots::ItemLimits limits;
+  const base::WallTime accepted =
+    base::FromUnixMs(aLot.state_.acceptedAtMs_);
+  const auto* route =
+    shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+  const auto after = [accepted](base::Duration aSpan) {
+    return accepted +
+           std::chrono::duration_cast<std::chrono::milliseconds>(aSpan);
+  };
+  if (route == nullptr) {
+    // Its route was removed: nothing may run, and what is left is given up.
+    limits.giveUpAt_ = accepted;
+    limits.dueAt_ = accepted;
+    return limits;
+  }
+  limits.maxAttempts_ = route->maxAttempts_;
+  limits.dueAt_ = after(route->dueAfter_);
+  limits.giveUpAt_ = after(route->giveUpAfter_);
+  return limits;
+}
+
+void
+BatchWorker::OnLotChanged(const std::string& aLot)
+{
+  const lots::Lot* lot = lots_.Find(aLot);
+  const bool isOwned = own_.contains(aLot);
+  if (lot == nullptr || !IsOwn(*lot) || !lot->IsOpen()) {
+    if (isOwned) {
+      Leave(aLot, lot == nullptr || !lot->IsOpen() ? "closed" : "taken over");
+    }
+    return;
+  }
+  if (!isOwned && lot->items_ && !leaving_) {
+    Take(*lot);
+  }
+}
+
+void
+BatchWorker::Take(const lots::Lot& aLot)
+{
+  OwnLot own{ lots::ItemSchedule(aLot, LimitsOf(aLot)), {}, {}, 0, false, {} };
+  own.nextPosition_ = static_cast<std::uint32_t>(aLot.results_.size());
+  own_.emplace(aLot.id_, std::move(own));
+  claims_.erase(aLot.id_);
+  base::Log(kLotTaken,
+            { { "lot", aLot.id_ },
+              { "items", aLot.state_.itemCount_ },
+              { "results", aLot.results_.size() },
+              { "revision", aLot.stateRevision_ } });
+}
+
+void
+BatchWorker::Leave(const std::string& aLot, std::string_view aReason)
+{
+  std::vector<std::shared_ptr<ItemRun>> kept;
+  for (auto& run : runs_) {
+    if (run->LotId() == aLot) {
+      run->Cancel();
+    } else {
+      kept.push_back(std::move(run));
+    }
+  }
+  runs_ = std::move(kept);
+  own_.erase(aLot);
+  base::Log(kLotLeft, { { "lot", aLot }, { "reason", aReason } });
+}
+
+void
+BatchWorker::Tick(base::Instant aNow, base::WallTime aWallNow)
+{
+  if (leaving_) {
+    return;
+  }
+  for (const std::string& id : lots_.OpenLots()) {
+    const lots::Lot* lot = lots_.Find(id);
+    if (!IsOwn(*lot) && hosts_.IsGone(lot->state_.owner_, aNow) &&
+        hosts_.OwnerFor(id) == ownName_) {
+      Claim(id);
+    }
+  }
+  for (auto& [id, own] : own_) {
+    if (const lots::Lot* lot = lots_.Find(id)) {
+      own.schedule_.SetLimits(LimitsOf(*lot));
+    }
+    for (lots::ItemResult& result : own.schedule_.GiveUp(aWallNow)) {
+      own.unstored_.push_back(std::move(result));
+    }
+    if (own.retryAt_ <= aNow) {
+      StoreResults(id, own);
+    }
+  }
+  YieldToOnline(aNow);
+  StartRuns(aNow, aWallNow);
+  for (const auto& run : std::vector(runs_)) {
+    run->ReadOn();
+  }
+}
+
+void
+BatchWorker::Claim(const std::string& aLot)
+{
+  const base::Instant now = base::MonotonicNow();
+  const auto claim = claims_.find(aLot);
+  if (claim != claims_.end() && now - claim->second < kClaimTimeout) {
+    return;
+  }
+  const lots::Lot* lot = lots_.Find(aLot);
+  claims_[aLot] = now;
+  lots::LotState state = lot->state_;
+  state.owner_ = ownName_;
+  metadata::Transaction transaction;
+  const std::string key = KeyOf({ aLot, lots::KeyPart::State, 0 });
+  transaction.expectations_.push_back({ key, lot->stateRevision_ });
+  transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
+  // The mirror brings the new state, and with it the lot's work; a claim that
+  // lost against another host's has no effect.
+  store_.Commit(transaction, [](const metadata::TransactionReply&) {});
+}
+
+void
+BatchWorker::StartRuns(base::Instant aNow, base::WallTime aWallNow)
+{
+  std::vector<std::pair<base::WallTime, std::string>> byUrgency;
+  for (const auto& [id, own] : own_) {
+    byUrgency.emplace_back(own.schedule_.Limits().dueAt_, id);
+  }
+  // Lots whose time has passed earn little: they go last.
+  std::sort(byUrgency.begin(),
+            byUrgency.end(),
+            [aWallNow](const auto& aLeft, const auto& aRight) {
+              const bool isLeftLate = aLeft.first < aWallNow;
+              const bool isRightLate = aRight.first < aWallNow;
+              return std::tie(isLeftLate, aLeft.first, aLeft.second) <
+                     std::tie(isRightLate, aRight.first, aRight.second);
+            });
+  for (const auto& [due, id] : byUrgency) {
+    OwnLot& own = own_.at(id);
+    while (StartOne(id, own, aNow, aWallNow)) {
+    }
+  }
+}
+
+bool
+BatchWorker::StartOne(const std::string& aLotId,
+                      OwnLot& aOwn,
+                      base::Instant aNow,
+                      base::WallTime aWallNow)
+{
+  const lots::Lot* lot = lots_.Find(aLotId);
+  const auto item = aOwn.schedule_.NextItem(aNow);
+  if (lot == nullptr || !lot->items_ || !item ||
+      aWallNow >= aOwn.schedule_.Limits().giveUpAt_) {
+    return false;
+  }
+  const auto* route =
+    shared_.routes_.Find(lot->state_.hostName_, lot->state_.path_);
+  if (route == nullptr) {
+    return false;
+  }
+  const std::string& service = fleet::RouteTable::ChooseService(
+    *route, NextRandom(shared_.random_));
+  const auto choice = shared_.endpoints_.Choose(
+    { service, fleet::WorkClass::Batch, {} }, aNow, shared_.random_);
+  if (!choice) {
+    return false;
+  }
+  const lots::LotItem& content = (*lot->items_)[*item];
+  base::Log(kRequestSent,
+            { { "request", content.id_ },
+              { "lot", aLotId },
+              { "endpoint", choice->endpoint_.id_ },
+              { "running", choice->running_ },
+              { "candidates", choice->candidates_ },
+              { "after_event", aOwn.schedule_.ProgressOf(*item).lastEvent_ },
+              { "version", shared_.routes_.Version() } });
+  auto run = std::make_shared<ItemRun>(
+    *this, aLotId, *item, aOwn.schedule_.ProgressOf(*item));
+  aOwn.schedule_.Start(*item);
+  runs_.push_back(run);
+  run->Start(shared_,
+             choice->endpoint_,
+             content,
+             lot->state_.hostName_,
+             kItemPatience);
+  return true;
+}
+
+void
+BatchWorker::YieldToOnline(base::Instant aNow)
+{
+  std::vector<std::string> endpoints;
+  for (const auto& run : runs_) {
+    if (std::find(endpoints.begin(), endpoints.end(), run->EndpointId()) ==
+        endpoints.end()) {
+      endpoints.push_back(run->EndpointId());
+    }
+  }
+  for (const std::string& endpoint : endpoints) {
+    std::uint32_t left = shared_.endpoints_.BatchToYield(
+      endpoint, aNow, NextRandom(shared_.random_));
+    for (; left > 0; --left) {
+      Preempt(endpoint);
+    }
+  }
+}
+
+void
+BatchWorker::Preempt(const std::string& aEndpoint)
+{
+  // The run with the least output loses least when its context is read again.
+  std::shared_ptr<ItemRun> chosen;
+  for (const auto& run : runs_) {
+    const bool isSmaller =
+      !chosen || run->Progress().lastEvent_ < chosen->Progress().lastEvent_;
+    if (run->EndpointId() == aEndpoint && isSmaller) {
+      chosen = run;
+    }
+  }
+  if (!chosen) {
+    return;
+  }
+  chosen->Cancel();
+  OnRunEnd(*chosen, lots::ItemRunEnd::Preempted);
+}
+
+void
+BatchWorker::OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd)
+{
+  const std::string lot = aRun.LotId();
+  const std::size_t item = aRun.Item();
+  base::Log(kItemRunEnded,
+            { { "lot", lot },
+              { "item", item },
+              { "endpoint", aRun.EndpointId() },
+              { "end", NameOf(aEnd) },
+              { "last_event", aRun.Progress().lastEvent_ } });
+  lots::PartialRun progress = aRun.TakeProgress();
+  RemoveRun(aRun);
+  const auto own = own_.find(lot);
+  if (own == own_.end()) {
+    return;
+  }
+  auto result = own->second.schedule_.End(
+    item, aEnd, std::move(progress), base::MonotonicNow());
+  if (!result) {
+    return;
+  }
+  own->second.unstored_.push_back(std::move(*result));
+  StoreResults(lot, own->second);
+}
+
+void
+BatchWorker::RemoveRun(const ItemRun& aRun)
+{
+  const auto found =
+    std::find_if(runs_.begin(), runs_.end(), [&aRun](const auto& aOther) {
+      return aOther.get() == &aRun;
+    });
+  if (found == runs_.end()) {
+    return;
+  }
+  // The run may be in the middle of a callback: it is freed afterwards.
+  boost::asio::post(context_, [run = std::move(*found)] {});
+  runs_.erase(found);
+}
+
+void
+BatchWorker::StoreResults(const std::string& aLot, OwnLot& aOwn)
+{
+  if (aOwn.callUnderWay_) {
+    return;
+  }
+  const lots::Lot* lot = lots_.Find(aLot);
+  if (lot == nullptr) {
+    return;
+  }
+  // A call without an answer may take effect seconds later. The same page goes
+  // to the same position until the store has said what became of it, so that
+  // a late effect changes nothing.
+  if (aOwn.storing_.empty()) {
+    aOwn.storing_ = TakePage(aOwn.unstored_);
+  }
+  if (aOwn.storing_.empty()) {
+    return;
+  }
+  aOwn.callUnderWay_ = true;
+  metadata::Transaction transaction;
+  const std::string page =
+    KeyOf({ aLot, lots::KeyPart::Results, aOwn.nextPosition_ });
+  transaction.expectations_.push_back(
+    { KeyOf({ aLot, lots::KeyPart::State, 0 }), lot->stateRevision_ });
+  transaction.expectations_.push_back({ page, 0 });
+  transaction.writes_.push_back({ page, lots::EncodeResults(aOwn.storing_), 0 });
+  store_.Commit(transaction,
+                [this, aLot](const metadata::TransactionReply& aReply) {
+                  OnResultsStored(aLot, aReply);
+                });
+}
+
+void
+BatchWorker::OnResultsStored(const std::string& aLot,
+                             const metadata::TransactionReply& aReply)
+{
+  const auto found = own_.find(aLot);
+  if (found == own_.end()) {
+    return;
+  }
+  OwnLot& own = found->second;
+  own.callUnderWay_ = false;
+  const std::string page =
+    KeyOf({ aLot, lots::KeyPart::Results, own.nextPosition_ });
+  const bool wasThere =
+    aReply.status_ == metadata::StoreStatus::Conflict &&
+    std::any_of(aReply.current_.begin(),
+                aReply.current_.end(),
+                [&](const metadata::StoreItem& aItem) {
+                  return aItem.key_ == page && aItem.revision_ != 0 &&
+                         aItem.value_ == lots::EncodeResults(own.storing_);
+                });
+  if (aReply.status_ == metadata::StoreStatus::Ok || wasThere) {
+    base::Log(kResultsStored,
+              { { "lot", aLot },
+                { "position", own.nextPosition_ },
+                { "count", own.storing_.size() } });
+    own.nextPosition_ += static_cast<std::uint32_t>(own.storing_.size());
+    own.storing_.clear();
+    if (!own.unstored_.empty()) {
+      StoreResults(aLot, own);
+    }
+    return;
+  }
+  base::Log(kResultsNotStored,
+            { { "lot", aLot },
+              { "position", own.nextPosition_ },
+              { "status", static_cast<int>(aReply.status_) } });
+  if (aReply.status_ == metadata::StoreStatus::Conflict) {
+    // Another host owns the lot, or its sender has ended it: the mirror will
+    // say which. Until then nothing more is stored.
+    own.retryAt_ = base::MonotonicNow() + kClaimTimeout;
+    return;
+  }
+  own.retryAt_ = base::MonotonicNow() + kStoreRetryPause;
+}
+
+void
+BatchWorker::HandOver(std::function<void()> aDone)
+{
+  leaving_ = true;
+  for (const auto& run : std::vector(runs_)) {
+    run->Cancel();
+    OnRunEnd(*run, lots::ItemRunEnd::Preempted);
+  }
+  auto left = std::make_shared<std::size_t>(1);
+  const auto finishOne = [left, done = std::move(aDone)] {
+    if (--*left == 0) {
+      done();
+    }
+  };
+  for (const auto& [id, own] : own_) {
+    const lots::Lot* lot = lots_.Find(id);
+    if (lot == nullptr) {
+      continue;
+    }
+    lots::LotState state = lot->state_;
+    state.owner_.clear();
+    metadata::Transaction transaction;
+    const std::string key = KeyOf({ id, lots::KeyPart::State, 0 });
+    transaction.expectations_.push_back({ key, lot->stateRevision_ });
+    transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
+    transaction.writes_.push_back({ KeyOf({ id, lots::KeyPart::Progress, 0 }),
+                                    lots::EncodeProgress(
+                                      own.schedule_.Progress()),
+                                    0 });
+    ++*left;
+    base::Log(kLotLeft, { { "lot", id }, { "reason", "leaving" } });
+    store_.Commit(transaction,
+                  [finishOne](const metadata::TransactionReply&) {
+                    finishOne();
+                  });
+  }
+  finishOne();
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "LibFleet/EventSplitter.h"
+#include "LibGateway/EndpointRun.h"
+#include "LibLots/HostSet.h"
+#include "LibLots/ItemSchedule.h"
+#include "LibLots/LotTable.h"
+#include "LibMetadata/StoreClient.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+class BatchWorker;
+
+/// One run of a lot's item at an endpoint. Belongs to the event thread.
+class ItemRun : public httpstream::CallObserver
+{
+public:
+  ItemRun(BatchWorker& aWorker,
+          std::string aLot,
+          std::size_t aItem,
+          lots::PartialRun aProgress);
+
+  void Start(Shared& aShared,
+             const fleet::EndpointRecord& aEndpoint,
+             const lots::LotItem& aItem,
+             const std::string& aHostName,
+             base::Duration aPatience);
+  void Cancel();
+
+  /// Lets the next bytes be read. Batch output is read in bulk: nobody waits
+  /// for single events, and each reading costs processor time.
+  void ReadOn();
+
+  [[nodiscard]] const std::string& EndpointId() const { return endpoint_; }
+  [[nodiscard]] const std::string& LotId() const { return lot_; }
+  [[nodiscard]] std::size_t Item() const { return item_; }
+  [[nodiscard]] const lots::PartialRun& Progress() const { return progress_; }
+  [[nodiscard]] lots::PartialRun TakeProgress() { return std::move(progress_); }
+
+  void OnHead(const httpstream::ResponseHead& aHead) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd(httpstream::CallEnd aEnd) override;
+
+private:
+  [[nodiscard]] lots::ItemRunEnd Judge(httpstream::CallEnd aEnd) const;
+
+  BatchWorker& worker_;
+  std::string lot_;
+  std::size_t item_;
+  std::string endpoint_;
+  lots::PartialRun progress_;
+  fleet::EventSplitter splitter_;
+  std::shared_ptr<EndpointRun> run_;
+  AnswerNotes notes_;
+  unsigned status_ = 0;
+};
+
+/// Runs the items of the lots that this host owns: starts them where places
+/// are idle, the most urgent lot first, stores their results, takes over lots
+/// whose owner is gone, and hands its lots over when the host leaves. Belongs
+/// to the event thread.
+class BatchWorker
+{
+public:
+  BatchWorker(boost::asio::io_context& aContext,
+              Shared& aShared,
+              metadata::StoreClient& aStore,
+              const lots::LotTable& aLots,
+              const lots::HostSet& aHosts,
+              std::string aKeyPrefix,
+              std::string aOwnName);
+
+  /// A lot's keys have changed in the store.
+  void OnLotChanged(const std::string& aLot);
+
+  /// Does what is due; called several times a second.
+  void Tick(base::Instant aNow, base::WallTime aWallNow);
+
+  /// Cancels one batch run at an endpoint, for online work.
+  void Preempt(const std::string& aEndpoint);
+
+  /// Hands over all lots, with what their runs have so far.
+  /// @param aDone Called when each lot is handed over or the store refused.
+  void HandOver(std::function<void()> aDone);
+
+  [[nodiscard]] std::size_t RunCount() const { return runs_.size(); }
+
+private:
+  friend class ItemRun;
+
+  /// A lot that this host runs.
+  struct OwnLot
+  {
+    lots::ItemSchedule schedule_;
+    std::vector<lots::ItemResult> unstored_;
+    std::vector<lots::ItemResult> storing_; ///< In the call under way.
+    std::uint32_t nextPosition_ = 0;
+    bool callUnderWay_ = false;
+    base::Instant retryAt_;
+  };
+
+  void Claim(const std::string& aLot);
+  void Take(const lots::Lot& aLot);
+  void Leave(const std::string& aLot, std::string_view aReason);
+  [[nodiscard]] bool IsOwn(const lots::Lot& aLot) const;
+  [[nodiscard]] lots::ItemLimits LimitsOf(const lots::Lot& aLot) const;
+  void StartRuns(base::Instant aNow, base::WallTime aWallNow);
+  bool StartOne(const std::string& aLotId,
+                OwnLot& aOwn,
+                base::Instant aNow,
+                base::WallTime aWallNow);
+  void YieldToOnline(base::Instant aNow);
+  void OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd);
+  void RemoveRun(const ItemRun& aRun);
+  void StoreResults(const std::string& aLot, OwnLot& aOwn);
+  void OnResultsStored(const std::string& aLot,
+                       const metadata::TransactionReply& aReply);
+  [[nodiscard]] std::string KeyOf(const lots::LotKey& aKey) const
+  {
+    return keyPrefix_ + lots::MakeKey(aKey);
+  }
+
+  boost::asio::io_context& context_;
+  Shared& shared_;
+  metadata::StoreClient& store_;
+  const lots::LotTable& lots_;
+  const lots::HostSet& hosts_;
+  std::string keyPrefix_;
+  std::string ownName_;
+  std::map<std::string, OwnLot> own_;
+  std::unordered_map<std::string, base::Instant> claims_; ///< Under way.
+  std::vector<std::shared_ptr<ItemRun>> runs_;
+  bool leaving_ = false;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Codec.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibFleet/Declarations.h"
+#include "LibHttpStream/Message.h"
+#include "LibLots/Lot.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+/// What an online request says of itself.
+struct OnlineCall
+{
+  std::string requestId_; ///< New for each attempt of the caller.
+  /// How long the caller waits, from now.
+  std::optional<base::Duration> patience_;
+  std::uint64_t lastEvent_ = 0; ///< The caller has events up to this one.
+};
+
+/// What an endpoint's answer says beyond its status and body.
+struct AnswerNotes
+{
+  bool isCertainlyNotRun_ = false; ///< Another endpoint may run it.
+  bool isOfEndpoint_ = false;      ///< The endpoint vouches for the answer.
+};
+
+/// Where and under which conditions a request is sent.
+struct SendTerms
+{
+  std::string endpoint_;    ///< The process that must run it, by id.
+  base::Duration patience_; ///< What is left of the caller's time.
+  std::uint64_t lastEvent_ = 0; ///< The endpoint goes on after this event.
+};
+
+/// Calls on lots.
+struct SubmitLot
+{
+  std::string lot_;
+};
+struct ReadResults
+{
+  std::string lot_;
+  std::uint32_t position_ = 0;
+  base::Duration longestWait_{ 0 }; ///< Until a result exists.
+};
+struct ReadItemBody
+{
+  std::string lot_;
+  std::string item_;
+};
+struct EndLot
+{
+  std::string lot_;
+};
+
+/// A call that can't be read, with the reason for its caller.
+struct UnreadableCall
+{
+  std::string reason_;
+};
+
+using LotCall = std::variant<ReadResults, ReadItemBody, EndLot, UnreadableCall>;
+
+/// The names and formats of callers and endpoints. The adapter implements it;
+/// it decides nothing.
+class Codec
+{
+public:
+  virtual ~Codec() = default;
+
+  [[nodiscard]] virtual OnlineCall ReadOnline(
+    const httpstream::Request& aRequest) const = 0;
+
+  /// @return the caller's request as it is sent to an endpoint.
+  [[nodiscard]] virtual httpstream::Request MakeEndpointRequest(
+    const httpstream::Request& aRequest,
+    const SendTerms& aTerms) const = 0;
+
+  /// @return a lot's item as it is sent to an endpoint.
+  [[nodiscard]] virtual httpstream::Request MakeItemRequest(
+    const lots::LotItem& aItem,
+    std::string_view aHostName,
+    const SendTerms& aTerms) const = 0;
+
+  [[nodiscard]] virtual AnswerNotes ReadAnswer(
+    const httpstream::ResponseHead& aHead) const = 0;
+
+  /// @return the field by which an answer names its request.
+  [[nodiscard]] virtual std::string_view EchoField() const = 0;
+
+  /// @return nothing where the request is no call on a stored lot.
+  [[nodiscard]] virtual std::optional<LotCall> ReadLotCall(
+    const httpstream::Request& aRequest) const = 0;
+
+  /// Reads the content of a submitted lot.
+  /// @return the items, or what is wrong.
+  [[nodiscard]] virtual std::variant<std::vector<lots::LotItem>, UnreadableCall>
+  ReadLotContent(std::string_view aBody) const = 0;
+
+  /// Writes a page of results.
+  /// @param aTotal    Items of the lot.
+  /// @param aPosition Of the first result.
+  [[nodiscard]] virtual std::string WriteResults(
+    std::uint32_t aTotal,
+    std::uint32_t aPosition,
+    std::span<const lots::ItemResult> aResults) const = 0;
+
+  /// Answers that tell a caller when to come back.
+  [[nodiscard]] virtual httpstream::Response MakeNotRun(
+    base::Duration aRetryAfter) const = 0;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/EndpointRun.cpp
@@ -0,0 +1,124 @@
+#include "LibGateway/EndpointRun.h"
+
+#include "LibGateway/EndpointAddress.h"
+
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// Longest wait for a connection. Within a region it takes a few ms; a lost
+/// opening packet is sent again after a second, and another endpoint is the
+/// better choice by then.
+constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
+
+} // namespace
+
+EndpointRun::EndpointRun(Shared& aShared,
+                         fleet::EndpointRecord aEndpoint,
+                         fleet::WorkClass aWork)
+  : shared_(aShared)
+  , endpoint_(std::move(aEndpoint))
+  , work_(aWork)
+{
+}
+
+EndpointRun::~EndpointRun()
+{
+  Leave();
+}
+
+void
+EndpointRun::Start(httpstream::Call aCall, httpstream::CallObserver& aObserver)
+{
+  observer_ = &aObserver;
+  counted_ = true;
+  shared_.endpoints_.CountStart(endpoint_.id_, work_);
+  const auto address = ParseAddress(endpoint_.address_);
+  if (!address) {
+    OnEnd(httpstream::CallEnd::NotConnected);
+    return;
+  }
+  const auto self = shared_from_this();
+  auto acquired = shared_.pool_.Acquire(
+    endpoint_.id_,
+    *address,
+    kConnectTimeout,
+    [self, call = std::move(aCall)](
+      std::shared_ptr<httpstream::ClientConnection> aConnection) mutable {
+      if (self->observer_ == nullptr) {
+        return;
+      }
+      if (!aConnection) {
+        self->OnEnd(httpstream::CallEnd::NotConnected);
+        return;
+      }
+      self->connection_ = std::move(aConnection);
+      self->connection_->Start(std::move(call), *self);
+    });
+  if (observer_ != nullptr && !connection_) {
+    connection_ = std::move(acquired);
+  }
+}
+
+void
+EndpointRun::Cancel()
+{
+  observer_ = nullptr;
+  if (const auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
+  }
+  Leave();
+}
+
+void
+EndpointRun::SetPaused(bool aIsPaused)
+{
+  if (connection_) {
+    connection_->SetPaused(aIsPaused);
+  }
+}
+
+void
+EndpointRun::Leave()
+{
+  if (std::exchange(counted_, false)) {
+    shared_.endpoints_.CountEnd(endpoint_.id_, work_);
+  }
+}
+
+void
+EndpointRun::OnHead(const httpstream::ResponseHead& aHead)
+{
+  if (observer_ != nullptr) {
+    observer_->OnHead(aHead);
+  }
+}
+
+void
+EndpointRun::OnBody(std::string_view aBytes)
+{
+  if (observer_ != nullptr) {
+    observer_->OnBody(aBytes);
+  }
+}
+
+void
+EndpointRun::OnEnd(httpstream::CallEnd aEnd)
+{
+  const auto self = shared_from_this();
+  auto* observer = std::exchange(observer_, nullptr);
+  shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
+  Leave();
+  if (aEnd == httpstream::CallEnd::Complete) {
+    shared_.endpoints_.NoteSuccess(endpoint_.id_);
+  } else {
+    shared_.endpoints_.NoteFailure(endpoint_.id_, base::MonotonicNow());
+  }
+  if (observer != nullptr) {
+    observer->OnEnd(aEnd);
+  }
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/EndpointRun.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "LibFleet/EndpointTable.h"
+#include "LibGateway/Shared.h"
+#include "LibHttpStream/ClientConnection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pumiceturn::gateway {
+
+/// One request at one endpoint: counts it, takes a connection from the pool,
+/// sends, passes the answer to an observer, and gives the connection back.
+/// Belongs to the event thread.
+class EndpointRun
+  : public httpstream::CallObserver
+  , public std::enable_shared_from_this<EndpointRun>
+{
+public:
+  EndpointRun(Shared& aShared,
+              fleet::EndpointRecord aEndpoint,
+              fleet::WorkClass aWork);
+  ~EndpointRun() override;
+  EndpointRun(const EndpointRun&) = delete;
+  EndpointRun& operator=(const EndpointRun&) = delete;
+
+  /// Sends the call. The observer must outlive the run or call Cancel().
+  void Start(httpstream::Call aCall, httpstream::CallObserver& aObserver);
+
+  /// Stops the work at the endpoint by closing the connection, and calls back
+  /// no more.
+  void Cancel();
+
+  void SetPaused(bool aIsPaused);
+
+  [[nodiscard]] const fleet::EndpointRecord& Endpoint() const
+  {
+    return endpoint_;
+  }
+
+  void OnHead(const httpstream::ResponseHead& aHead) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd(httpstream::CallEnd aEnd) override;
+
+private:
+  void Leave();
+
+  Shared& shared_;
+  fleet::EndpointRecord endpoint_;
+  fleet::WorkClass work_;
+  httpstream::CallObserver* observer_ = nullptr;
+  std::shared_ptr<httpstream::ClientConnection> connection_;
+  bool counted_ = false;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Events.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "LibBase/Log.h"
+
+namespace pumiceturn::gateway {
+
+inline constexpr base::Event kGatewayStarted{
+  7101,
+  "gateway_started",
+  base::LogLevel::Info,
+  "The process listens for callers."
+};
+inline constexpr base::Event kGatewayReady{
+  7102,
+  "gateway_ready",
+  base::LogLevel::Info,
+  "Configuration and endpoints are known; callers are taken."
+};
+inline constexpr base::Event kGatewayStopping{
+  7103,
+  "gateway_stopping",
+  base::LogLevel::Info,
+  "A shutdown was asked for: readiness is withdrawn, open work finishes."
+};
+inline constexpr base::Event kGatewayStopped{ 7104,
+                                              "gateway_stopped",
+                                              base::LogLevel::Info,
+                                              "The process ends." };
+inline constexpr base::Event kDeclarationsInForce{
+  7105,
+  "declarations_in_force",
+  base::LogLevel::Info,
+  "A newer version of the operators' configuration is in force."
+};
+inline constexpr base::Event kDeclarationsUnreadable{
+  7106,
+  "declarations_unreadable",
+  base::LogLevel::Error,
+  "A configuration could not be read; the last one stays in force."
+};
+inline constexpr base::Event kEndpointChanged{
+  7107,
+  "endpoint_changed",
+  base::LogLevel::Info,
+  "An endpoint appeared, drains, or is gone."
+};
+inline constexpr base::Event kRequestSent{
+  7108,
+  "request_sent",
+  base::LogLevel::Info,
+  "A request goes to an endpoint, which was weighed as the line says."
+};
+inline constexpr base::Event kRequestEnded{
+  7109,
+  "request_ended",
+  base::LogLevel::Info,
+  "A request has its final answer."
+};
+inline constexpr base::Event kAttemptFailed{
+  7110,
+  "attempt_failed",
+  base::LogLevel::Warning,
+  "An endpoint refused, broke off or went silent."
+};
+inline constexpr base::Event kLotAccepted{ 7111,
+                                           "lot_accepted",
+                                           base::LogLevel::Info,
+                                           "A lot is stored and acknowledged." };
+inline constexpr base::Event kLotNotAccepted{
+  7112,
+  "lot_not_accepted",
+  base::LogLevel::Warning,
+  "A lot could not be stored, or it is unknown whether it was."
+};
+inline constexpr base::Event kLotTaken{
+  7113,
+  "lot_taken",
+  base::LogLevel::Info,
+  "This host runs a lot from now on."
+};
+inline constexpr base::Event kLotLeft{ 7114,
+                                       "lot_left",
+                                       base::LogLevel::Info,
+                                       "This host runs a lot no longer." };
+inline constexpr base::Event kItemRunEnded{ 7115,
+                                            "item_run_ended",
+                                            base::LogLevel::Info,
+                                            "A run of a lot's item ended." };
+inline constexpr base::Event kResultsStored{
+  7116,
+  "results_stored",
+  base::LogLevel::Info,
+  "Results of a lot are stored and can be read."
+};
+inline constexpr base::Event kResultsNotStored{
+  7117,
+  "results_not_stored",
+  base::LogLevel::Warning,
+  "Results of a lot could not be stored yet."
+};
+inline constexpr base::Event kGatewayRetiring{
+  7119,
+  "gateway_retiring",
+  base::LogLevel::Info,
+  "Operators want this host emptied: its lots are handed over."
+};
+inline constexpr base::Event kGatewayCannotListen{
+  7118,
+  "gateway_cannot_listen",
+  base::LogLevel::Error,
+  "An address of the settings cannot be used."
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,490 @@
+#include "LibGateway/Gateway.h"
+
+#include "LibGateway/EndpointAddress.h"
+#include "LibGateway/Events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// How often due work is looked for. Online work that takes a batch run's place
+/// waits this long at most.
+constexpr std::chrono::milliseconds kTick{ 100 };
+
+/// The configuration must be in force within 2 s: a watch that went silent is
+/// noticed well before.
+constexpr std::chrono::milliseconds kOperatorWatch{ 1500 };
+constexpr std::chrono::milliseconds kOperatorPause{ 50 };
+
+/// Draining endpoints must get nothing new after 2 s. Registrations are written
+/// at each heartbeat, so each watch returns at once: the pause is what counts.
+constexpr std::chrono::milliseconds kEndpointWatch{ 1200 };
+constexpr std::chrono::milliseconds kEndpointPause{ 600 };
+
+/// A result that one host has shown must be seen at all within 1 s.
+constexpr std::chrono::milliseconds kLotWatch{ 2000 };
+constexpr std::chrono::milliseconds kLotPause{ 250 };
+constexpr std::chrono::milliseconds kHostWatch{ 10000 };
+constexpr std::chrono::milliseconds kHostPause{ 200 };
+
+/// After the request to stop: the balancer asks for readiness once a second and
+/// takes a host out after two misses, so new connections come until then.
+constexpr std::chrono::milliseconds kBalancerNotice{ 2600 };
+
+/// Kept back from the grace, so that the process ends by itself.
+constexpr std::chrono::milliseconds kGraceMargin{ 500 };
+constexpr std::chrono::milliseconds kStopPoll{ 100 };
+
+/// Pause before operators are told again that a host is empty.
+constexpr std::chrono::milliseconds kRetireRetry{ 300 };
+
+constexpr std::chrono::milliseconds kRetryAfter{ 300 };
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+
+std::string_view
+WithoutPort(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.rfind(':'));
+}
+
+std::string_view
+WithoutQuery(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+metadata::PrefixMirror::Options
+Follow(const std::string& aPrefix,
+       base::Duration aLongestWatch,
+       base::Duration aPause)
+{
+  metadata::PrefixMirror::Options options;
+  options.prefix_ = aPrefix;
+  options.longestWatch_ = aLongestWatch;
+  options.pause_ = aPause;
+  return options;
+}
+
+lots::LotTable::Decoder
+MakeDecoder(const Codec& aCodec)
+{
+  return [&aCodec](std::string_view aContent)
+           -> std::optional<std::vector<lots::LotItem>> {
+    auto content = aCodec.ReadLotContent(aContent);
+    if (auto* items = std::get_if<std::vector<lots::LotItem>>(&content)) {
+      return std::move(*items);
+    }
+    return std::nullopt;
+  };
+}
+
+std::string
+MakeHostValue(const std::string& aOwnName, const GatewaySettings& aSettings)
+{
+  return nlohmann::json{
+    { "owner", aOwnName },
+    { "peer", aSettings.peerAddress_ },
+    { "worker", aSettings.lotPreference_ == lots::LotPreference::Worker }
+  }
+    .dump();
+}
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context& aContext,
+                 GatewaySettings aSettings,
+                 StoreLayout aLayout,
+                 const Codec& aCodec,
+                 const StoreCodec& aStoreCodec,
+                 metadata::StoreClient& aStore)
+  : context_(aContext)
+  , settings_(std::move(aSettings))
+  , layout_(std::move(aLayout))
+  , storeCodec_(aStoreCodec)
+  , store_(aStore)
+  , shared_{ aCodec,
+             {},
+             fleet::EndpointTable(settings_.failureDomain_, {}),
+             httpstream::ConnectionPool(aContext.get_executor()),
+             std::mt19937_64(std::random_device{}()),
+             {} }
+  , lots_(MakeDecoder(aCodec))
+  , operatorMirror_(
+      aContext,
+      aStore,
+      health_,
+      Follow(layout_.operatorPrefix_, kOperatorWatch, kOperatorPause),
+      [this](const metadata::StoreItem& aItem) { OnOperatorKey(aItem); })
+  , endpointMirror_(
+      aContext,
+      aStore,
+      health_,
+      Follow(layout_.endpointPrefix_, kEndpointWatch, kEndpointPause),
+      [this](const metadata::StoreItem& aItem) { OnEndpointKey(aItem); })
+  , lotMirror_(aContext,
+               aStore,
+               health_,
+               Follow(layout_.lotPrefix_, kLotWatch, kLotPause),
+               [this](const metadata::StoreItem& aItem) { OnLotKey(aItem); })
+  , hostMirror_(aContext,
+                aStore,
+                health_,
+                Follow(layout_.hostPrefix_, kHostWatch, kHostPause),
+                [this](const metadata::StoreItem& aItem) { OnHostKey(aItem); })
+  , lease_(aContext,
+           aStore,
+           { layout_.hostPrefix_ + settings_.host_,
+             MakeHostValue(OwnName(), settings_) })
+  , desk_(shared_, aStore, lots_, hosts_, layout_.lotPrefix_, OwnName())
+  , worker_(aContext,
+            shared_,
+            aStore,
+            lots_,
+            hosts_,
+            layout_.lotPrefix_,
+            OwnName())
+  , peers_(aContext, shared_, settings_.host_)
+  , preemptBatch_(
+      [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
+  , callers_(aContext,
+             [this](const auto& aExchange) { OnRequest(aExchange); })
+  , status_(aContext,
+            [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
+  , metricsListener_(
+      aContext,
+      [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
+  , tickTimer_(aContext)
+  , stopTimer_(aContext)
+{
+  desk_.SetOnLotRead([this](const std::string& aLot) { OnLotChanged(aLot); });
+}
+
+std::string
+Gateway::OwnName() const
+{
+  return settings_.host_ + "/" + settings_.incarnation_;
+}
+
+bool
+Gateway::Listen(httpstream::Listener& aListener, const std::string& aAddress)
+{
+  if (aAddress.empty()) {
+    return true;
+  }
+  const auto address = ParseAddress(aAddress);
+  const boost::system::error_code error =
+    address ? aListener.Open(*address)
+            : boost::system::error_code(boost::asio::error::invalid_argument);
+  if (error) {
+    base::Log(kGatewayCannotListen,
+              { { "address", aAddress }, { "error", error.message() } });
+    return false;
+  }
+  return true;
+}
+
+bool
+Gateway::Start()
+{
+  if (!Listen(callers_, settings_.callerAddress_) ||
+      !Listen(status_, settings_.statusAddress_) ||
+      !Listen(metricsListener_, settings_.metricsAddress_)) {
+    return false;
+  }
+  if (const auto address = ParseAddress(settings_.peerAddress_)) {
+    if (const auto error =
+          peers_.Open({ address->address(), address->port() })) {
+      base::Log(kGatewayCannotListen,
+                { { "address", settings_.peerAddress_ },
+                  { "error", error.message() } });
+      return false;
+    }
+  }
+  base::Log(kGatewayStarted,
+            { { "callers", settings_.callerAddress_ },
+              { "incarnation", settings_.incarnation_ } });
+  operatorMirror_.Start();
+  endpointMirror_.Start();
+  hostMirror_.Start();
+  lotMirror_.Start();
+  lease_.Start();
+  TickLater();
+  return true;
+}
+
+bool
+Gateway::IsReady() const
+{
+  return !stopping_ && shared_.routes_.Version() > 0 &&
+         endpointMirror_.IsComplete() && !shared_.endpoints_.IsEmpty();
+}
+
+void
+Gateway::NoteReadiness()
+{
+  const bool isReady = IsReady();
+  if (isReady && !ready_) {
+    base::Log(kGatewayReady, { { "version", shared_.routes_.Version() } });
+  }
+  ready_ = isReady;
+}
+
+void
+Gateway::OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  const httpstream::Request& request = aExchange->GetRequest();
+  if (const auto call = shared_.codec_.ReadLotCall(request)) {
+    desk_.Handle(aExchange, *call);
+    return;
+  }
+  if (shared_.routes_.Version() == 0) {
+    aExchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
+    return;
+  }
+  const fleet::Route* route =
+    shared_.routes_.Find(WithoutPort(httpstream::ValueOf(request, "Host")),
+                         WithoutQuery({ request.target().data(),
+                                        request.target().size() }));
+  if (route == nullptr) {
+    aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+    return;
+  }
+  if (route->kind_ == fleet::RequestKind::Lot) {
+    desk_.Submit(aExchange, shared_.codec_.ReadOnline(request).requestId_);
+    return;
+  }
+  std::make_shared<OnlineRelay>(
+    shared_, context_.get_executor(), aExchange, *route, preemptBatch_)
+    ->Start();
+}
+
+void
+Gateway::OnStatusRequest(httpstream::Exchange& aExchange)
+{
+  const httpstream::Request& request = aExchange.GetRequest();
+  if (storeCodec_.IsReadinessProbe(request)) {
+    aExchange.Answer(httpstream::MakeResponse(
+      IsReady() ? kStatusOk : kStatusUnavailable, {}));
+    return;
+  }
+  if (request.target() == "/metrics") {
+    aExchange.Answer(httpstream::MakeResponse(
+      kStatusOk, shared_.metrics_.Write(), "text/plain; version=0.0.4"));
+    return;
+  }
+  aExchange.Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+}
+
+void
+Gateway::OnOperatorKey(const metadata::StoreItem& aItem)
+{
+  if (const auto host = storeCodec_.ReadRetirement(aItem)) {
+    if (*host == settings_.host_) {
+      Retire();
+    }
+    return;
+  }
+  if (aItem.removed_ || !storeCodec_.IsDeclarations(aItem.key_)) {
+    return;
+  }
+  auto declarations = storeCodec_.ReadDeclarations(aItem);
+  if (!declarations) {
+    base::Log(kDeclarationsUnreadable, { { "revision", aItem.revision_ } });
+    return;
+  }
+  httpstream::ServerLimits limits;
+  limits.maxHeaderBytes_ = declarations->limits_.maxHeaderBytes_;
+  limits.maxBodyBytes_ = declarations->limits_.maxBodyBytes_;
+  limits.headerTimeout_ = declarations->limits_.headerTimeout_;
+  limits.idleTimeout_ = declarations->limits_.idleTimeout_;
+  const std::size_t routes = declarations->routes_.size();
+  if (!shared_.routes_.Install(std::move(*declarations))) {
+    return;
+  }
+  callers_.SetLimits(limits);
+  base::Log(kDeclarationsInForce,
+            { { "version", shared_.routes_.Version() },
+              { "routes", routes },
+              { "revision", aItem.revision_ } });
+  NoteReadiness();
+}
+
+void
+Gateway::Retire()
+{
+  if (retiring_ || stopping_) {
+    return;
+  }
+  retiring_ = true;
+  base::Log(kGatewayRetiring, { { "runs", worker_.RunCount() } });
+  worker_.HandOver([this] { lease_.End([this] { ReportRetired(); }); });
+}
+
+void
+Gateway::ReportRetired()
+{
+  store_.Commit(storeCodec_.MakeRetirementDone(settings_.host_),
+                [this](const metadata::TransactionReply& aReply) {
+                  if (aReply.status_ == metadata::StoreStatus::Ok) {
+                    return;
+                  }
+                  stopTimer_.expires_after(kRetireRetry);
+                  stopTimer_.async_wait(
+                    [this](const boost::system::error_code& aError) {
+                      if (!aError) {
+                        ReportRetired();
+                      }
+                    });
+                });
+}
+
+void
+Gateway::OnEndpointKey(const metadata::StoreItem& aItem)
+{
+  const base::Instant now = base::MonotonicNow();
+  const std::string id = aItem.key_.substr(layout_.endpointPrefix_.size());
+  if (aItem.removed_) {
+    shared_.endpoints_.Remove(id, health_.ReturnedAt(now), now);
+    shared_.pool_.Forget(id);
+    base::Log(kEndpointChanged,
+              { { "endpoint", id },
+                { "state", "removed" },
+                { "revision", aItem.revision_ } });
+    return;
+  }
+  const auto record = storeCodec_.ReadEndpoint(aItem);
+  if (!record) {
+    return;
+  }
+  const bool wasUsable = shared_.endpoints_.IsUsable(id);
+  shared_.endpoints_.Put(*record);
+  if (wasUsable == record->isDraining_) {
+    base::Log(kEndpointChanged,
+              { { "endpoint", id },
+                { "state", record->isDraining_ ? "draining" : "ready" },
+                { "revision", aItem.revision_ } });
+  }
+  NoteReadiness();
+}
+
+void
+Gateway::OnLotKey(const metadata::StoreItem& aItem)
+{
+  const std::string_view key =
+    std::string_view(aItem.key_).substr(layout_.lotPrefix_.size());
+  if (aItem.removed_) {
+    lots_.Remove(key);
+    return;
+  }
+  if (const auto lot = lots_.Apply(key, aItem.value_, aItem.revision_)) {
+    OnLotChanged(*lot);
+  }
+}
+
+void
+Gateway::OnLotChanged(const std::string& aLot)
+{
+  worker_.OnLotChanged(aLot);
+  desk_.OnLotChanged(aLot);
+}
+
+void
+Gateway::OnHostKey(const metadata::StoreItem& aItem)
+{
+  const std::string host = aItem.key_.substr(layout_.hostPrefix_.size());
+  const base::Instant now = base::MonotonicNow();
+  if (aItem.removed_) {
+    hosts_.Remove(host, now);
+    peers_.RemovePeer(host);
+    if (host == settings_.host_) {
+      lease_.OnKeyRemoved();
+    }
+    return;
+  }
+  const auto value = nlohmann::json::parse(aItem.value_, nullptr, false);
+  if (!value.is_object()) {
+    return;
+  }
+  hosts_.Put(host,
+             value.value("owner", std::string()),
+             value.value("worker", false) ? lots::LotPreference::Worker
+                                          : lots::LotPreference::IfNoOther,
+             now);
+  peers_.SetPeer(host, value.value("peer", std::string()));
+}
+
+void
+Gateway::TickLater()
+{
+  tickTimer_.expires_after(kTick);
+  tickTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Tick();
+      TickLater();
+    }
+  });
+}
+
+void
+Gateway::Tick()
+{
+  const base::Instant now = base::MonotonicNow();
+  for (const std::string& id : shared_.endpoints_.Expire(now)) {
+    shared_.pool_.Forget(id);
+    base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
+  }
+  worker_.Tick(now, base::WallNow());
+  desk_.Tick(now);
+  shared_.pool_.Sweep(now);
+}
+
+void
+Gateway::Stop(std::function<void()> aStopped)
+{
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stopTimer_.cancel();
+  stopped_ = std::move(aStopped);
+  stopBegan_ = base::MonotonicNow();
+  NoteReadiness();
+  callers_.SetLeaving();
+  base::Log(kGatewayStopping, { { "busy", callers_.BusyCount() } });
+  if (retiring_) {
+    handedOver_ = true;
+  } else {
+    worker_.HandOver([this] { lease_.End([this] { handedOver_ = true; }); });
+  }
+  EndWhenIdle();
+}
+
+void
+Gateway::EndWhenIdle()
+{
+  const base::Duration passed = base::MonotonicNow() - stopBegan_;
+  const bool hasCallers = !settings_.callerAddress_.empty();
+  if (passed >= kBalancerNotice || (!hasCallers && handedOver_)) {
+    callers_.CloseIdle();
+    const bool isIdle = callers_.BusyCount() == 0 && handedOver_;
+    if (isIdle || passed >= settings_.grace_ - kGraceMargin) {
+      base::Log(kGatewayStopped, { { "busy", callers_.BusyCount() } });
+      stopped_();
+      return;
+    }
+  }
+  stopTimer_.expires_after(kStopPoll);
+  stopTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      EndWhenIdle();
+    }
+  });
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "LibGateway/BatchWorker.h"
+#include "LibGateway/LotDesk.h"
+#include "LibGateway/OnlineRelay.h"
+#include "LibGateway/PeerExchange.h"
+#include "LibGateway/Shared.h"
+#include "LibHttpStream/Listener.h"
+#include "LibMetadata/HostLease.h"
+#include "LibMetadata/PrefixMirror.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pumiceturn::gateway {
+
+/// Addresses, names and bounds of one gateway process.
+struct GatewaySettings
+{
+  std::string host_;
+  std::string incarnation_; ///< New at each start.
+  std::string failureDomain_;
+  lots::LotPreference lotPreference_ = lots::LotPreference::Worker;
+  std::string callerAddress_;  ///< IP:PORT for callers; empty: takes none.
+  std::string statusAddress_;  ///< IP:PORT for readiness; empty: none.
+  std::string metricsAddress_; ///< IP:PORT; empty: none.
+  std::string peerAddress_;    ///< IP:PORT for datagrams of peers.
+  /// From the request to stop until the process is killed.
+  base::Duration grace_{ std::chrono::seconds{ 8 } };
+};
+
+/// Where the store keeps what a gateway follows.
+struct StoreLayout
+{
+  std::string operatorPrefix_;
+  std::string endpointPrefix_;
+  std::string lotPrefix_;
+  std::string hostPrefix_;
+};
+
+/// Reads what others wrote into the store. The adapter implements it.
+class StoreCodec
+{
+public:
+  virtual ~StoreCodec() = default;
+
+  /// @return the configuration, if the key holds one that can be read.
+  [[nodiscard]] virtual std::optional<fleet::Declarations> ReadDeclarations(
+    const metadata::StoreItem& aItem) const = 0;
+
+  /// @return whether the key holds the operators' configuration.
+  [[nodiscard]] virtual bool IsDeclarations(std::string_view aKey) const = 0;
+
+  /// @return an endpoint's registration.
+  [[nodiscard]] virtual std::optional<fleet::EndpointRecord> ReadEndpoint(
+    const metadata::StoreItem& aItem) const = 0;
+
+  /// @return the host that operators want emptied, or nothing where the key is
+  /// no such request.
+  [[nodiscard]] virtual std::optional<std::string> ReadRetirement(
+    const metadata::StoreItem& aItem) const = 0;
+
+  /// @return what tells operators that a host holds nothing any more.
+  [[nodiscard]] virtual metadata::Transaction MakeRetirementDone(
+    const std::string& aHost) const = 0;
+
+  /// @return whether a request asks for readiness.
+  [[nodiscard]] virtual bool IsReadinessProbe(
+    const httpstream::Request& aRequest) const = 0;
+};
+
+/// The process between callers and endpoints: takes requests over HTTP, follows
+/// the store, and runs lots. One event thread; see docs/design/platform.md.
+class Gateway
+{
+public:
+  Gateway(boost::asio::io_context& aContext,
+          GatewaySettings aSettings,
+          StoreLayout aLayout,
+          const Codec& aCodec,
+          const StoreCodec& aStoreCodec,
+          metadata::StoreClient& aStore);
+
+  /// Opens the addresses and begins to follow the store.
+  /// @return false if an address can't be used.
+  [[nodiscard]] bool Start();
+
+  /// Stops gracefully: withdraws readiness, hands lots over, lets open requests
+  /// end, then calls aStopped.
+  void Stop(std::function<void()> aStopped);
+
+private:
+  void OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnStatusRequest(httpstream::Exchange& aExchange);
+  void OnOperatorKey(const metadata::StoreItem& aItem);
+  void OnEndpointKey(const metadata::StoreItem& aItem);
+  void OnLotKey(const metadata::StoreItem& aItem);
+  void OnHostKey(const metadata::StoreItem& aItem);
+  void OnLotChanged(const std::string& aLot);
+  void Retire();
+  void ReportRetired();
+  void TickLater();
+  void Tick();
+  void NoteReadiness();
+  void EndWhenIdle();
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] bool Listen(httpstream::Listener& aListener,
+                            const std::string& aAddress);
+  [[nodiscard]] std::string OwnName() const;
+
+  boost::asio::io_context& context_;
+  GatewaySettings settings_;
+  StoreLayout layout_;
+  const StoreCodec& storeCodec_;
+  metadata::StoreClient& store_;
+  Shared shared_;
+  lots::LotTable lots_;
+  lots::HostSet hosts_;
+  metadata::StoreHealth health_;
+  metadata::PrefixMirror operatorMirror_;
+  metadata::PrefixMirror endpointMirror_;
+  metadata::PrefixMirror lotMirror_;
+  metadata::PrefixMirror hostMirror_;
+  metadata::HostLease lease_;
+  LotDesk desk_;
+  BatchWorker worker_;
+  PeerExchange peers_;
+  OnlineRelay::PreemptBatch preemptBatch_;
+  httpstream::Listener callers_;
+  httpstream::Listener status_;
+  httpstream::Listener metricsListener_;
+  boost::asio::steady_timer tickTimer_;
+  boost::asio::steady_timer stopTimer_;
+  std::function<void()> stopped_;
+  base::Instant stopBegan_;
+  bool stopping_ = false;
+  bool retiring_ = false;
+  bool handedOver_ = false;
+  bool ready_ = false;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -0,0 +1,413 @@
+#include "LibGateway/OnlineRelay.h"
+
+#include "LibGateway/Events.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// Wait for the first byte from an endpoint before a request that may run again
+/// goes to another: three times the latency objective, so that a full engine's
+/// queue isn't taken for a silent one.
+constexpr std::chrono::milliseconds kFirstByteTimeout{ 1000 };
+
+/// Longest pause within a stream before it goes on elsewhere. Callers count a
+/// pause of over 400 ms as late and leave after about 3 s.
+constexpr std::chrono::milliseconds kGapTimeout{ 900 };
+
+/// When a caller that was refused should come back: about the time in which an
+/// engine finishes one of its running requests.
+constexpr std::chrono::milliseconds kRetryAfter{ 50 };
+
+/// Endpoints that may fail to accept a connection before a request is refused.
+constexpr std::uint32_t kMaxFailedConnects = 3;
+
+/// The rest of a caller's time that can't hold a run any more.
+constexpr std::chrono::milliseconds kLeastUsefulTime{ 30 };
+
+/// Unsent bytes at which reading from the endpoint pauses, so that a slow
+/// caller can't fill the memory.
+constexpr std::size_t kMaxUnsentBytes = 262144;
+
+constexpr unsigned kStatusBadGateway = 502;
+constexpr unsigned kStatusGatewayTimeout = 504;
+constexpr unsigned kFirstServerError = 500;
+
+std::string_view
+NameOf(RelayEnd aEnd)
+{
+  switch (aEnd) {
+    case RelayEnd::Answered:
+      return "answered";
+    case RelayEnd::NotRun:
+      return "not_run";
+    case RelayEnd::Failed:
+      return "failed";
+    case RelayEnd::BrokenOff:
+      return "broken_off";
+    case RelayEnd::TimedOut:
+      return "timed_out";
+    case RelayEnd::CallerGone:
+      break;
+  }
+  return "caller_gone";
+}
+
+std::string_view
+NameOf(httpstream::CallEnd aEnd)
+{
+  switch (aEnd) {
+    case httpstream::CallEnd::Complete:
+      return "complete";
+    case httpstream::CallEnd::NotConnected:
+      return "not_connected";
+    case httpstream::CallEnd::Broken:
+      return "broken";
+    case httpstream::CallEnd::Silent:
+      return "silent";
+    case httpstream::CallEnd::Unintelligible:
+      break;
+  }
+  return "unintelligible";
+}
+
+bool
+IsEventStream(const httpstream::ResponseHead& aHead)
+{
+  return httpstream::ValueOf(aHead, "Content-Type")
+    .starts_with("text/event-stream");
+}
+
+} // namespace
+
+OnlineRelay::OnlineRelay(Shared& aShared,
+                         boost::asio::any_io_executor aExecutor,
+                         std::shared_ptr<httpstream::Exchange> aExchange,
+                         fleet::Route aRoute,
+                         const PreemptBatch& aPreemptBatch)
+  : shared_(aShared)
+  , deadlineTimer_(std::move(aExecutor))
+  , exchange_(std::move(aExchange))
+  , route_(std::move(aRoute))
+  , preemptBatch_(aPreemptBatch)
+  , call_(aShared.codec_.ReadOnline(exchange_->GetRequest()))
+  , lastEvent_(call_.lastEvent_)
+{
+  const base::Duration allowed =
+    call_.patience_ ? std::min(*call_.patience_, route_.timeout_)
+                    : route_.timeout_;
+  deadline_ = exchange_->ReceivedAt() + allowed;
+}
+
+void
+OnlineRelay::Start()
+{
+  const auto self = shared_from_this();
+  exchange_->OnCallerGone([weak = weak_from_this()] {
+    if (const auto relay = weak.lock()) {
+      relay->Finish(RelayEnd::CallerGone);
+    }
+  });
+  exchange_->OnDrained([weak = weak_from_this()] {
+    if (const auto relay = weak.lock(); relay && relay->run_) {
+      relay->run_->SetPaused(false);
+    }
+  });
+  deadlineTimer_.expires_after(TimeLeft());
+  // The timer holds the relay until it has ended.
+  deadlineTimer_.async_wait([self](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->OnTimeUp();
+    }
+  });
+  TryNext();
+}
+
+base::Duration
+OnlineRelay::TimeLeft() const
+{
+  return std::max(deadline_ - base::MonotonicNow(), base::Duration::zero());
+}
+
+bool
+OnlineRelay::MayRunAgain() const
+{
+  return route_.kind_ == fleet::RequestKind::Idempotent ||
+         (route_.kind_ == fleet::RequestKind::Stream && route_.isResumable_);
+}
+
+void
+OnlineRelay::TryNext()
+{
+  if (ended_) {
+    return;
+  }
+  const bool isStreaming = exchange_->IsStreaming();
+  if (tried_.size() >= route_.maxAttempts_ ||
+      failedConnects_ >= kMaxFailedConnects || TimeLeft() < kLeastUsefulTime) {
+    if (isStreaming) {
+      exchange_->Abort();
+      Finish(RelayEnd::BrokenOff);
+    } else if (mayHaveRun_) {
+      exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+      Finish(RelayEnd::Failed);
+    } else {
+      AnswerNotRun();
+    }
+    return;
+  }
+  const std::string& service = fleet::RouteTable::ChooseService(
+    route_, NextRandom(shared_.random_));
+  const auto choice =
+    shared_.endpoints_.Choose({ service, fleet::WorkClass::Online, tried_ },
+                              base::MonotonicNow(),
+                              shared_.random_);
+  if (!choice) {
+    // Counts as the last try: no other endpoint is left.
+    tried_.resize(route_.maxAttempts_);
+    TryNext();
+    return;
+  }
+  if (choice->preemptsBatch_) {
+    preemptBatch_(choice->endpoint_.id_);
+  }
+  Send(*choice);
+}
+
+void
+OnlineRelay::Send(const fleet::EndpointChoice& aChoice)
+{
+  head_.reset();
+  body_.clear();
+  splitter_.Clear();
+  base::Log(kRequestSent,
+            { { "request", call_.requestId_ },
+              { "route", route_.name_ },
+              { "endpoint", aChoice.endpoint_.id_ },
+              { "running", aChoice.running_ },
+              { "candidates", aChoice.candidates_ },
+              { "attempt", tried_.size() + 1 },
+              { "version", shared_.routes_.Version() },
+              { "left_ms", base::ToMs(TimeLeft()) } });
+  SendTerms terms;
+  terms.endpoint_ = aChoice.endpoint_.id_;
+  terms.patience_ = TimeLeft();
+  terms.lastEvent_ = lastEvent_;
+  const httpstream::Request request =
+    shared_.codec_.MakeEndpointRequest(exchange_->GetRequest(), terms);
+  httpstream::Call call;
+  call.bytes_ = httpstream::Serialize(request);
+  call.echoField_ = shared_.codec_.EchoField();
+  call.echoValue_ = call_.requestId_;
+  call.isHead_ = request.method() == boost::beast::http::verb::head;
+  if (MayRunAgain()) {
+    call.firstByteTimeout_ = kFirstByteTimeout;
+    call.gapTimeout_ = kGapTimeout;
+  }
+  tried_.push_back(aChoice.endpoint_.id_);
+  run_ = std::make_shared<EndpointRun>(
+    shared_, aChoice.endpoint_, fleet::WorkClass::Online);
+  run_->Start(std::move(call), *this);
+}
+
+void
+OnlineRelay::OnHead(const httpstream::ResponseHead& aHead)
+{
+  notes_ = shared_.codec_.ReadAnswer(aHead);
+  isEventStream_ = aHead.result_int() == 200 && IsEventStream(aHead);
+  head_ = aHead;
+}
+
+void
+OnlineRelay::OnBody(std::string_view aBytes)
+{
+  if (!isEventStream_) {
+    body_.append(aBytes);
+    return;
+  }
+  splitter_.Append(aBytes);
+  PassEvents();
+  if (exchange_->UnsentBytes() > kMaxUnsentBytes && run_) {
+    run_->SetPaused(true);
+  }
+}
+
+void
+OnlineRelay::PassEvents()
+{
+  std::string whole;
+  while (const auto event = splitter_.Next()) {
+    // A resumed run that repeats an event must not double it for the caller.
+    if (event->id_ != 0 && event->id_ <= lastEvent_) {
+      continue;
+    }
+    lastEvent_ = event->id_;
+    whole.append(event->raw_);
+  }
+  if (whole.empty()) {
+    return;
+  }
+  if (!exchange_->IsStreaming()) {
+    firstPieceAt_ = base::MonotonicNow();
+    exchange_->BeginStream(*head_);
+  }
+  exchange_->SendPiece(whole);
+}
+
+void
+OnlineRelay::OnEnd(httpstream::CallEnd aEnd)
+{
+  const auto self = shared_from_this();
+  if (ended_) {
+    return;
+  }
+  if (aEnd == httpstream::CallEnd::NotConnected) {
+    // Nothing was sent: this endpoint doesn't count as one that got it.
+    ++failedConnects_;
+    base::Log(kAttemptFailed,
+              { { "request", call_.requestId_ },
+                { "endpoint", run_->Endpoint().id_ },
+                { "cause", NameOf(aEnd) } });
+    tried_.pop_back();
+    TryNext();
+    return;
+  }
+  if (aEnd == httpstream::CallEnd::Complete) {
+    OnWholeAnswer();
+    return;
+  }
+  OnBroken(aEnd);
+}
+
+void
+OnlineRelay::OnWholeAnswer()
+{
+  if (isEventStream_) {
+    if (splitter_.Remainder() > 0) {
+      // The framing ended well, but within an event.
+      OnBroken(httpstream::CallEnd::Broken);
+      return;
+    }
+    if (!exchange_->IsStreaming()) {
+      exchange_->BeginStream(*head_);
+    }
+    exchange_->EndStream();
+    Finish(RelayEnd::Answered);
+    return;
+  }
+  if (notes_.isCertainlyNotRun_) {
+    OnRefused();
+    return;
+  }
+  const bool isServerError = head_->result_int() >= kFirstServerError;
+  mayHaveRun_ = true;
+  if (exchange_->IsStreaming() ||
+      (isServerError && MayRunAgain() &&
+       tried_.size() < route_.maxAttempts_)) {
+    base::Log(kAttemptFailed,
+              { { "request", call_.requestId_ },
+                { "endpoint", tried_.back() },
+                { "cause", "status" },
+                { "status", head_->result_int() } });
+    TryNext();
+    return;
+  }
+  httpstream::Response answer;
+  answer.result(head_->result_int());
+  httpstream::CopyEndToEndFields(*head_, answer);
+  answer.body() = std::move(body_);
+  exchange_->Answer(std::move(answer));
+  Finish(RelayEnd::Answered);
+}
+
+void
+OnlineRelay::OnRefused()
+{
+  base::Log(kAttemptFailed,
+            { { "request", call_.requestId_ },
+              { "endpoint", tried_.back() },
+              { "cause", "refused" },
+              { "status", head_->result_int() } });
+  TryNext();
+}
+
+void
+OnlineRelay::OnBroken(httpstream::CallEnd aEnd)
+{
+  mayHaveRun_ = true;
+  base::Log(kAttemptFailed,
+            { { "request", call_.requestId_ },
+              { "endpoint", tried_.back() },
+              { "cause", NameOf(aEnd) },
+              { "last_event", lastEvent_ } });
+  if (MayRunAgain()) {
+    TryNext();
+    return;
+  }
+  if (exchange_->IsStreaming()) {
+    exchange_->Abort();
+    Finish(RelayEnd::BrokenOff);
+    return;
+  }
+  exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+  Finish(RelayEnd::Failed);
+}
+
+void
+OnlineRelay::OnTimeUp()
+{
+  if (ended_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (exchange_->IsStreaming()) {
+    exchange_->Abort();
+  } else {
+    exchange_->Answer(httpstream::MakeResponse(kStatusGatewayTimeout, {}));
+  }
+  Finish(RelayEnd::TimedOut);
+}
+
+void
+OnlineRelay::AnswerNotRun()
+{
+  exchange_->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
+  Finish(RelayEnd::NotRun);
+}
+
+void
+OnlineRelay::Finish(RelayEnd aEnd)
+{
+  if (std::exchange(ended_, true)) {
+    return;
+  }
+  if (const auto run = std::exchange(run_, nullptr)) {
+    run->Cancel();
+  }
+  const base::Instant now = base::MonotonicNow();
+  const base::Duration first =
+    firstPieceAt_.value_or(now) - exchange_->ReceivedAt();
+  base::Log(kRequestEnded,
+            { { "request", call_.requestId_ },
+              { "route", route_.name_ },
+              { "end", NameOf(aEnd) },
+              { "attempts", tried_.size() },
+              { "first_ms", base::ToMs(first) },
+              { "total_ms", base::ToMs(now - exchange_->ReceivedAt()) },
+              { "last_event", lastEvent_ } });
+  const std::string label =
+    fmt::format("route=\"{}\",end=\"{}\"", route_.name_, NameOf(aEnd));
+  shared_.metrics_
+    .GetCounter("pumiceturn_online_requests_total", "Ended requests.", label)
+    .Add();
+  shared_.metrics_
+    .GetHistogram("pumiceturn_online_first_piece_seconds",
+                  "Arrival to first piece or final answer.")
+    .Record(std::chrono::duration<double>(first).count());
+  deadlineTimer_.cancel();
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/OnlineRelay.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "LibFleet/EventSplitter.h"
+#include "LibGateway/EndpointRun.h"
+#include "LibHttpStream/ServerConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+/// Why an online request ended, for the log.
+enum class RelayEnd : std::uint8_t
+{
+  Answered,   ///< An endpoint's whole answer was passed on.
+  NotRun,     ///< Refused, and certainly not run.
+  Failed,     ///< Ended without an answer; may have run.
+  BrokenOff,  ///< A stream was broken off midway.
+  TimedOut,   ///< Its time was up.
+  CallerGone, ///< The caller closed.
+};
+
+/// Carries one online request to an endpoint and its answer back. Tries another
+/// endpoint where the request has certainly not run or may run again, and goes
+/// on with a resumable stream at another endpoint. Belongs to the event thread.
+class OnlineRelay
+  : public httpstream::CallObserver
+  , public std::enable_shared_from_this<OnlineRelay>
+{
+public:
+  /// Makes room at an endpoint by cancelling a batch run there.
+  using PreemptBatch = std::function<void(const std::string& aEndpoint)>;
+
+  OnlineRelay(Shared& aShared,
+              boost::asio::any_io_executor aExecutor,
+              std::shared_ptr<httpstream::Exchange> aExchange,
+              fleet::Route aRoute,
+              const PreemptBatch& aPreemptBatch);
+
+  void Start();
+
+  void OnHead(const httpstream::ResponseHead& aHead) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd(httpstream::CallEnd aEnd) override;
+
+private:
+  [[nodiscard]] bool MayRunAgain() const;
+  [[nodiscard]] base::Duration TimeLeft() const;
+  void TryNext();
+  void Send(const fleet::EndpointChoice& aChoice);
+  void PassEvents();
+  void OnWholeAnswer();
+  void OnRefused();
+  void OnBroken(httpstream::CallEnd aEnd);
+  void OnTimeUp();
+  void AnswerNotRun();
+  void Finish(RelayEnd aEnd);
+
+  Shared& shared_;
+  boost::asio::steady_timer deadlineTimer_;
+  std::shared_ptr<httpstream::Exchange> exchange_;
+  fleet::Route route_;
+  const PreemptBatch& preemptBatch_;
+  OnlineCall call_;
+  base::Instant deadline_;
+  std::shared_ptr<EndpointRun> run_;
+  std::vector<std::string> tried_; ///< Endpoints that got the request.
+  std::uint32_t failedConnects_ = 0;
+  bool mayHaveRun_ = false;
+
+  // Of the answer that is being read.
+  std::optional<httpstream::ResponseHead> head_;
+  AnswerNotes notes_;
+  bool isEventStream_ = false;
+  std::string body_; ///< Of an answer that is passed on whole.
+  fleet::EventSplitter splitter_;
+  std::uint64_t lastEvent_ = 0;
+  std::optional<base::Instant> firstPieceAt_;
+  bool ended_ = false;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -0,0 +1,137 @@
+#include "LibGateway/PeerExchange.h"
+
+#include "LibGateway/EndpointAddress.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+/// Time between two messages. Online requests of one interval are what batch
+/// must leave room for, and 100 ms cost a host under 1% of its processor.
+constexpr std::chrono::milliseconds kInterval{ 100 };
+
+} // namespace
+
+PeerExchange::PeerExchange(asio::io_context& aContext,
+                           Shared& aShared,
+                           std::string aOwnName)
+  : socket_(aContext)
+  , timer_(aContext)
+  , shared_(aShared)
+  , ownName_(std::move(aOwnName))
+{
+}
+
+boost::system::error_code
+PeerExchange::Open(const asio::ip::udp::endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  socket_.open(aEndpoint.protocol(), error);
+  if (error) {
+    return error;
+  }
+  if (socket_.bind(aEndpoint, error); error) {
+    return error;
+  }
+  socket_.non_blocking(true, error);
+  Receive();
+  SendLater();
+  return {};
+}
+
+void
+PeerExchange::SetPeer(const std::string& aName, const std::string& aAddress)
+{
+  const auto address = ParseAddress(aAddress);
+  if (aName != ownName_ && address) {
+    peers_[aName] = { address->address(), address->port() };
+  }
+}
+
+void
+PeerExchange::RemovePeer(const std::string& aName)
+{
+  peers_.erase(aName);
+}
+
+void
+PeerExchange::SendLater()
+{
+  timer_.expires_after(kInterval);
+  timer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Send();
+      SendLater();
+    }
+  });
+}
+
+void
+PeerExchange::Send()
+{
+  if (peers_.empty()) {
+    return;
+  }
+  json rows = json::array();
+  for (const fleet::PeerCount& count : shared_.endpoints_.OwnCounts()) {
+    rows.push_back(
+      { count.endpoint_, count.counts_.online_, count.counts_.batch_ });
+  }
+  const std::vector<std::uint8_t> message =
+    json::to_cbor({ { "host", ownName_ }, { "runs", std::move(rows) } });
+  for (const auto& [name, address] : peers_) {
+    boost::system::error_code ignored;
+    // A datagram that can't be sent now is replaced by the next.
+    socket_.send_to(asio::buffer(message), address, 0, ignored);
+  }
+}
+
+void
+PeerExchange::Receive()
+{
+  socket_.async_receive_from(
+    asio::buffer(buffer_),
+    sender_,
+    [this](const boost::system::error_code& aError, std::size_t aBytes) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        Take(std::string_view(buffer_.data(), aBytes));
+      }
+      Receive();
+    });
+}
+
+void
+PeerExchange::Take(std::string_view aMessage)
+{
+  try {
+    const json message = json::from_cbor(aMessage.begin(), aMessage.end());
+    std::vector<fleet::PeerCount> counts;
+    for (const json& row : message.at("runs")) {
+      counts.push_back({ row.at(0).get<std::string>(),
+                         { row.at(1).get<std::uint32_t>(),
+                           row.at(2).get<std::uint32_t>() } });
+    }
+    shared_.endpoints_.TakePeerCounts(message.at("host").get<std::string>(),
+                                      counts,
+                                      base::MonotonicNow());
+  } catch (const json::exception&) {
+    // Not one of ours: anyone can send to a port.
+    shared_.metrics_
+      .GetCounter("pumiceturn_peer_datagrams_unreadable_total",
+                  "Datagrams that are no message of a peer.")
+      .Add();
+  }
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LibGateway/Shared.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <string>
+#include <unordered_map>
+
+namespace pumiceturn::gateway {
+
+/// Tells the other hosts several times a second how many runs this host has at
+/// each endpoint, and hears the same from them, by datagrams: a lost one is
+/// made good by the next. Belongs to the event thread.
+class PeerExchange
+{
+public:
+  PeerExchange(boost::asio::io_context& aContext,
+               Shared& aShared,
+               std::string aOwnName);
+
+  [[nodiscard]] boost::system::error_code Open(
+    const boost::asio::ip::udp::endpoint& aEndpoint);
+
+  /// @param aAddress IP:PORT.
+  void SetPeer(const std::string& aName, const std::string& aAddress);
+  void RemovePeer(const std::string& aName);
+
+private:
+  void SendLater();
+  void Send();
+  void Receive();
+  void Take(std::string_view aMessage);
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  Shared& shared_;
+  std::string ownName_;
+  std::unordered_map<std::string, boost::asio::ip::udp::endpoint> peers_;
+  static constexpr std::size_t kMaxDatagram = 65536;
+  std::array<char, kMaxDatagram> buffer_{};
+  boost::asio::ip::udp::endpoint sender_;
+};
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Shared.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "LibFleet/EndpointTable.h"
+#include "LibFleet/RouteTable.h"
+#include "LibGateway/Codec.h"
+#include "LibHttpStream/ConnectionPool.h"
+#include "LibMetrics/Registry.h"
+
+#include <random>
+
+namespace pumiceturn::gateway {
+
+/// What the parts of a gateway share. All of it belongs to the event thread.
+struct Shared
+{
+  const Codec& codec_;
+  fleet::RouteTable routes_;
+  fleet::EndpointTable endpoints_;
+  httpstream::ConnectionPool pool_;
+  std::mt19937_64 random_;
+  metrics::Registry metrics_;
+};
+
+/// @return a number that is uniform in [0, 1).
+inline double
+NextRandom(std::mt19937_64& aRandom)
+{
+  return std::uniform_real_distribution<double>(0.0, 1.0)(aRandom);
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -0,0 +1,341 @@
+#include "LibHttpStream/ClientConnection.h"
+
+#include "LibHttpStream/Socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace pumiceturn::httpstream {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+
+/// Header bytes of an answer; servers send well under 1 KB.
+constexpr std::uint32_t kMaxHeadBytes = 16384;
+
+/// Idle time after which a connection isn't reused where the server names no
+/// limit: limits under a second can't be named in its whole seconds.
+constexpr std::chrono::milliseconds kUnstatedIdleLimit{ 300 };
+
+/// Kept back from the server's limit, for the request's way to it.
+constexpr std::chrono::milliseconds kIdleMargin{ 400 };
+
+/// @return the seconds of "timeout=N", if it is there.
+std::optional<unsigned>
+ParseKeepAliveSeconds(std::string_view aValue)
+{
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t begin = aValue.find(kName);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  unsigned seconds = 0;
+  const std::string_view digits = aValue.substr(begin + kName.size());
+  const auto result =
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (result.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return seconds;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(const asio::any_io_executor& aExecutor)
+  : socket_(aExecutor)
+  , timer_(aExecutor)
+{
+}
+
+void
+ClientConnection::Connect(const asio::ip::tcp::endpoint& aEndpoint,
+                          base::Duration aTimeout,
+                          std::function<void(bool)> aReady)
+{
+  ready_ = std::move(aReady);
+  ArmTimer(aTimeout);
+  socket_.async_connect(
+    aEndpoint,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
+      if (self->closed_ || !self->ready_) {
+        return;
+      }
+      ++self->timerRound_;
+      self->timer_.cancel();
+      if (!aError) {
+        TuneSocket(self->socket_);
+      } else {
+        self->Cancel();
+      }
+      const auto ready = std::exchange(self->ready_, nullptr);
+      ready(!aError);
+    });
+}
+
+void
+ClientConnection::Start(Call aCall, CallObserver& aObserver)
+{
+  call_ = std::move(aCall);
+  observer_ = &aObserver;
+  headSeen_ = false;
+  isReusable_ = false;
+  isPaused_ = false;
+  isForeign_ = false;
+  parser_.reset();
+  ArmTimer(call_.firstByteTimeout_);
+  Write();
+  Read();
+}
+
+void
+ClientConnection::ArmTimer(base::Duration aTimeout)
+{
+  ++timerRound_;
+  if (aTimeout <= base::Duration::zero()) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_after(aTimeout);
+  timer_.async_wait([self = shared_from_this(), round = timerRound_](
+                      const boost::system::error_code& aError) {
+    if (aError || self->closed_ || round != self->timerRound_) {
+      return;
+    }
+    if (self->ready_) {
+      const auto ready = std::exchange(self->ready_, nullptr);
+      self->Cancel();
+      ready(false);
+      return;
+    }
+    self->Finish(CallEnd::Silent);
+  });
+}
+
+void
+ClientConnection::Write()
+{
+  isWriting_ = true;
+  asio::async_write(
+    socket_,
+    asio::buffer(call_.bytes_),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t) {
+      self->isWriting_ = false;
+      // A failed write shows at the reading side too, after what the server
+      // may have answered before it closed.
+      if (!aError && self->observer_ == nullptr) {
+        self->call_.bytes_.clear();
+      }
+    });
+}
+
+void
+ClientConnection::Read()
+{
+  if (isReading_ || closed_ || isPaused_) {
+    return;
+  }
+  isReading_ = true;
+  socket_.async_read_some(
+    input_.prepare(kReadBytes),
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
+      self->isReading_ = false;
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+ClientConnection::OnRead(const boost::system::error_code& aError,
+                         std::size_t aBytes)
+{
+  if (closed_ || observer_ == nullptr) {
+    return;
+  }
+  if (aError) {
+    OnEndOfInput(aError);
+    return;
+  }
+  input_.commit(aBytes);
+  Parse();
+}
+
+void
+ClientConnection::Parse()
+{
+  const auto self = shared_from_this();
+  while (observer_ != nullptr && !closed_ && input_.size() > 0) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->eager(true);
+      parser_->header_limit(kMaxHeadBytes);
+      parser_->body_limit(boost::none);
+      parser_->skip(call_.isHead_);
+      headSeen_ = false;
+    }
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(input_.data(), error);
+    input_.consume(used);
+    if (error && error != http::error::need_more) {
+      Finish(CallEnd::Unintelligible);
+      return;
+    }
+    if (parser_->is_header_done() && !headSeen_ && !AcceptHead()) {
+      return;
+    }
+    PassBody();
+    if (observer_ == nullptr || closed_) {
+      return;
+    }
+    if (parser_->is_done()) {
+      const bool wasForeign = isForeign_;
+      const bool wasInterim = parser_->get().result_int() < 200;
+      if (!wasForeign && !wasInterim) {
+        NoteKeepAlive();
+        Finish(CallEnd::Complete);
+        return;
+      }
+      parser_.reset();
+      continue;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (observer_ != nullptr && !closed_) {
+    if (!isForeign_ && headSeen_) {
+      ArmTimer(call_.gapTimeout_);
+    }
+    Read();
+  }
+}
+
+bool
+ClientConnection::AcceptHead()
+{
+  headSeen_ = true;
+  const ResponseHead& head = parser_->get();
+  const std::string_view echoed = ValueOf(head, call_.echoField_);
+  // Servers may send a second answer to an earlier call. Passing it on would
+  // give one caller's text to another.
+  isForeign_ = !call_.echoField_.empty() && !echoed.empty() &&
+               echoed != call_.echoValue_;
+  if (isForeign_ || head.result_int() < 200) {
+    return true;
+  }
+  observer_->OnHead(head);
+  return observer_ != nullptr && !closed_;
+}
+
+void
+ClientConnection::PassBody()
+{
+  if (!headSeen_ || !parser_) {
+    return;
+  }
+  std::string bytes = std::move(parser_->get().body());
+  parser_->get().body().clear();
+  if (!bytes.empty() && !isForeign_) {
+    observer_->OnBody(bytes);
+  }
+}
+
+void
+ClientConnection::OnEndOfInput(const boost::system::error_code& aError)
+{
+  const bool isOrderly = aError == asio::error::eof;
+  if (!isOrderly || !parser_ || !headSeen_ || isForeign_) {
+    Finish(CallEnd::Broken);
+    return;
+  }
+  boost::system::error_code error;
+  parser_->put_eof(error);
+  const bool isWhole = !error && parser_->is_done();
+  Finish(isWhole ? CallEnd::Complete : CallEnd::Broken);
+}
+
+void
+ClientConnection::NoteKeepAlive()
+{
+  const ResponseHead& head = parser_->get();
+  // Bytes left over belong to no call of ours.
+  isReusable_ = parser_->keep_alive() && !parser_->need_eof() && !isWriting_ &&
+                input_.size() == 0;
+  const auto seconds = ParseKeepAliveSeconds(ValueOf(head, "Keep-Alive"));
+  base::Duration allowed = kUnstatedIdleLimit;
+  if (seconds) {
+    allowed = std::chrono::seconds(*seconds) - kIdleMargin;
+  }
+  usableUntil_ = base::MonotonicNow() + allowed;
+}
+
+void
+ClientConnection::Finish(CallEnd aEnd)
+{
+  CallObserver* observer = std::exchange(observer_, nullptr);
+  const auto self = shared_from_this();
+  ++timerRound_;
+  timer_.cancel();
+  parser_.reset();
+  if (!isReusable_) {
+    closed_ = true;
+    CloseSocket(socket_);
+  }
+  if (observer != nullptr) {
+    observer->OnEnd(aEnd);
+  }
+}
+
+void
+ClientConnection::Cancel()
+{
+  observer_ = nullptr;
+  ready_ = nullptr;
+  isReusable_ = false;
+  closed_ = true;
+  ++timerRound_;
+  timer_.cancel();
+  CloseSocket(socket_);
+}
+
+void
+ClientConnection::SetPaused(bool aIsPaused)
+{
+  if (aIsPaused == isPaused_) {
+    return;
+  }
+  isPaused_ = aIsPaused;
+  ArmTimer(isPaused_ ? base::Duration::zero() : call_.gapTimeout_);
+  if (!isPaused_ && observer_ != nullptr) {
+    Read();
+  }
+}
+
+bool
+ClientConnection::IsReusable() const
+{
+  return isReusable_ && !closed_;
+}
+
+bool
+ClientConnection::IsQuiet()
+{
+  char byte = 0;
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  (void)socket_.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace pumiceturn::httpstream
--- /dev/null
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -0,0 +1,139 @@
+#include "LibHttpStream/Listener.h"
+
+#include "LibHttpStream/Socket.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::httpstream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How often time limits are applied; well below the shortest, 3 s.
+constexpr std::chrono::milliseconds kSweepInterval{ 500 };
+
+/// Wait after accept() failed, which lasts while descriptors are short.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+
+constexpr int kBacklog = 1024;
+
+} // namespace
+
+Listener::Listener(asio::io_context& aContext, Handler aHandler)
+  : acceptor_(aContext)
+  , sweepTimer_(aContext)
+  , handler_(std::move(aHandler))
+{
+}
+
+boost::system::error_code
+Listener::Open(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  acceptor_.open(aEndpoint.protocol(), error);
+  if (error) {
+    return error;
+  }
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (acceptor_.bind(aEndpoint, error); error) {
+    return error;
+  }
+  if (acceptor_.listen(kBacklog, error); error) {
+    return error;
+  }
+  Accept();
+  Sweep();
+  return {};
+}
+
+void
+Listener::Accept()
+{
+  acceptor_.async_accept([this](const boost::system::error_code& aError,
+                                asio::ip::tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (!aError) {
+      auto connection =
+        std::make_shared<ServerConnection>(std::move(aSocket), *this);
+      connections_.insert(connection);
+      connection->Start();
+      Accept();
+      return;
+    }
+    auto pause = std::make_shared<asio::steady_timer>(acceptor_.get_executor(),
+                                                      kAcceptPause);
+    pause->async_wait(
+      [this, pause](const boost::system::error_code&) { Accept(); });
+  });
+}
+
+void
+Listener::Sweep()
+{
+  sweepTimer_.expires_after(kSweepInterval);
+  sweepTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const base::Instant now = base::MonotonicNow();
+    const std::vector<std::shared_ptr<ServerConnection>> all(
+      connections_.begin(), connections_.end());
+    for (const auto& connection : all) {
+      connection->CheckTimeouts(now);
+    }
+    Sweep();
+  });
+}
+
+void
+Listener::CloseIdle()
+{
+  const std::vector<std::shared_ptr<ServerConnection>> all(connections_.begin(),
+                                                           connections_.end());
+  for (const auto& connection : all) {
+    connection->CloseIfIdle();
+  }
+}
+
+void
+Listener::Close()
+{
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  sweepTimer_.cancel();
+}
+
+std::size_t
+Listener::BusyCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(connections_.begin(),
+                  connections_.end(),
+                  [](const auto& aConnection) { return !aConnection->IsIdle(); }));
+}
+
+std::uint16_t
+Listener::Port() const
+{
+  boost::system::error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+void
+Listener::OnRequest(std::shared_ptr<Exchange> aExchange)
+{
+  handler_(std::move(aExchange));
+}
+
+void
+Listener::OnClosed(ServerConnection& aConnection)
+{
+  connections_.erase(aConnection.shared_from_this());
+}
+
+} // namespace pumiceturn::httpstream
--- /dev/null
+++ b/Libraries/LibHttpStream/Listener.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "LibHttpStream/ServerConnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace pumiceturn::httpstream {
+
+/// Accepts callers' connections and hands on their requests. Belongs to the
+/// event thread.
+class Listener : public ServerConnectionOwner
+{
+public:
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+  Listener(boost::asio::io_context& aContext, Handler aHandler);
+
+  /// Binds and listens.
+  /// @return the error of the system, if the address cannot be used.
+  [[nodiscard]] boost::system::error_code Open(
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+  void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
+
+  /// From now on answers tell callers to close.
+  void SetLeaving() { leaving_ = true; }
+
+  /// Closes the connections on which nothing is under way.
+  void CloseIdle();
+
+  /// Stops accepting.
+  void Close();
+
+  [[nodiscard]] std::size_t ConnectionCount() const
+  {
+    return connections_.size();
+  }
+  [[nodiscard]] std::size_t BusyCount() const;
+  [[nodiscard]] std::uint16_t Port() const;
+
+  void OnRequest(std::shared_ptr<Exchange> aExchange) override;
+  void OnClosed(ServerConnection& aConnection) override;
+  [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
+  [[nodiscard]] bool IsLeaving() const override { return leaving_; }
+
+private:
+  void Accept();
+  void Sweep();
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweepTimer_;
+  Handler handler_;
+  ServerLimits limits_;
+  bool leaving_ = false;
+  std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
+};
+
+} // namespace pumiceturn::httpstream
--- /dev/null
+++ b/Libraries/LibLots/HostSet.cpp
@@ -0,0 +1,77 @@
+#include "LibLots/HostSet.h"
+
+#include "LibBase/Ids.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::lots {
+
+void
+HostSet::Put(const std::string& aHost,
+             const std::string& aOwner,
+             LotPreference aPreference,
+             base::Instant aNow)
+{
+  Member& member = members_[aHost];
+  member.preference_ = aPreference;
+  std::string& owner = member.owner_;
+  if (!owner.empty() && owner != aOwner) {
+    // The host has started anew: what its former process ran is free at once.
+    goneSince_[owner] = aNow - kGrace;
+  }
+  owner = aOwner;
+  goneSince_.erase(aOwner);
+}
+
+void
+HostSet::Remove(const std::string& aHost, base::Instant aNow)
+{
+  const auto found = members_.find(aHost);
+  if (found == members_.end()) {
+    return;
+  }
+  goneSince_[found->second.owner_] = aNow;
+  members_.erase(found);
+}
+
+bool
+HostSet::IsLive(const std::string& aOwner) const
+{
+  return std::any_of(
+    members_.begin(), members_.end(), [&aOwner](const auto& aEntry) {
+      return aEntry.second.owner_ == aOwner;
+    });
+}
+
+bool
+HostSet::IsGone(const std::string& aOwner, base::Instant aNow) const
+{
+  if (aOwner.empty()) {
+    return true;
+  }
+  if (IsLive(aOwner)) {
+    return false;
+  }
+  const auto since = goneSince_.try_emplace(aOwner, aNow).first->second;
+  return aNow - since >= kGrace;
+}
+
+std::string
+HostSet::OwnerFor(std::string_view aLot) const
+{
+  using Rank = std::pair<LotPreference, std::uint64_t>;
+  std::string best;
+  Rank bestRank{ LotPreference::IfNoOther, 0 };
+  const std::uint64_t seed = base::HashBytes(aLot);
+  for (const auto& [host, member] : members_) {
+    const Rank rank{ member.preference_, base::HashBytes(host, seed) };
+    if (best.empty() || rank > bestRank) {
+      best = member.owner_;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibLots/HostSet.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace pumiceturn::lots {
+
+/// Whether a host is to run lots.
+enum class LotPreference : std::uint8_t
+{
+  IfNoOther, ///< It serves callers, and steps in where no worker is left.
+  Worker,
+};
+
+/// The hosts that run lots, as their registrations say, and which of them is to
+/// run a lot. Belongs to the event thread.
+class HostSet
+{
+public:
+  /// How long the lots of a host that is gone wait for its return: a lease may
+  /// lapse while the store is away although the host lives.
+  static constexpr base::Duration kGrace{ std::chrono::milliseconds{ 1200 } };
+
+  /// @param aOwner Host and incarnation, as lots name their owner.
+  /// @param aPreference Hosts of the highest preference alone are given lots.
+  void Put(const std::string& aHost,
+           const std::string& aOwner,
+           LotPreference aPreference,
+           base::Instant aNow);
+  void Remove(const std::string& aHost, base::Instant aNow);
+
+  /// @return whether lots of that owner may be taken over.
+  [[nodiscard]] bool IsGone(const std::string& aOwner,
+                            base::Instant aNow) const;
+
+  [[nodiscard]] bool IsLive(const std::string& aOwner) const;
+
+  /// @return the live owner that is to run a lot, by highest random weight: all
+  /// hosts that see the same registrations agree. Empty where none is live.
+  [[nodiscard]] std::string OwnerFor(std::string_view aLot) const;
+
+  [[nodiscard]] std::size_t Size() const { return members_.size(); }
+
+private:
+  struct Member
+  {
+    std::string owner_;
+    LotPreference preference_ = LotPreference::IfNoOther;
+  };
+
+  std::unordered_map<std::string, Member> members_; ///< By host.
+  /// When an owner was last seen to be registered; hosts that were never seen
+  /// count from the first question.
+  mutable std::unordered_map<std::string, base::Instant> goneSince_;
+};
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibLots/ItemSchedule.cpp
@@ -0,0 +1,135 @@
+#include "LibLots/ItemSchedule.h"
+
+#include <cassert>
+#include <utility>
+
+namespace pumiceturn::lots {
+
+ItemSchedule::ItemSchedule(const Lot& aLot, ItemLimits aLimits)
+  : limits_(aLimits)
+{
+  assert(aLot.items_);
+  std::unordered_set<std::string> listed;
+  for (const ItemResult& result : aLot.results_) {
+    listed.insert(result.item_);
+  }
+  for (const LotItem& lotItem : *aLot.items_) {
+    Item item;
+    item.id_ = lotItem.id_;
+    if (listed.contains(lotItem.id_)) {
+      item.phase_ = Phase::Done;
+    } else {
+      ++unfinished_;
+    }
+    if (const auto found = aLot.progress_.find(lotItem.id_);
+        found != aLot.progress_.end()) {
+      item.progress_ = found->second;
+    }
+    items_.push_back(std::move(item));
+  }
+}
+
+std::optional<std::size_t>
+ItemSchedule::NextItem(base::Instant aNow) const
+{
+  for (std::size_t index = 0; index < items_.size(); ++index) {
+    const Item& item = items_[index];
+    if (item.phase_ == Phase::Waiting && item.notBefore_ <= aNow) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+ItemSchedule::Start(std::size_t aItem)
+{
+  assert(items_[aItem].phase_ == Phase::Waiting);
+  items_[aItem].phase_ = Phase::Running;
+}
+
+std::optional<ItemResult>
+ItemSchedule::End(std::size_t aItem,
+                  ItemRunEnd aEnd,
+                  PartialRun aProgress,
+                  base::Instant aNow)
+{
+  Item& item = items_[aItem];
+  if (item.phase_ != Phase::Running) {
+    return std::nullopt;
+  }
+  const bool hasAdvanced = aProgress.lastEvent_ > item.progress_.lastEvent_;
+  item.progress_ = std::move(aProgress);
+  switch (aEnd) {
+    case ItemRunEnd::Completed:
+      return Finish(
+        item, ItemState::Completed, std::move(item.progress_.output_));
+    case ItemRunEnd::Impossible:
+      return Finish(item, ItemState::Errored, {});
+    case ItemRunEnd::Failed:
+      ++item.failures_;
+      if (item.failures_ >= limits_.maxAttempts_) {
+        return Finish(item, ItemState::Errored, {});
+      }
+      Postpone(item, kRetryPause, aNow);
+      break;
+    case ItemRunEnd::NotRun:
+      Postpone(item, kNoPlacePause, aNow);
+      break;
+    case ItemRunEnd::Broken:
+      item.crashes_ = hasAdvanced ? 0 : item.crashes_ + 1;
+      Postpone(item, kRetryPause, aNow);
+      if (item.crashes_ > kMaxCrashes) {
+        item.phase_ = Phase::Held;
+      }
+      break;
+    case ItemRunEnd::Preempted:
+      Postpone(item, base::Duration::zero(), aNow);
+      break;
+  }
+  return std::nullopt;
+}
+
+ItemResult
+ItemSchedule::Finish(Item& aItem, ItemState aState, std::string aOutput)
+{
+  aItem.phase_ = Phase::Done;
+  --unfinished_;
+  return { aItem.id_, aState, std::move(aOutput) };
+}
+
+void
+ItemSchedule::Postpone(Item& aItem, base::Duration aPause, base::Instant aNow)
+{
+  aItem.phase_ = Phase::Waiting;
+  aItem.notBefore_ = aNow + aPause;
+}
+
+std::vector<ItemResult>
+ItemSchedule::GiveUp(base::WallTime aWallNow)
+{
+  std::vector<ItemResult> results;
+  if (aWallNow < limits_.giveUpAt_) {
+    return results;
+  }
+  for (Item& item : items_) {
+    if (item.phase_ == Phase::Waiting || item.phase_ == Phase::Held) {
+      results.push_back(Finish(item, ItemState::Errored, {}));
+    }
+  }
+  return results;
+}
+
+std::unordered_map<std::string, PartialRun>
+ItemSchedule::Progress() const
+{
+  std::unordered_map<std::string, PartialRun> progress;
+  for (const Item& item : items_) {
+    if (item.phase_ != Phase::Done && item.progress_.lastEvent_ > 0) {
+      progress.emplace(item.id_, item.progress_);
+    }
+  }
+  return progress;
+}
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibLots/ItemSchedule.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibLots/Lot.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace pumiceturn::lots {
+
+/// How a run of an item ended.
+enum class ItemRunEnd : std::uint8_t
+{
+  Completed,
+  Failed,     ///< The endpoint reported an error of its own.
+  Impossible, ///< The endpoint says that the item can never be done.
+  NotRun,     ///< The endpoint had no place.
+  Broken,     ///< The stream broke off.
+  Preempted,  ///< Cancelled here, for online work.
+};
+
+/// What a lot's route says of its items.
+struct ItemLimits
+{
+  std::uint32_t maxAttempts_ = 1; ///< Failures after which an item is given up.
+  base::WallTime dueAt_;
+  base::WallTime giveUpAt_;
+};
+
+/// Decides which item of a lot runs next, and what becomes of it when its run
+/// ends. For the lot's owner alone; takes the time as an argument. Not
+/// thread-safe.
+class ItemSchedule
+{
+public:
+  /// Breaks without a new event, in a row, after which an item is held until
+  /// it is given up: a request that crashes each endpoint that runs it would
+  /// take the whole fleet down.
+  static constexpr std::uint32_t kMaxCrashes = 2;
+
+  /// Pause after a break or an error, so that an item doesn't go straight back
+  /// to the trouble that ended its run.
+  static constexpr base::Duration kRetryPause{ std::chrono::milliseconds{
+    200 } };
+
+  /// Pause after an endpoint had no place.
+  static constexpr base::Duration kNoPlacePause{ std::chrono::milliseconds{
+    100 } };
+
+  ItemSchedule(const Lot& aLot, ItemLimits aLimits);
+
+  void SetLimits(const ItemLimits& aLimits) { limits_ = aLimits; }
+  [[nodiscard]] const ItemLimits& Limits() const { return limits_; }
+
+  /// @return the index of an item that may start now.
+  [[nodiscard]] std::optional<std::size_t> NextItem(base::Instant aNow) const;
+
+  /// @return what a run of the item goes on from.
+  [[nodiscard]] const PartialRun& ProgressOf(std::size_t aItem) const
+  {
+    return items_[aItem].progress_;
+  }
+
+  void Start(std::size_t aItem);
+
+  /// Records the end of a run.
+  /// @param aProgress All events so far, those of earlier runs included.
+  /// @return the item's result, if it now has one.
+  std::optional<ItemResult> End(std::size_t aItem,
+                                ItemRunEnd aEnd,
+                                PartialRun aProgress,
+                                base::Instant aNow);
+
+  /// Gives up what has waited too long and doesn't run.
+  std::vector<ItemResult> GiveUp(base::WallTime aWallNow);
+
+  /// @return partial runs of items without a result, for the next owner.
+  [[nodiscard]] std::unordered_map<std::string, PartialRun> Progress() const;
+
+  [[nodiscard]] bool HasUnfinished() const { return unfinished_ > 0; }
+
+private:
+  enum class Phase : std::uint8_t
+  {
+    Waiting,
+    Running,
+    Held, ///< Crashed endpoints; waits to be given up.
+    Done,
+  };
+  struct Item
+  {
+    std::string id_;
+    Phase phase_ = Phase::Waiting;
+    PartialRun progress_;
+    std::uint32_t failures_ = 0;
+    std::uint32_t crashes_ = 0;
+    base::Instant notBefore_;
+  };
+
+  ItemResult Finish(Item& aItem, ItemState aState, std::string aOutput);
+  void Postpone(Item& aItem, base::Duration aPause, base::Instant aNow);
+
+  ItemLimits limits_;
+  std::vector<Item> items_;
+  std::size_t unfinished_ = 0;
+};
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibLots/Lot.cpp
@@ -0,0 +1,112 @@
+#include "LibLots/Lot.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pumiceturn::lots {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto kKeepInvalidBytes = json::error_handler_t::replace;
+
+/// Parses and reads with a function that may throw on a missing field.
+/// @return nothing where the text has another form.
+template<typename Value, typename Reader>
+std::optional<Value>
+ReadJson(std::string_view aText, Reader&& aReader)
+{
+  try {
+    return aReader(json::parse(aText));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+Write(const json& aValue)
+{
+  return aValue.dump(-1, ' ', false, kKeepInvalidBytes);
+}
+
+} // namespace
+
+std::string
+EncodeState(const LotState& aState)
+{
+  return Write({ { "owner", aState.owner_ },
+                 { "accepted", aState.acceptedAtMs_ },
+                 { "items", aState.itemCount_ },
+                 { "parts", aState.partCount_ },
+                 { "host", aState.hostName_ },
+                 { "path", aState.path_ },
+                 { "ended", aState.isEnded_ } });
+}
+
+std::optional<LotState>
+DecodeState(std::string_view aText)
+{
+  return ReadJson<LotState>(aText, [](const json& aValue) {
+    return LotState{ aValue.at("owner").get<std::string>(),
+                     aValue.at("accepted").get<std::int64_t>(),
+                     aValue.at("items").get<std::uint32_t>(),
+                     aValue.at("parts").get<std::uint32_t>(),
+                     aValue.at("host").get<std::string>(),
+                     aValue.at("path").get<std::string>(),
+                     aValue.at("ended").get<bool>() };
+  });
+}
+
+std::string
+EncodeResults(const std::vector<ItemResult>& aResults)
+{
+  json rows = json::array();
+  for (const ItemResult& result : aResults) {
+    rows.push_back({ { "item", result.item_ },
+                     { "completed", result.state_ == ItemState::Completed },
+                     { "output", result.output_ } });
+  }
+  return Write(rows);
+}
+
+std::optional<std::vector<ItemResult>>
+DecodeResults(std::string_view aText)
+{
+  return ReadJson<std::vector<ItemResult>>(aText, [](const json& aValue) {
+    std::vector<ItemResult> results;
+    for (const json& row : aValue) {
+      const bool isCompleted = row.at("completed").get<bool>();
+      results.push_back({ row.at("item").get<std::string>(),
+                          isCompleted ? ItemState::Completed
+                                      : ItemState::Errored,
+                          row.at("output").get<std::string>() });
+    }
+    return results;
+  });
+}
+
+std::string
+EncodeProgress(const std::unordered_map<std::string, PartialRun>& aProgress)
+{
+  json rows = json::object();
+  for (const auto& [item, run] : aProgress) {
+    rows[item] = { { "event", run.lastEvent_ }, { "output", run.output_ } };
+  }
+  return Write(rows);
+}
+
+std::optional<std::unordered_map<std::string, PartialRun>>
+DecodeProgress(std::string_view aText)
+{
+  using Progress = std::unordered_map<std::string, PartialRun>;
+  return ReadJson<Progress>(aText, [](const json& aValue) {
+    Progress progress;
+    for (const auto& [item, row] : aValue.items()) {
+      progress[item] = { row.at("event").get<std::uint64_t>(),
+                         row.at("output").get<std::string>() };
+    }
+    return progress;
+  });
+}
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibLots/Lot.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::lots {
+
+/// One item as its sender gave it.
+struct LotItem
+{
+  std::string id_;
+  std::string path_;
+  std::vector<std::pair<std::string, std::string>> fields_; ///< HTTP fields.
+  std::string body_;
+};
+
+enum class ItemState : std::uint8_t
+{
+  Completed,
+  Errored, ///< Given up; has no output.
+};
+
+/// The result of one item. Immutable, with a position that never changes.
+struct ItemResult
+{
+  std::string item_;
+  ItemState state_ = ItemState::Errored;
+  std::string output_;
+
+  bool operator==(const ItemResult&) const = default;
+};
+
+/// A run that was stopped: another endpoint goes on after its last event.
+struct PartialRun
+{
+  std::uint64_t lastEvent_ = 0;
+  std::string output_;
+
+  bool operator==(const PartialRun&) const = default;
+};
+
+/// What is stored of a lot besides its content and results.
+struct LotState
+{
+  std::string owner_; ///< Host and incarnation that runs it; empty: none.
+  std::int64_t acceptedAtMs_ = 0; ///< Unix time.
+  std::uint32_t itemCount_ = 0;
+  std::uint32_t partCount_ = 0; ///< Keys that hold the content.
+  std::string hostName_;        ///< Of the request that submitted it.
+  std::string path_;
+  bool isEnded_ = false; ///< Its sender wants no more results.
+
+  bool operator==(const LotState&) const = default;
+};
+
+/// A lot as this host knows it from the store.
+struct Lot
+{
+  std::string id_;
+  LotState state_;
+  std::uint64_t stateRevision_ = 0; ///< 0: the state isn't known yet.
+  std::map<std::uint32_t, std::string> parts_;
+  std::optional<std::vector<LotItem>> items_; ///< Once all parts are here.
+  std::vector<ItemResult> results_;           ///< By position, without gaps.
+  std::map<std::uint32_t, std::vector<ItemResult>> pages_; ///< Not yet joined.
+  std::unordered_map<std::string, PartialRun> progress_;   ///< By item.
+
+  [[nodiscard]] bool IsFinished() const
+  {
+    return results_.size() >= state_.itemCount_;
+  }
+  [[nodiscard]] bool IsOpen() const { return !state_.isEnded_ && !IsFinished(); }
+};
+
+std::string
+EncodeState(const LotState& aState);
+
+/// @return nothing where the text is not a state.
+std::optional<LotState>
+DecodeState(std::string_view aText);
+
+std::string
+EncodeResults(const std::vector<ItemResult>& aResults);
+
+std::optional<std::vector<ItemResult>>
+DecodeResults(std::string_view aText);
+
+std::string
+EncodeProgress(const std::unordered_map<std::string, PartialRun>& aProgress);
+
+std::optional<std::unordered_map<std::string, PartialRun>>
+DecodeProgress(std::string_view aText);
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Libraries/LibMetadata/Events.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibBase/Log.h"
+
+namespace pumiceturn::metadata {
+
+inline constexpr base::Event kStoreLost{
+  4201,
+  "metadata_store_lost",
+  base::LogLevel::Warning,
+  "Calls to the metadata store fail; what was read last stays in use."
+};
+inline constexpr base::Event kStoreRegained{
+  4202,
+  "metadata_store_regained",
+  base::LogLevel::Info,
+  "The metadata store answers again."
+};
+inline constexpr base::Event kMirrorRead{
+  4203,
+  "metadata_mirror_read",
+  base::LogLevel::Info,
+  "A prefix was read anew and replaces the copy held here."
+};
+inline constexpr base::Event kLeaseLost{
+  4204,
+  "metadata_lease_lost",
+  base::LogLevel::Warning,
+  "This host's lease ended; it registers again."
+};
+inline constexpr base::Event kLeaseGranted{ 4205,
+                                            "metadata_lease_granted",
+                                            base::LogLevel::Info,
+                                            "This host is registered." };
+
+} // namespace pumiceturn::metadata
--- /dev/null
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -0,0 +1,121 @@
+#include "LibMetadata/HostLease.h"
+
+#include "LibMetadata/Events.h"
+
+#include <utility>
+
+namespace pumiceturn::metadata {
+
+namespace {
+
+/// Pause after a failed call; short against the lease's life of seconds.
+constexpr std::chrono::milliseconds kRetryPause{ 300 };
+
+} // namespace
+
+HostLease::HostLease(boost::asio::io_context& aContext,
+                     StoreClient& aClient,
+                     Options aOptions)
+  : client_(aClient)
+  , options_(std::move(aOptions))
+  , timer_(aContext)
+{
+}
+
+void
+HostLease::After(base::Duration aPause, void (HostLease::*aStep)())
+{
+  timer_.expires_after(aPause);
+  timer_.async_wait([this, aStep](const boost::system::error_code& aError) {
+    if (!aError && !ended_) {
+      (this->*aStep)();
+    }
+  });
+}
+
+void
+HostLease::Grant()
+{
+  client_.GrantLease(options_.lifetime_, [this](LeaseReply aReply) {
+    if (ended_) {
+      return;
+    }
+    if (aReply.status_ != StoreStatus::Ok) {
+      After(kRetryPause, &HostLease::Grant);
+      return;
+    }
+    lease_ = aReply.lease_;
+    Register();
+  });
+}
+
+void
+HostLease::Register()
+{
+  Transaction transaction;
+  transaction.writes_.push_back({ options_.key_, options_.value_, lease_ });
+  client_.Commit(transaction, [this](TransactionReply aReply) {
+    if (ended_) {
+      return;
+    }
+    if (aReply.status_ == StoreStatus::NotFound) {
+      Grant();
+      return;
+    }
+    if (aReply.status_ != StoreStatus::Ok) {
+      After(kRetryPause, &HostLease::Register);
+      return;
+    }
+    registered_ = true;
+    base::Log(kLeaseGranted, { { "lease", lease_ } });
+    After(options_.renewal_, &HostLease::Renew);
+  });
+}
+
+void
+HostLease::Renew()
+{
+  client_.RenewLease(lease_, [this](LeaseReply aReply) {
+    if (ended_) {
+      return;
+    }
+    if (aReply.status_ == StoreStatus::NotFound) {
+      registered_ = false;
+      base::Log(kLeaseLost, { { "lease", lease_ } });
+      Grant();
+      return;
+    }
+    const bool isOk = aReply.status_ == StoreStatus::Ok;
+    if (isOk && !registered_) {
+      Register();
+      return;
+    }
+    After(isOk ? options_.renewal_ : base::Duration(kRetryPause),
+          &HostLease::Renew);
+  });
+}
+
+void
+HostLease::OnKeyRemoved()
+{
+  if (!registered_ || ended_) {
+    return;
+  }
+  // The next renewal tells whether the lease has ended too.
+  registered_ = false;
+  base::Log(kLeaseLost, { { "lease", lease_ } });
+}
+
+void
+HostLease::End(std::function<void()> aDone)
+{
+  ended_ = true;
+  timer_.cancel();
+  if (lease_ == 0) {
+    aDone();
+    return;
+  }
+  client_.EndLease(lease_, [done = std::move(aDone)](LeaseReply) { done(); });
+}
+
+} // namespace pumiceturn::metadata
--- a/Libraries/LibPlatform/Gateway.cpp
+++ b/Libraries/LibPlatform/Gateway.cpp
@@ -1,6 +1,6 @@
 #include "LibPlatform/Gateway.h"
 
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -44,7 +44,7 @@
   if (found == aObject.end()) {
     return {};
   }
-  auto bytes = DecodeBase64(found->get_ref<const std::string&>());
+  auto bytes = base::DecodeBase64(found->get_ref<const std::string&>());
   if (!bytes) {
     throw Json::other_error::create(501, "not base64", &aObject);
   }
@@ -79,9 +79,9 @@
 Json
 ToJson(const KeyRange& aRange)
 {
-  Json request{ { "key", EncodeBase64(aRange.first_) } };
+  Json request{ { "key", base::EncodeBase64(aRange.first_) } };
   if (!aRange.end_.empty()) {
-    request["range_end"] = EncodeBase64(aRange.end_);
+    request["range_end"] = base::EncodeBase64(aRange.end_);
   }
   return request;
 }
@@ -89,7 +89,7 @@
 Json
 CompareRevision(std::string_view aKey, std::uint64_t aRevision)
 {
-  return Json{ { "key", EncodeBase64(aKey) },
+  return Json{ { "key", base::EncodeBase64(aKey) },
                { "target", "MOD" },
                { "result", "EQUAL" },
                { "mod_revision", std::to_string(aRevision) } };
@@ -180,8 +180,8 @@
       compare.push_back(CompareRevision(swap.key_, swap.expectedRevision_));
     }
     success.push_back(Json{ { "request_put",
-                              { { "key", EncodeBase64(swap.key_) },
-                                { "value", EncodeBase64(swap.value_) } } } });
+                              { { "key", base::EncodeBase64(swap.key_) },
+                                { "value", base::EncodeBase64(swap.value_) } } } });
   }
   return Json{
     { "compare", std::move(compare) }, { "success", std::move(success) }
@@ -196,7 +196,7 @@
   for (const KeyValue& entry : aEntries) {
     compare.push_back(CompareRevision(entry.key_, entry.modRevision_));
     success.push_back(Json{
-      { "request_delete_range", { { "key", EncodeBase64(entry.key_) } } } });
+      { "request_delete_range", { { "key", base::EncodeBase64(entry.key_) } } } });
   }
   return Json{
     { "compare", std::move(compare) }, { "success", std::move(success) }
@@ -209,7 +209,7 @@
   Json request{ { "success", Json::array() } };
   for (const std::string& key : aKeys) {
     request["success"].push_back(
-      Json{ { "request_range", { { "key", EncodeBase64(key) } } } });
+      Json{ { "request_range", { { "key", base::EncodeBase64(key) } } } });
   }
   return request.dump();
 }
--- a/Libraries/LibStandin/KeyValueJson.cpp
+++ b/Libraries/LibStandin/KeyValueJson.cpp
@@ -1,6 +1,6 @@
 #include "LibStandin/KeyValueJson.h"
 
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <array>
 #include <cctype>
@@ -82,7 +82,7 @@
 AddBytes(json& aObject, const char* aName, const std::string& aBytes)
 {
   if (!aBytes.empty()) {
-    aObject[aName] = platform::EncodeBase64(aBytes);
+    aObject[aName] = base::EncodeBase64(aBytes);
   }
 }
 
@@ -218,7 +218,7 @@
   if (field.is_null()) {
     return {};
   }
-  auto bytes = platform::DecodeBase64(field.get<std::string>());
+  auto bytes = base::DecodeBase64(field.get<std::string>());
   if (!bytes) {
     throw std::invalid_argument(std::string(aSnakeName) + " is no base64");
   }
--- a/Meta/Pumiceturn.cmake
+++ b/Meta/Pumiceturn.cmake
@@ -6,10 +6,12 @@
 
 # cpp-httplib as the system has it: a compiled library, whose classes change
 # their layout with these macros, so every user must get them from here.
-find_package(PkgConfig REQUIRED)
-pkg_check_modules(httplib REQUIRED IMPORTED_TARGET GLOBAL cpp-httplib)
-add_library(pumiceturn_httplib INTERFACE)
-target_link_libraries(pumiceturn_httplib INTERFACE PkgConfig::httplib OpenSSL::SSL Threads::Threads)
+if(NOT PUMICETURN_GATEWAY_ONLY)
+  find_package(PkgConfig REQUIRED)
+  pkg_check_modules(httplib REQUIRED IMPORTED_TARGET GLOBAL cpp-httplib)
+  add_library(pumiceturn_httplib INTERFACE)
+  target_link_libraries(pumiceturn_httplib INTERFACE PkgConfig::httplib OpenSSL::SSL Threads::Threads)
+endif()
 
 # Adds each folder below aParent that has a CMakeLists.txt.
 function(pumiceturn_add_folders aParent)
--- a/Tests/LibPlatform/Base64Test.cpp
+++ b/Tests/LibBase/Base64Test.cpp
@@ -1,10 +1,10 @@
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 
-namespace pumiceturn::platform {
+namespace pumiceturn::base {
 
 TEST_CASE("Base64_BytesOfAnyLength_ComeBack")
 {
@@ -17,4 +17,4 @@
   CHECK_FALSE(DecodeBase64("%%%%"));
 }
 
-} // namespace pumiceturn::platform
+} // namespace pumiceturn::base
--- a/Tests/LibPlatform/GatewayTest.cpp
+++ b/Tests/LibPlatform/GatewayTest.cpp
@@ -1,5 +1,5 @@
 #include "LibPlatform/Gateway.h"
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <catch2/catch.hpp>
 
@@ -44,10 +44,10 @@
 TEST_CASE("Base64_AnyLength_IsReadBack")
 {
   for (const char* text : { "", "a", "ab", "abc", "abcd" }) {
-    CHECK(DecodeBase64(EncodeBase64(text)) == text);
+    CHECK(base::DecodeBase64(base::EncodeBase64(text)) == text);
   }
-  CHECK_FALSE(DecodeBase64("abc"));
-  CHECK_FALSE(DecodeBase64("a%=="));
+  CHECK_FALSE(base::DecodeBase64("abc"));
+  CHECK_FALSE(base::DecodeBase64("a%=="));
 }
 
 } // namespace pumiceturn::platform::gateway
--- a/Tests/LibStandin/KeyValueStandinTest.cpp
+++ b/Tests/LibStandin/KeyValueStandinTest.cpp
@@ -1,6 +1,6 @@
 #include "LibStandin/KeyValueStandin.h"
 
-#include "LibPlatform/Base64.h"
+#include "LibBase/Base64.h"
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
@@ -24,7 +24,7 @@
 std::string
 Encode(const char* aText)
 {
-  return platform::EncodeBase64(aText);
+  return base::EncodeBase64(aText);
 }
 
 /// Waits for something that another thread brings about.
@@ -68,7 +68,7 @@
     if (!reply.contains("kvs")) {
       return {};
     }
-    return *platform::DecodeBase64(reply["kvs"][0]["value"].get<std::string>());
+    return *base::DecodeBase64(reply["kvs"][0]["value"].get<std::string>());
   }
 
   /// @return whether no other writer came first.
@@ -81,7 +81,7 @@
     const json range = post("/v3/kv/range", { { "key", Encode(aKey) } });
     const json& entry = range["kvs"][0];
     const int value =
-      std::stoi(*platform::DecodeBase64(entry["value"].get<std::string>()));
+      std::stoi(*base::DecodeBase64(entry["value"].get<std::string>()));
     const std::string next = std::to_string(value + 1);
     const json swapped =
       post("/v3/kv/txn", MakeSwap(aKey, next.c_str(), entry["mod_revision"]));
