--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -72,12 +72,12 @@
       }
       ++self->timerRound_;
       self->timer_.cancel();
+      const auto ready = std::exchange(self->ready_, nullptr);
       if (!aError) {
         TuneSocket(self->socket_);
       } else {
         self->Cancel();
       }
-      const auto ready = std::exchange(self->ready_, nullptr);
       ready(!aError);
     });
 }
