LibFleet, LibLots: Leave replaced endpoints, don't hold items for a reset

Cause: (1) where another process has an endpoint's address, the registration of the old one stays or comes back by late heartbeats for seconds; it looked idle, drew all requests, and each was refused after one 421. Ruled out: a shorter mirror pause: the registrations were truly in the store. Change: an answer by another process retires the id for good and doesn't count as an attempt; a break counts as a crash only while the endpoint isn't known to have lived on.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::uint32_t kMaxDoublings = 3;
 
+/// How long a replaced id is remembered; late heartbeats come within seconds.
+constexpr std::chrono::minutes kReplacedMemory{ 10 };
+
 } // namespace
 
 EndpointTable::EndpointTable(std::string aFailureDomain, Limits aLimits)
@@ -29,6 +32,9 @@
 void
 EndpointTable::Put(const EndpointRecord& aRecord)
 {
+  if (replaced_.contains(aRecord.id_)) {
+    return;
+  }
   Endpoint& endpoint = endpoints_[aRecord.id_];
   endpoint.record_ = aRecord;
   endpoint.vanishedUntil_.reset();
@@ -54,6 +60,9 @@
 std::vector<std::string>
 EndpointTable::Expire(base::Instant aNow)
 {
+  std::erase_if(replaced_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kReplacedMemory;
+  });
   std::vector<std::string> dropped;
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
     const auto& until = entry->second.vanishedUntil_;
@@ -211,6 +220,34 @@
   }
 }
 
+void
+EndpointTable::NoteHeard(const std::string& aId, base::Instant aNow)
+{
+  if (const auto found = endpoints_.find(aId); found != endpoints_.end()) {
+    found->second.heardAt_ = aNow;
+  }
+}
+
+void
+EndpointTable::NoteReplaced(const std::string& aId, base::Instant aNow)
+{
+  replaced_[aId] = aNow;
+  endpoints_.erase(aId);
+}
+
+bool
+EndpointTable::HasLivedOn(const std::string& aId,
+                          base::Instant aMoment,
+                          base::Instant aNow) const
+{
+  const auto found = endpoints_.find(aId);
+  if (found == endpoints_.end()) {
+    return false;
+  }
+  return found->second.heardAt_ > aMoment ||
+         aNow - aMoment > limits_.registrationLapse_;
+}
+
 void
 EndpointTable::TakePeerCounts(const std::string& aPeer,
                               std::span<const PeerCount> aCounts,
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -84,6 +84,10 @@
     /// ones are back within about 2 s.
     base::Duration vanishedGrace_{ std::chrono::milliseconds{ 1900 } };
 
+    /// After this time the registration of a process that ended is gone: three
+    /// heartbeats of 1.2 s and the delay of the mirror.
+    base::Duration registrationLapse_{ std::chrono::milliseconds{ 4500 } };
+
     /// Load that an endpoint in another failure domain must be better by, in
     /// runs. Bytes between failure domains are charged.
     double otherDomainPenalty_ = 0.6;
@@ -120,6 +124,21 @@
   void NoteFailure(const std::string& aId, base::Instant aNow);
   void NoteSuccess(const std::string& aId);
 
+  /// Bytes of a run came from the endpoint.
+  void NoteHeard(const std::string& aId, base::Instant aNow);
+
+  /// Another process answered at the endpoint's address. Its registration may
+  /// be in the store for seconds yet, and a late heartbeat may bring it back,
+  /// with no runs and so attractive to every host: the id is never used again.
+  void NoteReplaced(const std::string& aId, base::Instant aNow);
+
+  /// @return whether the endpoint's process is known to have lived on after a
+  /// moment: it was heard since, or is still registered when the registration
+  /// of an ended process would have lapsed.
+  [[nodiscard]] bool HasLivedOn(const std::string& aId,
+                                base::Instant aMoment,
+                                base::Instant aNow) const;
+
   /// Takes over what a peer says of its runs; what it doesn't name is zero.
   void TakePeerCounts(const std::string& aPeer,
                       std::span<const PeerCount> aCounts,
@@ -153,6 +172,7 @@
     std::uint32_t failures_ = 0;
     base::Instant avoidedUntil_;
     std::optional<base::Instant> vanishedUntil_;
+    base::Instant heardAt_;
   };
 
   [[nodiscard]] RunCounts CountsOf(const Endpoint& aEndpoint,
@@ -164,6 +184,7 @@
   std::string failureDomain_;
   Limits limits_;
   std::unordered_map<std::string, Endpoint> endpoints_;
+  std::unordered_map<std::string, base::Instant> replaced_; ///< By id.
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -354,7 +354,10 @@
                       base::WallTime aWallNow)
 {
   const lots::Lot* lot = lots_.Find(aLotId);
-  const auto item = aOwn.schedule_.NextItem(aNow);
+  const auto item = aOwn.schedule_.NextItem(
+    aNow, [this, aNow](const std::string& aEndpoint, base::Instant aMoment) {
+      return shared_.endpoints_.HasLivedOn(aEndpoint, aMoment, aNow);
+    });
   if (lot == nullptr || !lot->items_ || !item ||
       aWallNow >= aOwn.schedule_.Limits().giveUpAt_) {
     return false;
@@ -382,7 +385,7 @@
               { "version", shared_.routes_.Version() } });
   auto run = std::make_shared<ItemRun>(
     *this, aLotId, *item, aOwn.schedule_.ProgressOf(*item));
-  aOwn.schedule_.Start(*item);
+  aOwn.schedule_.Start(*item, choice->endpoint_.id_);
   runs_.push_back(run);
   run->Start(shared_,
              choice->endpoint_,
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -28,7 +28,8 @@
 struct AnswerNotes
 {
   bool isCertainlyNotRun_ = false; ///< Another endpoint may run it.
-  bool isOfEndpoint_ = false;      ///< The endpoint vouches for the answer.
+  bool isMisdirected_ = false; ///< Another process has the address now.
+  std::string answeredBy_;     ///< Id of the process; empty: not said.
 };
 
 /// Where and under which conditions a request is sent.
--- a/Libraries/LibGateway/EndpointRun.cpp
+++ b/Libraries/LibGateway/EndpointRun.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/EndpointRun.h"
 
 #include "LibGateway/EndpointAddress.h"
+#include "LibGateway/Events.h"
 
 #include <utility>
 
@@ -91,6 +92,15 @@
 void
 EndpointRun::OnHead(const httpstream::ResponseHead& aHead)
 {
+  shared_.endpoints_.NoteHeard(endpoint_.id_, base::MonotonicNow());
+  const AnswerNotes notes = shared_.codec_.ReadAnswer(aHead);
+  if (!notes.answeredBy_.empty() && notes.answeredBy_ != endpoint_.id_) {
+    base::Log(kEndpointChanged,
+              { { "endpoint", endpoint_.id_ },
+                { "state", "replaced" },
+                { "by", notes.answeredBy_ } });
+    shared_.endpoints_.NoteReplaced(endpoint_.id_, base::MonotonicNow());
+  }
   if (observer_ != nullptr) {
     observer_->OnHead(aHead);
   }
@@ -99,6 +109,7 @@
 void
 EndpointRun::OnBody(std::string_view aBytes)
 {
+  shared_.endpoints_.NoteHeard(endpoint_.id_, base::MonotonicNow());
   if (observer_ != nullptr) {
     observer_->OnBody(aBytes);
   }
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -331,6 +331,11 @@
               { "endpoint", tried_.back() },
               { "cause", "refused" },
               { "status", head_->result_int() } });
+  if (notes_.isMisdirected_) {
+    // Like a failed connection: the endpoint itself didn't get the request.
+    ++failedConnects_;
+    tried_.pop_back();
+  }
   TryNext();
 }
 
--- a/Libraries/LibLots/ItemSchedule.cpp
+++ b/Libraries/LibLots/ItemSchedule.cpp
@@ -30,11 +30,17 @@
 }
 
 std::optional<std::size_t>
-ItemSchedule::NextItem(base::Instant aNow) const
+ItemSchedule::NextItem(base::Instant aNow, const HasLivedOn& aHasLivedOn)
 {
   for (std::size_t index = 0; index < items_.size(); ++index) {
-    const Item& item = items_[index];
-    if (item.phase_ == Phase::Waiting && item.notBefore_ <= aNow) {
+    Item& item = items_[index];
+    if (item.phase_ != Phase::Waiting || item.notBefore_ > aNow) {
+      continue;
+    }
+    std::erase_if(item.crashes_, [&aHasLivedOn](const Break& aBreak) {
+      return aHasLivedOn(aBreak.endpoint_, aBreak.at_);
+    });
+    if (item.crashes_.size() < kMaxCrashes) {
       return index;
     }
   }
@@ -42,9 +48,10 @@
 }
 
 void
-ItemSchedule::Start(std::size_t aItem)
+ItemSchedule::Start(std::size_t aItem, const std::string& aEndpoint)
 {
   assert(items_[aItem].phase_ == Phase::Waiting);
+  items_[aItem].endpoint_ = aEndpoint;
   items_[aItem].phase_ = Phase::Running;
 }
 
@@ -77,11 +84,12 @@
       Postpone(item, kNoPlacePause, aNow);
       break;
     case ItemRunEnd::Broken:
-      item.crashes_ = hasAdvanced ? 0 : item.crashes_ + 1;
-      Postpone(item, kRetryPause, aNow);
-      if (item.crashes_ > kMaxCrashes) {
-        item.phase_ = Phase::Held;
+      if (hasAdvanced) {
+        item.crashes_.clear();
+      } else {
+        item.crashes_.push_back({ item.endpoint_, aNow });
       }
+      Postpone(item, kRetryPause, aNow);
       break;
     case ItemRunEnd::Preempted:
       Postpone(item, base::Duration::zero(), aNow);
@@ -113,7 +121,7 @@
     return results;
   }
   for (Item& item : items_) {
-    if (item.phase_ == Phase::Waiting || item.phase_ == Phase::Held) {
+    if (item.phase_ == Phase::Waiting) {
       results.push_back(Finish(item, ItemState::Errored, {}));
     }
   }
--- a/Libraries/LibLots/ItemSchedule.h
+++ b/Libraries/LibLots/ItemSchedule.h
@@ -4,6 +4,7 @@
 #include "LibLots/Lot.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -37,10 +38,15 @@
 class ItemSchedule
 {
 public:
-  /// Breaks without a new event, in a row, after which an item is held until
-  /// it is given up: a request that crashes each endpoint that runs it would
-  /// take the whole fleet down.
-  static constexpr std::uint32_t kMaxCrashes = 2;
+  /// Endpoints that ended with an item's run, without a new event, after which
+  /// the item is held until it is given up: a request that crashes each
+  /// endpoint that runs it would take the whole fleet down. An endpoint that
+  /// lived on doesn't count: it only reset the connection.
+  static constexpr std::size_t kMaxCrashes = 3;
+
+  /// Tells whether an endpoint lived on after a moment.
+  using HasLivedOn =
+    std::function<bool(const std::string& aEndpoint, base::Instant aMoment)>;
 
   /// Pause after a break or an error, so that an item doesn't go straight back
   /// to the trouble that ended its run.
@@ -57,7 +63,9 @@
   [[nodiscard]] const ItemLimits& Limits() const { return limits_; }
 
   /// @return the index of an item that may start now.
-  [[nodiscard]] std::optional<std::size_t> NextItem(base::Instant aNow) const;
+  [[nodiscard]] std::optional<std::size_t> NextItem(
+    base::Instant aNow,
+    const HasLivedOn& aHasLivedOn);
 
   /// @return what a run of the item goes on from.
   [[nodiscard]] const PartialRun& ProgressOf(std::size_t aItem) const
@@ -65,7 +73,7 @@
     return items_[aItem].progress_;
   }
 
-  void Start(std::size_t aItem);
+  void Start(std::size_t aItem, const std::string& aEndpoint);
 
   /// Records the end of a run.
   /// @param aProgress All events so far, those of earlier runs included.
@@ -88,16 +96,21 @@
   {
     Waiting,
     Running,
-    Held, ///< Crashed endpoints; waits to be given up.
     Done,
   };
+  struct Break
+  {
+    std::string endpoint_;
+    base::Instant at_;
+  };
   struct Item
   {
     std::string id_;
     Phase phase_ = Phase::Waiting;
     PartialRun progress_;
     std::uint32_t failures_ = 0;
-    std::uint32_t crashes_ = 0;
+    std::string endpoint_;       ///< Of the run.
+    std::vector<Break> crashes_; ///< Not disproved yet.
     base::Instant notBefore_;
   };
 
