--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -36,7 +36,7 @@
   std::uint32_t maxAttempts_ = 1; ///< Endpoints for one attempt of the caller.
   base::Duration timeout_{ std::chrono::seconds{ 15 } };
   base::Duration latencyObjective_{ std::chrono::milliseconds{ 300 } };
-  std::uint32_t priority_ = 0;     ///< 0 is the highest.
+  std::uint32_t priority_ = 0;      ///< 0 is the highest.
   base::Duration dueAfter_{ 0 };    ///< Of a lot, from its first submission.
   base::Duration giveUpAfter_{ 0 }; ///< When a lot's item may be abandoned.
 };
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -189,8 +189,7 @@
     return;
   }
   RunCounts& own = found->second.own_;
-  std::uint32_t& count =
-    aWork == WorkClass::Online ? own.online_ : own.batch_;
+  std::uint32_t& count = aWork == WorkClass::Online ? own.online_ : own.batch_;
   // An endpoint that was dropped and registered again begins at zero while
   // older runs there still end.
   count -= count > 0 ? 1 : 0;
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -59,8 +59,9 @@
 {
   std::size_t bytes = 0;
   std::size_t count = 0;
-  while (count < aResults.size() &&
-         (count == 0 || bytes + aResults[count].output_.size() < kMaxPageBytes)) {
+  while (
+    count < aResults.size() &&
+    (count == 0 || bytes + aResults[count].output_.size() < kMaxPageBytes)) {
     bytes += aResults[count].output_.size();
     ++count;
   }
@@ -103,8 +104,8 @@
   call.echoValue_ = aItem.id_;
   call.firstByteTimeout_ = kFirstByteTimeout;
   call.gapTimeout_ = kGapTimeout;
-  run_ = std::make_shared<EndpointRun>(
-    aShared, aEndpoint, fleet::WorkClass::Batch);
+  run_ =
+    std::make_shared<EndpointRun>(aShared, aEndpoint, fleet::WorkClass::Batch);
   run_->Start(std::move(call), *this);
 }
 
@@ -206,8 +207,7 @@
 BatchWorker::LimitsOf(const lots::Lot& aLot) const
 {
   lots::ItemLimits limits;
-  const base::WallTime accepted =
-    base::FromUnixMs(aLot.state_.acceptedAtMs_);
+  const base::WallTime accepted = base::FromUnixMs(aLot.state_.acceptedAtMs_);
   const auto* route =
     shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
   const auto after = [accepted](base::Duration aSpan) {
@@ -367,8 +367,8 @@
   if (route == nullptr) {
     return false;
   }
-  const std::string& service = fleet::RouteTable::ChooseService(
-    *route, NextRandom(shared_.random_));
+  const std::string& service =
+    fleet::RouteTable::ChooseService(*route, NextRandom(shared_.random_));
   const auto choice = shared_.endpoints_.Choose(
     { service, fleet::WorkClass::Batch, {} }, aNow, shared_.random_);
   if (!choice) {
@@ -387,11 +387,8 @@
     *this, aLotId, *item, aOwn.schedule_.ProgressOf(*item));
   aOwn.schedule_.Start(*item, choice->endpoint_.id_);
   runs_.push_back(run);
-  run->Start(shared_,
-             choice->endpoint_,
-             content,
-             lot->state_.hostName_,
-             kItemPatience);
+  run->Start(
+    shared_, choice->endpoint_, content, lot->state_.hostName_, kItemPatience);
   return true;
 }
 
@@ -500,7 +497,8 @@
   transaction.expectations_.push_back(
     { KeyOf({ aLot, lots::KeyPart::State, 0 }), lot->stateRevision_ });
   transaction.expectations_.push_back({ page, 0 });
-  transaction.writes_.push_back({ page, lots::EncodeResults(aOwn.storing_), 0 });
+  transaction.writes_.push_back(
+    { page, lots::EncodeResults(aOwn.storing_), 0 });
   store_.Commit(transaction,
                 [this, aLot](const metadata::TransactionReply& aReply) {
                   OnResultsStored(aLot, aReply);
@@ -577,16 +575,15 @@
     const std::string key = KeyOf({ id, lots::KeyPart::State, 0 });
     transaction.expectations_.push_back({ key, lot->stateRevision_ });
     transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
-    transaction.writes_.push_back({ KeyOf({ id, lots::KeyPart::Progress, 0 }),
-                                    lots::EncodeProgress(
-                                      own.schedule_.Progress()),
-                                    0 });
+    transaction.writes_.push_back(
+      { KeyOf({ id, lots::KeyPart::Progress, 0 }),
+        lots::EncodeProgress(own.schedule_.Progress()),
+        0 });
     ++*left;
     base::Log(kLotLeft, { { "lot", id }, { "reason", "leaving" } });
-    store_.Commit(transaction,
-                  [finishOne](const metadata::TransactionReply&) {
-                    finishOne();
-                  });
+    store_.Commit(transaction, [finishOne](const metadata::TransactionReply&) {
+      finishOne();
+    });
   }
   finishOne();
 }
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -28,15 +28,15 @@
 struct AnswerNotes
 {
   bool isCertainlyNotRun_ = false; ///< Another endpoint may run it.
-  bool isMisdirected_ = false; ///< Another process has the address now.
-  std::string answeredBy_;     ///< Id of the process; empty: not said.
+  bool isMisdirected_ = false;     ///< Another process has the address now.
+  std::string answeredBy_;         ///< Id of the process; empty: not said.
 };
 
 /// Where and under which conditions a request is sent.
 struct SendTerms
 {
-  std::string endpoint_;    ///< The process that must run it, by id.
-  base::Duration patience_; ///< What is left of the caller's time.
+  std::string endpoint_;        ///< The process that must run it, by id.
+  base::Duration patience_;     ///< What is left of the caller's time.
   std::uint64_t lastEvent_ = 0; ///< The endpoint goes on after this event.
 };
 
--- a/Libraries/LibGateway/EndpointAddress.cpp
+++ b/Libraries/LibGateway/EndpointAddress.cpp
@@ -16,8 +16,8 @@
     return std::nullopt;
   }
   boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(
-    std::string(aText.substr(0, colon)), error);
+  const auto address =
+    boost::asio::ip::make_address(std::string(aText.substr(0, colon)), error);
   std::uint16_t port = 0;
   const char* end = aText.data() + aText.size();
   const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -50,34 +50,32 @@
   base::LogLevel::Info,
   "A request goes to an endpoint, which was weighed as the line says."
 };
-inline constexpr base::Event kRequestEnded{
-  7109,
-  "request_ended",
-  base::LogLevel::Info,
-  "A request has its final answer."
-};
+inline constexpr base::Event kRequestEnded{ 7109,
+                                            "request_ended",
+                                            base::LogLevel::Info,
+                                            "A request has its final answer." };
 inline constexpr base::Event kAttemptFailed{
   7110,
   "attempt_failed",
   base::LogLevel::Warning,
   "An endpoint refused, broke off or went silent."
 };
-inline constexpr base::Event kLotAccepted{ 7111,
-                                           "lot_accepted",
-                                           base::LogLevel::Info,
-                                           "A lot is stored and acknowledged." };
+inline constexpr base::Event kLotAccepted{
+  7111,
+  "lot_accepted",
+  base::LogLevel::Info,
+  "A lot is stored and acknowledged."
+};
 inline constexpr base::Event kLotNotAccepted{
   7112,
   "lot_not_accepted",
   base::LogLevel::Warning,
   "A lot could not be stored, or it is unknown whether it was."
 };
-inline constexpr base::Event kLotTaken{
-  7113,
-  "lot_taken",
-  base::LogLevel::Info,
-  "This host runs a lot from now on."
-};
+inline constexpr base::Event kLotTaken{ 7113,
+                                        "lot_taken",
+                                        base::LogLevel::Info,
+                                        "This host runs a lot from now on." };
 inline constexpr base::Event kLotLeft{ 7114,
                                        "lot_left",
                                        base::LogLevel::Info,
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -74,14 +74,15 @@
 lots::LotTable::Decoder
 MakeDecoder(const Codec& aCodec)
 {
-  return [&aCodec](std::string_view aContent)
-           -> std::optional<std::vector<lots::LotItem>> {
-    auto content = aCodec.ReadLotContent(aContent);
-    if (auto* items = std::get_if<std::vector<lots::LotItem>>(&content)) {
-      return std::move(*items);
-    }
-    return std::nullopt;
-  };
+  return
+    [&aCodec](
+      std::string_view aContent) -> std::optional<std::vector<lots::LotItem>> {
+      auto content = aCodec.ReadLotContent(aContent);
+      if (auto* items = std::get_if<std::vector<lots::LotItem>>(&content)) {
+        return std::move(*items);
+      }
+      return std::nullopt;
+    };
 }
 
 std::string
@@ -91,8 +92,7 @@
     { "owner", aOwnName },
     { "peer", aSettings.peerAddress_ },
     { "worker", aSettings.lotPreference_ == lots::LotPreference::Worker }
-  }
-    .dump();
+  }.dump();
 }
 
 } // namespace
@@ -152,8 +152,7 @@
   , peers_(aContext, shared_, settings_.host_)
   , preemptBatch_(
       [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
-  , callers_(aContext,
-             [this](const auto& aExchange) { OnRequest(aExchange); })
+  , callers_(aContext, [this](const auto& aExchange) { OnRequest(aExchange); })
   , status_(aContext,
             [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
   , metricsListener_(
@@ -247,10 +246,9 @@
     aExchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
     return;
   }
-  const fleet::Route* route =
-    shared_.routes_.Find(WithoutPort(httpstream::ValueOf(request, "Host")),
-                         WithoutQuery({ request.target().data(),
-                                        request.target().size() }));
+  const fleet::Route* route = shared_.routes_.Find(
+    WithoutPort(httpstream::ValueOf(request, "Host")),
+    WithoutQuery({ request.target().data(), request.target().size() }));
   if (route == nullptr) {
     aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
     return;
@@ -269,8 +267,8 @@
 {
   const httpstream::Request& request = aExchange.GetRequest();
   if (storeCodec_.IsReadinessProbe(request)) {
-    aExchange.Answer(httpstream::MakeResponse(
-      IsReady() ? kStatusOk : kStatusUnavailable, {}));
+    aExchange.Answer(
+      httpstream::MakeResponse(IsReady() ? kStatusOk : kStatusUnavailable, {}));
     return;
   }
   if (request.target() == "/metrics") {
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -123,12 +123,12 @@
   // A conflict says that the lot is there already, by this call's earlier try
   // or by another host: it is accepted once either way.
   if (aStatus == StoreStatus::Ok || aStatus == StoreStatus::Conflict) {
-    base::Log(kLotAccepted,
-              { { "lot", aSubmission->lot_ },
-                { "items", aSubmission->items_ },
-                { "known_before", aStatus == StoreStatus::Conflict },
-                { "ms",
-                  base::ToMs(base::MonotonicNow() - exchange.ReceivedAt()) } });
+    base::Log(
+      kLotAccepted,
+      { { "lot", aSubmission->lot_ },
+        { "items", aSubmission->items_ },
+        { "known_before", aStatus == StoreStatus::Conflict },
+        { "ms", base::ToMs(base::MonotonicNow() - exchange.ReceivedAt()) } });
     exchange.Answer(httpstream::MakeResponse(kStatusAccepted, {}));
     return;
   }
@@ -155,17 +155,17 @@
 LotDesk::Handle(std::shared_ptr<httpstream::Exchange> aExchange,
                 const LotCall& aCall)
 {
-  std::visit(
-    [this, &aExchange](const auto& aOne) { Answer(std::move(aExchange), aOne); },
-    aCall);
+  std::visit([this, &aExchange](
+               const auto& aOne) { Answer(std::move(aExchange), aOne); },
+             aCall);
 }
 
 void
 LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
                 const UnreadableCall& aCall)
 {
-  aExchange->Answer(httpstream::MakeResponse(
-    kStatusBadRequest, aCall.reason_, "text/plain"));
+  aExchange->Answer(
+    httpstream::MakeResponse(kStatusBadRequest, aCall.reason_, "text/plain"));
 }
 
 void
@@ -227,17 +227,17 @@
                 const ReadResults& aCall)
 {
   const base::Instant until = aExchange->ReceivedAt() + aCall.longestWait_;
-  WithLot(aExchange,
-          aCall.lot_,
-          [this, exchange = aExchange, call = aCall, until](
-            const lots::Lot& aLot) {
-            const bool hasResult = call.position_ < aLot.results_.size();
-            if (hasResult || !aLot.IsOpen() || base::MonotonicNow() >= until) {
-              SendResults(*exchange, aLot, call.position_);
-              return;
-            }
-            readers_[call.lot_].push_back({ exchange, call.position_, until });
-          });
+  WithLot(
+    aExchange,
+    aCall.lot_,
+    [this, exchange = aExchange, call = aCall, until](const lots::Lot& aLot) {
+      const bool hasResult = call.position_ < aLot.results_.size();
+      if (hasResult || !aLot.IsOpen() || base::MonotonicNow() >= until) {
+        SendResults(*exchange, aLot, call.position_);
+        return;
+      }
+      readers_[call.lot_].push_back({ exchange, call.position_, until });
+    });
 }
 
 void
@@ -245,12 +245,13 @@
                      const lots::Lot& aLot,
                      std::uint32_t aPosition) const
 {
-  const std::size_t begin = std::min<std::size_t>(aPosition, aLot.results_.size());
+  const std::size_t begin =
+    std::min<std::size_t>(aPosition, aLot.results_.size());
   std::size_t end = begin;
   std::size_t bytes = 0;
   while (end < aLot.results_.size() &&
-         (end == begin || bytes + aLot.results_[end].output_.size() <
-                            kMaxPageBytes)) {
+         (end == begin ||
+          bytes + aLot.results_[end].output_.size() < kMaxPageBytes)) {
     bytes += aLot.results_[end].output_.size();
     ++end;
   }
@@ -285,11 +286,10 @@
 LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
                 const EndLot& aCall)
 {
-  WithLot(aExchange,
-          aCall.lot_,
-          [this, exchange = aExchange](const lots::Lot& aLot) {
-            End(exchange, aLot, kEndTries);
-          });
+  WithLot(
+    aExchange, aCall.lot_, [this, exchange = aExchange](const lots::Lot& aLot) {
+      End(exchange, aLot, kEndTries);
+    });
 }
 
 void
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -96,9 +96,9 @@
   , call_(aShared.codec_.ReadOnline(exchange_->GetRequest()))
   , lastEvent_(call_.lastEvent_)
 {
-  const base::Duration allowed =
-    call_.patience_ ? std::min(*call_.patience_, route_.timeout_)
-                    : route_.timeout_;
+  const base::Duration allowed = call_.patience_
+                                   ? std::min(*call_.patience_, route_.timeout_)
+                                   : route_.timeout_;
   deadline_ = exchange_->ReceivedAt() + allowed;
 }
 
@@ -159,8 +159,8 @@
     }
     return;
   }
-  const std::string& service = fleet::RouteTable::ChooseService(
-    route_, NextRandom(shared_.random_));
+  const std::string& service =
+    fleet::RouteTable::ChooseService(route_, NextRandom(shared_.random_));
   const auto choice =
     shared_.endpoints_.Choose({ service, fleet::WorkClass::Online, tried_ },
                               base::MonotonicNow(),
@@ -305,8 +305,7 @@
   const bool isServerError = head_->result_int() >= kFirstServerError;
   mayHaveRun_ = true;
   if (exchange_->IsStreaming() ||
-      (isServerError && MayRunAgain() &&
-       tried_.size() < route_.maxAttempts_)) {
+      (isServerError && MayRunAgain() && tried_.size() < route_.maxAttempts_)) {
     base::Log(kAttemptFailed,
               { { "request", call_.requestId_ },
                 { "endpoint", tried_.back() },
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -118,13 +118,12 @@
     const json message = json::from_cbor(aMessage.begin(), aMessage.end());
     std::vector<fleet::PeerCount> counts;
     for (const json& row : message.at("runs")) {
-      counts.push_back({ row.at(0).get<std::string>(),
-                         { row.at(1).get<std::uint32_t>(),
-                           row.at(2).get<std::uint32_t>() } });
+      counts.push_back(
+        { row.at(0).get<std::string>(),
+          { row.at(1).get<std::uint32_t>(), row.at(2).get<std::uint32_t>() } });
     }
-    shared_.endpoints_.TakePeerCounts(message.at("host").get<std::string>(),
-                                      counts,
-                                      base::MonotonicNow());
+    shared_.endpoints_.TakePeerCounts(
+      message.at("host").get<std::string>(), counts, base::MonotonicNow());
   } catch (const json::exception&) {
     // Not one of ours: anyone can send to a port.
     shared_.metrics_
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -125,18 +125,17 @@
 ClientConnection::Write()
 {
   isWriting_ = true;
-  asio::async_write(
-    socket_,
-    asio::buffer(call_.bytes_),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t) {
-      self->isWriting_ = false;
-      // A failed write shows at the reading side too, after what the server
-      // may have answered before it closed.
-      if (!aError && self->observer_ == nullptr) {
-        self->call_.bytes_.clear();
-      }
-    });
+  asio::async_write(socket_,
+                    asio::buffer(call_.bytes_),
+                    [self = shared_from_this()](
+                      const boost::system::error_code& aError, std::size_t) {
+                      self->isWriting_ = false;
+                      // A failed write shows at the reading side too, after
+                      // what the server may have answered before it closed.
+                      if (!aError && self->observer_ == nullptr) {
+                        self->call_.bytes_.clear();
+                      }
+                    });
 }
 
 void
@@ -228,8 +227,8 @@
   const std::string_view echoed = ValueOf(head, call_.echoField_);
   // Servers may send a second answer to an earlier call. Passing it on would
   // give one caller's text to another.
-  isForeign_ = !call_.echoField_.empty() && !echoed.empty() &&
-               echoed != call_.echoValue_;
+  isForeign_ =
+    !call_.echoField_.empty() && !echoed.empty() && echoed != call_.echoValue_;
   if (isForeign_ || head.result_int() < 200) {
     return true;
   }
--- a/Libraries/LibHttpStream/ConnectionPool.cpp
+++ b/Libraries/LibHttpStream/ConnectionPool.cpp
@@ -17,13 +17,12 @@
   }
   ++made_;
   auto connection = std::make_shared<ClientConnection>(executor_);
-  connection->Connect(
-    aEndpoint,
-    aConnectTimeout,
-    [connection = std::weak_ptr(connection),
-     ready = std::move(aReady)](bool aIsConnected) {
-      ready(aIsConnected ? connection.lock() : nullptr);
-    });
+  connection->Connect(aEndpoint,
+                      aConnectTimeout,
+                      [connection = std::weak_ptr(connection),
+                       ready = std::move(aReady)](bool aIsConnected) {
+                        ready(aIsConnected ? connection.lock() : nullptr);
+                      });
   return connection;
 }
 
--- a/Libraries/LibHttpStream/HttpCaller.cpp
+++ b/Libraries/LibHttpStream/HttpCaller.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Longest wait for a connection; a lost opening packet is sent again after 1 s.
+/// Longest wait for a connection; a lost opening packet is sent again after 1
+/// s.
 constexpr std::chrono::milliseconds kLongestConnect{ 500 };
 
 const std::string kOnlyServer = "server";
@@ -64,20 +65,19 @@
   call.firstByteTimeout_ = aTimeout;
   call.gapTimeout_ = aTimeout;
   pool_.Sweep(base::MonotonicNow());
-  pool_.Acquire(
-    kOnlyServer,
-    server_,
-    std::min<base::Duration>(aTimeout, kLongestConnect),
-    [this, call = std::move(call), done = std::move(aDone)](
-      std::shared_ptr<ClientConnection> aConnection) mutable {
-      if (!aConnection) {
-        done(CallResult{});
-        return;
-      }
-      // Freed by its OnEnd(), which comes exactly once.
-      auto* whole = new WholeCall(pool_, std::move(done));
-      whole->Start(std::move(aConnection), std::move(call));
-    });
+  pool_.Acquire(kOnlyServer,
+                server_,
+                std::min<base::Duration>(aTimeout, kLongestConnect),
+                [this, call = std::move(call), done = std::move(aDone)](
+                  std::shared_ptr<ClientConnection> aConnection) mutable {
+                  if (!aConnection) {
+                    done(CallResult{});
+                    return;
+                  }
+                  // Freed by its OnEnd(), which comes exactly once.
+                  auto* whole = new WholeCall(pool_, std::move(done));
+                  whole->Start(std::move(aConnection), std::move(call));
+                });
 }
 
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -111,10 +111,10 @@
 std::size_t
 Listener::BusyCount() const
 {
-  return static_cast<std::size_t>(
-    std::count_if(connections_.begin(),
-                  connections_.end(),
-                  [](const auto& aConnection) { return !aConnection->IsIdle(); }));
+  return static_cast<std::size_t>(std::count_if(
+    connections_.begin(), connections_.end(), [](const auto& aConnection) {
+      return !aConnection->IsIdle();
+    }));
 }
 
 std::uint16_t
--- a/Libraries/LibHttpStream/Message.cpp
+++ b/Libraries/LibHttpStream/Message.cpp
@@ -15,9 +15,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHopNames = {
-  "connection", "keep-alive",        "proxy-connection",
-  "te",         "trailer",           "transfer-encoding",
-  "upgrade",    "content-length",    "expect",
+  "connection",        "keep-alive", "proxy-connection", "te",     "trailer",
+  "transfer-encoding", "upgrade",    "content-length",   "expect",
 };
 
 } // namespace
@@ -25,14 +24,14 @@
 bool
 IsHopByHop(std::string_view aName)
 {
-  return std::any_of(kHopByHopNames.begin(),
-                     kHopByHopNames.end(),
-                     [aName](std::string_view aKnown) {
-                       return boost::beast::iequals(
-                         boost::beast::string_view(aName.data(), aName.size()),
-                         boost::beast::string_view(aKnown.data(),
-                                                   aKnown.size()));
-                     });
+  return std::any_of(
+    kHopByHopNames.begin(),
+    kHopByHopNames.end(),
+    [aName](std::string_view aKnown) {
+      return boost::beast::iequals(
+        boost::beast::string_view(aName.data(), aName.size()),
+        boost::beast::string_view(aKnown.data(), aKnown.size()));
+    });
 }
 
 void
@@ -42,9 +41,9 @@
   for (const auto& field : aFrom) {
     const std::string_view name(field.name_string().data(),
                                 field.name_string().size());
-    const bool isListed = http::token_list(boost::beast::string_view(
-                                             listed.data(), listed.size()))
-                            .exists(field.name_string());
+    const bool isListed =
+      http::token_list(boost::beast::string_view(listed.data(), listed.size()))
+        .exists(field.name_string());
     if (IsHopByHop(name) || isListed) {
       continue;
     }
@@ -57,12 +56,12 @@
 {
   std::string bytes;
   bytes.reserve(512 + aRequest.body().size());
-  fmt::format_to(std::back_inserter(bytes),
-                 "{} {} HTTP/1.1\r\n",
-                 std::string_view(aRequest.method_string().data(),
-                                  aRequest.method_string().size()),
-                 std::string_view(aRequest.target().data(),
-                                  aRequest.target().size()));
+  fmt::format_to(
+    std::back_inserter(bytes),
+    "{} {} HTTP/1.1\r\n",
+    std::string_view(aRequest.method_string().data(),
+                     aRequest.method_string().size()),
+    std::string_view(aRequest.target().data(), aRequest.target().size()));
   for (const auto& field : aRequest) {
     bytes.append(field.name_string().data(), field.name_string().size());
     bytes.append(": ");
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -39,10 +39,10 @@
 std::string
 SerializeResponse(const Response& aResponse, bool aHasBody)
 {
-  std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n",
-                                  aResponse.result_int(),
-                                  std::string_view(aResponse.reason().data(),
-                                                   aResponse.reason().size()));
+  std::string bytes = fmt::format(
+    "HTTP/1.1 {} {}\r\n",
+    aResponse.result_int(),
+    std::string_view(aResponse.reason().data(), aResponse.reason().size()));
   for (const auto& field : aResponse) {
     bytes.append(field.name_string().data(), field.name_string().size());
     bytes.append(": ");
@@ -348,15 +348,14 @@
   writing_ = pending_.substr(error ? 0 : sent);
   pending_.clear();
   isWriting_ = true;
-  asio::async_write(
-    socket_,
-    asio::buffer(writing_),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t) {
-      self->isWriting_ = false;
-      self->writing_.clear();
-      self->OnWritten(aError);
-    });
+  asio::async_write(socket_,
+                    asio::buffer(writing_),
+                    [self = shared_from_this()](
+                      const boost::system::error_code& aError, std::size_t) {
+                      self->isWriting_ = false;
+                      self->writing_.clear();
+                      self->OnWritten(aError);
+                    });
 }
 
 void
--- a/Libraries/LibLots/Lot.cpp
+++ b/Libraries/LibLots/Lot.cpp
@@ -76,10 +76,10 @@
     std::vector<ItemResult> results;
     for (const json& row : aValue) {
       const bool isCompleted = row.at("completed").get<bool>();
-      results.push_back({ row.at("item").get<std::string>(),
-                          isCompleted ? ItemState::Completed
-                                      : ItemState::Errored,
-                          row.at("output").get<std::string>() });
+      results.push_back(
+        { row.at("item").get<std::string>(),
+          isCompleted ? ItemState::Completed : ItemState::Errored,
+          row.at("output").get<std::string>() });
     }
     return results;
   });
--- a/Libraries/LibLots/Lot.h
+++ b/Libraries/LibLots/Lot.h
@@ -77,7 +77,10 @@
   {
     return results_.size() >= state_.itemCount_;
   }
-  [[nodiscard]] bool IsOpen() const { return !state_.isEnded_ && !IsFinished(); }
+  [[nodiscard]] bool IsOpen() const
+  {
+    return !state_.isEnded_ && !IsFinished();
+  }
 };
 
 std::string
--- a/Libraries/LibLots/LotTable.cpp
+++ b/Libraries/LibLots/LotTable.cpp
@@ -61,7 +61,8 @@
 void
 LotTable::JoinPages(Lot& aLot)
 {
-  auto page = aLot.pages_.find(static_cast<std::uint32_t>(aLot.results_.size()));
+  auto page =
+    aLot.pages_.find(static_cast<std::uint32_t>(aLot.results_.size()));
   while (page != aLot.pages_.end()) {
     for (ItemResult& result : page->second) {
       aLot.results_.push_back(std::move(result));
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -116,11 +116,10 @@
 void
 PrefixMirror::Watch()
 {
-  client_.Watch(
-    options_.prefix_,
-    followedRevision_,
-    options_.longestWatch_,
-    [this](WatchReply aReply) { OnWatch(std::move(aReply)); });
+  client_.Watch(options_.prefix_,
+                followedRevision_,
+                options_.longestWatch_,
+                [this](WatchReply aReply) { OnWatch(std::move(aReply)); });
 }
 
 void
--- a/Libraries/LibPlatform/Gateway.cpp
+++ b/Libraries/LibPlatform/Gateway.cpp
@@ -179,9 +179,10 @@
     if (swap.expectedRevision_ != kAnyRevision) {
       compare.push_back(CompareRevision(swap.key_, swap.expectedRevision_));
     }
-    success.push_back(Json{ { "request_put",
-                              { { "key", base::EncodeBase64(swap.key_) },
-                                { "value", base::EncodeBase64(swap.value_) } } } });
+    success.push_back(
+      Json{ { "request_put",
+              { { "key", base::EncodeBase64(swap.key_) },
+                { "value", base::EncodeBase64(swap.value_) } } } });
   }
   return Json{
     { "compare", std::move(compare) }, { "success", std::move(success) }
@@ -195,8 +196,9 @@
   Json success = Json::array();
   for (const KeyValue& entry : aEntries) {
     compare.push_back(CompareRevision(entry.key_, entry.modRevision_));
-    success.push_back(Json{
-      { "request_delete_range", { { "key", base::EncodeBase64(entry.key_) } } } });
+    success.push_back(
+      Json{ { "request_delete_range",
+              { { "key", base::EncodeBase64(entry.key_) } } } });
   }
   return Json{
     { "compare", std::move(compare) }, { "success", std::move(success) }
--- a/Meta/Pumiceturn.cmake
+++ b/Meta/Pumiceturn.cmake
@@ -44,6 +44,7 @@
   if(NOT TARGET pumiceturn_test_main)
     add_library(pumiceturn_test_main STATIC ${CMAKE_SOURCE_DIR}/Tests/Main.cpp)
     target_link_libraries(pumiceturn_test_main PUBLIC pumiceturn_options)
+    target_include_directories(pumiceturn_test_main PUBLIC ${CMAKE_SOURCE_DIR})
     target_compile_definitions(pumiceturn_test_main PUBLIC
       PUMICETURN_SOURCE_FOLDER="${CMAKE_SOURCE_DIR}")
   endif()
--- /dev/null
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -0,0 +1,192 @@
+#include "LibFleet/EndpointTable.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::fleet {
+
+using namespace std::chrono_literals;
+
+class EndpointTableFixture
+{
+protected:
+  void Add(const std::string& aId,
+           const std::string& aDomain = "a",
+           bool aIsDraining = false)
+  {
+    table_.Put({ aId, "service", "127.0.0.1:1", aDomain, 4, aIsDraining });
+  }
+
+  std::optional<EndpointChoice> Choose(WorkClass aWork,
+                                       std::vector<std::string> aExcluded = {})
+  {
+    return table_.Choose({ "service", aWork, aExcluded }, now_, random_);
+  }
+
+  void Start(const std::string& aId, WorkClass aWork, int aCount)
+  {
+    for (int run = 0; run < aCount; ++run) {
+      table_.CountStart(aId, aWork);
+    }
+  }
+
+  EndpointTable table_{ "a", EndpointTable::Limits{} };
+  base::Instant now_{ base::Duration{ 1h } };
+  std::mt19937_64 random_{ 1 };
+};
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_TwoEndpoints_TakesTheLessLoaded")
+{
+  Add("busy");
+  Add("idle");
+  Start("busy", WorkClass::Online, 2);
+  for (int round = 0; round < 20; ++round) {
+    CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "idle");
+  }
+  CHECK(Choose(WorkClass::Online, { "idle" })->endpoint_.id_ == "busy");
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_DrainingEndpoint_GetsNothing")
+{
+  Add("leaving", "a", true);
+  CHECK_FALSE(Choose(WorkClass::Online));
+  CHECK_FALSE(Choose(WorkClass::Batch));
+}
+
+// Researchers wait behind a lot that arrived a moment before them: batch filled
+// every place of every engine, and engines admit in order of arrival.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_BatchStarts_LeaveRoomForOnline")
+{
+  Add("one");
+  int started = 0;
+  while (Choose(WorkClass::Batch)) {
+    Start("one", WorkClass::Batch, 1);
+    ++started;
+  }
+  CHECK(started == 3);
+  CHECK_FALSE(Choose(WorkClass::Online)->preemptsBatch_);
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_AllPlacesTaken_OnlinePreemptsOwnBatch")
+{
+  Add("online-only");
+  Add("with-batch");
+  Start("online-only", WorkClass::Online, 4);
+  Start("with-batch", WorkClass::Online, 3);
+  Start("with-batch", WorkClass::Batch, 1);
+  const auto choice = Choose(WorkClass::Online);
+  REQUIRE(choice);
+  CHECK(choice->endpoint_.id_ == "with-batch");
+  CHECK(choice->preemptsBatch_);
+}
+
+// A burst of online requests meets engines that are full of another host's
+// batch: that host hears of the requests by counts and gives way.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_PeersOverfillEndpoint_BatchYieldsTheExcess")
+{
+  Add("one");
+  Start("one", WorkClass::Batch, 3);
+  CHECK(table_.BatchToYield("one", now_, 0.5) == 0);
+  const std::vector<PeerCount> counts = { { "one", { 3, 0 } } };
+  table_.TakePeerCounts("peer", counts, now_);
+  CHECK(table_.BatchToYield("one", now_, 0.0) == 2);
+  table_.TakePeerCounts("peer", {}, now_);
+  CHECK(table_.BatchToYield("one", now_, 0.5) == 0);
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SeveralHostsHaveBatch_EachYieldsItsPart")
+{
+  Add("one");
+  Start("one", WorkClass::Batch, 2);
+  const std::vector<PeerCount> counts = { { "one", { 2, 2 } } };
+  table_.TakePeerCounts("peer", counts, now_);
+  CHECK(table_.BatchToYield("one", now_, 0.5) == 1);
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SilentPeer_IsForgotten")
+{
+  Add("one");
+  const std::vector<PeerCount> counts = { { "one", { 4, 0 } } };
+  table_.TakePeerCounts("peer", counts, now_);
+  CHECK_FALSE(Choose(WorkClass::Batch));
+  now_ += 2s;
+  CHECK(Choose(WorkClass::Batch));
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_FailedEndpoint_IsAvoidedForAWhile")
+{
+  Add("bad");
+  Add("good", "b");
+  Start("good", WorkClass::Online, 3);
+  table_.NoteFailure("bad", now_);
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "good");
+  now_ += 500ms;
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "bad");
+}
+
+// Every online request is refused for seconds although servers are idle. A
+// server crashed behind a cut and came back at its address under a new id; when
+// the cut heals, the old id's late heartbeats register it again, it looks idle
+// to all hosts, and each request that goes there is refused as misdirected.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ReplacedEndpointRegistersAgain_IsNotUsed")
+{
+  Add("old");
+  Add("other");
+  Start("other", WorkClass::Online, 3);
+  table_.NoteReplaced("old", now_);
+  Add("old");
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "other");
+  CHECK_FALSE(table_.IsUsable("old"));
+}
+
+// All servers vanish at once although they live: the store was away, their
+// registrations lapsed, and it takes them up to 2 s to register again.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_VanishedAfterOutage_StaysForTheGrace")
+{
+  Add("one");
+  const base::Instant returned = now_;
+  table_.Remove("one", returned, now_ + 100ms);
+  CHECK(Choose(WorkClass::Online));
+  CHECK(table_.Expire(now_ + 1s).empty());
+  CHECK(table_.Expire(now_ + 2s) == std::vector<std::string>{ "one" });
+  CHECK_FALSE(Choose(WorkClass::Online));
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_VanishedInCalm_IsGoneAtOnce")
+{
+  Add("one");
+  table_.Remove("one", std::nullopt, now_);
+  CHECK_FALSE(Choose(WorkClass::Online));
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_HeardAfterTheMoment_HasLivedOn")
+{
+  Add("one");
+  table_.NoteHeard("one", now_);
+  CHECK_FALSE(table_.HasLivedOn("one", now_, now_));
+  table_.NoteHeard("one", now_ + 1ms);
+  CHECK(table_.HasLivedOn("one", now_, now_ + 1ms));
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_RegistrationOutlastsItsLapse_HasLivedOn")
+{
+  Add("one");
+  CHECK_FALSE(table_.HasLivedOn("one", now_, now_ + 4s));
+  CHECK(table_.HasLivedOn("one", now_, now_ + 5s));
+  table_.Remove("one", std::nullopt, now_);
+  CHECK_FALSE(table_.HasLivedOn("one", now_, now_ + 5s));
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Tests/LibFleet/EventSplitterTest.cpp
@@ -0,0 +1,53 @@
+#include "LibFleet/EventSplitter.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::fleet {
+
+class EventSplitterFixture
+{
+protected:
+  EventSplitter splitter_;
+};
+
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "EventSplitter_EventInPieces_IsReturnedWhenWhole")
+{
+  splitter_.Append("id: 4\nda");
+  CHECK_FALSE(splitter_.Next());
+  splitter_.Append("ta: hello\n\nid: 5\n");
+  const auto event = splitter_.Next();
+  REQUIRE(event);
+  CHECK(event->id_ == 4);
+  CHECK(event->data_ == "hello");
+  CHECK(event->raw_ == "id: 4\ndata: hello\n\n");
+  CHECK_FALSE(splitter_.Next());
+  CHECK(splitter_.Remainder() == 6);
+}
+
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "EventSplitter_FieldBeforeId_IsKeptInTheBytes")
+{
+  splitter_.Append("weight-versions: 3\nid: 1\ndata: x\n\n");
+  const auto event = splitter_.Next();
+  REQUIRE(event);
+  CHECK(event->id_ == 1);
+  CHECK(event->raw_.starts_with("weight-versions"));
+}
+
+// A caller sees the begin of one event joined to the next. An endpoint breaks
+// off within an event, and the stream goes on at another endpoint.
+TEST_CASE_METHOD(EventSplitterFixture,
+                 "EventSplitter_ClearAfterBreak_DropsThePart")
+{
+  splitter_.Append("id: 1\ndata: a\n\nid: 2\nda");
+  REQUIRE(splitter_.Next());
+  CHECK_FALSE(splitter_.Next());
+  splitter_.Clear();
+  splitter_.Append("id: 2\ndata: b\n\n");
+  const auto event = splitter_.Next();
+  REQUIRE(event);
+  CHECK(event->raw_ == "id: 2\ndata: b\n\n");
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Tests/LibFleet/RouteTableTest.cpp
@@ -0,0 +1,64 @@
+#include "LibFleet/RouteTable.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::fleet {
+
+class RouteTableFixture
+{
+protected:
+  static Route MakeRoute(const std::string& aName, const std::string& aPrefix)
+  {
+    Route route;
+    route.name_ = aName;
+    route.hostName_ = "a.example";
+    route.pathPrefix_ = aPrefix;
+    route.targets_ = { { "service", 1.0 } };
+    return route;
+  }
+
+  static Declarations MakeDeclarations(std::uint64_t aVersion,
+                                       std::vector<Route> aRoutes)
+  {
+    Declarations declarations;
+    declarations.version_ = aVersion;
+    declarations.routes_ = std::move(aRoutes);
+    return declarations;
+  }
+
+  RouteTable table_;
+};
+
+TEST_CASE_METHOD(RouteTableFixture,
+                 "RouteTable_TwoPrefixesMatch_TakesTheLonger")
+{
+  REQUIRE(table_.Install(MakeDeclarations(
+    1, { MakeRoute("short", "/a/"), MakeRoute("long", "/a/b/") })));
+  REQUIRE(table_.Find("a.example", "/a/b/c") != nullptr);
+  CHECK(table_.Find("a.example", "/a/b/c")->name_ == "long");
+  CHECK(table_.Find("a.example", "/a/x")->name_ == "short");
+  CHECK(table_.Find("a.example", "/b/") == nullptr);
+  CHECK(table_.Find("b.example", "/a/") == nullptr);
+}
+
+// A caller gets 404 for a route that was added a moment ago. The store's late
+// answer brings an older version after a newer one, and the process takes it.
+TEST_CASE_METHOD(RouteTableFixture, "RouteTable_OlderVersion_IsNotInstalled")
+{
+  REQUIRE(table_.Install(MakeDeclarations(7, { MakeRoute("new", "/n/") })));
+  CHECK_FALSE(table_.Install(MakeDeclarations(5, { MakeRoute("old", "/o/") })));
+  CHECK_FALSE(table_.Install(MakeDeclarations(7, {})));
+  CHECK(table_.Version() == 7);
+  CHECK(table_.Find("a.example", "/n/x") != nullptr);
+}
+
+TEST_CASE_METHOD(RouteTableFixture, "RouteTable_WeightedTargets_AreSplit")
+{
+  Route route = MakeRoute("split", "/s/");
+  route.targets_ = { { "large", 90.0 }, { "small", 10.0 } };
+  CHECK(RouteTable::ChooseService(route, 0.0) == "large");
+  CHECK(RouteTable::ChooseService(route, 0.89) == "large");
+  CHECK(RouteTable::ChooseService(route, 0.91) == "small");
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -0,0 +1,186 @@
+#include "LibHttpStream/ConnectionPool.h"
+#include "Tests/LibHttpStream/HttpFixture.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+namespace pumiceturn::httpstream {
+
+namespace asio = boost::asio;
+
+/// A server that sends scripted bytes after each request.
+class ClientConnectionFixture : protected HttpFixture
+{
+protected:
+  ClientConnectionFixture()
+    : acceptor_(context_, Loopback(0))
+    , server_(context_)
+    , pool_(context_.get_executor())
+  {
+  }
+
+  /// Takes one request and sends bytes; then closes, if asked.
+  void Serve(const std::string& aBytes, bool aCloses)
+  {
+    const auto answer = [this, aBytes, aCloses] {
+      asio::async_read_until(
+        server_,
+        input_,
+        "\r\n\r\n",
+        [this, aBytes, aCloses](const boost::system::error_code&,
+                                std::size_t aRead) {
+          input_.consume(aRead);
+          asio::write(server_, asio::buffer(aBytes));
+          if (aCloses) {
+            server_.close();
+          }
+        });
+    };
+    if (server_.is_open()) {
+      answer();
+      return;
+    }
+    acceptor_.async_accept(
+      server_, [answer](const boost::system::error_code&) { answer(); });
+  }
+
+  std::shared_ptr<ClientConnection> Connect()
+  {
+    std::shared_ptr<ClientConnection> result;
+    bool done = false;
+    pool_.Acquire("server",
+                  Loopback(acceptor_.local_endpoint().port()),
+                  std::chrono::seconds(5),
+                  [&](std::shared_ptr<ClientConnection> aConnection) {
+                    result = std::move(aConnection);
+                    done = true;
+                  });
+    RunUntil([&done] { return done; });
+    return result;
+  }
+
+  RecordingObserver Ask(const std::shared_ptr<ClientConnection>& aConnection,
+                        const std::string& aId)
+  {
+    RecordingObserver observer;
+    Call call;
+    call.bytes_ = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    call.echoField_ = "X-Id";
+    call.echoValue_ = aId;
+    aConnection->Start(std::move(call), observer);
+    RunUntil([&observer] { return observer.end_.has_value(); });
+    return observer;
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket server_;
+  asio::streambuf input_;
+  ConnectionPool pool_;
+};
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_WholeAnswer_IsReusable")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 2\r\n\r\nhi",
+        false);
+  const auto connection = Connect();
+  REQUIRE(connection);
+  const RecordingObserver answer = Ask(connection, "1");
+  CHECK(answer.end_ == CallEnd::Complete);
+  CHECK(answer.body_ == "hi");
+  CHECK(connection->IsReusable());
+}
+
+// The process ends with an empty callback. An endpoint is down, and the
+// connection to it is refused.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_Refused_IsReported")
+{
+  acceptor_.close();
+  asio::ip::tcp::acceptor unused(context_, Loopback(0));
+  const auto port = unused.local_endpoint().port();
+  unused.close();
+  bool done = false;
+  bool isConnected = true;
+  pool_.Acquire("server",
+                Loopback(port),
+                std::chrono::seconds(5),
+                [&](const std::shared_ptr<ClientConnection>& aConnection) {
+                  isConnected = aConnection != nullptr;
+                  done = true;
+                });
+  RunUntil([&done] { return done; });
+  CHECK_FALSE(isConnected);
+}
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_ChunkedAnswerCutOff_IsBroken")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nhi\r\n",
+        true);
+  const RecordingObserver answer = Ask(Connect(), "1");
+  CHECK(answer.body_ == "hi");
+  CHECK(answer.end_ == CallEnd::Broken);
+}
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_AnswerWithoutLength_EndsWithTheConnection")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhi", true);
+  const auto connection = Connect();
+  const RecordingObserver answer = Ask(connection, "1");
+  CHECK(answer.body_ == "hi");
+  CHECK(answer.end_ == CallEnd::Complete);
+  CHECK_FALSE(connection->IsReusable());
+}
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_BytesThatAreNoAnswer_AreReported")
+{
+  Serve("nonsense\r\n\r\n", false);
+  CHECK(Ask(Connect(), "1").end_ == CallEnd::Unintelligible);
+}
+
+// One archive gets another archive's surname. A server sends a second answer to
+// an earlier request late, and it arrives where the next answer is expected.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_AnswerToEarlierCall_IsSkipped")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold"
+        "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew",
+        false);
+  const RecordingObserver answer = Ask(Connect(), "2");
+  CHECK(answer.end_ == CallEnd::Complete);
+  CHECK(answer.echoed_ == "2");
+  CHECK(answer.body_ == "new");
+}
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_BytesAfterTheAnswer_PreventReuse")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n",
+        false);
+  const auto connection = Connect();
+  CHECK(Ask(connection, "1").body_ == "hi");
+  CHECK_FALSE(connection->IsReusable());
+}
+
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_ServerSaysNothing_IsSilent")
+{
+  Serve("", false);
+  const auto connection = Connect();
+  RecordingObserver observer;
+  Call call;
+  call.bytes_ = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  call.firstByteTimeout_ = std::chrono::milliseconds(50);
+  connection->Start(std::move(call), observer);
+  RunUntil([&observer] { return observer.end_.has_value(); });
+  CHECK(observer.end_ == CallEnd::Silent);
+}
+
+} // namespace pumiceturn::httpstream
--- /dev/null
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -0,0 +1,182 @@
+#include "LibHttpStream/Listener.h"
+#include "Tests/LibHttpStream/HttpFixture.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <vector>
+
+namespace pumiceturn::httpstream {
+
+namespace asio = boost::asio;
+
+class ListenerFixture : protected HttpFixture
+{
+protected:
+  ListenerFixture()
+    : listener_(context_,
+                [this](const std::shared_ptr<Exchange>& aExchange) {
+                  exchanges_.push_back(aExchange);
+                })
+    , caller_(context_)
+  {
+    REQUIRE_FALSE(listener_.Open(Loopback(0)));
+    caller_.connect(Loopback(listener_.Port()));
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    asio::write(caller_, asio::buffer(aBytes));
+  }
+
+  /// Reads until the text holds what is expected, or the connection ends.
+  void ReadUntil(const std::string& aExpected)
+  {
+    bool isClosed = false;
+    ReadSome(isClosed);
+    RunUntil([&] {
+      return received_.find(aExpected) != std::string::npos || isClosed;
+    });
+    CHECK(received_.find(aExpected) != std::string::npos);
+  }
+
+  void ReadUntilClosed()
+  {
+    bool isClosed = false;
+    ReadSome(isClosed);
+    RunUntil([&isClosed] { return isClosed; });
+  }
+
+  void ReadSome(bool& aIsClosed)
+  {
+    caller_.async_read_some(
+      asio::buffer(buffer_),
+      [this, &aIsClosed](const boost::system::error_code& aError,
+                         std::size_t aBytes) {
+        received_.append(buffer_.data(), aBytes);
+        if (aError) {
+          aIsClosed = true;
+          return;
+        }
+        ReadSome(aIsClosed);
+      });
+  }
+
+  Listener listener_;
+  asio::ip::tcp::socket caller_;
+  std::vector<std::shared_ptr<Exchange>> exchanges_;
+  std::array<char, 4096> buffer_{};
+  std::string received_;
+};
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_ChunkedRequest_ArrivesWhole")
+{
+  Send("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  CHECK(exchanges_[0]->GetRequest().body() == "abcde");
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_RequestsSentAhead_AreAnsweredInTurn")
+{
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  exchanges_[0]->Answer(MakeResponse(200, "one", "text/plain"));
+  RunUntil([this] { return exchanges_.size() == 2; });
+  exchanges_[1]->Answer(MakeResponse(200, "two", "text/plain"));
+  ReadUntil("two");
+  CHECK(received_.find("one") < received_.find("two"));
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_MalformedRequest_GetsA400")
+{
+  Send("nonsense\r\n\r\n");
+  ReadUntil("HTTP/1.1 400");
+  CHECK(exchanges_.empty());
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_HeaderOverTheLimit_GetsA431")
+{
+  listener_.SetLimits({ 64, 64, std::chrono::seconds(3), std::chrono::seconds(9) });
+  Send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+  ReadUntil("HTTP/1.1 431");
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_BodyOverTheLimit_GetsA413")
+{
+  listener_.SetLimits(
+    { 4096, 4, std::chrono::seconds(3), std::chrono::seconds(9) });
+  Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n123456789");
+  ReadUntil("HTTP/1.1 413");
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_HalfRequestThenClose_IsDropped")
+{
+  Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n123");
+  RunUntil([this] { return listener_.ConnectionCount() == 1; });
+  caller_.close();
+  RunUntil([this] { return listener_.ConnectionCount() == 0; });
+  CHECK(exchanges_.empty());
+}
+
+// A translator takes half a line for the whole one: the stream broke off, and
+// its end looked like a complete answer.
+TEST_CASE_METHOD(ListenerFixture, "Listener_StreamAborted_DoesNotLookComplete")
+{
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  ResponseHead head;
+  head.result(200);
+  exchanges_[0]->BeginStream(head);
+  exchanges_[0]->SendPiece("half");
+  exchanges_[0]->Abort();
+  ReadUntilClosed();
+  CHECK(received_.find("half") != std::string::npos);
+  CHECK(received_.find(kLastChunk) == std::string::npos);
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_StreamEnded_IsWhole")
+{
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  ResponseHead head;
+  head.result(200);
+  exchanges_[0]->BeginStream(head);
+  exchanges_[0]->SendPiece("whole");
+  exchanges_[0]->EndStream();
+  ReadUntil(std::string(kLastChunk));
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_CallerCloses_IsNoticedAtOnce")
+{
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  bool isGone = false;
+  exchanges_[0]->OnCallerGone([&isGone] { isGone = true; });
+  caller_.close();
+  RunUntil([&isGone] { return isGone; });
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_Leaving_TellsCallersToClose")
+{
+  listener_.SetLeaving();
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  exchanges_[0]->Answer(MakeResponse(200, "x", "text/plain"));
+  ReadUntilClosed();
+  CHECK(received_.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_CloseIdle_SparesBusyConnections")
+{
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  listener_.CloseIdle();
+  CHECK(listener_.ConnectionCount() == 1);
+  exchanges_[0]->Answer(MakeResponse(200, "x", "text/plain"));
+  ReadUntil("x");
+  listener_.CloseIdle();
+  RunUntil([this] { return listener_.ConnectionCount() == 0; });
+}
+
+} // namespace pumiceturn::httpstream
--- /dev/null
+++ b/Tests/LibLots/ItemScheduleTest.cpp
@@ -0,0 +1,138 @@
+#include "LibLots/ItemSchedule.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::lots {
+
+using namespace std::chrono_literals;
+
+class ItemScheduleFixture
+{
+protected:
+  ItemScheduleFixture()
+  {
+    lot_.state_.itemCount_ = 2;
+    lot_.items_ = std::vector<LotItem>(2);
+    (*lot_.items_)[0].id_ = "first";
+    (*lot_.items_)[1].id_ = "second";
+    limits_.maxAttempts_ = 2;
+    limits_.giveUpAt_ = base::FromUnixMs(60000);
+  }
+
+  ItemSchedule Make() const { return { lot_, limits_ }; }
+
+  std::optional<std::size_t> Next(ItemSchedule& aSchedule)
+  {
+    return aSchedule.NextItem(
+      now_, [this](const std::string&, base::Instant) { return livedOn_; });
+  }
+
+  std::optional<ItemResult> Run(ItemSchedule& aSchedule,
+                                ItemRunEnd aEnd,
+                                const PartialRun& aProgress = {})
+  {
+    now_ += 1s;
+    const auto item = Next(aSchedule);
+    REQUIRE(item);
+    aSchedule.Start(*item, "endpoint");
+    return aSchedule.End(*item, aEnd, aProgress, now_);
+  }
+
+  Lot lot_;
+  ItemLimits limits_;
+  base::Instant now_{ base::Duration{ 1h } };
+  bool livedOn_ = false;
+};
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_CompletedRun_GivesTheWholeOutput")
+{
+  ItemSchedule schedule = Make();
+  const auto result = Run(schedule, ItemRunEnd::Completed, { 2, "a\nb" });
+  REQUIRE(result);
+  CHECK(*result == ItemResult{ "first", ItemState::Completed, "a\nb" });
+  CHECK(Next(schedule) == 1);
+}
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_PreemptedRun_GoesOnAfterItsLastEvent")
+{
+  ItemSchedule schedule = Make();
+  CHECK_FALSE(Run(schedule, ItemRunEnd::Preempted, { 3, "a\nb\nc" }));
+  CHECK(Next(schedule) == 0);
+  CHECK(schedule.ProgressOf(0) == PartialRun{ 3, "a\nb\nc" });
+}
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_FailuresReachTheLimit_GivesUpTheItem")
+{
+  ItemSchedule schedule = Make();
+  CHECK_FALSE(Run(schedule, ItemRunEnd::Failed));
+  const auto result = Run(schedule, ItemRunEnd::Failed);
+  REQUIRE(result);
+  CHECK(result->state_ == ItemState::Errored);
+  CHECK(result->item_ == "first");
+}
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_ImpossibleItem_IsGivenUpAtOnce")
+{
+  ItemSchedule schedule = Make();
+  const auto result = Run(schedule, ItemRunEnd::Impossible);
+  REQUIRE(result);
+  CHECK(result->state_ == ItemState::Errored);
+}
+
+// The whole fleet goes down in turn: one item crashes each endpoint that runs
+// it, and is sent to the next one after each crash.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_ItemThatEndsEndpoints_IsHeldUntilGivenUp")
+{
+  ItemSchedule schedule = Make();
+  for (std::size_t crash = 0; crash < ItemSchedule::kMaxCrashes; ++crash) {
+    CHECK_FALSE(Run(schedule, ItemRunEnd::Broken));
+  }
+  now_ += 1min;
+  CHECK(Next(schedule) == 1);
+  CHECK(schedule.GiveUp(limits_.giveUpAt_ - 1ms).empty());
+  CHECK(schedule.GiveUp(limits_.giveUpAt_).size() == 2);
+}
+
+// A report goes out with a blank branch. Endpoints reset connections without
+// ending; an item met three resets, was taken for one that crashes endpoints
+// and never ran again.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_EndpointsLivedOnAfterResets_ItemRunsAgain")
+{
+  ItemSchedule schedule = Make();
+  for (std::size_t reset = 0; reset < ItemSchedule::kMaxCrashes; ++reset) {
+    CHECK_FALSE(Run(schedule, ItemRunEnd::Broken));
+  }
+  now_ += 1s;
+  livedOn_ = true;
+  CHECK(Next(schedule) == 0);
+}
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_BreakAfterNewEvents_IsNoCrash")
+{
+  ItemSchedule schedule = Make();
+  for (std::uint64_t event = 1; event <= 6; ++event) {
+    CHECK_FALSE(Run(schedule, ItemRunEnd::Broken, { event, "x" }));
+  }
+  now_ += 1s;
+  CHECK(Next(schedule) == 0);
+}
+
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_TakenOver_SkipsListedAndKeepsProgress")
+{
+  lot_.results_.push_back({ "first", ItemState::Completed, "a" });
+  lot_.progress_["second"] = { 4, "w\nx\ny\nz" };
+  ItemSchedule schedule = Make();
+  CHECK(Next(schedule) == 1);
+  CHECK(schedule.ProgressOf(1).lastEvent_ == 4);
+  CHECK(schedule.Progress().size() == 1);
+}
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Tests/LibLots/LotTableTest.cpp
@@ -0,0 +1,133 @@
+#include "LibLots/HostSet.h"
+#include "LibLots/LotTable.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::lots {
+
+using namespace std::chrono_literals;
+
+class LotTableFixture
+{
+protected:
+  static std::optional<std::vector<LotItem>> Decode(std::string_view aContent)
+  {
+    LotItem item;
+    item.id_ = std::string(aContent);
+    return std::vector<LotItem>{ item };
+  }
+
+  static LotState MakeState()
+  {
+    LotState state;
+    state.owner_ = "host/1";
+    state.itemCount_ = 2;
+    state.partCount_ = 2;
+    return state;
+  }
+
+  void ApplyAll()
+  {
+    table_.Apply("lot/content/000001", "def", 2);
+    table_.Apply("lot/state", EncodeState(MakeState()), 2);
+    table_.Apply("lot/content/000000", "abc", 2);
+  }
+
+  LotTable table_{ Decode };
+};
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_KeysInAnyOrder_JoinTheContent")
+{
+  ApplyAll();
+  const Lot* lot = table_.Find("lot");
+  REQUIRE(lot != nullptr);
+  REQUIRE(lot->items_);
+  CHECK(lot->items_->front().id_ == "abcdef");
+  CHECK(table_.OpenLots() == std::vector<std::string>{ "lot" });
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_StateUnknown_LotIsNotFound")
+{
+  table_.Apply("lot/content/000000", "abc", 2);
+  CHECK(table_.Find("lot") == nullptr);
+}
+
+// A society reads a result at another position than before: pages of results
+// came out of order, and the later one was listed first.
+TEST_CASE_METHOD(LotTableFixture, "LotTable_PagesOutOfOrder_KeepPositions")
+{
+  ApplyAll();
+  const std::vector<ItemResult> first = { { "x", ItemState::Completed, "1" } };
+  const std::vector<ItemResult> second = { { "y", ItemState::Errored, "" } };
+  table_.Apply("lot/result/000001", EncodeResults(second), 5);
+  CHECK(table_.Find("lot")->results_.empty());
+  table_.Apply("lot/result/000000", EncodeResults(first), 4);
+  table_.Apply("lot/result/000000", EncodeResults(second), 4);
+  REQUIRE(table_.Find("lot")->results_.size() == 2);
+  CHECK(table_.Find("lot")->results_[0] == first[0]);
+  CHECK(table_.Find("lot")->results_[1] == second[0]);
+  CHECK_FALSE(table_.Find("lot")->IsOpen());
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_OlderState_IsIgnored")
+{
+  ApplyAll();
+  LotState ended = MakeState();
+  ended.isEnded_ = true;
+  table_.Apply("lot/state", EncodeState(ended), 9);
+  table_.Apply("lot/state", EncodeState(MakeState()), 3);
+  CHECK(table_.Find("lot")->state_.isEnded_);
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_MalformedValues_ChangeNothing")
+{
+  ApplyAll();
+  CHECK_FALSE(table_.Apply("nonsense", "x", 9));
+  table_.Apply("lot/state", "{", 9);
+  table_.Apply("lot/result/000000", "[{\"item\":1}]", 9);
+  CHECK(table_.Find("lot")->state_ == MakeState());
+  CHECK(table_.Find("lot")->results_.empty());
+}
+
+class HostSetFixture
+{
+protected:
+  HostSet hosts_;
+  base::Instant now_{ base::Duration{ 1h } };
+};
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_WorkersLive_LotsGoToWorkers")
+{
+  hosts_.Put("entry", "entry/1", LotPreference::IfNoOther, now_);
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
+  for (const char* lot : { "a", "b", "c", "d", "e" }) {
+    CHECK(hosts_.OwnerFor(lot) == "worker/1");
+  }
+  hosts_.Remove("worker", now_);
+  CHECK(hosts_.OwnerFor("a") == "entry/1");
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_HostGone_OwnerIsGoneAfterGrace")
+{
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
+  hosts_.Remove("worker", now_);
+  CHECK_FALSE(hosts_.IsGone("worker/1", now_ + 1s));
+  CHECK(hosts_.IsGone("worker/1", now_ + 2s));
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_HostStartedAnew_OldOwnerIsGoneAtOnce")
+{
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
+  hosts_.Put("worker", "worker/2", LotPreference::Worker, now_);
+  CHECK(hosts_.IsGone("worker/1", now_));
+  CHECK_FALSE(hosts_.IsGone("worker/2", now_ + 1h));
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_OwnerNeverSeen_CountsFromFirstAsked")
+{
+  CHECK_FALSE(hosts_.IsGone("worker/0", now_));
+  CHECK(hosts_.IsGone("worker/0", now_ + 2s));
+  CHECK(hosts_.IsGone("", now_));
+}
+
+} // namespace pumiceturn::lots
--- /dev/null
+++ b/Tests/LibMetadata/FakeStore.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "LibMetadata/StoreClient.h"
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pumiceturn::metadata {
+
+/// Records calls; the test answers them.
+class FakeStore : public StoreClient
+{
+public:
+  struct WatchCall
+  {
+    std::uint64_t after_ = 0;
+    Callback<WatchReply> callback_;
+  };
+
+  void Range(const std::string& /*aPrefix*/,
+             const std::string& aAfter,
+             Callback<RangeReply> aCallback) override
+  {
+    ranges_.push_back({ aAfter, std::move(aCallback) });
+  }
+  void Watch(const std::string& /*aPrefix*/,
+             std::uint64_t aAfterRevision,
+             base::Duration /*aLongestWait*/,
+             Callback<WatchReply> aCallback) override
+  {
+    watches_.push_back({ aAfterRevision, std::move(aCallback) });
+  }
+  void Commit(const Transaction& aTransaction,
+              Callback<TransactionReply> aCallback) override
+  {
+    commits_.push_back({ aTransaction, std::move(aCallback) });
+  }
+  void GrantLease(base::Duration /*aLifetime*/,
+                  Callback<LeaseReply> aCallback) override
+  {
+    grants_.push_back(std::move(aCallback));
+  }
+  void RenewLease(std::uint64_t /*aLease*/,
+                  Callback<LeaseReply> aCallback) override
+  {
+    renewals_.push_back(std::move(aCallback));
+  }
+  void EndLease(std::uint64_t /*aLease*/,
+                Callback<LeaseReply> aCallback) override
+  {
+    ends_.push_back(std::move(aCallback));
+  }
+
+  /// Answers the oldest call of a queue.
+  template<typename Call>
+  static Call Take(std::deque<Call>& aCalls)
+  {
+    Call call = std::move(aCalls.front());
+    aCalls.pop_front();
+    return call;
+  }
+
+  std::deque<std::pair<std::string, Callback<RangeReply>>> ranges_;
+  std::deque<WatchCall> watches_;
+  std::deque<std::pair<Transaction, Callback<TransactionReply>>> commits_;
+  std::deque<Callback<LeaseReply>> grants_;
+  std::deque<Callback<LeaseReply>> renewals_;
+  std::deque<Callback<LeaseReply>> ends_;
+};
+
+} // namespace pumiceturn::metadata
--- /dev/null
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -0,0 +1,177 @@
+#include "Tests/Platform/GatewayFixture.h"
+
+#include "LibBase/Base64.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fmt/format.h>
+
+namespace pumiceturn::adapter {
+
+using nlohmann::json;
+
+namespace {
+
+boost::asio::ip::tcp::endpoint
+Loopback(std::uint16_t aPort)
+{
+  return { boost::asio::ip::address_v4::loopback(), aPort };
+}
+
+/// @return a port that was free a moment ago.
+std::uint16_t
+FreePort(boost::asio::io_context& aContext)
+{
+  const boost::asio::ip::tcp::acceptor acceptor(aContext, Loopback(0));
+  return acceptor.local_endpoint().port();
+}
+
+json
+MakeRoute(const std::string& aName, const std::string& aKind)
+{
+  return { { "name", aName },
+           { "hostname", "a.example" },
+           { "prefix", "/" + aName + "/" },
+           { "kind", aKind },
+           { "timeoutMs", 20000 },
+           { "sloMs", 300 },
+           { "priority", 0 },
+           { "service", "service" },
+           { "maxAttempts", 2 },
+           { "resumable", aName == "resumable" },
+           { "dueMs", 60000 },
+           { "maxWaitS", 120 } };
+}
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+  : store_(context_)
+{
+}
+
+void
+GatewayFixture::WriteConfiguration(std::uint64_t aVersion)
+{
+  const json configuration = {
+    { "version", aVersion },
+    { "routes",
+      { MakeRoute("resumable", "stream"),
+        MakeRoute("stream", "stream"),
+        MakeRoute("once", "unsafe"),
+        MakeRoute(fmt::format("v{}", aVersion), "safe"),
+        MakeRoute("lots", "batch") } },
+    { "services", { { { "name", "service" }, { "maxConns", 100 } } } }
+  };
+  store_.Put("op/config", configuration.dump());
+}
+
+ServerStandin&
+GatewayFixture::AddServer(const std::string& aInstance)
+{
+  servers_.push_back(std::make_unique<ServerStandin>(context_, aInstance));
+  store_.Put("servers/" + aInstance,
+             servers_.back()->Registration("service", "ready"));
+  return *servers_.back();
+}
+
+TestHost&
+GatewayFixture::StartHost(const std::string& aName,
+                          lots::LotPreference aPreference)
+{
+  hosts_.push_back(std::make_unique<TestHost>());
+  TestHost& host = *hosts_.back();
+  host.callerPort_ = FreePort(context_);
+  host.statusPort_ = FreePort(context_);
+  gateway::GatewaySettings settings;
+  settings.host_ = aName;
+  settings.incarnation_ = "1";
+  settings.failureDomain_ = "a";
+  settings.lotPreference_ = aPreference;
+  settings.callerAddress_ = fmt::format("127.0.0.1:{}", host.callerPort_);
+  settings.statusAddress_ = fmt::format("127.0.0.1:{}", host.statusPort_);
+  settings.peerAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
+  host.store_ = std::make_unique<StoreCalls>(context_, Loopback(store_.Port()));
+  host.gateway_ = std::make_unique<gateway::Gateway>(context_,
+                                                     settings,
+                                                     MakeStoreLayout(),
+                                                     requestCodec_,
+                                                     storeEntries_,
+                                                     *host.store_);
+  REQUIRE(host.gateway_->Start());
+  RunUntil([&] {
+    return !store_.Get(std::string("pumiceturn/host/") + aName).empty();
+  });
+  return host;
+}
+
+std::unique_ptr<CallerCall>
+GatewayFixture::Send(TestHost& aHost,
+                     const std::string& aMethod,
+                     const std::string& aTarget,
+                     const std::string& aFields,
+                     const std::string& aBody)
+{
+  auto call = std::make_unique<CallerCall>();
+  call->connection_ =
+    std::make_shared<httpstream::ClientConnection>(context_.get_executor());
+  const std::string bytes =
+    fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
+                "Content-Length: {}\r\n\r\n{}",
+                aMethod,
+                aTarget,
+                aFields,
+                aBody.size(),
+                aBody);
+  call->connection_->Connect(Loopback(aHost.callerPort_),
+                             std::chrono::seconds(10),
+                             [raw = call.get(), bytes](bool aIsConnected) {
+                               REQUIRE(aIsConnected);
+                               httpstream::Call request;
+                               request.bytes_ = bytes;
+                               raw->connection_->Start(std::move(request),
+                                                       *raw);
+                             });
+  return call;
+}
+
+std::unique_ptr<CallerCall>
+GatewayFixture::Ask(TestHost& aHost,
+                    const std::string& aMethod,
+                    const std::string& aTarget,
+                    const std::string& aFields,
+                    const std::string& aBody)
+{
+  auto call = Send(aHost, aMethod, aTarget, aFields, aBody);
+  RunUntil([&call] { return call->IsOver(); });
+  return call;
+}
+
+std::string
+GatewayFixture::WholeStream()
+{
+  std::string text;
+  for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
+    text += fmt::format(
+      "id: {}\ndata: {}\n\n", id, ServerStandin::EventData(id));
+  }
+  return text;
+}
+
+std::string
+GatewayFixture::LotBody(int aItems)
+{
+  json items = json::array();
+  for (int item = 0; item < aItems; ++item) {
+    items.push_back({ { "id", fmt::format("item-{}", item) },
+                      { "path", "/lots/1" },
+                      { "headers", { { "Model", "m" } } },
+                      { "body", base::EncodeBase64("prompt") },
+                      { "tokens", 9 } });
+  }
+  return json{ { "items", items } }.dump();
+}
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/Platform/GatewayFixture.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "LibGateway/Gateway.h"
+#include "LibHttpStream/ConnectionPool.h"
+#include "platform/RequestCodec.h"
+#include "platform/Standin/ServerStandin.h"
+#include "platform/Standin/StoreStandin.h"
+#include "platform/StoreCalls.h"
+#include "platform/StoreEntries.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::adapter {
+
+/// One call of a caller and what came back.
+class CallerCall : public httpstream::CallObserver
+{
+public:
+  void OnHead(const httpstream::ResponseHead& aHead) override
+  {
+    status_ = aHead.result_int();
+    seal_ = httpstream::ValueOf(aHead, "Server-Seal");
+    retryAfter_ = httpstream::ValueOf(aHead, "Retry-After");
+  }
+  void OnBody(std::string_view aBytes) override { body_.append(aBytes); }
+  void OnEnd(httpstream::CallEnd aEnd) override { end_ = aEnd; }
+
+  [[nodiscard]] bool IsOver() const { return end_.has_value(); }
+
+  unsigned status_ = 0;
+  std::string seal_;
+  std::string retryAfter_;
+  std::string body_;
+  std::optional<httpstream::CallEnd> end_;
+  std::shared_ptr<httpstream::ClientConnection> connection_;
+};
+
+/// A host of the system with its own address.
+struct TestHost
+{
+  std::unique_ptr<StoreCalls> store_;
+  std::unique_ptr<gateway::Gateway> gateway_;
+  std::uint16_t callerPort_ = 0;
+  std::uint16_t statusPort_ = 0;
+};
+
+/// Gateways, a store and servers in one event loop on loopback.
+class GatewayFixture
+{
+protected:
+  GatewayFixture();
+
+  template<typename Predicate>
+  void RunUntil(Predicate&& aPredicate)
+  {
+    // A bound for a hanging test; no verdict depends on how fast it runs.
+    constexpr std::chrono::seconds kBound{ 60 };
+    const auto end = std::chrono::steady_clock::now() + kBound;
+    while (!aPredicate() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(20));
+      context_.restart();
+    }
+    REQUIRE(aPredicate());
+  }
+
+  /// Starts a host and waits until it is ready.
+  TestHost& StartHost(const std::string& aName, lots::LotPreference aPreference);
+
+  /// Writes a configuration with a resumable stream, a stream that may run
+  /// once, a service call that may run once, and lots.
+  void WriteConfiguration(std::uint64_t aVersion);
+
+  ServerStandin& AddServer(const std::string& aInstance);
+
+  /// Sends a call; RunUntil its IsOver().
+  std::unique_ptr<CallerCall> Send(TestHost& aHost,
+                                   const std::string& aMethod,
+                                   const std::string& aTarget,
+                                   const std::string& aFields = {},
+                                   const std::string& aBody = {});
+  std::unique_ptr<CallerCall> Ask(TestHost& aHost,
+                                  const std::string& aMethod,
+                                  const std::string& aTarget,
+                                  const std::string& aFields = {},
+                                  const std::string& aBody = {});
+
+  static std::string WholeStream();
+  static std::string LotBody(int aItems);
+
+  boost::asio::io_context context_;
+  StoreStandin store_;
+  RequestCodec requestCodec_;
+  StoreEntries storeEntries_;
+  std::vector<std::unique_ptr<TestHost>> hosts_;
+  std::vector<std::unique_ptr<ServerStandin>> servers_;
+};
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/Platform/LotsTest.cpp
@@ -0,0 +1,256 @@
+#include "Tests/Platform/GatewayFixture.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pumiceturn::adapter {
+
+using nlohmann::json;
+
+class LotsFixture : protected GatewayFixture
+{
+protected:
+  LotsFixture()
+  {
+    WriteConfiguration(1);
+    AddServer("i-1");
+    AddServer("i-2");
+    entry_ = &StartHost("entry", lots::LotPreference::IfNoOther);
+  }
+
+  void StartWorker(const std::string& aName)
+  {
+    StartHost(aName, lots::LotPreference::Worker);
+  }
+
+  unsigned Submit(TestHost& aHost, int aItems)
+  {
+    return Ask(aHost, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(aItems))
+      ->status_;
+  }
+
+  json Results(TestHost& aHost, std::size_t aPosition = 0)
+  {
+    const auto call =
+      Ask(aHost, "GET", "/api/lots/lot1?after=" + std::to_string(aPosition));
+    return call->status_ == 200 ? json::parse(call->body_) : json();
+  }
+
+  json WaitForAll(TestHost& aHost, std::size_t aCount)
+  {
+    json page;
+    RunUntil([&] {
+      page = Results(aHost);
+      return page.is_object() && page["results"].size() == aCount;
+    });
+    return page;
+  }
+
+  static std::string WholeOutput()
+  {
+    std::string text;
+    for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
+      text += (id > 1 ? "\n" : "") + ServerStandin::EventData(id);
+    }
+    return text;
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    std::size_t count = 0;
+    for (const auto& server : servers_) {
+      count += server->Requests().size();
+    }
+    return count;
+  }
+
+  TestHost* entry_ = nullptr;
+};
+
+TEST_CASE_METHOD(LotsFixture, "Lots_CalmLot_IsAnsweredOnceAtEveryHost")
+{
+  StartWorker("worker");
+  TestHost& other = StartHost("other", lots::LotPreference::IfNoOther);
+  CHECK(Submit(*entry_, 5) == 202);
+  const json page = WaitForAll(*entry_, 5);
+  CHECK(page["total"] == 5);
+  CHECK(page["next"] == 5);
+  for (const json& result : page["results"]) {
+    CHECK(result["state"] == "completed");
+    CHECK(result["output"] == WholeOutput());
+  }
+  CHECK(RequestCount() == 5);
+  CHECK(WaitForAll(other, 5) == page);
+  CHECK(Results(other, 3)["results"].size() == 2);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_SentAgain_IsAcceptedOnce")
+{
+  TestHost& other = StartHost("other", lots::LotPreference::IfNoOther);
+  CHECK(Submit(*entry_, 3) == 202);
+  CHECK(Submit(other, 3) == 202);
+  CHECK(Submit(*entry_, 3) == 202);
+  WaitForAll(*entry_, 3);
+  CHECK(RequestCount() == 3);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_ItemStreamBreaks_GoesOnWithoutGapOrDouble")
+{
+  servers_[0]->Enqueue({ ServerScript::Kind::Break, 2, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Break, 4, 0 });
+  CHECK(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  CHECK(page["results"][0]["output"] == WholeOutput());
+  CHECK(page["results"][1]["output"] == WholeOutput());
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_ImpossibleItem_IsErroredAndOthersGoOn")
+{
+  servers_[0]->Enqueue({ ServerScript::Kind::Status, 0, 422 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Status, 0, 422 });
+  CHECK(Submit(*entry_, 4) == 202);
+  const json page = WaitForAll(*entry_, 4);
+  int errored = 0;
+  for (const json& result : page["results"]) {
+    errored += result["state"] == "errored" ? 1 : 0;
+  }
+  CHECK(errored == 2);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_ItemFailsAtEachRun_IsErroredAfterTheLimit")
+{
+  for (int run = 0; run < 2; ++run) {
+    servers_[0]->Enqueue({ ServerScript::Kind::Status, 0, 500 });
+    servers_[1]->Enqueue({ ServerScript::Kind::Status, 0, 500 });
+  }
+  CHECK(Submit(*entry_, 1) == 202);
+  const json page = WaitForAll(*entry_, 1);
+  CHECK(page["results"][0]["state"] == "errored");
+  CHECK(RequestCount() == 2);
+}
+
+// A society sends its lot again and both reports are billed. The store had
+// carried out the first write, and its answer was lost.
+TEST_CASE_METHOD(LotsFixture, "Lots_AnswerOfTheStoreLost_LotIsKeptOnce")
+{
+  store_.SetMood(StoreMood::LosingWrites);
+  const auto call =
+    Send(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(2));
+  RunUntil([this] { return !store_.Get("pumiceturn/lot/lot1/state").empty(); });
+  store_.SetMood(StoreMood::Serving);
+  RunUntil([&call] { return call->IsOver(); });
+  CHECK(call->status_ == 202);
+  WaitForAll(*entry_, 2);
+  CHECK(RequestCount() == 2);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_StoreRefuses_LotIsRefusedAndNothingRuns")
+{
+  store_.SetMood(StoreMood::Refusing);
+  const auto call =
+    Ask(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(2));
+  CHECK(call->status_ == 503);
+  CHECK_FALSE(call->retryAfter_.empty());
+  CHECK(Ask(*entry_, "GET", "/api/lots/lot1?after=0")->status_ == 503);
+  store_.SetMood(StoreMood::Serving);
+  RunUntil([this] {
+    return Ask(*entry_, "GET", "/api/lots/lot1?after=0")->status_ == 404;
+  });
+  CHECK(RequestCount() == 0);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_ReadAtAHostThatHasNotHeard_IsFound")
+{
+  TestHost& other = StartHost("other", lots::LotPreference::IfNoOther);
+  CHECK(Submit(*entry_, 1) == 202);
+  CHECK(Ask(other, "GET", "/api/lots/lot1?after=0")->status_ == 200);
+  const auto body = Ask(other, "GET", "/api/items/lot1?id=item-0");
+  CHECK(body->status_ == 200);
+  CHECK(body->body_ == "prompt");
+  CHECK(Ask(other, "GET", "/api/items/lot1?id=none")->status_ == 404);
+  CHECK(Ask(other, "GET", "/api/lots/none?after=0")->status_ == 404);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_Ended_RunsNoMore")
+{
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  CHECK(Submit(*entry_, 2) == 202);
+  RunUntil([this] { return RequestCount() == 2; });
+  CHECK(Ask(*entry_, "DELETE", "/api/lots/lot1")->status_ == 200);
+  CHECK(Ask(*entry_, "DELETE", "/api/lots/lot1")->status_ == 200);
+  RunUntil([this] {
+    return servers_[0]->AbandonedCount() + servers_[1]->AbandonedCount() == 2;
+  });
+  CHECK(Results(*entry_)["results"].empty());
+}
+
+// A lot stays half done. The host that ran it leaves; another goes on where its
+// runs were, and lists each item once.
+TEST_CASE_METHOD(LotsFixture, "Lots_OwnerLeaves_AnotherGoesOnWhereItWas")
+{
+  StartWorker("worker");
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 3, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 3, 0 });
+  CHECK(Submit(*entry_, 2) == 202);
+  RunUntil([this] { return RequestCount() == 2; });
+  // The runs' first events are read at the worker's next look.
+  std::size_t looks = 0;
+  RunUntil([&] { return ++looks > 30; });
+  bool isStopped = false;
+  hosts_.back()->gateway_->Stop([&isStopped] { isStopped = true; });
+  const json page = WaitForAll(*entry_, 2);
+  CHECK(page["results"][0]["output"] == WholeOutput());
+  CHECK(page["results"][1]["output"] == WholeOutput());
+  RunUntil([&isStopped] { return isStopped; });
+}
+
+// A lot never ends: the host that ran it lost its power, and its registration
+// went with it.
+TEST_CASE_METHOD(LotsFixture, "Lots_OwnerVanishes_AnotherTakesOver")
+{
+  StartWorker("worker");
+  for (int run = 0; run < 2; ++run) {
+    servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+    servers_[1]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  }
+  CHECK(Submit(*entry_, 2) == 202);
+  RunUntil([this] { return RequestCount() == 2; });
+  hosts_.back()->gateway_.reset();
+  store_.Remove("pumiceturn/host/worker");
+  const json page = WaitForAll(*entry_, 2);
+  CHECK(page["results"].size() == 2);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_HostIsToBeEmptied_ReportsWhenItsLotsAreGone")
+{
+  StartWorker("worker");
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  CHECK(Submit(*entry_, 2) == 202);
+  RunUntil([this] { return RequestCount() == 2; });
+  store_.Put("op/retire/worker", "{\"durationS\": 10}");
+  RunUntil([this] { return !store_.Get("status/retire/worker").empty(); });
+  CHECK(json::parse(store_.Get("status/retire/worker"))["state"] ==
+        "completed");
+  WaitForAll(*entry_, 2);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_MalformedLots_Are400AndNothingIsStored")
+{
+  const auto submit = [this](const std::string& aBody) {
+    return Ask(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", aBody)
+      ->status_;
+  };
+  CHECK(submit("{") == 400);
+  CHECK(submit("{\"items\": []}") == 400);
+  CHECK(submit(LotBody(201)) == 400);
+  json twice = json::parse(LotBody(2));
+  twice["items"][1]["id"] = "item-0";
+  CHECK(submit(twice.dump()) == 400);
+  json notBase64 = json::parse(LotBody(1));
+  notBase64["items"][0]["body"] = "a%b";
+  CHECK(submit(notBase64.dump()) == 400);
+  CHECK(store_.Keys("pumiceturn/lot/").empty());
+}
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/Platform/OnlineTest.cpp
@@ -0,0 +1,215 @@
+#include "Tests/Platform/GatewayFixture.h"
+
+namespace pumiceturn::adapter {
+
+class OnlineFixture : protected GatewayFixture
+{
+protected:
+  OnlineFixture()
+  {
+    WriteConfiguration(3);
+    AddServer("i-1");
+    AddServer("i-2");
+    host_ = &StartHost("entry", lots::LotPreference::IfNoOther);
+  }
+
+  std::unique_ptr<CallerCall> Stream(const std::string& aPath)
+  {
+    return Ask(*host_, "POST", aPath, "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
+  }
+
+  void EnqueueAtBoth(const ServerScript& aScript)
+  {
+    servers_[0]->Enqueue(aScript);
+    servers_[1]->Enqueue(aScript);
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    return servers_[0]->Requests().size() + servers_[1]->Requests().size();
+  }
+
+  TestHost* host_ = nullptr;
+};
+
+TEST_CASE_METHOD(OnlineFixture, "Online_CalmStream_PassesUnchanged")
+{
+  const auto call = Stream("/stream/1");
+  CHECK(call->status_ == 200);
+  CHECK(call->seal_ == "seal");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->end_ == httpstream::CallEnd::Complete);
+  REQUIRE(RequestCount() == 1);
+  const auto& server = servers_[servers_[0]->Requests().empty() ? 1 : 0];
+  const auto& request = server->Requests().front();
+  CHECK(httpstream::ValueOf(request, "Attempt-Id") == "r1");
+  CHECK(httpstream::ValueOf(request, "Target-Instance").starts_with("i-"));
+  CHECK(std::stoi(std::string(httpstream::ValueOf(request, "Deadline-Ms"))) <=
+        9000);
+}
+
+// A translator's line stops in the middle. The server crashes within an event;
+// the stream goes on at another server, with nothing missing and nothing twice.
+TEST_CASE_METHOD(OnlineFixture, "Online_ResumableStreamBreaks_GoesOnElsewhere")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Break, 3, 0 });
+  servers_[0]->Enqueue({});
+  servers_[1]->Enqueue({});
+  const auto call = Stream("/resumable/1");
+  // Both servers break once, and two attempts are allowed.
+  CHECK(call->body_ == WholeStream());
+  CHECK(RequestCount() == 2);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_ResumableStreamBreaksTwice_LooksBroken")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Break, 1, 0 });
+  const auto call = Stream("/resumable/1");
+  CHECK(call->end_ == httpstream::CallEnd::Broken);
+  CHECK(RequestCount() == 2);
+}
+
+// A customer is billed twice: a request that may run once was sent to a second
+// server after the first had reset the connection.
+TEST_CASE_METHOD(OnlineFixture, "Online_OnceOnlyIsReset_IsNotSentAgain")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Reset, 0, 0 });
+  const auto call = Stream("/once/1");
+  CHECK(call->status_ == 502);
+  CHECK(RequestCount() == 1);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_OnceOnlyStreamBreaks_LooksBroken")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Break, 2, 0 });
+  const auto call = Stream("/stream/1");
+  CHECK(call->end_ == httpstream::CallEnd::Broken);
+  CHECK(RequestCount() == 1);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_RefusedNotRun_TriesAnotherServer")
+{
+  servers_[0]->Enqueue({ ServerScript::Kind::Refuse, 0, 0 });
+  servers_[1]->Enqueue({});
+  servers_[0]->Enqueue({});
+  const auto call = Stream("/once/1");
+  CHECK(call->status_ == 200);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_AllRefuse_CallerIsToldWhenToComeBack")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Refuse, 0, 0 });
+  const auto call = Stream("/once/1");
+  CHECK(call->status_ == 503);
+  CHECK(call->seal_.empty());
+  CHECK_FALSE(call->retryAfter_.empty());
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_ServersOwnFailure_PassesUnchanged")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Status, 0, 500 });
+  const auto call = Stream("/once/1");
+  CHECK(call->status_ == 500);
+  CHECK(call->seal_ == "seal");
+  CHECK(call->body_ == "own body");
+}
+
+// Look-ups are refused although another server is idle: two servers came back
+// at their addresses under new ids, and each stale registration costs a try.
+TEST_CASE_METHOD(OnlineFixture, "Online_MisdirectedAnswers_DontUseUpAttempts")
+{
+  ServerStandin& third = AddServer("i-3");
+  EnqueueAtBoth({ ServerScript::Kind::Misdirect, 0, 0 });
+  RunUntil([&] {
+    const auto call = Stream("/once/1");
+    CHECK(call->status_ == 200);
+    return RequestCount() >= 2 && !third.Requests().empty();
+  });
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_CallerLeaves_ServersWorkEnds")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
+  const auto call = Send(
+    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
+  RunUntil([&call] { return !call->body_.empty(); });
+  call->connection_->Cancel();
+  RunUntil([this] {
+    return servers_[0]->AbandonedCount() + servers_[1]->AbandonedCount() == 1;
+  });
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_SilentMidStream_ResumesElsewhere")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
+  servers_[0]->Enqueue({});
+  servers_[1]->Enqueue({});
+  const auto call = Stream("/resumable/1");
+  CHECK(call->body_ == WholeStream().substr(0, call->body_.size()));
+  CHECK(RequestCount() == 2);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_NoRoute_Is404")
+{
+  CHECK(Stream("/elsewhere/1")->status_ == 404);
+}
+
+// A caller gets 404 for a route that operators added seconds ago.
+TEST_CASE_METHOD(OnlineFixture, "Online_NewConfiguration_ComesIntoForce")
+{
+  CHECK(Stream("/v9/1")->status_ == 404);
+  WriteConfiguration(9);
+  RunUntil([this] { return Stream("/v9/1")->status_ == 200; });
+  CHECK(Stream("/v3/1")->status_ == 404);
+  WriteConfiguration(5);
+  store_.Compact();
+  CHECK(Stream("/v9/1")->status_ == 200);
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_UnreadableConfiguration_ChangesNothing")
+{
+  store_.Put("op/config", "{\"version\": 99, \"routes\": 7}");
+  store_.Put("op/config", "{{{");
+  WriteConfiguration(10);
+  RunUntil([this] { return Stream("/v10/1")->status_ == 200; });
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_StoreAway_GoesOnServing")
+{
+  store_.SetMood(StoreMood::Refusing);
+  for (int call = 0; call < 5; ++call) {
+    CHECK(Stream("/once/1")->status_ == 200);
+  }
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_ServerDrains_GetsNothingNew")
+{
+  store_.Put("servers/i-1", servers_[0]->Registration("service", "draining"));
+  RunUntil([this] {
+    const std::size_t before = servers_[0]->Requests().size();
+    for (int call = 0; call < 8; ++call) {
+      (void)Stream("/once/1");
+    }
+    return servers_[0]->Requests().size() == before;
+  });
+}
+
+TEST_CASE_METHOD(OnlineFixture, "Online_Stopping_FinishesOpenRequests")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
+  const auto held = Send(
+    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 900\r\n");
+  RunUntil([&held] { return !held->body_.empty(); });
+  bool isStopped = false;
+  host_->gateway_->Stop([&isStopped] { isStopped = true; });
+  servers_[0]->ClearScripts();
+  servers_[1]->ClearScripts();
+  const auto late = Ask(
+    *host_, "POST", "/once/1", "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n");
+  CHECK(late->status_ == 200);
+  CHECK_FALSE(isStopped);
+  RunUntil([&isStopped] { return isStopped; });
+  CHECK(store_.Keys("pumiceturn/host/").empty());
+}
+
+} // namespace pumiceturn::adapter
