--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -6,7 +6,12 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
 
 namespace pumiceturn::base {
 
@@ -16,10 +21,20 @@
 constexpr std::size_t kWriterThreads = 1;
 constexpr std::chrono::seconds kFlushInterval{ 1 };
 
+/// Lines of one event in the present second.
+struct EventRate
+{
+  std::int64_t second_ = 0;
+  std::uint32_t written_ = 0;
+  std::uint64_t omitted_ = 0;
+};
+
 struct LogState
 {
   std::shared_ptr<spdlog::logger> logger_;
   LogOptions options_;
+  std::mutex mutex_; ///< Guards rates_; nothing is called while it is held.
+  std::unordered_map<std::uint16_t, EventRate> rates_;
 };
 
 LogState&
@@ -64,6 +79,33 @@
          aValue.find_first_of(" =\"\n\r\t") != std::string_view::npos;
 }
 
+/// Counts a line against its event's limit.
+/// @return how many lines were left out before this one, or nothing if this one
+/// is left out too.
+std::optional<std::uint64_t>
+TakeLine(LogState& aState, const Event& aEvent)
+{
+  if (aState.options_.maxLinesPerSecond_ == 0) {
+    return 0;
+  }
+  const std::int64_t second =
+    std::chrono::duration_cast<std::chrono::seconds>(
+      std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+  const std::lock_guard lock(aState.mutex_);
+  EventRate& rate = aState.rates_[aEvent.number_];
+  if (rate.second_ != second) {
+    rate.second_ = second;
+    rate.written_ = 0;
+  }
+  if (rate.written_ >= aState.options_.maxLinesPerSecond_) {
+    ++rate.omitted_;
+    return std::nullopt;
+  }
+  ++rate.written_;
+  return std::exchange(rate.omitted_, 0);
+}
+
 std::string
 KeyValueLine(const Event& aEvent,
              std::initializer_list<LogField> aFields,
@@ -133,6 +175,19 @@
   }
 }
 
+void
+StopLog()
+{
+  LogState& state = State();
+  if (!state.logger_) {
+    return;
+  }
+  state.logger_->flush();
+  spdlog::drop_all();
+  spdlog::shutdown();
+  state.logger_.reset();
+}
+
 bool
 IsLogged(LogLevel aLevel)
 {
@@ -145,11 +200,20 @@
   if (!IsLogged(aEvent.level_)) {
     return;
   }
-  const LogState& state = State();
+  LogState& state = State();
+  const auto omitted = TakeLine(state, aEvent);
+  if (!omitted) {
+    return;
+  }
   const bool isJson = state.options_.format_ == LogFormat::JsonLines;
-  const std::string line =
+  std::string line =
     isJson ? JsonLine(aEvent, aFields, state.options_.host_)
            : KeyValueLine(aEvent, aFields, state.options_.host_);
+  if (*omitted > 0 && isJson) {
+    line.insert(line.size() - 1, fmt::format(",\"omitted\":\"{}\"", *omitted));
+  } else if (*omitted > 0) {
+    line += fmt::format(" omitted={}", *omitted);
+  }
   state.logger_->log(ToSpdlog(aEvent.level_), "{}", line);
 }
 
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -61,6 +61,10 @@
   std::string file_; ///< Empty: the target below.
   LogTarget target_ = LogTarget::StandardError;
   std::string host_; ///< Written on each line.
+  /// Lines of one event written in a second; what is over is counted, and the
+  /// next line tells how many were left out. Zero: no limit. A burst must not
+  /// spend the processor on telling about itself.
+  std::uint32_t maxLinesPerSecond_ = 0;
 };
 
 /// Sets up the process's log. Call once, before other threads log; without it,
@@ -72,6 +76,10 @@
 void
 FlushLog();
 
+/// Writes out everything and ends the writer. Nothing is logged afterwards.
+void
+StopLog();
+
 /// @return whether lines of this level are written.
 bool
 IsLogged(LogLevel aLevel);
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -108,6 +108,51 @@
   CHECK(table_.BatchToYield("one", now_, 0.5) == 1);
 }
 
+// A translator's hint waits 200 ms for nothing: every place is taken, one of
+// them by a lot of another host, and nobody tells that host.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OnlyPeersHaveBatch_NamesThePeerThatYields")
+{
+  Add("online-only");
+  Add("with-batch");
+  Start("online-only", WorkClass::Online, 4);
+  Start("with-batch", WorkClass::Online, 2);
+  const std::vector<PeerCount> counts = { { "with-batch", { 1, 1 } } };
+  table_.TakePeerCounts("peer", counts, now_);
+  const auto choice = Choose(WorkClass::Online);
+  REQUIRE(choice);
+  CHECK(choice->endpoint_.id_ == "with-batch");
+  CHECK(choice->preemptsBatch_);
+  CHECK(choice->yieldingPeer_ == "peer");
+  table_.AssumeYield("with-batch", "peer");
+  CHECK(Choose(WorkClass::Online)->running_ == 3);
+}
+
+// Every host of the fleet loses a request to the same broken endpoint, since
+// each one must find out by itself.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_TwoPeersFailed_EndpointIsAvoidedHereToo")
+{
+  Add("bad");
+  Add("good");
+  Start("good", WorkClass::Online, 2);
+  const std::vector<PeerCount> failed = { { "bad", {}, true } };
+  table_.TakePeerCounts("peer-1", failed, now_);
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "bad");
+  table_.TakePeerCounts("peer-2", failed, now_);
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "good");
+}
+
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OwnFailure_IsToldToPeers")
+{
+  Add("bad");
+  CHECK(table_.OwnCounts(now_).empty());
+  table_.NoteFailure("bad", now_);
+  REQUIRE(table_.OwnCounts(now_).size() == 1);
+  CHECK(table_.OwnCounts(now_).front().hasFailed_);
+}
+
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_SilentPeer_IsForgotten")
 {
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -212,4 +212,26 @@
   CHECK(store_.Keys("pumiceturn/host/").empty());
 }
 
+// A look-up that was taken late during a shutdown is cut at the host's end. The
+// balancer goes on sending where most hosts of a failure domain leave at once.
+TEST_CASE_METHOD(OnlineFixture, "Online_LongAfterStop_IsRefusedAsNotRun")
+{
+  EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
+  const auto held = Send(
+    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 7000\r\n");
+  RunUntil([&held] { return !held->body_.empty(); });
+  servers_[0]->ClearScripts();
+  servers_[1]->ClearScripts();
+  bool isStopped = false;
+  host_->gateway_->Stop([&isStopped] { isStopped = true; });
+  std::unique_ptr<CallerCall> last;
+  RunUntil([&] {
+    last = Stream("/once/1");
+    return last->status_ != 200;
+  });
+  CHECK(last->status_ == 503);
+  CHECK_FALSE(last->retryAfter_.empty());
+  CHECK_FALSE(isStopped);
+}
+
 } // namespace pumiceturn::adapter
