--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -206,9 +206,9 @@
     return;
   }
   const bool isJson = state.options_.format_ == LogFormat::JsonLines;
-  std::string line =
-    isJson ? JsonLine(aEvent, aFields, state.options_.host_)
-           : KeyValueLine(aEvent, aFields, state.options_.host_);
+  std::string line = isJson
+                       ? JsonLine(aEvent, aFields, state.options_.host_)
+                       : KeyValueLine(aEvent, aFields, state.options_.host_);
   if (*omitted > 0 && isJson) {
     line.insert(line.size() - 1, fmt::format(",\"omitted\":\"{}\"", *omitted));
   } else if (*omitted > 0) {
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -108,13 +108,13 @@
   if (aEndpoint.avoidedUntil_ > aNow) {
     return true;
   }
-  const auto failed = std::count_if(
-    aEndpoint.peers_.begin(),
-    aEndpoint.peers_.end(),
-    [this, aNow](const auto& aPeer) {
-      return aPeer.second.hasFailed_ &&
-             aNow - aPeer.second.at_ <= limits_.peerCountLifetime_;
-    });
+  const auto failed = std::count_if(aEndpoint.peers_.begin(),
+                                    aEndpoint.peers_.end(),
+                                    [this, aNow](const auto& aPeer) {
+                                      return aPeer.second.hasFailed_ &&
+                                             aNow - aPeer.second.at_ <=
+                                               limits_.peerCountLifetime_;
+                                    });
   return failed >= limits_.failedPeersToAvoid_;
 }
 
@@ -137,10 +137,10 @@
                        const RunCounts& aCounts,
                        base::Instant aNow) const
 {
-  const bool isExcluded = std::find(aRequest.excluded_.begin(),
-                                    aRequest.excluded_.end(),
-                                    aEndpoint.record_.id_) !=
-                          aRequest.excluded_.end();
+  const bool isExcluded =
+    std::find(aRequest.excluded_.begin(),
+              aRequest.excluded_.end(),
+              aEndpoint.record_.id_) != aRequest.excluded_.end();
   if (aEndpoint.record_.service_ != aRequest.service_ ||
       aEndpoint.record_.isDraining_ || isExcluded) {
     return false;
@@ -204,8 +204,7 @@
   if (least.endpoint_ == nullptr) {
     return std::nullopt;
   }
-  const bool isFull =
-    least.counts_.Total() >= least.endpoint_->record_.slots_;
+  const bool isFull = least.counts_.Total() >= least.endpoint_->record_.slots_;
   Best chosen = least;
   if (!isBatch && isFull && leastOnline.endpoint_ != nullptr &&
       leastOnline.score_ < kAvoidedPenalty) {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -83,8 +83,9 @@
     base::Duration firstAvoidance_{ std::chrono::milliseconds{ 400 } };
     base::Duration longestAvoidance_{ std::chrono::milliseconds{ 3200 } };
 
-    /// Peers that must have failed at an endpoint for this host to avoid it too.
-    /// Two, since one alone may be cut off from an endpoint that serves others.
+    /// Peers that must have failed at an endpoint for this host to avoid it
+    /// too. Two, since one alone may be cut off from an endpoint that serves
+    /// others.
     std::uint32_t failedPeersToAvoid_ = 2;
 
     /// How long an endpoint whose registration vanished while the store was
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -183,16 +183,16 @@
 BatchWorker::BatchWorker(boost::asio::io_context& aContext,
                          Shared& aShared,
                          metadata::StoreClient& aStore,
-                         const lots::LotTable& aLots,
+                         lots::LotTable& aLots,
+                         LotLoader& aLoader,
                          const lots::HostSet& aHosts,
-                         std::string aKeyPrefix,
                          std::string aOwnName)
   : context_(aContext)
   , shared_(aShared)
   , store_(aStore)
   , lots_(aLots)
+  , loader_(aLoader)
   , hosts_(aHosts)
-  , keyPrefix_(std::move(aKeyPrefix))
   , ownName_(std::move(aOwnName))
 {
 }
@@ -235,13 +235,35 @@
     if (isOwned) {
       Leave(aLot, lot == nullptr || !lot->IsOpen() ? "closed" : "taken over");
     }
+    if (lot != nullptr && !IsOwn(*lot) && lot->isLoaded_) {
+      lots_.Unload(aLot);
+    }
     return;
   }
-  if (!isOwned && lot->items_ && !leaving_) {
-    Take(*lot);
+  if (!isOwned && !leaving_) {
+    Load(aLot);
   }
 }
 
+void
+BatchWorker::Load(const std::string& aLot)
+{
+  const base::Instant now = base::MonotonicNow();
+  const auto [entry, isNew] = loading_.try_emplace(aLot, now);
+  if (!isNew) {
+    return;
+  }
+  loader_.ReadData(aLot, [this, aLot](metadata::StoreStatus /*aStatus*/) {
+    loading_.erase(aLot);
+    const lots::Lot* lot = lots_.Find(aLot);
+    // Without success the next look tries again.
+    if (lot != nullptr && lot->isLoaded_ && IsOwn(*lot) && lot->IsOpen() &&
+        !leaving_ && !own_.contains(aLot)) {
+      Take(*lot);
+    }
+  });
+}
+
 void
 BatchWorker::Take(const lots::Lot& aLot)
 {
@@ -280,8 +302,10 @@
   }
   for (const std::string& id : lots_.OpenLots()) {
     const lots::Lot* lot = lots_.Find(id);
-    if (!IsOwn(*lot) && hosts_.IsGone(lot->state_.owner_, aNow) &&
-        hosts_.OwnerFor(id) == ownName_) {
+    if (IsOwn(*lot)) {
+      OnLotChanged(id);
+    } else if (hosts_.IsGone(lot->state_.owner_, aNow) &&
+               hosts_.OwnerFor(id) == ownName_) {
       Claim(id);
     }
   }
@@ -316,7 +340,8 @@
   lots::LotState state = lot->state_;
   state.owner_ = ownName_;
   metadata::Transaction transaction;
-  const std::string key = KeyOf({ aLot, lots::KeyPart::State, 0 });
+  const std::string key =
+    lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 });
   transaction.expectations_.push_back({ key, lot->stateRevision_ });
   transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
   // The mirror brings the new state, and with it the lot's work; a claim that
@@ -491,63 +516,93 @@
     return;
   }
   aOwn.callUnderWay_ = true;
+  PageWrite write;
+  write.pageKey_ =
+    lots_.Keys().MakeKey({ aLot, lots::KeyPart::Results, aOwn.nextPosition_ });
+  write.stateKey_ = lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 });
+  write.state_ = lot->state_;
+  write.finishes_ =
+    aOwn.nextPosition_ + aOwn.storing_.size() >= lot->state_.itemCount_;
+  write.state_.isFinished_ = write.finishes_;
   metadata::Transaction transaction;
-  const std::string page =
-    KeyOf({ aLot, lots::KeyPart::Results, aOwn.nextPosition_ });
-  transaction.expectations_.push_back(
-    { KeyOf({ aLot, lots::KeyPart::State, 0 }), lot->stateRevision_ });
-  transaction.expectations_.push_back({ page, 0 });
+  transaction.expectations_.push_back({ write.stateKey_, lot->stateRevision_ });
+  transaction.expectations_.push_back({ write.pageKey_, 0 });
   transaction.writes_.push_back(
-    { page, lots::EncodeResults(aOwn.storing_), 0 });
+    { write.pageKey_, lots::EncodeResults(aOwn.storing_), 0 });
+  if (write.finishes_) {
+    transaction.writes_.push_back(
+      { write.stateKey_, lots::EncodeState(write.state_), 0 });
+  }
   store_.Commit(transaction,
-                [this, aLot](const metadata::TransactionReply& aReply) {
-                  OnResultsStored(aLot, aReply);
+                [this, aLot, write](const metadata::TransactionReply& aReply) {
+                  OnResultsReply(aLot, write, aReply);
                 });
 }
 
 void
-BatchWorker::OnResultsStored(const std::string& aLot,
-                             const metadata::TransactionReply& aReply)
+BatchWorker::OnResultsReply(const std::string& aLot,
+                            const PageWrite& aWrite,
+                            const metadata::TransactionReply& aReply)
 {
+  using metadata::StoreStatus;
   const auto found = own_.find(aLot);
   if (found == own_.end()) {
     return;
   }
   OwnLot& own = found->second;
   own.callUnderWay_ = false;
-  const std::string page =
-    KeyOf({ aLot, lots::KeyPart::Results, own.nextPosition_ });
-  const bool wasThere =
-    aReply.status_ == metadata::StoreStatus::Conflict &&
-    std::any_of(aReply.current_.begin(),
-                aReply.current_.end(),
-                [&](const metadata::StoreItem& aItem) {
-                  return aItem.key_ == page && aItem.revision_ != 0 &&
-                         aItem.value_ == lots::EncodeResults(own.storing_);
-                });
-  if (aReply.status_ == metadata::StoreStatus::Ok || wasThere) {
-    base::Log(kResultsStored,
-              { { "lot", aLot },
-                { "position", own.nextPosition_ },
-                { "count", own.storing_.size() } });
-    own.nextPosition_ += static_cast<std::uint32_t>(own.storing_.size());
-    own.storing_.clear();
-    if (!own.unstored_.empty()) {
-      StoreResults(aLot, own);
+  if (aReply.status_ == StoreStatus::Ok) {
+    NoteStored(aLot, own, aWrite, aReply.revision_);
+    return;
+  }
+  // After a conflict the page may be there by an earlier try of this call,
+  // whose answer was lost.
+  std::uint64_t stateRevision = 0;
+  bool isThere = false;
+  for (const metadata::StoreItem& item : aReply.current_) {
+    isThere = isThere || (item.key_ == aWrite.pageKey_ &&
+                          item.value_ == lots::EncodeResults(own.storing_));
+    if (item.key_ == aWrite.stateKey_) {
+      stateRevision = item.revision_;
     }
+  }
+  if (aReply.status_ == StoreStatus::Conflict && isThere) {
+    NoteStored(aLot, own, aWrite, stateRevision);
     return;
   }
   base::Log(kResultsNotStored,
             { { "lot", aLot },
               { "position", own.nextPosition_ },
               { "status", static_cast<int>(aReply.status_) } });
-  if (aReply.status_ == metadata::StoreStatus::Conflict) {
-    // Another host owns the lot, or its sender has ended it: the mirror will
-    // say which. Until then nothing more is stored.
-    own.retryAt_ = base::MonotonicNow() + kClaimTimeout;
-    return;
-  }
-  own.retryAt_ = base::MonotonicNow() + kStoreRetryPause;
+  // After a conflict another host owns the lot, or its sender has ended it: the
+  // mirror will say which. Until then nothing more is stored.
+  const bool isConflict = aReply.status_ == StoreStatus::Conflict;
+  own.retryAt_ =
+    base::MonotonicNow() + (isConflict ? base::Duration(kClaimTimeout)
+                                       : base::Duration(kStoreRetryPause));
+}
+
+void
+BatchWorker::NoteStored(const std::string& aLot,
+                        OwnLot& aOwn,
+                        const PageWrite& aWrite,
+                        std::uint64_t aStateRevision)
+{
+  base::Log(kResultsStored,
+            { { "lot", aLot },
+              { "position", aOwn.nextPosition_ },
+              { "count", aOwn.storing_.size() } });
+  lots_.Apply(
+    aWrite.pageKey_, lots::EncodeResults(aOwn.storing_), aStateRevision);
+  aOwn.nextPosition_ += static_cast<std::uint32_t>(aOwn.storing_.size());
+  aOwn.storing_.clear();
+  if (aWrite.finishes_) {
+    lots_.Apply(
+      aWrite.stateKey_, lots::EncodeState(aWrite.state_), aStateRevision);
+  } else if (!aOwn.unstored_.empty()) {
+    StoreResults(aLot, aOwn);
+  }
+  onResults_(aLot);
 }
 
 void
@@ -572,11 +627,12 @@
     lots::LotState state = lot->state_;
     state.owner_.clear();
     metadata::Transaction transaction;
-    const std::string key = KeyOf({ id, lots::KeyPart::State, 0 });
+    const std::string key =
+      lots_.Keys().MakeKey({ id, lots::KeyPart::State, 0 });
     transaction.expectations_.push_back({ key, lot->stateRevision_ });
     transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
     transaction.writes_.push_back(
-      { KeyOf({ id, lots::KeyPart::Progress, 0 }),
+      { lots_.Keys().MakeKey({ id, lots::KeyPart::Progress, 0 }),
         lots::EncodeProgress(own.schedule_.Progress()),
         0 });
     ++*left;
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -2,6 +2,7 @@
 
 #include "LibFleet/EventSplitter.h"
 #include "LibGateway/EndpointRun.h"
+#include "LibGateway/LotLoader.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/ItemSchedule.h"
 #include "LibLots/LotTable.h"
@@ -74,11 +75,17 @@
   BatchWorker(boost::asio::io_context& aContext,
               Shared& aShared,
               metadata::StoreClient& aStore,
-              const lots::LotTable& aLots,
+              lots::LotTable& aLots,
+              LotLoader& aLoader,
               const lots::HostSet& aHosts,
-              std::string aKeyPrefix,
               std::string aOwnName);
 
+  /// Called with each lot that got results.
+  void SetOnResults(std::function<void(const std::string&)> aCallback)
+  {
+    onResults_ = std::move(aCallback);
+  }
+
   /// A lot's keys have changed in the store.
   void OnLotChanged(const std::string& aLot);
 
@@ -108,7 +115,17 @@
     base::Instant retryAt_;
   };
 
+  /// The call that stores a page of results.
+  struct PageWrite
+  {
+    std::string pageKey_;
+    std::string stateKey_;
+    lots::LotState state_; ///< As it is afterwards.
+    bool finishes_ = false;
+  };
+
   void Claim(const std::string& aLot);
+  void Load(const std::string& aLot);
   void Take(const lots::Lot& aLot);
   void Leave(const std::string& aLot, std::string_view aReason);
   [[nodiscard]] bool IsOwn(const lots::Lot& aLot) const;
@@ -122,22 +139,25 @@
   void OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd);
   void RemoveRun(const ItemRun& aRun);
   void StoreResults(const std::string& aLot, OwnLot& aOwn);
-  void OnResultsStored(const std::string& aLot,
-                       const metadata::TransactionReply& aReply);
-  [[nodiscard]] std::string KeyOf(const lots::LotKey& aKey) const
-  {
-    return keyPrefix_ + lots::MakeKey(aKey);
-  }
+  void OnResultsReply(const std::string& aLot,
+                      const PageWrite& aWrite,
+                      const metadata::TransactionReply& aReply);
+  void NoteStored(const std::string& aLot,
+                  OwnLot& aOwn,
+                  const PageWrite& aWrite,
+                  std::uint64_t aStateRevision);
 
   boost::asio::io_context& context_;
   Shared& shared_;
   metadata::StoreClient& store_;
-  const lots::LotTable& lots_;
+  lots::LotTable& lots_;
+  LotLoader& loader_;
   const lots::HostSet& hosts_;
-  std::string keyPrefix_;
   std::string ownName_;
   std::map<std::string, OwnLot> own_;
-  std::unordered_map<std::string, base::Instant> claims_; ///< Under way.
+  std::unordered_map<std::string, base::Instant> claims_;  ///< Under way.
+  std::unordered_map<std::string, base::Instant> loading_; ///< Under way.
+  std::function<void(const std::string&)> onResults_;
   std::vector<std::shared_ptr<ItemRun>> runs_;
   bool leaving_ = false;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -98,6 +98,7 @@
   return nlohmann::json{
     { "owner", aOwnName },
     { "peer", aSettings.peerAddress_ },
+    { "calls", aSettings.passOnAddress_ },
     { "worker", aSettings.lotPreference_ == lots::LotPreference::Worker }
   }.dump();
 }
@@ -121,7 +122,7 @@
              httpstream::ConnectionPool(aContext.get_executor()),
              std::mt19937_64(std::random_device{}()),
              {} }
-  , lots_(MakeDecoder(aCodec))
+  , lots_(layout_.lots_, MakeDecoder(aCodec))
   , operatorMirror_(
       aContext,
       aStore,
@@ -139,7 +140,7 @@
   , lotMirror_(aContext,
                aStore,
                health_,
-               Follow(layout_.lotPrefix_,
+               Follow(layout_.lots_.statePrefix_,
                       kLotWatch,
                       ShareOf(settings_.settleBound_, kLotPauseShare)),
                [this](const metadata::StoreItem& aItem) { OnLotKey(aItem); })
@@ -152,14 +153,15 @@
            aStore,
            { layout_.hostPrefix_ + settings_.host_,
              MakeHostValue(OwnName(), settings_) })
-  , desk_(shared_, aStore, lots_, hosts_, layout_.lotPrefix_, OwnName())
-  , worker_(aContext,
-            shared_,
-            aStore,
-            lots_,
-            hosts_,
-            layout_.lotPrefix_,
-            OwnName())
+  , loader_(aStore, lots_)
+  , desk_(shared_,
+          aStore,
+          lots_,
+          loader_,
+          hosts_,
+          OwnName(),
+          aContext.get_executor())
+  , worker_(aContext, shared_, aStore, lots_, loader_, hosts_, OwnName())
   , peers_(aContext,
            shared_,
            settings_.host_,
@@ -172,10 +174,13 @@
   , metricsListener_(
       aContext,
       [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
+  , passedOn_(aContext,
+              [this](const auto& aExchange) { OnPassedOn(aExchange); })
   , tickTimer_(aContext)
   , stopTimer_(aContext)
 {
-  desk_.SetOnLotRead([this](const std::string& aLot) { OnLotChanged(aLot); });
+  desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
+  worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
 
 std::string
@@ -207,7 +212,8 @@
 {
   if (!Listen(callers_, settings_.callerAddress_) ||
       !Listen(status_, settings_.statusAddress_) ||
-      !Listen(metricsListener_, settings_.metricsAddress_)) {
+      !Listen(metricsListener_, settings_.metricsAddress_) ||
+      !Listen(passedOn_, settings_.passOnAddress_)) {
     return false;
   }
   if (const auto address = ParseAddress(settings_.peerAddress_)) {
@@ -279,6 +285,16 @@
     ->Start();
 }
 
+void
+Gateway::OnPassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  if (const auto call = shared_.codec_.ReadLotCall(aExchange->GetRequest())) {
+    desk_.HandlePassedOn(aExchange, *call);
+    return;
+  }
+  aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+}
+
 void
 Gateway::OnStatusRequest(httpstream::Exchange& aExchange)
 {
@@ -402,13 +418,11 @@
 void
 Gateway::OnLotKey(const metadata::StoreItem& aItem)
 {
-  const std::string_view key =
-    std::string_view(aItem.key_).substr(layout_.lotPrefix_.size());
   if (aItem.removed_) {
-    lots_.Remove(key);
+    lots_.Remove(aItem.key_);
     return;
   }
-  if (const auto lot = lots_.Apply(key, aItem.value_, aItem.revision_)) {
+  if (const auto lot = lots_.Apply(aItem.key_, aItem.value_, aItem.revision_)) {
     OnLotChanged(*lot);
   }
 }
@@ -441,6 +455,7 @@
              value.value("owner", std::string()),
              value.value("worker", false) ? lots::LotPreference::Worker
                                           : lots::LotPreference::IfNoOther,
+             value.value("calls", std::string()),
              now);
   peers_.SetPeer(host, value.value("peer", std::string()));
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -30,6 +30,7 @@
   std::string statusAddress_;  ///< IP:PORT for readiness; empty: none.
   std::string metricsAddress_; ///< IP:PORT; empty: none.
   std::string peerAddress_;    ///< IP:PORT for datagrams of peers.
+  std::string passOnAddress_;  ///< IP:PORT for calls that peers pass on.
   /// From the request to stop until the process is killed.
   base::Duration grace_{ std::chrono::seconds{ 8 } };
   /// Within which a draining endpoint must get nothing new.
@@ -43,7 +44,7 @@
 {
   std::string operatorPrefix_;
   std::string endpointPrefix_;
-  std::string lotPrefix_;
+  lots::LotKeySpace lots_;
   std::string hostPrefix_;
 };
 
@@ -100,6 +101,7 @@
 
 private:
   void OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnPassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnStatusRequest(httpstream::Exchange& aExchange);
   void OnOperatorKey(const metadata::StoreItem& aItem);
   void OnEndpointKey(const metadata::StoreItem& aItem);
@@ -133,6 +135,7 @@
   metadata::PrefixMirror lotMirror_;
   metadata::PrefixMirror hostMirror_;
   metadata::HostLease lease_;
+  LotLoader loader_;
   LotDesk desk_;
   BatchWorker worker_;
   PeerExchange peers_;
@@ -140,6 +143,7 @@
   httpstream::Listener callers_;
   httpstream::Listener status_;
   httpstream::Listener metricsListener_;
+  httpstream::Listener passedOn_;
   boost::asio::steady_timer tickTimer_;
   boost::asio::steady_timer stopTimer_;
   std::function<void()> stopped_;
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/LotDesk.h"
 
+#include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
 
 #include <algorithm>
@@ -27,6 +28,11 @@
 /// Largest page of results in one answer.
 constexpr std::size_t kMaxPageBytes = 900000;
 
+/// Longest wait for the host that runs a lot, beyond the reader's own wait.
+/// Callers wait 1.5 s longer than they allow, and the store may have to be
+/// asked afterwards.
+constexpr std::chrono::milliseconds kPassOnMargin{ 400 };
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusAccepted = 202;
 constexpr unsigned kStatusBadRequest = 400;
@@ -49,15 +55,17 @@
 LotDesk::LotDesk(Shared& aShared,
                  metadata::StoreClient& aStore,
                  lots::LotTable& aLots,
+                 LotLoader& aLoader,
                  const lots::HostSet& aHosts,
-                 std::string aKeyPrefix,
-                 std::string aOwnName)
+                 std::string aOwnName,
+                 boost::asio::any_io_executor aExecutor)
   : shared_(aShared)
   , store_(aStore)
   , lots_(aLots)
+  , loader_(aLoader)
   , hosts_(aHosts)
-  , keyPrefix_(std::move(aKeyPrefix))
   , ownName_(std::move(aOwnName))
+  , executor_(std::move(aExecutor))
 {
 }
 
@@ -68,7 +76,7 @@
   const httpstream::Request& request = aExchange->GetRequest();
   const auto content = shared_.codec_.ReadLotContent(request.body());
   if (const auto* unreadable = std::get_if<UnreadableCall>(&content)) {
-    Answer(std::move(aExchange), *unreadable);
+    Handle(std::move(aExchange), *unreadable);
     return;
   }
   if (lots_.Find(aLot) != nullptr) {
@@ -90,11 +98,13 @@
   state.hostName_ = httpstream::ValueOf(request, "Host");
   state.path_ = std::string(request.target());
   metadata::Transaction& transaction = submission->transaction_;
-  const std::string stateKey = KeyOf({ aLot, lots::KeyPart::State, 0 });
+  const std::string stateKey =
+    lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 });
   const std::string& body = request.body();
   for (std::size_t begin = 0; begin < body.size(); begin += kPartBytes) {
     transaction.writes_.push_back(
-      { KeyOf({ aLot, lots::KeyPart::Content, state.partCount_ }),
+      { lots_.Keys().MakeKey(
+          { aLot, lots::KeyPart::Content, state.partCount_ }),
         body.substr(begin, kPartBytes),
         0 });
     ++state.partCount_;
@@ -155,91 +165,198 @@
 LotDesk::Handle(std::shared_ptr<httpstream::Exchange> aExchange,
                 const LotCall& aCall)
 {
-  std::visit([this, &aExchange](
-               const auto& aOne) { Answer(std::move(aExchange), aOne); },
-             aCall);
+  if (const auto* unreadable = std::get_if<UnreadableCall>(&aCall)) {
+    aExchange->Answer(httpstream::MakeResponse(
+      kStatusBadRequest, unreadable->reason_, "text/plain"));
+  } else if (const auto* read = std::get_if<ReadResults>(&aCall)) {
+    Read(aExchange, read->lot_, aCall);
+  } else if (const auto* body = std::get_if<ReadItemBody>(&aCall)) {
+    Read(aExchange, body->lot_, aCall);
+  } else {
+    WithState(aExchange,
+              std::get<EndLot>(aCall).lot_,
+              [this, aExchange](const lots::Lot& aLot) {
+                End(aExchange, aLot, kEndTries);
+              });
+  }
 }
 
 void
-LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-                const UnreadableCall& aCall)
+LotDesk::HandlePassedOn(std::shared_ptr<httpstream::Exchange> aExchange,
+                        const LotCall& aCall)
 {
-  aExchange->Answer(
-    httpstream::MakeResponse(kStatusBadRequest, aCall.reason_, "text/plain"));
+  const auto* read = std::get_if<ReadResults>(&aCall);
+  const auto* body = std::get_if<ReadItemBody>(&aCall);
+  const std::string& id = read != nullptr   ? read->lot_
+                          : body != nullptr ? body->lot_
+                                            : std::string();
+  const lots::Lot* lot = lots_.Find(id);
+  if (lot == nullptr || !lot->isLoaded_) {
+    AnswerComeBack(*aExchange);
+    return;
+  }
+  AnswerLoaded(aExchange, *lot, aCall, true);
 }
 
 void
-LotDesk::WithLot(std::shared_ptr<httpstream::Exchange> aExchange,
-                 const std::string& aLot,
-                 std::function<void(const lots::Lot&)> aUse)
+LotDesk::AnswerComeBack(httpstream::Exchange& aExchange) const
 {
-  const lots::Lot* lot = lots_.Find(aLot);
-  if (lot != nullptr && lot->items_) {
+  aExchange.Answer(shared_.codec_.MakeNotRun(kRetryAfter));
+}
+
+void
+LotDesk::WithState(const ExchangePtr& aExchange,
+                   const std::string& aLot,
+                   std::function<void(const lots::Lot&)> aUse)
+{
+  if (const lots::Lot* lot = lots_.Find(aLot)) {
     aUse(*lot);
     return;
   }
   // The lot may have been accepted elsewhere a moment ago.
-  ReadLot(aLot,
-          {},
-          [this, aLot, exchange = std::move(aExchange), use = std::move(aUse)](
-            metadata::StoreStatus aStatus) {
-            const lots::Lot* found = lots_.Find(aLot);
-            if (found != nullptr && found->items_) {
-              use(*found);
-              return;
-            }
-            if (aStatus == metadata::StoreStatus::Ok) {
-              exchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
-              return;
-            }
-            exchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
-          });
+  loader_.ReadState(aLot,
+                    [this, aLot, aExchange, use = std::move(aUse)](
+                      metadata::StoreStatus aStatus) {
+                      if (const lots::Lot* lot = lots_.Find(aLot)) {
+                        onStateRead_(aLot);
+                        use(*lot);
+                      } else if (aStatus == metadata::StoreStatus::Ok) {
+                        aExchange->Answer(
+                          httpstream::MakeResponse(kStatusNotFound, {}));
+                      } else {
+                        AnswerComeBack(*aExchange);
+                      }
+                    });
 }
 
 void
-LotDesk::ReadLot(const std::string& aLot,
-                 const std::string& aAfterKey,
-                 std::function<void(metadata::StoreStatus)> aDone)
+LotDesk::Read(const ExchangePtr& aExchange,
+              const std::string& aLot,
+              const LotCall& aCall)
 {
-  store_.Range(
-    keyPrefix_ + aLot + "/",
-    aAfterKey,
-    [this, aLot, done = std::move(aDone)](metadata::RangeReply aReply) {
-      for (const metadata::StoreItem& item : aReply.items_) {
-        lots_.Apply(std::string_view(item.key_).substr(keyPrefix_.size()),
-                    item.value_,
-                    item.revision_);
-      }
-      if (aReply.status_ == metadata::StoreStatus::Ok && aReply.isTruncated_ &&
-          !aReply.items_.empty()) {
-        ReadLot(aLot, aReply.items_.back().key_, done);
+  WithState(
+    aExchange, aLot, [this, aExchange, aLot, aCall](const lots::Lot& aFound) {
+      const std::string& owner = aFound.state_.owner_;
+      if (aFound.isLoaded_) {
+        AnswerLoaded(aExchange, aFound, aCall, true);
         return;
       }
-      if (!aReply.items_.empty() && onLotRead_) {
-        onLotRead_(aLot);
+      const auto address = hosts_.AddressOf(owner);
+      if (address && owner != ownName_) {
+        PassOn(aExchange, aLot, *address, aCall);
+      } else {
+        ReadFromStore(aExchange, aLot, aCall);
       }
-      done(aReply.status_);
     });
 }
 
 void
-LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-                const ReadResults& aCall)
+LotDesk::PassOn(const ExchangePtr& aExchange,
+                const std::string& aLot,
+                const std::string& aAddress,
+                const LotCall& aCall)
 {
-  const base::Instant until = aExchange->ReceivedAt() + aCall.longestWait_;
-  WithLot(
-    aExchange,
-    aCall.lot_,
-    [this, exchange = aExchange, call = aCall, until](const lots::Lot& aLot) {
-      const bool hasResult = call.position_ < aLot.results_.size();
-      if (hasResult || !aLot.IsOpen() || base::MonotonicNow() >= until) {
-        SendResults(*exchange, aLot, call.position_);
+  const auto address = ParseAddress(aAddress);
+  if (!address) {
+    ReadFromStore(aExchange, aLot, aCall);
+    return;
+  }
+  auto& caller = callers_[aAddress];
+  if (!caller) {
+    caller = std::make_unique<httpstream::HttpCaller>(executor_, *address);
+  }
+  const httpstream::Request& original = aExchange->GetRequest();
+  httpstream::Request request;
+  request.method(original.method());
+  request.target(original.target());
+  request.version(11);
+  httpstream::CopyEndToEndFields(original, request);
+  const auto* read = std::get_if<ReadResults>(&aCall);
+  const base::Duration wait =
+    read != nullptr ? read->longestWait_ : base::Duration::zero();
+  caller->Call(
+    request,
+    wait + kPassOnMargin,
+    [this, aExchange, aLot, aCall](httpstream::CallResult aResult) {
+      const bool isAnswer =
+        aResult.end_ == httpstream::CallEnd::Complete &&
+        (aResult.status_ == kStatusOk || aResult.status_ == kStatusNotFound);
+      if (isAnswer) {
+        aExchange->Answer(
+          httpstream::MakeResponse(aResult.status_, std::move(aResult.body_)));
+      } else {
+        ReadFromStore(aExchange, aLot, aCall);
+      }
+    });
+}
+
+void
+LotDesk::ReadFromStore(const ExchangePtr& aExchange,
+                       const std::string& aLot,
+                       const LotCall& aCall)
+{
+  loader_.ReadData(
+    aLot, [this, aExchange, aLot, aCall](metadata::StoreStatus aStatus) {
+      const lots::Lot* lot = lots_.Find(aLot);
+      if (aStatus != metadata::StoreStatus::Ok || lot == nullptr ||
+          !lot->isLoaded_) {
+        AnswerComeBack(*aExchange);
         return;
       }
-      readers_[call.lot_].push_back({ exchange, call.position_, until });
+      AnswerLoaded(aExchange, *lot, aCall, false);
+      // What others run goes on without this host: its copy would grow old.
+      if (lot->state_.owner_ != ownName_) {
+        lots_.Unload(aLot);
+      }
     });
 }
 
+void
+LotDesk::AnswerLoaded(const ExchangePtr& aExchange,
+                      const lots::Lot& aLot,
+                      const LotCall& aCall,
+                      bool aMayWait)
+{
+  if (const auto* read = std::get_if<ReadResults>(&aCall)) {
+    AnswerResults(aExchange, aLot, *read, aMayWait);
+  } else {
+    AnswerBody(aExchange, aLot, std::get<ReadItemBody>(aCall));
+  }
+}
+
+void
+LotDesk::AnswerResults(const ExchangePtr& aExchange,
+                       const lots::Lot& aLot,
+                       const ReadResults& aCall,
+                       bool aMayWait)
+{
+  const base::Instant until = aExchange->ReceivedAt() + aCall.longestWait_;
+  const bool hasResult = aCall.position_ < aLot.results_.size();
+  if (hasResult || !aMayWait || !aLot.IsOpen() ||
+      base::MonotonicNow() >= until) {
+    SendResults(*aExchange, aLot, aCall.position_);
+    return;
+  }
+  readers_[aLot.id_].push_back({ aExchange, aCall.position_, until });
+}
+
+void
+LotDesk::AnswerBody(const ExchangePtr& aExchange,
+                    const lots::Lot& aLot,
+                    const ReadItemBody& aCall)
+{
+  const auto item = std::find_if(
+    aLot.items_->begin(), aLot.items_->end(), [&aCall](const auto& aItem) {
+      return aItem.id_ == aCall.item_;
+    });
+  if (item == aLot.items_->end()) {
+    aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+    return;
+  }
+  aExchange->Answer(httpstream::MakeResponse(
+    kStatusOk, item->body_, "application/octet-stream"));
+}
+
 void
 LotDesk::SendResults(httpstream::Exchange& aExchange,
                      const lots::Lot& aLot,
@@ -262,36 +379,6 @@
     shared_.codec_.WriteResults(aLot.state_.itemCount_, aPosition, page)));
 }
 
-void
-LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-                const ReadItemBody& aCall)
-{
-  WithLot(aExchange,
-          aCall.lot_,
-          [exchange = aExchange, call = aCall](const lots::Lot& aLot) {
-            const auto item = std::find_if(
-              aLot.items_->begin(),
-              aLot.items_->end(),
-              [&call](const auto& aItem) { return aItem.id_ == call.item_; });
-            if (item == aLot.items_->end()) {
-              exchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
-              return;
-            }
-            exchange->Answer(httpstream::MakeResponse(
-              kStatusOk, item->body_, "application/octet-stream"));
-          });
-}
-
-void
-LotDesk::Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-                const EndLot& aCall)
-{
-  WithLot(
-    aExchange, aCall.lot_, [this, exchange = aExchange](const lots::Lot& aLot) {
-      End(exchange, aLot, kEndTries);
-    });
-}
-
 void
 LotDesk::End(const std::shared_ptr<httpstream::Exchange>& aExchange,
              const lots::Lot& aLot,
@@ -303,7 +390,8 @@
   }
   lots::LotState state = aLot.state_;
   state.isEnded_ = true;
-  const std::string key = KeyOf({ aLot.id_, lots::KeyPart::State, 0 });
+  const std::string key =
+    lots_.Keys().MakeKey({ aLot.id_, lots::KeyPart::State, 0 });
   metadata::Transaction transaction;
   transaction.expectations_.push_back({ key, aLot.stateRevision_ });
   transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
@@ -313,20 +401,14 @@
       const metadata::TransactionReply& aReply) {
       using metadata::StoreStatus;
       if (aReply.status_ == StoreStatus::Ok) {
-        lots_.Apply(lots::MakeKey({ id, lots::KeyPart::State, 0 }),
-                    lots::EncodeState(state),
-                    aReply.revision_);
-        if (onLotRead_) {
-          onLotRead_(id);
-        }
+        lots_.Apply(key, lots::EncodeState(state), aReply.revision_);
+        onStateRead_(id);
         aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
         return;
       }
       for (const metadata::StoreItem& item : aReply.current_) {
         if (item.key_ == key && item.revision_ != 0) {
-          lots_.Apply(lots::MakeKey({ id, lots::KeyPart::State, 0 }),
-                      item.value_,
-                      item.revision_);
+          lots_.Apply(key, item.value_, item.revision_);
         }
       }
       const lots::Lot* lot = lots_.Find(id);
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "LibGateway/LotLoader.h"
 #include "LibGateway/Shared.h"
+#include "LibHttpStream/HttpCaller.h"
 #include "LibHttpStream/ServerConnection.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/LotTable.h"
@@ -15,9 +17,9 @@
 namespace pumiceturn::gateway {
 
 /// Answers the callers' calls on lots: accepts a lot once it is stored, gives
-/// its results by position, its items' bodies, and ends it. Any host can answer
-/// for any lot, from the copy of the store's keys held here; what isn't known
-/// here is asked of the store, and where that can't tell, the caller is told to
+/// its results by position, its items' bodies, and ends it. Any host answers
+/// for any lot: from memory where it runs the lot, else by asking the host that
+/// runs it, else from the store; where that can't tell, the caller is told to
 /// come back. Belongs to the event thread.
 class LotDesk
 {
@@ -25,28 +27,33 @@
   LotDesk(Shared& aShared,
           metadata::StoreClient& aStore,
           lots::LotTable& aLots,
+          LotLoader& aLoader,
           const lots::HostSet& aHosts,
-          std::string aKeyPrefix,
-          std::string aOwnName);
+          std::string aOwnName,
+          boost::asio::any_io_executor aExecutor);
 
   /// Accepts a lot.
   void Submit(std::shared_ptr<httpstream::Exchange> aExchange,
               const std::string& aLot);
 
-  /// Answers any other call.
+  /// Answers any other call of a caller.
   void Handle(std::shared_ptr<httpstream::Exchange> aExchange,
               const LotCall& aCall);
 
+  /// Answers a call that another host passes on, from memory alone.
+  void HandlePassedOn(std::shared_ptr<httpstream::Exchange> aExchange,
+                      const LotCall& aCall);
+
   /// A lot's keys have changed: readers that wait for results may go on.
   void OnLotChanged(const std::string& aLot);
 
   /// Answers readers whose wait is over.
   void Tick(base::Instant aNow);
 
-  /// Called with each lot whose keys were read from the store directly.
-  void SetOnLotRead(std::function<void(const std::string&)> aCallback)
+  /// Called with each lot whose state was changed or read here.
+  void SetOnStateRead(std::function<void(const std::string&)> aCallback)
   {
-    onLotRead_ = std::move(aCallback);
+    onStateRead_ = std::move(aCallback);
   }
 
 private:
@@ -58,23 +65,40 @@
     base::Instant until_;
   };
 
-  void Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-              const ReadResults& aCall);
-  void Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-              const ReadItemBody& aCall);
-  void Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-              const EndLot& aCall);
-  void Answer(std::shared_ptr<httpstream::Exchange> aExchange,
-              const UnreadableCall& aCall);
-
-  /// Calls back with the lot, reading it from the store if it isn't known here.
-  /// Answers the caller itself where there is none.
-  void WithLot(std::shared_ptr<httpstream::Exchange> aExchange,
-               const std::string& aLot,
-               std::function<void(const lots::Lot&)> aUse);
-  void ReadLot(const std::string& aLot,
-               const std::string& aAfterKey,
-               std::function<void(metadata::StoreStatus)> aDone);
+  using ExchangePtr = std::shared_ptr<httpstream::Exchange>;
+
+  /// Calls back with the lot's state known, or answers the caller that there is
+  /// no such lot, or that this can't be told now.
+  void WithState(const ExchangePtr& aExchange,
+                 const std::string& aLot,
+                 std::function<void(const lots::Lot&)> aUse);
+
+  /// Answers a reading call by the first way that works: memory, the host that
+  /// runs the lot, the store.
+  void Read(const ExchangePtr& aExchange,
+            const std::string& aLot,
+            const LotCall& aCall);
+  void PassOn(const ExchangePtr& aExchange,
+              const std::string& aLot,
+              const std::string& aAddress,
+              const LotCall& aCall);
+  void ReadFromStore(const ExchangePtr& aExchange,
+                     const std::string& aLot,
+                     const LotCall& aCall);
+
+  /// Answers from a loaded lot.
+  void AnswerLoaded(const ExchangePtr& aExchange,
+                    const lots::Lot& aLot,
+                    const LotCall& aCall,
+                    bool aMayWait);
+  void AnswerResults(const ExchangePtr& aExchange,
+                     const lots::Lot& aLot,
+                     const ReadResults& aCall,
+                     bool aMayWait);
+  static void AnswerBody(const ExchangePtr& aExchange,
+                         const lots::Lot& aLot,
+                         const ReadItemBody& aCall);
+  void AnswerComeBack(httpstream::Exchange& aExchange) const;
   void Commit(const std::shared_ptr<Submission>& aSubmission);
   void OnCommitted(const std::shared_ptr<Submission>& aSubmission,
                    metadata::StoreStatus aStatus);
@@ -84,18 +108,18 @@
   void SendResults(httpstream::Exchange& aExchange,
                    const lots::Lot& aLot,
                    std::uint32_t aPosition) const;
-  [[nodiscard]] std::string KeyOf(const lots::LotKey& aKey) const
-  {
-    return keyPrefix_ + lots::MakeKey(aKey);
-  }
 
   Shared& shared_;
   metadata::StoreClient& store_;
   lots::LotTable& lots_;
+  LotLoader& loader_;
   const lots::HostSet& hosts_;
-  std::string keyPrefix_;
   std::string ownName_;
-  std::function<void(const std::string&)> onLotRead_;
+  boost::asio::any_io_executor executor_;
+  /// Connections to hosts that run lots, by address.
+  std::unordered_map<std::string, std::unique_ptr<httpstream::HttpCaller>>
+    callers_;
+  std::function<void(const std::string&)> onStateRead_;
   std::unordered_map<std::string, std::vector<Reader>> readers_;
 };
 
--- a/Libraries/LibLots/HostSet.cpp
+++ b/Libraries/LibLots/HostSet.cpp
@@ -11,10 +11,12 @@
 HostSet::Put(const std::string& aHost,
              const std::string& aOwner,
              LotPreference aPreference,
+             const std::string& aAddress,
              base::Instant aNow)
 {
   Member& member = members_[aHost];
   member.preference_ = aPreference;
+  member.address_ = aAddress;
   std::string& owner = member.owner_;
   if (!owner.empty() && owner != aOwner) {
     // The host has started anew: what its former process ran is free at once.
@@ -35,6 +37,17 @@
   members_.erase(found);
 }
 
+std::optional<std::string>
+HostSet::AddressOf(const std::string& aOwner) const
+{
+  for (const auto& [host, member] : members_) {
+    if (member.owner_ == aOwner) {
+      return member.address_;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 HostSet::IsLive(const std::string& aOwner) const
 {
--- a/Libraries/LibLots/HostSet.h
+++ b/Libraries/LibLots/HostSet.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,9 +28,11 @@
 
   /// @param aOwner Host and incarnation, as lots name their owner.
   /// @param aPreference Hosts of the highest preference alone are given lots.
+  /// @param aAddress    IP:PORT for calls between hosts.
   void Put(const std::string& aHost,
            const std::string& aOwner,
            LotPreference aPreference,
+           const std::string& aAddress,
            base::Instant aNow);
   void Remove(const std::string& aHost, base::Instant aNow);
 
@@ -37,6 +40,10 @@
   [[nodiscard]] bool IsGone(const std::string& aOwner,
                             base::Instant aNow) const;
 
+  /// @return where a live owner takes calls of other hosts, or nothing.
+  [[nodiscard]] std::optional<std::string> AddressOf(
+    const std::string& aOwner) const;
+
   [[nodiscard]] bool IsLive(const std::string& aOwner) const;
 
   /// @return the live owner that is to run a lot, by highest random weight: all
@@ -50,6 +57,7 @@
   {
     std::string owner_;
     LotPreference preference_ = LotPreference::IfNoOther;
+    std::string address_;
   };
 
   std::unordered_map<std::string, Member> members_; ///< By host.
--- a/Libraries/LibLots/Lot.cpp
+++ b/Libraries/LibLots/Lot.cpp
@@ -40,7 +40,8 @@
                  { "parts", aState.partCount_ },
                  { "host", aState.hostName_ },
                  { "path", aState.path_ },
-                 { "ended", aState.isEnded_ } });
+                 { "ended", aState.isEnded_ },
+                 { "finished", aState.isFinished_ } });
 }
 
 std::optional<LotState>
@@ -53,7 +54,8 @@
                      aValue.at("parts").get<std::uint32_t>(),
                      aValue.at("host").get<std::string>(),
                      aValue.at("path").get<std::string>(),
-                     aValue.at("ended").get<bool>() };
+                     aValue.at("ended").get<bool>(),
+                     aValue.at("finished").get<bool>() };
   });
 }
 
--- a/Libraries/LibLots/Lot.h
+++ b/Libraries/LibLots/Lot.h
@@ -56,7 +56,8 @@
   std::uint32_t partCount_ = 0; ///< Keys that hold the content.
   std::string hostName_;        ///< Of the request that submitted it.
   std::string path_;
-  bool isEnded_ = false; ///< Its sender wants no more results.
+  bool isEnded_ = false;    ///< Its sender wants no more results.
+  bool isFinished_ = false; ///< Each item has its result.
 
   bool operator==(const LotState&) const = default;
 };
@@ -72,14 +73,12 @@
   std::vector<ItemResult> results_;           ///< By position, without gaps.
   std::map<std::uint32_t, std::vector<ItemResult>> pages_; ///< Not yet joined.
   std::unordered_map<std::string, PartialRun> progress_;   ///< By item.
+  /// Content and all results of a moment are here, not the state alone.
+  bool isLoaded_ = false;
 
-  [[nodiscard]] bool IsFinished() const
-  {
-    return results_.size() >= state_.itemCount_;
-  }
   [[nodiscard]] bool IsOpen() const
   {
-    return !state_.isEnded_ && !IsFinished();
+    return !state_.isEnded_ && !state_.isFinished_;
   }
 };
 
--- a/Libraries/LibLots/LotKeys.cpp
+++ b/Libraries/LibLots/LotKeys.cpp
@@ -23,34 +23,45 @@
 } // namespace
 
 std::string
-MakeKey(const LotKey& aKey)
+LotKeySpace::DataOf(std::string_view aLot) const
+{
+  return fmt::format("{}{}/", dataPrefix_, aLot);
+}
+
+std::string
+LotKeySpace::MakeKey(const LotKey& aKey) const
 {
   switch (aKey.part_) {
     case KeyPart::State:
-      return aKey.lot_ + "/state";
+      return statePrefix_ + aKey.lot_;
     case KeyPart::Progress:
-      return aKey.lot_ + "/progress";
+      return DataOf(aKey.lot_) + "progress";
     case KeyPart::Content:
-      return fmt::format("{}/content/{:06}", aKey.lot_, aKey.number_);
+      return fmt::format("{}content/{:06}", DataOf(aKey.lot_), aKey.number_);
     case KeyPart::Results:
       break;
   }
-  return fmt::format("{}/result/{:06}", aKey.lot_, aKey.number_);
+  return fmt::format("{}result/{:06}", DataOf(aKey.lot_), aKey.number_);
 }
 
 std::optional<LotKey>
-ParseKey(std::string_view aText)
+LotKeySpace::ParseKey(std::string_view aText) const
 {
+  LotKey key;
+  if (aText.starts_with(statePrefix_)) {
+    key.lot_ = std::string(aText.substr(statePrefix_.size()));
+    return key;
+  }
+  if (!aText.starts_with(dataPrefix_)) {
+    return std::nullopt;
+  }
+  aText.remove_prefix(dataPrefix_.size());
   const std::size_t slash = aText.find('/');
   if (slash == std::string_view::npos) {
     return std::nullopt;
   }
-  LotKey key;
   key.lot_ = std::string(aText.substr(0, slash));
   const std::string_view rest = aText.substr(slash + 1);
-  if (rest == "state") {
-    return key;
-  }
   if (rest == "progress") {
     key.part_ = KeyPart::Progress;
     return key;
--- a/Libraries/LibLots/LotKeys.h
+++ b/Libraries/LibLots/LotKeys.h
@@ -16,20 +16,31 @@
   Progress, ///< Partial runs of a lot that changes hands.
 };
 
-/// A key below the lots' prefix, taken apart.
+/// A lot's key, taken apart.
 struct LotKey
 {
   std::string lot_;
   KeyPart part_ = KeyPart::State;
   std::uint32_t number_ = 0; ///< Part or position.
+
+  bool operator==(const LotKey&) const = default;
 };
 
-/// @return the key below the prefix, e.g. "LOT/result/000012".
-std::string
-MakeKey(const LotKey& aKey);
+/// Where the store keeps lots. States are small, and every host follows them;
+/// content and results are read by the host that runs the lot alone.
+struct LotKeySpace
+{
+  std::string statePrefix_;
+  std::string dataPrefix_;
+
+  /// @return the key, e.g. "data/LOT/result/000012".
+  [[nodiscard]] std::string MakeKey(const LotKey& aKey) const;
 
-/// @return nothing where the text is no such key.
-std::optional<LotKey>
-ParseKey(std::string_view aText);
+  /// @return the prefix of all keys of a lot but its state.
+  [[nodiscard]] std::string DataOf(std::string_view aLot) const;
+
+  /// @return nothing where the text is no such key.
+  [[nodiscard]] std::optional<LotKey> ParseKey(std::string_view aText) const;
+};
 
 } // namespace pumiceturn::lots
--- a/Libraries/LibLots/LotTable.cpp
+++ b/Libraries/LibLots/LotTable.cpp
@@ -9,7 +9,7 @@
                 std::string_view aValue,
                 std::uint64_t aRevision)
 {
-  const auto key = ParseKey(aKey);
+  const auto key = keys_.ParseKey(aKey);
   if (!key) {
     return std::nullopt;
   }
@@ -75,7 +75,7 @@
 void
 LotTable::Remove(std::string_view aKey)
 {
-  const auto key = ParseKey(aKey);
+  const auto key = keys_.ParseKey(aKey);
   if (key && key->part_ == KeyPart::State) {
     lots_.erase(key->lot_);
   }
@@ -91,6 +91,35 @@
   return &found->second;
 }
 
+bool
+LotTable::FinishLoading(const std::string& aId)
+{
+  const auto found = lots_.find(aId);
+  if (found == lots_.end() || !found->second.items_) {
+    return false;
+  }
+  found->second.isLoaded_ = true;
+  return true;
+}
+
+void
+LotTable::Unload(const std::string& aId)
+{
+  const auto found = lots_.find(aId);
+  if (found == lots_.end()) {
+    return;
+  }
+  Lot bare;
+  bare.id_ = aId;
+  bare.state_ = std::move(found->second.state_);
+  bare.stateRevision_ = found->second.stateRevision_;
+  if (bare.stateRevision_ == 0) {
+    lots_.erase(found);
+    return;
+  }
+  found->second = std::move(bare);
+}
+
 std::vector<std::string>
 LotTable::OpenLots() const
 {
--- a/Libraries/LibLots/LotTable.h
+++ b/Libraries/LibLots/LotTable.h
@@ -12,8 +12,9 @@
 
 namespace pumiceturn::lots {
 
-/// All lots as this host knows them, built up from the store's keys in any
-/// order. Belongs to the event thread.
+/// All lots as this host knows them: the states of all, and content and results
+/// of those that it runs. Takes the store's keys in any order. Belongs to the
+/// event thread.
 class LotTable
 {
 public:
@@ -21,11 +22,14 @@
   using Decoder =
     std::function<std::optional<std::vector<LotItem>>(std::string_view)>;
 
-  explicit LotTable(Decoder aDecoder)
-    : decoder_(std::move(aDecoder))
+  LotTable(LotKeySpace aKeys, Decoder aDecoder)
+    : keys_(std::move(aKeys))
+    , decoder_(std::move(aDecoder))
   {
   }
 
+  [[nodiscard]] const LotKeySpace& Keys() const { return keys_; }
+
   /// Takes over a key as stored.
   /// @return the lot's id, if the key was one of a lot.
   std::optional<std::string> Apply(std::string_view aKey,
@@ -38,6 +42,13 @@
   /// @return nullptr where no such lot is known here with its state.
   [[nodiscard]] const Lot* Find(const std::string& aId) const;
 
+  /// All keys of a lot have been applied.
+  /// @return false if the content is not whole: another host is still storing.
+  bool FinishLoading(const std::string& aId);
+
+  /// Forgets all of a lot but its state.
+  void Unload(const std::string& aId);
+
   /// @return ids of all lots that may still get results.
   [[nodiscard]] std::vector<std::string> OpenLots() const;
 
@@ -48,6 +59,7 @@
   void JoinParts(Lot& aLot);
   static void JoinPages(Lot& aLot);
 
+  LotKeySpace keys_;
   Decoder decoder_;
   std::unordered_map<std::string, Lot> lots_;
 };
--- a/Tests/LibBase/LogTest.cpp
+++ b/Tests/LibBase/LogTest.cpp
@@ -32,10 +32,7 @@
     options.maxLinesPerSecond_ = 5;
     StartLog(options);
   }
-  ~LogFixture()
-  {
-    std::filesystem::remove(path_);
-  }
+  ~LogFixture() { std::filesystem::remove(path_); }
 
   /// Ends the writer, so that all lines are in the file.
   std::string Finish()
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -143,8 +143,7 @@
   CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "good");
 }
 
-TEST_CASE_METHOD(EndpointTableFixture,
-                 "EndpointTable_OwnFailure_IsToldToPeers")
+TEST_CASE_METHOD(EndpointTableFixture, "EndpointTable_OwnFailure_IsToldToPeers")
 {
   Add("bad");
   CHECK(table_.OwnCounts(now_).empty());
@@ -153,8 +152,7 @@
   CHECK(table_.OwnCounts(now_).front().hasFailed_);
 }
 
-TEST_CASE_METHOD(EndpointTableFixture,
-                 "EndpointTable_SilentPeer_IsForgotten")
+TEST_CASE_METHOD(EndpointTableFixture, "EndpointTable_SilentPeer_IsForgotten")
 {
   Add("one");
   const std::vector<PeerCount> counts = { { "one", { 4, 0 } } };
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -95,8 +95,7 @@
 
 // The process ends with an empty callback. An endpoint is down, and the
 // connection to it is refused.
-TEST_CASE_METHOD(ClientConnectionFixture,
-                 "ClientConnection_Refused_IsReported")
+TEST_CASE_METHOD(ClientConnectionFixture, "ClientConnection_Refused_IsReported")
 {
   acceptor_.close();
   asio::ip::tcp::acceptor unused(context_, Loopback(0));
--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -77,7 +77,8 @@
   CHECK(exchanges_[0]->GetRequest().body() == "abcde");
 }
 
-TEST_CASE_METHOD(ListenerFixture, "Listener_RequestsSentAhead_AreAnsweredInTurn")
+TEST_CASE_METHOD(ListenerFixture,
+                 "Listener_RequestsSentAhead_AreAnsweredInTurn")
 {
   Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
   RunUntil([this] { return exchanges_.size() == 1; });
@@ -97,7 +98,8 @@
 
 TEST_CASE_METHOD(ListenerFixture, "Listener_HeaderOverTheLimit_GetsA431")
 {
-  listener_.SetLimits({ 64, 64, std::chrono::seconds(3), std::chrono::seconds(9) });
+  listener_.SetLimits(
+    { 64, 64, std::chrono::seconds(3), std::chrono::seconds(9) });
   Send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
   ReadUntil("HTTP/1.1 431");
 }
--- a/Tests/LibLots/LotTableTest.cpp
+++ b/Tests/LibLots/LotTableTest.cpp
@@ -1,5 +1,5 @@
-#include "LibLots/HostSet.h"
 #include "LibLots/LotTable.h"
+#include "LibLots/HostSet.h"
 
 #include <catch2/catch.hpp>
 
@@ -28,12 +28,12 @@
 
   void ApplyAll()
   {
-    table_.Apply("lot/content/000001", "def", 2);
-    table_.Apply("lot/state", EncodeState(MakeState()), 2);
-    table_.Apply("lot/content/000000", "abc", 2);
+    table_.Apply("d/lot/content/000001", "def", 2);
+    table_.Apply("s/lot", EncodeState(MakeState()), 2);
+    table_.Apply("d/lot/content/000000", "abc", 2);
   }
 
-  LotTable table_{ Decode };
+  LotTable table_{ LotKeySpace{ "s/", "d/" }, Decode };
 };
 
 TEST_CASE_METHOD(LotTableFixture, "LotTable_KeysInAnyOrder_JoinTheContent")
@@ -48,7 +48,7 @@
 
 TEST_CASE_METHOD(LotTableFixture, "LotTable_StateUnknown_LotIsNotFound")
 {
-  table_.Apply("lot/content/000000", "abc", 2);
+  table_.Apply("d/lot/content/000000", "abc", 2);
   CHECK(table_.Find("lot") == nullptr);
 }
 
@@ -59,14 +59,56 @@
   ApplyAll();
   const std::vector<ItemResult> first = { { "x", ItemState::Completed, "1" } };
   const std::vector<ItemResult> second = { { "y", ItemState::Errored, "" } };
-  table_.Apply("lot/result/000001", EncodeResults(second), 5);
+  table_.Apply("d/lot/result/000001", EncodeResults(second), 5);
   CHECK(table_.Find("lot")->results_.empty());
-  table_.Apply("lot/result/000000", EncodeResults(first), 4);
-  table_.Apply("lot/result/000000", EncodeResults(second), 4);
+  table_.Apply("d/lot/result/000000", EncodeResults(first), 4);
+  table_.Apply("d/lot/result/000000", EncodeResults(second), 4);
   REQUIRE(table_.Find("lot")->results_.size() == 2);
   CHECK(table_.Find("lot")->results_[0] == first[0]);
   CHECK(table_.Find("lot")->results_[1] == second[0]);
-  CHECK_FALSE(table_.Find("lot")->IsOpen());
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_Unloaded_KeepsTheStateAlone")
+{
+  ApplyAll();
+  CHECK(table_.FinishLoading("lot"));
+  CHECK(table_.Find("lot")->isLoaded_);
+  table_.Unload("lot");
+  REQUIRE(table_.Find("lot") != nullptr);
+  CHECK_FALSE(table_.Find("lot")->isLoaded_);
+  CHECK_FALSE(table_.Find("lot")->items_);
+  CHECK(table_.Find("lot")->state_ == MakeState());
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_ContentNotWhole_IsNotLoaded")
+{
+  table_.Apply("s/lot", EncodeState(MakeState()), 2);
+  table_.Apply("d/lot/content/000000", "abc", 2);
+  CHECK_FALSE(table_.FinishLoading("lot"));
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotTable_FinishedState_IsNotOpen")
+{
+  LotState finished = MakeState();
+  finished.isFinished_ = true;
+  table_.Apply("s/lot", EncodeState(finished), 2);
+  CHECK(table_.OpenLots().empty());
+  CHECK(table_.AllLots().size() == 1);
+}
+
+TEST_CASE_METHOD(LotTableFixture, "LotKeySpace_AnyKey_IsParsedBack")
+{
+  for (const KeyPart part : { KeyPart::State,
+                              KeyPart::Content,
+                              KeyPart::Results,
+                              KeyPart::Progress }) {
+    const bool isNumbered =
+      part == KeyPart::Content || part == KeyPart::Results;
+    const LotKey key{ "lot", part, isNumbered ? 12U : 0U };
+    CHECK(table_.Keys().ParseKey(table_.Keys().MakeKey(key)) == key);
+  }
+  CHECK_FALSE(table_.Keys().ParseKey("d/lot/result/x"));
+  CHECK_FALSE(table_.Keys().ParseKey("elsewhere"));
 }
 
 TEST_CASE_METHOD(LotTableFixture, "LotTable_OlderState_IsIgnored")
@@ -74,8 +116,8 @@
   ApplyAll();
   LotState ended = MakeState();
   ended.isEnded_ = true;
-  table_.Apply("lot/state", EncodeState(ended), 9);
-  table_.Apply("lot/state", EncodeState(MakeState()), 3);
+  table_.Apply("s/lot", EncodeState(ended), 9);
+  table_.Apply("s/lot", EncodeState(MakeState()), 3);
   CHECK(table_.Find("lot")->state_.isEnded_);
 }
 
@@ -83,8 +125,8 @@
 {
   ApplyAll();
   CHECK_FALSE(table_.Apply("nonsense", "x", 9));
-  table_.Apply("lot/state", "{", 9);
-  table_.Apply("lot/result/000000", "[{\"item\":1}]", 9);
+  table_.Apply("s/lot", "{", 9);
+  table_.Apply("d/lot/result/000000", "[{\"item\":1}]", 9);
   CHECK(table_.Find("lot")->state_ == MakeState());
   CHECK(table_.Find("lot")->results_.empty());
 }
@@ -98,8 +140,8 @@
 
 TEST_CASE_METHOD(HostSetFixture, "HostSet_WorkersLive_LotsGoToWorkers")
 {
-  hosts_.Put("entry", "entry/1", LotPreference::IfNoOther, now_);
-  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
+  hosts_.Put("entry", "entry/1", LotPreference::IfNoOther, "127.0.0.1:1", now_);
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, "127.0.0.1:1", now_);
   for (const char* lot : { "a", "b", "c", "d", "e" }) {
     CHECK(hosts_.OwnerFor(lot) == "worker/1");
   }
@@ -107,9 +149,16 @@
   CHECK(hosts_.OwnerFor("a") == "entry/1");
 }
 
+TEST_CASE_METHOD(HostSetFixture, "HostSet_LiveOwner_HasAnAddress")
+{
+  hosts_.Put("worker", "worker/2", LotPreference::Worker, "10.0.0.1:7", now_);
+  CHECK(hosts_.AddressOf("worker/2") == "10.0.0.1:7");
+  CHECK_FALSE(hosts_.AddressOf("worker/1"));
+}
+
 TEST_CASE_METHOD(HostSetFixture, "HostSet_HostGone_OwnerIsGoneAfterGrace")
 {
-  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, "127.0.0.1:1", now_);
   hosts_.Remove("worker", now_);
   CHECK_FALSE(hosts_.IsGone("worker/1", now_ + 1s));
   CHECK(hosts_.IsGone("worker/1", now_ + 2s));
@@ -117,8 +166,8 @@
 
 TEST_CASE_METHOD(HostSetFixture, "HostSet_HostStartedAnew_OldOwnerIsGoneAtOnce")
 {
-  hosts_.Put("worker", "worker/1", LotPreference::Worker, now_);
-  hosts_.Put("worker", "worker/2", LotPreference::Worker, now_);
+  hosts_.Put("worker", "worker/1", LotPreference::Worker, "127.0.0.1:1", now_);
+  hosts_.Put("worker", "worker/2", LotPreference::Worker, "127.0.0.1:1", now_);
   CHECK(hosts_.IsGone("worker/1", now_));
   CHECK_FALSE(hosts_.IsGone("worker/2", now_ + 1h));
 }
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -1,5 +1,5 @@
-#include "LibMetadata/HostLease.h"
 #include "LibMetadata/PrefixMirror.h"
+#include "LibMetadata/HostLease.h"
 #include "Tests/LibMetadata/FakeStore.h"
 
 #include <catch2/catch.hpp>
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -70,7 +70,8 @@
   }
 
   /// Starts a host and waits until it is ready.
-  TestHost& StartHost(const std::string& aName, lots::LotPreference aPreference);
+  TestHost& StartHost(const std::string& aName,
+                      lots::LotPreference aPreference);
 
   /// Writes a configuration with a resumable stream, a stream that may run
   /// once, a service call that may run once, and lots.
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -24,7 +24,8 @@
 
   unsigned Submit(TestHost& aHost, int aItems)
   {
-    return Ask(aHost, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(aItems))
+    return Ask(
+             aHost, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(aItems))
       ->status_;
   }
 
@@ -135,7 +136,7 @@
   store_.SetMood(StoreMood::LosingWrites);
   const auto call =
     Send(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(2));
-  RunUntil([this] { return !store_.Get("pumiceturn/lot/lot1/state").empty(); });
+  RunUntil([this] { return !store_.Get("pumiceturn/lot/lot1").empty(); });
   store_.SetMood(StoreMood::Serving);
   RunUntil([&call] { return call->IsOver(); });
   CHECK(call->status_ == 202);
@@ -170,6 +171,44 @@
   CHECK(Ask(other, "GET", "/api/lots/none?after=0")->status_ == 404);
 }
 
+// A society sees two results at one host and none at another a second later:
+// the other host's own copy of the results had fallen behind.
+TEST_CASE_METHOD(LotsFixture, "Lots_ReadElsewhere_ShowsWhatWasReadBefore")
+{
+  StartWorker("worker");
+  TestHost& other = StartHost("other", lots::LotPreference::IfNoOther);
+  CHECK(Submit(*entry_, 4) == 202);
+  const json page = WaitForAll(*entry_, 4);
+  CHECK(Results(other) == page);
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_OwnerDoesNotAnswer_ResultsComeFromTheStore")
+{
+  StartWorker("worker");
+  CHECK(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  // The host is gone, while its registration stands for a while.
+  hosts_.back()->gateway_.reset();
+  CHECK(Results(*entry_) == page);
+  CHECK(Ask(*entry_, "GET", "/api/items/lot1?id=item-1")->body_ == "prompt");
+}
+
+TEST_CASE_METHOD(LotsFixture, "Lots_ReaderWaits_IsAnsweredWithTheFirstResult")
+{
+  StartWorker("worker");
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  CHECK(Submit(*entry_, 3) == 202);
+  json page;
+  RunUntil([&] {
+    const auto call =
+      Ask(*entry_, "GET", "/api/lots/lot1?after=0", "Wait-Ms: 1000\r\n");
+    page = json::parse(call->body_);
+    return !page["results"].empty();
+  });
+  CHECK(page["results"].size() == page["next"]);
+}
+
 TEST_CASE_METHOD(LotsFixture, "Lots_Ended_RunsNoMore")
 {
   servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
@@ -221,7 +260,8 @@
   CHECK(page["results"].size() == 2);
 }
 
-TEST_CASE_METHOD(LotsFixture, "Lots_HostIsToBeEmptied_ReportsWhenItsLotsAreGone")
+TEST_CASE_METHOD(LotsFixture,
+                 "Lots_HostIsToBeEmptied_ReportsWhenItsLotsAreGone")
 {
   StartWorker("worker");
   servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -15,7 +15,8 @@
 
   std::unique_ptr<CallerCall> Stream(const std::string& aPath)
   {
-    return Ask(*host_, "POST", aPath, "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
+    return Ask(
+      *host_, "POST", aPath, "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
   }
 
   void EnqueueAtBoth(const ServerScript& aScript)
@@ -197,15 +198,15 @@
 TEST_CASE_METHOD(OnlineFixture, "Online_Stopping_FinishesOpenRequests")
 {
   EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
-  const auto held = Send(
-    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 900\r\n");
+  const auto held =
+    Send(*host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 900\r\n");
   RunUntil([&held] { return !held->body_.empty(); });
   bool isStopped = false;
   host_->gateway_->Stop([&isStopped] { isStopped = true; });
   servers_[0]->ClearScripts();
   servers_[1]->ClearScripts();
-  const auto late = Ask(
-    *host_, "POST", "/once/1", "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n");
+  const auto late =
+    Ask(*host_, "POST", "/once/1", "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n");
   CHECK(late->status_ == 200);
   CHECK_FALSE(isStopped);
   RunUntil([&isStopped] { return isStopped; });
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -46,7 +46,8 @@
   CHECK(settings->gateway_.lotPreference_ == lots::LotPreference::IfNoOther);
 }
 
-TEST_CASE_METHOD(PlatformSettingsFixture, "PlatformSettings_NoCallers_IsAWorker")
+TEST_CASE_METHOD(PlatformSettingsFixture,
+                 "PlatformSettings_NoCallers_IsAWorker")
 {
   const auto outcome = Read(std::string(kCommon) + "listen: {}\n");
   const auto* settings = std::get_if<PlatformSettings>(&outcome);
