--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -150,7 +150,8 @@
   }
   const bool hasRoom =
     aCounts.Total() + 1 + limits_.batchHeadroom_ <= aEndpoint.record_.slots_;
-  return hasRoom && !aEndpoint.vanishedUntil_ && !IsAvoided(aEndpoint, aNow);
+  return hasRoom && !aEndpoint.vanishedUntil_ &&
+         aEndpoint.noBatchUntil_ <= aNow && !IsAvoided(aEndpoint, aNow);
 }
 
 void
@@ -219,6 +220,14 @@
   return choice;
 }
 
+void
+EndpointTable::NoteYield(const std::string& aId, base::Instant aNow)
+{
+  if (const auto found = endpoints_.find(aId); found != endpoints_.end()) {
+    found->second.noBatchUntil_ = aNow + limits_.pauseAfterYield_;
+  }
+}
+
 void
 EndpointTable::AssumeYield(const std::string& aId, const std::string& aPeer)
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -83,6 +83,11 @@
     base::Duration firstAvoidance_{ std::chrono::milliseconds{ 400 } };
     base::Duration longestAvoidance_{ std::chrono::milliseconds{ 3200 } };
 
+    /// Time without batch starts at an endpoint after a batch run gave way
+    /// there. A run that is started and cancelled costs the engine the reading
+    /// of its whole context, and online bursts last seconds.
+    base::Duration pauseAfterYield_{ std::chrono::milliseconds{ 300 } };
+
     /// Peers that must have failed at an endpoint for this host to avoid it
     /// too. Two, since one alone may be cut off from an endpoint that serves
     /// others.
@@ -156,6 +161,10 @@
   /// @return own runs and failures at each endpoint that has any, for peers.
   [[nodiscard]] std::vector<PeerCount> OwnCounts(base::Instant aNow) const;
 
+  /// An own batch run gave way: none is started there for a while, since the
+  /// burst that took its place goes on.
+  void NoteYield(const std::string& aId, base::Instant aNow);
+
   /// A peer was asked to let a batch run give way: counts it as gone until the
   /// peer's next message, so that the next request asks elsewhere.
   void AssumeYield(const std::string& aId, const std::string& aPeer);
@@ -194,6 +203,7 @@
     base::Instant avoidedUntil_;
     std::optional<base::Instant> vanishedUntil_;
     base::Instant heardAt_;
+    base::Instant noBatchUntil_;
   };
 
   [[nodiscard]] RunCounts CountsOf(const Endpoint& aEndpoint,
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -464,6 +464,7 @@
     return;
   }
   chosen->Cancel();
+  shared_.endpoints_.NoteYield(aEndpoint, base::MonotonicNow());
   OnRunEnd(*chosen, lots::ItemRunEnd::Preempted);
 }
 
