LibGateway: Keep the last results too when the write's answer is lost

Change: the owner stays until the page under way is settled. Measured: Lots_AnswerToTheLastWriteLost_ResultIsShown failed after 60 s, passes now.

--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -233,9 +233,10 @@
   const auto own = own_.find(aLot);
   const bool isOwned = own != own_.end();
   // The store's watch may tell of a lot's last result before the answer to the
-  // write arrives. Leaving the lot now would lose that result for readers here.
+  // write arrives, or when that answer is lost. Leaving the lot now would lose
+  // that result for readers here.
   if (isOwned && lot != nullptr && IsOwn(*lot) && lot->state_.isFinished_ &&
-      own->second.callUnderWay_) {
+      !own->second.storing_.empty()) {
     return;
   }
   if (lot == nullptr || !IsOwn(*lot) || !lot->IsOpen()) {
@@ -298,7 +299,7 @@
   }
   runs_ = std::move(kept);
   const auto own = own_.find(aLot);
-  if (own != own_.end() && own->second.callUnderWay_) {
+  if (own != own_.end() && !own->second.storing_.empty()) {
     // Whether its results are stored isn't known here: readers ask the store.
     lots_.Unload(aLot);
   }
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -76,7 +76,7 @@
   const httpstream::Request& request = aExchange->GetRequest();
   const auto content = shared_.codec_.ReadLotContent(request.body());
   if (const auto* unreadable = std::get_if<UnreadableCall>(&content)) {
-    Handle(std::move(aExchange), *unreadable);
+    Handle(aExchange, *unreadable);
     return;
   }
   if (lots_.Find(aLot) != nullptr) {
@@ -162,7 +162,7 @@
 }
 
 void
-LotDesk::Handle(std::shared_ptr<httpstream::Exchange> aExchange,
+LotDesk::Handle(const std::shared_ptr<httpstream::Exchange>& aExchange,
                 const LotCall& aCall)
 {
   if (const auto* unreadable = std::get_if<UnreadableCall>(&aCall)) {
@@ -182,7 +182,7 @@
 }
 
 void
-LotDesk::HandlePassedOn(std::shared_ptr<httpstream::Exchange> aExchange,
+LotDesk::HandlePassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange,
                         const LotCall& aCall)
 {
   const auto* read = std::get_if<ReadResults>(&aCall);
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -37,11 +37,11 @@
               const std::string& aLot);
 
   /// Answers any other call of a caller.
-  void Handle(std::shared_ptr<httpstream::Exchange> aExchange,
+  void Handle(const std::shared_ptr<httpstream::Exchange>& aExchange,
               const LotCall& aCall);
 
   /// Answers a call that another host passes on, from memory alone.
-  void HandlePassedOn(std::shared_ptr<httpstream::Exchange> aExchange,
+  void HandlePassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange,
                       const LotCall& aCall);
 
   /// A lot's keys have changed: readers that wait for results may go on.
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -84,12 +84,12 @@
 } // namespace
 
 OnlineRelay::OnlineRelay(Shared& aShared,
-                         boost::asio::any_io_executor aExecutor,
+                         const boost::asio::any_io_executor& aExecutor,
                          std::shared_ptr<httpstream::Exchange> aExchange,
                          fleet::Route aRoute,
                          const PreemptBatch& aPreemptBatch)
   : shared_(aShared)
-  , deadlineTimer_(std::move(aExecutor))
+  , deadlineTimer_(aExecutor)
   , exchange_(std::move(aExchange))
   , route_(std::move(aRoute))
   , preemptBatch_(aPreemptBatch)
--- a/Libraries/LibGateway/OnlineRelay.h
+++ b/Libraries/LibGateway/OnlineRelay.h
@@ -37,7 +37,7 @@
   using PreemptBatch = std::function<void(const fleet::EndpointChoice&)>;
 
   OnlineRelay(Shared& aShared,
-              boost::asio::any_io_executor aExecutor,
+              const boost::asio::any_io_executor& aExecutor,
               std::shared_ptr<httpstream::Exchange> aExchange,
               fleet::Route aRoute,
               const PreemptBatch& aPreemptBatch);
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -54,7 +54,7 @@
 {
   Transaction transaction;
   transaction.writes_.push_back({ options_.key_, options_.value_, lease_ });
-  client_.Commit(transaction, [this](TransactionReply aReply) {
+  client_.Commit(transaction, [this](const TransactionReply& aReply) {
     if (ended_) {
       return;
     }
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -81,8 +81,8 @@
     }
   }
   const std::size_t read = pages_.size();
-  for (StoreItem& item : std::exchange(pages_, {})) {
-    Apply(std::move(item));
+  for (const StoreItem& item : std::exchange(pages_, {})) {
+    Apply(item);
   }
   for (std::string& key : gone) {
     Apply({ std::move(key), {}, *readRevision_, true });
@@ -97,7 +97,7 @@
 }
 
 void
-PrefixMirror::Apply(StoreItem aItem)
+PrefixMirror::Apply(const StoreItem& aItem)
 {
   if (aItem.removed_) {
     if (revisions_.erase(aItem.key_) > 0) {
@@ -140,8 +140,8 @@
     followedRevision_ = aReply.storeRevision_;
   }
   const bool hadChanges = !aReply.events_.empty();
-  for (StoreItem& item : aReply.events_) {
-    Apply(std::move(item));
+  for (const StoreItem& item : aReply.events_) {
+    Apply(item);
   }
   if (hadChanges) {
     After(options_.pause_, &PrefixMirror::Watch);
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -51,7 +51,7 @@
   void FinishReading();
   void Watch();
   void OnWatch(WatchReply aReply);
-  void Apply(StoreItem aItem);
+  void Apply(const StoreItem& aItem);
   void After(base::Duration aPause, void (PrefixMirror::*aStep)());
   void Restart() { ReadPage({}); }
 
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -205,6 +205,29 @@
   CHECK(page["results"][0]["output"] == WholeOutput());
 }
 
+// The same end: the store carries out the write of the last result and its
+// answer is lost. The watch tells of the finished lot while the host waits to
+// try again.
+TEST_CASE_METHOD(LotsFixture, "Lots_AnswerToTheLastWriteLost_ResultIsShown")
+{
+  StartWorker("worker");
+  // The run that falls silent gives the host's watch time to be waiting again.
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+  CHECK(Submit(*entry_, 1) == 202);
+  RunUntil([this] { return RequestCount() == 1; });
+  servers_[0]->ClearScripts();
+  servers_[1]->ClearScripts();
+  store_.SetMood(StoreMood::LosingWrites);
+  RunUntil([this] {
+    return store_.Get("pumiceturn/lot/lot1").find("\"finished\":true") !=
+           std::string::npos;
+  });
+  store_.SetMood(StoreMood::Serving);
+  const json page = WaitForAll(*entry_, 1);
+  CHECK(page["results"][0]["output"] == WholeOutput());
+}
+
 TEST_CASE_METHOD(LotsFixture, "Lots_ReaderWaits_IsAnsweredWithTheFirstResult")
 {
   StartWorker("worker");
