--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -96,6 +96,12 @@
   base::LogLevel::Warning,
   "Results of a lot could not be stored yet."
 };
+inline constexpr base::Event kLotRemoved{
+  7120,
+  "lot_removed",
+  base::LogLevel::Info,
+  "Keys of a lot whose retention is over are removed from the store."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -162,6 +162,7 @@
           OwnName(),
           aContext.get_executor())
   , worker_(aContext, shared_, aStore, lots_, loader_, hosts_, OwnName())
+  , retention_(aStore, lots_, hosts_, OwnName(), settings_.lotRetention_)
   , peers_(aContext,
            shared_,
            settings_.host_,
@@ -480,7 +481,11 @@
     shared_.pool_.Forget(id);
     base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
   }
-  worker_.Tick(now, base::WallNow());
+  const base::WallTime wallNow = base::WallNow();
+  worker_.Tick(now, wallNow);
+  if (!stopping_) {
+    retention_.Tick(now, wallNow);
+  }
   desk_.Tick(now);
   shared_.pool_.Sweep(now);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "LibGateway/BatchWorker.h"
 #include "LibGateway/LotDesk.h"
+#include "LibGateway/LotRetention.h"
 #include "LibGateway/OnlineRelay.h"
 #include "LibGateway/PeerExchange.h"
 #include "LibGateway/Shared.h"
@@ -35,6 +36,8 @@
   base::Duration grace_{ std::chrono::seconds{ 8 } };
   /// Within which a draining endpoint must get nothing new.
   base::Duration drainBound_{ std::chrono::seconds{ 2 } };
+  /// How long a closed lot can be read, from its acceptance.
+  base::Duration lotRetention_{ std::chrono::seconds{ 150 } };
   /// Within which what one host has shown of a lot is to be seen at all.
   base::Duration settleBound_{ std::chrono::seconds{ 1 } };
 };
@@ -138,6 +141,7 @@
   LotLoader loader_;
   LotDesk desk_;
   BatchWorker worker_;
+  LotRetention retention_;
   PeerExchange peers_;
   OnlineRelay::PreemptBatch preemptBatch_;
   httpstream::Listener callers_;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -93,6 +93,7 @@
   settings.callerAddress_ = fmt::format("127.0.0.1:{}", host.callerPort_);
   settings.statusAddress_ = fmt::format("127.0.0.1:{}", host.statusPort_);
   settings.peerAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
+  settings.lotRetention_ = lotRetention_;
   settings.passOnAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
   host.store_ = std::make_unique<StoreCalls>(context_, Loopback(store_.Port()));
   host.gateway_ = std::make_unique<gateway::Gateway>(context_,
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -98,6 +98,7 @@
   StoreStandin store_;
   RequestCodec requestCodec_;
   StoreEntries storeEntries_;
+  base::Duration lotRetention_{ std::chrono::minutes{ 10 } };
   std::vector<std::unique_ptr<TestHost>> hosts_;
   std::vector<std::unique_ptr<ServerStandin>> servers_;
 };
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -310,6 +310,22 @@
   WaitForAll(*entry_, 2);
 }
 
+// The store fills up over weeks, and one day refuses every new lot.
+TEST_CASE_METHOD(LotsFixture, "Lots_RetentionOver_NothingIsLeftInTheStore")
+{
+  CHECK(Submit(*entry_, 3) == 202);
+  WaitForAll(*entry_, 3);
+  lotRetention_ = std::chrono::milliseconds(0);
+  StartWorker("worker");
+  RunUntil([this] {
+    return store_.Keys("pumiceturn/lot/").empty() &&
+           store_.Keys("pumiceturn/data/").empty();
+  });
+  RunUntil([this] {
+    return Ask(*entry_, "GET", "/api/lots/lot1?after=0")->status_ == 404;
+  });
+}
+
 TEST_CASE_METHOD(LotsFixture, "Lots_MalformedLots_Are400AndNothingIsStored")
 {
   const auto submit = [this](const std::string& aBody) {
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -26,7 +26,7 @@
 ip: "10.1.0.10"
 zone: "a"
 portRange: [7720, 7735]
-bounds: {graceS: 8, drainMs: 2000, settleMs: 1000}
+bounds: {graceS: 8, drainMs: 2000, settleMs: 1000, statusS: 120}
 platform: {address: "10.200.1.7:8169", form: "kv"}
 unknown: {new: 1}
 )";
@@ -42,6 +42,7 @@
   CHECK(settings->gateway_.host_ == "n1");
   CHECK(settings->gateway_.callerAddress_ == "10.1.0.10:8161");
   CHECK(settings->gateway_.peerAddress_ == "10.1.0.10:7720");
+  CHECK(settings->gateway_.lotRetention_ == std::chrono::seconds(180));
   CHECK(settings->gateway_.grace_ == std::chrono::seconds(8));
   CHECK(settings->gateway_.lotPreference_ == lots::LotPreference::IfNoOther);
 }
