LibGateway: Split ItemRun, add gauges, tell of changed settings

Cause: read as a newcomer: BatchWorker held two classes, declared services and priorities were parsed and never used, a SIGHUP left no line. Conclusion: behaviour is unchanged.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -35,20 +35,10 @@
   std::vector<RouteTarget> targets_;
   std::uint32_t maxAttempts_ = 1; ///< Endpoints for one attempt of the caller.
   base::Duration timeout_{ std::chrono::seconds{ 15 } };
-  base::Duration latencyObjective_{ std::chrono::milliseconds{ 300 } };
-  std::uint32_t priority_ = 0;      ///< 0 is the highest.
   base::Duration dueAfter_{ 0 };    ///< Of a lot, from its first submission.
   base::Duration giveUpAfter_{ 0 }; ///< When a lot's item may be abandoned.
 };
 
-/// A service as declared by operators.
-struct ServiceDeclaration
-{
-  std::string name_;
-  std::uint32_t slots_ = 1; ///< Requests that an endpoint runs at once.
-  std::uint32_t maxConnections_ = 0;
-};
-
 /// What callers may send.
 struct CallerLimits
 {
@@ -63,7 +53,6 @@
 {
   std::uint64_t version_ = 0;
   std::vector<Route> routes_;
-  std::vector<ServiceDeclaration> services_;
   CallerLimits limits_;
 };
 
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// Longest wait for the first byte of an item, and between its bytes: an
-/// engine with a free place answers within tens of ms.
-constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
-constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
-
 /// Time that an endpoint may spend on one run of an item: the longest items
 /// take about 8 s.
 constexpr std::chrono::seconds kItemPatience{ 30 };
@@ -30,9 +25,6 @@
 /// takes values up to 1 MB in base64.
 constexpr std::size_t kMaxPageBytes = 500000;
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusUnprocessable = 422;
-
 std::string_view
 NameOf(lots::ItemRunEnd aEnd)
 {
@@ -74,112 +66,6 @@
 
 } // namespace
 
-ItemRun::ItemRun(BatchWorker& aWorker,
-                 std::string aLot,
-                 std::size_t aItem,
-                 lots::PartialRun aProgress)
-  : worker_(aWorker)
-  , lot_(std::move(aLot))
-  , item_(aItem)
-  , progress_(std::move(aProgress))
-{
-}
-
-void
-ItemRun::Start(Shared& aShared,
-               const fleet::EndpointRecord& aEndpoint,
-               const lots::LotItem& aItem,
-               const std::string& aHostName,
-               base::Duration aPatience)
-{
-  endpoint_ = aEndpoint.id_;
-  SendTerms terms;
-  terms.endpoint_ = aEndpoint.id_;
-  terms.patience_ = aPatience;
-  terms.lastEvent_ = progress_.lastEvent_;
-  httpstream::Call call;
-  call.bytes_ = httpstream::Serialize(
-    aShared.codec_.MakeItemRequest(aItem, aHostName, terms));
-  call.echoField_ = aShared.codec_.EchoField();
-  call.echoValue_ = aItem.id_;
-  call.firstByteTimeout_ = kFirstByteTimeout;
-  call.gapTimeout_ = kGapTimeout;
-  run_ =
-    std::make_shared<EndpointRun>(aShared, aEndpoint, fleet::WorkClass::Batch);
-  run_->Start(std::move(call), *this);
-}
-
-void
-ItemRun::Cancel()
-{
-  if (run_) {
-    run_->Cancel();
-  }
-}
-
-void
-ItemRun::ReadOn()
-{
-  if (run_) {
-    run_->SetPaused(false);
-  }
-}
-
-void
-ItemRun::OnHead(const httpstream::ResponseHead& aHead)
-{
-  notes_ = worker_.shared_.codec_.ReadAnswer(aHead);
-  status_ = aHead.result_int();
-}
-
-void
-ItemRun::OnBody(std::string_view aBytes)
-{
-  if (status_ != kStatusOk) {
-    return;
-  }
-  splitter_.Append(aBytes);
-  while (const auto event = splitter_.Next()) {
-    if (event->id_ != 0 && event->id_ <= progress_.lastEvent_) {
-      continue;
-    }
-    if (progress_.lastEvent_ > 0) {
-      progress_.output_.push_back('\n');
-    }
-    progress_.output_.append(event->data_);
-    progress_.lastEvent_ = event->id_;
-  }
-  run_->SetPaused(true);
-}
-
-lots::ItemRunEnd
-ItemRun::Judge(httpstream::CallEnd aEnd) const
-{
-  if (aEnd == httpstream::CallEnd::NotConnected) {
-    return lots::ItemRunEnd::NotRun;
-  }
-  if (aEnd != httpstream::CallEnd::Complete) {
-    return lots::ItemRunEnd::Broken;
-  }
-  if (notes_.isCertainlyNotRun_) {
-    return lots::ItemRunEnd::NotRun;
-  }
-  if (status_ == kStatusUnprocessable) {
-    return lots::ItemRunEnd::Impossible;
-  }
-  if (status_ != kStatusOk) {
-    return lots::ItemRunEnd::Failed;
-  }
-  return splitter_.Remainder() > 0 ? lots::ItemRunEnd::Broken
-                                   : lots::ItemRunEnd::Completed;
-}
-
-void
-ItemRun::OnEnd(httpstream::CallEnd aEnd)
-{
-  worker_.OnRunEnd(*this, Judge(aEnd));
-}
-
 BatchWorker::BatchWorker(boost::asio::io_context& aContext,
                          Shared& aShared,
                          metadata::StoreClient& aStore,
@@ -422,11 +308,14 @@
               { "after_event", aOwn.schedule_.ProgressOf(*item).lastEvent_ },
               { "version", shared_.routes_.Version() } });
   auto run = std::make_shared<ItemRun>(
-    *this, aLotId, *item, aOwn.schedule_.ProgressOf(*item));
+    shared_,
+    [this](ItemRun& aRun, lots::ItemRunEnd aEnd) { OnRunEnd(aRun, aEnd); },
+    aLotId,
+    *item,
+    aOwn.schedule_.ProgressOf(*item));
   aOwn.schedule_.Start(*item, choice->endpoint_.id_);
   runs_.push_back(run);
-  run->Start(
-    shared_, choice->endpoint_, content, lot->state_.hostName_, kItemPatience);
+  run->Start(choice->endpoint_, content, lot->state_.hostName_, kItemPatience);
   return true;
 }
 
@@ -480,6 +369,11 @@
               { "endpoint", aRun.EndpointId() },
               { "end", NameOf(aEnd) },
               { "last_event", aRun.Progress().lastEvent_ } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_item_runs_total",
+                "Ended runs of lots' items.",
+                fmt::format("end=\"{}\"", NameOf(aEnd)))
+    .Add();
   lots::PartialRun progress = aRun.TakeProgress();
   RemoveRun(aRun);
   const auto own = own_.find(lot);
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "LibFleet/EventSplitter.h"
-#include "LibGateway/EndpointRun.h"
+#include "LibGateway/ItemRun.h"
 #include "LibGateway/LotLoader.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/ItemSchedule.h"
@@ -19,52 +18,6 @@
 
 namespace pumiceturn::gateway {
 
-class BatchWorker;
-
-/// One run of a lot's item at an endpoint. Belongs to the event thread.
-class ItemRun : public httpstream::CallObserver
-{
-public:
-  ItemRun(BatchWorker& aWorker,
-          std::string aLot,
-          std::size_t aItem,
-          lots::PartialRun aProgress);
-
-  void Start(Shared& aShared,
-             const fleet::EndpointRecord& aEndpoint,
-             const lots::LotItem& aItem,
-             const std::string& aHostName,
-             base::Duration aPatience);
-  void Cancel();
-
-  /// Lets the next bytes be read. Batch output is read in bulk: nobody waits
-  /// for single events, and each reading costs processor time.
-  void ReadOn();
-
-  [[nodiscard]] const std::string& EndpointId() const { return endpoint_; }
-  [[nodiscard]] const std::string& LotId() const { return lot_; }
-  [[nodiscard]] std::size_t Item() const { return item_; }
-  [[nodiscard]] const lots::PartialRun& Progress() const { return progress_; }
-  [[nodiscard]] lots::PartialRun TakeProgress() { return std::move(progress_); }
-
-  void OnHead(const httpstream::ResponseHead& aHead) override;
-  void OnBody(std::string_view aBytes) override;
-  void OnEnd(httpstream::CallEnd aEnd) override;
-
-private:
-  [[nodiscard]] lots::ItemRunEnd Judge(httpstream::CallEnd aEnd) const;
-
-  BatchWorker& worker_;
-  std::string lot_;
-  std::size_t item_;
-  std::string endpoint_;
-  lots::PartialRun progress_;
-  fleet::EventSplitter splitter_;
-  std::shared_ptr<EndpointRun> run_;
-  AnswerNotes notes_;
-  unsigned status_ = 0;
-};
-
 /// Runs the items of the lots that this host owns: starts them where places
 /// are idle, the most urgent lot first, stores their results, takes over lots
 /// whose owner is gone, and hands its lots over when the host leaves. Belongs
@@ -102,8 +55,6 @@
   [[nodiscard]] std::size_t RunCount() const { return runs_.size(); }
 
 private:
-  friend class ItemRun;
-
   /// A lot that this host runs.
   struct OwnLot
   {
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -102,6 +102,18 @@
   base::LogLevel::Info,
   "Keys of a lot whose retention is over are removed from the store."
 };
+inline constexpr base::Event kSettingsReread{
+  7121,
+  "settings_reread",
+  base::LogLevel::Info,
+  "The settings were read again; what differs holds from the next start."
+};
+inline constexpr base::Event kSettingsUnreadable{
+  7122,
+  "settings_unreadable",
+  base::LogLevel::Error,
+  "Changed settings can't be read; the process goes on with the old ones."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -180,10 +180,32 @@
   , tickTimer_(aContext)
   , stopTimer_(aContext)
 {
+  AddGauges();
   desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
   worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
 
+void
+Gateway::AddGauges()
+{
+  shared_.metrics_.AddGauge("pumiceturn_endpoint_connections_made_total",
+                            "Connections opened to endpoints.",
+                            {},
+                            [this] { return shared_.pool_.MadeCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_caller_connections",
+                            "Open connections of callers.",
+                            {},
+                            [this] { return callers_.ConnectionCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_batch_runs",
+                            "Items that this host runs now.",
+                            {},
+                            [this] { return worker_.RunCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_configuration_version",
+                            "Version in force.",
+                            {},
+                            [this] { return shared_.routes_.Version(); });
+}
+
 std::string
 Gateway::OwnName() const
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -111,6 +111,7 @@
   void OnLotKey(const metadata::StoreItem& aItem);
   void OnHostKey(const metadata::StoreItem& aItem);
   void OnLotChanged(const std::string& aLot);
+  void AddGauges();
   void Preempt(const fleet::EndpointChoice& aChoice);
   void Retire();
   void ReportRetired();
--- /dev/null
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -0,0 +1,126 @@
+#include "LibGateway/ItemRun.h"
+
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// Longest wait for the first byte of an item, and between its bytes: an
+/// engine with a free place answers within tens of ms.
+constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
+constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusUnprocessable = 422;
+
+} // namespace
+
+ItemRun::ItemRun(Shared& aShared,
+                 EndHandler aOnEnd,
+                 std::string aLot,
+                 std::size_t aItem,
+                 lots::PartialRun aProgress)
+  : shared_(aShared)
+  , onEnd_(std::move(aOnEnd))
+  , lot_(std::move(aLot))
+  , item_(aItem)
+  , progress_(std::move(aProgress))
+{
+}
+
+void
+ItemRun::Start(const fleet::EndpointRecord& aEndpoint,
+               const lots::LotItem& aItem,
+               const std::string& aHostName,
+               base::Duration aPatience)
+{
+  endpoint_ = aEndpoint.id_;
+  SendTerms terms;
+  terms.endpoint_ = aEndpoint.id_;
+  terms.patience_ = aPatience;
+  terms.lastEvent_ = progress_.lastEvent_;
+  httpstream::Call call;
+  call.bytes_ = httpstream::Serialize(
+    shared_.codec_.MakeItemRequest(aItem, aHostName, terms));
+  call.echoField_ = shared_.codec_.EchoField();
+  call.echoValue_ = aItem.id_;
+  call.firstByteTimeout_ = kFirstByteTimeout;
+  call.gapTimeout_ = kGapTimeout;
+  run_ =
+    std::make_shared<EndpointRun>(shared_, aEndpoint, fleet::WorkClass::Batch);
+  run_->Start(std::move(call), *this);
+}
+
+void
+ItemRun::Cancel()
+{
+  if (run_) {
+    run_->Cancel();
+  }
+}
+
+void
+ItemRun::ReadOn()
+{
+  if (run_) {
+    run_->SetPaused(false);
+  }
+}
+
+void
+ItemRun::OnHead(const httpstream::ResponseHead& aHead)
+{
+  notes_ = shared_.codec_.ReadAnswer(aHead);
+  status_ = aHead.result_int();
+}
+
+void
+ItemRun::OnBody(std::string_view aBytes)
+{
+  if (status_ != kStatusOk) {
+    return;
+  }
+  splitter_.Append(aBytes);
+  while (const auto event = splitter_.Next()) {
+    if (event->id_ != 0 && event->id_ <= progress_.lastEvent_) {
+      continue;
+    }
+    if (progress_.lastEvent_ > 0) {
+      progress_.output_.push_back('\n');
+    }
+    progress_.output_.append(event->data_);
+    progress_.lastEvent_ = event->id_;
+  }
+  run_->SetPaused(true);
+}
+
+lots::ItemRunEnd
+ItemRun::Judge(httpstream::CallEnd aEnd) const
+{
+  if (aEnd == httpstream::CallEnd::NotConnected) {
+    return lots::ItemRunEnd::NotRun;
+  }
+  if (aEnd != httpstream::CallEnd::Complete) {
+    return lots::ItemRunEnd::Broken;
+  }
+  if (notes_.isCertainlyNotRun_) {
+    return lots::ItemRunEnd::NotRun;
+  }
+  if (status_ == kStatusUnprocessable) {
+    return lots::ItemRunEnd::Impossible;
+  }
+  if (status_ != kStatusOk) {
+    return lots::ItemRunEnd::Failed;
+  }
+  return splitter_.Remainder() > 0 ? lots::ItemRunEnd::Broken
+                                   : lots::ItemRunEnd::Completed;
+}
+
+void
+ItemRun::OnEnd(httpstream::CallEnd aEnd)
+{
+  onEnd_(*this, Judge(aEnd));
+}
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -39,6 +39,26 @@
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusGatewayTimeout = 504;
 
+/// @return the lot that a reading call asks for, empty for any other call.
+std::string
+LotOfReading(const LotCall& aCall)
+{
+  struct Visitor
+  {
+    std::string operator()(const ReadResults& aRead) const
+    {
+      return aRead.lot_;
+    }
+    std::string operator()(const ReadItemBody& aRead) const
+    {
+      return aRead.lot_;
+    }
+    std::string operator()(const EndLot& /*aEnd*/) const { return {}; }
+    std::string operator()(const UnreadableCall& /*aCall*/) const { return {}; }
+  };
+  return std::visit(Visitor{}, aCall);
+}
+
 } // namespace
 
 /// A lot on its way into the store.
@@ -168,16 +188,12 @@
   if (const auto* unreadable = std::get_if<UnreadableCall>(&aCall)) {
     aExchange->Answer(httpstream::MakeResponse(
       kStatusBadRequest, unreadable->reason_, "text/plain"));
-  } else if (const auto* read = std::get_if<ReadResults>(&aCall)) {
-    Read(aExchange, read->lot_, aCall);
-  } else if (const auto* body = std::get_if<ReadItemBody>(&aCall)) {
-    Read(aExchange, body->lot_, aCall);
+  } else if (const auto* end = std::get_if<EndLot>(&aCall)) {
+    WithState(aExchange, end->lot_, [this, aExchange](const lots::Lot& aLot) {
+      End(aExchange, aLot, kEndTries);
+    });
   } else {
-    WithState(aExchange,
-              std::get<EndLot>(aCall).lot_,
-              [this, aExchange](const lots::Lot& aLot) {
-                End(aExchange, aLot, kEndTries);
-              });
+    Read(aExchange, LotOfReading(aCall), aCall);
   }
 }
 
@@ -185,12 +201,7 @@
 LotDesk::HandlePassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange,
                         const LotCall& aCall)
 {
-  const auto* read = std::get_if<ReadResults>(&aCall);
-  const auto* body = std::get_if<ReadItemBody>(&aCall);
-  const std::string& id = read != nullptr   ? read->lot_
-                          : body != nullptr ? body->lot_
-                                            : std::string();
-  const lots::Lot* lot = lots_.Find(id);
+  const lots::Lot* lot = lots_.Find(LotOfReading(aCall));
   if (lot == nullptr || !lot->isLoaded_) {
     AnswerComeBack(*aExchange);
     return;
--- a/Libraries/LibGateway/LotRetention.cpp
+++ b/Libraries/LibGateway/LotRetention.cpp
@@ -85,9 +85,8 @@
       }
       base::Log(kLotRemoved,
                 { { "lot", aLot }, { "keys", count }, { "last", isLast } });
-      store_.Commit(transaction, [this](const metadata::TransactionReply&) {
-        --underWay_;
-      });
+      store_.Commit(transaction,
+                    [this](const metadata::TransactionReply&) { --underWay_; });
     });
 }
 
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -119,11 +119,11 @@
   client_.Watch(options_.prefix_,
                 followedRevision_,
                 options_.longestWatch_,
-                [this](WatchReply aReply) { OnWatch(std::move(aReply)); });
+                [this](const WatchReply& aReply) { OnWatch(aReply); });
 }
 
 void
-PrefixMirror::OnWatch(WatchReply aReply)
+PrefixMirror::OnWatch(const WatchReply& aReply)
 {
   const bool isAnswered = aReply.status_ == StoreStatus::Ok ||
                           aReply.status_ == StoreStatus::HistoryLost;
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -50,7 +50,7 @@
   void OnPage(RangeReply aReply);
   void FinishReading();
   void Watch();
-  void OnWatch(WatchReply aReply);
+  void OnWatch(const WatchReply& aReply);
   void Apply(const StoreItem& aItem);
   void After(base::Duration aPause, void (PrefixMirror::*aStep)());
   void Restart() { ReadPage({}); }
