LibGateway: Don't take a route that isn't known yet for a removed one

Cause: found in review: a host whose configuration is older than a lot's route, or which has none yet after its start, gave up all of the lot's items at once. Change: a lot's route counts as removed when it has been missing for 10 s under a configuration in force; until then nothing is given up. Measured: Lots_RouteNotKnownYet_ItemsWaitForIt failed ('errored'), passes now; 41 cases pass.

--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -15,6 +15,10 @@
 /// take about 8 s.
 constexpr std::chrono::seconds kItemPatience{ 30 };
 
+/// How long a lot's route must be missing to count as removed. Hosts have a new
+/// configuration within 2 to 3 s, and somewhat later when the store was away.
+constexpr std::chrono::seconds kRouteGoneAfter{ 10 };
+
 /// Pause before a failed call to the store is made again.
 constexpr std::chrono::milliseconds kStoreRetryPause{ 300 };
 
@@ -89,27 +93,35 @@
   return aLot.state_.owner_ == ownName_;
 }
 
-lots::ItemLimits
-BatchWorker::LimitsOf(const lots::Lot& aLot) const
+void
+BatchWorker::UpdateLimits(const lots::Lot& aLot,
+                          OwnLot& aOwn,
+                          base::Instant aNow)
 {
-  lots::ItemLimits limits;
   const base::WallTime accepted = base::FromUnixMs(aLot.state_.acceptedAtMs_);
-  const auto* route =
-    shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
   const auto after = [accepted](base::Duration aSpan) {
     return accepted +
            std::chrono::duration_cast<std::chrono::milliseconds>(aSpan);
   };
-  if (route == nullptr) {
-    // Its route was removed: nothing may run, and what is left is given up.
-    limits.giveUpAt_ = accepted;
-    limits.dueAt_ = accepted;
-    return limits;
-  }
-  limits.maxAttempts_ = route->maxAttempts_;
-  limits.dueAt_ = after(route->dueAfter_);
-  limits.giveUpAt_ = after(route->giveUpAfter_);
-  return limits;
+  lots::ItemLimits limits = aOwn.schedule_.Limits();
+  const auto* route =
+    shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+  if (route != nullptr) {
+    aOwn.routeMissingSince_.reset();
+    limits.maxAttempts_ = route->maxAttempts_;
+    limits.dueAt_ = after(route->dueAfter_);
+    limits.giveUpAt_ = after(route->giveUpAfter_);
+  } else {
+    // The route may come with a configuration that this host doesn't have yet.
+    // Only one that stays away was removed: what is left is given up then.
+    if (!aOwn.routeMissingSince_) {
+      aOwn.routeMissingSince_ = aNow;
+    }
+    const bool isRemoved = shared_.routes_.Version() > 0 &&
+                           aNow - *aOwn.routeMissingSince_ > kRouteGoneAfter;
+    limits.giveUpAt_ = isRemoved ? accepted : base::WallTime::max();
+  }
+  aOwn.schedule_.SetLimits(limits);
 }
 
 void
@@ -161,8 +173,9 @@
 void
 BatchWorker::Take(const lots::Lot& aLot)
 {
-  OwnLot own{ lots::ItemSchedule(aLot, LimitsOf(aLot)), {}, {}, 0, false, {} };
+  OwnLot own{ lots::ItemSchedule(aLot, {}) };
   own.nextPosition_ = static_cast<std::uint32_t>(aLot.results_.size());
+  UpdateLimits(aLot, own, base::MonotonicNow());
   own_.emplace(aLot.id_, std::move(own));
   claims_.erase(aLot.id_);
   base::Log(kLotTaken,
@@ -210,7 +223,7 @@
   }
   for (auto& [id, own] : own_) {
     if (const lots::Lot* lot = lots_.Find(id)) {
-      own.schedule_.SetLimits(LimitsOf(*lot));
+      UpdateLimits(*lot, own, aNow);
     }
     for (lots::ItemResult& result : own.schedule_.GiveUp(aWallNow)) {
       own.unstored_.push_back(std::move(result));
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -59,11 +60,12 @@
   struct OwnLot
   {
     lots::ItemSchedule schedule_;
-    std::vector<lots::ItemResult> unstored_;
-    std::vector<lots::ItemResult> storing_; ///< In the call under way.
+    std::vector<lots::ItemResult> unstored_{};
+    std::vector<lots::ItemResult> storing_{}; ///< In the call under way.
     std::uint32_t nextPosition_ = 0;
     bool callUnderWay_ = false;
-    base::Instant retryAt_;
+    base::Instant retryAt_{};
+    std::optional<base::Instant> routeMissingSince_{};
   };
 
   /// The call that stores a page of results.
@@ -80,7 +82,7 @@
   void Take(const lots::Lot& aLot);
   void Leave(const std::string& aLot, std::string_view aReason);
   [[nodiscard]] bool IsOwn(const lots::Lot& aLot) const;
-  [[nodiscard]] lots::ItemLimits LimitsOf(const lots::Lot& aLot) const;
+  void UpdateLimits(const lots::Lot& aLot, OwnLot& aOwn, base::Instant aNow);
   void StartRuns(base::Instant aNow, base::WallTime aWallNow);
   bool StartOne(const std::string& aLotId,
                 OwnLot& aOwn,
--- a/Libraries/LibLots/ItemSchedule.h
+++ b/Libraries/LibLots/ItemSchedule.h
@@ -28,8 +28,8 @@
 struct ItemLimits
 {
   std::uint32_t maxAttempts_ = 1; ///< Failures after which an item is given up.
-  base::WallTime dueAt_;
-  base::WallTime giveUpAt_;
+  base::WallTime dueAt_ = base::WallTime::max();
+  base::WallTime giveUpAt_ = base::WallTime::max();
 };
 
 /// Decides which item of a lot runs next, and what becomes of it when its run
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -310,6 +310,31 @@
   WaitForAll(*entry_, 2);
 }
 
+// A whole lot comes back as failed, without one run. The host that is to run it
+// has an older configuration than the host that accepted it, or none yet after
+// its start, and took the missing route for one that operators had removed.
+TEST_CASE_METHOD(LotsFixture, "Lots_RouteNotKnownYet_ItemsWaitForIt")
+{
+  CHECK(Submit(*entry_, 2) == 202);
+  WaitForAll(*entry_, 2);
+  // A lot on a route that comes with the next configuration.
+  std::string state = store_.Get("pumiceturn/lot/lot1");
+  state.replace(state.find("/lots/1"), 7, "/v7/1xx");
+  state.replace(state.find("\"finished\":true"), 15, "\"finished\":false");
+  store_.Put("pumiceturn/data/lot2/content/000000", LotBody(1));
+  store_.Put("pumiceturn/lot/lot2", state);
+  const auto read = [this] {
+    return Ask(*entry_, "GET", "/api/lots/lot2?after=0");
+  };
+  // Well past the looks in which such a lot was given up.
+  const std::size_t before = store_.CallCount();
+  RunUntil([&] { return store_.CallCount() > before + 12; });
+  CHECK(json::parse(read()->body_)["results"].empty());
+  WriteConfiguration(7);
+  RunUntil([&] { return !json::parse(read()->body_)["results"].empty(); });
+  CHECK(json::parse(read()->body_)["results"][0]["state"] == "completed");
+}
+
 // The store fills up over weeks, and one day refuses every new lot.
 TEST_CASE_METHOD(LotsFixture, "Lots_RetentionOver_NothingIsLeftInTheStore")
 {
