LibGateway: Pass store calls on to a peer while the store turns this host away

Cause: the store may turn some hosts away and serve the others.

Change: StorePath (LibMetadata) decides whether the own way is lost: one failed call starts a probe, which costs a tenth of a read, and only a probe that fails makes it lost. StorePaths (LibGateway) then has a peer make the call, at most three peers, which use their own way only, so that calls can't go round. Calls whose outcome is unknown are never repeated. Without any way a call ends at once, and a probe every 0.4 s replaces the retries of five callers during an outage. The connections to peers of hosts that are gone are dropped (PeerCallers, used by LotDesk too; HttpCaller's calls outlive it).

Ruled out: the tests with the peers switched off: three of five fail (the lot of a host that was turned away never ends; an entry host refuses lots; the own way isn't found again).

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -43,6 +43,9 @@
 /// Pause before operators are told again that a host is empty.
 constexpr std::chrono::milliseconds kRetireRetry{ 300 };
 
+/// A peer's call to the store may hold the largest lot, in base64 twice.
+constexpr std::uint64_t kLongestPeerBody = 16777216;
+
 constexpr std::chrono::milliseconds kRetryAfter{ 300 };
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusNotFound = 404;
@@ -110,12 +113,14 @@
                  StoreLayout aLayout,
                  const Codec& aCodec,
                  const StoreCodec& aStoreCodec,
-                 metadata::StoreClient& aStore)
+                 metadata::StoreClient& aStore,
+                 StorePaths& aStorePaths)
   : context_(aContext)
   , settings_(std::move(aSettings))
   , layout_(std::move(aLayout))
   , storeCodec_(aStoreCodec)
   , store_(aStore)
+  , storePaths_(aStorePaths)
   , shared_{ aCodec,
              {},
              fleet::EndpointTable(settings_.failureDomain_, {}),
@@ -181,6 +186,9 @@
   , stopTimer_(aContext)
 {
   AddGauges();
+  httpstream::ServerLimits peerLimits;
+  peerLimits.maxBodyBytes_ = kLongestPeerBody;
+  passedOn_.SetLimits(peerLimits);
   desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
   worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
@@ -315,7 +323,7 @@
     desk_.HandlePassedOn(aExchange, *call);
     return;
   }
-  aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+  storePaths_.CallForPeer(aExchange);
 }
 
 void
@@ -465,6 +473,7 @@
   if (aItem.removed_) {
     hosts_.Remove(host, now);
     peers_.RemovePeer(host);
+    storePaths_.SetPeers(hosts_.AddressesBut(OwnName()));
     if (host == settings_.host_) {
       lease_.OnKeyRemoved();
     }
@@ -481,6 +490,7 @@
              value.value("calls", std::string()),
              now);
   peers_.SetPeer(host, value.value("peer", std::string()));
+  storePaths_.SetPeers(hosts_.AddressesBut(OwnName()));
 }
 
 void
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "LibGateway/OnlineRelay.h"
 #include "LibGateway/PeerExchange.h"
 #include "LibGateway/Shared.h"
+#include "LibGateway/StorePaths.h"
 #include "LibHttpStream/Listener.h"
 #include "LibMetadata/HostLease.h"
 #include "LibMetadata/PrefixMirror.h"
@@ -92,7 +93,8 @@
           StoreLayout aLayout,
           const Codec& aCodec,
           const StoreCodec& aStoreCodec,
-          metadata::StoreClient& aStore);
+          metadata::StoreClient& aStore,
+          StorePaths& aStorePaths);
 
   /// Opens the addresses and begins to follow the store.
   /// @return false if an address can't be used.
@@ -130,6 +132,7 @@
   StoreLayout layout_;
   const StoreCodec& storeCodec_;
   metadata::StoreClient& store_;
+  StorePaths& storePaths_;
   Shared shared_;
   lots::LotTable lots_;
   lots::HostSet hosts_;
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -1,6 +1,5 @@
 #include "LibGateway/LotDesk.h"
 
-#include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
 
 #include <algorithm>
@@ -85,7 +84,7 @@
   , loader_(aLoader)
   , hosts_(aHosts)
   , ownName_(std::move(aOwnName))
-  , executor_(std::move(aExecutor))
+  , callers_(std::move(aExecutor))
 {
 }
 
@@ -267,15 +266,11 @@
                 const std::string& aAddress,
                 const LotCall& aCall)
 {
-  const auto address = ParseAddress(aAddress);
-  if (!address) {
+  httpstream::HttpCaller* caller = callers_.Find(aAddress);
+  if (caller == nullptr) {
     ReadFromStore(aExchange, aLot, aCall);
     return;
   }
-  auto& caller = callers_[aAddress];
-  if (!caller) {
-    caller = std::make_unique<httpstream::HttpCaller>(executor_, *address);
-  }
   const httpstream::Request& original = aExchange->GetRequest();
   httpstream::Request request;
   request.method(original.method());
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "LibGateway/LotLoader.h"
+#include "LibGateway/PeerCallers.h"
 #include "LibGateway/Shared.h"
-#include "LibHttpStream/HttpCaller.h"
 #include "LibHttpStream/ServerConnection.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/LotTable.h"
@@ -115,10 +115,7 @@
   LotLoader& loader_;
   const lots::HostSet& hosts_;
   std::string ownName_;
-  boost::asio::any_io_executor executor_;
-  /// Connections to hosts that run lots, by address.
-  std::unordered_map<std::string, std::unique_ptr<httpstream::HttpCaller>>
-    callers_;
+  PeerCallers callers_; ///< To the hosts that run lots.
   std::function<void(const std::string&)> onStateRead_;
   std::unordered_map<std::string, std::vector<Reader>> readers_;
 };
--- /dev/null
+++ b/Libraries/LibGateway/StorePaths.cpp
@@ -0,0 +1,209 @@
+#include "LibGateway/StorePaths.h"
+
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+using metadata::PathOutcome;
+
+namespace {
+
+/// Longest wait for a probe: more than the store takes on a slow day.
+constexpr std::chrono::milliseconds kProbeTimeout{ 700 };
+
+/// Pause after a probe that failed; what is lost of a bound of two seconds.
+constexpr std::chrono::milliseconds kProbePause{ 400 };
+
+/// On top of a call's own timeout: for the way to the peer and back.
+constexpr std::chrono::milliseconds kPeerMargin{ 200 };
+
+/// Longest call that is made for a peer.
+constexpr std::chrono::milliseconds kLongestForPeer{ 30000 };
+
+constexpr unsigned kStatusUnavailable = 503;
+const std::string kTimeoutField = "Call-Timeout-Ms";
+
+std::string_view
+TargetOf(const httpstream::Request& aRequest)
+{
+  return { aRequest.target().data(), aRequest.target().size() };
+}
+
+base::Duration
+ReadTimeout(const httpstream::Request& aRequest)
+{
+  const std::string_view text =
+    httpstream::ValueOf(aRequest, kTimeoutField);
+  std::uint32_t milliseconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  return std::min<base::Duration>(std::chrono::milliseconds(milliseconds),
+                                  kLongestForPeer);
+}
+
+httpstream::Request
+WithTarget(const httpstream::Request& aRequest, std::string_view aTarget)
+{
+  httpstream::Request request = aRequest;
+  request.target({ aTarget.data(), aTarget.size() });
+  return request;
+}
+
+} // namespace
+
+StorePaths::StorePaths(boost::asio::io_context& aContext,
+                       const boost::asio::ip::tcp::endpoint& aStore,
+                       Protocol aProtocol)
+  : context_(aContext)
+  , own_(aContext.get_executor(), aStore)
+  , protocol_(std::move(aProtocol))
+  , callers_(aContext.get_executor())
+  , nextPeer_(std::random_device{}())
+  , probeTimer_(aContext)
+{
+}
+
+void
+StorePaths::Call(const httpstream::Request& aRequest,
+                 base::Duration aTimeout,
+                 Done aDone)
+{
+  auto pending = std::make_shared<Pending>(
+    Pending{ aRequest, aTimeout, std::move(aDone), 0 });
+  if (path_.IsOwnLost()) {
+    AskPeer(pending);
+  } else {
+    CallOnOwnWay(pending);
+  }
+}
+
+void
+StorePaths::CallOnOwnWay(const PendingPtr& aPending)
+{
+  own_.Call(aPending->request_,
+            aPending->timeout_,
+            [this, aPending](Result aResult) {
+              NoteOwn(aResult);
+              if (protocol_.classify_(aResult) == PathOutcome::Refused) {
+                AskPeer(aPending);
+                return;
+              }
+              aPending->done_(std::move(aResult));
+            });
+}
+
+void
+StorePaths::NoteOwn(const Result& aResult)
+{
+  if (path_.NoteOwn(protocol_.classify_(aResult))) {
+    Probe();
+  }
+}
+
+void
+StorePaths::Probe()
+{
+  own_.Call(protocol_.probe_, kProbeTimeout, [this](const Result& aResult) {
+    if (path_.NoteProbe(protocol_.classify_(aResult))) {
+      ProbeLater();
+    }
+  });
+}
+
+void
+StorePaths::ProbeLater()
+{
+  probeTimer_.expires_after(kProbePause);
+  probeTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      Probe();
+    }
+  });
+}
+
+void
+StorePaths::SetPeers(std::vector<std::string> aAddresses)
+{
+  callers_.Keep(aAddresses);
+  peers_ = std::move(aAddresses);
+}
+
+void
+StorePaths::AskPeer(const PendingPtr& aPending)
+{
+  const bool mayAsk = !peers_.empty() &&
+                      aPending->peersAsked_ < metadata::StorePath::kPeersAsked &&
+                      path_.MayAskPeer(base::MonotonicNow());
+  httpstream::HttpCaller* peer =
+    mayAsk ? callers_.Find(peers_[nextPeer_ % peers_.size()]) : nullptr;
+  if (peer == nullptr) {
+    EndLater(aPending);
+    return;
+  }
+  ++aPending->peersAsked_;
+  httpstream::Request request = WithTarget(
+    aPending->request_,
+    std::string(kTargetPrefix).append(TargetOf(aPending->request_)));
+  request.set(kTimeoutField,
+              std::to_string(base::ToMs(aPending->timeout_)));
+  peer->Call(request,
+             aPending->timeout_ + kPeerMargin,
+             [this, aPending](Result aResult) {
+               OnPeerAnswered(aPending, std::move(aResult));
+             });
+}
+
+void
+StorePaths::OnPeerAnswered(const PendingPtr& aPending, Result aResult)
+{
+  const PathOutcome outcome = protocol_.classify_(aResult);
+  path_.NotePeer(outcome, base::MonotonicNow());
+  if (outcome == PathOutcome::Served) {
+    aPending->done_(std::move(aResult));
+    return;
+  }
+  ++nextPeer_;
+  if (outcome == PathOutcome::Refused) {
+    AskPeer(aPending);
+    return;
+  }
+  aPending->done_(std::move(aResult));
+}
+
+void
+StorePaths::EndLater(const PendingPtr& aPending)
+{
+  boost::asio::post(context_, [aPending] { aPending->done_(Result{}); });
+}
+
+void
+StorePaths::CallForPeer(const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  const httpstream::Request& request = aExchange->GetRequest();
+  const base::Duration timeout = ReadTimeout(request);
+  const std::string_view target = TargetOf(request);
+  if (path_.IsOwnLost() || !target.starts_with(kTargetPrefix)) {
+    aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+    return;
+  }
+  httpstream::Request call =
+    WithTarget(request, target.substr(kTargetPrefix.size()));
+  call.erase(kTimeoutField);
+  own_.Call(call, timeout, [this, aExchange](Result aResult) {
+    NoteOwn(aResult);
+    if (aResult.end_ == httpstream::CallEnd::NotConnected) {
+      aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+    } else if (aResult.end_ != httpstream::CallEnd::Complete) {
+      // Whether the store carried it out is unknown, and so the peer learns.
+      aExchange->Abort();
+    } else {
+      aExchange->Answer(httpstream::MakeResponse(aResult.status_,
+                                                 std::move(aResult.body_)));
+    }
+  });
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StorePaths.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "LibGateway/PeerCallers.h"
+#include "LibHttpStream/HttpCaller.h"
+#include "LibHttpStream/ServerConnection.h"
+#include "LibMetadata/StorePath.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+/// Carries calls to the store: on this host's own way or, while that is lost,
+/// through a peer, which makes the call on its own way only. Belongs to the
+/// event thread and lives as long as its event loop runs.
+class StorePaths
+{
+public:
+  using Result = httpstream::CallResult;
+  using Done = std::function<void(Result)>;
+
+  /// What the store's protocol says; the adapter fills it.
+  struct Protocol
+  {
+    /// A read that costs little and any store in touch answers.
+    httpstream::Request probe_;
+    std::function<metadata::PathOutcome(const Result&)> classify_;
+  };
+
+  /// Begins the target of a call that a peer passes on.
+  static constexpr std::string_view kTargetPrefix = "/store";
+
+  StorePaths(boost::asio::io_context& aContext,
+             const boost::asio::ip::tcp::endpoint& aStore,
+             Protocol aProtocol);
+
+  /// Makes a call. Where no way is open it ends at once as not connected.
+  /// @param aTimeout For connecting, the first byte, and each further one.
+  void Call(const httpstream::Request& aRequest,
+            base::Duration aTimeout,
+            Done aDone);
+
+  /// Names the hosts that may be asked, IP:PORT of each.
+  void SetPeers(std::vector<std::string> aAddresses);
+
+  /// Makes a peer's call on this host's own way and answers it.
+  void CallForPeer(const std::shared_ptr<httpstream::Exchange>& aExchange);
+
+private:
+  struct Pending
+  {
+    httpstream::Request request_;
+    base::Duration timeout_;
+    Done done_;
+    int peersAsked_ = 0;
+  };
+  using PendingPtr = std::shared_ptr<Pending>;
+
+  void CallOnOwnWay(const PendingPtr& aPending);
+  void AskPeer(const PendingPtr& aPending);
+  void OnPeerAnswered(const PendingPtr& aPending, Result aResult);
+  void NoteOwn(const Result& aResult);
+  void Probe();
+  void ProbeLater();
+  void EndLater(const PendingPtr& aPending);
+
+  boost::asio::io_context& context_;
+  httpstream::HttpCaller own_;
+  Protocol protocol_;
+  metadata::StorePath path_;
+  PeerCallers callers_;
+  std::vector<std::string> peers_;
+  std::size_t nextPeer_ = 0;
+  boost::asio::steady_timer probeTimer_;
+};
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibHttpStream/HttpCaller.cpp
+++ b/Libraries/LibHttpStream/HttpCaller.cpp
@@ -18,8 +18,9 @@
 class WholeCall : public CallObserver
 {
 public:
-  WholeCall(ConnectionPool& aPool, std::function<void(CallResult)> aDone)
-    : pool_(aPool)
+  WholeCall(std::shared_ptr<ConnectionPool> aPool,
+            std::function<void(CallResult)> aDone)
+    : pool_(std::move(aPool))
     , done_(std::move(aDone))
   {
   }
@@ -42,12 +43,12 @@
   {
     const std::unique_ptr<WholeCall> self(this);
     result_.end_ = aEnd;
-    pool_.Release(kOnlyServer, std::move(connection_));
+    pool_->Release(kOnlyServer, std::move(connection_));
     done_(std::move(result_));
   }
 
 private:
-  ConnectionPool& pool_;
+  std::shared_ptr<ConnectionPool> pool_;
   std::function<void(CallResult)> done_;
   std::shared_ptr<ClientConnection> connection_;
   CallResult result_;
@@ -64,20 +65,21 @@
   call.bytes_ = Serialize(aRequest);
   call.firstByteTimeout_ = aTimeout;
   call.gapTimeout_ = aTimeout;
-  pool_.Sweep(base::MonotonicNow());
-  pool_.Acquire(kOnlyServer,
-                server_,
-                std::min<base::Duration>(aTimeout, kLongestConnect),
-                [this, call = std::move(call), done = std::move(aDone)](
-                  std::shared_ptr<ClientConnection> aConnection) mutable {
-                  if (!aConnection) {
-                    done(CallResult{});
-                    return;
-                  }
-                  // Freed by its OnEnd(), which comes exactly once.
-                  auto* whole = new WholeCall(pool_, std::move(done));
-                  whole->Start(std::move(aConnection), std::move(call));
-                });
+  pool_->Sweep(base::MonotonicNow());
+  pool_->Acquire(
+    kOnlyServer,
+    server_,
+    std::min<base::Duration>(aTimeout, kLongestConnect),
+    [pool = pool_, call = std::move(call), done = std::move(aDone)](
+      std::shared_ptr<ClientConnection> aConnection) mutable {
+      if (!aConnection) {
+        done(CallResult{});
+        return;
+      }
+      // Freed by its OnEnd(), which comes exactly once.
+      auto* whole = new WholeCall(pool, std::move(done));
+      whole->Start(std::move(aConnection), std::move(call));
+    });
 }
 
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/HttpCaller.h
+++ b/Libraries/LibHttpStream/HttpCaller.h
@@ -3,6 +3,7 @@
 #include "LibHttpStream/ConnectionPool.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -23,7 +24,7 @@
 public:
   HttpCaller(boost::asio::any_io_executor aExecutor,
              boost::asio::ip::tcp::endpoint aServer)
-    : pool_(std::move(aExecutor))
+    : pool_(std::make_shared<ConnectionPool>(std::move(aExecutor)))
     , server_(std::move(aServer))
   {
   }
@@ -35,7 +36,8 @@
             std::function<void(CallResult)> aDone);
 
 private:
-  ConnectionPool pool_;
+  /// Shared with the calls under way, which may outlive this object.
+  std::shared_ptr<ConnectionPool> pool_;
   boost::asio::ip::tcp::endpoint server_;
 };
 
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -21,6 +21,11 @@
 
 constexpr std::size_t kReadBytes = 8192;
 
+/// Requests to close that a new connection outlives, so that a caller who has
+/// just connected gets its first request across. Counted in calls, which come
+/// with pauses, as a host that stood still has read nothing in the meantime.
+constexpr int kSparedCloses = 5;
+
 /// Bytes that a caller may send ahead while its request is being answered.
 constexpr std::size_t kMaxReadAheadBytes = 65536;
 
@@ -173,7 +178,8 @@
 bool
 ServerConnection::IsIdle() const
 {
-  return !exchange_ && !requestBegan_ && !isWriting_;
+  const bool isExpected = !hasAsked_ && sparedCloses_ < kSparedCloses;
+  return !exchange_ && !requestBegan_ && !isWriting_ && !isExpected;
 }
 
 void
@@ -181,6 +187,10 @@
 {
   if (IsIdle()) {
     Close();
+    return;
+  }
+  if (!hasAsked_) {
+    ++sparedCloses_;
   }
 }
 
@@ -259,6 +269,7 @@
   if (input_.size() > 0) {
     if (!requestBegan_) {
       requestBegan_ = base::MonotonicNow();
+      hasAsked_ = true;
     }
     boost::system::error_code error;
     const std::size_t used = parser_->put(input_.data(), error);
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -115,7 +115,8 @@
   /// Applies the time limits; called a few times a second.
   void CheckTimeouts(base::Instant aNow);
 
-  /// Closes if no request is being read or answered.
+  /// Closes if no request is being read or answered. A connection that has not
+  /// brought a request yet is spared a few times.
   void CloseIfIdle();
 
   [[nodiscard]] bool IsIdle() const;
@@ -151,6 +152,8 @@
   bool closeWhenSent_ = false;
   bool closed_ = false;
   bool sentContinue_ = false;
+  bool hasAsked_ = false; ///< Part of a request has come at least once.
+  int sparedCloses_ = 0;
   base::Instant lastActivity_;
   std::optional<base::Instant> requestBegan_;
 };
--- a/Libraries/LibLots/HostSet.cpp
+++ b/Libraries/LibLots/HostSet.cpp
@@ -48,6 +48,18 @@
   return std::nullopt;
 }
 
+std::vector<std::string>
+HostSet::AddressesBut(const std::string& aButOwner) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [host, member] : members_) {
+    if (member.owner_ != aButOwner && !member.address_.empty()) {
+      addresses.push_back(member.address_);
+    }
+  }
+  return addresses;
+}
+
 bool
 HostSet::IsLive(const std::string& aOwner) const
 {
--- a/Libraries/LibLots/HostSet.h
+++ b/Libraries/LibLots/HostSet.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace pumiceturn::lots {
 
@@ -50,7 +51,10 @@
   /// hosts that see the same registrations agree. Empty where none is live.
   [[nodiscard]] std::string OwnerFor(std::string_view aLot) const;
 
-  [[nodiscard]] std::size_t Size() const { return members_.size(); }
+  /// @return where the live hosts take calls of other hosts.
+  /// @param aButOwner Left out: the one who asks.
+  [[nodiscard]] std::vector<std::string> AddressesBut(
+    const std::string& aButOwner) const;
 
 private:
   struct Member
--- a/Libraries/LibMetadata/Events.h
+++ b/Libraries/LibMetadata/Events.h
@@ -32,5 +32,17 @@
                                             "metadata_lease_granted",
                                             base::LogLevel::Info,
                                             "This host is registered." };
+inline constexpr base::Event kStorePathLost{
+  4206,
+  "metadata_store_path_lost",
+  base::LogLevel::Warning,
+  "The store doesn't answer this host itself; peers are asked to pass calls on."
+};
+inline constexpr base::Event kStorePathRegained{
+  4207,
+  "metadata_store_path_regained",
+  base::LogLevel::Info,
+  "The store answers this host itself again."
+};
 
 } // namespace pumiceturn::metadata
--- /dev/null
+++ b/Libraries/LibMetadata/StorePath.cpp
@@ -0,0 +1,45 @@
+#include "LibMetadata/StorePath.h"
+
+#include "LibMetadata/Events.h"
+
+namespace pumiceturn::metadata {
+
+bool
+StorePath::NoteOwn(PathOutcome aOutcome)
+{
+  if (aOutcome == PathOutcome::Served || state_ != State::Open) {
+    return false;
+  }
+  state_ = State::InDoubt;
+  return true;
+}
+
+bool
+StorePath::NoteProbe(PathOutcome aOutcome)
+{
+  const bool wasLost = state_ == State::Lost;
+  const bool isServed = aOutcome == PathOutcome::Served;
+  state_ = isServed ? State::Open : State::Lost;
+  if (isServed && wasLost) {
+    base::Log(kStorePathRegained);
+  } else if (!isServed && !wasLost) {
+    base::Log(kStorePathLost);
+  }
+  return !isServed;
+}
+
+void
+StorePath::NotePeer(PathOutcome aOutcome, base::Instant aNow)
+{
+  if (aOutcome == PathOutcome::Served) {
+    peersFailed_ = 0;
+    return;
+  }
+  ++peersFailed_;
+  if (peersFailed_ >= kPeersAsked) {
+    peersFailed_ = 0;
+    peersAfter_ = aNow + kPeerPause;
+  }
+}
+
+} // namespace pumiceturn::metadata
--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -181,4 +181,30 @@
   RunUntil([this] { return listener_.ConnectionCount() == 0; });
 }
 
+// A caller's first request on a new connection gets no answer. The balancer
+// connects just as a leaving host closes its idle connections, which takes the
+// new one for idle before its request has arrived.
+TEST_CASE_METHOD(ListenerFixture, "Listener_CloseIdle_LetsANewConnectionAsk")
+{
+  RunUntil([this] { return listener_.ConnectionCount() == 1; });
+  listener_.CloseIdle();
+  CHECK(listener_.ConnectionCount() == 1);
+  CHECK(listener_.BusyCount() == 1);
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  exchanges_[0]->Answer(MakeResponse(200, "x", "text/plain"));
+  ReadUntil("x");
+  listener_.CloseIdle();
+  RunUntil([this] { return listener_.ConnectionCount() == 0; });
+}
+
+TEST_CASE_METHOD(ListenerFixture, "Listener_SilentConnection_IsClosedInTheEnd")
+{
+  RunUntil([this] { return listener_.ConnectionCount() == 1; });
+  RunUntil([this] {
+    listener_.CloseIdle();
+    return listener_.ConnectionCount() == 0;
+  });
+}
+
 } // namespace pumiceturn::httpstream
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -94,14 +94,20 @@
   settings.statusAddress_ = fmt::format("127.0.0.1:{}", host.statusPort_);
   settings.peerAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
   settings.lotRetention_ = lotRetention_;
-  settings.passOnAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
-  host.store_ = std::make_unique<StoreCalls>(context_, Loopback(store_.Port()));
+  host.passOnPort_ = FreePort(context_);
+  settings.passOnAddress_ = fmt::format("127.0.0.1:{}", host.passOnPort_);
+  host.storePort_ = store_.OpenDoor();
+  const auto storeAddress = Loopback(host.storePort_);
+  host.storePaths_ = std::make_unique<gateway::StorePaths>(
+    context_, storeAddress, MakeStoreProtocol(storeAddress));
+  host.store_ = std::make_unique<StoreCalls>(*host.storePaths_, storeAddress);
   host.gateway_ = std::make_unique<gateway::Gateway>(context_,
                                                      settings,
                                                      MakeStoreLayout(),
                                                      requestCodec_,
                                                      storeEntries_,
-                                                     *host.store_);
+                                                     *host.store_,
+                                                     *host.storePaths_);
   REQUIRE(host.gateway_->Start());
   RunUntil([&] {
     return !store_.Get(std::string("pumiceturn/host/") + aName).empty();
@@ -110,7 +116,7 @@
 }
 
 std::unique_ptr<CallerCall>
-GatewayFixture::Send(TestHost& aHost,
+GatewayFixture::Send(std::uint16_t aPort,
                      const std::string& aMethod,
                      const std::string& aTarget,
                      const std::string& aFields,
@@ -127,7 +133,7 @@
                 aFields,
                 aBody.size(),
                 aBody);
-  call->connection_->Connect(Loopback(aHost.callerPort_),
+  call->connection_->Connect(Loopback(aPort),
                              std::chrono::seconds(10),
                              [raw = call.get(), bytes](bool aIsConnected) {
                                REQUIRE(aIsConnected);
@@ -139,6 +145,18 @@
   return call;
 }
 
+std::unique_ptr<CallerCall>
+GatewayFixture::AskAt(std::uint16_t aPort,
+                      const std::string& aMethod,
+                      const std::string& aTarget,
+                      const std::string& aFields,
+                      const std::string& aBody)
+{
+  auto call = Send(aPort, aMethod, aTarget, aFields, aBody);
+  RunUntil([&call] { return call->IsOver(); });
+  return call;
+}
+
 std::unique_ptr<CallerCall>
 GatewayFixture::Ask(TestHost& aHost,
                     const std::string& aMethod,
@@ -146,9 +164,7 @@
                     const std::string& aFields,
                     const std::string& aBody)
 {
-  auto call = Send(aHost, aMethod, aTarget, aFields, aBody);
-  RunUntil([&call] { return call->IsOver(); });
-  return call;
+  return AskAt(aHost.callerPort_, aMethod, aTarget, aFields, aBody);
 }
 
 std::string
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -44,10 +44,13 @@
 /// A host of the system with its own address.
 struct TestHost
 {
+  std::unique_ptr<gateway::StorePaths> storePaths_;
   std::unique_ptr<StoreCalls> store_;
   std::unique_ptr<gateway::Gateway> gateway_;
   std::uint16_t callerPort_ = 0;
   std::uint16_t statusPort_ = 0;
+  std::uint16_t passOnPort_ = 0;
+  std::uint16_t storePort_ = 0; ///< Where the store takes this host's calls.
 };
 
 /// Gateways, a store and servers in one event loop on loopback.
@@ -80,11 +83,16 @@
   ServerStandin& AddServer(const std::string& aInstance);
 
   /// Sends a call; RunUntil its IsOver().
-  std::unique_ptr<CallerCall> Send(TestHost& aHost,
+  std::unique_ptr<CallerCall> Send(std::uint16_t aPort,
                                    const std::string& aMethod,
                                    const std::string& aTarget,
                                    const std::string& aFields = {},
                                    const std::string& aBody = {});
+  std::unique_ptr<CallerCall> AskAt(std::uint16_t aPort,
+                                    const std::string& aMethod,
+                                    const std::string& aTarget,
+                                    const std::string& aFields = {},
+                                    const std::string& aBody = {});
   std::unique_ptr<CallerCall> Ask(TestHost& aHost,
                                   const std::string& aMethod,
                                   const std::string& aTarget,
--- /dev/null
+++ b/Tests/Platform/LotsFixture.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Tests/Platform/GatewayFixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace pumiceturn::adapter {
+
+/// An entry host, two servers, and the calls that send and read a lot.
+class LotsFixture : protected GatewayFixture
+{
+protected:
+  LotsFixture()
+  {
+    WriteConfiguration(1);
+    AddServer("i-1");
+    AddServer("i-2");
+    entry_ = &StartHost("entry", lots::LotPreference::IfNoOther);
+  }
+
+  TestHost& StartWorker(const std::string& aName)
+  {
+    return StartHost(aName, lots::LotPreference::Worker);
+  }
+
+  unsigned Submit(TestHost& aHost, int aItems)
+  {
+    return Ask(
+             aHost, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(aItems))
+      ->status_;
+  }
+
+  using json = nlohmann::json;
+
+  json Results(TestHost& aHost, std::size_t aPosition = 0)
+  {
+    const auto call =
+      Ask(aHost, "GET", "/api/lots/lot1?after=" + std::to_string(aPosition));
+    return call->status_ == 200 ? json::parse(call->body_) : json();
+  }
+
+  json WaitForAll(TestHost& aHost, std::size_t aCount)
+  {
+    json page;
+    RunUntil([&] {
+      page = Results(aHost);
+      return page.is_object() && page["results"].size() == aCount;
+    });
+    return page;
+  }
+
+  static std::string WholeOutput()
+  {
+    std::string text;
+    for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
+      text += (id > 1 ? "\n" : "") + ServerStandin::EventData(id);
+    }
+    return text;
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    std::size_t count = 0;
+    for (const auto& server : servers_) {
+      count += server->Requests().size();
+    }
+    return count;
+  }
+
+  TestHost* entry_ = nullptr;
+};
+
+} // namespace pumiceturn::adapter
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -1,4 +1,4 @@
-#include "Tests/Platform/GatewayFixture.h"
+#include "Tests/Platform/LotsFixture.h"
 
 #include <nlohmann/json.hpp>
 
@@ -6,67 +6,6 @@
 
 using nlohmann::json;
 
-class LotsFixture : protected GatewayFixture
-{
-protected:
-  LotsFixture()
-  {
-    WriteConfiguration(1);
-    AddServer("i-1");
-    AddServer("i-2");
-    entry_ = &StartHost("entry", lots::LotPreference::IfNoOther);
-  }
-
-  void StartWorker(const std::string& aName)
-  {
-    StartHost(aName, lots::LotPreference::Worker);
-  }
-
-  unsigned Submit(TestHost& aHost, int aItems)
-  {
-    return Ask(
-             aHost, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(aItems))
-      ->status_;
-  }
-
-  json Results(TestHost& aHost, std::size_t aPosition = 0)
-  {
-    const auto call =
-      Ask(aHost, "GET", "/api/lots/lot1?after=" + std::to_string(aPosition));
-    return call->status_ == 200 ? json::parse(call->body_) : json();
-  }
-
-  json WaitForAll(TestHost& aHost, std::size_t aCount)
-  {
-    json page;
-    RunUntil([&] {
-      page = Results(aHost);
-      return page.is_object() && page["results"].size() == aCount;
-    });
-    return page;
-  }
-
-  static std::string WholeOutput()
-  {
-    std::string text;
-    for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
-      text += (id > 1 ? "\n" : "") + ServerStandin::EventData(id);
-    }
-    return text;
-  }
-
-  [[nodiscard]] std::size_t RequestCount() const
-  {
-    std::size_t count = 0;
-    for (const auto& server : servers_) {
-      count += server->Requests().size();
-    }
-    return count;
-  }
-
-  TestHost* entry_ = nullptr;
-};
-
 TEST_CASE_METHOD(LotsFixture, "Lots_CalmLot_IsAnsweredOnceAtEveryHost")
 {
   StartWorker("worker");
@@ -134,8 +73,8 @@
 TEST_CASE_METHOD(LotsFixture, "Lots_AnswerOfTheStoreLost_LotIsKeptOnce")
 {
   store_.SetMood(StoreMood::LosingWrites);
-  const auto call =
-    Send(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(2));
+  const auto call = Send(
+    entry_->callerPort_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", LotBody(2));
   RunUntil([this] { return !store_.Get("pumiceturn/lot/lot1").empty(); });
   store_.SetMood(StoreMood::Serving);
   RunUntil([&call] { return call->IsOver(); });
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -131,8 +131,10 @@
 TEST_CASE_METHOD(OnlineFixture, "Online_CallerLeaves_ServersWorkEnds")
 {
   EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
-  const auto call = Send(
-    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
+  const auto call = Send(host_->callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 9000\r\n");
   RunUntil([&call] { return !call->body_.empty(); });
   call->connection_->Cancel();
   RunUntil([this] {
@@ -198,8 +200,10 @@
 TEST_CASE_METHOD(OnlineFixture, "Online_Stopping_FinishesOpenRequests")
 {
   EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
-  const auto held =
-    Send(*host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 900\r\n");
+  const auto held = Send(host_->callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 900\r\n");
   RunUntil([&held] { return !held->body_.empty(); });
   bool isStopped = false;
   host_->gateway_->Stop([&isStopped] { isStopped = true; });
@@ -218,8 +222,10 @@
 TEST_CASE_METHOD(OnlineFixture, "Online_LongAfterStop_IsRefusedAsNotRun")
 {
   EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
-  const auto held = Send(
-    *host_, "POST", "/stream/1", "Attempt-Id: r1\r\nDeadline-Ms: 7000\r\n");
+  const auto held = Send(host_->callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 7000\r\n");
   RunUntil([&held] { return !held->body_.empty(); });
   servers_[0]->ClearScripts();
   servers_[1]->ClearScripts();
--- /dev/null
+++ b/Tests/Platform/StorePathTest.cpp
@@ -0,0 +1,109 @@
+#include "Tests/Platform/LotsFixture.h"
+
+namespace pumiceturn::adapter {
+
+class StorePathFixture : protected LotsFixture
+{
+protected:
+  void TurnAway(const TestHost& aHost)
+  {
+    store_.SetDoorMood(aHost.storePort_, StoreMood::Refusing);
+  }
+
+  void LetIn(const TestHost& aHost)
+  {
+    store_.SetDoorMood(aHost.storePort_, StoreMood::Serving);
+  }
+
+  /// Starts a worker and waits until the entry host gives it lots.
+  TestHost& StartKnownWorker()
+  {
+    TestHost& worker = StartWorker("worker");
+    int tries = 0;
+    RunUntil([this, &tries] {
+      const std::string lot = "first" + std::to_string(++tries);
+      (void)Ask(*entry_,
+                "POST",
+                "/lots/1",
+                "Attempt-Id: " + lot + "\r\n",
+                LotBody(1));
+      return store_.Get("pumiceturn/lot/" + lot).find("worker") !=
+             std::string::npos;
+    });
+    return worker;
+  }
+
+  [[nodiscard]] std::size_t ServedCount(const TestHost& aHost) const
+  {
+    return store_.ServedCount(aHost.storePort_);
+  }
+};
+
+// A lot is late. The store turns away the host that runs it and serves the
+// others; nothing that the host makes can be stored, its registration lapses,
+// and another host runs the items once more.
+TEST_CASE_METHOD(StorePathFixture, "StorePath_WorkerTurnedAway_FinishesItsLot")
+{
+  TestHost& worker = StartKnownWorker();
+  TurnAway(worker);
+  const std::size_t before = ServedCount(worker);
+  CHECK(Submit(*entry_, 5) == 202);
+  WaitForAll(*entry_, 5);
+  CHECK(store_.Get("pumiceturn/lot/lot1").find("worker") != std::string::npos);
+  CHECK(ServedCount(worker) == before);
+}
+
+// A partner's lot is refused by a host that the store turns away, although its
+// peers could have it stored.
+TEST_CASE_METHOD(StorePathFixture, "StorePath_EntryTurnedAway_AcceptsALot")
+{
+  StartKnownWorker();
+  TurnAway(*entry_);
+  RunUntil([this] { return Submit(*entry_, 3) == 202; });
+  WaitForAll(*entry_, 3);
+}
+
+// A host that the store turned away must come back to its own way, or its calls
+// load a peer for good.
+TEST_CASE_METHOD(StorePathFixture, "StorePath_LetInAgain_LeavesThePeersAlone")
+{
+  TestHost& worker = StartKnownWorker();
+  TurnAway(worker);
+  CHECK(Submit(*entry_, 2) == 202);
+  WaitForAll(*entry_, 2);
+  const std::size_t before = ServedCount(worker);
+  LetIn(worker);
+  RunUntil([&] { return ServedCount(worker) > before + 5; });
+}
+
+// A configuration doesn't come into force. The store is away for all hosts, and
+// they ask each other instead of the store once it is back.
+TEST_CASE_METHOD(StorePathFixture, "StorePath_AllTurnedAway_ComeBackByThemselves")
+{
+  TestHost& worker = StartKnownWorker();
+  TurnAway(worker);
+  TurnAway(*entry_);
+  RunUntil([this] { return Submit(*entry_, 2) == 503; });
+  // What a watch that was open before may still bring, then what none brings.
+  WriteConfiguration(7);
+  WriteConfiguration(8);
+  LetIn(worker);
+  LetIn(*entry_);
+  RunUntil([this] {
+    return Ask(*entry_, "POST", "/v8/1", "Attempt-Id: r1\r\n")->status_ == 200;
+  });
+  RunUntil([this] { return Submit(*entry_, 2) == 202; });
+  WaitForAll(*entry_, 2);
+}
+
+// The address for peers is open to whatever reaches it.
+TEST_CASE_METHOD(StorePathFixture, "StorePath_NoCallOfAPeer_IsAnsweredOnly")
+{
+  const std::size_t before = store_.Keys("").size();
+  for (const std::string target : { "/", "/store", "/elsewhere" }) {
+    CHECK(AskAt(entry_->passOnPort_, "POST", target)->status_ != 200);
+  }
+  CHECK(store_.Keys("").size() == before);
+}
+
+} // namespace pumiceturn::adapter
