LibGateway: Store what running items have so far

Change: ProgressKeeper stores once a second, for the lots whose runs went on, in one call for up to 15 lots, under the condition that the lot's state is unchanged. All hosts together make at most 20 calls a second. The keys are not mirrored; only the next owner reads them. The key was there already, written when a host leaves in order.

Ruled out: a late or old write can't harm, as an item's events are the same whichever endpoint makes them and a lot that is closed changes its state.

The new test waits for the stored progress, which was never written before; it passes.

--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -84,6 +84,7 @@
   , loader_(aLoader)
   , hosts_(aHosts)
   , ownName_(std::move(aOwnName))
+  , progressKeeper_(aStore, aLots.Keys())
 {
 }
 
@@ -203,6 +204,7 @@
     lots_.Unload(aLot);
   }
   own_.erase(aLot);
+  progressKeeper_.Forget(aLot);
   base::Log(kLotLeft, { { "lot", aLot }, { "reason", aReason } });
 }
 
@@ -237,6 +239,32 @@
   for (const auto& run : std::vector(runs_)) {
     run->ReadOn();
   }
+  if (progressKeeper_.IsDue(hosts_.Count(), aNow)) {
+    progressKeeper_.Store(CollectProgress(), aNow);
+  }
+}
+
+std::vector<LotProgress>
+BatchWorker::CollectProgress() const
+{
+  std::map<std::string, LotProgress> byLot;
+  for (const auto& [id, own] : own_) {
+    if (const lots::Lot* lot = lots_.Find(id)) {
+      byLot[id] = { id, lot->stateRevision_, own.schedule_.Progress() };
+    }
+  }
+  for (const auto& run : runs_) {
+    const lots::Lot* lot = lots_.Find(run->LotId());
+    if (lot != nullptr && lot->items_ && run->Progress().lastEvent_ > 0) {
+      byLot[run->LotId()].runs_[(*lot->items_)[run->Item()].id_] =
+        run->Progress();
+    }
+  }
+  std::vector<LotProgress> lots;
+  for (auto& [id, progress] : byLot) {
+    lots.push_back(std::move(progress));
+  }
+  return lots;
 }
 
 void
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -2,6 +2,7 @@
 
 #include "LibGateway/ItemRun.h"
 #include "LibGateway/LotLoader.h"
+#include "LibGateway/ProgressKeeper.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/ItemSchedule.h"
 #include "LibLots/LotTable.h"
@@ -91,6 +92,7 @@
   void YieldToOnline(base::Instant aNow);
   void OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd);
   void RemoveRun(const ItemRun& aRun);
+  [[nodiscard]] std::vector<LotProgress> CollectProgress() const;
   void StoreResults(const std::string& aLot, OwnLot& aOwn);
   void OnResultsReply(const std::string& aLot,
                       const PageWrite& aWrite,
@@ -112,6 +114,7 @@
   std::unordered_map<std::string, base::Instant> loading_; ///< Under way.
   std::function<void(const std::string&)> onResults_;
   std::vector<std::shared_ptr<ItemRun>> runs_;
+  ProgressKeeper progressKeeper_;
   bool leaving_ = false;
 };
 
--- a/Libraries/LibGateway/StorePaths.cpp
+++ b/Libraries/LibGateway/StorePaths.cpp
@@ -36,8 +36,7 @@
 base::Duration
 ReadTimeout(const httpstream::Request& aRequest)
 {
-  const std::string_view text =
-    httpstream::ValueOf(aRequest, kTimeoutField);
+  const std::string_view text = httpstream::ValueOf(aRequest, kTimeoutField);
   std::uint32_t milliseconds = 0;
   std::from_chars(text.data(), text.data() + text.size(), milliseconds);
   return std::min<base::Duration>(std::chrono::milliseconds(milliseconds),
@@ -83,16 +82,15 @@
 void
 StorePaths::CallOnOwnWay(const PendingPtr& aPending)
 {
-  own_.Call(aPending->request_,
-            aPending->timeout_,
-            [this, aPending](Result aResult) {
-              NoteOwn(aResult);
-              if (protocol_.classify_(aResult) == PathOutcome::Refused) {
-                AskPeer(aPending);
-                return;
-              }
-              aPending->done_(std::move(aResult));
-            });
+  own_.Call(
+    aPending->request_, aPending->timeout_, [this, aPending](Result aResult) {
+      NoteOwn(aResult);
+      if (protocol_.classify_(aResult) == PathOutcome::Refused) {
+        AskPeer(aPending);
+        return;
+      }
+      aPending->done_(std::move(aResult));
+    });
 }
 
 void
@@ -134,9 +132,10 @@
 void
 StorePaths::AskPeer(const PendingPtr& aPending)
 {
-  const bool mayAsk = !peers_.empty() &&
-                      aPending->peersAsked_ < metadata::StorePath::kPeersAsked &&
-                      path_.MayAskPeer(base::MonotonicNow());
+  const bool mayAsk =
+    !peers_.empty() &&
+    aPending->peersAsked_ < metadata::StorePath::kPeersAsked &&
+    path_.MayAskPeer(base::MonotonicNow());
   httpstream::HttpCaller* peer =
     mayAsk ? callers_.Find(peers_[nextPeer_ % peers_.size()]) : nullptr;
   if (peer == nullptr) {
@@ -144,11 +143,10 @@
     return;
   }
   ++aPending->peersAsked_;
-  httpstream::Request request = WithTarget(
-    aPending->request_,
-    std::string(kTargetPrefix).append(TargetOf(aPending->request_)));
-  request.set(kTimeoutField,
-              std::to_string(base::ToMs(aPending->timeout_)));
+  httpstream::Request request =
+    WithTarget(aPending->request_,
+               std::string(kTargetPrefix).append(TargetOf(aPending->request_)));
+  request.set(kTimeoutField, std::to_string(base::ToMs(aPending->timeout_)));
   peer->Call(request,
              aPending->timeout_ + kPeerMargin,
              [this, aPending](Result aResult) {
@@ -200,8 +198,8 @@
       // Whether the store carried it out is unknown, and so the peer learns.
       aExchange->Abort();
     } else {
-      aExchange->Answer(httpstream::MakeResponse(aResult.status_,
-                                                 std::move(aResult.body_)));
+      aExchange->Answer(
+        httpstream::MakeResponse(aResult.status_, std::move(aResult.body_)));
     }
   });
 }
--- a/Libraries/LibLots/HostSet.h
+++ b/Libraries/LibLots/HostSet.h
@@ -51,6 +51,9 @@
   /// hosts that see the same registrations agree. Empty where none is live.
   [[nodiscard]] std::string OwnerFor(std::string_view aLot) const;
 
+  /// @return how many hosts are live.
+  [[nodiscard]] std::size_t Count() const { return members_.size(); }
+
   /// @return where the live hosts take calls of other hosts.
   /// @param aButOwner Left out: the one who asks.
   [[nodiscard]] std::vector<std::string> AddressesBut(
--- a/Tests/Platform/LotsTest.cpp
+++ b/Tests/Platform/LotsTest.cpp
@@ -234,6 +234,32 @@
   CHECK(page["results"].size() == 2);
 }
 
+// A lot is late: the host that ran it lost its power, and items of several
+// seconds run from their beginning, once more for each host that fails.
+TEST_CASE_METHOD(LotsFixture, "Lots_OwnerVanishes_ItsRunsGoOnWhereTheyWere")
+{
+  StartWorker("worker");
+  servers_[0]->Enqueue({ ServerScript::Kind::Hold, 3, 0 });
+  servers_[1]->Enqueue({ ServerScript::Kind::Hold, 3, 0 });
+  CHECK(Submit(*entry_, 2) == 202);
+  RunUntil([this] {
+    const std::string progress = store_.Get("pumiceturn/data/lot1/progress");
+    return progress.find("item-0") != std::string::npos &&
+           progress.find("item-1") != std::string::npos;
+  });
+  servers_[0]->ClearScripts();
+  servers_[1]->ClearScripts();
+  hosts_.back()->gateway_.reset();
+  store_.Remove("pumiceturn/host/worker");
+  const json page = WaitForAll(*entry_, 2);
+  for (const auto& server : servers_) {
+    const httpstream::Request& last = server->Requests().back();
+    CHECK(httpstream::ValueOf(last, "Last-Event-Id") == "3");
+  }
+  CHECK(page["results"][0]["output"] == WholeOutput());
+  CHECK(page["results"][1]["output"] == WholeOutput());
+}
+
 TEST_CASE_METHOD(LotsFixture,
                  "Lots_HostIsToBeEmptied_ReportsWhenItsLotsAreGone")
 {
--- a/Tests/Platform/StorePathTest.cpp
+++ b/Tests/Platform/StorePathTest.cpp
@@ -22,11 +22,8 @@
     int tries = 0;
     RunUntil([this, &tries] {
       const std::string lot = "first" + std::to_string(++tries);
-      (void)Ask(*entry_,
-                "POST",
-                "/lots/1",
-                "Attempt-Id: " + lot + "\r\n",
-                LotBody(1));
+      (void)Ask(
+        *entry_, "POST", "/lots/1", "Attempt-Id: " + lot + "\r\n", LotBody(1));
       return store_.Get("pumiceturn/lot/" + lot).find("worker") !=
              std::string::npos;
     });
@@ -78,7 +75,8 @@
 
 // A configuration doesn't come into force. The store is away for all hosts, and
 // they ask each other instead of the store once it is back.
-TEST_CASE_METHOD(StorePathFixture, "StorePath_AllTurnedAway_ComeBackByThemselves")
+TEST_CASE_METHOD(StorePathFixture,
+                 "StorePath_AllTurnedAway_ComeBackByThemselves")
 {
   TestHost& worker = StartKnownWorker();
   TurnAway(worker);
