platform: Test the whole path with the real programs as processes

Cause: the whole-path test ran gateways, store and servers in one event loop; start-up, settings files, signals, the loss of a process and what the store still holds of it were covered by the users' bench alone.

Change: Meta/platform.sh starts the platform's stand-in (now a program too: store with leases that lapse, servers that break off or fall silent where a request's path asks for it), two entry hosts and two workers, and runs Tests/PlatformPath: calm stream, stream that breaks off, unsafe request, lot at both hosts, new configuration, broken calls, a worker killed in the middle of a lot, an entry host that stops with an answer open. Meta/test.sh runs it with the rest.

Ruled out: a hold on the order of the tests: a lot that an entry host took before it knew the workers is given up and another is sent.

--- a/Libraries/LibGateway/ProgressKeeper.cpp
+++ b/Libraries/LibGateway/ProgressKeeper.cpp
@@ -74,8 +74,8 @@
 void
 ProgressKeeper::Store(std::vector<LotProgress> aLots, base::Instant aNow)
 {
-  std::erase_if(
-    aLots, [this](const LotProgress& aLot) { return !HasAdvanced(aLot); });
+  std::erase_if(aLots,
+                [this](const LotProgress& aLot) { return !HasAdvanced(aLot); });
   std::stable_sort(aLots.begin(),
                    aLots.end(),
                    [this](const LotProgress& aLeft, const LotProgress& aRight) {
--- a/Libraries/LibGateway/ProgressKeeper.h
+++ b/Libraries/LibGateway/ProgressKeeper.h
@@ -21,8 +21,8 @@
 
 /// Stores now and then what the runs of this host's lots have so far, so that
 /// the next owner goes on there when this host loses its power: an item takes
-/// up to 8 s, and a host that fails would cost all its items their time. Belongs
-/// to the event thread.
+/// up to 8 s, and a host that fails would cost all its items their time.
+/// Belongs to the event thread.
 class ProgressKeeper
 {
 public:
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -4,6 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 preset=${1:-release}
+export PUMICETURN_PRESET=$preset
 Meta/install.sh || exit 1
 cmake --preset "$preset" >/dev/null || exit 1
 cmake --build --preset "$preset" || exit 1
@@ -13,7 +14,10 @@
 for program in build/"$preset"/Tests/*/Test*; do
   [ -x "$program" ] && [ -f "$program" ] || continue
   report=$(mktemp)
-  "$program" --reporter xml --out "$report"
+  run=()
+  # Needs the real programs beside it, as processes.
+  [ "$(basename "$program")" != TestPlatformPath ] || run=(Meta/platform.sh --only)
+  "${run[@]}" "$program" --reporter xml --out "$report"
   status=$?
   if ! grep -q '</Catch>' "$report"; then
     # The program died before it could close its report.
--- /dev/null
+++ b/Tests/Platform/CallerCall.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibHttpStream/ClientConnection.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pumiceturn::adapter {
+
+/// One call of a caller and what came back.
+class CallerCall : public httpstream::CallObserver
+{
+public:
+  void OnHead(const httpstream::ResponseHead& aHead) override
+  {
+    status_ = aHead.result_int();
+    seal_ = httpstream::ValueOf(aHead, "Server-Seal");
+    retryAfter_ = httpstream::ValueOf(aHead, "Retry-After");
+  }
+  void OnBody(std::string_view aBytes) override { body_.append(aBytes); }
+  void OnEnd(httpstream::CallEnd aEnd) override { end_ = aEnd; }
+
+  [[nodiscard]] bool IsOver() const { return end_.has_value(); }
+
+  unsigned status_ = 0;
+  std::string seal_;
+  std::string retryAfter_;
+  std::string body_;
+  std::optional<httpstream::CallEnd> end_;
+  std::shared_ptr<httpstream::ClientConnection> connection_;
+};
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -0,0 +1,184 @@
+#include "Tests/PlatformPath/PathFixture.h"
+
+#include "LibBase/Base64.h"
+#include "LibGateway/EndpointAddress.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+
+namespace pumiceturn::adapter {
+
+namespace {
+
+/// Events of the stand-in's streams.
+constexpr int kEvents = 6;
+
+} // namespace
+
+PathFixture::PathFixture()
+{
+  // NOLINTNEXTLINE(concurrency-mt-unsafe): there is one thread.
+  const char* path = std::getenv("PUMICETURN_PATH_FLEET");
+  INFO("run by Meta/test.sh or Meta/platform.sh, which start the processes");
+  REQUIRE(path != nullptr);
+  std::ifstream file(path);
+  FleetProcess process;
+  std::string address;
+  while (file >> process.kind_ >> process.name_ >> address >> process.id_) {
+    process.address_ = gateway::ParseAddress(address).value();
+    processes_.push_back(process);
+  }
+  for (const char* entry : { "entry-1", "entry-2" }) {
+    RunUntil([&] { return Look(entry, "/look-up/1")->status_ == 200; });
+  }
+}
+
+const FleetProcess&
+PathFixture::Process(const std::string& aName) const
+{
+  const auto found = std::find_if(
+    processes_.begin(), processes_.end(), [&aName](const auto& aProcess) {
+      return aProcess.name_ == aName;
+    });
+  REQUIRE(found != processes_.end());
+  return *found;
+}
+
+std::unique_ptr<CallerCall>
+PathFixture::Send(const std::string& aProcess,
+                  const std::string& aMethod,
+                  const std::string& aTarget,
+                  const std::string& aFields,
+                  const std::string& aBody)
+{
+  auto call = std::make_unique<CallerCall>();
+  call->connection_ =
+    std::make_shared<httpstream::ClientConnection>(context_.get_executor());
+  const std::string bytes =
+    fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
+                "Content-Length: {}\r\n\r\n{}",
+                aMethod,
+                aTarget,
+                aFields,
+                aBody.size(),
+                aBody);
+  call->connection_->Connect(
+    Process(aProcess).address_,
+    std::chrono::seconds(10),
+    [raw = call.get(), bytes](bool aIsConnected) {
+      if (!aIsConnected) {
+        raw->OnEnd(httpstream::CallEnd::NotConnected);
+        return;
+      }
+      httpstream::Call request;
+      request.bytes_ = bytes;
+      raw->connection_->Start(std::move(request), *raw);
+    });
+  return call;
+}
+
+std::unique_ptr<CallerCall>
+PathFixture::Ask(const std::string& aProcess,
+                 const std::string& aMethod,
+                 const std::string& aTarget,
+                 const std::string& aFields,
+                 const std::string& aBody)
+{
+  auto call = Send(aProcess, aMethod, aTarget, aFields, aBody);
+  RunUntil([&call] { return call->IsOver(); });
+  return call;
+}
+
+std::unique_ptr<CallerCall>
+PathFixture::Look(const std::string& aProcess, const std::string& aPath)
+{
+  return Ask(
+    aProcess, "POST", aPath, "Attempt-Id: r1\r\nDeadline-Ms: 20000\r\n");
+}
+
+std::string
+PathFixture::ReadKey(const std::string& aKey)
+{
+  const auto call = Ask("store", "GET", "/api/kv-key?key=" + aKey);
+  if (call->status_ != 200) {
+    return {};
+  }
+  const auto value = json::parse(call->body_)["value"].get<std::string>();
+  return base::DecodeBase64(value).value_or("");
+}
+
+void
+PathFixture::WriteKey(const std::string& aKey, const std::string& aValue)
+{
+  const json put = { { "key", aKey },
+                     { "value", base::EncodeBase64(aValue) },
+                     { "lease", 0 } };
+  const json call = { { "expectedRev", json::array() },
+                      { "puts", json::array({ put }) },
+                      { "remove", json::array() } };
+  CHECK(Ask("store", "POST", "/api/kv-txn", {}, call.dump())->status_ == 200);
+}
+
+unsigned
+PathFixture::Submit(const std::string& aProcess,
+                    const std::string& aLot,
+                    const std::string& aItemPath,
+                    int aItems)
+{
+  json items = json::array();
+  for (int item = 0; item < aItems; ++item) {
+    items.push_back({ { "id", fmt::format("{}-{}", aLot, item) },
+                      { "path", aItemPath },
+                      { "headers", { { "Model", "m" } } },
+                      { "body", base::EncodeBase64("prompt") },
+                      { "tokens", 9 } });
+  }
+  return Ask(aProcess,
+             "POST",
+             "/lots/1",
+             "Attempt-Id: " + aLot + "\r\n",
+             json{ { "items", std::move(items) } }.dump())
+    ->status_;
+}
+
+PathFixture::json
+PathFixture::WaitForAll(const std::string& aProcess,
+                        const std::string& aLot,
+                        std::size_t aCount)
+{
+  json page;
+  RunUntil([&] {
+    const auto call = Ask(aProcess, "GET", "/api/lots/" + aLot + "?after=0");
+    if (call->status_ != 200) {
+      return false;
+    }
+    page = json::parse(call->body_);
+    return page["results"].size() == aCount;
+  });
+  return page;
+}
+
+std::string
+PathFixture::WholeStream()
+{
+  std::string text;
+  for (int id = 1; id <= kEvents; ++id) {
+    text += fmt::format("id: {}\ndata: text-{}\n\n", id, id);
+  }
+  return text;
+}
+
+std::string
+PathFixture::WholeOutput()
+{
+  std::string text;
+  for (int id = 1; id <= kEvents; ++id) {
+    text += fmt::format("{}text-{}", id > 1 ? "\n" : "", id);
+  }
+  return text;
+}
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/PlatformPath/PathFixture.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "Tests/Platform/CallerCall.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::adapter {
+
+/// A process that Meta/platform.sh started.
+struct FleetProcess
+{
+  std::string kind_; ///< platform, front or store.
+  std::string name_;
+  boost::asio::ip::tcp::endpoint address_;
+  pid_t id_ = 0;
+};
+
+/// Calls the real programs over loopback, as callers and operators do.
+class PathFixture
+{
+protected:
+  using json = nlohmann::json;
+
+  /// Reads which processes run, and waits until both entry hosts serve.
+  PathFixture();
+
+  template<typename Predicate>
+  void RunUntil(Predicate&& aPredicate)
+  {
+    // A bound for a hanging test; no verdict depends on how fast it runs.
+    constexpr std::chrono::seconds kBound{ 90 };
+    const auto end = std::chrono::steady_clock::now() + kBound;
+    while (!aPredicate() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(20));
+      context_.restart();
+    }
+    REQUIRE(aPredicate());
+  }
+
+  [[nodiscard]] const FleetProcess& Process(const std::string& aName) const;
+
+  std::unique_ptr<CallerCall> Send(const std::string& aProcess,
+                                   const std::string& aMethod,
+                                   const std::string& aTarget,
+                                   const std::string& aFields = {},
+                                   const std::string& aBody = {});
+  std::unique_ptr<CallerCall> Ask(const std::string& aProcess,
+                                  const std::string& aMethod,
+                                  const std::string& aTarget,
+                                  const std::string& aFields = {},
+                                  const std::string& aBody = {});
+
+  /// @return the answer to a call that belongs to one request id.
+  std::unique_ptr<CallerCall> Look(const std::string& aProcess,
+                                   const std::string& aPath);
+
+  /// @return a key's value in the store, empty where there is none.
+  std::string ReadKey(const std::string& aKey);
+  void WriteKey(const std::string& aKey, const std::string& aValue);
+
+  /// Sends a lot whose items go to one path.
+  unsigned Submit(const std::string& aProcess,
+                  const std::string& aLot,
+                  const std::string& aItemPath,
+                  int aItems);
+
+  /// Reads a lot until it has all results.
+  json WaitForAll(const std::string& aProcess,
+                  const std::string& aLot,
+                  std::size_t aCount);
+
+  static std::string WholeStream();
+  static std::string WholeOutput();
+
+private:
+  boost::asio::io_context context_;
+  std::vector<FleetProcess> processes_;
+};
+
+} // namespace pumiceturn::adapter
