LibGateway: Refuse a request that crashes each endpoint, at every host

Cause: a request may crash each server that begins to run it, and comes again at any host. A gateway sent it on each time, up to maxAttempts servers a call, each of which lost all its runs and was away for seconds.

Change: SuspectTable (LibFleet) counts runs that broke off before their first event, by a hash of path and body. From three crashes one after the other the content is refused with 502 for a minute. Hosts share such runs in the datagrams that they exchange anyway. Servers also crash by themselves, several at once: runs that began without knowledge of another crash count as one, a server that lived on doesn't count, and an answer to the content clears it.

Tried before and changed: telling retries by the times of the runs.

--- /dev/null
+++ b/Libraries/LibFleet/SuspectTable.cpp
@@ -0,0 +1,95 @@
+#include "LibFleet/SuspectTable.h"
+
+#include <algorithm>
+
+namespace pumiceturn::fleet {
+
+void
+SuspectTable::NoteBroken(const SuspectRun& aRun)
+{
+  if (contents_.size() >= kMostContents && !contents_.contains(aRun.content_)) {
+    return;
+  }
+  Content& content = contents_[aRun.content_];
+  const bool isKnown = std::any_of(
+    content.runs_.begin(), content.runs_.end(), [&aRun](const auto& aOther) {
+      return aOther.endpoint_ == aRun.endpoint_;
+    });
+  if (!isKnown && aRun.brokeAt_ > content.answeredAt_) {
+    content.runs_.push_back(aRun);
+  }
+}
+
+bool
+SuspectTable::IsKnown(std::uint64_t aContent) const
+{
+  const auto found = contents_.find(aContent);
+  return found != contents_.end() && !found->second.runs_.empty();
+}
+
+void
+SuspectTable::NoteAnswered(std::uint64_t aContent, base::Instant aNow)
+{
+  const auto found = contents_.find(aContent);
+  if (found == contents_.end()) {
+    return;
+  }
+  // The entry stays: peers go on to send the runs from before.
+  found->second.answeredAt_ = aNow;
+  found->second.runs_.clear();
+}
+
+bool
+SuspectTable::IsRefused(std::uint64_t aContent,
+                        base::Instant aNow,
+                        const HasLivedOn& aHasLivedOn)
+{
+  const auto found = contents_.find(aContent);
+  if (found == contents_.end()) {
+    return false;
+  }
+  std::size_t first = 0;
+  std::size_t retries = 0;
+  for (const SuspectRun& run : found->second.runs_) {
+    if (aNow - run.brokeAt_ > kMemory ||
+        aHasLivedOn(run.endpoint_, run.brokeAt_)) {
+      continue;
+    }
+    if (run.isRetry_) {
+      ++retries;
+    } else {
+      first = 1;
+    }
+  }
+  return first + retries >= kCrashesToRefuse;
+}
+
+std::vector<SuspectRun>
+SuspectTable::Runs(base::Instant aNow) const
+{
+  std::vector<SuspectRun> runs;
+  for (const auto& [id, content] : contents_) {
+    for (const SuspectRun& run : content.runs_) {
+      if (aNow - run.brokeAt_ <= kMemory) {
+        runs.push_back(run);
+      }
+    }
+  }
+  return runs;
+}
+
+void
+SuspectTable::Expire(base::Instant aNow)
+{
+  for (auto entry = contents_.begin(); entry != contents_.end();) {
+    Content& content = entry->second;
+    std::erase_if(content.runs_, [aNow](const SuspectRun& aRun) {
+      return aNow - aRun.brokeAt_ > kMemory;
+    });
+    const bool isOver =
+      content.runs_.empty() && aNow - content.answeredAt_ > kMemory;
+    entry = isOver ? contents_.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -261,6 +261,7 @@
     }
   }
   std::vector<LotProgress> lots;
+  lots.reserve(byLot.size());
   for (auto& [id, progress] : byLot) {
     lots.push_back(std::move(progress));
   }
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -114,6 +114,12 @@
   base::LogLevel::Error,
   "Changed settings can't be read; the process goes on with the old ones."
 };
+inline constexpr base::Event kRequestSuspect{
+  7123,
+  "request_suspect",
+  base::LogLevel::Warning,
+  "A request is refused: endpoints crashed one after the other that ran it."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -126,6 +126,7 @@
              fleet::EndpointTable(settings_.failureDomain_, {}),
              httpstream::ConnectionPool(aContext.get_executor()),
              std::mt19937_64(std::random_device{}()),
+             {},
              {} }
   , lots_(layout_.lots_, MakeDecoder(aCodec))
   , operatorMirror_(
@@ -208,6 +209,11 @@
                             "Items that this host runs now.",
                             {},
                             [this] { return worker_.RunCount(); });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_suspect_runs",
+    "Runs known here that broke off before their first event.",
+    {},
+    [this] { return shared_.suspects_.Runs(base::MonotonicNow()).size(); });
   shared_.metrics_.AddGauge("pumiceturn_configuration_version",
                             "Version in force.",
                             {},
@@ -519,6 +525,7 @@
     retention_.Tick(now, wallNow);
   }
   desk_.Tick(now);
+  shared_.suspects_.Expire(now);
   shared_.pool_.Sweep(now);
 }
 
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/OnlineRelay.h"
 
+#include "LibBase/Ids.h"
 #include "LibGateway/Events.h"
 
 #include <algorithm>
@@ -50,6 +51,8 @@
       return "broken_off";
     case RelayEnd::TimedOut:
       return "timed_out";
+    case RelayEnd::Suspect:
+      return "suspect";
     case RelayEnd::CallerGone:
       break;
   }
@@ -74,6 +77,15 @@
   return "unintelligible";
 }
 
+/// Names what is asked: such a request comes again with the same path and body.
+std::uint64_t
+HashContent(const httpstream::Request& aRequest)
+{
+  return base::HashBytes(
+    aRequest.body(),
+    base::HashBytes({ aRequest.target().data(), aRequest.target().size() }));
+}
+
 bool
 IsEventStream(const httpstream::ResponseHead& aHead)
 {
@@ -94,6 +106,7 @@
   , route_(std::move(aRoute))
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadOnline(exchange_->GetRequest()))
+  , content_(HashContent(exchange_->GetRequest()))
   , lastEvent_(call_.lastEvent_)
 {
   const base::Duration allowed = call_.patience_
@@ -146,6 +159,17 @@
     return;
   }
   const bool isStreaming = exchange_->IsStreaming();
+  if (IsSuspect()) {
+    base::Log(kRequestSuspect,
+              { { "request", call_.requestId_ }, { "content", content_ } });
+    if (isStreaming) {
+      exchange_->Abort();
+    } else {
+      exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+    }
+    Finish(RelayEnd::Suspect);
+    return;
+  }
   if (tried_.size() >= route_.maxAttempts_ ||
       failedConnects_ >= kMaxFailedConnects || TimeLeft() < kLeastUsefulTime) {
     if (isStreaming) {
@@ -209,6 +233,8 @@
     call.gapTimeout_ = kGapTimeout;
   }
   tried_.push_back(aChoice.endpoint_.id_);
+  runIsRetry_ = shared_.suspects_.IsKnown(content_);
+  runFirstEvent_ = lastEvent_;
   run_ = std::make_shared<EndpointRun>(
     shared_, aChoice.endpoint_, fleet::WorkClass::Online);
   run_->Start(std::move(call), *this);
@@ -295,6 +321,7 @@
     if (!exchange_->IsStreaming()) {
       exchange_->BeginStream(*head_);
     }
+    shared_.suspects_.NoteAnswered(content_, base::MonotonicNow());
     exchange_->EndStream();
     Finish(RelayEnd::Answered);
     return;
@@ -303,6 +330,7 @@
     OnRefused();
     return;
   }
+  shared_.suspects_.NoteAnswered(content_, base::MonotonicNow());
   const bool isServerError = head_->result_int() >= kFirstServerError;
   mayHaveRun_ = true;
   if (exchange_->IsStreaming() ||
@@ -348,6 +376,7 @@
               { "endpoint", tried_.back() },
               { "cause", NameOf(aEnd) },
               { "last_event", lastEvent_ } });
+  NoteSuspect(aEnd);
   if (MayRunAgain()) {
     TryNext();
     return;
@@ -361,6 +390,32 @@
   Finish(RelayEnd::Failed);
 }
 
+void
+OnlineRelay::NoteSuspect(httpstream::CallEnd aEnd)
+{
+  // A run that made events was not crashed by its own beginning.
+  if (aEnd != httpstream::CallEnd::Broken || lastEvent_ > runFirstEvent_) {
+    return;
+  }
+  shared_.suspects_.NoteBroken(
+    { content_, tried_.back(), runIsRetry_, base::MonotonicNow() });
+}
+
+bool
+OnlineRelay::IsSuspect() const
+{
+  if (shared_.suspects_.IsEmpty()) {
+    return false;
+  }
+  const base::Instant now = base::MonotonicNow();
+  return shared_.suspects_.IsRefused(
+    content_,
+    now,
+    [this, now](const std::string& aEndpoint, base::Instant aMoment) {
+      return shared_.endpoints_.HasLivedOn(aEndpoint, aMoment, now);
+    });
+}
+
 void
 OnlineRelay::OnTimeUp()
 {
--- a/Libraries/LibGateway/OnlineRelay.h
+++ b/Libraries/LibGateway/OnlineRelay.h
@@ -23,6 +23,7 @@
   BrokenOff,  ///< A stream was broken off midway.
   TimedOut,   ///< Its time was up.
   CallerGone, ///< The caller closed.
+  Suspect,    ///< Refused: it seems to crash each endpoint that runs it.
 };
 
 /// Carries one online request to an endpoint and its answer back. Tries another
@@ -58,6 +59,8 @@
   void OnRefused();
   void OnBroken(httpstream::CallEnd aEnd);
   void OnTimeUp();
+  void NoteSuspect(httpstream::CallEnd aEnd);
+  [[nodiscard]] bool IsSuspect() const;
   void AnswerNotRun();
   void Finish(RelayEnd aEnd);
 
@@ -72,6 +75,9 @@
   std::vector<std::string> tried_; ///< Endpoints that got the request.
   std::uint32_t failedConnects_ = 0;
   bool mayHaveRun_ = false;
+  std::uint64_t content_;           ///< Hash of what is asked.
+  bool runIsRetry_ = false;         ///< After a crash of such a run.
+  std::uint64_t runFirstEvent_ = 0; ///< The last event before the run.
 
   // Of the answer that is being read.
   std::optional<httpstream::ResponseHead> head_;
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -18,6 +18,11 @@
 /// must leave room for, and 100 ms cost a host under 1% of its processor.
 constexpr std::chrono::milliseconds kInterval{ 100 };
 
+/// How long a run that may have crashed its endpoint is told to the others,
+/// which remember it longer; and how many at most, to keep datagrams small.
+constexpr std::chrono::seconds kSuspectNews{ 3 };
+constexpr std::size_t kMostSuspects = 32;
+
 } // namespace
 
 PeerExchange::PeerExchange(asio::io_context& aContext,
@@ -91,7 +96,9 @@
                      count.hasFailed_ });
   }
   const std::vector<std::uint8_t> message =
-    json::to_cbor({ { "host", ownName_ }, { "runs", std::move(rows) } });
+    json::to_cbor({ { "host", ownName_ },
+                    { "runs", std::move(rows) },
+                    { "suspects", SuspectRows() } });
   for (const auto& [name, address] : peers_) {
     boost::system::error_code ignored;
     // A datagram that can't be sent now is replaced by the next.
@@ -99,6 +106,37 @@
   }
 }
 
+json
+PeerExchange::SuspectRows() const
+{
+  json rows = json::array();
+  const base::Instant now = base::MonotonicNow();
+  for (const fleet::SuspectRun& run : shared_.suspects_.Runs(now)) {
+    if (now - run.brokeAt_ > kSuspectNews || rows.size() == kMostSuspects) {
+      continue;
+    }
+    // Ages, as hosts' clocks differ.
+    rows.push_back({ run.content_,
+                     run.endpoint_,
+                     run.isRetry_,
+                     base::ToMs(now - run.brokeAt_) });
+  }
+  return rows;
+}
+
+void
+PeerExchange::TakeSuspects(const json& aRows)
+{
+  const base::Instant now = base::MonotonicNow();
+  for (const json& row : aRows) {
+    const std::chrono::milliseconds age{ row.at(3).get<std::uint32_t>() };
+    shared_.suspects_.NoteBroken({ row.at(0).get<std::uint64_t>(),
+                                   row.at(1).get<std::string>(),
+                                   row.at(2).get<bool>(),
+                                   now - age });
+  }
+}
+
 void
 PeerExchange::AskToYield(const std::string& aPeer, const std::string& aEndpoint)
 {
@@ -149,6 +187,10 @@
     }
     shared_.endpoints_.TakePeerCounts(
       message.at("host").get<std::string>(), counts, base::MonotonicNow());
+    // A host with an earlier version sends none.
+    if (const auto rows = message.find("suspects"); rows != message.end()) {
+      TakeSuspects(*rows);
+    }
   } catch (const json::exception&) {
     // Not one of ours: anyone can send to a port.
     shared_.metrics_
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <array>
 #include <functional>
@@ -43,6 +44,8 @@
   void Send();
   void Receive();
   void Take(std::string_view aMessage);
+  void TakeSuspects(const nlohmann::json& aRows);
+  [[nodiscard]] nlohmann::json SuspectRows() const;
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
--- a/Libraries/LibGateway/Shared.h
+++ b/Libraries/LibGateway/Shared.h
@@ -2,6 +2,7 @@
 
 #include "LibFleet/EndpointTable.h"
 #include "LibFleet/RouteTable.h"
+#include "LibFleet/SuspectTable.h"
 #include "LibGateway/Codec.h"
 #include "LibHttpStream/ConnectionPool.h"
 #include "LibMetrics/Registry.h"
@@ -19,6 +20,7 @@
   httpstream::ConnectionPool pool_;
   std::mt19937_64 random_;
   metrics::Registry metrics_;
+  fleet::SuspectTable suspects_;
 };
 
 /// @return a number that is uniform in [0, 1).
--- /dev/null
+++ b/Tests/LibFleet/SuspectTableTest.cpp
@@ -0,0 +1,117 @@
+#include "LibFleet/SuspectTable.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace pumiceturn::fleet {
+
+class SuspectTableFixture
+{
+protected:
+  static constexpr std::uint64_t kContent = 7;
+
+  static base::Instant At(int aMilliseconds)
+  {
+    return base::Instant{ std::chrono::hours{ 1 } } +
+           std::chrono::milliseconds(aMilliseconds);
+  }
+
+  /// A run that begins now, with what is known, and breaks off.
+  void Break(const std::string& aEndpoint, int aBroke)
+  {
+    table_.NoteBroken(
+      { kContent, aEndpoint, table_.IsKnown(kContent), At(aBroke) });
+  }
+
+  bool IsRefused(int aNow)
+  {
+    return table_.IsRefused(
+      kContent, At(aNow), [this](const std::string& aEndpoint, base::Instant) {
+        return alive_.contains(aEndpoint);
+      });
+  }
+
+  SuspectTable table_;
+  std::set<std::string> alive_;
+};
+
+// All servers of a service go down one after the other, and with them all its
+// requests: one request crashes each server that begins to run it, and comes
+// again.
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_CrashAfterCrash_IsRefused")
+{
+  Break("a", 10);
+  Break("b", 30);
+  CHECK_FALSE(IsRefused(40));
+  Break("c", 50);
+  CHECK(IsRefused(60));
+}
+
+// A question that many ask is refused to all: three servers that ran it failed
+// at the same moment, by themselves.
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_CrashesAtOnce_CountOnce")
+{
+  for (const char* endpoint : { "a", "b", "c" }) {
+    table_.NoteBroken({ kContent, endpoint, false, At(50) });
+  }
+  CHECK_FALSE(IsRefused(60));
+  Break("d", 70);
+  CHECK_FALSE(IsRefused(80));
+  Break("e", 90);
+  CHECK(IsRefused(100));
+}
+
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_EndpointLivedOn_IsNoCrash")
+{
+  Break("a", 10);
+  Break("b", 30);
+  Break("c", 50);
+  alive_.insert("b");
+  CHECK_FALSE(IsRefused(60));
+}
+
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_Answered_IsCleared")
+{
+  Break("a", 10);
+  Break("b", 30);
+  Break("c", 50);
+  table_.NoteAnswered(kContent, At(60));
+  CHECK_FALSE(IsRefused(70));
+  // A peer that doesn't know of the answer sends the old runs again.
+  for (const char* endpoint : { "a", "b", "c" }) {
+    table_.NoteBroken({ kContent, endpoint, true, At(50) });
+  }
+  CHECK_FALSE(IsRefused(70));
+}
+
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_ToldTwice_CountsOnce")
+{
+  Break("a", 10);
+  Break("a", 30);
+  Break("a", 50);
+  CHECK_FALSE(IsRefused(60));
+  CHECK(table_.Runs(At(60)).size() == 1);
+}
+
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_LongAgo_IsForgotten")
+{
+  Break("a", 10);
+  Break("b", 30);
+  Break("c", 50);
+  constexpr int kLater = 61000;
+  CHECK_FALSE(IsRefused(kLater));
+  table_.Expire(At(kLater));
+  CHECK(table_.IsEmpty());
+}
+
+TEST_CASE_METHOD(SuspectTableFixture, "SuspectTable_ManyContents_StaysBounded")
+{
+  for (std::uint64_t content = 0; content < 2 * SuspectTable::kMostContents;
+       ++content) {
+    table_.NoteBroken({ content, "a", false, At(1) });
+  }
+  CHECK(table_.Runs(At(2)).size() == SuspectTable::kMostContents);
+}
+
+} // namespace pumiceturn::fleet
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -197,6 +197,39 @@
   });
 }
 
+// All servers of a service are down: one request crashes each that begins to
+// run it, and its caller sends it again, to any host.
+TEST_CASE_METHOD(OnlineFixture, "Online_CrashesEachServer_IsRefusedEverywhere")
+{
+  TestHost& other = StartHost("other", lots::LotPreference::IfNoOther);
+  AddServer("i-3");
+  RunUntil([this] {
+    (void)Stream("/once/1");
+    return !servers_[2]->Requests().empty();
+  });
+  for (const auto& server : servers_) {
+    for (int crash = 0; crash < 100; ++crash) {
+      server->Enqueue({ ServerScript::Kind::Reset, 0, 0 });
+    }
+  }
+  const auto told = [&other, this] {
+    return AskAt(other.statusPort_, "GET", "/metrics")->body_;
+  };
+  RunUntil([&] {
+    CHECK(Stream("/once/bad")->status_ == 502);
+    return told().find("pumiceturn_suspect_runs 3") != std::string::npos;
+  });
+  const std::size_t before = RequestCount() + servers_[2]->Requests().size();
+  const std::string fields = "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n";
+  CHECK(Ask(*host_, "POST", "/once/bad", fields)->status_ == 502);
+  CHECK(Ask(other, "POST", "/once/bad", fields)->status_ == 502);
+  CHECK(RequestCount() + servers_[2]->Requests().size() == before);
+  for (const auto& server : servers_) {
+    server->ClearScripts();
+  }
+  CHECK(Ask(other, "POST", "/once/good", fields)->status_ == 200);
+}
+
 TEST_CASE_METHOD(OnlineFixture, "Online_Stopping_FinishesOpenRequests")
 {
   EnqueueAtBoth({ ServerScript::Kind::Hold, 2, 0 });
--- a/Tests/PlatformPath/PathFixture.cpp
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -65,18 +65,18 @@
                 aFields,
                 aBody.size(),
                 aBody);
-  call->connection_->Connect(
-    Process(aProcess).address_,
-    std::chrono::seconds(10),
-    [raw = call.get(), bytes](bool aIsConnected) {
-      if (!aIsConnected) {
-        raw->OnEnd(httpstream::CallEnd::NotConnected);
-        return;
-      }
-      httpstream::Call request;
-      request.bytes_ = bytes;
-      raw->connection_->Start(std::move(request), *raw);
-    });
+  call->connection_->Connect(Process(aProcess).address_,
+                             std::chrono::seconds(10),
+                             [raw = call.get(), bytes](bool aIsConnected) {
+                               if (!aIsConnected) {
+                                 raw->OnEnd(httpstream::CallEnd::NotConnected);
+                                 return;
+                               }
+                               httpstream::Call request;
+                               request.bytes_ = bytes;
+                               raw->connection_->Start(std::move(request),
+                                                       *raw);
+                             });
   return call;
 }
 
--- a/Tests/PlatformPath/PathTest.cpp
+++ b/Tests/PlatformPath/PathTest.cpp
@@ -87,8 +87,10 @@
   std::string owner;
   RunUntil([&] {
     const std::string state = ReadKey("pumiceturn/lot/" + lot);
-    const std::string progress = ReadKey("pumiceturn/data/" + lot + "/progress");
-    owner = state.find("worker-1") != std::string::npos ? "worker-1" : "worker-2";
+    const std::string progress =
+      ReadKey("pumiceturn/data/" + lot + "/progress");
+    owner =
+      state.find("worker-1") != std::string::npos ? "worker-1" : "worker-2";
     return progress.find("text-2") != std::string::npos;
   });
   CHECK(::kill(Process(owner).id_, SIGKILL) == 0);
