LibGateway: Let entry hosts follow lots seldom while workers live

Change: an entry host pauses 4 s between two watches of the lots as long as a worker lives. It needs a state only to pass calls on: one that is missing is read when it is asked for, and where an old one leads to the wrong host, the store answers the call. Tests for HostSet.

--- a/Benchmarks/Gateway/Main.cpp
+++ b/Benchmarks/Gateway/Main.cpp
@@ -20,8 +20,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <future>
 #include <exception>
+#include <future>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -59,12 +59,10 @@
     , storePort_(store_.OpenDoor())
   {
     const nlohmann::json route = {
-      { "name", "r" },         { "hostname", "a.example" },
-      { "prefix", "/" },       { "kind", "stream" },
-      { "timeoutMs", 60000 },  { "sloMs", 700 },
-      { "priority", 0 },       { "service", "s" },
-      { "maxAttempts", 2 },    { "resumable", true },
-      { "dueMs", 60000 },      { "maxWaitS", 120 }
+      { "name", "r" },       { "hostname", "a.example" }, { "prefix", "/" },
+      { "kind", "stream" },  { "timeoutMs", 60000 },      { "sloMs", 700 },
+      { "priority", 0 },     { "service", "s" },          { "maxAttempts", 2 },
+      { "resumable", true }, { "dueMs", 60000 },          { "maxWaitS", 120 }
     };
     const nlohmann::json configuration = {
       { "version", 1 },
@@ -164,8 +162,8 @@
 {
 public:
   Caller(asio::io_context& aContext, std::size_t& aLeft)
-    : connection_(std::make_shared<httpstream::ClientConnection>(
-        aContext.get_executor()))
+    : connection_(
+        std::make_shared<httpstream::ClientConnection>(aContext.get_executor()))
     , left_(aLeft)
   {
   }
@@ -233,13 +231,15 @@
   GatewayThread gateway(platform.StoreAddress());
   while (RunStreams(1) == 0) {
   }
-  std::printf("%8s %8s %10s %14s\n", "streams", "whole", "events", "us an event");
+  std::printf(
+    "%8s %8s %10s %14s\n", "streams", "whole", "events", "us an event");
   for (const std::size_t streams : { 1, 10, 100, 300 }) {
     const double before = gateway.Microseconds();
     const std::size_t whole = RunStreams(streams);
     const double used = gateway.Microseconds() - before;
     const auto events = static_cast<double>(streams) * aPace.events_;
-    std::printf("%8zu %8zu %10.0f %14.1f\n", streams, whole, events, used / events);
+    std::printf(
+      "%8zu %8zu %10.0f %14.1f\n", streams, whole, events, used / events);
   }
 }
 
@@ -259,10 +259,10 @@
     cxxopts::Options options("bench_gateway", "What an event costs.");
     options.add_options()("events",
                           "Events of a stream",
-                          cxxopts::value<std::uint32_t>()->default_value("200"))(
-      "gap",
-      "Milliseconds between two events",
-      cxxopts::value<int>()->default_value("10"));
+                          cxxopts::value<std::uint32_t>()->default_value(
+                            "200"))("gap",
+                                    "Milliseconds between two events",
+                                    cxxopts::value<int>()->default_value("10"));
     const auto given = options.parse(aCount, aArguments);
     pumiceturn::gateway::Measure(
       { given["events"].as<std::uint32_t>(),
--- a/Libraries/LibFleet/SuspectTable.h
+++ b/Libraries/LibFleet/SuspectTable.h
@@ -25,9 +25,9 @@
 ///
 /// Endpoints also crash by themselves, several at once, and with them runs of a
 /// content that is asked for often. Such crashes don't follow from each other:
-/// runs that began without knowledge of another crash count as one. A run counts
-/// only where its endpoint did not live on, and nothing counts once the content
-/// was answered.
+/// runs that began without knowledge of another crash count as one. A run
+/// counts only where its endpoint did not live on, and nothing counts once the
+/// content was answered.
 class SuspectTable
 {
 public:
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -32,6 +32,11 @@
 constexpr double kEndpointPauseShare = 0.5;
 constexpr double kLotPauseShare = 0.6;
 
+/// The same for hosts that run no lots as long as there are workers. They need
+/// a lot's state only to pass calls on: one that is missing is read then, and
+/// where an old one leads to the wrong host, the store answers the call.
+constexpr std::chrono::milliseconds kLotPauseOfOthers{ 4000 };
+
 /// After the request to stop: the balancer asks for readiness once a second and
 /// takes a host out after two misses, so new connections come until then.
 constexpr std::chrono::milliseconds kBalancerNotice{ 2600 };
@@ -479,7 +484,7 @@
   if (aItem.removed_) {
     hosts_.Remove(host, now);
     peers_.RemovePeer(host);
-    storePaths_.SetPeers(hosts_.AddressesBut(OwnName()));
+    OnHostsChanged();
     if (host == settings_.host_) {
       lease_.OnKeyRemoved();
     }
@@ -496,7 +501,17 @@
              value.value("calls", std::string()),
              now);
   peers_.SetPeer(host, value.value("peer", std::string()));
+  OnHostsChanged();
+}
+
+void
+Gateway::OnHostsChanged()
+{
   storePaths_.SetPeers(hosts_.AddressesBut(OwnName()));
+  const bool mayRunLots = hosts_.IsPreferred(settings_.lotPreference_);
+  lotMirror_.SetPause(mayRunLots
+                        ? ShareOf(settings_.settleBound_, kLotPauseShare)
+                        : base::Duration(kLotPauseOfOthers));
 }
 
 void
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -112,6 +112,7 @@
   void OnEndpointKey(const metadata::StoreItem& aItem);
   void OnLotKey(const metadata::StoreItem& aItem);
   void OnHostKey(const metadata::StoreItem& aItem);
+  void OnHostsChanged();
   void OnLotChanged(const std::string& aLot);
   void AddGauges();
   void Preempt(const fleet::EndpointChoice& aChoice);
--- a/Libraries/LibLots/HostSet.cpp
+++ b/Libraries/LibLots/HostSet.cpp
@@ -60,6 +60,15 @@
   return addresses;
 }
 
+bool
+HostSet::IsPreferred(LotPreference aPreference) const
+{
+  return std::none_of(
+    members_.begin(), members_.end(), [aPreference](const auto& aEntry) {
+      return aEntry.second.preference_ > aPreference;
+    });
+}
+
 bool
 HostSet::IsLive(const std::string& aOwner) const
 {
--- a/Libraries/LibLots/HostSet.h
+++ b/Libraries/LibLots/HostSet.h
@@ -51,6 +51,9 @@
   /// hosts that see the same registrations agree. Empty where none is live.
   [[nodiscard]] std::string OwnerFor(std::string_view aLot) const;
 
+  /// @return whether hosts of that preference are given lots now.
+  [[nodiscard]] bool IsPreferred(LotPreference aPreference) const;
+
   /// @return how many hosts are live.
   [[nodiscard]] std::size_t Count() const { return members_.size(); }
 
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -42,6 +42,9 @@
 
   void Start() { ReadPage({}); }
 
+  /// Sets the pause after a watch that brought changes, from the next one on.
+  void SetPause(base::Duration aPause) { options_.pause_ = aPause; }
+
   /// @return whether the prefix has been read once.
   [[nodiscard]] bool IsComplete() const { return complete_; }
 
--- /dev/null
+++ b/Tests/LibLots/HostSetTest.cpp
@@ -0,0 +1,90 @@
+#include "LibLots/HostSet.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::lots {
+
+class HostSetFixture
+{
+protected:
+  void PutEntry(const std::string& aHost)
+  {
+    hosts_.Put(
+      aHost, aHost + "/1", LotPreference::IfNoOther, aHost + ":1", now_);
+  }
+  void PutWorker(const std::string& aHost)
+  {
+    hosts_.Put(aHost, aHost + "/1", LotPreference::Worker, aHost + ":1", now_);
+  }
+
+  HostSet hosts_;
+  base::Instant now_{ std::chrono::hours{ 1 } };
+};
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_Empty_HasNoOwner")
+{
+  CHECK(hosts_.OwnerFor("lot").empty());
+  CHECK(hosts_.IsPreferred(LotPreference::IfNoOther));
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_WithWorkers_EntryHostsGetNoLots")
+{
+  PutEntry("e1");
+  CHECK(hosts_.OwnerFor("lot") == "e1/1");
+  PutWorker("w1");
+  CHECK(hosts_.OwnerFor("lot") == "w1/1");
+  CHECK_FALSE(hosts_.IsPreferred(LotPreference::IfNoOther));
+  CHECK(hosts_.IsPreferred(LotPreference::Worker));
+  hosts_.Remove("w1", now_);
+  CHECK(hosts_.OwnerFor("lot") == "e1/1");
+  CHECK(hosts_.IsPreferred(LotPreference::IfNoOther));
+}
+
+// All lots of a fleet move when one host comes or goes, and each loses its runs.
+TEST_CASE_METHOD(HostSetFixture, "HostSet_HostLeaves_OtherLotsStay")
+{
+  for (const char* host : { "w1", "w2", "w3" }) {
+    PutWorker(host);
+  }
+  std::unordered_map<std::string, std::string> before;
+  for (int lot = 0; lot < 100; ++lot) {
+    const std::string id = "lot" + std::to_string(lot);
+    before[id] = hosts_.OwnerFor(id);
+  }
+  hosts_.Remove("w2", now_);
+  for (const auto& [id, owner] : before) {
+    if (owner != "w2/1") {
+      CHECK(hosts_.OwnerFor(id) == owner);
+    }
+  }
+}
+
+// A lot runs at two hosts: the store was away for a moment, the registration of
+// the host that runs it lapsed, and another took over at once.
+TEST_CASE_METHOD(HostSetFixture, "HostSet_RegistrationLapses_OwnerIsGoneLater")
+{
+  PutWorker("w1");
+  hosts_.Remove("w1", now_);
+  CHECK_FALSE(hosts_.IsGone("w1/1", now_));
+  CHECK(hosts_.IsGone("w1/1", now_ + HostSet::kGrace));
+  PutWorker("w1");
+  CHECK_FALSE(hosts_.IsGone("w1/1", now_ + HostSet::kGrace));
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_StartedAnew_FormerOwnerIsGoneAtOnce")
+{
+  PutWorker("w1");
+  hosts_.Put("w1", "w1/2", LotPreference::Worker, "w1:1", now_);
+  CHECK(hosts_.IsGone("w1/1", now_));
+  CHECK_FALSE(hosts_.IsGone("w1/2", now_));
+}
+
+TEST_CASE_METHOD(HostSetFixture, "HostSet_Peers_AreAllButTheOneThatAsks")
+{
+  PutEntry("e1");
+  PutWorker("w1");
+  CHECK(hosts_.AddressesBut("w1/1") == std::vector<std::string>{ "e1:1" });
+  CHECK(hosts_.Count() == 2);
+}
+
+} // namespace pumiceturn::lots
