--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -82,17 +82,6 @@
   return dropped;
 }
 
-std::vector<std::string>
-EndpointTable::Ids() const
-{
-  std::vector<std::string> ids;
-  ids.reserve(endpoints_.size());
-  for (const auto& [id, endpoint] : endpoints_) {
-    ids.push_back(id);
-  }
-  return ids;
-}
-
 RunCounts
 EndpointTable::CountsOf(const Endpoint& aEndpoint, base::Instant aNow) const
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -121,9 +121,6 @@
   /// @return the ids that were dropped.
   std::vector<std::string> Expire(base::Instant aNow);
 
-  /// @return ids of all endpoints, for a comparison with a full reading.
-  [[nodiscard]] std::vector<std::string> Ids() const;
-
   /// Chooses an endpoint for a run.
   /// @return nothing where none may take it now.
   [[nodiscard]] std::optional<EndpointChoice> Choose(
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/BatchWorker.h"
 
 #include "LibGateway/Events.h"
+#include "LibGateway/StateChange.h"
 
 #include <boost/asio/post.hpp>
 
@@ -280,14 +281,10 @@
   claims_[aLot] = now;
   lots::LotState state = lot->state_;
   state.owner_ = ownName_;
-  metadata::Transaction transaction;
-  const std::string key =
-    lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 });
-  transaction.expectations_.push_back({ key, lot->stateRevision_ });
-  transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
   // The mirror brings the new state, and with it the lot's work; a claim that
   // lost against another host's has no effect.
-  store_.Commit(transaction, [](const metadata::TransactionReply&) {});
+  store_.Commit(MakeStateChange(lots_.Keys(), *lot, state),
+                [](const metadata::TransactionReply&) {});
 }
 
 void
@@ -576,11 +573,8 @@
     }
     lots::LotState state = lot->state_;
     state.owner_.clear();
-    metadata::Transaction transaction;
-    const std::string key =
-      lots_.Keys().MakeKey({ id, lots::KeyPart::State, 0 });
-    transaction.expectations_.push_back({ key, lot->stateRevision_ });
-    transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
+    metadata::Transaction transaction =
+      MakeStateChange(lots_.Keys(), *lot, state);
     transaction.writes_.push_back(
       { lots_.Keys().MakeKey({ id, lots::KeyPart::Progress, 0 }),
         lots::EncodeProgress(own.schedule_.Progress()),
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/LotDesk.h"
 
 #include "LibGateway/Events.h"
+#include "LibGateway/StateChange.h"
 
 #include <algorithm>
 #include <utility>
@@ -398,11 +399,8 @@
   state.isEnded_ = true;
   const std::string key =
     lots_.Keys().MakeKey({ aLot.id_, lots::KeyPart::State, 0 });
-  metadata::Transaction transaction;
-  transaction.expectations_.push_back({ key, aLot.stateRevision_ });
-  transaction.writes_.push_back({ key, lots::EncodeState(state), 0 });
   store_.Commit(
-    transaction,
+    MakeStateChange(lots_.Keys(), aLot, state),
     [this, aExchange, id = aLot.id_, key, state, aTriesLeft](
       const metadata::TransactionReply& aReply) {
       using metadata::StoreStatus;
--- a/Libraries/LibGateway/StorePaths.cpp
+++ b/Libraries/LibGateway/StorePaths.cpp
@@ -1,8 +1,10 @@
 #include "LibGateway/StorePaths.h"
 
+#include "LibBase/Numbers.h"
+
 #include <boost/asio/post.hpp>
 
-#include <charconv>
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -37,8 +39,7 @@
 ReadTimeout(const httpstream::Request& aRequest)
 {
   const std::string_view text = httpstream::ValueOf(aRequest, kTimeoutField);
-  std::uint32_t milliseconds = 0;
-  std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  const auto milliseconds = base::ParseNumber<std::uint32_t>(text).value_or(0);
   return std::min<base::Duration>(std::chrono::milliseconds(milliseconds),
                                   kLongestForPeer);
 }
--- a/Libraries/LibLots/ItemSchedule.cpp
+++ b/Libraries/LibLots/ItemSchedule.cpp
@@ -18,8 +18,6 @@
     item.id_ = lotItem.id_;
     if (listed.contains(lotItem.id_)) {
       item.phase_ = Phase::Done;
-    } else {
-      ++unfinished_;
     }
     if (const auto found = aLot.progress_.find(lotItem.id_);
         found != aLot.progress_.end()) {
@@ -102,7 +100,6 @@
 ItemSchedule::Finish(Item& aItem, ItemState aState, std::string aOutput)
 {
   aItem.phase_ = Phase::Done;
-  --unfinished_;
   return { aItem.id_, aState, std::move(aOutput) };
 }
 
--- a/Libraries/LibLots/ItemSchedule.h
+++ b/Libraries/LibLots/ItemSchedule.h
@@ -89,8 +89,6 @@
   /// @return partial runs of items without a result, for the next owner.
   [[nodiscard]] std::unordered_map<std::string, PartialRun> Progress() const;
 
-  [[nodiscard]] bool HasUnfinished() const { return unfinished_ > 0; }
-
 private:
   enum class Phase : std::uint8_t
   {
@@ -119,7 +117,6 @@
 
   ItemLimits limits_;
   std::vector<Item> items_;
-  std::size_t unfinished_ = 0;
 };
 
 } // namespace pumiceturn::lots
--- a/Libraries/LibLots/LotKeys.cpp
+++ b/Libraries/LibLots/LotKeys.cpp
@@ -1,27 +1,11 @@
 #include "LibLots/LotKeys.h"
 
-#include <fmt/format.h>
+#include "LibBase/Numbers.h"
 
-#include <charconv>
+#include <fmt/format.h>
 
 namespace pumiceturn::lots {
 
-namespace {
-
-std::optional<std::uint32_t>
-ParseNumber(std::string_view aText)
-{
-  std::uint32_t number = 0;
-  const char* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, number);
-  if (result.ec != std::errc{} || result.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-} // namespace
-
 std::string
 LotKeySpace::DataOf(std::string_view aLot) const
 {
@@ -71,7 +55,7 @@
     return std::nullopt;
   }
   const std::string_view name = rest.substr(0, second);
-  const auto number = ParseNumber(rest.substr(second + 1));
+  const auto number = base::ParseNumber<std::uint32_t>(rest.substr(second + 1));
   if (!number || (name != "content" && name != "result")) {
     return std::nullopt;
   }
--- a/Tests/LibLots/HostSetTest.cpp
+++ b/Tests/LibLots/HostSetTest.cpp
@@ -40,7 +40,8 @@
   CHECK(hosts_.IsPreferred(LotPreference::IfNoOther));
 }
 
-// All lots of a fleet move when one host comes or goes, and each loses its runs.
+// All lots of a fleet move when one host comes or goes, and each loses its
+// runs.
 TEST_CASE_METHOD(HostSetFixture, "HostSet_HostLeaves_OtherLotsStay")
 {
   for (const char* host : { "w1", "w2", "w3" }) {
