Tests/PlatformPath: Freeze a worker in the middle of its lot

Change: Path_WorkerFreezes_ItsLateResultsChangeNothing stops the owner's process until the other worker has ended the lot, lets it go on, and reads the lot once it is registered again. The held lot and the check of results are shared with the test of the killed worker.

--- a/Tests/PlatformPath/PathFixture.cpp
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <set>
 
 namespace pumiceturn::adapter {
 
@@ -126,10 +127,10 @@
 PathFixture::Submit(const std::string& aProcess,
                     const std::string& aLot,
                     const std::string& aItemPath,
-                    int aItems)
+                    std::size_t aItems)
 {
   json items = json::array();
-  for (int item = 0; item < aItems; ++item) {
+  for (std::size_t item = 0; item < aItems; ++item) {
     items.push_back({ { "id", fmt::format("{}-{}", aLot, item) },
                       { "path", aItemPath },
                       { "headers", { { "Model", "m" } } },
@@ -144,6 +145,42 @@
     ->status_;
 }
 
+PathFixture::HeldLot
+PathFixture::SubmitHeldLot(const std::string& aName, std::size_t aItems)
+{
+  HeldLot held;
+  int tries = 0;
+  // The entry host may not know of the workers yet, and takes a lot itself.
+  RunUntil([&] {
+    held.lot_ = aName + std::to_string(++tries);
+    CHECK(Submit("entry-1", held.lot_, "/lots/hold-2", aItems) == 202);
+    return ReadKey("pumiceturn/lot/" + held.lot_).find("worker-") !=
+           std::string::npos;
+  });
+  RunUntil([&] {
+    const std::string state = ReadKey("pumiceturn/lot/" + held.lot_);
+    const std::string progress =
+      ReadKey("pumiceturn/data/" + held.lot_ + "/progress");
+    const bool isFirst = state.find("worker-1") != std::string::npos;
+    held.owner_ = isFirst ? "worker-1" : "worker-2";
+    return progress.find("text-2") != std::string::npos;
+  });
+  return held;
+}
+
+bool
+PathFixture::AreWholeAndDistinct(const json& aPage, std::size_t aItems)
+{
+  std::set<std::string> items;
+  bool areWhole = true;
+  for (const json& result : aPage["results"]) {
+    items.insert(result["id"].get<std::string>());
+    areWhole = areWhole && result["state"] == "completed" &&
+               result["output"] == WholeOutput();
+  }
+  return areWhole && items.size() == aItems;
+}
+
 PathFixture::json
 PathFixture::WaitForAll(const std::string& aProcess,
                         const std::string& aLot,
--- a/Tests/PlatformPath/PathFixture.h
+++ b/Tests/PlatformPath/PathFixture.h
@@ -72,7 +72,22 @@
   unsigned Submit(const std::string& aProcess,
                   const std::string& aLot,
                   const std::string& aItemPath,
-                  int aItems);
+                  std::size_t aItems);
+
+  /// A lot whose items have fallen silent after two events.
+  struct HeldLot
+  {
+    std::string lot_;
+    std::string owner_; ///< The worker that runs it.
+  };
+
+  /// Sends a lot to a worker, and waits until what its items have so far is
+  /// stored.
+  HeldLot SubmitHeldLot(const std::string& aName, std::size_t aItems);
+
+  /// @return whether a lot's results are completed, whole, and of as many
+  /// items.
+  static bool AreWholeAndDistinct(const json& aPage, std::size_t aItems);
 
   /// Reads a lot until it has all results.
   json WaitForAll(const std::string& aProcess,
--- a/Tests/PlatformPath/PathTest.cpp
+++ b/Tests/PlatformPath/PathTest.cpp
@@ -1,7 +1,5 @@
 #include "Tests/PlatformPath/PathFixture.h"
 
-#include <set>
-
 #include <csignal>
 
 namespace pumiceturn::adapter {
@@ -35,13 +33,7 @@
   CHECK(Submit("entry-1", "lot1", "/lots/1", 12) == 202);
   CHECK(Submit("entry-2", "lot1", "/lots/1", 12) == 202);
   const json page = WaitForAll("entry-1", "lot1", 12);
-  std::set<std::string> items;
-  for (const json& result : page["results"]) {
-    items.insert(result["id"].get<std::string>());
-    CHECK(result["state"] == "completed");
-    CHECK(result["output"] == WholeOutput());
-  }
-  CHECK(items.size() == 12);
+  CHECK(AreWholeAndDistinct(page, 12));
   CHECK(WaitForAll("entry-2", "lot1", 12) == page);
   CHECK(Ask("entry-2", "GET", "/api/items/lot1/lot1-3")->status_ != 503);
 }
@@ -70,37 +62,33 @@
   CHECK(Look("entry-1", "/look-up/1")->body_ == WholeStream());
 }
 
+// An item is listed twice: its worker stood still, the other took the lot over,
+// and the first woke up with results of its own in hand.
+TEST_CASE_METHOD(PathFixture, "Path_WorkerFreezes_ItsLateResultsChangeNothing")
+{
+  constexpr std::size_t kItems = 4;
+  const HeldLot held = SubmitHeldLot("frozen", kItems);
+  CHECK(::kill(Process(held.owner_).id_, SIGSTOP) == 0);
+  const json page = WaitForAll("entry-2", held.lot_, kItems);
+  CHECK(AreWholeAndDistinct(page, kItems));
+  CHECK(::kill(Process(held.owner_).id_, SIGCONT) == 0);
+  // Once it is registered again, it has read what became of its lot.
+  RunUntil([&] {
+    return !ReadKey("pumiceturn/host/" + held.owner_).empty() &&
+           ReadKey("pumiceturn/lot/" + held.lot_).find("\"finished\":true") !=
+             std::string::npos;
+  });
+  CHECK(WaitForAll("entry-1", held.lot_, kItems) == page);
+}
+
 // A lot never ends, or an item is listed twice: its worker is killed while it
 // runs, and the other takes over when the registration lapses.
 TEST_CASE_METHOD(PathFixture, "Path_WorkerKilled_OtherEndsItsLot")
 {
   constexpr std::size_t kItems = 4;
-  std::string lot;
-  int tries = 0;
-  // The entry host may not know of the workers yet, and takes a lot itself.
-  RunUntil([&] {
-    lot = "kill" + std::to_string(++tries);
-    CHECK(Submit("entry-1", lot, "/lots/hold-2", kItems) == 202);
-    return ReadKey("pumiceturn/lot/" + lot).find("worker-") !=
-           std::string::npos;
-  });
-  std::string owner;
-  RunUntil([&] {
-    const std::string state = ReadKey("pumiceturn/lot/" + lot);
-    const std::string progress =
-      ReadKey("pumiceturn/data/" + lot + "/progress");
-    owner =
-      state.find("worker-1") != std::string::npos ? "worker-1" : "worker-2";
-    return progress.find("text-2") != std::string::npos;
-  });
-  CHECK(::kill(Process(owner).id_, SIGKILL) == 0);
-  const json page = WaitForAll("entry-2", lot, kItems);
-  std::set<std::string> items;
-  for (const json& result : page["results"]) {
-    items.insert(result["id"].get<std::string>());
-    CHECK(result["output"] == WholeOutput());
-  }
-  CHECK(items.size() == kItems);
+  const HeldLot held = SubmitHeldLot("killed", kItems);
+  CHECK(::kill(Process(held.owner_).id_, SIGKILL) == 0);
+  CHECK(AreWholeAndDistinct(WaitForAll("entry-2", held.lot_, kItems), kItems));
 }
 
 // A caller's answer is cut off, because its host is asked to stop.
