--- /dev/null
+++ b/Tests/Platform/CallingFixture.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Tests/Platform/CallerCall.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace pumiceturn::adapter {
+
+/// Calls over loopback as callers make them, in an event loop.
+class CallingFixture
+{
+protected:
+  template<typename Predicate>
+  void RunUntil(Predicate&& aPredicate)
+  {
+    // A bound for a hanging test; no verdict depends on how fast it runs.
+    constexpr std::chrono::seconds kBound{ 90 };
+    const auto end = std::chrono::steady_clock::now() + kBound;
+    while (!aPredicate() && std::chrono::steady_clock::now() < end) {
+      context_.run_one_for(std::chrono::milliseconds(20));
+      context_.restart();
+    }
+    REQUIRE(aPredicate());
+  }
+
+  /// Sends a call; RunUntil its IsOver().
+  std::unique_ptr<CallerCall> SendTo(
+    const boost::asio::ip::tcp::endpoint& aAddress,
+    const std::string& aMethod,
+    const std::string& aTarget,
+    const std::string& aFields,
+    const std::string& aBody)
+  {
+    auto call = std::make_unique<CallerCall>();
+    call->connection_ =
+      std::make_shared<httpstream::ClientConnection>(context_.get_executor());
+    const std::string bytes =
+      fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
+                  "Content-Length: {}\r\n\r\n{}",
+                  aMethod,
+                  aTarget,
+                  aFields,
+                  aBody.size(),
+                  aBody);
+    call->connection_->Connect(
+      aAddress,
+      std::chrono::seconds(10),
+      [raw = call.get(), bytes](bool aIsConnected) {
+        if (!aIsConnected) {
+          raw->OnEnd(httpstream::CallEnd::NotConnected);
+          return;
+        }
+        httpstream::Call request;
+        request.bytes_ = bytes;
+        raw->connection_->Start(std::move(request), *raw);
+      });
+    return call;
+  }
+
+  /// Sends a call and waits for its end.
+  std::unique_ptr<CallerCall> AskAt(
+    const boost::asio::ip::tcp::endpoint& aAddress,
+    const std::string& aMethod,
+    const std::string& aTarget,
+    const std::string& aFields = {},
+    const std::string& aBody = {})
+  {
+    auto call = SendTo(aAddress, aMethod, aTarget, aFields, aBody);
+    RunUntil([&call] { return call->IsOver(); });
+    return call;
+  }
+
+  static boost::asio::ip::tcp::endpoint Loopback(std::uint16_t aPort)
+  {
+    return { boost::asio::ip::address_v4::loopback(), aPort };
+  }
+
+  boost::asio::io_context context_;
+};
+
+} // namespace pumiceturn::adapter
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -2,7 +2,6 @@
 
 #include "LibBase/Base64.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
@@ -14,20 +13,6 @@
 
 namespace {
 
-boost::asio::ip::tcp::endpoint
-Loopback(std::uint16_t aPort)
-{
-  return { boost::asio::ip::address_v4::loopback(), aPort };
-}
-
-/// @return a port that was free a moment ago.
-std::uint16_t
-FreePort(boost::asio::io_context& aContext)
-{
-  const boost::asio::ip::tcp::acceptor acceptor(aContext, Loopback(0));
-  return acceptor.local_endpoint().port();
-}
-
 json
 MakeRoute(const std::string& aName, const std::string& aKind)
 {
@@ -52,6 +37,13 @@
 {
 }
 
+std::uint16_t
+GatewayFixture::FreePort()
+{
+  const boost::asio::ip::tcp::acceptor acceptor(context_, Loopback(0));
+  return acceptor.local_endpoint().port();
+}
+
 void
 GatewayFixture::WriteConfiguration(std::uint64_t aVersion)
 {
@@ -83,8 +75,8 @@
 {
   hosts_.push_back(std::make_unique<TestHost>());
   TestHost& host = *hosts_.back();
-  host.callerPort_ = FreePort(context_);
-  host.statusPort_ = FreePort(context_);
+  host.callerPort_ = FreePort();
+  host.statusPort_ = FreePort();
   gateway::GatewaySettings settings;
   settings.host_ = aName;
   settings.incarnation_ = "1";
@@ -92,9 +84,9 @@
   settings.lotPreference_ = aPreference;
   settings.callerAddress_ = fmt::format("127.0.0.1:{}", host.callerPort_);
   settings.statusAddress_ = fmt::format("127.0.0.1:{}", host.statusPort_);
-  settings.peerAddress_ = fmt::format("127.0.0.1:{}", FreePort(context_));
+  settings.peerAddress_ = fmt::format("127.0.0.1:{}", FreePort());
   settings.lotRetention_ = lotRetention_;
-  host.passOnPort_ = FreePort(context_);
+  host.passOnPort_ = FreePort();
   settings.passOnAddress_ = fmt::format("127.0.0.1:{}", host.passOnPort_);
   host.storePort_ = store_.OpenDoor();
   const auto storeAddress = Loopback(host.storePort_);
@@ -122,39 +114,7 @@
                      const std::string& aFields,
                      const std::string& aBody)
 {
-  auto call = std::make_unique<CallerCall>();
-  call->connection_ =
-    std::make_shared<httpstream::ClientConnection>(context_.get_executor());
-  const std::string bytes =
-    fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
-                "Content-Length: {}\r\n\r\n{}",
-                aMethod,
-                aTarget,
-                aFields,
-                aBody.size(),
-                aBody);
-  call->connection_->Connect(Loopback(aPort),
-                             std::chrono::seconds(10),
-                             [raw = call.get(), bytes](bool aIsConnected) {
-                               REQUIRE(aIsConnected);
-                               httpstream::Call request;
-                               request.bytes_ = bytes;
-                               raw->connection_->Start(std::move(request),
-                                                       *raw);
-                             });
-  return call;
-}
-
-std::unique_ptr<CallerCall>
-GatewayFixture::AskAt(std::uint16_t aPort,
-                      const std::string& aMethod,
-                      const std::string& aTarget,
-                      const std::string& aFields,
-                      const std::string& aBody)
-{
-  auto call = Send(aPort, aMethod, aTarget, aFields, aBody);
-  RunUntil([&call] { return call->IsOver(); });
-  return call;
+  return SendTo(Loopback(aPort), aMethod, aTarget, aFields, aBody);
 }
 
 std::unique_ptr<CallerCall>
@@ -164,7 +124,7 @@
                     const std::string& aFields,
                     const std::string& aBody)
 {
-  return AskAt(aHost.callerPort_, aMethod, aTarget, aFields, aBody);
+  return AskAt(Loopback(aHost.callerPort_), aMethod, aTarget, aFields, aBody);
 }
 
 std::string
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibGateway/Gateway.h"
-#include "Tests/Platform/CallerCall.h"
+#include "Tests/Platform/CallingFixture.h"
 #include "platform/RequestCodec.h"
 #include "platform/Standin/ServerStandin.h"
 #include "platform/Standin/StoreStandin.h"
@@ -30,23 +30,13 @@
 };
 
 /// Gateways, a store and servers in one event loop on loopback.
-class GatewayFixture
+class GatewayFixture : protected CallingFixture
 {
 protected:
   GatewayFixture();
 
-  template<typename Predicate>
-  void RunUntil(Predicate&& aPredicate)
-  {
-    // A bound for a hanging test; no verdict depends on how fast it runs.
-    constexpr std::chrono::seconds kBound{ 60 };
-    const auto end = std::chrono::steady_clock::now() + kBound;
-    while (!aPredicate() && std::chrono::steady_clock::now() < end) {
-      context_.run_one_for(std::chrono::milliseconds(20));
-      context_.restart();
-    }
-    REQUIRE(aPredicate());
-  }
+  /// @return a port that was free a moment ago.
+  std::uint16_t FreePort();
 
   /// Starts a host and waits until it is ready.
   TestHost& StartHost(const std::string& aName,
@@ -58,17 +48,11 @@
 
   ServerStandin& AddServer(const std::string& aInstance);
 
-  /// Sends a call; RunUntil its IsOver().
   std::unique_ptr<CallerCall> Send(std::uint16_t aPort,
                                    const std::string& aMethod,
                                    const std::string& aTarget,
                                    const std::string& aFields = {},
                                    const std::string& aBody = {});
-  std::unique_ptr<CallerCall> AskAt(std::uint16_t aPort,
-                                    const std::string& aMethod,
-                                    const std::string& aTarget,
-                                    const std::string& aFields = {},
-                                    const std::string& aBody = {});
   std::unique_ptr<CallerCall> Ask(TestHost& aHost,
                                   const std::string& aMethod,
                                   const std::string& aTarget,
@@ -78,7 +62,6 @@
   static std::string WholeStream();
   static std::string LotBody(int aItems);
 
-  boost::asio::io_context context_;
   StoreStandin store_;
   RequestCodec requestCodec_;
   StoreEntries storeEntries_;
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -213,7 +213,7 @@
     }
   }
   const auto told = [&other, this] {
-    return AskAt(other.statusPort_, "GET", "/metrics")->body_;
+    return AskAt(Loopback(other.statusPort_), "GET", "/metrics")->body_;
   };
   RunUntil([&] {
     CHECK(Stream("/once/bad")->status_ == 502);
--- a/Tests/PlatformPath/PathFixture.cpp
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -55,30 +55,7 @@
                   const std::string& aFields,
                   const std::string& aBody)
 {
-  auto call = std::make_unique<CallerCall>();
-  call->connection_ =
-    std::make_shared<httpstream::ClientConnection>(context_.get_executor());
-  const std::string bytes =
-    fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
-                "Content-Length: {}\r\n\r\n{}",
-                aMethod,
-                aTarget,
-                aFields,
-                aBody.size(),
-                aBody);
-  call->connection_->Connect(Process(aProcess).address_,
-                             std::chrono::seconds(10),
-                             [raw = call.get(), bytes](bool aIsConnected) {
-                               if (!aIsConnected) {
-                                 raw->OnEnd(httpstream::CallEnd::NotConnected);
-                                 return;
-                               }
-                               httpstream::Call request;
-                               request.bytes_ = bytes;
-                               raw->connection_->Start(std::move(request),
-                                                       *raw);
-                             });
-  return call;
+  return SendTo(Process(aProcess).address_, aMethod, aTarget, aFields, aBody);
 }
 
 std::unique_ptr<CallerCall>
@@ -88,9 +65,7 @@
                  const std::string& aFields,
                  const std::string& aBody)
 {
-  auto call = Send(aProcess, aMethod, aTarget, aFields, aBody);
-  RunUntil([&call] { return call->IsOver(); });
-  return call;
+  return AskAt(Process(aProcess).address_, aMethod, aTarget, aFields, aBody);
 }
 
 std::unique_ptr<CallerCall>
--- a/Tests/PlatformPath/PathFixture.h
+++ b/Tests/PlatformPath/PathFixture.h
@@ -1,15 +1,13 @@
 #pragma once
 
-#include "Tests/Platform/CallerCall.h"
+#include "Tests/Platform/CallingFixture.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include <sys/types.h>
 
-#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,7 +24,7 @@
 };
 
 /// Calls the real programs over loopback, as callers and operators do.
-class PathFixture
+class PathFixture : protected CallingFixture
 {
 protected:
   using json = nlohmann::json;
@@ -34,19 +32,6 @@
   /// Reads which processes run, and waits until both entry hosts serve.
   PathFixture();
 
-  template<typename Predicate>
-  void RunUntil(Predicate&& aPredicate)
-  {
-    // A bound for a hanging test; no verdict depends on how fast it runs.
-    constexpr std::chrono::seconds kBound{ 90 };
-    const auto end = std::chrono::steady_clock::now() + kBound;
-    while (!aPredicate() && std::chrono::steady_clock::now() < end) {
-      context_.run_one_for(std::chrono::milliseconds(20));
-      context_.restart();
-    }
-    REQUIRE(aPredicate());
-  }
-
   [[nodiscard]] const FleetProcess& Process(const std::string& aName) const;
 
   std::unique_ptr<CallerCall> Send(const std::string& aProcess,
@@ -98,7 +83,6 @@
   static std::string WholeOutput();
 
 private:
-  boost::asio::io_context context_;
   std::vector<FleetProcess> processes_;
 };
 
