LibFleet: Refuse online requests that would wait too long

Cause: nothing refused early. Ruled out: broken endpoints (all tries that went silent were in queues). Change: AdmissionControl estimates the wait from the runs at the chosen endpoint and the mean run time; beyond 0.6 of the route's objective a caller that comes for the first time is refused at once and told to come back within the third of its time that callers heed. Who comes back is queued; the first byte of a request that was queued knowingly is waited for longer. The fixture's FreePort could draw a port twice (a host could not listen in one run): it remembers them now.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -35,6 +35,9 @@
   std::vector<RouteTarget> targets_;
   std::uint32_t maxAttempts_ = 1; ///< Endpoints for one attempt of the caller.
   base::Duration timeout_{ std::chrono::seconds{ 15 } };
+  /// Within which the answer, or a stream's first event, is on time; zero:
+  /// nothing is declared.
+  base::Duration objective_{ 0 };
   base::Duration dueAfter_{ 0 };    ///< Of a lot, from its first submission.
   base::Duration giveUpAfter_{ 0 }; ///< When a lot's item may be abandoned.
 };
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -120,6 +120,12 @@
   base::LogLevel::Warning,
   "A request is refused: endpoints crashed one after the other that ran it."
 };
+inline constexpr base::Event kRequestNotAdmitted{
+  7124,
+  "request_not_admitted",
+  base::LogLevel::Info,
+  "A request is refused before it is sent: it would wait too long for a place."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -132,6 +132,7 @@
              httpstream::ConnectionPool(aContext.get_executor()),
              std::mt19937_64(std::random_device{}()),
              {},
+             {},
              {} }
   , lots_(layout_.lots_, MakeDecoder(aCodec))
   , operatorMirror_(
@@ -380,6 +381,7 @@
   if (!shared_.routes_.Install(std::move(*declarations))) {
     return;
   }
+  shared_.admission_.ForgetRoutes();
   callers_.SetLimits(limits);
   base::Log(kDeclarationsInForce,
             { { "version", shared_.routes_.Version() },
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -19,9 +19,9 @@
 /// pause of over 400 ms as late and leave after about 3 s.
 constexpr std::chrono::milliseconds kGapTimeout{ 900 };
 
-/// When a caller that was refused should come back: about the time in which an
-/// engine finishes one of its running requests.
-constexpr std::chrono::milliseconds kRetryAfter{ 50 };
+/// Longest wait for the first byte of a request that was queued knowingly:
+/// callers leave a stream after somewhat over 3 s without an event.
+constexpr std::chrono::milliseconds kLongestFirstByteTimeout{ 2500 };
 
 /// Endpoints that may fail to accept a connection before a request is refused.
 constexpr std::uint32_t kMaxFailedConnects = 3;
@@ -195,12 +195,47 @@
     TryNext();
     return;
   }
+  if (!Admit(*choice)) {
+    return;
+  }
   if (choice->preemptsBatch_) {
     preemptBatch_(*choice);
   }
   Send(*choice);
 }
 
+bool
+OnlineRelay::Admit(const fleet::EndpointChoice& aChoice)
+{
+  expectedWait_ = base::Duration::zero();
+  if (aChoice.preemptsBatch_) {
+    return true;
+  }
+  const fleet::AdmissionRequest request{
+    aChoice.endpoint_.service_, route_.name_,      aChoice.running_,
+    aChoice.endpoint_.slots_,   route_.objective_, call_.patience_
+  };
+  const fleet::Admission admission =
+    shared_.admission_.Judge(request, NextRandom(shared_.random_));
+  expectedWait_ = admission.expectedWait_;
+  // Who was sent once is never sent away: a refusal would come late.
+  if (!admission.comeBackAfter_ || !tried_.empty() || mayHaveRun_) {
+    return true;
+  }
+  base::Log(kRequestNotAdmitted,
+            { { "request", call_.requestId_ },
+              { "route", route_.name_ },
+              { "endpoint", aChoice.endpoint_.id_ },
+              { "running", aChoice.running_ },
+              { "candidates", aChoice.candidates_ },
+              { "wait_ms", base::ToMs(admission.expectedWait_) },
+              { "objective_ms", base::ToMs(route_.objective_) },
+              { "come_back_ms", base::ToMs(*admission.comeBackAfter_) } });
+  exchange_->Answer(shared_.codec_.MakeNotRun(*admission.comeBackAfter_));
+  Finish(RelayEnd::NotRun);
+  return false;
+}
+
 void
 OnlineRelay::Send(const fleet::EndpointChoice& aChoice)
 {
@@ -229,7 +264,8 @@
   call.echoValue_ = call_.requestId_;
   call.isHead_ = request.method() == boost::beast::http::verb::head;
   if (MayRunAgain()) {
-    call.firstByteTimeout_ = kFirstByteTimeout;
+    call.firstByteTimeout_ = std::min<base::Duration>(
+      kFirstByteTimeout + expectedWait_, kLongestFirstByteTimeout);
     call.gapTimeout_ = kGapTimeout;
   }
   tried_.push_back(aChoice.endpoint_.id_);
@@ -321,7 +357,12 @@
     if (!exchange_->IsStreaming()) {
       exchange_->BeginStream(*head_);
     }
-    shared_.suspects_.NoteAnswered(content_, base::MonotonicNow());
+    const base::Instant now = base::MonotonicNow();
+    shared_.suspects_.NoteAnswered(content_, now);
+    if (firstPieceAt_ && tried_.size() == 1) {
+      shared_.admission_.NoteRun(run_->Endpoint().service_,
+                                 now - *firstPieceAt_);
+    }
     exchange_->EndStream();
     Finish(RelayEnd::Answered);
     return;
@@ -434,7 +475,9 @@
 void
 OnlineRelay::AnswerNotRun()
 {
-  exchange_->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
+  exchange_->Answer(
+    shared_.codec_.MakeNotRun(fleet::AdmissionControl::ComeBackAfter(
+      TimeLeft(), NextRandom(shared_.random_))));
   Finish(RelayEnd::NotRun);
 }
 
--- a/Libraries/LibGateway/OnlineRelay.h
+++ b/Libraries/LibGateway/OnlineRelay.h
@@ -53,6 +53,9 @@
   [[nodiscard]] bool MayRunAgain() const;
   [[nodiscard]] base::Duration TimeLeft() const;
   void TryNext();
+  /// Refuses the request where it would wait too long for a place.
+  /// @return whether it may be sent.
+  [[nodiscard]] bool Admit(const fleet::EndpointChoice& aChoice);
   void Send(const fleet::EndpointChoice& aChoice);
   void PassEvents();
   void OnWholeAnswer();
@@ -74,6 +77,7 @@
   std::shared_ptr<EndpointRun> run_;
   std::vector<std::string> tried_; ///< Endpoints that got the request.
   std::uint32_t failedConnects_ = 0;
+  base::Duration expectedWait_{ 0 }; ///< For a place, when it was last sent.
   bool mayHaveRun_ = false;
   std::uint64_t content_;           ///< Hash of what is asked.
   bool runIsRetry_ = false;         ///< After a crash of such a run.
--- a/Libraries/LibGateway/Shared.h
+++ b/Libraries/LibGateway/Shared.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/AdmissionControl.h"
 #include "LibFleet/EndpointTable.h"
 #include "LibFleet/RouteTable.h"
 #include "LibFleet/SuspectTable.h"
@@ -21,6 +22,7 @@
   std::mt19937_64 random_;
   metrics::Registry metrics_;
   fleet::SuspectTable suspects_;
+  fleet::AdmissionControl admission_;
 };
 
 /// @return a number that is uniform in [0, 1).
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -14,14 +14,16 @@
 namespace {
 
 json
-MakeRoute(const std::string& aName, const std::string& aKind)
+MakeRoute(const std::string& aName,
+          const std::string& aKind,
+          double aObjectiveMs = 300)
 {
   return { { "name", aName },
            { "hostname", "a.example" },
            { "prefix", "/" + aName + "/" },
            { "kind", aKind },
            { "timeoutMs", 20000 },
-           { "sloMs", 300 },
+           { "sloMs", aObjectiveMs },
            { "priority", 0 },
            { "service", "service" },
            { "maxAttempts", 2 },
@@ -30,6 +32,9 @@
            { "maxWaitS", 120 } };
 }
 
+/// Any wait for a place is too long for it.
+constexpr double kShortestObjectiveMs = 1;
+
 } // namespace
 
 GatewayFixture::GatewayFixture()
@@ -40,8 +45,14 @@
 std::uint16_t
 GatewayFixture::FreePort()
 {
-  const boost::asio::ip::tcp::acceptor acceptor(context_, Loopback(0));
-  return acceptor.local_endpoint().port();
+  while (true) {
+    const boost::asio::ip::tcp::acceptor acceptor(context_, Loopback(0));
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    // The kernel may draw the same port again before the first is in use.
+    if (drawnPorts_.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 void
@@ -52,6 +63,7 @@
     { "routes",
       { MakeRoute("resumable", "stream"),
         MakeRoute("stream", "stream"),
+        MakeRoute("urgent", "stream", kShortestObjectiveMs),
         MakeRoute("once", "unsafe"),
         MakeRoute(fmt::format("v{}", aVersion), "safe"),
         MakeRoute("lots", "batch") } },
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,8 @@
                       lots::LotPreference aPreference);
 
   /// Writes a configuration with a resumable stream, a stream that may run
-  /// once, a service call that may run once, and lots.
+  /// once, one that may not wait for a place, a service call that may run once,
+  /// and lots.
   void WriteConfiguration(std::uint64_t aVersion);
 
   ServerStandin& AddServer(const std::string& aInstance);
@@ -65,6 +67,7 @@
   StoreStandin store_;
   RequestCodec requestCodec_;
   StoreEntries storeEntries_;
+  std::set<std::uint16_t> drawnPorts_;
   base::Duration lotRetention_{ std::chrono::minutes{ 10 } };
   std::vector<std::unique_ptr<TestHost>> hosts_;
   std::vector<std::unique_ptr<ServerStandin>> servers_;
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -106,6 +106,33 @@
   CHECK_FALSE(call->retryAfter_.empty());
 }
 
+// Servers were taken away, and translators wait for seconds: each line queues
+// behind all others at an engine, also when the burst is nearly over. A line
+// that would wait too long is refused at once, and queued when it comes again.
+TEST_CASE_METHOD(OnlineFixture, "Online_PlacesTaken_NewCallerComesBackLater")
+{
+  constexpr int kLearnt = 10;
+  for (int round = 0; round < kLearnt; ++round) {
+    CHECK(Stream("/urgent/pause-20")->status_ == 200);
+  }
+  constexpr int kPlaces = 4;
+  std::vector<std::unique_ptr<CallerCall>> held;
+  for (int place = 0; place < kPlaces; ++place) {
+    held.push_back(Send(host_->callerPort_,
+                        "POST",
+                        "/stream/hold-2",
+                        "Attempt-Id: h\r\nDeadline-Ms: 9000\r\n"));
+    RunUntil([&held] { return !held.back()->body_.empty(); });
+  }
+  const auto refused = Stream("/urgent/1");
+  CHECK(refused->status_ == 503);
+  CHECK(std::stod(refused->retryAfter_) > 0.5);
+  CHECK(RequestCount() == kLearnt + kPlaces);
+  const auto again =
+    Ask(*host_, "POST", "/urgent/1", "Attempt-Id: r2\r\nDeadline-Ms: 7500\r\n");
+  CHECK(again->status_ == 200);
+}
+
 TEST_CASE_METHOD(OnlineFixture, "Online_ServersOwnFailure_PassesUnchanged")
 {
   EnqueueAtBoth({ ServerScript::Kind::Status, 0, 500 });
