LibFleet: Hear peers that are cut off through another one

Cause: a host that is cut off from some peers took their runs for none, and its requests to let batch give way were lost; the workers in turn started batch where its online work ran. Change: PeerHearing asks a peer that is heard to pass on what silent ones say; yields take the same way. A peer whose registration is gone goes on being told as long as it is heard.

--- a/Libraries/LibFleet/AdmissionControl.cpp
+++ b/Libraries/LibFleet/AdmissionControl.cpp
@@ -90,8 +90,9 @@
 AdmissionControl::ComeBackAfter(std::optional<base::Duration> aPatience,
                                 double aRandom)
 {
-  const base::Duration longest = std::min(
-    Scale(aPatience.value_or(kUsualPatience), kComeBackShare), kLongestComeBack);
+  const base::Duration longest =
+    std::min(Scale(aPatience.value_or(kUsualPatience), kComeBackShare),
+             kLongestComeBack);
   return Scale(longest,
                kLeastComeBackPart + (1.0 - kLeastComeBackPart) * aRandom);
 }
--- /dev/null
+++ b/Libraries/LibFleet/PeerHearing.cpp
@@ -0,0 +1,109 @@
+#include "LibFleet/PeerHearing.h"
+
+namespace pumiceturn::fleet {
+
+void
+PeerHearing::Add(const std::string& aPeer, base::Instant aNow)
+{
+  peers_.try_emplace(aPeer, Peer{ aNow, {}, {} });
+}
+
+void
+PeerHearing::Remove(const std::string& aPeer)
+{
+  peers_.erase(aPeer);
+}
+
+bool
+PeerHearing::IsHeard(const std::string& aPeer, base::Instant aNow) const
+{
+  const auto peer = peers_.find(aPeer);
+  return peer != peers_.end() && aNow - peer->second.heardAt_ <= kSilence;
+}
+
+void
+PeerHearing::NoteHeard(const std::string& aPeer, base::Instant aNow)
+{
+  if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+    peer->second.heardAt_ = aNow;
+  }
+}
+
+void
+PeerHearing::NotePassedOn(const std::string& aPeer,
+                          const std::string& aRelay,
+                          base::Instant aNow)
+{
+  if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+    peer->second.relay_ = aRelay;
+    peer->second.passedOnAt_ = aNow;
+  }
+}
+
+void
+PeerHearing::NoteAsked(const std::string& aAsker,
+                       const std::string& aPeer,
+                       base::Instant aNow)
+{
+  std::erase_if(askers_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kSilence;
+  });
+  const std::pair key(aPeer, aAsker);
+  if (askers_.size() < kMostPassedOn || askers_.contains(key)) {
+    askers_[key] = aNow;
+  }
+}
+
+std::vector<std::string>
+PeerHearing::Askers(const std::string& aPeer, base::Instant aNow) const
+{
+  std::vector<std::string> askers;
+  for (auto entry = askers_.lower_bound({ aPeer, {} });
+       entry != askers_.end() && entry->first.first == aPeer;
+       ++entry) {
+    if (aNow - entry->second <= kSilence) {
+      askers.push_back(entry->first.second);
+    }
+  }
+  return askers;
+}
+
+std::optional<std::string>
+PeerHearing::RelayTo(const std::string& aPeer, base::Instant aNow) const
+{
+  const auto peer = peers_.find(aPeer);
+  if (peer == peers_.end() || IsHeard(aPeer, aNow) ||
+      aNow - peer->second.passedOnAt_ > kSilence ||
+      !IsHeard(peer->second.relay_, aNow)) {
+    return std::nullopt;
+  }
+  return peer->second.relay_;
+}
+
+std::vector<RelayQuestion>
+PeerHearing::Questions(base::Instant aNow, std::mt19937_64& aRandom) const
+{
+  std::vector<std::string> heard;
+  std::vector<std::string> silent;
+  for (const auto& [name, peer] : peers_) {
+    (IsHeard(name, aNow) ? heard : silent).push_back(name);
+  }
+  if (heard.empty()) {
+    return {};
+  }
+  // Who passed on a peer's last message is asked again; for the others, one
+  // peer is drawn each time, since only some may hear them.
+  std::uniform_int_distribution<std::size_t> draw(0, heard.size() - 1);
+  const std::string& drawn = heard[draw(aRandom)];
+  std::map<std::string, std::vector<std::string>> byRelay;
+  for (const std::string& name : silent) {
+    byRelay[RelayTo(name, aNow).value_or(drawn)].push_back(name);
+  }
+  std::vector<RelayQuestion> questions;
+  for (auto& [relay, names] : byRelay) {
+    questions.push_back({ relay, std::move(names) });
+  }
+  return questions;
+}
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -55,14 +55,30 @@
 {
   const auto address = ParseAddress(aAddress);
   if (aName != ownName_ && address) {
-    peers_[aName] = { address->address(), address->port() };
+    peers_[aName] = { { address->address(), address->port() }, true };
+    hearing_.Add(aName, base::MonotonicNow());
   }
 }
 
 void
 PeerExchange::RemovePeer(const std::string& aName)
 {
-  peers_.erase(aName);
+  if (const auto peer = peers_.find(aName); peer != peers_.end()) {
+    peer->second.isRegistered_ = false;
+  }
+}
+
+void
+PeerExchange::DropSilentPeers(base::Instant aNow)
+{
+  std::erase_if(peers_, [this, aNow](const auto& aEntry) {
+    const bool isGone =
+      !aEntry.second.isRegistered_ && !hearing_.IsHeard(aEntry.first, aNow);
+    if (isGone) {
+      hearing_.Remove(aEntry.first);
+    }
+    return isGone;
+  });
 }
 
 void
@@ -103,10 +119,40 @@
     content["changed"] = std::move(rows);
   }
   const std::vector<std::uint8_t> message = json::to_cbor(content);
-  for (const auto& [name, address] : peers_) {
-    boost::system::error_code ignored;
-    // A datagram that can't be sent now is replaced by the next.
-    socket_.send_to(asio::buffer(message), address, 0, ignored);
+  for (const auto& [name, peer] : peers_) {
+    SendTo(peer.address_, message);
+  }
+  if (update->isWhole_) {
+    DropSilentPeers(now);
+    AskForSilentPeers(now);
+  }
+}
+
+void
+PeerExchange::SendTo(const asio::ip::udp::endpoint& aAddress,
+                     std::span<const std::uint8_t> aMessage)
+{
+  boost::system::error_code ignored;
+  // A datagram that can't be sent now is replaced by the next.
+  socket_.send_to(
+    asio::buffer(aMessage.data(), aMessage.size()), aAddress, 0, ignored);
+}
+
+void
+PeerExchange::SendTo(const std::string& aPeer, const json& aContent)
+{
+  if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+    SendTo(peer->second.address_, json::to_cbor(aContent));
+  }
+}
+
+void
+PeerExchange::AskForSilentPeers(base::Instant aNow)
+{
+  for (const fleet::RelayQuestion& question :
+       hearing_.Questions(aNow, shared_.random_)) {
+    SendTo(question.relay_,
+           { { "host", ownName_ }, { "silent", question.peers_ } });
   }
 }
 
@@ -144,15 +190,13 @@
 void
 PeerExchange::AskToYield(const std::string& aPeer, const std::string& aEndpoint)
 {
-  const auto peer = peers_.find(aPeer);
-  if (peer == peers_.end()) {
-    return;
-  }
-  const std::vector<std::uint8_t> message =
-    json::to_cbor({ { "host", ownName_ }, { "yield", aEndpoint } });
-  boost::system::error_code ignored;
   // Lost, it costs no more than the peer's next look.
-  socket_.send_to(asio::buffer(message), peer->second, 0, ignored);
+  json content = { { "host", ownName_ }, { "yield", aEndpoint } };
+  const auto relay = hearing_.RelayTo(aPeer, base::MonotonicNow());
+  if (relay) {
+    content["to"] = aPeer;
+  }
+  SendTo(relay.value_or(aPeer), content);
 }
 
 void
@@ -190,22 +234,22 @@
 {
   try {
     const json message = json::from_cbor(aMessage.begin(), aMessage.end());
-    if (const auto endpoint = message.find("yield");
-        endpoint != message.end()) {
-      onYield_(endpoint->get<std::string>());
-      return;
-    }
     const base::Instant now = base::MonotonicNow();
     const std::string host = message.at("host").get<std::string>();
-    if (const auto rows = message.find("changed"); rows != message.end()) {
-      shared_.endpoints_.TakePeerChanges(host, ReadCounts(*rows), now);
-      return;
-    }
-    shared_.endpoints_.TakePeerCounts(
-      host, ReadCounts(message.at("runs")), now);
-    // A host with an earlier version sends none.
-    if (const auto rows = message.find("suspects"); rows != message.end()) {
-      TakeSuspects(*rows);
+    hearing_.NoteHeard(host, now);
+    if (const auto inner = message.find("passed_on"); inner != message.end()) {
+      const std::string origin = inner->at("host").get<std::string>();
+      hearing_.NotePassedOn(origin, host, now);
+      TakeCounts(origin, *inner, now);
+    } else if (message.contains("yield")) {
+      TakeYield(message);
+    } else if (message.contains("silent")) {
+      for (const json& peer : message.at("silent")) {
+        hearing_.NoteAsked(host, peer.get<std::string>(), now);
+      }
+    } else {
+      TakeCounts(host, message, now);
+      PassOn(host, message, now);
     }
   } catch (const json::exception&) {
     // Not one of ours: anyone can send to a port.
@@ -216,4 +260,42 @@
   }
 }
 
+void
+PeerExchange::TakeCounts(const std::string& aHost,
+                         const json& aMessage,
+                         base::Instant aNow)
+{
+  if (const auto rows = aMessage.find("changed"); rows != aMessage.end()) {
+    shared_.endpoints_.TakePeerChanges(aHost, ReadCounts(*rows), aNow);
+    return;
+  }
+  shared_.endpoints_.TakePeerCounts(
+    aHost, ReadCounts(aMessage.at("runs")), aNow);
+  // A host with an earlier version sends none.
+  if (const auto rows = aMessage.find("suspects"); rows != aMessage.end()) {
+    TakeSuspects(*rows);
+  }
+}
+
+void
+PeerExchange::TakeYield(const json& aMessage)
+{
+  const std::string to = aMessage.value("to", ownName_);
+  if (to == ownName_) {
+    onYield_(aMessage.at("yield").get<std::string>());
+    return;
+  }
+  SendTo(to, { { "host", ownName_ }, { "yield", aMessage.at("yield") } });
+}
+
+void
+PeerExchange::PassOn(const std::string& aHost,
+                     const json& aMessage,
+                     base::Instant aNow)
+{
+  for (const std::string& asker : hearing_.Askers(aHost, aNow)) {
+    SendTo(asker, { { "host", ownName_ }, { "passed_on", aMessage } });
+  }
+}
+
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/CountNews.h"
+#include "LibFleet/PeerHearing.h"
 #include "LibGateway/Shared.h"
 
 #include <boost/asio/io_context.hpp>
@@ -9,8 +10,11 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -19,7 +23,8 @@
 /// Tells the other hosts how many runs this host has at each endpoint, changes
 /// at once and all of them several times a second, and hears the same from
 /// them, by datagrams: a lost one is made good by the next with all counts.
-/// Belongs to the event thread.
+/// What a peer says that isn't heard itself is passed on by another. Belongs to
+/// the event thread.
 class PeerExchange
 {
 public:
@@ -36,6 +41,9 @@
 
   /// @param aAddress IP:PORT.
   void SetPeer(const std::string& aName, const std::string& aAddress);
+
+  /// A peer's registration is gone. It goes on being told of runs as long as it
+  /// is heard: its lease may have lapsed while the store turned it away.
   void RemovePeer(const std::string& aName);
 
   /// Asks a peer to let one of its batch runs at an endpoint give way, at once:
@@ -45,8 +53,22 @@
 private:
   void SendLater();
   void Send();
+  void SendTo(const boost::asio::ip::udp::endpoint& aAddress,
+              std::span<const std::uint8_t> aMessage);
+  void SendTo(const std::string& aPeer, const nlohmann::json& aContent);
+  void DropSilentPeers(base::Instant aNow);
+  void AskForSilentPeers(base::Instant aNow);
   void Receive();
   void Take(std::string_view aMessage);
+  void TakeCounts(const std::string& aHost,
+                  const nlohmann::json& aMessage,
+                  base::Instant aNow);
+  void TakeYield(const nlohmann::json& aMessage);
+
+  /// Passes a peer's message on to the hosts that don't hear it themselves.
+  void PassOn(const std::string& aHost,
+              const nlohmann::json& aMessage,
+              base::Instant aNow);
   [[nodiscard]] static std::vector<fleet::PeerCount> ReadCounts(
     const nlohmann::json& aRows);
   void TakeSuspects(const nlohmann::json& aRows);
@@ -58,7 +80,13 @@
   std::string ownName_;
   YieldHandler onYield_;
   fleet::CountNews news_;
-  std::unordered_map<std::string, boost::asio::ip::udp::endpoint> peers_;
+  fleet::PeerHearing hearing_;
+  struct Peer
+  {
+    boost::asio::ip::udp::endpoint address_;
+    bool isRegistered_ = true;
+  };
+  std::unordered_map<std::string, Peer> peers_;
   static constexpr std::size_t kMaxDatagram = 65536;
   std::array<char, kMaxDatagram> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
