LibGateway: Ask peers that are heard to reach the store; drop gone peers' calls

LotDesk kept a caller for each address for good. Change: StorePaths prefers peers whose datagrams arrive; LotDesk's callers are dropped with their peers; gauge pumiceturn_peers_heard. Test: StorePath_SomePeersCutOff_AsksTheOneItHears, shown to fail without the preference.

--- a/Libraries/LibFleet/PeerHearing.cpp
+++ b/Libraries/LibFleet/PeerHearing.cpp
@@ -1,11 +1,13 @@
 #include "LibFleet/PeerHearing.h"
 
+#include <algorithm>
+
 namespace pumiceturn::fleet {
 
 void
-PeerHearing::Add(const std::string& aPeer, base::Instant aNow)
+PeerHearing::Add(const std::string& aPeer)
 {
-  peers_.try_emplace(aPeer, Peer{ aNow, {}, {} });
+  peers_.try_emplace(aPeer);
 }
 
 void
@@ -21,6 +23,15 @@
   return peer != peers_.end() && aNow - peer->second.heardAt_ <= kSilence;
 }
 
+std::size_t
+PeerHearing::HeardCount(base::Instant aNow) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    peers_.begin(), peers_.end(), [this, aNow](const auto& aEntry) {
+      return IsHeard(aEntry.first, aNow);
+    }));
+}
+
 void
 PeerHearing::NoteHeard(const std::string& aPeer, base::Instant aNow)
 {
--- a/Libraries/LibFleet/PeerHearing.h
+++ b/Libraries/LibFleet/PeerHearing.h
@@ -19,10 +19,10 @@
 };
 
 /// Knows which peers a host hears itself, and finds others that pass on what
-/// the rest say. Where a host is cut off from some peers alone, both sides would
-/// take each other's runs for none: batch is started in places that online work
-/// has, and a request to let it give way is lost. Takes time and random numbers
-/// as arguments, does no I/O, is not thread-safe.
+/// the rest say. Where a host is cut off from some peers alone, both sides
+/// would take each other's runs for none: batch is started in places that
+/// online work has, and a request to let it give way is lost. Takes time and
+/// random numbers as arguments, does no I/O, is not thread-safe.
 class PeerHearing
 {
 public:
@@ -34,7 +34,8 @@
   /// that asked: bounds what a split of a large fleet costs.
   static constexpr std::size_t kMostPassedOn = 64;
 
-  void Add(const std::string& aPeer, base::Instant aNow);
+  /// A peer is known. It counts as silent until its first message.
+  void Add(const std::string& aPeer);
   void Remove(const std::string& aPeer);
 
   /// A message came from the peer itself.
@@ -58,12 +59,16 @@
   [[nodiscard]] bool IsHeard(const std::string& aPeer,
                              base::Instant aNow) const;
 
+  /// @return how many peers are heard.
+  [[nodiscard]] std::size_t HeardCount(base::Instant aNow) const;
+
   /// @return what is to be asked now, and whom.
   [[nodiscard]] std::vector<RelayQuestion> Questions(
     base::Instant aNow,
     std::mt19937_64& aRandom) const;
 
-  /// @return the peer that reaches a silent one; nothing where the peer is heard
+  /// @return the peer that reaches a silent one; nothing where the peer is
+  /// heard
   ///         itself, or by nobody.
   [[nodiscard]] std::optional<std::string> RelayTo(const std::string& aPeer,
                                                    base::Instant aNow) const;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -196,6 +196,8 @@
   httpstream::ServerLimits peerLimits;
   peerLimits.maxBodyBytes_ = kLongestPeerBody;
   passedOn_.SetLimits(peerLimits);
+  storePaths_.SetIsHeard(
+    [this](const std::string& aHost) { return peers_.IsHeard(aHost); });
   desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
   worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
@@ -220,6 +222,10 @@
     "Runs known here that broke off before their first event.",
     {},
     [this] { return shared_.suspects_.Runs(base::MonotonicNow()).size(); });
+  shared_.metrics_.AddGauge("pumiceturn_peers_heard",
+                            "Other hosts whose own messages arrive here.",
+                            {},
+                            [this] { return peers_.HeardCount(); });
   shared_.metrics_.AddGauge("pumiceturn_configuration_version",
                             "Version in force.",
                             {},
@@ -509,7 +515,9 @@
 void
 Gateway::OnHostsChanged()
 {
-  storePaths_.SetPeers(hosts_.AddressesBut(OwnName()));
+  const std::vector<lots::PeerAddress> others = hosts_.PeersBut(OwnName());
+  storePaths_.SetPeers(others);
+  desk_.SetPeers(others);
   const bool mayRunLots = hosts_.IsPreferred(settings_.lotPreference_);
   lotMirror_.SetPause(mayRunLots
                         ? ShareOf(settings_.settleBound_, kLotPauseShare)
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -50,6 +50,12 @@
   /// Answers readers whose wait is over.
   void Tick(base::Instant aNow);
 
+  /// Names the other hosts; connections to those that are gone are dropped.
+  void SetPeers(const std::vector<lots::PeerAddress>& aPeers)
+  {
+    callers_.Keep(aPeers);
+  }
+
   /// Called with each lot whose state was changed or read here.
   void SetOnStateRead(std::function<void(const std::string&)> aCallback)
   {
--- a/Libraries/LibGateway/PeerCallers.cpp
+++ b/Libraries/LibGateway/PeerCallers.cpp
@@ -23,11 +23,13 @@
 }
 
 void
-PeerCallers::Keep(const std::vector<std::string>& aAddresses)
+PeerCallers::Keep(const std::vector<lots::PeerAddress>& aPeers)
 {
-  std::erase_if(callers_, [&aAddresses](const auto& aEntry) {
-    return std::find(aAddresses.begin(), aAddresses.end(), aEntry.first) ==
-           aAddresses.end();
+  std::erase_if(callers_, [&aPeers](const auto& aEntry) {
+    return std::none_of(
+      aPeers.begin(), aPeers.end(), [&aEntry](const auto& aPeer) {
+        return aPeer.address_ == aEntry.first;
+      });
   });
 }
 
--- a/Libraries/LibGateway/PeerCallers.h
+++ b/Libraries/LibGateway/PeerCallers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttpStream/HttpCaller.h"
+#include "LibLots/HostSet.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -26,7 +27,7 @@
   [[nodiscard]] httpstream::HttpCaller* Find(const std::string& aAddress);
 
   /// Drops the connections to all peers but these.
-  void Keep(const std::vector<std::string>& aAddresses);
+  void Keep(const std::vector<lots::PeerAddress>& aPeers);
 
   [[nodiscard]] std::size_t Count() const { return callers_.size(); }
 
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -56,7 +56,7 @@
   const auto address = ParseAddress(aAddress);
   if (aName != ownName_ && address) {
     peers_[aName] = { { address->address(), address->port() }, true };
-    hearing_.Add(aName, base::MonotonicNow());
+    hearing_.Add(aName);
   }
 }
 
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -46,6 +46,17 @@
   /// is heard: its lease may have lapsed while the store turned it away.
   void RemovePeer(const std::string& aName);
 
+  /// @return whether a peer's own messages arrive here.
+  [[nodiscard]] bool IsHeard(const std::string& aPeer) const
+  {
+    return hearing_.IsHeard(aPeer, base::MonotonicNow());
+  }
+
+  [[nodiscard]] std::size_t HeardCount() const
+  {
+    return hearing_.HeardCount(base::MonotonicNow());
+  }
+
   /// Asks a peer to let one of its batch runs at an endpoint give way, at once:
   /// waiting for its next look would cost the online request up to 200 ms.
   void AskToYield(const std::string& aPeer, const std::string& aEndpoint);
--- a/Libraries/LibGateway/StorePaths.cpp
+++ b/Libraries/LibGateway/StorePaths.cpp
@@ -124,21 +124,35 @@
 }
 
 void
-StorePaths::SetPeers(std::vector<std::string> aAddresses)
+StorePaths::SetPeers(std::vector<lots::PeerAddress> aPeers)
 {
-  callers_.Keep(aAddresses);
-  peers_ = std::move(aAddresses);
+  callers_.Keep(aPeers);
+  peers_ = std::move(aPeers);
+}
+
+httpstream::HttpCaller*
+StorePaths::NextPeer()
+{
+  if (peers_.empty()) {
+    return nullptr;
+  }
+  for (std::size_t step = 0; step < peers_.size(); ++step) {
+    const auto& peer = peers_[(nextPeer_ + step) % peers_.size()];
+    if (isHeard_(peer.host_)) {
+      nextPeer_ += step;
+      return callers_.Find(peer.address_);
+    }
+  }
+  return callers_.Find(peers_[nextPeer_ % peers_.size()].address_);
 }
 
 void
 StorePaths::AskPeer(const PendingPtr& aPending)
 {
   const bool mayAsk =
-    !peers_.empty() &&
     aPending->peersAsked_ < metadata::StorePath::kPeersAsked &&
     path_.MayAskPeer(base::MonotonicNow());
-  httpstream::HttpCaller* peer =
-    mayAsk ? callers_.Find(peers_[nextPeer_ % peers_.size()]) : nullptr;
+  httpstream::HttpCaller* peer = mayAsk ? NextPeer() : nullptr;
   if (peer == nullptr) {
     EndLater(aPending);
     return;
--- a/Libraries/LibGateway/StorePaths.h
+++ b/Libraries/LibGateway/StorePaths.h
@@ -3,6 +3,7 @@
 #include "LibGateway/PeerCallers.h"
 #include "LibHttpStream/HttpCaller.h"
 #include "LibHttpStream/ServerConnection.h"
+#include "LibLots/HostSet.h"
 #include "LibMetadata/StorePath.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,8 +47,13 @@
             base::Duration aTimeout,
             Done aDone);
 
-  /// Names the hosts that may be asked, IP:PORT of each.
-  void SetPeers(std::vector<std::string> aAddresses);
+  /// Tells whether this host hears a peer itself.
+  using IsHeard = std::function<bool(const std::string& aHost)>;
+
+  /// Names the hosts that may be asked. Those that are heard are asked first: a
+  /// call to a host that is cut off from this one hangs until its timeout.
+  void SetPeers(std::vector<lots::PeerAddress> aPeers);
+  void SetIsHeard(IsHeard aIsHeard) { isHeard_ = std::move(aIsHeard); }
 
   /// Makes a peer's call on this host's own way and answers it.
   void CallForPeer(const std::shared_ptr<httpstream::Exchange>& aExchange);
@@ -64,6 +70,9 @@
 
   void CallOnOwnWay(const PendingPtr& aPending);
   void AskPeer(const PendingPtr& aPending);
+
+  /// @return the peer to ask next, or nullptr where none is known.
+  [[nodiscard]] httpstream::HttpCaller* NextPeer();
   void OnPeerAnswered(const PendingPtr& aPending, Result aResult);
   void NoteOwn(const Result& aResult);
   void Probe();
@@ -75,7 +84,8 @@
   Protocol protocol_;
   metadata::StorePath path_;
   PeerCallers callers_;
-  std::vector<std::string> peers_;
+  std::vector<lots::PeerAddress> peers_;
+  IsHeard isHeard_ = [](const std::string&) { return true; };
   std::size_t nextPeer_ = 0;
   boost::asio::steady_timer probeTimer_;
 };
--- a/Libraries/LibLots/HostSet.cpp
+++ b/Libraries/LibLots/HostSet.cpp
@@ -48,16 +48,16 @@
   return std::nullopt;
 }
 
-std::vector<std::string>
-HostSet::AddressesBut(const std::string& aButOwner) const
+std::vector<PeerAddress>
+HostSet::PeersBut(const std::string& aButOwner) const
 {
-  std::vector<std::string> addresses;
+  std::vector<PeerAddress> peers;
   for (const auto& [host, member] : members_) {
     if (member.owner_ != aButOwner && !member.address_.empty()) {
-      addresses.push_back(member.address_);
+      peers.push_back({ host, member.address_ });
     }
   }
-  return addresses;
+  return peers;
 }
 
 bool
--- a/Libraries/LibLots/HostSet.h
+++ b/Libraries/LibLots/HostSet.h
@@ -18,6 +18,15 @@
   Worker,
 };
 
+/// Where a host takes calls of other hosts.
+struct PeerAddress
+{
+  std::string host_;
+  std::string address_; ///< IP:PORT.
+
+  bool operator==(const PeerAddress&) const = default;
+};
+
 /// The hosts that run lots, as their registrations say, and which of them is to
 /// run a lot. Belongs to the event thread.
 class HostSet
@@ -59,7 +68,7 @@
 
   /// @return where the live hosts take calls of other hosts.
   /// @param aButOwner Left out: the one who asks.
-  [[nodiscard]] std::vector<std::string> AddressesBut(
+  [[nodiscard]] std::vector<PeerAddress> PeersBut(
     const std::string& aButOwner) const;
 
 private:
--- a/Tests/LibFleet/PeerHearingTest.cpp
+++ b/Tests/LibFleet/PeerHearingTest.cpp
@@ -12,7 +12,8 @@
   PeerHearingFixture()
   {
     for (const char* peer : { "relay", "other", "worker" }) {
-      hearing_.Add(peer, now_);
+      hearing_.Add(peer);
+      hearing_.NoteHeard(peer, now_);
     }
   }
 
@@ -77,7 +78,8 @@
   CHECK(questions[0].peers_ == std::vector<std::string>{ "other", "worker" });
 }
 
-TEST_CASE_METHOD(PeerHearingFixture, "PeerHearing_PeerIsHeardAgain_NeedsNoRelay")
+TEST_CASE_METHOD(PeerHearingFixture,
+                 "PeerHearing_PeerIsHeardAgain_NeedsNoRelay")
 {
   PassWithout("worker", milliseconds(400));
   hearing_.NotePassedOn("worker", "other", now_);
@@ -86,6 +88,18 @@
   CHECK_FALSE(hearing_.RelayTo("worker", now_));
 }
 
+TEST_CASE_METHOD(PeerHearingFixture, "PeerHearing_NewPeer_IsSilentUntilHeard")
+{
+  CHECK(hearing_.HeardCount(now_) == 3);
+  hearing_.Add("new");
+  CHECK_FALSE(hearing_.IsHeard("new", now_));
+  CHECK(hearing_.HeardCount(now_) == 3);
+  hearing_.NoteHeard("new", now_);
+  CHECK(hearing_.HeardCount(now_) == 4);
+  hearing_.Remove("new");
+  CHECK(hearing_.HeardCount(now_) == 3);
+}
+
 TEST_CASE_METHOD(PeerHearingFixture, "PeerHearing_AskedFor_PassesOnForAWhile")
 {
   hearing_.NoteAsked("cut-off", "worker", now_);
@@ -95,8 +109,8 @@
   CHECK(hearing_.Askers("worker", now_ + milliseconds(400)).empty());
 }
 
-// A large fleet splits, and the few hosts that reach both halves spend all their
-// time on passing messages on.
+// A large fleet splits, and the few hosts that reach both halves spend all
+// their time on passing messages on.
 TEST_CASE_METHOD(PeerHearingFixture, "PeerHearing_AskedByMany_PassesOnBounded")
 {
   for (int asker = 0; asker < 500; ++asker) {
--- a/Tests/LibLots/HostSetTest.cpp
+++ b/Tests/LibLots/HostSetTest.cpp
@@ -84,7 +84,8 @@
 {
   PutEntry("e1");
   PutWorker("w1");
-  CHECK(hosts_.AddressesBut("w1/1") == std::vector<std::string>{ "e1:1" });
+  CHECK(hosts_.PeersBut("w1/1") ==
+        std::vector<PeerAddress>{ { "e1", "e1:1" } });
   CHECK(hosts_.Count() == 2);
 }
 
--- a/Tests/Platform/StorePathTest.cpp
+++ b/Tests/Platform/StorePathTest.cpp
@@ -60,6 +60,39 @@
   WaitForAll(*entry_, 3);
 }
 
+// A partner's lot is accepted seconds late: the store turned the host away, and
+// the peers that it asked to have the lot stored were cut off from it, so that
+// each call hung until its timeout.
+TEST_CASE_METHOD(StorePathFixture,
+                 "StorePath_SomePeersCutOff_AsksTheOneItHears")
+{
+  boost::asio::ip::tcp::acceptor cutOff(context_, Loopback(0));
+  bool isAsked = false;
+  cutOff.async_accept([&isAsked](const boost::system::error_code& aError,
+                                 const boost::asio::ip::tcp::socket&) {
+    isAsked = isAsked || !aError;
+  });
+  for (const char* host : { "c-1", "c-2", "c-3", "c-4", "c-5" }) {
+    store_.Put(
+      fmt::format("pumiceturn/host/{}", host),
+      json{ { "owner", fmt::format("{}/1", host) },
+            { "peer", fmt::format("127.0.0.1:{}", FreePort()) },
+            { "calls",
+              fmt::format("127.0.0.1:{}", cutOff.local_endpoint().port()) },
+            { "worker", false } }
+        .dump());
+  }
+  StartKnownWorker();
+  RunUntil([this] {
+    const auto page =
+      AskAt(Loopback(entry_->statusPort_), "GET", "/metrics")->body_;
+    return page.find("pumiceturn_peers_heard 1") != std::string::npos;
+  });
+  TurnAway(*entry_);
+  RunUntil([this] { return Submit(*entry_, 3) == 202; });
+  CHECK_FALSE(isAsked);
+}
+
 // A host that the store turned away must come back to its own way, or its calls
 // load a peer for good.
 TEST_CASE_METHOD(StorePathFixture, "StorePath_LetInAgain_LeavesThePeersAlone")
