LibMetadata: Don't take a single failed call for an outage of the store

One call of the entry host had failed and the next was answered 0.55 s later. It counted as an outage, and after an outage vanished registrations are kept for 1.9 s, as they lapse then although their engines live. Ruled out: a late watch (its host heard of the removal at 17.27 s, within the bound, and logged the endpoint as expired at 18.96). Change: StoreHealth counts a loss of 1 s or more as an outage. Tests: StoreHealth_SingleFailedCall_IsNoOutage and StoreHealth_FailureAfterOutage_KeepsIt failed before.

--- a/Libraries/LibMetadata/StoreHealth.cpp
+++ b/Libraries/LibMetadata/StoreHealth.cpp
@@ -9,10 +9,13 @@
 {
   if (!aIsAnswered && !lost_) {
     lost_ = true;
+    lostAt_ = aNow;
     base::Log(kStoreLost);
   } else if (aIsAnswered && lost_) {
     lost_ = false;
-    returnedAt_ = aNow;
+    if (aNow - lostAt_ >= kLeastOutage) {
+      returnedAt_ = aNow;
+    }
     base::Log(kStoreRegained);
   }
 }
@@ -20,7 +23,8 @@
 std::optional<base::Instant>
 StoreHealth::ReturnedAt(base::Instant aNow) const
 {
-  return lost_ ? std::optional(aNow) : returnedAt_;
+  const bool isOutage = lost_ && aNow - lostAt_ >= kLeastOutage;
+  return isOutage ? std::optional(aNow) : returnedAt_;
 }
 
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/StoreHealth.h
+++ b/Libraries/LibMetadata/StoreHealth.h
@@ -15,13 +15,22 @@
 
   [[nodiscard]] bool IsLost() const { return lost_; }
 
-  /// @return when the store last answered again after it had been lost; now,
-  /// while it is lost.
+  /// Shortest time without an answer that counts as an outage. Registrations
+  /// lapse in an outage; a host that takes one lost answer for it would go on
+  /// using endpoints that have left. The call after a failed one is answered
+  /// within half a second, and outages in which registrations lapse last longer
+  /// than two of the endpoints' heartbeats (2.4 s).
+  static constexpr base::Duration kLeastOutage{ std::chrono::milliseconds{
+    1000 } };
+
+  /// @return when the store last answered again after an outage; now, during
+  /// one.
   [[nodiscard]] std::optional<base::Instant> ReturnedAt(
     base::Instant aNow) const;
 
 private:
   bool lost_ = false;
+  base::Instant lostAt_{};
   std::optional<base::Instant> returnedAt_;
 };
 
--- /dev/null
+++ b/Tests/LibMetadata/StoreHealthTest.cpp
@@ -0,0 +1,62 @@
+#include "LibMetadata/StoreHealth.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::metadata {
+
+using std::chrono::milliseconds;
+
+class StoreHealthFixture
+{
+protected:
+  void Call(bool aIsAnswered, int aAfterMs)
+  {
+    now_ += milliseconds(aAfterMs);
+    health_.NoteCall(aIsAnswered, now_);
+  }
+
+  StoreHealth health_;
+  base::Instant now_{ std::chrono::hours{ 1 } };
+};
+
+// A request goes to an engine two seconds after that has left. A single call to
+// the store had failed and the next one was answered; the host took that for an
+// outage, in which registrations lapse though their engines live, and kept the
+// engine whose registration had been removed.
+TEST_CASE_METHOD(StoreHealthFixture, "StoreHealth_SingleFailedCall_IsNoOutage")
+{
+  Call(true, 0);
+  Call(false, 1000);
+  CHECK(health_.IsLost());
+  CHECK_FALSE(health_.ReturnedAt(now_));
+  Call(true, 550);
+  CHECK_FALSE(health_.IsLost());
+  CHECK_FALSE(health_.ReturnedAt(now_));
+}
+
+// All engines of a service are taken for gone when the store is back after some
+// seconds, as their registrations lapsed meanwhile.
+TEST_CASE_METHOD(StoreHealthFixture, "StoreHealth_AwayForSeconds_IsAnOutage")
+{
+  Call(true, 0);
+  Call(false, 1000);
+  Call(false, 600);
+  Call(false, 600);
+  CHECK(health_.ReturnedAt(now_) == now_);
+  Call(true, 600);
+  CHECK(health_.ReturnedAt(now_ + milliseconds(900)) == now_);
+}
+
+// After an outage a single call fails: the outage before is still the last one.
+TEST_CASE_METHOD(StoreHealthFixture, "StoreHealth_FailureAfterOutage_KeepsIt")
+{
+  Call(false, 0);
+  Call(true, 3000);
+  const base::Instant returned = now_;
+  Call(false, 300);
+  CHECK(health_.ReturnedAt(now_) == returned);
+  Call(true, 200);
+  CHECK(health_.ReturnedAt(now_) == returned);
+}
+
+} // namespace pumiceturn::metadata
