Tests/PlatformSoak: Soak the platform's path with faults from a seed

TestPlatformSoak starts two entry hosts and two workers as processes, keeps their ways to the store and to the servers behind proxies (delay, reset, cut one way or both, open connections silenced), signals the processes (kill, stop, freeze, reload) and harms the store (refusals, lost and late answers, dropped history), all drawn from a seed and overlapping. Callers and servers check: whole answers are the server's, what was said not to have run has not, unsafe requests run at most once, accepted lots are never unknown, positions never change, each item is listed once and whole, a version once in force stays, no process ends by itself; after the faults all is answered. The text of the servers' stand-in stood four times: Tests/Platform/StandinText.h.

--- a/Tests/Platform/CallingFixture.h
+++ b/Tests/Platform/CallingFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Tests/Platform/CallerCall.h"
+#include "Tests/Platform/StandinText.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -139,17 +139,6 @@
   return AskAt(Loopback(aHost.callerPort_), aMethod, aTarget, aFields, aBody);
 }
 
-std::string
-GatewayFixture::WholeStream()
-{
-  std::string text;
-  for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
-    text +=
-      fmt::format("id: {}\ndata: {}\n\n", id, ServerStandin::EventData(id));
-  }
-  return text;
-}
-
 std::string
 GatewayFixture::LotBody(int aItems)
 {
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -61,7 +61,6 @@
                                   const std::string& aFields = {},
                                   const std::string& aBody = {});
 
-  static std::string WholeStream();
   static std::string LotBody(int aItems);
 
   StoreStandin store_;
--- a/Tests/Platform/LotsFixture.h
+++ b/Tests/Platform/LotsFixture.h
@@ -51,15 +51,6 @@
     return page;
   }
 
-  static std::string WholeOutput()
-  {
-    std::string text;
-    for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
-      text += (id > 1 ? "\n" : "") + ServerStandin::EventData(id);
-    }
-    return text;
-  }
-
   [[nodiscard]] std::size_t RequestCount() const
   {
     std::size_t count = 0;
--- /dev/null
+++ b/Tests/Platform/StandinText.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "platform/Standin/ServerStandin.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace pumiceturn::adapter {
+
+/// @return the whole stream of a server's stand-in, as a caller must get it.
+inline std::string
+WholeStream()
+{
+  std::string text;
+  for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
+    text +=
+      fmt::format("id: {}\ndata: {}\n\n", id, ServerStandin::EventData(id));
+  }
+  return text;
+}
+
+/// @return the output of an item that a server's stand-in has run whole.
+inline std::string
+WholeOutput()
+{
+  std::string text;
+  for (std::uint64_t id = 1; id <= ServerStandin::kEvents; ++id) {
+    text += (id > 1 ? "\n" : "") + ServerStandin::EventData(id);
+  }
+  return text;
+}
+
+} // namespace pumiceturn::adapter
--- a/Tests/PlatformPath/PathFixture.cpp
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -12,13 +12,6 @@
 
 namespace pumiceturn::adapter {
 
-namespace {
-
-/// Events of the stand-in's streams.
-constexpr int kEvents = 6;
-
-} // namespace
-
 PathFixture::PathFixture()
 {
   // NOLINTNEXTLINE(concurrency-mt-unsafe): there is one thread.
@@ -173,24 +166,4 @@
   return page;
 }
 
-std::string
-PathFixture::WholeStream()
-{
-  std::string text;
-  for (int id = 1; id <= kEvents; ++id) {
-    text += fmt::format("id: {}\ndata: text-{}\n\n", id, id);
-  }
-  return text;
-}
-
-std::string
-PathFixture::WholeOutput()
-{
-  std::string text;
-  for (int id = 1; id <= kEvents; ++id) {
-    text += fmt::format("{}text-{}", id > 1 ? "\n" : "", id);
-  }
-  return text;
-}
-
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformPath/PathFixture.h
+++ b/Tests/PlatformPath/PathFixture.h
@@ -79,9 +79,6 @@
                   const std::string& aLot,
                   std::size_t aCount);
 
-  static std::string WholeStream();
-  static std::string WholeOutput();
-
 private:
   std::vector<FleetProcess> processes_;
 };
--- /dev/null
+++ b/Tests/PlatformSoak/FaultProxy.cpp
@@ -0,0 +1,145 @@
+#include "Tests/PlatformSoak/FaultProxy.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <utility>
+
+namespace pumiceturn::adapter {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// How often a direction that is held back looks whether it may go on.
+constexpr std::chrono::milliseconds kLook{ 10 };
+
+constexpr std::size_t kPieceBytes = 16384;
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+asio::awaitable<void>
+Wait(std::chrono::milliseconds aTime)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  co_await timer.async_wait(kNoThrow);
+}
+
+void
+Close(tcp::socket& aSocket, bool aIsReset)
+{
+  boost::system::error_code ignored;
+  if (aIsReset) {
+    aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  aSocket.close(ignored);
+}
+
+} // namespace
+
+FaultProxy::FaultProxy(asio::io_context& aContext,
+                       const tcp::endpoint& aTarget)
+  : context_(aContext)
+  , acceptor_(aContext, { asio::ip::address_v4::loopback(), 0 })
+  , target_(aTarget)
+{
+  asio::co_spawn(aContext, Accept(), asio::detached);
+}
+
+void
+FaultProxy::SilenceOpenConnections()
+{
+  for (const auto& entry : connections_) {
+    if (const auto connection = entry.lock()) {
+      connection->isSilent_ = true;
+    }
+  }
+}
+
+void
+FaultProxy::ResetConnections()
+{
+  for (const auto& entry : std::exchange(connections_, {})) {
+    if (const auto connection = entry.lock()) {
+      Close(connection->caller_, true);
+      Close(connection->target_, true);
+    }
+  }
+}
+
+asio::awaitable<void>
+FaultProxy::Accept()
+{
+  while (true) {
+    auto [error, socket] = co_await acceptor_.async_accept(kNoThrow);
+    if (error) {
+      co_return;
+    }
+    std::erase_if(connections_,
+                  [](const auto& aEntry) { return aEntry.expired(); });
+    auto connection =
+      std::make_shared<Connection>(std::move(socket), context_);
+    connections_.push_back(connection);
+    asio::co_spawn(
+      context_, Carry(connection, fault_, target_), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+FaultProxy::Carry(ConnectionPtr aConnection,
+                  FaultPtr aFault,
+                  tcp::endpoint aTarget)
+{
+  auto [error] =
+    co_await aConnection->target_.async_connect(aTarget, kNoThrow);
+  if (error) {
+    Close(aConnection->caller_, true);
+    co_return;
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  asio::co_spawn(
+    executor, Pump(aConnection, aFault, Direction::Back), asio::detached);
+  co_await Pump(aConnection, aFault, Direction::Forward);
+}
+
+asio::awaitable<void>
+FaultProxy::Pump(ConnectionPtr aConnection,
+                 FaultPtr aFault,
+                 Direction aDirection)
+{
+  const bool isForward = aDirection == Direction::Forward;
+  tcp::socket& from =
+    isForward ? aConnection->caller_ : aConnection->target_;
+  tcp::socket& to = isForward ? aConnection->target_ : aConnection->caller_;
+  std::array<char, kPieceBytes> piece{};
+  while (true) {
+    auto [error, bytes] =
+      co_await from.async_read_some(asio::buffer(piece), kNoThrow);
+    if (aFault->delay_.count() > 0) {
+      co_await Wait(aFault->delay_);
+    }
+    while (from.is_open() &&
+           (aConnection->isSilent_ ||
+            (isForward ? aFault->isCutForward_ : aFault->isCutBack_))) {
+      co_await Wait(kLook);
+    }
+    if (error) {
+      Close(to, error != asio::error::eof);
+      Close(from, false);
+      co_return;
+    }
+    auto [failure, written] =
+      co_await asio::async_write(to, asio::buffer(piece, bytes), kNoThrow);
+    if (failure) {
+      Close(from, true);
+      co_return;
+    }
+  }
+}
+
+} // namespace pumiceturn::adapter
