--- a/Libraries/LibFleet/PeerHearing.cpp
+++ b/Libraries/LibFleet/PeerHearing.cpp
@@ -111,6 +111,7 @@
     byRelay[RelayTo(name, aNow).value_or(drawn)].push_back(name);
   }
   std::vector<RelayQuestion> questions;
+  questions.reserve(byRelay.size());
   for (auto& [relay, names] : byRelay) {
     questions.push_back({ relay, std::move(names) });
   }
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -156,9 +156,7 @@
 void
 BatchWorker::Load(const std::string& aLot)
 {
-  const base::Instant now = base::MonotonicNow();
-  const auto [entry, isNew] = loading_.try_emplace(aLot, now);
-  if (!isNew) {
+  if (!loading_.insert(aLot).second) {
     return;
   }
   loader_.ReadData(aLot, [this, aLot](metadata::StoreStatus /*aStatus*/) {
@@ -466,7 +464,7 @@
   PageWrite write;
   write.pageKey_ =
     lots_.Keys().MakeKey({ aLot, lots::KeyPart::Results, aOwn.nextPosition_ });
-  write.stateKey_ = lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 });
+  write.stateKey_ = lots_.Keys().StateOf(aLot);
   write.state_ = lot->state_;
   write.finishes_ =
     aOwn.nextPosition_ + aOwn.storing_.size() >= lot->state_.itemCount_;
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace pumiceturn::gateway {
@@ -110,8 +111,8 @@
   const lots::HostSet& hosts_;
   std::string ownName_;
   std::map<std::string, OwnLot> own_;
-  std::unordered_map<std::string, base::Instant> claims_;  ///< Under way.
-  std::unordered_map<std::string, base::Instant> loading_; ///< Under way.
+  std::unordered_map<std::string, base::Instant> claims_; ///< Under way.
+  std::unordered_set<std::string> loading_;               ///< Under way.
   std::function<void(const std::string&)> onResults_;
   std::vector<std::shared_ptr<ItemRun>> runs_;
   ProgressKeeper progressKeeper_;
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -41,10 +41,6 @@
 };
 
 /// Calls on lots.
-struct SubmitLot
-{
-  std::string lot_;
-};
 struct ReadResults
 {
   std::string lot_;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
+#include "LibHttpStream/Status.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,9 +53,6 @@
 constexpr std::uint64_t kLongestPeerBody = 16777216;
 
 constexpr std::chrono::milliseconds kRetryAfter{ 300 };
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusNotFound = 404;
-constexpr unsigned kStatusUnavailable = 503;
 
 std::string_view
 WithoutPort(std::string_view aHost)
@@ -171,6 +169,7 @@
           lots_,
           loader_,
           hosts_,
+          health_,
           OwnName(),
           aContext.get_executor())
   , intake_(shared_,
@@ -343,11 +342,12 @@
     aExchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
     return;
   }
-  const fleet::Route* route = shared_.routes_.Find(
-    WithoutPort(httpstream::ValueOf(request, "Host")),
-    WithoutQuery({ request.target().data(), request.target().size() }));
+  const fleet::Route* route =
+    shared_.routes_.Find(WithoutPort(httpstream::ValueOf(request, "Host")),
+                         WithoutQuery(httpstream::TargetOf(request)));
   if (route == nullptr) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
     return;
   }
   if (route->kind_ == fleet::RequestKind::Lot) {
@@ -366,13 +366,14 @@
     desk_.HandlePassedOn(aExchange, *call);
     return;
   }
-  const auto target = aExchange->GetRequest().target();
-  if (!target.starts_with(HeldLots::kTargetPrefix.data())) {
+  const std::string_view target = httpstream::TargetOf(aExchange->GetRequest());
+  if (!target.starts_with(HeldLots::kTargetPrefix)) {
     storePaths_.CallForPeer(aExchange);
   } else if (heldLots_) {
     heldLots_->Hold(aExchange);
   } else {
-    aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
   }
 }
 
@@ -381,16 +382,17 @@
 {
   const httpstream::Request& request = aExchange.GetRequest();
   if (storeCodec_.IsReadinessProbe(request)) {
-    aExchange.Answer(
-      httpstream::MakeResponse(IsReady() ? kStatusOk : kStatusUnavailable, {}));
+    aExchange.Answer(httpstream::MakeResponse(
+      IsReady() ? httpstream::kStatusOk : httpstream::kStatusUnavailable, {}));
     return;
   }
   if (request.target() == "/metrics") {
-    aExchange.Answer(httpstream::MakeResponse(
-      kStatusOk, shared_.metrics_.Write(), "text/plain; version=0.0.4"));
+    aExchange.Answer(httpstream::MakeResponse(httpstream::kStatusOk,
+                                              shared_.metrics_.Write(),
+                                              "text/plain; version=0.0.4"));
     return;
   }
-  aExchange.Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+  aExchange.Answer(httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
 }
 
 void
--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/Events.h"
 #include "LibGateway/LotCreation.h"
+#include "LibHttpStream/Status.h"
 
 #include <utility>
 #include <vector>
@@ -21,10 +22,6 @@
 constexpr std::chrono::milliseconds kRetryPause{ 300 };
 constexpr std::chrono::milliseconds kCallTimeout{ 1500 };
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusBadRequest = 400;
-constexpr unsigned kStatusUnavailable = 503;
-
 } // namespace
 
 HeldLots::HeldLots(boost::asio::io_context& aContext,
@@ -77,15 +74,17 @@
   const std::string& body = aExchange->GetRequest().body();
   auto lot = lots::DecodeHeldLot(body);
   if (!lot) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusBadRequest, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusBadRequest, {}));
     return;
   }
   if (isLeaving_ || Bytes() + body.size() > kMostBytes) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     return;
   }
   if (lots_.Find(lot->id_) != nullptr) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
+    aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
   const base::Instant now = base::MonotonicNow();
@@ -95,7 +94,7 @@
   const auto [entry, isNew] =
     held_.try_emplace(id, Entry{ std::move(*lot), now, tryAt, false });
   if (!isNew && entry->second.isWritten_) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
+    aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
   auto error = std::make_shared<std::error_code>();
@@ -106,14 +105,15 @@
         base::Log(kLotNotHeld,
                   { { "lot", id }, { "error", error->message() } });
         held_.erase(id);
-        aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+        aExchange->Answer(
+          httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
         return;
       }
       base::Log(kLotHeld, { { "lot", id }, { "from", "peer" } });
       if (const auto found = held_.find(id); found != held_.end()) {
         found->second.isWritten_ = true;
       }
-      aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
+      aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     });
 }
 
@@ -145,11 +145,11 @@
 HeldLots::Store(Entry& aEntry, base::Instant aNow)
 {
   aEntry.tryAt_ = aNow + kCallTimeout;
-  store_.Commit(MakeCreation(lots_.Keys(), aEntry.lot_),
-                [this, id = aEntry.lot_.id_](
-                  const metadata::TransactionReply& aReply) {
-                  OnStored(id, aReply.status_);
-                });
+  store_.Commit(
+    MakeCreation(lots_.Keys(), aEntry.lot_),
+    [this, id = aEntry.lot_.id_](const metadata::TransactionReply& aReply) {
+      OnStored(id, aReply.status_);
+    });
 }
 
 void
@@ -172,10 +172,11 @@
 HeldLots::Drop(const std::string& aLot, std::string_view aReason)
 {
   const auto found = held_.find(aLot);
-  base::Log(kLotNoLongerHeld,
-            { { "lot", aLot },
-              { "reason", aReason },
-              { "ms", base::ToMs(base::MonotonicNow() - found->second.since_) } });
+  base::Log(
+    kLotNoLongerHeld,
+    { { "lot", aLot },
+      { "reason", aReason },
+      { "ms", base::ToMs(base::MonotonicNow() - found->second.since_) } });
   held_.erase(found);
   disk_.Run([this, aLot] { files_.Remove(aLot); });
 }
--- a/Libraries/LibGateway/HoldCaller.cpp
+++ b/Libraries/LibGateway/HoldCaller.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/HoldCaller.h"
 
 #include "LibGateway/HeldLots.h"
+#include "LibHttpStream/Status.h"
 
 #include <memory>
 #include <utility>
@@ -13,8 +14,6 @@
 /// has its answer later than half a second counts it as late.
 constexpr std::chrono::milliseconds kTimeout{ 600 };
 
-constexpr unsigned kStatusOk = 200;
-
 /// Answers of the workers so far.
 struct Tally
 {
@@ -73,14 +72,13 @@
       kTimeout,
       [tally, copies = copies_](const httpstream::CallResult& aResult) {
         --tally->open_;
-        const bool isAnswered =
-          aResult.end_ == httpstream::CallEnd::Complete;
-        if (isAnswered && aResult.status_ == kStatusOk) {
+        const bool isAnswered = aResult.end_ == httpstream::CallEnd::Complete;
+        if (isAnswered && aResult.status_ == httpstream::kStatusOk) {
           ++tally->held_;
         }
         const bool isCertainlyNot =
           aResult.end_ == httpstream::CallEnd::NotConnected ||
-          (isAnswered && aResult.status_ != kStatusOk);
+          (isAnswered && aResult.status_ != httpstream::kStatusOk);
         tally->mayBeHeld_ = tally->mayBeHeld_ || !isCertainlyNot;
         if (tally->held_ >= copies) {
           Finish(*tally, true);
--- a/Libraries/LibGateway/HoldCaller.h
+++ b/Libraries/LibGateway/HoldCaller.h
@@ -14,7 +14,7 @@
 /// What became of a lot that was to be kept on other hosts' disks.
 struct HoldOutcome
 {
-  bool isHeld_ = false; ///< By as many as must not all be lost.
+  bool isHeld_ = false;    ///< By as many as must not all be lost.
   bool mayBeHeld_ = false; ///< Some host may have it, and will store it.
 };
 
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/ItemRun.h"
 
+#include "LibHttpStream/Status.h"
+
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -11,9 +13,6 @@
 constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
 constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusUnprocessable = 422;
-
 } // namespace
 
 ItemRun::ItemRun(Shared& aShared,
@@ -78,7 +77,7 @@
 void
 ItemRun::OnBody(std::string_view aBytes)
 {
-  if (status_ != kStatusOk) {
+  if (status_ != httpstream::kStatusOk) {
     return;
   }
   splitter_.Append(aBytes);
@@ -107,10 +106,10 @@
   if (notes_.isCertainlyNotRun_) {
     return lots::ItemRunEnd::NotRun;
   }
-  if (status_ == kStatusUnprocessable) {
+  if (status_ == httpstream::kStatusUnprocessable) {
     return lots::ItemRunEnd::Impossible;
   }
-  if (status_ != kStatusOk) {
+  if (status_ != httpstream::kStatusOk) {
     return lots::ItemRunEnd::Failed;
   }
   return splitter_.Remainder() > 0 ? lots::ItemRunEnd::Broken
--- a/Libraries/LibGateway/LotCreation.cpp
+++ b/Libraries/LibGateway/LotCreation.cpp
@@ -24,8 +24,7 @@
         0 });
     ++state.partCount_;
   }
-  const std::string stateKey =
-    aKeys.MakeKey({ aLot.id_, lots::KeyPart::State, 0 });
+  const std::string stateKey = aKeys.StateOf(aLot.id_);
   transaction.expectations_.push_back({ stateKey, 0 });
   transaction.writes_.push_back({ stateKey, lots::EncodeState(state), 0 });
   return transaction;
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/Events.h"
 #include "LibGateway/StateChange.h"
+#include "LibHttpStream/Status.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +15,12 @@
 /// outages last seconds; a caller takes a third of its time at most.
 constexpr std::chrono::milliseconds kRetryAfter{ 400 };
 
+/// After an outage of the store, workers store the lots that were accepted
+/// meanwhile: the call that finds the store back waits up to 1 s for its
+/// timeout, and 0.25 s until it is made again. Until then, a lot that the store
+/// doesn't have may exist.
+constexpr std::chrono::milliseconds kHoldersNeed{ 3000 };
+
 /// Times that ending a lot is tried against changes by others.
 constexpr std::uint32_t kEndTries = 8;
 
@@ -25,10 +32,6 @@
 /// asked afterwards.
 constexpr std::chrono::milliseconds kPassOnMargin{ 400 };
 
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusBadRequest = 400;
-constexpr unsigned kStatusNotFound = 404;
-
 /// @return the lot that a reading call asks for, empty for any other call.
 std::string
 LotOfReading(const LotCall& aCall)
@@ -56,6 +59,7 @@
                  lots::LotTable& aLots,
                  LotLoader& aLoader,
                  const lots::HostSet& aHosts,
+                 const metadata::StoreHealth& aHealth,
                  std::string aOwnName,
                  boost::asio::any_io_executor aExecutor)
   : shared_(aShared)
@@ -63,6 +67,7 @@
   , lots_(aLots)
   , loader_(aLoader)
   , hosts_(aHosts)
+  , health_(aHealth)
   , ownName_(std::move(aOwnName))
   , callers_(std::move(aExecutor))
 {
@@ -74,7 +79,7 @@
 {
   if (const auto* unreadable = std::get_if<UnreadableCall>(&aCall)) {
     aExchange->Answer(httpstream::MakeResponse(
-      kStatusBadRequest, unreadable->reason_, "text/plain"));
+      httpstream::kStatusBadRequest, unreadable->reason_, "text/plain"));
   } else if (const auto* end = std::get_if<EndLot>(&aCall)) {
     WithState(aExchange, end->lot_, [this, aExchange](const lots::Lot& aLot) {
       End(aExchange, aLot, kEndTries);
@@ -112,19 +117,21 @@
     return;
   }
   // The lot may have been accepted elsewhere a moment ago.
-  loader_.ReadState(aLot,
-                    [this, aLot, aExchange, use = std::move(aUse)](
-                      metadata::StoreStatus aStatus) {
-                      if (const lots::Lot* lot = lots_.Find(aLot)) {
-                        onStateRead_(aLot);
-                        use(*lot);
-                      } else if (aStatus == metadata::StoreStatus::Ok) {
-                        aExchange->Answer(
-                          httpstream::MakeResponse(kStatusNotFound, {}));
-                      } else {
-                        AnswerComeBack(*aExchange);
-                      }
-                    });
+  loader_.ReadState(
+    aLot,
+    [this, aLot, aExchange, use = std::move(aUse)](
+      metadata::StoreStatus aStatus) {
+      if (const lots::Lot* lot = lots_.Find(aLot)) {
+        onStateRead_(aLot);
+        use(*lot);
+      } else if (aStatus == metadata::StoreStatus::Ok &&
+                 !health_.WasLostWithin(kHoldersNeed, base::MonotonicNow())) {
+        aExchange->Answer(
+          httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
+      } else {
+        AnswerComeBack(*aExchange);
+      }
+    });
 }
 
 void
@@ -168,20 +175,20 @@
   const auto* read = std::get_if<ReadResults>(&aCall);
   const base::Duration wait =
     read != nullptr ? read->longestWait_ : base::Duration::zero();
-  caller->Call(
-    request,
-    wait + kPassOnMargin,
-    [this, aExchange, aLot, aCall](httpstream::CallResult aResult) {
-      const bool isAnswer =
-        aResult.end_ == httpstream::CallEnd::Complete &&
-        (aResult.status_ == kStatusOk || aResult.status_ == kStatusNotFound);
-      if (isAnswer) {
-        aExchange->Answer(
-          httpstream::MakeResponse(aResult.status_, std::move(aResult.body_)));
-      } else {
-        ReadFromStore(aExchange, aLot, aCall);
-      }
-    });
+  caller->Call(request,
+               wait + kPassOnMargin,
+               [this, aExchange, aLot, aCall](httpstream::CallResult aResult) {
+                 const bool isAnswer =
+                   aResult.end_ == httpstream::CallEnd::Complete &&
+                   (aResult.status_ == httpstream::kStatusOk ||
+                    aResult.status_ == httpstream::kStatusNotFound);
+                 if (isAnswer) {
+                   aExchange->Answer(httpstream::MakeResponse(
+                     aResult.status_, std::move(aResult.body_)));
+                 } else {
+                   ReadFromStore(aExchange, aLot, aCall);
+                 }
+               });
 }
 
 void
@@ -244,11 +251,12 @@
       return aItem.id_ == aCall.item_;
     });
   if (item == aLot.items_->end()) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusNotFound, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
     return;
   }
   aExchange->Answer(httpstream::MakeResponse(
-    kStatusOk, item->body_, "application/octet-stream"));
+    httpstream::kStatusOk, item->body_, "application/octet-stream"));
 }
 
 void
@@ -269,7 +277,7 @@
   const std::span<const lots::ItemResult> page(aLot.results_.data() + begin,
                                                end - begin);
   aExchange.Answer(httpstream::MakeResponse(
-    kStatusOk,
+    httpstream::kStatusOk,
     shared_.codec_.WriteResults(aLot.state_.itemCount_, aPosition, page)));
 }
 
@@ -279,13 +287,12 @@
              std::uint32_t aTriesLeft)
 {
   if (aLot.state_.isEnded_) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
+    aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
   lots::LotState state = aLot.state_;
   state.isEnded_ = true;
-  const std::string key =
-    lots_.Keys().MakeKey({ aLot.id_, lots::KeyPart::State, 0 });
+  const std::string key = lots_.Keys().StateOf(aLot.id_);
   store_.Commit(
     MakeStateChange(lots_.Keys(), aLot, state),
     [this, aExchange, id = aLot.id_, key, state, aTriesLeft](
@@ -294,7 +301,7 @@
       if (aReply.status_ == StoreStatus::Ok) {
         lots_.Apply(key, lots::EncodeState(state), aReply.revision_);
         onStateRead_(id);
-        aExchange->Answer(httpstream::MakeResponse(kStatusOk, {}));
+        aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
         return;
       }
       for (const metadata::StoreItem& item : aReply.current_) {
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -7,6 +7,7 @@
 #include "LibLots/HostSet.h"
 #include "LibLots/LotTable.h"
 #include "LibMetadata/StoreClient.h"
+#include "LibMetadata/StoreHealth.h"
 
 #include <functional>
 #include <memory>
@@ -29,6 +30,7 @@
           lots::LotTable& aLots,
           LotLoader& aLoader,
           const lots::HostSet& aHosts,
+          const metadata::StoreHealth& aHealth,
           std::string aOwnName,
           boost::asio::any_io_executor aExecutor);
 
@@ -112,6 +114,7 @@
   lots::LotTable& lots_;
   LotLoader& loader_;
   const lots::HostSet& hosts_;
+  const metadata::StoreHealth& health_;
   std::string ownName_;
   PeerCallers callers_; ///< To the hosts that run lots.
   std::function<void(const std::string&)> onStateRead_;
--- a/Libraries/LibGateway/LotIntake.cpp
+++ b/Libraries/LibGateway/LotIntake.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/Events.h"
 #include "LibGateway/LotCreation.h"
+#include "LibHttpStream/Status.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -21,9 +22,6 @@
 constexpr std::chrono::milliseconds kHoldAfter{ 250 };
 
 constexpr std::chrono::milliseconds kRetryAfter{ 300 };
-constexpr unsigned kStatusAccepted = 202;
-constexpr unsigned kStatusBadRequest = 400;
-constexpr unsigned kStatusGatewayTimeout = 504;
 
 } // namespace
 
@@ -92,18 +90,17 @@
   const auto content = shared_.codec_.ReadLotContent(request.body());
   if (const auto* unreadable = std::get_if<UnreadableCall>(&content)) {
     aExchange->Answer(httpstream::MakeResponse(
-      kStatusBadRequest, unreadable->reason_, "text/plain"));
+      httpstream::kStatusBadRequest, unreadable->reason_, "text/plain"));
     return;
   }
   if (lots_.Find(aLot) != nullptr) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusAccepted, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusAccepted, {}));
     return;
   }
   auto submission = std::make_shared<Submission>();
-  submission->lot_ =
-    MakeLot(request,
-            aLot,
-            std::get<std::vector<lots::LotItem>>(content).size());
+  submission->lot_ = MakeLot(
+    request, aLot, std::get<std::vector<lots::LotItem>>(content).size());
   submission->transaction_ = MakeCreation(lots_.Keys(), submission->lot_);
   submission->giveUpAt_ = aExchange->ReceivedAt() + kSubmitPatience;
   submission->exchange_ = std::move(aExchange);
@@ -192,13 +189,13 @@
   }
   aSubmission.holdTimer_->cancel();
   httpstream::Exchange& exchange = *aSubmission.exchange_;
-  base::Log(kLotAccepted,
-            { { "lot", aSubmission.lot_.id_ },
-              { "items", aSubmission.lot_.state_.itemCount_ },
-              { "where", aWhere },
-              { "ms",
-                base::ToMs(base::MonotonicNow() - exchange.ReceivedAt()) } });
-  exchange.Answer(httpstream::MakeResponse(kStatusAccepted, {}));
+  base::Log(
+    kLotAccepted,
+    { { "lot", aSubmission.lot_.id_ },
+      { "items", aSubmission.lot_.state_.itemCount_ },
+      { "where", aWhere },
+      { "ms", base::ToMs(base::MonotonicNow() - exchange.ReceivedAt()) } });
+  exchange.Answer(httpstream::MakeResponse(httpstream::kStatusAccepted, {}));
 }
 
 void
@@ -217,7 +214,7 @@
   // a worker may have the lot, and it would then run.
   aSubmission.exchange_->Answer(
     aSubmission.mayBeStored_
-      ? httpstream::MakeResponse(kStatusGatewayTimeout, {})
+      ? httpstream::MakeResponse(httpstream::kStatusGatewayTimeout, {})
       : shared_.codec_.MakeNotRun(kRetryAfter));
 }
 
--- a/Libraries/LibGateway/LotLoader.cpp
+++ b/Libraries/LibGateway/LotLoader.cpp
@@ -9,9 +9,7 @@
 void
 LotLoader::ReadState(const std::string& aLot, Done aDone)
 {
-  ReadPage(lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 }),
-           {},
-           std::move(aDone));
+  ReadPage(lots_.Keys().StateOf(aLot), {}, std::move(aDone));
 }
 
 void
--- a/Libraries/LibGateway/LotRetention.cpp
+++ b/Libraries/LibGateway/LotRetention.cpp
@@ -80,8 +80,7 @@
       // The state goes last: as long as it is there, a later look goes on.
       const bool isLast = count == aReply.items_.size() && !aReply.isTruncated_;
       if (isLast) {
-        transaction.removals_.push_back(
-          lots_.Keys().MakeKey({ aLot, lots::KeyPart::State, 0 }));
+        transaction.removals_.push_back(lots_.Keys().StateOf(aLot));
       }
       base::Log(kLotRemoved,
                 { { "lot", aLot }, { "keys", count }, { "last", isLast } });
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "LibBase/Ids.h"
 #include "LibGateway/Events.h"
+#include "LibHttpStream/Status.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,8 +34,6 @@
 /// caller can't fill the memory.
 constexpr std::size_t kMaxUnsentBytes = 262144;
 
-constexpr unsigned kStatusBadGateway = 502;
-constexpr unsigned kStatusGatewayTimeout = 504;
 constexpr unsigned kFirstServerError = 500;
 
 std::string_view
@@ -81,9 +80,8 @@
 std::uint64_t
 HashContent(const httpstream::Request& aRequest)
 {
-  return base::HashBytes(
-    aRequest.body(),
-    base::HashBytes({ aRequest.target().data(), aRequest.target().size() }));
+  return base::HashBytes(aRequest.body(),
+                         base::HashBytes(httpstream::TargetOf(aRequest)));
 }
 
 bool
@@ -165,7 +163,8 @@
     if (isStreaming) {
       exchange_->Abort();
     } else {
-      exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+      exchange_->Answer(
+        httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
     }
     Finish(RelayEnd::Suspect);
     return;
@@ -176,7 +175,8 @@
       exchange_->Abort();
       Finish(RelayEnd::BrokenOff);
     } else if (mayHaveRun_) {
-      exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+      exchange_->Answer(
+        httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
       Finish(RelayEnd::Failed);
     } else {
       AnswerNotRun();
@@ -427,7 +427,8 @@
     Finish(RelayEnd::BrokenOff);
     return;
   }
-  exchange_->Answer(httpstream::MakeResponse(kStatusBadGateway, {}));
+  exchange_->Answer(
+    httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
   Finish(RelayEnd::Failed);
 }
 
@@ -467,7 +468,8 @@
   if (exchange_->IsStreaming()) {
     exchange_->Abort();
   } else {
-    exchange_->Answer(httpstream::MakeResponse(kStatusGatewayTimeout, {}));
+    exchange_->Answer(
+      httpstream::MakeResponse(httpstream::kStatusGatewayTimeout, {}));
   }
   Finish(RelayEnd::TimedOut);
 }
--- a/Libraries/LibGateway/ProgressKeeper.cpp
+++ b/Libraries/LibGateway/ProgressKeeper.cpp
@@ -93,8 +93,7 @@
     // A lot that was closed or taken over gets no more progress: its keys may
     // be removed already.
     transaction.expectations_.push_back(
-      { keys_.MakeKey({ lot.lot_, lots::KeyPart::State, 0 }),
-        lot.stateRevision_ });
+      { keys_.StateOf(lot.lot_), lot.stateRevision_ });
     transaction.writes_.push_back(
       { keys_.MakeKey({ lot.lot_, lots::KeyPart::Progress, 0 }),
         lots::EncodeProgress(lot.runs_),
--- a/Libraries/LibGateway/StateChange.h
+++ b/Libraries/LibGateway/StateChange.h
@@ -12,7 +12,7 @@
                 const lots::Lot& aLot,
                 const lots::LotState& aState)
 {
-  const std::string key = aKeys.MakeKey({ aLot.id_, lots::KeyPart::State, 0 });
+  const std::string key = aKeys.StateOf(aLot.id_);
   metadata::Transaction transaction;
   transaction.expectations_.push_back({ key, aLot.stateRevision_ });
   transaction.writes_.push_back({ key, lots::EncodeState(aState), 0 });
--- a/Libraries/LibGateway/StorePaths.cpp
+++ b/Libraries/LibGateway/StorePaths.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/StorePaths.h"
 
 #include "LibBase/Numbers.h"
+#include "LibHttpStream/Status.h"
 
 #include <boost/asio/post.hpp>
 
@@ -26,15 +27,8 @@
 /// Longest call that is made for a peer.
 constexpr std::chrono::milliseconds kLongestForPeer{ 30000 };
 
-constexpr unsigned kStatusUnavailable = 503;
 const std::string kTimeoutField = "Call-Timeout-Ms";
 
-std::string_view
-TargetOf(const httpstream::Request& aRequest)
-{
-  return { aRequest.target().data(), aRequest.target().size() };
-}
-
 base::Duration
 ReadTimeout(const httpstream::Request& aRequest)
 {
@@ -160,7 +154,8 @@
   ++aPending->peersAsked_;
   httpstream::Request request =
     WithTarget(aPending->request_,
-               std::string(kTargetPrefix).append(TargetOf(aPending->request_)));
+               std::string(kTargetPrefix)
+                 .append(httpstream::TargetOf(aPending->request_)));
   request.set(kTimeoutField, std::to_string(base::ToMs(aPending->timeout_)));
   peer->Call(request,
              aPending->timeout_ + kPeerMargin,
@@ -197,9 +192,10 @@
 {
   const httpstream::Request& request = aExchange->GetRequest();
   const base::Duration timeout = ReadTimeout(request);
-  const std::string_view target = TargetOf(request);
+  const std::string_view target = httpstream::TargetOf(request);
   if (path_.IsOwnLost() || !target.starts_with(kTargetPrefix)) {
-    aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     return;
   }
   httpstream::Request call =
@@ -208,7 +204,8 @@
   own_.Call(call, timeout, [this, aExchange](Result aResult) {
     NoteOwn(aResult);
     if (aResult.end_ == httpstream::CallEnd::NotConnected) {
-      aExchange->Answer(httpstream::MakeResponse(kStatusUnavailable, {}));
+      aExchange->Answer(
+        httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     } else if (aResult.end_ != httpstream::CallEnd::Complete) {
       // Whether the store carried it out is unknown, and so the peer learns.
       aExchange->Abort();
--- a/Libraries/LibHttpStream/Message.cpp
+++ b/Libraries/LibHttpStream/Message.cpp
@@ -56,12 +56,11 @@
 {
   std::string bytes;
   bytes.reserve(512 + aRequest.body().size());
-  fmt::format_to(
-    std::back_inserter(bytes),
-    "{} {} HTTP/1.1\r\n",
-    std::string_view(aRequest.method_string().data(),
-                     aRequest.method_string().size()),
-    std::string_view(aRequest.target().data(), aRequest.target().size()));
+  fmt::format_to(std::back_inserter(bytes),
+                 "{} {} HTTP/1.1\r\n",
+                 std::string_view(aRequest.method_string().data(),
+                                  aRequest.method_string().size()),
+                 TargetOf(aRequest));
   for (const auto& field : aRequest) {
     bytes.append(field.name_string().data(), field.name_string().size());
     bytes.append(": ");
--- a/Libraries/LibHttpStream/Message.h
+++ b/Libraries/LibHttpStream/Message.h
@@ -26,6 +26,13 @@
   return { found->value().data(), found->value().size() };
 }
 
+/// @return path and query of a request.
+inline std::string_view
+TargetOf(const Request& aRequest)
+{
+  return { aRequest.target().data(), aRequest.target().size() };
+}
+
 /// @return whether a field concerns only one connection and is not forwarded.
 bool
 IsHopByHop(std::string_view aName);
--- a/Libraries/LibLots/LotKeys.h
+++ b/Libraries/LibLots/LotKeys.h
@@ -36,6 +36,12 @@
   /// @return the key, e.g. "data/LOT/result/000012".
   [[nodiscard]] std::string MakeKey(const LotKey& aKey) const;
 
+  /// @return the key of a lot's state.
+  [[nodiscard]] std::string StateOf(const std::string& aLot) const
+  {
+    return MakeKey({ aLot, KeyPart::State, 0 });
+  }
+
   /// @return the prefix of all keys of a lot but its state.
   [[nodiscard]] std::string DataOf(std::string_view aLot) const;
 
--- a/Libraries/LibMetadata/StoreHealth.cpp
+++ b/Libraries/LibMetadata/StoreHealth.cpp
@@ -13,6 +13,7 @@
     base::Log(kStoreLost);
   } else if (aIsAnswered && lost_) {
     lost_ = false;
+    answeredSince_ = aNow;
     if (aNow - lostAt_ >= kLeastOutage) {
       returnedAt_ = aNow;
     }
@@ -27,4 +28,10 @@
   return isOutage ? std::optional(aNow) : returnedAt_;
 }
 
+bool
+StoreHealth::WasLostWithin(base::Duration aSpan, base::Instant aNow) const
+{
+  return lost_ || (answeredSince_ && aNow - *answeredSince_ < aSpan);
+}
+
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/StoreHealth.h
+++ b/Libraries/LibMetadata/StoreHealth.h
@@ -28,10 +28,15 @@
   [[nodiscard]] std::optional<base::Instant> ReturnedAt(
     base::Instant aNow) const;
 
+  /// @return whether the store didn't answer at some moment of the last while.
+  [[nodiscard]] bool WasLostWithin(base::Duration aSpan,
+                                   base::Instant aNow) const;
+
 private:
   bool lost_ = false;
   base::Instant lostAt_{};
-  std::optional<base::Instant> returnedAt_;
+  std::optional<base::Instant> returnedAt_;    ///< After an outage.
+  std::optional<base::Instant> answeredSince_; ///< After a failed call.
 };
 
 } // namespace pumiceturn::metadata
--- a/Tests/LibLots/HeldLotFilesTest.cpp
+++ b/Tests/LibLots/HeldLotFilesTest.cpp
@@ -33,7 +33,9 @@
     lot.state_.owner_ = "worker/1";
     lot.state_.acceptedAtMs_ = 1700000000000;
     lot.state_.itemCount_ = 2;
-    lot.content_ = "{\"items\":[]}\n and any \0 bytes";
+    lot.content_ = "{\"items\":[]}\n and any ";
+    lot.content_.push_back('\0');
+    lot.content_.append("bytes");
     return lot;
   }
 
@@ -45,7 +47,8 @@
   std::filesystem::path folder_;
 };
 
-TEST_CASE_METHOD(HeldLotFilesFixture, "HeldLotFiles_Written_IsThereAfterRestart")
+TEST_CASE_METHOD(HeldLotFilesFixture,
+                 "HeldLotFiles_Written_IsThereAfterRestart")
 {
   CHECK_FALSE(HeldLotFiles(folder_).Write(Lot("../a lot")));
   const auto lots = HeldLotFiles(folder_).ReadAll();
@@ -72,8 +75,10 @@
   const auto path = OnlyFile();
   std::ifstream whole(path, std::ios::binary);
   const std::string text(std::istreambuf_iterator<char>(whole), {});
-  for (const std::size_t bytes : { std::size_t{ 0 }, std::size_t{ 20 }, text.size() - 1 }) {
-    std::ofstream(path, std::ios::binary).write(text.data(), static_cast<std::streamsize>(bytes));
+  for (const std::size_t bytes :
+       { std::size_t{ 0 }, std::size_t{ 20 }, text.size() - 1 }) {
+    std::ofstream(path, std::ios::binary)
+      .write(text.data(), static_cast<std::streamsize>(bytes));
     CHECK(HeldLotFiles(folder_).ReadAll().empty());
   }
   std::string spoilt = text;
--- a/Tests/LibMetadata/StoreHealthTest.cpp
+++ b/Tests/LibMetadata/StoreHealthTest.cpp
@@ -59,4 +59,18 @@
   CHECK(health_.ReturnedAt(now_) == returned);
 }
 
+// A lot that was accepted during an outage is denied: the host reads the store,
+// which is back, before the hosts that keep the lot have stored it.
+TEST_CASE_METHOD(StoreHealthFixture, "StoreHealth_LatelyLost_IsRemembered")
+{
+  Call(true, 0);
+  CHECK_FALSE(health_.WasLostWithin(milliseconds(3000), now_));
+  Call(false, 5000);
+  CHECK(health_.WasLostWithin(milliseconds(3000), now_));
+  Call(true, 100);
+  CHECK(health_.WasLostWithin(milliseconds(3000), now_ + milliseconds(2000)));
+  CHECK_FALSE(
+    health_.WasLostWithin(milliseconds(3000), now_ + milliseconds(3000)));
+}
+
 } // namespace pumiceturn::metadata
--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -56,7 +56,8 @@
 
 // A partner's lot is refused for as long as the store is down, and comes again
 // too late: nobody but the store could keep it.
-TEST_CASE_METHOD(HeldLotsFixture, "HeldLots_StoreAway_LotIsKeptAndRunAfterwards")
+TEST_CASE_METHOD(HeldLotsFixture,
+                 "HeldLots_StoreAway_LotIsKeptAndRunAfterwards")
 {
   StartWorkerWithDisk("worker-1");
   StartWorkerWithDisk("worker-2");
@@ -70,9 +71,8 @@
   store_.SetMood(StoreMood::Serving);
   WaitForAll(*entry_, 5);
   CHECK(RequestCount() == 5);
-  RunUntil([this] {
-    return FileCount("worker-1") + FileCount("worker-2") == 0;
-  });
+  RunUntil(
+    [this] { return FileCount("worker-1") + FileCount("worker-2") == 0; });
 }
 
 // A lot is lost: it was acknowledged with a single copy on a disk, and that
@@ -104,7 +104,8 @@
 
 // Power fails while the store is down: the lots that were accepted meanwhile
 // are on the disk of a host that starts anew.
-TEST_CASE_METHOD(HeldLotsFixture, "HeldLots_HostStartsAnew_StoresWhatItsDiskHas")
+TEST_CASE_METHOD(HeldLotsFixture,
+                 "HeldLots_HostStartsAnew_StoresWhatItsDiskHas")
 {
   lots::HeldLot lot;
   lot.id_ = "lot1";
--- a/Tests/PlatformSoak/FaultProxy.cpp
+++ b/Tests/PlatformSoak/FaultProxy.cpp
@@ -24,9 +24,9 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 asio::awaitable<void>
-Wait(std::chrono::milliseconds aTime)
+Wait(asio::any_io_executor aExecutor, std::chrono::milliseconds aTime)
 {
-  asio::steady_timer timer(co_await asio::this_coro::executor, aTime);
+  asio::steady_timer timer(aExecutor, aTime);
   co_await timer.async_wait(kNoThrow);
 }
 
@@ -83,25 +83,25 @@
                   [](const auto& aEntry) { return aEntry.expired(); });
     auto connection = std::make_shared<Connection>(std::move(socket), context_);
     connections_.push_back(connection);
-    asio::co_spawn(
-      context_, Carry(connection, fault_, target_), asio::detached);
+    Carry(connection);
   }
 }
 
-asio::awaitable<void>
-FaultProxy::Carry(ConnectionPtr aConnection,
-                  FaultPtr aFault,
-                  tcp::endpoint aTarget)
+void
+FaultProxy::Carry(const ConnectionPtr& aConnection)
 {
-  auto [error] = co_await aConnection->target_.async_connect(aTarget, kNoThrow);
-  if (error) {
-    Close(aConnection->caller_, true);
-    co_return;
-  }
-  const auto executor = co_await asio::this_coro::executor;
-  asio::co_spawn(
-    executor, Pump(aConnection, aFault, Direction::Back), asio::detached);
-  co_await Pump(aConnection, aFault, Direction::Forward);
+  aConnection->target_.async_connect(
+    target_, [this, aConnection](const boost::system::error_code& aError) {
+      if (aError) {
+        Close(aConnection->caller_, true);
+        return;
+      }
+      for (const Direction direction :
+           { Direction::Forward, Direction::Back }) {
+        asio::co_spawn(
+          context_, Pump(aConnection, fault_, direction), asio::detached);
+      }
+    });
 }
 
 asio::awaitable<void>
@@ -117,12 +117,12 @@
     auto [error, bytes] =
       co_await from.async_read_some(asio::buffer(piece), kNoThrow);
     if (aFault->delay_.count() > 0) {
-      co_await Wait(aFault->delay_);
+      co_await Wait(from.get_executor(), aFault->delay_);
     }
     while (from.is_open() &&
            (aConnection->isSilent_ ||
             (isForward ? aFault->isCutForward_ : aFault->isCutBack_))) {
-      co_await Wait(kLook);
+      co_await Wait(from.get_executor(), kLook);
     }
     if (error) {
       Close(to, error != asio::error::eof);
--- a/Tests/PlatformSoak/FaultProxy.h
+++ b/Tests/PlatformSoak/FaultProxy.h
@@ -68,10 +68,7 @@
   using FaultPtr = std::shared_ptr<Fault>;
 
   boost::asio::awaitable<void> Accept();
-  static boost::asio::awaitable<void> Carry(
-    ConnectionPtr aConnection,
-    FaultPtr aFault,
-    boost::asio::ip::tcp::endpoint aTarget);
+  void Carry(const ConnectionPtr& aConnection);
   static boost::asio::awaitable<void> Pump(ConnectionPtr aConnection,
                                            FaultPtr aFault,
                                            Direction aDirection);
