Tests/Platform: Hold the ports of test hosts until they open them

A host could not listen in 2 of about 20 runs of the fixture's tests. A port that was drawn and given back could be drawn again, also by the store's next door (OpenDoor), before the host opened it; remembering the drawn ones did not cover that. The fixture now keeps a socket bound to each, without listening. Seen: Start() false at different tests, once before and once after the set of drawn ports. No test's check changed.

--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -45,14 +45,14 @@
 std::uint16_t
 GatewayFixture::FreePort()
 {
-  while (true) {
-    const boost::asio::ip::tcp::acceptor acceptor(context_, Loopback(0));
-    const std::uint16_t port = acceptor.local_endpoint().port();
-    // The kernel may draw the same port again before the first is in use.
-    if (drawnPorts_.insert(port).second) {
-      return port;
-    }
-  }
+  // Stays bound, without listening, so that neither the store's next door nor a
+  // connection of another process is given the port before the host opens it.
+  boost::asio::ip::tcp::socket holder(context_, boost::asio::ip::tcp::v4());
+  holder.set_option(boost::asio::socket_base::reuse_address(true));
+  holder.bind(Loopback(0));
+  const std::uint16_t port = holder.local_endpoint().port();
+  heldPorts_.push_back(std::move(holder));
+  return port;
 }
 
 void
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -12,7 +12,6 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -36,7 +35,7 @@
 protected:
   GatewayFixture();
 
-  /// @return a port that was free a moment ago.
+  /// @return a port that nobody else is given while the fixture lives.
   std::uint16_t FreePort();
 
   /// Starts a host and waits until it is ready.
@@ -68,7 +67,7 @@
   StoreEntries storeEntries_;
   /// Of the next host; empty: it has no disk.
   std::string dataFolder_;
-  std::set<std::uint16_t> drawnPorts_;
+  std::vector<boost::asio::ip::tcp::socket> heldPorts_;
   base::Duration lotRetention_{ std::chrono::minutes{ 10 } };
   std::vector<std::unique_ptr<TestHost>> hosts_;
   std::vector<std::unique_ptr<ServerStandin>> servers_;
