LibLots: Tell whether a lot may be on a disk that refused it

Cause, found in review: a worker whose disk refuses the folder's sync answered that it does not have the lot, though the file had its name already; after a restart it would be stored and run, while its sender was told "not run". Change: WriteOutcome says so, the worker answers 504, and the sender as well. Only 503 counts as certainly not kept. Test: HeldLotFiles_RenameFails_MayBeThere.

--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -97,16 +97,21 @@
     aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
-  auto error = std::make_shared<std::error_code>();
+  auto outcome = std::make_shared<lots::WriteOutcome>();
   disk_.Run(
-    [this, error, copy = entry->second.lot_] { *error = files_.Write(copy); },
-    [this, error, id, aExchange] {
-      if (*error) {
+    [this, outcome, copy = entry->second.lot_] {
+      *outcome = files_.Write(copy);
+    },
+    [this, outcome, id, aExchange] {
+      if (outcome->error_) {
         base::Log(kLotNotHeld,
-                  { { "lot", id }, { "error", error->message() } });
+                  { { "lot", id }, { "error", outcome->error_.message() } });
         held_.erase(id);
-        aExchange->Answer(
-          httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
+        // A file that may be there is stored after a restart: not a refusal.
+        aExchange->Answer(httpstream::MakeResponse(
+          outcome->mayBeThere_ ? httpstream::kStatusGatewayTimeout
+                               : httpstream::kStatusUnavailable,
+          {}));
         return;
       }
       base::Log(kLotHeld, { { "lot", id }, { "from", "peer" } });
--- a/Libraries/LibGateway/HoldCaller.cpp
+++ b/Libraries/LibGateway/HoldCaller.cpp
@@ -78,7 +78,7 @@
         }
         const bool isCertainlyNot =
           aResult.end_ == httpstream::CallEnd::NotConnected ||
-          (isAnswered && aResult.status_ != httpstream::kStatusOk);
+          (isAnswered && aResult.status_ == httpstream::kStatusUnavailable);
         tally->mayBeHeld_ = tally->mayBeHeld_ || !isCertainlyNot;
         if (tally->held_ >= copies) {
           Finish(*tally, true);
--- a/Libraries/LibLots/HeldLotFiles.cpp
+++ b/Libraries/LibLots/HeldLotFiles.cpp
@@ -84,30 +84,34 @@
 }
 
 std::error_code
+HeldLotFiles::WritePart(const std::filesystem::path& aPart, const HeldLot& aLot)
+{
+  const Descriptor file(aPart, O_WRONLY | O_CREAT | O_TRUNC);
+  if (!file.IsOpen()) {
+    return LastError();
+  }
+  if (const auto error = file.WriteAll(EncodeHeldLot(aLot))) {
+    return error;
+  }
+  return file.Sync();
+}
+
+WriteOutcome
 HeldLotFiles::Write(const HeldLot& aLot)
 {
   const std::filesystem::path path = PathOf(aLot.id_);
   std::filesystem::path part = path;
   part += kUnfinished;
-  {
-    const Descriptor file(part, O_WRONLY | O_CREAT | O_TRUNC);
-    if (!file.IsOpen()) {
-      return LastError();
-    }
-    if (const auto error = file.WriteAll(EncodeHeldLot(aLot))) {
-      return error;
-    }
-    if (const auto error = file.Sync()) {
-      return error;
-    }
+  if (const auto error = WritePart(part, aLot)) {
+    return { error, false };
   }
   std::error_code error;
   std::filesystem::rename(part, path, error);
   if (error) {
-    return error;
+    return { error, true };
   }
   const Descriptor folder(folder_, O_RDONLY | O_DIRECTORY);
-  return folder.IsOpen() ? folder.Sync() : LastError();
+  return { folder.IsOpen() ? folder.Sync() : LastError(), true };
 }
 
 void
--- a/Libraries/LibLots/HeldLotFiles.h
+++ b/Libraries/LibLots/HeldLotFiles.h
@@ -9,6 +9,15 @@
 
 namespace pumiceturn::lots {
 
+/// How the writing of a lot went.
+struct WriteOutcome
+{
+  std::error_code error_; ///< From the system; none: the lot is on the disk.
+  /// After an error: the file has its name already, and may be there after a
+  /// restart.
+  bool mayBeThere_ = false;
+};
+
 /// Held lots as files, one each, in a folder. A file has its name only once its
 /// content is on the disk, so after a loss of power it is whole or isn't there.
 /// Each call waits for the disk. Not thread-safe.
@@ -19,8 +28,7 @@
   explicit HeldLotFiles(std::filesystem::path aFolder);
 
   /// Writes a lot and waits until it would outlast a loss of power.
-  /// @return what went wrong, from the system.
-  [[nodiscard]] std::error_code Write(const HeldLot& aLot);
+  [[nodiscard]] WriteOutcome Write(const HeldLot& aLot);
 
   /// Removes a lot's file. It may be back after a loss of power: whoever reads
   /// it then finds that the store has the lot.
@@ -31,6 +39,9 @@
   [[nodiscard]] std::vector<HeldLot> ReadAll();
 
 private:
+  [[nodiscard]] static std::error_code WritePart(
+    const std::filesystem::path& aPart,
+    const HeldLot& aLot);
   [[nodiscard]] std::filesystem::path PathOf(const std::string& aLot) const;
 
   std::filesystem::path folder_;
--- a/Tests/LibLots/HeldLotFilesTest.cpp
+++ b/Tests/LibLots/HeldLotFilesTest.cpp
@@ -50,7 +50,7 @@
 TEST_CASE_METHOD(HeldLotFilesFixture,
                  "HeldLotFiles_Written_IsThereAfterRestart")
 {
-  CHECK_FALSE(HeldLotFiles(folder_).Write(Lot("../a lot")));
+  CHECK_FALSE(HeldLotFiles(folder_).Write(Lot("../a lot")).error_);
   const auto lots = HeldLotFiles(folder_).ReadAll();
   REQUIRE(lots.size() == 1);
   CHECK(lots.front() == Lot("../a lot"));
@@ -59,8 +59,8 @@
 TEST_CASE_METHOD(HeldLotFilesFixture, "HeldLotFiles_Removed_IsGone")
 {
   HeldLotFiles files(folder_);
-  CHECK_FALSE(files.Write(Lot("a")));
-  CHECK_FALSE(files.Write(Lot("b")));
+  CHECK_FALSE(files.Write(Lot("a")).error_);
+  CHECK_FALSE(files.Write(Lot("b")).error_);
   files.Remove("a");
   const auto lots = files.ReadAll();
   REQUIRE(lots.size() == 1);
@@ -71,7 +71,7 @@
 // was there for the whole.
 TEST_CASE_METHOD(HeldLotFilesFixture, "HeldLotFiles_TornFile_IsNoLot")
 {
-  CHECK_FALSE(HeldLotFiles(folder_).Write(Lot("a")));
+  CHECK_FALSE(HeldLotFiles(folder_).Write(Lot("a")).error_);
   const auto path = OnlyFile();
   std::ifstream whole(path, std::ios::binary);
   const std::string text(std::istreambuf_iterator<char>(whole), {});
@@ -92,7 +92,23 @@
 TEST_CASE_METHOD(HeldLotFilesFixture, "HeldLotFiles_NoFolder_WriteSaysWhy")
 {
   std::ofstream(folder_) << "a file where the folder should be";
-  CHECK(HeldLotFiles(folder_).Write(Lot("a")));
+  const WriteOutcome outcome = HeldLotFiles(folder_).Write(Lot("a"));
+  CHECK(outcome.error_);
+  CHECK_FALSE(outcome.mayBeThere_);
+}
+
+// A partner is told that its lot was refused, and it runs after a restart: the
+// file had its name when the disk began to refuse writes.
+TEST_CASE_METHOD(HeldLotFilesFixture, "HeldLotFiles_RenameFails_MayBeThere")
+{
+  HeldLotFiles files(folder_);
+  CHECK_FALSE(files.Write(Lot("a")).error_);
+  const auto path = OnlyFile();
+  std::filesystem::remove(path);
+  std::filesystem::create_directories(path / "in the way");
+  const WriteOutcome outcome = files.Write(Lot("a"));
+  CHECK(outcome.error_);
+  CHECK(outcome.mayBeThere_);
 }
 
 } // namespace pumiceturn::lots
--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -115,7 +115,7 @@
   lot.state_.hostName_ = "a.example";
   lot.state_.path_ = "/lots/1";
   lot.content_ = LotBody(3);
-  CHECK_FALSE(lots::HeldLotFiles(FolderOf("worker-1")).Write(lot));
+  CHECK_FALSE(lots::HeldLotFiles(FolderOf("worker-1")).Write(lot).error_);
   StartWorkerWithDisk("worker-1");
   WaitForAll(*entry_, 3);
   RunUntil([this] { return FileCount("worker-1") == 0; });
@@ -133,7 +133,7 @@
   lot.state_.hostName_ = "a.example";
   lot.state_.path_ = "/lots/1";
   lot.content_ = LotBody(1);
-  CHECK_FALSE(lots::HeldLotFiles(FolderOf("worker-1")).Write(lot));
+  CHECK_FALSE(lots::HeldLotFiles(FolderOf("worker-1")).Write(lot).error_);
   StartWorkerWithDisk("worker-1");
   RunUntil([this] { return FileCount("worker-1") == 0; });
   CHECK(store_.Get("pumiceturn/lot/lot1").empty());
