LibBase: One copy of the file calls, for the job log and held lots

HeldLotFiles had written again what LibJobLog/Disk had: a descriptor that closes itself, writing all bytes, syncing a file and its folder; the copy also missed a write that a signal interrupts. Disk moves to LibBase, and both use it; errors of held lots have the numbered codes. TemporaryFolder of the job log's tests serves the two fixtures that had their own. HeldLots wrote a lot twice that two hosts brought at once, and forgot it where the second write failed after the first was acknowledged: those who bring it wait for the one write now. HeldLots_BroughtTwiceAtOnce_BothAreAnswered covers the wait; it passes before the change as well, as the fault needs a disk that fails in between. Assertions of the tests are as they were.

--- a/Benchmarks/JobLog/LinkedFleet.h
+++ b/Benchmarks/JobLog/LinkedFleet.h
@@ -6,7 +6,7 @@
 #include "LibJobLog/LogService.h"
 #include "LibPlatform/CallBudget.h"
 #include "LibWire/LinkTable.h"
-#include "TemporaryFolder.h"
+#include "Tests/TemporaryFolder.h"
 
 #include <functional>
 #include <map>
--- a/Benchmarks/JobLog/MeasureAppend.cpp
+++ b/Benchmarks/JobLog/MeasureAppend.cpp
@@ -1,7 +1,7 @@
 #include "LinkedFleet.h"
 #include "Measurements.h"
 
-#include "LibJobLog/Disk.h"
+#include "LibBase/Disk.h"
 
 #include <fmt/format.h>
 
@@ -61,9 +61,9 @@
 MeasurePlain(std::size_t aItems)
 {
   const TemporaryFolder folder;
-  const auto file = std::get<FilePointer>(
-    base::Capture([&] { return OpenFile(folder.Path() + "/plain"); }));
-  const Disk disk = Disk::Real();
+  const auto file = std::get<base::FilePointer>(
+    base::Capture([&] { return base::OpenFile(folder.Path() + "/plain"); }));
+  const base::Disk disk = base::Disk::Real();
   const std::string frame(aItems * kItemBytes, 'x');
   std::vector<double> times;
   const base::Instant begin = base::MonotonicNow();
--- a/Libraries/LibJobLog/Disk.cpp
+++ b/Libraries/LibBase/Disk.cpp
@@ -1,4 +1,4 @@
-#include "LibJobLog/Disk.h"
+#include "LibBase/Disk.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include <system_error>
 #include <unistd.h>
 
-namespace pumiceturn::joblog {
+namespace pumiceturn::base {
 
 namespace {
 
@@ -19,13 +19,13 @@
 FailWithErrno(const char* aCall)
 {
   const int code = errno;
-  return base::Fail(
-    code == ENOSPC || code == EDQUOT ? base::ResultCode::DiskFull
-                                     : base::ResultCode::InputOutput,
+  return Fail(
+    code == ENOSPC || code == EDQUOT ? ResultCode::DiskFull
+                                     : ResultCode::InputOutput,
     fmt::format("{}: {}", aCall, std::generic_category().message(code)));
 }
 
-base::Result<void>
+Result<void>
 WriteAll(const File& aFile, std::string_view aBytes, std::uint64_t aOffset)
 {
   while (!aBytes.empty()) {
@@ -45,7 +45,7 @@
   return {};
 }
 
-base::Result<void>
+Result<void>
 SyncData(const File& aFile)
 {
   if (fdatasync(aFile.Descriptor()) != 0) {
@@ -77,7 +77,7 @@
   return Disk{ WriteAll, SyncData, FreeBytes };
 }
 
-base::Result<FilePointer>
+Result<FilePointer>
 OpenFile(const std::string& aPath)
 {
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): the system's signature.
@@ -89,7 +89,7 @@
   return std::make_shared<File>(descriptor);
 }
 
-base::Result<std::string>
+Result<std::string>
 ReadBytes(const File& aFile, std::uint64_t aOffset, std::size_t aLength)
 {
   std::string bytes(aLength, '\0');
@@ -114,7 +114,7 @@
   return bytes;
 }
 
-base::Result<std::uint64_t>
+Result<std::uint64_t>
 FileBytes(const File& aFile)
 {
   struct stat info = {};
@@ -124,7 +124,7 @@
   return static_cast<std::uint64_t>(info.st_size);
 }
 
-base::Result<void>
+Result<void>
 TruncateFile(const File& aFile, std::uint64_t aLength)
 {
   if (ftruncate(aFile.Descriptor(), static_cast<off_t>(aLength)) != 0) {
@@ -133,7 +133,7 @@
   return {};
 }
 
-base::Result<void>
+Result<void>
 SyncFolder(const std::string& aFolder)
 {
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): the system's signature.
@@ -148,4 +148,4 @@
   return {};
 }
 
-} // namespace pumiceturn::joblog
+} // namespace pumiceturn::base
--- a/Libraries/LibJobLog/Disk.h
+++ b/Libraries/LibBase/Disk.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace pumiceturn::joblog {
+namespace pumiceturn::base {
 
 /// An open file; closed with the last reference.
 class File
@@ -34,11 +34,11 @@
 struct Disk
 {
   /// Writes all bytes at an offset. @return DiskFull or InputOutput.
-  std::function<base::Result<void>(const File& aFile,
-                                   std::string_view aBytes,
-                                   std::uint64_t aOffset)>
+  std::function<Result<void>(const File& aFile,
+                             std::string_view aBytes,
+                             std::uint64_t aOffset)>
     write_;
-  std::function<base::Result<void>(const File& aFile)> sync_;
+  std::function<Result<void>(const File& aFile)> sync_;
   std::function<std::uint64_t(const std::string& aFolder)> freeBytes_;
 
   /// @return the calls of the operating system.
@@ -46,20 +46,20 @@
 };
 
 /// Opens a file for reading and writing, and creates it where it is missing.
-base::Result<FilePointer>
+Result<FilePointer>
 OpenFile(const std::string& aPath);
 
-base::Result<std::string>
+Result<std::string>
 ReadBytes(const File& aFile, std::uint64_t aOffset, std::size_t aLength);
 
-base::Result<std::uint64_t>
+Result<std::uint64_t>
 FileBytes(const File& aFile);
 
-base::Result<void>
+Result<void>
 TruncateFile(const File& aFile, std::uint64_t aLength);
 
 /// Makes the creation or deletion of a folder's files durable.
-base::Result<void>
+Result<void>
 SyncFolder(const std::string& aFolder);
 
-} // namespace pumiceturn::joblog
+} // namespace pumiceturn::base
--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -93,33 +93,45 @@
   const base::Instant tryAt = isOwner ? now : now + kOwnerFirst;
   const auto [entry, isNew] =
     held_.try_emplace(id, Entry{ std::move(*lot), now, tryAt, false });
-  if (!isNew && entry->second.isWritten_) {
+  if (entry->second.isWritten_) {
     aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
+  entry->second.waiting_.push_back(aExchange);
+  if (!isNew) {
+    return;
+  }
   auto outcome = std::make_shared<lots::WriteOutcome>();
-  disk_.Run(
-    [this, outcome, copy = entry->second.lot_] {
-      *outcome = files_.Write(copy);
-    },
-    [this, outcome, id, aExchange] {
-      if (outcome->error_) {
-        base::Log(kLotNotHeld,
-                  { { "lot", id }, { "error", outcome->error_.message() } });
-        held_.erase(id);
-        // A file that may be there is stored after a restart: not a refusal.
-        aExchange->Answer(httpstream::MakeResponse(
-          outcome->mayBeThere_ ? httpstream::kStatusGatewayTimeout
-                               : httpstream::kStatusUnavailable,
-          {}));
-        return;
-      }
-      base::Log(kLotHeld, { { "lot", id }, { "from", "peer" } });
-      if (const auto found = held_.find(id); found != held_.end()) {
-        found->second.isWritten_ = true;
-      }
-      aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
-    });
+  disk_.Run([this,
+             outcome,
+             copy = entry->second.lot_] { *outcome = files_.Write(copy); },
+            [this, outcome, id] { OnWritten(id, *outcome); });
+}
+
+void
+HeldLots::OnWritten(const std::string& aLot, const lots::WriteOutcome& aOutcome)
+{
+  // An entry stays until it is written.
+  const auto found = held_.find(aLot);
+  Entry& entry = found->second;
+  const auto waiting = std::exchange(entry.waiting_, {});
+  unsigned status = httpstream::kStatusOk;
+  if (aOutcome.error_) {
+    base::Log(kLotNotHeld,
+              { { "lot", aLot },
+                { "code", base::NameOf(aOutcome.error_->code_) },
+                { "error", aOutcome.error_->detail_ } });
+    held_.erase(found);
+    // A file that may be there is stored after a restart: not a refusal.
+    status = aOutcome.mayBeThere_ ? httpstream::kStatusGatewayTimeout
+                                  : httpstream::kStatusUnavailable;
+  } else {
+    base::Log(kLotHeld, { { "lot", aLot }, { "from", "peer" } });
+    entry.isWritten_ = true;
+  }
+  for (const auto& exchange : waiting) {
+    exchange->Answer(httpstream::MakeResponse(status, {}));
+  }
 }
 
 void
@@ -131,11 +143,11 @@
   }
   for (const std::string& id : ids) {
     Entry& entry = held_.at(id);
-    const base::Duration age =
-      aWallNow - base::FromUnixMs(entry.lot_.state_.acceptedAtMs_);
     if (!entry.isWritten_) {
       continue;
     }
+    const base::Duration age =
+      aWallNow - base::FromUnixMs(entry.lot_.state_.acceptedAtMs_);
     if (lots_.Find(id) != nullptr) {
       Drop(id, "stored");
     } else if (age > retention_) {
--- a/Libraries/LibGateway/HeldLots.h
+++ b/Libraries/LibGateway/HeldLots.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
@@ -62,8 +63,12 @@
     base::Instant since_;
     base::Instant tryAt_;
     bool isWritten_ = false;
+    /// Those who brought it and wait for the write under way.
+    std::vector<std::shared_ptr<httpstream::Exchange>> waiting_{};
   };
 
+  void OnWritten(const std::string& aLot, const lots::WriteOutcome& aOutcome);
+
   void Store(Entry& aEntry, base::Instant aNow);
   void OnStored(const std::string& aLot, metadata::StoreStatus aStatus);
   void Drop(const std::string& aLot, std::string_view aReason);
--- a/Libraries/LibJobLog/SegmentStore.cpp
+++ b/Libraries/LibJobLog/SegmentStore.cpp
@@ -32,7 +32,7 @@
 
 struct Segment
 {
-  FilePointer file_;
+  base::FilePointer file_;
   SegmentHeader header_;
   std::uint64_t bytes_ = 0;
   std::uint64_t liveEntries_ = 0;
@@ -141,13 +141,13 @@
 class WindowReader
 {
 public:
-  WindowReader(FilePointer aFile, std::uint64_t aSalt)
+  WindowReader(base::FilePointer aFile, std::uint64_t aSalt)
     : file_(std::move(aFile))
     , salt_(aSalt)
   {
   }
 
-  [[nodiscard]] const File* Source() const { return file_.get(); }
+  [[nodiscard]] const base::File* Source() const { return file_.get(); }
 
   /// @return CorruptRecord where the bytes fail a checksum.
   base::Result<std::pair<RecordHeader, std::string>> ReadRecord(
@@ -177,13 +177,13 @@
     if (!held) {
       BOOST_LEAF_ASSIGN(
         window_,
-        ReadBytes(*file_, aOffset, std::max(aLength, kReadWindowBytes)));
+        base::ReadBytes(*file_, aOffset, std::max(aLength, kReadWindowBytes)));
       begin_ = aOffset;
     }
     return std::string_view(window_).substr(aOffset - begin_, aLength);
   }
 
-  FilePointer file_;
+  base::FilePointer file_;
   std::uint64_t salt_;
   std::uint64_t begin_ = 0;
   std::string window_;
@@ -270,9 +270,9 @@
 SegmentStore::State::LoadSegment(std::uint32_t aNumber, SegmentPlace aPlace)
 {
   const std::string path = SegmentPath(options_.folder_, aNumber);
-  BOOST_LEAF_AUTO(file, OpenFile(path));
-  BOOST_LEAF_AUTO(bytes, FileBytes(*file));
-  BOOST_LEAF_AUTO(head, ReadBytes(*file, 0, kSegmentHeaderBytes));
+  BOOST_LEAF_AUTO(file, base::OpenFile(path));
+  BOOST_LEAF_AUTO(bytes, base::FileBytes(*file));
+  BOOST_LEAF_AUTO(head, base::ReadBytes(*file, 0, kSegmentHeaderBytes));
   const auto header = DecodeSegmentHeader(head);
   if (header && header->number_ == aNumber) {
     Segment& segment = segments_[aNumber];
@@ -295,7 +295,7 @@
 SegmentStore::State::ScanFile(Segment& aSegment, SegmentPlace aPlace)
 {
   const std::uint32_t number = aSegment.header_.number_;
-  BOOST_LEAF_AUTO(bytes, ReadBytes(*aSegment.file_, 0, aSegment.bytes_));
+  BOOST_LEAF_AUTO(bytes, base::ReadBytes(*aSegment.file_, 0, aSegment.bytes_));
   const SegmentVisitor visitor{
     [&](const RecordHeader& aHeader,
         std::uint64_t aOffset,
@@ -313,7 +313,7 @@
             { { "segment", number },
               { "offset", end },
               { "bytes", bytes.size() - end } });
-  BOOST_LEAF_CHECK(TruncateFile(*aSegment.file_, end));
+  BOOST_LEAF_CHECK(base::TruncateFile(*aSegment.file_, end));
   BOOST_LEAF_CHECK(options_.disk_.sync_(*aSegment.file_));
   aSegment.bytes_ = end;
   return {};
@@ -438,13 +438,13 @@
                         header.salt_);
     }
   }
-  BOOST_LEAF_AUTO(file,
-                  OpenFile(SegmentPath(options_.folder_, header.number_)));
-  BOOST_LEAF_CHECK(TruncateFile(*file, 0));
+  BOOST_LEAF_AUTO(
+    file, base::OpenFile(SegmentPath(options_.folder_, header.number_)));
+  BOOST_LEAF_CHECK(base::TruncateFile(*file, 0));
   BOOST_LEAF_CHECK(
     options_.disk_.write_(*file, EncodeSegmentHeader(header), 0));
   BOOST_LEAF_CHECK(options_.disk_.sync_(*file));
-  BOOST_LEAF_CHECK(SyncFolder(options_.folder_));
+  BOOST_LEAF_CHECK(base::SyncFolder(options_.folder_));
   BOOST_LEAF_CHECK(options_.disk_.write_(*file, states, kSegmentHeaderBytes));
   BOOST_LEAF_CHECK(options_.disk_.sync_(*file));
   const std::lock_guard lock(mutex_);
@@ -639,8 +639,8 @@
     base::Log(kStoreFailed, { { "cause", failure->detail_ } });
     return base::Fail(ResultCode::InputOutput, failure->detail_);
   }
-  const auto cut =
-    base::Capture([&] { return TruncateFile(*segment.file_, segment.bytes_); });
+  const auto cut = base::Capture(
+    [&] { return base::TruncateFile(*segment.file_, segment.bytes_); });
   if (failure->code_ != ResultCode::DiskFull ||
       std::holds_alternative<base::Failure>(cut)) {
     failed_ = true;
@@ -843,7 +843,7 @@
 base::Result<std::string>
 SegmentStore::Read(LogPosition aPosition) const
 {
-  FilePointer file;
+  base::FilePointer file;
   std::uint64_t salt = 0;
   {
     const std::lock_guard lock(state_->mutex_);
@@ -855,9 +855,9 @@
     salt = segment->second.header_.salt_;
   }
   BOOST_LEAF_AUTO(bytes,
-                  ReadBytes(*file,
-                            aPosition.offset_,
-                            kRecordHeaderBytes + aPosition.length_));
+                  base::ReadBytes(*file,
+                                  aPosition.offset_,
+                                  kRecordHeaderBytes + aPosition.length_));
   const auto header = DecodeRecordHeader(bytes, salt);
   if (!header || header->length_ != aPosition.length_) {
     return base::Fail(ResultCode::CorruptRecord, "record header");
--- a/Libraries/LibJobLog/SegmentStore.h
+++ b/Libraries/LibJobLog/SegmentStore.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "LibBase/Disk.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
 #include "LibJobLog/CopyIndex.h"
-#include "LibJobLog/Disk.h"
 #include "LibJobLog/LogPosition.h"
 #include "LibWire/Messages.h"
 
@@ -38,7 +38,7 @@
     std::string folder_;
     std::uint64_t segmentBytes_ = kDefaultSegmentBytes;
     std::uint64_t reserveBytes_ = 0; ///< Below it HasRoom() is false.
-    Disk disk_ = Disk::Real();
+    base::Disk disk_ = base::Disk::Real();
   };
 
   static constexpr std::uint64_t kDefaultSegmentBytes = 64U << 20U;
--- a/Libraries/LibLots/HeldLotFiles.cpp
+++ b/Libraries/LibLots/HeldLotFiles.cpp
@@ -1,16 +1,16 @@
 #include "LibLots/HeldLotFiles.h"
 
+#include "LibBase/Disk.h"
 #include "LibBase/Ids.h"
 
 #include <fmt/format.h>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <fstream>
 #include <iterator>
 #include <string_view>
+#include <system_error>
 #include <utility>
+#include <variant>
 
 namespace pumiceturn::lots {
 
@@ -18,54 +18,13 @@
 
 constexpr std::string_view kUnfinished = ".part";
 
-std::error_code
-LastError()
+std::optional<base::Failure>
+FailureOf(const base::Outcome<std::monostate>& aOutcome)
 {
-  return { errno, std::generic_category() };
+  const auto* failure = std::get_if<base::Failure>(&aOutcome);
+  return failure != nullptr ? std::optional(*failure) : std::nullopt;
 }
 
-/// A file descriptor that is closed at the end of its scope.
-class Descriptor
-{
-public:
-  Descriptor(const std::filesystem::path& aPath, int aFlags)
-    : number_(::open(aPath.c_str(), aFlags | O_CLOEXEC, S_IRUSR | S_IWUSR))
-  {
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  Descriptor(Descriptor&&) = delete;
-  Descriptor& operator=(Descriptor&&) = delete;
-  ~Descriptor()
-  {
-    if (number_ >= 0) {
-      ::close(number_);
-    }
-  }
-
-  [[nodiscard]] bool IsOpen() const { return number_ >= 0; }
-
-  [[nodiscard]] std::error_code WriteAll(std::string_view aBytes) const
-  {
-    while (!aBytes.empty()) {
-      const ssize_t written = ::write(number_, aBytes.data(), aBytes.size());
-      if (written < 0) {
-        return LastError();
-      }
-      aBytes.remove_prefix(static_cast<std::size_t>(written));
-    }
-    return {};
-  }
-
-  [[nodiscard]] std::error_code Sync() const
-  {
-    return ::fsync(number_) == 0 ? std::error_code() : LastError();
-  }
-
-private:
-  int number_;
-};
-
 } // namespace
 
 HeldLotFiles::HeldLotFiles(std::filesystem::path aFolder)
@@ -83,17 +42,27 @@
   return folder_ / fmt::format("lot-{:016x}", base::HashBytes(aLot));
 }
 
-std::error_code
+base::Result<void>
 HeldLotFiles::WritePart(const std::filesystem::path& aPart, const HeldLot& aLot)
 {
-  const Descriptor file(aPart, O_WRONLY | O_CREAT | O_TRUNC);
-  if (!file.IsOpen()) {
-    return LastError();
-  }
-  if (const auto error = file.WriteAll(EncodeHeldLot(aLot))) {
-    return error;
+  const base::Disk disk = base::Disk::Real();
+  BOOST_LEAF_AUTO(file, base::OpenFile(aPart.string()));
+  BOOST_LEAF_CHECK(base::TruncateFile(*file, 0));
+  BOOST_LEAF_CHECK(disk.write_(*file, EncodeHeldLot(aLot), 0));
+  return disk.sync_(*file);
+}
+
+base::Result<void>
+HeldLotFiles::Rename(const std::filesystem::path& aPart,
+                     const std::filesystem::path& aPath) const
+{
+  std::error_code error;
+  std::filesystem::rename(aPart, aPath, error);
+  if (error) {
+    return base::Fail(base::ResultCode::InputOutput,
+                      fmt::format("rename: {}", error.message()));
   }
-  return file.Sync();
+  return base::SyncFolder(folder_.string());
 }
 
 WriteOutcome
@@ -102,16 +71,11 @@
   const std::filesystem::path path = PathOf(aLot.id_);
   std::filesystem::path part = path;
   part += kUnfinished;
-  if (const auto error = WritePart(part, aLot)) {
-    return { error, false };
-  }
-  std::error_code error;
-  std::filesystem::rename(part, path, error);
+  auto error = FailureOf(base::Capture([&] { return WritePart(part, aLot); }));
   if (error) {
-    return { error, true };
+    return { std::move(error), false };
   }
-  const Descriptor folder(folder_, O_RDONLY | O_DIRECTORY);
-  return { folder.IsOpen() ? folder.Sync() : LastError(), true };
+  return { FailureOf(base::Capture([&] { return Rename(part, path); })), true };
 }
 
 void
--- a/Libraries/LibLots/HeldLotFiles.h
+++ b/Libraries/LibLots/HeldLotFiles.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "LibBase/Result.h"
 #include "LibLots/HeldLot.h"
 
 #include <filesystem>
+#include <optional>
 #include <string>
-#include <system_error>
 #include <vector>
 
 namespace pumiceturn::lots {
@@ -12,7 +13,7 @@
 /// How the writing of a lot went.
 struct WriteOutcome
 {
-  std::error_code error_; ///< From the system; none: the lot is on the disk.
+  std::optional<base::Failure> error_; ///< None: the lot is on the disk.
   /// After an error: the file has its name already, and may be there after a
   /// restart.
   bool mayBeThere_ = false;
@@ -39,9 +40,15 @@
   [[nodiscard]] std::vector<HeldLot> ReadAll();
 
 private:
-  [[nodiscard]] static std::error_code WritePart(
+  /// Makes a file with the lot's content durable, under any name.
+  [[nodiscard]] static base::Result<void> WritePart(
     const std::filesystem::path& aPart,
     const HeldLot& aLot);
+
+  /// Gives the file its name for good.
+  [[nodiscard]] base::Result<void> Rename(
+    const std::filesystem::path& aPart,
+    const std::filesystem::path& aPath) const;
   [[nodiscard]] std::filesystem::path PathOf(const std::string& aLot) const;
 
   std::filesystem::path folder_;
--- a/Tests/LibJobLog/SegmentStoreTest.cpp
+++ b/Tests/LibJobLog/SegmentStoreTest.cpp
@@ -1,6 +1,6 @@
 #include "LibJobLog/SegmentStore.h"
 
-#include "TemporaryFolder.h"
+#include "Tests/TemporaryFolder.h"
 
 #include <catch2/catch.hpp>
 
@@ -238,8 +238,8 @@
   std::atomic<bool> full{ false };
   std::promise<void> begun;
   std::promise<void> queued;
-  const Disk real = Disk::Real();
-  options_.disk_.write_ = [&](const File& aFile,
+  const base::Disk real = base::Disk::Real();
+  options_.disk_.write_ = [&](const base::File& aFile,
                               std::string_view aBytes,
                               std::uint64_t aOffset) -> base::Result<void> {
     if (!full.exchange(false)) {
@@ -274,8 +274,8 @@
 TEST_CASE_METHOD(StoreFixture, "SegmentStore_SyncFailed_AcknowledgesNoMore")
 {
   std::atomic<bool> failing{ false };
-  const Disk real = Disk::Real();
-  options_.disk_.sync_ = [&](const File& aFile) -> base::Result<void> {
+  const base::Disk real = base::Disk::Real();
+  options_.disk_.sync_ = [&](const base::File& aFile) -> base::Result<void> {
     if (failing) {
       return base::Fail(ResultCode::InputOutput);
     }
--- a/Tests/LibJobLog/TestFleet.cpp
+++ b/Tests/LibJobLog/TestFleet.cpp
@@ -101,15 +101,15 @@
   return handlers;
 }
 
-Disk
+base::Disk
 TestFleet::MakeDisk(std::size_t aKeeper) const
 {
-  Disk disk = Disk::Real();
+  base::Disk disk = base::Disk::Real();
   if (!options_.fullDisk_) {
     return disk;
   }
   disk.write_ = [full = options_.fullDisk_, real = disk.write_, aKeeper](
-                  const File& aFile,
+                  const base::File& aFile,
                   std::string_view aBytes,
                   std::uint64_t aOffset) -> base::Result<void> {
     if (*full == aKeeper) {
--- a/Tests/LibJobLog/TestFleet.h
+++ b/Tests/LibJobLog/TestFleet.h
@@ -3,7 +3,7 @@
 #include "FakeKeyValue.h"
 #include "LibJobLog/LogPorts.h"
 #include "LibJobLog/LogService.h"
-#include "TemporaryFolder.h"
+#include "Tests/TemporaryFolder.h"
 
 #include "LibBase/Strand.h"
 
@@ -99,7 +99,7 @@
   void TellLinksUp(std::size_t aKeeper);
   LogService::Handlers MakeHandlers(std::size_t aKeeper);
   LogPorts MakePorts(std::size_t aKeeper);
-  [[nodiscard]] Disk MakeDisk(std::size_t aKeeper) const;
+  [[nodiscard]] base::Disk MakeDisk(std::size_t aKeeper) const;
 
   Options options_;
   FakeKeyValue keyValue_;
--- a/Tests/LibLots/HeldLotFilesTest.cpp
+++ b/Tests/LibLots/HeldLotFilesTest.cpp
@@ -1,10 +1,8 @@
 #include "LibLots/HeldLotFiles.h"
 
-#include <catch2/catch.hpp>
-
-#include <unistd.h>
+#include "Tests/TemporaryFolder.h"
 
-#include <fmt/format.h>
+#include <catch2/catch.hpp>
 
 #include <fstream>
 #include <iterator>
@@ -14,18 +12,6 @@
 class HeldLotFilesFixture
 {
 protected:
-  HeldLotFilesFixture()
-    : folder_(std::filesystem::temp_directory_path() /
-              fmt::format("pumiceturn-held-{}", ::getpid()))
-  {
-    std::filesystem::remove_all(folder_);
-  }
-  ~HeldLotFilesFixture()
-  {
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-  }
-
   static HeldLot Lot(const std::string& aId)
   {
     HeldLot lot;
@@ -44,7 +30,9 @@
     return std::filesystem::directory_iterator(folder_)->path();
   }
 
-  std::filesystem::path folder_;
+  TemporaryFolder temporary_;
+  std::filesystem::path folder_{ std::filesystem::path(temporary_.Path()) /
+                                 "lots" };
 };
 
 TEST_CASE_METHOD(HeldLotFilesFixture,
--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -1,28 +1,13 @@
 #include "Tests/Platform/LotsFixture.h"
 
 #include "LibLots/HeldLotFiles.h"
-
-#include <unistd.h>
-
-#include <filesystem>
+#include "Tests/TemporaryFolder.h"
 
 namespace pumiceturn::adapter {
 
 class HeldLotsFixture : protected LotsFixture
 {
 protected:
-  HeldLotsFixture()
-    : folder_(std::filesystem::temp_directory_path() /
-              fmt::format("pumiceturn-held-lots-{}", ::getpid()))
-  {
-    std::filesystem::remove_all(folder_);
-  }
-  ~HeldLotsFixture()
-  {
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-  }
-
   TestHost& StartWorkerWithDisk(const std::string& aName)
   {
     dataFolder_ = FolderOf(aName);
@@ -33,7 +18,7 @@
 
   [[nodiscard]] std::string FolderOf(const std::string& aName) const
   {
-    return (folder_ / aName).string();
+    return folder_.Path() + "/" + aName;
   }
 
   /// Waits until the entry host knows as many peers.
@@ -51,7 +36,7 @@
     return lots::HeldLotFiles(FolderOf(aName)).ReadAll().size();
   }
 
-  std::filesystem::path folder_;
+  TemporaryFolder folder_;
 };
 
 // A partner's lot is refused for as long as the store is down, and comes again
@@ -140,4 +125,26 @@
   CHECK(RequestCount() == 0);
 }
 
+// A sender brings its lot to two entry hosts at once, and both to the same
+// worker: one of the two is never told that the lot is on the disk.
+TEST_CASE_METHOD(HeldLotsFixture, "HeldLots_BroughtTwiceAtOnce_BothAreAnswered")
+{
+  TestHost& worker = StartWorkerWithDisk("worker-1");
+  store_.SetMood(StoreMood::Refusing);
+  lots::HeldLot lot;
+  lot.id_ = "lot1";
+  lot.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+  lot.content_ = LotBody(1);
+  const std::string body = lots::EncodeHeldLot(lot);
+  std::vector<std::unique_ptr<CallerCall>> calls;
+  for (int bringer = 0; bringer < 2; ++bringer) {
+    calls.push_back(
+      SendTo(Loopback(worker.passOnPort_), "PUT", "/held/lot1", {}, body));
+  }
+  RunUntil([&] { return calls[0]->IsOver() && calls[1]->IsOver(); });
+  CHECK(calls[0]->status_ == 200);
+  CHECK(calls[1]->status_ == 200);
+  CHECK(FileCount("worker-1") == 1);
+}
+
 } // namespace pumiceturn::adapter
--- a/Tests/LibJobLog/TemporaryFolder.h
+++ b/Tests/TemporaryFolder.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace pumiceturn::joblog {
+namespace pumiceturn {
 
 /// A new folder that is removed with its content.
 class TemporaryFolder
@@ -69,4 +69,4 @@
   stream.put(static_cast<char>(byte ^ kBit));
 }
 
-} // namespace pumiceturn::joblog
+} // namespace pumiceturn
