LibGateway: One set of peers' connections for calls on lots

LotDesk and HoldCaller kept connections to the same hosts, each with a list to be kept up to date; the workers are derived from the registrations now, when a lot is to be held. The submission's timer needs no pointer. Tests: one maker of routes for the two fixtures. Comments that named an exchange of 100 ms say what holds now.

--- a/Libraries/LibFleet/AdmissionControl.cpp
+++ b/Libraries/LibFleet/AdmissionControl.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Share of the objective that a request may wait for a place. The rest is for
-/// the way, the reading of the prompt, and counts that are 100 ms old.
+/// the way, the reading of the prompt, and counts that are some ms old.
 constexpr double kWaitShare = 0.6;
 
 /// Runs after which their mean time is trusted, and the weight of a new one.
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// How strongly endpoints with more free places are preferred. Counts are up to
+/// How strongly endpoints with more free places are preferred. Counts are 10 to
 /// 100 ms old, and all hosts see the same ones: if each took the emptiest
 /// endpoint, all requests of that time would meet there.
 constexpr double kRoomExponent = 2.0;
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -71,7 +71,7 @@
   struct Limits
   {
     /// Places that batch leaves free at each endpoint: online requests that
-    /// arrive within one exchange between hosts (100 ms) find room at once.
+    /// arrive within one exchange between hosts find room at once.
     std::uint32_t batchHeadroom_ = 1;
 
     /// How old a peer's counts may be. Ten exchanges: a peer that is silent
--- a/Libraries/LibFleet/PeerHearing.h
+++ b/Libraries/LibFleet/PeerHearing.h
@@ -67,9 +67,8 @@
     base::Instant aNow,
     std::mt19937_64& aRandom) const;
 
-  /// @return the peer that reaches a silent one; nothing where the peer is
-  /// heard
-  ///         itself, or by nobody.
+  /// @return the peer that reaches a silent one; nothing where the silent one
+  ///         is heard itself, or by nobody.
   [[nodiscard]] std::optional<std::string> RelayTo(const std::string& aPeer,
                                                    base::Instant aNow) const;
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -164,6 +164,7 @@
            { layout_.hostPrefix_ + settings_.host_,
              MakeHostValue(OwnName(), settings_) })
   , loader_(aStore, lots_)
+  , peerCallers_(aContext.get_executor())
   , desk_(shared_,
           aStore,
           lots_,
@@ -171,13 +172,14 @@
           hosts_,
           health_,
           OwnName(),
-          aContext.get_executor())
+          peerCallers_)
   , intake_(shared_,
             aStore,
             lots_,
             hosts_,
             OwnName(),
             aContext.get_executor(),
+            peerCallers_,
             settings_.lotCopies_)
   , worker_(aContext, shared_, aStore, lots_, loader_, hosts_, OwnName())
   , retention_(aStore, lots_, hosts_, OwnName(), settings_.lotRetention_)
@@ -562,10 +564,9 @@
 void
 Gateway::OnHostsChanged()
 {
-  const std::vector<lots::PeerAddress> others = hosts_.PeersBut(OwnName());
-  storePaths_.SetPeers(others);
-  desk_.SetPeers(others);
-  intake_.SetPeers(others);
+  std::vector<lots::PeerAddress> others = hosts_.PeersBut(OwnName());
+  peerCallers_.Keep(others);
+  storePaths_.SetPeers(std::move(others));
   const bool mayRunLots = hosts_.IsPreferred(settings_.lotPreference_);
   lotMirror_.SetPause(mayRunLots
                         ? ShareOf(settings_.settleBound_, kLotPauseShare)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "LibGateway/LotIntake.h"
 #include "LibGateway/LotRetention.h"
 #include "LibGateway/OnlineRelay.h"
+#include "LibGateway/PeerCallers.h"
 #include "LibGateway/PeerExchange.h"
 #include "LibGateway/Shared.h"
 #include "LibGateway/StorePaths.h"
@@ -151,6 +152,7 @@
   metadata::PrefixMirror hostMirror_;
   metadata::HostLease lease_;
   LotLoader loader_;
+  PeerCallers peerCallers_; ///< For calls on lots.
   LotDesk desk_;
   LotIntake intake_;
   std::optional<HeldLots> heldLots_; ///< Where this host has a data folder.
--- a/Libraries/LibGateway/HoldCaller.cpp
+++ b/Libraries/LibGateway/HoldCaller.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
@@ -34,23 +35,20 @@
 } // namespace
 
 void
-HoldCaller::SetPeers(const std::vector<lots::PeerAddress>& aPeers)
+HoldCaller::Hold(const lots::HeldLot& aLot,
+                 std::span<const lots::PeerAddress> aPeers,
+                 Done aDone)
 {
-  callers_.Keep(aPeers);
-  workers_.clear();
+  std::vector<httpstream::HttpCaller*> workers;
   for (const lots::PeerAddress& peer : aPeers) {
-    if (peer.isWorker_) {
-      workers_.push_back(peer);
+    if (auto* caller =
+          peer.isWorker_ ? callers_.Find(peer.address_) : nullptr) {
+      workers.push_back(caller);
     }
   }
-}
-
-void
-HoldCaller::Hold(const lots::HeldLot& aLot, Done aDone)
-{
   auto tally = std::make_shared<Tally>();
   tally->done_ = std::move(aDone);
-  if (workers_.size() < copies_) {
+  if (workers.size() < copies_) {
     Finish(*tally, false);
     return;
   }
@@ -60,13 +58,8 @@
   request.version(11);
   request.body() = lots::EncodeHeldLot(aLot);
   request.prepare_payload();
-  tally->open_ = workers_.size();
-  for (const lots::PeerAddress& worker : workers_) {
-    httpstream::HttpCaller* caller = callers_.Find(worker.address_);
-    if (caller == nullptr) {
-      --tally->open_;
-      continue;
-    }
+  tally->open_ = workers.size();
+  for (httpstream::HttpCaller* caller : workers) {
     caller->Call(
       request,
       kTimeout,
@@ -88,9 +81,6 @@
         }
       });
   }
-  if (tally->open_ == 0) {
-    Finish(*tally, false);
-  }
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/HoldCaller.h
+++ b/Libraries/LibGateway/HoldCaller.h
@@ -6,8 +6,7 @@
 
 #include <cstddef>
 #include <functional>
-#include <string>
-#include <vector>
+#include <span>
 
 namespace pumiceturn::gateway {
 
@@ -26,21 +25,20 @@
   using Done = std::function<void(HoldOutcome)>;
 
   /// @param aCopies How many hosts must keep a lot.
-  HoldCaller(boost::asio::any_io_executor aExecutor, std::size_t aCopies)
-    : callers_(std::move(aExecutor))
+  HoldCaller(PeerCallers& aCallers, std::size_t aCopies)
+    : callers_(aCallers)
     , copies_(aCopies)
   {
   }
 
-  void SetPeers(const std::vector<lots::PeerAddress>& aPeers);
-
-  /// Sends the lot to all workers. Calls back once: as soon as enough have it,
-  /// or when all have answered or timed out.
-  void Hold(const lots::HeldLot& aLot, Done aDone);
+  /// Sends the lot to all workers among the peers. Calls back once: as soon as
+  /// enough have it, or when all have answered or timed out.
+  void Hold(const lots::HeldLot& aLot,
+            std::span<const lots::PeerAddress> aPeers,
+            Done aDone);
 
 private:
-  PeerCallers callers_;
-  std::vector<lots::PeerAddress> workers_;
+  PeerCallers& callers_;
   std::size_t copies_;
 };
 
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -61,7 +61,7 @@
                  const lots::HostSet& aHosts,
                  const metadata::StoreHealth& aHealth,
                  std::string aOwnName,
-                 boost::asio::any_io_executor aExecutor)
+                 PeerCallers& aCallers)
   : shared_(aShared)
   , store_(aStore)
   , lots_(aLots)
@@ -69,7 +69,7 @@
   , hosts_(aHosts)
   , health_(aHealth)
   , ownName_(std::move(aOwnName))
-  , callers_(std::move(aExecutor))
+  , callers_(aCallers)
 {
 }
 
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -32,7 +32,7 @@
           const lots::HostSet& aHosts,
           const metadata::StoreHealth& aHealth,
           std::string aOwnName,
-          boost::asio::any_io_executor aExecutor);
+          PeerCallers& aCallers);
 
   /// Answers a call of a caller.
   void Handle(const std::shared_ptr<httpstream::Exchange>& aExchange,
@@ -48,12 +48,6 @@
   /// Answers readers whose wait is over.
   void Tick(base::Instant aNow);
 
-  /// Names the other hosts; connections to those that are gone are dropped.
-  void SetPeers(const std::vector<lots::PeerAddress>& aPeers)
-  {
-    callers_.Keep(aPeers);
-  }
-
   /// Called with each lot whose state was changed or read here.
   void SetOnStateRead(std::function<void(const std::string&)> aCallback)
   {
@@ -116,7 +110,7 @@
   const lots::HostSet& hosts_;
   const metadata::StoreHealth& health_;
   std::string ownName_;
-  PeerCallers callers_; ///< To the hosts that run lots.
+  PeerCallers& callers_; ///< To the hosts that run lots.
   std::function<void(const std::string&)> onStateRead_;
   std::unordered_map<std::string, std::vector<Reader>> readers_;
 };
--- a/Libraries/LibGateway/LotIntake.cpp
+++ b/Libraries/LibGateway/LotIntake.cpp
@@ -35,10 +35,15 @@
     Failed,
   };
 
+  explicit Submission(const boost::asio::any_io_executor& aExecutor)
+    : holdTimer_(aExecutor)
+  {
+  }
+
   std::shared_ptr<httpstream::Exchange> exchange_;
   lots::HeldLot lot_;
   metadata::Transaction transaction_;
-  std::shared_ptr<boost::asio::steady_timer> holdTimer_;
+  boost::asio::steady_timer holdTimer_;
   base::Instant giveUpAt_;
   bool isCommitting_ = false;
   Hold hold_ = Hold::NotTried;
@@ -52,6 +57,7 @@
                      const lots::HostSet& aHosts,
                      std::string aOwnName,
                      boost::asio::any_io_executor aExecutor,
+                     PeerCallers& aCallers,
                      std::size_t aCopies)
   : shared_(aShared)
   , store_(aStore)
@@ -59,7 +65,7 @@
   , hosts_(aHosts)
   , ownName_(std::move(aOwnName))
   , executor_(std::move(aExecutor))
-  , holders_(executor_, aCopies)
+  , holders_(aCallers, aCopies)
 {
 }
 
@@ -98,7 +104,7 @@
       httpstream::MakeResponse(httpstream::kStatusAccepted, {}));
     return;
   }
-  auto submission = std::make_shared<Submission>();
+  auto submission = std::make_shared<Submission>(executor_);
   submission->lot_ = MakeLot(
     request, aLot, std::get<std::vector<lots::LotItem>>(content).size());
   submission->transaction_ = MakeCreation(lots_.Keys(), submission->lot_);
@@ -146,9 +152,8 @@
 void
 LotIntake::HoldLater(const SubmissionPtr& aSubmission)
 {
-  aSubmission->holdTimer_ =
-    std::make_shared<boost::asio::steady_timer>(executor_, kHoldAfter);
-  aSubmission->holdTimer_->async_wait(
+  aSubmission->holdTimer_.expires_after(kHoldAfter);
+  aSubmission->holdTimer_.async_wait(
     [this, aSubmission](const boost::system::error_code& aError) {
       if (!aError) {
         Hold(aSubmission);
@@ -164,9 +169,11 @@
     return;
   }
   aSubmission->hold_ = Submission::Hold::UnderWay;
-  holders_.Hold(aSubmission->lot_, [this, aSubmission](HoldOutcome aOutcome) {
-    OnHeld(aSubmission, aOutcome);
-  });
+  holders_.Hold(aSubmission->lot_,
+                hosts_.PeersBut(ownName_),
+                [this, aSubmission](HoldOutcome aOutcome) {
+                  OnHeld(aSubmission, aOutcome);
+                });
 }
 
 void
@@ -187,7 +194,7 @@
   if (std::exchange(aSubmission.isAnswered_, true)) {
     return;
   }
-  aSubmission.holdTimer_->cancel();
+  aSubmission.holdTimer_.cancel();
   httpstream::Exchange& exchange = *aSubmission.exchange_;
   base::Log(
     kLotAccepted,
@@ -206,7 +213,7 @@
     return;
   }
   aSubmission.isAnswered_ = true;
-  aSubmission.holdTimer_->cancel();
+  aSubmission.holdTimer_.cancel();
   base::Log(kLotNotAccepted,
             { { "lot", aSubmission.lot_.id_ },
               { "may_be_stored", aSubmission.mayBeStored_ } });
--- a/Libraries/LibGateway/LotIntake.h
+++ b/Libraries/LibGateway/LotIntake.h
@@ -12,7 +12,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace pumiceturn::gateway {
 
@@ -28,16 +28,12 @@
             const lots::HostSet& aHosts,
             std::string aOwnName,
             boost::asio::any_io_executor aExecutor,
+            PeerCallers& aCallers,
             std::size_t aCopies);
 
   void Submit(std::shared_ptr<httpstream::Exchange> aExchange,
               const std::string& aLot);
 
-  void SetPeers(const std::vector<lots::PeerAddress>& aPeers)
-  {
-    holders_.SetPeers(aPeers);
-  }
-
 private:
   struct Submission;
   using SubmissionPtr = std::shared_ptr<Submission>;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Platform/GatewayFixture.h"
 
+#include "Tests/Platform/TestRoute.h"
+
 #include "LibBase/Base64.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -13,25 +15,6 @@
 
 namespace {
 
-json
-MakeRoute(const std::string& aName,
-          const std::string& aKind,
-          double aObjectiveMs = 300)
-{
-  return { { "name", aName },
-           { "hostname", "a.example" },
-           { "prefix", "/" + aName + "/" },
-           { "kind", aKind },
-           { "timeoutMs", 20000 },
-           { "sloMs", aObjectiveMs },
-           { "priority", 0 },
-           { "service", "service" },
-           { "maxAttempts", 2 },
-           { "resumable", aName == "resumable" },
-           { "dueMs", 60000 },
-           { "maxWaitS", 120 } };
-}
-
 /// Any wait for a place is too long for it.
 constexpr double kShortestObjectiveMs = 1;
 
@@ -58,15 +41,19 @@
 void
 GatewayFixture::WriteConfiguration(std::uint64_t aVersion)
 {
+  json resumable = MakeTestRoute("resumable", "stream");
+  resumable["resumable"] = true;
+  json urgent = MakeTestRoute("urgent", "stream");
+  urgent["sloMs"] = kShortestObjectiveMs;
   const json configuration = {
     { "version", aVersion },
     { "routes",
-      { MakeRoute("resumable", "stream"),
-        MakeRoute("stream", "stream"),
-        MakeRoute("urgent", "stream", kShortestObjectiveMs),
-        MakeRoute("once", "unsafe"),
-        MakeRoute(fmt::format("v{}", aVersion), "safe"),
-        MakeRoute("lots", "batch") } },
+      { std::move(resumable),
+        MakeTestRoute("stream", "stream"),
+        std::move(urgent),
+        MakeTestRoute("once", "unsafe"),
+        MakeTestRoute(fmt::format("v{}", aVersion), "safe"),
+        MakeTestRoute("lots", "batch") } },
     { "services", { { { "name", "service" }, { "maxConns", 100 } } } }
   };
   store_.Put("op/config", configuration.dump());
--- a/Tests/PlatformSoak/SoakFixture.cpp
+++ b/Tests/PlatformSoak/SoakFixture.cpp
@@ -1,6 +1,7 @@
 #include "Tests/PlatformSoak/SoakFixture.h"
 
 #include "LibBase/Base64.h"
+#include "Tests/Platform/TestRoute.h"
 
 #include <unistd.h>
 
@@ -52,17 +53,12 @@
 nlohmann::json
 MakeRoute(const std::string& aName, const std::string& aKind, bool aIsResumable)
 {
-  return { { "name", aName },
-           { "hostname", "a.example" },
-           { "prefix", "/" + aName + "/" },
-           { "kind", aKind },
-           { "timeoutMs", 20000 },
-           { "sloMs", 700 },
-           { "service", "service" },
-           { "maxAttempts", 3 },
-           { "resumable", aIsResumable },
-           { "dueMs", 60000 },
-           { "maxWaitS", 600 } };
+  nlohmann::json route = MakeTestRoute(aName, aKind);
+  route["sloMs"] = 700;
+  route["maxAttempts"] = 3;
+  route["resumable"] = aIsResumable;
+  route["maxWaitS"] = 600;
+  return route;
 }
 
 bool
