--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -136,14 +136,14 @@
   lot.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
   lot.content_ = LotBody(1);
   const std::string body = lots::EncodeHeldLot(lot);
-  std::vector<std::unique_ptr<CallerCall>> calls;
-  for (int bringer = 0; bringer < 2; ++bringer) {
-    calls.push_back(
-      SendTo(Loopback(worker.passOnPort_), "PUT", "/held/lot1", {}, body));
-  }
-  RunUntil([&] { return calls[0]->IsOver() && calls[1]->IsOver(); });
-  CHECK(calls[0]->status_ == 200);
-  CHECK(calls[1]->status_ == 200);
+  const auto bring = [&] {
+    return SendTo(Loopback(worker.passOnPort_), "PUT", "/held/lot1", {}, body);
+  };
+  const auto first = bring();
+  const auto second = bring();
+  RunUntil([&] { return first->IsOver() && second->IsOver(); });
+  CHECK(first->status_ == 200);
+  CHECK(second->status_ == 200);
   CHECK(FileCount("worker-1") == 1);
 }
 
