--- a/Tests/LibLots/StartOrderTest.cpp
+++ b/Tests/LibLots/StartOrderTest.cpp
@@ -1,5 +1,5 @@
-#include "LibLots/ItemPace.h"
 #include "LibLots/StartOrder.h"
+#include "LibLots/ItemPace.h"
 
 #include <catch2/catch.hpp>
 
