LibGateway: Judge the reply for a held lot by the call that was made

Cause, found in reading the change: the reply to the transaction that stores a held lot was judged by the cap in force when it came. Had a configuration taken the cap away in between, a conflict about the ledger would have counted as "stored", and the lot would have been dropped from the disk. Not seen in any run, and no test brings it about: the moment lies between a call and its reply.

Change: the call remembers whether a ledger was part of it.

--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -234,7 +234,9 @@
   aEntry.tryAt_ = aNow + kCallTimeout;
   metadata::Transaction creation = MakeCreation(lots_.Keys(), aEntry.lot_);
   const fleet::Route* route = RouteOf(aEntry.lot_);
+  std::string cappedRoute;
   if (route != nullptr && route->waitingTokenCap_ > 0) {
+    cappedRoute = route->name_;
     // Accepted long since: it counts whether it fits or not.
     AddRow(creation,
            shared_,
@@ -243,15 +245,16 @@
            aEntry.lot_.id_,
            aEntry.tokens_);
   }
-  store_.Commit(
-    creation,
-    [this, id = aEntry.lot_.id_](const metadata::TransactionReply& aReply) {
-      OnStored(id, aReply);
-    });
+  store_.Commit(creation,
+                [this, id = aEntry.lot_.id_, cappedRoute](
+                  const metadata::TransactionReply& aReply) {
+                  OnStored(id, cappedRoute, aReply);
+                });
 }
 
 void
 HeldLots::OnStored(const std::string& aLot,
+                   const std::string& aCappedRoute,
                    const metadata::TransactionReply& aReply)
 {
   using metadata::StoreStatus;
@@ -259,8 +262,7 @@
   if (found == held_.end()) {
     return;
   }
-  const fleet::Route* route = RouteOf(found->second.lot_);
-  const bool hasLedger = route != nullptr && route->waitingTokenCap_ > 0;
+  const bool hasLedger = !aCappedRoute.empty();
   const bool isConflict = aReply.status_ == StoreStatus::Conflict;
   // Another host, or an earlier try, has stored it.
   const bool isThere =
@@ -270,7 +272,7 @@
     return;
   }
   if (isConflict) {
-    LearnLedger(shared_, lots_.Keys(), route->name_, aReply);
+    LearnLedger(shared_, lots_.Keys(), aCappedRoute, aReply);
     found->second.tryAt_ = base::MonotonicNow();
     return;
   }
--- a/Libraries/LibGateway/HeldLots.h
+++ b/Libraries/LibGateway/HeldLots.h
@@ -92,7 +92,10 @@
   [[nodiscard]] bool IsWithinCap(const lots::HeldLot& aLot,
                                  std::uint64_t aTokens) const;
   void Store(Entry& aEntry, base::Instant aNow);
+  /// @param aCappedRoute The route whose ledger was part of the call, though a
+  ///   configuration may have changed its cap since; empty: none was.
   void OnStored(const std::string& aLot,
+                const std::string& aCappedRoute,
                 const metadata::TransactionReply& aReply);
   void Drop(const std::string& aLot, std::string_view aReason);
   [[nodiscard]] std::size_t Bytes() const;
