--- a/Tests/LibLots/StartOrderTest.cpp
+++ b/Tests/LibLots/StartOrderTest.cpp
@@ -110,6 +110,9 @@
           chosen = &item;
         }
       }
+      if (chosen == nullptr) {
+        return;
+      }
       chosen->isRunning_ = false;
     }
   }
@@ -215,6 +218,7 @@
                   { "begun", 3, { now + 12s, 2s }, true } },
                 { now, 8.0, base::Duration::zero() });
   std::vector<std::string> lots;
+  lots.reserve(ordered.size());
   for (const StartCandidate& candidate : ordered) {
     lots.push_back(candidate.lot_);
   }
