--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace pumiceturn::base {
 
@@ -10,6 +11,12 @@
 /// Monotonic time of this process. Decision code receives it as an argument.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/// Names the clock that goes on while the machine is suspended.
+struct BootClock;
+
+/// For the age of what other hosts are told.
+using BootInstant = std::chrono::time_point<BootClock, Duration>;
+
 /// Wall-clock time, for due times, retention and records.
 using WallTime =
   std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
@@ -36,6 +43,17 @@
     std::chrono::system_clock::now());
 }
 
+/// @return now, for the I/O layer only.
+inline BootInstant
+BootNow()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return BootInstant(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(time.tv_sec) +
+    std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 inline std::int64_t
 ToUnixMs(WallTime aTime)
 {
--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -87,6 +87,8 @@
   {
     return { id_, bornMs_ };
   }
+
+  bool operator==(const EndpointRecord&) const = default;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -65,6 +65,14 @@
   return news;
 }
 
+bool
+EndpointTable::IsKnownAs(const EndpointRecord& aRecord) const
+{
+  const auto found = endpoints_.find(aRecord.id_);
+  return found != endpoints_.end() && found->second.record_ == aRecord &&
+         !found->second.isWithheld_ && !found->second.vanishedUntil_;
+}
+
 void
 EndpointTable::Withhold(std::string_view aId)
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -127,6 +127,10 @@
 
   RegistrationNews Put(const EndpointRecord& aRecord, base::Instant aNow);
 
+  /// @return whether a registration says nothing that isn't known here: an
+  ///         endpoint writes it anew at each of its heartbeats.
+  [[nodiscard]] bool IsKnownAs(const EndpointRecord& aRecord) const;
+
   /// The registration of an endpoint can't be read: nothing new is sent there
   /// until one that can be read follows. What runs there goes on.
   void Withhold(std::string_view aId);
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -168,6 +168,19 @@
   base::LogLevel::Error,
   "A route's ledger of waiting tokens can't be read and begins anew."
 };
+inline constexpr base::Event kFollowerChanged{
+  7132,
+  "follower_changed",
+  base::LogLevel::Info,
+  "This host begins or ceases to follow a prefix of the store for its peers."
+};
+inline constexpr base::Event kDidNotRun{
+  7133,
+  "did_not_run",
+  base::LogLevel::Warning,
+  "This process did not run for a while: the store is asked before peers are "
+  "trusted again."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -15,27 +15,30 @@
 /// waits this long at most.
 constexpr std::chrono::milliseconds kTick{ 100 };
 
-/// Longest watches. Each one that ends without news is a call that is charged;
-/// a connection that went silent is noticed only at a watch's end, which the
-/// platform allows for some seconds after such a fault.
-constexpr std::chrono::milliseconds kOperatorWatch{ 3000 };
+/// Shares of a bound: how long a follower's watch waits for a change, how long
+/// it pauses after one, and how long the other hosts rely on a copy that was
+/// confirmed. A watch that waits shows only at its end that the connection
+/// lives. The rest of the bound is for a call on a slow day (0.25 s) and one
+/// repetition.
+constexpr double kConfigurationWatchShare = 0.2;
+constexpr double kEndpointWatchShare = 0.2;
+constexpr double kLotWatchShare = 0.25;
+constexpr double kConfigurationTrustShare = 0.5;
+constexpr double kEndpointTrustShare = 0.5;
+constexpr double kLotTrustShare = 0.6;
+
+/// The operators' keys change rarely, and each change is wanted at once.
 constexpr std::chrono::milliseconds kOperatorPause{ 50 };
-constexpr std::chrono::milliseconds kEndpointWatch{ 1200 };
-constexpr std::chrono::milliseconds kLotWatch{ 2000 };
-constexpr std::chrono::milliseconds kHostWatch{ 10000 };
-constexpr std::chrono::milliseconds kHostPause{ 200 };
 
-/// Share of a bound that a mirror pauses between two watches. Endpoints
-/// register at each heartbeat and lots get results all the time, so watches
-/// return at once, and the pause alone decides how many calls are made. The
-/// rest is left for a call on a slow day (0.25 s) and one repetition.
-constexpr double kEndpointPauseShare = 0.5;
-constexpr double kLotPauseShare = 0.6;
+/// Nothing that hangs on hosts' registrations is bounded.
+constexpr std::chrono::milliseconds kHostWatch{ 3000 };
+constexpr std::chrono::milliseconds kHostPause{ 200 };
+constexpr std::chrono::milliseconds kHostTrust{ 8000 };
 
-/// The same for hosts that run no lots as long as there are workers. They need
-/// a lot's state only to pass calls on: one that is missing is read then, and
-/// where an old one leads to the wrong host, the store answers the call.
-constexpr std::chrono::milliseconds kLotPauseOfOthers{ 4000 };
+/// Of hosts that run no lots as long as there are workers. They need a lot's
+/// state only to pass calls on: one that is missing is read then, and where an
+/// old one leads to the wrong host, the store answers the call.
+constexpr std::chrono::milliseconds kLotTrustOfOthers{ 4000 };
 
 /// After the request to stop: the balancer asks for readiness once a second and
 /// takes a host out after two misses, so new connections come until then.
@@ -65,22 +68,35 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+base::Duration
+ShareOf(base::Duration aBound, double aShare)
+{
+  return std::chrono::duration_cast<base::Duration>(aBound * aShare);
+}
+
 metadata::PrefixMirror::Options
 Follow(const std::string& aPrefix,
        base::Duration aLongestWatch,
-       base::Duration aPause)
+       base::Duration aPause,
+       base::Duration aTrust)
 {
   metadata::PrefixMirror::Options options;
   options.prefix_ = aPrefix;
   options.longestWatch_ = aLongestWatch;
   options.pause_ = aPause;
+  options.trust_ = aTrust;
   return options;
 }
 
-base::Duration
-ShareOf(base::Duration aBound, double aShare)
+/// @param aWatchShare Of the bound; a follower pauses as long as it waits.
+metadata::PrefixMirror::Options
+FollowWithin(const std::string& aPrefix,
+             base::Duration aBound,
+             double aWatchShare,
+             double aTrustShare)
 {
-  return std::chrono::duration_cast<base::Duration>(aBound * aShare);
+  const base::Duration watch = ShareOf(aBound, aWatchShare);
+  return Follow(aPrefix, watch, watch, ShareOf(aBound, aTrustShare));
 }
 
 lots::LotTable::Decoder
@@ -131,34 +147,16 @@
              {},
              {} }
   , lots_(layout_.lots_, MakeDecoder(aCodec))
-  , operatorMirror_(
-      aContext,
-      aStore,
-      health_,
-      Follow(layout_.operatorPrefix_, kOperatorWatch, kOperatorPause),
-      [this](const metadata::StoreItem& aItem) { OnOperatorKey(aItem); })
-  , endpointMirror_(
-      aContext,
-      aStore,
-      health_,
-      Follow(layout_.endpointPrefix_,
-             kEndpointWatch,
-             ShareOf(settings_.drainBound_, kEndpointPauseShare)),
-      [this](const metadata::StoreItem& aItem) { OnEndpointKey(aItem); })
-  , lotMirror_(aContext,
+  , following_(aContext,
                aStore,
                health_,
-               Follow(layout_.lots_.statePrefix_,
-                      kLotWatch,
-                      ShareOf(settings_.settleBound_, kLotPauseShare)),
-               [this](const metadata::StoreItem& aItem) { OnLotKey(aItem); })
-  , hostMirror_(aContext,
-                aStore,
-                health_,
-                Follow(layout_.hostPrefix_, kHostWatch, kHostPause),
-                [this](const metadata::StoreItem& aItem) { OnHostKey(aItem); })
+               settings_.host_,
+               settings_.lotPreference_ == lots::LotPreference::Worker,
+               FollowedPrefixes(),
+               shared_.random_)
   , lease_(aContext,
            aStore,
+           health_,
            { layout_.hostPrefix_ + settings_.host_,
              EncodeHostRecord(MakeHostRecord(OwnName(), settings_)) })
   , loader_(aStore, lots_)
@@ -218,13 +216,56 @@
   passedOn_.SetLimits(peerLimits);
   storePaths_.SetIsHeard(
     [this](const std::string& aHost) { return peers_.IsHeard(aHost); });
+  following_.SetOnNews(
+    [this](const StoreNews& aNews) { peers_.SendStoreNews(aNews); });
+  peers_.SetFollowing(following_);
   desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
   worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
 
+std::vector<StoreFollowing::Followed>
+Gateway::FollowedPrefixes()
+{
+  metadata::PrefixMirror::Options operators =
+    FollowWithin(layout_.operatorPrefix_,
+                 settings_.configurationBound_,
+                 kConfigurationWatchShare,
+                 kConfigurationTrustShare);
+  operators.pause_ = kOperatorPause;
+  return { { StorePrefix::Operators,
+             operators,
+             [this](const metadata::StoreItem& aItem) { OnOperatorKey(aItem); },
+             {} },
+           { StorePrefix::Endpoints,
+             FollowWithin(layout_.endpointPrefix_,
+                          settings_.drainBound_,
+                          kEndpointWatchShare,
+                          kEndpointTrustShare),
+             [this](const metadata::StoreItem& aItem) { OnEndpointKey(aItem); },
+             [this](const metadata::StoreItem& aItem) {
+               return EndpointChangeMatters(aItem);
+             } },
+           { StorePrefix::Lots,
+             FollowWithin(layout_.lots_.statePrefix_,
+                          settings_.settleBound_,
+                          kLotWatchShare,
+                          kLotTrustShare),
+             [this](const metadata::StoreItem& aItem) { OnLotKey(aItem); },
+             {} },
+           { StorePrefix::Hosts,
+             Follow(layout_.hostPrefix_, kHostWatch, kHostPause, kHostTrust),
+             [this](const metadata::StoreItem& aItem) { OnHostKey(aItem); },
+             {} } };
+}
+
 void
 Gateway::AddGauges()
 {
+  shared_.metrics_.AddGauge(
+    "pumiceturn_store_prefixes_followed",
+    "Prefixes of the store that this host follows for its peers.",
+    {},
+    [this] { return following_.FollowedCount(); });
   shared_.metrics_.AddGauge("pumiceturn_endpoint_connections_made_total",
                             "Connections opened to endpoints.",
                             {},
@@ -305,10 +346,7 @@
   if (heldLots_) {
     heldLots_->Start();
   }
-  operatorMirror_.Start();
-  endpointMirror_.Start();
-  hostMirror_.Start();
-  lotMirror_.Start();
+  following_.Start();
   lease_.Start();
   TickLater();
   return true;
@@ -318,7 +356,8 @@
 Gateway::IsReady() const
 {
   return !stopping_ && shared_.routes_.Version() > 0 &&
-         endpointMirror_.IsComplete() && !shared_.endpoints_.IsEmpty();
+         following_.IsComplete(StorePrefix::Endpoints) &&
+         !shared_.endpoints_.IsEmpty();
 }
 
 void
@@ -494,6 +533,16 @@
   });
 }
 
+bool
+Gateway::EndpointChangeMatters(const metadata::StoreItem& aItem) const
+{
+  if (aItem.removed_) {
+    return true;
+  }
+  const auto record = storeCodec_.ReadEndpoint(aItem);
+  return !record || !shared_.endpoints_.IsKnownAs(*record);
+}
+
 void
 Gateway::OnEndpointKey(const metadata::StoreItem& aItem)
 {
@@ -591,9 +640,10 @@
   peerCallers_.Keep(others);
   storePaths_.SetPeers(std::move(others));
   const bool mayRunLots = hosts_.IsPreferred(settings_.lotPreference_);
-  lotMirror_.SetPause(mayRunLots
-                        ? ShareOf(settings_.settleBound_, kLotPauseShare)
-                        : base::Duration(kLotPauseOfOthers));
+  following_.SetTrust(StorePrefix::Lots,
+                      mayRunLots
+                        ? ShareOf(settings_.settleBound_, kLotTrustShare)
+                        : base::Duration(kLotTrustOfOthers));
 }
 
 void
@@ -612,6 +662,7 @@
 Gateway::Tick()
 {
   const base::Instant now = base::MonotonicNow();
+  following_.Tick(!stopping_ && !retiring_ && !storePaths_.IsOwnLost(), now);
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
     shared_.pool_.Forget(id);
     base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -9,10 +9,10 @@
 #include "LibGateway/PeerCallers.h"
 #include "LibGateway/PeerExchange.h"
 #include "LibGateway/Shared.h"
+#include "LibGateway/StoreFollowing.h"
 #include "LibGateway/StorePaths.h"
 #include "LibHttpStream/Listener.h"
 #include "LibMetadata/HostLease.h"
-#include "LibMetadata/PrefixMirror.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
@@ -40,6 +41,8 @@
   base::Duration grace_{ std::chrono::seconds{ 8 } };
   /// Part of a route's cap on waiting tokens by which it may be exceeded.
   double capOverage_ = 0.0;
+  /// Within which an accepted configuration must be in force.
+  base::Duration configurationBound_{ std::chrono::seconds{ 2 } };
   /// Within which a draining endpoint must get nothing new.
   base::Duration drainBound_{ std::chrono::seconds{ 2 } };
   /// How long a closed lot can be read, from its acceptance.
@@ -117,6 +120,9 @@
   void OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnPassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnStatusRequest(httpstream::Exchange& aExchange);
+  [[nodiscard]] std::vector<StoreFollowing::Followed> FollowedPrefixes();
+  [[nodiscard]] bool EndpointChangeMatters(
+    const metadata::StoreItem& aItem) const;
   void OnOperatorKey(const metadata::StoreItem& aItem);
   void OnEndpointKey(const metadata::StoreItem& aItem);
   void OnLotKey(const metadata::StoreItem& aItem);
@@ -148,10 +154,7 @@
   lots::LotTable lots_;
   lots::HostSet hosts_;
   metadata::StoreHealth health_;
-  metadata::PrefixMirror operatorMirror_;
-  metadata::PrefixMirror endpointMirror_;
-  metadata::PrefixMirror lotMirror_;
-  metadata::PrefixMirror hostMirror_;
+  StoreFollowing following_;
   metadata::HostLease lease_;
   LotLoader loader_;
   PeerCallers peerCallers_; ///< For calls on lots.
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -116,6 +116,9 @@
   if (update->isWhole_) {
     content["runs"] = std::move(rows);
     content["suspects"] = SuspectRows();
+    if (following_ != nullptr) {
+      content["store"] = EncodeStoreReport(following_->Report());
+    }
   } else {
     content["changed"] = std::move(rows);
   }
@@ -157,6 +160,39 @@
   }
 }
 
+void
+PeerExchange::SendStoreNews(const StoreNews& aNews)
+{
+  const auto row = EncodeStoreNews(aNews);
+  if (!row) {
+    return;
+  }
+  const std::vector<std::uint8_t> message =
+    json::to_cbor({ { "host", ownName_ }, { "news", *row } });
+  for (const auto& [name, peer] : peers_) {
+    SendTo(peer.address_, message);
+  }
+}
+
+bool
+PeerExchange::IsFromPeer(const std::string& aHost) const
+{
+  const auto peer = peers_.find(aHost);
+  return peer != peers_.end() && peer->second.address_ == sender_;
+}
+
+void
+PeerExchange::TakeStoreReport(const std::string& aHost,
+                              const json& aMessage,
+                              base::Instant aNow)
+{
+  // A host with an earlier version sends none.
+  const auto report = aMessage.find("store");
+  if (report != aMessage.end() && following_ != nullptr && IsFromPeer(aHost)) {
+    following_->TakeReport(aHost, DecodeStoreReport(*report), aNow);
+  }
+}
+
 json
 PeerExchange::SuspectRows() const
 {
@@ -245,12 +281,17 @@
       TakeCounts(origin, *inner, now);
     } else if (message.contains("yield")) {
       TakeYield(message);
+    } else if (const auto news = message.find("news"); news != message.end()) {
+      if (following_ != nullptr && IsFromPeer(host)) {
+        following_->TakeNews(DecodeStoreNews(*news));
+      }
     } else if (message.contains("silent")) {
       for (const json& peer : message.at("silent")) {
         hearing_.NoteAsked(host, peer.get<std::string>(), now);
       }
     } else {
       TakeCounts(host, message, now);
+      TakeStoreReport(host, message, now);
       PassOn(host, message, now);
     }
   } catch (const json::exception&) {
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "LibFleet/CountNews.h"
 #include "LibFleet/PeerHearing.h"
 #include "LibGateway/Shared.h"
+#include "LibGateway/StoreFollowing.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -57,6 +58,13 @@
     return hearing_.HeardCount(base::MonotonicNow());
   }
 
+  /// Lets peers' reports on the store go to the copies that this host keeps,
+  /// and its own reports to the peers.
+  void SetFollowing(StoreFollowing& aFollowing) { following_ = &aFollowing; }
+
+  /// Tells all peers what this host read from the store for them.
+  void SendStoreNews(const StoreNews& aNews);
+
   /// Asks a peer to let one of its batch runs at an endpoint give way, at once:
   /// waiting for its next look would cost the online request up to 200 ms.
   void AskToYield(const std::string& aPeer, const std::string& aEndpoint);
@@ -75,6 +83,13 @@
                   const nlohmann::json& aMessage,
                   base::Instant aNow);
   void TakeYield(const nlohmann::json& aMessage);
+  void TakeStoreReport(const std::string& aHost,
+                       const nlohmann::json& aMessage,
+                       base::Instant aNow);
+
+  /// @return whether a datagram came from where that host is registered. What
+  ///         is taken for the store's word must not be a stranger's.
+  [[nodiscard]] bool IsFromPeer(const std::string& aHost) const;
 
   /// Passes a peer's message on to the hosts that don't hear it themselves.
   void PassOn(const std::string& aHost,
@@ -90,6 +105,7 @@
   Shared& shared_;
   std::string ownName_;
   YieldHandler onYield_;
+  StoreFollowing* following_ = nullptr;
   fleet::CountNews news_;
   fleet::PeerHearing hearing_;
   struct Peer
--- /dev/null
+++ b/Libraries/LibGateway/StoreFollowing.cpp
@@ -0,0 +1,210 @@
+#include "LibGateway/StoreFollowing.h"
+
+#include "LibGateway/Events.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// How long a host that has read the store waits before it follows for others:
+/// reports of the one that does so far arrive meanwhile, and a host that starts
+/// anew doesn't take over with changes that the others can't join up.
+constexpr std::chrono::seconds kSettling{ 1 };
+
+/// Time without a turn of the event loop after which what peers said may have
+/// waited here for as long. Shorter than any trust in a copy.
+constexpr std::chrono::milliseconds kLongestGap{ 500 };
+
+/// All hosts that lack a change learn of it at once; their calls are spread.
+constexpr std::chrono::milliseconds kCatchUpSpread{ 200 };
+
+/// Hosts stop trusting a copy between this share of the time and all of it, so
+/// that they don't ask together once a follower is lost.
+constexpr double kLeastTrustShare = 0.8;
+
+double
+DrawTrustShare(std::mt19937_64& aRandom)
+{
+  return std::uniform_real_distribution<double>(kLeastTrustShare, 1.0)(aRandom);
+}
+
+} // namespace
+
+StoreFollowing::StoreFollowing(boost::asio::io_context& aContext,
+                               metadata::StoreClient& aClient,
+                               metadata::StoreHealth& aHealth,
+                               const std::string& aOwnName,
+                               bool aIsPreferred,
+                               std::vector<Followed> aFollowed,
+                               std::mt19937_64& aRandom)
+  : health_(aHealth)
+  , random_(aRandom)
+  , choice_(aOwnName)
+  , own_{ false, aIsPreferred }
+  , trustShare_(DrawTrustShare(aRandom))
+{
+  for (Followed& followed : aFollowed) {
+    followed.options_.trust_ = OwnShareOf(followed.options_.trust_);
+    Copy copy{ followed.prefix_,
+               followed.options_.prefix_,
+               std::make_unique<metadata::PrefixMirror>(
+                 aContext,
+                 aClient,
+                 aHealth,
+                 followed.options_,
+                 std::move(followed.onChange_)) };
+    if (followed.matters_) {
+      copy.mirror_->SetFilter(std::move(followed.matters_));
+    }
+    copies_.push_back(std::move(copy));
+  }
+}
+
+void
+StoreFollowing::SetOnNews(const NewsHandler& aHandler)
+{
+  for (Copy& copy : copies_) {
+    copy.mirror_->SetOnNews(
+      [aHandler, prefix = copy.prefix_](const metadata::MirrorNews& aNews) {
+        aHandler({ prefix, aNews });
+      });
+  }
+}
+
+void
+StoreFollowing::Start()
+{
+  for (Copy& copy : copies_) {
+    copy.mirror_->Start();
+  }
+}
+
+base::Duration
+StoreFollowing::OwnShareOf(base::Duration aTrust) const
+{
+  return std::chrono::duration_cast<base::Duration>(aTrust * trustShare_);
+}
+
+base::Duration
+StoreFollowing::DrawCatchUp()
+{
+  std::uniform_int_distribution<base::Duration::rep> draw(
+    0, base::Duration(kCatchUpSpread).count());
+  return base::Duration(draw(random_));
+}
+
+bool
+StoreFollowing::HasSettled(base::Instant aNow)
+{
+  const bool isComplete =
+    std::all_of(copies_.begin(), copies_.end(), [](const Copy& aCopy) {
+      return aCopy.mirror_->IsComplete();
+    });
+  if (isComplete && !completeSince_) {
+    completeSince_ = aNow;
+  }
+  return completeSince_ &&
+         (aNow - *completeSince_ >= kSettling || choice_.IsAlone(aNow));
+}
+
+void
+StoreFollowing::Tick(bool aReachesStore, base::Instant aNow)
+{
+  NoteRunning();
+  own_.mayFollow_ = aReachesStore && !health_.IsLost() && HasSettled(aNow);
+  for (Copy& copy : copies_) {
+    const bool follows = choice_.IsFollower(copy.key_, own_, aNow);
+    if (follows != copy.mirror_->Follows()) {
+      base::Log(kFollowerChanged,
+                { { "prefix", copy.key_ },
+                  { "follows", follows },
+                  { "may_follow", own_.mayFollow_ },
+                  { "age_ms", base::ToMs(copy.mirror_->View().age_) },
+                  { "revision", copy.mirror_->View().followed_ } });
+      copy.mirror_->SetFollows(follows);
+    }
+  }
+}
+
+void
+StoreFollowing::NoteRunning()
+{
+  const base::BootInstant now = base::BootNow();
+  const auto ranAt = std::exchange(ranAt_, now);
+  if (!ranAt || now - *ranAt < kLongestGap) {
+    return;
+  }
+  base::Log(kDidNotRun, { { "ms", base::ToMs(now - *ranAt) } });
+  for (Copy& copy : copies_) {
+    copy.mirror_->Distrust();
+  }
+}
+
+metadata::PrefixMirror&
+StoreFollowing::Find(StorePrefix aPrefix) const
+{
+  return *std::find_if(
+            copies_.begin(),
+            copies_.end(),
+            [aPrefix](const Copy& aCopy) { return aCopy.prefix_ == aPrefix; })
+            ->mirror_;
+}
+
+bool
+StoreFollowing::IsComplete(StorePrefix aPrefix) const
+{
+  return Find(aPrefix).IsComplete();
+}
+
+void
+StoreFollowing::SetTrust(StorePrefix aPrefix, base::Duration aTrust)
+{
+  Find(aPrefix).SetTrust(OwnShareOf(aTrust));
+}
+
+StoreReport
+StoreFollowing::Report() const
+{
+  StoreReport report;
+  report.state_ = own_;
+  for (const Copy& copy : copies_) {
+    if (copy.mirror_->Follows()) {
+      report.views_.push_back({ copy.prefix_, copy.mirror_->View() });
+    }
+  }
+  return report;
+}
+
+std::size_t
+StoreFollowing::FollowedCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(copies_.begin(), copies_.end(), [](const Copy& aCopy) {
+      return aCopy.mirror_->Follows();
+    }));
+}
+
+void
+StoreFollowing::TakeReport(const std::string& aPeer,
+                           const StoreReport& aReport,
+                           base::Instant aNow)
+{
+  NoteRunning();
+  choice_.NotePeer(aPeer, aReport.state_, aNow);
+  for (const StoreReport::View& view : aReport.views_) {
+    Find(view.prefix_).TakeView(view.view_, DrawCatchUp());
+  }
+}
+
+void
+StoreFollowing::TakeNews(const StoreNews& aNews)
+{
+  NoteRunning();
+  Find(aNews.prefix_).TakeNews(aNews.news_, DrawCatchUp());
+}
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StorePaths.h
+++ b/Libraries/LibGateway/StorePaths.h
@@ -55,6 +55,9 @@
   void SetPeers(std::vector<lots::PeerAddress> aPeers);
   void SetIsHeard(IsHeard aIsHeard) { isHeard_ = std::move(aIsHeard); }
 
+  /// @return whether calls go through peers now.
+  [[nodiscard]] bool IsOwnLost() const { return path_.IsOwnLost(); }
+
   /// Makes a peer's call on this host's own way and answers it.
   void CallForPeer(const std::shared_ptr<httpstream::Exchange>& aExchange);
 
--- /dev/null
+++ b/Libraries/LibGateway/StoreReport.cpp
@@ -0,0 +1,141 @@
+#include "LibGateway/StoreReport.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+/// Content of one datagram: more would be split on the way, and each host's
+/// link carries a copy for every peer.
+constexpr std::size_t kMostNewsBytes = 8192;
+
+/// A stranger's number that is no age would make an old copy look fresh.
+constexpr std::int64_t kLongestAgeMs = 3600000;
+
+json
+EncodeView(const metadata::MirrorView& aView)
+{
+  return { { "change", aView.lastChange_ },
+           { "followed", aView.followed_ },
+           { "age", base::ToMs(aView.age_) } };
+}
+
+base::Duration
+DecodeAge(const json& aAge)
+{
+  const auto milliseconds = aAge.get<std::int64_t>();
+  if (milliseconds < 0 || milliseconds > kLongestAgeMs) {
+    throw json::other_error::create(0, "no age", &aAge);
+  }
+  return std::chrono::milliseconds(milliseconds);
+}
+
+metadata::MirrorView
+DecodeView(const json& aRow)
+{
+  return { aRow.at("change").get<std::uint64_t>(),
+           aRow.at("followed").get<std::uint64_t>(),
+           DecodeAge(aRow.at("age")) };
+}
+
+StorePrefix
+DecodePrefix(const json& aNumber)
+{
+  const auto number = aNumber.get<std::uint64_t>();
+  if (number >= kStorePrefixes.size()) {
+    throw json::other_error::create(0, "no prefix", &aNumber);
+  }
+  return static_cast<StorePrefix>(number);
+}
+
+json
+EncodeItem(const metadata::StoreItem& aItem)
+{
+  // Anyone may have written the value: it need not be text.
+  return { { "key", aItem.key_ },
+           { "value",
+             json::binary({ aItem.value_.begin(), aItem.value_.end() }) },
+           { "revision", aItem.revision_ },
+           { "removed", aItem.removed_ } };
+}
+
+metadata::StoreItem
+DecodeItem(const json& aRow)
+{
+  metadata::StoreItem item;
+  item.key_ = aRow.at("key").get<std::string>();
+  const auto& value = aRow.at("value").get_binary();
+  item.value_.assign(value.begin(), value.end());
+  item.revision_ = aRow.at("revision").get<std::uint64_t>();
+  item.removed_ = aRow.at("removed").get<bool>();
+  return item;
+}
+
+} // namespace
+
+json
+EncodeStoreReport(const StoreReport& aReport)
+{
+  json views = json::array();
+  for (const StoreReport::View& view : aReport.views_) {
+    json row = EncodeView(view.view_);
+    row["prefix"] = static_cast<std::uint8_t>(view.prefix_);
+    views.push_back(std::move(row));
+  }
+  return { { "may_follow", aReport.state_.mayFollow_ },
+           { "preferred", aReport.state_.isPreferred_ },
+           { "views", std::move(views) } };
+}
+
+StoreReport
+DecodeStoreReport(const json& aRow)
+{
+  StoreReport report;
+  report.state_.mayFollow_ = aRow.at("may_follow").get<bool>();
+  report.state_.isPreferred_ = aRow.at("preferred").get<bool>();
+  for (const json& row : aRow.at("views")) {
+    report.views_.push_back(
+      { DecodePrefix(row.at("prefix")), DecodeView(row) });
+  }
+  return report;
+}
+
+std::optional<json>
+EncodeStoreNews(const StoreNews& aNews)
+{
+  std::size_t bytes = 0;
+  json items = json::array();
+  for (const metadata::StoreItem& item : aNews.news_.items_) {
+    bytes += item.key_.size() + item.value_.size();
+    if (bytes > kMostNewsBytes) {
+      return std::nullopt;
+    }
+    items.push_back(EncodeItem(item));
+  }
+  return json{ { "prefix", static_cast<std::uint8_t>(aNews.prefix_) },
+               { "previous", aNews.news_.previousChange_ },
+               { "view", EncodeView(aNews.news_.view_) },
+               { "items", std::move(items) } };
+}
+
+StoreNews
+DecodeStoreNews(const json& aRow)
+{
+  StoreNews news;
+  news.prefix_ = DecodePrefix(aRow.at("prefix"));
+  news.news_.previousChange_ = aRow.at("previous").get<std::uint64_t>();
+  news.news_.view_ = DecodeView(aRow.at("view"));
+  for (const json& item : aRow.at("items")) {
+    news.news_.items_.push_back(DecodeItem(item));
+  }
+  return news;
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StoreReport.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "LibMetadata/FollowerChoice.h"
+#include "LibMetadata/MirrorNews.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+/// The prefixes of the store that hosts keep a copy of. Their numbers travel
+/// between hosts.
+enum class StorePrefix : std::uint8_t
+{
+  Operators = 0,
+  Endpoints = 1,
+  Lots = 2,
+  Hosts = 3,
+};
+
+inline constexpr std::array kStorePrefixes = { StorePrefix::Operators,
+                                               StorePrefix::Endpoints,
+                                               StorePrefix::Lots,
+                                               StorePrefix::Hosts };
+
+/// What a host tells its peers of the store, several times a second.
+struct StoreReport
+{
+  struct View
+  {
+    StorePrefix prefix_ = StorePrefix::Operators;
+    metadata::MirrorView view_;
+  };
+
+  metadata::FollowerState state_;
+  std::vector<View> views_; ///< Of the prefixes that it follows.
+};
+
+/// Changes that a follower passes on.
+struct StoreNews
+{
+  StorePrefix prefix_ = StorePrefix::Operators;
+  metadata::MirrorNews news_;
+};
+
+[[nodiscard]] nlohmann::json
+EncodeStoreReport(const StoreReport& aReport);
+
+/// @throws nlohmann::json::exception where it is no report.
+[[nodiscard]] StoreReport
+DecodeStoreReport(const nlohmann::json& aRow);
+
+/// @return nothing where the changes are too many for a datagram: peers then
+///         see that they lack something, and ask the store.
+[[nodiscard]] std::optional<nlohmann::json>
+EncodeStoreNews(const StoreNews& aNews);
+
+/// @throws nlohmann::json::exception where it is no news.
+[[nodiscard]] StoreNews
+DecodeStoreNews(const nlohmann::json& aRow);
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibMetadata/Events.h
+++ b/Libraries/LibMetadata/Events.h
@@ -44,5 +44,12 @@
   base::LogLevel::Info,
   "The store answers this host itself again."
 };
+inline constexpr base::Event kCopyChecked{
+  4208,
+  "metadata_copy_checked",
+  base::LogLevel::Info,
+  "The store is asked for a prefix that another host follows: a change was "
+  "missed, or nobody has confirmed the copy lately."
+};
 
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -15,8 +15,10 @@
 
 HostLease::HostLease(boost::asio::io_context& aContext,
                      StoreClient& aClient,
+                     StoreHealth& aHealth,
                      Options aOptions)
   : client_(aClient)
+  , health_(aHealth)
   , options_(std::move(aOptions))
   , timer_(aContext)
 {
@@ -33,10 +35,22 @@
   });
 }
 
+void
+HostLease::NoteCall(StoreStatus aStatus, base::Instant aMadeAt)
+{
+  const bool isAnswered =
+    aStatus == StoreStatus::Ok || aStatus == StoreStatus::NotFound;
+  // A call that failed by its timeout tells of an outage that began when the
+  // call was made, at the latest.
+  health_.NoteCall(isAnswered, isAnswered ? base::MonotonicNow() : aMadeAt);
+}
+
 void
 HostLease::Grant()
 {
-  client_.GrantLease(options_.lifetime_, [this](LeaseReply aReply) {
+  const base::Instant madeAt = base::MonotonicNow();
+  const auto onReply = [this, madeAt](LeaseReply aReply) {
+    NoteCall(aReply.status_, madeAt);
     if (ended_) {
       return;
     }
@@ -46,7 +60,8 @@
     }
     lease_ = aReply.lease_;
     Register();
-  });
+  };
+  client_.GrantLease(options_.lifetime_, lifetime_.Guard(onReply));
 }
 
 void
@@ -54,7 +69,7 @@
 {
   Transaction transaction;
   transaction.writes_.push_back({ options_.key_, options_.value_, lease_ });
-  client_.Commit(transaction, [this](const TransactionReply& aReply) {
+  const auto onReply = [this](const TransactionReply& aReply) {
     if (ended_) {
       return;
     }
@@ -69,13 +84,16 @@
     registered_ = true;
     base::Log(kLeaseGranted, { { "lease", lease_ } });
     After(options_.renewal_, &HostLease::Renew);
-  });
+  };
+  client_.Commit(transaction, lifetime_.Guard(onReply));
 }
 
 void
 HostLease::Renew()
 {
-  client_.RenewLease(lease_, [this](LeaseReply aReply) {
+  const base::Instant madeAt = base::MonotonicNow();
+  const auto onReply = [this, madeAt](LeaseReply aReply) {
+    NoteCall(aReply.status_, madeAt);
     if (ended_) {
       return;
     }
@@ -92,7 +110,8 @@
     }
     After(isOk ? options_.renewal_ : base::Duration(kRetryPause),
           &HostLease::Renew);
-  });
+  };
+  client_.RenewLease(lease_, lifetime_.Guard(onReply));
 }
 
 void
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibMetadata/StoreClient.h"
+#include "LibMetadata/StoreHealth.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,7 +15,8 @@
 
 /// Registers this host in the store under a lease, so that the others learn of
 /// it and of its end. A lease may lapse while the host is paused or the store
-/// is away; it then registers again. Belongs to the event thread.
+/// is away; it then registers again. Its renewals are the calls by which a host
+/// that follows nothing learns of an outage. Belongs to the event thread.
 class HostLease
 {
 public:
@@ -27,6 +30,7 @@
 
   HostLease(boost::asio::io_context& aContext,
             StoreClient& aClient,
+            StoreHealth& aHealth,
             Options aOptions);
 
   void Start() { Grant(); }
@@ -42,13 +46,16 @@
   void Register();
   void Renew();
   void After(base::Duration aPause, void (HostLease::*aStep)());
+  void NoteCall(StoreStatus aStatus, base::Instant aMadeAt);
 
   StoreClient& client_;
+  StoreHealth& health_;
   Options options_;
   boost::asio::steady_timer timer_;
   std::uint64_t lease_ = 0;
   bool registered_ = false;
   bool ended_ = false;
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -7,6 +7,14 @@
 
 namespace pumiceturn::metadata {
 
+namespace {
+
+/// A host that asks the store only to know whether its copy is whole doesn't
+/// wait for changes.
+constexpr std::chrono::milliseconds kNoWait{ 1 };
+
+} // namespace
+
 PrefixMirror::PrefixMirror(boost::asio::io_context& aContext,
                            StoreClient& aClient,
                            StoreHealth& aHealth,
@@ -34,13 +42,15 @@
 void
 PrefixMirror::ReadPage(const std::string& aAfter)
 {
+  phase_ = Phase::Reading;
   if (aAfter.empty()) {
     pages_.clear();
     readRevision_.reset();
   }
-  client_.Range(options_.prefix_, aAfter, [this](RangeReply aReply) {
-    OnPage(std::move(aReply));
-  });
+  client_.Range(
+    options_.prefix_, aAfter, lifetime_.Guard([this](RangeReply aReply) {
+      OnPage(std::move(aReply));
+    }));
 }
 
 void
@@ -74,56 +84,171 @@
   for (const StoreItem& item : pages_) {
     present.insert(item.key_);
   }
-  std::vector<std::string> gone;
+  std::vector<StoreItem> read = std::exchange(pages_, {});
   for (const auto& [key, revision] : revisions_) {
     if (!present.contains(key)) {
-      gone.push_back(key);
+      read.push_back({ key, {}, *readRevision_, true });
     }
   }
-  const std::size_t read = pages_.size();
-  for (const StoreItem& item : std::exchange(pages_, {})) {
-    Apply(item);
-  }
-  for (std::string& key : gone) {
-    Apply({ std::move(key), {}, *readRevision_, true });
+  const std::size_t count = present.size();
+  const std::uint64_t previousChange = View().lastChange_;
+  std::vector<StoreItem> changes;
+  for (StoreItem& item : read) {
+    if (Apply(item)) {
+      changes.push_back(std::move(item));
+    }
   }
-  followedRevision_ = *readRevision_;
-  complete_ = true;
+  tracker_.NoteRead(*readRevision_, base::BootNow());
   base::Log(kMirrorRead,
             { { "prefix", options_.prefix_ },
-              { "keys", read },
-              { "revision", followedRevision_ } });
-  Watch();
+              { "keys", count },
+              { "revision", *readRevision_ } });
+  if (std::exchange(complete_, true)) {
+    PassOn(previousChange, std::move(changes));
+  }
+  Continue();
 }
 
-void
+bool
 PrefixMirror::Apply(const StoreItem& aItem)
 {
+  // News may have come by a peer first, and a page or a watch that was asked
+  // for before it must not undo them.
+  const auto known = revisions_.find(aItem.key_);
+  const bool isKnown = known != revisions_.end();
+  const bool isNew =
+    isKnown ? aItem.revision_ > known->second : !aItem.removed_;
+  if (!isNew) {
+    return false;
+  }
+  const bool matters = matters_(aItem);
   if (aItem.removed_) {
-    if (revisions_.erase(aItem.key_) > 0) {
-      onChange_(aItem);
-    }
+    revisions_.erase(known);
+  } else {
+    revisions_[aItem.key_] = aItem.revision_;
+  }
+  onChange_(aItem);
+  if (matters) {
+    tracker_.NoteChange(aItem.revision_);
+  }
+  return matters;
+}
+
+void
+PrefixMirror::PassOn(std::uint64_t aPreviousChange,
+                     std::vector<StoreItem> aChanges)
+{
+  if (follows_ && !aChanges.empty()) {
+    onNews_({ aPreviousChange, View(), std::move(aChanges) });
+  }
+}
+
+void
+PrefixMirror::SetFollows(bool aFollows)
+{
+  if (follows_ == aFollows) {
     return;
   }
-  std::uint64_t& known = revisions_[aItem.key_];
-  if (aItem.revision_ <= known) {
+  follows_ = aFollows;
+  if (follows_ && phase_ == Phase::Waiting) {
+    WaitFor(base::Duration::zero());
+  }
+}
+
+void
+PrefixMirror::WaitFor(base::Duration aPause)
+{
+  phase_ = Phase::Waiting;
+  After(aPause, &PrefixMirror::Continue);
+}
+
+void
+PrefixMirror::Continue()
+{
+  const base::BootInstant now = base::BootNow();
+  if (!follows_ && !isCatchingUp_ &&
+      tracker_.IsConfirmed(options_.trust_, now)) {
+    WaitFor(tracker_.ConfirmedUntil(options_.trust_) - now);
     return;
   }
-  known = aItem.revision_;
-  onChange_(aItem);
+  Watch();
+}
+
+void
+PrefixMirror::CatchUp(base::Duration aAfter)
+{
+  if (phase_ != Phase::Waiting || follows_ || isCatchingUp_) {
+    return;
+  }
+  isCatchingUp_ = true;
+  WaitFor(aAfter);
+}
+
+void
+PrefixMirror::TakeView(const MirrorView& aView, base::Duration aCatchUpAfter)
+{
+  if (phase_ == Phase::Reading) {
+    return;
+  }
+  if (tracker_.TakeView(aView, base::BootNow()) == ReportOutcome::Gap) {
+    CatchUp(aCatchUpAfter);
+  }
+}
+
+void
+PrefixMirror::TakeNews(const MirrorNews& aNews, base::Duration aCatchUpAfter)
+{
+  if (phase_ == Phase::Reading) {
+    return;
+  }
+  const ReportOutcome outcome = tracker_.Judge(aNews);
+  if (outcome == ReportOutcome::Gap) {
+    CatchUp(aCatchUpAfter);
+  }
+  if (outcome != ReportOutcome::Current) {
+    return;
+  }
+  const std::uint64_t followed = tracker_.Followed();
+  for (const StoreItem& item : aNews.items_) {
+    if (item.revision_ > followed) {
+      (void)Apply(item);
+    }
+  }
+  tracker_.NoteNews(aNews.view_, base::BootNow());
+}
+
+void
+PrefixMirror::Distrust()
+{
+  tracker_.Distrust(base::BootNow());
+  if (phase_ == Phase::Waiting) {
+    WaitFor(base::Duration::zero());
+  }
 }
 
 void
 PrefixMirror::Watch()
 {
+  phase_ = Phase::Calling;
+  if (!follows_) {
+    base::Log(kCopyChecked,
+              { { "prefix", options_.prefix_ },
+                { "missed_change", isCatchingUp_ },
+                { "age_ms", base::ToMs(View().age_) },
+                { "revision", tracker_.Followed() } });
+  }
+  isCatchingUp_ = false;
+  const base::BootInstant askedAt = base::BootNow();
   client_.Watch(options_.prefix_,
-                followedRevision_,
-                options_.longestWatch_,
-                [this](const WatchReply& aReply) { OnWatch(aReply); });
+                tracker_.Followed(),
+                follows_ ? options_.longestWatch_ : base::Duration(kNoWait),
+                lifetime_.Guard([this, askedAt](const WatchReply& aReply) {
+                  OnWatch(aReply, askedAt);
+                }));
 }
 
 void
-PrefixMirror::OnWatch(const WatchReply& aReply)
+PrefixMirror::OnWatch(const WatchReply& aReply, base::BootInstant aAskedAt)
 {
   const bool isAnswered = aReply.status_ == StoreStatus::Ok ||
                           aReply.status_ == StoreStatus::HistoryLost;
@@ -133,21 +258,25 @@
     return;
   }
   if (!isAnswered) {
+    phase_ = Phase::Waiting;
     After(options_.retryPause_, &PrefixMirror::Watch);
     return;
   }
-  if (aReply.storeRevision_ > followedRevision_) {
-    followedRevision_ = aReply.storeRevision_;
-  }
-  const bool hadChanges = !aReply.events_.empty();
+  const std::uint64_t followed = tracker_.Followed();
+  const std::uint64_t previousChange = View().lastChange_;
+  std::vector<StoreItem> changes;
   for (const StoreItem& item : aReply.events_) {
-    Apply(item);
+    if (item.revision_ > followed && Apply(item)) {
+      changes.push_back(item);
+    }
   }
-  if (hadChanges) {
-    After(options_.pause_, &PrefixMirror::Watch);
-    return;
+  tracker_.NoteAnswer(aReply.storeRevision_, aAskedAt, base::BootNow());
+  PassOn(previousChange, std::move(changes));
+  if (follows_ && !aReply.events_.empty()) {
+    WaitFor(options_.pause_);
+  } else {
+    Continue();
   }
-  Watch();
 }
 
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
+#include "LibMetadata/MirrorNews.h"
 #include "LibMetadata/StoreClient.h"
 #include "LibMetadata/StoreHealth.h"
+#include "LibMetadata/ViewTracker.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,46 +19,101 @@
 namespace pumiceturn::metadata {
 
 /// Keeps a copy of all keys below a prefix: reads them page by page, then
-/// follows changes by watches, and reads anew where the store has dropped the
-/// history. Calls are spaced out, since each one is counted and charged, so one
-/// watch brings the changes of a whole interval. Belongs to the event thread.
+/// follows the changes, and reads anew where the store has dropped the history.
+///
+/// Each call to the store is counted and charged, so that few hosts follow it
+/// by watches and pass what changed on to the others (SetFollows, TakeNews,
+/// TakeView). A host whose copy nobody has confirmed for a while asks the store
+/// itself. Belongs to the event thread.
 class PrefixMirror
 {
 public:
   struct Options
   {
     std::string prefix_;
+    /// A follower's.
     base::Duration longestWatch_{ std::chrono::seconds{ 1 } };
-    /// Pause after a watch that brought changes.
+    /// Pause after a follower's watch that brought changes: one watch brings
+    /// the changes of a whole interval.
     base::Duration pause_{ std::chrono::milliseconds{ 250 } };
     /// Pause after a failed call.
     base::Duration retryPause_{ std::chrono::milliseconds{ 250 } };
+    /// How long a copy that the store confirmed, to this host or to a follower,
+    /// is relied on without asking.
+    base::Duration trust_{ std::chrono::seconds{ 1 } };
   };
 
   /// Called for each key that appears, changes, or is removed.
   using ChangeHandler = std::function<void(const StoreItem&)>;
 
+  /// Tells, before a change is applied, whether it matters to anyone: what is
+  /// registered again unchanged isn't passed on.
+  using ChangeFilter = std::function<bool(const StoreItem&)>;
+
+  /// Called with changes that the store told a follower.
+  using NewsHandler = std::function<void(const MirrorNews&)>;
+
   PrefixMirror(boost::asio::io_context& aContext,
                StoreClient& aClient,
                StoreHealth& aHealth,
                Options aOptions,
                ChangeHandler aOnChange);
 
+  void SetFilter(ChangeFilter aFilter) { matters_ = std::move(aFilter); }
+  void SetOnNews(NewsHandler aHandler) { onNews_ = std::move(aHandler); }
+
   void Start() { ReadPage({}); }
 
-  /// Sets the pause after a watch that brought changes, from the next one on.
-  void SetPause(base::Duration aPause) { options_.pause_ = aPause; }
+  /// This host begins or ceases to follow the prefix for its peers.
+  void SetFollows(bool aFollows);
+  [[nodiscard]] bool Follows() const { return follows_; }
+
+  /// Sets how long a confirmed copy is relied on.
+  void SetTrust(base::Duration aTrust) { options_.trust_ = aTrust; }
+
+  /// Takes in how far a follower's copy has got.
+  /// @param aCatchUpAfter When to ask the store, if the copy lacks something:
+  ///                      spread, as all hosts learn of it at once.
+  void TakeView(const MirrorView& aView, base::Duration aCatchUpAfter);
+
+  /// Takes in what a follower passes on.
+  void TakeNews(const MirrorNews& aNews, base::Duration aCatchUpAfter);
+
+  /// This host did not run for a while: asks the store before it relies on what
+  /// peers say.
+  void Distrust();
 
   /// @return whether the prefix has been read once.
   [[nodiscard]] bool IsComplete() const { return complete_; }
 
+  /// @return how far the copy has got, for peers.
+  [[nodiscard]] MirrorView View() const
+  {
+    return tracker_.View(base::BootNow());
+  }
+
 private:
+  enum class Phase : std::uint8_t
+  {
+    Reading, ///< The whole prefix.
+    Waiting, ///< For the next call.
+    Calling, ///< A watch is under way.
+  };
+
   void ReadPage(const std::string& aAfter);
   void OnPage(RangeReply aReply);
   void FinishReading();
   void Watch();
-  void OnWatch(const WatchReply& aReply);
-  void Apply(const StoreItem& aItem);
+  void OnWatch(const WatchReply& aReply, base::BootInstant aAskedAt);
+
+  /// Makes the next call if it is due, otherwise waits on.
+  void Continue();
+  void WaitFor(base::Duration aPause);
+  void CatchUp(base::Duration aAfter);
+
+  /// @return whether the change matters.
+  bool Apply(const StoreItem& aItem);
+  void PassOn(std::uint64_t aPreviousChange, std::vector<StoreItem> aChanges);
   void After(base::Duration aPause, void (PrefixMirror::*aStep)());
   void Restart() { ReadPage({}); }
 
@@ -62,12 +121,18 @@
   StoreHealth& health_;
   Options options_;
   ChangeHandler onChange_;
+  ChangeFilter matters_ = [](const StoreItem&) { return true; };
+  NewsHandler onNews_ = [](const MirrorNews&) {};
   boost::asio::steady_timer timer_;
+  ViewTracker tracker_;
   std::unordered_map<std::string, std::uint64_t> revisions_;
   std::vector<StoreItem> pages_; ///< Read so far.
   std::optional<std::uint64_t> readRevision_;
-  std::uint64_t followedRevision_ = 0;
+  Phase phase_ = Phase::Reading;
   bool complete_ = false;
+  bool follows_ = false;
+  bool isCatchingUp_ = false; ///< The store is to be asked though confirmed.
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::metadata
--- /dev/null
+++ b/Libraries/LibMetadata/ViewTracker.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibMetadata/MirrorNews.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace pumiceturn::metadata {
+
+/// What a peer's report does to a copy.
+enum class ReportOutcome : std::uint8_t
+{
+  Ignored, ///< It tells nothing that may be relied on.
+  Current, ///< The copy holds all that the report is about.
+  Gap,     ///< The copy lacks a change: the store must be asked.
+};
+
+/// Knows up to which revision a copy of a prefix is complete, and when the
+/// store last said so, to this host or to a peer that passed it on. The
+/// revision never goes back. Decides only; not thread-safe.
+///
+/// Times are on the clock that goes on while a machine is suspended: a peer
+/// that was suspended must not pass an old view on as a fresh one.
+class ViewTracker
+{
+public:
+  /// The whole prefix was read, and what differed noted by NoteChange().
+  /// @param aRevision Changes after it are not all in the copy.
+  void NoteRead(std::uint64_t aRevision, base::BootInstant aNow);
+
+  /// A change that matters went into the copy.
+  void NoteChange(std::uint64_t aRevision);
+
+  /// The store answered this host.
+  /// @param aRevision Up to which the copy is complete now.
+  /// @param aAskedAt  When the call was made.
+  void NoteAnswer(std::uint64_t aRevision,
+                  base::BootInstant aAskedAt,
+                  base::BootInstant aNow);
+
+  /// Takes in how far a peer's copy has got.
+  ReportOutcome TakeView(const MirrorView& aView, base::BootInstant aNow);
+
+  /// @return whether the changes that a peer passes on join up with the copy.
+  ///         Those after Followed() are to be applied, then NoteNews() is due.
+  [[nodiscard]] ReportOutcome Judge(const MirrorNews& aNews) const;
+
+  /// The changes that a peer passed on are in the copy.
+  void NoteNews(const MirrorView& aView, base::BootInstant aNow);
+
+  /// This host did not run for a while. What waits to be read may be as old,
+  /// so only a call that is made from now on confirms the copy.
+  void Distrust(base::BootInstant aNow);
+
+  /// @return whether the store confirmed the copy lately.
+  [[nodiscard]] bool IsConfirmed(base::Duration aTrust,
+                                 base::BootInstant aNow) const;
+
+  /// @return when the copy stops being confirmed, if nothing happens.
+  [[nodiscard]] base::BootInstant ConfirmedUntil(base::Duration aTrust) const
+  {
+    return confirmedAt_ + aTrust;
+  }
+
+  /// @return what to tell peers, with the time since the store's last answer to
+  ///         this host itself: passed on from peer to peer, ages would shrink
+  ///         by the time that each message waits to be read.
+  [[nodiscard]] MirrorView View(base::BootInstant aNow) const;
+
+  [[nodiscard]] std::uint64_t Followed() const { return followed_; }
+
+private:
+  std::uint64_t lastChange_ = 0;
+  std::uint64_t followed_ = 0;
+  base::BootInstant confirmedAt_{};
+  base::BootInstant answeredAt_{}; ///< By the store, to this host.
+  std::optional<base::BootInstant> distrustedAt_;
+};
+
+} // namespace pumiceturn::metadata
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -17,6 +17,7 @@
     options.prefix_ = "p/";
     options.pause_ = std::chrono::milliseconds(0);
     options.retryPause_ = std::chrono::milliseconds(0);
+    options.trust_ = std::chrono::milliseconds(0);
     mirror_.emplace(
       context_, store_, health_, options, [this](const StoreItem& aItem) {
         ++changes_;
@@ -104,6 +105,157 @@
   CHECK_FALSE(health_.IsLost());
 }
 
+/// A host that does not follow the prefix itself; peers tell it what changes.
+class ToldMirrorFixture
+{
+protected:
+  ToldMirrorFixture()
+  {
+    PrefixMirror::Options options;
+    options.prefix_ = "p/";
+    options.pause_ = std::chrono::milliseconds(0);
+    options.retryPause_ = std::chrono::milliseconds(0);
+    options.trust_ = std::chrono::hours(1);
+    mirror_.emplace(
+      context_, store_, health_, options, [this](const StoreItem& aItem) {
+        if (aItem.removed_) {
+          copy_.erase(aItem.key_);
+        } else {
+          copy_[aItem.key_] = aItem.value_;
+        }
+      });
+    mirror_->SetFilter(
+      [](const StoreItem& aItem) { return aItem.value_ != "heartbeat"; });
+    mirror_->SetOnNews(
+      [this](const MirrorNews& aNews) { passedOn_.push_back(aNews); });
+    mirror_->Start();
+    AnswerRange({ { "p/a", "1", 3 } }, 5);
+  }
+
+  void AnswerRange(std::vector<StoreItem> aItems, std::uint64_t aRevision)
+  {
+    FakeStore::Take(store_.ranges_)
+      .second({ StoreStatus::Ok, std::move(aItems), false, aRevision });
+    Run();
+  }
+
+  void AnswerWatch(std::vector<StoreItem> aEvents, std::uint64_t aRevision)
+  {
+    FakeStore::Take(store_.watches_)
+      .callback_({ StoreStatus::Ok, std::move(aEvents), aRevision });
+    Run();
+  }
+
+  /// Runs what is due; timers of the far future stay.
+  void Run()
+  {
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(5));
+  }
+
+  /// A report of a peer that the store answered just now.
+  void TakeView(std::uint64_t aLastChange, std::uint64_t aFollowed)
+  {
+    mirror_->TakeView({ aLastChange, aFollowed, {} }, base::Duration::zero());
+    Run();
+  }
+
+  boost::asio::io_context context_;
+  FakeStore store_;
+  StoreHealth health_;
+  std::map<std::string, std::string> copy_;
+  std::vector<MirrorNews> passedOn_;
+  std::optional<PrefixMirror> mirror_;
+};
+
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_PeersConfirmTheCopy_StoreIsNotAsked")
+{
+  TakeView(5, 8);
+  mirror_->TakeNews({ 5, { 9, 9, {} }, { { "p/a", "2", 9 } } }, {});
+  TakeView(9, 12);
+  CHECK(copy_["p/a"] == "2");
+  CHECK(store_.watches_.empty());
+}
+
+// A configuration is in force at all hosts but one, which lost a datagram.
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_NewsWasLost_AsksTheStoreForIt")
+{
+  TakeView(9, 12);
+  REQUIRE(store_.watches_.size() == 1);
+  CHECK(store_.watches_.front().after_ == 5);
+  AnswerWatch({ { "p/a", "2", 9 } }, 12);
+  CHECK(copy_["p/a"] == "2");
+  TakeView(9, 13);
+  CHECK(store_.watches_.empty());
+}
+
+// A server that has left gets requests again: this host asked the store a
+// moment before a peer told it of the end, and the answer, which came after,
+// still showed the server.
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_AnswerOlderThanNews_DoesNotUndoThem")
+{
+  mirror_->SetFollows(true);
+  Run();
+  REQUIRE(store_.watches_.size() == 1);
+  mirror_->TakeNews({ 5, { 9, 9, {} }, { { "p/a", "", 9, true } } }, {});
+  CHECK(copy_.empty());
+  AnswerWatch({ { "p/a", "2", 7 } }, 8);
+  CHECK(copy_.empty());
+  REQUIRE(store_.watches_.size() == 1);
+  CHECK(store_.watches_.front().after_ == 9);
+}
+
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_FollowerSeesChanges_PassesOnThoseThatMatter")
+{
+  mirror_->SetFollows(true);
+  Run();
+  AnswerWatch({ { "p/a", "heartbeat", 6 } }, 6);
+  CHECK(passedOn_.empty());
+  CHECK(mirror_->View().lastChange_ == 5);
+  CHECK(mirror_->View().followed_ == 6);
+  AnswerWatch({ { "p/a", "heartbeat", 7 }, { "p/b", "new", 8 } }, 9);
+  REQUIRE(passedOn_.size() == 1);
+  CHECK(passedOn_.front().previousChange_ == 5);
+  REQUIRE(passedOn_.front().items_.size() == 1);
+  CHECK(passedOn_.front().items_.front().key_ == "p/b");
+  CHECK(passedOn_.front().view_.lastChange_ == 8);
+  CHECK(passedOn_.front().view_.followed_ == 9);
+}
+
+// Hundreds of hosts read a whole prefix at once, because the store dropped its
+// history and the one that follows it could not tell what was new.
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_FollowerReadsAnew_PassesOnWhatDiffers")
+{
+  mirror_->SetFollows(true);
+  Run();
+  FakeStore::Take(store_.watches_)
+    .callback_({ StoreStatus::HistoryLost, {}, 0 });
+  AnswerRange({ { "p/b", "new", 8 } }, 9);
+  REQUIRE(passedOn_.size() == 1);
+  CHECK(passedOn_.front().previousChange_ == 5);
+  CHECK(passedOn_.front().items_.size() == 2);
+  CHECK(passedOn_.front().view_.lastChange_ == 9);
+  CHECK(copy_ == std::map<std::string, std::string>{ { "p/b", "new" } });
+}
+
+// Requests go to servers that left while this host was frozen: it went on with
+// what peers had said before.
+TEST_CASE_METHOD(ToldMirrorFixture,
+                 "PrefixMirror_DidNotRun_AsksBeforeItTrustsPeers")
+{
+  mirror_->Distrust();
+  Run();
+  REQUIRE(store_.watches_.size() == 1);
+  TakeView(5, 8);
+  AnswerWatch({}, 9);
+  CHECK(store_.watches_.empty());
+}
+
 class HostLeaseFixture
 {
 protected:
@@ -113,7 +265,7 @@
     options.key_ = "h/a";
     options.value_ = "v";
     options.renewal_ = std::chrono::milliseconds(0);
-    lease_.emplace(context_, store_, options);
+    lease_.emplace(context_, store_, health_, options);
     lease_->Start();
   }
 
@@ -132,6 +284,7 @@
 
   boost::asio::io_context context_;
   FakeStore store_;
+  StoreHealth health_;
   std::optional<HostLease> lease_;
 };
 
@@ -162,6 +315,16 @@
   CHECK(store_.commits_.size() == 1);
 }
 
+// A lot on a worker's disk is said not to exist: the host that was asked
+// follows nothing and had not noticed that the store was away a moment ago.
+TEST_CASE_METHOD(HostLeaseFixture, "HostLease_RenewalFails_StoreCountsAsLost")
+{
+  Register();
+  CHECK_FALSE(health_.IsLost());
+  FakeStore::Take(store_.renewals_)({ StoreStatus::Unknown, 7 });
+  CHECK(health_.IsLost());
+}
+
 TEST_CASE_METHOD(HostLeaseFixture, "HostLease_Ended_RenewsNoMore")
 {
   Register();
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -13,6 +13,13 @@
     AddServer("i-1");
     AddServer("i-2");
     host_ = &StartHost("entry", lots::LotPreference::IfNoOther);
+    // Changes are told at once to a host that waits for them.
+    RunUntil([this] {
+      const auto page =
+        AskAt(Loopback(host_->statusPort_), "GET", "/metrics")->body_;
+      return page.find("pumiceturn_store_prefixes_followed 4") !=
+             std::string::npos;
+    });
   }
 
   std::unique_ptr<CallerCall> Stream(const std::string& aPath)
@@ -216,14 +223,20 @@
 
 TEST_CASE_METHOD(OnlineFixture, "Online_ServerDrains_GetsNothingNew")
 {
+  // The bound within which a draining server must get nothing new, and so many
+  // calls that one in use would not be left out by chance.
+  constexpr std::chrono::seconds kDrainBound{ 2 };
+  constexpr int kCalls = 40;
+  const auto drainsAt = std::chrono::steady_clock::now();
   store_.Put("servers/i-1", servers_[0]->Registration("service", "draining"));
-  RunUntil([this] {
-    const std::size_t before = servers_[0]->Requests().size();
-    for (int call = 0; call < 8; ++call) {
-      (void)Stream("/once/1");
-    }
-    return servers_[0]->Requests().size() == before;
-  });
+  while (std::chrono::steady_clock::now() - drainsAt < kDrainBound) {
+    (void)Stream("/once/1");
+  }
+  const std::size_t before = servers_[0]->Requests().size();
+  for (int call = 0; call < kCalls; ++call) {
+    CHECK(Stream("/once/1")->status_ == 200);
+  }
+  CHECK(servers_[0]->Requests().size() == before);
 }
 
 // Half of the answers come late: entries that no server wrote stand among the
