--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -398,9 +398,13 @@
                               std::span<const PeerCount> aCounts,
                               base::Instant aNow)
 {
-  for (auto& [id, endpoint] : endpoints_) {
-    endpoint.peers_.erase(aPeer);
+  std::unordered_set<std::string>& known = endpointsOfPeers_[aPeer];
+  for (const std::string& id : known) {
+    if (const auto found = endpoints_.find(id); found != endpoints_.end()) {
+      found->second.peers_.erase(aPeer);
+    }
   }
+  known.clear();
   TakePeerChanges(aPeer, aCounts, aNow);
 }
 
@@ -412,6 +416,7 @@
   for (const PeerCount& count : aCounts) {
     if (Endpoint* endpoint = Find({ count.endpoint_, count.bornMs_ })) {
       endpoint->peers_[aPeer] = { count.counts_, count.hasFailed_, aNow };
+      endpointsOfPeers_[aPeer].insert(count.endpoint_);
     }
   }
 }
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace pumiceturn::fleet {
@@ -275,6 +276,10 @@
   Limits limits_;
   std::unordered_map<std::string, Endpoint> endpoints_;
   std::unordered_map<std::string, Replaced> replaced_; ///< By id.
+  /// The endpoints at which a peer said to have runs, or to have failed: what
+  /// it says next replaces these, and no other endpoint need be looked at.
+  std::unordered_map<std::string, std::unordered_set<std::string>>
+    endpointsOfPeers_;
 };
 
 } // namespace pumiceturn::fleet
--- a/Tests/LibMetadata/FollowerChoiceTest.cpp
+++ b/Tests/LibMetadata/FollowerChoiceTest.cpp
@@ -11,8 +11,7 @@
 
 namespace pumiceturn::metadata {
 
-using base::operator""ms;
-using base::operator""s;
+using namespace std::chrono_literals;
 
 /// Hosts that tell each other their state each tenth of a second.
 class FollowerFleetFixture
--- a/Tests/LibMetadata/FollowerFleetTest.cpp
+++ b/Tests/LibMetadata/FollowerFleetTest.cpp
@@ -9,8 +9,7 @@
 
 namespace pumiceturn::metadata {
 
-using base::operator""ms;
-using base::operator""s;
+using namespace std::chrono_literals;
 
 /// A fleet of hosts on virtual time, of which some follow one prefix. The store
 /// changes now and then; reports get lost as often as the test says.
--- a/Tests/LibMetadata/ViewTrackerTest.cpp
+++ b/Tests/LibMetadata/ViewTrackerTest.cpp
@@ -4,8 +4,7 @@
 
 namespace pumiceturn::metadata {
 
-using base::operator""ms;
-using base::operator""s;
+using namespace std::chrono_literals;
 
 class ViewTrackerFixture
 {
--- /dev/null
+++ b/Tests/Platform/StoreReportTest.cpp
@@ -0,0 +1,114 @@
+#include "LibGateway/StoreReport.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+class StoreReportFixture
+{
+protected:
+  [[nodiscard]] static StoreNews MakeNews(std::size_t aValueBytes)
+  {
+    StoreNews news;
+    news.prefix_ = StorePrefix::Endpoints;
+    news.news_.previousChange_ = 7;
+    news.news_.view_ = { 11, 12, 30ms };
+    // Not text: anyone may write under the endpoints' prefix.
+    news.news_.items_ = { { "s/1", std::string(aValueBytes, '\xff'), 10 },
+                          { "s/2", {}, 11, true } };
+    return news;
+  }
+
+  /// As it comes out of a datagram.
+  [[nodiscard]] static json Sent(const json& aRow)
+  {
+    return json::from_cbor(json::to_cbor(aRow));
+  }
+};
+
+TEST_CASE_METHOD(StoreReportFixture, "StoreReport_SentAndRead_IsTheSame")
+{
+  StoreReport report;
+  report.state_ = { true, false };
+  report.views_.push_back({ StorePrefix::Lots, { 5, 9, 120ms } });
+  const StoreReport read = DecodeStoreReport(Sent(EncodeStoreReport(report)));
+  CHECK(read.state_.mayFollow_);
+  CHECK_FALSE(read.state_.isPreferred_);
+  REQUIRE(read.views_.size() == 1);
+  CHECK(read.views_.front().prefix_ == StorePrefix::Lots);
+  CHECK(read.views_.front().view_.lastChange_ == 5);
+  CHECK(read.views_.front().view_.followed_ == 9);
+  CHECK(read.views_.front().view_.age_ == 120ms);
+}
+
+TEST_CASE_METHOD(StoreReportFixture, "StoreNews_SentAndRead_IsTheSame")
+{
+  const StoreNews news = MakeNews(3);
+  const auto row = EncodeStoreNews(news);
+  REQUIRE(row);
+  const StoreNews read = DecodeStoreNews(Sent(*row));
+  CHECK(read.prefix_ == StorePrefix::Endpoints);
+  CHECK(read.news_.previousChange_ == 7);
+  REQUIRE(read.news_.items_.size() == 2);
+  CHECK(read.news_.items_[0].value_ == news.news_.items_[0].value_);
+  CHECK(read.news_.items_[0].revision_ == 10);
+  CHECK(read.news_.items_[1].removed_);
+}
+
+// A large configuration fills every host's link, once for each peer.
+TEST_CASE_METHOD(StoreReportFixture, "StoreNews_TooLarge_IsNotSent")
+{
+  CHECK_FALSE(EncodeStoreNews(MakeNews(100000)));
+}
+
+// A host never asks the store again: a stranger's report said that its copy is
+// fresh for a long time to come.
+TEST_CASE_METHOD(StoreReportFixture, "StoreReport_AgeIsNoAge_IsRefused")
+{
+  StoreReport report;
+  report.views_.push_back({ StorePrefix::Lots, { 5, 9, 120ms } });
+  json row = EncodeStoreReport(report);
+  for (const std::int64_t age : { std::int64_t{ -1 }, INT64_MAX }) {
+    row["views"][0]["age"] = age;
+    CHECK_THROWS_AS(DecodeStoreReport(row), json::exception);
+  }
+  row["views"][0]["age"] = 1;
+  row["views"][0]["prefix"] = 99;
+  CHECK_THROWS_AS(DecodeStoreReport(row), json::exception);
+}
+
+// A host ends: a datagram of a stranger, or one that was damaged, got past the
+// reader.
+TEST_CASE_METHOD(StoreReportFixture, "StoreNews_BytesAreDamaged_NeverGetsPast")
+{
+  constexpr int kInputs = 5000;
+  constexpr int kMostChanges = 4;
+  std::mt19937 random(7);
+  const std::vector<std::uint8_t> whole =
+    json::to_cbor(*EncodeStoreNews(MakeNews(20)));
+  int read = 0;
+  for (int input = 0; input < kInputs; ++input) {
+    std::vector<std::uint8_t> bytes = whole;
+    for (int change = 0; change < kMostChanges; ++change) {
+      bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+    }
+    try {
+      (void)DecodeStoreNews(json::from_cbor(bytes));
+      ++read;
+    } catch (const json::exception&) {
+      // Refused, as it should be.
+    }
+  }
+  CHECK(read < kInputs);
+}
+
+} // namespace pumiceturn::gateway
