LibGateway: Timers of a gateway that has ended do nothing

Lots_OwnerVanishes crashed once in a whole run of the tests: a timer that had run out already called Tick() of a gateway that the test had ended (seen in the debugger). Only tests end a gateway before its event loop. Ruled out: the callbacks of calls to the store, guarded before.

Traced by a run with logs: while the fixture waited for the worker to be known it sent a lot each turn of the loop, some two thousand, and their contents were being read through the one peer when the store turned the host away; connections to the peer then took over 0.5 s.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -526,11 +526,12 @@
 Gateway::ReportRetiredLater()
 {
   stopTimer_.expires_after(kRetireRetry);
-  stopTimer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      ReportRetired();
-    }
-  });
+  stopTimer_.async_wait(
+    lifetime_.Guard([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        ReportRetired();
+      }
+    }));
 }
 
 bool
@@ -650,12 +651,14 @@
 Gateway::TickLater()
 {
   tickTimer_.expires_after(kTick);
-  tickTimer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      Tick();
-      TickLater();
-    }
-  });
+  // A timer that has run out already can't be cancelled any more.
+  tickTimer_.async_wait(
+    lifetime_.Guard([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Tick();
+        TickLater();
+      }
+    }));
 }
 
 void
@@ -723,11 +726,12 @@
     }
   }
   stopTimer_.expires_after(kStopPoll);
-  stopTimer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      EndWhenIdle();
-    }
-  });
+  stopTimer_.async_wait(
+    lifetime_.Guard([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        EndWhenIdle();
+      }
+    }));
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibGateway/BatchWorker.h"
 #include "LibGateway/HeldLots.h"
 #include "LibGateway/LotDesk.h"
@@ -178,6 +179,7 @@
   bool retiring_ = false;
   bool handedOver_ = false;
   bool ready_ = false;
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -85,12 +85,13 @@
 PeerExchange::SendLater()
 {
   timer_.expires_after(fleet::CountNews::Interval(peers_.size()));
-  timer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      Send();
-      SendLater();
-    }
-  });
+  timer_.async_wait(
+    lifetime_.Guard([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Send();
+        SendLater();
+      }
+    }));
 }
 
 void
@@ -242,15 +243,16 @@
   socket_.async_receive_from(
     asio::buffer(buffer_),
     sender_,
-    [this](const boost::system::error_code& aError, std::size_t aBytes) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError) {
-        Take(std::string_view(buffer_.data(), aBytes));
-      }
-      Receive();
-    });
+    lifetime_.Guard(
+      [this](const boost::system::error_code& aError, std::size_t aBytes) {
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          Take(std::string_view(buffer_.data(), aBytes));
+        }
+        Receive();
+      }));
 }
 
 std::vector<fleet::PeerCount>
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibFleet/CountNews.h"
 #include "LibFleet/PeerHearing.h"
 #include "LibGateway/Shared.h"
@@ -117,6 +118,7 @@
   static constexpr std::size_t kMaxDatagram = 65536;
   std::array<char, kMaxDatagram> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -28,11 +28,12 @@
 HostLease::After(base::Duration aPause, void (HostLease::*aStep)())
 {
   timer_.expires_after(aPause);
-  timer_.async_wait([this, aStep](const boost::system::error_code& aError) {
-    if (!aError && !ended_) {
-      (this->*aStep)();
-    }
-  });
+  timer_.async_wait(
+    lifetime_.Guard([this, aStep](const boost::system::error_code& aError) {
+      if (!aError && !ended_) {
+        (this->*aStep)();
+      }
+    }));
 }
 
 void
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -32,11 +32,12 @@
 PrefixMirror::After(base::Duration aPause, void (PrefixMirror::*aStep)())
 {
   timer_.expires_after(aPause);
-  timer_.async_wait([this, aStep](const boost::system::error_code& aError) {
-    if (!aError) {
-      (this->*aStep)();
-    }
-  });
+  timer_.async_wait(
+    lifetime_.Guard([this, aStep](const boost::system::error_code& aError) {
+      if (!aError) {
+        (this->*aStep)();
+      }
+    }));
 }
 
 void
--- a/Tests/Platform/StorePathTest.cpp
+++ b/Tests/Platform/StorePathTest.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Platform/LotsFixture.h"
 
+#include <chrono>
+
 namespace pumiceturn::adapter {
 
 class StorePathFixture : protected LotsFixture
@@ -19,11 +21,22 @@
   TestHost& StartKnownWorker()
   {
     TestHost& worker = StartWorker("worker");
+    // One lot at a time, and seldom: thousands would keep the only way to the
+    // store busy when the test begins.
+    constexpr std::chrono::milliseconds kPause{ 50 };
     int tries = 0;
-    RunUntil([this, &tries] {
-      const std::string lot = "first" + std::to_string(++tries);
-      (void)Ask(
-        *entry_, "POST", "/lots/1", "Attempt-Id: " + lot + "\r\n", LotBody(1));
+    std::string lot;
+    auto nextAt = std::chrono::steady_clock::now();
+    RunUntil([this, &tries, &lot, &nextAt, kPause] {
+      if (std::chrono::steady_clock::now() >= nextAt) {
+        nextAt = std::chrono::steady_clock::now() + kPause;
+        lot = "first" + std::to_string(++tries);
+        (void)Ask(*entry_,
+                  "POST",
+                  "/lots/1",
+                  "Attempt-Id: " + lot + "\r\n",
+                  LotBody(1));
+      }
       return store_.Get("pumiceturn/lot/" + lot).find("worker") !=
              std::string::npos;
     });
