LibMetadata, LibGateway: One reading of each registration, one look for a capped route

- A registration was decoded twice for each event: once to tell whether it matters to peers, once to take it in.
The change handler now tells, and the filter beside it is gone.
- PeerExchange got the copies of the store by a setter and asked three times whether it had them; it now has them from its start.
- Whether a lot's route bounds the tokens that may wait was worked out in four places in BatchWorker and HeldLots: RouteTable::FindCapped.
A lot's route was looked up in the same words four times: BatchWorker::RouteOf.
- Tests: one fixture for copies of a prefix instead of two, one reading of a metrics page instead of five.
The fixture's loop also runs what a busy machine left undone within its 5 ms.

--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -48,6 +48,16 @@
   return route == routes.end() ? nullptr : &*route;
 }
 
+const Route*
+RouteTable::FindCapped(std::string_view aHostName, std::string_view aPath) const
+{
+  if (cappedRoutes_.empty()) {
+    return nullptr;
+  }
+  const Route* route = Find(aHostName, aPath);
+  return route != nullptr && route->waitingTokenCap_ > 0 ? route : nullptr;
+}
+
 const std::string&
 RouteTable::ChooseService(const Route& aRoute, double aRandom)
 {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -25,6 +25,11 @@
   [[nodiscard]] const Route* Find(std::string_view aHostName,
                                   std::string_view aPath) const;
 
+  /// @return the same route, if it bounds the tokens that lots may have
+  ///         waiting; otherwise nullptr.
+  [[nodiscard]] const Route* FindCapped(std::string_view aHostName,
+                                        std::string_view aPath) const;
+
   /// @param aRandom Uniform in [0, 1).
   /// @return one of the route's services, by weight.
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -121,8 +121,7 @@
                           base::Instant aNow)
 {
   lots::ItemLimits limits = aOwn.schedule_.Limits();
-  const auto* route =
-    shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+  const fleet::Route* route = RouteOf(aLot);
   if (route != nullptr) {
     aOwn.routeMissingSince_.reset();
     limits.maxAttempts_ = route->maxAttempts_;
@@ -265,16 +264,19 @@
   }
 }
 
+const fleet::Route*
+BatchWorker::RouteOf(const lots::Lot& aLot) const
+{
+  return shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+}
+
 const fleet::Route*
 BatchWorker::CappedRouteOf(const std::string& aLot) const
 {
   const lots::Lot* lot = lots_.Find(aLot);
-  if (lot == nullptr || shared_.routes_.CappedRoutes().empty()) {
-    return nullptr;
-  }
-  const fleet::Route* route =
-    shared_.routes_.Find(lot->state_.hostName_, lot->state_.path_);
-  return route != nullptr && route->waitingTokenCap_ > 0 ? route : nullptr;
+  return lot == nullptr ? nullptr
+                        : shared_.routes_.FindCapped(lot->state_.hostName_,
+                                                     lot->state_.path_);
 }
 
 std::vector<WaitingLot>
@@ -362,8 +364,7 @@
                        std::uint64_t aLastEvent) const
 {
   lots::ItemUrgency urgency{ aOwn.schedule_.Limits().dueAt_ };
-  const auto* route =
-    shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+  const fleet::Route* route = RouteOf(aLot);
   const auto pace = route != nullptr ? paces_.find(route->name_) : paces_.end();
   if (pace != paces_.end()) {
     urgency.remaining_ =
@@ -410,8 +411,7 @@
 {
   const lots::Lot* lot = lots_.Find(aCandidate.lot_);
   OwnLot& own = own_.at(aCandidate.lot_);
-  const auto* route =
-    shared_.routes_.Find(lot->state_.hostName_, lot->state_.path_);
+  const fleet::Route* route = RouteOf(*lot);
   if (route == nullptr) {
     // It may come with the next configuration; other lots go on.
     return true;
@@ -525,10 +525,7 @@
 {
   const lots::Lot* lot = lots_.Find(aRun.LotId());
   const auto own = own_.find(aRun.LotId());
-  const auto* route =
-    lot == nullptr
-      ? nullptr
-      : shared_.routes_.Find(lot->state_.hostName_, lot->state_.path_);
+  const fleet::Route* route = lot == nullptr ? nullptr : RouteOf(*lot);
   if (route == nullptr || own == own_.end()) {
     return;
   }
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -93,6 +93,9 @@
   void Leave(const std::string& aLot, std::string_view aReason);
   [[nodiscard]] bool IsOwn(const lots::Lot& aLot) const;
 
+  /// @return nullptr where no route leads to the lot's items now.
+  [[nodiscard]] const fleet::Route* RouteOf(const lots::Lot& aLot) const;
+
   /// @return the route of a lot, if it bounds the tokens that may wait.
   [[nodiscard]] const fleet::Route* CappedRouteOf(
     const std::string& aLot) const;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -183,6 +183,7 @@
   , peers_(aContext,
            shared_,
            settings_.host_,
+           following_,
            [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
@@ -218,7 +219,6 @@
     [this](const std::string& aHost) { return peers_.IsHeard(aHost); });
   following_.SetOnNews(
     [this](const StoreNews& aNews) { peers_.SendStoreNews(aNews); });
-  peers_.SetFollowing(following_);
   desk_.SetOnStateRead([this](const std::string& aLot) { OnLotChanged(aLot); });
   worker_.SetOnResults([this](const std::string& aLot) { OnLotChanged(aLot); });
 }
@@ -234,28 +234,33 @@
   operators.pause_ = kOperatorPause;
   return { { StorePrefix::Operators,
              operators,
-             [this](const metadata::StoreItem& aItem) { OnOperatorKey(aItem); },
-             {} },
+             [this](const metadata::StoreItem& aItem) {
+               OnOperatorKey(aItem);
+               return true;
+             } },
            { StorePrefix::Endpoints,
              FollowWithin(layout_.endpointPrefix_,
                           settings_.drainBound_,
                           kEndpointWatchShare,
                           kEndpointTrustShare),
-             [this](const metadata::StoreItem& aItem) { OnEndpointKey(aItem); },
              [this](const metadata::StoreItem& aItem) {
-               return EndpointChangeMatters(aItem);
+               return OnEndpointKey(aItem);
              } },
            { StorePrefix::Lots,
              FollowWithin(layout_.lots_.statePrefix_,
                           settings_.settleBound_,
                           kLotWatchShare,
                           kLotTrustShare),
-             [this](const metadata::StoreItem& aItem) { OnLotKey(aItem); },
-             {} },
+             [this](const metadata::StoreItem& aItem) {
+               OnLotKey(aItem);
+               return true;
+             } },
            { StorePrefix::Hosts,
              Follow(layout_.hostPrefix_, kHostWatch, kHostPause, kHostTrust),
-             [this](const metadata::StoreItem& aItem) { OnHostKey(aItem); },
-             {} } };
+             [this](const metadata::StoreItem& aItem) {
+               OnHostKey(aItem);
+               return true;
+             } } };
 }
 
 void
@@ -535,16 +540,6 @@
 }
 
 bool
-Gateway::EndpointChangeMatters(const metadata::StoreItem& aItem) const
-{
-  if (aItem.removed_) {
-    return true;
-  }
-  const auto record = storeCodec_.ReadEndpoint(aItem);
-  return !record || !shared_.endpoints_.IsKnownAs(*record);
-}
-
-void
 Gateway::OnEndpointKey(const metadata::StoreItem& aItem)
 {
   const base::Instant now = base::MonotonicNow();
@@ -556,7 +551,7 @@
               { { "endpoint", id },
                 { "state", "removed" },
                 { "revision", aItem.revision_ } });
-    return;
+    return true;
   }
   const auto record = storeCodec_.ReadEndpoint(aItem);
   if (!record) {
@@ -568,8 +563,9 @@
                 { "bytes", aItem.value_.size() },
                 { "revision", aItem.revision_ } });
     NoteReadiness();
-    return;
+    return true;
   }
+  const bool isNews = !shared_.endpoints_.IsKnownAs(*record);
   const bool wasUsable = shared_.endpoints_.IsUsable(id);
   const fleet::RegistrationNews news = shared_.endpoints_.Put(*record, now);
   if (news == fleet::RegistrationNews::Restarted) {
@@ -586,6 +582,7 @@
                 { "revision", aItem.revision_ } });
   }
   NoteReadiness();
+  return isNews;
 }
 
 void
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -122,10 +122,10 @@
   void OnPassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnStatusRequest(httpstream::Exchange& aExchange);
   [[nodiscard]] std::vector<StoreFollowing::Followed> FollowedPrefixes();
-  [[nodiscard]] bool EndpointChangeMatters(
-    const metadata::StoreItem& aItem) const;
   void OnOperatorKey(const metadata::StoreItem& aItem);
-  void OnEndpointKey(const metadata::StoreItem& aItem);
+
+  /// @return whether the registration says anything that wasn't known.
+  bool OnEndpointKey(const metadata::StoreItem& aItem);
   void OnLotKey(const metadata::StoreItem& aItem);
   void OnHostKey(const metadata::StoreItem& aItem);
   void OnHostsChanged();
--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -75,9 +75,9 @@
 }
 
 const fleet::Route*
-HeldLots::RouteOf(const lots::HeldLot& aLot) const
+HeldLots::CappedRouteOf(const lots::HeldLot& aLot) const
 {
-  return shared_.routes_.Find(aLot.state_.hostName_, aLot.state_.path_);
+  return shared_.routes_.FindCapped(aLot.state_.hostName_, aLot.state_.path_);
 }
 
 std::uint64_t
@@ -91,13 +91,13 @@
 bool
 HeldLots::IsWithinCap(const lots::HeldLot& aLot, std::uint64_t aTokens) const
 {
-  const fleet::Route* route = RouteOf(aLot);
-  if (route == nullptr || route->waitingTokenCap_ == 0) {
+  const fleet::Route* route = CappedRouteOf(aLot);
+  if (route == nullptr) {
     return true;
   }
   std::uint64_t held = aTokens;
   for (const auto& [id, entry] : held_) {
-    held += RouteOf(entry.lot_) == route ? entry.tokens_ : 0;
+    held += CappedRouteOf(entry.lot_) == route ? entry.tokens_ : 0;
   }
   for (const StoredLot& stored : stored_) {
     held += stored.route_ == route->name_ ? stored.tokens_ : 0;
@@ -233,9 +233,8 @@
 {
   aEntry.tryAt_ = aNow + kCallTimeout;
   metadata::Transaction creation = MakeCreation(lots_.Keys(), aEntry.lot_);
-  const fleet::Route* route = RouteOf(aEntry.lot_);
   std::string cappedRoute;
-  if (route != nullptr && route->waitingTokenCap_ > 0) {
+  if (const fleet::Route* route = CappedRouteOf(aEntry.lot_)) {
     cappedRoute = route->name_;
     // Accepted long since: it counts whether it fits or not.
     AddRow(creation,
@@ -283,8 +282,7 @@
 HeldLots::Drop(const std::string& aLot, std::string_view aReason)
 {
   const auto found = held_.find(aLot);
-  if (const fleet::Route* route = RouteOf(found->second.lot_);
-      route != nullptr && route->waitingTokenCap_ > 0) {
+  if (const fleet::Route* route = CappedRouteOf(found->second.lot_)) {
     stored_.push_back(
       { route->name_, found->second.tokens_, base::MonotonicNow() });
   }
--- a/Libraries/LibGateway/HeldLots.h
+++ b/Libraries/LibGateway/HeldLots.h
@@ -85,7 +85,9 @@
 
   void OnWritten(const std::string& aLot, const lots::WriteOutcome& aOutcome);
 
-  [[nodiscard]] const fleet::Route* RouteOf(const lots::HeldLot& aLot) const;
+  /// @return the lot's route, if it bounds the tokens that may wait.
+  [[nodiscard]] const fleet::Route* CappedRouteOf(
+    const lots::HeldLot& aLot) const;
   [[nodiscard]] std::uint64_t TokensOf(const lots::HeldLot& aLot) const;
 
   /// @return whether a lot may be kept here by its route's cap.
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -24,11 +24,13 @@
 PeerExchange::PeerExchange(asio::io_context& aContext,
                            Shared& aShared,
                            std::string aOwnName,
+                           StoreFollowing& aFollowing,
                            YieldHandler aOnYield)
   : socket_(aContext)
   , timer_(aContext)
   , shared_(aShared)
   , ownName_(std::move(aOwnName))
+  , following_(aFollowing)
   , onYield_(std::move(aOnYield))
 {
 }
@@ -117,9 +119,7 @@
   if (update->isWhole_) {
     content["runs"] = std::move(rows);
     content["suspects"] = SuspectRows();
-    if (following_ != nullptr) {
-      content["store"] = EncodeStoreReport(following_->Report());
-    }
+    content["store"] = EncodeStoreReport(following_.Report());
   } else {
     content["changed"] = std::move(rows);
   }
@@ -189,8 +189,16 @@
 {
   // A host with an earlier version sends none.
   const auto report = aMessage.find("store");
-  if (report != aMessage.end() && following_ != nullptr && IsFromPeer(aHost)) {
-    following_->TakeReport(aHost, DecodeStoreReport(*report), aNow);
+  if (report != aMessage.end() && IsFromPeer(aHost)) {
+    following_.TakeReport(aHost, DecodeStoreReport(*report), aNow);
+  }
+}
+
+void
+PeerExchange::TakeStoreNews(const std::string& aHost, const json& aNews)
+{
+  if (IsFromPeer(aHost)) {
+    following_.TakeNews(DecodeStoreNews(aNews));
   }
 }
 
@@ -284,9 +292,7 @@
     } else if (message.contains("yield")) {
       TakeYield(message);
     } else if (const auto news = message.find("news"); news != message.end()) {
-      if (following_ != nullptr && IsFromPeer(host)) {
-        following_->TakeNews(DecodeStoreNews(*news));
-      }
+      TakeStoreNews(host, *news);
     } else if (message.contains("silent")) {
       for (const json& peer : message.at("silent")) {
         hearing_.NoteAsked(host, peer.get<std::string>(), now);
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -25,6 +25,7 @@
 /// Tells the other hosts how many runs this host has at each endpoint, changes
 /// at once and all of them several times a second, and hears the same from
 /// them, by datagrams: a lost one is made good by the next with all counts.
+/// What hosts tell each other of the store travels with them.
 /// What a peer says that isn't heard itself is passed on by another. Belongs to
 /// the event thread.
 class PeerExchange
@@ -36,6 +37,7 @@
   PeerExchange(boost::asio::io_context& aContext,
                Shared& aShared,
                std::string aOwnName,
+               StoreFollowing& aFollowing,
                YieldHandler aOnYield);
 
   [[nodiscard]] boost::system::error_code Open(
@@ -59,10 +61,6 @@
     return hearing_.HeardCount(base::MonotonicNow());
   }
 
-  /// Lets peers' reports on the store go to the copies that this host keeps,
-  /// and its own reports to the peers.
-  void SetFollowing(StoreFollowing& aFollowing) { following_ = &aFollowing; }
-
   /// Tells all peers what this host read from the store for them.
   void SendStoreNews(const StoreNews& aNews);
 
@@ -87,6 +85,7 @@
   void TakeStoreReport(const std::string& aHost,
                        const nlohmann::json& aMessage,
                        base::Instant aNow);
+  void TakeStoreNews(const std::string& aHost, const nlohmann::json& aNews);
 
   /// @return whether a datagram came from where that host is registered. What
   ///         is taken for the store's word must not be a stranger's.
@@ -105,8 +104,8 @@
   boost::asio::steady_timer timer_;
   Shared& shared_;
   std::string ownName_;
+  StoreFollowing& following_;
   YieldHandler onYield_;
-  StoreFollowing* following_ = nullptr;
   fleet::CountNews news_;
   fleet::PeerHearing hearing_;
   struct Peer
--- a/Libraries/LibGateway/StoreFollowing.cpp
+++ b/Libraries/LibGateway/StoreFollowing.cpp
@@ -57,9 +57,6 @@
                  aHealth,
                  followed.options_,
                  std::move(followed.onChange_)) };
-    if (followed.matters_) {
-      copy.mirror_->SetFilter(std::move(followed.matters_));
-    }
     copies_.push_back(std::move(copy));
   }
 }
--- a/Libraries/LibGateway/StoreFollowing.h
+++ b/Libraries/LibGateway/StoreFollowing.h
@@ -28,7 +28,6 @@
     StorePrefix prefix_ = StorePrefix::Operators;
     metadata::PrefixMirror::Options options_;
     metadata::PrefixMirror::ChangeHandler onChange_;
-    metadata::PrefixMirror::ChangeFilter matters_; ///< Empty: all changes do.
   };
 
   /// Called with what this host is to pass on to its peers.
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -122,13 +122,12 @@
   if (!isNew) {
     return false;
   }
-  const bool matters = matters_(aItem);
   if (aItem.removed_) {
     revisions_.erase(known);
   } else {
     revisions_[aItem.key_] = aItem.revision_;
   }
-  onChange_(aItem);
+  const bool matters = onChange_(aItem);
   if (matters) {
     tracker_.NoteChange(aItem.revision_);
   }
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -44,11 +44,9 @@
   };
 
   /// Called for each key that appears, changes, or is removed.
-  using ChangeHandler = std::function<void(const StoreItem&)>;
-
-  /// Tells, before a change is applied, whether it matters to anyone: what is
-  /// registered again unchanged isn't passed on.
-  using ChangeFilter = std::function<bool(const StoreItem&)>;
+  /// @return whether it matters to anyone: what is registered again unchanged
+  ///         isn't passed on.
+  using ChangeHandler = std::function<bool(const StoreItem&)>;
 
   /// Called with changes that the store told a follower.
   using NewsHandler = std::function<void(const MirrorNews&)>;
@@ -59,7 +57,6 @@
                Options aOptions,
                ChangeHandler aOnChange);
 
-  void SetFilter(ChangeFilter aFilter) { matters_ = std::move(aFilter); }
   void SetOnNews(NewsHandler aHandler) { onNews_ = std::move(aHandler); }
 
   void Start() { ReadPage({}); }
@@ -121,7 +118,6 @@
   StoreHealth& health_;
   Options options_;
   ChangeHandler onChange_;
-  ChangeFilter matters_ = [](const StoreItem&) { return true; };
   NewsHandler onNews_ = [](const MirrorNews&) {};
   boost::asio::steady_timer timer_;
   ViewTracker tracker_;
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -8,16 +8,20 @@
 
 namespace pumiceturn::metadata {
 
-class PrefixMirrorFixture
+/// A copy of a prefix, and a store that the test answers for.
+class MirrorFixture
 {
 protected:
-  PrefixMirrorFixture()
+  /// Registered anew without anything that matters to others.
+  static constexpr const char* kHeartbeat = "heartbeat";
+
+  explicit MirrorFixture(base::Duration aTrust)
   {
     PrefixMirror::Options options;
     options.prefix_ = "p/";
     options.pause_ = std::chrono::milliseconds(0);
     options.retryPause_ = std::chrono::milliseconds(0);
-    options.trust_ = std::chrono::milliseconds(0);
+    options.trust_ = aTrust;
     mirror_.emplace(
       context_, store_, health_, options, [this](const StoreItem& aItem) {
         ++changes_;
@@ -26,7 +30,10 @@
         } else {
           copy_[aItem.key_] = aItem.value_;
         }
+        return aItem.value_ != kHeartbeat;
       });
+    mirror_->SetOnNews(
+      [this](const MirrorNews& aNews) { passedOn_.push_back(aNews); });
     mirror_->Start();
   }
 
@@ -36,6 +43,7 @@
   {
     FakeStore::Take(store_.ranges_)
       .second({ StoreStatus::Ok, std::move(aItems), aIsTruncated, aRevision });
+    Run();
   }
 
   void AnswerWatch(StoreStatus aStatus,
@@ -44,8 +52,17 @@
   {
     FakeStore::Take(store_.watches_)
       .callback_({ aStatus, std::move(aEvents), aRevision });
+    Run();
+  }
+
+  /// Runs what is due; timers of the far future stay.
+  void Run()
+  {
     context_.restart();
-    context_.run();
+    context_.run_for(std::chrono::milliseconds(5));
+    // What a busy machine left undone in that time.
+    context_.restart();
+    context_.poll();
   }
 
   boost::asio::io_context context_;
@@ -53,9 +70,20 @@
   StoreHealth health_;
   std::map<std::string, std::string> copy_;
   int changes_ = 0;
+  std::vector<MirrorNews> passedOn_;
   std::optional<PrefixMirror> mirror_;
 };
 
+/// A host that relies on nobody: it asks the store all the time.
+class PrefixMirrorFixture : protected MirrorFixture
+{
+protected:
+  PrefixMirrorFixture()
+    : MirrorFixture(base::Duration::zero())
+  {
+  }
+};
+
 TEST_CASE_METHOD(PrefixMirrorFixture, "PrefixMirror_SeveralPages_AreReadInTurn")
 {
   AnswerRange({ { "p/a", "1", 3 } }, 5, true);
@@ -106,66 +134,21 @@
 }
 
 /// A host that does not follow the prefix itself; peers tell it what changes.
-class ToldMirrorFixture
+class ToldMirrorFixture : protected MirrorFixture
 {
 protected:
   ToldMirrorFixture()
+    : MirrorFixture(std::chrono::hours(1))
   {
-    PrefixMirror::Options options;
-    options.prefix_ = "p/";
-    options.pause_ = std::chrono::milliseconds(0);
-    options.retryPause_ = std::chrono::milliseconds(0);
-    options.trust_ = std::chrono::hours(1);
-    mirror_.emplace(
-      context_, store_, health_, options, [this](const StoreItem& aItem) {
-        if (aItem.removed_) {
-          copy_.erase(aItem.key_);
-        } else {
-          copy_[aItem.key_] = aItem.value_;
-        }
-      });
-    mirror_->SetFilter(
-      [](const StoreItem& aItem) { return aItem.value_ != "heartbeat"; });
-    mirror_->SetOnNews(
-      [this](const MirrorNews& aNews) { passedOn_.push_back(aNews); });
-    mirror_->Start();
     AnswerRange({ { "p/a", "1", 3 } }, 5);
   }
 
-  void AnswerRange(std::vector<StoreItem> aItems, std::uint64_t aRevision)
-  {
-    FakeStore::Take(store_.ranges_)
-      .second({ StoreStatus::Ok, std::move(aItems), false, aRevision });
-    Run();
-  }
-
-  void AnswerWatch(std::vector<StoreItem> aEvents, std::uint64_t aRevision)
-  {
-    FakeStore::Take(store_.watches_)
-      .callback_({ StoreStatus::Ok, std::move(aEvents), aRevision });
-    Run();
-  }
-
-  /// Runs what is due; timers of the far future stay.
-  void Run()
-  {
-    context_.restart();
-    context_.run_for(std::chrono::milliseconds(5));
-  }
-
   /// A report of a peer that the store answered just now.
   void TakeView(std::uint64_t aLastChange, std::uint64_t aFollowed)
   {
     mirror_->TakeView({ aLastChange, aFollowed, {} }, base::Duration::zero());
     Run();
   }
-
-  boost::asio::io_context context_;
-  FakeStore store_;
-  StoreHealth health_;
-  std::map<std::string, std::string> copy_;
-  std::vector<MirrorNews> passedOn_;
-  std::optional<PrefixMirror> mirror_;
 };
 
 TEST_CASE_METHOD(ToldMirrorFixture,
@@ -185,7 +168,7 @@
   TakeView(9, 12);
   REQUIRE(store_.watches_.size() == 1);
   CHECK(store_.watches_.front().after_ == 5);
-  AnswerWatch({ { "p/a", "2", 9 } }, 12);
+  AnswerWatch(StoreStatus::Ok, { { "p/a", "2", 9 } }, 12);
   CHECK(copy_["p/a"] == "2");
   TakeView(9, 13);
   CHECK(store_.watches_.empty());
@@ -202,7 +185,7 @@
   REQUIRE(store_.watches_.size() == 1);
   mirror_->TakeNews({ 5, { 9, 9, {} }, { { "p/a", "", 9, true } } }, {});
   CHECK(copy_.empty());
-  AnswerWatch({ { "p/a", "2", 7 } }, 8);
+  AnswerWatch(StoreStatus::Ok, { { "p/a", "2", 7 } }, 8);
   CHECK(copy_.empty());
   REQUIRE(store_.watches_.size() == 1);
   CHECK(store_.watches_.front().after_ == 9);
@@ -213,11 +196,12 @@
 {
   mirror_->SetFollows(true);
   Run();
-  AnswerWatch({ { "p/a", "heartbeat", 6 } }, 6);
+  AnswerWatch(StoreStatus::Ok, { { "p/a", kHeartbeat, 6 } }, 6);
   CHECK(passedOn_.empty());
   CHECK(mirror_->View().lastChange_ == 5);
   CHECK(mirror_->View().followed_ == 6);
-  AnswerWatch({ { "p/a", "heartbeat", 7 }, { "p/b", "new", 8 } }, 9);
+  AnswerWatch(
+    StoreStatus::Ok, { { "p/a", kHeartbeat, 7 }, { "p/b", "new", 8 } }, 9);
   REQUIRE(passedOn_.size() == 1);
   CHECK(passedOn_.front().previousChange_ == 5);
   REQUIRE(passedOn_.front().items_.size() == 1);
@@ -252,7 +236,7 @@
   Run();
   REQUIRE(store_.watches_.size() == 1);
   TakeView(5, 8);
-  AnswerWatch({}, 9);
+  AnswerWatch(StoreStatus::Ok, {}, 9);
   CHECK(store_.watches_.empty());
 }
 
--- a/Tests/Platform/FollowingTest.cpp
+++ b/Tests/Platform/FollowingTest.cpp
@@ -31,11 +31,6 @@
     });
   }
 
-  [[nodiscard]] std::string Metrics(const TestHost& aHost)
-  {
-    return AskAt(Loopback(aHost.statusPort_), "GET", "/metrics")->body_;
-  }
-
   /// @return how many prefixes a host follows.
   [[nodiscard]] int FollowedBy(const TestHost& aHost)
   {
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -108,6 +108,12 @@
   return host;
 }
 
+std::string
+GatewayFixture::Metrics(const TestHost& aHost)
+{
+  return AskAt(Loopback(aHost.statusPort_), "GET", "/metrics")->body_;
+}
+
 std::unique_ptr<CallerCall>
 GatewayFixture::Send(std::uint16_t aPort,
                      const std::string& aMethod,
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -49,6 +49,9 @@
 
   ServerStandin& AddServer(const std::string& aInstance);
 
+  /// @return a host's metrics page.
+  std::string Metrics(const TestHost& aHost);
+
   std::unique_ptr<CallerCall> Send(std::uint16_t aPort,
                                    const std::string& aMethod,
                                    const std::string& aTarget,
--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -26,9 +26,8 @@
   void AwaitPeers(int aCount)
   {
     RunUntil([&] {
-      return AskAt(Loopback(entry_->statusPort_), "GET", "/metrics")
-               ->body_.find(fmt::format("pumiceturn_peers_heard {}", aCount)) !=
-             std::string::npos;
+      return Metrics(*entry_).find(fmt::format("pumiceturn_peers_heard {}",
+                                               aCount)) != std::string::npos;
     });
   }
 
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -15,9 +15,7 @@
     host_ = &StartHost("entry", lots::LotPreference::IfNoOther);
     // Changes are told at once to a host that waits for them.
     RunUntil([this] {
-      const auto page =
-        AskAt(Loopback(host_->statusPort_), "GET", "/metrics")->body_;
-      return page.find("pumiceturn_store_prefixes_followed 4") !=
+      return Metrics(*host_).find("pumiceturn_store_prefixes_followed 4") !=
              std::string::npos;
     });
   }
@@ -306,12 +304,10 @@
       server->Enqueue({ ServerScript::Kind::Reset, 0, 0 });
     }
   }
-  const auto told = [&other, this] {
-    return AskAt(Loopback(other.statusPort_), "GET", "/metrics")->body_;
-  };
   RunUntil([&] {
     CHECK(Stream("/once/bad")->status_ == 502);
-    return told().find("pumiceturn_suspect_runs 3") != std::string::npos;
+    return Metrics(other).find("pumiceturn_suspect_runs 3") !=
+           std::string::npos;
   });
   const std::size_t before = RequestCount() + servers_[2]->Requests().size();
   const std::string fields = "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n";
--- a/Tests/Platform/StorePathTest.cpp
+++ b/Tests/Platform/StorePathTest.cpp
@@ -97,9 +97,8 @@
   }
   StartKnownWorker();
   RunUntil([this] {
-    const auto page =
-      AskAt(Loopback(entry_->statusPort_), "GET", "/metrics")->body_;
-    return page.find("pumiceturn_peers_heard 1") != std::string::npos;
+    return Metrics(*entry_).find("pumiceturn_peers_heard 1") !=
+           std::string::npos;
   });
   TurnAway(*entry_);
   RunUntil([this] { return Submit(*entry_, 3) == 202; });
