--- a/Libraries/LibEntry/RequestChecks.cpp
+++ b/Libraries/LibEntry/RequestChecks.cpp
@@ -1,6 +1,6 @@
 #include "LibEntry/RequestChecks.h"
 
-#include "LibEntry/TokenDigest.h"
+#include "LibBase/TokenDigest.h"
 #include "LibRouting/Fingerprint.h"
 
 #include <fmt/format.h>
@@ -160,7 +160,8 @@
   if (!aAuthorization.starts_with(kBearer)) {
     return Fail(ResultCode::Unauthenticated, "no bearer token was given");
   }
-  const std::string digest = DigestToken(aAuthorization.substr(kBearer.size()));
+  const std::string digest =
+    base::ToString(base::DigestToken(aAuthorization.substr(kBearer.size())));
   const auto* partner =
     digest.empty() ? nullptr : aConfiguration.FindPartnerByToken(digest);
   if (partner == nullptr) {
--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibBase/TokenDigest.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,9 +42,28 @@
   base::Duration objective_{ 0 };
   base::Duration dueAfter_{ 0 };    ///< Of a lot, from its first submission.
   base::Duration giveUpAfter_{ 0 }; ///< When a lot's item may be abandoned.
-  /// Tokens that accepted items of lots may have waiting at a time; zero: no
-  /// bound.
+  /// Tokens that accepted items of an organisation's lots may have waiting at a
+  /// time; zero: no bound.
   std::uint64_t waitingTokenCap_ = 0;
+  bool isOpen_ = false; ///< Callers need no key.
+};
+
+/// How many requests may run, for all hosts together.
+struct RateLimit
+{
+  double ratePerSecond_ = 0.0; ///< Zero: no limit.
+  double burst_ = 0.0;         ///< Requests beyond the rate at one moment.
+
+  [[nodiscard]] bool IsSet() const { return ratePerSecond_ > 0.0; }
+  bool operator==(const RateLimit&) const = default;
+};
+
+/// A customer whose callers show one of its keys.
+struct Organisation
+{
+  std::string name_;
+  std::vector<base::TokenDigest> keys_;
+  RateLimit limit_;
 };
 
 /// What callers may send.
@@ -60,6 +81,8 @@
   std::uint64_t version_ = 0;
   std::vector<Route> routes_;
   CallerLimits limits_;
+  /// Nothing: callers need no keys.
+  std::optional<std::vector<Organisation>> organisations_;
 };
 
 /// One start of an endpoint. An endpoint may start again under its id, at the
--- /dev/null
+++ b/Libraries/LibFleet/RateLimits.cpp
@@ -0,0 +1,205 @@
+#include "LibFleet/RateLimits.h"
+
+#include <algorithm>
+
+namespace pumiceturn::fleet {
+
+namespace {
+
+/// Part of the burst that all hosts together may have admitted and not yet
+/// reported.
+constexpr double kUnreportedShare = 0.125;
+
+/// What was admitted is reported after this time at the latest.
+constexpr std::chrono::milliseconds kReportWithin{ 200 };
+
+/// Time without requests after which an organisation's use is forgotten.
+constexpr std::chrono::seconds kForgotten{ 30 };
+
+} // namespace
+
+RateLimits::RateLimits(std::string aOwnName,
+                       bool aAdmits,
+                       RateTolerance aTolerance)
+  : members_(std::move(aOwnName), aAdmits)
+  , keeper_(aTolerance)
+{
+}
+
+void
+RateLimits::SetMembers(std::span<const RateMembers::Member> aOthers,
+                       base::Instant aNow)
+{
+  members_.Update(aOthers, aNow);
+}
+
+RateLimits::Use&
+RateLimits::Find(const Organisation& aOrganisation,
+                 base::Instant aNow,
+                 std::mt19937_64& aRandom)
+{
+  Use& use = uses_[aOrganisation.name_];
+  const std::string& keeper = members_.KeeperOf(aOrganisation.name_);
+  if (use.keeper_ != keeper) {
+    // The new keeper begins with what this host has not reported yet.
+    const std::uint64_t unreported =
+      use.admitted_ + use.returned_ - use.reported_;
+    const base::Instant askUntil = use.askUntil_;
+    use = {};
+    use.keeper_ = keeper;
+    use.account_ = std::max<std::uint64_t>(aRandom(), 1);
+    use.admitted_ = unreported;
+    use.askUntil_ = askUntil;
+    use.reportedAt_ = aNow;
+  }
+  use.usedAt_ = aNow;
+  limits_[aOrganisation.name_] = aOrganisation.limit_;
+  use.reportAfter_ = std::max<std::uint64_t>(
+    1,
+    static_cast<std::uint64_t>(kUnreportedShare * aOrganisation.limit_.burst_ /
+                               static_cast<double>(members_.Count())));
+  return use;
+}
+
+RateReport
+RateLimits::ReportOf(const std::string& aOrganisation, const Use& aUse)
+{
+  return { aOrganisation, aUse.account_, aUse.admitted_, aUse.returned_, 0 };
+}
+
+RateDecision
+RateLimits::Judge(const Organisation& aOrganisation,
+                  base::Instant aNow,
+                  std::mt19937_64& aRandom)
+{
+  if (!aOrganisation.limit_.IsSet()) {
+    return RateAdmitted{};
+  }
+  Use& use = Find(aOrganisation, aNow, aRandom);
+  if (aNow < use.noCreditUntil_) {
+    return RateRefused{ use.comeBackAfter_, "no credit" };
+  }
+  const bool isKeeper = use.keeper_ == members_.OwnName();
+  const std::uint64_t unreported =
+    use.admitted_ + use.returned_ - use.reported_;
+  if (!isKeeper && aNow >= use.askUntil_ && unreported < use.reportAfter_) {
+    ++use.admitted_;
+    return RateAdmitted{};
+  }
+  RateReport report = ReportOf(aOrganisation.name_, use);
+  report.question_ = ++lastQuestion_;
+  use.reported_ = use.admitted_ + use.returned_;
+  use.reportedAt_ = aNow;
+  if (!isKeeper) {
+    return RateAsk{ use.keeper_, std::move(report) };
+  }
+  const RateAnswer answer = keeper_.Take(
+    members_.OwnName(), report, aOrganisation.limit_, members_, aNow);
+  return *TakeAnswer(answer, aNow);
+}
+
+RateDecision
+RateLimits::JudgeAlone(const Organisation& aOrganisation, base::Instant aNow)
+{
+  Use& use = uses_[aOrganisation.name_];
+  const double hosts = static_cast<double>(members_.Count());
+  const RateLimit& limit = aOrganisation.limit_;
+  if (use.aloneAt_ != base::Instant{}) {
+    const double passed =
+      std::chrono::duration<double>(aNow - use.aloneAt_).count();
+    use.alone_ += limit.ratePerSecond_ / hosts * passed;
+  }
+  use.alone_ = std::min(use.alone_, std::max(limit.burst_ / hosts, 1.0));
+  use.aloneAt_ = aNow;
+  if (use.alone_ >= 1.0) {
+    use.alone_ -= 1.0;
+    ++use.admitted_;
+    return RateAdmitted{};
+  }
+  const double seconds =
+    (1.0 - use.alone_) * hosts / std::max(limit.ratePerSecond_, 1e-3);
+  return RateRefused{ std::chrono::duration_cast<base::Duration>(
+                        std::chrono::duration<double>(std::min(seconds, 5.0))),
+                      "keeper silent" };
+}
+
+void
+RateLimits::Return(const std::string& aOrganisation)
+{
+  if (const auto use = uses_.find(aOrganisation); use != uses_.end()) {
+    ++use->second.returned_;
+  }
+}
+
+void
+RateLimits::NoteAnswer(Use& aUse, const RateAnswer& aAnswer, base::Instant aNow)
+{
+  aUse.askUntil_ = std::max(aUse.askUntil_, aNow + aAnswer.askFirst_);
+  aUse.noCreditUntil_ = aNow + aAnswer.noCreditFor_;
+  aUse.comeBackAfter_ = aAnswer.comeBackAfter_;
+}
+
+std::optional<RateDecision>
+RateLimits::TakeAnswer(const RateAnswer& aAnswer, base::Instant aNow)
+{
+  const auto use = uses_.find(aAnswer.organisation_);
+  if (use != uses_.end() && use->second.account_ == aAnswer.account_) {
+    NoteAnswer(use->second, aAnswer, aNow);
+  }
+  if (aAnswer.question_ == 0) {
+    return std::nullopt;
+  }
+  if (aAnswer.isGranted_) {
+    return RateAdmitted{};
+  }
+  return RateRefused{ aAnswer.comeBackAfter_, "keeper" };
+}
+
+std::optional<RateAnswer>
+RateLimits::TakeReport(const std::string& aHost,
+                       const RateReport& aReport,
+                       const Organisation& aOrganisation,
+                       base::Instant aNow)
+{
+  RateAnswer answer =
+    keeper_.Take(aHost, aReport, aOrganisation.limit_, members_, aNow);
+  const bool isDue =
+    aReport.question_ != 0 || answer.askFirst_ > base::Duration::zero();
+  return isDue ? std::optional(std::move(answer)) : std::nullopt;
+}
+
+std::vector<std::pair<std::string, RateReport>>
+RateLimits::TakeDueReports(base::Instant aNow)
+{
+  std::vector<std::pair<std::string, RateReport>> due;
+  for (auto& [organisation, use] : uses_) {
+    const std::uint64_t total = use.admitted_ + use.returned_;
+    const std::uint64_t unreported = total - use.reported_;
+    if (unreported == 0 || (unreported < use.reportAfter_ &&
+                            aNow - use.reportedAt_ < kReportWithin)) {
+      continue;
+    }
+    use.reported_ = total;
+    use.reportedAt_ = aNow;
+    const RateReport report = ReportOf(organisation, use);
+    if (use.keeper_ == members_.OwnName()) {
+      NoteAnswer(use,
+                 keeper_.Take(
+                   use.keeper_, report, limits_[organisation], members_, aNow),
+                 aNow);
+    } else {
+      due.emplace_back(use.keeper_, report);
+    }
+  }
+  std::erase_if(uses_, [this, aNow](const auto& aEntry) {
+    const bool isOld = aNow - aEntry.second.usedAt_ > kForgotten;
+    if (isOld) {
+      limits_.erase(aEntry.first);
+    }
+    return isOld;
+  });
+  keeper_.Expire(aNow);
+  return due;
+}
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -14,6 +14,7 @@
   }
   version_ = aDeclarations.version_;
   limits_ = aDeclarations.limits_;
+  organisations_.Install(std::move(aDeclarations.organisations_));
   routes_.clear();
   cappedRoutes_.clear();
   for (Route& route : aDeclarations.routes_) {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/Declarations.h"
+#include "LibFleet/OrganisationTable.h"
 
 #include <string>
 #include <string_view>
@@ -44,6 +45,11 @@
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
 
+  [[nodiscard]] const OrganisationTable& Organisations() const
+  {
+    return organisations_;
+  }
+
 private:
   struct Hash
   {
@@ -56,6 +62,7 @@
 
   std::uint64_t version_ = 0;
   CallerLimits limits_;
+  OrganisationTable organisations_;
   /// Each host's routes, longest prefix first.
   std::unordered_map<std::string, std::vector<Route>, Hash, std::equal_to<>>
     routes_;
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -443,10 +443,22 @@
     own.schedule_.ProgressOf(item));
   own.schedule_.Start(item, choice->endpoint_.id_);
   runs_.push_back(run);
-  run->Start(choice->endpoint_, content, lot->state_.hostName_, kItemPatience);
+  run->Start(choice->endpoint_,
+             content,
+             { lot->state_.hostName_, CallerOf(*lot) },
+             kItemPatience);
   return true;
 }
 
+CallerName
+BatchWorker::CallerOf(const lots::Lot& aLot) const
+{
+  const std::string& organisation = aLot.state_.organisation_;
+  const bool isNamed =
+    !organisation.empty() || shared_.routes_.Organisations().AreDeclared();
+  return isNamed ? CallerName{ organisation } : CallerName{};
+}
+
 void
 BatchWorker::YieldToOnline(base::Instant aNow)
 {
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -111,6 +111,8 @@
 
   /// @return whether there was a place for the item.
   bool StartOne(const lots::StartCandidate& aCandidate, base::Instant aNow);
+  /// @return who sent a lot, as endpoints are told.
+  [[nodiscard]] CallerName CallerOf(const lots::Lot& aLot) const;
   void NotePace(const ItemRun& aRun, lots::ItemRunEnd aEnd);
   void YieldToOnline(base::Instant aNow);
   void OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd);
--- /dev/null
+++ b/Libraries/LibGateway/CallerGate.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "LibBase/Lifetime.h"
+#include "LibFleet/CallerCheck.h"
+#include "LibFleet/RateLimits.h"
+#include "LibGateway/PeerExchange.h"
+#include "LibGateway/Shared.h"
+#include "LibGateway/StoreFollowing.h"
+#include "LibHttpStream/ServerConnection.h"
+#include "LibLots/HostSet.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace pumiceturn::gateway {
+
+/// Lets requests through to be run: tells who calls by the declarations in
+/// force, and holds organisations to their limits together with the other
+/// hosts. Answers what isn't let through. Belongs to the event thread.
+class CallerGate
+{
+public:
+  struct Bounds
+  {
+    /// Time after which no request with a key that was taken away may run, at
+    /// whatever host; nothing: no such bound.
+    std::optional<base::Duration> revocation_;
+    /// Within which an accepted configuration must be in force.
+    base::Duration configuration_{ 0 };
+  };
+
+  using ExchangePtr = std::shared_ptr<httpstream::Exchange>;
+
+  CallerGate(boost::asio::any_io_executor aExecutor,
+             Shared& aShared,
+             const StoreFollowing& aFollowing,
+             PeerExchange& aPeers,
+             Bounds aBounds);
+
+  /// Tells who calls on a route.
+  /// @return nothing where the request is answered: the caller has no valid
+  ///         key, or this host can't tell now.
+  [[nodiscard]] std::optional<CallerName> Identify(const ExchangePtr& aExchange,
+                                                   const fleet::Route& aRoute);
+
+  /// The same for a call on a lot, which may be one that needs no key.
+  [[nodiscard]] std::optional<CallerName> IdentifyReader(
+    const ExchangePtr& aExchange);
+
+  /// Runs a request if its caller's organisation is within its limit, otherwise
+  /// answers it.
+  void RunWithinLimit(const ExchangePtr& aExchange,
+                      const CallerName& aCaller,
+                      std::function<void()> aRun);
+
+  /// @return whether requests with keys may run now.
+  [[nodiscard]] bool IsConfirmed() const;
+
+  /// Notes which hosts there are, and sends what is due.
+  void Tick(std::span<const lots::PeerAddress> aPeers, base::Instant aNow);
+
+private:
+  /// A request that waits until the keeper of its organisation's account says
+  /// whether it may run.
+  struct Question
+  {
+    explicit Question(const boost::asio::any_io_executor& aExecutor)
+      : timer_(aExecutor)
+    {
+    }
+
+    ExchangePtr exchange_;
+    std::string organisation_;
+    std::function<void()> run_;
+    boost::asio::steady_timer timer_;
+  };
+
+  [[nodiscard]] fleet::DeclarationsAge Age() const;
+  [[nodiscard]] std::optional<CallerName> Answer(const ExchangePtr& aExchange,
+                                                 const fleet::Caller& aCaller);
+  void Ask(const ExchangePtr& aExchange,
+           const std::string& aOrganisation,
+           std::function<void()> aRun,
+           const fleet::RateAsk& aAsk);
+  void OnKeeperSilent(std::uint64_t aQuestion);
+  void OnReport(const std::string& aHost, const fleet::RateReport& aReport);
+  void OnAnswer(const fleet::RateAnswer& aAnswer);
+  void Refuse(httpstream::Exchange& aExchange,
+              const fleet::Organisation& aOrganisation,
+              const fleet::RateRefused& aRefusal);
+
+  boost::asio::any_io_executor executor_;
+  Shared& shared_;
+  const StoreFollowing& following_;
+  PeerExchange& peers_;
+  Bounds bounds_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Question>> questions_;
+  base::Lifetime lifetime_;
+};
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibFleet/CallerCheck.h"
 #include "LibFleet/Declarations.h"
 #include "LibHttpStream/Message.h"
 #include "LibLots/Lot.h"
@@ -32,12 +33,18 @@
   std::string answeredBy_;         ///< Id of the process; empty: not said.
 };
 
+/// Who calls, as endpoints are told: the name of an organisation, or nobody's
+/// (empty). Nothing: no organisations are declared, and whatever the caller
+/// wrote of itself is passed on as any other field.
+using CallerName = std::optional<std::string>;
+
 /// Where and under which conditions a request is sent.
 struct SendTerms
 {
   std::string endpoint_;        ///< The process that must run it, by id.
   base::Duration patience_;     ///< What is left of the caller's time.
   std::uint64_t lastEvent_ = 0; ///< The endpoint goes on after this event.
+  CallerName caller_{};
 };
 
 /// Calls on lots.
@@ -75,6 +82,10 @@
   [[nodiscard]] virtual OnlineCall ReadOnline(
     const httpstream::Request& aRequest) const = 0;
 
+  /// @return what the request shows of its caller.
+  [[nodiscard]] virtual fleet::Credential ReadCredential(
+    const httpstream::Request& aRequest) const = 0;
+
   /// @return the caller's request as it is sent to an endpoint.
   [[nodiscard]] virtual httpstream::Request MakeEndpointRequest(
     const httpstream::Request& aRequest,
@@ -89,6 +100,11 @@
   [[nodiscard]] virtual AnswerNotes ReadAnswer(
     const httpstream::ResponseHead& aHead) const = 0;
 
+  /// Copies the fields of a call on a lot for the host that runs the lot, which
+  /// needs no key of the caller's.
+  virtual void CopyForPeer(const httpstream::Request& aFrom,
+                           httpstream::Request& aTo) const = 0;
+
   /// @return the field by which an answer names its request.
   [[nodiscard]] virtual std::string_view EchoField() const = 0;
 
@@ -113,9 +129,12 @@
   [[nodiscard]] virtual httpstream::Response MakeNotRun(
     base::Duration aRetryAfter) const = 0;
 
-  /// The same for a lot that doesn't fit its route's cap.
-  [[nodiscard]] virtual httpstream::Response MakeOverCap(
+  /// The same where the caller has used up what it may.
+  [[nodiscard]] virtual httpstream::Response MakeOverLimit(
     base::Duration aRetryAfter) const = 0;
+
+  /// Answers a caller without a valid key.
+  [[nodiscard]] virtual httpstream::Response MakeUnauthorised() const = 0;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -181,6 +181,18 @@
   "This process did not run for a while: the store is asked before peers are "
   "trusted again."
 };
+inline constexpr base::Event kCallerRefused{
+  7134,
+  "caller_refused",
+  base::LogLevel::Info,
+  "A request is refused: its caller has no valid key, or this can't be told."
+};
+inline constexpr base::Event kRequestOverRate{
+  7135,
+  "request_over_rate",
+  base::LogLevel::Info,
+  "A request is refused: its organisation has used up its rate."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -145,7 +145,10 @@
              {},
              {},
              {},
-             {} }
+             {},
+             fleet::RateLimits(settings_.host_,
+                               !settings_.callerAddress_.empty(),
+                               settings_.rateTolerance_) }
   , lots_(layout_.lots_, MakeDecoder(aCodec))
   , following_(aContext,
                aStore,
@@ -185,6 +188,11 @@
            settings_.host_,
            following_,
            [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
+  , callerGate_(aContext.get_executor(),
+                shared_,
+                following_,
+                peers_,
+                { settings_.revocationBound_, settings_.configurationBound_ })
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
   , callers_(aContext, [this](const auto& aExchange) { OnRequest(aExchange); })
@@ -362,7 +370,7 @@
 {
   return !stopping_ && shared_.routes_.Version() > 0 &&
          following_.IsComplete(StorePrefix::Endpoints) &&
-         !shared_.endpoints_.IsEmpty();
+         !shared_.endpoints_.IsEmpty() && callerGate_.IsConfirmed();
 }
 
 void
@@ -388,14 +396,14 @@
     aExchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
     return;
   }
-  if (const auto call = shared_.codec_.ReadLotCall(request)) {
-    desk_.Handle(aExchange, *call);
-    return;
-  }
   if (shared_.routes_.Version() == 0) {
     aExchange->Answer(shared_.codec_.MakeNotRun(kRetryAfter));
     return;
   }
+  if (const auto call = shared_.codec_.ReadLotCall(request)) {
+    OnLotCall(aExchange, *call);
+    return;
+  }
   const fleet::Route* route =
     shared_.routes_.Find(WithoutPort(httpstream::ValueOf(request, "Host")),
                          WithoutQuery(httpstream::TargetOf(request)));
@@ -404,14 +412,36 @@
       httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
     return;
   }
+  const auto caller = callerGate_.Identify(aExchange, *route);
+  if (!caller) {
+    return;
+  }
   if (route->kind_ == fleet::RequestKind::Lot) {
-    intake_.Submit(
-      aExchange, shared_.codec_.ReadOnline(request).requestId_, *route);
+    intake_.Submit(aExchange,
+                   shared_.codec_.ReadOnline(request).requestId_,
+                   *route,
+                   *caller);
     return;
   }
-  std::make_shared<OnlineRelay>(
-    shared_, context_.get_executor(), aExchange, *route, preemptBatch_)
-    ->Start();
+  callerGate_.RunWithinLimit(
+    aExchange, *caller, [this, aExchange, route = *route, caller = *caller] {
+      std::make_shared<OnlineRelay>(shared_,
+                                    context_.get_executor(),
+                                    aExchange,
+                                    route,
+                                    caller,
+                                    preemptBatch_)
+        ->Start();
+    });
+}
+
+void
+Gateway::OnLotCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
+                   const LotCall& aCall)
+{
+  if (const auto caller = callerGate_.IdentifyReader(aExchange)) {
+    desk_.Handle(aExchange, aCall, *caller);
+  }
 }
 
 void
@@ -662,6 +692,8 @@
 Gateway::Tick()
 {
   const base::Instant now = base::MonotonicNow();
+  callerGate_.Tick(hosts_.PeersBut(OwnName()), now);
+  NoteReadiness();
   following_.Tick(!stopping_ && !retiring_ && !storePaths_.IsOwnLost(), now);
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
     shared_.pool_.Forget(id);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Lifetime.h"
 #include "LibGateway/BatchWorker.h"
+#include "LibGateway/CallerGate.h"
 #include "LibGateway/HeldLots.h"
 #include "LibGateway/LotDesk.h"
 #include "LibGateway/LotIntake.h"
@@ -42,6 +43,11 @@
   base::Duration grace_{ std::chrono::seconds{ 8 } };
   /// Part of a route's cap on waiting tokens by which it may be exceeded.
   double capOverage_ = 0.0;
+  /// By how much organisations' limits on requests may be exceeded.
+  fleet::RateTolerance rateTolerance_;
+  /// Time after which no request with a key that was taken away may run;
+  /// nothing: no such bound.
+  std::optional<base::Duration> revocationBound_;
   /// Within which an accepted configuration must be in force.
   base::Duration configurationBound_{ std::chrono::seconds{ 2 } };
   /// Within which a draining endpoint must get nothing new.
@@ -119,6 +125,8 @@
 
 private:
   void OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnLotCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
+                 const LotCall& aCall);
   void OnPassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnStatusRequest(httpstream::Exchange& aExchange);
   [[nodiscard]] std::vector<StoreFollowing::Followed> FollowedPrefixes();
@@ -166,6 +174,7 @@
   LedgerKeeper ledgerKeeper_;
   LotRetention retention_;
   PeerExchange peers_;
+  CallerGate callerGate_;
   OnlineRelay::PreemptBatch preemptBatch_;
   httpstream::Listener callers_;
   httpstream::Listener status_;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -32,7 +32,7 @@
 void
 ItemRun::Start(const fleet::EndpointRecord& aEndpoint,
                const lots::LotItem& aItem,
-               const std::string& aHostName,
+               const Sender& aSender,
                base::Duration aPatience)
 {
   endpoint_ = aEndpoint.id_;
@@ -40,10 +40,11 @@
   terms.endpoint_ = aEndpoint.id_;
   terms.patience_ = aPatience;
   terms.lastEvent_ = progress_.lastEvent_;
+  terms.caller_ = aSender.caller_;
   startedAt_ = base::MonotonicNow();
   httpstream::Call call;
   call.bytes_ = httpstream::Serialize(
-    shared_.codec_.MakeItemRequest(aItem, aHostName, terms));
+    shared_.codec_.MakeItemRequest(aItem, aSender.hostName_, terms));
   call.echoField_ = shared_.codec_.EchoField();
   call.echoValue_ = aItem.id_;
   call.firstByteTimeout_ = kFirstByteTimeout;
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -23,9 +23,16 @@
           std::size_t aItem,
           lots::PartialRun aProgress);
 
+  /// Whose item it is, as endpoints are told.
+  struct Sender
+  {
+    std::string hostName_; ///< Of the request that submitted the lot.
+    CallerName caller_;
+  };
+
   void Start(const fleet::EndpointRecord& aEndpoint,
              const lots::LotItem& aItem,
-             const std::string& aHostName,
+             const Sender& aSender,
              base::Duration aPatience);
   void Cancel();
 
--- a/Libraries/LibGateway/LotDesk.cpp
+++ b/Libraries/LibGateway/LotDesk.cpp
@@ -75,17 +75,19 @@
 
 void
 LotDesk::Handle(const std::shared_ptr<httpstream::Exchange>& aExchange,
-                const LotCall& aCall)
+                const LotCall& aCall,
+                const CallerName& aCaller)
 {
   if (const auto* unreadable = std::get_if<UnreadableCall>(&aCall)) {
     aExchange->Answer(httpstream::MakeResponse(
       httpstream::kStatusBadRequest, unreadable->reason_, "text/plain"));
   } else if (const auto* end = std::get_if<EndLot>(&aCall)) {
-    WithState(aExchange, end->lot_, [this, aExchange](const lots::Lot& aLot) {
-      End(aExchange, aLot, kEndTries);
-    });
+    WithState(
+      aExchange, end->lot_, aCaller, [this, aExchange](const lots::Lot& aLot) {
+        End(aExchange, aLot, kEndTries);
+      });
   } else {
-    Read(aExchange, LotOfReading(aCall), aCall);
+    Read(aExchange, LotOfReading(aCall), aCall, aCaller);
   }
 }
 
@@ -107,27 +109,55 @@
   aExchange.Answer(shared_.codec_.MakeNotRun(kRetryAfter));
 }
 
+void
+LotDesk::AnswerNone(httpstream::Exchange& aExchange,
+                    const CallerName& aCaller) const
+{
+  // A caller without a key must not learn which lots there are.
+  const bool hasNoKey = aCaller && aCaller->empty();
+  aExchange.Answer(
+    hasNoKey ? shared_.codec_.MakeUnauthorised()
+             : httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
+}
+
+bool
+LotDesk::IsAllowed(const ExchangePtr& aExchange,
+                   const lots::Lot& aLot,
+                   const CallerName& aCaller) const
+{
+  const std::string& organisation = aLot.state_.organisation_;
+  if (!aCaller || organisation.empty() || organisation == *aCaller) {
+    return true;
+  }
+  AnswerNone(*aExchange, aCaller);
+  return false;
+}
+
 void
 LotDesk::WithState(const ExchangePtr& aExchange,
                    const std::string& aLot,
+                   const CallerName& aCaller,
                    std::function<void(const lots::Lot&)> aUse)
 {
   if (const lots::Lot* lot = lots_.Find(aLot)) {
-    aUse(*lot);
+    if (IsAllowed(aExchange, *lot, aCaller)) {
+      aUse(*lot);
+    }
     return;
   }
   // The lot may have been accepted elsewhere a moment ago.
   loader_.ReadState(
     aLot,
-    [this, aLot, aExchange, use = std::move(aUse)](
+    [this, aLot, aExchange, aCaller, use = std::move(aUse)](
       metadata::StoreStatus aStatus) {
       if (const lots::Lot* lot = lots_.Find(aLot)) {
         onStateRead_(aLot);
-        use(*lot);
+        if (IsAllowed(aExchange, *lot, aCaller)) {
+          use(*lot);
+        }
       } else if (aStatus == metadata::StoreStatus::Ok &&
                  !health_.WasLostWithin(kHoldersNeed, base::MonotonicNow())) {
-        aExchange->Answer(
-          httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
+        AnswerNone(*aExchange, aCaller);
       } else {
         AnswerComeBack(*aExchange);
       }
@@ -137,22 +167,25 @@
 void
 LotDesk::Read(const ExchangePtr& aExchange,
               const std::string& aLot,
-              const LotCall& aCall)
+              const LotCall& aCall,
+              const CallerName& aCaller)
 {
-  WithState(
-    aExchange, aLot, [this, aExchange, aLot, aCall](const lots::Lot& aFound) {
-      const std::string& owner = aFound.state_.owner_;
-      if (aFound.isLoaded_) {
-        AnswerLoaded(aExchange, aFound, aCall, true);
-        return;
-      }
-      const auto address = hosts_.AddressOf(owner);
-      if (address && owner != ownName_) {
-        PassOn(aExchange, aLot, *address, aCall);
-      } else {
-        ReadFromStore(aExchange, aLot, aCall);
-      }
-    });
+  WithState(aExchange,
+            aLot,
+            aCaller,
+            [this, aExchange, aLot, aCall](const lots::Lot& aFound) {
+              const std::string& owner = aFound.state_.owner_;
+              if (aFound.isLoaded_) {
+                AnswerLoaded(aExchange, aFound, aCall, true);
+                return;
+              }
+              const auto address = hosts_.AddressOf(owner);
+              if (address && owner != ownName_) {
+                PassOn(aExchange, aLot, *address, aCall);
+              } else {
+                ReadFromStore(aExchange, aLot, aCall);
+              }
+            });
 }
 
 void
@@ -171,7 +204,7 @@
   request.method(original.method());
   request.target(original.target());
   request.version(11);
-  httpstream::CopyEndToEndFields(original, request);
+  shared_.codec_.CopyForPeer(original, request);
   const auto* read = std::get_if<ReadResults>(&aCall);
   const base::Duration wait =
     read != nullptr ? read->longestWait_ : base::Duration::zero();
--- a/Libraries/LibGateway/LotDesk.h
+++ b/Libraries/LibGateway/LotDesk.h
@@ -34,9 +34,11 @@
           std::string aOwnName,
           PeerCallers& aCallers);
 
-  /// Answers a call of a caller.
+  /// Answers a call of a caller. What belongs to another organisation is not
+  /// there for it.
   void Handle(const std::shared_ptr<httpstream::Exchange>& aExchange,
-              const LotCall& aCall);
+              const LotCall& aCall,
+              const CallerName& aCaller);
 
   /// Answers a call that another host passes on, from memory alone.
   void HandlePassedOn(const std::shared_ptr<httpstream::Exchange>& aExchange,
@@ -65,16 +67,25 @@
   using ExchangePtr = std::shared_ptr<httpstream::Exchange>;
 
   /// Calls back with the lot's state known, or answers the caller that there is
-  /// no such lot, or that this can't be told now.
+  /// no such lot for it, or that this can't be told now.
   void WithState(const ExchangePtr& aExchange,
                  const std::string& aLot,
+                 const CallerName& aCaller,
                  std::function<void(const lots::Lot&)> aUse);
 
+  /// @return whether the lot is the caller's; answers it where it isn't.
+  [[nodiscard]] bool IsAllowed(const ExchangePtr& aExchange,
+                               const lots::Lot& aLot,
+                               const CallerName& aCaller) const;
+  void AnswerNone(httpstream::Exchange& aExchange,
+                  const CallerName& aCaller) const;
+
   /// Answers a reading call by the first way that works: memory, the host that
   /// runs the lot, the store.
   void Read(const ExchangePtr& aExchange,
             const std::string& aLot,
-            const LotCall& aCall);
+            const LotCall& aCall,
+            const CallerName& aCaller);
   void PassOn(const ExchangePtr& aExchange,
               const std::string& aLot,
               const std::string& aAddress,
--- a/Libraries/LibGateway/LotIntake.cpp
+++ b/Libraries/LibGateway/LotIntake.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -27,6 +28,18 @@
 /// The store's first revision belongs to a key that is older than any route.
 constexpr std::uint64_t kNeverALedgersRevision = 1;
 
+/// @return a lot's state, if the reply to a refused transaction shows one.
+std::optional<lots::LotState>
+FindState(const metadata::TransactionReply& aReply, const std::string& aKey)
+{
+  for (const metadata::StoreItem& item : aReply.current_) {
+    if (item.key_ == aKey && item.revision_ != 0 && !item.removed_) {
+      return lots::DecodeState(item.value_).value_or(lots::LotState{});
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 /// A lot on its way into the store or onto disks.
@@ -99,7 +112,8 @@
 void
 LotIntake::Submit(std::shared_ptr<httpstream::Exchange> aExchange,
                   const std::string& aLot,
-                  const fleet::Route& aRoute)
+                  const fleet::Route& aRoute,
+                  const CallerName& aCaller)
 {
   const httpstream::Request& request = aExchange->GetRequest();
   const auto content = shared_.codec_.ReadLotContent(request.body());
@@ -108,20 +122,20 @@
       httpstream::kStatusBadRequest, unreadable->reason_, "text/plain"));
     return;
   }
-  if (lots_.Find(aLot) != nullptr) {
-    aExchange->Answer(
-      httpstream::MakeResponse(httpstream::kStatusAccepted, {}));
-    return;
-  }
   const auto& items = std::get<std::vector<lots::LotItem>>(content);
   auto submission = std::make_shared<Submission>(executor_);
   submission->lot_ = MakeLot(request, aLot, items.size());
+  submission->lot_.state_.organisation_ = aCaller.value_or(std::string());
   submission->creation_ = MakeCreation(lots_.Keys(), submission->lot_);
   submission->route_ = aRoute.name_;
   submission->cap_ = aRoute.waitingTokenCap_;
   submission->tokens_ = lots::TokensOf(items);
   submission->giveUpAt_ = aExchange->ReceivedAt() + kSubmitPatience;
   submission->exchange_ = std::move(aExchange);
+  if (const lots::Lot* existing = lots_.Find(aLot)) {
+    AcceptExisting(*submission, existing->state_);
+    return;
+  }
   Commit(submission);
   HoldLater(submission);
 }
@@ -213,8 +227,13 @@
   Submission& submission = *aSubmission;
   // The lot is there already, by this call's earlier try or by another host: it
   // is accepted once either way.
-  if (submission.cap_ == 0 ||
-      ShowsKey(aReply, lots_.Keys().StateOf(submission.lot_.id_))) {
+  const auto existing =
+    FindState(aReply, lots_.Keys().StateOf(submission.lot_.id_));
+  if (existing) {
+    AcceptExisting(submission, *existing);
+    return;
+  }
+  if (submission.cap_ == 0) {
     Accept(submission, "store before");
     return;
   }
@@ -263,7 +282,7 @@
   aSubmission.exchange_->Answer(
     aSubmission.mayBeStored_
       ? httpstream::MakeResponse(httpstream::kStatusGatewayTimeout, {})
-      : shared_.codec_.MakeOverCap(comeBack));
+      : shared_.codec_.MakeOverLimit(comeBack));
 }
 
 void
@@ -326,6 +345,27 @@
   exchange.Answer(httpstream::MakeResponse(httpstream::kStatusAccepted, {}));
 }
 
+void
+LotIntake::AcceptExisting(Submission& aSubmission,
+                          const lots::LotState& aExisting)
+{
+  const std::string& organisation = aSubmission.lot_.state_.organisation_;
+  if (aExisting.organisation_ == organisation) {
+    Accept(aSubmission, "store before");
+    return;
+  }
+  if (std::exchange(aSubmission.isAnswered_, true)) {
+    return;
+  }
+  aSubmission.holdTimer_.cancel();
+  base::Log(kLotNotAccepted,
+            { { "lot", aSubmission.lot_.id_ },
+              { "organisation", organisation },
+              { "reason", "id of another organisation's lot" } });
+  aSubmission.exchange_->Answer(
+    httpstream::MakeResponse(httpstream::kStatusConflict, {}));
+}
+
 void
 LotIntake::GiveUpIfOver(Submission& aSubmission)
 {
--- a/Libraries/LibGateway/LotIntake.h
+++ b/Libraries/LibGateway/LotIntake.h
@@ -33,10 +33,12 @@
             PeerCallers& aCallers,
             std::size_t aCopies);
 
-  /// @param aRoute By which the lot came.
+  /// @param aRoute  By which the lot came.
+  /// @param aCaller Whose lot it is.
   void Submit(std::shared_ptr<httpstream::Exchange> aExchange,
               const std::string& aLot,
-              const fleet::Route& aRoute);
+              const fleet::Route& aRoute,
+              const CallerName& aCaller);
 
 private:
   struct Submission;
@@ -59,6 +61,10 @@
   void OnHeld(const SubmissionPtr& aSubmission, HoldOutcome aOutcome);
   void Accept(Submission& aSubmission, std::string_view aWhere);
 
+  /// Answers a lot that is there already: accepted once again, unless it is
+  /// another organisation's.
+  void AcceptExisting(Submission& aSubmission, const lots::LotState& aExisting);
+
   /// Answers that the lot isn't accepted, when no way is open any more.
   void GiveUpIfOver(Submission& aSubmission);
 
--- a/Libraries/LibGateway/OnlineRelay.cpp
+++ b/Libraries/LibGateway/OnlineRelay.cpp
@@ -97,11 +97,13 @@
                          const boost::asio::any_io_executor& aExecutor,
                          std::shared_ptr<httpstream::Exchange> aExchange,
                          fleet::Route aRoute,
+                         CallerName aCaller,
                          const PreemptBatch& aPreemptBatch)
   : shared_(aShared)
   , deadlineTimer_(aExecutor)
   , exchange_(std::move(aExchange))
   , route_(std::move(aRoute))
+  , caller_(std::move(aCaller))
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadOnline(exchange_->GetRequest()))
   , content_(HashContent(exchange_->GetRequest()))
@@ -256,6 +258,7 @@
   terms.endpoint_ = aChoice.endpoint_.id_;
   terms.patience_ = TimeLeft();
   terms.lastEvent_ = lastEvent_;
+  terms.caller_ = caller_;
   const httpstream::Request request =
     shared_.codec_.MakeEndpointRequest(exchange_->GetRequest(), terms);
   httpstream::Call call;
@@ -492,12 +495,16 @@
   if (const auto run = std::exchange(run_, nullptr)) {
     run->Cancel();
   }
+  if (aEnd == RelayEnd::NotRun && caller_) {
+    shared_.rateLimits_.Return(*caller_);
+  }
   const base::Instant now = base::MonotonicNow();
   const base::Duration first =
     firstPieceAt_.value_or(now) - exchange_->ReceivedAt();
   base::Log(kRequestEnded,
             { { "request", call_.requestId_ },
               { "route", route_.name_ },
+              { "organisation", caller_.value_or(std::string()) },
               { "end", NameOf(aEnd) },
               { "attempts", tried_.size() },
               { "first_ms", base::ToMs(first) },
--- a/Libraries/LibGateway/PeerExchange.cpp
+++ b/Libraries/LibGateway/PeerExchange.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/PeerExchange.h"
 
 #include "LibGateway/EndpointAddress.h"
+#include "LibGateway/RateCodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -175,6 +176,36 @@
   }
 }
 
+void
+PeerExchange::SendRateReport(const std::string& aPeer,
+                             const fleet::RateReport& aReport)
+{
+  SendTo(aPeer,
+         { { "host", ownName_ }, { "rate", EncodeRateReport(aReport) } });
+}
+
+void
+PeerExchange::SendRateAnswer(const std::string& aPeer,
+                             const fleet::RateAnswer& aAnswer)
+{
+  SendTo(
+    aPeer,
+    { { "host", ownName_ }, { "rate_answer", EncodeRateAnswer(aAnswer) } });
+}
+
+void
+PeerExchange::TakeRateMessage(const std::string& aHost, const json& aMessage)
+{
+  if (!IsFromPeer(aHost)) {
+    return;
+  }
+  if (const auto report = aMessage.find("rate"); report != aMessage.end()) {
+    onRateReport_(aHost, DecodeRateReport(*report));
+  } else {
+    onRateAnswer_(DecodeRateAnswer(aMessage.at("rate_answer")));
+  }
+}
+
 bool
 PeerExchange::IsFromPeer(const std::string& aHost) const
 {
@@ -198,7 +229,7 @@
 PeerExchange::TakeStoreNews(const std::string& aHost, const json& aNews)
 {
   if (IsFromPeer(aHost)) {
-    following_.TakeNews(DecodeStoreNews(aNews));
+    following_.TakeNews(aHost, DecodeStoreNews(aNews));
   }
 }
 
@@ -293,6 +324,8 @@
       TakeYield(message);
     } else if (const auto news = message.find("news"); news != message.end()) {
       TakeStoreNews(host, *news);
+    } else if (message.contains("rate") || message.contains("rate_answer")) {
+      TakeRateMessage(host, message);
     } else if (message.contains("silent")) {
       for (const json& peer : message.at("silent")) {
         hearing_.NoteAsked(host, peer.get<std::string>(), now);
--- a/Libraries/LibGateway/PeerExchange.h
+++ b/Libraries/LibGateway/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "LibBase/Lifetime.h"
 #include "LibFleet/CountNews.h"
 #include "LibFleet/PeerHearing.h"
+#include "LibFleet/RateMessages.h"
 #include "LibGateway/Shared.h"
 #include "LibGateway/StoreFollowing.h"
 
@@ -34,6 +35,10 @@
   /// Called when a peer's online request takes the place of a batch run here.
   using YieldHandler = std::function<void(const std::string& aEndpoint)>;
 
+  using RateReportHandler =
+    std::function<void(const std::string& aHost, const fleet::RateReport&)>;
+  using RateAnswerHandler = std::function<void(const fleet::RateAnswer&)>;
+
   PeerExchange(boost::asio::io_context& aContext,
                Shared& aShared,
                std::string aOwnName,
@@ -68,6 +73,22 @@
   /// waiting for its next look would cost the online request up to 200 ms.
   void AskToYield(const std::string& aPeer, const std::string& aEndpoint);
 
+  void SetOnRateReport(RateReportHandler aHandler)
+  {
+    onRateReport_ = std::move(aHandler);
+  }
+  void SetOnRateAnswer(RateAnswerHandler aHandler)
+  {
+    onRateAnswer_ = std::move(aHandler);
+  }
+
+  /// Both may get lost: totals make up for a report, and who asked decides
+  /// alone after a while.
+  void SendRateReport(const std::string& aPeer,
+                      const fleet::RateReport& aReport);
+  void SendRateAnswer(const std::string& aPeer,
+                      const fleet::RateAnswer& aAnswer);
+
 private:
   void SendLater();
   void Send();
@@ -86,6 +107,8 @@
                        const nlohmann::json& aMessage,
                        base::Instant aNow);
   void TakeStoreNews(const std::string& aHost, const nlohmann::json& aNews);
+  void TakeRateMessage(const std::string& aHost,
+                       const nlohmann::json& aMessage);
 
   /// @return whether a datagram came from where that host is registered. What
   ///         is taken for the store's word must not be a stranger's.
@@ -106,6 +129,8 @@
   std::string ownName_;
   StoreFollowing& following_;
   YieldHandler onYield_;
+  RateReportHandler onRateReport_;
+  RateAnswerHandler onRateAnswer_;
   fleet::CountNews news_;
   fleet::PeerHearing hearing_;
   struct Peer
--- a/Libraries/LibGateway/Shared.h
+++ b/Libraries/LibGateway/Shared.h
@@ -2,6 +2,7 @@
 
 #include "LibFleet/AdmissionControl.h"
 #include "LibFleet/EndpointTable.h"
+#include "LibFleet/RateLimits.h"
 #include "LibFleet/RouteTable.h"
 #include "LibFleet/SuspectTable.h"
 #include "LibGateway/Codec.h"
@@ -25,6 +26,7 @@
   fleet::SuspectTable suspects_;
   fleet::AdmissionControl admission_;
   lots::LedgerBook ledgers_;
+  fleet::RateLimits rateLimits_;
 };
 
 /// @return a number that is uniform in [0, 1).
--- a/Libraries/LibGateway/StoreFollowing.cpp
+++ b/Libraries/LibGateway/StoreFollowing.cpp
@@ -45,6 +45,7 @@
   , random_(aRandom)
   , choice_(aOwnName)
   , own_{ false, aIsPreferred }
+  , incarnation_(aRandom())
   , trustShare_(DrawTrustShare(aRandom))
 {
   for (Followed& followed : aFollowed) {
@@ -168,6 +169,8 @@
 {
   StoreReport report;
   report.state_ = own_;
+  report.incarnation_ = incarnation_;
+  report.sentAt_ = base::BootNow();
   for (const Copy& copy : copies_) {
     if (copy.mirror_->Follows()) {
       report.views_.push_back({ copy.prefix_, copy.mirror_->View() });
@@ -192,16 +195,38 @@
 {
   NoteRunning();
   choice_.NotePeer(aPeer, aReport.state_, aNow);
+  clocks_.NoteMessage(
+    aPeer, aReport.incarnation_, aReport.sentAt_, base::BootNow());
   for (const StoreReport::View& view : aReport.views_) {
-    Find(view.prefix_).TakeView(view.view_, DrawCatchUp());
+    Find(view.prefix_).TakeView(ToLocal(aPeer, view.view_), DrawCatchUp());
   }
 }
 
 void
-StoreFollowing::TakeNews(const StoreNews& aNews)
+StoreFollowing::TakeNews(const std::string& aPeer, const StoreNews& aNews)
 {
   NoteRunning();
-  Find(aNews.prefix_).TakeNews(aNews.news_, DrawCatchUp());
+  metadata::MirrorNews news = aNews.news_;
+  news.view_ = ToLocal(aPeer, news.view_);
+  Find(aNews.prefix_).TakeNews(news, DrawCatchUp());
+}
+
+metadata::MirrorView
+StoreFollowing::ToLocal(const std::string& aPeer,
+                        const metadata::MirrorView& aView) const
+{
+  metadata::MirrorView view = aView;
+  view.completeAsOf_ =
+    clocks_.ToLocal(aPeer, aView.completeAsOf_).value_or(base::BootInstant{});
+  return view;
+}
+
+std::optional<base::Duration>
+StoreFollowing::AgeOf(StorePrefix aPrefix) const
+{
+  const auto completeAsOf = Find(aPrefix).CompleteAsOf();
+  return completeAsOf ? std::optional(base::BootNow() - *completeAsOf)
+                      : std::nullopt;
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StoreFollowing.h
+++ b/Libraries/LibGateway/StoreFollowing.h
@@ -2,10 +2,12 @@
 
 #include "LibGateway/StoreReport.h"
 #include "LibMetadata/FollowerChoice.h"
+#include "LibMetadata/PeerClocks.h"
 #include "LibMetadata/PrefixMirror.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -59,13 +61,17 @@
   [[nodiscard]] bool IsComplete(StorePrefix aPrefix) const;
   void SetTrust(StorePrefix aPrefix, base::Duration aTrust);
 
+  /// @return time since this host's copy is known to have been complete;
+  ///         nothing before its first reading.
+  [[nodiscard]] std::optional<base::Duration> AgeOf(StorePrefix aPrefix) const;
+
   [[nodiscard]] StoreReport Report() const;
   [[nodiscard]] std::size_t FollowedCount() const;
 
   void TakeReport(const std::string& aPeer,
                   const StoreReport& aReport,
                   base::Instant aNow);
-  void TakeNews(const StoreNews& aNews);
+  void TakeNews(const std::string& aPeer, const StoreNews& aNews);
 
 private:
   struct Copy
@@ -80,12 +86,19 @@
 
   /// @return when to ask the store for what this host lacks.
   [[nodiscard]] base::Duration DrawCatchUp();
+
+  /// @return a peer's view with its moments on this host's clock.
+  [[nodiscard]] metadata::MirrorView ToLocal(
+    const std::string& aPeer,
+    const metadata::MirrorView& aView) const;
   [[nodiscard]] base::Duration OwnShareOf(base::Duration aTrust) const;
 
   metadata::StoreHealth& health_;
   std::mt19937_64& random_;
   metadata::FollowerChoice choice_;
   metadata::FollowerState own_;
+  metadata::PeerClocks clocks_;
+  std::uint64_t incarnation_;
   std::vector<Copy> copies_;
   double trustShare_; ///< Of the longest trust, drawn for this host.
   std::optional<base::Instant> completeSince_;
--- a/Libraries/LibGateway/StoreReport.cpp
+++ b/Libraries/LibGateway/StoreReport.cpp
@@ -19,12 +19,27 @@
 /// A stranger's number that is no age would make an old copy look fresh.
 constexpr std::int64_t kLongestAgeMs = 3600000;
 
+std::int64_t
+ToMicroseconds(base::BootInstant aMoment)
+{
+  return aMoment.time_since_epoch().count();
+}
+
+base::BootInstant
+DecodeMoment(const json& aRow, const char* aName)
+{
+  // A host with an earlier version names none.
+  return base::BootInstant(
+    base::Duration(aRow.value(aName, std::int64_t{ 0 })));
+}
+
 json
 EncodeView(const metadata::MirrorView& aView)
 {
   return { { "change", aView.lastChange_ },
            { "followed", aView.followed_ },
-           { "age", base::ToMs(aView.age_) } };
+           { "age", base::ToMs(aView.age_) },
+           { "complete", ToMicroseconds(aView.completeAsOf_) } };
 }
 
 base::Duration
@@ -42,7 +57,8 @@
 {
   return { aRow.at("change").get<std::uint64_t>(),
            aRow.at("followed").get<std::uint64_t>(),
-           DecodeAge(aRow.at("age")) };
+           DecodeAge(aRow.at("age")),
+           DecodeMoment(aRow, "complete") };
 }
 
 StorePrefix
@@ -91,6 +107,8 @@
   }
   return { { "may_follow", aReport.state_.mayFollow_ },
            { "preferred", aReport.state_.isPreferred_ },
+           { "start", aReport.incarnation_ },
+           { "sent", ToMicroseconds(aReport.sentAt_) },
            { "views", std::move(views) } };
 }
 
@@ -100,6 +118,8 @@
   StoreReport report;
   report.state_.mayFollow_ = aRow.at("may_follow").get<bool>();
   report.state_.isPreferred_ = aRow.at("preferred").get<bool>();
+  report.incarnation_ = aRow.value("start", std::uint64_t{ 0 });
+  report.sentAt_ = DecodeMoment(aRow, "sent");
   for (const json& row : aRow.at("views")) {
     report.views_.push_back(
       { DecodePrefix(row.at("prefix")), DecodeView(row) });
--- a/Libraries/LibGateway/StoreReport.h
+++ b/Libraries/LibGateway/StoreReport.h
@@ -38,10 +38,12 @@
   };
 
   metadata::FollowerState state_;
-  std::vector<View> views_; ///< Of the prefixes that it follows.
+  std::uint64_t incarnation_ = 0; ///< New at each start of its process.
+  base::BootInstant sentAt_{};    ///< On its clock, as moments in the views.
+  std::vector<View> views_;       ///< Of the prefixes that it follows.
 };
 
-/// Changes that a follower passes on.
+/// Changes that a follower passes on; moments are on its clock.
 struct StoreNews
 {
   StorePrefix prefix_ = StorePrefix::Operators;
--- a/Libraries/LibHttpStream/Status.h
+++ b/Libraries/LibHttpStream/Status.h
@@ -7,7 +7,9 @@
 inline constexpr unsigned kStatusOk = 200;
 inline constexpr unsigned kStatusAccepted = 202;
 inline constexpr unsigned kStatusBadRequest = 400;
+inline constexpr unsigned kStatusUnauthorised = 401;
 inline constexpr unsigned kStatusNotFound = 404;
+inline constexpr unsigned kStatusConflict = 409;
 inline constexpr unsigned kStatusGone = 410;
 inline constexpr unsigned kStatusPreconditionFailed = 412;
 
--- a/Libraries/LibLots/Lot.cpp
+++ b/Libraries/LibLots/Lot.cpp
@@ -51,7 +51,8 @@
                  { "host", aState.hostName_ },
                  { "path", aState.path_ },
                  { "ended", aState.isEnded_ },
-                 { "finished", aState.isFinished_ } });
+                 { "finished", aState.isFinished_ },
+                 { "organisation", aState.organisation_ } });
 }
 
 std::optional<LotState>
@@ -65,7 +66,8 @@
                      aValue.at("host").get<std::string>(),
                      aValue.at("path").get<std::string>(),
                      aValue.at("ended").get<bool>(),
-                     aValue.at("finished").get<bool>() };
+                     aValue.at("finished").get<bool>(),
+                     aValue.value("organisation", std::string()) };
   });
 }
 
--- a/Libraries/LibLots/Lot.h
+++ b/Libraries/LibLots/Lot.h
@@ -59,6 +59,8 @@
   std::string path_;
   bool isEnded_ = false;    ///< Its sender wants no more results.
   bool isFinished_ = false; ///< Each item has its result.
+  /// Whose keys may read and end it; empty: anyone's, and callers without one.
+  std::string organisation_{};
 
   bool operator==(const LotState&) const = default;
 };
--- a/Libraries/LibMetadata/MirrorNews.h
+++ b/Libraries/LibMetadata/MirrorNews.h
@@ -18,6 +18,9 @@
   std::uint64_t followed_ = 0;
   /// Time since the store itself told that host so.
   base::Duration age_{};
+  /// The copy held all changes of this moment: the call to the store that
+  /// showed it was made then. On the clock of the host that has the view.
+  base::BootInstant completeAsOf_{};
 };
 
 /// Changes of a prefix, as one host passes them on to its peers.
--- /dev/null
+++ b/Libraries/LibMetadata/PeerClocks.cpp
@@ -0,0 +1,37 @@
+#include "LibMetadata/PeerClocks.h"
+
+#include <algorithm>
+
+namespace pumiceturn::metadata {
+
+void
+PeerClocks::NoteMessage(const std::string& aPeer,
+                        std::uint64_t aIncarnation,
+                        base::BootInstant aSentAt,
+                        base::BootInstant aNow)
+{
+  const base::Duration difference = aNow - aSentAt;
+  Peer& peer = peers_[aPeer];
+  if (peer.messages_ == 0 || peer.incarnation_ != aIncarnation) {
+    peer = { aIncarnation, 0, difference, difference, aNow };
+  } else if (aNow - peer.windowBegan_ > kWindow) {
+    peer.leastBefore_ = peer.least_;
+    peer.least_ = difference;
+    peer.windowBegan_ = aNow;
+  }
+  peer.least_ = std::min(peer.least_, difference);
+  ++peer.messages_;
+}
+
+std::optional<base::BootInstant>
+PeerClocks::ToLocal(const std::string& aPeer, base::BootInstant aMoment) const
+{
+  const auto found = peers_.find(aPeer);
+  if (found == peers_.end() || found->second.messages_ < kLeastMessages) {
+    return std::nullopt;
+  }
+  const Peer& peer = found->second;
+  return aMoment + std::min(peer.least_, peer.leastBefore_);
+}
+
+} // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -47,6 +47,7 @@
   if (aAfter.empty()) {
     pages_.clear();
     readRevision_.reset();
+    readBegan_ = base::BootNow();
   }
   client_.Range(
     options_.prefix_, aAfter, lifetime_.Guard([this](RangeReply aReply) {
@@ -99,7 +100,7 @@
       changes.push_back(std::move(item));
     }
   }
-  tracker_.NoteRead(*readRevision_, base::BootNow());
+  tracker_.NoteRead(*readRevision_, readBegan_, base::BootNow());
   base::Log(kMirrorRead,
             { { "prefix", options_.prefix_ },
               { "keys", count },
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -83,6 +83,12 @@
   /// @return whether the prefix has been read once.
   [[nodiscard]] bool IsComplete() const { return complete_; }
 
+  /// @return the moment of which the copy surely holds all changes.
+  [[nodiscard]] std::optional<base::BootInstant> CompleteAsOf() const
+  {
+    return tracker_.CompleteAsOf();
+  }
+
   /// @return how far the copy has got, for peers.
   [[nodiscard]] MirrorView View() const
   {
@@ -124,6 +130,7 @@
   std::unordered_map<std::string, std::uint64_t> revisions_;
   std::vector<StoreItem> pages_; ///< Read so far.
   std::optional<std::uint64_t> readRevision_;
+  base::BootInstant readBegan_;
   Phase phase_ = Phase::Reading;
   bool complete_ = false;
   bool follows_ = false;
--- a/Libraries/LibMetadata/ViewTracker.cpp
+++ b/Libraries/LibMetadata/ViewTracker.cpp
@@ -5,8 +5,17 @@
 namespace pumiceturn::metadata {
 
 void
-ViewTracker::NoteRead(std::uint64_t aRevision, base::BootInstant aNow)
+ViewTracker::NoteComplete(base::BootInstant aMoment)
 {
+  completeAsOf_ = std::max(completeAsOf_.value_or(aMoment), aMoment);
+}
+
+void
+ViewTracker::NoteRead(std::uint64_t aRevision,
+                      base::BootInstant aAskedAt,
+                      base::BootInstant aNow)
+{
+  NoteComplete(aAskedAt);
   // Which part of a first read is news to others isn't known: to a copy that is
   // older, any of it may be.
   if (followed_ == 0) {
@@ -29,6 +38,7 @@
                         base::BootInstant aAskedAt,
                         base::BootInstant aNow)
 {
+  NoteComplete(aAskedAt);
   followed_ = std::max(followed_, aRevision);
   if (distrustedAt_ && aAskedAt < *distrustedAt_) {
     return;
@@ -54,6 +64,7 @@
   followed_ = aView.followed_;
   lastChange_ = aView.lastChange_;
   confirmedAt_ = std::max(confirmedAt_, aNow - aView.age_);
+  NoteComplete(aView.completeAsOf_);
   return ReportOutcome::Current;
 }
 
@@ -91,7 +102,10 @@
 MirrorView
 ViewTracker::View(base::BootInstant aNow) const
 {
-  return { lastChange_, followed_, aNow - answeredAt_ };
+  return { lastChange_,
+           followed_,
+           aNow - answeredAt_,
+           completeAsOf_.value_or(base::BootInstant{}) };
 }
 
 } // namespace pumiceturn::metadata
--- a/Libraries/LibMetadata/ViewTracker.h
+++ b/Libraries/LibMetadata/ViewTracker.h
@@ -27,7 +27,10 @@
 public:
   /// The whole prefix was read, and what differed noted by NoteChange().
   /// @param aRevision Changes after it are not all in the copy.
-  void NoteRead(std::uint64_t aRevision, base::BootInstant aNow);
+  /// @param aAskedAt  When the first call was made.
+  void NoteRead(std::uint64_t aRevision,
+                base::BootInstant aAskedAt,
+                base::BootInstant aNow);
 
   /// A change that matters went into the copy.
   void NoteChange(std::uint64_t aRevision);
@@ -63,6 +66,13 @@
     return confirmedAt_ + aTrust;
   }
 
+  /// @return the moment of which the copy surely holds all changes, wherever
+  ///         an answer or a message waited since; nothing before the first.
+  [[nodiscard]] std::optional<base::BootInstant> CompleteAsOf() const
+  {
+    return completeAsOf_;
+  }
+
   /// @return what to tell peers, with the time since the store's last answer to
   ///         this host itself: passed on from peer to peer, ages would shrink
   ///         by the time that each message waits to be read.
@@ -71,10 +81,13 @@
   [[nodiscard]] std::uint64_t Followed() const { return followed_; }
 
 private:
+  void NoteComplete(base::BootInstant aMoment);
+
   std::uint64_t lastChange_ = 0;
   std::uint64_t followed_ = 0;
   base::BootInstant confirmedAt_{};
   base::BootInstant answeredAt_{}; ///< By the store, to this host.
+  std::optional<base::BootInstant> completeAsOf_;
   std::optional<base::BootInstant> distrustedAt_;
 };
 
--- a/Tests/LibEntry/FakeFleet.cpp
+++ b/Tests/LibEntry/FakeFleet.cpp
@@ -1,6 +1,6 @@
 #include "FakeFleet.h"
 
-#include "LibEntry/TokenDigest.h"
+#include "LibBase/TokenDigest.h"
 
 #include <grpcpp/create_channel.h>
 
@@ -179,7 +179,7 @@
   }
   declarations::Partner& partner = *declared.add_partners();
   partner.set_name("slaegtsspor");
-  partner.set_token_sha256(DigestToken(kToken));
+  partner.set_token_sha256(base::ToString(base::DigestToken(kToken)));
   partner.add_services("origin-llm");
   configuration_.Install(configuration);
 }
--- a/Tests/LibMetadata/FollowerFleetTest.cpp
+++ b/Tests/LibMetadata/FollowerFleetTest.cpp
@@ -35,7 +35,7 @@
     for (std::size_t index = 0; index < kHosts; ++index) {
       const std::string name = "host" + std::to_string(index);
       hosts_.push_back({ name, true, FollowerChoice(name), {} });
-      hosts_.back().tracker_.NoteRead(revision_, boot_);
+      hosts_.back().tracker_.NoteRead(revision_, boot_, boot_);
     }
     Play(1s);
     calls_ = 0;
--- a/Tests/LibMetadata/ViewTrackerTest.cpp
+++ b/Tests/LibMetadata/ViewTrackerTest.cpp
@@ -29,7 +29,7 @@
 TEST_CASE_METHOD(ViewTrackerFixture,
                  "ViewTracker_PeerConfirms_AsksNothingForTheTimeThatIsLeft")
 {
-  tracker_.NoteRead(10, Now());
+  tracker_.NoteRead(10, Now(), Now());
   Pass(900ms);
   CHECK(tracker_.TakeView(View(10, 14, 300ms), Now()) ==
         ReportOutcome::Current);
@@ -45,7 +45,7 @@
 // name only how far it got, were taken for "nothing has changed".
 TEST_CASE_METHOD(ViewTrackerFixture, "ViewTracker_ChangeMissed_ShowsAsGap")
 {
-  tracker_.NoteRead(10, Now());
+  tracker_.NoteRead(10, Now(), Now());
   CHECK(tracker_.TakeView(View(12, 15), Now()) == ReportOutcome::Gap);
   CHECK(tracker_.Followed() == 10);
   CHECK(tracker_.Judge({ 12, View(16, 16), {} }) == ReportOutcome::Gap);
@@ -56,7 +56,7 @@
 
 TEST_CASE_METHOD(ViewTrackerFixture, "ViewTracker_NewsInTurn_JoinUp")
 {
-  tracker_.NoteRead(10, Now());
+  tracker_.NoteRead(10, Now(), Now());
   const MirrorNews news{ 10, View(13, 14), {} };
   CHECK(tracker_.Judge(news) == ReportOutcome::Current);
   tracker_.NoteChange(13);
@@ -70,7 +70,7 @@
 TEST_CASE_METHOD(ViewTrackerFixture,
                  "ViewTracker_PeerWithOldNews_ChangesNothing")
 {
-  tracker_.NoteRead(20, Now());
+  tracker_.NoteRead(20, Now(), Now());
   Pass(900ms);
   CHECK(tracker_.TakeView(View(12, 15), Now()) == ReportOutcome::Ignored);
   CHECK(tracker_.Followed() == 20);
@@ -86,7 +86,7 @@
 TEST_CASE_METHOD(ViewTrackerFixture,
                  "ViewTracker_DidNotRun_TrustsOnlyACallMadeAfterwards")
 {
-  tracker_.NoteRead(10, Now());
+  tracker_.NoteRead(10, Now(), Now());
   const base::BootInstant beforeFreeze = Now();
   Pass(5s);
   tracker_.Distrust(Now());
@@ -106,7 +106,7 @@
 TEST_CASE_METHOD(ViewTrackerFixture,
                  "ViewTracker_ConfirmedByPeer_DoesNotConfirmToOthers")
 {
-  tracker_.NoteRead(10, Now());
+  tracker_.NoteRead(10, Now(), Now());
   Pass(2s);
   (void)tracker_.TakeView(View(10, 12), Now());
   CHECK(tracker_.IsConfirmed(kTrust, Now()));
@@ -118,13 +118,58 @@
 TEST_CASE_METHOD(ViewTrackerFixture,
                  "ViewTracker_FirstReadThenReport_TakesOverTheLastChange")
 {
-  tracker_.NoteRead(50, Now());
+  tracker_.NoteRead(50, Now(), Now());
   CHECK(tracker_.View(Now()).lastChange_ == 50);
   (void)tracker_.TakeView(View(12, 60), Now());
   CHECK(tracker_.View(Now()).lastChange_ == 12);
   // Nor does a later read, whose differences are noted one by one.
-  tracker_.NoteRead(70, Now());
+  tracker_.NoteRead(70, Now(), Now());
   CHECK(tracker_.View(Now()).lastChange_ == 12);
 }
 
+// A key that was taken away still ran requests: the answer to a watch, or a
+// report of it, had been on its way while the key was taken away.
+TEST_CASE_METHOD(ViewTrackerFixture,
+                 "ViewTracker_AnswerWasLongOnItsWay_CompleteAsOfTheCall")
+{
+  CHECK_FALSE(tracker_.CompleteAsOf());
+  const base::BootInstant firstCall = Now();
+  Pass(300ms);
+  tracker_.NoteRead(10, firstCall, Now());
+  CHECK(tracker_.CompleteAsOf() == firstCall);
+  const base::BootInstant secondCall = Now();
+  Pass(4s);
+  tracker_.NoteAnswer(11, secondCall, Now());
+  CHECK(tracker_.CompleteAsOf() == secondCall);
+  CHECK(tracker_.IsConfirmed(kTrust, Now()));
+}
+
+TEST_CASE_METHOD(ViewTrackerFixture,
+                 "ViewTracker_PeerIsComplete_SoIsTheCopyThatReachesIt")
+{
+  tracker_.NoteRead(10, Now(), Now());
+  Pass(3s);
+  MirrorView view = View(10, 14);
+  view.completeAsOf_ = Now() - 500ms;
+  (void)tracker_.TakeView(view, Now());
+  CHECK(tracker_.CompleteAsOf() == Now() - 500ms);
+  // What an older message says changes nothing.
+  view.completeAsOf_ = Now() - 2s;
+  (void)tracker_.TakeView(view, Now());
+  CHECK(tracker_.CompleteAsOf() == Now() - 500ms);
+}
+
+// A host that lacks a change took a follower's report for its own.
+TEST_CASE_METHOD(ViewTrackerFixture,
+                 "ViewTracker_CopyLacksAChange_IsNotCompleteAsThePeers")
+{
+  const base::BootInstant read = Now();
+  tracker_.NoteRead(10, read, Now());
+  Pass(3s);
+  MirrorView view = View(12, 14);
+  view.completeAsOf_ = Now();
+  CHECK(tracker_.TakeView(view, Now()) == ReportOutcome::Gap);
+  CHECK(tracker_.CompleteAsOf() == read);
+}
+
 } // namespace pumiceturn::metadata
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -87,6 +87,8 @@
   settings.lotRetention_ = lotRetention_;
   settings.dataFolder_ = dataFolder_;
   settings.capOverage_ = capOverage_;
+  settings.revocationBound_ = revocationBound_;
+  settings.rateTolerance_.overage_ = capOverage_;
   host.passOnPort_ = FreePort();
   settings.passOnAddress_ = fmt::format("127.0.0.1:{}", host.passOnPort_);
   host.storePort_ = store_.OpenDoor();
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,7 +73,8 @@
   /// Of the next host; empty: it has no disk.
   std::string dataFolder_;
   std::vector<boost::asio::ip::tcp::socket> heldPorts_;
-  double capOverage_ = 0.0; ///< Of the next host.
+  double capOverage_ = 0.0;                       ///< Of the next host.
+  std::optional<base::Duration> revocationBound_; ///< Of the next host.
   base::Duration lotRetention_{ std::chrono::minutes{ 10 } };
   std::vector<std::unique_ptr<TestHost>> hosts_;
   std::vector<std::unique_ptr<ServerStandin>> servers_;
