--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -16,11 +16,10 @@
   limits_ = aDeclarations.limits_;
   organisations_.Install(std::move(aDeclarations.organisations_));
   routes_.clear();
-  cappedRoutes_.clear();
+  hasCappedRoutes_ = false;
   for (Route& route : aDeclarations.routes_) {
-    if (route.kind_ == RequestKind::Lot && route.waitingTokenCap_ > 0) {
-      cappedRoutes_.push_back(route);
-    }
+    hasCappedRoutes_ |=
+      route.kind_ == RequestKind::Lot && route.waitingTokenCap_ > 0;
     routes_[route.hostName_].push_back(std::move(route));
   }
   for (auto& [name, routes] : routes_) {
@@ -52,7 +51,7 @@
 const Route*
 RouteTable::FindCapped(std::string_view aHostName, std::string_view aPath) const
 {
-  if (cappedRoutes_.empty()) {
+  if (!hasCappedRoutes_) {
     return nullptr;
   }
   const Route* route = Find(aHostName, aPath);
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -36,12 +36,6 @@
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
                                                         double aRandom);
 
-  /// @return the routes of lots that bound the tokens that may wait.
-  [[nodiscard]] const std::vector<Route>& CappedRoutes() const
-  {
-    return cappedRoutes_;
-  }
-
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
 
@@ -66,7 +60,7 @@
   /// Each host's routes, longest prefix first.
   std::unordered_map<std::string, std::vector<Route>, Hash, std::equal_to<>>
     routes_;
-  std::vector<Route> cappedRoutes_;
+  bool hasCappedRoutes_ = false;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -20,16 +21,9 @@
 /// configuration within 2 to 3 s, and somewhat later when the store was away.
 constexpr std::chrono::seconds kRouteGoneAfter{ 10 };
 
-/// Pause before a failed call to the store is made again.
-constexpr std::chrono::milliseconds kStoreRetryPause{ 300 };
-
 /// How long a claim waits for its answer before another may be made.
 constexpr std::chrono::seconds kClaimTimeout{ 3 };
 
-/// Largest size of one stored page of results, before encoding. The store
-/// takes values up to 1 MB in base64.
-constexpr std::size_t kMaxPageBytes = 500000;
-
 /// Times of day of two hosts differ, and may jump by seconds on one of them. An
 /// item that is given up this much later than its route allows costs nobody
 /// anything; one that is given up sooner is lost. Within the process, times are
@@ -50,6 +44,17 @@
 /// work.
 constexpr double kUsualRunsWeight = 0.02;
 
+WaitingLot
+MakeWaitingLot(const lots::Lot& aLot,
+               const fleet::Route& aRoute,
+               std::uint64_t aTokens)
+{
+  return { aLot.id_,
+           lots::LedgerName(aRoute.name_, aLot.state_.organisation_),
+           aRoute.waitingTokenCap_,
+           aTokens };
+}
+
 std::string_view
 NameOf(lots::ItemRunEnd aEnd)
 {
@@ -70,25 +75,6 @@
   return "preempted";
 }
 
-/// Moves as many results as fit one page.
-std::vector<lots::ItemResult>
-TakePage(std::vector<lots::ItemResult>& aResults)
-{
-  std::size_t bytes = 0;
-  std::size_t count = 0;
-  while (
-    count < aResults.size() &&
-    (count == 0 || bytes + aResults[count].output_.size() < kMaxPageBytes)) {
-    bytes += aResults[count].output_.size();
-    ++count;
-  }
-  const auto end = aResults.begin() + static_cast<std::ptrdiff_t>(count);
-  std::vector<lots::ItemResult> page(std::make_move_iterator(aResults.begin()),
-                                     std::make_move_iterator(end));
-  aResults.erase(aResults.begin(), end);
-  return page;
-}
-
 } // namespace
 
 BatchWorker::BatchWorker(boost::asio::io_context& aContext,
@@ -105,6 +91,9 @@
   , loader_(aLoader)
   , hosts_(aHosts)
   , ownName_(std::move(aOwnName))
+  , results_(aStore,
+             aLots,
+             [this](const std::string& aLot) { onResults_(aLot); })
   , progressKeeper_(aStore, aLots.Keys())
 {
 }
@@ -150,7 +139,7 @@
   // write arrives, or when that answer is lost. Leaving the lot now would lose
   // that result for readers here.
   if (isOwned && lot != nullptr && IsOwn(*lot) && lot->state_.isFinished_ &&
-      !own->second.storing_.empty()) {
+      results_.IsStoring(aLot)) {
     return;
   }
   if (lot == nullptr || !IsOwn(*lot) || !lot->IsOpen()) {
@@ -190,7 +179,7 @@
   const base::Instant now = base::MonotonicNow();
   OwnLot own{ lots::ItemSchedule(aLot, {}) };
   own.acceptedAt_ = now - AgeOf(aLot);
-  own.nextPosition_ = static_cast<std::uint32_t>(aLot.results_.size());
+  results_.Begin(aLot);
   UpdateLimits(aLot, own, now);
   own_.emplace(aLot.id_, std::move(own));
   claims_.erase(aLot.id_);
@@ -216,14 +205,14 @@
   const lots::Lot* lot = lots_.Find(aLot);
   const fleet::Route* route = CappedRouteOf(aLot);
   if (route != nullptr && !lot->IsOpen()) {
-    closedLots_.push_back({ aLot, route->name_, 0 });
+    closedLots_.push_back(MakeWaitingLot(*lot, *route, 0));
   }
-  const auto own = own_.find(aLot);
-  if (own != own_.end() && !own->second.storing_.empty()) {
+  if (results_.IsStoring(aLot)) {
     // Whether its results are stored isn't known here: readers ask the store.
     lots_.Unload(aLot);
   }
   own_.erase(aLot);
+  results_.Forget(aLot);
   progressKeeper_.Forget(aLot);
   base::Log(kLotLeft, { { "lot", aLot }, { "reason", aReason } });
 }
@@ -248,12 +237,10 @@
       UpdateLimits(*lot, own, aNow);
     }
     for (lots::ItemResult& result : own.schedule_.GiveUp(aNow)) {
-      own.unstored_.push_back(std::move(result));
-    }
-    if (own.retryAt_ <= aNow) {
-      StoreResults(id, own);
+      results_.Add(id, std::move(result), own.schedule_.Limits().dueAt_, aNow);
     }
   }
+  results_.Tick(aNow);
   YieldToOnline(aNow);
   StartRuns(aNow);
   for (const auto& run : std::vector(runs_)) {
@@ -285,7 +272,8 @@
   std::vector<WaitingLot> waiting = std::exchange(closedLots_, {});
   for (const auto& [id, own] : own_) {
     if (const fleet::Route* route = CappedRouteOf(id)) {
-      waiting.push_back({ id, route->name_, own.schedule_.WaitingTokens() });
+      waiting.push_back(
+        MakeWaitingLot(*lots_.Find(id), *route, own.schedule_.WaitingTokens()));
     }
   }
   return waiting;
@@ -528,8 +516,9 @@
   if (!result) {
     return;
   }
-  own->second.unstored_.push_back(std::move(*result));
-  StoreResults(lot, own->second);
+  const base::Instant now = base::MonotonicNow();
+  results_.Add(
+    lot, std::move(*result), own->second.schedule_.Limits().dueAt_, now);
 }
 
 void
@@ -564,115 +553,6 @@
   runs_.erase(found);
 }
 
-void
-BatchWorker::StoreResults(const std::string& aLot, OwnLot& aOwn)
-{
-  if (aOwn.callUnderWay_) {
-    return;
-  }
-  const lots::Lot* lot = lots_.Find(aLot);
-  if (lot == nullptr) {
-    return;
-  }
-  // A call without an answer may take effect seconds later. The same page goes
-  // to the same position until the store has said what became of it, so that
-  // a late effect changes nothing.
-  if (aOwn.storing_.empty()) {
-    aOwn.storing_ = TakePage(aOwn.unstored_);
-  }
-  if (aOwn.storing_.empty()) {
-    return;
-  }
-  aOwn.callUnderWay_ = true;
-  PageWrite write;
-  write.pageKey_ =
-    lots_.Keys().MakeKey({ aLot, lots::KeyPart::Results, aOwn.nextPosition_ });
-  write.stateKey_ = lots_.Keys().StateOf(aLot);
-  write.state_ = lot->state_;
-  write.finishes_ =
-    aOwn.nextPosition_ + aOwn.storing_.size() >= lot->state_.itemCount_;
-  write.state_.isFinished_ = write.finishes_;
-  metadata::Transaction transaction;
-  transaction.expectations_.push_back({ write.stateKey_, lot->stateRevision_ });
-  transaction.expectations_.push_back({ write.pageKey_, 0 });
-  transaction.writes_.push_back(
-    { write.pageKey_, lots::EncodeResults(aOwn.storing_), 0 });
-  if (write.finishes_) {
-    transaction.writes_.push_back(
-      { write.stateKey_, lots::EncodeState(write.state_), 0 });
-  }
-  store_.Commit(transaction,
-                [this, aLot, write](const metadata::TransactionReply& aReply) {
-                  OnResultsReply(aLot, write, aReply);
-                });
-}
-
-void
-BatchWorker::OnResultsReply(const std::string& aLot,
-                            const PageWrite& aWrite,
-                            const metadata::TransactionReply& aReply)
-{
-  using metadata::StoreStatus;
-  const auto found = own_.find(aLot);
-  if (found == own_.end()) {
-    return;
-  }
-  OwnLot& own = found->second;
-  own.callUnderWay_ = false;
-  if (aReply.status_ == StoreStatus::Ok) {
-    NoteStored(aLot, own, aWrite, aReply.revision_);
-    return;
-  }
-  // After a conflict the page may be there by an earlier try of this call,
-  // whose answer was lost.
-  std::uint64_t stateRevision = 0;
-  bool isThere = false;
-  for (const metadata::StoreItem& item : aReply.current_) {
-    isThere = isThere || (item.key_ == aWrite.pageKey_ &&
-                          item.value_ == lots::EncodeResults(own.storing_));
-    if (item.key_ == aWrite.stateKey_) {
-      stateRevision = item.revision_;
-    }
-  }
-  if (aReply.status_ == StoreStatus::Conflict && isThere) {
-    NoteStored(aLot, own, aWrite, stateRevision);
-    return;
-  }
-  base::Log(kResultsNotStored,
-            { { "lot", aLot },
-              { "position", own.nextPosition_ },
-              { "status", static_cast<int>(aReply.status_) } });
-  // After a conflict another host owns the lot, or its sender has ended it: the
-  // mirror will say which. Until then nothing more is stored.
-  const bool isConflict = aReply.status_ == StoreStatus::Conflict;
-  own.retryAt_ =
-    base::MonotonicNow() + (isConflict ? base::Duration(kClaimTimeout)
-                                       : base::Duration(kStoreRetryPause));
-}
-
-void
-BatchWorker::NoteStored(const std::string& aLot,
-                        OwnLot& aOwn,
-                        const PageWrite& aWrite,
-                        std::uint64_t aStateRevision)
-{
-  base::Log(kResultsStored,
-            { { "lot", aLot },
-              { "position", aOwn.nextPosition_ },
-              { "count", aOwn.storing_.size() } });
-  lots_.Apply(
-    aWrite.pageKey_, lots::EncodeResults(aOwn.storing_), aStateRevision);
-  aOwn.nextPosition_ += static_cast<std::uint32_t>(aOwn.storing_.size());
-  aOwn.storing_.clear();
-  if (aWrite.finishes_) {
-    lots_.Apply(
-      aWrite.stateKey_, lots::EncodeState(aWrite.state_), aStateRevision);
-  } else if (!aOwn.unstored_.empty()) {
-    StoreResults(aLot, aOwn);
-  }
-  onResults_(aLot);
-}
-
 void
 BatchWorker::HandOver(std::function<void()> aDone)
 {
@@ -694,8 +574,16 @@
     }
     lots::LotState state = lot->state_;
     state.owner_.clear();
+    metadata::Transaction results;
+    state.isFinished_ = results_.AddTo(results, *lot);
     metadata::Transaction transaction =
       MakeStateChange(lots_.Keys(), *lot, state);
+    std::move(results.expectations_.begin(),
+              results.expectations_.end(),
+              std::back_inserter(transaction.expectations_));
+    std::move(results.writes_.begin(),
+              results.writes_.end(),
+              std::back_inserter(transaction.writes_));
     transaction.writes_.push_back(
       { lots_.Keys().MakeKey({ id, lots::KeyPart::Progress, 0 }),
         lots::EncodeProgress(own.schedule_.Progress()),
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -4,6 +4,7 @@
 #include "LibGateway/LedgerKeeper.h"
 #include "LibGateway/LotLoader.h"
 #include "LibGateway/ProgressKeeper.h"
+#include "LibGateway/ResultKeeper.h"
 #include "LibLots/HostSet.h"
 #include "LibLots/ItemPace.h"
 #include "LibLots/ItemSchedule.h"
@@ -70,23 +71,9 @@
   {
     lots::ItemSchedule schedule_;
     base::Instant acceptedAt_{}; ///< By the accepting host's clock of day.
-    std::vector<lots::ItemResult> unstored_{};
-    std::vector<lots::ItemResult> storing_{}; ///< In the call under way.
-    std::uint32_t nextPosition_ = 0;
-    bool callUnderWay_ = false;
-    base::Instant retryAt_{};
     std::optional<base::Instant> routeMissingSince_{};
   };
 
-  /// The call that stores a page of results.
-  struct PageWrite
-  {
-    std::string pageKey_;
-    std::string stateKey_;
-    lots::LotState state_; ///< As it is afterwards.
-    bool finishes_ = false;
-  };
-
   void Claim(const std::string& aLot);
   void Load(const std::string& aLot);
   void Take(const lots::Lot& aLot);
@@ -118,14 +105,6 @@
   void OnRunEnd(ItemRun& aRun, lots::ItemRunEnd aEnd);
   void RemoveRun(const ItemRun& aRun);
   [[nodiscard]] std::vector<LotProgress> CollectProgress() const;
-  void StoreResults(const std::string& aLot, OwnLot& aOwn);
-  void OnResultsReply(const std::string& aLot,
-                      const PageWrite& aWrite,
-                      const metadata::TransactionReply& aReply);
-  void NoteStored(const std::string& aLot,
-                  OwnLot& aOwn,
-                  const PageWrite& aWrite,
-                  std::uint64_t aStateRevision);
 
   boost::asio::io_context& context_;
   Shared& shared_;
@@ -142,6 +121,7 @@
   std::unordered_map<std::string, lots::ItemPace> paces_; ///< By route.
   double usualRuns_ = 0.0; ///< Runs at a time while items wait.
   std::vector<std::shared_ptr<ItemRun>> runs_;
+  ResultKeeper results_;
   ProgressKeeper progressKeeper_;
   bool leaving_ = false;
 };
--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -80,6 +80,15 @@
   return shared_.routes_.FindCapped(aLot.state_.hostName_, aLot.state_.path_);
 }
 
+std::string
+HeldLots::LedgerOf(const lots::HeldLot& aLot) const
+{
+  const fleet::Route* route = CappedRouteOf(aLot);
+  return route == nullptr
+           ? std::string()
+           : lots::LedgerName(route->name_, aLot.state_.organisation_);
+}
+
 std::uint64_t
 HeldLots::TokensOf(const lots::HeldLot& aLot) const
 {
@@ -95,19 +104,19 @@
   if (route == nullptr) {
     return true;
   }
+  const std::string ledger = LedgerOf(aLot);
   std::uint64_t held = aTokens;
   for (const auto& [id, entry] : held_) {
-    held += CappedRouteOf(entry.lot_) == route ? entry.tokens_ : 0;
+    held += LedgerOf(entry.lot_) == ledger ? entry.tokens_ : 0;
   }
   for (const StoredLot& stored : stored_) {
-    held += stored.route_ == route->name_ ? stored.tokens_ : 0;
+    held += stored.ledger_ == ledger ? stored.tokens_ : 0;
   }
   // Accepting by the ledger keeps to the cap itself, so what is beyond it there
   // and on all disks must stay within what the bound allows. Each lot is on so
   // many of the workers' disks.
   const std::uint64_t cap = route->waitingTokenCap_;
-  const std::uint64_t counted =
-    shared_.ledgers_.Of(route->name_).ledger_.Total();
+  const std::uint64_t counted = shared_.ledgers_.Of(ledger).ledger_.Total();
   const double beyond = static_cast<double>(counted > cap ? counted - cap : 0);
   const double workers =
     static_cast<double>(std::max<std::size_t>(hosts_.WorkerCount(), 1));
@@ -233,27 +242,22 @@
 {
   aEntry.tryAt_ = aNow + kCallTimeout;
   metadata::Transaction creation = MakeCreation(lots_.Keys(), aEntry.lot_);
-  std::string cappedRoute;
-  if (const fleet::Route* route = CappedRouteOf(aEntry.lot_)) {
-    cappedRoute = route->name_;
+  const std::string ledger = LedgerOf(aEntry.lot_);
+  if (!ledger.empty()) {
     // Accepted long since: it counts whether it fits or not.
-    AddRow(creation,
-           shared_,
-           lots_.Keys(),
-           route->name_,
-           aEntry.lot_.id_,
-           aEntry.tokens_);
+    AddRow(
+      creation, shared_, lots_.Keys(), ledger, aEntry.lot_.id_, aEntry.tokens_);
   }
   store_.Commit(creation,
-                [this, id = aEntry.lot_.id_, cappedRoute](
+                [this, id = aEntry.lot_.id_, ledger](
                   const metadata::TransactionReply& aReply) {
-                  OnStored(id, cappedRoute, aReply);
+                  OnStored(id, ledger, aReply);
                 });
 }
 
 void
 HeldLots::OnStored(const std::string& aLot,
-                   const std::string& aCappedRoute,
+                   const std::string& aLedger,
                    const metadata::TransactionReply& aReply)
 {
   using metadata::StoreStatus;
@@ -261,7 +265,7 @@
   if (found == held_.end()) {
     return;
   }
-  const bool hasLedger = !aCappedRoute.empty();
+  const bool hasLedger = !aLedger.empty();
   const bool isConflict = aReply.status_ == StoreStatus::Conflict;
   // Another host, or an earlier try, has stored it.
   const bool isThere =
@@ -271,7 +275,7 @@
     return;
   }
   if (isConflict) {
-    LearnLedger(shared_, lots_.Keys(), aCappedRoute, aReply);
+    LearnLedger(shared_, lots_.Keys(), aLedger, aReply);
     found->second.tryAt_ = base::MonotonicNow();
     return;
   }
@@ -282,9 +286,9 @@
 HeldLots::Drop(const std::string& aLot, std::string_view aReason)
 {
   const auto found = held_.find(aLot);
-  if (const fleet::Route* route = CappedRouteOf(found->second.lot_)) {
+  if (std::string ledger = LedgerOf(found->second.lot_); !ledger.empty()) {
     stored_.push_back(
-      { route->name_, found->second.tokens_, base::MonotonicNow() });
+      { std::move(ledger), found->second.tokens_, base::MonotonicNow() });
   }
   base::Log(
     kLotNoLongerHeld,
--- a/Libraries/LibGateway/HeldLots.h
+++ b/Libraries/LibGateway/HeldLots.h
@@ -78,7 +78,7 @@
   /// A lot on a capped route that this host kept until it was stored.
   struct StoredLot
   {
-    std::string route_;
+    std::string ledger_;
     std::uint64_t tokens_ = 0;
     base::Instant at_;
   };
@@ -88,16 +88,18 @@
   /// @return the lot's route, if it bounds the tokens that may wait.
   [[nodiscard]] const fleet::Route* CappedRouteOf(
     const lots::HeldLot& aLot) const;
+  /// @return the name of the lot's ledger, empty where its route has no cap.
+  [[nodiscard]] std::string LedgerOf(const lots::HeldLot& aLot) const;
   [[nodiscard]] std::uint64_t TokensOf(const lots::HeldLot& aLot) const;
 
   /// @return whether a lot may be kept here by its route's cap.
   [[nodiscard]] bool IsWithinCap(const lots::HeldLot& aLot,
                                  std::uint64_t aTokens) const;
   void Store(Entry& aEntry, base::Instant aNow);
-  /// @param aCappedRoute The route whose ledger was part of the call, though a
-  ///   configuration may have changed its cap since; empty: none was.
+  /// @param aLedger The ledger that was part of the call, though a
+  ///   configuration may have changed its route's cap since; empty: none was.
   void OnStored(const std::string& aLot,
-                const std::string& aCappedRoute,
+                const std::string& aLedger,
                 const metadata::TransactionReply& aReply);
   void Drop(const std::string& aLot, std::string_view aReason);
   [[nodiscard]] std::size_t Bytes() const;
--- a/Libraries/LibGateway/LedgerChange.cpp
+++ b/Libraries/LibGateway/LedgerChange.cpp
@@ -9,19 +9,19 @@
 void
 LearnLedger(Shared& aShared,
             const lots::LotKeySpace& aKeys,
-            const std::string& aRoute,
+            const std::string& aLedger,
             const metadata::TransactionReply& aReply)
 {
-  const std::string key = aKeys.LedgerOf(aRoute);
+  const std::string key = aKeys.LedgerOf(aLedger);
   for (const metadata::StoreItem& item : aReply.current_) {
     if (item.key_ != key || item.revision_ == 0) {
       continue;
     }
     const lots::LedgerNews news = aShared.ledgers_.Learn(
-      aRoute, item.value_, item.revision_, base::MonotonicNow());
+      aLedger, item.value_, item.revision_, base::MonotonicNow());
     if (news == lots::LedgerNews::Unreadable) {
       base::Log(kLedgerUnreadable,
-                { { "route", aRoute }, { "revision", item.revision_ } });
+                { { "ledger", aLedger }, { "revision", item.revision_ } });
     }
   }
 }
@@ -39,14 +39,14 @@
 AddRow(metadata::Transaction& aCreation,
        const Shared& aShared,
        const lots::LotKeySpace& aKeys,
-       const std::string& aRoute,
+       const std::string& aLedger,
        const std::string& aLot,
        std::uint64_t aTokens)
 {
-  const lots::LedgerView& view = aShared.ledgers_.Of(aRoute);
+  const lots::LedgerView& view = aShared.ledgers_.Of(aLedger);
   lots::TokenLedger ledger = view.ledger_;
   ledger.Set(aLot, aTokens);
-  const std::string key = aKeys.LedgerOf(aRoute);
+  const std::string key = aKeys.LedgerOf(aLedger);
   aCreation.expectations_.push_back({ key, view.revision_ });
   aCreation.writes_.push_back({ key, lots::EncodeLedger(ledger), 0 });
 }
--- a/Libraries/LibGateway/LedgerChange.h
+++ b/Libraries/LibGateway/LedgerChange.h
@@ -13,20 +13,20 @@
 void
 LearnLedger(Shared& aShared,
             const lots::LotKeySpace& aKeys,
-            const std::string& aRoute,
+            const std::string& aLedger,
             const metadata::TransactionReply& aReply);
 
 /// @return whether the reply to a refused transaction shows that a key exists.
 bool
 ShowsKey(const metadata::TransactionReply& aReply, const std::string& aKey);
 
-/// Adds a lot's row to its route's ledger, in the transaction that creates the
+/// Adds a lot's row to its ledger, in the transaction that creates the
 /// lot, under the condition that the ledger is as known here.
 void
 AddRow(metadata::Transaction& aCreation,
        const Shared& aShared,
        const lots::LotKeySpace& aKeys,
-       const std::string& aRoute,
+       const std::string& aLedger,
        const std::string& aLot,
        std::uint64_t aTokens);
 
--- a/Libraries/LibGateway/LedgerKeeper.cpp
+++ b/Libraries/LibGateway/LedgerKeeper.cpp
@@ -16,10 +16,14 @@
 constexpr std::chrono::milliseconds kPauseNearCap{ 250 };
 constexpr std::chrono::seconds kPauseElsewhere{ 5 };
 
-/// Share of the cap from which on a route counts as near it. A flood of 25
-/// times the usual lots fills the other half in 3 s.
+/// Share of the cap from which on a ledger counts as near it: a flood fills the
+/// other half within seconds.
 constexpr double kNearCap = 0.5;
 
+/// How long a ledger without lots of this host is looked after: rows of hosts
+/// that are gone are removed meanwhile.
+constexpr std::chrono::seconds kQuietAfter{ 120 };
+
 /// A host with lots on a capped route stores its rows at least this often, and
 /// so learns of a ledger that someone else has spoiled.
 constexpr std::chrono::seconds kLongestPause{ 10 };
@@ -46,57 +50,68 @@
 void
 LedgerKeeper::Tick(const std::vector<WaitingLot>& aOwn, base::Instant aNow)
 {
-  for (const fleet::Route& route : shared_.routes_.CappedRoutes()) {
-    Update(route, aOwn, aNow);
+  for (const WaitingLot& lot : aOwn) {
+    updates_[lot.ledger_].cap_ = lot.cap_;
+  }
+  for (auto entry = updates_.begin(); entry != updates_.end();) {
+    Update(entry->first, aOwn, aNow);
+    const LedgerUpdate& update = entry->second;
+    const bool isQuiet = update.running_.empty() && update.closed_.empty() &&
+                         !update.isUnderWay_ &&
+                         aNow - update.usedAt_ > kQuietAfter;
+    entry = isQuiet ? updates_.erase(entry) : std::next(entry);
   }
 }
 
 base::Duration
-LedgerKeeper::PauseFor(const fleet::Route& aRoute,
-                       const RouteUpdate& aUpdate) const
+LedgerKeeper::PauseFor(const std::string& aLedger,
+                       const LedgerUpdate& aUpdate) const
 {
   // The view may be from before a flood; lots are spread evenly over the hosts
   // that run them, so the own ones tell of the others'.
   const std::uint64_t waiting = std::max(
-    shared_.ledgers_.Of(aRoute.name_).ledger_.Total(),
+    shared_.ledgers_.Of(aLedger).ledger_.Total(),
     aUpdate.mostSince_ * std::max<std::size_t>(hosts_.WorkerCount(), 1));
-  const bool isNear = static_cast<double>(waiting) >
-                      kNearCap * static_cast<double>(aRoute.waitingTokenCap_);
+  const bool isNear =
+    static_cast<double>(waiting) > kNearCap * static_cast<double>(aUpdate.cap_);
   return isNear ? base::Duration(kPauseNearCap)
                 : base::Duration(kPauseElsewhere);
 }
 
 void
-LedgerKeeper::Update(const fleet::Route& aRoute,
+LedgerKeeper::Update(const std::string& aLedger,
                      const std::vector<WaitingLot>& aOwn,
                      base::Instant aNow)
 {
-  RouteUpdate& update = updates_[aRoute.name_];
-  NoteOwn(update, aRoute.name_, aOwn);
-  const base::Duration pause = PauseFor(aRoute, update);
+  LedgerUpdate& update = updates_[aLedger];
+  NoteOwn(update, aLedger, aOwn);
+  if (!update.running_.empty() || update.usedAt_ == base::Instant{}) {
+    update.usedAt_ = aNow;
+  }
+  const base::Duration pause = PauseFor(aLedger, update);
   update.nextAt_ = std::min(update.nextAt_, aNow + pause);
   if (update.isUnderWay_ || aNow < update.nextAt_) {
     return;
   }
   update.nextAt_ = aNow + pause;
-  const lots::TokenLedger corrected = Corrected(aRoute.name_, aOwn, aNow);
+  const lots::TokenLedger corrected = Corrected(aLedger, aOwn, aNow);
   const bool isOverdue =
     !update.running_.empty() && aNow - update.committedAt_ >= kLongestPause;
-  if (corrected != shared_.ledgers_.Of(aRoute.name_).ledger_ ||
+  if (corrected != shared_.ledgers_.Of(aLedger).ledger_ ||
       !update.closed_.empty() || isOverdue) {
-    Commit(aRoute.name_, corrected);
+    Commit(aLedger, corrected);
   }
 }
 
 void
-LedgerKeeper::NoteOwn(RouteUpdate& aUpdate,
-                      const std::string& aRoute,
+LedgerKeeper::NoteOwn(LedgerUpdate& aUpdate,
+                      const std::string& aLedger,
                       const std::vector<WaitingLot>& aOwn)
 {
   std::set<std::string> running;
   std::uint64_t tokens = 0;
   for (const WaitingLot& lot : aOwn) {
-    if (lot.route_ != aRoute) {
+    if (lot.ledger_ != aLedger) {
       continue;
     }
     (lot.tokens_ > 0 ? running : aUpdate.closed_).insert(lot.lot_);
@@ -112,18 +127,19 @@
 }
 
 lots::TokenLedger
-LedgerKeeper::Corrected(const std::string& aRoute,
+LedgerKeeper::Corrected(const std::string& aLedger,
                         const std::vector<WaitingLot>& aOwn,
                         base::Instant aNow)
 {
-  lots::TokenLedger ledger = shared_.ledgers_.Of(aRoute).ledger_;
-  for (const auto& [lot, tokens] : shared_.ledgers_.Of(aRoute).ledger_.Rows()) {
+  lots::TokenLedger ledger = shared_.ledgers_.Of(aLedger).ledger_;
+  for (const auto& [lot, tokens] :
+       shared_.ledgers_.Of(aLedger).ledger_.Rows()) {
     if (IsToBeRemoved(lot, aNow)) {
       ledger.Set(lot, 0);
     }
   }
   for (const WaitingLot& own : aOwn) {
-    if (own.route_ != aRoute) {
+    if (own.ledger_ != aLedger) {
       continue;
     }
     // A row never grows: after a takeover items run again that a server has
@@ -151,22 +167,22 @@
 }
 
 void
-LedgerKeeper::Commit(const std::string& aRoute,
-                     const lots::TokenLedger& aLedger)
+LedgerKeeper::Commit(const std::string& aLedger,
+                     const lots::TokenLedger& aContent)
 {
-  const std::string key = lots_.Keys().LedgerOf(aRoute);
-  const std::string value = lots::EncodeLedger(aLedger);
+  const std::string key = lots_.Keys().LedgerOf(aLedger);
+  const std::string value = lots::EncodeLedger(aContent);
   metadata::Transaction transaction;
   transaction.expectations_.push_back(
-    { key, shared_.ledgers_.Of(aRoute).revision_ });
+    { key, shared_.ledgers_.Of(aLedger).revision_ });
   transaction.writes_.push_back({ key, value, 0 });
-  updates_[aRoute].isUnderWay_ = true;
+  updates_[aLedger].isUnderWay_ = true;
   store_.Commit(
     transaction,
-    [this, aRoute, value, closed = updates_[aRoute].closed_](
+    [this, aLedger, value, closed = updates_[aLedger].closed_](
       const metadata::TransactionReply& aReply) {
       using metadata::StoreStatus;
-      RouteUpdate& update = updates_[aRoute];
+      LedgerUpdate& update = updates_[aLedger];
       update.isUnderWay_ = false;
       const base::Instant now = base::MonotonicNow();
       if (aReply.status_ == StoreStatus::Ok) {
@@ -175,11 +191,11 @@
         std::erase_if(update.closed_, [&closed](const std::string& aLot) {
           return closed.contains(aLot);
         });
-        shared_.ledgers_.Learn(aRoute, value, aReply.revision_, now);
+        shared_.ledgers_.Learn(aLedger, value, aReply.revision_, now);
         return;
       }
       if (aReply.status_ == StoreStatus::Conflict) {
-        LearnLedger(shared_, lots_.Keys(), aRoute, aReply);
+        LearnLedger(shared_, lots_.Keys(), aLedger, aReply);
         // With the present one, at the next look.
         update.nextAt_ = now;
       }
--- a/Libraries/LibGateway/LedgerKeeper.h
+++ b/Libraries/LibGateway/LedgerKeeper.h
@@ -16,14 +16,15 @@
 struct WaitingLot
 {
   std::string lot_;
-  std::string route_;
+  std::string ledger_;
+  std::uint64_t cap_ = 0;    ///< Of the ledger.
   std::uint64_t tokens_ = 0; ///< 0: nothing is left of it.
 };
 
 /// Keeps this host's rows in the ledgers of capped routes true: lowers those of
 /// the lots that it runs, and removes those of closed ones. A row that is too
 /// high makes an entry host refuse a lot that fits, so rows follow quickly
-/// where a route is near its cap, and seldom elsewhere, as each change is a
+/// where a ledger is near its cap, and seldom elsewhere, as each change is a
 /// call that is charged. Belongs to the event thread.
 class LedgerKeeper
 {
@@ -38,10 +39,12 @@
   void Tick(const std::vector<WaitingLot>& aOwn, base::Instant aNow);
 
 private:
-  struct RouteUpdate
+  struct LedgerUpdate
   {
+    std::uint64_t cap_ = 0;
     base::Instant nextAt_{};
     base::Instant committedAt_{};
+    base::Instant usedAt_{};      ///< By lots of this host.
     std::uint64_t mostSince_ = 0; ///< Own tokens at their most since then.
     bool isUnderWay_ = false;
     std::set<std::string> running_; ///< Own lots at the last look.
@@ -50,26 +53,27 @@
     std::set<std::string> closed_;
   };
 
-  void Update(const fleet::Route& aRoute,
+  void Update(const std::string& aLedger,
               const std::vector<WaitingLot>& aOwn,
               base::Instant aNow);
-  static void NoteOwn(RouteUpdate& aUpdate,
-                      const std::string& aRoute,
+  static void NoteOwn(LedgerUpdate& aUpdate,
+                      const std::string& aLedger,
                       const std::vector<WaitingLot>& aOwn);
-  [[nodiscard]] lots::TokenLedger Corrected(const std::string& aRoute,
+  [[nodiscard]] lots::TokenLedger Corrected(const std::string& aLedger,
                                             const std::vector<WaitingLot>& aOwn,
                                             base::Instant aNow);
   [[nodiscard]] bool IsToBeRemoved(const std::string& aLot, base::Instant aNow);
-  void Commit(const std::string& aRoute, const lots::TokenLedger& aLedger);
-  [[nodiscard]] base::Duration PauseFor(const fleet::Route& aRoute,
-                                        const RouteUpdate& aUpdate) const;
+  void Commit(const std::string& aLedger, const lots::TokenLedger& aContent);
+  [[nodiscard]] base::Duration PauseFor(const std::string& aLedger,
+                                        const LedgerUpdate& aUpdate) const;
 
   Shared& shared_;
   metadata::StoreClient& store_;
   const lots::LotTable& lots_;
   const lots::HostSet& hosts_;
   std::string ownName_;
-  std::unordered_map<std::string, RouteUpdate> updates_; ///< By route.
+  /// By ledger. One that has been quiet for long is forgotten.
+  std::unordered_map<std::string, LedgerUpdate> updates_;
   /// Lots with a row that are not known here, since when.
   std::unordered_map<std::string, base::Instant> unknownSince_;
 };
--- a/Libraries/LibGateway/LotIntake.cpp
+++ b/Libraries/LibGateway/LotIntake.cpp
@@ -60,8 +60,8 @@
   std::shared_ptr<httpstream::Exchange> exchange_;
   lots::HeldLot lot_;
   metadata::Transaction creation_;
-  std::string route_;
-  std::uint64_t cap_ = 0; ///< Of tokens on the route; 0: none.
+  std::string ledger_;
+  std::uint64_t cap_ = 0; ///< Of tokens in the ledger; 0: none.
   std::uint64_t tokens_ = 0;
   boost::asio::steady_timer holdTimer_;
   base::Instant giveUpAt_;
@@ -127,7 +127,8 @@
   submission->lot_ = MakeLot(request, aLot, items.size());
   submission->lot_.state_.organisation_ = aCaller.value_or(std::string());
   submission->creation_ = MakeCreation(lots_.Keys(), submission->lot_);
-  submission->route_ = aRoute.name_;
+  submission->ledger_ =
+    lots::LedgerName(aRoute.name_, submission->lot_.state_.organisation_);
   submission->cap_ = aRoute.waitingTokenCap_;
   submission->tokens_ = lots::TokensOf(items);
   submission->giveUpAt_ = aExchange->ReceivedAt() + kSubmitPatience;
@@ -154,7 +155,7 @@
 LotIntake::Fits(const Submission& aSubmission) const
 {
   return aSubmission.cap_ == 0 ||
-         shared_.ledgers_.Of(aSubmission.route_)
+         shared_.ledgers_.Of(aSubmission.ledger_)
            .ledger_.Fits(aSubmission.tokens_, aSubmission.cap_);
 }
 
@@ -169,7 +170,7 @@
     AddRow(transaction,
            shared_,
            lots_.Keys(),
-           aSubmission.route_,
+           aSubmission.ledger_,
            aSubmission.lot_.id_,
            aSubmission.tokens_);
     return transaction;
@@ -177,7 +178,7 @@
   // By what is known here, the lot doesn't fit. That may be old, or the lot may
   // be there already: an expectation that can't hold makes the store tell both
   // in one call.
-  const std::string key = lots_.Keys().LedgerOf(aSubmission.route_);
+  const std::string key = lots_.Keys().LedgerOf(aSubmission.ledger_);
   transaction.expectations_.push_back({ key, kNeverALedgersRevision });
   transaction.writes_.clear();
   transaction.writes_.push_back({ key, {}, 0 });
@@ -194,9 +195,10 @@
   submission.isCommitting_ = false;
   if (status == StoreStatus::Ok) {
     if (submission.cap_ > 0) {
-      lots::TokenLedger ledger = shared_.ledgers_.Of(submission.route_).ledger_;
+      lots::TokenLedger ledger =
+        shared_.ledgers_.Of(submission.ledger_).ledger_;
       ledger.Set(submission.lot_.id_, submission.tokens_);
-      shared_.ledgers_.Learn(submission.route_,
+      shared_.ledgers_.Learn(submission.ledger_,
                              lots::EncodeLedger(ledger),
                              aReply.revision_,
                              base::MonotonicNow());
@@ -237,7 +239,7 @@
     Accept(submission, "store before");
     return;
   }
-  LearnLedger(shared_, lots_.Keys(), submission.route_, aReply);
+  LearnLedger(shared_, lots_.Keys(), submission.ledger_, aReply);
   if (submission.isAnswered_) {
     return;
   }
@@ -263,15 +265,15 @@
   aSubmission.isAnswered_ = true;
   aSubmission.holdTimer_.cancel();
   const base::Duration comeBack =
-    shared_.ledgers_.RoomExpectedAfter(aSubmission.route_,
+    shared_.ledgers_.RoomExpectedAfter(aSubmission.ledger_,
                                        aSubmission.tokens_,
                                        aSubmission.cap_,
                                        base::MonotonicNow(),
                                        NextRandom(shared_.random_));
-  const lots::LedgerView& view = shared_.ledgers_.Of(aSubmission.route_);
+  const lots::LedgerView& view = shared_.ledgers_.Of(aSubmission.ledger_);
   base::Log(kLotOverCap,
             { { "lot", aSubmission.lot_.id_ },
-              { "route", aSubmission.route_ },
+              { "ledger", aSubmission.ledger_ },
               { "tokens", aSubmission.tokens_ },
               { "waiting", view.ledger_.Total() },
               { "cap", aSubmission.cap_ },
--- /dev/null
+++ b/Libraries/LibGateway/ResultKeeper.cpp
@@ -0,0 +1,282 @@
+#include "LibGateway/ResultKeeper.h"
+
+#include "LibGateway/Events.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// How long results wait for others. Readers look about twice a second.
+constexpr std::chrono::milliseconds kGather{ 500 };
+
+/// A result that is due sooner than this is stored at once.
+constexpr std::chrono::seconds kDueSoon{ 2 };
+
+/// Largest size of one stored page of results, before encoding. The store
+/// takes values up to 1 MB in base64.
+constexpr std::size_t kMaxPageBytes = 500000;
+
+/// Lots in one call: two expectations and two writes each, of the 32 entries
+/// that a call may have.
+constexpr std::size_t kMostLots = 8;
+
+/// Pause before a failed call is made again; after a conflict, until the mirror
+/// says who owns the lot.
+constexpr std::chrono::milliseconds kRetryPause{ 300 };
+constexpr std::chrono::seconds kConflictPause{ 3 };
+
+/// Moves as many results as fit one page.
+std::vector<lots::ItemResult>
+TakePage(std::vector<lots::ItemResult>& aResults)
+{
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  while (
+    count < aResults.size() &&
+    (count == 0 || bytes + aResults[count].output_.size() < kMaxPageBytes)) {
+    bytes += aResults[count].output_.size();
+    ++count;
+  }
+  const auto end = aResults.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<lots::ItemResult> page(std::make_move_iterator(aResults.begin()),
+                                     std::make_move_iterator(end));
+  aResults.erase(aResults.begin(), end);
+  return page;
+}
+
+} // namespace
+
+void
+ResultKeeper::Begin(const lots::Lot& aLot)
+{
+  Entry entry;
+  entry.nextPosition_ = static_cast<std::uint32_t>(aLot.results_.size());
+  entries_[aLot.id_] = std::move(entry);
+}
+
+void
+ResultKeeper::Add(const std::string& aLot,
+                  lots::ItemResult aResult,
+                  base::Instant aDueAt,
+                  base::Instant aNow)
+{
+  Entry& entry = entries_[aLot];
+  const bool isDueSoon = aDueAt - aNow < kDueSoon;
+  const base::Instant storeAt = isDueSoon ? aNow : aNow + kGather;
+  entry.storeAt_ =
+    entry.unstored_.empty() ? storeAt : std::min(entry.storeAt_, storeAt);
+  entry.unstored_.push_back(std::move(aResult));
+}
+
+bool
+ResultKeeper::IsStoring(const std::string& aLot) const
+{
+  const auto entry = entries_.find(aLot);
+  return entry != entries_.end() && !entry->second.storing_.empty();
+}
+
+bool
+ResultKeeper::MayStore(const Entry& aEntry, base::Instant aNow) const
+{
+  const bool hasAny = !aEntry.unstored_.empty() || !aEntry.storing_.empty();
+  return hasAny && !aEntry.callUnderWay_ && aEntry.retryAt_ <= aNow;
+}
+
+void
+ResultKeeper::Tick(base::Instant aNow)
+{
+  const bool isAnyDue =
+    std::any_of(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
+      return MayStore(aEntry.second, aNow) && aEntry.second.storeAt_ <= aNow;
+    });
+  if (!isAnyDue) {
+    return;
+  }
+  for (auto& [lot, entry] : entries_) {
+    // What may be stored already goes alone, so that the reply tells of it.
+    if (MayStore(entry, aNow) && !entry.storing_.empty()) {
+      StoreAlone(lot, entry);
+    }
+  }
+  while (StoreTogether(aNow) > 0) {
+  }
+}
+
+std::size_t
+ResultKeeper::StoreTogether(base::Instant aNow)
+{
+  metadata::Transaction transaction;
+  std::vector<PageWrite> writes;
+  std::size_t bytes = 0;
+  for (auto& [id, entry] : entries_) {
+    const lots::Lot* lot = lots_.Find(id);
+    if (lot == nullptr || !MayStore(entry, aNow) ||
+        writes.size() == kMostLots || bytes >= kMaxPageBytes) {
+      continue;
+    }
+    writes.push_back(AddPage(transaction, *lot, entry));
+    for (const lots::ItemResult& result : entry.storing_) {
+      bytes += result.output_.size();
+    }
+  }
+  if (!writes.empty()) {
+    store_.Commit(transaction,
+                  [this, writes](const metadata::TransactionReply& aReply) {
+                    OnReplyTogether(writes, aReply);
+                  });
+  }
+  return writes.size();
+}
+
+void
+ResultKeeper::StoreAlone(const std::string& aLot, Entry& aEntry)
+{
+  const lots::Lot* lot = lots_.Find(aLot);
+  if (lot == nullptr) {
+    return;
+  }
+  metadata::Transaction transaction;
+  const PageWrite write = AddPage(transaction, *lot, aEntry);
+  store_.Commit(transaction,
+                [this, write](const metadata::TransactionReply& aReply) {
+                  OnReply(write, aReply);
+                });
+}
+
+ResultKeeper::PageWrite
+ResultKeeper::AddPage(metadata::Transaction& aTransaction,
+                      const lots::Lot& aLot,
+                      Entry& aEntry)
+{
+  // A call without an answer may take effect seconds later. The same page goes
+  // to the same position until the store has said what became of it, so that
+  // a late effect changes nothing.
+  if (aEntry.storing_.empty()) {
+    aEntry.storing_ = TakePage(aEntry.unstored_);
+  }
+  aEntry.callUnderWay_ = true;
+  PageWrite write;
+  write.lot_ = aLot.id_;
+  write.pageKey_ = lots_.Keys().MakeKey(
+    { aLot.id_, lots::KeyPart::Results, aEntry.nextPosition_ });
+  write.stateKey_ = lots_.Keys().StateOf(aLot.id_);
+  write.state_ = aLot.state_;
+  write.finishes_ =
+    aEntry.nextPosition_ + aEntry.storing_.size() >= aLot.state_.itemCount_;
+  write.state_.isFinished_ = write.finishes_;
+  aTransaction.expectations_.push_back(
+    { write.stateKey_, aLot.stateRevision_ });
+  aTransaction.expectations_.push_back({ write.pageKey_, 0 });
+  aTransaction.writes_.push_back(
+    { write.pageKey_, lots::EncodeResults(aEntry.storing_), 0 });
+  if (write.finishes_) {
+    aTransaction.writes_.push_back(
+      { write.stateKey_, lots::EncodeState(write.state_), 0 });
+  }
+  return write;
+}
+
+void
+ResultKeeper::OnReplyTogether(const std::vector<PageWrite>& aWrites,
+                              const metadata::TransactionReply& aReply)
+{
+  const bool isConflict =
+    aReply.status_ == metadata::StoreStatus::Conflict && aWrites.size() > 1;
+  for (const PageWrite& write : aWrites) {
+    if (!isConflict) {
+      OnReply(write, aReply);
+      continue;
+    }
+    // One lot's conflict kept all from being stored: each goes alone now.
+    const auto entry = entries_.find(write.lot_);
+    if (entry != entries_.end()) {
+      entry->second.callUnderWay_ = false;
+      StoreAlone(write.lot_, entry->second);
+    }
+  }
+}
+
+void
+ResultKeeper::OnReply(const PageWrite& aWrite,
+                      const metadata::TransactionReply& aReply)
+{
+  using metadata::StoreStatus;
+  const auto found = entries_.find(aWrite.lot_);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.callUnderWay_ = false;
+  if (aReply.status_ == StoreStatus::Ok) {
+    NoteStored(entry, aWrite, aReply.revision_);
+    return;
+  }
+  // After a conflict the page may be there by an earlier try of this call,
+  // whose answer was lost.
+  std::uint64_t stateRevision = 0;
+  bool isThere = false;
+  for (const metadata::StoreItem& item : aReply.current_) {
+    isThere = isThere || (item.key_ == aWrite.pageKey_ &&
+                          item.value_ == lots::EncodeResults(entry.storing_));
+    if (item.key_ == aWrite.stateKey_) {
+      stateRevision = item.revision_;
+    }
+  }
+  if (aReply.status_ == StoreStatus::Conflict && isThere) {
+    NoteStored(entry, aWrite, stateRevision);
+    return;
+  }
+  base::Log(kResultsNotStored,
+            { { "lot", aWrite.lot_ },
+              { "position", entry.nextPosition_ },
+              { "status", static_cast<int>(aReply.status_) } });
+  // After a conflict another host owns the lot, or its sender has ended it: the
+  // mirror will say which. Until then nothing more is stored.
+  const bool isConflict = aReply.status_ == StoreStatus::Conflict;
+  entry.retryAt_ =
+    base::MonotonicNow() +
+    (isConflict ? base::Duration(kConflictPause) : base::Duration(kRetryPause));
+}
+
+void
+ResultKeeper::NoteStored(Entry& aEntry,
+                         const PageWrite& aWrite,
+                         std::uint64_t aStateRevision)
+{
+  base::Log(kResultsStored,
+            { { "lot", aWrite.lot_ },
+              { "position", aEntry.nextPosition_ },
+              { "count", aEntry.storing_.size() } });
+  lots_.Apply(
+    aWrite.pageKey_, lots::EncodeResults(aEntry.storing_), aStateRevision);
+  aEntry.nextPosition_ += static_cast<std::uint32_t>(aEntry.storing_.size());
+  aEntry.storing_.clear();
+  if (aWrite.finishes_) {
+    lots_.Apply(
+      aWrite.stateKey_, lots::EncodeState(aWrite.state_), aStateRevision);
+  }
+  onStored_(aWrite.lot_);
+}
+
+bool
+ResultKeeper::AddTo(metadata::Transaction& aTransaction, const lots::Lot& aLot)
+{
+  const auto found = entries_.find(aLot.id_);
+  if (found == entries_.end() || found->second.unstored_.empty() ||
+      !found->second.storing_.empty()) {
+    return false;
+  }
+  Entry& entry = found->second;
+  const std::string key = lots_.Keys().MakeKey(
+    { aLot.id_, lots::KeyPart::Results, entry.nextPosition_ });
+  const std::vector<lots::ItemResult> page = TakePage(entry.unstored_);
+  aTransaction.expectations_.push_back({ key, 0 });
+  aTransaction.writes_.push_back({ key, lots::EncodeResults(page), 0 });
+  return entry.nextPosition_ + page.size() >= aLot.state_.itemCount_;
+}
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibLots/LedgerBook.cpp
+++ b/Libraries/LibLots/LedgerBook.cpp
@@ -39,20 +39,20 @@
 } // namespace
 
 const LedgerView&
-LedgerBook::Of(const std::string& aRoute) const
+LedgerBook::Of(const std::string& aLedger) const
 {
   static const LedgerView kNone;
-  const auto entry = entries_.find(aRoute);
+  const auto entry = entries_.find(aLedger);
   return entry == entries_.end() ? kNone : entry->second.view_;
 }
 
 LedgerNews
-LedgerBook::Learn(const std::string& aRoute,
+LedgerBook::Learn(const std::string& aLedger,
                   std::string_view aValue,
                   std::uint64_t aRevision,
                   base::Instant aNow)
 {
-  Entry& entry = entries_[aRoute];
+  Entry& entry = entries_[aLedger];
   if (aRevision <= entry.view_.revision_) {
     return LedgerNews::Old;
   }
@@ -72,16 +72,16 @@
 }
 
 base::Duration
-LedgerBook::RoomExpectedAfter(const std::string& aRoute,
+LedgerBook::RoomExpectedAfter(const std::string& aLedger,
                               std::uint64_t aTokens,
                               std::uint64_t aCap,
                               base::Instant aNow,
                               double aRandom) const
 {
-  const std::uint64_t wanted = Of(aRoute).ledger_.Total() + aTokens;
+  const std::uint64_t wanted = Of(aLedger).ledger_.Total() + aTokens;
   const std::uint64_t excess = wanted > aCap ? wanted - aCap : 0;
   std::uint64_t released = 0;
-  if (const auto entry = entries_.find(aRoute); entry != entries_.end()) {
+  if (const auto entry = entries_.find(aLedger); entry != entries_.end()) {
     for (const Release& release : entry->second.releases_) {
       released += aNow - release.at_ <= kRateWindow ? release.tokens_ : 0;
     }
--- a/Libraries/LibLots/LedgerBook.h
+++ b/Libraries/LibLots/LedgerBook.h
@@ -26,17 +26,17 @@
   Unreadable, ///< Taken as empty: the hosts that run lots add their rows anew.
 };
 
-/// The routes' ledgers as this host last saw them, and how fast tokens leave
+/// The ledgers as this host last saw them, and how fast tokens leave
 /// them. A view may be old: a change is made under the condition that it is
 /// not, and the store's refusal brings the present one. Takes the time as an
 /// argument, does no I/O, is not thread-safe.
 class LedgerBook
 {
 public:
-  [[nodiscard]] const LedgerView& Of(const std::string& aRoute) const;
+  [[nodiscard]] const LedgerView& Of(const std::string& aLedger) const;
 
   /// Takes over a ledger as the store has it.
-  LedgerNews Learn(const std::string& aRoute,
+  LedgerNews Learn(const std::string& aLedger,
                    std::string_view aValue,
                    std::uint64_t aRevision,
                    base::Instant aNow);
@@ -44,7 +44,7 @@
   /// @return when room for a lot that doesn't fit now is expected, by how fast
   ///         tokens were freed of late.
   /// @param aRandom Uniform in [0, 1): spreads the returns of senders.
-  [[nodiscard]] base::Duration RoomExpectedAfter(const std::string& aRoute,
+  [[nodiscard]] base::Duration RoomExpectedAfter(const std::string& aLedger,
                                                  std::uint64_t aTokens,
                                                  std::uint64_t aCap,
                                                  base::Instant aNow,
@@ -62,7 +62,7 @@
     std::deque<Release> releases_; ///< Of the last seconds.
   };
 
-  std::unordered_map<std::string, Entry> entries_; ///< By route.
+  std::unordered_map<std::string, Entry> entries_; ///< By ledger.
 };
 
 } // namespace pumiceturn::lots
--- a/Libraries/LibLots/LotKeys.cpp
+++ b/Libraries/LibLots/LotKeys.cpp
@@ -6,6 +6,13 @@
 
 namespace pumiceturn::lots {
 
+std::string
+LedgerName(const std::string& aRoute, const std::string& aOrganisation)
+{
+  return aOrganisation.empty() ? aRoute
+                               : fmt::format("{}/{}", aRoute, aOrganisation);
+}
+
 std::string
 LotKeySpace::DataOf(std::string_view aLot) const
 {
--- a/Libraries/LibLots/LotKeys.h
+++ b/Libraries/LibLots/LotKeys.h
@@ -43,10 +43,10 @@
     return MakeKey({ aLot, KeyPart::State, 0 });
   }
 
-  /// @return the key of a route's ledger.
-  [[nodiscard]] std::string LedgerOf(const std::string& aRoute) const
+  /// @return the key of a ledger, by its name.
+  [[nodiscard]] std::string LedgerOf(const std::string& aLedger) const
   {
-    return ledgerPrefix_ + aRoute;
+    return ledgerPrefix_ + aLedger;
   }
 
   /// @return the prefix of all keys of a lot but its state.
@@ -56,4 +56,9 @@
   [[nodiscard]] std::optional<LotKey> ParseKey(std::string_view aText) const;
 };
 
+/// @return the name of the ledger that counts what an organisation has waiting
+///         on a route: each has its own, so that not every lot writes the same.
+std::string
+LedgerName(const std::string& aRoute, const std::string& aOrganisation);
+
 } // namespace pumiceturn::lots
--- a/Tests/Platform/CallersTest.cpp
+++ b/Tests/Platform/CallersTest.cpp
@@ -37,6 +37,8 @@
   {
     json open = MakeTestRoute("open", "stream");
     open["noAuth"] = true;
+    json lots = MakeTestRoute("lots", "batch");
+    lots["cap"] = lotCap_;
     json rows = json::array();
     for (const Declared& organisation : aOrganisations) {
       rows.push_back({ { "name", organisation.name_ },
@@ -49,7 +51,7 @@
       { "routes",
         { MakeTestRoute("stream", "stream"),
           std::move(open),
-          MakeTestRoute("lots", "batch") } },
+          std::move(lots) } },
       { "services", { { { "name", "service" }, { "maxConns", 100 } } } },
       { "tenants", std::move(rows) }
     };
@@ -106,6 +108,7 @@
 
   TestHost* host_ = nullptr;
   std::uint64_t version_ = 0;
+  std::uint64_t lotCap_ = 0; ///< Tokens that may wait; 0: no bound.
 };
 
 // Servers were told a key, and nobody's name.
@@ -236,6 +239,27 @@
   CHECK(Seen("Authorization").empty());
 }
 
+// One organisation filled a route, and no other's lot was accepted.
+TEST_CASE_METHOD(CallersFixture, "Callers_CapOfTheRoute_IsForEachOrganisation")
+{
+  lotCap_ = 20;
+  Declare({ { "archive", { "key-a1" } }, { "portal", { "key-p" } } });
+  RunUntil([this] { return StatusFor(Bearer("key-a2")) == 401; });
+  CHECK(SubmitLot("key-a1", LotBody(2)) == 202);
+  const auto submit = [this](const std::string& aKey, const std::string& aLot) {
+    return Ask(*host_,
+               "POST",
+               "/lots/1",
+               "Attempt-Id: " + aLot + "\r\n" + Bearer(aKey),
+               LotBody(2, aLot))
+      ->status_;
+  };
+  CHECK(submit("key-a1", "second") == 429);
+  CHECK(submit("key-p", "third") == 202);
+  CHECK(submit("key-p", "fourth") == 429);
+  CHECK_FALSE(store_.Get("pumiceturn/tokens/lots/archive").empty());
+}
+
 // One organisation's flood took the places of all others.
 TEST_CASE_METHOD(CallersFixture, "Callers_BeyondTheLimit_AreToldWhenToComeBack")
 {
--- /dev/null
+++ b/Tests/Platform/ResultKeeperTest.cpp
@@ -0,0 +1,156 @@
+#include "LibGateway/ResultKeeper.h"
+#include "Tests/LibMetadata/FakeStore.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::gateway {
+
+using namespace std::chrono_literals;
+using metadata::StoreStatus;
+
+/// Lots of two items each that this host runs, and a store whose answers the
+/// test gives.
+class ResultKeeperFixture
+{
+protected:
+  void Begin(const std::string& aLot)
+  {
+    lots::LotState state;
+    state.itemCount_ = 2;
+    lots_.Apply(keys_.StateOf(aLot), lots::EncodeState(state), 5);
+    keeper_.Begin(*lots_.Find(aLot));
+  }
+
+  void Finish(const std::string& aLot,
+              int aItem,
+              base::Duration aDueAfter = 10s)
+  {
+    keeper_.Add(
+      aLot,
+      { aLot + std::to_string(aItem), lots::ItemState::Completed, "output" },
+      now_ + aDueAfter,
+      now_);
+  }
+
+  void Pass(base::Duration aTime)
+  {
+    now_ += aTime;
+    keeper_.Tick(now_);
+  }
+
+  void Answer(const metadata::TransactionReply& aReply)
+  {
+    REQUIRE_FALSE(store_.commits_.empty());
+    metadata::FakeStore::Take(store_.commits_).second(aReply);
+  }
+
+  [[nodiscard]] std::size_t StoredCount(const std::string& aLot) const
+  {
+    return lots_.Find(aLot)->results_.size();
+  }
+
+  base::Instant now_ = base::MonotonicNow();
+  lots::LotKeySpace keys_{ "lot/", "data/" };
+  lots::LotTable lots_{ keys_, [](std::string_view) {
+                         return std::optional(std::vector<lots::LotItem>{});
+                       } };
+  metadata::FakeStore store_;
+  std::vector<std::string> told_;
+  ResultKeeper keeper_{ store_, lots_, [this](const std::string& aLot) {
+                         told_.push_back(aLot);
+                       } };
+};
+
+// Load: results of several lots within a short while. Each was a call, most of
+// all calls to the store.
+TEST_CASE_METHOD(ResultKeeperFixture, "ResultKeeper_SeveralLots_AreOneCall")
+{
+  Begin("a");
+  Begin("b");
+  Finish("a", 0);
+  Pass(200ms);
+  Finish("b", 0);
+  Finish("b", 1);
+  CHECK(store_.commits_.empty());
+  Pass(300ms);
+  REQUIRE(store_.commits_.size() == 1);
+  // A page each, and the state of the lot that is finished by it.
+  CHECK(store_.commits_.front().first.writes_.size() == 3);
+  CHECK(store_.commits_.front().first.expectations_.size() == 4);
+  Answer({ StoreStatus::Ok, 9, {} });
+  CHECK(StoredCount("a") == 1);
+  CHECK(StoredCount("b") == 2);
+  CHECK(lots_.Find("b")->state_.isFinished_);
+  CHECK(told_ == std::vector<std::string>{ "a", "b" });
+}
+
+// A report was late, as its last line had waited for others.
+TEST_CASE_METHOD(ResultKeeperFixture, "ResultKeeper_DueSoon_DoesNotWait")
+{
+  Begin("a");
+  Finish("a", 0, 1s);
+  Pass(0ms);
+  CHECK(store_.commits_.size() == 1);
+}
+
+// One lot's sender had ended it, and the others' results were not stored.
+TEST_CASE_METHOD(ResultKeeperFixture,
+                 "ResultKeeper_OneLotConflicts_OthersAreStoredAlone")
+{
+  Begin("a");
+  Begin("b");
+  Finish("a", 0);
+  Finish("b", 0);
+  Pass(500ms);
+  metadata::TransactionReply conflict;
+  conflict.status_ = StoreStatus::Conflict;
+  Answer(conflict);
+  REQUIRE(store_.commits_.size() == 2);
+  Answer(conflict);
+  Answer({ StoreStatus::Ok, 9, {} });
+  CHECK(StoredCount("a") == 0);
+  CHECK(StoredCount("b") == 1);
+}
+
+// A call without an answer was carried out; made again with more results, it
+// gave one position two contents.
+TEST_CASE_METHOD(ResultKeeperFixture,
+                 "ResultKeeper_AnswerIsLost_SamePageGoesAgain")
+{
+  Begin("a");
+  Finish("a", 0);
+  Pass(500ms);
+  const metadata::Transaction first = store_.commits_.front().first;
+  Answer({ StoreStatus::Unknown, 0, {} });
+  CHECK(keeper_.IsStoring("a"));
+  Finish("a", 1);
+  now_ = base::MonotonicNow() + 1s;
+  Pass(0ms);
+  REQUIRE(store_.commits_.size() == 1);
+  const metadata::Transaction& again = store_.commits_.front().first;
+  CHECK(again.writes_.front().key_ == first.writes_.front().key_);
+  CHECK(again.writes_.front().value_ == first.writes_.front().value_);
+  metadata::TransactionReply isThere;
+  isThere.status_ = StoreStatus::Conflict;
+  isThere.current_.push_back(
+    { first.writes_.front().key_, first.writes_.front().value_, 7 });
+  Answer(isThere);
+  CHECK(StoredCount("a") == 1);
+  CHECK_FALSE(keeper_.IsStoring("a"));
+}
+
+// A host that leaves hands over what it has gathered, and doesn't lose it.
+TEST_CASE_METHOD(ResultKeeperFixture, "ResultKeeper_HandedOver_IsInThatCall")
+{
+  Begin("a");
+  Finish("a", 0);
+  metadata::Transaction transaction;
+  CHECK_FALSE(keeper_.AddTo(transaction, *lots_.Find("a")));
+  CHECK(transaction.writes_.size() == 1);
+  Begin("b");
+  Finish("b", 0);
+  Finish("b", 1);
+  CHECK(keeper_.AddTo(transaction, *lots_.Find("b")));
+}
+
+} // namespace pumiceturn::gateway
