--- a/Meta/platform.sh
+++ b/Meta/platform.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Plays the users' platform on loopback with the real programs, each a process of its own:
 # the platform's stand-in (store and three servers), two entry hosts and two workers, then
-# streams, a stream that breaks, a lot, a change of the configuration, and the loss of a
+# callers with and without keys, streams, a stream that breaks, a lot, a change of the configuration, and the loss of a
 # worker, each answer checked. Ends only what it started.
 # Usage: Meta/platform.sh [--keep | --only PROGRAM ARGUMENT...]
 #   --keep   leaves the processes running until Enter, after the checks
@@ -47,7 +47,8 @@
     fi
     echo "portRange: [ 7000, 7019 ]"
     echo "platform: { address: \"$store\" }"
-    echo "bounds: { drainMs: 2000, settleMs: 1000, statusS: 120, graceS: 8 }"
+    echo "bounds: { drainMs: 2000, settleMs: 1000, statusS: 120, graceS: 8, strictRevoke: true,"
+    echo "  revokeMs: 5000, quotaWindowS: 5, quotaOverage: 0.1, quotaSlack: 20 }"
   } >"$state/$1.yaml"
   PUMICETURN_BOOT=$state/$1.yaml $build/platform/pumiceturn-gateway \
     >"$state/$1.log" 2>&1 &
--- a/Tests/PlatformPath/PathFixture.cpp
+++ b/Tests/PlatformPath/PathFixture.cpp
@@ -12,6 +12,21 @@
 
 namespace pumiceturn::adapter {
 
+namespace {
+
+/// Base/Platform/configuration.json declares it.
+constexpr std::string_view kKeyField = "Authorization: Bearer parish-key\r\n";
+
+/// @return the fields with a caller's key, unless they have one.
+std::string
+WithKey(const std::string& aFields)
+{
+  const bool hasKey = aFields.find("Authorization") != std::string::npos;
+  return hasKey ? aFields : std::string(kKeyField) + aFields;
+}
+
+} // namespace
+
 PathFixture::PathFixture()
 {
   // NOLINTNEXTLINE(concurrency-mt-unsafe): there is one thread.
@@ -48,7 +63,8 @@
                   const std::string& aFields,
                   const std::string& aBody)
 {
-  return SendTo(Process(aProcess).address_, aMethod, aTarget, aFields, aBody);
+  return SendTo(
+    Process(aProcess).address_, aMethod, aTarget, WithKey(aFields), aBody);
 }
 
 std::unique_ptr<CallerCall>
@@ -58,7 +74,8 @@
                  const std::string& aFields,
                  const std::string& aBody)
 {
-  return AskAt(Process(aProcess).address_, aMethod, aTarget, aFields, aBody);
+  return AskAt(
+    Process(aProcess).address_, aMethod, aTarget, WithKey(aFields), aBody);
 }
 
 std::unique_ptr<CallerCall>
--- a/Tests/PlatformPath/PathTest.cpp
+++ b/Tests/PlatformPath/PathTest.cpp
@@ -53,6 +53,25 @@
   }
 }
 
+// A key that had been taken away still ran requests at one of the hosts.
+TEST_CASE_METHOD(PathFixture, "Path_KeyTakenAway_RunsNothingAtAnyHost")
+{
+  const std::string former = "Authorization: Bearer parish-key-before\r\n";
+  const auto statusAt = [&](const char* aEntry) {
+    return Ask(aEntry, "POST", "/look-up/1", "Attempt-Id: r1\r\n" + former)
+      ->status_;
+  };
+  CHECK(statusAt("entry-1") == 200);
+  json configuration = json::parse(ReadKey("op/config"));
+  configuration["version"] = configuration["version"].get<int>() + 2;
+  configuration["tenants"][0]["apiKeys"] = { "parish-key" };
+  WriteKey("op/config", configuration.dump());
+  for (const char* entry : { "entry-1", "entry-2" }) {
+    RunUntil([&] { return statusAt(entry) == 401; });
+    CHECK(Look(entry, "/look-up/1")->status_ == 200);
+  }
+}
+
 TEST_CASE_METHOD(PathFixture, "Path_BrokenCalls_AreAnsweredAndHarmNothing")
 {
   CHECK(Ask("entry-1", "POST", "/lots/1", "Attempt-Id: x\r\n", "{")->status_ ==
