LibFleet: An organisation that is judged alone is in use

Found in a trial that always judged alone, as the way with a fixed share a host: the record was dropped at each tick, so that nothing ran. On the product's way a question comes before, which notes the use.

--- a/Libraries/LibFleet/RateLimits.cpp
+++ b/Libraries/LibFleet/RateLimits.cpp
@@ -102,6 +102,7 @@
 RateLimits::JudgeAlone(const Organisation& aOrganisation, base::Instant aNow)
 {
   Use& use = uses_[aOrganisation.name_];
+  use.usedAt_ = aNow;
   const double hosts = static_cast<double>(members_.Count());
   const RateLimit& limit = aOrganisation.limit_;
   if (use.aloneAt_ != base::Instant{}) {
