--- a/Libraries/LibFleet/RateLimits.cpp
+++ b/Libraries/LibFleet/RateLimits.cpp
@@ -10,6 +10,9 @@
 /// reported.
 constexpr double kUnreportedShare = 0.125;
 
+/// Bounds it at one host, whatever burst is declared.
+constexpr double kMostUnreported = 1000.0;
+
 /// What was admitted is reported after this time at the latest.
 constexpr std::chrono::milliseconds kReportWithin{ 200 };
 
@@ -53,11 +56,11 @@
     use.reportedAt_ = aNow;
   }
   use.usedAt_ = aNow;
-  limits_[aOrganisation.name_] = aOrganisation.limit_;
-  use.reportAfter_ = std::max<std::uint64_t>(
-    1,
-    static_cast<std::uint64_t>(kUnreportedShare * aOrganisation.limit_.burst_ /
-                               static_cast<double>(members_.Count())));
+  use.limit_ = aOrganisation.limit_;
+  const double unreported = kUnreportedShare * aOrganisation.limit_.burst_ /
+                            static_cast<double>(members_.Count());
+  use.reportAfter_ =
+    static_cast<std::uint64_t>(std::clamp(unreported, 1.0, kMostUnreported));
   return use;
 }
 
@@ -103,6 +106,7 @@
 {
   Use& use = uses_[aOrganisation.name_];
   use.usedAt_ = aNow;
+  use.limit_ = aOrganisation.limit_;
   const double hosts = static_cast<double>(members_.Count());
   const RateLimit& limit = aOrganisation.limit_;
   if (use.aloneAt_ != base::Instant{}) {
@@ -185,19 +189,14 @@
     const RateReport report = ReportOf(organisation, use);
     if (use.keeper_ == members_.OwnName()) {
       NoteAnswer(use,
-                 keeper_.Take(
-                   use.keeper_, report, limits_[organisation], members_, aNow),
+                 keeper_.Take(use.keeper_, report, use.limit_, members_, aNow),
                  aNow);
     } else {
       due.emplace_back(use.keeper_, report);
     }
   }
-  std::erase_if(uses_, [this, aNow](const auto& aEntry) {
-    const bool isOld = aNow - aEntry.second.usedAt_ > kForgotten;
-    if (isOld) {
-      limits_.erase(aEntry.first);
-    }
-    return isOld;
+  std::erase_if(uses_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.usedAt_ > kForgotten;
   });
   keeper_.Expire(aNow);
   return due;
--- a/Libraries/LibFleet/RateLimits.h
+++ b/Libraries/LibFleet/RateLimits.h
@@ -90,7 +90,7 @@
   [[nodiscard]] std::vector<std::pair<std::string, RateReport>> TakeDueReports(
     base::Instant aNow);
 
-  /// @return in how many organisations' accounts this host keeps now.
+  /// @return how many organisations' accounts this host keeps now.
   [[nodiscard]] std::size_t KeptCount() const { return keeper_.Count(); }
 
   [[nodiscard]] double Share() const { return members_.Share(); }
@@ -99,6 +99,7 @@
   /// An organisation's use of this host.
   struct Use
   {
+    RateLimit limit_; ///< As it was last declared.
     std::string keeper_;
     std::uint64_t account_ = 0;
     std::uint64_t admitted_ = 0;
@@ -123,8 +124,7 @@
 
   RateMembers members_;
   RateKeeper keeper_;
-  std::unordered_map<std::string, Use> uses_;         ///< By organisation.
-  std::unordered_map<std::string, RateLimit> limits_; ///< Of uses_.
+  std::unordered_map<std::string, Use> uses_; ///< By organisation.
   std::uint64_t lastQuestion_ = 0;
 };
 
--- /dev/null
+++ b/Tests/Platform/RateCodecTest.cpp
@@ -0,0 +1,75 @@
+#include "LibGateway/RateCodec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+namespace pumiceturn::gateway {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+class RateCodecFixture
+{
+protected:
+  [[nodiscard]] static fleet::RateReport Report()
+  {
+    return { "archive", 77, 12, 3, 9 };
+  }
+
+  [[nodiscard]] static fleet::RateAnswer Answer()
+  {
+    return { "archive", 77, 9, true, 2s, 37ms, 410ms };
+  }
+
+  /// @return bytes of a datagram with some of them changed.
+  [[nodiscard]] std::vector<std::uint8_t> Spoil(const json& aRow)
+  {
+    std::vector<std::uint8_t> bytes = json::to_cbor(aRow);
+    for (int change = 0; change < 3; ++change) {
+      bytes[random_() % bytes.size()] = static_cast<std::uint8_t>(random_());
+    }
+    return bytes;
+  }
+
+  std::mt19937 random_{ 5 };
+};
+
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_SentAndRead_IsTheSame")
+{
+  CHECK(DecodeRateReport(json::from_cbor(
+          json::to_cbor(EncodeRateReport(Report())))) == Report());
+  CHECK(DecodeRateAnswer(json::from_cbor(
+          json::to_cbor(EncodeRateAnswer(Answer())))) == Answer());
+}
+
+// A stranger's answer shut an organisation out for years.
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_TimeIsNone_IsRefused")
+{
+  json row = EncodeRateAnswer(Answer());
+  for (const json& time : { json(-1), json(10001), json(1e300), json("1") }) {
+    row["no_credit"] = time;
+    CHECK_THROWS_AS(DecodeRateAnswer(row), json::exception);
+  }
+}
+
+// A spoiled datagram ended the process.
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_Spoiled_ThrowsNothingElse")
+{
+  for (int round = 0; round < 20000; ++round) {
+    try {
+      (void)DecodeRateReport(
+        json::from_cbor(Spoil(EncodeRateReport(Report()))));
+      (void)DecodeRateAnswer(
+        json::from_cbor(Spoil(EncodeRateAnswer(Answer()))));
+    } catch (const json::exception&) {
+      continue;
+    }
+  }
+  SUCCEED();
+}
+
+} // namespace pumiceturn::gateway
--- a/Tests/Platform/SpoiledEntriesTest.cpp
+++ b/Tests/Platform/SpoiledEntriesTest.cpp
@@ -27,7 +27,12 @@
                                  { "routes",
                                    { MakeTestRoute("a", "stream"),
                                      MakeTestRoute("b", "batch") } },
-                                 { "limits", { { "maxBodyBytes", 4096 } } } };
+                                 { "limits", { { "maxBodyBytes", 4096 } } },
+                                 { "tenants",
+                                   { { { "name", "o" },
+                                       { "apiKeys", { "k1", "k2" } },
+                                       { "ratePerS", 5 },
+                                       { "burst", 5.5 } } } } };
     const json server = { { "service", "s" },    { "address", "10.0.0.1:80" },
                           { "zone", "z" },       { "version", "v1" },
                           { "slots", 8 },        { "state", "ready" },
