LibGateway: A lot on disks under an id that another organisation's lot has is refused

Found in reading: while the store is away, a worker that knew the id, or had a lot of that id on its disk, said that it keeps the lot, whosever it was. HeldLots_IdOfAnothersLot_IsNotTaken failed first (200).

--- a/Libraries/LibGateway/HeldLots.cpp
+++ b/Libraries/LibGateway/HeldLots.cpp
@@ -136,6 +136,18 @@
   return bytes;
 }
 
+bool
+HeldLots::IsAnothers(const lots::HeldLot& aLot) const
+{
+  const std::string& organisation = aLot.state_.organisation_;
+  if (const lots::Lot* known = lots_.Find(aLot.id_)) {
+    return known->state_.organisation_ != organisation;
+  }
+  const auto held = held_.find(aLot.id_);
+  return held != held_.end() &&
+         held->second.lot_.state_.organisation_ != organisation;
+}
+
 void
 HeldLots::Hold(const std::shared_ptr<httpstream::Exchange>& aExchange)
 {
@@ -151,6 +163,11 @@
       httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     return;
   }
+  if (IsAnothers(*lot)) {
+    aExchange->Answer(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
+    return;
+  }
   if (lots_.Find(lot->id_) != nullptr) {
     aExchange->Answer(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
--- a/Libraries/LibGateway/HeldLots.h
+++ b/Libraries/LibGateway/HeldLots.h
@@ -92,6 +92,9 @@
   [[nodiscard]] std::string LedgerOf(const lots::HeldLot& aLot) const;
   [[nodiscard]] std::uint64_t TokensOf(const lots::HeldLot& aLot) const;
 
+  /// @return whether another organisation has a lot under the same id.
+  [[nodiscard]] bool IsAnothers(const lots::HeldLot& aLot) const;
+
   /// @return whether a lot may be kept here by its route's cap.
   [[nodiscard]] bool IsWithinCap(const lots::HeldLot& aLot,
                                  std::uint64_t aTokens) const;
--- a/Tests/Platform/HeldLotsTest.cpp
+++ b/Tests/Platform/HeldLotsTest.cpp
@@ -106,6 +106,37 @@
   RunUntil([this] { return FileCount("worker-1") == 0; });
 }
 
+// An organisation is told that its lot is accepted, under an id that another's
+// lot has.
+TEST_CASE_METHOD(HeldLotsFixture, "HeldLots_IdOfAnothersLot_IsNotTaken")
+{
+  StartWorkerWithDisk("worker-1");
+  lots::HeldLot lot;
+  lot.id_ = "lot1";
+  lot.state_.owner_ = "worker-1/1";
+  lot.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+  lot.state_.itemCount_ = 3;
+  lot.state_.organisation_ = "archive";
+  store_.Put("pumiceturn/lot/lot1", lots::EncodeState(lot.state_));
+  const auto statusOf = [this, &lot] {
+    return Send(hosts_.back()->passOnPort_,
+                "PUT",
+                "/held/lot1",
+                {},
+                lots::EncodeHeldLot(lot));
+  };
+  lot.content_ = LotBody(3);
+  RunUntil(
+    [this] { return Ask(*entry_, "GET", "/api/lots/lot1")->status_ != 404; });
+  const auto same = statusOf();
+  RunUntil([&same] { return same->IsOver(); });
+  lot.state_.organisation_ = "portal";
+  const auto other = statusOf();
+  RunUntil([&other] { return other->IsOver(); });
+  CHECK(other->status_ == 503);
+  CHECK(same->status_ == 200);
+}
+
 // A lot runs a second time: a host that was off for long still had it on its
 // disk, and the store had forgotten that it was finished.
 TEST_CASE_METHOD(HeldLotsFixture, "HeldLots_OlderThanRetention_IsDropped")
