--- a/Libraries/LibFleet/RateLimits.cpp
+++ b/Libraries/LibFleet/RateLimits.cpp
@@ -16,6 +16,10 @@
 /// What was admitted is reported after this time at the latest.
 constexpr std::chrono::milliseconds kReportWithin{ 200 };
 
+/// For a limit that lets almost nothing run.
+constexpr double kLeastRate = 1e-3;
+constexpr double kLongestComeBackSeconds = 5.0;
+
 /// Time without requests after which an organisation's use is forgotten.
 constexpr std::chrono::seconds kForgotten{ 30 };
 
@@ -122,9 +126,10 @@
     return RateAdmitted{};
   }
   const double seconds =
-    (1.0 - use.alone_) * hosts / std::max(limit.ratePerSecond_, 1e-3);
+    (1.0 - use.alone_) * hosts / std::max(limit.ratePerSecond_, kLeastRate);
   return RateRefused{ std::chrono::duration_cast<base::Duration>(
-                        std::chrono::duration<double>(std::min(seconds, 5.0))),
+                        std::chrono::duration<double>(
+                          std::min(seconds, kLongestComeBackSeconds))),
                       "keeper silent" };
 }
 
