LibMetadata: Keep reads of a prefix from overlapping after a suspension

MarkStale() starts the timer again, but Asio can't cancel a handler that has expired and is queued: both ran, and two chains of calls shared the buffer of pages. The second read ended with the last page alone, so the mirror removed the ten other jobs. The worker had taken them and never ran them; nothing wrote their state again, so nothing brought them back.

Ruled out: a worker that hangs (worker-1 finished lot79 and stored its results after that moment), SIGSTOP without SIGCONT (the same), lost datagrams (a mirror asks the store itself).

Change: RestartableTimer, whose replaced or cancelled handler never runs; PrefixMirror and HostLease use it.

Test: PrefixMirror_MarkedStaleWhenPauseHasEnded_QueriesOnce, two watches on the old sources, one on the new.

--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -27,13 +27,7 @@
 void
 HostLease::Schedule(base::Duration aPause, void (HostLease::*aStep)())
 {
-  timer_.expires_after(aPause);
-  timer_.async_wait(
-    lifetime_.Guard([this, aStep](const boost::system::error_code& aError) {
-      if (!aError && !isEnded_) {
-        (this->*aStep)();
-      }
-    }));
+  timer_.Start(aPause, [this, aStep] { (this->*aStep)(); });
 }
 
 void
@@ -129,7 +123,7 @@
 HostLease::End(std::function<void()> aDone)
 {
   isEnded_ = true;
-  timer_.cancel();
+  timer_.Cancel();
   if (lease_ == 0) {
     aDone();
     return;
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "LibBase/Lifetime.h"
+#include "LibBase/RestartableTimer.h"
 #include "LibMetadata/StoreClient.h"
 #include "LibMetadata/StoreHealth.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -55,7 +55,7 @@
   StoreClient& client_;
   StoreHealth& health_;
   Options options_;
-  boost::asio::steady_timer timer_;
+  base::RestartableTimer timer_;
   std::uint64_t lease_ = 0;
   bool isRegistered_ = false;
   bool isEnded_ = false;
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -31,13 +31,7 @@
 void
 PrefixMirror::Schedule(base::Duration aPause, void (PrefixMirror::*aStep)())
 {
-  timer_.expires_after(aPause);
-  timer_.async_wait(
-    lifetime_.Guard([this, aStep](const boost::system::error_code& aError) {
-      if (!aError) {
-        (this->*aStep)();
-      }
-    }));
+  timer_.Start(aPause, [this, aStep] { (this->*aStep)(); });
 }
 
 void
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "LibBase/Lifetime.h"
+#include "LibBase/RestartableTimer.h"
 #include "LibMetadata/MirrorDelta.h"
 #include "LibMetadata/StoreClient.h"
 #include "LibMetadata/StoreHealth.h"
 #include "LibMetadata/ViewTracker.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -132,7 +132,9 @@
   Options options_;
   ChangeHandler onChange_;
   DeltaHandler onDelta_ = [](const MirrorDelta&) {};
-  boost::asio::steady_timer timer_;
+  /// At most one call or wait is pending at a time; overlapping reads would
+  /// mix their pages.
+  base::RestartableTimer timer_;
   ViewTracker tracker_;
   std::unordered_map<std::string, std::uint64_t> revisions_;
   std::vector<StoreItem> readItems_; ///< Items of the current read so far.
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -4,7 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
+#include <thread>
 
 namespace pumiceturn::metadata {
 
@@ -242,6 +245,25 @@
   CHECK(store_.watches_.empty());
 }
 
+// Guards against two chains of calls, whose reads mix up their pages and drop
+// keys from the copy, after a suspension that outlasted the pause between them.
+TEST_CASE_METHOD(PrefixMirrorFixture,
+                 "PrefixMirror_MarkedStaleWhenPauseHasEnded_QueriesOnce")
+{
+  RespondToRange({ { "p/a", "1", 3 } }, 5);
+  mirror_->SetFollows(true);
+  boost::asio::steady_timer wakeUp(context_, std::chrono::milliseconds(0));
+  wakeUp.async_wait(
+    [this](const boost::system::error_code&) { mirror_->MarkStale(); });
+  // The pause after the response has ended by the time the loop runs again, so
+  // both handlers are queued at once.
+  FakeStore::Pop(store_.watches_)
+    .callback_({ StoreStatus::Ok, { { "p/a", "2", 6 } }, 6 });
+  std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  Run();
+  CHECK(store_.watches_.size() == 1);
+}
+
 class HostLeaseFixture
 {
 protected:
