LibBatch: Look hosts up by owner instead of searching all of them

Cause: BatchWorker::Tick() asks for each open job whether its owner is registered, and HostSet compared the owner with each member: hosts x open jobs string comparisons, ten times a second, at every host, entry hosts too. It grows with the square of the fleet.

Change: an index by owner.

TestLibBatch 44 of 44.

--- a/Libraries/LibBatch/HostSet.cpp
+++ b/Libraries/LibBatch/HostSet.cpp
@@ -22,8 +22,10 @@
     // The host has restarted: jobs of its previous process may be taken over
     // immediately.
     unregisteredSince_[owner] = aNow - kTakeoverDelay;
+    hostsByOwner_.erase(owner);
   }
   owner = aOwner;
+  hostsByOwner_[aOwner] = aHost;
   unregisteredSince_.erase(aOwner);
 }
 
@@ -35,18 +37,17 @@
     return;
   }
   unregisteredSince_[found->second.owner_] = aNow;
+  hostsByOwner_.erase(found->second.owner_);
   members_.erase(found);
 }
 
 std::optional<std::string>
 HostSet::AddressOf(const std::string& aOwner) const
 {
-  for (const auto& [host, member] : members_) {
-    if (member.owner_ == aOwner) {
-      return member.address_;
-    }
-  }
-  return std::nullopt;
+  const auto host = hostsByOwner_.find(aOwner);
+  return host != hostsByOwner_.end()
+           ? std::optional(members_.at(host->second).address_)
+           : std::nullopt;
 }
 
 std::vector<PeerAddress>
@@ -84,10 +85,7 @@
 bool
 HostSet::IsRegistered(const std::string& aOwner) const
 {
-  return std::any_of(
-    members_.begin(), members_.end(), [&aOwner](const auto& aEntry) {
-      return aEntry.second.owner_ == aOwner;
-    });
+  return hostsByOwner_.contains(aOwner);
 }
 
 bool
