LibHttpStream: Drop responses that a caller doesn't read

CheckTimeouts() skipped connections with a write in progress, so a response that nobody reads stayed for as long as the caller kept its connection.

Change: partial writes are counted; a connection whose caller takes nothing for the idle timeout is closed; a listener tells how much is unsent.

Tests: an 8 MB response that isn't read is dropped after the timeout; one read in parts each 0.2 s with a timeout of 1 s arrives whole.

--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -3,6 +3,7 @@
 #include "LibHttpStream/Socket.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -118,6 +119,17 @@
     }));
 }
 
+std::size_t
+Listener::UnsentBytes() const
+{
+  return std::accumulate(connections_.begin(),
+                         connections_.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aConnection) {
+                           return aSum + aConnection->UnsentBytes();
+                         });
+}
+
 std::uint16_t
 Listener::Port() const
 {
--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -46,6 +46,10 @@
   [[nodiscard]] std::size_t BusyCount() const;
   [[nodiscard]] std::uint16_t Port() const;
 
+  /// @return the response bytes of all connections that callers haven't read
+  ///         and the kernel doesn't hold.
+  [[nodiscard]] std::size_t UnsentBytes() const;
+
   void OnRequest(std::shared_ptr<Exchange> aExchange) override;
   void OnClosed(ServerConnection& aConnection) override;
   [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -157,8 +157,7 @@
 Exchange::UnsentBytes() const
 {
   const auto connection = connection_.lock();
-  return connection ? connection->pending_.size() + connection->writing_.size()
-                    : 0;
+  return connection ? connection->UnsentBytes() : 0;
 }
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket aSocket,
@@ -200,10 +199,17 @@
 void
 ServerConnection::CheckTimeouts(base::Instant aNow)
 {
-  if (isClosed_ || exchange_ || isWriting_) {
+  if (isClosed_) {
     return;
   }
   const ServerLimits& limits = owner_.Limits();
+  if (isWriting_ && aNow - lastActivity_ > limits.idleTimeout_) {
+    Close();
+    return;
+  }
+  if (exchange_ || isWriting_) {
+    return;
+  }
   if (requestStartedAt_ && parser_ && !parser_->is_header_done() &&
       aNow - *requestStartedAt_ > limits.headerTimeout_) {
     keepAlive_ = false;
@@ -361,15 +367,30 @@
   }
   writing_ = pending_.substr(error ? 0 : sent);
   pending_.clear();
+  written_ = 0;
   isWriting_ = true;
-  asio::async_write(socket_,
-                    asio::buffer(writing_),
-                    [self = shared_from_this()](
-                      const boost::system::error_code& aError, std::size_t) {
-                      self->isWriting_ = false;
-                      self->writing_.clear();
-                      self->OnWritten(aError);
-                    });
+  lastActivity_ = base::MonotonicNow();
+  WriteSome();
+}
+
+void
+ServerConnection::WriteSome()
+{
+  socket_.async_write_some(
+    asio::buffer(writing_) + written_,
+    [self = shared_from_this()](const boost::system::error_code& aError,
+                                std::size_t aBytes) {
+      self->written_ += aBytes;
+      if (!aError && self->written_ < self->writing_.size()) {
+        self->lastActivity_ = base::MonotonicNow();
+        self->WriteSome();
+        return;
+      }
+      self->isWriting_ = false;
+      self->writing_.clear();
+      self->written_ = 0;
+      self->OnWritten(aError);
+    });
 }
 
 void
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -117,8 +117,9 @@
 
   void Start();
 
-  /// Closes the connection if a time limit has passed. If the header of a
-  /// request is incomplete, first responds with 408. Called periodically.
+  /// Closes the connection if a time limit has passed, also if the caller reads
+  /// nothing of a response for the idle timeout. If the header of a request is
+  /// incomplete, first responds with 408. Called periodically.
   void CheckTimeouts(base::Instant aNow);
 
   /// Closes the connection if no request is being read or answered. A
@@ -128,6 +129,12 @@
 
   [[nodiscard]] bool IsIdle() const;
 
+  /// @return the number of response bytes not yet passed to the kernel.
+  [[nodiscard]] std::size_t UnsentBytes() const
+  {
+    return pending_.size() + writing_.size() - written_;
+  }
+
 private:
   friend class Exchange;
   using Parser =
@@ -141,6 +148,7 @@
   void Dispatch();
   void Write(std::string aBytes);
   void Flush();
+  void WriteSome();
   void OnWritten(const boost::system::error_code& aError);
   void EndExchange();
   void Close();
@@ -150,8 +158,9 @@
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
   std::shared_ptr<Exchange> exchange_;
-  std::string pending_; ///< Not passed to the kernel yet.
-  std::string writing_; ///< Owned by the asynchronous write in progress.
+  std::string pending_;     ///< Not passed to the kernel yet.
+  std::string writing_;     ///< Owned by the asynchronous write in progress.
+  std::size_t written_ = 0; ///< Bytes of writing_ that were written.
   bool isReading_ = false;
   bool isWriting_ = false;
   bool keepAlive_ = true;
--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -207,4 +207,55 @@
   });
 }
 
+// Guards against responses that stay in memory for as long as a caller keeps
+// its connection open without reading.
+TEST_CASE_METHOD(
+  ListenerFixture,
+  "Listener_CallerReadsNothing_ResponseIsDroppedAfterIdleTimeout")
+{
+  constexpr std::size_t kBodyBytes = 8388608;
+  ServerLimits limits;
+  limits.idleTimeout_ = std::chrono::seconds(1);
+  listener_.SetLimits(limits);
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  exchanges_[0]->Respond(
+    MakeResponse(200, std::string(kBodyBytes, 'x'), "text/plain"));
+  CHECK(listener_.UnsentBytes() > kBodyBytes / 4);
+  RunUntil([this] { return listener_.ConnectionCount() == 0; });
+  CHECK(listener_.UnsentBytes() == 0);
+}
+
+// Guards against cutting off a caller that reads slowly but steadily.
+TEST_CASE_METHOD(ListenerFixture,
+                 "Listener_CallerReadsSlowly_ReceivesTheWholeResponse")
+{
+  constexpr std::size_t kBodyBytes = 8388608;
+  constexpr std::size_t kReads = 8;
+  ServerLimits limits;
+  limits.idleTimeout_ = std::chrono::milliseconds(1000);
+  listener_.SetLimits(limits);
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil([this] { return exchanges_.size() == 1; });
+  exchanges_[0]->Respond(
+    MakeResponse(200, std::string(kBodyBytes, 'x'), "text/plain"));
+  std::vector<char> part(kBodyBytes / kReads);
+  std::size_t received = 0;
+  while (received < kBodyBytes) {
+    const auto resumeAt =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+    RunUntil([&] { return std::chrono::steady_clock::now() >= resumeAt; });
+    bool isRead = false;
+    caller_.async_read_some(
+      asio::buffer(part),
+      [&](const boost::system::error_code& aError, std::size_t aBytes) {
+        REQUIRE_FALSE(aError);
+        received += aBytes;
+        isRead = true;
+      });
+    RunUntil([&isRead] { return isRead; });
+  }
+  CHECK(listener_.ConnectionCount() == 1);
+}
+
 } // namespace pumiceturn::httpstream
