LibFleet: Divide large fleets into cells that exchange counts

Cause: each host sends its counts to each other ten times a second.

Ways: (1) cells by failure domain: no count crosses a domain, but a domain whose share of hosts and endpoints differs is overloaded alone, and its loss takes a cell's endpoints at once. (2) Cells across the fleet, by rank of the names' hashes: equal sizes, all hosts agree without messages, one host that joins or leaves moves at most one other across each boundary. (3) Random subsets share endpoints with nearly every host.

Not wired yet.

--- a/Libraries/LibFleet/CountPublisher.cpp
+++ b/Libraries/LibFleet/CountPublisher.cpp
@@ -40,16 +40,21 @@
     !lastFullUpdateAt_ || aNow - *lastFullUpdateAt_ >= kFullUpdateInterval;
   for (const auto& [endpoint, count] : current) {
     const auto published = published_.find(endpoint);
-    if (update.isFull_ || published == published_.end() ||
-        published->second != count) {
+    if (published == published_.end() || published->second != count) {
+      update.changes_.push_back(count);
+    }
+    if (update.isFull_) {
       update.counts_.push_back(count);
     }
   }
   for (const auto& [endpoint, count] : published_) {
-    if (!update.isFull_ && !current.contains(endpoint)) {
-      update.counts_.push_back({ endpoint, {}, false, count.startedAtMs_ });
+    if (!current.contains(endpoint)) {
+      update.changes_.push_back({ endpoint, {}, false, count.startedAtMs_ });
     }
   }
+  if (!update.isFull_) {
+    update.counts_ = update.changes_;
+  }
   published_ = std::move(current);
   if (update.isFull_) {
     lastFullUpdateAt_ = aNow;
--- a/Libraries/LibFleet/CountPublisher.h
+++ b/Libraries/LibFleet/CountPublisher.h
@@ -19,6 +19,8 @@
   /// otherwise only counts that changed.
   bool isFull_ = false;
   std::vector<EndpointCounts> counts_;
+  /// Counts that changed since the previous update, also if this one is full.
+  std::vector<EndpointCounts> changes_;
 };
 
 /// Decides when a host sends its in-flight counts to its peers.
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/EndpointTable.h"
 
+#include "LibFleet/CellMap.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -61,6 +63,7 @@
   }
   if (outcome != RegistrationOutcome::Known) {
     endpoint.registeredAt_ = aNow;
+    areCellsOutdated_ = true;
   }
   endpoint.record_ = aRecord;
   endpoint.isUnreadable_ = false;
@@ -110,6 +113,7 @@
     return;
   }
   endpoints_.erase(found);
+  areCellsOutdated_ = true;
 }
 
 std::vector<std::string>
@@ -124,6 +128,7 @@
     if (until && *until <= aNow) {
       dropped.push_back(entry->first);
       entry = endpoints_.erase(entry);
+      areCellsOutdated_ = true;
     } else {
       ++entry;
     }
@@ -243,38 +248,76 @@
   return peer;
 }
 
-std::optional<EndpointChoice>
-EndpointTable::Choose(const ChoiceRequest& aRequest,
-                      base::Instant aNow,
-                      std::mt19937_64& aRandom) const
+EndpointTable::Ranking
+EndpointTable::Rank(const ChoiceRequest& aRequest,
+                    bool aIsOwnCell,
+                    base::Instant aNow,
+                    std::mt19937_64& aRandom) const
 {
   std::exponential_distribution<double> draw(1.0);
-  Best best;
-  Best bestToPreempt; // Among those with batch to preempt.
-  EndpointChoice choice;
+  Ranking ranking;
   for (const auto& [id, endpoint] : endpoints_) {
+    if (IsInOwnCell(endpoint) != aIsOwnCell) {
+      continue;
+    }
     const InFlightCounts counts = CountsOf(endpoint, aNow);
     if (!IsEligible(endpoint, aRequest, counts, aNow)) {
       continue;
     }
-    ++choice.candidates_;
+    ++ranking.candidates_;
     // The minimum of exponential variables, each divided by its weight, selects
     // each endpoint in proportion to its weight.
-    Consider(
-      best, endpoint, counts, draw(aRandom) / WeightOf(endpoint, counts, aNow));
+    Consider(ranking.best_,
+             endpoint,
+             counts,
+             draw(aRandom) / WeightOf(endpoint, counts, aNow));
     const double preemptionWeight = PreemptionWeight(endpoint, counts);
     if (preemptionWeight > 0.0 && !IsAvoided(endpoint, aNow)) {
-      Consider(
-        bestToPreempt, endpoint, counts, draw(aRandom) / preemptionWeight);
+      Consider(ranking.bestToPreempt_,
+               endpoint,
+               counts,
+               draw(aRandom) / preemptionWeight);
     }
   }
+  return ranking;
+}
+
+bool
+EndpointTable::HasFreeSlot(const Best& aBest, base::Instant aNow) const
+{
+  return aBest.endpoint_ != nullptr &&
+         aBest.counts_.Total() < aBest.endpoint_->record_.slots_ &&
+         !IsAvoided(*aBest.endpoint_, aNow);
+}
+
+std::optional<EndpointChoice>
+EndpointTable::Choose(const ChoiceRequest& aRequest,
+                      base::Instant aNow,
+                      std::mt19937_64& aRandom)
+{
+  if (areCellsOutdated_) {
+    AssignEndpointCells();
+  }
+  Ranking ranking = Rank(aRequest, true, aNow, aRandom);
+  const bool isOnline = aRequest.work_ == WorkClass::Online;
+  // The attempts of other cells aren't known, so their endpoints are used only
+  // if no slot can be had in this cell.
+  if (isOnline && ownCell_ && !HasFreeSlot(ranking.best_, aNow) &&
+      ranking.bestToPreempt_.endpoint_ == nullptr) {
+    const Ranking others = Rank(aRequest, false, aNow, aRandom);
+    if (ranking.best_.endpoint_ == nullptr || HasFreeSlot(others.best_, aNow)) {
+      ranking = others;
+    }
+  }
+  Best best = ranking.best_;
   if (best.endpoint_ == nullptr) {
     return std::nullopt;
   }
+  EndpointChoice choice;
+  choice.candidates_ = ranking.candidates_;
   const bool isFull = best.counts_.Total() >= best.endpoint_->record_.slots_;
-  if (aRequest.work_ == WorkClass::Online && isFull &&
-      bestToPreempt.endpoint_ != nullptr) {
-    best = bestToPreempt;
+  if (isOnline && isFull && ranking.bestToPreempt_.endpoint_ != nullptr) {
+    best = ranking.bestToPreempt_;
     choice.preemptsBatch_ = true;
     if (best.endpoint_->own_.batch_ == 0) {
       choice.preemptedPeer_ = PeerWithMostBatch(*best.endpoint_);
@@ -285,6 +328,46 @@
   return choice;
 }
 
+bool
+EndpointTable::IsInOwnCell(const Endpoint& aEndpoint) const
+{
+  return !ownCell_ || aEndpoint.cell_ == *ownCell_;
+}
+
+void
+EndpointTable::SetCells(std::size_t aCells, std::optional<std::size_t> aOwnCell)
+{
+  areCellsOutdated_ = areCellsOutdated_ || cells_ != aCells;
+  cells_ = aCells;
+  ownCell_ = aOwnCell;
+}
+
+std::optional<std::size_t>
+EndpointTable::CellOf(const std::string& aId)
+{
+  if (areCellsOutdated_) {
+    AssignEndpointCells();
+  }
+  const auto found = endpoints_.find(aId);
+  return found != endpoints_.end() ? std::optional(found->second.cell_)
+                                   : std::nullopt;
+}
+
+void
+EndpointTable::AssignEndpointCells()
+{
+  areCellsOutdated_ = false;
+  std::unordered_map<std::string, std::vector<std::string>> byService;
+  for (const auto& [id, endpoint] : endpoints_) {
+    byService[endpoint.record_.service_].push_back(id);
+  }
+  for (const auto& [service, ids] : byService) {
+    for (const auto& [id, cell] : AssignCells(ids, cells_)) {
+      endpoints_.at(id).cell_ = cell;
+    }
+  }
+}
+
 void
 EndpointTable::RecordPreemption(const std::string& aId, base::Instant aNow)
 {
@@ -378,6 +461,7 @@
   replaced_[aEndpoint.id_] = { aEndpoint.startedAtMs_, aNow };
   if (found != endpoints_.end()) {
     endpoints_.erase(found);
+    areCellsOutdated_ = true;
   }
 }
 
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibFleet/Declarations.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -146,6 +147,15 @@
   /// continue.
   void MarkUnreadable(std::string_view aId);
 
+  /// Sets how endpoints are divided between cells of hosts, which know of each
+  /// other's attempts. Online work prefers endpoints of this host's cell, and
+  /// batch is restricted to them.
+  /// @param aOwnCell This host's cell; empty if it knows of all attempts.
+  void SetCells(std::size_t aCells, std::optional<std::size_t> aOwnCell);
+
+  /// @return the cell of an endpoint; empty if it isn't known.
+  [[nodiscard]] std::optional<std::size_t> CellOf(const std::string& aId);
+
   /// Handles the removal of an endpoint's registration.
   /// @param aStoreRecoveredAt When the store last recovered from an outage;
   ///        empty if it had none.
@@ -162,7 +172,7 @@
   [[nodiscard]] std::optional<EndpointChoice> Choose(
     const ChoiceRequest& aRequest,
     base::Instant aNow,
-    std::mt19937_64& aRandom) const;
+    std::mt19937_64& aRandom);
 
   void CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork);
   void CountEnd(const EndpointIncarnation& aEndpoint, WorkClass aWork);
@@ -256,6 +266,7 @@
     /// Start of the attempt that was last active.
     base::Instant activeAttemptStartedAt_;
     base::Instant batchPausedUntil_;
+    std::size_t cell_ = 0;
     bool isUnreadable_ = false; ///< The registration can't be read.
   };
   struct Replaced
@@ -264,6 +275,14 @@
     base::Instant recordedAt_;
   };
 
+  /// The best endpoints for an attempt among those considered so far.
+  struct Ranking
+  {
+    Best best_;
+    Best bestToPreempt_; ///< Among those with batch to preempt.
+    std::uint32_t candidates_ = 0;
+  };
+
   /// @return the endpoint, or nullptr unless the given process is its
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
@@ -284,6 +303,17 @@
   ///         waiting online requests first.
   [[nodiscard]] static double PreemptionWeight(const Endpoint& aEndpoint,
                                                const InFlightCounts& aCounts);
+  /// @return the best endpoints inside or outside of this host's cell.
+  [[nodiscard]] Ranking Rank(const ChoiceRequest& aRequest,
+                             bool aIsOwnCell,
+                             base::Instant aNow,
+                             std::mt19937_64& aRandom) const;
+  [[nodiscard]] bool HasFreeSlot(const Best& aBest, base::Instant aNow) const;
+  [[nodiscard]] bool IsInOwnCell(const Endpoint& aEndpoint) const;
+
+  /// Assigns the endpoints of each service to the cells.
+  void AssignEndpointCells();
+
   static void Consider(Best& aBest,
                        const Endpoint& aEndpoint,
                        const InFlightCounts& aCounts,
@@ -293,6 +323,9 @@
   std::string failureDomain_;
   Limits limits_;
   std::unordered_map<std::string, Endpoint> endpoints_;
+  std::size_t cells_ = 1;
+  std::optional<std::size_t> ownCell_;
+  bool areCellsOutdated_ = false; ///< Endpoints were added or removed.
   std::unordered_map<std::string, Replaced> replaced_; ///< By id.
   /// Ids of the endpoints for which a peer reported counts. SetPeerCounts()
   /// clears only these.
--- a/Libraries/LibFleet/PeerReachability.cpp
+++ b/Libraries/LibFleet/PeerReachability.cpp
@@ -5,9 +5,9 @@
 namespace pumiceturn::fleet {
 
 void
-PeerReachability::Add(const std::string& aPeer)
+PeerReachability::Add(const std::string& aPeer, base::Duration aSilenceTimeout)
 {
-  peers_.try_emplace(aPeer);
+  peers_[aPeer].silenceTimeout_ = aSilenceTimeout;
 }
 
 void
@@ -22,7 +22,7 @@
 {
   const auto peer = peers_.find(aPeer);
   return peer != peers_.end() &&
-         aNow - peer->second.lastMessageAt_ <= kSilenceTimeout;
+         aNow - peer->second.lastMessageAt_ <= peer->second.silenceTimeout_;
 }
 
 std::size_t
@@ -87,7 +87,7 @@
 {
   const auto peer = peers_.find(aPeer);
   if (peer == peers_.end() || IsReachable(aPeer, aNow) ||
-      aNow - peer->second.relayedAt_ > kSilenceTimeout ||
+      aNow - peer->second.relayedAt_ > peer->second.silenceTimeout_ ||
       !IsReachable(peer->second.relay_, aNow)) {
     return std::nullopt;
   }
--- a/Libraries/LibFleet/PeerReachability.h
+++ b/Libraries/LibFleet/PeerReachability.h
@@ -35,12 +35,19 @@
   static constexpr base::Duration kSilenceTimeout{ std::chrono::milliseconds{
     300 } };
 
+  /// As above, for peers that send all counts less often.
+  static constexpr base::Duration kRemoteSilenceTimeout{
+    std::chrono::milliseconds{ 700 }
+  };
+
   /// Maximum number of pairs of a peer and a requesting host that a host relays
   /// for. Bounds the cost of a partition in a large fleet.
   static constexpr std::size_t kMaxRelayed = 64;
 
-  /// Adds a peer, which is unreachable until its first message.
-  void Add(const std::string& aPeer);
+  /// Adds a peer, which is unreachable until its first message, or changes its
+  /// timeout.
+  void Add(const std::string& aPeer,
+           base::Duration aSilenceTimeout = kSilenceTimeout);
   void Remove(const std::string& aPeer);
 
   /// Records a message received from the peer directly.
@@ -83,6 +90,7 @@
 private:
   struct Peer
   {
+    base::Duration silenceTimeout_{};
     base::Instant lastMessageAt_;
     std::string relay_; ///< Host that relayed its last message.
     base::Instant relayedAt_;
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace pumiceturn::fleet {
 
 using namespace std::chrono_literals;
@@ -385,4 +387,79 @@
   CHECK(Choose(WorkClass::Online)->inFlight_ == 3);
 }
 
+/// Eight endpoints in two cells, of which this host belongs to the first.
+class DividedEndpointTableFixture : protected EndpointTableFixture
+{
+protected:
+  DividedEndpointTableFixture()
+  {
+    for (int number = 0; number < 8; ++number) {
+      Add("endpoint-" + std::to_string(number));
+    }
+    table_.SetCells(2, 0);
+    for (int number = 0; number < 8; ++number) {
+      const std::string id = "endpoint-" + std::to_string(number);
+      (table_.CellOf(id) == 0U ? own_ : others_).push_back(id);
+    }
+  }
+
+  bool IsInOwnCell(const std::string& aId) const
+  {
+    return std::find(own_.begin(), own_.end(), aId) != own_.end();
+  }
+
+  void FillOwnCell(WorkClass aWork, int aCount)
+  {
+    for (const std::string& id : own_) {
+      Start(id, aWork, aCount);
+    }
+  }
+
+  std::vector<std::string> own_;
+  std::vector<std::string> others_;
+};
+
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_OwnCellHasFreeSlots_IsChosen")
+{
+  REQUIRE(own_.size() == 4);
+  FillOwnCell(WorkClass::Online, 3);
+  for (int round = 0; round < 20; ++round) {
+    CHECK(IsInOwnCell(Choose(WorkClass::Online)->endpoint_.id_));
+  }
+}
+
+// Guards against requests that wait in a full cell while its neighbour has free
+// slots.
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_OwnCellIsFull_OnlineWorkUsesOthers")
+{
+  FillOwnCell(WorkClass::Online, 4);
+  for (int round = 0; round < 20; ++round) {
+    CHECK_FALSE(IsInOwnCell(Choose(WorkClass::Online)->endpoint_.id_));
+  }
+  CHECK_FALSE(Choose(WorkClass::Batch));
+}
+
+// Guards against requests that fail although only this cell's endpoints are
+// lost.
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_OwnCellIsAvoided_OnlineWorkUsesOthers")
+{
+  for (const std::string& id : own_) {
+    table_.RecordFailure({ id }, now_);
+  }
+  CHECK_FALSE(IsInOwnCell(Choose(WorkClass::Online)->endpoint_.id_));
+  CHECK(IsInOwnCell(Choose(WorkClass::Online, others_)->endpoint_.id_));
+}
+
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_OwnCellRunsBatch_IsPreemptedThere")
+{
+  FillOwnCell(WorkClass::Batch, 4);
+  const auto choice = Choose(WorkClass::Online);
+  CHECK(choice->preemptsBatch_);
+  CHECK(IsInOwnCell(choice->endpoint_.id_));
+}
+
 } // namespace pumiceturn::fleet
