--- a/Libraries/LibGateway/BatchJobLoader.cpp
+++ b/Libraries/LibGateway/BatchJobLoader.cpp
@@ -32,6 +32,7 @@
 {
   store_.Range(aPrefix,
                aAfter,
+               metadata::ReadConsistency::Linearizable,
                [this, aPrefix, done = std::move(aDone)](
                  metadata::RangeResponse aResponse) {
                  for (const metadata::StoreItem& item : aResponse.items_) {
--- a/Libraries/LibGateway/BatchJobRetention.cpp
+++ b/Libraries/LibGateway/BatchJobRetention.cpp
@@ -72,6 +72,7 @@
   store_.Range(
     jobs_.Keys().DataPrefix(aJob),
     {},
+    metadata::ReadConsistency::Linearizable,
     [this, aJob](metadata::RangeResponse aResponse) {
       if (aResponse.status_ != metadata::StoreStatus::Ok) {
         --pendingRemovals_;
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -27,7 +27,11 @@
 void
 HostLease::Schedule(base::Duration aPause, void (HostLease::*aStep)())
 {
-  timer_.Start(aPause, [this, aStep] { (this->*aStep)(); });
+  isWaiting_ = true;
+  timer_.Start(aPause, [this, aStep] {
+    isWaiting_ = false;
+    (this->*aStep)();
+  });
 }
 
 void
@@ -43,7 +47,8 @@
 HostLease::Grant()
 {
   const base::Instant madeAt = base::MonotonicNow();
-  const auto onResponse = [this, madeAt](LeaseResponse aResponse) {
+  const Term term = options_.term_;
+  const auto onResponse = [this, madeAt, term](LeaseResponse aResponse) {
     RecordCall(aResponse.status_, madeAt);
     if (isEnded_) {
       return;
@@ -53,9 +58,10 @@
       return;
     }
     lease_ = aResponse.lease_;
+    leaseTerm_ = term;
     Register();
   };
-  client_.GrantLease(options_.lifetime_, lifetime_.Guard(onResponse));
+  client_.GrantLease(term.lifetime_, lifetime_.Guard(onResponse));
 }
 
 void
@@ -77,14 +83,42 @@
     }
     isRegistered_ = true;
     base::Log(kLeaseGranted, { { "lease", lease_ } });
-    Schedule(options_.renewalInterval_, &HostLease::Renew);
+    if (const auto replaced = std::exchange(replacedLease_, 0)) {
+      client_.EndLease(replaced, [](LeaseResponse) {});
+    }
+    ScheduleRenewal();
   };
   client_.Commit(transaction, lifetime_.Guard(onResponse));
 }
 
+void
+HostLease::SetTerm(Term aTerm)
+{
+  if (options_.term_ == aTerm || isEnded_) {
+    return;
+  }
+  options_.term_ = aTerm;
+  if (isRegistered_ && isWaiting_) {
+    ScheduleRenewal();
+  }
+}
+
+void
+HostLease::ScheduleRenewal()
+{
+  Schedule(leaseTerm_ == options_.term_ ? options_.term_.renewalInterval_
+                                        : base::Duration::zero(),
+           &HostLease::Renew);
+}
+
 void
 HostLease::Renew()
 {
+  if (leaseTerm_ != options_.term_) {
+    replacedLease_ = lease_;
+    Grant();
+    return;
+  }
   const base::Instant madeAt = base::MonotonicNow();
   const auto onResponse = [this, madeAt](LeaseResponse aResponse) {
     RecordCall(aResponse.status_, madeAt);
@@ -102,8 +136,11 @@
       Register();
       return;
     }
-    Schedule(isOk ? options_.renewalInterval_ : base::Duration(kRetryPause),
-             &HostLease::Renew);
+    if (isOk) {
+      ScheduleRenewal();
+    } else {
+      Schedule(kRetryPause, &HostLease::Renew);
+    }
   };
   client_.RenewLease(lease_, lifetime_.Guard(onResponse));
 }
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -21,12 +21,29 @@
 class HostLease
 {
 public:
+  struct Term
+  {
+    base::Duration lifetime_;
+    base::Duration renewalInterval_;
+
+    bool operator==(const Term&) const = default;
+  };
+
+  /// For hosts whose loss peers must learn of from the store, since jobs or
+  /// shares of rate limits are assigned by registrations.
+  static constexpr Term kShortTerm{ std::chrono::seconds{ 3 },
+                                    std::chrono::seconds{ 1 } };
+
+  /// For other hosts. Their peers notice a loss by themselves, so that the
+  /// registration only has to end some time.
+  static constexpr Term kLongTerm{ std::chrono::seconds{ 30 },
+                                   std::chrono::seconds{ 10 } };
+
   struct Options
   {
     std::string key_;
     std::string value_;
-    base::Duration lifetime_{ std::chrono::seconds{ 3 } };
-    base::Duration renewalInterval_{ std::chrono::seconds{ 1 } };
+    Term term_ = kShortTerm;
   };
 
   HostLease(boost::asio::io_context& aContext,
@@ -36,6 +53,10 @@
 
   void Start() { Grant(); }
 
+  /// Changes how long the lease lasts and how often it is renewed. Registers
+  /// the host under a new lease if there is one.
+  void SetTerm(Term aTerm);
+
   /// Handles the removal of the key by another process: writes it again with
   /// the next renewal.
   void OnKeyRemoved();
@@ -49,6 +70,7 @@
   void Grant();
   void Register();
   void Renew();
+  void ScheduleRenewal();
   void Schedule(base::Duration aPause, void (HostLease::*aStep)());
   void RecordCall(StoreStatus aStatus, base::Instant aMadeAt);
 
@@ -57,6 +79,10 @@
   Options options_;
   base::RestartableTimer timer_;
   std::uint64_t lease_ = 0;
+  Term leaseTerm_{}; ///< Term of lease_.
+  /// Lease with a former term, ended once the key is tied to the new one.
+  std::uint64_t replacedLease_ = 0;
+  bool isWaiting_ = false; ///< No call is in progress.
   bool isRegistered_ = false;
   bool isEnded_ = false;
   base::Lifetime lifetime_;
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -35,18 +35,25 @@
 }
 
 void
-PrefixMirror::ReadPage(const std::string& aAfter)
+PrefixMirror::Read(ReadConsistency aConsistency)
 {
   phase_ = Phase::Reading;
-  if (aAfter.empty()) {
-    readItems_.clear();
-    readRevision_.reset();
-    readStartedAt_ = base::BootNow();
-  }
-  client_.Range(
-    options_.prefix_, aAfter, lifetime_.Guard([this](RangeResponse aResponse) {
-      OnPage(std::move(aResponse));
-    }));
+  readItems_.clear();
+  readRevision_.reset();
+  readStartedAt_ = base::BootNow();
+  readConsistency_ = aConsistency;
+  ReadPage({});
+}
+
+void
+PrefixMirror::ReadPage(const std::string& aAfter)
+{
+  client_.Range(options_.prefix_,
+                aAfter,
+                readConsistency_,
+                lifetime_.Guard([this](RangeResponse aResponse) {
+                  OnPage(std::move(aResponse));
+                }));
 }
 
 void
@@ -94,7 +101,12 @@
       changes.push_back(std::move(item));
     }
   }
-  tracker_.RecordRead(*readRevision_, readStartedAt_, base::BootNow());
+  const bool mayBeStale = readConsistency_ == ReadConsistency::MayBeStale;
+  if (mayBeStale) {
+    tracker_.RecordStaleRead(*readRevision_);
+  } else {
+    tracker_.RecordRead(*readRevision_, readStartedAt_, base::BootNow());
+  }
   base::Log(kMirrorRead,
             { { "prefix", options_.prefix_ },
               { "keys", count },
@@ -102,7 +114,11 @@
   if (std::exchange(isComplete_, true)) {
     ForwardChanges(previousChange, std::move(changes));
   }
-  Continue();
+  if (mayBeStale && !follows_) {
+    WaitFor(options_.confirmationWait_);
+  } else {
+    Continue();
+  }
 }
 
 bool
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -42,6 +42,12 @@
     /// How long a copy is used without a query after the store confirmed it, to
     /// this host or to a follower.
     base::Duration freshnessLifetime_{ std::chrono::seconds{ 1 } };
+    /// Consistency of the first read. A copy that may be stale is confirmed
+    /// like any other before it counts as recent.
+    ReadConsistency firstRead_ = ReadConsistency::Linearizable;
+    /// How long a follower may take to confirm a copy that may be stale before
+    /// the store is queried.
+    base::Duration confirmationWait_{ std::chrono::seconds{ 2 } };
   };
 
   /// Called for each key that is added, changed, or removed.
@@ -60,7 +66,7 @@
 
   void SetOnDelta(DeltaHandler aHandler) { onDelta_ = std::move(aHandler); }
 
-  void Start() { ReadPage({}); }
+  void Start() { Read(options_.firstRead_); }
 
   /// Sets whether this host follows the prefix for its peers.
   void SetFollows(bool aFollows);
@@ -109,6 +115,7 @@
     Watching, ///< A watch is in progress.
   };
 
+  void Read(ReadConsistency aConsistency);
   void ReadPage(const std::string& aAfter);
   void OnPage(RangeResponse aResponse);
   void FinishReading();
@@ -125,7 +132,7 @@
   void ForwardChanges(std::uint64_t aPreviousChange,
                       std::vector<StoreItem> aChanges);
   void Schedule(base::Duration aPause, void (PrefixMirror::*aStep)());
-  void Restart() { ReadPage({}); }
+  void Restart() { Read(ReadConsistency::Linearizable); }
 
   StoreClient& client_;
   StoreHealth& health_;
@@ -140,6 +147,7 @@
   std::vector<StoreItem> readItems_; ///< Items of the current read so far.
   std::optional<std::uint64_t> readRevision_;
   base::BootInstant readStartedAt_;
+  ReadConsistency readConsistency_ = ReadConsistency::Linearizable;
   Phase phase_ = Phase::Reading;
   bool isComplete_ = false;
   bool follows_ = false;
--- a/Libraries/LibMetadata/StoreClient.h
+++ b/Libraries/LibMetadata/StoreClient.h
@@ -80,8 +80,15 @@
   std::uint64_t lease_ = 0;
 };
 
+/// How recent the result of a read must be.
+enum class ReadConsistency : std::uint8_t
+{
+  Linearizable,
+  MayBeStale, ///< May be seconds old; cheap and not limited in rate.
+};
+
 /// Client of the platform's metadata store. Calls return immediately and call
-/// back exactly once, on the event thread. Reads are linearizable.
+/// back exactly once, on the event thread. Watches are linearizable.
 class StoreClient
 {
 public:
@@ -93,6 +100,7 @@
   /// Reads one page of a prefix, starting after the key aAfter.
   virtual void Range(const std::string& aPrefix,
                      const std::string& aAfter,
+                     ReadConsistency aConsistency,
                      Callback<RangeResponse> aCallback) = 0;
 
   /// Waits until a key under the prefix changes after a revision.
--- a/Libraries/LibMetadata/ViewTracker.cpp
+++ b/Libraries/LibMetadata/ViewTracker.cpp
@@ -27,6 +27,13 @@
   markedStaleAt_.reset();
 }
 
+void
+ViewTracker::RecordStaleRead(std::uint64_t aRevision)
+{
+  lastChangeRevision_ = std::max(lastChangeRevision_, aRevision);
+  followedRevision_ = std::max(followedRevision_, aRevision);
+}
+
 void
 ViewTracker::RecordChange(std::uint64_t aRevision)
 {
--- a/Libraries/LibMetadata/ViewTracker.h
+++ b/Libraries/LibMetadata/ViewTracker.h
@@ -33,6 +33,11 @@
                   base::BootInstant aRequestedAt,
                   base::BootInstant aNow);
 
+  /// Records a first read of the whole prefix that may be older than the call.
+  /// Doesn't confirm the copy.
+  /// @param aRevision As for RecordRead().
+  void RecordStaleRead(std::uint64_t aRevision);
+
   /// Records that a relevant change was applied to the copy.
   void RecordChange(std::uint64_t aRevision);
 
@@ -92,7 +97,7 @@
 
   std::uint64_t lastChangeRevision_ = 0;
   std::uint64_t followedRevision_ = 0;
-  base::BootInstant confirmedAt_{};
+  base::BootInstant confirmedAt_ = base::BootInstant::min();
   /// Time of the store's last response to this host.
   base::BootInstant respondedAt_{};
   std::optional<base::BootInstant> completeAsOf_;
--- a/Tests/LibMetadata/FakeStore.h
+++ b/Tests/LibMetadata/FakeStore.h
@@ -21,8 +21,10 @@
 
   void Range(const std::string& /*aPrefix*/,
              const std::string& aAfter,
+             ReadConsistency aConsistency,
              Callback<RangeResponse> aCallback) override
   {
+    lastConsistency_ = aConsistency;
     ranges_.push_back({ aAfter, std::move(aCallback) });
   }
   void Watch(const std::string& /*aPrefix*/,
@@ -63,6 +65,7 @@
   }
 
   std::deque<std::pair<std::string, Callback<RangeResponse>>> ranges_;
+  ReadConsistency lastConsistency_ = ReadConsistency::Linearizable;
   std::deque<WatchCall> watches_;
   std::deque<std::pair<Transaction, Callback<TransactionResponse>>> commits_;
   std::deque<Callback<LeaseResponse>> grants_;
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -18,15 +18,15 @@
   /// Value of a registration that was written again without a relevant change.
   static constexpr const char* kHeartbeat = "heartbeat";
 
-  explicit MirrorFixture(base::Duration aFreshnessLifetime)
+  explicit MirrorFixture(base::Duration aFreshnessLifetime,
+                         PrefixMirror::Options aOptions = {})
   {
-    PrefixMirror::Options options;
-    options.prefix_ = "p/";
-    options.pauseAfterChanges_ = std::chrono::milliseconds(0);
-    options.retryPause_ = std::chrono::milliseconds(0);
-    options.freshnessLifetime_ = aFreshnessLifetime;
+    aOptions.prefix_ = "p/";
+    aOptions.pauseAfterChanges_ = std::chrono::milliseconds(0);
+    aOptions.retryPause_ = std::chrono::milliseconds(0);
+    aOptions.freshnessLifetime_ = aFreshnessLifetime;
     mirror_.emplace(
-      context_, store_, health_, options, [this](const StoreItem& aItem) {
+      context_, store_, health_, aOptions, [this](const StoreItem& aItem) {
         ++changes_;
         if (aItem.isRemoved_) {
           copy_.erase(aItem.key_);
@@ -264,15 +264,84 @@
   CHECK(store_.watches_.size() == 1);
 }
 
+/// A host that starts with a read that may be stale and gets reports of peers.
+class StaleStartFixture : protected MirrorFixture
+{
+protected:
+  static constexpr std::chrono::milliseconds kConfirmationWait{ 50 };
+
+  StaleStartFixture()
+    : MirrorFixture(std::chrono::hours(1), MakeOptions())
+  {
+  }
+
+  static PrefixMirror::Options MakeOptions()
+  {
+    PrefixMirror::Options options;
+    options.firstRead_ = ReadConsistency::MayBeStale;
+    options.confirmationWait_ = kConfirmationWait;
+    return options;
+  }
+
+  void Wait()
+  {
+    std::this_thread::sleep_for(kConfirmationWait);
+    Run();
+  }
+};
+
+TEST_CASE_METHOD(StaleStartFixture,
+                 "PrefixMirror_StaleReadIsConfirmedByPeer_StoreIsNotQueried")
+{
+  CHECK(store_.lastConsistency_ == ReadConsistency::MayBeStale);
+  RespondToRange({ { "p/a", "1", 3 } }, 5);
+  CHECK(mirror_->IsComplete());
+  CHECK_FALSE(mirror_->CompleteAsOf());
+  mirror_->ApplyView({ 5, 8, {}, base::BootNow() }, base::Duration::zero());
+  CHECK(mirror_->CompleteAsOf());
+  Wait();
+  CHECK(store_.watches_.empty());
+}
+
+// Guards against a copy that stays outdated because it was read from a replica
+// that lags behind.
+TEST_CASE_METHOD(StaleStartFixture,
+                 "PrefixMirror_StaleReadIsNotConfirmed_QueriesStore")
+{
+  RespondToRange({ { "p/a", "1", 3 } }, 5);
+  CHECK(store_.watches_.empty());
+  Wait();
+  REQUIRE(store_.watches_.size() == 1);
+  CHECK(store_.watches_.front().after_ == 5);
+}
+
+// Guards against reads that fail again and again because the replica's revision
+// is older than the store's history.
+TEST_CASE_METHOD(StaleStartFixture,
+                 "PrefixMirror_StaleReadIsOlderThanHistory_ReadsLinearizably")
+{
+  RespondToRange({ { "p/a", "1", 3 } }, 5);
+  Wait();
+  RespondToWatch(StoreStatus::HistoryLost);
+  REQUIRE(store_.ranges_.size() == 1);
+  CHECK(store_.lastConsistency_ == ReadConsistency::Linearizable);
+}
+
 class HostLeaseFixture
 {
 protected:
+  /// A term whose renewals are due at once.
+  static constexpr HostLease::Term kTerm{ std::chrono::seconds{ 3 },
+                                          base::Duration::zero() };
+  static constexpr HostLease::Term kOtherTerm{ std::chrono::seconds{ 30 },
+                                               base::Duration::zero() };
+
   HostLeaseFixture()
   {
     HostLease::Options options;
     options.key_ = "h/a";
     options.value_ = "v";
-    options.renewalInterval_ = std::chrono::milliseconds(0);
+    options.term_ = kTerm;
     lease_.emplace(context_, store_, health_, options);
     lease_->Start();
   }
@@ -343,4 +412,35 @@
   CHECK(store_.grants_.empty());
 }
 
+TEST_CASE_METHOD(HostLeaseFixture, "HostLease_TermChanges_KeyMovesToNewLease")
+{
+  Register();
+  lease_->SetTerm(kOtherTerm);
+  // The renewal in progress still refers to the former lease.
+  FakeStore::Pop(store_.renewals_)({ StoreStatus::Ok, 7 });
+  Run();
+  CHECK(store_.renewals_.empty());
+  REQUIRE(store_.grants_.size() == 1);
+  FakeStore::Pop(store_.grants_)({ StoreStatus::Ok, 8 });
+  REQUIRE(store_.commits_.size() == 1);
+  CHECK(store_.commits_.front().first.writes_.front().lease_ == 8);
+  // Ending the former lease earlier would remove the key.
+  CHECK(store_.ends_.empty());
+  FakeStore::Pop(store_.commits_).second({ StoreStatus::Ok, 2, {} });
+  Run();
+  CHECK(store_.ends_.size() == 1);
+  CHECK(store_.renewals_.size() == 1);
+}
+
+// Guards against a host that is registered for the lifetime of a lease granted
+// before the term changed.
+TEST_CASE_METHOD(HostLeaseFixture,
+                 "HostLease_TermChangesDuringGrant_LeaseIsReplaced")
+{
+  lease_->SetTerm(kOtherTerm);
+  Register();
+  CHECK(store_.grants_.size() == 1);
+  CHECK(store_.renewals_.empty());
+}
+
 } // namespace pumiceturn::metadata
