LibGateway: Use cells, stale first reads and long leases

Change: entry hosts exchange counts within their cell and with workers (all counts five times a second); not where organisations are declared, as shares of their limits follow from who reaches whom. Entry hosts that run no batch jobs and share no limits register for 30 s and renew each 10 s: their peers notice a loss by themselves. Their first reads but the configuration's may be stale. Calls and datagrams are counted by kind (pumiceturn_store_calls_total, pumiceturn_peer_datagrams_total and _bytes_total, event 7136). Unread responses of all callers together may take a quarter of the process's memory (OutputBudget); reads of batch jobs beyond it are asked to come back.

--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -200,6 +200,12 @@
   base::LogLevel::Info,
   "A request is rejected: its organisation is over its rate limit."
 };
+inline constexpr base::Event kStoreCalls{
+  7136,
+  "store_calls",
+  base::LogLevel::Info,
+  "Calls to the store since the start, by kind and group of keys."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -30,6 +30,15 @@
 /// the job, and the job is base64 in the call.
 constexpr std::uint64_t kMaxPeerBodyBytes = 16777216;
 
+constexpr std::chrono::seconds kStoreCallsLogInterval{ 10 };
+
+/// How long another term of the host's lease must be needed before it is
+/// changed, as hosts that start together don't see all others at once.
+constexpr std::chrono::seconds kLeaseTermDelay{ 3 };
+
+/// Suggested to callers while others haven't read their responses.
+constexpr std::chrono::milliseconds kUnreadRetryAfter{ 500 };
+
 /// Suggested to callers while this host starts or stops.
 constexpr std::chrono::milliseconds kNotReadyRetryAfter{ 300 };
 
@@ -45,6 +54,18 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+/// A deployment that bounds the revocation of keys declares organisations,
+/// which need short leases.
+metadata::HostLease::Term
+MakeFirstLeaseTerm(const GatewaySettings& aSettings)
+{
+  const bool isWorker =
+    aSettings.batchPreference_ == batch::BatchPreference::Worker;
+  return isWorker || aSettings.revocationBound_
+           ? metadata::HostLease::kShortTerm
+           : metadata::HostLease::kLongTerm;
+}
+
 batch::BatchJobTable::Decoder
 MakeDecoder(const Codec& aCodec)
 {
@@ -80,7 +101,10 @@
   , settings_(std::move(aSettings))
   , layout_(std::move(aLayout))
   , storeCodec_(aStoreCodec)
-  , store_(aStore)
+  , store_(aStore,
+           [this](std::string_view aCall, std::string_view aKeys) {
+             CountStoreCall(aCall, aKeys);
+           })
   , storeTransport_(aStoreTransport)
   , shared_{ aCodec,
              {},
@@ -93,24 +117,26 @@
              {},
              fleet::RateLimiter(settings_.host_,
                                 !settings_.callerAddress_.empty(),
-                                settings_.rateTolerance_) }
+                                settings_.rateTolerance_),
+             OutputBudget(settings_.maxUnsentBytes_) }
   , jobs_(layout_.jobs_, MakeDecoder(aCodec))
   , mirrors_(aContext,
-             aStore,
+             store_,
              health_,
              settings_.host_,
              settings_.batchPreference_ == batch::BatchPreference::Worker,
              MirroredPrefixes(),
              shared_.random_)
   , lease_(aContext,
-           aStore,
+           store_,
            health_,
            { layout_.hostPrefix_ + settings_.host_,
-             EncodeHostRecord(MakeHostRecord(OwnerId(), settings_)) })
-  , loader_(aStore, jobs_)
+             EncodeHostRecord(MakeHostRecord(OwnerId(), settings_)),
+             MakeFirstLeaseTerm(settings_) })
+  , loader_(store_, jobs_)
   , peerClients_(aContext.get_executor())
   , batchJobHandler_(shared_,
-                     aStore,
+                     store_,
                      jobs_,
                      loader_,
                      hosts_,
@@ -118,20 +144,21 @@
                      OwnerId(),
                      peerClients_)
   , batchSubmissionHandler_(shared_,
-                            aStore,
+                            store_,
                             jobs_,
                             hosts_,
                             OwnerId(),
                             aContext.get_executor(),
                             peerClients_,
                             settings_.jobCopies_)
-  , worker_(aContext, shared_, aStore, jobs_, loader_, hosts_, OwnerId())
-  , ledgerWriter_(shared_, aStore, jobs_, hosts_, OwnerId())
-  , retention_(aStore, jobs_, hosts_, OwnerId(), settings_.jobRetention_)
+  , worker_(aContext, shared_, store_, jobs_, loader_, hosts_, OwnerId())
+  , ledgerWriter_(shared_, store_, jobs_, hosts_, OwnerId())
+  , retention_(store_, jobs_, hosts_, OwnerId(), settings_.jobRetention_)
   , peerMessenger_(
       aContext,
       shared_,
       settings_.host_,
+      settings_.batchPreference_ == batch::BatchPreference::Worker,
       mirrors_,
       [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
   , accessControl_(
@@ -154,11 +181,12 @@
                      [this](const auto& aExchange) { OnForwarded(aExchange); })
   , tickTimer_(aContext)
   , stopTimer_(aContext)
+  , leaseTerm_(MakeFirstLeaseTerm(settings_))
 {
   if (!settings_.spoolFolder_.empty()) {
     spool_.emplace(aContext,
                    shared_,
-                   aStore,
+                   store_,
                    health_,
                    jobs_,
                    hosts_,
@@ -200,6 +228,10 @@
     "Open connections of callers.",
     {},
     [this] { return callerListener_.ConnectionCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_caller_unsent_bytes",
+                            "Response bytes that callers haven't read yet.",
+                            {},
+                            [this] { return callerListener_.UnsentBytes(); });
   shared_.metrics_.AddGauge("pumiceturn_batch_runs",
                             "Items that this host runs now.",
                             {},
@@ -354,6 +386,10 @@
 Gateway::OnBatchJobCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
                         const BatchJobCall& aCall)
 {
+  if (shared_.outputBudget_.IsExhausted(callerListener_.UnsentBytes())) {
+    aExchange->Respond(shared_.codec_.MakeUnavailable(kUnreadRetryAfter));
+    return;
+  }
   if (const auto caller = accessControl_.IdentifyForJob(aExchange)) {
     batchJobHandler_.Handle(aExchange, aCall, *caller);
   }
@@ -444,35 +480,25 @@
 void
 Gateway::ScheduleRetirementReport()
 {
-  stopTimer_.expires_after(kRetirementReportDelay);
-  stopTimer_.async_wait(
-    lifetime_.Guard([this](const boost::system::error_code& aError) {
-      if (!aError) {
-        ReportRetirement();
-      }
-    }));
+  stopTimer_.Start(kRetirementReportDelay, [this] { ReportRetirement(); });
 }
 
 void
 Gateway::ScheduleTick()
 {
-  tickTimer_.expires_after(kTickInterval);
-  // An expired timer's handler can't be cancelled; the guard keeps it from
-  // running after the gateway's end.
-  tickTimer_.async_wait(
-    lifetime_.Guard([this](const boost::system::error_code& aError) {
-      if (!aError) {
-        Tick();
-        ScheduleTick();
-      }
-    }));
+  tickTimer_.Start(kTickInterval, [this] {
+    Tick();
+    ScheduleTick();
+  });
 }
 
 void
 Gateway::Tick()
 {
   const base::Instant now = base::MonotonicNow();
-  accessControl_.Tick(hosts_.PeersExcept(OwnerId()), now);
+  if (shared_.routes_.Organisations().AreDeclared()) {
+    accessControl_.Tick(hosts_.PeersExcept(OwnerId()), now);
+  }
   UpdateReadiness();
   mirrors_.Tick(
     !isStopping_ && !isRetiring_ && !storeTransport_.IsDirectPathLost(), now);
@@ -492,6 +518,59 @@
   }
   shared_.suspects_.Expire(now);
   shared_.pool_.CloseExpired(now);
+  UpdateLeaseTerm(now);
+  LogStoreCalls(now);
+}
+
+void
+Gateway::CountStoreCall(std::string_view aCall, std::string_view aKeys)
+{
+  shared_.metrics_
+    .GetCounter("pumiceturn_store_calls_total",
+                "Calls to the store, including repeated ones.",
+                fmt::format("call=\"{}\",keys=\"{}\"", aCall, aKeys))
+    .Add();
+}
+
+bool
+Gateway::NeedsShortLease() const
+{
+  return hosts_.IsPreferred(settings_.batchPreference_) ||
+         shared_.routes_.Organisations().AreDeclared();
+}
+
+void
+Gateway::UpdateLeaseTerm(base::Instant aNow)
+{
+  const metadata::HostLease::Term needed = NeedsShortLease()
+                                             ? metadata::HostLease::kShortTerm
+                                             : metadata::HostLease::kLongTerm;
+  if (needed == leaseTerm_) {
+    otherTermNeededSince_.reset();
+    return;
+  }
+  if (!otherTermNeededSince_) {
+    otherTermNeededSince_ = aNow;
+  }
+  if (aNow - *otherTermNeededSince_ >= kLeaseTermDelay) {
+    leaseTerm_ = needed;
+    lease_.SetTerm(needed);
+  }
+}
+
+void
+Gateway::LogStoreCalls(base::Instant aNow)
+{
+  if (aNow - storeCallsLoggedAt_ < kStoreCallsLogInterval) {
+    return;
+  }
+  storeCallsLoggedAt_ = aNow;
+  std::string counts;
+  for (const auto& [call, count] : store_.Counts()) {
+    counts += fmt::format(
+      "{}{}:{}={}", counts.empty() ? "" : ",", call.first, call.second, count);
+  }
+  base::Log(kStoreCalls, { { "calls", counts } });
 }
 
 void
@@ -501,7 +580,7 @@
     return;
   }
   isStopping_ = true;
-  stopTimer_.cancel();
+  stopTimer_.Cancel();
   onStopped_ = std::move(aStopped);
   stopStartedAt_ = base::MonotonicNow();
   UpdateReadiness();
@@ -536,13 +615,7 @@
       return;
     }
   }
-  stopTimer_.expires_after(kStopPollInterval);
-  stopTimer_.async_wait(
-    lifetime_.Guard([this](const boost::system::error_code& aError) {
-      if (!aError) {
-        StopWhenIdle();
-      }
-    }));
+  stopTimer_.Start(kStopPollInterval, [this] { StopWhenIdle(); });
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibBase/Lifetime.h"
+#include "LibBase/RestartableTimer.h"
 #include "LibGateway/AccessControl.h"
 #include "LibGateway/BatchJobHandler.h"
 #include "LibGateway/BatchJobRetention.h"
@@ -8,16 +8,17 @@
 #include "LibGateway/BatchSubmissionHandler.h"
 #include "LibGateway/BatchWorker.h"
 #include "LibGateway/OnlineProxy.h"
+#include "LibGateway/OutputBudget.h"
 #include "LibGateway/PeerClients.h"
 #include "LibGateway/PeerMessenger.h"
 #include "LibGateway/SharedState.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StoreTransport.h"
 #include "LibHttpStream/Listener.h"
+#include "LibMetadata/CountingStoreClient.h"
 #include "LibMetadata/HostLease.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <optional>
@@ -62,6 +63,8 @@
   /// Number of hosts that must hold a spooled job; one more than the number of
   /// hosts that may be lost at once.
   std::size_t jobCopies_ = 2;
+  /// Maximum number of response bytes to hold for callers that read slowly.
+  std::size_t maxUnsentBytes_ = OutputBudget::kDefaultBytes;
   /// Maximum time until a job's state that one host has returned is visible at
   /// all hosts.
   base::Duration jobStateBound_{ std::chrono::seconds{ 1 } };
@@ -152,6 +155,9 @@
   void ScheduleRetirementReport();
   void ScheduleTick();
   void Tick();
+  void CountStoreCall(std::string_view aCall, std::string_view aKeys);
+  void UpdateLeaseTerm(base::Instant aNow);
+  void LogStoreCalls(base::Instant aNow);
   void UpdateReadiness();
   void StopWhenIdle();
   [[nodiscard]] bool IsReady() const;
@@ -160,11 +166,14 @@
                             const std::string& aAddress);
   [[nodiscard]] std::string OwnerId() const;
 
+  /// @return whether peers must soon learn from the store if this host is lost.
+  [[nodiscard]] bool NeedsShortLease() const;
+
   boost::asio::io_context& context_;
   GatewaySettings settings_;
   StoreLayout layout_;
   const StoreCodec& storeCodec_;
-  metadata::StoreClient& store_;
+  metadata::CountingStoreClient store_;
   StoreTransport& storeTransport_;
   SharedState shared_;
   batch::BatchJobTable jobs_;
@@ -187,15 +196,18 @@
   httpstream::Listener statusListener_;
   httpstream::Listener metricsListener_;
   httpstream::Listener forwardListener_;
-  boost::asio::steady_timer tickTimer_;
-  boost::asio::steady_timer stopTimer_;
+  base::RestartableTimer tickTimer_;
+  base::RestartableTimer stopTimer_;
   std::function<void()> onStopped_;
   base::Instant stopStartedAt_;
+  base::Instant storeCallsLoggedAt_;
+  metadata::HostLease::Term leaseTerm_;
+  /// Since when another term than leaseTerm_ is needed.
+  std::optional<base::Instant> otherTermNeededSince_;
   bool isStopping_ = false;
   bool isRetiring_ = false;
   bool isHandedOver_ = false;
   bool isReady_ = false;
-  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -79,6 +79,17 @@
                              kConfigurationWatchShare,
                              kConfigurationFreshnessShare);
   operators.pauseAfterChanges_ = kOperatorPause;
+  // The configuration is always read as of now, since routes and keys depend on
+  // it. For the others a host that only forwards requests starts with a cheap
+  // read; if many hosts start at once, the store serves as many of these as
+  // they ask for.
+  const auto withFirstRead = [this](metadata::PrefixMirror::Options aOptions) {
+    aOptions.firstRead_ =
+      settings_.batchPreference_ == batch::BatchPreference::Worker
+        ? metadata::ReadConsistency::Linearizable
+        : metadata::ReadConsistency::MayBeStale;
+    return aOptions;
+  };
   return { { StorePrefix::Operators,
              operators,
              [this](const metadata::StoreItem& aItem) {
@@ -86,25 +97,25 @@
                return true;
              } },
            { StorePrefix::Endpoints,
-             MakeBoundedFollowOptions(layout_.endpointPrefix_,
-                                      settings_.drainBound_,
-                                      kEndpointWatchShare,
-                                      kEndpointFreshnessShare),
+             withFirstRead(MakeBoundedFollowOptions(layout_.endpointPrefix_,
+                                                    settings_.drainBound_,
+                                                    kEndpointWatchShare,
+                                                    kEndpointFreshnessShare)),
              [this](const metadata::StoreItem& aItem) {
                return OnEndpointEntry(aItem);
              } },
            { StorePrefix::BatchJobs,
-             MakeBoundedFollowOptions(layout_.jobs_.statePrefix_,
-                                      settings_.jobStateBound_,
-                                      kJobWatchShare,
-                                      kJobFreshnessShare),
+             withFirstRead(MakeBoundedFollowOptions(layout_.jobs_.statePrefix_,
+                                                    settings_.jobStateBound_,
+                                                    kJobWatchShare,
+                                                    kJobFreshnessShare)),
              [this](const metadata::StoreItem& aItem) {
                OnBatchJobEntry(aItem);
                return true;
              } },
            { StorePrefix::Hosts,
-             MakeFollowOptions(
-               layout_.hostPrefix_, kMaxHostWatch, kHostPause, kHostFreshness),
+             withFirstRead(MakeFollowOptions(
+               layout_.hostPrefix_, kMaxHostWatch, kHostPause, kHostFreshness)),
              [this](const metadata::StoreItem& aItem) {
                OnHostEntry(aItem);
                return true;
@@ -137,6 +148,7 @@
   if (!shared_.routes_.Install(std::move(*declarations))) {
     return;
   }
+  peerMessenger_.SetIsDivided(!shared_.routes_.Organisations().AreDeclared());
   shared_.admission_.ClearCallerTimeouts();
   callerListener_.SetLimits(limits);
   base::Log(kDeclarationsInForce,
@@ -236,7 +248,9 @@
   }
   hosts_.Put(
     host, record->ownerId_, record->preference_, record->callAddress_, now);
-  peerMessenger_.SetPeer(host, record->peerAddress_);
+  peerMessenger_.SetPeer(host,
+                         record->peerAddress_,
+                         record->preference_ == batch::BatchPreference::Worker);
   OnHostsChanged();
 }
 
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -30,10 +30,6 @@
 /// No attempt starts with less time than this left.
 constexpr std::chrono::milliseconds kMinAttemptTime{ 30 };
 
-/// Reading from the endpoint pauses above this, which bounds the memory that a
-/// slow caller takes.
-constexpr std::size_t kMaxUnsentBytes = 262144;
-
 constexpr unsigned kFirstServerError = 500;
 
 std::string_view
@@ -113,6 +109,12 @@
     call_.callerTimeout_ ? std::min(*call_.callerTimeout_, route_.timeout_)
                          : route_.timeout_;
   deadline_ = exchange_->ReceivedAt() + allowed;
+  shared_.outputBudget_.AddStream();
+}
+
+OnlineProxy::~OnlineProxy()
+{
+  shared_.outputBudget_.RemoveStream();
 }
 
 void
@@ -298,7 +300,8 @@
   }
   splitter_.Append(aBytes);
   ForwardEvents();
-  if (exchange_->UnsentBytes() > kMaxUnsentBytes && attempt_) {
+  if (exchange_->UnsentBytes() > shared_.outputBudget_.MaxUnsentPerStream() &&
+      attempt_) {
     attempt_->SetPaused(true);
   }
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -43,6 +43,9 @@
               fleet::Route aRoute,
               OrganisationName aCaller,
               const PreemptBatch& aPreemptBatch);
+  ~OnlineProxy() override;
+  OnlineProxy(const OnlineProxy&) = delete;
+  OnlineProxy& operator=(const OnlineProxy&) = delete;
 
   void Start();
 
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -21,11 +22,17 @@
 /// Maximum number of suspect attempts in one datagram.
 constexpr std::size_t kMaxSuspects = 32;
 
+/// Time between two updates with all counts to remote peers. The timeouts of
+/// counts, reports and reachability allow for the loss of two.
+constexpr base::Duration kRemoteUpdateInterval{ std::chrono::milliseconds{
+  200 } };
+
 } // namespace
 
 PeerMessenger::PeerMessenger(asio::io_context& aContext,
                              SharedState& aShared,
                              std::string aOwnHost,
+                             bool aIsWorker,
                              StoreMirrors& aMirrors,
                              PreemptionHandler aOnPreemption)
   : socket_(aContext)
@@ -34,6 +41,9 @@
   , ownHost_(std::move(aOwnHost))
   , mirrors_(aMirrors)
   , onPreemption_(std::move(aOnPreemption))
+  , cells_(ownHost_, aIsWorker)
+  , traffic_(aShared.metrics_)
+  , isWorker_(aIsWorker)
 {
 }
 
@@ -55,12 +65,62 @@
 }
 
 void
-PeerMessenger::SetPeer(const std::string& aPeer, const std::string& aAddress)
+PeerMessenger::SetPeer(const std::string& aPeer,
+                       const std::string& aAddress,
+                       bool aIsWorker)
 {
   const auto address = ParseAddress(aAddress);
-  if (aPeer != ownHost_ && address) {
-    peers_[aPeer] = { { address->address(), address->port() }, true };
-    reachability_.Add(aPeer);
+  if (aPeer == ownHost_ || !address) {
+    return;
+  }
+  Peer& peer = peers_[aPeer];
+  peer.address_ = { address->address(), address->port() };
+  peer.isWorker_ = aIsWorker;
+  peer.isRegistered_ = true;
+  areCellsOutdated_ = true;
+}
+
+void
+PeerMessenger::SetIsDivided(bool aIsDivided)
+{
+  areCellsOutdated_ = areCellsOutdated_ || isDivided_ != aIsDivided;
+  isDivided_ = aIsDivided;
+}
+
+void
+PeerMessenger::UpdateCells()
+{
+  areCellsOutdated_ = false;
+  std::vector<std::string> entryHosts;
+  if (!isWorker_) {
+    entryHosts.push_back(ownHost_);
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (peer.isRegistered_ && !peer.isWorker_) {
+      entryHosts.push_back(name);
+    }
+  }
+  cells_.Update(entryHosts, isDivided_);
+  shared_.endpoints_.SetCells(cells_.CellCount(), cells_.OwnCell());
+  neighbours_ = 0;
+  for (auto& [name, peer] : peers_) {
+    if (!peer.isRegistered_) {
+      continue;
+    }
+    peer.relation_ = cells_.RelationTo(name, peer.isWorker_);
+    peer.cell_ = cells_.CellOf(name);
+    switch (peer.relation_) {
+      case fleet::CellMap::Relation::Neighbour:
+        ++neighbours_;
+        reachability_.Add(name);
+        break;
+      case fleet::CellMap::Relation::Remote:
+        reachability_.Add(name, fleet::PeerReachability::kRemoteSilenceTimeout);
+        break;
+      case fleet::CellMap::Relation::Stranger:
+        reachability_.Remove(name);
+        break;
+    }
   }
 }
 
@@ -69,6 +129,7 @@
 {
   if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
     peer->second.isRegistered_ = false;
+    areCellsOutdated_ = true;
   }
 }
 
@@ -88,7 +149,7 @@
 void
 PeerMessenger::ScheduleSend()
 {
-  timer_.expires_after(fleet::CountPublisher::Interval(peers_.size()));
+  timer_.expires_after(fleet::CountPublisher::Interval(neighbours_));
   timer_.async_wait(
     lifetime_.Guard([this](const boost::system::error_code& aError) {
       if (!aError) {
@@ -104,14 +165,50 @@
   if (peers_.empty()) {
     return;
   }
+  if (areCellsOutdated_) {
+    UpdateCells();
+  }
   const base::Instant now = base::MonotonicNow();
   const auto update =
     countPublisher_.Next(shared_.endpoints_.OwnCounts(now), now);
   if (!update) {
     return;
   }
+  const bool isRemoteDue =
+    update->isFull_ && now - remoteUpdateAt_ >= kRemoteUpdateInterval;
+  if (isRemoteDue) {
+    remoteUpdateAt_ = now;
+  }
+  const fleet::CountFanout fanout(
+    *update, isWorker_, isRemoteDue, [this](const std::string& aEndpoint) {
+      return shared_.endpoints_.CellOf(aEndpoint);
+    });
+  std::map<fleet::CountFanout::MessageKey, std::vector<std::uint8_t>> messages;
+  for (const auto& [name, peer] : peers_) {
+    const auto key = fanout.KeyFor(peer.relation_, peer.cell_);
+    if (!key) {
+      continue;
+    }
+    const auto [message, isNew] = messages.try_emplace(*key);
+    if (isNew) {
+      message->second = EncodeCounts(fanout.CountsFor(*key), key->isFull_);
+    }
+    SendTo(peer.address_,
+           key->isFull_ ? DatagramKind::AllCounts : DatagramKind::ChangedCounts,
+           message->second);
+  }
+  if (update->isFull_) {
+    DropUnreachablePeers(now);
+    RequestRelays(now);
+  }
+}
+
+std::vector<std::uint8_t>
+PeerMessenger::EncodeCounts(std::span<const fleet::EndpointCounts> aCounts,
+                            bool aIsFull) const
+{
   json rows = json::array();
-  for (const fleet::EndpointCounts& count : update->counts_) {
+  for (const fleet::EndpointCounts& count : aCounts) {
     rows.push_back({ count.endpoint_,
                      count.counts_.online_,
                      count.counts_.batch_,
@@ -119,27 +216,22 @@
                      count.startedAtMs_ });
   }
   json content = { { "host", ownHost_ } };
-  if (update->isFull_) {
+  if (aIsFull) {
     content["runs"] = std::move(rows);
     content["suspects"] = SuspectRows();
     content["store"] = EncodeStoreReport(mirrors_.MakeReport());
   } else {
     content["changed"] = std::move(rows);
   }
-  const std::vector<std::uint8_t> message = json::to_cbor(content);
-  for (const auto& [name, peer] : peers_) {
-    SendTo(peer.address_, message);
-  }
-  if (update->isFull_) {
-    DropUnreachablePeers(now);
-    RequestRelays(now);
-  }
+  return json::to_cbor(content);
 }
 
 void
 PeerMessenger::SendTo(const asio::ip::udp::endpoint& aAddress,
+                      DatagramKind aKind,
                       std::span<const std::uint8_t> aMessage)
 {
+  traffic_.RecordSent(aKind, aMessage.size());
   boost::system::error_code ignored;
   // Errors are ignored, as datagrams may get lost anyway.
   socket_.send_to(
@@ -147,10 +239,12 @@
 }
 
 void
-PeerMessenger::SendTo(const std::string& aPeer, const json& aContent)
+PeerMessenger::SendTo(const std::string& aPeer,
+                      DatagramKind aKind,
+                      const json& aContent)
 {
   if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
-    SendTo(peer->second.address_, json::to_cbor(aContent));
+    SendTo(peer->second.address_, aKind, json::to_cbor(aContent));
   }
 }
 
@@ -160,6 +254,7 @@
   for (const fleet::RelayRequest& request :
        reachability_.RelayRequests(aNow, shared_.random_)) {
     SendTo(request.relay_,
+           DatagramKind::RelayRequest,
            { { "host", ownHost_ }, { "silent", request.peers_ } });
   }
 }
@@ -174,7 +269,9 @@
   const std::vector<std::uint8_t> message =
     json::to_cbor({ { "host", ownHost_ }, { "news", *row } });
   for (const auto& [name, peer] : peers_) {
-    SendTo(peer.address_, message);
+    if (peer.relation_ != fleet::CellMap::Relation::Stranger) {
+      SendTo(peer.address_, DatagramKind::StoreDelta, message);
+    }
   }
 }
 
@@ -183,6 +280,7 @@
                               const fleet::RateReport& aReport)
 {
   SendTo(aPeer,
+         DatagramKind::RateMessage,
          { { "host", ownHost_ }, { "rate", EncodeRateReport(aReport) } });
 }
 
@@ -192,6 +290,7 @@
 {
   SendTo(
     aPeer,
+    DatagramKind::RateMessage,
     { { "host", ownHost_ }, { "rate_answer", EncodeRateResponse(aResponse) } });
 }
 
@@ -278,7 +377,7 @@
   if (relay) {
     content["to"] = aPeer;
   }
-  SendTo(relay.value_or(aPeer), content);
+  SendTo(relay.value_or(aPeer), DatagramKind::Preemption, content);
 }
 
 void
@@ -323,20 +422,29 @@
     reachability_.RecordActivity(host, now);
     if (const auto inner = message.find("passed_on"); inner != message.end()) {
       const std::string origin = inner->at("host").get<std::string>();
+      traffic_.RecordReceived(DatagramKind::RelayedCounts, aMessage.size());
       reachability_.RecordRelayed(origin, host, now);
       HandleCounts(origin, *inner, now);
     } else if (message.contains("yield")) {
+      traffic_.RecordReceived(DatagramKind::Preemption, aMessage.size());
       HandlePreemption(message);
     } else if (const auto delta = message.find("news");
                delta != message.end()) {
+      traffic_.RecordReceived(DatagramKind::StoreDelta, aMessage.size());
       HandleStoreDelta(host, *delta);
     } else if (message.contains("rate") || message.contains("rate_answer")) {
+      traffic_.RecordReceived(DatagramKind::RateMessage, aMessage.size());
       HandleRateMessage(host, message);
     } else if (message.contains("silent")) {
+      traffic_.RecordReceived(DatagramKind::RelayRequest, aMessage.size());
       for (const json& peer : message.at("silent")) {
         reachability_.RecordRelayRequest(host, peer.get<std::string>(), now);
       }
     } else {
+      traffic_.RecordReceived(message.contains("runs")
+                                ? DatagramKind::AllCounts
+                                : DatagramKind::ChangedCounts,
+                              aMessage.size());
       HandleCounts(host, message, now);
       HandleStoreReport(host, message, now);
       Relay(host, message, now);
@@ -375,7 +483,9 @@
     onPreemption_(aMessage.at("yield").get<std::string>());
     return;
   }
-  SendTo(to, { { "host", ownHost_ }, { "yield", aMessage.at("yield") } });
+  SendTo(to,
+         DatagramKind::Preemption,
+         { { "host", ownHost_ }, { "yield", aMessage.at("yield") } });
 }
 
 void
@@ -385,7 +495,9 @@
 {
   for (const std::string& requester :
        reachability_.RelayRequesters(aPeer, aNow)) {
-    SendTo(requester, { { "host", ownHost_ }, { "passed_on", aMessage } });
+    SendTo(requester,
+           DatagramKind::RelayedCounts,
+           { { "host", ownHost_ }, { "passed_on", aMessage } });
   }
 }
 
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "LibBase/Lifetime.h"
+#include "LibFleet/CellMap.h"
+#include "LibFleet/CountFanout.h"
 #include "LibFleet/CountPublisher.h"
 #include "LibFleet/PeerReachability.h"
 #include "LibFleet/RateMessages.h"
+#include "LibGateway/PeerTraffic.h"
 #include "LibGateway/SharedState.h"
 #include "LibGateway/StoreMirrors.h"
 
@@ -15,6 +18,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -26,9 +30,10 @@
 /// Exchanges UDP datagrams with the other hosts: the number of requests that
 /// each host has in flight at each endpoint, reports about the store, rate
 /// reports and preemption requests. Changed counts are sent at once and all
-/// counts several times a second, which makes up for lost datagrams. Peers
-/// relay the counts of hosts that aren't reachable directly. Used on the event
-/// thread only.
+/// counts several times a second, which makes up for lost datagrams. In a large
+/// fleet, only hosts of the same cell and workers do so (CellMap). Peers relay
+/// the counts of hosts that aren't reachable directly. Used on the event thread
+/// only.
 class PeerMessenger
 {
 public:
@@ -42,6 +47,7 @@
   PeerMessenger(boost::asio::io_context& aContext,
                 SharedState& aShared,
                 std::string aOwnHost,
+                bool aIsWorker,
                 StoreMirrors& aMirrors,
                 PreemptionHandler aOnPreemption);
 
@@ -49,7 +55,13 @@
     const boost::asio::ip::udp::endpoint& aEndpoint);
 
   /// @param aAddress IP:PORT.
-  void SetPeer(const std::string& aPeer, const std::string& aAddress);
+  void SetPeer(const std::string& aPeer,
+               const std::string& aAddress,
+               bool aIsWorker);
+
+  /// Sets whether the fleet may be divided into cells. It must not be while
+  /// rate limits are shared by all hosts that reach each other.
+  void SetIsDivided(bool aIsDivided);
 
   /// Marks a peer as unregistered. It still gets messages while it is
   /// reachable: its lease may have expired because the store refused its calls.
@@ -66,7 +78,8 @@
     return reachability_.ReachableCount(base::MonotonicNow());
   }
 
-  /// Sends changes that this host read from the store to all peers.
+  /// Sends changes that this host read from the store to the peers that rely on
+  /// it as a follower.
   void SendStoreDelta(const StoreDelta& aDelta);
 
   /// Asks a peer to cancel one of its batch attempts at an endpoint now,
@@ -93,9 +106,18 @@
 private:
   void ScheduleSend();
   void SendCounts();
+  [[nodiscard]] std::vector<std::uint8_t> EncodeCounts(
+    std::span<const fleet::EndpointCounts> aCounts,
+    bool aIsFull) const;
+
+  /// Divides the hosts into cells again after registrations have changed.
+  void UpdateCells();
   void SendTo(const boost::asio::ip::udp::endpoint& aAddress,
+              DatagramKind aKind,
               std::span<const std::uint8_t> aMessage);
-  void SendTo(const std::string& aPeer, const nlohmann::json& aContent);
+  void SendTo(const std::string& aPeer,
+              DatagramKind aKind,
+              const nlohmann::json& aContent);
   void DropUnreachablePeers(base::Instant aNow);
   void RequestRelays(base::Instant aNow);
   void Receive();
@@ -135,12 +157,22 @@
   RateResponseHandler onRateResponse_;
   fleet::CountPublisher countPublisher_;
   fleet::PeerReachability reachability_;
+  fleet::CellMap cells_;
+  PeerTraffic traffic_;
   struct Peer
   {
     boost::asio::ip::udp::endpoint address_;
+    bool isWorker_ = false;
     bool isRegistered_ = true;
+    fleet::CellMap::Relation relation_ = fleet::CellMap::Relation::Neighbour;
+    std::optional<std::size_t> cell_;
   };
   std::unordered_map<std::string, Peer> peers_;
+  std::size_t neighbours_ = 0;
+  bool isWorker_;
+  bool isDivided_ = true;
+  bool areCellsOutdated_ = false;
+  base::Instant remoteUpdateAt_; ///< Last full update to remote peers.
   static constexpr std::size_t kMaxDatagramBytes = 65536;
   std::array<char, kMaxDatagramBytes> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/Libraries/LibGateway/SharedState.h
+++ b/Libraries/LibGateway/SharedState.h
@@ -7,6 +7,7 @@
 #include "LibFleet/RouteTable.h"
 #include "LibFleet/SuspectTable.h"
 #include "LibGateway/Codec.h"
+#include "LibGateway/OutputBudget.h"
 #include "LibHttpStream/ConnectionPool.h"
 #include "LibMetrics/Registry.h"
 
@@ -28,6 +29,7 @@
   fleet::AdmissionControl admission_;
   batch::LedgerCache ledgers_;
   fleet::RateLimiter rateLimiter_;
+  OutputBudget outputBudget_;
 };
 
 /// @return a uniformly distributed random number in [0, 1).
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -180,7 +180,8 @@
   report.incarnation_ = incarnation_;
   report.sentAt_ = base::BootNow();
   for (const MirroredPrefix& mirrored : mirroredPrefixes_) {
-    if (mirrored.mirror_->Follows()) {
+    // Without a response of the store there is nothing to confirm yet.
+    if (mirrored.mirror_->Follows() && mirrored.mirror_->CompleteAsOf()) {
       report.views_.push_back({ mirrored.prefix_, mirrored.mirror_->View() });
     }
   }
