LibFleet: Refuse less urgent online requests earlier

Change: the share of the objective that a request may spend in a queue is divided by one more than its rank, which is how far its priority lies below the highest one that an online request may have. With equal priorities, and while slots are free, nothing changes.

--- a/Libraries/LibFleet/AdmissionControl.cpp
+++ b/Libraries/LibFleet/AdmissionControl.cpp
@@ -32,6 +32,15 @@
 /// the callers of one burst don't return as another.
 constexpr double kMinRetryAfterFraction = 0.6;
 
+/// @return the share of the objective that a request may spend in a queue. Less
+///         urgent requests are refused earlier, so that more urgent ones find
+///         shorter queues.
+double
+MaxWaitShare(std::uint32_t aRank)
+{
+  return kMaxWaitShare / (1.0 + aRank);
+}
+
 base::Duration
 Scale(base::Duration aDuration, double aFactor)
 {
@@ -86,7 +95,8 @@
   const bool isLikelyRetry = IsLikelyRetry(aRequest);
   const bool hasObjective = aRequest.objective_ > base::Duration::zero();
   if (hasObjective && !isLikelyRetry &&
-      admission.expectedWait_ > Scale(aRequest.objective_, kMaxWaitShare)) {
+      admission.expectedWait_ >
+        Scale(aRequest.objective_, MaxWaitShare(aRequest.rank_))) {
     admission.retryAfter_ = RetryAfter(aRequest.callerTimeout_, aRandom);
   }
   return admission;
--- a/Libraries/LibFleet/AdmissionControl.h
+++ b/Libraries/LibFleet/AdmissionControl.h
@@ -23,6 +23,8 @@
   base::Duration objective_{ 0 };
   /// Timeout that the caller states; empty if it states none.
   std::optional<base::Duration> callerTimeout_;
+  /// How far the priority is below the highest one; 0: it is the highest.
+  std::uint32_t rank_ = 0;
 };
 
 /// Whether a request is admitted, and how long it is expected to queue.
--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -50,6 +50,7 @@
   /// accepted and still wait to run; zero: unlimited.
   std::uint64_t waitingTokenCap_ = 0;
   bool allowsAnonymous_ = false; ///< Callers don't need a key.
+  std::uint32_t priority_ = 0;   ///< 0 is the highest.
 };
 
 /// Rate limit of an organisation, for all hosts together.
@@ -68,6 +69,8 @@
   std::string name_;
   std::vector<base::TokenDigest> keys_;
   RateLimit limit_;
+  /// Replaces the priority of routes for this organisation's requests.
+  std::optional<std::uint32_t> priority_ = std::nullopt;
 };
 
 /// Limits on what callers send.
@@ -119,4 +122,14 @@
   bool operator==(const EndpointRecord&) const = default;
 };
 
+/// Load that an endpoint reports with a response, as of when the response
+/// began.
+struct EndpointLoad
+{
+  std::uint32_t running_ = 0;
+  std::uint32_t waiting_ = 0;
+
+  bool operator==(const EndpointLoad&) const = default;
+};
+
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/OrganisationTable.cpp
+++ b/Libraries/LibFleet/OrganisationTable.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/OrganisationTable.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace pumiceturn::fleet {
@@ -31,6 +33,20 @@
   return found == byKey_.end() ? nullptr : &organisations_[found->second];
 }
 
+std::uint32_t
+OrganisationTable::HighestPriority(std::uint32_t aRoutePriority) const
+{
+  if (organisations_.empty()) {
+    return aRoutePriority;
+  }
+  std::uint32_t highest = std::numeric_limits<std::uint32_t>::max();
+  for (const Organisation& organisation : organisations_) {
+    highest =
+      std::min(highest, organisation.priority_.value_or(aRoutePriority));
+  }
+  return highest;
+}
+
 const Organisation*
 OrganisationTable::FindByName(std::string_view aName) const
 {
--- a/Libraries/LibFleet/OrganisationTable.h
+++ b/Libraries/LibFleet/OrganisationTable.h
@@ -31,6 +31,12 @@
 
   [[nodiscard]] const Organisation* FindByName(std::string_view aName) const;
 
+  /// @param aRoutePriority Priority for organisations without one.
+  /// @return the highest priority of all organisations, which is the lowest
+  ///         number; aRoutePriority if none is declared.
+  [[nodiscard]] std::uint32_t HighestPriority(
+    std::uint32_t aRoutePriority) const;
+
 private:
   bool areDeclared_ = false;
   std::vector<Organisation> organisations_;
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace pumiceturn::fleet {
@@ -30,9 +31,34 @@
                               aRight.pathPrefix_.size();
                      });
   }
+  highestPriority_ = FindHighestPriority();
   return true;
 }
 
+std::uint32_t
+RouteTable::FindHighestPriority() const
+{
+  std::uint32_t highest = std::numeric_limits<std::uint32_t>::max();
+  for (const auto& [name, routes] : routes_) {
+    for (const Route& route : routes) {
+      if (route.kind_ != RequestKind::BatchJob) {
+        highest = std::min(highest, route.priority_);
+      }
+    }
+  }
+  return organisations_.HighestPriority(highest);
+}
+
+std::uint32_t
+RouteTable::RankOf(const Route& aRoute, std::string_view aOrganisation) const
+{
+  const Organisation* organisation = organisations_.FindByName(aOrganisation);
+  const std::uint32_t priority =
+    organisation != nullptr ? organisation->priority_.value_or(aRoute.priority_)
+                            : aRoute.priority_;
+  return priority - std::min(priority, highestPriority_);
+}
+
 const Route*
 RouteTable::Find(std::string_view aHostName, std::string_view aPath) const
 {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -37,6 +37,12 @@
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
                                                         double aRandom);
 
+  /// @param aOrganisation Empty if the caller has none.
+  /// @return how far the priority of a request is below the highest one that an
+  ///         online request may have; 0 if it is that.
+  [[nodiscard]] std::uint32_t RankOf(const Route& aRoute,
+                                     std::string_view aOrganisation) const;
+
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
 
@@ -46,6 +52,9 @@
   }
 
 private:
+  /// @return the lowest number among the priorities of online requests.
+  [[nodiscard]] std::uint32_t FindHighestPriority() const;
+
   struct Hash
   {
     using is_transparent = void;
@@ -62,6 +71,7 @@
   std::unordered_map<std::string, std::vector<Route>, Hash, std::equal_to<>>
     routes_;
   bool hasCappedRoutes_ = false;
+  std::uint32_t highestPriority_ = 0;
 };
 
 } // namespace pumiceturn::fleet
--- a/Tests/LibFleet/AdmissionControlTest.cpp
+++ b/Tests/LibFleet/AdmissionControlTest.cpp
@@ -98,4 +98,27 @@
   CHECK(latest <= milliseconds(1000));
 }
 
+// Guards against urgent requests that are as late as all others in a rush.
+TEST_CASE_METHOD(AdmissionControlFixture,
+                 "AdmissionControl_LowerPriority_IsRefusedEarlier")
+{
+  RecordSlotTimes();
+  const auto check = [this](std::uint32_t aInFlight, std::uint32_t aRank) {
+    return control_
+      .Check({ "llm",
+               "route",
+               aInFlight,
+               8,
+               milliseconds(300),
+               milliseconds(5000),
+               aRank },
+             kRandom)
+      .retryAfter_;
+  };
+  CHECK_FALSE(check(8, 0));
+  CHECK(check(8, 1));
+  // While slots are free, priorities don't matter.
+  CHECK_FALSE(check(7, 5));
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/LibFleet/RouteTableTest.cpp
+++ b/Tests/LibFleet/RouteTableTest.cpp
@@ -62,4 +62,35 @@
   CHECK(RouteTable::ChooseService(route, 0.91) == "small");
 }
 
+TEST_CASE_METHOD(RouteTableFixture,
+                 "RouteTable_OrganisationHasPriority_ReplacesThatOfTheRoute")
+{
+  Declarations declarations =
+    MakeDeclarations(1, { MakeRoute("a", "/a/"), MakeRoute("b", "/b/") });
+  declarations.routes_[0].priority_ = 1;
+  declarations.routes_[1].priority_ = 3;
+  declarations.organisations_ = { { "urgent", {}, {}, 1 },
+                                  { "patient", {}, {}, 4 },
+                                  { "usual", {}, {}, std::nullopt } };
+  REQUIRE(table_.Install(std::move(declarations)));
+  const Route& first = *table_.Find("a.example", "/a/");
+  const Route& second = *table_.Find("a.example", "/b/");
+  CHECK(table_.RankOf(first, "urgent") == 0);
+  CHECK(table_.RankOf(second, "urgent") == 0);
+  CHECK(table_.RankOf(first, "patient") == 3);
+  CHECK(table_.RankOf(first, "usual") == 0);
+  CHECK(table_.RankOf(second, "usual") == 2);
+}
+
+// Guards against refusing everyone early because no request has priority 0.
+TEST_CASE_METHOD(RouteTableFixture,
+                 "RouteTable_AllHaveTheSamePriority_NoneRanksLower")
+{
+  Declarations declarations = MakeDeclarations(1, { MakeRoute("a", "/a/") });
+  declarations.organisations_ = { { "first", {}, {}, 2 },
+                                  { "second", {}, {}, 2 } };
+  REQUIRE(table_.Install(std::move(declarations)));
+  CHECK(table_.RankOf(*table_.Find("a.example", "/a/"), "first") == 0);
+}
+
 } // namespace pumiceturn::fleet
