LibFleet: Use the load that endpoints of other cells report

Cause: Server-Load wasn't read anywhere. Within a cell counts of all hosts are 10 to 100 ms old and a report says nothing new; of another cell's endpoint, which a host uses once its own cell is full, it is all that is known.

Change: running and waiting requests of the last response count for 1 s at endpoints outside of the host's cell. Its fourth figure (how long work takes on that machine now, changing many times a second) isn't used: at two requests a second and host it is far older than it stays true.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -146,6 +146,15 @@
       counts.batch_ += entry.counts_.batch_;
     }
   }
+  const bool isLoadUsed =
+    !IsInOwnCell(aEndpoint) && aEndpoint.loadRecordedAt_ &&
+    aNow - *aEndpoint.loadRecordedAt_ <= limits_.loadLifetime_;
+  if (isLoadUsed) {
+    const std::uint32_t reported =
+      aEndpoint.load_.running_ + aEndpoint.load_.waiting_;
+    // Unknown attempts count as online work, which can't be preempted.
+    counts.online_ += reported - std::min(reported, counts.Total());
+  }
   return counts;
 }
 
@@ -449,6 +458,17 @@
   }
 }
 
+void
+EndpointTable::RecordLoad(const EndpointIncarnation& aEndpoint,
+                          const EndpointLoad& aLoad,
+                          base::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->load_ = aLoad;
+    endpoint->loadRecordedAt_ = aNow;
+  }
+}
+
 void
 EndpointTable::RecordReplaced(const EndpointIncarnation& aEndpoint,
                               base::Instant aNow)
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -112,6 +112,9 @@
     /// processing of its whole prompt.
     base::Duration pauseAfterPreemption_{ std::chrono::milliseconds{ 300 } };
 
+    /// How long the load that an endpoint of another cell reported is used.
+    base::Duration loadLifetime_{ std::chrono::milliseconds{ 1000 } };
+
     /// Number of peers that must report failures of an endpoint for this host
     /// to avoid it. A single peer may itself be cut off from a working
     /// endpoint.
@@ -187,6 +190,12 @@
                       base::Instant aAttemptStartedAt,
                       base::Instant aNow);
 
+  /// Records the load that an endpoint reported. It is used for endpoints of
+  /// other cells, whose attempts this host doesn't know.
+  void RecordLoad(const EndpointIncarnation& aEndpoint,
+                  const EndpointLoad& aLoad,
+                  base::Instant aNow);
+
   /// Records that another process answered at the endpoint's address.
   ///
   /// The registration may stay in the store for seconds, and a late heartbeat
@@ -267,6 +276,8 @@
     base::Instant activeAttemptStartedAt_;
     base::Instant batchPausedUntil_;
     std::size_t cell_ = 0;
+    EndpointLoad load_; ///< As last reported by the endpoint.
+    std::optional<base::Instant> loadRecordedAt_;
     bool isUnreadable_ = false; ///< The registration can't be read.
   };
   struct Replaced
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -32,6 +32,7 @@
   bool wasNotRun_ = false;
   bool isMisdirected_ = false; ///< Another process has the address now.
   std::string responderId_;    ///< Id of the endpoint; empty if not given.
+  std::optional<fleet::EndpointLoad> load_; ///< The endpoint's load, if given.
 };
 
 /// The caller's organisation as it is sent to endpoints; empty if the caller is
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -97,6 +97,10 @@
   shared_.endpoints_.RecordActivity(
     endpoint_.Incarnation(), startedAt_, base::MonotonicNow());
   const ResponseInfo info = shared_.codec_.ReadResponseInfo(aHead);
+  if (info.load_) {
+    shared_.endpoints_.RecordLoad(
+      endpoint_.Incarnation(), *info.load_, base::MonotonicNow());
+  }
   if (!info.responderId_.empty() && info.responderId_ != endpoint_.id_) {
     base::Log(kEndpointChanged,
               { { "endpoint", endpoint_.id_ },
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -217,8 +217,13 @@
     return true;
   }
   const fleet::AdmissionRequest request{
-    aChoice.endpoint_.service_, route_.name_,      aChoice.inFlight_,
-    aChoice.endpoint_.slots_,   route_.objective_, call_.callerTimeout_
+    aChoice.endpoint_.service_,
+    route_.name_,
+    aChoice.inFlight_,
+    aChoice.endpoint_.slots_,
+    route_.objective_,
+    call_.callerTimeout_,
+    shared_.routes_.RankOf(route_, caller_.value_or(std::string()))
   };
   const fleet::AdmissionDecision admission =
     shared_.admission_.Check(request, NextRandom(shared_.random_));
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace pumiceturn::fleet {
 
@@ -453,6 +454,26 @@
   CHECK(IsInOwnCell(Choose(WorkClass::Online, others_)->endpoint_.id_));
 }
 
+// Guards against overload of an endpoint of another cell, whose attempts this
+// host doesn't know.
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_EndpointOfOtherCellReportsLoad_FreeOneIsChosen")
+{
+  FillOwnCell(WorkClass::Online, 4);
+  for (std::size_t index = 1; index < others_.size(); ++index) {
+    table_.RecordLoad({ others_[index] }, { 4, 2 }, now_);
+  }
+  for (int round = 0; round < 20; ++round) {
+    CHECK(Choose(WorkClass::Online)->endpoint_.id_ == others_[0]);
+  }
+  now_ += 2s;
+  std::set<std::string> chosen;
+  for (int round = 0; round < 50; ++round) {
+    chosen.insert(Choose(WorkClass::Online)->endpoint_.id_);
+  }
+  CHECK(chosen.size() > 1);
+}
+
 TEST_CASE_METHOD(DividedEndpointTableFixture,
                  "EndpointTable_OwnCellRunsBatch_IsPreemptedThere")
 {
