LibGateway: Send large changes of the store to peers compressed

Mixed versions: a host of the former version counts the new delta as unreadable and asks the store.

StoreDelta_TooLarge_IsNotSent had 100,000 equal bytes, which now fit; it uses random bytes, and 4 MB of equal ones besides. New: 460 routes are sent, a forged size is rejected, a late delta saves the query.

--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -30,6 +30,10 @@
 constexpr std::chrono::milliseconds kHostPause{ 200 };
 constexpr std::chrono::milliseconds kHostFreshness{ 8000 };
 
+/// Time after a first read until the hosts that start together are registered.
+/// Until a host has read them, it knows no follower.
+constexpr std::chrono::milliseconds kRegistrationTime{ 700 };
+
 /// How long a host that is assigned no jobs trusts its mirror of job states. It
 /// needs a job's state only to forward calls; a missing or outdated one costs a
 /// read of the store.
@@ -79,6 +83,9 @@
                              kConfigurationWatchShare,
                              kConfigurationFreshnessShare);
   operators.pauseAfterChanges_ = kOperatorPause;
+  metadata::PrefixMirror::Options hosts = MakeFollowOptions(
+    layout_.hostPrefix_, kMaxHostWatch, kHostPause, kHostFreshness);
+  hosts.confirmationWait_ = kRegistrationTime;
   // The configuration is always read as of now, since routes and keys depend on
   // it. For the others a host that only forwards requests starts with a cheap
   // read; if many hosts start at once, the store serves as many of these as
@@ -114,8 +121,7 @@
                return true;
              } },
            { StorePrefix::Hosts,
-             withFirstRead(MakeFollowOptions(
-               layout_.hostPrefix_, kMaxHostWatch, kHostPause, kHostFreshness)),
+             withFirstRead(hosts),
              [this](const metadata::StoreItem& aItem) {
                OnHostEntry(aItem);
                return true;
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -109,8 +109,11 @@
   if (isComplete && !readSince_) {
     readSince_ = aNow;
   }
-  return readSince_ &&
-         (aNow - *readSince_ >= kSettleTime || followerSelector_.IsAlone(aNow));
+  // A preferred host may be the only one; the others know nothing of it yet
+  // when they start together.
+  const bool isFirst =
+    ownState_.isPreferred_ && followerSelector_.IsAlone(aNow);
+  return readSince_ && (aNow - *readSince_ >= kSettleTime || isFirst);
 }
 
 void
--- a/Libraries/LibGateway/StoreReport.cpp
+++ b/Libraries/LibGateway/StoreReport.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/StoreReport.h"
 
+#include "LibBase/Deflate.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -12,9 +14,12 @@
 
 namespace {
 
-/// Maximum size of the entries in a delta. Larger ones would be fragmented and
-/// load the network, as each peer gets a copy.
-constexpr std::size_t kMaxDeltaBytes = 8192;
+/// Maximum compressed size of a delta, as each peer gets a copy in one
+/// datagram.
+constexpr std::size_t kMaxDeltaBytes = 32768;
+
+/// Maximum size before that. The store limits values to 1 MB.
+constexpr std::size_t kMaxUncompressedDeltaBytes = 2097152;
 
 /// Maximum age accepted in a report. A larger, forged one could make an old
 /// mirror look fresh.
@@ -131,32 +136,43 @@
 std::optional<json>
 EncodeStoreDelta(const StoreDelta& aDelta)
 {
-  std::size_t bytes = 0;
   json items = json::array();
   for (const metadata::StoreItem& item : aDelta.delta_.items_) {
-    bytes += item.key_.size() + item.value_.size();
-    if (bytes > kMaxDeltaBytes) {
-      return std::nullopt;
-    }
     items.push_back(EncodeItem(item));
   }
-  return json{ { "prefix", static_cast<std::uint8_t>(aDelta.prefix_) },
-               { "previous", aDelta.delta_.previousChange_ },
-               { "view", EncodeView(aDelta.delta_.view_) },
-               { "items", std::move(items) } };
+  const std::vector<std::uint8_t> content =
+    json::to_cbor({ { "prefix", static_cast<std::uint8_t>(aDelta.prefix_) },
+                    { "previous", aDelta.delta_.previousChange_ },
+                    { "view", EncodeView(aDelta.delta_.view_) },
+                    { "items", std::move(items) } });
+  std::vector<std::uint8_t> compressed = base::Deflate(content);
+  if (compressed.size() > kMaxDeltaBytes ||
+      content.size() > kMaxUncompressedDeltaBytes) {
+    return std::nullopt;
+  }
+  return json{ { "size", content.size() },
+               { "deflated", json::binary(std::move(compressed)) } };
 }
 
 StoreDelta
 DecodeStoreDelta(const json& aRow)
 {
-  StoreDelta delta;
-  delta.prefix_ = DecodePrefix(aRow.at("prefix"));
-  delta.delta_.previousChange_ = aRow.at("previous").get<std::uint64_t>();
-  delta.delta_.view_ = DecodeView(aRow.at("view"));
-  for (const json& item : aRow.at("items")) {
-    delta.delta_.items_.push_back(DecodeItem(item));
+  const auto size = aRow.at("size").get<std::size_t>();
+  const auto content = size <= kMaxUncompressedDeltaBytes
+                         ? base::Inflate(aRow.at("deflated").get_binary(), size)
+                         : std::nullopt;
+  if (!content) {
+    throw json::other_error::create(0, "delta can't be decompressed", &aRow);
+  }
+  const json delta = json::from_cbor(*content);
+  StoreDelta decoded;
+  decoded.prefix_ = DecodePrefix(delta.at("prefix"));
+  decoded.delta_.previousChange_ = delta.at("previous").get<std::uint64_t>();
+  decoded.delta_.view_ = DecodeView(delta.at("view"));
+  for (const json& item : delta.at("items")) {
+    decoded.delta_.items_.push_back(DecodeItem(item));
   }
-  return delta;
+  return decoded;
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StoreReport.h
+++ b/Libraries/LibGateway/StoreReport.h
@@ -56,8 +56,9 @@
 [[nodiscard]] StoreReport
 DecodeStoreReport(const nlohmann::json& aRow);
 
-/// @return std::nullopt if the changes don't fit into a datagram; peers then
-///         detect that they miss changes, and read the store.
+/// @return the compressed changes and their uncompressed size; std::nullopt if
+///         they don't fit into a datagram. Peers then detect that they miss
+///         changes, and read the store.
 [[nodiscard]] std::optional<nlohmann::json>
 EncodeStoreDelta(const StoreDelta& aDelta);
 
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -2,6 +2,7 @@
 
 #include "LibMetadata/Events.h"
 
+#include <algorithm>
 #include <unordered_set>
 #include <utility>
 
@@ -177,6 +178,9 @@
 PrefixMirror::Continue()
 {
   const base::BootInstant now = base::BootNow();
+  if (isCatchingUp_ && tracker_.FollowedRevision() >= neededRevision_) {
+    isCatchingUp_ = false;
+  }
   if (!follows_ && !isCatchingUp_ &&
       tracker_.IsConfirmed(options_.freshnessLifetime_, now)) {
     WaitFor(tracker_.ConfirmedUntil(options_.freshnessLifetime_) - now);
@@ -186,8 +190,9 @@
 }
 
 void
-PrefixMirror::CatchUp(base::Duration aAfter)
+PrefixMirror::CatchUp(std::uint64_t aRevision, base::Duration aAfter)
 {
+  neededRevision_ = std::max(neededRevision_, aRevision);
   if (phase_ != Phase::Waiting || follows_ || isCatchingUp_) {
     return;
   }
@@ -202,7 +207,7 @@
     return;
   }
   if (tracker_.ApplyView(aView, base::BootNow()) == ReportOutcome::Gap) {
-    CatchUp(aCatchUpAfter);
+    CatchUp(aView.lastChangeRevision_, aCatchUpAfter);
   }
 }
 
@@ -215,7 +220,7 @@
   }
   const ReportOutcome outcome = tracker_.CheckDelta(aDelta);
   if (outcome == ReportOutcome::Gap) {
-    CatchUp(aCatchUpAfter);
+    CatchUp(aDelta.previousChange_, aCatchUpAfter);
   }
   if (outcome != ReportOutcome::Usable) {
     return;
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -125,7 +125,10 @@
   /// Makes the next call if it is due; otherwise keeps waiting.
   void Continue();
   void WaitFor(base::Duration aPause);
-  void CatchUp(base::Duration aAfter);
+
+  /// Queries the store after a delay, unless a delta brings the copy up to
+  /// aRevision before that.
+  void CatchUp(std::uint64_t aRevision, base::Duration aAfter);
 
   /// @return whether the change is relevant.
   bool Apply(const StoreItem& aItem);
@@ -151,8 +154,9 @@
   Phase phase_ = Phase::Reading;
   bool isComplete_ = false;
   bool follows_ = false;
-  /// The store must be queried even if the copy is confirmed.
+  /// A query is scheduled because the copy lacks a change.
   bool isCatchingUp_ = false;
+  std::uint64_t neededRevision_ = 0; ///< Up to which the copy lacks a change.
   base::Lifetime lifetime_;
 };
 
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -180,6 +180,19 @@
   CHECK(store_.watches_.empty());
 }
 
+// Guards against a query by each host that hears of a change before it gets the
+// delta.
+TEST_CASE_METHOD(PeerUpdatedMirrorFixture,
+                 "PrefixMirror_DeltaArrivesAfterReport_StoreIsNotQueried")
+{
+  mirror_->ApplyView({ 9, 12, {} }, std::chrono::milliseconds(20));
+  mirror_->ApplyDelta({ 5, { 9, 9, {} }, { { "p/a", "2", 9 } } }, {});
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  Run();
+  CHECK(copy_["p/a"] == "2");
+  CHECK(store_.watches_.empty());
+}
+
 // Guards against a response of the store that undoes a newer change received
 // from a peer.
 TEST_CASE_METHOD(PeerUpdatedMirrorFixture,
--- a/Tests/Platform/StoreReportTest.cpp
+++ b/Tests/Platform/StoreReportTest.cpp
@@ -65,10 +65,54 @@
   CHECK(read.delta_.items_[1].isRemoved_);
 }
 
-// Guards against sending a large configuration to each peer.
+// Guards against sending more than fits into a datagram to each peer.
 TEST_CASE_METHOD(StoreReportFixture, "StoreDelta_TooLarge_IsNotSent")
 {
-  CHECK_FALSE(EncodeStoreDelta(MakeDelta(100000)));
+  std::mt19937 random(7);
+  StoreDelta delta = MakeDelta(100000);
+  for (char& byte : delta.delta_.items_[0].value_) {
+    byte = static_cast<char>(random());
+  }
+  CHECK_FALSE(EncodeStoreDelta(delta));
+  CHECK_FALSE(EncodeStoreDelta(MakeDelta(4000000)));
+}
+
+// Guards against a read of the store by each host for each change of a
+// configuration with hundreds of routes.
+TEST_CASE_METHOD(StoreReportFixture, "StoreDelta_LargeConfiguration_IsSent")
+{
+  constexpr int kRoutes = 460;
+  constexpr std::size_t kMaxDatagramBytes = 32768;
+  std::mt19937 random(7);
+  json routes = json::array();
+  for (int route = 0; route < kRoutes; ++route) {
+    routes.push_back({ { "name", "r-" + std::to_string(random()) },
+                       { "hostname", "service.example" },
+                       { "prefix", "/" + std::to_string(random()) + "/" },
+                       { "kind", "stream" },
+                       { "timeoutMs", 5000 },
+                       { "sloMs", 300 },
+                       { "priority", 0 },
+                       { "maxAttempts", 2 },
+                       { "resumable", true } });
+  }
+  StoreDelta delta = MakeDelta(0);
+  delta.delta_.items_[0].value_ = routes.dump();
+  const auto row = EncodeStoreDelta(delta);
+  REQUIRE(row);
+  CHECK(json::to_cbor(*row).size() < kMaxDatagramBytes);
+  const StoreDelta read = DecodeStoreDelta(RoundTrip(*row));
+  CHECK(read.delta_.items_[0].value_ == delta.delta_.items_[0].value_);
+}
+
+// Guards against a forged datagram that takes much memory when decompressed.
+TEST_CASE_METHOD(StoreReportFixture, "StoreDelta_ForgedSize_IsRejected")
+{
+  json row = *EncodeStoreDelta(MakeDelta(20));
+  for (const std::uint64_t size : { 0ULL, 10ULL, 1ULL << 20U, 1ULL << 40U }) {
+    row["size"] = size;
+    CHECK_THROWS_AS(DecodeStoreDelta(RoundTrip(row)), json::exception);
+  }
 }
 
 // Guards against a forged report making a mirror look fresh for a long time.
