--- a/Libraries/LibBase/Deflate.h
+++ b/Libraries/LibBase/Deflate.h
@@ -8,7 +8,7 @@
 
 namespace pumiceturn::base {
 
-/// @return the bytes compressed as a raw deflate stream.
+/// @return the bytes compressed in zlib's format, which ends with a checksum.
 [[nodiscard]] std::vector<std::uint8_t>
 Deflate(std::span<const std::uint8_t> aBytes);
 
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy git curl
   libcapnp-dev libcpp-httplib-dev libcxxopts-dev libspdlog-dev libboost1.81-dev
   libtrompeloeil-cpp-dev catch2 libyaml-cpp-dev libgrpc++-dev libprotobuf-dev
-  nlohmann-json3-dev libxxhash-dev libssl-dev libbenchmark-dev
+  nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev libbenchmark-dev
   protobuf-compiler protobuf-compiler-grpc capnproto
 )
 missing=()
