LibGateway: Let requests wait while a host starts

Change: within 2 s of its start a host that was never ready lets up to 256 requests wait for at most 1 s, and rejects them then with a time to come back; the first read of endpoints is logged as a whole.

Tests: a request that arrives before the configuration is served, one at a host that doesn't become ready is rejected with a time.

--- a/Libraries/LibBase/RestartableTimer.h
+++ b/Libraries/LibBase/RestartableTimer.h
@@ -3,7 +3,7 @@
 #include "LibBase/Lifetime.h"
 #include "LibBase/Time.h"
 
-#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <utility>
@@ -19,9 +19,8 @@
 class RestartableTimer
 {
 public:
-  template<typename Executor>
-  explicit RestartableTimer(Executor&& aExecutor)
-    : timer_(std::forward<Executor>(aExecutor))
+  explicit RestartableTimer(boost::asio::io_context& aContext)
+    : timer_(aContext)
   {
   }
 
--- a/Libraries/LibFleet/CountFanout.cpp
+++ b/Libraries/LibFleet/CountFanout.cpp
@@ -7,7 +7,7 @@
 CountFanout::CountFanout(const CountUpdate& aUpdate,
                          bool aIsWorker,
                          bool aIsRemoteDue,
-                         CellLookup aCellOf)
+                         const CellLookup& aCellOf)
   : isFull_(aUpdate.isFull_)
   , isWorker_(aIsWorker)
   , isRemoteDue_(aIsRemoteDue && aUpdate.isFull_)
--- a/Libraries/LibFleet/CountFanout.h
+++ b/Libraries/LibFleet/CountFanout.h
@@ -30,6 +30,7 @@
     /// The message is limited to endpoints of this cell; empty: it isn't.
     std::optional<std::size_t> cell_;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>.
     auto operator<=>(const MessageKey&) const = default;
   };
 
@@ -40,7 +41,7 @@
   CountFanout(const CountUpdate& aUpdate,
               bool aIsWorker,
               bool aIsRemoteDue,
-              CellLookup aCellOf);
+              const CellLookup& aCellOf);
 
   /// @param aCell The peer's cell; empty if it has none.
   /// @return the message for a peer; empty if it receives none.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -39,6 +39,18 @@
 /// Suggested to callers while others haven't read their responses.
 constexpr std::chrono::milliseconds kUnreadRetryAfter{ 500 };
 
+/// How long a request may wait for this host to become ready after its start.
+/// Callers retry only a few times, and after a loss of all hosts each answers
+/// the retries of the others' callers.
+constexpr std::chrono::seconds kMaxWaitForReady{ 1 };
+
+/// Time after the start within which a host usually becomes ready. After that
+/// requests are rejected at once, as it isn't known when they can be served.
+constexpr std::chrono::seconds kStartTime{ 2 };
+
+/// Maximum number of requests that wait for this host to become ready.
+constexpr std::size_t kMaxEarlyRequests = 256;
+
 /// Suggested to callers while this host starts or stops.
 constexpr std::chrono::milliseconds kNotReadyRetryAfter{ 300 };
 
@@ -306,6 +318,7 @@
   if (spool_) {
     spool_->Start();
   }
+  startedAt_ = base::MonotonicNow();
   mirrors_.Start();
   lease_.Start();
   ScheduleTick();
@@ -328,10 +341,44 @@
     base::Log(kGatewayReady, { { "version", shared_.routes_.Version() } });
   }
   isReady_ = isReady;
+  hasBeenReady_ = hasBeenReady_ || isReady;
+}
+
+void
+Gateway::HandleEarlyRequests(base::Instant aNow)
+{
+  if (earlyRequests_.empty()) {
+    return;
+  }
+  std::vector<EarlyRequest> stillWaiting;
+  for (EarlyRequest& request : std::exchange(earlyRequests_, {})) {
+    if (hasBeenReady_ || isStopping_) {
+      HandleRequest(request.exchange_);
+    } else if (aNow - request.receivedAt_ >= kMaxWaitForReady) {
+      request.exchange_->Respond(
+        shared_.codec_.MakeUnavailable(kNotReadyRetryAfter));
+    } else {
+      stillWaiting.push_back(std::move(request));
+    }
+  }
+  earlyRequests_ = std::move(stillWaiting);
 }
 
 void
 Gateway::OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  const base::Instant now = base::MonotonicNow();
+  const bool isStarting =
+    !hasBeenReady_ && !isStopping_ && now - startedAt_ < kStartTime;
+  if (isStarting && earlyRequests_.size() < kMaxEarlyRequests) {
+    earlyRequests_.push_back({ aExchange, now });
+    return;
+  }
+  HandleRequest(aExchange);
+}
+
+void
+Gateway::HandleRequest(const std::shared_ptr<httpstream::Exchange>& aExchange)
 {
   const httpstream::Request& request = aExchange->GetRequest();
   // The balancer still sends requests if most hosts of a failure domain stop at
@@ -500,6 +547,7 @@
     accessControl_.Tick(hosts_.PeersExcept(OwnerId()), now);
   }
   UpdateReadiness();
+  HandleEarlyRequests(now);
   mirrors_.Tick(
     !isStopping_ && !isRetiring_ && !storeTransport_.IsDirectPathLost(), now);
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -133,7 +133,19 @@
   void Stop(std::function<void()> aStopped);
 
 private:
+  /// A request that arrived before this host was ready for the first time.
+  struct EarlyRequest
+  {
+    std::shared_ptr<httpstream::Exchange> exchange_;
+    base::Instant receivedAt_;
+  };
+
   void OnRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void HandleRequest(const std::shared_ptr<httpstream::Exchange>& aExchange);
+
+  /// Handles the requests that wait for this host to become ready, or rejects
+  /// those that have waited too long.
+  void HandleEarlyRequests(base::Instant aNow);
   void OnBatchJobCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
                       const BatchJobCall& aCall);
   void OnForwarded(const std::shared_ptr<httpstream::Exchange>& aExchange);
@@ -208,6 +220,9 @@
   bool isRetiring_ = false;
   bool isHandedOver_ = false;
   bool isReady_ = false;
+  bool hasBeenReady_ = false;
+  base::Instant startedAt_;
+  std::vector<EarlyRequest> earlyRequests_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -201,8 +201,10 @@
                 { "state", "restarted" },
                 { "born_ms", record->startedAtMs_ },
                 { "revision", aItem.revision_ } });
-  } else if (wasUsable == record->isDraining_) {
-    // Was usable and drains now, or the reverse.
+  } else if (wasUsable == record->isDraining_ &&
+             mirrors_.HasBeenRead(StorePrefix::Endpoints)) {
+    // Was usable and drains now, or the reverse. The first read is logged as a
+    // whole, since hundreds of lines would delay the start.
     base::Log(kEndpointChanged,
               { { "endpoint", id },
                 { "state", record->isDraining_ ? "draining" : "ready" },
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -368,4 +368,36 @@
   CHECK_FALSE(isStopped);
 }
 
+// Guards against a caller that uses up its retries while all hosts start.
+TEST_CASE_METHOD(GatewayFixture,
+                 "Online_RequestArrivesDuringStart_IsServedOnceReady")
+{
+  // A worker that is alone follows the store at once.
+  TestHost& host = StartHost("host", batch::BatchPreference::Worker);
+  const auto call = Send(host.callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 5000\r\n",
+                         {});
+  AddServer("i-1");
+  WriteConfiguration(1);
+  RunUntil([&call] { return call->HasEnded(); });
+  CHECK(call->status_ == 200);
+}
+
+// Guards against holding requests for as long as a host can't become ready.
+TEST_CASE_METHOD(GatewayFixture,
+                 "Online_HostDoesNotBecomeReady_RequestIsRejected")
+{
+  TestHost& host = StartHost("entry", batch::BatchPreference::Fallback);
+  const auto call = Send(host.callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 5000\r\n",
+                         {});
+  RunUntil([&call] { return call->HasEnded(); });
+  CHECK(call->status_ == 503);
+  CHECK_FALSE(call->retryAfter_.empty());
+}
+
 } // namespace pumiceturn::adapter
