--- a/Tests/LibFleet/RouteTableTest.cpp
+++ b/Tests/LibFleet/RouteTableTest.cpp
@@ -72,7 +72,8 @@
   declarations.organisations_ = { { "urgent", {}, {}, 1 },
                                   { "patient", {}, {}, 4 },
                                   { "usual", {}, {}, std::nullopt } };
-  REQUIRE(table_.Install(std::move(declarations)));
+  const bool isInstalled = table_.Install(std::move(declarations));
+  REQUIRE(isInstalled);
   const Route& first = *table_.Find("a.example", "/a/");
   const Route& second = *table_.Find("a.example", "/b/");
   CHECK(table_.RankOf(first, "urgent") == 0);
@@ -89,7 +90,8 @@
   Declarations declarations = MakeDeclarations(1, { MakeRoute("a", "/a/") });
   declarations.organisations_ = { { "first", {}, {}, 2 },
                                   { "second", {}, {}, 2 } };
-  REQUIRE(table_.Install(std::move(declarations)));
+  const bool isInstalled = table_.Install(std::move(declarations));
+  REQUIRE(isInstalled);
   CHECK(table_.RankOf(*table_.Find("a.example", "/a/"), "first") == 0);
 }
 
