LibGateway: Don't send requests whose callers left during the start

Cause, from reading the diff: a request that waits for the host to become ready has no handler for its caller's disconnection yet, so that one whose caller had left was sent to an endpoint when the host became ready.

Change: such requests are dropped. Test: two callers wait, one leaves; without the check the endpoint gets both requests.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -352,6 +352,9 @@
   }
   std::vector<EarlyRequest> stillWaiting;
   for (EarlyRequest& request : std::exchange(earlyRequests_, {})) {
+    if (request.exchange_->IsFinished()) {
+      continue; // The caller has disconnected.
+    }
     if (hasBeenReady_ || isStopping_) {
       HandleRequest(request.exchange_);
     } else if (aNow - request.receivedAt_ >= kMaxWaitForReady) {
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -385,6 +385,35 @@
   CHECK(call->status_ == 200);
 }
 
+// Guards against running a request whose caller left while the host started.
+TEST_CASE_METHOD(GatewayFixture,
+                 "Online_CallerLeavesDuringStart_RequestIsNotSent")
+{
+  TestHost& host = StartHost("host", batch::BatchPreference::Worker);
+  const auto left = Send(host.callerPort_,
+                         "POST",
+                         "/stream/1",
+                         "Attempt-Id: r1\r\nDeadline-Ms: 5000\r\n",
+                         {});
+  const auto stays = Send(host.callerPort_,
+                          "POST",
+                          "/stream/1",
+                          "Attempt-Id: r2\r\nDeadline-Ms: 5000\r\n",
+                          {});
+  const auto hasBoth = [&] {
+    return Metrics(host).find("pumiceturn_caller_connections 2") !=
+           std::string::npos;
+  };
+  RunUntil(hasBoth);
+  left->connection_->Cancel();
+  RunUntil([&] { return !hasBoth(); });
+  ServerStandin& server = AddServer("i-1");
+  WriteConfiguration(1);
+  RunUntil([&stays] { return stays->HasEnded(); });
+  CHECK(stays->status_ == 200);
+  CHECK(server.Requests().size() == 1);
+}
+
 // Guards against holding requests for as long as a host can't become ready.
 TEST_CASE_METHOD(GatewayFixture,
                  "Online_HostDoesNotBecomeReady_RequestIsRejected")
