--- a/Libraries/LibBatch/HostSet.h
+++ b/Libraries/LibBatch/HostSet.h
@@ -90,10 +90,9 @@
     std::string address_;
   };
 
-  std::unordered_map<std::string, Member> members_;
-  /// Registered hosts by owner: looked up for each open job at each tick.
-  std::unordered_map<std::string, std::string>
-    hostsByOwner_; ///< Keyed by host name.
+  std::unordered_map<std::string, Member> members_; ///< Keyed by host name.
+  /// Names of the hosts by owner: looked up for each open job at each tick.
+  std::unordered_map<std::string, std::string> hostsByOwner_;
   /// Start of each unregistered owner's takeover delay; in the past for a
   /// restarted host, whose jobs may be taken over immediately. For an owner
   /// that was never registered, the time of the first query.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -23,19 +23,10 @@
 constexpr std::chrono::milliseconds kGraceMargin{ 500 };
 constexpr std::chrono::milliseconds kStopPollInterval{ 100 };
 
-/// Delay before another attempt to report the end of the retirement.
-constexpr std::chrono::milliseconds kRetirementReportDelay{ 300 };
-
 /// Large enough for a store call with the largest job: its bodies are base64 in
 /// the job, and the job is base64 in the call.
 constexpr std::uint64_t kMaxPeerBodyBytes = 16777216;
 
-constexpr std::chrono::seconds kStoreCallsLogInterval{ 10 };
-
-/// How long another term of the host's lease must be needed before it is
-/// changed, as hosts that start together don't see all others at once.
-constexpr std::chrono::seconds kLeaseTermDelay{ 3 };
-
 /// Suggested to callers while others haven't read their responses.
 constexpr std::chrono::milliseconds kUnreadRetryAfter{ 500 };
 
@@ -71,9 +62,7 @@
 metadata::HostLease::Term
 MakeFirstLeaseTerm(const GatewaySettings& aSettings)
 {
-  const bool isWorker =
-    aSettings.batchPreference_ == batch::BatchPreference::Worker;
-  return isWorker || aSettings.revocationBound_
+  return aSettings.IsWorker() || aSettings.revocationBound_
            ? metadata::HostLease::kShortTerm
            : metadata::HostLease::kLongTerm;
 }
@@ -136,7 +125,7 @@
              store_,
              health_,
              settings_.host_,
-             settings_.batchPreference_ == batch::BatchPreference::Worker,
+             settings_.IsWorker(),
              MirroredPrefixes(),
              shared_.random_)
   , lease_(aContext,
@@ -170,7 +159,7 @@
       aContext,
       shared_,
       settings_.host_,
-      settings_.batchPreference_ == batch::BatchPreference::Worker,
+      settings_.IsWorker(),
       mirrors_,
       [this](const std::string& aEndpoint) { worker_.Preempt(aEndpoint); })
   , accessControl_(
@@ -193,7 +182,6 @@
                      [this](const auto& aExchange) { OnForwarded(aExchange); })
   , tickTimer_(aContext)
   , stopTimer_(aContext)
-  , leaseTerm_(MakeFirstLeaseTerm(settings_))
 {
   if (!settings_.spoolFolder_.empty()) {
     spool_.emplace(aContext,
@@ -495,44 +483,6 @@
                                       aChoice.preemptedPeer_);
 }
 
-void
-Gateway::Retire()
-{
-  if (isRetiring_ || isStopping_) {
-    return;
-  }
-  isRetiring_ = true;
-  if (spool_) {
-    spool_->SetDraining();
-  }
-  base::Log(kGatewayRetiring, { { "runs", worker_.AttemptCount() } });
-  worker_.HandOver([this] { lease_.End([this] { ReportRetirement(); }); });
-}
-
-void
-Gateway::ReportRetirement()
-{
-  // Operators remove the host and its disk after this report, so the spool must
-  // be empty.
-  if (spool_ && !spool_->IsEmpty()) {
-    ScheduleRetirementReport();
-    return;
-  }
-  store_.Commit(storeCodec_.MakeRetirementDone(settings_.host_),
-                [this](const metadata::TransactionResponse& aResponse) {
-                  if (aResponse.status_ == metadata::StoreStatus::Ok) {
-                    return;
-                  }
-                  ScheduleRetirementReport();
-                });
-}
-
-void
-Gateway::ScheduleRetirementReport()
-{
-  stopTimer_.Start(kRetirementReportDelay, [this] { ReportRetirement(); });
-}
-
 void
 Gateway::ScheduleTick()
 {
@@ -573,57 +523,6 @@
   LogStoreCalls(now);
 }
 
-void
-Gateway::CountStoreCall(std::string_view aCall, std::string_view aKeys)
-{
-  shared_.metrics_
-    .GetCounter("pumiceturn_store_calls_total",
-                "Calls to the store, including repeated ones.",
-                fmt::format("call=\"{}\",keys=\"{}\"", aCall, aKeys))
-    .Add();
-}
-
-bool
-Gateway::NeedsShortLease() const
-{
-  return hosts_.IsPreferred(settings_.batchPreference_) ||
-         shared_.routes_.Organisations().AreDeclared();
-}
-
-void
-Gateway::UpdateLeaseTerm(base::Instant aNow)
-{
-  const metadata::HostLease::Term needed = NeedsShortLease()
-                                             ? metadata::HostLease::kShortTerm
-                                             : metadata::HostLease::kLongTerm;
-  if (needed == leaseTerm_) {
-    otherTermNeededSince_.reset();
-    return;
-  }
-  if (!otherTermNeededSince_) {
-    otherTermNeededSince_ = aNow;
-  }
-  if (aNow - *otherTermNeededSince_ >= kLeaseTermDelay) {
-    leaseTerm_ = needed;
-    lease_.SetTerm(needed);
-  }
-}
-
-void
-Gateway::LogStoreCalls(base::Instant aNow)
-{
-  if (aNow - storeCallsLoggedAt_ < kStoreCallsLogInterval) {
-    return;
-  }
-  storeCallsLoggedAt_ = aNow;
-  std::string counts;
-  for (const auto& [call, count] : store_.Counts()) {
-    counts += fmt::format(
-      "{}{}:{}={}", counts.empty() ? "" : ",", call.first, call.second, count);
-  }
-  base::Log(kStoreCalls, { { "calls", counts } });
-}
-
 void
 Gateway::Stop(std::function<void()> aStopped)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -68,6 +68,12 @@
   /// Maximum time until a job's state that one host has returned is visible at
   /// all hosts.
   base::Duration jobStateBound_{ std::chrono::seconds{ 1 } };
+
+  /// @return whether this host is preferred for running batch jobs.
+  [[nodiscard]] bool IsWorker() const
+  {
+    return batchPreference_ == batch::BatchPreference::Worker;
+  }
 };
 
 /// Key prefixes of the store that a gateway mirrors.
@@ -213,8 +219,7 @@
   std::function<void()> onStopped_;
   base::Instant stopStartedAt_;
   base::Instant storeCallsLoggedAt_;
-  metadata::HostLease::Term leaseTerm_;
-  /// Since when another term than leaseTerm_ is needed.
+  /// Since when another term than the lease's is needed.
   std::optional<base::Instant> otherTermNeededSince_;
   bool isStopping_ = false;
   bool isRetiring_ = false;
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -91,10 +91,9 @@
   // read; if many hosts start at once, the store serves as many of these as
   // they ask for.
   const auto withFirstRead = [this](metadata::PrefixMirror::Options aOptions) {
-    aOptions.firstRead_ =
-      settings_.batchPreference_ == batch::BatchPreference::Worker
-        ? metadata::ReadConsistency::Linearizable
-        : metadata::ReadConsistency::MayBeStale;
+    aOptions.firstRead_ = settings_.IsWorker()
+                            ? metadata::ReadConsistency::Linearizable
+                            : metadata::ReadConsistency::MayBeStale;
     return aOptions;
   };
   return { { StorePrefix::Operators,
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -57,6 +57,8 @@
   /// the host under a new lease if there is one.
   void SetTerm(Term aTerm);
 
+  [[nodiscard]] const Term& CurrentTerm() const { return options_.term_; }
+
   /// Handles the removal of the key by another process: writes it again with
   /// the next renewal.
   void OnKeyRemoved();
