LibFleet: Let owners grant only the parts of hosts that chose them

Cause: an owner of a rate account granted the share of the hosts that it reached. Two hosts that are cut off from each other may reach the same worker, which then granted what the other owner granted as well. A host whose reports got lost, but which heard its owner, was never told to query first.

Ruled out: a larger tolerance; refusing more within the limit.

Change: each admitting host has an equal part of each limit and only the owner that it chose grants it. Hosts announce a hash of the owners they choose from and how many hosts they hear; owners are those that hear nearly all. Reports ask for a response once a second.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -27,6 +27,14 @@
 /// of the limit unused. The rest is kept, as it isn't known what they admit.
 constexpr double kPartitionToleranceShare = 0.5;
 
+/// Replaces kBucketToleranceShare while kPartitionToleranceShare is added, so
+/// that all shares of the tolerance together stay below 1.
+constexpr double kPartitionBucketToleranceShare = 0.15;
+
+/// Replaces kInitialToleranceShare in the same case: several owners may start
+/// anew in one window.
+constexpr double kPartitionInitialToleranceShare = 0.1;
+
 /// Decay time of the count of refused requests.
 constexpr std::chrono::seconds kRefusalDecayTime{ 1 };
 
@@ -42,6 +50,10 @@
 
 constexpr std::chrono::minutes kIdleTimeout{ 1 };
 
+/// How long a host whose choice of owners isn't known counts as having chosen
+/// this one after a report. Hosts report each 200 ms while they admit requests.
+constexpr std::chrono::milliseconds kReporterLifetime{ 500 };
+
 /// Avoids division by zero for very low limits. In requests per second.
 constexpr double kMinRate = 1e-3;
 
@@ -66,15 +78,19 @@
   const double seconds = ToSeconds(tolerance_.window_);
   const double allowed = aLimit.ratePerSecond_ * seconds + aLimit.burst_;
   const double tolerated = tolerance_.overage_ * allowed + tolerance_.slack_;
-  const double extra =
-    aShare < 1.0 ? kPartitionToleranceShare * tolerated : 0.0;
+  const bool isPartial = aShare < 1.0;
+  const double extra = isPartial ? kPartitionToleranceShare * tolerated : 0.0;
+  const double bucketShare =
+    isPartial ? kPartitionBucketToleranceShare : kBucketToleranceShare;
   Allowance allowance;
   allowance.rate_ = (aLimit.ratePerSecond_ + extra / seconds) * aShare;
   // A smaller bucket could never hold the credit for one request.
   allowance.capacity_ =
-    std::max((aLimit.burst_ + kBucketToleranceShare * tolerated) * aShare, 1.0);
+    std::max((aLimit.burst_ + bucketShare * tolerated) * aShare, 1.0);
+  const double initialShare =
+    isPartial ? kPartitionInitialToleranceShare : kInitialToleranceShare;
   allowance.initialCredit_ =
-    std::min(kInitialToleranceShare * tolerated * aShare, allowance.capacity_);
+    std::min(initialShare * tolerated * aShare, allowance.capacity_);
   allowance.requestsPerWindow_ = std::max((allowed + extra) * aShare, 1.0);
   return allowance;
 }
@@ -141,12 +157,14 @@
 void
 RateAccounts::ApplyTotals(Account& aAccount,
                           const std::string& aHost,
-                          const RateReport& aReport)
+                          const RateReport& aReport,
+                          base::Instant aNow)
 {
   HostTotals& totals = aAccount.totals_[aHost];
   if (totals.seriesId_ != aReport.seriesId_) {
-    totals = { aReport.seriesId_, 0, 0 };
+    totals = { aReport.seriesId_ };
   }
+  totals.reportedAt_ = aNow;
   // Totals never decrease: a lower one is from an older message.
   if (aReport.admitted_ > totals.admitted_) {
     Debit(aAccount, static_cast<double>(aReport.admitted_ - totals.admitted_));
@@ -158,6 +176,33 @@
   }
 }
 
+double
+RateAccounts::ShareFor(const std::string& aOrganisation,
+                       const std::string& aReporter,
+                       const RateLimitMembership& aMembers,
+                       base::Instant aNow) const
+{
+  const auto account = accounts_.find(aOrganisation);
+  return aMembers.ShareOf(aOrganisation, [&](const std::string& aHost) {
+    if (aHost == aReporter) {
+      return true;
+    }
+    if (account == accounts_.end()) {
+      return false;
+    }
+    const auto totals = account->second.totals_.find(aHost);
+    return totals != account->second.totals_.end() &&
+           aNow - totals->second.reportedAt_ <= kReporterLifetime;
+  });
+}
+
+double
+RateAccounts::LastShareOf(const std::string& aOrganisation) const
+{
+  const auto account = accounts_.find(aOrganisation);
+  return account == accounts_.end() ? 0.0 : account->second.share_;
+}
+
 RateResponse
 RateAccounts::HandleReport(const std::string& aHost,
                            const RateReport& aReport,
@@ -165,9 +210,11 @@
                            const RateLimitMembership& aMembers,
                            base::Instant aNow)
 {
-  const Allowance allowance = AllowanceFor(aLimit, aMembers.Share());
+  const double share = ShareFor(aReport.organisation_, aHost, aMembers, aNow);
+  const Allowance allowance = AllowanceFor(aLimit, share);
   Account& account = Refill(aReport.organisation_, allowance, aMembers, aNow);
-  ApplyTotals(account, aHost, aReport);
+  account.share_ = share;
+  ApplyTotals(account, aHost, aReport, aNow);
   account.credit_ = std::clamp(
     account.credit_, -kMaxDebtSeconds * allowance.rate_, allowance.capacity_);
   RateResponse response;
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -53,6 +53,10 @@
 
   [[nodiscard]] std::size_t Count() const { return accounts_.size(); }
 
+  /// @return the share of the organisation's limit that was granted last; 0 if
+  ///         this host doesn't own its account.
+  [[nodiscard]] double LastShareOf(const std::string& aOrganisation) const;
+
 private:
   /// Totals that one host reported.
   struct HostTotals
@@ -60,6 +64,7 @@
     std::uint64_t seriesId_ = 0;
     std::uint64_t admitted_ = 0;
     std::uint64_t refunded_ = 0;
+    base::Instant reportedAt_{};
   };
   /// Number of slices of the window by which requests are counted.
   static constexpr std::size_t kSlices = 20;
@@ -73,6 +78,7 @@
     std::int64_t slice_ = 0;        ///< Current slice, counted from the epoch.
     double recentRefusals_ = 0.0;   ///< Recently refused requests, decaying.
     base::Instant refilledAt_;
+    double share_ = 0.0; ///< Of the limit, as of the last report.
     std::unordered_map<std::string, HostTotals> totals_; ///< By host.
   };
 
@@ -88,6 +94,11 @@
 
   [[nodiscard]] Allowance AllowanceFor(const RateLimit& aLimit,
                                        double aShare) const;
+  /// @return the share of an organisation's limit that this host may grant.
+  [[nodiscard]] double ShareFor(const std::string& aOrganisation,
+                                const std::string& aReporter,
+                                const RateLimitMembership& aMembers,
+                                base::Instant aNow) const;
   Account& Refill(const std::string& aOrganisation,
                   const Allowance& aAllowance,
                   const RateLimitMembership& aMembers,
@@ -96,7 +107,8 @@
   static void Debit(Account& aAccount, double aRequests);
   static void ApplyTotals(Account& aAccount,
                           const std::string& aHost,
-                          const RateReport& aReport);
+                          const RateReport& aReport,
+                          base::Instant aNow);
 
   /// @return the number of requests that may be admitted now.
   [[nodiscard]] static double AvailableRequests(const Account& aAccount,
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -16,6 +16,13 @@
 /// Maximum delay between an admission and its report.
 constexpr std::chrono::milliseconds kMaxReportDelay{ 200 };
 
+/// Reports ask for a response if the owner's last one is older than this.
+constexpr std::chrono::seconds kResponseInterval{ 1 };
+
+/// If the owner's last response is older than this, its reports may get lost,
+/// and a host that goes on without queries would not be limited.
+constexpr std::chrono::seconds kMaxResponseAge{ 2 };
+
 /// Avoids division by zero for very low limits. In requests per second.
 constexpr double kMinRate = 1e-3;
 constexpr double kMaxRetryAfterSeconds = 5.0;
@@ -53,10 +60,12 @@
     const std::uint64_t unreported =
       usage.admitted_ + usage.refunded_ - usage.reported_;
     const base::Instant queryUntil = usage.queryUntil_;
+    const std::uint64_t unconfirmed = usage.unconfirmed_;
     usage = {};
     usage.owner_ = owner;
     usage.seriesId_ = std::max<std::uint64_t>(aRandom(), 1);
     usage.admitted_ = unreported;
+    usage.unconfirmed_ = unconfirmed;
     usage.queryUntil_ = queryUntil;
     usage.reportedAt_ = aNow;
   }
@@ -70,11 +79,28 @@
 }
 
 RateReport
-RateLimiter::MakeReport(const std::string& aOrganisation, const Usage& aUsage)
+RateLimiter::MakeReport(const std::string& aOrganisation,
+                        const Usage& aUsage) const
+{
+  RateReport report;
+  report.organisation_ = aOrganisation;
+  report.seriesId_ = aUsage.seriesId_;
+  report.admitted_ = aUsage.admitted_;
+  report.refunded_ = aUsage.refunded_;
+  report.candidatesHash_ = members_.CandidatesHash();
+  return report;
+}
+
+bool
+RateLimiter::MayAdmitAtOnce(const Usage& aUsage, base::Instant aNow) const
 {
-  return {
-    aOrganisation, aUsage.seriesId_, aUsage.admitted_, aUsage.refunded_, 0
-  };
+  const std::uint64_t unreported =
+    aUsage.admitted_ + aUsage.refunded_ - aUsage.reported_;
+  const bool isConfirmed = aNow - aUsage.respondedAt_ <= kMaxResponseAge ||
+                           aUsage.unconfirmed_ < 2 * aUsage.maxUnreported_;
+  return aUsage.owner_ != members_.OwnName() && aNow >= aUsage.queryUntil_ &&
+         unreported < aUsage.maxUnreported_ && isConfirmed &&
+         !aUsage.hasUnansweredQuery_;
 }
 
 RateDecision
@@ -89,19 +115,16 @@
   if (aNow < usage.noCreditUntil_) {
     return RateRefused{ usage.retryAfter_, "no credit" };
   }
-  const bool isOwner = usage.owner_ == members_.OwnName();
-  const std::uint64_t unreported =
-    usage.admitted_ + usage.refunded_ - usage.reported_;
-  if (!isOwner && aNow >= usage.queryUntil_ &&
-      unreported < usage.maxUnreported_) {
+  if (MayAdmitAtOnce(usage, aNow)) {
     ++usage.admitted_;
+    ++usage.unconfirmed_;
     return RateAdmitted{};
   }
   RateReport report = MakeReport(aOrganisation.name_, usage);
   report.query_ = ++lastQuery_;
   usage.reported_ = usage.admitted_ + usage.refunded_;
   usage.reportedAt_ = aNow;
-  if (!isOwner) {
+  if (usage.owner_ != members_.OwnName()) {
     return RateQuery{ usage.owner_, std::move(report) };
   }
   const RateResponse response = accounts_.HandleReport(
@@ -115,6 +138,7 @@
   Usage& usage = usages_[aOrganisation.name_];
   usage.usedAt_ = aNow;
   usage.limit_ = aOrganisation.limit_;
+  usage.hasUnansweredQuery_ = true;
   const double hosts = static_cast<double>(members_.AdmittingCount());
   const RateLimit& limit = aOrganisation.limit_;
   if (usage.localCreditAt_ != base::Instant{}) {
@@ -155,6 +179,9 @@
     std::max(aUsage.queryUntil_, aNow + aResponse.queryFirstFor_);
   aUsage.noCreditUntil_ = aNow + aResponse.noCreditFor_;
   aUsage.retryAfter_ = aResponse.retryAfter_;
+  aUsage.respondedAt_ = aNow;
+  aUsage.hasUnansweredQuery_ = false;
+  aUsage.unconfirmed_ = 0;
 }
 
 std::optional<RateDecision>
@@ -180,10 +207,13 @@
                           const Organisation& aOrganisation,
                           base::Instant aNow)
 {
+  if (aReport.candidatesHash_ != 0) {
+    members_.RecordCandidates(aHost, aReport.candidatesHash_);
+  }
   RateResponse response = accounts_.HandleReport(
     aHost, aReport, aOrganisation.limit_, members_, aNow);
-  const bool isDue =
-    aReport.query_ != 0 || response.queryFirstFor_ > base::Duration::zero();
+  const bool isDue = aReport.query_ != 0 || aReport.isResponseNeeded_ ||
+                     response.queryFirstFor_ > base::Duration::zero();
   return isDue ? std::optional(std::move(response)) : std::nullopt;
 }
 
@@ -200,7 +230,8 @@
     }
     usage.reported_ = total;
     usage.reportedAt_ = aNow;
-    const RateReport report = MakeReport(organisation, usage);
+    RateReport report = MakeReport(organisation, usage);
+    report.isResponseNeeded_ = aNow - usage.respondedAt_ > kResponseInterval;
     if (usage.owner_ == members_.OwnName()) {
       RecordResponse(usage,
                      accounts_.HandleReport(
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -47,8 +47,9 @@
 /// burst, they query the owner before each request. Hosts send reports
 /// only for organisations in use, each to one owner.
 ///
-/// Hosts that can't reach each other keep separate accounts, with a share of
-/// the limit according to their number. Time and random numbers are passed as
+/// Hosts that can't reach each other keep separate accounts, each with a share
+/// of the limit by the number of hosts that chose its owner
+/// (RateLimitMembership). Time and random numbers are passed as
 /// arguments. Performs no I/O. Not thread-safe.
 class RateLimiter
 {
@@ -98,7 +99,21 @@
   /// @return the number of accounts that this host owns.
   [[nodiscard]] std::size_t AccountCount() const { return accounts_.Count(); }
 
-  [[nodiscard]] double Share() const { return members_.Share(); }
+  /// @return the share of the organisation's limit that this host granted last
+  ///         as the owner of its account; 0 if it doesn't own it.
+  [[nodiscard]] double ShareOf(const std::string& aOrganisation) const
+  {
+    return accounts_.LastShareOf(aOrganisation);
+  }
+
+  /// @return the number of admitting hosts that this host hears, for its peers.
+  [[nodiscard]] std::size_t HeardHosts() const { return members_.HeardHosts(); }
+
+  /// @return the hash of the owners that this host chooses from, for its peers.
+  [[nodiscard]] std::uint64_t CandidatesHash() const
+  {
+    return members_.CandidatesHash();
+  }
 
 private:
   /// Requests of an organisation at this host.
@@ -115,6 +130,11 @@
     std::uint64_t maxUnreported_ = 1;
     base::Instant reportedAt_;
     base::Instant usedAt_;
+    base::Instant respondedAt_; ///< When the owner last responded.
+    /// Requests admitted without a query since the owner's last response.
+    std::uint64_t unconfirmed_ = 0;
+    /// The owner didn't respond to a query since its last response.
+    bool hasUnansweredQuery_ = false;
     base::Instant queryUntil_;
     base::Instant noCreditUntil_;
     base::Duration retryAfter_{ 0 };
@@ -122,11 +142,14 @@
     base::Instant localCreditAt_;
   };
 
+  /// @return whether a request may be admitted without a query.
+  [[nodiscard]] bool MayAdmitAtOnce(const Usage& aUsage,
+                                    base::Instant aNow) const;
   Usage& UsageFor(const Organisation& aOrganisation,
                   base::Instant aNow,
                   std::mt19937_64& aRandom);
-  [[nodiscard]] static RateReport MakeReport(const std::string& aOrganisation,
-                                             const Usage& aUsage);
+  [[nodiscard]] RateReport MakeReport(const std::string& aOrganisation,
+                                      const Usage& aUsage) const;
   void RecordResponse(Usage& aUsage,
                       const RateResponse& aResponse,
                       base::Instant aNow);
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -24,6 +24,11 @@
   /// Id of the query that the report makes: whether one more request may be
   /// admitted. 0: no query.
   std::uint64_t query_ = 0;
+  /// Hash of the owners that the host chooses from
+  /// (RateLimitMembership::CandidatesHash()); 0: not given.
+  std::uint64_t candidatesHash_ = 0;
+  /// The host needs a response, to know that its reports arrive.
+  bool isResponseNeeded_ = false;
 
   bool operator==(const RateReport&) const = default;
 };
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -276,7 +276,7 @@
               { "rate", aOrganisation.limit_.ratePerSecond_ },
               { "burst", aOrganisation.limit_.burst_ },
               { "decided_by", aRefusal.reason_ },
-              { "share", shared_.rateLimiter_.Share() },
+              { "share", shared_.rateLimiter_.ShareOf(aOrganisation.name_) },
               { "come_back_ms", base::ToMs(aRefusal.retryAfter_) } });
   shared_.metrics_
     .GetCounter("pumiceturn_requests_over_rate_total",
@@ -291,8 +291,7 @@
 {
   std::vector<fleet::RateLimitMembership::Member> members;
   for (const batch::PeerAddress& peer : aPeers) {
-    members.push_back(
-      { peer.host_, peers_.IsReachable(peer.host_), !peer.isWorker_ });
+    members.push_back(peers_.RateMember(peer.host_, !peer.isWorker_));
   }
   shared_.rateLimiter_.SetMembers(members, aNow);
   for (const auto& [owner, report] :
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -220,6 +220,10 @@
     content["runs"] = std::move(rows);
     content["suspects"] = SuspectRows();
     content["store"] = EncodeStoreReport(mirrors_.MakeReport());
+    if (shared_.routes_.Organisations().AreDeclared()) {
+      content["owners"] = shared_.rateLimiter_.CandidatesHash();
+      content["heard"] = shared_.rateLimiter_.HeardHosts();
+    }
   } else {
     content["changed"] = std::move(rows);
   }
@@ -301,12 +305,39 @@
     return;
   }
   if (const auto report = aMessage.find("rate"); report != aMessage.end()) {
-    onRateReport_(aPeer, DecodeRateReport(*report));
+    const fleet::RateReport decoded = DecodeRateReport(*report);
+    if (decoded.candidatesHash_ != 0) {
+      RecordRateCandidates(aPeer, decoded.candidatesHash_);
+    }
+    onRateReport_(aPeer, decoded);
   } else {
     onRateResponse_(DecodeRateResponse(aMessage.at("rate_answer")));
   }
 }
 
+void
+PeerMessenger::RecordRateCandidates(const std::string& aPeer,
+                                    std::uint64_t aHash)
+{
+  if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+    peer->second.rateCandidates_ = aHash;
+  }
+}
+
+fleet::RateLimitMembership::Member
+PeerMessenger::RateMember(const std::string& aPeer, bool aAdmits) const
+{
+  fleet::RateLimitMembership::Member member;
+  member.host_ = aPeer;
+  member.isReachable_ = IsReachable(aPeer);
+  member.admits_ = aAdmits;
+  if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+    member.candidatesHash_ = peer->second.rateCandidates_;
+    member.heardHosts_ = peer->second.heardHosts_;
+  }
+  return member;
+}
+
 bool
 PeerMessenger::IsFromPeer(const std::string& aPeer) const
 {
@@ -447,6 +478,15 @@
                               aMessage.size());
       HandleCounts(host, message, now);
       HandleStoreReport(host, message, now);
+      // Only of peers that were heard directly: a host reports to an owner that
+      // it hears itself.
+      const auto owners = message.find("owners");
+      if (owners != message.end() && IsFromPeer(host)) {
+        RecordRateCandidates(host, owners->get<std::uint64_t>());
+        if (const auto peer = peers_.find(host); peer != peers_.end()) {
+          peer->second.heardHosts_ = message.value("heard", std::size_t{ 0 });
+        }
+      }
       Relay(host, message, now);
     }
   } catch (const json::exception&) {
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -5,6 +5,7 @@
 #include "LibFleet/CountFanout.h"
 #include "LibFleet/CountPublisher.h"
 #include "LibFleet/PeerReachability.h"
+#include "LibFleet/RateLimitMembership.h"
 #include "LibFleet/RateMessages.h"
 #include "LibGateway/PeerTraffic.h"
 #include "LibGateway/SharedState.h"
@@ -73,6 +74,11 @@
     return reachability_.IsReachable(aPeer, base::MonotonicNow());
   }
 
+  /// @return a peer as a member of the rate limits' enforcement.
+  [[nodiscard]] fleet::RateLimitMembership::Member RateMember(
+    const std::string& aPeer,
+    bool aAdmits) const;
+
   [[nodiscard]] std::size_t ReachableCount() const
   {
     return reachability_.ReachableCount(base::MonotonicNow());
@@ -142,6 +148,7 @@
   void Relay(const std::string& aPeer,
              const nlohmann::json& aMessage,
              base::Instant aNow);
+  void RecordRateCandidates(const std::string& aPeer, std::uint64_t aHash);
   [[nodiscard]] static std::vector<fleet::EndpointCounts> ReadCounts(
     const nlohmann::json& aRows);
   void HandleSuspects(const nlohmann::json& aRows);
@@ -166,6 +173,8 @@
     bool isRegistered_ = true;
     fleet::CellMap::Relation relation_ = fleet::CellMap::Relation::Neighbour;
     std::optional<std::size_t> cell_;
+    std::optional<std::uint64_t> rateCandidates_;
+    std::size_t heardHosts_ = 0;
   };
   std::unordered_map<std::string, Peer> peers_;
   std::size_t neighbours_ = 0;
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -34,7 +34,9 @@
            { "account", aReport.seriesId_ },
            { "admitted", aReport.admitted_ },
            { "returned", aReport.refunded_ },
-           { "question", aReport.query_ } };
+           { "question", aReport.query_ },
+           { "owners", aReport.candidatesHash_ },
+           { "confirm", aReport.isResponseNeeded_ } };
 }
 
 fleet::RateReport
@@ -44,7 +46,10 @@
            aRow.at("account").get<std::uint64_t>(),
            aRow.at("admitted").get<std::uint64_t>(),
            aRow.at("returned").get<std::uint64_t>(),
-           aRow.at("question").get<std::uint64_t>() };
+           aRow.at("question").get<std::uint64_t>(),
+           // Gateways of earlier versions don't send the last two.
+           aRow.value("owners", std::uint64_t{ 0 }),
+           aRow.value("confirm", false) };
 }
 
 json
--- a/Tests/Platform/RateCodecTest.cpp
+++ b/Tests/Platform/RateCodecTest.cpp
@@ -17,7 +17,7 @@
 protected:
   [[nodiscard]] static fleet::RateReport Report()
   {
-    return { "archive", 77, 12, 3, 9 };
+    return { "archive", 77, 12, 3, 9, 4711, true };
   }
 
   [[nodiscard]] static fleet::RateResponse Response()
@@ -46,6 +46,17 @@
           json::to_cbor(EncodeRateResponse(Response())))) == Response());
 }
 
+// Guards against rejecting the reports of hosts that run an earlier version.
+TEST_CASE_METHOD(RateCodecFixture,
+                 "RateCodec_ReportOfEarlierVersion_IsReadWithoutNewFields")
+{
+  json row = EncodeRateReport(Report());
+  row.erase("owners");
+  row.erase("confirm");
+  const fleet::RateReport expected{ "archive", 77, 12, 3, 9 };
+  CHECK(DecodeRateReport(row) == expected);
+}
+
 // Guards against a forged response blocking an organisation for years.
 TEST_CASE_METHOD(RateCodecFixture, "RateCodec_TimeOutOfRange_IsRejected")
 {
