LibFleet, LibGateway, docs: Add interfaces for outliers, pace and fair shares

Headers, calls and messages of the parts of docs/design/overload.md, so that they can be built side by side. No behaviour yet: all endpoints are sound, all speeds 1, no request is beyond its organisation's share.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -25,6 +25,9 @@
 /// if all others fail too.
 constexpr double kAvoidedWeight = 1e-9;
 
+/// Factor on the weight of an endpoint on probation.
+constexpr double kProbationWeight = 0.01;
+
 /// Bounds the shift; with the default limits, maxAvoidance_ is reached by then.
 constexpr std::uint32_t kMaxDoublings = 3;
 
@@ -161,7 +164,9 @@
 bool
 EndpointTable::IsAvoided(const Endpoint& aEndpoint, base::Instant aNow) const
 {
-  if (aEndpoint.avoidedUntil_ > aNow) {
+  const bool isEjected = outliers_.VerdictOf(aEndpoint.record_.Incarnation()) ==
+                         EndpointVerdict::Ejected;
+  if (aEndpoint.avoidedUntil_ > aNow || isEjected) {
     return true;
   }
   const auto failed = std::count_if(aEndpoint.peers_.begin(),
@@ -176,6 +181,7 @@
 
 double
 EndpointTable::WeightOf(const Endpoint& aEndpoint,
+                        const ChoiceRequest& aRequest,
                         const InFlightCounts& aCounts,
                         base::Instant aNow) const
 {
@@ -190,12 +196,35 @@
   if (aEndpoint.record_.failureDomain_ != failureDomain_) {
     weight *= limits_.otherDomainWeight_;
   }
-  if (IsAvoided(aEndpoint, aNow)) {
-    weight *= kAvoidedWeight;
-  }
+  weight *= SpeedOf(aEndpoint, aNow);
+  weight *= ReliabilityFactor(aEndpoint, aRequest, aNow);
   return weight;
 }
 
+double
+EndpointTable::SpeedOf(const Endpoint& aEndpoint, base::Instant aNow) const
+{
+  const EndpointIncarnation incarnation = aEndpoint.record_.Incarnation();
+  return paces_.SpeedOf(incarnation) *
+         paces_.MomentarySpeedOf(incarnation, aNow);
+}
+
+double
+EndpointTable::ReliabilityFactor(const Endpoint& aEndpoint,
+                                 const ChoiceRequest& aRequest,
+                                 base::Instant aNow) const
+{
+  const EndpointIncarnation incarnation = aEndpoint.record_.Incarnation();
+  const bool mayFail =
+    !aRequest.isRetryable_ && outliers_.HasRecentFailure(incarnation, aNow);
+  if (IsAvoided(aEndpoint, aNow) || mayFail) {
+    return kAvoidedWeight;
+  }
+  return outliers_.VerdictOf(incarnation) == EndpointVerdict::Probation
+           ? kProbationWeight
+           : 1.0;
+}
+
 double
 EndpointTable::PreemptionWeight(const Endpoint& aEndpoint,
                                 const InFlightCounts& aCounts)
@@ -279,7 +308,7 @@
     Consider(ranking.best_,
              endpoint,
              counts,
-             draw(aRandom) / WeightOf(endpoint, counts, aNow));
+             draw(aRandom) / WeightOf(endpoint, aRequest, counts, aNow));
     const double preemptionWeight = PreemptionWeight(endpoint, counts);
     if (preemptionWeight > 0.0 && !IsAvoided(endpoint, aNow)) {
       Consider(ranking.bestToPreempt_,
@@ -334,6 +363,7 @@
   }
   choice.endpoint_ = best.endpoint_->record_;
   choice.inFlight_ = best.counts_.Total();
+  choice.speed_ = SpeedOf(*best.endpoint_, aNow);
   return choice;
 }
 
@@ -567,6 +597,36 @@
   return std::min(preempted, endpoint.own_.batch_);
 }
 
+ServiceLoad
+EndpointTable::LoadOf(std::string_view aService, base::Instant aNow) const
+{
+  ServiceLoad load;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const EndpointRecord& record = endpoint.record_;
+    if (record.service_ != aService || record.isDraining_ ||
+        endpoint.isUnreadable_ || IsAvoided(endpoint, aNow)) {
+      continue;
+    }
+    load.inFlight_ += CountsOf(endpoint, aNow).online_;
+    load.slots_ += record.slots_;
+  }
+  return load;
+}
+
+std::vector<VerdictChange>
+EndpointTable::UpdateVerdicts(base::Instant aNow)
+{
+  if (!outliers_.IsEnabled()) {
+    return {};
+  }
+  std::vector<EndpointRecord> records;
+  records.reserve(endpoints_.size());
+  for (const auto& [id, endpoint] : endpoints_) {
+    records.push_back(endpoint.record_);
+  }
+  return outliers_.Update(records, aNow);
+}
+
 bool
 EndpointTable::IsUsable(const std::string& aId) const
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -2,6 +2,9 @@
 
 #include "LibBase/Time.h"
 #include "LibFleet/Declarations.h"
+#include "LibFleet/EndpointPace.h"
+#include "LibFleet/FairShare.h"
+#include "LibFleet/OutlierDetector.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -54,6 +57,8 @@
   std::uint32_t candidates_ = 0;
   /// All slots are taken, and a batch attempt there must be preempted.
   bool preemptsBatch_ = false;
+  /// Speed of the endpoint now, relative to its service's usual one.
+  double speed_ = 1.0;
   /// Peer whose batch attempt is preempted; empty: this host.
   std::string preemptedPeer_;
 };
@@ -75,6 +80,8 @@
   std::string_view service_;
   WorkClass work_ = WorkClass::Online;
   std::span<const std::string> excluded_; ///< Ids of endpoints already tried.
+  /// Whether the request may be sent to another endpoint after a failure.
+  bool isRetryable_ = true;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -248,6 +255,18 @@
 
   [[nodiscard]] bool IsEmpty() const { return endpoints_.empty(); }
 
+  /// @return the online requests in flight at the usable endpoints of a
+  ///         service, and their slots.
+  [[nodiscard]] ServiceLoad LoadOf(std::string_view aService,
+                                   base::Instant aNow) const;
+
+  [[nodiscard]] OutlierDetector& Outliers() { return outliers_; }
+  [[nodiscard]] EndpointPace& Paces() { return paces_; }
+
+  /// Evaluates which endpoints fail more often than the others.
+  /// @return the changes, for the log.
+  std::vector<VerdictChange> UpdateVerdicts(base::Instant aNow);
+
 private:
   struct Endpoint;
   struct PeerEntry
@@ -307,8 +326,16 @@
                                 const InFlightCounts& aCounts,
                                 base::Instant aNow) const;
   [[nodiscard]] double WeightOf(const Endpoint& aEndpoint,
+                                const ChoiceRequest& aRequest,
                                 const InFlightCounts& aCounts,
                                 base::Instant aNow) const;
+  /// @return the factor on an endpoint's weight for its recent failures.
+  [[nodiscard]] double ReliabilityFactor(const Endpoint& aEndpoint,
+                                         const ChoiceRequest& aRequest,
+                                         base::Instant aNow) const;
+  /// @return the speed of an endpoint now, relative to its service.
+  [[nodiscard]] double SpeedOf(const Endpoint& aEndpoint,
+                               base::Instant aNow) const;
   /// @return the weight for preempting batch at an endpoint. Zero if online
   ///         work alone fills the slots, since the endpoint would serve the
   ///         waiting online requests first.
@@ -333,6 +360,8 @@
 
   std::string failureDomain_;
   Limits limits_;
+  OutlierDetector outliers_;
+  EndpointPace paces_;
   std::unordered_map<std::string, Endpoint> endpoints_;
   std::size_t cells_ = 1;
   std::optional<std::size_t> ownCell_;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -65,6 +65,8 @@
   std::size_t jobCopies_ = 2;
   /// Maximum number of response bytes to hold for callers that read slowly.
   std::size_t maxUnsentBytes_ = OutputBudget::kDefaultBytes;
+  /// Whether endpoints that fail more often than others are found and avoided.
+  bool detectsOutliers_ = false;
   /// Maximum time until a job's state that one host has returned is visible at
   /// all hosts.
   base::Duration jobStateBound_{ std::chrono::seconds{ 1 } };
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -220,6 +220,7 @@
     content["runs"] = std::move(rows);
     content["suspects"] = SuspectRows();
     content["store"] = EncodeStoreReport(mirrors_.MakeReport());
+    AddObservations(content);
     if (shared_.routes_.Organisations().AreDeclared()) {
       content["owners"] = shared_.rateLimiter_.CandidatesHash();
       content["heard"] = shared_.rateLimiter_.HeardHosts();
@@ -398,6 +399,50 @@
   }
 }
 
+void
+PeerMessenger::AddObservations(json& aContent) const
+{
+  json outcomes = json::array();
+  for (const fleet::EndpointOutcomes& row :
+       shared_.endpoints_.Outliers().OutcomesToReport(base::MonotonicNow())) {
+    outcomes.push_back(
+      { row.endpoint_, row.startedAtMs_, row.successes_, row.failures_ });
+  }
+  if (!outcomes.empty()) {
+    aContent["outcomes"] = std::move(outcomes);
+  }
+  json organisations = json::array();
+  for (const fleet::OrganisationCount& count :
+       shared_.fairShare_.LargestCounts()) {
+    organisations.push_back({ count.organisation_, count.inFlight_ });
+  }
+  if (!organisations.empty()) {
+    aContent["organisations"] = std::move(organisations);
+  }
+}
+
+void
+PeerMessenger::HandleObservations(const std::string& aPeer,
+                                  const json& aMessage,
+                                  base::Instant aNow)
+{
+  // Both are left out if empty, and by gateways of earlier versions.
+  std::vector<fleet::EndpointOutcomes> outcomes;
+  for (const json& row : aMessage.value("outcomes", json::array())) {
+    outcomes.push_back({ row.at(0).get<std::string>(),
+                         row.at(1).get<std::int64_t>(),
+                         row.at(2).get<std::uint32_t>(),
+                         row.at(3).get<std::uint32_t>() });
+  }
+  shared_.endpoints_.Outliers().SetPeerOutcomes(aPeer, outcomes, aNow);
+  std::vector<fleet::OrganisationCount> counts;
+  for (const json& row : aMessage.value("organisations", json::array())) {
+    counts.push_back(
+      { row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>() });
+  }
+  shared_.fairShare_.SetPeerCounts(aPeer, counts, aNow);
+}
+
 void
 PeerMessenger::RequestPreemption(const std::string& aPeer,
                                  const std::string& aEndpoint)
@@ -509,6 +554,7 @@
   }
   shared_.endpoints_.SetPeerCounts(
     aPeer, ReadCounts(aMessage.at("runs")), aNow);
+  HandleObservations(aPeer, aMessage, aNow);
   // Gateways of earlier versions send no suspects.
   if (const auto rows = aMessage.find("suspects"); rows != aMessage.end()) {
     HandleSuspects(*rows);
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -152,6 +152,11 @@
   [[nodiscard]] static std::vector<fleet::EndpointCounts> ReadCounts(
     const nlohmann::json& aRows);
   void HandleSuspects(const nlohmann::json& aRows);
+  /// Adds what this host observed of endpoints and organisations.
+  void AddObservations(nlohmann::json& aContent) const;
+  void HandleObservations(const std::string& aPeer,
+                          const nlohmann::json& aMessage,
+                          base::Instant aNow);
   [[nodiscard]] nlohmann::json SuspectRows() const;
 
   boost::asio::ip::udp::socket socket_;
--- a/Libraries/LibGateway/SharedState.h
+++ b/Libraries/LibGateway/SharedState.h
@@ -3,6 +3,7 @@
 #include "LibBatch/LedgerCache.h"
 #include "LibFleet/AdmissionControl.h"
 #include "LibFleet/EndpointTable.h"
+#include "LibFleet/FairShare.h"
 #include "LibFleet/RateLimiter.h"
 #include "LibFleet/RouteTable.h"
 #include "LibFleet/SuspectTable.h"
@@ -30,6 +31,7 @@
   batch::LedgerCache ledgers_;
   fleet::RateLimiter rateLimiter_;
   OutputBudget outputBudget_;
+  fleet::FairShare fairShare_{};
 };
 
 /// @return a uniformly distributed random number in [0, 1).
