LibFleet, LibGateway: Eject endpoints that fail far more often than others

Cause: an endpoint that answers 500 within a millisecond always has free slots and a complete response of status 500 counted as a success, so it drew 3.2 times the mean traffic although its health checks passed; silent ones kept their share. Each of 22 hosts alone sees too few failures of one endpoint.

Ruled out: avoiding an endpoint after each failure of one host (it was so for broken attempts): 400 ms on one host of 22. Batch items as evidence: items that fail everywhere would be held against all endpoints.

Change: OutlierDetector adds up the outcomes that hosts report to each other and ejects endpoints with 3 failures in 5 s, 0.3 of their attempts and 3 times the service's median rate, at most 0.3 of a service; then few retryable requests, one at a time, decide. Requests that can't be retried prefer endpoints without a recent failure. Only where the settings' contracts name faulty servers.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -25,8 +25,14 @@
 /// if all others fail too.
 constexpr double kAvoidedWeight = 1e-9;
 
-/// Factor on the weight of an endpoint on probation.
-constexpr double kProbationWeight = 0.01;
+/// Factor on the weight of an endpoint on probation that has no attempt in
+/// flight. With one in flight it gets no other, as a silent endpoint would take
+/// many before the first one times out.
+constexpr double kProbationWeight = 0.1;
+
+/// Factor on the weight of an endpoint that failed recently for a request that
+/// can't be retried: a free slot there is still better than a queue.
+constexpr double kUnprovenWeight = 1e-3;
 
 /// Bounds the shift; with the default limits, maxAvoidance_ is reached by then.
 constexpr std::uint32_t kMaxDoublings = 3;
@@ -197,7 +203,7 @@
     weight *= limits_.otherDomainWeight_;
   }
   weight *= SpeedOf(aEndpoint, aNow);
-  weight *= ReliabilityFactor(aEndpoint, aRequest, aNow);
+  weight *= ReliabilityFactor(aEndpoint, aRequest, aCounts, aNow);
   return weight;
 }
 
@@ -212,17 +218,23 @@
 double
 EndpointTable::ReliabilityFactor(const Endpoint& aEndpoint,
                                  const ChoiceRequest& aRequest,
+                                 const InFlightCounts& aCounts,
                                  base::Instant aNow) const
 {
-  const EndpointIncarnation incarnation = aEndpoint.record_.Incarnation();
-  const bool mayFail =
-    !aRequest.isRetryable_ && outliers_.HasRecentFailure(incarnation, aNow);
-  if (IsAvoided(aEndpoint, aNow) || mayFail) {
+  if (IsAvoided(aEndpoint, aNow)) {
     return kAvoidedWeight;
   }
-  return outliers_.VerdictOf(incarnation) == EndpointVerdict::Probation
-           ? kProbationWeight
-           : 1.0;
+  const EndpointIncarnation incarnation = aEndpoint.record_.Incarnation();
+  const bool isOnProbation =
+    outliers_.VerdictOf(incarnation) == EndpointVerdict::Probation;
+  const bool hasFailed = outliers_.HasRecentFailure(incarnation, aNow);
+  if (!aRequest.isRetryable_ && (isOnProbation || hasFailed)) {
+    return kUnprovenWeight;
+  }
+  if (isOnProbation) {
+    return aCounts.Total() == 0 ? kProbationWeight : kAvoidedWeight;
+  }
+  return 1.0;
 }
 
 double
@@ -257,7 +269,9 @@
   }
   const bool hasFreeSlot =
     aCounts.Total() + 1 + limits_.batchHeadroom_ <= aEndpoint.record_.slots_;
-  return hasFreeSlot && !aEndpoint.removalDueAt_ &&
+  const bool isSound = outliers_.VerdictOf(aEndpoint.record_.Incarnation()) ==
+                       EndpointVerdict::Sound;
+  return hasFreeSlot && !aEndpoint.removalDueAt_ && isSound &&
          aEndpoint.batchPausedUntil_ <= aNow && !IsAvoided(aEndpoint, aNow);
 }
 
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -332,6 +332,7 @@
   /// @return the factor on an endpoint's weight for its recent failures.
   [[nodiscard]] double ReliabilityFactor(const Endpoint& aEndpoint,
                                          const ChoiceRequest& aRequest,
+                                         const InFlightCounts& aCounts,
                                          base::Instant aNow) const;
   /// @return the speed of an endpoint now, relative to its service.
   [[nodiscard]] double SpeedOf(const Endpoint& aEndpoint,
--- a/Libraries/LibFleet/OutlierDetector.h
+++ b/Libraries/LibFleet/OutlierDetector.h
@@ -3,23 +3,37 @@
 #include "LibBase/Time.h"
 #include "LibFleet/Declarations.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
-#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pumiceturn::fleet {
 
-/// Results of recent online attempts at one endpoint, as counted by one host.
+/// Number of attempts that succeeded and that failed.
+struct OutcomeCounts
+{
+  std::uint32_t successes_ = 0;
+  std::uint32_t failures_ = 0;
+
+  [[nodiscard]] double FailureRate() const;
+  bool operator==(const OutcomeCounts&) const = default;
+};
+
+/// Results of online attempts at one endpoint, as counted by one host.
 struct EndpointOutcomes
 {
   std::string endpoint_;
   /// Unix time of the process's start; 0: unknown.
   std::int64_t startedAtMs_ = 0;
-  std::uint32_t successes_ = 0;
-  std::uint32_t failures_ = 0;
+  OutcomeCounts recent_; ///< Within OutlierDetector::kWindow.
+  /// Since the host first used the endpoint. A receiver that knows an earlier
+  /// total counts the difference, so that lost messages do no harm.
+  OutcomeCounts total_;
 
   bool operator==(const EndpointOutcomes&) const = default;
 };
@@ -37,9 +51,8 @@
 {
   EndpointIncarnation endpoint_;
   EndpointVerdict verdict_ = EndpointVerdict::Sound;
-  std::uint32_t successes_ = 0; ///< At all hosts.
-  std::uint32_t failures_ = 0;  ///< At all hosts.
-  std::uint32_t reportingHosts_ = 0;
+  OutcomeCounts recent_;          ///< At all hosts.
+  std::size_t failedHosts_ = 0;   ///< Hosts with a recent failure.
   double usualFailureRate_ = 0.0; ///< Median over the service's endpoints.
   base::Duration duration_{ 0 };  ///< Of the ejection.
 };
@@ -54,6 +67,9 @@
 class OutlierDetector
 {
 public:
+  /// Time for which an outcome counts.
+  static constexpr base::Duration kWindow{ std::chrono::seconds{ 5 } };
+
   /// Maximum number of endpoints in one report to the peers.
   static constexpr std::size_t kMaxReported = 32;
 
@@ -72,7 +88,8 @@
                        base::Instant aNow);
 
   /// @return this host's recent outcomes at endpoints that failed here or for a
-  ///         peer; the latter as the sum needs the successes too.
+  ///         peer, as the sum needs the successes too, and at those that aren't
+  ///         sound.
   [[nodiscard]] std::vector<EndpointOutcomes> OutcomesToReport(
     base::Instant aNow) const;
 
@@ -88,11 +105,97 @@
   [[nodiscard]] bool HasRecentFailure(const EndpointIncarnation& aEndpoint,
                                       base::Instant aNow) const;
 
+  /// Drops what is known of an endpoint.
+  void Remove(const std::string& aId);
+
   /// @return the number of endpoints that are ejected now.
   [[nodiscard]] std::size_t EjectedCount() const;
 
 private:
+  static constexpr std::size_t kSlices = 10;
+
+  /// Counts of the last kWindow, by slice.
+  class Window
+  {
+  public:
+    void Add(const OutcomeCounts& aCounts, base::Instant aNow);
+    [[nodiscard]] OutcomeCounts Sum(base::Instant aNow) const;
+    void Clear() { slices_ = {}; }
+
+  private:
+    struct Slice
+    {
+      std::int64_t number_ = -1; ///< Counted from the clock's epoch.
+      OutcomeCounts counts_;
+    };
+    std::array<Slice, kSlices> slices_{};
+  };
+
+  struct PeerTotals
+  {
+    OutcomeCounts total_;
+    base::Instant recordedAt_;
+  };
+
+  /// What is known of one process of an endpoint.
+  struct Endpoint
+  {
+    std::int64_t startedAtMs_ = 0;
+    Window own_;
+    Window peers_;
+    OutcomeCounts ownTotal_;
+    std::unordered_map<std::string, PeerTotals> peerTotals_; ///< By host.
+    /// Time of the last use and of the last failure, by host; an empty name
+    /// stands for this host.
+    std::unordered_map<std::string, base::Instant> usedAt_;
+    std::unordered_map<std::string, base::Instant> failedAt_;
+    std::optional<base::Instant> firstFailureAt_; ///< Of the current series.
+    base::Instant lastFailureAt_;
+    EndpointVerdict verdict_ = EndpointVerdict::Sound;
+    base::Instant ejectedUntil_;
+    base::Instant readmittedAt_;
+    std::uint32_t ejections_ = 0; ///< Consecutive ones.
+    OutcomeCounts onProbation_;
+  };
+
+  /// What an evaluation of an endpoint rests on.
+  struct Evidence
+  {
+    OutcomeCounts recent_;
+    std::size_t usedHosts_ = 0;
+    std::size_t failedHosts_ = 0;
+  };
+
+  Endpoint& EndpointFor(const EndpointIncarnation& aEndpoint);
+  [[nodiscard]] const Endpoint* Find(
+    const EndpointIncarnation& aEndpoint) const;
+  static void Record(Endpoint& aEndpoint,
+                     Window& aWindow,
+                     const std::string& aHost,
+                     const OutcomeCounts& aCounts,
+                     base::Instant aNow);
+
+  /// @return whether most endpoints fail for this host, so that the host itself
+  ///         is likely to be cut off.
+  [[nodiscard]] bool IsCutOff(base::Instant aNow) const;
+  [[nodiscard]] Evidence EvidenceOf(const Endpoint& aEndpoint,
+                                    bool aIsOwnUsed,
+                                    base::Instant aNow) const;
+  void UpdateService(std::span<const EndpointRecord* const> aEndpoints,
+                     bool aIsOwnUsed,
+                     base::Instant aNow,
+                     std::vector<VerdictChange>& aChanges);
+  static VerdictChange Eject(const EndpointRecord& aRecord,
+                             Endpoint& aEndpoint,
+                             base::Instant aNow);
+  /// Ends ejections and probations that are over.
+  static void Readmit(const EndpointRecord& aRecord,
+                      Endpoint& aEndpoint,
+                      base::Instant aNow,
+                      std::vector<VerdictChange>& aChanges);
+
   bool isEnabled_ = false;
+  std::unordered_map<std::string, Endpoint> endpoints_; ///< By id.
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -13,6 +13,13 @@
 /// endpoint is faster than waiting for that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 
+/// Time without any byte of a response after which an attempt that is then
+/// cancelled counts as failed. Requests that can't be retried have no other
+/// timeout before the caller's.
+constexpr std::chrono::seconds kSilenceTimeout{ 1 };
+
+constexpr unsigned kFirstServerError = 500;
+
 } // namespace
 
 EndpointAttempt::EndpointAttempt(SharedState& aShared,
@@ -72,6 +79,13 @@
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->Cancel();
   }
+  const bool wasSilent =
+    isCountedInFlight_ && !hasResponse_ &&
+    base::MonotonicNow() - startedAt_ > base::Duration(kSilenceTimeout);
+  if (wasSilent && workClass_ == fleet::WorkClass::Online) {
+    shared_.endpoints_.Outliers().RecordOutcome(
+      endpoint_.Incarnation(), true, base::MonotonicNow());
+  }
   EndCounting();
 }
 
@@ -97,6 +111,9 @@
   shared_.endpoints_.RecordActivity(
     endpoint_.Incarnation(), startedAt_, base::MonotonicNow());
   const ResponseInfo info = shared_.codec_.ReadResponseInfo(aHead);
+  hasResponse_ = true;
+  wasNotRun_ = info.wasNotRun_;
+  isServerError_ = !wasNotRun_ && aHead.result_int() >= kFirstServerError;
   if (info.load_) {
     shared_.endpoints_.RecordLoad(
       endpoint_.Incarnation(), *info.load_, base::MonotonicNow());
@@ -124,6 +141,22 @@
   }
 }
 
+void
+EndpointAttempt::RecordOutcome(httpstream::CallOutcome aOutcome)
+{
+  // Batch items that fail at every endpoint would be evidence against all of
+  // them. A failed connection is avoided at once, without other evidence.
+  const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
+  if (workClass_ != fleet::WorkClass::Online ||
+      aOutcome == httpstream::CallOutcome::NotConnected ||
+      (isComplete && wasNotRun_)) {
+    return;
+  }
+  shared_.endpoints_.Outliers().RecordOutcome(endpoint_.Incarnation(),
+                                              !isComplete || isServerError_,
+                                              base::MonotonicNow());
+}
+
 void
 EndpointAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
@@ -131,6 +164,7 @@
   auto* observer = std::exchange(observer_, nullptr);
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
+  RecordOutcome(aOutcome);
   if (aOutcome == httpstream::CallOutcome::Complete) {
     shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
   } else {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -46,6 +46,7 @@
 
 private:
   void EndCounting();
+  void RecordOutcome(httpstream::CallOutcome aOutcome);
 
   SharedState& shared_;
   fleet::EndpointRecord endpoint_;
@@ -54,6 +55,9 @@
   std::shared_ptr<httpstream::ClientConnection> connection_;
   base::Instant startedAt_{};
   bool isCountedInFlight_ = false;
+  bool hasResponse_ = false; ///< The head of a response arrived.
+  bool wasNotRun_ = false;
+  bool isServerError_ = false;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -206,6 +206,18 @@
   base::LogLevel::Info,
   "Calls to the store since the start, by kind and group of keys."
 };
+inline constexpr base::Event kEndpointEjected{
+  7137,
+  "endpoint_ejected",
+  base::LogLevel::Warning,
+  "An endpoint gets no requests: it fails far more often than the others."
+};
+inline constexpr base::Event kEndpointReadmitted{
+  7138,
+  "endpoint_readmitted",
+  base::LogLevel::Info,
+  "An endpoint gets requests again after an ejection, few while on probation."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/Gateway.h"
 
 #include "LibGateway/EndpointAddress.h"
+#include "LibGateway/EndpointVerdicts.h"
 #include "LibGateway/Events.h"
 #include "LibGateway/HostRecord.h"
 #include "LibHttpStream/Status.h"
@@ -197,6 +198,9 @@
                    settings_.jobCopies_);
   }
   AddGauges();
+  if (settings_.detectsOutliers_) {
+    shared_.endpoints_.Outliers().Enable();
+  }
   httpstream::ServerLimits peerLimits;
   peerLimits.maxBodyBytes_ = kMaxPeerBodyBytes;
   forwardListener_.SetLimits(peerLimits);
@@ -248,6 +252,11 @@
     "Lots on this host's disk that the store doesn't have yet.",
     {},
     [this] { return spool_ ? spool_->Count() : 0; });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_endpoints_ejected",
+    "Endpoints that get no requests as they fail more often than others.",
+    {},
+    [this] { return shared_.endpoints_.Outliers().EjectedCount(); });
   shared_.metrics_.AddGauge("pumiceturn_peers_heard",
                             "Other hosts whose own messages arrive here.",
                             {},
@@ -518,6 +527,7 @@
     spool_->Tick(now, wallNow);
   }
   shared_.suspects_.Expire(now);
+  UpdateEndpointVerdicts(shared_, now);
   shared_.pool_.CloseExpired(now);
   UpdateLeaseTerm(now);
   LogStoreCalls(now);
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -190,7 +190,10 @@
   const std::string& service =
     fleet::RouteTable::ChooseService(route_, NextRandom(shared_.random_));
   const auto choice = shared_.endpoints_.Choose(
-    { service, fleet::WorkClass::Online, triedEndpoints_ },
+    { service,
+      fleet::WorkClass::Online,
+      triedEndpoints_,
+      IsRetryable() && triedEndpoints_.size() + 1 < route_.maxAttempts_ },
     base::MonotonicNow(),
     shared_.random_);
   if (!choice) {
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -405,8 +405,12 @@
   json outcomes = json::array();
   for (const fleet::EndpointOutcomes& row :
        shared_.endpoints_.Outliers().OutcomesToReport(base::MonotonicNow())) {
-    outcomes.push_back(
-      { row.endpoint_, row.startedAtMs_, row.successes_, row.failures_ });
+    outcomes.push_back({ row.endpoint_,
+                         row.startedAtMs_,
+                         row.recent_.successes_,
+                         row.recent_.failures_,
+                         row.total_.successes_,
+                         row.total_.failures_ });
   }
   if (!outcomes.empty()) {
     aContent["outcomes"] = std::move(outcomes);
@@ -429,10 +433,11 @@
   // Both are left out if empty, and by gateways of earlier versions.
   std::vector<fleet::EndpointOutcomes> outcomes;
   for (const json& row : aMessage.value("outcomes", json::array())) {
-    outcomes.push_back({ row.at(0).get<std::string>(),
-                         row.at(1).get<std::int64_t>(),
-                         row.at(2).get<std::uint32_t>(),
-                         row.at(3).get<std::uint32_t>() });
+    outcomes.push_back(
+      { row.at(0).get<std::string>(),
+        row.at(1).get<std::int64_t>(),
+        { row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>() },
+        { row.at(4).get<std::uint32_t>(), row.at(5).get<std::uint32_t>() } });
   }
   shared_.endpoints_.Outliers().SetPeerOutcomes(aPeer, outcomes, aNow);
   std::vector<fleet::OrganisationCount> counts;
--- a/Tests/Platform/PlatformSettingsTest.cpp
+++ b/Tests/Platform/PlatformSettingsTest.cpp
@@ -48,6 +48,22 @@
         batch::BatchPreference::Fallback);
 }
 
+// Guards against outlier detection in deployments that don't call for it.
+TEST_CASE_METHOD(PlatformSettingsFixture,
+                 "PlatformSettings_Contracts_SwitchOutlierDetection")
+{
+  const std::string common = std::string(kCommon) + kEntry;
+  for (const auto& [contracts, isExpected] :
+       { std::pair{ "", false },
+         std::pair{ "contracts: [base, drain]\n", false },
+         std::pair{ "contracts: [base, health]\n", true } }) {
+    const auto outcome = Read(common + contracts);
+    const auto* settings = std::get_if<PlatformSettings>(&outcome);
+    REQUIRE(settings != nullptr);
+    CHECK(settings->gateway_.detectsOutliers_ == isExpected);
+  }
+}
+
 TEST_CASE_METHOD(PlatformSettingsFixture,
                  "PlatformSettings_NoCallerAddress_IsWorker")
 {
