LibFleet, LibGateway: Share slots fairly between organisations in a shortage

Cause: all organisations wait in the same queues and are refused by the same estimate. Up to its rate limit one organisation may fill the fleet and make all others late.

Change: hosts exchange the 16 organisations with the most online requests in flight. From 0.8 of a service's slots on, requests of an organisation above the max-min level are rejected at once.

--- a/Libraries/LibFleet/FairShare.h
+++ b/Libraries/LibFleet/FairShare.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pumiceturn::fleet {
@@ -26,19 +27,23 @@
   std::uint32_t slots_ = 0;
 };
 
-enum class ShareDecision : std::uint8_t
+/// Whether a request is within its organisation's share, with the figures
+/// behind the decision.
+struct ShareDecision
 {
-  Admit,  ///< No shortage, or the organisation is within its share.
-  Reject, ///< Beyond its share in a shortage.
+  bool isAdmitted_ = true;
+  std::uint32_t inFlight_ = 0; ///< Of the organisation, at all hosts.
+  double level_ = 0.0; ///< Requests that an organisation may have in flight.
 };
 
 /// Shares a service's slots between organisations in a shortage.
 ///
 /// Without it, one organisation that sends many times its usual makes all
 /// others wait in the same queues, since up to its rate limit it may fill the
-/// fleet. Slots are shared by max-min fairness over what the organisations have
-/// in flight at all hosts. Time is passed as an argument. Performs no I/O. Not
-/// thread-safe.
+/// fleet. In a shortage slots are shared by max-min fairness over what the
+/// organisations have in flight at all hosts, and requests beyond the share are
+/// rejected. Without a shortage nothing is. Time is passed as an argument.
+/// Performs no I/O. Not thread-safe.
 class FairShare
 {
 public:
@@ -67,7 +72,26 @@
                                     base::Instant aNow) const;
 
 private:
+  using Counts = std::unordered_map<std::string, std::uint32_t>;
+
+  struct PeerReport
+  {
+    std::vector<OrganisationCount> counts_;
+    base::Instant recordedAt_;
+  };
+
+  /// @return the requests in flight at all hosts, by organisation.
+  [[nodiscard]] Counts SumCounts(base::Instant aNow) const;
+
+  /// @return the largest number of requests in flight that is within the share
+  ///         of each organisation: the level at which all that is below it
+  ///         takes the capacity.
+  [[nodiscard]] static double FairLevel(const Counts& aCounts,
+                                        double aCapacity);
+
   std::size_t hosts_ = 1;
+  Counts own_;
+  std::unordered_map<std::string, PeerReport> peers_; ///< By host.
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -294,6 +294,11 @@
     members.push_back(peers_.RateMember(peer.host_, !peer.isWorker_));
   }
   shared_.rateLimiter_.SetMembers(members, aNow);
+  shared_.fairShare_.SetHostCount(static_cast<std::size_t>(
+    1 + std::count_if(
+          aPeers.begin(), aPeers.end(), [](const batch::PeerAddress& aPeer) {
+            return !aPeer.isWorker_;
+          })));
   for (const auto& [owner, report] :
        shared_.rateLimiter_.CollectDueReports(aNow)) {
     peers_.SendRateReport(owner, report);
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -218,6 +218,13 @@
   base::LogLevel::Info,
   "An endpoint gets requests again after an ejection, few while on probation."
 };
+inline constexpr base::Event kRequestOverShare{
+  7139,
+  "request_over_share",
+  base::LogLevel::Info,
+  "A request is rejected: its organisation has its share of the slots in a "
+  "shortage."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -203,7 +203,7 @@
     TryNextEndpoint();
     return;
   }
-  if (!Admit(*choice)) {
+  if (!AdmitByShare(service) || !Admit(*choice)) {
     return;
   }
   if (choice->preemptsBatch_) {
@@ -245,11 +245,50 @@
               { "wait_ms", base::ToMs(admission.expectedWait_) },
               { "objective_ms", base::ToMs(route_.objective_) },
               { "come_back_ms", base::ToMs(*admission.retryAfter_) } });
-  exchange_->Respond(shared_.codec_.MakeUnavailable(*admission.retryAfter_));
-  Finish(ProxyOutcome::NotRun);
+  RejectNotRun(*admission.retryAfter_);
+  return false;
+}
+
+bool
+OnlineProxy::AdmitByShare(const std::string& aService)
+{
+  const bool isFirstAttempt = triedEndpoints_.empty() && !mayHaveRun_;
+  if (!caller_ || caller_->empty() || !isFirstAttempt) {
+    return true;
+  }
+  const base::Instant now = base::MonotonicNow();
+  const fleet::ServiceLoad load = shared_.endpoints_.LoadOf(aService, now);
+  const fleet::ShareDecision decision =
+    shared_.fairShare_.Check(*caller_, load, now);
+  if (decision.isAdmitted_) {
+    return true;
+  }
+  const base::Duration retryAfter = fleet::AdmissionControl::RetryAfter(
+    call_.callerTimeout_, NextRandom(shared_.random_));
+  base::Log(kRequestOverShare,
+            { { "request", call_.requestId_ },
+              { "organisation", *caller_ },
+              { "in_flight", decision.inFlight_ },
+              { "share", decision.level_ },
+              { "running", load.inFlight_ },
+              { "slots", load.slots_ },
+              { "come_back_ms", base::ToMs(retryAfter) } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_requests_over_share_total",
+                "Requests beyond their organisation's share in a shortage.",
+                fmt::format("organisation=\"{}\"", *caller_))
+    .Add();
+  RejectNotRun(retryAfter);
   return false;
 }
 
+void
+OnlineProxy::RejectNotRun(base::Duration aRetryAfter)
+{
+  exchange_->Respond(shared_.codec_.MakeUnavailable(aRetryAfter));
+  Finish(ProxyOutcome::NotRun);
+}
+
 void
 OnlineProxy::Send(const fleet::EndpointChoice& aChoice)
 {
@@ -283,6 +322,10 @@
       kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
     call.gapTimeout_ = kGapTimeout;
   }
+  if (caller_ && !caller_->empty() && !isCountedForShare_) {
+    isCountedForShare_ = true;
+    shared_.fairShare_.CountStart(*caller_);
+  }
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
   isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
   lastEventBeforeAttempt_ = lastEvent_;
@@ -498,10 +541,8 @@
 void
 OnlineProxy::RespondUnavailable()
 {
-  exchange_->Respond(
-    shared_.codec_.MakeUnavailable(fleet::AdmissionControl::RetryAfter(
-      TimeLeft(), NextRandom(shared_.random_))));
-  Finish(ProxyOutcome::NotRun);
+  RejectNotRun(fleet::AdmissionControl::RetryAfter(
+    TimeLeft(), NextRandom(shared_.random_)));
 }
 
 void
@@ -513,6 +554,9 @@
   if (const auto attempt = std::exchange(attempt_, nullptr)) {
     attempt->Cancel();
   }
+  if (std::exchange(isCountedForShare_, false)) {
+    shared_.fairShare_.CountEnd(*caller_);
+  }
   if (aOutcome == ProxyOutcome::NotRun && caller_) {
     shared_.rateLimiter_.Refund(*caller_);
   }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -60,6 +60,12 @@
   /// Rejects the request if it would wait too long for a slot.
   /// @return whether the request may be sent.
   [[nodiscard]] bool Admit(const fleet::EndpointChoice& aChoice);
+  /// Rejects the request if its organisation is beyond its share of the slots
+  /// in a shortage.
+  /// @return whether the request may be sent.
+  [[nodiscard]] bool AdmitByShare(const std::string& aService);
+  /// Responds that the request was not run, and ends it.
+  void RejectNotRun(base::Duration aRetryAfter);
   void Send(const fleet::EndpointChoice& aChoice);
   void ForwardEvents();
   void OnCompleteResponse();
@@ -98,6 +104,7 @@
   std::uint64_t lastEvent_ = 0;
   std::optional<base::Instant> firstEventAt_;
   bool isFinished_ = false;
+  bool isCountedForShare_ = false;
 };
 
 } // namespace pumiceturn::gateway
