LibFleet: Report organisations' counts only near a shortage

Cause: 16 rows in each datagram with all counts would cost an entry host with 20 peers up to 64 KB a second by their size, mostly between failure domains, though they are used only in a shortage. Change: hosts report them for a second after a service had half of its slots in use. Measured on virtual time only: the load tests of fair shares pass as before.

--- a/Libraries/LibFleet/FairShare.cpp
+++ b/Libraries/LibFleet/FairShare.cpp
@@ -12,6 +12,12 @@
 /// other are up to 100 ms old.
 constexpr double kUsableShare = 0.8;
 
+/// Share of the slots from which on hosts tell each other their counts, and how
+/// long they go on. Far enough below kUsableShare that all have the counts when
+/// there is a shortage.
+constexpr double kReportedShare = 0.5;
+constexpr std::chrono::seconds kReportDuration{ 1 };
+
 /// Least part of the usable slots that is shared between the organisations that
 /// hosts report, if the others seem to take all of them.
 constexpr double kMinSharedPart = 0.1;
@@ -49,9 +55,12 @@
 }
 
 std::vector<OrganisationCount>
-FairShare::LargestCounts() const
+FairShare::CountsToReport(base::Instant aNow) const
 {
   std::vector<OrganisationCount> counts;
+  if (aNow > reportUntil_) {
+    return counts;
+  }
   counts.reserve(own_.size());
   for (const auto& [organisation, inFlight] : own_) {
     counts.push_back({ organisation, inFlight });
@@ -115,9 +124,12 @@
 ShareDecision
 FairShare::Check(const std::string& aOrganisation,
                  const ServiceLoad& aLoad,
-                 base::Instant aNow) const
+                 base::Instant aNow)
 {
   ShareDecision decision;
+  if (aLoad.inFlight_ >= kReportedShare * aLoad.slots_) {
+    reportUntil_ = aNow + kReportDuration;
+  }
   const double usable = kUsableShare * aLoad.slots_;
   if (aLoad.inFlight_ < usable) {
     return decision;
--- a/Libraries/LibFleet/FairShare.h
+++ b/Libraries/LibFleet/FairShare.h
@@ -59,8 +59,11 @@
                      std::span<const OrganisationCount> aCounts,
                      base::Instant aNow);
 
-  /// @return the organisations with the most requests in flight at this host.
-  [[nodiscard]] std::vector<OrganisationCount> LargestCounts() const;
+  /// @return the organisations with the most requests in flight at this host,
+  ///         for the peers; none while no service is near a shortage, so that
+  ///         they cost no traffic then.
+  [[nodiscard]] std::vector<OrganisationCount> CountsToReport(
+    base::Instant aNow) const;
 
   /// Sets the number of hosts that admit requests, this one included.
   void SetHostCount(std::size_t aHosts) { hosts_ = aHosts; }
@@ -69,7 +72,7 @@
   /// @param aLoad Load of the service that the request is for.
   [[nodiscard]] ShareDecision Check(const std::string& aOrganisation,
                                     const ServiceLoad& aLoad,
-                                    base::Instant aNow) const;
+                                    base::Instant aNow);
 
 private:
   using Counts = std::unordered_map<std::string, std::uint32_t>;
@@ -90,6 +93,7 @@
                                         double aCapacity);
 
   std::size_t hosts_ = 1;
+  base::Instant reportUntil_; ///< A service was nearly short of slots.
   Counts own_;
   std::unordered_map<std::string, PeerReport> peers_; ///< By host.
 };
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -417,7 +417,7 @@
   }
   json organisations = json::array();
   for (const fleet::OrganisationCount& count :
-       shared_.fairShare_.LargestCounts()) {
+       shared_.fairShare_.CountsToReport(base::MonotonicNow())) {
     organisations.push_back({ count.organisation_, count.inFlight_ });
   }
   if (!organisations.empty()) {
--- a/Tests/LibFleet/FairShareTest.cpp
+++ b/Tests/LibFleet/FairShareTest.cpp
@@ -31,7 +31,7 @@
   }
 
   [[nodiscard]] bool IsAdmitted(const std::string& aOrganisation,
-                                std::uint32_t aInFlight) const
+                                std::uint32_t aInFlight)
   {
     return share_.Check(aOrganisation, { aInFlight, 100 }, now_).isAdmitted_;
   }
@@ -89,17 +89,31 @@
   for (int organisation = 0; organisation < 40; ++organisation) {
     Start("o" + std::to_string(organisation), 1 + organisation);
   }
-  const auto counts = share_.LargestCounts();
+  CHECK(IsAdmitted("o1", 50));
+  const auto counts = share_.CountsToReport(now_);
   REQUIRE(counts.size() == FairShare::kMaxReported);
   CHECK(counts.front() == OrganisationCount{ "o39", 40 });
   CHECK(counts.back() == OrganisationCount{ "o24", 25 });
 }
 
+// Guards against traffic between hosts that nobody needs.
+TEST_CASE_METHOD(FairShareFixture, "FairShare_FewRequests_NothingIsReported")
+{
+  Start("one", 3);
+  CHECK(IsAdmitted("one", 49));
+  CHECK(share_.CountsToReport(now_).empty());
+  CHECK(IsAdmitted("one", 50));
+  CHECK(share_.CountsToReport(now_).size() == 1);
+  now_ += 1100ms;
+  CHECK(share_.CountsToReport(now_).empty());
+}
+
 TEST_CASE_METHOD(FairShareFixture, "FairShare_RequestsEnded_AreNotReported")
 {
   Start("one", 1);
   share_.CountEnd("one");
-  CHECK(share_.LargestCounts().empty());
+  CHECK(IsAdmitted("one", 50));
+  CHECK(share_.CountsToReport(now_).empty());
 }
 
 /// 18 hosts before 40 endpoints of 8 slots, which serve in order of arrival.
@@ -260,7 +274,7 @@
   void ExchangeOrganisations()
   {
     for (std::size_t from = 0; from < kHosts; ++from) {
-      const auto counts = shares_[from].LargestCounts();
+      const auto counts = shares_[from].CountsToReport(now_);
       for (std::size_t to = 0; to < kHosts; ++to) {
         if (to != from) {
           shares_[to].SetPeerCounts(std::to_string(from), counts, now_);
