Libraries: Restore reasons behind constants and rules in comments

- LibFleet 1: SuspectTable.
- LibBatch 5: ItemSchedule, LedgerCache, StartOrder.
- LibDispatch 7: BurstTracker, EndpointScheduler, Policy.
- LibGateway 24: BatchJobHandler, BatchJobRetention, BatchJobSpool, BatchSubmissionHandler, BatchWorker, Gateway, ItemAttempt, LedgerWriter, ProgressWriter, RateCodec, ResultWriter, SpoolClient, StoreMirrors, StoreTransport.
- LibHttpStream 2: ClientConnection, ConnectionPool.

Only comments change: the files are equal once comments are removed.

--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -51,7 +51,8 @@
   using HasSurvived =
     std::function<bool(const std::string& aEndpoint, base::Instant aTime)>;
 
-  /// Delay before an item is retried after an interruption or an error.
+  /// Delay before an item is retried after an interruption or an error, so that
+  /// it isn't sent straight back to the fault that ended its attempt.
   static constexpr base::Duration kRetryDelay{ std::chrono::milliseconds{
     200 } };
 
--- a/Libraries/LibBatch/LedgerCache.cpp
+++ b/Libraries/LibBatch/LedgerCache.cpp
@@ -7,10 +7,14 @@
 
 namespace {
 
-/// Window over which the release rate is measured.
+/// Window over which the release rate is measured. An item takes up to
+/// about 8 s, but a job of ten items releases some tokens each second.
 constexpr std::chrono::seconds kRateWindow{ 5 };
 
-/// Bounds of the retry delay, before jitter.
+/// Bounds of the retry delay, before jitter. An earlier retry than the
+/// minimum would find the same ledger, as rows are decreased four times a
+/// second near the cap. Submitters that have to wait longer than the maximum
+/// give up.
 constexpr base::Duration kMinRetryDelay{ std::chrono::milliseconds{ 300 } };
 constexpr base::Duration kMaxRetryDelay{ std::chrono::seconds{ 10 } };
 
--- a/Libraries/LibBatch/StartOrder.cpp
+++ b/Libraries/LibBatch/StartOrder.cpp
@@ -11,7 +11,8 @@
 /// bursts.
 constexpr double kRemainingMargin = 0.1;
 
-/// Time allowed from an item's last event until a reader has its result.
+/// Time allowed from an item's last event until a reader has its result: the
+/// result is stored first, and readers poll twice a second.
 constexpr std::chrono::milliseconds kPublishDelay{ 300 };
 
 /// Groups of the start order.
--- a/Libraries/LibBatch/StartOrder.h
+++ b/Libraries/LibBatch/StartOrder.h
@@ -58,8 +58,8 @@
             const StartConditions& aConditions);
 
 /// @return whether an item should be preempted before another one: items that
-///   can no longer be done in time first, then those with the latest possible
-///   start.
+///   can no longer be done in time first, since a delay costs least there, then
+///   those with the latest possible start.
 [[nodiscard]] bool
 IsPreemptedBefore(const ItemUrgency& aOne,
                   const ItemUrgency& aOther,
--- a/Libraries/LibDispatch/BurstTracker.h
+++ b/Libraries/LibDispatch/BurstTracker.h
@@ -18,7 +18,8 @@
   struct Options
   {
     base::Duration halfLife_{ std::chrono::seconds{ 10 } };
-    double maxShare_ = 0.25; ///< Maximum headroom as a share of all places.
+    /// Maximum headroom as a share of all places; batch needs the rest.
+    double maxShare_ = 0.25;
   };
 
   explicit BurstTracker(Options aOptions)
--- a/Libraries/LibDispatch/EndpointScheduler.h
+++ b/Libraries/LibDispatch/EndpointScheduler.h
@@ -152,7 +152,8 @@
   /// probes. Must be called every kTickInterval.
   Actions OnTick(Moment aMoment);
 
-  /// Percentage of the expected run time that must fit before a deadline.
+  /// Percentage of the expected run time that must fit before a deadline. Above
+  /// 100, as run times vary.
   static constexpr std::int64_t kRunTimePercent = 130;
 
   static constexpr base::Duration kTickInterval{ std::chrono::milliseconds{
--- a/Libraries/LibDispatch/EndpointSchedulerDispatch.cpp
+++ b/Libraries/LibDispatch/EndpointSchedulerDispatch.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 // Credits are granted for 1/8 more runs than there are places, so that the next
-// item is already queued when a place becomes free.
+// item is already queued when a place becomes free. More would cost more to
+// return when online requests take the place.
 constexpr std::uint32_t kCreditPipelineDivisor = 8;
 // With PassThrough the engine queues, so credits are granted for twice as many
 // runs as there are places.
--- a/Libraries/LibDispatch/Policy.h
+++ b/Libraries/LibDispatch/Policy.h
@@ -5,16 +5,17 @@
 
 namespace pumiceturn::dispatch {
 
-/// Sends every request to the engine on arrival; the engine queues. Called
-/// engine order in the settings.
+/// Baseline policy: sends every request to the engine on arrival; the engine
+/// queues. Called engine order in the settings.
 struct PassThrough
 {};
 
-/// Queues requests at the agent, online runs before batch runs; never preempts.
+/// Baseline policy: queues requests at the agent, online runs before batch
+/// runs; never preempts.
 struct StrictPriority
 {};
 
-/// Keeps a fixed number of places free of batch.
+/// Baseline policy: keeps a fixed number of places free of batch.
 struct StaticHeadroom
 {
   std::uint32_t places_ = 0;
@@ -24,7 +25,8 @@
 /// when these are used up.
 struct BurstHeadroom
 {
-  /// Minimum number of places kept free.
+  /// Minimum number of places kept free. A higher one shortens the decoding
+  /// step for online streams, but leaves less to batch.
   std::uint32_t min_ = 0;
 };
 
--- a/Libraries/LibFleet/SuspectTable.h
+++ b/Libraries/LibFleet/SuspectTable.h
@@ -40,7 +40,8 @@
   /// How long a broken attempt is kept.
   static constexpr base::Duration kRetention{ std::chrono::seconds{ 60 } };
 
-  /// Maximum number of different request contents kept.
+  /// Maximum number of different request contents kept; far more than crash
+  /// endpoints at the same time.
   static constexpr std::size_t kMaxContents = 512;
 
   /// Returns whether an endpoint's process was still running after the time
--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -11,11 +11,13 @@
 
 namespace {
 
-/// Retry delay sent to callers when the store is unavailable.
+/// Retry delay sent to callers when the store is unavailable. Outages last
+/// seconds, but callers wait no longer than a third of their remaining time.
 constexpr std::chrono::milliseconds kRetryAfter{ 400 };
 
 /// Time after a store outage within which workers store the spooled jobs. Until
-/// then, a job that is missing in the store may still exist.
+/// then, a job that is missing in the store may still exist. A pending store
+/// call may take 1 s to time out and is repeated 0.3 s later.
 constexpr std::chrono::milliseconds kSpoolRecoveryTime{ 3000 };
 
 /// Maximum number of retries when cancelling a job conflicts with other
@@ -26,7 +28,8 @@
 constexpr std::size_t kMaxResponseBytes = 900000;
 
 /// Time allowed for a forwarded request beyond the caller's maximum wait.
-/// Leaves time to read from the store before the caller times out.
+/// Leaves time to read from the store before the caller times out, 1.5 s after
+/// its maximum wait.
 constexpr std::chrono::milliseconds kForwardMargin{ 400 };
 
 /// @return the ID of the job to read, or an empty string for any other call.
--- a/Libraries/LibGateway/BatchJobRetention.cpp
+++ b/Libraries/LibGateway/BatchJobRetention.cpp
@@ -12,14 +12,16 @@
 /// Interval between scans for expired jobs.
 constexpr std::chrono::seconds kScanInterval{ 5 };
 
-/// Maximum number of jobs that a host removes concurrently.
+/// Maximum number of jobs that a host removes concurrently. Each takes at least
+/// two store calls, which are thus spread over time.
 constexpr std::size_t kMaxConcurrentRemovals = 4;
 
 /// Maximum number of data keys per transaction. The store allows 32 entries,
 /// and the state key may be added.
 constexpr std::size_t kMaxKeysPerTransaction = 30;
 
-/// Multiple of the retention after which an open job is removed too.
+/// Multiple of the retention after which an open job is removed too: its route
+/// was removed, or its submitter never returned.
 constexpr int kOpenJobRetentionFactor = 10;
 
 } // namespace
--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -14,10 +14,12 @@
 
 namespace {
 
-/// Maximum total size of spooled jobs.
+/// Maximum total size of spooled jobs; several times the largest job that the
+/// platform accepts.
 constexpr std::size_t kMaxBytes = 33554432;
 
-/// Head start of the job's assigned owner in storing it.
+/// Head start of the job's assigned owner in storing it. Other hosts must know
+/// the job within a second of its acceptance, so it is short.
 constexpr std::chrono::milliseconds kOwnerHeadStart{ 300 };
 
 /// How long a stored job still counts towards the cap: this host's cached
--- a/Libraries/LibGateway/BatchSubmissionHandler.cpp
+++ b/Libraries/LibGateway/BatchSubmissionHandler.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-/// Time within which storing a job is retried.
+/// Time within which storing a job is retried. After that the submitter sends
+/// the job again.
 constexpr std::chrono::milliseconds kSubmitTimeout{ 2500 };
 
 /// Time without a response from the store after which a job is spooled on
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -13,18 +13,20 @@
 
 namespace {
 
-/// Time limit that an endpoint is given for one attempt.
+/// Time limit that an endpoint is given for one attempt. The longest items
+/// usually take about 8 s.
 constexpr std::chrono::seconds kAttemptTimeLimit{ 30 };
 
-/// How long a route must be missing to count as removed. Longer than a new
-/// configuration takes to reach all hosts.
+/// How long a route must be missing to count as removed. A new configuration
+/// reaches all hosts within 2 to 3 s, or later if the store was unavailable.
 constexpr std::chrono::seconds kRouteRemovalDelay{ 10 };
 
 /// Time after which an unanswered claim is repeated.
 constexpr std::chrono::seconds kClaimTimeout{ 3 };
 
-/// Tolerance for differences between the wall clocks of hosts, so that no item
-/// is abandoned early.
+/// Tolerance for differences between the wall clocks of hosts, which may also
+/// jump by seconds. An item that is abandoned early is lost, whereas abandoning
+/// it this much later costs nothing.
 constexpr std::chrono::seconds kClockTolerance{ 10 };
 
 /// @return the time since a job's acceptance, by wall clock.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// If a preemption request is lost, the peer cancels the batch attempt at its
+/// next tick, so online work waits about this long for the slot.
 constexpr std::chrono::milliseconds kTickInterval{ 100 };
 
 /// Time after the request to stop until the balancer sends no new connections:
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Time limits for the first byte of a response and between its bytes.
+/// Time limits for the first byte of a response and between its bytes. An
+/// endpoint with a free slot responds within tens of milliseconds.
 constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
 constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
 
--- a/Libraries/LibGateway/LedgerWriter.cpp
+++ b/Libraries/LibGateway/LedgerWriter.cpp
@@ -10,13 +10,15 @@
 
 namespace {
 
-/// Interval between updates of a ledger that is near its cap.
+/// Interval between updates of a ledger that is near its cap. Rejections are
+/// then based on rows at most a second old, even if a store call is repeated.
 constexpr std::chrono::milliseconds kIntervalNearCap{ 250 };
 
 /// Interval between updates of other ledgers.
 constexpr std::chrono::seconds kIntervalFarFromCap{ 5 };
 
-/// Share of the cap from which a ledger counts as near its cap.
+/// Share of the cap from which a ledger counts as near its cap. A burst of
+/// submissions fills the other half within seconds.
 constexpr double kNearCapShare = 0.5;
 
 /// How long this host keeps updating a ledger after its last job there was
--- a/Libraries/LibGateway/ProgressWriter.cpp
+++ b/Libraries/LibGateway/ProgressWriter.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-/// Minimum interval between two transactions of a host.
+/// Minimum interval between two transactions of a host. If the host fails, its
+/// items lose their output since the last one.
 constexpr std::chrono::milliseconds kInterval{ 1000 };
 
 /// Interval per registered host; all hosts together make at most 20
-/// transactions per second.
+/// transactions per second, a twentieth of the store's limit on writes.
 constexpr std::chrono::milliseconds kIntervalPerHost{ 50 };
 
 /// Maximum number of jobs in one transaction. Each takes one expectation and
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Bounds the durations in a response, so that a forged datagram can't block an
-/// organisation for long.
+/// organisation for long; longer than any duration that an owner sends.
 constexpr std::int64_t kMaxDurationMs = 10000;
 
 base::Duration
--- a/Libraries/LibGateway/ResultWriter.cpp
+++ b/Libraries/LibGateway/ResultWriter.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Maximum time for which results are collected before they are stored.
+/// Maximum time for which results are collected before they are stored. Readers
+/// poll about twice a second.
 constexpr std::chrono::milliseconds kMaxStoreDelay{ 500 };
 
 /// Results due within this time are stored immediately.
--- a/Libraries/LibGateway/ResultWriter.h
+++ b/Libraries/LibGateway/ResultWriter.h
@@ -14,8 +14,8 @@
 
 /// Stores the results of the jobs that this host runs. Results are collected
 /// for a short time, so that those of several jobs can be stored in one
-/// transaction; results that are due soon are stored immediately. Must be used
-/// on the event thread.
+/// transaction, as each call is charged whatever it contains; results that are
+/// due soon are stored immediately. Must be used on the event thread.
 class ResultWriter
 {
 public:
--- a/Libraries/LibGateway/SpoolClient.cpp
+++ b/Libraries/LibGateway/SpoolClient.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Time within which a worker must respond.
+/// Time within which a worker must respond. Syncing its disk takes a few
+/// milliseconds, and callers count a response after half a second as late.
 constexpr std::chrono::milliseconds kTimeout{ 600 };
 
 /// The workers' responses so far.
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 /// Time after the first complete read before this host may follow prefixes for
-/// its peers, so that a restarted host learns of the current follower first.
+/// its peers, so that a restarted host learns of the current follower first. It
+/// would otherwise send changes that don't follow on from the peers' mirrors.
 constexpr std::chrono::seconds kSettleTime{ 1 };
 
 /// A longer pause of the event loop counts as a suspension, after which queued
--- a/Libraries/LibGateway/StoreTransport.cpp
+++ b/Libraries/LibGateway/StoreTransport.cpp
@@ -15,8 +15,11 @@
 
 namespace {
 
+/// Longer than a slow store takes to respond.
 constexpr std::chrono::milliseconds kProbeTimeout{ 700 };
 
+/// Short, as it uses up part of the bounds of GatewaySettings (2 s by default
+/// for a configuration to take effect).
 constexpr std::chrono::milliseconds kProbeRetryDelay{ 400 };
 
 /// Added to a call's timeout for the round trip to the peer.
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t kReadBytes = 16384;
 
-/// Largest response head that is accepted.
+/// Largest response head that is accepted; servers send well under 1 KB.
 constexpr std::uint32_t kMaxHeadBytes = 16384;
 
 /// Used if the server sends no keep-alive timeout. A server with a limit below
--- a/Libraries/LibHttpStream/ConnectionPool.h
+++ b/Libraries/LibHttpStream/ConnectionPool.h
@@ -12,8 +12,9 @@
 
 namespace pumiceturn::httpstream {
 
-/// Keeps idle connections to servers for reuse, the most recently used first.
-/// Must be used only on the thread that runs the io_context.
+/// Keeps idle connections to servers for reuse, the most recently used first,
+/// so that few stay open. Must be used only on the thread that runs the
+/// io_context.
 class ConnectionPool
 {
 public:
