--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -32,7 +32,11 @@
 
 /// Factor on the weight of an endpoint that failed recently for a request that
 /// can't be retried: a free slot there is still better than a queue.
-constexpr double kUnprovenWeight = 1e-3;
+constexpr double kFailedWeight = 1e-4;
+
+/// Adding up the load of hundreds of endpoints for each request would cost as
+/// much as choosing one.
+constexpr std::chrono::milliseconds kLoadLifetime{ 10 };
 
 /// Bounds the shift; with the default limits, maxAvoidance_ is reached by then.
 constexpr std::uint32_t kMaxDoublings = 3;
@@ -121,6 +125,7 @@
     found->second.removalDueAt_ = *aStoreRecoveredAt + limits_.removalGrace_;
     return;
   }
+  outliers_.Remove(found->first);
   endpoints_.erase(found);
   areCellsOutdated_ = true;
 }
@@ -136,6 +141,7 @@
     const auto& until = entry->second.removalDueAt_;
     if (until && *until <= aNow) {
       dropped.push_back(entry->first);
+      outliers_.Remove(entry->first);
       entry = endpoints_.erase(entry);
       areCellsOutdated_ = true;
     } else {
@@ -229,7 +235,7 @@
     outliers_.VerdictOf(incarnation) == EndpointVerdict::Probation;
   const bool hasFailed = outliers_.HasRecentFailure(incarnation, aNow);
   if (!aRequest.isRetryable_ && (isOnProbation || hasFailed)) {
-    return kUnprovenWeight;
+    return kFailedWeight;
   }
   if (isOnProbation) {
     return aCounts.Total() == 0 ? kProbationWeight : kAvoidedWeight;
@@ -523,6 +529,7 @@
     return;
   }
   replaced_[aEndpoint.id_] = { aEndpoint.startedAtMs_, aNow };
+  outliers_.Remove(aEndpoint.id_);
   if (found != endpoints_.end()) {
     endpoints_.erase(found);
     areCellsOutdated_ = true;
@@ -612,8 +619,12 @@
 }
 
 ServiceLoad
-EndpointTable::LoadOf(std::string_view aService, base::Instant aNow) const
+EndpointTable::LoadOf(const std::string& aService, base::Instant aNow)
 {
+  CachedLoad& cached = loads_[aService];
+  if (aNow - cached.computedAt_ < kLoadLifetime) {
+    return cached.load_;
+  }
   ServiceLoad load;
   for (const auto& [id, endpoint] : endpoints_) {
     const EndpointRecord& record = endpoint.record_;
@@ -624,9 +635,24 @@
     load.inFlight_ += CountsOf(endpoint, aNow).online_;
     load.slots_ += record.slots_;
   }
+  cached = { load, aNow };
   return load;
 }
 
+void
+EndpointTable::SetPeerOutcomes(const std::string& aPeer,
+                               std::span<const EndpointOutcomes> aOutcomes,
+                               base::Instant aNow)
+{
+  std::vector<EndpointOutcomes> known;
+  for (const EndpointOutcomes& row : aOutcomes) {
+    if (Find({ row.endpoint_, row.startedAtMs_ }) != nullptr) {
+      known.push_back(row);
+    }
+  }
+  outliers_.SetPeerOutcomes(aPeer, known, aNow);
+}
+
 std::vector<VerdictChange>
 EndpointTable::UpdateVerdicts(base::Instant aNow)
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -257,12 +257,18 @@
 
   /// @return the online requests in flight at the usable endpoints of a
   ///         service, and their slots.
-  [[nodiscard]] ServiceLoad LoadOf(std::string_view aService,
-                                   base::Instant aNow) const;
+  ///         Up to kLoadLifetime old.
+  [[nodiscard]] ServiceLoad LoadOf(const std::string& aService,
+                                   base::Instant aNow);
 
   [[nodiscard]] OutlierDetector& Outliers() { return outliers_; }
   [[nodiscard]] EndpointPace& Paces() { return paces_; }
 
+  /// Passes on what a peer reported, but for endpoints that aren't registered.
+  void SetPeerOutcomes(const std::string& aPeer,
+                       std::span<const EndpointOutcomes> aOutcomes,
+                       base::Instant aNow);
+
   /// Evaluates which endpoints fail more often than the others.
   /// @return the changes, for the log.
   std::vector<VerdictChange> UpdateVerdicts(base::Instant aNow);
@@ -305,6 +311,12 @@
     base::Instant recordedAt_;
   };
 
+  struct CachedLoad
+  {
+    ServiceLoad load_;
+    base::Instant computedAt_;
+  };
+
   /// The best endpoints for an attempt among those considered so far.
   struct Ranking
   {
@@ -362,6 +374,7 @@
   std::string failureDomain_;
   Limits limits_;
   OutlierDetector outliers_;
+  std::unordered_map<std::string, CachedLoad> loads_; ///< By service.
   EndpointPace paces_;
   std::unordered_map<std::string, Endpoint> endpoints_;
   std::size_t cells_ = 1;
--- a/Libraries/LibFleet/FairShare.cpp
+++ b/Libraries/LibFleet/FairShare.cpp
@@ -18,6 +18,9 @@
 constexpr double kReportedShare = 0.5;
 constexpr std::chrono::seconds kReportDuration{ 1 };
 
+/// Bounds what a peer may report of one organisation.
+constexpr std::uint32_t kMaxReportedCount = 100000;
+
 /// Least part of the usable slots that is shared between the organisations that
 /// hosts report, if the others seem to take all of them.
 constexpr double kMinSharedPart = 0.1;
@@ -47,10 +50,10 @@
                          std::span<const OrganisationCount> aCounts,
                          base::Instant aNow)
 {
-  if (aCounts.empty()) {
-    peers_.erase(aPeer);
-    return;
-  }
+  // An empty report counts: the peer is there and has few requests.
+  std::erase_if(peers_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.recordedAt_ > kPeerCountLifetime;
+  });
   peers_[aPeer] = { { aCounts.begin(), aCounts.end() }, aNow };
 }
 
@@ -88,7 +91,7 @@
     }
     hasPeer = true;
     for (const OrganisationCount& count : report.counts_) {
-      sum[count.organisation_] += count.inFlight_;
+      sum[count.organisation_] += std::min(count.inFlight_, kMaxReportedCount);
     }
   }
   if (!hasPeer) {
@@ -127,6 +130,10 @@
                  base::Instant aNow)
 {
   ShareDecision decision;
+  // Without a usable endpoint, shares of its slots say nothing.
+  if (aLoad.slots_ == 0) {
+    return decision;
+  }
   if (aLoad.inFlight_ >= kReportedShare * aLoad.slots_) {
     reportUntil_ = aNow + kReportDuration;
   }
--- a/Libraries/LibFleet/FairShare.h
+++ b/Libraries/LibFleet/FairShare.h
@@ -42,7 +42,8 @@
 /// others wait in the same queues, since up to its rate limit it may fill the
 /// fleet. In a shortage slots are shared by max-min fairness over what the
 /// organisations have in flight at all hosts, and requests beyond the share are
-/// rejected. Without a shortage nothing is. Time is passed as an argument.
+/// rejected. Callers without an organisation count as one of them. Requests to
+/// all services count together. Time is passed as an argument.
 /// Performs no I/O. Not thread-safe.
 class FairShare
 {
--- a/Libraries/LibFleet/OutlierDetector.cpp
+++ b/Libraries/LibFleet/OutlierDetector.cpp
@@ -34,23 +34,13 @@
 /// Successes that end a probation.
 constexpr std::uint32_t kProbationSuccesses = 3;
 
-/// Age from which a peer's totals are forgotten.
-constexpr std::chrono::seconds kPeerTotalsLifetime{ 10 };
+/// Age from which a peer's row isn't used, and from which it is forgotten.
+constexpr std::chrono::seconds kPeerRowLifetime{ 1 };
+constexpr std::chrono::seconds kPeerRowRetention{ 10 };
 
 /// Endpoints that a host must have used before it can count as cut off.
 constexpr std::size_t kMinUsedEndpoints = 3;
 
-std::size_t
-CountSince(const std::unordered_map<std::string, base::Instant>& aTimes,
-           bool aIsOwnUsed,
-           base::Instant aSince)
-{
-  return static_cast<std::size_t>(
-    std::count_if(aTimes.begin(), aTimes.end(), [&](const auto& aEntry) {
-      return aEntry.second >= aSince && (aIsOwnUsed || !aEntry.first.empty());
-    }));
-}
-
 double
 MedianOf(std::vector<double> aRates)
 {
@@ -98,15 +88,18 @@
   return sum;
 }
 
-OutlierDetector::Endpoint&
+OutlierDetector::Endpoint*
 OutlierDetector::EndpointFor(const EndpointIncarnation& aEndpoint)
 {
   Endpoint& endpoint = endpoints_[aEndpoint.id_];
-  if (endpoint.startedAtMs_ != aEndpoint.startedAtMs_) {
+  if (endpoint.startedAtMs_ > aEndpoint.startedAtMs_) {
+    return nullptr;
+  }
+  if (endpoint.startedAtMs_ < aEndpoint.startedAtMs_) {
     endpoint = {};
     endpoint.startedAtMs_ = aEndpoint.startedAtMs_;
   }
-  return endpoint;
+  return &endpoint;
 }
 
 const OutlierDetector::Endpoint*
@@ -120,20 +113,16 @@
 
 void
 OutlierDetector::Record(Endpoint& aEndpoint,
-                        Window& aWindow,
-                        const std::string& aHost,
                         const OutcomeCounts& aCounts,
                         base::Instant aNow)
 {
-  aWindow.Add(aCounts, aNow);
-  aEndpoint.usedAt_[aHost] = aNow;
   if (aCounts.failures_ > 0) {
-    if (!aEndpoint.firstFailureAt_ ||
-        aNow - aEndpoint.lastFailureAt_ > kWindow) {
+    const base::Duration quiet = aNow - aEndpoint.lastFailureAt_;
+    if (!aEndpoint.firstFailureAt_ || quiet > kWindow) {
       aEndpoint.firstFailureAt_ = aNow;
+      aEndpoint.quietBefore_ = quiet;
     }
     aEndpoint.lastFailureAt_ = aNow;
-    aEndpoint.failedAt_[aHost] = aNow;
   }
   if (aEndpoint.verdict_ == EndpointVerdict::Probation) {
     aEndpoint.onProbation_.successes_ += aCounts.successes_;
@@ -146,14 +135,15 @@
                                bool aIsFailure,
                                base::Instant aNow)
 {
-  if (!isEnabled_) {
+  Endpoint* endpoint = isEnabled_ ? EndpointFor(aEndpoint) : nullptr;
+  if (endpoint == nullptr) {
     return;
   }
-  Endpoint& endpoint = EndpointFor(aEndpoint);
   const OutcomeCounts counts{ aIsFailure ? 0U : 1U, aIsFailure ? 1U : 0U };
-  endpoint.ownTotal_.successes_ += counts.successes_;
-  endpoint.ownTotal_.failures_ += counts.failures_;
-  Record(endpoint, endpoint.own_, {}, counts, aNow);
+  endpoint->ownTotal_.successes_ += counts.successes_;
+  endpoint->ownTotal_.failures_ += counts.failures_;
+  endpoint->own_.Add(counts, aNow);
+  Record(*endpoint, counts, aNow);
 }
 
 void
@@ -165,20 +155,23 @@
     return;
   }
   for (const EndpointOutcomes& row : aOutcomes) {
-    Endpoint& endpoint = EndpointFor({ row.endpoint_, row.startedAtMs_ });
-    const auto [known, isNew] = endpoint.peerTotals_.try_emplace(aPeer);
+    Endpoint* endpoint = EndpointFor({ row.endpoint_, row.startedAtMs_ });
+    if (endpoint == nullptr) {
+      continue;
+    }
+    const auto [known, isNew] = endpoint->peers_.try_emplace(aPeer);
+    const OutcomeCounts& before = known->second.total_;
+    const bool isContinued = !isNew &&
+                             row.total_.successes_ >= before.successes_ &&
+                             row.total_.failures_ >= before.failures_;
+    // Hosts clear what is recent when a probation begins.
     OutcomeCounts change = row.recent_;
-    const bool isContinued =
-      !isNew && row.total_.successes_ >= known->second.total_.successes_ &&
-      row.total_.failures_ >= known->second.total_.failures_;
     if (isContinued) {
-      change = { row.total_.successes_ - known->second.total_.successes_,
-                 row.total_.failures_ - known->second.total_.failures_ };
-    }
-    known->second = { row.total_, aNow };
-    if (change != OutcomeCounts{}) {
-      Record(endpoint, endpoint.peers_, aPeer, change, aNow);
+      change = { row.total_.successes_ - before.successes_,
+                 row.total_.failures_ - before.failures_ };
     }
+    known->second = { row.recent_, row.total_, aNow };
+    Record(*endpoint, change, aNow);
   }
 }
 
@@ -226,15 +219,20 @@
                             base::Instant aNow) const
 {
   Evidence evidence;
-  evidence.recent_ = aEndpoint.peers_.Sum(aNow);
+  const auto add = [&evidence](const OutcomeCounts& aCounts) {
+    evidence.recent_.successes_ += aCounts.successes_;
+    evidence.recent_.failures_ += aCounts.failures_;
+    evidence.usedHosts_ += aCounts != OutcomeCounts{} ? 1 : 0;
+    evidence.failedHosts_ += aCounts.failures_ > 0 ? 1 : 0;
+  };
   if (aIsOwnUsed) {
-    const OutcomeCounts own = aEndpoint.own_.Sum(aNow);
-    evidence.recent_.successes_ += own.successes_;
-    evidence.recent_.failures_ += own.failures_;
+    add(aEndpoint.own_.Sum(aNow));
+  }
+  for (const auto& [peer, row] : aEndpoint.peers_) {
+    if (aNow - row.recordedAt_ <= kPeerRowLifetime) {
+      add(row.recent_);
+    }
   }
-  const base::Instant since = aNow - kWindow;
-  evidence.usedHosts_ = CountSince(aEndpoint.usedAt_, aIsOwnUsed, since);
-  evidence.failedHosts_ = CountSince(aEndpoint.failedAt_, aIsOwnUsed, since);
   return evidence;
 }
 
@@ -244,7 +242,7 @@
                        base::Instant aNow)
 {
   if (aEndpoint.verdict_ == EndpointVerdict::Sound &&
-      aNow - aEndpoint.readmittedAt_ > kRecoveredAfter) {
+      aEndpoint.quietBefore_ > kRecoveredAfter) {
     aEndpoint.ejections_ = 0;
   }
   const base::Duration duration = std::min<base::Duration>(
@@ -270,6 +268,8 @@
       aNow >= aEndpoint.ejectedUntil_) {
     aEndpoint.verdict_ = EndpointVerdict::Probation;
     aEndpoint.onProbation_ = {};
+    // What failed before the ejection must not eject it again.
+    aEndpoint.own_.Clear();
     aChanges.push_back(
       { aRecord.Incarnation(), EndpointVerdict::Probation, {} });
     return;
@@ -282,11 +282,6 @@
     aChanges.back().recent_ = aEndpoint.onProbation_;
   } else if (aEndpoint.onProbation_.successes_ >= kProbationSuccesses) {
     aEndpoint.verdict_ = EndpointVerdict::Sound;
-    aEndpoint.readmittedAt_ = aNow;
-    // What failed before the ejection must not eject it again.
-    aEndpoint.own_.Clear();
-    aEndpoint.peers_.Clear();
-    aEndpoint.failedAt_.clear();
     aEndpoint.firstFailureAt_.reset();
     aChanges.push_back({ aRecord.Incarnation(),
                          EndpointVerdict::Sound,
@@ -375,8 +370,8 @@
     UpdateService(records, isOwnUsed, aNow, changes);
   }
   for (auto& [id, endpoint] : endpoints_) {
-    std::erase_if(endpoint.peerTotals_, [aNow](const auto& aEntry) {
-      return aNow - aEntry.second.recordedAt_ > kPeerTotalsLifetime;
+    std::erase_if(endpoint.peers_, [aNow](const auto& aEntry) {
+      return aNow - aEntry.second.recordedAt_ > kPeerRowRetention;
     });
   }
   return changes;
@@ -385,7 +380,7 @@
 EndpointVerdict
 OutlierDetector::VerdictOf(const EndpointIncarnation& aEndpoint) const
 {
-  const Endpoint* endpoint = Find(aEndpoint);
+  const Endpoint* endpoint = isEnabled_ ? Find(aEndpoint) : nullptr;
   return endpoint != nullptr ? endpoint->verdict_ : EndpointVerdict::Sound;
 }
 
@@ -393,7 +388,7 @@
 OutlierDetector::HasRecentFailure(const EndpointIncarnation& aEndpoint,
                                   base::Instant aNow) const
 {
-  const Endpoint* endpoint = Find(aEndpoint);
+  const Endpoint* endpoint = isEnabled_ ? Find(aEndpoint) : nullptr;
   return endpoint != nullptr && endpoint->firstFailureAt_ &&
          aNow - endpoint->lastFailureAt_ <= kWindow;
 }
--- a/Libraries/LibFleet/OutlierDetector.h
+++ b/Libraries/LibFleet/OutlierDetector.h
@@ -82,7 +82,8 @@
                      bool aIsFailure,
                      base::Instant aNow);
 
-  /// Replaces what a peer reported.
+  /// Replaces what a peer reported. Rows of a process that is older than the
+  /// one known here are ignored.
   void SetPeerOutcomes(const std::string& aPeer,
                        std::span<const EndpointOutcomes> aOutcomes,
                        base::Instant aNow);
@@ -131,8 +132,9 @@
     std::array<Slice, kSlices> slices_{};
   };
 
-  struct PeerTotals
+  struct PeerRow
   {
+    OutcomeCounts recent_;
     OutcomeCounts total_;
     base::Instant recordedAt_;
   };
@@ -142,18 +144,14 @@
   {
     std::int64_t startedAtMs_ = 0;
     Window own_;
-    Window peers_;
     OutcomeCounts ownTotal_;
-    std::unordered_map<std::string, PeerTotals> peerTotals_; ///< By host.
-    /// Time of the last use and of the last failure, by host; an empty name
-    /// stands for this host.
-    std::unordered_map<std::string, base::Instant> usedAt_;
-    std::unordered_map<std::string, base::Instant> failedAt_;
-    std::optional<base::Instant> firstFailureAt_; ///< Of the current series.
+    std::unordered_map<std::string, PeerRow> peers_; ///< By host.
+    std::optional<base::Instant> firstFailureAt_;    ///< Of the current series.
     base::Instant lastFailureAt_;
+    /// Time without a failure before the current series.
+    base::Duration quietBefore_{ 0 };
     EndpointVerdict verdict_ = EndpointVerdict::Sound;
     base::Instant ejectedUntil_;
-    base::Instant readmittedAt_;
     std::uint32_t ejections_ = 0; ///< Consecutive ones.
     OutcomeCounts onProbation_;
   };
@@ -166,12 +164,13 @@
     std::size_t failedHosts_ = 0;
   };
 
-  Endpoint& EndpointFor(const EndpointIncarnation& aEndpoint);
+  /// @return the endpoint, which is new if its process is; nullptr if a later
+  ///         process is known.
+  Endpoint* EndpointFor(const EndpointIncarnation& aEndpoint);
   [[nodiscard]] const Endpoint* Find(
     const EndpointIncarnation& aEndpoint) const;
+  /// Records new outcomes at any host.
   static void Record(Endpoint& aEndpoint,
-                     Window& aWindow,
-                     const std::string& aHost,
                      const OutcomeCounts& aCounts,
                      base::Instant aNow);
 
--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -19,13 +19,13 @@
 /// Shares of the tolerance that are added to the bucket's capacity, and given
 /// to a new owner as initial credit. A window in which the owner restarts may
 /// admit both in addition to the limit, so their sum must not exceed 1.
-constexpr double kBucketToleranceShare = 0.4;
-constexpr double kInitialToleranceShare = 0.25;
+constexpr double kBucketToleranceShare = 0.25;
+constexpr double kInitialToleranceShare = 0.15;
 
 /// Share of the tolerance that is added to the limit while some hosts are
 /// unreachable, since half of the fleet or more may be down and leave its share
 /// of the limit unused. The rest is kept, as it isn't known what they admit.
-constexpr double kPartitionToleranceShare = 0.5;
+constexpr double kPartitionToleranceShare = 0.25;
 
 /// Replaces kBucketToleranceShare while kPartitionToleranceShare is added, so
 /// that all shares of the tolerance together stay below 1.
--- a/Libraries/LibFleet/RateLimitMembership.cpp
+++ b/Libraries/LibFleet/RateLimitMembership.cpp
@@ -79,15 +79,22 @@
 void
 RateLimitMembership::Update(std::span<const Member> aOthers, base::Instant aNow)
 {
+  const auto entryHosts =
+    static_cast<std::size_t>(
+      std::count_if(aOthers.begin(),
+                    aOthers.end(),
+                    [](const Member& aMember) { return aMember.admits_; })) +
+    (admits_ ? 1 : 0);
   std::vector<RankedHost> own;
   std::vector<RankedHost> registered;
   std::vector<std::string> reachable;
   std::size_t registeredCount = admits_ ? 1 : 0;
   heardHosts_ = registeredCount;
   for (const Member& member : aOthers) {
-    const RankedHost ranked{ !member.admits_,
-                             member.host_,
-                             member.heardHosts_ };
+    // A host can't hear more than there are, whatever it says.
+    const std::size_t heard =
+      std::min(member.heardHosts_.value_or(entryHosts), entryHosts);
+    const RankedHost ranked{ !member.admits_, member.host_, heard };
     registered.push_back(ranked);
     registeredCount += member.admits_ ? 1 : 0;
     if (member.isReachable_) {
@@ -103,7 +110,11 @@
     reachable_ = std::move(reachable);
     changedAt_ = aNow;
   }
-  candidates_ = CandidatesAmong(own);
+  std::vector<std::string> candidates = CandidatesAmong(own);
+  if (candidates != candidates_) {
+    candidates_ = std::move(candidates);
+    changedAt_ = aNow;
+  }
   ownHash_ = HashOf(candidates_);
   allCandidates_ = CandidatesAmong(registered);
   hashes_.clear();
--- a/Libraries/LibFleet/RateLimitMembership.h
+++ b/Libraries/LibFleet/RateLimitMembership.h
@@ -45,9 +45,10 @@
     /// Hash of the owners that the host chooses from, as it last said;
     /// std::nullopt if it doesn't say, as hosts of earlier versions don't.
     std::optional<std::uint64_t> candidatesHash_ = std::nullopt;
-    /// Number of admitting hosts that the host hears, as it last said; 0 if it
-    /// doesn't say.
-    std::size_t heardHosts_ = 0;
+    /// Number of admitting hosts that the host hears, as it last said;
+    /// std::nullopt if it doesn't say: it may be an owner, as hosts of earlier
+    /// versions choose it.
+    std::optional<std::size_t> heardHosts_ = std::nullopt;
   };
 
   /// How long an unregistered host is still counted, as it may be cut off and
@@ -60,8 +61,8 @@
   /// @param aOthers All registered hosts except this one.
   void Update(std::span<const Member> aOthers, base::Instant aNow);
 
-  /// @return the owner of an organisation's account: the reachable host with
-  ///         the highest random weight.
+  /// @return the owner of an organisation's account: the candidate with the
+  ///         highest random weight.
   [[nodiscard]] const std::string& OwnerOf(
     std::string_view aOrganisation) const;
 
@@ -88,7 +89,7 @@
   ///         within kRetention; at least 1.
   [[nodiscard]] std::size_t AdmittingCount() const { return count_; }
 
-  /// @return when the set of reachable hosts last changed.
+  /// @return when the set of reachable hosts or of candidates last changed.
   [[nodiscard]] base::Instant ChangedAt() const { return changedAt_; }
 
   [[nodiscard]] const std::string& OwnName() const { return ownName_; }
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -13,11 +13,6 @@
 /// endpoint is faster than waiting for that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 
-/// Time without any byte of a response after which an attempt that is then
-/// cancelled counts as failed. Requests that can't be retried have no other
-/// timeout before the caller's.
-constexpr std::chrono::seconds kSilenceTimeout{ 1 };
-
 constexpr unsigned kFirstServerError = 500;
 
 } // namespace
@@ -79,9 +74,8 @@
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->Cancel();
   }
-  const bool wasSilent =
-    isCountedInFlight_ && !hasResponse_ &&
-    base::MonotonicNow() - startedAt_ > base::Duration(kSilenceTimeout);
+  const bool wasSilent = isCountedInFlight_ && !hasResponse_ &&
+                         base::MonotonicNow() - startedAt_ > silenceTimeout_;
   if (wasSilent && workClass_ == fleet::WorkClass::Online) {
     shared_.endpoints_.Outliers().RecordOutcome(
       endpoint_.Incarnation(), true, base::MonotonicNow());
@@ -165,11 +159,13 @@
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
   RecordOutcome(aOutcome);
-  if (aOutcome == httpstream::CallOutcome::Complete) {
-    shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
-  } else {
+  const bool isIgnored =
+    isServerError_ && shared_.endpoints_.Outliers().IsEnabled();
+  if (aOutcome != httpstream::CallOutcome::Complete) {
     shared_.endpoints_.RecordFailure(endpoint_.Incarnation(),
                                      base::MonotonicNow());
+  } else if (!isIgnored) {
+    shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
   }
   if (observer != nullptr) {
     observer->OnEnd(aOutcome);
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -32,6 +32,14 @@
   /// isn't called any more.
   void Cancel();
 
+  /// Sets how long an attempt may be without any byte of a response; if it is
+  /// cancelled later than that, it counts as failed. Requests that can't be
+  /// retried have no other timeout before the caller's.
+  void SetSilenceTimeout(base::Duration aTimeout)
+  {
+    silenceTimeout_ = aTimeout;
+  }
+
   /// Pauses or resumes reading the response.
   void SetPaused(bool aIsPaused);
 
@@ -54,6 +62,7 @@
   httpstream::CallObserver* observer_ = nullptr;
   std::shared_ptr<httpstream::ClientConnection> connection_;
   base::Instant startedAt_{};
+  base::Duration silenceTimeout_ = base::Duration::max();
   bool isCountedInFlight_ = false;
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -253,7 +253,7 @@
 OnlineProxy::AdmitByShare(const std::string& aService)
 {
   const bool isFirstAttempt = triedEndpoints_.empty() && !mayHaveRun_;
-  if (!caller_ || caller_->empty() || !isFirstAttempt) {
+  if (!caller_ || !isFirstAttempt || isCountedForShare_) {
     return true;
   }
   const base::Instant now = base::MonotonicNow();
@@ -317,12 +317,13 @@
   call.echoField_ = shared_.codec_.EchoField();
   call.echoValue_ = call_.requestId_;
   call.isHeadRequest_ = request.method() == boost::beast::http::verb::head;
+  const base::Duration firstByteTimeout = std::min<base::Duration>(
+    kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
   if (IsRetryable()) {
-    call.firstByteTimeout_ = std::min<base::Duration>(
-      kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
+    call.firstByteTimeout_ = firstByteTimeout;
     call.gapTimeout_ = kGapTimeout;
   }
-  if (caller_ && !caller_->empty() && !isCountedForShare_) {
+  if (caller_ && !isCountedForShare_) {
     isCountedForShare_ = true;
     shared_.fairShare_.CountStart(*caller_);
   }
@@ -331,6 +332,7 @@
   lastEventBeforeAttempt_ = lastEvent_;
   attempt_ = std::make_shared<EndpointAttempt>(
     shared_, aChoice.endpoint_, fleet::WorkClass::Online);
+  attempt_->SetSilenceTimeout(firstByteTimeout);
   attempt_->Start(std::move(call), *this);
 }
 
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -433,15 +433,21 @@
   // Both are left out if empty, and by gateways of earlier versions.
   std::vector<fleet::EndpointOutcomes> outcomes;
   for (const json& row : aMessage.value("outcomes", json::array())) {
+    if (outcomes.size() == fleet::OutlierDetector::kMaxReported) {
+      break;
+    }
     outcomes.push_back(
       { row.at(0).get<std::string>(),
         row.at(1).get<std::int64_t>(),
         { row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>() },
         { row.at(4).get<std::uint32_t>(), row.at(5).get<std::uint32_t>() } });
   }
-  shared_.endpoints_.Outliers().SetPeerOutcomes(aPeer, outcomes, aNow);
+  shared_.endpoints_.SetPeerOutcomes(aPeer, outcomes, aNow);
   std::vector<fleet::OrganisationCount> counts;
   for (const json& row : aMessage.value("organisations", json::array())) {
+    if (counts.size() == fleet::FairShare::kMaxReported) {
+      break;
+    }
     counts.push_back(
       { row.at(0).get<std::string>(), row.at(1).get<std::uint32_t>() });
   }
@@ -528,13 +534,16 @@
                               aMessage.size());
       HandleCounts(host, message, now);
       HandleStoreReport(host, message, now);
-      // Only of peers that were heard directly: a host reports to an owner that
-      // it hears itself.
+      // The rest only of registered peers that were heard directly, as anyone
+      // can send datagrams.
+      if (message.contains("runs") && IsFromPeer(host)) {
+        HandleObservations(host, message, now);
+      }
       const auto owners = message.find("owners");
       if (owners != message.end() && IsFromPeer(host)) {
         RecordRateCandidates(host, owners->get<std::uint64_t>());
         if (const auto peer = peers_.find(host); peer != peers_.end()) {
-          peer->second.heardHosts_ = message.value("heard", std::size_t{ 0 });
+          peer->second.heardHosts_ = message.at("heard").get<std::size_t>();
         }
       }
       Relay(host, message, now);
@@ -559,7 +568,6 @@
   }
   shared_.endpoints_.SetPeerCounts(
     aPeer, ReadCounts(aMessage.at("runs")), aNow);
-  HandleObservations(aPeer, aMessage, aNow);
   // Gateways of earlier versions send no suspects.
   if (const auto rows = aMessage.find("suspects"); rows != aMessage.end()) {
     HandleSuspects(*rows);
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -179,7 +179,7 @@
     fleet::CellMap::Relation relation_ = fleet::CellMap::Relation::Neighbour;
     std::optional<std::size_t> cell_;
     std::optional<std::uint64_t> rateCandidates_;
-    std::size_t heardHosts_ = 0;
+    std::optional<std::size_t> heardHosts_;
   };
   std::unordered_map<std::string, Peer> peers_;
   std::size_t neighbours_ = 0;
--- a/Tests/LibFleet/FairShareTest.cpp
+++ b/Tests/LibFleet/FairShareTest.cpp
@@ -76,12 +76,13 @@
 TEST_CASE_METHOD(FairShareFixture, "FairShare_PeerIsSilent_OwnCountsAreScaled")
 {
   share_.SetHostCount(10);
-  Start("large", 7);
+  Start("large", 5);
   Start("small", 1);
   SetPeer({ { "large", 1 } });
+  CHECK(share_.Check("large", { 90, 100 }, now_).inFlight_ == 6);
   now_ += 2s;
-  CHECK_FALSE(IsAdmitted("large", 90));
-  CHECK(IsAdmitted("small", 90));
+  CHECK(share_.Check("large", { 90, 100 }, now_).inFlight_ == 50);
+  CHECK(share_.Check("small", { 90, 100 }, now_).inFlight_ == 10);
 }
 
 TEST_CASE_METHOD(FairShareFixture, "FairShare_ManyOrganisations_ReportsLargest")
@@ -96,6 +97,22 @@
   CHECK(counts.back() == OrganisationCount{ "o24", 25 });
 }
 
+// Guards against taking peers that have no requests for peers that are gone.
+TEST_CASE_METHOD(FairShareFixture, "FairShare_PeerReportsNothing_IsNotScaled")
+{
+  share_.SetHostCount(10);
+  Start("large", 5);
+  SetPeer({});
+  CHECK(share_.Check("large", { 90, 100 }, now_).inFlight_ == 5);
+}
+
+// Guards against rejecting everyone while no endpoint is usable for a moment.
+TEST_CASE_METHOD(FairShareFixture, "FairShare_NoSlots_EveryoneIsAdmitted")
+{
+  Start("large", 50);
+  CHECK(share_.Check("large", { 0, 0 }, now_).isAdmitted_);
+}
+
 // Guards against traffic between hosts that nobody needs.
 TEST_CASE_METHOD(FairShareFixture, "FairShare_FewRequests_NothingIsReported")
 {
@@ -283,7 +300,8 @@
     }
   }
 
-  /// @return the share of requests in time of all organisations but the first.
+  /// @param aHot Number of organisations that send more, which are left out.
+  /// @return the share of requests in time of the others.
   [[nodiscard]] double InTimeOfOthers(std::size_t aHot)
   {
     Result sum;
--- a/Tests/LibFleet/OutlierDetectorTest.cpp
+++ b/Tests/LibFleet/OutlierDetectorTest.cpp
@@ -102,6 +102,7 @@
 {
   Record(0, "e0", 0, 2);
   Record(1, "e0", 0, 1);
+  CHECK(Advance(100ms).empty());
   Record(2, "e0", 5, 0);
   Record(3, "e0", 5, 0);
   CHECK(Advance(1s).empty());
@@ -231,9 +232,38 @@
   silentHost_ = 99;
   Record(0, "e0", 0, 1);
   CHECK(Advance(1s).empty());
-  for (const EndpointOutcomes& row : hosts_[1].OutcomesToReport(now_)) {
-    CHECK(row.total_ == OutcomeCounts{ 20, 2 });
-  }
+  Record(0, "e0", 0, 10);
+  const auto changes = Advance(300ms);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].recent_ == OutcomeCounts{ 20, 13 });
+}
+
+// Guards against ejecting by what peers reported before they were cut off.
+TEST_CASE_METHOD(OutlierDetectorFixture,
+                 "OutlierDetector_PeersAreSilent_TheirRowsDontCount")
+{
+  Record(1, "e0", 0, 2);
+  Advance(100ms);
+  silentHost_ = 1;
+  Advance(1100ms);
+  Record(0, "e0", 0, 2);
+  Record(0, "e0", 0, 0);
+  CHECK(VerdictAt(0, "e0") == EndpointVerdict::Sound);
+  const auto changes = Advance(500ms);
+  CHECK(changes.empty());
+}
+
+// Guards against late rows of an ended process clearing what is known of the
+// next one.
+TEST_CASE_METHOD(OutlierDetectorFixture,
+                 "OutlierDetector_RowOfEndedProcess_IsIgnored")
+{
+  hosts_[0].RecordOutcome({ "e0", 7 }, true, now_);
+  hosts_[0].SetPeerOutcomes(
+    "late",
+    std::vector<EndpointOutcomes>{ { "e0", 5, { 0, 3 }, { 9, 3 } } },
+    now_);
+  CHECK(hosts_[0].HasRecentFailure({ "e0", 7 }, now_));
 }
 
 // Guards against evidence that outlives the window.
--- a/Tests/LibFleet/RateFleetFixture.h
+++ b/Tests/LibFleet/RateFleetFixture.h
@@ -42,7 +42,7 @@
     std::vector<base::Instant> heardAt_ = {};
     /// Hash that each host announced when it was last heard.
     std::vector<std::optional<std::uint64_t>> announced_ = {};
-    std::vector<std::size_t> heardHosts_ = {}; ///< Announced as well.
+    std::vector<std::optional<std::size_t>> heardHosts_ = {}; ///< As well.
     /// Times of pending queries, by query id.
     std::map<std::uint64_t, base::Instant> pendingQueries_;
   };
--- a/Tests/LibFleet/RateLimiterReachabilityTest.cpp
+++ b/Tests/LibFleet/RateLimiterReachabilityTest.cpp
@@ -124,6 +124,30 @@
   }
 }
 
+// Guards against new owners that each begin with credit, when the owner changes
+// several times within a window.
+TEST_CASE_METHOD(RateReachabilityFixture,
+                 "RateLimiter_OwnersAreCutOffInTurn_BoundHolds")
+{
+  const bool isOneWay = GENERATE(false, true);
+  const RateLimit limit = GENERATE(RateLimit{ 60, 400 }, RateLimit{ 130, 130 });
+  BuildFleet(18, limit, 4);
+  Advance(5s, 0.5 * limit.ratePerSecond_);
+  for (int change = 0; change < 3; ++change) {
+    Advance(1500ms, 8 * limit.ratePerSecond_);
+    for (std::size_t index = 18; index < hosts_.size(); ++index) {
+      if (hosts_[index].limiter_->ShareOf("hot") > 0.5) {
+        for (std::size_t host = 0; host < 4; ++host) {
+          Cut(host, index, isOneWay);
+        }
+      }
+    }
+  }
+  Advance(6s, 8 * limit.ratePerSecond_);
+  INFO("one way " << isOneWay << ", rate " << limit.ratePerSecond_);
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
 // Guards against a sum of the owners' shares above one, for cuts in one or both
 // directions, lost and restarted workers drawn at random.
 TEST_CASE_METHOD(RateReachabilityFixture,
