Pumicectl: Add up the requests in hosts' log files by second

Cause: metrics show sums since the start of a host. Which second of a burst was late, and which organisation was rejected for what, could only be seen by searching all hosts' logs by hand.

Change: LibAccount parses log lines and counts each request once, by second and by organisation if asked. A request rejected for its wait or its share has two lines; they are matched by host and request id within 10 s, in either order, so that memory grows with the rows of the table and not with the requests. Lines that can't be parsed and lines that the hosts' limit of lines per second left out are counted and reported. `pumicectl account FILE...` prints the table.

Known gap: request_ended has no status, so a status 500 that was passed on to the caller has end=answered and counts as in time or late.

--- a/Utilities/Pumicectl/Command.h
+++ b/Utilities/Pumicectl/Command.h
@@ -49,6 +49,7 @@
 extern const Command kUndrainCommand;
 extern const Command kCodesCommand;
 extern const Command kLoadCommand;
+extern const Command kAccountCommand;
 extern const Command kReferenceCommand;
 extern const Command kStandinEngineCommand;
 extern const Command kStandinKeyValueCommand;
