--- a/Libraries/LibFleet/OutlierDetector.cpp
+++ b/Libraries/LibFleet/OutlierDetector.cpp
@@ -65,7 +65,7 @@
 void
 OutlierDetector::Window::Add(const OutcomeCounts& aCounts, base::Instant aNow)
 {
-  const std::int64_t number = aNow.time_since_epoch() / (kWindow / kSlices);
+  const std::int64_t number = aNow.time_since_epoch() / kSliceTime;
   Slice& slice = slices_[static_cast<std::size_t>(number) % kSlices];
   if (slice.number_ != number) {
     slice = { number, {} };
@@ -77,7 +77,7 @@
 OutcomeCounts
 OutlierDetector::Window::Sum(base::Instant aNow) const
 {
-  const std::int64_t number = aNow.time_since_epoch() / (kWindow / kSlices);
+  const std::int64_t number = aNow.time_since_epoch() / kSliceTime;
   OutcomeCounts sum;
   for (const Slice& slice : slices_) {
     if (slice.number_ > number - static_cast<std::int64_t>(kSlices)) {
--- a/Libraries/LibFleet/OutlierDetector.h
+++ b/Libraries/LibFleet/OutlierDetector.h
@@ -114,6 +114,10 @@
 
 private:
   static constexpr std::size_t kSlices = 10;
+  static constexpr base::Duration kSliceTime{ std::chrono::milliseconds{
+    500 } };
+  static_assert(kSliceTime * static_cast<base::Duration::rep>(kSlices) ==
+                kWindow);
 
   /// Counts of the last kWindow, by slice.
   class Window
