LibFleet, LibGateway, platform: Read and use the pace of endpoints

Cause: the fourth figure of Server-Load and the time between events of streams were not used, so that EndpointPace knew nothing.

Ruled out: counting the reads of every response (a long body arrives in several reads within microseconds); counting intervals in which reading was paused for most of the time (they tell how slow the receiver is).

Change: ParseLoad reads the fourth figure, EndpointAttempt reports intervals between the chunks of event streams, and EndpointTable passes both on and drops an endpoint's pace with the endpoint. The test of ResponseInfo expected that the fourth figure is ignored; it now expects its value.

Conclusion: without a fourth figure choices and random draws are the same, which EndpointTable_NoSlownessReported_ChoicesAreUnchanged checks.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -128,6 +128,9 @@
 {
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
+  /// How long work takes on the machine at this moment; 100: as usual; more:
+  /// slower; empty if not reported.
+  std::optional<std::uint32_t> slownessPercent_ = std::nullopt;
 
   bool operator==(const EndpointLoad&) const = default;
 };
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -68,6 +68,7 @@
   }
   if (!isNew && aRecord.startedAtMs_ > endpoint.record_.startedAtMs_) {
     endpoint = {};
+    paces_.Remove(aRecord.id_);
     outcome = RegistrationOutcome::Restarted;
   }
   if (outcome != RegistrationOutcome::Known) {
@@ -121,6 +122,7 @@
     found->second.removalDueAt_ = *aStoreRecoveredAt + limits_.removalGrace_;
     return;
   }
+  paces_.Remove(found->first);
   endpoints_.erase(found);
   areCellsOutdated_ = true;
 }
@@ -136,6 +138,7 @@
     const auto& until = entry->second.removalDueAt_;
     if (until && *until <= aNow) {
       dropped.push_back(entry->first);
+      paces_.Remove(entry->first);
       entry = endpoints_.erase(entry);
       areCellsOutdated_ = true;
     } else {
@@ -510,6 +513,26 @@
   if (Endpoint* endpoint = Find(aEndpoint)) {
     endpoint->load_ = aLoad;
     endpoint->loadRecordedAt_ = aNow;
+    if (aLoad.slownessPercent_) {
+      paces_.RecordSlowness(aEndpoint, *aLoad.slownessPercent_, aNow);
+    }
+  }
+}
+
+void
+EndpointTable::RecordEventInterval(const EndpointIncarnation& aEndpoint,
+                                   base::Duration aInterval,
+                                   base::Instant aNow)
+{
+  if (!paces_.IsEnabled()) {
+    return;
+  }
+  if (const Endpoint* endpoint = Find(aEndpoint)) {
+    // Queued attempts don't slow down those that run.
+    const std::uint32_t running =
+      std::min(CountsOf(*endpoint, aNow).Total(), endpoint->record_.slots_);
+    paces_.RecordEventInterval(
+      aEndpoint, endpoint->record_.service_, aInterval, running, aNow);
   }
 }
 
@@ -524,6 +547,7 @@
   }
   replaced_[aEndpoint.id_] = { aEndpoint.startedAtMs_, aNow };
   if (found != endpoints_.end()) {
+    paces_.Remove(aEndpoint.id_);
     endpoints_.erase(found);
     areCellsOutdated_ = true;
   }
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -198,11 +198,17 @@
                       base::Instant aNow);
 
   /// Records the load that an endpoint reported. It is used for endpoints of
-  /// other cells, whose attempts this host doesn't know.
+  /// other cells, whose attempts this host doesn't know, and its slowness for
+  /// EndpointPace.
   void RecordLoad(const EndpointIncarnation& aEndpoint,
                   const EndpointLoad& aLoad,
                   base::Instant aNow);
 
+  /// Records the time between two events of a stream for EndpointPace.
+  void RecordEventInterval(const EndpointIncarnation& aEndpoint,
+                           base::Duration aInterval,
+                           base::Instant aNow);
+
   /// Records that another process answered at the endpoint's address.
   ///
   /// The registration may stay in the store for seconds, and a late heartbeat
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -92,6 +92,13 @@
 void
 EndpointAttempt::SetPaused(bool aIsPaused)
 {
+  const base::Instant now = base::MonotonicNow();
+  if (aIsPaused && !pausedAt_) {
+    pausedAt_ = now;
+  } else if (!aIsPaused && pausedAt_) {
+    pausedSinceEvent_ += now - *pausedAt_;
+    pausedAt_.reset();
+  }
   if (connection_) {
     connection_->SetPaused(aIsPaused);
   }
@@ -112,6 +119,7 @@
     endpoint_.Incarnation(), startedAt_, base::MonotonicNow());
   const ResponseInfo info = shared_.codec_.ReadResponseInfo(aHead);
   hasResponse_ = true;
+  isEventStream_ = httpstream::IsEventStream(aHead);
   wasNotRun_ = info.wasNotRun_;
   isServerError_ = !wasNotRun_ && aHead.result_int() >= kFirstServerError;
   if (info.load_) {
@@ -134,13 +142,30 @@
 void
 EndpointAttempt::OnBody(std::string_view aBytes)
 {
-  shared_.endpoints_.RecordActivity(
-    endpoint_.Incarnation(), startedAt_, base::MonotonicNow());
+  const base::Instant now = base::MonotonicNow();
+  shared_.endpoints_.RecordActivity(endpoint_.Incarnation(), startedAt_, now);
+  RecordEvent(now);
   if (observer_ != nullptr) {
     observer_->OnBody(aBytes);
   }
 }
 
+void
+EndpointAttempt::RecordEvent(base::Instant aNow)
+{
+  if (!isEventStream_) {
+    return;
+  }
+  // After a longer pause, the event probably arrived before reading resumed,
+  // and the interval tells how slow its receiver is.
+  if (lastEventAt_ && pausedSinceEvent_ * 2 <= aNow - *lastEventAt_) {
+    shared_.endpoints_.RecordEventInterval(
+      endpoint_.Incarnation(), aNow - *lastEventAt_, aNow);
+  }
+  lastEventAt_ = aNow;
+  pausedSinceEvent_ = base::Duration::zero();
+}
+
 void
 EndpointAttempt::RecordOutcome(httpstream::CallOutcome aOutcome)
 {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pumiceturn::gateway {
@@ -47,6 +48,8 @@
 private:
   void EndCounting();
   void RecordOutcome(httpstream::CallOutcome aOutcome);
+  /// Reports the time since the last event of a stream.
+  void RecordEvent(base::Instant aNow);
 
   SharedState& shared_;
   fleet::EndpointRecord endpoint_;
@@ -54,10 +57,15 @@
   httpstream::CallObserver* observer_ = nullptr;
   std::shared_ptr<httpstream::ClientConnection> connection_;
   base::Instant startedAt_{};
+  std::optional<base::Instant> lastEventAt_;
+  std::optional<base::Instant> pausedAt_; ///< Set while reading is paused.
+  /// How long reading was paused since the last event.
+  base::Duration pausedSinceEvent_{ 0 };
   bool isCountedInFlight_ = false;
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
   bool isServerError_ = false;
+  bool isEventStream_ = false;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -80,13 +80,6 @@
                          base::HashBytes(httpstream::TargetOf(aRequest)));
 }
 
-bool
-IsEventStream(const httpstream::ResponseHead& aHead)
-{
-  return httpstream::ValueOf(aHead, "Content-Type")
-    .starts_with("text/event-stream");
-}
-
 } // namespace
 
 OnlineProxy::OnlineProxy(SharedState& aShared,
@@ -338,7 +331,7 @@
 OnlineProxy::OnHead(const httpstream::ResponseHead& aHead)
 {
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
-  isEventStream_ = aHead.result_int() == 200 && IsEventStream(aHead);
+  isEventStream_ = httpstream::IsEventStream(aHead);
   head_ = aHead;
 }
 
--- a/Libraries/LibHttpStream/Message.h
+++ b/Libraries/LibHttpStream/Message.h
@@ -33,6 +33,14 @@
   return { aRequest.target().data(), aRequest.target().size() };
 }
 
+/// @return whether a response is a stream of events.
+inline bool
+IsEventStream(const ResponseHead& aHead)
+{
+  return aHead.result() == boost::beast::http::status::ok &&
+         ValueOf(aHead, "Content-Type").starts_with("text/event-stream");
+}
+
 /// @return whether a header field must not be forwarded: hop-by-hop fields, and
 /// Content-Length and Expect, which this library handles itself.
 bool
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -483,4 +483,99 @@
   CHECK(IsInOwnCell(choice->endpoint_.id_));
 }
 
+// Guards against work for a machine that others slow down at this moment, and
+// against work withheld from it once its report is outdated.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SlowFor600ms_GetsItsShareOnlyAfterwards")
+{
+  for (const char* id : { "slow", "b", "c", "d" }) {
+    Add(id);
+  }
+  constexpr int kRounds = 20000;
+  const auto shareOfSlow = [this] {
+    int slow = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      const auto choice = Choose(WorkClass::Online);
+      const bool isSlow = choice->endpoint_.id_ == "slow";
+      slow += isSlow ? 1 : 0;
+    }
+    return static_cast<double>(slow) / kRounds;
+  };
+  for (int report = 0; report < 3; ++report) {
+    table_.RecordLoad({ "slow" }, { 0, 0, 250 }, now_);
+    CHECK(shareOfSlow() == Approx(0.4 / 3.4).epsilon(0.1));
+    now_ += 200ms;
+  }
+  table_.RecordLoad({ "slow" }, { 0, 0, 100 }, now_);
+  CHECK(shareOfSlow() == Approx(0.25).epsilon(0.1));
+  table_.RecordLoad({ "slow" }, { 0, 0, 250 }, now_);
+  CHECK(Choose(WorkClass::Online, { "b", "c", "d" })->speed_ == Approx(0.4));
+  now_ += 301ms;
+  CHECK(shareOfSlow() == Approx(0.25).epsilon(0.1));
+  CHECK(Choose(WorkClass::Online, { "b", "c", "d" })->speed_ == 1.0);
+}
+
+// Guards against speeds of a process that is gone.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_EndpointDropped_ItsPaceIsDropped")
+{
+  const auto speed = [this] {
+    return Choose(WorkClass::Online, { "b" })->speed_;
+  };
+  const auto makeSlow = [this](std::int64_t aStartedAtMs) {
+    AddStarted("a", aStartedAtMs);
+    Add("b");
+    table_.RecordLoad({ "a", aStartedAtMs }, { 0, 0, 100 }, now_);
+    for (int event = 0; event < 100; ++event) {
+      table_.RecordEventInterval({ "a", aStartedAtMs }, 50ms, now_);
+      table_.RecordEventInterval({ "b" }, 25ms, now_);
+    }
+  };
+  makeSlow(1);
+  REQUIRE(speed() < 0.9);
+  table_.Remove("a", std::nullopt, now_);
+  AddStarted("a", 1);
+  CHECK(speed() == 1.0);
+  makeSlow(1);
+  REQUIRE(speed() < 0.9);
+  table_.Remove("a", now_, now_);
+  now_ += 3s;
+  REQUIRE(table_.Expire(now_).size() == 1);
+  AddStarted("a", 1);
+  CHECK(speed() == 1.0);
+  makeSlow(1);
+  REQUIRE(speed() < 0.9);
+  AddStarted("a", 2);
+  CHECK(speed() == 1.0);
+  makeSlow(2);
+  REQUIRE(speed() < 0.9);
+  table_.RecordReplaced({ "a", 2 }, now_);
+  AddStarted("a", 3);
+  CHECK(speed() == 1.0);
+}
+
+// Guards against other choices, random draws included, in a deployment whose
+// endpoints report no slowness.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_NoSlownessReported_ChoicesAreUnchanged")
+{
+  EndpointTable other("a", EndpointTable::Limits{});
+  std::mt19937_64 random = random_;
+  for (const char* id : { "a", "b", "c" }) {
+    Add(id);
+    other.Put({ id, "service", "127.0.0.1:1", "a", 4 }, now_);
+  }
+  for (int round = 0; round < 200; ++round) {
+    table_.RecordLoad({ "a" }, { 1, 0 }, now_);
+    table_.RecordEventInterval({ "a" }, 90ms, now_);
+    table_.RecordEventInterval({ "b" }, 10ms, now_);
+    const auto choice = Choose(WorkClass::Online);
+    const auto expected =
+      other.Choose({ "service", WorkClass::Online, {} }, now_, random);
+    REQUIRE(choice->endpoint_.id_ == expected->endpoint_.id_);
+    REQUIRE(choice->speed_ == 1.0);
+  }
+  CHECK(random == random_);
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/Platform/ResponseInfoTest.cpp
+++ b/Tests/Platform/ResponseInfoTest.cpp
@@ -21,7 +21,26 @@
 TEST_CASE_METHOD(ResponseInfoFixture, "ResponseInfo_Load_IsReadWithMoreFigures")
 {
   CHECK(ReadLoad("3,1,8") == fleet::EndpointLoad{ 3, 1 });
-  CHECK(ReadLoad("3,1,8,140") == fleet::EndpointLoad{ 3, 1 });
+  CHECK(ReadLoad("3,1,8,140") == fleet::EndpointLoad{ 3, 1, 140 });
+  CHECK(ReadLoad("3,1,8,140,7") == fleet::EndpointLoad{ 3, 1, 140 });
+}
+
+// Guards against a load that is lost, or a speed that is made up, if the
+// slowness can't be read.
+TEST_CASE_METHOD(ResponseInfoFixture, "ResponseInfo_MalformedSlowness_IsNone")
+{
+  for (const char* field : { "3,1,8,",
+                             "3,1,8,,140",
+                             "3,1,8,a",
+                             "3,1,8,140x",
+                             "3,1,8, 140",
+                             "3,1,8,-140",
+                             "3,1,8,1.4",
+                             "3,1,8,0",
+                             "3,1,8,99999999999" }) {
+    INFO(field);
+    CHECK(ReadLoad(field) == fleet::EndpointLoad{ 3, 1 });
+  }
 }
 
 TEST_CASE_METHOD(ResponseInfoFixture, "ResponseInfo_MalformedLoad_IsIgnored")
@@ -33,6 +52,8 @@
                              ",1,8",
                              "3,,8",
                              "a,1,8",
+                             "a,1,8,140",
+                             "3,,8,140",
                              "3,-1,8",
                              "99999999999,1,8" }) {
     CHECK_FALSE(ReadLoad(field));
