LibFleet, LibGateway: Scale the expected wait by the endpoint's pace

Cause: admission expects every queue to move at the service's mean, so that requests are admitted to a slow endpoint's queue and are late there, and rejected by a fast one.

Ruled out: slot times by endpoint (a host sees too few attempts at each of 48 endpoints to follow a machine that is slow for fractions of a second).

Change: AdmissionRequest::pace_ divides the expected wait; OnlineProxy passes the chosen endpoint's speed.

Measured: TestLibFleet passes, AdmissionControl_EndpointsPace_ScalesTheExpectedWait included.

Conclusion: with a speed of 1 the expected wait is the same as before.

--- a/Libraries/LibFleet/AdmissionControl.cpp
+++ b/Libraries/LibFleet/AdmissionControl.cpp
@@ -68,11 +68,11 @@
     return base::Duration::zero();
   }
   // A slot is freed whenever an attempt ends: on average, after the mean time
-  // divided by the number of slots.
+  // divided by the number of slots, and later at a slow endpoint.
   const std::uint32_t slotsToFree = aRequest.inFlight_ - aRequest.slots_ + 1;
   return Scale(time->second.mean_,
                static_cast<double>(slotsToFree) /
-                 std::max(1U, aRequest.slots_));
+                 std::max(1U, aRequest.slots_) / aRequest.pace_);
 }
 
 bool
--- a/Libraries/LibFleet/AdmissionControl.h
+++ b/Libraries/LibFleet/AdmissionControl.h
@@ -25,6 +25,8 @@
   std::optional<base::Duration> callerTimeout_;
   /// How far the priority is below the highest one; 0: it is the highest.
   std::uint32_t rank_ = 0;
+  /// Speed of the chosen endpoint relative to its service, above zero.
+  double pace_ = 1.0;
 };
 
 /// Whether a request is admitted, and how long it is expected to queue.
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -219,7 +219,8 @@
     aChoice.endpoint_.slots_,
     route_.objective_,
     call_.callerTimeout_,
-    shared_.routes_.RankOf(route_, caller_.value_or(std::string()))
+    shared_.routes_.RankOf(route_, caller_.value_or(std::string())),
+    aChoice.speed_
   };
   const fleet::AdmissionDecision admission =
     shared_.admission_.Check(request, NextRandom(shared_.random_));
--- a/Tests/LibFleet/AdmissionControlTest.cpp
+++ b/Tests/LibFleet/AdmissionControlTest.cpp
@@ -121,4 +121,32 @@
   CHECK_FALSE(check(7, 5));
 }
 
+// Guards against requests that are admitted to the queue of a slow endpoint by
+// the mean slot time of all, and are late there, or rejected by a fast one.
+TEST_CASE_METHOD(AdmissionControlFixture,
+                 "AdmissionControl_EndpointsPace_ScalesTheExpectedWait")
+{
+  RecordSlotTimes();
+  const auto check = [this](std::uint32_t aInFlight, double aPace) {
+    return control_.Check({ "llm",
+                            "route",
+                            aInFlight,
+                            8,
+                            milliseconds(300),
+                            milliseconds(5000),
+                            0,
+                            aPace },
+                          kRandom);
+  };
+  CHECK(check(8, 1.0).expectedWait_ == milliseconds(100));
+  CHECK_FALSE(check(8, 1.0).retryAfter_);
+  CHECK(check(8, 0.5).expectedWait_ == milliseconds(200));
+  CHECK(check(8, 0.5).retryAfter_);
+  CHECK(check(9, 1.0).retryAfter_);
+  CHECK(check(9, 1.6).expectedWait_ == milliseconds(125));
+  CHECK_FALSE(check(9, 1.6).retryAfter_);
+  // With a free slot nothing waits, however slow the endpoint is.
+  CHECK(check(7, 0.25).expectedWait_ == milliseconds(0));
+}
+
 } // namespace pumiceturn::fleet
