LibGateway, LibHttpStream, platform: Resume stalled streams by the route's pause

Cause: a stream that stops sending events waits 900 ms for the next one, whatever pause its route allows.

Ruled out: the shorter timeout between the head and the first event (that time is bounded by the objective, and a queued request would be taken for a stall); on the last attempt (the stream would be aborted instead of continued).

If another attempt is left, a stream is resumed after the pause less 100 ms, at least 200 ms and at most 900 ms. Call::firstGapTimeout_ keeps 900 ms until the first event.

Measured: TestPlatform "ResponseInfo*,Online*" (29 cases) passes, with Online_StreamStallsOnRouteWithPause_ResumesAfterPause: the first endpoint's connection ends, and the stream is complete between 200 and 900 ms.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -42,6 +42,8 @@
   /// Target time to the response, or to a stream's first event; zero if none is
   /// declared.
   base::Duration objective_{ 0 };
+  /// Longest time between two events of a stream; zero if none is declared.
+  base::Duration maxPause_{ 0 };
   /// Time from a job's first submission until it is due.
   base::Duration dueAfter_{ 0 };
   /// Time after which a job's item may be abandoned.
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -20,6 +20,14 @@
 /// endpoint.
 constexpr std::chrono::milliseconds kGapTimeout{ 900 };
 
+/// Subtracted from the pause that a route allows: the time that the first event
+/// from the other endpoint takes.
+constexpr std::chrono::milliseconds kResumeMargin{ 100 };
+
+/// Lower bound of the time between two events of a stream, so that the usual
+/// variation isn't mistaken for a stall.
+constexpr std::chrono::milliseconds kMinGapTimeout{ 200 };
+
 /// Upper bound of the first-byte timeout including the expected wait for a
 /// slot; callers disconnect after about 3 s without an event.
 constexpr std::chrono::milliseconds kMaxFirstByteTimeout{ 2500 };
@@ -72,6 +80,18 @@
   return "unintelligible";
 }
 
+/// @return the time between two events of a route's streams after which one is
+///         resumed at another endpoint.
+base::Duration
+StallTimeout(const fleet::Route& aRoute)
+{
+  if (aRoute.maxPause_ <= base::Duration::zero()) {
+    return kGapTimeout;
+  }
+  return std::clamp<base::Duration>(
+    aRoute.maxPause_ - kResumeMargin, kMinGapTimeout, kGapTimeout);
+}
+
 /// @return a hash that identifies repetitions of a request by target and body.
 std::uint64_t
 HashContent(const httpstream::Request& aRequest)
@@ -314,7 +334,11 @@
   if (IsRetryable()) {
     call.firstByteTimeout_ = std::min<base::Duration>(
       kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
-    call.gapTimeout_ = kGapTimeout;
+    // The last attempt has no other endpoint to resume at.
+    const bool canResume = route_.kind_ == fleet::RequestKind::Stream &&
+                           triedEndpoints_.size() + 1 < route_.maxAttempts_;
+    call.gapTimeout_ = canResume ? StallTimeout(route_) : kGapTimeout;
+    call.firstGapTimeout_ = kGapTimeout;
   }
   if (caller_ && !caller_->empty() && !isCountedForShare_) {
     isCountedForShare_ = true;
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -90,6 +90,7 @@
   call_ = std::move(aCall);
   observer_ = &aObserver;
   isHeadReceived_ = false;
+  hasBody_ = false;
   isReusable_ = false;
   isPaused_ = false;
   isStale_ = false;
@@ -123,6 +124,13 @@
   });
 }
 
+base::Duration
+ClientConnection::GapTimeout() const
+{
+  return hasBody_ ? call_.gapTimeout_
+                  : call_.firstGapTimeout_.value_or(call_.gapTimeout_);
+}
+
 void
 ClientConnection::Write()
 {
@@ -218,7 +226,7 @@
   }
   if (observer_ != nullptr && !isClosed_) {
     if (!isStale_ && isHeadReceived_) {
-      ArmTimer(call_.gapTimeout_);
+      ArmTimer(GapTimeout());
     }
     Read();
   }
@@ -250,6 +258,7 @@
   std::string bytes = std::move(parser_->get().body());
   parser_->get().body().clear();
   if (!bytes.empty() && !isStale_) {
+    hasBody_ = true;
     observer_->OnBody(bytes);
   }
 }
@@ -319,7 +328,7 @@
     return;
   }
   isPaused_ = aIsPaused;
-  ArmTimer(isPaused_ ? base::Duration::zero() : call_.gapTimeout_);
+  ArmTimer(isPaused_ ? base::Duration::zero() : GapTimeout());
   if (!isPaused_ && observer_ != nullptr) {
     Read();
   }
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -43,6 +43,10 @@
   /// Timeouts for the first byte and between bytes; zero means no limit.
   base::Duration firstByteTimeout_{ 0 };
   base::Duration gapTimeout_{ 0 };
+
+  /// Timeout between the head and the first byte of the body; empty means
+  /// gapTimeout_.
+  std::optional<base::Duration> firstGapTimeout_{};
 };
 
 /// Receives the response of a call. OnHead() is called first, then OnBody() any
@@ -101,6 +105,7 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void ArmTimer(base::Duration aTimeout);
+  [[nodiscard]] base::Duration GapTimeout() const;
   void Write();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
@@ -121,6 +126,7 @@
   base::Instant usableUntil_;
   std::uint64_t timerGeneration_ = 0;
   bool isHeadReceived_ = false;
+  bool hasBody_ = false; ///< Bytes of the body were delivered.
   bool isStale_ = false; ///< The current response belongs to an earlier call.
   bool isWriting_ = false;
   bool isReading_ = false;
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -1,4 +1,5 @@
 #include "Tests/Platform/GatewayFixture.h"
+#include "Tests/Platform/TestRoute.h"
 
 #include <nlohmann/json.hpp>
 
@@ -189,6 +190,33 @@
   CHECK(RequestCountOfBoth() == 2);
 }
 
+// Guards against a caller that waits 900 ms for the next event although its
+// route allows a pause of 300 ms.
+TEST_CASE_METHOD(OnlineFixture,
+                 "Online_StreamStallsOnRouteWithPause_ResumesAfterPause")
+{
+  nlohmann::json stream = MakeTestRoute("paused", "stream");
+  stream["resumable"] = true;
+  stream["gapSloMs"] = 300;
+  store_.Put(
+    "op/config",
+    nlohmann::json{ { "version", 4 },
+                    { "routes", { stream, MakeTestRoute("v4", "safe") } } }
+      .dump());
+  RunUntil([this] { return Call("/v4/1")->status_ == 200; });
+  const std::size_t before = RequestCountOfBoth();
+  const auto startedAt = base::MonotonicNow();
+  const auto call = Call("/paused/hold-2");
+  const base::Duration passed = base::MonotonicNow() - startedAt;
+  CHECK(call->body_ == WholeStream());
+  CHECK(passed >= std::chrono::milliseconds(200));
+  CHECK(passed < std::chrono::milliseconds(900));
+  CHECK(RequestCountOfBoth() - before == 2);
+  // Guards against two endpoints that run the same request.
+  CHECK(servers_[0]->DisconnectedCount() + servers_[1]->DisconnectedCount() ==
+        1);
+}
+
 TEST_CASE_METHOD(OnlineFixture, "Online_NoRoute_Is404")
 {
   CHECK(Call("/elsewhere/1")->status_ == 404);
