--- a/Tests/LibFleet/UnequalEndpointsLoadTest.cpp
+++ b/Tests/LibFleet/UnequalEndpointsLoadTest.cpp
@@ -223,6 +223,15 @@
     Advance(60s);
   }
 
+  /// @return the share of the requests that waited longer than the objective.
+  static double ShareOfLate(bool aReportsSlowness)
+  {
+    UnequalEndpointsFixture fleet;
+    fleet.reportsSlowness_ = aReportsSlowness;
+    fleet.Measure();
+    return static_cast<double>(fleet.late_) / fleet.all_;
+  }
+
   base::Instant now_{ 24h };
   std::mt19937_64 random_{ 11 };
   std::vector<EndpointTable> hosts_;
@@ -258,4 +267,17 @@
   }
 }
 
+// Load: as above, compared with endpoints that report no slowness. Guards
+// against queues at slow endpoints while fast ones have free slots.
+TEST_CASE_METHOD(UnequalEndpointsFixture,
+                 "UnequalEndpoints_Bursts_LateAreAQuarterOfThoseWithoutPace")
+{
+  const double withPace = ShareOfLate(true);
+  const double withoutPace = ShareOfLate(false);
+  INFO(withPace << " and " << withoutPace);
+  // Without late requests there is nothing to compare.
+  REQUIRE(withoutPace > 0.005);
+  CHECK(withPace <= withoutPace / 4);
+}
+
 } // namespace pumiceturn::fleet
