--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -20,6 +20,14 @@
 /// endpoint.
 constexpr std::chrono::milliseconds kGapTimeout{ 900 };
 
+/// Subtracted from the pause that a route allows: the time that the first event
+/// from the other endpoint takes.
+constexpr std::chrono::milliseconds kResumeMargin{ 100 };
+
+/// Lower bound of the time between two events of a stream, so that the usual
+/// variation isn't mistaken for a stall.
+constexpr std::chrono::milliseconds kMinGapTimeout{ 200 };
+
 /// Upper bound of the first-byte timeout including the expected wait for a
 /// slot; callers disconnect after about 3 s without an event.
 constexpr std::chrono::milliseconds kMaxFirstByteTimeout{ 2500 };
@@ -72,6 +80,18 @@
   return "unintelligible";
 }
 
+/// @return the time between two events of a route's streams after which one is
+///         resumed at another endpoint.
+base::Duration
+StallTimeout(const fleet::Route& aRoute)
+{
+  if (aRoute.maxPause_ <= base::Duration::zero()) {
+    return kGapTimeout;
+  }
+  return std::clamp<base::Duration>(
+    aRoute.maxPause_ - kResumeMargin, kMinGapTimeout, kGapTimeout);
+}
+
 /// @return a hash that identifies repetitions of a request by target and body.
 std::uint64_t
 HashContent(const httpstream::Request& aRequest)
@@ -80,13 +100,6 @@
                          base::HashBytes(httpstream::TargetOf(aRequest)));
 }
 
-bool
-IsEventStream(const httpstream::ResponseHead& aHead)
-{
-  return httpstream::ValueOf(aHead, "Content-Type")
-    .starts_with("text/event-stream");
-}
-
 } // namespace
 
 OnlineProxy::OnlineProxy(SharedState& aShared,
@@ -226,7 +239,8 @@
     aChoice.endpoint_.slots_,
     route_.objective_,
     call_.callerTimeout_,
-    shared_.routes_.RankOf(route_, caller_.value_or(std::string()))
+    shared_.routes_.RankOf(route_, caller_.value_or(std::string())),
+    aChoice.speed_
   };
   const fleet::AdmissionDecision admission =
     shared_.admission_.Check(request, NextRandom(shared_.random_));
@@ -321,7 +335,13 @@
     kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
   if (IsRetryable()) {
     call.firstByteTimeout_ = firstByteTimeout;
-    call.gapTimeout_ = kGapTimeout;
+    // The last attempt has no other endpoint to resume at. Endpoints that don't
+    // report their pace don't share their machines and stall for good.
+    const bool canResume = route_.kind_ == fleet::RequestKind::Stream &&
+                           triedEndpoints_.size() + 1 < route_.maxAttempts_ &&
+                           shared_.endpoints_.Paces().IsEnabled();
+    call.gapTimeout_ = canResume ? StallTimeout(route_) : kGapTimeout;
+    call.firstGapTimeout_ = kGapTimeout;
   }
   if (caller_ && !isCountedForShare_) {
     isCountedForShare_ = true;
@@ -340,7 +360,7 @@
 OnlineProxy::OnHead(const httpstream::ResponseHead& aHead)
 {
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
-  isEventStream_ = aHead.result_int() == 200 && IsEventStream(aHead);
+  isEventStream_ = httpstream::IsEventStream(aHead);
   head_ = aHead;
 }
 
