--- a/Libraries/LibFleet/AdmissionControl.cpp
+++ b/Libraries/LibFleet/AdmissionControl.cpp
@@ -20,7 +20,8 @@
 constexpr double kFirstRequestMinTimeoutShare = 0.9;
 
 /// Maximum retry delay, as a share of the caller's timeout, so that enough of
-/// it remains for the retry.
+/// it remains for the retry. Callers heed a delay of at most a third of the
+/// time that they have left.
 constexpr double kRetryAfterShare = 0.33;
 constexpr base::Duration kMaxRetryAfter{ std::chrono::milliseconds{ 1600 } };
 
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -116,7 +116,7 @@
     /// Time without new batch attempts at an endpoint after a preemption there,
     /// renewed by each preemption. Avoids starting batch in slots that a burst
     /// of online requests is about to take: cancelling an attempt wastes the
-    /// processing of its whole prompt.
+    /// processing of its whole prompt. Online bursts last seconds.
     base::Duration pauseAfterPreemption_{ std::chrono::milliseconds{ 300 } };
 
     /// How long the load that an endpoint of another cell reported is used.
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -10,7 +10,8 @@
 /// report.
 constexpr double kUnreportedShare = 0.125;
 
-/// Maximum number of unreported requests at one host.
+/// Maximum number of unreported requests at one host, whatever burst is
+/// declared.
 constexpr double kMaxUnreported = 1000.0;
 
 /// Maximum delay between an admission and its report.
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -14,7 +14,8 @@
 /// Share of the revocation bound reserved for message delay and clock error.
 constexpr double kRevocationMargin = 0.1;
 
-/// Maximum wait for the owner's response; then this host decides alone, so that
+/// Maximum wait for the owner's response, which usually arrives within one
+/// round trip; then this host decides alone, so that
 /// a lost datagram delays the request only by this much.
 constexpr std::chrono::milliseconds kOwnerTimeout{ 60 };
 
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Shorter than the 1 s until TCP first retransmits a SYN: trying another
-/// endpoint is faster than waiting for that.
+/// Within a region, connecting takes a few milliseconds. Shorter than the 1 s
+/// until TCP first retransmits a SYN: trying another endpoint is faster than
+/// waiting for that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 
 constexpr unsigned kFirstServerError = 500;
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -35,7 +35,8 @@
 /// Attempts that didn't reach the endpoint after which no other is made.
 constexpr std::uint32_t kMaxUndelivered = 3;
 
-/// No attempt starts with less time than this left.
+/// No attempt starts with less time than this left, as none can complete in
+/// less.
 constexpr std::chrono::milliseconds kMinAttemptTime{ 30 };
 
 constexpr unsigned kFirstServerError = 500;
@@ -518,7 +519,8 @@
 void
 OnlineProxy::RecordSuspect(httpstream::CallOutcome aOutcome)
 {
-  // Only attempts that break off before their first event are suspect.
+  // Only attempts that break off before their first event are suspect. A later
+  // crash wasn't caused by starting the request.
   if (aOutcome != httpstream::CallOutcome::Broken ||
       lastEvent_ > lastEventBeforeAttempt_) {
     return;
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -19,7 +19,7 @@
 /// Suspect attempts older than this aren't sent to peers any more. Until then
 /// each is in several datagrams, as some get lost.
 constexpr std::chrono::seconds kMaxSuspectAge{ 3 };
-/// Maximum number of suspect attempts in one datagram.
+/// Maximum number of suspect attempts in one datagram, which keeps it small.
 constexpr std::size_t kMaxSuspects = 32;
 
 /// Time between two updates with all counts to remote peers. The timeouts of
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -89,7 +89,8 @@
   void SendStoreDelta(const StoreDelta& aDelta);
 
   /// Asks a peer to cancel one of its batch attempts at an endpoint now,
-  /// without waiting for the peer's next tick.
+  /// without waiting for the peer's next tick, which would delay the online
+  /// request by up to 200 ms.
   void RequestPreemption(const std::string& aPeer,
                          const std::string& aEndpoint);
 
