LibFleet: In a shortage, eject only endpoints that fail most requests

A least rate of 0.45 or 0.5 at all times: an endpoint that fails 60 in 100 requests is then not found within 3 s.

Change: while online requests take 0.8 of a service's slots, the least rate is 0.6 instead of 0.3.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -34,6 +34,10 @@
 /// can't be retried: a free slot there is still better than a queue.
 constexpr double kFailedWeight = 1e-4;
 
+/// Share of a service's slots taken by online requests from which on it is
+/// short of them.
+constexpr double kShortageShare = 0.8;
+
 /// Adding up the load of hundreds of endpoints for each request would cost as
 /// much as choosing one.
 constexpr std::chrono::milliseconds kLoadLifetime{ 10 };
@@ -688,7 +692,11 @@
   for (const auto& [id, endpoint] : endpoints_) {
     records.push_back(endpoint.record_);
   }
-  return outliers_.Update(records, aNow);
+  const auto isShort = [this, aNow](const std::string& aService) {
+    const ServiceLoad load = LoadOf(aService, aNow);
+    return load.inFlight_ >= kShortageShare * load.slots_;
+  };
+  return outliers_.Update(records, isShort, aNow);
 }
 
 bool
--- a/Libraries/LibFleet/OutlierDetector.cpp
+++ b/Libraries/LibFleet/OutlierDetector.cpp
@@ -11,9 +11,13 @@
 /// Failures within the window from which an endpoint may be ejected.
 constexpr std::uint32_t kMinFailures = 3;
 
-/// Failure rate from which an endpoint may be ejected, and how many times the
-/// service's usual rate it must be.
+/// Failure rate from which an endpoint may be ejected, and the same while the
+/// service is short of slots: an endpoint that completes a good part of its
+/// requests is then worth more than their retries cost.
 constexpr double kMinFailureRate = 0.3;
+constexpr double kMinFailureRateInShortage = 0.6;
+
+/// How many times the service's usual rate it must be.
 constexpr double kMinRatio = 3.0;
 
 /// Largest share of a service's endpoints that is out of use at once.
@@ -292,6 +296,7 @@
 void
 OutlierDetector::UpdateService(
   std::span<const EndpointRecord* const> aEndpoints,
+  double aMinFailureRate,
   bool aIsOwnUsed,
   base::Instant aNow,
   std::vector<VerdictChange>& aChanges)
@@ -324,7 +329,7 @@
       evidence.failedHosts_ >= std::min<std::size_t>(evidence.usedHosts_, 2);
     if (endpoint.verdict_ == EndpointVerdict::Sound && isLongEnough &&
         isConfirmed && evidence.recent_.failures_ >= kMinFailures &&
-        evidence.recent_.FailureRate() >= kMinFailureRate) {
+        evidence.recent_.FailureRate() >= aMinFailureRate) {
       candidates.push_back({ record, &endpoint, evidence });
     }
   }
@@ -355,6 +360,7 @@
 
 std::vector<VerdictChange>
 OutlierDetector::Update(std::span<const EndpointRecord> aEndpoints,
+                        const std::function<bool(const std::string&)>& aIsShort,
                         base::Instant aNow)
 {
   std::vector<VerdictChange> changes;
@@ -367,7 +373,9 @@
   }
   const bool isOwnUsed = !IsCutOff(aNow);
   for (const auto& [service, records] : byService) {
-    UpdateService(records, isOwnUsed, aNow, changes);
+    const double minFailureRate =
+      aIsShort(service) ? kMinFailureRateInShortage : kMinFailureRate;
+    UpdateService(records, minFailureRate, isOwnUsed, aNow, changes);
   }
   for (auto& [id, endpoint] : endpoints_) {
     std::erase_if(endpoint.peers_, [aNow](const auto& aEntry) {
--- a/Libraries/LibFleet/OutlierDetector.h
+++ b/Libraries/LibFleet/OutlierDetector.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -96,8 +97,11 @@
 
   /// Evaluates all endpoints.
   /// @param aEndpoints All registered endpoints.
-  std::vector<VerdictChange> Update(std::span<const EndpointRecord> aEndpoints,
-                                    base::Instant aNow);
+  /// @param aIsShort   Whether a service is short of slots, by its name.
+  std::vector<VerdictChange> Update(
+    std::span<const EndpointRecord> aEndpoints,
+    const std::function<bool(const std::string&)>& aIsShort,
+    base::Instant aNow);
 
   [[nodiscard]] EndpointVerdict VerdictOf(
     const EndpointIncarnation& aEndpoint) const;
@@ -185,6 +189,7 @@
                                     bool aIsOwnUsed,
                                     base::Instant aNow) const;
   void UpdateService(std::span<const EndpointRecord* const> aEndpoints,
+                     double aMinFailureRate,
                      bool aIsOwnUsed,
                      base::Instant aNow,
                      std::vector<VerdictChange>& aChanges);
