LibFleet: Credit a host's own part of a limit from the owner's last response

Cause: a host whose query stays without a response admits its equal part of the limit by itself. The credit for that began with the first such query and grew on while the owner answered again and granted the same part to others.

Fix: a response of the owner empties the host's own credit, which is filled from that moment on. What the owner may have granted elsewhere until its last response is no longer admitted a second time; what it can't grant afterwards is, without waiting for a first query that gets lost.

The new unit test admits 50 instead of 5 on the old code.

--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -183,6 +183,9 @@
   aUsage.respondedAt_ = aNow;
   aUsage.hasUnansweredQuery_ = false;
   aUsage.unconfirmed_ = 0;
+  // The owner grants this host's part of the limit until now.
+  aUsage.localCredit_ = 0.0;
+  aUsage.localCreditAt_ = aNow;
 }
 
 std::optional<RateDecision>
--- a/Tests/LibFleet/RateLimiterTest.cpp
+++ b/Tests/LibFleet/RateLimiterTest.cpp
@@ -129,6 +129,42 @@
   CHECK(limiter.AccountCount() == 0);
 }
 
+// Guards against admitting what the owner granted to others meanwhile, when it
+// stops answering a second time.
+TEST_CASE("RateLimiter_OwnerAnsweredJustNow_LocalCreditIsEmpty")
+{
+  RateLimiter limiter("entry", true, {});
+  base::Instant now{ 24h };
+  std::mt19937_64 random{ 1 };
+  limiter.SetMembers(
+    std::vector{ RateLimitMembership::Member{ "worker", true, false } }, now);
+  const Organisation organisation{ "a", {}, { 100, 100 } };
+  const auto query = [&] {
+    auto decision = limiter.Check(organisation, now, random);
+    while (!std::holds_alternative<RateQuery>(decision)) {
+      decision = limiter.Check(organisation, now, random);
+    }
+    return std::get<RateQuery>(decision).report_;
+  };
+  static_cast<void>(query());
+  static_cast<void>(limiter.CheckLocally(organisation, now));
+  now += 2s;
+  const RateReport answered = query();
+  static_cast<void>(limiter.HandleResponse(
+    { "a", answered.seriesId_, answered.query_, true, 1s }, now));
+  static_cast<void>(query());
+  now += 50ms;
+  int admitted = 0;
+  for (int request = 0; request < 50; ++request) {
+    admitted += std::holds_alternative<RateAdmitted>(
+                  limiter.CheckLocally(organisation, now))
+                  ? 1
+                  : 0;
+  }
+  // 50 ms at the only admitting host's rate of 100 a second.
+  CHECK(admitted == 5);
+}
+
 // Guards against telling a caller to retry before there can be credit.
 TEST_CASE("RateLimiter_Refused_ReturnsTimeToCredit")
 {
