LibFleet, LibGateway: Hand over an account's history to its new owner

Cause: an owner that starts or is returned to doesn't know what the hosts admitted in the last seconds. It began with 0.15 of the tolerance times its share as of the first report, 1/18, which is half a request (trace); a restarted owner charged the totals of the hosts' series at once; one to which hosts return within a second filled its credit for the time in which another had granted it.

Fix: each host counts what it admitted of an organisation by slices of the window, whoever granted it, and tells a new owner in its first reports, until that responds. The owner takes the bucket as full a window ago, or as empty where an owner last said so, less what the hosts admitted since. So a window across any number of owners holds at most the bucket and five seconds of the rate, and what was left of the credit stays. Hosts that were started within the window say how much they know; without a history the owner begins as before. WindowCounter takes the place of the slices in RateAccounts.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -83,6 +83,7 @@
   const double bucketShare =
     isPartial ? kPartitionBucketToleranceShare : kBucketToleranceShare;
   Allowance allowance;
+  allowance.isPartial_ = isPartial;
   allowance.rate_ = (aLimit.ratePerSecond_ + extra / seconds) * aShare;
   // A smaller bucket could never hold the credit for one request.
   allowance.capacity_ =
@@ -95,85 +96,132 @@
   return allowance;
 }
 
-RateAccounts::Account&
-RateAccounts::Refill(const std::string& aOrganisation,
+void
+RateAccounts::Refill(Account& aAccount,
                      const Allowance& aAllowance,
                      const RateLimitMembership& aMembers,
-                     base::Instant aNow)
+                     bool aIsNewSeries,
+                     base::Instant aNow) const
 {
-  const auto [found, isNew] = accounts_.try_emplace(aOrganisation);
-  Account& account = found->second;
   const base::Instant changedAt = aMembers.ChangedAt();
   // Another host may have owned the account until the reachable hosts changed,
   // and what it admitted isn't known.
   const bool hadOtherOwner =
-    account.refilledAt_ + kMinUnusedForOtherOwner < changedAt;
-  if (isNew || hadOtherOwner) {
-    account.credit_ = aAllowance.initialCredit_;
-    account.refilledAt_ = std::min(changedAt, aNow);
+    aIsNewSeries && aAccount.refilledAt_ + kMinUnusedForOtherOwner < changedAt;
+  if (aAccount.refilledAt_ == base::Instant{} || hadOtherOwner) {
+    aAccount.credit_ = aAllowance.initialCredit_;
+    aAccount.refilledAt_ = std::min(changedAt, aNow);
+    aAccount.isCreditUnknown_ = true;
   }
-  const base::Duration passed = aNow - account.refilledAt_;
-  account.credit_ =
-    std::min(account.credit_ + aAllowance.rate_ * ToSeconds(passed),
+  const base::Duration passed = aNow - aAccount.refilledAt_;
+  aAccount.credit_ =
+    std::min(aAccount.credit_ + aAllowance.rate_ * ToSeconds(passed),
              aAllowance.capacity_);
-  account.recentRefusals_ *=
+  aAccount.recentRefusals_ *=
     std::exp(-ToSeconds(passed) / ToSeconds(base::Duration(kRefusalDecayTime)));
-  account.refilledAt_ = aNow;
-  AdvanceWindow(account, aNow);
-  return account;
+  aAccount.refilledAt_ = aNow;
+  const std::int64_t slice = WindowCounter::SliceAt(aNow, tolerance_.window_);
+  aAccount.requests_.AdvanceTo(slice);
+  aAccount.hostRequests_.AdvanceTo(slice);
 }
 
 void
-RateAccounts::AdvanceWindow(Account& aAccount, base::Instant aNow) const
+RateAccounts::Debit(Account& aAccount,
+                    HostTotals& aTotals,
+                    std::int64_t aRequests)
 {
-  const base::Duration slice = tolerance_.window_ / kSlices;
-  const std::int64_t currentSlice = aNow.time_since_epoch() / slice;
-  const auto count =
-    static_cast<std::int64_t>(aAccount.requestsBySlice_.size());
-  const std::int64_t oldest = currentSlice - count;
-  for (std::int64_t index = std::max(aAccount.slice_, oldest);
-       index < currentSlice;
-       ++index) {
-    double& sliceRequests =
-      aAccount.requestsBySlice_[static_cast<std::size_t>((index + 1) % count)];
-    aAccount.requestsInWindow_ -= sliceRequests;
-    sliceRequests = 0.0;
-  }
-  aAccount.slice_ = currentSlice;
+  aAccount.credit_ -= static_cast<double>(aRequests);
+  aAccount.requests_.Add(aRequests);
+  aAccount.hostRequests_.Add(aRequests);
+  aTotals.requests_.Add(aRequests);
 }
 
 void
-RateAccounts::Debit(Account& aAccount, double aRequests)
+RateAccounts::ApplyTotals(Account& aAccount,
+                          HostTotals& aTotals,
+                          const RateReport& aReport,
+                          base::Instant aNow) const
 {
-  const auto count =
-    static_cast<std::int64_t>(aAccount.requestsBySlice_.size());
-  aAccount.credit_ -= aRequests;
-  aAccount
-    .requestsBySlice_[static_cast<std::size_t>(aAccount.slice_ % count)] +=
-    aRequests;
-  aAccount.requestsInWindow_ += aRequests;
+  aTotals.reportedAt_ = aNow;
+  aTotals.requests_.AdvanceTo(WindowCounter::SliceAt(aNow, tolerance_.window_));
+  if (aTotals.seriesId_ != aReport.seriesId_) {
+    const bool isNewHost = aTotals.seriesId_ == 0;
+    aTotals.seriesId_ = aReport.seriesId_;
+    aTotals.admitted_ = 0;
+    aTotals.refunded_ = 0;
+    if (aReport.history_) {
+      ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost);
+    }
+  }
+  // Totals never decrease: a lower one is from an older message.
+  if (aReport.admitted_ > aTotals.admitted_) {
+    Debit(aAccount,
+          aTotals,
+          static_cast<std::int64_t>(aReport.admitted_ - aTotals.admitted_));
+    aTotals.admitted_ = aReport.admitted_;
+  }
+  if (aReport.refunded_ > aTotals.refunded_) {
+    Debit(aAccount,
+          aTotals,
+          -static_cast<std::int64_t>(aReport.refunded_ - aTotals.refunded_));
+    aTotals.refunded_ = aReport.refunded_;
+  }
 }
 
 void
-RateAccounts::ApplyTotals(Account& aAccount,
-                          const std::string& aHost,
-                          const RateReport& aReport,
-                          base::Instant aNow)
+RateAccounts::ApplyHistory(Account& aAccount,
+                           HostTotals& aTotals,
+                           const RateHistory& aHistory,
+                           bool aIsNewHost)
 {
-  HostTotals& totals = aAccount.totals_[aHost];
-  if (totals.seriesId_ != aReport.seriesId_) {
-    totals = { aReport.seriesId_ };
+  const std::int64_t current = aTotals.requests_.CurrentSlice();
+  const auto known =
+    static_cast<std::int64_t>(aHistory.requestsBySlice_.size());
+  for (std::int64_t age = 0; age < known; ++age) {
+    const std::int64_t slice = current - age;
+    const std::int64_t added =
+      aHistory.requestsBySlice_[static_cast<std::size_t>(age)] -
+      aTotals.requests_.At(slice);
+    aTotals.requests_.AddAt(slice, added);
+    aAccount.hostRequests_.AddAt(slice, added);
   }
-  totals.reportedAt_ = aNow;
-  // Totals never decrease: a lower one is from an older message.
-  if (aReport.admitted_ > totals.admitted_) {
-    Debit(aAccount, static_cast<double>(aReport.admitted_ - totals.admitted_));
-    totals.admitted_ = aReport.admitted_;
+  if (aHistory.usedUpSlice_) {
+    aAccount.usedUpSlice_ = std::max(
+      aAccount.usedUpSlice_, current - std::int64_t{ *aHistory.usedUpSlice_ });
+  }
+  // Of a host that reported here before it was started anew, what it doesn't
+  // know was counted here.
+  if (aIsNewHost) {
+    aAccount.knownSince_ = std::max(aAccount.knownSince_, current - known + 1);
   }
-  if (aReport.refunded_ > totals.refunded_) {
-    Debit(aAccount, -static_cast<double>(aReport.refunded_ - totals.refunded_));
-    totals.refunded_ = aReport.refunded_;
+}
+
+double
+RateAccounts::CreditFromHistory(const Account& aAccount,
+                                const Allowance& aAllowance,
+                                base::Instant aNow) const
+{
+  const std::int64_t current = aAccount.hostRequests_.CurrentSlice();
+  const std::int64_t oldest =
+    current - static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
+  const bool isComplete = aAccount.knownSince_ <= oldest;
+  double credit = isComplete ? aAllowance.capacity_ : aAllowance.initialCredit_;
+  const base::Duration length = WindowCounter::SliceLength(tolerance_.window_);
+  for (std::int64_t slice = std::max(oldest, aAccount.knownSince_);
+       slice <= current;
+       ++slice) {
+    const base::Duration passed =
+      slice == current ? aNow.time_since_epoch() % length : length;
+    const auto requests = static_cast<double>(aAccount.hostRequests_.At(slice));
+    credit = std::min(credit + aAllowance.rate_ * ToSeconds(passed) - requests,
+                      aAllowance.capacity_);
+    if (slice == aAccount.usedUpSlice_) {
+      // With a part of the limit, a debt may only mean that these hosts have
+      // more of the requests than others.
+      credit = aAllowance.isPartial_ ? 0.0 : std::min(credit, 0.0);
+    }
   }
+  return credit;
 }
 
 double
@@ -212,9 +260,26 @@
 {
   const double share = ShareFor(aReport.organisation_, aHost, aMembers, aNow);
   const Allowance allowance = AllowanceFor(aLimit, share);
-  Account& account = Refill(aReport.organisation_, allowance, aMembers, aNow);
+  Account& account = accounts_[aReport.organisation_];
+  HostTotals& totals = account.totals_[aHost];
+  const bool isNewSeries = totals.seriesId_ != aReport.seriesId_;
+  Refill(account, allowance, aMembers, isNewSeries, aNow);
+  ApplyTotals(account, totals, aReport, aNow);
+  const bool hasHistory = isNewSeries && aReport.history_;
+  if (hasHistory && account.isCreditUnknown_) {
+    account.isCreditUnknown_ = false;
+    account.takenOverAt_ = aNow;
+  }
+  const base::Duration sinceTakeover = aNow - account.takenOverAt_;
+  const bool isTakeover = sinceTakeover <= kRateTakeoverTime;
+  if (isTakeover && (hasHistory || share != account.share_)) {
+    account.credit_ = CreditFromHistory(account, allowance, aNow);
+  } else if (hasHistory && sinceTakeover <= tolerance_.window_) {
+    // The host's part of the limit may have been granted without its history.
+    account.credit_ =
+      std::min(account.credit_, CreditFromHistory(account, allowance, aNow));
+  }
   account.share_ = share;
-  ApplyTotals(account, aHost, aReport, aNow);
   account.credit_ = std::clamp(
     account.credit_, -kMaxDebtSeconds * allowance.rate_, allowance.capacity_);
   RateResponse response;
@@ -224,11 +289,15 @@
   if (aReport.query_ != 0) {
     response.isGranted_ = AvailableRequests(account, allowance) >= 1.0;
     if (response.isGranted_) {
-      Debit(account, 1.0);
+      Debit(account, totals, 1);
     } else {
       account.recentRefusals_ += 1.0;
     }
   }
+  if (!isTakeover && account.credit_ < 1.0) {
+    account.usedUpSlice_ = account.requests_.CurrentSlice();
+    response.isCreditUsedUp_ = true;
+  }
   const double available = AvailableRequests(account, allowance);
   if (available <
       std::max(1.0,
@@ -237,11 +306,14 @@
     response.queryFirstFor_ = kQueryFirstDuration;
   }
   if (available < 1.0) {
-    response.noCreditFor_ = TimeToCredit(account, allowance);
+    const base::Duration timeToCredit = TimeToCredit(account, allowance);
+    // During a takeover the credit grows with each further host that chose this
+    // owner.
+    response.noCreditFor_ = isTakeover ? base::Duration::zero() : timeToCredit;
     response.retryAfter_ = std::clamp<base::Duration>(
       FromSeconds(account.recentRefusals_ /
                   std::max(allowance.rate_, kMinRate)),
-      response.noCreditFor_,
+      timeToCredit,
       kMaxRetryAfter);
   }
   return response;
@@ -252,7 +324,8 @@
                                 const Allowance& aAllowance)
 {
   return std::min(aAccount.credit_,
-                  aAllowance.requestsPerWindow_ - aAccount.requestsInWindow_);
+                  aAllowance.requestsPerWindow_ -
+                    static_cast<double>(aAccount.requests_.Sum()));
 }
 
 base::Duration
@@ -262,16 +335,17 @@
   const double rate = std::max(aAllowance.rate_, kMinRate);
   const base::Duration byBucket = FromSeconds((1.0 - aAccount.credit_) / rate);
   // Slices leave the window one by one, oldest first.
-  const base::Duration slice = tolerance_.window_ / kSlices;
-  const auto count =
-    static_cast<std::int64_t>(aAccount.requestsBySlice_.size());
-  double inWindow = aAccount.requestsInWindow_;
+  const base::Duration slice = WindowCounter::SliceLength(tolerance_.window_);
+  double inWindow = static_cast<double>(aAccount.requests_.Sum());
   base::Duration byWindow{ 0 };
-  for (std::int64_t ahead = 1;
-       ahead <= count && aAllowance.requestsPerWindow_ - inWindow < 1.0;
-       ++ahead) {
-    inWindow -= aAccount.requestsBySlice_[static_cast<std::size_t>(
-      (aAccount.slice_ + ahead) % count)];
+  const std::int64_t oldest =
+    aAccount.requests_.CurrentSlice() -
+    static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
+  for (std::int64_t leaving = oldest;
+       leaving <= aAccount.requests_.CurrentSlice() &&
+       aAllowance.requestsPerWindow_ - inWindow < 1.0;
+       ++leaving) {
+    inWindow -= static_cast<double>(aAccount.requests_.At(leaving));
     byWindow += slice;
   }
   return std::clamp<base::Duration>(
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -4,10 +4,11 @@
 #include "LibFleet/Declarations.h"
 #include "LibFleet/RateLimitMembership.h"
 #include "LibFleet/RateMessages.h"
+#include "LibFleet/WindowCounter.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <unordered_map>
 
@@ -27,8 +28,10 @@
 ///
 /// Requests are bounded twice: by the number admitted in the last window,
 /// however they are distributed in it, and by a credit bucket that fills at the
-/// organisation's rate. A new owner doesn't know how many requests were
-/// admitted in the window; the bucket bounds what it admits in addition.
+/// organisation's rate. Hosts tell a new owner what they admitted in the last
+/// window, and it continues with the credit that this leaves. Where hosts don't
+/// know it, as they were started in the meantime, the owner begins with a small
+/// part of the tolerance.
 ///
 /// While credit is plentiful, hosts admit requests without a query and report
 /// them afterwards; when it runs low, the owner requires a query first.
@@ -65,18 +68,26 @@
     std::uint64_t admitted_ = 0;
     std::uint64_t refunded_ = 0;
     base::Instant reportedAt_{};
+    WindowCounter requests_; ///< Requests at the host, whoever granted them.
   };
-  /// Number of slices of the window by which requests are counted.
-  static constexpr std::size_t kSlices = 20;
 
   struct Account
   {
     double credit_ = 0.0;
-    /// Requests by slice, including the current one.
-    std::array<double, kSlices + 1> requestsBySlice_{};
-    double requestsInWindow_ = 0.0; ///< Sum of requestsBySlice_.
-    std::int64_t slice_ = 0;        ///< Current slice, counted from the epoch.
-    double recentRefusals_ = 0.0;   ///< Recently refused requests, decaying.
+    WindowCounter requests_; ///< Requests that this owner counted.
+    /// Requests at the hosts, whoever granted them: the sum of
+    /// HostTotals::requests_.
+    WindowCounter hostRequests_;
+    /// First slice of which all hosts know what they admitted.
+    std::int64_t knownSince_ = std::numeric_limits<std::int64_t>::min();
+    /// Slice in which the credit was last used up, here or at a former owner.
+    std::int64_t usedUpSlice_ = std::numeric_limits<std::int64_t>::min();
+    /// This owner doesn't know the account's credit until a host's history
+    /// arrives.
+    bool isCreditUnknown_ = true;
+    /// When the first history arrived after that.
+    base::Instant takenOverAt_{};
+    double recentRefusals_ = 0.0; ///< Recently refused requests, decaying.
     base::Instant refilledAt_;
     double share_ = 0.0; ///< Of the limit, as of the last report.
     std::unordered_map<std::string, HostTotals> totals_; ///< By host.
@@ -90,6 +101,7 @@
     /// Credit of an owner that doesn't know the account's history.
     double initialCredit_ = 0.0;
     double requestsPerWindow_ = 0.0; ///< Requests allowed in one window.
+    bool isPartial_ = false; ///< Other owners grant the rest of the limit.
   };
 
   [[nodiscard]] Allowance AllowanceFor(const RateLimit& aLimit,
@@ -99,16 +111,33 @@
                                 const std::string& aReporter,
                                 const RateLimitMembership& aMembers,
                                 base::Instant aNow) const;
-  Account& Refill(const std::string& aOrganisation,
-                  const Allowance& aAllowance,
-                  const RateLimitMembership& aMembers,
-                  base::Instant aNow);
-  void AdvanceWindow(Account& aAccount, base::Instant aNow) const;
-  static void Debit(Account& aAccount, double aRequests);
-  static void ApplyTotals(Account& aAccount,
-                          const std::string& aHost,
-                          const RateReport& aReport,
-                          base::Instant aNow);
+  /// @param aIsNewSeries Whether the report begins a series, as hosts do when
+  ///        they change the owner.
+  void Refill(Account& aAccount,
+              const Allowance& aAllowance,
+              const RateLimitMembership& aMembers,
+              bool aIsNewSeries,
+              base::Instant aNow) const;
+  static void Debit(Account& aAccount,
+                    HostTotals& aTotals,
+                    std::int64_t aRequests);
+  void ApplyTotals(Account& aAccount,
+                   HostTotals& aTotals,
+                   const RateReport& aReport,
+                   base::Instant aNow) const;
+
+  /// Replaces what is known of a host's requests before its series of reports.
+  /// @param aIsNewHost Whether the host never reported to this account.
+  static void ApplyHistory(Account& aAccount,
+                           HostTotals& aTotals,
+                           const RateHistory& aHistory,
+                           bool aIsNewHost);
+
+  /// @return the credit that the requests of the last window leave, if the
+  ///         bucket was full before.
+  [[nodiscard]] double CreditFromHistory(const Account& aAccount,
+                                         const Allowance& aAllowance,
+                                         base::Instant aNow) const;
 
   /// @return the number of requests that may be admitted now.
   [[nodiscard]] static double AvailableRequests(const Account& aAccount,
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/RateLimiter.h"
 
+#include "LibBase/Ids.h"
+
 #include <algorithm>
 
 namespace pumiceturn::fleet {
@@ -36,7 +38,8 @@
 RateLimiter::RateLimiter(std::string aOwnName,
                          bool aAdmits,
                          RateTolerance aTolerance)
-  : members_(std::move(aOwnName), aAdmits)
+  : window_(aTolerance.window_)
+  , members_(std::move(aOwnName), aAdmits)
   , accounts_(aTolerance)
 {
 }
@@ -46,6 +49,39 @@
                         base::Instant aNow)
 {
   members_.Update(aOthers, aNow);
+  if (!startedAt_) {
+    startedAt_ = aNow;
+  }
+}
+
+void
+RateLimiter::ChangeOwner(Usage& aUsage,
+                         const std::string& aOwner,
+                         base::Instant aNow)
+{
+  Usage next;
+  next.owner_ = aOwner;
+  next.seriesId_ =
+    std::max<std::uint64_t>(base::HashBytes(aOwner, aUsage.seriesId_), 1);
+  // Requests that were not reported yet are in the totals of the new series.
+  const std::int64_t unreported =
+    static_cast<std::int64_t>(aUsage.admitted_ - aUsage.refunded_) -
+    aUsage.reportedBalance_;
+  next.admitted_ =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(unreported, 0));
+  next.refunded_ =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(-unreported, 0));
+  next.limit_ = aUsage.limit_;
+  next.usedAt_ = aUsage.usedAt_;
+  next.unconfirmed_ = aUsage.unconfirmed_;
+  next.queryUntil_ = aUsage.queryUntil_;
+  next.maxUnreported_ = aUsage.maxUnreported_;
+  next.history_ = aUsage.history_;
+  next.handover_ = aUsage.history_;
+  // A report is due immediately if there is something to hand over.
+  const bool hasHistory = next.history_.requests_.Sum() > 0;
+  next.reportedAt_ = hasHistory ? aNow - kMaxReportDelay : aNow;
+  aUsage = std::move(next);
 }
 
 RateLimiter::Usage&
@@ -53,22 +89,15 @@
                       base::Instant aNow,
                       std::mt19937_64& aRandom)
 {
-  Usage& usage = usages_[aOrganisation.name_];
+  const auto [found, isNew] = usages_.try_emplace(aOrganisation.name_);
+  Usage& usage = found->second;
+  if (isNew) {
+    usage.seriesId_ = aRandom();
+    usage.history_.requests_.AdvanceTo(SliceAt(aNow));
+  }
   const std::string& owner = members_.OwnerOf(aOrganisation.name_);
   if (usage.owner_ != owner) {
-    // The series of reports to the new owner begins with the requests that were
-    // not reported yet.
-    const std::uint64_t unreported =
-      usage.admitted_ + usage.refunded_ - usage.reported_;
-    const base::Instant queryUntil = usage.queryUntil_;
-    const std::uint64_t unconfirmed = usage.unconfirmed_;
-    usage = {};
-    usage.owner_ = owner;
-    usage.seriesId_ = std::max<std::uint64_t>(aRandom(), 1);
-    usage.admitted_ = unreported;
-    usage.unconfirmed_ = unconfirmed;
-    usage.queryUntil_ = queryUntil;
-    usage.reportedAt_ = aNow;
+    ChangeOwner(usage, owner, aNow);
   }
   usage.usedAt_ = aNow;
   usage.limit_ = aOrganisation.limit_;
@@ -81,7 +110,8 @@
 
 RateReport
 RateLimiter::MakeReport(const std::string& aOrganisation,
-                        const Usage& aUsage) const
+                        Usage& aUsage,
+                        base::Instant aNow) const
 {
   RateReport report;
   report.organisation_ = aOrganisation;
@@ -89,9 +119,39 @@
   report.admitted_ = aUsage.admitted_;
   report.refunded_ = aUsage.refunded_;
   report.candidatesHash_ = members_.CandidatesHash();
+  if (aUsage.handover_) {
+    report.history_ = EncodeHistory(*aUsage.handover_, aNow);
+  }
+  const auto balance =
+    static_cast<std::int64_t>(aUsage.admitted_ - aUsage.refunded_);
+  aUsage.history_.requests_.AdvanceTo(SliceAt(aNow));
+  aUsage.history_.requests_.Add(balance - aUsage.reportedBalance_);
+  aUsage.reportedBalance_ = balance;
+  aUsage.reported_ = aUsage.admitted_ + aUsage.refunded_;
+  aUsage.reportedAt_ = aNow;
   return report;
 }
 
+RateHistory
+RateLimiter::EncodeHistory(History& aHistory, base::Instant aNow) const
+{
+  const std::int64_t current = SliceAt(aNow);
+  aHistory.requests_.AdvanceTo(current);
+  const std::int64_t known =
+    std::min(current - SliceAt(startedAt_.value_or(aNow)) + 1,
+             static_cast<std::int64_t>(WindowCounter::kSlices));
+  RateHistory history;
+  for (std::int64_t age = 0; age < known; ++age) {
+    history.requestsBySlice_.push_back(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(aHistory.requests_.At(current - age), 0)));
+  }
+  if (aHistory.usedUpSlice_ && current - *aHistory.usedUpSlice_ < known) {
+    history.usedUpSlice_ =
+      static_cast<std::uint32_t>(current - *aHistory.usedUpSlice_);
+  }
+  return history;
+}
+
 bool
 RateLimiter::MayAdmitAtOnce(const Usage& aUsage, base::Instant aNow) const
 {
@@ -121,10 +181,8 @@
     ++usage.unconfirmed_;
     return RateAdmitted{};
   }
-  RateReport report = MakeReport(aOrganisation.name_, usage);
+  RateReport report = MakeReport(aOrganisation.name_, usage, aNow);
   report.query_ = ++lastQuery_;
-  usage.reported_ = usage.admitted_ + usage.refunded_;
-  usage.reportedAt_ = aNow;
   if (usage.owner_ != members_.OwnName()) {
     return RateQuery{ usage.owner_, std::move(report) };
   }
@@ -174,8 +232,12 @@
 void
 RateLimiter::RecordResponse(Usage& aUsage,
                             const RateResponse& aResponse,
-                            base::Instant aNow)
+                            base::Instant aNow) const
 {
+  aUsage.handover_.reset();
+  if (aResponse.isCreditUsedUp_) {
+    aUsage.history_.usedUpSlice_ = SliceAt(aNow);
+  }
   aUsage.queryUntil_ =
     std::max(aUsage.queryUntil_, aNow + aResponse.queryFirstFor_);
   aUsage.noCreditUntil_ = aNow + aResponse.noCreditFor_;
@@ -191,10 +253,19 @@
 std::optional<RateDecision>
 RateLimiter::HandleResponse(const RateResponse& aResponse, base::Instant aNow)
 {
-  const auto usage = usages_.find(aResponse.organisation_);
-  if (usage != usages_.end() &&
-      usage->second.seriesId_ == aResponse.seriesId_) {
-    RecordResponse(usage->second, aResponse, aNow);
+  const auto found = usages_.find(aResponse.organisation_);
+  if (found != usages_.end()) {
+    Usage& usage = found->second;
+    if (usage.seriesId_ == aResponse.seriesId_) {
+      RecordResponse(usage, aResponse, aNow);
+      if (aResponse.isGranted_) {
+        usage.history_.requests_.AdvanceTo(SliceAt(aNow));
+        usage.history_.requests_.Add(1);
+      }
+    } else if (aResponse.isGranted_) {
+      // A former owner's grant, which the owner doesn't know of.
+      ++usage.admitted_;
+    }
   }
   if (aResponse.query_ == 0) {
     return std::nullopt;
@@ -225,17 +296,25 @@
 RateLimiter::CollectDueReports(base::Instant aNow)
 {
   std::vector<std::pair<std::string, RateReport>> due;
+  const bool mayOwnersHaveChanged = members_.ChangedAt() >= ownersCheckedAt_;
+  ownersCheckedAt_ = aNow;
   for (auto& [organisation, usage] : usages_) {
-    const std::uint64_t total = usage.admitted_ + usage.refunded_;
-    const std::uint64_t unreported = total - usage.reported_;
-    if (unreported == 0 || (unreported < usage.maxUnreported_ &&
-                            aNow - usage.reportedAt_ < kMaxReportDelay)) {
+    if (mayOwnersHaveChanged && !usage.owner_.empty() &&
+        usage.owner_ != members_.OwnerOf(organisation)) {
+      ChangeOwner(usage, members_.OwnerOf(organisation), aNow);
+    }
+    const std::uint64_t unreported =
+      usage.admitted_ + usage.refunded_ - usage.reported_;
+    const bool isDelayOver = aNow - usage.reportedAt_ >= kMaxReportDelay;
+    const bool hasHandover =
+      usage.handover_ && usage.handover_->requests_.Sum() > 0;
+    if (unreported < usage.maxUnreported_ &&
+        !(isDelayOver && (unreported > 0 || hasHandover))) {
       continue;
     }
-    usage.reported_ = total;
-    usage.reportedAt_ = aNow;
-    RateReport report = MakeReport(organisation, usage);
-    report.isResponseNeeded_ = aNow - usage.respondedAt_ > kResponseInterval;
+    RateReport report = MakeReport(organisation, usage, aNow);
+    report.isResponseNeeded_ = usage.handover_.has_value() ||
+                               aNow - usage.respondedAt_ > kResponseInterval;
     if (usage.owner_ == members_.OwnName()) {
       RecordResponse(usage,
                      accounts_.HandleReport(
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -5,6 +5,7 @@
 #include "LibFleet/RateAccounts.h"
 #include "LibFleet/RateLimitMembership.h"
 #include "LibFleet/RateMessages.h"
+#include "LibFleet/WindowCounter.h"
 
 #include <cstdint>
 #include <optional>
@@ -116,6 +117,15 @@
   }
 
 private:
+  /// Requests of the last window that were reported or granted, to whichever
+  /// owner.
+  struct History
+  {
+    WindowCounter requests_;
+    /// Slice in which an owner last had no credit.
+    std::optional<std::int64_t> usedUpSlice_ = std::nullopt;
+  };
+
   /// Requests of an organisation at this host.
   struct Usage
   {
@@ -126,6 +136,11 @@
     std::uint64_t refunded_ = 0;
     /// Value of admitted_ + refunded_ in the last report.
     std::uint64_t reported_ = 0;
+    /// Value of admitted_ - refunded_ in the last report.
+    std::int64_t reportedBalance_ = 0;
+    History history_;
+    /// History at the start of the series, until the owner knows it.
+    std::optional<History> handover_ = std::nullopt;
     /// Number of unreported requests from which a report is due.
     std::uint64_t maxUnreported_ = 1;
     base::Instant reportedAt_;
@@ -148,14 +163,30 @@
   Usage& UsageFor(const Organisation& aOrganisation,
                   base::Instant aNow,
                   std::mt19937_64& aRandom);
+  /// Begins the series of reports to a new owner.
+  void ChangeOwner(Usage& aUsage,
+                   const std::string& aOwner,
+                   base::Instant aNow);
+  /// Makes a report and records that it was made.
   [[nodiscard]] RateReport MakeReport(const std::string& aOrganisation,
-                                      const Usage& aUsage) const;
+                                      Usage& aUsage,
+                                      base::Instant aNow) const;
+  [[nodiscard]] RateHistory EncodeHistory(History& aHistory,
+                                          base::Instant aNow) const;
   void RecordResponse(Usage& aUsage,
                       const RateResponse& aResponse,
-                      base::Instant aNow);
+                      base::Instant aNow) const;
+  [[nodiscard]] std::int64_t SliceAt(base::Instant aNow) const
+  {
+    return WindowCounter::SliceAt(aNow, window_);
+  }
 
+  base::Duration window_;
   RateLimitMembership members_;
   RateAccounts accounts_;
+  /// When this host was first told of the members; it knows nothing of before.
+  std::optional<base::Instant> startedAt_;
+  base::Instant ownersCheckedAt_{};
   std::unordered_map<std::string, Usage> usages_; ///< By organisation.
   std::uint64_t lastQuery_ = 0;
 };
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -3,10 +3,32 @@
 #include "LibBase/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace pumiceturn::fleet {
 
+/// How long hosts may take until all have chosen a new owner and it knows so.
+/// What it refuses meanwhile doesn't show how much credit the account has.
+inline constexpr base::Duration kRateTakeoverTime{ std::chrono::milliseconds{
+  300 } };
+
+/// What a host knows of an organisation's requests in the last window, for an
+/// owner that takes over the account.
+struct RateHistory
+{
+  /// Requests that the host admitted and reported to former owners, by slice of
+  /// a WindowCounter: the current slice first. Shorter than the window if the
+  /// host started within it.
+  std::vector<std::uint32_t> requestsBySlice_;
+  /// Index in requestsBySlice_ of the slice in which an owner last said that
+  /// the credit is used up; std::nullopt: none in the window.
+  std::optional<std::uint32_t> usedUpSlice_ = std::nullopt;
+
+  bool operator==(const RateHistory&) const = default;
+};
+
 /// Report of a host to the owner of an organisation's account. Holds totals
 /// since the start of the host's series of reports, so that a lost, duplicated
 /// or late message does no harm.
@@ -29,6 +51,8 @@
   std::uint64_t candidatesHash_ = 0;
   /// The host needs a response, to know that its reports arrive.
   bool isResponseNeeded_ = false;
+  /// Given until the owner responds for the first time in this series.
+  std::optional<RateHistory> history_ = std::nullopt;
 
   bool operator==(const RateReport&) const = default;
 };
@@ -47,6 +71,9 @@
   base::Duration noCreditFor_{ 0 };
   /// How long the caller of a refused request should wait before it retries.
   base::Duration retryAfter_{ 0 };
+  /// The account's credit is used up. Without it, requests may also be refused
+  /// because the window is full.
+  bool isCreditUsedUp_ = false;
 
   bool operator==(const RateResponse&) const = default;
 };
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/RateCodec.h"
 
+#include "LibFleet/WindowCounter.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -14,6 +16,10 @@
 /// organisation for long; longer than any duration that an owner sends.
 constexpr std::int64_t kMaxDurationMs = 10000;
 
+/// Bounds the requests in a slice of a history for the same reason; more than a
+/// host admits in that time.
+constexpr std::uint32_t kMaxRequestsPerSlice = 100000;
+
 base::Duration
 DecodeDuration(const json& aMilliseconds)
 {
@@ -25,31 +31,76 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
+json
+EncodeHistory(const fleet::RateHistory& aHistory)
+{
+  json row = { { "slices", aHistory.requestsBySlice_ } };
+  if (aHistory.usedUpSlice_) {
+    row["used_up"] = *aHistory.usedUpSlice_;
+  }
+  return row;
+}
+
+fleet::RateHistory
+DecodeHistory(const json& aRow)
+{
+  fleet::RateHistory history;
+  const json& slices = aRow.at("slices");
+  if (!slices.is_array() || slices.size() > fleet::WindowCounter::kSlices) {
+    throw json::other_error::create(0, "history is too long", &aRow);
+  }
+  for (const json& slice : slices) {
+    const auto requests = slice.get<std::int64_t>();
+    if (requests < 0 || requests > kMaxRequestsPerSlice) {
+      throw json::other_error::create(0, "count is out of range", &aRow);
+    }
+    history.requestsBySlice_.push_back(static_cast<std::uint32_t>(requests));
+  }
+  if (const auto usedUp = aRow.find("used_up"); usedUp != aRow.end()) {
+    const auto index = usedUp->get<std::int64_t>();
+    if (index < 0 || index >= static_cast<std::int64_t>(slices.size())) {
+      throw json::other_error::create(0, "slice is out of range", &aRow);
+    }
+    history.usedUpSlice_ = static_cast<std::uint32_t>(index);
+  }
+  return history;
+}
+
 } // namespace
 
 json
 EncodeRateReport(const fleet::RateReport& aReport)
 {
-  return { { "name", aReport.organisation_ },
-           { "account", aReport.seriesId_ },
-           { "admitted", aReport.admitted_ },
-           { "returned", aReport.refunded_ },
-           { "question", aReport.query_ },
-           { "owners", aReport.candidatesHash_ },
-           { "confirm", aReport.isResponseNeeded_ } };
+  json row = { { "name", aReport.organisation_ },
+               { "account", aReport.seriesId_ },
+               { "admitted", aReport.admitted_ },
+               { "returned", aReport.refunded_ },
+               { "question", aReport.query_ },
+               { "owners", aReport.candidatesHash_ },
+               { "confirm", aReport.isResponseNeeded_ } };
+  if (aReport.history_) {
+    row["history"] = EncodeHistory(*aReport.history_);
+  }
+  return row;
 }
 
 fleet::RateReport
 DecodeRateReport(const json& aRow)
 {
-  return { aRow.at("name").get<std::string>(),
-           aRow.at("account").get<std::uint64_t>(),
-           aRow.at("admitted").get<std::uint64_t>(),
-           aRow.at("returned").get<std::uint64_t>(),
-           aRow.at("question").get<std::uint64_t>(),
-           // Gateways of earlier versions don't send the last two.
-           aRow.value("owners", std::uint64_t{ 0 }),
-           aRow.value("confirm", false) };
+  fleet::RateReport report{
+    aRow.at("name").get<std::string>(),
+    aRow.at("account").get<std::uint64_t>(),
+    aRow.at("admitted").get<std::uint64_t>(),
+    aRow.at("returned").get<std::uint64_t>(),
+    aRow.at("question").get<std::uint64_t>(),
+    // Gateways of earlier versions don't send the last three.
+    aRow.value("owners", std::uint64_t{ 0 }),
+    aRow.value("confirm", false)
+  };
+  if (const auto history = aRow.find("history"); history != aRow.end()) {
+    report.history_ = DecodeHistory(*history);
+  }
+  return report;
 }
 
 json
@@ -61,7 +112,8 @@
            { "granted", aResponse.isGranted_ },
            { "ask_first", base::ToMs(aResponse.queryFirstFor_) },
            { "no_credit", base::ToMs(aResponse.noCreditFor_) },
-           { "come_back", base::ToMs(aResponse.retryAfter_) } };
+           { "come_back", base::ToMs(aResponse.retryAfter_) },
+           { "used_up", aResponse.isCreditUsedUp_ } };
 }
 
 fleet::RateResponse
@@ -75,6 +127,8 @@
   response.queryFirstFor_ = DecodeDuration(aRow.at("ask_first"));
   response.noCreditFor_ = DecodeDuration(aRow.at("no_credit"));
   response.retryAfter_ = DecodeDuration(aRow.at("come_back"));
+  // Gateways of earlier versions don't send it.
+  response.isCreditUsedUp_ = aRow.value("used_up", false);
   return response;
 }
 
--- /dev/null
+++ b/Tests/LibFleet/RateLimiterHandoverTest.cpp
@@ -0,0 +1,261 @@
+#include "Tests/LibFleet/RateFleetFixture.h"
+
+#include <numeric>
+
+namespace pumiceturn::fleet {
+
+/// A fleet whose accounts are owned by workers, which are stopped.
+class RateHandoverFixture : public RateFleetFixture
+{
+protected:
+  static constexpr std::size_t kHosts = 18;
+  static constexpr std::size_t kWorkers = 4;
+
+  /// Stops the worker that owns the organisation's account.
+  /// @return its index.
+  std::size_t StopOwner()
+  {
+    for (std::size_t index = kHosts; index < hosts_.size(); ++index) {
+      if (hosts_[index].isUp_ && hosts_[index].limiter_->ShareOf("hot") > 0.5) {
+        Stop(index);
+        return index;
+      }
+    }
+    FAIL("no worker owns the account");
+    return 0;
+  }
+
+  /// Advances, and returns the share of the requests that were refused.
+  double AdvanceAndGetRefusedShare(base::Duration aTime, double aPerSecond)
+  {
+    const std::size_t requests = requests_;
+    const std::size_t refused = refused_;
+    Advance(aTime, aPerSecond);
+    return static_cast<double>(refused_ - refused) /
+           static_cast<double>(requests_ - requests);
+  }
+};
+
+// Guards against a new owner that begins without the credit that the
+// organisation had, and refuses a burst within the limit.
+TEST_CASE_METHOD(RateHandoverFixture,
+                 "RateLimiter_OwnerIsLostBeforeBurst_AtMostOneIn50IsRefused")
+{
+  const RateLimit limit = GENERATE(RateLimit{ 60, 400 }, RateLimit{ 130, 130 });
+  BuildFleet(kHosts, limit, kWorkers);
+  Advance(6s, 0.3 * limit.ratePerSecond_);
+  StopOwner();
+  Advance(500ms, 0.3 * limit.ratePerSecond_);
+  INFO("rate " << limit.ratePerSecond_);
+  CHECK(AdvanceAndGetRefusedShare(1s, 0.8 * limit.burst_) <= 0.02);
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
+// Guards against an owner that is restarted within the time after which hosts
+// notice it, and charges the organisation again for all that it used before.
+TEST_CASE_METHOD(RateHandoverFixture,
+                 "RateLimiter_OwnerRestartsQuickly_AtMostOneIn50IsRefused")
+{
+  BuildFleet(kHosts, { 130, 130 }, kWorkers);
+  Advance(6s, 39);
+  for (int restart = 0; restart < 4; ++restart) {
+    const std::size_t owner = StopOwner();
+    Advance(200ms, 104);
+    Restart(owner);
+    Advance(300ms, 104);
+    INFO("restart " << restart);
+    CHECK(AdvanceAndGetRefusedShare(1s, 104) <= 0.02);
+  }
+}
+
+// Guards against a new owner that grants the burst a second time.
+TEST_CASE_METHOD(RateHandoverFixture,
+                 "RateLimiter_OwnerIsLostAfterBurst_BurstIsGrantedOnce")
+{
+  const RateLimit limit = GENERATE(RateLimit{ 60, 400 }, RateLimit{ 130, 130 });
+  BuildFleet(kHosts, limit, kWorkers);
+  Advance(6s, 0.3 * limit.ratePerSecond_);
+  const base::Duration untilStop = GENERATE(50ms, 300ms, 1500ms);
+  const double beyond = 8 * limit.ratePerSecond_;
+  admitted_.clear();
+  Advance(untilStop, beyond);
+  StopOwner();
+  Advance(5s - untilStop, beyond);
+  INFO("rate " << limit.ratePerSecond_ << ", stopped after "
+               << untilStop / 1ms);
+  CHECK(static_cast<double>(admitted_.size()) <= Bound());
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
+// Guards against full credit at a new owner while hosts that were started anew
+// don't know what they admitted before.
+TEST_CASE_METHOD(RateHandoverFixture,
+                 "RateLimiter_OwnerAndHostsRestart_BoundHolds")
+{
+  BuildFleet(kHosts, { 130, 130 }, kWorkers);
+  Advance(6s, 39);
+  Advance(300ms, 1040);
+  const std::size_t owner = StopOwner();
+  for (std::size_t host = 0; host < kHosts; host += 3) {
+    Stop(host);
+  }
+  Advance(500ms, 1040);
+  for (std::size_t host = 0; host < kHosts; host += 3) {
+    Restart(host);
+  }
+  Restart(owner);
+  Advance(6s, 1040);
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
+/// An owner's account and reports to it.
+class RateHistoryFixture
+{
+protected:
+  static constexpr RateTolerance kTolerance{ 5s, 0.1, 20.0 };
+
+  RateHistoryFixture()
+  {
+    limiter_.SetMembers(
+      std::vector{ RateLimitMembership::Member{ "entry", true } }, now_);
+    now_ += 100ms;
+  }
+
+  /// @return the number of queries in a row that are granted.
+  int CountGranted(const std::optional<RateHistory>& aHistory)
+  {
+    RateReport report{ "a", 7 };
+    report.history_ = aHistory;
+    report.candidatesHash_ = limiter_.CandidatesHash();
+    for (int granted = 0; granted < 1000; ++granted) {
+      ++report.query_;
+      if (!limiter_.HandleReport("entry", report, organisation_, now_)
+             ->isGranted_) {
+        return granted;
+      }
+    }
+    return 1000;
+  }
+
+  static RateHistory EmptyHistory()
+  {
+    return { std::vector<std::uint32_t>(WindowCounter::kSlices, 0),
+             std::nullopt };
+  }
+
+  base::Instant now_{ 24h };
+  RateLimiter limiter_{ "worker", false, kTolerance };
+  Organisation organisation_{ "a", {}, { 20, 60 } };
+};
+
+// Guards against trusting a host of an earlier version, which sends no history,
+// to have admitted nothing.
+TEST_CASE_METHOD(RateHistoryFixture,
+                 "RateLimiter_ReportWithoutHistory_BeginsWithPartOfTolerance")
+{
+  // 0.15 of the tolerance of 36, and 100 ms at the rate.
+  CHECK(CountGranted(std::nullopt) == 7);
+}
+
+TEST_CASE_METHOD(RateHistoryFixture,
+                 "RateLimiter_HistoryIsEmpty_BeginsWithFullCredit")
+{
+  CHECK(CountGranted(EmptyHistory()) >= 60);
+}
+
+TEST_CASE_METHOD(RateHistoryFixture,
+                 "RateLimiter_HistoryHasRequests_BeginsWithTheRest")
+{
+  RateHistory history = EmptyHistory();
+  history.requestsBySlice_[0] = 50;
+  const int granted = CountGranted(history);
+  CHECK(granted >= 10);
+  CHECK(granted <= 25);
+}
+
+// Guards against a full bucket for an organisation that used up its credit, by
+// requests that are evenly spread over the window.
+TEST_CASE_METHOD(RateHistoryFixture,
+                 "RateLimiter_HistoryIsUsedUp_BeginsWithoutCredit")
+{
+  RateHistory history = EmptyHistory();
+  history.requestsBySlice_.assign(WindowCounter::kSlices, 5);
+  history.usedUpSlice_ = 0;
+  CHECK(CountGranted(history) == 0);
+}
+
+// Guards against full credit for an organisation whose host was just started.
+TEST_CASE_METHOD(RateHistoryFixture,
+                 "RateLimiter_HistoryIsShort_BeginsWithPartOfTolerance")
+{
+  RateHistory history = EmptyHistory();
+  history.requestsBySlice_.resize(2);
+  CHECK(CountGranted(history) <= 12);
+}
+
+// Guards against a history that is counted again when its report is repeated.
+TEST_CASE("RateLimiter_OwnerResponds_HistoryIsSentNoMore")
+{
+  RateLimiter limiter("entry", true, { 5s, 0.1, 20.0 });
+  base::Instant now{ 24h };
+  std::mt19937_64 random{ 1 };
+  using Member = RateLimitMembership::Member;
+  limiter.SetMembers(std::vector{ Member{ "w1", true, false } }, now);
+  now += 1min;
+  const Organisation organisation{ "a", {}, { 100, 800 } };
+  for (int request = 0; request < 30; ++request) {
+    CHECK(std::holds_alternative<RateAdmitted>(
+      limiter.Check(organisation, now, random)));
+  }
+  REQUIRE(limiter.CollectDueReports(now).empty());
+  now += 200ms;
+  REQUIRE(limiter.CollectDueReports(now).size() == 1);
+
+  now += 1s;
+  limiter.SetMembers(std::vector{ Member{ "w2", true, false } }, now);
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    const auto due = limiter.CollectDueReports(now);
+    REQUIRE(due.size() == 1);
+    CHECK(due.front().first == "w2");
+    REQUIRE(due.front().second.history_);
+    CHECK(std::accumulate(due.front().second.history_->requestsBySlice_.begin(),
+                          due.front().second.history_->requestsBySlice_.end(),
+                          0U) == 30);
+    CHECK(due.front().second.admitted_ == 0);
+    CHECK(due.front().second.isResponseNeeded_);
+    if (repeat == 2) {
+      static_cast<void>(
+        limiter.HandleResponse({ "a", due.front().second.seriesId_ }, now));
+    }
+    now += 200ms;
+  }
+  CHECK(limiter.CollectDueReports(now).empty());
+}
+
+// Guards against a grant of the former owner that the new one never hears of.
+TEST_CASE("RateLimiter_FormerOwnerGrantsLate_IsReportedToOwner")
+{
+  RateLimiter limiter("entry", true, { 5s, 0.1, 20.0 });
+  base::Instant now{ 24h };
+  std::mt19937_64 random{ 1 };
+  using Member = RateLimitMembership::Member;
+  limiter.SetMembers(std::vector{ Member{ "w1", true, false } }, now);
+  const Organisation organisation{ "a", {}, { 1, 8 } };
+  auto decision = limiter.Check(organisation, now, random);
+  while (std::holds_alternative<RateAdmitted>(decision)) {
+    decision = limiter.Check(organisation, now, random);
+  }
+  const RateReport query = std::get<RateQuery>(decision).report_;
+  now += 10ms;
+  limiter.SetMembers(std::vector{ Member{ "w2", true, false } }, now);
+  static_cast<void>(limiter.CollectDueReports(now));
+  static_cast<void>(
+    limiter.HandleResponse({ "a", query.seriesId_, query.query_, true }, now));
+  now += 200ms;
+  const auto due = limiter.CollectDueReports(now);
+  REQUIRE(due.size() == 1);
+  CHECK(due.front().first == "w2");
+  CHECK(due.front().second.admitted_ == 1);
+}
+
+} // namespace pumiceturn::fleet
--- a/Tests/LibFleet/RateLimiterReachabilityTest.cpp
+++ b/Tests/LibFleet/RateLimiterReachabilityTest.cpp
@@ -148,6 +148,29 @@
   CHECK(static_cast<double>(MaxInWindow()) <= Bound());
 }
 
+// Guards against credit that accrues at two owners when hosts leave one for
+// half a second and return.
+TEST_CASE_METHOD(RateReachabilityFixture,
+                 "RateLimiter_OwnerIsCutOffAndBack_BoundHolds")
+{
+  BuildFleet(18, { 130, 130 }, 4);
+  Advance(6s, 39);
+  Advance(1s, 1040);
+  for (int change = 0; change < 8; ++change) {
+    for (std::size_t index = 18; index < hosts_.size(); ++index) {
+      if (hosts_[index].limiter_->ShareOf("hot") > 0.5) {
+        for (std::size_t host = 0; host < 4; ++host) {
+          Cut(host, index);
+        }
+      }
+    }
+    Advance(500ms, 1040);
+    HealAll();
+    Advance(500ms, 1040);
+  }
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
 // Guards against a sum of the owners' shares above one, for cuts in one or both
 // directions, lost and restarted workers drawn at random.
 TEST_CASE_METHOD(RateReachabilityFixture,
--- a/Tests/Platform/RateCodecTest.cpp
+++ b/Tests/Platform/RateCodecTest.cpp
@@ -1,4 +1,5 @@
 #include "LibGateway/RateCodec.h"
+#include "LibFleet/WindowCounter.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -17,12 +18,13 @@
 protected:
   [[nodiscard]] static fleet::RateReport Report()
   {
-    return { "archive", 77, 12, 3, 9, 4711, true };
+    return { "archive", 77,   12,   3,
+             9,         4711, true, fleet::RateHistory{ { 4, 0, 300 }, 2 } };
   }
 
   [[nodiscard]] static fleet::RateResponse Response()
   {
-    return { "archive", 77, 9, true, 2s, 37ms, 410ms };
+    return { "archive", 77, 9, true, 2s, 37ms, 410ms, true };
   }
 
   /// @return the bytes of a datagram with some of them overwritten.
@@ -53,10 +55,44 @@
   json row = EncodeRateReport(Report());
   row.erase("owners");
   row.erase("confirm");
+  row.erase("history");
   const fleet::RateReport expected{ "archive", 77, 12, 3, 9 };
   CHECK(DecodeRateReport(row) == expected);
 }
 
+// Guards against rejecting the responses of owners that run an earlier version.
+TEST_CASE_METHOD(RateCodecFixture,
+                 "RateCodec_ResponseOfEarlierVersion_IsReadWithoutNewFields")
+{
+  json row = EncodeRateResponse(Response());
+  row.erase("used_up");
+  CHECK_FALSE(DecodeRateResponse(row).isCreditUsedUp_);
+}
+
+// Guards against a forged history that uses up an organisation's credit for
+// long, or much memory.
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_HistoryOutOfRange_IsRejected")
+{
+  const json valid = EncodeRateReport(Report());
+  const json longSlices =
+    std::vector<int>(fleet::WindowCounter::kSlices + 1, 1);
+  for (const json& slices : { json("1"),
+                              json(7),
+                              json{ -1, 0 },
+                              json{ 100001, 0 },
+                              json{ 1e300, 0 },
+                              longSlices }) {
+    json row = valid;
+    row["history"]["slices"] = slices;
+    CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+  }
+  for (const json& usedUp : { json(-1), json(3), json("1") }) {
+    json row = valid;
+    row["history"]["used_up"] = usedUp;
+    CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+  }
+}
+
 // Guards against a forged response blocking an organisation for years.
 TEST_CASE_METHOD(RateCodecFixture, "RateCodec_TimeOutOfRange_IsRejected")
 {
