--- a/Tests/LibFleet/RateLimiterTest.cpp
+++ b/Tests/LibFleet/RateLimiterTest.cpp
@@ -75,6 +75,20 @@
   CHECK(admitted_.size() - before >= 100);
 }
 
+// Load: one organisation with a small limit sends to all hosts of a larger
+// fleet at once. Guards against each host admitting a request before the owner
+// knows of any.
+TEST_CASE_METHOD(RateFleetFixture,
+                 "RateLimiter_SmallLimitAtManyHosts_BoundHolds")
+{
+  const std::size_t hosts = GENERATE(18, 60, 133);
+  BuildFleet(hosts, { 2, 2 }, 6);
+  Advance(2s, 0.6);
+  Advance(5s, 1000);
+  INFO("hosts " << hosts);
+  CHECK(static_cast<double>(MaxInWindow()) <= Bound());
+}
+
 // Guards against a lowered limit that isn't enforced.
 TEST_CASE_METHOD(RateFleetFixture,
                  "RateLimiter_LimitIsLowered_HoldsAfterOneWindow")
