--- a/Tests/LibFleet/RateFleetFixture.h
+++ b/Tests/LibFleet/RateFleetFixture.h
@@ -38,6 +38,8 @@
     bool isUp_ = true;
     bool admits_ = true;
     base::Instant downAt_{};
+    /// When it reads which hosts are registered; before, it knows no other.
+    base::Instant membersReadAt_{};
     /// When another host was last heard, by the index of that host.
     std::vector<base::Instant> heardAt_ = {};
     /// Hash that each host announced when it was last heard.
@@ -170,6 +172,9 @@
 
   void UpdateMembers(Host& aHost)
   {
+    if (now_ < aHost.membersReadAt_) {
+      return;
+    }
     std::vector<RateLimitMembership::Member> others;
     for (std::size_t index = 0; index < hosts_.size(); ++index) {
       const Host& other = hosts_[index];
@@ -199,10 +204,12 @@
   }
 
   /// Starts a host anew, without what it knew.
-  void Restart(std::size_t aHost)
+  /// @param aReadTime Until the host has read which hosts are registered.
+  void Restart(std::size_t aHost, base::Duration aReadTime = {})
   {
     Host& host = hosts_[aHost];
     host.isUp_ = true;
+    host.membersReadAt_ = now_ + aReadTime;
     host.limiter_ =
       std::make_unique<RateLimiter>(host.name_, host.admits_, kTolerance);
     host.pendingQueries_.clear();
@@ -217,10 +224,19 @@
     }
   }
 
-  void RestartAll()
+  void StopAll()
+  {
+    for (std::size_t index = 0; index < hosts_.size(); ++index) {
+      Stop(index);
+    }
+    messages_.clear();
+  }
+
+  /// @param aReadTime See Restart().
+  void RestartAll(base::Duration aReadTime = {})
   {
     for (std::size_t index = 0; index < hosts_.size(); ++index) {
-      Restart(index);
+      Restart(index, aReadTime);
     }
     messages_.clear();
   }
