LibFleet, LibGateway: Tell what each decision on a rate limit rests on

An organisation got more than its limit and nothing showed which host had admitted what: admissions weren't logged, and refusals didn't say how many hosts were known or how old the owner's last response was.

Decisions now carry their basis (at once, own account, owner, own part, no credit). Refusals (7135) and admissions that no owner's knowledge covers (new event 7140, bounded per second like all events) tell the owner, the number of registered hosts and since when they are known, the age of the owner's response and whether the account is new. Responses say the latter ('new', ignored by earlier versions). pumiceturn_rate_decisions_total counts by organisation, decision and basis. No decision changes.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -111,6 +111,8 @@
   if (aAccount.refilledAt_ == base::Instant{} || hadOtherOwner) {
     aAccount.credit_ = aAllowance.initialCredit_;
     aAccount.refilledAt_ = std::min(changedAt, aNow);
+    aAccount.createdInSlice_ =
+      WindowCounter::SliceAt(aAccount.refilledAt_, tolerance_.window_);
     aAccount.isCreditUnknown_ = true;
   }
   const base::Duration passed = aNow - aAccount.refilledAt_;
@@ -244,6 +246,16 @@
   });
 }
 
+bool
+RateAccounts::IsHistoryIncomplete(const Account& aAccount)
+{
+  const std::int64_t oldest =
+    aAccount.requests_.CurrentSlice() -
+    static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
+  return aAccount.knownSince_ > oldest ||
+         (aAccount.isCreditUnknown_ && aAccount.createdInSlice_ > oldest);
+}
+
 double
 RateAccounts::LastShareOf(const std::string& aOrganisation) const
 {
@@ -286,6 +298,7 @@
   response.organisation_ = aReport.organisation_;
   response.seriesId_ = aReport.seriesId_;
   response.query_ = aReport.query_;
+  response.isAccountNew_ = IsHistoryIncomplete(account);
   if (aReport.query_ != 0) {
     response.isGranted_ = AvailableRequests(account, allowance) >= 1.0;
     if (response.isGranted_) {
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -85,6 +85,8 @@
     /// This owner doesn't know the account's credit until a host's history
     /// arrives.
     bool isCreditUnknown_ = true;
+    /// Slice from which on this owner counts requests.
+    std::int64_t createdInSlice_ = std::numeric_limits<std::int64_t>::min();
     /// When the first history arrived after that.
     base::Instant takenOverAt_{};
     double recentRefusals_ = 0.0; ///< Recently refused requests, decaying.
@@ -139,6 +141,10 @@
                                          const Allowance& aAllowance,
                                          base::Instant aNow) const;
 
+  /// @return whether requests were admitted within the last window that this
+  ///         owner may not know of.
+  [[nodiscard]] static bool IsHistoryIncomplete(const Account& aAccount);
+
   /// @return the number of requests that may be admitted now.
   [[nodiscard]] static double AvailableRequests(const Account& aAccount,
                                                 const Allowance& aAllowance);
--- /dev/null
+++ b/Libraries/LibFleet/RateDecision.cpp
@@ -0,0 +1,23 @@
+#include "LibFleet/RateDecision.h"
+
+namespace pumiceturn::fleet {
+
+std::string_view
+NameOf(RateBasis aBasis)
+{
+  switch (aBasis) {
+    case RateBasis::AtOnce:
+      return "at_once";
+    case RateBasis::OwnAccount:
+      return "own_account";
+    case RateBasis::OwnerResponse:
+      return "owner";
+    case RateBasis::OwnPart:
+      return "own_part";
+    case RateBasis::NoCredit:
+      return "no_credit";
+  }
+  return "unknown";
+}
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -174,12 +174,12 @@
   }
   Usage& usage = UsageFor(aOrganisation, aNow, aRandom);
   if (aNow < usage.noCreditUntil_) {
-    return RateRefused{ usage.retryAfter_, "no credit" };
+    return RateRefused{ usage.retryAfter_, RateBasis::NoCredit };
   }
   if (MayAdmitAtOnce(usage, aNow)) {
     ++usage.admitted_;
     ++usage.unconfirmed_;
-    return RateAdmitted{};
+    return RateAdmitted{ RateBasis::AtOnce };
   }
   RateReport report = MakeReport(aOrganisation.name_, usage, aNow);
   report.query_ = ++lastQuery_;
@@ -211,14 +211,14 @@
   if (usage.localCredit_ >= 1.0) {
     usage.localCredit_ -= 1.0;
     ++usage.admitted_;
-    return RateAdmitted{};
+    return RateAdmitted{ RateBasis::OwnPart };
   }
   const double seconds = (1.0 - usage.localCredit_) * hosts /
                          std::max(limit.ratePerSecond_, kMinRate);
   return RateRefused{ std::chrono::duration_cast<base::Duration>(
                         std::chrono::duration<double>(
                           std::min(seconds, kMaxRetryAfterSeconds))),
-                      "no response from the account's owner" };
+                      RateBasis::OwnPart };
 }
 
 void
@@ -243,6 +243,7 @@
   aUsage.noCreditUntil_ = aNow + aResponse.noCreditFor_;
   aUsage.retryAfter_ = aResponse.retryAfter_;
   aUsage.respondedAt_ = aNow;
+  aUsage.isAccountNew_ = aResponse.isAccountNew_;
   aUsage.hasUnansweredQuery_ = false;
   aUsage.unconfirmed_ = 0;
   // The owner grants this host's part of the limit until now.
@@ -270,10 +271,36 @@
   if (aResponse.query_ == 0) {
     return std::nullopt;
   }
+  const bool isOwner =
+    found != usages_.end() && found->second.owner_ == members_.OwnName();
+  const RateBasis basis =
+    isOwner ? RateBasis::OwnAccount : RateBasis::OwnerResponse;
   if (aResponse.isGranted_) {
-    return RateAdmitted{};
+    return RateAdmitted{ basis };
+  }
+  return RateRefused{ aResponse.retryAfter_, basis };
+}
+
+RateKnowledge
+RateLimiter::KnowledgeOf(const std::string& aOrganisation,
+                         base::Instant aNow) const
+{
+  RateKnowledge knowledge;
+  knowledge.admittingHosts_ = members_.AdmittingCount();
+  if (startedAt_) {
+    knowledge.membersAge_ = aNow - *startedAt_;
+  }
+  const auto found = usages_.find(aOrganisation);
+  if (found == usages_.end()) {
+    return knowledge;
+  }
+  const Usage& usage = found->second;
+  knowledge.owner_ = usage.owner_;
+  knowledge.isAccountNew_ = usage.isAccountNew_;
+  if (usage.respondedAt_ != base::Instant{}) {
+    knowledge.responseAge_ = aNow - usage.respondedAt_;
   }
-  return RateRefused{ aResponse.retryAfter_, "keeper" };
+  return knowledge;
 }
 
 std::optional<RateResponse>
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibFleet/Declarations.h"
 #include "LibFleet/RateAccounts.h"
+#include "LibFleet/RateDecision.h"
 #include "LibFleet/RateLimitMembership.h"
 #include "LibFleet/RateMessages.h"
 #include "LibFleet/WindowCounter.h"
@@ -14,31 +15,10 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
-#include <variant>
 #include <vector>
 
 namespace pumiceturn::fleet {
 
-/// The request is admitted.
-struct RateAdmitted
-{};
-
-/// The request exceeds its organisation's limit.
-struct RateRefused
-{
-  base::Duration retryAfter_{ 0 };
-  std::string_view reason_; ///< Why or by whom it was refused, for the log.
-};
-
-/// The owner of the organisation's account must be queried first.
-struct RateQuery
-{
-  std::string owner_;
-  RateReport report_; ///< Includes the query.
-};
-
-using RateDecision = std::variant<RateAdmitted, RateRefused, RateQuery>;
-
 /// Enforces the rate limits of organisations at one of the hosts that admit
 /// requests.
 ///
@@ -107,6 +87,10 @@
     return accounts_.LastShareOf(aOrganisation);
   }
 
+  /// @return what this host knows for a decision on an organisation's request.
+  [[nodiscard]] RateKnowledge KnowledgeOf(const std::string& aOrganisation,
+                                          base::Instant aNow) const;
+
   /// @return the number of admitting hosts that this host hears, for its peers.
   [[nodiscard]] std::size_t HeardHosts() const { return members_.HeardHosts(); }
 
@@ -146,6 +130,7 @@
     base::Instant reportedAt_;
     base::Instant usedAt_;
     base::Instant respondedAt_; ///< When the owner last responded.
+    bool isAccountNew_ = false; ///< As of the owner's last response.
     /// Requests admitted without a query since the owner's last response.
     std::uint64_t unconfirmed_ = 0;
     /// The owner didn't respond to a query since its last response.
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -74,6 +74,8 @@
   /// The account's credit is used up. Without it, requests may also be refused
   /// because the window is full.
   bool isCreditUsedUp_ = false;
+  /// The owner doesn't know all that was admitted in the last window.
+  bool isAccountNew_ = false;
 
   bool operator==(const RateResponse&) const = default;
 };
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -28,6 +28,13 @@
   return httpstream::ValueOf(aRequest, aShared.codec_.EchoField());
 }
 
+/// @return milliseconds, or -1 if there is no such time.
+std::int64_t
+ToMsOrNone(std::optional<base::Duration> aTime)
+{
+  return aTime ? base::ToMs(*aTime) : -1;
+}
+
 } // namespace
 
 AccessControl::AccessControl(boost::asio::any_io_executor aExecutor,
@@ -168,11 +175,23 @@
   }
   const fleet::RateDecision decision = shared_.rateLimiter_.Check(
     *organisation, base::MonotonicNow(), shared_.random_);
-  if (const auto* refusal = std::get_if<fleet::RateRefused>(&decision)) {
-    RejectOverLimit(*aExchange, *organisation, *refusal);
-  } else if (const auto* query = std::get_if<fleet::RateQuery>(&decision)) {
-    QueryAccountOwner(aExchange, organisation->name_, std::move(aRun), *query);
+  Apply(decision, aExchange, *organisation, std::move(aRun));
+}
+
+void
+AccessControl::Apply(const fleet::RateDecision& aDecision,
+                     const ExchangePtr& aExchange,
+                     const fleet::Organisation& aOrganisation,
+                     std::function<void()> aRun)
+{
+  if (const auto* refusal = std::get_if<fleet::RateRefused>(&aDecision)) {
+    RejectOverLimit(*aExchange, aOrganisation, *refusal);
+  } else if (const auto* query = std::get_if<fleet::RateQuery>(&aDecision)) {
+    QueryAccountOwner(aExchange, aOrganisation.name_, std::move(aRun), *query);
   } else {
+    RecordAdmission(*aExchange,
+                    aOrganisation,
+                    std::get<fleet::RateAdmitted>(aDecision).basis_);
     aRun();
   }
 }
@@ -206,7 +225,7 @@
   if (found.empty()) {
     return;
   }
-  const PendingQuery& query = *found.mapped();
+  PendingQuery& query = *found.mapped();
   const fleet::Organisation* organisation =
     shared_.routes_.Organisations().FindByName(query.organisation_);
   if (organisation == nullptr) {
@@ -216,11 +235,7 @@
   }
   const fleet::RateDecision decision =
     shared_.rateLimiter_.CheckLocally(*organisation, base::MonotonicNow());
-  if (const auto* refusal = std::get_if<fleet::RateRefused>(&decision)) {
-    RejectOverLimit(*query.exchange_, *organisation, *refusal);
-  } else {
-    query.run_();
-  }
+  Apply(decision, query.exchange_, *organisation, std::move(query.run_));
 }
 
 void
@@ -241,11 +256,7 @@
       shared_.codec_.MakeUnavailable(kUncheckedRetryAfter));
     return;
   }
-  if (const auto* refusal = std::get_if<fleet::RateRefused>(&*decision)) {
-    RejectOverLimit(*query.exchange_, *organisation, *refusal);
-  } else {
-    query.run_();
-  }
+  Apply(*decision, query.exchange_, *organisation, std::move(query.run_));
 }
 
 void
@@ -266,19 +277,67 @@
   }
 }
 
+void
+AccessControl::CountDecision(const fleet::Organisation& aOrganisation,
+                             std::string_view aDecision,
+                             fleet::RateBasis aBasis)
+{
+  shared_.metrics_
+    .GetCounter("pumiceturn_rate_decisions_total",
+                "Decisions on requests of organisations with a limit.",
+                fmt::format("organisation=\"{}\",decision=\"{}\",basis=\"{}\"",
+                            aOrganisation.name_,
+                            aDecision,
+                            fleet::NameOf(aBasis)))
+    .Add();
+}
+
+void
+AccessControl::RecordAdmission(const httpstream::Exchange& aExchange,
+                               const fleet::Organisation& aOrganisation,
+                               fleet::RateBasis aBasis)
+{
+  if (!aOrganisation.limit_.IsSet()) {
+    return;
+  }
+  CountDecision(aOrganisation, "admitted", aBasis);
+  const fleet::RateKnowledge knowledge =
+    shared_.rateLimiter_.KnowledgeOf(aOrganisation.name_, base::MonotonicNow());
+  if (!knowledge.IsUncertain(aBasis)) {
+    return;
+  }
+  base::Log(kRequestAdmittedUncertainly,
+            { { "request", RequestIdOf(shared_, aExchange.GetRequest()) },
+              { "organisation", aOrganisation.name_ },
+              { "basis", fleet::NameOf(aBasis) },
+              { "owner", knowledge.owner_ },
+              { "hosts", knowledge.admittingHosts_ },
+              { "members_age_ms", ToMsOrNone(knowledge.membersAge_) },
+              { "response_age_ms", ToMsOrNone(knowledge.responseAge_) },
+              { "is_account_new", knowledge.isAccountNew_ } });
+}
+
 void
 AccessControl::RejectOverLimit(httpstream::Exchange& aExchange,
                                const fleet::Organisation& aOrganisation,
                                const fleet::RateRefused& aRefusal)
 {
+  const fleet::RateKnowledge knowledge =
+    shared_.rateLimiter_.KnowledgeOf(aOrganisation.name_, base::MonotonicNow());
   base::Log(kRequestOverRate,
             { { "request", RequestIdOf(shared_, aExchange.GetRequest()) },
               { "organisation", aOrganisation.name_ },
               { "rate", aOrganisation.limit_.ratePerSecond_ },
               { "burst", aOrganisation.limit_.burst_ },
-              { "decided_by", aRefusal.reason_ },
+              { "decided_by", fleet::NameOf(aRefusal.basis_) },
+              { "owner", knowledge.owner_ },
+              { "hosts", knowledge.admittingHosts_ },
+              { "members_age_ms", ToMsOrNone(knowledge.membersAge_) },
+              { "response_age_ms", ToMsOrNone(knowledge.responseAge_) },
+              { "is_account_new", knowledge.isAccountNew_ },
               { "share", shared_.rateLimiter_.ShareOf(aOrganisation.name_) },
               { "come_back_ms", base::ToMs(aRefusal.retryAfter_) } });
+  CountDecision(aOrganisation, "refused", aRefusal.basis_);
   shared_.metrics_
     .GetCounter("pumiceturn_requests_over_rate_total",
                 "Requests beyond their organisation's limit.")
--- a/Libraries/LibGateway/AccessControl.h
+++ b/Libraries/LibGateway/AccessControl.h
@@ -100,6 +100,17 @@
   void OnAccountOwnerTimeout(std::uint64_t aQuery);
   void OnRateReport(const std::string& aHost, const fleet::RateReport& aReport);
   void OnRateResponse(const fleet::RateResponse& aResponse);
+  /// Runs or rejects a request as decided.
+  void Apply(const fleet::RateDecision& aDecision,
+             const ExchangePtr& aExchange,
+             const fleet::Organisation& aOrganisation,
+             std::function<void()> aRun);
+  void RecordAdmission(const httpstream::Exchange& aExchange,
+                       const fleet::Organisation& aOrganisation,
+                       fleet::RateBasis aBasis);
+  void CountDecision(const fleet::Organisation& aOrganisation,
+                     std::string_view aDecision,
+                     fleet::RateBasis aBasis);
   void RejectOverLimit(httpstream::Exchange& aExchange,
                        const fleet::Organisation& aOrganisation,
                        const fleet::RateRefused& aRefusal);
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -225,6 +225,13 @@
   "A request is rejected: its organisation has its share of the slots in a "
   "shortage."
 };
+inline constexpr base::Event kRequestAdmittedUncertainly{
+  7140,
+  "request_admitted_uncertainly",
+  base::LogLevel::Info,
+  "A request of a limited organisation is admitted although its account's "
+  "owner didn't answer, or doesn't know what was admitted just before."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -113,7 +113,8 @@
            { "ask_first", base::ToMs(aResponse.queryFirstFor_) },
            { "no_credit", base::ToMs(aResponse.noCreditFor_) },
            { "come_back", base::ToMs(aResponse.retryAfter_) },
-           { "used_up", aResponse.isCreditUsedUp_ } };
+           { "used_up", aResponse.isCreditUsedUp_ },
+           { "new", aResponse.isAccountNew_ } };
 }
 
 fleet::RateResponse
@@ -127,8 +128,9 @@
   response.queryFirstFor_ = DecodeDuration(aRow.at("ask_first"));
   response.noCreditFor_ = DecodeDuration(aRow.at("no_credit"));
   response.retryAfter_ = DecodeDuration(aRow.at("come_back"));
-  // Gateways of earlier versions don't send it.
+  // Gateways of earlier versions don't send the last two.
   response.isCreditUsedUp_ = aRow.value("used_up", false);
+  response.isAccountNew_ = aRow.value("new", false);
   return response;
 }
 
