--- a/Tests/PlatformSoak/FaultProxy.cpp
+++ b/Tests/PlatformSoak/FaultProxy.cpp
@@ -42,6 +42,14 @@
 
 } // namespace
 
+std::chrono::milliseconds
+FaultProxy::Fault::DrawDelay()
+{
+  std::uniform_int_distribution<std::chrono::milliseconds::rep> jitter(
+    0, maxJitter_.count());
+  return delay_ + std::chrono::milliseconds(jitter(random_));
+}
+
 FaultProxy::FaultProxy(asio::io_context& aContext, const tcp::endpoint& aTarget)
   : context_(aContext)
   , acceptor_(aContext, { asio::ip::address_v4::loopback(), 0 })
@@ -116,8 +124,8 @@
   while (true) {
     auto [error, bytes] =
       co_await from.async_read_some(asio::buffer(data), kNoThrow);
-    if (aFault->delay_.count() > 0) {
-      co_await Wait(from.get_executor(), aFault->delay_);
+    if (const auto delay = aFault->DrawDelay(); delay.count() > 0) {
+      co_await Wait(from.get_executor(), delay);
     }
     while (from.is_open() &&
            (aConnection->isBlocked_ ||
--- a/Tests/PlatformSoak/FaultProxy.h
+++ b/Tests/PlatformSoak/FaultProxy.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace pumiceturn::adapter {
@@ -27,6 +28,15 @@
   /// Delays each piece of data.
   void SetDelay(std::chrono::milliseconds aDelay) { fault_->delay_ = aDelay; }
 
+  /// Delays each piece of data by a random time, so that answers on different
+  /// connections arrive in another order.
+  /// @param aMax Zero: no delay.
+  void SetJitter(std::chrono::milliseconds aMax, std::uint32_t aSeed)
+  {
+    fault_->maxJitter_ = aMax;
+    fault_->random_.seed(aSeed);
+  }
+
   /// Blocks or unblocks all data in each direction.
   void SetBlocked(bool aIsForwardBlocked, bool aIsBackBlocked)
   {
@@ -46,6 +56,10 @@
   struct Fault
   {
     std::chrono::milliseconds delay_{ 0 };
+    std::chrono::milliseconds maxJitter_{ 0 };
+    std::minstd_rand random_;
+
+    [[nodiscard]] std::chrono::milliseconds DrawDelay();
     bool isForwardBlocked_ = false;
     bool isBackBlocked_ = false;
   };
--- a/Tests/PlatformSoak/GatewayProcess.h
+++ b/Tests/PlatformSoak/GatewayProcess.h
@@ -19,6 +19,8 @@
     std::string ip_;    ///< Unique to the host, within 127.0.0.0/8.
     std::string store_; ///< IP:PORT
     bool isEntry_ = false;
+    /// More bounds, as in the settings file: ", name: value" each.
+    std::string bounds_ = {};
   };
 
   static constexpr std::uint16_t kCallerPort = 8080;
--- a/Tests/PlatformSoak/SoakTest.cpp
+++ b/Tests/PlatformSoak/SoakTest.cpp
@@ -1,23 +1,10 @@
+#include "Tests/PlatformSoak/Environment.h"
 #include "Tests/PlatformSoak/SoakFixture.h"
 
-#include <cstdlib>
 #include <iostream>
 
 namespace pumiceturn::adapter {
 
-namespace {
-
-/// @return the number in an environment variable, or a default.
-std::uint64_t
-ReadNumber(const char* aVariable, std::uint64_t aDefault)
-{
-  // NOLINTNEXTLINE(concurrency-mt-unsafe): there is one thread.
-  const char* text = std::getenv(aVariable);
-  return text != nullptr ? std::stoull(text) : aDefault;
-}
-
-} // namespace
-
 // Guards against mixed-up responses, lost or duplicate items, and requests that
 // ran although they were reported as not run, under overlapping faults of
 // processes, connections and the store. Meta/soak_platform.sh runs more seeds.
