LibFleet: Split HandleReport of rate accounts

Takeovers and responses get functions of their own, the oldest kept slice is named once, and the tests of reporting hosts share a fixture.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -17,8 +17,9 @@
 constexpr std::chrono::milliseconds kQueryFirstDuration{ 2000 };
 
 /// Shares of the tolerance that are added to the bucket's capacity, and given
-/// to a new owner as initial credit. A window in which the owner restarts may
-/// admit both in addition to the limit, so their sum must not exceed 1.
+/// as initial credit to an owner that doesn't know the account's history. A
+/// window in which the owner restarts may admit both in addition to the limit,
+/// so their sum must not exceed 1.
 constexpr double kBucketToleranceShare = 0.25;
 constexpr double kInitialToleranceShare = 0.15;
 
@@ -54,6 +55,10 @@
 /// this one after a report. Hosts report each 200 ms while they admit requests.
 constexpr std::chrono::milliseconds kReporterLifetime{ 500 };
 
+/// How long hosts may take until all have chosen a new owner and it knows so.
+/// What it refuses meanwhile doesn't show how much credit the account has.
+constexpr std::chrono::milliseconds kTakeoverTime{ 300 };
+
 /// Avoids division by zero for very low limits. In requests per second.
 constexpr double kMinRate = 1e-3;
 
@@ -139,22 +144,24 @@
 }
 
 void
-RateAccounts::ApplyTotals(Account& aAccount,
+RateAccounts::BeginSeries(Account& aAccount,
                           HostTotals& aTotals,
-                          const RateReport& aReport,
-                          base::Instant aNow) const
+                          const RateReport& aReport)
 {
-  aTotals.reportedAt_ = aNow;
-  aTotals.requests_.AdvanceTo(WindowCounter::SliceAt(aNow, tolerance_.window_));
-  if (aTotals.seriesId_ != aReport.seriesId_) {
-    const bool isNewHost = aTotals.seriesId_ == 0;
-    aTotals.seriesId_ = aReport.seriesId_;
-    aTotals.admitted_ = 0;
-    aTotals.refunded_ = 0;
-    if (aReport.history_) {
-      ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost);
-    }
+  const bool isNewHost = aTotals.seriesId_ == 0;
+  aTotals.seriesId_ = aReport.seriesId_;
+  aTotals.admitted_ = 0;
+  aTotals.refunded_ = 0;
+  if (aReport.history_) {
+    ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost);
   }
+}
+
+void
+RateAccounts::ApplyTotals(Account& aAccount,
+                          HostTotals& aTotals,
+                          const RateReport& aReport)
+{
   // Totals never decrease: a lower one is from an older message.
   if (aReport.admitted_ > aTotals.admitted_) {
     Debit(aAccount,
@@ -191,8 +198,8 @@
     aAccount.usedUpSlice_ = std::max(
       aAccount.usedUpSlice_, current - std::int64_t{ *aHistory.usedUpSlice_ });
   }
-  // Of a host that reported here before it was started anew, what it doesn't
-  // know was counted here.
+  // Of a restarted host that reported here before, this owner has counted what
+  // the host no longer knows.
   if (aIsNewHost) {
     aAccount.knownSince_ = std::max(aAccount.knownSince_, current - known + 1);
   }
@@ -204,8 +211,7 @@
                                 base::Instant aNow) const
 {
   const std::int64_t current = aAccount.hostRequests_.CurrentSlice();
-  const std::int64_t oldest =
-    current - static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
+  const std::int64_t oldest = aAccount.hostRequests_.OldestSlice();
   const bool isComplete = aAccount.knownSince_ <= oldest;
   double credit = isComplete ? aAllowance.capacity_ : aAllowance.initialCredit_;
   const base::Duration length = WindowCounter::SliceLength(tolerance_.window_);
@@ -249,9 +255,7 @@
 bool
 RateAccounts::IsHistoryIncomplete(const Account& aAccount)
 {
-  const std::int64_t oldest =
-    aAccount.requests_.CurrentSlice() -
-    static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
+  const std::int64_t oldest = aAccount.requests_.OldestSlice();
   return aAccount.knownSince_ > oldest ||
          (aAccount.isCreditUnknown_ && aAccount.createdInSlice_ > oldest);
 }
@@ -276,56 +280,83 @@
   HostTotals& totals = account.totals_[aHost];
   const bool isNewSeries = totals.seriesId_ != aReport.seriesId_;
   Refill(account, allowance, aMembers, isNewSeries, aNow);
-  ApplyTotals(account, totals, aReport, aNow);
-  const bool hasHistory = isNewSeries && aReport.history_;
-  if (hasHistory && account.isCreditUnknown_) {
-    account.isCreditUnknown_ = false;
-    account.takenOverAt_ = aNow;
-  }
-  const base::Duration sinceTakeover = aNow - account.takenOverAt_;
-  const bool isTakeover = sinceTakeover <= kRateTakeoverTime;
-  if (isTakeover && (hasHistory || share != account.share_)) {
-    account.credit_ = CreditFromHistory(account, allowance, aNow);
-  } else if (hasHistory && sinceTakeover <= tolerance_.window_) {
-    // The host's part of the limit may have been granted without its history.
-    account.credit_ =
-      std::min(account.credit_, CreditFromHistory(account, allowance, aNow));
+  totals.reportedAt_ = aNow;
+  totals.requests_.AdvanceTo(account.requests_.CurrentSlice());
+  if (isNewSeries) {
+    BeginSeries(account, totals, aReport);
   }
+  ApplyTotals(account, totals, aReport);
+  const bool hasHistory = isNewSeries && aReport.history_;
+  const bool isTakeover =
+    UpdateTakeover(account, allowance, share, hasHistory, aNow);
   account.share_ = share;
   account.credit_ = std::clamp(
     account.credit_, -kMaxDebtSeconds * allowance.rate_, allowance.capacity_);
+  return MakeResponse(account, totals, aReport, allowance, isTakeover);
+}
+
+bool
+RateAccounts::UpdateTakeover(Account& aAccount,
+                             const Allowance& aAllowance,
+                             double aShare,
+                             bool aHasHistory,
+                             base::Instant aNow) const
+{
+  if (aHasHistory && aAccount.isCreditUnknown_) {
+    aAccount.isCreditUnknown_ = false;
+    aAccount.takenOverAt_ = aNow;
+  }
+  const base::Duration sinceTakeover = aNow - aAccount.takenOverAt_;
+  const bool isTakeover = sinceTakeover <= kTakeoverTime;
+  if (isTakeover && (aHasHistory || aShare != aAccount.share_)) {
+    aAccount.credit_ = CreditFromHistory(aAccount, aAllowance, aNow);
+  } else if (aHasHistory && sinceTakeover <= tolerance_.window_) {
+    // The host's part of the limit may have been granted without its history.
+    aAccount.credit_ =
+      std::min(aAccount.credit_, CreditFromHistory(aAccount, aAllowance, aNow));
+  }
+  return isTakeover;
+}
+
+RateResponse
+RateAccounts::MakeResponse(Account& aAccount,
+                           HostTotals& aTotals,
+                           const RateReport& aReport,
+                           const Allowance& aAllowance,
+                           bool aIsTakeover) const
+{
   RateResponse response;
   response.organisation_ = aReport.organisation_;
   response.seriesId_ = aReport.seriesId_;
   response.query_ = aReport.query_;
-  response.isAccountNew_ = IsHistoryIncomplete(account);
+  response.isAccountNew_ = IsHistoryIncomplete(aAccount);
   if (aReport.query_ != 0) {
-    response.isGranted_ = AvailableRequests(account, allowance) >= 1.0;
+    response.isGranted_ = AvailableRequests(aAccount, aAllowance) >= 1.0;
     if (response.isGranted_) {
-      Debit(account, totals, 1);
+      Debit(aAccount, aTotals, 1);
     } else {
-      account.recentRefusals_ += 1.0;
+      aAccount.recentRefusals_ += 1.0;
     }
   }
-  if (!isTakeover && account.credit_ < 1.0) {
-    account.usedUpSlice_ = account.requests_.CurrentSlice();
+  if (!aIsTakeover && aAccount.credit_ < 1.0) {
+    aAccount.usedUpSlice_ = aAccount.requests_.CurrentSlice();
     response.isCreditUsedUp_ = true;
   }
-  const double available = AvailableRequests(account, allowance);
-  if (available <
-      std::max(1.0,
-               kQueryFirstThreshold *
-                 std::min(allowance.capacity_, allowance.requestsPerWindow_))) {
+  const double available = AvailableRequests(aAccount, aAllowance);
+  if (available < std::max(1.0,
+                           kQueryFirstThreshold *
+                             std::min(aAllowance.capacity_,
+                                      aAllowance.requestsPerWindow_))) {
     response.queryFirstFor_ = kQueryFirstDuration;
   }
   if (available < 1.0) {
-    const base::Duration timeToCredit = TimeToCredit(account, allowance);
+    const base::Duration timeToCredit = TimeToCredit(aAccount, aAllowance);
     // During a takeover the credit grows with each further host that chose this
     // owner.
-    response.noCreditFor_ = isTakeover ? base::Duration::zero() : timeToCredit;
+    response.noCreditFor_ = aIsTakeover ? base::Duration::zero() : timeToCredit;
     response.retryAfter_ = std::clamp<base::Duration>(
-      FromSeconds(account.recentRefusals_ /
-                  std::max(allowance.rate_, kMinRate)),
+      FromSeconds(aAccount.recentRefusals_ /
+                  std::max(aAllowance.rate_, kMinRate)),
       timeToCredit,
       kMaxRetryAfter);
   }
@@ -351,10 +382,7 @@
   const base::Duration slice = WindowCounter::SliceLength(tolerance_.window_);
   double inWindow = static_cast<double>(aAccount.requests_.Sum());
   base::Duration byWindow{ 0 };
-  const std::int64_t oldest =
-    aAccount.requests_.CurrentSlice() -
-    static_cast<std::int64_t>(WindowCounter::kSlicesPerWindow);
-  for (std::int64_t leaving = oldest;
+  for (std::int64_t leaving = aAccount.requests_.OldestSlice();
        leaving <= aAccount.requests_.CurrentSlice() &&
        aAllowance.requestsPerWindow_ - inWindow < 1.0;
        ++leaving) {
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -87,7 +87,7 @@
     bool isCreditUnknown_ = true;
     /// Slice from which on this owner counts requests.
     std::int64_t createdInSlice_ = std::numeric_limits<std::int64_t>::min();
-    /// When the first history arrived after that.
+    /// When the first history arrived after the credit became unknown.
     base::Instant takenOverAt_{};
     double recentRefusals_ = 0.0; ///< Recently refused requests, decaying.
     base::Instant refilledAt_;
@@ -123,10 +123,13 @@
   static void Debit(Account& aAccount,
                     HostTotals& aTotals,
                     std::int64_t aRequests);
-  void ApplyTotals(Account& aAccount,
-                   HostTotals& aTotals,
-                   const RateReport& aReport,
-                   base::Instant aNow) const;
+  /// Begins a host's series of reports, with its history if it sent one.
+  static void BeginSeries(Account& aAccount,
+                          HostTotals& aTotals,
+                          const RateReport& aReport);
+  static void ApplyTotals(Account& aAccount,
+                          HostTotals& aTotals,
+                          const RateReport& aReport);
 
   /// Replaces what is known of a host's requests before its series of reports.
   /// @param aIsNewHost Whether the host never reported to this account.
@@ -141,6 +144,23 @@
                                          const Allowance& aAllowance,
                                          base::Instant aNow) const;
 
+  /// Recomputes the credit from the hosts' histories if this owner took over
+  /// the account within the last window.
+  /// @param aHasHistory Whether the report brought a history.
+  /// @return whether hosts may still be changing to this owner.
+  [[nodiscard]] bool UpdateTakeover(Account& aAccount,
+                                    const Allowance& aAllowance,
+                                    double aShare,
+                                    bool aHasHistory,
+                                    base::Instant aNow) const;
+
+  /// Decides on a report's query, if it has one, and makes the response.
+  [[nodiscard]] RateResponse MakeResponse(Account& aAccount,
+                                          HostTotals& aTotals,
+                                          const RateReport& aReport,
+                                          const Allowance& aAllowance,
+                                          bool aIsTakeover) const;
+
   /// @return whether requests were admitted within the last window that this
   ///         owner may not know of.
   [[nodiscard]] static bool IsHistoryIncomplete(const Account& aAccount);
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -93,7 +93,6 @@
   Usage& usage = found->second;
   if (isNew) {
     usage.seriesId_ = aRandom();
-    usage.history_.requests_.AdvanceTo(SliceAt(aNow));
   }
   const std::string& owner = members_.OwnerOf(aOrganisation.name_);
   if (usage.owner_ != owner) {
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -9,11 +9,6 @@
 
 namespace pumiceturn::fleet {
 
-/// How long hosts may take until all have chosen a new owner and it knows so.
-/// What it refuses meanwhile doesn't show how much credit the account has.
-inline constexpr base::Duration kRateTakeoverTime{ std::chrono::milliseconds{
-  300 } };
-
 /// What a host knows of an organisation's requests in the last window, for an
 /// owner that takes over the account.
 struct RateHistory
--- a/Libraries/LibFleet/WindowCounter.cpp
+++ b/Libraries/LibFleet/WindowCounter.cpp
@@ -13,8 +13,7 @@
 bool
 WindowCounter::IsKept(std::int64_t aSlice) const
 {
-  return aSlice <= slice_ &&
-         slice_ - aSlice < static_cast<std::int64_t>(kSlices);
+  return aSlice <= slice_ && aSlice >= OldestSlice();
 }
 
 void
--- a/Libraries/LibFleet/WindowCounter.h
+++ b/Libraries/LibFleet/WindowCounter.h
@@ -47,6 +47,12 @@
 
   [[nodiscard]] std::int64_t CurrentSlice() const { return slice_; }
 
+  /// @return the oldest slice that is kept.
+  [[nodiscard]] std::int64_t OldestSlice() const
+  {
+    return slice_ - static_cast<std::int64_t>(kSlicesPerWindow);
+  }
+
 private:
   [[nodiscard]] bool IsKept(std::int64_t aSlice) const;
   [[nodiscard]] static std::size_t IndexOf(std::int64_t aSlice);
--- a/Tests/LibFleet/RateLimiterHandoverTest.cpp
+++ b/Tests/LibFleet/RateLimiterHandoverTest.cpp
@@ -193,28 +193,44 @@
   CHECK(CountGranted(history) <= 12);
 }
 
+/// A host that admits requests, and the one worker that it reaches.
+class RateReporterFixture
+{
+protected:
+  void ReachOnly(const std::string& aWorker)
+  {
+    limiter_.SetMembers(
+      std::vector{ RateLimitMembership::Member{ aWorker, true, false } }, now_);
+  }
+
+  RateDecision Check(const RateLimit& aLimit)
+  {
+    return limiter_.Check({ "a", {}, aLimit }, now_, random_);
+  }
+
+  RateLimiter limiter_{ "entry", true, { 5s, 0.1, 20.0 } };
+  base::Instant now_{ 24h };
+  std::mt19937_64 random_{ 1 };
+};
+
 // Guards against a history that is counted again when its report is repeated.
-TEST_CASE("RateLimiter_OwnerResponds_HistoryIsSentNoMore")
+TEST_CASE_METHOD(RateReporterFixture,
+                 "RateLimiter_OwnerResponds_HistoryIsSentNoMore")
 {
-  RateLimiter limiter("entry", true, { 5s, 0.1, 20.0 });
-  base::Instant now{ 24h };
-  std::mt19937_64 random{ 1 };
-  using Member = RateLimitMembership::Member;
-  limiter.SetMembers(std::vector{ Member{ "w1", true, false } }, now);
-  now += 1min;
-  const Organisation organisation{ "a", {}, { 100, 800 } };
+  ReachOnly("w1");
+  now_ += 1min;
+  const RateLimit limit{ 100, 800 };
   for (int request = 0; request < 30; ++request) {
-    CHECK(std::holds_alternative<RateAdmitted>(
-      limiter.Check(organisation, now, random)));
+    CHECK(std::holds_alternative<RateAdmitted>(Check(limit)));
   }
-  REQUIRE(limiter.CollectDueReports(now).empty());
-  now += 200ms;
-  REQUIRE(limiter.CollectDueReports(now).size() == 1);
+  REQUIRE(limiter_.CollectDueReports(now_).empty());
+  now_ += 200ms;
+  REQUIRE(limiter_.CollectDueReports(now_).size() == 1);
 
-  now += 1s;
-  limiter.SetMembers(std::vector{ Member{ "w2", true, false } }, now);
+  now_ += 1s;
+  ReachOnly("w2");
   for (int repeat = 0; repeat < 3; ++repeat) {
-    const auto due = limiter.CollectDueReports(now);
+    const auto due = limiter_.CollectDueReports(now_);
     REQUIRE(due.size() == 1);
     CHECK(due.front().first == "w2");
     REQUIRE(due.front().second.history_);
@@ -225,34 +241,31 @@
     CHECK(due.front().second.isResponseNeeded_);
     if (repeat == 2) {
       static_cast<void>(
-        limiter.HandleResponse({ "a", due.front().second.seriesId_ }, now));
+        limiter_.HandleResponse({ "a", due.front().second.seriesId_ }, now_));
     }
-    now += 200ms;
+    now_ += 200ms;
   }
-  CHECK(limiter.CollectDueReports(now).empty());
+  CHECK(limiter_.CollectDueReports(now_).empty());
 }
 
 // Guards against a grant of the former owner that the new one never hears of.
-TEST_CASE("RateLimiter_FormerOwnerGrantsLate_IsReportedToOwner")
+TEST_CASE_METHOD(RateReporterFixture,
+                 "RateLimiter_FormerOwnerGrantsLate_IsReportedToOwner")
 {
-  RateLimiter limiter("entry", true, { 5s, 0.1, 20.0 });
-  base::Instant now{ 24h };
-  std::mt19937_64 random{ 1 };
-  using Member = RateLimitMembership::Member;
-  limiter.SetMembers(std::vector{ Member{ "w1", true, false } }, now);
-  const Organisation organisation{ "a", {}, { 1, 8 } };
-  auto decision = limiter.Check(organisation, now, random);
+  ReachOnly("w1");
+  const RateLimit limit{ 1, 8 };
+  auto decision = Check(limit);
   while (std::holds_alternative<RateAdmitted>(decision)) {
-    decision = limiter.Check(organisation, now, random);
+    decision = Check(limit);
   }
   const RateReport query = std::get<RateQuery>(decision).report_;
-  now += 10ms;
-  limiter.SetMembers(std::vector{ Member{ "w2", true, false } }, now);
-  static_cast<void>(limiter.CollectDueReports(now));
-  static_cast<void>(
-    limiter.HandleResponse({ "a", query.seriesId_, query.query_, true }, now));
-  now += 200ms;
-  const auto due = limiter.CollectDueReports(now);
+  now_ += 10ms;
+  ReachOnly("w2");
+  static_cast<void>(limiter_.CollectDueReports(now_));
+  static_cast<void>(limiter_.HandleResponse(
+    { "a", query.seriesId_, query.query_, true }, now_));
+  now_ += 200ms;
+  const auto due = limiter_.CollectDueReports(now_);
   REQUIRE(due.size() == 1);
   CHECK(due.front().first == "w2");
   CHECK(due.front().second.admitted_ == 1);
