LibFleet: Query the owner where the burst leaves no request for each host

Cause: each host admitted one request before it asked, however small the burst and however many hosts, and up to two without any response; anew after each restart, and nobody remembers across a restart of all.

An eighth of the burst, divided by the hosts, is now rounded down: where it is below one, each request needs a query. A host without any response since its start admits nothing at once within its first window; later it can't be part of a series of restarts. So what is admitted unheard of is bounded for the fleet by a share of the burst, whatever the number of hosts.

Ruled out: that handing accounts over causes it; breaks the tests in the same way. A larger constant for one case: the sum would still grow with hosts and restarts.

--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -74,6 +74,7 @@
   next.limit_ = aUsage.limit_;
   next.usedAt_ = aUsage.usedAt_;
   next.unconfirmed_ = aUsage.unconfirmed_;
+  next.wasAnswered_ = aUsage.wasAnswered_;
   next.queryUntil_ = aUsage.queryUntil_;
   next.maxUnreported_ = aUsage.maxUnreported_;
   next.history_ = aUsage.history_;
@@ -103,7 +104,7 @@
   const double maxUnreported = kUnreportedShare * aOrganisation.limit_.burst_ /
                                static_cast<double>(members_.AdmittingCount());
   usage.maxUnreported_ =
-    static_cast<std::uint64_t>(std::clamp(maxUnreported, 1.0, kMaxUnreported));
+    static_cast<std::uint64_t>(std::min(maxUnreported, kMaxUnreported));
   return usage;
 }
 
@@ -156,8 +157,13 @@
 {
   const std::uint64_t unreported =
     aUsage.admitted_ + aUsage.refunded_ - aUsage.reported_;
+  // Hosts that restart again and again must not each admit requests that no
+  // owner ever hears of.
+  const bool mayBeUnconfirmed =
+    aUsage.wasAnswered_ || aNow - startedAt_.value_or(aNow) >= window_;
   const bool isConfirmed = aNow - aUsage.respondedAt_ <= kMaxResponseAge ||
-                           aUsage.unconfirmed_ < 2 * aUsage.maxUnreported_;
+                           (mayBeUnconfirmed &&
+                            aUsage.unconfirmed_ < 2 * aUsage.maxUnreported_);
   return aUsage.owner_ != members_.OwnName() && aNow >= aUsage.queryUntil_ &&
          unreported < aUsage.maxUnreported_ && isConfirmed &&
          !aUsage.hasUnansweredQuery_;
@@ -242,6 +248,7 @@
   aUsage.noCreditUntil_ = aNow + aResponse.noCreditFor_;
   aUsage.retryAfter_ = aResponse.retryAfter_;
   aUsage.respondedAt_ = aNow;
+  aUsage.wasAnswered_ = true;
   aUsage.isAccountNew_ = aResponse.isAccountNew_;
   aUsage.hasUnansweredQuery_ = false;
   aUsage.unconfirmed_ = 0;
@@ -334,8 +341,9 @@
     const bool isDelayOver = aNow - usage.reportedAt_ >= kMaxReportDelay;
     const bool hasHandover =
       usage.handover_ && usage.handover_->requests_.Sum() > 0;
-    if (unreported < usage.maxUnreported_ &&
-        !(isDelayOver && (unreported > 0 || hasHandover))) {
+    const bool isReportDue =
+      unreported > 0 && (isDelayOver || unreported >= usage.maxUnreported_);
+    if (!isReportDue && !(isDelayOver && hasHandover)) {
       continue;
     }
     RateReport report = MakeReport(organisation, usage, aNow);
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -125,12 +125,15 @@
     History history_;
     /// History at the start of the series, until the owner knows it.
     std::optional<History> handover_ = std::nullopt;
-    /// Number of unreported requests from which a report is due.
-    std::uint64_t maxUnreported_ = 1;
+    /// Number of unreported requests from which a report is due. 0: the burst
+    /// leaves no request for each host, so each request needs a query.
+    std::uint64_t maxUnreported_ = 0;
     base::Instant reportedAt_;
     base::Instant usedAt_;
     base::Instant respondedAt_; ///< When the owner last responded.
     bool isAccountNew_ = false; ///< As of the owner's last response.
+    /// An owner responded since this host started.
+    bool wasAnswered_ = false;
     /// Requests admitted without a query since the owner's last response.
     std::uint64_t unconfirmed_ = 0;
     /// The owner didn't respond to a query since its last response.
