LibFleet: Let new accounts gain their initial credit over time

Callers saw an organisation get up to 1.83 of its bound when all hosts restart several times within a window, also with queries before each request.

Cause: an owner that doesn't know an account's history began with 0.15 of the tolerance at once, so each restart of the whole fleet granted it anew; and as hosts told since which slice they know what they admitted, the owner credited up to a quarter of a second at the rate from before the restart, again each time.

Such an account now begins empty and gains the 0.15 within 1.25 s beside the rate, from the moment since which its history is known. Restarts then add at most 0.6 of the tolerance to a window, however many there are: the accruals of lives that don't overlap can't add up to more than a window's. With the bucket's 0.25 that stays below 1. Histories say how long they are known in milliseconds ('known_ms'); without it, as from earlier versions, the part of the first slice isn't credited.

RateLimiter_ReportWithoutHistory_BeginsWithPartOfTolerance expected that lump of 7 requests at once, which is the fault. It is replaced by ..._GainsPartOfTolerance, which checks the exact number at three moments.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -17,12 +17,17 @@
 constexpr std::chrono::milliseconds kQueryFirstDuration{ 2000 };
 
 /// Shares of the tolerance that are added to the bucket's capacity, and given
-/// as initial credit to an owner that doesn't know the account's history. A
-/// window in which the owner restarts may admit both in addition to the limit,
-/// so their sum must not exceed 1.
+/// to an owner that doesn't know the account's history.
 constexpr double kBucketToleranceShare = 0.25;
 constexpr double kInitialToleranceShare = 0.15;
 
+/// Time in which an owner that doesn't know the history gets
+/// kInitialToleranceShare, in addition to the rate. All at once, it would be
+/// granted anew at each restart of the whole fleet; so restarts add at most
+/// kInitialToleranceShare * window / kInitialCreditTime to a window, however
+/// many there are. With kBucketToleranceShare this must not exceed 1.
+constexpr std::chrono::milliseconds kInitialCreditTime{ 1250 };
+
 /// Share of the tolerance that is added to the limit while some hosts are
 /// unreachable, since half of the fleet or more may be down and leave its share
 /// of the limit unused. The rest is kept, as it isn't known what they admit.
@@ -114,15 +119,15 @@
   const bool hadOtherOwner =
     aIsNewSeries && aAccount.refilledAt_ + kMinUnusedForOtherOwner < changedAt;
   if (aAccount.refilledAt_ == base::Instant{} || hadOtherOwner) {
-    aAccount.credit_ = aAllowance.initialCredit_;
+    aAccount.credit_ = 0.0;
     aAccount.refilledAt_ = std::min(changedAt, aNow);
-    aAccount.createdInSlice_ =
-      WindowCounter::SliceAt(aAccount.refilledAt_, tolerance_.window_);
+    aAccount.unknownUntil_ = aAccount.refilledAt_;
     aAccount.isCreditUnknown_ = true;
   }
   const base::Duration passed = aNow - aAccount.refilledAt_;
   aAccount.credit_ =
-    std::min(aAccount.credit_ + aAllowance.rate_ * ToSeconds(passed),
+    std::min(aAccount.credit_ +
+               AccruedCredit(aAccount, aAllowance, aAccount.refilledAt_, aNow),
              aAllowance.capacity_);
   aAccount.recentRefusals_ *=
     std::exp(-ToSeconds(passed) / ToSeconds(base::Duration(kRefusalDecayTime)));
@@ -132,6 +137,21 @@
   aAccount.hostRequests_.AdvanceTo(slice);
 }
 
+double
+RateAccounts::AccruedCredit(const Account& aAccount,
+                            const Allowance& aAllowance,
+                            base::Instant aFrom,
+                            base::Instant aTo)
+{
+  const base::Instant begin = std::max(aFrom, aAccount.unknownUntil_);
+  const base::Instant end =
+    std::min(aTo, aAccount.unknownUntil_ + kInitialCreditTime);
+  const double initialShare =
+    std::max(ToSeconds(end - begin), 0.0) / ToSeconds(kInitialCreditTime);
+  return aAllowance.rate_ * ToSeconds(aTo - aFrom) +
+         aAllowance.initialCredit_ * initialShare;
+}
+
 void
 RateAccounts::Debit(Account& aAccount,
                     HostTotals& aTotals,
@@ -146,14 +166,15 @@
 void
 RateAccounts::BeginSeries(Account& aAccount,
                           HostTotals& aTotals,
-                          const RateReport& aReport)
+                          const RateReport& aReport,
+                          base::Instant aNow) const
 {
   const bool isNewHost = aTotals.seriesId_ == 0;
   aTotals.seriesId_ = aReport.seriesId_;
   aTotals.admitted_ = 0;
   aTotals.refunded_ = 0;
   if (aReport.history_) {
-    ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost);
+    ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost, aNow);
   }
 }
 
@@ -181,7 +202,8 @@
 RateAccounts::ApplyHistory(Account& aAccount,
                            HostTotals& aTotals,
                            const RateHistory& aHistory,
-                           bool aIsNewHost)
+                           bool aIsNewHost,
+                           base::Instant aNow) const
 {
   const std::int64_t current = aTotals.requests_.CurrentSlice();
   const auto known =
@@ -201,27 +223,53 @@
   // Of a restarted host that reported here before, this owner has counted what
   // the host no longer knows.
   if (aIsNewHost) {
-    aAccount.knownSince_ = std::max(aAccount.knownSince_, current - known + 1);
+    aAccount.knownSince_ =
+      std::max(aAccount.knownSince_, KnownSince(aHistory, aNow));
+  }
+}
+
+base::Instant
+RateAccounts::KnownSince(const RateHistory& aHistory, base::Instant aNow) const
+{
+  if (aHistory.knownFor_) {
+    return aNow - *aHistory.knownFor_;
   }
+  // The host may have started at the end of its first slice.
+  const auto slices =
+    static_cast<std::int64_t>(aHistory.requestsBySlice_.size());
+  const std::int64_t current = WindowCounter::SliceAt(aNow, tolerance_.window_);
+  const std::int64_t first =
+    slices < static_cast<std::int64_t>(WindowCounter::kSlices)
+      ? current - slices + 2
+      : current - slices + 1;
+  return std::min(
+    base::Instant{ first * WindowCounter::SliceLength(tolerance_.window_) },
+    aNow);
 }
 
 double
-RateAccounts::CreditFromHistory(const Account& aAccount,
+RateAccounts::CreditFromHistory(Account& aAccount,
                                 const Allowance& aAllowance,
                                 base::Instant aNow) const
 {
   const std::int64_t current = aAccount.hostRequests_.CurrentSlice();
   const std::int64_t oldest = aAccount.hostRequests_.OldestSlice();
-  const bool isComplete = aAccount.knownSince_ <= oldest;
-  double credit = isComplete ? aAllowance.capacity_ : aAllowance.initialCredit_;
   const base::Duration length = WindowCounter::SliceLength(tolerance_.window_);
-  for (std::int64_t slice = std::max(oldest, aAccount.knownSince_);
-       slice <= current;
-       ++slice) {
-    const base::Duration passed =
-      slice == current ? aNow.time_since_epoch() % length : length;
+  const bool isComplete = !IsHistoryIncomplete(aAccount);
+  const std::int64_t first =
+    isComplete
+      ? oldest
+      : WindowCounter::SliceAt(aAccount.knownSince_, tolerance_.window_);
+  aAccount.unknownUntil_ = isComplete ? base::Instant{} : aAccount.knownSince_;
+  double credit = isComplete ? aAllowance.capacity_ : 0.0;
+  for (std::int64_t slice = first; slice <= current; ++slice) {
+    const base::Instant end =
+      std::min(base::Instant{ (slice + 1) * length }, aNow);
+    const base::Instant begin =
+      std::clamp(aAccount.knownSince_, base::Instant{ slice * length }, end);
     const auto requests = static_cast<double>(aAccount.hostRequests_.At(slice));
-    credit = std::min(credit + aAllowance.rate_ * ToSeconds(passed) - requests,
+    credit = std::min(credit + AccruedCredit(aAccount, aAllowance, begin, end) -
+                        requests,
                       aAllowance.capacity_);
     if (slice == aAccount.usedUpSlice_) {
       // With a part of the limit, a debt may only mean that these hosts have
@@ -253,11 +301,12 @@
 }
 
 bool
-RateAccounts::IsHistoryIncomplete(const Account& aAccount)
+RateAccounts::IsHistoryIncomplete(const Account& aAccount) const
 {
-  const std::int64_t oldest = aAccount.requests_.OldestSlice();
+  const base::Instant oldest{ aAccount.requests_.OldestSlice() *
+                              WindowCounter::SliceLength(tolerance_.window_) };
   return aAccount.knownSince_ > oldest ||
-         (aAccount.isCreditUnknown_ && aAccount.createdInSlice_ > oldest);
+         (aAccount.isCreditUnknown_ && aAccount.unknownUntil_ > oldest);
 }
 
 double
@@ -283,7 +332,7 @@
   totals.reportedAt_ = aNow;
   totals.requests_.AdvanceTo(account.requests_.CurrentSlice());
   if (isNewSeries) {
-    BeginSeries(account, totals, aReport);
+    BeginSeries(account, totals, aReport, aNow);
   }
   ApplyTotals(account, totals, aReport);
   const bool hasHistory = isNewSeries && aReport.history_;
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -30,8 +30,8 @@
 /// however they are distributed in it, and by a credit bucket that fills at the
 /// organisation's rate. Hosts tell a new owner what they admitted in the last
 /// window, and it continues with the credit that this leaves. Where hosts don't
-/// know it, as they were started in the meantime, the owner begins with a small
-/// part of the tolerance.
+/// know it, as they were started in the meantime, the owner begins without
+/// credit and gains a small part of the tolerance beside the rate.
 ///
 /// While credit is plentiful, hosts admit requests without a query and report
 /// them afterwards; when it runs low, the owner requires a query first.
@@ -78,17 +78,17 @@
     /// Requests at the hosts, whoever granted them: the sum of
     /// HostTotals::requests_.
     WindowCounter hostRequests_;
-    /// First slice of which all hosts know what they admitted.
-    std::int64_t knownSince_ = std::numeric_limits<std::int64_t>::min();
+    /// Since when all hosts know what they admitted.
+    base::Instant knownSince_ = base::Instant::min();
     /// Slice in which the credit was last used up, here or at a former owner.
     std::int64_t usedUpSlice_ = std::numeric_limits<std::int64_t>::min();
     /// This owner doesn't know the account's credit until a host's history
     /// arrives.
     bool isCreditUnknown_ = true;
-    /// Slice from which on this owner counts requests.
-    std::int64_t createdInSlice_ = std::numeric_limits<std::int64_t>::min();
     /// When the first history arrived after the credit became unknown.
     base::Instant takenOverAt_{};
+    /// What was admitted before isn't known to this owner or any host.
+    base::Instant unknownUntil_{};
     double recentRefusals_ = 0.0; ///< Recently refused requests, decaying.
     base::Instant refilledAt_;
     double share_ = 0.0; ///< Of the limit, as of the last report.
@@ -100,7 +100,7 @@
   {
     double rate_ = 0.0;
     double capacity_ = 0.0; ///< Capacity of the bucket, in requests.
-    /// Credit of an owner that doesn't know the account's history.
+    /// Additional credit of an owner that doesn't know the account's history.
     double initialCredit_ = 0.0;
     double requestsPerWindow_ = 0.0; ///< Requests allowed in one window.
     bool isPartial_ = false; ///< Other owners grant the rest of the limit.
@@ -120,27 +120,40 @@
               const RateLimitMembership& aMembers,
               bool aIsNewSeries,
               base::Instant aNow) const;
+  /// @return the credit that an account gains in a time.
+  [[nodiscard]] static double AccruedCredit(const Account& aAccount,
+                                            const Allowance& aAllowance,
+                                            base::Instant aFrom,
+                                            base::Instant aTo);
   static void Debit(Account& aAccount,
                     HostTotals& aTotals,
                     std::int64_t aRequests);
   /// Begins a host's series of reports, with its history if it sent one.
-  static void BeginSeries(Account& aAccount,
-                          HostTotals& aTotals,
-                          const RateReport& aReport);
+  void BeginSeries(Account& aAccount,
+                   HostTotals& aTotals,
+                   const RateReport& aReport,
+                   base::Instant aNow) const;
   static void ApplyTotals(Account& aAccount,
                           HostTotals& aTotals,
                           const RateReport& aReport);
 
   /// Replaces what is known of a host's requests before its series of reports.
   /// @param aIsNewHost Whether the host never reported to this account.
-  static void ApplyHistory(Account& aAccount,
-                           HostTotals& aTotals,
-                           const RateHistory& aHistory,
-                           bool aIsNewHost);
-
-  /// @return the credit that the requests of the last window leave, if the
-  ///         bucket was full before.
-  [[nodiscard]] double CreditFromHistory(const Account& aAccount,
+  void ApplyHistory(Account& aAccount,
+                    HostTotals& aTotals,
+                    const RateHistory& aHistory,
+                    bool aIsNewHost,
+                    base::Instant aNow) const;
+
+  /// @return since when a host knows what it admitted.
+  [[nodiscard]] base::Instant KnownSince(const RateHistory& aHistory,
+                                         base::Instant aNow) const;
+
+  /// Determines since when the history is known.
+  /// @return the credit that the known requests of the last window leave, if
+  ///         the bucket was full before a completely known window, and
+  ///         otherwise empty.
+  [[nodiscard]] double CreditFromHistory(Account& aAccount,
                                          const Allowance& aAllowance,
                                          base::Instant aNow) const;
 
@@ -163,7 +176,7 @@
 
   /// @return whether requests were admitted within the last window that this
   ///         owner may not know of.
-  [[nodiscard]] static bool IsHistoryIncomplete(const Account& aAccount);
+  [[nodiscard]] bool IsHistoryIncomplete(const Account& aAccount) const;
 
   /// @return the number of requests that may be admitted now.
   [[nodiscard]] static double AvailableRequests(const Account& aAccount,
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -137,10 +137,13 @@
 {
   const std::int64_t current = SliceAt(aNow);
   aHistory.requests_.AdvanceTo(current);
+  constexpr auto kSlices = static_cast<std::int64_t>(WindowCounter::kSlices);
+  const base::Instant startedAt = startedAt_.value_or(aNow);
   const std::int64_t known =
-    std::min(current - SliceAt(startedAt_.value_or(aNow)) + 1,
-             static_cast<std::int64_t>(WindowCounter::kSlices));
+    std::min(current - SliceAt(startedAt) + 1, kSlices);
   RateHistory history;
+  history.knownFor_ = std::min<base::Duration>(
+    aNow - startedAt, WindowCounter::SliceLength(window_) * kSlices);
   for (std::int64_t age = 0; age < known; ++age) {
     history.requestsBySlice_.push_back(static_cast<std::uint32_t>(
       std::max<std::int64_t>(aHistory.requests_.At(current - age), 0)));
@@ -161,9 +164,9 @@
   // owner ever hears of.
   const bool mayBeUnconfirmed =
     aUsage.wasAnswered_ || aNow - startedAt_.value_or(aNow) >= window_;
-  const bool isConfirmed = aNow - aUsage.respondedAt_ <= kMaxResponseAge ||
-                           (mayBeUnconfirmed &&
-                            aUsage.unconfirmed_ < 2 * aUsage.maxUnreported_);
+  const bool isConfirmed =
+    aNow - aUsage.respondedAt_ <= kMaxResponseAge ||
+    (mayBeUnconfirmed && aUsage.unconfirmed_ < 2 * aUsage.maxUnreported_);
   return aUsage.owner_ != members_.OwnName() && aNow >= aUsage.queryUntil_ &&
          unreported < aUsage.maxUnreported_ && isConfirmed &&
          !aUsage.hasUnansweredQuery_;
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -20,6 +20,9 @@
   /// Index in requestsBySlice_ of the slice in which an owner last said that
   /// the credit is used up; std::nullopt: none in the window.
   std::optional<std::uint32_t> usedUpSlice_ = std::nullopt;
+  /// Time for which the host knows what it admitted, up to the length of
+  /// requestsBySlice_; std::nullopt: not given.
+  std::optional<base::Duration> knownFor_ = std::nullopt;
 
   bool operator==(const RateHistory&) const = default;
 };
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -38,6 +38,9 @@
   if (aHistory.usedUpSlice_) {
     row["used_up"] = *aHistory.usedUpSlice_;
   }
+  if (aHistory.knownFor_) {
+    row["known_ms"] = base::ToMs(*aHistory.knownFor_);
+  }
   return row;
 }
 
@@ -63,6 +66,9 @@
     }
     history.usedUpSlice_ = static_cast<std::uint32_t>(index);
   }
+  if (const auto known = aRow.find("known_ms"); known != aRow.end()) {
+    history.knownFor_ = DecodeDuration(*known);
+  }
   return history;
 }
 
--- a/Tests/LibFleet/RateLimiterHandoverTest.cpp
+++ b/Tests/LibFleet/RateLimiterHandoverTest.cpp
@@ -151,10 +151,14 @@
 // Guards against trusting a host of an earlier version, which sends no history,
 // to have admitted nothing.
 TEST_CASE_METHOD(RateHistoryFixture,
-                 "RateLimiter_ReportWithoutHistory_BeginsWithPartOfTolerance")
+                 "RateLimiter_ReportWithoutHistory_GainsPartOfTolerance")
 {
-  // 0.15 of the tolerance of 36, and 100 ms at the rate.
-  CHECK(CountGranted(std::nullopt) == 7);
+  // 100 ms at the rate, and 0.15 of the tolerance of 36 within 1.25 s.
+  CHECK(CountGranted(std::nullopt) == 2);
+  now_ += 1150ms;
+  CHECK(CountGranted(std::nullopt) == 28);
+  now_ += 1s;
+  CHECK(CountGranted(std::nullopt) == 20);
 }
 
 TEST_CASE_METHOD(RateHistoryFixture,
--- a/Tests/Platform/RateCodecTest.cpp
+++ b/Tests/Platform/RateCodecTest.cpp
@@ -18,13 +18,15 @@
 protected:
   [[nodiscard]] static fleet::RateReport Report()
   {
-    return { "archive", 77,   12,   3,
-             9,         4711, true, fleet::RateHistory{ { 4, 0, 300 }, 2 } };
+    return { "archive", 77,
+             12,        3,
+             9,         4711,
+             true,      fleet::RateHistory{ { 4, 0, 300 }, 2, 620ms } };
   }
 
   [[nodiscard]] static fleet::RateResponse Response()
   {
-    return { "archive", 77, 9, true, 2s, 37ms, 410ms, true };
+    return { "archive", 77, 9, true, 2s, 37ms, 410ms, true, true };
   }
 
   /// @return the bytes of a datagram with some of them overwritten.
@@ -66,7 +68,9 @@
 {
   json row = EncodeRateResponse(Response());
   row.erase("used_up");
+  row.erase("new");
   CHECK_FALSE(DecodeRateResponse(row).isCreditUsedUp_);
+  CHECK_FALSE(DecodeRateResponse(row).isAccountNew_);
 }
 
 // Guards against a forged history that uses up an organisation's credit for
@@ -91,6 +95,11 @@
     row["history"]["used_up"] = usedUp;
     CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
   }
+  for (const json& known : { json(-1), json(10001), json("1") }) {
+    json row = valid;
+    row["history"]["known_ms"] = known;
+    CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+  }
 }
 
 // Guards against a forged response blocking an organisation for years.
