LibFleet, LibGateway: Let requests wait for a new account or a lost owner

Callers within their limit were refused right after a restart of all hosts, since a new account begins with little credit, and until hosts noticed that an account's owner was lost; with queries before each request and accounts that begin empty it would have been more.

A decision can now be to wait and check again: where the owner doesn't know what was admitted in the last window or hosts are still changing to it, and where it doesn't answer. Such a request waits 0.75 s at most, which covers the time to notice a lost owner and to choose another; at most 8 requests of an organisation wait at a host, the others are refused at once, and so is what an owner that knows the account refuses. A lost datagram is now made up for by another query.

--- a/Libraries/LibFleet/RateDecision.cpp
+++ b/Libraries/LibFleet/RateDecision.cpp
@@ -16,6 +16,8 @@
       return "own_part";
     case RateBasis::NoCredit:
       return "no_credit";
+    case RateBasis::MembersUnknown:
+      return "members_unknown";
   }
   return "unknown";
 }
--- a/Libraries/LibFleet/RateDecision.h
+++ b/Libraries/LibFleet/RateDecision.h
@@ -15,11 +15,12 @@
 /// What a decision on a request of a limited organisation rests on.
 enum class RateBasis : std::uint8_t
 {
-  AtOnce,        ///< Admitted without a query, to be reported to the owner.
-  OwnAccount,    ///< This host owns the organisation's account.
-  OwnerResponse, ///< The owner answered a query.
-  OwnPart,       ///< The owner didn't answer: this host's part of the limit.
-  NoCredit,      ///< The owner said when there will be credit.
+  AtOnce,         ///< Admitted without a query, to be reported to the owner.
+  OwnAccount,     ///< This host owns the organisation's account.
+  OwnerResponse,  ///< The owner answered a query.
+  OwnPart,        ///< The owner didn't answer: this host's part of the limit.
+  NoCredit,       ///< The owner said when there will be credit.
+  MembersUnknown, ///< The registered hosts aren't known yet.
 };
 
 /// @return the basis as written in logs and metrics.
@@ -46,7 +47,15 @@
   RateReport report_; ///< Includes the query.
 };
 
-using RateDecision = std::variant<RateAdmitted, RateRefused, RateQuery>;
+/// There may soon be credit, or an owner that knows: the request should wait
+/// and be checked again.
+struct RateWait
+{
+  base::Duration time_{ 0 };
+};
+
+using RateDecision =
+  std::variant<RateAdmitted, RateRefused, RateQuery, RateWait>;
 
 /// What a host knew when it decided on a request, for logs.
 struct RateKnowledge
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -30,6 +30,18 @@
 constexpr double kMinRate = 1e-3;
 constexpr double kMaxRetryAfterSeconds = 5.0;
 
+/// How long a request may wait for an owner's answer, or for the credit of an
+/// account that is new to its owner, before it is refused. Covers the time in
+/// which hosts notice that an owner is lost and choose another.
+constexpr std::chrono::milliseconds kMaxWait{ 750 };
+
+/// Minimum wait before a request is checked again.
+constexpr std::chrono::milliseconds kMinWait{ 20 };
+
+/// Requests of an organisation that may wait at one host; more are refused at
+/// once, as an organisation beyond its limit would only wait for a refusal.
+constexpr std::size_t kMaxWaiting = 8;
+
 /// Time without requests after which an organisation's usage is dropped.
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 
@@ -74,6 +86,7 @@
   next.limit_ = aUsage.limit_;
   next.usedAt_ = aUsage.usedAt_;
   next.unconfirmed_ = aUsage.unconfirmed_;
+  next.waiting_ = aUsage.waiting_;
   next.wasAnswered_ = aUsage.wasAnswered_;
   next.queryUntil_ = aUsage.queryUntil_;
   next.maxUnreported_ = aUsage.maxUnreported_;
@@ -90,9 +103,8 @@
                       base::Instant aNow,
                       std::mt19937_64& aRandom)
 {
-  const auto [found, isNew] = usages_.try_emplace(aOrganisation.name_);
-  Usage& usage = found->second;
-  if (isNew) {
+  Usage& usage = usages_[aOrganisation.name_];
+  if (usage.seriesId_ == 0) {
     usage.seriesId_ = aRandom();
   }
   const std::string& owner = members_.OwnerOf(aOrganisation.name_);
@@ -172,16 +184,42 @@
          !aUsage.hasUnansweredQuery_;
 }
 
+bool
+RateLimiter::ShouldWait(const Usage& aUsage,
+                        base::Duration aTime,
+                        base::Duration aWaited)
+{
+  return aWaited + aTime <= kMaxWait && aUsage.waiting_ < kMaxWaiting;
+}
+
+void
+RateLimiter::EndWait(const std::string& aOrganisation)
+{
+  const auto usage = usages_.find(aOrganisation);
+  if (usage != usages_.end() && usage->second.waiting_ > 0) {
+    --usage->second.waiting_;
+  }
+}
+
 RateDecision
 RateLimiter::Check(const Organisation& aOrganisation,
                    base::Instant aNow,
-                   std::mt19937_64& aRandom)
+                   std::mt19937_64& aRandom,
+                   base::Duration aWaited)
 {
   if (!aOrganisation.limit_.IsSet()) {
     return RateAdmitted{};
   }
+  if (!startedAt_) {
+    return DecideWithoutMembers(aOrganisation, aNow, aWaited);
+  }
   Usage& usage = UsageFor(aOrganisation, aNow, aRandom);
   if (aNow < usage.noCreditUntil_) {
+    const base::Duration timeToCredit = usage.noCreditUntil_ - aNow;
+    if (usage.isAccountNew_ && ShouldWait(usage, timeToCredit, aWaited)) {
+      ++usage.waiting_;
+      return RateWait{ timeToCredit };
+    }
     return RateRefused{ usage.retryAfter_, RateBasis::NoCredit };
   }
   if (MayAdmitAtOnce(usage, aNow)) {
@@ -196,11 +234,27 @@
   }
   const RateResponse response = accounts_.HandleReport(
     members_.OwnName(), report, aOrganisation.limit_, members_, aNow);
-  return *HandleResponse(response, aNow);
+  return *HandleResponse(response, aNow, aWaited);
+}
+
+RateDecision
+RateLimiter::DecideWithoutMembers(const Organisation& aOrganisation,
+                                  base::Instant aNow,
+                                  base::Duration aWaited)
+{
+  Usage& usage = usages_[aOrganisation.name_];
+  usage.usedAt_ = aNow;
+  if (ShouldWait(usage, kMinWait, aWaited)) {
+    ++usage.waiting_;
+    return RateWait{ kMinWait };
+  }
+  return RateRefused{ kMaxWait, RateBasis::MembersUnknown };
 }
 
 RateDecision
-RateLimiter::CheckLocally(const Organisation& aOrganisation, base::Instant aNow)
+RateLimiter::CheckLocally(const Organisation& aOrganisation,
+                          base::Instant aNow,
+                          base::Duration aWaited)
 {
   Usage& usage = usages_[aOrganisation.name_];
   usage.usedAt_ = aNow;
@@ -221,6 +275,10 @@
     ++usage.admitted_;
     return RateAdmitted{ RateBasis::OwnPart };
   }
+  if (ShouldWait(usage, kMinWait, aWaited)) {
+    ++usage.waiting_;
+    return RateWait{ kMinWait };
+  }
   const double seconds = (1.0 - usage.localCredit_) * hosts /
                          std::max(limit.ratePerSecond_, kMinRate);
   return RateRefused{ std::chrono::duration_cast<base::Duration>(
@@ -261,7 +319,9 @@
 }
 
 std::optional<RateDecision>
-RateLimiter::HandleResponse(const RateResponse& aResponse, base::Instant aNow)
+RateLimiter::HandleResponse(const RateResponse& aResponse,
+                            base::Instant aNow,
+                            base::Duration aWaited)
 {
   const auto found = usages_.find(aResponse.organisation_);
   if (found != usages_.end()) {
@@ -287,6 +347,13 @@
   if (aResponse.isGranted_) {
     return RateAdmitted{ basis };
   }
+  const base::Duration timeToCredit =
+    std::max<base::Duration>(aResponse.noCreditFor_, kMinWait);
+  if (found != usages_.end() && aResponse.isAccountNew_ &&
+      ShouldWait(found->second, timeToCredit, aWaited)) {
+    ++found->second.waiting_;
+    return RateWait{ timeToCredit };
+  }
   return RateRefused{ aResponse.retryAfter_, basis };
 }
 
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -39,29 +39,40 @@
   ///        accounts.
   RateLimiter(std::string aOwnName, bool aAdmits, RateTolerance aTolerance);
 
+  /// Until the first call, no request of a limited organisation is admitted.
   /// @param aOthers All registered hosts except this one.
   void SetMembers(std::span<const RateLimitMembership::Member> aOthers,
                   base::Instant aNow);
 
   /// Decides on a request. Requests of an organisation without a limit aren't
   /// counted.
+  /// @param aWaited Since the request's first check.
   [[nodiscard]] RateDecision Check(const Organisation& aOrganisation,
                                    base::Instant aNow,
-                                   std::mt19937_64& aRandom);
+                                   std::mt19937_64& aRandom,
+                                   base::Duration aWaited = {});
 
   /// Decides on a request after the owner did not answer a query. Allows an
   /// even share of the limit per host.
+  /// @param aWaited Since the request's first check.
   [[nodiscard]] RateDecision CheckLocally(const Organisation& aOrganisation,
-                                          base::Instant aNow);
+                                          base::Instant aNow,
+                                          base::Duration aWaited = {});
+
+  /// Ends the wait that a RateWait asked for. Call it before the request is
+  /// checked again, or when it is given up.
+  void EndWait(const std::string& aOrganisation);
 
   /// Records that an admitted request was certainly not executed.
   void Refund(const std::string& aOrganisation);
 
   /// Applies an owner's response.
+  /// @param aWaited Since the first check of the request that it decides on.
   /// @return the decision on the query that it answers; empty if it answers
   ///         none.
   std::optional<RateDecision> HandleResponse(const RateResponse& aResponse,
-                                             base::Instant aNow);
+                                             base::Instant aNow,
+                                             base::Duration aWaited = {});
 
   /// Applies a host's report to an account that this host owns.
   /// @return the response to send; empty if none is due.
@@ -141,6 +152,7 @@
     base::Instant queryUntil_;
     base::Instant noCreditUntil_;
     base::Duration retryAfter_{ 0 };
+    std::size_t waiting_ = 0;  ///< Requests that wait to be checked again.
     double localCredit_ = 0.0; ///< Credit used by CheckLocally().
     base::Instant localCreditAt_;
   };
@@ -148,6 +160,19 @@
   /// @return whether a request may be admitted without a query.
   [[nodiscard]] bool MayAdmitAtOnce(const Usage& aUsage,
                                     base::Instant aNow) const;
+
+  /// Decides on a request while the registered hosts aren't known: if each host
+  /// took itself for the only one, each would grant the whole limit.
+  [[nodiscard]] RateDecision DecideWithoutMembers(
+    const Organisation& aOrganisation,
+    base::Instant aNow,
+    base::Duration aWaited);
+
+  /// @param aTime Until there may be credit.
+  /// @return whether a request should rather wait than be refused.
+  [[nodiscard]] static bool ShouldWait(const Usage& aUsage,
+                                       base::Duration aTime,
+                                       base::Duration aWaited);
   Usage& UsageFor(const Organisation& aOrganisation,
                   base::Instant aNow,
                   std::mt19937_64& aRandom);
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -72,7 +72,8 @@
   /// The account's credit is used up. Without it, requests may also be refused
   /// because the window is full.
   bool isCreditUsedUp_ = false;
-  /// The owner doesn't know all that was admitted in the last window.
+  /// The owner doesn't know all that was admitted in the last window, or hosts
+  /// are still changing to it.
   bool isAccountNew_ = false;
 
   bool operator==(const RateResponse&) const = default;
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -173,40 +173,93 @@
     aRun();
     return;
   }
-  const fleet::RateDecision decision = shared_.rateLimiter_.Check(
-    *organisation, base::MonotonicNow(), shared_.random_);
-  Apply(decision, aExchange, *organisation, std::move(aRun));
+  if (!organisation->limit_.IsSet()) {
+    aRun();
+    return;
+  }
+  Check({ aExchange, *aCaller, std::move(aRun), base::MonotonicNow() });
+}
+
+const fleet::Organisation*
+AccessControl::FindOrganisation(const UndecidedRequest& aRequest) const
+{
+  const fleet::Organisation* organisation =
+    shared_.routes_.Organisations().FindByName(aRequest.organisation_);
+  if (organisation == nullptr) {
+    aRequest.exchange_->Respond(
+      shared_.codec_.MakeUnavailable(kUncheckedRetryAfter));
+  }
+  return organisation;
+}
+
+void
+AccessControl::Check(UndecidedRequest aRequest)
+{
+  const fleet::Organisation* organisation = FindOrganisation(aRequest);
+  if (organisation == nullptr) {
+    return;
+  }
+  const base::Instant now = base::MonotonicNow();
+  Apply(shared_.rateLimiter_.Check(
+          *organisation, now, shared_.random_, now - aRequest.checkedAt_),
+        *organisation,
+        std::move(aRequest));
 }
 
 void
 AccessControl::Apply(const fleet::RateDecision& aDecision,
-                     const ExchangePtr& aExchange,
                      const fleet::Organisation& aOrganisation,
-                     std::function<void()> aRun)
+                     UndecidedRequest aRequest)
 {
-  if (const auto* refusal = std::get_if<fleet::RateRefused>(&aDecision)) {
-    RejectOverLimit(*aExchange, aOrganisation, *refusal);
-  } else if (const auto* query = std::get_if<fleet::RateQuery>(&aDecision)) {
-    QueryAccountOwner(aExchange, aOrganisation.name_, std::move(aRun), *query);
-  } else {
-    RecordAdmission(*aExchange,
-                    aOrganisation,
-                    std::get<fleet::RateAdmitted>(aDecision).basis_);
-    aRun();
-  }
+  struct Visitor
+  {
+    AccessControl& accessControl_;
+    const fleet::Organisation& organisation_;
+    UndecidedRequest& request_;
+
+    void operator()(const fleet::RateAdmitted& aAdmission) const
+    {
+      accessControl_.RecordAdmission(
+        *request_.exchange_, organisation_, aAdmission.basis_);
+      request_.run_();
+    }
+    void operator()(const fleet::RateRefused& aRefusal) const
+    {
+      accessControl_.RejectOverLimit(
+        *request_.exchange_, organisation_, aRefusal);
+    }
+    void operator()(const fleet::RateQuery& aQuery) const
+    {
+      accessControl_.QueryAccountOwner(std::move(request_), aQuery);
+    }
+    void operator()(const fleet::RateWait& aWait) const
+    {
+      accessControl_.CheckAgainAfter(aWait.time_, std::move(request_));
+    }
+  };
+  std::visit(Visitor{ *this, aOrganisation, aRequest }, aDecision);
+}
+
+void
+AccessControl::CheckAgainAfter(base::Duration aTime, UndecidedRequest aRequest)
+{
+  auto waiting = std::make_shared<PendingQuery>(executor_, std::move(aRequest));
+  waiting->timer_.expires_after(aTime);
+  waiting->timer_.async_wait(
+    lifetime_.Guard([this, waiting](const boost::system::error_code& aError) {
+      shared_.rateLimiter_.EndWait(waiting->request_.organisation_);
+      if (!aError && !waiting->request_.exchange_->IsFinished()) {
+        Check(std::move(waiting->request_));
+      }
+    }));
 }
 
 void
-AccessControl::QueryAccountOwner(const ExchangePtr& aExchange,
-                                 const std::string& aOrganisation,
-                                 std::function<void()> aRun,
+AccessControl::QueryAccountOwner(UndecidedRequest aRequest,
                                  const fleet::RateQuery& aQuery)
 {
   const std::uint64_t id = aQuery.report_.query_;
-  auto query = std::make_shared<PendingQuery>(executor_);
-  query->exchange_ = aExchange;
-  query->organisation_ = aOrganisation;
-  query->run_ = std::move(aRun);
+  auto query = std::make_shared<PendingQuery>(executor_, std::move(aRequest));
   query->timer_.expires_after(kOwnerTimeout);
   query->timer_.async_wait(
     lifetime_.Guard([this, id](const boost::system::error_code& aError) {
@@ -225,38 +278,38 @@
   if (found.empty()) {
     return;
   }
-  PendingQuery& query = *found.mapped();
-  const fleet::Organisation* organisation =
-    shared_.routes_.Organisations().FindByName(query.organisation_);
+  UndecidedRequest& request = found.mapped()->request_;
+  const fleet::Organisation* organisation = FindOrganisation(request);
   if (organisation == nullptr) {
-    query.exchange_->Respond(
-      shared_.codec_.MakeUnavailable(kUncheckedRetryAfter));
     return;
   }
-  const fleet::RateDecision decision =
-    shared_.rateLimiter_.CheckLocally(*organisation, base::MonotonicNow());
-  Apply(decision, query.exchange_, *organisation, std::move(query.run_));
+  const base::Instant now = base::MonotonicNow();
+  Apply(shared_.rateLimiter_.CheckLocally(
+          *organisation, now, now - request.checkedAt_),
+        *organisation,
+        std::move(request));
 }
 
 void
 AccessControl::OnRateResponse(const fleet::RateResponse& aResponse)
 {
-  const auto decision =
-    shared_.rateLimiter_.HandleResponse(aResponse, base::MonotonicNow());
   auto found = queries_.extract(aResponse.query_);
-  if (!decision || found.empty()) {
+  const base::Instant now = base::MonotonicNow();
+  if (found.empty()) {
+    static_cast<void>(shared_.rateLimiter_.HandleResponse(aResponse, now));
     return;
   }
-  PendingQuery& query = *found.mapped();
-  query.timer_.cancel();
-  const fleet::Organisation* organisation =
-    shared_.routes_.Organisations().FindByName(query.organisation_);
-  if (organisation == nullptr) {
-    query.exchange_->Respond(
-      shared_.codec_.MakeUnavailable(kUncheckedRetryAfter));
+  const auto decision = shared_.rateLimiter_.HandleResponse(
+    aResponse, now, now - found.mapped()->request_.checkedAt_);
+  if (!decision) {
     return;
   }
-  Apply(*decision, query.exchange_, *organisation, std::move(query.run_));
+  found.mapped()->timer_.cancel();
+  UndecidedRequest& request = found.mapped()->request_;
+  const fleet::Organisation* organisation = FindOrganisation(request);
+  if (organisation != nullptr) {
+    Apply(*decision, *organisation, std::move(request));
+  }
 }
 
 void
@@ -297,9 +350,6 @@
                                const fleet::Organisation& aOrganisation,
                                fleet::RateBasis aBasis)
 {
-  if (!aOrganisation.limit_.IsSet()) {
-    return;
-  }
   CountDecision(aOrganisation, "admitted", aBasis);
   const fleet::RateKnowledge knowledge =
     shared_.rateLimiter_.KnowledgeOf(aOrganisation.name_, base::MonotonicNow());
@@ -338,6 +388,10 @@
               { "share", shared_.rateLimiter_.ShareOf(aOrganisation.name_) },
               { "come_back_ms", base::ToMs(aRefusal.retryAfter_) } });
   CountDecision(aOrganisation, "refused", aRefusal.basis_);
+  if (aRefusal.basis_ == fleet::RateBasis::MembersUnknown) {
+    aExchange.Respond(shared_.codec_.MakeUnavailable(aRefusal.retryAfter_));
+    return;
+  }
   shared_.metrics_
     .GetCounter("pumiceturn_requests_over_rate_total",
                 "Requests beyond their organisation's limit.")
--- a/Libraries/LibGateway/AccessControl.h
+++ b/Libraries/LibGateway/AccessControl.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace pumiceturn::gateway {
 
@@ -74,18 +75,27 @@
   void Tick(std::span<const batch::PeerAddress> aPeers, base::Instant aNow);
 
 private:
-  /// A request that waits for the host that keeps its organisation's rate
-  /// account to decide.
+  /// A request that isn't decided on yet.
+  struct UndecidedRequest
+  {
+    ExchangePtr exchange_;
+    std::string organisation_;
+    std::function<void()> run_;
+    base::Instant checkedAt_; ///< When it was first checked.
+  };
+
+  /// A request that waits for the owner of its organisation's account to
+  /// decide.
   struct PendingQuery
   {
-    explicit PendingQuery(const boost::asio::any_io_executor& aExecutor)
-      : timer_(aExecutor)
+    PendingQuery(const boost::asio::any_io_executor& aExecutor,
+                 UndecidedRequest aRequest)
+      : request_(std::move(aRequest))
+      , timer_(aExecutor)
     {
     }
 
-    ExchangePtr exchange_;
-    std::string organisation_;
-    std::function<void()> run_;
+    UndecidedRequest request_;
     boost::asio::steady_timer timer_;
   };
 
@@ -93,18 +103,24 @@
   [[nodiscard]] std::optional<OrganisationName> ResolveOrReject(
     const ExchangePtr& aExchange,
     const fleet::Caller& aCaller);
-  void QueryAccountOwner(const ExchangePtr& aExchange,
-                         const std::string& aOrganisation,
-                         std::function<void()> aRun,
+
+  /// Checks the limit of a request's organisation.
+  void Check(UndecidedRequest aRequest);
+
+  /// @return the organisation of a request; nullptr if it is no longer
+  ///         declared, and the request was rejected.
+  [[nodiscard]] const fleet::Organisation* FindOrganisation(
+    const UndecidedRequest& aRequest) const;
+  void QueryAccountOwner(UndecidedRequest aRequest,
                          const fleet::RateQuery& aQuery);
+  void CheckAgainAfter(base::Duration aTime, UndecidedRequest aRequest);
   void OnAccountOwnerTimeout(std::uint64_t aQuery);
   void OnRateReport(const std::string& aHost, const fleet::RateReport& aReport);
   void OnRateResponse(const fleet::RateResponse& aResponse);
-  /// Runs or rejects a request as decided.
+  /// Runs, rejects or delays a request as decided.
   void Apply(const fleet::RateDecision& aDecision,
-             const ExchangePtr& aExchange,
              const fleet::Organisation& aOrganisation,
-             std::function<void()> aRun);
+             UndecidedRequest aRequest);
   void RecordAdmission(const httpstream::Exchange& aExchange,
                        const fleet::Organisation& aOrganisation,
                        fleet::RateBasis aBasis);
--- a/Tests/LibFleet/RateFleetFixture.h
+++ b/Tests/LibFleet/RateFleetFixture.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -45,8 +46,19 @@
     /// Hash that each host announced when it was last heard.
     std::vector<std::optional<std::uint64_t>> announced_ = {};
     std::vector<std::optional<std::size_t>> heardHosts_ = {}; ///< As well.
-    /// Times of pending queries, by query id.
-    std::map<std::uint64_t, base::Instant> pendingQueries_;
+    struct PendingQuery
+    {
+      base::Instant sentAt_;
+      base::Instant arrivedAt_; ///< When the request was first checked.
+    };
+    std::map<std::uint64_t, PendingQuery> pendingQueries_; ///< By query id.
+    /// Requests that wait to be checked again.
+    struct WaitingRequest
+    {
+      base::Instant until_;
+      base::Instant arrivedAt_;
+    };
+    std::vector<WaitingRequest> waiting_ = {};
   };
 
   /// @param aHosts   Hosts that admit requests.
@@ -88,6 +100,7 @@
       now_ += kStep;
       Deliver();
       TimeOutQueries();
+      EndWaits();
       if (++steps_ % (kTick / kStep) == 0) {
         Tick();
       }
@@ -109,16 +122,21 @@
       return;
     }
     ++requests_;
-    Apply(host, host.limiter_->Check(organisation_, now_, random_));
+    Apply(host, host.limiter_->Check(organisation_, now_, random_), now_);
   }
 
-  void Apply(Host& aHost, const RateDecision& aDecision)
+  /// @param aArrivedAt When the request was first checked.
+  void Apply(Host& aHost,
+             const RateDecision& aDecision,
+             base::Instant aArrivedAt)
   {
     if (std::holds_alternative<RateAdmitted>(aDecision)) {
       admitted_.push_back(now_);
     } else if (const auto* query = std::get_if<RateQuery>(&aDecision)) {
-      aHost.pendingQueries_[query->report_.query_] = now_;
+      aHost.pendingQueries_[query->report_.query_] = { now_, aArrivedAt };
       Send(aHost, query->owner_, query->report_);
+    } else if (const auto* wait = std::get_if<RateWait>(&aDecision)) {
+      aHost.waiting_.push_back({ now_ + wait->time_, aArrivedAt });
     } else {
       ++refused_;
     }
@@ -129,13 +147,35 @@
     for (Host& host : hosts_) {
       for (auto pending = host.pendingQueries_.begin();
            pending != host.pendingQueries_.end();) {
-        if (now_ - pending->second < kOwnerTimeout) {
+        if (now_ - pending->second.sentAt_ < kOwnerTimeout) {
           ++pending;
           continue;
         }
+        const base::Instant arrivedAt = pending->second.arrivedAt_;
         pending = host.pendingQueries_.erase(pending);
         if (host.isUp_) {
-          Apply(host, host.limiter_->CheckLocally(organisation_, now_));
+          Apply(
+            host,
+            host.limiter_->CheckLocally(organisation_, now_, now_ - arrivedAt),
+            arrivedAt);
+        }
+      }
+    }
+  }
+
+  /// Checks again the requests whose wait is over.
+  void EndWaits()
+  {
+    for (Host& host : hosts_) {
+      for (const auto& request : std::exchange(host.waiting_, {})) {
+        if (request.until_ > now_) {
+          host.waiting_.push_back(request);
+        } else if (host.isUp_) {
+          host.limiter_->EndWait(organisation_.name_);
+          Apply(host,
+                host.limiter_->Check(
+                  organisation_, now_, random_, now_ - request.arrivedAt_),
+                request.arrivedAt_);
         }
       }
     }
@@ -213,6 +253,7 @@
     host.limiter_ =
       std::make_unique<RateLimiter>(host.name_, host.admits_, kTolerance);
     host.pendingQueries_.clear();
+    host.waiting_.clear();
     std::fill(host.heardAt_.begin(), host.heardAt_.end(), base::Instant{});
     UpdateMembers(host);
   }
@@ -301,9 +342,13 @@
       return;
     }
     const auto& response = std::get<RateResponse>(aMessage);
-    const auto decision = aTo.limiter_->HandleResponse(response, now_);
-    if (decision && aTo.pendingQueries_.erase(response.query_) > 0) {
-      Apply(aTo, *decision);
+    const auto pending = aTo.pendingQueries_.extract(response.query_);
+    const base::Instant arrivedAt =
+      pending.empty() ? now_ : pending.mapped().arrivedAt_;
+    const auto decision =
+      aTo.limiter_->HandleResponse(response, now_, now_ - arrivedAt);
+    if (decision && !pending.empty()) {
+      Apply(aTo, *decision, arrivedAt);
     }
   }
 
