LibGateway, LibFleet: Know the registered hosts before limits are enforced

Cause: a host that knows no other owns every account with the whole limit. Readiness didn't wait for the registrations, and hosts that start together read them before any of them was registered ('metadata_mirror_read prefix=pumiceturn/host/ keys=0' 9 ms before the host's own lease), after which entry hosts look again 0.7 s later. This happens whenever no earlier registration is left: after a stop on request, or without power for the 3 s of a lease.

Where organisations are declared, a host now registers first and reads the registered hosts then, so of any two hosts the later one sees the earlier; after 0.5 s it reads without its own registration's answer. It isn't ready and decides on no limited request before that, but lets it wait, and answers no reports. A former process of the host itself, still registered, no longer counts as another host (21 of 20 were seen).

Ruled out: waiting until hosts hear each other or for a fixed time, as callers wait for the first answer after a loss of power.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -378,8 +378,8 @@
   response.organisation_ = aReport.organisation_;
   response.seriesId_ = aReport.seriesId_;
   response.query_ = aReport.query_;
-  response.isAccountNew_ = (aIsTakeover && aAllowance.isPartial_) ||
-                           IsHistoryIncomplete(aAccount);
+  response.isAccountNew_ =
+    (aIsTakeover && aAllowance.isPartial_) || IsHistoryIncomplete(aAccount);
   if (aReport.query_ != 0) {
     response.isGranted_ = AvailableRequests(aAccount, aAllowance) >= 1.0;
     if (response.isGranted_) {
--- a/Libraries/LibFleet/RateLimitMembership.cpp
+++ b/Libraries/LibFleet/RateLimitMembership.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Ids.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pumiceturn::fleet {
 
@@ -77,12 +78,19 @@
 }
 
 void
-RateLimitMembership::Update(std::span<const Member> aOthers, base::Instant aNow)
+RateLimitMembership::Update(std::span<const Member> aRegistered,
+                            base::Instant aNow)
 {
+  std::vector<Member> others;
+  std::copy_if(
+    aRegistered.begin(),
+    aRegistered.end(),
+    std::back_inserter(others),
+    [this](const Member& aMember) { return aMember.host_ != ownName_; });
   const auto entryHosts =
     static_cast<std::size_t>(
-      std::count_if(aOthers.begin(),
-                    aOthers.end(),
+      std::count_if(others.begin(),
+                    others.end(),
                     [](const Member& aMember) { return aMember.admits_; })) +
     (admits_ ? 1 : 0);
   std::vector<RankedHost> own;
@@ -90,7 +98,7 @@
   std::vector<std::string> reachable;
   std::size_t registeredCount = admits_ ? 1 : 0;
   heardHosts_ = registeredCount;
-  for (const Member& member : aOthers) {
+  for (const Member& member : others) {
     // A host can't hear more than there are, whatever it says.
     const std::size_t heard =
       std::min(member.heardHosts_.value_or(entryHosts), entryHosts);
@@ -121,7 +129,7 @@
   if (admits_) {
     hashes_[ownName_] = ownHash_;
   }
-  for (const Member& member : aOthers) {
+  for (const Member& member : others) {
     if (member.admits_ && member.isReachable_) {
       hashes_[member.host_] = member.candidatesHash_.value_or(ownHash_);
     }
--- a/Libraries/LibFleet/RateLimitMembership.h
+++ b/Libraries/LibFleet/RateLimitMembership.h
@@ -58,8 +58,9 @@
   RateLimitMembership(std::string aOwnName, bool aAdmits);
 
   /// Updates the members.
-  /// @param aOthers All registered hosts except this one.
-  void Update(std::span<const Member> aOthers, base::Instant aNow);
+  /// @param aRegistered All registered hosts. Those with this host's name are
+  ///        ignored: an earlier process of it may still be registered.
+  void Update(std::span<const Member> aRegistered, base::Instant aNow);
 
   /// @return the owner of an organisation's account: the candidate with the
   ///         highest random weight.
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -321,7 +321,7 @@
 std::optional<RateDecision>
 RateLimiter::HandleResponse(const RateResponse& aResponse,
                             base::Instant aNow,
-                            base::Duration aWaited)
+                            std::optional<base::Duration> aWaited)
 {
   const auto found = usages_.find(aResponse.organisation_);
   if (found != usages_.end()) {
@@ -337,7 +337,7 @@
       ++usage.admitted_;
     }
   }
-  if (aResponse.query_ == 0) {
+  if (aResponse.query_ == 0 || !aWaited) {
     return std::nullopt;
   }
   const bool isOwner =
@@ -350,7 +350,7 @@
   const base::Duration timeToCredit =
     std::max<base::Duration>(aResponse.noCreditFor_, kMinWait);
   if (found != usages_.end() && aResponse.isAccountNew_ &&
-      ShouldWait(found->second, timeToCredit, aWaited)) {
+      ShouldWait(found->second, timeToCredit, *aWaited)) {
     ++found->second.waiting_;
     return RateWait{ timeToCredit };
   }
@@ -385,6 +385,10 @@
                           const Organisation& aOrganisation,
                           base::Instant aNow)
 {
+  // Without the number of hosts, this host can't tell its share of the limit.
+  if (!startedAt_) {
+    return std::nullopt;
+  }
   if (aReport.candidatesHash_ != 0) {
     members_.RecordCandidates(aHost, aReport.candidatesHash_);
   }
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -44,6 +44,9 @@
   void SetMembers(std::span<const RateLimitMembership::Member> aOthers,
                   base::Instant aNow);
 
+  /// @return whether the registered hosts are known.
+  [[nodiscard]] bool KnowsMembers() const { return startedAt_.has_value(); }
+
   /// Decides on a request. Requests of an organisation without a limit aren't
   /// counted.
   /// @param aWaited Since the request's first check.
@@ -67,15 +70,18 @@
   void Refund(const std::string& aOrganisation);
 
   /// Applies an owner's response.
-  /// @param aWaited Since the first check of the request that it decides on.
+  /// @param aWaited Since the first check of the request that it decides on;
+  ///        std::nullopt: that request no longer waits for it.
   /// @return the decision on the query that it answers; empty if it answers
-  ///         none.
-  std::optional<RateDecision> HandleResponse(const RateResponse& aResponse,
-                                             base::Instant aNow,
-                                             base::Duration aWaited = {});
+  ///         none, or no request waits for it.
+  std::optional<RateDecision> HandleResponse(
+    const RateResponse& aResponse,
+    base::Instant aNow,
+    std::optional<base::Duration> aWaited = std::nullopt);
 
   /// Applies a host's report to an account that this host owns.
-  /// @return the response to send; empty if none is due.
+  /// @return the response to send; empty if none is due, or this host doesn't
+  ///         know the members yet.
   [[nodiscard]] std::optional<RateResponse> HandleReport(
     const std::string& aHost,
     const RateReport& aReport,
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -77,6 +77,13 @@
          MakeDeclarationsAge().MayAdmit();
 }
 
+bool
+AccessControl::CanLimitRates() const
+{
+  return !shared_.routes_.Organisations().AreDeclared() ||
+         shared_.rateLimiter_.KnowsMembers();
+}
+
 std::optional<OrganisationName>
 AccessControl::Identify(const ExchangePtr& aExchange,
                         const fleet::Route& aRoute)
--- a/Libraries/LibGateway/AccessControl.h
+++ b/Libraries/LibGateway/AccessControl.h
@@ -68,6 +68,10 @@
                         const OrganisationName& aCaller,
                         std::function<void()> aRun);
 
+  /// @return whether rate limits can be enforced: the hosts that share them are
+  ///         known, or no organisation is declared.
+  [[nodiscard]] bool CanLimitRates() const;
+
   /// @return whether the configuration is recent enough to accept keys.
   [[nodiscard]] bool CanAuthenticate() const;
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -60,12 +60,11 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-/// A deployment that bounds the revocation of keys declares organisations,
-/// which need short leases.
+/// Organisations need short leases.
 metadata::HostLease::Term
 MakeFirstLeaseTerm(const GatewaySettings& aSettings)
 {
-  return aSettings.IsWorker() || aSettings.revocationBound_
+  return aSettings.IsWorker() || aSettings.DeclaresOrganisations()
            ? metadata::HostLease::kShortTerm
            : metadata::HostLease::kLongTerm;
 }
@@ -185,6 +184,7 @@
                      [this](const auto& aExchange) { OnForwarded(aExchange); })
   , tickTimer_(aContext)
   , stopTimer_(aContext)
+  , registrationTimer_(aContext)
 {
   if (!settings_.spoolFolder_.empty()) {
     spool_.emplace(aContext,
@@ -318,8 +318,10 @@
     spool_->Start();
   }
   startedAt_ = base::MonotonicNow();
-  mirrors_.Start();
-  lease_.Start();
+  mirrors_.Start(StorePrefix::Operators);
+  mirrors_.Start(StorePrefix::Endpoints);
+  mirrors_.Start(StorePrefix::BatchJobs);
+  StartRegistration();
   ScheduleTick();
   return true;
 }
@@ -329,7 +331,8 @@
 {
   return !isStopping_ && shared_.routes_.Version() > 0 &&
          mirrors_.HasBeenRead(StorePrefix::Endpoints) &&
-         !shared_.endpoints_.IsEmpty() && accessControl_.CanAuthenticate();
+         !shared_.endpoints_.IsEmpty() && accessControl_.CanAuthenticate() &&
+         accessControl_.CanLimitRates();
 }
 
 void
@@ -507,7 +510,8 @@
 Gateway::Tick()
 {
   const base::Instant now = base::MonotonicNow();
-  if (shared_.routes_.Organisations().AreDeclared()) {
+  if (shared_.routes_.Organisations().AreDeclared() &&
+      mirrors_.HasBeenRead(StorePrefix::Hosts)) {
     accessControl_.Tick(hosts_.PeersExcept(OwnerId()), now);
   }
   UpdateReadiness();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -71,6 +71,13 @@
   /// all hosts.
   base::Duration jobStateBound_{ std::chrono::seconds{ 1 } };
 
+  /// @return whether the deployment has organisations: it then bounds the
+  ///         revocation of their keys.
+  [[nodiscard]] bool DeclaresOrganisations() const
+  {
+    return revocationBound_.has_value();
+  }
+
   /// @return whether this host is preferred for running batch jobs.
   [[nodiscard]] bool IsWorker() const
   {
@@ -180,6 +187,9 @@
   void LogStoreCalls(base::Instant aNow);
   void UpdateReadiness();
   void StopWhenIdle();
+
+  /// Registers this host and starts to mirror the registered hosts.
+  void StartRegistration();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool HasBalancerRemovedHost() const;
   [[nodiscard]] bool Listen(httpstream::Listener& aListener,
@@ -218,6 +228,7 @@
   httpstream::Listener forwardListener_;
   base::RestartableTimer tickTimer_;
   base::RestartableTimer stopTimer_;
+  base::RestartableTimer registrationTimer_;
   std::function<void()> onStopped_;
   base::Instant stopStartedAt_;
   base::Instant storeCallsLoggedAt_;
--- a/Libraries/LibGateway/GatewayRegistration.cpp
+++ b/Libraries/LibGateway/GatewayRegistration.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::chrono::seconds kStoreCallsLogInterval{ 10 };
 
+/// How long the first read of the registered hosts waits for this host's own
+/// registration, whose answer may get lost.
+constexpr std::chrono::milliseconds kMaxRegistrationTime{ 500 };
+
 /// How long another term of the host's lease must be needed before it is
 /// changed, as hosts that start together don't see all others at once.
 constexpr std::chrono::seconds kLeaseTermDelay{ 3 };
@@ -20,6 +24,22 @@
 
 } // namespace
 
+void
+Gateway::StartRegistration()
+{
+  const auto startMirror = [this] { mirrors_.Start(StorePrefix::Hosts); };
+  if (settings_.DeclaresOrganisations()) {
+    // Hosts that start together each register before they read the others: of
+    // any two, the later one sees the earlier. A host that sees no other would
+    // grant every rate limit alone.
+    lease_.SetOnRegistered(startMirror);
+    registrationTimer_.Start(kMaxRegistrationTime, startMirror);
+  } else {
+    startMirror();
+  }
+  lease_.Start();
+}
+
 void
 Gateway::CountStoreCall(std::string_view aCall, std::string_view aKeys)
 {
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -77,10 +77,13 @@
 }
 
 void
-StoreMirrors::Start()
+StoreMirrors::Start(StorePrefix aPrefix)
 {
   for (MirroredPrefix& mirrored : mirroredPrefixes_) {
-    mirrored.mirror_->Start();
+    if (mirrored.prefix_ == aPrefix &&
+        !std::exchange(mirrored.isStarted_, true)) {
+      mirrored.mirror_->Start();
+    }
   }
 }
 
--- a/Libraries/LibGateway/StoreMirrors.h
+++ b/Libraries/LibGateway/StoreMirrors.h
@@ -47,7 +47,8 @@
 
   void SetOnDelta(const DeltaHandler& aHandler);
 
-  void Start();
+  /// Starts to mirror a prefix. Has no effect if it was started before.
+  void Start(StorePrefix aPrefix);
 
   /// Decides which prefixes this host follows.
   /// @param aMayFollow Whether this host may follow: it isn't stopping or
@@ -81,6 +82,7 @@
     StorePrefix prefix_;
     std::string keyPrefix_; ///< Followers are selected by it.
     std::unique_ptr<metadata::PrefixMirror> mirror_;
+    bool isStarted_ = false;
   };
 
   [[nodiscard]] metadata::PrefixMirror& Find(StorePrefix aPrefix) const;
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -83,6 +83,7 @@
     }
     isRegistered_ = true;
     base::Log(kLeaseGranted, { { "lease", lease_ } });
+    onRegistered_();
     if (const auto replaced = std::exchange(replacedLease_, 0)) {
       client_.EndLease(replaced, [](LeaseResponse) {});
     }
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace pumiceturn::metadata {
 
@@ -53,6 +54,12 @@
 
   void Start() { Grant(); }
 
+  /// @param aOnRegistered Called each time the store has registered this host.
+  void SetOnRegistered(std::function<void()> aOnRegistered)
+  {
+    onRegistered_ = std::move(aOnRegistered);
+  }
+
   /// Changes how long the lease lasts and how often it is renewed. Registers
   /// the host under a new lease if there is one.
   void SetTerm(Term aTerm);
@@ -79,6 +86,7 @@
   StoreClient& client_;
   StoreHealth& health_;
   Options options_;
+  std::function<void()> onRegistered_ = [] {};
   base::RestartableTimer timer_;
   std::uint64_t lease_ = 0;
   Term leaseTerm_{}; ///< Term of lease_.
--- a/Tests/LibFleet/RateFleetFixture.h
+++ b/Tests/LibFleet/RateFleetFixture.h
@@ -343,11 +343,14 @@
     }
     const auto& response = std::get<RateResponse>(aMessage);
     const auto pending = aTo.pendingQueries_.extract(response.query_);
-    const base::Instant arrivedAt =
-      pending.empty() ? now_ : pending.mapped().arrivedAt_;
+    if (pending.empty()) {
+      static_cast<void>(aTo.limiter_->HandleResponse(response, now_));
+      return;
+    }
+    const base::Instant arrivedAt = pending.mapped().arrivedAt_;
     const auto decision =
       aTo.limiter_->HandleResponse(response, now_, now_ - arrivedAt);
-    if (decision && !pending.empty()) {
+    if (decision) {
       Apply(aTo, *decision, arrivedAt);
     }
   }
--- a/Tests/LibFleet/RateLimiterRestartTest.cpp
+++ b/Tests/LibFleet/RateLimiterRestartTest.cpp
@@ -71,4 +71,53 @@
   }
 }
 
+/// A host that was just started.
+class RateStartFixture
+{
+protected:
+  base::Instant now_{ 24h };
+  std::mt19937_64 random_{ 1 };
+  Organisation organisation_{ "a", {}, { 100, 100 } };
+  RateLimiter limiter_{ "entry", true, { 5s, 0.1, 20.0 } };
+};
+
+// Guards against a host that takes itself for the only one until it has read
+// the registered hosts.
+TEST_CASE_METHOD(RateStartFixture,
+                 "RateLimiter_MembersUnknown_NothingIsAdmitted")
+{
+  CHECK(std::holds_alternative<RateWait>(
+    limiter_.Check(organisation_, now_, random_)));
+  now_ += 1s;
+  const RateDecision decision =
+    limiter_.Check(organisation_, now_, random_, 1s);
+  REQUIRE(std::holds_alternative<RateRefused>(decision));
+  CHECK(std::get<RateRefused>(decision).basis_ == RateBasis::MembersUnknown);
+
+  limiter_.SetMembers({}, now_);
+  now_ += 1s;
+  CHECK(std::holds_alternative<RateAdmitted>(
+    limiter_.Check(organisation_, now_, random_, 2s)));
+}
+
+// Guards against an owner that grants a whole limit before it knows which share
+// of the hosts chose it.
+TEST_CASE_METHOD(RateStartFixture, "RateLimiter_MembersUnknown_OwnerIsSilent")
+{
+  RateReport report{ "a", 7 };
+  report.query_ = 1;
+  CHECK_FALSE(limiter_.HandleReport("other", report, organisation_, now_));
+}
+
+// Guards against counting a restarted host twice while its former registration
+// is still in the store.
+TEST_CASE("RateLimitMembership_FormerProcessIsRegistered_IsNotCounted")
+{
+  RateLimitMembership membership("entry-1", true);
+  membership.Update(
+    std::vector<RateLimitMembership::Member>{ { "entry-1" }, { "entry-2" } },
+    base::Instant{ 24h });
+  CHECK(membership.AdmittingCount() == 2);
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/PlatformSoak/RateLimitSoakFixture.cpp
+++ b/Tests/PlatformSoak/RateLimitSoakFixture.cpp
@@ -1,6 +1,7 @@
 #include "Tests/PlatformSoak/RateLimitSoakFixture.h"
 
 #include "Tests/Platform/TestRoute.h"
+#include "Tests/PlatformSoak/Environment.h"
 
 #include <nlohmann/json.hpp>
 
@@ -84,7 +85,7 @@
   }
   hosts_.clear();
   // The logs of a run with violations are kept.
-  if (violations_.empty()) {
+  if (violations_.empty() && ReadNumber("PUMICETURN_SOAK_KEEP_LOGS", 0) == 0) {
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
   }
