LibMetadata, LibGateway: Read the hosts again when an unknown one is heard

Callers could still get more than a limit when all hosts are started at about the same time: the first to register sees no other host and granted the whole limit for 0.7 s, while each later one counts those before it.

Cause: an entry host looks at the registrations again 0.7 s after the first read, and no follower knows that it exists.

A host within its first second now reads them again when it hears a datagram of a host that it doesn't know, at most each 50 ms. Later it follows the store itself or knows a follower, so single restarts cost no calls. Of the datagram only the fact is used, as anyone may send one.

PrefixMirror_CatchUpNow_QueriesStoreOnce.

--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -507,6 +507,10 @@
     const base::Instant now = base::MonotonicNow();
     const std::string host = message.at("host").get<std::string>();
     reachability_.RecordActivity(host, now);
+    if (!peers_.contains(host) &&
+        shared_.routes_.Organisations().AreDeclared()) {
+      mirrors_.OnUnknownPeer(now);
+    }
     if (const auto inner = message.find("passed_on"); inner != message.end()) {
       const std::string origin = inner->at("host").get<std::string>();
       traffic_.RecordReceived(DatagramKind::RelayedCounts, aMessage.size());
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Minimum time between reads of the registered hosts because of unknown peers.
+constexpr std::chrono::milliseconds kUnknownPeerInterval{ 50 };
+
 /// Time after the first complete read before this host may follow prefixes for
 /// its peers, so that a restarted host learns of the current follower first. It
 /// would otherwise send changes that don't follow on from the peers' mirrors.
@@ -87,6 +90,18 @@
   }
 }
 
+void
+StoreMirrors::OnUnknownPeer(base::Instant aNow)
+{
+  const bool isSettled = readSince_ && aNow - *readSince_ >= kSettleTime;
+  if (isSettled || !HasBeenRead(StorePrefix::Hosts) ||
+      aNow - hostsCheckedAt_ < kUnknownPeerInterval) {
+    return;
+  }
+  hostsCheckedAt_ = aNow;
+  Find(StorePrefix::Hosts).CatchUpNow();
+}
+
 base::Duration
 StoreMirrors::ScaleFreshness(base::Duration aFreshnessLifetime) const
 {
--- a/Libraries/LibGateway/StoreMirrors.h
+++ b/Libraries/LibGateway/StoreMirrors.h
@@ -50,6 +50,11 @@
   /// Starts to mirror a prefix. Has no effect if it was started before.
   void Start(StorePrefix aPrefix);
 
+  /// Reads the registered hosts again if this host has just started: hosts that
+  /// start together register one after the other, and until this host follows
+  /// the store or knows a follower, nobody tells it of the later ones.
+  void OnUnknownPeer(base::Instant aNow);
+
   /// Decides which prefixes this host follows.
   /// @param aMayFollow Whether this host may follow: it isn't stopping or
   ///                   retiring and reaches the store directly.
@@ -107,6 +112,7 @@
   std::vector<MirroredPrefix> mirroredPrefixes_;
   double freshnessShare_; ///< Random share of each mirror's freshness lifetime.
   std::optional<base::Instant> readSince_;
+  base::Instant hostsCheckedAt_{}; ///< Last read by OnUnknownPeer().
   std::optional<base::BootInstant> lastRunAt_;
 };
 
--- a/Libraries/LibMetadata/PrefixMirror.cpp
+++ b/Libraries/LibMetadata/PrefixMirror.cpp
@@ -200,6 +200,12 @@
   WaitFor(aAfter);
 }
 
+void
+PrefixMirror::CatchUpNow()
+{
+  CatchUp(tracker_.FollowedRevision() + 1, base::Duration::zero());
+}
+
 void
 PrefixMirror::ApplyView(const MirrorView& aView, base::Duration aCatchUpAfter)
 {
--- a/Libraries/LibMetadata/PrefixMirror.h
+++ b/Libraries/LibMetadata/PrefixMirror.h
@@ -87,6 +87,9 @@
   /// @param aCatchUpAfter As for ApplyView().
   void ApplyDelta(const MirrorDelta& aDelta, base::Duration aCatchUpAfter);
 
+  /// Queries the store now, unless a call is in progress.
+  void CatchUpNow();
+
   /// Called after this host was suspended: the store is queried
   /// before reports of peers are used again.
   void MarkStale();
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -180,6 +180,20 @@
   CHECK(store_.watches_.empty());
 }
 
+// Guards against a host that isn't told of a change, since no follower knows
+// that it exists, and finds it only when its copy has to be confirmed.
+TEST_CASE_METHOD(PeerUpdatedMirrorFixture,
+                 "PrefixMirror_CatchUpNow_QueriesStoreOnce")
+{
+  mirror_->CatchUpNow();
+  mirror_->CatchUpNow();
+  Run();
+  REQUIRE(store_.watches_.size() == 1);
+  RespondToWatch(StoreStatus::Ok, { { "p/a", "2", 9 } }, 12);
+  CHECK(copy_["p/a"] == "2");
+  CHECK(store_.watches_.empty());
+}
+
 // Guards against a query by each host that hears of a change before it gets the
 // delta.
 TEST_CASE_METHOD(PeerUpdatedMirrorFixture,
