LibFleet: Take refunds back from the slice of the request

An organisation could get more than its limit when many of its requests waited a second or longer and were then rejected as not run: the owner took them from the current slice of the window, so once the slice in which they had been admitted left the window, as many more were admitted, on top of a bucket that had filled meanwhile.

Totals don't say when a refunded request was admitted. It is now taken from the host's oldest slice that has one; what left the window gives nothing back. Requests that are rejected at once are refunded as before (RateLimiter_RefundedAtOnce_CreditIsGrantedAgain).

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -163,6 +163,29 @@
   aTotals.requests_.Add(aRequests);
 }
 
+void
+RateAccounts::Refund(Account& aAccount,
+                     HostTotals& aTotals,
+                     std::int64_t aRequests)
+{
+  // It isn't known when the requests were admitted. Taken from the oldest
+  // slices, they can't make room for as many beyond the window in which they
+  // were counted.
+  for (std::int64_t slice = aTotals.requests_.OldestSlice();
+       slice <= aTotals.requests_.CurrentSlice() && aRequests > 0;
+       ++slice) {
+    const std::int64_t refunded =
+      std::clamp<std::int64_t>(aTotals.requests_.At(slice), 0, aRequests);
+    aRequests -= refunded;
+    aTotals.requests_.AddAt(slice, -refunded);
+    aAccount.hostRequests_.AddAt(slice, -refunded);
+    aAccount.requests_.AddAt(
+      slice,
+      -std::clamp<std::int64_t>(aAccount.requests_.At(slice), 0, refunded));
+    aAccount.credit_ += static_cast<double>(refunded);
+  }
+}
+
 void
 RateAccounts::BeginSeries(Account& aAccount,
                           HostTotals& aTotals,
@@ -191,9 +214,9 @@
     aTotals.admitted_ = aReport.admitted_;
   }
   if (aReport.refunded_ > aTotals.refunded_) {
-    Debit(aAccount,
-          aTotals,
-          -static_cast<std::int64_t>(aReport.refunded_ - aTotals.refunded_));
+    Refund(aAccount,
+           aTotals,
+           static_cast<std::int64_t>(aReport.refunded_ - aTotals.refunded_));
     aTotals.refunded_ = aReport.refunded_;
   }
 }
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -128,6 +128,11 @@
   static void Debit(Account& aAccount,
                     HostTotals& aTotals,
                     std::int64_t aRequests);
+  /// Takes back requests that weren't executed, if they were admitted within
+  /// the last window.
+  static void Refund(Account& aAccount,
+                     HostTotals& aTotals,
+                     std::int64_t aRequests);
   /// Begins a host's series of reports, with its history if it sent one.
   void BeginSeries(Account& aAccount,
                    HostTotals& aTotals,
