--- a/Libraries/LibFleet/RateLimitMembership.cpp
+++ b/Libraries/LibFleet/RateLimitMembership.cpp
@@ -135,12 +135,19 @@
     }
   }
   CountChoosers();
+  RecordRegisteredCount(registeredCount, aNow);
+}
+
+void
+RateLimitMembership::RecordRegisteredCount(std::size_t aCount,
+                                           base::Instant aNow)
+{
   while (!registrationCounts_.empty() &&
-         (registrationCounts_.back().count_ <= registeredCount ||
+         (registrationCounts_.back().count_ <= aCount ||
           aNow - registrationCounts_.back().at_ > kRetention)) {
     registrationCounts_.pop_back();
   }
-  registrationCounts_.push_back({ aNow, registeredCount });
+  registrationCounts_.push_back({ aNow, aCount });
   while (aNow - registrationCounts_.front().at_ > kRetention) {
     registrationCounts_.pop_front();
   }
--- a/Libraries/LibFleet/RateLimitMembership.h
+++ b/Libraries/LibFleet/RateLimitMembership.h
@@ -124,6 +124,10 @@
     std::span<const std::string> aCandidates);
   void CountChoosers();
 
+  /// Updates AdmittingCount().
+  /// @param aCount Registered hosts that admit requests, this one included.
+  void RecordRegisteredCount(std::size_t aCount, base::Instant aNow);
+
   std::string ownName_;
   bool admits_;
   std::vector<std::string> reachable_; ///< Sorted; excludes this host.
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -207,10 +207,9 @@
     return;
   }
   const base::Instant now = base::MonotonicNow();
-  Apply(shared_.rateLimiter_.Check(
-          *organisation, now, shared_.random_, now - aRequest.checkedAt_),
-        *organisation,
-        std::move(aRequest));
+  const fleet::RateDecision decision = shared_.rateLimiter_.Check(
+    *organisation, now, shared_.random_, now - aRequest.checkedAt_);
+  Apply(decision, *organisation, std::move(aRequest));
 }
 
 void
@@ -291,10 +290,9 @@
     return;
   }
   const base::Instant now = base::MonotonicNow();
-  Apply(shared_.rateLimiter_.CheckLocally(
-          *organisation, now, now - request.checkedAt_),
-        *organisation,
-        std::move(request));
+  const fleet::RateDecision decision = shared_.rateLimiter_.CheckLocally(
+    *organisation, now, now - request.checkedAt_);
+  Apply(decision, *organisation, std::move(request));
 }
 
 void
