LibFleet: Complete a takeover once all hosts chose the new owner

Cause: a trace shows a refused request 0.9 to 1.5 s after the loss at an owner with the whole share but without credit. A takeover computes the credit anew with each report for 0.3 s. With few requests only the first host reports in that time, while the owner has 0.05 to 0.45 of the share and a bucket of one request; nothing computed it again when the other hosts had chosen it too.

The credit is now computed once more by the first report after all hosts chose this owner, within a window of the takeover. Histories that arrive later still lower it.

RateLimiter_OwnerIsLostWithinLimit_AtMostOneIn50IsRefused has 3.5 a second as well.

--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -380,9 +380,14 @@
   }
   const base::Duration sinceTakeover = aNow - aAccount.takenOverAt_;
   const bool isTakeover = sinceTakeover <= kTakeoverTime;
-  if (isTakeover && (aHasHistory || aShare != aAccount.share_)) {
+  const bool isInWindow = sinceTakeover <= tolerance_.window_;
+  const bool isCompletedLate =
+    isInWindow && aAccount.isTakeoverPartial_ && !aAllowance.isPartial_;
+  if ((isTakeover && (aHasHistory || aShare != aAccount.share_)) ||
+      isCompletedLate) {
     aAccount.credit_ = CreditFromHistory(aAccount, aAllowance, aNow);
-  } else if (aHasHistory && sinceTakeover <= tolerance_.window_) {
+    aAccount.isTakeoverPartial_ = aAllowance.isPartial_;
+  } else if (aHasHistory && isInWindow) {
     // The host's part of the limit may have been granted without its history.
     aAccount.credit_ =
       std::min(aAccount.credit_, CreditFromHistory(aAccount, aAllowance, aNow));
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -85,6 +85,9 @@
     /// This owner doesn't know the account's credit until a host's history
     /// arrives.
     bool isCreditUnknown_ = true;
+    /// The credit was computed when only some hosts had chosen this owner; with
+    /// few requests, no report may come while the others do.
+    bool isTakeoverPartial_ = false;
     /// When the first history arrived after the credit became unknown.
     base::Instant takenOverAt_{};
     /// What was admitted before isn't known to this owner or any host.
--- a/Tests/LibFleet/RateLimiterWaitTest.cpp
+++ b/Tests/LibFleet/RateLimiterWaitTest.cpp
@@ -61,7 +61,7 @@
 TEST_CASE_METHOD(RateWaitFixture,
                  "RateLimiter_OwnerIsLostWithinLimit_AtMostOneIn50IsRefused")
 {
-  const double rate = GENERATE(130.0, 30.0, 10.0);
+  const double rate = GENERATE(130.0, 30.0, 10.0, 3.5);
   std::size_t requests = 0;
   std::size_t refused = 0;
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
