--- a/Tests/PlatformSoak/RateLimitSoakFixture.cpp
+++ b/Tests/PlatformSoak/RateLimitSoakFixture.cpp
@@ -205,7 +205,8 @@
       GatewayProcess::kCallerPort },
     kConnectTimeout,
     [&caller, call = std::move(call)](
-      std::shared_ptr<httpstream::ClientConnection> aConnection) mutable {
+      const std::shared_ptr<httpstream::ClientConnection>&
+        aConnection) mutable {
       if (!aConnection) {
         caller.hasEnded_ = true;
         return;
@@ -374,6 +375,7 @@
     }
   }
   std::vector<RunRequest> result;
+  result.reserve(first.size());
   for (const auto& [id, request] : first) {
     result.push_back(request);
   }
