LibGateway, platform: Log the software version of endpoints

Logs couldn't tell the hypotheses apart: no line had the version of the endpoint, the event after which a request goes on, or the attempt that it resumes. A registration's version is now read, and request_sent has software, after_event and resumes. Nothing is decided by them yet.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -115,6 +115,9 @@
   std::uint32_t slots_ = 1;
   bool isDraining_ = false;
   std::int64_t startedAtMs_ = 0; ///< Unix time of its start; 0: unknown.
+  /// Version of its software. What two versions write doesn't fit together: a
+  /// stream continues only at the version that began it.
+  std::string softwareVersion_{};
 
   [[nodiscard]] EndpointIncarnation Incarnation() const
   {
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -23,6 +23,9 @@
   /// Time until the caller gives up, counted from the receipt of the request.
   std::optional<base::Duration> callerTimeout_;
   std::uint64_t lastEvent_ = 0; ///< Id of the last event received.
+  /// Id of the caller's request that brought the first event of the stream that
+  /// this one resumes; empty if not given.
+  std::string resumedRequestId_;
 };
 
 /// Fields of an endpoint's response beyond its status and body.
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -81,6 +81,14 @@
   return "unintelligible";
 }
 
+/// @return the beginning of an id that a caller chose, for the log.
+std::string_view
+LoggedId(std::string_view aId)
+{
+  constexpr std::size_t kMaxLoggedId = 64;
+  return aId.substr(0, kMaxLoggedId);
+}
+
 /// @return the time between two events of a route's streams after which one is
 ///         resumed at another endpoint.
 base::Duration
@@ -318,6 +326,9 @@
               { "candidates", aChoice.candidates_ },
               { "preempts", aChoice.preemptsBatch_ },
               { "attempt", triedEndpoints_.size() + 1 },
+              { "software", aChoice.endpoint_.softwareVersion_ },
+              { "after_event", lastEvent_ },
+              { "resumes", LoggedId(call_.resumedRequestId_) },
               { "version", shared_.routes_.Version() },
               { "left_ms", base::ToMs(TimeLeft()) } });
   ForwardOptions options;
