--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -60,9 +60,11 @@
 }
 
 ServerStandin&
-GatewayFixture::AddServer(const std::string& aInstance)
+GatewayFixture::AddServer(const std::string& aInstance,
+                          std::string_view aVersion)
 {
   servers_.push_back(std::make_unique<ServerStandin>(context_, aInstance));
+  servers_.back()->SetVersion(std::string(aVersion));
   store_.Put("servers/" + aInstance,
              servers_.back()->Registration("service", "ready"));
   return *servers_.back();
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pumiceturn::adapter {
@@ -50,7 +51,9 @@
   void WriteConfiguration(std::uint64_t aVersion);
 
   /// Adds an endpoint.
-  ServerStandin& AddServer(const std::string& aInstance);
+  ServerStandin& AddServer(
+    const std::string& aInstance,
+    std::string_view aVersion = ServerStandin::kDefaultVersion);
 
   /// @return a host's metrics page.
   std::string Metrics(const TestHost& aHost);
--- /dev/null
+++ b/Tests/Platform/VersionsTest.cpp
@@ -0,0 +1,228 @@
+#include "Tests/Platform/GatewayFixture.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pumiceturn::adapter {
+
+/// Endpoints of two software versions, and entry hosts.
+class VersionsFixture : protected GatewayFixture
+{
+protected:
+  VersionsFixture() { WriteConfiguration(1); }
+
+  TestHost& StartEntry(const std::string& aName)
+  {
+    TestHost& host = StartHost(aName, batch::BatchPreference::Fallback);
+    WaitUntilReady(host);
+    return host;
+  }
+
+  /// Adds endpoints that are called VERSION-NUMBER.
+  void AddServers(std::string_view aVersion, int aCount)
+  {
+    for (int number = 0; number < aCount; ++number) {
+      AddServer(fmt::format("{}-{}", aVersion, number), aVersion);
+    }
+  }
+
+  /// Begins a stream that stops after two events, and disconnects.
+  /// @return the version that began it.
+  std::string BeginStream(TestHost& aHost, const std::string& aId)
+  {
+    const auto call = Send(aHost.callerPort_,
+                           "POST",
+                           "/resumable/hold-2",
+                           fmt::format("Attempt-Id: {}\r\n", aId));
+    const auto hasTwoEvents = [&call] {
+      return call->body_.find("id: 2") != std::string::npos;
+    };
+    RunUntil(hasTwoEvents);
+    call->connection_->Cancel();
+    const bool isDefault = WholeStream().starts_with(call->body_);
+    return isDefault ? std::string(ServerStandin::kDefaultVersion) : "v2";
+  }
+
+  std::unique_ptr<CallerCall> Resume(TestHost& aHost,
+                                     const std::string& aId,
+                                     const std::string& aResumedId)
+  {
+    return SendAndWait(
+      aHost,
+      "POST",
+      "/resumable/hold-2",
+      fmt::format("Attempt-Id: {}\r\nLast-Event-Id: 2\r\nResumes: {}\r\n",
+                  aId,
+                  aResumedId));
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    std::size_t count = 0;
+    for (const auto& server : servers_) {
+      count += server->Requests().size();
+    }
+    return count;
+  }
+
+  static constexpr int kRounds = 8;
+
+private:
+  void WaitUntilReady(TestHost& aHost)
+  {
+    RunUntil([&] {
+      return SendToAndWait(Loopback(aHost.statusPort_), "GET", "/api/ready")
+               ->status_ == 200;
+    });
+  }
+};
+
+// Guards against a response that joins events of two software versions.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_StreamBreaksAndOtherVersionIsLeft_IsAborted")
+{
+  AddServers("v1", 1);
+  AddServers("v2", 1);
+  TestHost& host = StartEntry("entry");
+  for (const auto& server : servers_) {
+    server->Enqueue({ ServerScript::Kind::Break, 3, 0 });
+  }
+  const auto call =
+    SendAndWait(host, "POST", "/resumable/1", "Attempt-Id: r1\r\n");
+  CHECK(call->outcome_ == httpstream::CallOutcome::Broken);
+  const bool isOfOneVersion = WholeStream("v1").starts_with(call->body_) ||
+                              WholeStream("v2").starts_with(call->body_);
+  CHECK(isOfOneVersion);
+  CHECK(RequestCount() == 1);
+}
+
+// Guards against a stream that goes on at any endpoint of its service.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_StreamBreaks_GoesOnAtAnEndpointOfItsVersion")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  TestHost& host = StartEntry("entry");
+  for (int round = 0; round < kRounds; ++round) {
+    const auto call = SendAndWait(host,
+                                  "POST",
+                                  "/resumable/break-2",
+                                  fmt::format("Attempt-Id: r{}\r\n", round));
+    const bool isWhole =
+      call->body_ == WholeStream("v1") || call->body_ == WholeStream("v2");
+    CHECK(isWhole);
+  }
+}
+
+// Guards against a caller that takes its stream up at a host that doesn't know
+// where it began, and gets the rest from another software version.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_CallerResumesAtOtherHost_GoesOnAtItsVersion")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  TestHost& first = StartEntry("entry-1");
+  TestHost& second = StartEntry("entry-2");
+  RunUntil([&] {
+    return Metrics(first).find("pumiceturn_peers_heard 1") != std::string::npos;
+  });
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string id = fmt::format("r{}", round);
+    const std::string version = BeginStream(first, id);
+    CHECK(Resume(second, id + "-again", id)->body_ == WholeStream(version, 2));
+    CHECK(Resume(first, id + "-third", id)->body_ == WholeStream(version, 2));
+  }
+}
+
+// Guards against a stream whose version is lost with the host that began it.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_BeginningHostIsLost_StreamGoesOnAtItsVersion")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  TestHost& first = StartEntry("entry-1");
+  TestHost& second = StartEntry("entry-2");
+  RunUntil([&] {
+    return Metrics(first).find("pumiceturn_peers_heard 1") != std::string::npos;
+  });
+  std::vector<std::string> versions;
+  for (int round = 0; round < kRounds; ++round) {
+    versions.push_back(BeginStream(first, fmt::format("r{}", round)));
+  }
+  // The fixture's hosts share an event loop: handlers of the lost host's
+  // connections must not run later.
+  RunUntil([this] {
+    std::size_t disconnected = 0;
+    for (const auto& server : servers_) {
+      disconnected += server->DisconnectedCount();
+    }
+    return disconnected == kRounds;
+  });
+  first.gateway_.reset();
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string id = fmt::format("r{}", round);
+    CHECK(Resume(second, id + "-again", id)->body_ ==
+          WholeStream(versions[round], 2));
+  }
+}
+
+// Guards against joining a stream to a guess while several versions serve.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_ResumedStreamIsUnknown_IsRefusedAsNotRun")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  TestHost& host = StartEntry("entry");
+  for (const std::string& resumed :
+       { std::string("never-begun"), std::string(), std::string(10000, 'x') }) {
+    const auto call = Resume(host, "r1", resumed);
+    CHECK(call->status_ == 503);
+    CHECK_FALSE(call->retryAfter_.empty());
+  }
+  CHECK(RequestCount() == 0);
+}
+
+// Guards against a request that waits for an endpoint of a version that no
+// longer serves.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_VersionOfStreamIsGone_ResumptionIsRefusedAtOnce")
+{
+  AddServers("v1", 1);
+  TestHost& host = StartEntry("entry");
+  CHECK(BeginStream(host, "r1") == "v1");
+  AddServers("v2", 2);
+  store_.Remove("servers/v1-0");
+  RunUntil([&] {
+    return SendAndWait(host, "POST", "/resumable/1", "Attempt-Id: n\r\n")
+             ->body_ == WholeStream("v2");
+  });
+  const std::size_t before = RequestCount();
+  const auto startedAt = base::MonotonicNow();
+  const auto call = Resume(host, "r2", "r1");
+  CHECK(call->status_ == 503);
+  CHECK_FALSE(call->retryAfter_.empty());
+  CHECK(base::MonotonicNow() - startedAt < std::chrono::seconds(1));
+  CHECK(RequestCount() == before);
+}
+
+// Guards against refusing streams for want of a version where there is one.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_OneVersionServes_EveryResumedStreamGoesOn")
+{
+  AddServers("v1", 2);
+  TestHost& first = StartEntry("entry-1");
+  TestHost& second = StartEntry("entry-2");
+  BeginStream(first, "r1");
+  CHECK(Resume(second, "r2", "r1")->body_ == WholeStream("v1", 2));
+  CHECK(Resume(second, "r3", "never-begun")->body_ == WholeStream("v1", 2));
+  CHECK(
+    SendAndWait(
+      second, "POST", "/resumable/1", "Attempt-Id: r4\r\nLast-Event-Id: 2\r\n")
+      ->body_ == WholeStream("v1", 2));
+  // Hosts that have just started know nothing of earlier streams.
+  first.gateway_.reset();
+  second.gateway_.reset();
+  TestHost& third = StartEntry("entry-3");
+  CHECK(Resume(third, "r5", "r1")->body_ == WholeStream("v1", 2));
+}
+
+} // namespace pumiceturn::adapter
