LibBatch, LibGateway: Complete an item's text at the version that began it

Cause: a partial text had a last event, but not the service and version that wrote it, so an interrupted item went on at any endpoint, also at the next owner of its job.

The service and version now belong to the partial output, in memory and in the stored progress. The rest is asked for at that version alone (ChoiceRequest::softwareVersion_). Progress that was stored without a version counts as not known. A response of another endpoint than the one chosen adds nothing.

Ruled out: the spool and results of jobs hold no partial texts.

--- a/Libraries/LibBatch/BatchJob.cpp
+++ b/Libraries/LibBatch/BatchJob.cpp
@@ -106,7 +106,9 @@
   json rows = json::object();
   for (const auto& [item, partial] : aProgress) {
     rows[item] = { { "event", partial.lastEvent_ },
-                   { "output", partial.output_ } };
+                   { "output", partial.output_ },
+                   { "service", partial.service_ },
+                   { "software", partial.softwareVersion_ } };
   }
   return Serialize(rows);
 }
@@ -119,7 +121,9 @@
     Progress progress;
     for (const auto& [item, row] : aValue.items()) {
       progress[item] = { row.at("event").get<std::uint64_t>(),
-                         row.at("output").get<std::string>() };
+                         row.at("output").get<std::string>(),
+                         row.value("service", std::string()),
+                         row.value("software", std::string()) };
     }
     return progress;
   });
--- a/Libraries/LibBatch/BatchJob.h
+++ b/Libraries/LibBatch/BatchJob.h
@@ -47,6 +47,10 @@
 {
   std::uint64_t lastEvent_ = 0;
   std::string output_;
+  /// Service and software version that the events are from. Only the same go on
+  /// with them. Empty if not known.
+  std::string service_{};
+  std::string softwareVersion_{};
 
   bool operator==(const PartialOutput&) const = default;
 };
--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -81,6 +81,16 @@
     return items_[aItem].progress_;
   }
 
+  /// @return when a waiting item could first start; the epoch if it never ran
+  ///   here.
+  [[nodiscard]] base::Instant WaitingSince(std::size_t aItem) const
+  {
+    return items_[aItem].notBefore_;
+  }
+
+  /// Discards the output so far: the next attempt starts from the beginning.
+  void DiscardProgress(std::size_t aItem) { items_[aItem].progress_ = {}; }
+
   /// Records the start of an attempt at an endpoint.
   void Start(std::size_t aItem, const std::string& aEndpoint);
 
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <span>
@@ -82,6 +83,9 @@
   std::span<const std::string> excluded_; ///< Ids of endpoints already tried.
   /// Whether the request may be sent to another endpoint after a failure.
   bool isRetryable_ = true;
+  /// Software version that the endpoint must have, for the rest of a stream.
+  /// Without a ready endpoint of it, one that has just begun to drain is used.
+  std::optional<std::string_view> softwareVersion_ = std::nullopt;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -138,6 +142,11 @@
     /// host reads the change.
     base::Duration registrationTimeout_{ std::chrono::milliseconds{ 4900 } };
 
+    /// Time after a registration was first seen to drain for which the endpoint
+    /// still gets the rest of streams. Shorter than the time for which it must
+    /// accept requests, as this host may learn late that it drains.
+    base::Duration drainingUse_{ std::chrono::milliseconds{ 800 } };
+
     /// Factor on the weight of an endpoint in another failure domain, since
     /// traffic between domains is charged.
     double otherDomainWeight_ = 0.7;
@@ -259,6 +268,15 @@
   /// @return whether an endpoint may receive new work.
   [[nodiscard]] bool IsUsable(const std::string& aId) const;
 
+  /// @return whether an endpoint of a service and software version may receive
+  ///         new work.
+  [[nodiscard]] bool HasUsable(std::string_view aService,
+                               std::string_view aSoftwareVersion) const;
+
+  /// Calls a function with each registration.
+  void ForEachRecord(
+    const std::function<void(const EndpointRecord&)>& aVisit) const;
+
   [[nodiscard]] bool IsEmpty() const { return endpoints_.empty(); }
 
   /// @return the online requests in flight at the usable endpoints of a
@@ -301,6 +319,8 @@
     std::uint32_t failures_ = 0;
     base::Instant avoidedUntil_;
     std::optional<base::Instant> removalDueAt_;
+    /// When it began to drain; empty if that isn't known.
+    std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant lastActivityAt_;
     /// Start of the attempt that was last active.
@@ -360,9 +380,24 @@
   ///         waiting online requests first.
   [[nodiscard]] static double PreemptionWeight(const Endpoint& aEndpoint,
                                                const InFlightCounts& aCounts);
-  /// @return the best endpoints inside or outside of this host's cell.
+  /// @return whether a draining endpoint may still get the rest of a stream.
+  [[nodiscard]] bool MayContinueStreams(const Endpoint& aEndpoint,
+                                        base::Instant aNow) const;
+
+  /// Which endpoints to rank.
+  enum class Candidates : std::uint8_t
+  {
+    OwnCell,
+    OtherCells,
+    Draining, ///< Those that have just begun to drain, of all cells.
+  };
+  [[nodiscard]] bool IsCandidate(const Endpoint& aEndpoint,
+                                 Candidates aCandidates,
+                                 base::Instant aNow) const;
+
+  /// @return the best endpoints of a kind.
   [[nodiscard]] Ranking Rank(const ChoiceRequest& aRequest,
-                             bool aIsOwnCell,
+                             Candidates aCandidates,
                              base::Instant aNow,
                              std::mt19937_64& aRandom) const;
   [[nodiscard]] bool HasFreeSlot(const Best& aBest, base::Instant aNow) const;
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// Time limit that an endpoint is given for one attempt. The longest items
-/// usually take about 8 s.
-constexpr std::chrono::seconds kAttemptTimeLimit{ 30 };
-
 /// How long a route must be missing to count as removed. A new configuration
 /// reaches all hosts within 2 to 3 s, or later if the store was unavailable.
 constexpr std::chrono::seconds kRouteRemovalDelay{ 10 };
@@ -38,11 +34,6 @@
   return std::max(age, base::Duration::zero());
 }
 
-/// Weight of a new sample in the average number of concurrent attempts. With
-/// one sample every 100 ms, the average covers about 5 s, longer than a burst
-/// of online work.
-constexpr double kAverageAttemptsWeight = 0.02;
-
 WaitingBatchJob
 MakeWaitingJob(const batch::BatchJob& aJob,
                const fleet::Route& aRoute,
@@ -180,6 +171,7 @@
   const base::Instant now = base::MonotonicNow();
   RunningJob running{ batch::ItemSchedule(aJob, {}) };
   running.acceptedAt_ = now - AgeOf(aJob);
+  running.acquiredAt_ = now;
   results_.Begin(aJob);
   UpdateLimits(aJob, running, now);
   runningJobs_.emplace(aJob.id_, std::move(running));
@@ -379,127 +371,6 @@
     *job, running->second, aAttempt.Item(), aAttempt.Progress().lastEvent_);
 }
 
-void
-BatchWorker::StartAttempts(base::Instant aNow)
-{
-  std::vector<batch::StartCandidate> candidates = CollectCandidates(aNow);
-  if (candidates.empty()) {
-    return;
-  }
-  averageAttempts_ +=
-    (static_cast<double>(attempts_.size()) - averageAttempts_) *
-    kAverageAttemptsWeight;
-  batch::StartConditions conditions{ aNow, averageAttempts_ };
-  for (const auto& attempt : attempts_) {
-    conditions.runningWork_ += UrgencyOf(*attempt).remaining_;
-  }
-  for (const batch::StartCandidate& candidate :
-       batch::OrderStarts(std::move(candidates), conditions)) {
-    if (!StartAttempt(candidate, aNow)) {
-      return;
-    }
-  }
-}
-
-bool
-BatchWorker::StartAttempt(const batch::StartCandidate& aCandidate,
-                          base::Instant aNow)
-{
-  const batch::BatchJob* job = jobs_.Find(aCandidate.job_);
-  RunningJob& running = runningJobs_.at(aCandidate.job_);
-  const fleet::Route* route = RouteOf(*job);
-  if (route == nullptr) {
-    // The route may arrive with the next configuration; continue with other
-    // jobs.
-    return true;
-  }
-  const std::string& service =
-    fleet::RouteTable::ChooseService(*route, NextRandom(shared_.random_));
-  const auto choice = shared_.endpoints_.Choose(
-    { service, fleet::WorkClass::Batch, {} }, aNow, shared_.random_);
-  if (!choice) {
-    return false;
-  }
-  const std::size_t item = aCandidate.item_;
-  const batch::BatchItem& content = (*job->items_)[item];
-  base::Log(kRequestSent,
-            { { "request", content.id_ },
-              { "lot", aCandidate.job_ },
-              { "endpoint", choice->endpoint_.id_ },
-              { "running", choice->inFlight_ },
-              { "candidates", choice->candidates_ },
-              { "software", choice->endpoint_.softwareVersion_ },
-              { "after_event", running.schedule_.ProgressOf(item).lastEvent_ },
-              { "due_ms", base::ToMs(aCandidate.urgency_.dueAt_ - aNow) },
-              { "run_ms", base::ToMs(aCandidate.urgency_.remaining_) },
-              { "version", shared_.routes_.Version() } });
-  auto attempt = std::make_shared<ItemAttempt>(
-    shared_,
-    [this](ItemAttempt& aAttempt, batch::ItemAttemptOutcome aOutcome) {
-      OnAttemptEnd(aAttempt, aOutcome);
-    },
-    aCandidate.job_,
-    item,
-    running.schedule_.ProgressOf(item));
-  running.schedule_.Start(item, choice->endpoint_.id_);
-  attempts_.push_back(attempt);
-  attempt->Start(choice->endpoint_,
-                 content,
-                 { job->state_.hostName_, CallerOf(*job) },
-                 kAttemptTimeLimit);
-  return true;
-}
-
-OrganisationName
-BatchWorker::CallerOf(const batch::BatchJob& aJob) const
-{
-  const std::string& organisation = aJob.state_.organisation_;
-  const bool isNamed =
-    !organisation.empty() || shared_.routes_.Organisations().AreDeclared();
-  return isNamed ? OrganisationName{ organisation } : OrganisationName{};
-}
-
-void
-BatchWorker::PreemptForOnline(base::Instant aNow)
-{
-  std::vector<std::string> endpoints;
-  for (const auto& attempt : attempts_) {
-    if (std::find(endpoints.begin(), endpoints.end(), attempt->EndpointId()) ==
-        endpoints.end()) {
-      endpoints.push_back(attempt->EndpointId());
-    }
-  }
-  for (const std::string& endpoint : endpoints) {
-    std::uint32_t remaining = shared_.endpoints_.BatchToPreempt(
-      endpoint, aNow, NextRandom(shared_.random_));
-    for (; remaining > 0; --remaining) {
-      Preempt(endpoint);
-    }
-  }
-}
-
-void
-BatchWorker::Preempt(const std::string& aEndpoint)
-{
-  const base::Instant now = base::MonotonicNow();
-  std::shared_ptr<ItemAttempt> chosen;
-  for (const auto& attempt : attempts_) {
-    if (attempt->EndpointId() != aEndpoint) {
-      continue;
-    }
-    if (!chosen || batch::IsPreemptedBefore(
-                     UrgencyOf(*attempt), UrgencyOf(*chosen), now)) {
-      chosen = attempt;
-    }
-  }
-  if (!chosen) {
-    return;
-  }
-  chosen->Cancel();
-  shared_.endpoints_.RecordPreemption(aEndpoint, now);
-  OnAttemptEnd(*chosen, batch::ItemAttemptOutcome::Preempted);
-}
-
 void
 BatchWorker::OnAttemptEnd(ItemAttempt& aAttempt,
                           batch::ItemAttemptOutcome aOutcome)
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -73,6 +73,7 @@
     batch::ItemSchedule schedule_;
     /// Estimated from the accepting host's wall clock.
     base::Instant acceptedAt_{};
+    base::Instant acquiredAt_{};
     std::optional<base::Instant> routeMissingSince_{};
   };
 
@@ -109,6 +110,23 @@
   /// @return false if there was no free slot for the item.
   bool StartAttempt(const batch::StartCandidate& aCandidate,
                     base::Instant aNow);
+  /// @return the endpoint for an item without output; empty if no slot is free.
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForStart(
+    const fleet::Route& aRoute,
+    base::Instant aNow);
+  /// Chooses the endpoint for the rest of an item's text, which must come from
+  /// the software version that began it. Discards the text if that version is
+  /// gone or has had no slot for long.
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForRest(
+    RunningJob& aRunning,
+    const batch::StartCandidate& aCandidate,
+    const fleet::Route& aRoute,
+    base::Instant aNow);
+  /// Discards an item's text, so that it starts from its beginning.
+  /// @param aIsServed Whether its software version still serves.
+  void RestartItem(RunningJob& aRunning,
+                   const batch::StartCandidate& aCandidate,
+                   bool aIsServed);
   /// @return the job's organisation, as sent to endpoints.
   [[nodiscard]] OrganisationName CallerOf(const batch::BatchJob& aJob) const;
   void RecordDuration(const ItemAttempt& aAttempt,
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -232,6 +232,33 @@
   "A request of a limited organisation is admitted although its account's "
   "owner didn't answer, or doesn't know what was admitted just before."
 };
+inline constexpr base::Event kStreamNotContinued{
+  7141,
+  "stream_not_continued",
+  base::LogLevel::Warning,
+  "The rest of a stream can't be served: no endpoint of the software version "
+  "that began it is left."
+};
+inline constexpr base::Event kItemRestarted{
+  7142,
+  "item_restarted",
+  base::LogLevel::Info,
+  "A batch item starts from its beginning: no endpoint of the software version "
+  "that began its text can go on with it."
+};
+inline constexpr base::Event kStreamResumed{
+  7143,
+  "stream_resumed",
+  base::LogLevel::Info,
+  "A caller resumes a stream at the software version that began it."
+};
+inline constexpr base::Event kStreamNotResumed{
+  7144,
+  "stream_not_resumed",
+  base::LogLevel::Warning,
+  "A caller can't resume a stream: the software version that began it isn't "
+  "known."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -75,12 +75,14 @@
 {
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
   status_ = aHead.result_int();
+  isFromOtherEndpoint_ = !responseInfo_.responderId_.empty() &&
+                         responseInfo_.responderId_ != endpoint_;
 }
 
 void
 ItemAttempt::OnBody(std::string_view aBytes)
 {
-  if (status_ != httpstream::kStatusOk) {
+  if (status_ != httpstream::kStatusOk || isFromOtherEndpoint_) {
     return;
   }
   splitter_.Append(aBytes);
@@ -90,6 +92,10 @@
     }
     if (progress_.lastEvent_ > 0) {
       progress_.output_.push_back('\n');
+    } else {
+      progress_.service_ = endpointAttempt_->Endpoint().service_;
+      progress_.softwareVersion_ =
+        endpointAttempt_->Endpoint().softwareVersion_;
     }
     progress_.output_.append(event->data_);
     progress_.lastEvent_ = event->id_;
@@ -115,8 +121,9 @@
   if (status_ != httpstream::kStatusOk) {
     return batch::ItemAttemptOutcome::Failed;
   }
-  return splitter_.Remainder() > 0 ? batch::ItemAttemptOutcome::Interrupted
-                                   : batch::ItemAttemptOutcome::Completed;
+  return splitter_.Remainder() > 0 || isFromOtherEndpoint_
+           ? batch::ItemAttemptOutcome::Interrupted
+           : batch::ItemAttemptOutcome::Completed;
 }
 
 void
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -80,6 +80,8 @@
   fleet::EventSplitter splitter_;
   std::shared_ptr<EndpointAttempt> endpointAttempt_;
   ResponseInfo responseInfo_;
+  /// Its version isn't known, so its events aren't joined.
+  bool isFromOtherEndpoint_ = false;
   unsigned status_ = 0;
 };
 
