LibGateway: Continue a response at the version that began it

Cause: each attempt chose anew among all endpoints.

If none is left, the response ends at once, and the caller may begin anew. A response of another endpoint than the one chosen is joined to nothing.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -125,7 +125,7 @@
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadCallerFields(exchange_->GetRequest()))
   , contentHash_(HashContent(exchange_->GetRequest()))
-  , lastEvent_(call_.lastEvent_)
+  , stream_(call_.lastEvent_)
 {
   const base::Duration allowed =
     call_.callerTimeout_ ? std::min(*call_.callerTimeout_, route_.timeout_)
@@ -197,35 +197,15 @@
   }
   if (triedEndpoints_.size() >= route_.maxAttempts_ ||
       undeliveredAttempts_ >= kMaxUndelivered || TimeLeft() < kMinAttemptTime) {
-    if (isStreaming) {
-      exchange_->Abort();
-      Finish(ProxyOutcome::StreamAborted);
-    } else if (mayHaveRun_) {
-      exchange_->Respond(
-        httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
-      Finish(ProxyOutcome::Failed);
-    } else {
-      RespondUnavailable();
-    }
+    EndWithoutAttempt();
     return;
   }
-  const std::string& service =
-    fleet::RouteTable::ChooseService(route_, NextRandom(shared_.random_));
-  const auto choice = shared_.endpoints_.Choose(
-    { service,
-      fleet::WorkClass::Online,
-      triedEndpoints_,
-      IsRetryable() && triedEndpoints_.size() + 1 < route_.maxAttempts_ },
-    base::MonotonicNow(),
-    shared_.random_);
+  const auto choice = ChooseEndpoint();
   if (!choice) {
-    // No other endpoint is left: makes the next call take the branch for
-    // exhausted attempts.
-    triedEndpoints_.resize(route_.maxAttempts_);
-    TryNextEndpoint();
+    EndWithoutAttempt();
     return;
   }
-  if (!AdmitByShare(service) || !Admit(*choice)) {
+  if (!AdmitByShare(choice->endpoint_.service_) || !Admit(*choice)) {
     return;
   }
   if (choice->preemptsBatch_) {
@@ -234,82 +214,50 @@
   Send(*choice);
 }
 
-bool
-OnlineProxy::Admit(const fleet::EndpointChoice& aChoice)
+std::optional<fleet::EndpointChoice>
+OnlineProxy::ChooseEndpoint()
 {
-  expectedWait_ = base::Duration::zero();
-  if (aChoice.preemptsBatch_) {
-    return true;
-  }
-  const fleet::AdmissionRequest request{
-    aChoice.endpoint_.service_,
-    route_.name_,
-    aChoice.inFlight_,
-    aChoice.endpoint_.slots_,
-    route_.objective_,
-    call_.callerTimeout_,
-    shared_.routes_.RankOf(route_, caller_.value_or(std::string())),
-    aChoice.speed_
+  const bool isRest = stream_.HasBegun() && stream_.Origin().has_value();
+  if (exchange_->IsStreaming() && !isRest) {
+    return std::nullopt;
+  }
+  fleet::ChoiceRequest request{
+    isRest
+      ? stream_.Origin()->service_
+      : fleet::RouteTable::ChooseService(route_, NextRandom(shared_.random_)),
+    fleet::WorkClass::Online,
+    triedEndpoints_,
+    IsRetryable() && triedEndpoints_.size() + 1 < route_.maxAttempts_
   };
-  const fleet::AdmissionDecision admission =
-    shared_.admission_.Check(request, NextRandom(shared_.random_));
-  expectedWait_ = admission.expectedWait_;
-  // A request that was already sent to an endpoint isn't rejected any more: its
-  // caller has already waited.
-  if (!admission.retryAfter_ || !triedEndpoints_.empty() || mayHaveRun_) {
-    return true;
-  }
-  base::Log(kRequestNotAdmitted,
-            { { "request", call_.requestId_ },
-              { "route", route_.name_ },
-              { "endpoint", aChoice.endpoint_.id_ },
-              { "running", aChoice.inFlight_ },
-              { "candidates", aChoice.candidates_ },
-              { "wait_ms", base::ToMs(admission.expectedWait_) },
-              { "objective_ms", base::ToMs(route_.objective_) },
-              { "come_back_ms", base::ToMs(*admission.retryAfter_) } });
-  RejectNotRun(*admission.retryAfter_);
-  return false;
-}
-
-bool
-OnlineProxy::AdmitByShare(const std::string& aService)
-{
-  const bool isFirstAttempt = triedEndpoints_.empty() && !mayHaveRun_;
-  if (!caller_ || !isFirstAttempt || isCountedForShare_) {
-    return true;
+  if (isRest) {
+    request.softwareVersion_ = stream_.Origin()->version_;
   }
-  const base::Instant now = base::MonotonicNow();
-  const fleet::ServiceLoad load = shared_.endpoints_.LoadOf(aService, now);
-  const fleet::ShareDecision decision =
-    shared_.fairShare_.Check(*caller_, load, now);
-  if (decision.isAdmitted_) {
-    return true;
-  }
-  const base::Duration retryAfter = fleet::AdmissionControl::RetryAfter(
-    call_.callerTimeout_, NextRandom(shared_.random_));
-  base::Log(kRequestOverShare,
-            { { "request", call_.requestId_ },
-              { "organisation", *caller_ },
-              { "in_flight", decision.inFlight_ },
-              { "share", decision.level_ },
-              { "running", load.inFlight_ },
-              { "slots", load.slots_ },
-              { "come_back_ms", base::ToMs(retryAfter) } });
-  shared_.metrics_
-    .GetCounter("pumiceturn_requests_over_share_total",
-                "Requests beyond their organisation's share in a shortage.",
-                fmt::format("organisation=\"{}\"", *caller_))
-    .Add();
-  RejectNotRun(retryAfter);
-  return false;
+  auto choice =
+    shared_.endpoints_.Choose(request, base::MonotonicNow(), shared_.random_);
+  if (!choice && isRest) {
+    base::Log(kStreamNotContinued,
+              { { "request", call_.requestId_ },
+                { "service", stream_.Origin()->service_ },
+                { "software", stream_.Origin()->version_ },
+                { "after_event", stream_.LastEvent() },
+                { "tried", triedEndpoints_.size() } });
+  }
+  return choice;
 }
 
 void
-OnlineProxy::RejectNotRun(base::Duration aRetryAfter)
+OnlineProxy::EndWithoutAttempt()
 {
-  exchange_->Respond(shared_.codec_.MakeUnavailable(aRetryAfter));
-  Finish(ProxyOutcome::NotRun);
+  if (exchange_->IsStreaming()) {
+    exchange_->Abort();
+    Finish(ProxyOutcome::StreamAborted);
+  } else if (mayHaveRun_) {
+    exchange_->Respond(
+      httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
+    Finish(ProxyOutcome::Failed);
+  } else {
+    RespondUnavailable();
+  }
 }
 
 void
@@ -317,7 +265,8 @@
 {
   head_.reset();
   body_.clear();
-  splitter_.Clear();
+  isFromOtherEndpoint_ = false;
+  stream_.BeginAttempt(aChoice.endpoint_);
   base::Log(kRequestSent,
             { { "request", call_.requestId_ },
               { "route", route_.name_ },
@@ -327,14 +276,14 @@
               { "preempts", aChoice.preemptsBatch_ },
               { "attempt", triedEndpoints_.size() + 1 },
               { "software", aChoice.endpoint_.softwareVersion_ },
-              { "after_event", lastEvent_ },
+              { "after_event", stream_.LastEvent() },
               { "resumes", LoggedId(call_.resumedRequestId_) },
               { "version", shared_.routes_.Version() },
               { "left_ms", base::ToMs(TimeLeft()) } });
   ForwardOptions options;
   options.endpoint_ = aChoice.endpoint_.id_;
   options.callerTimeout_ = TimeLeft();
-  options.lastEvent_ = lastEvent_;
+  options.lastEvent_ = stream_.LastEvent();
   options.caller_ = caller_;
   const httpstream::Request request =
     shared_.codec_.MakeEndpointRequest(exchange_->GetRequest(), options);
@@ -361,7 +310,6 @@
   }
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
   isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
-  lastEventBeforeAttempt_ = lastEvent_;
   attempt_ = std::make_shared<EndpointAttempt>(
     shared_, aChoice.endpoint_, fleet::WorkClass::Online);
   attempt_->SetSilenceTimeout(firstByteTimeout);
@@ -374,6 +322,8 @@
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
   isEventStream_ = httpstream::IsEventStream(aHead);
   head_ = aHead;
+  isFromOtherEndpoint_ =
+    isEventStream_ && !stream_.OnHead(responseInfo_.responderId_);
 }
 
 void
@@ -383,8 +333,10 @@
     body_.append(aBytes);
     return;
   }
-  splitter_.Append(aBytes);
-  ForwardEvents();
+  if (isFromOtherEndpoint_) {
+    return;
+  }
+  Forward(stream_.TakeEvents(aBytes));
   if (exchange_->UnsentBytes() > shared_.outputBudget_.MaxUnsentPerStream() &&
       attempt_) {
     attempt_->SetPaused(true);
@@ -392,25 +344,16 @@
 }
 
 void
-OnlineProxy::ForwardEvents()
+OnlineProxy::Forward(const std::string& aEvents)
 {
-  std::string events;
-  while (const auto event = splitter_.Next()) {
-    // A resumed stream may repeat events, which the caller must not get twice.
-    if (event->id_ != 0 && event->id_ <= lastEvent_) {
-      continue;
-    }
-    lastEvent_ = event->id_;
-    events.append(event->raw_);
-  }
-  if (events.empty()) {
+  if (aEvents.empty()) {
     return;
   }
   if (!exchange_->IsStreaming()) {
     firstEventAt_ = base::MonotonicNow();
     exchange_->BeginStream(*head_);
   }
-  exchange_->SendChunk(events);
+  exchange_->SendChunk(aEvents);
 }
 
 void
@@ -442,8 +385,9 @@
 OnlineProxy::OnCompleteResponse()
 {
   if (isEventStream_) {
-    if (splitter_.Remainder() > 0) {
-      // The body is complete by its framing but ends within an event.
+    if (stream_.HasPartialEvent() || isFromOtherEndpoint_) {
+      // The body is complete by its framing but ends within an event, or isn't
+      // of the endpoint chosen.
       OnAttemptBroken(httpstream::CallOutcome::Broken);
       return;
     }
@@ -511,7 +455,7 @@
             { { "request", call_.requestId_ },
               { "endpoint", triedEndpoints_.back() },
               { "cause", NameOf(aOutcome) },
-              { "last_event", lastEvent_ } });
+              { "last_event", stream_.LastEvent() } });
   RecordSuspect(aOutcome);
   if (IsRetryable()) {
     TryNextEndpoint();
@@ -527,36 +471,6 @@
   Finish(ProxyOutcome::Failed);
 }
 
-void
-OnlineProxy::RecordSuspect(httpstream::CallOutcome aOutcome)
-{
-  // Only attempts that break off before their first event are suspect. A later
-  // crash wasn't caused by starting the request.
-  if (aOutcome != httpstream::CallOutcome::Broken ||
-      lastEvent_ > lastEventBeforeAttempt_) {
-    return;
-  }
-  shared_.suspects_.RecordBroken({ contentHash_,
-                                   triedEndpoints_.back(),
-                                   isSuspectRetry_,
-                                   base::MonotonicNow() });
-}
-
-bool
-OnlineProxy::MustRejectAsSuspect() const
-{
-  if (shared_.suspects_.IsEmpty()) {
-    return false;
-  }
-  const base::Instant now = base::MonotonicNow();
-  return shared_.suspects_.IsRefused(
-    contentHash_,
-    now,
-    [this, now](const std::string& aEndpoint, base::Instant aInstant) {
-      return shared_.endpoints_.HasSurvived(aEndpoint, aInstant, now);
-    });
-}
-
 void
 OnlineProxy::OnDeadline()
 {
@@ -573,13 +487,6 @@
   Finish(ProxyOutcome::TimedOut);
 }
 
-void
-OnlineProxy::RespondUnavailable()
-{
-  RejectNotRun(fleet::AdmissionControl::RetryAfter(
-    TimeLeft(), NextRandom(shared_.random_)));
-}
-
 void
 OnlineProxy::Finish(ProxyOutcome aOutcome)
 {
@@ -606,7 +513,7 @@
               { "attempts", triedEndpoints_.size() },
               { "first_ms", base::ToMs(first) },
               { "total_ms", base::ToMs(now - exchange_->ReceivedAt()) },
-              { "last_event", lastEvent_ } });
+              { "last_event", stream_.LastEvent() } });
   const std::string label =
     fmt::format("route=\"{}\",end=\"{}\"", route_.name_, NameOf(aOutcome));
   shared_.metrics_
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "LibFleet/EventSplitter.h"
 #include "LibGateway/EndpointAttempt.h"
+#include "LibGateway/StreamContinuation.h"
 #include "LibHttpStream/ServerConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -67,7 +67,12 @@
   /// Responds that the request was not run, and ends it.
   void RejectNotRun(base::Duration aRetryAfter);
   void Send(const fleet::EndpointChoice& aChoice);
-  void ForwardEvents();
+  /// @return the endpoint of the next attempt; empty if none is left.
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
+  /// Ends the request if no further attempt may be made.
+  void EndWithoutAttempt();
+  /// Forwards complete events to the caller.
+  void Forward(const std::string& aEvents);
   void OnCompleteResponse();
   void OnAttemptRefused();
   void OnAttemptBroken(httpstream::CallOutcome aOutcome);
@@ -92,16 +97,15 @@
   bool mayHaveRun_ = false;
   std::uint64_t contentHash_;   ///< Hash of the request's target and body.
   bool isSuspectRetry_ = false; ///< Was suspect before the attempt.
-  std::uint64_t lastEventBeforeAttempt_ = 0; ///< Id of the last event.
 
   // State of the response that is being read.
   std::optional<httpstream::ResponseHead> head_;
   ResponseInfo responseInfo_;
   bool isEventStream_ = false;
-  std::string body_; ///< Buffered unless it is an event stream.
-  fleet::EventSplitter splitter_;
+  std::string body_;                 ///< Buffered unless it is an event stream.
+  bool isFromOtherEndpoint_ = false; ///< Its events must not be joined.
   // State of all attempts.
-  std::uint64_t lastEvent_ = 0;
+  StreamContinuation stream_;
   std::optional<base::Instant> firstEventAt_;
   bool isFinished_ = false;
   bool isCountedForShare_ = false;
