LibGateway, LibFleet: Resume callers' streams at the version that began them

Cause: a host that had not begun the stream knew nothing of it and chose any endpoint of the service.

Each host now records the service and version that brought a stream's first event. While a service has one version, every host knows it and nothing is sent. From the moment at which it has several, the record goes to three entry hosts and two workers in different failure domains, found by rendezvous hashing of the request's id, without waiting; records of streams that began before go out at that moment. A host that resumes a stream looks into its own records, then asks those hosts (150 ms at most). A stream that none knows is refused at once as not run while several versions served within the life of a stream. So that a host that has just started knows whether there was only one, the versions are kept in the store, written by one host when they change.

--- /dev/null
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "LibFleet/ServiceVersions.h"
+#include "LibFleet/StreamOrigin.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace pumiceturn::fleet {
+
+/// What the decision on a resumed stream rests on.
+enum class OriginBasis : std::uint8_t
+{
+  OwnRecord,
+  PeerRecord,
+  OnlyVersion, ///< No other version served for as long as a stream may last.
+};
+
+/// Why a stream can't be resumed.
+enum class OriginUnknown : std::uint8_t
+{
+  NoRecord,    ///< Several versions served, and no host knows the stream.
+  Ambiguous,   ///< Streams of several versions had the same id.
+  OldView,     ///< One version is known here, but others may serve by now.
+  NoEndpoints, ///< No version of the service is known.
+};
+
+/// Where a resumed stream goes on.
+struct OriginFound
+{
+  std::optional<std::string> service_; ///< Any of the route's if not set.
+  std::string version_;
+  OriginBasis basis_ = OriginBasis::OwnRecord;
+  base::Duration age_{ 0 }; ///< Age of the record; zero without one.
+};
+
+using OriginDecision = std::variant<OriginFound, OriginUnknown>;
+
+/// What one host knows about a stream and the services of its route.
+struct OriginEvidence
+{
+  OriginRecord record_;
+  /// All versions that may have begun the stream; empty: not known.
+  ServiceVersions::Versions versions_{};
+};
+
+/// Decides where a resumed stream goes on, from what this host and others know.
+/// What two versions write doesn't fit together, so a stream of unknown version
+/// isn't resumed unless there is only one.
+class OriginInquiry
+{
+public:
+  /// @param aOwn          What this host knows.
+  /// @param aIsViewRecent Whether this host knows all endpoints as of now.
+  /// @param aAsked        Number of hosts that were asked.
+  OriginInquiry(OriginEvidence aOwn, bool aIsViewRecent, std::size_t aAsked);
+
+  /// Adds the answer of another host.
+  void Add(const OriginEvidence& aEvidence);
+
+  /// @return the decision, or std::nullopt while answers may change it.
+  [[nodiscard]] std::optional<OriginDecision> Decide() const;
+
+  /// @return the decision without the answers that are missing.
+  [[nodiscard]] OriginDecision DecideNow() const;
+
+private:
+  [[nodiscard]] bool HasRecord() const
+  {
+    return !std::holds_alternative<UnknownOrigin>(record_);
+  }
+  /// @return whether one version is known, and nothing suggests another.
+  [[nodiscard]] bool IsOnlyVersionCertain() const;
+
+  OriginRecord record_;
+  OriginBasis basis_ = OriginBasis::OwnRecord;
+  ServiceVersions::Versions versions_;
+  bool isViewRecent_;
+  std::size_t missing_;           ///< Answers that may still come.
+  std::size_t confirmations_ = 0; ///< Answers that named versions.
+};
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -18,9 +18,13 @@
   organisations_.Install(std::move(aDeclarations.organisations_));
   routes_.clear();
   hasCappedRoutes_ = false;
+  longestStreamTimeout_ = base::Duration::zero();
   for (Route& route : aDeclarations.routes_) {
     hasCappedRoutes_ |=
       route.kind_ == RequestKind::BatchJob && route.waitingTokenCap_ > 0;
+    if (route.kind_ == RequestKind::Stream && route.isResumable_) {
+      longestStreamTimeout_ = std::max(longestStreamTimeout_, route.timeout_);
+    }
     routes_[route.hostName_].push_back(std::move(route));
   }
   for (auto& [name, routes] : routes_) {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -43,6 +43,13 @@
   [[nodiscard]] std::uint32_t RankOf(const Route& aRoute,
                                      std::string_view aOrganisation) const;
 
+  /// @return the longest timeout of the routes for resumable streams; zero if
+  ///         there is none.
+  [[nodiscard]] base::Duration LongestStreamTimeout() const
+  {
+    return longestStreamTimeout_;
+  }
+
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
 
@@ -72,6 +79,7 @@
     routes_;
   bool hasCappedRoutes_ = false;
   std::uint32_t highestPriority_ = 0;
+  base::Duration longestStreamTimeout_{ 0 };
 };
 
 } // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/ServiceVersions.cpp
@@ -0,0 +1,55 @@
+#include "LibFleet/ServiceVersions.h"
+
+namespace pumiceturn::fleet {
+
+bool
+ServiceVersions::Observe(const std::string& aService,
+                         const std::string& aVersion,
+                         base::Instant aNow)
+{
+  return services_[aService].insert_or_assign(aVersion, aNow).second;
+}
+
+void
+ServiceVersions::ObserveIfNew(const std::string& aService,
+                              const std::string& aVersion,
+                              base::Instant aNow)
+{
+  services_[aService].try_emplace(aVersion, aNow);
+}
+
+void
+ServiceVersions::Expire(base::Duration aLifetime, base::Instant aNow)
+{
+  for (auto& [service, lastSeen] : services_) {
+    std::erase_if(lastSeen, [&](const auto& aEntry) {
+      return aNow - aEntry.second > aLifetime;
+    });
+  }
+  std::erase_if(services_,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+ServiceVersions::Versions
+ServiceVersions::VersionsOf(std::string_view aService) const
+{
+  Versions versions;
+  if (const auto found = services_.find(aService); found != services_.end()) {
+    for (const auto& [version, seenAt] : found->second) {
+      versions.insert(version);
+    }
+  }
+  return versions;
+}
+
+std::set<std::string>
+ServiceVersions::Services() const
+{
+  std::set<std::string> services;
+  for (const auto& [service, lastSeen] : services_) {
+    services.insert(service);
+  }
+  return services;
+}
+
+} // namespace pumiceturn::fleet
--- /dev/null
+++ b/Libraries/LibFleet/ServiceVersions.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace pumiceturn::fleet {
+
+/// The software versions that each service's endpoints had within the lifetime
+/// of a stream: any of them may have begun a stream that is resumed now. Not
+/// thread-safe.
+class ServiceVersions
+{
+public:
+  using Versions = std::set<std::string>;
+
+  /// Records that an endpoint of the service has the version.
+  /// @return whether the service had no such version before.
+  bool Observe(const std::string& aService,
+               const std::string& aVersion,
+               base::Instant aNow);
+
+  /// As Observe(), but leaves the time of a version that is known.
+  void ObserveIfNew(const std::string& aService,
+                    const std::string& aVersion,
+                    base::Instant aNow);
+
+  /// Drops versions that no endpoint had for a time.
+  void Expire(base::Duration aLifetime, base::Instant aNow);
+
+  /// @return the versions of a service; empty if none is known.
+  [[nodiscard]] Versions VersionsOf(std::string_view aService) const;
+
+  /// @return all services that have a version.
+  [[nodiscard]] std::set<std::string> Services() const;
+
+private:
+  /// When an endpoint last had the version, by version.
+  using LastSeen = std::map<std::string, base::Instant>;
+  std::map<std::string, LastSeen, std::less<>> services_;
+};
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -82,13 +82,28 @@
   };
 }
 
+/// Share of the time for which a draining endpoint must get no new requests any
+/// more, for which it still gets the rest of streams. This host learns of the
+/// change after half of that time at the latest.
+constexpr double kDrainingUseShare = 0.4;
+
+fleet::EndpointTable::Limits
+MakeEndpointLimits(const GatewaySettings& aSettings)
+{
+  fleet::EndpointTable::Limits limits;
+  limits.drainingUse_ = std::chrono::duration_cast<base::Duration>(
+    aSettings.drainBound_ * kDrainingUseShare);
+  return limits;
+}
+
 HostRecord
 MakeHostRecord(const std::string& aOwnName, const GatewaySettings& aSettings)
 {
   return { aOwnName,
            aSettings.peerAddress_,
            aSettings.forwardAddress_,
-           aSettings.batchPreference_ };
+           aSettings.batchPreference_,
+           aSettings.failureDomain_ };
 }
 
 } // namespace
@@ -111,7 +126,8 @@
   , storeTransport_(aStoreTransport)
   , shared_{ aCodec,
              {},
-             fleet::EndpointTable(settings_.failureDomain_, {}),
+             fleet::EndpointTable(settings_.failureDomain_,
+                                  MakeEndpointLimits(settings_)),
              httpstream::ConnectionPool(aContext.get_executor()),
              std::mt19937_64(std::random_device{}()),
              {},
@@ -170,6 +186,15 @@
       mirrors_,
       peerMessenger_,
       { settings_.revocationBound_, settings_.configurationBound_ })
+  , streamOrigins_(
+      aContext.get_executor(),
+      shared_,
+      peerMessenger_,
+      mirrors_,
+      store_,
+      layout_.versionPrefix_,
+      { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
+      settings_.drainBound_)
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
   , callerListener_(aContext,
@@ -217,58 +242,6 @@
   worker_.SetOnResults([this](const std::string& aJob) { OnJobChanged(aJob); });
 }
 
-void
-Gateway::AddGauges()
-{
-  shared_.metrics_.AddGauge(
-    "pumiceturn_store_prefixes_followed",
-    "Prefixes of the store that this host follows for its peers.",
-    {},
-    [this] { return mirrors_.FollowedCount(); });
-  shared_.metrics_.AddGauge("pumiceturn_endpoint_connections_made_total",
-                            "Connections opened to endpoints.",
-                            {},
-                            [this] { return shared_.pool_.OpenedCount(); });
-  shared_.metrics_.AddGauge(
-    "pumiceturn_caller_connections",
-    "Open connections of callers.",
-    {},
-    [this] { return callerListener_.ConnectionCount(); });
-  shared_.metrics_.AddGauge("pumiceturn_caller_unsent_bytes",
-                            "Response bytes that callers haven't read yet.",
-                            {},
-                            [this] { return callerListener_.UnsentBytes(); });
-  shared_.metrics_.AddGauge("pumiceturn_batch_runs",
-                            "Items that this host runs now.",
-                            {},
-                            [this] { return worker_.AttemptCount(); });
-  shared_.metrics_.AddGauge(
-    "pumiceturn_suspect_runs",
-    "Runs known here that broke off before their first event.",
-    {},
-    [this] {
-      return shared_.suspects_.BrokenAttempts(base::MonotonicNow()).size();
-    });
-  shared_.metrics_.AddGauge(
-    "pumiceturn_held_lots",
-    "Lots on this host's disk that the store doesn't have yet.",
-    {},
-    [this] { return spool_ ? spool_->Count() : 0; });
-  shared_.metrics_.AddGauge(
-    "pumiceturn_endpoints_ejected",
-    "Endpoints that get no requests as they fail more often than others.",
-    {},
-    [this] { return shared_.endpoints_.Outliers().EjectedCount(); });
-  shared_.metrics_.AddGauge("pumiceturn_peers_heard",
-                            "Other hosts whose own messages arrive here.",
-                            {},
-                            [this] { return peerMessenger_.ReachableCount(); });
-  shared_.metrics_.AddGauge("pumiceturn_configuration_version",
-                            "Version in force.",
-                            {},
-                            [this] { return shared_.routes_.Version(); });
-}
-
 std::string
 Gateway::OwnerId() const
 {
@@ -321,6 +294,7 @@
   mirrors_.Start(StorePrefix::Operators);
   mirrors_.Start(StorePrefix::Endpoints);
   mirrors_.Start(StorePrefix::BatchJobs);
+  streamOrigins_.Tick(startedAt_);
   StartRegistration();
   ScheduleTick();
   return true;
@@ -429,6 +403,7 @@
                                     aExchange,
                                     route,
                                     caller,
+                                    streamOrigins_,
                                     preemptBatch_)
         ->Start();
     });
@@ -532,6 +507,7 @@
   if (spool_) {
     spool_->Tick(now, wallNow);
   }
+  streamOrigins_.Tick(now);
   shared_.suspects_.Expire(now);
   UpdateEndpointVerdicts(shared_, now);
   shared_.pool_.CloseExpired(now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "LibGateway/SharedState.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StoreTransport.h"
+#include "LibGateway/StreamOrigins.h"
 #include "LibHttpStream/Listener.h"
 #include "LibMetadata/CountingStoreClient.h"
 #include "LibMetadata/HostLease.h"
@@ -92,6 +93,7 @@
   std::string endpointPrefix_;
   batch::BatchJobKeySpace jobs_;
   std::string hostPrefix_;
+  std::string versionPrefix_; ///< Software versions of the services.
 };
 
 /// Parses the entries of operators and endpoints in the store. Implemented in
@@ -221,6 +223,7 @@
   BatchJobRetention retention_;
   PeerMessenger peerMessenger_;
   AccessControl accessControl_;
+  StreamOrigins streamOrigins_;
   OnlineProxy::PreemptBatch preemptBatch_;
   httpstream::Listener callerListener_;
   httpstream::Listener statusListener_;
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,59 @@
+#include "LibGateway/Gateway.h"
+
+// The part of Gateway that reports its state as metrics.
+
+namespace pumiceturn::gateway {
+
+void
+Gateway::AddGauges()
+{
+  shared_.metrics_.AddGauge(
+    "pumiceturn_store_prefixes_followed",
+    "Prefixes of the store that this host follows for its peers.",
+    {},
+    [this] { return mirrors_.FollowedCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_endpoint_connections_made_total",
+                            "Connections opened to endpoints.",
+                            {},
+                            [this] { return shared_.pool_.OpenedCount(); });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_caller_connections",
+    "Open connections of callers.",
+    {},
+    [this] { return callerListener_.ConnectionCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_caller_unsent_bytes",
+                            "Response bytes that callers haven't read yet.",
+                            {},
+                            [this] { return callerListener_.UnsentBytes(); });
+  shared_.metrics_.AddGauge("pumiceturn_batch_runs",
+                            "Items that this host runs now.",
+                            {},
+                            [this] { return worker_.AttemptCount(); });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_suspect_runs",
+    "Runs known here that broke off before their first event.",
+    {},
+    [this] {
+      return shared_.suspects_.BrokenAttempts(base::MonotonicNow()).size();
+    });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_held_lots",
+    "Lots on this host's disk that the store doesn't have yet.",
+    {},
+    [this] { return spool_ ? spool_->Count() : 0; });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_endpoints_ejected",
+    "Endpoints that get no requests as they fail more often than others.",
+    {},
+    [this] { return shared_.endpoints_.Outliers().EjectedCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_peers_heard",
+                            "Other hosts whose own messages arrive here.",
+                            {},
+                            [this] { return peerMessenger_.ReachableCount(); });
+  shared_.metrics_.AddGauge("pumiceturn_configuration_version",
+                            "Version in force.",
+                            {},
+                            [this] { return shared_.routes_.Version(); });
+}
+
+} // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -193,6 +193,9 @@
   const bool wasUsable = shared_.endpoints_.IsUsable(id);
   const fleet::RegistrationOutcome outcome =
     shared_.endpoints_.Put(*record, now);
+  if (outcome != fleet::RegistrationOutcome::Outdated) {
+    streamOrigins_.OnEndpoint(*record, now);
+  }
   if (outcome == fleet::RegistrationOutcome::Restarted) {
     shared_.pool_.RemoveServer(id);
     base::Log(kEndpointChanged,
@@ -240,6 +243,7 @@
   if (aItem.isRemoved_) {
     hosts_.Remove(host, now);
     peerMessenger_.RemovePeer(host);
+    streamOrigins_.RemoveHost(host);
     OnHostsChanged();
     if (host == settings_.host_) {
       lease_.OnKeyRemoved();
@@ -258,6 +262,10 @@
   peerMessenger_.SetPeer(host,
                          record->peerAddress_,
                          record->preference_ == batch::BatchPreference::Worker);
+  streamOrigins_.SetHost(
+    { host,
+      record->failureDomain_,
+      record->preference_ == batch::BatchPreference::Worker });
   OnHostsChanged();
 }
 
--- a/Libraries/LibGateway/HostRecord.cpp
+++ b/Libraries/LibGateway/HostRecord.cpp
@@ -13,7 +13,8 @@
     { "owner", aRecord.ownerId_ },
     { "peer", aRecord.peerAddress_ },
     { "calls", aRecord.callAddress_ },
-    { "worker", aRecord.preference_ == batch::BatchPreference::Worker }
+    { "worker", aRecord.preference_ == batch::BatchPreference::Worker },
+    { "domain", aRecord.failureDomain_ }
   }.dump();
 }
 
@@ -27,7 +28,8 @@
                        value.at("peer").get<std::string>(),
                        value.at("calls").get<std::string>(),
                        isWorker ? batch::BatchPreference::Worker
-                                : batch::BatchPreference::Fallback };
+                                : batch::BatchPreference::Fallback,
+                       value.value("domain", std::string()) };
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/Libraries/LibGateway/HostRecord.h
+++ b/Libraries/LibGateway/HostRecord.h
@@ -15,6 +15,7 @@
   std::string peerAddress_; ///< IP:PORT for datagrams.
   std::string callAddress_; ///< IP:PORT for HTTP calls of peers.
   batch::BatchPreference preference_ = batch::BatchPreference::Fallback;
+  std::string failureDomain_{};
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -81,14 +81,6 @@
   return "unintelligible";
 }
 
-/// @return the beginning of an id that a caller chose, for the log.
-std::string_view
-LoggedId(std::string_view aId)
-{
-  constexpr std::size_t kMaxLoggedId = 64;
-  return aId.substr(0, kMaxLoggedId);
-}
-
 /// @return the time between two events of a route's streams after which one is
 ///         resumed at another endpoint.
 base::Duration
@@ -116,12 +108,14 @@
                          std::shared_ptr<httpstream::Exchange> aExchange,
                          fleet::Route aRoute,
                          OrganisationName aCaller,
+                         StreamOrigins& aOrigins,
                          const PreemptBatch& aPreemptBatch)
   : shared_(aShared)
   , deadlineTimer_(aExecutor)
   , exchange_(std::move(aExchange))
   , route_(std::move(aRoute))
   , caller_(std::move(aCaller))
+  , origins_(aOrigins)
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadCallerFields(exchange_->GetRequest()))
   , contentHash_(HashContent(exchange_->GetRequest()))
@@ -160,7 +154,11 @@
       self->OnDeadline();
     }
   });
-  TryNextEndpoint();
+  if (route_.kind_ == fleet::RequestKind::Stream && stream_.HasBegun()) {
+    FindOrigin();
+  } else {
+    TryNextEndpoint();
+  }
 }
 
 base::Duration
@@ -217,8 +215,8 @@
 std::optional<fleet::EndpointChoice>
 OnlineProxy::ChooseEndpoint()
 {
-  const bool isRest = stream_.HasBegun() && stream_.Origin().has_value();
-  if (exchange_->IsStreaming() && !isRest) {
+  const bool isRest = stream_.HasBegun();
+  if (isRest && !stream_.Origin()) {
     return std::nullopt;
   }
   fleet::ChoiceRequest request{
@@ -277,7 +275,7 @@
               { "attempt", triedEndpoints_.size() + 1 },
               { "software", aChoice.endpoint_.softwareVersion_ },
               { "after_event", stream_.LastEvent() },
-              { "resumes", LoggedId(call_.resumedRequestId_) },
+              { "resumes", LoggedResumedId() },
               { "version", shared_.routes_.Version() },
               { "left_ms", base::ToMs(TimeLeft()) } });
   ForwardOptions options;
@@ -352,6 +350,7 @@
   if (!exchange_->IsStreaming()) {
     firstEventAt_ = base::MonotonicNow();
     exchange_->BeginStream(*head_);
+    RecordOrigin();
   }
   exchange_->SendChunk(aEvents);
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -2,6 +2,7 @@
 
 #include "LibGateway/EndpointAttempt.h"
 #include "LibGateway/StreamContinuation.h"
+#include "LibGateway/StreamOrigins.h"
 #include "LibHttpStream/ServerConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -42,6 +43,7 @@
               std::shared_ptr<httpstream::Exchange> aExchange,
               fleet::Route aRoute,
               OrganisationName aCaller,
+              StreamOrigins& aOrigins,
               const PreemptBatch& aPreemptBatch);
   ~OnlineProxy() override;
   OnlineProxy(const OnlineProxy&) = delete;
@@ -67,6 +69,17 @@
   /// Responds that the request was not run, and ends it.
   void RejectNotRun(base::Duration aRetryAfter);
   void Send(const fleet::EndpointChoice& aChoice);
+  /// Finds out where the stream began that the caller resumes.
+  void FindOrigin();
+  void OnOrigin(const StreamOrigins::Result& aResult);
+  void ResumeAt(const fleet::OriginFound& aOrigin,
+                const StreamOrigins::Result& aResult);
+  void RejectUnknownStream(std::string_view aCause,
+                           const StreamOrigins::Result& aResult);
+  /// @return the beginning of the id that the caller gave.
+  [[nodiscard]] std::string_view LoggedResumedId() const;
+  /// Records where the stream began, for callers that resume it.
+  void RecordOrigin();
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
   /// Ends the request if no further attempt may be made.
@@ -87,6 +100,7 @@
   std::shared_ptr<httpstream::Exchange> exchange_;
   fleet::Route route_;
   OrganisationName caller_;
+  StreamOrigins& origins_;
   const PreemptBatch& preemptBatch_;
   CallerFields call_;
   base::Instant deadline_;
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -44,6 +44,8 @@
   using RateReportHandler =
     std::function<void(const std::string& aPeer, const fleet::RateReport&)>;
   using RateResponseHandler = std::function<void(const fleet::RateResponse&)>;
+  using OriginMessageHandler =
+    std::function<void(const std::string& aPeer, const nlohmann::json&)>;
 
   PeerMessenger(boost::asio::io_context& aContext,
                 SharedState& aShared,
@@ -103,6 +105,17 @@
     onRateResponse_ = std::move(aHandler);
   }
 
+  /// @param aHandler Gets the messages of registered peers; may throw
+  ///                 nlohmann::json::exception.
+  void SetOnOriginMessage(OriginMessageHandler aHandler)
+  {
+    onOriginMessage_ = std::move(aHandler);
+  }
+
+  /// Sends a message about the origin of streams, which may get lost.
+  void SendOriginMessage(const std::string& aPeer,
+                         const nlohmann::json& aContent);
+
   /// Sends a rate message, which may get lost: reports carry totals, and a host
   /// that gets no response decides alone after a timeout.
   void SendRateReport(const std::string& aPeer,
@@ -168,6 +181,7 @@
   PreemptionHandler onPreemption_;
   RateReportHandler onRateReport_;
   RateResponseHandler onRateResponse_;
+  OriginMessageHandler onOriginMessage_;
   fleet::CountPublisher countPublisher_;
   fleet::PeerReachability reachability_;
   fleet::CellMap cells_;
--- a/Libraries/LibGateway/PeerTraffic.cpp
+++ b/Libraries/LibGateway/PeerTraffic.cpp
@@ -9,7 +9,7 @@
 /// Labels of the metrics, in the order of DatagramKind.
 constexpr std::array kKindNames = {
   "all_counts",  "changed_counts", "relayed_counts", "relay_request",
-  "store_delta", "preemption",     "rate_message",
+  "store_delta", "preemption",     "rate_message",   "stream_origin",
 };
 
 } // namespace
--- a/Libraries/LibGateway/PeerTraffic.h
+++ b/Libraries/LibGateway/PeerTraffic.h
@@ -18,6 +18,7 @@
   StoreDelta,    ///< Changes read from the store.
   Preemption,    ///< Request to cancel a batch attempt.
   RateMessage,   ///< Report or response about a rate limit.
+  StreamOrigin,  ///< Records of where streams began, and queries for them.
 };
 
 /// Counts datagrams and their bytes by kind and direction.
@@ -30,7 +31,7 @@
   void RecordReceived(DatagramKind aKind, std::size_t aBytes);
 
 private:
-  static constexpr std::size_t kKinds = 7;
+  static constexpr std::size_t kKinds = 8;
 
   struct Counters
   {
--- a/Libraries/LibGateway/StoreMirrors.h
+++ b/Libraries/LibGateway/StoreMirrors.h
@@ -73,6 +73,12 @@
   ///         std::nullopt before its first read.
   [[nodiscard]] std::optional<base::Duration> AgeOf(StorePrefix aPrefix) const;
 
+  /// @return whether this host follows the prefix for its peers.
+  [[nodiscard]] bool Follows(StorePrefix aPrefix) const
+  {
+    return Find(aPrefix).Follows();
+  }
+
   [[nodiscard]] StoreReport MakeReport() const;
   [[nodiscard]] std::size_t FollowedCount() const;
 
--- /dev/null
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -0,0 +1,334 @@
+#include "LibGateway/StreamOrigins.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// How long answers of other hosts are waited for: several round trips between
+/// regions.
+constexpr std::chrono::milliseconds kAnswerTimeout{ 150 };
+
+/// Time between two looks at the versions of all endpoints.
+constexpr std::chrono::milliseconds kObserveInterval{ 500 };
+
+/// Maximum number of inquiries in progress. Beyond it, streams without a record
+/// at this host aren't resumed.
+constexpr std::size_t kMaxPending = 4096;
+
+/// Maximum number of records in one datagram.
+constexpr std::size_t kMaxRows = 128;
+
+/// A stream with all its caller's tries lasts up to this many times its route's
+/// timeout.
+constexpr int kTriesPerStream = 2;
+
+/// Used without a route for streams.
+constexpr std::chrono::seconds kDefaultTimeout{ 15 };
+
+std::vector<std::string>
+ServicesOf(const fleet::Route& aRoute)
+{
+  std::vector<std::string> services;
+  for (const fleet::RouteTarget& target : aRoute.targets_) {
+    services.push_back(target.service_);
+  }
+  return services;
+}
+
+} // namespace
+
+StreamOrigins::StreamOrigins(boost::asio::any_io_executor aExecutor,
+                             SharedState& aShared,
+                             PeerMessenger& aPeers,
+                             const StoreMirrors& aMirrors,
+                             metadata::StoreClient& aStore,
+                             std::string aKeyPrefix,
+                             fleet::RecordHolder aOwnHost,
+                             base::Duration aMaxViewAge)
+  : executor_(std::move(aExecutor))
+  , shared_(aShared)
+  , peers_(aPeers)
+  , mirrors_(aMirrors)
+  , ownHost_(aOwnHost.host_)
+  , maxViewAge_(aMaxViewAge)
+  , versionStore_(aStore, std::move(aKeyPrefix), versions_)
+{
+  SetHost(std::move(aOwnHost));
+  peers_.SetOnOriginMessage(
+    [this](const std::string& aPeer, const nlohmann::json& aContent) {
+      HandleMessage(aPeer, aContent);
+    });
+  shared_.metrics_.AddGauge("pumiceturn_stream_records",
+                            "Records of where streams began.",
+                            {},
+                            [this] { return table_.Count(); });
+}
+
+base::Duration
+StreamOrigins::VersionLifetime() const
+{
+  const base::Duration longest = shared_.routes_.LongestStreamTimeout();
+  return kTriesPerStream * (longest > base::Duration::zero()
+                              ? longest
+                              : base::Duration(kDefaultTimeout));
+}
+
+void
+StreamOrigins::SetHost(fleet::RecordHolder aHost)
+{
+  RemoveHost(aHost.host_);
+  hosts_.push_back(std::move(aHost));
+}
+
+void
+StreamOrigins::RemoveHost(const std::string& aHost)
+{
+  std::erase_if(hosts_, [&aHost](const fleet::RecordHolder& aOther) {
+    return aOther.host_ == aHost;
+  });
+}
+
+std::vector<std::string>
+StreamOrigins::HoldersOf(const std::string& aId) const
+{
+  std::vector<std::string> holders = fleet::ChooseRecordHolders(aId, hosts_);
+  std::erase(holders, ownHost_);
+  return holders;
+}
+
+bool
+StreamOrigins::HasSeveralVersions(const std::string& aService) const
+{
+  return versions_.VersionsOf(aService).size() > 1;
+}
+
+void
+StreamOrigins::OnEndpoint(const fleet::EndpointRecord& aRecord,
+                          base::Instant aNow)
+{
+  const bool hadSeveral = HasSeveralVersions(aRecord.service_);
+  versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
+  if (!hadSeveral && HasSeveralVersions(aRecord.service_)) {
+    // The streams that began beside one version alone are known to no other
+    // host.
+    Publish(table_.OwnRowsOf(aRecord.service_, aNow));
+  }
+}
+
+void
+StreamOrigins::ObserveEndpoints(base::Instant aNow)
+{
+  observedAt_ = aNow;
+  shared_.endpoints_.ForEachRecord([&](const fleet::EndpointRecord& aRecord) {
+    versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
+  });
+  versions_.Expire(VersionLifetime(), aNow);
+  table_.Expire(aNow);
+}
+
+void
+StreamOrigins::Tick(base::Instant aNow)
+{
+  if (aNow - observedAt_ >= kObserveInterval) {
+    ObserveEndpoints(aNow);
+  }
+  versionStore_.Tick(mirrors_.Follows(StorePrefix::Endpoints), aNow);
+}
+
+void
+StreamOrigins::Record(const std::string& aId,
+                      const fleet::StreamOrigin& aOrigin,
+                      base::Duration aLifetime)
+{
+  const fleet::StreamOriginTable::Row row{ aId,
+                                           aOrigin,
+                                           kTriesPerStream * aLifetime };
+  if (!table_.Record(row,
+                     fleet::StreamOriginTable::Source::OwnStream,
+                     base::MonotonicNow())) {
+    shared_.metrics_
+      .GetCounter("pumiceturn_streams_not_recorded_total",
+                  "Streams that can't be resumed, as there are too many "
+                  "records or the id is too long.")
+      .Add();
+    return;
+  }
+  if (HasSeveralVersions(aOrigin.service_)) {
+    Publish(std::span(&row, 1));
+  }
+}
+
+void
+StreamOrigins::Publish(std::span<const fleet::StreamOriginTable::Row> aRows)
+{
+  std::map<std::string, OriginRows> byHolder;
+  for (const fleet::StreamOriginTable::Row& row : aRows) {
+    for (const std::string& holder : HoldersOf(row.id_)) {
+      OriginRows& message = byHolder[holder];
+      message.rows_.push_back(row);
+      if (message.rows_.size() == kMaxRows) {
+        Send(holder, message);
+        message.rows_.clear();
+      }
+    }
+  }
+  for (const auto& [holder, message] : byHolder) {
+    if (!message.rows_.empty()) {
+      Send(holder, message);
+    }
+  }
+}
+
+fleet::OriginEvidence
+StreamOrigins::EvidenceOf(const std::string& aId,
+                          std::span<const std::string> aServices,
+                          base::Instant aNow) const
+{
+  fleet::OriginEvidence evidence{ table_.Find(aId, aNow) };
+  for (const std::string& service : aServices) {
+    evidence.versions_.merge(versions_.VersionsOf(service));
+  }
+  // Before the store's entries are read, another version may have just gone.
+  if (!versionStore_.HasBeenRead() && evidence.versions_.size() == 1) {
+    evidence.versions_.clear();
+  }
+  return evidence;
+}
+
+void
+StreamOrigins::Find(const std::string& aId,
+                    const fleet::Route& aRoute,
+                    ResultHandler aHandler)
+{
+  std::vector<std::string> services = ServicesOf(aRoute);
+  const base::Instant now = base::MonotonicNow();
+  fleet::OriginEvidence evidence = EvidenceOf(aId, services, now);
+  const base::Duration viewAge =
+    mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max());
+  // A host that has just started may have an old copy of the endpoints, but
+  // knows their versions from the store.
+  const bool isViewRecent =
+    std::min(viewAge, versionStore_.AgeOf(now)) <= maxViewAge_;
+  const bool hasId =
+    !aId.empty() && aId.size() <= fleet::StreamOriginTable::kMaxIdBytes;
+  // Without an id, others can only confirm that there is one version.
+  const bool isAsking =
+    pending_.size() < kMaxPending &&
+    (hasId || (!isViewRecent && evidence.versions_.size() <= 1));
+  std::set<std::string> hosts;
+  if (isAsking) {
+    const std::vector<std::string> holders = HoldersOf(aId);
+    hosts.insert(holders.begin(), holders.end());
+  }
+  PendingInquiry pending{
+    fleet::OriginInquiry(std::move(evidence), isViewRecent, hosts.size()),
+    {},
+    { fleet::OriginUnknown::NoRecord, hosts.size(), viewAge },
+    std::move(aHandler),
+    nullptr
+  };
+  if (const auto decision = pending.inquiry_.Decide()) {
+    pending.result_.decision_ = *decision;
+    pending.result_.asked_ = 0;
+    pending.handler_(pending.result_);
+    return;
+  }
+  Ask(hasId ? aId : std::string(),
+      std::move(services),
+      std::move(hosts),
+      std::move(pending));
+}
+
+void
+StreamOrigins::Ask(const std::string& aId,
+                   std::vector<std::string> aServices,
+                   std::set<std::string> aHosts,
+                   PendingInquiry aPending)
+{
+  const std::uint64_t query = nextQuery_++;
+  const OriginQuery message{ query, aId, std::move(aServices) };
+  for (const std::string& host : aHosts) {
+    Send(host, message);
+  }
+  aPending.missing_ = std::move(aHosts);
+  aPending.timer_ =
+    std::make_unique<boost::asio::steady_timer>(executor_, kAnswerTimeout);
+  aPending.timer_->async_wait(
+    lifetime_.Guard([this, query](const boost::system::error_code& aError) {
+      if (!aError) {
+        OnTimeout(query);
+      }
+    }));
+  pending_.emplace(query, std::move(aPending));
+}
+
+void
+StreamOrigins::OnTimeout(std::uint64_t aQuery)
+{
+  if (const auto found = pending_.find(aQuery); found != pending_.end()) {
+    End(aQuery, found->second.inquiry_.DecideNow());
+  }
+}
+
+void
+StreamOrigins::End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision)
+{
+  auto node = pending_.extract(aQuery);
+  PendingInquiry& pending = node.mapped();
+  pending.result_.decision_ = aDecision;
+  pending.handler_(pending.result_);
+}
+
+void
+StreamOrigins::Send(const std::string& aPeer, const OriginMessage& aMessage)
+{
+  peers_.SendOriginMessage(aPeer, EncodeOriginMessage(aMessage));
+}
+
+void
+StreamOrigins::HandleMessage(const std::string& aPeer,
+                             const nlohmann::json& aContent)
+{
+  std::visit([&](const auto& aMessage) { Handle(aPeer, aMessage); },
+             DecodeOriginMessage(aContent));
+}
+
+void
+StreamOrigins::Handle(const std::string& /*aPeer*/, const OriginRows& aMessage)
+{
+  const base::Instant now = base::MonotonicNow();
+  const base::Duration maxLifetime = VersionLifetime();
+  for (fleet::StreamOriginTable::Row row : aMessage.rows_) {
+    row.lifetime_ = std::min(row.lifetime_, maxLifetime);
+    table_.Record(row, fleet::StreamOriginTable::Source::Peer, now);
+  }
+}
+
+void
+StreamOrigins::Handle(const std::string& aPeer, const OriginQuery& aMessage)
+{
+  Send(aPeer,
+       OriginAnswer{
+         aMessage.query_,
+         EvidenceOf(aMessage.id_, aMessage.services_, base::MonotonicNow()) });
+}
+
+void
+StreamOrigins::Handle(const std::string& aPeer, const OriginAnswer& aMessage)
+{
+  const auto found = pending_.find(aMessage.query_);
+  if (found == pending_.end() || found->second.missing_.erase(aPeer) == 0) {
+    return;
+  }
+  found->second.inquiry_.Add(aMessage.evidence_);
+  if (const auto decision = found->second.inquiry_.Decide()) {
+    End(aMessage.query_, *decision);
+  }
+}
+
+} // namespace pumiceturn::gateway
--- /dev/null
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "LibBase/Lifetime.h"
+#include "LibFleet/OriginInquiry.h"
+#include "LibFleet/RecordHolders.h"
+#include "LibFleet/ServiceVersions.h"
+#include "LibFleet/StreamOriginTable.h"
+#include "LibGateway/PeerMessenger.h"
+#include "LibGateway/ServiceVersionStore.h"
+#include "LibGateway/StoreMirrors.h"
+#include "LibGateway/StreamOriginCodec.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace pumiceturn::gateway {
+
+/// Knows at which software version streams began, so that they can be resumed
+/// at any host. While a service has one version, each host knows it; from the
+/// moment at which it has several, the host that begins a stream sends a record
+/// to a few others, which any host finds by the stream's id. See
+/// docs/design/versions.md. Used on the event thread only.
+class StreamOrigins
+{
+public:
+  /// @param aMaxViewAge Time for which the mirror of the endpoints counts as
+  ///                    recent.
+  StreamOrigins(boost::asio::any_io_executor aExecutor,
+                SharedState& aShared,
+                PeerMessenger& aPeers,
+                const StoreMirrors& aMirrors,
+                metadata::StoreClient& aStore,
+                std::string aKeyPrefix,
+                fleet::RecordHolder aOwnHost,
+                base::Duration aMaxViewAge);
+
+  /// Records where a stream began, or that it went on.
+  /// @param aId Id of the request that brought its first event.
+  void Record(const std::string& aId,
+              const fleet::StreamOrigin& aOrigin,
+              base::Duration aLifetime);
+
+  /// How a resumed stream goes on, and what was known.
+  struct Result
+  {
+    fleet::OriginDecision decision_;
+    std::size_t asked_ = 0; ///< Number of hosts that were asked.
+    base::Duration viewAge_{ 0 };
+  };
+  using ResultHandler = std::function<void(const Result&)>;
+
+  /// Finds out where a stream began.
+  /// @param aId      Id of the request that brought its first event; empty if
+  ///                 the caller doesn't give it.
+  /// @param aHandler Called once, at once or within 150 ms.
+  void Find(const std::string& aId,
+            const fleet::Route& aRoute,
+            ResultHandler aHandler);
+
+  /// Records the version of a registered endpoint.
+  void OnEndpoint(const fleet::EndpointRecord& aRecord, base::Instant aNow);
+
+  void SetHost(fleet::RecordHolder aHost);
+  void RemoveHost(const std::string& aHost);
+
+  void Tick(base::Instant aNow);
+
+private:
+  struct PendingInquiry
+  {
+    fleet::OriginInquiry inquiry_;
+    std::set<std::string> missing_; ///< Hosts whose answer may still come.
+    Result result_;
+    ResultHandler handler_;
+    std::unique_ptr<boost::asio::steady_timer> timer_;
+  };
+
+  [[nodiscard]] fleet::OriginEvidence EvidenceOf(
+    const std::string& aId,
+    std::span<const std::string> aServices,
+    base::Instant aNow) const;
+  [[nodiscard]] bool HasSeveralVersions(const std::string& aService) const;
+  /// @return the hosts that hold a stream's record, without this one.
+  [[nodiscard]] std::vector<std::string> HoldersOf(
+    const std::string& aId) const;
+  void Publish(std::span<const fleet::StreamOriginTable::Row> aRows);
+  void ObserveEndpoints(base::Instant aNow);
+  void Ask(const std::string& aId,
+           std::vector<std::string> aServices,
+           std::set<std::string> aHosts,
+           PendingInquiry aPending);
+  void OnTimeout(std::uint64_t aQuery);
+  void End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision);
+  void HandleMessage(const std::string& aPeer, const nlohmann::json& aContent);
+  void Handle(const std::string& aPeer, const OriginRows& aMessage);
+  void Handle(const std::string& aPeer, const OriginQuery& aMessage);
+  void Handle(const std::string& aPeer, const OriginAnswer& aMessage);
+  void Send(const std::string& aPeer, const OriginMessage& aMessage);
+  [[nodiscard]] base::Duration VersionLifetime() const;
+
+  boost::asio::any_io_executor executor_;
+  SharedState& shared_;
+  PeerMessenger& peers_;
+  const StoreMirrors& mirrors_;
+  std::string ownHost_;
+  base::Duration maxViewAge_;
+  fleet::ServiceVersions versions_;
+  ServiceVersionStore versionStore_;
+  fleet::StreamOriginTable table_;
+  std::vector<fleet::RecordHolder> hosts_;
+  std::unordered_map<std::uint64_t, PendingInquiry> pending_; ///< By query.
+  std::uint64_t nextQuery_ = 1;
+  base::Instant observedAt_{};
+  base::Lifetime lifetime_;
+};
+
+} // namespace pumiceturn::gateway
