--- a/Libraries/LibFleet/RecordHolders.cpp
+++ b/Libraries/LibFleet/RecordHolders.cpp
@@ -46,7 +46,9 @@
 } // namespace
 
 std::vector<std::string>
-ChooseRecordHolders(std::string_view aId, std::span<const RecordHolder> aHosts)
+ChooseRecordHolders(std::string_view aId,
+                    std::span<const RecordHolder> aHosts,
+                    HolderCounts aCounts)
 {
   const std::uint64_t seed = base::HashBytes(aId);
   Ranked entryHosts;
@@ -56,8 +58,8 @@
       .emplace_back(base::HashBytes(host.host_, seed), &host);
   }
   std::vector<std::string> chosen;
-  for (auto [ranked, count] : { std::pair(&entryHosts, kEntryHolders),
-                                std::pair(&workers, kWorkerHolders) }) {
+  for (auto [ranked, count] : { std::pair(&entryHosts, aCounts.entryHosts_),
+                                std::pair(&workers, aCounts.workers_) }) {
     std::sort(ranked->begin(), ranked->end(), std::greater<>());
     AppendSpread(*ranked, count, chosen);
   }
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -23,6 +23,10 @@
 /// Maximum number of records in one datagram.
 constexpr std::size_t kMaxRows = 128;
 
+/// Maximum number of datagrams a second with records of streams whose service
+/// has one version. About 4 KB/s.
+constexpr double kAheadPerSecond = 40.0;
+
 /// A stream with all its caller's tries lasts up to this many times its route's
 /// timeout.
 constexpr int kTriesPerStream = 2;
@@ -94,9 +98,11 @@
 }
 
 std::vector<std::string>
-StreamOrigins::HoldersOf(const std::string& aId) const
+StreamOrigins::HoldersOf(const std::string& aId,
+                         fleet::HolderCounts aCounts) const
 {
-  std::vector<std::string> holders = fleet::ChooseRecordHolders(aId, hosts_);
+  std::vector<std::string> holders =
+    fleet::ChooseRecordHolders(aId, hosts_, aCounts);
   std::erase(holders, ownHost_);
   return holders;
 }
@@ -148,9 +154,8 @@
   const fleet::StreamOriginTable::Row row{ aId,
                                            aOrigin,
                                            kTriesPerStream * aLifetime };
-  if (!table_.Record(row,
-                     fleet::StreamOriginTable::Source::OwnStream,
-                     base::MonotonicNow())) {
+  const base::Instant now = base::MonotonicNow();
+  if (!table_.Record(row, fleet::StreamOriginTable::Source::OwnStream, now)) {
     shared_.metrics_
       .GetCounter("pumiceturn_streams_not_recorded_total",
                   "Streams that can't be resumed, as there are too many "
@@ -160,6 +165,25 @@
   }
   if (HasSeveralVersions(aOrigin.service_)) {
     Publish(std::span(&row, 1));
+  } else {
+    PublishAhead(row, now);
+  }
+}
+
+void
+StreamOrigins::PublishAhead(const fleet::StreamOriginTable::Row& aRow,
+                            base::Instant aNow)
+{
+  const double passed =
+    std::chrono::duration<double>(aNow - aheadBudgetAt_).count();
+  aheadBudgetAt_ = aNow;
+  aheadBudget_ =
+    std::min(aheadBudget_ + passed * kAheadPerSecond, kAheadPerSecond);
+  for (const std::string& holder : HoldersOf(aRow.id_, fleet::kAheadHolders)) {
+    if (aheadBudget_ >= 1.0) {
+      aheadBudget_ -= 1.0;
+      Send(holder, OriginRows{ { aRow } });
+    }
   }
 }
 
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -89,7 +89,11 @@
   [[nodiscard]] bool HasSeveralVersions(const std::string& aService) const;
   /// @return the hosts that hold a stream's record, without this one.
   [[nodiscard]] std::vector<std::string> HoldersOf(
-    const std::string& aId) const;
+    const std::string& aId,
+    fleet::HolderCounts aCounts = fleet::kHolders) const;
+  /// Sends a record while its service has one version, within a budget.
+  void PublishAhead(const fleet::StreamOriginTable::Row& aRow,
+                    base::Instant aNow);
   void Publish(std::span<const fleet::StreamOriginTable::Row> aRows);
   void ObserveEndpoints(base::Instant aNow);
   void Ask(const std::string& aId,
@@ -118,6 +122,8 @@
   std::unordered_map<std::uint64_t, PendingInquiry> pending_; ///< By query.
   std::uint64_t nextQuery_ = 1;
   base::Instant observedAt_{};
+  double aheadBudget_ = 0.0; ///< Datagrams that may be sent ahead now.
+  base::Instant aheadBudgetAt_{};
   base::Lifetime lifetime_;
 };
 
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -27,6 +27,25 @@
       { aId, "service", "127.0.0.1:1", "a", 4, false, aStartedAtMs }, now_);
   }
 
+  void AddVersion(const std::string& aId,
+                  const std::string& aVersion,
+                  bool aIsDraining = false)
+  {
+    EndpointRecord record{ aId, "service", "127.0.0.1:1", "a", 4, aIsDraining };
+    record.softwareVersion_ = aVersion;
+    table_.Put(record, now_);
+  }
+
+  /// @return the id of the endpoint chosen for the rest of a stream.
+  std::string ChooseForRest(std::string_view aVersion,
+                            WorkClass aWork = WorkClass::Online)
+  {
+    ChoiceRequest request{ "service", aWork, {} };
+    request.softwareVersion_ = aVersion;
+    const auto choice = table_.Choose(request, now_, random_);
+    return choice ? choice->endpoint_.id_ : std::string();
+  }
+
   std::optional<EndpointChoice> Choose(WorkClass aWork,
                                        std::vector<std::string> aExcluded = {})
   {
@@ -58,6 +77,47 @@
   CHECK(Choose(WorkClass::Online, { "free" })->endpoint_.id_ == "full");
 }
 
+// Guards against the rest of a stream from another software version.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_RestOfStream_ChoosesItsVersionOnly")
+{
+  AddVersion("old", "v1");
+  AddVersion("new-1", "v2");
+  AddVersion("new-2", "v2");
+  Start("old", WorkClass::Online, 6);
+  for (int round = 0; round < 20; ++round) {
+    CHECK(ChooseForRest("v1") == "old");
+  }
+  CHECK(ChooseForRest("v3").empty());
+  CHECK(table_.HasUsable("service", "v1"));
+  CHECK_FALSE(table_.HasUsable("service", "v3"));
+}
+
+// Guards against streams that are lost when the last endpoints of their version
+// are replaced, and against requests to endpoints that have drained for long.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_LastOfVersionDrains_GetsRestOfStreamsForAWhile")
+{
+  AddVersion("old", "v1");
+  AddVersion("new", "v2");
+  AddVersion("old", "v1", true);
+  CHECK(ChooseForRest("v1") == "old");
+  CHECK(ChooseForRest("v1", WorkClass::Batch).empty());
+  CHECK(Choose(WorkClass::Online)->endpoint_.id_ == "new");
+  CHECK_FALSE(table_.HasUsable("service", "v1"));
+  now_ += EndpointTable::Limits{}.drainingUse_;
+  CHECK(ChooseForRest("v1").empty());
+}
+
+// Guards against requests to an endpoint that began to drain before this host
+// knew it.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_FirstSeenDraining_GetsNoRestOfStreams")
+{
+  AddVersion("old", "v1", true);
+  CHECK(ChooseForRest("v1").empty());
+}
+
 // Guards against all hosts choosing the emptiest endpoint by the same counts.
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_SeveralHaveFreeSlots_RequestsAreSpread")
--- /dev/null
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -0,0 +1,100 @@
+#include "LibFleet/OriginInquiry.h"
+
+#include <catch2/catch.hpp>
+
+namespace pumiceturn::fleet {
+
+class OriginInquiryFixture
+{
+protected:
+  static OriginEvidence Unknown(ServiceVersions::Versions aVersions)
+  {
+    return { UnknownOrigin{}, std::move(aVersions) };
+  }
+  static OriginEvidence Known(const std::string& aVersion)
+  {
+    return { KnownOrigin{ { "service", aVersion }, base::Duration::zero() },
+             { "v1", "v2" } };
+  }
+  static std::string VersionIn(const std::optional<OriginDecision>& aDecision)
+  {
+    REQUIRE(aDecision);
+    const auto* found = std::get_if<OriginFound>(&*aDecision);
+    return found != nullptr ? found->version_ : std::string();
+  }
+  static OriginUnknown CauseIn(const std::optional<OriginDecision>& aDecision)
+  {
+    REQUIRE(aDecision);
+    return std::get<OriginUnknown>(*aDecision);
+  }
+};
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_OwnRecord_IsDecidedWithoutAnswers")
+{
+  const OriginInquiry inquiry(Known("v2"), false, 5);
+  CHECK(VersionIn(inquiry.Decide()) == "v2");
+}
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_OneHostHasTheRecord_StreamGoesOnThere")
+{
+  OriginInquiry inquiry(Unknown({ "v1", "v2" }), true, 5);
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.Add(Unknown({ "v1", "v2" }));
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.Add(Known("v1"));
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+// Guards against joining a stream to a guess.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_SeveralVersionsAndNoRecord_IsUnknown")
+{
+  OriginInquiry inquiry(Unknown({ "v1", "v2" }), true, 1);
+  CHECK(std::get<OriginUnknown>(inquiry.DecideNow()) ==
+        OriginUnknown::NoRecord);
+  inquiry.Add(Unknown({ "v1", "v2" }));
+  CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
+}
+
+// Guards against a host that missed a release and takes its old version for the
+// only one.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_AnotherHostKnowsMoreVersions_IsUnknown")
+{
+  OriginInquiry inquiry(Unknown({ "v1" }), true, 1);
+  inquiry.Add(Unknown({ "v1", "v2" }));
+  CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
+}
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_OneVersionInRecentView_StreamGoesOn")
+{
+  const OriginInquiry inquiry(Unknown({ "v1" }), true, 0);
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+// Guards against a host that is cut off and trusts what it knew before.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_OneVersionInOldView_NeedsConfirmation")
+{
+  OriginInquiry inquiry(Unknown({ "v1" }), false, 2);
+  CHECK(std::get<OriginUnknown>(inquiry.DecideNow()) == OriginUnknown::OldView);
+  inquiry.Add(Unknown({}));
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_HostThatJustStarted_AsksTheOthers")
+{
+  OriginInquiry inquiry(Unknown({}), true, 2);
+  CHECK(std::get<OriginUnknown>(inquiry.DecideNow()) ==
+        OriginUnknown::NoEndpoints);
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+} // namespace pumiceturn::fleet
