--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -452,25 +452,7 @@
         reachability_.RecordRelayRequest(host, peer.get<std::string>(), now);
       }
     } else {
-      traffic_.RecordReceived(message.contains("runs")
-                                ? DatagramKind::AllCounts
-                                : DatagramKind::ChangedCounts,
-                              aMessage.size());
-      HandleCounts(host, message, now);
-      HandleStoreReport(host, message, now);
-      // The rest only of registered peers that were heard directly, as anyone
-      // can send datagrams.
-      if (message.contains("runs") && IsFromPeer(host)) {
-        HandleObservations(host, message, now);
-      }
-      const auto owners = message.find("owners");
-      if (owners != message.end() && IsFromPeer(host)) {
-        RecordRateCandidates(host, owners->get<std::uint64_t>());
-        if (const auto peer = peers_.find(host); peer != peers_.end()) {
-          peer->second.heardHosts_ = message.at("heard").get<std::size_t>();
-        }
-      }
-      Relay(host, message, now);
+      HandleCountsMessage(host, message, aMessage.size(), now);
     }
   } catch (const json::exception&) {
     // Only counted, as anyone can send to this port.
@@ -481,6 +463,33 @@
   }
 }
 
+void
+PeerMessenger::HandleCountsMessage(const std::string& aPeer,
+                                   const json& aMessage,
+                                   std::size_t aBytes,
+                                   base::Instant aNow)
+{
+  traffic_.RecordReceived(aMessage.contains("runs")
+                            ? DatagramKind::AllCounts
+                            : DatagramKind::ChangedCounts,
+                          aBytes);
+  HandleCounts(aPeer, aMessage, aNow);
+  HandleStoreReport(aPeer, aMessage, aNow);
+  // The rest only of registered peers that were heard directly, as anyone can
+  // send datagrams.
+  if (aMessage.contains("runs") && IsFromPeer(aPeer)) {
+    HandleObservations(aPeer, aMessage, aNow);
+  }
+  const auto owners = aMessage.find("owners");
+  if (owners != aMessage.end() && IsFromPeer(aPeer)) {
+    RecordRateCandidates(aPeer, owners->get<std::uint64_t>());
+    if (const auto peer = peers_.find(aPeer); peer != peers_.end()) {
+      peer->second.heardHosts_ = aMessage.at("heard").get<std::size_t>();
+    }
+  }
+  Relay(aPeer, aMessage, aNow);
+}
+
 void
 PeerMessenger::HandleCounts(const std::string& aPeer,
                             const json& aMessage,
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -142,6 +142,11 @@
   void RequestRelays(base::Instant aNow);
   void Receive();
   void HandleDatagram(std::string_view aMessage);
+  /// Handles a peer's counts and what else the same datagram carries.
+  void HandleCountsMessage(const std::string& aPeer,
+                           const nlohmann::json& aMessage,
+                           std::size_t aBytes,
+                           base::Instant aNow);
   void HandleCounts(const std::string& aPeer,
                     const nlohmann::json& aMessage,
                     base::Instant aNow);
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -34,6 +34,12 @@
 /// Used without a route for streams.
 constexpr std::chrono::seconds kDefaultTimeout{ 15 };
 
+bool
+IsRecordable(std::string_view aId)
+{
+  return !aId.empty() && aId.size() <= fleet::StreamOriginTable::kMaxIdBytes;
+}
+
 std::vector<std::string>
 ServicesOf(const fleet::Route& aRoute)
 {
@@ -224,6 +230,29 @@
   return evidence;
 }
 
+bool
+StreamOrigins::IsViewRecent(base::Duration aViewAge, base::Instant aNow) const
+{
+  // A host that has just started may have an old copy of the endpoints, but
+  // knows their versions from the store.
+  return std::min(aViewAge, versionStore_.AgeOf(aNow)) <= maxViewAge_;
+}
+
+std::set<std::string>
+StreamOrigins::HostsToAsk(const std::string& aId,
+                          const fleet::OriginEvidence& aOwn,
+                          bool aIsViewRecent) const
+{
+  // Without an id, others can only confirm that there is one version.
+  const bool needsAnswers =
+    IsRecordable(aId) || (!aIsViewRecent && aOwn.versions_.size() <= 1);
+  if (!needsAnswers || pending_.size() >= kMaxPending) {
+    return {};
+  }
+  const std::vector<std::string> holders = HoldersOf(aId);
+  return { holders.begin(), holders.end() };
+}
+
 void
 StreamOrigins::Find(const std::string& aId,
                     const fleet::Route& aRoute,
@@ -231,26 +260,13 @@
 {
   std::vector<std::string> services = ServicesOf(aRoute);
   const base::Instant now = base::MonotonicNow();
-  fleet::OriginEvidence evidence = EvidenceOf(aId, services, now);
+  fleet::OriginEvidence own = EvidenceOf(aId, services, now);
   const base::Duration viewAge =
     mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max());
-  // A host that has just started may have an old copy of the endpoints, but
-  // knows their versions from the store.
-  const bool isViewRecent =
-    std::min(viewAge, versionStore_.AgeOf(now)) <= maxViewAge_;
-  const bool hasId =
-    !aId.empty() && aId.size() <= fleet::StreamOriginTable::kMaxIdBytes;
-  // Without an id, others can only confirm that there is one version.
-  const bool isAsking =
-    pending_.size() < kMaxPending &&
-    (hasId || (!isViewRecent && evidence.versions_.size() <= 1));
-  std::set<std::string> hosts;
-  if (isAsking) {
-    const std::vector<std::string> holders = HoldersOf(aId);
-    hosts.insert(holders.begin(), holders.end());
-  }
+  const bool isViewRecent = IsViewRecent(viewAge, now);
+  std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
   PendingInquiry pending{
-    fleet::OriginInquiry(std::move(evidence), isViewRecent, hosts.size()),
+    fleet::OriginInquiry(std::move(own), isViewRecent, hosts.size()),
     {},
     { fleet::OriginUnknown::NoRecord, hosts.size(), viewAge },
     std::move(aHandler),
@@ -262,7 +278,7 @@
     pending.handler_(pending.result_);
     return;
   }
-  Ask(hasId ? aId : std::string(),
+  Ask(IsRecordable(aId) ? aId : std::string(),
       std::move(services),
       std::move(hosts),
       std::move(pending));
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -96,6 +96,14 @@
                     base::Instant aNow);
   void Publish(std::span<const fleet::StreamOriginTable::Row> aRows);
   void ObserveEndpoints(base::Instant aNow);
+  /// @return whether this host knows all versions as of now.
+  [[nodiscard]] bool IsViewRecent(base::Duration aViewAge,
+                                  base::Instant aNow) const;
+  /// @return the hosts whose answers may decide on a stream.
+  [[nodiscard]] std::set<std::string> HostsToAsk(
+    const std::string& aId,
+    const fleet::OriginEvidence& aOwn,
+    bool aIsViewRecent) const;
   void Ask(const std::string& aId,
            std::vector<std::string> aServices,
            std::set<std::string> aHosts,
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -145,6 +145,7 @@
     return Metrics(first).find("pumiceturn_peers_heard 1") != std::string::npos;
   });
   std::vector<std::string> versions;
+  versions.reserve(kRounds);
   for (int round = 0; round < kRounds; ++round) {
     versions.push_back(BeginStream(first, fmt::format("r{}", round)));
   }
