LibGateway: End the store's answers with the objects that wait for them

ItemVersions_OwnerFailsAndVersionDrains_ItemStartsAfresh died in 1 of 24 runs, four at a time: it destroys a host right after its progress is in the store. Supposed cause, from reading: the answer to that write, or to a read of the services' versions, calls an object of the destroyed host. Both callbacks now end with their objects. Processes destroy theirs only when they exit.

--- a/Libraries/LibGateway/ProgressWriter.cpp
+++ b/Libraries/LibGateway/ProgressWriter.cpp
@@ -109,20 +109,21 @@
   }
   lastStoreAt_ = aNow;
   isStoring_ = true;
-  store_.Commit(transaction,
-                [this, sent = std::move(sent), aNow](
-                  const metadata::TransactionResponse& aResponse) {
-                  isStoring_ = false;
-                  // After a failure, the next transaction stores newer
-                  // progress. After a conflict, the watch reports that the job
-                  // was closed or taken over.
-                  if (aResponse.status_ != metadata::StoreStatus::Ok) {
-                    return;
-                  }
-                  for (const BatchJobProgress& job : sent) {
-                    RecordStored(job, aNow);
-                  }
-                });
+  store_.Commit(
+    transaction,
+    lifetime_.Guard([this, sent = std::move(sent), aNow](
+                      const metadata::TransactionResponse& aResponse) {
+      isStoring_ = false;
+      // After a failure, the next transaction stores newer
+      // progress. After a conflict, the watch reports that the job
+      // was closed or taken over.
+      if (aResponse.status_ != metadata::StoreStatus::Ok) {
+        return;
+      }
+      for (const BatchJobProgress& job : sent) {
+        RecordStored(job, aNow);
+      }
+    }));
 }
 
 void
--- a/Libraries/LibGateway/ProgressWriter.h
+++ b/Libraries/LibGateway/ProgressWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibBatch/BatchJob.h"
 #include "LibBatch/BatchJobKeys.h"
 #include "LibMetadata/StoreClient.h"
@@ -59,6 +60,7 @@
   std::unordered_map<std::string, Stored> stored_;
   base::Instant lastStoreAt_{};
   bool isStoring_ = false;
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -62,23 +62,24 @@
   isCalling_ = true;
   nextReadAt_ = aNow + kRetryPause;
   // Has one entry for each service, which fits into a page.
-  store_.Range(keyPrefix_,
-               {},
-               metadata::ReadConsistency::Linearizable,
-               [this, aNow](const metadata::RangeResponse& aResponse) {
-                 isCalling_ = false;
-                 if (aResponse.status_ != metadata::StoreStatus::Ok) {
-                   return;
-                 }
-                 const base::Instant now = base::MonotonicNow();
-                 entries_.clear();
-                 for (const metadata::StoreItem& item : aResponse.items_) {
-                   Apply(item, now);
-                 }
-                 hasBeenRead_ = true;
-                 readAt_ = aNow;
-                 isCurrent_ = true;
-               });
+  store_.Range(
+    keyPrefix_,
+    {},
+    metadata::ReadConsistency::Linearizable,
+    lifetime_.Guard([this, aNow](const metadata::RangeResponse& aResponse) {
+      isCalling_ = false;
+      if (aResponse.status_ != metadata::StoreStatus::Ok) {
+        return;
+      }
+      const base::Instant now = base::MonotonicNow();
+      entries_.clear();
+      for (const metadata::StoreItem& item : aResponse.items_) {
+        Apply(item, now);
+      }
+      hasBeenRead_ = true;
+      readAt_ = aNow;
+      isCurrent_ = true;
+    }));
 }
 
 void
--- a/Libraries/LibGateway/ServiceVersionStore.h
+++ b/Libraries/LibGateway/ServiceVersionStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibBase/Time.h"
 #include "LibFleet/ServiceVersions.h"
 #include "LibMetadata/StoreClient.h"
@@ -58,6 +59,7 @@
   bool isCalling_ = false;
   base::Instant readAt_{}; ///< When the last successful read was sent.
   base::Instant nextReadAt_{};
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
