LibGateway: Choose no holders where no record may be sent ahead

While a service has one version, each new stream ranked all hosts by hash before it was known whether the budget allows a datagram. What is sent stays the same. A comment said that no other host has records of such streams, which no longer holds.

--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -126,8 +126,8 @@
   const bool hadSeveral = HasSeveralVersions(aRecord.service_);
   versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
   if (!hadSeveral && HasSeveralVersions(aRecord.service_)) {
-    // The streams that began beside one version alone are known to no other
-    // host.
+    // Of the streams that began beside one version alone, few other hosts have
+    // records, or none.
     Publish(table_.OwnRowsOf(aRecord.service_, aNow));
   }
 }
@@ -185,6 +185,9 @@
   aheadBudgetAt_ = aNow;
   aheadBudget_ =
     std::min(aheadBudget_ + passed * kAheadPerSecond, kAheadPerSecond);
+  if (aheadBudget_ < 1.0) {
+    return;
+  }
   for (const std::string& holder : HoldersOf(aRow.id_, fleet::kAheadHolders)) {
     if (aheadBudget_ >= 1.0) {
       aheadBudget_ -= 1.0;
