--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -203,13 +203,18 @@
 }
 
 void
-EndpointTable::CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork)
+EndpointTable::CountStart(const EndpointIncarnation& aEndpoint,
+                          WorkClass aWork,
+                          base::Instant aNow)
 {
   Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr) {
     return;
   }
   InFlightCounts& own = endpoint->own_;
+  if (own.Total() == 0) {
+    endpoint->busySince_ = aNow;
+  }
   ++(aWork == WorkClass::Online ? own.online_ : own.batch_);
 }
 
@@ -413,6 +418,27 @@
   return load;
 }
 
+ServiceActivity
+EndpointTable::ActivityOf(std::string_view aService, base::Instant aNow) const
+{
+  ServiceActivity activity;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.record_.service_ != aService || endpoint.own_.Total() == 0) {
+      continue;
+    }
+    ++(SilenceOf(endpoint, aNow) > limits_.silenceThreshold_
+         ? activity.silent_
+         : activity.active_);
+  }
+  return activity;
+}
+
+base::Duration
+EndpointTable::SilenceOf(const Endpoint& aEndpoint, base::Instant aNow)
+{
+  return aNow - std::max(aEndpoint.busySince_, aEndpoint.lastActivityAt_);
+}
+
 void
 EndpointTable::SetPeerOutcomes(const std::string& aPeer,
                                std::span<const EndpointOutcomes> aOutcomes,
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -49,6 +49,14 @@
   bool operator==(const EndpointCounts&) const = default;
 };
 
+/// How many of a service's endpoints send to this host. Endpoints without
+/// attempts of this host aren't counted.
+struct ServiceActivity
+{
+  std::uint32_t silent_ = 0;
+  std::uint32_t active_ = 0;
+};
+
 /// A chosen endpoint, with the figures behind the choice for the log.
 struct EndpointChoice
 {
@@ -147,6 +155,11 @@
     /// accept requests, as this host may learn late that it drains.
     base::Duration drainingUse_{ std::chrono::milliseconds{ 800 } };
 
+    /// Time without a byte of any attempt after which an endpoint counts as
+    /// silent. Running attempts send every few milliseconds, and others wait
+    /// no longer than their latency objective.
+    base::Duration silenceThreshold_{ std::chrono::milliseconds{ 300 } };
+
     /// Factor on the weight of an endpoint in another failure domain, since
     /// traffic between domains is charged.
     double otherDomainWeight_ = 0.7;
@@ -193,7 +206,9 @@
     base::Instant aNow,
     std::mt19937_64& aRandom);
 
-  void CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork);
+  void CountStart(const EndpointIncarnation& aEndpoint,
+                  WorkClass aWork,
+                  base::Instant aNow);
   void CountEnd(const EndpointIncarnation& aEndpoint, WorkClass aWork);
 
   /// Records a failed connection or a broken attempt.
@@ -285,6 +300,11 @@
   [[nodiscard]] ServiceLoad LoadOf(const std::string& aService,
                                    base::Instant aNow);
 
+  /// @return how many endpoints of a service have attempts of this host and
+  ///         send nothing of any of them, and how many do send.
+  [[nodiscard]] ServiceActivity ActivityOf(std::string_view aService,
+                                           base::Instant aNow) const;
+
   [[nodiscard]] OutlierDetector& Outliers() { return outliers_; }
   [[nodiscard]] EndpointPace& Paces() { return paces_; }
 
@@ -323,6 +343,7 @@
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant lastActivityAt_;
+    base::Instant busySince_; ///< Since when this host has attempts there.
     /// Start of the attempt that was last active.
     base::Instant activeAttemptStartedAt_;
     base::Instant batchPausedUntil_;
@@ -355,6 +376,10 @@
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
 
+  /// @return for how long no byte of this host's attempts has arrived.
+  [[nodiscard]] static base::Duration SilenceOf(const Endpoint& aEndpoint,
+                                                base::Instant aNow);
+
   [[nodiscard]] InFlightCounts CountsOf(const Endpoint& aEndpoint,
                                         base::Instant aNow) const;
   [[nodiscard]] bool IsAvoided(const Endpoint& aEndpoint,
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -39,7 +39,8 @@
   observer_ = &aObserver;
   isCountedInFlight_ = true;
   startedAt_ = base::MonotonicNow();
-  shared_.endpoints_.CountStart(endpoint_.Incarnation(), workClass_);
+  shared_.endpoints_.CountStart(
+    endpoint_.Incarnation(), workClass_, startedAt_);
   const auto address = ParseAddress(endpoint_.address_);
   if (!address) {
     OnEnd(httpstream::CallOutcome::NotConnected);
@@ -145,6 +146,13 @@
   }
 }
 
+httpstream::SilenceDecision
+EndpointAttempt::OnSilence(const httpstream::Silence& aSilence)
+{
+  return observer_ != nullptr ? observer_->OnSilence(aSilence)
+                              : httpstream::SilenceDecision::EndCall;
+}
+
 void
 EndpointAttempt::RecordEvent(base::Instant aNow)
 {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -51,6 +51,8 @@
 
   void OnHead(const httpstream::ResponseHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
+  httpstream::SilenceDecision OnSilence(
+    const httpstream::Silence& aSilence) override;
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -259,6 +259,13 @@
   "A caller can't resume a stream: the software version that began it isn't "
   "known."
 };
+inline constexpr base::Event kAttemptSilent{
+  7145,
+  "attempt_silent",
+  base::LogLevel::Warning,
+  "No byte of a response arrived within the time after which another endpoint "
+  "may take over."
+};
 inline constexpr base::Event kGatewayRetiring{
   7119,
   "gateway_retiring",
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/ItemAttempt.h"
 
+#include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
 #include <utility>
@@ -126,6 +127,20 @@
            : batch::ItemAttemptOutcome::Completed;
 }
 
+httpstream::SilenceDecision
+ItemAttempt::OnSilence(const httpstream::Silence& aSilence)
+{
+  base::Log(kAttemptSilent,
+            { { "lot", job_ },
+              { "item", item_ },
+              { "endpoint", endpoint_ },
+              { "silent_ms", base::ToMs(aSilence.duration_) },
+              { "own_delay_ms", base::ToMs(aSilence.ownDelay_) },
+              { "unread_bytes", aSilence.unreadBytes_ },
+              { "last_event", progress_.lastEvent_ } });
+  return httpstream::SilenceDecision::EndCall;
+}
+
 void
 ItemAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -355,6 +355,33 @@
   exchange_->SendChunk(aEvents);
 }
 
+httpstream::SilenceDecision
+OnlineProxy::OnSilence(const httpstream::Silence& aSilence)
+{
+  LogSilence(aSilence);
+  return httpstream::SilenceDecision::EndCall;
+}
+
+void
+OnlineProxy::LogSilence(const httpstream::Silence& aSilence)
+{
+  const base::Instant now = base::MonotonicNow();
+  const fleet::ServiceActivity activity =
+    shared_.endpoints_.ActivityOf(attempt_->Endpoint().service_, now);
+  base::Log(kAttemptSilent,
+            { { "request", call_.requestId_ },
+              { "endpoint", attempt_->Endpoint().id_ },
+              { "silent_ms", base::ToMs(aSilence.duration_) },
+              { "own_delay_ms", base::ToMs(aSilence.ownDelay_) },
+              { "unread_bytes", aSilence.unreadBytes_ },
+              { "silent_endpoints", activity.silent_ },
+              { "active_endpoints", activity.active_ },
+              { "attempt", triedEndpoints_.size() },
+              { "max_attempts", route_.maxAttempts_ },
+              { "last_event", stream_.LastEvent() },
+              { "left_ms", base::ToMs(TimeLeft()) } });
+}
+
 void
 OnlineProxy::OnEnd(httpstream::CallOutcome aOutcome)
 {
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -53,6 +53,8 @@
 
   void OnHead(const httpstream::ResponseHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
+  httpstream::SilenceDecision OnSilence(
+    const httpstream::Silence& aSilence) override;
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
@@ -82,6 +84,7 @@
   void RecordOrigin();
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
+  void LogSilence(const httpstream::Silence& aSilence);
   /// Ends the request if no further attempt may be made.
   void EndWithoutAttempt();
   /// Forwards complete events to the caller.
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -95,6 +95,7 @@
   isPaused_ = false;
   isStale_ = false;
   parser_.reset();
+  lastByteAt_ = base::MonotonicNow();
   ArmTimer(call_.firstByteTimeout_);
   Write();
   Read();
@@ -114,16 +115,42 @@
     if (aError || self->isClosed_ || generation != self->timerGeneration_) {
       return;
     }
-    if (self->onConnected_) {
-      const auto ready = std::exchange(self->onConnected_, nullptr);
-      self->Cancel();
-      ready(false);
-      return;
-    }
-    self->Finish(CallOutcome::TimedOut);
+    self->OnTimeout();
   });
 }
 
+void
+ClientConnection::OnTimeout()
+{
+  if (onConnected_) {
+    const auto ready = std::exchange(onConnected_, nullptr);
+    Cancel();
+    ready(false);
+    return;
+  }
+  if (observer_ == nullptr) {
+    return;
+  }
+  if (observer_->OnSilence(MeasureSilence()) == SilenceDecision::EndCall &&
+      !isClosed_) {
+    Finish(CallOutcome::TimedOut);
+  }
+}
+
+Silence
+ClientConnection::MeasureSilence() const
+{
+  const base::Instant now = base::MonotonicNow();
+  Silence silence;
+  silence.duration_ = now - lastByteAt_;
+  silence.ownDelay_ =
+    std::max(std::chrono::duration_cast<base::Duration>(now - timer_.expiry()),
+             base::Duration::zero());
+  boost::system::error_code ignored;
+  silence.unreadBytes_ = socket_.available(ignored);
+  return silence;
+}
+
 base::Duration
 ClientConnection::GapTimeout() const
 {
@@ -179,6 +206,7 @@
     return;
   }
   input_.commit(aBytes);
+  lastByteAt_ = base::MonotonicNow();
   Parse();
 }
 
@@ -328,6 +356,7 @@
     return;
   }
   isPaused_ = aIsPaused;
+  lastByteAt_ = base::MonotonicNow();
   ArmTimer(isPaused_ ? base::Duration::zero() : GapTimeout());
   if (!isPaused_ && observer_ != nullptr) {
     Read();
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -49,6 +49,23 @@
   std::optional<base::Duration> firstGapTimeout_{};
 };
 
+/// How long nothing arrived of a response, and what is known of the cause.
+struct Silence
+{
+  base::Duration duration_{ 0 }; ///< Since the last byte, or the call's start.
+  /// How much later than its timeout this was noticed, as this process was
+  /// busy or didn't run.
+  base::Duration ownDelay_{ 0 };
+  std::size_t unreadBytes_ = 0; ///< Bytes that this process hasn't read yet.
+};
+
+/// What to do about a silent call.
+enum class SilenceDecision : std::uint8_t
+{
+  EndCall,
+  KeepWaiting,
+};
+
 /// Receives the response of a call. OnHead() is called first, then OnBody() any
 /// number of times, and OnEnd() last; if the call fails, OnEnd() may be
 /// called without them.
@@ -59,6 +76,13 @@
   virtual void OnHead(const ResponseHead& aHead) = 0;
   virtual void OnBody(std::string_view aBytes) = 0;
 
+  /// Called when nothing arrived within a timeout of the call.
+  /// @return whether the call ends as timed out.
+  [[nodiscard]] virtual SilenceDecision OnSilence(const Silence& /*aSilence*/)
+  {
+    return SilenceDecision::EndCall;
+  }
+
   /// Called once, last. May destroy or reuse the observer.
   virtual void OnEnd(CallOutcome aOutcome) = 0;
 };
@@ -105,6 +129,8 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void ArmTimer(base::Duration aTimeout);
+  void OnTimeout();
+  [[nodiscard]] Silence MeasureSilence() const;
   [[nodiscard]] base::Duration GapTimeout() const;
   void Write();
   void Read();
@@ -124,6 +150,7 @@
   CallObserver* observer_ = nullptr;
   std::function<void(bool)> onConnected_;
   base::Instant usableUntil_;
+  base::Instant lastByteAt_; ///< Of the response; before it, the call's start.
   std::uint64_t timerGeneration_ = 0;
   bool isHeadReceived_ = false;
   bool hasBody_ = false; ///< Bytes of the body were delivered.
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -55,7 +55,7 @@
   void Start(const std::string& aId, WorkClass aWork, int aCount)
   {
     for (int attempt = 0; attempt < aCount; ++attempt) {
-      table_.CountStart({ aId }, aWork);
+      table_.CountStart({ aId }, aWork, now_);
     }
   }
 
@@ -355,7 +355,7 @@
 {
   AddStarted("one", 100);
   for (int attempt = 0; attempt < 4; ++attempt) {
-    table_.CountStart({ "one", 100 }, WorkClass::Online);
+    table_.CountStart({ "one", 100 }, WorkClass::Online, now_);
   }
   const EndpointCounts peerCounts{ "one", { 3, 0 }, true, 100 };
   table_.SetPeerCounts("peer", std::span(&peerCounts, 1), now_);
@@ -371,7 +371,7 @@
                  "EndpointTable_UpdatesOfFormerProcess_AreIgnored")
 {
   AddStarted("one", 200);
-  table_.CountStart({ "one", 200 }, WorkClass::Online);
+  table_.CountStart({ "one", 200 }, WorkClass::Online, now_);
   table_.CountEnd({ "one", 100 }, WorkClass::Online);
   CHECK(Choose(WorkClass::Online)->inFlight_ == 1);
   const EndpointCounts peerCounts{ "one", { 3, 0 }, false, 100 };
@@ -403,7 +403,7 @@
                  "EndpointTable_UnreadableRegistration_IsNotUsed")
 {
   Add("one");
-  table_.CountStart({ "one" }, WorkClass::Online);
+  table_.CountStart({ "one" }, WorkClass::Online, now_);
   table_.MarkUnreadable("one");
   CHECK_FALSE(Choose(WorkClass::Online));
   CHECK_FALSE(table_.IsUsable("one"));
@@ -638,4 +638,28 @@
   CHECK(random == random_);
 }
 
+// Guards against taking a pause that all endpoints make for the loss of each.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ActivityOfService_CountsSilentAndActive")
+{
+  for (const char* id : { "one", "two", "three", "idle" }) {
+    Add(id);
+  }
+  Start("one", WorkClass::Online, 1);
+  Start("two", WorkClass::Online, 1);
+  Start("three", WorkClass::Batch, 1);
+  const base::Instant startedAt = now_;
+  now_ += std::chrono::milliseconds(290);
+  CHECK(table_.ActivityOf("service", now_).silent_ == 0);
+  CHECK(table_.ActivityOf("service", now_).active_ == 3);
+  table_.RecordActivity({ "two" }, startedAt, now_);
+  now_ += std::chrono::milliseconds(20);
+  CHECK(table_.ActivityOf("service", now_).silent_ == 2);
+  CHECK(table_.ActivityOf("service", now_).active_ == 1);
+  CHECK(table_.ActivityOf("other", now_).silent_ == 0);
+  // An attempt that starts later says nothing of the silence before it.
+  Start("idle", WorkClass::Online, 1);
+  CHECK(table_.ActivityOf("service", now_).active_ == 2);
+}
+
 } // namespace pumiceturn::fleet
