--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -14,6 +14,9 @@
 /// short of them.
 constexpr double kShortageShare = 0.8;
 
+/// Endpoints that must be silent at once for that to have a common cause.
+constexpr std::uint32_t kMinCommonSilent = 2;
+
 /// Adding up the load of hundreds of endpoints for each request would cost as
 /// much as choosing one.
 constexpr std::chrono::milliseconds kLoadLifetime{ 10 };
@@ -433,6 +436,39 @@
   return activity;
 }
 
+bool
+EndpointTable::RecordSilence(const EndpointIncarnation& aEndpoint,
+                             base::Instant aNow)
+{
+  const Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  const ServiceActivity activity = ActivityOf(endpoint->record_.service_, aNow);
+  const bool isCommon =
+    activity.silent_ >= kMinCommonSilent && activity.silent_ > activity.active_;
+  if (isCommon && SilenceOf(*endpoint, aNow) < limits_.maxCommonSilence_) {
+    return false;
+  }
+  RecordFailure(aEndpoint, aNow);
+  return true;
+}
+
+bool
+EndpointTable::IsReplaced(const EndpointRecord& aEndpoint) const
+{
+  if (replaced_.contains(aEndpoint.id_)) {
+    return true;
+  }
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&aEndpoint](const auto& aEntry) {
+      const EndpointRecord& other = aEntry.second.record_;
+      const bool isSamePlace =
+        other.id_ == aEndpoint.id_ || other.address_ == aEndpoint.address_;
+      return isSamePlace && other.startedAtMs_ > aEndpoint.startedAtMs_;
+    });
+}
+
 base::Duration
 EndpointTable::SilenceOf(const Endpoint& aEndpoint, base::Instant aNow)
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -66,6 +66,8 @@
   std::uint32_t candidates_ = 0;
   /// All slots are taken, and a batch attempt there must be preempted.
   bool preemptsBatch_ = false;
+  /// The endpoint isn't avoided, and a slot is free or is freed by preemption.
+  bool hasSlot_ = false;
   /// Speed of the endpoint now, relative to its service's usual one.
   double speed_ = 1.0;
   /// Peer whose batch attempt is preempted; empty: this host.
@@ -160,6 +162,10 @@
     /// no longer than their latency objective.
     base::Duration silenceThreshold_{ std::chrono::milliseconds{ 300 } };
 
+    /// Silence after which an endpoint counts as failed even if most are
+    /// silent. Sound endpoints may be silent for about a second.
+    base::Duration maxCommonSilence_{ std::chrono::milliseconds{ 2000 } };
+
     /// Factor on the weight of an endpoint in another failure domain, since
     /// traffic between domains is charged.
     double otherDomainWeight_ = 0.7;
@@ -300,6 +306,17 @@
   [[nodiscard]] ServiceLoad LoadOf(const std::string& aService,
                                    base::Instant aNow);
 
+  /// Records that no byte of an attempt arrived within its timeout, as a
+  /// failure unless most endpoints of the service are silent: that has one
+  /// cause rather than being the loss of each, and none of them is better than
+  /// another.
+  /// @return whether it was recorded.
+  bool RecordSilence(const EndpointIncarnation& aEndpoint, base::Instant aNow);
+
+  /// @return whether another process is known to run in place of an endpoint's:
+  ///         under its id, or at its address.
+  [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
+
   /// @return how many endpoints of a service have attempts of this host and
   ///         send nothing of any of them, and how many do send.
   [[nodiscard]] ServiceActivity ActivityOf(std::string_view aService,
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -296,6 +296,7 @@
   }
   choice.endpoint_ = best.endpoint_->record_;
   choice.inFlight_ = best.counts_.Total();
+  choice.hasSlot_ = choice.preemptsBatch_ || HasFreeSlot(best, aNow);
   choice.speed_ = SpeedOf(*best.endpoint_, aNow);
   return choice;
 }
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -78,7 +78,8 @@
   }
   const bool wasSilent = isCountedInFlight_ && !hasResponse_ &&
                          base::MonotonicNow() - startedAt_ > silenceTimeout_;
-  if (wasSilent && workClass_ == fleet::WorkClass::Online) {
+  if (wasSilent && workClass_ == fleet::WorkClass::Online &&
+      (!isSilent_ || isSilenceRecorded_)) {
     shared_.endpoints_.Outliers().RecordOutcome(
       endpoint_.Incarnation(), true, base::MonotonicNow());
   }
@@ -111,8 +112,7 @@
 void
 EndpointAttempt::OnHead(const httpstream::ResponseHead& aHead)
 {
-  shared_.endpoints_.RecordActivity(
-    endpoint_.Incarnation(), startedAt_, base::MonotonicNow());
+  RecordActivity(base::MonotonicNow());
   const ResponseInfo info = shared_.codec_.ReadResponseInfo(aHead);
   hasResponse_ = true;
   isEventStream_ = httpstream::IsEventStream(aHead);
@@ -139,16 +139,31 @@
 EndpointAttempt::OnBody(std::string_view aBytes)
 {
   const base::Instant now = base::MonotonicNow();
-  shared_.endpoints_.RecordActivity(endpoint_.Incarnation(), startedAt_, now);
+  RecordActivity(now);
   RecordEvent(now);
   if (observer_ != nullptr) {
     observer_->OnBody(aBytes);
   }
 }
 
+void
+EndpointAttempt::RecordActivity(base::Instant aNow)
+{
+  shared_.endpoints_.RecordActivity(endpoint_.Incarnation(), startedAt_, aNow);
+  isSilent_ = false;
+  if (std::exchange(isSilenceRecorded_, false)) {
+    shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
+  }
+}
+
 httpstream::SilenceDecision
 EndpointAttempt::OnSilence(const httpstream::Silence& aSilence)
 {
+  isSilent_ = true;
+  if (!isSilenceRecorded_) {
+    isSilenceRecorded_ = shared_.endpoints_.RecordSilence(
+      endpoint_.Incarnation(), base::MonotonicNow());
+  }
   return observer_ != nullptr ? observer_->OnSilence(aSilence)
                               : httpstream::SilenceDecision::EndCall;
 }
@@ -175,9 +190,11 @@
   // Batch items that fail at every endpoint would be evidence against all of
   // them. A failed connection is avoided at once, without other evidence.
   const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
+  const bool isUnrecordedSilence =
+    aOutcome == httpstream::CallOutcome::TimedOut && !isSilenceRecorded_;
   if (workClass_ != fleet::WorkClass::Online ||
       aOutcome == httpstream::CallOutcome::NotConnected ||
-      (isComplete && wasNotRun_)) {
+      isUnrecordedSilence || (isComplete && wasNotRun_)) {
     return;
   }
   shared_.endpoints_.Outliers().RecordOutcome(endpoint_.Incarnation(),
@@ -193,13 +210,15 @@
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
   RecordOutcome(aOutcome);
+  const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
   const bool isIgnored =
     isServerError_ && shared_.endpoints_.Outliers().IsEnabled();
-  if (aOutcome != httpstream::CallOutcome::Complete) {
+  if (isComplete && !isIgnored) {
+    shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
+  } else if (!isComplete && aOutcome != httpstream::CallOutcome::TimedOut) {
+    // A silence was recorded when it was noticed.
     shared_.endpoints_.RecordFailure(endpoint_.Incarnation(),
                                      base::MonotonicNow());
-  } else if (!isIgnored) {
-    shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
   }
   if (observer != nullptr) {
     observer->OnEnd(aOutcome);
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -58,6 +58,8 @@
 private:
   void EndCounting();
   void RecordOutcome(httpstream::CallOutcome aOutcome);
+  /// Records bytes of the response, also as the end of a silence.
+  void RecordActivity(base::Instant aNow);
   /// Reports the time since the last event of a stream.
   void RecordEvent(base::Instant aNow);
 
@@ -76,6 +78,10 @@
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
   bool isServerError_ = false;
+  /// The endpoint was silent beyond a timeout, and sent nothing since.
+  bool isSilent_ = false;
+  /// That was recorded as a failure.
+  bool isSilenceRecorded_ = false;
   bool isEventStream_ = false;
 };
 
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds kFirstByteTimeout{ 2000 };
 constexpr std::chrono::milliseconds kGapTimeout{ 1500 };
 
+/// Silence after which an item is started again even at the same endpoint, as
+/// its connection may be lost. Nobody waits for its events meanwhile.
+constexpr std::chrono::seconds kMaxSilence{ 5 };
+
 } // namespace
 
 ItemAttempt::ItemAttempt(SharedState& aShared,
@@ -130,15 +134,41 @@
 httpstream::SilenceDecision
 ItemAttempt::OnSilence(const httpstream::Silence& aSilence)
 {
-  base::Log(kAttemptSilent,
-            { { "lot", job_ },
-              { "item", item_ },
-              { "endpoint", endpoint_ },
-              { "silent_ms", base::ToMs(aSilence.duration_) },
-              { "own_delay_ms", base::ToMs(aSilence.ownDelay_) },
-              { "unread_bytes", aSilence.unreadBytes_ },
-              { "last_event", progress_.lastEvent_ } });
-  return httpstream::SilenceDecision::EndCall;
+  const fleet::EndpointRecord& endpoint = endpointAttempt_->Endpoint();
+  const fleet::SilentAttempt silent{ aSilence.duration_,
+                                     FindReplacement(endpoint),
+                                     shared_.endpoints_.IsReplaced(endpoint) };
+  const bool hasEnded =
+    fleet::DecideOnSilence(silent) != fleet::SilenceAction::KeepWaiting ||
+    aSilence.duration_ >= kMaxSilence;
+  if (!std::exchange(isSilenceLogged_, true) || hasEnded) {
+    base::Log(kAttemptSilent,
+              { { "lot", job_ },
+                { "item", item_ },
+                { "endpoint", endpoint_ },
+                { "action", hasEnded ? "move" : "wait" },
+                { "silent_ms", base::ToMs(aSilence.duration_) },
+                { "own_delay_ms", base::ToMs(aSilence.ownDelay_) },
+                { "unread_bytes", aSilence.unreadBytes_ },
+                { "last_event", progress_.lastEvent_ } });
+  }
+  return hasEnded ? httpstream::SilenceDecision::EndCall
+                  : httpstream::SilenceDecision::KeepWaiting;
+}
+
+fleet::Replacement
+ItemAttempt::FindReplacement(const fleet::EndpointRecord& aEndpoint)
+{
+  fleet::ChoiceRequest request{ aEndpoint.service_,
+                                fleet::WorkClass::Batch,
+                                std::span(&endpoint_, 1) };
+  if (progress_.lastEvent_ > 0) {
+    request.softwareVersion_ = progress_.softwareVersion_;
+  }
+  const bool hasOther =
+    shared_.endpoints_.Choose(request, base::MonotonicNow(), shared_.random_)
+      .has_value();
+  return hasOther ? fleet::Replacement::FreeSlot : fleet::Replacement::None;
 }
 
 void
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -2,6 +2,7 @@
 
 #include "LibBatch/ItemSchedule.h"
 #include "LibFleet/EventSplitter.h"
+#include "LibFleet/SilencePolicy.h"
 #include "LibGateway/EndpointAttempt.h"
 
 #include <functional>
@@ -68,6 +69,9 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
+  /// @return what could take over from this attempt.
+  [[nodiscard]] fleet::Replacement FindReplacement(
+    const fleet::EndpointRecord& aEndpoint);
   [[nodiscard]] batch::ItemAttemptOutcome Classify(
     httpstream::CallOutcome aOutcome) const;
 
@@ -85,6 +89,7 @@
   /// Its version isn't known, so its events aren't joined.
   bool isFromOtherEndpoint_ = false;
   unsigned status_ = 0;
+  bool isSilenceLogged_ = false;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -174,6 +174,14 @@
          (route_.kind_ == fleet::RequestKind::Stream && route_.isResumable_);
 }
 
+bool
+OnlineProxy::MayTryAgain() const
+{
+  return triedEndpoints_.size() < route_.maxAttempts_ &&
+         undeliveredAttempts_ < kMaxUndelivered &&
+         TimeLeft() >= kMinAttemptTime;
+}
+
 void
 OnlineProxy::TryNextEndpoint()
 {
@@ -193,12 +201,11 @@
     Finish(ProxyOutcome::Suspect);
     return;
   }
-  if (triedEndpoints_.size() >= route_.maxAttempts_ ||
-      undeliveredAttempts_ >= kMaxUndelivered || TimeLeft() < kMinAttemptTime) {
-    EndWithoutAttempt();
-    return;
+  auto choice = std::exchange(replacement_, std::nullopt);
+  if (!choice && MayTryAgain()) {
+    choice = ChooseEndpoint();
+    LogIfNotContinued(choice.has_value());
   }
-  const auto choice = ChooseEndpoint();
   if (!choice) {
     EndWithoutAttempt();
     return;
@@ -230,17 +237,22 @@
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
-  auto choice =
-    shared_.endpoints_.Choose(request, base::MonotonicNow(), shared_.random_);
-  if (!choice && isRest) {
-    base::Log(kStreamNotContinued,
-              { { "request", call_.requestId_ },
-                { "service", stream_.Origin()->service_ },
-                { "software", stream_.Origin()->version_ },
-                { "after_event", stream_.LastEvent() },
-                { "tried", triedEndpoints_.size() } });
+  return shared_.endpoints_.Choose(
+    request, base::MonotonicNow(), shared_.random_);
+}
+
+void
+OnlineProxy::LogIfNotContinued(bool aHasEndpoint) const
+{
+  if (aHasEndpoint || !stream_.Origin()) {
+    return;
   }
-  return choice;
+  base::Log(kStreamNotContinued,
+            { { "request", call_.requestId_ },
+              { "service", stream_.Origin()->service_ },
+              { "software", stream_.Origin()->version_ },
+              { "after_event", stream_.LastEvent() },
+              { "tried", triedEndpoints_.size() } });
 }
 
 void
@@ -306,6 +318,7 @@
     isCountedForShare_ = true;
     shared_.fairShare_.CountStart(*caller_);
   }
+  loggedSilence_.reset();
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
   isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
   attempt_ = std::make_shared<EndpointAttempt>(
@@ -355,33 +368,6 @@
   exchange_->SendChunk(aEvents);
 }
 
-httpstream::SilenceDecision
-OnlineProxy::OnSilence(const httpstream::Silence& aSilence)
-{
-  LogSilence(aSilence);
-  return httpstream::SilenceDecision::EndCall;
-}
-
-void
-OnlineProxy::LogSilence(const httpstream::Silence& aSilence)
-{
-  const base::Instant now = base::MonotonicNow();
-  const fleet::ServiceActivity activity =
-    shared_.endpoints_.ActivityOf(attempt_->Endpoint().service_, now);
-  base::Log(kAttemptSilent,
-            { { "request", call_.requestId_ },
-              { "endpoint", attempt_->Endpoint().id_ },
-              { "silent_ms", base::ToMs(aSilence.duration_) },
-              { "own_delay_ms", base::ToMs(aSilence.ownDelay_) },
-              { "unread_bytes", aSilence.unreadBytes_ },
-              { "silent_endpoints", activity.silent_ },
-              { "active_endpoints", activity.active_ },
-              { "attempt", triedEndpoints_.size() },
-              { "max_attempts", route_.maxAttempts_ },
-              { "last_event", stream_.LastEvent() },
-              { "left_ms", base::ToMs(TimeLeft()) } });
-}
-
 void
 OnlineProxy::OnEnd(httpstream::CallOutcome aOutcome)
 {
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/SilencePolicy.h"
 #include "LibGateway/EndpointAttempt.h"
 #include "LibGateway/StreamContinuation.h"
 #include "LibGateway/StreamOrigins.h"
@@ -84,7 +85,14 @@
   void RecordOrigin();
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
-  void LogSilence(const httpstream::Silence& aSilence);
+  /// @return whether another attempt may be made, if there is an endpoint.
+  [[nodiscard]] bool MayTryAgain() const;
+  /// @return what could take over from the current attempt.
+  [[nodiscard]] fleet::Replacement FindReplacement();
+  void LogSilence(const httpstream::Silence& aSilence,
+                  fleet::SilenceAction aAction);
+  /// Logs that the rest of a stream can't be served, if so.
+  void LogIfNotContinued(bool aHasEndpoint) const;
   /// Ends the request if no further attempt may be made.
   void EndWithoutAttempt();
   /// Forwards complete events to the caller.
@@ -108,6 +116,10 @@
   CallerFields call_;
   base::Instant deadline_;
   std::shared_ptr<EndpointAttempt> attempt_;
+  /// Where the next attempt is made; empty: not chosen yet.
+  std::optional<fleet::EndpointChoice> replacement_;
+  /// What was last logged about the silence of the current attempt.
+  std::optional<fleet::SilenceAction> loggedSilence_;
   std::vector<std::string> triedEndpoints_; ///< Ids, one for each attempt.
   std::uint32_t undeliveredAttempts_ = 0;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -31,6 +31,9 @@
 /// request takes to reach it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 400 };
 
+/// How often the observer is asked again about a silent call.
+constexpr std::chrono::milliseconds kSilenceCheckInterval{ 100 };
+
 /// @return N of "timeout=N" in a Keep-Alive header, in seconds; nullopt if it
 /// is missing or malformed.
 std::optional<unsigned>
@@ -131,10 +134,15 @@
   if (observer_ == nullptr) {
     return;
   }
-  if (observer_->OnSilence(MeasureSilence()) == SilenceDecision::EndCall &&
-      !isClosed_) {
+  const SilenceDecision decision = observer_->OnSilence(MeasureSilence());
+  if (observer_ == nullptr || isClosed_) {
+    return;
+  }
+  if (decision == SilenceDecision::EndCall) {
     Finish(CallOutcome::TimedOut);
+    return;
   }
+  ArmTimer(kSilenceCheckInterval);
 }
 
 Silence
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -76,7 +76,8 @@
   virtual void OnHead(const ResponseHead& aHead) = 0;
   virtual void OnBody(std::string_view aBytes) = 0;
 
-  /// Called when nothing arrived within a timeout of the call.
+  /// Called when nothing arrived within a timeout of the call, and repeatedly
+  /// for as long as the result is KeepWaiting.
   /// @return whether the call ends as timed out.
   [[nodiscard]] virtual SilenceDecision OnSilence(const Silence& /*aSilence*/)
   {
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -662,4 +662,63 @@
   CHECK(table_.ActivityOf("service", now_).active_ == 2);
 }
 
+// Guards against avoiding all endpoints, and refusing requests, after a pause
+// that all of them made.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_MostAreSilent_IsNotRecordedAsFailures")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  now_ += std::chrono::milliseconds(900);
+  CHECK_FALSE(table_.RecordSilence({ "one" }, now_));
+  CHECK(Choose(WorkClass::Online)->hasSlot_);
+  // Sound endpoints have gone on by then.
+  now_ += std::chrono::milliseconds(1200);
+  CHECK(table_.RecordSilence({ "one" }, now_));
+}
+
+// Guards against sending requests to a lost endpoint.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OneOfThreeIsSilent_IsAvoided")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  const base::Instant startedAt = now_;
+  now_ += std::chrono::milliseconds(900);
+  table_.RecordActivity({ "two" }, startedAt, now_);
+  table_.RecordActivity({ "three" }, startedAt, now_);
+  CHECK(table_.RecordSilence({ "one" }, now_));
+  CHECK(table_.OwnCounts(now_).size() == 3);
+  CHECK(std::ranges::any_of(table_.OwnCounts(now_), [](const auto& aCounts) {
+    return aCounts.endpoint_ == "one" && aCounts.isAvoided_;
+  }));
+}
+
+// Guards against callers that wait for a process whose place another one has.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_AnotherProcessAtItsAddress_IsReplaced")
+{
+  AddStarted("one", 100);
+  EndpointRecord record;
+  record.id_ = "one";
+  record.address_ = "10.0.0.1:1";
+  record.service_ = "service";
+  record.startedAtMs_ = 100;
+  CHECK_FALSE(table_.IsReplaced(record));
+  EndpointRecord next = record;
+  next.id_ = "two";
+  next.service_ = "other";
+  next.startedAtMs_ = 50;
+  table_.Put(next, now_);
+  CHECK_FALSE(table_.IsReplaced(record));
+  next.startedAtMs_ = 200;
+  table_.Put(next, now_);
+  CHECK(table_.IsReplaced(record));
+  CHECK_FALSE(table_.IsReplaced(next));
+}
+
 } // namespace pumiceturn::fleet
