--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -34,6 +34,10 @@
 /// How often the observer is asked again about a silent call.
 constexpr std::chrono::milliseconds kSilenceCheckInterval{ 100 };
 
+/// Delay of a timer from which on this process is taken not to have run. A
+/// process whose processor time is a quota may stand still for up to 100 ms.
+constexpr std::chrono::milliseconds kMaxTimerDelay{ 200 };
+
 /// @return N of "timeout=N" in a Keep-Alive header, in seconds; nullopt if it
 /// is missing or malformed.
 std::optional<unsigned>
@@ -134,7 +138,13 @@
   if (observer_ == nullptr) {
     return;
   }
-  const SilenceDecision decision = observer_->OnSilence(MeasureSilence());
+  const Silence silence = MeasureSilence();
+  if (silence.unreadBytes_ > 0 || silence.ownDelay_ > kMaxTimerDelay) {
+    lastByteAt_ = base::MonotonicNow();
+    ArmTimer(NextByteTimeout());
+    return;
+  }
+  const SilenceDecision decision = observer_->OnSilence(silence);
   if (observer_ == nullptr || isClosed_) {
     return;
   }
@@ -159,6 +169,12 @@
   return silence;
 }
 
+base::Duration
+ClientConnection::NextByteTimeout() const
+{
+  return isHeadReceived_ && !isStale_ ? GapTimeout() : call_.firstByteTimeout_;
+}
+
 base::Duration
 ClientConnection::GapTimeout() const
 {
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -77,7 +77,8 @@
   virtual void OnBody(std::string_view aBytes) = 0;
 
   /// Called when nothing arrived within a timeout of the call, and repeatedly
-  /// for as long as the result is KeepWaiting.
+  /// for as long as the result is KeepWaiting. Not called for a time in which
+  /// this process didn't run, as bytes may have been on their way.
   /// @return whether the call ends as timed out.
   [[nodiscard]] virtual SilenceDecision OnSilence(const Silence& /*aSilence*/)
   {
@@ -132,6 +133,8 @@
   void ArmTimer(base::Duration aTimeout);
   void OnTimeout();
   [[nodiscard]] Silence MeasureSilence() const;
+  /// @return the call's timeout for the next byte.
+  [[nodiscard]] base::Duration NextByteTimeout() const;
   [[nodiscard]] base::Duration GapTimeout() const;
   void Write();
   void Read();
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -2,9 +2,15 @@
 #include "Tests/LibHttpStream/HttpFixture.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <string_view>
+#include <thread>
+#include <vector>
+
 namespace pumiceturn::httpstream {
 
 namespace asio = boost::asio;
@@ -182,4 +188,76 @@
   CHECK(observer.outcome_ == CallOutcome::TimedOut);
 }
 
+// Guards against taking this process's own pause for the silence of all
+// servers: after it, timers expire before all sockets with bytes have been
+// read.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_OwnProcessPauses_ArrivedBytesAreRead")
+{
+  // More sockets than the event loop handles before it looks at timers.
+  constexpr std::size_t kConnections = 400;
+  std::vector<std::shared_ptr<ClientConnection>> clients;
+  std::vector<asio::ip::tcp::socket> servers;
+  std::vector<RecordingObserver> observers(kConnections);
+  for (std::size_t index = 0; index < kConnections; ++index) {
+    clients.push_back(
+      std::make_shared<ClientConnection>(context_.get_executor()));
+    bool isConnected = false;
+    clients.back()->Connect(
+      Loopback(acceptor_.local_endpoint().port()),
+      std::chrono::seconds(5),
+      [&](bool aIsConnected) { isConnected = aIsConnected; });
+    servers.push_back(acceptor_.accept());
+    RunUntil([&] { return isConnected; });
+  }
+  for (std::size_t index = 0; index < kConnections; ++index) {
+    Call call;
+    call.bytes_ = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    call.firstByteTimeout_ = std::chrono::milliseconds(500);
+    clients[index]->Start(std::move(call), observers[index]);
+  }
+  for (auto& server : servers) {
+    asio::write(server,
+                asio::buffer(std::string_view(
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  RunUntil([&] {
+    return std::ranges::all_of(observers, [](const auto& aObserver) {
+      return aObserver.outcome_.has_value();
+    });
+  });
+  CHECK(std::ranges::all_of(observers, [](const auto& aObserver) {
+    return aObserver.outcome_ == CallOutcome::Complete;
+  }));
+}
+
+// Guards against ending a call on its server's silence while this process
+// didn't run: the server's bytes may be on their way.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_OwnProcessPauses_WaitsAnew")
+{
+  auto client = std::make_shared<ClientConnection>(context_.get_executor());
+  bool isConnected = false;
+  client->Connect(Loopback(acceptor_.local_endpoint().port()),
+                  std::chrono::seconds(5),
+                  [&](bool aIsConnected) { isConnected = aIsConnected; });
+  acceptor_.accept(server_);
+  RunUntil([&] { return isConnected; });
+  RecordingObserver observer;
+  Call call;
+  call.bytes_ = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  call.firstByteTimeout_ = std::chrono::milliseconds(500);
+  client->Start(std::move(call), observer);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  asio::steady_timer timer(context_, std::chrono::milliseconds(100));
+  timer.async_wait([this](const boost::system::error_code&) {
+    asio::write(server_,
+                asio::buffer(std::string_view(
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+  });
+  RunUntil([&observer] { return observer.outcome_.has_value(); });
+  CHECK(observer.outcome_ == CallOutcome::Complete);
+}
+
 } // namespace pumiceturn::httpstream
