--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -429,9 +429,7 @@
     if (endpoint.record_.service_ != aService || endpoint.own_.Total() == 0) {
       continue;
     }
-    ++(SilenceOf(endpoint, aNow) > limits_.silenceThreshold_
-         ? activity.silent_
-         : activity.active_);
+    ++(IsSilent(endpoint, aNow) ? activity.silent_ : activity.active_);
   }
   return activity;
 }
@@ -469,6 +467,13 @@
     });
 }
 
+bool
+EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
+{
+  return aEndpoint.own_.Total() > 0 &&
+         SilenceOf(aEndpoint, aNow) > limits_.silenceThreshold_;
+}
+
 base::Duration
 EndpointTable::SilenceOf(const Endpoint& aEndpoint, base::Instant aNow)
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -96,6 +96,9 @@
   /// Software version that the endpoint must have, for the rest of a stream.
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
+  /// Whether endpoints are excluded that send nothing of any of this host's
+  /// attempts.
+  bool excludesSilent_ = false;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -393,6 +396,8 @@
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
 
+  [[nodiscard]] bool IsSilent(const Endpoint& aEndpoint,
+                              base::Instant aNow) const;
   /// @return for how long no byte of this host's attempts has arrived.
   [[nodiscard]] static base::Duration SilenceOf(const Endpoint& aEndpoint,
                                                 base::Instant aNow);
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -158,6 +158,9 @@
       aEndpoint.isUnreadable_ || isExcluded) {
     return false;
   }
+  if (aRequest.excludesSilent_ && IsSilent(aEndpoint, aNow)) {
+    return false;
+  }
   if (aRequest.work_ == WorkClass::Online) {
     return true;
   }
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -203,7 +203,7 @@
   }
   auto choice = std::exchange(replacement_, std::nullopt);
   if (!choice && MayTryAgain()) {
-    choice = ChooseEndpoint();
+    choice = ChooseEndpoint(false);
     LogIfNotContinued(choice.has_value());
   }
   if (!choice) {
@@ -220,7 +220,7 @@
 }
 
 std::optional<fleet::EndpointChoice>
-OnlineProxy::ChooseEndpoint()
+OnlineProxy::ChooseEndpoint(bool aExcludesSilent)
 {
   const bool isRest = stream_.HasBegun();
   if (isRest && !stream_.Origin()) {
@@ -237,6 +237,7 @@
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
+  request.excludesSilent_ = aExcludesSilent;
   return shared_.endpoints_.Choose(
     request, base::MonotonicNow(), shared_.random_);
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -83,8 +83,10 @@
   [[nodiscard]] std::string_view LoggedResumedId() const;
   /// Records where the stream began, for callers that resume it.
   void RecordOrigin();
+  /// @param aExcludesSilent Whether an endpoint that is silent won't do.
   /// @return the endpoint of the next attempt; empty if none is left.
-  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint(
+    bool aExcludesSilent);
   /// @return whether another attempt may be made, if there is an endpoint.
   [[nodiscard]] bool MayTryAgain() const;
   /// @return what could take over from the current attempt.
--- a/Libraries/LibGateway/OnlineProxySilence.cpp
+++ b/Libraries/LibGateway/OnlineProxySilence.cpp
@@ -52,7 +52,7 @@
   if (!MayTryAgain() || MustRejectAsSuspect()) {
     return fleet::Replacement::None;
   }
-  replacement_ = ChooseEndpoint();
+  replacement_ = ChooseEndpoint(true);
   if (!replacement_) {
     return fleet::Replacement::None;
   }
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -721,4 +721,24 @@
   CHECK_FALSE(table_.IsReplaced(next));
 }
 
+// Guards against moving an attempt from one lost endpoint to another.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SilentEndpointsExcluded_ActiveOneIsChosen")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  const base::Instant startedAt = now_;
+  now_ += 900ms;
+  table_.RecordActivity({ "three" }, startedAt, now_);
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.excludesSilent_ = true;
+  for (int round = 0; round < 50; ++round) {
+    CHECK(table_.Choose(request, now_, random_)->endpoint_.id_ == "three");
+  }
+  now_ += 400ms;
+  CHECK_FALSE(table_.Choose(request, now_, random_));
+}
+
 } // namespace pumiceturn::fleet
