--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -14,6 +14,9 @@
 /// short of them.
 constexpr double kShortageShare = 0.8;
 
+/// Endpoints that must be silent at once for that to have a common cause.
+constexpr std::uint32_t kMinCommonSilent = 2;
+
 /// Adding up the load of hundreds of endpoints for each request would cost as
 /// much as choosing one.
 constexpr std::chrono::milliseconds kLoadLifetime{ 10 };
@@ -203,13 +206,18 @@
 }
 
 void
-EndpointTable::CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork)
+EndpointTable::CountStart(const EndpointIncarnation& aEndpoint,
+                          WorkClass aWork,
+                          base::Instant aNow)
 {
   Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr) {
     return;
   }
   InFlightCounts& own = endpoint->own_;
+  if (own.Total() == 0) {
+    endpoint->busySince_ = aNow;
+  }
   ++(aWork == WorkClass::Online ? own.online_ : own.batch_);
 }
 
@@ -413,6 +421,65 @@
   return load;
 }
 
+ServiceActivity
+EndpointTable::ActivityOf(std::string_view aService, base::Instant aNow) const
+{
+  ServiceActivity activity;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.record_.service_ != aService || endpoint.own_.Total() == 0) {
+      continue;
+    }
+    ++(IsSilent(endpoint, aNow) ? activity.silent_ : activity.active_);
+  }
+  return activity;
+}
+
+bool
+EndpointTable::RecordSilence(const EndpointIncarnation& aEndpoint,
+                             base::Instant aNow)
+{
+  const Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  const ServiceActivity activity = ActivityOf(endpoint->record_.service_, aNow);
+  const bool isCommon =
+    activity.silent_ >= kMinCommonSilent && activity.silent_ > activity.active_;
+  if (isCommon && SilenceOf(*endpoint, aNow) < limits_.maxCommonSilence_) {
+    return false;
+  }
+  RecordFailure(aEndpoint, aNow);
+  return true;
+}
+
+bool
+EndpointTable::IsReplaced(const EndpointRecord& aEndpoint) const
+{
+  if (replaced_.contains(aEndpoint.id_)) {
+    return true;
+  }
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&aEndpoint](const auto& aEntry) {
+      const EndpointRecord& other = aEntry.second.record_;
+      const bool isSamePlace =
+        other.id_ == aEndpoint.id_ || other.address_ == aEndpoint.address_;
+      return isSamePlace && other.startedAtMs_ > aEndpoint.startedAtMs_;
+    });
+}
+
+bool
+EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
+{
+  return aEndpoint.own_.Total() > 0 &&
+         SilenceOf(aEndpoint, aNow) > limits_.silenceThreshold_;
+}
+
+base::Duration
+EndpointTable::SilenceOf(const Endpoint& aEndpoint, base::Instant aNow)
+{
+  return aNow - std::max(aEndpoint.busySince_, aEndpoint.lastActivityAt_);
+}
+
 void
 EndpointTable::SetPeerOutcomes(const std::string& aPeer,
                                std::span<const EndpointOutcomes> aOutcomes,
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -49,6 +49,14 @@
   bool operator==(const EndpointCounts&) const = default;
 };
 
+/// How many of a service's endpoints send to this host. Endpoints without
+/// attempts of this host aren't counted.
+struct ServiceActivity
+{
+  std::uint32_t silent_ = 0;
+  std::uint32_t active_ = 0;
+};
+
 /// A chosen endpoint, with the figures behind the choice for the log.
 struct EndpointChoice
 {
@@ -58,6 +66,8 @@
   std::uint32_t candidates_ = 0;
   /// All slots are taken, and a batch attempt there must be preempted.
   bool preemptsBatch_ = false;
+  /// The endpoint isn't avoided, and a slot is free or is freed by preemption.
+  bool hasSlot_ = false;
   /// Speed of the endpoint now, relative to its service's usual one.
   double speed_ = 1.0;
   /// Peer whose batch attempt is preempted; empty: this host.
@@ -86,6 +96,9 @@
   /// Software version that the endpoint must have, for the rest of a stream.
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
+  /// Whether endpoints are excluded that send nothing of any of this host's
+  /// attempts.
+  bool excludesSilent_ = false;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -147,6 +160,15 @@
     /// accept requests, as this host may learn late that it drains.
     base::Duration drainingUse_{ std::chrono::milliseconds{ 800 } };
 
+    /// Time without a byte of any attempt after which an endpoint counts as
+    /// silent. Running attempts send every few milliseconds, and others wait
+    /// no longer than their latency objective.
+    base::Duration silenceThreshold_{ std::chrono::milliseconds{ 300 } };
+
+    /// Silence after which an endpoint counts as failed even if most are
+    /// silent. Sound endpoints may be silent for about a second.
+    base::Duration maxCommonSilence_{ std::chrono::milliseconds{ 2000 } };
+
     /// Factor on the weight of an endpoint in another failure domain, since
     /// traffic between domains is charged.
     double otherDomainWeight_ = 0.7;
@@ -193,7 +215,9 @@
     base::Instant aNow,
     std::mt19937_64& aRandom);
 
-  void CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork);
+  void CountStart(const EndpointIncarnation& aEndpoint,
+                  WorkClass aWork,
+                  base::Instant aNow);
   void CountEnd(const EndpointIncarnation& aEndpoint, WorkClass aWork);
 
   /// Records a failed connection or a broken attempt.
@@ -285,6 +309,22 @@
   [[nodiscard]] ServiceLoad LoadOf(const std::string& aService,
                                    base::Instant aNow);
 
+  /// Records that no byte of an attempt arrived within its timeout, as a
+  /// failure unless most endpoints of the service are silent: that has one
+  /// cause rather than being the loss of each, and none of them is better than
+  /// another.
+  /// @return whether it was recorded.
+  bool RecordSilence(const EndpointIncarnation& aEndpoint, base::Instant aNow);
+
+  /// @return whether another process is known to run in place of an endpoint's:
+  ///         under its id, or at its address.
+  [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
+
+  /// @return how many endpoints of a service have attempts of this host and
+  ///         send nothing of any of them, and how many do send.
+  [[nodiscard]] ServiceActivity ActivityOf(std::string_view aService,
+                                           base::Instant aNow) const;
+
   [[nodiscard]] OutlierDetector& Outliers() { return outliers_; }
   [[nodiscard]] EndpointPace& Paces() { return paces_; }
 
@@ -323,6 +363,7 @@
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant lastActivityAt_;
+    base::Instant busySince_; ///< Since when this host has attempts there.
     /// Start of the attempt that was last active.
     base::Instant activeAttemptStartedAt_;
     base::Instant batchPausedUntil_;
@@ -355,6 +396,12 @@
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
 
+  [[nodiscard]] bool IsSilent(const Endpoint& aEndpoint,
+                              base::Instant aNow) const;
+  /// @return for how long no byte of this host's attempts has arrived.
+  [[nodiscard]] static base::Duration SilenceOf(const Endpoint& aEndpoint,
+                                                base::Instant aNow);
+
   [[nodiscard]] InFlightCounts CountsOf(const Endpoint& aEndpoint,
                                         base::Instant aNow) const;
   [[nodiscard]] bool IsAvoided(const Endpoint& aEndpoint,
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -158,6 +158,9 @@
       aEndpoint.isUnreadable_ || isExcluded) {
     return false;
   }
+  if (aRequest.excludesSilent_ && IsSilent(aEndpoint, aNow)) {
+    return false;
+  }
   if (aRequest.work_ == WorkClass::Online) {
     return true;
   }
@@ -296,6 +299,7 @@
   }
   choice.endpoint_ = best.endpoint_->record_;
   choice.inFlight_ = best.counts_.Total();
+  choice.hasSlot_ = choice.preemptsBatch_ || HasFreeSlot(best, aNow);
   choice.speed_ = SpeedOf(*best.endpoint_, aNow);
   return choice;
 }
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -174,6 +174,14 @@
          (route_.kind_ == fleet::RequestKind::Stream && route_.isResumable_);
 }
 
+bool
+OnlineProxy::MayTryAgain() const
+{
+  return triedEndpoints_.size() < route_.maxAttempts_ &&
+         undeliveredAttempts_ < kMaxUndelivered &&
+         TimeLeft() >= kMinAttemptTime;
+}
+
 void
 OnlineProxy::TryNextEndpoint()
 {
@@ -193,12 +201,11 @@
     Finish(ProxyOutcome::Suspect);
     return;
   }
-  if (triedEndpoints_.size() >= route_.maxAttempts_ ||
-      undeliveredAttempts_ >= kMaxUndelivered || TimeLeft() < kMinAttemptTime) {
-    EndWithoutAttempt();
-    return;
+  auto choice = std::exchange(replacement_, std::nullopt);
+  if (!choice && MayTryAgain()) {
+    choice = ChooseEndpoint(false);
+    LogIfNotContinued(choice.has_value());
   }
-  const auto choice = ChooseEndpoint();
   if (!choice) {
     EndWithoutAttempt();
     return;
@@ -213,7 +220,7 @@
 }
 
 std::optional<fleet::EndpointChoice>
-OnlineProxy::ChooseEndpoint()
+OnlineProxy::ChooseEndpoint(bool aExcludesSilent)
 {
   const bool isRest = stream_.HasBegun();
   if (isRest && !stream_.Origin()) {
@@ -230,17 +237,23 @@
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
-  auto choice =
-    shared_.endpoints_.Choose(request, base::MonotonicNow(), shared_.random_);
-  if (!choice && isRest) {
-    base::Log(kStreamNotContinued,
-              { { "request", call_.requestId_ },
-                { "service", stream_.Origin()->service_ },
-                { "software", stream_.Origin()->version_ },
-                { "after_event", stream_.LastEvent() },
-                { "tried", triedEndpoints_.size() } });
+  request.excludesSilent_ = aExcludesSilent;
+  return shared_.endpoints_.Choose(
+    request, base::MonotonicNow(), shared_.random_);
+}
+
+void
+OnlineProxy::LogIfNotContinued(bool aHasEndpoint) const
+{
+  if (aHasEndpoint || !stream_.Origin()) {
+    return;
   }
-  return choice;
+  base::Log(kStreamNotContinued,
+            { { "request", call_.requestId_ },
+              { "service", stream_.Origin()->service_ },
+              { "software", stream_.Origin()->version_ },
+              { "after_event", stream_.LastEvent() },
+              { "tried", triedEndpoints_.size() } });
 }
 
 void
@@ -306,6 +319,7 @@
     isCountedForShare_ = true;
     shared_.fairShare_.CountStart(*caller_);
   }
+  loggedSilence_.reset();
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
   isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
   attempt_ = std::make_shared<EndpointAttempt>(
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/SilencePolicy.h"
 #include "LibGateway/EndpointAttempt.h"
 #include "LibGateway/StreamContinuation.h"
 #include "LibGateway/StreamOrigins.h"
@@ -53,6 +54,8 @@
 
   void OnHead(const httpstream::ResponseHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
+  httpstream::SilenceDecision OnSilence(
+    const httpstream::Silence& aSilence) override;
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
@@ -80,8 +83,18 @@
   [[nodiscard]] std::string_view LoggedResumedId() const;
   /// Records where the stream began, for callers that resume it.
   void RecordOrigin();
+  /// @param aExcludesSilent Whether an endpoint that is silent won't do.
   /// @return the endpoint of the next attempt; empty if none is left.
-  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint();
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint(
+    bool aExcludesSilent);
+  /// @return whether another attempt may be made, if there is an endpoint.
+  [[nodiscard]] bool MayTryAgain() const;
+  /// @return what could take over from the current attempt.
+  [[nodiscard]] fleet::Replacement FindReplacement();
+  void LogSilence(const httpstream::Silence& aSilence,
+                  fleet::SilenceAction aAction);
+  /// Logs that the rest of a stream can't be served, if so.
+  void LogIfNotContinued(bool aHasEndpoint) const;
   /// Ends the request if no further attempt may be made.
   void EndWithoutAttempt();
   /// Forwards complete events to the caller.
@@ -105,6 +118,10 @@
   CallerFields call_;
   base::Instant deadline_;
   std::shared_ptr<EndpointAttempt> attempt_;
+  /// Where the next attempt is made; empty: not chosen yet.
+  std::optional<fleet::EndpointChoice> replacement_;
+  /// What was last logged about the silence of the current attempt.
+  std::optional<fleet::SilenceAction> loggedSilence_;
   std::vector<std::string> triedEndpoints_; ///< Ids, one for each attempt.
   std::uint32_t undeliveredAttempts_ = 0;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -31,6 +31,13 @@
 /// request takes to reach it.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 400 };
 
+/// How often the observer is asked again about a silent call.
+constexpr std::chrono::milliseconds kSilenceCheckInterval{ 100 };
+
+/// Delay of a timer from which on this process is taken not to have run. A
+/// process whose processor time is a quota may stand still for up to 100 ms.
+constexpr std::chrono::milliseconds kMaxTimerDelay{ 200 };
+
 /// @return N of "timeout=N" in a Keep-Alive header, in seconds; nullopt if it
 /// is missing or malformed.
 std::optional<unsigned>
@@ -95,6 +102,7 @@
   isPaused_ = false;
   isStale_ = false;
   parser_.reset();
+  lastByteAt_ = base::MonotonicNow();
   ArmTimer(call_.firstByteTimeout_);
   Write();
   Read();
@@ -114,16 +122,59 @@
     if (aError || self->isClosed_ || generation != self->timerGeneration_) {
       return;
     }
-    if (self->onConnected_) {
-      const auto ready = std::exchange(self->onConnected_, nullptr);
-      self->Cancel();
-      ready(false);
-      return;
-    }
-    self->Finish(CallOutcome::TimedOut);
+    self->OnTimeout();
   });
 }
 
+void
+ClientConnection::OnTimeout()
+{
+  if (onConnected_) {
+    const auto ready = std::exchange(onConnected_, nullptr);
+    Cancel();
+    ready(false);
+    return;
+  }
+  if (observer_ == nullptr) {
+    return;
+  }
+  const Silence silence = MeasureSilence();
+  if (silence.unreadBytes_ > 0 || silence.ownDelay_ > kMaxTimerDelay) {
+    lastByteAt_ = base::MonotonicNow();
+    ArmTimer(NextByteTimeout());
+    return;
+  }
+  const SilenceDecision decision = observer_->OnSilence(silence);
+  if (observer_ == nullptr || isClosed_) {
+    return;
+  }
+  if (decision == SilenceDecision::EndCall) {
+    Finish(CallOutcome::TimedOut);
+    return;
+  }
+  ArmTimer(kSilenceCheckInterval);
+}
+
+Silence
+ClientConnection::MeasureSilence() const
+{
+  const base::Instant now = base::MonotonicNow();
+  Silence silence;
+  silence.duration_ = now - lastByteAt_;
+  silence.ownDelay_ =
+    std::max(std::chrono::duration_cast<base::Duration>(now - timer_.expiry()),
+             base::Duration::zero());
+  boost::system::error_code ignored;
+  silence.unreadBytes_ = socket_.available(ignored);
+  return silence;
+}
+
+base::Duration
+ClientConnection::NextByteTimeout() const
+{
+  return isHeadReceived_ && !isStale_ ? GapTimeout() : call_.firstByteTimeout_;
+}
+
 base::Duration
 ClientConnection::GapTimeout() const
 {
@@ -179,6 +230,7 @@
     return;
   }
   input_.commit(aBytes);
+  lastByteAt_ = base::MonotonicNow();
   Parse();
 }
 
@@ -328,6 +380,7 @@
     return;
   }
   isPaused_ = aIsPaused;
+  lastByteAt_ = base::MonotonicNow();
   ArmTimer(isPaused_ ? base::Duration::zero() : GapTimeout());
   if (!isPaused_ && observer_ != nullptr) {
     Read();
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -55,7 +55,7 @@
   void Start(const std::string& aId, WorkClass aWork, int aCount)
   {
     for (int attempt = 0; attempt < aCount; ++attempt) {
-      table_.CountStart({ aId }, aWork);
+      table_.CountStart({ aId }, aWork, now_);
     }
   }
 
@@ -355,7 +355,7 @@
 {
   AddStarted("one", 100);
   for (int attempt = 0; attempt < 4; ++attempt) {
-    table_.CountStart({ "one", 100 }, WorkClass::Online);
+    table_.CountStart({ "one", 100 }, WorkClass::Online, now_);
   }
   const EndpointCounts peerCounts{ "one", { 3, 0 }, true, 100 };
   table_.SetPeerCounts("peer", std::span(&peerCounts, 1), now_);
@@ -371,7 +371,7 @@
                  "EndpointTable_UpdatesOfFormerProcess_AreIgnored")
 {
   AddStarted("one", 200);
-  table_.CountStart({ "one", 200 }, WorkClass::Online);
+  table_.CountStart({ "one", 200 }, WorkClass::Online, now_);
   table_.CountEnd({ "one", 100 }, WorkClass::Online);
   CHECK(Choose(WorkClass::Online)->inFlight_ == 1);
   const EndpointCounts peerCounts{ "one", { 3, 0 }, false, 100 };
@@ -403,7 +403,7 @@
                  "EndpointTable_UnreadableRegistration_IsNotUsed")
 {
   Add("one");
-  table_.CountStart({ "one" }, WorkClass::Online);
+  table_.CountStart({ "one" }, WorkClass::Online, now_);
   table_.MarkUnreadable("one");
   CHECK_FALSE(Choose(WorkClass::Online));
   CHECK_FALSE(table_.IsUsable("one"));
@@ -638,4 +638,107 @@
   CHECK(random == random_);
 }
 
+// Guards against taking a pause that all endpoints make for the loss of each.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ActivityOfService_CountsSilentAndActive")
+{
+  for (const char* id : { "one", "two", "three", "idle" }) {
+    Add(id);
+  }
+  Start("one", WorkClass::Online, 1);
+  Start("two", WorkClass::Online, 1);
+  Start("three", WorkClass::Batch, 1);
+  const base::Instant startedAt = now_;
+  now_ += std::chrono::milliseconds(290);
+  CHECK(table_.ActivityOf("service", now_).silent_ == 0);
+  CHECK(table_.ActivityOf("service", now_).active_ == 3);
+  table_.RecordActivity({ "two" }, startedAt, now_);
+  now_ += std::chrono::milliseconds(20);
+  CHECK(table_.ActivityOf("service", now_).silent_ == 2);
+  CHECK(table_.ActivityOf("service", now_).active_ == 1);
+  CHECK(table_.ActivityOf("other", now_).silent_ == 0);
+  // An attempt that starts later says nothing of the silence before it.
+  Start("idle", WorkClass::Online, 1);
+  CHECK(table_.ActivityOf("service", now_).active_ == 2);
+}
+
+// Guards against avoiding all endpoints, and refusing requests, after a pause
+// that all of them made.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_MostAreSilent_IsNotRecordedAsFailures")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  now_ += std::chrono::milliseconds(900);
+  CHECK_FALSE(table_.RecordSilence({ "one" }, now_));
+  CHECK(Choose(WorkClass::Online)->hasSlot_);
+  // Sound endpoints have gone on by then.
+  now_ += std::chrono::milliseconds(1200);
+  CHECK(table_.RecordSilence({ "one" }, now_));
+}
+
+// Guards against sending requests to a lost endpoint.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OneOfThreeIsSilent_IsAvoided")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  const base::Instant startedAt = now_;
+  now_ += std::chrono::milliseconds(900);
+  table_.RecordActivity({ "two" }, startedAt, now_);
+  table_.RecordActivity({ "three" }, startedAt, now_);
+  CHECK(table_.RecordSilence({ "one" }, now_));
+  CHECK(table_.OwnCounts(now_).size() == 3);
+  CHECK(std::ranges::any_of(table_.OwnCounts(now_), [](const auto& aCounts) {
+    return aCounts.endpoint_ == "one" && aCounts.isAvoided_;
+  }));
+}
+
+// Guards against callers that wait for a process whose place another one has.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_AnotherProcessAtItsAddress_IsReplaced")
+{
+  AddStarted("one", 100);
+  EndpointRecord record;
+  record.id_ = "one";
+  record.address_ = "10.0.0.1:1";
+  record.service_ = "service";
+  record.startedAtMs_ = 100;
+  CHECK_FALSE(table_.IsReplaced(record));
+  EndpointRecord next = record;
+  next.id_ = "two";
+  next.service_ = "other";
+  next.startedAtMs_ = 50;
+  table_.Put(next, now_);
+  CHECK_FALSE(table_.IsReplaced(record));
+  next.startedAtMs_ = 200;
+  table_.Put(next, now_);
+  CHECK(table_.IsReplaced(record));
+  CHECK_FALSE(table_.IsReplaced(next));
+}
+
+// Guards against moving an attempt from one lost endpoint to another.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SilentEndpointsExcluded_ActiveOneIsChosen")
+{
+  for (const char* id : { "one", "two", "three" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  const base::Instant startedAt = now_;
+  now_ += 900ms;
+  table_.RecordActivity({ "three" }, startedAt, now_);
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.excludesSilent_ = true;
+  for (int round = 0; round < 50; ++round) {
+    CHECK(table_.Choose(request, now_, random_)->endpoint_.id_ == "three");
+  }
+  now_ += 400ms;
+  CHECK_FALSE(table_.Choose(request, now_, random_));
+}
+
 } // namespace pumiceturn::fleet
