--- a/Tests/PlatformSoak/RateLimitSoakFixture.cpp
+++ b/Tests/PlatformSoak/RateLimitSoakFixture.cpp
@@ -1,15 +1,11 @@
 #include "Tests/PlatformSoak/RateLimitSoakFixture.h"
 
 #include "Tests/Platform/TestRoute.h"
-#include "Tests/PlatformSoak/Environment.h"
 
 #include <nlohmann/json.hpp>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
-#include <csignal>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -19,7 +15,6 @@
 
 namespace {
 
-constexpr milliseconds kStep{ 5 };
 constexpr std::chrono::seconds kWindow{ 5 };
 constexpr double kOverage = 0.1;
 constexpr double kSlack = 20;
@@ -37,12 +32,6 @@
 
 constexpr auto kRates = std::to_array<double>({ 2, 2, 3.5, 10, 30, 60 });
 
-std::string
-FormatAddress(const boost::asio::ip::tcp::endpoint& aAddress)
-{
-  return fmt::format("{}:{}", aAddress.address().to_string(), aAddress.port());
-}
-
 } // namespace
 
 /// One request and the connection that it was sent on.
@@ -67,13 +56,9 @@
 };
 
 RateLimitSoakFixture::RateLimitSoakFixture()
-  : folder_(std::filesystem::temp_directory_path() /
-            fmt::format("pumiceturn-rate-soak-{}", ::getpid()))
-  , store_(context_)
+  : FleetSoakFixture("rate")
   , server_(std::make_unique<ServerStandin>(context_, "i-1"))
 {
-  std::filesystem::create_directories(folder_);
-  store_.EnableLeaseExpiry();
 }
 
 RateLimitSoakFixture::~RateLimitSoakFixture()
@@ -83,26 +68,6 @@
       caller->connection_->Cancel();
     }
   }
-  hosts_.clear();
-  // The logs of a run with violations are kept.
-  if (violations_.empty() && ReadNumber("PUMICETURN_SOAK_KEEP_LOGS", 0) == 0) {
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-  }
-}
-
-milliseconds
-RateLimitSoakFixture::Draw(int aMinMs, int aMaxMs)
-{
-  return milliseconds(
-    std::uniform_int_distribution<int>(aMinMs, aMaxMs)(random_));
-}
-
-void
-RateLimitSoakFixture::RunAfter(milliseconds aTime,
-                               std::function<void()> aAction)
-{
-  scheduled_.push_back({ Clock::now() + aTime, std::move(aAction) });
 }
 
 double
@@ -134,7 +99,6 @@
 void
 RateLimitSoakFixture::StartFleet(Size aSize)
 {
-  entryHosts_ = aSize.entryHosts_;
   for (const double rate : kRates) {
     const std::string name = fmt::format("o{}", organisations_.size());
     organisations_.push_back({ name, rate, rate, kExcess * rate });
@@ -143,34 +107,11 @@
   json registration = json::parse(server_->Registration("service", "ready"));
   registration["slots"] = 1000;
   store_.Put("servers/i-1", registration.dump());
-  const std::string network =
-    fmt::format("127.{}.{}", Draw(20, 219).count(), Draw(1, 250).count());
-  for (std::size_t index = 0; index < entryHosts_ + aSize.workers_; ++index) {
-    auto host = std::make_unique<Host>();
-    host->storePort_ = store_.OpenPort();
-    host->storeProxy_ =
-      std::make_unique<FaultProxy>(context_, Loopback(host->storePort_));
-    GatewayProcess::HostSettings settings;
-    settings.isEntry_ = index < entryHosts_;
-    settings.name_ =
-      fmt::format("{}-{}", settings.isEntry_ ? "entry" : "worker", index);
-    settings.ip_ = fmt::format("{}.{}", network, index + 10);
-    settings.store_ = FormatAddress(host->storeProxy_->Address());
-    settings.bounds_ = ", configApplyMs: 3000, strictRevoke: true, "
-                       "revokeMs: 5000, quotaWindowS: 5, quotaOverage: 0.1, "
-                       "quotaSlack: 20";
-    host->process_ = std::make_unique<GatewayProcess>(settings, folder_);
-    StartHost(*host);
-    hosts_.push_back(std::move(host));
-  }
-}
-
-void
-RateLimitSoakFixture::StartHost(Host& aHost)
-{
-  aHost.startAt_.reset();
-  ++aHost.incarnation_;
-  aHost.process_->Start();
+  GatewayProcess::HostSettings settings;
+  settings.bounds_ = ", configApplyMs: 3000, strictRevoke: true, "
+                     "revokeMs: 5000, quotaWindowS: 5, quotaOverage: 0.1, "
+                     "quotaSlack: 20";
+  StartHosts(aSize.entryHosts_, aSize.workers_, settings);
 }
 
 void
@@ -180,9 +121,7 @@
     return;
   }
   Organisation& organisation = organisations_[aOrganisation];
-  const Host& host = *hosts_[static_cast<std::size_t>(
-                               Draw(1, static_cast<int>(entryHosts_)).count()) -
-                             1];
+  const Host& host = DrawEntryHost();
   const std::string id =
     fmt::format("{}-{}", organisation.name_, organisation.sent_++);
   sentAt_[id] = Clock::now();
@@ -235,31 +174,11 @@
   }
 }
 
-void
-RateLimitSoakFixture::RunScheduled()
-{
-  for (ScheduledAction& action : std::exchange(scheduled_, {})) {
-    if (action.at_ <= Clock::now()) {
-      action.action_();
-    } else {
-      scheduled_.push_back(std::move(action));
-    }
-  }
-}
-
 void
 RateLimitSoakFixture::Step()
 {
-  context_.run_for(kStep);
+  RunStep();
   const auto now = Clock::now();
-  RunScheduled();
-  for (const auto& host : hosts_) {
-    const bool isRunning = host->process_->CheckRunning();
-    if (!isRunning && host->startAt_ && now >= *host->startAt_) {
-      ++restarts_;
-      StartHost(*host);
-    }
-  }
   for (const auto& caller : callers_) {
     if (caller->hasEnded_) {
       EndCall(*caller);
@@ -279,44 +198,8 @@
     Host& host = *hosts_[index];
     const bool isKilled = index < entryHosts_ ? aEntryHosts : aWorkers;
     if (isKilled && !host.startAt_) {
-      host.process_->Signal(SIGCONT);
-      host.process_->ExpectEnd();
-      host.process_->Signal(SIGKILL);
-      host.startAt_ = Clock::now() + down + Draw(0, spread);
-    }
-  }
-}
-
-void
-RateLimitSoakFixture::SuspendHosts()
-{
-  for (const auto& host : hosts_) {
-    if (DrawOneIn(3)) {
-      host->process_->Signal(SIGSTOP);
-      RunAfter(Draw(100, 1500),
-               [&host = *host] { host.process_->Signal(SIGCONT); });
-    }
-  }
-}
-
-void
-RateLimitSoakFixture::DisturbStore()
-{
-  const int kind = static_cast<int>(Draw(0, 2).count());
-  for (const auto& host : hosts_) {
-    FaultProxy& proxy = *host->storeProxy_;
-    if (kind == 0) {
-      proxy.SetJitter(Draw(0, 400), static_cast<std::uint32_t>(random_()));
-    } else if (kind == 1 && DrawOneIn(3)) {
-      proxy.SetBlocked(DrawOneIn(2), true);
-    } else if (kind == 2 && DrawOneIn(3)) {
-      store_.SetPortBehaviour(host->storePort_, StoreBehaviour::Refusing);
+      KillHost(host, down + Draw(0, spread));
     }
-    RunAfter(Draw(500, 4000), [this, &host = *host] {
-      host.storeProxy_->SetJitter(milliseconds(0), 0);
-      host.storeProxy_->SetBlocked(false, false);
-      store_.SetPortBehaviour(host.storePort_, StoreBehaviour::Serving);
-    });
   }
 }
 
@@ -353,7 +236,7 @@
       SuspendHosts();
       break;
     case 6:
-      DisturbStore();
+      DisturbStore({ 400, 3, 4000 });
       break;
     default:
       ChangeLimit();
@@ -434,12 +317,7 @@
     }
   }
   CheckLimits();
-  for (const auto& host : hosts_) {
-    if (host->process_->CrashCount() > 0) {
-      violations_.push_back(host->process_->Settings().name_ +
-                            ": ended unexpectedly");
-    }
-  }
+  CheckProcesses();
 }
 
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/RateLimitSoakFixture.h
+++ b/Tests/PlatformSoak/RateLimitSoakFixture.h
@@ -1,21 +1,14 @@
 #pragma once
 
 #include "LibHttpStream/ConnectionPool.h"
-#include "Tests/Platform/CallingFixture.h"
-#include "Tests/PlatformSoak/FaultProxy.h"
-#include "Tests/PlatformSoak/GatewayProcess.h"
+#include "Tests/PlatformSoak/FleetSoakFixture.h"
 #include "Tests/PlatformSoak/WindowCheck.h"
 #include "platform/Standin/ServerStandin.h"
-#include "platform/Standin/StoreStandin.h"
 
 #include <chrono>
 #include <cstdint>
-#include <filesystem>
-#include <functional>
 #include <map>
 #include <memory>
-#include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -24,7 +17,7 @@
 /// Runs gateway processes while organisations send many times their limits to
 /// all hosts, and hosts are killed, restarted, suspended and cut off from the
 /// store. Compares what reached the servers in each window with the limits.
-class RateLimitSoakFixture : protected CallingFixture
+class RateLimitSoakFixture : protected FleetSoakFixture
 {
 protected:
   RateLimitSoakFixture();
@@ -39,12 +32,6 @@
   /// Starts the hosts and applies load and faults for aTime.
   void Run(std::uint64_t aSeed, std::chrono::seconds aTime, Size aSize);
 
-  /// @return the limits that were exceeded; empty if all held.
-  [[nodiscard]] const std::vector<std::string>& Violations() const
-  {
-    return violations_;
-  }
-
   /// What an organisation sent, and what became of it.
   struct Result
   {
@@ -62,18 +49,6 @@
   [[nodiscard]] int RestartCount() const { return restarts_; }
 
 private:
-  using Clock = std::chrono::steady_clock;
-
-  struct Host
-  {
-    std::unique_ptr<FaultProxy> storeProxy_;
-    std::uint16_t storePort_ = 0;
-    std::unique_ptr<GatewayProcess> process_;
-    /// When to start the process again; std::nullopt: it runs.
-    std::optional<Clock::time_point> startAt_;
-    /// Tells connections to the former process from those to the new one.
-    int incarnation_ = 0;
-  };
   struct Organisation
   {
     std::string name_;
@@ -89,7 +64,6 @@
 
   void DeclareLimits();
   void StartFleet(Size aSize);
-  void StartHost(Host& aHost);
   void Step();
   void SendDueRequests(std::chrono::duration<double> aPassed);
   void Send(std::size_t aOrganisation);
@@ -97,41 +71,19 @@
   void InjectFault();
   /// Kills hosts and starts them again within a time of each other.
   void KillAndRestart(bool aEntryHosts, bool aWorkers);
-  void SuspendHosts();
-  void DisturbStore();
   void ChangeLimit();
-  void RunScheduled();
   void CheckLimits();
   [[nodiscard]] std::vector<RunRequest> RequestsOf(const std::string& aName);
   [[nodiscard]] static double BoundFor(double aRate);
-  [[nodiscard]] std::chrono::milliseconds Draw(int aMinMs, int aMaxMs);
-  [[nodiscard]] bool DrawOneIn(int aCount)
-  {
-    return Draw(1, aCount).count() == 1;
-  }
-  void RunAfter(std::chrono::milliseconds aTime, std::function<void()> aAction);
 
-  std::filesystem::path folder_;
-  StoreStandin store_;
   std::unique_ptr<ServerStandin> server_;
-  std::vector<std::unique_ptr<Host>> hosts_; ///< Entry hosts come first.
-  std::size_t entryHosts_ = 0;
   std::vector<Organisation> organisations_;
   httpstream::ConnectionPool connections_{ context_.get_executor() };
   std::vector<std::unique_ptr<Caller>> callers_;
   std::map<std::string, Clock::time_point> sentAt_; ///< By request.
-  struct ScheduledAction
-  {
-    Clock::time_point at_;
-    std::function<void()> action_;
-  };
-  std::vector<ScheduledAction> scheduled_;
-  std::vector<std::string> violations_;
-  std::mt19937_64 random_;
   Clock::time_point steppedAt_;
   int version_ = 0;
   int faults_ = 0;
-  int restarts_ = 0;
 };
 
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/VersionSoakFixture.cpp
+++ b/Tests/PlatformSoak/VersionSoakFixture.cpp
@@ -1,14 +1,11 @@
 #include "Tests/PlatformSoak/VersionSoakFixture.h"
 
 #include "Tests/Platform/TestRoute.h"
-#include "Tests/PlatformSoak/Environment.h"
+#include "Tests/PlatformSoak/EventText.h"
 
 #include <nlohmann/json.hpp>
 
-#include <unistd.h>
-
 #include <algorithm>
-#include <csignal>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -18,7 +15,6 @@
 
 namespace {
 
-constexpr milliseconds kStep{ 5 };
 constexpr std::size_t kEntryHosts = 6;
 constexpr std::size_t kWorkers = 3;
 constexpr std::size_t kServers = 9;
@@ -36,31 +32,6 @@
 constexpr int kMeanStepsPerFault = 200;
 constexpr int kMinResumptions = 12;
 
-std::string
-FormatAddress(const boost::asio::ip::tcp::endpoint& aAddress)
-{
-  return fmt::format("{}:{}", aAddress.address().to_string(), aAddress.port());
-}
-
-/// @return the complete events at the beginning of a body.
-std::string
-CompleteEvents(const std::string& aBody)
-{
-  const std::size_t end = aBody.rfind("\n\n");
-  return end == std::string::npos ? std::string() : aBody.substr(0, end + 2);
-}
-
-std::size_t
-CountEvents(const std::string& aEvents)
-{
-  std::size_t count = 0;
-  for (std::size_t at = aEvents.find("id: "); at != std::string::npos;
-       at = aEvents.find("id: ", at + 1)) {
-    ++count;
-  }
-  return count;
-}
-
 std::string
 VersionName(int aVersion)
 {
@@ -70,12 +41,8 @@
 } // namespace
 
 VersionSoakFixture::VersionSoakFixture()
-  : folder_(std::filesystem::temp_directory_path() /
-            fmt::format("pumiceturn-version-soak-{}", ::getpid()))
-  , store_(context_)
+  : FleetSoakFixture("version")
 {
-  std::filesystem::create_directories(folder_);
-  store_.EnableLeaseExpiry();
 }
 
 VersionSoakFixture::~VersionSoakFixture()
@@ -85,25 +52,6 @@
       stream->call_->connection_->Cancel();
     }
   }
-  hosts_.clear();
-  // The logs of a run with violations are kept.
-  if (violations_.empty() && ReadNumber("PUMICETURN_SOAK_KEEP_LOGS", 0) == 0) {
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-  }
-}
-
-milliseconds
-VersionSoakFixture::Draw(int aMinMs, int aMaxMs)
-{
-  return milliseconds(
-    std::uniform_int_distribution<int>(aMinMs, aMaxMs)(random_));
-}
-
-void
-VersionSoakFixture::RunAfter(milliseconds aTime, std::function<void()> aAction)
-{
-  scheduled_.push_back({ Clock::now() + aTime, std::move(aAction) });
 }
 
 void
@@ -141,14 +89,6 @@
   servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(aIndex));
 }
 
-void
-VersionSoakFixture::StartHost(Host& aHost)
-{
-  aHost.startAt_.reset();
-  aHost.startedAt_ = Clock::now();
-  aHost.process_->Start();
-}
-
 void
 VersionSoakFixture::StartFleet()
 {
@@ -156,23 +96,7 @@
   for (std::size_t server = 0; server < kServers; ++server) {
     AddServer(VersionName(version_));
   }
-  const std::string network =
-    fmt::format("127.{}.{}", Draw(20, 219).count(), Draw(1, 250).count());
-  for (std::size_t index = 0; index < kEntryHosts + kWorkers; ++index) {
-    auto host = std::make_unique<Host>();
-    host->storePort_ = store_.OpenPort();
-    host->storeProxy_ =
-      std::make_unique<FaultProxy>(context_, Loopback(host->storePort_));
-    GatewayProcess::HostSettings settings;
-    settings.isEntry_ = index < kEntryHosts;
-    settings.name_ =
-      fmt::format("{}-{}", settings.isEntry_ ? "entry" : "worker", index);
-    settings.ip_ = fmt::format("{}.{}", network, index + 10);
-    settings.store_ = FormatAddress(host->storeProxy_->Address());
-    host->process_ = std::make_unique<GatewayProcess>(settings, folder_);
-    StartHost(*host);
-    hosts_.push_back(std::move(host));
-  }
+  StartHosts(kEntryHosts, kWorkers, {});
 }
 
 int
@@ -184,21 +108,10 @@
     }));
 }
 
-std::string
-VersionSoakFixture::VersionOf(const std::string& aEvents)
-{
-  const std::size_t end = aEvents.find('\n', aEvents.find("data: "));
-  const std::size_t at = aEvents.rfind('@', end);
-  return at == std::string::npos ? std::string(ServerStandin::kDefaultVersion)
-                                 : aEvents.substr(at + 1, end - at - 1);
-}
-
 void
 VersionSoakFixture::Try(Stream& aStream)
 {
-  Host& host = *hosts_[static_cast<std::size_t>(
-                         Draw(1, static_cast<int>(kEntryHosts)).count()) -
-                       1];
+  Host& host = DrawEntryHost();
   ++aStream.tries_;
   aStream.tryId_ = fmt::format("t{}", nextTry_++);
   std::string fields = fmt::format(
@@ -274,31 +187,10 @@
   }
 }
 
-void
-VersionSoakFixture::RunScheduled()
-{
-  for (ScheduledAction& action : std::exchange(scheduled_, {})) {
-    if (action.at_ <= Clock::now()) {
-      action.action_();
-    } else {
-      scheduled_.push_back(std::move(action));
-    }
-  }
-}
-
 void
 VersionSoakFixture::Step()
 {
-  context_.run_for(kStep);
-  context_.restart();
-  RunScheduled();
-  for (const auto& host : hosts_) {
-    const bool isRunning = host->process_->CheckRunning();
-    if (!isRunning && host->startAt_ && Clock::now() >= *host->startAt_) {
-      ++counts_.restarts_;
-      StartHost(*host);
-    }
-  }
+  RunStep();
   for (const auto& stream : streams_) {
     if (stream->call_ && stream->call_->HasEnded()) {
       EndTry(*stream);
@@ -324,47 +216,11 @@
     Host& host = *hosts_[index];
     const bool isKind = index < kEntryHosts || aWithWorkers;
     if (isKind && !host.startAt_ && DrawOneIn(aOneIn)) {
-      host.process_->Signal(SIGCONT);
-      host.process_->ExpectEnd();
-      host.process_->Signal(SIGKILL);
-      host.startAt_ = Clock::now() + down + Draw(0, 300);
-    }
-  }
-}
-
-void
-VersionSoakFixture::SuspendHosts()
-{
-  for (const auto& host : hosts_) {
-    if (DrawOneIn(3)) {
-      host->process_->Signal(SIGSTOP);
-      RunAfter(Draw(100, 1500),
-               [&host = *host] { host.process_->Signal(SIGCONT); });
+      KillHost(host, down + Draw(0, 300));
     }
   }
 }
 
-void
-VersionSoakFixture::DisturbStore()
-{
-  const int kind = static_cast<int>(Draw(0, 2).count());
-  for (const auto& host : hosts_) {
-    FaultProxy& proxy = *host->storeProxy_;
-    if (kind == 0) {
-      proxy.SetJitter(Draw(0, 300), static_cast<std::uint32_t>(random_()));
-    } else if (kind == 1 && DrawOneIn(2)) {
-      proxy.SetBlocked(DrawOneIn(2), true);
-    } else if (kind == 2 && DrawOneIn(2)) {
-      store_.SetPortBehaviour(host->storePort_, StoreBehaviour::Refusing);
-    }
-    RunAfter(Draw(500, 3000), [this, &host = *host] {
-      host.storeProxy_->SetJitter(milliseconds(0), 0);
-      host.storeProxy_->SetBlocked(false, false);
-      store_.SetPortBehaviour(host.storePort_, StoreBehaviour::Serving);
-    });
-  }
-}
-
 void
 VersionSoakFixture::CrashServers()
 {
@@ -440,7 +296,7 @@
       SuspendHosts();
       break;
     case 7:
-      DisturbStore();
+      DisturbStore({ 300, 2, 3000 });
       break;
     default:
       CrashServers();
@@ -482,12 +338,7 @@
     EndStream(*stream);
   }
   CheckShares();
-  for (const auto& host : hosts_) {
-    if (host->process_->CrashCount() > 0) {
-      violations_.push_back(host->process_->Settings().name_ +
-                            ": ended unexpectedly");
-    }
-  }
+  CheckProcesses();
 }
 
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/VersionSoakFixture.h
+++ b/Tests/PlatformSoak/VersionSoakFixture.h
@@ -1,19 +1,11 @@
 #pragma once
 
-#include "Tests/Platform/CallingFixture.h"
-#include "Tests/PlatformSoak/FaultProxy.h"
-#include "Tests/PlatformSoak/GatewayProcess.h"
+#include "Tests/PlatformSoak/FleetSoakFixture.h"
 #include "platform/Standin/ServerStandin.h"
-#include "platform/Standin/StoreStandin.h"
 
 #include <chrono>
 #include <cstdint>
-#include <filesystem>
-#include <functional>
-#include <map>
 #include <memory>
-#include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -24,7 +16,7 @@
 /// the store. Callers resume broken streams at other hosts, several times.
 /// Checks from what callers get that no stream joins versions, and that streams
 /// go on.
-class VersionSoakFixture : protected CallingFixture
+class VersionSoakFixture : protected FleetSoakFixture
 {
 protected:
   VersionSoakFixture();
@@ -33,12 +25,6 @@
   /// Starts the hosts and applies load and faults for aTime.
   void Run(std::uint64_t aSeed, std::chrono::seconds aTime);
 
-  /// @return the violated guarantees; empty if all held.
-  [[nodiscard]] const std::vector<std::string>& Violations() const
-  {
-    return violations_;
-  }
-
   struct RunCounts
   {
     int streams_ = 0;
@@ -53,21 +39,11 @@
     int goneOn_ = 0;
     int faults_ = 0;
     int releases_ = 0;
-    int restarts_ = 0;
   };
   [[nodiscard]] const RunCounts& Counts() const { return counts_; }
+  [[nodiscard]] int RestartCount() const { return restarts_; }
 
 private:
-  using Clock = std::chrono::steady_clock;
-
-  struct Host
-  {
-    std::unique_ptr<FaultProxy> storeProxy_;
-    std::uint16_t storePort_ = 0;
-    std::unique_ptr<GatewayProcess> process_;
-    Clock::time_point startedAt_;
-    std::optional<Clock::time_point> startAt_; ///< Set while it is down.
-  };
   struct Server
   {
     std::string id_;
@@ -87,7 +63,6 @@
 
   void WriteConfiguration();
   void StartFleet();
-  void StartHost(Host& aHost);
   void AddServer(const std::string& aVersion);
   void EndServer(std::size_t aIndex);
   void CrashServers();
@@ -99,33 +74,12 @@
   void CheckShares();
   void InjectFault();
   void KillHosts(int aOneIn, bool aWithWorkers);
-  void SuspendHosts();
-  void DisturbStore();
-  void RunScheduled();
   [[nodiscard]] int CountServers(const std::string& aVersion) const;
-  [[nodiscard]] static std::string VersionOf(const std::string& aEvents);
-  [[nodiscard]] std::chrono::milliseconds Draw(int aMinMs, int aMaxMs);
-  [[nodiscard]] bool DrawOneIn(int aCount)
-  {
-    return Draw(1, aCount).count() == 1;
-  }
-  void RunAfter(std::chrono::milliseconds aTime, std::function<void()> aAction);
 
-  std::filesystem::path folder_;
-  StoreStandin store_;
-  std::vector<std::unique_ptr<Host>> hosts_; ///< Entry hosts come first.
   std::vector<Server> servers_;
   std::vector<Server> endedServers_; ///< Their handlers may still be called.
   std::vector<std::unique_ptr<Stream>> streams_;
-  struct ScheduledAction
-  {
-    Clock::time_point at_;
-    std::function<void()> action_;
-  };
-  std::vector<ScheduledAction> scheduled_;
-  std::vector<std::string> violations_;
   RunCounts counts_;
-  std::mt19937_64 random_;
   int version_ = 1;
   int nextServer_ = 0;
   int nextTry_ = 0;
--- a/Tests/PlatformSoak/VersionSoakTest.cpp
+++ b/Tests/PlatformSoak/VersionSoakTest.cpp
@@ -31,7 +31,7 @@
     counts.owedGoneOn_,
     counts.faults_,
     counts.releases_,
-    counts.restarts_);
+    RestartCount());
   for (const std::string& violation : Violations()) {
     std::cout << "seed " << seed << ": " << violation << '\n';
   }
