--- a/Tests/PlatformSoak/GatewayProcess.cpp
+++ b/Tests/PlatformSoak/GatewayProcess.cpp
@@ -39,8 +39,8 @@
   file << "portRange: [ 7000, 7019 ]\nplatform: { address: \""
        << hostSettings_.store_
        << "\" }\nbounds: { drainMs: 2000, settleMs: 1000, statusS: 120, "
-          "graceS: 4"
-       << hostSettings_.bounds_ << " }\n";
+          "graceS: "
+       << hostSettings_.graceSeconds_ << hostSettings_.bounds_ << " }\n";
 }
 
 GatewayProcess::~GatewayProcess()
--- a/Tests/PlatformSoak/GatewayProcess.h
+++ b/Tests/PlatformSoak/GatewayProcess.h
@@ -19,6 +19,7 @@
     std::string ip_;    ///< Unique to the host, within 127.0.0.0/8.
     std::string store_; ///< IP:PORT
     bool isEntry_ = false;
+    int graceSeconds_ = 4; ///< From SIGTERM to SIGKILL.
     /// More bounds, as in the settings file: ", name: value" each.
     std::string bounds_ = {};
   };
