--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -272,4 +272,11 @@
   "A configured address can't be opened."
 };
 
+inline constexpr base::Event kCallerConnectionEnded{
+  7180,
+  "caller_connection_ended",
+  base::LogLevel::Info,
+  "A caller's connection was closed with a request, unread or unsent bytes."
+};
+
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -228,6 +228,8 @@
   if (settings_.detectsOutliers_) {
     shared_.endpoints_.Outliers().Enable();
   }
+  callerListener_.SetOnConnectionEnded(
+    [this](const auto& aEnd) { RecordCallerConnectionEnd(aEnd); });
   httpstream::ServerLimits peerLimits;
   peerLimits.maxBodyBytes_ = kMaxPeerBodyBytes;
   forwardListener_.SetLimits(peerLimits);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -178,6 +178,7 @@
   void OnHostsChanged();
   void OnJobChanged(const std::string& aJob);
   void AddGauges();
+  void RecordCallerConnectionEnd(const httpstream::ConnectionEnd& aEnd);
   void Preempt(const fleet::EndpointChoice& aChoice);
   void Retire();
   void ReportRetirement();
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/Gateway.h"
 
+#include "LibGateway/Events.h"
+
 // The part of Gateway that reports its state as metrics.
 
 namespace pumiceturn::gateway {
@@ -56,4 +58,28 @@
                             [this] { return shared_.routes_.Version(); });
 }
 
+void
+Gateway::RecordCallerConnectionEnd(const httpstream::ConnectionEnd& aEnd)
+{
+  shared_.metrics_
+    .GetCounter("pumiceturn_caller_connections_closed_total",
+                "Closed connections of callers.",
+                fmt::format("cause=\"{}\"", httpstream::ToString(aEnd.cause_)))
+    .Add();
+  if (!aEnd.HasOutstanding()) {
+    return;
+  }
+  base::Log(kCallerConnectionEnded,
+            { { "cause", httpstream::ToString(aEnd.cause_) },
+              { "request",
+                aEnd.request_
+                  ? shared_.codec_.ReadCallerFields(*aEnd.request_).requestId_
+                  : std::string("-") },
+              { "progress", httpstream::ToString(aEnd.progress_) },
+              { "inactive_ms", base::ToMs(aEnd.sinceActivity_) },
+              { "unread_bytes", aEnd.unreadBytes_ },
+              { "unsent_bytes", aEnd.unsentBytes_ },
+              { "unacknowledged_bytes", aEnd.unacknowledgedBytes_ } });
+}
+
 } // namespace pumiceturn::gateway
--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -144,9 +144,12 @@
 }
 
 void
-Listener::OnClosed(ServerConnection& aConnection)
+Listener::OnClosed(ServerConnection& aConnection, const ConnectionEnd& aEnd)
 {
   connections_.erase(aConnection.shared_from_this());
+  if (endHandler_) {
+    endHandler_(aEnd);
+  }
 }
 
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -18,6 +18,7 @@
 {
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+  using EndHandler = std::function<void(const ConnectionEnd&)>;
 
   Listener(boost::asio::io_context& aContext, Handler aHandler);
 
@@ -28,6 +29,12 @@
 
   void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
 
+  /// @param aHandler Called each time a connection has been closed.
+  void SetOnConnectionEnded(EndHandler aHandler)
+  {
+    endHandler_ = std::move(aHandler);
+  }
+
   /// Adds "Connection: close" to all further responses.
   void SetDraining() { isDraining_ = true; }
 
@@ -51,7 +58,8 @@
   [[nodiscard]] std::size_t UnsentBytes() const;
 
   void OnRequest(std::shared_ptr<Exchange> aExchange) override;
-  void OnClosed(ServerConnection& aConnection) override;
+  void OnClosed(ServerConnection& aConnection,
+                const ConnectionEnd& aEnd) override;
   [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
   [[nodiscard]] bool IsDraining() const override { return isDraining_; }
 
@@ -62,6 +70,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timeoutTimer_;
   Handler handler_;
+  EndHandler endHandler_;
   ServerLimits limits_;
   bool isDraining_ = false;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -149,7 +149,7 @@
 {
   isFinished_ = true;
   if (const auto connection = connection_.lock()) {
-    connection->Close();
+    connection->Close(CloseCause::Aborted);
   }
 }
 
@@ -188,7 +188,7 @@
 ServerConnection::CloseIfIdle()
 {
   if (IsIdle()) {
-    Close();
+    Close(CloseCause::Draining);
     return;
   }
   if (!hasReceivedBytes_) {
@@ -204,7 +204,7 @@
   }
   const ServerLimits& limits = owner_.Limits();
   if (isWriting_ && aNow - lastActivity_ > limits.idleTimeout_) {
-    Close();
+    Close(CloseCause::ResponseUnread);
     return;
   }
   if (exchange_ || isWriting_) {
@@ -213,13 +213,14 @@
   if (requestStartedAt_ && parser_ && !parser_->is_header_done() &&
       aNow - *requestStartedAt_ > limits.headerTimeout_) {
     keepAlive_ = false;
-    closeAfterWrite_ = true;
+    closeAfterWrite_ = CloseCause::RequestTimeout;
     Write("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
           "Content-Length: 0\r\n\r\n");
     return;
   }
   if (aNow - lastActivity_ > limits.idleTimeout_) {
-    Close();
+    Close(requestStartedAt_ ? CloseCause::RequestTimeout
+                            : CloseCause::IdleTimeout);
   }
 }
 
@@ -248,7 +249,7 @@
   }
   if (aError) {
     // The caller has closed or reset the connection and won't read a response.
-    Close();
+    Close(CloseCause::Caller);
     return;
   }
   input_.commit(aBytes);
@@ -300,7 +301,7 @@
 ServerConnection::RejectRequest(const boost::system::error_code& aError)
 {
   keepAlive_ = false;
-  closeAfterWrite_ = true;
+  closeAfterWrite_ = CloseCause::RequestRejected;
   Response response = MakeResponse(StatusFor(aError), {});
   response.set(http::field::connection, "close");
   response.content_length(0);
@@ -362,7 +363,7 @@
     return;
   }
   if (error && error != asio::error::would_block) {
-    Close();
+    Close(CloseCause::WriteFailed);
     return;
   }
   writing_ = pending_.substr(error ? 0 : sent);
@@ -400,7 +401,7 @@
     return;
   }
   if (aError) {
-    Close();
+    Close(CloseCause::WriteFailed);
     return;
   }
   lastActivity_ = base::MonotonicNow();
@@ -409,7 +410,7 @@
     return;
   }
   if (closeAfterWrite_) {
-    Close();
+    Close(*closeAfterWrite_);
     return;
   }
   if (exchange_ && exchange_->onAllWritten_) {
@@ -422,9 +423,9 @@
 {
   exchange_.reset();
   if (!keepAlive_) {
-    closeAfterWrite_ = true;
+    closeAfterWrite_ = CloseCause::ResponseEnded;
     if (!isWriting_ && pending_.empty()) {
-      Close();
+      Close(*closeAfterWrite_);
     }
     return;
   }
@@ -436,19 +437,38 @@
              [self = shared_from_this()] { self->Parse(); });
 }
 
+ConnectionEnd
+ServerConnection::DescribeEnd(CloseCause aCause)
+{
+  ConnectionEnd end;
+  end.cause_ = aCause;
+  if (exchange_ && (aCause == CloseCause::Aborted || !exchange_->isFinished_)) {
+    end.progress_ = RequestProgress::Unanswered;
+    end.request_ = &exchange_->GetRequest();
+  } else if (requestStartedAt_ && !closeAfterWrite_) {
+    end.progress_ = RequestProgress::Incomplete;
+  }
+  end.sinceActivity_ = base::MonotonicNow() - lastActivity_;
+  end.unreadBytes_ = input_.size() + CountUnreadBytes(socket_);
+  end.unsentBytes_ = UnsentBytes();
+  end.unacknowledgedBytes_ = CountUnacknowledgedBytes(socket_);
+  return end;
+}
+
 void
-ServerConnection::Close()
+ServerConnection::Close(CloseCause aCause)
 {
   if (isClosed_) {
     return;
   }
   isClosed_ = true;
+  const ConnectionEnd end = DescribeEnd(aCause);
   boost::system::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   CloseSocket(socket_);
   const std::shared_ptr<Exchange> exchange = std::move(exchange_);
   const auto self = shared_from_this();
-  owner_.OnClosed(*this);
+  owner_.OnClosed(*this, end);
   if (exchange && !exchange->isFinished_) {
     exchange->isFinished_ = true;
     if (exchange->onCallerDisconnected_) {
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibHttpStream/ConnectionEnd.h"
 #include "LibHttpStream/Message.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -99,7 +100,8 @@
 
   /// Handles a completely received request.
   virtual void OnRequest(std::shared_ptr<Exchange> aExchange) = 0;
-  virtual void OnClosed(ServerConnection& aConnection) = 0;
+  virtual void OnClosed(ServerConnection& aConnection,
+                        const ConnectionEnd& aEnd) = 0;
   [[nodiscard]] virtual const ServerLimits& Limits() const = 0;
 
   /// @return whether responses carry "Connection: close" because the host is
@@ -151,7 +153,8 @@
   void WriteSome();
   void OnWritten(const boost::system::error_code& aError);
   void EndExchange();
-  void Close();
+  void Close(CloseCause aCause);
+  [[nodiscard]] ConnectionEnd DescribeEnd(CloseCause aCause);
 
   boost::asio::ip::tcp::socket socket_;
   ServerConnectionOwner& owner_;
@@ -165,7 +168,8 @@
   bool isWriting_ = false;
   bool keepAlive_ = true;
   bool isChunked_ = true; ///< Whether the streamed response is chunked.
-  bool closeAfterWrite_ = false;
+  /// Set once the last response of the connection is being written.
+  std::optional<CloseCause> closeAfterWrite_;
   bool isClosed_ = false;
   bool isContinueSent_ = false;
   bool hasReceivedBytes_ = false; ///< At least one request has begun.
--- a/Libraries/LibHttpStream/Socket.cpp
+++ b/Libraries/LibHttpStream/Socket.cpp
@@ -1,6 +1,8 @@
 #include "LibHttpStream/Socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace pumiceturn::httpstream {
@@ -45,4 +47,23 @@
   aSocket.close(ignored);
 }
 
+std::size_t
+CountUnreadBytes(const boost::asio::ip::tcp::socket& aSocket)
+{
+  boost::system::error_code error;
+  const std::size_t bytes = aSocket.available(error);
+  return error ? 0 : bytes;
+}
+
+std::size_t
+CountUnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  int bytes = 0;
+  if (!aSocket.is_open() ||
+      ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/Socket.h
+++ b/Libraries/LibHttpStream/Socket.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
+
 namespace pumiceturn::httpstream {
 
 /// Disables Nagle's algorithm, and sets TCP_USER_TIMEOUT and keep-alive
@@ -13,4 +15,14 @@
 void
 CloseSocket(boost::asio::ip::tcp::socket& aSocket);
 
+/// @return the number of bytes received that haven't been read; 0 if the socket
+///         is closed.
+[[nodiscard]] std::size_t
+CountUnreadBytes(const boost::asio::ip::tcp::socket& aSocket);
+
+/// @return the number of bytes written that the peer's kernel hasn't
+///         acknowledged; 0 if the socket is closed.
+[[nodiscard]] std::size_t
+CountUnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace pumiceturn::httpstream
