--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -196,32 +196,62 @@
   }
 }
 
+std::optional<CloseCause>
+ServerConnection::FindExpiredTimeout(base::Instant aNow) const
+{
+  const ServerLimits& limits = owner_.Limits();
+  const bool isIdleTimeoutOver = aNow - lastActivity_ > limits.idleTimeout_;
+  if (isWriting_ && isIdleTimeoutOver) {
+    return CloseCause::ResponseUnread;
+  }
+  if (exchange_ || isWriting_) {
+    return std::nullopt;
+  }
+  const bool isHeaderTimeoutOver =
+    IsReceivingHeader() && aNow - *requestStartedAt_ > limits.headerTimeout_;
+  if (isHeaderTimeoutOver || (requestStartedAt_ && isIdleTimeoutOver)) {
+    return CloseCause::RequestTimeout;
+  }
+  if (isIdleTimeoutOver) {
+    return CloseCause::IdleTimeout;
+  }
+  return std::nullopt;
+}
+
 void
 ServerConnection::CheckTimeouts(base::Instant aNow)
 {
   if (isClosed_) {
     return;
   }
-  const ServerLimits& limits = owner_.Limits();
-  if (isWriting_ && aNow - lastActivity_ > limits.idleTimeout_) {
-    Close(CloseCause::ResponseUnread);
+  const auto cause = FindExpiredTimeout(aNow);
+  if (!cause) {
     return;
   }
-  if (exchange_ || isWriting_) {
+  // This process may have been too busy to read.
+  if (*cause != CloseCause::ResponseUnread && CountUnreadBytes(socket_) > 0) {
     return;
   }
-  if (requestStartedAt_ && parser_ && !parser_->is_header_done() &&
-      aNow - *requestStartedAt_ > limits.headerTimeout_) {
-    keepAlive_ = false;
-    closeAfterWrite_ = CloseCause::RequestTimeout;
-    Write("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-          "Content-Length: 0\r\n\r\n");
+  if (*cause == CloseCause::RequestTimeout && IsReceivingHeader()) {
+    RespondRequestTimeout();
     return;
   }
-  if (aNow - lastActivity_ > limits.idleTimeout_) {
-    Close(requestStartedAt_ ? CloseCause::RequestTimeout
-                            : CloseCause::IdleTimeout);
-  }
+  Close(*cause);
+}
+
+bool
+ServerConnection::IsReceivingHeader() const
+{
+  return requestStartedAt_ && parser_ && !parser_->is_header_done();
+}
+
+void
+ServerConnection::RespondRequestTimeout()
+{
+  keepAlive_ = false;
+  closeAfterWrite_ = CloseCause::RequestTimeout;
+  Write("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n");
 }
 
 void
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -121,7 +121,8 @@
 
   /// Closes the connection if a time limit has passed, also if the caller reads
   /// nothing of a response for the idle timeout. If the header of a request is
-  /// incomplete, first responds with 408. Called periodically.
+  /// incomplete, first responds with 408. Bytes that have arrived but haven't
+  /// been read yet count as received in time. Called periodically.
   void CheckTimeouts(base::Instant aNow);
 
   /// Closes the connection if no request is being read or answered. A
@@ -142,6 +143,10 @@
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  [[nodiscard]] std::optional<CloseCause> FindExpiredTimeout(
+    base::Instant aNow) const;
+  [[nodiscard]] bool IsReceivingHeader() const;
+  void RespondRequestTimeout();
   void Read();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   void Parse();
--- /dev/null
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -0,0 +1,91 @@
+#include "Tests/LibHttpStream/ListenerFixture.h"
+#include "Tests/LibHttpStream/ServerConnectionFixture.h"
+
+#include <thread>
+
+namespace pumiceturn::httpstream {
+
+// Guards against closing a connection as idle while a whole request waits in
+// its socket, because this process was too busy to read it.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_RequestUnreadAtIdleTimeout_IsAnswered")
+{
+  RunReady();
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  RunUntilRequests(1);
+  CHECK_FALSE(end_);
+}
+
+// Guards against rejecting a request whose header arrived in time and wasn't
+// read in time.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_HeaderUnreadAtHeaderTimeout_IsAnswered")
+{
+  Send("GET /1 HTTP/1.1\r\n");
+  RunReady();
+  Send("Host: a\r\n\r\n");
+  connection_->CheckTimeouts(After(limits_.headerTimeout_));
+  RunUntilRequests(1);
+  CHECK_FALSE(end_);
+}
+
+// Guards against dropping a request whose body arrived and wasn't read in time.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_BodyUnreadAtIdleTimeout_IsAnswered")
+{
+  Send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n12");
+  RunReady();
+  Send("34");
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  RunUntilRequests(1);
+  CHECK(exchanges_.at(0)->GetRequest().body() == "1234");
+}
+
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_NothingUnreadAtIdleTimeout_IsClosed")
+{
+  RunReady();
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  REQUIRE(end_);
+  CHECK(end_->cause_ == CloseCause::IdleTimeout);
+}
+
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_HeaderIncompleteAtHeaderTimeout_GetsA408")
+{
+  Send("GET /1 HTTP/1.1\r\n");
+  RunReady();
+  connection_->CheckTimeouts(After(limits_.headerTimeout_));
+  CHECK(ReceiveAll().starts_with("HTTP/1.1 408"));
+  CHECK(end_->cause_ == CloseCause::RequestTimeout);
+}
+
+// Guards against closing connections whose requests arrived while the event
+// loop stood still: more than the event loop is told of at once.
+TEST_CASE_METHOD(ListenerFixture,
+                 "Listener_RequestsArriveDuringAStall_AllAreAnswered")
+{
+  constexpr std::size_t kCallers = 300;
+  constexpr std::chrono::milliseconds kIdleTimeout{ 1000 };
+  ServerLimits limits;
+  limits.idleTimeout_ = kIdleTimeout;
+  listener_.SetLimits(limits);
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.emplace_back(context_).connect(Loopback(listener_.Port()));
+  }
+  RunUntil([this] { return listener_.ConnectionCount() == kCallers + 1; });
+  std::this_thread::sleep_for(kIdleTimeout + std::chrono::milliseconds(100));
+  for (auto& caller : callers) {
+    boost::asio::write(
+      caller, boost::asio::buffer("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 27));
+  }
+  std::size_t closed = 0;
+  listener_.SetOnConnectionEnded(
+    [&closed](const ConnectionEnd& aEnd) { closed += aEnd.unreadBytes_ > 0; });
+  RunUntil([this, &closed] { return exchanges_.size() + closed == kCallers; });
+  CHECK(exchanges_.size() == kCallers);
+}
+
+} // namespace pumiceturn::httpstream
