--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -181,7 +181,8 @@
   const bool isAwaitingFirstRequest =
     !hasReceivedBytes_ && closeIfIdleCalls_ < kMaxCloseIfIdleCalls;
   return !exchange_ && !requestStartedAt_ && !isWriting_ &&
-         !isAwaitingFirstRequest;
+         !isAwaitingFirstRequest && input_.size() == 0 &&
+         CountUnreadBytes(socket_) == 0;
 }
 
 void
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -130,6 +130,8 @@
   /// calls of this function, since its first request may be on its way.
   void CloseIfIdle();
 
+  /// @return whether no request is being read or answered, and no bytes have
+  ///         arrived that may be one.
   [[nodiscard]] bool IsIdle() const;
 
   /// @return the number of response bytes not yet passed to the kernel.
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -61,6 +61,37 @@
   CHECK(end_->cause_ == CloseCause::RequestTimeout);
 }
 
+// Guards against closing a connection while draining although a request has
+// arrived in its socket.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_RequestUnreadWhileDraining_IsAnswered")
+{
+  respondsAtOnce_ = true;
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  RunReady();
+  isDraining_ = true;
+  Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  connection_->CloseIfIdle();
+  RunUntilRequests(2);
+  CHECK(ReceiveAll().find("Connection: close") != std::string::npos);
+}
+
+// Guards against dropping a pipelined request that was read with the one before
+// it, if the host drains between the two.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_RequestReadAheadWhileDraining_IsAnswered")
+{
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+       "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(MakeResponse(200, "x", "text/plain"));
+  REQUIRE(connection_);
+  CHECK_FALSE(connection_->IsIdle());
+  connection_->CloseIfIdle();
+  RunUntilRequests(2);
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
