--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::size_t kReadBytes = 8192;
 
+/// Maximum number of bytes read from a connection before the others have their
+/// turn.
+constexpr std::size_t kMaxReadBytes = 65536;
+
 /// Calls of CloseIfIdle() that leave a new connection open, so that a caller
 /// that has just connected can send its first request. Calls are counted
 /// instead of time: after the process was suspended, time has passed although
@@ -172,6 +176,8 @@
 ServerConnection::Start()
 {
   TuneSocket(socket_);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
@@ -262,28 +268,46 @@
     return;
   }
   isReading_ = true;
-  socket_.async_read_some(
-    input_.prepare(kReadBytes),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t aBytes) {
+  // Bytes stay in the socket until the handler runs. An asynchronous read would
+  // take them out earlier, and the connection would look idle meanwhile.
+  socket_.async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
       self->isReading_ = false;
-      self->OnRead(aError, aBytes);
+      self->OnReadable(aError);
     });
 }
 
+boost::system::error_code
+ServerConnection::ReadAvailable()
+{
+  boost::system::error_code error;
+  std::size_t bytes = kReadBytes;
+  for (std::size_t total = 0; bytes == kReadBytes && total < kMaxReadBytes;
+       total += bytes) {
+    bytes = socket_.read_some(input_.prepare(kReadBytes), error);
+    input_.commit(bytes);
+  }
+  return error;
+}
+
 void
-ServerConnection::OnRead(const boost::system::error_code& aError,
-                         std::size_t aBytes)
+ServerConnection::OnReadable(const boost::system::error_code& aError)
 {
   if (isClosed_) {
     return;
   }
-  if (aError) {
+  const std::size_t before = input_.size();
+  const boost::system::error_code error = aError ? aError : ReadAvailable();
+  if (input_.size() == before) {
+    if (error == asio::error::would_block) {
+      Read();
+      return;
+    }
     // The caller has closed or reset the connection and won't read a response.
     Close(CloseCause::Caller);
     return;
   }
-  input_.commit(aBytes);
   lastActivity_ = base::MonotonicNow();
   if (exchange_) {
     if (input_.size() < kMaxReadAheadBytes) {
@@ -386,7 +410,6 @@
   }
   // Most writes fit the socket buffer, so try without an asynchronous wait.
   boost::system::error_code error;
-  socket_.non_blocking(true, error);
   const std::size_t sent = socket_.write_some(asio::buffer(pending_), error);
   if (!error && sent == pending_.size()) {
     pending_.clear();
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -150,7 +150,8 @@
   [[nodiscard]] bool IsReceivingHeader() const;
   void RespondRequestTimeout();
   void Read();
-  void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
+  void OnReadable(const boost::system::error_code& aError);
+  [[nodiscard]] boost::system::error_code ReadAvailable();
   void Parse();
   void RejectRequest(const boost::system::error_code& aError);
   void SendContinueIfExpected();
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -92,6 +92,28 @@
   RunUntilRequests(2);
 }
 
+// Guards against a request that was taken from the socket but not yet handled,
+// and so is neither in the socket nor in the connection's buffer.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_RequestBetweenTwoHandlers_IsAnswered")
+{
+  // The first request takes one read exactly, so that the second is read alone.
+  constexpr std::size_t kReadBytes = 8192;
+  const std::string begin = "GET /1 HTTP/1.1\r\nHost: a\r\nX: ";
+  const std::string end = "\r\n\r\n";
+  respondsAtOnce_ = true;
+  Send(begin + std::string(kReadBytes - begin.size() - end.size(), 'x') + end +
+       "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (connection_ && exchanges_.size() < 2) {
+    context_.restart();
+    context_.run_one();
+    if (connection_) {
+      connection_->CloseIfIdle();
+    }
+  }
+  CHECK(exchanges_.size() == 2);
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
