--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -27,6 +27,7 @@
   [[nodiscard]] boost::system::error_code Open(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
+  /// Open connections follow from their next request on.
   void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
 
   /// @param aHandler Called each time a connection has been closed.
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -168,7 +168,7 @@
                                    ServerConnectionOwner& aOwner)
   : socket_(std::move(aSocket))
   , owner_(aOwner)
-  , lastActivity_(base::MonotonicNow())
+  , timeouts_(aOwner.Limits(), base::MonotonicNow())
 {
 }
 
@@ -186,7 +186,7 @@
 {
   const bool isAwaitingFirstRequest =
     !hasReceivedBytes_ && closeIfIdleCalls_ < kMaxCloseIfIdleCalls;
-  return !exchange_ && !requestStartedAt_ && !isWriting_ &&
+  return !exchange_ && !isReceiving_ && !isWriting_ &&
          !isAwaitingFirstRequest && input_.size() == 0 &&
          CountUnreadBytes(socket_) == 0;
 }
@@ -203,26 +203,20 @@
   }
 }
 
-std::optional<CloseCause>
-ServerConnection::FindExpiredTimeout(base::Instant aNow) const
+ConnectionPhase
+ServerConnection::Phase() const
 {
-  const ServerLimits& limits = owner_.Limits();
-  const bool isIdleTimeoutOver = aNow - lastActivity_ > limits.idleTimeout_;
-  if (isWriting_ && isIdleTimeoutOver) {
-    return CloseCause::ResponseUnread;
-  }
-  if (exchange_ || isWriting_) {
-    return std::nullopt;
+  if (isWriting_) {
+    return ConnectionPhase::Sending;
   }
-  const bool isHeaderTimeoutOver =
-    IsReceivingHeader() && aNow - *requestStartedAt_ > limits.headerTimeout_;
-  if (isHeaderTimeoutOver || (requestStartedAt_ && isIdleTimeoutOver)) {
-    return CloseCause::RequestTimeout;
+  if (exchange_) {
+    return ConnectionPhase::Answering;
   }
-  if (isIdleTimeoutOver) {
-    return CloseCause::IdleTimeout;
+  if (!isReceiving_) {
+    return ConnectionPhase::Idle;
   }
-  return std::nullopt;
+  return parser_->is_header_done() ? ConnectionPhase::Body
+                                   : ConnectionPhase::Header;
 }
 
 void
@@ -231,7 +225,8 @@
   if (isClosed_) {
     return;
   }
-  const auto cause = FindExpiredTimeout(aNow);
+  const ConnectionPhase phase = Phase();
+  const auto cause = timeouts_.FindExpired(phase, owner_.Limits(), aNow);
   if (!cause) {
     return;
   }
@@ -239,19 +234,13 @@
   if (*cause != CloseCause::ResponseUnread && CountUnreadBytes(socket_) > 0) {
     return;
   }
-  if (*cause == CloseCause::RequestTimeout && IsReceivingHeader()) {
+  if (phase == ConnectionPhase::Header) {
     RespondRequestTimeout();
     return;
   }
   Close(*cause);
 }
 
-bool
-ServerConnection::IsReceivingHeader() const
-{
-  return requestStartedAt_ && parser_ && !parser_->is_header_done();
-}
-
 void
 ServerConnection::RespondRequestTimeout()
 {
@@ -308,7 +297,7 @@
     Close(CloseCause::Caller);
     return;
   }
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   if (exchange_) {
     if (input_.size() < kMaxReadAheadBytes) {
       Read();
@@ -324,17 +313,9 @@
   if (isClosed_ || exchange_ || closeAfterWrite_) {
     return;
   }
-  if (!parser_) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(owner_.Limits().maxHeaderBytes_);
-    parser_->body_limit(owner_.Limits().maxBodyBytes_);
-    isContinueSent_ = false;
-  }
   if (input_.size() > 0) {
-    if (!requestStartedAt_) {
-      requestStartedAt_ = base::MonotonicNow();
-      hasReceivedBytes_ = true;
+    if (!isReceiving_) {
+      BeginRequest();
     }
     boost::system::error_code error;
     const std::size_t consumed = parser_->put(input_.data(), error);
@@ -344,7 +325,7 @@
       return;
     }
   }
-  if (parser_->is_done()) {
+  if (isReceiving_ && parser_->is_done()) {
     Dispatch();
     return;
   }
@@ -352,6 +333,20 @@
   Read();
 }
 
+void
+ServerConnection::BeginRequest()
+{
+  isReceiving_ = true;
+  hasReceivedBytes_ = true;
+  isContinueSent_ = false;
+  const ServerLimits& limits = owner_.Limits();
+  timeouts_.OnRequestBegun(limits, base::MonotonicNow());
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits.maxHeaderBytes_);
+  parser_->body_limit(limits.maxBodyBytes_);
+}
+
 void
 ServerConnection::RejectRequest(const boost::system::error_code& aError)
 {
@@ -366,7 +361,7 @@
 void
 ServerConnection::SendContinueIfExpected()
 {
-  if (isContinueSent_ || !parser_->is_header_done()) {
+  if (isContinueSent_ || !isReceiving_ || !parser_->is_header_done()) {
     return;
   }
   isContinueSent_ = true;
@@ -383,7 +378,7 @@
   exchange_ = std::make_shared<Exchange>(
     weak_from_this(), parser_->release(), base::MonotonicNow());
   parser_.reset();
-  requestStartedAt_.reset();
+  isReceiving_ = false;
   Read();
   owner_.OnRequest(exchange_);
 }
@@ -424,7 +419,7 @@
   pending_.clear();
   written_ = 0;
   isWriting_ = true;
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   WriteSome();
 }
 
@@ -437,7 +432,7 @@
                                 std::size_t aBytes) {
       self->written_ += aBytes;
       if (!aError && self->written_ < self->writing_.size()) {
-        self->lastActivity_ = base::MonotonicNow();
+        self->timeouts_.OnActivity(base::MonotonicNow());
         self->WriteSome();
         return;
       }
@@ -458,7 +453,7 @@
     Close(CloseCause::WriteFailed);
     return;
   }
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   if (!pending_.empty()) {
     Flush();
     return;
@@ -499,10 +494,10 @@
   if (exchange_ && (aCause == CloseCause::Aborted || !exchange_->isFinished_)) {
     end.progress_ = RequestProgress::Unanswered;
     end.request_ = &exchange_->GetRequest();
-  } else if (requestStartedAt_ && !closeAfterWrite_) {
+  } else if (isReceiving_ && !closeAfterWrite_) {
     end.progress_ = RequestProgress::Incomplete;
   }
-  end.sinceActivity_ = base::MonotonicNow() - lastActivity_;
+  end.sinceActivity_ = base::MonotonicNow() - timeouts_.LastActivity();
   end.unreadBytes_ = input_.size() + CountUnreadBytes(socket_);
   end.unsentBytes_ = UnsentBytes();
   end.unacknowledgedBytes_ = CountUnacknowledgedBytes(socket_);
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -2,7 +2,9 @@
 
 #include "LibBase/Time.h"
 #include "LibHttpStream/ConnectionEnd.h"
+#include "LibHttpStream/ConnectionTimeouts.h"
 #include "LibHttpStream/Message.h"
+#include "LibHttpStream/ServerLimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,15 +18,6 @@
 
 namespace pumiceturn::httpstream {
 
-/// Limits on requests and connections. Operators may change them at run time.
-struct ServerLimits
-{
-  std::uint32_t maxHeaderBytes_ = 16384;
-  std::uint64_t maxBodyBytes_ = 4194304;
-  base::Duration headerTimeout_{ std::chrono::seconds{ 3 } };
-  base::Duration idleTimeout_{ std::chrono::seconds{ 15 } };
-};
-
 class ServerConnection;
 
 /// A request and its response, which is sent exactly once, either complete or
@@ -145,14 +138,13 @@
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  [[nodiscard]] std::optional<CloseCause> FindExpiredTimeout(
-    base::Instant aNow) const;
-  [[nodiscard]] bool IsReceivingHeader() const;
+  [[nodiscard]] ConnectionPhase Phase() const;
   void RespondRequestTimeout();
   void Read();
   void OnReadable(const boost::system::error_code& aError);
   [[nodiscard]] boost::system::error_code ReadAvailable();
   void Parse();
+  void BeginRequest();
   void RejectRequest(const boost::system::error_code& aError);
   void SendContinueIfExpected();
   void Dispatch();
@@ -181,9 +173,9 @@
   bool isClosed_ = false;
   bool isContinueSent_ = false;
   bool hasReceivedBytes_ = false; ///< At least one request has begun.
+  bool isReceiving_ = false;      ///< Some bytes of a request were read.
   int closeIfIdleCalls_ = 0;
-  base::Instant lastActivity_;
-  std::optional<base::Instant> requestStartedAt_;
+  ConnectionTimeouts timeouts_;
 };
 
 } // namespace pumiceturn::httpstream
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -114,6 +114,84 @@
   CHECK(exchanges_.size() == 2);
 }
 
+// Guards against closing a connection that its caller is about to use, as it
+// relies on the timeout that held when the connection became idle.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_IdleTimeoutLoweredWhileIdle_KeepsTheOldOne")
+{
+  const base::Duration oldTimeout = limits_.idleTimeout_;
+  RunReady();
+  limits_.idleTimeout_ = oldTimeout / 10;
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  CHECK(connection_);
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(MakeResponse(200, "x", "text/plain"));
+  RunReady();
+  connection_->CheckTimeouts(base::MonotonicNow());
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  CHECK_FALSE(connection_);
+}
+
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_IdleTimeoutRaisedWhileIdle_HoldsAtOnce")
+{
+  const base::Duration oldTimeout = limits_.idleTimeout_;
+  RunReady();
+  limits_.idleTimeout_ = oldTimeout * 10;
+  connection_->CheckTimeouts(After(oldTimeout));
+  CHECK(connection_);
+}
+
+// Guards against rejecting a request that its caller sends within the timeout
+// that held when the request began.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_HeaderTimeoutLoweredMidway_KeepsTheOldOne")
+{
+  const base::Duration oldTimeout = limits_.headerTimeout_;
+  Send("GET /1 HTTP/1.1\r\n");
+  RunReady();
+  limits_.headerTimeout_ = oldTimeout / 10;
+  connection_->CheckTimeouts(After(limits_.headerTimeout_));
+  Send("Host: a\r\n\r\n");
+  RunUntilRequests(1);
+}
+
+// Guards against cutting off a response because the timeout was lowered while
+// it was sent.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_IdleTimeoutLoweredWhileSending_KeepsTheOld")
+{
+  constexpr std::size_t kBodyBytes = 33554432;
+  const base::Duration oldTimeout = limits_.idleTimeout_;
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(
+    MakeResponse(200, std::string(kBodyBytes, 'x'), "text/plain"));
+  REQUIRE(connection_->UnsentBytes() > 0);
+  RunReady();
+  limits_.idleTimeout_ = oldTimeout / 10;
+  connection_->CheckTimeouts(After(limits_.idleTimeout_));
+  CHECK(connection_);
+}
+
+// Guards against rejecting a body that the limits in force allow, because the
+// connection was opened under lower ones.
+TEST_CASE_METHOD(
+  ServerConnectionFixture,
+  "ServerConnection_BodyLimitRaisedWhileIdle_HoldsForNextRequest")
+{
+  limits_.maxBodyBytes_ = 4;
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(MakeResponse(200, "x", "text/plain"));
+  RunReady();
+  limits_.maxBodyBytes_ = 8;
+  Send("POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n12345678");
+  RunReady();
+  CHECK(exchanges_.size() == 2);
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
