--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -213,25 +214,42 @@
     return ConnectionPhase::Answering;
   }
   if (!isReceiving_) {
-    return ConnectionPhase::Idle;
+    return deliveredBytes_ < passedBytes_ ? ConnectionPhase::Sending
+                                          : ConnectionPhase::Idle;
   }
   return parser_->is_header_done() ? ConnectionPhase::Body
                                    : ConnectionPhase::Header;
 }
 
+void
+ServerConnection::UpdateDelivered(base::Instant aNow)
+{
+  if (deliveredBytes_ == passedBytes_) {
+    return;
+  }
+  const std::uint64_t delivered =
+    passedBytes_ -
+    std::min<std::uint64_t>(CountUnacknowledgedBytes(socket_), passedBytes_);
+  if (delivered > deliveredBytes_) {
+    deliveredBytes_ = delivered;
+    timeouts_.OnActivity(aNow);
+  }
+}
+
 void
 ServerConnection::CheckTimeouts(base::Instant aNow)
 {
   if (isClosed_) {
     return;
   }
+  UpdateDelivered(aNow);
   const ConnectionPhase phase = Phase();
   const auto cause = timeouts_.FindExpired(phase, owner_.Limits(), aNow);
   if (!cause) {
     return;
   }
   // This process may have been too busy to read.
-  if (*cause != CloseCause::ResponseUnread && CountUnreadBytes(socket_) > 0) {
+  if (!isWriting_ && CountUnreadBytes(socket_) > 0) {
     return;
   }
   if (phase == ConnectionPhase::Header) {
@@ -406,6 +424,7 @@
   // Most writes fit the socket buffer, so try without an asynchronous wait.
   boost::system::error_code error;
   const std::size_t sent = socket_.write_some(asio::buffer(pending_), error);
+  passedBytes_ += sent;
   if (!error && sent == pending_.size()) {
     pending_.clear();
     OnWritten({});
@@ -431,6 +450,7 @@
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t aBytes) {
       self->written_ += aBytes;
+      self->passedBytes_ += aBytes;
       if (!aError && self->written_ < self->writing_.size()) {
         self->timeouts_.OnActivity(base::MonotonicNow());
         self->WriteSome();
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -139,6 +139,7 @@
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   [[nodiscard]] ConnectionPhase Phase() const;
+  void UpdateDelivered(base::Instant aNow);
   void RespondRequestTimeout();
   void Read();
   void OnReadable(const boost::system::error_code& aError);
@@ -164,6 +165,8 @@
   std::string pending_;     ///< Not passed to the kernel yet.
   std::string writing_;     ///< Owned by the asynchronous write in progress.
   std::size_t written_ = 0; ///< Bytes of writing_ that were written.
+  std::uint64_t passedBytes_ = 0;    ///< To the kernel, since the start.
+  std::uint64_t deliveredBytes_ = 0; ///< Known to be at the caller's host.
   bool isReading_ = false;
   bool isWriting_ = false;
   bool keepAlive_ = true;
--- a/Tests/LibHttpStream/ServerConnectionFixture.h
+++ b/Tests/LibHttpStream/ServerConnectionFixture.h
@@ -56,6 +56,21 @@
     }
   }
 
+  /// Lets the caller read that many bytes.
+  void ReceiveBytes(std::size_t aCount)
+  {
+    std::vector<char> bytes(aCount);
+    std::size_t received = 0;
+    while (received < aCount) {
+      if (caller_.available() == 0) {
+        RunReady();
+        continue;
+      }
+      received +=
+        caller_.read_some(boost::asio::buffer(bytes.data(), aCount - received));
+    }
+  }
+
   /// @return what the caller receives until its connection ends.
   std::string ReceiveAll()
   {
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -192,6 +192,29 @@
   CHECK(exchanges_.size() == 2);
 }
 
+// Guards against closing a connection as idle while its caller still reads, at
+// a steady pace, what the kernel holds of a response.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_CallerReadsWhatTheKernelHolds_IsNotIdle")
+{
+  constexpr std::size_t kBodyBytes = 8388608;
+  constexpr std::size_t kPartBytes = 1048576;
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(
+    MakeResponse(200, std::string(kBodyBytes, 'x'), "text/plain"));
+  while (connection_->UnsentBytes() > 0) {
+    ReceiveBytes(kPartBytes);
+    RunReady();
+  }
+  const base::Instant writtenAt = base::MonotonicNow();
+  ReceiveBytes(kPartBytes);
+  connection_->CheckTimeouts(writtenAt + limits_.idleTimeout_ * 6 / 10);
+  ReceiveBytes(kPartBytes);
+  connection_->CheckTimeouts(writtenAt + limits_.idleTimeout_ * 12 / 10);
+  CHECK(connection_);
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
