--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -88,6 +88,7 @@
     for (const auto& connection : connections) {
       connection->CheckTimeouts(now);
     }
+    lingering_.CloseExpired(now);
     ScheduleTimeoutCheck();
   });
 }
@@ -152,4 +153,10 @@
   }
 }
 
+void
+Listener::Linger(asio::ip::tcp::socket aSocket)
+{
+  lingering_.Add(std::move(aSocket), base::MonotonicNow());
+}
+
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibHttpStream/LingeringSockets.h"
 #include "LibHttpStream/ServerConnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -50,6 +51,12 @@
   {
     return connections_.size();
   }
+  /// @return the number of closed connections whose callers may still be
+  ///         reading the last response.
+  [[nodiscard]] std::size_t LingeringCount() const
+  {
+    return lingering_.Count();
+  }
   /// @return the number of connections that CloseIdle() would leave open.
   [[nodiscard]] std::size_t BusyCount() const;
   [[nodiscard]] std::uint16_t Port() const;
@@ -61,6 +68,7 @@
   void OnRequest(std::shared_ptr<Exchange> aExchange) override;
   void OnClosed(ServerConnection& aConnection,
                 const ConnectionEnd& aEnd) override;
+  void Linger(boost::asio::ip::tcp::socket aSocket) override;
   [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
   [[nodiscard]] bool IsDraining() const override { return isDraining_; }
 
@@ -74,6 +82,7 @@
   EndHandler endHandler_;
   ServerLimits limits_;
   bool isDraining_ = false;
+  LingeringSockets lingering_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -479,7 +479,7 @@
     return;
   }
   if (closeAfterWrite_) {
-    Close(*closeAfterWrite_);
+    CloseAfterResponse();
     return;
   }
   if (exchange_ && exchange_->onAllWritten_) {
@@ -494,7 +494,7 @@
   if (!keepAlive_) {
     closeAfterWrite_ = CloseCause::ResponseEnded;
     if (!isWriting_ && pending_.empty()) {
-      Close(*closeAfterWrite_);
+      CloseAfterResponse();
     }
     return;
   }
@@ -524,6 +524,20 @@
   return end;
 }
 
+void
+ServerConnection::CloseAfterResponse()
+{
+  if (isClosed_) {
+    return;
+  }
+  isClosed_ = true;
+  const ConnectionEnd end = DescribeEnd(*closeAfterWrite_);
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+  owner_.Linger(std::move(socket_));
+  ReportClosed(end);
+}
+
 void
 ServerConnection::Close(CloseCause aCause)
 {
@@ -535,9 +549,15 @@
   boost::system::error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   CloseSocket(socket_);
+  ReportClosed(end);
+}
+
+void
+ServerConnection::ReportClosed(const ConnectionEnd& aEnd)
+{
   const std::shared_ptr<Exchange> exchange = std::move(exchange_);
   const auto self = shared_from_this();
-  owner_.OnClosed(*this, end);
+  owner_.OnClosed(*this, aEnd);
   if (exchange && !exchange->isFinished_) {
     exchange->isFinished_ = true;
     if (exchange->onCallerDisconnected_) {
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -95,6 +95,10 @@
   virtual void OnRequest(std::shared_ptr<Exchange> aExchange) = 0;
   virtual void OnClosed(ServerConnection& aConnection,
                         const ConnectionEnd& aEnd) = 0;
+
+  /// Takes over the socket of a closed connection whose caller may still be
+  /// reading the last response.
+  virtual void Linger(boost::asio::ip::tcp::socket aSocket) = 0;
   [[nodiscard]] virtual const ServerLimits& Limits() const = 0;
 
   /// @return whether responses carry "Connection: close" because the host is
@@ -154,7 +158,11 @@
   void WriteSome();
   void OnWritten(const boost::system::error_code& aError);
   void EndExchange();
+
+  /// Closes the connection after its last response was passed to the kernel.
+  void CloseAfterResponse();
   void Close(CloseCause aCause);
+  void ReportClosed(const ConnectionEnd& aEnd);
   [[nodiscard]] ConnectionEnd DescribeEnd(CloseCause aCause);
 
   boost::asio::ip::tcp::socket socket_;
--- a/Tests/LibHttpStream/ServerConnectionFixture.h
+++ b/Tests/LibHttpStream/ServerConnectionFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibHttpStream/LingeringSockets.h"
 #include "LibHttpStream/ServerConnection.h"
 #include "Tests/LibHttpStream/HttpFixture.h"
 
@@ -116,12 +117,17 @@
     end_ = aEnd;
     connection_.reset();
   }
+  void Linger(boost::asio::ip::tcp::socket aSocket) override
+  {
+    lingering_.Add(std::move(aSocket), base::MonotonicNow());
+  }
   [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
   [[nodiscard]] bool IsDraining() const override { return isDraining_; }
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::socket caller_;
   std::shared_ptr<ServerConnection> connection_; ///< Null once it is closed.
+  LingeringSockets lingering_;
   std::vector<std::shared_ptr<Exchange>> exchanges_;
   std::optional<ConnectionEnd> end_;
   ServerLimits limits_;
