--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -116,6 +116,8 @@
   }
   if (connection->isChunked_) {
     head.set(http::field::transfer_encoding, "chunked");
+  } else {
+    connection->SetEndsWithConnection(true);
   }
   if (!connection->keepAlive_) {
     head.set(http::field::connection, "close");
@@ -524,6 +526,13 @@
   return end;
 }
 
+void
+ServerConnection::SetEndsWithConnection(bool aEnds)
+{
+  endsWithConnection_ = aEnds;
+  SetResetsOnClose(socket_, aEnds);
+}
+
 void
 ServerConnection::CloseAfterResponse()
 {
@@ -531,6 +540,9 @@
     return;
   }
   isClosed_ = true;
+  if (endsWithConnection_) {
+    SetEndsWithConnection(false);
+  }
   const ConnectionEnd end = DescribeEnd(*closeAfterWrite_);
   boost::system::error_code ignored;
   socket_.cancel(ignored);
@@ -546,8 +558,10 @@
   }
   isClosed_ = true;
   const ConnectionEnd end = DescribeEnd(aCause);
-  boost::system::error_code ignored;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  if (!endsWithConnection_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   CloseSocket(socket_);
   ReportClosed(end);
 }
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -158,6 +158,7 @@
   void WriteSome();
   void OnWritten(const boost::system::error_code& aError);
   void EndExchange();
+  void SetEndsWithConnection(bool aEnds);
 
   /// Closes the connection after its last response was passed to the kernel.
   void CloseAfterResponse();
@@ -179,6 +180,9 @@
   bool isWriting_ = false;
   bool keepAlive_ = true;
   bool isChunked_ = true; ///< Whether the streamed response is chunked.
+  /// Whether the caller takes the end of the connection for that of the
+  /// response in progress. Closing it early then has to reset it.
+  bool endsWithConnection_ = false;
   /// Set once the last response of the connection is being written.
   std::optional<CloseCause> closeAfterWrite_;
   bool isClosed_ = false;
--- a/Libraries/LibHttpStream/Socket.cpp
+++ b/Libraries/LibHttpStream/Socket.cpp
@@ -47,6 +47,13 @@
   aSocket.close(ignored);
 }
 
+void
+SetResetsOnClose(boost::asio::ip::tcp::socket& aSocket, bool aResets)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::socket_base::linger(aResets, 0), ignored);
+}
+
 std::size_t
 CountUnreadBytes(const boost::asio::ip::tcp::socket& aSocket)
 {
--- a/Libraries/LibHttpStream/Socket.h
+++ b/Libraries/LibHttpStream/Socket.h
@@ -15,6 +15,11 @@
 void
 CloseSocket(boost::asio::ip::tcp::socket& aSocket);
 
+/// Sets whether closing the socket resets the connection and discards unsent
+/// bytes; this holds also if the process is killed.
+void
+SetResetsOnClose(boost::asio::ip::tcp::socket& aSocket, bool aResets);
+
 /// @return the number of bytes received that haven't been read; 0 if the socket
 ///         is closed.
 [[nodiscard]] std::size_t
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -215,6 +215,36 @@
   CHECK(connection_);
 }
 
+// Guards against an aborted response that looks complete to a caller of
+// HTTP/1.0, for which the end of the connection ends the response.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_Http10StreamAborted_ResetsTheConnection")
+{
+  Send("GET /1 HTTP/1.0\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  ResponseHead head;
+  head.result(200);
+  exchanges_[0]->BeginStream(head);
+  exchanges_[0]->SendChunk("half");
+  exchanges_[0]->Abort();
+  (void)ReceiveAll();
+  CHECK(receiveError_ == boost::asio::error::connection_reset);
+}
+
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_Http10StreamEnded_EndsTheConnection")
+{
+  Send("GET /1 HTTP/1.0\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  ResponseHead head;
+  head.result(200);
+  exchanges_[0]->BeginStream(head);
+  exchanges_[0]->SendChunk("whole");
+  exchanges_[0]->EndStream();
+  CHECK(ReceiveAll().ends_with("whole"));
+  CHECK(receiveError_ == boost::asio::error::eof);
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
