--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -154,6 +154,9 @@
 void
 Exchange::Abort()
 {
+  if (isFinished_) {
+    return;
+  }
   isFinished_ = true;
   if (const auto connection = connection_.lock()) {
     connection->Close(CloseCause::Aborted);
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -245,6 +245,20 @@
   CHECK(receiveError_ == boost::asio::error::eof);
 }
 
+// Guards against a late abort that ends the next request of the connection.
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_AbortAfterTheResponse_KeepsTheNextRequest")
+{
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+       "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  exchanges_[0]->Respond(MakeResponse(200, "x", "text/plain"));
+  RunUntilRequests(2);
+  exchanges_[0]->Abort();
+  CHECK(connection_);
+  CHECK_FALSE(exchanges_[1]->IsFinished());
+}
+
 // Guards against closing connections whose requests arrived while the event
 // loop stood still: more than the event loop is told of at once.
 TEST_CASE_METHOD(ListenerFixture,
