--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -88,6 +88,7 @@
     for (const auto& connection : connections) {
       connection->CheckTimeouts(now);
     }
+    lingering_.CloseExpired(now);
     ScheduleTimeoutCheck();
   });
 }
@@ -144,9 +145,18 @@
 }
 
 void
-Listener::OnClosed(ServerConnection& aConnection)
+Listener::OnClosed(ServerConnection& aConnection, const ConnectionEnd& aEnd)
 {
   connections_.erase(aConnection.shared_from_this());
+  if (endHandler_) {
+    endHandler_(aEnd);
+  }
+}
+
+void
+Listener::Linger(asio::ip::tcp::socket aSocket)
+{
+  lingering_.Add(std::move(aSocket), base::MonotonicNow());
 }
 
 } // namespace pumiceturn::httpstream
--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibHttpStream/LingeringSockets.h"
 #include "LibHttpStream/ServerConnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 {
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+  using EndHandler = std::function<void(const ConnectionEnd&)>;
 
   Listener(boost::asio::io_context& aContext, Handler aHandler);
 
@@ -26,8 +28,15 @@
   [[nodiscard]] boost::system::error_code Open(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
+  /// Open connections follow from their next request on.
   void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
 
+  /// @param aHandler Called each time a connection has been closed.
+  void SetOnConnectionEnded(EndHandler aHandler)
+  {
+    endHandler_ = std::move(aHandler);
+  }
+
   /// Adds "Connection: close" to all further responses.
   void SetDraining() { isDraining_ = true; }
 
@@ -42,6 +51,12 @@
   {
     return connections_.size();
   }
+  /// @return the number of closed connections whose callers may still be
+  ///         reading the last response.
+  [[nodiscard]] std::size_t LingeringCount() const
+  {
+    return lingering_.Count();
+  }
   /// @return the number of connections that CloseIdle() would leave open.
   [[nodiscard]] std::size_t BusyCount() const;
   [[nodiscard]] std::uint16_t Port() const;
@@ -51,7 +66,9 @@
   [[nodiscard]] std::size_t UnsentBytes() const;
 
   void OnRequest(std::shared_ptr<Exchange> aExchange) override;
-  void OnClosed(ServerConnection& aConnection) override;
+  void OnClosed(ServerConnection& aConnection,
+                const ConnectionEnd& aEnd) override;
+  void Linger(boost::asio::ip::tcp::socket aSocket) override;
   [[nodiscard]] const ServerLimits& Limits() const override { return limits_; }
   [[nodiscard]] bool IsDraining() const override { return isDraining_; }
 
@@ -62,8 +79,10 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timeoutTimer_;
   Handler handler_;
+  EndHandler endHandler_;
   ServerLimits limits_;
   bool isDraining_ = false;
+  LingeringSockets lingering_;
   std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -21,6 +22,10 @@
 
 constexpr std::size_t kReadBytes = 8192;
 
+/// Maximum number of bytes read from a connection before the others have their
+/// turn.
+constexpr std::size_t kMaxReadBytes = 65536;
+
 /// Calls of CloseIfIdle() that leave a new connection open, so that a caller
 /// that has just connected can send its first request. Calls are counted
 /// instead of time: after the process was suspended, time has passed although
@@ -111,6 +116,8 @@
   }
   if (connection->isChunked_) {
     head.set(http::field::transfer_encoding, "chunked");
+  } else {
+    connection->SetEndsWithConnection(true);
   }
   if (!connection->keepAlive_) {
     head.set(http::field::connection, "close");
@@ -147,9 +154,12 @@
 void
 Exchange::Abort()
 {
+  if (isFinished_) {
+    return;
+  }
   isFinished_ = true;
   if (const auto connection = connection_.lock()) {
-    connection->Close();
+    connection->Close(CloseCause::Aborted);
   }
 }
 
@@ -164,7 +174,7 @@
                                    ServerConnectionOwner& aOwner)
   : socket_(std::move(aSocket))
   , owner_(aOwner)
-  , lastActivity_(base::MonotonicNow())
+  , timeouts_(aOwner.Limits(), base::MonotonicNow())
 {
 }
 
@@ -172,6 +182,8 @@
 ServerConnection::Start()
 {
   TuneSocket(socket_);
+  boost::system::error_code ignored;
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
@@ -180,15 +192,16 @@
 {
   const bool isAwaitingFirstRequest =
     !hasReceivedBytes_ && closeIfIdleCalls_ < kMaxCloseIfIdleCalls;
-  return !exchange_ && !requestStartedAt_ && !isWriting_ &&
-         !isAwaitingFirstRequest;
+  return !exchange_ && !isReceiving_ && !isWriting_ &&
+         !isAwaitingFirstRequest && input_.size() == 0 &&
+         CountUnreadBytes(socket_) == 0;
 }
 
 void
 ServerConnection::CloseIfIdle()
 {
   if (IsIdle()) {
-    Close();
+    Close(CloseCause::Draining);
     return;
   }
   if (!hasReceivedBytes_) {
@@ -196,31 +209,68 @@
   }
 }
 
+ConnectionPhase
+ServerConnection::Phase() const
+{
+  if (isWriting_) {
+    return ConnectionPhase::Sending;
+  }
+  if (exchange_) {
+    return ConnectionPhase::Answering;
+  }
+  if (!isReceiving_) {
+    return deliveredBytes_ < passedBytes_ ? ConnectionPhase::Sending
+                                          : ConnectionPhase::Idle;
+  }
+  return parser_->is_header_done() ? ConnectionPhase::Body
+                                   : ConnectionPhase::Header;
+}
+
+void
+ServerConnection::UpdateDelivered(base::Instant aNow)
+{
+  if (deliveredBytes_ == passedBytes_) {
+    return;
+  }
+  const std::uint64_t delivered =
+    passedBytes_ -
+    std::min<std::uint64_t>(CountUnacknowledgedBytes(socket_), passedBytes_);
+  if (delivered > deliveredBytes_) {
+    deliveredBytes_ = delivered;
+    timeouts_.OnActivity(aNow);
+  }
+}
+
 void
 ServerConnection::CheckTimeouts(base::Instant aNow)
 {
   if (isClosed_) {
     return;
   }
-  const ServerLimits& limits = owner_.Limits();
-  if (isWriting_ && aNow - lastActivity_ > limits.idleTimeout_) {
-    Close();
+  UpdateDelivered(aNow);
+  const ConnectionPhase phase = Phase();
+  const auto cause = timeouts_.FindExpired(phase, owner_.Limits(), aNow);
+  if (!cause) {
     return;
   }
-  if (exchange_ || isWriting_) {
+  // This process may have been too busy to read.
+  if (!isWriting_ && CountUnreadBytes(socket_) > 0) {
     return;
   }
-  if (requestStartedAt_ && parser_ && !parser_->is_header_done() &&
-      aNow - *requestStartedAt_ > limits.headerTimeout_) {
-    keepAlive_ = false;
-    closeAfterWrite_ = true;
-    Write("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
-          "Content-Length: 0\r\n\r\n");
+  if (phase == ConnectionPhase::Header) {
+    RespondRequestTimeout();
     return;
   }
-  if (aNow - lastActivity_ > limits.idleTimeout_) {
-    Close();
-  }
+  Close(*cause);
+}
+
+void
+ServerConnection::RespondRequestTimeout()
+{
+  keepAlive_ = false;
+  closeAfterWrite_ = CloseCause::RequestTimeout;
+  Write("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+        "Content-Length: 0\r\n\r\n");
 }
 
 void
@@ -230,29 +280,47 @@
     return;
   }
   isReading_ = true;
-  socket_.async_read_some(
-    input_.prepare(kReadBytes),
-    [self = shared_from_this()](const boost::system::error_code& aError,
-                                std::size_t aBytes) {
+  // Bytes stay in the socket until the handler runs. An asynchronous read would
+  // take them out earlier, and the connection would look idle meanwhile.
+  socket_.async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = shared_from_this()](const boost::system::error_code& aError) {
       self->isReading_ = false;
-      self->OnRead(aError, aBytes);
+      self->OnReadable(aError);
     });
 }
 
+boost::system::error_code
+ServerConnection::ReadAvailable()
+{
+  boost::system::error_code error;
+  std::size_t bytes = kReadBytes;
+  for (std::size_t total = 0; bytes == kReadBytes && total < kMaxReadBytes;
+       total += bytes) {
+    bytes = socket_.read_some(input_.prepare(kReadBytes), error);
+    input_.commit(bytes);
+  }
+  return error;
+}
+
 void
-ServerConnection::OnRead(const boost::system::error_code& aError,
-                         std::size_t aBytes)
+ServerConnection::OnReadable(const boost::system::error_code& aError)
 {
   if (isClosed_) {
     return;
   }
-  if (aError) {
+  const std::size_t before = input_.size();
+  const boost::system::error_code error = aError ? aError : ReadAvailable();
+  if (input_.size() == before) {
+    if (error == asio::error::would_block) {
+      Read();
+      return;
+    }
     // The caller has closed or reset the connection and won't read a response.
-    Close();
+    Close(CloseCause::Caller);
     return;
   }
-  input_.commit(aBytes);
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   if (exchange_) {
     if (input_.size() < kMaxReadAheadBytes) {
       Read();
@@ -268,17 +336,9 @@
   if (isClosed_ || exchange_ || closeAfterWrite_) {
     return;
   }
-  if (!parser_) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(owner_.Limits().maxHeaderBytes_);
-    parser_->body_limit(owner_.Limits().maxBodyBytes_);
-    isContinueSent_ = false;
-  }
   if (input_.size() > 0) {
-    if (!requestStartedAt_) {
-      requestStartedAt_ = base::MonotonicNow();
-      hasReceivedBytes_ = true;
+    if (!isReceiving_) {
+      BeginRequest();
     }
     boost::system::error_code error;
     const std::size_t consumed = parser_->put(input_.data(), error);
@@ -288,7 +348,7 @@
       return;
     }
   }
-  if (parser_->is_done()) {
+  if (isReceiving_ && parser_->is_done()) {
     Dispatch();
     return;
   }
@@ -296,11 +356,25 @@
   Read();
 }
 
+void
+ServerConnection::BeginRequest()
+{
+  isReceiving_ = true;
+  hasReceivedBytes_ = true;
+  isContinueSent_ = false;
+  const ServerLimits& limits = owner_.Limits();
+  timeouts_.OnRequestBegun(limits, base::MonotonicNow());
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits.maxHeaderBytes_);
+  parser_->body_limit(limits.maxBodyBytes_);
+}
+
 void
 ServerConnection::RejectRequest(const boost::system::error_code& aError)
 {
   keepAlive_ = false;
-  closeAfterWrite_ = true;
+  closeAfterWrite_ = CloseCause::RequestRejected;
   Response response = MakeResponse(StatusFor(aError), {});
   response.set(http::field::connection, "close");
   response.content_length(0);
@@ -310,7 +384,7 @@
 void
 ServerConnection::SendContinueIfExpected()
 {
-  if (isContinueSent_ || !parser_->is_header_done()) {
+  if (isContinueSent_ || !isReceiving_ || !parser_->is_header_done()) {
     return;
   }
   isContinueSent_ = true;
@@ -327,7 +401,7 @@
   exchange_ = std::make_shared<Exchange>(
     weak_from_this(), parser_->release(), base::MonotonicNow());
   parser_.reset();
-  requestStartedAt_.reset();
+  isReceiving_ = false;
   Read();
   owner_.OnRequest(exchange_);
 }
@@ -354,22 +428,22 @@
   }
   // Most writes fit the socket buffer, so try without an asynchronous wait.
   boost::system::error_code error;
-  socket_.non_blocking(true, error);
   const std::size_t sent = socket_.write_some(asio::buffer(pending_), error);
+  passedBytes_ += sent;
   if (!error && sent == pending_.size()) {
     pending_.clear();
     OnWritten({});
     return;
   }
   if (error && error != asio::error::would_block) {
-    Close();
+    Close(CloseCause::WriteFailed);
     return;
   }
   writing_ = pending_.substr(error ? 0 : sent);
   pending_.clear();
   written_ = 0;
   isWriting_ = true;
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   WriteSome();
 }
 
@@ -381,8 +455,9 @@
     [self = shared_from_this()](const boost::system::error_code& aError,
                                 std::size_t aBytes) {
       self->written_ += aBytes;
+      self->passedBytes_ += aBytes;
       if (!aError && self->written_ < self->writing_.size()) {
-        self->lastActivity_ = base::MonotonicNow();
+        self->timeouts_.OnActivity(base::MonotonicNow());
         self->WriteSome();
         return;
       }
@@ -400,16 +475,16 @@
     return;
   }
   if (aError) {
-    Close();
+    Close(CloseCause::WriteFailed);
     return;
   }
-  lastActivity_ = base::MonotonicNow();
+  timeouts_.OnActivity(base::MonotonicNow());
   if (!pending_.empty()) {
     Flush();
     return;
   }
   if (closeAfterWrite_) {
-    Close();
+    CloseAfterResponse();
     return;
   }
   if (exchange_ && exchange_->onAllWritten_) {
@@ -422,9 +497,9 @@
 {
   exchange_.reset();
   if (!keepAlive_) {
-    closeAfterWrite_ = true;
+    closeAfterWrite_ = CloseCause::ResponseEnded;
     if (!isWriting_ && pending_.empty()) {
-      Close();
+      CloseAfterResponse();
     }
     return;
   }
@@ -436,19 +511,70 @@
              [self = shared_from_this()] { self->Parse(); });
 }
 
+ConnectionEnd
+ServerConnection::DescribeEnd(CloseCause aCause)
+{
+  ConnectionEnd end;
+  end.cause_ = aCause;
+  if (exchange_ && (aCause == CloseCause::Aborted || !exchange_->isFinished_)) {
+    end.progress_ = RequestProgress::Unanswered;
+    end.request_ = &exchange_->GetRequest();
+  } else if (isReceiving_ && !closeAfterWrite_) {
+    end.progress_ = RequestProgress::Incomplete;
+  }
+  end.sinceActivity_ = base::MonotonicNow() - timeouts_.LastActivity();
+  end.unreadBytes_ = input_.size() + CountUnreadBytes(socket_);
+  end.unsentBytes_ = UnsentBytes();
+  end.unacknowledgedBytes_ = CountUnacknowledgedBytes(socket_);
+  return end;
+}
+
+void
+ServerConnection::SetEndsWithConnection(bool aEnds)
+{
+  endsWithConnection_ = aEnds;
+  SetResetsOnClose(socket_, aEnds);
+}
+
 void
-ServerConnection::Close()
+ServerConnection::CloseAfterResponse()
 {
   if (isClosed_) {
     return;
   }
   isClosed_ = true;
+  if (endsWithConnection_) {
+    SetEndsWithConnection(false);
+  }
+  const ConnectionEnd end = DescribeEnd(*closeAfterWrite_);
   boost::system::error_code ignored;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  socket_.cancel(ignored);
+  owner_.Linger(std::move(socket_));
+  ReportClosed(end);
+}
+
+void
+ServerConnection::Close(CloseCause aCause)
+{
+  if (isClosed_) {
+    return;
+  }
+  isClosed_ = true;
+  const ConnectionEnd end = DescribeEnd(aCause);
+  if (!endsWithConnection_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   CloseSocket(socket_);
+  ReportClosed(end);
+}
+
+void
+ServerConnection::ReportClosed(const ConnectionEnd& aEnd)
+{
   const std::shared_ptr<Exchange> exchange = std::move(exchange_);
   const auto self = shared_from_this();
-  owner_.OnClosed(*this);
+  owner_.OnClosed(*this, aEnd);
   if (exchange && !exchange->isFinished_) {
     exchange->isFinished_ = true;
     if (exchange->onCallerDisconnected_) {
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibHttpStream/ConnectionEnd.h"
+#include "LibHttpStream/ConnectionTimeouts.h"
 #include "LibHttpStream/Message.h"
+#include "LibHttpStream/ServerLimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,15 +18,6 @@
 
 namespace pumiceturn::httpstream {
 
-/// Limits on requests and connections. Operators may change them at run time.
-struct ServerLimits
-{
-  std::uint32_t maxHeaderBytes_ = 16384;
-  std::uint64_t maxBodyBytes_ = 4194304;
-  base::Duration headerTimeout_{ std::chrono::seconds{ 3 } };
-  base::Duration idleTimeout_{ std::chrono::seconds{ 15 } };
-};
-
 class ServerConnection;
 
 /// A request and its response, which is sent exactly once, either complete or
@@ -99,7 +93,12 @@
 
   /// Handles a completely received request.
   virtual void OnRequest(std::shared_ptr<Exchange> aExchange) = 0;
-  virtual void OnClosed(ServerConnection& aConnection) = 0;
+  virtual void OnClosed(ServerConnection& aConnection,
+                        const ConnectionEnd& aEnd) = 0;
+
+  /// Takes over the socket of a closed connection whose caller may still be
+  /// reading the last response.
+  virtual void Linger(boost::asio::ip::tcp::socket aSocket) = 0;
   [[nodiscard]] virtual const ServerLimits& Limits() const = 0;
 
   /// @return whether responses carry "Connection: close" because the host is
@@ -119,7 +118,8 @@
 
   /// Closes the connection if a time limit has passed, also if the caller reads
   /// nothing of a response for the idle timeout. If the header of a request is
-  /// incomplete, first responds with 408. Called periodically.
+  /// incomplete, first responds with 408. Bytes that have arrived but haven't
+  /// been read yet count as received in time. Called periodically.
   void CheckTimeouts(base::Instant aNow);
 
   /// Closes the connection if no request is being read or answered. A
@@ -127,6 +127,8 @@
   /// calls of this function, since its first request may be on its way.
   void CloseIfIdle();
 
+  /// @return whether no request is being read or answered, and no bytes have
+  ///         arrived that may be one.
   [[nodiscard]] bool IsIdle() const;
 
   /// @return the number of response bytes not yet passed to the kernel.
@@ -140,9 +142,14 @@
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  [[nodiscard]] ConnectionPhase Phase() const;
+  void UpdateDelivered(base::Instant aNow);
+  void RespondRequestTimeout();
   void Read();
-  void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
+  void OnReadable(const boost::system::error_code& aError);
+  [[nodiscard]] boost::system::error_code ReadAvailable();
   void Parse();
+  void BeginRequest();
   void RejectRequest(const boost::system::error_code& aError);
   void SendContinueIfExpected();
   void Dispatch();
@@ -151,7 +158,13 @@
   void WriteSome();
   void OnWritten(const boost::system::error_code& aError);
   void EndExchange();
-  void Close();
+  void SetEndsWithConnection(bool aEnds);
+
+  /// Closes the connection after its last response was passed to the kernel.
+  void CloseAfterResponse();
+  void Close(CloseCause aCause);
+  void ReportClosed(const ConnectionEnd& aEnd);
+  [[nodiscard]] ConnectionEnd DescribeEnd(CloseCause aCause);
 
   boost::asio::ip::tcp::socket socket_;
   ServerConnectionOwner& owner_;
@@ -161,17 +174,23 @@
   std::string pending_;     ///< Not passed to the kernel yet.
   std::string writing_;     ///< Owned by the asynchronous write in progress.
   std::size_t written_ = 0; ///< Bytes of writing_ that were written.
+  std::uint64_t passedBytes_ = 0;    ///< To the kernel, since the start.
+  std::uint64_t deliveredBytes_ = 0; ///< Known to be at the caller's host.
   bool isReading_ = false;
   bool isWriting_ = false;
   bool keepAlive_ = true;
   bool isChunked_ = true; ///< Whether the streamed response is chunked.
-  bool closeAfterWrite_ = false;
+  /// Whether the caller takes the end of the connection for that of the
+  /// response in progress. Closing it early then has to reset it.
+  bool endsWithConnection_ = false;
+  /// Set once the last response of the connection is being written.
+  std::optional<CloseCause> closeAfterWrite_;
   bool isClosed_ = false;
   bool isContinueSent_ = false;
   bool hasReceivedBytes_ = false; ///< At least one request has begun.
+  bool isReceiving_ = false;      ///< Some bytes of a request were read.
   int closeIfIdleCalls_ = 0;
-  base::Instant lastActivity_;
-  std::optional<base::Instant> requestStartedAt_;
+  ConnectionTimeouts timeouts_;
 };
 
 } // namespace pumiceturn::httpstream
