--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -80,7 +80,7 @@
   host.statusPort_ = ReservePort();
   gateway::GatewaySettings settings;
   settings.host_ = aName;
-  settings.incarnation_ = "1";
+  settings.incarnation_ = incarnation_;
   settings.failureDomain_ = "a";
   settings.batchPreference_ = aPreference;
   settings.callerAddress_ = fmt::format("127.0.0.1:{}", host.callerPort_);
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -77,6 +77,8 @@
   PlatformStoreCodec storeCodec_;
   /// For the next host; empty: no spool.
   std::string spoolFolder_;
+  /// Of the next host's process.
+  std::string incarnation_ = "1";
   std::vector<boost::asio::ip::tcp::socket> reservedPorts_;
   double overage_ = 0.0; ///< Of the next host's caps and rate limits.
   std::optional<base::Duration> revocationBound_; ///< For the next host.
