--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -72,7 +72,7 @@
         const std::string id = job.id_;
         const std::uint64_t tokens = TokensOf(job);
         spooled_.try_emplace(
-          id, SpoolRecord{ std::move(job), tokens, now, now, true });
+          id, SpoolRecord{ std::move(job), tokens, now, now, true, true });
       }
     });
 }
@@ -253,7 +253,7 @@
       aWallNow - base::FromUnixMs(entry.job_.state_.acceptedAtMs_);
     if (jobs_.Find(id) != nullptr) {
       Drop(id, "stored");
-    } else if (age > retention_) {
+    } else if (entry.isFromFormerProcess_ && age > retention_) {
       Drop(id, "too old");
     } else if (!health_.IsLost() && aNow >= entry.nextAttemptAt_) {
       Store(entry, aNow);
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -35,8 +35,9 @@
   ///   route's cap, as a share of the cap. Bounds the excess while the ledger
   ///   cannot be read.
   /// @param aCopies Number of hosts that spool each job.
-  /// @param aRetention Jobs older than this are dropped: another host has
-  ///   stored them, and they have since been removed from the store.
+  /// @param aRetention Jobs that are older than this when they are read from
+  ///   disk at the start are dropped: another host has stored them while this
+  ///   one was down, and they have since been removed from the store.
   BatchJobSpool(boost::asio::io_context& aContext,
                 SharedState& aShared,
                 metadata::StoreClient& aStore,
@@ -73,6 +74,9 @@
     base::Instant spooledAt_;
     base::Instant nextAttemptAt_;
     bool isWritten_ = false;
+    /// Whether a former process wrote the job. Any other job is dropped only
+    /// once the store has it.
+    bool isFromFormerProcess_ = false;
     /// Requests to respond to once the pending write is done.
     std::vector<std::shared_ptr<httpstream::Exchange>> pendingExchanges_{};
   };
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -215,4 +215,23 @@
   CHECK(FileCount("worker-1") == 1);
 }
 
+// Guards against dropping a job that was never stored, when the store is
+// unavailable for longer than finished jobs are kept.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_StoreUnavailableBeyondRetention_JobRuns")
+{
+  jobRetention_ = std::chrono::milliseconds(1500);
+  StartWorkerWithDisk("worker-1");
+  StartWorkerWithDisk("worker-2");
+  AwaitPeers(2);
+  store_.SetBehaviour(StoreBehaviour::Refusing);
+  REQUIRE(Submit(*entry_, 3) == 202);
+  const auto end = base::MonotonicNow() + 2 * jobRetention_;
+  RunUntil([&] { return base::MonotonicNow() > end; });
+  CHECK(FileCount("worker-1") == 1);
+  CHECK(FileCount("worker-2") == 1);
+  store_.SetBehaviour(StoreBehaviour::Serving);
+  RunUntil([this] { return RequestCount() == 3; });
+}
+
 } // namespace pumiceturn::adapter
