--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -67,6 +67,7 @@
     [this, jobs] { *jobs = files_.ReadAll(); },
     [this, jobs] {
       const base::Instant now = base::MonotonicNow();
+      isRead_ = true;
       for (batch::SpooledJob& job : *jobs) {
         base::Log(kBatchJobSpooled, { { "lot", job.id_ }, { "from", "disk" } });
         const std::string id = job.id_;
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -63,7 +63,9 @@
   /// stored or expired.
   void Tick(base::Instant aNow, base::WallTime aWallNow);
 
-  [[nodiscard]] bool IsEmpty() const { return spooled_.empty(); }
+  /// @return whether this host's disk holds no job. False until the jobs of the
+  ///   previous process have been read.
+  [[nodiscard]] bool IsEmpty() const { return isRead_ && spooled_.empty(); }
   [[nodiscard]] std::size_t Count() const { return spooled_.size(); }
 
 private:
@@ -135,6 +137,7 @@
   std::vector<DroppedJob>
     recentlyDropped_; ///< Dropped within the last kLedgerLag.
   bool isDraining_ = false;
+  bool isRead_ = false; ///< Whether the jobs on disk have been read.
 };
 
 } // namespace pumiceturn::gateway
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -4,6 +4,10 @@
 #include "Tests/Platform/TestRoute.h"
 #include "Tests/TemporaryFolder.h"
 
+#include <sys/stat.h>
+
+#include <fstream>
+
 namespace pumiceturn::adapter {
 
 class BatchJobSpoolFixture : protected BatchJobsFixture
@@ -234,4 +238,30 @@
   RunUntil([this] { return RequestCount() == 3; });
 }
 
+// Guards against reporting a host as retired, after which its disk is removed,
+// while the jobs on the disk haven't been read yet.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_RetiredWhileDiskHangs_WaitsForItsJobs")
+{
+  batch::SpooledJob job;
+  job.id_ = "lot1";
+  job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+  job.state_.itemCount_ = 1;
+  job.state_.hostName_ = "a.example";
+  job.state_.path_ = "/lots/1";
+  job.content_ = JobBody(1);
+  REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
+  // Reading a pipe blocks until it is opened for writing.
+  const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
+  REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+  StartWorkerWithDisk("worker-1");
+  store_.Put("op/retire/worker-1", "{\"durationS\": 10}");
+  const std::size_t before = store_.CallCount();
+  RunUntil([&] { return store_.CallCount() > before + 12; });
+  CHECK(store_.Get("status/retire/worker-1").empty());
+  std::ofstream(pipe) << "";
+  RunUntil([this] { return !store_.Get("status/retire/worker-1").empty(); });
+  CHECK_FALSE(store_.Get("pumiceturn/lot/lot1").empty());
+}
+
 } // namespace pumiceturn::adapter
