--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -164,11 +164,6 @@
       httpstream::MakeResponse(httpstream::kStatusBadRequest, {}));
     return;
   }
-  if (isDraining_ || Bytes() + body.size() > kMaxBytes) {
-    aExchange->Respond(
-      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
-    return;
-  }
   if (BelongsToAnotherOrganisation(*job)) {
     aExchange->Respond(
       httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
@@ -178,33 +173,48 @@
     aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
-  const std::uint64_t tokens = TokensOf(*job);
-  if (!spooled_.contains(job->id_) && !FitsOverage(*job, tokens)) {
+  if (const auto held = spooled_.find(job->id_); held != spooled_.end()) {
+    if (held->second.isWritten_) {
+      aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
+    } else {
+      held->second.pendingExchanges_.push_back(aExchange);
+    }
+    return;
+  }
+  SpoolNew(std::move(*job), aExchange);
+}
+
+void
+BatchJobSpool::SpoolNew(batch::SpooledJob aJob,
+                        const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  if (isDraining_ || Bytes() + aJob.content_.size() > kMaxBytes) {
+    aExchange->Respond(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
+    return;
+  }
+  const std::uint64_t tokens = TokensOf(aJob);
+  if (!FitsOverage(aJob, tokens)) {
     base::Log(kBatchJobNotSpooled,
-              { { "lot", job->id_ }, { "code", "cap" }, { "tokens", tokens } });
+              { { "lot", aJob.id_ }, { "code", "cap" }, { "tokens", tokens } });
     aExchange->Respond(
       httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     return;
   }
   const base::Instant now = base::MonotonicNow();
-  const std::string id = job->id_;
+  const std::string id = aJob.id_;
   const bool isOwner = hosts_.AssignedOwner(id) == ownName_;
   const base::Instant nextAttemptAt = isOwner ? now : now + kOwnerHeadStart;
-  const auto [entry, isNew] = spooled_.try_emplace(
-    id, SpoolRecord{ std::move(*job), tokens, now, nextAttemptAt, false });
-  if (entry->second.isWritten_) {
-    aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
-    return;
-  }
-  entry->second.pendingExchanges_.push_back(aExchange);
-  if (!isNew) {
-    return;
-  }
+  SpoolRecord& entry =
+    spooled_
+      .try_emplace(
+        id, SpoolRecord{ std::move(aJob), tokens, now, nextAttemptAt, false })
+      .first->second;
+  entry.pendingExchanges_.push_back(aExchange);
   auto outcome = std::make_shared<batch::SpoolWriteOutcome>();
-  disk_.Post([this,
-              outcome,
-              copy = entry->second.job_] { *outcome = files_.Write(copy); },
-             [this, outcome, id] { OnWritten(id, *outcome); });
+  disk_.Post(
+    [this, outcome, copy = entry.job_] { *outcome = files_.Write(copy); },
+    [this, outcome, id] { OnWritten(id, *outcome); });
 }
 
 void
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -92,6 +92,10 @@
     base::Instant at_;
   };
 
+  /// Spools a job that isn't spooled yet, unless there is no room for it or
+  /// this host is shutting down.
+  void SpoolNew(batch::SpooledJob aJob,
+                const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnWritten(const std::string& aJob,
                  const batch::SpoolWriteOutcome& aOutcome);
 
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -264,4 +264,31 @@
   CHECK_FALSE(store_.Get("pumiceturn/lot/lot1").empty());
 }
 
+// Guards against rejecting a job that is spooled and will run, when it is sent
+// again to a full spool.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_SentAgainToAFullSpool_IsAccepted")
+{
+  TestHost& worker = StartWorkerWithDisk("worker-1");
+  store_.SetBehaviour(StoreBehaviour::Refusing);
+  const auto send = [&](const std::string& aJob, std::size_t aBytes) {
+    batch::SpooledJob job;
+    job.id_ = aJob;
+    job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+    job.content_.assign(aBytes, 'x');
+    return SendToAndWait(Loopback(worker.forwardPort_),
+                         "PUT",
+                         "/held/" + aJob,
+                         {},
+                         batch::EncodeSpooledJob(job))
+      ->status_;
+  };
+  constexpr std::size_t kBytes = 10000000;
+  REQUIRE(send("first", kBytes) == 200);
+  REQUIRE(send("second", kBytes) == 200);
+  REQUIRE(send("third", kBytes) == 200);
+  CHECK(send("fourth", kBytes) == 503);
+  CHECK(send("first", kBytes) == 200);
+}
+
 } // namespace pumiceturn::adapter
