--- a/Libraries/LibGateway/SpoolClient.cpp
+++ b/Libraries/LibGateway/SpoolClient.cpp
@@ -3,6 +3,7 @@
 #include "LibGateway/BatchJobSpool.h"
 #include "LibHttpStream/Status.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -41,8 +42,12 @@
 {
   std::vector<httpstream::HttpClient*> workers;
   for (const batch::PeerAddress& peer : aPeers) {
-    if (auto* client =
-          peer.isWorker_ ? clients_.FindOrCreate(peer.address_) : nullptr) {
+    auto* client =
+      peer.isWorker_ ? clients_.FindOrCreate(peer.address_) : nullptr;
+    // A host may be registered under a former name too. Its disk counts once.
+    const bool isKnown =
+      std::find(workers.begin(), workers.end(), client) != workers.end();
+    if (client != nullptr && !isKnown) {
       workers.push_back(client);
     }
   }
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -291,4 +291,20 @@
   CHECK(send("first", kBytes) == 200);
 }
 
+// Guards against acknowledging a job with a copy on only one disk, whose host
+// is registered under a former name too.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_HostRegisteredTwice_CountsOnce")
+{
+  StartWorkerWithDisk("worker-1");
+  AwaitPeers(1);
+  std::string record = store_.Get("pumiceturn/host/worker-1");
+  record.replace(record.find("worker-1/"), 8, "worker-0");
+  store_.Put("pumiceturn/host/worker-0", record);
+  const std::size_t before = store_.CallCount();
+  RunUntil([&] { return store_.CallCount() > before + 12; });
+  store_.SetBehaviour(StoreBehaviour::Refusing);
+  CHECK(Submit(*entry_, 2) != 202);
+}
+
 } // namespace pumiceturn::adapter
