--- a/Libraries/LibBatch/HostSet.cpp
+++ b/Libraries/LibBatch/HostSet.cpp
@@ -24,7 +24,11 @@
     unregisteredSince_[owner] = aNow - kTakeoverDelay;
     hostsByOwner_.erase(owner);
   }
+  if (owner != aOwner) {
+    member.registeredAt_ = aNow;
+  }
   owner = aOwner;
+  absentWorkers_.erase(aHost);
   hostsByOwner_[aOwner] = aHost;
   unregisteredSince_.erase(aOwner);
 }
@@ -37,6 +41,9 @@
     return;
   }
   unregisteredSince_[found->second.owner_] = aNow;
+  if (found->second.preference_ == BatchPreference::Worker) {
+    absentWorkers_[aHost] = aNow;
+  }
   hostsByOwner_.erase(found->second.owner_);
   members_.erase(found);
 }
@@ -82,6 +89,23 @@
     }));
 }
 
+bool
+HostSet::AreWorkersPresent(base::Duration aAbsence,
+                           base::Duration aTime,
+                           base::Instant aNow) const
+{
+  const bool isAnyAbsent = std::any_of(
+    absentWorkers_.begin(), absentWorkers_.end(), [&](const auto& aEntry) {
+      return aNow - aEntry.second < aAbsence;
+    });
+  const bool isAnyNew =
+    std::any_of(members_.begin(), members_.end(), [&](const auto& aEntry) {
+      return aEntry.second.preference_ == BatchPreference::Worker &&
+             aNow - aEntry.second.registeredAt_ < aTime;
+    });
+  return !isAnyAbsent && !isAnyNew;
+}
+
 bool
 HostSet::IsRegistered(const std::string& aOwner) const
 {
--- a/Libraries/LibBatch/HostSet.h
+++ b/Libraries/LibBatch/HostSet.h
@@ -75,6 +75,12 @@
   /// @return the number of registered workers.
   [[nodiscard]] std::size_t WorkerCount() const;
 
+  /// @return whether each worker that was registered within aAbsence has been
+  ///   registered, by its current process, for at least aTime.
+  [[nodiscard]] bool AreWorkersPresent(base::Duration aAbsence,
+                                       base::Duration aTime,
+                                       base::Instant aNow) const;
+
   /// @return the number of registered hosts.
   [[nodiscard]] std::size_t Count() const { return members_.size(); }
 
@@ -88,9 +94,12 @@
     std::string owner_;
     BatchPreference preference_ = BatchPreference::Fallback;
     std::string address_;
+    base::Instant registeredAt_; ///< When the current process became known.
   };
 
   std::unordered_map<std::string, Member> members_; ///< Keyed by host name.
+  /// When each worker that isn't registered was removed, by host name.
+  std::unordered_map<std::string, base::Instant> absentWorkers_;
   /// Names of the hosts by owner: looked up for each open job at each tick.
   std::unordered_map<std::string, std::string> hostsByOwner_;
   /// Start of each unregistered owner's takeover delay; in the past for a
--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -15,11 +15,16 @@
 /// seconds, but callers wait no longer than a third of their remaining time.
 constexpr std::chrono::milliseconds kRetryAfter{ 400 };
 
-/// Time after a store outage within which workers store the spooled jobs. Until
-/// then, a job that is missing in the store may still exist. A pending store
+/// Time after a store outage, or after the start of a worker, within which
+/// workers store the spooled jobs. Until then, a job that is missing in the
+/// store may still exist. A pending store
 /// call may take 1 s to time out and is repeated 0.3 s later.
 constexpr std::chrono::milliseconds kSpoolRecoveryTime{ 3000 };
 
+/// Time for which the return of an absent worker is awaited, as its disk may
+/// hold spooled jobs. About as long as finished jobs are kept.
+constexpr std::chrono::minutes kMaxWorkerAbsence{ 3 };
+
 /// Maximum number of retries when cancelling a job conflicts with other
 /// changes.
 constexpr std::uint32_t kMaxEndRetries = 8;
@@ -159,8 +164,7 @@
                           use(*job);
                         }
                       } else if (aStatus == metadata::StoreStatus::Ok &&
-                                 !health_.WasLostWithin(kSpoolRecoveryTime,
-                                                        base::MonotonicNow())) {
+                                 IsNoJobSpooled()) {
                         RespondNotFound(*aExchange, aCaller);
                       } else {
                         RespondRetryLater(*aExchange);
@@ -168,6 +172,14 @@
                     });
 }
 
+bool
+BatchJobHandler::IsNoJobSpooled() const
+{
+  const base::Instant now = base::MonotonicNow();
+  return !health_.WasLostWithin(kSpoolRecoveryTime, now) &&
+         hosts_.AreWorkersPresent(kMaxWorkerAbsence, kSpoolRecoveryTime, now);
+}
+
 void
 BatchJobHandler::Read(const ExchangePtr& aExchange,
                       const std::string& aJob,
--- a/Libraries/LibGateway/BatchJobHandler.h
+++ b/Libraries/LibGateway/BatchJobHandler.h
@@ -76,6 +76,10 @@
                  const OrganisationName& aCaller,
                  std::function<void(const batch::BatchJob&)> aUse);
 
+  /// @return whether the workers have stored all spooled jobs: the store and
+  ///   all workers have been available for long enough.
+  [[nodiscard]] bool IsNoJobSpooled() const;
+
   /// Checks whether the caller may access the job; responds with an error if
   /// not.
   [[nodiscard]] bool CheckAccess(const ExchangePtr& aExchange,
