--- a/Libraries/LibBatch/SpoolFiles.cpp
+++ b/Libraries/LibBatch/SpoolFiles.cpp
@@ -5,8 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <fstream>
-#include <iterator>
 #include <string_view>
 #include <system_error>
 #include <utility>
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::string_view kPrefix = "lot-";
 constexpr std::string_view kTemporarySuffix = ".part";
 
 std::optional<base::Failure>
@@ -25,6 +26,26 @@
   return failure != nullptr ? std::optional(*failure) : std::nullopt;
 }
 
+/// @return the content of a file, or why it can't be read.
+base::Result<std::string>
+ReadFile(const std::filesystem::path& aPath)
+{
+  constexpr std::size_t kBlockBytes = 65536;
+  std::ifstream file(aPath, std::ios::binary);
+  std::string text;
+  std::array<char, kBlockBytes> block{};
+  while (file) {
+    file.read(block.data(), block.size());
+    text.append(block.data(), static_cast<std::size_t>(file.gcount()));
+  }
+  if (!file.is_open() || file.bad()) {
+    return base::Fail(
+      base::ResultCode::InputOutput,
+      fmt::format("{}: can't be read", aPath.filename().string()));
+  }
+  return text;
+}
+
 } // namespace
 
 SpoolFiles::SpoolFiles(std::filesystem::path aFolder)
@@ -39,7 +60,7 @@
 SpoolFiles::PathOf(const std::string& aJob) const
 {
   // The job ID is chosen by the submitter and may contain any character.
-  return folder_ / fmt::format("lot-{:016x}", base::HashBytes(aJob));
+  return folder_ / fmt::format("{}{:016x}", kPrefix, base::HashBytes(aJob));
 }
 
 base::Result<void>
@@ -88,27 +109,39 @@
   std::filesystem::remove(PathOf(aJob), ignored);
 }
 
-std::vector<SpooledJob>
+SpoolReadOutcome
 SpoolFiles::ReadAll()
 {
-  std::vector<SpooledJob> jobs;
+  SpoolReadOutcome outcome;
   std::vector<std::filesystem::path> incomplete;
   std::error_code error;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(folder_, error)) {
-    std::ifstream file(entry.path(), std::ios::binary);
-    const std::string text(std::istreambuf_iterator<char>(file), {});
-    auto job = DecodeSpooledJob(text);
-    if (job && entry.path() == PathOf(job->id_)) {
-      jobs.push_back(std::move(*job));
+  std::filesystem::directory_iterator entry(folder_, error);
+  for (; !error && entry != std::filesystem::directory_iterator();
+       entry.increment(error)) {
+    const std::filesystem::path path = entry->path();
+    if (!path.filename().string().starts_with(kPrefix)) {
+      continue;
+    }
+    const auto text = base::Capture([&path] { return ReadFile(path); });
+    if (const auto* failure = std::get_if<base::Failure>(&text)) {
+      outcome.error_ = outcome.error_.value_or(*failure);
+      continue;
+    }
+    auto job = DecodeSpooledJob(std::get<std::string>(text));
+    if (job && path == PathOf(job->id_)) {
+      outcome.jobs_.push_back(std::move(*job));
     } else {
-      incomplete.push_back(entry.path());
+      incomplete.push_back(path);
     }
   }
+  if (error) {
+    outcome.error_ = outcome.error_.value_or(
+      base::Failure{ base::ResultCode::InputOutput, error.message() });
+  }
   for (const auto& path : incomplete) {
     std::filesystem::remove(path, error);
   }
-  return jobs;
+  return outcome;
 }
 
 } // namespace pumiceturn::batch
--- a/Libraries/LibBatch/SpoolFiles.h
+++ b/Libraries/LibBatch/SpoolFiles.h
@@ -19,6 +19,14 @@
   bool mayExist_ = false;
 };
 
+/// The jobs in a spool folder.
+struct SpoolReadOutcome
+{
+  std::vector<SpooledJob> jobs_;
+  /// The first error; not set: all files were read.
+  std::optional<base::Failure> error_;
+};
+
 /// Stores spooled jobs as one file each in a folder. A file is renamed to its
 /// final name only after its content was synced, so after a power failure it is
 /// either complete or absent. All calls block on disk I/O. Not thread-safe.
@@ -36,8 +44,8 @@
   void Remove(const std::string& aJob);
 
   /// Reads all jobs. Deletes incomplete or corrupt files, whose jobs were never
-  /// acknowledged.
-  [[nodiscard]] std::vector<SpooledJob> ReadAll();
+  /// acknowledged, and keeps files that can't be read.
+  [[nodiscard]] SpoolReadOutcome ReadAll();
 
 private:
   /// Writes and syncs a job to a temporary file.
--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -29,6 +29,9 @@
 /// Delay before a failed transaction is retried.
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 
+/// Delay before the jobs on disk are read again after an error.
+constexpr std::chrono::seconds kReadRetryDelay{ 1 };
+
 /// Time after which a transaction without a response is retried.
 constexpr std::chrono::milliseconds kCallTimeout{ 1500 };
 
@@ -62,20 +65,36 @@
 void
 BatchJobSpool::Start()
 {
-  auto jobs = std::make_shared<std::vector<batch::SpooledJob>>();
-  disk_.Post(
-    [this, jobs] { *jobs = files_.ReadAll(); },
-    [this, jobs] {
-      const base::Instant now = base::MonotonicNow();
-      isRead_ = true;
-      for (batch::SpooledJob& job : *jobs) {
-        base::Log(kBatchJobSpooled, { { "lot", job.id_ }, { "from", "disk" } });
-        const std::string id = job.id_;
-        const std::uint64_t tokens = TokensOf(job);
-        spooled_.try_emplace(
-          id, SpoolRecord{ std::move(job), tokens, now, now, true, true });
-      }
-    });
+  isReading_ = true;
+  auto outcome = std::make_shared<batch::SpoolReadOutcome>();
+  disk_.Post([this, outcome] { *outcome = files_.ReadAll(); },
+             [this, outcome] { OnRead(*outcome); });
+}
+
+void
+BatchJobSpool::OnRead(batch::SpoolReadOutcome& aOutcome)
+{
+  const base::Instant now = base::MonotonicNow();
+  isReading_ = false;
+  isRead_ = !aOutcome.error_;
+  if (aOutcome.error_) {
+    base::Log(kSpoolNotRead,
+              { { "code", base::NameOf(aOutcome.error_->code_) },
+                { "error", aOutcome.error_->detail_ } });
+    nextReadAt_ = now + kReadRetryDelay;
+  }
+  for (batch::SpooledJob& job : aOutcome.jobs_) {
+    const std::string id = job.id_;
+    const std::uint64_t tokens = TokensOf(job);
+    const bool isNew =
+      spooled_
+        .try_emplace(
+          id, SpoolRecord{ std::move(job), tokens, now, now, true, true })
+        .second;
+    if (isNew) {
+      base::Log(kBatchJobSpooled, { { "lot", id }, { "from", "disk" } });
+    }
+  }
 }
 
 const fleet::Route*
@@ -251,6 +270,9 @@
   std::erase_if(recentlyDropped_, [aNow](const DroppedJob& aJob) {
     return aNow - aJob.at_ > kLedgerLag;
   });
+  if (!isRead_ && !isReading_ && aNow >= nextReadAt_) {
+    Start();
+  }
   std::vector<std::string> ids;
   for (const auto& [id, entry] : spooled_) {
     ids.push_back(id);
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -50,7 +50,8 @@
                 double aCapOverage,
                 std::size_t aCopies);
 
-  /// Reads the jobs that a previous process has spooled.
+  /// Reads the jobs that a previous process has spooled. Tick() reads again
+  /// after an error.
   void Start();
 
   /// Spools a job sent by a peer, and responds once it is on disk.
@@ -96,6 +97,7 @@
   /// this host is shutting down.
   void SpoolNew(batch::SpooledJob aJob,
                 const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnRead(batch::SpoolReadOutcome& aOutcome);
   void OnWritten(const std::string& aJob,
                  const batch::SpoolWriteOutcome& aOutcome);
 
@@ -141,7 +143,9 @@
   std::vector<DroppedJob>
     recentlyDropped_; ///< Dropped within the last kLedgerLag.
   bool isDraining_ = false;
-  bool isRead_ = false; ///< Whether the jobs on disk have been read.
+  bool isRead_ = false; ///< Whether all jobs on disk have been read.
+  bool isReading_ = false;
+  base::Instant nextReadAt_; ///< After an error.
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -145,6 +145,12 @@
   base::LogLevel::Warning,
   "A batch job could not be spooled to this host's disk."
 };
+inline constexpr base::Event kSpoolNotRead{
+  7160,
+  "spool_not_read",
+  base::LogLevel::Warning,
+  "Some jobs on this host's disk could not be read; they are read again later."
+};
 inline constexpr base::Event kBatchJobUnspooled{
   7127,
   "lot_no_longer_held",
--- a/Tests/LibBatch/SpoolFilesTest.cpp
+++ b/Tests/LibBatch/SpoolFilesTest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <fstream>
 #include <iterator>
 
@@ -38,7 +41,7 @@
 TEST_CASE_METHOD(SpoolFilesFixture, "SpoolFiles_JobWritten_IsReadAfterRestart")
 {
   CHECK_FALSE(SpoolFiles(folder_).Write(MakeJob("../a lot")).error_);
-  const auto jobs = SpoolFiles(folder_).ReadAll();
+  const auto jobs = SpoolFiles(folder_).ReadAll().jobs_;
   REQUIRE(jobs.size() == 1);
   CHECK(jobs.front() == MakeJob("../a lot"));
 }
@@ -49,7 +52,7 @@
   CHECK_FALSE(files.Write(MakeJob("a")).error_);
   CHECK_FALSE(files.Write(MakeJob("b")).error_);
   files.Remove("a");
-  const auto jobs = files.ReadAll();
+  const auto jobs = files.ReadAll().jobs_;
   REQUIRE(jobs.size() == 1);
   CHECK(jobs.front().id_ == "b");
 }
@@ -65,12 +68,12 @@
        { std::size_t{ 0 }, std::size_t{ 20 }, text.size() - 1 }) {
     std::ofstream(path, std::ios::binary)
       .write(text.data(), static_cast<std::streamsize>(bytes));
-    CHECK(SpoolFiles(folder_).ReadAll().empty());
+    CHECK(SpoolFiles(folder_).ReadAll().jobs_.empty());
   }
   std::string corrupt = text;
   corrupt[text.size() - 3] ^= 1;
   std::ofstream(path, std::ios::binary) << corrupt;
-  CHECK(SpoolFiles(folder_).ReadAll().empty());
+  CHECK(SpoolFiles(folder_).ReadAll().jobs_.empty());
   CHECK_FALSE(std::filesystem::exists(path));
 }
 
@@ -97,4 +100,36 @@
   CHECK(outcome.mayExist_);
 }
 
+// Guards against deleting accepted jobs that can't be read at the start: while
+// descriptors are exhausted, or the disk fails.
+TEST_CASE_METHOD(SpoolFilesFixture, "SpoolFiles_FileCannotBeOpened_IsKept")
+{
+  SpoolFiles files(folder_);
+  REQUIRE_FALSE(files.Write(MakeJob("a")).error_);
+  struct rlimit former = {};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const int next = dup(0);
+  REQUIRE(next >= 0);
+  close(next);
+  // One descriptor is left, for the folder.
+  struct rlimit limit = former;
+  limit.rlim_cur = static_cast<rlim_t>(next) + 1;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const auto unread = files.ReadAll();
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &former) == 0);
+  CHECK(unread.error_);
+  CHECK(unread.jobs_.empty());
+  CHECK(files.ReadAll().jobs_.size() == 1);
+}
+
+TEST_CASE_METHOD(SpoolFilesFixture, "SpoolFiles_FileCannotBeRead_IsKept")
+{
+  SpoolFiles files(folder_);
+  // Reading a folder fails, as reading from a faulty disk does.
+  const auto path = folder_ / "lot-0";
+  std::filesystem::create_directory(path);
+  CHECK(files.ReadAll().error_);
+  CHECK(std::filesystem::exists(path));
+}
+
 } // namespace pumiceturn::batch
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -37,7 +37,7 @@
 
   [[nodiscard]] std::size_t FileCount(const std::string& aName) const
   {
-    return batch::SpoolFiles(FolderOf(aName)).ReadAll().size();
+    return batch::SpoolFiles(FolderOf(aName)).ReadAll().jobs_.size();
   }
 
   TemporaryFolder folder_;
