--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -35,6 +35,23 @@
     });
   }
 
+  /// Sets the route's cap on waiting tokens and waits until all hosts know it.
+  void SetCap(int aTokens)
+  {
+    nlohmann::json route = MakeTestRoute("lots", "batch");
+    route["cap"] = aTokens;
+    const nlohmann::json configuration = {
+      { "version", 7 },
+      { "routes", { std::move(route), MakeTestRoute("capped", "safe") } },
+      { "services", { { { "name", "service" }, { "maxConns", 100 } } } }
+    };
+    store_.Put("op/config", configuration.dump());
+    for (const auto& host : hosts_) {
+      RunUntil(
+        [&] { return SendAndWait(*host, "GET", "/capped/1")->status_ != 404; });
+    }
+  }
+
   [[nodiscard]] std::size_t FileCount(const std::string& aName) const
   {
     return batch::SpoolFiles(FolderOf(aName)).ReadAll().jobs_.size();
@@ -170,18 +187,7 @@
   StartWorkerWithDisk("worker-1");
   StartWorkerWithDisk("worker-2");
   AwaitPeers(2);
-  nlohmann::json route = MakeTestRoute("lots", "batch");
-  route["cap"] = 1000;
-  const nlohmann::json configuration = {
-    { "version", 7 },
-    { "routes", { std::move(route), MakeTestRoute("capped", "safe") } },
-    { "services", { { { "name", "service" }, { "maxConns", 100 } } } }
-  };
-  store_.Put("op/config", configuration.dump());
-  for (const auto& host : hosts_) {
-    RunUntil(
-      [&] { return SendAndWait(*host, "GET", "/capped/1")->status_ != 404; });
-  }
+  SetCap(1000);
   store_.SetBehaviour(StoreBehaviour::Refusing);
   // 11 items of 9 tokens each, spooled by both workers: 99 of the 100 tokens
   // allowed beyond the cap.
@@ -307,4 +313,34 @@
   CHECK(Submit(*entry_, 2) != 202);
 }
 
+// Guards against rejecting an accepted job as beyond the cap when it is sent
+// again after the store's return, before a worker has stored it.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_SentAgainBeforeItIsStored_IsNotRejected")
+{
+  overage_ = 0.1;
+  StartWorkerWithDisk("worker-1");
+  StartWorkerWithDisk("worker-2");
+  AwaitPeers(2);
+  SetCap(1000);
+  for (const auto& server : servers_) {
+    for (int item = 0; item < 111; ++item) {
+      server->Enqueue({ ServerScript::Kind::Hold, 1, 0 });
+    }
+  }
+  // 111 items of 9 tokens fill the cap.
+  REQUIRE(SendAndWait(*entry_,
+                      "POST",
+                      "/lots/1",
+                      "Attempt-Id: lot2\r\n",
+                      JobBody(111, "second-"))
+            ->status_ == 202);
+  store_.SetBehaviour(StoreBehaviour::Refusing);
+  REQUIRE(Submit(*entry_, 11) == 202);
+  store_.SetBehaviour(StoreBehaviour::Serving);
+  const unsigned status = Submit(*entry_, 11);
+  CHECK(status != 429);
+  CHECK(status != 503);
+}
+
 } // namespace pumiceturn::adapter
