--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -29,6 +29,9 @@
 /// Delay before a failed transaction is retried.
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 
+/// Delay before the jobs on disk are read again after an error.
+constexpr std::chrono::seconds kReadRetryDelay{ 1 };
+
 /// Time after which a transaction without a response is retried.
 constexpr std::chrono::milliseconds kCallTimeout{ 1500 };
 
@@ -62,19 +65,36 @@
 void
 BatchJobSpool::Start()
 {
-  auto jobs = std::make_shared<std::vector<batch::SpooledJob>>();
-  disk_.Post(
-    [this, jobs] { *jobs = files_.ReadAll(); },
-    [this, jobs] {
-      const base::Instant now = base::MonotonicNow();
-      for (batch::SpooledJob& job : *jobs) {
-        base::Log(kBatchJobSpooled, { { "lot", job.id_ }, { "from", "disk" } });
-        const std::string id = job.id_;
-        const std::uint64_t tokens = TokensOf(job);
-        spooled_.try_emplace(
-          id, SpoolRecord{ std::move(job), tokens, now, now, true });
-      }
-    });
+  isReading_ = true;
+  auto outcome = std::make_shared<batch::SpoolReadOutcome>();
+  disk_.Post([this, outcome] { *outcome = files_.ReadAll(); },
+             [this, outcome] { OnRead(*outcome); });
+}
+
+void
+BatchJobSpool::OnRead(batch::SpoolReadOutcome& aOutcome)
+{
+  const base::Instant now = base::MonotonicNow();
+  isReading_ = false;
+  isRead_ = !aOutcome.error_;
+  if (aOutcome.error_) {
+    base::Log(kSpoolNotRead,
+              { { "code", base::NameOf(aOutcome.error_->code_) },
+                { "error", aOutcome.error_->detail_ } });
+    nextReadAt_ = now + kReadRetryDelay;
+  }
+  for (batch::SpooledJob& job : aOutcome.jobs_) {
+    const std::string id = job.id_;
+    const std::uint64_t tokens = TokensOf(job);
+    const bool isNew =
+      spooled_
+        .try_emplace(
+          id, SpoolRecord{ std::move(job), tokens, now, now, true, true })
+        .second;
+    if (isNew) {
+      base::Log(kBatchJobSpooled, { { "lot", id }, { "from", "disk" } });
+    }
+  }
 }
 
 const fleet::Route*
@@ -163,11 +183,6 @@
       httpstream::MakeResponse(httpstream::kStatusBadRequest, {}));
     return;
   }
-  if (isDraining_ || Bytes() + body.size() > kMaxBytes) {
-    aExchange->Respond(
-      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
-    return;
-  }
   if (BelongsToAnotherOrganisation(*job)) {
     aExchange->Respond(
       httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
@@ -177,33 +192,48 @@
     aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
     return;
   }
-  const std::uint64_t tokens = TokensOf(*job);
-  if (!spooled_.contains(job->id_) && !FitsOverage(*job, tokens)) {
+  if (const auto held = spooled_.find(job->id_); held != spooled_.end()) {
+    if (held->second.isWritten_) {
+      aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
+    } else {
+      held->second.pendingExchanges_.push_back(aExchange);
+    }
+    return;
+  }
+  SpoolNew(std::move(*job), aExchange);
+}
+
+void
+BatchJobSpool::SpoolNew(batch::SpooledJob aJob,
+                        const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  if (isDraining_ || Bytes() + aJob.content_.size() > kMaxBytes) {
+    aExchange->Respond(
+      httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
+    return;
+  }
+  const std::uint64_t tokens = TokensOf(aJob);
+  if (!FitsOverage(aJob, tokens)) {
     base::Log(kBatchJobNotSpooled,
-              { { "lot", job->id_ }, { "code", "cap" }, { "tokens", tokens } });
+              { { "lot", aJob.id_ }, { "code", "cap" }, { "tokens", tokens } });
     aExchange->Respond(
       httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
     return;
   }
   const base::Instant now = base::MonotonicNow();
-  const std::string id = job->id_;
+  const std::string id = aJob.id_;
   const bool isOwner = hosts_.AssignedOwner(id) == ownName_;
   const base::Instant nextAttemptAt = isOwner ? now : now + kOwnerHeadStart;
-  const auto [entry, isNew] = spooled_.try_emplace(
-    id, SpoolRecord{ std::move(*job), tokens, now, nextAttemptAt, false });
-  if (entry->second.isWritten_) {
-    aExchange->Respond(httpstream::MakeResponse(httpstream::kStatusOk, {}));
-    return;
-  }
-  entry->second.pendingExchanges_.push_back(aExchange);
-  if (!isNew) {
-    return;
-  }
+  SpoolRecord& entry =
+    spooled_
+      .try_emplace(
+        id, SpoolRecord{ std::move(aJob), tokens, now, nextAttemptAt, false })
+      .first->second;
+  entry.pendingExchanges_.push_back(aExchange);
   auto outcome = std::make_shared<batch::SpoolWriteOutcome>();
-  disk_.Post([this,
-              outcome,
-              copy = entry->second.job_] { *outcome = files_.Write(copy); },
-             [this, outcome, id] { OnWritten(id, *outcome); });
+  disk_.Post(
+    [this, outcome, copy = entry.job_] { *outcome = files_.Write(copy); },
+    [this, outcome, id] { OnWritten(id, *outcome); });
 }
 
 void
@@ -240,6 +270,9 @@
   std::erase_if(recentlyDropped_, [aNow](const DroppedJob& aJob) {
     return aNow - aJob.at_ > kLedgerLag;
   });
+  if (!isRead_ && !isReading_ && aNow >= nextReadAt_) {
+    Start();
+  }
   std::vector<std::string> ids;
   for (const auto& [id, entry] : spooled_) {
     ids.push_back(id);
@@ -253,7 +286,7 @@
       aWallNow - base::FromUnixMs(entry.job_.state_.acceptedAtMs_);
     if (jobs_.Find(id) != nullptr) {
       Drop(id, "stored");
-    } else if (age > retention_) {
+    } else if (entry.isFromFormerProcess_ && age > retention_) {
       Drop(id, "too old");
     } else if (!health_.IsLost() && aNow >= entry.nextAttemptAt_) {
       Store(entry, aNow);
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -35,8 +35,9 @@
   ///   route's cap, as a share of the cap. Bounds the excess while the ledger
   ///   cannot be read.
   /// @param aCopies Number of hosts that spool each job.
-  /// @param aRetention Jobs older than this are dropped: another host has
-  ///   stored them, and they have since been removed from the store.
+  /// @param aRetention Jobs that are older than this when they are read from
+  ///   disk at the start are dropped: another host has stored them while this
+  ///   one was down, and they have since been removed from the store.
   BatchJobSpool(boost::asio::io_context& aContext,
                 SharedState& aShared,
                 metadata::StoreClient& aStore,
@@ -49,7 +50,8 @@
                 double aCapOverage,
                 std::size_t aCopies);
 
-  /// Reads the jobs that a previous process has spooled.
+  /// Reads the jobs that a previous process has spooled. Tick() reads again
+  /// after an error.
   void Start();
 
   /// Spools a job sent by a peer, and responds once it is on disk.
@@ -62,7 +64,9 @@
   /// stored or expired.
   void Tick(base::Instant aNow, base::WallTime aWallNow);
 
-  [[nodiscard]] bool IsEmpty() const { return spooled_.empty(); }
+  /// @return whether this host's disk holds no job. False until the jobs of the
+  ///   previous process have been read.
+  [[nodiscard]] bool IsEmpty() const { return isRead_ && spooled_.empty(); }
   [[nodiscard]] std::size_t Count() const { return spooled_.size(); }
 
 private:
@@ -73,6 +77,9 @@
     base::Instant spooledAt_;
     base::Instant nextAttemptAt_;
     bool isWritten_ = false;
+    /// Whether a former process wrote the job. Any other job is dropped only
+    /// once the store has it.
+    bool isFromFormerProcess_ = false;
     /// Requests to respond to once the pending write is done.
     std::vector<std::shared_ptr<httpstream::Exchange>> pendingExchanges_{};
   };
@@ -86,6 +93,11 @@
     base::Instant at_;
   };
 
+  /// Spools a job that isn't spooled yet, unless there is no room for it or
+  /// this host is shutting down.
+  void SpoolNew(batch::SpooledJob aJob,
+                const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnRead(batch::SpoolReadOutcome& aOutcome);
   void OnWritten(const std::string& aJob,
                  const batch::SpoolWriteOutcome& aOutcome);
 
@@ -131,6 +143,9 @@
   std::vector<DroppedJob>
     recentlyDropped_; ///< Dropped within the last kLedgerLag.
   bool isDraining_ = false;
+  bool isRead_ = false; ///< Whether all jobs on disk have been read.
+  bool isReading_ = false;
+  base::Instant nextReadAt_; ///< After an error.
 };
 
 } // namespace pumiceturn::gateway
