--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -195,4 +195,27 @@
   CHECK(listener_.ConnectionCount() == 1);
 }
 
+// Guards against handling an earlier request again in place of the next one,
+// after requests were sent without waiting for their responses.
+TEST_CASE_METHOD(ListenerFixture,
+                 "Listener_RequestAfterPipelinedOnes_IsHandledOnce")
+{
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string first = "/" + std::to_string(round) + "/first";
+    const std::string second = "/" + std::to_string(round) + "/second";
+    exchanges_.clear();
+    Send("GET " + first + " HTTP/1.1\r\nHost: a\r\n\r\n" + "GET " + second +
+         " HTTP/1.1\r\nHost: a\r\nX-Filler: " + std::string(200, 'x') +
+         "\r\n\r\n");
+    RunUntil([this] { return exchanges_.size() == 1; });
+    CHECK(TargetOf(exchanges_[0]->GetRequest()) == first);
+    exchanges_[0]->Respond(MakeResponse(200, first));
+    RunUntil([this] { return exchanges_.size() == 2; });
+    CHECK(TargetOf(exchanges_[1]->GetRequest()) == second);
+    exchanges_[1]->Respond(MakeResponse(200, second));
+    ReadUntil(second);
+  }
+}
+
 } // namespace pumiceturn::httpstream
