--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -277,7 +277,7 @@
     }
   }
   if (observer_ != nullptr && !isClosed_) {
-    if (!isStale_ && isHeadReceived_) {
+    if (!isStale_ && isHeadReceived_ && !isPaused_) {
       ArmTimer(GapTimeout());
     }
     Read();
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -260,4 +260,44 @@
   CHECK(observer.outcome_ == CallOutcome::Complete);
 }
 
+/// Pauses reading at the first byte of the body.
+class PausingObserver : public RecordingObserver
+{
+public:
+  explicit PausingObserver(ClientConnection& aConnection)
+    : connection_(aConnection)
+  {
+  }
+  void OnBody(std::string_view aBytes) override
+  {
+    RecordingObserver::OnBody(aBytes);
+    connection_.SetPaused(true);
+  }
+
+private:
+  ClientConnection& connection_;
+};
+
+// Guards against ending a call whose receiver is slow as if its server were
+// silent.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_PausedByReceiver_DoesNotTimeOut")
+{
+  Serve("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok", false);
+  const auto client = Connect();
+  PausingObserver observer(*client);
+  Call call;
+  call.bytes_ = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  call.gapTimeout_ = std::chrono::milliseconds(100);
+  client->Start(std::move(call), observer);
+  RunUntil([&observer] { return !observer.body_.empty(); });
+  asio::steady_timer timer(context_, std::chrono::milliseconds(400));
+  bool hasExpired = false;
+  timer.async_wait(
+    [&](const boost::system::error_code&) { hasExpired = true; });
+  RunUntil([&hasExpired] { return hasExpired; });
+  CHECK_FALSE(observer.outcome_);
+  client->Cancel();
+}
+
 } // namespace pumiceturn::httpstream
