--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -103,6 +103,7 @@
   isStale_ = false;
   parser_.reset();
   lastByteAt_ = base::MonotonicNow();
+  isDelayAllowedFor_ = false;
   ArmTimer(call_.firstByteTimeout_);
   Write();
   Read();
@@ -139,9 +140,14 @@
     return;
   }
   const Silence silence = MeasureSilence();
-  if (silence.unreadBytes_ > 0 || silence.ownDelay_ > kMaxTimerDelay) {
-    lastByteAt_ = base::MonotonicNow();
-    ArmTimer(NextByteTimeout());
+  if (silence.unreadBytes_ > 0) {
+    ArmTimer(kSilenceCheckInterval);
+    return;
+  }
+  if (silence.ownDelay_ > kMaxTimerDelay &&
+      !std::exchange(isDelayAllowedFor_, true)) {
+    lastByteAt_ += silence.ownDelay_;
+    ArmTimer(std::min(silence.ownDelay_, NextByteTimeout()));
     return;
   }
   const SilenceDecision decision = observer_->OnSilence(silence);
@@ -231,6 +237,7 @@
   }
   input_.commit(aBytes);
   lastByteAt_ = base::MonotonicNow();
+  isDelayAllowedFor_ = false;
   Parse();
 }
 
@@ -381,6 +388,7 @@
   }
   isPaused_ = aIsPaused;
   lastByteAt_ = base::MonotonicNow();
+  isDelayAllowedFor_ = false;
   ArmTimer(isPaused_ ? base::Duration::zero() : GapTimeout());
   if (!isPaused_ && observer_ != nullptr) {
     Read();
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -77,8 +77,9 @@
   virtual void OnBody(std::string_view aBytes) = 0;
 
   /// Called when nothing arrived within a timeout of the call, and repeatedly
-  /// for as long as the result is KeepWaiting. Not called for a time in which
-  /// this process didn't run, as bytes may have been on their way.
+  /// for as long as the result is KeepWaiting. If this process didn't run when
+  /// the timeout passed, it is extended once by that delay, as bytes may have
+  /// been on their way.
   /// @return whether the call ends as timed out.
   [[nodiscard]] virtual SilenceDecision OnSilence(const Silence& /*aSilence*/)
   {
@@ -156,6 +157,7 @@
   base::Instant usableUntil_;
   base::Instant lastByteAt_; ///< Of the response; before it, the call's start.
   std::uint64_t timerGeneration_ = 0;
+  bool isDelayAllowedFor_ = false; ///< Since the last byte.
   bool isHeadReceived_ = false;
   bool hasBody_ = false; ///< Bytes of the body were delivered.
   bool isStale_ = false; ///< The current response belongs to an earlier call.
