--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -206,18 +206,13 @@
 }
 
 void
-EndpointTable::CountStart(const EndpointIncarnation& aEndpoint,
-                          WorkClass aWork,
-                          base::Instant aNow)
+EndpointTable::CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork)
 {
   Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr) {
     return;
   }
   InFlightCounts& own = endpoint->own_;
-  if (own.Total() == 0) {
-    endpoint->busySince_ = aNow;
-  }
   ++(aWork == WorkClass::Online ? own.online_ : own.batch_);
 }
 
@@ -235,6 +230,30 @@
   count -= count > 0 ? 1 : 0;
 }
 
+void
+EndpointTable::CountStreaming(const EndpointIncarnation& aEndpoint,
+                              base::Instant aNow)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  if (endpoint->streaming_ == 0) {
+    endpoint->streamingSince_ = aNow;
+  }
+  ++endpoint->streaming_;
+}
+
+void
+EndpointTable::CountNotStreaming(const EndpointIncarnation& aEndpoint)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  // An endpoint that was registered again starts at zero.
+  if (endpoint != nullptr && endpoint->streaming_ > 0) {
+    --endpoint->streaming_;
+  }
+}
+
 void
 EndpointTable::RecordFailure(const EndpointIncarnation& aEndpoint,
                              base::Instant aNow)
@@ -265,6 +284,7 @@
 {
   if (Endpoint* endpoint = Find(aEndpoint)) {
     endpoint->lastActivityAt_ = aNow;
+    endpoint->silentSince_.reset();
     endpoint->activeAttemptStartedAt_ = aAttemptStartedAt;
   }
 }
@@ -426,22 +446,31 @@
 {
   ServiceActivity activity;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.record_.service_ != aService || endpoint.own_.Total() == 0) {
+    if (endpoint.record_.service_ != aService) {
       continue;
     }
-    ++(IsSilent(endpoint, aNow) ? activity.silent_ : activity.active_);
+    if (IsSilent(endpoint, aNow)) {
+      ++activity.silent_;
+    } else if (endpoint.streaming_ > 0) {
+      ++activity.active_;
+    }
   }
   return activity;
 }
 
 bool
 EndpointTable::RecordSilence(const EndpointIncarnation& aEndpoint,
+                             base::Duration aSilence,
                              base::Instant aNow)
 {
-  const Endpoint* endpoint = Find(aEndpoint);
+  Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr) {
     return false;
   }
+  if (!endpoint->silentSince_) {
+    endpoint->silentSince_ =
+      std::max(aNow - aSilence, endpoint->lastActivityAt_);
+  }
   const ServiceActivity activity = ActivityOf(endpoint->record_.service_, aNow);
   const bool isCommon =
     activity.silent_ >= kMinCommonSilent && activity.silent_ > activity.active_;
@@ -470,14 +499,19 @@
 bool
 EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
 {
-  return aEndpoint.own_.Total() > 0 &&
+  return aEndpoint.silentSince_ ||
          SilenceOf(aEndpoint, aNow) > limits_.silenceThreshold_;
 }
 
 base::Duration
 EndpointTable::SilenceOf(const Endpoint& aEndpoint, base::Instant aNow)
 {
-  return aNow - std::max(aEndpoint.busySince_, aEndpoint.lastActivityAt_);
+  if (aEndpoint.silentSince_) {
+    return aNow - *aEndpoint.silentSince_;
+  }
+  return aEndpoint.streaming_ > 0 ? aNow - std::max(aEndpoint.streamingSince_,
+                                                    aEndpoint.lastActivityAt_)
+                                  : base::Duration::zero();
 }
 
 void
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -49,8 +49,8 @@
   bool operator==(const EndpointCounts&) const = default;
 };
 
-/// How many of a service's endpoints send to this host. Endpoints without
-/// attempts of this host aren't counted.
+/// How many of a service's endpoints send to this host what is due. Endpoints
+/// that owe it nothing aren't counted.
 struct ServiceActivity
 {
   std::uint32_t silent_ = 0;
@@ -96,8 +96,7 @@
   /// Software version that the endpoint must have, for the rest of a stream.
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
-  /// Whether endpoints are excluded that send nothing of any of this host's
-  /// attempts.
+  /// Whether endpoints are excluded that are silent.
   bool excludesSilent_ = false;
 };
 
@@ -160,9 +159,8 @@
     /// accept requests, as this host may learn late that it drains.
     base::Duration drainingUse_{ std::chrono::milliseconds{ 800 } };
 
-    /// Time without a byte of any attempt after which an endpoint counts as
-    /// silent. Running attempts send every few milliseconds, and others wait
-    /// no longer than their latency objective.
+    /// Time without a byte after which an endpoint with streams that send
+    /// events counts as silent. Events follow each other within milliseconds.
     base::Duration silenceThreshold_{ std::chrono::milliseconds{ 300 } };
 
     /// Silence after which an endpoint counts as failed even if most are
@@ -215,9 +213,7 @@
     base::Instant aNow,
     std::mt19937_64& aRandom);
 
-  void CountStart(const EndpointIncarnation& aEndpoint,
-                  WorkClass aWork,
-                  base::Instant aNow);
+  void CountStart(const EndpointIncarnation& aEndpoint, WorkClass aWork);
   void CountEnd(const EndpointIncarnation& aEndpoint, WorkClass aWork);
 
   /// Records a failed connection or a broken attempt.
@@ -230,6 +226,14 @@
                       base::Instant aAttemptStartedAt,
                       base::Instant aNow);
 
+  /// Records that a stream of this host sends its events from now on, so that
+  /// the next one is due.
+  void CountStreaming(const EndpointIncarnation& aEndpoint, base::Instant aNow);
+
+  /// Records that a stream counted by CountStreaming() has ended, or that this
+  /// host has paused reading it.
+  void CountNotStreaming(const EndpointIncarnation& aEndpoint);
+
   /// Records the load that an endpoint reported. It is used for endpoints of
   /// other cells, whose attempts this host doesn't know, and its slowness for
   /// EndpointPace.
@@ -313,15 +317,18 @@
   /// failure unless most endpoints of the service are silent: that has one
   /// cause rather than being the loss of each, and none of them is better than
   /// another.
-  /// @return whether it was recorded.
-  bool RecordSilence(const EndpointIncarnation& aEndpoint, base::Instant aNow);
+  /// @param aSilence How long nothing arrived.
+  /// @return whether it counts as a failure.
+  bool RecordSilence(const EndpointIncarnation& aEndpoint,
+                     base::Duration aSilence,
+                     base::Instant aNow);
 
   /// @return whether another process is known to run in place of an endpoint's:
   ///         under its id, or at its address.
   [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
 
-  /// @return how many endpoints of a service have attempts of this host and
-  ///         send nothing of any of them, and how many do send.
+  /// @return how many endpoints of a service are silent, and how many send
+  ///         events of this host's attempts.
   [[nodiscard]] ServiceActivity ActivityOf(std::string_view aService,
                                            base::Instant aNow) const;
 
@@ -363,7 +370,10 @@
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant lastActivityAt_;
-    base::Instant busySince_; ///< Since when this host has attempts there.
+    std::uint32_t streaming_ = 0; ///< This host's streams that send events.
+    base::Instant streamingSince_;
+    /// Of the last byte, if an attempt has timed out since.
+    std::optional<base::Instant> silentSince_;
     /// Start of the attempt that was last active.
     base::Instant activeAttemptStartedAt_;
     base::Instant batchPausedUntil_;
@@ -398,7 +408,7 @@
 
   [[nodiscard]] bool IsSilent(const Endpoint& aEndpoint,
                               base::Instant aNow) const;
-  /// @return for how long no byte of this host's attempts has arrived.
+  /// @return for how long no byte has arrived that is due; zero if none is.
   [[nodiscard]] static base::Duration SilenceOf(const Endpoint& aEndpoint,
                                                 base::Instant aNow);
 
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -30,6 +30,10 @@
 /// many before the first one times out.
 constexpr double kProbationWeight = 0.1;
 
+/// Factor on the weight of an endpoint that is silent. Gets few requests, which
+/// show when it goes on.
+constexpr double kSilentWeight = 0.1;
+
 /// Factor on the weight of an endpoint that failed recently for a request that
 /// can't be retried: a free slot there is still better than a queue.
 constexpr double kFailedWeight = 1e-4;
@@ -125,7 +129,7 @@
   if (isOnProbation) {
     return aCounts.Total() == 0 ? kProbationWeight : kAvoidedWeight;
   }
-  return 1.0;
+  return IsSilent(aEndpoint, aNow) ? kSilentWeight : 1.0;
 }
 
 double
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -39,8 +39,7 @@
   observer_ = &aObserver;
   isCountedInFlight_ = true;
   startedAt_ = base::MonotonicNow();
-  shared_.endpoints_.CountStart(
-    endpoint_.Incarnation(), workClass_, startedAt_);
+  shared_.endpoints_.CountStart(endpoint_.Incarnation(), workClass_);
   const auto address = ParseAddress(endpoint_.address_);
   if (!address) {
     OnEnd(httpstream::CallOutcome::NotConnected);
@@ -96,14 +95,30 @@
     pausedSinceEvent_ += now - *pausedAt_;
     pausedAt_.reset();
   }
+  SetStreaming(lastEventAt_ && !aIsPaused && isCountedInFlight_);
   if (connection_) {
     connection_->SetPaused(aIsPaused);
   }
 }
 
+void
+EndpointAttempt::SetStreaming(bool aIsStreaming)
+{
+  if (std::exchange(isStreaming_, aIsStreaming) == aIsStreaming) {
+    return;
+  }
+  if (aIsStreaming) {
+    shared_.endpoints_.CountStreaming(endpoint_.Incarnation(),
+                                      base::MonotonicNow());
+  } else {
+    shared_.endpoints_.CountNotStreaming(endpoint_.Incarnation());
+  }
+}
+
 void
 EndpointAttempt::EndCounting()
 {
+  SetStreaming(false);
   if (std::exchange(isCountedInFlight_, false)) {
     shared_.endpoints_.CountEnd(endpoint_.Incarnation(), workClass_);
   }
@@ -141,6 +156,7 @@
   const base::Instant now = base::MonotonicNow();
   RecordActivity(now);
   RecordEvent(now);
+  SetStreaming(isEventStream_ && !pausedAt_);
   if (observer_ != nullptr) {
     observer_->OnBody(aBytes);
   }
@@ -162,7 +178,7 @@
   isSilent_ = true;
   if (!isSilenceRecorded_) {
     isSilenceRecorded_ = shared_.endpoints_.RecordSilence(
-      endpoint_.Incarnation(), base::MonotonicNow());
+      endpoint_.Incarnation(), aSilence.duration_, base::MonotonicNow());
   }
   return observer_ != nullptr ? observer_->OnSilence(aSilence)
                               : httpstream::SilenceDecision::EndCall;
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -57,6 +57,8 @@
 
 private:
   void EndCounting();
+  /// Sets whether events of a stream are due.
+  void SetStreaming(bool aIsStreaming);
   void RecordOutcome(httpstream::CallOutcome aOutcome);
   /// Records bytes of the response, also as the end of a silence.
   void RecordActivity(base::Instant aNow);
@@ -75,6 +77,7 @@
   /// How long reading was paused since the last event.
   base::Duration pausedSinceEvent_{ 0 };
   bool isCountedInFlight_ = false;
+  bool isStreaming_ = false; ///< Counted by CountStreaming().
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
   bool isServerError_ = false;
--- a/Tests/LibFleet/FairShareTest.cpp
+++ b/Tests/LibFleet/FairShareTest.cpp
@@ -244,8 +244,7 @@
       tables_[host].Choose({ "service", WorkClass::Online, {} }, now_, random_);
     REQUIRE(choice);
     const std::size_t endpoint = std::stoul(choice->endpoint_.id_);
-    tables_[host].CountStart(
-      { choice->endpoint_.id_ }, WorkClass::Online, now_);
+    tables_[host].CountStart({ choice->endpoint_.id_ }, WorkClass::Online);
     shares_[host].CountStart(name);
     queues_[endpoint].push_back({ host, organisation, now_ });
     StartRuns(endpoint);
--- a/Tests/LibFleet/FaultyEndpointsLoadTest.cpp
+++ b/Tests/LibFleet/FaultyEndpointsLoadTest.cpp
@@ -72,7 +72,7 @@
     REQUIRE(choice);
     const std::string& id = choice->endpoint_.id_;
     ++sent_[id];
-    hosts_[host].CountStart({ id }, WorkClass::Online, now_);
+    hosts_[host].CountStart({ id }, WorkClass::Online);
     const Fault fault = faults_[id];
     const bool isFailure = fault == Fault::FailsAtOnce ||
                            fault == Fault::Silent ||
--- a/Tests/LibFleet/UnequalEndpointsLoadTest.cpp
+++ b/Tests/LibFleet/UnequalEndpointsLoadTest.cpp
@@ -132,7 +132,7 @@
       }
       return;
     }
-    hosts_[host].CountStart({ NameOf(index) }, WorkClass::Online, now_);
+    hosts_[host].CountStart({ NameOf(index) }, WorkClass::Online);
     ++sent_[index];
     endpoints_[index].queue_.push_back({ host, index, 0, now_, now_, now_ });
     StartQueued(index);
