--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -174,10 +174,16 @@
          (route_.kind_ == fleet::RequestKind::Stream && route_.isResumable_);
 }
 
+std::size_t
+OnlineProxy::CountedAttempts() const
+{
+  return triedEndpoints_.size() - rejectedAfterRun_;
+}
+
 bool
 OnlineProxy::MayTryAgain() const
 {
-  return triedEndpoints_.size() < route_.maxAttempts_ &&
+  return CountedAttempts() < route_.maxAttempts_ &&
          undeliveredAttempts_ < kMaxUndelivered &&
          TimeLeft() >= kMinAttemptTime;
 }
@@ -226,14 +232,13 @@
   if (isRest && !stream_.Origin()) {
     return std::nullopt;
   }
-  fleet::ChoiceRequest request{
-    isRest
-      ? stream_.Origin()->service_
-      : fleet::RouteTable::ChooseService(route_, NextRandom(shared_.random_)),
-    fleet::WorkClass::Online,
-    triedEndpoints_,
-    IsRetryable() && triedEndpoints_.size() + 1 < route_.maxAttempts_
-  };
+  fleet::ChoiceRequest request{ isRest ? stream_.Origin()->service_
+                                       : fleet::RouteTable::ChooseService(
+                                           route_, NextRandom(shared_.random_)),
+                                fleet::WorkClass::Online,
+                                triedEndpoints_,
+                                IsRetryable() &&
+                                  CountedAttempts() + 1 < route_.maxAttempts_ };
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
@@ -310,7 +315,7 @@
     // The last attempt has no other endpoint to resume at. Endpoints that don't
     // report their pace don't share their machines and stall for good.
     const bool canResume = route_.kind_ == fleet::RequestKind::Stream &&
-                           triedEndpoints_.size() + 1 < route_.maxAttempts_ &&
+                           CountedAttempts() + 1 < route_.maxAttempts_ &&
                            shared_.endpoints_.Paces().IsEnabled();
     call.gapTimeout_ = canResume ? StallTimeout(route_) : kGapTimeout;
     call.firstGapTimeout_ = kGapTimeout;
@@ -424,9 +429,8 @@
   shared_.suspects_.RecordAnswered(contentHash_, base::MonotonicNow());
   const bool isServerError = head_->result_int() >= kFirstServerError;
   mayHaveRun_ = true;
-  if (exchange_->IsStreaming() ||
-      (isServerError && IsRetryable() &&
-       triedEndpoints_.size() < route_.maxAttempts_)) {
+  if (exchange_->IsStreaming() || (isServerError && IsRetryable() &&
+                                   CountedAttempts() < route_.maxAttempts_)) {
     base::Log(kAttemptFailed,
               { { "request", call_.requestId_ },
                 { "endpoint", triedEndpoints_.back() },
@@ -456,6 +460,10 @@
     // count as an attempt, as with a failed connection.
     ++undeliveredAttempts_;
     triedEndpoints_.pop_back();
+  } else if (mayHaveRun_) {
+    // What ran elsewhere must go on: a rejection doesn't count as an attempt.
+    ++undeliveredAttempts_;
+    ++rejectedAfterRun_;
   }
   TryNextEndpoint();
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -87,6 +87,8 @@
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint(
     bool aExcludesSilent);
+  /// @return the attempts made that count towards the route's maximum.
+  [[nodiscard]] std::size_t CountedAttempts() const;
   /// @return whether another attempt may be made, if there is an endpoint.
   [[nodiscard]] bool MayTryAgain() const;
   /// @return what could take over from the current attempt.
@@ -124,6 +126,8 @@
   std::optional<fleet::SilenceAction> loggedSilence_;
   std::vector<std::string> triedEndpoints_; ///< Ids, one for each attempt.
   std::uint32_t undeliveredAttempts_ = 0;
+  /// Attempts that an endpoint rejected after another one may have run.
+  std::uint32_t rejectedAfterRun_ = 0;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
   bool mayHaveRun_ = false;
   std::uint64_t contentHash_;   ///< Hash of the request's target and body.
--- a/Tests/Platform/SilenceTest.cpp
+++ b/Tests/Platform/SilenceTest.cpp
@@ -171,4 +171,28 @@
   CHECK(base::MonotonicNow() - startedAt < milliseconds(2000));
 }
 
+// Guards against a stream that is aborted as the endpoint to which it moves
+// rejects it without running it.
+TEST_CASE_METHOD(SilenceFixture,
+                 "Silence_ReplacementRejects_StreamGoesOnElsewhere")
+{
+  for (const char* id : { "i-1", "i-2", "i-3" }) {
+    AddServer(id).Enqueue({ ServerScript::Kind::Hold, 2, 0 });
+  }
+  Start();
+  const auto call = Begin("/resumable/1");
+  RunUntil([&call] { return !call->body_.empty(); });
+  for (const auto& server : servers_) {
+    server->ClearScripts();
+    server->Enqueue({ ServerScript::Kind::Refuse, 0, 0 });
+  }
+  RunUntil([this] { return RequestCount() == 2; });
+  for (const auto& server : servers_) {
+    server->ClearScripts();
+  }
+  RunUntil([&call] { return call->HasEnded(); });
+  CHECK(call->body_ == WholeStream());
+  CHECK(RequestCount() == 3);
+}
+
 } // namespace pumiceturn::adapter
