--- a/Libraries/LibGateway/BatchJobSpool.cpp
+++ b/Libraries/LibGateway/BatchJobSpool.cpp
@@ -240,8 +240,10 @@
 BatchJobSpool::OnWritten(const std::string& aJob,
                          const batch::SpoolWriteOutcome& aOutcome)
 {
-  // A job is not erased from the spool before it is written.
   const auto found = spooled_.find(aJob);
+  if (found == spooled_.end()) {
+    return;
+  }
   SpoolRecord& entry = found->second;
   const auto waiting = std::exchange(entry.pendingExchanges_, {});
   unsigned status = httpstream::kStatusOk;
@@ -286,7 +288,7 @@
       aWallNow - base::FromUnixMs(entry.job_.state_.acceptedAtMs_);
     if (jobs_.Find(id) != nullptr) {
       Drop(id, "stored");
-    } else if (entry.isFromFormerProcess_ && age > retention_) {
+    } else if (std::exchange(entry.isJustRead_, false) && age > retention_) {
       Drop(id, "too old");
     } else if (!health_.IsLost() && aNow >= entry.nextAttemptAt_) {
       Store(entry, aNow);
--- a/Libraries/LibGateway/BatchJobSpool.h
+++ b/Libraries/LibGateway/BatchJobSpool.h
@@ -77,9 +77,10 @@
     base::Instant spooledAt_;
     base::Instant nextAttemptAt_;
     bool isWritten_ = false;
-    /// Whether a former process wrote the job. Any other job is dropped only
-    /// once the store has it.
-    bool isFromFormerProcess_ = false;
+    /// Whether the job was just read from disk, so that it may have been
+    /// finished while the host was down. Any other job is dropped only once the
+    /// store has it.
+    bool isJustRead_ = false;
     /// Requests to respond to once the pending write is done.
     std::vector<std::shared_ptr<httpstream::Exchange>> pendingExchanges_{};
   };
--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -270,6 +270,33 @@
   CHECK_FALSE(store_.Get("pumiceturn/lot/lot1").empty());
 }
 
+// Guards against dropping a job that a restarted host read from its disk,
+// before the store had it.
+TEST_CASE_METHOD(BatchJobSpoolFixture,
+                 "BatchJobSpool_ReadWhileStoreIsUnavailable_IsKept")
+{
+  jobRetention_ = std::chrono::milliseconds(3000);
+  batch::SpooledJob job;
+  job.id_ = "lot1";
+  job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+  job.state_.itemCount_ = 1;
+  job.state_.hostName_ = "a.example";
+  job.state_.path_ = "/lots/1";
+  job.content_ = JobBody(1);
+  REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
+  // Reading a pipe blocks until it is opened for writing.
+  const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
+  REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+  StartWorkerWithDisk("worker-1");
+  store_.SetBehaviour(StoreBehaviour::Refusing);
+  std::ofstream(pipe) << "";
+  const auto end = base::MonotonicNow() + 2 * jobRetention_;
+  RunUntil([&] { return base::MonotonicNow() > end; });
+  CHECK(FileCount("worker-1") == 1);
+  store_.SetBehaviour(StoreBehaviour::Serving);
+  RunUntil([this] { return RequestCount() == 1; });
+}
+
 // Guards against rejecting a job that is spooled and will run, when it is sent
 // again to a full spool.
 TEST_CASE_METHOD(BatchJobSpoolFixture,
