--- a/Libraries/LibBatch/ItemSchedule.cpp
+++ b/Libraries/LibBatch/ItemSchedule.cpp
@@ -94,6 +94,10 @@
       }
       Postpone(item, kRetryDelay, aNow);
       break;
+    case ItemAttemptOutcome::Silent:
+      // Unlike a connection that breaks off, silence doesn't suggest a crash.
+      Postpone(item, kRetryDelay, aNow);
+      break;
     case ItemAttemptOutcome::Preempted:
       Postpone(item, base::Duration::zero(), aNow);
       break;
--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -21,6 +21,7 @@
   Rejected,    ///< The endpoint rejected the item permanently.
   NotRun,      ///< Not reached, or refused before the item ran.
   Interrupted, ///< The stream was interrupted.
+  Silent,      ///< Ended by this host, as nothing arrived.
   Preempted,   ///< Cancelled in favour of online work.
 };
 
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -59,6 +59,8 @@
       return "not_run";
     case batch::ItemAttemptOutcome::Interrupted:
       return "broken";
+    case batch::ItemAttemptOutcome::Silent:
+      return "silent";
     case batch::ItemAttemptOutcome::Preempted:
       break;
   }
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -114,6 +114,9 @@
   if (aOutcome == httpstream::CallOutcome::NotConnected) {
     return batch::ItemAttemptOutcome::NotRun;
   }
+  if (aOutcome == httpstream::CallOutcome::TimedOut) {
+    return batch::ItemAttemptOutcome::Silent;
+  }
   if (aOutcome != httpstream::CallOutcome::Complete) {
     return batch::ItemAttemptOutcome::Interrupted;
   }
