--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -86,7 +86,7 @@
     return;
   }
   isFinished_ = true;
-  if (connection->owner_.IsDraining()) {
+  if (connection->MustCloseForDraining()) {
     connection->keepAlive_ = false;
   }
   aResponse.content_length(aResponse.body().size());
@@ -111,7 +111,7 @@
   CopyEndToEndFields(aHead, head);
   // HTTP/1.0 has no chunked encoding: closing the connection ends the response.
   connection->isChunked_ = request_.version() >= 11;
-  if (!connection->isChunked_ || connection->owner_.IsDraining()) {
+  if (!connection->isChunked_ || connection->MustCloseForDraining()) {
     connection->keepAlive_ = false;
   }
   if (connection->isChunked_) {
@@ -187,6 +187,13 @@
   Read();
 }
 
+bool
+ServerConnection::MustCloseForDraining() const
+{
+  return owner_.IsDraining() && input_.size() == 0 &&
+         CountUnreadBytes(socket_) == 0;
+}
+
 bool
 ServerConnection::IsIdle() const
 {
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -145,6 +145,10 @@
   [[nodiscard]] ConnectionPhase Phase() const;
   void UpdateDelivered(base::Instant aNow);
   void RespondRequestTimeout();
+  /// @return whether the response that begins now is the connection's last, as
+  ///         the host shuts down. A request that has already arrived behind it
+  ///         is answered first.
+  [[nodiscard]] bool MustCloseForDraining() const;
   void Read();
   void OnReadable(const boost::system::error_code& aError);
   [[nodiscard]] boost::system::error_code ReadAvailable();
--- a/Tests/LibHttpStream/ServerConnectionTest.cpp
+++ b/Tests/LibHttpStream/ServerConnectionTest.cpp
@@ -92,6 +92,23 @@
   RunUntilRequests(2);
 }
 
+// Guards against a pipelined request that is dropped as the response before it
+// is sent with "Connection: close".
+TEST_CASE_METHOD(ServerConnectionFixture,
+                 "ServerConnection_PipelinedRequestWhileDraining_IsAnswered")
+{
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+       "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntilRequests(1);
+  isDraining_ = true;
+  exchanges_[0]->Respond(MakeResponse(200, "first", "text/plain"));
+  RunUntilRequests(2);
+  exchanges_[1]->Respond(MakeResponse(200, "second", "text/plain"));
+  const std::string received = ReceiveAll();
+  CHECK(received.find("second") != std::string::npos);
+  CHECK(received.find("Connection: close") > received.find("first"));
+}
+
 // Guards against a request that was taken from the socket but not yet handled,
 // and so is neither in the socket nor in the connection's buffer.
 TEST_CASE_METHOD(ServerConnectionFixture,
