--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -163,27 +163,65 @@
   aTotals.requests_.Add(aRequests);
 }
 
-void
+std::int64_t
 RateAccounts::Refund(Account& aAccount,
                      HostTotals& aTotals,
+                     std::int64_t aSlice,
                      std::int64_t aRequests)
 {
-  // It isn't known when the requests were admitted. Taken from the oldest
-  // slices, they can't make room for as many beyond the window in which they
-  // were counted.
-  for (std::int64_t slice = aTotals.requests_.OldestSlice();
-       slice <= aTotals.requests_.CurrentSlice() && aRequests > 0;
-       ++slice) {
+  const auto refundAt = [&](std::int64_t aAt) {
     const std::int64_t refunded =
-      std::clamp<std::int64_t>(aTotals.requests_.At(slice), 0, aRequests);
+      std::clamp<std::int64_t>(aTotals.requests_.At(aAt), 0, aRequests);
     aRequests -= refunded;
-    aTotals.requests_.AddAt(slice, -refunded);
-    aAccount.hostRequests_.AddAt(slice, -refunded);
+    aTotals.requests_.AddAt(aAt, -refunded);
+    aAccount.hostRequests_.AddAt(aAt, -refunded);
     aAccount.requests_.AddAt(
-      slice,
-      -std::clamp<std::int64_t>(aAccount.requests_.At(slice), 0, refunded));
+      aAt, -std::clamp<std::int64_t>(aAccount.requests_.At(aAt), 0, refunded));
     aAccount.credit_ += static_cast<double>(refunded);
+  };
+  const std::int64_t oldest = aTotals.requests_.OldestSlice();
+  const std::int64_t current = aTotals.requests_.CurrentSlice();
+  const std::int64_t first = std::clamp(aSlice, oldest, current);
+  // A report that got lost is counted in a later slice than the host's.
+  for (std::int64_t slice = first; slice <= current && aRequests > 0; ++slice) {
+    refundAt(slice);
   }
+  for (std::int64_t slice = first - 1; slice >= oldest && aRequests > 0;
+       --slice) {
+    refundAt(slice);
+  }
+  return aRequests;
+}
+
+std::int64_t
+RateAccounts::ApplyRefunds(Account& aAccount,
+                           HostTotals& aTotals,
+                           const RateRefunds& aRefunds)
+{
+  const std::int64_t current = aTotals.requests_.CurrentSlice();
+  const std::int64_t offset = current - aRefunds.currentSlice_;
+  aTotals.sliceOffset_ =
+    std::min(aTotals.sliceOffset_.value_or(offset), offset);
+  aTotals.refunds_.AdvanceTo(aRefunds.currentSlice_);
+  std::int64_t ignored = 0;
+  std::int64_t age = -1;
+  for (const std::int64_t requests : aRefunds.requestsBySlice_) {
+    ++age;
+    if (age >= static_cast<std::int64_t>(WindowCounter::kSlices)) {
+      ignored += requests;
+      continue;
+    }
+    const std::int64_t slice = aRefunds.currentSlice_ - age;
+    // Totals never decrease: a lower one is from an older message. Of a slice
+    // that left the window, nothing is counted any more.
+    const std::int64_t added = requests - aTotals.refunds_.At(slice);
+    if (added <= 0 || slice < aTotals.refunds_.OldestSlice()) {
+      continue;
+    }
+    aTotals.refunds_.AddAt(slice, added);
+    ignored += Refund(aAccount, aTotals, slice + *aTotals.sliceOffset_, added);
+  }
+  return ignored;
 }
 
 void
@@ -196,12 +234,14 @@
   aTotals.seriesId_ = aReport.seriesId_;
   aTotals.admitted_ = 0;
   aTotals.refunded_ = 0;
+  aTotals.refunds_ = {};
+  aTotals.sliceOffset_.reset();
   if (aReport.history_) {
     ApplyHistory(aAccount, aTotals, *aReport.history_, isNewHost, aNow);
   }
 }
 
-void
+std::int64_t
 RateAccounts::ApplyTotals(Account& aAccount,
                           HostTotals& aTotals,
                           const RateReport& aReport)
@@ -213,12 +253,20 @@
           static_cast<std::int64_t>(aReport.admitted_ - aTotals.admitted_));
     aTotals.admitted_ = aReport.admitted_;
   }
-  if (aReport.refunded_ > aTotals.refunded_) {
-    Refund(aAccount,
-           aTotals,
-           static_cast<std::int64_t>(aReport.refunded_ - aTotals.refunded_));
-    aTotals.refunded_ = aReport.refunded_;
+  const std::uint64_t refunded =
+    std::max(aReport.refunded_, aTotals.refunded_) - aTotals.refunded_;
+  aTotals.refunded_ += refunded;
+  if (aReport.refunds_) {
+    return ApplyRefunds(aAccount, aTotals, *aReport.refunds_);
   }
+  // A host of an earlier version doesn't say when the requests were admitted.
+  // Taken from the oldest slices, they can't make room for as many beyond the
+  // window in which they were counted. What left the window gives nothing back.
+  static_cast<void>(Refund(aAccount,
+                           aTotals,
+                           aTotals.requests_.OldestSlice(),
+                           static_cast<std::int64_t>(refunded)));
+  return 0;
 }
 
 void
@@ -357,7 +405,10 @@
   if (isNewSeries) {
     BeginSeries(account, totals, aReport, aNow);
   }
-  ApplyTotals(account, totals, aReport);
+  const std::int64_t ignored = ApplyTotals(account, totals, aReport);
+  if (ignored > 0 && !std::exchange(totals.hadIgnoredRefunds_, true)) {
+    ignoredRefunds_.push_back({ aHost, aReport.organisation_, ignored });
+  }
   const bool hasHistory = isNewSeries && aReport.history_;
   const bool isTakeover =
     UpdateTakeover(account, allowance, share, hasHistory, aNow);
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -9,8 +9,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace pumiceturn::fleet {
 
@@ -56,6 +59,22 @@
 
   [[nodiscard]] std::size_t Count() const { return accounts_.size(); }
 
+  /// Refunds of a host that were ignored, since they exceed what it reported or
+  /// lie outside the window.
+  struct IgnoredRefunds
+  {
+    std::string host_;
+    std::string organisation_;
+    std::int64_t requests_ = 0;
+  };
+
+  /// @return the refunds that were ignored since the last call; only the first
+  ///         of each host and organisation.
+  [[nodiscard]] std::vector<IgnoredRefunds> TakeIgnoredRefunds()
+  {
+    return std::exchange(ignoredRefunds_, {});
+  }
+
   /// @return the share of the organisation's limit that was granted last; 0 if
   ///         this host doesn't own its account.
   [[nodiscard]] double LastShareOf(const std::string& aOrganisation) const;
@@ -69,6 +88,12 @@
     std::uint64_t refunded_ = 0;
     base::Instant reportedAt_{};
     WindowCounter requests_; ///< Requests at the host, whoever granted them.
+    /// Refunds of the series that were applied, by slices of the host's clock.
+    WindowCounter refunds_;
+    /// Difference between a slice's number here and at the host: the least in
+    /// the series, as that of the fastest message.
+    std::optional<std::int64_t> sliceOffset_ = std::nullopt;
+    bool hadIgnoredRefunds_ = false;
   };
 
   struct Account
@@ -131,19 +156,26 @@
   static void Debit(Account& aAccount,
                     HostTotals& aTotals,
                     std::int64_t aRequests);
-  /// Takes back requests that weren't executed, if they were admitted within
-  /// the last window.
-  static void Refund(Account& aAccount,
-                     HostTotals& aTotals,
-                     std::int64_t aRequests);
+  /// Takes back requests of a host that weren't executed.
+  /// @param aSlice Slice in which they were counted, or a slightly earlier one.
+  /// @return the requests that the host didn't report in the last window.
+  [[nodiscard]] static std::int64_t Refund(Account& aAccount,
+                                           HostTotals& aTotals,
+                                           std::int64_t aSlice,
+                                           std::int64_t aRequests);
+  /// @return the refunds that were ignored.
+  [[nodiscard]] static std::int64_t ApplyRefunds(Account& aAccount,
+                                                 HostTotals& aTotals,
+                                                 const RateRefunds& aRefunds);
   /// Begins a host's series of reports, with its history if it sent one.
   void BeginSeries(Account& aAccount,
                    HostTotals& aTotals,
                    const RateReport& aReport,
                    base::Instant aNow) const;
-  static void ApplyTotals(Account& aAccount,
-                          HostTotals& aTotals,
-                          const RateReport& aReport);
+  /// @return the refunds that were ignored.
+  [[nodiscard]] static std::int64_t ApplyTotals(Account& aAccount,
+                                                HostTotals& aTotals,
+                                                const RateReport& aReport);
 
   /// Replaces what is known of a host's requests before its series of reports.
   /// @param aIsNewHost Whether the host never reported to this account.
@@ -196,6 +228,7 @@
 
   RateTolerance tolerance_;
   std::unordered_map<std::string, Account> accounts_; ///< By organisation.
+  std::vector<IgnoredRefunds> ignoredRefunds_;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -75,14 +75,10 @@
   next.owner_ = aOwner;
   next.seriesId_ =
     std::max<std::uint64_t>(base::HashBytes(aOwner, aUsage.seriesId_), 1);
-  // Requests that were not reported yet are in the totals of the new series.
-  const std::int64_t unreported =
-    static_cast<std::int64_t>(aUsage.admitted_ - aUsage.refunded_) -
-    aUsage.reportedBalance_;
-  next.admitted_ =
-    static_cast<std::uint64_t>(std::max<std::int64_t>(unreported, 0));
-  next.refunded_ =
-    static_cast<std::uint64_t>(std::max<std::int64_t>(-unreported, 0));
+  // Requests that were not reported yet are in the totals of the new series;
+  // the history has all refunds.
+  next.admitted_ = aUsage.admitted_ - aUsage.reportedAdmitted_;
+  next.unreportedSince_ = aUsage.unreportedSince_;
   next.limit_ = aUsage.limit_;
   next.usedAt_ = aUsage.usedAt_;
   next.unconfirmed_ = aUsage.unconfirmed_;
@@ -134,11 +130,14 @@
   if (aUsage.handover_) {
     report.history_ = EncodeHistory(*aUsage.handover_, aNow);
   }
-  const auto balance =
-    static_cast<std::int64_t>(aUsage.admitted_ - aUsage.refunded_);
+  if (aUsage.refunded_ > 0) {
+    report.refunds_ = EncodeRefunds(aUsage.refunds_, aNow);
+  }
   aUsage.history_.requests_.AdvanceTo(SliceAt(aNow));
-  aUsage.history_.requests_.Add(balance - aUsage.reportedBalance_);
-  aUsage.reportedBalance_ = balance;
+  aUsage.history_.requests_.Add(
+    static_cast<std::int64_t>(aUsage.admitted_ - aUsage.reportedAdmitted_));
+  aUsage.reportedAdmitted_ = aUsage.admitted_;
+  aUsage.unreportedSince_ = aNow;
   aUsage.reported_ = aUsage.admitted_ + aUsage.refunded_;
   aUsage.reportedAt_ = aNow;
   return report;
@@ -167,6 +166,25 @@
   return history;
 }
 
+RateRefunds
+RateLimiter::EncodeRefunds(WindowCounter& aRefunds, base::Instant aNow) const
+{
+  RateRefunds refunds;
+  refunds.currentSlice_ = SliceAt(aNow);
+  aRefunds.AdvanceTo(refunds.currentSlice_);
+  for (std::int64_t slice = refunds.currentSlice_;
+       slice >= aRefunds.OldestSlice();
+       --slice) {
+    refunds.requestsBySlice_.push_back(
+      static_cast<std::uint32_t>(aRefunds.At(slice)));
+  }
+  while (!refunds.requestsBySlice_.empty() &&
+         refunds.requestsBySlice_.back() == 0) {
+    refunds.requestsBySlice_.pop_back();
+  }
+  return refunds;
+}
+
 bool
 RateLimiter::MayAdmitAtOnce(const Usage& aUsage, base::Instant aNow) const
 {
@@ -288,11 +306,44 @@
 }
 
 void
-RateLimiter::Refund(const std::string& aOrganisation)
+RateLimiter::Refund(const std::string& aOrganisation,
+                    std::optional<base::Instant> aAdmittedAt)
 {
-  if (const auto usage = usages_.find(aOrganisation); usage != usages_.end()) {
-    ++usage->second.refunded_;
+  const auto found = usages_.find(aOrganisation);
+  if (found == usages_.end()) {
+    return;
+  }
+  Usage& usage = found->second;
+  if (aAdmittedAt && *aAdmittedAt >= usage.unreportedSince_ &&
+      usage.admitted_ > usage.reportedAdmitted_) {
+    // The owner hasn't counted it.
+    --usage.admitted_;
+    return;
+  }
+  WindowCounter& requests = usage.history_.requests_;
+  std::int64_t slice = requests.OldestSlice();
+  if (aAdmittedAt) {
+    if (SliceAt(*aAdmittedAt) < slice) {
+      return;
+    }
+    slice = SliceAt(*aAdmittedAt);
+  }
+  const std::int64_t first = slice;
+  // What was admitted without a query is counted from its report on.
+  while (slice <= requests.CurrentSlice() && requests.At(slice) <= 0) {
+    ++slice;
+  }
+  if (slice > requests.CurrentSlice()) {
+    // The caller's time may be just behind the end of the slice.
+    slice = first - 1;
+    if (requests.At(slice) <= 0) {
+      return;
+    }
   }
+  requests.AddAt(slice, -1);
+  usage.refunds_.AdvanceTo(requests.CurrentSlice());
+  usage.refunds_.AddAt(slice, 1);
+  ++usage.refunded_;
 }
 
 void
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -67,7 +67,10 @@
   void EndWait(const std::string& aOrganisation);
 
   /// Records that an admitted request was certainly not executed.
-  void Refund(const std::string& aOrganisation);
+  /// @param aAdmittedAt When it was admitted; std::nullopt: not known, so that
+  ///        its credit may come back late.
+  void Refund(const std::string& aOrganisation,
+              std::optional<base::Instant> aAdmittedAt = std::nullopt);
 
   /// Applies an owner's response.
   /// @param aWaited Since the first check of the request that it decides on;
@@ -88,6 +91,12 @@
     const Organisation& aOrganisation,
     base::Instant aNow);
 
+  /// @return the refunds of hosts that were ignored; see RateAccounts.
+  [[nodiscard]] std::vector<RateAccounts::IgnoredRefunds> TakeIgnoredRefunds()
+  {
+    return accounts_.TakeIgnoredRefunds();
+  }
+
   /// Makes the reports that are due, and applies those for accounts that this
   /// host owns.
   /// @return those for other owners, with the owner to send each to.
@@ -119,7 +128,7 @@
 
 private:
   /// Requests of the last window that were reported or granted, to whichever
-  /// owner.
+  /// owner, and not refunded.
   struct History
   {
     WindowCounter requests_;
@@ -135,10 +144,14 @@
     std::uint64_t seriesId_ = 0;
     std::uint64_t admitted_ = 0;
     std::uint64_t refunded_ = 0;
+    /// Refunds of the series, by slice of history_.
+    WindowCounter refunds_;
     /// Value of admitted_ + refunded_ in the last report.
     std::uint64_t reported_ = 0;
-    /// Value of admitted_ - refunded_ in the last report.
-    std::int64_t reportedBalance_ = 0;
+    /// Value of admitted_ in the last report.
+    std::uint64_t reportedAdmitted_ = 0;
+    /// When the last report was made, to whichever owner.
+    base::Instant unreportedSince_;
     History history_;
     /// History at the start of the series, until the owner knows it.
     std::optional<History> handover_ = std::nullopt;
@@ -192,6 +205,8 @@
                                       base::Instant aNow) const;
   [[nodiscard]] RateHistory EncodeHistory(History& aHistory,
                                           base::Instant aNow) const;
+  [[nodiscard]] RateRefunds EncodeRefunds(WindowCounter& aRefunds,
+                                          base::Instant aNow) const;
   void RecordResponse(Usage& aUsage,
                       const RateResponse& aResponse,
                       base::Instant aNow) const;
--- a/Libraries/LibFleet/RateMessages.h
+++ b/Libraries/LibFleet/RateMessages.h
@@ -27,6 +27,17 @@
   bool operator==(const RateHistory&) const = default;
 };
 
+/// Requests of a series of reports that were refunded, as totals by the slice
+/// of the reporter's clock in which they were reported or granted.
+struct RateRefunds
+{
+  std::int64_t currentSlice_ = 0; ///< When the report was made.
+  /// The current slice first; at most those of a WindowCounter.
+  std::vector<std::uint32_t> requestsBySlice_;
+
+  bool operator==(const RateRefunds&) const = default;
+};
+
 /// Report of a host to the owner of an organisation's account. Holds totals
 /// since the start of the host's series of reports, so that a lost, duplicated
 /// or late message does no harm.
@@ -51,6 +62,9 @@
   bool isResponseNeeded_ = false;
   /// Given until the owner responds for the first time in this series.
   std::optional<RateHistory> history_ = std::nullopt;
+  /// The refunded requests of the last window. std::nullopt: none were refunded
+  /// in the series, or the reporter doesn't know when they were admitted.
+  std::optional<RateRefunds> refunds_ = std::nullopt;
 
   bool operator==(const RateReport&) const = default;
 };
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -422,6 +422,12 @@
        shared_.rateLimiter_.CollectDueReports(aNow)) {
     peers_.SendRateReport(owner, report);
   }
+  for (const auto& refunds : shared_.rateLimiter_.TakeIgnoredRefunds()) {
+    base::Log(kRefundsIgnored,
+              { { "host", refunds.host_ },
+                { "organisation", refunds.organisation_ },
+                { "requests", refunds.requests_ } });
+  }
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -271,5 +271,12 @@
   base::LogLevel::Error,
   "A configured address can't be opened."
 };
+inline constexpr base::Event kRefundsIgnored{
+  7150,
+  "refunds_ignored",
+  base::LogLevel::Warning,
+  "A host refunds more requests of an organisation than it reported. Logged "
+  "once for a host and organisation."
+};
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/RateCodec.cpp
+++ b/Libraries/LibGateway/RateCodec.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
@@ -20,6 +21,10 @@
 /// host admits in that time.
 constexpr std::uint32_t kMaxRequestsPerSlice = 100000;
 
+/// Bounds the number of a slice, so that computing with it can't overflow; more
+/// than any monotonic clock reaches.
+constexpr std::int64_t kMaxSlice = std::int64_t{ 1 } << 40;
+
 base::Duration
 DecodeDuration(const json& aMilliseconds)
 {
@@ -31,6 +36,23 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
+std::vector<std::uint32_t>
+DecodeSlices(const json& aSlices)
+{
+  if (!aSlices.is_array() || aSlices.size() > fleet::WindowCounter::kSlices) {
+    throw json::other_error::create(0, "too many slices", &aSlices);
+  }
+  std::vector<std::uint32_t> requestsBySlice;
+  for (const json& slice : aSlices) {
+    const auto requests = slice.get<std::int64_t>();
+    if (requests < 0 || requests > kMaxRequestsPerSlice) {
+      throw json::other_error::create(0, "count is out of range", &aSlices);
+    }
+    requestsBySlice.push_back(static_cast<std::uint32_t>(requests));
+  }
+  return requestsBySlice;
+}
+
 json
 EncodeHistory(const fleet::RateHistory& aHistory)
 {
@@ -48,20 +70,12 @@
 DecodeHistory(const json& aRow)
 {
   fleet::RateHistory history;
-  const json& slices = aRow.at("slices");
-  if (!slices.is_array() || slices.size() > fleet::WindowCounter::kSlices) {
-    throw json::other_error::create(0, "history is too long", &aRow);
-  }
-  for (const json& slice : slices) {
-    const auto requests = slice.get<std::int64_t>();
-    if (requests < 0 || requests > kMaxRequestsPerSlice) {
-      throw json::other_error::create(0, "count is out of range", &aRow);
-    }
-    history.requestsBySlice_.push_back(static_cast<std::uint32_t>(requests));
-  }
+  history.requestsBySlice_ = DecodeSlices(aRow.at("slices"));
   if (const auto usedUp = aRow.find("used_up"); usedUp != aRow.end()) {
     const auto index = usedUp->get<std::int64_t>();
-    if (index < 0 || index >= static_cast<std::int64_t>(slices.size())) {
+    const auto slices =
+      static_cast<std::int64_t>(history.requestsBySlice_.size());
+    if (index < 0 || index >= slices) {
       throw json::other_error::create(0, "slice is out of range", &aRow);
     }
     history.usedUpSlice_ = static_cast<std::uint32_t>(index);
@@ -72,6 +86,18 @@
   return history;
 }
 
+fleet::RateRefunds
+DecodeRefunds(const json& aRow)
+{
+  fleet::RateRefunds refunds;
+  refunds.currentSlice_ = aRow.at("current").get<std::int64_t>();
+  if (refunds.currentSlice_ < 0 || refunds.currentSlice_ > kMaxSlice) {
+    throw json::other_error::create(0, "slice is out of range", &aRow);
+  }
+  refunds.requestsBySlice_ = DecodeSlices(aRow.at("slices"));
+  return refunds;
+}
+
 } // namespace
 
 json
@@ -87,6 +113,10 @@
   if (aReport.history_) {
     row["history"] = EncodeHistory(*aReport.history_);
   }
+  if (aReport.refunds_) {
+    row["refunds"] = { { "current", aReport.refunds_->currentSlice_ },
+                       { "slices", aReport.refunds_->requestsBySlice_ } };
+  }
   return row;
 }
 
@@ -99,13 +129,16 @@
     aRow.at("admitted").get<std::uint64_t>(),
     aRow.at("returned").get<std::uint64_t>(),
     aRow.at("question").get<std::uint64_t>(),
-    // Gateways of earlier versions don't send the last three.
+    // Gateways of earlier versions don't send these, nor history and refunds.
     aRow.value("owners", std::uint64_t{ 0 }),
     aRow.value("confirm", false)
   };
   if (const auto history = aRow.find("history"); history != aRow.end()) {
     report.history_ = DecodeHistory(*history);
   }
+  if (const auto refunds = aRow.find("refunds"); refunds != aRow.end()) {
+    report.refunds_ = DecodeRefunds(*refunds);
+  }
   return report;
 }
 
--- a/Tests/LibFleet/RateFleetFixture.h
+++ b/Tests/LibFleet/RateFleetFixture.h
@@ -31,6 +31,14 @@
   static constexpr base::Duration kSilenceTimeout = 300ms;
   static constexpr RateTolerance kTolerance{ 5s, 0.1, 20.0 };
 
+  struct Request
+  {
+    base::Instant arrivedAt_; ///< When it was first checked.
+    /// Time after its admission at which it is rejected without being executed;
+    /// std::nullopt: it is executed.
+    std::optional<base::Duration> rejectedAfter_ = std::nullopt;
+  };
+
   struct Host
   {
     std::string name_;
@@ -49,16 +57,23 @@
     struct PendingQuery
     {
       base::Instant sentAt_;
-      base::Instant arrivedAt_; ///< When the request was first checked.
+      Request request_;
     };
     std::map<std::uint64_t, PendingQuery> pendingQueries_; ///< By query id.
     /// Requests that wait to be checked again.
     struct WaitingRequest
     {
       base::Instant until_;
-      base::Instant arrivedAt_;
+      Request request_;
     };
     std::vector<WaitingRequest> waiting_ = {};
+    /// A request that was admitted and will be rejected.
+    struct Rejection
+    {
+      base::Instant at_;
+      base::Instant admittedAt_;
+    };
+    std::vector<Rejection> rejections_ = {};
   };
 
   /// @param aHosts   Hosts that admit requests.
@@ -101,43 +116,88 @@
       Deliver();
       TimeOutQueries();
       EndWaits();
+      Reject();
       if (++steps_ % (kTick / kStep) == 0) {
         Tick();
       }
-      std::poisson_distribution<int> arrivals(
-        aPerSecond * std::chrono::duration<double>(kStep).count());
-      for (int count = arrivals(random_); count > 0; --count) {
-        Arrive();
+      const double seconds = std::chrono::duration<double>(kStep).count();
+      if (isFlowEven_) {
+        flow_ += aPerSecond * seconds;
+        for (; flow_ >= 1.0; flow_ -= 1.0) {
+          Arrive();
+        }
+      } else {
+        std::poisson_distribution<int> arrivals(aPerSecond * seconds);
+        for (int count = arrivals(random_); count > 0; --count) {
+          Arrive();
+        }
+      }
+      rejectedFlow_ += rejectedPerSecond_ * seconds;
+      for (; rejectedFlow_ >= 1.0; rejectedFlow_ -= 1.0) {
+        ArriveToBeRejected();
       }
     }
   }
 
-  void Arrive()
+  Host& DrawHost()
   {
     // Squaring the draw gives some hosts many times the requests of others.
     const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-    Host& host = hosts_[static_cast<std::size_t>(
+    return hosts_[static_cast<std::size_t>(
       draw * draw * static_cast<double>(admittingHosts_))];
+  }
+
+  void Arrive()
+  {
+    Host& host = DrawHost();
     if (!host.isUp_) {
       return;
     }
     ++requests_;
-    Apply(host, host.limiter_->Check(organisation_, now_, random_), now_);
+    Apply(host, host.limiter_->Check(organisation_, now_, random_), { now_ });
+  }
+
+  void ArriveToBeRejected()
+  {
+    Host& host = rejectingHost_ ? hosts_[*rejectingHost_] : DrawHost();
+    if (host.isUp_) {
+      Apply(host,
+            host.limiter_->Check(organisation_, now_, random_),
+            { now_, rejectedAfter_ });
+    }
+  }
+
+  /// Refunds the requests whose rejection is due.
+  void Reject()
+  {
+    for (Host& host : hosts_) {
+      for (const auto& rejection : std::exchange(host.rejections_, {})) {
+        if (rejection.at_ > now_) {
+          host.rejections_.push_back(rejection);
+        } else if (host.isUp_) {
+          ++rejected_;
+          host.limiter_->Refund(organisation_.name_, rejection.admittedAt_);
+        }
+      }
+    }
   }
 
-  /// @param aArrivedAt When the request was first checked.
   void Apply(Host& aHost,
              const RateDecision& aDecision,
-             base::Instant aArrivedAt)
+             const Request& aRequest)
   {
     if (std::holds_alternative<RateAdmitted>(aDecision)) {
-      admitted_.push_back(now_);
+      if (aRequest.rejectedAfter_) {
+        aHost.rejections_.push_back({ now_ + *aRequest.rejectedAfter_, now_ });
+      } else {
+        admitted_.push_back(now_);
+      }
     } else if (const auto* query = std::get_if<RateQuery>(&aDecision)) {
-      aHost.pendingQueries_[query->report_.query_] = { now_, aArrivedAt };
+      aHost.pendingQueries_[query->report_.query_] = { now_, aRequest };
       Send(aHost, query->owner_, query->report_);
     } else if (const auto* wait = std::get_if<RateWait>(&aDecision)) {
-      aHost.waiting_.push_back({ now_ + wait->time_, aArrivedAt });
-    } else {
+      aHost.waiting_.push_back({ now_ + wait->time_, aRequest });
+    } else if (!aRequest.rejectedAfter_) {
       ++refused_;
     }
   }
@@ -151,13 +211,13 @@
           ++pending;
           continue;
         }
-        const base::Instant arrivedAt = pending->second.arrivedAt_;
+        const Request request = pending->second.request_;
         pending = host.pendingQueries_.erase(pending);
         if (host.isUp_) {
-          Apply(
-            host,
-            host.limiter_->CheckLocally(organisation_, now_, now_ - arrivedAt),
-            arrivedAt);
+          Apply(host,
+                host.limiter_->CheckLocally(
+                  organisation_, now_, now_ - request.arrivedAt_),
+                request);
         }
       }
     }
@@ -167,15 +227,16 @@
   void EndWaits()
   {
     for (Host& host : hosts_) {
-      for (const auto& request : std::exchange(host.waiting_, {})) {
-        if (request.until_ > now_) {
-          host.waiting_.push_back(request);
+      for (const auto& waiting : std::exchange(host.waiting_, {})) {
+        if (waiting.until_ > now_) {
+          host.waiting_.push_back(waiting);
         } else if (host.isUp_) {
           host.limiter_->EndWait(organisation_.name_);
-          Apply(host,
-                host.limiter_->Check(
-                  organisation_, now_, random_, now_ - request.arrivedAt_),
-                request.arrivedAt_);
+          Apply(
+            host,
+            host.limiter_->Check(
+              organisation_, now_, random_, now_ - waiting.request_.arrivedAt_),
+            waiting.request_);
         }
       }
     }
@@ -254,6 +315,7 @@
       std::make_unique<RateLimiter>(host.name_, host.admits_, kTolerance);
     host.pendingQueries_.clear();
     host.waiting_.clear();
+    host.rejections_.clear();
     std::fill(host.heardAt_.begin(), host.heardAt_.end(), base::Instant{});
     UpdateMembers(host);
   }
@@ -290,9 +352,14 @@
     if (Draw(lossShare_)) {
       return;
     }
-    messages_.push_back({ now_ + 1ms, aFrom.name_, aTo, aMessage });
+    Message message = aMessage;
+    if (auto* report = std::get_if<RateReport>(&message);
+        report != nullptr && reportsTotalsOnly_) {
+      report->refunds_.reset();
+    }
+    messages_.push_back({ now_ + 1ms, aFrom.name_, aTo, message });
     if (Draw(duplicatedShare_)) {
-      messages_.push_back({ now_ + 5ms, aFrom.name_, aTo, aMessage });
+      messages_.push_back({ now_ + 5ms, aFrom.name_, aTo, message });
     }
   }
 
@@ -347,11 +414,11 @@
       static_cast<void>(aTo.limiter_->HandleResponse(response, now_));
       return;
     }
-    const base::Instant arrivedAt = pending.mapped().arrivedAt_;
+    const Request& request = pending.mapped().request_;
     const auto decision =
-      aTo.limiter_->HandleResponse(response, now_, now_ - arrivedAt);
+      aTo.limiter_->HandleResponse(response, now_, now_ - request.arrivedAt_);
     if (decision) {
-      Apply(aTo, *decision, arrivedAt);
+      Apply(aTo, *decision, request);
     }
   }
 
@@ -388,6 +455,17 @@
   std::mt19937_64 random_{ 7 };
   double lossShare_ = 0.0;
   double duplicatedShare_ = 0.0;
+  /// Requests arrive at equal intervals, not at random.
+  bool isFlowEven_ = false;
+  double flow_ = 0.0; ///< Part of the next request.
+  /// Requests that are admitted and then rejected, beside the others.
+  double rejectedPerSecond_ = 0.0;
+  double rejectedFlow_ = 0.0; ///< Part of the next one.
+  base::Duration rejectedAfter_ = 1ms;
+  /// Hosts report refunds as those of an earlier version do.
+  bool reportsTotalsOnly_ = false;
+  /// Only host at which requests are rejected; std::nullopt: at all.
+  std::optional<std::size_t> rejectingHost_ = std::nullopt;
   Organisation organisation_;
   std::vector<Host> hosts_;
   std::size_t admittingHosts_ = 0;
@@ -395,7 +473,8 @@
   std::deque<Sent> messages_;
   std::vector<base::Instant> admitted_;
   std::size_t requests_ = 0;
-  std::size_t refused_ = 0;
+  std::size_t refused_ = 0;  ///< Those that would have been executed.
+  std::size_t rejected_ = 0; ///< Those that were admitted before.
   std::size_t sent_ = 0;
   std::uint64_t steps_ = 0;
 };
--- a/Tests/Platform/RateCodecTest.cpp
+++ b/Tests/Platform/RateCodecTest.cpp
@@ -102,6 +102,47 @@
   }
 }
 
+// Guards against refunds that are taken from other slices than the reporter's.
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_ReportWithRefunds_IsEqual")
+{
+  fleet::RateReport report = Report();
+  report.refunds_ = fleet::RateRefunds{ 345600, { 0, 3, 0, 17 } };
+  CHECK(DecodeRateReport(
+          json::from_cbor(json::to_cbor(EncodeRateReport(report)))) == report);
+  json row = EncodeRateReport(report);
+  row.erase("refunds");
+  CHECK(DecodeRateReport(row) == Report());
+}
+
+// Guards against forged refunds that use much memory or overflow a count.
+TEST_CASE_METHOD(RateCodecFixture, "RateCodec_RefundsOutOfRange_AreRejected")
+{
+  fleet::RateReport report = Report();
+  report.refunds_ = fleet::RateRefunds{ 345600, { 0, 3 } };
+  const json valid = EncodeRateReport(report);
+  const json longSlices =
+    std::vector<int>(fleet::WindowCounter::kSlices + 1, 1);
+  for (const json& slices : { json("1"),
+                              json(7),
+                              json{ -1, 0 },
+                              json{ 100001, 0 },
+                              json{ 1e300, 0 },
+                              longSlices }) {
+    json row = valid;
+    row["refunds"]["slices"] = slices;
+    CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+  }
+  for (const json& slice :
+       { json(-1), json(INT64_MAX), json(INT64_MIN), json("1") }) {
+    json row = valid;
+    row["refunds"]["current"] = slice;
+    CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+  }
+  json row = valid;
+  row["refunds"] = 5;
+  CHECK_THROWS_AS(DecodeRateReport(row), json::exception);
+}
+
 // Guards against a forged response blocking an organisation for years.
 TEST_CASE_METHOD(RateCodecFixture, "RateCodec_TimeOutOfRange_IsRejected")
 {
