--- a/Libraries/LibFleet/RateAccounts.cpp
+++ b/Libraries/LibFleet/RateAccounts.cpp
@@ -387,6 +387,17 @@
   return account == accounts_.end() ? 0.0 : account->second.share_;
 }
 
+std::int64_t
+RateAccounts::CountedRequests(const std::string& aOrganisation,
+                              base::Instant aNow) const
+{
+  const auto account = accounts_.find(aOrganisation);
+  return account == accounts_.end()
+           ? 0
+           : account->second.requests_.SumAt(
+               WindowCounter::SliceAt(aNow, tolerance_.window_));
+}
+
 RateResponse
 RateAccounts::HandleReport(const std::string& aHost,
                            const RateReport& aReport,
--- a/Libraries/LibFleet/RateAccounts.h
+++ b/Libraries/LibFleet/RateAccounts.h
@@ -59,6 +59,11 @@
 
   [[nodiscard]] std::size_t Count() const { return accounts_.size(); }
 
+  /// @return the organisation's requests that are counted in the window; 0 if
+  ///         this host doesn't own its account.
+  [[nodiscard]] std::int64_t CountedRequests(const std::string& aOrganisation,
+                                             base::Instant aNow) const;
+
   /// Refunds of a host that were ignored, since they exceed what it reported or
   /// lie outside the window.
   struct IgnoredRefunds
--- a/Libraries/LibFleet/RateLimiter.cpp
+++ b/Libraries/LibFleet/RateLimiter.cpp
@@ -86,6 +86,7 @@
   next.wasAnswered_ = aUsage.wasAnswered_;
   next.queryUntil_ = aUsage.queryUntil_;
   next.maxUnreported_ = aUsage.maxUnreported_;
+  next.executed_ = aUsage.executed_;
   next.history_ = aUsage.history_;
   next.handover_ = aUsage.history_;
   // A report is due immediately if there is something to hand over.
@@ -243,6 +244,7 @@
   if (MayAdmitAtOnce(usage, aNow)) {
     ++usage.admitted_;
     ++usage.unconfirmed_;
+    CountExecuted(usage, aNow);
     return RateAdmitted{ RateBasis::AtOnce };
   }
   RateReport report = MakeReport(aOrganisation.name_, usage, aNow);
@@ -291,6 +293,7 @@
   if (usage.localCredit_ >= 1.0) {
     usage.localCredit_ -= 1.0;
     ++usage.admitted_;
+    CountExecuted(usage, aNow);
     return RateAdmitted{ RateBasis::OwnPart };
   }
   if (ShouldWait(usage, kMinWait, aWaited)) {
@@ -314,6 +317,8 @@
     return;
   }
   Usage& usage = found->second;
+  usage.executed_.AddAt(
+    aAdmittedAt ? SliceAt(*aAdmittedAt) : usage.executed_.CurrentSlice(), -1);
   if (aAdmittedAt && *aAdmittedAt >= usage.unreportedSince_ &&
       usage.admitted_ > usage.reportedAdmitted_) {
     // The owner hasn't counted it.
@@ -396,6 +401,9 @@
   const RateBasis basis =
     isOwner ? RateBasis::OwnAccount : RateBasis::OwnerResponse;
   if (aResponse.isGranted_) {
+    if (found != usages_.end()) {
+      CountExecuted(found->second, aNow);
+    }
     return RateAdmitted{ basis };
   }
   const base::Duration timeToCredit =
@@ -408,6 +416,15 @@
   return RateRefused{ aResponse.retryAfter_, basis };
 }
 
+std::int64_t
+RateLimiter::ExecutedRequests(const std::string& aOrganisation,
+                              base::Instant aNow) const
+{
+  const auto usage = usages_.find(aOrganisation);
+  return usage == usages_.end() ? 0
+                                : usage->second.executed_.SumAt(SliceAt(aNow));
+}
+
 RateKnowledge
 RateLimiter::KnowledgeOf(const std::string& aOrganisation,
                          base::Instant aNow) const
--- a/Libraries/LibFleet/RateLimiter.h
+++ b/Libraries/LibFleet/RateLimiter.h
@@ -113,6 +113,20 @@
     return accounts_.LastShareOf(aOrganisation);
   }
 
+  /// @return the organisation's requests that this host counts in the window as
+  ///         the owner of its account; 0 if it doesn't own it.
+  [[nodiscard]] std::int64_t CountedRequests(const std::string& aOrganisation,
+                                             base::Instant aNow) const
+  {
+    return accounts_.CountedRequests(aOrganisation, aNow);
+  }
+
+  /// @return the organisation's requests that this host admitted in the window
+  ///         and that weren't refunded. Over all hosts, the owner counts as
+  ///         many unless reports are lost or wrong.
+  [[nodiscard]] std::int64_t ExecutedRequests(const std::string& aOrganisation,
+                                              base::Instant aNow) const;
+
   /// @return what this host knows for a decision on an organisation's request.
   [[nodiscard]] RateKnowledge KnowledgeOf(const std::string& aOrganisation,
                                           base::Instant aNow) const;
@@ -153,6 +167,9 @@
     /// When the last report was made, to whichever owner.
     base::Instant unreportedSince_;
     History history_;
+    /// Requests that were admitted and not refunded, by when they were
+    /// admitted.
+    WindowCounter executed_;
     /// History at the start of the series, until the owner knows it.
     std::optional<History> handover_ = std::nullopt;
     /// Number of unreported requests from which a report is due. 0: the burst
@@ -176,6 +193,12 @@
     base::Instant localCreditAt_;
   };
 
+  void CountExecuted(Usage& aUsage, base::Instant aNow) const
+  {
+    aUsage.executed_.AdvanceTo(SliceAt(aNow));
+    aUsage.executed_.Add(1);
+  }
+
   /// @return whether a request may be admitted without a query.
   [[nodiscard]] bool MayAdmitAtOnce(const Usage& aUsage,
                                     base::Instant aNow) const;
--- a/Libraries/LibFleet/WindowCounter.h
+++ b/Libraries/LibFleet/WindowCounter.h
@@ -45,6 +45,15 @@
   /// @return the requests in all slices that are kept.
   [[nodiscard]] std::int64_t Sum() const { return sum_; }
 
+  /// @return the requests in all slices that are still kept when a slice is the
+  ///         current one.
+  [[nodiscard]] std::int64_t SumAt(std::int64_t aSlice) const
+  {
+    WindowCounter later = *this;
+    later.AdvanceTo(aSlice);
+    return later.Sum();
+  }
+
   [[nodiscard]] std::int64_t CurrentSlice() const { return slice_; }
 
   /// @return the oldest slice that is kept.
--- a/Libraries/LibGateway/AccessControl.cpp
+++ b/Libraries/LibGateway/AccessControl.cpp
@@ -328,6 +328,7 @@
     // decides alone after a timeout.
     return;
   }
+  AddRateGauges(organisation->name_);
   const auto response = shared_.rateLimiter_.HandleReport(
     aHost, aReport, *organisation, base::MonotonicNow());
   if (response) {
@@ -335,11 +336,39 @@
   }
 }
 
+void
+AccessControl::AddRateGauges(const std::string& aOrganisation)
+{
+  if (!organisationsWithGauges_.insert(aOrganisation).second) {
+    return;
+  }
+  const std::string label = fmt::format("organisation=\"{}\"", aOrganisation);
+  shared_.metrics_.AddGauge(
+    "pumiceturn_rate_counted_requests",
+    "Requests of the last window that this host counts against a limit as the "
+    "owner of the account.",
+    label,
+    [this, aOrganisation] {
+      return static_cast<double>(shared_.rateLimiter_.CountedRequests(
+        aOrganisation, base::MonotonicNow()));
+    });
+  shared_.metrics_.AddGauge(
+    "pumiceturn_rate_executed_requests",
+    "Requests of the last window that this host admitted within a limit and "
+    "didn't refund.",
+    label,
+    [this, aOrganisation] {
+      return static_cast<double>(shared_.rateLimiter_.ExecutedRequests(
+        aOrganisation, base::MonotonicNow()));
+    });
+}
+
 void
 AccessControl::CountDecision(const fleet::Organisation& aOrganisation,
                              std::string_view aDecision,
                              fleet::RateBasis aBasis)
 {
+  AddRateGauges(aOrganisation.name_);
   shared_.metrics_
     .GetCounter("pumiceturn_rate_decisions_total",
                 "Decisions on requests of organisations with a limit.",
--- a/Libraries/LibGateway/AccessControl.h
+++ b/Libraries/LibGateway/AccessControl.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -128,6 +129,8 @@
   void RecordAdmission(const httpstream::Exchange& aExchange,
                        const fleet::Organisation& aOrganisation,
                        fleet::RateBasis aBasis);
+  /// Adds the gauges of an organisation's limit, once.
+  void AddRateGauges(const std::string& aOrganisation);
   void CountDecision(const fleet::Organisation& aOrganisation,
                      std::string_view aDecision,
                      fleet::RateBasis aBasis);
@@ -141,6 +144,7 @@
   PeerMessenger& peers_;
   Bounds bounds_;
   std::unordered_map<std::uint64_t, std::shared_ptr<PendingQuery>> queries_;
+  std::unordered_set<std::string> organisationsWithGauges_;
   base::Lifetime lifetime_;
 };
 
--- a/Tests/LibFleet/RateLimiterRejectionTest.cpp
+++ b/Tests/LibFleet/RateLimiterRejectionTest.cpp
@@ -1,5 +1,7 @@
 #include "Tests/LibFleet/RateFleetFixture.h"
 
+#include <cstdlib>
+
 namespace pumiceturn::fleet {
 
 /// A fleet in which an organisation's requests are admitted and then rejected,
@@ -68,6 +70,31 @@
   CHECK(static_cast<double>(MaxInWindow()) <= Bound());
 }
 
+// Guards against an account that can't be told from its requests: what the
+// owner counts is what ran.
+TEST_CASE_METHOD(RateRejectionFixture,
+                 "RateLimiter_RejectedThenRush_CountedAreExecuted")
+{
+  rejectedAfter_ = GENERATE(1ms, 1s, 3s);
+  AdvanceThroughRush({ 136, 136 });
+  const base::Instant windowBegin =
+    base::Instant{ now_.time_since_epoch() / 250ms * 250ms } - 5s;
+  const auto ran =
+    std::count_if(admitted_.begin(), admitted_.end(), [&](base::Instant aAt) {
+      return aAt >= windowBegin;
+    });
+  std::int64_t counted = 0;
+  std::int64_t executed = 0;
+  for (const Host& host : hosts_) {
+    counted += host.limiter_->CountedRequests("hot", now_);
+    executed += host.limiter_->ExecutedRequests("hot", now_);
+  }
+  CAPTURE(rejectedAfter_ / 1ms, rejected_);
+  CHECK(executed == ran);
+  // An eighth of the burst may be unreported or counted in a later slice.
+  CHECK(std::abs(counted - executed) <= 136 / 8);
+}
+
 // Guards against credit that comes back with refunds after the bucket has
 // filled again, on top of it.
 TEST_CASE_METHOD(RateRejectionFixture,
