--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -521,7 +521,7 @@
     shared_.fairShare_.CountEnd(*caller_);
   }
   if (aOutcome == ProxyOutcome::NotRun && caller_) {
-    shared_.rateLimiter_.Refund(*caller_);
+    shared_.rateLimiter_.Refund(*caller_, admittedAt_);
   }
   const base::Instant now = base::MonotonicNow();
   const base::Duration first =
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -115,6 +115,8 @@
   std::shared_ptr<httpstream::Exchange> exchange_;
   fleet::Route route_;
   OrganisationName caller_;
+  /// When the request was found to be within its organisation's limit.
+  base::Instant admittedAt_ = base::MonotonicNow();
   StreamOrigins& origins_;
   const PreemptBatch& preemptBatch_;
   CallerFields call_;
