--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -85,6 +85,14 @@
   Outdated,
 };
 
+/// What must be known of an endpoint to choose.
+enum class Evidence : std::uint8_t
+{
+  None,
+  NotSilent, ///< No attempt of this host met silence.
+  Sending,   ///< Besides, if it has attempts of this host, it sent lately.
+};
+
 /// Requirements on an endpoint to choose.
 struct ChoiceRequest
 {
@@ -96,8 +104,7 @@
   /// Software version that the endpoint must have, for the rest of a stream.
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
-  /// Whether endpoints are excluded that are silent.
-  bool excludesSilent_ = false;
+  Evidence evidence_ = Evidence::None;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -408,6 +415,9 @@
 
   [[nodiscard]] bool IsSilent(const Endpoint& aEndpoint,
                               base::Instant aNow) const;
+  [[nodiscard]] bool HasEvidence(const Endpoint& aEndpoint,
+                                 Evidence aEvidence,
+                                 base::Instant aNow) const;
   /// @return for how long no byte has arrived that is due; zero if none is.
   [[nodiscard]] static base::Duration SilenceOf(const Endpoint& aEndpoint,
                                                 base::Instant aNow);
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -145,6 +145,21 @@
   return aCounts.batch_ / std::pow(1.0 + waiting, kQueueExponent);
 }
 
+bool
+EndpointTable::HasEvidence(const Endpoint& aEndpoint,
+                           Evidence aEvidence,
+                           base::Instant aNow) const
+{
+  if (aEvidence == Evidence::None) {
+    return true;
+  }
+  const bool hasSentLately =
+    aEndpoint.own_.Total() == 0 ||
+    aNow - aEndpoint.lastActivityAt_ <= limits_.silenceThreshold_;
+  return !IsSilent(aEndpoint, aNow) &&
+         (aEvidence == Evidence::NotSilent || hasSentLately);
+}
+
 bool
 EndpointTable::IsEligible(const Endpoint& aEndpoint,
                           const ChoiceRequest& aRequest,
@@ -162,7 +177,7 @@
       aEndpoint.isUnreadable_ || isExcluded) {
     return false;
   }
-  if (aRequest.excludesSilent_ && IsSilent(aEndpoint, aNow)) {
+  if (!HasEvidence(aEndpoint, aRequest.evidence_, aNow)) {
     return false;
   }
   if (aRequest.work_ == WorkClass::Online) {
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -168,7 +168,7 @@
   if (progress_.lastEvent_ > 0) {
     request.softwareVersion_ = progress_.softwareVersion_;
   }
-  request.excludesSilent_ = true;
+  request.evidence_ = fleet::Evidence::Sending;
   const bool hasOther =
     shared_.endpoints_.Choose(request, base::MonotonicNow(), shared_.random_)
       .has_value();
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -209,7 +209,7 @@
   }
   auto choice = std::exchange(replacement_, std::nullopt);
   if (!choice && MayTryAgain()) {
-    choice = ChooseEndpoint(false);
+    choice = ChooseEndpoint(fleet::Evidence::None);
     LogIfNotContinued(choice.has_value());
   }
   if (!choice) {
@@ -226,7 +226,7 @@
 }
 
 std::optional<fleet::EndpointChoice>
-OnlineProxy::ChooseEndpoint(bool aExcludesSilent)
+OnlineProxy::ChooseEndpoint(fleet::Evidence aEvidence)
 {
   const bool isRest = stream_.HasBegun();
   if (isRest && !stream_.Origin()) {
@@ -242,7 +242,7 @@
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
-  request.excludesSilent_ = aExcludesSilent;
+  request.evidence_ = aEvidence;
   return shared_.endpoints_.Choose(
     request, base::MonotonicNow(), shared_.random_);
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -83,10 +83,9 @@
   [[nodiscard]] std::string_view LoggedResumedId() const;
   /// Records where the stream began, for callers that resume it.
   void RecordOrigin();
-  /// @param aExcludesSilent Whether an endpoint that is silent won't do.
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint(
-    bool aExcludesSilent);
+    fleet::Evidence aEvidence);
   /// @return the attempts made that count towards the route's maximum.
   [[nodiscard]] std::size_t CountedAttempts() const;
   /// @return whether another attempt may be made, if there is an endpoint.
--- a/Libraries/LibGateway/OnlineProxySilence.cpp
+++ b/Libraries/LibGateway/OnlineProxySilence.cpp
@@ -52,12 +52,13 @@
   if (!MayTryAgain() || MustRejectAsSuspect()) {
     return fleet::Replacement::None;
   }
-  replacement_ = ChooseEndpoint(true);
-  if (!replacement_) {
-    return fleet::Replacement::None;
+  replacement_ = ChooseEndpoint(fleet::Evidence::Sending);
+  if (replacement_ && replacement_->hasSlot_) {
+    return fleet::Replacement::FreeSlot;
   }
-  return replacement_->hasSlot_ ? fleet::Replacement::FreeSlot
-                                : fleet::Replacement::Uncertain;
+  replacement_ = ChooseEndpoint(fleet::Evidence::NotSilent);
+  return replacement_ ? fleet::Replacement::Uncertain
+                      : fleet::Replacement::None;
 }
 
 void
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -777,7 +777,7 @@
   now_ += 900ms;
   table_.RecordActivity({ "three" }, startedAt, now_);
   ChoiceRequest request{ "service", WorkClass::Online, {} };
-  request.excludesSilent_ = true;
+  request.evidence_ = Evidence::NotSilent;
   for (int round = 0; round < 50; ++round) {
     CHECK(table_.Choose(request, now_, random_)->endpoint_.id_ == "three");
   }
@@ -785,4 +785,26 @@
   CHECK_FALSE(table_.Choose(request, now_, random_));
 }
 
+// Guards against moving an attempt to a lost endpoint that owes this host no
+// event yet.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SendingRequired_UnheardEndpointIsExcluded")
+{
+  for (const char* id : { "unheard", "sending" }) {
+    Add(id);
+    Start(id, WorkClass::Online, 1);
+  }
+  const base::Instant startedAt = now_;
+  now_ += 400ms;
+  table_.RecordActivity({ "sending" }, startedAt, now_);
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.evidence_ = Evidence::Sending;
+  for (int round = 0; round < 50; ++round) {
+    CHECK(table_.Choose(request, now_, random_)->endpoint_.id_ == "sending");
+  }
+  Add("idle");
+  table_.CountEnd({ "sending" }, WorkClass::Online);
+  CHECK(table_.Choose(request, now_, random_));
+}
+
 } // namespace pumiceturn::fleet
