--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -17,8 +17,8 @@
 
 /// Time after a store outage, or after the start of a worker, within which
 /// workers store the spooled jobs. Until then, a job that is missing in the
-/// store may still exist. A pending store
-/// call may take 1 s to time out and is repeated 0.3 s later.
+/// store may still exist. A pending store call may take 1 s to time out and is
+/// repeated 0.3 s later.
 constexpr std::chrono::milliseconds kSpoolRecoveryTime{ 3000 };
 
 /// Time for which the return of an absent worker is awaited, as its disk may
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -78,7 +78,7 @@
   const bool wasSilent = isCountedInFlight_ && !hasResponse_ &&
                          base::MonotonicNow() - startedAt_ > silenceTimeout_;
   if (wasSilent && workClass_ == fleet::WorkClass::Online &&
-      (!isSilent_ || isSilenceRecorded_)) {
+      (!isSilent_ || isSilenceFailure_)) {
     shared_.endpoints_.Outliers().RecordOutcome(
       endpoint_.Incarnation(), true, base::MonotonicNow());
   }
@@ -167,7 +167,7 @@
 {
   shared_.endpoints_.RecordActivity(endpoint_.Incarnation(), startedAt_, aNow);
   isSilent_ = false;
-  if (std::exchange(isSilenceRecorded_, false)) {
+  if (std::exchange(isSilenceFailure_, false)) {
     shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
   }
 }
@@ -176,8 +176,8 @@
 EndpointAttempt::OnSilence(const httpstream::Silence& aSilence)
 {
   isSilent_ = true;
-  if (!isSilenceRecorded_) {
-    isSilenceRecorded_ = shared_.endpoints_.RecordSilence(
+  if (!isSilenceFailure_) {
+    isSilenceFailure_ = shared_.endpoints_.RecordSilence(
       endpoint_.Incarnation(), aSilence.duration_, base::MonotonicNow());
   }
   return observer_ != nullptr ? observer_->OnSilence(aSilence)
@@ -206,11 +206,11 @@
   // Batch items that fail at every endpoint would be evidence against all of
   // them. A failed connection is avoided at once, without other evidence.
   const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
-  const bool isUnrecordedSilence =
-    aOutcome == httpstream::CallOutcome::TimedOut && !isSilenceRecorded_;
+  const bool isExcusedSilence =
+    aOutcome == httpstream::CallOutcome::TimedOut && !isSilenceFailure_;
   if (workClass_ != fleet::WorkClass::Online ||
-      aOutcome == httpstream::CallOutcome::NotConnected ||
-      isUnrecordedSilence || (isComplete && wasNotRun_)) {
+      aOutcome == httpstream::CallOutcome::NotConnected || isExcusedSilence ||
+      (isComplete && wasNotRun_)) {
     return;
   }
   shared_.endpoints_.Outliers().RecordOutcome(endpoint_.Incarnation(),
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -81,10 +81,10 @@
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
   bool isServerError_ = false;
-  /// The endpoint was silent beyond a timeout, and sent nothing since.
+  /// Nothing arrived within a timeout, nor since.
   bool isSilent_ = false;
-  /// That was recorded as a failure.
-  bool isSilenceRecorded_ = false;
+  /// That counts as a failure of the endpoint.
+  bool isSilenceFailure_ = false;
   bool isEventStream_ = false;
 };
 
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -103,7 +103,7 @@
   isStale_ = false;
   parser_.reset();
   lastByteAt_ = base::MonotonicNow();
-  isDelayAllowedFor_ = false;
+  wasExtendedForDelay_ = false;
   ArmTimer(call_.firstByteTimeout_);
   Write();
   Read();
@@ -145,7 +145,7 @@
     return;
   }
   if (silence.ownDelay_ > kMaxTimerDelay &&
-      !std::exchange(isDelayAllowedFor_, true)) {
+      !std::exchange(wasExtendedForDelay_, true)) {
     lastByteAt_ += silence.ownDelay_;
     ArmTimer(std::min(silence.ownDelay_, NextByteTimeout()));
     return;
@@ -237,7 +237,7 @@
   }
   input_.commit(aBytes);
   lastByteAt_ = base::MonotonicNow();
-  isDelayAllowedFor_ = false;
+  wasExtendedForDelay_ = false;
   Parse();
 }
 
@@ -388,7 +388,7 @@
   }
   isPaused_ = aIsPaused;
   lastByteAt_ = base::MonotonicNow();
-  isDelayAllowedFor_ = false;
+  wasExtendedForDelay_ = false;
   ArmTimer(isPaused_ ? base::Duration::zero() : GapTimeout());
   if (!isPaused_ && observer_ != nullptr) {
     Read();
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -157,7 +157,7 @@
   base::Instant usableUntil_;
   base::Instant lastByteAt_; ///< Of the response; before it, the call's start.
   std::uint64_t timerGeneration_ = 0;
-  bool isDelayAllowedFor_ = false; ///< Since the last byte.
+  bool wasExtendedForDelay_ = false; ///< Since the last byte.
   bool isHeadReceived_ = false;
   bool hasBody_ = false; ///< Bytes of the body were delivered.
   bool isStale_ = false; ///< The current response belongs to an earlier call.
--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include <fmt/format.h>
+
 namespace pumiceturn::httpstream {
 
 namespace asio = boost::asio;
@@ -202,12 +204,14 @@
 {
   constexpr int kRounds = 4;
   for (int round = 0; round < kRounds; ++round) {
-    const std::string first = "/" + std::to_string(round) + "/first";
-    const std::string second = "/" + std::to_string(round) + "/second";
+    const std::string first = fmt::format("/{}/first", round);
+    const std::string second = fmt::format("/{}/second", round);
     exchanges_.clear();
-    Send("GET " + first + " HTTP/1.1\r\nHost: a\r\n\r\n" + "GET " + second +
-         " HTTP/1.1\r\nHost: a\r\nX-Filler: " + std::string(200, 'x') +
-         "\r\n\r\n");
+    Send(fmt::format("GET {} HTTP/1.1\r\nHost: a\r\n\r\n"
+                     "GET {} HTTP/1.1\r\nHost: a\r\nX-Filler: {:x>200}\r\n\r\n",
+                     first,
+                     second,
+                     ""));
     RunUntil([this] { return exchanges_.size() == 1; });
     CHECK(TargetOf(exchanges_[0]->GetRequest()) == first);
     exchanges_[0]->Respond(MakeResponse(200, first));
