--- a/Libraries/LibBatch/HostSet.cpp
+++ b/Libraries/LibBatch/HostSet.cpp
@@ -24,11 +24,11 @@
     unregisteredSince_[owner] = aNow - kTakeoverDelay;
     hostsByOwner_.erase(owner);
   }
-  if (owner != aOwner) {
-    member.registeredAt_ = aNow;
+  const bool wasAbsent = absentWorkers_.erase(aHost) > 0;
+  if (wasAbsent || (!owner.empty() && owner != aOwner)) {
+    member.returnedAt_ = aNow;
   }
   owner = aOwner;
-  absentWorkers_.erase(aHost);
   hostsByOwner_[aOwner] = aHost;
   unregisteredSince_.erase(aOwner);
 }
@@ -98,12 +98,13 @@
     absentWorkers_.begin(), absentWorkers_.end(), [&](const auto& aEntry) {
       return aNow - aEntry.second < aAbsence;
     });
-  const bool isAnyNew =
+  const bool hasAnyReturned =
     std::any_of(members_.begin(), members_.end(), [&](const auto& aEntry) {
+      const auto& returnedAt = aEntry.second.returnedAt_;
       return aEntry.second.preference_ == BatchPreference::Worker &&
-             aNow - aEntry.second.registeredAt_ < aTime;
+             returnedAt && aNow - *returnedAt < aTime;
     });
-  return !isAnyAbsent && !isAnyNew;
+  return !isAnyAbsent && !hasAnyReturned;
 }
 
 bool
--- a/Libraries/LibBatch/HostSet.h
+++ b/Libraries/LibBatch/HostSet.h
@@ -75,8 +75,8 @@
   /// @return the number of registered workers.
   [[nodiscard]] std::size_t WorkerCount() const;
 
-  /// @return whether each worker that was registered within aAbsence has been
-  ///   registered, by its current process, for at least aTime.
+  /// @return whether each worker that was registered within aAbsence is
+  ///   registered and, if it went missing or restarted, for at least aTime.
   [[nodiscard]] bool AreWorkersPresent(base::Duration aAbsence,
                                        base::Duration aTime,
                                        base::Instant aNow) const;
@@ -94,7 +94,8 @@
     std::string owner_;
     BatchPreference preference_ = BatchPreference::Fallback;
     std::string address_;
-    base::Instant registeredAt_; ///< When the current process became known.
+    /// When its current process became known, if another was known before.
+    std::optional<base::Instant> returnedAt_;
   };
 
   std::unordered_map<std::string, Member> members_; ///< Keyed by host name.
--- a/Libraries/LibHttpStream/Listener.cpp
+++ b/Libraries/LibHttpStream/Listener.cpp
@@ -31,6 +31,14 @@
 {
 }
 
+Listener::~Listener()
+{
+  // Pending handlers keep the connections alive for longer.
+  for (const auto& connection : connections_) {
+    connection->Detach();
+  }
+}
+
 boost::system::error_code
 Listener::Open(const asio::ip::tcp::endpoint& aEndpoint)
 {
--- a/Libraries/LibHttpStream/Listener.h
+++ b/Libraries/LibHttpStream/Listener.h
@@ -22,6 +22,9 @@
   using EndHandler = std::function<void(const ConnectionEnd&)>;
 
   Listener(boost::asio::io_context& aContext, Handler aHandler);
+  ~Listener() override;
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
 
   /// Binds and listens.
   /// @return the system's error if the address can't be used.
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -576,6 +576,13 @@
   ReportClosed(end);
 }
 
+void
+ServerConnection::Detach()
+{
+  isClosed_ = true;
+  CloseSocket(socket_);
+}
+
 void
 ServerConnection::ReportClosed(const ConnectionEnd& aEnd)
 {
--- a/Libraries/LibHttpStream/ServerConnection.h
+++ b/Libraries/LibHttpStream/ServerConnection.h
@@ -122,6 +122,9 @@
   /// been read yet count as received in time. Called periodically.
   void CheckTimeouts(base::Instant aNow);
 
+  /// Closes the connection without a report, as its owner ends.
+  void Detach();
+
   /// Closes the connection if no request is being read or answered. A
   /// connection that hasn't sent a request yet is left open by the first few
   /// calls of this function, since its first request may be on its way.
