--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -21,6 +21,24 @@
     return worker;
   }
 
+  /// Starts "worker-1" with a job, "lot1", on a disk whose reading hangs.
+  /// @return a pipe; reading goes on once it is opened for writing.
+  std::string StartWorkerWithHangingDisk()
+  {
+    batch::SpooledJob job;
+    job.id_ = "lot1";
+    job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
+    job.state_.itemCount_ = 1;
+    job.state_.hostName_ = "a.example";
+    job.state_.path_ = "/lots/1";
+    job.content_ = JobBody(1);
+    REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
+    const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
+    REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+    StartWorkerWithDisk("worker-1");
+    return pipe;
+  }
+
   [[nodiscard]] std::string FolderOf(const std::string& aName) const
   {
     return folder_.Path() + "/" + aName;
@@ -249,18 +267,7 @@
 TEST_CASE_METHOD(BatchJobSpoolFixture,
                  "BatchJobSpool_RetiredWhileDiskHangs_WaitsForItsJobs")
 {
-  batch::SpooledJob job;
-  job.id_ = "lot1";
-  job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
-  job.state_.itemCount_ = 1;
-  job.state_.hostName_ = "a.example";
-  job.state_.path_ = "/lots/1";
-  job.content_ = JobBody(1);
-  REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
-  // Reading a pipe blocks until it is opened for writing.
-  const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
-  REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
-  StartWorkerWithDisk("worker-1");
+  const std::string pipe = StartWorkerWithHangingDisk();
   store_.Put("op/retire/worker-1", "{\"durationS\": 10}");
   const std::size_t before = store_.CallCount();
   RunUntil([&] { return store_.CallCount() > before + 12; });
@@ -276,18 +283,7 @@
                  "BatchJobSpool_ReadWhileStoreIsUnavailable_IsKept")
 {
   jobRetention_ = std::chrono::milliseconds(3000);
-  batch::SpooledJob job;
-  job.id_ = "lot1";
-  job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
-  job.state_.itemCount_ = 1;
-  job.state_.hostName_ = "a.example";
-  job.state_.path_ = "/lots/1";
-  job.content_ = JobBody(1);
-  REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
-  // Reading a pipe blocks until it is opened for writing.
-  const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
-  REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
-  StartWorkerWithDisk("worker-1");
+  const std::string pipe = StartWorkerWithHangingDisk();
   store_.SetBehaviour(StoreBehaviour::Refusing);
   std::ofstream(pipe) << "";
   const auto end = base::MonotonicNow() + 2 * jobRetention_;
