--- a/Tests/Platform/BatchJobSpoolTest.cpp
+++ b/Tests/Platform/BatchJobSpoolTest.cpp
@@ -33,7 +33,7 @@
     job.state_.path_ = "/lots/1";
     job.content_ = JobBody(1);
     REQUIRE_FALSE(batch::SpoolFiles(FolderOf("worker-1")).Write(job).error_);
-    const std::string pipe = FolderOf("worker-1") + "/lot-pipe";
+    std::string pipe = FolderOf("worker-1") + "/lot-pipe";
     REQUIRE(mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
     StartWorkerWithDisk("worker-1");
     return pipe;
