LibGateway: Log the parts of a broken attempt's prompt, its process and how far it came

The record of the incident shows that single contents never reach the count of three, but not whether evidence also comes too late or misses attempts that broke after an event: no line names the parts of a prompt, and those of one content are in no other. attempt_failed now carries the hashed parts (the last one, of the request alone, left out; eight at most), the start of the endpoint's process, whether the response had begun and for how long the attempt ran; a counter tells broken attempts by whether their response had begun.

--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -26,6 +26,9 @@
   /// Id of the caller's request that brought the first event of the stream that
   /// this one resumes; empty if not given.
   std::string resumedRequestId_;
+  /// Hashes of the parts of the prompt, in order, without the last one, which
+  /// belongs to the request alone.
+  std::vector<std::uint64_t> sharedParts_{};
 };
 
 /// Fields of an endpoint's response beyond its status and body.
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -4,7 +4,11 @@
 #include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -93,6 +97,16 @@
     aRoute.maxPause_ - kResumeMargin, kMinGapTimeout, kGapTimeout);
 }
 
+/// @return the first parts of a prompt, in hexadecimal digits.
+std::string
+LoggedParts(std::span<const std::uint64_t> aParts)
+{
+  constexpr std::size_t kMaxLogged = 8;
+  return fmt::format(
+    "{:016x}",
+    fmt::join(aParts.first(std::min(aParts.size(), kMaxLogged)), ","));
+}
+
 /// @return a hash that identifies repetitions of a request by target and body.
 std::uint64_t
 HashContent(const httpstream::Request& aRequest)
@@ -325,6 +339,7 @@
     shared_.fairShare_.CountStart(*caller_);
   }
   loggedSilence_.reset();
+  sentAt_ = base::MonotonicNow();
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
   isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
   attempt_ = std::make_shared<EndpointAttempt>(
@@ -476,7 +491,17 @@
             { { "request", call_.requestId_ },
               { "endpoint", triedEndpoints_.back() },
               { "cause", NameOf(aOutcome) },
-              { "last_event", stream_.LastEvent() } });
+              { "last_event", stream_.LastEvent() },
+              { "started_at", attempt_->Endpoint().startedAtMs_ },
+              { "had_begun", head_.has_value() },
+              { "ran_ms", base::ToMs(base::MonotonicNow() - sentAt_) },
+              { "parts", LoggedParts(call_.sharedParts_) } });
+  shared_.metrics_
+    .GetCounter(
+      "pumiceturn_broken_attempts_total",
+      "Online attempts that broke, by whether the response had begun.",
+      head_ ? "begun=\"true\"" : "begun=\"false\"")
+    .Add();
   RecordSuspect(aOutcome);
   if (IsRetryable()) {
     TryNextEndpoint();
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -133,6 +133,7 @@
   bool mayHaveRun_ = false;
   std::uint64_t contentHash_;   ///< Hash of the request's target and body.
   bool isSuspectRetry_ = false; ///< Was suspect before the attempt.
+  base::Instant sentAt_{};      ///< When the current attempt began.
 
   // State of the response that is being read.
   std::optional<httpstream::ResponseHead> head_;
