LibFleet, LibGateway: Find the part of prompts that crashes endpoints, and refuse it

Cause: a failure was charged to the whole content of what was seen last, not to what several cases have in common. SuspectTable counted by the hash of target and body, and no two such requests are alike: each cost three endpoints anew. Attempts that had passed an event on weren't counted at all; items were counted by item. Ruled out as the cause: evidence that comes too late (each host refuses repeats within a second) and avoidance of sound endpoints (it follows the crashes).

CrashAttribution replaces SuspectTable. Each crash makes the parts of all prompts there candidates, but each one's last; answers clear them; what remains is counted by rounds and cases and refused at all hosts, at once, as not run. In doubt, requests go to one endpoint agreed by hashing. Decisions are kept in the store, and one trial in the fleet, with pauses that double, or an operator ends them. Items ask the same class.

Refusals last until a trial instead of a minute.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -105,6 +105,9 @@
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
   Evidence evidence_ = Evidence::None;
+  /// Requests with the same key go to the same endpoint of the whole fleet, as
+  /// far as one has a free slot, without a message between their hosts.
+  std::optional<std::uint64_t> commonEndpointKey_ = std::nullopt;
 };
 
 /// The endpoints of all services, and the attempts that this host and its peers
@@ -462,6 +465,11 @@
                                  Candidates aCandidates,
                                  base::Instant aNow) const;
 
+  /// @return the endpoint for requests with a common key; empty if none has a
+  ///         free slot.
+  [[nodiscard]] std::optional<EndpointChoice> ChooseCommon(
+    const ChoiceRequest& aRequest,
+    base::Instant aNow) const;
   /// @return the best endpoints of a kind.
   [[nodiscard]] Ranking Rank(const ChoiceRequest& aRequest,
                              Candidates aCandidates,
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/EndpointTable.h"
 
+#include "LibBase/Ids.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -278,6 +280,41 @@
          !IsAvoided(*aBest.endpoint_, aNow);
 }
 
+std::optional<EndpointChoice>
+EndpointTable::ChooseCommon(const ChoiceRequest& aRequest,
+                            base::Instant aNow) const
+{
+  Best best;
+  std::uint64_t highest = 0;
+  std::uint32_t candidates = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    const InFlightCounts counts = CountsOf(endpoint, aNow);
+    const Best candidate{ &endpoint, 0.0, counts };
+    if (endpoint.record_.isDraining_ ||
+        !IsEligible(endpoint, aRequest, counts, aNow) ||
+        !HasFreeSlot(candidate, aNow)) {
+      continue;
+    }
+    ++candidates;
+    const std::uint64_t rank =
+      base::HashBytes(id, *aRequest.commonEndpointKey_);
+    if (best.endpoint_ == nullptr || rank > highest) {
+      best = candidate;
+      highest = rank;
+    }
+  }
+  if (best.endpoint_ == nullptr) {
+    return std::nullopt;
+  }
+  EndpointChoice choice;
+  choice.endpoint_ = best.endpoint_->record_;
+  choice.inFlight_ = best.counts_.Total();
+  choice.candidates_ = candidates;
+  choice.hasSlot_ = true;
+  choice.speed_ = SpeedOf(*best.endpoint_, aNow);
+  return choice;
+}
+
 std::optional<EndpointChoice>
 EndpointTable::Choose(const ChoiceRequest& aRequest,
                       base::Instant aNow,
@@ -286,6 +323,11 @@
   if (areCellsOutdated_) {
     AssignEndpointCells();
   }
+  if (aRequest.commonEndpointKey_) {
+    if (auto common = ChooseCommon(aRequest, aNow)) {
+      return common;
+    }
+  }
   Ranking ranking = Rank(aRequest, Candidates::OwnCell, aNow, aRandom);
   const bool isOnline = aRequest.work_ == WorkClass::Online;
   // The attempts of other cells aren't known, so their endpoints are used only
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -111,9 +111,14 @@
   bool StartAttempt(const batch::StartCandidate& aCandidate,
                     base::Instant aNow);
   /// @return the endpoint for an item without output; empty if no slot is free.
+  /// @param aSuspicion Of its request; nullptr: none.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForStart(
     const fleet::Route& aRoute,
+    const fleet::Suspected* aSuspicion,
     base::Instant aNow);
+  /// @return whether an item may start, which it may not if such requests crash
+  ///         endpoints.
+  [[nodiscard]] bool MayStart(const fleet::CrashAssessment& aAssessment) const;
   /// Chooses the endpoint for the rest of an item's text, which must come from
   /// the software version that began it. Discards the text if that version is
   /// gone or has had no slot for long.
--- a/Libraries/LibGateway/BatchWorkerStarts.cpp
+++ b/Libraries/LibGateway/BatchWorkerStarts.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/BatchWorker.h"
 
+#include "LibGateway/CrashReports.h"
 #include "LibGateway/Events.h"
 
 #include <algorithm>
@@ -62,13 +63,24 @@
     return true;
   }
   const std::size_t item = aCandidate.item_;
+  const fleet::CrashAssessment assessment =
+    shared_.crashes_.HasSuspects()
+      ? shared_.crashes_.Assess(
+          FeaturesOf((*job->items_)[item], shared_.codec_), aNow)
+      : fleet::NotSuspected{};
+  if (!MayStart(assessment)) {
+    // Others may start.
+    return true;
+  }
+  const auto* suspicion = std::get_if<fleet::Suspected>(&assessment);
   const bool hasProgress = running.schedule_.ProgressOf(item).lastEvent_ > 0;
   const auto choice = hasProgress
                         ? ChooseForRest(running, aCandidate, *route, aNow)
-                        : ChooseForStart(*route, aNow);
+                        : ChooseForStart(*route, suspicion, aNow);
   if (!choice) {
-    // Without a slot at one version there may be one for other items.
-    return hasProgress;
+    // Without a slot at one version, or at the endpoint of suspected requests,
+    // there may be one for other items.
+    return hasProgress || suspicion != nullptr;
   }
   const batch::BatchItem& content = (*job->items_)[item];
   base::Log(kRequestSent,
@@ -99,13 +111,40 @@
   return true;
 }
 
+bool
+BatchWorker::MayStart(const fleet::CrashAssessment& aAssessment) const
+{
+  if (std::holds_alternative<fleet::CrashesEndpoints>(aAssessment)) {
+    return false;
+  }
+  const auto* suspicion = std::get_if<fleet::Suspected>(&aAssessment);
+  if (suspicion == nullptr) {
+    return true;
+  }
+  // One at a time shows whether the feature crashes endpoints.
+  return std::none_of(
+    attempts_.begin(), attempts_.end(), [suspicion](const auto& aAttempt) {
+      const auto& features = aAttempt->Features();
+      return features.content_ == suspicion->feature_ ||
+             std::find(features.parts_.begin(),
+                       features.parts_.end(),
+                       suspicion->feature_) != features.parts_.end();
+    });
+}
+
 std::optional<fleet::EndpointChoice>
-BatchWorker::ChooseForStart(const fleet::Route& aRoute, base::Instant aNow)
+BatchWorker::ChooseForStart(const fleet::Route& aRoute,
+                            const fleet::Suspected* aSuspicion,
+                            base::Instant aNow)
 {
   const std::string& service =
     fleet::RouteTable::ChooseService(aRoute, NextRandom(shared_.random_));
-  return shared_.endpoints_.Choose(
-    { service, fleet::WorkClass::Batch, {} }, aNow, shared_.random_);
+  fleet::ChoiceRequest request{ service, fleet::WorkClass::Batch, {} };
+  if (aSuspicion != nullptr) {
+    request.excluded_ = aSuspicion->crashedEndpoints_;
+    request.commonEndpointKey_ = aSuspicion->feature_;
+  }
+  return shared_.endpoints_.Choose(request, aNow, shared_.random_);
 }
 
 std::optional<fleet::EndpointChoice>
@@ -136,7 +175,7 @@
   if (choice || (isServed && aNow - waitsSince < kMaxVersionWait)) {
     return choice;
   }
-  choice = ChooseForStart(aRoute, aNow);
+  choice = ChooseForStart(aRoute, nullptr, aNow);
   if (choice) {
     RestartItem(aRunning, aCandidate, isServed);
   }
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -109,6 +109,10 @@
     std::string_view aHostField,
     const ForwardOptions& aOptions) const = 0;
 
+  /// @return hashes of the parts of an item's prompt, as in CallerFields.
+  [[nodiscard]] virtual std::vector<std::uint64_t> ReadSharedParts(
+    const batch::BatchItem& aItem) const = 0;
+
   [[nodiscard]] virtual ResponseInfo ReadResponseInfo(
     const httpstream::ResponseHead& aHead) const = 0;
 
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -125,7 +125,36 @@
   7123,
   "request_suspect",
   base::LogLevel::Warning,
-  "A request is rejected: several endpoints crashed while running it."
+  "A request is rejected: endpoints crashed under requests with the same "
+  "feature."
+};
+inline constexpr base::Event kFeatureRefused{
+  7146,
+  "feature_refused",
+  base::LogLevel::Warning,
+  "Requests with one feature, as a part of their prompts, are refused from now "
+  "on: endpoints crashed one after the other under them."
+};
+inline constexpr base::Event kFeatureNoLongerRefused{
+  7147,
+  "feature_no_longer_refused",
+  base::LogLevel::Info,
+  "Requests with a feature are no longer refused: one was answered, or an "
+  "operator ordered it."
+};
+inline constexpr base::Event kCrashTrial{
+  7148,
+  "crash_trial",
+  base::LogLevel::Info,
+  "One request with a refused feature is sent, to find out whether it still "
+  "crashes its endpoint."
+};
+inline constexpr base::Event kCrashVerdictsUnreadable{
+  7149,
+  "crash_verdicts_unreadable",
+  base::LogLevel::Error,
+  "The store's entry with the features that are refused can't be parsed; it is "
+  "written anew."
 };
 inline constexpr base::Event kRequestNotAdmitted{
   7124,
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/Gateway.h"
 
+#include "LibGateway/CrashReports.h"
 #include "LibGateway/EndpointAddress.h"
 #include "LibGateway/EndpointVerdicts.h"
 #include "LibGateway/Events.h"
@@ -42,12 +43,20 @@
 /// requests are rejected at once, as it isn't known when they can be served.
 constexpr std::chrono::seconds kStartTime{ 2 };
 
+/// How long a host that starts waits for the store to say which features are
+/// refused. Then it relies on what its peers send.
+constexpr std::chrono::milliseconds kMaxWaitForRefused{ 600 };
+
 /// Maximum number of requests that wait for this host to become ready.
 constexpr std::size_t kMaxEarlyRequests = 256;
 
 /// Suggested to callers while this host starts or stops.
 constexpr std::chrono::milliseconds kNotReadyRetryAfter{ 300 };
 
+/// On the metrics address: GET lists the features that are refused, DELETE of
+/// PATH/FEATURE lifts one.
+constexpr std::string_view kRefusedFeaturesPath = "/refused-features";
+
 std::string_view
 WithoutPort(std::string_view aHost)
 {
@@ -131,7 +140,7 @@
              httpstream::ConnectionPool(aContext.get_executor()),
              std::mt19937_64(std::random_device{}()),
              {},
-             {},
+             fleet::CrashAttribution(settings_.host_),
              {},
              {},
              fleet::RateLimiter(settings_.host_,
@@ -195,6 +204,7 @@
       layout_.versionPrefix_,
       { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
       settings_.drainBound_)
+  , crashVerdictStore_(store_, layout_.refusedPrefix_, shared_.crashes_)
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
   , callerListener_(aContext,
@@ -204,7 +214,7 @@
       [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
   , metricsListener_(
       aContext,
-      [this](const auto& aExchange) { OnStatusRequest(*aExchange); })
+      [this](const auto& aExchange) { OnOperatorRequest(*aExchange); })
   , forwardListener_(aContext,
                      [this](const auto& aExchange) { OnForwarded(aExchange); })
   , tickTimer_(aContext)
@@ -307,8 +317,15 @@
 {
   return !isStopping_ && shared_.routes_.Version() > 0 &&
          mirrors_.HasBeenRead(StorePrefix::Endpoints) &&
-         !shared_.endpoints_.IsEmpty() && accessControl_.CanAuthenticate() &&
-         accessControl_.CanLimitRates();
+         !shared_.endpoints_.IsEmpty() && KnowsRefusedFeatures() &&
+         accessControl_.CanAuthenticate() && accessControl_.CanLimitRates();
+}
+
+bool
+Gateway::KnowsRefusedFeatures() const
+{
+  return hasBeenReady_ || crashVerdictStore_.HasBeenRead() ||
+         base::MonotonicNow() - startedAt_ >= kMaxWaitForRefused;
 }
 
 void
@@ -398,6 +415,9 @@
       *caller);
     return;
   }
+  if (RejectAsCrashing(aExchange)) {
+    return;
+  }
   accessControl_.RunIfWithinLimit(
     aExchange, *caller, [this, aExchange, route = *route, caller = *caller] {
       std::make_shared<OnlineProxy>(shared_,
@@ -411,6 +431,26 @@
     });
 }
 
+bool
+Gateway::RejectAsCrashing(
+  const std::shared_ptr<httpstream::Exchange>& aExchange)
+{
+  if (shared_.crashes_.RefusedCount() == 0) {
+    return false;
+  }
+  const httpstream::Request& request = aExchange->GetRequest();
+  const CallerFields fields = shared_.codec_.ReadCallerFields(request);
+  const fleet::CrashAssessment assessment =
+    shared_.crashes_.Assess(FeaturesOf(request, fields), base::MonotonicNow());
+  const auto* refusal = std::get_if<fleet::CrashesEndpoints>(&assessment);
+  if (refusal == nullptr || refusal->isTrialDue_) {
+    return false;
+  }
+  ReportRefusal(shared_, fields.requestId_, *refusal);
+  aExchange->Respond(shared_.codec_.MakeUnavailable(RetryAfter(*refusal)));
+  return true;
+}
+
 void
 Gateway::OnBatchJobCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
                         const BatchJobCall& aCall)
@@ -461,6 +501,32 @@
   aExchange.Respond(httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
 }
 
+void
+Gateway::OnOperatorRequest(httpstream::Exchange& aExchange)
+{
+  const httpstream::Request& request = aExchange.GetRequest();
+  std::string_view target = httpstream::TargetOf(request);
+  if (!target.starts_with(kRefusedFeaturesPath)) {
+    OnStatusRequest(aExchange);
+    return;
+  }
+  target.remove_prefix(kRefusedFeaturesPath.size());
+  if (request.method() == boost::beast::http::verb::get) {
+    aExchange.Respond(httpstream::MakeResponse(
+      httpstream::kStatusOk,
+      WriteVerdicts(shared_.crashes_, base::MonotonicNow()),
+      "application/json"));
+    return;
+  }
+  const bool isDelete =
+    request.method() == boost::beast::http::verb::delete_ && !target.empty();
+  const auto feature = isDelete ? ParseFeature(target.substr(1)) : std::nullopt;
+  const bool isLifted =
+    feature && shared_.crashes_.Lift(*feature, base::MonotonicNow());
+  aExchange.Respond(httpstream::MakeResponse(
+    isLifted ? httpstream::kStatusOk : httpstream::kStatusNotFound, {}));
+}
+
 void
 Gateway::Preempt(const fleet::EndpointChoice& aChoice)
 {
@@ -510,7 +576,9 @@
     spool_->Tick(now, wallNow);
   }
   streamOrigins_.Tick(now);
-  shared_.suspects_.Expire(now);
+  shared_.crashes_.SetPeers(peerMessenger_.ReachableEntryHosts());
+  UpdateCrashVerdicts(shared_, now);
+  crashVerdictStore_.Tick(mirrors_.Follows(StorePrefix::Endpoints), now);
   UpdateEndpointVerdicts(shared_, now);
   shared_.pool_.CloseExpired(now);
   UpdateLeaseTerm(now);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "LibGateway/BatchJobSpool.h"
 #include "LibGateway/BatchSubmissionHandler.h"
 #include "LibGateway/BatchWorker.h"
+#include "LibGateway/CrashVerdictStore.h"
 #include "LibGateway/OnlineProxy.h"
 #include "LibGateway/OutputBudget.h"
 #include "LibGateway/PeerClients.h"
@@ -94,6 +95,7 @@
   batch::BatchJobKeySpace jobs_;
   std::string hostPrefix_;
   std::string versionPrefix_; ///< Software versions of the services.
+  std::string refusedPrefix_; ///< Features of requests that are refused.
 };
 
 /// Parses the entries of operators and endpoints in the store. Implemented in
@@ -163,9 +165,15 @@
   /// Handles the requests that wait for this host to become ready, or rejects
   /// those that have waited too long.
   void HandleEarlyRequests(base::Instant aNow);
+  /// Rejects a request if such ones crash endpoints, before it counts towards
+  /// any limit.
+  /// @return whether it was rejected.
+  [[nodiscard]] bool RejectAsCrashing(
+    const std::shared_ptr<httpstream::Exchange>& aExchange);
   void OnBatchJobCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
                       const BatchJobCall& aCall);
   void OnForwarded(const std::shared_ptr<httpstream::Exchange>& aExchange);
+  void OnOperatorRequest(httpstream::Exchange& aExchange);
   void OnStatusRequest(httpstream::Exchange& aExchange);
   [[nodiscard]] std::vector<StoreMirrors::MirrorSettings> MirroredPrefixes();
   void OnOperatorEntry(const metadata::StoreItem& aItem);
@@ -193,6 +201,9 @@
 
   /// Registers this host and starts to mirror the registered hosts.
   void StartRegistration();
+  /// @return whether this host has had the time to learn which requests crash
+  ///         endpoints.
+  [[nodiscard]] bool KnowsRefusedFeatures() const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool HasBalancerRemovedHost() const;
   [[nodiscard]] bool Listen(httpstream::Listener& aListener,
@@ -225,6 +236,7 @@
   PeerMessenger peerMessenger_;
   AccessControl accessControl_;
   StreamOrigins streamOrigins_;
+  CrashVerdictStore crashVerdictStore_;
   OnlineProxy::PreemptBatch preemptBatch_;
   httpstream::Listener callerListener_;
   httpstream::Listener statusListener_;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -32,12 +32,10 @@
                             {},
                             [this] { return worker_.AttemptCount(); });
   shared_.metrics_.AddGauge(
-    "pumiceturn_suspect_runs",
-    "Runs known here that broke off before their first event.",
+    "pumiceturn_features_refused",
+    "Features whose requests are refused, as they crash endpoints.",
     {},
-    [this] {
-      return shared_.suspects_.BrokenAttempts(base::MonotonicNow()).size();
-    });
+    [this] { return shared_.crashes_.RefusedCount(); });
   shared_.metrics_.AddGauge(
     "pumiceturn_held_lots",
     "Lots on this host's disk that the store doesn't have yet.",
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/ItemAttempt.h"
 
+#include "LibGateway/CrashReports.h"
 #include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
@@ -47,6 +48,7 @@
   options.lastEvent_ = progress_.lastEvent_;
   options.caller_ = aOrigin.caller_;
   startedAt_ = base::MonotonicNow();
+  features_ = FeaturesOf(aItem, shared_.codec_);
   httpstream::Call call;
   call.bytes_ = httpstream::Serialize(
     shared_.codec_.MakeItemRequest(aItem, aOrigin.hostName_, options));
@@ -175,10 +177,29 @@
   return hasOther ? fleet::Replacement::FreeSlot : fleet::Replacement::None;
 }
 
+void
+ItemAttempt::RecordForCrashes(httpstream::CallOutcome aOutcome,
+                              batch::ItemAttemptOutcome aItemOutcome)
+{
+  const base::Instant now = base::MonotonicNow();
+  if (aItemOutcome == batch::ItemAttemptOutcome::Completed) {
+    shared_.crashes_.RecordAnswered(features_, now);
+  } else if (aOutcome == httpstream::CallOutcome::Broken &&
+             !isFromOtherEndpoint_) {
+    RecordBrokenAttempt(shared_,
+                        { endpointAttempt_->Endpoint().Incarnation(),
+                          features_,
+                          startedAt_,
+                          now });
+  }
+}
+
 void
 ItemAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
-  onEnd_(*this, Classify(aOutcome));
+  const batch::ItemAttemptOutcome outcome = Classify(aOutcome);
+  RecordForCrashes(aOutcome, outcome);
+  onEnd_(*this, outcome);
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBatch/ItemSchedule.h"
+#include "LibFleet/CrashEvidence.h"
 #include "LibFleet/EventSplitter.h"
 #include "LibFleet/SilencePolicy.h"
 #include "LibGateway/EndpointAttempt.h"
@@ -46,6 +47,10 @@
   [[nodiscard]] const std::string& EndpointId() const { return endpoint_; }
   [[nodiscard]] const std::string& JobId() const { return job_; }
   [[nodiscard]] std::size_t Item() const { return item_; }
+  [[nodiscard]] const fleet::RequestFeatures& Features() const
+  {
+    return features_;
+  }
   [[nodiscard]] const batch::PartialOutput& Progress() const
   {
     return progress_;
@@ -72,6 +77,9 @@
   /// @return what could take over from this attempt.
   [[nodiscard]] fleet::Replacement FindReplacement(
     const fleet::EndpointRecord& aEndpoint);
+  /// Records whether the endpoint crashed or lived on.
+  void RecordForCrashes(httpstream::CallOutcome aOutcome,
+                        batch::ItemAttemptOutcome aItemOutcome);
   [[nodiscard]] batch::ItemAttemptOutcome Classify(
     httpstream::CallOutcome aOutcome) const;
 
@@ -83,6 +91,7 @@
   batch::PartialOutput progress_;
   std::uint64_t resumedAfter_; ///< Last event before this attempt.
   base::Instant startedAt_{};
+  fleet::RequestFeatures features_;
   fleet::EventSplitter splitter_;
   std::shared_ptr<EndpointAttempt> endpointAttempt_;
   ResponseInfo responseInfo_;
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -1,14 +1,12 @@
 #include "LibGateway/OnlineProxy.h"
 
-#include "LibBase/Ids.h"
+#include "LibGateway/CrashReports.h"
 #include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 
 #include <algorithm>
-#include <span>
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -97,24 +95,6 @@
     aRoute.maxPause_ - kResumeMargin, kMinGapTimeout, kGapTimeout);
 }
 
-/// @return the first parts of a prompt, in hexadecimal digits.
-std::string
-LoggedParts(std::span<const std::uint64_t> aParts)
-{
-  constexpr std::size_t kMaxLogged = 8;
-  return fmt::format(
-    "{:016x}",
-    fmt::join(aParts.first(std::min(aParts.size(), kMaxLogged)), ","));
-}
-
-/// @return a hash that identifies repetitions of a request by target and body.
-std::uint64_t
-HashContent(const httpstream::Request& aRequest)
-{
-  return base::HashBytes(aRequest.body(),
-                         base::HashBytes(httpstream::TargetOf(aRequest)));
-}
-
 } // namespace
 
 OnlineProxy::OnlineProxy(SharedState& aShared,
@@ -132,7 +112,7 @@
   , origins_(aOrigins)
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadCallerFields(exchange_->GetRequest()))
-  , contentHash_(HashContent(exchange_->GetRequest()))
+  , features_(FeaturesOf(exchange_->GetRequest(), call_))
   , stream_(call_.lastEvent_)
 {
   const base::Duration allowed =
@@ -208,17 +188,7 @@
   if (isFinished_) {
     return;
   }
-  const bool isStreaming = exchange_->IsStreaming();
-  if (MustRejectAsSuspect()) {
-    base::Log(kRequestSuspect,
-              { { "request", call_.requestId_ }, { "content", contentHash_ } });
-    if (isStreaming) {
-      exchange_->Abort();
-    } else {
-      exchange_->Respond(
-        httpstream::MakeResponse(httpstream::kStatusBadGateway, {}));
-    }
-    Finish(ProxyOutcome::Suspect);
+  if (!AdmitByCrashes()) {
     return;
   }
   auto choice = std::exchange(replacement_, std::nullopt);
@@ -241,6 +211,21 @@
 
 std::optional<fleet::EndpointChoice>
 OnlineProxy::ChooseEndpoint(fleet::Evidence aEvidence)
+{
+  if (!crashedEndpoints_.empty()) {
+    std::vector<std::string> excluded = triedEndpoints_;
+    excluded.insert(
+      excluded.end(), crashedEndpoints_.begin(), crashedEndpoints_.end());
+    if (auto choice = ChooseExcept(excluded, aEvidence)) {
+      return choice;
+    }
+  }
+  return ChooseExcept(triedEndpoints_, aEvidence);
+}
+
+std::optional<fleet::EndpointChoice>
+OnlineProxy::ChooseExcept(std::span<const std::string> aExcluded,
+                          fleet::Evidence aEvidence)
 {
   const bool isRest = stream_.HasBegun();
   if (isRest && !stream_.Origin()) {
@@ -250,13 +235,14 @@
                                        : fleet::RouteTable::ChooseService(
                                            route_, NextRandom(shared_.random_)),
                                 fleet::WorkClass::Online,
-                                triedEndpoints_,
+                                aExcluded,
                                 IsRetryable() &&
                                   CountedAttempts() + 1 < route_.maxAttempts_ };
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
   request.evidence_ = aEvidence;
+  request.commonEndpointKey_ = suspectFeature_;
   return shared_.endpoints_.Choose(
     request, base::MonotonicNow(), shared_.random_);
 }
@@ -341,7 +327,13 @@
   loggedSilence_.reset();
   sentAt_ = base::MonotonicNow();
   triedEndpoints_.push_back(aChoice.endpoint_.id_);
-  isSuspectRetry_ = shared_.suspects_.IsSuspect(contentHash_);
+  if (const auto feature = std::exchange(trialFeature_, std::nullopt)) {
+    base::Log(kCrashTrial,
+              { { "request", call_.requestId_ },
+                { "feature", ToString(*feature) },
+                { "endpoint", aChoice.endpoint_.id_ } });
+    shared_.crashes_.BeginTrial(*feature, sentAt_);
+  }
   attempt_ = std::make_shared<EndpointAttempt>(
     shared_, aChoice.endpoint_, fleet::WorkClass::Online);
   attempt_->SetSilenceTimeout(firstByteTimeout);
@@ -428,7 +420,7 @@
       exchange_->BeginStream(*head_);
     }
     const base::Instant now = base::MonotonicNow();
-    shared_.suspects_.RecordAnswered(contentHash_, now);
+    shared_.crashes_.RecordAnswered(features_, now);
     if (firstEventAt_ && triedEndpoints_.size() == 1) {
       shared_.admission_.RecordSlotTime(attempt_->Endpoint().service_,
                                         now - *firstEventAt_);
@@ -441,8 +433,10 @@
     OnAttemptRefused();
     return;
   }
-  shared_.suspects_.RecordAnswered(contentHash_, base::MonotonicNow());
   const bool isServerError = head_->result_int() >= kFirstServerError;
+  if (!isServerError) {
+    shared_.crashes_.RecordAnswered(features_, base::MonotonicNow());
+  }
   mayHaveRun_ = true;
   if (exchange_->IsStreaming() || (isServerError && IsRetryable() &&
                                    CountedAttempts() < route_.maxAttempts_)) {
@@ -502,7 +496,7 @@
       "Online attempts that broke, by whether the response had begun.",
       head_ ? "begun=\"true\"" : "begun=\"false\"")
     .Add();
-  RecordSuspect(aOutcome);
+  RecordBroken(aOutcome);
   if (IsRetryable()) {
     TryNextEndpoint();
     return;
@@ -545,7 +539,10 @@
   if (std::exchange(isCountedForShare_, false)) {
     shared_.fairShare_.CountEnd(*caller_);
   }
-  if (aOutcome == ProxyOutcome::NotRun && caller_) {
+  const bool wasRefused =
+    aOutcome == ProxyOutcome::NotRun ||
+    (aOutcome == ProxyOutcome::Suspect && triedEndpoints_.empty());
+  if (wasRefused && caller_) {
     shared_.rateLimiter_.Refund(*caller_, admittedAt_);
   }
   const base::Instant now = base::MonotonicNow();
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/CrashEvidence.h"
 #include "LibFleet/SilencePolicy.h"
 #include "LibGateway/EndpointAttempt.h"
 #include "LibGateway/StreamContinuation.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,7 @@
   StreamAborted,      ///< A stream was aborted midway.
   TimedOut,           ///< Its deadline passed.
   CallerDisconnected, ///< The caller closed the connection.
-  Suspect,            ///< Rejected, as the request seems to crash endpoints.
+  Suspect,            ///< Rejected, as such requests crash endpoints.
 };
 
 /// Forwards one online request to an endpoint and the response to the caller.
@@ -86,6 +88,9 @@
   /// @return the endpoint of the next attempt; empty if none is left.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseEndpoint(
     fleet::Evidence aEvidence);
+  [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseExcept(
+    std::span<const std::string> aExcluded,
+    fleet::Evidence aEvidence);
   /// @return the attempts made that count towards the route's maximum.
   [[nodiscard]] std::size_t CountedAttempts() const;
   /// @return whether another attempt may be made, if there is an endpoint.
@@ -104,8 +109,14 @@
   void OnAttemptRefused();
   void OnAttemptBroken(httpstream::CallOutcome aOutcome);
   void OnDeadline();
-  void RecordSuspect(httpstream::CallOutcome aOutcome);
-  [[nodiscard]] bool MustRejectAsSuspect() const;
+  void RecordBroken(httpstream::CallOutcome aOutcome);
+  /// Rejects the request if such ones crash endpoints, and restricts where one
+  /// that is suspected of it may be sent.
+  /// @return whether the request may be sent.
+  [[nodiscard]] bool AdmitByCrashes();
+  [[nodiscard]] bool AdmitSuspected(const fleet::Suspected& aSuspicion);
+  [[nodiscard]] bool AdmitTrial(const fleet::CrashesEndpoints& aRefusal);
+  [[nodiscard]] bool IsRefusedForCrashes() const;
   void RespondUnavailable();
   void Finish(ProxyOutcome aOutcome);
 
@@ -131,9 +142,14 @@
   std::uint32_t rejectedAfterRun_ = 0;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
   bool mayHaveRun_ = false;
-  std::uint64_t contentHash_;   ///< Hash of the request's target and body.
-  bool isSuspectRetry_ = false; ///< Was suspect before the attempt.
-  base::Instant sentAt_{};      ///< When the current attempt began.
+  fleet::RequestFeatures features_;
+  /// Feature that may crash endpoints: requests with it go to the same one.
+  std::optional<std::uint64_t> suspectFeature_;
+  /// Endpoints that crashed under requests with that feature.
+  std::vector<std::string> crashedEndpoints_;
+  /// Refused feature for which this request is let through.
+  std::optional<std::uint64_t> trialFeature_;
+  base::Instant sentAt_{}; ///< When the current attempt began.
 
   // State of the response that is being read.
   std::optional<httpstream::ResponseHead> head_;
--- a/Libraries/LibGateway/OnlineProxySilence.cpp
+++ b/Libraries/LibGateway/OnlineProxySilence.cpp
@@ -49,7 +49,7 @@
 OnlineProxy::FindReplacement()
 {
   replacement_.reset();
-  if (!MayTryAgain() || MustRejectAsSuspect()) {
+  if (!MayTryAgain() || IsRefusedForCrashes()) {
     return fleet::Replacement::None;
   }
   replacement_ = ChooseEndpoint(fleet::Evidence::Sending);
--- a/Libraries/LibGateway/PeerMessenger.cpp
+++ b/Libraries/LibGateway/PeerMessenger.cpp
@@ -163,6 +163,7 @@
     UpdateCells();
   }
   const base::Instant now = base::MonotonicNow();
+  SendCrashNews(now);
   const auto update =
     countPublisher_.Next(shared_.endpoints_.OwnCounts(now), now);
   if (!update) {
@@ -212,7 +213,6 @@
   json content = { { "host", ownHost_ } };
   if (aIsFull) {
     content["runs"] = std::move(rows);
-    content["suspects"] = SuspectRows();
     content["store"] = EncodeStoreReport(mirrors_.MakeReport());
     AddObservations(content);
     if (shared_.routes_.Organisations().AreDeclared()) {
@@ -446,6 +446,12 @@
       if (IsFromPeer(host)) {
         onOriginMessage_(host, *origin);
       }
+    } else if (const auto crashes = message.find("crash_news");
+               crashes != message.end()) {
+      traffic_.RecordReceived(DatagramKind::CrashNews, aMessage.size());
+      if (IsFromPeer(host)) {
+        HandleCrashEvidence(*crashes, now);
+      }
     } else if (message.contains("silent")) {
       traffic_.RecordReceived(DatagramKind::RelayRequest, aMessage.size());
       for (const json& peer : message.at("silent")) {
@@ -501,10 +507,6 @@
   }
   shared_.endpoints_.SetPeerCounts(
     aPeer, ReadCounts(aMessage.at("runs")), aNow);
-  // Gateways of earlier versions send no suspects.
-  if (const auto rows = aMessage.find("suspects"); rows != aMessage.end()) {
-    HandleSuspects(*rows);
-  }
 }
 
 void
--- a/Libraries/LibGateway/PeerMessenger.h
+++ b/Libraries/LibGateway/PeerMessenger.h
@@ -86,6 +86,9 @@
     return reachability_.ReachableCount(base::MonotonicNow());
   }
 
+  /// @return the reachable peers that take requests from callers.
+  [[nodiscard]] std::vector<std::string> ReachableEntryHosts() const;
+
   /// Sends changes that this host read from the store to the peers that rely on
   /// it as a follower.
   void SendStoreDelta(const StoreDelta& aDelta);
@@ -170,13 +173,15 @@
   void RecordRateCandidates(const std::string& aPeer, std::uint64_t aHash);
   [[nodiscard]] static std::vector<fleet::EndpointCounts> ReadCounts(
     const nlohmann::json& aRows);
-  void HandleSuspects(const nlohmann::json& aRows);
+  void HandleCrashEvidence(const nlohmann::json& aMessage, base::Instant aNow);
+  /// Sends what this host observed of crashes at once to all hosts, as the next
+  /// request may crash another endpoint.
+  void SendCrashNews(base::Instant aNow);
   /// Adds what this host observed of endpoints and organisations.
   void AddObservations(nlohmann::json& aContent) const;
   void HandleObservations(const std::string& aPeer,
                           const nlohmann::json& aMessage,
                           base::Instant aNow);
-  [[nodiscard]] nlohmann::json SuspectRows() const;
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
--- a/Libraries/LibGateway/PeerObservations.cpp
+++ b/Libraries/LibGateway/PeerObservations.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/PeerMessenger.h"
 
+#include "LibGateway/CrashReports.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -12,52 +14,48 @@
 
 using nlohmann::json;
 
-namespace {
-
-/// Suspect attempts older than this aren't sent to peers any more. Until then
-/// each is in several datagrams, as some get lost.
-constexpr std::chrono::seconds kMaxSuspectAge{ 3 };
-/// Maximum number of suspect attempts in one datagram, which keeps it small.
-constexpr std::size_t kMaxSuspects = 32;
-
-} // namespace
-
-json
-PeerMessenger::SuspectRows() const
+void
+PeerMessenger::SendCrashNews(base::Instant aNow)
 {
-  json rows = json::array();
-  const base::Instant now = base::MonotonicNow();
-  for (const fleet::SuspectAttempt& attempt :
-       shared_.suspects_.BrokenAttempts(now)) {
-    if (now - attempt.brokeAt_ > kMaxSuspectAge ||
-        rows.size() == kMaxSuspects) {
-      continue;
-    }
-    // Sends ages, as hosts' clocks differ.
-    rows.push_back({ attempt.content_,
-                     attempt.endpoint_,
-                     attempt.isRetry_,
-                     base::ToMs(now - attempt.brokeAt_) });
+  if (!shared_.crashes_.TakeHasNews()) {
+    return;
+  }
+  const std::vector<std::uint8_t> message = json::to_cbor(
+    { { "host", ownHost_ },
+      { "crash_news",
+        EncodeCrashEvidence(shared_.crashes_.Report(aNow), aNow) } });
+  for (const auto& [name, peer] : peers_) {
+    SendTo(peer.address_, DatagramKind::CrashNews, message);
   }
-  return rows;
 }
 
 void
-PeerMessenger::HandleSuspects(const json& aRows)
+PeerMessenger::HandleCrashEvidence(const json& aMessage, base::Instant aNow)
 {
-  const base::Instant now = base::MonotonicNow();
-  for (const json& row : aRows) {
-    const std::chrono::milliseconds age{ row.at(3).get<std::uint32_t>() };
-    shared_.suspects_.RecordBroken({ row.at(0).get<std::uint64_t>(),
-                                     row.at(1).get<std::string>(),
-                                     row.at(2).get<bool>(),
-                                     now - age });
+  shared_.crashes_.Merge(DecodeCrashEvidence(aMessage, aNow));
+  UpdateCrashVerdicts(shared_, aNow);
+}
+
+std::vector<std::string>
+PeerMessenger::ReachableEntryHosts() const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [name, peer] : peers_) {
+    if (!peer.isWorker_ && IsReachable(name)) {
+      hosts.push_back(name);
+    }
   }
+  return hosts;
 }
 
 void
 PeerMessenger::AddObservations(json& aContent) const
 {
+  const base::Instant now = base::MonotonicNow();
+  if (json crashes = EncodeCrashEvidence(shared_.crashes_.Report(now), now);
+      !crashes.empty()) {
+    aContent["crashes"] = std::move(crashes);
+  }
   json outcomes = json::array();
   for (const fleet::EndpointOutcomes& row :
        shared_.endpoints_.Outliers().OutcomesToReport(base::MonotonicNow())) {
@@ -86,7 +84,11 @@
                                   const json& aMessage,
                                   base::Instant aNow)
 {
-  // Both are left out if empty, and by gateways of earlier versions.
+  // All are left out if empty, and by gateways of earlier versions.
+  if (const auto crashes = aMessage.find("crashes");
+      crashes != aMessage.end()) {
+    HandleCrashEvidence(*crashes, aNow);
+  }
   std::vector<fleet::EndpointOutcomes> outcomes;
   for (const json& row : aMessage.value("outcomes", json::array())) {
     if (outcomes.size() == fleet::OutlierDetector::kMaxReported) {
--- a/Libraries/LibGateway/PeerTraffic.cpp
+++ b/Libraries/LibGateway/PeerTraffic.cpp
@@ -8,8 +8,9 @@
 
 /// Labels of the metrics, in the order of DatagramKind.
 constexpr std::array kKindNames = {
-  "all_counts",  "changed_counts", "relayed_counts", "relay_request",
-  "store_delta", "preemption",     "rate_message",   "stream_origin",
+  "all_counts",    "changed_counts", "relayed_counts",
+  "relay_request", "store_delta",    "preemption",
+  "rate_message",  "stream_origin",  "crash_news",
 };
 
 } // namespace
--- a/Libraries/LibGateway/PeerTraffic.h
+++ b/Libraries/LibGateway/PeerTraffic.h
@@ -19,6 +19,7 @@
   Preemption,    ///< Request to cancel a batch attempt.
   RateMessage,   ///< Report or response about a rate limit.
   StreamOrigin,  ///< Records of where streams began, and queries for them.
+  CrashNews,     ///< Attempts that broke just now, and features refused.
 };
 
 /// Counts datagrams and their bytes by kind and direction.
@@ -31,7 +32,7 @@
   void RecordReceived(DatagramKind aKind, std::size_t aBytes);
 
 private:
-  static constexpr std::size_t kKinds = 8;
+  static constexpr std::size_t kKinds = 9;
 
   struct Counters
   {
--- a/Libraries/LibGateway/SharedState.h
+++ b/Libraries/LibGateway/SharedState.h
@@ -2,11 +2,11 @@
 
 #include "LibBatch/LedgerCache.h"
 #include "LibFleet/AdmissionControl.h"
+#include "LibFleet/CrashAttribution.h"
 #include "LibFleet/EndpointTable.h"
 #include "LibFleet/FairShare.h"
 #include "LibFleet/RateLimiter.h"
 #include "LibFleet/RouteTable.h"
-#include "LibFleet/SuspectTable.h"
 #include "LibGateway/Codec.h"
 #include "LibGateway/OutputBudget.h"
 #include "LibHttpStream/ConnectionPool.h"
@@ -26,7 +26,7 @@
   httpstream::ConnectionPool pool_; ///< Connections to endpoints.
   std::mt19937_64 random_;
   metrics::Registry metrics_;
-  fleet::SuspectTable suspects_;
+  fleet::CrashAttribution crashes_;
   fleet::AdmissionControl admission_;
   batch::LedgerCache ledgers_;
   fleet::RateLimiter rateLimiter_;
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -78,6 +78,7 @@
   TestHost& host = *hosts_.back();
   host.callerPort_ = ReservePort();
   host.statusPort_ = ReservePort();
+  host.metricsPort_ = ReservePort();
   gateway::GatewaySettings settings;
   settings.host_ = aName;
   settings.incarnation_ = incarnation_;
@@ -85,6 +86,7 @@
   settings.batchPreference_ = aPreference;
   settings.callerAddress_ = fmt::format("127.0.0.1:{}", host.callerPort_);
   settings.statusAddress_ = fmt::format("127.0.0.1:{}", host.statusPort_);
+  settings.metricsAddress_ = fmt::format("127.0.0.1:{}", host.metricsPort_);
   settings.peerAddress_ = fmt::format("127.0.0.1:{}", ReservePort());
   settings.jobRetention_ = jobRetention_;
   settings.spoolFolder_ = spoolFolder_;
--- a/Tests/Platform/GatewayFixture.h
+++ b/Tests/Platform/GatewayFixture.h
@@ -27,6 +27,7 @@
   std::unique_ptr<gateway::Gateway> gateway_;
   std::uint16_t callerPort_ = 0;
   std::uint16_t statusPort_ = 0;
+  std::uint16_t metricsPort_ = 0;
   std::uint16_t forwardPort_ = 0;
   std::uint16_t storePort_ = 0; ///< Port of the store for this host's calls.
 };
--- a/Tests/Platform/OnlineTest.cpp
+++ b/Tests/Platform/OnlineTest.cpp
@@ -339,16 +339,21 @@
       server->Enqueue({ ServerScript::Kind::Reset, 0, 0 });
     }
   }
-  RunUntil([&] {
+  for (std::size_t crash = 0; crash < servers_.size(); ++crash) {
     CHECK(Call("/once/bad")->status_ == 502);
-    return Metrics(other).find("pumiceturn_suspect_runs 3") !=
+  }
+  RunUntil([&] {
+    return Metrics(other).find("pumiceturn_features_refused 1") !=
            std::string::npos;
   });
   const std::size_t before =
     RequestCountOfBoth() + servers_[2]->Requests().size();
   const std::string fields = "Attempt-Id: r2\r\nDeadline-Ms: 9000\r\n";
-  CHECK(SendAndWait(*host_, "POST", "/once/bad", fields)->status_ == 502);
-  CHECK(SendAndWait(other, "POST", "/once/bad", fields)->status_ == 502);
+  for (TestHost* host : { host_, &other }) {
+    const auto refused = SendAndWait(*host, "POST", "/once/bad", fields);
+    CHECK(refused->status_ == 503);
+    CHECK_FALSE(refused->retryAfter_.empty());
+  }
   CHECK(RequestCountOfBoth() + servers_[2]->Requests().size() == before);
   for (const auto& server : servers_) {
     server->ClearScripts();
--- a/Tests/Platform/PromptPartFixture.cpp
+++ b/Tests/Platform/PromptPartFixture.cpp
@@ -28,17 +28,21 @@
     AddCrashingServer();
   }
   for (std::size_t host = 0; host < aHosts; ++host) {
-    StartHost(fmt::format("entry-{}", host + 1),
-              batch::BatchPreference::Fallback);
-  }
-  for (const auto& host : hosts_) {
-    RunUntil([&] {
-      return SendToAndWait(Loopback(host->statusPort_), "GET", "/api/ready")
-               ->status_ == 200;
-    });
+    StartReadyHost(fmt::format("entry-{}", host + 1));
   }
 }
 
+TestHost&
+PromptPartFixture::StartReadyHost(const std::string& aName)
+{
+  TestHost& host = StartHost(aName, batch::BatchPreference::Fallback);
+  RunUntil([&] {
+    return SendToAndWait(Loopback(host.statusPort_), "GET", "/api/ready")
+             ->status_ == 200;
+  });
+  return host;
+}
+
 void
 PromptPartFixture::AddCrashingServer()
 {
@@ -117,7 +121,7 @@
       [this, name = fmt::format("i-{}", index + 1)] { OnCrash(name); });
   }
   const auto end = Clock::now() + aTime;
-  auto badAt = Clock::now();
+  auto badAt = Clock::now() + traffic_.badInterval_;
   auto soundAt = Clock::now();
   std::size_t turn = 0;
   while (Clock::now() < end) {
@@ -148,22 +152,42 @@
 }
 
 std::size_t
-PromptPartFixture::LateSends(const std::string& aPart) const
+PromptPartFixture::SendsSince(const std::string& aPart,
+                              Clock::time_point aSince) const
 {
-  if (crashedAt_.size() < kMaxCrashes) {
-    return 0;
-  }
-  const auto since = crashedAt_[kMaxCrashes - 1] + kContactTime;
-  std::size_t late = 0;
+  std::size_t sends = 0;
   for (const auto& server : servers_) {
     for (std::size_t index = 0; index < server->Requests().size(); ++index) {
       const bool hasPart =
         httpstream::ValueOf(server->Requests()[index], "Prompt-Prefix")
           .find(aPart + ":") != std::string_view::npos;
-      late += hasPart && server->ArrivalTimes()[index] > since ? 1 : 0;
+      sends += hasPart && server->ArrivalTimes()[index] > aSince ? 1 : 0;
     }
   }
-  return late;
+  return sends;
+}
+
+std::size_t
+PromptPartFixture::LateSends(const std::string& aPart) const
+{
+  return crashedAt_.size() < kMaxCrashes
+           ? 0
+           : SendsSince(aPart, crashedAt_[kMaxCrashes - 1] + kContactTime);
+}
+
+std::size_t
+PromptPartFixture::Sends(const std::string& aPart) const
+{
+  return SendsSince(aPart, {});
+}
+
+const CallerCall&
+PromptPartFixture::SendBadAndWait(std::size_t aHost)
+{
+  const Call& call =
+    SendPrompt(aHost, fmt::format("shared:200,{}:60", traffic_.badPart_));
+  RunUntil([&call] { return call.call_->HasEnded(); });
+  return *call.call_;
 }
 
 double
--- a/Tests/Platform/PromptPartFixture.h
+++ b/Tests/Platform/PromptPartFixture.h
@@ -38,6 +38,9 @@
 
   void StartFleet(std::size_t aHosts, std::size_t aEndpoints);
 
+  /// Starts a host and waits until it is ready.
+  TestHost& StartReadyHost(const std::string& aName);
+
   /// Sends both kinds of requests for a time.
   void Run(const Traffic& aTraffic, std::chrono::milliseconds aTime);
 
@@ -50,6 +53,13 @@
 
   [[nodiscard]] std::size_t CrashCount() const { return crashedAt_.size(); }
 
+  /// @return how many requests with a part reached endpoints.
+  [[nodiscard]] std::size_t Sends(const std::string& aPart) const;
+
+  /// Sends one request with the part and waits for its end.
+  /// @return its call.
+  const CallerCall& SendBadAndWait(std::size_t aHost);
+
   /// @return the share of the sound requests begun after a time that got their
   ///         whole response at the first try.
   [[nodiscard]] double ServedShare(Clock::time_point aSince) const;
@@ -69,6 +79,8 @@
   std::vector<Clock::time_point> crashedAt_;
 
 private:
+  [[nodiscard]] std::size_t SendsSince(const std::string& aPart,
+                                       Clock::time_point aSince) const;
   void AddCrashingServer();
   void OnCrash(const std::string& aServer);
   void RepeatFailed();
