LibGateway: Go on with a stream whose only attempt an endpoint's crash used up

The maximum of attempts bounds where a request runs; an endpoint that ended doesn't run it any more. Evidence that it ended is needed before, as a broken connection alone may be a fault of a living one: a connection to it is refused. Then one attempt doesn't count; a second crash under the same request does, since the request is suspected by then.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/OnlineProxy.h"
 
 #include "LibGateway/CrashReports.h"
+#include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
@@ -43,6 +44,9 @@
 
 constexpr unsigned kFirstServerError = 500;
 
+/// How long an endpoint that lives on may take to accept a connection.
+constexpr std::chrono::milliseconds kCrashProbeTimeout{ 100 };
+
 std::string_view
 NameOf(ProxyOutcome aOutcome)
 {
@@ -171,7 +175,7 @@
 std::size_t
 OnlineProxy::CountedAttempts() const
 {
-  return triedEndpoints_.size() - rejectedAfterRun_;
+  return triedEndpoints_.size() - rejectedAfterRun_ - (isLostToCrash_ ? 1 : 0);
 }
 
 bool
@@ -498,7 +502,13 @@
     .Add();
   RecordBroken(aOutcome);
   if (IsRetryable()) {
-    TryNextEndpoint();
+    const bool mayBeCrash =
+      aOutcome == httpstream::CallOutcome::Broken && !isLostToCrash_;
+    if (mayBeCrash && CountedAttempts() >= route_.maxAttempts_) {
+      CheckForCrash();
+    } else {
+      TryNextEndpoint();
+    }
     return;
   }
   if (exchange_->IsStreaming()) {
@@ -511,6 +521,32 @@
   Finish(ProxyOutcome::Failed);
 }
 
+void
+OnlineProxy::CheckForCrash()
+{
+  const auto address = ParseAddress(attempt_->Endpoint().address_);
+  if (!address) {
+    TryNextEndpoint();
+    return;
+  }
+  crashProbe_ = std::make_shared<httpstream::ClientConnection>(
+    deadlineTimer_.get_executor());
+  crashProbe_->Connect(
+    *address, kCrashProbeTimeout, [weak = weak_from_this()](bool aIsConnected) {
+      const auto proxy = weak.lock();
+      if (!proxy || proxy->isFinished_) {
+        return;
+      }
+      if (const auto probe = std::exchange(proxy->crashProbe_, nullptr);
+          aIsConnected) {
+        probe->Cancel();
+      } else {
+        proxy->isLostToCrash_ = true;
+      }
+      proxy->TryNextEndpoint();
+    });
+}
+
 void
 OnlineProxy::OnDeadline()
 {
@@ -536,6 +572,9 @@
   if (const auto attempt = std::exchange(attempt_, nullptr)) {
     attempt->Cancel();
   }
+  if (const auto probe = std::exchange(crashProbe_, nullptr)) {
+    probe->Cancel();
+  }
   if (std::exchange(isCountedForShare_, false)) {
     shared_.fairShare_.CountEnd(*caller_);
   }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -108,6 +108,10 @@
   void OnCompleteResponse();
   void OnAttemptRefused();
   void OnAttemptBroken(httpstream::CallOutcome aOutcome);
+  /// Tries to connect to the endpoint of the last attempt: one that ended
+  /// refuses connections, and the attempt then doesn't count. Goes on
+  /// afterwards.
+  void CheckForCrash();
   void OnDeadline();
   void RecordBroken(httpstream::CallOutcome aOutcome);
   /// Rejects the request if such ones crash endpoints, and restricts where one
@@ -140,6 +144,10 @@
   std::uint32_t undeliveredAttempts_ = 0;
   /// Attempts that an endpoint rejected after another one may have run.
   std::uint32_t rejectedAfterRun_ = 0;
+  /// An attempt doesn't count, as its endpoint crashed. Only one: a second
+  /// crash is rather caused by the request.
+  bool isLostToCrash_ = false;
+  std::shared_ptr<httpstream::ClientConnection> crashProbe_;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
   bool mayHaveRun_ = false;
   fleet::RequestFeatures features_;
