LibGateway: Count a stream out when it ends, not when its proxy is destroyed

A process that stops destroys its gateway before its event loop. A handler that the loop still holds, as of a deadline timer that was cancelled just then, holds a proxy, whose destructor used the gateway's output budget: the process ended by SIGSEGV. EndpointAttempt's destructor may do the same; not seen.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -123,18 +123,13 @@
     call_.callerTimeout_ ? std::min(*call_.callerTimeout_, route_.timeout_)
                          : route_.timeout_;
   deadline_ = exchange_->ReceivedAt() + allowed;
-  shared_.outputBudget_.AddStream();
-}
-
-OnlineProxy::~OnlineProxy()
-{
-  shared_.outputBudget_.RemoveStream();
 }
 
 void
 OnlineProxy::Start()
 {
   const auto self = shared_from_this();
+  shared_.outputBudget_.AddStream();
   exchange_->SetOnCallerDisconnected([weak = weak_from_this()] {
     if (const auto proxy = weak.lock()) {
       proxy->Finish(ProxyOutcome::CallerDisconnected);
@@ -569,6 +564,7 @@
   if (std::exchange(isFinished_, true)) {
     return;
   }
+  shared_.outputBudget_.RemoveStream();
   if (const auto attempt = std::exchange(attempt_, nullptr)) {
     attempt->Cancel();
   }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -48,7 +48,7 @@
               OrganisationName aCaller,
               StreamOrigins& aOrigins,
               const PreemptBatch& aPreemptBatch);
-  ~OnlineProxy() override;
+  ~OnlineProxy() override = default;
   OnlineProxy(const OnlineProxy&) = delete;
   OnlineProxy& operator=(const OnlineProxy&) = delete;
 
