--- a/Libraries/LibGateway/CrashReports.cpp
+++ b/Libraries/LibGateway/CrashReports.cpp
@@ -144,7 +144,7 @@
   std::string text;
   for (const std::uint64_t part :
        aParts.first(std::min(aParts.size(), kMaxLogged))) {
-    text += (text.empty() ? "" : ",") + ToString(part);
+    text.append(text.empty() ? "" : ",").append(ToString(part));
   }
   return text;
 }
