LibFleet: Let a request with two refused features through only when both are due

A request that has a feature whose trial is due could carry another one, refused just before, to an endpoint. Found by reading. The later of the trials counts now; CrashAttribution_TwoFeaturesRefused_TrialWaitsForBoth guards it.

--- a/Libraries/LibFleet/CrashAttribution.cpp
+++ b/Libraries/LibFleet/CrashAttribution.cpp
@@ -422,9 +422,8 @@
   });
   std::erase_if(verdicts_, [aNow](const auto& aEntry) {
     const CrashVerdict& verdict = aEntry.second;
-    return verdict.isLifted_
-             ? aNow - verdict.liftedAt_ > kRetention
-             : aNow - verdict.decidedAt_ > TrialPause(verdict) + kMaxTrialDelay;
+    return verdict.isLifted_ ? aNow - verdict.liftedAt_ > kRetention
+                             : aNow - TrialAt(verdict) > kMaxTrialDelay;
   });
 }
 
@@ -446,19 +445,19 @@
   return std::exchange(changes_, {});
 }
 
-base::Duration
-CrashAttribution::TrialPause(const CrashVerdict& aVerdict)
+base::Instant
+CrashAttribution::TrialAt(const CrashVerdict& aVerdict)
 {
   const std::uint32_t doublings = std::min(aVerdict.trials_, kMaxDoublings);
-  return std::min(kFirstTrialPause * (1U << doublings), kMaxTrialPause);
+  return aVerdict.decidedAt_ +
+         std::min(kFirstTrialPause * (1U << doublings), kMaxTrialPause);
 }
 
 bool
 CrashAttribution::OwnsTrial(const CrashVerdict& aVerdict,
                             base::Instant aNow) const
 {
-  const base::Duration overdue =
-    aNow - aVerdict.decidedAt_ - TrialPause(aVerdict);
+  const base::Duration overdue = aNow - TrialAt(aVerdict);
   const std::string turn = std::to_string(aVerdict.trials_) + "/" +
                            std::to_string(overdue / kTrialTurn);
   const std::uint64_t seed = base::HashBytes(turn, aVerdict.feature_);
@@ -479,7 +478,11 @@
   const CrashVerdict* refused = nullptr;
   const std::pair<const std::uint64_t, Candidate>* suspect = nullptr;
   ForEachFeature(aFeatures, [&](std::uint64_t aFeature) {
-    refused = refused != nullptr ? refused : FindRefused(aFeature);
+    const CrashVerdict* verdict = FindRefused(aFeature);
+    if (verdict != nullptr &&
+        (refused == nullptr || TrialAt(*verdict) > TrialAt(*refused))) {
+      refused = verdict;
+    }
     const auto found = candidates_.find(aFeature);
     // A part that was answered before is more likely to be beside the cause.
     if (found == candidates_.end() ||
@@ -493,7 +496,7 @@
     }
   });
   if (refused != nullptr) {
-    const base::Instant trialAt = refused->decidedAt_ + TrialPause(*refused);
+    const base::Instant trialAt = TrialAt(*refused);
     const bool isDue = aNow >= trialAt;
     return CrashesEndpoints{ refused->feature_,
                              isDue ? kTrialTurn : trialAt - aNow,
--- a/Libraries/LibFleet/CrashAttribution.h
+++ b/Libraries/LibFleet/CrashAttribution.h
@@ -167,7 +167,8 @@
     base::Instant aNow) const;
   void Refuse(Candidates::const_iterator aCandidate, base::Instant aNow);
   void DropOutdated(base::Instant aNow, const HasSurvived& aHasSurvived);
-  [[nodiscard]] static base::Duration TrialPause(const CrashVerdict& aVerdict);
+  /// @return when the next request with a refused feature is let through.
+  [[nodiscard]] static base::Instant TrialAt(const CrashVerdict& aVerdict);
   [[nodiscard]] bool OwnsTrial(const CrashVerdict& aVerdict,
                                base::Instant aNow) const;
 
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -492,7 +492,8 @@
   shared_.metrics_
     .GetCounter(
       "pumiceturn_broken_attempts_total",
-      "Online attempts that broke, by whether the response had begun.",
+      "Online attempts that failed after they were sent, by whether the "
+      "response had begun.",
       head_ ? "begun=\"true\"" : "begun=\"false\"")
     .Add();
   RecordBroken(aOutcome);
--- a/Tests/LibFleet/CrashAttributionTest.cpp
+++ b/Tests/LibFleet/CrashAttributionTest.cpp
@@ -333,6 +333,30 @@
   CHECK(assess(91'100).isTrialDue_);
 }
 
+// Guards against a trial of one feature with a request that has another one,
+// whose trial isn't due.
+TEST_CASE_METHOD(CrashAttributionFixture,
+                 "CrashAttribution_TwoFeaturesRefused_TrialWaitsForBoth")
+{
+  CrashInTurn(kBad, 0);
+  for (int turn = 0; turn < 3; ++turn) {
+    Break("later-" + std::to_string(turn),
+          MakeRequest({ kRare }),
+          20'000 + turn * 200,
+          20'100 + turn * 200);
+  }
+  REQUIRE(crashes_.RefusedCount() == 2);
+  const auto isDue = [&](std::vector<std::uint64_t> aParts, int aNowMs) {
+    return std::get<CrashesEndpoints>(
+             crashes_.Assess({ kOtherContent, std::move(aParts) }, At(aNowMs)))
+      .isTrialDue_;
+  };
+  CHECK(isDue({ kBad }, 40'000));
+  CHECK_FALSE(isDue({ kBad, kRare }, 40'000));
+  CHECK_FALSE(isDue({ kRare, kBad }, 40'000));
+  CHECK(isDue({ kRare, kBad }, 51'000));
+}
+
 TEST_CASE_METHOD(CrashAttributionFixture,
                  "CrashAttribution_TrialAnswered_IsNoLongerRefused")
 {
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -77,6 +77,45 @@
   CHECK(Choose(WorkClass::Online, { "free" })->endpoint_.id_ == "full");
 }
 
+// Guards against suspected requests that crash an endpoint for each host that
+// sends one.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_CommonKey_ChoosesTheSameAtAllHosts")
+{
+  EndpointTable other("b", EndpointTable::Limits{});
+  std::mt19937_64 otherRandom(99);
+  std::set<std::string> chosen;
+  for (const char* id : { "e1", "e2", "e3", "e4", "e5", "e6" }) {
+    Add(id);
+    other.Put({ id, "service", "127.0.0.1:1", "a", 4 }, now_);
+  }
+  for (std::uint64_t key = 0; key < 50; ++key) {
+    ChoiceRequest request{ "service", WorkClass::Online, {} };
+    request.commonEndpointKey_ = key;
+    const auto choice = table_.Choose(request, now_, random_);
+    CHECK(choice->endpoint_.id_ ==
+          other.Choose(request, now_, otherRandom)->endpoint_.id_);
+    chosen.insert(choice->endpoint_.id_);
+  }
+  CHECK(chosen.size() == 6);
+}
+
+// Guards against suspected requests that wait although others have a slot.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_CommonEndpointIsFull_ChoosesTheNext")
+{
+  Add("e1");
+  Add("e2");
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.commonEndpointKey_ = 7;
+  const std::string first =
+    table_.Choose(request, now_, random_)->endpoint_.id_;
+  Start(first, WorkClass::Online, 4);
+  CHECK(table_.Choose(request, now_, random_)->endpoint_.id_ != first);
+  Start(first == "e1" ? "e2" : "e1", WorkClass::Online, 4);
+  CHECK(table_.Choose(request, now_, random_).has_value());
+}
+
 // Guards against the rest of a stream from another software version.
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_RestOfStream_ChoosesItsVersionOnly")
