--- a/Tests/PlatformSoak/CrashSoakTest.cpp
+++ b/Tests/PlatformSoak/CrashSoakTest.cpp
@@ -12,10 +12,10 @@
 TEST_CASE_METHOD(CrashSoakFixture,
                  "CrashSoak_PartCrashesServers_IsRefusedAndOthersAreServed")
 {
-  const std::uint64_t seed = ReadNumber("PUMICETURN_SOAK_SEED", 1);
-  const std::uint64_t seconds = ReadNumber("PUMICETURN_SOAK_SECONDS", 15);
+  const SoakRun run = ReadSoakRun(15);
+  const std::uint64_t seed = run.seed_;
   INFO("seed " << seed);
-  Run(seed, std::chrono::seconds(seconds));
+  Run(seed, run.time_);
   const RunCounts& counts = Counts();
   std::cout << fmt::format(
     "seed {}: {} requests with a part, {} sound ones, {} served; {} crashes by "
@@ -31,12 +31,7 @@
     counts.configurations_,
     counts.releases_,
     RestartCount());
-  for (const std::string& violation : Violations()) {
-    std::cout << "seed " << seed << ": " << violation << '\n';
-  }
-  if (!Violations().empty()) {
-    std::cout << "seed " << seed << ": logs in " << LogFolder() << '\n';
-  }
+  PrintViolations(seed);
   CHECK(Violations().empty());
   CHECK(counts.crashesByParts_ > 0);
   CHECK(counts.soundServed_ > 0);
--- a/Tests/PlatformSoak/Environment.h
+++ b/Tests/PlatformSoak/Environment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <cstdlib>
 #include <string>
@@ -15,4 +16,20 @@
   return text != nullptr ? std::stoull(text) : aDefault;
 }
 
+/// What the environment selects of a soak.
+struct SoakRun
+{
+  std::uint64_t seed_ = 1;
+  std::chrono::seconds time_{ 0 };
+};
+
+/// @param aUsualSeconds Length if the environment doesn't set it.
+inline SoakRun
+ReadSoakRun(std::uint64_t aUsualSeconds)
+{
+  return { ReadNumber("PUMICETURN_SOAK_SEED", 1),
+           std::chrono::seconds(
+             ReadNumber("PUMICETURN_SOAK_SECONDS", aUsualSeconds)) };
+}
+
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/FleetSoakFixture.cpp
+++ b/Tests/PlatformSoak/FleetSoakFixture.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <iostream>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -44,6 +45,17 @@
   }
 }
 
+void
+FleetSoakFixture::PrintViolations(std::uint64_t aSeed) const
+{
+  for (const std::string& violation : violations_) {
+    std::cout << "seed " << aSeed << ": " << violation << '\n';
+  }
+  if (!violations_.empty()) {
+    std::cout << "seed " << aSeed << ": logs in " << folder_ << '\n';
+  }
+}
+
 milliseconds
 FleetSoakFixture::Draw(int aMinMs, int aMaxMs)
 {
--- a/Tests/PlatformSoak/FleetSoakFixture.h
+++ b/Tests/PlatformSoak/FleetSoakFixture.h
@@ -51,6 +51,9 @@
     return folder_;
   }
 
+  /// Prints the violations and where the logs are, if there are any.
+  void PrintViolations(std::uint64_t aSeed) const;
+
   /// Starts the hosts of a fleet, each with its own connection to the store.
   /// @param aSettings Bounds of all hosts; the other fields are overwritten.
   void StartHosts(std::size_t aEntryHosts,
--- a/Tests/PlatformSoak/SilenceSoakTest.cpp
+++ b/Tests/PlatformSoak/SilenceSoakTest.cpp
@@ -11,10 +11,10 @@
 TEST_CASE_METHOD(SilenceSoakFixture,
                  "SilenceSoak_ServersSilentBesidePlannedWork_NoAnswerIsLost")
 {
-  const std::uint64_t seed = ReadNumber("PUMICETURN_SOAK_SEED", 1);
-  const std::uint64_t seconds = ReadNumber("PUMICETURN_SOAK_SECONDS", 10);
+  const SoakRun run = ReadSoakRun(10);
+  const std::uint64_t seed = run.seed_;
   INFO("seed " << seed);
-  Run(seed, std::chrono::seconds(seconds));
+  Run(seed, run.time_);
   const RunCounts& counts = Counts();
   const AnswerCheck::Counts& answers = Answers();
   std::cout << fmt::format(
@@ -38,12 +38,7 @@
     counts.releases_,
     counts.stops_,
     RestartCount());
-  for (const std::string& violation : Violations()) {
-    std::cout << "seed " << seed << ": " << violation << '\n';
-  }
-  if (!Violations().empty()) {
-    std::cout << "seed " << seed << ": logs in " << LogFolder() << '\n';
-  }
+  PrintViolations(seed);
   CHECK(Violations().empty());
   CHECK(answers.complete_ > 0);
   CHECK(counts.silences_ > 0);
--- a/Tests/PlatformSoak/VersionSoakTest.cpp
+++ b/Tests/PlatformSoak/VersionSoakTest.cpp
@@ -11,10 +11,10 @@
 TEST_CASE_METHOD(VersionSoakFixture,
                  "VersionSoak_ReleasesAndFaults_StreamsKeepTheirVersion")
 {
-  const std::uint64_t seed = ReadNumber("PUMICETURN_SOAK_SEED", 1);
-  const std::uint64_t seconds = ReadNumber("PUMICETURN_SOAK_SECONDS", 15);
+  const SoakRun run = ReadSoakRun(15);
+  const std::uint64_t seed = run.seed_;
   INFO("seed " << seed);
-  Run(seed, std::chrono::seconds(seconds));
+  Run(seed, run.time_);
   const RunCounts& counts = Counts();
   std::cout << fmt::format(
     "seed {}: {} streams, {} begun, {} whole, {} joined; {} resumptions, {} "
