LibGateway: Give what handles requests that crash endpoints files of its own

Functions and constants are moved, unchanged, to OnlineProxyCrashes.cpp and GatewayCrashes.cpp, as OnlineProxySilence.cpp and GatewayMirrors.cpp have theirs.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -43,20 +43,12 @@
 /// requests are rejected at once, as it isn't known when they can be served.
 constexpr std::chrono::seconds kStartTime{ 2 };
 
-/// How long a host that starts waits for the store to say which features are
-/// refused. Then it relies on what its peers send.
-constexpr std::chrono::milliseconds kMaxWaitForRefused{ 600 };
-
 /// Maximum number of requests that wait for this host to become ready.
 constexpr std::size_t kMaxEarlyRequests = 256;
 
 /// Suggested to callers while this host starts or stops.
 constexpr std::chrono::milliseconds kNotReadyRetryAfter{ 300 };
 
-/// On the metrics address: GET lists the features that are refused, DELETE of
-/// PATH/FEATURE lifts one.
-constexpr std::string_view kRefusedFeaturesPath = "/refused-features";
-
 std::string_view
 WithoutPort(std::string_view aHost)
 {
@@ -321,13 +313,6 @@
          accessControl_.CanAuthenticate() && accessControl_.CanLimitRates();
 }
 
-bool
-Gateway::KnowsRefusedFeatures() const
-{
-  return hasBeenReady_ || crashVerdictStore_.HasBeenRead() ||
-         base::MonotonicNow() - startedAt_ >= kMaxWaitForRefused;
-}
-
 void
 Gateway::UpdateReadiness()
 {
@@ -431,26 +416,6 @@
     });
 }
 
-bool
-Gateway::RejectAsCrashing(
-  const std::shared_ptr<httpstream::Exchange>& aExchange)
-{
-  if (shared_.crashes_.RefusedCount() == 0) {
-    return false;
-  }
-  const httpstream::Request& request = aExchange->GetRequest();
-  const CallerFields fields = shared_.codec_.ReadCallerFields(request);
-  const fleet::CrashAssessment assessment =
-    shared_.crashes_.Assess(FeaturesOf(request, fields), base::MonotonicNow());
-  const auto* refusal = std::get_if<fleet::CrashesEndpoints>(&assessment);
-  if (refusal == nullptr || refusal->isTrialDue_) {
-    return false;
-  }
-  ReportRefusal(shared_, fields.requestId_, *refusal);
-  aExchange->Respond(shared_.codec_.MakeUnavailable(RetryAfter(*refusal)));
-  return true;
-}
-
 void
 Gateway::OnBatchJobCall(const std::shared_ptr<httpstream::Exchange>& aExchange,
                         const BatchJobCall& aCall)
@@ -501,32 +466,6 @@
   aExchange.Respond(httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
 }
 
-void
-Gateway::OnOperatorRequest(httpstream::Exchange& aExchange)
-{
-  const httpstream::Request& request = aExchange.GetRequest();
-  std::string_view target = httpstream::TargetOf(request);
-  if (!target.starts_with(kRefusedFeaturesPath)) {
-    OnStatusRequest(aExchange);
-    return;
-  }
-  target.remove_prefix(kRefusedFeaturesPath.size());
-  if (request.method() == boost::beast::http::verb::get) {
-    aExchange.Respond(httpstream::MakeResponse(
-      httpstream::kStatusOk,
-      WriteVerdicts(shared_.crashes_, base::MonotonicNow()),
-      "application/json"));
-    return;
-  }
-  const bool isDelete =
-    request.method() == boost::beast::http::verb::delete_ && !target.empty();
-  const auto feature = isDelete ? ParseFeature(target.substr(1)) : std::nullopt;
-  const bool isLifted =
-    feature && shared_.crashes_.Lift(*feature, base::MonotonicNow());
-  aExchange.Respond(httpstream::MakeResponse(
-    isLifted ? httpstream::kStatusOk : httpstream::kStatusNotFound, {}));
-}
-
 void
 Gateway::Preempt(const fleet::EndpointChoice& aChoice)
 {
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -1,7 +1,6 @@
 #include "LibGateway/OnlineProxy.h"
 
 #include "LibGateway/CrashReports.h"
-#include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
@@ -44,9 +43,6 @@
 
 constexpr unsigned kFirstServerError = 500;
 
-/// How long an endpoint that lives on may take to accept a connection.
-constexpr std::chrono::milliseconds kCrashProbeTimeout{ 100 };
-
 std::string_view
 NameOf(ProxyOutcome aOutcome)
 {
@@ -517,32 +513,6 @@
   Finish(ProxyOutcome::Failed);
 }
 
-void
-OnlineProxy::CheckForCrash()
-{
-  const auto address = ParseAddress(attempt_->Endpoint().address_);
-  if (!address) {
-    TryNextEndpoint();
-    return;
-  }
-  crashProbe_ = std::make_shared<httpstream::ClientConnection>(
-    deadlineTimer_.get_executor());
-  crashProbe_->Connect(
-    *address, kCrashProbeTimeout, [weak = weak_from_this()](bool aIsConnected) {
-      const auto proxy = weak.lock();
-      if (!proxy || proxy->isFinished_) {
-        return;
-      }
-      if (const auto probe = std::exchange(proxy->crashProbe_, nullptr);
-          aIsConnected) {
-        probe->Cancel();
-      } else {
-        proxy->isLostToCrash_ = true;
-      }
-      proxy->TryNextEndpoint();
-    });
-}
-
 void
 OnlineProxy::OnDeadline()
 {
