Review: a batch item with a prompt of many parts ends its machine's process for good

A script with stand-ins of its own (review/rig): an item whose Prompt-Prefix has 6,000 parts is accepted and then ends the process of the store machine that runs it at each start.

--- /dev/null
+++ b/review/rig/Main.cpp
@@ -0,0 +1,301 @@
+#include "Rig.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+
+// Scenarios of the cases: rig SCENARIO FOLDER RECORD. Exits with 1 if the rule
+// was broken, 0 if it held, 2 if the case couldn't run.
+
+namespace rig {
+
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+
+/// Traffic starts that long after the machines do.
+constexpr double kLead = 10.0;
+
+bool
+IsTroubled()
+{
+  const char* value = std::getenv("TROUBLE");
+  return value == nullptr || std::strcmp(value, "0") != 0;
+}
+
+std::string
+PlainEvent(int aEvent)
+{
+  const std::string id = std::to_string(aEvent);
+  return "id: " + id + "\ndata: word" + id + "\n\n";
+}
+
+/// A deployment: the platform's store, model servers, fronts and stores. Its
+/// threads run until the rig ends, so it is never deleted.
+class Site
+{
+public:
+  Site(const std::string& aFolder,
+       Record& aRecord,
+       Servers::Options aServers,
+       int aFronts,
+       int aWorkers)
+    : network_(DrawNetwork())
+    , store_(network_ + ".1", kStorePort)
+    , servers_(WithAddress(std::move(aServers), network_ + ".2"),
+               store_,
+               aRecord)
+    , fleet_(network_, aFolder, aRecord)
+  {
+    store_.Put("op/config", MakeConfiguration());
+    for (int index = 1; index <= aFronts; ++index) {
+      fleet_.Add("front-" + std::to_string(index), 10 + index, true);
+    }
+    for (int index = 1; index <= aWorkers; ++index) {
+      fleet_.Add("store-" + std::to_string(index), 50 + index, false);
+    }
+  }
+
+  Store& ItsStore() { return store_; }
+  Servers& ItsServers() { return servers_; }
+  Fleet& ItsFleet() { return fleet_; }
+
+  std::vector<std::string> Fronts()
+  {
+    std::vector<std::string> addresses;
+    for (const Fleet::Host& host : fleet_.Hosts()) {
+      if (host.isFront_ && !host.isGone_) {
+        addresses.push_back(host.ip_);
+      }
+    }
+    return addresses;
+  }
+
+private:
+  static Servers::Options WithAddress(Servers::Options aOptions,
+                                      const std::string& aIp)
+  {
+    aOptions.ip_ = aIp;
+    return aOptions;
+  }
+
+  std::string network_;
+  Store store_;
+  Servers servers_;
+  Fleet fleet_;
+};
+
+/// Reads all jobs until a moment, twice a second, as their clients do.
+void
+ReadUntil(std::vector<Job>& aJobs, Site& aSite, double aUntil, Record& aRecord)
+{
+  std::size_t turn = 0;
+  while (Now() < aUntil) {
+    const std::vector<std::string> fronts = aSite.Fronts();
+    for (Job& job : aJobs) {
+      if (job.acceptedAt_ >= 0 && job.listed_.size() < job.items_.size()) {
+        ReadResults(job, fronts[turn++ % fronts.size()], aRecord);
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  }
+}
+
+/// The rule LOST for items that are left lying, at the moment when finishS is
+/// over.
+bool
+IsLeftLying(const std::vector<Job>& aJobs,
+            const std::vector<Run>& aRuns,
+            int aSlots,
+            double aNow,
+            Record& aRecord)
+{
+  constexpr double kCalm = 5.0;
+  constexpr double kLastFinish = 3.0;
+  int running = 0;
+  for (const Run& run : aRuns) {
+    running += run.endedAt_ < 0 ? 1 : 0;
+    if (run.isComplete_ && run.endedAt_ > aNow - kLastFinish) {
+      aRecord.Line("an item was finished in the last 3 s");
+      return false;
+    }
+  }
+  if (2 * running >= aSlots) {
+    aRecord.Line("the servers are half full");
+    return false;
+  }
+  bool isBroken = false;
+  for (const Job& job : aJobs) {
+    if (job.acceptedAt_ < 0 || job.listed_.size() == job.items_.size()) {
+      continue;
+    }
+    bool hasRun = false;
+    for (const Run& run : aRuns) {
+      const bool isOfJob = run.id_.rfind(job.id_ + "i", 0) == 0;
+      const bool isUnlisted = job.listed_.count(run.id_) == 0;
+      hasRun = hasRun || (isOfJob && isUnlisted &&
+                          (run.endedAt_ < 0 || run.endedAt_ > aNow - kCalm));
+    }
+    aRecord.Line("batch job " + job.id_ + ": " +
+                 std::to_string(job.listed_.size()) + " of " +
+                 std::to_string(job.items_.size()) + " items are listed" +
+                 (hasRun ? ", a server had one in the last 5 s"
+                         : ", no server had another one for 5 s"));
+    isBroken = isBroken || !hasRun;
+  }
+  return isBroken;
+}
+
+/// @return a prompt of many parts, each of 20 tokens.
+std::string
+LongPrefix(int aParts)
+{
+  std::string prefix;
+  for (int part = 1; part <= aParts; ++part) {
+    char entry[24];
+    std::snprintf(entry, sizeof(entry), "%s%08x:20", part > 1 ? "," : "", part);
+    prefix += entry;
+  }
+  return prefix;
+}
+
+/// An item whose prompt has many parts, among usual ones.
+int
+PlayParts(const std::string& aFolder, Record& aRecord)
+{
+  constexpr int kServers = 6;
+  constexpr int kSlots = 8;
+  constexpr double kFinish = 18.0;
+  Servers::Options servers;
+  servers.count_ = kServers;
+  servers.slots_ = kSlots;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 3);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    aRecord.Line("the machines aren't ready");
+    return kCouldNotRun;
+  }
+  // 6,000 parts of 20 tokens: 120,000 tokens, 72 KB.
+  const int parts = IsTroubled() ? 6000 : 30;
+  const std::string tokens = std::to_string(20 * parts) + ",40";
+  std::vector<Job> jobs{ MakeJob(
+    "9b52d6a3f87c41e0",
+    1,
+    Json{ { "Token-Counts", tokens }, { "Prompt-Prefix", LongPrefix(parts) } },
+    20 * parts + 40) };
+  for (int index = 0; index < 4; ++index) {
+    jobs.push_back(MakeJob("51d6a3f87c41e0" + std::to_string(10 + index), 5));
+  }
+  for (Job& job : jobs) {
+    Submit(job, site.Fronts(), aRecord);
+  }
+  ReadUntil(jobs, site, Now() + kFinish, aRecord);
+  aRecord.Line("processes ended by themselves " +
+               std::to_string(site.ItsFleet().CountExits()) + " times");
+  const bool isBroken = IsLeftLying(
+    jobs, site.ItsServers().Runs(), kServers * kSlots, Now(), aRecord);
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
+/// An item whose header holds line ends.
+int
+PlaySmuggle(const std::string& aFolder, Record& aRecord)
+{
+  Servers::Options servers;
+  servers.count_ = 3;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 2);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    return kCouldNotRun;
+  }
+  const std::string smuggled =
+    "a\r\nContent-Length: 0\r\nAttempt-Id: 00000000feedbeef\r\n\r\n"
+    "POST /u/smuggled HTTP/1.1\r\nHost: nony24.example\r\nX: b";
+  std::vector<Job> jobs{ MakeJob(
+    "9b52d6a3f87c41e0", 1, Json{ { "Note", IsTroubled() ? smuggled : "a" } }) };
+  Submit(jobs[0], site.Fronts(), aRecord);
+  ReadUntil(jobs, site, Now() + 8, aRecord);
+  bool isBroken = false;
+  for (const Run& run : site.ItsServers().Runs()) {
+    if (run.id_ != jobs[0].items_[0]) {
+      aRecord.Line("server " + run.server_ + " ran " + run.id_ +
+                   ", which no client sent");
+      isBroken = true;
+    }
+  }
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
+/// Events whose data takes two lines.
+int
+PlayLines(const std::string& aFolder, Record& aRecord)
+{
+  Servers::Options servers;
+  servers.count_ = 3;
+  servers.events_ = 10;
+  servers.event_ = [](int aEvent) {
+    const std::string id = std::to_string(aEvent);
+    return IsTroubled()
+             ? "id: " + id + "\ndata: word" + id + "\ndata: more" + id + "\n\n"
+             : PlainEvent(aEvent);
+  };
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 2);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    return kCouldNotRun;
+  }
+  std::vector<Job> jobs{ MakeJob("9b52d6a3f87c41e0", 2) };
+  Submit(jobs[0], site.Fronts(), aRecord);
+  ReadUntil(jobs, site, Now() + 6, aRecord);
+  std::string whole;
+  for (int event = 1; event <= servers.events_; ++event) {
+    const std::string id = std::to_string(event);
+    whole += (event > 1 ? "\n" : "") + ("word" + id) +
+             (IsTroubled() ? "\nmore" + id : "");
+  }
+  bool isBroken = false;
+  for (const auto& [item, output] : jobs[0].outputs_) {
+    aRecord.Line("output of " + item + ": " + Json(output).dump());
+    isBroken = isBroken || output != whole;
+  }
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
+} // namespace
+
+} // namespace rig
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != 4) {
+    std::cerr << "rig SCENARIO FOLDER RECORD\n";
+    return 2;
+  }
+  const std::string scenario = aArguments[1];
+  rig::Record record(aArguments[3]);
+  int result = 2;
+  try {
+    if (scenario == "parts") {
+      result = rig::PlayParts(aArguments[2], record);
+    } else if (scenario == "smuggle") {
+      result = rig::PlaySmuggle(aArguments[2], record);
+    } else if (scenario == "lines") {
+      result = rig::PlayLines(aArguments[2], record);
+    }
+  } catch (const std::exception& error) {
+    record.Line(std::string("the rig failed: ") + error.what());
+    result = 2;
+  }
+  record.Line(result == 0   ? "result: the rule held"
+              : result == 1 ? "result: the rule was broken"
+                            : "result: the case couldn't run");
+  std::_Exit(result);
+}
