--- a/review/rig/Main.cpp
+++ b/review/rig/Main.cpp
@@ -268,6 +268,82 @@
   return isBroken ? kBroken : kHeld;
 }
 
+/// Clients that name the port in Host, as HTTP/1.1 asks of them where it isn't
+/// the default one.
+int
+PlayPort(const std::string& aFolder, Record& aRecord)
+{
+  constexpr int kServers = 6;
+  constexpr double kFinish = 18.0;
+  Servers::Options servers;
+  servers.count_ = kServers;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 3);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    aRecord.Line("the machines aren't ready");
+    return kCouldNotRun;
+  }
+  const std::string host =
+    IsTroubled() ? std::string(kHostName) + ":" + std::to_string(kFrontPort)
+                 : std::string(kHostName);
+  aRecord.Line("clients send Host: " + host);
+  const std::vector<std::string> fronts = site.Fronts();
+  const Message stream =
+    Call(fronts[0],
+         kFrontPort,
+         "POST /s/x HTTP/1.1\r\nHost: " + host +
+           "\r\nAttempt-Id: 4c41d07be2a35f68\r\nDeadline-Ms: 5000\r\n"
+           "Connection: close\r\nContent-Length: 1\r\n\r\nx",
+         5);
+  aRecord.Line("a stream with this Host is answered " +
+               std::to_string(stream.status_) +
+               (stream.isComplete_ ? ", complete" : ", cut"));
+  std::vector<Job> jobs;
+  for (int index = 0; index < 3; ++index) {
+    jobs.push_back(MakeJob("51d6a3f87c41e0" + std::to_string(10 + index), 5));
+    Submit(jobs.back(), fronts, aRecord, host);
+  }
+  const double until = Now() + kFinish;
+  std::size_t turn = 0;
+  while (Now() < until) {
+    for (Job& job : jobs) {
+      if (job.acceptedAt_ >= 0 && job.listed_.size() < job.items_.size()) {
+        ReadResults(job, fronts[turn++ % fronts.size()], aRecord, host);
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  }
+  // No server of this site answers 422 or 500, no client ends a batch job, the
+  // route stays, and maxWaitS is 60.
+  int accepted = 0;
+  int wronglyErrored = 0;
+  int notListed = 0;
+  for (const Job& job : jobs) {
+    accepted += job.acceptedAt_ >= 0 ? 1 : 0;
+    for (const std::string& item : job.items_) {
+      const auto listed = job.listed_.find(item);
+      notListed += job.acceptedAt_ >= 0 && listed == job.listed_.end() ? 1 : 0;
+      wronglyErrored +=
+        listed != job.listed_.end() && listed->second == "errored" ? 1 : 0;
+    }
+  }
+  int ran = 0;
+  for (const Run& run : site.ItsServers().Runs()) {
+    ran += run.id_.rfind("51d6a3f87c41e0", 0) == 0 ? 1 : 0;
+  }
+  aRecord.Line(std::to_string(accepted) + " of 3 batch jobs accepted, " +
+               std::to_string(ran) + " runs of their items, " +
+               std::to_string(wronglyErrored) +
+               " of 15 items listed as errored, " + std::to_string(notListed) +
+               " not listed");
+  site.ItsFleet().End();
+  if (accepted == 0) {
+    return kCouldNotRun;
+  }
+  return wronglyErrored > 0 || notListed > 0 ? kBroken : kHeld;
+}
+
 } // namespace
 
 } // namespace rig
@@ -287,6 +363,8 @@
       result = rig::PlayParts(aArguments[2], record);
     } else if (scenario == "smuggle") {
       result = rig::PlaySmuggle(aArguments[2], record);
+    } else if (scenario == "port") {
+      result = rig::PlayPort(aArguments[2], record);
     } else if (scenario == "lines") {
       result = rig::PlayLines(aArguments[2], record);
     }
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -779,12 +779,13 @@
     if (aHost.isFront_) {
       file << "listen: { front: \"" << aHost.ip_ << ":" << kFrontPort
            << "\", ready: \"" << aHost.ip_ << ":" << kReadyPort << "\" }\n"
-           << "dataDir: null\nlimits: { memoryMb: 110 }\n"
+           << "dataDir: null\nlimits: { memoryMb: " << kFrontMemoryMb << " }\n"
            << "countsAsLoss: false\n";
     } else {
       std::system(("mkdir -p " + disk).c_str());
       file << "listen: {}\ndataDir: \"" << disk
-           << "\"\nlimits: { memoryMb: 140 }\ncountsAsLoss: true\n";
+           << "\"\nlimits: { memoryMb: " << kStoreMemoryMb
+           << " }\ncountsAsLoss: true\n";
     }
     file << "portRange: [ 7720, 7735 ]\nheartbeatMs: 1200\n"
          << "contracts: [ base, drain, config, cost, recover, batch, stream, "
@@ -827,8 +828,11 @@
 Fleet::Watch()
 {
   while (!isEnding_) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
     const std::lock_guard lock(mutex_);
+    for (auto& [name, host] : hosts_) {
+      CheckMemory(host);
+    }
     for (auto& [name, host] : hosts_) {
       int status = 0;
       if (isEnding_ || host.isGone_ || host.pid_ <= 0 ||
@@ -852,6 +856,28 @@
   }
 }
 
+void
+Fleet::CheckMemory(Host& aHost)
+{
+  if (!limitsMemory_ || aHost.isGone_ || aHost.pid_ <= 0) {
+    return;
+  }
+  std::ifstream file("/proc/" + std::to_string(aHost.pid_) + "/status");
+  std::string line;
+  while (std::getline(file, line) && line.rfind("VmRSS:", 0) != 0) {
+  }
+  const long used = line.size() > 6 ? std::atol(line.c_str() + 6) : 0;
+  aHost.peakKb_ = std::max(aHost.peakKb_, used);
+  const long limit = aHost.isFront_ ? kFrontMemoryMb : kStoreMemoryMb;
+  if (used > limit * 1024) {
+    ++aHost.memoryKills_;
+    record_.Line("machine " + aHost.name_ + ": its process uses " +
+                 std::to_string(used / 1024) + " MB of " +
+                 std::to_string(limit) + " and is killed");
+    ::kill(aHost.pid_, SIGKILL);
+  }
+}
+
 void
 Fleet::RemoveForGood(const std::string& aName)
 {
@@ -983,11 +1009,14 @@
 }
 
 void
-Submit(Job& aJob, const std::vector<std::string>& aFronts, Record& aRecord)
+Submit(Job& aJob,
+       const std::vector<std::string>& aFronts,
+       Record& aRecord,
+       const std::string& aHost)
 {
   aJob.sentAt_ = Now();
   const std::string request =
-    "POST /b/" + aJob.id_ + " HTTP/1.1\r\nHost: " + kHostName +
+    "POST /b/" + aJob.id_ + " HTTP/1.1\r\nHost: " + aHost +
     "\r\nAttempt-Id: " + aJob.id_ +
     "\r\nContent-Type: application/json\r\nConnection: close\r\n"
     "Content-Length: " +
@@ -1009,13 +1038,16 @@
 }
 
 void
-ReadResults(Job& aJob, const std::string& aFront, Record& aRecord)
+ReadResults(Job& aJob,
+            const std::string& aFront,
+            Record& aRecord,
+            const std::string& aHost)
 {
   const Message answer =
     Call(aFront,
          kFrontPort,
          "GET /api/lots/" + aJob.id_ + "?after=" + std::to_string(aJob.next_) +
-           " HTTP/1.1\r\nHost: " + kHostName + "\r\nConnection: close\r\n\r\n",
+           " HTTP/1.1\r\nHost: " + aHost + "\r\nConnection: close\r\n\r\n",
          3);
   if (answer.status_ != 200) {
     aRecord.Line("reading batch job " + aJob.id_ + " is answered " +
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -221,6 +221,8 @@
     pid_t pid_ = -1;
     bool isGone_ = false;
     int exits_ = 0;
+    int memoryKills_ = 0;
+    long peakKb_ = 0;     ///< Of all its processes.
     double startAt_ = -1; ///< When its process is started again.
   };
 
@@ -233,6 +235,8 @@
   void RemoveForGood(const std::string& aName);
   [[nodiscard]] std::vector<Host> Hosts();
   [[nodiscard]] int CountExits();
+  /// From now on, "A process that uses more than `memoryMb` is killed."
+  void LimitMemory() { limitsMemory_ = true; }
   [[nodiscard]] const std::string& Network() const { return network_; }
   /// @return whether all fronts answer that they are ready.
   bool WaitUntilReady(double aUntil);
@@ -241,6 +245,7 @@
 private:
   void Start(Host& aHost);
   void Watch();
+  void CheckMemory(Host& aHost);
 
   std::string network_;
   std::string folder_;
@@ -248,6 +253,7 @@
   std::mutex mutex_;
   std::map<std::string, Host> hosts_;
   std::atomic<bool> isEnding_{ false };
+  std::atomic<bool> limitsMemory_{ false };
   std::thread watcher_;
 };
 
@@ -255,6 +261,12 @@
 constexpr int kReadyPort = 8167;
 constexpr int kStorePort = 8169;
 
+/// The memory of the machines that clients reach and of the store machines.
+constexpr int kFrontMemoryMb = 110;
+constexpr int kStoreMemoryMb = 140;
+
+constexpr const char* kHostName = "nony24.example";
+
 /// @return a network 127.X.Y for this run.
 std::string
 DrawNetwork();
@@ -286,17 +298,21 @@
 /// Sends a job to one front after the other until it is accepted, as clients
 /// do.
 void
-Submit(Job& aJob, const std::vector<std::string>& aFronts, Record& aRecord);
+Submit(Job& aJob,
+       const std::vector<std::string>& aFronts,
+       Record& aRecord,
+       const std::string& aHost = kHostName);
 
 /// Reads a job's results on from the last position.
 void
-ReadResults(Job& aJob, const std::string& aFront, Record& aRecord);
+ReadResults(Job& aJob,
+            const std::string& aFront,
+            Record& aRecord,
+            const std::string& aHost = kHostName);
 
 /// The routes: /s/ streams that may be resumed, /u/ streams that may not, /b/
 /// batch jobs.
 std::string
 MakeConfiguration();
 
-constexpr const char* kHostName = "nony24.example";
-
 } // namespace rig
