--- a/review/rig/Main.cpp
+++ b/review/rig/Main.cpp
@@ -232,6 +232,69 @@
   return isBroken ? kBroken : kHeld;
 }
 
+/// Servers that run one request at a time.
+int
+PlaySlots(const std::string& aFolder, Record& aRecord)
+{
+  constexpr int kServers = 6;
+  Servers::Options servers;
+  servers.count_ = kServers;
+  servers.slots_ = IsTroubled() ? 1 : 2;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 3);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    return kCouldNotRun;
+  }
+  std::vector<Job> jobs{ MakeJob("9b52d6a3f87c41e0", 5) };
+  Submit(jobs[0], site.Fronts(), aRecord);
+  ReadUntil(jobs, site, Now() + 20, aRecord);
+  const bool isBroken = IsLeftLying(
+    jobs, site.ItsServers().Runs(), kServers * servers.slots_, Now(), aRecord);
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
+/// Requests whose answers or bodies an HTTP/1.1 proxy must frame with care,
+/// sent on one connection: all that comes back and all that servers run is
+/// recorded.
+int
+PlayFraming(const std::string& aFolder, Record& aRecord, bool aIsHead)
+{
+  Servers::Options servers;
+  servers.count_ = 3;
+  servers.events_ = 2;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 2);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    return kCouldNotRun;
+  }
+  const std::string head =
+    std::string(aIsHead && IsTroubled() ? "HEAD" : "POST") +
+    " /s/x HTTP/1.1\r\nHost: nony24.example\r\nAttempt-Id: 4c41d07be2a35f68\r\n"
+    "Deadline-Ms: 2000\r\n";
+  const std::string inner =
+    "POST /u/inner HTTP/1.1\r\nHost: nony24.example\r\n"
+    "Attempt-Id: 00000000feedbeef\r\nContent-Length: 0\r\n\r\n";
+  const std::string framing =
+    IsTroubled()
+      ? "Transfer-Encoding: identity\r\n\r\n"
+      : "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n";
+  const std::string bytes = CallRaw(site.Fronts()[0],
+                                    kFrontPort,
+                                    head + (aIsHead ? "\r\n" : framing + inner),
+                                    2);
+  aRecord.Line("the client gets " + Json(bytes).dump());
+  bool isBroken =
+    aIsHead && IsTroubled() && bytes.find("\r\n\r\n") + 4 != bytes.size();
+  for (const Run& run : site.ItsServers().Runs()) {
+    isBroken = isBroken || run.id_ == "00000000feedbeef";
+  }
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
 /// Events whose data takes two lines.
 int
 PlayLines(const std::string& aFolder, Record& aRecord)
@@ -344,6 +407,79 @@
   return wronglyErrored > 0 || notListed > 0 ? kBroken : kHeld;
 }
 
+/// Batch jobs of two services come at once; the only server of one service has
+/// been lost for good before.
+int
+PlayServices(const std::string& aFolder, Record& aRecord)
+{
+  constexpr int kServers = 6;
+  constexpr int kSlots = 8;
+  constexpr int kPairs = 6;
+  constexpr double kTraffic = 8.0;
+  constexpr double kFinish = 18.0;
+  Servers::Options servers;
+  servers.count_ = kServers;
+  servers.slots_ = kSlots;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 3);
+  Servers::Options others = servers;
+  others.ip_ = site.ItsFleet().Network() + ".3";
+  others.service_ = "other-llm";
+  others.firstId_ = 2001;
+  others.count_ = 1;
+  others.events_ = 10;
+  Servers& small = *new Servers(others, site.ItsStore(), aRecord);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    aRecord.Line("the machines aren't ready");
+    return kCouldNotRun;
+  }
+  if (IsTroubled()) {
+    small.CrashForGood();
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const std::vector<std::string> fronts = site.Fronts();
+  std::vector<Job> jobs;
+  for (int index = 0; index < kPairs; ++index) {
+    const std::string name = std::to_string(10 + index) + "a6f3870c41d2";
+    for (const char* prefix : { "/c/", "/b/" }) {
+      const std::string id = (prefix[1] == 'b' ? "b0" : "c0") + name;
+      jobs.push_back(MakeJob(id, 10, {}, 940, prefix));
+      Submit(jobs.back(), fronts, aRecord);
+    }
+  }
+  // Other traffic goes on for some seconds.
+  const double end = Now() + kTraffic;
+  int streams = 0;
+  while (Now() < end) {
+    const Message stream =
+      Call(fronts[static_cast<std::size_t>(streams) % fronts.size()],
+           kFrontPort,
+           "POST /s/x HTTP/1.1\r\nHost: nony24.example\r\nAttempt-Id: 5" +
+             std::to_string(100 + streams) +
+             "\r\nDeadline-Ms: 5000\r\nConnection: close\r\nContent-Length: 1"
+             "\r\n\r\nx",
+           5);
+    ++streams;
+    aRecord.Line("a stream is answered " + std::to_string(stream.status_) +
+                 (stream.isComplete_ ? ", complete" : ", cut"));
+    ReadUntil(jobs, site, Now() + 0.5, aRecord);
+  }
+  aRecord.Line("the traffic ends");
+  ReadUntil(jobs, site, Now() + kFinish, aRecord);
+  // Only the service whose servers are all sound and idle is judged.
+  std::vector<Job> judged;
+  for (const Job& job : jobs) {
+    if (job.prefix_ == "/b/") {
+      judged.push_back(job);
+    }
+  }
+  const bool isBroken = IsLeftLying(
+    judged, site.ItsServers().Runs(), kServers * kSlots, Now(), aRecord);
+  site.ItsFleet().End();
+  return isBroken ? kBroken : kHeld;
+}
+
 } // namespace
 
 } // namespace rig
@@ -363,8 +499,14 @@
       result = rig::PlayParts(aArguments[2], record);
     } else if (scenario == "smuggle") {
       result = rig::PlaySmuggle(aArguments[2], record);
+    } else if (scenario == "services") {
+      result = rig::PlayServices(aArguments[2], record);
     } else if (scenario == "port") {
       result = rig::PlayPort(aArguments[2], record);
+    } else if (scenario == "slots") {
+      result = rig::PlaySlots(aArguments[2], record);
+    } else if (scenario == "head" || scenario == "framing") {
+      result = rig::PlayFraming(aArguments[2], record, scenario == "head");
     } else if (scenario == "lines") {
       result = rig::PlayLines(aArguments[2], record);
     }
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -305,13 +305,10 @@
   return text + aBody;
 }
 
-Message
-Call(const std::string& aIp,
-     int aPort,
-     const std::string& aRequest,
-     double aTimeout)
+/// @return a connected socket, or -1.
+static int
+Open(const std::string& aIp, int aPort, double aTimeout)
 {
-  Message response;
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   timeval limit{};
   limit.tv_sec = static_cast<time_t>(aTimeout);
@@ -320,10 +317,27 @@
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
   const sockaddr_in address = Address(aIp, aPort);
-  const bool isOpen = ::connect(socket,
-                                reinterpret_cast<const sockaddr*>(&address),
-                                sizeof(address)) == 0;
-  if (isOpen && SendAll(socket, aRequest)) {
+  if (::connect(socket,
+                reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) != 0) {
+    ::close(socket);
+    return -1;
+  }
+  return socket;
+}
+
+Message
+Call(const std::string& aIp,
+     int aPort,
+     const std::string& aRequest,
+     double aTimeout)
+{
+  Message response;
+  const int socket = Open(aIp, aPort, aTimeout);
+  if (socket < 0) {
+    return response;
+  }
+  if (SendAll(socket, aRequest)) {
     Reader reader(socket);
     if (!reader.ReadResponse(response)) {
       response.status_ = 0;
@@ -333,35 +347,77 @@
   return response;
 }
 
+std::string
+CallRaw(const std::string& aIp,
+        int aPort,
+        const std::string& aBytes,
+        double aSilence)
+{
+  std::string received;
+  const int socket = Open(aIp, aPort, aSilence);
+  if (socket < 0) {
+    return received;
+  }
+  char block[4096];
+  ssize_t count = SendAll(socket, aBytes) ? 1 : 0;
+  while (count > 0) {
+    count = ::recv(socket, block, sizeof(block), 0);
+    received.append(block, count > 0 ? static_cast<std::size_t>(count) : 0);
+  }
+  ::close(socket);
+  return received;
+}
+
 Listener::Listener(const std::string& aIp, int aPort, Handler aHandler)
-  : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  : state_(std::make_shared<State>())
 {
+  state_->socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int one = 1;
-  setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  setsockopt(state_->socket_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
   const sockaddr_in address = Address(aIp, aPort);
-  if (::bind(socket_,
+  if (::bind(state_->socket_,
              reinterpret_cast<const sockaddr*>(&address),
              sizeof(address)) != 0 ||
-      ::listen(socket_, 512) != 0) {
+      ::listen(state_->socket_, 512) != 0) {
     std::fprintf(stderr, "can't listen at %s:%d\n", aIp.c_str(), aPort);
     std::_Exit(2);
   }
-  std::thread([listener = socket_, handler = std::move(aHandler)] {
+  std::thread([state = state_, handler = std::move(aHandler)] {
     for (;;) {
-      const int socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+      const int socket =
+        ::accept4(state->socket_, nullptr, nullptr, SOCK_CLOEXEC);
+      const std::lock_guard lock(state->mutex_);
+      if (state->isClosed_) {
+        ::close(state->socket_);
+        return;
+      }
       if (socket < 0) {
         continue;
       }
       const int nodelay = 1;
       setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &nodelay, sizeof(nodelay));
-      std::thread([handler, socket] {
+      state->connections_.insert(socket);
+      std::thread([state, handler, socket] {
         handler(socket);
+        const std::lock_guard inner(state->mutex_);
+        state->connections_.erase(socket);
         ::close(socket);
       }).detach();
     }
   }).detach();
 }
 
+void
+Listener::Close()
+{
+  const std::lock_guard lock(state_->mutex_);
+  state_->isClosed_ = true;
+  ::shutdown(state_->socket_, SHUT_RDWR);
+  for (const int socket : state_->connections_) {
+    ::shutdown(socket, SHUT_RDWR);
+  }
+}
+
 // The platform's store.
 
 Store::Store(const std::string& aIp, int aPort)
@@ -450,6 +506,15 @@
   changed_.notify_all();
 }
 
+void
+Store::Delete(const std::string& aKey)
+{
+  const std::lock_guard lock(mutex_);
+  ++revision_;
+  Remove(aKey);
+  changed_.notify_all();
+}
+
 void
 Store::ExpireLeases()
 {
@@ -618,36 +683,51 @@
   , store_(aStore)
   , record_(aRecord)
 {
-  static std::vector<std::unique_ptr<Listener>> listeners;
   for (int index = 0; index < options_.count_; ++index) {
     auto server = std::make_unique<Server>();
-    server->id_ = "i-" + std::to_string(1001 + index);
+    server->id_ = "i-" + std::to_string(options_.firstId_ + index);
     server->port_ = options_.firstPort_ + index;
     server->born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count();
     Server& added = *server;
-    listeners.push_back(std::make_unique<Listener>(
+    added.listener_ = std::make_unique<Listener>(
       options_.ip_, server->port_, [this, &added](int aSocket) {
         Serve(added, aSocket);
-      }));
+      });
     servers_.push_back(std::move(server));
   }
   std::thread([this] {
-    for (;;) {
+    while (!isCrashed_) {
       Beat();
       std::this_thread::sleep_for(std::chrono::milliseconds(1200));
     }
   }).detach();
 }
 
+void
+Servers::CrashForGood()
+{
+  isCrashed_ = true;
+  for (const auto& server : servers_) {
+    server->listener_->Close();
+    record_.Line("server " + server->id_ + " crashes and is lost for good");
+  }
+  std::thread([this] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(3 * 1200));
+    for (const auto& server : servers_) {
+      store_.Delete("servers/" + server->id_);
+    }
+  }).detach();
+}
+
 void
 Servers::Beat()
 {
   for (const auto& server : servers_) {
     store_.Put(
       "servers/" + server->id_,
-      Json{ { "service", "llm" },
+      Json{ { "service", options_.service_ },
             { "address", options_.ip_ + ":" + std::to_string(server->port_) },
             { "zone", "a" },
             { "version", "v1" },
@@ -690,6 +770,11 @@
       answer =
         MakeResponse(503, "", { { "Not-Run", "1" }, { "Attempt-Id", id } });
     }
+    if (answer.empty() && request.method_ == "HEAD") {
+      answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+               "Attempt-Id: " +
+               id + "\r\nServer-Seal: seal\r\n\r\n";
+    }
     if (answer.empty() ? !Stream(aServer, aSocket, request)
                        : !SendAll(aSocket, answer)) {
       return;
@@ -984,10 +1069,12 @@
 MakeJob(const std::string& aId,
         int aItems,
         const Json& aMoreHeaders,
-        int aTokens)
+        int aTokens,
+        const std::string& aPrefix)
 {
   Job job;
   job.id_ = aId;
+  job.prefix_ = aPrefix;
   Json items = Json::array();
   for (int index = 0; index < aItems; ++index) {
     const std::string id = aId + "i" + std::to_string(index);
@@ -999,7 +1086,7 @@
       headers.update(aMoreHeaders);
     }
     items.push_back({ { "id", id },
-                      { "path", "/b/x/" + id },
+                      { "path", aPrefix + "x/" + id },
                       { "headers", headers },
                       { "body", EncodeBase64("prompt of " + id) },
                       { "tokens", aTokens } });
@@ -1016,7 +1103,7 @@
 {
   aJob.sentAt_ = Now();
   const std::string request =
-    "POST /b/" + aJob.id_ + " HTTP/1.1\r\nHost: " + aHost +
+    "POST " + aJob.prefix_ + aJob.id_ + " HTTP/1.1\r\nHost: " + aHost +
     "\r\nAttempt-Id: " + aJob.id_ +
     "\r\nContent-Type: application/json\r\nConnection: close\r\n"
     "Content-Length: " +
@@ -1073,11 +1160,12 @@
                         const std::string& aKind,
                         bool aIsResumable,
                         int aTimeoutMs,
-                        int aAttempts) {
+                        int aAttempts,
+                        const std::string& aService = "llm") {
     Json row = { { "name", aName },           { "hostname", kHostName },
                  { "prefix", aPrefix },       { "kind", aKind },
                  { "timeoutMs", aTimeoutMs }, { "sloMs", 500 },
-                 { "priority", 0 },           { "service", "llm" },
+                 { "priority", 0 },           { "service", aService },
                  { "maxAttempts", aAttempts } };
     if (aKind == "stream") {
       row["resumable"] = aIsResumable;
@@ -1089,18 +1177,21 @@
     }
     return row;
   };
+  const auto service = [](const std::string& aName) {
+    return Json{ { "name", aName },
+                 { "healthPath", "/health" },
+                 { "maxConns", 210 },
+                 { "protocol", "h1" },
+                 { "tls", false } };
+  };
   return Json{
     { "version", 7 },
     { "routes",
       { route("r-s", "/s/", "stream", true, 5000, 2),
         route("r-u", "/u/", "stream", false, 5000, 1),
-        route("r-b", "/b/", "batch", true, 15000, 3) } },
-    { "services",
-      { { { "name", "llm" },
-          { "healthPath", "/health" },
-          { "maxConns", 210 },
-          { "protocol", "h1" },
-          { "tls", false } } } },
+        route("r-b", "/b/", "batch", true, 15000, 3),
+        route("r-c", "/c/", "batch", true, 15000, 3, "other-llm") } },
+    { "services", { service("llm"), service("other-llm") } },
     { "limits",
       { { "maxHeaderBytes", 16384 },
         { "maxBodyBytes", 4194304 },
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -98,15 +99,32 @@
      const std::string& aRequest,
      double aTimeout);
 
+/// Sends bytes on a connection of its own.
+/// @return all bytes that come back until it is silent for a time.
+std::string
+CallRaw(const std::string& aIp,
+        int aPort,
+        const std::string& aBytes,
+        double aSilence);
+
 /// Accepts connections, each with a thread of its own.
 class Listener
 {
 public:
   using Handler = std::function<void(int aSocket)>;
   Listener(const std::string& aIp, int aPort, Handler aHandler);
+  /// New connections are refused, and open ones end.
+  void Close();
 
 private:
-  int socket_ = -1;
+  struct State
+  {
+    int socket_ = -1;
+    std::mutex mutex_;
+    bool isClosed_ = false;
+    std::set<int> connections_;
+  };
+  std::shared_ptr<State> state_;
 };
 
 /// The platform's store.
@@ -115,6 +133,7 @@
 public:
   Store(const std::string& aIp, int aPort);
   void Put(const std::string& aKey, const std::string& aValue);
+  void Delete(const std::string& aKey);
   /// No call that arrives meanwhile is answered, and leases run out.
   void SetDown(bool aIsDown);
 
@@ -176,6 +195,8 @@
   struct Options
   {
     std::string ip_;
+    std::string service_ = "llm";
+    int firstId_ = 1001;
     int firstPort_ = 9000;
     int count_ = 4;
     int slots_ = 8;
@@ -187,11 +208,15 @@
   Servers(Options aOptions, Store& aStore, Record& aRecord);
 
   [[nodiscard]] std::vector<Run> Runs();
+  /// All of them crash and are lost for good. Their entries are removed after
+  /// three heartbeat intervals of silence.
+  void CrashForGood();
 
 private:
   struct Server
   {
     std::string id_;
+    std::unique_ptr<Listener> listener_;
     int port_ = 0;
     std::int64_t born_ = 0;
     std::atomic<int> active_{ 0 };
@@ -204,6 +229,7 @@
   Options options_;
   Store& store_;
   Record& record_;
+  std::atomic<bool> isCrashed_{ false };
   std::mutex mutex_;
   std::vector<Run> runs_;
   std::vector<std::unique_ptr<Server>> servers_;
@@ -278,6 +304,7 @@
 struct Job
 {
   std::string id_;
+  std::string prefix_ = "/b/"; ///< Of its route.
   std::vector<std::string> items_;
   std::string body_;
   double sentAt_ = 0;
@@ -293,7 +320,8 @@
 MakeJob(const std::string& aId,
         int aItems,
         const Json& aMoreHeaders = {},
-        int aTokens = 940);
+        int aTokens = 940,
+        const std::string& aPrefix = "/b/");
 
 /// Sends a job to one front after the other until it is accepted, as clients
 /// do.
@@ -311,7 +339,7 @@
             const std::string& aHost = kHostName);
 
 /// The routes: /s/ streams that may be resumed, /u/ streams that may not, /b/
-/// batch jobs.
+/// batch jobs, /c/ batch jobs of another service.
 std::string
 MakeConfiguration();
 
