--- a/review/6/run.sh
+++ b/review/1/run.sh
@@ -10,7 +10,7 @@
   echo "build first" >&2
   exit 2
 fi
-timeout -k 2 115 review/build/rig services "$folder" review/6/record.txt
+timeout -k 2 115 review/build/rig services "$folder" review/1/record.txt
 result=$?
 [ $result -le 1 ] || result=2
 exit $result
