--- a/review/rig/Main.cpp
+++ b/review/rig/Main.cpp
@@ -1,5 +1,6 @@
 #include "Rig.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <iostream>
@@ -331,6 +332,59 @@
   return isBroken ? kBroken : kHeld;
 }
 
+/// Sends a stream of another route.
+void
+SendStream(const std::string& aFront,
+           const std::string& aHost,
+           const std::string& aId,
+           Record& aRecord)
+{
+  const Message answer =
+    Call(aFront,
+         kFrontPort,
+         "POST /s/x HTTP/1.1\r\nHost: " + aHost + "\r\nAttempt-Id: " + aId +
+           "\r\nDeadline-Ms: 5000\r\nConnection: close\r\n"
+           "Content-Length: 1\r\n\r\nx",
+         5);
+  aRecord.Line("a stream with Host " + aHost + " is answered " +
+               std::to_string(answer.status_) +
+               (answer.isComplete_ ? ", complete" : ", cut"));
+}
+
+/// The rule MIXED for items that are listed as errored, where no server answers
+/// 422 or 500, no client ends a batch job, the route stays, and maxWaitS is 60.
+int
+JudgeErrored(const std::vector<Job>& aJobs,
+             const std::vector<Run>& aRuns,
+             Record& aRecord)
+{
+  int accepted = 0;
+  int wronglyErrored = 0;
+  int notListed = 0;
+  for (const Job& job : aJobs) {
+    accepted += job.acceptedAt_ >= 0 ? 1 : 0;
+    for (const std::string& item : job.items_) {
+      const auto listed = job.listed_.find(item);
+      notListed += job.acceptedAt_ >= 0 && listed == job.listed_.end() ? 1 : 0;
+      wronglyErrored +=
+        listed != job.listed_.end() && listed->second == "errored" ? 1 : 0;
+    }
+  }
+  const auto ran =
+    std::count_if(aRuns.begin(), aRuns.end(), [](const Run& aRun) {
+      return aRun.id_.rfind("51d6a3f87c41e0", 0) == 0;
+    });
+  aRecord.Line(std::to_string(accepted) + " of 3 batch jobs accepted, " +
+               std::to_string(ran) + " runs of their items, " +
+               std::to_string(wronglyErrored) +
+               " of 15 items listed as errored, " + std::to_string(notListed) +
+               " not listed");
+  if (accepted == 0) {
+    return kCouldNotRun;
+  }
+  return wronglyErrored > 0 || notListed > 0 ? kBroken : kHeld;
+}
+
 /// Clients that name the port in Host, as HTTP/1.1 asks of them where it isn't
 /// the default one.
 int
@@ -352,16 +406,7 @@
                  : std::string(kHostName);
   aRecord.Line("clients send Host: " + host);
   const std::vector<std::string> fronts = site.Fronts();
-  const Message stream =
-    Call(fronts[0],
-         kFrontPort,
-         "POST /s/x HTTP/1.1\r\nHost: " + host +
-           "\r\nAttempt-Id: 4c41d07be2a35f68\r\nDeadline-Ms: 5000\r\n"
-           "Connection: close\r\nContent-Length: 1\r\n\r\nx",
-         5);
-  aRecord.Line("a stream with this Host is answered " +
-               std::to_string(stream.status_) +
-               (stream.isComplete_ ? ", complete" : ", cut"));
+  SendStream(fronts[0], host, "4c41d07be2a35f68", aRecord);
   std::vector<Job> jobs;
   for (int index = 0; index < 3; ++index) {
     jobs.push_back(MakeJob("51d6a3f87c41e0" + std::to_string(10 + index), 5));
@@ -377,34 +422,27 @@
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
   }
-  // No server of this site answers 422 or 500, no client ends a batch job, the
-  // route stays, and maxWaitS is 60.
-  int accepted = 0;
-  int wronglyErrored = 0;
-  int notListed = 0;
-  for (const Job& job : jobs) {
-    accepted += job.acceptedAt_ >= 0 ? 1 : 0;
-    for (const std::string& item : job.items_) {
-      const auto listed = job.listed_.find(item);
-      notListed += job.acceptedAt_ >= 0 && listed == job.listed_.end() ? 1 : 0;
-      wronglyErrored +=
-        listed != job.listed_.end() && listed->second == "errored" ? 1 : 0;
-    }
-  }
-  int ran = 0;
-  for (const Run& run : site.ItsServers().Runs()) {
-    ran += run.id_.rfind("51d6a3f87c41e0", 0) == 0 ? 1 : 0;
-  }
-  aRecord.Line(std::to_string(accepted) + " of 3 batch jobs accepted, " +
-               std::to_string(ran) + " runs of their items, " +
-               std::to_string(wronglyErrored) +
-               " of 15 items listed as errored, " + std::to_string(notListed) +
-               " not listed");
+  const int result = JudgeErrored(jobs, site.ItsServers().Runs(), aRecord);
   site.ItsFleet().End();
-  if (accepted == 0) {
-    return kCouldNotRun;
+  return result;
+}
+
+/// Sends pairs of batch jobs at once, the first of a pair to the small service.
+std::vector<Job>
+SubmitPairs(const std::vector<std::string>& aFronts,
+            int aPairs,
+            Record& aRecord)
+{
+  std::vector<Job> jobs;
+  for (int index = 0; index < aPairs; ++index) {
+    const std::string name = std::to_string(10 + index) + "a6f3870c41d2";
+    for (const char* prefix : { "/c/", "/b/" }) {
+      const std::string id = (prefix[1] == 'b' ? "b0" : "c0") + name;
+      jobs.push_back(MakeJob(id, 10, {}, 940, prefix));
+      Submit(jobs.back(), aFronts, aRecord);
+    }
   }
-  return wronglyErrored > 0 || notListed > 0 ? kBroken : kHeld;
+  return jobs;
 }
 
 /// Batch jobs of two services come at once; the only server of one service has
@@ -439,30 +477,14 @@
   }
   std::this_thread::sleep_for(std::chrono::seconds(2));
   const std::vector<std::string> fronts = site.Fronts();
-  std::vector<Job> jobs;
-  for (int index = 0; index < kPairs; ++index) {
-    const std::string name = std::to_string(10 + index) + "a6f3870c41d2";
-    for (const char* prefix : { "/c/", "/b/" }) {
-      const std::string id = (prefix[1] == 'b' ? "b0" : "c0") + name;
-      jobs.push_back(MakeJob(id, 10, {}, 940, prefix));
-      Submit(jobs.back(), fronts, aRecord);
-    }
-  }
+  std::vector<Job> jobs = SubmitPairs(fronts, kPairs, aRecord);
   // Other traffic goes on for some seconds.
   const double end = Now() + kTraffic;
-  int streams = 0;
-  while (Now() < end) {
-    const Message stream =
-      Call(fronts[static_cast<std::size_t>(streams) % fronts.size()],
-           kFrontPort,
-           "POST /s/x HTTP/1.1\r\nHost: nony24.example\r\nAttempt-Id: 5" +
-             std::to_string(100 + streams) +
-             "\r\nDeadline-Ms: 5000\r\nConnection: close\r\nContent-Length: 1"
-             "\r\n\r\nx",
-           5);
-    ++streams;
-    aRecord.Line("a stream is answered " + std::to_string(stream.status_) +
-                 (stream.isComplete_ ? ", complete" : ", cut"));
+  for (std::size_t stream = 0; Now() < end; ++stream) {
+    SendStream(fronts[stream % fronts.size()],
+               kHostName,
+               "5" + std::to_string(100 + stream),
+               aRecord);
     ReadUntil(jobs, site, Now() + 0.5, aRecord);
   }
   aRecord.Line("the traffic ends");
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -299,7 +299,7 @@
 {
   std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n";
   for (const auto& [name, value] : aFields) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
   return text + aBody;
@@ -611,6 +611,50 @@
   }
 }
 
+std::string
+Store::Range(const Message& aRequest)
+{
+  const std::string prefix = aRequest.Query("prefix");
+  const std::string after = aRequest.Query("after");
+  Json rows = Json::array();
+  std::size_t bytes = 0;
+  bool isTruncated = false;
+  for (auto item = items_.lower_bound(prefix);
+       item != items_.end() && item->first.rfind(prefix, 0) == 0;
+       ++item) {
+    if (!after.empty() && item->first <= after) {
+      continue;
+    }
+    if (rows.size() == 500 ||
+        (!rows.empty() && bytes + item->second.value_.size() > 1000000)) {
+      isTruncated = true;
+      break;
+    }
+    bytes += item->second.value_.size();
+    rows.push_back(Row(item->first, item->second));
+  }
+  return MakeResponse(200,
+                      Json{ { "items", rows },
+                            { "truncated", isTruncated },
+                            { "currentRev", revision_ } }
+                        .dump());
+}
+
+std::string
+Store::RenewOrEnd(const std::string& aPath)
+{
+  const std::uint64_t lease =
+    std::strtoull(aPath.substr(aPath.rfind('/') + 1).c_str(), nullptr, 10);
+  const auto found = leases_.find(lease);
+  if (found == leases_.end()) {
+    return MakeResponse(404, "{}");
+  }
+  const bool isEnd = aPath.rfind("/api/kv-lease-end/", 0) == 0;
+  found->second.endsAt_ = isEnd ? 0 : Now() + found->second.ttl_;
+  return MakeResponse(200,
+                      Json{ { "ttlMs", found->second.ttl_ * 1000 } }.dump());
+}
+
 std::string
 Store::Answer(const Message& aRequest)
 {
@@ -626,30 +670,7 @@
     return MakeResponse(200, row.dump());
   }
   if (path == "/api/kv-range") {
-    const std::string prefix = aRequest.Query("prefix");
-    const std::string after = aRequest.Query("after");
-    Json rows = Json::array();
-    std::size_t bytes = 0;
-    bool isTruncated = false;
-    for (auto item = items_.lower_bound(prefix);
-         item != items_.end() && item->first.rfind(prefix, 0) == 0;
-         ++item) {
-      if (!after.empty() && item->first <= after) {
-        continue;
-      }
-      if (rows.size() == 500 ||
-          (!rows.empty() && bytes + item->second.value_.size() > 1000000)) {
-        isTruncated = true;
-        break;
-      }
-      bytes += item->second.value_.size();
-      rows.push_back(Row(item->first, item->second));
-    }
-    return MakeResponse(200,
-                        Json{ { "items", rows },
-                              { "truncated", isTruncated },
-                              { "currentRev", revision_ } }
-                          .dump());
+    return Range(aRequest);
   }
   if (path == "/api/kv-txn") {
     return Commit(Json::parse(aRequest.body_));
@@ -661,19 +682,7 @@
     return MakeResponse(200,
                         Json{ { "lease", lease }, { "ttlMs", ttlMs } }.dump());
   }
-  const std::uint64_t lease =
-    std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
-  const auto found = leases_.find(lease);
-  if (found == leases_.end()) {
-    return MakeResponse(404, "{}");
-  }
-  if (path.rfind("/api/kv-lease-end/", 0) == 0) {
-    found->second.endsAt_ = 0;
-  } else {
-    found->second.endsAt_ = Now() + found->second.ttl_;
-  }
-  return MakeResponse(200,
-                      Json{ { "ttlMs", found->second.ttl_ * 1000 } }.dump());
+  return RenewOrEnd(path);
 }
 
 // Model servers.
@@ -1077,18 +1086,25 @@
   job.prefix_ = aPrefix;
   Json items = Json::array();
   for (int index = 0; index < aItems; ++index) {
-    const std::string id = aId + "i" + std::to_string(index);
+    std::string id = aId;
+    id.append("i").append(std::to_string(index));
     job.items_.push_back(id);
+    std::string prefix = "9c2e41:300,";
+    prefix.append(id).append(":240");
+    std::string path = aPrefix;
+    path.append("x/").append(id);
+    std::string content = "prompt of ";
+    content.append(id);
     Json headers = { { "Model", "m" },
                      { "Token-Counts", "540,400" },
-                     { "Prompt-Prefix", "9c2e41:300," + id + ":240" } };
+                     { "Prompt-Prefix", prefix } };
     if (aMoreHeaders.is_object()) {
       headers.update(aMoreHeaders);
     }
     items.push_back({ { "id", id },
-                      { "path", aPrefix + "x/" + id },
+                      { "path", path },
                       { "headers", headers },
-                      { "body", EncodeBase64("prompt of " + id) },
+                      { "body", EncodeBase64(content) },
                       { "tokens", aTokens } });
   }
   job.body_ = Json{ { "items", items } }.dump();
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -160,6 +160,8 @@
 
   void Serve(int aSocket);
   std::string Answer(const Message& aRequest);
+  std::string Range(const Message& aRequest);
+  std::string RenewOrEnd(const std::string& aPath);
   std::string Watch(const Message& aRequest);
   std::string Commit(const Json& aCall);
   void Write(const std::string& aKey,
