--- a/review/rig/Main.cpp
+++ b/review/rig/Main.cpp
@@ -502,6 +502,88 @@
   return isBroken ? kBroken : kHeld;
 }
 
+/// A client that reads the results of a batch job in parts, with pauses.
+int
+PlayReader(const std::string& aFolder, Record& aRecord)
+{
+  // The sheet's largest batch job, and pieces of its usual size.
+  constexpr int kItems = 24;
+  constexpr int kEvents = 279;
+  constexpr std::size_t kEventBytes = 75;
+  constexpr int kReads = 3;
+  constexpr std::size_t kReadBytes = 16384;
+  Servers::Options servers;
+  servers.count_ = 6;
+  servers.events_ = kEvents;
+  servers.eventInterval_ = 0.01;
+  servers.event_ = [](int aEvent) {
+    return "id: " + std::to_string(aEvent) +
+           "\ndata: " + std::string(kEventBytes, 'x') + "\n\n";
+  };
+  Site& site = *new Site(aFolder, aRecord, servers, 2, 3);
+  SleepUntil(kLead);
+  if (!site.ItsFleet().WaitUntilReady(kLead + 5)) {
+    return kCouldNotRun;
+  }
+  std::vector<Job> jobs{ MakeJob("9b52d6a3f87c41e0", kItems) };
+  Submit(jobs[0], site.Fronts(), aRecord);
+  ReadUntil(jobs, site, Now() + 12, aRecord);
+  if (jobs[0].listed_.size() < kItems) {
+    aRecord.Line("the batch job isn't done");
+    return kCouldNotRun;
+  }
+  const double pause = IsTroubled() ? 0.4 : 0.0;
+  aRecord.Line("a client reads all results, 16 KB each " +
+               std::to_string(pause) + " s");
+  bool isRead = false;
+  for (int attempt = 0; attempt < kReads && !isRead; ++attempt) {
+    const std::vector<std::string> fronts = site.Fronts();
+    const SteadyRead read =
+      CallSteadily(fronts[static_cast<std::size_t>(attempt) % fronts.size()],
+                   kFrontPort,
+                   "GET /api/lots/" + jobs[0].id_ +
+                     "?after=0 HTTP/1.1\r\nHost: " + kHostName +
+                     "\r\nConnection: close\r\n\r\n",
+                   kReadBytes,
+                   pause);
+    isRead = read.IsComplete();
+    aRecord.Line("the client got " + std::to_string(read.received_) + " of " +
+                 std::to_string(read.expected_) + " bytes in " +
+                 std::to_string(read.seconds_) + " s, " +
+                 (isRead ? "all" : "then: " + read.end_));
+  }
+  site.ItsFleet().End();
+  return isRead ? kHeld : kBroken;
+}
+
+/// SIGHUP reaches processes that have just started.
+int
+PlayHangUp(const std::string& aFolder, Record& aRecord)
+{
+  constexpr int kStarts = 5;
+  const std::vector<double> delays{ 0.0, 0.001, 0.002, 0.02, 0.1 };
+  Servers::Options servers;
+  servers.count_ = 1;
+  servers.event_ = PlainEvent;
+  Site& site = *new Site(aFolder, aRecord, servers, 0, 0);
+  int number = 0;
+  for (const double delay : delays) {
+    for (int start = 0; start < kStarts; ++start) {
+      const std::string name = "front-" + std::to_string(++number);
+      site.ItsFleet().Add(name, 10 + number, true);
+      if (IsTroubled()) {
+        site.ItsFleet().HangUp(name, delay);
+      }
+    }
+  }
+  SleepUntil(Now() + 1);
+  const int exits = site.ItsFleet().CountExits();
+  aRecord.Line(std::to_string(exits) + " of " + std::to_string(number) +
+               " processes ended by themselves");
+  site.ItsFleet().End();
+  return exits > 0 ? kBroken : kHeld;
+}
+
 } // namespace
 
 } // namespace rig
@@ -529,6 +611,10 @@
       result = rig::PlaySlots(aArguments[2], record);
     } else if (scenario == "head" || scenario == "framing") {
       result = rig::PlayFraming(aArguments[2], record, scenario == "head");
+    } else if (scenario == "reader") {
+      result = rig::PlayReader(aArguments[2], record);
+    } else if (scenario == "hup") {
+      result = rig::PlayHangUp(aArguments[2], record);
     } else if (scenario == "lines") {
       result = rig::PlayLines(aArguments[2], record);
     }
--- a/review/rig/Rig.cpp
+++ b/review/rig/Rig.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cstring>
 #include <fstream>
 #include <random>
+#include <system_error>
 
 #include <arpa/inet.h>
 #include <csignal>
@@ -32,6 +34,21 @@
   return aText;
 }
 
+/// @return the length of the whole answer, or 0 if its head isn't there yet.
+std::size_t
+LengthOf(const std::string& aAnswer)
+{
+  const std::string name = "content-length: ";
+  const std::size_t head = aAnswer.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return 0;
+  }
+  const std::size_t at = Lower(aAnswer.substr(0, head)).find(name);
+  return at == std::string::npos
+           ? 0
+           : head + 4 + std::stoul(aAnswer.substr(at + name.size()));
+}
+
 sockaddr_in
 Address(const std::string& aIp, int aPort)
 {
@@ -368,6 +385,41 @@
   return received;
 }
 
+SteadyRead
+CallSteadily(const std::string& aIp,
+             int aPort,
+             const std::string& aRequest,
+             std::size_t aBytes,
+             double aPause)
+{
+  constexpr double kTimeout = 15.0;
+  SteadyRead read;
+  const double begin = Now();
+  const int socket = Open(aIp, aPort, kTimeout);
+  if (socket < 0) {
+    read.end_ = "no connection";
+    return read;
+  }
+  std::string answer;
+  std::vector<char> block(aBytes);
+  SendAll(socket, aRequest);
+  while (!read.IsComplete()) {
+    const ssize_t count = ::recv(socket, block.data(), block.size(), 0);
+    if (count <= 0) {
+      read.end_ =
+        count == 0 ? "closed" : std::generic_category().message(errno);
+      break;
+    }
+    answer.append(block.data(), static_cast<std::size_t>(count));
+    read.received_ = answer.size();
+    read.expected_ = LengthOf(answer);
+    std::this_thread::sleep_for(std::chrono::duration<double>(aPause));
+  }
+  read.seconds_ = Now() - begin;
+  ::close(socket);
+  return read;
+}
+
 Listener::Listener(const std::string& aIp, int aPort, Handler aHandler)
   : state_(std::make_shared<State>())
 {
@@ -972,6 +1024,29 @@
   }
 }
 
+void
+Fleet::HangUp(const std::string& aName, double aDelay)
+{
+  constexpr double kMaxStart = 2.0;
+  pid_t process = -1;
+  {
+    const std::lock_guard lock(mutex_);
+    process = hosts_.at(aName).pid_;
+  }
+  const double until = Now() + kMaxStart;
+  std::string program;
+  while (program.find("pumiceturn-gateway") == std::string::npos &&
+         Now() < until) {
+    std::ifstream file("/proc/" + std::to_string(process) + "/cmdline");
+    std::getline(file, program);
+  }
+  SleepUntil(Now() + aDelay);
+  ::kill(process, SIGHUP);
+  record_.Line("machine " + aName + " gets SIGHUP " +
+               std::to_string(static_cast<int>(aDelay * 1000)) +
+               " ms after its process runs the program");
+}
+
 void
 Fleet::RemoveForGood(const std::string& aName)
 {
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -107,6 +107,29 @@
         const std::string& aBytes,
         double aSilence);
 
+/// What a client got that reads a part of its answer, pauses, and so on.
+struct SteadyRead
+{
+  std::size_t received_ = 0; ///< Bytes.
+  std::size_t expected_ = 0; ///< Bytes, by the length; 0: not known.
+  double seconds_ = 0;
+  std::string end_; ///< How the connection ended, where it did.
+
+  [[nodiscard]] bool IsComplete() const
+  {
+    return expected_ > 0 && received_ >= expected_;
+  }
+};
+
+/// Makes one call on a connection of its own, with the usual buffers, and reads
+/// at most so many bytes, then pauses.
+SteadyRead
+CallSteadily(const std::string& aIp,
+             int aPort,
+             const std::string& aRequest,
+             std::size_t aBytes,
+             double aPause);
+
 /// Accepts connections, each with a thread of its own.
 class Listener
 {
@@ -266,6 +289,9 @@
   /// From now on, "A process that uses more than `memoryMb` is killed."
   void LimitMemory() { limitsMemory_ = true; }
   [[nodiscard]] const std::string& Network() const { return network_; }
+  /// Sends SIGHUP to a machine's process, so long after it began to run the
+  /// program.
+  void HangUp(const std::string& aName, double aDelay);
   /// @return whether all fronts answer that they are ready.
   bool WaitUntilReady(double aUntil);
   void End();
