LibBatch: Start the items of each service in their own order

Cause: BatchWorker::StartAttempts had one start order for the items of all services, and ended at the first item for which no endpoint was found. Ruled out: a stuck tick (calls to the store go on), endpoints believed to be full (online requests go there), suspicion (none is recorded).

Change: ItemStarter has a queue, an estimate of slots and the running work for each service. What keeps a service's items waiting is found out once a tick, not once an item. An item of a split route goes to a service of the route that has a free slot, by weight. New: the gauge pumiceturn_items_waiting by cause, and one line a service and change of cause, at most one in 5 s.

Why it works: services share no slots, so no item can wait for one that another service's item needs.

--- a/Libraries/LibBatch/ItemSchedule.cpp
+++ b/Libraries/LibBatch/ItemSchedule.cpp
@@ -1,5 +1,6 @@
 #include "LibBatch/ItemSchedule.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -134,6 +135,15 @@
   return results;
 }
 
+std::size_t
+ItemSchedule::WaitingCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(items_.begin(), items_.end(), [](const Item& aItem) {
+      return aItem.phase_ == Phase::Waiting;
+    }));
+}
+
 std::uint64_t
 ItemSchedule::UnfinishedTokens() const
 {
--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -71,6 +71,9 @@
     base::Instant aNow,
     const HasSurvived& aHasSurvived);
 
+  /// @return the number of items that aren't done and aren't running.
+  [[nodiscard]] std::size_t WaitingCount() const;
+
   [[nodiscard]] std::uint64_t TokensOf(std::size_t aItem) const
   {
     return items_[aItem].tokens_;
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -74,6 +74,14 @@
   std::string preemptedPeer_;
 };
 
+/// Whether a service's endpoints can take a batch attempt now.
+enum class BatchCapacity : std::uint8_t
+{
+  NoEndpoint, ///< It has none that may receive new batch work.
+  Full,
+  FreeSlot,
+};
+
 /// How a registration relates to what is known of the endpoint.
 enum class RegistrationOutcome : std::uint8_t
 {
@@ -311,6 +319,11 @@
   [[nodiscard]] bool HasUsable(std::string_view aService,
                                std::string_view aSoftwareVersion) const;
 
+  /// @return whether Choose() finds an endpoint for a batch attempt that may go
+  ///         to any of the service.
+  [[nodiscard]] BatchCapacity BatchCapacityOf(const std::string& aService,
+                                              base::Instant aNow);
+
   /// Calls a function with each registration.
   void ForEachRecord(
     const std::function<void(const EndpointRecord&)>& aVisit) const;
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -315,6 +315,27 @@
   return choice;
 }
 
+BatchCapacity
+EndpointTable::BatchCapacityOf(const std::string& aService, base::Instant aNow)
+{
+  if (areCellsOutdated_) {
+    AssignEndpointCells();
+  }
+  const ChoiceRequest request{ aService, WorkClass::Batch, {} };
+  BatchCapacity capacity = BatchCapacity::NoEndpoint;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.record_.service_ != aService || endpoint.isUnreadable_ ||
+        !IsCandidate(endpoint, Candidates::OwnCell, aNow)) {
+      continue;
+    }
+    if (IsEligible(endpoint, request, CountsOf(endpoint, aNow), aNow)) {
+      return BatchCapacity::FreeSlot;
+    }
+    capacity = BatchCapacity::Full;
+  }
+  return capacity;
+}
+
 std::optional<EndpointChoice>
 EndpointTable::Choose(const ChoiceRequest& aRequest,
                       base::Instant aNow,
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -106,4 +106,28 @@
   return aRoute.targets_.back().service_;
 }
 
+const std::string*
+RouteTable::ChooseServiceAmong(
+  const Route& aRoute,
+  double aRandom,
+  const std::function<bool(const std::string&)>& aCanTake)
+{
+  std::vector<const RouteTarget*> able;
+  double total = 0.0;
+  for (const RouteTarget& target : aRoute.targets_) {
+    if (target.weight_ > 0.0 && aCanTake(target.service_)) {
+      able.push_back(&target);
+      total += target.weight_;
+    }
+  }
+  double remaining = aRandom * total;
+  for (const RouteTarget* target : able) {
+    remaining -= target->weight_;
+    if (remaining < 0.0) {
+      return &target->service_;
+    }
+  }
+  return able.empty() ? nullptr : &able.back()->service_;
+}
+
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -3,6 +3,7 @@
 #include "LibFleet/Declarations.h"
 #include "LibFleet/OrganisationTable.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,6 +38,15 @@
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
                                                         double aRandom);
 
+  /// Chooses one of the services that can take a request now, by weight.
+  /// @param aRandom Uniform in [0, 1).
+  /// @param aCanTake Returns whether a service can take a request.
+  /// @return nullptr if none can.
+  [[nodiscard]] static const std::string* ChooseServiceAmong(
+    const Route& aRoute,
+    double aRandom,
+    const std::function<bool(const std::string&)>& aCanTake);
+
   /// @param aOrganisation Empty if the caller has none.
   /// @return how far the priority of a request is below the highest one that an
   ///         online request may have; 0 if it is that.
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -318,41 +318,15 @@
                 [](const metadata::TransactionResponse&) {});
 }
 
-std::vector<batch::StartCandidate>
-BatchWorker::CollectCandidates(base::Instant aNow)
-{
-  const auto hasSurvived = [this, aNow](const std::string& aEndpoint,
-                                        base::Instant aTime) {
-    return shared_.endpoints_.HasSurvived(aEndpoint, aTime, aNow);
-  };
-  std::vector<batch::StartCandidate> candidates;
-  for (auto& [id, running] : runningJobs_) {
-    const batch::BatchJob* job = jobs_.Find(id);
-    if (job == nullptr || !job->items_ ||
-        aNow >= running.schedule_.Limits().abandonAt_) {
-      continue;
-    }
-    for (const std::size_t item :
-         running.schedule_.StartableItems(aNow, hasSurvived)) {
-      const std::uint64_t lastEvent =
-        running.schedule_.ProgressOf(item).lastEvent_;
-      candidates.push_back(
-        { id, item, UrgencyOf(*job, running, item, lastEvent), lastEvent > 0 });
-    }
-  }
-  return candidates;
-}
-
 batch::ItemUrgency
-BatchWorker::UrgencyOf(const batch::BatchJob& aJob,
-                       const RunningJob& aRunning,
+BatchWorker::UrgencyOf(const RunningJob& aRunning,
+                       const fleet::Route* aRoute,
                        std::size_t aItem,
                        std::uint64_t aLastEvent) const
 {
   batch::ItemUrgency urgency{ aRunning.schedule_.Limits().dueAt_ };
-  const fleet::Route* route = RouteOf(aJob);
-  const auto estimator = route != nullptr
-                           ? durationEstimators_.find(route->name_)
+  const auto estimator = aRoute != nullptr
+                           ? durationEstimators_.find(aRoute->name_)
                            : durationEstimators_.end();
   if (estimator != durationEstimators_.end()) {
     urgency.remaining_ = estimator->second.EstimateRemaining(
@@ -369,8 +343,10 @@
   if (job == nullptr || running == runningJobs_.end()) {
     return {};
   }
-  return UrgencyOf(
-    *job, running->second, aAttempt.Item(), aAttempt.Progress().lastEvent_);
+  return UrgencyOf(running->second,
+                   RouteOf(*job),
+                   aAttempt.Item(),
+                   aAttempt.Progress().lastEvent_);
 }
 
 void
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -4,7 +4,7 @@
 #include "LibBatch/HostSet.h"
 #include "LibBatch/ItemDurationEstimator.h"
 #include "LibBatch/ItemSchedule.h"
-#include "LibBatch/StartOrder.h"
+#include "LibBatch/ItemStarter.h"
 #include "LibGateway/BatchJobLoader.h"
 #include "LibGateway/ItemAttempt.h"
 #include "LibGateway/LedgerWriter.h"
@@ -66,6 +66,15 @@
 
   [[nodiscard]] std::size_t AttemptCount() const { return attempts_.size(); }
 
+  /// @return the items that the last tick didn't start for a reason.
+  [[nodiscard]] std::size_t WaitingCount(batch::StartObstacle aObstacle) const
+  {
+    return starter_.WaitingCount(aObstacle);
+  }
+
+  /// @return the items that pause after an attempt that ended.
+  [[nodiscard]] std::size_t PausingCount() const { return pausingItems_; }
+
 private:
   /// A loaded job whose items this host runs.
   struct RunningJob
@@ -99,21 +108,41 @@
                     RunningJob& aRunning,
                     base::Instant aNow);
   void StartAttempts(base::Instant aNow);
-  [[nodiscard]] std::vector<batch::StartCandidate> CollectCandidates(
+  /// @return the items that may start, by the service that each goes to next;
+  ///         an empty name: no route leads to one.
+  [[nodiscard]] batch::ItemStarter::ServiceQueues CollectQueues(
     base::Instant aNow);
-  [[nodiscard]] batch::ItemUrgency UrgencyOf(const batch::BatchJob& aJob,
-                                             const RunningJob& aRunning,
+  /// @return the queue of a service, which is added if it is missing.
+  batch::ServiceQueue& QueueOf(batch::ItemStarter::ServiceQueues& aQueues,
+                               const std::string& aService,
+                               base::Instant aNow);
+  /// @return the service that an item goes to next: the one that began its
+  ///         text, or one of the route's that has a free slot, by weight.
+  [[nodiscard]] std::string NextService(
+    const RunningJob& aRunning,
+    std::size_t aItem,
+    const fleet::Route& aRoute,
+    batch::ItemStarter::ServiceQueues& aQueues,
+    base::Instant aNow);
+  /// @return whether an item has waited for a slot at the software version that
+  ///         began its text for as long as it should.
+  [[nodiscard]] static bool HasWaitedForVersion(const RunningJob& aRunning,
+                                                std::size_t aItem,
+                                                base::Instant aNow);
+  [[nodiscard]] batch::ItemUrgency UrgencyOf(const RunningJob& aRunning,
+                                             const fleet::Route* aRoute,
                                              std::size_t aItem,
                                              std::uint64_t aLastEvent) const;
   [[nodiscard]] batch::ItemUrgency UrgencyOf(const ItemAttempt& aAttempt) const;
 
-  /// @return false if there was no free slot for the item.
-  bool StartAttempt(const batch::StartCandidate& aCandidate,
-                    base::Instant aNow);
+  /// @return what kept the item from being started.
+  batch::StartObstacle StartAttempt(const std::string& aService,
+                                    const batch::StartCandidate& aCandidate,
+                                    base::Instant aNow);
   /// @return the endpoint for an item without output; empty if no slot is free.
   /// @param aSuspicion Of its request; nullptr: none.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForStart(
-    const fleet::Route& aRoute,
+    const std::string& aService,
     const fleet::Suspected* aSuspicion,
     base::Instant aNow);
   /// @return whether an item may start, which it may not if such requests crash
@@ -122,10 +151,12 @@
   /// Chooses the endpoint for the rest of an item's text, which must come from
   /// the software version that began it. Discards the text if that version is
   /// gone or has had no slot for long.
+  /// @param aService Where the item may start from its beginning.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForRest(
     RunningJob& aRunning,
     const batch::StartCandidate& aCandidate,
     const fleet::Route& aRoute,
+    const std::string& aService,
     base::Instant aNow);
   /// Discards an item's text, so that it starts from its beginning.
   /// @param aIsServed Whether its software version still serves.
@@ -158,8 +189,8 @@
   /// Keyed by route name.
   std::unordered_map<std::string, batch::ItemDurationEstimator>
     durationEstimators_;
-  /// Moving average of concurrent attempts while items wait.
-  double averageAttempts_ = 0.0;
+  batch::ItemStarter starter_;
+  std::size_t pausingItems_ = 0;
   std::vector<std::shared_ptr<ItemAttempt>> attempts_;
   ResultWriter results_;
   ProgressWriter progressWriter_;
--- a/Libraries/LibGateway/BatchWorkerStarts.cpp
+++ b/Libraries/LibGateway/BatchWorkerStarts.cpp
@@ -21,47 +21,152 @@
 /// last endpoints of a version may be busy for long.
 constexpr std::chrono::seconds kMaxVersionWait{ 3 };
 
-/// Weight of a new sample in the average number of concurrent attempts. With
-/// one sample every 100 ms, the average covers about 5 s, longer than a burst
-/// of online work.
-constexpr double kAverageAttemptsWeight = 0.02;
+bool
+HasTarget(const fleet::Route& aRoute, std::string_view aService)
+{
+  return std::any_of(
+    aRoute.targets_.begin(), aRoute.targets_.end(), [&](const auto& aTarget) {
+      return aTarget.service_ == aService;
+    });
+}
+
+batch::StartObstacle
+ToObstacle(fleet::BatchCapacity aCapacity)
+{
+  switch (aCapacity) {
+    case fleet::BatchCapacity::NoEndpoint:
+      return batch::StartObstacle::NoEndpoint;
+    case fleet::BatchCapacity::Full:
+      return batch::StartObstacle::NoFreeSlot;
+    case fleet::BatchCapacity::FreeSlot:
+      break;
+  }
+  return batch::StartObstacle::None;
+}
 
 } // namespace
 
 void
 BatchWorker::StartAttempts(base::Instant aNow)
 {
-  std::vector<batch::StartCandidate> candidates = CollectCandidates(aNow);
-  if (candidates.empty()) {
-    return;
+  const auto changes = starter_.StartWaiting(
+    CollectQueues(aNow),
+    aNow,
+    [this, aNow](const std::string& aService,
+                 const batch::StartCandidate& aCandidate) {
+      return StartAttempt(aService, aCandidate, aNow);
+    });
+  for (const batch::ServiceObstacle& change : changes) {
+    base::Log(kItemsWaiting,
+              { { "service", change.service_ },
+                { "cause", batch::ToString(change.obstacle_) },
+                { "items", change.waiting_ },
+                { "running", attempts_.size() },
+                { "version", shared_.routes_.Version() } });
   }
-  averageAttempts_ +=
-    (static_cast<double>(attempts_.size()) - averageAttempts_) *
-    kAverageAttemptsWeight;
-  batch::StartConditions conditions{ aNow, averageAttempts_ };
-  for (const auto& attempt : attempts_) {
-    conditions.runningWork_ += UrgencyOf(*attempt).remaining_;
+}
+
+batch::ItemStarter::ServiceQueues
+BatchWorker::CollectQueues(base::Instant aNow)
+{
+  const auto hasSurvived = [this, aNow](const std::string& aEndpoint,
+                                        base::Instant aTime) {
+    return shared_.endpoints_.HasSurvived(aEndpoint, aTime, aNow);
+  };
+  batch::ItemStarter::ServiceQueues queues;
+  pausingItems_ = 0;
+  for (auto& [id, running] : runningJobs_) {
+    const batch::BatchJob* job = jobs_.Find(id);
+    if (job == nullptr || !job->items_ ||
+        aNow >= running.schedule_.Limits().abandonAt_) {
+      continue;
+    }
+    const fleet::Route* route = RouteOf(*job);
+    const std::vector<std::size_t> items =
+      running.schedule_.StartableItems(aNow, hasSurvived);
+    pausingItems_ += running.schedule_.WaitingCount() - items.size();
+    for (const std::size_t item : items) {
+      const std::string service =
+        route == nullptr ? std::string()
+                         : NextService(running, item, *route, queues, aNow);
+      const std::uint64_t lastEvent =
+        running.schedule_.ProgressOf(item).lastEvent_;
+      QueueOf(queues, service, aNow)
+        .waiting_.push_back({ id,
+                              item,
+                              UrgencyOf(running, route, item, lastEvent),
+                              lastEvent > 0 });
+    }
   }
-  for (const batch::StartCandidate& candidate :
-       batch::OrderStarts(std::move(candidates), conditions)) {
-    if (!StartAttempt(candidate, aNow)) {
-      return;
+  for (const auto& attempt : attempts_) {
+    const auto queue = queues.find(attempt->Service());
+    if (queue != queues.end()) {
+      ++queue->second.attempts_;
+      queue->second.runningWork_ += UrgencyOf(*attempt).remaining_;
     }
   }
+  return queues;
+}
+
+batch::ServiceQueue&
+BatchWorker::QueueOf(batch::ItemStarter::ServiceQueues& aQueues,
+                     const std::string& aService,
+                     base::Instant aNow)
+{
+  const auto [entry, isNew] = aQueues.try_emplace(aService);
+  if (isNew) {
+    entry->second.obstacle_ =
+      aService.empty()
+        ? batch::StartObstacle::RouteMissing
+        : ToObstacle(shared_.endpoints_.BatchCapacityOf(aService, aNow));
+  }
+  return entry->second;
+}
+
+std::string
+BatchWorker::NextService(const RunningJob& aRunning,
+                         std::size_t aItem,
+                         const fleet::Route& aRoute,
+                         batch::ItemStarter::ServiceQueues& aQueues,
+                         base::Instant aNow)
+{
+  const batch::PartialOutput& progress = aRunning.schedule_.ProgressOf(aItem);
+  const bool waitsForVersion = progress.lastEvent_ > 0 &&
+                               HasTarget(aRoute, progress.service_) &&
+                               !HasWaitedForVersion(aRunning, aItem, aNow);
+  if (waitsForVersion && QueueOf(aQueues, progress.service_, aNow).obstacle_ !=
+                           batch::StartObstacle::NoEndpoint) {
+    return progress.service_;
+  }
+  const auto hasFreeSlot = [&](const std::string& aService) {
+    return QueueOf(aQueues, aService, aNow).obstacle_ ==
+           batch::StartObstacle::None;
+  };
+  const std::string* free = fleet::RouteTable::ChooseServiceAmong(
+    aRoute, NextRandom(shared_.random_), hasFreeSlot);
+  return free != nullptr ? *free
+                         : fleet::RouteTable::ChooseService(
+                             aRoute, NextRandom(shared_.random_));
 }
 
 bool
-BatchWorker::StartAttempt(const batch::StartCandidate& aCandidate,
+BatchWorker::HasWaitedForVersion(const RunningJob& aRunning,
+                                 std::size_t aItem,
+                                 base::Instant aNow)
+{
+  const base::Instant waitsSince =
+    std::max(aRunning.schedule_.WaitingSince(aItem), aRunning.acquiredAt_);
+  return aNow - waitsSince >= kMaxVersionWait;
+}
+
+batch::StartObstacle
+BatchWorker::StartAttempt(const std::string& aService,
+                          const batch::StartCandidate& aCandidate,
                           base::Instant aNow)
 {
   const batch::BatchJob* job = jobs_.Find(aCandidate.job_);
   RunningJob& running = runningJobs_.at(aCandidate.job_);
   const fleet::Route* route = RouteOf(*job);
-  if (route == nullptr) {
-    // The route may arrive with the next configuration; continue with other
-    // jobs.
-    return true;
-  }
   const std::size_t item = aCandidate.item_;
   const fleet::CrashAssessment assessment =
     shared_.crashes_.HasSuspects()
@@ -69,18 +174,19 @@
           FeaturesOf((*job->items_)[item], shared_.codec_), aNow)
       : fleet::NotSuspected{};
   if (!MayStart(assessment)) {
-    // Others may start.
-    return true;
+    return batch::StartObstacle::Suspected;
   }
   const auto* suspicion = std::get_if<fleet::Suspected>(&assessment);
   const bool hasProgress = running.schedule_.ProgressOf(item).lastEvent_ > 0;
-  const auto choice = hasProgress
-                        ? ChooseForRest(running, aCandidate, *route, aNow)
-                        : ChooseForStart(*route, suspicion, aNow);
+  const auto choice =
+    hasProgress ? ChooseForRest(running, aCandidate, *route, aService, aNow)
+                : ChooseForStart(aService, suspicion, aNow);
+  if (!choice && hasProgress) {
+    return batch::StartObstacle::VersionFull;
+  }
   if (!choice) {
-    // Without a slot at one version, or at the endpoint of suspected requests,
-    // there may be one for other items.
-    return hasProgress || suspicion != nullptr;
+    return suspicion != nullptr ? batch::StartObstacle::Suspected
+                                : batch::StartObstacle::NoFreeSlot;
   }
   const batch::BatchItem& content = (*job->items_)[item];
   base::Log(kRequestSent,
@@ -108,7 +214,7 @@
                  content,
                  { job->state_.hostName_, CallerOf(*job) },
                  kAttemptTimeLimit);
-  return true;
+  return batch::StartObstacle::None;
 }
 
 bool
@@ -133,13 +239,11 @@
 }
 
 std::optional<fleet::EndpointChoice>
-BatchWorker::ChooseForStart(const fleet::Route& aRoute,
+BatchWorker::ChooseForStart(const std::string& aService,
                             const fleet::Suspected* aSuspicion,
                             base::Instant aNow)
 {
-  const std::string& service =
-    fleet::RouteTable::ChooseService(aRoute, NextRandom(shared_.random_));
-  fleet::ChoiceRequest request{ service, fleet::WorkClass::Batch, {} };
+  fleet::ChoiceRequest request{ aService, fleet::WorkClass::Batch, {} };
   if (aSuspicion != nullptr) {
     request.excluded_ = aSuspicion->crashedEndpoints_;
     request.commonEndpointKey_ = aSuspicion->feature_;
@@ -151,16 +255,13 @@
 BatchWorker::ChooseForRest(RunningJob& aRunning,
                            const batch::StartCandidate& aCandidate,
                            const fleet::Route& aRoute,
+                           const std::string& aService,
                            base::Instant aNow)
 {
   const std::size_t item = aCandidate.item_;
   const batch::PartialOutput& progress = aRunning.schedule_.ProgressOf(item);
-  const bool isRouted = std::any_of(
-    aRoute.targets_.begin(), aRoute.targets_.end(), [&](const auto& aTarget) {
-      return aTarget.service_ == progress.service_;
-    });
   const bool isServed =
-    isRouted &&
+    HasTarget(aRoute, progress.service_) &&
     shared_.endpoints_.HasUsable(progress.service_, progress.softwareVersion_);
   std::optional<fleet::EndpointChoice> choice;
   if (isServed) {
@@ -170,12 +271,10 @@
     request.softwareVersion_ = progress.softwareVersion_;
     choice = shared_.endpoints_.Choose(request, aNow, shared_.random_);
   }
-  const base::Instant waitsSince =
-    std::max(aRunning.schedule_.WaitingSince(item), aRunning.acquiredAt_);
-  if (choice || (isServed && aNow - waitsSince < kMaxVersionWait)) {
+  if (choice || (isServed && !HasWaitedForVersion(aRunning, item, aNow))) {
     return choice;
   }
-  choice = ChooseForStart(aRoute, nullptr, aNow);
+  choice = ChooseForStart(aService, nullptr, aNow);
   if (choice) {
     RestartItem(aRunning, aCandidate, isServed);
   }
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -321,6 +321,13 @@
   "once for a host and organisation."
 };
 
+inline constexpr base::Event kItemsWaiting{
+  7151,
+  "items_waiting",
+  base::LogLevel::Info,
+  "Waiting batch items of a service can't be started for another reason than "
+  "before, or can again. Logged at most once in 5 s for a service."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -186,6 +186,7 @@
   void OnHostsChanged();
   void OnJobChanged(const std::string& aJob);
   void AddGauges();
+  void AddWaitingItemGauges();
   void RecordCallerConnectionEnd(const httpstream::ConnectionEnd& aEnd);
   void Preempt(const fleet::EndpointChoice& aChoice);
   void Retire();
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -31,6 +31,7 @@
                             "Items that this host runs now.",
                             {},
                             [this] { return worker_.AttemptCount(); });
+  AddWaitingItemGauges();
   shared_.metrics_.AddGauge(
     "pumiceturn_features_refused",
     "Features whose requests are refused, as they crash endpoints.",
@@ -56,6 +57,26 @@
                             [this] { return shared_.routes_.Version(); });
 }
 
+void
+Gateway::AddWaitingItemGauges()
+{
+  constexpr std::string_view kName = "pumiceturn_items_waiting";
+  constexpr std::string_view kHelp =
+    "Batch items of this host that wait, by what keeps them from being "
+    "started.";
+  for (std::size_t index = 1; index < batch::kStartObstacles; ++index) {
+    const auto obstacle = static_cast<batch::StartObstacle>(index);
+    shared_.metrics_.AddGauge(
+      kName,
+      kHelp,
+      fmt::format("cause=\"{}\"", batch::ToString(obstacle)),
+      [this, obstacle] { return worker_.WaitingCount(obstacle); });
+  }
+  shared_.metrics_.AddGauge(kName, kHelp, "cause=\"retry_pause\"", [this] {
+    return worker_.PausingCount();
+  });
+}
+
 void
 Gateway::RecordCallerConnectionEnd(const httpstream::ConnectionEnd& aEnd)
 {
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -45,6 +45,11 @@
   void ResumeReading();
 
   [[nodiscard]] const std::string& EndpointId() const { return endpoint_; }
+  /// @return the service of the endpoint. Start() must have been called.
+  [[nodiscard]] const std::string& Service() const
+  {
+    return endpointAttempt_->Endpoint().service_;
+  }
   [[nodiscard]] const std::string& JobId() const { return job_; }
   [[nodiscard]] std::size_t Item() const { return item_; }
   [[nodiscard]] const fleet::RequestFeatures& Features() const
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -846,4 +846,20 @@
   CHECK(table_.Choose(request, now_, random_));
 }
 
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_BatchCapacity_IsThatOfChoose")
+{
+  CHECK(table_.BatchCapacityOf("service", now_) == BatchCapacity::NoEndpoint);
+  Add("draining", "a", true);
+  CHECK(table_.BatchCapacityOf("service", now_) == BatchCapacity::NoEndpoint);
+  Add("ready");
+  for (int attempts = 0; attempts < 4; ++attempts) {
+    const bool isFree =
+      table_.BatchCapacityOf("service", now_) == BatchCapacity::FreeSlot;
+    CHECK(isFree == Choose(WorkClass::Batch).has_value());
+    Start("ready", WorkClass::Batch, 1);
+  }
+  CHECK(table_.BatchCapacityOf("service", now_) == BatchCapacity::Full);
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/LibFleet/RouteTableTest.cpp
+++ b/Tests/LibFleet/RouteTableTest.cpp
@@ -95,4 +95,38 @@
   CHECK(table_.RankOf(*table_.Find("a.example", "/a/"), "first") == 0);
 }
 
+// Guards against requests of a split route that wait for a service which can't
+// take them while another one of the route can.
+TEST_CASE_METHOD(RouteTableFixture,
+                 "RouteTable_OneTargetCannotTakeRequests_OthersGetThem")
+{
+  Route route = MakeRoute("split", "/s/");
+  route.targets_ = { { "gone", 80.0 }, { "large", 15.0 }, { "small", 5.0 } };
+  const auto isThere = [](const std::string& aService) {
+    return aService != "gone";
+  };
+  const auto choose = [&](double aRandom) {
+    return *RouteTable::ChooseServiceAmong(route, aRandom, isThere);
+  };
+  CHECK(choose(0.0) == "large");
+  CHECK(choose(0.74) == "large");
+  CHECK(choose(0.76) == "small");
+  CHECK(choose(0.99) == "small");
+  CHECK(RouteTable::ChooseServiceAmong(
+          route, 0.5, [](const std::string&) { return false; }) == nullptr);
+}
+
+// Guards against requests that go to a service from which the operator has
+// taken all of a route's traffic.
+TEST_CASE_METHOD(RouteTableFixture,
+                 "RouteTable_TargetWithoutWeight_IsNotChosenInPlaceOfOthers")
+{
+  Route route = MakeRoute("split", "/s/");
+  route.targets_ = { { "gone", 100.0 }, { "retired", 0.0 } };
+  CHECK(
+    RouteTable::ChooseServiceAmong(route, 0.5, [](const std::string& aService) {
+      return aService != "gone";
+    }) == nullptr);
+}
+
 } // namespace pumiceturn::fleet
