LibFleet: Let batch use other cells if its service has no endpoint in its own

What callers saw: nothing yet; found while looking for relatives of the service without endpoints. In a fleet of several cells that has lost its workers, entry hosts own the batch jobs and place items in their own cell alone. A service with fewer endpoints than cells has none in some of them, and the items of jobs owned there wait until they are given up.

Evidence: EndpointTable_ServiceIsNotInOwnCell_BatchUsesOtherCells fails without the change (no endpoint found from the other cell), passes with it. Workers weren't affected: they use all cells.

Change: batch may use endpoints of other cells if its service has none in this one, within the slots that they report as free.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -206,7 +206,7 @@
 
   /// Sets how endpoints are divided between cells of hosts, which know of each
   /// other's attempts. Online work prefers endpoints of this host's cell, and
-  /// batch is restricted to them.
+  /// batch is restricted to them, unless its service has none there.
   /// @param aOwnCell This host's cell; empty if it knows of all attempts.
   void SetCells(std::size_t aCells, std::optional<std::size_t> aOwnCell);
 
@@ -478,6 +478,11 @@
                                  Candidates aCandidates,
                                  base::Instant aNow) const;
 
+  /// @return which endpoints batch may use: those of other cells only if the
+  ///         service has none in this one.
+  [[nodiscard]] Candidates BatchCandidates(std::string_view aService,
+                                           base::Instant aNow) const;
+
   /// @return the endpoint for requests with a common key; empty if none has a
   ///         free slot.
   [[nodiscard]] std::optional<EndpointChoice> ChooseCommon(
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -315,6 +315,20 @@
   return choice;
 }
 
+EndpointTable::Candidates
+EndpointTable::BatchCandidates(std::string_view aService,
+                               base::Instant aNow) const
+{
+  const bool isInOwnCell =
+    !ownCell_ ||
+    std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& aEntry) {
+      return aEntry.second.record_.service_ == aService &&
+             !aEntry.second.isUnreadable_ &&
+             IsCandidate(aEntry.second, Candidates::OwnCell, aNow);
+    });
+  return isInOwnCell ? Candidates::OwnCell : Candidates::OtherCells;
+}
+
 BatchCapacity
 EndpointTable::BatchCapacityOf(const std::string& aService, base::Instant aNow)
 {
@@ -322,10 +336,11 @@
     AssignEndpointCells();
   }
   const ChoiceRequest request{ aService, WorkClass::Batch, {} };
+  const Candidates candidates = BatchCandidates(aService, aNow);
   BatchCapacity capacity = BatchCapacity::NoEndpoint;
   for (const auto& [id, endpoint] : endpoints_) {
     if (endpoint.record_.service_ != aService || endpoint.isUnreadable_ ||
-        !IsCandidate(endpoint, Candidates::OwnCell, aNow)) {
+        !IsCandidate(endpoint, candidates, aNow)) {
       continue;
     }
     if (IsEligible(endpoint, request, CountsOf(endpoint, aNow), aNow)) {
@@ -361,6 +376,10 @@
       ranking = others;
     }
   }
+  if (!isOnline && ranking.best_.endpoint_ == nullptr &&
+      BatchCandidates(aRequest.service_, aNow) == Candidates::OtherCells) {
+    ranking = Rank(aRequest, Candidates::OtherCells, aNow, aRandom);
+  }
   if (ranking.best_.endpoint_ == nullptr && aRequest.softwareVersion_ &&
       isOnline) {
     ranking = Rank(aRequest, Candidates::Draining, aNow, aRandom);
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -846,6 +846,27 @@
   CHECK(table_.Choose(request, now_, random_));
 }
 
+// Guards against batch items that never run, as their small service has no
+// endpoint in the cell of the host that owns them.
+TEST_CASE_METHOD(DividedEndpointTableFixture,
+                 "EndpointTable_ServiceIsNotInOwnCell_BatchUsesOtherCells")
+{
+  table_.Put({ "small", "small", "127.0.0.1:1", "a", 4 }, now_);
+  const std::size_t cell = table_.CellOf("small").value();
+  for (const std::size_t ownCell : { cell, 1 - cell }) {
+    table_.SetCells(2, ownCell);
+    CHECK(table_.BatchCapacityOf("small", now_) == BatchCapacity::FreeSlot);
+    const auto choice =
+      table_.Choose({ "small", WorkClass::Batch, {} }, now_, random_);
+    REQUIRE(choice);
+    CHECK(choice->endpoint_.id_ == "small");
+  }
+  // Its slots there are those that it reports as free.
+  table_.RecordLoad({ "small" }, { 4, 0 }, now_);
+  CHECK(table_.BatchCapacityOf("small", now_) == BatchCapacity::Full);
+  CHECK_FALSE(table_.Choose({ "small", WorkClass::Batch, {} }, now_, random_));
+}
+
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_BatchCapacity_IsThatOfChoose")
 {
