LibFleet: Run batch at idle endpoints that have one slot

Cause: batch leaves one slot free beside its own (batchHeadroom_), so an endpoint of one slot is never eligible. Evidence: EndpointTable_EndpointsHaveOneSlot_BatchRunsAtIdleOnes fails without the change.

Change: the headroom is at most the slots but one.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -135,7 +135,8 @@
   struct Limits
   {
     /// Slots that batch leaves free at each endpoint for online requests that
-    /// arrive before the next update of the counts.
+    /// arrive before the next update of the counts. Batch still gets one slot
+    /// of an idle endpoint.
     std::uint32_t batchHeadroom_ = 1;
 
     /// Age after which a peer's counts are ignored. A peer that sent nothing
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -185,8 +185,11 @@
   if (aRequest.work_ == WorkClass::Online) {
     return true;
   }
-  const bool hasFreeSlot =
-    aCounts.Total() + 1 + limits_.batchHeadroom_ <= aEndpoint.record_.slots_;
+  // One that has a single slot has none to spare.
+  const std::uint32_t slots = aEndpoint.record_.slots_;
+  const std::uint32_t headroom =
+    std::min(limits_.batchHeadroom_, std::max(slots, 1U) - 1);
+  const bool hasFreeSlot = aCounts.Total() + 1 + headroom <= slots;
   const bool isSound = outliers_.VerdictOf(aEndpoint.record_.Incarnation()) ==
                        EndpointVerdict::Sound;
   return hasFreeSlot && !aEndpoint.removalDueAt_ && isSound &&
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -883,4 +883,16 @@
   CHECK(table_.BatchCapacityOf("service", now_) == BatchCapacity::Full);
 }
 
+// Guards against batch items that never run where each endpoint has one slot.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_EndpointsHaveOneSlot_BatchRunsAtIdleOnes")
+{
+  table_.Put({ "single", "service", "127.0.0.1:1", "a", 1 }, now_);
+  CHECK(Choose(WorkClass::Batch).has_value());
+  Start("single", WorkClass::Online, 1);
+  CHECK_FALSE(Choose(WorkClass::Batch));
+  table_.Put({ "none", "service", "127.0.0.1:2", "a", 0 }, now_);
+  CHECK_FALSE(Choose(WorkClass::Batch));
+}
+
 } // namespace pumiceturn::fleet
