LibGateway: End store calls in flight with their StoreTransport

Cause: the handlers of calls in flight, of probes and of relayed calls hold the transport by a plain pointer, and the test destroys it while the event loop goes on. The program destroys it after the loop has ended, so callers never saw this.

Change: the handlers are guarded by base::Lifetime, as those of other parts are.

--- a/Libraries/LibGateway/StoreTransport.cpp
+++ b/Libraries/LibGateway/StoreTransport.cpp
@@ -78,15 +78,17 @@
 void
 StoreTransport::CallDirectly(const PendingPtr& aPending)
 {
-  directClient_.Send(
-    aPending->request_, aPending->timeout_, [this, aPending](Result aResult) {
-      RecordDirect(aResult);
-      if (protocol_.classify_(aResult) == PathOutcome::Refused) {
-        CallViaRelay(aPending);
-        return;
-      }
-      aPending->onDone_(std::move(aResult));
-    });
+  directClient_.Send(aPending->request_,
+                     aPending->timeout_,
+                     lifetime_.Guard([this, aPending](Result aResult) {
+                       RecordDirect(aResult);
+                       if (protocol_.classify_(aResult) ==
+                           PathOutcome::Refused) {
+                         CallViaRelay(aPending);
+                         return;
+                       }
+                       aPending->onDone_(std::move(aResult));
+                     }));
 }
 
 void
@@ -100,23 +102,25 @@
 void
 StoreTransport::Probe()
 {
-  directClient_.Send(
-    protocol_.probe_, kProbeTimeout, [this](const Result& aResult) {
-      if (path_.RecordProbe(protocol_.classify_(aResult))) {
-        ScheduleProbe();
-      }
-    });
+  directClient_.Send(protocol_.probe_,
+                     kProbeTimeout,
+                     lifetime_.Guard([this](const Result& aResult) {
+                       if (path_.RecordProbe(protocol_.classify_(aResult))) {
+                         ScheduleProbe();
+                       }
+                     }));
 }
 
 void
 StoreTransport::ScheduleProbe()
 {
   probeTimer_.expires_after(kProbeRetryDelay);
-  probeTimer_.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      Probe();
-    }
-  });
+  probeTimer_.async_wait(
+    lifetime_.Guard([this](const boost::system::error_code& aError) {
+      if (!aError) {
+        Probe();
+      }
+    }));
 }
 
 void
@@ -161,9 +165,9 @@
   request.set(kTimeoutField, std::to_string(base::ToMs(aPending->timeout_)));
   peer->Send(request,
              aPending->timeout_ + kPeerMargin,
-             [this, aPending](Result aResult) {
+             lifetime_.Guard([this, aPending](Result aResult) {
                OnPeerResponse(aPending, std::move(aResult));
-             });
+             }));
 }
 
 void
@@ -186,7 +190,8 @@
 void
 StoreTransport::PostNotConnected(const PendingPtr& aPending)
 {
-  boost::asio::post(context_, [aPending] { aPending->onDone_(Result{}); });
+  boost::asio::post(
+    context_, lifetime_.Guard([aPending] { aPending->onDone_(Result{}); }));
 }
 
 void
@@ -204,19 +209,20 @@
   httpstream::Request call =
     WithTarget(request, target.substr(kTargetPrefix.size()));
   call.erase(kTimeoutField);
-  directClient_.Send(call, timeout, [this, aExchange](Result aResult) {
-    RecordDirect(aResult);
-    if (aResult.outcome_ == httpstream::CallOutcome::NotConnected) {
-      aExchange->Respond(
-        httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
-    } else if (aResult.outcome_ != httpstream::CallOutcome::Complete) {
-      // The abort shows the peer that the call's outcome is unknown.
-      aExchange->Abort();
-    } else {
-      aExchange->Respond(
-        httpstream::MakeResponse(aResult.status_, std::move(aResult.body_)));
-    }
-  });
+  directClient_.Send(
+    call, timeout, lifetime_.Guard([this, aExchange](Result aResult) {
+      RecordDirect(aResult);
+      if (aResult.outcome_ == httpstream::CallOutcome::NotConnected) {
+        aExchange->Respond(
+          httpstream::MakeResponse(httpstream::kStatusUnavailable, {}));
+      } else if (aResult.outcome_ != httpstream::CallOutcome::Complete) {
+        // The abort shows the peer that the call's outcome is unknown.
+        aExchange->Abort();
+      } else {
+        aExchange->Respond(
+          httpstream::MakeResponse(aResult.status_, std::move(aResult.body_)));
+      }
+    }));
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StoreTransport.h
+++ b/Libraries/LibGateway/StoreTransport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/Lifetime.h"
 #include "LibBatch/HostSet.h"
 #include "LibGateway/PeerClients.h"
 #include "LibHttpStream/HttpClient.h"
@@ -19,7 +20,7 @@
 
 /// Sends calls to the store: directly or, while the direct path is lost,
 /// through a peer, which uses its direct path only. Used on the event thread
-/// only; must outlive the event loop.
+/// only. Results of calls in flight at its end are dropped.
 class StoreTransport
 {
 public:
@@ -99,6 +100,7 @@
   IsReachable isReachable_ = [](const std::string&) { return true; };
   std::size_t nextPeer_ = 0;
   boost::asio::steady_timer probeTimer_;
+  base::Lifetime lifetime_;
 };
 
 } // namespace pumiceturn::gateway
