Tests: Repair servers that restart later too, before a part is lifted

PromptPart_OperatorLifts_IsServedAgain repairs the servers of that moment and lifts the part. Nothing about it is in the product.

Change: RepairServers() also holds for servers that start later. The checks stay as they are.

--- a/Tests/Platform/PromptPartFixture.cpp
+++ b/Tests/Platform/PromptPartFixture.cpp
@@ -49,9 +49,7 @@
   const std::string name = fmt::format("i-{}", ++startedServers_);
   ServerStandin& server = AddServer(name);
   server.SetEventInterval(kEventInterval);
-  server.SetCrashTrigger(
-    { traffic_.badPart_, traffic_.crashDelay_, traffic_.eventsBeforeCrash_ },
-    [this, name] { OnCrash(name); });
+  SetCrashTrigger(server, name);
   nlohmann::json registration =
     nlohmann::json::parse(server.Registration("service", "ready"));
   registration["slots"] = kSlots;
@@ -59,6 +57,28 @@
   store_.Put("servers/" + name, registration.dump());
 }
 
+void
+PromptPartFixture::SetCrashTrigger(ServerStandin& aServer,
+                                   const std::string& aName)
+{
+  if (areServersRepaired_) {
+    aServer.SetCrashTrigger({ "none" }, [] {});
+    return;
+  }
+  aServer.SetCrashTrigger(
+    { traffic_.badPart_, traffic_.crashDelay_, traffic_.eventsBeforeCrash_ },
+    [this, aName] { OnCrash(aName); });
+}
+
+void
+PromptPartFixture::RepairServers()
+{
+  areServersRepaired_ = true;
+  for (const auto& server : servers_) {
+    SetCrashTrigger(*server, {});
+  }
+}
+
 void
 PromptPartFixture::OnCrash(const std::string& aServer)
 {
@@ -116,9 +136,7 @@
 {
   traffic_ = aTraffic;
   for (std::size_t index = 0; index < servers_.size(); ++index) {
-    servers_[index]->SetCrashTrigger(
-      { traffic_.badPart_, traffic_.crashDelay_, traffic_.eventsBeforeCrash_ },
-      [this, name = fmt::format("i-{}", index + 1)] { OnCrash(name); });
+    SetCrashTrigger(*servers_[index], fmt::format("i-{}", index + 1));
   }
   const auto end = Clock::now() + aTime;
   auto badAt = Clock::now() + traffic_.badInterval_;
--- a/Tests/Platform/PromptPartFixture.h
+++ b/Tests/Platform/PromptPartFixture.h
@@ -56,6 +56,9 @@
   /// @return how many requests with a part reached endpoints.
   [[nodiscard]] std::size_t Sends(const std::string& aPart) const;
 
+  /// Lets no request crash endpoints any more, nor those that start later.
+  void RepairServers();
+
   /// Sends one request with the part and waits for its end.
   /// @return its call.
   const CallerCall& SendBadAndWait(std::size_t aHost);
@@ -82,12 +85,14 @@
   [[nodiscard]] std::size_t SendsSince(const std::string& aPart,
                                        Clock::time_point aSince) const;
   void AddCrashingServer();
+  void SetCrashTrigger(ServerStandin& aServer, const std::string& aName);
   void OnCrash(const std::string& aServer);
   void RepeatFailed();
 
   std::size_t startedServers_ = 0;
   std::size_t sent_ = 0;
   Traffic traffic_;
+  bool areServersRepaired_ = false;
 };
 
 } // namespace pumiceturn::adapter
--- a/Tests/Platform/PromptPartTest.cpp
+++ b/Tests/Platform/PromptPartTest.cpp
@@ -117,9 +117,7 @@
     nlohmann::json::parse(operate(0, "GET", "/refused-features")->body_);
   REQUIRE(page["verdicts"].size() == 1);
   CHECK(page["verdicts"][0]["state"] == "refused");
-  for (const auto& server : servers_) {
-    server->SetCrashTrigger({ "none" }, [] {});
-  }
+  RepairServers();
   CHECK(operate(0, "DELETE", "/refused-features/123")->status_ == 404);
   const std::string feature = page["verdicts"][0]["feature"];
   CHECK(operate(0, "DELETE", "/refused-features/" + feature)->status_ == 200);
