LibBatch: Go on with items under which endpoints crashed

Cause: two paths that took items for requests that crash endpoints by themselves. ItemSchedule left out an item with three breaks at endpoints that aren't known to live on, and one that crashed never is. CrashAttribution counted breaks of items against their content, and BatchWorker started no item with a refused feature; only online requests make trials.

Ruled out: to lift a verdict when endpoints prove to have lived on. A crashed endpoint may stay registered while the store is away, and online requests that do crash endpoints would pass.

Change: pauses of 0.2 to 3.2 s between attempts that broke, without a limit to their number; an item's content is no evidence; of the items with a suspected or refused feature one at a time runs, with a refused one from 3 s after the decision, then after 6 and 12 s, and one that is completed lifts it. Suspected items no longer wait for an endpoint that hasn't crashed if all have. Two repeatedly interrupted items don't begin together at the only endpoint left. Online requests are treated as before.

ItemSchedule_CrashLimitReached_ItemIsNotRetried stated the opposite of what is promised now. It is replaced by _EndpointsCrashRepeatedly_IsRetriedAfterPauses (each pause, to the millisecond, over 12 crashes) and _IsAbandonedInTimeOnly, which keeps its checks of abandonAt_.

--- a/Libraries/LibBatch/ItemSchedule.cpp
+++ b/Libraries/LibBatch/ItemSchedule.cpp
@@ -44,9 +44,7 @@
                     return aHasSurvived(aAttempt.endpoint_,
                                         aAttempt.interruptedAt_);
                   });
-    if (item.possibleCrashes_.size() < kMaxCrashes) {
-      startable.push_back(index);
-    }
+    startable.push_back(index);
   }
   return startable;
 }
@@ -90,10 +88,10 @@
     case ItemAttemptOutcome::Interrupted:
       if (hasAdvanced) {
         item.possibleCrashes_.clear();
+        Postpone(item, kRetryDelay, aNow);
       } else {
-        item.possibleCrashes_.push_back({ item.endpoint_, aNow });
+        RecordPossibleCrash(item, aNow);
       }
-      Postpone(item, kRetryDelay, aNow);
       break;
     case ItemAttemptOutcome::Silent:
       // Unlike a connection that breaks off, silence doesn't suggest a crash.
@@ -120,6 +118,22 @@
   aItem.notBefore_ = aNow + aDelay;
 }
 
+void
+ItemSchedule::RecordPossibleCrash(Item& aItem, base::Instant aNow)
+{
+  // Enough for the longest delay.
+  constexpr std::size_t kMaxRemembered = 8;
+  base::Duration delay = kRetryDelay;
+  for (std::size_t crash = 0; crash < aItem.possibleCrashes_.size(); ++crash) {
+    delay = std::min(delay * 2, kMaxRetryDelay);
+  }
+  if (aItem.possibleCrashes_.size() >= kMaxRemembered) {
+    aItem.possibleCrashes_.erase(aItem.possibleCrashes_.begin());
+  }
+  aItem.possibleCrashes_.push_back({ aItem.endpoint_, aNow });
+  Postpone(aItem, delay, aNow);
+}
+
 std::vector<ItemResult>
 ItemSchedule::AbandonWaiting(base::Instant aNow)
 {
--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -41,11 +41,10 @@
 class ItemSchedule
 {
 public:
-  /// An item is not started again after this many attempts were interrupted
-  /// before a new event and their endpoint may have crashed. Prevents an item
-  /// that crashes endpoints from taking down the whole fleet. Interruptions
-  /// that the endpoint survived don't count.
-  static constexpr std::size_t kMaxCrashes = 3;
+  /// Attempts that were interrupted before a new event, and whose endpoint may
+  /// have crashed, from which on an item counts as interrupted repeatedly.
+  /// Interruptions that the endpoint survived don't count.
+  static constexpr std::size_t kManyCrashes = 3;
 
   /// Returns whether an endpoint is known to have been alive after a given
   /// time.
@@ -54,8 +53,13 @@
 
   /// Delay before an item is retried after an interruption or an error, so that
   /// it isn't sent straight back to the fault that ended its attempt.
+  /// Doubles with each interruption before a new event, up to kMaxRetryDelay,
+  /// so that an item outlasts a burst of crashes: it is owed however often its
+  /// endpoints crash.
   static constexpr base::Duration kRetryDelay{ std::chrono::milliseconds{
     200 } };
+  static constexpr base::Duration kMaxRetryDelay{ std::chrono::milliseconds{
+    3200 } };
 
   /// Delay before an item is retried after an attempt that did not run it.
   static constexpr base::Duration kNotRunDelay{ std::chrono::milliseconds{
@@ -92,6 +96,14 @@
     return items_[aItem].notBefore_;
   }
 
+  /// @return whether endpoints may have crashed repeatedly under the item
+  /// before
+  ///         it got a new event.
+  [[nodiscard]] bool WasInterruptedRepeatedly(std::size_t aItem) const
+  {
+    return items_[aItem].possibleCrashes_.size() >= kManyCrashes;
+  }
+
   /// Discards the output so far: the next attempt starts from the beginning.
   void DiscardProgress(std::size_t aItem) { items_[aItem].progress_ = {}; }
 
@@ -145,6 +157,7 @@
 
   ItemResult Finish(Item& aItem, ItemState aState, std::string aOutput);
   void Postpone(Item& aItem, base::Duration aDelay, base::Instant aNow);
+  void RecordPossibleCrash(Item& aItem, base::Instant aNow);
 
   ItemLimits limits_;
   std::vector<Item> items_;
--- a/Libraries/LibFleet/CrashAttribution.cpp
+++ b/Libraries/LibFleet/CrashAttribution.cpp
@@ -49,8 +49,6 @@
 /// requests with it have ceased.
 constexpr base::Duration kMaxTrialDelay{ std::chrono::hours{ 1 } };
 
-constexpr std::uint32_t kMaxDoublings = 16;
-
 /// @return an endpoint's process, as a key.
 std::string
 KeyOf(const EndpointIncarnation& aEndpoint)
@@ -58,13 +56,23 @@
   return aEndpoint.id_ + "/" + std::to_string(aEndpoint.startedAtMs_);
 }
 
+/// @return whether a feature of an attempt's request may be why it broke.
 bool
-HasFeature(const RequestFeatures& aFeatures, std::uint64_t aFeature)
+MayBeCause(std::uint64_t aFeature, const BrokenAttempt& aAttempt)
+{
+  const RequestFeatures& features = aAttempt.features_;
+  const bool isContent =
+    features.content_ == aFeature && !aAttempt.isBatchItem_;
+  return isContent ||
+         std::find(features.parts_.begin(), features.parts_.end(), aFeature) !=
+           features.parts_.end();
+}
+
+base::Duration
+TrialPause(std::uint32_t aTrials, base::Duration aFirst, base::Duration aMax)
 {
-  return aFeatures.content_ == aFeature ||
-         std::find(aFeatures.parts_.begin(),
-                   aFeatures.parts_.end(),
-                   aFeature) != aFeatures.parts_.end();
+  constexpr std::uint32_t kMaxDoublings = 16;
+  return std::min(aFirst * (1U << std::min(aTrials, kMaxDoublings)), aMax);
 }
 
 template<typename Visit>
@@ -333,7 +341,7 @@
     for (const std::uint64_t feature : crash.features_) {
       const bool isCounted = !HasOtherCause(feature, crash, crashes);
       for (const BrokenAttempt* attempt : crash.attempts_) {
-        if (!HasFeature(attempt->features_, feature) ||
+        if (!MayBeCause(feature, *attempt) ||
             attempt->brokeAt_ < AnsweredAt(feature)) {
           continue;
         }
@@ -448,9 +456,16 @@
 base::Instant
 CrashAttribution::TrialAt(const CrashVerdict& aVerdict)
 {
-  const std::uint32_t doublings = std::min(aVerdict.trials_, kMaxDoublings);
   return aVerdict.decidedAt_ +
-         std::min(kFirstTrialPause * (1U << doublings), kMaxTrialPause);
+         TrialPause(aVerdict.trials_, kFirstTrialPause, kMaxTrialPause);
+}
+
+base::Instant
+CrashAttribution::BatchTrialAt(const CrashVerdict& aVerdict)
+{
+  return aVerdict.decidedAt_ + TrialPause(aVerdict.trials_,
+                                          kFirstBatchTrialPause,
+                                          kMaxBatchTrialPause);
 }
 
 bool
@@ -500,7 +515,8 @@
     const bool isDue = aNow >= trialAt;
     return CrashesEndpoints{ refused->feature_,
                              isDue ? kTrialTurn : trialAt - aNow,
-                             isDue && OwnsTrial(*refused, aNow) };
+                             isDue && OwnsTrial(*refused, aNow),
+                             aNow >= BatchTrialAt(*refused) };
   }
   if (suspect != nullptr) {
     return Suspected{ suspect->first, suspect->second.endpoints_ };
--- a/Libraries/LibFleet/CrashAttribution.h
+++ b/Libraries/LibFleet/CrashAttribution.h
@@ -54,6 +54,13 @@
     30 } };
   static constexpr base::Duration kMaxTrialPause{ std::chrono::hours{ 1 } };
 
+  /// The same for batch items, whose due times are seconds away. Short enough
+  /// for several trials until an item is due.
+  static constexpr base::Duration kFirstBatchTrialPause{ std::chrono::seconds{
+    3 } };
+  static constexpr base::Duration kMaxBatchTrialPause{ std::chrono::seconds{
+    12 } };
+
   /// Returns whether an endpoint's process was still running after the time
   /// aMoment.
   using HasSurvived =
@@ -94,7 +101,8 @@
   [[nodiscard]] CrashAssessment Assess(const RequestFeatures& aFeatures,
                                        base::Instant aNow) const;
 
-  /// Records that this host lets a request with a refused feature through.
+  /// Records that this host lets a request or a batch item with a refused
+  /// feature through.
   void BeginTrial(std::uint64_t aFeature, base::Instant aNow);
 
   /// Stops to refuse a feature, by order of an operator.
@@ -169,6 +177,8 @@
   void DropOutdated(base::Instant aNow, const HasSurvived& aHasSurvived);
   /// @return when the next request with a refused feature is let through.
   [[nodiscard]] static base::Instant TrialAt(const CrashVerdict& aVerdict);
+  /// @return when the next batch item with a refused feature is let through.
+  [[nodiscard]] static base::Instant BatchTrialAt(const CrashVerdict& aVerdict);
   [[nodiscard]] bool OwnsTrial(const CrashVerdict& aVerdict,
                                base::Instant aNow) const;
 
--- a/Libraries/LibFleet/CrashEvidence.h
+++ b/Libraries/LibFleet/CrashEvidence.h
@@ -28,6 +28,9 @@
   RequestFeatures features_;
   base::Instant sentAt_;
   base::Instant brokeAt_;
+  /// Of a batch item, which doesn't crash endpoints by itself: its content
+  /// isn't considered.
+  bool isBatchItem_ = false;
 };
 
 /// When a request with a feature was last answered by an endpoint that lived
@@ -80,6 +83,8 @@
   std::uint64_t feature_ = 0;
   base::Duration untilTrial_{ 0 }; ///< Until another request is let through.
   bool isTrialDue_ = false;        ///< This host may let one through now.
+  /// A batch item may be tried. Items are owed, and are tried sooner.
+  bool isBatchTrialDue_ = false;
 };
 
 using CrashAssessment = std::variant<NotSuspected, Suspected, CrashesEndpoints>;
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -139,15 +139,28 @@
   batch::StartObstacle StartAttempt(const std::string& aService,
                                     const batch::StartCandidate& aCandidate,
                                     base::Instant aNow);
+  void BeginAttempt(const batch::BatchJob& aJob,
+                    RunningJob& aRunning,
+                    const batch::StartCandidate& aCandidate,
+                    const fleet::EndpointChoice& aChoice,
+                    base::Instant aNow);
   /// @return the endpoint for an item without output; empty if no slot is free.
-  /// @param aSuspicion Of its request; nullptr: none.
+  /// @param aAssessment Of its request.
   [[nodiscard]] std::optional<fleet::EndpointChoice> ChooseForStart(
     const std::string& aService,
-    const fleet::Suspected* aSuspicion,
+    const fleet::CrashAssessment& aAssessment,
     base::Instant aNow);
-  /// @return whether an item may start, which it may not if such requests crash
-  ///         endpoints.
+  /// @return whether an item may start. Items aren't refused, but of those with
+  ///         a feature that may crash endpoints, one at a time runs.
   [[nodiscard]] bool MayStart(const fleet::CrashAssessment& aAssessment) const;
+  /// @return whether an item with the feature is running.
+  [[nodiscard]] bool IsRunning(std::uint64_t aFeature) const;
+  /// @return whether an item that was interrupted repeatedly would join another
+  ///         such one, which hasn't begun yet, at the only endpoint left.
+  [[nodiscard]] bool MustSpareEndpoint(
+    const RunningJob& aRunning,
+    std::size_t aItem,
+    const fleet::EndpointChoice& aChoice) const;
   /// Chooses the endpoint for the rest of an item's text, which must come from
   /// the software version that began it. Discards the text if that version is
   /// gone or has had no slot for long.
--- a/Libraries/LibGateway/BatchWorkerStarts.cpp
+++ b/Libraries/LibGateway/BatchWorkerStarts.cpp
@@ -166,7 +166,6 @@
 {
   const batch::BatchJob* job = jobs_.Find(aCandidate.job_);
   RunningJob& running = runningJobs_.at(aCandidate.job_);
-  const fleet::Route* route = RouteOf(*job);
   const std::size_t item = aCandidate.item_;
   const fleet::CrashAssessment assessment =
     shared_.crashes_.HasSuspects()
@@ -176,27 +175,46 @@
   if (!MayStart(assessment)) {
     return batch::StartObstacle::Suspected;
   }
-  const auto* suspicion = std::get_if<fleet::Suspected>(&assessment);
   const bool hasProgress = running.schedule_.ProgressOf(item).lastEvent_ > 0;
   const auto choice =
-    hasProgress ? ChooseForRest(running, aCandidate, *route, aService, aNow)
-                : ChooseForStart(aService, suspicion, aNow);
-  if (!choice && hasProgress) {
-    return batch::StartObstacle::VersionFull;
-  }
+    hasProgress
+      ? ChooseForRest(running, aCandidate, *RouteOf(*job), aService, aNow)
+      : ChooseForStart(aService, assessment, aNow);
   if (!choice) {
-    return suspicion != nullptr ? batch::StartObstacle::Suspected
-                                : batch::StartObstacle::NoFreeSlot;
+    return hasProgress ? batch::StartObstacle::VersionFull
+                       : batch::StartObstacle::NoFreeSlot;
+  }
+  if (MustSpareEndpoint(running, item, *choice)) {
+    return batch::StartObstacle::Suspected;
   }
-  const batch::BatchItem& content = (*job->items_)[item];
+  if (const auto* refused = std::get_if<fleet::CrashesEndpoints>(&assessment)) {
+    base::Log(kCrashTrial,
+              { { "request", (*job->items_)[item].id_ },
+                { "feature", ToString(refused->feature_) },
+                { "endpoint", choice->endpoint_.id_ } });
+    shared_.crashes_.BeginTrial(refused->feature_, aNow);
+  }
+  BeginAttempt(*job, running, aCandidate, *choice, aNow);
+  return batch::StartObstacle::None;
+}
+
+void
+BatchWorker::BeginAttempt(const batch::BatchJob& aJob,
+                          RunningJob& aRunning,
+                          const batch::StartCandidate& aCandidate,
+                          const fleet::EndpointChoice& aChoice,
+                          base::Instant aNow)
+{
+  const std::size_t item = aCandidate.item_;
+  const batch::BatchItem& content = (*aJob.items_)[item];
   base::Log(kRequestSent,
             { { "request", content.id_ },
               { "lot", aCandidate.job_ },
-              { "endpoint", choice->endpoint_.id_ },
-              { "running", choice->inFlight_ },
-              { "candidates", choice->candidates_ },
-              { "software", choice->endpoint_.softwareVersion_ },
-              { "after_event", running.schedule_.ProgressOf(item).lastEvent_ },
+              { "endpoint", aChoice.endpoint_.id_ },
+              { "running", aChoice.inFlight_ },
+              { "candidates", aChoice.candidates_ },
+              { "software", aChoice.endpoint_.softwareVersion_ },
+              { "after_event", aRunning.schedule_.ProgressOf(item).lastEvent_ },
               { "due_ms", base::ToMs(aCandidate.urgency_.dueAt_ - aNow) },
               { "run_ms", base::ToMs(aCandidate.urgency_.remaining_) },
               { "version", shared_.routes_.Version() } });
@@ -207,46 +225,86 @@
     },
     aCandidate.job_,
     item,
-    running.schedule_.ProgressOf(item));
-  running.schedule_.Start(item, choice->endpoint_.id_);
+    aRunning.schedule_.ProgressOf(item));
+  aRunning.schedule_.Start(item, aChoice.endpoint_.id_);
   attempts_.push_back(attempt);
-  attempt->Start(choice->endpoint_,
+  attempt->Start(aChoice.endpoint_,
                  content,
-                 { job->state_.hostName_, CallerOf(*job) },
+                 { aJob.state_.hostName_, CallerOf(aJob) },
                  kAttemptTimeLimit);
-  return batch::StartObstacle::None;
 }
 
 bool
 BatchWorker::MayStart(const fleet::CrashAssessment& aAssessment) const
 {
-  if (std::holds_alternative<fleet::CrashesEndpoints>(aAssessment)) {
-    return false;
-  }
-  const auto* suspicion = std::get_if<fleet::Suspected>(&aAssessment);
-  if (suspicion == nullptr) {
-    return true;
-  }
-  // One at a time shows whether the feature crashes endpoints.
-  return std::none_of(
-    attempts_.begin(), attempts_.end(), [suspicion](const auto& aAttempt) {
+  struct Visitor
+  {
+    const BatchWorker& worker_;
+
+    bool operator()(const fleet::NotSuspected& /*aNone*/) const { return true; }
+    bool operator()(const fleet::Suspected& aSuspicion) const
+    {
+      return !worker_.IsRunning(aSuspicion.feature_);
+    }
+    bool operator()(const fleet::CrashesEndpoints& aRefusal) const
+    {
+      return aRefusal.isBatchTrialDue_ && !worker_.IsRunning(aRefusal.feature_);
+    }
+  };
+  return std::visit(Visitor{ *this }, aAssessment);
+}
+
+bool
+BatchWorker::IsRunning(std::uint64_t aFeature) const
+{
+  return std::any_of(
+    attempts_.begin(), attempts_.end(), [aFeature](const auto& aAttempt) {
       const auto& features = aAttempt->Features();
-      return features.content_ == suspicion->feature_ ||
+      return features.content_ == aFeature ||
              std::find(features.parts_.begin(),
                        features.parts_.end(),
-                       suspicion->feature_) != features.parts_.end();
+                       aFeature) != features.parts_.end();
+    });
+}
+
+bool
+BatchWorker::MustSpareEndpoint(const RunningJob& aRunning,
+                               std::size_t aItem,
+                               const fleet::EndpointChoice& aChoice) const
+{
+  if (aChoice.candidates_ > 1 ||
+      !aRunning.schedule_.WasInterruptedRepeatedly(aItem)) {
+    return false;
+  }
+  return std::any_of(
+    attempts_.begin(), attempts_.end(), [&](const auto& aAttempt) {
+      const auto running = runningJobs_.find(aAttempt->JobId());
+      return aAttempt->EndpointId() == aChoice.endpoint_.id_ &&
+             aAttempt->NewEvents() == 0 && running != runningJobs_.end() &&
+             running->second.schedule_.WasInterruptedRepeatedly(
+               aAttempt->Item());
     });
 }
 
 std::optional<fleet::EndpointChoice>
 BatchWorker::ChooseForStart(const std::string& aService,
-                            const fleet::Suspected* aSuspicion,
+                            const fleet::CrashAssessment& aAssessment,
                             base::Instant aNow)
 {
   fleet::ChoiceRequest request{ aService, fleet::WorkClass::Batch, {} };
-  if (aSuspicion != nullptr) {
-    request.excluded_ = aSuspicion->crashedEndpoints_;
-    request.commonEndpointKey_ = aSuspicion->feature_;
+  if (const auto* refused =
+        std::get_if<fleet::CrashesEndpoints>(&aAssessment)) {
+    request.commonEndpointKey_ = refused->feature_;
+  }
+  if (const auto* suspicion = std::get_if<fleet::Suspected>(&aAssessment)) {
+    request.commonEndpointKey_ = suspicion->feature_;
+    request.excluded_ = suspicion->crashedEndpoints_;
+    // All endpoints of the service may have crashed and be back.
+    if (auto choice =
+          shared_.endpoints_.Choose(request, aNow, shared_.random_)) {
+      return choice;
+    }
+    request.excluded_ = {};
   }
   return shared_.endpoints_.Choose(request, aNow, shared_.random_);
 }
@@ -274,7 +332,7 @@
   if (choice || (isServed && !HasWaitedForVersion(aRunning, item, aNow))) {
     return choice;
   }
-  choice = ChooseForStart(aService, nullptr, aNow);
+  choice = ChooseForStart(aService, fleet::NotSuspected{}, aNow);
   if (choice) {
     RestartItem(aRunning, aCandidate, isServed);
   }
--- a/Libraries/LibGateway/CrashReports.cpp
+++ b/Libraries/LibGateway/CrashReports.cpp
@@ -187,12 +187,13 @@
 {
   json broken = json::array();
   for (const fleet::BrokenAttempt& attempt : aEvidence.broken_) {
-    broken.push_back({ attempt.endpoint_.id_,
-                       attempt.endpoint_.startedAtMs_,
-                       AgeMs(attempt.sentAt_, aNow),
-                       AgeMs(attempt.brokeAt_, aNow),
-                       attempt.features_.content_,
-                       attempt.features_.parts_ });
+    json row = { attempt.endpoint_.id_,        attempt.endpoint_.startedAtMs_,
+                 AgeMs(attempt.sentAt_, aNow), AgeMs(attempt.brokeAt_, aNow),
+                 attempt.features_.content_,   attempt.features_.parts_ };
+    if (attempt.isBatchItem_) {
+      row.push_back(true);
+    }
+    broken.push_back(std::move(row));
   }
   json answered = json::array();
   for (const fleet::AnsweredFeature& feature : aEvidence.answered_) {
@@ -227,6 +228,7 @@
   using Crashes = fleet::CrashAttribution;
   fleet::CrashEvidence evidence;
   ReadRows(aMessage, "broken", Crashes::kMaxReported, [&](const json& aRow) {
+    constexpr std::size_t kIsBatchItem = 6;
     fleet::BrokenAttempt attempt;
     attempt.endpoint_ = { aRow.at(0).get<std::string>(),
                           aRow.at(1).get<std::int64_t>() };
@@ -234,6 +236,8 @@
     attempt.brokeAt_ = TimeOfAge(aRow.at(3), aNow);
     attempt.features_.content_ = aRow.at(4).get<std::uint64_t>();
     attempt.features_.parts_ = aRow.at(5).get<std::vector<std::uint64_t>>();
+    attempt.isBatchItem_ =
+      aRow.size() > kIsBatchItem && aRow.at(kIsBatchItem).get<bool>();
     if (attempt.features_.parts_.size() <= Crashes::kMaxParts) {
       evidence.broken_.push_back(std::move(attempt));
     }
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -190,7 +190,8 @@
                         { endpointAttempt_->Endpoint().Incarnation(),
                           features_,
                           startedAt_,
-                          now });
+                          now,
+                          true });
   }
 }
 
--- a/Tests/LibBatch/ItemScheduleTest.cpp
+++ b/Tests/LibBatch/ItemScheduleTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace pumiceturn::batch {
 
 using namespace std::chrono_literals;
@@ -85,32 +87,71 @@
   CHECK(result->state_ == ItemState::Errored);
 }
 
-// Guards against one item crashing every endpoint of the fleet in turn.
+// Guards against an item that is never placed again after several endpoints
+// crashed under it, and against retries straight into the same burst of
+// crashes.
 TEST_CASE_METHOD(ItemScheduleFixture,
-                 "ItemSchedule_CrashLimitReached_ItemIsNotRetried")
+                 "ItemSchedule_EndpointsCrashRepeatedly_IsRetriedAfterPauses")
 {
+  constexpr std::size_t kCrashes = 12;
   ItemSchedule schedule = MakeSchedule();
-  for (std::size_t crash = 0; crash < ItemSchedule::kMaxCrashes; ++crash) {
+  base::Duration expected = ItemSchedule::kRetryDelay;
+  for (std::size_t crash = 0; crash < kCrashes; ++crash) {
+    CHECK_FALSE(RunNextItem(schedule, ItemAttemptOutcome::Interrupted));
+    now_ += expected - 1ms;
+    CHECK(NextItem(schedule) == 1);
+    now_ += 1ms;
+    CHECK(NextItem(schedule) == 0);
+    expected = std::min(expected * 2, ItemSchedule::kMaxRetryDelay);
+  }
+  CHECK(schedule.WasInterruptedRepeatedly(0));
+  CHECK(RunNextItem(schedule, ItemAttemptOutcome::Completed, { 2, "a\nb" }) ==
+        ItemResult{ "first", ItemState::Completed, "a\nb" });
+}
+
+// Guards against an item that is given up before its time, as endpoints crashed
+// under it.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_EndpointsCrashRepeatedly_IsAbandonedInTimeOnly")
+{
+  ItemSchedule schedule = MakeSchedule();
+  for (std::size_t crash = 0; crash < ItemSchedule::kManyCrashes; ++crash) {
     CHECK_FALSE(RunNextItem(schedule, ItemAttemptOutcome::Interrupted));
   }
-  now_ += 1min;
-  CHECK(NextItem(schedule) == 1);
   CHECK(schedule.AbandonWaiting(limits_.abandonAt_ - 1ms).empty());
   CHECK(schedule.AbandonWaiting(limits_.abandonAt_).size() == 2);
 }
 
+// Guards against a text that starts anew because endpoints crashed under it.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_CrashesAfterEvents_KeepTheTextAndItsPlace")
+{
+  ItemSchedule schedule = MakeSchedule();
+  CHECK_FALSE(
+    RunNextItem(schedule, ItemAttemptOutcome::Interrupted, { 3, "a\nb\nc" }));
+  for (std::size_t crash = 0; crash < ItemSchedule::kManyCrashes; ++crash) {
+    now_ += ItemSchedule::kMaxRetryDelay;
+    CHECK_FALSE(
+      RunNextItem(schedule, ItemAttemptOutcome::Interrupted, { 3, "a\nb\nc" }));
+  }
+  now_ += ItemSchedule::kMaxRetryDelay;
+  CHECK(NextItem(schedule) == 0);
+  CHECK(schedule.ProgressOf(0) == PartialOutput{ 3, "a\nb\nc" });
+}
+
 // Guards against abandoning an item because endpoints reset its connections
 // without crashing.
 TEST_CASE_METHOD(ItemScheduleFixture,
                  "ItemSchedule_EndpointsSurviveResets_ItemIsRetried")
 {
   ItemSchedule schedule = MakeSchedule();
-  for (std::size_t reset = 0; reset < ItemSchedule::kMaxCrashes; ++reset) {
+  for (std::size_t reset = 0; reset < ItemSchedule::kManyCrashes; ++reset) {
     CHECK_FALSE(RunNextItem(schedule, ItemAttemptOutcome::Interrupted));
   }
   now_ += 1s;
   hasSurvived_ = true;
   CHECK(NextItem(schedule) == 0);
+  CHECK_FALSE(schedule.WasInterruptedRepeatedly(0));
 }
 
 TEST_CASE_METHOD(ItemScheduleFixture,
--- a/Tests/LibFleet/CrashAttributionTest.cpp
+++ b/Tests/LibFleet/CrashAttributionTest.cpp
@@ -549,4 +549,46 @@
   }
 }
 
+// Guards against a sound batch item that is held as if it crashed endpoints, as
+// several crashed or reset it.
+TEST_CASE_METHOD(CrashAttributionFixture,
+                 "CrashAttribution_BatchItemBreaksInTurn_IsNotHeld")
+{
+  const RequestFeatures item = MakeRequest({});
+  for (int turn = 0; turn < 6; ++turn) {
+    BrokenAttempt attempt = MakeBroken(
+      "crashed-" + std::to_string(turn), item, turn * 100, turn * 100 + 50);
+    attempt.isBatchItem_ = true;
+    crashes_.RecordBroken(attempt);
+    Update(turn * 100 + 50);
+  }
+  CHECK_FALSE(IsRefused(item, 700));
+  CHECK_FALSE(IsSuspected(item, 700));
+  CHECK(crashes_.RefusedCount() == 0);
+}
+
+// Guards against batch items that wait for a trial by an online request, which
+// may never come.
+TEST_CASE_METHOD(CrashAttributionFixture,
+                 "CrashAttribution_RefusedPartOfItems_IsTriedByItemsSoon")
+{
+  CrashInTurn(kBad, 0);
+  REQUIRE(IsPartRefused(kBad, 1000));
+  const RequestFeatures item = MakeRequest({ kShared, kBad });
+  const auto isTrialDue = [&](int aNowMs) {
+    const auto assessment = crashes_.Assess(item, At(aNowMs));
+    return std::get<CrashesEndpoints>(assessment).isBatchTrialDue_;
+  };
+  CHECK_FALSE(isTrialDue(2000));
+  CHECK(isTrialDue(4000));
+  crashes_.BeginTrial(kBad, At(4000));
+  CHECK_FALSE(isTrialDue(9000));
+  CHECK(isTrialDue(10'000));
+  crashes_.BeginTrial(kBad, At(10'000));
+  crashes_.BeginTrial(kBad, At(10'000));
+  CHECK(isTrialDue(22'000));
+  crashes_.RecordAnswered(item, At(23'000));
+  CHECK_FALSE(IsPartRefused(kBad, 24'000));
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/Platform/CrashEvidenceCodecTest.cpp
+++ b/Tests/Platform/CrashEvidenceCodecTest.cpp
@@ -24,7 +24,7 @@
     evidence.broken_.push_back(
       { { "i-1", 5 }, { 11, { 12, 13 } }, At(-300), At(-200) });
     evidence.broken_.push_back(
-      { { "i-2", 6 }, { 14, {} }, At(-250), At(-100) });
+      { { "i-2", 6 }, { 14, {} }, At(-250), At(-100), true });
     evidence.answered_.push_back({ 13, At(-50) });
     evidence.verdicts_.push_back({ 12, At(-40), 2, 4 });
     evidence.verdicts_.push_back({ 15, At(-5000), 0, 3, true, At(-30) });
@@ -45,6 +45,7 @@
   for (std::size_t row = 0; row < 2; ++row) {
     CHECK(read.broken_[row].endpoint_ == sent.broken_[row].endpoint_);
     CHECK(read.broken_[row].features_ == sent.broken_[row].features_);
+    CHECK(read.broken_[row].isBatchItem_ == sent.broken_[row].isBatchItem_);
     CHECK(read.broken_[row].sentAt_ ==
           sent.broken_[row].sentAt_ + kClockDifference);
     CHECK(read.broken_[row].brokeAt_ ==
