--- a/Libraries/LibBatch/ItemStarter.cpp
+++ b/Libraries/LibBatch/ItemStarter.cpp
@@ -44,7 +44,7 @@
 }
 
 std::vector<ServiceObstacle>
-ItemStarter::StartWaiting(ServiceQueues aQueues,
+ItemStarter::StartWaiting(ServiceQueues&& aQueues,
                           base::Instant aNow,
                           const StartFunction& aStart)
 {
--- a/Libraries/LibBatch/ItemStarter.h
+++ b/Libraries/LibBatch/ItemStarter.h
@@ -70,7 +70,7 @@
 
   /// Starts as many items as there are slots. Called once a tick.
   /// @return the services whose obstacle has changed, for the log.
-  std::vector<ServiceObstacle> StartWaiting(ServiceQueues aQueues,
+  std::vector<ServiceObstacle> StartWaiting(ServiceQueues&& aQueues,
                                             base::Instant aNow,
                                             const StartFunction& aStart);
 
