--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -24,7 +24,7 @@
 constexpr std::uint32_t kMaxHeadBytes = 16384;
 
 /// Most bytes kept unparsed: a chunk's header or a trailer may have no end.
-constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeadBytes;
+constexpr std::size_t kMaxUnparsedBytes = 2ULL * kMaxHeadBytes;
 
 /// Interim responses and responses to earlier calls that are skipped in one
 /// call. A server sends one or two.
