--- a/Tests/LibHttpStream/EndlessResponseTest.cpp
+++ b/Tests/LibHttpStream/EndlessResponseTest.cpp
@@ -6,7 +6,9 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pumiceturn::httpstream {
@@ -30,7 +32,7 @@
   using Clock = std::chrono::steady_clock;
 
   /// What the kernel's buffers may hold beyond what was read.
-  static constexpr std::size_t kSocketBufferBytes = 16U * 1024 * 1024;
+  static constexpr std::size_t kSocketBufferBytes = 16ULL * 1024 * 1024;
 
   static const std::vector<EndlessAnswer>& Floods()
   {
@@ -134,11 +136,12 @@
     HttpClient client(context_.get_executor(), Loopback(server.Port()));
     Request request(boost::beast::http::verb::get, "/", 11);
     std::optional<CallResult> result;
-    client.Send(request, 2s, [&](CallResult aResult) { result = aResult; });
+    client.Send(
+      request, 2s, [&](CallResult aResult) { result = std::move(aResult); });
     RunUntil([&] { return result.has_value(); });
     CHECK(result->outcome_ == CallOutcome::Malformed);
     CheckIsClosed(server);
-    CHECK(result->body_.size() <= 8U * 1024 * 1024);
+    CHECK(result->body_.size() <= 8ULL * 1024 * 1024);
   }
 }
 
