--- a/Libraries/LibFleet/EventSplitter.h
+++ b/Libraries/LibFleet/EventSplitter.h
@@ -22,8 +22,8 @@
 {
 public:
   /// Largest event that endpoints may send: far above the largest piece of
-  /// text, which takes under 1 KB.
-  static constexpr std::size_t kMaxEventBytes = 65536;
+  /// text, and above events that carry 64 KB.
+  static constexpr std::size_t kMaxEventBytes = 262144;
 
   void Append(std::string_view aBytes) { buffer_.append(aBytes); }
 
