LibGateway: Log how responses with events end

When a stream has a hole, no line told whether its response had a length, chunks or only the end of its connection, nor which events it brought. 7152 stream_response_ended has both, for responses that broke, ended only with their connection, or whose events don't count up by one; two counters have all of them. What each asked host said about a resumed stream, and the versions read from and written to the store, are logged too. No decision changes.

--- a/Libraries/LibFleet/EventSplitter.h
+++ b/Libraries/LibFleet/EventSplitter.h
@@ -11,8 +11,8 @@
 struct StreamEvent
 {
   std::uint64_t id_ = 0;
-  std::string_view data_; ///< The first data field.
-  std::string_view raw_;  ///< All bytes, including the empty line at the end.
+  std::string_view data_{}; ///< The first data field.
+  std::string_view raw_{};  ///< All bytes, including the empty line at the end.
 };
 
 /// Splits a stream into complete events. An endpoint may break off within an
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -138,6 +138,7 @@
   RecordActivity(base::MonotonicNow());
   const ResponseInfo info = shared_.codec_.ReadResponseInfo(aHead);
   hasResponse_ = true;
+  framing_ = connection_->Framing();
   isEventStream_ = httpstream::IsEventStream(aHead);
   wasNotRun_ = info.wasNotRun_;
   isServerError_ = !wasNotRun_ && aHead.result_int() >= kFirstServerError;
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -53,6 +53,10 @@
     return endpoint_;
   }
 
+  /// @return how the end of the response is marked. Its head must have been
+  ///         read.
+  [[nodiscard]] httpstream::ResponseFraming Framing() const { return framing_; }
+
   void OnHead(const httpstream::ResponseHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
   httpstream::SilenceDecision OnSilence(
@@ -90,6 +94,7 @@
   /// That counts as a failure of the endpoint.
   bool isSilenceFailure_ = false;
   bool isEventStream_ = false;
+  httpstream::ResponseFraming framing_ = httpstream::ResponseFraming::Length;
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -328,6 +328,26 @@
   "Waiting batch items of a service can't be started for another reason than "
   "before, or can again. Logged at most once in 5 s for a service."
 };
+inline constexpr base::Event kStreamResponseEnded{
+  7152,
+  "stream_response_ended",
+  base::LogLevel::Info,
+  "A response with events broke, ended only with its connection, or its events "
+  "don't count up by one."
+};
+inline constexpr base::Event kServiceVersionsRead{
+  7153,
+  "service_versions_read",
+  base::LogLevel::Info,
+  "The software versions that a service had of late were read from the store."
+};
+inline constexpr base::Event kServiceVersionsWritten{
+  7154,
+  "service_versions_written",
+  base::LogLevel::Info,
+  "The software versions that a service had of late were written to the store, "
+  "or that failed."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/CrashReports.h"
 #include "LibGateway/Events.h"
+#include "LibGateway/StreamReport.h"
 #include "LibHttpStream/Status.h"
 
 #include <utility>
@@ -47,6 +48,8 @@
                    base::Duration aTimeLimit)
 {
   endpoint_ = aEndpoint.id_;
+  itemId_ = aItem.id_;
+  numbering_.Begin(resumedAfter_);
   ForwardOptions options;
   options.endpoint_ = aEndpoint.id_;
   options.callerTimeout_ = aTimeLimit;
@@ -110,6 +113,7 @@
 {
   bool hasAdvanced = false;
   while (const auto event = splitter_.Next()) {
+    numbering_.Record(*event);
     if (event->id_ != 0 && event->id_ <= progress_.lastEvent_) {
       continue;
     }
@@ -242,6 +246,15 @@
 void
 ItemAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
+  if (status_ == httpstream::kStatusOk) {
+    ReportStreamEnd(shared_,
+                    *endpointAttempt_,
+                    { itemId_,
+                      aOutcome,
+                      resumedAfter_,
+                      numbering_.GetCounts(),
+                      splitter_.Remainder() > 0 });
+  }
   const batch::ItemAttemptOutcome outcome = Classify(aOutcome);
   RecordForCrashes(aOutcome, outcome);
   onEnd_(*this, outcome);
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -2,6 +2,7 @@
 
 #include "LibBatch/ItemSchedule.h"
 #include "LibFleet/CrashEvidence.h"
+#include "LibFleet/EventNumbering.h"
 #include "LibFleet/EventSplitter.h"
 #include "LibFleet/SilencePolicy.h"
 #include "LibFleet/StreamProgress.h"
@@ -115,6 +116,8 @@
   base::Instant startedAt_{};
   fleet::RequestFeatures features_;
   fleet::EventSplitter splitter_;
+  fleet::EventNumbering numbering_;
+  std::string itemId_;
   std::shared_ptr<EndpointAttempt> endpointAttempt_;
   ResponseInfo responseInfo_;
   /// Its version isn't known, so its events aren't joined.
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGateway/CrashReports.h"
 #include "LibGateway/Events.h"
+#include "LibGateway/StreamReport.h"
 #include "LibHttpStream/Status.h"
 
 #include <fmt/format.h>
@@ -58,24 +59,6 @@
   return "caller_gone";
 }
 
-std::string_view
-NameOf(httpstream::CallOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case httpstream::CallOutcome::Complete:
-      return "complete";
-    case httpstream::CallOutcome::NotConnected:
-      return "not_connected";
-    case httpstream::CallOutcome::Broken:
-      return "broken";
-    case httpstream::CallOutcome::TimedOut:
-      return "silent";
-    case httpstream::CallOutcome::Malformed:
-      break;
-  }
-  return "unintelligible";
-}
-
 } // namespace
 
 OnlineProxy::OnlineProxy(SharedState& aShared,
@@ -365,6 +348,15 @@
   if (isFinished_) {
     return;
   }
+  if (head_ && isEventStream_) {
+    ReportStreamEnd(shared_,
+                    *attempt_,
+                    { call_.requestId_,
+                      aOutcome,
+                      stream_.LastEventBeforeAttempt(),
+                      stream_.EventCounts(),
+                      stream_.HasPartialEvent() });
+  }
   if (aOutcome == httpstream::CallOutcome::NotConnected) {
     // Nothing was sent, so this doesn't count as an attempt.
     ++undeliveredAttempts_;
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -119,7 +119,10 @@
               { "basis", NameOf(aOrigin.basis_) },
               { "record_age_ms", base::ToMs(aOrigin.age_) },
               { "view_age_ms", base::ToMs(aResult.viewAge_) },
-              { "asked", aResult.asked_ } });
+              { "store_read_age_ms", base::ToMs(aResult.storeReadAge_) },
+              { "versions", aResult.versions_ },
+              { "asked", aResult.asked_ },
+              { "answers", aResult.answers_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_streams_resumed_total",
                 "Streams that callers resumed, by how their version was known.",
@@ -138,7 +141,10 @@
               { "after_event", stream_.LastEvent() },
               { "cause", aCause },
               { "view_age_ms", base::ToMs(aResult.viewAge_) },
-              { "asked", aResult.asked_ } });
+              { "store_read_age_ms", base::ToMs(aResult.storeReadAge_) },
+              { "versions", aResult.versions_ },
+              { "asked", aResult.asked_ },
+              { "answers", aResult.answers_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_streams_not_resumed_total",
                 "Streams that callers couldn't resume.",
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/ServiceVersionStore.h"
 
+#include "LibGateway/Events.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -90,6 +92,10 @@
   entry = { aItem.revision_ > 0 ? DecodeVersions(aItem.value_)
                                 : fleet::ServiceVersions::Versions{},
             aItem.revision_ };
+  base::Log(kServiceVersionsRead,
+            { { "service", service },
+              { "versions", json(entry.versions_).dump() },
+              { "revision", entry.revision_ } });
   for (const std::string& version : entry.versions_) {
     versions_.ObserveIfNew(service, version, aNow);
   }
@@ -125,7 +131,14 @@
                 [this, aService, aVersions](
                   const metadata::TransactionResponse& aResponse) {
                   isCalling_ = false;
-                  if (aResponse.status_ == metadata::StoreStatus::Ok) {
+                  const bool isWritten =
+                    aResponse.status_ == metadata::StoreStatus::Ok;
+                  base::Log(kServiceVersionsWritten,
+                            { { "service", aService },
+                              { "versions", json(aVersions).dump() },
+                              { "written", isWritten },
+                              { "revision", aResponse.revision_ } });
+                  if (isWritten) {
                     entries_[aService] = { aVersions, aResponse.revision_ };
                     return;
                   }
--- a/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Libraries/LibGateway/StreamContinuation.cpp
@@ -6,6 +6,7 @@
 StreamContinuation::BeginAttempt(const fleet::EndpointRecord& aEndpoint)
 {
   splitter_.Clear();
+  numbering_.Begin(lastEvent_);
   lastEventBeforeAttempt_ = lastEvent_;
   endpointId_ = aEndpoint.id_;
   attemptOrigin_ =
@@ -28,6 +29,7 @@
   std::string events;
   splitter_.Append(aBytes);
   while (const auto event = splitter_.Next()) {
+    numbering_.Record(*event);
     // A resumed stream may repeat events, which the caller must not get twice.
     if (event->id_ != 0 && event->id_ <= lastEvent_) {
       continue;
--- a/Libraries/LibGateway/StreamContinuation.h
+++ b/Libraries/LibGateway/StreamContinuation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/Declarations.h"
+#include "LibFleet/EventNumbering.h"
 #include "LibFleet/EventSplitter.h"
 #include "LibFleet/StreamOrigin.h"
 
@@ -63,6 +64,18 @@
     return splitter_.IsEventTooLarge();
   }
 
+  /// @return the numbers of the events that the current attempt brought.
+  [[nodiscard]] const fleet::EventNumbering::Counts& EventCounts() const
+  {
+    return numbering_.GetCounts();
+  }
+
+  /// @return the last event that the caller had before the current attempt.
+  [[nodiscard]] std::uint64_t LastEventBeforeAttempt() const
+  {
+    return lastEventBeforeAttempt_;
+  }
+
   /// @return whether the current attempt brought events that the caller had
   /// not.
   [[nodiscard]] bool HasAdvanced() const
@@ -75,6 +88,7 @@
   std::uint64_t lastEventBeforeAttempt_ = 0;
   std::optional<fleet::StreamOrigin> origin_;
   fleet::EventSplitter splitter_;
+  fleet::EventNumbering numbering_;
   std::string endpointId_; ///< Of the current attempt.
   /// Of the current attempt; empty if another endpoint responds.
   std::optional<fleet::StreamOrigin> attemptOrigin_;
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/StreamOrigins.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -34,6 +35,19 @@
 /// Used without a route for streams.
 constexpr std::chrono::seconds kDefaultTimeout{ 15 };
 
+/// @return what a host knows, for the log: its record, or the versions.
+std::string
+Describe(const fleet::OriginEvidence& aEvidence)
+{
+  if (const auto* known = std::get_if<fleet::KnownOrigin>(&aEvidence.record_)) {
+    return "record:" + known->origin_.version_;
+  }
+  if (std::holds_alternative<fleet::AmbiguousOrigin>(aEvidence.record_)) {
+    return "ambiguous";
+  }
+  return fmt::format("{}", fmt::join(aEvidence.versions_, "+"));
+}
+
 bool
 IsRecordable(std::string_view aId)
 {
@@ -268,13 +282,17 @@
     mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max());
   const bool isViewRecent = IsViewRecent(viewAge, now);
   std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
-  PendingInquiry pending{
-    fleet::OriginInquiry(std::move(own), isViewRecent, hosts.size()),
-    {},
-    { fleet::OriginUnknown::NoRecord, hosts.size(), viewAge },
-    std::move(aHandler),
-    nullptr
-  };
+  const std::size_t versions = own.versions_.size();
+  PendingInquiry pending{ fleet::OriginInquiry(
+                            std::move(own), isViewRecent, hosts.size()),
+                          {},
+                          { fleet::OriginUnknown::NoRecord,
+                            hosts.size(),
+                            viewAge,
+                            versionStore_.AgeOf(now),
+                            versions },
+                          std::move(aHandler),
+                          nullptr };
   if (const auto decision = pending.inquiry_.Decide()) {
     pending.result_.decision_ = *decision;
     pending.result_.asked_ = 0;
@@ -324,6 +342,9 @@
   auto node = pending_.extract(aQuery);
   PendingInquiry& pending = node.mapped();
   pending.result_.decision_ = aDecision;
+  for (const std::string& host : pending.missing_) {
+    pending.result_.answers_ += fmt::format("{}=unheard,", host);
+  }
   pending.handler_(pending.result_);
 }
 
@@ -369,6 +390,8 @@
     return;
   }
   found->second.inquiry_.Add(aMessage.evidence_);
+  found->second.result_.answers_ +=
+    fmt::format("{}={},", aPeer, Describe(aMessage.evidence_));
   if (const auto decision = found->second.inquiry_.Decide()) {
     End(aMessage.query_, *decision);
   }
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -53,6 +53,9 @@
     fleet::OriginDecision decision_;
     std::size_t asked_ = 0; ///< Number of hosts that were asked.
     base::Duration viewAge_{ 0 };
+    base::Duration storeReadAge_{ 0 }; ///< Of the versions in the store.
+    std::size_t versions_ = 0;         ///< That this host knew of the services.
+    std::string answers_{}; ///< What each asked host said, for the log.
   };
   using ResultHandler = std::function<void(const Result&)>;
 
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -69,6 +69,17 @@
   return seconds;
 }
 
+template<typename Parser>
+ResponseFraming
+FramingOf(const Parser& aParser)
+{
+  if (aParser.chunked()) {
+    return ResponseFraming::Chunked;
+  }
+  return aParser.need_eof() ? ResponseFraming::ConnectionEnd
+                            : ResponseFraming::Length;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(const asio::any_io_executor& aExecutor)
@@ -345,6 +356,7 @@
   if (isStale_ || head.result_int() < 200) {
     return true;
   }
+  framing_ = FramingOf(*parser_);
   bodyBeganAt_ = lastByteAt_;
   observer_->OnHead(head);
   return observer_ != nullptr && !isClosed_;
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -27,6 +27,14 @@
   Malformed
 };
 
+/// How the end of a response's body is marked.
+enum class ResponseFraming : std::uint8_t
+{
+  Length,
+  Chunked,
+  ConnectionEnd, ///< Only by the end of the connection.
+};
+
 /// Bounds of a response. A faulty server may send bytes without end.
 struct ResponseLimits
 {
@@ -139,6 +147,11 @@
   /// not be reused then.
   [[nodiscard]] bool IsIdleAndOpen();
 
+  /// @return how the end of the last response is marked. Its head must have
+  /// been
+  ///         read.
+  [[nodiscard]] ResponseFraming Framing() const { return framing_; }
+
   /// @return until when the idle connection may be reused, derived from the
   /// server's keep-alive limit.
   [[nodiscard]] base::Instant UsableUntil() const { return usableUntil_; }
@@ -182,6 +195,7 @@
   std::uint32_t extraResponses_ = 0;
   std::uint64_t timerGeneration_ = 0;
   bool wasExtendedForDelay_ = false; ///< Since the last byte.
+  ResponseFraming framing_ = ResponseFraming::Length;
   bool isHeadReceived_ = false;
   bool hasBody_ = false; ///< Bytes of the body were delivered.
   bool isStale_ = false; ///< The current response belongs to an earlier call.
