--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -64,6 +64,9 @@
     [this, aConnection](const boost::system::error_code& /*aError*/,
                         std::size_t) {
       boost::system::error_code ignored;
+      if (end_ == End::Process) {
+        acceptor_.close(ignored);
+      }
       if (end_ == End::Reset) {
         aConnection->socket_.set_option(asio::socket_base::linger(true, 0),
                                         ignored);
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -19,6 +19,7 @@
   {
     Orderly, ///< As at the end of an answer that has no length.
     Reset,
+    Process, ///< The server's process ends with its first answer.
   };
 
   RawServer(boost::asio::io_context& aContext, std::string aAnswer, End aEnd);
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -1,73 +1,11 @@
-#include "Tests/Platform/GatewayFixture.h"
-#include "Tests/Platform/RawServer.h"
-
-#include <nlohmann/json.hpp>
+#include "Tests/Platform/RawServerFixture.h"
 
 namespace pumiceturn::adapter {
 
-/// A host, and servers whose answers have neither a length nor chunks, and end
-/// with their connection.
-class UnframedAnswerFixture : protected GatewayFixture
-{
-protected:
-  static constexpr std::string_view kHead =
-    "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n";
-
-  static std::string StreamFrom(std::uint64_t aFirst,
-                                std::uint64_t aLast,
-                                std::string_view aRest = {})
-  {
-    std::string text =
-      std::string(kHead) + "Content-Type: text/event-stream\r\n\r\n";
-    for (std::uint64_t event = aFirst; event <= aLast; ++event) {
-      text +=
-        ServerStandin::EventText(event, ServerStandin::kDefaultVersion, 0);
-    }
-    return text.append(aRest);
-  }
-
-  RawServer& AddRawServer(const std::string& aName,
-                          std::string aAnswer,
-                          RawServer::End aEnd)
-  {
-    rawServers_.push_back(
-      std::make_unique<RawServer>(context_, std::move(aAnswer), aEnd));
-    store_.Put("servers/" + aName,
-               nlohmann::json{ { "service", "service" },
-                               { "address", rawServers_.back()->Address() },
-                               { "zone", "a" },
-                               { "version", "v1" },
-                               { "slots", 8 },
-                               { "state", "ready" },
-                               { "coldLeftMs", 0 },
-                               { "seq", 1 },
-                               { "born", 1 } }
-                 .dump());
-    return *rawServers_.back();
-  }
-
-  void Start()
-  {
-    WriteConfiguration(1);
-    host_ = &StartHost("entry", batch::BatchPreference::Fallback);
-    RunUntil([this] {
-      return SendToAndWait(Loopback(host_->statusPort_), "GET", "/api/ready")
-               ->status_ == 200;
-    });
-  }
-
-  std::unique_ptr<CallerCall> Call(const std::string& aPath,
-                                   const std::string& aFields = {})
-  {
-    return SendAndWait(*host_,
-                       "POST",
-                       aPath,
-                       "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n" + aFields);
-  }
-
-  TestHost* host_ = nullptr;
-  std::vector<std::unique_ptr<RawServer>> rawServers_;
-};
+/// Servers whose answers have neither a length nor chunks, and end with their
+/// connection.
+class UnframedAnswerFixture : protected RawServerFixture
+{};
 
 TEST_CASE_METHOD(UnframedAnswerFixture, "UnframedAnswer_WholeStream_IsComplete")
 {
@@ -162,4 +100,63 @@
   CHECK(nlohmann::json::parse(page)["results"][0]["output"] == WholeOutput());
 }
 
+// Guards against a stream that looks complete though the server's process ended
+// after an event: the kernel ends its connections in order.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerEndsAfterAnEvent_IsBrokenOff")
+{
+  AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Process);
+  Start();
+  const auto call = Call("/stream/1");
+  CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
+  CHECK(call->body_ == EventsFrom(1, 2));
+}
+
+// Guards against a stream without its last events, as in the case before.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerEndsAfterAnEvent_ResumesElsewhere")
+{
+  AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Process);
+  Start();
+  AddServer("i-2");
+  const auto call = CallAtRawServer("/resumable/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+}
+
+// Guards against an empty stream that looks complete though the server's
+// process ended before the first event.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerEndsBeforeFirstEvent_IsNoEmptyStream")
+{
+  AddRawServer("i-1", StreamHead(), RawServer::End::Process);
+  Start();
+  CHECK(Call("/stream/1")->status_ == 502);
+}
+
+// Guards against an item's output that lacks its end, as the server's process
+// ended after an event.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_OfItemServerEnds_OutputGoesOnElsewhere")
+{
+  AddRawServer("i-1", ForItem(StreamFrom(1, 2)), RawServer::End::Process);
+  Start();
+  Submit();
+  RunUntil([this] { return !rawServers_[0]->Requests().empty(); });
+  AddServer("i-2");
+  CHECK(WaitForOutput() == WholeOutput());
+}
+
+// Guards against a body that is passed on as whole though the server's process
+// ended within it.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerEndsWithinBody_IsNotComplete")
+{
+  AddRawServer("i-1",
+               std::string(kHead) + "\r\n" + std::string(100'000, 'b'),
+               RawServer::End::Process);
+  Start();
+  CHECK(Call("/once/1")->status_ == 502);
+}
+
 } // namespace pumiceturn::adapter
