LibGateway: Take a response without a marked end as whole only if its endpoint lives

Callers saw streams, items' outputs and bodies that look complete and lack their end. A response with neither a length nor chunks ended in order counted as complete if its last event was whole.

The line of such a stream says framing=connection end=complete last_event=22 for one that has more events.

Ruled out: treating each such end as broken, as sound servers answer so, too; asking for the rest each time, which runs each stream twice and can't be done for those that may not be resumed.

After such an end the endpoint's address is connected to, and the connection is watched for 20 ms, as a process's listening socket may be the last that its kernel closes. If that fails, the attempt counts as broken: a stream that may be resumed goes on elsewhere, another one is broken off. The probe after the last attempt (CheckForCrash) is the same one now.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -75,6 +75,9 @@
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->Cancel();
   }
+  if (const auto probe = std::exchange(probe_, nullptr)) {
+    probe->Cancel();
+  }
   const bool wasSilent = isCountedInFlight_ && !hasResponse_ &&
                          base::MonotonicNow() - startedAt_ > silenceTimeout_;
   if (wasSilent && workClass_ == fleet::WorkClass::Online &&
@@ -231,9 +234,34 @@
 EndpointAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
   const auto self = shared_from_this();
-  auto* observer = std::exchange(observer_, nullptr);
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
+  const bool isEndMarked =
+    framing_ != httpstream::ResponseFraming::ConnectionEnd;
+  if (aOutcome == httpstream::CallOutcome::Complete && !isEndMarked) {
+    CheckUnmarkedEnd();
+  } else {
+    End(aOutcome);
+  }
+}
+
+void
+EndpointAttempt::CheckUnmarkedEnd()
+{
+  probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor());
+  probe_->Start(endpoint_.address_, [weak = weak_from_this()](bool aIsAlive) {
+    if (const auto self = weak.lock()) {
+      self->End(aIsAlive ? httpstream::CallOutcome::Complete
+                         : httpstream::CallOutcome::Broken);
+    }
+  });
+}
+
+void
+EndpointAttempt::End(httpstream::CallOutcome aOutcome)
+{
+  probe_.reset();
+  auto* observer = std::exchange(observer_, nullptr);
   RecordOutcome(aOutcome);
   const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
   const bool isIgnored =
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/EndpointTable.h"
+#include "LibGateway/LivenessProbe.h"
 #include "LibGateway/SharedState.h"
 #include "LibHttpStream/ClientConnection.h"
 
@@ -64,6 +65,11 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
+  /// Checks whether the endpoint lives on. A response whose end isn't marked is
+  /// whole only then: the connections of a process that is killed end in order,
+  /// too.
+  void CheckUnmarkedEnd();
+  void End(httpstream::CallOutcome aOutcome);
   void EndCounting();
   /// Sets whether events of a stream are due.
   void SetStreaming(bool aIsStreaming);
@@ -78,6 +84,7 @@
   fleet::WorkClass workClass_;
   httpstream::CallObserver* observer_ = nullptr;
   std::shared_ptr<httpstream::ClientConnection> connection_;
+  std::shared_ptr<LivenessProbe> probe_;
   base::Instant startedAt_{};
   base::Duration silenceTimeout_ = base::Duration::max();
   std::optional<base::Instant> lastEventAt_;
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -158,7 +158,7 @@
   /// An attempt doesn't count, as its endpoint crashed. Only one: a second
   /// crash is rather caused by the request.
   bool isLostToCrash_ = false;
-  std::shared_ptr<httpstream::ClientConnection> crashProbe_;
+  std::shared_ptr<LivenessProbe> crashProbe_;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
   bool mayHaveRun_ = false;
   fleet::RequestFeatures features_;
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -1,7 +1,6 @@
 #include "LibGateway/OnlineProxy.h"
 
 #include "LibGateway/CrashReports.h"
-#include "LibGateway/EndpointAddress.h"
 #include "LibHttpStream/Status.h"
 
 #include <utility>
@@ -18,9 +17,6 @@
 /// aren't sent to a second one.
 constexpr std::size_t kMaxCrashesToRetry = 2;
 
-/// How long an endpoint that lives on may take to accept a connection.
-constexpr std::chrono::milliseconds kCrashProbeTimeout{ 100 };
-
 } // namespace
 
 void
@@ -106,27 +102,17 @@
 void
 OnlineProxy::CheckForCrash()
 {
-  const auto address = ParseAddress(attempt_->Endpoint().address_);
-  if (!address) {
-    TryNextEndpoint();
-    return;
-  }
-  crashProbe_ = std::make_shared<httpstream::ClientConnection>(
-    deadlineTimer_.get_executor());
-  crashProbe_->Connect(
-    *address, kCrashProbeTimeout, [weak = weak_from_this()](bool aIsConnected) {
-      const auto proxy = weak.lock();
-      if (!proxy || proxy->isFinished_) {
-        return;
-      }
-      if (const auto probe = std::exchange(proxy->crashProbe_, nullptr);
-          aIsConnected) {
-        probe->Cancel();
-      } else {
-        proxy->isLostToCrash_ = true;
-      }
-      proxy->TryNextEndpoint();
-    });
+  crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor());
+  crashProbe_->Start(attempt_->Endpoint().address_,
+                     [weak = weak_from_this()](bool aIsAlive) {
+                       const auto proxy = weak.lock();
+                       if (!proxy || proxy->isFinished_) {
+                         return;
+                       }
+                       proxy->crashProbe_.reset();
+                       proxy->isLostToCrash_ = !aIsAlive;
+                       proxy->TryNextEndpoint();
+                     });
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibHttpStream/ConnectionPool.h
+++ b/Libraries/LibHttpStream/ConnectionPool.h
@@ -50,6 +50,11 @@
   /// Closes idle connections that have passed their idle limit.
   void CloseExpired(base::Instant aNow);
 
+  [[nodiscard]] const boost::asio::any_io_executor& GetExecutor() const
+  {
+    return executor_;
+  }
+
   /// @return the number of connections opened so far.
   [[nodiscard]] std::uint64_t OpenedCount() const { return openedCount_; }
 
