LibGateway: Pass on an event only if it is the next one of its stream

Callers saw numbers that went back, and streams that held two runs: an event without a number, or a comment, set the number of the last event to 0, so the stream counted as not begun, and the next attempt, at any software version, was appended from its event 1. Gaps and responses that begin elsewhere were passed on.

EventNumbering says of each event whether it is the next one. Another number shows that the response isn't the rest of this stream: the attempt is broken, and what came before stands. Comments are passed on and are no events. After an event without a number the rest can't be asked for: the stream is broken off, and an item's output keeps the event once the response has gone on after it. Events are forwarded before an attempt is rejected, so none is counted and not sent.

--- a/Libraries/LibFleet/EventNumbering.cpp
+++ b/Libraries/LibFleet/EventNumbering.cpp
@@ -9,22 +9,27 @@
   counts_ = {};
 }
 
-void
+EventPlace
 EventNumbering::Record(const StreamEvent& aEvent)
 {
+  if (aEvent.id_ == 0 && !aEvent.hasData_) {
+    return EventPlace::NoEvent;
+  }
   ++counts_.events_;
   if (aEvent.id_ == 0) {
     ++counts_.unnumbered_;
-    return;
+    return EventPlace::Unnumbered;
   }
   counts_.first_ = counts_.first_ == 0 ? aEvent.id_ : counts_.first_;
   counts_.last_ = aEvent.id_;
   if (aEvent.id_ <= lastNumber_) {
     ++counts_.repeated_;
-    return;
+    return EventPlace::Elsewhere;
   }
-  counts_.skipped_ += aEvent.id_ - lastNumber_ - 1;
+  const std::uint64_t skipped = aEvent.id_ - lastNumber_ - 1;
+  counts_.skipped_ += skipped;
   lastNumber_ = aEvent.id_;
+  return skipped == 0 ? EventPlace::Next : EventPlace::Elsewhere;
 }
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/EventNumbering.h
+++ b/Libraries/LibFleet/EventNumbering.h
@@ -6,9 +6,19 @@
 
 namespace pumiceturn::fleet {
 
+/// What an event of a response is to the stream that the response belongs to.
+enum class EventPlace : std::uint8_t
+{
+  Next,       ///< The event after the last one.
+  Unnumbered, ///< An event without a valid number.
+  NoEvent,    ///< A comment, or fields without data.
+  Elsewhere,  ///< Its number is another than the next one.
+};
+
 /// Follows the numbers of the events in one response. They count up by one from
-/// the event after which the response was asked to go on. Performs no I/O. Not
-/// thread-safe.
+/// the event after which the response was asked to go on. An event with another
+/// number shows that the response isn't the rest of the stream. Performs no
+/// I/O. Not thread-safe.
 class EventNumbering
 {
 public:
@@ -31,7 +41,8 @@
   /// @param aLastEvent The event after which it is to go on; 0: the beginning.
   void Begin(std::uint64_t aLastEvent);
 
-  void Record(const StreamEvent& aEvent);
+  /// Records the next event of the response.
+  [[nodiscard]] EventPlace Record(const StreamEvent& aEvent);
 
   [[nodiscard]] const Counts& GetCounts() const { return counts_; }
 
--- a/Libraries/LibFleet/EventSplitter.cpp
+++ b/Libraries/LibFleet/EventSplitter.cpp
@@ -1,6 +1,6 @@
 #include "LibFleet/EventSplitter.h"
 
-#include <charconv>
+#include "LibBase/Numbers.h"
 
 namespace pumiceturn::fleet {
 
@@ -26,7 +26,6 @@
   StreamEvent event;
   event.raw_ = aRaw;
   std::string_view rest = aRaw;
-  bool hasData = false;
   while (!rest.empty()) {
     const std::size_t end = rest.find('\n');
     const std::string_view line = rest.substr(0, end);
@@ -37,10 +36,10 @@
     }
     const std::string_view value = TrimValue(line.substr(colon + 1));
     if (line.starts_with("id:")) {
-      std::from_chars(value.data(), value.data() + value.size(), event.id_);
-    } else if (line.starts_with("data:") && !hasData) {
+      event.id_ = base::ParseNumber<std::uint64_t>(value).value_or(0);
+    } else if (line.starts_with("data:") && !event.hasData_) {
       event.data_ = value;
-      hasData = true;
+      event.hasData_ = true;
     }
   }
   return event;
--- a/Libraries/LibFleet/EventSplitter.h
+++ b/Libraries/LibFleet/EventSplitter.h
@@ -10,8 +10,9 @@
 /// One complete event of an event stream.
 struct StreamEvent
 {
-  std::uint64_t id_ = 0;
+  std::uint64_t id_ = 0;    ///< 0: none, or no valid one.
   std::string_view data_{}; ///< The first data field.
+  bool hasData_ = false;    ///< Comments have none.
   std::string_view raw_{};  ///< All bytes, including the empty line at the end.
 };
 
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -38,6 +38,7 @@
   , progress_(std::move(aProgress))
   , resumedAfter_(progress_.lastEvent_)
   , resumedAfterBytes_(progress_.output_.size())
+  , hasOutput_(progress_.lastEvent_ > 0)
 {
 }
 
@@ -103,7 +104,7 @@
     splitter_.Append(aBytes);
     hasAdvanced = TakeEvents();
   }
-  if (!RejectEndlessResponse(hasAdvanced)) {
+  if (!RejectFaultyResponse(hasAdvanced)) {
     endpointAttempt_->SetPaused(true);
   }
 }
@@ -112,25 +113,51 @@
 ItemAttempt::TakeEvents()
 {
   bool hasAdvanced = false;
-  while (const auto event = splitter_.Next()) {
-    numbering_.Record(*event);
-    if (event->id_ != 0 && event->id_ <= progress_.lastEvent_) {
-      continue;
+  while (!hasEventElsewhere_) {
+    const auto event = splitter_.Next();
+    if (!event) {
+      break;
     }
-    if (progress_.lastEvent_ > 0) {
-      progress_.output_.push_back('\n');
-    } else {
-      progress_.service_ = endpointAttempt_->Endpoint().service_;
-      progress_.softwareVersion_ =
-        endpointAttempt_->Endpoint().softwareVersion_;
+    switch (numbering_.Record(*event)) {
+      case fleet::EventPlace::Next:
+        AppendUnnumbered();
+        AppendEvent(*event);
+        hasAdvanced = true;
+        break;
+      case fleet::EventPlace::Unnumbered:
+        unnumbered_.emplace_back(event->data_);
+        hasAdvanced = true;
+        break;
+      case fleet::EventPlace::NoEvent:
+        break;
+      case fleet::EventPlace::Elsewhere:
+        hasEventElsewhere_ = true;
     }
-    progress_.output_.append(event->data_);
-    progress_.lastEvent_ = event->id_;
-    hasAdvanced = true;
   }
   return hasAdvanced;
 }
 
+void
+ItemAttempt::AppendEvent(const fleet::StreamEvent& aEvent)
+{
+  if (std::exchange(hasOutput_, true)) {
+    progress_.output_.push_back('\n');
+  } else {
+    progress_.service_ = endpointAttempt_->Endpoint().service_;
+    progress_.softwareVersion_ = endpointAttempt_->Endpoint().softwareVersion_;
+  }
+  progress_.output_.append(aEvent.data_);
+  progress_.lastEvent_ = aEvent.id_ > 0 ? aEvent.id_ : progress_.lastEvent_;
+}
+
+void
+ItemAttempt::AppendUnnumbered()
+{
+  for (const std::string& data : std::exchange(unnumbered_, {})) {
+    AppendEvent({ 0, data });
+  }
+}
+
 void
 ItemAttempt::DropNewOutput()
 {
@@ -143,19 +170,20 @@
 }
 
 bool
-ItemAttempt::RejectEndlessResponse(bool aHasAdvanced)
+ItemAttempt::RejectFaultyResponse(bool aHasAdvanced)
 {
   const bool isStuck =
     streamProgress_.RecordRead(aHasAdvanced, base::MonotonicNow());
   const bool isTooLarge = receivedBytes_ > kMaxResponseBytes;
-  const bool isEndless = isTooLarge || isStuck || splitter_.IsEventTooLarge();
+  const bool isFaulty =
+    isTooLarge || isStuck || splitter_.IsEventTooLarge() || hasEventElsewhere_;
   if (isTooLarge) {
     DropNewOutput();
   }
-  if (isEndless) {
+  if (isFaulty) {
     endpointAttempt_->Reject();
   }
-  return isEndless;
+  return isFaulty;
 }
 
 batch::ItemAttemptOutcome
@@ -257,6 +285,9 @@
   }
   const batch::ItemAttemptOutcome outcome = Classify(aOutcome);
   RecordForCrashes(aOutcome, outcome);
+  if (outcome == batch::ItemAttemptOutcome::Completed) {
+    AppendUnnumbered();
+  }
   onEnd_(*this, outcome);
 }
 
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
@@ -89,14 +90,19 @@
     const fleet::EndpointRecord& aEndpoint);
   /// @return whether an event was new.
   bool TakeEvents();
+  void AppendEvent(const fleet::StreamEvent& aEvent);
+  /// Adds the events without a number to the output. They belong to it once the
+  /// response has gone on after them: its rest can be asked for only after an
+  /// event with a number.
+  void AppendUnnumbered();
   /// Drops what this attempt has brought. A text that is far too long can't be
   /// gone on with at another endpoint.
   void DropNewOutput();
-  /// Ends an attempt whose response is too large, or brings bytes but no new
-  /// event for too long.
+  /// Ends an attempt whose response isn't the item's output, is too large, or
+  /// brings bytes but no new event for too long.
   /// @param aHasAdvanced Whether the last bytes completed a new event.
   /// @return whether the attempt was ended.
-  bool RejectEndlessResponse(bool aHasAdvanced);
+  bool RejectFaultyResponse(bool aHasAdvanced);
   /// Records whether the endpoint crashed or lived on.
   void RecordForCrashes(httpstream::CallOutcome aOutcome,
                         batch::ItemAttemptOutcome aItemOutcome);
@@ -117,6 +123,9 @@
   fleet::RequestFeatures features_;
   fleet::EventSplitter splitter_;
   fleet::EventNumbering numbering_;
+  bool hasEventElsewhere_ = false; ///< Of another number than the next one.
+  bool hasOutput_;                 ///< Of this attempt or an earlier one.
+  std::vector<std::string> unnumbered_; ///< Data of the last events.
   std::string itemId_;
   std::shared_ptr<EndpointAttempt> endpointAttempt_;
   ResponseInfo responseInfo_;
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -137,7 +137,7 @@
 OnlineProxy::MayTryAgain() const
 {
   return CountedAttempts() < route_.maxAttempts_ &&
-         undeliveredAttempts_ < kMaxUndelivered &&
+         undeliveredAttempts_ < kMaxUndelivered && stream_.CanGoOn() &&
          TimeLeft() >= kMinAttemptTime;
 }
 
@@ -317,10 +317,10 @@
   }
   const std::string events =
     isFromOtherEndpoint_ ? std::string() : stream_.TakeEvents(aBytes);
-  if (RejectEndlessResponse(!events.empty())) {
+  Forward(events);
+  if (isFinished_ || RejectFaultyResponse(!events.empty())) {
     return;
   }
-  Forward(events);
   if (exchange_->UnsentBytes() > shared_.outputBudget_.MaxUnsentPerStream() &&
       attempt_) {
     attempt_->SetPaused(true);
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -109,11 +109,11 @@
   void EndWithoutAttempt();
   /// Sets how long an endpoint of a retryable request may be silent.
   void SetGapTimeouts(httpstream::Call& aCall) const;
-  /// Ends an attempt whose response is too large, or brings bytes but no new
-  /// event for too long.
+  /// Ends an attempt whose response isn't the stream's, is too large, or brings
+  /// bytes but no new event for too long.
   /// @param aHasAdvanced Whether the last bytes completed a new event.
   /// @return whether the attempt was ended.
-  bool RejectEndlessResponse(bool aHasAdvanced);
+  bool RejectFaultyResponse(bool aHasAdvanced);
   /// Forwards complete events to the caller.
   void Forward(const std::string& aEvents);
   void OnCompleteResponse();
--- a/Libraries/LibGateway/OnlineProxySilence.cpp
+++ b/Libraries/LibGateway/OnlineProxySilence.cpp
@@ -115,14 +115,15 @@
 }
 
 bool
-OnlineProxy::RejectEndlessResponse(bool aHasAdvanced)
+OnlineProxy::RejectFaultyResponse(bool aHasAdvanced)
 {
   const bool isStuck = progress_.RecordRead(aHasAdvanced, base::MonotonicNow());
-  const bool isEndless = isStuck || stream_.IsEventTooLarge();
-  if (isEndless) {
+  const bool isFaulty =
+    isStuck || stream_.IsEventTooLarge() || stream_.HasEventElsewhere();
+  if (isFaulty) {
     attempt_->Reject();
   }
-  return isEndless;
+  return isFaulty;
 }
 
 void
--- a/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Libraries/LibGateway/StreamContinuation.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/StreamContinuation.h"
 
+#include <utility>
+
 namespace pumiceturn::gateway {
 
 void
@@ -8,6 +10,8 @@
   splitter_.Clear();
   numbering_.Begin(lastEvent_);
   lastEventBeforeAttempt_ = lastEvent_;
+  hasEventElsewhere_ = false;
+  leadingComments_.clear();
   endpointId_ = aEndpoint.id_;
   attemptOrigin_ =
     fleet::StreamOrigin{ aEndpoint.service_, aEndpoint.softwareVersion_ };
@@ -28,19 +32,38 @@
 {
   std::string events;
   splitter_.Append(aBytes);
-  while (const auto event = splitter_.Next()) {
-    numbering_.Record(*event);
-    // A resumed stream may repeat events, which the caller must not get twice.
-    if (event->id_ != 0 && event->id_ <= lastEvent_) {
-      continue;
+  while (!hasEventElsewhere_) {
+    const auto event = splitter_.Next();
+    if (!event) {
+      break;
     }
-    if (!HasBegun()) {
-      origin_ = attemptOrigin_;
+    const fleet::EventPlace place = numbering_.Record(*event);
+    hasEventElsewhere_ = place == fleet::EventPlace::Elsewhere;
+    if (!hasEventElsewhere_) {
+      Take(*event, place, events);
     }
-    lastEvent_ = event->id_;
-    events.append(event->raw_);
   }
   return events;
 }
 
+void
+StreamContinuation::Take(const fleet::StreamEvent& aEvent,
+                         fleet::EventPlace aPlace,
+                         std::string& aEvents)
+{
+  if (aPlace == fleet::EventPlace::NoEvent && !hasBegun_) {
+    leadingComments_.append(aEvent.raw_);
+    return;
+  }
+  if (aPlace != fleet::EventPlace::NoEvent) {
+    if (!std::exchange(hasBegun_, true)) {
+      origin_ = attemptOrigin_;
+      aEvents.append(std::exchange(leadingComments_, {}));
+    }
+    endsUnnumbered_ = aPlace == fleet::EventPlace::Unnumbered;
+    lastEvent_ = endsUnnumbered_ ? lastEvent_ : aEvent.id_;
+  }
+  aEvents.append(aEvent.raw_);
+}
+
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamContinuation.h
+++ b/Libraries/LibGateway/StreamContinuation.h
@@ -21,6 +21,7 @@
   /// @param aLastEvent Id of the last event that the caller has; 0: none.
   explicit StreamContinuation(std::uint64_t aLastEvent)
     : lastEvent_(aLastEvent)
+    , hasBegun_(aLastEvent > 0)
   {
   }
 
@@ -35,7 +36,12 @@
   }
 
   /// @return whether the caller has events that the rest must fit to.
-  [[nodiscard]] bool HasBegun() const { return lastEvent_ > 0; }
+  [[nodiscard]] bool HasBegun() const { return hasBegun_; }
+
+  /// @return whether another attempt may go on: not after an event without a
+  ///         number, as the rest can't be asked for.
+  [[nodiscard]] bool CanGoOn() const { return !endsUnnumbered_; }
+
   [[nodiscard]] std::uint64_t LastEvent() const { return lastEvent_; }
 
   /// Starts to read the response of an endpoint.
@@ -76,6 +82,10 @@
     return lastEventBeforeAttempt_;
   }
 
+  /// @return whether the current attempt brought an event with another number
+  ///         than the next one. It isn't passed on, nor what follows.
+  [[nodiscard]] bool HasEventElsewhere() const { return hasEventElsewhere_; }
+
   /// @return whether the current attempt brought events that the caller had
   /// not.
   [[nodiscard]] bool HasAdvanced() const
@@ -84,7 +94,16 @@
   }
 
 private:
+  /// Adds an event to those that the caller gets.
+  void Take(const fleet::StreamEvent& aEvent,
+            fleet::EventPlace aPlace,
+            std::string& aEvents);
+
   std::uint64_t lastEvent_;
+  bool hasBegun_;
+  bool endsUnnumbered_ = false; ///< The last event has no number.
+  bool hasEventElsewhere_ = false;
+  std::string leadingComments_; ///< Before the first event.
   std::uint64_t lastEventBeforeAttempt_ = 0;
   std::optional<fleet::StreamOrigin> origin_;
   fleet::EventSplitter splitter_;
--- a/Tests/LibFleet/EventNumberingTest.cpp
+++ b/Tests/LibFleet/EventNumberingTest.cpp
@@ -14,12 +14,13 @@
   {
     numbering_.Begin(aLastEvent);
     for (const std::uint64_t number : aNumbers) {
-      numbering_.Record({ number });
+      place_ = numbering_.Record({ number, {}, true });
     }
     return numbering_.GetCounts();
   }
 
   EventNumbering numbering_;
+  EventPlace place_ = EventPlace::Next; ///< Of the last event.
 };
 
 TEST_CASE_METHOD(EventNumberingFixture,
@@ -30,6 +31,7 @@
   CHECK(counts.first_ == 8);
   CHECK(counts.last_ == 10);
   CHECK(counts.events_ == 3);
+  CHECK(place_ == EventPlace::Next);
   CHECK(CountsOf(0, { 1 }).IsRegular());
   CHECK(CountsOf(3, {}).IsRegular());
 }
@@ -40,6 +42,7 @@
 {
   CHECK(CountsOf(0, { 1, 2, 5 }).skipped_ == 2);
   CHECK(CountsOf(7, { 9 }).skipped_ == 1);
+  CHECK(place_ == EventPlace::Elsewhere);
   CHECK(CountsOf(0, { 3 }).skipped_ == 2);
 }
 
@@ -50,6 +53,7 @@
   CHECK(counts.repeated_ == 2);
   CHECK(counts.skipped_ == 0);
   CHECK(CountsOf(7, { 1, 2 }).repeated_ == 2);
+  CHECK(place_ == EventPlace::Elsewhere);
 }
 
 TEST_CASE_METHOD(EventNumberingFixture,
@@ -58,6 +62,16 @@
   const auto counts = CountsOf(0, { 1, 0, 2 });
   CHECK(counts.unnumbered_ == 1);
   CHECK(counts.skipped_ == 0);
+  CHECK(CountsOf(0, { 1, 0 }).unnumbered_ == 1);
+  CHECK(place_ == EventPlace::Unnumbered);
+}
+
+TEST_CASE_METHOD(EventNumberingFixture, "EventNumbering_Comment_IsNoEvent")
+{
+  CHECK(CountsOf(0, { 1 }).IsRegular());
+  CHECK(numbering_.Record({}) == EventPlace::NoEvent);
+  CHECK(numbering_.GetCounts().events_ == 1);
+  CHECK(numbering_.GetCounts().IsRegular());
 }
 
 } // namespace pumiceturn::fleet
