LibGateway: Don't take an error for the rest of a stream

A stream that broke and whose next attempt was answered with an error of the type text/event-stream ended as complete, without its last events. Only a response with status 200 brings events.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -299,7 +299,9 @@
 OnlineProxy::OnHead(const httpstream::ResponseHead& aHead)
 {
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
-  isEventStream_ = httpstream::IsEventStream(aHead);
+  // With another status, it isn't the rest of a stream.
+  isEventStream_ = aHead.result_int() == httpstream::kStatusOk &&
+                   httpstream::IsEventStream(aHead);
   head_ = aHead;
   isFromOtherEndpoint_ =
     isEventStream_ && !stream_.OnHead(responseInfo_.responderId_);
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -159,4 +159,18 @@
   CHECK(Call("/once/1")->status_ == 502);
 }
 
+// Guards against an error that is taken for the rest of a stream, as it has the
+// type of one.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_RestIsAnError_StreamIsBrokenOff")
+{
+  AddRawServer("i-1", StreamFrom(1, 2, "id: 3\nda"), RawServer::End::Orderly);
+  std::string error = StreamHead();
+  error.replace(error.find("200 OK"), 6, "500 Failed");
+  AddRawServer("i-2", error, RawServer::End::Orderly);
+  Start();
+  const auto call = CallAtRawServer("/resumable/1");
+  CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
+}
+
 } // namespace pumiceturn::adapter
