LibGateway: Don't take a service for one with a single version on old views

After all entry hosts were killed at once, a stream that began at one software version could go on at another one. A host decided that its service has one version as soon as another host said the same, though holders of the record hadn't answered; by a view of the endpoints that may be 2 s old; and by an entry in the store that is written after the first streams began at a version.

Evidence: on the code before, OriginInquiry_LaterAnswerHasTheRecord_StreamGoesOnThere decides for v1 though the third host has the record of v2.

Ruled out: a shorter age of views, as any age leaves a window; refusing without a record, as then a service with one version loses its streams.

A resumable stream begins only at versions that the store's entry names; and that a version is the only one is decided by a read of the entry that was sent after the caller asked, once all holders have answered or 150 ms have passed. So whoever reads the entry knows each version at which the stream may have begun. While the store doesn't answer hosts decide as before.

Changed test: OriginInquiry_HostThatJustStarted_AsksTheOthers expected the decision after the first of two answers, which is this fault; it now expects it after the second, and none before.

On with the store's stand-in of this commit, Versions_VersionWasNeverRecorded_* and Versions_VersionIsRecordedLate_* fail.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -5,6 +5,7 @@
 #include "LibFleet/EndpointPace.h"
 #include "LibFleet/FairShare.h"
 #include "LibFleet/OutlierDetector.h"
+#include "LibFleet/ServiceVersions.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -112,6 +113,8 @@
   /// Software version that the endpoint must have, for the rest of a stream.
   /// Without a ready endpoint of it, one that has just begun to drain is used.
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
+  /// Software versions that the endpoint may have; nullptr: any.
+  const ServiceVersions::Versions* allowedVersions_ = nullptr;
   Evidence evidence_ = Evidence::None;
   /// Requests with the same key go to the same endpoint of the whole fleet, as
   /// far as one has a free slot, without a message between their hosts.
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -172,9 +172,11 @@
     std::find(aRequest.excluded_.begin(),
               aRequest.excluded_.end(),
               aEndpoint.record_.id_) != aRequest.excluded_.end();
+  const std::string& version = aEndpoint.record_.softwareVersion_;
   const bool isOtherVersion =
-    aRequest.softwareVersion_ &&
-    *aRequest.softwareVersion_ != aEndpoint.record_.softwareVersion_;
+    (aRequest.softwareVersion_ && *aRequest.softwareVersion_ != version) ||
+    (aRequest.allowedVersions_ != nullptr &&
+     !aRequest.allowedVersions_->contains(version));
   if (aEndpoint.record_.service_ != aRequest.service_ || isOtherVersion ||
       aEndpoint.isUnreadable_ || isExcluded) {
     return false;
--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -27,20 +27,34 @@
   versions_.insert(aEvidence.versions_.begin(), aEvidence.versions_.end());
 }
 
+void
+OriginInquiry::AddStoreVersions(const ServiceVersions::Versions& aVersions)
+{
+  hasStoreVersions_ = true;
+  versions_.insert(aVersions.begin(), aVersions.end());
+}
+
 bool
 OriginInquiry::IsOnlyVersionCertain() const
 {
-  return versions_.size() == 1 && (isViewRecent_ || confirmations_ > 0);
+  return versions_.size() == 1 &&
+         (hasStoreVersions_ || isViewRecent_ || confirmations_ > 0);
+}
+
+bool
+OriginInquiry::NeedsStore() const
+{
+  return isStoreAwaited_ && !hasStoreVersions_ && !HasRecord() &&
+         missing_ == 0 && versions_.size() <= 1;
 }
 
 std::optional<OriginDecision>
 OriginInquiry::Decide() const
 {
-  const bool isConfirmed = IsOnlyVersionCertain() && confirmations_ > 0;
-  if (HasRecord() || missing_ == 0 || isConfirmed) {
-    return DecideNow();
-  }
-  return std::nullopt;
+  // A holder of the record, or a host that knows another version, may be among
+  // those that haven't answered.
+  const bool mayChange = missing_ > 0 || NeedsStore();
+  return HasRecord() || !mayChange ? std::optional(DecideNow()) : std::nullopt;
 }
 
 OriginDecision
@@ -57,7 +71,8 @@
   if (IsOnlyVersionCertain()) {
     return OriginFound{ std::nullopt,
                         *versions_.begin(),
-                        OriginBasis::OnlyVersion };
+                        hasStoreVersions_ ? OriginBasis::OnlyVersion
+                                          : OriginBasis::OnlyVersionConfirmed };
   }
   if (versions_.empty()) {
     return OriginUnknown::NoEndpoints;
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -14,7 +14,11 @@
 {
   OwnRecord,
   PeerRecord,
-  OnlyVersion, ///< No other version served for as long as a stream may last.
+  /// No other version served for as long as a stream may last: the store names
+  /// one, as of later than the caller asked.
+  OnlyVersion,
+  /// The same, but the store wasn't read, and other hosts confirmed it.
+  OnlyVersionConfirmed,
 };
 
 /// Why a stream can't be resumed.
@@ -56,13 +60,29 @@
   /// @param aAsked        Number of hosts that were asked.
   OriginInquiry(OriginEvidence aOwn, bool aIsViewRecent, std::size_t aAsked);
 
+  /// Lets the decision wait for the versions in the store, if this host's view
+  /// alone would decide it: another version may have come and gone unseen.
+  void AwaitStore() { isStoreAwaited_ = true; }
+
   /// Adds the answer of another host.
   void Add(const OriginEvidence& aEvidence);
 
-  /// @return the decision, or std::nullopt while answers may change it.
+  /// Ends the wait for answers that are missing.
+  void EndAnswers() { missing_ = 0; }
+
+  /// Adds the versions that the store names, from a read that was sent after
+  /// the caller asked.
+  void AddStoreVersions(const ServiceVersions::Versions& aVersions);
+
+  /// @return whether the decision waits for the store, but for no answer.
+  [[nodiscard]] bool NeedsStore() const;
+
+  /// @return the decision, or std::nullopt while answers or the store may
+  /// change
+  ///         it.
   [[nodiscard]] std::optional<OriginDecision> Decide() const;
 
-  /// @return the decision without the answers that are missing.
+  /// @return the decision without what is missing.
   [[nodiscard]] OriginDecision DecideNow() const;
 
 private:
@@ -79,6 +99,8 @@
   bool isViewRecent_;
   std::size_t missing_;           ///< Answers that may still come.
   std::size_t confirmations_ = 0; ///< Answers that named versions.
+  bool isStoreAwaited_ = false;
+  bool hasStoreVersions_ = false;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -193,6 +193,7 @@
       peerMessenger_,
       mirrors_,
       store_,
+      health_,
       layout_.versionPrefix_,
       { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
       settings_.drainBound_)
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -202,8 +202,17 @@
   }
   request.evidence_ = aEvidence;
   request.commonEndpointKey_ = suspectFeature_;
-  return shared_.endpoints_.Choose(
-    request, base::MonotonicNow(), shared_.random_);
+  const base::Instant now = base::MonotonicNow();
+  if (!isRest && route_.isResumable_) {
+    request.allowedVersions_ =
+      origins_.VersionsToBeginAt(std::string(request.service_));
+    auto choice = shared_.endpoints_.Choose(request, now, shared_.random_);
+    if (choice || request.allowedVersions_ == nullptr) {
+      return choice;
+    }
+    request.allowedVersions_ = nullptr;
+  }
+  return shared_.endpoints_.Choose(request, now, shared_.random_);
 }
 
 void
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -20,9 +20,11 @@
     case fleet::OriginBasis::PeerRecord:
       return "peer_record";
     case fleet::OriginBasis::OnlyVersion:
+      return "only_version";
+    case fleet::OriginBasis::OnlyVersionConfirmed:
       break;
   }
-  return "only_version";
+  return "only_version_confirmed";
 }
 
 std::string_view
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -15,6 +16,12 @@
 /// Pause after a read that failed.
 constexpr std::chrono::milliseconds kRetryPause{ 300 };
 
+/// Least time between two reads that were asked for.
+constexpr std::chrono::milliseconds kRequestPause{ 100 };
+
+/// Time after which nobody waits for a read that was asked for.
+constexpr std::chrono::seconds kMaxRequestAge{ 1 };
+
 fleet::ServiceVersions::Versions
 DecodeVersions(const std::string& aText)
 {
@@ -42,26 +49,90 @@
 }
 
 void
-ServiceVersionStore::Tick(bool aMayWrite, base::Instant aNow)
+ServiceVersionStore::Tick(bool aIsWriter, base::Instant aNow)
 {
-  // Another host may write from now on.
-  isCurrent_ = isCurrent_ && aMayWrite;
+  now_ = aNow;
+  ForgetExpired();
+  const bool isMissed = IsVersionMissed(aNow);
+  // Otherwise another host may write from now on.
+  const bool mayWrite = aIsWriter || isMissed;
+  isCurrent_ = isCurrent_ && mayWrite;
+  if (readRequestedAt_ && aNow - *readRequestedAt_ > kMaxRequestAge) {
+    readRequestedAt_.reset();
+  }
   if (isCalling_) {
     return;
   }
-  if (!hasBeenRead_ || (aMayWrite && !isCurrent_)) {
-    if (aNow >= nextReadAt_) {
-      Read(aNow);
+  const bool isRequested = readRequestedAt_ && aNow >= sentAt_ + kRequestPause;
+  const bool isDue =
+    !hasBeenRead_ || (mayWrite ? !isCurrent_ : unrecordedSince_.has_value());
+  if (isRequested || (isDue && aNow >= nextReadAt_)) {
+    Read(aNow);
+  } else if (mayWrite && isCurrent_) {
+    WriteNextChange(aIsWriter);
+  }
+}
+
+bool
+ServiceVersionStore::IsVersionMissed(base::Instant aNow)
+{
+  if (!SeesUnrecorded()) {
+    unrecordedSince_.reset();
+    return false;
+  }
+  unrecordedSince_ = unrecordedSince_.value_or(aNow);
+  return aNow - *unrecordedSince_ >= kMaxUnrecordedTime;
+}
+
+void
+ServiceVersionStore::RequestRead(base::Instant aNow)
+{
+  now_ = aNow;
+  readRequestedAt_ = aNow;
+  if (!isCalling_ && aNow >= sentAt_ + kRequestPause) {
+    Read(aNow);
+  }
+}
+
+void
+ServiceVersionStore::ForgetExpired()
+{
+  for (auto& [service, recorded] : recorded_) {
+    const auto seen = versions_.VersionsOf(service);
+    std::erase_if(recorded, [&seen](const std::string& aVersion) {
+      return !seen.contains(aVersion);
+    });
+  }
+}
+
+bool
+ServiceVersionStore::SeesUnrecorded() const
+{
+  for (const std::string& service : versions_.Services()) {
+    const auto recorded = recorded_.find(service);
+    for (const std::string& version : versions_.VersionsOf(service)) {
+      if (recorded == recorded_.end() || !recorded->second.contains(version)) {
+        return true;
+      }
     }
-  } else if (aMayWrite) {
-    WriteNextChange();
   }
+  return false;
+}
+
+const fleet::ServiceVersions::Versions*
+ServiceVersionStore::RecordedVersions(const std::string& aService) const
+{
+  const auto recorded = recorded_.find(aService);
+  return recorded == recorded_.end() || recorded->second.empty()
+           ? nullptr
+           : &recorded->second;
 }
 
 void
 ServiceVersionStore::Read(base::Instant aNow)
 {
   isCalling_ = true;
+  sentAt_ = aNow;
   nextReadAt_ = aNow + kRetryPause;
   // Has one entry for each service, which fits into a page.
   store_.Range(
@@ -73,14 +144,20 @@
       if (aResponse.status_ != metadata::StoreStatus::Ok) {
         return;
       }
-      const base::Instant now = base::MonotonicNow();
       entries_.clear();
+      recorded_.clear();
       for (const metadata::StoreItem& item : aResponse.items_) {
-        Apply(item, now);
+        Apply(item, std::max(aNow, now_));
       }
       hasBeenRead_ = true;
       readAt_ = aNow;
       isCurrent_ = true;
+      if (readRequestedAt_ && *readRequestedAt_ <= aNow) {
+        readRequestedAt_.reset();
+      }
+      if (onRead_) {
+        onRead_(aNow);
+      }
     }));
 }
 
@@ -99,17 +176,31 @@
   for (const std::string& version : entry.versions_) {
     versions_.ObserveIfNew(service, version, aNow);
   }
+  recorded_[service] = entry.versions_;
+}
+
+fleet::ServiceVersions::Versions
+ServiceVersionStore::VersionsToWrite(const std::string& aService,
+                                     bool aIsWriter)
+{
+  auto versions = versions_.VersionsOf(aService);
+  if (!aIsWriter) {
+    // Only the writer takes versions out.
+    const auto& named = entries_[aService].versions_;
+    versions.insert(named.begin(), named.end());
+  }
+  return versions;
 }
 
 void
-ServiceVersionStore::WriteNextChange()
+ServiceVersionStore::WriteNextChange(bool aIsWriter)
 {
   std::set<std::string> services = versions_.Services();
   for (const auto& [service, entry] : entries_) {
     services.insert(service);
   }
   for (const std::string& service : services) {
-    const auto versions = versions_.VersionsOf(service);
+    const auto versions = VersionsToWrite(service, aIsWriter);
     if (versions != entries_[service].versions_) {
       Write(service, versions);
       return;
@@ -127,25 +218,26 @@
     { keyPrefix_ + aService, entries_[aService].revision_ });
   transaction.writes_.push_back(
     { keyPrefix_ + aService, json(aVersions).dump(), 0 });
-  store_.Commit(transaction,
-                [this, aService, aVersions](
-                  const metadata::TransactionResponse& aResponse) {
-                  isCalling_ = false;
-                  const bool isWritten =
-                    aResponse.status_ == metadata::StoreStatus::Ok;
-                  base::Log(kServiceVersionsWritten,
-                            { { "service", aService },
-                              { "versions", json(aVersions).dump() },
-                              { "written", isWritten },
-                              { "revision", aResponse.revision_ } });
-                  if (isWritten) {
-                    entries_[aService] = { aVersions, aResponse.revision_ };
-                    return;
-                  }
-                  // Reads the entries again: another host may have written, or
-                  // this host without an answer.
-                  isCurrent_ = false;
-                });
+  store_.Commit(
+    transaction,
+    lifetime_.Guard([this, aService, aVersions](
+                      const metadata::TransactionResponse& aResponse) {
+      isCalling_ = false;
+      const bool isWritten = aResponse.status_ == metadata::StoreStatus::Ok;
+      base::Log(kServiceVersionsWritten,
+                { { "service", aService },
+                  { "versions", json(aVersions).dump() },
+                  { "written", isWritten },
+                  { "revision", aResponse.revision_ } });
+      if (isWritten) {
+        entries_[aService] = { aVersions, aResponse.revision_ };
+        recorded_[aService] = aVersions;
+        return;
+      }
+      // Reads the entries again: another host may have written, or this host
+      // without an answer.
+      isCurrent_ = false;
+    }));
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -14,6 +14,9 @@
 /// regions.
 constexpr std::chrono::milliseconds kAnswerTimeout{ 150 };
 
+/// How long the versions in the store are waited for, with the answers.
+constexpr std::chrono::milliseconds kStoreTimeout{ 600 };
+
 /// Time between two looks at the versions of all endpoints.
 constexpr std::chrono::milliseconds kObserveInterval{ 500 };
 
@@ -71,6 +74,7 @@
                              PeerMessenger& aPeers,
                              const StoreMirrors& aMirrors,
                              metadata::StoreClient& aStore,
+                             const metadata::StoreHealth& aHealth,
                              std::string aKeyPrefix,
                              fleet::RecordHolder aOwnHost,
                              base::Duration aMaxViewAge)
@@ -78,6 +82,7 @@
   , shared_(aShared)
   , peers_(aPeers)
   , mirrors_(aMirrors)
+  , health_(aHealth)
   , ownHost_(aOwnHost.host_)
   , maxViewAge_(aMaxViewAge)
   , versionStore_(aStore, std::move(aKeyPrefix), versions_)
@@ -87,6 +92,8 @@
     [this](const std::string& aPeer, const nlohmann::json& aContent) {
       HandleMessage(aPeer, aContent);
     });
+  versionStore_.SetOnRead(
+    [this](base::Instant aSentAt) { OnStoreRead(aSentAt); });
   shared_.metrics_.AddGauge("pumiceturn_stream_records",
                             "Records of where streams began.",
                             {},
@@ -285,6 +292,8 @@
   const std::size_t versions = own.versions_.size();
   PendingInquiry pending{ fleet::OriginInquiry(
                             std::move(own), isViewRecent, hosts.size()),
+                          now,
+                          services,
                           {},
                           { fleet::OriginUnknown::NoRecord,
                             hosts.size(),
@@ -293,6 +302,9 @@
                             versions },
                           std::move(aHandler),
                           nullptr };
+  if (!health_.IsLost() && pending_.size() < kMaxPending) {
+    pending.inquiry_.AwaitStore();
+  }
   if (const auto decision = pending.inquiry_.Decide()) {
     pending.result_.decision_ = *decision;
     pending.result_.asked_ = 0;
@@ -317,15 +329,41 @@
     Send(host, message);
   }
   aPending.missing_ = std::move(aHosts);
-  aPending.timer_ =
-    std::make_unique<boost::asio::steady_timer>(executor_, kAnswerTimeout);
-  aPending.timer_->async_wait(
-    lifetime_.Guard([this, query](const boost::system::error_code& aError) {
-      if (!aError) {
-        OnTimeout(query);
+  aPending.timer_ = std::make_unique<boost::asio::steady_timer>(executor_);
+  pending_.emplace(query, std::move(aPending));
+  ArmTimer(query, kAnswerTimeout);
+  Advance(query);
+}
+
+void
+StreamOrigins::ArmTimer(std::uint64_t aQuery, base::Duration aTimeout)
+{
+  boost::asio::steady_timer& timer = *pending_.at(aQuery).timer_;
+  timer.expires_after(aTimeout);
+  const bool isForAnswers = aTimeout == base::Duration(kAnswerTimeout);
+  timer.async_wait(lifetime_.Guard(
+    [this, aQuery, isForAnswers](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (isForAnswers) {
+        OnAnswersTimeout(aQuery);
+      } else {
+        OnTimeout(aQuery);
       }
     }));
-  pending_.emplace(query, std::move(aPending));
+}
+
+void
+StreamOrigins::OnAnswersTimeout(std::uint64_t aQuery)
+{
+  const auto found = pending_.find(aQuery);
+  if (found == pending_.end()) {
+    return;
+  }
+  found->second.inquiry_.EndAnswers();
+  ArmTimer(aQuery, kStoreTimeout - kAnswerTimeout);
+  Advance(aQuery);
 }
 
 void
@@ -336,6 +374,41 @@
   }
 }
 
+void
+StreamOrigins::Advance(std::uint64_t aQuery)
+{
+  const auto found = pending_.find(aQuery);
+  if (found == pending_.end()) {
+    return;
+  }
+  const fleet::OriginInquiry& inquiry = found->second.inquiry_;
+  if (const auto decision = inquiry.Decide()) {
+    End(aQuery, *decision);
+  } else if (inquiry.NeedsStore()) {
+    versionStore_.RequestRead(base::MonotonicNow());
+  }
+}
+
+void
+StreamOrigins::OnStoreRead(base::Instant aSentAt)
+{
+  std::vector<std::uint64_t> served;
+  for (auto& [query, pending] : pending_) {
+    if (pending.startedAt_ > aSentAt) {
+      continue;
+    }
+    for (const std::string& service : pending.services_) {
+      const auto* versions = versionStore_.RecordedVersions(service);
+      pending.inquiry_.AddStoreVersions(
+        versions != nullptr ? *versions : fleet::ServiceVersions::Versions{});
+    }
+    served.push_back(query);
+  }
+  for (const std::uint64_t query : served) {
+    Advance(query);
+  }
+}
+
 void
 StreamOrigins::End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision)
 {
@@ -392,9 +465,7 @@
   found->second.inquiry_.Add(aMessage.evidence_);
   found->second.result_.answers_ +=
     fmt::format("{}={},", aPeer, Describe(aMessage.evidence_));
-  if (const auto decision = found->second.inquiry_.Decide()) {
-    End(aMessage.query_, *decision);
-  }
+  Advance(aMessage.query_);
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -9,6 +9,7 @@
 #include "LibGateway/ServiceVersionStore.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StreamOriginCodec.h"
+#include "LibMetadata/StoreHealth.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,6 +38,7 @@
                 PeerMessenger& aPeers,
                 const StoreMirrors& aMirrors,
                 metadata::StoreClient& aStore,
+                const metadata::StoreHealth& aHealth,
                 std::string aKeyPrefix,
                 fleet::RecordHolder aOwnHost,
                 base::Duration aMaxViewAge);
@@ -67,6 +69,15 @@
             const fleet::Route& aRoute,
             ResultHandler aHandler);
 
+  /// @return the software versions of a service at which streams may begin:
+  ///         those that the store names, so that any host knows them later;
+  ///         nullptr if none is named.
+  [[nodiscard]] const fleet::ServiceVersions::Versions* VersionsToBeginAt(
+    const std::string& aService) const
+  {
+    return versionStore_.RecordedVersions(aService);
+  }
+
   /// Records the version of a registered endpoint.
   void OnEndpoint(const fleet::EndpointRecord& aRecord, base::Instant aNow);
 
@@ -79,7 +90,9 @@
   struct PendingInquiry
   {
     fleet::OriginInquiry inquiry_;
-    std::set<std::string> missing_; ///< Hosts whose answer may still come.
+    base::Instant startedAt_;
+    std::vector<std::string> services_; ///< Of the stream's route.
+    std::set<std::string> missing_;     ///< Hosts whose answer may still come.
     Result result_;
     ResultHandler handler_;
     std::unique_ptr<boost::asio::steady_timer> timer_;
@@ -111,7 +124,16 @@
            std::vector<std::string> aServices,
            std::set<std::string> aHosts,
            PendingInquiry aPending);
+  void ArmTimer(std::uint64_t aQuery, base::Duration aTimeout);
+  /// Ends the wait for hosts that haven't answered.
+  void OnAnswersTimeout(std::uint64_t aQuery);
   void OnTimeout(std::uint64_t aQuery);
+  /// Ends an inquiry that can be decided, and else asks the store if it needs
+  /// that.
+  void Advance(std::uint64_t aQuery);
+  /// Adds the versions that the store names to the inquiries that began before
+  /// the read.
+  void OnStoreRead(base::Instant aSentAt);
   void End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision);
   void HandleMessage(const std::string& aPeer, const nlohmann::json& aContent);
   void Handle(const std::string& aPeer, const OriginRows& aMessage);
@@ -124,6 +146,7 @@
   SharedState& shared_;
   PeerMessenger& peers_;
   const StoreMirrors& mirrors_;
+  const metadata::StoreHealth& health_;
   std::string ownHost_;
   base::Duration maxViewAge_;
   fleet::ServiceVersions versions_;
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -94,7 +94,59 @@
   CHECK(std::get<OriginUnknown>(inquiry.DecideNow()) ==
         OriginUnknown::NoEndpoints);
   inquiry.Add(Unknown({ "v1" }));
+  // The other one may have the record, or know another version.
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+// Guards against joining a stream because the first host that answers knows no
+// more than this one, though a later one has the record.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_LaterAnswerHasTheRecord_StreamGoesOnThere")
+{
+  OriginInquiry inquiry(Unknown({ "v1" }), true, 3);
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.Add(Known("v2"));
+  CHECK(VersionIn(inquiry.Decide()) == "v2");
+}
+
+// Guards against joining a stream while the views of all hosts that answer are
+// older than a version.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_StoreNamesMoreVersions_IsUnknown")
+{
+  OriginInquiry inquiry(Unknown({ "v1" }), true, 1);
+  inquiry.AwaitStore();
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK(inquiry.NeedsStore());
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.AddStoreVersions({ "v1", "v2" });
+  CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
+}
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_StoreNamesTheSameVersion_StreamGoesOn")
+{
+  OriginInquiry inquiry(Unknown({}), false, 2);
+  inquiry.AwaitStore();
+  CHECK_FALSE(inquiry.NeedsStore());
+  inquiry.EndAnswers();
+  CHECK(inquiry.NeedsStore());
+  inquiry.AddStoreVersions({ "v1" });
   CHECK(VersionIn(inquiry.Decide()) == "v1");
 }
 
+// Guards against refusing streams for as long as the store is away.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_StoreDoesNotAnswer_HostsDecide")
+{
+  OriginInquiry inquiry(Unknown({ "v1" }), false, 1);
+  inquiry.AwaitStore();
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK_FALSE(inquiry.Decide());
+  CHECK(VersionIn(inquiry.DecideNow()) == "v1");
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -55,6 +55,31 @@
                   aResumedId));
   }
 
+  [[nodiscard]] bool IsRecorded(const std::string& aVersion) const
+  {
+    return store_.Get("pumiceturn/versions/service").find(aVersion) !=
+           std::string::npos;
+  }
+
+  /// Sends requests that can't be resumed until one is served by a version.
+  void UseOnce(TestHost& aHost, const std::string& aVersion)
+  {
+    std::string body;
+    while (body != WholeStream(aVersion)) {
+      body =
+        SendAndWait(aHost, "POST", "/stream/1", "Attempt-Id: s\r\n")->body_;
+    }
+  }
+
+  [[nodiscard]] std::size_t DisconnectedCount() const
+  {
+    std::size_t disconnected = 0;
+    for (const auto& server : servers_) {
+      disconnected += server->DisconnectedCount();
+    }
+    return disconnected;
+  }
+
   [[nodiscard]] std::size_t RequestCount() const
   {
     std::size_t count = 0;
@@ -166,6 +191,54 @@
   }
 }
 
+// Guards against joining streams that began at a version which no host could
+// learn of any more: its endpoints are gone, as is the host that saw them.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_VersionWasNeverRecorded_StreamsAreNotJoined")
+{
+  AddServers("v1", 2);
+  TestHost& first = StartEntry("entry-1");
+  RunUntil([this] { return IsRecorded("v1"); });
+  store_.RefuseWritesBelow("pumiceturn/versions/");
+  AddServers("v2", 2);
+  UseOnce(first, "v2");
+  std::vector<std::string> versions;
+  for (int round = 0; round < kRounds; ++round) {
+    versions.push_back(BeginStream(first, fmt::format("r{}", round)));
+  }
+  RunUntil([this] { return DisconnectedCount() == kRounds; });
+  first.gateway_.reset();
+  store_.Remove("servers/v2-0");
+  store_.Remove("servers/v2-1");
+  TestHost& again = StartEntry("entry-1");
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string id = fmt::format("r{}", round);
+    const std::string rest = Resume(again, id + "-again", id)->body_;
+    CHECK((rest.empty() || rest == WholeStream(versions[round], 2)));
+  }
+}
+
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_VersionIsRecordedLate_StreamsBeginThereThen")
+{
+  AddServers("v1", 2);
+  TestHost& host = StartEntry("entry-1");
+  RunUntil([this] { return IsRecorded("v1"); });
+  store_.RefuseWritesBelow("pumiceturn/versions/");
+  AddServers("v2", 2);
+  UseOnce(host, "v2");
+  for (int round = 0; round < kRounds; ++round) {
+    CHECK(BeginStream(host, fmt::format("r{}", round)) == "v1");
+  }
+  store_.RefuseWritesBelow({});
+  std::string version;
+  RunUntil([&] {
+    version = version == "v2" ? version : BeginStream(host, "later");
+    return version == "v2";
+  });
+  CHECK(IsRecorded("v2"));
+}
+
 // Guards against joining a stream to a guess while several versions serve.
 TEST_CASE_METHOD(VersionsFixture,
                  "Versions_ResumedStreamIsUnknown_IsRefusedAsNotRun")
