Tests: Add a soak of ORDER with servers that are processes

No soak had servers of their own processes, or responses without chunks, so no run showed what the kernel does to the connections of a killed server. order-server draws from a seed how a response is framed (length, chunks, end of the connection), where writes are cut, pauses, comments and copies of a response. The events name their request, number and software version, so the caller knows where each comes from.

Servers are killed, suspended and started again under their id, versions are released, hosts are killed one by one, all at once and with the workers, suspended, and cut off from the store. Callers read slowly, too, and resume up to three times.

Not played: HTTP/1.0 callers, a server with other software under its id, SIGTERM. ChildProcess is taken out of GatewayProcess.

--- /dev/null
+++ b/Tests/OrderServer/Main.cpp
@@ -0,0 +1,306 @@
+#include "LibBase/Numbers.h"
+#include "LibGateway/EndpointAddress.h"
+#include "LibHttpStream/Message.h"
+#include "Tests/OrderServer/EventSequence.h"
+#include "platform/Names.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <exception>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+// A model server for the soak of ORDER: a process of its own, so that the
+// kernel ends its connections when it is killed. Draws from a seed how each
+// response is framed, cut into writes and paused.
+
+namespace pumiceturn::adapter {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kArguments = 6;
+constexpr int kExitUsage = 2;
+
+/// One response in this many is followed by a copy of it.
+constexpr int kExtraOneIn = 40;
+constexpr int kCommentOneIn = 10;
+constexpr int kCutOneIn = 3;
+constexpr int kLongPauseOneIn = 60;
+
+struct ServerOptions
+{
+  tcp::endpoint address_;
+  std::string id_;
+  std::string version_;
+  unsigned seed_ = 0;
+  int slots_ = 0;
+};
+
+std::optional<ServerOptions>
+ParseOptions(std::span<char*> aArguments)
+{
+  if (aArguments.size() != kArguments) {
+    return std::nullopt;
+  }
+  const auto address = gateway::ParseAddress(aArguments[1]);
+  const auto seed = base::ParseNumber<unsigned>(aArguments[4]);
+  const auto slots = base::ParseNumber<int>(aArguments[5]);
+  if (!address || !seed || !slots) {
+    return std::nullopt;
+  }
+  return ServerOptions{ *address, aArguments[2], aArguments[3], *seed, *slots };
+}
+
+enum class Framing : std::uint8_t
+{
+  Length,
+  Chunked,
+  ConnectionEnd,
+};
+
+class OrderServer
+{
+public:
+  OrderServer(asio::io_context& aContext, ServerOptions aOptions)
+    : context_(aContext)
+    , options_(std::move(aOptions))
+    , acceptor_(aContext, options_.address_)
+    , random_(options_.seed_)
+  {
+  }
+
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+private:
+  int Draw(int aMin, int aMax)
+  {
+    return std::uniform_int_distribution<int>(aMin, aMax)(random_);
+  }
+  bool DrawOneIn(int aCount) { return Draw(1, aCount) == 1; }
+
+  asio::awaitable<void> Pause(int aMs)
+  {
+    asio::steady_timer timer(context_, milliseconds(aMs));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::awaitable<void> Serve(tcp::socket aSocket)
+  {
+    std::string input;
+    try {
+      bool isKept = true;
+      while (isKept) {
+        const httpstream::Request request =
+          co_await ReadRequest(aSocket, input);
+        isKept = co_await Answer(aSocket, request);
+      }
+    } catch (const boost::system::system_error&) {
+      // The caller has closed the connection.
+    }
+  }
+
+  asio::awaitable<httpstream::Request> ReadRequest(tcp::socket& aSocket,
+                                                   std::string& aInput)
+  {
+    constexpr std::size_t kBlockBytes = 8192;
+    http::request_parser<http::string_body> parser;
+    parser.eager(true);
+    while (true) {
+      boost::system::error_code error;
+      aInput.erase(0, parser.put(asio::buffer(aInput), error));
+      if (error && error != http::error::need_more) {
+        throw boost::system::system_error(error);
+      }
+      if (parser.is_done()) {
+        break;
+      }
+      std::array<char, kBlockBytes> block{};
+      const std::size_t bytes = co_await aSocket.async_read_some(
+        asio::buffer(block), asio::use_awaitable);
+      aInput.append(block.data(), bytes);
+    }
+    co_return parser.release();
+  }
+
+  /// @return the head of a response.
+  std::string Head(const httpstream::Request& aRequest,
+                   std::string_view aStatus) const
+  {
+    return fmt::format("HTTP/1.1 {}\r\n{}: {}\r\n{}: {}\r\nServer-Seal: {}\r\n",
+                       aStatus,
+                       kRequestIdField,
+                       httpstream::ValueOf(aRequest, kRequestIdField),
+                       kInstanceIdField,
+                       options_.id_,
+                       options_.id_);
+  }
+
+  asio::awaitable<void> Write(tcp::socket& aSocket, std::string aBytes)
+  {
+    if (aBytes.size() > 1 && DrawOneIn(kCutOneIn)) {
+      const auto cut =
+        static_cast<std::size_t>(Draw(1, static_cast<int>(aBytes.size()) - 1));
+      co_await asio::async_write(
+        aSocket, asio::buffer(aBytes.data(), cut), asio::use_awaitable);
+      co_await Pause(Draw(0, 20));
+      aBytes.erase(0, cut);
+    }
+    co_await asio::async_write(
+      aSocket, asio::buffer(aBytes), asio::use_awaitable);
+  }
+
+  /// @return whether the connection is kept.
+  asio::awaitable<bool> Answer(tcp::socket& aSocket,
+                               const httpstream::Request& aRequest)
+  {
+    const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
+    const bool isMisdirected = !target.empty() && target != options_.id_;
+    if (isMisdirected || running_ >= options_.slots_) {
+      co_await Write(
+        aSocket,
+        Head(aRequest, isMisdirected ? "421 Misdirected" : "503 Unavailable") +
+          fmt::format("{}: 1\r\nContent-Length: 0\r\n\r\n", kNotRunField));
+      co_return true;
+    }
+    ++running_;
+    try {
+      const bool isKept = co_await Stream(aSocket, aRequest);
+      --running_;
+      co_return isKept;
+    } catch (const boost::system::system_error&) {
+      --running_;
+      throw;
+    }
+  }
+
+  asio::awaitable<bool> Stream(tcp::socket& aSocket,
+                               const httpstream::Request& aRequest)
+  {
+    const EventSequence sequence =
+      ParseEventSequence(httpstream::TargetOf(aRequest));
+    const auto first = base::ParseNumber<std::uint64_t>(
+                         httpstream::ValueOf(aRequest, kLastEventField))
+                         .value_or(0) +
+                       1;
+    std::vector<std::string> events;
+    std::size_t bytes = 0;
+    for (std::uint64_t number = first; number <= sequence.count_; ++number) {
+      std::string text = DrawOneIn(kCommentOneIn) ? ": comment\n\n" : "";
+      text += TextOf(sequence, number, options_.version_);
+      bytes += text.size();
+      events.push_back(std::move(text));
+    }
+    const auto framing = static_cast<Framing>(Draw(0, 2));
+    std::string head =
+      Head(aRequest, "200 OK") + "Content-Type: text/event-stream\r\n";
+    if (framing == Framing::Length) {
+      head += fmt::format("Content-Length: {}\r\n", bytes);
+    } else if (framing == Framing::Chunked) {
+      head += "Transfer-Encoding: chunked\r\n";
+    } else {
+      head += "Connection: close\r\n";
+    }
+    co_await Pause(Draw(2, 40));
+    std::string sent = head + "\r\n";
+    co_await Write(aSocket, sent);
+    co_await SendEvents(aSocket, events, framing, sent);
+    if (framing == Framing::ConnectionEnd) {
+      co_return false;
+    }
+    if (DrawOneIn(kExtraOneIn)) {
+      co_await Pause(Draw(0, 10));
+      co_await Write(aSocket, sent);
+    }
+    co_return true;
+  }
+
+  asio::awaitable<void> SendEvents(tcp::socket& aSocket,
+                                   std::span<const std::string> aEvents,
+                                   Framing aFraming,
+                                   std::string& aSent)
+  {
+    while (!aEvents.empty()) {
+      const auto count = std::min<std::size_t>(
+        static_cast<std::size_t>(Draw(1, 3)), aEvents.size());
+      std::string text;
+      for (const std::string& event : aEvents.first(count)) {
+        text += event;
+      }
+      aEvents = aEvents.subspan(count);
+      if (aFraming == Framing::Chunked) {
+        text = httpstream::MakeChunk(text);
+      }
+      aSent += text;
+      co_await Write(aSocket, text);
+      co_await Pause(DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50));
+    }
+    if (aFraming == Framing::Chunked) {
+      aSent += httpstream::kLastChunk;
+      co_await Write(aSocket, std::string(httpstream::kLastChunk));
+    }
+  }
+
+  asio::io_context& context_;
+  ServerOptions options_;
+  tcp::acceptor acceptor_;
+  std::mt19937 random_;
+  int running_ = 0;
+};
+
+int
+Run(std::span<char*> aArguments)
+{
+  auto options = ParseOptions(aArguments);
+  if (!options) {
+    std::cerr << "usage: order-server IP:PORT ID VERSION SEED SLOTS\n";
+    return kExitUsage;
+  }
+  asio::io_context context;
+  OrderServer server(context, std::move(*options));
+  asio::co_spawn(context, server.Accept(), asio::detached);
+  context.run();
+  return 0;
+}
+
+} // namespace
+
+} // namespace pumiceturn::adapter
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return pumiceturn::adapter::Run(
+      std::span(aArguments, static_cast<std::size_t>(aCount)));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return 1;
+  }
+}
--- a/Tests/PlatformSoak/GatewayProcess.h
+++ b/Tests/PlatformSoak/GatewayProcess.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <sys/types.h>
+#include "Tests/PlatformSoak/ChildProcess.h"
 
 #include <cstdint>
 #include <filesystem>
@@ -32,10 +32,10 @@
   GatewayProcess& operator=(const GatewayProcess&) = delete;
   GatewayProcess(GatewayProcess&&) = delete;
   GatewayProcess& operator=(GatewayProcess&&) = delete;
-  ~GatewayProcess();
+  ~GatewayProcess() = default;
 
   void Start();
-  void Signal(int aSignal) const;
+  void Signal(int aSignal) const { child_.Signal(aSignal); }
 
   /// Reaps the process if it has ended, and counts an unexpected end.
   /// @return whether the process is running.
@@ -52,8 +52,8 @@
 private:
   HostSettings hostSettings_;
   std::filesystem::path settings_;
-  std::filesystem::path log_;
-  pid_t id_ = 0;
+  ChildProcess child_;
+  bool isStarted_ = false; ///< Its end hasn't been noticed.
   bool isEndExpected_ = false;
   int crashCount_ = 0;
 };
--- /dev/null
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -0,0 +1,503 @@
+#include "Tests/PlatformSoak/OrderSoakFixture.h"
+
+#include "LibBase/Base64.h"
+#include "Tests/Platform/TestRoute.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace pumiceturn::adapter {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kEntryHosts = 4;
+constexpr std::size_t kWorkers = 2;
+constexpr std::size_t kServers = 7;
+constexpr std::size_t kSlots = 12;
+constexpr std::size_t kCallers = 50;
+constexpr std::size_t kJobs = 3;
+constexpr int kItems = 4;
+constexpr int kItemEvents = 30;
+constexpr int kMaxTries = 4;
+constexpr int kTimeoutMs = 5000;
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+
+/// Time without faults at the start, so that the fleet is complete.
+constexpr std::chrono::seconds kCalmTime{ 3 };
+
+/// Uptime from which a host is expected to know what the others know.
+constexpr std::chrono::seconds kInTouch{ 3 };
+
+constexpr int kMeanStepsPerFault = 120;
+constexpr int kMinResumptions = 12;
+
+std::string
+VersionName(int aVersion)
+{
+  return fmt::format("v{}", aVersion);
+}
+
+} // namespace
+
+OrderSoakFixture::OrderSoakFixture()
+  : FleetSoakFixture("order")
+{
+}
+
+OrderSoakFixture::~OrderSoakFixture()
+{
+  for (const auto& caller : callers_) {
+    if (caller->call_) {
+      caller->call_->connection_->Cancel();
+    }
+  }
+  for (const auto& job : jobs_) {
+    if (job->call_) {
+      job->call_->connection_->Cancel();
+    }
+  }
+}
+
+void
+OrderSoakFixture::WriteConfiguration()
+{
+  json resumable = MakeTestRoute("look-up", "stream");
+  resumable["resumable"] = true;
+  resumable["timeoutMs"] = kTimeoutMs;
+  json single = MakeTestRoute("archive", "stream");
+  single["maxAttempts"] = 1;
+  single["timeoutMs"] = kTimeoutMs;
+  json batch = MakeTestRoute("lots", "batch");
+  batch["maxAttempts"] = 3;
+  store_.Put(
+    "op/config",
+    json{ { "version", 1 },
+          { "routes",
+            { std::move(resumable), std::move(single), std::move(batch) } },
+          { "services", { { { "name", "service" }, { "maxConns", 500 } } } } }
+      .dump());
+}
+
+void
+OrderSoakFixture::Register(const Server& aServer, std::string_view aState)
+{
+  store_.Put("servers/" + aServer.id_,
+             json{ { "service", "service" },
+                   { "address", aServer.address_ },
+                   { "zone", "a" },
+                   { "version", aServer.version_ },
+                   { "slots", kSlots },
+                   { "state", aState },
+                   { "coldLeftMs", 0 },
+                   { "seq", 1 },
+                   { "born", aServer.born_ } }
+               .dump());
+}
+
+void
+OrderSoakFixture::StartServer(Server& aServer)
+{
+  ++aServer.born_;
+  aServer.process_ =
+    std::make_unique<ChildProcess>(LogFolder() / (aServer.id_ + ".log"));
+  aServer.process_->Start({ PUMICETURN_ORDER_SERVER,
+                            aServer.address_,
+                            aServer.id_,
+                            aServer.version_,
+                            fmt::format("{}", random_() % 1000000),
+                            fmt::format("{}", kSlots) },
+                          {});
+  aServer.isReady_ = true;
+  // An entry may be written late.
+  RunAfter(Draw(0, 300), [this, id = aServer.id_] {
+    if (const Server* server = FindServer(id)) {
+      Register(*server, server->isReady_ ? "ready" : "draining");
+    }
+  });
+}
+
+void
+OrderSoakFixture::AddServer(const std::string& aVersion)
+{
+  const int number = nextServer_++;
+  auto server = std::make_unique<Server>();
+  server->id_ = fmt::format("i-{}", number);
+  server->version_ = aVersion;
+  server->address_ = fmt::format("{}.{}:9000", network_, 100 + number % 100);
+  StartServer(*server);
+  servers_.push_back(std::move(server));
+}
+
+OrderSoakFixture::Server*
+OrderSoakFixture::FindServer(const std::string& aId)
+{
+  const auto found =
+    std::find_if(servers_.begin(), servers_.end(), [&aId](const auto& aServer) {
+      return aServer->id_ == aId;
+    });
+  return found == servers_.end() ? nullptr : found->get();
+}
+
+int
+OrderSoakFixture::CountReady(const std::string& aVersion) const
+{
+  return static_cast<int>(std::count_if(
+    servers_.begin(), servers_.end(), [&aVersion](const auto& aServer) {
+      return aServer->version_ == aVersion && aServer->isReady_;
+    }));
+}
+
+void
+OrderSoakFixture::KillServer(Server& aServer)
+{
+  ++counts_.serversKilled_;
+  aServer.process_->Signal(SIGKILL);
+  aServer.isReady_ = false;
+  RunAfter(Draw(100, 2000), [this, id = aServer.id_] {
+    if (Server* server = FindServer(id)) {
+      StartServer(*server);
+    }
+  });
+}
+
+void
+OrderSoakFixture::EndServer(const std::string& aId)
+{
+  store_.Remove("servers/" + aId);
+  std::erase_if(servers_,
+                [&aId](const auto& aServer) { return aServer->id_ == aId; });
+}
+
+void
+OrderSoakFixture::BeginRelease()
+{
+  ++counts_.releases_;
+  const std::string version = VersionName(++version_);
+  const milliseconds gap = Draw(20, 400);
+  // Some releases replace a part of the servers, so that versions stay side by
+  // side.
+  const int replaced = static_cast<int>(Draw(2, kServers).count());
+  for (int index = 0; index < replaced; ++index) {
+    RunAfter(gap * index, [this, version] {
+      AddServer(version);
+      if (servers_.size() <= kServers) {
+        return;
+      }
+      Server& oldest = *servers_.front();
+      oldest.isReady_ = false;
+      Register(oldest, "draining");
+      const std::string id = oldest.id_;
+      std::rotate(servers_.begin(), servers_.begin() + 1, servers_.end());
+      RunAfter(milliseconds(2500), [this, id] { EndServer(id); });
+    });
+  }
+}
+
+void
+OrderSoakFixture::KillHosts(int aOneIn, bool aWithWorkers)
+{
+  const milliseconds down = Draw(0, 1500);
+  for (std::size_t index = 0; index < hosts_.size(); ++index) {
+    Host& host = *hosts_[index];
+    const bool isKind = index < kEntryHosts || aWithWorkers;
+    if (isKind && !host.startAt_ && DrawOneIn(aOneIn)) {
+      KillHost(host, down + Draw(0, 300));
+    }
+  }
+}
+
+void
+OrderSoakFixture::InjectFault()
+{
+  ++counts_.faults_;
+  const auto drawServer = [this]() -> Server& {
+    return *servers_[static_cast<std::size_t>(
+      Draw(0, static_cast<int>(servers_.size()) - 1).count())];
+  };
+  switch (Draw(0, 9).count()) {
+    case 0:
+      BeginRelease();
+      break;
+    case 1:
+      BeginRelease();
+      KillHosts(1, DrawOneIn(2));
+      break;
+    case 2:
+      KillHosts(2, false);
+      break;
+    case 3: {
+      Server& server = drawServer();
+      server.process_->Signal(SIGSTOP);
+      RunAfter(Draw(100, 1200), [this, id = server.id_] {
+        if (const Server* stopped = FindServer(id)) {
+          stopped->process_->Signal(SIGCONT);
+        }
+      });
+      break;
+    }
+    case 4:
+      SuspendHosts();
+      break;
+    case 5:
+      DisturbStore({ 300, 2, 3000 });
+      break;
+    default:
+      for (int count = 0; count < 2; ++count) {
+        if (Server& server = drawServer(); server.isReady_) {
+          KillServer(server);
+        }
+      }
+  }
+}
+
+std::unique_ptr<CallerCall>
+OrderSoakFixture::SendToHost(const Host& aHost,
+                             const std::string& aMethod,
+                             const std::string& aTarget,
+                             const std::string& aFields,
+                             const std::string& aBody)
+{
+  return SendTo({ boost::asio::ip::make_address(aHost.process_->Settings().ip_),
+                  GatewayProcess::kCallerPort },
+                aMethod,
+                aTarget,
+                aFields,
+                aBody);
+}
+
+void
+OrderSoakFixture::AddCaller()
+{
+  ++counts_.streams_;
+  EventSequence sequence{ fmt::format("s{}", nextStream_++),
+                          static_cast<std::uint64_t>(Draw(3, 40).count()) };
+  callers_.push_back(std::make_unique<Caller>(
+    Caller{ OrderStream(std::move(sequence)), !DrawOneIn(4), DrawOneIn(5) }));
+}
+
+void
+OrderSoakFixture::Try(Caller& aCaller)
+{
+  Host& host = DrawEntryHost();
+  const OrderStream& stream = aCaller.stream_;
+  ++aCaller.tries_;
+  aCaller.tryId_ = fmt::format("t{}", nextTry_++);
+  aCaller.triedAt_ = host.process_->Settings().name_;
+  std::string fields = fmt::format(
+    "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, kTimeoutMs);
+  if (stream.LastEvent() > 0) {
+    fields += fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n",
+                          stream.LastEvent(),
+                          aCaller.beganAs_);
+    ++counts_.resumptions_;
+    aCaller.isOwed_ = !host.startAt_ &&
+                      Clock::now() - host.startedAt_ >= kInTouch &&
+                      CountReady(stream.Version()) >= 2;
+    counts_.owed_ += aCaller.isOwed_ ? 1 : 0;
+  }
+  aCaller.call_ =
+    SendToHost(host,
+               "POST",
+               fmt::format("/{}/{}.{}",
+                           aCaller.isResumable_ ? "look-up" : "archive",
+                           stream.Sequence().name_,
+                           stream.Sequence().count_),
+               fields);
+}
+
+void
+OrderSoakFixture::AddFault(OrderFault aFault, const std::string& aWhere)
+{
+  ++counts_.orderFaults_[aFault];
+  violations_.push_back(fmt::format("{}: {}", aWhere, NameOf(aFault)));
+}
+
+void
+OrderSoakFixture::EndTry(Caller& aCaller)
+{
+  const auto call = std::move(aCaller.call_);
+  OrderStream& stream = aCaller.stream_;
+  const std::uint64_t before = stream.LastEvent();
+  const std::string where = fmt::format("stream {} (try {} at {}, after {})",
+                                        stream.Sequence().name_,
+                                        aCaller.tryId_,
+                                        aCaller.triedAt_,
+                                        before);
+  const bool isComplete = call->outcome_ == httpstream::CallOutcome::Complete;
+  const bool isStream = call->status_ == kOk;
+  if (isStream) {
+    if (const auto fault = stream.Add(call->body_)) {
+      AddFault(*fault, where);
+      aCaller.hasEnded_ = true;
+      return;
+    }
+    if (isComplete && !stream.IsWhole()) {
+      AddFault(OrderFault::EndsEarly, where);
+    }
+  }
+  const bool hasAdvanced = stream.LastEvent() > before;
+  if (before == 0 && hasAdvanced) {
+    ++counts_.begun_;
+    aCaller.beganAs_ = aCaller.tryId_;
+  } else if (before > 0 && (hasAdvanced || (isStream && isComplete))) {
+    ++counts_.goneOn_;
+    counts_.owedGoneOn_ += aCaller.isOwed_ ? 1 : 0;
+  }
+  counts_.whole_ += stream.IsWhole() ? 1 : 0;
+  aCaller.isOwed_ = false;
+  const bool mayTryAgain = stream.LastEvent() == 0 || aCaller.isResumable_;
+  aCaller.hasEnded_ = (isStream && isComplete) || stream.IsWhole() ||
+                      !mayTryAgain || aCaller.tries_ == kMaxTries;
+  aCaller.nextTryAt_ =
+    Clock::now() + (DrawOneIn(2) ? Draw(0, 30) : Draw(30, 700));
+}
+
+void
+OrderSoakFixture::StepJob(Job& aJob)
+{
+  if (aJob.call_ && !aJob.call_->HasEnded()) {
+    return;
+  }
+  if (const auto call = std::exchange(aJob.call_, nullptr)) {
+    aJob.isAccepted_ = aJob.isAccepted_ || call->status_ == kAccepted;
+    if (call->status_ == kOk) {
+      ReadResults(aJob, call->body_);
+    }
+    aJob.nextCallAt_ = Clock::now() + milliseconds(300);
+    return;
+  }
+  if (Clock::now() < aJob.nextCallAt_) {
+    return;
+  }
+  if (aJob.isAccepted_) {
+    aJob.call_ = SendToHost(DrawEntryHost(),
+                            "GET",
+                            fmt::format("/api/lots/{}?after=0", aJob.id_),
+                            {});
+    return;
+  }
+  json items = json::array();
+  for (int item = 0; item < kItems; ++item) {
+    const std::string name = fmt::format("{}-{}", aJob.id_, item);
+    items.push_back({ { "id", name },
+                      { "path", fmt::format("/lots/{}.{}", name, kItemEvents) },
+                      { "headers", { { "Model", "m" } } },
+                      { "body", base::EncodeBase64("prompt") },
+                      { "tokens", 9 } });
+  }
+  aJob.call_ = SendToHost(DrawEntryHost(),
+                          "POST",
+                          "/lots/1",
+                          fmt::format("Attempt-Id: {}\r\n", aJob.id_),
+                          json{ { "items", std::move(items) } }.dump());
+}
+
+void
+OrderSoakFixture::ReadResults(Job& aJob, const std::string& aBody)
+{
+  const json page = json::parse(aBody, nullptr, false);
+  std::size_t position = 0;
+  for (const json& result : page.value("results", json::array())) {
+    const std::string name = result.at("id").get<std::string>();
+    const std::string text = result.dump();
+    if (position < aJob.outputs_.size()) {
+      if (aJob.outputs_[position] != text) {
+        violations_.push_back(
+          fmt::format("item {}: its result has changed", name));
+      }
+    } else {
+      ++counts_.items_;
+      aJob.outputs_.push_back(text);
+      const bool isCompleted = result.at("state") == "completed";
+      const auto fault =
+        CheckOutput({ name, kItemEvents }, result.value("output", ""));
+      if (isCompleted && fault) {
+        AddFault(*fault, "item " + name);
+      }
+    }
+    ++position;
+  }
+}
+
+void
+OrderSoakFixture::Step()
+{
+  RunStep();
+  for (const auto& server : servers_) {
+    (void)server->process_->CheckRunning();
+  }
+  for (const auto& caller : callers_) {
+    if (caller->call_ && caller->call_->HasEnded()) {
+      EndTry(*caller);
+    } else if (!caller->call_ && !caller->hasEnded_ &&
+               Clock::now() >= caller->nextTryAt_) {
+      Try(*caller);
+    } else if (caller->call_ && caller->isSlow_) {
+      caller->call_->connection_->SetPaused(!DrawOneIn(8));
+    }
+  }
+  std::erase_if(callers_,
+                [](const auto& aCaller) { return aCaller->hasEnded_; });
+  if (callers_.size() < kCallers) {
+    AddCaller();
+  }
+  for (const auto& job : jobs_) {
+    StepJob(*job);
+  }
+  std::erase_if(
+    jobs_, [](const auto& aJob) { return aJob->outputs_.size() == kItems; });
+  if (jobs_.size() < kJobs) {
+    jobs_.push_back(
+      std::make_unique<Job>(Job{ fmt::format("job{}", nextStream_++) }));
+  }
+}
+
+void
+OrderSoakFixture::CheckShares()
+{
+  const double begun =
+    static_cast<double>(counts_.begun_) / std::max(counts_.streams_, 1);
+  const double goneOn =
+    static_cast<double>(counts_.owedGoneOn_) / std::max(counts_.owed_, 1);
+  if (counts_.owed_ >= kMinResumptions && goneOn < begun / 2) {
+    violations_.push_back(
+      fmt::format("{} of {} resumed streams went on, but {} of {} new ones "
+                  "began",
+                  counts_.owedGoneOn_,
+                  counts_.owed_,
+                  counts_.begun_,
+                  counts_.streams_));
+  }
+}
+
+void
+OrderSoakFixture::Run(std::uint64_t aSeed, std::chrono::seconds aTime)
+{
+  random_.seed(aSeed);
+  network_ =
+    fmt::format("127.{}.{}", Draw(20, 219).count(), Draw(1, 250).count());
+  WriteConfiguration();
+  for (std::size_t server = 0; server < kServers; ++server) {
+    AddServer(VersionName(version_));
+  }
+  StartHosts(kEntryHosts, kWorkers, {});
+  const auto startedAt = Clock::now();
+  while (Clock::now() < startedAt + aTime) {
+    Step();
+    if (Clock::now() > startedAt + kCalmTime && DrawOneIn(kMeanStepsPerFault)) {
+      InjectFault();
+    }
+  }
+  CheckShares();
+  CheckProcesses();
+}
+
+} // namespace pumiceturn::adapter
--- /dev/null
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Tests/PlatformSoak/FleetSoakFixture.h"
+#include "Tests/PlatformSoak/OrderStream.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pumiceturn::adapter {
+
+/// Runs gateway processes between callers and servers that are processes, too,
+/// while servers and hosts are killed, suspended and replaced by other software
+/// versions. Checks each event that callers get: that it is the next one of its
+/// request, from the version that began the stream, and that what looks
+/// complete is.
+class OrderSoakFixture : protected FleetSoakFixture
+{
+protected:
+  OrderSoakFixture();
+  ~OrderSoakFixture();
+
+  /// Starts the hosts and applies load and faults for aTime.
+  void Run(std::uint64_t aSeed, std::chrono::seconds aTime);
+
+  struct RunCounts
+  {
+    int streams_ = 0;
+    int begun_ = 0;
+    int whole_ = 0;
+    int resumptions_ = 0;
+    int goneOn_ = 0;
+    /// Resumptions at hosts that have run for 3 s, while two servers of the
+    /// stream's version are registered.
+    int owed_ = 0;
+    int owedGoneOn_ = 0;
+    int items_ = 0;
+    int faults_ = 0;
+    int serversKilled_ = 0;
+    int releases_ = 0;
+    std::map<OrderFault, int> orderFaults_{};
+  };
+  [[nodiscard]] const RunCounts& Counts() const { return counts_; }
+
+private:
+  struct Server
+  {
+    std::string id_;
+    std::string version_;
+    std::string address_;
+    int born_ = 0;
+    bool isReady_ = true; ///< Registered as ready, and running.
+    std::unique_ptr<ChildProcess> process_;
+  };
+  struct Caller
+  {
+    OrderStream stream_;
+    bool isResumable_ = false;
+    bool isSlow_ = false;
+    std::unique_ptr<CallerCall> call_{}; ///< Empty between two tries.
+    Clock::time_point nextTryAt_{};
+    std::string beganAs_{}; ///< Id of the try that brought the first event.
+    std::string tryId_{};
+    std::string triedAt_{}; ///< Host of the current try.
+    int tries_ = 0;
+    bool isOwed_ = false; ///< The current try is a resumption that must go on.
+    bool hasEnded_ = false;
+  };
+  struct Job
+  {
+    std::string id_;
+    std::unique_ptr<CallerCall> call_{};
+    bool isAccepted_ = false;
+    std::vector<std::string> outputs_{}; ///< By position, as first read.
+    Clock::time_point nextCallAt_{};
+  };
+
+  void WriteConfiguration();
+  void AddServer(const std::string& aVersion);
+  void StartServer(Server& aServer);
+  void Register(const Server& aServer, std::string_view aState);
+  /// Kills a server; another process takes over its id and address later.
+  void KillServer(Server& aServer);
+  /// Removes a server for good.
+  void EndServer(const std::string& aId);
+  void BeginRelease();
+  void InjectFault();
+  void KillHosts(int aOneIn, bool aWithWorkers);
+  void Step();
+  void AddCaller();
+  void Try(Caller& aCaller);
+  void EndTry(Caller& aCaller);
+  void StepJob(Job& aJob);
+  void ReadResults(Job& aJob, const std::string& aBody);
+  void CheckShares();
+  void AddFault(OrderFault aFault, const std::string& aWhere);
+  [[nodiscard]] Server* FindServer(const std::string& aId);
+  [[nodiscard]] int CountReady(const std::string& aVersion) const;
+  [[nodiscard]] std::unique_ptr<CallerCall> SendToHost(
+    const Host& aHost,
+    const std::string& aMethod,
+    const std::string& aTarget,
+    const std::string& aFields,
+    const std::string& aBody = {});
+
+  std::vector<std::unique_ptr<Server>> servers_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<std::unique_ptr<Job>> jobs_;
+  RunCounts counts_;
+  std::string network_;
+  int version_ = 1;
+  int nextServer_ = 0;
+  int nextTry_ = 0;
+  int nextStream_ = 0;
+};
+
+} // namespace pumiceturn::adapter
