LibGateway: Keep records of streams on the workers' disks

The records were in memory alone.

Workers append the records that they hold to a file, five times a second in one write and one sync on a thread of its own, and read them at their start; queries wait for that. Two files alternate; a torn or damaged end is dropped; a disk that fails or hangs costs the records after it alone. Ruled out: the platform's store, of whose 400 writes a second 300 entry hosts would need 1,500; and the servers, which have no call for it.

A host that has just started may not know the holders yet, or they may not run: they are asked again each 150 ms, for 600 ms in all, while only a record can tell the version.

Versions_AllHostsRestart_StreamsGoOnAtTheirVersion failed on and passes now.

--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -67,8 +67,15 @@
   /// Adds the answer of another host.
   void Add(const OriginEvidence& aEvidence);
 
-  /// Ends the wait for answers that are missing.
-  void EndAnswers() { missing_ = 0; }
+  /// Sets the number of answers that may still come, after hosts were asked
+  /// again or the wait has ended.
+  void SetMissing(std::size_t aMissing) { missing_ = aMissing; }
+
+  /// @return whether only a record can tell the version.
+  [[nodiscard]] bool NeedsRecord() const
+  {
+    return !HasRecord() && versions_.size() > 1;
+  }
 
   /// Adds the versions that the store names, from a read that was sent after
   /// the caller asked.
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -348,6 +348,24 @@
   "The software versions that a service had of late were written to the store, "
   "or that failed."
 };
+inline constexpr base::Event kStreamRecordsRead{
+  7155,
+  "stream_records_read",
+  base::LogLevel::Info,
+  "The records of streams on this host's disk were read at its start."
+};
+inline constexpr base::Event kStreamRecordsNotWritten{
+  7156,
+  "stream_records_not_written",
+  base::LogLevel::Warning,
+  "Records of streams can't be written to this host's disk."
+};
+inline constexpr base::Event kStreamRecordsWrittenAgain{
+  7157,
+  "stream_records_written_again",
+  base::LogLevel::Info,
+  "Records of streams can be written to this host's disk again."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -226,6 +226,8 @@
                    settings_.jobRetention_,
                    settings_.capOverage_,
                    settings_.jobCopies_);
+    streamOrigins_.KeepOnDisk(
+      aContext, std::filesystem::path(settings_.spoolFolder_) / "origins");
   }
   AddGauges();
   if (settings_.detectsOutliers_) {
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -10,12 +10,14 @@
 
 namespace {
 
-/// How long answers of other hosts are waited for: several round trips between
+/// How long answers of other hosts are waited for before they are asked again:
+/// several round trips between
 /// regions.
 constexpr std::chrono::milliseconds kAnswerTimeout{ 150 };
 
-/// How long the versions in the store are waited for, with the answers.
-constexpr std::chrono::milliseconds kStoreTimeout{ 600 };
+/// How long a caller waits for the decision at most: for the versions in the
+/// store, and for holders that have just started.
+constexpr std::chrono::milliseconds kMaxInquiryTime{ 600 };
 
 /// Time between two looks at the versions of all endpoints.
 constexpr std::chrono::milliseconds kObserveInterval{ 500 };
@@ -171,6 +173,9 @@
     ObserveEndpoints(aNow);
   }
   versionStore_.Tick(mirrors_.Follows(StorePrefix::Endpoints), aNow);
+  if (log_) {
+    log_->Tick(aNow);
+  }
 }
 
 void
@@ -290,18 +295,16 @@
   const bool isViewRecent = IsViewRecent(viewAge, now);
   std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
   const std::size_t versions = own.versions_.size();
-  PendingInquiry pending{ fleet::OriginInquiry(
+  PendingInquiry pending{ IsRecordable(aId) ? aId : std::string(),
+                          fleet::OriginInquiry(
                             std::move(own), isViewRecent, hosts.size()),
                           now,
-                          services,
-                          {},
-                          { fleet::OriginUnknown::NoRecord,
-                            hosts.size(),
-                            viewAge,
-                            versionStore_.AgeOf(now),
-                            versions },
-                          std::move(aHandler),
-                          nullptr };
+                          std::move(services) };
+  pending.handler_ = std::move(aHandler);
+  pending.result_.asked_ = hosts.size();
+  pending.result_.viewAge_ = viewAge;
+  pending.result_.storeReadAge_ = versionStore_.AgeOf(now);
+  pending.result_.versions_ = versions;
   if (!health_.IsLost() && pending_.size() < kMaxPending) {
     pending.inquiry_.AwaitStore();
   }
@@ -311,67 +314,76 @@
     pending.handler_(pending.result_);
     return;
   }
-  Ask(IsRecordable(aId) ? aId : std::string(),
-      std::move(services),
-      std::move(hosts),
-      std::move(pending));
+  Ask(std::move(hosts), std::move(pending));
 }
 
 void
-StreamOrigins::Ask(const std::string& aId,
-                   std::vector<std::string> aServices,
-                   std::set<std::string> aHosts,
-                   PendingInquiry aPending)
+StreamOrigins::Ask(std::set<std::string> aHosts, PendingInquiry aPending)
 {
   const std::uint64_t query = nextQuery_++;
-  const OriginQuery message{ query, aId, std::move(aServices) };
-  for (const std::string& host : aHosts) {
-    Send(host, message);
-  }
   aPending.missing_ = std::move(aHosts);
   aPending.timer_ = std::make_unique<boost::asio::steady_timer>(executor_);
+  SendQuery(query, aPending);
   pending_.emplace(query, std::move(aPending));
   ArmTimer(query, kAnswerTimeout);
   Advance(query);
 }
 
+void
+StreamOrigins::SendQuery(std::uint64_t aQuery, const PendingInquiry& aPending)
+{
+  const OriginQuery message{ aQuery, aPending.id_, aPending.services_ };
+  for (const std::string& host : aPending.missing_) {
+    Send(host, message);
+  }
+}
+
+void
+StreamOrigins::AskAgain(std::uint64_t aQuery, PendingInquiry& aPending)
+{
+  aPending.missing_.clear();
+  for (const std::string& holder : HoldersOf(aPending.id_)) {
+    if (!aPending.answered_.contains(holder)) {
+      aPending.missing_.insert(holder);
+    }
+  }
+  aPending.inquiry_.SetMissing(aPending.missing_.size());
+  SendQuery(aQuery, aPending);
+}
+
 void
 StreamOrigins::ArmTimer(std::uint64_t aQuery, base::Duration aTimeout)
 {
   boost::asio::steady_timer& timer = *pending_.at(aQuery).timer_;
   timer.expires_after(aTimeout);
-  const bool isForAnswers = aTimeout == base::Duration(kAnswerTimeout);
-  timer.async_wait(lifetime_.Guard(
-    [this, aQuery, isForAnswers](const boost::system::error_code& aError) {
-      if (aError) {
-        return;
-      }
-      if (isForAnswers) {
-        OnAnswersTimeout(aQuery);
-      } else {
+  timer.async_wait(
+    lifetime_.Guard([this, aQuery](const boost::system::error_code& aError) {
+      if (!aError) {
         OnTimeout(aQuery);
       }
     }));
 }
 
 void
-StreamOrigins::OnAnswersTimeout(std::uint64_t aQuery)
+StreamOrigins::OnTimeout(std::uint64_t aQuery)
 {
   const auto found = pending_.find(aQuery);
   if (found == pending_.end()) {
     return;
   }
-  found->second.inquiry_.EndAnswers();
-  ArmTimer(aQuery, kStoreTimeout - kAnswerTimeout);
-  Advance(aQuery);
-}
-
-void
-StreamOrigins::OnTimeout(std::uint64_t aQuery)
-{
-  if (const auto found = pending_.find(aQuery); found != pending_.end()) {
-    End(aQuery, found->second.inquiry_.DecideNow());
+  PendingInquiry& pending = found->second;
+  const base::Duration waited = base::MonotonicNow() - pending.startedAt_;
+  if (waited >= kMaxInquiryTime) {
+    End(aQuery, pending.inquiry_.DecideNow());
+    return;
+  }
+  if (pending.inquiry_.NeedsRecord() && !pending.id_.empty()) {
+    AskAgain(aQuery, pending);
+  } else {
+    pending.inquiry_.SetMissing(0);
   }
+  ArmTimer(aQuery, kAnswerTimeout);
+  Advance(aQuery);
 }
 
 void
@@ -440,15 +452,56 @@
 {
   const base::Instant now = base::MonotonicNow();
   const base::Duration maxLifetime = VersionLifetime();
+  const base::WallTime wallNow = base::WallNow();
   for (fleet::StreamOriginTable::Row row : aMessage.rows_) {
     row.lifetime_ = std::min(row.lifetime_, maxLifetime);
-    table_.Record(row, fleet::StreamOriginTable::Source::Peer, now);
+    const bool isRecorded =
+      table_.Record(row, fleet::StreamOriginTable::Source::Peer, now);
+    if (log_ && isRecorded) {
+      const auto lifetime =
+        std::chrono::duration_cast<std::chrono::milliseconds>(row.lifetime_);
+      log_->Add({ row.id_, row.origin_, wallNow + lifetime });
+    }
+  }
+}
+
+void
+StreamOrigins::KeepOnDisk(boost::asio::io_context& aContext,
+                          const std::filesystem::path& aFolder)
+{
+  log_.emplace(
+    aContext, aFolder, [this](const auto& aRows) { OnRecordsRead(aRows); });
+  log_->Start();
+}
+
+void
+StreamOrigins::OnRecordsRead(std::span<const StoredOrigin> aRows)
+{
+  const base::Instant now = base::MonotonicNow();
+  const base::WallTime wallNow = base::WallNow();
+  // The wall clock may have been set back.
+  const base::Duration maxLifetime = VersionLifetime();
+  for (const StoredOrigin& row : aRows) {
+    const base::Duration lifetime =
+      std::min<base::Duration>(row.expiresAt_ - wallNow, maxLifetime);
+    table_.Record({ row.id_, row.origin_, lifetime },
+                  fleet::StreamOriginTable::Source::Peer,
+                  now);
+  }
+  for (const auto& [peer, query] : std::exchange(delayedQueries_, {})) {
+    Handle(peer, query);
   }
 }
 
 void
 StreamOrigins::Handle(const std::string& aPeer, const OriginQuery& aMessage)
 {
+  if (log_ && !log_->HasBeenRead()) {
+    if (delayedQueries_.size() < kMaxPending) {
+      delayedQueries_.emplace_back(aPeer, aMessage);
+    }
+    return;
+  }
   Send(aPeer,
        OriginAnswer{
          aMessage.query_,
@@ -462,6 +515,7 @@
   if (found == pending_.end() || found->second.missing_.erase(aPeer) == 0) {
     return;
   }
+  found->second.answered_.insert(aPeer);
   found->second.inquiry_.Add(aMessage.evidence_);
   found->second.result_.answers_ +=
     fmt::format("{}={},", aPeer, Describe(aMessage.evidence_));
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -9,14 +9,17 @@
 #include "LibGateway/ServiceVersionStore.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StreamOriginCodec.h"
+#include "LibGateway/StreamOriginLog.h"
 #include "LibMetadata/StoreHealth.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -43,6 +46,10 @@
                 fleet::RecordHolder aOwnHost,
                 base::Duration aMaxViewAge);
 
+  /// Keeps the records that this host holds for others on its disk, too.
+  void KeepOnDisk(boost::asio::io_context& aContext,
+                  const std::filesystem::path& aFolder);
+
   /// Records where a stream began, or that it went on.
   /// @param aId Id of the request that brought its first event.
   void Record(const std::string& aId,
@@ -89,13 +96,15 @@
 private:
   struct PendingInquiry
   {
+    std::string id_; ///< Empty: asks for the versions only.
     fleet::OriginInquiry inquiry_;
     base::Instant startedAt_;
     std::vector<std::string> services_; ///< Of the stream's route.
-    std::set<std::string> missing_;     ///< Hosts whose answer may still come.
-    Result result_;
-    ResultHandler handler_;
-    std::unique_ptr<boost::asio::steady_timer> timer_;
+    std::set<std::string> answered_{};
+    std::set<std::string> missing_{}; ///< Hosts whose answer may still come.
+    Result result_{};
+    ResultHandler handler_{};
+    std::unique_ptr<boost::asio::steady_timer> timer_{};
   };
 
   [[nodiscard]] fleet::OriginEvidence EvidenceOf(
@@ -120,13 +129,13 @@
     const std::string& aId,
     const fleet::OriginEvidence& aOwn,
     bool aIsViewRecent) const;
-  void Ask(const std::string& aId,
-           std::vector<std::string> aServices,
-           std::set<std::string> aHosts,
-           PendingInquiry aPending);
+  void Ask(std::set<std::string> aHosts, PendingInquiry aPending);
+  void SendQuery(std::uint64_t aQuery, const PendingInquiry& aPending);
+  /// Asks the holders that haven't answered again: after a start, this host may
+  /// not have known them, or they may not have run.
+  void AskAgain(std::uint64_t aQuery, PendingInquiry& aPending);
   void ArmTimer(std::uint64_t aQuery, base::Duration aTimeout);
-  /// Ends the wait for hosts that haven't answered.
-  void OnAnswersTimeout(std::uint64_t aQuery);
+  /// Asks again, or ends the wait for answers or the whole inquiry.
   void OnTimeout(std::uint64_t aQuery);
   /// Ends an inquiry that can be decided, and else asks the store if it needs
   /// that.
@@ -136,6 +145,9 @@
   void OnStoreRead(base::Instant aSentAt);
   void End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision);
   void HandleMessage(const std::string& aPeer, const nlohmann::json& aContent);
+  /// Adds the records of the former process, and answers the queries that came
+  /// meanwhile.
+  void OnRecordsRead(std::span<const StoredOrigin> aRows);
   void Handle(const std::string& aPeer, const OriginRows& aMessage);
   void Handle(const std::string& aPeer, const OriginQuery& aMessage);
   void Handle(const std::string& aPeer, const OriginAnswer& aMessage);
@@ -152,6 +164,9 @@
   fleet::ServiceVersions versions_;
   ServiceVersionStore versionStore_;
   fleet::StreamOriginTable table_;
+  std::optional<StreamOriginLog> log_; ///< Only at hosts with a disk.
+  /// Queries that came before the records on disk were read.
+  std::vector<std::pair<std::string, OriginQuery>> delayedQueries_;
   std::vector<fleet::RecordHolder> hosts_;
   std::unordered_map<std::uint64_t, PendingInquiry> pending_; ///< By query.
   std::uint64_t nextQuery_ = 1;
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -132,7 +132,7 @@
   OriginInquiry inquiry(Unknown({}), false, 2);
   inquiry.AwaitStore();
   CHECK_FALSE(inquiry.NeedsStore());
-  inquiry.EndAnswers();
+  inquiry.SetMissing(0);
   CHECK(inquiry.NeedsStore());
   inquiry.AddStoreVersions({ "v1" });
   CHECK(VersionIn(inquiry.Decide()) == "v1");
--- a/Tests/Platform/OnlyVersionSearchTest.cpp
+++ b/Tests/Platform/OnlyVersionSearchTest.cpp
@@ -315,7 +315,7 @@
                                 hosts_[host]->versions_.VersionsOf(kService) });
       }
     }
-    aStream.inquiry_->EndAnswers();
+    aStream.inquiry_->SetMissing(0);
     hosts_[aStream.host_]->store_.RequestRead(now_);
   }
 
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -1,7 +1,12 @@
 #include "Tests/Platform/GatewayFixture.h"
+#include "Tests/TemporaryFolder.h"
 
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
 namespace pumiceturn::adapter {
 
 /// Endpoints of two software versions, and entry hosts.
@@ -71,6 +76,44 @@
     }
   }
 
+  /// Starts two workers, each with a disk of its own.
+  void StartWorkers(const std::filesystem::path& aFolder)
+  {
+    for (const char* name : { "worker-1", "worker-2" }) {
+      spoolFolder_ = (aFolder / name).string();
+      StartHost(name, batch::BatchPreference::Worker);
+    }
+    spoolFolder_.clear();
+  }
+
+  /// @return whether each worker has the records of all rounds' streams.
+  static bool AreOnAllDisks(const std::filesystem::path& aFolder)
+  {
+    for (const char* worker : { "worker-1", "worker-2" }) {
+      const std::string text = ReadAll(aFolder / worker);
+      for (int round = 0; round < kRounds; ++round) {
+        if (text.find(fmt::format("\"r{}\"", round)) == std::string::npos) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  /// @return the content of all files below a folder.
+  static std::string ReadAll(const std::filesystem::path& aFolder)
+  {
+    std::string text;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(aFolder)) {
+      if (entry.is_regular_file()) {
+        std::ifstream file(entry.path(), std::ios::binary);
+        text.append(std::istreambuf_iterator<char>(file), {});
+      }
+    }
+    return text;
+  }
+
   [[nodiscard]] std::size_t DisconnectedCount() const
   {
     std::size_t disconnected = 0;
@@ -191,6 +234,44 @@
   }
 }
 
+// Guards against refusing the streams of all callers after all hosts were lost
+// together while several versions serve.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_AllHostsRestart_StreamsGoOnAtTheirVersion")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  const TemporaryFolder folder;
+  StartWorkers(folder.Path());
+  TestHost& first = StartEntry("entry-1");
+  RunUntil([&] {
+    return Metrics(first).find("pumiceturn_peers_heard 2") != std::string::npos;
+  });
+  std::vector<std::string> versions;
+  for (int round = 0; round < kRounds; ++round) {
+    versions.push_back(BeginStream(first, fmt::format("r{}", round)));
+  }
+  RunUntil([this] { return DisconnectedCount() == kRounds; });
+  RunUntil([&] { return AreOnAllDisks(folder.Path()); });
+  for (const auto& host : hosts_) {
+    host->gateway_.reset();
+  }
+  // As when their leases end; the new processes have other addresses.
+  for (const std::string& key : store_.Keys("pumiceturn/host/")) {
+    store_.Remove(key);
+  }
+  StartWorkers(folder.Path());
+  TestHost& again = StartEntry("entry-1");
+  RunUntil([&] {
+    return Metrics(again).find("pumiceturn_peers_heard 2") != std::string::npos;
+  });
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string id = fmt::format("r{}", round);
+    CHECK(Resume(again, id + "-again", id)->body_ ==
+          WholeStream(versions[round], 2));
+  }
+}
+
 // Guards against joining streams that began at a version which no host could
 // learn of any more: its endpoints are gone, as is the host that saw them.
 TEST_CASE_METHOD(VersionsFixture,
