LibGateway: Mend what the review of the records of streams found

An answer to a query of a host's former process could be taken for one to the present one, as both number queries from 1; queries now begin at a random number. Beyond 4,096 inquiries the own view decided alone; such streams are refused, as the comment said. A service without an entry in the store counted as one that names a single version. A host that has just started refused as soon as the holders that it knew had answered; it now asks for 600 ms in its first 3 s. A worker whose disk hangs at its start answers after 500 ms. A read of the entries that was asked for could put off the writer's change and revive an expired version; reads that were asked for are 250 ms apart, 1,200 a second at 300 hosts. A file that can't be read isn't overwritten, and a group of another format ends it. The check after an unmarked end waits for a second SYN.

--- a/Libraries/LibFleet/EventSplitter.cpp
+++ b/Libraries/LibFleet/EventSplitter.cpp
@@ -20,6 +20,14 @@
   return aValue;
 }
 
+/// @return the number; 0 if the text is none.
+std::uint64_t
+ParseId(std::string_view aText)
+{
+  const std::size_t end = aText.find_last_not_of(" \t");
+  return base::ParseNumber<std::uint64_t>(aText.substr(0, end + 1)).value_or(0);
+}
+
 StreamEvent
 ParseEvent(std::string_view aRaw)
 {
@@ -36,7 +44,7 @@
     }
     const std::string_view value = TrimValue(line.substr(colon + 1));
     if (line.starts_with("id:")) {
-      event.id_ = base::ParseNumber<std::uint64_t>(value).value_or(0);
+      event.id_ = ParseId(value);
     } else if (line.starts_with("data:") && !event.hasData_) {
       event.data_ = value;
       event.hasData_ = true;
--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -53,7 +53,8 @@
 {
   // A holder of the record, or a host that knows another version, may be among
   // those that haven't answered.
-  const bool mayChange = missing_ > 0 || NeedsStore();
+  const bool mayChange =
+    missing_ > 0 || NeedsStore() || (areHoldersAwaited_ && NeedsRecord());
   return HasRecord() || !mayChange ? std::optional(DecideNow()) : std::nullopt;
 }
 
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -17,7 +17,8 @@
   /// No other version served for as long as a stream may last: the store names
   /// one, as of later than the caller asked.
   OnlyVersion,
-  /// The same, but the store wasn't read, and other hosts confirmed it.
+  /// The same, but the store wasn't read: by this host's recent view, or by
+  /// another's that names the same version.
   OnlyVersionConfirmed,
 };
 
@@ -64,6 +65,16 @@
   /// alone would decide it: another version may have come and gone unseen.
   void AwaitStore() { isStoreAwaited_ = true; }
 
+  /// Lets a decision against the stream wait: hosts that hold its record may
+  /// not be known yet.
+  void AwaitHolders() { areHoldersAwaited_ = true; }
+
+  /// @return whether a record was found.
+  [[nodiscard]] bool HasRecord() const
+  {
+    return !std::holds_alternative<UnknownOrigin>(record_);
+  }
+
   /// Adds the answer of another host.
   void Add(const OriginEvidence& aEvidence);
 
@@ -93,10 +104,6 @@
   [[nodiscard]] OriginDecision DecideNow() const;
 
 private:
-  [[nodiscard]] bool HasRecord() const
-  {
-    return !std::holds_alternative<UnknownOrigin>(record_);
-  }
   /// @return whether one version is known, and nothing suggests another.
   [[nodiscard]] bool IsOnlyVersionCertain() const;
 
@@ -107,6 +114,7 @@
   std::size_t missing_;           ///< Answers that may still come.
   std::size_t confirmations_ = 0; ///< Answers that named versions.
   bool isStoreAwaited_ = false;
+  bool areHoldersAwaited_ = false;
   bool hasStoreVersions_ = false;
 };
 
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -14,6 +14,10 @@
 /// waiting for that.
 constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 
+/// How long an endpoint may take to accept the connection that shows that it
+/// runs. A SYN that is lost is sent again after 1 s.
+constexpr std::chrono::milliseconds kEndCheckTimeout{ 1200 };
+
 constexpr unsigned kFirstServerError = 500;
 
 } // namespace
@@ -249,12 +253,14 @@
 EndpointAttempt::CheckUnmarkedEnd()
 {
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor());
-  probe_->Start(endpoint_.address_, [weak = weak_from_this()](bool aIsAlive) {
-    if (const auto self = weak.lock()) {
-      self->End(aIsAlive ? httpstream::CallOutcome::Complete
-                         : httpstream::CallOutcome::Broken);
-    }
-  });
+  probe_->Start(endpoint_.address_,
+                kEndCheckTimeout,
+                [weak = weak_from_this()](bool aIsAlive) {
+                  if (const auto self = weak.lock()) {
+                    self->End(aIsAlive ? httpstream::CallOutcome::Complete
+                                       : httpstream::CallOutcome::Broken);
+                  }
+                });
 }
 
 void
--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// How long an endpoint that lives on may take to accept a connection.
-constexpr std::chrono::milliseconds kConnectTimeout{ 100 };
-
 /// How long the connection is watched. The kernel of a process that ends closes
 /// its connections one after the other, and the listening socket may be the
 /// last.
@@ -25,7 +22,9 @@
 }
 
 void
-LivenessProbe::Start(const std::string& aAddress, ResultHandler aHandler)
+LivenessProbe::Start(const std::string& aAddress,
+                     base::Duration aTimeout,
+                     ResultHandler aHandler)
 {
   handler_ = std::move(aHandler);
   const auto address = ParseAddress(aAddress);
@@ -34,7 +33,7 @@
     return;
   }
   connection_->Connect(
-    *address, kConnectTimeout, [self = shared_from_this()](bool aIsConnected) {
+    *address, aTimeout, [self = shared_from_this()](bool aIsConnected) {
       self->OnConnected(aIsConnected);
     });
 }
--- a/Libraries/LibGateway/LivenessProbe.h
+++ b/Libraries/LibGateway/LivenessProbe.h
@@ -21,9 +21,12 @@
   explicit LivenessProbe(const boost::asio::any_io_executor& aExecutor);
 
   /// @param aAddress IP:PORT.
+  /// @param aTimeout How long a process that runs may take to accept.
   /// @param aHandler Called once, unless the probe is cancelled: true if the
   ///                 address accepts a connection and keeps it.
-  void Start(const std::string& aAddress, ResultHandler aHandler);
+  void Start(const std::string& aAddress,
+             base::Duration aTimeout,
+             ResultHandler aHandler);
 
   void Cancel();
 
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -17,6 +17,9 @@
 /// aren't sent to a second one.
 constexpr std::size_t kMaxCrashesToRetry = 2;
 
+/// How long an endpoint that runs may take to accept a connection.
+constexpr std::chrono::milliseconds kCrashProbeTimeout{ 100 };
+
 } // namespace
 
 void
@@ -104,6 +107,7 @@
 {
   crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor());
   crashProbe_->Start(attempt_->Endpoint().address_,
+                     kCrashProbeTimeout,
                      [weak = weak_from_this()](bool aIsAlive) {
                        const auto proxy = weak.lock();
                        if (!proxy || proxy->isFinished_) {
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -16,10 +16,12 @@
 /// Pause after a read that failed.
 constexpr std::chrono::milliseconds kRetryPause{ 300 };
 
-/// Least time between two reads that were asked for.
-constexpr std::chrono::milliseconds kRequestPause{ 100 };
+/// Least time between two reads that were asked for: after a restart of all
+/// hosts, each of them reads.
+constexpr std::chrono::milliseconds kRequestPause{ 250 };
 
-/// Time after which nobody waits for a read that was asked for.
+/// Time after which nobody waits for a read that was asked for: inquiries end
+/// sooner.
 constexpr std::chrono::seconds kMaxRequestAge{ 1 };
 
 fleet::ServiceVersions::Versions
@@ -63,13 +65,14 @@
   if (isCalling_) {
     return;
   }
+  if (mayWrite && isCurrent_ && WriteNextChange(aIsWriter)) {
+    return;
+  }
   const bool isRequested = readRequestedAt_ && aNow >= sentAt_ + kRequestPause;
   const bool isDue =
     !hasBeenRead_ || (mayWrite ? !isCurrent_ : unrecordedSince_.has_value());
   if (isRequested || (isDue && aNow >= nextReadAt_)) {
     Read(aNow);
-  } else if (mayWrite && isCurrent_) {
-    WriteNextChange(aIsWriter);
   }
 }
 
@@ -192,7 +195,7 @@
   return versions;
 }
 
-void
+bool
 ServiceVersionStore::WriteNextChange(bool aIsWriter)
 {
   std::set<std::string> services = versions_.Services();
@@ -203,9 +206,10 @@
     const auto versions = VersionsToWrite(service, aIsWriter);
     if (versions != entries_[service].versions_) {
       Write(service, versions);
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 void
--- a/Libraries/LibGateway/ServiceVersionStore.h
+++ b/Libraries/LibGateway/ServiceVersionStore.h
@@ -67,7 +67,8 @@
 
   void Read(base::Instant aNow);
   void Apply(const metadata::StoreItem& aItem, base::Instant aNow);
-  void WriteNextChange(bool aIsWriter);
+  /// @return whether an entry was to be written.
+  bool WriteNextChange(bool aIsWriter);
   /// Forgets recorded versions that no endpoint had for the lifetime of a
   /// stream: the entries may not name them any more.
   void ForgetExpired();
--- a/Libraries/LibGateway/StreamOriginFiles.cpp
+++ b/Libraries/LibGateway/StreamOriginFiles.cpp
@@ -75,8 +75,13 @@
     if (base::HashBytes(text) != header.checksum_) {
       break;
     }
-    for (StoredOrigin& row : DecodeRows(text)) {
-      decoded.rows_.push_back(std::move(row));
+    try {
+      for (StoredOrigin& row : DecodeRows(text)) {
+        decoded.rows_.push_back(std::move(row));
+      }
+    } catch (const json::exception&) {
+      // A group of another format.
+      break;
     }
     decoded.validBytes_ += sizeof(header) + header.bytes_;
   }
@@ -116,6 +121,8 @@
     auto read = base::Capture([&] { return Read(file); });
     if (const auto* failure = std::get_if<base::Failure>(&read)) {
       outcome.error_ = outcome.error_.value_or(*failure);
+      // Its rows mustn't be overwritten before they can have expired.
+      files_[file].bytes_ = kMaxBytes;
       continue;
     }
     auto& decoded = std::get<DecodedOrigins>(read);
@@ -135,9 +142,10 @@
 base::Result<void>
 StreamOriginFiles::Rotate()
 {
-  current_ = 1 - current_;
-  BOOST_LEAF_AUTO(file, base::OpenFile(PathOf(current_).string()));
+  const std::size_t next = 1 - current_;
+  BOOST_LEAF_AUTO(file, base::OpenFile(PathOf(next).string()));
   BOOST_LEAF_CHECK(base::TruncateFile(*file, 0));
+  current_ = next;
   files_[current_].bytes_ = 0;
   return {};
 }
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -19,7 +19,14 @@
 /// store, and for holders that have just started.
 constexpr std::chrono::milliseconds kMaxInquiryTime{ 600 };
 
-/// Time between two looks at the versions of all endpoints.
+/// Time after its start in which this host may not know all holders, or they
+/// may not know their records.
+constexpr std::chrono::seconds kStartTime{ 3 };
+
+/// How long a host waits for the records on its disk before it answers without.
+constexpr std::chrono::milliseconds kMaxReadTime{ 500 };
+
+/// Interval at which the versions of all endpoints are recorded.
 constexpr std::chrono::milliseconds kObserveInterval{ 500 };
 
 /// Maximum number of inquiries in progress. Beyond it, streams without a record
@@ -88,6 +95,7 @@
   , ownHost_(aOwnHost.host_)
   , maxViewAge_(aMaxViewAge)
   , versionStore_(aStore, std::move(aKeyPrefix), versions_)
+  , nextQuery_(aShared.random_())
 {
   SetHost(std::move(aOwnHost));
   peers_.SetOnOriginMessage(
@@ -176,6 +184,9 @@
   if (log_) {
     log_->Tick(aNow);
   }
+  if (!MustDelayAnswers(aNow)) {
+    AnswerDelayed();
+  }
 }
 
 void
@@ -275,7 +286,7 @@
   // Without an id, others can only confirm that there is one version.
   const bool needsAnswers =
     IsRecordable(aId) || (!aIsViewRecent && aOwn.versions_.size() <= 1);
-  if (!needsAnswers || pending_.size() >= kMaxPending) {
+  if (!needsAnswers) {
     return {};
   }
   const std::vector<std::string> holders = HoldersOf(aId);
@@ -305,9 +316,17 @@
   pending.result_.viewAge_ = viewAge;
   pending.result_.storeReadAge_ = versionStore_.AgeOf(now);
   pending.result_.versions_ = versions;
-  if (!health_.IsLost() && pending_.size() < kMaxPending) {
+  if (!health_.IsLost()) {
     pending.inquiry_.AwaitStore();
   }
+  if (IsRecordable(aId) && now - startedAt_ < kStartTime) {
+    pending.inquiry_.AwaitHolders();
+  }
+  if (pending_.size() >= kMaxPending && !pending.inquiry_.HasRecord()) {
+    pending.result_.decision_ = fleet::OriginUnknown::OldView;
+    pending.handler_(pending.result_);
+    return;
+  }
   if (const auto decision = pending.inquiry_.Decide()) {
     pending.result_.decision_ = *decision;
     pending.result_.asked_ = 0;
@@ -401,6 +420,20 @@
   }
 }
 
+std::optional<fleet::ServiceVersions::Versions>
+StreamOrigins::RecordedVersionsOf(std::span<const std::string> aServices) const
+{
+  fleet::ServiceVersions::Versions all;
+  for (const std::string& service : aServices) {
+    const auto* versions = versionStore_.RecordedVersions(service);
+    if (versions == nullptr) {
+      return std::nullopt;
+    }
+    all.insert(versions->begin(), versions->end());
+  }
+  return all;
+}
+
 void
 StreamOrigins::OnStoreRead(base::Instant aSentAt)
 {
@@ -409,12 +442,10 @@
     if (pending.startedAt_ > aSentAt) {
       continue;
     }
-    for (const std::string& service : pending.services_) {
-      const auto* versions = versionStore_.RecordedVersions(service);
-      pending.inquiry_.AddStoreVersions(
-        versions != nullptr ? *versions : fleet::ServiceVersions::Versions{});
+    if (const auto versions = RecordedVersionsOf(pending.services_)) {
+      pending.inquiry_.AddStoreVersions(*versions);
+      served.push_back(query);
     }
-    served.push_back(query);
   }
   for (const std::uint64_t query : served) {
     Advance(query);
@@ -488,6 +519,18 @@
                   fleet::StreamOriginTable::Source::Peer,
                   now);
   }
+  AnswerDelayed();
+}
+
+bool
+StreamOrigins::MustDelayAnswers(base::Instant aNow) const
+{
+  return log_ && !log_->HasBeenRead() && aNow - startedAt_ < kMaxReadTime;
+}
+
+void
+StreamOrigins::AnswerDelayed()
+{
   for (const auto& [peer, query] : std::exchange(delayedQueries_, {})) {
     Handle(peer, query);
   }
@@ -496,7 +539,7 @@
 void
 StreamOrigins::Handle(const std::string& aPeer, const OriginQuery& aMessage)
 {
-  if (log_ && !log_->HasBeenRead()) {
+  if (MustDelayAnswers(base::MonotonicNow())) {
     if (delayedQueries_.size() < kMaxPending) {
       delayedQueries_.emplace_back(aPeer, aMessage);
     }
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -71,7 +71,7 @@
   /// Finds out where a stream began.
   /// @param aId      Id of the request that brought its first event; empty if
   ///                 the caller doesn't give it.
-  /// @param aHandler Called once, at once or within 150 ms.
+  /// @param aHandler Called once, at once or within 750 ms.
   void Find(const std::string& aId,
             const fleet::Route& aRoute,
             ResultHandler aHandler);
@@ -116,6 +116,10 @@
   [[nodiscard]] std::vector<std::string> HoldersOf(
     const std::string& aId,
     fleet::HolderCounts aCounts = fleet::kHolders) const;
+  void AnswerDelayed();
+  /// @return whether queries wait until the records on disk have been read. A
+  ///         disk that hangs doesn't hold them up for long.
+  [[nodiscard]] bool MustDelayAnswers(base::Instant aNow) const;
   /// Sends a record while its service has one version, within a budget.
   void PublishAhead(const fleet::StreamOriginTable::Row& aRow,
                     base::Instant aNow);
@@ -140,6 +144,10 @@
   /// Ends an inquiry that can be decided, and else asks the store if it needs
   /// that.
   void Advance(std::uint64_t aQuery);
+  /// @return the versions that the store names for all services together; empty
+  ///         if it names none for one of them.
+  [[nodiscard]] std::optional<fleet::ServiceVersions::Versions>
+  RecordedVersionsOf(std::span<const std::string> aServices) const;
   /// Adds the versions that the store names to the inquiries that began before
   /// the read.
   void OnStoreRead(base::Instant aSentAt);
@@ -169,7 +177,10 @@
   std::vector<std::pair<std::string, OriginQuery>> delayedQueries_;
   std::vector<fleet::RecordHolder> hosts_;
   std::unordered_map<std::uint64_t, PendingInquiry> pending_; ///< By query.
-  std::uint64_t nextQuery_ = 1;
+  /// Begins at a random number: an answer to a query of this host's former
+  /// process belongs to none of this one.
+  std::uint64_t nextQuery_;
+  base::Instant startedAt_ = base::MonotonicNow();
   base::Instant observedAt_{};
   double aheadBudget_ = 0.0; ///< Datagrams that may be sent ahead now.
   base::Instant aheadBudgetAt_{};
--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -4,12 +4,9 @@
 #include "Tests/OrderServer/EventSequence.h"
 #include "platform/Names.h"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -17,13 +14,18 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <exception>
 #include <iostream>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <span>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 // A model server for the soak of ORDER: a process of its own, so that the
@@ -83,51 +85,46 @@
 {
 public:
   OrderServer(asio::io_context& aContext, ServerOptions aOptions)
-    : context_(aContext)
-    , options_(std::move(aOptions))
+    : options_(std::move(aOptions))
     , acceptor_(aContext, options_.address_)
     , random_(options_.seed_)
   {
   }
 
-  asio::awaitable<void> Accept()
+  void Accept()
   {
     while (true) {
-      tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-      asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
+      std::thread([this, socket = acceptor_.accept()]() mutable {
+        Serve(std::move(socket));
+      }).detach();
     }
   }
 
 private:
   int Draw(int aMin, int aMax)
   {
+    const std::lock_guard lock(mutex_);
     return std::uniform_int_distribution<int>(aMin, aMax)(random_);
   }
   bool DrawOneIn(int aCount) { return Draw(1, aCount) == 1; }
 
-  asio::awaitable<void> Pause(int aMs)
-  {
-    asio::steady_timer timer(context_, milliseconds(aMs));
-    co_await timer.async_wait(asio::use_awaitable);
-  }
+  static void Pause(int aMs) { std::this_thread::sleep_for(milliseconds(aMs)); }
 
-  asio::awaitable<void> Serve(tcp::socket aSocket)
+  void Serve(tcp::socket aSocket)
   {
     std::string input;
     try {
       bool isKept = true;
       while (isKept) {
-        const httpstream::Request request =
-          co_await ReadRequest(aSocket, input);
-        isKept = co_await Answer(aSocket, request);
+        const httpstream::Request request = ReadRequest(aSocket, input);
+        isKept = Answer(aSocket, request);
       }
     } catch (const boost::system::system_error&) {
       // The caller has closed the connection.
     }
   }
 
-  asio::awaitable<httpstream::Request> ReadRequest(tcp::socket& aSocket,
-                                                   std::string& aInput)
+  httpstream::Request ReadRequest(tcp::socket& aSocket, std::string& aInput)
   {
     constexpr std::size_t kBlockBytes = 8192;
     http::request_parser<http::string_body> parser;
@@ -142,11 +139,10 @@
         break;
       }
       std::array<char, kBlockBytes> block{};
-      const std::size_t bytes = co_await aSocket.async_read_some(
-        asio::buffer(block), asio::use_awaitable);
+      const std::size_t bytes = aSocket.read_some(asio::buffer(block));
       aInput.append(block.data(), bytes);
     }
-    co_return parser.release();
+    return parser.release();
   }
 
   /// @return the head of a response.
@@ -162,46 +158,42 @@
                        options_.id_);
   }
 
-  asio::awaitable<void> Write(tcp::socket& aSocket, std::string aBytes)
+  void Write(tcp::socket& aSocket, std::string aBytes)
   {
     if (aBytes.size() > 1 && DrawOneIn(kCutOneIn)) {
       const auto cut =
         static_cast<std::size_t>(Draw(1, static_cast<int>(aBytes.size()) - 1));
-      co_await asio::async_write(
-        aSocket, asio::buffer(aBytes.data(), cut), asio::use_awaitable);
-      co_await Pause(Draw(0, 20));
+      asio::write(aSocket, asio::buffer(aBytes.data(), cut));
+      Pause(Draw(0, 20));
       aBytes.erase(0, cut);
     }
-    co_await asio::async_write(
-      aSocket, asio::buffer(aBytes), asio::use_awaitable);
+    asio::write(aSocket, asio::buffer(aBytes));
   }
 
   /// @return whether the connection is kept.
-  asio::awaitable<bool> Answer(tcp::socket& aSocket,
-                               const httpstream::Request& aRequest)
+  bool Answer(tcp::socket& aSocket, const httpstream::Request& aRequest)
   {
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
     const bool isMisdirected = !target.empty() && target != options_.id_;
     if (isMisdirected || running_ >= options_.slots_) {
-      co_await Write(
+      Write(
         aSocket,
         Head(aRequest, isMisdirected ? "421 Misdirected" : "503 Unavailable") +
           fmt::format("{}: 1\r\nContent-Length: 0\r\n\r\n", kNotRunField));
-      co_return true;
+      return true;
     }
     ++running_;
     try {
-      const bool isKept = co_await Stream(aSocket, aRequest);
+      const bool isKept = Stream(aSocket, aRequest);
       --running_;
-      co_return isKept;
+      return isKept;
     } catch (const boost::system::system_error&) {
       --running_;
       throw;
     }
   }
 
-  asio::awaitable<bool> Stream(tcp::socket& aSocket,
-                               const httpstream::Request& aRequest)
+  bool Stream(tcp::socket& aSocket, const httpstream::Request& aRequest)
   {
     const EventSequence sequence =
       ParseEventSequence(httpstream::TargetOf(aRequest));
@@ -227,24 +219,24 @@
     } else {
       head += "Connection: close\r\n";
     }
-    co_await Pause(Draw(2, 40));
+    Pause(Draw(2, 40));
     std::string sent = head + "\r\n";
-    co_await Write(aSocket, sent);
-    co_await SendEvents(aSocket, events, framing, sent);
+    Write(aSocket, sent);
+    SendEvents(aSocket, events, framing, sent);
     if (framing == Framing::ConnectionEnd) {
-      co_return false;
+      return false;
     }
     if (DrawOneIn(kExtraOneIn)) {
-      co_await Pause(Draw(0, 10));
-      co_await Write(aSocket, sent);
+      Pause(Draw(0, 10));
+      Write(aSocket, sent);
     }
-    co_return true;
+    return true;
   }
 
-  asio::awaitable<void> SendEvents(tcp::socket& aSocket,
-                                   std::span<const std::string> aEvents,
-                                   Framing aFraming,
-                                   std::string& aSent)
+  void SendEvents(tcp::socket& aSocket,
+                  std::span<const std::string> aEvents,
+                  Framing aFraming,
+                  std::string& aSent)
   {
     while (!aEvents.empty()) {
       const auto count = std::min<std::size_t>(
@@ -258,20 +250,20 @@
         text = httpstream::MakeChunk(text);
       }
       aSent += text;
-      co_await Write(aSocket, text);
-      co_await Pause(DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50));
+      Write(aSocket, text);
+      Pause(DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50));
     }
     if (aFraming == Framing::Chunked) {
       aSent += httpstream::kLastChunk;
-      co_await Write(aSocket, std::string(httpstream::kLastChunk));
+      Write(aSocket, std::string(httpstream::kLastChunk));
     }
   }
 
-  asio::io_context& context_;
   ServerOptions options_;
   tcp::acceptor acceptor_;
-  std::mt19937 random_;
-  int running_ = 0;
+  std::mutex mutex_;
+  std::mt19937 random_; ///< Guarded by mutex_.
+  std::atomic<int> running_ = 0;
 };
 
 int
@@ -284,8 +276,7 @@
   }
   asio::io_context context;
   OrderServer server(context, std::move(*options));
-  asio::co_spawn(context, server.Accept(), asio::detached);
-  context.run();
+  server.Accept();
   return 0;
 }
 
