--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -248,6 +248,7 @@
     return Metrics(first).find("pumiceturn_peers_heard 2") != std::string::npos;
   });
   std::vector<std::string> versions;
+  versions.reserve(kRounds);
   for (int round = 0; round < kRounds; ++round) {
     versions.push_back(BeginStream(first, fmt::format("r{}", round)));
   }
@@ -284,6 +285,7 @@
   AddServers("v2", 2);
   UseOnce(first, "v2");
   std::vector<std::string> versions;
+  versions.reserve(kRounds);
   for (int round = 0; round < kRounds; ++round) {
     versions.push_back(BeginStream(first, fmt::format("r{}", round)));
   }
--- a/Tests/PlatformSoak/ChildProcess.cpp
+++ b/Tests/PlatformSoak/ChildProcess.cpp
@@ -21,6 +21,7 @@
 PointersTo(std::vector<std::string>& aTexts)
 {
   std::vector<char*> pointers;
+  pointers.reserve(aTexts.size() + 1);
   for (std::string& text : aTexts) {
     pointers.push_back(text.data());
   }
