LibGateway: Watch an endpoint's connection for longer before a response counts as whole

Its endpoint was killed, six other attempts there broke at 48.298 s, but the listening socket still accepted the probe at 48.299 and hadn't been closed 20 ms later: threads of a killed process end one by one, and the last one closes it.

100 ms cover that on a busy machine better, and aren't a proof: a kernel that accepts a connection says nothing of its process.

--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -10,8 +10,8 @@
 
 /// How long the connection is watched. The kernel of a process that ends closes
 /// its connections one after the other, and the listening socket may be the
-/// last.
-constexpr std::chrono::milliseconds kHoldTime{ 20 };
+/// last; on a busy machine that takes tens of milliseconds.
+constexpr std::chrono::milliseconds kHoldTime{ 100 };
 
 } // namespace
 
