LibGateway: Take a response without a marked end as whole only if its process lived on

Cause: the check after such an end took an accepted connection for a running process.

The endpoint is now asked for its health over the new connection, by the path that the operators declare for the service. An answer shows a process that runs. Without one, the connection must stay open for 1.2 s instead of 100 ms; a server that is full may answer late. So that the next process doesn't speak for the former one, an answer that took over 50 ms counts only if no other attempt lost its connection to the endpoint and no other process is registered in its place; and after a suspension of this host the end may be as old as that, so that it proves nothing. The decision is in fleet::HasLivedOn, without I/O; event 7158 shows what it rests on.

Ruled out: watching the accepted connection for longer alone, which delays each whole response and doesn't tell the next process from the former one; asking for the rest of the stream, which only resumable ones have.

--- a/Libraries/LibFleet/Declarations.h
+++ b/Libraries/LibFleet/Declarations.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pumiceturn::fleet {
@@ -84,7 +85,7 @@
   base::Duration idleTimeout_{ std::chrono::seconds{ 15 } };
 };
 
-/// One version of the declared routes, limits and organisations.
+/// One version of the declared routes, services, limits and organisations.
 struct Declarations
 {
   std::uint64_t version_ = 0;
@@ -93,6 +94,8 @@
   /// Without a list, callers don't need keys; with an empty one, no key is
   /// valid.
   std::optional<std::vector<Organisation>> organisations_;
+  /// Paths of the health checks of services' endpoints, by service.
+  std::unordered_map<std::string, std::string> healthPaths_{};
 };
 
 /// Identifies one process of an endpoint. An endpoint may restart under the
--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -277,6 +277,25 @@
   }
 }
 
+void
+EndpointTable::RecordLostConnection(const EndpointIncarnation& aEndpoint,
+                                    base::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->lostConnectionAt_ = aNow;
+  }
+}
+
+std::optional<base::Instant>
+EndpointTable::LostConnectionAt(const EndpointIncarnation& aEndpoint) const
+{
+  const auto found = endpoints_.find(aEndpoint.id_);
+  const bool isCurrent =
+    found != endpoints_.end() &&
+    found->second.record_.startedAtMs_ == aEndpoint.startedAtMs_;
+  return isCurrent ? found->second.lostConnectionAt_ : std::nullopt;
+}
+
 void
 EndpointTable::RecordActivity(const EndpointIncarnation& aEndpoint,
                               base::Instant aAttemptStartedAt,
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -242,6 +242,14 @@
   void RecordFailure(const EndpointIncarnation& aEndpoint, base::Instant aNow);
   void RecordSuccess(const EndpointIncarnation& aEndpoint);
 
+  /// Records that an attempt's connection broke or wasn't accepted.
+  void RecordLostConnection(const EndpointIncarnation& aEndpoint,
+                            base::Instant aNow);
+
+  /// @return when a connection of an attempt was last lost; empty if none was.
+  [[nodiscard]] std::optional<base::Instant> LostConnectionAt(
+    const EndpointIncarnation& aEndpoint) const;
+
   /// Records that bytes of an attempt arrived from the endpoint.
   /// @param aAttemptStartedAt When the attempt began.
   void RecordActivity(const EndpointIncarnation& aEndpoint,
@@ -396,6 +404,7 @@
     /// When it began to drain; empty if that isn't known.
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
+    std::optional<base::Instant> lostConnectionAt_;
     base::Instant lastActivityAt_;
     std::uint32_t streaming_ = 0; ///< This host's streams that send events.
     base::Instant streamingSince_;
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -15,6 +15,7 @@
   }
   version_ = aDeclarations.version_;
   limits_ = aDeclarations.limits_;
+  healthPaths_ = std::move(aDeclarations.healthPaths_);
   organisations_.Install(std::move(aDeclarations.organisations_));
   routes_.clear();
   hasCappedRoutes_ = false;
@@ -39,6 +40,13 @@
   return true;
 }
 
+std::string
+RouteTable::HealthPathOf(const std::string& aService) const
+{
+  const auto found = healthPaths_.find(aService);
+  return found == healthPaths_.end() ? std::string() : found->second;
+}
+
 std::uint32_t
 RouteTable::FindHighestPriority() const
 {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -60,6 +60,10 @@
     return longestStreamTimeout_;
   }
 
+  /// @return the path of the health check of a service's endpoints; empty if
+  ///         none is declared.
+  [[nodiscard]] std::string HealthPathOf(const std::string& aService) const;
+
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
 
@@ -87,6 +91,7 @@
   /// Routes by host name, longest prefix first.
   std::unordered_map<std::string, std::vector<Route>, Hash, std::equal_to<>>
     routes_;
+  std::unordered_map<std::string, std::string> healthPaths_; ///< By service.
   bool hasCappedRoutes_ = false;
   std::uint32_t highestPriority_ = 0;
   base::Duration longestStreamTimeout_{ 0 };
--- /dev/null
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -0,0 +1,38 @@
+#include "LibFleet/UnmarkedEnd.h"
+
+namespace pumiceturn::fleet {
+
+namespace {
+
+/// No process starts again within this time after its end.
+constexpr std::chrono::milliseconds kMinRestartTime{ 50 };
+
+/// A process loses its connections within this time, on a busy machine too.
+constexpr std::chrono::seconds kMaxTimeToEnd{ 1 };
+
+/// @return whether something happened since shortly before the end was read.
+bool
+HappenedNear(const UnmarkedEnd& aEnd,
+             const std::optional<base::Instant>& aMoment)
+{
+  return aMoment && *aMoment >= aEnd.endedAt_ - kMaxTimeToEnd;
+}
+
+} // namespace
+
+bool
+HasLivedOn(const UnmarkedEnd& aEnd)
+{
+  // The end may be as old as the suspension, which gives no upper bound of its
+  // age, and signs of a restart may not have been read yet.
+  if (aEnd.check_ == EndpointCheck::Unreachable || aEnd.isReplaced_ ||
+      HappenedNear(aEnd, aEnd.resumedAt_)) {
+    return false;
+  }
+  const bool wasAnsweredAtOnce =
+    aEnd.check_ == EndpointCheck::Answered &&
+    aEnd.checkedAt_ - aEnd.endedAt_ <= kMinRestartTime;
+  return wasAnsweredAtOnce || !HappenedNear(aEnd, aEnd.lostConnectionAt_);
+}
+
+} // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -109,6 +109,11 @@
     std::string_view aHostField,
     const ForwardOptions& aOptions) const = 0;
 
+  /// @return a request for the health of an endpoint.
+  [[nodiscard]] virtual httpstream::Request MakeHealthRequest(
+    std::string_view aPath,
+    std::string_view aAddress) const = 0;
+
   /// @return hashes of the parts of an item's prompt, as in CallerFields.
   [[nodiscard]] virtual std::vector<std::uint64_t> ReadSharedParts(
     const batch::BatchItem& aItem) const = 0;
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -15,11 +15,32 @@
 constexpr std::chrono::milliseconds kConnectTimeout{ 250 };
 
 /// How long an endpoint may take to accept the connection that shows that it
-/// runs. A SYN that is lost is sent again after 1 s.
+/// runs, and then to answer. A SYN that is lost is sent again after 1 s.
 constexpr std::chrono::milliseconds kEndCheckTimeout{ 1200 };
 
 constexpr unsigned kFirstServerError = 500;
 
+std::string_view
+NameOf(fleet::EndpointCheck aCheck)
+{
+  switch (aCheck) {
+    case fleet::EndpointCheck::Unreachable:
+      return "unreachable";
+    case fleet::EndpointCheck::Open:
+      return "open";
+    case fleet::EndpointCheck::Answered:
+      break;
+  }
+  return "answered";
+}
+
+/// @return how long ago a moment was, in milliseconds; -1 if it is empty.
+std::int64_t
+MsSince(const std::optional<base::Instant>& aMoment)
+{
+  return aMoment ? base::ToMs(base::MonotonicNow() - *aMoment) : -1;
+}
+
 } // namespace
 
 EndpointAttempt::EndpointAttempt(SharedState& aShared,
@@ -240,6 +261,11 @@
   const auto self = shared_from_this();
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
+  if (aOutcome == httpstream::CallOutcome::Broken ||
+      aOutcome == httpstream::CallOutcome::NotConnected) {
+    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(),
+                                            base::MonotonicNow());
+  }
   const bool isEndMarked =
     framing_ != httpstream::ResponseFraming::ConnectionEnd;
   if (aOutcome == httpstream::CallOutcome::Complete && !isEndMarked) {
@@ -252,15 +278,48 @@
 void
 EndpointAttempt::CheckUnmarkedEnd()
 {
+  LivenessQuestion question{ endpoint_.address_,
+                             kEndCheckTimeout,
+                             kEndCheckTimeout };
+  const std::string path = shared_.routes_.HealthPathOf(endpoint_.service_);
+  if (!path.empty()) {
+    question.healthRequest_ = httpstream::Serialize(
+      shared_.codec_.MakeHealthRequest(path, endpoint_.address_));
+    question.isFromEndpoint_ = [this](const httpstream::ResponseHead& aHead) {
+      const std::string id =
+        shared_.codec_.ReadResponseInfo(aHead).responderId_;
+      return id.empty() || id == endpoint_.id_;
+    };
+  }
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor());
-  probe_->Start(endpoint_.address_,
-                kEndCheckTimeout,
-                [weak = weak_from_this()](bool aIsAlive) {
-                  if (const auto self = weak.lock()) {
-                    self->End(aIsAlive ? httpstream::CallOutcome::Complete
-                                       : httpstream::CallOutcome::Broken);
-                  }
-                });
+  probe_->Start(
+    std::move(question),
+    [weak = weak_from_this(),
+     endedAt = base::MonotonicNow()](fleet::EndpointCheck aCheck) {
+      if (const auto self = weak.lock()) {
+        self->OnEndChecked({ endedAt, aCheck, base::MonotonicNow() });
+      }
+    });
+}
+
+void
+EndpointAttempt::OnEndChecked(fleet::UnmarkedEnd aEnd)
+{
+  aEnd.isReplaced_ = shared_.endpoints_.IsReplaced(endpoint_);
+  aEnd.lostConnectionAt_ =
+    shared_.endpoints_.LostConnectionAt(endpoint_.Incarnation());
+  aEnd.resumedAt_ = shared_.resumedAt_;
+  const bool isWhole = fleet::HasLivedOn(aEnd);
+  base::Log(kUnmarkedEndChecked,
+            { { "endpoint", endpoint_.id_ },
+              { "check", NameOf(aEnd.check_) },
+              { "took_ms", base::ToMs(aEnd.checkedAt_ - aEnd.endedAt_) },
+              { "replaced", aEnd.isReplaced_ },
+              { "lost_connection_ms_ago", MsSince(aEnd.lostConnectionAt_) },
+              { "resumed_ms_ago", MsSince(aEnd.resumedAt_) },
+              { "whole", isWhole } });
+  End(isWhole ? httpstream::CallOutcome::Complete
+              : httpstream::CallOutcome::Broken);
 }
 
 void
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -69,6 +69,7 @@
   /// whole only then: the connections of a process that is killed end in order,
   /// too.
   void CheckUnmarkedEnd();
+  void OnEndChecked(fleet::UnmarkedEnd aEnd);
   void End(httpstream::CallOutcome aOutcome);
   void EndCounting();
   /// Sets whether events of a stream are due.
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -366,6 +366,13 @@
   base::LogLevel::Info,
   "Records of streams can be written to this host's disk again."
 };
+inline constexpr base::Event kUnmarkedEndChecked{
+  7158,
+  "unmarked_end_checked",
+  base::LogLevel::Info,
+  "A response ended only with its connection; the endpoint was checked for "
+  "whether it lives on, so that the response is whole."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -6,14 +6,7 @@
 
 namespace pumiceturn::gateway {
 
-namespace {
-
-/// How long the connection is watched. The kernel of a process that ends closes
-/// its connections one after the other, and the listening socket may be the
-/// last; on a busy machine that takes tens of milliseconds.
-constexpr std::chrono::milliseconds kHoldTime{ 100 };
-
-} // namespace
+using fleet::EndpointCheck;
 
 LivenessProbe::LivenessProbe(const boost::asio::any_io_executor& aExecutor)
   : connection_(std::make_shared<httpstream::ClientConnection>(aExecutor))
@@ -21,21 +14,28 @@
 {
 }
 
+LivenessProbe::~LivenessProbe()
+{
+  Cancel();
+}
+
 void
-LivenessProbe::Start(const std::string& aAddress,
-                     base::Duration aTimeout,
-                     ResultHandler aHandler)
+LivenessProbe::Start(LivenessQuestion aQuestion, ResultHandler aHandler)
 {
+  question_ = std::move(aQuestion);
   handler_ = std::move(aHandler);
-  const auto address = ParseAddress(aAddress);
+  const auto address = ParseAddress(question_.address_);
   if (!address) {
-    End(false);
+    End(EndpointCheck::Unreachable);
     return;
   }
-  connection_->Connect(
-    *address, aTimeout, [self = shared_from_this()](bool aIsConnected) {
-      self->OnConnected(aIsConnected);
-    });
+  connection_->Connect(*address,
+                       question_.connectTimeout_,
+                       [weak = weak_from_this()](bool aIsConnected) {
+                         if (const auto self = weak.lock()) {
+                           self->OnConnected(aIsConnected);
+                         }
+                       });
 }
 
 void
@@ -50,24 +50,59 @@
 LivenessProbe::OnConnected(bool aIsConnected)
 {
   if (!aIsConnected) {
-    End(false);
-    return;
+    End(EndpointCheck::Unreachable);
+  } else if (question_.healthRequest_.empty()) {
+    Watch();
+  } else {
+    httpstream::Call call;
+    call.bytes_ = question_.healthRequest_;
+    call.firstByteTimeout_ = question_.holdTime_;
+    call.gapTimeout_ = question_.holdTime_;
+    connection_->Start(std::move(call), *this);
   }
-  holdTimer_.expires_after(kHoldTime);
+}
+
+void
+LivenessProbe::Watch()
+{
+  holdTimer_.expires_after(question_.holdTime_);
   holdTimer_.async_wait(
-    [self = shared_from_this()](const boost::system::error_code& aError) {
-      if (!aError) {
-        self->End(self->connection_->IsIdleAndOpen());
+    [weak = weak_from_this()](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->End(self->connection_->IsIdleAndOpen()
+                    ? EndpointCheck::Open
+                    : EndpointCheck::Unreachable);
       }
     });
 }
 
 void
-LivenessProbe::End(bool aIsAlive)
+LivenessProbe::OnHead(const httpstream::ResponseHead& aHead)
+{
+  End(question_.isFromEndpoint_(aHead) ? EndpointCheck::Answered
+                                       : EndpointCheck::Unreachable);
+}
+
+void
+LivenessProbe::OnBody(std::string_view /*aBytes*/)
+{
+}
+
+void
+LivenessProbe::OnEnd(httpstream::CallOutcome aOutcome)
+{
+  End(aOutcome == httpstream::CallOutcome::TimedOut
+        ? EndpointCheck::Open
+        : EndpointCheck::Unreachable);
+}
+
+void
+LivenessProbe::End(EndpointCheck aResult)
 {
   connection_->Cancel();
   if (const auto handler = std::exchange(handler_, nullptr)) {
-    handler(aIsAlive);
+    handler(aResult);
   }
 }
 
--- a/Libraries/LibGateway/LivenessProbe.h
+++ b/Libraries/LibGateway/LivenessProbe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibFleet/UnmarkedEnd.h"
 #include "LibHttpStream/ClientConnection.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -11,29 +12,52 @@
 
 namespace pumiceturn::gateway {
 
+/// How to find out whether an endpoint's process runs.
+struct LivenessQuestion
+{
+  std::string address_; ///< IP:PORT.
+  /// How long a process that runs may take to accept a connection.
+  base::Duration connectTimeout_{ 0 };
+  /// How long the connection is watched, or an answer awaited. The kernel of a
+  /// process that ends closes its connections one after the other, and the
+  /// listening socket may be the last; on a busy machine that takes a while.
+  base::Duration holdTime_{ 0 };
+  /// Serialized request for the endpoint's health; empty: none is sent.
+  std::string healthRequest_{};
+  /// @return whether the endpoint itself answers, not another one that has its
+  ///         address now.
+  std::function<bool(const httpstream::ResponseHead&)> isFromEndpoint_{};
+};
+
 /// Finds out whether the process at an address lives on, by connecting to it.
 /// Must be used only on the event thread.
-class LivenessProbe : public std::enable_shared_from_this<LivenessProbe>
+class LivenessProbe
+  : public httpstream::CallObserver
+  , public std::enable_shared_from_this<LivenessProbe>
 {
 public:
-  using ResultHandler = std::function<void(bool aIsAlive)>;
+  using ResultHandler = std::function<void(fleet::EndpointCheck)>;
 
   explicit LivenessProbe(const boost::asio::any_io_executor& aExecutor);
+  ~LivenessProbe() override;
+  LivenessProbe(const LivenessProbe&) = delete;
+  LivenessProbe& operator=(const LivenessProbe&) = delete;
 
-  /// @param aAddress IP:PORT.
-  /// @param aTimeout How long a process that runs may take to accept.
-  /// @param aHandler Called once, unless the probe is cancelled: true if the
-  ///                 address accepts a connection and keeps it.
-  void Start(const std::string& aAddress,
-             base::Duration aTimeout,
-             ResultHandler aHandler);
+  /// @param aHandler Called once, unless the probe is cancelled or destroyed.
+  void Start(LivenessQuestion aQuestion, ResultHandler aHandler);
 
   void Cancel();
 
+  void OnHead(const httpstream::ResponseHead& aHead) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd(httpstream::CallOutcome aOutcome) override;
+
 private:
   void OnConnected(bool aIsConnected);
-  void End(bool aIsAlive);
+  void Watch();
+  void End(fleet::EndpointCheck aResult);
 
+  LivenessQuestion question_;
   std::shared_ptr<httpstream::ClientConnection> connection_;
   boost::asio::steady_timer holdTimer_;
   ResultHandler handler_;
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -106,17 +106,17 @@
 OnlineProxy::CheckForCrash()
 {
   crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor());
-  crashProbe_->Start(attempt_->Endpoint().address_,
-                     kCrashProbeTimeout,
-                     [weak = weak_from_this()](bool aIsAlive) {
-                       const auto proxy = weak.lock();
-                       if (!proxy || proxy->isFinished_) {
-                         return;
-                       }
-                       proxy->crashProbe_.reset();
-                       proxy->isLostToCrash_ = !aIsAlive;
-                       proxy->TryNextEndpoint();
-                     });
+  crashProbe_->Start(
+    { attempt_->Endpoint().address_, kCrashProbeTimeout, kCrashProbeTimeout },
+    [weak = weak_from_this()](fleet::EndpointCheck aCheck) {
+      const auto proxy = weak.lock();
+      if (!proxy || proxy->isFinished_) {
+        return;
+      }
+      proxy->crashProbe_.reset();
+      proxy->isLostToCrash_ = aCheck == fleet::EndpointCheck::Unreachable;
+      proxy->TryNextEndpoint();
+    });
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/SharedState.h
+++ b/Libraries/LibGateway/SharedState.h
@@ -12,6 +12,7 @@
 #include "LibHttpStream/ConnectionPool.h"
 #include "LibMetrics/Registry.h"
 
+#include <optional>
 #include <random>
 
 namespace pumiceturn::gateway {
@@ -32,6 +33,8 @@
   fleet::RateLimiter rateLimiter_;
   OutputBudget outputBudget_;
   fleet::FairShare fairShare_{};
+  /// When this process last went on after a suspension.
+  std::optional<base::Instant> resumedAt_{};
 };
 
 /// @return a uniformly distributed random number in [0, 1).
--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -43,6 +43,7 @@
 
 constexpr std::size_t kArguments = 6;
 constexpr int kExitUsage = 2;
+constexpr std::string_view kHealthPath = "/health";
 
 /// One response in this many is followed by a copy of it.
 constexpr int kExtraOneIn = 40;
@@ -173,6 +174,10 @@
   /// @return whether the connection is kept.
   bool Answer(tcp::socket& aSocket, const httpstream::Request& aRequest)
   {
+    if (httpstream::TargetOf(aRequest) == kHealthPath) {
+      Write(aSocket, Head(aRequest, "200 OK") + "Content-Length: 0\r\n\r\n");
+      return true;
+    }
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
     const bool isMisdirected = !target.empty() && target != options_.id_;
     if (isMisdirected || running_ >= options_.slots_) {
--- a/Tests/Platform/GatewayFixture.cpp
+++ b/Tests/Platform/GatewayFixture.cpp
@@ -54,7 +54,10 @@
         MakeTestRoute("once", "unsafe"),
         MakeTestRoute(fmt::format("v{}", aVersion), "safe"),
         MakeTestRoute("lots", "batch") } },
-    { "services", { { { "name", "service" }, { "maxConns", 100 } } } }
+    { "services",
+      { { { "name", "service" },
+          { "maxConns", 100 },
+          { "healthPath", "/health" } } } }
   };
   store_.Put("op/config", configuration.dump());
 }
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <string_view>
+#include <thread>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -12,8 +15,21 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+constexpr std::string_view kHealthAnswer =
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+constexpr std::chrono::milliseconds kTimeToClose{ 300 };
+
+/// Long enough for a host to notice that it was suspended.
+constexpr std::chrono::milliseconds kTimeToRestart{ 700 };
+
+} // namespace
+
 RawServer::RawServer(asio::io_context& aContext, std::string aAnswer, End aEnd)
   : acceptor_(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  , closeTimer_(aContext)
   , answer_(std::move(aAnswer))
   , end_(aEnd)
 {
@@ -48,13 +64,53 @@
     asio::dynamic_buffer(aConnection->input_),
     "\r\n\r\n",
     [this, aConnection](const boost::system::error_code& aError, std::size_t) {
-      if (!aError) {
-        requests_.push_back(aConnection->input_);
-        Answer(aConnection);
+      if (aError || isEnding_) {
+        return;
+      }
+      if (aConnection->input_.starts_with("GET /health ")) {
+        AnswerHealth(aConnection);
+        return;
       }
+      requests_.push_back(aConnection->input_);
+      Answer(aConnection);
     });
 }
 
+void
+RawServer::AnswerHealth(const std::shared_ptr<Connection>& aConnection)
+{
+  asio::async_write(
+    aConnection->socket_,
+    asio::buffer(kHealthAnswer),
+    [aConnection](const boost::system::error_code& /*aError*/, std::size_t) {});
+}
+
+void
+RawServer::EndProcess()
+{
+  boost::system::error_code ignored;
+  switch (end_) {
+    case End::Process:
+      acceptor_.close(ignored);
+      break;
+    case End::ProcessSlowly:
+      isEnding_ = true;
+      closeTimer_.expires_after(kTimeToClose);
+      closeTimer_.async_wait([this](const boost::system::error_code& aError) {
+        if (!aError) {
+          boost::system::error_code alsoIgnored;
+          acceptor_.close(alsoIgnored);
+        }
+      });
+      break;
+    case End::RestartWhileSuspended:
+      std::this_thread::sleep_for(kTimeToRestart);
+      break;
+    default:
+      break;
+  }
+}
+
 void
 RawServer::Answer(const std::shared_ptr<Connection>& aConnection)
 {
@@ -64,9 +120,6 @@
     [this, aConnection](const boost::system::error_code& /*aError*/,
                         std::size_t) {
       boost::system::error_code ignored;
-      if (end_ == End::Process) {
-        acceptor_.close(ignored);
-      }
       if (end_ == End::Reset) {
         aConnection->socket_.set_option(asio::socket_base::linger(true, 0),
                                         ignored);
@@ -74,6 +127,7 @@
         aConnection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
       }
       aConnection->socket_.close(ignored);
+      EndProcess();
     });
 }
 
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -20,13 +21,19 @@
     Orderly, ///< As at the end of an answer that has no length.
     Reset,
     Process, ///< The server's process ends with its first answer.
+    /// As Process, but the listening socket closes a moment later: the kernel
+    /// closes the sockets of a process one after the other.
+    ProcessSlowly,
+    /// As Process, but this thread doesn't run meanwhile, and the server's next
+    /// process answers when it goes on.
+    RestartWhileSuspended,
   };
 
   RawServer(boost::asio::io_context& aContext, std::string aAnswer, End aEnd);
 
   [[nodiscard]] std::string Address() const;
 
-  /// @return the heads of all requests.
+  /// @return the heads of all requests but those for its health.
   [[nodiscard]] const std::vector<std::string>& Requests() const
   {
     return requests_;
@@ -42,8 +49,12 @@
   void Accept();
   void Read(const std::shared_ptr<Connection>& aConnection);
   void Answer(const std::shared_ptr<Connection>& aConnection);
+  void AnswerHealth(const std::shared_ptr<Connection>& aConnection);
+  void EndProcess();
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer closeTimer_;
+  bool isEnding_ = false; ///< Connections are no longer served.
   std::string answer_;
   End end_;
   std::vector<std::string> requests_;
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -112,6 +112,30 @@
   CHECK(call->body_ == EventsFrom(1, 2));
 }
 
+// Guards against a stream that looks complete as the kernel still accepts
+// connections for the server's process, which has ended.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ListeningSocketClosesLater_IsBrokenOff")
+{
+  AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::ProcessSlowly);
+  Start();
+  const auto call = Call("/stream/1");
+  CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
+  CHECK(call->body_ == EventsFrom(1, 2));
+}
+
+// Guards against a stream that looks complete as the server's next process
+// answers when the host goes on after a suspension.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerRestartsWhileSuspended_IsBrokenOff")
+{
+  AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::RestartWhileSuspended);
+  Start();
+  const auto call = Call("/stream/1");
+  CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
+  CHECK(call->body_ == EventsFrom(1, 2));
+}
+
 // Guards against a stream without its last events, as in the case before.
 TEST_CASE_METHOD(UnframedAnswerFixture,
                  "UnframedAnswer_ServerEndsAfterAnEvent_ResumesElsewhere")
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -82,7 +82,10 @@
     json{ { "version", 1 },
           { "routes",
             { std::move(resumable), std::move(single), std::move(batch) } },
-          { "services", { { { "name", "service" }, { "maxConns", 500 } } } } }
+          { "services",
+            { { { "name", "service" },
+                { "maxConns", 500 },
+                { "healthPath", "/health" } } } } }
       .dump());
 }
 
