LibEndpoint: Don't take the end of a plain service's connection for that of its response

A response of a plain service that has neither a length nor chunks counted as whole when its connection ended, though the kernel ends the connections of a killed process in the same way: the caller got a part of the body as the answer.

Such a response now counts only if the service answers its health check afterwards; else the call is EndpointCrashed, with an unknown outcome, and isn't run again. Other responses aren't checked, so nothing is slower.

PlainCall_ServiceEndsWithinBody_IsUnknown fails on (Ok and Ran instead of EndpointCrashed and Unknown).

--- a/Libraries/LibEndpoint/PlainServiceClient.cpp
+++ b/Libraries/LibEndpoint/PlainServiceClient.cpp
@@ -12,6 +12,14 @@
 constexpr const char* kPayloadType = "application/octet-stream";
 constexpr base::Duration kHealthTimeout{ std::chrono::seconds{ 2 } };
 
+/// @return whether the response itself says where its body ends.
+bool
+IsEndMarked(const httplib::Response& aResponse)
+{
+  return aResponse.has_header("Content-Length") ||
+         aResponse.has_header("Transfer-Encoding");
+}
+
 } // namespace
 
 base::Result<PlainServiceClient>
@@ -50,6 +58,11 @@
     end.code_ = base::ResultCode::EndpointFailed;
     end.ran_ = base::Ran::Unknown;
     end.detail_ = "HTTP status " + std::to_string(result->status);
+  } else if (!IsEndMarked(*result) && !IsHealthy()) {
+    // The kernel ends the connections of a killed process in order, too.
+    end.code_ = base::ResultCode::EndpointCrashed;
+    end.ran_ = base::Ran::Unknown;
+    end.detail_ = "the service ended with its response, which has no length";
   }
   return end;
 }
--- a/Libraries/LibEndpoint/PlainServiceClient.h
+++ b/Libraries/LibEndpoint/PlainServiceClient.h
@@ -13,7 +13,8 @@
 /// - Ok (Ran): the service responded with a 2xx status.
 /// - NoEndpoint (NotRun): no connection was made, so nothing was sent.
 /// - EndpointFailed (Unknown): the service responded with another status.
-/// - EndpointCrashed (Unknown): the connection broke after sending.
+/// - EndpointCrashed (Unknown): the connection broke after sending, or ended
+///   without a mark of the response's end, and the service is gone.
 /// - TimedOut (Unknown): no response within the timeout.
 struct PlainCallEnd
 {
--- a/Tests/LibEndpoint/PlainServiceClientTest.cpp
+++ b/Tests/LibEndpoint/PlainServiceClientTest.cpp
@@ -2,6 +2,10 @@
 
 #include "LibStandin/PlainServiceStandin.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <string>
@@ -40,6 +44,47 @@
   std::optional<PlainServiceClient> client_;
 };
 
+/// A service whose process ends with its first response, which has no length.
+class DyingServiceFixture
+{
+protected:
+  using Tcp = boost::asio::ip::tcp;
+
+  ~DyingServiceFixture() { thread_.join(); }
+
+  void Serve(const std::string& aResponse)
+  {
+    thread_ = std::thread([this, aResponse] {
+      Tcp::socket socket = acceptor_.accept();
+      std::string request;
+      boost::asio::read_until(
+        socket, boost::asio::dynamic_buffer(request), "payload");
+      acceptor_.close();
+      boost::asio::write(socket, boost::asio::buffer(aResponse));
+      socket.shutdown(Tcp::socket::shutdown_send);
+    });
+  }
+
+  [[nodiscard]] PlainCallEnd Call() const
+  {
+    auto made = base::Capture([&] {
+      return PlainServiceClient::Make(
+        { .address_ =
+            "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()) });
+    });
+    return std::get<0>(std::move(made))
+      .Call("payload", "key-1", kDefaultTimeout);
+  }
+
+private:
+  boost::asio::io_context context_;
+  Tcp::acceptor acceptor_{
+    context_,
+    Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)
+  };
+  std::thread thread_;
+};
+
 } // namespace
 
 TEST_CASE_METHOD(PlainServiceFixture, "PlainCall_ServiceResponds_IsOkAndRan")
@@ -62,6 +107,17 @@
   CHECK(service_->CountOf("key-1") == 1);
 }
 
+// Guards against a body that counts as whole though the service ended within
+// it.
+TEST_CASE_METHOD(DyingServiceFixture,
+                 "PlainCall_ServiceEndsWithinBody_IsUnknown")
+{
+  Serve("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of the body");
+  const PlainCallEnd end = Call();
+  CHECK(end.code_ == ResultCode::EndpointCrashed);
+  CHECK(end.ran_ == Ran::Unknown);
+}
+
 TEST_CASE_METHOD(PlainServiceFixture, "PlainCall_NoResponseInTime_IsUnknown")
 {
   service_->SetFaults({ .slow_ = std::chrono::hours{ 1 } });
