LibGateway: Keep records of streams in the store while no worker confirms them

Cause: the log shows that all of them began while the workers were down, or their records had reached no worker: the record's only copies were in the memory of entry hosts. That the first 3 s of a host make the refusals later, as was suspected, is not the cause: these streams had no record anywhere.

A worker whose disk keeps up now confirms the records that it gets.

Versions_AllEntryHostsRestartWithoutWorkers_StreamsGoOn fails on: no record reaches the store.

--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -34,6 +34,16 @@
   versions_.insert(aVersions.begin(), aVersions.end());
 }
 
+void
+OriginInquiry::AddStoredRecord(const OriginRecord& aRecord)
+{
+  isStoredRecordAwaited_ = false;
+  if (!HasRecord()) {
+    record_ = aRecord;
+    basis_ = OriginBasis::StoredRecord;
+  }
+}
+
 bool
 OriginInquiry::IsOnlyVersionCertain() const
 {
@@ -53,8 +63,8 @@
 {
   // A holder of the record, or a host that knows another version, may be among
   // those that haven't answered.
-  const bool mayChange =
-    missing_ > 0 || NeedsStore() || (areHoldersAwaited_ && NeedsRecord());
+  const bool mayChange = missing_ > 0 || NeedsStore() || NeedsStoredRecord() ||
+                         (areHoldersAwaited_ && NeedsRecord());
   return HasRecord() || !mayChange ? std::optional(DecideNow()) : std::nullopt;
 }
 
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -14,6 +14,7 @@
 {
   OwnRecord,
   PeerRecord,
+  StoredRecord, ///< The store has it, as no worker had.
   /// No other version served for as long as a stream may last: the store names
   /// one, as of later than the caller asked.
   OnlyVersion,
@@ -69,6 +70,18 @@
   /// not be known yet.
   void AwaitHolders() { areHoldersAwaited_ = true; }
 
+  /// Lets a decision against the stream wait for the records in the store.
+  void AwaitStoredRecord() { isStoredRecordAwaited_ = true; }
+
+  /// Adds what the store says, read after the caller asked.
+  void AddStoredRecord(const OriginRecord& aRecord);
+
+  /// @return whether a record in the store may still decide.
+  [[nodiscard]] bool NeedsStoredRecord() const
+  {
+    return isStoredRecordAwaited_ && NeedsRecord();
+  }
+
   /// @return whether a record was found.
   [[nodiscard]] bool HasRecord() const
   {
@@ -96,8 +109,7 @@
   [[nodiscard]] bool NeedsStore() const;
 
   /// @return the decision, or std::nullopt while answers or the store may
-  /// change
-  ///         it.
+  ///         change it.
   [[nodiscard]] std::optional<OriginDecision> Decide() const;
 
   /// @return the decision without what is missing.
@@ -115,6 +127,7 @@
   std::size_t confirmations_ = 0; ///< Answers that named versions.
   bool isStoreAwaited_ = false;
   bool areHoldersAwaited_ = false;
+  bool isStoredRecordAwaited_ = false;
   bool hasStoreVersions_ = false;
 };
 
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -373,6 +373,19 @@
   "A response ended only with its connection; the endpoint was checked for "
   "whether it lives on, so that the response is whole."
 };
+inline constexpr base::Event kStreamRecordsStored{
+  7159,
+  "stream_records_stored",
+  base::LogLevel::Info,
+  "Records of streams that no worker confirmed were written to the store, or "
+  "that failed."
+};
+inline constexpr base::Event kStreamRecordsUnreadable{
+  7161,
+  "stream_records_unreadable",
+  base::LogLevel::Warning,
+  "An entry with records of streams in the store can't be read."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -194,7 +194,7 @@
       mirrors_,
       store_,
       health_,
-      layout_.versionPrefix_,
+      { layout_.versionPrefix_, layout_.streamPrefix_ },
       { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
       settings_.drainBound_)
   , crashVerdictStore_(store_, layout_.refusedPrefix_, shared_.crashes_)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -96,6 +96,7 @@
   std::string hostPrefix_;
   std::string versionPrefix_; ///< Software versions of the services.
   std::string refusedPrefix_; ///< Features of requests that are refused.
+  std::string streamPrefix_;  ///< Records of where streams began.
 };
 
 /// Parses the entries of operators and endpoints in the store. Implemented in
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -19,6 +19,8 @@
       return "own_record";
     case fleet::OriginBasis::PeerRecord:
       return "peer_record";
+    case fleet::OriginBasis::StoredRecord:
+      return "stored_record";
     case fleet::OriginBasis::OnlyVersion:
       return "only_version";
     case fleet::OriginBasis::OnlyVersionConfirmed:
--- a/Libraries/LibGateway/StreamOriginCodec.cpp
+++ b/Libraries/LibGateway/StreamOriginCodec.cpp
@@ -21,7 +21,13 @@
                        row.origin_.version_,
                        base::ToMs(row.lifetime_) });
     }
-    return { { "rows", std::move(rows) } };
+    return { { "rows", std::move(rows) },
+             { "confirm", aMessage.wantsConfirmation_ } };
+  }
+
+  json operator()(const OriginConfirmation& aMessage) const
+  {
+    return { { "kept", aMessage.ids_ } };
   }
 
   json operator()(const OriginQuery& aMessage) const
@@ -84,6 +90,7 @@
 {
   if (const auto rows = aContent.find("rows"); rows != aContent.end()) {
     OriginRows message;
+    message.wantsConfirmation_ = aContent.value("confirm", false);
     for (const json& row : *rows) {
       message.rows_.push_back(
         { row.at(0).get<std::string>(),
@@ -92,6 +99,9 @@
     }
     return message;
   }
+  if (const auto ids = aContent.find("kept"); ids != aContent.end()) {
+    return OriginConfirmation{ ids->get<std::vector<std::string>>() };
+  }
   if (aContent.contains("query")) {
     return OriginQuery{
       aContent.at("query").get<std::uint64_t>(),
--- a/Libraries/LibGateway/StreamOriginCodec.h
+++ b/Libraries/LibGateway/StreamOriginCodec.h
@@ -16,6 +16,14 @@
 struct OriginRows
 {
   std::vector<fleet::StreamOriginTable::Row> rows_;
+  /// Whether a host that keeps them on its disk confirms that.
+  bool wantsConfirmation_ = false;
+};
+
+/// Confirms that a host keeps records on its disk.
+struct OriginConfirmation
+{
+  std::vector<std::string> ids_;
 };
 
 /// Asks a host what it knows about a stream.
@@ -33,7 +41,8 @@
 };
 
 /// A datagram about the origin of streams.
-using OriginMessage = std::variant<OriginRows, OriginQuery, OriginAnswer>;
+using OriginMessage =
+  std::variant<OriginRows, OriginConfirmation, OriginQuery, OriginAnswer>;
 
 [[nodiscard]] nlohmann::json
 EncodeOriginMessage(const OriginMessage& aMessage);
--- a/Libraries/LibGateway/StreamOriginFiles.cpp
+++ b/Libraries/LibGateway/StreamOriginFiles.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <iterator>
 #include <system_error>
 #include <utility>
 #include <variant>
@@ -26,24 +27,10 @@
   std::uint64_t checksum_ = 0;
 };
 
-std::vector<StoredOrigin>
-DecodeRows(std::string_view aText)
-{
-  const json rows = json::parse(aText, nullptr, false);
-  std::vector<StoredOrigin> decoded;
-  for (const json& row : rows) {
-    decoded.push_back(
-      { row.at(0).get<std::string>(),
-        { row.at(1).get<std::string>(), row.at(2).get<std::string>() },
-        base::FromUnixMs(row.at(3).get<std::int64_t>()) });
-  }
-  return decoded;
-}
-
 } // namespace
 
 std::string
-EncodeOriginGroup(std::span<const StoredOrigin> aRows)
+EncodeOriginRows(std::span<const StoredOrigin> aRows)
 {
   json rows = json::array();
   for (const StoredOrigin& row : aRows) {
@@ -52,8 +39,30 @@
                      row.origin_.version_,
                      base::ToUnixMs(row.expiresAt_) });
   }
-  const std::string text =
-    rows.dump(-1, ' ', false, json::error_handler_t::replace);
+  return rows.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<std::vector<StoredOrigin>>
+DecodeOriginRows(std::string_view aText)
+{
+  try {
+    std::vector<StoredOrigin> decoded;
+    for (const json& row : json::parse(aText)) {
+      decoded.push_back(
+        { row.at(0).get<std::string>(),
+          { row.at(1).get<std::string>(), row.at(2).get<std::string>() },
+          base::FromUnixMs(row.at(3).get<std::int64_t>()) });
+    }
+    return decoded;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string
+EncodeOriginGroup(std::span<const StoredOrigin> aRows)
+{
+  const std::string text = EncodeOriginRows(aRows);
   const GroupHeader header{ text.size(), base::HashBytes(text) };
   std::string group(sizeof(header), '\0');
   std::memcpy(group.data(), &header, sizeof(header));
@@ -75,14 +84,11 @@
     if (base::HashBytes(text) != header.checksum_) {
       break;
     }
-    try {
-      for (StoredOrigin& row : DecodeRows(text)) {
-        decoded.rows_.push_back(std::move(row));
-      }
-    } catch (const json::exception&) {
-      // A group of another format.
+    auto rows = DecodeOriginRows(text);
+    if (!rows) {
       break;
     }
+    std::move(rows->begin(), rows->end(), std::back_inserter(decoded.rows_));
     decoded.validBytes_ += sizeof(header) + header.bytes_;
   }
   return decoded;
--- a/Libraries/LibGateway/StreamOriginFiles.h
+++ b/Libraries/LibGateway/StreamOriginFiles.h
@@ -25,6 +25,14 @@
   bool operator==(const StoredOrigin&) const = default;
 };
 
+/// @return rows as text, without a checksum.
+[[nodiscard]] std::string
+EncodeOriginRows(std::span<const StoredOrigin> aRows);
+
+/// @return the rows; std::nullopt if the text isn't of their format.
+[[nodiscard]] std::optional<std::vector<StoredOrigin>>
+DecodeOriginRows(std::string_view aText);
+
 /// The rows of a file, and where the next ones belong.
 struct DecodedOrigins
 {
--- a/Libraries/LibGateway/StreamOriginLog.cpp
+++ b/Libraries/LibGateway/StreamOriginLog.cpp
@@ -13,6 +13,9 @@
 /// host's memory.
 constexpr std::chrono::milliseconds kWriteInterval{ 200 };
 
+/// A disk whose write takes longer hangs.
+constexpr std::chrono::milliseconds kMaxWriteTime{ 500 };
+
 /// Most rows that wait for a write; the disk may hang for seconds.
 constexpr std::size_t kMaxPending = 16384;
 
@@ -46,6 +49,13 @@
   onRead_(std::move(aOutcome.rows_));
 }
 
+bool
+StreamOriginLog::IsKeepingUp(base::Instant aNow) const
+{
+  const bool isHanging = isWriting_ && aNow - writtenAt_ > kMaxWriteTime;
+  return hasBeenRead_ && !isFailing_ && !isHanging;
+}
+
 void
 StreamOriginLog::Add(StoredOrigin aRow)
 {
--- a/Libraries/LibGateway/StreamOriginLog.h
+++ b/Libraries/LibGateway/StreamOriginLog.h
@@ -33,6 +33,9 @@
   /// @return whether these rows have been read, or can't be.
   [[nodiscard]] bool HasBeenRead() const { return hasBeenRead_; }
 
+  /// @return whether rows that are added reach the disk soon.
+  [[nodiscard]] bool IsKeepingUp(base::Instant aNow) const;
+
   /// Adds a row. Beyond a limit, rows are kept in memory alone.
   void Add(StoredOrigin aRow);
 
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -23,9 +23,6 @@
 /// may not know their records.
 constexpr std::chrono::seconds kStartTime{ 3 };
 
-/// How long a host waits for the records on its disk before it answers without.
-constexpr std::chrono::milliseconds kMaxReadTime{ 500 };
-
 /// Interval at which the versions of all endpoints are recorded.
 constexpr std::chrono::milliseconds kObserveInterval{ 500 };
 
@@ -33,13 +30,6 @@
 /// at this host aren't resumed.
 constexpr std::size_t kMaxPending = 4096;
 
-/// Maximum number of records in one datagram.
-constexpr std::size_t kMaxRows = 128;
-
-/// Maximum number of datagrams a second with records of streams whose service
-/// has one version. About 4 KB/s.
-constexpr double kAheadPerSecond = 40.0;
-
 /// A stream with all its caller's tries lasts up to this many times its route's
 /// timeout.
 constexpr int kTriesPerStream = 2;
@@ -47,19 +37,6 @@
 /// Used without a route for streams.
 constexpr std::chrono::seconds kDefaultTimeout{ 15 };
 
-/// @return what a host knows, for the log: its record, or the versions.
-std::string
-Describe(const fleet::OriginEvidence& aEvidence)
-{
-  if (const auto* known = std::get_if<fleet::KnownOrigin>(&aEvidence.record_)) {
-    return "record:" + known->origin_.version_;
-  }
-  if (std::holds_alternative<fleet::AmbiguousOrigin>(aEvidence.record_)) {
-    return "ambiguous";
-  }
-  return fmt::format("{}", fmt::join(aEvidence.versions_, "+"));
-}
-
 bool
 IsRecordable(std::string_view aId)
 {
@@ -84,7 +61,7 @@
                              const StoreMirrors& aMirrors,
                              metadata::StoreClient& aStore,
                              const metadata::StoreHealth& aHealth,
-                             std::string aKeyPrefix,
+                             StoreKeys aKeys,
                              fleet::RecordHolder aOwnHost,
                              base::Duration aMaxViewAge)
   : executor_(std::move(aExecutor))
@@ -94,7 +71,10 @@
   , health_(aHealth)
   , ownHost_(aOwnHost.host_)
   , maxViewAge_(aMaxViewAge)
-  , versionStore_(aStore, std::move(aKeyPrefix), versions_)
+  , versionStore_(aStore, std::move(aKeys.versions_), versions_)
+  , recordStore_(aStore,
+                 std::move(aKeys.records_),
+                 fmt::format("{}/{:016x}", aOwnHost.host_, aShared.random_()))
   , nextQuery_(aShared.random_())
 {
   SetHost(std::move(aOwnHost));
@@ -104,6 +84,9 @@
     });
   versionStore_.SetOnRead(
     [this](base::Instant aSentAt) { OnStoreRead(aSentAt); });
+  recordStore_.SetOnRead([this](base::Instant aSentAt, const auto& aRows) {
+    OnStoredRecords(aSentAt, aRows);
+  });
   shared_.metrics_.AddGauge("pumiceturn_stream_records",
                             "Records of where streams began.",
                             {},
@@ -184,6 +167,7 @@
   if (log_) {
     log_->Tick(aNow);
   }
+  StoreUnconfirmed(aNow);
   if (!MustDelayAnswers(aNow)) {
     AnswerDelayed();
   }
@@ -213,47 +197,6 @@
   }
 }
 
-void
-StreamOrigins::PublishAhead(const fleet::StreamOriginTable::Row& aRow,
-                            base::Instant aNow)
-{
-  const double passed =
-    std::chrono::duration<double>(aNow - aheadBudgetAt_).count();
-  aheadBudgetAt_ = aNow;
-  aheadBudget_ =
-    std::min(aheadBudget_ + passed * kAheadPerSecond, kAheadPerSecond);
-  if (aheadBudget_ < 1.0) {
-    return;
-  }
-  for (const std::string& holder : HoldersOf(aRow.id_, fleet::kAheadHolders)) {
-    if (aheadBudget_ >= 1.0) {
-      aheadBudget_ -= 1.0;
-      Send(holder, OriginRows{ { aRow } });
-    }
-  }
-}
-
-void
-StreamOrigins::Publish(std::span<const fleet::StreamOriginTable::Row> aRows)
-{
-  std::map<std::string, OriginRows> byHolder;
-  for (const fleet::StreamOriginTable::Row& row : aRows) {
-    for (const std::string& holder : HoldersOf(row.id_)) {
-      OriginRows& message = byHolder[holder];
-      message.rows_.push_back(row);
-      if (message.rows_.size() == kMaxRows) {
-        Send(holder, message);
-        message.rows_.clear();
-      }
-    }
-  }
-  for (const auto& [holder, message] : byHolder) {
-    if (!message.rows_.empty()) {
-      Send(holder, message);
-    }
-  }
-}
-
 fleet::OriginEvidence
 StreamOrigins::EvidenceOf(const std::string& aId,
                           std::span<const std::string> aServices,
@@ -319,6 +262,9 @@
   if (!health_.IsLost()) {
     pending.inquiry_.AwaitStore();
   }
+  if (IsRecordable(aId) && !health_.IsLost()) {
+    pending.inquiry_.AwaitStoredRecord();
+  }
   if (IsRecordable(aId) && now - startedAt_ < kStartTime) {
     pending.inquiry_.AwaitHolders();
   }
@@ -396,6 +342,9 @@
     End(aQuery, pending.inquiry_.DecideNow());
     return;
   }
+  if (pending.inquiry_.NeedsStoredRecord()) {
+    recordStore_.RequestRead(base::MonotonicNow());
+  }
   if (pending.inquiry_.NeedsRecord() && !pending.id_.empty()) {
     AskAgain(aQuery, pending);
   } else {
@@ -413,10 +362,13 @@
     return;
   }
   const fleet::OriginInquiry& inquiry = found->second.inquiry_;
+  const bool areAllHeard = found->second.missing_.empty();
   if (const auto decision = inquiry.Decide()) {
     End(aQuery, *decision);
   } else if (inquiry.NeedsStore()) {
     versionStore_.RequestRead(base::MonotonicNow());
+  } else if (inquiry.NeedsStoredRecord() && areAllHeard) {
+    recordStore_.RequestRead(base::MonotonicNow());
   }
 }
 
@@ -436,14 +388,36 @@
 
 void
 StreamOrigins::OnStoreRead(base::Instant aSentAt)
+{
+  AdvanceAfterRead(aSentAt, [this](PendingInquiry& aPending) {
+    const auto versions = RecordedVersionsOf(aPending.services_);
+    if (versions) {
+      aPending.inquiry_.AddStoreVersions(*versions);
+    }
+    return versions.has_value();
+  });
+}
+
+void
+StreamOrigins::OnStoredRecords(base::Instant aSentAt,
+                               std::span<const StoredOrigin> aRows)
+{
+  AddStored(aRows);
+  const base::Instant now = base::MonotonicNow();
+  AdvanceAfterRead(aSentAt, [this, now](PendingInquiry& aPending) {
+    aPending.inquiry_.AddStoredRecord(table_.Find(aPending.id_, now));
+    return true;
+  });
+}
+
+void
+StreamOrigins::AdvanceAfterRead(
+  base::Instant aSentAt,
+  const std::function<bool(PendingInquiry&)>& aAdd)
 {
   std::vector<std::uint64_t> served;
   for (auto& [query, pending] : pending_) {
-    if (pending.startedAt_ > aSentAt) {
-      continue;
-    }
-    if (const auto versions = RecordedVersionsOf(pending.services_)) {
-      pending.inquiry_.AddStoreVersions(*versions);
+    if (pending.startedAt_ <= aSentAt && aAdd(pending)) {
       served.push_back(query);
     }
   }
@@ -464,105 +438,4 @@
   pending.handler_(pending.result_);
 }
 
-void
-StreamOrigins::Send(const std::string& aPeer, const OriginMessage& aMessage)
-{
-  peers_.SendOriginMessage(aPeer, EncodeOriginMessage(aMessage));
-}
-
-void
-StreamOrigins::HandleMessage(const std::string& aPeer,
-                             const nlohmann::json& aContent)
-{
-  std::visit([&](const auto& aMessage) { Handle(aPeer, aMessage); },
-             DecodeOriginMessage(aContent));
-}
-
-void
-StreamOrigins::Handle(const std::string& /*aPeer*/, const OriginRows& aMessage)
-{
-  const base::Instant now = base::MonotonicNow();
-  const base::Duration maxLifetime = VersionLifetime();
-  const base::WallTime wallNow = base::WallNow();
-  for (fleet::StreamOriginTable::Row row : aMessage.rows_) {
-    row.lifetime_ = std::min(row.lifetime_, maxLifetime);
-    const bool isRecorded =
-      table_.Record(row, fleet::StreamOriginTable::Source::Peer, now);
-    if (log_ && isRecorded) {
-      const auto lifetime =
-        std::chrono::duration_cast<std::chrono::milliseconds>(row.lifetime_);
-      log_->Add({ row.id_, row.origin_, wallNow + lifetime });
-    }
-  }
-}
-
-void
-StreamOrigins::KeepOnDisk(boost::asio::io_context& aContext,
-                          const std::filesystem::path& aFolder)
-{
-  log_.emplace(
-    aContext, aFolder, [this](const auto& aRows) { OnRecordsRead(aRows); });
-  log_->Start();
-}
-
-void
-StreamOrigins::OnRecordsRead(std::span<const StoredOrigin> aRows)
-{
-  const base::Instant now = base::MonotonicNow();
-  const base::WallTime wallNow = base::WallNow();
-  // The wall clock may have been set back.
-  const base::Duration maxLifetime = VersionLifetime();
-  for (const StoredOrigin& row : aRows) {
-    const base::Duration lifetime =
-      std::min<base::Duration>(row.expiresAt_ - wallNow, maxLifetime);
-    table_.Record({ row.id_, row.origin_, lifetime },
-                  fleet::StreamOriginTable::Source::Peer,
-                  now);
-  }
-  AnswerDelayed();
-}
-
-bool
-StreamOrigins::MustDelayAnswers(base::Instant aNow) const
-{
-  return log_ && !log_->HasBeenRead() && aNow - startedAt_ < kMaxReadTime;
-}
-
-void
-StreamOrigins::AnswerDelayed()
-{
-  for (const auto& [peer, query] : std::exchange(delayedQueries_, {})) {
-    Handle(peer, query);
-  }
-}
-
-void
-StreamOrigins::Handle(const std::string& aPeer, const OriginQuery& aMessage)
-{
-  if (MustDelayAnswers(base::MonotonicNow())) {
-    if (delayedQueries_.size() < kMaxPending) {
-      delayedQueries_.emplace_back(aPeer, aMessage);
-    }
-    return;
-  }
-  Send(aPeer,
-       OriginAnswer{
-         aMessage.query_,
-         EvidenceOf(aMessage.id_, aMessage.services_, base::MonotonicNow()) });
-}
-
-void
-StreamOrigins::Handle(const std::string& aPeer, const OriginAnswer& aMessage)
-{
-  const auto found = pending_.find(aMessage.query_);
-  if (found == pending_.end() || found->second.missing_.erase(aPeer) == 0) {
-    return;
-  }
-  found->second.answered_.insert(aPeer);
-  found->second.inquiry_.Add(aMessage.evidence_);
-  found->second.result_.answers_ +=
-    fmt::format("{}={},", aPeer, Describe(aMessage.evidence_));
-  Advance(aMessage.query_);
-}
-
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -5,11 +5,13 @@
 #include "LibFleet/RecordHolders.h"
 #include "LibFleet/ServiceVersions.h"
 #include "LibFleet/StreamOriginTable.h"
+#include "LibFleet/UnconfirmedOrigins.h"
 #include "LibGateway/PeerMessenger.h"
 #include "LibGateway/ServiceVersionStore.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StreamOriginCodec.h"
 #include "LibGateway/StreamOriginLog.h"
+#include "LibGateway/StreamOriginStore.h"
 #include "LibMetadata/StoreHealth.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -34,6 +36,13 @@
 class StreamOrigins
 {
 public:
+  /// Prefixes of the keys in the store.
+  struct StoreKeys
+  {
+    std::string versions_;
+    std::string records_;
+  };
+
   /// @param aMaxViewAge Time for which the mirror of the endpoints counts as
   ///                    recent.
   StreamOrigins(boost::asio::any_io_executor aExecutor,
@@ -42,7 +51,7 @@
                 const StoreMirrors& aMirrors,
                 metadata::StoreClient& aStore,
                 const metadata::StoreHealth& aHealth,
-                std::string aKeyPrefix,
+                StoreKeys aKeys,
                 fleet::RecordHolder aOwnHost,
                 base::Duration aMaxViewAge);
 
@@ -124,6 +133,8 @@
   void PublishAhead(const fleet::StreamOriginTable::Row& aRow,
                     base::Instant aNow);
   void Publish(std::span<const fleet::StreamOriginTable::Row> aRows);
+  /// Writes the records that no worker confirmed in time to the store.
+  void StoreUnconfirmed(base::Instant aNow);
   void ObserveEndpoints(base::Instant aNow);
   /// @return whether this host knows all versions as of now.
   [[nodiscard]] bool IsViewRecent(base::Duration aViewAge,
@@ -151,12 +162,23 @@
   /// Adds the versions that the store names to the inquiries that began before
   /// the read.
   void OnStoreRead(base::Instant aSentAt);
+  /// Adds the records that the store has to the inquiries that began before the
+  /// read.
+  void OnStoredRecords(base::Instant aSentAt,
+                       std::span<const StoredOrigin> aRows);
+  /// Advances the inquiries that began before a read of the store.
+  /// @param aAdd Adds what was read to one; returns whether that may decide it.
+  void AdvanceAfterRead(base::Instant aSentAt,
+                        const std::function<bool(PendingInquiry&)>& aAdd);
   void End(std::uint64_t aQuery, const fleet::OriginDecision& aDecision);
   void HandleMessage(const std::string& aPeer, const nlohmann::json& aContent);
+  /// Adds records that outlived the processes which made them.
+  void AddStored(std::span<const StoredOrigin> aRows);
   /// Adds the records of the former process, and answers the queries that came
   /// meanwhile.
   void OnRecordsRead(std::span<const StoredOrigin> aRows);
   void Handle(const std::string& aPeer, const OriginRows& aMessage);
+  void Handle(const std::string& aPeer, const OriginConfirmation& aMessage);
   void Handle(const std::string& aPeer, const OriginQuery& aMessage);
   void Handle(const std::string& aPeer, const OriginAnswer& aMessage);
   void Send(const std::string& aPeer, const OriginMessage& aMessage);
@@ -172,6 +194,8 @@
   fleet::ServiceVersions versions_;
   ServiceVersionStore versionStore_;
   fleet::StreamOriginTable table_;
+  fleet::UnconfirmedOrigins unconfirmed_;
+  StreamOriginStore recordStore_;
   std::optional<StreamOriginLog> log_; ///< Only at hosts with a disk.
   /// Queries that came before the records on disk were read.
   std::vector<std::pair<std::string, OriginQuery>> delayedQueries_;
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -75,6 +75,29 @@
   CHECK(VersionIn(inquiry.Decide()) == "v1");
 }
 
+// Guards against refusing a stream whose record only the store has.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_StoreHasTheRecord_StreamGoesOnThere")
+{
+  OriginInquiry inquiry(Unknown({ "v1", "v2" }), true, 1);
+  inquiry.AwaitStoredRecord();
+  inquiry.Add(Unknown({ "v1", "v2" }));
+  CHECK_FALSE(inquiry.Decide());
+  CHECK(inquiry.NeedsStoredRecord());
+  inquiry.AddStoredRecord(Known("v1").record_);
+  CHECK(VersionIn(inquiry.Decide()) == "v1");
+}
+
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_StoreHasNoRecord_IsUnknown")
+{
+  OriginInquiry inquiry(Unknown({ "v1", "v2" }), true, 0);
+  inquiry.AwaitStoredRecord();
+  CHECK_FALSE(inquiry.Decide());
+  inquiry.AddStoredRecord(UnknownOrigin{});
+  CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
+}
+
 // Guards against a host that is cut off and trusts what it knew before.
 TEST_CASE_METHOD(OriginInquiryFixture,
                  "OriginInquiry_OneVersionInOldView_NeedsConfirmation")
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -273,6 +273,36 @@
   }
 }
 
+// Guards against refusing the streams of all callers after all hosts were lost
+// together, if no worker was there when the streams began.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_AllEntryHostsRestartWithoutWorkers_StreamsGoOn")
+{
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  TestHost& first = StartEntry("entry-1");
+  std::vector<std::string> versions;
+  versions.reserve(kRounds);
+  for (int round = 0; round < kRounds; ++round) {
+    versions.push_back(BeginStream(first, fmt::format("r{}", round)));
+  }
+  RunUntil([this] { return DisconnectedCount() == kRounds; });
+  RunUntil([this] {
+    const auto keys = store_.Keys("pumiceturn/streams/");
+    const std::string last = fmt::format("\"r{}\"", kRounds - 1);
+    return !keys.empty() &&
+           store_.Get(keys.front()).find(last) != std::string::npos;
+  });
+  first.gateway_.reset();
+  store_.Remove("pumiceturn/host/entry-1");
+  TestHost& again = StartEntry("entry-1");
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string id = fmt::format("r{}", round);
+    CHECK(Resume(again, id + "-again", id)->body_ ==
+          WholeStream(versions[round], 2));
+  }
+}
+
 // Guards against joining streams that began at a version which no host could
 // learn of any more: its endpoints are gone, as is the host that saw them.
 TEST_CASE_METHOD(VersionsFixture,
