LibGateway: Write records of streams at once, and sync them later

Cause: a worker collected records for 200 ms and then wrote and synced them together, so that a kill of the process lost them though the disk lived on. Records are written as they come, those that arrive during a write together after it, and outlive the process from then on; the sync, which only a power failure needs, stays at five times a second. A failing write and a failing sync are told apart, so that the warning isn't repeated for each of them.

StreamOriginFiles_* pass unchanged.

--- a/Libraries/LibGateway/StreamOriginFiles.cpp
+++ b/Libraries/LibGateway/StreamOriginFiles.cpp
@@ -166,15 +166,43 @@
   }
   BOOST_LEAF_AUTO(file, base::OpenFile(PathOf(current_).string()));
   BOOST_LEAF_CHECK(disk_.write_(*file, aGroup, current.bytes_));
+  current.isSynced_ = false;
+  current.bytes_ += aGroup.size();
+  return {};
+}
+
+base::Result<void>
+StreamOriginFiles::SyncFile(std::size_t aFile)
+{
+  OriginFile& entry = files_[aFile];
+  if (entry.isSynced_) {
+    return {};
+  }
+  BOOST_LEAF_AUTO(file, base::OpenFile(PathOf(aFile).string()));
   BOOST_LEAF_CHECK(disk_.sync_(*file));
-  if (!current.isDurable_) {
+  if (!entry.isDurable_) {
     BOOST_LEAF_CHECK(base::SyncFolder(folder_.string()));
-    current.isDurable_ = true;
+    entry.isDurable_ = true;
   }
-  current.bytes_ += aGroup.size();
+  entry.isSynced_ = true;
   return {};
 }
 
+std::optional<base::Failure>
+StreamOriginFiles::Sync()
+{
+  const auto synced = base::Capture([this]() -> base::Result<void> {
+    for (std::size_t file = 0; file < files_.size(); ++file) {
+      BOOST_LEAF_CHECK(SyncFile(file));
+    }
+    return {};
+  });
+  if (const auto* failure = std::get_if<base::Failure>(&synced)) {
+    return *failure;
+  }
+  return std::nullopt;
+}
+
 std::optional<base::Failure>
 StreamOriginFiles::Append(std::span<const StoredOrigin> aRows,
                           base::WallTime aNow)
--- a/Libraries/LibGateway/StreamOriginFiles.h
+++ b/Libraries/LibGateway/StreamOriginFiles.h
@@ -74,23 +74,29 @@
   /// Reads the rows of both files that haven't expired.
   ReadOutcome ReadAll(base::WallTime aNow);
 
-  /// Appends rows and syncs the file.
+  /// Appends rows. They outlive the process, and a power failure after Sync().
   /// @return why the rows may be lost with the process; empty if they aren't.
   std::optional<base::Failure> Append(std::span<const StoredOrigin> aRows,
                                       base::WallTime aNow);
 
+  /// Syncs what was appended.
+  /// @return why rows may be lost with the machine; empty if none are.
+  std::optional<base::Failure> Sync();
+
 private:
   struct OriginFile
   {
     std::uint64_t bytes_ = 0;
     base::WallTime lastExpiry_{}; ///< Of its rows.
     bool isDurable_ = false;      ///< Its name is synced.
+    bool isSynced_ = true;
   };
 
   [[nodiscard]] std::filesystem::path PathOf(std::size_t aFile) const;
   base::Result<DecodedOrigins> Read(std::size_t aFile);
   base::Result<void> Write(std::string_view aGroup);
   base::Result<void> Rotate();
+  base::Result<void> SyncFile(std::size_t aFile);
 
   std::filesystem::path folder_;
   base::Disk disk_;
--- a/Libraries/LibGateway/StreamOriginLog.cpp
+++ b/Libraries/LibGateway/StreamOriginLog.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Time between two writes. Streams that began within it are lost with the
-/// host's memory.
-constexpr std::chrono::milliseconds kWriteInterval{ 200 };
+/// Time between two syncs. Streams that began within it are lost in a power
+/// failure.
+constexpr std::chrono::milliseconds kSyncInterval{ 200 };
 
 /// A disk whose write takes longer hangs.
 constexpr std::chrono::milliseconds kMaxWriteTime{ 500 };
@@ -47,13 +47,14 @@
               { "error",
                 aOutcome.error_ ? aOutcome.error_->detail_ : std::string() } });
   onRead_(std::move(aOutcome.rows_));
+  WritePending();
 }
 
 bool
 StreamOriginLog::IsKeepingUp(base::Instant aNow) const
 {
   const bool isHanging = isWriting_ && aNow - writtenAt_ > kMaxWriteTime;
-  return hasBeenRead_ && !isFailing_ && !isHanging;
+  return hasBeenRead_ && !areWritesFailing_ && !areSyncsFailing_ && !isHanging;
 }
 
 void
@@ -64,17 +65,17 @@
   } else {
     ++leftOut_;
   }
+  WritePending();
 }
 
 void
-StreamOriginLog::Tick(base::Instant aNow)
+StreamOriginLog::WritePending()
 {
-  if (!hasBeenRead_ || isWriting_ || pending_.empty() ||
-      aNow - writtenAt_ < kWriteInterval) {
+  if (!hasBeenRead_ || isWriting_ || pending_.empty()) {
     return;
   }
   isWriting_ = true;
-  writtenAt_ = aNow;
+  writtenAt_ = base::MonotonicNow();
   auto error = std::make_shared<std::optional<base::Failure>>();
   disk_.Post(
     [this, error, rows = std::exchange(pending_, {})] {
@@ -87,13 +88,38 @@
 StreamOriginLog::OnWritten(const std::optional<base::Failure>& aError)
 {
   isWriting_ = false;
-  if (aError.has_value() == isFailing_) {
+  hasUnsynced_ = true;
+  RecordOutcome(areWritesFailing_, aError);
+  WritePending();
+}
+
+void
+StreamOriginLog::Tick(base::Instant aNow)
+{
+  if (!hasUnsynced_ || isSyncing_ || aNow - syncedAt_ < kSyncInterval) {
     return;
   }
-  isFailing_ = aError.has_value();
-  if (aError) {
+  hasUnsynced_ = false;
+  isSyncing_ = true;
+  syncedAt_ = aNow;
+  auto error = std::make_shared<std::optional<base::Failure>>();
+  disk_.Post([this, error] { *error = files_.Sync(); },
+             lifetime_.Guard([this, error] {
+               isSyncing_ = false;
+               RecordOutcome(areSyncsFailing_, *error);
+             }));
+}
+
+void
+StreamOriginLog::RecordOutcome(bool& aHasFailed,
+                               const std::optional<base::Failure>& aError)
+{
+  const bool wasFailing = areWritesFailing_ || areSyncsFailing_;
+  aHasFailed = aError.has_value();
+  const bool isFailing = areWritesFailing_ || areSyncsFailing_;
+  if (isFailing && !wasFailing) {
     base::Log(kStreamRecordsNotWritten, { { "error", aError->detail_ } });
-  } else {
+  } else if (!isFailing && wasFailing) {
     base::Log(kStreamRecordsWrittenAgain,
               { { "left_out", std::exchange(leftOut_, 0) } });
   }
--- a/Libraries/LibGateway/StreamOriginLog.h
+++ b/Libraries/LibGateway/StreamOriginLog.h
@@ -14,9 +14,10 @@
 namespace pumiceturn::gateway {
 
 /// Writes this host's records of streams to its disk in the background, so that
-/// they are known after all hosts were lost together. Rows that arrived since
-/// the last write are written together a few times a second; the last ones are
-/// lost with the host. Must be used on the event thread.
+/// they are known after all hosts were lost together. Rows are written at once,
+/// those that arrive during a write together afterwards, and outlive the
+/// process; they are synced a few times a second, so that a power failure loses
+/// the last ones. Must be used on the event thread.
 class StreamOriginLog
 {
 public:
@@ -39,20 +40,28 @@
   /// Adds a row. Beyond a limit, rows are kept in memory alone.
   void Add(StoredOrigin aRow);
 
-  /// Writes the rows that were added.
+  /// Syncs the rows that were written.
   void Tick(base::Instant aNow);
 
 private:
   void OnRead(StreamOriginFiles::ReadOutcome& aOutcome);
+  void WritePending();
   void OnWritten(const std::optional<base::Failure>& aError);
+  /// Records whether writes or syncs fail, and logs when that changes.
+  void RecordOutcome(bool& aHasFailed,
+                     const std::optional<base::Failure>& aError);
 
   ReadHandler onRead_;
   std::vector<StoredOrigin> pending_;
   std::uint64_t leftOut_ = 0; ///< Rows beyond the limit.
   base::Instant writtenAt_{};
+  base::Instant syncedAt_{};
+  bool hasUnsynced_ = false;
+  bool isSyncing_ = false;
   bool hasBeenRead_ = false;
   bool isWriting_ = false;
-  bool isFailing_ = false;
+  bool areWritesFailing_ = false;
+  bool areSyncsFailing_ = false;
   /// Used on the disk thread only. Declared before it, so that the thread ends
   /// first.
   StreamOriginFiles files_;
