LibGateway: Store records again after there were too many

A process that had kMaxRows records for the store took no more, and as expired ones were only dropped when it wrote, it never wrote again. Expired records are now dropped when there is no room, and event 7159 says how many were left out.

--- a/Libraries/LibFleet/UnmarkedEnd.cpp
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -23,8 +23,8 @@
 bool
 HasLivedOn(const UnmarkedEnd& aEnd)
 {
-  // The end may be as old as the suspension, which gives no upper bound of its
-  // age, and signs of a restart may not have been read yet.
+  // After a suspension the end may be old, and signs of a restart may not have
+  // been read yet.
   if (aEnd.check_ == EndpointCheck::Unreachable || aEnd.isReplaced_ ||
       HappenedNear(aEnd, aEnd.resumedAt_)) {
     return false;
--- a/Libraries/LibGateway/StreamOriginRecords.cpp
+++ b/Libraries/LibGateway/StreamOriginRecords.cpp
@@ -136,7 +136,7 @@
 {
   const base::WallTime wallNow = base::WallNow();
   for (const auto& row : unconfirmed_.TakeOverdue(aNow)) {
-    recordStore_.Add({ row.id_, row.origin_, ExpiryOf(row, wallNow) });
+    recordStore_.Add({ row.id_, row.origin_, ExpiryOf(row, wallNow) }, wallNow);
   }
   recordStore_.Tick(aNow, wallNow, hosts_.size());
 }
--- a/Libraries/LibGateway/StreamOriginStore.cpp
+++ b/Libraries/LibGateway/StreamOriginStore.cpp
@@ -44,12 +44,25 @@
 }
 
 void
-StreamOriginStore::Add(StoredOrigin aRow)
+StreamOriginStore::Add(StoredOrigin aRow, base::WallTime aNow)
 {
-  if (rows_.size() < kMaxRows) {
-    rows_.push_back(std::move(aRow));
-    hasUnwritten_ = true;
+  if (rows_.size() >= kMaxRows) {
+    Expire(aNow);
   }
+  if (rows_.size() >= kMaxRows) {
+    ++leftOut_;
+    return;
+  }
+  rows_.push_back(std::move(aRow));
+  hasUnwritten_ = true;
+}
+
+void
+StreamOriginStore::Expire(base::WallTime aNow)
+{
+  std::erase_if(rows_, [aNow](const StoredOrigin& aRow) {
+    return aRow.expiresAt_ <= aNow;
+  });
 }
 
 void
@@ -69,10 +82,11 @@
   const base::Duration shared =
     base::Duration(std::chrono::seconds(aHosts)) / kMaxWritesPerSecond;
   nextWriteAt_ = aNow + std::max<base::Duration>(kMinWriteInterval, shared);
+  Expire(aWallNow);
   if (lease_ == 0 || aNow - leaseGrantedAt_ > kLeaseUse) {
     GrantLease(aNow);
   } else {
-    Write(aNow, aWallNow);
+    Write(aNow);
   }
 }
 
@@ -90,16 +104,13 @@
       }
       lease_ = aResponse.lease_;
       leaseGrantedAt_ = aNow;
-      Write(aNow, base::WallNow());
+      Write(aNow);
     }));
 }
 
 void
-StreamOriginStore::Write(base::Instant aNow, base::WallTime aWallNow)
+StreamOriginStore::Write(base::Instant aNow)
 {
-  std::erase_if(rows_, [aWallNow](const StoredOrigin& aRow) {
-    return aRow.expiresAt_ <= aWallNow;
-  });
   isWriting_ = true;
   hasUnwritten_ = false;
   metadata::Transaction transaction;
@@ -111,7 +122,9 @@
       isWriting_ = false;
       const bool isWritten = aResponse.status_ == StoreStatus::Ok;
       base::Log(kStreamRecordsStored,
-                { { "rows", rows }, { "written", isWritten } });
+                { { "rows", rows },
+                  { "left_out", std::exchange(leftOut_, 0) },
+                  { "written", isWritten } });
       if (isWritten) {
         return;
       }
--- a/Libraries/LibGateway/StreamOriginStore.h
+++ b/Libraries/LibGateway/StreamOriginStore.h
@@ -37,8 +37,9 @@
 
   void SetOnRead(ReadHandler aHandler) { onRead_ = std::move(aHandler); }
 
-  /// Adds a record of a stream of this host. Beyond kMaxRows, none is added.
-  void Add(StoredOrigin aRow);
+  /// Adds a record of a stream of this host. Beyond kMaxRows that haven't
+  /// expired, none is added.
+  void Add(StoredOrigin aRow, base::WallTime aNow);
 
   /// Writes the records that were added, and reads if that was requested.
   /// @param aHosts Number of hosts that may write at the same time.
@@ -48,7 +49,8 @@
   void RequestRead(base::Instant aNow);
 
 private:
-  void Write(base::Instant aNow, base::WallTime aWallNow);
+  void Expire(base::WallTime aNow);
+  void Write(base::Instant aNow);
   void GrantLease(base::Instant aNow);
   void Read(base::Instant aNow);
   void ReadAfter(const std::string& aKey, base::Instant aSentAt);
@@ -59,6 +61,7 @@
   ReadHandler onRead_;
   std::vector<StoredOrigin> rows_; ///< Of this process.
   bool hasUnwritten_ = false;
+  std::uint64_t leftOut_ = 0; ///< Rows beyond kMaxRows.
   bool isWriting_ = false;
   base::Instant nextWriteAt_{};
   std::uint64_t lease_ = 0; ///< 0: none.
