--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -16,7 +16,7 @@
 
 LivenessProbe::~LivenessProbe()
 {
-  Cancel();
+  connection_->Cancel();
 }
 
 void
