LibGateway: Log the process that an attempt believes in

Callers saw streams with events of two software versions. The logs couldn't tell whether the endpoint's process was the one that the version was taken from: request_sent had neither its start nor the age of the registration, and nothing noted that a response went on after a later process was registered.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -69,6 +69,7 @@
     endpoint.drainingSince_ = aNow;
   }
   endpoint.record_ = aRecord;
+  endpoint.registrationReadAt_ = aNow;
   endpoint.isUnreadable_ = false;
   endpoint.removalDueAt_.reset();
   return outcome;
@@ -515,6 +516,17 @@
     });
 }
 
+std::optional<std::int64_t>
+EndpointTable::LaterProcessOf(const EndpointIncarnation& aEndpoint) const
+{
+  const auto found = endpoints_.find(aEndpoint.id_);
+  const bool isLater =
+    found != endpoints_.end() &&
+    found->second.record_.startedAtMs_ > aEndpoint.startedAtMs_;
+  return isLater ? std::optional(found->second.record_.startedAtMs_)
+                 : std::nullopt;
+}
+
 bool
 EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -71,6 +71,8 @@
   bool hasSlot_ = false;
   /// Speed of the endpoint now, relative to its service's usual one.
   double speed_ = 1.0;
+  /// When the endpoint's registration was last read.
+  base::Instant registrationReadAt_{};
   /// Peer whose batch attempt is preempted; empty: this host.
   std::string preemptedPeer_;
 };
@@ -362,6 +364,11 @@
   ///         under its id, or at its address.
   [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
 
+  /// @return the start of the later process that is registered under an
+  ///         endpoint's id, as Unix time in milliseconds; empty if none is.
+  [[nodiscard]] std::optional<std::int64_t> LaterProcessOf(
+    const EndpointIncarnation& aEndpoint) const;
+
   /// @return how many endpoints of a service are silent, and how many send
   ///         events of this host's attempts.
   [[nodiscard]] ServiceActivity ActivityOf(std::string_view aService,
@@ -404,6 +411,7 @@
     /// When it began to drain; empty if that isn't known.
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
+    base::Instant registrationReadAt_; ///< When its registration was last read.
     std::optional<base::Instant> lostConnectionAt_;
     base::Instant lastActivityAt_;
     std::uint32_t streaming_ = 0; ///< This host's streams that send events.
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -317,6 +317,7 @@
   choice.candidates_ = candidates;
   choice.hasSlot_ = true;
   choice.speed_ = SpeedOf(*best.endpoint_, aNow);
+  choice.registrationReadAt_ = best.endpoint_->registrationReadAt_;
   return choice;
 }
 
@@ -407,6 +408,7 @@
   choice.inFlight_ = best.counts_.Total();
   choice.hasSlot_ = choice.preemptsBatch_ || HasFreeSlot(best, aNow);
   choice.speed_ = SpeedOf(*best.endpoint_, aNow);
+  choice.registrationReadAt_ = best.endpoint_->registrationReadAt_;
   return choice;
 }
 
--- a/Libraries/LibGateway/BatchWorkerStarts.cpp
+++ b/Libraries/LibGateway/BatchWorkerStarts.cpp
@@ -207,17 +207,20 @@
 {
   const std::size_t item = aCandidate.item_;
   const batch::BatchItem& content = (*aJob.items_)[item];
-  base::Log(kRequestSent,
-            { { "request", content.id_ },
-              { "lot", aCandidate.job_ },
-              { "endpoint", aChoice.endpoint_.id_ },
-              { "running", aChoice.inFlight_ },
-              { "candidates", aChoice.candidates_ },
-              { "software", aChoice.endpoint_.softwareVersion_ },
-              { "after_event", aRunning.schedule_.ProgressOf(item).lastEvent_ },
-              { "due_ms", base::ToMs(aCandidate.urgency_.dueAt_ - aNow) },
-              { "run_ms", base::ToMs(aCandidate.urgency_.remaining_) },
-              { "version", shared_.routes_.Version() } });
+  base::Log(
+    kRequestSent,
+    { { "request", content.id_ },
+      { "lot", aCandidate.job_ },
+      { "endpoint", aChoice.endpoint_.id_ },
+      { "running", aChoice.inFlight_ },
+      { "candidates", aChoice.candidates_ },
+      { "software", aChoice.endpoint_.softwareVersion_ },
+      { "born_ms", aChoice.endpoint_.startedAtMs_ },
+      { "registration_age_ms", base::ToMs(aNow - aChoice.registrationReadAt_) },
+      { "after_event", aRunning.schedule_.ProgressOf(item).lastEvent_ },
+      { "due_ms", base::ToMs(aCandidate.urgency_.dueAt_ - aNow) },
+      { "run_ms", base::ToMs(aCandidate.urgency_.remaining_) },
+      { "version", shared_.routes_.Version() } });
   auto attempt = std::make_shared<ItemAttempt>(
     shared_,
     [this](ItemAttempt& aAttempt, batch::ItemAttemptOutcome aOutcome) {
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -193,12 +193,34 @@
   const base::Instant now = base::MonotonicNow();
   RecordActivity(now);
   RecordEvent(now);
+  ReportLaterProcess();
   SetStreaming(isEventStream_ && !pausedAt_);
   if (observer_ != nullptr) {
     observer_->OnBody(aBytes);
   }
 }
 
+void
+EndpointAttempt::ReportLaterProcess()
+{
+  const auto later = shared_.endpoints_.LaterProcessOf(endpoint_.Incarnation());
+  if (!later || std::exchange(isLaterProcessReported_, true)) {
+    return;
+  }
+  base::Log(kLaterProcessRegistered,
+            { { "endpoint", endpoint_.id_ },
+              { "born_ms", endpoint_.startedAtMs_ },
+              { "later_born_ms", *later },
+              { "software", endpoint_.softwareVersion_ },
+              { "ran_ms", base::ToMs(base::MonotonicNow() - startedAt_) },
+              { "connection_age_ms", base::ToMs(connection_->Age()) } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_responses_of_other_process_total",
+                "Responses that went on after a later process was registered "
+                "under their endpoint's id.")
+    .Add();
+}
+
 void
 EndpointAttempt::RecordActivity(base::Instant aNow)
 {
@@ -259,6 +281,9 @@
 EndpointAttempt::OnEnd(httpstream::CallOutcome aOutcome)
 {
   const auto self = shared_from_this();
+  if (connection_) {
+    connectionAge_ = connection_->Age();
+  }
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
   if (aOutcome == httpstream::CallOutcome::Broken ||
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -58,6 +58,9 @@
   ///         read.
   [[nodiscard]] httpstream::ResponseFraming Framing() const { return framing_; }
 
+  /// @return how old the connection was when the response ended.
+  [[nodiscard]] base::Duration ConnectionAge() const { return connectionAge_; }
+
   void OnHead(const httpstream::ResponseHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
   httpstream::SilenceDecision OnSilence(
@@ -77,6 +80,9 @@
   void RecordOutcome(httpstream::CallOutcome aOutcome);
   /// Records bytes of the response, also as the end of a silence.
   void RecordActivity(base::Instant aNow);
+  /// Reports bytes that arrive while a later process is registered under the
+  /// endpoint's id, once.
+  void ReportLaterProcess();
   /// Reports the time since the last event of a stream.
   void RecordEvent(base::Instant aNow);
 
@@ -102,6 +108,8 @@
   /// That counts as a failure of the endpoint.
   bool isSilenceFailure_ = false;
   bool isEventStream_ = false;
+  bool isLaterProcessReported_ = false;
+  base::Duration connectionAge_{ 0 };
   httpstream::ResponseFraming framing_ = httpstream::ResponseFraming::Length;
 };
 
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -386,6 +386,13 @@
   base::LogLevel::Warning,
   "An entry with records of streams in the store can't be read."
 };
+inline constexpr base::Event kLaterProcessRegistered{
+  7162,
+  "later_process_registered",
+  base::LogLevel::Warning,
+  "A response goes on although a later process is registered under the id of "
+  "its endpoint: that process sent it, with its own software version."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -252,19 +252,23 @@
   isFromOtherEndpoint_ = false;
   progress_.Reset();
   stream_.BeginAttempt(aChoice.endpoint_);
-  base::Log(kRequestSent,
-            { { "request", call_.requestId_ },
-              { "route", route_.name_ },
-              { "endpoint", aChoice.endpoint_.id_ },
-              { "running", aChoice.inFlight_ },
-              { "candidates", aChoice.candidates_ },
-              { "preempts", aChoice.preemptsBatch_ },
-              { "attempt", triedEndpoints_.size() + 1 },
-              { "software", aChoice.endpoint_.softwareVersion_ },
-              { "after_event", stream_.LastEvent() },
-              { "resumes", LoggedResumedId() },
-              { "version", shared_.routes_.Version() },
-              { "left_ms", base::ToMs(TimeLeft()) } });
+  base::Log(
+    kRequestSent,
+    { { "request", call_.requestId_ },
+      { "route", route_.name_ },
+      { "endpoint", aChoice.endpoint_.id_ },
+      { "running", aChoice.inFlight_ },
+      { "candidates", aChoice.candidates_ },
+      { "preempts", aChoice.preemptsBatch_ },
+      { "attempt", triedEndpoints_.size() + 1 },
+      { "software", aChoice.endpoint_.softwareVersion_ },
+      { "born_ms", aChoice.endpoint_.startedAtMs_ },
+      { "registration_age_ms",
+        base::ToMs(base::MonotonicNow() - aChoice.registrationReadAt_) },
+      { "after_event", stream_.LastEvent() },
+      { "resumes", LoggedResumedId() },
+      { "version", shared_.routes_.Version() },
+      { "left_ms", base::ToMs(TimeLeft()) } });
   ForwardOptions options;
   options.endpoint_ = aChoice.endpoint_.id_;
   options.callerTimeout_ = TimeLeft();
--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -105,6 +105,7 @@
       self->timer_.cancel();
       const auto ready = std::exchange(self->onConnected_, nullptr);
       if (!aError) {
+        self->connectedAt_ = base::MonotonicNow();
         TuneSocket(self->socket_);
       } else {
         self->Cancel();
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -152,6 +152,12 @@
   ///         read.
   [[nodiscard]] ResponseFraming Framing() const { return framing_; }
 
+  /// @return how long ago the connection was established.
+  [[nodiscard]] base::Duration Age() const
+  {
+    return base::MonotonicNow() - connectedAt_;
+  }
+
   /// @return until when the idle connection may be reused, derived from the
   /// server's keep-alive limit.
   [[nodiscard]] base::Instant UsableUntil() const { return usableUntil_; }
@@ -186,6 +192,7 @@
   Call call_;
   CallObserver* observer_ = nullptr;
   std::function<void(bool)> onConnected_;
+  base::Instant connectedAt_;
   base::Instant usableUntil_;
   base::Instant lastByteAt_; ///< Of the response; before it, the call's start.
   /// First byte of the response being read, which may be a stale one.
