Tests: Restart endpoints under their id with other software

Callers saw streams, and items' outputs, with events of two software versions after a server had started again under its id with other software, before its registration said so. No test played that: the soak of ORDER restarts servers with the software that they had, and the servers of the gateway's tests don't restart.

The soak of ORDER gets a second test in which half of the servers that start again have other software and registrations are up to 1.5 s late.

Two soaks of ORDER with one seed draw the same addresses, and didn't notice: a run now reserves its network and fails if another one has it.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -41,7 +41,7 @@
 
 namespace {
 
-constexpr std::size_t kArguments = 6;
+constexpr std::size_t kArguments = 7;
 constexpr int kExitUsage = 2;
 constexpr std::string_view kHealthPath = "/health";
 
@@ -58,6 +58,7 @@
   std::string version_;
   unsigned seed_ = 0;
   int slots_ = 0;
+  std::int64_t startedAtMs_ = 0;
 };
 
 std::optional<ServerOptions>
@@ -69,10 +70,12 @@
   const auto address = gateway::ParseAddress(aArguments[1]);
   const auto seed = base::ParseNumber<unsigned>(aArguments[4]);
   const auto slots = base::ParseNumber<int>(aArguments[5]);
-  if (!address || !seed || !slots) {
+  const auto startedAtMs = base::ParseNumber<std::int64_t>(aArguments[6]);
+  if (!address || !seed || !slots || !startedAtMs) {
     return std::nullopt;
   }
-  return ServerOptions{ *address, aArguments[2], aArguments[3], *seed, *slots };
+  return ServerOptions{ *address, aArguments[2], aArguments[3],
+                        *seed,    *slots,        *startedAtMs };
 }
 
 enum class Framing : std::uint8_t
@@ -178,6 +181,15 @@
       Write(aSocket, Head(aRequest, "200 OK") + "Content-Length: 0\r\n\r\n");
       return true;
     }
+    if (httpstream::TargetOf(aRequest) == kReportPath) {
+      const std::string report =
+        fmt::format("{{\"born\":{}}}", options_.startedAtMs_);
+      Write(
+        aSocket,
+        Head(aRequest, "200 OK") +
+          fmt::format("Content-Length: {}\r\n\r\n{}", report.size(), report));
+      return true;
+    }
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
     const bool isMisdirected = !target.empty() && target != options_.id_;
     if (isMisdirected || running_ >= options_.slots_) {
@@ -276,7 +288,7 @@
 {
   auto options = ParseOptions(aArguments);
   if (!options) {
-    std::cerr << "usage: order-server IP:PORT ID VERSION SEED SLOTS\n";
+    std::cerr << "usage: order-server IP:PORT ID VERSION SEED SLOTS START_MS\n";
     return kExitUsage;
   }
   asio::io_context context;
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view kHealthAnswer =
   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view kReport =
+  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}";
 
 constexpr std::chrono::milliseconds kTimeToClose{ 300 };
 
@@ -68,7 +70,11 @@
         return;
       }
       if (aConnection->input_.starts_with("GET /health ")) {
-        AnswerHealth(aConnection);
+        AnswerProbe(aConnection, kHealthAnswer);
+        return;
+      }
+      if (aConnection->input_.starts_with("GET /api/report ")) {
+        AnswerProbe(aConnection, kReport);
         return;
       }
       requests_.push_back(aConnection->input_);
@@ -77,12 +83,18 @@
 }
 
 void
-RawServer::AnswerHealth(const std::shared_ptr<Connection>& aConnection)
+RawServer::AnswerProbe(const std::shared_ptr<Connection>& aConnection,
+                       std::string_view aAnswer)
 {
+  aConnection->input_.clear();
   asio::async_write(
     aConnection->socket_,
-    asio::buffer(kHealthAnswer),
-    [aConnection](const boost::system::error_code& /*aError*/, std::size_t) {});
+    asio::buffer(aAnswer),
+    [this, aConnection](const boost::system::error_code& aError, std::size_t) {
+      if (!aError) {
+        Read(aConnection);
+      }
+    });
 }
 
 void
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pumiceturn::adapter {
@@ -33,7 +34,7 @@
 
   [[nodiscard]] std::string Address() const;
 
-  /// @return the heads of all requests but those for its health.
+  /// @return the heads of all requests but those for its health and report.
   [[nodiscard]] const std::vector<std::string>& Requests() const
   {
     return requests_;
@@ -49,7 +50,9 @@
   void Accept();
   void Read(const std::shared_ptr<Connection>& aConnection);
   void Answer(const std::shared_ptr<Connection>& aConnection);
-  void AnswerHealth(const std::shared_ptr<Connection>& aConnection);
+  /// Answers a request for the server's health or report.
+  void AnswerProbe(const std::shared_ptr<Connection>& aConnection,
+                   std::string_view aAnswer);
   void EndProcess();
 
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Base64.h"
 #include "Tests/Platform/TestRoute.h"
 
+#include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -101,14 +102,17 @@
                    { "state", aState },
                    { "coldLeftMs", 0 },
                    { "seq", 1 },
-                   { "born", aServer.born_ } }
+                   { "born", aServer.startedAtMs_ } }
                .dump());
 }
 
 void
 OrderSoakFixture::StartServer(Server& aServer)
 {
-  ++aServer.born_;
+  const auto now = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  aServer.startedAtMs_ =
+    std::max<std::int64_t>(aServer.startedAtMs_ + 1, now.count());
   aServer.process_ =
     std::make_unique<ChildProcess>(LogFolder() / (aServer.id_ + ".log"));
   aServer.process_->Start({ PUMICETURN_ORDER_SERVER,
@@ -116,15 +120,28 @@
                             aServer.id_,
                             aServer.version_,
                             fmt::format("{}", random_() % 1000000),
-                            fmt::format("{}", kSlots) },
+                            fmt::format("{}", kSlots),
+                            fmt::format("{}", aServer.startedAtMs_) },
                           {});
   aServer.isReady_ = true;
   // An entry may be written late.
-  RunAfter(Draw(0, 300), [this, id = aServer.id_] {
-    if (const Server* server = FindServer(id)) {
-      Register(*server, server->isReady_ ? "ready" : "draining");
-    }
-  });
+  RunAfter(Draw(0, static_cast<int>(options_.maxRegistrationDelay_.count())),
+           [this, id = aServer.id_, startedAtMs = aServer.startedAtMs_] {
+             const Server* server = FindServer(id);
+             if (server != nullptr && server->startedAtMs_ == startedAtMs) {
+               Register(*server, server->isReady_ ? "ready" : "draining");
+             }
+           });
+}
+
+void
+OrderSoakFixture::ChangeSoftware(Server& aServer)
+{
+  ++counts_.softwareChanges_;
+  // One of those that serve, or a new one.
+  const int version = static_cast<int>(Draw(1, version_ + 1).count());
+  version_ = std::max(version_, version);
+  aServer.version_ = VersionName(version);
 }
 
 void
@@ -166,6 +183,9 @@
   aServer.isReady_ = false;
   RunAfter(Draw(100, 2000), [this, id = aServer.id_] {
     if (Server* server = FindServer(id)) {
+      if (options_.changesSoftware_ && DrawOneIn(2)) {
+        ChangeSoftware(*server);
+      }
       StartServer(*server);
     }
   });
@@ -482,11 +502,27 @@
 }
 
 void
-OrderSoakFixture::Run(std::uint64_t aSeed, std::chrono::seconds aTime)
+OrderSoakFixture::ReserveNetwork()
 {
-  random_.seed(aSeed);
+  constexpr boost::asio::ip::port_type kReservedPort = 9001;
   network_ =
     fmt::format("127.{}.{}", Draw(20, 219).count(), Draw(1, 250).count());
+  INFO("another run uses " << network_);
+  REQUIRE_NOTHROW(reservation_.emplace(
+    context_,
+    boost::asio::ip::tcp::endpoint(
+      boost::asio::ip::make_address(network_ + ".1"), kReservedPort),
+    false));
+}
+
+void
+OrderSoakFixture::Run(std::uint64_t aSeed,
+                      std::chrono::seconds aTime,
+                      const RunOptions& aOptions)
+{
+  random_.seed(aSeed);
+  options_ = aOptions;
+  ReserveNetwork();
   WriteConfiguration();
   for (std::size_t server = 0; server < kServers; ++server) {
     AddServer(VersionName(version_));
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -3,12 +3,14 @@
 #include "Tests/PlatformSoak/FleetSoakFixture.h"
 #include "Tests/PlatformSoak/OrderStream.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json_fwd.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,8 +27,18 @@
   OrderSoakFixture();
   ~OrderSoakFixture();
 
+  struct RunOptions
+  {
+    /// Half of the servers that start again have another software version.
+    bool changesSoftware_ = false;
+    /// How late the registration of a server that has started may be written.
+    std::chrono::milliseconds maxRegistrationDelay_{ 300 };
+  };
+
   /// Starts the hosts and applies load and faults for aTime.
-  void Run(std::uint64_t aSeed, std::chrono::seconds aTime);
+  void Run(std::uint64_t aSeed,
+           std::chrono::seconds aTime,
+           const RunOptions& aOptions);
 
   struct RunCounts
   {
@@ -42,6 +54,7 @@
     int items_ = 0;
     int faults_ = 0;
     int serversKilled_ = 0;
+    int softwareChanges_ = 0; ///< Of servers that started again.
     int releases_ = 0;
     std::map<OrderFault, int> orderFaults_{};
   };
@@ -53,8 +66,8 @@
     std::string id_;
     std::string version_;
     std::string address_;
-    int born_ = 0;
-    bool isReady_ = true; ///< Registered as ready, and running.
+    std::int64_t startedAtMs_ = 0; ///< Unix time; later at each start.
+    bool isReady_ = true;          ///< Registered as ready, and running.
     std::unique_ptr<ChildProcess> process_;
   };
   struct Caller
@@ -80,12 +93,17 @@
     Clock::time_point nextCallAt_{};
   };
 
+  /// Fails if another run uses the same addresses, which is the case for one
+  /// with the same seed.
+  void ReserveNetwork();
   void WriteConfiguration();
   void AddServer(const std::string& aVersion);
   void StartServer(Server& aServer);
   void Register(const Server& aServer, std::string_view aState);
   /// Kills a server; another process takes over its id and address later.
   void KillServer(Server& aServer);
+  /// Gives a server that isn't running another software version.
+  void ChangeSoftware(Server& aServer);
   /// Removes a server for good.
   void EndServer(const std::string& aId);
   void BeginRelease();
@@ -112,7 +130,9 @@
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<Job>> jobs_;
   RunCounts counts_;
+  RunOptions options_;
   std::string network_;
+  std::optional<boost::asio::ip::tcp::acceptor> reservation_;
   int version_ = 1;
   int nextServer_ = 0;
   int nextTry_ = 0;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -5,43 +5,61 @@
 
 namespace pumiceturn::adapter {
 
+/// Runs the soak with the seed and time of the environment, and checks it.
+class OrderSoakRun : protected OrderSoakFixture
+{
+protected:
+  void RunAndCheck(const RunOptions& aOptions)
+  {
+    const SoakRun run = ReadSoakRun(15);
+    INFO("seed " << run.seed_);
+    Run(run.seed_, run.time_, aOptions);
+    const RunCounts& counts = Counts();
+    std::cout << fmt::format(
+      "seed {}: {} streams, {} begun, {} whole; {} resumptions, {} went on; "
+      "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
+      "{} of them changed their software, {} releases, {} restarts\n",
+      run.seed_,
+      counts.streams_,
+      counts.begun_,
+      counts.whole_,
+      counts.resumptions_,
+      counts.goneOn_,
+      counts.owed_,
+      counts.owedGoneOn_,
+      counts.items_,
+      counts.faults_,
+      counts.serversKilled_,
+      counts.softwareChanges_,
+      counts.releases_,
+      restarts_);
+    for (const auto& [fault, count] : counts.orderFaults_) {
+      std::cout << fmt::format(
+        "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
+    }
+    PrintViolations(run.seed_);
+    CHECK(Violations().empty());
+    CHECK(counts.whole_ > 0);
+    CHECK(counts.items_ > 0);
+    CHECK(counts.serversKilled_ > 0);
+  }
+};
+
 // Guards against streams and items' outputs with events that are missing, come
 // twice or are of another version or request, and against those that look
 // complete too early, while server processes and hosts fail.
 // Meta/soak_platform.sh runs more seeds.
-TEST_CASE_METHOD(OrderSoakFixture,
-                 "OrderSoak_ServersAndHostsFail_StreamsStayWhole")
+TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_ServersAndHostsFail_StreamsStayWhole")
 {
-  const SoakRun run = ReadSoakRun(15);
-  INFO("seed " << run.seed_);
-  Run(run.seed_, run.time_);
-  const RunCounts& counts = Counts();
-  std::cout << fmt::format(
-    "seed {}: {} streams, {} begun, {} whole; {} resumptions, {} went on; {} "
-    "owed, {} of them went on; {} items; {} faults, {} servers killed, {} "
-    "releases, {} restarts\n",
-    run.seed_,
-    counts.streams_,
-    counts.begun_,
-    counts.whole_,
-    counts.resumptions_,
-    counts.goneOn_,
-    counts.owed_,
-    counts.owedGoneOn_,
-    counts.items_,
-    counts.faults_,
-    counts.serversKilled_,
-    counts.releases_,
-    restarts_);
-  for (const auto& [fault, count] : counts.orderFaults_) {
-    std::cout << fmt::format(
-      "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
-  }
-  PrintViolations(run.seed_);
-  CHECK(Violations().empty());
-  CHECK(counts.whole_ > 0);
-  CHECK(counts.items_ > 0);
-  CHECK(counts.serversKilled_ > 0);
+  RunAndCheck({});
+}
+
+// Guards against the same while servers start again under their id with other
+// software, before their registrations say so.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersChangeSoftware_StreamsStayWhole")
+{
+  RunAndCheck({ true, std::chrono::milliseconds(1500) });
 }
 
 } // namespace pumiceturn::adapter
