LibGateway: Send what depends on the version only to the registered process

Callers saw streams, and items' outputs, with events of two software versions: within one response, and over a caller's tries.

Cause: an endpoint's id was taken for its process. The version of a stream is that of the registration by which its endpoint was chosen, and the only check of the response was the endpoint's id. A server that starts again under its id with other software has that id, too, and its registration follows up to seconds later. Until then rests were asked for at another version, and streams that began at the next process were recorded under the former one.

Ruled out: comparing a server's start with a stream's begin when its registration arrives (needs clocks that agree), taking lost connections for a restart (costs capacity at each reset, and a host without a connection notices nothing), and asking at rests alone (leaves wrong records).

A connection belongs to one process. So an attempt whose response depends on the version asks the endpoint's report for the start of its process on the connection first, unless an earlier answer holds for it: one that was asked for after the connection was opened, or up to 50 ms before, as no process starts again so soon. An endpoint that names another start gets no such requests for 1 s or until its next registration, and keeps all others. Nothing waits for a registration.

The time limits in a request count from when it is sent, so it is made once its connection is ready.

The stand-in of PromptPart_* named another start in its registration than in its report; it names one now.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/EndpointTable.h"
 
 #include "LibFleet/CellMap.h"
+#include "LibFleet/UnmarkedEnd.h"
 
 #include <algorithm>
 #include <cmath>
@@ -28,6 +29,19 @@
 /// longer than late heartbeats take (seconds).
 constexpr std::chrono::minutes kReplacedRetention{ 10 };
 
+/// @return the endpoint, or nullptr unless the given process is its current
+///         one.
+template<typename Endpoints>
+auto*
+FindProcess(Endpoints& aEndpoints, const EndpointIncarnation& aEndpoint)
+{
+  const auto found = aEndpoints.find(aEndpoint.id_);
+  const bool isCurrent =
+    found != aEndpoints.end() &&
+    found->second.record_.startedAtMs_ == aEndpoint.startedAtMs_;
+  return isCurrent ? &found->second : nullptr;
+}
+
 } // namespace
 
 EndpointTable::EndpointTable(std::string aFailureDomain, Limits aLimits)
@@ -95,11 +109,13 @@
 EndpointTable::Endpoint*
 EndpointTable::Find(const EndpointIncarnation& aEndpoint)
 {
-  const auto found = endpoints_.find(aEndpoint.id_);
-  const bool isCurrent =
-    found != endpoints_.end() &&
-    found->second.record_.startedAtMs_ == aEndpoint.startedAtMs_;
-  return isCurrent ? &found->second : nullptr;
+  return FindProcess(endpoints_, aEndpoint);
+}
+
+const EndpointTable::Endpoint*
+EndpointTable::Find(const EndpointIncarnation& aEndpoint) const
+{
+  return FindProcess(endpoints_, aEndpoint);
 }
 
 void
@@ -290,11 +306,56 @@
 std::optional<base::Instant>
 EndpointTable::LostConnectionAt(const EndpointIncarnation& aEndpoint) const
 {
-  const auto found = endpoints_.find(aEndpoint.id_);
-  const bool isCurrent =
-    found != endpoints_.end() &&
-    found->second.record_.startedAtMs_ == aEndpoint.startedAtMs_;
-  return isCurrent ? found->second.lostConnectionAt_ : std::nullopt;
+  const Endpoint* endpoint = Find(aEndpoint);
+  return endpoint != nullptr ? endpoint->lostConnectionAt_ : std::nullopt;
+}
+
+void
+EndpointTable::RecordProcess(const EndpointIncarnation& aEndpoint,
+                             base::Instant aAskedAt)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->processAskedAt_ = aAskedAt;
+    endpoint->otherProcessAt_.reset();
+  }
+}
+
+void
+EndpointTable::RecordOtherProcess(const EndpointIncarnation& aEndpoint,
+                                  base::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->processAskedAt_.reset();
+    endpoint->otherProcessAt_ = aNow;
+  }
+}
+
+void
+EndpointTable::RecordProcessUntold(const EndpointIncarnation& aEndpoint,
+                                   base::Instant aNow)
+{
+  if (Endpoint* endpoint = Find(aEndpoint)) {
+    endpoint->processUntoldAt_ = aNow;
+  }
+}
+
+bool
+EndpointTable::LeadsToProcess(const EndpointIncarnation& aEndpoint,
+                              base::Instant aConnectedAt,
+                              base::Instant aNow) const
+{
+  if (aEndpoint.startedAtMs_ == 0) {
+    // Each start of such an endpoint has another id.
+    return true;
+  }
+  const Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  const auto& untoldAt = endpoint->processUntoldAt_;
+  const auto& askedAt = endpoint->processAskedAt_;
+  return (untoldAt && aNow - *untoldAt < limits_.untoldRetention_) ||
+         (askedAt && aConnectedAt <= *askedAt + kMinRestartTime);
 }
 
 void
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -117,6 +117,9 @@
   std::optional<std::string_view> softwareVersion_ = std::nullopt;
   /// Software versions that the endpoint may have; nullptr: any.
   const ServiceVersions::Versions* allowedVersions_ = nullptr;
+  /// The response depends on the software version, so the endpoint's process
+  /// must be the registered one. Batch always needs that.
+  bool needsProcess_ = false;
   Evidence evidence_ = Evidence::None;
   /// Requests with the same key go to the same endpoint of the whole fleet, as
   /// far as one has a free slot, without a message between their hosts.
@@ -183,6 +186,14 @@
     /// accept requests, as this host may learn late that it drains.
     base::Duration drainingUse_{ std::chrono::milliseconds{ 800 } };
 
+    /// How long an endpoint whose process isn't the registered one isn't chosen
+    /// where that matters. Its next registration ends that.
+    base::Duration otherProcessRetention_{ std::chrono::milliseconds{ 1000 } };
+
+    /// How long an endpoint that doesn't say which process it is isn't asked
+    /// again.
+    base::Duration untoldRetention_{ std::chrono::seconds{ 10 } };
+
     /// Time without a byte after which an endpoint with streams that send
     /// events counts as silent. Events follow each other within milliseconds.
     base::Duration silenceThreshold_{ std::chrono::milliseconds{ 300 } };
@@ -285,6 +296,27 @@
   /// it. The id is accepted again only from a process with a later start time.
   void RecordReplaced(const EndpointIncarnation& aEndpoint, base::Instant aNow);
 
+  /// Records that an endpoint said that its process is the registered one.
+  /// @param aAskedAt When it was asked.
+  void RecordProcess(const EndpointIncarnation& aEndpoint,
+                     base::Instant aAskedAt);
+
+  /// Records that an endpoint said that its process isn't the registered one.
+  void RecordOtherProcess(const EndpointIncarnation& aEndpoint,
+                          base::Instant aNow);
+
+  /// Records that an endpoint doesn't say which process it is.
+  void RecordProcessUntold(const EndpointIncarnation& aEndpoint,
+                           base::Instant aNow);
+
+  /// @return whether a connection leads to the registered process, as far as
+  ///         that can be known. One that is older than the process's last word
+  ///         does: it would have ended with an earlier process.
+  /// @param aConnectedAt When the connection was established.
+  [[nodiscard]] bool LeadsToProcess(const EndpointIncarnation& aEndpoint,
+                                    base::Instant aConnectedAt,
+                                    base::Instant aNow) const;
+
   /// @return whether the endpoint's process is known to have been running after
   ///         aMoment: bytes of an attempt that began before aMoment arrived
   ///         after it, or the same process is still registered more than
@@ -413,6 +445,11 @@
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant registrationReadAt_; ///< When its registration was last read.
     std::optional<base::Instant> lostConnectionAt_;
+    /// When the process that said last that it is the registered one was asked.
+    std::optional<base::Instant> processAskedAt_;
+    std::optional<base::Instant> otherProcessAt_; ///< Said not to be it.
+    std::optional<base::Instant>
+      processUntoldAt_; ///< Answered without a start.
     base::Instant lastActivityAt_;
     std::uint32_t streaming_ = 0; ///< This host's streams that send events.
     base::Instant streamingSince_;
@@ -449,6 +486,8 @@
   /// @return the endpoint, or nullptr unless the given process is its
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
+  [[nodiscard]] const Endpoint* Find(
+    const EndpointIncarnation& aEndpoint) const;
 
   [[nodiscard]] bool IsSilent(const Endpoint& aEndpoint,
                               base::Instant aNow) const;
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -181,7 +181,13 @@
       aEndpoint.isUnreadable_ || isExcluded) {
     return false;
   }
-  if (!HasEvidence(aEndpoint, aRequest.evidence_, aNow)) {
+  const bool needsProcess =
+    aRequest.needsProcess_ || aRequest.work_ == WorkClass::Batch;
+  const bool isOtherProcess =
+    aEndpoint.otherProcessAt_ &&
+    aNow - *aEndpoint.otherProcessAt_ < limits_.otherProcessRetention_;
+  if ((needsProcess && isOtherProcess) ||
+      !HasEvidence(aEndpoint, aRequest.evidence_, aNow)) {
     return false;
   }
   if (aRequest.work_ == WorkClass::Online) {
--- a/Libraries/LibFleet/UnmarkedEnd.cpp
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-/// No process starts again within this time after its end.
-constexpr std::chrono::milliseconds kMinRestartTime{ 50 };
-
 /// A process loses its connections within this time, on a busy machine too.
 constexpr std::chrono::seconds kMaxTimeToEnd{ 1 };
 
--- a/Libraries/LibFleet/UnmarkedEnd.h
+++ b/Libraries/LibFleet/UnmarkedEnd.h
@@ -2,11 +2,15 @@
 
 #include "LibBase/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
 namespace pumiceturn::fleet {
 
+/// No process starts again within this time after its end.
+inline constexpr std::chrono::milliseconds kMinRestartTime{ 50 };
+
 /// What a check of an endpoint found after the connection of a response ended.
 enum class EndpointCheck : std::uint8_t
 {
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -114,6 +114,15 @@
     std::string_view aPath,
     std::string_view aAddress) const = 0;
 
+  /// @return a request for an endpoint's report on itself.
+  [[nodiscard]] virtual httpstream::Request MakeReportRequest(
+    std::string_view aAddress) const = 0;
+
+  /// @return when the process started that wrote a report, as Unix time in
+  ///         milliseconds; empty if the report doesn't say.
+  [[nodiscard]] virtual std::optional<std::int64_t> ReadProcessStart(
+    std::string_view aReport) const = 0;
+
   /// @return hashes of the parts of an item's prompt, as in CallerFields.
   [[nodiscard]] virtual std::vector<std::uint64_t> ReadSharedParts(
     const batch::BatchItem& aItem) const = 0;
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -20,6 +20,10 @@
 
 constexpr unsigned kFirstServerError = 500;
 
+/// How often one attempt asks for the endpoint's process. An endpoint may close
+/// each connection after its answer.
+constexpr std::uint32_t kMaxProcessQueries = 2;
+
 std::string_view
 NameOf(fleet::EndpointCheck aCheck)
 {
@@ -58,34 +62,32 @@
 }
 
 void
-EndpointAttempt::Start(httpstream::Call aCall,
+EndpointAttempt::Start(AttemptRequest aRequest,
                        httpstream::CallObserver& aObserver)
 {
   observer_ = &aObserver;
+  request_ = std::move(aRequest);
   isCountedInFlight_ = true;
   startedAt_ = base::MonotonicNow();
   shared_.endpoints_.CountStart(endpoint_.Incarnation(), workClass_);
+  Acquire();
+}
+
+void
+EndpointAttempt::Acquire()
+{
   const auto address = ParseAddress(endpoint_.address_);
   if (!address) {
     OnEnd(httpstream::CallOutcome::NotConnected);
     return;
   }
-  const auto self = shared_from_this();
   auto acquired = shared_.pool_.Acquire(
     endpoint_.id_,
     *address,
     kConnectTimeout,
-    [self, call = std::move(aCall)](
-      std::shared_ptr<httpstream::ClientConnection> aConnection) mutable {
-      if (self->observer_ == nullptr) {
-        return;
-      }
-      if (!aConnection) {
-        self->OnEnd(httpstream::CallOutcome::NotConnected);
-        return;
-      }
-      self->connection_ = std::move(aConnection);
-      self->connection_->Start(std::move(call), *self);
+    [self = shared_from_this()](
+      std::shared_ptr<httpstream::ClientConnection> aConnection) {
+      self->OnConnection(std::move(aConnection));
     });
   // May still be opening: kept so that Cancel() can stop it.
   if (observer_ != nullptr && !connection_) {
@@ -93,6 +95,142 @@
   }
 }
 
+void
+EndpointAttempt::OnConnection(
+  std::shared_ptr<httpstream::ClientConnection> aConnection)
+{
+  if (observer_ == nullptr) {
+    return;
+  }
+  if (!aConnection) {
+    OnEnd(httpstream::CallOutcome::NotConnected);
+    return;
+  }
+  connection_ = std::move(aConnection);
+  const bool isProcessKnown =
+    !request_.needsProcess_ ||
+    shared_.endpoints_.LeadsToProcess(endpoint_.Incarnation(),
+                                      connection_->ConnectedAt(),
+                                      base::MonotonicNow());
+  if (isProcessKnown) {
+    SendCall();
+  } else {
+    AskForProcess();
+  }
+}
+
+void
+EndpointAttempt::SendCall()
+{
+  connection_->Start(request_.makeCall_(), *this);
+}
+
+void
+EndpointAttempt::AskForProcess()
+{
+  if (++processQueries_ > kMaxProcessQueries) {
+    OnProcessQueryFailed(httpstream::CallOutcome::Broken);
+    return;
+  }
+  processAskedAt_ = base::MonotonicNow();
+  processQuery_ = std::make_unique<ProcessQuery>(
+    shared_.codec_,
+    [this](const httpstream::Silence& aSilence) { return OnSilence(aSilence); },
+    [this](const ProcessAnswer& aAnswer) { OnProcessAnswer(aAnswer); });
+  processQuery_->Start(
+    *connection_, endpoint_.address_, request_.processTimeout_);
+}
+
+void
+EndpointAttempt::OnProcessAnswer(const ProcessAnswer& aAnswer)
+{
+  struct Visitor
+  {
+    EndpointAttempt& attempt_;
+
+    void operator()(const ProcessStart& aStart) const
+    {
+      if (aStart.startedAtMs_ != attempt_.endpoint_.startedAtMs_) {
+        attempt_.OnOtherProcess(aStart.startedAtMs_);
+        return;
+      }
+      attempt_.shared_.endpoints_.RecordProcess(
+        attempt_.endpoint_.Incarnation(), attempt_.processAskedAt_);
+      attempt_.RecordActivity(base::MonotonicNow());
+      attempt_.GoOnAfterAnswer();
+    }
+    void operator()(const ProcessStartNotTold& /*aNone*/) const
+    {
+      attempt_.shared_.endpoints_.RecordProcessUntold(
+        attempt_.endpoint_.Incarnation(), base::MonotonicNow());
+      attempt_.GoOnAfterAnswer();
+    }
+    void operator()(const ProcessQueryFailed& aFailure) const
+    {
+      attempt_.OnProcessQueryFailed(aFailure.outcome_);
+    }
+  };
+  const auto self = shared_from_this();
+  if (observer_ != nullptr) {
+    std::visit(Visitor{ *this }, aAnswer);
+  }
+}
+
+void
+EndpointAttempt::GoOnAfterAnswer()
+{
+  if (connection_->IsReusable()) {
+    SendCall();
+    return;
+  }
+  connection_.reset();
+  Acquire();
+}
+
+void
+EndpointAttempt::OnOtherProcess(std::int64_t aStartedAtMs)
+{
+  hasMetOtherProcess_ = true;
+  base::Log(kEndpointChanged,
+            { { "endpoint", endpoint_.id_ },
+              { "state", "other_process" },
+              { "born_ms", endpoint_.startedAtMs_ },
+              { "told_born_ms", aStartedAtMs },
+              { "software", endpoint_.softwareVersion_ } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_other_processes_met_total",
+                "Attempts that weren't sent, as another process than the "
+                "registered one answered under the endpoint's id.")
+    .Add();
+  shared_.endpoints_.RecordOtherProcess(endpoint_.Incarnation(),
+                                        base::MonotonicNow());
+  EndUnsent();
+}
+
+void
+EndpointAttempt::OnProcessQueryFailed(httpstream::CallOutcome aOutcome)
+{
+  const base::Instant now = base::MonotonicNow();
+  if (aOutcome == httpstream::CallOutcome::Broken) {
+    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(), now);
+  }
+  if (aOutcome != httpstream::CallOutcome::TimedOut) {
+    // A silence was recorded when it was noticed.
+    shared_.endpoints_.RecordFailure(endpoint_.Incarnation(), now);
+  }
+  EndUnsent();
+}
+
+void
+EndpointAttempt::EndUnsent()
+{
+  shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
+  EndCounting();
+  if (auto* observer = std::exchange(observer_, nullptr)) {
+    observer->OnEnd(httpstream::CallOutcome::NotConnected);
+  }
+}
+
 void
 EndpointAttempt::Cancel()
 {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -2,9 +2,11 @@
 
 #include "LibFleet/EndpointTable.h"
 #include "LibGateway/LivenessProbe.h"
+#include "LibGateway/ProcessQuery.h"
 #include "LibGateway/SharedState.h"
 #include "LibHttpStream/ClientConnection.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +14,20 @@
 
 namespace pumiceturn::gateway {
 
+/// What an attempt sends, and to which process.
+struct AttemptRequest
+{
+  /// Makes the call. Called when a connection is ready, as the time limits in
+  /// the request count from then on.
+  std::function<httpstream::Call()> makeCall_;
+  /// Only the registered process of the endpoint may get the request, as the
+  /// response depends on its software version.
+  bool needsProcess_ = false;
+  /// How long the endpoint may take to say which process it is before it counts
+  /// as silent.
+  base::Duration processTimeout_{ 0 };
+};
+
 /// One attempt of a request at one endpoint. Counts as in flight there while it
 /// lasts, uses a pooled connection and forwards the response to an observer.
 /// Used on the event thread only.
@@ -27,8 +43,10 @@
   EndpointAttempt(const EndpointAttempt&) = delete;
   EndpointAttempt& operator=(const EndpointAttempt&) = delete;
 
-  /// Sends the request. The observer must outlive the attempt or call Cancel().
-  void Start(httpstream::Call aCall, httpstream::CallObserver& aObserver);
+  /// Sends the request. Ends as NotConnected if the endpoint's process must be
+  /// the registered one and isn't. The observer must outlive the attempt or
+  /// call Cancel().
+  void Start(AttemptRequest aRequest, httpstream::CallObserver& aObserver);
 
   /// Closes the connection, which stops the work at the endpoint. The observer
   /// isn't called any more.
@@ -58,6 +76,10 @@
   ///         read.
   [[nodiscard]] httpstream::ResponseFraming Framing() const { return framing_; }
 
+  /// @return whether the endpoint said that its process isn't the registered
+  ///         one.
+  [[nodiscard]] bool HasMetOtherProcess() const { return hasMetOtherProcess_; }
+
   /// @return how old the connection was when the response ended.
   [[nodiscard]] base::Duration ConnectionAge() const { return connectionAge_; }
 
@@ -68,6 +90,17 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
+  void Acquire();
+  void OnConnection(std::shared_ptr<httpstream::ClientConnection> aConnection);
+  void SendCall();
+  void AskForProcess();
+  void OnProcessAnswer(const ProcessAnswer& aAnswer);
+  /// Sends the request, on another connection if the endpoint closes this one.
+  void GoOnAfterAnswer();
+  void OnOtherProcess(std::int64_t aStartedAtMs);
+  void OnProcessQueryFailed(httpstream::CallOutcome aOutcome);
+  /// Ends an attempt that has sent nothing of its request.
+  void EndUnsent();
   /// Checks whether the endpoint lives on. A response whose end isn't marked is
   /// whole only then: the connections of a process that is killed end in order,
   /// too.
@@ -90,7 +123,11 @@
   fleet::EndpointRecord endpoint_;
   fleet::WorkClass workClass_;
   httpstream::CallObserver* observer_ = nullptr;
+  AttemptRequest request_;
   std::shared_ptr<httpstream::ClientConnection> connection_;
+  std::unique_ptr<ProcessQuery> processQuery_;
+  base::Instant processAskedAt_{};
+  std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
   base::Instant startedAt_{};
   base::Duration silenceTimeout_ = base::Duration::max();
@@ -109,6 +146,7 @@
   bool isSilenceFailure_ = false;
   bool isEventStream_ = false;
   bool isLaterProcessReported_ = false;
+  bool hasMetOtherProcess_ = false;
   base::Duration connectionAge_{ 0 };
   httpstream::ResponseFraming framing_ = httpstream::ResponseFraming::Length;
 };
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -67,7 +67,11 @@
   call.gapTimeout_ = kGapTimeout;
   endpointAttempt_ = std::make_shared<EndpointAttempt>(
     shared_, aEndpoint, fleet::WorkClass::Batch);
-  endpointAttempt_->Start(std::move(call), *this);
+  endpointAttempt_->Start(
+    { [call = std::move(call)]() mutable { return std::move(call); },
+      true,
+      kFirstByteTimeout },
+    *this);
 }
 
 void
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -200,6 +200,7 @@
   if (isRest) {
     request.softwareVersion_ = stream_.Origin()->version_;
   }
+  request.needsProcess_ = NeedsProcess();
   request.evidence_ = aEvidence;
   request.commonEndpointKey_ = suspectFeature_;
   const base::Instant now = base::MonotonicNow();
@@ -269,21 +270,9 @@
       { "resumes", LoggedResumedId() },
       { "version", shared_.routes_.Version() },
       { "left_ms", base::ToMs(TimeLeft()) } });
-  ForwardOptions options;
-  options.endpoint_ = aChoice.endpoint_.id_;
-  options.callerTimeout_ = TimeLeft();
-  options.lastEvent_ = stream_.LastEvent();
-  options.caller_ = caller_;
-  const httpstream::Request request =
-    shared_.codec_.MakeEndpointRequest(exchange_->GetRequest(), options);
-  httpstream::Call call;
-  call.bytes_ = httpstream::Serialize(request);
-  call.echoField_ = shared_.codec_.EchoField();
-  call.echoValue_ = call_.requestId_;
-  call.limits_.maxBodyBytes_ = kMaxStreamBytes;
-  call.isHeadRequest_ = request.method() == boost::beast::http::verb::head;
   const base::Duration firstByteTimeout = std::min<base::Duration>(
     kFirstByteTimeout + expectedWait_, kMaxFirstByteTimeout);
+  httpstream::Call call;
   if (IsRetryable()) {
     call.firstByteTimeout_ = firstByteTimeout;
     SetGapTimeouts(call);
@@ -305,7 +294,40 @@
   attempt_ = std::make_shared<EndpointAttempt>(
     shared_, aChoice.endpoint_, fleet::WorkClass::Online);
   attempt_->SetSilenceTimeout(firstByteTimeout);
-  attempt_->Start(std::move(call), *this);
+  attempt_->Start(
+    { [this, endpoint = aChoice.endpoint_.id_, call = std::move(call)] {
+       return MakeCall(endpoint, call);
+     },
+      NeedsProcess(),
+      firstByteTimeout },
+    *this);
+}
+
+bool
+OnlineProxy::NeedsProcess() const
+{
+  return route_.kind_ == fleet::RequestKind::Stream &&
+         (route_.isResumable_ || stream_.HasBegun());
+}
+
+httpstream::Call
+OnlineProxy::MakeCall(const std::string& aEndpoint,
+                      const httpstream::Call& aTimeouts) const
+{
+  ForwardOptions options;
+  options.endpoint_ = aEndpoint;
+  options.callerTimeout_ = TimeLeft();
+  options.lastEvent_ = stream_.LastEvent();
+  options.caller_ = caller_;
+  const httpstream::Request request =
+    shared_.codec_.MakeEndpointRequest(exchange_->GetRequest(), options);
+  httpstream::Call call = aTimeouts;
+  call.bytes_ = httpstream::Serialize(request);
+  call.echoField_ = shared_.codec_.EchoField();
+  call.echoValue_ = call_.requestId_;
+  call.limits_.maxBodyBytes_ = kMaxStreamBytes;
+  call.isHeadRequest_ = request.method() == boost::beast::http::verb::head;
+  return call;
 }
 
 void
@@ -373,8 +395,9 @@
                       stream_.HasPartialEvent() });
   }
   if (aOutcome == httpstream::CallOutcome::NotConnected) {
-    // Nothing was sent, so this doesn't count as an attempt.
-    ++undeliveredAttempts_;
+    // Nothing was sent, so this doesn't count as an attempt. An endpoint of
+    // another process isn't chosen again for now.
+    undeliveredAttempts_ += attempt_->HasMetOtherProcess() ? 0 : 1;
     base::Log(kAttemptFailed,
               { { "request", call_.requestId_ },
                 { "endpoint", attempt_->Endpoint().id_ },
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -152,6 +152,9 @@
   ///         read.
   [[nodiscard]] ResponseFraming Framing() const { return framing_; }
 
+  /// @return when the connection was established.
+  [[nodiscard]] base::Instant ConnectedAt() const { return connectedAt_; }
+
   /// @return how long ago the connection was established.
   [[nodiscard]] base::Duration Age() const
   {
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -436,6 +436,53 @@
   CHECK_FALSE(table_.HasSurvived("one", crash, crash + 10s));
 }
 
+// Guards against a rest, or a stream that is recorded, at a process whose
+// software version isn't known.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OtherProcessAnswers_GetsNoRestsUntilRegistered")
+{
+  AddStarted("one", 100);
+  table_.RecordOtherProcess({ "one", 100 }, now_);
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  CHECK(table_.Choose(request, now_, random_));
+  request.needsProcess_ = true;
+  CHECK_FALSE(table_.Choose(request, now_, random_));
+  CHECK_FALSE(Choose(WorkClass::Batch));
+  CHECK(AddStarted("one", 200) == RegistrationOutcome::Restarted);
+  CHECK(table_.Choose(request, now_, random_));
+  CHECK(Choose(WorkClass::Batch));
+}
+
+// Guards against taking a connection to an endpoint's next process for one to
+// the registered process.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ConnectsAfterLastAnswer_LeadsToUnknownProcess")
+{
+  AddStarted("one", 100);
+  const EndpointIncarnation one{ "one", 100 };
+  CHECK_FALSE(table_.LeadsToProcess(one, now_ - 1s, now_));
+  table_.RecordProcess(one, now_);
+  CHECK(table_.LeadsToProcess(one, now_ - 1s, now_ + 5s));
+  CHECK(table_.LeadsToProcess(one, now_ + 50ms, now_ + 5s));
+  CHECK_FALSE(table_.LeadsToProcess(one, now_ + 51ms, now_ + 5s));
+  AddStarted("one", 200);
+  CHECK_FALSE(table_.LeadsToProcess(one, now_ - 1s, now_));
+  CHECK_FALSE(table_.LeadsToProcess({ "one", 200 }, now_ - 1s, now_));
+}
+
+// Guards against endpoints that serve no streams as they don't say which
+// process they are.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ProcessIsUntold_ConnectionIsUsedForAWhile")
+{
+  Add("nameless");
+  CHECK(table_.LeadsToProcess({ "nameless", 0 }, now_, now_));
+  AddStarted("one", 100);
+  table_.RecordProcessUntold({ "one", 100 }, now_);
+  CHECK(table_.LeadsToProcess({ "one", 100 }, now_ + 9s, now_ + 9s));
+  CHECK_FALSE(table_.LeadsToProcess({ "one", 100 }, now_ + 10s, now_ + 10s));
+}
+
 // Guards against sending requests to an endpoint whose registration is
 // unreadable.
 TEST_CASE_METHOD(EndpointTableFixture,
--- a/Tests/Platform/PromptPartFixture.cpp
+++ b/Tests/Platform/PromptPartFixture.cpp
@@ -50,10 +50,10 @@
   ServerStandin& server = AddServer(name);
   server.SetEventInterval(kEventInterval);
   SetCrashTrigger(server, name);
+  server.SetStart(static_cast<std::int64_t>(startedServers_));
   nlohmann::json registration =
     nlohmann::json::parse(server.Registration("service", "ready"));
   registration["slots"] = kSlots;
-  registration["born"] = startedServers_;
   store_.Put("servers/" + name, registration.dump());
 }
 
