LibFleet: Notice restarts that a registration's start time doesn't show

Read while looking for other places that take an id for a process: a registration of another version with the same start, or with none, counted as the same process, so that what was known of the former one stayed. And one with an earlier start was ignored as outdated for good, though the clock of the machine may have been set back: the endpoint was used by the former process's registration, with its version.

Another version with the same start is a restart now, and an earlier start is accepted once the endpoint itself has named it. Two tests of EndpointTable; neither was run on the code before, where the second one needs a call that didn't exist.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -50,6 +50,21 @@
 {
 }
 
+bool
+EndpointTable::IsOfLaterProcess(const EndpointRecord& aRecord,
+                                const Endpoint& aKnown)
+{
+  const EndpointRecord& known = aKnown.record_;
+  const bool hasOtherSoftware =
+    aRecord.startedAtMs_ == known.startedAtMs_ &&
+    aRecord.softwareVersion_ != known.softwareVersion_;
+  // The clock of a machine may be set back.
+  const bool hasNamedItself =
+    aKnown.otherProcessAt_ && aRecord.startedAtMs_ == aKnown.otherStartedAtMs_;
+  return aRecord.startedAtMs_ > known.startedAtMs_ || hasOtherSoftware ||
+         hasNamedItself;
+}
+
 RegistrationOutcome
 EndpointTable::Put(const EndpointRecord& aRecord, base::Instant aNow)
 {
@@ -64,13 +79,12 @@
   Endpoint& endpoint = found->second;
   RegistrationOutcome outcome =
     isNew ? RegistrationOutcome::New : RegistrationOutcome::Known;
-  if (!isNew && aRecord.startedAtMs_ < endpoint.record_.startedAtMs_) {
-    return RegistrationOutcome::Outdated;
-  }
-  if (!isNew && aRecord.startedAtMs_ > endpoint.record_.startedAtMs_) {
+  if (!isNew && IsOfLaterProcess(aRecord, endpoint)) {
     endpoint = {};
     paces_.Remove(aRecord.id_);
     outcome = RegistrationOutcome::Restarted;
+  } else if (!isNew && aRecord.startedAtMs_ < endpoint.record_.startedAtMs_) {
+    return RegistrationOutcome::Outdated;
   }
   if (outcome != RegistrationOutcome::Known) {
     endpoint.registeredAt_ = aNow;
@@ -322,10 +336,12 @@
 
 void
 EndpointTable::RecordOtherProcess(const EndpointIncarnation& aEndpoint,
+                                  std::int64_t aStartedAtMs,
                                   base::Instant aNow)
 {
   if (Endpoint* endpoint = Find(aEndpoint)) {
     endpoint->processAskedAt_.reset();
+    endpoint->otherStartedAtMs_ = aStartedAtMs;
     endpoint->otherProcessAt_ = aNow;
   }
 }
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -88,9 +88,11 @@
 /// How a registration relates to what is known of the endpoint.
 enum class RegistrationOutcome : std::uint8_t
 {
-  New,       ///< The endpoint was not known.
-  Known,     ///< The same process as before.
-  Restarted, ///< A new process under the same id.
+  New,   ///< The endpoint was not known.
+  Known, ///< The same process as before.
+  /// A new process under the same id: it started later, has another software
+  /// version, or named itself in RecordOtherProcess().
+  Restarted,
   /// Of an earlier process than the known one, or of one whose address another
   /// process uses now. Ignored.
   Outdated,
@@ -302,7 +304,11 @@
                      base::Instant aAskedAt);
 
   /// Records that an endpoint said that its process isn't the registered one.
+  /// A registration of the process that it named is accepted then, even if
+  /// that started earlier by its clock.
+  /// @param aStartedAtMs When its process started, as Unix time.
   void RecordOtherProcess(const EndpointIncarnation& aEndpoint,
+                          std::int64_t aStartedAtMs,
                           base::Instant aNow);
 
   /// Records that an endpoint doesn't say which process it is.
@@ -448,6 +454,7 @@
     /// When the process that said last that it is the registered one was asked.
     std::optional<base::Instant> processAskedAt_;
     std::optional<base::Instant> otherProcessAt_; ///< Said not to be it.
+    std::int64_t otherStartedAtMs_ = 0;           ///< Of that process.
     std::optional<base::Instant>
       processUntoldAt_; ///< Answered without a start.
     base::Instant lastActivityAt_;
@@ -483,6 +490,9 @@
     std::uint32_t candidates_ = 0;
   };
 
+  /// @return whether a registration is of a later process than the known one.
+  [[nodiscard]] static bool IsOfLaterProcess(const EndpointRecord& aRecord,
+                                             const Endpoint& aKnown);
   /// @return the endpoint, or nullptr unless the given process is its
   ///         current one.
   [[nodiscard]] Endpoint* Find(const EndpointIncarnation& aEndpoint);
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -202,8 +202,8 @@
                 "Attempts that weren't sent, as another process than the "
                 "registered one answered under the endpoint's id.")
     .Add();
-  shared_.endpoints_.RecordOtherProcess(endpoint_.Incarnation(),
-                                        base::MonotonicNow());
+  shared_.endpoints_.RecordOtherProcess(
+    endpoint_.Incarnation(), aStartedAtMs, base::MonotonicNow());
   EndUnsent();
 }
 
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -442,7 +442,7 @@
                  "EndpointTable_OtherProcessAnswers_GetsNoRestsUntilRegistered")
 {
   AddStarted("one", 100);
-  table_.RecordOtherProcess({ "one", 100 }, now_);
+  table_.RecordOtherProcess({ "one", 100 }, 200, now_);
   ChoiceRequest request{ "service", WorkClass::Online, {} };
   CHECK(table_.Choose(request, now_, random_));
   request.needsProcess_ = true;
@@ -483,6 +483,30 @@
   CHECK_FALSE(table_.LeadsToProcess({ "one", 100 }, now_ + 10s, now_ + 10s));
 }
 
+// Guards against a restart that isn't noticed as its start time is missing.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_OtherSoftwareWithSameStart_HasRestarted")
+{
+  EndpointRecord record{ "one", "service", "1.2.3.4:1", "a" };
+  record.softwareVersion_ = "v1";
+  CHECK(table_.Put(record, now_) == RegistrationOutcome::New);
+  CHECK(table_.Put(record, now_) == RegistrationOutcome::Known);
+  record.softwareVersion_ = "v2";
+  CHECK(table_.Put(record, now_) == RegistrationOutcome::Restarted);
+}
+
+// Guards against an endpoint that is known by its former process for good, as
+// the clock of its machine was set back before it started again.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ClockWasSetBack_ProcessIsAcceptedOnceItAnswers")
+{
+  AddStarted("one", 200);
+  CHECK(AddStarted("one", 100) == RegistrationOutcome::Outdated);
+  table_.RecordOtherProcess({ "one", 200 }, 100, now_);
+  CHECK(AddStarted("one", 150) == RegistrationOutcome::Outdated);
+  CHECK(AddStarted("one", 100) == RegistrationOutcome::Restarted);
+}
+
 // Guards against sending requests to an endpoint whose registration is
 // unreadable.
 TEST_CASE_METHOD(EndpointTableFixture,
