LibGateway: Ask for the process after ends that only the connection marks

The same cause elsewhere: a response without a length counts as whole if its endpoint lives on, and the check reached the endpoint's next process as well. Times decided instead (an answer within 50 ms, signs of a restart), so a process that starts again quickly, or a host that was suspended, was told apart by guessing. CheckForCrash trusted a connection that stayed open for 100 ms.

LivenessProbe asks for the start of the process where the registration names one. The same start proves that the process lived on; another one proves that it ended, where the process was verified before the request. Otherwise that process may have sent the response, and the times decide as before. Two tests of HasLivedOn; the raw servers of the tests name another start after a restart.

--- a/Libraries/LibFleet/UnmarkedEnd.cpp
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -20,9 +20,13 @@
 bool
 HasLivedOn(const UnmarkedEnd& aEnd)
 {
+  if (aEnd.check_ == EndpointCheck::SameProcess) {
+    return true;
+  }
   // After a suspension the end may be old, and signs of a restart may not have
   // been read yet.
-  if (aEnd.check_ == EndpointCheck::Unreachable || aEnd.isReplaced_ ||
+  if (aEnd.check_ == EndpointCheck::Unreachable ||
+      aEnd.check_ == EndpointCheck::OtherProcess || aEnd.isReplaced_ ||
       HappenedNear(aEnd, aEnd.resumedAt_)) {
     return false;
   }
--- a/Libraries/LibFleet/UnmarkedEnd.h
+++ b/Libraries/LibFleet/UnmarkedEnd.h
@@ -17,6 +17,8 @@
   Unreachable, ///< It refused the connection, ended it or is another one.
   Open,        ///< The connection stayed open, without an answer.
   Answered,
+  SameProcess,  ///< The process that sent the response says so.
+  OtherProcess, ///< Another process says that it is there.
 };
 
 /// A response whose end nothing but the end of its connection marks, and what
@@ -36,9 +38,10 @@
   std::optional<base::Instant> resumedAt_{};
 };
 
-/// @return whether the process that sent the response lived on after its end. A
-///         check reaches the endpoint's next process as well, so one that took
-///         long proves nothing beside signs of a restart.
+/// @return whether the process that sent the response lived on after its end.
+///         A check reaches the endpoint's next process as well, so unless the
+///         process names itself, one that took long proves nothing beside signs
+///         of a restart.
 [[nodiscard]] bool
 HasLivedOn(const UnmarkedEnd& aEnd);
 
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -32,6 +32,10 @@
       return "unreachable";
     case fleet::EndpointCheck::Open:
       return "open";
+    case fleet::EndpointCheck::SameProcess:
+      return "same_process";
+    case fleet::EndpointCheck::OtherProcess:
+      return "other_process";
     case fleet::EndpointCheck::Answered:
       break;
   }
@@ -443,7 +447,8 @@
 {
   LivenessQuestion question{ endpoint_.address_,
                              kEndCheckTimeout,
-                             kEndCheckTimeout };
+                             kEndCheckTimeout,
+                             endpoint_.startedAtMs_ };
   const std::string path = shared_.routes_.HealthPathOf(endpoint_.service_);
   if (!path.empty()) {
     question.healthRequest_ = httpstream::Serialize(
@@ -454,7 +459,8 @@
       return id.empty() || id == endpoint_.id_;
     };
   }
-  probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor());
+  probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor(),
+                                           shared_.codec_);
   probe_->Start(
     std::move(question),
     [weak = weak_from_this(),
@@ -468,6 +474,11 @@
 void
 EndpointAttempt::OnEndChecked(fleet::UnmarkedEnd aEnd)
 {
+  if (aEnd.check_ == fleet::EndpointCheck::OtherProcess &&
+      !request_.needsProcess_) {
+    // That one may have sent the response.
+    aEnd.check_ = fleet::EndpointCheck::Answered;
+  }
   aEnd.isReplaced_ = shared_.endpoints_.IsReplaced(endpoint_);
   aEnd.lostConnectionAt_ =
     shared_.endpoints_.LostConnectionAt(endpoint_.Incarnation());
--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -8,8 +8,11 @@
 
 using fleet::EndpointCheck;
 
-LivenessProbe::LivenessProbe(const boost::asio::any_io_executor& aExecutor)
-  : connection_(std::make_shared<httpstream::ClientConnection>(aExecutor))
+LivenessProbe::LivenessProbe(const boost::asio::any_io_executor& aExecutor,
+                             const Codec& aCodec)
+  : executor_(aExecutor)
+  , codec_(aCodec)
+  , connection_(std::make_shared<httpstream::ClientConnection>(aExecutor))
   , holdTimer_(aExecutor)
 {
 }
@@ -24,6 +27,12 @@
 {
   question_ = std::move(aQuestion);
   handler_ = std::move(aHandler);
+  Connect();
+}
+
+void
+LivenessProbe::Connect()
+{
   const auto address = ParseAddress(question_.address_);
   if (!address) {
     End(EndpointCheck::Unreachable);
@@ -51,17 +60,67 @@
 {
   if (!aIsConnected) {
     End(EndpointCheck::Unreachable);
+  } else if (question_.startedAtMs_ > 0) {
+    AskForProcess();
   } else if (question_.healthRequest_.empty()) {
     Watch();
   } else {
-    httpstream::Call call;
-    call.bytes_ = question_.healthRequest_;
-    call.firstByteTimeout_ = question_.holdTime_;
-    call.gapTimeout_ = question_.holdTime_;
-    connection_->Start(std::move(call), *this);
+    AskForHealth();
   }
 }
 
+void
+LivenessProbe::AskForProcess()
+{
+  processQuery_ = std::make_unique<ProcessQuery>(
+    codec_,
+    [](const httpstream::Silence& /*aSilence*/) {
+      return httpstream::SilenceDecision::EndCall;
+    },
+    [this](const ProcessAnswer& aAnswer) { OnProcessAnswer(aAnswer); });
+  processQuery_->Start(*connection_, question_.address_, question_.holdTime_);
+}
+
+void
+LivenessProbe::OnProcessAnswer(const ProcessAnswer& aAnswer)
+{
+  struct Visitor
+  {
+    LivenessProbe& probe_;
+
+    void operator()(const ProcessStart& aStart) const
+    {
+      probe_.End(aStart.startedAtMs_ == probe_.question_.startedAtMs_
+                   ? EndpointCheck::SameProcess
+                   : EndpointCheck::OtherProcess);
+    }
+    void operator()(const ProcessStartNotTold& /*aNone*/) const
+    {
+      probe_.question_.startedAtMs_ = 0;
+      probe_.connection_->Cancel();
+      probe_.connection_ =
+        std::make_shared<httpstream::ClientConnection>(probe_.executor_);
+      probe_.Connect();
+    }
+    void operator()(const ProcessQueryFailed& aFailure) const
+    {
+      probe_.OnEnd(aFailure.outcome_);
+    }
+  };
+  const auto self = shared_from_this();
+  std::visit(Visitor{ *this }, aAnswer);
+}
+
+void
+LivenessProbe::AskForHealth()
+{
+  httpstream::Call call;
+  call.bytes_ = question_.healthRequest_;
+  call.firstByteTimeout_ = question_.holdTime_;
+  call.gapTimeout_ = question_.holdTime_;
+  connection_->Start(std::move(call), *this);
+}
+
 void
 LivenessProbe::Watch()
 {
--- a/Libraries/LibGateway/LivenessProbe.h
+++ b/Libraries/LibGateway/LivenessProbe.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "LibFleet/UnmarkedEnd.h"
+#include "LibGateway/ProcessQuery.h"
 #include "LibHttpStream/ClientConnection.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,7 +24,11 @@
   /// process that ends closes its connections one after the other, and the
   /// listening socket may be the last; on a busy machine that takes a while.
   base::Duration holdTime_{ 0 };
-  /// Serialized request for the endpoint's health; empty: none is sent.
+  /// Start of the process that is looked for, as Unix time: the endpoint is
+  /// asked for its own. 0: it isn't asked.
+  std::int64_t startedAtMs_ = 0;
+  /// Serialized request for the endpoint's health, if it isn't asked for its
+  /// process or doesn't say; empty: none is sent.
   std::string healthRequest_{};
   /// @return whether the endpoint itself answers, not another one that has its
   ///         address now.
@@ -38,7 +44,8 @@
 public:
   using ResultHandler = std::function<void(fleet::EndpointCheck)>;
 
-  explicit LivenessProbe(const boost::asio::any_io_executor& aExecutor);
+  LivenessProbe(const boost::asio::any_io_executor& aExecutor,
+                const Codec& aCodec);
   ~LivenessProbe() override;
   LivenessProbe(const LivenessProbe&) = delete;
   LivenessProbe& operator=(const LivenessProbe&) = delete;
@@ -53,11 +60,18 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
+  void Connect();
   void OnConnected(bool aIsConnected);
+  void AskForProcess();
+  void OnProcessAnswer(const ProcessAnswer& aAnswer);
+  void AskForHealth();
   void Watch();
   void End(fleet::EndpointCheck aResult);
 
+  boost::asio::any_io_executor executor_;
+  const Codec& codec_;
   LivenessQuestion question_;
+  std::unique_ptr<ProcessQuery> processQuery_;
   std::shared_ptr<httpstream::ClientConnection> connection_;
   boost::asio::steady_timer holdTimer_;
   ResultHandler handler_;
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -105,18 +105,23 @@
 void
 OnlineProxy::CheckForCrash()
 {
-  crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor());
-  crashProbe_->Start(
-    { attempt_->Endpoint().address_, kCrashProbeTimeout, kCrashProbeTimeout },
-    [weak = weak_from_this()](fleet::EndpointCheck aCheck) {
-      const auto proxy = weak.lock();
-      if (!proxy || proxy->isFinished_) {
-        return;
-      }
-      proxy->crashProbe_.reset();
-      proxy->isLostToCrash_ = aCheck == fleet::EndpointCheck::Unreachable;
-      proxy->TryNextEndpoint();
-    });
+  crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor(),
+                                                shared_.codec_);
+  crashProbe_->Start({ attempt_->Endpoint().address_,
+                       kCrashProbeTimeout,
+                       kCrashProbeTimeout,
+                       NeedsProcess() ? attempt_->Endpoint().startedAtMs_ : 0 },
+                     [weak = weak_from_this()](fleet::EndpointCheck aCheck) {
+                       const auto proxy = weak.lock();
+                       if (!proxy || proxy->isFinished_) {
+                         return;
+                       }
+                       proxy->crashProbe_.reset();
+                       proxy->isLostToCrash_ =
+                         aCheck == fleet::EndpointCheck::Unreachable ||
+                         aCheck == fleet::EndpointCheck::OtherProcess;
+                       proxy->TryNextEndpoint();
+                     });
 }
 
 } // namespace pumiceturn::gateway
--- a/Tests/LibFleet/UnmarkedEndTest.cpp
+++ b/Tests/LibFleet/UnmarkedEndTest.cpp
@@ -81,4 +81,22 @@
   CHECK_FALSE(HasLivedOn(end));
 }
 
+// Guards against breaking off whole responses of an endpoint that answers late
+// beside signs of a restart, though it says that it is the same process.
+TEST_CASE_METHOD(UnmarkedEndFixture, "UnmarkedEnd_SameProcess_HasLivedOn")
+{
+  UnmarkedEnd end = CheckedAfter(milliseconds(900), EndpointCheck::SameProcess);
+  end.lostConnectionAt_ = end.endedAt_;
+  end.resumedAt_ = end.endedAt_;
+  CHECK(HasLivedOn(end));
+}
+
+// Guards against a response cut off by a crash that counts as whole, as the
+// endpoint's next process answers at once.
+TEST_CASE_METHOD(UnmarkedEndFixture, "UnmarkedEnd_OtherProcess_HasNotLivedOn")
+{
+  CHECK_FALSE(
+    HasLivedOn(CheckedAfter(milliseconds(2), EndpointCheck::OtherProcess)));
+}
+
 } // namespace pumiceturn::fleet
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -19,8 +19,8 @@
 
 constexpr std::string_view kHealthAnswer =
   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-constexpr std::string_view kReport =
-  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}";
+constexpr std::string_view kReportHead =
+  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
 
 constexpr std::chrono::milliseconds kTimeToClose{ 300 };
 
@@ -74,7 +74,8 @@
         return;
       }
       if (aConnection->input_.starts_with("GET /api/report ")) {
-        AnswerProbe(aConnection, kReport);
+        AnswerProbe(aConnection,
+                    fmt::format("{}{{\"born\":{}}}", kReportHead, process_));
         return;
       }
       requests_.push_back(aConnection->input_);
@@ -87,14 +88,15 @@
                        std::string_view aAnswer)
 {
   aConnection->input_.clear();
-  asio::async_write(
-    aConnection->socket_,
-    asio::buffer(aAnswer),
-    [this, aConnection](const boost::system::error_code& aError, std::size_t) {
-      if (!aError) {
-        Read(aConnection);
-      }
-    });
+  const auto answer = std::make_shared<std::string>(aAnswer);
+  asio::async_write(aConnection->socket_,
+                    asio::buffer(*answer),
+                    [this, aConnection, answer](
+                      const boost::system::error_code& aError, std::size_t) {
+                      if (!aError) {
+                        Read(aConnection);
+                      }
+                    });
 }
 
 void
@@ -116,6 +118,7 @@
       });
       break;
     case End::RestartWhileSuspended:
+      ++process_;
       std::this_thread::sleep_for(kTimeToRestart);
       break;
     default:
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -57,6 +57,7 @@
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer closeTimer_;
+  int process_ = 1;       ///< Start time that it reports, one digit.
   bool isEnding_ = false; ///< Connections are no longer served.
   std::string answer_;
   End end_;
