LibFleet: Use endpoints whose reports contradict a lasting registration

A registration of an ended process lapses or is replaced within 4.9 s while the store serves, so one that lasts for 15 s is of the process that answers.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -331,6 +331,7 @@
   if (Endpoint* endpoint = Find(aEndpoint)) {
     endpoint->processAskedAt_ = aAskedAt;
     endpoint->otherProcessAt_.reset();
+    endpoint->contradictedSince_.reset();
   }
 }
 
@@ -343,6 +344,11 @@
     endpoint->processAskedAt_.reset();
     endpoint->otherStartedAtMs_ = aStartedAtMs;
     endpoint->otherProcessAt_ = aNow;
+    endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
+    if (aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_) {
+      endpoint->otherProcessAt_.reset();
+      endpoint->processUntoldAt_ = aNow;
+    }
   }
 }
 
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -192,6 +192,11 @@
     /// where that matters. Its next registration ends that.
     base::Duration otherProcessRetention_{ std::chrono::milliseconds{ 1000 } };
 
+    /// How long an endpoint may name another start than its registration before
+    /// its word isn't used. Well above the time for which the registration of
+    /// an ended process lasts, as the store may be away meanwhile.
+    base::Duration contradictionTimeout_{ std::chrono::seconds{ 15 } };
+
     /// How long an endpoint that doesn't say which process it is isn't asked
     /// again.
     base::Duration untoldRetention_{ std::chrono::seconds{ 10 } };
@@ -305,7 +310,9 @@
 
   /// Records that an endpoint said that its process isn't the registered one.
   /// A registration of the process that it named is accepted then, even if
-  /// that started earlier by its clock.
+  /// that started earlier by its clock. If the registration stays for
+  /// longer than that of an ended process lasts, the endpoint's word isn't
+  /// used.
   /// @param aStartedAtMs When its process started, as Unix time.
   void RecordOtherProcess(const EndpointIncarnation& aEndpoint,
                           std::int64_t aStartedAtMs,
@@ -455,6 +462,8 @@
     std::optional<base::Instant> processAskedAt_;
     std::optional<base::Instant> otherProcessAt_; ///< Said not to be it.
     std::int64_t otherStartedAtMs_ = 0;           ///< Of that process.
+    /// When it first said so, without saying otherwise since.
+    std::optional<base::Instant> contradictedSince_;
     std::optional<base::Instant>
       processUntoldAt_; ///< Answered without a start.
     base::Instant lastActivityAt_;
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -507,6 +507,26 @@
   CHECK(AddStarted("one", 100) == RegistrationOutcome::Restarted);
 }
 
+// Guards against an endpoint that serves no streams, as its reports and its
+// registration name different starts.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_ReportContradictsLastingRegistration_IsUsed")
+{
+  AddStarted("one", 100);
+  const EndpointIncarnation one{ "one", 100 };
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.needsProcess_ = true;
+  const base::Instant firstAt = now_;
+  for (; now_ <= firstAt + 15s; now_ += 1500ms) {
+    table_.RecordOtherProcess(one, 200, now_);
+    CHECK_FALSE(table_.Choose(request, now_, random_));
+    CHECK_FALSE(table_.LeadsToProcess(one, now_, now_));
+  }
+  table_.RecordOtherProcess(one, 200, now_);
+  CHECK(table_.Choose(request, now_, random_));
+  CHECK(table_.LeadsToProcess(one, now_, now_));
+}
+
 // Guards against sending requests to an endpoint whose registration is
 // unreadable.
 TEST_CASE_METHOD(EndpointTableFixture,
