LibGateway: Skip late copies of responses when an endpoint's report is read

Endpoints may send a second copy of a response late, on a connection that is used again. The query for the endpoint's process accepted any response, so it took the copy for the report, and the report that followed for the response of the request.

The copy has the id of its request, and the report has none, so a response with an id is skipped, as it is for other calls. Without a test of its own yet.

--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -41,6 +41,9 @@
 {
   httpstream::Call call;
   call.bytes_ = httpstream::Serialize(codec_.MakeReportRequest(aAddress));
+  // The report has no request id, so a response with one is a late copy of the
+  // response to an earlier request on this connection.
+  call.echoField_ = codec_.EchoField();
   call.firstByteTimeout_ = aTimeout;
   call.gapTimeout_ = aTimeout;
   call.limits_ = { kMaxReportBytes, aTimeout };
