Tests: Name one start in CrashSoak's registrations and reports

CrashSoak_PartCrashesServers_* failed in Meta/test.sh on: its servers registered another start than their reports name, which no server does, so that they got no resumable streams for 15 s. Found by reading, as in PromptPart_*.

--- a/Tests/PlatformSoak/CrashSoakFixture.cpp
+++ b/Tests/PlatformSoak/CrashSoakFixture.cpp
@@ -73,10 +73,10 @@
   server.standin_ = std::make_unique<ServerStandin>(context_, server.id_);
   server.standin_->SetVersion(aVersion);
   server.standin_->SetEventInterval(Draw(30, 90));
+  server.standin_->SetStart(nextServer_);
   json registration =
     json::parse(server.standin_->Registration("service", "ready"));
   registration["slots"] = kSlots;
-  registration["born"] = nextServer_;
   store_.Put("servers/" + server.id_, registration.dump());
   servers_.push_back(std::move(server));
   SetTrigger(servers_.back());
