--- a/Tests/Platform/PromptPartFixture.cpp
+++ b/Tests/Platform/PromptPartFixture.cpp
@@ -50,7 +50,7 @@
   ServerStandin& server = AddServer(name);
   server.SetEventInterval(kEventInterval);
   SetCrashTrigger(server, name);
-  server.SetStart(startedServers_);
+  server.SetStart(static_cast<std::int64_t>(startedServers_));
   nlohmann::json registration =
     nlohmann::json::parse(server.Registration("service", "ready"));
   registration["slots"] = kSlots;
