--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -1,7 +1,6 @@
 #include "LibFleet/EndpointTable.h"
 
 #include "LibFleet/CellMap.h"
-#include "LibFleet/UnmarkedEnd.h"
 
 #include <algorithm>
 #include <cmath>
@@ -50,21 +49,6 @@
 {
 }
 
-bool
-EndpointTable::IsOfLaterProcess(const EndpointRecord& aRecord,
-                                const Endpoint& aKnown)
-{
-  const EndpointRecord& known = aKnown.record_;
-  const bool hasOtherSoftware =
-    aRecord.startedAtMs_ == known.startedAtMs_ &&
-    aRecord.softwareVersion_ != known.softwareVersion_;
-  // The clock of a machine may be set back.
-  const bool hasNamedItself =
-    aKnown.otherProcessAt_ && aRecord.startedAtMs_ == aKnown.otherStartedAtMs_;
-  return aRecord.startedAtMs_ > known.startedAtMs_ || hasOtherSoftware ||
-         hasNamedItself;
-}
-
 RegistrationOutcome
 EndpointTable::Put(const EndpointRecord& aRecord, base::Instant aNow)
 {
@@ -324,62 +308,6 @@
   return endpoint != nullptr ? endpoint->lostConnectionAt_ : std::nullopt;
 }
 
-void
-EndpointTable::RecordProcess(const EndpointIncarnation& aEndpoint,
-                             base::Instant aAskedAt)
-{
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->processAskedAt_ = aAskedAt;
-    endpoint->otherProcessAt_.reset();
-    endpoint->contradictedSince_.reset();
-  }
-}
-
-void
-EndpointTable::RecordOtherProcess(const EndpointIncarnation& aEndpoint,
-                                  std::int64_t aStartedAtMs,
-                                  base::Instant aNow)
-{
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->processAskedAt_.reset();
-    endpoint->otherStartedAtMs_ = aStartedAtMs;
-    endpoint->otherProcessAt_ = aNow;
-    endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
-    if (aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_) {
-      endpoint->otherProcessAt_.reset();
-      endpoint->processUntoldAt_ = aNow;
-    }
-  }
-}
-
-void
-EndpointTable::RecordProcessUntold(const EndpointIncarnation& aEndpoint,
-                                   base::Instant aNow)
-{
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->processUntoldAt_ = aNow;
-  }
-}
-
-bool
-EndpointTable::LeadsToProcess(const EndpointIncarnation& aEndpoint,
-                              base::Instant aConnectedAt,
-                              base::Instant aNow) const
-{
-  if (aEndpoint.startedAtMs_ == 0) {
-    // Each start of such an endpoint has another id.
-    return true;
-  }
-  const Endpoint* endpoint = Find(aEndpoint);
-  if (endpoint == nullptr) {
-    return false;
-  }
-  const auto& untoldAt = endpoint->processUntoldAt_;
-  const auto& askedAt = endpoint->processAskedAt_;
-  return (untoldAt && aNow - *untoldAt < limits_.untoldRetention_) ||
-         (askedAt && aConnectedAt <= *askedAt + kMinRestartTime);
-}
-
 void
 EndpointTable::RecordActivity(const EndpointIncarnation& aEndpoint,
                               base::Instant aAttemptStartedAt,
@@ -599,17 +527,6 @@
     });
 }
 
-std::optional<std::int64_t>
-EndpointTable::LaterProcessOf(const EndpointIncarnation& aEndpoint) const
-{
-  const auto found = endpoints_.find(aEndpoint.id_);
-  const bool isLater =
-    found != endpoints_.end() &&
-    found->second.record_.startedAtMs_ > aEndpoint.startedAtMs_;
-  return isLater ? std::optional(found->second.record_.startedAtMs_)
-                 : std::nullopt;
-}
-
 bool
 EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
 {
