--- a/Tests/Platform/RestartedEndpointTest.cpp
+++ b/Tests/Platform/RestartedEndpointTest.cpp
@@ -25,6 +25,16 @@
     aServer.SetVersion(aVersion);
   }
 
+  /// Begins the stream r1, which stops after three events.
+  std::unique_ptr<CallerCall> BeginStream()
+  {
+    return SendTo(Loopback(entry_->callerPort_),
+                  "POST",
+                  "/resumable/hold-3",
+                  "Attempt-Id: r1\r\n",
+                  {});
+  }
+
   void Register(const std::string& aId, const ServerStandin& aServer)
   {
     store_.Put("servers/" + aId, aServer.Registration("service", "ready"));
@@ -44,11 +54,7 @@
 TEST_CASE_METHOD(RestartedEndpointFixture,
                  "RestartedEndpoint_StreamBreaks_RestIsNotOfOtherVersion")
 {
-  const auto call = SendTo(Loopback(entry_->callerPort_),
-                           "POST",
-                           "/resumable/hold-3",
-                           "Attempt-Id: r1\r\n",
-                           {});
+  const auto call = BeginStream();
   const std::size_t first = WaitForRequest();
   RunUntil([&] { return call->body_.find("id: 3") != std::string::npos; });
   RestartAs(*servers_[1 - first], "v2");
@@ -64,11 +70,7 @@
 TEST_CASE_METHOD(RestartedEndpointFixture,
                  "RestartedEndpoint_CallerResumes_RestIsNotOfOtherVersion")
 {
-  const auto call = SendTo(Loopback(entry_->callerPort_),
-                           "POST",
-                           "/resumable/hold-3",
-                           "Attempt-Id: r1\r\n",
-                           {});
+  const auto call = BeginStream();
   const std::size_t first = WaitForRequest();
   RunUntil([&] { return call->body_.find("id: 3") != std::string::npos; });
   RestartAs(*servers_[1 - first], "v2");
