--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -11,9 +11,8 @@
 /// Largest report that is read. Endpoints list the runs that they have.
 constexpr std::uint64_t kMaxReportBytes = 256ULL * 1024;
 
-/// @return whether a status says that the endpoint can't answer now. Others
-/// than
-///         200 say that it has no report.
+/// @return whether a status says that the endpoint can't answer now, rather
+///         than that it has no report.
 bool
 IsTemporary(unsigned aStatus)
 {
