LibGateway: Name the service of each version that a resumption rests on

What hosts know of a stream without a record was a set of version names over all services of its route, in messages, decisions and logs. stream_resumed couldn't tell whether two hosts that named v1 meant the same service, nor request_sent and stream_response_ended which service had begun a stream.

Evidence is now a set of services with their versions, and the logs show it as SERVICE/VERSION. Decisions still compare the names alone.

--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -1,5 +1,6 @@
 #include "LibFleet/OriginInquiry.h"
 
+#include <string_view>
 #include <utility>
 
 namespace pumiceturn::fleet {
@@ -8,7 +9,7 @@
                              bool aIsViewRecent,
                              std::size_t aAsked)
   : record_(std::move(aOwn.record_))
-  , versions_(std::move(aOwn.versions_))
+  , origins_(std::move(aOwn.origins_))
   , isViewRecent_(aIsViewRecent)
   , missing_(aAsked)
 {
@@ -23,15 +24,25 @@
     record_ = aEvidence.record_;
     basis_ = OriginBasis::PeerRecord;
   }
-  confirmations_ += aEvidence.versions_.empty() ? 0 : 1;
-  versions_.insert(aEvidence.versions_.begin(), aEvidence.versions_.end());
+  confirmations_ += aEvidence.origins_.empty() ? 0 : 1;
+  origins_.insert(aEvidence.origins_.begin(), aEvidence.origins_.end());
 }
 
 void
-OriginInquiry::AddStoreVersions(const ServiceVersions::Versions& aVersions)
+OriginInquiry::AddStoreOrigins(const OriginSet& aOrigins)
 {
-  hasStoreVersions_ = true;
-  versions_.insert(aVersions.begin(), aVersions.end());
+  hasStoreOrigins_ = true;
+  origins_.insert(aOrigins.begin(), aOrigins.end());
+}
+
+std::size_t
+OriginInquiry::CountVersions() const
+{
+  std::set<std::string_view> versions;
+  for (const StreamOrigin& origin : origins_) {
+    versions.insert(origin.version_);
+  }
+  return versions.size();
 }
 
 void
@@ -47,15 +58,15 @@
 bool
 OriginInquiry::IsOnlyVersionCertain() const
 {
-  return versions_.size() == 1 &&
-         (hasStoreVersions_ || isViewRecent_ || confirmations_ > 0);
+  return CountVersions() == 1 &&
+         (hasStoreOrigins_ || isViewRecent_ || confirmations_ > 0);
 }
 
 bool
 OriginInquiry::NeedsStore() const
 {
-  return isStoreAwaited_ && !hasStoreVersions_ && !HasRecord() &&
-         missing_ == 0 && versions_.size() <= 1;
+  return isStoreAwaited_ && !hasStoreOrigins_ && !HasRecord() &&
+         missing_ == 0 && CountVersions() <= 1;
 }
 
 std::optional<OriginDecision>
@@ -81,15 +92,15 @@
   }
   if (IsOnlyVersionCertain()) {
     return OriginFound{ std::nullopt,
-                        *versions_.begin(),
-                        hasStoreVersions_ ? OriginBasis::OnlyVersion
-                                          : OriginBasis::OnlyVersionConfirmed };
+                        origins_.begin()->version_,
+                        hasStoreOrigins_ ? OriginBasis::OnlyVersion
+                                         : OriginBasis::OnlyVersionConfirmed };
   }
-  if (versions_.empty()) {
+  if (origins_.empty()) {
     return OriginUnknown::NoEndpoints;
   }
-  return versions_.size() == 1 ? OriginUnknown::OldView
-                               : OriginUnknown::NoRecord;
+  return CountVersions() == 1 ? OriginUnknown::OldView
+                              : OriginUnknown::NoRecord;
 }
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "LibFleet/ServiceVersions.h"
 #include "LibFleet/StreamOrigin.h"
 
 #include <cstdint>
@@ -47,8 +46,8 @@
 struct OriginEvidence
 {
   OriginRecord record_;
-  /// All versions that may have begun the stream; empty: not known.
-  ServiceVersions::Versions versions_{};
+  /// All that may have begun the stream; empty: not known.
+  OriginSet origins_{};
 };
 
 /// Decides where a resumed stream goes on, from what this host and others know.
@@ -98,12 +97,12 @@
   /// @return whether only a record can tell the version.
   [[nodiscard]] bool NeedsRecord() const
   {
-    return !HasRecord() && versions_.size() > 1;
+    return !HasRecord() && CountVersions() > 1;
   }
 
-  /// Adds the versions that the store names, from a read that was sent after
-  /// the caller asked.
-  void AddStoreVersions(const ServiceVersions::Versions& aVersions);
+  /// Adds the services and versions that the store names, from a read that was
+  /// sent after the caller asked.
+  void AddStoreOrigins(const OriginSet& aOrigins);
 
   /// @return whether the decision waits for the store, but for no answer.
   [[nodiscard]] bool NeedsStore() const;
@@ -118,17 +117,18 @@
 private:
   /// @return whether one version is known, and nothing suggests another.
   [[nodiscard]] bool IsOnlyVersionCertain() const;
+  [[nodiscard]] std::size_t CountVersions() const;
 
   OriginRecord record_;
   OriginBasis basis_ = OriginBasis::OwnRecord;
-  ServiceVersions::Versions versions_;
+  OriginSet origins_;
   bool isViewRecent_;
   std::size_t missing_;           ///< Answers that may still come.
   std::size_t confirmations_ = 0; ///< Answers that named versions.
   bool isStoreAwaited_ = false;
   bool areHoldersAwaited_ = false;
   bool isStoredRecordAwaited_ = false;
-  bool hasStoreVersions_ = false;
+  bool hasStoreOrigins_ = false;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibFleet/ServiceVersions.cpp
+++ b/Libraries/LibFleet/ServiceVersions.cpp
@@ -42,6 +42,16 @@
   return versions;
 }
 
+OriginSet
+ServiceVersions::OriginsOf(const std::string& aService) const
+{
+  OriginSet origins;
+  for (const std::string& version : VersionsOf(aService)) {
+    origins.insert({ aService, version });
+  }
+  return origins;
+}
+
 std::set<std::string>
 ServiceVersions::Services() const
 {
--- a/Libraries/LibFleet/ServiceVersions.h
+++ b/Libraries/LibFleet/ServiceVersions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibFleet/StreamOrigin.h"
 
 #include <map>
 #include <set>
@@ -34,6 +35,9 @@
   /// @return the versions of a service; empty if none is known.
   [[nodiscard]] Versions VersionsOf(std::string_view aService) const;
 
+  /// @return the versions of a service, each with the service.
+  [[nodiscard]] OriginSet OriginsOf(const std::string& aService) const;
+
   /// @return all services that have a version.
   [[nodiscard]] std::set<std::string> Services() const;
 
--- a/Libraries/LibFleet/StreamOrigin.h
+++ b/Libraries/LibFleet/StreamOrigin.h
@@ -2,6 +2,8 @@
 
 #include "LibBase/Time.h"
 
+#include <compare>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -13,9 +15,12 @@
   std::string service_;
   std::string version_;
 
-  bool operator==(const StreamOrigin&) const = default;
+  auto operator<=>(const StreamOrigin&) const = default;
 };
 
+/// Where a stream may have begun.
+using OriginSet = std::set<StreamOrigin>;
+
 /// No host that was asked has a record of the stream.
 struct UnknownOrigin
 {};
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -257,6 +257,7 @@
     kRequestSent,
     { { "request", call_.requestId_ },
       { "route", route_.name_ },
+      { "service", aChoice.endpoint_.service_ },
       { "endpoint", aChoice.endpoint_.id_ },
       { "running", aChoice.inFlight_ },
       { "candidates", aChoice.candidates_ },
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -124,7 +124,7 @@
               { "record_age_ms", base::ToMs(aOrigin.age_) },
               { "view_age_ms", base::ToMs(aResult.viewAge_) },
               { "store_read_age_ms", base::ToMs(aResult.storeReadAge_) },
-              { "versions", aResult.versions_ },
+              { "versions", aResult.origins_ },
               { "asked", aResult.asked_ },
               { "answers", aResult.answers_ } });
   shared_.metrics_
@@ -146,7 +146,7 @@
               { "cause", aCause },
               { "view_age_ms", base::ToMs(aResult.viewAge_) },
               { "store_read_age_ms", base::ToMs(aResult.storeReadAge_) },
-              { "versions", aResult.versions_ },
+              { "versions", aResult.origins_ },
               { "asked", aResult.asked_ },
               { "answers", aResult.answers_ } });
   shared_.metrics_
--- a/Libraries/LibGateway/StreamOriginCodec.cpp
+++ b/Libraries/LibGateway/StreamOriginCodec.cpp
@@ -39,9 +39,13 @@
 
   json operator()(const OriginAnswer& aMessage) const
   {
+    json origins = json::array();
+    for (const fleet::StreamOrigin& origin : aMessage.evidence_.origins_) {
+      origins.push_back({ origin.service_, origin.version_ });
+    }
     return { { "answer", aMessage.query_ },
              { "record", std::visit(*this, aMessage.evidence_.record_) },
-             { "versions", aMessage.evidence_.versions_ } };
+             { "origins", std::move(origins) } };
   }
 
   json operator()(const fleet::UnknownOrigin& /*aRecord*/) const { return {}; }
@@ -77,6 +81,17 @@
                              ReadMs(aRecord.at(2)) };
 }
 
+fleet::OriginSet
+DecodeOrigins(const json& aOrigins)
+{
+  fleet::OriginSet origins;
+  for (const json& origin : aOrigins) {
+    origins.insert(
+      { origin.at(0).get<std::string>(), origin.at(1).get<std::string>() });
+  }
+  return origins;
+}
+
 } // namespace
 
 json
@@ -109,11 +124,9 @@
       aContent.at("services").get<std::vector<std::string>>()
     };
   }
-  return OriginAnswer{
-    aContent.at("answer").get<std::uint64_t>(),
-    { DecodeRecord(aContent.at("record")),
-      aContent.at("versions").get<fleet::ServiceVersions::Versions>() }
-  };
+  return OriginAnswer{ aContent.at("answer").get<std::uint64_t>(),
+                       { DecodeRecord(aContent.at("record")),
+                         DecodeOrigins(aContent.at("origins")) } };
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamOriginRecords.cpp
+++ b/Libraries/LibGateway/StreamOriginRecords.cpp
@@ -26,17 +26,18 @@
 /// Maximum number of queries that wait for the records on disk.
 constexpr std::size_t kMaxDelayed = 4096;
 
-/// @return what a host knows, for the log: its record, or the versions.
+/// @return what a host knows, for the log: its record, or the services and
+///         versions.
 std::string
 Describe(const fleet::OriginEvidence& aEvidence)
 {
   if (const auto* known = std::get_if<fleet::KnownOrigin>(&aEvidence.record_)) {
-    return "record:" + known->origin_.version_;
+    return "record:" + DescribeOrigins(fleet::OriginSet{ known->origin_ });
   }
   if (std::holds_alternative<fleet::AmbiguousOrigin>(aEvidence.record_)) {
     return "ambiguous";
   }
-  return fmt::format("{}", fmt::join(aEvidence.versions_, "+"));
+  return DescribeOrigins(aEvidence.origins_);
 }
 
 /// @return when a record expires, as it is kept outside of this process.
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -55,6 +55,17 @@
 
 } // namespace
 
+std::string
+DescribeOrigins(const fleet::OriginSet& aOrigins)
+{
+  std::string text;
+  for (const fleet::StreamOrigin& origin : aOrigins) {
+    text += fmt::format(
+      "{}{}/{}", text.empty() ? "" : "+", origin.service_, origin.version_);
+  }
+  return text;
+}
+
 StreamOrigins::StreamOrigins(boost::asio::any_io_executor aExecutor,
                              SharedState& aShared,
                              PeerMessenger& aPeers,
@@ -204,11 +215,11 @@
 {
   fleet::OriginEvidence evidence{ table_.Find(aId, aNow) };
   for (const std::string& service : aServices) {
-    evidence.versions_.merge(versions_.VersionsOf(service));
+    evidence.origins_.merge(versions_.OriginsOf(service));
   }
   // Before the store's entries are read, another version may have just gone.
-  if (!versionStore_.HasBeenRead() && evidence.versions_.size() == 1) {
-    evidence.versions_.clear();
+  if (!versionStore_.HasBeenRead() && evidence.origins_.size() == 1) {
+    evidence.origins_.clear();
   }
   return evidence;
 }
@@ -228,7 +239,7 @@
 {
   // Without an id, others can only confirm that there is one version.
   const bool needsAnswers =
-    IsRecordable(aId) || (!aIsViewRecent && aOwn.versions_.size() <= 1);
+    IsRecordable(aId) || (!aIsViewRecent && aOwn.origins_.size() <= 1);
   if (!needsAnswers) {
     return {};
   }
@@ -248,7 +259,7 @@
     mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max());
   const bool isViewRecent = IsViewRecent(viewAge, now);
   std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
-  const std::size_t versions = own.versions_.size();
+  std::string origins = DescribeOrigins(own.origins_);
   PendingInquiry pending{ IsRecordable(aId) ? aId : std::string(),
                           fleet::OriginInquiry(
                             std::move(own), isViewRecent, hosts.size()),
@@ -258,7 +269,7 @@
   pending.result_.asked_ = hosts.size();
   pending.result_.viewAge_ = viewAge;
   pending.result_.storeReadAge_ = versionStore_.AgeOf(now);
-  pending.result_.versions_ = versions;
+  pending.result_.origins_ = std::move(origins);
   if (!health_.IsLost()) {
     pending.inquiry_.AwaitStore();
   }
@@ -372,16 +383,18 @@
   }
 }
 
-std::optional<fleet::ServiceVersions::Versions>
-StreamOrigins::RecordedVersionsOf(std::span<const std::string> aServices) const
+std::optional<fleet::OriginSet>
+StreamOrigins::RecordedOriginsOf(std::span<const std::string> aServices) const
 {
-  fleet::ServiceVersions::Versions all;
+  fleet::OriginSet all;
   for (const std::string& service : aServices) {
     const auto* versions = versionStore_.RecordedVersions(service);
     if (versions == nullptr) {
       return std::nullopt;
     }
-    all.insert(versions->begin(), versions->end());
+    for (const std::string& version : *versions) {
+      all.insert({ service, version });
+    }
   }
   return all;
 }
@@ -390,11 +403,11 @@
 StreamOrigins::OnStoreRead(base::Instant aSentAt)
 {
   AdvanceAfterRead(aSentAt, [this](PendingInquiry& aPending) {
-    const auto versions = RecordedVersionsOf(aPending.services_);
-    if (versions) {
-      aPending.inquiry_.AddStoreVersions(*versions);
+    const auto origins = RecordedOriginsOf(aPending.services_);
+    if (origins) {
+      aPending.inquiry_.AddStoreOrigins(*origins);
     }
-    return versions.has_value();
+    return origins.has_value();
   });
 }
 
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -28,6 +28,10 @@
 
 namespace pumiceturn::gateway {
 
+/// @return services and their versions, for the log.
+[[nodiscard]] std::string
+DescribeOrigins(const fleet::OriginSet& aOrigins);
+
 /// Knows at which software version streams began, so that they can be resumed
 /// at any host. While a service has one version, each host knows it; from the
 /// moment at which it has several, the host that begins a stream sends a record
@@ -72,7 +76,8 @@
     std::size_t asked_ = 0; ///< Number of hosts that were asked.
     base::Duration viewAge_{ 0 };
     base::Duration storeReadAge_{ 0 }; ///< Of the versions in the store.
-    std::size_t versions_ = 0;         ///< That this host knew of the services.
+    /// What this host knew of the route's services, for the log.
+    std::string origins_{};
     std::string answers_{}; ///< What each asked host said, for the log.
   };
   using ResultHandler = std::function<void(const Result&)>;
@@ -157,8 +162,8 @@
   void Advance(std::uint64_t aQuery);
   /// @return the versions that the store names for all services together; empty
   ///         if it names none for one of them.
-  [[nodiscard]] std::optional<fleet::ServiceVersions::Versions>
-  RecordedVersionsOf(std::span<const std::string> aServices) const;
+  [[nodiscard]] std::optional<fleet::OriginSet> RecordedOriginsOf(
+    std::span<const std::string> aServices) const;
   /// Adds the versions that the store names to the inquiries that began before
   /// the read.
   void OnStoreRead(base::Instant aSentAt);
--- a/Libraries/LibGateway/StreamReport.cpp
+++ b/Libraries/LibGateway/StreamReport.cpp
@@ -80,6 +80,7 @@
   }
   base::Log(kStreamResponseEnded,
             { { "request", aEnd.request_ },
+              { "service", aAttempt.Endpoint().service_ },
               { "endpoint", aAttempt.Endpoint().id_ },
               { "born_ms", aAttempt.Endpoint().startedAtMs_ },
               { "software", aAttempt.Endpoint().softwareVersion_ },
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -2,19 +2,31 @@
 
 #include <catch2/catch.hpp>
 
+#include <initializer_list>
+#include <string>
+
 namespace pumiceturn::fleet {
 
 class OriginInquiryFixture
 {
 protected:
-  static OriginEvidence Unknown(ServiceVersions::Versions aVersions)
+  /// @return the versions, each of the same service.
+  static OriginSet OriginsOf(std::initializer_list<std::string> aVersions)
+  {
+    OriginSet origins;
+    for (const std::string& version : aVersions) {
+      origins.insert({ "service", version });
+    }
+    return origins;
+  }
+  static OriginEvidence Unknown(std::initializer_list<std::string> aVersions)
   {
-    return { UnknownOrigin{}, std::move(aVersions) };
+    return { UnknownOrigin{}, OriginsOf(aVersions) };
   }
   static OriginEvidence Known(const std::string& aVersion)
   {
     return { KnownOrigin{ { "service", aVersion }, base::Duration::zero() },
-             { "v1", "v2" } };
+             OriginsOf({ "v1", "v2" }) };
   }
   static std::string VersionIn(const std::optional<OriginDecision>& aDecision)
   {
@@ -145,7 +157,7 @@
   inquiry.Add(Unknown({ "v1" }));
   CHECK(inquiry.NeedsStore());
   CHECK_FALSE(inquiry.Decide());
-  inquiry.AddStoreVersions({ "v1", "v2" });
+  inquiry.AddStoreOrigins(OriginsOf({ "v1", "v2" }));
   CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
 }
 
@@ -157,7 +169,7 @@
   CHECK_FALSE(inquiry.NeedsStore());
   inquiry.SetMissing(0);
   CHECK(inquiry.NeedsStore());
-  inquiry.AddStoreVersions({ "v1" });
+  inquiry.AddStoreOrigins(OriginsOf({ "v1" }));
   CHECK(VersionIn(inquiry.Decide()) == "v1");
 }
 
--- a/Tests/Platform/OnlyVersionSearchTest.cpp
+++ b/Tests/Platform/OnlyVersionSearchTest.cpp
@@ -305,14 +305,14 @@
     aStream.startedAt_ = now_;
     const ModelHost& own = *hosts_[aStream.host_];
     fleet::OriginEvidence evidence{ fleet::UnknownOrigin{},
-                                    own.versions_.VersionsOf(kService) };
+                                    own.versions_.OriginsOf(kService) };
     aStream.inquiry_ = std::make_unique<fleet::OriginInquiry>(
       std::move(evidence), true, kHosts - 1);
     aStream.inquiry_->AwaitStore();
     for (std::size_t host = 0; host < kHosts; ++host) {
       if (host != aStream.host_ && DrawOneIn(2)) {
         aStream.inquiry_->Add({ fleet::UnknownOrigin{},
-                                hosts_[host]->versions_.VersionsOf(kService) });
+                                hosts_[host]->versions_.OriginsOf(kService) });
       }
     }
     aStream.inquiry_->SetMissing(0);
@@ -326,9 +326,13 @@
                             hosts_[stream.host_].get() == &aHost &&
                             stream.startedAt_ <= aSentAt;
       if (isServed) {
-        const auto* recorded = aHost.store_.RecordedVersions(kService);
-        stream.inquiry_->AddStoreVersions(
-          recorded != nullptr ? *recorded : ServiceVersions::Versions{});
+        fleet::OriginSet origins;
+        if (const auto* recorded = aHost.store_.RecordedVersions(kService)) {
+          for (const std::string& version : *recorded) {
+            origins.insert({ kService, version });
+          }
+        }
+        stream.inquiry_->AddStoreOrigins(origins);
       }
     }
   }
