Tests: Split and move the route of resumable streams

Two services whose software has the same version name serve one route, or the operator moves the route from one to the other.

The fixture of VersionsTest that begins and resumes streams moves to a header.

--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -70,6 +70,18 @@
   CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
 }
 
+// Guards against joining a stream to another service whose software has the
+// same version.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_TwoServicesHaveTheVersion_IsUnknown")
+{
+  const OriginSet origins{ { "service", "v1" }, { "second", "v1" } };
+  OriginInquiry inquiry({ UnknownOrigin{}, origins }, true, 0);
+  inquiry.AwaitStore();
+  CHECK(inquiry.NeedsRecord());
+  CHECK(CauseIn(inquiry.Decide()) == OriginUnknown::NoRecord);
+}
+
 // Guards against a host that missed a release and takes its old version for the
 // only one.
 TEST_CASE_METHOD(OriginInquiryFixture,
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -1,4 +1,4 @@
-#include "Tests/Platform/GatewayFixture.h"
+#include "Tests/Platform/ResumingFixture.h"
 #include "Tests/TemporaryFolder.h"
 
 #include <nlohmann/json.hpp>
@@ -10,18 +10,11 @@
 namespace pumiceturn::adapter {
 
 /// Endpoints of two software versions, and entry hosts.
-class VersionsFixture : protected GatewayFixture
+class VersionsFixture : protected ResumingFixture
 {
 protected:
   VersionsFixture() { WriteConfiguration(1); }
 
-  TestHost& StartEntry(const std::string& aName)
-  {
-    TestHost& host = StartHost(aName, batch::BatchPreference::Fallback);
-    WaitUntilReady(host);
-    return host;
-  }
-
   /// Adds endpoints that are called VERSION-NUMBER.
   void AddServers(std::string_view aVersion, int aCount)
   {
@@ -30,36 +23,6 @@
     }
   }
 
-  /// Begins a stream that stops after two events, and disconnects.
-  /// @return the version that began it.
-  std::string BeginStream(TestHost& aHost, const std::string& aId)
-  {
-    const auto call = Send(aHost.callerPort_,
-                           "POST",
-                           "/resumable/hold-2",
-                           fmt::format("Attempt-Id: {}\r\n", aId));
-    const auto hasTwoEvents = [&call] {
-      return call->body_.find("id: 2") != std::string::npos;
-    };
-    RunUntil(hasTwoEvents);
-    call->connection_->Cancel();
-    const bool isDefault = WholeStream().starts_with(call->body_);
-    return isDefault ? std::string(ServerStandin::kDefaultVersion) : "v2";
-  }
-
-  std::unique_ptr<CallerCall> Resume(TestHost& aHost,
-                                     const std::string& aId,
-                                     const std::string& aResumedId)
-  {
-    return SendAndWait(
-      aHost,
-      "POST",
-      "/resumable/hold-2",
-      fmt::format("Attempt-Id: {}\r\nLast-Event-Id: 2\r\nResumes: {}\r\n",
-                  aId,
-                  aResumedId));
-  }
-
   [[nodiscard]] bool IsRecorded(const std::string& aVersion) const
   {
     return store_.Get("pumiceturn/versions/service").find(aVersion) !=
@@ -113,35 +76,6 @@
     }
     return text;
   }
-
-  [[nodiscard]] std::size_t DisconnectedCount() const
-  {
-    std::size_t disconnected = 0;
-    for (const auto& server : servers_) {
-      disconnected += server->DisconnectedCount();
-    }
-    return disconnected;
-  }
-
-  [[nodiscard]] std::size_t RequestCount() const
-  {
-    std::size_t count = 0;
-    for (const auto& server : servers_) {
-      count += server->Requests().size();
-    }
-    return count;
-  }
-
-  static constexpr int kRounds = 8;
-
-private:
-  void WaitUntilReady(TestHost& aHost)
-  {
-    RunUntil([&] {
-      return SendToAndWait(Loopback(aHost.statusPort_), "GET", "/api/ready")
-               ->status_ == 200;
-    });
-  }
 };
 
 // Guards against a response that joins events of two software versions.
