LibFleet: Compare where streams began by service and version

Callers of a route with two services got the rest of their stream from the other service, if the software of both had the same version name.

Cause: what is known of a stream without a record was a set of version names over all services of its route. One name counted as one origin, and the rest went to a service drawn by weight. Ruled out: the record (none was found), the process behind the endpoint (no restart).

A service and its version are one value now, so the route has two origins, and a stream goes on only where its record says. Such routes get records as beside two versions. SplitRoute tests and the one of OriginInquiry failed before.

--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -1,6 +1,5 @@
 #include "LibFleet/OriginInquiry.h"
 
-#include <string_view>
 #include <utility>
 
 namespace pumiceturn::fleet {
@@ -35,16 +34,6 @@
   origins_.insert(aOrigins.begin(), aOrigins.end());
 }
 
-std::size_t
-OriginInquiry::CountVersions() const
-{
-  std::set<std::string_view> versions;
-  for (const StreamOrigin& origin : origins_) {
-    versions.insert(origin.version_);
-  }
-  return versions.size();
-}
-
 void
 OriginInquiry::AddStoredRecord(const OriginRecord& aRecord)
 {
@@ -58,7 +47,7 @@
 bool
 OriginInquiry::IsOnlyVersionCertain() const
 {
-  return CountVersions() == 1 &&
+  return origins_.size() == 1 &&
          (hasStoreOrigins_ || isViewRecent_ || confirmations_ > 0);
 }
 
@@ -66,7 +55,7 @@
 OriginInquiry::NeedsStore() const
 {
   return isStoreAwaited_ && !hasStoreOrigins_ && !HasRecord() &&
-         missing_ == 0 && CountVersions() <= 1;
+         missing_ == 0 && origins_.size() <= 1;
 }
 
 std::optional<OriginDecision>
@@ -83,23 +72,20 @@
 OriginInquiry::DecideNow() const
 {
   if (const auto* known = std::get_if<KnownOrigin>(&record_)) {
-    return OriginFound{
-      known->origin_.service_, known->origin_.version_, basis_, known->age_
-    };
+    return OriginFound{ known->origin_, basis_, known->age_ };
   }
   if (std::holds_alternative<AmbiguousOrigin>(record_)) {
     return OriginUnknown::Ambiguous;
   }
   if (IsOnlyVersionCertain()) {
-    return OriginFound{ std::nullopt,
-                        origins_.begin()->version_,
+    return OriginFound{ *origins_.begin(),
                         hasStoreOrigins_ ? OriginBasis::OnlyVersion
                                          : OriginBasis::OnlyVersionConfirmed };
   }
   if (origins_.empty()) {
     return OriginUnknown::NoEndpoints;
   }
-  return CountVersions() == 1 ? OriginUnknown::OldView
+  return origins_.size() == 1 ? OriginUnknown::OldView
                               : OriginUnknown::NoRecord;
 }
 
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -25,8 +25,8 @@
 /// Why a stream can't be resumed.
 enum class OriginUnknown : std::uint8_t
 {
-  NoRecord,    ///< Several versions served, and no host knows the stream.
-  Ambiguous,   ///< Streams of several versions had the same id.
+  NoRecord,    ///< Several origins are possible, and no host knows the stream.
+  Ambiguous,   ///< Streams of several origins had the same id.
   OldView,     ///< One version is known here, but others may serve by now.
   NoEndpoints, ///< No version of the service is known.
 };
@@ -34,8 +34,7 @@
 /// Where a resumed stream goes on.
 struct OriginFound
 {
-  std::optional<std::string> service_; ///< Any of the route's if not set.
-  std::string version_;
+  StreamOrigin origin_;
   OriginBasis basis_ = OriginBasis::OwnRecord;
   base::Duration age_{ 0 }; ///< Age of the record; zero without one.
 };
@@ -51,8 +50,9 @@
 };
 
 /// Decides where a resumed stream goes on, from what this host and others know.
-/// What two versions write doesn't fit together, so a stream of unknown version
-/// isn't resumed unless there is only one.
+/// What two versions or services write doesn't fit together, so a stream of
+/// unknown origin isn't resumed unless there is only one. The names of two
+/// services' versions have nothing to do with each other.
 class OriginInquiry
 {
 public:
@@ -97,7 +97,7 @@
   /// @return whether only a record can tell the version.
   [[nodiscard]] bool NeedsRecord() const
   {
-    return !HasRecord() && CountVersions() > 1;
+    return !HasRecord() && origins_.size() > 1;
   }
 
   /// Adds the services and versions that the store names, from a read that was
@@ -115,9 +115,9 @@
   [[nodiscard]] OriginDecision DecideNow() const;
 
 private:
-  /// @return whether one version is known, and nothing suggests another.
+  /// @return whether one service with one version is known, and nothing
+  ///         suggests another.
   [[nodiscard]] bool IsOnlyVersionCertain() const;
-  [[nodiscard]] std::size_t CountVersions() const;
 
   OriginRecord record_;
   OriginBasis basis_ = OriginBasis::OwnRecord;
--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -114,6 +114,21 @@
   return aRoute.targets_.back().service_;
 }
 
+std::vector<std::string>
+RouteTable::ServicesOf(const Route& aRoute)
+{
+  std::vector<std::string> services;
+  for (const RouteTarget& target : aRoute.targets_) {
+    if (target.weight_ > 0.0) {
+      services.push_back(target.service_);
+    }
+  }
+  if (services.empty()) {
+    services.push_back(aRoute.targets_.back().service_);
+  }
+  return services;
+}
+
 const std::string*
 RouteTable::ChooseServiceAmong(
   const Route& aRoute,
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -38,6 +38,9 @@
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
                                                         double aRandom);
 
+  /// @return the services that ChooseService() may choose.
+  [[nodiscard]] static std::vector<std::string> ServicesOf(const Route& aRoute);
+
   /// Chooses one of the services that can take a request now, by weight.
   /// @param aRandom Uniform in [0, 1).
   /// @param aCanTake Returns whether a service can take a request.
--- a/Libraries/LibFleet/StreamOrigin.h
+++ b/Libraries/LibFleet/StreamOrigin.h
@@ -2,9 +2,9 @@
 
 #include "LibBase/Time.h"
 
-#include <compare>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 
 namespace pumiceturn::fleet {
@@ -15,7 +15,12 @@
   std::string service_;
   std::string version_;
 
-  auto operator<=>(const StreamOrigin&) const = default;
+  bool operator==(const StreamOrigin&) const = default;
+  bool operator<(const StreamOrigin& aOther) const
+  {
+    return std::tie(service_, version_) <
+           std::tie(aOther.service_, aOther.version_);
+  }
 };
 
 /// Where a stream may have begun.
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -73,7 +73,7 @@
   const std::string& id =
     isResumption ? call_.resumedRequestId_ : call_.requestId_;
   if (!id.empty()) {
-    origins_.Record(id, *stream_.Origin(), route_.timeout_);
+    origins_.Record(id, *stream_.Origin(), route_);
   }
 }
 
@@ -99,7 +99,7 @@
     return;
   }
   const auto& origin = std::get<fleet::OriginFound>(aResult.decision_);
-  if (origin.service_ && !HasTarget(route_, *origin.service_)) {
+  if (!HasTarget(route_, origin.origin_.service_)) {
     RejectUnknownStream("service_not_routed", aResult);
     return;
   }
@@ -110,16 +110,13 @@
 OnlineProxy::ResumeAt(const fleet::OriginFound& aOrigin,
                       const StreamOrigins::Result& aResult)
 {
-  stream_.SetOrigin({ aOrigin.service_ ? *aOrigin.service_
-                                       : fleet::RouteTable::ChooseService(
-                                           route_, NextRandom(shared_.random_)),
-                      aOrigin.version_ });
+  stream_.SetOrigin(aOrigin.origin_);
   base::Log(kStreamResumed,
             { { "request", call_.requestId_ },
               { "resumes", LoggedResumedId() },
               { "after_event", stream_.LastEvent() },
-              { "service", stream_.Origin()->service_ },
-              { "software", aOrigin.version_ },
+              { "service", aOrigin.origin_.service_ },
+              { "software", aOrigin.origin_.version_ },
               { "basis", NameOf(aOrigin.basis_) },
               { "record_age_ms", base::ToMs(aOrigin.age_) },
               { "view_age_ms", base::ToMs(aResult.viewAge_) },
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -43,16 +43,6 @@
   return !aId.empty() && aId.size() <= fleet::StreamOriginTable::kMaxIdBytes;
 }
 
-std::vector<std::string>
-ServicesOf(const fleet::Route& aRoute)
-{
-  std::vector<std::string> services;
-  for (const fleet::RouteTarget& target : aRoute.targets_) {
-    services.push_back(target.service_);
-  }
-  return services;
-}
-
 } // namespace
 
 std::string
@@ -187,11 +177,11 @@
 void
 StreamOrigins::Record(const std::string& aId,
                       const fleet::StreamOrigin& aOrigin,
-                      base::Duration aLifetime)
+                      const fleet::Route& aRoute)
 {
   const fleet::StreamOriginTable::Row row{ aId,
                                            aOrigin,
-                                           kTriesPerStream * aLifetime };
+                                           kTriesPerStream * aRoute.timeout_ };
   const base::Instant now = base::MonotonicNow();
   if (!table_.Record(row, fleet::StreamOriginTable::Source::OwnStream, now)) {
     shared_.metrics_
@@ -201,7 +191,8 @@
       .Add();
     return;
   }
-  if (HasSeveralVersions(aOrigin.service_)) {
+  if (HasSeveralVersions(aOrigin.service_) ||
+      fleet::RouteTable::ServicesOf(aRoute).size() > 1) {
     Publish(std::span(&row, 1));
   } else {
     PublishAhead(row, now);
@@ -252,7 +243,7 @@
                     const fleet::Route& aRoute,
                     ResultHandler aHandler)
 {
-  std::vector<std::string> services = ServicesOf(aRoute);
+  std::vector<std::string> services = fleet::RouteTable::ServicesOf(aRoute);
   const base::Instant now = base::MonotonicNow();
   fleet::OriginEvidence own = EvidenceOf(aId, services, now);
   const base::Duration viewAge =
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -64,10 +64,11 @@
                   const std::filesystem::path& aFolder);
 
   /// Records where a stream began, or that it went on.
-  /// @param aId Id of the request that brought its first event.
+  /// @param aId    Id of the request that brought its first event.
+  /// @param aRoute Of the stream.
   void Record(const std::string& aId,
               const fleet::StreamOrigin& aOrigin,
-              base::Duration aLifetime);
+              const fleet::Route& aRoute);
 
   /// How a resumed stream goes on, and what was known.
   struct Result
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -32,7 +32,7 @@
   {
     REQUIRE(aDecision);
     const auto* found = std::get_if<OriginFound>(&*aDecision);
-    return found != nullptr ? found->version_ : std::string();
+    return found != nullptr ? found->origin_.version_ : std::string();
   }
   static OriginUnknown CauseIn(const std::optional<OriginDecision>& aDecision)
   {
--- a/Tests/Platform/OnlyVersionSearchTest.cpp
+++ b/Tests/Platform/OnlyVersionSearchTest.cpp
@@ -347,7 +347,7 @@
       }
       if (const auto* found = std::get_if<fleet::OriginFound>(&*decision)) {
         ++counts_.goneOn_;
-        counts_.joined_ += found->version_ == aStream.version_ ? 0 : 1;
+        counts_.joined_ += found->origin_.version_ == aStream.version_ ? 0 : 1;
       }
       return true;
     });
