LibFleet: Don't put versions back that only the store named

A version that no endpoint has any more could count for good, so that streams without a record were refused long after a release.

Cause, found by the review with a model of the store's entries (5 hosts, 0.3 reads a second each: a version that left at 5 s was still named at 90 s): a host that has expired a version reads the entry before the writer takes it out, observes it anew, and later adds it to the entry again as one that it misses.

A host adds only what it has observed itself. What it knows from the store alone still counts for its own decisions, and expires. The model wasn't run again with the change.

--- a/Libraries/LibFleet/ServiceVersions.cpp
+++ b/Libraries/LibFleet/ServiceVersions.cpp
@@ -7,23 +7,25 @@
                          const std::string& aVersion,
                          base::Instant aNow)
 {
-  return services_[aService].insert_or_assign(aVersion, aNow).second;
+  return services_[aService]
+    .insert_or_assign(aVersion, Sighting{ aNow, true })
+    .second;
 }
 
 void
-ServiceVersions::ObserveIfNew(const std::string& aService,
-                              const std::string& aVersion,
-                              base::Instant aNow)
+ServiceVersions::Learn(const std::string& aService,
+                       const std::string& aVersion,
+                       base::Instant aNow)
 {
-  services_[aService].try_emplace(aVersion, aNow);
+  services_[aService].try_emplace(aVersion, Sighting{ aNow, false });
 }
 
 void
 ServiceVersions::Expire(base::Duration aLifetime, base::Instant aNow)
 {
-  for (auto& [service, lastSeen] : services_) {
-    std::erase_if(lastSeen, [&](const auto& aEntry) {
-      return aNow - aEntry.second > aLifetime;
+  for (auto& [service, sightings] : services_) {
+    std::erase_if(sightings, [&](const auto& aEntry) {
+      return aNow - aEntry.second.lastSeenAt_ > aLifetime;
     });
   }
   std::erase_if(services_,
@@ -35,13 +37,27 @@
 {
   Versions versions;
   if (const auto found = services_.find(aService); found != services_.end()) {
-    for (const auto& [version, seenAt] : found->second) {
+    for (const auto& [version, sighting] : found->second) {
       versions.insert(version);
     }
   }
   return versions;
 }
 
+ServiceVersions::Versions
+ServiceVersions::ObservedVersionsOf(std::string_view aService) const
+{
+  Versions versions;
+  if (const auto found = services_.find(aService); found != services_.end()) {
+    for (const auto& [version, sighting] : found->second) {
+      if (sighting.isOwn_) {
+        versions.insert(version);
+      }
+    }
+  }
+  return versions;
+}
+
 OriginSet
 ServiceVersions::OriginsOf(const std::string& aService) const
 {
@@ -56,7 +72,7 @@
 ServiceVersions::Services() const
 {
   std::set<std::string> services;
-  for (const auto& [service, lastSeen] : services_) {
+  for (const auto& [service, sightings] : services_) {
     services.insert(service);
   }
   return services;
--- a/Libraries/LibFleet/ServiceVersions.h
+++ b/Libraries/LibFleet/ServiceVersions.h
@@ -24,10 +24,11 @@
                const std::string& aVersion,
                base::Instant aNow);
 
-  /// As Observe(), but leaves the time of a version that is known.
-  void ObserveIfNew(const std::string& aService,
-                    const std::string& aVersion,
-                    base::Instant aNow);
+  /// Records that another host has observed a version. Leaves a version that
+  /// this host has observed as it is.
+  void Learn(const std::string& aService,
+             const std::string& aVersion,
+             base::Instant aNow);
 
   /// Drops versions that no endpoint had for a time.
   void Expire(base::Duration aLifetime, base::Instant aNow);
@@ -35,6 +36,9 @@
   /// @return the versions of a service; empty if none is known.
   [[nodiscard]] Versions VersionsOf(std::string_view aService) const;
 
+  /// @return those of VersionsOf() that this host has observed itself.
+  [[nodiscard]] Versions ObservedVersionsOf(std::string_view aService) const;
+
   /// @return the versions of a service, each with the service.
   [[nodiscard]] OriginSet OriginsOf(const std::string& aService) const;
 
@@ -42,9 +46,13 @@
   [[nodiscard]] std::set<std::string> Services() const;
 
 private:
-  /// When an endpoint last had the version, by version.
-  using LastSeen = std::map<std::string, base::Instant>;
-  std::map<std::string, LastSeen, std::less<>> services_;
+  struct Sighting
+  {
+    base::Instant lastSeenAt_;
+    bool isOwn_ = false; ///< Observed, not only learnt of.
+  };
+  using Sightings = std::map<std::string, Sighting>; ///< By version.
+  std::map<std::string, Sightings, std::less<>> services_;
 };
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -113,7 +113,8 @@
 {
   for (const std::string& service : versions_.Services()) {
     const auto recorded = recorded_.find(service);
-    for (const std::string& version : versions_.VersionsOf(service)) {
+    // A host doesn't put back what it knows from the store alone.
+    for (const std::string& version : versions_.ObservedVersionsOf(service)) {
       if (recorded == recorded_.end() || !recorded->second.contains(version)) {
         return true;
       }
@@ -177,7 +178,7 @@
               { "versions", json(entry.versions_).dump() },
               { "revision", entry.revision_ } });
   for (const std::string& version : entry.versions_) {
-    versions_.ObserveIfNew(service, version, aNow);
+    versions_.Learn(service, version, aNow);
   }
   recorded_[service] = entry.versions_;
 }
--- a/Tests/LibFleet/StreamOriginTableTest.cpp
+++ b/Tests/LibFleet/StreamOriginTableTest.cpp
@@ -91,7 +91,7 @@
   CHECK_FALSE(versions.Observe("service", "v1", start + seconds(5)));
   CHECK(versions.Observe("service", "v2", start + seconds(5)));
   versions.Observe("service", "v2", start + seconds(14));
-  versions.ObserveIfNew("service", "v1", start + seconds(14));
+  versions.Learn("service", "v1", start + seconds(14));
   versions.Expire(seconds(10), start + seconds(15));
   CHECK(versions.VersionsOf("service").size() == 2);
   versions.Expire(seconds(10), start + seconds(16));
