LibFleet: Remember the services that routes were moved between

After the operator moved a route, callers got the rest of their stream from the new service; the same where a new route took over paths of another one, or a route was removed and another one got its paths.

Cause: a host looked for the origin of a stream among the services that its route has now.

RouteHistory keeps which services shared a route, at one time or one after the other, within the lifetime of a stream. The relation is one between services, as any of their routes may be looked up under another name at a host whose configuration is older or that has started since; hosts tell it with the service's versions, and the store keeps it beside them. Streams of such services get records, also those that run at the moment of the change: at any change of what is known, not only at that of an endpoint, as the store's entry may be read first. The entries are read page by page, and one that names nothing is removed. The age of a host's view counts its configuration, too.

--- a/Libraries/LibFleet/RouteTable.cpp
+++ b/Libraries/LibFleet/RouteTable.cpp
@@ -86,6 +86,16 @@
   return route == routes.end() ? nullptr : &*route;
 }
 
+void
+RouteTable::ForEach(const std::function<void(const Route&)>& aFunction) const
+{
+  for (const auto& [name, routes] : routes_) {
+    for (const Route& route : routes) {
+      aFunction(route);
+    }
+  }
+}
+
 const Route*
 RouteTable::FindCapped(std::string_view aHostName, std::string_view aPath) const
 {
--- a/Libraries/LibFleet/RouteTable.h
+++ b/Libraries/LibFleet/RouteTable.h
@@ -33,6 +33,9 @@
   [[nodiscard]] const Route* FindCapped(std::string_view aHostName,
                                         std::string_view aPath) const;
 
+  /// Calls a function with each route.
+  void ForEach(const std::function<void(const Route&)>& aFunction) const;
+
   /// Chooses one of the route's services by weight.
   /// @param aRandom Uniform in [0, 1).
   [[nodiscard]] static const std::string& ChooseService(const Route& aRoute,
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -153,6 +153,7 @@
   if (!shared_.routes_.Install(std::move(*declarations))) {
     return;
   }
+  streamOrigins_.OnRoutes(base::MonotonicNow());
   peerMessenger_.SetIsDivided(!shared_.routes_.Organisations().AreDeclared());
   shared_.admission_.ClearCallerTimeouts();
   callerListener_.SetLimits(limits);
--- a/Libraries/LibGateway/OnlineProxyResumption.cpp
+++ b/Libraries/LibGateway/OnlineProxyResumption.cpp
@@ -73,7 +73,7 @@
   const std::string& id =
     isResumption ? call_.resumedRequestId_ : call_.requestId_;
   if (!id.empty()) {
-    origins_.Record(id, *stream_.Origin(), route_);
+    origins_.Record(id, *stream_.Origin(), route_.timeout_);
   }
 }
 
--- a/Libraries/LibGateway/ServiceVersionStore.cpp
+++ b/Libraries/LibGateway/ServiceVersionStore.cpp
@@ -138,33 +138,52 @@
   isCalling_ = true;
   sentAt_ = aNow;
   nextReadAt_ = aNow + kRetryPause;
-  // Has one entry for each service, which fits into a page.
+  readItems_.clear();
+  ReadAfter({}, aNow);
+}
+
+void
+ServiceVersionStore::ReadAfter(const std::string& aKey, base::Instant aSentAt)
+{
   store_.Range(
     keyPrefix_,
-    {},
+    aKey,
     metadata::ReadConsistency::Linearizable,
-    lifetime_.Guard([this, aNow](const metadata::RangeResponse& aResponse) {
-      isCalling_ = false;
+    lifetime_.Guard([this, aSentAt](const metadata::RangeResponse& aResponse) {
       if (aResponse.status_ != metadata::StoreStatus::Ok) {
+        isCalling_ = false;
         return;
       }
-      entries_.clear();
-      recorded_.clear();
-      for (const metadata::StoreItem& item : aResponse.items_) {
-        Apply(item, std::max(aNow, now_));
-      }
-      hasBeenRead_ = true;
-      readAt_ = aNow;
-      isCurrent_ = true;
-      if (readRequestedAt_ && *readRequestedAt_ <= aNow) {
-        readRequestedAt_.reset();
-      }
-      if (onRead_) {
-        onRead_(aNow);
+      readItems_.insert(
+        readItems_.end(), aResponse.items_.begin(), aResponse.items_.end());
+      if (aResponse.isTruncated_ && !aResponse.items_.empty()) {
+        ReadAfter(aResponse.items_.back().key_, aSentAt);
+        return;
       }
+      isCalling_ = false;
+      OnRead(aSentAt);
     }));
 }
 
+void
+ServiceVersionStore::OnRead(base::Instant aSentAt)
+{
+  entries_.clear();
+  recorded_.clear();
+  for (const metadata::StoreItem& item : std::exchange(readItems_, {})) {
+    Apply(item, std::max(aSentAt, now_));
+  }
+  hasBeenRead_ = true;
+  readAt_ = aSentAt;
+  isCurrent_ = true;
+  if (readRequestedAt_ && *readRequestedAt_ <= aSentAt) {
+    readRequestedAt_.reset();
+  }
+  if (onRead_) {
+    onRead_(aSentAt);
+  }
+}
+
 void
 ServiceVersionStore::Apply(const metadata::StoreItem& aItem, base::Instant aNow)
 {
@@ -221,8 +240,12 @@
   metadata::Transaction transaction;
   transaction.expectations_.push_back(
     { keyPrefix_ + aService, entries_[aService].revision_ });
-  transaction.writes_.push_back(
-    { keyPrefix_ + aService, json(aVersions).dump(), 0 });
+  if (aVersions.empty()) {
+    transaction.removals_.push_back(keyPrefix_ + aService);
+  } else {
+    transaction.writes_.push_back(
+      { keyPrefix_ + aService, json(aVersions).dump(), 0 });
+  }
   store_.Commit(
     transaction,
     lifetime_.Guard([this, aService, aVersions](
@@ -235,7 +258,8 @@
                   { "written", isWritten },
                   { "revision", aResponse.revision_ } });
       if (isWritten) {
-        entries_[aService] = { aVersions, aResponse.revision_ };
+        entries_[aService] = { aVersions,
+                               aVersions.empty() ? 0 : aResponse.revision_ };
         recorded_[aService] = aVersions;
         return;
       }
--- a/Libraries/LibGateway/ServiceVersionStore.h
+++ b/Libraries/LibGateway/ServiceVersionStore.h
@@ -11,10 +11,12 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace pumiceturn::gateway {
 
-/// Keeps the software versions that each service had of late in the store: a
+/// Keeps the software versions that each service had of late in the store, and
+/// the services that share routes with it (RouteHistory): a
 /// host that sees one version can't know whether another has just come or gone.
 /// One host writes an entry when the versions of a service change; another adds
 /// a version that it sees and that is still missing after a while. Streams
@@ -66,6 +68,8 @@
   };
 
   void Read(base::Instant aNow);
+  void ReadAfter(const std::string& aKey, base::Instant aSentAt);
+  void OnRead(base::Instant aSentAt);
   void Apply(const metadata::StoreItem& aItem, base::Instant aNow);
   /// @return whether an entry was to be written.
   bool WriteNextChange(bool aIsWriter);
@@ -93,6 +97,7 @@
   std::optional<base::Instant> unrecordedSince_;
   std::optional<base::Instant> readRequestedAt_;
   base::Instant now_{}; ///< Of the last call of Tick() or RequestRead().
+  std::vector<metadata::StoreItem> readItems_; ///< Of the pages read so far.
   bool hasBeenRead_ = false;
   bool isCurrent_ = false; ///< entries_ may be compared and written.
   bool isCalling_ = false;
--- a/Libraries/LibGateway/StreamOriginCodec.cpp
+++ b/Libraries/LibGateway/StreamOriginCodec.cpp
@@ -40,12 +40,17 @@
   json operator()(const OriginAnswer& aMessage) const
   {
     json origins = json::array();
+    json versions = json::array();
     for (const fleet::StreamOrigin& origin : aMessage.evidence_.origins_) {
       origins.push_back({ origin.service_, origin.version_ });
+      versions.push_back(origin.version_);
     }
+    // FIXME: Remove the versions once no host runs software that drops answers
+    //        without them.
     return { { "answer", aMessage.query_ },
              { "record", std::visit(*this, aMessage.evidence_.record_) },
-             { "origins", std::move(origins) } };
+             { "origins", std::move(origins) },
+             { "versions", std::move(versions) } };
   }
 
   json operator()(const fleet::UnknownOrigin& /*aRecord*/) const { return {}; }
@@ -126,7 +131,8 @@
   }
   return OriginAnswer{ aContent.at("answer").get<std::uint64_t>(),
                        { DecodeRecord(aContent.at("record")),
-                         DecodeOrigins(aContent.at("origins")) } };
+                         DecodeOrigins(
+                           aContent.value("origins", json::array())) } };
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -129,24 +129,46 @@
 }
 
 bool
-StreamOrigins::HasSeveralVersions(const std::string& aService) const
+StreamOrigins::NeedsRecords(const std::string& aService) const
 {
-  return versions_.VersionsOf(aService).size() > 1;
+  return versions_.VersionsOf(aService).size() > 1 ||
+         !routeHistory_.RelatedTo(aService).empty();
+}
+
+void
+StreamOrigins::PublishNeeded(base::Instant aNow)
+{
+  std::set<std::string> needed;
+  for (const std::string& service : versions_.Services()) {
+    if (!NeedsRecords(service)) {
+      continue;
+    }
+    if (!needRecords_.contains(service)) {
+      Publish(table_.OwnRowsOf(service, aNow));
+    }
+    needed.insert(service);
+  }
+  needRecords_ = std::move(needed);
 }
 
 void
 StreamOrigins::OnEndpoint(const fleet::EndpointRecord& aRecord,
                           base::Instant aNow)
 {
-  const bool hadSeveral = HasSeveralVersions(aRecord.service_);
   versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
-  if (!hadSeveral && HasSeveralVersions(aRecord.service_)) {
-    // Of the streams that began beside one version alone, few other hosts have
-    // records, or none.
-    Publish(table_.OwnRowsOf(aRecord.service_, aNow));
+  if (NeedsRecords(aRecord.service_) !=
+      needRecords_.contains(aRecord.service_)) {
+    PublishNeeded(aNow);
   }
 }
 
+void
+StreamOrigins::OnRoutes(base::Instant aNow)
+{
+  routeHistory_.Update(shared_.routes_, aNow);
+  PublishNeeded(aNow);
+}
+
 void
 StreamOrigins::ObserveEndpoints(base::Instant aNow)
 {
@@ -154,7 +176,10 @@
   shared_.endpoints_.ForEachRecord([&](const fleet::EndpointRecord& aRecord) {
     versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
   });
-  versions_.Expire(VersionLifetime(), aNow);
+  const base::Duration lifetime = VersionLifetime();
+  routeHistory_.Refresh(lifetime, aNow);
+  versions_.Expire(lifetime, aNow);
+  PublishNeeded(aNow);
   table_.Expire(aNow);
 }
 
@@ -177,11 +202,11 @@
 void
 StreamOrigins::Record(const std::string& aId,
                       const fleet::StreamOrigin& aOrigin,
-                      const fleet::Route& aRoute)
+                      base::Duration aTimeout)
 {
-  const fleet::StreamOriginTable::Row row{ aId,
-                                           aOrigin,
-                                           kTriesPerStream * aRoute.timeout_ };
+  const fleet::StreamOriginTable::Row row{
+    aId, aOrigin, kTriesPerStream * aTimeout
+  };
   const base::Instant now = base::MonotonicNow();
   if (!table_.Record(row, fleet::StreamOriginTable::Source::OwnStream, now)) {
     shared_.metrics_
@@ -191,8 +216,7 @@
       .Add();
     return;
   }
-  if (HasSeveralVersions(aOrigin.service_) ||
-      fleet::RouteTable::ServicesOf(aRoute).size() > 1) {
+  if (NeedsRecords(aOrigin.service_)) {
     Publish(std::span(&row, 1));
   } else {
     PublishAhead(row, now);
@@ -207,6 +231,9 @@
   fleet::OriginEvidence evidence{ table_.Find(aId, aNow) };
   for (const std::string& service : aServices) {
     evidence.origins_.merge(versions_.OriginsOf(service));
+    for (const std::string& other : routeHistory_.RelatedTo(service)) {
+      evidence.origins_.merge(versions_.OriginsOf(other));
+    }
   }
   // Before the store's entries are read, another version may have just gone.
   if (!versionStore_.HasBeenRead() && evidence.origins_.size() == 1) {
@@ -246,8 +273,11 @@
   std::vector<std::string> services = fleet::RouteTable::ServicesOf(aRoute);
   const base::Instant now = base::MonotonicNow();
   fleet::OriginEvidence own = EvidenceOf(aId, services, now);
+  const auto ageOf = [this](StorePrefix aPrefix) {
+    return mirrors_.AgeOf(aPrefix).value_or(base::Duration::max());
+  };
   const base::Duration viewAge =
-    mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max());
+    std::max(ageOf(StorePrefix::Endpoints), ageOf(StorePrefix::Operators));
   const bool isViewRecent = IsViewRecent(viewAge, now);
   std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
   std::string origins = DescribeOrigins(own.origins_);
@@ -375,16 +405,29 @@
 }
 
 std::optional<fleet::OriginSet>
-StreamOrigins::RecordedOriginsOf(std::span<const std::string> aServices) const
+StreamOrigins::RecordedOriginsOf(const PendingInquiry& aPending) const
 {
   fleet::OriginSet all;
-  for (const std::string& service : aServices) {
-    const auto* versions = versionStore_.RecordedVersions(service);
+  const auto addVersionsOf = [&](const std::string& aService) {
+    const auto* versions = versionStore_.RecordedVersions(aService);
     if (versions == nullptr) {
-      return std::nullopt;
+      return false;
     }
     for (const std::string& version : *versions) {
-      all.insert({ service, version });
+      all.insert({ aService, version });
+    }
+    return true;
+  };
+  if (!std::all_of(
+        aPending.services_.begin(), aPending.services_.end(), addVersionsOf)) {
+    return std::nullopt;
+  }
+  for (const std::string& service : aPending.services_) {
+    const auto* related =
+      versionStore_.RecordedVersions(fleet::RouteHistory::NameOf(service));
+    if (related != nullptr) {
+      // Without a version, a service can't have begun a stream of late.
+      std::for_each(related->begin(), related->end(), addVersionsOf);
     }
   }
   return all;
@@ -394,7 +437,7 @@
 StreamOrigins::OnStoreRead(base::Instant aSentAt)
 {
   AdvanceAfterRead(aSentAt, [this](PendingInquiry& aPending) {
-    const auto origins = RecordedOriginsOf(aPending.services_);
+    const auto origins = RecordedOriginsOf(aPending);
     if (origins) {
       aPending.inquiry_.AddStoreOrigins(*origins);
     }
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -3,6 +3,7 @@
 #include "LibBase/Lifetime.h"
 #include "LibFleet/OriginInquiry.h"
 #include "LibFleet/RecordHolders.h"
+#include "LibFleet/RouteHistory.h"
 #include "LibFleet/ServiceVersions.h"
 #include "LibFleet/StreamOriginTable.h"
 #include "LibFleet/UnconfirmedOrigins.h"
@@ -64,11 +65,11 @@
                   const std::filesystem::path& aFolder);
 
   /// Records where a stream began, or that it went on.
-  /// @param aId    Id of the request that brought its first event.
-  /// @param aRoute Of the stream.
+  /// @param aId Id of the request that brought its first event.
+  /// @param aTimeout Of its route.
   void Record(const std::string& aId,
               const fleet::StreamOrigin& aOrigin,
-              const fleet::Route& aRoute);
+              base::Duration aTimeout);
 
   /// How a resumed stream goes on, and what was known.
   struct Result
@@ -103,6 +104,9 @@
   /// Records the version of a registered endpoint.
   void OnEndpoint(const fleet::EndpointRecord& aRecord, base::Instant aNow);
 
+  /// Handles the routes that were just installed.
+  void OnRoutes(base::Instant aNow);
+
   void SetHost(fleet::RecordHolder aHost);
   void RemoveHost(const std::string& aHost);
 
@@ -126,7 +130,12 @@
     const std::string& aId,
     std::span<const std::string> aServices,
     base::Instant aNow) const;
-  [[nodiscard]] bool HasSeveralVersions(const std::string& aService) const;
+  /// @return whether streams of a service's routes may have begun at several
+  ///         versions or services.
+  [[nodiscard]] bool NeedsRecords(const std::string& aService) const;
+  /// Sends the records of this host's streams of the services that need them
+  /// from now on: few other hosts have them, or none.
+  void PublishNeeded(base::Instant aNow);
   /// @return the hosts that hold a stream's record, without this one.
   [[nodiscard]] std::vector<std::string> HoldersOf(
     const std::string& aId,
@@ -161,10 +170,11 @@
   /// Ends an inquiry that can be decided, and else asks the store if it needs
   /// that.
   void Advance(std::uint64_t aQuery);
-  /// @return the versions that the store names for all services together; empty
-  ///         if it names none for one of them.
+  /// @return what the store names for the services of an inquiry and for those
+  ///         that share routes with them; empty if it names no version for one
+  ///         of the inquiry's.
   [[nodiscard]] std::optional<fleet::OriginSet> RecordedOriginsOf(
-    std::span<const std::string> aServices) const;
+    const PendingInquiry& aPending) const;
   /// Adds the versions that the store names to the inquiries that began before
   /// the read.
   void OnStoreRead(base::Instant aSentAt);
@@ -188,6 +198,7 @@
   void Handle(const std::string& aPeer, const OriginQuery& aMessage);
   void Handle(const std::string& aPeer, const OriginAnswer& aMessage);
   void Send(const std::string& aPeer, const OriginMessage& aMessage);
+
   [[nodiscard]] base::Duration VersionLifetime() const;
 
   boost::asio::any_io_executor executor_;
@@ -198,6 +209,7 @@
   std::string ownHost_;
   base::Duration maxViewAge_;
   fleet::ServiceVersions versions_;
+  fleet::RouteHistory routeHistory_{ versions_ };
   ServiceVersionStore versionStore_;
   fleet::StreamOriginTable table_;
   fleet::UnconfirmedOrigins unconfirmed_;
@@ -211,6 +223,7 @@
   /// process belongs to none of this one.
   std::uint64_t nextQuery_;
   base::Instant startedAt_ = base::MonotonicNow();
+  std::set<std::string> needRecords_; ///< Services, as last published.
   base::Instant observedAt_{};
   double aheadBudget_ = 0.0; ///< Datagrams that may be sent ahead now.
   base::Instant aheadBudgetAt_{};
--- a/Tests/Platform/OnlyVersionSearchTest.cpp
+++ b/Tests/Platform/OnlyVersionSearchTest.cpp
@@ -68,7 +68,7 @@
       metadata::RangeResponse response;
       if (!isLost) {
         response.status_ = metadata::StoreStatus::Ok;
-        if (revision_ > 0) {
+        if (!value_.empty()) {
           response.items_.push_back({ kPrefix + kService, value_, revision_ });
         }
       }
@@ -83,12 +83,14 @@
     Call([this, isLost, aTransaction, aCallback = std::move(aCallback)] {
       metadata::TransactionResponse response;
       if (!isLost) {
-        const bool isExpected =
-          aTransaction.expectations_.front().revision_ == revision_;
+        const bool isExpected = aTransaction.expectations_.front().revision_ ==
+                                (value_.empty() ? 0 : revision_);
         response.status_ = isExpected ? metadata::StoreStatus::Ok
                                       : metadata::StoreStatus::Conflict;
         if (isExpected) {
-          value_ = aTransaction.writes_.front().value_;
+          value_ = aTransaction.writes_.empty()
+                     ? std::string()
+                     : aTransaction.writes_.front().value_;
           response.revision_ = ++revision_;
         }
       }
