LibFleet: Keep versions for as long as earlier timeouts allowed

If the operator lowered a timeout, versions and services of streams that had begun under the longer one were forgotten too early, and such a stream could go on at another version as the only one.

Cause: the lifetime of a version was twice the longest timeout in force now. StreamLifetime keeps that of earlier declarations until their streams have ended. A host that starts after the change doesn't know the former timeout.

--- a/Libraries/LibGateway/StreamOriginRecords.cpp
+++ b/Libraries/LibGateway/StreamOriginRecords.cpp
@@ -116,7 +116,7 @@
 {
   OriginConfirmation confirmation;
   const base::Instant now = base::MonotonicNow();
-  const base::Duration maxLifetime = VersionLifetime();
+  const base::Duration maxLifetime = streamLifetime_.LongestAt(now);
   const base::WallTime wallNow = base::WallNow();
   for (fleet::StreamOriginTable::Row row : aMessage.rows_) {
     row.lifetime_ = std::min(row.lifetime_, maxLifetime);
@@ -166,7 +166,7 @@
   const base::Instant now = base::MonotonicNow();
   const base::WallTime wallNow = base::WallNow();
   // The wall clock may have been set back.
-  const base::Duration maxLifetime = VersionLifetime();
+  const base::Duration maxLifetime = streamLifetime_.LongestAt(now);
   for (const StoredOrigin& row : aRows) {
     if (row.expiresAt_ <= wallNow) {
       continue;
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -30,13 +30,6 @@
 /// at this host aren't resumed.
 constexpr std::size_t kMaxPending = 4096;
 
-/// A stream with all its caller's tries lasts up to this many times its route's
-/// timeout.
-constexpr int kTriesPerStream = 2;
-
-/// Used without a route for streams.
-constexpr std::chrono::seconds kDefaultTimeout{ 15 };
-
 bool
 IsRecordable(std::string_view aId)
 {
@@ -94,15 +87,6 @@
                             [this] { return table_.Count(); });
 }
 
-base::Duration
-StreamOrigins::VersionLifetime() const
-{
-  const base::Duration longest = shared_.routes_.LongestStreamTimeout();
-  return kTriesPerStream * (longest > base::Duration::zero()
-                              ? longest
-                              : base::Duration(kDefaultTimeout));
-}
-
 void
 StreamOrigins::SetHost(fleet::RecordHolder aHost)
 {
@@ -165,6 +149,7 @@
 void
 StreamOrigins::OnRoutes(base::Instant aNow)
 {
+  streamLifetime_.SetTimeout(shared_.routes_.LongestStreamTimeout(), aNow);
   routeHistory_.Update(shared_.routes_, aNow);
   PublishNeeded(aNow);
 }
@@ -176,7 +161,7 @@
   shared_.endpoints_.ForEachRecord([&](const fleet::EndpointRecord& aRecord) {
     versions_.Observe(aRecord.service_, aRecord.softwareVersion_, aNow);
   });
-  const base::Duration lifetime = VersionLifetime();
+  const base::Duration lifetime = streamLifetime_.LongestAt(aNow);
   routeHistory_.Refresh(lifetime, aNow);
   versions_.Expire(lifetime, aNow);
   PublishNeeded(aNow);
@@ -205,7 +190,7 @@
                       base::Duration aTimeout)
 {
   const fleet::StreamOriginTable::Row row{
-    aId, aOrigin, kTriesPerStream * aTimeout
+    aId, aOrigin, fleet::StreamLifetime::Of(aTimeout)
   };
   const base::Instant now = base::MonotonicNow();
   if (!table_.Record(row, fleet::StreamOriginTable::Source::OwnStream, now)) {
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -5,6 +5,7 @@
 #include "LibFleet/RecordHolders.h"
 #include "LibFleet/RouteHistory.h"
 #include "LibFleet/ServiceVersions.h"
+#include "LibFleet/StreamLifetime.h"
 #include "LibFleet/StreamOriginTable.h"
 #include "LibFleet/UnconfirmedOrigins.h"
 #include "LibGateway/PeerMessenger.h"
@@ -199,8 +200,6 @@
   void Handle(const std::string& aPeer, const OriginAnswer& aMessage);
   void Send(const std::string& aPeer, const OriginMessage& aMessage);
 
-  [[nodiscard]] base::Duration VersionLifetime() const;
-
   boost::asio::any_io_executor executor_;
   SharedState& shared_;
   PeerMessenger& peers_;
@@ -210,6 +209,7 @@
   base::Duration maxViewAge_;
   fleet::ServiceVersions versions_;
   fleet::RouteHistory routeHistory_{ versions_ };
+  fleet::StreamLifetime streamLifetime_;
   ServiceVersionStore versionStore_;
   fleet::StreamOriginTable table_;
   fleet::UnconfirmedOrigins unconfirmed_;
