--- a/Libraries/LibGateway/StreamContinuation.cpp
+++ b/Libraries/LibGateway/StreamContinuation.cpp
@@ -51,8 +51,12 @@
                          fleet::EventPlace aPlace,
                          std::string& aEvents)
 {
+  std::string_view bytes = aEvent.raw_;
+  if (hasBegun_ && bytes.starts_with(fleet::kByteOrderMark)) {
+    bytes.remove_prefix(fleet::kByteOrderMark.size());
+  }
   if (aPlace == fleet::EventPlace::NoEvent && !hasBegun_) {
-    leadingComments_.append(aEvent.raw_);
+    leadingComments_.append(bytes);
     return;
   }
   if (aPlace != fleet::EventPlace::NoEvent) {
@@ -63,7 +67,7 @@
     endsUnnumbered_ = aPlace == fleet::EventPlace::Unnumbered;
     lastEvent_ = endsUnnumbered_ ? lastEvent_ : aEvent.id_;
   }
-  aEvents.append(aEvent.raw_);
+  aEvents.append(bytes);
 }
 
 } // namespace pumiceturn::gateway
