LibGateway: Take a report that its process ended within for no answer

A stream went on at another software version: its server was killed while it sent its report, and the next process under its id answered for it.

Cause: a report without a length or chunks is over when its connection ends. A part of it has no start, which counted as an endpoint that names none, so requests were sent without knowing the process. Now such a report is one that wasn't answered unless it is whole. The class is that of ends that only the connection marks.

--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -2,6 +2,8 @@
 
 #include "LibHttpStream/Status.h"
 
+#include <nlohmann/json.hpp>
+
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -53,6 +55,9 @@
 ProcessQuery::OnHead(const httpstream::ResponseHead& aHead)
 {
   status_ = aHead.result_int();
+  const auto length = boost::beast::http::field::content_length;
+  const auto encoding = boost::beast::http::field::transfer_encoding;
+  hasMarkedEnd_ = aHead.count(length) > 0 || aHead.count(encoding) > 0;
 }
 
 void
@@ -77,6 +82,10 @@
     return ProcessQueryFailed{ httpstream::CallOutcome::Malformed };
   }
   if (status_ == httpstream::kStatusOk) {
+    // The process may have ended within its report.
+    if (!hasMarkedEnd_ && !nlohmann::json::accept(body_)) {
+      return ProcessQueryFailed{ httpstream::CallOutcome::Broken };
+    }
     if (const auto startedAtMs = codec_.ReadProcessStart(body_)) {
       return ProcessStart{ *startedAtMs };
     }
--- a/Libraries/LibGateway/ProcessQuery.h
+++ b/Libraries/LibGateway/ProcessQuery.h
@@ -64,6 +64,7 @@
   SilenceHandler onSilence_;
   ResultHandler onResult_;
   unsigned status_ = 0;
+  bool hasMarkedEnd_ = false; ///< By more than the end of the connection.
   std::string body_;
 };
 
