LibFleet: Let a report without a start speak for its process alone

A stream could go on at another software version for 10 s after one report of an endpoint had lacked its start.

Cause: that report kept the endpoint from being asked on any connection for 10 s, also on those to its next process. It now holds for connections that the process that answered may have, as a report with a start does: those opened before it was asked or up to 50 ms later. Cost: an endpoint that names no start is asked once for each new connection, instead of once in 10 s. An endpoint whose word contradicts a lasting registration isn't asked for 10 s, as before.

EndpointTable_ProcessIsUntold_ConnectionIsUsedForAWhile required the fault, that connections opened 9 s later are used; it is replaced by one that requires the connections before and 50 ms after, for good, and none later.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -197,9 +197,8 @@
     /// an ended process lasts, as the store may be away meanwhile.
     base::Duration contradictionTimeout_{ std::chrono::seconds{ 15 } };
 
-    /// How long an endpoint that doesn't say which process it is isn't asked
-    /// again.
-    base::Duration untoldRetention_{ std::chrono::seconds{ 10 } };
+    /// How long the word of such an endpoint isn't asked for again.
+    base::Duration contradictionRetention_{ std::chrono::seconds{ 10 } };
 
     /// Time without a byte after which an endpoint with streams that send
     /// events counts as silent. Events follow each other within milliseconds.
@@ -318,9 +317,11 @@
                           std::int64_t aStartedAtMs,
                           base::Instant aNow);
 
-  /// Records that an endpoint doesn't say which process it is.
+  /// Records that an endpoint answered without saying which process it is. Its
+  /// next process may say so.
+  /// @param aAskedAt When it was asked.
   void RecordProcessUntold(const EndpointIncarnation& aEndpoint,
-                           base::Instant aNow);
+                           base::Instant aAskedAt);
 
   /// @return whether a connection leads to the registered process, as far as
   ///         that can be known. One that is older than the process's last word
@@ -464,8 +465,10 @@
     std::int64_t otherStartedAtMs_ = 0;           ///< Of that process.
     /// When it first said so, without saying otherwise since.
     std::optional<base::Instant> contradictedSince_;
-    std::optional<base::Instant>
-      processUntoldAt_; ///< Answered without a start.
+    /// When its word was last found to contradict a lasting registration.
+    std::optional<base::Instant> wordIgnoredAt_;
+    /// When the process that answered last without a start was asked.
+    std::optional<base::Instant> untoldAskedAt_;
     base::Instant lastActivityAt_;
     std::uint32_t streaming_ = 0; ///< This host's streams that send events.
     base::Instant streamingSince_;
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -43,17 +43,17 @@
     endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
     if (aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_) {
       endpoint->otherProcessAt_.reset();
-      endpoint->processUntoldAt_ = aNow;
+      endpoint->wordIgnoredAt_ = aNow;
     }
   }
 }
 
 void
 EndpointTable::RecordProcessUntold(const EndpointIncarnation& aEndpoint,
-                                   base::Instant aNow)
+                                   base::Instant aAskedAt)
 {
   if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->processUntoldAt_ = aNow;
+    endpoint->untoldAskedAt_ = aAskedAt;
   }
 }
 
@@ -70,10 +70,15 @@
   if (endpoint == nullptr) {
     return false;
   }
-  const auto& untoldAt = endpoint->processUntoldAt_;
-  const auto& askedAt = endpoint->processAskedAt_;
-  return (untoldAt && aNow - *untoldAt < limits_.untoldRetention_) ||
-         (askedAt && aConnectedAt <= *askedAt + kMinRestartTime);
+  const auto& ignoredAt = endpoint->wordIgnoredAt_;
+  if (ignoredAt && aNow - *ignoredAt < limits_.contradictionRetention_) {
+    return true;
+  }
+  const auto isAnsweredBy = [&](const std::optional<base::Instant>& aAskedAt) {
+    return aAskedAt && aConnectedAt <= *aAskedAt + kMinRestartTime;
+  };
+  return isAnsweredBy(endpoint->processAskedAt_) ||
+         isAnsweredBy(endpoint->untoldAskedAt_);
 }
 
 std::optional<std::int64_t>
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -166,7 +166,7 @@
     void operator()(const ProcessStartNotTold& /*aNone*/) const
     {
       attempt_.shared_.endpoints_.RecordProcessUntold(
-        attempt_.endpoint_.Incarnation(), base::MonotonicNow());
+        attempt_.endpoint_.Incarnation(), attempt_.processAskedAt_);
       attempt_.GoOnAfterAnswer();
     }
     void operator()(const ProcessQueryFailed& aFailure) const
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -471,16 +471,17 @@
 }
 
 // Guards against endpoints that serve no streams as they don't say which
-// process they are.
+// process they are, and against taking a later process for one of these.
 TEST_CASE_METHOD(EndpointTableFixture,
-                 "EndpointTable_ProcessIsUntold_ConnectionIsUsedForAWhile")
+                 "EndpointTable_ProcessIsUntold_ConnectionIsUsed")
 {
   Add("nameless");
   CHECK(table_.LeadsToProcess({ "nameless", 0 }, now_, now_));
   AddStarted("one", 100);
   table_.RecordProcessUntold({ "one", 100 }, now_);
-  CHECK(table_.LeadsToProcess({ "one", 100 }, now_ + 9s, now_ + 9s));
-  CHECK_FALSE(table_.LeadsToProcess({ "one", 100 }, now_ + 10s, now_ + 10s));
+  CHECK(table_.LeadsToProcess({ "one", 100 }, now_ - 1s, now_ + 60s));
+  CHECK(table_.LeadsToProcess({ "one", 100 }, now_ + 50ms, now_ + 60s));
+  CHECK_FALSE(table_.LeadsToProcess({ "one", 100 }, now_ + 51ms, now_ + 1s));
 }
 
 // Guards against a restart that isn't noticed as its start time is missing.
