LibGateway: Answer reads that waited at a former owner from the store

A caller that waited for results at a host whose job another host took over got a page without results, though the job was finished.

Cause: the job's copy is unloaded before the waiting reads are answered, and they were answered from the emptied copy. They are now answered from the store.

--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -377,6 +377,14 @@
   if (found == waitingReads_.end() || job == nullptr) {
     return;
   }
+  if (!job->isLoaded_) {
+    // Another host has taken the job over, so this copy has no results.
+    const auto reads = waitingReads_.extract(found);
+    for (const WaitingRead& read : reads.mapped()) {
+      AnswerFromStore(aJob, read);
+    }
+    return;
+  }
   std::vector<WaitingRead> waiting;
   for (WaitingRead& waitingRead : found->second) {
     if (waitingRead.position_ < job->results_.size() || !job->IsOpen()) {
@@ -392,6 +400,16 @@
   }
 }
 
+void
+BatchJobHandler::AnswerFromStore(const std::string& aJob,
+                                 const WaitingRead& aWaitingRead)
+{
+  ReadFromStore(
+    aWaitingRead.exchange_,
+    aJob,
+    ReadResultsCall{ aJob, aWaitingRead.position_, base::Duration::zero() });
+}
+
 void
 BatchJobHandler::Tick(base::Instant aNow)
 {
@@ -399,7 +417,9 @@
     const batch::BatchJob* job = jobs_.Find(entry->first);
     std::erase_if(entry->second, [&](const WaitingRead& aWaitingRead) {
       const bool isDone = aWaitingRead.deadline_ <= aNow || job == nullptr;
-      if (isDone && job != nullptr) {
+      if (isDone && job != nullptr && !job->isLoaded_) {
+        AnswerFromStore(entry->first, aWaitingRead);
+      } else if (isDone && job != nullptr) {
         SendResults(*aWaitingRead.exchange_, *job, aWaitingRead.position_);
       } else if (isDone) {
         aWaitingRead.exchange_->Respond(
--- a/Libraries/LibGateway/BatchJobHandler.h
+++ b/Libraries/LibGateway/BatchJobHandler.h
@@ -102,6 +102,10 @@
                      const std::string& aJob,
                      const BatchJobCall& aCall);
 
+  /// Answers a read that has waited at this host.
+  void AnswerFromStore(const std::string& aJob,
+                       const WaitingRead& aWaitingRead);
+
   /// Responds from a loaded job.
   /// @param aMayWait Whether to wait for a result that isn't available yet.
   void RespondFromMemory(const ExchangePtr& aExchange,
