Tests: Let each run name itself in the soak of ORDER, and split its route

The soak compared events by request and version. Each run of a request now names itself, its service and version, and the event after which it was asked, in its events: a stream or an output may change its run only at event n with a run that was asked after n, and a stream that can't be resumed never.

A third soak lets two services with one version name serve the route, and the operator moves it.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -55,7 +55,7 @@
 {
   tcp::endpoint address_;
   std::string id_;
-  std::string version_;
+  std::string software_; ///< Service and version.
   unsigned seed_ = 0;
   int slots_ = 0;
   std::int64_t startedAtMs_ = 0;
@@ -214,15 +214,20 @@
   {
     const EventSequence sequence =
       ParseEventSequence(httpstream::TargetOf(aRequest));
-    const auto first = base::ParseNumber<std::uint64_t>(
+    const auto after = base::ParseNumber<std::uint64_t>(
                          httpstream::ValueOf(aRequest, kLastEventField))
-                         .value_or(0) +
-                       1;
+                         .value_or(0);
+    const EventRun run{
+      options_.software_,
+      fmt::format("{}.{}.{}", options_.id_, options_.startedAtMs_, ++runs_),
+      after
+    };
     std::vector<std::string> events;
     std::size_t bytes = 0;
-    for (std::uint64_t number = first; number <= sequence.count_; ++number) {
+    for (std::uint64_t number = after + 1; number <= sequence.count_;
+         ++number) {
       std::string text = DrawOneIn(kCommentOneIn) ? ": comment\n\n" : "";
-      text += TextOf(sequence, number, options_.version_);
+      text += TextOf(sequence, number, run);
       bytes += text.size();
       events.push_back(std::move(text));
     }
@@ -281,6 +286,7 @@
   std::mutex mutex_;
   std::mt19937 random_; ///< Guarded by mutex_.
   std::atomic<int> running_ = 0;
+  std::atomic<std::uint64_t> runs_ = 0; ///< Since the start of the process.
 };
 
 int
@@ -288,7 +294,8 @@
 {
   auto options = ParseOptions(aArguments);
   if (!options) {
-    std::cerr << "usage: order-server IP:PORT ID VERSION SEED SLOTS START_MS\n";
+    std::cerr
+      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS START_MS\n";
     return kExitUsage;
   }
   asio::io_context context;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -27,6 +27,8 @@
 constexpr int kItems = 4;
 constexpr int kItemEvents = 30;
 constexpr int kMaxTries = 4;
+constexpr const char* kService = "service";
+constexpr const char* kSecondService = "second";
 constexpr int kTimeoutMs = 5000;
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
@@ -73,6 +75,10 @@
   json resumable = MakeTestRoute("look-up", "stream");
   resumable["resumable"] = true;
   resumable["timeoutMs"] = kTimeoutMs;
+  for (const std::string& service : routed_) {
+    resumable["trafficSplit"].push_back(
+      { { "service", service }, { "weight", 1 } });
+  }
   json single = MakeTestRoute("archive", "stream");
   single["maxAttempts"] = 1;
   single["timeoutMs"] = kTimeoutMs;
@@ -80,21 +86,35 @@
   batch["maxAttempts"] = 3;
   store_.Put(
     "op/config",
-    json{ { "version", 1 },
+    json{ { "version", ++configuration_ },
           { "routes",
             { std::move(resumable), std::move(single), std::move(batch) } },
           { "services",
-            { { { "name", "service" },
+            { { { "name", kService },
+                { "maxConns", 500 },
+                { "healthPath", "/health" } },
+              { { "name", kSecondService },
                 { "maxConns", 500 },
                 { "healthPath", "/health" } } } } }
       .dump());
 }
 
+void
+OrderSoakFixture::MoveRoute()
+{
+  ++counts_.moves_;
+  const std::vector<std::vector<std::string>> choices{
+    { kService }, { kSecondService }, { kService, kSecondService }
+  };
+  routed_ = choices[static_cast<std::size_t>(Draw(0, 2).count())];
+  WriteConfiguration();
+}
+
 void
 OrderSoakFixture::Register(const Server& aServer, std::string_view aState)
 {
   store_.Put("servers/" + aServer.id_,
-             json{ { "service", "service" },
+             json{ { "service", aServer.service_ },
                    { "address", aServer.address_ },
                    { "zone", "a" },
                    { "version", aServer.version_ },
@@ -118,7 +138,7 @@
   aServer.process_->Start({ PUMICETURN_ORDER_SERVER,
                             aServer.address_,
                             aServer.id_,
-                            aServer.version_,
+                            aServer.Software(),
                             fmt::format("{}", random_() % 1000000),
                             fmt::format("{}", kSlots),
                             fmt::format("{}", aServer.startedAtMs_) },
@@ -145,11 +165,13 @@
 }
 
 void
-OrderSoakFixture::AddServer(const std::string& aVersion)
+OrderSoakFixture::AddServer(const std::string& aService,
+                            const std::string& aVersion)
 {
   const int number = nextServer_++;
   auto server = std::make_unique<Server>();
   server->id_ = fmt::format("i-{}", number);
+  server->service_ = aService;
   server->version_ = aVersion;
   server->address_ = fmt::format("{}.{}:9000", network_, 100 + number % 100);
   StartServer(*server);
@@ -167,14 +189,23 @@
 }
 
 int
-OrderSoakFixture::CountReady(const std::string& aVersion) const
+OrderSoakFixture::CountReady(const std::string& aSoftware) const
 {
   return static_cast<int>(std::count_if(
-    servers_.begin(), servers_.end(), [&aVersion](const auto& aServer) {
-      return aServer->version_ == aVersion && aServer->isReady_;
+    servers_.begin(), servers_.end(), [&aSoftware](const auto& aServer) {
+      return aServer->Software() == aSoftware && aServer->isReady_;
     }));
 }
 
+bool
+OrderSoakFixture::IsRouted(const std::string& aSoftware) const
+{
+  return std::any_of(
+    routed_.begin(), routed_.end(), [&aSoftware](const auto& aService) {
+      return aSoftware.starts_with(aService + "/");
+    });
+}
+
 void
 OrderSoakFixture::KillServer(Server& aServer)
 {
@@ -210,7 +241,7 @@
   const int replaced = static_cast<int>(Draw(2, kServers).count());
   for (int index = 0; index < replaced; ++index) {
     RunAfter(gap * index, [this, version] {
-      AddServer(version);
+      AddServer(kService, version);
       if (servers_.size() <= kServers) {
         return;
       }
@@ -245,12 +276,19 @@
     return *servers_[static_cast<std::size_t>(
       Draw(0, static_cast<int>(servers_.size()) - 1).count())];
   };
+  const auto changeWhatServes = [this] {
+    if (options_.movesRoute_) {
+      MoveRoute();
+    } else {
+      BeginRelease();
+    }
+  };
   switch (Draw(0, 9).count()) {
     case 0:
-      BeginRelease();
+      changeWhatServes();
       break;
     case 1:
-      BeginRelease();
+      changeWhatServes();
       KillHosts(1, DrawOneIn(2));
       break;
     case 2:
@@ -302,8 +340,11 @@
   ++counts_.streams_;
   EventSequence sequence{ fmt::format("s{}", nextStream_++),
                           static_cast<std::uint64_t>(Draw(3, 40).count()) };
+  const bool isResumable = !DrawOneIn(4);
   callers_.push_back(std::make_unique<Caller>(
-    Caller{ OrderStream(std::move(sequence)), !DrawOneIn(4), DrawOneIn(5) }));
+    Caller{ OrderStream(std::move(sequence), isResumable),
+            isResumable,
+            DrawOneIn(5) }));
 }
 
 void
@@ -321,9 +362,9 @@
                           stream.LastEvent(),
                           aCaller.beganAs_);
     ++counts_.resumptions_;
-    aCaller.isOwed_ = !host.startAt_ &&
-                      Clock::now() - host.startedAt_ >= kInTouch &&
-                      CountReady(stream.Version()) >= 2;
+    aCaller.isOwed_ =
+      !host.startAt_ && Clock::now() - host.startedAt_ >= kInTouch &&
+      IsRouted(stream.Software()) && CountReady(stream.Software()) >= 2;
     counts_.owed_ += aCaller.isOwed_ ? 1 : 0;
   }
   aCaller.call_ =
@@ -523,9 +564,14 @@
   random_.seed(aSeed);
   options_ = aOptions;
   ReserveNetwork();
+  routed_ = { kService };
+  if (options_.movesRoute_) {
+    routed_.emplace_back(kSecondService);
+  }
   WriteConfiguration();
   for (std::size_t server = 0; server < kServers; ++server) {
-    AddServer(VersionName(version_));
+    const bool isSecond = options_.movesRoute_ && server % 2 == 1;
+    AddServer(isSecond ? kSecondService : kService, VersionName(version_));
   }
   StartHosts(kEntryHosts, kWorkers, {});
   const auto startedAt = Clock::now();
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -33,6 +33,10 @@
     bool changesSoftware_ = false;
     /// How late the registration of a server that has started may be written.
     std::chrono::milliseconds maxRegistrationDelay_{ 300 };
+    /// The route of resumable streams goes to one of two services or to both,
+    /// and the operator moves it. Their software has the same version, which
+    /// stays.
+    bool movesRoute_ = false;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -56,6 +60,7 @@
     int serversKilled_ = 0;
     int softwareChanges_ = 0; ///< Of servers that started again.
     int releases_ = 0;
+    int moves_ = 0; ///< Of the route of resumable streams.
     std::map<OrderFault, int> orderFaults_{};
   };
   [[nodiscard]] const RunCounts& Counts() const { return counts_; }
@@ -64,11 +69,17 @@
   struct Server
   {
     std::string id_;
+    std::string service_;
     std::string version_;
     std::string address_;
     std::int64_t startedAtMs_ = 0; ///< Unix time; later at each start.
     bool isReady_ = true;          ///< Registered as ready, and running.
     std::unique_ptr<ChildProcess> process_;
+
+    [[nodiscard]] std::string Software() const
+    {
+      return service_ + "/" + version_;
+    }
   };
   struct Caller
   {
@@ -97,7 +108,9 @@
   /// with the same seed.
   void ReserveNetwork();
   void WriteConfiguration();
-  void AddServer(const std::string& aVersion);
+  /// Chooses other services for the route of resumable streams.
+  void MoveRoute();
+  void AddServer(const std::string& aService, const std::string& aVersion);
   void StartServer(Server& aServer);
   void Register(const Server& aServer, std::string_view aState);
   /// Kills a server; another process takes over its id and address later.
@@ -118,7 +131,10 @@
   void CheckShares();
   void AddFault(OrderFault aFault, const std::string& aWhere);
   [[nodiscard]] Server* FindServer(const std::string& aId);
-  [[nodiscard]] int CountReady(const std::string& aVersion) const;
+  /// @return the number of ready servers of a service and version.
+  [[nodiscard]] int CountReady(const std::string& aSoftware) const;
+  /// @return whether resumable streams of a service and version may go on.
+  [[nodiscard]] bool IsRouted(const std::string& aSoftware) const;
   [[nodiscard]] std::unique_ptr<CallerCall> SendToHost(
     const Host& aHost,
     const std::string& aMethod,
@@ -133,6 +149,8 @@
   RunOptions options_;
   std::string network_;
   std::optional<boost::asio::ip::tcp::acceptor> reservation_;
+  std::vector<std::string> routed_; ///< Services of resumable streams.
+  int configuration_ = 0;
   int version_ = 1;
   int nextServer_ = 0;
   int nextTry_ = 0;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -18,7 +18,8 @@
     std::cout << fmt::format(
       "seed {}: {} streams, {} begun, {} whole; {} resumptions, {} went on; "
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
-      "{} of them changed their software, {} releases, {} restarts\n",
+      "{} of them changed their software, {} releases, {} moves of a route, {} "
+      "restarts\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -32,6 +33,7 @@
       counts.serversKilled_,
       counts.softwareChanges_,
       counts.releases_,
+      counts.moves_,
       restarts_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
@@ -54,12 +56,25 @@
   RunAndCheck({});
 }
 
+// Guards against the same where two services, whose software has the same
+// version, serve one route, and the operator moves it between them.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_RouteIsSplitAndMoved_StreamsStayWhole")
+{
+  RunOptions options;
+  options.movesRoute_ = true;
+  RunAndCheck(options);
+}
+
 // Guards against the same while servers start again under their id with other
 // software, before their registrations say so.
 TEST_CASE_METHOD(OrderSoakRun,
                  "OrderSoak_ServersChangeSoftware_StreamsStayWhole")
 {
-  RunAndCheck({ true, std::chrono::milliseconds(1500) });
+  RunOptions options;
+  options.changesSoftware_ = true;
+  options.maxRegistrationDelay_ = std::chrono::milliseconds(1500);
+  RunAndCheck(options);
 }
 
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/OrderStream.cpp
+++ b/Tests/PlatformSoak/OrderStream.cpp
@@ -2,21 +2,12 @@
 
 #include "LibBase/Numbers.h"
 
+#include <algorithm>
+
 namespace pumiceturn::adapter {
 
 namespace {
 
-/// @return the software version that an event's data names.
-std::string_view
-VersionIn(std::string_view aData)
-{
-  const std::size_t at = aData.find('@');
-  if (at == std::string_view::npos) {
-    return {};
-  }
-  return aData.substr(at + 1, aData.find(' ', at) - at - 1);
-}
-
 /// @return the value of a field; empty if the event hasn't got it.
 std::string_view
 FieldOf(std::string_view aEvent, std::string_view aName)
@@ -29,6 +20,24 @@
   return rest.substr(0, rest.find('\n'));
 }
 
+/// Checks that an event may follow those of a run.
+std::optional<OrderFault>
+CheckRun(const EventRun& aBefore,
+         std::uint64_t aLastEvent,
+         const EventRun& aRun,
+         bool aIsResumable)
+{
+  const bool isFirst = aLastEvent == 0;
+  if (!isFirst && aRun.software_ != aBefore.software_) {
+    return OrderFault::OtherSoftware;
+  }
+  const bool hasChanged = isFirst || aRun != aBefore;
+  const bool mayChange = isFirst || aIsResumable;
+  return !hasChanged || (mayChange && aRun.afterEvent_ == aLastEvent)
+           ? std::nullopt
+           : std::optional(OrderFault::OtherRun);
+}
+
 } // namespace
 
 std::string_view
@@ -39,8 +48,10 @@
       return "an event is missing";
     case OrderFault::Back:
       return "a number came twice or went back";
-    case OrderFault::OtherVersion:
-      return "events of two versions";
+    case OrderFault::OtherSoftware:
+      return "events of two services or versions";
+    case OrderFault::OtherRun:
+      return "events of two runs";
     case OrderFault::OtherText:
       return "an event of another request";
     case OrderFault::EndsEarly:
@@ -61,16 +72,14 @@
   if (number != last_ + 1) {
     return number > last_ ? OrderFault::Missing : OrderFault::Back;
   }
-  const std::string_view version = VersionIn(data);
-  if (last_ == 0) {
-    version_ = version;
-  }
-  if (data != DataOf(sequence_, number, version)) {
+  const auto run = RunIn(data);
+  if (!run || data != DataOf(sequence_, number, *run)) {
     return OrderFault::OtherText;
   }
-  if (version != version_) {
-    return OrderFault::OtherVersion;
+  if (const auto fault = CheckRun(run_, last_, *run, isResumable_)) {
+    return fault;
   }
+  run_ = *run;
   last_ = number;
   return std::nullopt;
 }
@@ -91,16 +100,23 @@
 std::optional<OrderFault>
 CheckOutput(const EventSequence& aSequence, std::string_view aOutput)
 {
-  const std::string version(VersionIn(aOutput));
-  std::string whole;
+  EventRun before;
   for (std::uint64_t number = 1; number <= aSequence.count_; ++number) {
-    whole += (number > 1 ? "\n" : "") + DataOf(aSequence, number, version);
-  }
-  if (aOutput == whole) {
-    return std::nullopt;
+    if (aOutput.empty()) {
+      return OrderFault::EndsEarly;
+    }
+    const std::string_view data = aOutput.substr(0, aOutput.find('\n'));
+    const auto run = RunIn(data);
+    if (!run || data != DataOf(aSequence, number, *run)) {
+      return OrderFault::OtherText;
+    }
+    if (const auto fault = CheckRun(before, number - 1, *run, true)) {
+      return fault;
+    }
+    before = *run;
+    aOutput.remove_prefix(std::min(data.size() + 1, aOutput.size()));
   }
-  return std::string_view(whole).starts_with(aOutput) ? OrderFault::EndsEarly
-                                                      : OrderFault::OtherText;
+  return aOutput.empty() ? std::nullopt : std::optional(OrderFault::OtherText);
 }
 
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/OrderStream.h
+++ b/Tests/PlatformSoak/OrderStream.h
@@ -12,11 +12,12 @@
 /// What is wrong with a stream or an output.
 enum class OrderFault : std::uint8_t
 {
-  Missing,      ///< A number was left out.
-  Back,         ///< A number came twice, or went back.
-  OtherVersion, ///< Events of two software versions.
-  OtherText,    ///< Not an event of this request.
-  EndsEarly,    ///< It looks complete and lacks its last events.
+  Missing,       ///< A number was left out.
+  Back,          ///< A number came twice, or went back.
+  OtherSoftware, ///< Events of two services or software versions.
+  OtherRun,      ///< Events of a run that wasn't asked to go on there.
+  OtherText,     ///< Not an event of this request.
+  EndsEarly,     ///< It looks complete and lacks its last events.
 };
 
 [[nodiscard]] std::string_view
@@ -26,8 +27,10 @@
 class OrderStream
 {
 public:
-  explicit OrderStream(EventSequence aSequence)
+  /// @param aIsResumable Whether a new run may go on after an event.
+  OrderStream(EventSequence aSequence, bool aIsResumable)
     : sequence_(std::move(aSequence))
+    , isResumable_(aIsResumable)
   {
   }
 
@@ -36,7 +39,8 @@
   [[nodiscard]] std::optional<OrderFault> Add(std::string_view aBody);
 
   [[nodiscard]] std::uint64_t LastEvent() const { return last_; }
-  [[nodiscard]] const std::string& Version() const { return version_; }
+  /// @return the service and version that began the stream.
+  [[nodiscard]] const std::string& Software() const { return run_.software_; }
   [[nodiscard]] const EventSequence& Sequence() const { return sequence_; }
   [[nodiscard]] bool IsWhole() const { return last_ == sequence_.count_; }
 
@@ -44,8 +48,9 @@
   [[nodiscard]] std::optional<OrderFault> AddEvent(std::string_view aEvent);
 
   EventSequence sequence_;
+  bool isResumable_;
   std::uint64_t last_ = 0;
-  std::string version_; ///< Of the first event.
+  EventRun run_; ///< Of the last event.
 };
 
 /// @return what is wrong with an item's output; empty if it is whole.
