Tests: Let the order soak's servers queue requests

A server has a queue beside its slots if the soak asks for one, admits in order of arrival, and reports its load. A new test runs the soak with full slots.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -15,8 +15,11 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <exception>
 #include <iostream>
 #include <mutex>
@@ -28,6 +31,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 // A model server for the soak of ORDER: a process of its own, so that the
 // kernel ends its connections when it is killed. Draws from a seed how each
 // response is framed, cut into writes and paused.
@@ -41,7 +46,7 @@
 
 namespace {
 
-constexpr std::size_t kArguments = 7;
+constexpr std::size_t kArguments = 8;
 constexpr int kExitUsage = 2;
 constexpr std::string_view kHealthPath = "/health";
 
@@ -51,6 +56,9 @@
 constexpr int kCutOneIn = 3;
 constexpr int kLongPauseOneIn = 60;
 
+/// How often a waiting request is checked for its caller and its deadline.
+constexpr milliseconds kQueueInterval{ 20 };
+
 struct ServerOptions
 {
   tcp::endpoint address_;
@@ -58,6 +66,7 @@
   std::string software_; ///< Service and version.
   unsigned seed_ = 0;
   int slots_ = 0;
+  int places_ = 0; ///< In the queue for slots.
   std::int64_t startedAtMs_ = 0;
 };
 
@@ -70,12 +79,95 @@
   const auto address = gateway::ParseAddress(aArguments[1]);
   const auto seed = base::ParseNumber<unsigned>(aArguments[4]);
   const auto slots = base::ParseNumber<int>(aArguments[5]);
-  const auto startedAtMs = base::ParseNumber<std::int64_t>(aArguments[6]);
-  if (!address || !seed || !slots || !startedAtMs) {
+  const auto places = base::ParseNumber<int>(aArguments[6]);
+  const auto startedAtMs = base::ParseNumber<std::int64_t>(aArguments[7]);
+  if (!address || !seed || !slots || !places || !startedAtMs) {
     return std::nullopt;
   }
-  return ServerOptions{ *address, aArguments[2], aArguments[3],
-                        *seed,    *slots,        *startedAtMs };
+  return ServerOptions{ *address, aArguments[2], aArguments[3], *seed,
+                        *slots,   *places,       *startedAtMs };
+}
+
+/// The slots of a server and the requests that wait for one, which are admitted
+/// in order of arrival.
+class SlotQueue
+{
+public:
+  struct Load
+  {
+    int running_ = 0;
+    std::size_t waiting_ = 0;
+  };
+
+  SlotQueue(int aSlots, int aPlaces)
+    : slots_(aSlots)
+    , places_(static_cast<std::size_t>(aPlaces))
+  {
+  }
+
+  /// Takes a slot, which may take a while.
+  /// @param aIsWanted Whether the request still waits.
+  /// @return false if there is no place, or the request no longer waits.
+  template<typename Predicate>
+  [[nodiscard]] bool Enter(Predicate&& aIsWanted)
+  {
+    std::unique_lock lock(mutex_);
+    if (running_ < slots_ && waiting_.empty()) {
+      ++running_;
+      return true;
+    }
+    if (waiting_.size() >= places_) {
+      return false;
+    }
+    const std::uint64_t ticket = ++lastTicket_;
+    waiting_.push_back(ticket);
+    const auto isNext = [this, ticket] {
+      return running_ < slots_ && waiting_.front() == ticket;
+    };
+    while (!condition_.wait_for(lock, kQueueInterval, isNext)) {
+      if (!aIsWanted()) {
+        std::erase(waiting_, ticket);
+        condition_.notify_all();
+        return false;
+      }
+    }
+    waiting_.pop_front();
+    ++running_;
+    condition_.notify_all();
+    return true;
+  }
+
+  void Leave()
+  {
+    const std::lock_guard lock(mutex_);
+    --running_;
+    condition_.notify_all();
+  }
+
+  [[nodiscard]] Load CurrentLoad() const
+  {
+    const std::lock_guard lock(mutex_);
+    return { running_, waiting_.size() };
+  }
+
+private:
+  int slots_;
+  std::size_t places_;
+  mutable std::mutex mutex_;
+  std::condition_variable condition_;
+  int running_ = 0;
+  std::deque<std::uint64_t> waiting_;
+  std::uint64_t lastTicket_ = 0;
+};
+
+/// @return whether the caller has closed its connection.
+bool
+IsClosed(tcp::socket& aSocket)
+{
+  char next = 0;
+  const auto bytes =
+    ::recv(aSocket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return bytes == 0 || (bytes < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 enum class Framing : std::uint8_t
@@ -92,6 +184,7 @@
     : options_(std::move(aOptions))
     , acceptor_(aContext, options_.address_)
     , random_(options_.seed_)
+    , queue_(options_.slots_, options_.places_)
   {
   }
 
@@ -153,13 +246,23 @@
   std::string Head(const httpstream::Request& aRequest,
                    std::string_view aStatus) const
   {
-    return fmt::format("HTTP/1.1 {}\r\n{}: {}\r\n{}: {}\r\nServer-Seal: {}\r\n",
-                       aStatus,
-                       kRequestIdField,
-                       httpstream::ValueOf(aRequest, kRequestIdField),
-                       kInstanceIdField,
-                       options_.id_,
-                       options_.id_);
+    std::string head =
+      fmt::format("HTTP/1.1 {}\r\n{}: {}\r\n{}: {}\r\nServer-Seal: {}\r\n",
+                  aStatus,
+                  kRequestIdField,
+                  httpstream::ValueOf(aRequest, kRequestIdField),
+                  kInstanceIdField,
+                  options_.id_,
+                  options_.id_);
+    if (options_.places_ > 0) {
+      const SlotQueue::Load load = queue_.CurrentLoad();
+      head += fmt::format("{}: {},{},{}\r\n",
+                          kLoadField,
+                          load.running_,
+                          load.waiting_,
+                          options_.slots_);
+    }
+    return head;
   }
 
   void Write(tcp::socket& aSocket, std::string aBytes)
@@ -192,24 +295,37 @@
     }
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
     const bool isMisdirected = !target.empty() && target != options_.id_;
-    if (isMisdirected || running_ >= options_.slots_) {
+    if (isMisdirected || !EnterQueue(aSocket, aRequest)) {
       Write(
         aSocket,
         Head(aRequest, isMisdirected ? "421 Misdirected" : "503 Unavailable") +
           fmt::format("{}: 1\r\nContent-Length: 0\r\n\r\n", kNotRunField));
       return true;
     }
-    ++running_;
     try {
       const bool isKept = Stream(aSocket, aRequest);
-      --running_;
+      queue_.Leave();
       return isKept;
     } catch (const boost::system::system_error&) {
-      --running_;
+      queue_.Leave();
       throw;
     }
   }
 
+  /// @return whether the request has a slot.
+  bool EnterQueue(tcp::socket& aSocket, const httpstream::Request& aRequest)
+  {
+    const auto deadline =
+      base::ParseNumber<int>(httpstream::ValueOf(aRequest, kDeadlineField));
+    const auto arrival = std::chrono::steady_clock::now();
+    return queue_.Enter([&aSocket, &deadline, arrival] {
+      const bool isLate =
+        deadline &&
+        std::chrono::steady_clock::now() - arrival >= milliseconds(*deadline);
+      return !isLate && !IsClosed(aSocket);
+    });
+  }
+
   bool Stream(tcp::socket& aSocket, const httpstream::Request& aRequest)
   {
     const EventSequence sequence =
@@ -285,7 +401,7 @@
   tcp::acceptor acceptor_;
   std::mutex mutex_;
   std::mt19937 random_; ///< Guarded by mutex_.
-  std::atomic<int> running_ = 0;
+  SlotQueue queue_;
   std::atomic<std::uint64_t> runs_ = 0; ///< Since the start of the process.
 };
 
@@ -295,7 +411,7 @@
   auto options = ParseOptions(aArguments);
   if (!options) {
     std::cerr
-      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS START_MS\n";
+      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS QUEUE START_MS\n";
     return kExitUsage;
   }
   asio::io_context context;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -21,7 +21,6 @@
 constexpr std::size_t kEntryHosts = 4;
 constexpr std::size_t kWorkers = 2;
 constexpr std::size_t kServers = 7;
-constexpr std::size_t kSlots = 12;
 constexpr std::size_t kCallers = 50;
 constexpr std::size_t kJobs = 3;
 constexpr int kItems = 4;
@@ -118,7 +117,7 @@
                    { "address", aServer.address_ },
                    { "zone", "a" },
                    { "version", aServer.version_ },
-                   { "slots", kSlots },
+                   { "slots", options_.slots_ },
                    { "state", aState },
                    { "coldLeftMs", 0 },
                    { "seq", 1 },
@@ -140,7 +139,8 @@
                             aServer.id_,
                             aServer.Software(),
                             fmt::format("{}", random_() % 1000000),
-                            fmt::format("{}", kSlots),
+                            fmt::format("{}", options_.slots_),
+                            fmt::format("{}", options_.queue_),
                             fmt::format("{}", aServer.startedAtMs_) },
                           {});
   aServer.isReady_ = true;
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -37,6 +37,9 @@
     /// and the operator moves it. Their software has the same version, which
     /// stays.
     bool movesRoute_ = false;
+    int slots_ = 12; ///< Of each server.
+    /// Requests that wait at a server for a slot; the others are refused.
+    int queue_ = 0;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -77,4 +77,14 @@
   RunAndCheck(options);
 }
 
+// Guards against the same where the servers' slots are full and requests wait
+// in the servers' queues, so that they begin late and are given up there.
+TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
+{
+  RunOptions options;
+  options.slots_ = 6;
+  options.queue_ = 18;
+  RunAndCheck(options);
+}
+
 } // namespace pumiceturn::adapter
