--- a/Tests/PlatformSoak/FleetSoakFixture.cpp
+++ b/Tests/PlatformSoak/FleetSoakFixture.cpp
@@ -147,6 +147,28 @@
   aHost.startAt_ = Clock::now() + aDownTime;
 }
 
+void
+FleetSoakFixture::TerminateHost(Host& aHost)
+{
+  aHost.process_->ExpectEnd();
+  aHost.process_->Signal(SIGTERM);
+  aHost.startAt_ = Clock::now();
+  RunAfter(std::chrono::seconds(aHost.process_->Settings().graceSeconds_),
+           [&aHost, incarnation = aHost.incarnation_] {
+             if (aHost.startAt_ && aHost.incarnation_ == incarnation) {
+               aHost.process_->Signal(SIGKILL);
+             }
+           });
+}
+
+void
+FleetSoakFixture::HangUpHost(const Host& aHost)
+{
+  if (!aHost.startAt_) {
+    aHost.process_->Signal(SIGHUP);
+  }
+}
+
 void
 FleetSoakFixture::SuspendHosts()
 {
--- a/Tests/PlatformSoak/FleetSoakFixture.h
+++ b/Tests/PlatformSoak/FleetSoakFixture.h
@@ -69,6 +69,13 @@
   /// Kills a host; it starts again after a time.
   void KillHost(Host& aHost, std::chrono::milliseconds aDownTime);
 
+  /// Ends a host with SIGTERM, and with SIGKILL if it takes longer than its
+  /// grace period. It starts again as soon as it has ended.
+  void TerminateHost(Host& aHost);
+
+  /// Sends SIGHUP to a host that is to keep running.
+  void HangUpHost(const Host& aHost);
+
   /// Suspends a third of the hosts for a time.
   void SuspendHosts();
 
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -39,6 +39,9 @@
 constexpr std::chrono::seconds kInTouch{ 3 };
 
 constexpr int kMeanStepsPerFault = 120;
+
+/// Upper bound of the time between two hosts that get a signal.
+constexpr int kMaxSignalGapMs = 1300;
 constexpr int kMinResumptions = 12;
 
 std::string
@@ -268,10 +271,71 @@
   }
 }
 
+void
+OrderSoakFixture::TerminateHosts()
+{
+  const milliseconds gap = Draw(50, kMaxSignalGapMs);
+  milliseconds at{ 0 };
+  for (const auto& host : hosts_) {
+    if (DrawOneIn(2)) {
+      continue;
+    }
+    RunAfter(at, [this, &host = *host] {
+      if (!host.startAt_) {
+        ++counts_.terminations_;
+        TerminateHost(host);
+      }
+    });
+    at += gap;
+  }
+  if (DrawOneIn(3)) {
+    RunAfter(Draw(0, kMaxSignalGapMs), [this] { KillHosts(3, DrawOneIn(2)); });
+  }
+}
+
+void
+OrderSoakFixture::HangUpHosts()
+{
+  const milliseconds gap = Draw(0, kMaxSignalGapMs);
+  milliseconds at{ 0 };
+  for (const auto& host : hosts_) {
+    if (DrawOneIn(2)) {
+      continue;
+    }
+    RunAfter(at, [this, &host = *host] {
+      ++counts_.hangUps_;
+      HangUpHost(host);
+    });
+    if (DrawOneIn(4)) {
+      RunAfter(at + Draw(0, 300), [this, &host = *host] {
+        if (!host.startAt_) {
+          KillHost(host, Draw(0, kMaxSignalGapMs));
+        }
+      });
+    }
+    at += gap;
+  }
+}
+
+void
+OrderSoakFixture::ChooseFaults()
+{
+  if (options_.signalsHosts_) {
+    moreFaults_.push_back(&OrderSoakFixture::TerminateHosts);
+    moreFaults_.push_back(&OrderSoakFixture::HangUpHosts);
+  }
+}
+
 void
 OrderSoakFixture::InjectFault()
 {
   ++counts_.faults_;
+  if (!moreFaults_.empty() && DrawOneIn(2)) {
+    const auto last = static_cast<int>(moreFaults_.size()) - 1;
+    const auto chosen = static_cast<std::size_t>(Draw(0, last).count());
+    (this->*moreFaults_[chosen])();
+    return;
+  }
   const auto drawServer = [this]() -> Server& {
     return *servers_[static_cast<std::size_t>(
       Draw(0, static_cast<int>(servers_.size()) - 1).count())];
@@ -563,6 +627,7 @@
 {
   random_.seed(aSeed);
   options_ = aOptions;
+  ChooseFaults();
   ReserveNetwork();
   routed_ = { kService };
   if (options_.movesRoute_) {
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -40,6 +40,8 @@
     int slots_ = 12; ///< Of each server.
     /// Requests that wait at a server for a slot; the others are refused.
     int queue_ = 0;
+    /// Hosts get SIGTERM and SIGHUP, also while others are killed.
+    bool signalsHosts_ = false;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -64,6 +66,8 @@
     int softwareChanges_ = 0; ///< Of servers that started again.
     int releases_ = 0;
     int moves_ = 0; ///< Of the route of resumable streams.
+    int terminations_ = 0;
+    int hangUps_ = 0;
     std::map<OrderFault, int> orderFaults_{};
   };
   [[nodiscard]] const RunCounts& Counts() const { return counts_; }
@@ -124,7 +128,15 @@
   void EndServer(const std::string& aId);
   void BeginRelease();
   void InjectFault();
+  /// Fills moreFaults_.
+  void ChooseFaults();
   void KillHosts(int aOneIn, bool aWithWorkers);
+  /// Ends some hosts one after the other with SIGTERM; at times others are
+  /// killed meanwhile.
+  void TerminateHosts();
+  /// Sends SIGHUP to some hosts one after the other; at times they are killed
+  /// soon after it.
+  void HangUpHosts();
   void Step();
   void AddCaller();
   void Try(Caller& aCaller);
@@ -153,6 +165,8 @@
   std::string network_;
   std::optional<boost::asio::ip::tcp::acceptor> reservation_;
   std::vector<std::string> routed_; ///< Services of resumable streams.
+  /// Faults beyond the usual ones, as the options say.
+  std::vector<void (OrderSoakFixture::*)()> moreFaults_;
   int configuration_ = 0;
   int version_ = 1;
   int nextServer_ = 0;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -19,7 +19,7 @@
       "seed {}: {} streams, {} begun, {} whole; {} resumptions, {} went on; "
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
       "{} of them changed their software, {} releases, {} moves of a route, {} "
-      "restarts\n",
+      "restarts, {} terminations, {} hang-ups\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -34,7 +34,9 @@
       counts.softwareChanges_,
       counts.releases_,
       counts.moves_,
-      restarts_);
+      restarts_,
+      counts.terminations_,
+      counts.hangUps_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
         "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
@@ -77,13 +79,14 @@
   RunAndCheck(options);
 }
 
-// Guards against the same where the servers' slots are full and requests wait
-// in the servers' queues, so that they begin late and are given up there.
+// Guards against the same where requests wait in the servers' queues, and hosts
+// end by SIGTERM, or get SIGHUP, one after the other while others are killed.
 TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
 {
   RunOptions options;
   options.slots_ = 6;
   options.queue_ = 18;
+  options.signalsHosts_ = true;
   RunAndCheck(options);
 }
 
