Tests: Let the order soak end jobs and read them again

Jobs are read by two clients from any position and ended midway; a calm phase at the end reads them again. The numbers of a page, the order of its items and items that fail for no reason are checked. Only the test with disturbed hosts does so.

--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -22,8 +23,7 @@
 constexpr std::size_t kWorkers = 2;
 constexpr std::size_t kServers = 7;
 constexpr std::size_t kCallers = 50;
-constexpr std::size_t kJobs = 3;
-constexpr int kItems = 4;
+constexpr std::size_t kItems = 4;
 constexpr int kItemEvents = 30;
 constexpr int kMaxTries = 4;
 constexpr const char* kService = "service";
@@ -40,6 +40,21 @@
 
 constexpr int kMeanStepsPerFault = 120;
 
+/// Upper bound of the time from a job's creation to its end by a client.
+constexpr int kMaxJobTimeMs = 3000;
+
+/// How long a job is read after a client has ended it.
+constexpr milliseconds kTimeAfterEnd{ 1500 };
+
+/// Time without faults until all hosts are expected to answer for all jobs. The
+/// faults before may last for 3 s.
+constexpr milliseconds kTimeToSettle{ 6000 };
+constexpr milliseconds kTimeToReadAgain{ 4000 };
+constexpr std::size_t kJobsReadAgain = 40;
+
+/// Less than statusS of the hosts' settings.
+constexpr std::chrono::seconds kJobKeepTime{ 90 };
+
 /// Upper bound of the time between two hosts that get a signal.
 constexpr int kMaxSignalGapMs = 1300;
 constexpr int kMinResumptions = 12;
@@ -64,9 +79,13 @@
       caller->call_->connection_->Cancel();
     }
   }
-  for (const auto& job : jobs_) {
-    if (job->call_) {
-      job->call_->connection_->Cancel();
+  for (const auto& jobs : { &jobs_, &doneJobs_ }) {
+    for (const auto& job : *jobs) {
+      for (const JobClient& client : job->clients_) {
+        if (client.call_) {
+          client.call_->connection_->Cancel();
+        }
+      }
     }
   }
 }
@@ -489,31 +508,98 @@
 }
 
 void
-OrderSoakFixture::StepJob(Job& aJob)
+OrderSoakFixture::AddJob()
 {
-  if (aJob.call_ && !aJob.call_->HasEnded()) {
-    return;
+  auto job = std::make_unique<Job>(Job{ fmt::format("job{}", nextStream_++) });
+  if (options_.readsJobsAgain_ && DrawOneIn(3)) {
+    job->endAt_ = Clock::now() + Draw(0, kMaxJobTimeMs);
+  }
+  jobs_.push_back(std::move(job));
+}
+
+bool
+OrderSoakFixture::IsDone(const Job& aJob) const
+{
+  // More results may come for a time after a job's end.
+  return aJob.outputs_.size() == kItems ||
+         (aJob.endedAt_ && Clock::now() >= *aJob.endedAt_ + kTimeAfterEnd);
+}
+
+void
+OrderSoakFixture::StepJobs()
+{
+  for (const auto& job : jobs_) {
+    StepJob(*job);
   }
-  if (const auto call = std::exchange(aJob.call_, nullptr)) {
-    aJob.isAccepted_ = aJob.isAccepted_ || call->status_ == kAccepted;
-    if (call->status_ == kOk) {
-      ReadResults(aJob, call->body_);
+  if (options_.readsJobsAgain_) {
+    for (auto& job : jobs_) {
+      if (IsDone(*job)) {
+        doneJobs_.push_back(std::move(job));
+      }
     }
-    aJob.nextCallAt_ = Clock::now() + milliseconds(300);
-    return;
+    std::erase(jobs_, nullptr);
+  } else {
+    std::erase_if(jobs_, [this](const auto& aJob) { return IsDone(*aJob); });
   }
-  if (Clock::now() < aJob.nextCallAt_) {
+  if (jobs_.size() < options_.jobs_) {
+    AddJob();
+  }
+}
+
+void
+OrderSoakFixture::StepJob(Job& aJob)
+{
+  const std::size_t clients = options_.readsJobsAgain_ ? 2 : 1;
+  for (std::size_t index = 0; index < clients; ++index) {
+    JobClient& client = aJob.clients_[index];
+    if (client.call_ && !client.call_->HasEnded()) {
+      continue;
+    }
+    if (client.call_) {
+      EndJobCall(aJob, client);
+      client.nextCallAt_ = Clock::now() + milliseconds(300);
+    } else if (Clock::now() >= client.nextCallAt_ &&
+               (index == 0 || aJob.isAccepted_)) {
+      StartJobCall(aJob, client);
+    }
+  }
+}
+
+void
+OrderSoakFixture::StartJobCall(Job& aJob, JobClient& aClient)
+{
+  if (!aJob.isAccepted_) {
+    SubmitJob(aJob, aClient);
     return;
   }
-  if (aJob.isAccepted_) {
-    aJob.call_ = SendToHost(DrawEntryHost(),
-                            "GET",
-                            fmt::format("/api/lots/{}?after=0", aJob.id_),
-                            {});
+  const Host& host = DrawEntryHost();
+  aClient.calledAt_ = host.process_->Settings().name_;
+  const bool isEnd = aJob.endAt_ && Clock::now() >= *aJob.endAt_ &&
+                     (!aJob.endedAt_ || DrawOneIn(4));
+  if (isEnd) {
+    aClient.action_ = JobAction::End;
+    aClient.call_ =
+      SendToHost(host, "DELETE", fmt::format("/api/lots/{}", aJob.id_), {});
     return;
   }
+  aClient.action_ = JobAction::Read;
+  aClient.after_ =
+    options_.readsJobsAgain_
+      ? static_cast<std::size_t>(
+          Draw(0, static_cast<int>(aJob.outputs_.size())).count())
+      : 0;
+  aClient.call_ =
+    SendToHost(host,
+               "GET",
+               fmt::format("/api/lots/{}?after={}", aJob.id_, aClient.after_),
+               {});
+}
+
+void
+OrderSoakFixture::SubmitJob(const Job& aJob, JobClient& aClient)
+{
   json items = json::array();
-  for (int item = 0; item < kItems; ++item) {
+  for (std::size_t item = 0; item < kItems; ++item) {
     const std::string name = fmt::format("{}-{}", aJob.id_, item);
     items.push_back({ { "id", name },
                       { "path", fmt::format("/lots/{}.{}", name, kItemEvents) },
@@ -521,18 +607,77 @@
                       { "body", base::EncodeBase64("prompt") },
                       { "tokens", 9 } });
   }
-  aJob.call_ = SendToHost(DrawEntryHost(),
-                          "POST",
-                          "/lots/1",
-                          fmt::format("Attempt-Id: {}\r\n", aJob.id_),
-                          json{ { "items", std::move(items) } }.dump());
+  aClient.action_ = JobAction::Submit;
+  aClient.call_ = SendToHost(DrawEntryHost(),
+                             "POST",
+                             "/lots/1",
+                             fmt::format("Attempt-Id: {}\r\n", aJob.id_),
+                             json{ { "items", std::move(items) } }.dump());
 }
 
 void
-OrderSoakFixture::ReadResults(Job& aJob, const std::string& aBody)
+OrderSoakFixture::EndJobCall(Job& aJob, JobClient& aClient)
+{
+  const auto call = std::exchange(aClient.call_, nullptr);
+  aJob.isAccepted_ = aJob.isAccepted_ || call->status_ == kAccepted;
+  if (call->status_ != kOk) {
+    return;
+  }
+  if (aClient.action_ == JobAction::Read) {
+    if (options_.readsJobsAgain_) {
+      CheckPage(aJob, aClient, call->body_);
+    }
+    ReadResults(aJob, aClient.after_, call->body_);
+  } else if (aClient.action_ == JobAction::End && !aJob.endedAt_) {
+    ++counts_.jobsEnded_;
+    aJob.endedAt_ = Clock::now();
+  }
+}
+
+void
+OrderSoakFixture::CheckPage(const Job& aJob,
+                            const JobClient& aClient,
+                            const std::string& aBody)
+{
+  const std::string where = fmt::format(
+    "job {} (read at {} from {})", aJob.id_, aClient.calledAt_, aClient.after_);
+  const json page = json::parse(aBody, nullptr, false);
+  if (!page.is_object()) {
+    return; // The answer was cut.
+  }
+  const json results = page.value("results", json::array());
+  const std::size_t total = page.value("total", std::size_t{ 0 });
+  const std::size_t next = page.value("next", std::size_t{ 0 });
+  if (total != kItems) {
+    violations_.push_back(fmt::format("{}: total is {}", where, total));
+  }
+  if (next != aClient.after_ + results.size()) {
+    violations_.push_back(fmt::format(
+      "{}: next is {} with {} results", where, next, results.size()));
+  }
+  counts_.shorterReads_ += next < aJob.outputs_.size() ? 1 : 0;
+  std::set<std::string> names;
+  for (const json& result : results) {
+    const std::string name = result.value("id", "");
+    if (!names.insert(name).second || !name.starts_with(aJob.id_ + "-")) {
+      violations_.push_back(
+        fmt::format("{}: item {} doesn't belong there", where, name));
+    }
+    // No server answers with a failure, and the route's time isn't up.
+    if (result.value("state", "") != "completed" && !aJob.endAt_) {
+      violations_.push_back(
+        fmt::format("{}: item {} is listed as failed", where, name));
+    }
+  }
+}
+
+void
+OrderSoakFixture::ReadResults(Job& aJob,
+                              std::size_t aAfter,
+                              const std::string& aBody)
 {
   const json page = json::parse(aBody, nullptr, false);
-  std::size_t position = 0;
+  std::size_t position = aAfter;
   for (const json& result : page.value("results", json::array())) {
     const std::string name = result.at("id").get<std::string>();
     const std::string text = result.dump();
@@ -577,14 +722,78 @@
   if (callers_.size() < kCallers) {
     AddCaller();
   }
+  StepJobs();
+}
+
+void
+OrderSoakFixture::ReadJobAgain(Job& aJob)
+{
+  JobClient& client = aJob.clients_.front();
+  if (client.call_ && !client.call_->HasEnded()) {
+    return;
+  }
+  if (!client.call_) {
+    const Host& host = DrawEntryHost();
+    client.calledAt_ = host.process_->Settings().name_;
+    client.action_ = JobAction::Read;
+    client.after_ = 0;
+    client.call_ = SendToHost(
+      host, "GET", fmt::format("/api/lots/{}?after=0", aJob.id_), {});
+    return;
+  }
+  const auto call = std::exchange(client.call_, nullptr);
+  if (call->status_ != kOk) {
+    return;
+  }
+  CheckPage(aJob, client, call->body_);
+  const json page = json::parse(call->body_, nullptr, false);
+  if (page.value("results", json::array()).size() < aJob.outputs_.size()) {
+    return;
+  }
+  ReadResults(aJob, 0, call->body_);
+  aJob.isReadAgain_ = true;
+}
+
+void
+OrderSoakFixture::ReadJobsAgain()
+{
+  const auto runFor = [this](milliseconds aTime, auto&& aAction) {
+    const auto end = Clock::now() + aTime;
+    while (Clock::now() < end) {
+      RunStep();
+      aAction();
+    }
+  };
+  runFor(kTimeToSettle, [] {});
   for (const auto& job : jobs_) {
-    StepJob(*job);
+    if (job->isAccepted_) {
+      job->clients_ = {};
+      doneJobs_.push_back(std::make_unique<Job>(std::move(*job)));
+    }
+  }
+  std::erase_if(doneJobs_, [](const auto& aJob) {
+    return Clock::now() - aJob->createdAt_ > kJobKeepTime;
+  });
+  if (doneJobs_.size() > kJobsReadAgain) {
+    doneJobs_.erase(doneJobs_.begin(),
+                    doneJobs_.end() -
+                      static_cast<std::ptrdiff_t>(kJobsReadAgain));
   }
-  std::erase_if(
-    jobs_, [](const auto& aJob) { return aJob->outputs_.size() == kItems; });
-  if (jobs_.size() < kJobs) {
-    jobs_.push_back(
-      std::make_unique<Job>(Job{ fmt::format("job{}", nextStream_++) }));
+  runFor(kTimeToReadAgain, [this] {
+    for (const auto& job : doneJobs_) {
+      if (!job->isReadAgain_) {
+        ReadJobAgain(*job);
+      }
+    }
+  });
+  for (const auto& job : doneJobs_) {
+    counts_.jobsReadAgain_ += job->isReadAgain_ ? 1 : 0;
+    if (!job->isReadAgain_) {
+      violations_.push_back(
+        fmt::format("job {}: {} results that were read don't come again",
+                    job->id_,
+                    job->outputs_.size()));
+    }
   }
 }
 
@@ -646,6 +855,9 @@
       InjectFault();
     }
   }
+  if (options_.readsJobsAgain_) {
+    ReadJobsAgain();
+  }
   CheckShares();
   CheckProcesses();
 }
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -6,7 +6,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -42,6 +44,11 @@
     int queue_ = 0;
     /// Hosts get SIGTERM and SIGHUP, also while others are killed.
     bool signalsHosts_ = false;
+    std::size_t jobs_ = 3; ///< That are open at a time.
+    /// Some jobs are ended before they are done, each job is read by two
+    /// readers from any position, and all that was read must come again in a
+    /// calm phase at the end.
+    bool readsJobsAgain_ = false;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -68,6 +75,11 @@
     int moves_ = 0; ///< Of the route of resumable streams.
     int terminations_ = 0;
     int hangUps_ = 0;
+    int jobsEnded_ = 0;
+    int jobsReadAgain_ = 0;
+    /// Reads that got fewer results than an earlier one, which is allowed for a
+    /// time.
+    int shorterReads_ = 0;
     std::map<OrderFault, int> orderFaults_{};
   };
   [[nodiscard]] const RunCounts& Counts() const { return counts_; }
@@ -102,13 +114,32 @@
     bool isOwed_ = false; ///< The current try is a resumption that must go on.
     bool hasEnded_ = false;
   };
+  enum class JobAction : std::uint8_t
+  {
+    Submit,
+    Read,
+    End,
+  };
+  /// A client of a job, which makes one call after the other.
+  struct JobClient
+  {
+    std::unique_ptr<CallerCall> call_{};
+    JobAction action_ = JobAction::Submit;
+    std::size_t after_ = 0;  ///< First position that it reads.
+    std::string calledAt_{}; ///< Host of the current call.
+    Clock::time_point nextCallAt_{};
+  };
   struct Job
   {
     std::string id_;
-    std::unique_ptr<CallerCall> call_{};
+    std::array<JobClient, 2> clients_{}; ///< The second one is optional.
     bool isAccepted_ = false;
     std::vector<std::string> outputs_{}; ///< By position, as first read.
-    Clock::time_point nextCallAt_{};
+    /// When a client ends the job; std::nullopt: never.
+    std::optional<Clock::time_point> endAt_{};
+    std::optional<Clock::time_point> endedAt_{}; ///< When that was answered.
+    Clock::time_point createdAt_ = Clock::now();
+    bool isReadAgain_ = false; ///< In the calm phase.
   };
 
   /// Fails if another run uses the same addresses, which is the case for one
@@ -141,8 +172,22 @@
   void AddCaller();
   void Try(Caller& aCaller);
   void EndTry(Caller& aCaller);
+  void AddJob();
+  [[nodiscard]] bool IsDone(const Job& aJob) const;
+  void StepJobs();
   void StepJob(Job& aJob);
-  void ReadResults(Job& aJob, const std::string& aBody);
+  void StartJobCall(Job& aJob, JobClient& aClient);
+  void SubmitJob(const Job& aJob, JobClient& aClient);
+  void EndJobCall(Job& aJob, JobClient& aClient);
+  void ReadResults(Job& aJob, std::size_t aAfter, const std::string& aBody);
+  /// Checks what ReadResults() doesn't: the numbers of a page, and items that
+  /// have failed for no reason.
+  void CheckPage(const Job& aJob,
+                 const JobClient& aClient,
+                 const std::string& aBody);
+  /// Waits until the fleet is calm, and reads jobs again from the start.
+  void ReadJobsAgain();
+  void ReadJobAgain(Job& aJob);
   void CheckShares();
   void AddFault(OrderFault aFault, const std::string& aWhere);
   [[nodiscard]] Server* FindServer(const std::string& aId);
@@ -160,6 +205,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<Job>> jobs_;
+  std::vector<std::unique_ptr<Job>> doneJobs_; ///< To be read again.
   RunCounts counts_;
   RunOptions options_;
   std::string network_;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -19,7 +19,8 @@
       "seed {}: {} streams, {} begun, {} whole; {} resumptions, {} went on; "
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
       "{} of them changed their software, {} releases, {} moves of a route, {} "
-      "restarts, {} terminations, {} hang-ups\n",
+      "restarts, {} terminations, {} hang-ups; {} jobs ended, {} read again, "
+      "{} shorter reads\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -36,7 +37,10 @@
       counts.moves_,
       restarts_,
       counts.terminations_,
-      counts.hangUps_);
+      counts.hangUps_,
+      counts.jobsEnded_,
+      counts.jobsReadAgain_,
+      counts.shorterReads_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
         "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
@@ -79,14 +83,17 @@
   RunAndCheck(options);
 }
 
-// Guards against the same where requests wait in the servers' queues, and hosts
-// end by SIGTERM, or get SIGHUP, one after the other while others are killed.
+// Guards against the same, and against jobs whose results change, go away or
+// are miscounted, where requests wait in the servers' queues, jobs are ended,
+// and hosts get SIGTERM or SIGHUP one after the other while others are killed.
 TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
 {
   RunOptions options;
   options.slots_ = 6;
   options.queue_ = 18;
   options.signalsHosts_ = true;
+  options.jobs_ = 8;
+  options.readsJobsAgain_ = true;
   RunAndCheck(options);
 }
 
