Tests: Let the order soak reuse addresses and lose store answers

Servers of another service take the addresses of servers that are gone, and a stream must begin at a service of its route. The store loses answers, history or the hosts' keys, or answers late. Only the test of a disturbed fleet does so.

--- a/Tests/PlatformSoak/FleetSoakFixture.cpp
+++ b/Tests/PlatformSoak/FleetSoakFixture.cpp
@@ -1,6 +1,7 @@
 #include "Tests/PlatformSoak/FleetSoakFixture.h"
 
 #include "Tests/PlatformSoak/Environment.h"
+#include "platform/Names.h"
 
 #include <fmt/format.h>
 
@@ -18,6 +19,11 @@
 
 constexpr milliseconds kStep{ 5 };
 
+/// Upper bounds of the delay of each piece of data to and from the store, and
+/// of the time that the store answers late or not.
+constexpr int kMaxStoreDelayMs = 1500;
+constexpr int kMaxStoreFaultMs = 2500;
+
 std::string
 FormatAddress(const boost::asio::ip::tcp::endpoint& aAddress)
 {
@@ -203,6 +209,64 @@
   }
 }
 
+void
+FleetSoakFixture::DelayStore()
+{
+  for (const auto& host : hosts_) {
+    if (DrawOneIn(2)) {
+      host->storeProxy_->SetDelay(Draw(100, kMaxStoreDelayMs));
+    }
+  }
+  RunAfter(Draw(500, kMaxStoreFaultMs), [this] {
+    for (const auto& host : hosts_) {
+      host->storeProxy_->SetDelay(milliseconds(0));
+    }
+  });
+}
+
+void
+FleetSoakFixture::RevokeHostKeys()
+{
+  for (const std::string& key : store_.Keys(std::string(kHostPrefix))) {
+    if (DrawOneIn(3)) {
+      store_.Remove(key);
+    }
+  }
+}
+
+void
+FleetSoakFixture::LoseStoreAnswers()
+{
+  const auto forSomeHosts = [this](auto&& aAction) {
+    for (const auto& host : hosts_) {
+      if (DrawOneIn(2)) {
+        aAction(*host->storeProxy_);
+      }
+    }
+  };
+  switch (Draw(0, 5).count()) {
+    case 0:
+      store_.SetBehaviour(StoreBehaviour::DroppingWriteResponses);
+      RunAfter(Draw(300, kMaxStoreFaultMs),
+               [this] { store_.SetBehaviour(StoreBehaviour::Serving); });
+      break;
+    case 1:
+      forSomeHosts([](FaultProxy& aProxy) { aProxy.BlockOpenConnections(); });
+      break;
+    case 2:
+      forSomeHosts([](FaultProxy& aProxy) { aProxy.ResetConnections(); });
+      break;
+    case 3:
+      store_.Compact();
+      break;
+    case 4:
+      RevokeHostKeys();
+      break;
+    default:
+      DelayStore();
+  }
+}
+
 void
 FleetSoakFixture::CheckProcesses()
 {
--- a/Tests/PlatformSoak/FleetSoakFixture.h
+++ b/Tests/PlatformSoak/FleetSoakFixture.h
@@ -90,6 +90,10 @@
   /// store refuse them.
   void DisturbStore(const StoreDisturbance& aDisturbance);
 
+  /// Lets the store lose answers to writes, connections, history or the hosts'
+  /// leased keys, or answer late.
+  void LoseStoreAnswers();
+
   /// Adds a violation for each host that ended by itself.
   void CheckProcesses();
 
@@ -116,6 +120,8 @@
 
   void StartHost(Host& aHost);
   void RunScheduled();
+  void DelayStore();
+  void RevokeHostKeys();
 
   std::filesystem::path folder_;
   std::vector<ScheduledAction> scheduled_;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -28,6 +28,10 @@
 constexpr int kMaxTries = 4;
 constexpr const char* kService = "service";
 constexpr const char* kSecondService = "second";
+constexpr const char* kOtherService = "other"; ///< Has a route of its own.
+constexpr const char* kResumableRoute = "look-up";
+constexpr const char* kSingleRoute = "archive";
+constexpr const char* kOtherRoute = "other";
 constexpr int kTimeoutMs = 5000;
 constexpr unsigned kOk = 200;
 constexpr unsigned kAccepted = 202;
@@ -38,8 +42,6 @@
 /// Uptime from which a host is expected to know what the others know.
 constexpr std::chrono::seconds kInTouch{ 3 };
 
-constexpr int kMeanStepsPerFault = 120;
-
 /// Upper bound of the time from a job's creation to its end by a client.
 constexpr int kMaxJobTimeMs = 3000;
 
@@ -59,6 +61,12 @@
 constexpr int kMaxSignalGapMs = 1300;
 constexpr int kMinResumptions = 12;
 
+/// Upper bound of the time for which the entry of a dead server stands.
+constexpr int kMaxEntryTimeMs = 3600;
+
+/// Upper bound of the time that a server runs at an address of another one.
+constexpr int kMaxOtherTimeMs = 8000;
+
 std::string
 VersionName(int aVersion)
 {
@@ -93,31 +101,38 @@
 void
 OrderSoakFixture::WriteConfiguration()
 {
-  json resumable = MakeTestRoute("look-up", "stream");
+  json resumable = MakeTestRoute(kResumableRoute, "stream");
   resumable["resumable"] = true;
   resumable["timeoutMs"] = kTimeoutMs;
   for (const std::string& service : routed_) {
     resumable["trafficSplit"].push_back(
       { { "service", service }, { "weight", 1 } });
   }
-  json single = MakeTestRoute("archive", "stream");
+  json single = MakeTestRoute(kSingleRoute, "stream");
   single["maxAttempts"] = 1;
   single["timeoutMs"] = kTimeoutMs;
   json batch = MakeTestRoute("lots", "batch");
   batch["maxAttempts"] = 3;
-  store_.Put(
-    "op/config",
-    json{ { "version", ++configuration_ },
-          { "routes",
-            { std::move(resumable), std::move(single), std::move(batch) } },
-          { "services",
-            { { { "name", kService },
-                { "maxConns", 500 },
-                { "healthPath", "/health" } },
-              { { "name", kSecondService },
-                { "maxConns", 500 },
-                { "healthPath", "/health" } } } } }
-      .dump());
+  json configuration{
+    { "version", ++configuration_ },
+    { "routes", { std::move(resumable), std::move(single), std::move(batch) } },
+    { "services", json::array() }
+  };
+  std::vector<std::string> services{ kService, kSecondService };
+  if (options_.reusesAddresses_) {
+    json other = MakeTestRoute(kOtherRoute, "stream");
+    other["resumable"] = true;
+    other["service"] = kOtherService;
+    other["timeoutMs"] = kTimeoutMs;
+    configuration["routes"].push_back(std::move(other));
+    services.emplace_back(kOtherService);
+  }
+  for (const std::string& service : services) {
+    configuration["services"].push_back({ { "name", service },
+                                          { "maxConns", 500 },
+                                          { "healthPath", "/health" } });
+  }
+  store_.Put("op/config", configuration.dump());
 }
 
 void
@@ -186,9 +201,9 @@
   aServer.version_ = VersionName(version);
 }
 
-void
-OrderSoakFixture::AddServer(const std::string& aService,
-                            const std::string& aVersion)
+std::unique_ptr<OrderSoakFixture::Server>
+OrderSoakFixture::MakeServer(const std::string& aService,
+                             const std::string& aVersion)
 {
   const int number = nextServer_++;
   auto server = std::make_unique<Server>();
@@ -196,6 +211,14 @@
   server->service_ = aService;
   server->version_ = aVersion;
   server->address_ = fmt::format("{}.{}:9000", network_, 100 + number % 100);
+  return server;
+}
+
+void
+OrderSoakFixture::AddServer(const std::string& aService,
+                            const std::string& aVersion)
+{
+  auto server = MakeServer(aService, aVersion);
   StartServer(*server);
   servers_.push_back(std::move(server));
 }
@@ -203,11 +226,16 @@
 OrderSoakFixture::Server*
 OrderSoakFixture::FindServer(const std::string& aId)
 {
-  const auto found =
-    std::find_if(servers_.begin(), servers_.end(), [&aId](const auto& aServer) {
-      return aServer->id_ == aId;
-    });
-  return found == servers_.end() ? nullptr : found->get();
+  for (const auto* servers : { &servers_, &otherServers_ }) {
+    const auto found =
+      std::find_if(servers->begin(),
+                   servers->end(),
+                   [&aId](const auto& aServer) { return aServer->id_ == aId; });
+    if (found != servers->end()) {
+      return found->get();
+    }
+  }
+  return nullptr;
 }
 
 int
@@ -248,8 +276,34 @@
 OrderSoakFixture::EndServer(const std::string& aId)
 {
   store_.Remove("servers/" + aId);
-  std::erase_if(servers_,
-                [&aId](const auto& aServer) { return aServer->id_ == aId; });
+  for (auto* servers : { &servers_, &otherServers_ }) {
+    std::erase_if(*servers,
+                  [&aId](const auto& aServer) { return aServer->id_ == aId; });
+  }
+}
+
+void
+OrderSoakFixture::ReuseAddress()
+{
+  const auto index = static_cast<std::size_t>(
+    Draw(0, static_cast<int>(servers_.size()) - 1).count());
+  if (!servers_[index]->isReady_) {
+    return;
+  }
+  ++counts_.reuses_;
+  auto gone = std::move(servers_[index]);
+  servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+  gone->process_.reset();
+  AddServer(gone->service_, gone->version_);
+  RunAfter(Draw(0, kMaxEntryTimeMs),
+           [this, id = gone->id_] { store_.Remove("servers/" + id); });
+  auto other = MakeServer(kOtherService, VersionName(1));
+  other->address_ = gone->address_;
+  const std::string id = other->id_;
+  other->isReady_ = false;
+  otherServers_.push_back(std::move(other));
+  RunAfter(Draw(50, 1500), [this, id] { StartServer(*FindServer(id)); });
+  RunAfter(Draw(3000, kMaxOtherTimeMs), [this, id] { EndServer(id); });
 }
 
 void
@@ -343,6 +397,12 @@
     moreFaults_.push_back(&OrderSoakFixture::TerminateHosts);
     moreFaults_.push_back(&OrderSoakFixture::HangUpHosts);
   }
+  if (options_.reusesAddresses_) {
+    moreFaults_.push_back(&OrderSoakFixture::ReuseAddress);
+  }
+  if (options_.losesStoreAnswers_) {
+    moreFaults_.push_back(&OrderSoakFixture::LoseStoreAnswers);
+  }
 }
 
 void
@@ -423,9 +483,15 @@
   ++counts_.streams_;
   EventSequence sequence{ fmt::format("s{}", nextStream_++),
                           static_cast<std::uint64_t>(Draw(3, 40).count()) };
-  const bool isResumable = !DrawOneIn(4);
+  bool isResumable = !DrawOneIn(4);
+  std::string route = isResumable ? kResumableRoute : kSingleRoute;
+  if (!otherServers_.empty() && DrawOneIn(8)) {
+    isResumable = true;
+    route = kOtherRoute;
+  }
   callers_.push_back(std::make_unique<Caller>(
     Caller{ OrderStream(std::move(sequence), isResumable),
+            std::move(route),
             isResumable,
             DrawOneIn(5) }));
 }
@@ -450,14 +516,13 @@
       IsRouted(stream.Software()) && CountReady(stream.Software()) >= 2;
     counts_.owed_ += aCaller.isOwed_ ? 1 : 0;
   }
-  aCaller.call_ =
-    SendToHost(host,
-               "POST",
-               fmt::format("/{}/{}.{}",
-                           aCaller.isResumable_ ? "look-up" : "archive",
-                           stream.Sequence().name_,
-                           stream.Sequence().count_),
-               fields);
+  aCaller.call_ = SendToHost(host,
+                             "POST",
+                             fmt::format("/{}/{}.{}",
+                                         aCaller.route_,
+                                         stream.Sequence().name_,
+                                         stream.Sequence().count_),
+                             fields);
 }
 
 void
@@ -467,6 +532,19 @@
   violations_.push_back(fmt::format("{}: {}", aWhere, NameOf(aFault)));
 }
 
+void
+OrderSoakFixture::CheckService(const Caller& aCaller, const std::string& aWhere)
+{
+  const bool isOther =
+    aCaller.stream_.Software().starts_with(std::string(kOtherService) + "/");
+  if (isOther != (aCaller.route_ == kOtherRoute)) {
+    violations_.push_back(fmt::format("{}: ran at {}, its route is {}",
+                                      aWhere,
+                                      aCaller.stream_.Software(),
+                                      aCaller.route_));
+  }
+}
+
 void
 OrderSoakFixture::EndTry(Caller& aCaller)
 {
@@ -492,6 +570,7 @@
   }
   const bool hasAdvanced = stream.LastEvent() > before;
   if (before == 0 && hasAdvanced) {
+    CheckService(aCaller, where);
     ++counts_.begun_;
     aCaller.beganAs_ = aCaller.tryId_;
   } else if (before > 0 && (hasAdvanced || (isStream && isComplete))) {
@@ -704,8 +783,12 @@
 OrderSoakFixture::Step()
 {
   RunStep();
-  for (const auto& server : servers_) {
-    (void)server->process_->CheckRunning();
+  for (const auto* servers : { &servers_, &otherServers_ }) {
+    for (const auto& server : *servers) {
+      if (server->process_) {
+        (void)server->process_->CheckRunning();
+      }
+    }
   }
   for (const auto& caller : callers_) {
     if (caller->call_ && caller->call_->HasEnded()) {
@@ -851,7 +934,8 @@
   const auto startedAt = Clock::now();
   while (Clock::now() < startedAt + aTime) {
     Step();
-    if (Clock::now() > startedAt + kCalmTime && DrawOneIn(kMeanStepsPerFault)) {
+    if (Clock::now() > startedAt + kCalmTime &&
+        DrawOneIn(options_.stepsPerFault_)) {
       InjectFault();
     }
   }
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -49,6 +49,11 @@
     /// readers from any position, and all that was read must come again in a
     /// calm phase at the end.
     bool readsJobsAgain_ = false;
+    /// Servers of another service take the addresses of servers that are gone.
+    bool reusesAddresses_ = false;
+    bool losesStoreAnswers_ = false;
+    /// Mean time between two faults, in steps of the event loop.
+    int stepsPerFault_ = 120;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -75,6 +80,7 @@
     int moves_ = 0; ///< Of the route of resumable streams.
     int terminations_ = 0;
     int hangUps_ = 0;
+    int reuses_ = 0; ///< Of addresses.
     int jobsEnded_ = 0;
     int jobsReadAgain_ = 0;
     /// Reads that got fewer results than an earlier one, which is allowed for a
@@ -103,6 +109,7 @@
   struct Caller
   {
     OrderStream stream_;
+    std::string route_;
     bool isResumable_ = false;
     bool isSlow_ = false;
     std::unique_ptr<CallerCall> call_{}; ///< Empty between two tries.
@@ -149,6 +156,9 @@
   /// Chooses other services for the route of resumable streams.
   void MoveRoute();
   void AddServer(const std::string& aService, const std::string& aVersion);
+  /// @return a server that isn't started, with an id and address of its own.
+  [[nodiscard]] std::unique_ptr<Server> MakeServer(const std::string& aService,
+                                                   const std::string& aVersion);
   void StartServer(Server& aServer);
   void Register(const Server& aServer, std::string_view aState);
   /// Kills a server; another process takes over its id and address later.
@@ -157,6 +167,9 @@
   void ChangeSoftware(Server& aServer);
   /// Removes a server for good.
   void EndServer(const std::string& aId);
+  /// Kills a server for good. Another one of its service starts elsewhere, and
+  /// one of another service at its address, while its entry may still stand.
+  void ReuseAddress();
   void BeginRelease();
   void InjectFault();
   /// Fills moreFaults_.
@@ -189,6 +202,8 @@
   void ReadJobsAgain();
   void ReadJobAgain(Job& aJob);
   void CheckShares();
+  /// Checks that the service that began a stream may serve its route.
+  void CheckService(const Caller& aCaller, const std::string& aWhere);
   void AddFault(OrderFault aFault, const std::string& aWhere);
   [[nodiscard]] Server* FindServer(const std::string& aId);
   /// @return the number of ready servers of a service and version.
@@ -203,6 +218,8 @@
     const std::string& aBody = {});
 
   std::vector<std::unique_ptr<Server>> servers_;
+  /// Of the service that takes the addresses of servers that are gone.
+  std::vector<std::unique_ptr<Server>> otherServers_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<Job>> jobs_;
   std::vector<std::unique_ptr<Job>> doneJobs_; ///< To be read again.
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -20,7 +20,7 @@
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
       "{} of them changed their software, {} releases, {} moves of a route, {} "
       "restarts, {} terminations, {} hang-ups; {} jobs ended, {} read again, "
-      "{} shorter reads\n",
+      "{} shorter reads; {} addresses used again\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -40,7 +40,8 @@
       counts.hangUps_,
       counts.jobsEnded_,
       counts.jobsReadAgain_,
-      counts.shorterReads_);
+      counts.shorterReads_,
+      counts.reuses_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
         "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
@@ -85,7 +86,8 @@
 
 // Guards against the same, and against jobs whose results change, go away or
 // are miscounted, where requests wait in the servers' queues, jobs are ended,
-// and hosts get SIGTERM or SIGHUP one after the other while others are killed.
+// hosts get SIGTERM or SIGHUP one after the other while others are killed,
+// another service takes servers' addresses, and the store loses answers.
 TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
 {
   RunOptions options;
@@ -94,6 +96,9 @@
   options.signalsHosts_ = true;
   options.jobs_ = 8;
   options.readsJobsAgain_ = true;
+  options.reusesAddresses_ = true;
+  options.losesStoreAnswers_ = true;
+  options.stepsPerFault_ = 60;
   RunAndCheck(options);
 }
 
