Tests: Let the order soak's servers break off and spoil responses

A server breaks off or spoils some responses, and sends others again just before the next one of their connection. Only the test of a disturbed fleet has such servers.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -46,7 +46,7 @@
 
 namespace {
 
-constexpr std::size_t kArguments = 8;
+constexpr std::size_t kArguments = 9;
 constexpr int kExitUsage = 2;
 constexpr std::string_view kHealthPath = "/health";
 
@@ -68,6 +68,9 @@
   int slots_ = 0;
   int places_ = 0; ///< In the queue for slots.
   std::int64_t startedAtMs_ = 0;
+  /// One response in this many is broken off or spoiled, and as many are sent
+  /// once more before the next response of their connection; 0: none.
+  int faultOneIn_ = 0;
 };
 
 std::optional<ServerOptions>
@@ -81,11 +84,12 @@
   const auto slots = base::ParseNumber<int>(aArguments[5]);
   const auto places = base::ParseNumber<int>(aArguments[6]);
   const auto startedAtMs = base::ParseNumber<std::int64_t>(aArguments[7]);
-  if (!address || !seed || !slots || !places || !startedAtMs) {
+  const auto faultOneIn = base::ParseNumber<int>(aArguments[8]);
+  if (!address || !seed || !slots || !places || !startedAtMs || !faultOneIn) {
     return std::nullopt;
   }
   return ServerOptions{ *address, aArguments[2], aArguments[3], *seed,
-                        *slots,   *places,       *startedAtMs };
+                        *slots,   *places,       *startedAtMs,  *faultOneIn };
 }
 
 /// The slots of a server and the requests that wait for one, which are admitted
@@ -177,6 +181,18 @@
   ConnectionEnd,
 };
 
+/// How a response goes wrong.
+enum class Fault : std::uint8_t
+{
+  None,
+  Close,   ///< It ends early, inside an event where nothing else shows that.
+  Reset,   ///< Its connection is reset midway.
+  Spoiled, ///< Bytes that are no response, or no chunk, follow midway.
+};
+
+/// Sent where a head or a chunk is due.
+constexpr std::string_view kNoResponse = "\x01\x02zz no response\r\n\r\n";
+
 class OrderServer
 {
 public:
@@ -210,11 +226,15 @@
   void Serve(tcp::socket aSocket)
   {
     std::string input;
+    std::string late;
     try {
       bool isKept = true;
       while (isKept) {
         const httpstream::Request request = ReadRequest(aSocket, input);
-        isKept = Answer(aSocket, request);
+        if (!late.empty()) {
+          Write(aSocket, std::exchange(late, {}));
+        }
+        isKept = Answer(aSocket, request, late);
       }
     } catch (const boost::system::system_error&) {
       // The caller has closed the connection.
@@ -277,8 +297,11 @@
     asio::write(aSocket, asio::buffer(aBytes));
   }
 
+  /// @param aLate Set to what is to be sent before the next response.
   /// @return whether the connection is kept.
-  bool Answer(tcp::socket& aSocket, const httpstream::Request& aRequest)
+  bool Answer(tcp::socket& aSocket,
+              const httpstream::Request& aRequest,
+              std::string& aLate)
   {
     if (httpstream::TargetOf(aRequest) == kHealthPath) {
       Write(aSocket, Head(aRequest, "200 OK") + "Content-Length: 0\r\n\r\n");
@@ -303,7 +326,7 @@
       return true;
     }
     try {
-      const bool isKept = Stream(aSocket, aRequest);
+      const bool isKept = Stream(aSocket, aRequest, aLate);
       queue_.Leave();
       return isKept;
     } catch (const boost::system::system_error&) {
@@ -326,7 +349,31 @@
     });
   }
 
-  bool Stream(tcp::socket& aSocket, const httpstream::Request& aRequest)
+  bool HasFault()
+  {
+    return options_.faultOneIn_ > 0 && DrawOneIn(options_.faultOneIn_);
+  }
+
+  /// Sends the last bytes of a response that goes wrong.
+  void BreakOff(tcp::socket& aSocket, Fault aFault, std::string_view aNextBytes)
+  {
+    if (aFault == Fault::Spoiled) {
+      Write(aSocket, std::string(kNoResponse));
+      return;
+    }
+    // Inside the event, also where a comment comes before it.
+    const auto bytes = static_cast<int>(aNextBytes.size());
+    const auto part = static_cast<std::size_t>(Draw(bytes / 2, bytes - 2));
+    Write(aSocket, std::string(aNextBytes.substr(0, part)));
+    if (aFault == Fault::Reset) {
+      aSocket.set_option(asio::socket_base::linger(true, 0));
+    }
+    aSocket.close();
+  }
+
+  bool Stream(tcp::socket& aSocket,
+              const httpstream::Request& aRequest,
+              std::string& aLate)
   {
     const EventSequence sequence =
       ParseEventSequence(httpstream::TargetOf(aRequest));
@@ -360,10 +407,14 @@
     Pause(Draw(2, 40));
     std::string sent = head + "\r\n";
     Write(aSocket, sent);
-    SendEvents(aSocket, events, framing, sent);
-    if (framing == Framing::ConnectionEnd) {
+    if (!SendEvents(aSocket, events, framing, sent) ||
+        framing == Framing::ConnectionEnd) {
       return false;
     }
+    if (HasFault()) {
+      aLate = std::move(sent);
+      return true;
+    }
     if (DrawOneIn(kExtraOneIn)) {
       Pause(Draw(0, 10));
       Write(aSocket, sent);
@@ -371,12 +422,35 @@
     return true;
   }
 
-  void SendEvents(tcp::socket& aSocket,
+  /// @return how a response of that framing goes wrong.
+  Fault DrawFault(Framing aFraming)
+  {
+    if (!HasFault()) {
+      return Fault::None;
+    }
+    // Other framings don't show which bytes are wrong.
+    const bool maySpoil = aFraming == Framing::Chunked;
+    return static_cast<Fault>(Draw(1, maySpoil ? 3 : 2));
+  }
+
+  /// @return whether the response was sent whole.
+  bool SendEvents(tcp::socket& aSocket,
                   std::span<const std::string> aEvents,
                   Framing aFraming,
                   std::string& aSent)
   {
+    const Fault fault = DrawFault(aFraming);
+    const auto faultAt = static_cast<std::size_t>(
+      fault == Fault::None ? 0 : Draw(0, static_cast<int>(aEvents.size())));
     while (!aEvents.empty()) {
+      if (fault != Fault::None && aEvents.size() <= faultAt) {
+        const std::string& next = aEvents.front();
+        BreakOff(aSocket,
+                 fault,
+                 aFraming == Framing::Chunked ? httpstream::MakeChunk(next)
+                                              : next);
+        return false;
+      }
       const auto count = std::min<std::size_t>(
         static_cast<std::size_t>(Draw(1, 3)), aEvents.size());
       std::string text;
@@ -395,6 +469,7 @@
       aSent += httpstream::kLastChunk;
       Write(aSocket, std::string(httpstream::kLastChunk));
     }
+    return true;
   }
 
   ServerOptions options_;
@@ -411,7 +486,8 @@
   auto options = ParseOptions(aArguments);
   if (!options) {
     std::cerr
-      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS QUEUE START_MS\n";
+      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS QUEUE START_MS "
+         "FAULT_ONE_IN\n";
     return kExitUsage;
   }
   asio::io_context context;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -178,7 +178,8 @@
                             fmt::format("{}", random_() % 1000000),
                             fmt::format("{}", options_.slots_),
                             fmt::format("{}", options_.queue_),
-                            fmt::format("{}", aServer.startedAtMs_) },
+                            fmt::format("{}", aServer.startedAtMs_),
+                            fmt::format("{}", options_.badResponseOneIn_) },
                           {});
   aServer.isReady_ = true;
   // An entry may be written late.
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -52,6 +52,9 @@
     /// Servers of another service take the addresses of servers that are gone.
     bool reusesAddresses_ = false;
     bool losesStoreAnswers_ = false;
+    /// One response in this many of a server is broken off or spoiled, and as
+    /// many are sent again before the next one; 0: none.
+    int badResponseOneIn_ = 0;
     /// Mean time between two faults, in steps of the event loop.
     int stepsPerFault_ = 120;
   };
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -87,7 +87,8 @@
 // Guards against the same, and against jobs whose results change, go away or
 // are miscounted, where requests wait in the servers' queues, jobs are ended,
 // hosts get SIGTERM or SIGHUP one after the other while others are killed,
-// another service takes servers' addresses, and the store loses answers.
+// another service takes servers' addresses, servers break responses off, spoil
+// or repeat them, and the store loses answers.
 TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
 {
   RunOptions options;
@@ -98,6 +99,7 @@
   options.readsJobsAgain_ = true;
   options.reusesAddresses_ = true;
   options.losesStoreAnswers_ = true;
+  options.badResponseOneIn_ = 8;
   options.stepsPerFault_ = 60;
   RunAndCheck(options);
 }
