Tests: Let the order soak's workers lose their data

One of three workers at a time starts again without its data, and no worker is disturbed until it has caught up. Answers to reads that a kill cut short are ignored; SIGHUP goes to hosts that have run for a second, because it ends a process that hasn't set up its handling yet.

--- a/Tests/PlatformSoak/FleetSoakFixture.cpp
+++ b/Tests/PlatformSoak/FleetSoakFixture.cpp
@@ -9,6 +9,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -19,6 +20,10 @@
 
 constexpr milliseconds kStep{ 5 };
 
+/// Uptime from which a host gets SIGHUP. The signal ends a process that hasn't
+/// set up its handling yet.
+constexpr std::chrono::seconds kHangUpUptime{ 1 };
+
 /// Upper bounds of the delay of each piece of data to and from the store, and
 /// of the time that the store answers late or not.
 constexpr int kMaxStoreDelayMs = 1500;
@@ -153,6 +158,17 @@
   aHost.startAt_ = Clock::now() + aDownTime;
 }
 
+void
+FleetSoakFixture::WipeHost(Host& aHost, milliseconds aDownTime)
+{
+  KillHost(aHost, aDownTime);
+  while (aHost.process_->CheckRunning()) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  std::filesystem::remove_all(folder_ /
+                              (aHost.process_->Settings().name_ + "-data"));
+}
+
 void
 FleetSoakFixture::TerminateHost(Host& aHost)
 {
@@ -170,7 +186,7 @@
 void
 FleetSoakFixture::HangUpHost(const Host& aHost)
 {
-  if (!aHost.startAt_) {
+  if (!aHost.startAt_ && Clock::now() - aHost.startedAt_ >= kHangUpUptime) {
     aHost.process_->Signal(SIGHUP);
   }
 }
--- a/Tests/PlatformSoak/FleetSoakFixture.h
+++ b/Tests/PlatformSoak/FleetSoakFixture.h
@@ -69,6 +69,9 @@
   /// Kills a host; it starts again after a time.
   void KillHost(Host& aHost, std::chrono::milliseconds aDownTime);
 
+  /// Kills a worker, which starts again without its data.
+  void WipeHost(Host& aHost, std::chrono::milliseconds aDownTime);
+
   /// Ends a host with SIGTERM, and with SIGKILL if it takes longer than its
   /// grace period. It starts again as soon as it has ended.
   void TerminateHost(Host& aHost);
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace pumiceturn::adapter {
@@ -20,7 +21,6 @@
 namespace {
 
 constexpr std::size_t kEntryHosts = 4;
-constexpr std::size_t kWorkers = 2;
 constexpr std::size_t kServers = 7;
 constexpr std::size_t kCallers = 50;
 constexpr std::size_t kItems = 4;
@@ -61,6 +61,12 @@
 constexpr int kMaxSignalGapMs = 1300;
 constexpr int kMinResumptions = 12;
 
+/// Time in which a worker that has started gets the data of the others.
+constexpr std::chrono::seconds kCatchUpTime{ 5 };
+
+/// Upper bound of the time from a worker's loss of data to its start.
+constexpr int kMaxWipeMs = 2000;
+
 /// Upper bound of the time for which the entry of a dead server stands.
 constexpr int kMaxEntryTimeMs = 3600;
 
@@ -338,7 +344,8 @@
   const milliseconds down = Draw(0, 1500);
   for (std::size_t index = 0; index < hosts_.size(); ++index) {
     Host& host = *hosts_[index];
-    const bool isKind = index < kEntryHosts || aWithWorkers;
+    const bool isKind =
+      index < kEntryHosts || (aWithWorkers && MayDisturbWorkers());
     if (isKind && !host.startAt_ && DrawOneIn(aOneIn)) {
       KillHost(host, down + Draw(0, 300));
     }
@@ -355,7 +362,8 @@
       continue;
     }
     RunAfter(at, [this, &host = *host] {
-      if (!host.startAt_) {
+      if (!host.startAt_ &&
+          (host.process_->Settings().isEntry_ || MayDisturbWorkers())) {
         ++counts_.terminations_;
         TerminateHost(host);
       }
@@ -367,6 +375,29 @@
   }
 }
 
+bool
+OrderSoakFixture::MayDisturbWorkers() const
+{
+  return Clock::now() >= workersRestUntil_;
+}
+
+void
+OrderSoakFixture::WipeWorker()
+{
+  const auto workers = std::span(hosts_).subspan(kEntryHosts);
+  const auto hasCaughtUp = [](const auto& aHost) {
+    return !aHost->startAt_ && Clock::now() - aHost->startedAt_ >= kCatchUpTime;
+  };
+  if (!std::all_of(workers.begin(), workers.end(), hasCaughtUp)) {
+    return;
+  }
+  ++counts_.wipes_;
+  const milliseconds down = Draw(0, kMaxWipeMs);
+  const auto last = static_cast<int>(workers.size()) - 1;
+  WipeHost(*workers[static_cast<std::size_t>(Draw(0, last).count())], down);
+  workersRestUntil_ = Clock::now() + down + kCatchUpTime;
+}
+
 void
 OrderSoakFixture::HangUpHosts()
 {
@@ -382,7 +413,8 @@
     });
     if (DrawOneIn(4)) {
       RunAfter(at + Draw(0, 300), [this, &host = *host] {
-        if (!host.startAt_) {
+        if (!host.startAt_ &&
+            (host.process_->Settings().isEntry_ || MayDisturbWorkers())) {
           KillHost(host, Draw(0, kMaxSignalGapMs));
         }
       });
@@ -401,6 +433,9 @@
   if (options_.reusesAddresses_) {
     moreFaults_.push_back(&OrderSoakFixture::ReuseAddress);
   }
+  if (options_.wipesWorkers_) {
+    moreFaults_.push_back(&OrderSoakFixture::WipeWorker);
+  }
   if (options_.losesStoreAnswers_) {
     moreFaults_.push_back(&OrderSoakFixture::LoseStoreAnswers);
   }
@@ -449,7 +484,9 @@
       break;
     }
     case 4:
-      SuspendHosts();
+      if (MayDisturbWorkers()) {
+        SuspendHosts();
+      }
       break;
     case 5:
       DisturbStore({ 300, 2, 3000 });
@@ -700,7 +737,9 @@
 {
   const auto call = std::exchange(aClient.call_, nullptr);
   aJob.isAccepted_ = aJob.isAccepted_ || call->status_ == kAccepted;
-  if (call->status_ != kOk) {
+  // The host may have been killed while it answered.
+  const bool isComplete = call->outcome_ == httpstream::CallOutcome::Complete;
+  if (call->status_ != kOk || !isComplete) {
     return;
   }
   if (aClient.action_ == JobAction::Read) {
@@ -723,7 +762,8 @@
     "job {} (read at {} from {})", aJob.id_, aClient.calledAt_, aClient.after_);
   const json page = json::parse(aBody, nullptr, false);
   if (!page.is_object()) {
-    return; // The answer was cut.
+    violations_.push_back(where + ": the answer can't be read");
+    return;
   }
   const json results = page.value("results", json::array());
   const std::size_t total = page.value("total", std::size_t{ 0 });
@@ -826,7 +866,8 @@
     return;
   }
   const auto call = std::exchange(client.call_, nullptr);
-  if (call->status_ != kOk) {
+  if (call->status_ != kOk ||
+      call->outcome_ != httpstream::CallOutcome::Complete) {
     return;
   }
   CheckPage(aJob, client, call->body_);
@@ -931,7 +972,7 @@
     const bool isSecond = options_.movesRoute_ && server % 2 == 1;
     AddServer(isSecond ? kSecondService : kService, VersionName(version_));
   }
-  StartHosts(kEntryHosts, kWorkers, {});
+  StartHosts(kEntryHosts, options_.workers_, {});
   const auto startedAt = Clock::now();
   while (Clock::now() < startedAt + aTime) {
     Step();
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -55,6 +55,8 @@
     /// One response in this many of a server is broken off or spoiled, and as
     /// many are sent again before the next one; 0: none.
     int badResponseOneIn_ = 0;
+    std::size_t workers_ = 2;
+    bool wipesWorkers_ = false; ///< One at a time loses its data.
     /// Mean time between two faults, in steps of the event loop.
     int stepsPerFault_ = 120;
   };
@@ -83,6 +85,7 @@
     int moves_ = 0; ///< Of the route of resumable streams.
     int terminations_ = 0;
     int hangUps_ = 0;
+    int wipes_ = 0;
     int reuses_ = 0; ///< Of addresses.
     int jobsEnded_ = 0;
     int jobsReadAgain_ = 0;
@@ -181,6 +184,11 @@
   /// Ends some hosts one after the other with SIGTERM; at times others are
   /// killed meanwhile.
   void TerminateHosts();
+  /// @return whether workers may be killed or suspended: the others have caught
+  ///         up since the last one lost its data.
+  [[nodiscard]] bool MayDisturbWorkers() const;
+  /// Lets a worker lose its data if the others hold all of it.
+  void WipeWorker();
   /// Sends SIGHUP to some hosts one after the other; at times they are killed
   /// soon after it.
   void HangUpHosts();
@@ -233,6 +241,7 @@
   std::vector<std::string> routed_; ///< Services of resumable streams.
   /// Faults beyond the usual ones, as the options say.
   std::vector<void (OrderSoakFixture::*)()> moreFaults_;
+  Clock::time_point workersRestUntil_{};
   int configuration_ = 0;
   int version_ = 1;
   int nextServer_ = 0;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -20,7 +20,7 @@
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
       "{} of them changed their software, {} releases, {} moves of a route, {} "
       "restarts, {} terminations, {} hang-ups; {} jobs ended, {} read again, "
-      "{} shorter reads; {} addresses used again\n",
+      "{} shorter reads; {} addresses used again; {} wipes\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -41,7 +41,8 @@
       counts.jobsEnded_,
       counts.jobsReadAgain_,
       counts.shorterReads_,
-      counts.reuses_);
+      counts.reuses_,
+      counts.wipes_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
         "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
@@ -88,7 +89,7 @@
 // are miscounted, where requests wait in the servers' queues, jobs are ended,
 // hosts get SIGTERM or SIGHUP one after the other while others are killed,
 // another service takes servers' addresses, servers break responses off, spoil
-// or repeat them, and the store loses answers.
+// or repeat them, workers lose their data, and the store loses answers.
 TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_FleetIsDisturbed_StreamsStayWhole")
 {
   RunOptions options;
@@ -100,6 +101,8 @@
   options.reusesAddresses_ = true;
   options.losesStoreAnswers_ = true;
   options.badResponseOneIn_ = 8;
+  options.workers_ = 3;
+  options.wipesWorkers_ = true;
   options.stepsPerFault_ = 60;
   RunAndCheck(options);
 }
