Tests: Cancel job calls before the order soak reads jobs again

A pending call kept a pointer to its released observer, and the answer to a DELETE was taken for that to a read. An answer that can't be read is quoted in its violation.

--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <set>
 #include <span>
 #include <utility>
@@ -53,6 +54,7 @@
 constexpr milliseconds kTimeToSettle{ 6000 };
 constexpr milliseconds kTimeToReadAgain{ 4000 };
 constexpr std::size_t kJobsReadAgain = 40;
+constexpr std::size_t kQuotedBytes = 200; ///< Of an answer, in a violation.
 
 /// Less than statusS of the hosts' settings.
 constexpr std::chrono::seconds kJobKeepTime{ 90 };
@@ -93,12 +95,19 @@
       caller->call_->connection_->Cancel();
     }
   }
-  for (const auto& jobs : { &jobs_, &doneJobs_ }) {
+  CancelJobCalls();
+}
+
+void
+OrderSoakFixture::CancelJobCalls()
+{
+  for (const auto* jobs : { &jobs_, &doneJobs_ }) {
     for (const auto& job : *jobs) {
-      for (const JobClient& client : job->clients_) {
+      for (JobClient& client : job->clients_) {
         if (client.call_) {
           client.call_->connection_->Cancel();
         }
+        client.call_.reset();
       }
     }
   }
@@ -743,8 +752,8 @@
     return;
   }
   if (aClient.action_ == JobAction::Read) {
-    if (options_.readsJobsAgain_) {
-      CheckPage(aJob, aClient, call->body_);
+    if (options_.readsJobsAgain_ && !CheckPage(aJob, aClient, call->body_)) {
+      return;
     }
     ReadResults(aJob, aClient.after_, call->body_);
   } else if (aClient.action_ == JobAction::End && !aJob.endedAt_) {
@@ -753,7 +762,7 @@
   }
 }
 
-void
+bool
 OrderSoakFixture::CheckPage(const Job& aJob,
                             const JobClient& aClient,
                             const std::string& aBody)
@@ -762,8 +771,12 @@
     "job {} (read at {} from {})", aJob.id_, aClient.calledAt_, aClient.after_);
   const json page = json::parse(aBody, nullptr, false);
   if (!page.is_object()) {
-    violations_.push_back(where + ": the answer can't be read");
-    return;
+    violations_.push_back(
+      fmt::format("{}: the answer of {} bytes can't be read: {}",
+                  where,
+                  aBody.size(),
+                  aBody.substr(0, kQuotedBytes)));
+    return false;
   }
   const json results = page.value("results", json::array());
   const std::size_t total = page.value("total", std::size_t{ 0 });
@@ -789,6 +802,7 @@
         fmt::format("{}: item {} is listed as failed", where, name));
     }
   }
+  return true;
 }
 
 void
@@ -870,7 +884,9 @@
       call->outcome_ != httpstream::CallOutcome::Complete) {
     return;
   }
-  CheckPage(aJob, client, call->body_);
+  if (!CheckPage(aJob, client, call->body_)) {
+    return;
+  }
   const json page = json::parse(call->body_, nullptr, false);
   if (page.value("results", json::array()).size() < aJob.outputs_.size()) {
     return;
@@ -890,14 +906,11 @@
     }
   };
   runFor(kTimeToSettle, [] {});
-  for (const auto& job : jobs_) {
-    if (job->isAccepted_) {
-      job->clients_ = {};
-      doneJobs_.push_back(std::make_unique<Job>(std::move(*job)));
-    }
-  }
+  CancelJobCalls();
+  std::move(jobs_.begin(), jobs_.end(), std::back_inserter(doneJobs_));
+  jobs_.clear();
   std::erase_if(doneJobs_, [](const auto& aJob) {
-    return Clock::now() - aJob->createdAt_ > kJobKeepTime;
+    return !aJob->isAccepted_ || Clock::now() - aJob->createdAt_ > kJobKeepTime;
   });
   if (doneJobs_.size() > kJobsReadAgain) {
     doneJobs_.erase(doneJobs_.begin(),
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -199,6 +199,7 @@
   void AddJob();
   [[nodiscard]] bool IsDone(const Job& aJob) const;
   void StepJobs();
+  void CancelJobCalls();
   void StepJob(Job& aJob);
   void StartJobCall(Job& aJob, JobClient& aClient);
   void SubmitJob(const Job& aJob, JobClient& aClient);
@@ -206,9 +207,10 @@
   void ReadResults(Job& aJob, std::size_t aAfter, const std::string& aBody);
   /// Checks what ReadResults() doesn't: the numbers of a page, and items that
   /// have failed for no reason.
-  void CheckPage(const Job& aJob,
-                 const JobClient& aClient,
-                 const std::string& aBody);
+  /// @return whether the page can be read.
+  [[nodiscard]] bool CheckPage(const Job& aJob,
+                               const JobClient& aClient,
+                               const std::string& aBody);
   /// Waits until the fleet is calm, and reads jobs again from the start.
   void ReadJobsAgain();
   void ReadJobAgain(Job& aJob);
