--- a/Tests/Platform/RouteServicesTest.cpp
+++ b/Tests/Platform/RouteServicesTest.cpp
@@ -78,6 +78,18 @@
     return versions;
   }
 
+  /// Resumes the streams of all rounds, each of which must go on at its
+  /// version.
+  void CheckStreamsGoOn(TestHost& aHost,
+                        const std::vector<std::string>& aVersions)
+  {
+    for (int round = 0; round < kRounds; ++round) {
+      const std::string id = fmt::format("r{}", round);
+      CHECK(Resume(aHost, id + "-again", id)->body_ ==
+            WholeStream(aVersions[round], 2));
+    }
+  }
+
   /// Runs for a time that is far above a write to the store.
   void LetHostsWrite()
   {
@@ -147,12 +159,7 @@
   const auto versions = BeginStreams(first);
   LetHostsWrite();
   Disconnect(first);
-  TestHost& again = StartEntry("entry-1");
-  for (int round = 0; round < kRounds; ++round) {
-    const std::string id = fmt::format("r{}", round);
-    CHECK(Resume(again, id + "-again", id)->body_ ==
-          WholeStream(versions[round], 2));
-  }
+  CheckStreamsGoOn(StartEntry("entry-1"), versions);
 }
 
 // Guards against streams without a record when the operator adds a service to
@@ -166,12 +173,7 @@
   WriteRoute({ "service", "second" });
   LetHostsWrite();
   Disconnect(first);
-  TestHost& again = StartEntry("entry-1");
-  for (int round = 0; round < kRounds; ++round) {
-    const std::string id = fmt::format("r{}", round);
-    CHECK(Resume(again, id + "-again", id)->body_ ==
-          WholeStream(versions[round], 2));
-  }
+  CheckStreamsGoOn(StartEntry("entry-1"), versions);
 }
 
 // Guards against joining a stream to another service after the operator moved
