--- a/Tests/Platform/NumbersTest.cpp
+++ b/Tests/Platform/NumbersTest.cpp
@@ -1,7 +1,6 @@
 #include "Tests/Platform/BatchJobsFixture.h"
 
 #include "LibBatch/BatchJob.h"
-#include "LibGateway/ProcessQuery.h"
 #include "LibHttpStream/Status.h"
 
 #include <boost/asio/buffer.hpp>
@@ -432,44 +431,6 @@
   CHECK(WholeStream().starts_with(call->body_));
 }
 
-// Guards against taking the report of a process that ends within it for one
-// without a start: the next process would then not be asked for 10 s.
-TEST_CASE_METHOD(ProcessIdentityFixture,
-                 "ProcessIdentity_UnframedReportIsCut_HasNotBeenAnswered")
-{
-  namespace asio = boost::asio;
-  asio::ip::tcp::acceptor acceptor(context_, Loopback(0));
-  asio::ip::tcp::socket server(context_);
-  std::string input;
-  acceptor.async_accept(server, [&](const boost::system::error_code&) {
-    asio::async_read_until(server,
-                           asio::dynamic_buffer(input),
-                           "\r\n\r\n",
-                           [&](const boost::system::error_code&, std::size_t) {
-                             const std::string cut =
-                               "HTTP/1.1 200 OK\r\n\r\n{\"phase\":\"colo";
-                             asio::write(server, asio::buffer(cut));
-                             server.close();
-                           });
-  });
-  std::optional<gateway::ProcessAnswer> answer;
-  gateway::ProcessQuery query(
-    requestCodec_,
-    [](const httpstream::Silence&) {
-      return httpstream::SilenceDecision::EndCall;
-    },
-    [&answer](const gateway::ProcessAnswer& aResult) { answer = aResult; });
-  const auto connection =
-    std::make_shared<httpstream::ClientConnection>(context_.get_executor());
-  connection->Connect(
-    acceptor.local_endpoint(), std::chrono::seconds(5), [&](bool aIsOpen) {
-      REQUIRE(aIsOpen);
-      query.Start(*connection, "127.0.0.1:1", std::chrono::seconds(5));
-    });
-  RunUntil([&answer] { return answer.has_value(); });
-  CHECK(std::holds_alternative<gateway::ProcessQueryFailed>(*answer));
-}
-
 /// An endpoint whose process ends within a report that has no length. The next
 /// process at its address has other software.
 class CutReportFixture : protected ProcessIdentityFixture
--- a/Tests/Platform/ProcessQueryTest.cpp
+++ b/Tests/Platform/ProcessQueryTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -18,7 +19,16 @@
 class ProcessQueryFixture : protected CallingFixture
 {
 protected:
-  gateway::ProcessAnswer Ask(const std::string& aAnswer)
+  /// What the process does after it has sent its answer.
+  enum class AfterAnswer : std::uint8_t
+  {
+    KeepConnection,
+    EndConnection,
+  };
+
+  gateway::ProcessAnswer Ask(
+    const std::string& aAnswer,
+    AfterAnswer aAfterAnswer = AfterAnswer::KeepConnection)
   {
     tcp::acceptor acceptor(context_, Loopback(0));
     tcp::socket server(context_);
@@ -30,6 +40,9 @@
         "\r\n\r\n",
         [&](const boost::system::error_code&, std::size_t) {
           asio::write(server, asio::buffer(aAnswer));
+          if (aAfterAnswer == AfterAnswer::EndConnection) {
+            server.close();
+          }
         });
     });
     std::optional<gateway::ProcessAnswer> answer;
@@ -67,4 +80,13 @@
   CHECK(start->startedAtMs_ == 7);
 }
 
+// Guards against taking the report of a process that ends within it for one
+// without a start: the next process would then not be asked.
+TEST_CASE_METHOD(ProcessQueryFixture,
+                 "ProcessIdentity_UnframedReportIsCut_HasNotBeenAnswered")
+{
+  CHECK(std::holds_alternative<gateway::ProcessQueryFailed>(Ask(
+    "HTTP/1.1 200 OK\r\n\r\n{\"phase\":\"colo", AfterAnswer::EndConnection)));
+}
+
 } // namespace pumiceturn::adapter
