LibGateway: Log the time left and the sender of the answer at unmarked ends

A stream that ends too early because its endpoint stopped at the time limit that it got, and one whose endpoint's next process answered the check, look the same in unmarked_end_checked: check=answered whole=true. The event now has the time that was left of the limit that was sent, and the status and the sender of the answer. The limit is known where the request is sent: it is the whole milliseconds that the endpoint is told. No decision changes.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -126,7 +126,10 @@
 void
 EndpointAttempt::SendCall()
 {
-  connection_->Start(request_.makeCall_(), *this);
+  EndpointCall call = request_.makeCall_();
+  sentAt_ = base::MonotonicNow();
+  timeLimit_ = call.timeLimit_;
+  connection_->Start(std::move(call.call_), *this);
 }
 
 void
@@ -454,9 +457,9 @@
     question.healthRequest_ = httpstream::Serialize(
       shared_.codec_.MakeHealthRequest(path, endpoint_.address_));
     question.isFromEndpoint_ = [this](const httpstream::ResponseHead& aHead) {
-      const std::string id =
-        shared_.codec_.ReadResponseInfo(aHead).responderId_;
-      return id.empty() || id == endpoint_.id_;
+      checkStatus_ = aHead.result_int();
+      checkAnsweredBy_ = shared_.codec_.ReadResponseInfo(aHead).responderId_;
+      return checkAnsweredBy_.empty() || checkAnsweredBy_ == endpoint_.id_;
     };
   }
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor(),
@@ -486,7 +489,10 @@
   const bool isWhole = fleet::HasLivedOn(aEnd);
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
+              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - aEnd.endedAt_) },
               { "check", NameOf(aEnd.check_) },
+              { "status", checkStatus_ },
+              { "answered_by", checkAnsweredBy_ },
               { "took_ms", base::ToMs(aEnd.checkedAt_ - aEnd.endedAt_) },
               { "replaced", aEnd.isReplaced_ },
               { "lost_connection_ms_ago", MsSince(aEnd.lostConnectionAt_) },
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -14,12 +14,20 @@
 
 namespace pumiceturn::gateway {
 
+/// A call to an endpoint.
+struct EndpointCall
+{
+  httpstream::Call call_;
+  /// How long the endpoint may work on the request, as the request says.
+  base::Duration timeLimit_{ 0 };
+};
+
 /// What an attempt sends, and to which process.
 struct AttemptRequest
 {
   /// Makes the call. Called when a connection is ready, as the time limits in
   /// the request count from then on.
-  std::function<httpstream::Call()> makeCall_;
+  std::function<EndpointCall()> makeCall_;
   /// Only the registered process of the endpoint may get the request, as the
   /// response depends on its software version.
   bool needsProcess_ = false;
@@ -130,6 +138,8 @@
   std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
   base::Instant startedAt_{};
+  base::Instant sentAt_{};        ///< When the request was sent.
+  base::Duration timeLimit_{ 0 }; ///< That the endpoint got, from sentAt_.
   base::Duration silenceTimeout_ = base::Duration::max();
   std::optional<base::Instant> lastEventAt_;
   std::optional<base::Instant> pausedAt_; ///< Set while reading is paused.
@@ -149,6 +159,9 @@
   bool hasMetOtherProcess_ = false;
   base::Duration connectionAge_{ 0 };
   httpstream::ResponseFraming framing_ = httpstream::ResponseFraming::Length;
+  /// The answer to the check of an unmarked end; 0: there was none.
+  unsigned checkStatus_ = 0;
+  std::string checkAnsweredBy_; ///< Id; empty if it names nobody.
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -67,11 +67,12 @@
   call.gapTimeout_ = kGapTimeout;
   endpointAttempt_ = std::make_shared<EndpointAttempt>(
     shared_, aEndpoint, fleet::WorkClass::Batch);
-  endpointAttempt_->Start(
-    { [call = std::move(call)]() mutable { return std::move(call); },
-      true,
-      kFirstByteTimeout },
-    *this);
+  endpointAttempt_->Start({ [call = std::move(call), aTimeLimit]() mutable {
+                             return EndpointCall{ std::move(call), aTimeLimit };
+                           },
+                            true,
+                            kFirstByteTimeout },
+                          *this);
 }
 
 void
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -311,13 +311,15 @@
          (route_.isResumable_ || stream_.HasBegun());
 }
 
-httpstream::Call
+EndpointCall
 OnlineProxy::MakeCall(const std::string& aEndpoint,
                       const httpstream::Call& aTimeouts) const
 {
   ForwardOptions options;
   options.endpoint_ = aEndpoint;
-  options.callerTimeout_ = TimeLeft();
+  // Endpoints are told whole milliseconds.
+  options.callerTimeout_ =
+    std::chrono::floor<std::chrono::milliseconds>(TimeLeft());
   options.lastEvent_ = stream_.LastEvent();
   options.caller_ = caller_;
   const httpstream::Request request =
@@ -328,7 +330,7 @@
   call.echoValue_ = call_.requestId_;
   call.limits_.maxBodyBytes_ = kMaxStreamBytes;
   call.isHeadRequest_ = request.method() == boost::beast::http::verb::head;
-  return call;
+  return { std::move(call), options.callerTimeout_ };
 }
 
 void
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -79,9 +79,8 @@
   void RejectNotRun(base::Duration aRetryAfter);
   void Send(const fleet::EndpointChoice& aChoice);
   /// @return the call to an endpoint, with the given timeouts.
-  [[nodiscard]] httpstream::Call MakeCall(
-    const std::string& aEndpoint,
-    const httpstream::Call& aTimeouts) const;
+  [[nodiscard]] EndpointCall MakeCall(const std::string& aEndpoint,
+                                      const httpstream::Call& aTimeouts) const;
   /// @return whether the response depends on the endpoint's software version.
   [[nodiscard]] bool NeedsProcess() const;
   /// Finds out where the stream began that the caller resumes.
