--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -1,5 +1,8 @@
 #include "Tests/Platform/RawServer.h"
 
+#include "LibBase/Numbers.h"
+#include "platform/Names.h"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -17,21 +20,36 @@
 
 namespace {
 
-constexpr std::string_view kHealthAnswer =
-  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-constexpr std::string_view kReportHead =
-  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+constexpr std::string_view kFullAnswer =
+  "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 constexpr std::chrono::milliseconds kTimeToClose{ 300 };
 
 /// Long enough for a host to notice that it was suspended.
 constexpr std::chrono::milliseconds kTimeToRestart{ 700 };
 
+/// @return the value of a field of a request's head; empty if it isn't there.
+std::string
+FieldOf(std::string_view aHead, std::string_view aName)
+{
+  const std::string start = fmt::format("\r\n{}: ", aName);
+  const auto begin = aHead.find(start);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  const auto value = aHead.substr(begin + start.size());
+  return std::string(value.substr(0, value.find("\r\n")));
+}
+
 } // namespace
 
-RawServer::RawServer(asio::io_context& aContext, std::string aAnswer, End aEnd)
+RawServer::RawServer(asio::io_context& aContext,
+                     std::string aId,
+                     std::string aAnswer,
+                     End aEnd)
   : acceptor_(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
   , closeTimer_(aContext)
+  , id_(std::move(aId))
   , answer_(std::move(aAnswer))
   , end_(aEnd)
 {
@@ -69,13 +87,25 @@
       if (aError || isEnding_) {
         return;
       }
-      if (aConnection->input_.starts_with("GET /health ")) {
-        AnswerProbe(aConnection, kHealthAnswer);
-        return;
-      }
-      if (aConnection->input_.starts_with("GET /api/report ")) {
+      const bool isHealth = aConnection->input_.starts_with("GET /health ");
+      if (isHealth || aConnection->input_.starts_with("GET /api/report ")) {
+        const std::string target =
+          FieldOf(aConnection->input_, kTargetInstanceField);
+        const bool isMisdirected = !target.empty() && target != id_;
+        if (isHealth && health_ == Health::Silent) {
+          unanswered_.push_back(aConnection);
+          return;
+        }
+        const bool isRefused = isHealth && health_ == Health::Refused;
         AnswerProbe(aConnection,
-                    fmt::format("{}{{\"born\":{}}}", kReportHead, process_));
+                    isRefused ? std::string(kFullAnswer)
+                    : isMisdirected
+                      ? fmt::format("HTTP/1.1 421 Misdirected\r\n{}: {}\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    kInstanceIdField,
+                                    id_)
+                    : isHealth ? HealthAnswer()
+                               : ReportAnswer());
         return;
       }
       requests_.push_back(aConnection->input_);
@@ -99,6 +129,23 @@
                     });
 }
 
+std::string
+RawServer::HealthAnswer() const
+{
+  return fmt::format("HTTP/1.1 200 OK\r\n{}: {}\r\nContent-Length: 0\r\n\r\n",
+                     kInstanceIdField,
+                     id_);
+}
+
+std::string
+RawServer::ReportAnswer() const
+{
+  const std::string report =
+    reportsStart_ ? fmt::format("{{\"born\":{}}}", process_) : "{}";
+  return fmt::format(
+    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", report.size(), report);
+}
+
 void
 RawServer::EndProcess()
 {
@@ -121,6 +168,11 @@
       ++process_;
       std::this_thread::sleep_for(kTimeToRestart);
       break;
+    case End::Restart:
+      ++process_;
+      id_ += "-next";
+      health_ = nextHealth_;
+      break;
     default:
       break;
   }
@@ -129,21 +181,43 @@
 void
 RawServer::Answer(const std::shared_ptr<Connection>& aConnection)
 {
+  const auto limit =
+    base::ParseNumber<int>(FieldOf(aConnection->input_, kDeadlineField));
+  const auto arrivedAt = std::chrono::steady_clock::now();
   asio::async_write(
     aConnection->socket_,
     asio::buffer(answer_),
-    [this, aConnection](const boost::system::error_code& /*aError*/,
-                        std::size_t) {
-      boost::system::error_code ignored;
-      if (end_ == End::Reset) {
-        aConnection->socket_.set_option(asio::socket_base::linger(true, 0),
-                                        ignored);
-      } else {
-        aConnection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    [this, aConnection, arrivedAt, limit](
+      const boost::system::error_code& /*aError*/, std::size_t) {
+      if (end_ != End::AtTimeLimit || !limit) {
+        EndAnswer(aConnection);
+        return;
       }
-      aConnection->socket_.close(ignored);
-      EndProcess();
+      aConnection->endTimer_.emplace(aConnection->socket_.get_executor());
+      aConnection->endTimer_->expires_at(arrivedAt +
+                                         std::chrono::milliseconds(*limit));
+      aConnection->endTimer_->async_wait(
+        [this, aConnection](const boost::system::error_code& aError) {
+          if (!aError) {
+            EndAnswer(aConnection);
+          }
+        });
     });
 }
 
+void
+RawServer::EndAnswer(const std::shared_ptr<Connection>& aConnection)
+{
+  boost::system::error_code ignored;
+  asio::write(aConnection->socket_, asio::buffer(lastBytes_), ignored);
+  if (end_ == End::Reset) {
+    aConnection->socket_.set_option(asio::socket_base::linger(true, 0),
+                                    ignored);
+  } else {
+    aConnection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+  aConnection->socket_.close(ignored);
+  EndProcess();
+}
+
 } // namespace pumiceturn::adapter
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -4,10 +4,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pumiceturn::adapter {
@@ -28,12 +31,41 @@
     /// As Process, but this thread doesn't run meanwhile, and the server's next
     /// process answers when it goes on.
     RestartWhileSuspended,
+    /// Ends the answer in order once the request's time limit has passed, and
+    /// goes on. Answers without a time limit end at once.
+    AtTimeLimit,
+    /// The server's next process answers at once, with another id and start.
+    Restart,
   };
 
-  RawServer(boost::asio::io_context& aContext, std::string aAnswer, End aEnd);
+  /// What a process answers that is asked for its health.
+  enum class Health : std::uint8_t
+  {
+    Named,   ///< That it is healthy, with its id.
+    Refused, ///< That it is full, without its id.
+    Silent,  ///< Nothing.
+  };
+
+  RawServer(boost::asio::io_context& aContext,
+            std::string aId,
+            std::string aAnswer,
+            End aEnd);
 
   [[nodiscard]] std::string Address() const;
 
+  /// Sets how this process answers for its health, and the next one.
+  void SetHealth(Health aThis, Health aNext)
+  {
+    health_ = aThis;
+    nextHealth_ = aNext;
+  }
+
+  /// Sets whether the report has the time of the process's start.
+  void SetReportsStart(bool aReports) { reportsStart_ = aReports; }
+
+  /// Sets bytes that are sent right before the end of an answer.
+  void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
+
   /// @return the heads of all requests but those for its health and report.
   [[nodiscard]] const std::vector<std::string>& Requests() const
   {
@@ -45,23 +77,33 @@
   {
     boost::asio::ip::tcp::socket socket_;
     std::string input_{};
+    std::optional<boost::asio::steady_timer> endTimer_{};
   };
 
   void Accept();
   void Read(const std::shared_ptr<Connection>& aConnection);
   void Answer(const std::shared_ptr<Connection>& aConnection);
+  void EndAnswer(const std::shared_ptr<Connection>& aConnection);
   /// Answers a request for the server's health or report.
   void AnswerProbe(const std::shared_ptr<Connection>& aConnection,
                    std::string_view aAnswer);
+  [[nodiscard]] std::string HealthAnswer() const;
+  [[nodiscard]] std::string ReportAnswer() const;
   void EndProcess();
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer closeTimer_;
   int process_ = 1;       ///< Start time that it reports, one digit.
   bool isEnding_ = false; ///< Connections are no longer served.
+  Health health_ = Health::Named;
+  Health nextHealth_ = Health::Named;
+  bool reportsStart_ = true;
+  std::string id_;
   std::string answer_;
+  std::string lastBytes_;
   End end_;
   std::vector<std::string> requests_;
+  std::vector<std::shared_ptr<Connection>> unanswered_; ///< Stay open.
 };
 
 } // namespace pumiceturn::adapter
--- a/Tests/Platform/RawServerFixture.h
+++ b/Tests/Platform/RawServerFixture.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,23 +59,50 @@
   RawServer& AddRawServer(const std::string& aName,
                           std::string aAnswer,
                           RawServer::End aEnd)
+  {
+    RawServer& server = MakeRawServer(aName, std::move(aAnswer), aEnd);
+    Register(aName, server, "ready", 1);
+    return server;
+  }
+
+  /// Adds a server on a platform where each start has another id, and neither
+  /// entries nor reports name a start.
+  RawServer& AddRawServerWithoutStart(const std::string& aName,
+                                      std::string aAnswer,
+                                      RawServer::End aEnd)
+  {
+    RawServer& server = MakeRawServer(aName, std::move(aAnswer), aEnd);
+    server.SetReportsStart(false);
+    Register(aName, server, "ready", {});
+    return server;
+  }
+
+  RawServer& MakeRawServer(const std::string& aName,
+                           std::string aAnswer,
+                           RawServer::End aEnd)
   {
     rawServers_.push_back(
-      std::make_unique<RawServer>(context_, std::move(aAnswer), aEnd));
-    store_.Put("servers/" + aName,
-               nlohmann::json{ { "service", "service" },
-                               { "address", rawServers_.back()->Address() },
-                               { "zone", "a" },
-                               { "version", "v1" },
-                               { "slots", 8 },
-                               { "state", "ready" },
-                               { "coldLeftMs", 0 },
-                               { "seq", 1 },
-                               { "born", 1 } }
-                 .dump());
+      std::make_unique<RawServer>(context_, aName, std::move(aAnswer), aEnd));
     return *rawServers_.back();
   }
 
+  void Register(const std::string& aName,
+                const RawServer& aServer,
+                std::string_view aState,
+                std::optional<int> aStart)
+  {
+    nlohmann::json entry{
+      { "service", "service" }, { "address", aServer.Address() },
+      { "zone", "a" },          { "version", "v1" },
+      { "slots", 8 },           { "state", aState },
+      { "coldLeftMs", 0 },      { "seq", 1 }
+    };
+    if (aStart) {
+      entry["born"] = *aStart;
+    }
+    store_.Put("servers/" + aName, entry.dump());
+  }
+
   void Start()
   {
     WriteConfiguration(1);
