LibGateway: Take only a process's own word for its survival

What callers saw: a stream or an item's output that looks complete and lacks its last events, after its endpoint's process ended and the next one was there at once. The same with a body of a plain request.

Cause: a response whose end only the connection marks was whole on circumstantial evidence. A health answer that names nobody counted as the endpoint's, one within 50 ms as one of the same process, a check without any answer as proof that the process runs, and for requests that don't need a known process another one's answer as well. A process that starts at once, and rejects requests at first or is silent, was taken for its predecessor.

Ruled out: a time of lost connections, suspensions and replacements beside the answer would have to be right for any host that is late; it is gone with all its state.

Why this works: the check must be answered by the process itself. Where starts are told, its report names the start that is registered. Where they aren't, each start has another id, and the health answer names the id. A process that is too full to answer for its health is asked for its report instead, which needs no slot; both questions name the endpoint, so that any other process answers 421. Without such an answer the response is unconfirmed: the rest is asked for, and a whole run has none, or the response is broken off.

The tests of UnmarkedEnd required the circumstantial rules; their successors say for each of those cases that it proves nothing.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -292,22 +292,6 @@
   }
 }
 
-void
-EndpointTable::RecordLostConnection(const EndpointIncarnation& aEndpoint,
-                                    base::Instant aNow)
-{
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->lostConnectionAt_ = aNow;
-  }
-}
-
-std::optional<base::Instant>
-EndpointTable::LostConnectionAt(const EndpointIncarnation& aEndpoint) const
-{
-  const Endpoint* endpoint = Find(aEndpoint);
-  return endpoint != nullptr ? endpoint->lostConnectionAt_ : std::nullopt;
-}
-
 void
 EndpointTable::RecordActivity(const EndpointIncarnation& aEndpoint,
                               base::Instant aAttemptStartedAt,
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -261,14 +261,6 @@
   void RecordFailure(const EndpointIncarnation& aEndpoint, base::Instant aNow);
   void RecordSuccess(const EndpointIncarnation& aEndpoint);
 
-  /// Records that an attempt's connection broke or wasn't accepted.
-  void RecordLostConnection(const EndpointIncarnation& aEndpoint,
-                            base::Instant aNow);
-
-  /// @return when a connection of an attempt was last lost; empty if none was.
-  [[nodiscard]] std::optional<base::Instant> LostConnectionAt(
-    const EndpointIncarnation& aEndpoint) const;
-
   /// Records that bytes of an attempt arrived from the endpoint.
   /// @param aAttemptStartedAt When the attempt began.
   void RecordActivity(const EndpointIncarnation& aEndpoint,
@@ -458,7 +450,6 @@
     std::optional<base::Instant> drainingSince_;
     base::Instant registeredAt_; ///< When the current process became known.
     base::Instant registrationReadAt_; ///< When its registration was last read.
-    std::optional<base::Instant> lostConnectionAt_;
     /// When the process that said last that it is the registered one was asked.
     std::optional<base::Instant> processAskedAt_;
     std::optional<base::Instant> otherProcessAt_; ///< Said not to be it.
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -1,10 +1,16 @@
 #include "LibFleet/EndpointTable.h"
-#include "LibFleet/UnmarkedEnd.h"
 
 // The part of EndpointTable that tells the processes of an endpoint apart.
 
 namespace pumiceturn::fleet {
 
+namespace {
+
+/// No process starts again within this time after its end.
+constexpr std::chrono::milliseconds kMinRestartTime{ 50 };
+
+} // namespace
+
 bool
 EndpointTable::IsOfLaterProcess(const EndpointRecord& aRecord,
                                 const Endpoint& aKnown)
--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -109,13 +109,19 @@
     std::string_view aHostField,
     const ForwardOptions& aOptions) const = 0;
 
-  /// @return a request for the health of an endpoint.
+  /// @return a request for the health of an endpoint. Another one at its
+  ///         address rejects it.
+  /// @param aEndpoint Id of the endpoint.
   [[nodiscard]] virtual httpstream::Request MakeHealthRequest(
     std::string_view aPath,
+    std::string_view aEndpoint,
     std::string_view aAddress) const = 0;
 
-  /// @return a request for an endpoint's report on itself.
+  /// @return a request for an endpoint's report on itself. Another one at its
+  ///         address rejects it.
+  /// @param aEndpoint Id of the endpoint.
   [[nodiscard]] virtual httpstream::Request MakeReportRequest(
+    std::string_view aEndpoint,
     std::string_view aAddress) const = 0;
 
   /// @return when the process started that wrote a report, as Unix time in
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -4,6 +4,8 @@
 #include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace pumiceturn::gateway {
@@ -37,17 +39,24 @@
       return "same_process";
     case fleet::EndpointCheck::OtherProcess:
       return "other_process";
-    case fleet::EndpointCheck::Answered:
+    case fleet::EndpointCheck::Unnamed:
       break;
   }
-  return "answered";
+  return "unnamed";
 }
 
-/// @return how long ago a moment was, in milliseconds; -1 if it is empty.
-std::int64_t
-MsSince(const std::optional<base::Instant>& aMoment)
+httpstream::CallOutcome
+OutcomeOf(fleet::UnmarkedEnd aEnd)
 {
-  return aMoment ? base::ToMs(base::MonotonicNow() - *aMoment) : -1;
+  switch (aEnd) {
+    case fleet::UnmarkedEnd::Whole:
+      return httpstream::CallOutcome::Complete;
+    case fleet::UnmarkedEnd::BrokenOff:
+      return httpstream::CallOutcome::Broken;
+    case fleet::UnmarkedEnd::Unconfirmed:
+      break;
+  }
+  return httpstream::CallOutcome::Unconfirmed;
 }
 
 } // namespace
@@ -146,7 +155,7 @@
     [this](const httpstream::Silence& aSilence) { return OnSilence(aSilence); },
     [this](const ProcessAnswer& aAnswer) { OnProcessAnswer(aAnswer); });
   processQuery_->Start(
-    *connection_, endpoint_.address_, request_.processTimeout_);
+    *connection_, endpoint_.id_, endpoint_.address_, request_.processTimeout_);
 }
 
 void
@@ -219,9 +228,6 @@
 EndpointAttempt::OnProcessQueryFailed(httpstream::CallOutcome aOutcome)
 {
   const base::Instant now = base::MonotonicNow();
-  if (aOutcome == httpstream::CallOutcome::Broken) {
-    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(), now);
-  }
   if (aOutcome != httpstream::CallOutcome::TimedOut) {
     // A silence was recorded when it was noticed.
     shared_.endpoints_.RecordFailure(endpoint_.Incarnation(), now);
@@ -435,11 +441,6 @@
   }
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
-  if (aOutcome == httpstream::CallOutcome::Broken ||
-      aOutcome == httpstream::CallOutcome::NotConnected) {
-    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(),
-                                            base::MonotonicNow());
-  }
   if (aOutcome != httpstream::CallOutcome::Complete) {
     End(aOutcome);
   } else if (MayBeCutByTimeLimit()) {
@@ -465,58 +466,44 @@
 void
 EndpointAttempt::CheckUnmarkedEnd()
 {
-  LivenessQuestion question{ endpoint_.address_,
-                             kEndCheckTimeout,
-                             kEndCheckTimeout,
-                             endpoint_.startedAtMs_ };
-  const std::string path = shared_.routes_.HealthPathOf(endpoint_.service_);
-  if (!path.empty()) {
-    question.healthRequest_ = httpstream::Serialize(
-      shared_.codec_.MakeHealthRequest(path, endpoint_.address_));
-    question.isFromEndpoint_ = [this](const httpstream::ResponseHead& aHead) {
-      checkStatus_ = aHead.result_int();
-      checkAnsweredBy_ = shared_.codec_.ReadResponseInfo(aHead).responderId_;
-      return checkAnsweredBy_.empty() || checkAnsweredBy_ == endpoint_.id_;
-    };
-  }
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor(),
                                            shared_.codec_);
-  probe_->Start(
-    std::move(question),
-    [weak = weak_from_this(),
-     endedAt = base::MonotonicNow()](fleet::EndpointCheck aCheck) {
-      if (const auto self = weak.lock()) {
-        self->OnEndChecked({ endedAt, aCheck, base::MonotonicNow() });
-      }
-    });
+  probe_->Start({ endpoint_.id_,
+                  endpoint_.address_,
+                  kEndCheckTimeout,
+                  kEndCheckTimeout,
+                  endpoint_.startedAtMs_,
+                  true,
+                  shared_.routes_.HealthPathOf(endpoint_.service_) },
+                [weak = weak_from_this(), endedAt = base::MonotonicNow()](
+                  const LivenessAnswer& aAnswer) {
+                  if (const auto self = weak.lock()) {
+                    self->OnEndChecked(endedAt, aAnswer);
+                  }
+                });
 }
 
 void
-EndpointAttempt::OnEndChecked(fleet::UnmarkedEnd aEnd)
+EndpointAttempt::OnEndChecked(base::Instant aEndedAt,
+                              const LivenessAnswer& aAnswer)
 {
-  if (aEnd.check_ == fleet::EndpointCheck::OtherProcess &&
-      !request_.needsProcess_) {
-    // That one may have sent the response.
-    aEnd.check_ = fleet::EndpointCheck::Answered;
-  }
-  aEnd.isReplaced_ = shared_.endpoints_.IsReplaced(endpoint_);
-  aEnd.lostConnectionAt_ =
-    shared_.endpoints_.LostConnectionAt(endpoint_.Incarnation());
-  aEnd.resumedAt_ = shared_.resumedAt_;
-  const bool isWhole = fleet::HasLivedOn(aEnd);
+  const fleet::UnmarkedEnd end = fleet::Judge(aAnswer.check_);
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
-              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - aEnd.endedAt_) },
-              { "check", NameOf(aEnd.check_) },
-              { "status", checkStatus_ },
-              { "answered_by", checkAnsweredBy_ },
-              { "took_ms", base::ToMs(aEnd.checkedAt_ - aEnd.endedAt_) },
-              { "replaced", aEnd.isReplaced_ },
-              { "lost_connection_ms_ago", MsSince(aEnd.lostConnectionAt_) },
-              { "resumed_ms_ago", MsSince(aEnd.resumedAt_) },
-              { "whole", isWhole } });
-  End(isWhole ? httpstream::CallOutcome::Complete
-              : httpstream::CallOutcome::Broken);
+              { "born_ms", endpoint_.startedAtMs_ },
+              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - aEndedAt) },
+              { "check", NameOf(aAnswer.check_) },
+              { "status", aAnswer.status_ },
+              { "answered_by", aAnswer.answeredBy_ },
+              { "took_ms", base::ToMs(base::MonotonicNow() - aEndedAt) },
+              { "whole", end == fleet::UnmarkedEnd::Whole } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_unmarked_ends_total",
+                "Responses that ended only with their connection, by what a "
+                "check of the endpoint found.",
+                fmt::format("check=\"{}\"", NameOf(aAnswer.check_)))
+    .Add();
+  End(OutcomeOf(end));
 }
 
 void
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -109,11 +109,10 @@
   void OnProcessQueryFailed(httpstream::CallOutcome aOutcome);
   /// Ends an attempt that has sent nothing of its request.
   void EndUnsent();
-  /// Checks whether the endpoint lives on. A response whose end isn't marked is
-  /// whole only then: the connections of a process that is killed end in order,
-  /// too.
+  /// Checks whether the endpoint's process lives on. A response whose end isn't
+  /// marked is whole only then.
   void CheckUnmarkedEnd();
-  void OnEndChecked(fleet::UnmarkedEnd aEnd);
+  void OnEndChecked(base::Instant aEndedAt, const LivenessAnswer& aAnswer);
   /// @return whether the response may have ended because the endpoint's time
   ///         for it was up. Only a length shows then that it is whole.
   [[nodiscard]] bool MayBeCutByTimeLimit() const;
@@ -163,9 +162,6 @@
   bool hasMetOtherProcess_ = false;
   base::Duration connectionAge_{ 0 };
   httpstream::ResponseFraming framing_ = httpstream::ResponseFraming::Length;
-  /// The answer to the check of an unmarked end; 0: there was none.
-  unsigned checkStatus_ = 0;
-  std::string checkAnsweredBy_; ///< Id; empty if it names nobody.
 };
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -503,7 +503,6 @@
   HandleEarlyRequests(now);
   mirrors_.Tick(
     !isStopping_ && !isRetiring_ && !storeTransport_.IsDirectPathLost(), now);
-  shared_.resumedAt_ = mirrors_.ResumedAt();
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
     shared_.pool_.RemoveServer(id);
     base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -27,17 +27,32 @@
 {
   question_ = std::move(aQuestion);
   handler_ = std::move(aHandler);
-  Connect();
+  GoOnWith(FirstStep());
+}
+
+LivenessProbe::Step
+LivenessProbe::FirstStep() const
+{
+  if (question_.startedAtMs_ > 0) {
+    return Step::Report;
+  }
+  if (!question_.mustNameItself_) {
+    return Step::Watch;
+  }
+  return question_.healthPath_.empty() ? Step::Report : Step::Health;
 }
 
 void
-LivenessProbe::Connect()
+LivenessProbe::GoOnWith(Step aStep)
 {
+  step_ = aStep;
   const auto address = ParseAddress(question_.address_);
   if (!address) {
     End(EndpointCheck::Unreachable);
     return;
   }
+  connection_->Cancel();
+  connection_ = std::make_shared<httpstream::ClientConnection>(executor_);
   connection_->Connect(*address,
                        question_.connectTimeout_,
                        [weak = weak_from_this()](bool aIsConnected) {
@@ -60,29 +75,35 @@
 {
   if (!aIsConnected) {
     End(EndpointCheck::Unreachable);
-  } else if (question_.startedAtMs_ > 0) {
-    AskForProcess();
-  } else if (question_.healthRequest_.empty()) {
-    Watch();
-  } else {
-    AskForHealth();
+    return;
+  }
+  switch (step_) {
+    case Step::Report:
+      AskForReport();
+      break;
+    case Step::Health:
+      AskForHealth();
+      break;
+    case Step::Watch:
+      Watch();
   }
 }
 
 void
-LivenessProbe::AskForProcess()
+LivenessProbe::AskForReport()
 {
   processQuery_ = std::make_unique<ProcessQuery>(
     codec_,
     [](const httpstream::Silence& /*aSilence*/) {
       return httpstream::SilenceDecision::EndCall;
     },
-    [this](const ProcessAnswer& aAnswer) { OnProcessAnswer(aAnswer); });
-  processQuery_->Start(*connection_, question_.address_, question_.holdTime_);
+    [this](const ProcessAnswer& aAnswer) { OnReport(aAnswer); });
+  processQuery_->Start(
+    *connection_, question_.endpoint_, question_.address_, question_.holdTime_);
 }
 
 void
-LivenessProbe::OnProcessAnswer(const ProcessAnswer& aAnswer)
+LivenessProbe::OnReport(const ProcessAnswer& aAnswer)
 {
   struct Visitor
   {
@@ -90,17 +111,15 @@
 
     void operator()(const ProcessStart& aStart) const
     {
-      probe_.End(aStart.startedAtMs_ == probe_.question_.startedAtMs_
+      const std::int64_t expected = probe_.question_.startedAtMs_;
+      // Without a start, the id is that of one process.
+      probe_.End(expected == 0 || aStart.startedAtMs_ == expected
                    ? EndpointCheck::SameProcess
                    : EndpointCheck::OtherProcess);
     }
-    void operator()(const ProcessStartNotTold& /*aNone*/) const
+    void operator()(const ProcessStartNotTold& aAnswer) const
     {
-      probe_.question_.startedAtMs_ = 0;
-      probe_.connection_->Cancel();
-      probe_.connection_ =
-        std::make_shared<httpstream::ClientConnection>(probe_.executor_);
-      probe_.Connect();
+      probe_.OnReportWithoutStart(aAnswer);
     }
     void operator()(const ProcessQueryFailed& aFailure) const
     {
@@ -111,11 +130,24 @@
   std::visit(Visitor{ *this }, aAnswer);
 }
 
+void
+LivenessProbe::OnReportWithoutStart(const ProcessStartNotTold& aAnswer)
+{
+  if (!question_.mustNameItself_) {
+    GoOnWith(Step::Watch);
+    return;
+  }
+  // The request names the endpoint, and other ones reject it.
+  const bool isOfEndpoint = aAnswer.hasReport_ && question_.startedAtMs_ == 0;
+  End(isOfEndpoint ? EndpointCheck::SameProcess : EndpointCheck::Unnamed);
+}
+
 void
 LivenessProbe::AskForHealth()
 {
   httpstream::Call call;
-  call.bytes_ = question_.healthRequest_;
+  call.bytes_ = httpstream::Serialize(codec_.MakeHealthRequest(
+    question_.healthPath_, question_.endpoint_, question_.address_));
   call.firstByteTimeout_ = question_.holdTime_;
   call.gapTimeout_ = question_.holdTime_;
   connection_->Start(std::move(call), *this);
@@ -139,8 +171,18 @@
 void
 LivenessProbe::OnHead(const httpstream::ResponseHead& aHead)
 {
-  End(question_.isFromEndpoint_(aHead) ? EndpointCheck::Answered
-                                       : EndpointCheck::Unreachable);
+  const auto self = shared_from_this();
+  const ResponseInfo info = codec_.ReadResponseInfo(aHead);
+  answer_.status_ = aHead.result_int();
+  answer_.answeredBy_ = info.responderId_;
+  if (info.responderId_ == question_.endpoint_) {
+    End(EndpointCheck::SameProcess);
+  } else if (!info.responderId_.empty() || info.isMisdirected_) {
+    End(EndpointCheck::OtherProcess);
+  } else {
+    // A full process rejects the question like any request.
+    GoOnWith(Step::Report);
+  }
 }
 
 void
@@ -151,17 +193,25 @@
 void
 LivenessProbe::OnEnd(httpstream::CallOutcome aOutcome)
 {
-  End(aOutcome == httpstream::CallOutcome::TimedOut
-        ? EndpointCheck::Open
-        : EndpointCheck::Unreachable);
+  switch (aOutcome) {
+    case httpstream::CallOutcome::TimedOut:
+      End(EndpointCheck::Open);
+      break;
+    case httpstream::CallOutcome::Malformed:
+      End(EndpointCheck::Unnamed);
+      break;
+    default:
+      End(EndpointCheck::Unreachable);
+  }
 }
 
 void
 LivenessProbe::End(EndpointCheck aResult)
 {
   connection_->Cancel();
+  answer_.check_ = aResult;
   if (const auto handler = std::exchange(handler_, nullptr)) {
-    handler(aResult);
+    handler(answer_);
   }
 }
 
--- a/Libraries/LibGateway/LivenessProbe.h
+++ b/Libraries/LibGateway/LivenessProbe.h
@@ -17,22 +17,30 @@
 /// How to find out whether an endpoint's process runs.
 struct LivenessQuestion
 {
-  std::string address_; ///< IP:PORT.
+  std::string endpoint_; ///< Id.
+  std::string address_;  ///< IP:PORT.
   /// How long a process that runs may take to accept a connection.
   base::Duration connectTimeout_{ 0 };
   /// How long the connection is watched, or an answer awaited. The kernel of a
   /// process that ends closes its connections one after the other, and the
   /// listening socket may be the last; on a busy machine that takes a while.
   base::Duration holdTime_{ 0 };
-  /// Start of the process that is looked for, as Unix time: the endpoint is
-  /// asked for its own. 0: it isn't asked.
+  /// Start of the process that is looked for, as Unix time. 0: each start of
+  /// the endpoint has another id.
   std::int64_t startedAtMs_ = 0;
-  /// Serialized request for the endpoint's health, if it isn't asked for its
-  /// process or doesn't say; empty: none is sent.
-  std::string healthRequest_{};
-  /// @return whether the endpoint itself answers, not another one that has its
-  ///         address now.
-  std::function<bool(const httpstream::ResponseHead&)> isFromEndpoint_{};
+  /// The process must say which one it is. Otherwise one that isn't known to be
+  /// another one counts as running if it keeps the connection open.
+  bool mustNameItself_ = false;
+  /// Path for the endpoint's health; empty: it has none.
+  std::string healthPath_{};
+};
+
+/// What a probe found, and in which answer; without one, status 0.
+struct LivenessAnswer
+{
+  fleet::EndpointCheck check_ = fleet::EndpointCheck::Unreachable;
+  unsigned status_ = 0;
+  std::string answeredBy_{}; ///< Id; empty if the answer has none.
 };
 
 /// Finds out whether the process at an address lives on, by connecting to it.
@@ -42,7 +50,7 @@
   , public std::enable_shared_from_this<LivenessProbe>
 {
 public:
-  using ResultHandler = std::function<void(fleet::EndpointCheck)>;
+  using ResultHandler = std::function<void(const LivenessAnswer&)>;
 
   LivenessProbe(const boost::asio::any_io_executor& aExecutor,
                 const Codec& aCodec);
@@ -60,10 +68,21 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
-  void Connect();
+  /// What is asked on the next connection.
+  enum class Step : std::uint8_t
+  {
+    Report,
+    Health,
+    Watch, ///< Nothing; the connection is watched.
+  };
+
+  [[nodiscard]] Step FirstStep() const;
+  void GoOnWith(Step aStep);
   void OnConnected(bool aIsConnected);
-  void AskForProcess();
-  void OnProcessAnswer(const ProcessAnswer& aAnswer);
+  void AskForReport();
+  void OnReport(const ProcessAnswer& aAnswer);
+  /// Evaluates a report that names no start.
+  void OnReportWithoutStart(const ProcessStartNotTold& aAnswer);
   void AskForHealth();
   void Watch();
   void End(fleet::EndpointCheck aResult);
@@ -71,6 +90,8 @@
   boost::asio::any_io_executor executor_;
   const Codec& codec_;
   LivenessQuestion question_;
+  Step step_ = Step::Watch;
+  LivenessAnswer answer_;
   std::unique_ptr<ProcessQuery> processQuery_;
   std::shared_ptr<httpstream::ClientConnection> connection_;
   boost::asio::steady_timer holdTimer_;
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -107,19 +107,20 @@
 {
   crashProbe_ = std::make_shared<LivenessProbe>(deadlineTimer_.get_executor(),
                                                 shared_.codec_);
-  crashProbe_->Start({ attempt_->Endpoint().address_,
+  crashProbe_->Start({ attempt_->Endpoint().id_,
+                       attempt_->Endpoint().address_,
                        kCrashProbeTimeout,
                        kCrashProbeTimeout,
                        NeedsProcess() ? attempt_->Endpoint().startedAtMs_ : 0 },
-                     [weak = weak_from_this()](fleet::EndpointCheck aCheck) {
+                     [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
                        const auto proxy = weak.lock();
                        if (!proxy || proxy->isFinished_) {
                          return;
                        }
                        proxy->crashProbe_.reset();
                        proxy->isLostToCrash_ =
-                         aCheck == fleet::EndpointCheck::Unreachable ||
-                         aCheck == fleet::EndpointCheck::OtherProcess;
+                         aAnswer.check_ == fleet::EndpointCheck::Unreachable ||
+                         aAnswer.check_ == fleet::EndpointCheck::OtherProcess;
                        proxy->TryNextEndpoint();
                      });
 }
--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -13,14 +13,15 @@
 /// Largest report that is read. Endpoints list the runs that they have.
 constexpr std::uint64_t kMaxReportBytes = 256ULL * 1024;
 
-/// @return whether a status says that the endpoint can't answer now, rather
-///         than that it has no report.
+/// @return whether a status says that the endpoint can't answer now, or isn't
+///         there, rather than that it has no report.
 bool
-IsTemporary(unsigned aStatus)
+IsNoAnswer(unsigned aStatus)
 {
   constexpr unsigned kFirstServerError = 500;
   constexpr unsigned kNotImplemented = 501;
   return aStatus == httpstream::kStatusTooManyRequests ||
+         aStatus == httpstream::kStatusMisdirected ||
          (aStatus >= kFirstServerError && aStatus != kNotImplemented);
 }
 
@@ -37,11 +38,13 @@
 
 void
 ProcessQuery::Start(httpstream::ClientConnection& aConnection,
+                    std::string_view aEndpoint,
                     std::string_view aAddress,
                     base::Duration aTimeout)
 {
   httpstream::Call call;
-  call.bytes_ = httpstream::Serialize(codec_.MakeReportRequest(aAddress));
+  call.bytes_ =
+    httpstream::Serialize(codec_.MakeReportRequest(aEndpoint, aAddress));
   // The report has no request id, so a response with one is a late copy of the
   // response to an earlier request on this connection.
   call.echoField_ = codec_.EchoField();
@@ -78,7 +81,7 @@
   if (aOutcome != httpstream::CallOutcome::Complete) {
     return ProcessQueryFailed{ aOutcome };
   }
-  if (IsTemporary(status_)) {
+  if (IsNoAnswer(status_)) {
     return ProcessQueryFailed{ httpstream::CallOutcome::Malformed };
   }
   if (status_ == httpstream::kStatusOk) {
@@ -90,7 +93,7 @@
       return ProcessStart{ *startedAtMs };
     }
   }
-  return ProcessStartNotTold{};
+  return ProcessStartNotTold{ status_ == httpstream::kStatusOk };
 }
 
 void
--- a/Libraries/LibGateway/ProcessQuery.h
+++ b/Libraries/LibGateway/ProcessQuery.h
@@ -18,7 +18,9 @@
 };
 /// The endpoint answered, but doesn't say when its process started.
 struct ProcessStartNotTold
-{};
+{
+  bool hasReport_ = false; ///< It sent a report.
+};
 /// There was no answer to read.
 struct ProcessQueryFailed
 {
@@ -45,9 +47,12 @@
 
   /// Sends the question. The query must outlive the call unless the connection
   /// is cancelled.
+  /// @param aEndpoint Id of the endpoint. Another one at its address rejects
+  ///                  the question.
   /// @param aAddress IP:PORT of the endpoint.
   /// @param aTimeout For the first byte of the answer, and between bytes.
   void Start(httpstream::ClientConnection& aConnection,
+             std::string_view aEndpoint,
              std::string_view aAddress,
              base::Duration aTimeout);
 
--- a/Libraries/LibGateway/SharedState.h
+++ b/Libraries/LibGateway/SharedState.h
@@ -33,8 +33,6 @@
   fleet::RateLimiter rateLimiter_;
   OutputBudget outputBudget_;
   fleet::FairShare fairShare_{};
-  /// When this process last went on after a suspension.
-  std::optional<base::Instant> resumedAt_{};
 };
 
 /// @return a uniformly distributed random number in [0, 1).
--- a/Libraries/LibGateway/StoreMirrors.cpp
+++ b/Libraries/LibGateway/StoreMirrors.cpp
@@ -164,7 +164,6 @@
   if (!ranAt || now - *ranAt < kMaxLoopGap) {
     return;
   }
-  resumedAt_ = base::MonotonicNow();
   base::Log(kProcessSuspended, { { "ms", base::ToMs(now - *ranAt) } });
   for (MirroredPrefix& mirrored : mirroredPrefixes_) {
     mirrored.mirror_->MarkStale();
--- a/Libraries/LibGateway/StoreMirrors.h
+++ b/Libraries/LibGateway/StoreMirrors.h
@@ -65,12 +65,6 @@
   /// during a suspension would otherwise count as recent.
   void DetectSuspension();
 
-  /// @return when this process last went on after a suspension.
-  [[nodiscard]] const std::optional<base::Instant>& ResumedAt() const
-  {
-    return resumedAt_;
-  }
-
   /// @return whether the prefix has been read completely at least once.
   [[nodiscard]] bool HasBeenRead(StorePrefix aPrefix) const;
   void SetFreshness(StorePrefix aPrefix, base::Duration aFreshnessLifetime);
@@ -126,7 +120,6 @@
   std::optional<base::Instant> readSince_;
   base::Instant hostsCheckedAt_{}; ///< Last read by OnUnknownPeer().
   std::optional<base::BootInstant> lastRunAt_;
-  std::optional<base::Instant> resumedAt_;
 };
 
 } // namespace pumiceturn::gateway
--- a/Tests/LibFleet/UnmarkedEndTest.cpp
+++ b/Tests/LibFleet/UnmarkedEndTest.cpp
@@ -4,99 +4,36 @@
 
 namespace pumiceturn::fleet {
 
-using std::chrono::milliseconds;
-
-class UnmarkedEndFixture
-{
-protected:
-  /// @return an end that a check follows after a time.
-  static UnmarkedEnd CheckedAfter(milliseconds aTime, EndpointCheck aCheck)
-  {
-    const base::Instant endedAt{ std::chrono::hours(1) };
-    return { endedAt, aCheck, endedAt + aTime };
-  }
-};
-
-TEST_CASE_METHOD(UnmarkedEndFixture, "UnmarkedEnd_EndpointAnswers_HasLivedOn")
-{
-  CHECK(HasLivedOn(CheckedAfter(milliseconds(2), EndpointCheck::Answered)));
-  CHECK(HasLivedOn(CheckedAfter(milliseconds(900), EndpointCheck::Answered)));
-}
-
-// Guards against breaking off whole responses of an endpoint that is full and
-// answers late.
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_ConnectionStaysOpen_HasLivedOn")
+TEST_CASE("UnmarkedEnd_ProcessNamesItself_IsWhole")
 {
-  CHECK(HasLivedOn(CheckedAfter(milliseconds(1200), EndpointCheck::Open)));
-}
-
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_EndpointIsUnreachable_HasNotLivedOn")
-{
-  CHECK_FALSE(
-    HasLivedOn(CheckedAfter(milliseconds(2), EndpointCheck::Unreachable)));
+  CHECK(Judge(EndpointCheck::SameProcess) == UnmarkedEnd::Whole);
 }
 
 // Guards against a response cut off by a crash that counts as whole, as the
-// endpoint's next process answers.
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_OtherConnectionsWereLost_HasNotLivedOn")
-{
-  UnmarkedEnd end = CheckedAfter(milliseconds(300), EndpointCheck::Answered);
-  end.lostConnectionAt_ = end.endedAt_ - milliseconds(1);
-  CHECK_FALSE(HasLivedOn(end));
-  end.lostConnectionAt_ = end.endedAt_ + milliseconds(20);
-  CHECK_FALSE(HasLivedOn(end));
-  end.isReplaced_ = true;
-  end.lostConnectionAt_.reset();
-  CHECK_FALSE(HasLivedOn(end));
-}
-
-// Guards against breaking off a whole response as the endpoint reset another
-// connection.
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_AnsweredBesideLostConnection_HasLivedOn")
-{
-  UnmarkedEnd end = CheckedAfter(milliseconds(5), EndpointCheck::Answered);
-  end.lostConnectionAt_ = end.endedAt_ - milliseconds(1);
-  CHECK(HasLivedOn(end));
-}
-
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_ConnectionWasLostLongBefore_HasLivedOn")
+// endpoint's next process answers, soon or late, beside lost connections or
+// after a suspension of this host.
+TEST_CASE("UnmarkedEnd_AnswerNamesNobody_IsUnconfirmed")
 {
-  UnmarkedEnd end = CheckedAfter(milliseconds(300), EndpointCheck::Answered);
-  end.lostConnectionAt_ = end.endedAt_ - milliseconds(1500);
-  CHECK(HasLivedOn(end));
+  CHECK(Judge(EndpointCheck::Unnamed) == UnmarkedEnd::Unconfirmed);
 }
 
-// Guards against a response cut off while this host was suspended, after which
-// the endpoint's next process answers at once.
-TEST_CASE_METHOD(UnmarkedEndFixture,
-                 "UnmarkedEnd_HostWasSuspended_HasNotLivedOn")
+// Guards against the same, as the kernel or the next process accepts
+// connections.
+TEST_CASE("UnmarkedEnd_ConnectionStaysOpen_IsUnconfirmed")
 {
-  UnmarkedEnd end = CheckedAfter(milliseconds(2), EndpointCheck::Answered);
-  end.resumedAt_ = end.endedAt_ + milliseconds(1);
-  CHECK_FALSE(HasLivedOn(end));
+  CHECK(Judge(EndpointCheck::Open) == UnmarkedEnd::Unconfirmed);
 }
 
-// Guards against breaking off whole responses of an endpoint that answers late
-// beside signs of a restart, though it says that it is the same process.
-TEST_CASE_METHOD(UnmarkedEndFixture, "UnmarkedEnd_SameProcess_HasLivedOn")
+TEST_CASE("UnmarkedEnd_EndpointIsUnreachable_IsBrokenOff")
 {
-  UnmarkedEnd end = CheckedAfter(milliseconds(900), EndpointCheck::SameProcess);
-  end.lostConnectionAt_ = end.endedAt_;
-  end.resumedAt_ = end.endedAt_;
-  CHECK(HasLivedOn(end));
+  CHECK(Judge(EndpointCheck::Unreachable) == UnmarkedEnd::BrokenOff);
 }
 
 // Guards against a response cut off by a crash that counts as whole, as the
 // endpoint's next process answers at once.
-TEST_CASE_METHOD(UnmarkedEndFixture, "UnmarkedEnd_OtherProcess_HasNotLivedOn")
+TEST_CASE("UnmarkedEnd_OtherProcessNamesItself_IsBrokenOff")
 {
-  CHECK_FALSE(
-    HasLivedOn(CheckedAfter(milliseconds(2), EndpointCheck::OtherProcess)));
+  CHECK(Judge(EndpointCheck::OtherProcess) == UnmarkedEnd::BrokenOff);
 }
 
 } // namespace pumiceturn::fleet
--- a/Tests/Platform/ProcessQueryTest.cpp
+++ b/Tests/Platform/ProcessQueryTest.cpp
@@ -57,7 +57,7 @@
     connection->Connect(
       acceptor.local_endpoint(), std::chrono::seconds(5), [&](bool aIsOpen) {
         REQUIRE(aIsOpen);
-        query.Start(*connection, "127.0.0.1:1", std::chrono::seconds(5));
+        query.Start(*connection, "i-1", "127.0.0.1:1", std::chrono::seconds(5));
       });
     RunUntil([&answer] { return answer.has_value(); });
     connection->Cancel();
