Tests: Let the order soak's servers stop at their time limits, and start at once

The soak's servers ignored Deadline-Ms once a stream had begun, answered for their health from the first moment and named their start everywhere, so the soak shared the code's picture of a server. They stop in order at the limit that they get, reject requests that name another instance, also for health and report, and two tests are new: callers with short limits, and servers that start again within 150 ms under another id, name no start, and refuse to answer for their health, or say nothing, for 1.5 s.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <cxxopts.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -22,10 +23,12 @@
 #include <deque>
 #include <exception>
 #include <iostream>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <random>
 #include <span>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -43,11 +46,10 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 namespace {
 
-constexpr std::size_t kArguments = 9;
-constexpr int kExitUsage = 2;
 constexpr std::string_view kHealthPath = "/health";
 
 /// One response in this many is followed by a copy of it.
@@ -55,6 +57,8 @@
 constexpr int kCommentOneIn = 10;
 constexpr int kCutOneIn = 3;
 constexpr int kLongPauseOneIn = 60;
+constexpr int kSilentOneIn =
+  3; ///< Of those that don't answer for their health.
 
 /// How often a waiting request is checked for its caller and its deadline.
 constexpr milliseconds kQueueInterval{ 20 };
@@ -71,25 +75,47 @@
   /// One response in this many is broken off or spoiled, and as many are sent
   /// once more before the next response of their connection; 0: none.
   int faultOneIn_ = 0;
+  bool namesStart_ = true; ///< In its report.
+  /// Time from its start for which it refuses to answer for its health, or
+  /// says nothing.
+  milliseconds earlyHealthTime_{ 0 };
 };
 
-std::optional<ServerOptions>
-ParseOptions(std::span<char*> aArguments)
+ServerOptions
+ParseOptions(int aCount, char** aArguments)
 {
-  if (aArguments.size() != kArguments) {
-    return std::nullopt;
+  cxxopts::Options options("order-server", "A model server for soaks.");
+  auto add = options.add_options();
+  add("address", "IP:PORT", cxxopts::value<std::string>());
+  add("id", "Id", cxxopts::value<std::string>());
+  add("software", "Service and version", cxxopts::value<std::string>());
+  add("seed", "Of its draws", cxxopts::value<unsigned>());
+  add("slots", "Requests at once", cxxopts::value<int>());
+  add("queue", "Requests that wait", cxxopts::value<int>());
+  add("start", "Unix ms", cxxopts::value<std::int64_t>());
+  add("fault-one-in", "Responses", cxxopts::value<int>());
+  add("names-start",
+      "Whether its report names its start",
+      cxxopts::value<bool>());
+  add("early-health-ms",
+      "Time for which it doesn't say that it is healthy",
+      cxxopts::value<int>());
+  const auto parsed = options.parse(aCount, aArguments);
+  const auto address =
+    gateway::ParseAddress(parsed["address"].as<std::string>());
+  if (!address) {
+    throw std::invalid_argument("the address isn't IP:PORT");
   }
-  const auto address = gateway::ParseAddress(aArguments[1]);
-  const auto seed = base::ParseNumber<unsigned>(aArguments[4]);
-  const auto slots = base::ParseNumber<int>(aArguments[5]);
-  const auto places = base::ParseNumber<int>(aArguments[6]);
-  const auto startedAtMs = base::ParseNumber<std::int64_t>(aArguments[7]);
-  const auto faultOneIn = base::ParseNumber<int>(aArguments[8]);
-  if (!address || !seed || !slots || !places || !startedAtMs || !faultOneIn) {
-    return std::nullopt;
-  }
-  return ServerOptions{ *address, aArguments[2], aArguments[3], *seed,
-                        *slots,   *places,       *startedAtMs,  *faultOneIn };
+  return { *address,
+           parsed["id"].as<std::string>(),
+           parsed["software"].as<std::string>(),
+           parsed["seed"].as<unsigned>(),
+           parsed["slots"].as<int>(),
+           parsed["queue"].as<int>(),
+           parsed["start"].as<std::int64_t>(),
+           parsed["fault-one-in"].as<int>(),
+           parsed["names-start"].as<bool>(),
+           milliseconds(parsed["early-health-ms"].as<int>()) };
 }
 
 /// The slots of a server and the requests that wait for one, which are admitted
@@ -204,7 +230,7 @@
   {
   }
 
-  void Accept()
+  [[noreturn]] void Accept()
   {
     while (true) {
       std::thread([this, socket = acceptor_.accept()]() mutable {
@@ -303,21 +329,29 @@
               const httpstream::Request& aRequest,
               std::string& aLate)
   {
-    if (httpstream::TargetOf(aRequest) == kHealthPath) {
+    const bool isHealth = httpstream::TargetOf(aRequest) == kHealthPath;
+    if (isHealth && IsEarly()) {
+      RefuseHealth(aSocket);
+      return true;
+    }
+    const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
+    const bool isMisdirected = !target.empty() && target != options_.id_;
+    if (!isMisdirected && isHealth) {
       Write(aSocket, Head(aRequest, "200 OK") + "Content-Length: 0\r\n\r\n");
       return true;
     }
-    if (httpstream::TargetOf(aRequest) == kReportPath) {
+    if (!isMisdirected && httpstream::TargetOf(aRequest) == kReportPath) {
       const std::string report =
-        fmt::format("{{\"born\":{}}}", options_.startedAtMs_);
+        options_.namesStart_
+          ? fmt::format("{{\"born\":{}}}", options_.startedAtMs_)
+          : "{}";
       Write(
         aSocket,
         Head(aRequest, "200 OK") +
           fmt::format("Content-Length: {}\r\n\r\n{}", report.size(), report));
       return true;
     }
-    const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
-    const bool isMisdirected = !target.empty() && target != options_.id_;
+    const auto arrival = Clock::now();
     if (isMisdirected || !EnterQueue(aSocket, aRequest)) {
       Write(
         aSocket,
@@ -326,7 +360,8 @@
       return true;
     }
     try {
-      const bool isKept = Stream(aSocket, aRequest, aLate);
+      const bool isKept =
+        Stream(aSocket, aRequest, arrival + LimitOf(aRequest), aLate);
       queue_.Leave();
       return isKept;
     } catch (const boost::system::system_error&) {
@@ -335,18 +370,46 @@
     }
   }
 
+  [[nodiscard]] bool IsEarly() const
+  {
+    return Clock::now() - startedAt_ < options_.earlyHealthTime_;
+  }
+
+  /// Doesn't say who it is, as a server that is full or starts.
+  void RefuseHealth(tcp::socket& aSocket)
+  {
+    if (DrawOneIn(kSilentOneIn)) {
+      Pause(static_cast<int>(options_.earlyHealthTime_.count()));
+    }
+    Write(aSocket,
+          fmt::format("HTTP/1.1 503 Unavailable\r\n{}: 1\r\n"
+                      "Content-Length: 0\r\n\r\n",
+                      kNotRunField));
+  }
+
+  /// @return how long the server may work on a request.
+  static milliseconds LimitOf(const httpstream::Request& aRequest)
+  {
+    return milliseconds(
+      base::ParseNumber<int>(httpstream::ValueOf(aRequest, kDeadlineField))
+        .value_or(std::numeric_limits<int>::max()));
+  }
+
+  /// Pauses until a limit at the latest.
+  /// @return whether the limit hasn't passed.
+  static bool PauseWithin(Clock::time_point aLimit, int aMs)
+  {
+    std::this_thread::sleep_until(
+      std::min(aLimit, Clock::now() + milliseconds(aMs)));
+    return Clock::now() < aLimit;
+  }
+
   /// @return whether the request has a slot.
   bool EnterQueue(tcp::socket& aSocket, const httpstream::Request& aRequest)
   {
-    const auto deadline =
-      base::ParseNumber<int>(httpstream::ValueOf(aRequest, kDeadlineField));
-    const auto arrival = std::chrono::steady_clock::now();
-    return queue_.Enter([&aSocket, &deadline, arrival] {
-      const bool isLate =
-        deadline &&
-        std::chrono::steady_clock::now() - arrival >= milliseconds(*deadline);
-      return !isLate && !IsClosed(aSocket);
-    });
+    const auto limit = Clock::now() + LimitOf(aRequest);
+    return queue_.Enter(
+      [&aSocket, limit] { return Clock::now() < limit && !IsClosed(aSocket); });
   }
 
   bool HasFault()
@@ -371,8 +434,10 @@
     aSocket.close();
   }
 
+  /// @param aLimit When the server stops.
   bool Stream(tcp::socket& aSocket,
               const httpstream::Request& aRequest,
+              Clock::time_point aLimit,
               std::string& aLate)
   {
     const EventSequence sequence =
@@ -407,7 +472,7 @@
     Pause(Draw(2, 40));
     std::string sent = head + "\r\n";
     Write(aSocket, sent);
-    if (!SendEvents(aSocket, events, framing, sent) ||
+    if (!SendEvents(aSocket, events, framing, aLimit, sent) ||
         framing == Framing::ConnectionEnd) {
       return false;
     }
@@ -433,10 +498,20 @@
     return static_cast<Fault>(Draw(1, maySpoil ? 3 : 2));
   }
 
+  /// Ends a response that isn't whole, in order.
+  void StopAtLimit(tcp::socket& aSocket, Framing aFraming)
+  {
+    if (aFraming == Framing::Chunked && DrawOneIn(2)) {
+      asio::write(aSocket, asio::buffer(httpstream::kLastChunk));
+    }
+    aSocket.close();
+  }
+
   /// @return whether the response was sent whole.
   bool SendEvents(tcp::socket& aSocket,
                   std::span<const std::string> aEvents,
                   Framing aFraming,
+                  Clock::time_point aLimit,
                   std::string& aSent)
   {
     const Fault fault = DrawFault(aFraming);
@@ -463,7 +538,12 @@
       }
       aSent += text;
       Write(aSocket, text);
-      Pause(DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50));
+      const int pauseMs =
+        DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50);
+      if (!PauseWithin(aLimit, pauseMs) && !aEvents.empty()) {
+        StopAtLimit(aSocket, aFraming);
+        return false;
+      }
     }
     if (aFraming == Framing::Chunked) {
       aSent += httpstream::kLastChunk;
@@ -473,6 +553,7 @@
   }
 
   ServerOptions options_;
+  Clock::time_point startedAt_ = Clock::now();
   tcp::acceptor acceptor_;
   std::mutex mutex_;
   std::mt19937 random_; ///< Guarded by mutex_.
@@ -480,20 +561,12 @@
   std::atomic<std::uint64_t> runs_ = 0; ///< Since the start of the process.
 };
 
-int
-Run(std::span<char*> aArguments)
+void
+Run(int aCount, char** aArguments)
 {
-  auto options = ParseOptions(aArguments);
-  if (!options) {
-    std::cerr
-      << "usage: order-server IP:PORT ID SOFTWARE SEED SLOTS QUEUE START_MS "
-         "FAULT_ONE_IN\n";
-    return kExitUsage;
-  }
   asio::io_context context;
-  OrderServer server(context, std::move(*options));
+  OrderServer server(context, ParseOptions(aCount, aArguments));
   server.Accept();
-  return 0;
 }
 
 } // namespace
@@ -504,8 +577,8 @@
 main(int aCount, char** aArguments)
 {
   try {
-    return pumiceturn::adapter::Run(
-      std::span(aArguments, static_cast<std::size_t>(aCount)));
+    pumiceturn::adapter::Run(aCount, aArguments);
+    return 0;
   } catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
     return 1;
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -29,6 +29,12 @@
 constexpr const char* kSingleRoute = "archive";
 constexpr const char* kOtherRoute = "other";
 constexpr int kTimeoutMs = 5000;
+constexpr int kMinLimitMs = 120;
+constexpr int kMaxLimitMs = 900;
+
+/// Time for which servers that have just started don't say that they are
+/// healthy.
+constexpr int kEarlyHealthMs = 1500;
 constexpr unsigned kOk = 200;
 
 /// Time without faults at the start, so that the fleet is complete.
@@ -81,14 +87,14 @@
 {
   json resumable = MakeTestRoute(kResumableRoute, "stream");
   resumable["resumable"] = true;
-  resumable["timeoutMs"] = kTimeoutMs;
+  resumable["timeoutMs"] = options_.routeTimeoutMs_;
   for (const std::string& service : routed_) {
     resumable["trafficSplit"].push_back(
       { { "service", service }, { "weight", 1 } });
   }
   json single = MakeTestRoute(kSingleRoute, "stream");
   single["maxAttempts"] = 1;
-  single["timeoutMs"] = kTimeoutMs;
+  single["timeoutMs"] = options_.routeTimeoutMs_;
   json batch = MakeTestRoute("lots", "batch");
   batch["maxAttempts"] = 3;
   json configuration{
@@ -101,7 +107,7 @@
     json other = MakeTestRoute(kOtherRoute, "stream");
     other["resumable"] = true;
     other["service"] = kOtherService;
-    other["timeoutMs"] = kTimeoutMs;
+    other["timeoutMs"] = options_.routeTimeoutMs_;
     configuration["routes"].push_back(std::move(other));
     services.emplace_back(kOtherService);
   }
@@ -127,17 +133,18 @@
 void
 OrderSoakFixture::Register(const Server& aServer, std::string_view aState)
 {
-  store_.Put("servers/" + aServer.id_,
-             json{ { "service", aServer.service_ },
-                   { "address", aServer.address_ },
-                   { "zone", "a" },
-                   { "version", aServer.version_ },
-                   { "slots", options_.slots_ },
-                   { "state", aState },
-                   { "coldLeftMs", 0 },
-                   { "seq", 1 },
-                   { "born", aServer.startedAtMs_ } }
-               .dump());
+  json entry{ { "service", aServer.service_ },
+              { "address", aServer.address_ },
+              { "zone", "a" },
+              { "version", aServer.version_ },
+              { "slots", options_.slots_ },
+              { "state", aState },
+              { "coldLeftMs", 0 },
+              { "seq", 1 } };
+  if (!options_.hasNewIds_) {
+    entry["born"] = aServer.startedAtMs_;
+  }
+  store_.Put("servers/" + aServer.id_, entry.dump());
 }
 
 void
@@ -149,16 +156,20 @@
     std::max<std::int64_t>(aServer.startedAtMs_ + 1, now.count());
   aServer.process_ =
     std::make_unique<ChildProcess>(LogFolder() / (aServer.id_ + ".log"));
-  aServer.process_->Start({ PUMICETURN_ORDER_SERVER,
-                            aServer.address_,
-                            aServer.id_,
-                            aServer.Software(),
-                            fmt::format("{}", random_() % 1000000),
-                            fmt::format("{}", options_.slots_),
-                            fmt::format("{}", options_.queue_),
-                            fmt::format("{}", aServer.startedAtMs_),
-                            fmt::format("{}", options_.badResponseOneIn_) },
-                          {});
+  const int earlyHealthMs = options_.startsAgainAtOnce_ ? kEarlyHealthMs : 0;
+  aServer.process_->Start(
+    { PUMICETURN_ORDER_SERVER,
+      fmt::format("--address={}", aServer.address_),
+      fmt::format("--id={}", aServer.id_),
+      fmt::format("--software={}", aServer.Software()),
+      fmt::format("--seed={}", random_() % 1000000),
+      fmt::format("--slots={}", options_.slots_),
+      fmt::format("--queue={}", options_.queue_),
+      fmt::format("--start={}", aServer.startedAtMs_),
+      fmt::format("--fault-one-in={}", options_.badResponseOneIn_),
+      fmt::format("--names-start={}", !options_.hasNewIds_),
+      fmt::format("--early-health-ms={}", earlyHealthMs) },
+    {});
   aServer.isReady_ = true;
   // An entry may be written late.
   RunAfter(Draw(0, static_cast<int>(options_.maxRegistrationDelay_.count())),
@@ -241,16 +252,29 @@
   ++counts_.serversKilled_;
   aServer.process_->Signal(SIGKILL);
   aServer.isReady_ = false;
-  RunAfter(Draw(100, 2000), [this, id = aServer.id_] {
+  const milliseconds down =
+    options_.startsAgainAtOnce_ ? Draw(5, 150) : Draw(100, 2000);
+  RunAfter(down, [this, id = aServer.id_] {
     if (Server* server = FindServer(id)) {
-      if (options_.changesSoftware_ && DrawOneIn(2)) {
-        ChangeSoftware(*server);
-      }
-      StartServer(*server);
+      StartAgain(*server);
     }
   });
 }
 
+void
+OrderSoakFixture::StartAgain(Server& aServer)
+{
+  if (options_.changesSoftware_ && DrawOneIn(2)) {
+    ChangeSoftware(aServer);
+  }
+  if (options_.hasNewIds_) {
+    RunAfter(Draw(0, kMaxEntryTimeMs),
+             [this, id = aServer.id_] { store_.Remove("servers/" + id); });
+    aServer.id_ = fmt::format("i-{}", nextServer_++);
+  }
+  StartServer(aServer);
+}
+
 void
 OrderSoakFixture::EndServer(const std::string& aId)
 {
@@ -514,8 +538,11 @@
   ++aCaller.tries_;
   aCaller.tryId_ = fmt::format("t{}", nextTry_++);
   aCaller.triedAt_ = host.process_->Settings().name_;
+  const auto limitMs = options_.hasShortLimits_
+                         ? Draw(kMinLimitMs, kMaxLimitMs).count()
+                         : kTimeoutMs;
   std::string fields = fmt::format(
-    "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, kTimeoutMs);
+    "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, limitMs);
   if (stream.LastEvent() > 0) {
     fields += fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n",
                           stream.LastEvent(),
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -59,6 +59,14 @@
     bool wipesWorkers_ = false; ///< One at a time loses its data.
     /// Mean time between two faults, in steps of the event loop.
     int stepsPerFault_ = 120;
+    /// Callers' time limits are drawn and mostly shorter than their streams.
+    bool hasShortLimits_ = false;
+    int routeTimeoutMs_ = 5000; ///< Of all routes but that of jobs.
+    /// Servers that start again have another id, and nothing names their start.
+    bool hasNewIds_ = false;
+    /// Servers that are killed start again within 5 to 150 ms, and don't say
+    /// for a time that they are healthy.
+    bool startsAgainAtOnce_ = false;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -169,6 +177,8 @@
   void Register(const Server& aServer, std::string_view aState);
   /// Kills a server; another process takes over its id and address later.
   void KillServer(Server& aServer);
+  /// Starts a server again that was killed.
+  void StartAgain(Server& aServer);
   /// Gives a server that isn't running another software version.
   void ChangeSoftware(Server& aServer);
   /// Removes a server for good.
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -85,6 +85,28 @@
   RunAndCheck(options);
 }
 
+// Guards against streams that look complete too early as their servers stop in
+// order at the time limit that they get.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersStopAtTimeLimits_StreamsStayWhole")
+{
+  RunOptions options;
+  options.hasShortLimits_ = true;
+  RunAndCheck(options);
+}
+
+// Guards against streams and outputs that look complete too early as a killed
+// server's next process is there at once, has another id and doesn't say who
+// it is.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersStartAgainAtOnce_StreamsStayWhole")
+{
+  RunOptions options;
+  options.hasNewIds_ = true;
+  options.startsAgainAtOnce_ = true;
+  RunAndCheck(options);
+}
+
 // Guards against the same, and against jobs whose results change, go away or
 // are miscounted, where requests wait in the servers' queues, jobs are ended,
 // hosts get SIGTERM or SIGHUP one after the other while others are killed,
