Tests: Add a failing test of an endpoint that ends streams before it exits

An endpoint that leaves may end its responses in order, and its process a moment later. A second test shows that whole streams of a draining endpoint are complete.

--- a/Tests/Platform/OrderlyEndTest.cpp
+++ b/Tests/Platform/OrderlyEndTest.cpp
@@ -107,6 +107,45 @@
   CHECK(Call("/once/1")->status_ == 502);
 }
 
+// Guards against a stream that looks complete as its endpoint, which leaves,
+// ends its responses in order a moment before its process ends.
+TEST_CASE_METHOD(OrderlyEndFixture,
+                 "OrderlyEnd_EndpointExitsSoonAfter_StreamIsBrokenOff")
+{
+  RawServer& server =
+    AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Exit);
+  Start();
+  const auto call = SendTo(Loopback(host_->callerPort_),
+                           "POST",
+                           "/stream/1",
+                           "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
+                           {});
+  RunUntil([&] { return !server.Requests().empty(); });
+  Register("i-1", server, "draining", 1);
+  RunUntil([&] { return call->HasEnded(); });
+  CHECK(call->body_ == EventsFrom(1, 2));
+  CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
+}
+
+// Guards against breaking off whole streams of endpoints that leave later.
+TEST_CASE_METHOD(OrderlyEndFixture,
+                 "OrderlyEnd_EndpointDrains_WholeStreamIsComplete")
+{
+  RawServer& server = AddRawServer(
+    "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Late);
+  Start();
+  const auto call = SendTo(Loopback(host_->callerPort_),
+                           "POST",
+                           "/stream/1",
+                           "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
+                           {});
+  RunUntil([&] { return !server.Requests().empty(); });
+  Register("i-1", server, "draining", 1);
+  RunUntil([&] { return call->HasEnded(); });
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+}
+
 // Guards against breaking off whole streams of endpoints that are too full to
 // say that they are healthy, but tell their state.
 TEST_CASE_METHOD(OrderlyEndFixture, "OrderlyEnd_ProcessIsFull_StreamIsComplete")
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -25,6 +25,11 @@
 
 constexpr std::chrono::milliseconds kTimeToClose{ 300 };
 
+/// Time from the bytes of an answer to its end, and from there to that of the
+/// process.
+constexpr std::chrono::milliseconds kTimeToEnd{ 600 };
+constexpr std::chrono::milliseconds kTimeToExit{ 100 };
+
 /// Long enough for a host to notice that it was suspended.
 constexpr std::chrono::milliseconds kTimeToRestart{ 700 };
 
@@ -156,13 +161,10 @@
       break;
     case End::ProcessSlowly:
       isEnding_ = true;
-      closeTimer_.expires_after(kTimeToClose);
-      closeTimer_.async_wait([this](const boost::system::error_code& aError) {
-        if (!aError) {
-          boost::system::error_code alsoIgnored;
-          acceptor_.close(alsoIgnored);
-        }
-      });
+      CloseAfter(kTimeToClose);
+      break;
+    case End::Exit:
+      CloseAfter(kTimeToExit);
       break;
     case End::RestartWhileSuspended:
       ++process_;
@@ -189,22 +191,41 @@
     asio::buffer(answer_),
     [this, aConnection, arrivedAt, limit](
       const boost::system::error_code& /*aError*/, std::size_t) {
-      if (end_ != End::AtTimeLimit || !limit) {
+      if (end_ == End::Late || end_ == End::Exit) {
+        EndAnswerAt(aConnection, arrivedAt + kTimeToEnd);
+      } else if (end_ == End::AtTimeLimit && limit) {
+        EndAnswerAt(aConnection, arrivedAt + std::chrono::milliseconds(*limit));
+      } else {
+        EndAnswer(aConnection);
+      }
+    });
+}
+
+void
+RawServer::EndAnswerAt(const std::shared_ptr<Connection>& aConnection,
+                       std::chrono::steady_clock::time_point aTime)
+{
+  aConnection->endTimer_.emplace(aConnection->socket_.get_executor(), aTime);
+  aConnection->endTimer_->async_wait(
+    [this, aConnection](const boost::system::error_code& aError) {
+      if (!aError) {
         EndAnswer(aConnection);
-        return;
       }
-      aConnection->endTimer_.emplace(aConnection->socket_.get_executor());
-      aConnection->endTimer_->expires_at(arrivedAt +
-                                         std::chrono::milliseconds(*limit));
-      aConnection->endTimer_->async_wait(
-        [this, aConnection](const boost::system::error_code& aError) {
-          if (!aError) {
-            EndAnswer(aConnection);
-          }
-        });
     });
 }
 
+void
+RawServer::CloseAfter(std::chrono::milliseconds aTime)
+{
+  closeTimer_.expires_after(aTime);
+  closeTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      boost::system::error_code ignored;
+      acceptor_.close(ignored);
+    }
+  });
+}
+
 void
 RawServer::EndAnswer(const std::shared_ptr<Connection>& aConnection)
 {
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -36,6 +36,10 @@
     AtTimeLimit,
     /// The server's next process answers at once, with another id and start.
     Restart,
+    Late, ///< Ends the answer in order a while after its bytes.
+    /// As Late, and soon afterwards the process, which still answers for its
+    /// health until then.
+    Exit,
   };
 
   /// What a process answers that is asked for its health.
@@ -90,6 +94,10 @@
   [[nodiscard]] std::string HealthAnswer() const;
   [[nodiscard]] std::string ReportAnswer() const;
   void EndProcess();
+  /// Calls EndAnswer() at a time.
+  void EndAnswerAt(const std::shared_ptr<Connection>& aConnection,
+                   std::chrono::steady_clock::time_point aTime);
+  void CloseAfter(std::chrono::milliseconds aTime);
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer closeTimer_;
