LibGateway: Check endpoints that leave a second time

What callers saw: a stream that looks complete and lacks its last events, at an endpoint that is being shut down.

Cause: an endpoint that leaves may end its responses in order before its process ends. A check in between finds the process alive, which the host took for proof that the response is whole.

Evidence: OrderlyEnd_EndpointExitsSoonAfter_StreamIsBrokenOff fails before, with 2 of 6 events. No run of ours with real processes has shown it.

Why this works: an endpoint that drains or is no longer registered is checked again after 300 ms, and the response is whole only if its process is still there. The events have been passed on by then, so only the end of a stream is later. Asking for the rest elsewhere instead was ruled out: near the end of a release there is no other endpoint of the version, and whole streams would be broken off. An endpoint that lives on for longer after it has ended its streams isn't covered.

The test waits until the host follows the store now, as it must know that the endpoint drains.

--- a/Libraries/LibFleet/EndpointTable.cpp
+++ b/Libraries/LibFleet/EndpointTable.cpp
@@ -511,6 +511,13 @@
     });
 }
 
+bool
+EndpointTable::IsLeaving(const EndpointIncarnation& aEndpoint) const
+{
+  const Endpoint* endpoint = Find(aEndpoint);
+  return endpoint == nullptr || endpoint->record_.isDraining_;
+}
+
 bool
 EndpointTable::IsSilent(const Endpoint& aEndpoint, base::Instant aNow) const
 {
--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -402,6 +402,9 @@
   ///         under its id, or at its address.
   [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
 
+  /// @return whether an endpoint leaves or has left, by its registration.
+  [[nodiscard]] bool IsLeaving(const EndpointIncarnation& aEndpoint) const;
+
   /// @return the start of the later process that is registered under an
   ///         endpoint's id, as Unix time in milliseconds; empty if none is.
   [[nodiscard]] std::optional<std::int64_t> LaterProcessOf(
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -21,6 +21,10 @@
 /// runs, and then to answer. A SYN that is lost is sent again after 1 s.
 constexpr std::chrono::milliseconds kEndCheckTimeout{ 1200 };
 
+/// After how long the check of an endpoint that leaves is made once more: it
+/// may end its responses in order a moment before its process ends.
+constexpr std::chrono::milliseconds kLeavingCheckDelay{ 300 };
+
 constexpr unsigned kFirstServerError = 500;
 
 /// How often one attempt asks for the endpoint's process. An endpoint may close
@@ -67,6 +71,7 @@
   : shared_(aShared)
   , endpoint_(std::move(aEndpoint))
   , workClass_(aWorkClass)
+  , recheckTimer_(shared_.pool_.GetExecutor())
 {
 }
 
@@ -252,6 +257,7 @@
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->Cancel();
   }
+  recheckTimer_.cancel();
   if (const auto probe = std::exchange(probe_, nullptr)) {
     probe->Cancel();
   }
@@ -450,6 +456,7 @@
                 { "ran_ms", base::ToMs(base::MonotonicNow() - sentAt_) } });
     End(httpstream::CallOutcome::Unconfirmed);
   } else if (framing_ == httpstream::ResponseFraming::ConnectionEnd) {
+    endedAt_ = base::MonotonicNow();
     CheckUnmarkedEnd();
   } else {
     End(aOutcome);
@@ -475,27 +482,30 @@
                   endpoint_.startedAtMs_,
                   true,
                   shared_.routes_.HealthPathOf(endpoint_.service_) },
-                [weak = weak_from_this(), endedAt = base::MonotonicNow()](
-                  const LivenessAnswer& aAnswer) {
+                [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
                   if (const auto self = weak.lock()) {
-                    self->OnEndChecked(endedAt, aAnswer);
+                    self->OnEndChecked(aAnswer);
                   }
                 });
 }
 
 void
-EndpointAttempt::OnEndChecked(base::Instant aEndedAt,
-                              const LivenessAnswer& aAnswer)
+EndpointAttempt::OnEndChecked(const LivenessAnswer& aAnswer)
 {
   const fleet::UnmarkedEnd end = fleet::Judge(aAnswer.check_);
+  if (end == fleet::UnmarkedEnd::Whole && !isCheckedAgain_ &&
+      shared_.endpoints_.IsLeaving(endpoint_.Incarnation())) {
+    CheckAgainLater();
+    return;
+  }
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
               { "born_ms", endpoint_.startedAtMs_ },
-              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - aEndedAt) },
+              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - endedAt_) },
               { "check", NameOf(aAnswer.check_) },
               { "status", aAnswer.status_ },
               { "answered_by", aAnswer.answeredBy_ },
-              { "took_ms", base::ToMs(base::MonotonicNow() - aEndedAt) },
+              { "took_ms", base::ToMs(base::MonotonicNow() - endedAt_) },
               { "whole", end == fleet::UnmarkedEnd::Whole } });
   shared_.metrics_
     .GetCounter("pumiceturn_unmarked_ends_total",
@@ -506,6 +516,20 @@
   End(OutcomeOf(end));
 }
 
+void
+EndpointAttempt::CheckAgainLater()
+{
+  isCheckedAgain_ = true;
+  recheckTimer_.expires_after(kLeavingCheckDelay);
+  recheckTimer_.async_wait(
+    [weak = weak_from_this()](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self && self->observer_ != nullptr) {
+        self->CheckUnmarkedEnd();
+      }
+    });
+}
+
 void
 EndpointAttempt::End(httpstream::CallOutcome aOutcome)
 {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -6,6 +6,8 @@
 #include "LibGateway/SharedState.h"
 #include "LibHttpStream/ClientConnection.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -112,7 +114,8 @@
   /// Checks whether the endpoint's process lives on. A response whose end isn't
   /// marked is whole only then.
   void CheckUnmarkedEnd();
-  void OnEndChecked(base::Instant aEndedAt, const LivenessAnswer& aAnswer);
+  void OnEndChecked(const LivenessAnswer& aAnswer);
+  void CheckAgainLater();
   /// @return whether the response may have ended because the endpoint's time
   ///         for it was up. Only a length shows then that it is whole.
   [[nodiscard]] bool MayBeCutByTimeLimit() const;
@@ -139,6 +142,9 @@
   base::Instant processAskedAt_{};
   std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
+  base::Instant endedAt_{}; ///< When an end that isn't marked was read.
+  bool isCheckedAgain_ = false;
+  boost::asio::steady_timer recheckTimer_;
   base::Instant startedAt_{};
   base::Instant sentAt_{};        ///< When the request was sent.
   base::Duration timeLimit_{ 0 }; ///< That the endpoint got, from sentAt_.
--- a/Tests/Platform/OrderlyEndTest.cpp
+++ b/Tests/Platform/OrderlyEndTest.cpp
@@ -10,6 +10,15 @@
 class OrderlyEndFixture : protected RawServerFixture
 {
 protected:
+  /// Waits until the host sees changes of the store at once.
+  void AwaitFollowing()
+  {
+    RunUntil([this] {
+      return Metrics(*host_).find("pumiceturn_store_prefixes_followed 4") !=
+             std::string::npos;
+    });
+  }
+
   /// @return the number of calls with a short time limit that looked complete.
   int CountComplete(const std::string& aPath)
   {
@@ -115,6 +124,7 @@
   RawServer& server =
     AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Exit);
   Start();
+  AwaitFollowing();
   const auto call = SendTo(Loopback(host_->callerPort_),
                            "POST",
                            "/stream/1",
@@ -134,6 +144,7 @@
   RawServer& server = AddRawServer(
     "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Late);
   Start();
+  AwaitFollowing();
   const auto call = SendTo(Loopback(host_->callerPort_),
                            "POST",
                            "/stream/1",
