LibFleet: Take no crash from a process that may have sent the response

Where a process wasn't asked for its start before the request, another start in its report may be that of the response's sender: its registration is read late. The end was then judged as the end of a process, which counts as a failure of the endpoint and, for requests that crash endpoints, as evidence. It is unconfirmed now; callers get the same.

--- a/Libraries/LibFleet/UnmarkedEnd.cpp
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -3,14 +3,17 @@
 namespace pumiceturn::fleet {
 
 UnmarkedEnd
-Judge(EndpointCheck aCheck)
+Judge(EndpointCheck aCheck, Sender aSender)
 {
   switch (aCheck) {
     case EndpointCheck::SameProcess:
       return UnmarkedEnd::Whole;
     case EndpointCheck::Unreachable:
-    case EndpointCheck::OtherProcess:
       return UnmarkedEnd::BrokenOff;
+    case EndpointCheck::OtherProcess:
+      // If the sender isn't known, it may be that one.
+      return aSender == Sender::Known ? UnmarkedEnd::BrokenOff
+                                      : UnmarkedEnd::Unconfirmed;
     case EndpointCheck::Open:
     case EndpointCheck::Unnamed:
       break;
--- a/Libraries/LibFleet/UnmarkedEnd.h
+++ b/Libraries/LibFleet/UnmarkedEnd.h
@@ -14,6 +14,13 @@
   OtherProcess, ///< Another process shows that it runs at the address.
 };
 
+/// Whether it is known which process of the endpoint sent a response.
+enum class Sender : std::uint8_t
+{
+  Known,
+  Unknown,
+};
+
 /// What is known of a response whose end nothing but the end of its connection
 /// marks.
 enum class UnmarkedEnd : std::uint8_t
@@ -28,6 +35,6 @@
 /// response is whole only if its process shows that it lives on: what says
 /// nothing proves nothing.
 [[nodiscard]] UnmarkedEnd
-Judge(EndpointCheck aCheck);
+Judge(EndpointCheck aCheck, Sender aSender);
 
 } // namespace pumiceturn::fleet
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -492,7 +492,12 @@
 void
 EndpointAttempt::OnEndChecked(const LivenessAnswer& aAnswer)
 {
-  const fleet::UnmarkedEnd end = fleet::Judge(aAnswer.check_);
+  // Where starts are told, the process is known only if it was asked before.
+  const bool isSenderKnown =
+    endpoint_.startedAtMs_ == 0 || request_.needsProcess_;
+  const fleet::UnmarkedEnd end =
+    fleet::Judge(aAnswer.check_,
+                 isSenderKnown ? fleet::Sender::Known : fleet::Sender::Unknown);
   if (end == fleet::UnmarkedEnd::Whole && !isCheckedAgain_ &&
       shared_.endpoints_.IsLeaving(endpoint_.Incarnation())) {
     CheckAgainLater();
--- a/Tests/LibFleet/UnmarkedEndTest.cpp
+++ b/Tests/LibFleet/UnmarkedEndTest.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("UnmarkedEnd_ProcessNamesItself_IsWhole")
 {
-  CHECK(Judge(EndpointCheck::SameProcess) == UnmarkedEnd::Whole);
+  CHECK(Judge(EndpointCheck::SameProcess, Sender::Known) == UnmarkedEnd::Whole);
 }
 
 // Guards against a response cut off by a crash that counts as whole, as the
@@ -14,26 +14,37 @@
 // after a suspension of this host.
 TEST_CASE("UnmarkedEnd_AnswerNamesNobody_IsUnconfirmed")
 {
-  CHECK(Judge(EndpointCheck::Unnamed) == UnmarkedEnd::Unconfirmed);
+  CHECK(Judge(EndpointCheck::Unnamed, Sender::Known) ==
+        UnmarkedEnd::Unconfirmed);
 }
 
 // Guards against the same, as the kernel or the next process accepts
 // connections.
 TEST_CASE("UnmarkedEnd_ConnectionStaysOpen_IsUnconfirmed")
 {
-  CHECK(Judge(EndpointCheck::Open) == UnmarkedEnd::Unconfirmed);
+  CHECK(Judge(EndpointCheck::Open, Sender::Known) == UnmarkedEnd::Unconfirmed);
 }
 
 TEST_CASE("UnmarkedEnd_EndpointIsUnreachable_IsBrokenOff")
 {
-  CHECK(Judge(EndpointCheck::Unreachable) == UnmarkedEnd::BrokenOff);
+  CHECK(Judge(EndpointCheck::Unreachable, Sender::Known) ==
+        UnmarkedEnd::BrokenOff);
 }
 
 // Guards against a response cut off by a crash that counts as whole, as the
 // endpoint's next process answers at once.
 TEST_CASE("UnmarkedEnd_OtherProcessNamesItself_IsBrokenOff")
 {
-  CHECK(Judge(EndpointCheck::OtherProcess) == UnmarkedEnd::BrokenOff);
+  CHECK(Judge(EndpointCheck::OtherProcess, Sender::Known) ==
+        UnmarkedEnd::BrokenOff);
+}
+
+// Guards against taking the end of a response for a crash of its endpoint, as a
+// process answers that may have sent the response itself.
+TEST_CASE("UnmarkedEnd_OtherProcessMayBeTheSender_IsUnconfirmed")
+{
+  CHECK(Judge(EndpointCheck::OtherProcess, Sender::Unknown) ==
+        UnmarkedEnd::Unconfirmed);
 }
 
 } // namespace pumiceturn::fleet
