--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -96,7 +96,8 @@
       if (isHealth || aConnection->input_.starts_with("GET /api/report ")) {
         const std::string target =
           FieldOf(aConnection->input_, kTargetInstanceField);
-        const bool isMisdirected = !target.empty() && target != id_;
+        const bool isMisdirected = !target.empty() && target != id_ &&
+                                   (isHealth || rejectsMisdirectedReports_);
         if (isHealth && health_ == Health::Silent) {
           unanswered_.push_back(aConnection);
           return;
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -67,6 +67,12 @@
   /// Sets whether the report has the time of the process's start.
   void SetReportsStart(bool aReports) { reportsStart_ = aReports; }
 
+  /// Sets whether reports that are meant for another server are rejected.
+  void SetRejectsMisdirectedReports(bool aRejects)
+  {
+    rejectsMisdirectedReports_ = aRejects;
+  }
+
   /// Sets bytes that are sent right before the end of an answer.
   void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
 
@@ -106,6 +112,7 @@
   Health health_ = Health::Named;
   Health nextHealth_ = Health::Named;
   bool reportsStart_ = true;
+  bool rejectsMisdirectedReports_ = true;
   std::string id_;
   std::string answer_;
   std::string lastBytes_;
