LibGateway: Judge refusals by their head, and full processes by their report

What callers saw:

- A refusal without a length, of a server that says nothing about its health, ended an unsafe request with 502 instead of going to the next server, and an item's 422 or 500 didn't count.
Such a response needs no proof of life: its head says all, and nobody reads its body.
- Whole streams of servers that are full were broken off, as the question for their health waits for a slot.
After half of the time the report is asked for, which needs none.
- A 421 to the question for the report counted as no answer.
It comes from another process at the address, so the one that sent the response has ended.
- A health answer other than 200 names a process that may end soon: it is checked again, like one that drains.

A report that names a start, where the entry has none, is no proof any more: the id may be that of several processes. The time that a request ran is measured by the clock that goes on while the machine is suspended. unmarked_end_checked says which question was answered.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -3,6 +3,7 @@
 #include "LibFleet/TimeLimit.h"
 #include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
+#include "LibHttpStream/Status.h"
 
 #include <fmt/format.h>
 
@@ -142,7 +143,7 @@
 EndpointAttempt::SendCall()
 {
   EndpointCall call = request_.makeCall_();
-  sentAt_ = base::MonotonicNow();
+  sentAt_ = base::BootNow();
   timeLimit_ = call.timeLimit_;
   connection_->Start(std::move(call.call_), *this);
 }
@@ -187,6 +188,10 @@
         attempt_.endpoint_.Incarnation(), attempt_.processAskedAt_);
       attempt_.GoOnAfterAnswer();
     }
+    void operator()(const OtherInstanceAnswered& /*aNone*/) const
+    {
+      attempt_.OnProcessQueryFailed(httpstream::CallOutcome::Malformed);
+    }
     void operator()(const ProcessQueryFailed& aFailure) const
     {
       attempt_.OnProcessQueryFailed(aFailure.outcome_);
@@ -447,13 +452,16 @@
   }
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
+  ranFor_ = base::BootNow() - sentAt_;
   if (aOutcome != httpstream::CallOutcome::Complete) {
     End(aOutcome);
-  } else if (MayBeCutByTimeLimit()) {
+  } else if (IsWholeByHead()) {
+    End(aOutcome);
+  } else if (isSuccess_ && fleet::MayHavePassed(timeLimit_, ranFor_)) {
     base::Log(kResponseEndedAtLimit,
               { { "endpoint", endpoint_.id_ },
                 { "limit_ms", base::ToMs(timeLimit_) },
-                { "ran_ms", base::ToMs(base::MonotonicNow() - sentAt_) } });
+                { "ran_ms", base::ToMs(ranFor_) } });
     End(httpstream::CallOutcome::Unconfirmed);
   } else if (framing_ == httpstream::ResponseFraming::ConnectionEnd) {
     endedAt_ = base::MonotonicNow();
@@ -464,10 +472,11 @@
 }
 
 bool
-EndpointAttempt::MayBeCutByTimeLimit() const
+EndpointAttempt::IsWholeByHead() const
 {
-  return isSuccess_ && framing_ != httpstream::ResponseFraming::Length &&
-         fleet::MayHavePassed(timeLimit_, base::MonotonicNow() - sentAt_);
+  // Nobody reads the body of a refusal, or of an item's failure.
+  return framing_ == httpstream::ResponseFraming::Length || wasNotRun_ ||
+         (workClass_ == fleet::WorkClass::Batch && !isSuccess_);
 }
 
 void
@@ -475,18 +484,19 @@
 {
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor(),
                                            shared_.codec_);
-  probe_->Start({ endpoint_.id_,
-                  endpoint_.address_,
-                  kEndCheckTimeout,
-                  kEndCheckTimeout,
-                  endpoint_.startedAtMs_,
-                  true,
-                  shared_.routes_.HealthPathOf(endpoint_.service_) },
-                [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
-                  if (const auto self = weak.lock()) {
-                    self->OnEndChecked(aAnswer);
-                  }
-                });
+  probe_->Start(
+    { .endpoint_ = endpoint_.id_,
+      .address_ = endpoint_.address_,
+      .connectTimeout_ = kEndCheckTimeout,
+      .holdTime_ = kEndCheckTimeout,
+      .startedAtMs_ = endpoint_.startedAtMs_,
+      .mustNameItself_ = true,
+      .healthPath_ = shared_.routes_.HealthPathOf(endpoint_.service_) },
+    [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
+      if (const auto self = weak.lock()) {
+        self->OnEndChecked(aAnswer);
+      }
+    });
 }
 
 void
@@ -499,15 +509,16 @@
     fleet::Judge(aAnswer.check_,
                  isSenderKnown ? fleet::Sender::Known : fleet::Sender::Unknown);
   if (end == fleet::UnmarkedEnd::Whole && !isCheckedAgain_ &&
-      shared_.endpoints_.IsLeaving(endpoint_.Incarnation())) {
+      IsLeaving(aAnswer)) {
     CheckAgainLater();
     return;
   }
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
               { "born_ms", endpoint_.startedAtMs_ },
-              { "left_ms", base::ToMs(sentAt_ + timeLimit_ - endedAt_) },
+              { "left_ms", base::ToMs(timeLimit_ - ranFor_) },
               { "check", NameOf(aAnswer.check_) },
+              { "asked_for", aAnswer.isReport_ ? "report" : "health" },
               { "status", aAnswer.status_ },
               { "answered_by", aAnswer.answeredBy_ },
               { "took_ms", base::ToMs(base::MonotonicNow() - endedAt_) },
@@ -521,6 +532,14 @@
   End(OutcomeOf(end));
 }
 
+bool
+EndpointAttempt::IsLeaving(const LivenessAnswer& aAnswer) const
+{
+  const bool isHealthy =
+    aAnswer.isReport_ || aAnswer.status_ == httpstream::kStatusOk;
+  return !isHealthy || shared_.endpoints_.IsLeaving(endpoint_.Incarnation());
+}
+
 void
 EndpointAttempt::CheckAgainLater()
 {
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -115,10 +115,12 @@
   /// marked is whole only then.
   void CheckUnmarkedEnd();
   void OnEndChecked(const LivenessAnswer& aAnswer);
+  /// @return whether the endpoint's process may end soon.
+  [[nodiscard]] bool IsLeaving(const LivenessAnswer& aAnswer) const;
   void CheckAgainLater();
-  /// @return whether the response may have ended because the endpoint's time
-  ///         for it was up. Only a length shows then that it is whole.
-  [[nodiscard]] bool MayBeCutByTimeLimit() const;
+  /// @return whether a response that ended in order is whole by its head alone:
+  ///         it has a length, or a status that says all.
+  [[nodiscard]] bool IsWholeByHead() const;
   void End(httpstream::CallOutcome aOutcome);
   void EndCounting();
   /// Sets whether events of a stream are due.
@@ -142,11 +144,12 @@
   base::Instant processAskedAt_{};
   std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
-  base::Instant endedAt_{}; ///< When an end that isn't marked was read.
+  base::Instant endedAt_{};    ///< When an end that isn't marked was read.
+  base::Duration ranFor_{ 0 }; ///< From sentAt_ to the end of the response.
   bool isCheckedAgain_ = false;
   boost::asio::steady_timer recheckTimer_;
   base::Instant startedAt_{};
-  base::Instant sentAt_{};        ///< When the request was sent.
+  base::BootInstant sentAt_{};    ///< When the request was sent.
   base::Duration timeLimit_{ 0 }; ///< That the endpoint got, from sentAt_.
   base::Duration silenceTimeout_ = base::Duration::max();
   std::optional<base::Instant> lastEventAt_;
--- a/Libraries/LibGateway/LivenessProbe.cpp
+++ b/Libraries/LibGateway/LivenessProbe.cpp
@@ -98,6 +98,7 @@
       return httpstream::SilenceDecision::EndCall;
     },
     [this](const ProcessAnswer& aAnswer) { OnReport(aAnswer); });
+  answer_.isReport_ = true;
   processQuery_->Start(
     *connection_, question_.endpoint_, question_.address_, question_.holdTime_);
 }
@@ -112,10 +113,17 @@
     void operator()(const ProcessStart& aStart) const
     {
       const std::int64_t expected = probe_.question_.startedAtMs_;
-      // Without a start, the id is that of one process.
-      probe_.End(expected == 0 || aStart.startedAtMs_ == expected
-                   ? EndpointCheck::SameProcess
-                   : EndpointCheck::OtherProcess);
+      if (expected == 0) {
+        // The id may be that of several processes.
+        probe_.End(EndpointCheck::Unnamed);
+        return;
+      }
+      probe_.End(aStart.startedAtMs_ == expected ? EndpointCheck::SameProcess
+                                                 : EndpointCheck::OtherProcess);
+    }
+    void operator()(const OtherInstanceAnswered& /*aNone*/) const
+    {
+      probe_.End(EndpointCheck::OtherProcess);
     }
     void operator()(const ProcessStartNotTold& aAnswer) const
     {
@@ -148,6 +156,8 @@
   httpstream::Call call;
   call.bytes_ = httpstream::Serialize(codec_.MakeHealthRequest(
     question_.healthPath_, question_.endpoint_, question_.address_));
+  // A process that is full holds the question back; its report needs no slot.
+  question_.holdTime_ /= 2;
   call.firstByteTimeout_ = question_.holdTime_;
   call.gapTimeout_ = question_.holdTime_;
   connection_->Start(std::move(call), *this);
@@ -180,7 +190,7 @@
   } else if (!info.responderId_.empty() || info.isMisdirected_) {
     End(EndpointCheck::OtherProcess);
   } else {
-    // A full process rejects the question like any request.
+    // A process that is full rejects the question like any request.
     GoOnWith(Step::Report);
   }
 }
@@ -195,7 +205,11 @@
 {
   switch (aOutcome) {
     case httpstream::CallOutcome::TimedOut:
-      End(EndpointCheck::Open);
+      if (step_ == Step::Health) {
+        GoOnWith(Step::Report);
+      } else {
+        End(EndpointCheck::Open);
+      }
       break;
     case httpstream::CallOutcome::Malformed:
       End(EndpointCheck::Unnamed);
--- a/Libraries/LibGateway/LivenessProbe.h
+++ b/Libraries/LibGateway/LivenessProbe.h
@@ -21,8 +21,8 @@
   std::string address_;  ///< IP:PORT.
   /// How long a process that runs may take to accept a connection.
   base::Duration connectTimeout_{ 0 };
-  /// How long the connection is watched, or an answer awaited. The kernel of a
-  /// process that ends closes its connections one after the other, and the
+  /// How long the connection is watched, or answers are awaited. The kernel of
+  /// a process that ends closes its connections one after the other, and the
   /// listening socket may be the last; on a busy machine that takes a while.
   base::Duration holdTime_{ 0 };
   /// Start of the process that is looked for, as Unix time. 0: each start of
@@ -35,12 +35,13 @@
   std::string healthPath_{};
 };
 
-/// What a probe found, and in which answer; without one, status 0.
+/// What a probe found.
 struct LivenessAnswer
 {
   fleet::EndpointCheck check_ = fleet::EndpointCheck::Unreachable;
-  unsigned status_ = 0;
-  std::string answeredBy_{}; ///< Id; empty if the answer has none.
+  bool isReport_ = false;    ///< Of the endpoint's report, not of its health.
+  unsigned status_ = 0;      ///< That its health was last answered with.
+  std::string answeredBy_{}; ///< Id; empty if that answer has none.
 };
 
 /// Finds out whether the process at an address lives on, by connecting to it.
--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -13,15 +13,14 @@
 /// Largest report that is read. Endpoints list the runs that they have.
 constexpr std::uint64_t kMaxReportBytes = 256ULL * 1024;
 
-/// @return whether a status says that the endpoint can't answer now, or isn't
-///         there, rather than that it has no report.
+/// @return whether a status says that the endpoint can't answer now, rather
+///         than that it has no report.
 bool
-IsNoAnswer(unsigned aStatus)
+IsTemporary(unsigned aStatus)
 {
   constexpr unsigned kFirstServerError = 500;
   constexpr unsigned kNotImplemented = 501;
   return aStatus == httpstream::kStatusTooManyRequests ||
-         aStatus == httpstream::kStatusMisdirected ||
          (aStatus >= kFirstServerError && aStatus != kNotImplemented);
 }
 
@@ -81,7 +80,10 @@
   if (aOutcome != httpstream::CallOutcome::Complete) {
     return ProcessQueryFailed{ aOutcome };
   }
-  if (IsNoAnswer(status_)) {
+  if (status_ == httpstream::kStatusMisdirected) {
+    return OtherInstanceAnswered{};
+  }
+  if (IsTemporary(status_)) {
     return ProcessQueryFailed{ httpstream::CallOutcome::Malformed };
   }
   if (status_ == httpstream::kStatusOk) {
--- a/Libraries/LibGateway/ProcessQuery.h
+++ b/Libraries/LibGateway/ProcessQuery.h
@@ -21,14 +21,19 @@
 {
   bool hasReport_ = false; ///< It sent a report.
 };
+/// Another endpoint has the address.
+struct OtherInstanceAnswered
+{};
 /// There was no answer to read.
 struct ProcessQueryFailed
 {
   httpstream::CallOutcome outcome_ = httpstream::CallOutcome::Broken;
 };
 
-using ProcessAnswer =
-  std::variant<ProcessStart, ProcessStartNotTold, ProcessQueryFailed>;
+using ProcessAnswer = std::variant<ProcessStart,
+                                   ProcessStartNotTold,
+                                   OtherInstanceAnswered,
+                                   ProcessQueryFailed>;
 
 /// Asks an endpoint which process it is. A connection belongs to one process,
 /// so the answer holds for all that is sent on it afterwards. Must be used only
--- a/Tests/Platform/OrderlyEndTest.cpp
+++ b/Tests/Platform/OrderlyEndTest.cpp
@@ -172,6 +172,21 @@
   }
 }
 
+// Guards against the same where the question for their health waits for a slot.
+TEST_CASE_METHOD(OrderlyEndFixture,
+                 "OrderlyEnd_ProcessHasNoSlot_StreamIsComplete")
+{
+  AddRawServerWithoutStart(
+    "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Orderly)
+    .SetHealth(RawServer::Health::Waiting, RawServer::Health::Waiting);
+  Start();
+  for (const char* path : { "/stream/1", "/resumable/1" }) {
+    const auto call = Call(path);
+    CHECK(call->body_ == WholeStream());
+    CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+  }
+}
+
 // Guards against breaking off a whole stream because its endpoint says nothing
 // after its end: another one tells that there is no rest.
 TEST_CASE_METHOD(OrderlyEndFixture,
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -98,7 +98,8 @@
           FieldOf(aConnection->input_, kTargetInstanceField);
         const bool isMisdirected = !target.empty() && target != id_ &&
                                    (isHealth || rejectsMisdirectedReports_);
-        if (isHealth && health_ == Health::Silent) {
+        const bool isWaiting = isHealth && health_ == Health::Waiting;
+        if (isWaiting || health_ == Health::Silent) {
           unanswered_.push_back(aConnection);
           return;
         }
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -47,7 +47,8 @@
   {
     Named,   ///< That it is healthy, with its id.
     Refused, ///< That it is full, without its id.
-    Silent,  ///< Nothing.
+    Waiting, ///< Nothing, until it has a slot; its report needs none.
+    Silent,  ///< Nothing, nor with a report.
   };
 
   RawServer(boost::asio::io_context& aContext,
