LibGateway: Answer reads of a job only while no other host can own it

Cause: BatchJobHandler answered from each loaded copy without a look at the host's own lease.

A lease runs from the arrival of the call that granted or renewed it, so the moment before that call was sent plus its lifetime is a lower bound of its end by the host's own clock (the one that advances in a suspension). Jobs are taken over 1.2 s after the registration is gone. Until then no other host can have more results. HostLease now keeps that bound, and since when the registration has had no gap; after a gap the copy of the jobs' states must be younger than the next registration, as the lease alone doesn't show that the job was taken over meanwhile. If ownership isn't certain, the owner is read from the store, or 503 with a time to come back is answered while the store is away. What can't differ at another host (item bodies, jobs with all results, pages that end at their size limit) is answered in any case.

Entry hosts register for 30 s and kept that lease when they became owners, as only the preference of hosts decided; they change to the 3 s lease at once now. Otherwise the jobs of such a host would wait 30 s for a takeover.

Ruled out: to refuse whenever the store doesn't respond, as outages of a few seconds would refuse reads that are right; to ask peers, as those on the same side of a partition know no more.

Four tests are added: reads in a short outage are answered, what can't change is answered in a long one, a replaced owner that is back doesn't read former results, and one that wasn't replaced answers from memory again.

--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -37,6 +37,37 @@
 /// its maximum wait.
 constexpr std::chrono::milliseconds kForwardMargin{ 400 };
 
+/// @return the results of a response that begins at a position.
+std::span<const batch::ItemResult>
+PageAt(const batch::BatchJob& aJob, std::uint32_t aPosition)
+{
+  const std::size_t begin =
+    std::min<std::size_t>(aPosition, aJob.results_.size());
+  std::size_t end = begin;
+  std::size_t bytes = 0;
+  while (end < aJob.results_.size() &&
+         (end == begin ||
+          bytes + aJob.results_[end].output_.size() < kMaxResponseBytes)) {
+    bytes += aJob.results_[end].output_.size();
+    ++end;
+  }
+  return { aJob.results_.data() + begin, end - begin };
+}
+
+/// @return whether the response from a loaded job is that of every host that
+///         has loaded it: items never change, nor do results that are listed.
+bool
+IsSameAtAllHosts(const batch::BatchJob& aJob, const BatchJobCall& aCall)
+{
+  const auto* read = std::get_if<ReadResultsCall>(&aCall);
+  if (read == nullptr || aJob.results_.size() >= aJob.state_.itemCount_) {
+    return true;
+  }
+  const std::size_t next =
+    read->position_ + PageAt(aJob, read->position_).size();
+  return next < aJob.results_.size();
+}
+
 /// @return the ID of the job to read, or an empty string for any other call.
 std::string
 JobIdOfRead(const BatchJobCall& aCall)
@@ -65,6 +96,8 @@
                                  BatchJobLoader& aLoader,
                                  const batch::HostSet& aHosts,
                                  const metadata::StoreHealth& aHealth,
+                                 const metadata::HostLease& aLease,
+                                 const StoreMirrors& aMirrors,
                                  std::string aOwnName,
                                  PeerClients& aClients)
   : shared_(aShared)
@@ -73,6 +106,8 @@
   , loader_(aLoader)
   , hosts_(aHosts)
   , health_(aHealth)
+  , lease_(aLease)
+  , mirrors_(aMirrors)
   , ownName_(std::move(aOwnName))
   , clients_(aClients)
 {
@@ -108,7 +143,7 @@
     RespondRetryLater(*aExchange);
     return;
   }
-  RespondFromMemory(aExchange, *job, aCall, true);
+  RespondAsOwner(aExchange, *job, aCall);
 }
 
 void
@@ -192,7 +227,7 @@
             [this, aExchange, aJob, aCall](const batch::BatchJob& aFound) {
               const std::string& owner = aFound.state_.owner_;
               if (aFound.isLoaded_) {
-                RespondFromMemory(aExchange, aFound, aCall, true);
+                RespondAsOwner(aExchange, aFound, aCall);
                 return;
               }
               const auto address = hosts_.AddressOf(owner);
@@ -261,6 +296,61 @@
     });
 }
 
+bool
+BatchJobHandler::IsOwnershipCertain() const
+{
+  // Jobs are taken over some time after the end of their owner's registration.
+  const base::BootInstant now = base::BootNow();
+  if (now >= lease_.RegisteredUntil() + batch::HostSet::kTakeoverDelay) {
+    return false;
+  }
+  // While this host wasn't registered, others may have taken its jobs over.
+  const base::BootInstant since = lease_.RegisteredSince();
+  const auto age = mirrors_.AgeOf(StorePrefix::BatchJobs);
+  return since == base::BootInstant::min() || (age && now - *age >= since);
+}
+
+void
+BatchJobHandler::RespondAsOwner(const ExchangePtr& aExchange,
+                                const batch::BatchJob& aJob,
+                                const BatchJobCall& aCall)
+{
+  const bool isOwner = aJob.state_.owner_ == ownName_;
+  if (IsSameAtAllHosts(aJob, aCall) || (isOwner && IsOwnershipCertain())) {
+    RespondFromMemory(aExchange, aJob, aCall, true);
+  } else if (health_.IsLost()) {
+    base::Log(kOwnershipUncertain,
+              { { "lot", aJob.id_ },
+                { "results", aJob.results_.size() },
+                { "registration_left_ms",
+                  base::ToMs(lease_.RegisteredUntil() - base::BootNow()) } });
+    RespondRetryLater(*aExchange);
+  } else {
+    ConfirmOwner(aExchange, aJob.id_, aCall);
+  }
+}
+
+void
+BatchJobHandler::ConfirmOwner(const ExchangePtr& aExchange,
+                              const std::string& aJob,
+                              const BatchJobCall& aCall)
+{
+  loader_.ReadState(
+    aJob, [this, aExchange, aJob, aCall](metadata::StoreStatus aStatus) {
+      if (aStatus != metadata::StoreStatus::Ok) {
+        RespondRetryLater(*aExchange);
+        return;
+      }
+      onStateChanged_(aJob);
+      const batch::BatchJob* job = jobs_.Find(aJob);
+      if (job != nullptr && job->isLoaded_ && job->state_.owner_ == ownName_) {
+        RespondFromMemory(aExchange, *job, aCall, true);
+      } else {
+        ReadFromStore(aExchange, aJob, aCall);
+      }
+    });
+}
+
 void
 BatchJobHandler::RespondFromMemory(const ExchangePtr& aExchange,
                                    const batch::BatchJob& aJob,
@@ -313,18 +403,7 @@
                              const batch::BatchJob& aJob,
                              std::uint32_t aPosition) const
 {
-  const std::size_t begin =
-    std::min<std::size_t>(aPosition, aJob.results_.size());
-  std::size_t end = begin;
-  std::size_t bytes = 0;
-  while (end < aJob.results_.size() &&
-         (end == begin ||
-          bytes + aJob.results_[end].output_.size() < kMaxResponseBytes)) {
-    bytes += aJob.results_[end].output_.size();
-    ++end;
-  }
-  const std::span<const batch::ItemResult> page(aJob.results_.data() + begin,
-                                                end - begin);
+  const std::span<const batch::ItemResult> page = PageAt(aJob, aPosition);
   aExchange.Respond(httpstream::MakeResponse(
     httpstream::kStatusOk,
     shared_.codec_.WriteResults(aJob.state_.itemCount_, aPosition, page)));
@@ -388,7 +467,7 @@
   std::vector<WaitingRead> waiting;
   for (WaitingRead& waitingRead : found->second) {
     if (waitingRead.position_ < job->results_.size() || !job->IsOpen()) {
-      SendResults(*waitingRead.exchange_, *job, waitingRead.position_);
+      AnswerAsOwner(*job, waitingRead);
     } else {
       waiting.push_back(std::move(waitingRead));
     }
@@ -410,6 +489,16 @@
     ReadResultsCall{ aJob, aWaitingRead.position_, base::Duration::zero() });
 }
 
+void
+BatchJobHandler::AnswerAsOwner(const batch::BatchJob& aJob,
+                               const WaitingRead& aWaitingRead)
+{
+  RespondAsOwner(aWaitingRead.exchange_,
+                 aJob,
+                 ReadResultsCall{
+                   aJob.id_, aWaitingRead.position_, base::Duration::zero() });
+}
+
 void
 BatchJobHandler::Tick(base::Instant aNow)
 {
@@ -420,7 +509,7 @@
       if (isDone && job != nullptr && !job->isLoaded_) {
         AnswerFromStore(entry->first, aWaitingRead);
       } else if (isDone && job != nullptr) {
-        SendResults(*aWaitingRead.exchange_, *job, aWaitingRead.position_);
+        AnswerAsOwner(*job, aWaitingRead);
       } else if (isDone) {
         aWaitingRead.exchange_->Respond(
           shared_.codec_.MakeUnavailable(kRetryAfter));
--- a/Libraries/LibGateway/BatchJobHandler.h
+++ b/Libraries/LibGateway/BatchJobHandler.h
@@ -5,7 +5,9 @@
 #include "LibGateway/BatchJobLoader.h"
 #include "LibGateway/PeerClients.h"
 #include "LibGateway/SharedState.h"
+#include "LibGateway/StoreMirrors.h"
 #include "LibHttpStream/ServerConnection.h"
+#include "LibMetadata/HostLease.h"
 #include "LibMetadata/StoreClient.h"
 #include "LibMetadata/StoreHealth.h"
 
@@ -31,6 +33,8 @@
                   BatchJobLoader& aLoader,
                   const batch::HostSet& aHosts,
                   const metadata::StoreHealth& aHealth,
+                  const metadata::HostLease& aLease,
+                  const StoreMirrors& aMirrors,
                   std::string aOwnName,
                   PeerClients& aClients);
 
@@ -105,6 +109,23 @@
   /// Answers a read that has waited at this host.
   void AnswerFromStore(const std::string& aJob,
                        const WaitingRead& aWaitingRead);
+  /// Answers a read that has waited at this host, from a loaded job.
+  void AnswerAsOwner(const batch::BatchJob& aJob,
+                     const WaitingRead& aWaitingRead);
+
+  /// @return whether no other host can have taken this host's jobs over without
+  ///   this host knowing it.
+  [[nodiscard]] bool IsOwnershipCertain() const;
+
+  /// Responds from a loaded job if no other host can have a later copy of what
+  /// is asked for. Otherwise finds out whether this host still owns the job.
+  void RespondAsOwner(const ExchangePtr& aExchange,
+                      const batch::BatchJob& aJob,
+                      const BatchJobCall& aCall);
+  /// Reads the job's owner from the store before it responds.
+  void ConfirmOwner(const ExchangePtr& aExchange,
+                    const std::string& aJob,
+                    const BatchJobCall& aCall);
 
   /// Responds from a loaded job.
   /// @param aMayWait Whether to wait for a result that isn't available yet.
@@ -133,6 +154,8 @@
   BatchJobLoader& loader_;
   const batch::HostSet& hosts_;
   const metadata::StoreHealth& health_;
+  const metadata::HostLease& lease_;
+  const StoreMirrors& mirrors_;
   std::string ownName_;
   PeerClients& clients_; ///< HTTP clients for the other hosts.
   std::function<void(const std::string&)> onStateChanged_;
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -64,6 +64,9 @@
   /// @param aDone Called when every handover was committed or has failed.
   void HandOver(std::function<void()> aDone);
 
+  /// @return whether this host runs jobs.
+  [[nodiscard]] bool HasJobs() const { return !runningJobs_.empty(); }
+
   [[nodiscard]] std::size_t AttemptCount() const { return attempts_.size(); }
 
   /// @return the items that the last tick didn't start for a reason.
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -406,5 +406,12 @@
   base::LogLevel::Info,
   "A caller's connection was closed with a request, unread or unsent bytes."
 };
+inline constexpr base::Event kOwnershipUncertain{
+  7181,
+  "lot_owner_uncertain",
+  base::LogLevel::Info,
+  "A read of a batch job was refused, as this host can't reach the store and "
+  "its registration may have ended: another host may own the job by now."
+};
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -161,6 +161,8 @@
                      loader_,
                      hosts_,
                      health_,
+                     lease_,
+                     mirrors_,
                      OwnerId(),
                      peerClients_)
   , batchSubmissionHandler_(shared_,
--- a/Libraries/LibGateway/GatewayRegistration.cpp
+++ b/Libraries/LibGateway/GatewayRegistration.cpp
@@ -53,7 +53,7 @@
 bool
 Gateway::NeedsShortLease() const
 {
-  return hosts_.IsPreferred(settings_.batchPreference_) ||
+  return worker_.HasJobs() || hosts_.IsPreferred(settings_.batchPreference_) ||
          shared_.routes_.Organisations().AreDeclared();
 }
 
@@ -70,7 +70,8 @@
   if (!otherTermNeededSince_) {
     otherTermNeededSince_ = aNow;
   }
-  if (aNow - *otherTermNeededSince_ >= kLeaseTermDelay) {
+  // The jobs of a host that is lost wait until its registration ends.
+  if (worker_.HasJobs() || aNow - *otherTermNeededSince_ >= kLeaseTermDelay) {
     lease_.SetTerm(needed);
   }
 }
--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -2,6 +2,7 @@
 
 #include "LibMetadata/Events.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pumiceturn::metadata {
@@ -47,8 +48,9 @@
 HostLease::Grant()
 {
   const base::Instant madeAt = base::MonotonicNow();
+  const base::BootInstant until = base::BootNow() + options_.term_.lifetime_;
   const Term term = options_.term_;
-  const auto onResponse = [this, madeAt, term](LeaseResponse aResponse) {
+  const auto onResponse = [this, madeAt, until, term](LeaseResponse aResponse) {
     RecordCall(aResponse.status_, madeAt);
     if (isEnded_) {
       return;
@@ -59,6 +61,7 @@
     }
     lease_ = aResponse.lease_;
     leaseTerm_ = term;
+    leaseUntil_ = until;
     Register();
   };
   client_.GrantLease(term.lifetime_, lifetime_.Guard(onResponse));
@@ -67,6 +70,8 @@
 void
 HostLease::Register()
 {
+  // The write may take effect although its response is lost.
+  LimitRegistration(leaseUntil_);
   Transaction transaction;
   transaction.writes_.push_back({ options_.key_, options_.value_, lease_ });
   const auto onResponse = [this](const TransactionResponse& aResponse) {
@@ -81,9 +86,7 @@
       Schedule(kRetryPause, &HostLease::Register);
       return;
     }
-    isRegistered_ = true;
-    base::Log(kLeaseGranted, { { "lease", lease_ } });
-    onRegistered_();
+    OnRegistered();
     if (const auto replaced = std::exchange(replacedLease_, 0)) {
       client_.EndLease(replaced, [](LeaseResponse) {});
     }
@@ -92,6 +95,35 @@
   client_.Commit(transaction, lifetime_.Guard(onResponse));
 }
 
+void
+HostLease::OnRegistered()
+{
+  const base::BootInstant now = base::BootNow();
+  const bool hadEnded = !isRegistered_ || now >= registeredUntil_;
+  if (std::exchange(hasBeenRegistered_, true) && hadEnded) {
+    registeredSince_ = now;
+  }
+  isRegistered_ = true;
+  registeredUntil_ = leaseUntil_;
+  base::Log(kLeaseGranted, { { "lease", lease_ } });
+  onRegistered_();
+}
+
+void
+HostLease::RecordRenewal(base::BootInstant aMadeAt)
+{
+  leaseUntil_ = aMadeAt + leaseTerm_.lifetime_;
+  if (isRegistered_) {
+    registeredUntil_ = leaseUntil_;
+  }
+}
+
+void
+HostLease::LimitRegistration(base::BootInstant aUntil)
+{
+  registeredUntil_ = std::min(registeredUntil_, aUntil);
+}
+
 void
 HostLease::SetTerm(Term aTerm)
 {
@@ -121,18 +153,23 @@
     return;
   }
   const base::Instant madeAt = base::MonotonicNow();
-  const auto onResponse = [this, madeAt](LeaseResponse aResponse) {
+  const base::BootInstant sentAt = base::BootNow();
+  const auto onResponse = [this, madeAt, sentAt](LeaseResponse aResponse) {
     RecordCall(aResponse.status_, madeAt);
     if (isEnded_) {
       return;
     }
     if (aResponse.status_ == StoreStatus::NotFound) {
       isRegistered_ = false;
+      LimitRegistration(base::BootNow());
       base::Log(kLeaseLost, { { "lease", lease_ } });
       Grant();
       return;
     }
     const bool isOk = aResponse.status_ == StoreStatus::Ok;
+    if (isOk) {
+      RecordRenewal(sentAt);
+    }
     if (isOk && !isRegistered_) {
       Register();
       return;
@@ -154,6 +191,7 @@
   }
   // The next renewal shows whether the lease has ended too.
   isRegistered_ = false;
+  LimitRegistration(base::BootNow());
   base::Log(kLeaseLost, { { "lease", lease_ } });
 }
 
@@ -161,6 +199,7 @@
 HostLease::End(std::function<void()> aDone)
 {
   isEnded_ = true;
+  LimitRegistration(base::BootNow());
   timer_.Cancel();
   if (lease_ == 0) {
     aDone();
--- a/Libraries/LibMetadata/HostLease.h
+++ b/Libraries/LibMetadata/HostLease.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Lifetime.h"
 #include "LibBase/RestartableTimer.h"
+#include "LibBase/Time.h"
 #include "LibMetadata/StoreClient.h"
 #include "LibMetadata/StoreHealth.h"
 
@@ -70,6 +71,22 @@
   /// the next renewal.
   void OnKeyRemoved();
 
+  /// @return since when this host has been registered without a gap;
+  ///         BootInstant::min() for the first registration of the process, as
+  ///         nothing was assigned to it before.
+  [[nodiscard]] base::BootInstant RegisteredSince() const
+  {
+    return registeredSince_;
+  }
+
+  /// @return until when the registration lasts for certain, by this host's
+  ///         clock, unless it is renewed: a lease runs from the arrival of the
+  ///         call that granted or renewed it.
+  [[nodiscard]] base::BootInstant RegisteredUntil() const
+  {
+    return registeredUntil_;
+  }
+
   /// Ends the lease.
   /// @param aDone Called when the store has responded, or immediately if there
   ///        is no lease.
@@ -78,6 +95,10 @@
 private:
   void Grant();
   void Register();
+  void OnRegistered();
+  void RecordRenewal(base::BootInstant aMadeAt);
+  /// Records that the registration may end at a moment.
+  void LimitRegistration(base::BootInstant aUntil);
   void Renew();
   void ScheduleRenewal();
   void Schedule(base::Duration aPause, void (HostLease::*aStep)());
@@ -89,11 +110,15 @@
   std::function<void()> onRegistered_ = [] {};
   base::RestartableTimer timer_;
   std::uint64_t lease_ = 0;
-  Term leaseTerm_{}; ///< Term of lease_.
+  Term leaseTerm_{};                                        ///< Term of lease_.
+  base::BootInstant leaseUntil_ = base::BootInstant::min(); ///< Of lease_.
+  base::BootInstant registeredSince_ = base::BootInstant::min();
+  base::BootInstant registeredUntil_ = base::BootInstant::min();
   /// Lease with a former term, ended once the key is tied to the new one.
   std::uint64_t replacedLease_ = 0;
   bool isWaiting_ = false; ///< No call is in progress.
   bool isRegistered_ = false;
+  bool hasBeenRegistered_ = false;
   bool isEnded_ = false;
   base::Lifetime lifetime_;
 };
--- a/Tests/Platform/NumbersTest.cpp
+++ b/Tests/Platform/NumbersTest.cpp
@@ -347,6 +347,132 @@
   }
 }
 
+/// A job whose owner is cut off from the store after two of three results.
+class CutOffOwnerFixture : protected NumbersFixture
+{
+protected:
+  CutOffOwnerFixture()
+  {
+    for (const auto& server : servers_) {
+      server->Enqueue({ ServerScript::Kind::Stream, 0, 0 });
+      for (int attempt = 0; attempt < kManyAttempts; ++attempt) {
+        server->Enqueue({ ServerScript::Kind::Refuse, 0, 0 });
+      }
+    }
+  }
+
+  [[nodiscard]] TestHost& Owner()
+  {
+    return StoredOwner() == "entry/1" ? *entry_ : *other_;
+  }
+
+  void SetStore(StoreBehaviour aBehaviour)
+  {
+    for (const TestHost* host : { entry_, other_ }) {
+      store_.SetPortBehaviour(host->storePort_, aBehaviour);
+    }
+  }
+
+  void RunFor(base::Duration aTime)
+  {
+    const base::Instant end = base::MonotonicNow() + aTime;
+    RunUntil([end] { return base::MonotonicNow() >= end; });
+  }
+
+  /// Longer than a registration lasts and a takeover takes.
+  static constexpr std::chrono::seconds kLongOutage{ 6 };
+  static constexpr std::chrono::milliseconds kShortOutage{ 1500 };
+};
+
+// Guards against refused reads at a job's owner while the store is away for
+// less time than the owner's registration lasts.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreAwayBriefly_OwnerAnswersReads")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  const base::Instant end = base::MonotonicNow() + kShortOutage;
+  while (base::MonotonicNow() < end) {
+    REQUIRE(Results(owner)["next"] == 2);
+    RunFor(std::chrono::milliseconds{ 50 });
+  }
+}
+
+// Guards against refused reads of what no other host can have more of: a job
+// whose results are all listed, and the bodies of items.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreAwayForLong_OwnerAnswersWhatCannotChange")
+{
+  REQUIRE(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  RunFor(kLongOutage);
+  CHECK(Results(owner) == page);
+  CHECK(SendAndWait(owner, "GET", "/api/items/lot1?id=item-0")->status_ ==
+        httpstream::kStatusOk);
+}
+
+// Guards against fewer results than another host has already returned, at an
+// owner that was replaced while it was cut off, just after it is registered
+// again.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_ReplacedOwnerIsBack_FormerResultsAreNotRead")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  auto state = *batch::DecodeState(store_.Get(kStateKey));
+  state.owner_ = "elsewhere/1";
+  state.isFinished_ = true;
+  store_.Remove("pumiceturn/host/entry");
+  store_.Remove("pumiceturn/host/other");
+  store_.Put("pumiceturn/data/lot1/result/000002",
+             batch::EncodeResults(
+               { { "item-2", batch::ItemState::Completed, WholeOutput() } }));
+  store_.Put(kStateKey, batch::EncodeState(state));
+  RunFor(kLongOutage);
+  SetStore(StoreBehaviour::Serving);
+  std::size_t next = 0;
+  while (next != 3) {
+    const auto call = SendAndWait(owner, "GET", "/api/lots/lot1?after=0");
+    if (call->status_ != httpstream::kStatusUnavailable) {
+      REQUIRE(call->status_ == httpstream::kStatusOk);
+      next = json::parse(call->body_)["next"];
+      REQUIRE(next == 3);
+    }
+  }
+}
+
+// Guards against reads that stay refused after the store is back, at an owner
+// that nobody has replaced.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreBackAfterLong_OwnerAnswersReads")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  RunFor(kLongOutage);
+  CHECK(SendAndWait(owner, "GET", "/api/lots/lot1?after=0")->status_ ==
+        httpstream::kStatusUnavailable);
+  SetStore(StoreBehaviour::Serving);
+  RunUntil([&] { return Results(owner)["next"] == 2; });
+  // The answers come from memory again: the number of calls doesn't grow with
+  // the reads.
+  constexpr std::chrono::seconds kSettleTime{ 3 };
+  RunFor(kSettleTime);
+  constexpr std::size_t kReads = 200;
+  const std::size_t before = store_.CallCount();
+  for (std::size_t read = 0; read < kReads; ++read) {
+    REQUIRE(Results(owner)["next"] == 2);
+  }
+  CHECK(store_.CallCount() - before < kReads / 2);
+}
+
 /// Endpoints whose process can't be told for a while.
 class ProcessIdentityFixture : protected BatchJobsFixture
 {
