LibGateway: Pass on a job owner's answers only if they name its process

Cause: BatchJobHandler::Forward passed on each 200 and 404 from the address in the owner's registration, which lasts some seconds longer than its process.

The forwarding host now names the owner that it expects, HOST/INCARNATION, in `Job-Owner`. The owner repeats the name in its answers from memory, and rejects a call for another process with 421. An answer that doesn't name the owner isn't passed on; the store is read. CallResult has the head of the response for that.

Rolling upgrades: an older owner neither checks nor repeats the name, so a newer host reads the store for each read that it forwards there, after the owner's answer, and answers 503 while the store is away. An older forwarding host names nobody and gets the owner's answer as before, unchecked.

Ruled out: to ask for the process first, which costs a round trip for each read; to compare `total` alone, which doesn't show a 404 or the next process of the same host.

--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -68,6 +68,20 @@
   return next < aJob.results_.size();
 }
 
+/// HOST/INCARNATION of the process that should answer a forwarded call, which
+/// repeats it. Another process may have the address of a job's owner.
+const std::string kOwnerField = "Job-Owner";
+
+/// @return whether the owner of a job sent an answer to pass on to the caller.
+bool
+IsAnswerOf(const std::string& aOwner, const httpstream::CallResult& aResult)
+{
+  return aResult.outcome_ == httpstream::CallOutcome::Complete &&
+         (aResult.status_ == httpstream::kStatusOk ||
+          aResult.status_ == httpstream::kStatusNotFound) &&
+         httpstream::ValueOf(aResult.head_, kOwnerField) == aOwner;
+}
+
 /// @return the ID of the job to read, or an empty string for any other call.
 std::string
 JobIdOfRead(const BatchJobCall& aCall)
@@ -138,6 +152,13 @@
   const std::shared_ptr<httpstream::Exchange>& aExchange,
   const BatchJobCall& aCall)
 {
+  const std::string_view owner =
+    httpstream::ValueOf(aExchange->GetRequest(), kOwnerField);
+  if (!owner.empty() && owner != ownName_) {
+    aExchange->Respond(
+      httpstream::MakeResponse(httpstream::kStatusMisdirected, {}));
+    return;
+  }
   const batch::BatchJob* job = jobs_.Find(JobIdOfRead(aCall));
   if (job == nullptr || !job->isLoaded_) {
     RespondRetryLater(*aExchange);
@@ -232,7 +253,7 @@
               }
               const auto address = hosts_.AddressOf(owner);
               if (address && owner != ownName_) {
-                Forward(aExchange, aJob, *address, aCall);
+                Forward(aExchange, aFound, *address, aCall);
               } else {
                 ReadFromStore(aExchange, aJob, aCall);
               }
@@ -241,13 +262,13 @@
 
 void
 BatchJobHandler::Forward(const ExchangePtr& aExchange,
-                         const std::string& aJob,
+                         const batch::BatchJob& aJob,
                          const std::string& aAddress,
                          const BatchJobCall& aCall)
 {
   httpstream::HttpClient* client = clients_.FindOrCreate(aAddress);
   if (client == nullptr) {
-    ReadFromStore(aExchange, aJob, aCall);
+    ReadFromStore(aExchange, aJob.id_, aCall);
     return;
   }
   const httpstream::Request& original = aExchange->GetRequest();
@@ -256,21 +277,20 @@
   request.target(original.target());
   request.version(11);
   shared_.codec_.CopyForPeer(original, request);
+  const std::string& owner = aJob.state_.owner_;
+  request.set(kOwnerField, owner);
   const auto* read = std::get_if<ReadResultsCall>(&aCall);
   const base::Duration wait =
     read != nullptr ? read->maxWait_ : base ::Duration ::zero();
   client->Send(request,
                wait + kForwardMargin,
-               [this, aExchange, aJob, aCall](httpstream::CallResult aResult) {
-                 const bool hasResponse =
-                   aResult.outcome_ == httpstream::CallOutcome::Complete &&
-                   (aResult.status_ == httpstream::kStatusOk ||
-                    aResult.status_ == httpstream::kStatusNotFound);
-                 if (hasResponse) {
+               [this, aExchange, job = aJob.id_, owner, aCall](
+                 httpstream::CallResult aResult) {
+                 if (IsAnswerOf(owner, aResult)) {
                    aExchange->Respond(httpstream::MakeResponse(
                      aResult.status_, std::move(aResult.body_)));
                  } else {
-                   ReadFromStore(aExchange, aJob, aCall);
+                   ReadFromStore(aExchange, job, aCall);
                  }
                });
 }
@@ -383,19 +403,32 @@
 void
 BatchJobHandler::RespondItemBody(const ExchangePtr& aExchange,
                                  const batch::BatchJob& aJob,
-                                 const ReadItemBodyCall& aCall)
+                                 const ReadItemBodyCall& aCall) const
 {
   const auto item = std::find_if(
     aJob.items_->begin(), aJob.items_->end(), [&aCall](const auto& aItem) {
       return aItem.id_ == aCall.item_;
     });
   if (item == aJob.items_->end()) {
-    aExchange->Respond(
-      httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
+    RespondNamed(*aExchange,
+                 httpstream::MakeResponse(httpstream::kStatusNotFound, {}));
     return;
   }
-  aExchange->Respond(httpstream::MakeResponse(
-    httpstream::kStatusOk, item->body_, "application/octet-stream"));
+  RespondNamed(*aExchange,
+               httpstream::MakeResponse(httpstream::kStatusOk,
+                                        item->body_,
+                                        "application/octet-stream"));
+}
+
+void
+BatchJobHandler::RespondNamed(httpstream::Exchange& aExchange,
+                              httpstream::Response aResponse) const
+{
+  const httpstream::Request& request = aExchange.GetRequest();
+  if (httpstream::ValueOf(request, kOwnerField) == ownName_) {
+    aResponse.set(kOwnerField, ownName_);
+  }
+  aExchange.Respond(std::move(aResponse));
 }
 
 void
@@ -404,9 +437,11 @@
                              std::uint32_t aPosition) const
 {
   const std::span<const batch::ItemResult> page = PageAt(aJob, aPosition);
-  aExchange.Respond(httpstream::MakeResponse(
-    httpstream::kStatusOk,
-    shared_.codec_.WriteResults(aJob.state_.itemCount_, aPosition, page)));
+  RespondNamed(
+    aExchange,
+    httpstream::MakeResponse(
+      httpstream::kStatusOk,
+      shared_.codec_.WriteResults(aJob.state_.itemCount_, aPosition, page)));
 }
 
 void
--- a/Libraries/LibGateway/BatchJobHandler.h
+++ b/Libraries/LibGateway/BatchJobHandler.h
@@ -44,7 +44,8 @@
               const BatchJobCall& aCall,
               const OrganisationName& aCaller);
 
-  /// Handles a request forwarded by another host, from memory only.
+  /// Handles a request forwarded by another host, from memory only. Rejects it
+  /// if it is meant for another process.
   void HandleForwarded(const std::shared_ptr<httpstream::Exchange>& aExchange,
                        const BatchJobCall& aCall);
 
@@ -99,7 +100,7 @@
             const BatchJobCall& aCall,
             const OrganisationName& aCaller);
   void Forward(const ExchangePtr& aExchange,
-               const std::string& aJob,
+               const batch::BatchJob& aJob,
                const std::string& aAddress,
                const BatchJobCall& aCall);
   void ReadFromStore(const ExchangePtr& aExchange,
@@ -137,9 +138,12 @@
                       const batch::BatchJob& aJob,
                       const ReadResultsCall& aCall,
                       bool aMayWait);
-  static void RespondItemBody(const ExchangePtr& aExchange,
-                              const batch::BatchJob& aJob,
-                              const ReadItemBodyCall& aCall);
+  void RespondItemBody(const ExchangePtr& aExchange,
+                       const batch::BatchJob& aJob,
+                       const ReadItemBodyCall& aCall) const;
+  /// Sends a response from memory. Names this process if a peer asked for it.
+  void RespondNamed(httpstream::Exchange& aExchange,
+                    httpstream::Response aResponse) const;
   void RespondRetryLater(httpstream::Exchange& aExchange) const;
   void End(const std::shared_ptr<httpstream::Exchange>& aExchange,
            const batch::BatchJob& aJob,
--- a/Libraries/LibHttpStream/HttpClient.cpp
+++ b/Libraries/LibHttpStream/HttpClient.cpp
@@ -41,6 +41,7 @@
   void OnHead(const ResponseHead& aHead) override
   {
     result_.status_ = aHead.result_int();
+    result_.head_ = aHead;
   }
   void OnBody(std::string_view aBytes) override
   {
--- a/Libraries/LibHttpStream/HttpClient.h
+++ b/Libraries/LibHttpStream/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHttpStream/ConnectionPool.h"
+#include "LibHttpStream/Message.h"
 
 #include <functional>
 #include <memory>
@@ -15,6 +16,7 @@
   CallOutcome outcome_ = CallOutcome::NotConnected;
   unsigned status_ = 0;
   std::string body_;
+  ResponseHead head_{}; ///< Empty without a response.
 };
 
 /// Sends requests to one server over pooled connections and buffers each
--- a/Tests/Platform/NumbersTest.cpp
+++ b/Tests/Platform/NumbersTest.cpp
@@ -309,6 +309,44 @@
   CHECK(json::parse(call->body_) == page);
 }
 
+// Guards against reads that all go to the store, as the owner's answers aren't
+// taken for its own.
+TEST_CASE_METHOD(NumbersFixture,
+                 "Numbers_OwnerAnswersForwardedRead_StoreIsNotRead")
+{
+  StartWorker("worker");
+  AwaitWorkers();
+  REQUIRE(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  REQUIRE(StoredOwner() == "worker/1");
+  constexpr std::size_t kReads = 200;
+  const std::size_t before = store_.CallCount();
+  for (std::size_t read = 0; read < kReads; ++read) {
+    REQUIRE(Results(*entry_) == page);
+  }
+  CHECK(store_.CallCount() - before < kReads / 2);
+}
+
+// Guards against an answer of the process that follows a job's owner at its
+// address and under its name.
+TEST_CASE_METHOD(NumbersFixture, "Numbers_CallIsForFormerProcess_IsRejected")
+{
+  REQUIRE(Submit(*entry_, 2) == 202);
+  (void)WaitForAll(*entry_, 2);
+  const std::string owner = StoredOwner();
+  const TestHost& host = owner == "entry/1" ? *entry_ : *other_;
+  const auto readFor = [&](const std::string& aOwner) {
+    const auto call = Send(host.forwardPort_,
+                           "GET",
+                           "/api/lots/lot1?after=0",
+                           "Job-Owner: " + aOwner + "\r\n");
+    RunUntil([&call] { return call->HasEnded(); });
+    return call->status_;
+  };
+  CHECK(readFor(owner) == httpstream::kStatusOk);
+  CHECK(readFor(owner + "2") == httpstream::kStatusMisdirected);
+}
+
 // Guards against fewer results than another host has already returned, at an
 // owner that is cut off from the store for longer than its registration lasts.
 TEST_CASE_METHOD(NumbersFixture,
