LibGateway: Tell the processes of endpoints apart whose entry has no start

Cause: EndpointTable::LeadsToProcess took each start of such an endpoint to have another id, although its report told the start.

StartInquiry asks for the report when such an entry is first read, and the process that answers counts as the registered one. From then on connections are checked as with a start in the entry, and another start that is told keeps version-dependent requests away. If the entry stays for over 15 s beside another start, it is of that process; nothing else could end that, as such an entry doesn't change with its process. The check of an end that only the connection marks compares with the start that was told when the request was sent.

Endpoints that tell no start cost one report for each service, software version and host, and none for a connection: one endpoint of these is asked at a time, and once it tells none, no other one is asked.

Ruled out: to ask on an endpoint's first connection, as the next process may answer there already and there is nothing to compare with (the test never connects to the endpoint before its restart); to compare the start with the time at which the entry was read, as wall clocks may differ by seconds; to ask every endpoint, as most deployments have no starts at all.

Not seen: a restart between the entry and the report on it; an endpoint that tells a start although another one of its service and version doesn't.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -299,11 +299,25 @@
   void RecordProcess(const EndpointIncarnation& aEndpoint,
                      base::Instant aAskedAt);
 
+  /// Records which start an endpoint tells whose registration has none. Its
+  /// process counts as the registered one from then on.
+  /// @param aStartedAtMs When its process started, as Unix time.
+  /// @param aAskedAt When it was asked.
+  void RecordToldStart(const EndpointIncarnation& aEndpoint,
+                       std::int64_t aStartedAtMs,
+                       base::Instant aAskedAt);
+
+  /// @return the start of an endpoint's registered process, as Unix time in
+  ///         milliseconds: from its registration, or as the endpoint told it;
+  ///         0 if neither has one.
+  [[nodiscard]] std::int64_t StartOf(
+    const EndpointIncarnation& aEndpoint) const;
+
   /// Records that an endpoint said that its process isn't the registered one.
   /// A registration of the process that it named is accepted then, even if
   /// that started earlier by its clock. If the registration stays for
   /// longer than that of an ended process lasts, the endpoint's word isn't
-  /// used.
+  /// used; if the registration has no start, it is then of that process.
   /// @param aStartedAtMs When its process started, as Unix time.
   void RecordOtherProcess(const EndpointIncarnation& aEndpoint,
                           std::int64_t aStartedAtMs,
@@ -457,6 +471,8 @@
     std::optional<base::Instant> processAskedAt_;
     std::optional<base::Instant> otherProcessAt_; ///< Said not to be it.
     std::int64_t otherStartedAtMs_ = 0;           ///< Of that process.
+    /// As its process told, if the registration has none; 0: not told.
+    std::int64_t toldStartedAtMs_ = 0;
     /// When it first said so, without saying otherwise since.
     std::optional<base::Instant> contradictedSince_;
     /// When its word was last found to contradict a lasting registration.
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -37,6 +37,26 @@
   }
 }
 
+void
+EndpointTable::RecordToldStart(const EndpointIncarnation& aEndpoint,
+                               std::int64_t aStartedAtMs,
+                               base::Instant aAskedAt)
+{
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint != nullptr && aEndpoint.startedAtMs_ == 0) {
+    endpoint->toldStartedAtMs_ = aStartedAtMs;
+    RecordProcess(aEndpoint, aAskedAt);
+  }
+}
+
+std::int64_t
+EndpointTable::StartOf(const EndpointIncarnation& aEndpoint) const
+{
+  const Endpoint* endpoint = Find(aEndpoint);
+  const bool isTold = aEndpoint.startedAtMs_ == 0 && endpoint != nullptr;
+  return isTold ? endpoint->toldStartedAtMs_ : aEndpoint.startedAtMs_;
+}
+
 void
 EndpointTable::RecordOtherProcess(const EndpointIncarnation& aEndpoint,
                                   std::int64_t aStartedAtMs,
@@ -47,7 +67,11 @@
     endpoint->otherStartedAtMs_ = aStartedAtMs;
     endpoint->otherProcessAt_ = aNow;
     endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
-    if (aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_) {
+    const bool isLasting =
+      aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_;
+    if (isLasting && aEndpoint.startedAtMs_ == 0) {
+      RecordToldStart(aEndpoint, aStartedAtMs, aNow);
+    } else if (isLasting) {
       endpoint->otherProcessAt_.reset();
       endpoint->wordIgnoredAt_ = aNow;
     }
@@ -68,8 +92,8 @@
                               base::Instant aConnectedAt,
                               base::Instant aNow) const
 {
-  if (aEndpoint.startedAtMs_ == 0) {
-    // Each start of such an endpoint has another id.
+  if (StartOf(aEndpoint) == 0) {
+    // Each start of such an endpoint has another id, as far as is known.
     return true;
   }
   const Endpoint* endpoint = Find(aEndpoint);
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -142,6 +142,7 @@
 EndpointAttempt::SendCall()
 {
   EndpointCall call = request_.makeCall_();
+  processStartedAtMs_ = shared_.endpoints_.StartOf(endpoint_.Incarnation());
   sentAt_ = base::MonotonicNow();
   timeLimit_ = call.timeLimit_;
   connection_->Start(std::move(call.call_), *this);
@@ -172,7 +173,9 @@
 
     void operator()(const ProcessStart& aStart) const
     {
-      if (aStart.startedAtMs_ != attempt_.endpoint_.startedAtMs_) {
+      const std::int64_t registered =
+        attempt_.shared_.endpoints_.StartOf(attempt_.endpoint_.Incarnation());
+      if (aStart.startedAtMs_ != registered) {
         attempt_.OnOtherProcess(aStart.startedAtMs_);
         return;
       }
@@ -213,12 +216,13 @@
 EndpointAttempt::OnOtherProcess(std::int64_t aStartedAtMs)
 {
   hasMetOtherProcess_ = true;
-  base::Log(kEndpointChanged,
-            { { "endpoint", endpoint_.id_ },
-              { "state", "other_process" },
-              { "born_ms", endpoint_.startedAtMs_ },
-              { "told_born_ms", aStartedAtMs },
-              { "software", endpoint_.softwareVersion_ } });
+  base::Log(
+    kEndpointChanged,
+    { { "endpoint", endpoint_.id_ },
+      { "state", "other_process" },
+      { "born_ms", shared_.endpoints_.StartOf(endpoint_.Incarnation()) },
+      { "told_born_ms", aStartedAtMs },
+      { "software", endpoint_.softwareVersion_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_other_processes_met_total",
                 "Attempts that weren't sent, as another process than the "
@@ -447,15 +451,15 @@
   }
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
-  if (aOutcome != httpstream::CallOutcome::Complete) {
-    End(aOutcome);
-  } else if (MayBeCutByTimeLimit()) {
+  const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
+  if (isComplete && MayBeCutByTimeLimit()) {
     base::Log(kResponseEndedAtLimit,
               { { "endpoint", endpoint_.id_ },
                 { "limit_ms", base::ToMs(timeLimit_) },
                 { "ran_ms", base::ToMs(base::MonotonicNow() - sentAt_) } });
     End(httpstream::CallOutcome::Unconfirmed);
-  } else if (framing_ == httpstream::ResponseFraming::ConnectionEnd) {
+  } else if (isComplete &&
+             framing_ == httpstream::ResponseFraming::ConnectionEnd) {
     endedAt_ = base::MonotonicNow();
     CheckUnmarkedEnd();
   } else {
@@ -479,7 +483,7 @@
                   endpoint_.address_,
                   kEndCheckTimeout,
                   kEndCheckTimeout,
-                  endpoint_.startedAtMs_,
+                  processStartedAtMs_,
                   true,
                   shared_.routes_.HealthPathOf(endpoint_.service_) },
                 [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
@@ -500,7 +504,7 @@
   }
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
-              { "born_ms", endpoint_.startedAtMs_ },
+              { "born_ms", processStartedAtMs_ },
               { "left_ms", base::ToMs(sentAt_ + timeLimit_ - endedAt_) },
               { "check", NameOf(aAnswer.check_) },
               { "status", aAnswer.status_ },
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -140,6 +140,8 @@
   std::shared_ptr<httpstream::ClientConnection> connection_;
   std::unique_ptr<ProcessQuery> processQuery_;
   base::Instant processAskedAt_{};
+  /// Start of the process that got the request, as Unix time; 0: not known.
+  std::int64_t processStartedAtMs_ = 0;
   std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
   base::Instant endedAt_{}; ///< When an end that isn't marked was read.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -200,6 +200,7 @@
       { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
       settings_.drainBound_)
   , crashVerdictStore_(store_, layout_.refusedPrefix_, shared_.crashes_)
+  , startInquiry_(aContext.get_executor(), shared_)
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
   , callerListener_(aContext,
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -13,6 +13,7 @@
 #include "LibGateway/PeerClients.h"
 #include "LibGateway/PeerMessenger.h"
 #include "LibGateway/SharedState.h"
+#include "LibGateway/StartInquiry.h"
 #include "LibGateway/StoreMirrors.h"
 #include "LibGateway/StoreTransport.h"
 #include "LibGateway/StreamOrigins.h"
@@ -239,6 +240,7 @@
   AccessControl accessControl_;
   StreamOrigins streamOrigins_;
   CrashVerdictStore crashVerdictStore_;
+  StartInquiry startInquiry_;
   OnlineProxy::PreemptBatch preemptBatch_;
   httpstream::Listener callerListener_;
   httpstream::Listener statusListener_;
--- a/Libraries/LibGateway/GatewayMirrors.cpp
+++ b/Libraries/LibGateway/GatewayMirrors.cpp
@@ -197,6 +197,10 @@
   if (outcome != fleet::RegistrationOutcome::Outdated) {
     streamOrigins_.OnEndpoint(*record, now);
   }
+  if (outcome == fleet::RegistrationOutcome::New ||
+      outcome == fleet::RegistrationOutcome::Restarted) {
+    startInquiry_.OnEndpoint(*record);
+  }
   if (outcome == fleet::RegistrationOutcome::Restarted) {
     shared_.pool_.RemoveServer(id);
     base::Log(kEndpointChanged,
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -484,6 +484,47 @@
   CHECK_FALSE(table_.LeadsToProcess({ "one", 100 }, now_ + 51ms, now_ + 1s));
 }
 
+// Guards against taking the next process of an endpoint whose registration has
+// no start for the registered one, although reports tell the start.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_StartIsToldInReportOnly_LaterProcessIsNoticed")
+{
+  Add("nameless");
+  const EndpointIncarnation nameless{ "nameless", 0 };
+  CHECK(table_.StartOf(nameless) == 0);
+  table_.RecordToldStart(nameless, 100, now_);
+  CHECK(table_.StartOf(nameless) == 100);
+  CHECK(table_.LeadsToProcess(nameless, now_ + 50ms, now_ + 5s));
+  CHECK_FALSE(table_.LeadsToProcess(nameless, now_ + 51ms, now_ + 5s));
+  table_.RecordOtherProcess(nameless, 200, now_);
+  CHECK_FALSE(table_.LeadsToProcess(nameless, now_, now_));
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  CHECK(table_.Choose(request, now_, random_));
+  request.needsProcess_ = true;
+  CHECK_FALSE(table_.Choose(request, now_, random_));
+}
+
+// Guards against an endpoint that serves no streams after it started again, as
+// its registration can't show that it is of the next process.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_RegistrationWithoutStartLasts_IsOfNextProcess")
+{
+  Add("nameless");
+  const EndpointIncarnation nameless{ "nameless", 0 };
+  table_.RecordToldStart(nameless, 100, now_);
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.needsProcess_ = true;
+  const base::Instant firstAt = now_;
+  for (; now_ <= firstAt + 15s; now_ += 1500ms) {
+    table_.RecordOtherProcess(nameless, 200, now_);
+    CHECK_FALSE(table_.Choose(request, now_, random_));
+    CHECK(table_.StartOf(nameless) == 100);
+  }
+  table_.RecordOtherProcess(nameless, 200, now_);
+  CHECK(table_.Choose(request, now_, random_));
+  CHECK(table_.StartOf(nameless) == 200);
+}
+
 // Guards against a restart that isn't noticed as its start time is missing.
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_OtherSoftwareWithSameStart_HasRestarted")
--- a/Tests/Platform/NumbersTest.cpp
+++ b/Tests/Platform/NumbersTest.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pumiceturn::adapter {
 
@@ -595,6 +596,34 @@
   CHECK(WholeStream().starts_with(call->body_));
 }
 
+// Guards against a report for each connection to endpoints that tell no start
+// in their entries and reports.
+TEST_CASE_METHOD(ProcessIdentityFixture,
+                 "ProcessIdentity_NoStartIsTold_OneReportIsAskedFor")
+{
+  for (const auto& server : servers_) {
+    server->SetReportsStart(false);
+  }
+  std::vector<ServerStandin*> unnamed;
+  for (const std::string id : { "i-3", "i-4" }) {
+    unnamed.push_back(&AddServer(id));
+    unnamed.back()->SetReportsStart(false);
+    json entry = json::parse(unnamed.back()->Registration("service", "ready"));
+    entry.erase("born");
+    store_.Put("servers/" + id, entry.dump());
+  }
+  store_.Remove("servers/i-1");
+  store_.Remove("servers/i-2");
+  const std::size_t before = store_.CallCount();
+  RunUntil([&] { return store_.CallCount() > before + 12; });
+  constexpr int kStreams = 10;
+  for (int stream = 0; stream < kStreams; ++stream) {
+    // Its connection ends with it.
+    BeginStreamAt(*unnamed[stream % 2])->connection_->Cancel();
+  }
+  CHECK(unnamed[0]->ReportCount() + unnamed[1]->ReportCount() == 1);
+}
+
 /// An endpoint whose process ends within a report that has no length. The next
 /// process at its address has other software.
 class CutReportFixture : protected ProcessIdentityFixture
