--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -143,6 +143,7 @@
 EndpointAttempt::SendCall()
 {
   EndpointCall call = request_.makeCall_();
+  processStartedAtMs_ = shared_.endpoints_.StartOf(endpoint_.Incarnation());
   sentAt_ = base::BootNow();
   timeLimit_ = call.timeLimit_;
   connection_->Start(std::move(call.call_), *this);
@@ -173,7 +174,9 @@
 
     void operator()(const ProcessStart& aStart) const
     {
-      if (aStart.startedAtMs_ != attempt_.endpoint_.startedAtMs_) {
+      const std::int64_t registered =
+        attempt_.shared_.endpoints_.StartOf(attempt_.endpoint_.Incarnation());
+      if (aStart.startedAtMs_ != registered) {
         attempt_.OnOtherProcess(aStart.startedAtMs_);
         return;
       }
@@ -218,12 +221,13 @@
 EndpointAttempt::OnOtherProcess(std::int64_t aStartedAtMs)
 {
   hasMetOtherProcess_ = true;
-  base::Log(kEndpointChanged,
-            { { "endpoint", endpoint_.id_ },
-              { "state", "other_process" },
-              { "born_ms", endpoint_.startedAtMs_ },
-              { "told_born_ms", aStartedAtMs },
-              { "software", endpoint_.softwareVersion_ } });
+  base::Log(
+    kEndpointChanged,
+    { { "endpoint", endpoint_.id_ },
+      { "state", "other_process" },
+      { "born_ms", shared_.endpoints_.StartOf(endpoint_.Incarnation()) },
+      { "told_born_ms", aStartedAtMs },
+      { "software", endpoint_.softwareVersion_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_other_processes_met_total",
                 "Attempts that weren't sent, as another process than the "
@@ -453,17 +457,16 @@
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
   ranFor_ = base::BootNow() - sentAt_;
-  if (aOutcome != httpstream::CallOutcome::Complete) {
-    End(aOutcome);
-  } else if (IsWholeByHead()) {
-    End(aOutcome);
-  } else if (isSuccess_ && fleet::MayHavePassed(timeLimit_, ranFor_)) {
+  const bool isDoubtful =
+    aOutcome == httpstream::CallOutcome::Complete && !IsWholeByHead();
+  if (isDoubtful && isSuccess_ && fleet::MayHavePassed(timeLimit_, ranFor_)) {
     base::Log(kResponseEndedAtLimit,
               { { "endpoint", endpoint_.id_ },
                 { "limit_ms", base::ToMs(timeLimit_) },
                 { "ran_ms", base::ToMs(ranFor_) } });
     End(httpstream::CallOutcome::Unconfirmed);
-  } else if (framing_ == httpstream::ResponseFraming::ConnectionEnd) {
+  } else if (isDoubtful &&
+             framing_ == httpstream::ResponseFraming::ConnectionEnd) {
     endedAt_ = base::MonotonicNow();
     CheckUnmarkedEnd();
   } else {
@@ -489,7 +492,7 @@
       .address_ = endpoint_.address_,
       .connectTimeout_ = kEndCheckTimeout,
       .holdTime_ = kEndCheckTimeout,
-      .startedAtMs_ = endpoint_.startedAtMs_,
+      .startedAtMs_ = processStartedAtMs_,
       .mustNameItself_ = true,
       .healthPath_ = shared_.routes_.HealthPathOf(endpoint_.service_) },
     [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
@@ -503,8 +506,7 @@
 EndpointAttempt::OnEndChecked(const LivenessAnswer& aAnswer)
 {
   // Where starts are told, the process is known only if it was asked before.
-  const bool isSenderKnown =
-    endpoint_.startedAtMs_ == 0 || request_.needsProcess_;
+  const bool isSenderKnown = processStartedAtMs_ == 0 || request_.needsProcess_;
   const fleet::UnmarkedEnd end =
     fleet::Judge(aAnswer.check_,
                  isSenderKnown ? fleet::Sender::Known : fleet::Sender::Unknown);
@@ -515,7 +517,7 @@
   }
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
-              { "born_ms", endpoint_.startedAtMs_ },
+              { "born_ms", processStartedAtMs_ },
               { "left_ms", base::ToMs(timeLimit_ - ranFor_) },
               { "check", NameOf(aAnswer.check_) },
               { "asked_for", aAnswer.isReport_ ? "report" : "health" },
--- a/Tests/Platform/NumbersTest.cpp
+++ b/Tests/Platform/NumbersTest.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pumiceturn::adapter {
 
@@ -309,6 +310,44 @@
   CHECK(json::parse(call->body_) == page);
 }
 
+// Guards against reads that all go to the store, as the owner's answers aren't
+// taken for its own.
+TEST_CASE_METHOD(NumbersFixture,
+                 "Numbers_OwnerAnswersForwardedRead_StoreIsNotRead")
+{
+  StartWorker("worker");
+  AwaitWorkers();
+  REQUIRE(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  REQUIRE(StoredOwner() == "worker/1");
+  constexpr std::size_t kReads = 200;
+  const std::size_t before = store_.CallCount();
+  for (std::size_t read = 0; read < kReads; ++read) {
+    REQUIRE(Results(*entry_) == page);
+  }
+  CHECK(store_.CallCount() - before < kReads / 2);
+}
+
+// Guards against an answer of the process that follows a job's owner at its
+// address and under its name.
+TEST_CASE_METHOD(NumbersFixture, "Numbers_CallIsForFormerProcess_IsRejected")
+{
+  REQUIRE(Submit(*entry_, 2) == 202);
+  (void)WaitForAll(*entry_, 2);
+  const std::string owner = StoredOwner();
+  const TestHost& host = owner == "entry/1" ? *entry_ : *other_;
+  const auto readFor = [&](const std::string& aOwner) {
+    const auto call = Send(host.forwardPort_,
+                           "GET",
+                           "/api/lots/lot1?after=0",
+                           "Job-Owner: " + aOwner + "\r\n");
+    RunUntil([&call] { return call->HasEnded(); });
+    return call->status_;
+  };
+  CHECK(readFor(owner) == httpstream::kStatusOk);
+  CHECK(readFor(owner + "2") == httpstream::kStatusMisdirected);
+}
+
 // Guards against fewer results than another host has already returned, at an
 // owner that is cut off from the store for longer than its registration lasts.
 TEST_CASE_METHOD(NumbersFixture,
@@ -347,6 +386,132 @@
   }
 }
 
+/// A job whose owner is cut off from the store after two of three results.
+class CutOffOwnerFixture : protected NumbersFixture
+{
+protected:
+  CutOffOwnerFixture()
+  {
+    for (const auto& server : servers_) {
+      server->Enqueue({ ServerScript::Kind::Stream, 0, 0 });
+      for (int attempt = 0; attempt < kManyAttempts; ++attempt) {
+        server->Enqueue({ ServerScript::Kind::Refuse, 0, 0 });
+      }
+    }
+  }
+
+  [[nodiscard]] TestHost& Owner()
+  {
+    return StoredOwner() == "entry/1" ? *entry_ : *other_;
+  }
+
+  void SetStore(StoreBehaviour aBehaviour)
+  {
+    for (const TestHost* host : { entry_, other_ }) {
+      store_.SetPortBehaviour(host->storePort_, aBehaviour);
+    }
+  }
+
+  void RunFor(base::Duration aTime)
+  {
+    const base::Instant end = base::MonotonicNow() + aTime;
+    RunUntil([end] { return base::MonotonicNow() >= end; });
+  }
+
+  /// Longer than a registration lasts and a takeover takes.
+  static constexpr std::chrono::seconds kLongOutage{ 6 };
+  static constexpr std::chrono::milliseconds kShortOutage{ 1500 };
+};
+
+// Guards against refused reads at a job's owner while the store is away for
+// less time than the owner's registration lasts.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreAwayBriefly_OwnerAnswersReads")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  const base::Instant end = base::MonotonicNow() + kShortOutage;
+  while (base::MonotonicNow() < end) {
+    REQUIRE(Results(owner)["next"] == 2);
+    RunFor(std::chrono::milliseconds{ 50 });
+  }
+}
+
+// Guards against refused reads of what no other host can have more of: a job
+// whose results are all listed, and the bodies of items.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreAwayForLong_OwnerAnswersWhatCannotChange")
+{
+  REQUIRE(Submit(*entry_, 2) == 202);
+  const json page = WaitForAll(*entry_, 2);
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  RunFor(kLongOutage);
+  CHECK(Results(owner) == page);
+  CHECK(SendAndWait(owner, "GET", "/api/items/lot1?id=item-0")->status_ ==
+        httpstream::kStatusOk);
+}
+
+// Guards against fewer results than another host has already returned, at an
+// owner that was replaced while it was cut off, just after it is registered
+// again.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_ReplacedOwnerIsBack_FormerResultsAreNotRead")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  auto state = *batch::DecodeState(store_.Get(kStateKey));
+  state.owner_ = "elsewhere/1";
+  state.isFinished_ = true;
+  store_.Remove("pumiceturn/host/entry");
+  store_.Remove("pumiceturn/host/other");
+  store_.Put("pumiceturn/data/lot1/result/000002",
+             batch::EncodeResults(
+               { { "item-2", batch::ItemState::Completed, WholeOutput() } }));
+  store_.Put(kStateKey, batch::EncodeState(state));
+  RunFor(kLongOutage);
+  SetStore(StoreBehaviour::Serving);
+  std::size_t next = 0;
+  while (next != 3) {
+    const auto call = SendAndWait(owner, "GET", "/api/lots/lot1?after=0");
+    if (call->status_ != httpstream::kStatusUnavailable) {
+      REQUIRE(call->status_ == httpstream::kStatusOk);
+      next = json::parse(call->body_)["next"];
+      REQUIRE(next == 3);
+    }
+  }
+}
+
+// Guards against reads that stay refused after the store is back, at an owner
+// that nobody has replaced.
+TEST_CASE_METHOD(CutOffOwnerFixture,
+                 "Numbers_StoreBackAfterLong_OwnerAnswersReads")
+{
+  REQUIRE(Submit(*entry_, 3) == 202);
+  RunUntil([this] { return Results(*entry_)["next"] == 2; });
+  TestHost& owner = Owner();
+  SetStore(StoreBehaviour::Refusing);
+  RunFor(kLongOutage);
+  CHECK(SendAndWait(owner, "GET", "/api/lots/lot1?after=0")->status_ ==
+        httpstream::kStatusUnavailable);
+  SetStore(StoreBehaviour::Serving);
+  RunUntil([&] { return Results(owner)["next"] == 2; });
+  // The answers come from memory again: the number of calls doesn't grow with
+  // the reads.
+  constexpr std::chrono::seconds kSettleTime{ 3 };
+  RunFor(kSettleTime);
+  constexpr std::size_t kReads = 200;
+  const std::size_t before = store_.CallCount();
+  for (std::size_t read = 0; read < kReads; ++read) {
+    REQUIRE(Results(owner)["next"] == 2);
+  }
+  CHECK(store_.CallCount() - before < kReads / 2);
+}
+
 /// Endpoints whose process can't be told for a while.
 class ProcessIdentityFixture : protected BatchJobsFixture
 {
@@ -431,6 +596,34 @@
   CHECK(WholeStream().starts_with(call->body_));
 }
 
+// Guards against a report for each connection to endpoints that tell no start
+// in their entries and reports.
+TEST_CASE_METHOD(ProcessIdentityFixture,
+                 "ProcessIdentity_NoStartIsTold_OneReportIsAskedFor")
+{
+  for (const auto& server : servers_) {
+    server->SetReportsStart(false);
+  }
+  std::vector<ServerStandin*> unnamed;
+  for (const std::string id : { "i-3", "i-4" }) {
+    unnamed.push_back(&AddServer(id));
+    unnamed.back()->SetReportsStart(false);
+    json entry = json::parse(unnamed.back()->Registration("service", "ready"));
+    entry.erase("born");
+    store_.Put("servers/" + id, entry.dump());
+  }
+  store_.Remove("servers/i-1");
+  store_.Remove("servers/i-2");
+  const std::size_t before = store_.CallCount();
+  RunUntil([&] { return store_.CallCount() > before + 12; });
+  constexpr int kStreams = 10;
+  for (int stream = 0; stream < kStreams; ++stream) {
+    // Its connection ends with it.
+    BeginStreamAt(*unnamed[stream % 2])->connection_->Cancel();
+  }
+  CHECK(unnamed[0]->ReportCount() + unnamed[1]->ReportCount() == 1);
+}
+
 /// An endpoint whose process ends within a report that has no length. The next
 /// process at its address has other software.
 class CutReportFixture : protected ProcessIdentityFixture
