Tests: Let the order soak's servers do what the platform's protocol says

The soak's servers named themselves in every response, answered for their health without a slot and echoed an id that they hadn't got, none of which the protocol says, so faults that need the contrary couldn't show. They no longer do, they say 504 at their limit before the first event, mark changes of weights, cut chunks inside events, and may leave out a single byte of one.

New options: servers that close idle or surplus connections, end connections after whole responses, fail with 500, pause for up to 4 s, leave without a report and end their streams before they exit, lose their entries or get a former process's; callers that keep connections, send prompts and leave silent streams; jobs whose items have the same ids.

--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -23,7 +23,6 @@
 #include <deque>
 #include <exception>
 #include <iostream>
-#include <limits>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -34,7 +33,12 @@
 #include <utility>
 #include <vector>
 
+#include <poll.h>
+#include <pthread.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
 
 // A model server for the soak of ORDER: a process of its own, so that the
 // kernel ends its connections when it is killed. Draws from a seed how each
@@ -60,6 +64,18 @@
 constexpr int kSilentOneIn =
   3; ///< Of those that don't answer for their health.
 
+constexpr int kKeepAliveOneIn = 2;
+constexpr int kWeightChangeOneIn = 30; ///< Of events.
+
+/// Bounds of the time that a first event or a preempted run takes.
+constexpr int kMinWaitMs = 100;
+constexpr int kMaxFirstWaitMs = 1000;
+constexpr int kMaxPreemptionMs = 4000;
+
+/// Upper bound of the time from the end of the streams of a server that stops
+/// to the end of its process.
+constexpr int kMaxExitMs = 200;
+
 /// How often a waiting request is checked for its caller and its deadline.
 constexpr milliseconds kQueueInterval{ 20 };
 
@@ -79,6 +95,17 @@
   /// Time from its start for which it refuses to answer for its health, or
   /// says nothing.
   milliseconds earlyHealthTime_{ 0 };
+  /// Responses to requests without an id are sent once more, too.
+  bool repeatsUnnamed_ = false;
+  int idleSeconds_ = 0;    ///< After which connections are closed; 0: never.
+  int maxConnections_ = 0; ///< Others are reset; 0: no limit.
+  /// One response in this many is the last of its connection although its
+  /// framing marks its end; 0: none.
+  int closeOneIn_ = 0;
+  int errorOneIn_ = 0; ///< One request in this many gets 500; 0: none.
+  /// One event in this many comes after a long pause, as the run is read again
+  /// from the start, and one first event in as many comes late; 0: none.
+  int pauseOneIn_ = 0;
 };
 
 ServerOptions
@@ -100,6 +127,14 @@
   add("early-health-ms",
       "Time for which it doesn't say that it is healthy",
       cxxopts::value<int>());
+  add("repeats-unnamed",
+      "Whether responses without a request's id are repeated",
+      cxxopts::value<bool>());
+  add("idle-s", "Seconds", cxxopts::value<int>());
+  add("max-connections", "Of all callers", cxxopts::value<int>());
+  add("close-one-in", "Responses", cxxopts::value<int>());
+  add("error-one-in", "Requests", cxxopts::value<int>());
+  add("pause-one-in", "Events", cxxopts::value<int>());
   const auto parsed = options.parse(aCount, aArguments);
   const auto address =
     gateway::ParseAddress(parsed["address"].as<std::string>());
@@ -115,7 +150,13 @@
            parsed["start"].as<std::int64_t>(),
            parsed["fault-one-in"].as<int>(),
            parsed["names-start"].as<bool>(),
-           milliseconds(parsed["early-health-ms"].as<int>()) };
+           milliseconds(parsed["early-health-ms"].as<int>()),
+           parsed["repeats-unnamed"].as<bool>(),
+           parsed["idle-s"].as<int>(),
+           parsed["max-connections"].as<int>(),
+           parsed["close-one-in"].as<int>(),
+           parsed["error-one-in"].as<int>(),
+           parsed["pause-one-in"].as<int>() };
 }
 
 /// The slots of a server and the requests that wait for one, which are admitted
@@ -233,12 +274,31 @@
   [[noreturn]] void Accept()
   {
     while (true) {
-      std::thread([this, socket = acceptor_.accept()]() mutable {
+      tcp::socket accepted = acceptor_.accept();
+      if (options_.maxConnections_ > 0 &&
+          connections_ >= options_.maxConnections_) {
+        accepted.set_option(asio::socket_base::linger(true, 0));
+        continue;
+      }
+      ++connections_;
+      std::thread([this, socket = std::move(accepted)]() mutable {
         Serve(std::move(socket));
+        --connections_;
       }).detach();
     }
   }
 
+  /// From now on says that it isn't healthy, and closes its connections.
+  void Leave() { isLeaving_ = true; }
+
+  /// Ends all responses in order after an event, and then the process.
+  [[noreturn]] void Stop()
+  {
+    isStopping_ = true;
+    Pause(Draw(0, kMaxExitMs));
+    ::_exit(0);
+  }
+
 private:
   int Draw(int aMin, int aMax)
   {
@@ -256,6 +316,9 @@
     try {
       bool isKept = true;
       while (isKept) {
+        if (input.empty() && !WaitForRequest(aSocket)) {
+          return;
+        }
         const httpstream::Request request = ReadRequest(aSocket, input);
         if (!late.empty()) {
           Write(aSocket, std::exchange(late, {}));
@@ -267,6 +330,16 @@
     }
   }
 
+  /// @return false if nothing came for as long as connections may be idle.
+  [[nodiscard]] bool WaitForRequest(tcp::socket& aSocket) const
+  {
+    constexpr int kMsPerSecond = 1000;
+    const int timeoutMs =
+      options_.idleSeconds_ > 0 ? options_.idleSeconds_ * kMsPerSecond : -1;
+    pollfd socket{ aSocket.native_handle(), POLLIN, 0 };
+    return ::poll(&socket, 1, timeoutMs) != 0;
+  }
+
   httpstream::Request ReadRequest(tcp::socket& aSocket, std::string& aInput)
   {
     constexpr std::size_t kBlockBytes = 8192;
@@ -288,18 +361,20 @@
     return parser.release();
   }
 
-  /// @return the head of a response.
+  /// @return the head of a response. Only one to a question for its health
+  ///         names the server.
   std::string Head(const httpstream::Request& aRequest,
-                   std::string_view aStatus) const
+                   std::string_view aStatus)
   {
     std::string head =
-      fmt::format("HTTP/1.1 {}\r\n{}: {}\r\n{}: {}\r\nServer-Seal: {}\r\n",
-                  aStatus,
-                  kRequestIdField,
-                  httpstream::ValueOf(aRequest, kRequestIdField),
-                  kInstanceIdField,
-                  options_.id_,
-                  options_.id_);
+      fmt::format("HTTP/1.1 {}\r\nServer-Seal: {}\r\n", aStatus, options_.id_);
+    if (const auto id = httpstream::ValueOf(aRequest, kRequestIdField);
+        !id.empty()) {
+      head += fmt::format("{}: {}\r\n", kRequestIdField, id);
+    }
+    if (options_.idleSeconds_ > 0 && DrawOneIn(kKeepAliveOneIn)) {
+      head += fmt::format("Keep-Alive: timeout={}\r\n", options_.idleSeconds_);
+    }
     if (options_.places_ > 0) {
       const SlotQueue::Load load = queue_.CurrentLoad();
       head += fmt::format("{}: {},{},{}\r\n",
@@ -311,6 +386,38 @@
     return head;
   }
 
+  /// @return whether a response is the last one of its connection.
+  bool DrawLast()
+  {
+    return isLeaving_ ||
+           (options_.closeOneIn_ > 0 && DrawOneIn(options_.closeOneIn_));
+  }
+
+  /// Sends a response that isn't a stream.
+  /// @param aFields Complete lines.
+  /// @return whether the connection is kept.
+  bool Respond(tcp::socket& aSocket,
+               const httpstream::Request& aRequest,
+               std::string_view aStatus,
+               std::string_view aFields,
+               std::string_view aBody,
+               std::string& aLate)
+  {
+    const bool isLast = DrawLast();
+    std::string response = fmt::format("{}{}{}Content-Length: {}\r\n\r\n{}",
+                                       Head(aRequest, aStatus),
+                                       aFields,
+                                       isLast ? "Connection: close\r\n" : "",
+                                       aBody.size(),
+                                       aBody);
+    Write(aSocket, response);
+    const bool hasId = !httpstream::ValueOf(aRequest, kRequestIdField).empty();
+    if ((hasId || options_.repeatsUnnamed_) && HasFault()) {
+      aLate = std::move(response);
+    }
+    return !isLast;
+  }
+
   void Write(tcp::socket& aSocket, std::string aBytes)
   {
     if (aBytes.size() > 1 && DrawOneIn(kCutOneIn)) {
@@ -329,39 +436,25 @@
               const httpstream::Request& aRequest,
               std::string& aLate)
   {
-    const bool isHealth = httpstream::TargetOf(aRequest) == kHealthPath;
-    if (isHealth && IsEarly()) {
-      RefuseHealth(aSocket);
-      return true;
-    }
+    const std::string notRun = fmt::format("{}: 1\r\n", kNotRunField);
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
-    const bool isMisdirected = !target.empty() && target != options_.id_;
-    if (!isMisdirected && isHealth) {
-      Write(aSocket, Head(aRequest, "200 OK") + "Content-Length: 0\r\n\r\n");
-      return true;
+    if (!target.empty() && target != options_.id_) {
+      return Respond(aSocket, aRequest, "421 Misdirected", notRun, {}, aLate);
     }
-    if (!isMisdirected && httpstream::TargetOf(aRequest) == kReportPath) {
-      const std::string report =
-        options_.namesStart_
-          ? fmt::format("{{\"born\":{}}}", options_.startedAtMs_)
-          : "{}";
-      Write(
-        aSocket,
-        Head(aRequest, "200 OK") +
-          fmt::format("Content-Length: {}\r\n\r\n{}", report.size(), report));
-      return true;
+    if (httpstream::TargetOf(aRequest) == kReportPath) {
+      return Report(aSocket, aRequest, aLate);
     }
-    const auto arrival = Clock::now();
-    if (isMisdirected || !EnterQueue(aSocket, aRequest)) {
-      Write(
-        aSocket,
-        Head(aRequest, isMisdirected ? "421 Misdirected" : "503 Unavailable") +
-          fmt::format("{}: 1\r\nContent-Length: 0\r\n\r\n", kNotRunField));
-      return true;
+    const bool isHealth = httpstream::TargetOf(aRequest) == kHealthPath;
+    if (isHealth && IsEarly() && DrawOneIn(kSilentOneIn)) {
+      Pause(static_cast<int>(options_.earlyHealthTime_.count()));
+    }
+    const auto limit = Clock::now() + LimitOf(aRequest);
+    if ((isHealth && IsEarly()) || !EnterQueue(aSocket, limit)) {
+      return Respond(aSocket, aRequest, "503 Unavailable", notRun, {}, aLate);
     }
     try {
-      const bool isKept =
-        Stream(aSocket, aRequest, arrival + LimitOf(aRequest), aLate);
+      const bool isKept = isHealth ? AnswerHealth(aSocket, aRequest, aLate)
+                                   : Run(aSocket, aRequest, limit, aLate);
       queue_.Leave();
       return isKept;
     } catch (const boost::system::system_error&) {
@@ -370,29 +463,64 @@
     }
   }
 
-  [[nodiscard]] bool IsEarly() const
+  bool AnswerHealth(tcp::socket& aSocket,
+                    const httpstream::Request& aRequest,
+                    std::string& aLate)
   {
-    return Clock::now() - startedAt_ < options_.earlyHealthTime_;
+    return Respond(aSocket,
+                   aRequest,
+                   isLeaving_ ? "503 Unavailable" : "200 OK",
+                   fmt::format("{}: {}\r\n", kInstanceIdField, options_.id_),
+                   {},
+                   aLate);
   }
 
-  /// Doesn't say who it is, as a server that is full or starts.
-  void RefuseHealth(tcp::socket& aSocket)
+  bool Report(tcp::socket& aSocket,
+              const httpstream::Request& aRequest,
+              std::string& aLate)
   {
-    if (DrawOneIn(kSilentOneIn)) {
-      Pause(static_cast<int>(options_.earlyHealthTime_.count()));
+    const std::string report =
+      options_.namesStart_
+        ? fmt::format("{{\"born\":{}}}", options_.startedAtMs_)
+        : "{}";
+    return Respond(aSocket, aRequest, "200 OK", {}, report, aLate);
+  }
+
+  /// Runs a request that has a slot.
+  bool Run(tcp::socket& aSocket,
+           const httpstream::Request& aRequest,
+           Clock::time_point aLimit,
+           std::string& aLate)
+  {
+    if (options_.errorOneIn_ > 0 && DrawOneIn(options_.errorOneIn_)) {
+      return Respond(aSocket, aRequest, "500 Failed", {}, "failed", aLate);
+    }
+    const int waitMs =
+      DrawPause() ? Draw(kMinWaitMs, kMaxFirstWaitMs) : Draw(2, 40);
+    if (!PauseWithin(aLimit, waitMs)) {
+      return Respond(aSocket, aRequest, "504 Too late", {}, {}, aLate);
     }
-    Write(aSocket,
-          fmt::format("HTTP/1.1 503 Unavailable\r\n{}: 1\r\n"
-                      "Content-Length: 0\r\n\r\n",
-                      kNotRunField));
+    return Stream(aSocket, aRequest, aLimit, aLate);
+  }
+
+  /// @return whether a run makes a long pause.
+  bool DrawPause()
+  {
+    return options_.pauseOneIn_ > 0 && DrawOneIn(options_.pauseOneIn_);
+  }
+
+  [[nodiscard]] bool IsEarly() const
+  {
+    return Clock::now() - startedAt_ < options_.earlyHealthTime_;
   }
 
   /// @return how long the server may work on a request.
   static milliseconds LimitOf(const httpstream::Request& aRequest)
   {
+    constexpr int kNoLimitMs = 3600 * 1000;
     return milliseconds(
       base::ParseNumber<int>(httpstream::ValueOf(aRequest, kDeadlineField))
-        .value_or(std::numeric_limits<int>::max()));
+        .value_or(kNoLimitMs));
   }
 
   /// Pauses until a limit at the latest.
@@ -405,11 +533,11 @@
   }
 
   /// @return whether the request has a slot.
-  bool EnterQueue(tcp::socket& aSocket, const httpstream::Request& aRequest)
+  bool EnterQueue(tcp::socket& aSocket, Clock::time_point aLimit)
   {
-    const auto limit = Clock::now() + LimitOf(aRequest);
-    return queue_.Enter(
-      [&aSocket, limit] { return Clock::now() < limit && !IsClosed(aSocket); });
+    return queue_.Enter([&aSocket, aLimit] {
+      return Clock::now() < aLimit && !IsClosed(aSocket);
+    });
   }
 
   bool HasFault()
@@ -426,7 +554,8 @@
     }
     // Inside the event, also where a comment comes before it.
     const auto bytes = static_cast<int>(aNextBytes.size());
-    const auto part = static_cast<std::size_t>(Draw(bytes / 2, bytes - 2));
+    const int least = aNextBytes.starts_with(':') ? bytes / 2 : 1;
+    const auto part = static_cast<std::size_t>(Draw(least, bytes - 1));
     Write(aSocket, std::string(aNextBytes.substr(0, part)));
     if (aFault == Fault::Reset) {
       aSocket.set_option(asio::socket_base::linger(true, 0));
@@ -455,25 +584,29 @@
     for (std::uint64_t number = after + 1; number <= sequence.count_;
          ++number) {
       std::string text = DrawOneIn(kCommentOneIn) ? ": comment\n\n" : "";
+      if (DrawOneIn(kWeightChangeOneIn)) {
+        text += fmt::format("weight-versions: {}\n", number);
+      }
       text += TextOf(sequence, number, run);
       bytes += text.size();
       events.push_back(std::move(text));
     }
     const auto framing = static_cast<Framing>(Draw(0, 2));
-    std::string head =
-      Head(aRequest, "200 OK") + "Content-Type: text/event-stream\r\n";
+    const bool isLast = framing == Framing::ConnectionEnd || DrawLast();
+    std::string head = Head(aRequest, "200 OK") +
+                       "Content-Type: text/event-stream\r\n"
+                       "Weight-Versions: 1\r\n";
     if (framing == Framing::Length) {
       head += fmt::format("Content-Length: {}\r\n", bytes);
     } else if (framing == Framing::Chunked) {
       head += "Transfer-Encoding: chunked\r\n";
-    } else {
+    }
+    if (isLast) {
       head += "Connection: close\r\n";
     }
-    Pause(Draw(2, 40));
     std::string sent = head + "\r\n";
     Write(aSocket, sent);
-    if (!SendEvents(aSocket, events, framing, aLimit, sent) ||
-        framing == Framing::ConnectionEnd) {
+    if (!SendEvents(aSocket, events, framing, aLimit, sent) || isLast) {
       return false;
     }
     if (HasFault()) {
@@ -507,6 +640,16 @@
     aSocket.close();
   }
 
+  /// @return events in one chunk or two, which may end inside an event.
+  std::string MakeChunks(std::string_view aText)
+  {
+    const auto cut =
+      static_cast<std::size_t>(Draw(1, static_cast<int>(aText.size()) - 1));
+    return DrawOneIn(kCutOneIn) ? httpstream::MakeChunk(aText.substr(0, cut)) +
+                                    httpstream::MakeChunk(aText.substr(cut))
+                                : httpstream::MakeChunk(aText);
+  }
+
   /// @return whether the response was sent whole.
   bool SendEvents(tcp::socket& aSocket,
                   std::span<const std::string> aEvents,
@@ -534,13 +677,20 @@
       }
       aEvents = aEvents.subspan(count);
       if (aFraming == Framing::Chunked) {
-        text = httpstream::MakeChunk(text);
+        text = MakeChunks(text);
       }
       aSent += text;
       Write(aSocket, text);
-      const int pauseMs =
-        DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50);
-      if (!PauseWithin(aLimit, pauseMs) && !aEvents.empty()) {
+      int pauseMs = DrawOneIn(kLongPauseOneIn) ? Draw(100, 500) : Draw(2, 50);
+      if (DrawPause()) {
+        pauseMs = Draw(kMinWaitMs, kMaxPreemptionMs);
+      }
+      const bool isInTime = PauseWithin(aLimit, pauseMs);
+      if (isStopping_ && !aEvents.empty()) {
+        aSocket.close();
+        return false;
+      }
+      if (!isInTime && !aEvents.empty()) {
         StopAtLimit(aSocket, aFraming);
         return false;
       }
@@ -559,13 +709,37 @@
   std::mt19937 random_; ///< Guarded by mutex_.
   SlotQueue queue_;
   std::atomic<std::uint64_t> runs_ = 0; ///< Since the start of the process.
+  std::atomic<int> connections_ = 0;
+  std::atomic<bool> isLeaving_ = false;
+  std::atomic<bool> isStopping_ = false;
 };
 
+/// @return the signals that a server waits for: SIGUSR1, from which it leaves,
+///         and SIGTERM, at which it stops.
+sigset_t
+BlockSignals()
+{
+  sigset_t signals{};
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGUSR1);
+  ::sigaddset(&signals, SIGTERM);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
 void
 Run(int aCount, char** aArguments)
 {
+  const sigset_t signals = BlockSignals();
   asio::io_context context;
   OrderServer server(context, ParseOptions(aCount, aArguments));
+  std::thread([&server, &signals] {
+    int signal = 0;
+    while (::sigwait(&signals, &signal) == 0 && signal != SIGTERM) {
+      server.Leave();
+    }
+    server.Stop();
+  }).detach();
   server.Accept();
 }
 
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -29,6 +29,13 @@
 constexpr const char* kSingleRoute = "archive";
 constexpr const char* kOtherRoute = "other";
 constexpr int kTimeoutMs = 5000;
+constexpr int kMaxServerConnections = 40;
+constexpr int kMaxIdleSeconds = 3;
+constexpr int kCloseOneIn = 12; ///< Of responses.
+constexpr int kGapObjectiveMs = 200;
+constexpr milliseconds kCallerPatience{ 2000 };
+constexpr int kMaxEntryDelayMs = 3000;
+constexpr int kMaxHeartbeatMs = 1000;
 constexpr int kMinLimitMs = 120;
 constexpr int kMaxLimitMs = 900;
 
@@ -36,6 +43,7 @@
 /// healthy.
 constexpr int kEarlyHealthMs = 1500;
 constexpr unsigned kOk = 200;
+constexpr std::size_t kQuotedBytes = 60; ///< Of a body, in a violation.
 
 /// Time without faults at the start, so that the fleet is complete.
 constexpr std::chrono::seconds kCalmTime{ 3 };
@@ -53,6 +61,17 @@
 /// Upper bound of the time from a worker's loss of data to its start.
 constexpr int kMaxWipeMs = 2000;
 
+/// The drain time of the hosts' settings, and for how much longer a server may
+/// serve.
+constexpr milliseconds kDrainTime{ 2000 };
+constexpr int kMaxLongerMs = 2000;
+
+/// Time from a server's stop in order until its process must have ended.
+constexpr milliseconds kStopTime{ 500 };
+
+/// Upper bound of the time for which a live server has no entry.
+constexpr int kMaxLostEntryMs = 2000;
+
 /// Upper bound of the time for which the entry of a dead server stands.
 constexpr int kMaxEntryTimeMs = 3600;
 
@@ -80,6 +99,11 @@
     }
   }
   CancelJobCalls();
+  for (const auto& [address, connections] : idleConnections_) {
+    for (const auto& connection : connections) {
+      connection->Cancel();
+    }
+  }
 }
 
 void
@@ -95,6 +119,12 @@
   json single = MakeTestRoute(kSingleRoute, "stream");
   single["maxAttempts"] = 1;
   single["timeoutMs"] = options_.routeTimeoutMs_;
+  if (options_.hasPrompts_) {
+    for (json* route : { &resumable, &single }) {
+      (*route)["sticky"] = true;
+      (*route)["gapSloMs"] = kGapObjectiveMs;
+    }
+  }
   json batch = MakeTestRoute("lots", "batch");
   batch["maxAttempts"] = 3;
   json configuration{
@@ -112,9 +142,11 @@
     services.emplace_back(kOtherService);
   }
   for (const std::string& service : services) {
-    configuration["services"].push_back({ { "name", service },
-                                          { "maxConns", 500 },
-                                          { "healthPath", "/health" } });
+    configuration["services"].push_back(
+      { { "name", service },
+        { "maxConns",
+          options_.closesConnections_ ? kMaxServerConnections : 500 },
+        { "healthPath", "/health" } });
   }
   store_.Put("op/config", configuration.dump());
 }
@@ -168,14 +200,27 @@
       fmt::format("--start={}", aServer.startedAtMs_),
       fmt::format("--fault-one-in={}", options_.badResponseOneIn_),
       fmt::format("--names-start={}", !options_.hasNewIds_),
-      fmt::format("--early-health-ms={}", earlyHealthMs) },
+      fmt::format("--early-health-ms={}", earlyHealthMs),
+      fmt::format("--repeats-unnamed={}", options_.repeatsUnnamed_),
+      fmt::format("--idle-s={}",
+                  options_.closesConnections_ ? Draw(1, kMaxIdleSeconds).count()
+                                              : 0),
+      fmt::format("--max-connections={}",
+                  options_.closesConnections_ ? kMaxServerConnections : 0),
+      fmt::format("--close-one-in={}",
+                  options_.closesConnections_ ? kCloseOneIn : 0),
+      fmt::format("--error-one-in={}", options_.errorOneIn_),
+      fmt::format("--pause-one-in={}", options_.pauseOneIn_) },
     {});
   aServer.isReady_ = true;
+  aServer.isLeaving_ = false;
+  aServer.hasEntry_ = true;
   // An entry may be written late.
   RunAfter(Draw(0, static_cast<int>(options_.maxRegistrationDelay_.count())),
            [this, id = aServer.id_, startedAtMs = aServer.startedAtMs_] {
              const Server* server = FindServer(id);
-             if (server != nullptr && server->startedAtMs_ == startedAtMs) {
+             if (server != nullptr && server->startedAtMs_ == startedAtMs &&
+                 server->hasEntry_) {
                Register(*server, server->isReady_ ? "ready" : "draining");
              }
            });
@@ -259,6 +304,30 @@
       StartAgain(*server);
     }
   });
+  if (options_.delaysEntries_ && DrawOneIn(2)) {
+    RunAfter(
+      Draw(0, kMaxEntryDelayMs),
+      [this, id = aServer.id_, entry = store_.Get("servers/" + aServer.id_)] {
+        DelayEntry(id, entry);
+      });
+  }
+}
+
+void
+OrderSoakFixture::DelayEntry(const std::string& aId, const std::string& aEntry)
+{
+  const Server* server = FindServer(aId);
+  if (server == nullptr || !server->hasEntry_ || aEntry.empty()) {
+    return;
+  }
+  ++counts_.lateEntries_;
+  store_.Put("servers/" + aId, aEntry);
+  RunAfter(Draw(1, kMaxHeartbeatMs), [this, aId] {
+    const Server* present = FindServer(aId);
+    if (present != nullptr && present->hasEntry_ && present->isReady_) {
+      Register(*present, "ready");
+    }
+  });
 }
 
 void
@@ -275,6 +344,68 @@
   StartServer(aServer);
 }
 
+void
+OrderSoakFixture::Drain(Server& aServer)
+{
+  const bool isReady = std::exchange(aServer.isReady_, false);
+  const std::string id = aServer.id_;
+  if (!options_.exitsInOrder_ || !isReady) {
+    Register(aServer, "draining");
+    RunAfter(milliseconds(2500), [this, id] { EndServer(id); });
+    return;
+  }
+  aServer.isLeaving_ = true;
+  aServer.process_->Signal(SIGUSR1);
+  if (DrawOneIn(3)) {
+    aServer.hasEntry_ = false;
+    store_.Remove("servers/" + id);
+  } else {
+    Register(aServer, "draining");
+  }
+  RunAfter(kDrainTime + Draw(0, kMaxLongerMs), [this, id] { StopServer(id); });
+}
+
+void
+OrderSoakFixture::StopServer(const std::string& aId)
+{
+  const Server* server = FindServer(aId);
+  if (server == nullptr || !server->isLeaving_) {
+    EndServer(aId);
+    return;
+  }
+  ++counts_.orderlyExits_;
+  server->process_->Signal(SIGCONT);
+  server->process_->Signal(SIGTERM);
+  RunAfter(kStopTime, [this, aId] { EndServer(aId); });
+}
+
+void
+OrderSoakFixture::LoseEntry()
+{
+  Server& server = *servers_[static_cast<std::size_t>(
+    Draw(0, static_cast<int>(servers_.size()) - 1).count())];
+  const std::string key = "servers/" + server.id_;
+  if (!server.isReady_ || store_.Get(key).empty()) {
+    return;
+  }
+  ++counts_.lostEntries_;
+  server.hasEntry_ = false;
+  if (DrawOneIn(2)) {
+    store_.Remove(key);
+  } else {
+    store_.Put(key, DrawOneIn(2) ? R"({"service":7})" : "{");
+  }
+  RunAfter(Draw(100, kMaxLostEntryMs),
+           [this, id = server.id_, startedAtMs = server.startedAtMs_] {
+             Server* returned = FindServer(id);
+             if (returned != nullptr && returned->startedAtMs_ == startedAtMs &&
+                 returned->isReady_) {
+               returned->hasEntry_ = true;
+               Register(*returned, "ready");
+             }
+           });
+}
+
 void
 OrderSoakFixture::EndServer(const std::string& aId)
 {
@@ -324,12 +455,8 @@
       if (servers_.size() <= kServers) {
         return;
       }
-      Server& oldest = *servers_.front();
-      oldest.isReady_ = false;
-      Register(oldest, "draining");
-      const std::string id = oldest.id_;
+      Drain(*servers_.front());
       std::rotate(servers_.begin(), servers_.begin() + 1, servers_.end());
-      RunAfter(milliseconds(2500), [this, id] { EndServer(id); });
     });
   }
 }
@@ -435,6 +562,9 @@
   if (options_.losesStoreAnswers_) {
     moreFaults_.push_back(&OrderSoakFixture::LoseStoreAnswers);
   }
+  if (options_.losesEntries_) {
+    moreFaults_.push_back(&OrderSoakFixture::LoseEntry);
+  }
 }
 
 void
@@ -511,6 +641,30 @@
                 aBody);
 }
 
+std::unique_ptr<CallerCall>
+OrderSoakFixture::SendTry(const Host& aHost,
+                          const std::string& aTarget,
+                          const std::string& aFields)
+{
+  auto& idle = idleConnections_[aHost.process_->Settings().ip_];
+  while (!idle.empty()) {
+    auto call = std::make_unique<CallerCall>();
+    call->connection_ = std::move(idle.back());
+    idle.pop_back();
+    if (call->connection_->IsIdleAndOpen()) {
+      ++counts_.reusedConnections_;
+      httpstream::Call sentCall;
+      sentCall.bytes_ = fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n{}"
+                                    "Content-Length: 0\r\n\r\n",
+                                    aTarget,
+                                    aFields);
+      call->connection_->Start(std::move(sentCall), *call);
+      return call;
+    }
+  }
+  return SendToHost(aHost, "POST", aTarget, aFields);
+}
+
 void
 OrderSoakFixture::AddCaller()
 {
@@ -535,14 +689,28 @@
 {
   Host& host = DrawEntryHost();
   const OrderStream& stream = aCaller.stream_;
+  aCaller.seenBytes_ = 0;
+  aCaller.progressAt_ = Clock::now();
   ++aCaller.tries_;
   aCaller.tryId_ = fmt::format("t{}", nextTry_++);
   aCaller.triedAt_ = host.process_->Settings().name_;
-  const auto limitMs = options_.hasShortLimits_
-                         ? Draw(kMinLimitMs, kMaxLimitMs).count()
-                         : kTimeoutMs;
+  aCaller.address_ = host.process_->Settings().ip_;
+  const bool hasShortLimit =
+    options_.shortLimitOneIn_ > 0 && DrawOneIn(options_.shortLimitOneIn_);
+  const auto limitMs =
+    hasShortLimit ? Draw(kMinLimitMs, kMaxLimitMs).count() : kTimeoutMs;
   std::string fields = fmt::format(
     "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, limitMs);
+  if (options_.hasPrompts_) {
+    // Streams of a tenth share the first part of their prompt.
+    fields +=
+      fmt::format("Model: m\r\nToken-Counts: 60,{}\r\n"
+                  "Prompt-Prefix: a{}:40,{:x}:20\r\n",
+                  stream.Sequence().count_,
+                  std::hash<std::string>()(stream.Sequence().name_) % 10,
+                  std::hash<std::string>()(stream.Sequence().name_));
+    fields += DrawOneIn(5) ? "Connection: close\r\n" : "";
+  }
   if (stream.LastEvent() > 0) {
     fields += fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n",
                           stream.LastEvent(),
@@ -553,13 +721,12 @@
       IsRouted(stream.Software()) && CountReady(stream.Software()) >= 2;
     counts_.owed_ += aCaller.isOwed_ ? 1 : 0;
   }
-  aCaller.call_ = SendToHost(host,
-                             "POST",
-                             fmt::format("/{}/{}.{}",
-                                         aCaller.route_,
-                                         stream.Sequence().name_,
-                                         stream.Sequence().count_),
-                             fields);
+  aCaller.call_ = SendTry(host,
+                          fmt::format("/{}/{}.{}",
+                                      aCaller.route_,
+                                      stream.Sequence().name_,
+                                      stream.Sequence().count_),
+                          fields);
 }
 
 void
@@ -595,6 +762,9 @@
                                         before);
   const bool isComplete = call->outcome_ == httpstream::CallOutcome::Complete;
   const bool isStream = call->status_ == kOk;
+  if (options_.keepsConnections_ && call->connection_->IsReusable()) {
+    idleConnections_[aCaller.address_].push_back(call->connection_);
+  }
   if (isStream) {
     if (const auto fault = stream.Add(call->body_)) {
       AddFault(*fault, where);
@@ -602,7 +772,12 @@
       return;
     }
     if (isComplete && !stream.IsWhole()) {
-      AddFault(OrderFault::EndsEarly, where);
+      AddFault(OrderFault::EndsEarly,
+               fmt::format("{}, ends with \"{}\"",
+                           where,
+                           call->body_.substr(
+                             call->body_.size() -
+                             std::min(call->body_.size(), kQuotedBytes))));
     }
   }
   const bool hasAdvanced = stream.LastEvent() > before;
@@ -623,6 +798,17 @@
     Clock::now() + (DrawOneIn(2) ? Draw(0, 30) : Draw(30, 700));
 }
 
+bool
+OrderSoakFixture::GivesUp(Caller& aCaller) const
+{
+  if (aCaller.call_->body_.size() != aCaller.seenBytes_) {
+    aCaller.seenBytes_ = aCaller.call_->body_.size();
+    aCaller.progressAt_ = Clock::now();
+  }
+  return options_.hasPrompts_ && !aCaller.isSlow_ &&
+         Clock::now() - aCaller.progressAt_ > kCallerPatience;
+}
+
 void
 OrderSoakFixture::Step()
 {
@@ -637,6 +823,10 @@
   for (const auto& caller : callers_) {
     if (caller->call_ && caller->call_->HasEnded()) {
       EndTry(*caller);
+    } else if (caller->call_ && GivesUp(*caller)) {
+      ++counts_.givenUp_;
+      caller->call_->connection_->Cancel();
+      EndTry(*caller);
     } else if (!caller->call_ && !caller->hasEnded_ &&
                Clock::now() >= caller->nextTryAt_) {
       Try(*caller);
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -55,18 +55,41 @@
     /// One response in this many of a server is broken off or spoiled, and as
     /// many are sent again before the next one; 0: none.
     int badResponseOneIn_ = 0;
+    /// Responses to requests without an id, which are reports and health
+    /// answers, are sent again, too.
+    bool repeatsUnnamed_ = false;
     std::size_t workers_ = 2;
     bool wipesWorkers_ = false; ///< One at a time loses its data.
     /// Mean time between two faults, in steps of the event loop.
     int stepsPerFault_ = 120;
-    /// Callers' time limits are drawn and mostly shorter than their streams.
-    bool hasShortLimits_ = false;
+    /// One caller in this many has a time limit that is drawn and mostly
+    /// shorter than its stream; 0: none.
+    int shortLimitOneIn_ = 0;
     int routeTimeoutMs_ = 5000; ///< Of all routes but that of jobs.
     /// Servers that start again have another id, and nothing names their start.
     bool hasNewIds_ = false;
     /// Servers that are killed start again within 5 to 150 ms, and don't say
     /// for a time that they are healthy.
     bool startsAgainAtOnce_ = false;
+    /// Servers close idle connections after 1 to 3 s, name that time at times,
+    /// end connections after some whole responses, and reset those beyond
+    /// their limit.
+    bool closesConnections_ = false;
+    int errorOneIn_ = 0; ///< Requests that a server answers with 500; 0: none.
+    /// One event in this many comes after a long pause; 0: none.
+    int pauseOneIn_ = 0;
+    /// Servers that leave end their streams in order before they exit, and
+    /// some don't report that they drain.
+    bool exitsInOrder_ = false;
+    bool losesEntries_ = false;  ///< Of servers that live; they return.
+    bool sharesItemIds_ = false; ///< The items of all jobs have the same ids.
+    bool keepsConnections_ = false; ///< Callers send several requests on one.
+    /// Requests name their model, tokens and prompt, on routes for such ones,
+    /// and some end their connection; callers leave silent streams.
+    bool hasPrompts_ = false;
+    /// A write of a killed server's process may reach the store after its next
+    /// process has registered.
+    bool delaysEntries_ = false;
   };
 
   /// Starts the hosts and applies load and faults for aTime.
@@ -95,6 +118,11 @@
     int hangUps_ = 0;
     int wipes_ = 0;
     int reuses_ = 0; ///< Of addresses.
+    int orderlyExits_ = 0;
+    int lostEntries_ = 0;
+    int reusedConnections_ = 0; ///< Of callers.
+    int givenUp_ = 0;           ///< Tries that their callers left.
+    int lateEntries_ = 0;
     int jobsEnded_ = 0;
     int jobsReadAgain_ = 0;
     /// Reads that got fewer results than an earlier one, which is allowed for a
@@ -113,6 +141,8 @@
     std::string address_;
     std::int64_t startedAtMs_ = 0; ///< Unix time; later at each start.
     bool isReady_ = true;          ///< Registered as ready, and running.
+    bool isLeaving_ = false;       ///< It drains, and exits later.
+    bool hasEntry_ = true;         ///< To be registered.
     std::unique_ptr<ChildProcess> process_;
 
     [[nodiscard]] std::string Software() const
@@ -131,6 +161,9 @@
     std::string beganAs_{}; ///< Id of the try that brought the first event.
     std::string tryId_{};
     std::string triedAt_{}; ///< Host of the current try.
+    std::string address_{}; ///< Of that host.
+    std::size_t seenBytes_ = 0;
+    Clock::time_point progressAt_{}; ///< When a byte of the try came last.
     int tries_ = 0;
     bool isOwed_ = false; ///< The current try is a resumption that must go on.
     bool hasEnded_ = false;
@@ -153,6 +186,7 @@
   struct Job
   {
     std::string id_;
+    std::string itemPrefix_;             ///< Of the ids of its items.
     std::array<JobClient, 2> clients_{}; ///< The second one is optional.
     bool isAccepted_ = false;
     std::vector<std::string> outputs_{}; ///< By position, as first read.
@@ -177,10 +211,19 @@
   void Register(const Server& aServer, std::string_view aState);
   /// Kills a server; another process takes over its id and address later.
   void KillServer(Server& aServer);
+  /// Writes the entry of a server's former process once more, until the next
+  /// write of its present one.
+  void DelayEntry(const std::string& aId, const std::string& aEntry);
   /// Starts a server again that was killed.
   void StartAgain(Server& aServer);
   /// Gives a server that isn't running another software version.
   void ChangeSoftware(Server& aServer);
+  /// Lets a server drain, and end after that.
+  void Drain(Server& aServer);
+  /// Ends a server that has drained.
+  void StopServer(const std::string& aId);
+  /// Lets a server's entry expire, or another writer spoil it, for a time.
+  void LoseEntry();
   /// Removes a server for good.
   void EndServer(const std::string& aId);
   /// Kills a server for good. Another one of its service starts elsewhere, and
@@ -205,6 +248,8 @@
   void Step();
   void AddCaller();
   void Try(Caller& aCaller);
+  /// @return whether a caller leaves its try, as nothing has come for long.
+  [[nodiscard]] bool GivesUp(Caller& aCaller) const;
   void EndTry(Caller& aCaller);
   void AddJob();
   [[nodiscard]] bool IsDone(const Job& aJob) const;
@@ -239,6 +284,11 @@
     const std::string& aTarget,
     const std::string& aFields,
     const std::string& aBody = {});
+  /// Sends a try on a connection to the host that earlier calls have left
+  /// open, if there is one.
+  [[nodiscard]] std::unique_ptr<CallerCall> SendTry(const Host& aHost,
+                                                    const std::string& aTarget,
+                                                    const std::string& aFields);
 
   std::vector<std::unique_ptr<Server>> servers_;
   /// Of the service that takes the addresses of servers that are gone.
@@ -248,6 +298,10 @@
   std::vector<std::unique_ptr<Job>> doneJobs_; ///< To be read again.
   RunCounts counts_;
   RunOptions options_;
+  /// Callers' connections that can carry another request, by host's address.
+  std::map<std::string,
+           std::vector<std::shared_ptr<httpstream::ClientConnection>>>
+    idleConnections_;
   std::string network_;
   std::optional<boost::asio::ip::tcp::acceptor> reservation_;
   std::vector<std::string> routed_; ///< Services of resumable streams.
--- a/Tests/PlatformSoak/OrderSoakJobs.cpp
+++ b/Tests/PlatformSoak/OrderSoakJobs.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::size_t kItems = 4;
+constexpr std::string_view kSharedPrefix = "item";
 constexpr int kItemEvents = 30;
 constexpr unsigned kAccepted = 202;
 
@@ -60,7 +61,9 @@
 void
 OrderSoakFixture::AddJob()
 {
-  auto job = std::make_unique<Job>(Job{ fmt::format("job{}", nextStream_++) });
+  const std::string id = fmt::format("job{}", nextStream_++);
+  auto job = std::make_unique<Job>(
+    Job{ id, options_.sharesItemIds_ ? std::string(kSharedPrefix) : id });
   if (options_.readsJobsAgain_ && DrawOneIn(3)) {
     job->endAt_ = Clock::now() + Draw(0, kMaxJobTimeMs);
   }
@@ -151,7 +154,7 @@
   json items = json::array();
   for (std::size_t item = 0; item < kItems; ++item) {
     const std::string name = fmt::format("{}-{}", aJob.id_, item);
-    items.push_back({ { "id", name },
+    items.push_back({ { "id", fmt::format("{}-{}", aJob.itemPrefix_, item) },
                       { "path", fmt::format("/lots/{}.{}", name, kItemEvents) },
                       { "headers", { { "Model", "m" } } },
                       { "body", base::EncodeBase64("prompt") },
@@ -216,7 +219,8 @@
   std::set<std::string> names;
   for (const json& result : results) {
     const std::string name = result.value("id", "");
-    if (!names.insert(name).second || !name.starts_with(aJob.id_ + "-")) {
+    if (!names.insert(name).second ||
+        !name.starts_with(aJob.itemPrefix_ + "-")) {
       violations_.push_back(
         fmt::format("{}: item {} doesn't belong there", where, name));
     }
@@ -237,7 +241,9 @@
   const json page = json::parse(aBody, nullptr, false);
   std::size_t position = aAfter;
   for (const json& result : page.value("results", json::array())) {
-    const std::string name = result.at("id").get<std::string>();
+    const std::string id = result.at("id").get<std::string>();
+    const std::string name =
+      aJob.id_ + id.substr(std::min(id.rfind('-'), id.size()));
     const std::string text = result.dump();
     if (position < aJob.outputs_.size()) {
       if (aJob.outputs_[position] != text) {
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -20,7 +20,9 @@
       "{} owed, {} of them went on; {} items; {} faults, {} servers killed, "
       "{} of them changed their software, {} releases, {} moves of a route, {} "
       "restarts, {} terminations, {} hang-ups; {} jobs ended, {} read again, "
-      "{} shorter reads; {} addresses used again; {} wipes\n",
+      "{} shorter reads; {} addresses used again; {} wipes; {} orderly exits, "
+      "{} lost entries, {} late ones, {} connections used again, {} tries "
+      "given up\n",
       run.seed_,
       counts.streams_,
       counts.begun_,
@@ -42,7 +44,12 @@
       counts.jobsReadAgain_,
       counts.shorterReads_,
       counts.reuses_,
-      counts.wipes_);
+      counts.wipes_,
+      counts.orderlyExits_,
+      counts.lostEntries_,
+      counts.lateEntries_,
+      counts.reusedConnections_,
+      counts.givenUp_);
     for (const auto& [fault, count] : counts.orderFaults_) {
       std::cout << fmt::format(
         "seed {}: {} times {}\n", run.seed_, count, NameOf(fault));
@@ -91,7 +98,7 @@
                  "OrderSoak_ServersStopAtTimeLimits_StreamsStayWhole")
 {
   RunOptions options;
-  options.hasShortLimits_ = true;
+  options.shortLimitOneIn_ = 1;
   RunAndCheck(options);
 }
 
@@ -107,6 +114,54 @@
   RunAndCheck(options);
 }
 
+// Guards against the same where servers do what the platform's protocol allows:
+// they end idle connections and connections beyond their limit, answer with
+// errors, pause for long, leave without a report, end their streams in order
+// before they exit, lose their entries or get former ones, and spoil or repeat
+// responses.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersFollowThePage_StreamsStayWhole")
+{
+  RunOptions options;
+  options.changesSoftware_ = true;
+  options.slots_ = 8;
+  options.queue_ = 8;
+  options.jobs_ = 6;
+  options.badResponseOneIn_ = 20;
+  options.stepsPerFault_ = 80;
+  options.shortLimitOneIn_ = 3;
+  options.closesConnections_ = true;
+  options.errorOneIn_ = 40;
+  options.pauseOneIn_ = 200;
+  options.exitsInOrder_ = true;
+  options.losesEntries_ = true;
+  options.keepsConnections_ = true;
+  options.hasPrompts_ = true;
+  options.delaysEntries_ = true;
+  RunAndCheck(options);
+}
+
+// Guards against reports that a server sends once more, and that are taken for
+// the response to the next request of their connection.
+TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_ReportsAreRepeated_StreamsStayWhole")
+{
+  RunOptions options;
+  options.badResponseOneIn_ = 20;
+  options.repeatsUnnamed_ = true;
+  RunAndCheck(options);
+}
+
+// Guards against outputs from the items of another job that have the same ids,
+// as servers send responses once more.
+TEST_CASE_METHOD(OrderSoakRun, "OrderSoak_JobsShareItemIds_OutputsStayWhole")
+{
+  RunOptions options;
+  options.jobs_ = 12;
+  options.badResponseOneIn_ = 3;
+  options.sharesItemIds_ = true;
+  RunAndCheck(options);
+}
+
 // Guards against the same, and against jobs whose results change, go away or
 // are miscounted, where requests wait in the servers' queues, jobs are ended,
 // hosts get SIGTERM or SIGHUP one after the other while others are killed,
