LibGateway: Don't ask an endpoint again that another process answered for

What callers saw: requests and resumptions that ended as not run though other endpoints had room. A 421 says that another process has the endpoint's address, but the endpoint stayed a candidate of the request, unless the answer named the other process.

Such an endpoint counts as tried for this request now, and the attempt still doesn't count towards the route's maximum.

The soak's servers name themselves in a 421, as the platform's example does.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -130,7 +130,8 @@
 std::size_t
 OnlineProxy::CountedAttempts() const
 {
-  return triedEndpoints_.size() - rejectedAfterRun_ - (isLostToCrash_ ? 1 : 0);
+  return triedEndpoints_.size() - uncountedRejections_ -
+         (isLostToCrash_ ? 1 : 0);
 }
 
 bool
@@ -474,15 +475,11 @@
               { "endpoint", triedEndpoints_.back() },
               { "cause", "refused" },
               { "status", head_->result_int() } });
-  if (responseInfo_.isMisdirected_) {
-    // Another process at the address rejected the request, so this doesn't
-    // count as an attempt, as with a failed connection.
+  // Another process at the address rejects all requests for the endpoint, so it
+  // isn't asked again. What ran elsewhere must go on.
+  if (responseInfo_.isMisdirected_ || mayHaveRun_) {
     ++undeliveredAttempts_;
-    triedEndpoints_.pop_back();
-  } else if (mayHaveRun_) {
-    // What ran elsewhere must go on: a rejection doesn't count as an attempt.
-    ++undeliveredAttempts_;
-    ++rejectedAfterRun_;
+    ++uncountedRejections_;
   }
   TryNextEndpoint();
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -158,8 +158,9 @@
   std::optional<fleet::SilenceAction> loggedSilence_;
   std::vector<std::string> triedEndpoints_; ///< Ids, one for each attempt.
   std::uint32_t undeliveredAttempts_ = 0;
-  /// Attempts that an endpoint rejected after another one may have run.
-  std::uint32_t rejectedAfterRun_ = 0;
+  /// Attempts that were rejected and don't count: by another process at an
+  /// endpoint's address, or after another endpoint may have run the request.
+  std::uint32_t uncountedRejections_ = 0;
   /// An attempt doesn't count, as its endpoint crashed. Only one: a second
   /// crash is rather caused by the request.
   bool isLostToCrash_ = false;
--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -439,7 +439,9 @@
     const std::string notRun = fmt::format("{}: 1\r\n", kNotRunField);
     const auto target = httpstream::ValueOf(aRequest, kTargetInstanceField);
     if (!target.empty() && target != options_.id_) {
-      return Respond(aSocket, aRequest, "421 Misdirected", notRun, {}, aLate);
+      const std::string fields =
+        fmt::format("{}{}: {}\r\n", notRun, kInstanceIdField, options_.id_);
+      return Respond(aSocket, aRequest, "421 Misdirected", fields, {}, aLate);
     }
     if (httpstream::TargetOf(aRequest) == kReportPath) {
       return Report(aSocket, aRequest, aLate);
