--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -1,7 +1,11 @@
 #include "LibGateway/EndpointAttempt.h"
 
+#include "LibFleet/TimeLimit.h"
 #include "LibGateway/EndpointAddress.h"
 #include "LibGateway/Events.h"
+#include "LibHttpStream/Status.h"
+
+#include <fmt/format.h>
 
 #include <utility>
 
@@ -18,6 +22,10 @@
 /// runs, and then to answer. A SYN that is lost is sent again after 1 s.
 constexpr std::chrono::milliseconds kEndCheckTimeout{ 1200 };
 
+/// After how long the check of an endpoint that leaves is made once more: it
+/// may end its responses in order a moment before its process ends.
+constexpr std::chrono::milliseconds kLeavingCheckDelay{ 300 };
+
 constexpr unsigned kFirstServerError = 500;
 
 /// How often one attempt asks for the endpoint's process. An endpoint may close
@@ -36,17 +44,24 @@
       return "same_process";
     case fleet::EndpointCheck::OtherProcess:
       return "other_process";
-    case fleet::EndpointCheck::Answered:
+    case fleet::EndpointCheck::Unnamed:
       break;
   }
-  return "answered";
+  return "unnamed";
 }
 
-/// @return how long ago a moment was, in milliseconds; -1 if it is empty.
-std::int64_t
-MsSince(const std::optional<base::Instant>& aMoment)
+httpstream::CallOutcome
+OutcomeOf(fleet::UnmarkedEnd aEnd)
 {
-  return aMoment ? base::ToMs(base::MonotonicNow() - *aMoment) : -1;
+  switch (aEnd) {
+    case fleet::UnmarkedEnd::Whole:
+      return httpstream::CallOutcome::Complete;
+    case fleet::UnmarkedEnd::BrokenOff:
+      return httpstream::CallOutcome::Broken;
+    case fleet::UnmarkedEnd::Unconfirmed:
+      break;
+  }
+  return httpstream::CallOutcome::Unconfirmed;
 }
 
 } // namespace
@@ -57,6 +72,7 @@
   : shared_(aShared)
   , endpoint_(std::move(aEndpoint))
   , workClass_(aWorkClass)
+  , recheckTimer_(shared_.pool_.GetExecutor())
 {
 }
 
@@ -126,7 +142,11 @@
 void
 EndpointAttempt::SendCall()
 {
-  connection_->Start(request_.makeCall_(), *this);
+  EndpointCall call = request_.makeCall_();
+  processStartedAtMs_ = shared_.endpoints_.StartOf(endpoint_.Incarnation());
+  sentAt_ = base::BootNow();
+  timeLimit_ = call.timeLimit_;
+  connection_->Start(std::move(call.call_), *this);
 }
 
 void
@@ -142,7 +162,7 @@
     [this](const httpstream::Silence& aSilence) { return OnSilence(aSilence); },
     [this](const ProcessAnswer& aAnswer) { OnProcessAnswer(aAnswer); });
   processQuery_->Start(
-    *connection_, endpoint_.address_, request_.processTimeout_);
+    *connection_, endpoint_.id_, endpoint_.address_, request_.processTimeout_);
 }
 
 void
@@ -154,7 +174,9 @@
 
     void operator()(const ProcessStart& aStart) const
     {
-      if (aStart.startedAtMs_ != attempt_.endpoint_.startedAtMs_) {
+      const std::int64_t registered =
+        attempt_.shared_.endpoints_.StartOf(attempt_.endpoint_.Incarnation());
+      if (aStart.startedAtMs_ != registered) {
         attempt_.OnOtherProcess(aStart.startedAtMs_);
         return;
       }
@@ -169,6 +191,10 @@
         attempt_.endpoint_.Incarnation(), attempt_.processAskedAt_);
       attempt_.GoOnAfterAnswer();
     }
+    void operator()(const OtherInstanceAnswered& /*aNone*/) const
+    {
+      attempt_.OnProcessQueryFailed(httpstream::CallOutcome::Malformed);
+    }
     void operator()(const ProcessQueryFailed& aFailure) const
     {
       attempt_.OnProcessQueryFailed(aFailure.outcome_);
@@ -195,12 +221,13 @@
 EndpointAttempt::OnOtherProcess(std::int64_t aStartedAtMs)
 {
   hasMetOtherProcess_ = true;
-  base::Log(kEndpointChanged,
-            { { "endpoint", endpoint_.id_ },
-              { "state", "other_process" },
-              { "born_ms", endpoint_.startedAtMs_ },
-              { "told_born_ms", aStartedAtMs },
-              { "software", endpoint_.softwareVersion_ } });
+  base::Log(
+    kEndpointChanged,
+    { { "endpoint", endpoint_.id_ },
+      { "state", "other_process" },
+      { "born_ms", shared_.endpoints_.StartOf(endpoint_.Incarnation()) },
+      { "told_born_ms", aStartedAtMs },
+      { "software", endpoint_.softwareVersion_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_other_processes_met_total",
                 "Attempts that weren't sent, as another process than the "
@@ -215,9 +242,6 @@
 EndpointAttempt::OnProcessQueryFailed(httpstream::CallOutcome aOutcome)
 {
   const base::Instant now = base::MonotonicNow();
-  if (aOutcome == httpstream::CallOutcome::Broken) {
-    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(), now);
-  }
   if (aOutcome != httpstream::CallOutcome::TimedOut) {
     // A silence was recorded when it was noticed.
     shared_.endpoints_.RecordFailure(endpoint_.Incarnation(), now);
@@ -242,6 +266,7 @@
   if (const auto connection = std::exchange(connection_, nullptr)) {
     connection->Cancel();
   }
+  recheckTimer_.cancel();
   if (const auto probe = std::exchange(probe_, nullptr)) {
     probe->Cancel();
   }
@@ -312,6 +337,8 @@
   isEventStream_ = httpstream::IsEventStream(aHead);
   wasNotRun_ = info.wasNotRun_;
   isServerError_ = !wasNotRun_ && aHead.result_int() >= kFirstServerError;
+  isSuccess_ = boost::beast::http::to_status_class(aHead.result()) ==
+               boost::beast::http::status_class::successful;
   if (info.load_) {
     shared_.endpoints_.RecordLoad(
       endpoint_.Incarnation(), *info.load_, base::MonotonicNow());
@@ -410,7 +437,8 @@
   const bool isExcusedSilence =
     aOutcome == httpstream::CallOutcome::TimedOut && !isSilenceFailure_;
   if (workClass_ != fleet::WorkClass::Online ||
-      aOutcome == httpstream::CallOutcome::NotConnected || isExcusedSilence ||
+      aOutcome == httpstream::CallOutcome::NotConnected ||
+      aOutcome == httpstream::CallOutcome::Unconfirmed || isExcusedSilence ||
       (isComplete && wasNotRun_)) {
     return;
   }
@@ -428,72 +456,104 @@
   }
   shared_.pool_.Release(endpoint_.id_, std::exchange(connection_, nullptr));
   EndCounting();
-  if (aOutcome == httpstream::CallOutcome::Broken ||
-      aOutcome == httpstream::CallOutcome::NotConnected) {
-    shared_.endpoints_.RecordLostConnection(endpoint_.Incarnation(),
-                                            base::MonotonicNow());
-  }
-  const bool isEndMarked =
-    framing_ != httpstream::ResponseFraming::ConnectionEnd;
-  if (aOutcome == httpstream::CallOutcome::Complete && !isEndMarked) {
+  ranFor_ = base::BootNow() - sentAt_;
+  const bool isDoubtful =
+    aOutcome == httpstream::CallOutcome::Complete && !IsWholeByHead();
+  if (isDoubtful && isSuccess_ && fleet::MayHavePassed(timeLimit_, ranFor_)) {
+    base::Log(kResponseEndedAtLimit,
+              { { "endpoint", endpoint_.id_ },
+                { "limit_ms", base::ToMs(timeLimit_) },
+                { "ran_ms", base::ToMs(ranFor_) } });
+    End(httpstream::CallOutcome::Unconfirmed);
+  } else if (isDoubtful &&
+             framing_ == httpstream::ResponseFraming::ConnectionEnd) {
+    endedAt_ = base::MonotonicNow();
     CheckUnmarkedEnd();
   } else {
     End(aOutcome);
   }
 }
 
+bool
+EndpointAttempt::IsWholeByHead() const
+{
+  // Nobody reads the body of a refusal, or of an item's failure.
+  return framing_ == httpstream::ResponseFraming::Length || wasNotRun_ ||
+         (workClass_ == fleet::WorkClass::Batch && !isSuccess_);
+}
+
 void
 EndpointAttempt::CheckUnmarkedEnd()
 {
-  LivenessQuestion question{ endpoint_.address_,
-                             kEndCheckTimeout,
-                             kEndCheckTimeout,
-                             endpoint_.startedAtMs_ };
-  const std::string path = shared_.routes_.HealthPathOf(endpoint_.service_);
-  if (!path.empty()) {
-    question.healthRequest_ = httpstream::Serialize(
-      shared_.codec_.MakeHealthRequest(path, endpoint_.address_));
-    question.isFromEndpoint_ = [this](const httpstream::ResponseHead& aHead) {
-      const std::string id =
-        shared_.codec_.ReadResponseInfo(aHead).responderId_;
-      return id.empty() || id == endpoint_.id_;
-    };
-  }
   probe_ = std::make_shared<LivenessProbe>(shared_.pool_.GetExecutor(),
                                            shared_.codec_);
   probe_->Start(
-    std::move(question),
-    [weak = weak_from_this(),
-     endedAt = base::MonotonicNow()](fleet::EndpointCheck aCheck) {
+    { .endpoint_ = endpoint_.id_,
+      .address_ = endpoint_.address_,
+      .connectTimeout_ = kEndCheckTimeout,
+      .holdTime_ = kEndCheckTimeout,
+      .startedAtMs_ = processStartedAtMs_,
+      .mustNameItself_ = true,
+      .healthPath_ = shared_.routes_.HealthPathOf(endpoint_.service_) },
+    [weak = weak_from_this()](const LivenessAnswer& aAnswer) {
       if (const auto self = weak.lock()) {
-        self->OnEndChecked({ endedAt, aCheck, base::MonotonicNow() });
+        self->OnEndChecked(aAnswer);
       }
     });
 }
 
 void
-EndpointAttempt::OnEndChecked(fleet::UnmarkedEnd aEnd)
-{
-  if (aEnd.check_ == fleet::EndpointCheck::OtherProcess &&
-      !request_.needsProcess_) {
-    // That one may have sent the response.
-    aEnd.check_ = fleet::EndpointCheck::Answered;
-  }
-  aEnd.isReplaced_ = shared_.endpoints_.IsReplaced(endpoint_);
-  aEnd.lostConnectionAt_ =
-    shared_.endpoints_.LostConnectionAt(endpoint_.Incarnation());
-  aEnd.resumedAt_ = shared_.resumedAt_;
-  const bool isWhole = fleet::HasLivedOn(aEnd);
+EndpointAttempt::OnEndChecked(const LivenessAnswer& aAnswer)
+{
+  // Where starts are told, the process is known only if it was asked before.
+  const bool isSenderKnown = processStartedAtMs_ == 0 || request_.needsProcess_;
+  const fleet::UnmarkedEnd end =
+    fleet::Judge(aAnswer.check_,
+                 isSenderKnown ? fleet::Sender::Known : fleet::Sender::Unknown);
+  if (end == fleet::UnmarkedEnd::Whole && !isCheckedAgain_ &&
+      IsLeaving(aAnswer)) {
+    CheckAgainLater();
+    return;
+  }
   base::Log(kUnmarkedEndChecked,
             { { "endpoint", endpoint_.id_ },
-              { "check", NameOf(aEnd.check_) },
-              { "took_ms", base::ToMs(aEnd.checkedAt_ - aEnd.endedAt_) },
-              { "replaced", aEnd.isReplaced_ },
-              { "lost_connection_ms_ago", MsSince(aEnd.lostConnectionAt_) },
-              { "resumed_ms_ago", MsSince(aEnd.resumedAt_) },
-              { "whole", isWhole } });
-  End(isWhole ? httpstream::CallOutcome::Complete
-              : httpstream::CallOutcome::Broken);
+              { "born_ms", processStartedAtMs_ },
+              { "left_ms", base::ToMs(timeLimit_ - ranFor_) },
+              { "check", NameOf(aAnswer.check_) },
+              { "asked_for", aAnswer.isReport_ ? "report" : "health" },
+              { "status", aAnswer.status_ },
+              { "answered_by", aAnswer.answeredBy_ },
+              { "took_ms", base::ToMs(base::MonotonicNow() - endedAt_) },
+              { "whole", end == fleet::UnmarkedEnd::Whole } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_unmarked_ends_total",
+                "Responses that ended only with their connection, by what a "
+                "check of the endpoint found.",
+                fmt::format("check=\"{}\"", NameOf(aAnswer.check_)))
+    .Add();
+  End(OutcomeOf(end));
+}
+
+bool
+EndpointAttempt::IsLeaving(const LivenessAnswer& aAnswer) const
+{
+  const bool isHealthy =
+    aAnswer.isReport_ || aAnswer.status_ == httpstream::kStatusOk;
+  return !isHealthy || shared_.endpoints_.IsLeaving(endpoint_.Incarnation());
+}
+
+void
+EndpointAttempt::CheckAgainLater()
+{
+  isCheckedAgain_ = true;
+  recheckTimer_.expires_after(kLeavingCheckDelay);
+  recheckTimer_.async_wait(
+    [weak = weak_from_this()](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self && self->observer_ != nullptr) {
+        self->CheckUnmarkedEnd();
+      }
+    });
 }
 
 void
@@ -507,7 +567,8 @@
     isServerError_ && shared_.endpoints_.Outliers().IsEnabled();
   if (isComplete && !isIgnored) {
     shared_.endpoints_.RecordSuccess(endpoint_.Incarnation());
-  } else if (!isComplete && aOutcome != httpstream::CallOutcome::TimedOut) {
+  } else if (!isComplete && aOutcome != httpstream::CallOutcome::TimedOut &&
+             aOutcome != httpstream::CallOutcome::Unconfirmed) {
     // A silence was recorded when it was noticed.
     shared_.endpoints_.RecordFailure(endpoint_.Incarnation(),
                                      base::MonotonicNow());
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -6,6 +6,8 @@
 #include "LibGateway/SharedState.h"
 #include "LibHttpStream/ClientConnection.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,12 +16,20 @@
 
 namespace pumiceturn::gateway {
 
+/// A call to an endpoint.
+struct EndpointCall
+{
+  httpstream::Call call_;
+  /// How long the endpoint may work on the request, as the request says.
+  base::Duration timeLimit_{ 0 };
+};
+
 /// What an attempt sends, and to which process.
 struct AttemptRequest
 {
   /// Makes the call. Called when a connection is ready, as the time limits in
   /// the request count from then on.
-  std::function<httpstream::Call()> makeCall_;
+  std::function<EndpointCall()> makeCall_;
   /// Only the registered process of the endpoint may get the request, as the
   /// response depends on its software version.
   bool needsProcess_ = false;
@@ -101,11 +111,16 @@
   void OnProcessQueryFailed(httpstream::CallOutcome aOutcome);
   /// Ends an attempt that has sent nothing of its request.
   void EndUnsent();
-  /// Checks whether the endpoint lives on. A response whose end isn't marked is
-  /// whole only then: the connections of a process that is killed end in order,
-  /// too.
+  /// Checks whether the endpoint's process lives on. A response whose end isn't
+  /// marked is whole only then.
   void CheckUnmarkedEnd();
-  void OnEndChecked(fleet::UnmarkedEnd aEnd);
+  void OnEndChecked(const LivenessAnswer& aAnswer);
+  /// @return whether the endpoint's process may end soon.
+  [[nodiscard]] bool IsLeaving(const LivenessAnswer& aAnswer) const;
+  void CheckAgainLater();
+  /// @return whether a response that ended in order is whole by its head alone:
+  ///         it has a length, or a status that says all.
+  [[nodiscard]] bool IsWholeByHead() const;
   void End(httpstream::CallOutcome aOutcome);
   void EndCounting();
   /// Sets whether events of a stream are due.
@@ -127,9 +142,17 @@
   std::shared_ptr<httpstream::ClientConnection> connection_;
   std::unique_ptr<ProcessQuery> processQuery_;
   base::Instant processAskedAt_{};
+  /// Start of the process that got the request, as Unix time; 0: not known.
+  std::int64_t processStartedAtMs_ = 0;
   std::uint32_t processQueries_ = 0;
   std::shared_ptr<LivenessProbe> probe_;
+  base::Instant endedAt_{};    ///< When an end that isn't marked was read.
+  base::Duration ranFor_{ 0 }; ///< From sentAt_ to the end of the response.
+  bool isCheckedAgain_ = false;
+  boost::asio::steady_timer recheckTimer_;
   base::Instant startedAt_{};
+  base::BootInstant sentAt_{};    ///< When the request was sent.
+  base::Duration timeLimit_{ 0 }; ///< That the endpoint got, from sentAt_.
   base::Duration silenceTimeout_ = base::Duration::max();
   std::optional<base::Instant> lastEventAt_;
   std::optional<base::Instant> pausedAt_; ///< Set while reading is paused.
@@ -140,6 +163,7 @@
   bool hasResponse_ = false; ///< The head of a response arrived.
   bool wasNotRun_ = false;
   bool isServerError_ = false;
+  bool isSuccess_ = false; ///< The endpoint's status is 2xx.
   /// Nothing arrived within a timeout, nor since.
   bool isSilent_ = false;
   /// That counts as a failure of the endpoint.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -161,6 +161,8 @@
                      loader_,
                      hosts_,
                      health_,
+                     lease_,
+                     mirrors_,
                      OwnerId(),
                      peerClients_)
   , batchSubmissionHandler_(shared_,
@@ -198,6 +200,7 @@
       { settings_.host_, settings_.failureDomain_, settings_.IsWorker() },
       settings_.drainBound_)
   , crashVerdictStore_(store_, layout_.refusedPrefix_, shared_.crashes_)
+  , startInquiry_(aContext.get_executor(), shared_)
   , preemptBatch_(
       [this](const fleet::EndpointChoice& aChoice) { Preempt(aChoice); })
   , callerListener_(aContext,
@@ -503,7 +506,6 @@
   HandleEarlyRequests(now);
   mirrors_.Tick(
     !isStopping_ && !isRetiring_ && !storeTransport_.IsDirectPathLost(), now);
-  shared_.resumedAt_ = mirrors_.ResumedAt();
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
     shared_.pool_.RemoveServer(id);
     base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -130,7 +130,8 @@
 std::size_t
 OnlineProxy::CountedAttempts() const
 {
-  return triedEndpoints_.size() - rejectedAfterRun_ - (isLostToCrash_ ? 1 : 0);
+  return triedEndpoints_.size() - uncountedRejections_ -
+         (isLostToCrash_ ? 1 : 0);
 }
 
 bool
@@ -311,13 +312,15 @@
          (route_.isResumable_ || stream_.HasBegun());
 }
 
-httpstream::Call
+EndpointCall
 OnlineProxy::MakeCall(const std::string& aEndpoint,
                       const httpstream::Call& aTimeouts) const
 {
   ForwardOptions options;
   options.endpoint_ = aEndpoint;
-  options.callerTimeout_ = TimeLeft();
+  // Endpoints are told whole milliseconds.
+  options.callerTimeout_ =
+    std::chrono::floor<std::chrono::milliseconds>(TimeLeft());
   options.lastEvent_ = stream_.LastEvent();
   options.caller_ = caller_;
   const httpstream::Request request =
@@ -328,7 +331,7 @@
   call.echoValue_ = call_.requestId_;
   call.limits_.maxBodyBytes_ = kMaxStreamBytes;
   call.isHeadRequest_ = request.method() == boost::beast::http::verb::head;
-  return call;
+  return { std::move(call), options.callerTimeout_ };
 }
 
 void
@@ -472,15 +475,11 @@
               { "endpoint", triedEndpoints_.back() },
               { "cause", "refused" },
               { "status", head_->result_int() } });
-  if (responseInfo_.isMisdirected_) {
-    // Another process at the address rejected the request, so this doesn't
-    // count as an attempt, as with a failed connection.
+  // Another process at the address rejects all requests for the endpoint, so it
+  // isn't asked again. What ran elsewhere must go on.
+  if (responseInfo_.isMisdirected_ || mayHaveRun_) {
     ++undeliveredAttempts_;
-    triedEndpoints_.pop_back();
-  } else if (mayHaveRun_) {
-    // What ran elsewhere must go on: a rejection doesn't count as an attempt.
-    ++undeliveredAttempts_;
-    ++rejectedAfterRun_;
+    ++uncountedRejections_;
   }
   TryNextEndpoint();
 }
--- a/Libraries/LibGateway/ProcessQuery.cpp
+++ b/Libraries/LibGateway/ProcessQuery.cpp
@@ -37,11 +37,13 @@
 
 void
 ProcessQuery::Start(httpstream::ClientConnection& aConnection,
+                    std::string_view aEndpoint,
                     std::string_view aAddress,
                     base::Duration aTimeout)
 {
   httpstream::Call call;
-  call.bytes_ = httpstream::Serialize(codec_.MakeReportRequest(aAddress));
+  call.bytes_ =
+    httpstream::Serialize(codec_.MakeReportRequest(aEndpoint, aAddress));
   // The report has no request id, so a response with one is a late copy of the
   // response to an earlier request on this connection.
   call.echoField_ = codec_.EchoField();
@@ -78,6 +80,9 @@
   if (aOutcome != httpstream::CallOutcome::Complete) {
     return ProcessQueryFailed{ aOutcome };
   }
+  if (status_ == httpstream::kStatusMisdirected) {
+    return OtherInstanceAnswered{};
+  }
   if (IsTemporary(status_)) {
     return ProcessQueryFailed{ httpstream::CallOutcome::Malformed };
   }
@@ -90,7 +95,7 @@
       return ProcessStart{ *startedAtMs };
     }
   }
-  return ProcessStartNotTold{};
+  return ProcessStartNotTold{ status_ == httpstream::kStatusOk };
 }
 
 void
--- a/Libraries/LibGateway/ProcessQuery.h
+++ b/Libraries/LibGateway/ProcessQuery.h
@@ -18,6 +18,11 @@
 };
 /// The endpoint answered, but doesn't say when its process started.
 struct ProcessStartNotTold
+{
+  bool hasReport_ = false; ///< It sent a report.
+};
+/// Another endpoint has the address.
+struct OtherInstanceAnswered
 {};
 /// There was no answer to read.
 struct ProcessQueryFailed
@@ -25,8 +30,10 @@
   httpstream::CallOutcome outcome_ = httpstream::CallOutcome::Broken;
 };
 
-using ProcessAnswer =
-  std::variant<ProcessStart, ProcessStartNotTold, ProcessQueryFailed>;
+using ProcessAnswer = std::variant<ProcessStart,
+                                   ProcessStartNotTold,
+                                   OtherInstanceAnswered,
+                                   ProcessQueryFailed>;
 
 /// Asks an endpoint which process it is. A connection belongs to one process,
 /// so the answer holds for all that is sent on it afterwards. Must be used only
@@ -45,9 +52,12 @@
 
   /// Sends the question. The query must outlive the call unless the connection
   /// is cancelled.
+  /// @param aEndpoint Id of the endpoint. Another one at its address rejects
+  ///                  the question.
   /// @param aAddress IP:PORT of the endpoint.
   /// @param aTimeout For the first byte of the answer, and between bytes.
   void Start(httpstream::ClientConnection& aConnection,
+             std::string_view aEndpoint,
              std::string_view aAddress,
              base::Duration aTimeout);
 
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -29,7 +29,21 @@
 constexpr const char* kSingleRoute = "archive";
 constexpr const char* kOtherRoute = "other";
 constexpr int kTimeoutMs = 5000;
+constexpr int kMaxServerConnections = 40;
+constexpr int kMaxIdleSeconds = 3;
+constexpr int kCloseOneIn = 12; ///< Of responses.
+constexpr int kGapObjectiveMs = 200;
+constexpr milliseconds kCallerPatience{ 2000 };
+constexpr int kMaxEntryDelayMs = 3000;
+constexpr int kMaxHeartbeatMs = 1000;
+constexpr int kMinLimitMs = 120;
+constexpr int kMaxLimitMs = 900;
+
+/// Time for which servers that have just started don't say that they are
+/// healthy.
+constexpr int kEarlyHealthMs = 1500;
 constexpr unsigned kOk = 200;
+constexpr std::size_t kQuotedBytes = 60; ///< Of a body, in a violation.
 
 /// Time without faults at the start, so that the fleet is complete.
 constexpr std::chrono::seconds kCalmTime{ 3 };
@@ -47,6 +61,17 @@
 /// Upper bound of the time from a worker's loss of data to its start.
 constexpr int kMaxWipeMs = 2000;
 
+/// The drain time of the hosts' settings, and for how much longer a server may
+/// serve.
+constexpr milliseconds kDrainTime{ 2000 };
+constexpr int kMaxLongerMs = 2000;
+
+/// Time from a server's stop in order until its process must have ended.
+constexpr milliseconds kStopTime{ 500 };
+
+/// Upper bound of the time for which a live server has no entry.
+constexpr int kMaxLostEntryMs = 2000;
+
 /// Upper bound of the time for which the entry of a dead server stands.
 constexpr int kMaxEntryTimeMs = 3600;
 
@@ -74,6 +99,11 @@
     }
   }
   CancelJobCalls();
+  for (const auto& [address, connections] : idleConnections_) {
+    for (const auto& connection : connections) {
+      connection->Cancel();
+    }
+  }
 }
 
 void
@@ -81,14 +111,20 @@
 {
   json resumable = MakeTestRoute(kResumableRoute, "stream");
   resumable["resumable"] = true;
-  resumable["timeoutMs"] = kTimeoutMs;
+  resumable["timeoutMs"] = options_.routeTimeoutMs_;
   for (const std::string& service : routed_) {
     resumable["trafficSplit"].push_back(
       { { "service", service }, { "weight", 1 } });
   }
   json single = MakeTestRoute(kSingleRoute, "stream");
   single["maxAttempts"] = 1;
-  single["timeoutMs"] = kTimeoutMs;
+  single["timeoutMs"] = options_.routeTimeoutMs_;
+  if (options_.hasPrompts_) {
+    for (json* route : { &resumable, &single }) {
+      (*route)["sticky"] = true;
+      (*route)["gapSloMs"] = kGapObjectiveMs;
+    }
+  }
   json batch = MakeTestRoute("lots", "batch");
   batch["maxAttempts"] = 3;
   json configuration{
@@ -101,14 +137,16 @@
     json other = MakeTestRoute(kOtherRoute, "stream");
     other["resumable"] = true;
     other["service"] = kOtherService;
-    other["timeoutMs"] = kTimeoutMs;
+    other["timeoutMs"] = options_.routeTimeoutMs_;
     configuration["routes"].push_back(std::move(other));
     services.emplace_back(kOtherService);
   }
   for (const std::string& service : services) {
-    configuration["services"].push_back({ { "name", service },
-                                          { "maxConns", 500 },
-                                          { "healthPath", "/health" } });
+    configuration["services"].push_back(
+      { { "name", service },
+        { "maxConns",
+          options_.closesConnections_ ? kMaxServerConnections : 500 },
+        { "healthPath", "/health" } });
   }
   store_.Put("op/config", configuration.dump());
 }
@@ -127,17 +165,18 @@
 void
 OrderSoakFixture::Register(const Server& aServer, std::string_view aState)
 {
-  store_.Put("servers/" + aServer.id_,
-             json{ { "service", aServer.service_ },
-                   { "address", aServer.address_ },
-                   { "zone", "a" },
-                   { "version", aServer.version_ },
-                   { "slots", options_.slots_ },
-                   { "state", aState },
-                   { "coldLeftMs", 0 },
-                   { "seq", 1 },
-                   { "born", aServer.startedAtMs_ } }
-               .dump());
+  json entry{ { "service", aServer.service_ },
+              { "address", aServer.address_ },
+              { "zone", "a" },
+              { "version", aServer.version_ },
+              { "slots", options_.slots_ },
+              { "state", aState },
+              { "coldLeftMs", 0 },
+              { "seq", 1 } };
+  if (!options_.hasNewIds_) {
+    entry["born"] = aServer.startedAtMs_;
+  }
+  store_.Put("servers/" + aServer.id_, entry.dump());
 }
 
 void
@@ -149,22 +188,39 @@
     std::max<std::int64_t>(aServer.startedAtMs_ + 1, now.count());
   aServer.process_ =
     std::make_unique<ChildProcess>(LogFolder() / (aServer.id_ + ".log"));
-  aServer.process_->Start({ PUMICETURN_ORDER_SERVER,
-                            aServer.address_,
-                            aServer.id_,
-                            aServer.Software(),
-                            fmt::format("{}", random_() % 1000000),
-                            fmt::format("{}", options_.slots_),
-                            fmt::format("{}", options_.queue_),
-                            fmt::format("{}", aServer.startedAtMs_),
-                            fmt::format("{}", options_.badResponseOneIn_) },
-                          {});
+  const int earlyHealthMs = options_.startsAgainAtOnce_ ? kEarlyHealthMs : 0;
+  aServer.process_->Start(
+    { PUMICETURN_ORDER_SERVER,
+      fmt::format("--address={}", aServer.address_),
+      fmt::format("--id={}", aServer.id_),
+      fmt::format("--software={}", aServer.Software()),
+      fmt::format("--seed={}", random_() % 1000000),
+      fmt::format("--slots={}", options_.slots_),
+      fmt::format("--queue={}", options_.queue_),
+      fmt::format("--start={}", aServer.startedAtMs_),
+      fmt::format("--fault-one-in={}", options_.badResponseOneIn_),
+      fmt::format("--names-start={}", !options_.hasNewIds_),
+      fmt::format("--early-health-ms={}", earlyHealthMs),
+      fmt::format("--repeats-unnamed={}", options_.repeatsUnnamed_),
+      fmt::format("--idle-s={}",
+                  options_.closesConnections_ ? Draw(1, kMaxIdleSeconds).count()
+                                              : 0),
+      fmt::format("--max-connections={}",
+                  options_.closesConnections_ ? kMaxServerConnections : 0),
+      fmt::format("--close-one-in={}",
+                  options_.closesConnections_ ? kCloseOneIn : 0),
+      fmt::format("--error-one-in={}", options_.errorOneIn_),
+      fmt::format("--pause-one-in={}", options_.pauseOneIn_) },
+    {});
   aServer.isReady_ = true;
+  aServer.isLeaving_ = false;
+  aServer.hasEntry_ = true;
   // An entry may be written late.
   RunAfter(Draw(0, static_cast<int>(options_.maxRegistrationDelay_.count())),
            [this, id = aServer.id_, startedAtMs = aServer.startedAtMs_] {
              const Server* server = FindServer(id);
-             if (server != nullptr && server->startedAtMs_ == startedAtMs) {
+             if (server != nullptr && server->startedAtMs_ == startedAtMs &&
+                 server->hasEntry_) {
                Register(*server, server->isReady_ ? "ready" : "draining");
              }
            });
@@ -241,14 +297,113 @@
   ++counts_.serversKilled_;
   aServer.process_->Signal(SIGKILL);
   aServer.isReady_ = false;
-  RunAfter(Draw(100, 2000), [this, id = aServer.id_] {
+  const milliseconds down =
+    options_.startsAgainAtOnce_ ? Draw(5, 150) : Draw(100, 2000);
+  RunAfter(down, [this, id = aServer.id_] {
     if (Server* server = FindServer(id)) {
-      if (options_.changesSoftware_ && DrawOneIn(2)) {
-        ChangeSoftware(*server);
-      }
-      StartServer(*server);
+      StartAgain(*server);
     }
   });
+  if (options_.delaysEntries_ && DrawOneIn(2)) {
+    RunAfter(
+      Draw(0, kMaxEntryDelayMs),
+      [this, id = aServer.id_, entry = store_.Get("servers/" + aServer.id_)] {
+        DelayEntry(id, entry);
+      });
+  }
+}
+
+void
+OrderSoakFixture::DelayEntry(const std::string& aId, const std::string& aEntry)
+{
+  const Server* server = FindServer(aId);
+  if (server == nullptr || !server->hasEntry_ || aEntry.empty()) {
+    return;
+  }
+  ++counts_.lateEntries_;
+  store_.Put("servers/" + aId, aEntry);
+  RunAfter(Draw(1, kMaxHeartbeatMs), [this, aId] {
+    const Server* present = FindServer(aId);
+    if (present != nullptr && present->hasEntry_ && present->isReady_) {
+      Register(*present, "ready");
+    }
+  });
+}
+
+void
+OrderSoakFixture::StartAgain(Server& aServer)
+{
+  if (options_.changesSoftware_ && DrawOneIn(2)) {
+    ChangeSoftware(aServer);
+  }
+  if (options_.hasNewIds_) {
+    RunAfter(Draw(0, kMaxEntryTimeMs),
+             [this, id = aServer.id_] { store_.Remove("servers/" + id); });
+    aServer.id_ = fmt::format("i-{}", nextServer_++);
+  }
+  StartServer(aServer);
+}
+
+void
+OrderSoakFixture::Drain(Server& aServer)
+{
+  const bool isReady = std::exchange(aServer.isReady_, false);
+  const std::string id = aServer.id_;
+  if (!options_.exitsInOrder_ || !isReady) {
+    Register(aServer, "draining");
+    RunAfter(milliseconds(2500), [this, id] { EndServer(id); });
+    return;
+  }
+  aServer.isLeaving_ = true;
+  aServer.process_->Signal(SIGUSR1);
+  if (DrawOneIn(3)) {
+    aServer.hasEntry_ = false;
+    store_.Remove("servers/" + id);
+  } else {
+    Register(aServer, "draining");
+  }
+  RunAfter(kDrainTime + Draw(0, kMaxLongerMs), [this, id] { StopServer(id); });
+}
+
+void
+OrderSoakFixture::StopServer(const std::string& aId)
+{
+  const Server* server = FindServer(aId);
+  if (server == nullptr || !server->isLeaving_) {
+    EndServer(aId);
+    return;
+  }
+  ++counts_.orderlyExits_;
+  server->process_->Signal(SIGCONT);
+  server->process_->Signal(SIGTERM);
+  RunAfter(kStopTime, [this, aId] { EndServer(aId); });
+}
+
+void
+OrderSoakFixture::LoseEntry()
+{
+  Server& server = *servers_[static_cast<std::size_t>(
+    Draw(0, static_cast<int>(servers_.size()) - 1).count())];
+  const std::string key = "servers/" + server.id_;
+  if (!server.isReady_ || store_.Get(key).empty()) {
+    return;
+  }
+  ++counts_.lostEntries_;
+  server.hasEntry_ = false;
+  if (DrawOneIn(2)) {
+    store_.Remove(key);
+  } else {
+    store_.Put(key, DrawOneIn(2) ? R"({"service":7})" : "{");
+  }
+  RunAfter(Draw(100, kMaxLostEntryMs),
+           [this, id = server.id_, startedAtMs = server.startedAtMs_] {
+             Server* returned = FindServer(id);
+             if (returned != nullptr && returned->startedAtMs_ == startedAtMs &&
+                 returned->isReady_) {
+               returned->hasEntry_ = true;
+               Register(*returned, "ready");
+             }
+           });
 }
 
 void
@@ -300,12 +455,8 @@
       if (servers_.size() <= kServers) {
         return;
       }
-      Server& oldest = *servers_.front();
-      oldest.isReady_ = false;
-      Register(oldest, "draining");
-      const std::string id = oldest.id_;
+      Drain(*servers_.front());
       std::rotate(servers_.begin(), servers_.begin() + 1, servers_.end());
-      RunAfter(milliseconds(2500), [this, id] { EndServer(id); });
     });
   }
 }
@@ -411,6 +562,9 @@
   if (options_.losesStoreAnswers_) {
     moreFaults_.push_back(&OrderSoakFixture::LoseStoreAnswers);
   }
+  if (options_.losesEntries_) {
+    moreFaults_.push_back(&OrderSoakFixture::LoseEntry);
+  }
 }
 
 void
@@ -487,6 +641,30 @@
                 aBody);
 }
 
+std::unique_ptr<CallerCall>
+OrderSoakFixture::SendTry(const Host& aHost,
+                          const std::string& aTarget,
+                          const std::string& aFields)
+{
+  auto& idle = idleConnections_[aHost.process_->Settings().ip_];
+  while (!idle.empty()) {
+    auto call = std::make_unique<CallerCall>();
+    call->connection_ = std::move(idle.back());
+    idle.pop_back();
+    if (call->connection_->IsIdleAndOpen()) {
+      ++counts_.reusedConnections_;
+      httpstream::Call sentCall;
+      sentCall.bytes_ = fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n{}"
+                                    "Content-Length: 0\r\n\r\n",
+                                    aTarget,
+                                    aFields);
+      call->connection_->Start(std::move(sentCall), *call);
+      return call;
+    }
+  }
+  return SendToHost(aHost, "POST", aTarget, aFields);
+}
+
 void
 OrderSoakFixture::AddCaller()
 {
@@ -511,11 +689,28 @@
 {
   Host& host = DrawEntryHost();
   const OrderStream& stream = aCaller.stream_;
+  aCaller.seenBytes_ = 0;
+  aCaller.progressAt_ = Clock::now();
   ++aCaller.tries_;
   aCaller.tryId_ = fmt::format("t{}", nextTry_++);
   aCaller.triedAt_ = host.process_->Settings().name_;
+  aCaller.address_ = host.process_->Settings().ip_;
+  const bool hasShortLimit =
+    options_.shortLimitOneIn_ > 0 && DrawOneIn(options_.shortLimitOneIn_);
+  const auto limitMs =
+    hasShortLimit ? Draw(kMinLimitMs, kMaxLimitMs).count() : kTimeoutMs;
   std::string fields = fmt::format(
-    "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, kTimeoutMs);
+    "Attempt-Id: {}\r\nDeadline-Ms: {}\r\n", aCaller.tryId_, limitMs);
+  if (options_.hasPrompts_) {
+    // Streams of a tenth share the first part of their prompt.
+    fields +=
+      fmt::format("Model: m\r\nToken-Counts: 60,{}\r\n"
+                  "Prompt-Prefix: a{}:40,{:x}:20\r\n",
+                  stream.Sequence().count_,
+                  std::hash<std::string>()(stream.Sequence().name_) % 10,
+                  std::hash<std::string>()(stream.Sequence().name_));
+    fields += DrawOneIn(5) ? "Connection: close\r\n" : "";
+  }
   if (stream.LastEvent() > 0) {
     fields += fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n",
                           stream.LastEvent(),
@@ -526,13 +721,12 @@
       IsRouted(stream.Software()) && CountReady(stream.Software()) >= 2;
     counts_.owed_ += aCaller.isOwed_ ? 1 : 0;
   }
-  aCaller.call_ = SendToHost(host,
-                             "POST",
-                             fmt::format("/{}/{}.{}",
-                                         aCaller.route_,
-                                         stream.Sequence().name_,
-                                         stream.Sequence().count_),
-                             fields);
+  aCaller.call_ = SendTry(host,
+                          fmt::format("/{}/{}.{}",
+                                      aCaller.route_,
+                                      stream.Sequence().name_,
+                                      stream.Sequence().count_),
+                          fields);
 }
 
 void
@@ -568,6 +762,9 @@
                                         before);
   const bool isComplete = call->outcome_ == httpstream::CallOutcome::Complete;
   const bool isStream = call->status_ == kOk;
+  if (options_.keepsConnections_ && call->connection_->IsReusable()) {
+    idleConnections_[aCaller.address_].push_back(call->connection_);
+  }
   if (isStream) {
     if (const auto fault = stream.Add(call->body_)) {
       AddFault(*fault, where);
@@ -575,7 +772,12 @@
       return;
     }
     if (isComplete && !stream.IsWhole()) {
-      AddFault(OrderFault::EndsEarly, where);
+      AddFault(OrderFault::EndsEarly,
+               fmt::format("{}, ends with \"{}\"",
+                           where,
+                           call->body_.substr(
+                             call->body_.size() -
+                             std::min(call->body_.size(), kQuotedBytes))));
     }
   }
   const bool hasAdvanced = stream.LastEvent() > before;
@@ -596,6 +798,17 @@
     Clock::now() + (DrawOneIn(2) ? Draw(0, 30) : Draw(30, 700));
 }
 
+bool
+OrderSoakFixture::GivesUp(Caller& aCaller) const
+{
+  if (aCaller.call_->body_.size() != aCaller.seenBytes_) {
+    aCaller.seenBytes_ = aCaller.call_->body_.size();
+    aCaller.progressAt_ = Clock::now();
+  }
+  return options_.hasPrompts_ && !aCaller.isSlow_ &&
+         Clock::now() - aCaller.progressAt_ > kCallerPatience;
+}
+
 void
 OrderSoakFixture::Step()
 {
@@ -610,6 +823,10 @@
   for (const auto& caller : callers_) {
     if (caller->call_ && caller->call_->HasEnded()) {
       EndTry(*caller);
+    } else if (caller->call_ && GivesUp(*caller)) {
+      ++counts_.givenUp_;
+      caller->call_->connection_->Cancel();
+      EndTry(*caller);
     } else if (!caller->call_ && !caller->hasEnded_ &&
                Clock::now() >= caller->nextTryAt_) {
       Try(*caller);
