--- a/Libraries/LibGateway/BatchJobHandler.cpp
+++ b/Libraries/LibGateway/BatchJobHandler.cpp
@@ -79,7 +79,7 @@
   return aResult.outcome_ == httpstream::CallOutcome::Complete &&
          (aResult.status_ == httpstream::kStatusOk ||
           aResult.status_ == httpstream::kStatusNotFound) &&
-         httpstream::ValueOf(aResult.head_, kOwnerField) == aOwner;
+         httpstream::ValueOf(*aResult.head_, kOwnerField) == aOwner;
 }
 
 /// @return the ID of the job to read, or an empty string for any other call.
--- a/Libraries/LibHttpStream/HttpClient.cpp
+++ b/Libraries/LibHttpStream/HttpClient.cpp
@@ -41,7 +41,7 @@
   void OnHead(const ResponseHead& aHead) override
   {
     result_.status_ = aHead.result_int();
-    result_.head_ = aHead;
+    result_.head_ = std::make_shared<const ResponseHead>(aHead);
   }
   void OnBody(std::string_view aBytes) override
   {
--- a/Libraries/LibHttpStream/HttpClient.h
+++ b/Libraries/LibHttpStream/HttpClient.h
@@ -16,7 +16,7 @@
   CallOutcome outcome_ = CallOutcome::NotConnected;
   unsigned status_ = 0;
   std::string body_;
-  ResponseHead head_{}; ///< Empty without a response.
+  std::shared_ptr<const ResponseHead> head_{}; ///< Empty without a response.
 };
 
 /// Sends requests to one server over pooled connections and buffers each
