Tests: Share the call that drains and the check of whole streams in OrderlyEndTest

Two cases repeated the call during which the endpoint starts to drain, and two the check that streams are whole. The assertions are the same.

--- a/Tests/Platform/OrderlyEndTest.cpp
+++ b/Tests/Platform/OrderlyEndTest.cpp
@@ -19,6 +19,29 @@
     });
   }
 
+  /// Calls the only server, which drains as soon as it has the request.
+  std::unique_ptr<CallerCall> CallAndDrain(const RawServer& aServer)
+  {
+    auto call = SendTo(Loopback(host_->callerPort_),
+                       "POST",
+                       "/stream/1",
+                       "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
+                       {});
+    RunUntil([&] { return !aServer.Requests().empty(); });
+    Register("i-1", aServer, "draining", 1);
+    RunUntil([&] { return call->HasEnded(); });
+    return call;
+  }
+
+  void CheckStreamsAreWhole()
+  {
+    for (const char* path : { "/stream/1", "/resumable/1" }) {
+      const auto call = Call(path);
+      CHECK(call->body_ == WholeStream());
+      CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+    }
+  }
+
   /// @return the number of calls with a short time limit that looked complete.
   int CountComplete(const std::string& aPath)
   {
@@ -125,14 +148,7 @@
     AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Exit);
   Start();
   AwaitFollowing();
-  const auto call = SendTo(Loopback(host_->callerPort_),
-                           "POST",
-                           "/stream/1",
-                           "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
-                           {});
-  RunUntil([&] { return !server.Requests().empty(); });
-  Register("i-1", server, "draining", 1);
-  RunUntil([&] { return call->HasEnded(); });
+  const auto call = CallAndDrain(server);
   CHECK(call->body_ == EventsFrom(1, 2));
   CHECK(call->outcome_ != httpstream::CallOutcome::Complete);
 }
@@ -145,14 +161,7 @@
     "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Late);
   Start();
   AwaitFollowing();
-  const auto call = SendTo(Loopback(host_->callerPort_),
-                           "POST",
-                           "/stream/1",
-                           "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
-                           {});
-  RunUntil([&] { return !server.Requests().empty(); });
-  Register("i-1", server, "draining", 1);
-  RunUntil([&] { return call->HasEnded(); });
+  const auto call = CallAndDrain(server);
   CHECK(call->body_ == WholeStream());
   CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
 }
@@ -165,11 +174,7 @@
     "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Orderly)
     .SetHealth(RawServer::Health::Refused, RawServer::Health::Refused);
   Start();
-  for (const char* path : { "/stream/1", "/resumable/1" }) {
-    const auto call = Call(path);
-    CHECK(call->body_ == WholeStream());
-    CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
-  }
+  CheckStreamsAreWhole();
 }
 
 // Guards against the same where the question for their health waits for a slot.
@@ -180,11 +185,7 @@
     "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Orderly)
     .SetHealth(RawServer::Health::Waiting, RawServer::Health::Waiting);
   Start();
-  for (const char* path : { "/stream/1", "/resumable/1" }) {
-    const auto call = Call(path);
-    CHECK(call->body_ == WholeStream());
-    CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
-  }
+  CheckStreamsAreWhole();
 }
 
 // Guards against breaking off a whole stream because its endpoint says nothing
