LibGateway: Log on what the knowledge of an endpoint's process rests

process_assumed (7164) names these attempts, pumiceturn_process_evidence_total counts all, and endpoint_changed state=word_ignored says when an endpoint's word is set aside. No decision changes.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -106,6 +106,17 @@
   Sending,   ///< Besides, if it has attempts of this host, it sent lately.
 };
 
+/// On what it rests that a connection leads to the registered process.
+enum class ProcessEvidence : std::uint8_t
+{
+  None,       ///< It isn't known to.
+  Told,       ///< The process named itself after the connection was opened.
+  ToldBefore, ///< It did so shortly before the connection was opened.
+  Untold,     ///< The endpoint answered, but names no start.
+  NoStart,    ///< Neither registration nor endpoint has named a start.
+  WordIgnored ///< The endpoint contradicts a registration that stays.
+};
+
 /// Requirements on an endpoint to choose.
 struct ChoiceRequest
 {
@@ -319,7 +330,8 @@
   /// longer than that of an ended process lasts, the endpoint's word isn't
   /// used; if the registration has no start, it is then of that process.
   /// @param aStartedAtMs When its process started, as Unix time.
-  void RecordOtherProcess(const EndpointIncarnation& aEndpoint,
+  /// @return whether the endpoint's word isn't used from now on.
+  bool RecordOtherProcess(const EndpointIncarnation& aEndpoint,
                           std::int64_t aStartedAtMs,
                           base::Instant aNow);
 
@@ -335,7 +347,17 @@
   /// @param aConnectedAt When the connection was established.
   [[nodiscard]] bool LeadsToProcess(const EndpointIncarnation& aEndpoint,
                                     base::Instant aConnectedAt,
-                                    base::Instant aNow) const;
+                                    base::Instant aNow) const
+  {
+    return ProcessEvidenceOf(aEndpoint, aConnectedAt, aNow) !=
+           ProcessEvidence::None;
+  }
+
+  /// @return on what the result of LeadsToProcess() rests.
+  [[nodiscard]] ProcessEvidence ProcessEvidenceOf(
+    const EndpointIncarnation& aEndpoint,
+    base::Instant aConnectedAt,
+    base::Instant aNow) const;
 
   /// @return whether the endpoint's process is known to have been running after
   ///         aMoment: bytes of an attempt that began before aMoment arrived
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -57,25 +57,29 @@
   return isTold ? endpoint->toldStartedAtMs_ : aEndpoint.startedAtMs_;
 }
 
-void
+bool
 EndpointTable::RecordOtherProcess(const EndpointIncarnation& aEndpoint,
                                   std::int64_t aStartedAtMs,
                                   base::Instant aNow)
 {
-  if (Endpoint* endpoint = Find(aEndpoint)) {
-    endpoint->processAskedAt_.reset();
-    endpoint->otherStartedAtMs_ = aStartedAtMs;
-    endpoint->otherProcessAt_ = aNow;
-    endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
-    const bool isLasting =
-      aNow - *endpoint->contradictedSince_ > limits_.contradictionTimeout_;
-    if (isLasting && aEndpoint.startedAtMs_ == 0) {
-      RecordToldStart(aEndpoint, aStartedAtMs, aNow);
-    } else if (isLasting) {
-      endpoint->otherProcessAt_.reset();
-      endpoint->wordIgnoredAt_ = aNow;
-    }
+  Endpoint* endpoint = Find(aEndpoint);
+  if (endpoint == nullptr) {
+    return false;
   }
+  endpoint->processAskedAt_.reset();
+  endpoint->otherStartedAtMs_ = aStartedAtMs;
+  endpoint->otherProcessAt_ = aNow;
+  endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
+  if (aNow - *endpoint->contradictedSince_ <= limits_.contradictionTimeout_) {
+    return false;
+  }
+  if (aEndpoint.startedAtMs_ == 0) {
+    RecordToldStart(aEndpoint, aStartedAtMs, aNow);
+    return false;
+  }
+  endpoint->otherProcessAt_.reset();
+  endpoint->wordIgnoredAt_ = aNow;
+  return true;
 }
 
 void
@@ -87,28 +91,33 @@
   }
 }
 
-bool
-EndpointTable::LeadsToProcess(const EndpointIncarnation& aEndpoint,
-                              base::Instant aConnectedAt,
-                              base::Instant aNow) const
+ProcessEvidence
+EndpointTable::ProcessEvidenceOf(const EndpointIncarnation& aEndpoint,
+                                 base::Instant aConnectedAt,
+                                 base::Instant aNow) const
 {
   if (StartOf(aEndpoint) == 0) {
     // Each start of such an endpoint has another id, as far as is known.
-    return true;
+    return ProcessEvidence::NoStart;
   }
   const Endpoint* endpoint = Find(aEndpoint);
   if (endpoint == nullptr) {
-    return false;
+    return ProcessEvidence::None;
   }
   const auto& ignoredAt = endpoint->wordIgnoredAt_;
   if (ignoredAt && aNow - *ignoredAt < limits_.contradictionRetention_) {
-    return true;
+    return ProcessEvidence::WordIgnored;
   }
   const auto isAnsweredBy = [&](const std::optional<base::Instant>& aAskedAt) {
     return aAskedAt && aConnectedAt <= *aAskedAt + kMinRestartTime;
   };
-  return isAnsweredBy(endpoint->processAskedAt_) ||
-         isAnsweredBy(endpoint->untoldAskedAt_);
+  if (isAnsweredBy(endpoint->processAskedAt_)) {
+    return aConnectedAt <= *endpoint->processAskedAt_
+             ? ProcessEvidence::Told
+             : ProcessEvidence::ToldBefore;
+  }
+  return isAnsweredBy(endpoint->untoldAskedAt_) ? ProcessEvidence::Untold
+                                                : ProcessEvidence::None;
 }
 
 std::optional<std::int64_t>
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -50,6 +50,26 @@
   return "unnamed";
 }
 
+std::string_view
+NameOf(fleet::ProcessEvidence aEvidence)
+{
+  switch (aEvidence) {
+    case fleet::ProcessEvidence::Told:
+      return "told";
+    case fleet::ProcessEvidence::ToldBefore:
+      return "told_before";
+    case fleet::ProcessEvidence::Untold:
+      return "untold";
+    case fleet::ProcessEvidence::NoStart:
+      return "no_start";
+    case fleet::ProcessEvidence::WordIgnored:
+      return "word_ignored";
+    case fleet::ProcessEvidence::None:
+      break;
+  }
+  return "none";
+}
+
 httpstream::CallOutcome
 OutcomeOf(fleet::UnmarkedEnd aEnd)
 {
@@ -127,16 +147,40 @@
     return;
   }
   connection_ = std::move(aConnection);
-  const bool isProcessKnown =
-    !request_.needsProcess_ ||
-    shared_.endpoints_.LeadsToProcess(endpoint_.Incarnation(),
-                                      connection_->ConnectedAt(),
-                                      base::MonotonicNow());
-  if (isProcessKnown) {
+  if (!request_.needsProcess_) {
     SendCall();
-  } else {
+    return;
+  }
+  const fleet::ProcessEvidence evidence = shared_.endpoints_.ProcessEvidenceOf(
+    endpoint_.Incarnation(), connection_->ConnectedAt(), base::MonotonicNow());
+  if (evidence == fleet::ProcessEvidence::None) {
     AskForProcess();
+    return;
+  }
+  ReportProcessEvidence(evidence);
+  SendCall();
+}
+
+void
+EndpointAttempt::ReportProcessEvidence(fleet::ProcessEvidence aEvidence)
+{
+  shared_.metrics_
+    .GetCounter("pumiceturn_process_evidence_total",
+                "Attempts that need the registered process, by what shows that "
+                "their connection leads to it.",
+                fmt::format("evidence=\"{}\"", NameOf(aEvidence)))
+    .Add();
+  if (aEvidence == fleet::ProcessEvidence::Told ||
+      aEvidence == fleet::ProcessEvidence::NoStart) {
+    return;
   }
+  base::Log(
+    kProcessAssumed,
+    { { "endpoint", endpoint_.id_ },
+      { "born_ms", shared_.endpoints_.StartOf(endpoint_.Incarnation()) },
+      { "software", endpoint_.softwareVersion_ },
+      { "evidence", NameOf(aEvidence) },
+      { "connection_age_ms", base::ToMs(connection_->Age()) } });
 }
 
 void
@@ -233,8 +277,15 @@
                 "Attempts that weren't sent, as another process than the "
                 "registered one answered under the endpoint's id.")
     .Add();
-  shared_.endpoints_.RecordOtherProcess(
-    endpoint_.Incarnation(), aStartedAtMs, base::MonotonicNow());
+  if (shared_.endpoints_.RecordOtherProcess(
+        endpoint_.Incarnation(), aStartedAtMs, base::MonotonicNow())) {
+    base::Log(
+      kEndpointChanged,
+      { { "endpoint", endpoint_.id_ },
+        { "state", "word_ignored" },
+        { "born_ms", shared_.endpoints_.StartOf(endpoint_.Incarnation()) },
+        { "told_born_ms", aStartedAtMs } });
+  }
   EndUnsent();
 }
 
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -103,6 +103,9 @@
   void Acquire();
   void OnConnection(std::shared_ptr<httpstream::ClientConnection> aConnection);
   void SendCall();
+  /// Counts on what the knowledge of the connection's process rests, and logs
+  /// what isn't the process's own word.
+  void ReportProcessEvidence(fleet::ProcessEvidence aEvidence);
   void AskForProcess();
   void OnProcessAnswer(const ProcessAnswer& aAnswer);
   /// Sends the request, on another connection if the endpoint closes this one.
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -43,7 +43,7 @@
   "endpoint_changed",
   base::LogLevel::Info,
   "An endpoint became ready or draining, restarted, was replaced, removed or "
-  "expired."
+  "expired, or is used although it contradicts its registration."
 };
 inline constexpr base::Event kRequestSent{
   7108,
@@ -400,6 +400,13 @@
   "A response without a length ended when the time was up that its endpoint "
   "got for it, so that it may not be whole."
 };
+inline constexpr base::Event kProcessAssumed{
+  7164,
+  "process_assumed",
+  base::LogLevel::Info,
+  "A request that depends on the software version is sent on a connection "
+  "whose process didn't itself say that it is the registered one."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
