LibFleet: Infer the only version from all holders of a record, not from views

Cause: a host without a record takes the only version that it knows of. If the store didn't answer within 600 ms, it was enough that its own view was younger than the drain bound, or that any one host named the same version, however old that host's view was. Holders that didn't answer counted as if they had no record. Hosts that are cut off together confirm each other's old views, while another host begins streams at a version that they have not heard of.

Why this works: a host that begins a stream beside another version sends its record to five holders, and the resuming host asks the same ones. If all of them answer, either one has the record or the stream began while there was one version. What no longer goes on is at hosts that can't know. Holders that aren't heard are now asked again each 150 ms.

Not shown: that the users' cases are of this kind. It needs a store that is silent for the resuming host.

--- a/Libraries/LibFleet/OriginInquiry.cpp
+++ b/Libraries/LibFleet/OriginInquiry.cpp
@@ -1,5 +1,6 @@
 #include "LibFleet/OriginInquiry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pumiceturn::fleet {
@@ -10,6 +11,7 @@
   : record_(std::move(aOwn.record_))
   , origins_(std::move(aOwn.origins_))
   , isViewRecent_(aIsViewRecent)
+  , asked_(aAsked)
   , missing_(aAsked)
 {
 }
@@ -18,6 +20,7 @@
 OriginInquiry::Add(const OriginEvidence& aEvidence)
 {
   missing_ -= missing_ > 0 ? 1 : 0;
+  ++heard_;
   if (!HasRecord() &&
       !std::holds_alternative<UnknownOrigin>(aEvidence.record_)) {
     record_ = aEvidence.record_;
@@ -44,11 +47,24 @@
   }
 }
 
+void
+OriginInquiry::SetMissing(std::size_t aMissing)
+{
+  missing_ = aMissing;
+  asked_ = std::max(asked_, heard_ + missing_);
+}
+
+bool
+OriginInquiry::AreAllHeard() const
+{
+  return heard_ >= asked_ && confirmations_ > 0;
+}
+
 bool
 OriginInquiry::IsOnlyVersionCertain() const
 {
-  return origins_.size() == 1 &&
-         (hasStoreOrigins_ || isViewRecent_ || confirmations_ > 0);
+  const bool isConfirmed = asked_ == 0 ? isViewRecent_ : AreAllHeard();
+  return origins_.size() == 1 && (hasStoreOrigins_ || isConfirmed);
 }
 
 bool
--- a/Libraries/LibFleet/OriginInquiry.h
+++ b/Libraries/LibFleet/OriginInquiry.h
@@ -17,8 +17,8 @@
   /// No other version served for as long as a stream may last: the store names
   /// one, as of later than the caller asked.
   OnlyVersion,
-  /// The same, but the store wasn't read: by this host's recent view, or by
-  /// another's that names the same version.
+  /// The same, but the store wasn't read: all holders of a record that there
+  /// could be were heard, have none and know of no other version.
   OnlyVersionConfirmed,
 };
 
@@ -57,13 +57,15 @@
 {
 public:
   /// @param aOwn          What this host knows.
-  /// @param aIsViewRecent Whether this host knows all endpoints as of now.
+  /// @param aIsViewRecent Whether this host knows all endpoints as of now. Only
+  ///                      a host that has no others to ask decides by that.
   /// @param aAsked        Number of hosts that were asked.
   OriginInquiry(OriginEvidence aOwn, bool aIsViewRecent, std::size_t aAsked);
 
   /// Lets the decision wait for the versions in the store, if this host's view
   /// alone would decide it: another version may have come and gone unseen.
   void AwaitStore() { isStoreAwaited_ = true; }
+  [[nodiscard]] bool IsStoreAwaited() const { return isStoreAwaited_; }
 
   /// Lets a decision against the stream wait: hosts that hold its record may
   /// not be known yet.
@@ -91,8 +93,8 @@
   void Add(const OriginEvidence& aEvidence);
 
   /// Sets the number of answers that may still come, after hosts were asked
-  /// again or the wait has ended.
-  void SetMissing(std::size_t aMissing) { missing_ = aMissing; }
+  /// again or the wait has ended. Those that weren't heard stay unheard.
+  void SetMissing(std::size_t aMissing);
 
   /// @return whether only a record can tell the version.
   [[nodiscard]] bool NeedsRecord() const
@@ -115,14 +117,20 @@
   [[nodiscard]] OriginDecision DecideNow() const;
 
 private:
-  /// @return whether one service with one version is known, and nothing
-  ///         suggests another.
+  /// @return whether one service with one version is known, and no stream can
+  ///         have begun at another one without a record that was found.
   [[nodiscard]] bool IsOnlyVersionCertain() const;
 
+  /// @return whether all hosts that were asked have answered, and one of them
+  ///         knows the versions.
+  [[nodiscard]] bool AreAllHeard() const;
+
   OriginRecord record_;
   OriginBasis basis_ = OriginBasis::OwnRecord;
   OriginSet origins_;
   bool isViewRecent_;
+  std::size_t asked_;             ///< Hosts.
+  std::size_t heard_ = 0;         ///< Hosts that answered.
   std::size_t missing_;           ///< Answers that may still come.
   std::size_t confirmations_ = 0; ///< Answers that named versions.
   bool isStoreAwaited_ = false;
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -237,13 +237,10 @@
 
 std::set<std::string>
 StreamOrigins::HostsToAsk(const std::string& aId,
-                          const fleet::OriginEvidence& aOwn,
-                          bool aIsViewRecent) const
+                          const fleet::OriginEvidence& aOwn) const
 {
   // Without an id, others can only confirm that there is one version.
-  const bool needsAnswers =
-    IsRecordable(aId) || (!aIsViewRecent && aOwn.origins_.size() <= 1);
-  if (!needsAnswers) {
+  if (!IsRecordable(aId) && aOwn.origins_.size() > 1) {
     return {};
   }
   const std::vector<std::string> holders = HoldersOf(aId);
@@ -264,7 +261,7 @@
   const base::Duration viewAge =
     std::max(ageOf(StorePrefix::Endpoints), ageOf(StorePrefix::Operators));
   const bool isViewRecent = IsViewRecent(viewAge, now);
-  std::set<std::string> hosts = HostsToAsk(aId, own, isViewRecent);
+  std::set<std::string> hosts = HostsToAsk(aId, own);
   std::string origins = DescribeOrigins(own.origins_);
   PendingInquiry pending{ IsRecordable(aId) ? aId : std::string(),
                           fleet::OriginInquiry(
@@ -365,7 +362,11 @@
   if (pending.inquiry_.NeedsRecord() && !pending.id_.empty()) {
     AskAgain(aQuery, pending);
   } else {
-    pending.inquiry_.SetMissing(0);
+    SendQuery(aQuery, pending);
+    if (pending.inquiry_.IsStoreAwaited()) {
+      // Asks the store meanwhile.
+      pending.inquiry_.SetMissing(0);
+    }
   }
   ArmTimer(aQuery, kAnswerTimeout);
   Advance(aQuery);
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -158,8 +158,7 @@
   /// @return the hosts whose answers may decide on a stream.
   [[nodiscard]] std::set<std::string> HostsToAsk(
     const std::string& aId,
-    const fleet::OriginEvidence& aOwn,
-    bool aIsViewRecent) const;
+    const fleet::OriginEvidence& aOwn) const;
   void Ask(std::set<std::string> aHosts, PendingInquiry aPending);
   void SendQuery(std::uint64_t aQuery, const PendingInquiry& aPending);
   /// Asks the holders that haven't answered again: after a start, this host may
--- a/Tests/LibFleet/OriginInquiryTest.cpp
+++ b/Tests/LibFleet/OriginInquiryTest.cpp
@@ -185,6 +185,19 @@
   CHECK(VersionIn(inquiry.Decide()) == "v1");
 }
 
+// Guards against joining a stream because a host with an old view names the
+// same version, while the holders of the stream's record can't be heard.
+TEST_CASE_METHOD(OriginInquiryFixture,
+                 "OriginInquiry_HolderIsUnheardAndStoreSilent_IsUnknown")
+{
+  const bool isViewRecent = GENERATE(false, true);
+  OriginInquiry inquiry(Unknown({ "v1" }), isViewRecent, 2);
+  inquiry.AwaitStore();
+  inquiry.Add(Unknown({ "v1" }));
+  CHECK_FALSE(inquiry.Decide());
+  CHECK(std::get<OriginUnknown>(inquiry.DecideNow()) == OriginUnknown::OldView);
+}
+
 // Guards against refusing streams for as long as the store is away.
 TEST_CASE_METHOD(OriginInquiryFixture,
                  "OriginInquiry_StoreDoesNotAnswer_HostsDecide")
--- a/Tests/Platform/OnlyVersionSearchTest.cpp
+++ b/Tests/Platform/OnlyVersionSearchTest.cpp
@@ -1,12 +1,12 @@
 #include "LibFleet/OriginInquiry.h"
 #include "LibFleet/ServiceVersions.h"
 #include "LibGateway/ServiceVersionStore.h"
+#include "Tests/Platform/ModelVersionStore.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <deque>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -22,129 +22,19 @@
 namespace {
 
 const std::string kService = "service";
-const std::string kPrefix = "versions/";
+const std::string kKeyPrefix = "versions/";
 
 /// As for a route with a timeout of 2 s.
 constexpr base::Duration kLifetime = 4s;
-constexpr base::Duration kStep = 10ms;
+constexpr base::Duration kStep = ModelVersionStore::kStep;
 constexpr base::Duration kTick = 100ms;
 constexpr std::size_t kHosts = 4;
 
-/// A store on virtual time: a call takes effect at one moment between its start
-/// and its response, and may get no response.
-class ModelStore : public metadata::StoreClient
-{
-public:
-  ModelStore(base::Instant& aNow, std::mt19937& aRandom)
-    : now_(aNow)
-    , random_(aRandom)
-  {
-  }
-
-  /// Runs what is due.
-  void Run()
-  {
-    for (std::size_t at = 0; at < calls_.size(); ++at) {
-      if (calls_[at].at_ > now_) {
-        continue;
-      }
-      const auto run = std::move(calls_[at].run_);
-      calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(at));
-      run();
-      at = static_cast<std::size_t>(-1);
-    }
-  }
-
-  void SetSlowest(base::Duration aTime) { slowest_ = aTime; }
-  void SetAway(bool aIsAway) { isAway_ = aIsAway; }
-
-  void Range(const std::string& /*aPrefix*/,
-             const std::string& /*aAfter*/,
-             metadata::ReadConsistency /*aConsistency*/,
-             Callback<metadata::RangeResponse> aCallback) override
-  {
-    const bool isLost = isAway_;
-    Call([this, isLost, aCallback = std::move(aCallback)] {
-      metadata::RangeResponse response;
-      if (!isLost) {
-        response.status_ = metadata::StoreStatus::Ok;
-        if (!value_.empty()) {
-          response.items_.push_back({ kPrefix + kService, value_, revision_ });
-        }
-      }
-      Call([response, aCallback] { aCallback(response); });
-    });
-  }
-
-  void Commit(const metadata::Transaction& aTransaction,
-              Callback<metadata::TransactionResponse> aCallback) override
-  {
-    const bool isLost = isAway_;
-    Call([this, isLost, aTransaction, aCallback = std::move(aCallback)] {
-      metadata::TransactionResponse response;
-      if (!isLost) {
-        const bool isExpected = aTransaction.expectations_.front().revision_ ==
-                                (value_.empty() ? 0 : revision_);
-        response.status_ = isExpected ? metadata::StoreStatus::Ok
-                                      : metadata::StoreStatus::Conflict;
-        if (isExpected) {
-          value_ = aTransaction.writes_.empty()
-                     ? std::string()
-                     : aTransaction.writes_.front().value_;
-          response.revision_ = ++revision_;
-        }
-      }
-      Call([response, aCallback] { aCallback(response); });
-    });
-  }
-
-  void Watch(const std::string& /*aPrefix*/,
-             std::uint64_t /*aAfterRevision*/,
-             base::Duration /*aMaxWait*/,
-             Callback<metadata::WatchResponse> /*aCallback*/) override
-  {
-  }
-  void GrantLease(base::Duration /*aLifetime*/,
-                  Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-  void RenewLease(std::uint64_t /*aLease*/,
-                  Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-  void EndLease(std::uint64_t /*aLease*/,
-                Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-
-private:
-  struct PendingCall
-  {
-    base::Instant at_;
-    std::function<void()> run_;
-  };
-
-  void Call(std::function<void()> aRun)
-  {
-    const auto steps = std::uniform_int_distribution<int>(
-      0, static_cast<int>(slowest_ / kStep))(random_);
-    calls_.push_back({ now_ + steps * kStep, std::move(aRun) });
-  }
-
-  base::Instant& now_;
-  std::mt19937& random_;
-  std::deque<PendingCall> calls_;
-  std::string value_;
-  std::uint64_t revision_ = 0;
-  base::Duration slowest_ = 20ms;
-  bool isAway_ = false;
-};
-
 /// What an entry host knows of the versions of its service.
 struct ModelHost
 {
-  ModelHost(ModelStore& aStore, base::Instant aNow)
-    : store_(aStore, kPrefix, versions_)
+  ModelHost(ModelVersionStore& aStore, base::Instant aNow)
+    : store_(aStore, kKeyPrefix, versions_)
     , startedAt_(aNow)
   {
   }
@@ -186,7 +76,8 @@
     counts_ = {};
     now_ = base::Instant{ 1h };
     endpoints_ = { { now_, { "v1" } } };
-    store_ = std::make_unique<ModelStore>(now_, random_);
+    store_ =
+      std::make_unique<ModelVersionStore>(now_, random_, kKeyPrefix + kService);
     store_->SetSlowest(DrawOneIn(2) ? 20ms : 300ms);
     hosts_.clear();
     resumed_.clear();
@@ -389,7 +280,7 @@
   std::mt19937 random_;
   base::Instant now_;
   std::map<base::Instant, ServiceVersions::Versions> endpoints_;
-  std::unique_ptr<ModelStore> store_;
+  std::unique_ptr<ModelVersionStore> store_;
   std::vector<std::unique_ptr<ModelHost>> hosts_;
   std::vector<ResumedStream> running_;
   std::vector<ResumedStream> resumed_;
