LibFleet: Don't count a contradiction while registrations can't change

What callers saw: a stream that went on at another software version than the one that began it (rule ORDER).

Cause: an endpoint whose report names another start than its registration is used by its registration after 15 s, on the ground that a registration that stays must be right. While the store is away, or this host is cut off from it, registrations stay because nothing can change them. So 15 s into an outage the next process of an endpoint, with other software, got rests and streams of the former one's version. The same for endpoints whose registration has no start.

Evidence: EndpointTable_StoreIsAway_ContradictedRegistrationIsNotUsed failed: the endpoint was chosen, and its connections were used, from 15 s on.

Ruled out: that the registration's age alone would do. When the store is back, the former process's registration is fresh at once, and the next one needs its time to write another.

Why this works: the 15 s count only from when the registrations were last older than an ended process's may be (4.9 s).

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -205,7 +205,8 @@
 
     /// How long an endpoint may name another start than its registration before
     /// its word isn't used. Well above the time for which the registration of
-    /// an ended process lasts, as the store may be away meanwhile.
+    /// an ended process lasts. Time in which the registrations are old doesn't
+    /// count.
     base::Duration contradictionTimeout_{ std::chrono::seconds{ 15 } };
 
     /// How long the word of such an endpoint isn't asked for again.
@@ -335,6 +336,11 @@
                           std::int64_t aStartedAtMs,
                           base::Instant aNow);
 
+  /// Sets how long ago the registrations were known to be those in the store.
+  /// While they are older than registrationTimeout_, a registration that stays
+  /// says nothing: no process can write another one.
+  void SetRegistrationAge(base::Duration aAge, base::Instant aNow);
+
   /// Records that an endpoint answered without saying which process it is. Its
   /// next process may say so.
   /// @param aAskedAt When it was asked.
@@ -625,6 +631,8 @@
   std::unordered_map<std::string, CachedLoad> loads_; ///< By service.
   EndpointPace paces_;
   std::unordered_map<std::string, Endpoint> endpoints_;
+  /// When the registrations were last too old to say anything by staying.
+  std::optional<base::Instant> registrationsOldAt_;
   std::size_t cells_ = 1;
   std::optional<std::size_t> ownCell_;
   bool areCellsOutdated_ = false; ///< Endpoints were added or removed.
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/EndpointTable.h"
 
+#include <algorithm>
+
 // The part of EndpointTable that tells the processes of an endpoint apart.
 
 namespace pumiceturn::fleet {
@@ -70,7 +72,10 @@
   endpoint->otherStartedAtMs_ = aStartedAtMs;
   endpoint->otherProcessAt_ = aNow;
   endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
-  if (aNow - *endpoint->contradictedSince_ <= limits_.contradictionTimeout_) {
+  const base::Instant since =
+    std::max(*endpoint->contradictedSince_,
+             registrationsOldAt_.value_or(*endpoint->contradictedSince_));
+  if (aNow - since <= limits_.contradictionTimeout_) {
     return false;
   }
   if (aEndpoint.startedAtMs_ == 0) {
@@ -82,6 +87,14 @@
   return true;
 }
 
+void
+EndpointTable::SetRegistrationAge(base::Duration aAge, base::Instant aNow)
+{
+  if (aAge > limits_.registrationTimeout_) {
+    registrationsOldAt_ = aNow;
+  }
+}
+
 void
 EndpointTable::RecordProcessUntold(const EndpointIncarnation& aEndpoint,
                                    base::Instant aAskedAt)
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -506,6 +506,9 @@
   HandleEarlyRequests(now);
   mirrors_.Tick(
     !isStopping_ && !isRetiring_ && !storeTransport_.IsDirectPathLost(), now);
+  shared_.endpoints_.SetRegistrationAge(
+    mirrors_.AgeOf(StorePrefix::Endpoints).value_or(base::Duration::max()),
+    now);
   for (const std::string& id : shared_.endpoints_.Expire(now)) {
     shared_.pool_.RemoveServer(id);
     base::Log(kEndpointChanged, { { "endpoint", id }, { "state", "expired" } });
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -569,6 +569,32 @@
   CHECK(table_.LeadsToProcess(one, now_, now_));
 }
 
+// Guards against a stream that goes on at an endpoint's next process, as the
+// registration of the former one can't change while the store is away.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_StoreIsAway_ContradictedRegistrationIsNotUsed")
+{
+  AddStarted("one", 100);
+  const EndpointIncarnation one{ "one", 100 };
+  ChoiceRequest request{ "service", WorkClass::Online, {} };
+  request.needsProcess_ = true;
+  const base::Instant firstAt = now_;
+  const auto contradict = [&](base::Instant aEnd, base::Duration aAge) {
+    for (; now_ <= aEnd; now_ += 500ms) {
+      table_.SetRegistrationAge(aAge, now_);
+      table_.RecordOtherProcess(one, 200, now_);
+      CHECK_FALSE(table_.Choose(request, now_, random_));
+      CHECK_FALSE(table_.LeadsToProcess(one, now_, now_));
+    }
+  };
+  contradict(firstAt + 60s, 6s);
+  // The store is back: the process has its time to register.
+  contradict(firstAt + 60s + 15s, 100ms);
+  now_ += 500ms;
+  table_.RecordOtherProcess(one, 200, now_);
+  CHECK(table_.Choose(request, now_, random_));
+}
+
 // Guards against sending requests to an endpoint whose registration is
 // unreadable.
 TEST_CASE_METHOD(EndpointTableFixture,
