LibGateway: Ask a process on each new connection before counting on its version

What callers saw: a stream with events of another software version than the one under which it is recorded (rule ORDER).

Cause: a connection opened up to 50 ms after the process's last word on another connection was used without a question, as no process was taken to start again that soon. That is a guess about endpoints; the version is that of the process that answers.

Evidence: RestartedEndpoint_StartsAgainAtOnce_NextProcessIsNotTrusted failed 5 of 5 times: the second stream began at v2 and counted as one of v1.

Ruled out: dropping the 50 ms altogether. An endpoint that closes its connection after each answer would then get no streams, so an attempt that has asked, and whose connection was closed after the answer, still relies on it.

Why this works: the answer holds for the connection on which it came.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -153,7 +153,11 @@
   }
   const fleet::ProcessEvidence evidence = shared_.endpoints_.ProcessEvidenceOf(
     endpoint_.Incarnation(), connection_->ConnectedAt(), base::MonotonicNow());
-  if (evidence == fleet::ProcessEvidence::None) {
+  // The next process may be there within milliseconds. Only an endpoint that
+  // closes its connection after each answer can't do better.
+  const bool isOutdated =
+    evidence == fleet::ProcessEvidence::ToldBefore && processQueries_ == 0;
+  if (evidence == fleet::ProcessEvidence::None || isOutdated) {
     AskForProcess();
     return;
   }
--- a/Tests/Platform/RestartedEndpointTest.cpp
+++ b/Tests/Platform/RestartedEndpointTest.cpp
@@ -1,4 +1,5 @@
 #include "Tests/Platform/BatchJobsFixture.h"
+#include "Tests/Platform/ResumingFixture.h"
 
 #include <nlohmann/json.hpp>
 
@@ -151,4 +152,42 @@
   CHECK(WaitForAll(*entry_, 1)["results"][0]["output"] == WholeOutput("v2"));
 }
 
+/// The only endpoint of a service starts again.
+class OnlyEndpointFixture : protected ResumingFixture
+{};
+
+// Guards against a stream that is recorded under the software version of an
+// endpoint's former process, on a connection that was opened a moment after
+// that process's last word.
+TEST_CASE_METHOD(OnlyEndpointFixture,
+                 "RestartedEndpoint_StartsAgainAtOnce_NextProcessIsNotTrusted")
+{
+  WriteConfiguration(1);
+  ServerStandin& server = AddServer("i-1");
+  TestHost& host = StartEntry("entry");
+  const auto first = SendTo(Loopback(host.callerPort_),
+                            "POST",
+                            "/resumable/hold-2",
+                            "Attempt-Id: r1\r\n",
+                            {});
+  RunUntil([&] { return first->body_.find("id: 2") != std::string::npos; });
+  // Its registration still has the former version and start.
+  server.SimulateRestart();
+  server.SetVersion("v2");
+  const auto second = SendTo(Loopback(host.callerPort_),
+                             "POST",
+                             "/resumable/hold-2",
+                             "Attempt-Id: r2\r\n",
+                             {});
+  RunUntil([&] {
+    return second->HasEnded() ||
+           second->body_.find("id: 2") != std::string::npos;
+  });
+  CHECK(second->body_.find("@v2") == std::string::npos);
+  CHECK(server.Requests().size() == 1);
+  first->connection_->Cancel();
+  second->connection_->Cancel();
+  RunUntil([&] { return DisconnectedCount() == server.Requests().size(); });
+}
+
 } // namespace pumiceturn::adapter
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -92,6 +92,19 @@
   RunAndCheck(options);
 }
 
+// Guards against the same while servers have other software within
+// milliseconds, on connections that are opened meanwhile.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersChangeSoftwareAtOnce_StreamsStayWhole")
+{
+  RunOptions options;
+  options.changesSoftware_ = true;
+  options.startsAgainAtOnce_ = true;
+  options.maxRegistrationDelay_ = std::chrono::milliseconds(1500);
+  options.stepsPerFault_ = 60;
+  RunAndCheck(options);
+}
+
 // Guards against streams that look complete too early as their servers stop in
 // order at the time limit that they get.
 TEST_CASE_METHOD(OrderSoakRun,
