LibHttpStream: Skip unnamed responses that may be of an earlier unnamed call

Cause: the report request has no id, so a copy of its response has none, and a response without an id was accepted for any call.

Ruled out: an id on the report request.

Why this works: endpoints echo ids, so a response without one can't be that of a request that has one. Where no unnamed request went over the connection, such a response is still accepted.

--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -117,6 +117,7 @@
 void
 ClientConnection::Start(Call aCall, CallObserver& aObserver)
 {
+  RecordEchoValue();
   call_ = std::move(aCall);
   observer_ = &aObserver;
   isHeadReceived_ = false;
@@ -135,6 +136,27 @@
   Read();
 }
 
+void
+ClientConnection::RecordEchoValue()
+{
+  if (call_.echoField_.empty()) {
+    return;
+  }
+  hasCarriedUnnamed_ = hasCarriedUnnamed_ || call_.echoValue_.empty();
+  echoValues_.push_back(std::move(call_.echoValue_));
+  if (echoValues_.size() > kMaxExtraResponses) {
+    echoValues_.pop_front();
+  }
+}
+
+bool
+ClientConnection::HasCarried(std::string_view aEchoValue) const
+{
+  return call_.echoValue_ == aEchoValue ||
+         std::find(echoValues_.begin(), echoValues_.end(), aEchoValue) !=
+           echoValues_.end();
+}
+
 void
 ClientConnection::ArmTimer(base::Duration aTimeout)
 {
@@ -352,8 +374,10 @@
   const std::string_view echoed = ValueOf(head, call_.echoField_);
   // Servers may send a second response to an earlier call. Passing it on would
   // give one caller's data to another.
-  isStale_ =
-    !call_.echoField_.empty() && !echoed.empty() && echoed != call_.echoValue_;
+  const bool isOfOtherCall = echoed.empty()
+                               ? hasCarriedUnnamed_ && !call_.echoValue_.empty()
+                               : echoed != call_.echoValue_;
+  isStale_ = !call_.echoField_.empty() && isOfOtherCall;
   if (isStale_ || head.result_int() < 200) {
     return true;
   }
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -9,10 +9,12 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pumiceturn::httpstream {
 
@@ -54,8 +56,8 @@
 
   /// Header field that a response echoes, and its expected value. A response
   /// with another value belongs to an earlier call on this connection and is
-  /// skipped. A response without the field is accepted, and if the name
-  /// is empty, any response is.
+  /// skipped. So does one without the field, if an earlier call had no value;
+  /// else it is accepted. If the name is empty, any response is accepted.
   std::string echoField_;
   std::string echoValue_;
 
@@ -140,6 +142,11 @@
   /// The gap timeout doesn't run while reading is paused.
   void SetPaused(bool aIsPaused);
 
+  /// @return whether one of the last calls expected this value to be echoed. A
+  ///         copy of its response can't be told from the response to another
+  ///         call with the same value.
+  [[nodiscard]] bool HasCarried(std::string_view aEchoValue) const;
+
   /// @return whether the connection can carry another call: the last response
   /// was complete, its request was sent completely, and neither side asked to
   /// close.
@@ -172,6 +179,8 @@
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  /// Records the value that the last call expected to be echoed.
+  void RecordEchoValue();
   void ArmTimer(base::Duration aTimeout);
   void OnTimeout();
   [[nodiscard]] Silence MeasureSilence() const;
@@ -207,7 +216,9 @@
   /// Interim responses and responses to earlier calls, in this call.
   std::uint32_t extraResponses_ = 0;
   std::uint64_t timerGeneration_ = 0;
-  bool wasExtendedForDelay_ = false; ///< Since the last byte.
+  std::deque<std::string> echoValues_; ///< Of the last calls.
+  bool hasCarriedUnnamed_ = false;     ///< A call had no value to be echoed.
+  bool wasExtendedForDelay_ = false;   ///< Since the last byte.
   ResponseFraming framing_ = ResponseFraming::Length;
   bool isHeadReceived_ = false;
   bool hasBody_ = false; ///< Bytes of the body were delivered.
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -163,6 +163,36 @@
   CHECK(response.body_ == "new");
 }
 
+// Guards against passing a late copy of a response to a request without an id
+// to the next caller: like the request, it has none.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_CopyOfUnnamedResponse_IsSkipped")
+{
+  const std::string unnamed = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+                              "Content-Length: 3\r\n\r\nold";
+  Serve(unnamed, false);
+  const auto connection = Connect();
+  REQUIRE(SendRequest(connection, "").body_ == "old");
+  Serve(unnamed + "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew",
+        false);
+  CHECK(SendRequest(connection, "2").body_ == "new");
+}
+
+// Guards against sending a request on a connection whose late responses can't
+// be told from its own.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_SameIdAgain_IsKnown")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 2\r\n\r\nhi",
+        false);
+  const auto connection = Connect();
+  CHECK_FALSE(connection->HasCarried("1"));
+  REQUIRE(SendRequest(connection, "1").outcome_ == CallOutcome::Complete);
+  CHECK(connection->HasCarried("1"));
+  CHECK_FALSE(connection->HasCarried("2"));
+}
+
 TEST_CASE_METHOD(ClientConnectionFixture,
                  "ClientConnection_SurplusBytes_PreventReuse")
 {
