LibGateway: Don't send an id twice on one connection

Cause: endpoints may send a response once more where the next one is due, and its id identifies it. If the next request on the connection has the same id, as items of two jobs may, the copy is taken for its response.

Why this works: a connection that carried the id among its last calls, as many as extra responses are skipped in one call, isn't used for it again. Retries of a request at the same endpoint cost a connection.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -147,6 +147,14 @@
     return;
   }
   connection_ = std::move(aConnection);
+  if (!request_.requestId_.empty() &&
+      connection_->HasCarried(request_.requestId_)) {
+    // The endpoint may send its former response once more.
+    connection_->Cancel();
+    connection_.reset();
+    Acquire();
+    return;
+  }
   if (!request_.needsProcess_) {
     SendCall();
     return;
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -36,6 +36,7 @@
   /// How long the endpoint may take to say which process it is before it counts
   /// as silent.
   base::Duration processTimeout_{ 0 };
+  std::string requestId_{}; ///< That the response echoes; empty: none.
 };
 
 /// One attempt of a request at one endpoint. Counts as in flight there while it
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -71,7 +71,8 @@
                              return EndpointCall{ std::move(call), aTimeLimit };
                            },
                             true,
-                            kFirstByteTimeout },
+                            kFirstByteTimeout,
+                            aItem.id_ },
                           *this);
 }
 
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -301,7 +301,8 @@
        return MakeCall(endpoint, call);
      },
       NeedsProcess(),
-      firstByteTimeout },
+      firstByteTimeout,
+      call_.requestId_ },
     *this);
 }
 
