LibHttpStream: Take a response for cut if its request wasn't taken whole

Cause: the kernel tells a reset once. If the pending write gets its error, the read gets the end of the connection, as after a response that has neither a length nor chunks. The code took it that the read fails as well.

Ruled out: the check of unmarked ends. The server's process lives on, so that check says that the response is whole.

Why this works: a response that ends with its connection counts as whole only if its request was written without an error. A server that answers early and keeps the connection is read on as before; one that has read the whole request is, too.

--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -125,6 +125,7 @@
   isReusable_ = false;
   isPaused_ = false;
   isStale_ = false;
+  hasWriteFailed_ = false;
   parser_.reset();
   responseBeganAt_.reset();
   bodyBeganAt_.reset();
@@ -245,9 +246,9 @@
                     [self = shared_from_this()](
                       const boost::system::error_code& aError, std::size_t) {
                       self->isWriting_ = false;
-                      // A failed write is not reported here: the read fails
-                      // as well, but first returns any response that the
-                      // server sent.
+                      // A failed write is not reported here: the read first
+                      // returns any response that the server sent.
+                      self->hasWriteFailed_ = aError.failed();
                       // If the call has already ended, its bytes are no
                       // longer needed.
                       if (!aError && self->observer_ == nullptr) {
@@ -404,7 +405,9 @@
 void
 ClientConnection::OnReadError(const boost::system::error_code& aError)
 {
-  const bool isOrderly = aError == asio::error::eof;
+  // A reset is told once only: if the write got its error, the read gets none.
+  const bool wasRequestTaken = !isWriting_ && !hasWriteFailed_;
+  const bool isOrderly = aError == asio::error::eof && wasRequestTaken;
   if (!isOrderly || !parser_ || !isHeadReceived_ || isStale_) {
     Finish(CallOutcome::Broken);
     return;
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -224,6 +224,7 @@
   bool hasBody_ = false; ///< Bytes of the body were delivered.
   bool isStale_ = false; ///< The current response belongs to an earlier call.
   bool isWriting_ = false;
+  bool hasWriteFailed_ = false; ///< Of the current call.
   bool isReading_ = false;
   bool isPaused_ = false;
   bool isReusable_ = false;
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string_view>
 #include <thread>
@@ -143,6 +145,30 @@
   CHECK_FALSE(connection->IsReusable());
 }
 
+// Guards against a part of a body that looks whole: its server answers before
+// it has read a long request, and resets the connection. Which of the pending
+// write and read gets the reset's error is up to the kernel.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_ResetDuringUpload_IsBroken")
+{
+  constexpr int kRounds = 20;
+  constexpr std::size_t kUploadBytes = 32ULL * 1024 * 1024;
+  for (int round = 0; round < kRounds; ++round) {
+    Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart", true);
+    const auto connection = Connect();
+    RecordingObserver observer;
+    Call call;
+    call.bytes_ = fmt::format(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", kUploadBytes);
+    call.bytes_.append(kUploadBytes, 'u');
+    call.echoField_ = "X-Id";
+    call.echoValue_ = "1";
+    connection->Start(std::move(call), observer);
+    RunUntil([&observer] { return observer.outcome_.has_value(); });
+    CHECK(observer.outcome_ == CallOutcome::Broken);
+  }
+}
+
 TEST_CASE_METHOD(ClientConnectionFixture,
                  "ClientConnection_MalformedResponse_IsReported")
 {
