LibHttpStream: Reject responses whose status is none

Here a status below 100 was taken for that of an interim response: with a length it was skipped, and the call waited for another one; without, its body was delivered without a head and the call ended as complete, after which OnlineProxy read a head that it hadn't got. ClientConnection_StatusIsNoStatus_IsMalformed failed in all six forms (000, 001 and 099, with a length and without).

Why this works: the call ends as malformed at the head, like other bytes that are no response, so retryable requests go to another endpoint and others get 502.

--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -20,6 +20,9 @@
 
 constexpr std::size_t kReadBytes = 16384;
 
+/// The lowest status that HTTP has.
+constexpr unsigned kFirstStatus = 100;
+
 /// Largest response head that is accepted; servers send well under 1 KB.
 constexpr std::uint32_t kMaxHeadBytes = 16384;
 
@@ -313,6 +316,11 @@
       Finish(CallOutcome::Malformed);
       return;
     }
+    if (parser_->is_header_done() &&
+        parser_->get().result_int() < kFirstStatus) {
+      Finish(CallOutcome::Malformed);
+      return;
+    }
     if (parser_->is_header_done() && !isHeadReceived_ && !AcceptHead()) {
       return;
     }
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -169,6 +169,21 @@
   }
 }
 
+// Guards against a response with a status that isn't one: it must neither be
+// passed on nor be taken for an interim response.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_StatusIsNoStatus_IsMalformed")
+{
+  const std::string status = GENERATE("000", "001", "099");
+  const std::string framing = GENERATE("", "Content-Length: 2\r\n");
+  Serve(
+    fmt::format("HTTP/1.1 {} Trouble\r\nX-Id: 1\r\n{}\r\nhi", status, framing),
+    true);
+  const RecordingObserver response = SendRequest(Connect(), "1");
+  CHECK(response.outcome_ == CallOutcome::Malformed);
+  CHECK(response.body_.empty());
+}
+
 TEST_CASE_METHOD(ClientConnectionFixture,
                  "ClientConnection_MalformedResponse_IsReported")
 {
