LibFleet: Begin the time of a contradiction anew after a suspension

A process that was suspended goes on with the age that its registrations had before. Until its next tick, an endpoint that had contradicted its registration before the suspension counted as contradicting a registration that stayed, and was used by the former process's version (rule ORDER).

If the age wasn't set for longer than an ended process's registration lasts, the registrations count as old.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -336,9 +336,10 @@
                           std::int64_t aStartedAtMs,
                           base::Instant aNow);
 
-  /// Sets how long ago the registrations were known to be those in the store.
-  /// While they are older than registrationTimeout_, a registration that stays
-  /// says nothing: no process can write another one.
+  /// Sets how long ago the registrations were known to be those in the store,
+  /// at least several times in registrationTimeout_. While they are older than
+  /// that, a registration that stays says nothing: no process can write another
+  /// one.
   void SetRegistrationAge(base::Duration aAge, base::Instant aNow);
 
   /// Records that an endpoint answered without saying which process it is. Its
@@ -631,6 +632,8 @@
   std::unordered_map<std::string, CachedLoad> loads_; ///< By service.
   EndpointPace paces_;
   std::unordered_map<std::string, Endpoint> endpoints_;
+  /// When SetRegistrationAge() was last called.
+  std::optional<base::Instant> registrationAgeSetAt_;
   /// When the registrations were last too old to say anything by staying.
   std::optional<base::Instant> registrationsOldAt_;
   std::size_t cells_ = 1;
--- a/Libraries/LibFleet/EndpointTableProcess.cpp
+++ b/Libraries/LibFleet/EndpointTableProcess.cpp
@@ -72,6 +72,11 @@
   endpoint->otherStartedAtMs_ = aStartedAtMs;
   endpoint->otherProcessAt_ = aNow;
   endpoint->contradictedSince_ = endpoint->contradictedSince_.value_or(aNow);
+  // This process may have been suspended meanwhile.
+  if (registrationAgeSetAt_ &&
+      aNow - *registrationAgeSetAt_ > limits_.registrationTimeout_) {
+    registrationsOldAt_ = aNow;
+  }
   const base::Instant since =
     std::max(*endpoint->contradictedSince_,
              registrationsOldAt_.value_or(*endpoint->contradictedSince_));
@@ -90,6 +95,7 @@
 void
 EndpointTable::SetRegistrationAge(base::Duration aAge, base::Instant aNow)
 {
+  registrationAgeSetAt_ = aNow;
   if (aAge > limits_.registrationTimeout_) {
     registrationsOldAt_ = aNow;
   }
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -595,6 +595,20 @@
   CHECK(table_.Choose(request, now_, random_));
 }
 
+// Guards against the same where this process was suspended, so that it doesn't
+// know yet how old its registrations are.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_SuspendedMeanwhile_ContradictionBeginsAnew")
+{
+  AddStarted("one", 100);
+  const EndpointIncarnation one{ "one", 100 };
+  table_.SetRegistrationAge(100ms, now_);
+  table_.RecordOtherProcess(one, 200, now_);
+  now_ += 60s;
+  table_.RecordOtherProcess(one, 200, now_);
+  CHECK_FALSE(table_.LeadsToProcess(one, now_, now_));
+}
+
 // Guards against sending requests to an endpoint whose registration is
 // unreadable.
 TEST_CASE_METHOD(EndpointTableFixture,
