--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -54,6 +54,33 @@
   CHECK(Call("/stream/1")->outcome_ != httpstream::CallOutcome::Complete);
 }
 
+// Guards against a part of an answer that looks complete, as its server reset
+// the connection while it still got the request.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ResetDuringUpload_IsNotComplete")
+{
+  constexpr std::size_t kUploadBytes = 4'000'000;
+  AddRawServer("i-1", std::string(kHead) + "\r\npart", RawServer::End::Reset);
+  Start();
+  const auto call = SendAndWait(*host_,
+                                "POST",
+                                "/once/1",
+                                "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n",
+                                std::string(kUploadBytes, 'u'));
+  CHECK(call->status_ == 502);
+}
+
+// Guards against passing on an answer whose status is none.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_StatusIsNoStatus_IsNotPassedOn")
+{
+  std::string answer = std::string(kHead) + "\r\nbody";
+  answer.replace(answer.find("200 OK"), 6, "000 ??");
+  AddRawServer("i-1", answer, RawServer::End::Orderly);
+  Start();
+  CHECK(Call("/once/1")->status_ == 502);
+}
+
 TEST_CASE_METHOD(UnframedAnswerFixture,
                  "UnframedAnswer_RestOfStream_IsComplete")
 {
