--- a/Tests/Platform/CutOffSearchTest.cpp
+++ b/Tests/Platform/CutOffSearchTest.cpp
@@ -41,14 +41,11 @@
 constexpr std::size_t kAheadHolders = 2;
 
 /// The store as one host reaches it.
-class HostStore : public ModelVersionStore
+class HostStore : public ReadWriteClient
 {
 public:
-  HostStore(ModelVersionStore& aStore,
-            const base::Instant& aNow,
-            std::mt19937& aRandom)
-    : ModelVersionStore(aNow, aRandom, {})
-    , store_(aStore)
+  explicit HostStore(ModelVersionStore& aStore)
+    : store_(aStore)
   {
   }
 
@@ -86,10 +83,8 @@
 /// What an entry host knows of the versions of its service.
 struct ModelHost
 {
-  ModelHost(ModelVersionStore& aStore,
-            const base::Instant& aNow,
-            std::mt19937& aRandom)
-    : client_(aStore, aNow, aRandom)
+  explicit ModelHost(ModelVersionStore& aStore)
+    : client_(aStore)
     , entries_(client_, kKeyPrefix, versions_)
   {
   }
@@ -185,7 +180,7 @@
 
   void Start(std::size_t aHost)
   {
-    hosts_[aHost] = std::make_unique<ModelHost>(*store_, now_, random_);
+    hosts_[aHost] = std::make_unique<ModelHost>(*store_);
     hosts_[aHost]->entries_.SetOnRead(
       [this, aHost](base::Instant aSentAt) { OnStoreRead(aHost, aSentAt); });
   }
--- a/Tests/Platform/ModelVersionStore.h
+++ b/Tests/Platform/ModelVersionStore.h
@@ -14,9 +14,33 @@
 
 namespace pumiceturn::gateway {
 
+/// A client of which only reads and writes are called.
+class ReadWriteClient : public metadata::StoreClient
+{
+public:
+  void Watch(const std::string& /*aPrefix*/,
+             std::uint64_t /*aAfterRevision*/,
+             base::Duration /*aMaxWait*/,
+             Callback<metadata::WatchResponse> /*aCallback*/) override
+  {
+  }
+  void GrantLease(base::Duration /*aLifetime*/,
+                  Callback<metadata::LeaseResponse> /*aCallback*/) override
+  {
+  }
+  void RenewLease(std::uint64_t /*aLease*/,
+                  Callback<metadata::LeaseResponse> /*aCallback*/) override
+  {
+  }
+  void EndLease(std::uint64_t /*aLease*/,
+                Callback<metadata::LeaseResponse> /*aCallback*/) override
+  {
+  }
+};
+
 /// A store of one entry on virtual time: a call takes effect at one moment
 /// between its start and its response, and may get no response.
-class ModelVersionStore : public metadata::StoreClient
+class ModelVersionStore : public ReadWriteClient
 {
 public:
   /// Granularity of the virtual time.
@@ -96,25 +120,6 @@
     });
   }
 
-  void Watch(const std::string& /*aPrefix*/,
-             std::uint64_t /*aAfterRevision*/,
-             base::Duration /*aMaxWait*/,
-             Callback<metadata::WatchResponse> /*aCallback*/) override
-  {
-  }
-  void GrantLease(base::Duration /*aLifetime*/,
-                  Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-  void RenewLease(std::uint64_t /*aLease*/,
-                  Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-  void EndLease(std::uint64_t /*aLease*/,
-                Callback<metadata::LeaseResponse> /*aCallback*/) override
-  {
-  }
-
 private:
   struct PendingCall
   {
