LibMetadata: Count a renewal after a lease's time as a gap of the registration

Cause: a host whose lease had run out by its own clock could still renew it. RecordRenewal then set the registration's end anew without a gap, so that the host counted as registered all the while and answered from memory, until its copy of the store showed that its key was gone. A renewal shows that the lease lives, but not the key.

Evidence: read from HostLease and the store's stand-in, whose leases don't expire in gateway tests; HostLease_RenewedAfterItsTime_RegistrationHasAGap fails without the change. Ruled out: the long term of 30 s, as such hosts begin with the short one.

Since then a read is answered from memory only with a copy that is younger than the renewal, as after any other gap, and confirmed at the store until there is one. On the platform a lease that ends takes its key along, so that this needs a key that somebody removes.

--- a/Libraries/LibMetadata/HostLease.cpp
+++ b/Libraries/LibMetadata/HostLease.cpp
@@ -113,9 +113,15 @@
 HostLease::RecordRenewal(base::BootInstant aMadeAt)
 {
   leaseUntil_ = aMadeAt + leaseTerm_.lifetime_;
-  if (isRegistered_) {
-    registeredUntil_ = leaseUntil_;
+  if (!isRegistered_) {
+    return;
   }
+  const base::BootInstant now = base::BootNow();
+  if (now >= registeredUntil_) {
+    // The lease lives, but the key may have been removed meanwhile.
+    registeredSince_ = now;
+  }
+  registeredUntil_ = leaseUntil_;
 }
 
 void
--- a/Tests/LibMetadata/PrefixMirrorTest.cpp
+++ b/Tests/LibMetadata/PrefixMirrorTest.cpp
@@ -428,6 +428,43 @@
   CHECK(health_.IsLost());
 }
 
+/// A lease that ends by the host's clock before it is renewed.
+class OverdueLeaseFixture : protected HostLeaseFixture
+{
+protected:
+  OverdueLeaseFixture()
+  {
+    HostLease::Options options;
+    options.key_ = "h/a";
+    options.term_ = { std::chrono::milliseconds{ 1 }, base::Duration::zero() };
+    lease_.emplace(context_, store_, health_, options);
+    lease_->Start();
+    FakeStore::Pop(store_.grants_);
+    Register();
+  }
+};
+
+// Guards against a host that counts as registered without a gap as its lease
+// can be renewed after its time: its key may have been removed meanwhile, and
+// its jobs taken over.
+TEST_CASE_METHOD(OverdueLeaseFixture,
+                 "HostLease_RenewedAfterItsTime_RegistrationHasAGap")
+{
+  CHECK(lease_->RegisteredSince() == base::BootInstant::min());
+  const base::BootInstant before = base::BootNow();
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 5 });
+  FakeStore::Pop(store_.renewals_)({ StoreStatus::Ok, 7 });
+  CHECK(lease_->RegisteredSince() > before);
+}
+
+TEST_CASE_METHOD(HostLeaseFixture,
+                 "HostLease_RenewedInTime_RegistrationHasNoGap")
+{
+  Register();
+  FakeStore::Pop(store_.renewals_)({ StoreStatus::Ok, 7 });
+  CHECK(lease_->RegisteredSince() == base::BootInstant::min());
+}
+
 TEST_CASE_METHOD(HostLeaseFixture, "HostLease_Ended_IsNotRenewed")
 {
   Register();
