LibFleet: Keep records and versions for callers more patient than their routes

Callers couldn't resume a stream that had begun some moments before, on a route with a short timeout: its record lasted twice the route's timeout, although each of a caller's tries gets that timeout anew.

A stream's lifetime is 15 s at least now. Timeouts of 7.5 s and more aren't affected; with 5 s, records and versions last 15 s instead of 10 s. Ruled out: the deadline that callers send, as hosts that hold a record or write the versions don't know it.

--- a/Libraries/LibFleet/StreamLifetime.h
+++ b/Libraries/LibFleet/StreamLifetime.h
@@ -2,6 +2,8 @@
 
 #include "LibBase/Time.h"
 
+#include <algorithm>
+#include <chrono>
 #include <vector>
 
 namespace pumiceturn::fleet {
@@ -15,10 +17,14 @@
   /// route's timeout.
   static constexpr int kTriesPerStream = 2;
 
+  /// Callers may be more patient than their route: each of their tries gets its
+  /// timeout anew.
+  static constexpr std::chrono::seconds kMinLifetime{ 15 };
+
   /// @return the longest that a stream of a route with a timeout may last.
   [[nodiscard]] static base::Duration Of(base::Duration aTimeout)
   {
-    return kTriesPerStream * aTimeout;
+    return std::max<base::Duration>(kTriesPerStream * aTimeout, kMinLifetime);
   }
 
   /// Sets the longest timeout of the routes for resumable streams, from now on.
--- a/Tests/Platform/VersionsTest.cpp
+++ b/Tests/Platform/VersionsTest.cpp
@@ -286,6 +286,31 @@
   CHECK(IsRecorded("v2"));
 }
 
+// Guards against forgetting where a stream began while its caller, who waits
+// for longer than its route allows one try, still goes on with it.
+TEST_CASE_METHOD(VersionsFixture,
+                 "Versions_CallerIsMorePatientThanItsRoute_StreamGoesOn")
+{
+  constexpr std::chrono::milliseconds kTimeout{ 300 };
+  auto configuration = nlohmann::json::parse(store_.Get("op/config"));
+  for (auto& route : configuration["routes"]) {
+    route["timeoutMs"] = kTimeout.count();
+  }
+  store_.Put("op/config", configuration.dump());
+  AddServers("v1", 2);
+  AddServers("v2", 2);
+  const TemporaryFolder folder;
+  StartWorkers(folder.Path());
+  TestHost& host = StartEntry("entry");
+  RunUntil([&] {
+    return Metrics(host).find("pumiceturn_peers_heard 2") != std::string::npos;
+  });
+  const std::string version = BeginStream(host, "r1");
+  const base::Instant resumedAt = base::MonotonicNow() + 4 * kTimeout;
+  RunUntil([resumedAt] { return base::MonotonicNow() >= resumedAt; });
+  CHECK(Resume(host, "r2", "r1")->body_ == WholeStream(version, 2));
+}
+
 // Guards against joining a stream to a guess while several versions serve.
 TEST_CASE_METHOD(VersionsFixture,
                  "Versions_ResumedStreamIsUnknown_IsRefusedAsNotRun")
