LibGateway: Wait for a slot with the rest of a stream

Cause: each refusal by a full endpoint counted as one of the route's attempts, and an endpoint that couldn't be reached was taken off the tried ones and asked again, up to three times in a row. Only the endpoints of one version have the rest. While one is killed the others are full for tens of milliseconds, and by then the attempts were used up. New streams have all endpoints, and items wait for a slot at their version already.

A rest that is refused, or whose endpoint can't be reached, passes over that endpoint and doesn't use up an attempt, as nothing ran. Once all were passed over, or three in a row, it waits 50, 100, 200 and 400 ms and asks again. A new request asks an endpoint that it couldn't reach again only if there is no other one. This isn't only waiting longer: the rest gets an endpoint that has room, which a caller's next try would find later, elsewhere.

--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -407,6 +407,13 @@
   "A request that depends on the software version is sent on a connection "
   "whose process didn't itself say that it is the registered one."
 };
+inline constexpr base::Event kRestWaits{
+  7165,
+  "rest_waits",
+  base::LogLevel::Info,
+  "The endpoints that could go on with a stream are full or can't be reached; "
+  "they are asked again after a pause."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -28,13 +28,10 @@
 constexpr std::size_t kMaxBufferedBytes = 1024ULL * 1024;
 constexpr std::uint64_t kMaxStreamBytes = 16ULL * 1024 * 1024;
 
-/// Attempts that didn't reach the endpoint after which no other is made.
+/// Attempts that didn't reach the endpoint after which no other is made at
+/// once.
 constexpr std::uint32_t kMaxUndelivered = 3;
 
-/// No attempt starts with less time than this left, as none can complete in
-/// less.
-constexpr std::chrono::milliseconds kMinAttemptTime{ 30 };
-
 constexpr unsigned kFirstServerError = 500;
 
 std::string_view
@@ -76,6 +73,7 @@
   , origins_(aOrigins)
   , preemptBatch_(aPreemptBatch)
   , call_(aShared.codec_.ReadCallerFields(exchange_->GetRequest()))
+  , slotTimer_(aExecutor)
   , features_(FeaturesOf(exchange_->GetRequest(), call_))
   , stream_(call_.lastEvent_)
 {
@@ -154,10 +152,12 @@
   auto choice = std::exchange(replacement_, std::nullopt);
   if (!choice && MayTryAgain()) {
     choice = ChooseEndpoint(fleet::Evidence::None);
-    LogIfNotContinued(choice.has_value());
   }
   if (!choice) {
-    EndWithoutAttempt();
+    if (!WaitForSlot()) {
+      LogIfNotContinued();
+      EndWithoutAttempt();
+    }
     return;
   }
   if (!AdmitByShare(choice->endpoint_.service_) || !Admit(*choice)) {
@@ -172,14 +172,21 @@
 std::optional<fleet::EndpointChoice>
 OnlineProxy::ChooseEndpoint(fleet::Evidence aEvidence)
 {
+  std::vector<std::string> excluded = triedEndpoints_;
+  excluded.insert(excluded.end(), passedOver_.begin(), passedOver_.end());
   if (!crashedEndpoints_.empty()) {
-    std::vector<std::string> excluded = triedEndpoints_;
-    excluded.insert(
-      excluded.end(), crashedEndpoints_.begin(), crashedEndpoints_.end());
-    if (auto choice = ChooseExcept(excluded, aEvidence)) {
+    std::vector<std::string> sound = excluded;
+    sound.insert(
+      sound.end(), crashedEndpoints_.begin(), crashedEndpoints_.end());
+    if (auto choice = ChooseExcept(sound, aEvidence)) {
       return choice;
     }
   }
+  auto choice = ChooseExcept(excluded, aEvidence);
+  // The rest of a stream waits for a slot instead.
+  if (choice || passedOver_.empty() || stream_.HasBegun()) {
+    return choice;
+  }
   return ChooseExcept(triedEndpoints_, aEvidence);
 }
 
@@ -218,9 +225,9 @@
 }
 
 void
-OnlineProxy::LogIfNotContinued(bool aHasEndpoint) const
+OnlineProxy::LogIfNotContinued() const
 {
-  if (aHasEndpoint || !stream_.Origin()) {
+  if (!stream_.Origin()) {
     return;
   }
   base::Log(kStreamNotContinued,
@@ -228,7 +235,9 @@
               { "service", stream_.Origin()->service_ },
               { "software", stream_.Origin()->version_ },
               { "after_event", stream_.LastEvent() },
-              { "tried", triedEndpoints_.size() } });
+              { "tried", triedEndpoints_.size() },
+              { "passed_over", passedOver_.size() },
+              { "waits", slotWaits_ } });
 }
 
 void
@@ -407,6 +416,7 @@
               { { "request", call_.requestId_ },
                 { "endpoint", attempt_->Endpoint().id_ },
                 { "cause", NameOf(aOutcome) } });
+    passedOver_.push_back(std::move(triedEndpoints_.back()));
     triedEndpoints_.pop_back();
     TryNextEndpoint();
     return;
@@ -476,9 +486,14 @@
               { "endpoint", triedEndpoints_.back() },
               { "cause", "refused" },
               { "status", head_->result_int() } });
-  // Another process at the address rejects all requests for the endpoint, so it
-  // isn't asked again. What ran elsewhere must go on.
-  if (responseInfo_.isMisdirected_ || mayHaveRun_) {
+  if (stream_.HasBegun() && !responseInfo_.isMisdirected_) {
+    // It has room again once another request there ends.
+    ++undeliveredAttempts_;
+    passedOver_.push_back(std::move(triedEndpoints_.back()));
+    triedEndpoints_.pop_back();
+  } else if (responseInfo_.isMisdirected_ || mayHaveRun_) {
+    // Another process at the address rejects all requests for the endpoint, so
+    // it isn't asked again. What ran elsewhere must go on.
     ++undeliveredAttempts_;
     ++uncountedRejections_;
   }
@@ -586,6 +601,7 @@
                   "Arrival to first piece or final answer.")
     .Record(std::chrono::duration<double>(first).count());
   deadlineTimer_.cancel();
+  slotTimer_.cancel();
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -65,6 +65,10 @@
   void OnEnd(httpstream::CallOutcome aOutcome) override;
 
 private:
+  /// No attempt starts with less time than this left, as none can complete in
+  /// less.
+  static constexpr std::chrono::milliseconds kMinAttemptTime{ 30 };
+
   [[nodiscard]] bool IsRetryable() const;
   [[nodiscard]] base::Duration TimeLeft() const;
   void TryNextEndpoint();
@@ -108,8 +112,16 @@
   [[nodiscard]] fleet::Replacement FindReplacement();
   void LogSilence(const httpstream::Silence& aSilence,
                   fleet::SilenceAction aAction);
-  /// Logs that the rest of a stream can't be served, if so.
-  void LogIfNotContinued(bool aHasEndpoint) const;
+  /// Logs that the rest of a stream can't be served, if it is one.
+  void LogIfNotContinued() const;
+  /// Tries again a little later to get the rest of a stream whose version has
+  /// endpoints, which were full or couldn't be reached.
+  /// @return whether it does; not if it has waited for too long.
+  [[nodiscard]] bool WaitForSlot();
+  /// Takes a step after a pause, the next of a few that become longer.
+  /// @return whether it does; not after all of them, and not beyond the
+  ///         deadline.
+  [[nodiscard]] bool PauseBefore(void (OnlineProxy::*aStep)());
   /// Ends the request if no further attempt may be made.
   void EndWithoutAttempt();
   /// Sets how long an endpoint of a retryable request may be silent.
@@ -157,7 +169,12 @@
   /// What was last logged about the silence of the current attempt.
   std::optional<fleet::SilenceAction> loggedSilence_;
   std::vector<std::string> triedEndpoints_; ///< Ids, one for each attempt.
-  std::uint32_t undeliveredAttempts_ = 0;
+  std::uint32_t undeliveredAttempts_ = 0;   ///< Since the last wait for a slot.
+  /// Endpoints that aren't asked again before the next wait for a slot: they
+  /// couldn't be reached, or were too full for the rest of a stream.
+  std::vector<std::string> passedOver_;
+  boost::asio::steady_timer slotTimer_;
+  std::uint32_t slotWaits_ = 0;
   /// Attempts that were rejected and don't count: by another process at an
   /// endpoint's address, or after another endpoint may have run the request.
   std::uint32_t uncountedRejections_ = 0;
--- /dev/null
+++ b/Libraries/LibGateway/OnlineProxyRest.cpp
@@ -0,0 +1,73 @@
+#include "LibGateway/OnlineProxy.h"
+
+#include "LibGateway/Events.h"
+
+#include <array>
+
+// The part of OnlineProxy that gets the rest of a stream, which only endpoints
+// of one software version have.
+
+namespace pumiceturn::gateway {
+
+namespace {
+
+/// Pauses before the rest of a stream is tried again. Slots become free within
+/// tens of milliseconds, and callers leave a stream after 2 s without an event.
+constexpr std::array<std::chrono::milliseconds, 4> kSlotPauses{
+  std::chrono::milliseconds{ 50 },
+  std::chrono::milliseconds{ 100 },
+  std::chrono::milliseconds{ 200 },
+  std::chrono::milliseconds{ 400 }
+};
+
+} // namespace
+
+bool
+OnlineProxy::WaitForSlot()
+{
+  const bool isRest = stream_.HasBegun() && stream_.CanGoOn();
+  if (!isRest || passedOver_.empty() ||
+      CountedAttempts() >= route_.maxAttempts_) {
+    return false;
+  }
+  passedOver_.clear();
+  // Without any endpoint, its version is gone.
+  if (!ChooseEndpoint(fleet::Evidence::None) ||
+      !PauseBefore(&OnlineProxy::TryNextEndpoint)) {
+    return false;
+  }
+  undeliveredAttempts_ = 0;
+  return true;
+}
+
+bool
+OnlineProxy::PauseBefore(void (OnlineProxy::*aStep)())
+{
+  if (slotWaits_ == kSlotPauses.size() ||
+      TimeLeft() <= kSlotPauses.at(slotWaits_) + kMinAttemptTime) {
+    return false;
+  }
+  const std::chrono::milliseconds pause = kSlotPauses.at(slotWaits_++);
+  base::Log(kRestWaits,
+            { { "request", call_.requestId_ },
+              { "service", stream_.Origin()->service_ },
+              { "software", stream_.Origin()->version_ },
+              { "after_event", stream_.LastEvent() },
+              { "pause_ms", pause.count() } });
+  shared_.metrics_
+    .GetCounter("pumiceturn_rests_waited_total",
+                "Pauses of rests of streams whose endpoints were full or "
+                "couldn't be reached.")
+    .Add();
+  slotTimer_.expires_after(pause);
+  slotTimer_.async_wait(
+    [weak = weak_from_this(), aStep](const boost::system::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self && !self->isFinished_) {
+        ((*self).*aStep)();
+      }
+    });
+  return true;
+}
+
+} // namespace pumiceturn::gateway
