LibGateway: Ask for the rest after ends that only the connection marks

Cause: what counted as proof, that the server's process lives on, only shows that it wasn't killed. A whole run has nothing after its last event, and only the question for that shows it.

Now the endpoint of a resumable stream is asked for what follows the last event once its process has shown that it lives on. It has read the prompt, and isn't another server for the route's attempts. An empty response completes the stream; events go on with it. If the endpoint is full it is asked again for 750 ms, and then, or if it is silent or answers with an error, the process's word has to do as before. If it is gone, or sends what can't be the rest, other endpoints of the version are asked. An item is gone on with like one whose end is unconfirmed.

Ruled out: to ask another endpoint, which reads the prompt once more and takes up an attempt.

Tests whose servers ignored the question are changed, as the protocol says that any server resumes after event n: RawServer may have a rest of its own, four tests give it an empty one, and UnframedAnswer_RestOfStream and OfItem require the question (two requests, the second one after the last event) instead of one request.

--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -216,9 +216,15 @@
   if (status_ != httpstream::kStatusOk) {
     return batch::ItemAttemptOutcome::Failed;
   }
-  return splitter_.Remainder() > 0 || isFromOtherEndpoint_
-           ? batch::ItemAttemptOutcome::Interrupted
-           : batch::ItemAttemptOutcome::Completed;
+  if (splitter_.Remainder() > 0 || isFromOtherEndpoint_) {
+    return batch::ItemAttemptOutcome::Interrupted;
+  }
+  // Nothing but a question for the rest shows whether there is one.
+  const bool mayHaveRest =
+    endpointAttempt_->Framing() == httpstream::ResponseFraming::ConnectionEnd &&
+    NewEvents() > 0 && unnumbered_.empty();
+  return mayHaveRest ? batch::ItemAttemptOutcome::Unconfirmed
+                     : batch::ItemAttemptOutcome::Completed;
 }
 
 httpstream::SilenceDecision
--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -128,8 +128,7 @@
 std::size_t
 OnlineProxy::CountedAttempts() const
 {
-  return triedEndpoints_.size() - uncountedRejections_ -
-         (isLostToCrash_ ? 1 : 0);
+  return triedEndpoints_.size() - uncountedAttempts_ - (isLostToCrash_ ? 1 : 0);
 }
 
 bool
@@ -227,7 +226,7 @@
 void
 OnlineProxy::LogIfNotContinued() const
 {
-  if (!stream_.Origin()) {
+  if (!stream_.Origin() || hasUnmarkedEnd_) {
     return;
   }
   base::Log(kStreamNotContinued,
@@ -243,7 +242,9 @@
 void
 OnlineProxy::EndWithoutAttempt()
 {
-  if (exchange_->IsStreaming()) {
+  if (hasUnmarkedEnd_) {
+    CompleteStream();
+  } else if (exchange_->IsStreaming()) {
     exchange_->Abort();
     Finish(ProxyOutcome::StreamAborted);
   } else if (mayHaveRun_) {
@@ -384,6 +385,7 @@
   if (aEvents.empty()) {
     return;
   }
+  hasUnmarkedEnd_ = false;
   if (!exchange_->IsStreaming()) {
     firstEventAt_ = base::MonotonicNow();
     exchange_->BeginStream(*head_);
@@ -408,6 +410,9 @@
                       stream_.EventCounts(),
                       stream_.HasPartialEvent() });
   }
+  if (EndQuestionForRest(aOutcome)) {
+    return;
+  }
   if (aOutcome == httpstream::CallOutcome::NotConnected) {
     // Nothing was sent, so this doesn't count as an attempt. An endpoint of
     // another process isn't chosen again for now.
@@ -441,14 +446,11 @@
     if (!exchange_->IsStreaming()) {
       exchange_->BeginStream(*head_);
     }
-    const base::Instant now = base::MonotonicNow();
-    shared_.crashes_.RecordAnswered(features_, now);
-    if (firstEventAt_ && triedEndpoints_.size() == 1) {
-      shared_.admission_.RecordSlotTime(attempt_->Endpoint().service_,
-                                        now - *firstEventAt_);
+    if (MayHaveRest()) {
+      AskForRest();
+    } else {
+      CompleteStream();
     }
-    exchange_->EndStream();
-    Finish(ProxyOutcome::Responded);
     return;
   }
   if (responseInfo_.wasNotRun_) {
@@ -478,6 +480,19 @@
   Finish(ProxyOutcome::Responded);
 }
 
+void
+OnlineProxy::CompleteStream()
+{
+  const base::Instant now = base::MonotonicNow();
+  shared_.crashes_.RecordAnswered(features_, now);
+  if (firstEventAt_ && triedEndpoints_.size() == 1) {
+    shared_.admission_.RecordSlotTime(attempt_->Endpoint().service_,
+                                      now - *firstEventAt_);
+  }
+  exchange_->EndStream();
+  Finish(ProxyOutcome::Responded);
+}
+
 void
 OnlineProxy::OnAttemptRefused()
 {
@@ -495,7 +510,7 @@
     // Another process at the address rejects all requests for the endpoint, so
     // it isn't asked again. What ran elsewhere must go on.
     ++undeliveredAttempts_;
-    ++uncountedRejections_;
+    ++uncountedAttempts_;
   }
   TryNextEndpoint();
 }
@@ -548,6 +563,10 @@
     return;
   }
   const auto self = shared_from_this();
+  if (hasUnmarkedEnd_) {
+    CompleteStream();
+    return;
+  }
   if (exchange_->IsStreaming()) {
     exchange_->Abort();
   } else {
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -134,6 +134,18 @@
   /// Forwards complete events to the caller.
   void Forward(const std::string& aEvents);
   void OnCompleteResponse();
+  /// Ends a stream whose events the caller has all.
+  void CompleteStream();
+  /// @return whether the rest of the stream can be asked for, and only that
+  ///         shows whether there is one: nothing marks the response's end.
+  [[nodiscard]] bool MayHaveRest() const;
+  /// Asks the endpoint whose process lives on for what follows the last event:
+  /// a whole response has no rest.
+  void AskForRest();
+  /// Handles the end of that question, unless there is a rest or the endpoint
+  /// says that there is none.
+  /// @return whether it did.
+  [[nodiscard]] bool EndQuestionForRest(httpstream::CallOutcome aOutcome);
   void OnAttemptRefused();
   void OnAttemptBroken(httpstream::CallOutcome aOutcome);
   /// Tries to connect to the endpoint of the last attempt: one that ended
@@ -175,9 +187,10 @@
   std::vector<std::string> passedOver_;
   boost::asio::steady_timer slotTimer_;
   std::uint32_t slotWaits_ = 0;
-  /// Attempts that were rejected and don't count: by another process at an
-  /// endpoint's address, or after another endpoint may have run the request.
-  std::uint32_t uncountedRejections_ = 0;
+  /// Attempts that don't count: they were rejected by another process at an
+  /// endpoint's address, or after another endpoint may have run the request, or
+  /// asked an endpoint for the rest of its own response.
+  std::uint32_t uncountedAttempts_ = 0;
   /// An attempt doesn't count, as its endpoint crashed. Only one: a second
   /// crash is rather caused by the request.
   bool isLostToCrash_ = false;
@@ -203,6 +216,10 @@
   // State of all attempts.
   StreamContinuation stream_;
   std::optional<base::Instant> firstEventAt_;
+  /// The stream ended only with its connection, and the endpoint's process
+  /// lives on, so that it is whole unless somebody has a rest.
+  bool hasUnmarkedEnd_ = false;
+  bool isAskingForRest_ = false; ///< The current attempt does.
   bool isFinished_ = false;
   bool isCountedForShare_ = false;
 };
--- a/Libraries/LibGateway/OnlineProxyRest.cpp
+++ b/Libraries/LibGateway/OnlineProxyRest.cpp
@@ -1,8 +1,10 @@
 #include "LibGateway/OnlineProxy.h"
 
 #include "LibGateway/Events.h"
+#include "LibGateway/StreamReport.h"
 
 #include <array>
+#include <utility>
 
 // The part of OnlineProxy that gets the rest of a stream, which only endpoints
 // of one software version have.
@@ -22,6 +24,60 @@
 
 } // namespace
 
+bool
+OnlineProxy::MayHaveRest() const
+{
+  return attempt_->Framing() == httpstream::ResponseFraming::ConnectionEnd &&
+         IsRetryable() && stream_.Origin() && stream_.HasAdvanced() &&
+         stream_.CanGoOn() && TimeLeft() >= kMinAttemptTime;
+}
+
+void
+OnlineProxy::AskForRest()
+{
+  hasUnmarkedEnd_ = true;
+  isAskingForRest_ = true;
+  ++uncountedAttempts_;
+  shared_.metrics_
+    .GetCounter("pumiceturn_rests_asked_for_total",
+                "Streams that ended only with their connection, and whose "
+                "endpoint was asked for a rest.")
+    .Add();
+  fleet::EndpointChoice choice;
+  choice.endpoint_ = attempt_->Endpoint();
+  Send(choice);
+}
+
+bool
+OnlineProxy::EndQuestionForRest(httpstream::CallOutcome aOutcome)
+{
+  using httpstream::CallOutcome;
+  const bool wasAsking = std::exchange(isAskingForRest_, false);
+  const bool isComplete = aOutcome == CallOutcome::Complete;
+  if (!wasAsking || !hasUnmarkedEnd_ || (isComplete && isEventStream_)) {
+    return false;
+  }
+  const bool isOtherProcess = isComplete && responseInfo_.isMisdirected_;
+  if (aOutcome == CallOutcome::TimedOut || (isComplete && !isOtherProcess)) {
+    const bool isFull = isComplete && responseInfo_.wasNotRun_;
+    if (!isFull || !PauseBefore(&OnlineProxy::AskForRest)) {
+      // The process that lives on doesn't say whether there is a rest.
+      CompleteStream();
+    }
+    return true;
+  }
+  base::Log(kAttemptFailed,
+            { { "request", call_.requestId_ },
+              { "endpoint", triedEndpoints_.back() },
+              { "cause", NameOf(aOutcome) },
+              { "last_event", stream_.LastEvent() } });
+  // Otherwise the process didn't live on.
+  hasUnmarkedEnd_ =
+    aOutcome == CallOutcome::Malformed || aOutcome == CallOutcome::Unconfirmed;
+  TryNextEndpoint();
+  return true;
+}
+
 bool
 OnlineProxy::WaitForSlot()
 {
@@ -53,6 +109,7 @@
               { "service", stream_.Origin()->service_ },
               { "software", stream_.Origin()->version_ },
               { "after_event", stream_.LastEvent() },
+              { "may_be_whole", hasUnmarkedEnd_ },
               { "pause_ms", pause.count() } });
   shared_.metrics_
     .GetCounter("pumiceturn_rests_waited_total",
--- a/Tests/OrderServer/Main.cpp
+++ b/Tests/OrderServer/Main.cpp
@@ -106,6 +106,11 @@
   /// One event in this many comes after a long pause, as the run is read again
   /// from the start, and one first event in as many comes late; 0: none.
   int pauseOneIn_ = 0;
+  /// One response in this many of those that end only with their connection is
+  /// truncated between two events; 0: none.
+  int truncateOneIn_ = 0;
+  /// Path of requests that aren't truncated, as nobody may ask for their rest.
+  std::string wholeBelow_;
 };
 
 ServerOptions
@@ -135,6 +140,8 @@
   add("close-one-in", "Responses", cxxopts::value<int>());
   add("error-one-in", "Requests", cxxopts::value<int>());
   add("pause-one-in", "Events", cxxopts::value<int>());
+  add("truncate-one-in", "Responses", cxxopts::value<int>());
+  add("whole-below", "Path", cxxopts::value<std::string>());
   const auto parsed = options.parse(aCount, aArguments);
   const auto address =
     gateway::ParseAddress(parsed["address"].as<std::string>());
@@ -156,7 +163,9 @@
            parsed["max-connections"].as<int>(),
            parsed["close-one-in"].as<int>(),
            parsed["error-one-in"].as<int>(),
-           parsed["pause-one-in"].as<int>() };
+           parsed["pause-one-in"].as<int>(),
+           parsed["truncate-one-in"].as<int>(),
+           parsed["whole-below"].as<std::string>() };
 }
 
 /// The slots of a server and the requests that wait for one, which are admitted
@@ -594,6 +603,10 @@
       events.push_back(std::move(text));
     }
     const auto framing = static_cast<Framing>(Draw(0, 2));
+    if (framing == Framing::ConnectionEnd && IsTruncated(aRequest, events)) {
+      events.resize(
+        static_cast<std::size_t>(Draw(1, static_cast<int>(events.size()) - 1)));
+    }
     const bool isLast = framing == Framing::ConnectionEnd || DrawLast();
     std::string head = Head(aRequest, "200 OK") +
                        "Content-Type: text/event-stream\r\n"
@@ -622,6 +635,15 @@
     return true;
   }
 
+  /// @return whether a response whose end isn't marked lacks its last events.
+  bool IsTruncated(const httpstream::Request& aRequest,
+                   const std::vector<std::string>& aEvents)
+  {
+    return options_.truncateOneIn_ > 0 && aEvents.size() > 1 &&
+           !httpstream::TargetOf(aRequest).starts_with(options_.wholeBelow_) &&
+           DrawOneIn(options_.truncateOneIn_);
+  }
+
   /// @return how a response of that framing goes wrong.
   Fault DrawFault(Framing aFraming)
   {
--- a/Tests/Platform/EventFormatTest.cpp
+++ b/Tests/Platform/EventFormatTest.cpp
@@ -22,7 +22,8 @@
   std::string OutputOf(std::string_view aEvents)
   {
     AddRawServer(
-      "i-1", ForItem(StreamHead().append(aEvents)), RawServer::End::Orderly);
+      "i-1", ForItem(StreamHead().append(aEvents)), RawServer::End::Orderly)
+      .SetRest(ForItem(StreamHead()));
     Start();
     Submit();
     return WaitForOutput();
--- a/Tests/Platform/EventNumbersTest.cpp
+++ b/Tests/Platform/EventNumbersTest.cpp
@@ -137,7 +137,8 @@
 {
   AddRawServer("i-1",
                ForItem(StreamFrom(1, 2, kComment).append(EventsFrom(3, 6))),
-               RawServer::End::Orderly);
+               RawServer::End::Orderly)
+    .SetRest(ForItem(StreamHead()));
   Start();
   Submit();
   CHECK(WaitForOutput() == WholeOutput());
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -188,9 +188,10 @@
   const auto limit =
     base::ParseNumber<int>(FieldOf(aConnection->input_, kDeadlineField));
   const auto arrivedAt = std::chrono::steady_clock::now();
+  const bool isForRest = !FieldOf(aConnection->input_, kLastEventField).empty();
   asio::async_write(
     aConnection->socket_,
-    asio::buffer(answer_),
+    asio::buffer(isForRest && rest_ ? *rest_ : answer_),
     [this, aConnection, arrivedAt, limit](
       const boost::system::error_code& /*aError*/, std::size_t) {
       if (end_ == End::Late || end_ == End::Exit) {
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -74,6 +74,10 @@
     rejectsMisdirectedReports_ = aRejects;
   }
 
+  /// Sets the answer to requests for a rest; without, they get the same one as
+  /// all others.
+  void SetRest(std::string aRest) { rest_ = std::move(aRest); }
+
   /// Sets bytes that are sent right before the end of an answer.
   void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
 
@@ -116,6 +120,7 @@
   bool rejectsMisdirectedReports_ = true;
   std::string id_;
   std::string answer_;
+  std::optional<std::string> rest_;
   std::string lastBytes_;
   End end_;
   std::vector<std::string> requests_;
--- a/Tests/Platform/UnconfirmedEndTest.cpp
+++ b/Tests/Platform/UnconfirmedEndTest.cpp
@@ -76,6 +76,54 @@
   CHECK(call->body_ == WholeStream());
 }
 
+// Guards against the same where the server has the rest itself, and no other
+// one may be asked.
+TEST_CASE_METHOD(UnconfirmedEndFixture,
+                 "UnconfirmedEnd_ServerTruncatesOnce_ItIsAskedForTheRest")
+{
+  RawServer& server =
+    AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Orderly);
+  server.SetRest(StreamFrom(3, ServerStandin::kEventCount));
+  StartWithOneAttempt();
+  const auto call = Call("/single/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+}
+
+// Guards against more than one question for the rest of a whole stream, and
+// against one to a server that the route's attempts don't allow.
+TEST_CASE_METHOD(UnconfirmedEndFixture,
+                 "UnconfirmedEnd_StreamIsWhole_ItsServerIsAskedOnce")
+{
+  RawServer& server = AddRawServer(
+    "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Orderly);
+  server.SetRest(StreamHead());
+  AddServer("i-2");
+  Start();
+  const auto call = CallAtRawServer("/resumable/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+  CHECK(server.Requests().size() == 2);
+}
+
+// Guards against breaking off a whole stream as its server has no slot for the
+// question for a rest, or takes it for an error.
+TEST_CASE_METHOD(UnconfirmedEndFixture,
+                 "UnconfirmedEnd_ServerDoesNotTellOfRest_StreamIsComplete")
+{
+  RawServer& server = AddRawServer(
+    "i-1", StreamFrom(1, ServerStandin::kEventCount), RawServer::End::Orderly);
+  Start();
+  std::string error = Refusal("404 Not Found");
+  error.erase(error.find("Not-Run"), sizeof("Not-Run: 1\r\n") - 1);
+  for (const std::string& answer : { Refusal("503 Unavailable"), error }) {
+    server.SetRest(answer);
+    const auto call = Call("/resumable/1");
+    CHECK(call->body_ == WholeStream());
+    CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+  }
+}
+
 // Guards against an item whose output lacks its end, as in the case before.
 TEST_CASE_METHOD(UnconfirmedEndFixture,
                  "UnconfirmedEnd_ServerTruncatesItem_RestIsAskedFor")
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -93,7 +93,9 @@
     rest += ServerStandin::EventText(event, ServerStandin::kDefaultVersion, 0);
   }
   CHECK(call->body_ == rest);
-  CHECK(server.Requests().size() == 1);
+  // Besides, it is asked for what follows the last event.
+  REQUIRE(server.Requests().size() == 2);
+  CHECK(server.Requests()[1].find("Last-Event-Id: 6\r\n") != std::string::npos);
 }
 
 TEST_CASE_METHOD(UnframedAnswerFixture, "UnframedAnswer_Body_IsPassedOnWhole")
@@ -114,7 +116,8 @@
 {
   std::string answer = StreamFrom(1, ServerStandin::kEventCount);
   answer.replace(answer.find("r1"), 2, "item-0");
-  AddRawServer("i-1", answer, RawServer::End::Orderly);
+  RawServer& server = AddRawServer("i-1", answer, RawServer::End::Orderly);
+  server.SetRest(ForItem(StreamHead()));
   Start();
   CHECK(
     SendAndWait(*host_, "POST", "/lots/1", "Attempt-Id: job\r\n", JobBody(1))
@@ -125,6 +128,9 @@
     return page.find("completed") != std::string::npos;
   });
   CHECK(nlohmann::json::parse(page)["results"][0]["output"] == WholeOutput());
+  // Besides, it is asked for what follows the last event.
+  REQUIRE(server.Requests().size() == 2);
+  CHECK(server.Requests()[1].find("Last-Event-Id: 6\r\n") != std::string::npos);
 }
 
 // Guards against a stream that looks complete though the server's process ended
--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -210,7 +210,9 @@
       fmt::format("--close-one-in={}",
                   options_.closesConnections_ ? kCloseOneIn : 0),
       fmt::format("--error-one-in={}", options_.errorOneIn_),
-      fmt::format("--pause-one-in={}", options_.pauseOneIn_) },
+      fmt::format("--pause-one-in={}", options_.pauseOneIn_),
+      fmt::format("--truncate-one-in={}", options_.truncateOneIn_),
+      fmt::format("--whole-below=/{}/", kSingleRoute) },
     {});
   aServer.isReady_ = true;
   aServer.isLeaving_ = false;
--- a/Tests/PlatformSoak/OrderSoakFixture.h
+++ b/Tests/PlatformSoak/OrderSoakFixture.h
@@ -78,6 +78,10 @@
     int errorOneIn_ = 0; ///< Requests that a server answers with 500; 0: none.
     /// One event in this many comes after a long pause; 0: none.
     int pauseOneIn_ = 0;
+    /// One response in this many of those that end only with their connection
+    /// is truncated between two events by a server that lives on, where the
+    /// rest may be asked for; 0: none.
+    int truncateOneIn_ = 0;
     /// Servers that leave end their streams in order before they exit, and
     /// some don't report that they drain.
     bool exitsInOrder_ = false;
--- a/Tests/PlatformSoak/OrderSoakTest.cpp
+++ b/Tests/PlatformSoak/OrderSoakTest.cpp
@@ -127,6 +127,16 @@
   RunAndCheck(options);
 }
 
+// Guards against streams and outputs that look complete too early as their
+// servers, which live on, truncate them between two events.
+TEST_CASE_METHOD(OrderSoakRun,
+                 "OrderSoak_ServersTruncateStreams_StreamsStayWhole")
+{
+  RunOptions options;
+  options.truncateOneIn_ = 4;
+  RunAndCheck(options);
+}
+
 // Guards against the same where servers do what the platform's protocol allows:
 // they end idle connections and connections beyond their limit, answer with
 // errors, pause for long, leave without a report, end their streams in order
