LibGateway: Check endpoints a second time after streams without other proof

Cause: the check of the process came within milliseconds of the end. It was made a second time only for endpoints that are known to leave. Resumable streams and items have the question for their rest; for a stream that can't be resumed the process's word is all there is.

Such a stream's endpoint is checked again 300 ms later in any case. Its events have been passed on by then, so that only the end waits. Bodies without a length are passed on as a whole and don't wait. An endpoint that runs on for longer isn't seen, as before.

The test failed without the change (01:34) and passes, as do the others of ends.

--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -22,9 +22,9 @@
 /// runs, and then to answer. A SYN that is lost is sent again after 1 s.
 constexpr std::chrono::milliseconds kEndCheckTimeout{ 1200 };
 
-/// After how long the check of an endpoint that leaves is made once more: it
-/// may end its responses in order a moment before its process ends.
-constexpr std::chrono::milliseconds kLeavingCheckDelay{ 300 };
+/// After how long the check of an endpoint is made once more: it may end its
+/// responses in order a moment before its process ends.
+constexpr std::chrono::milliseconds kSecondCheckDelay{ 300 };
 
 constexpr unsigned kFirstServerError = 500;
 
@@ -574,7 +574,7 @@
     fleet::Judge(aAnswer.check_,
                  isSenderKnown ? fleet::Sender::Known : fleet::Sender::Unknown);
   if (end == fleet::UnmarkedEnd::Whole && !isCheckedAgain_ &&
-      IsLeaving(aAnswer)) {
+      NeedsSecondCheck(aAnswer)) {
     CheckAgainLater();
     return;
   }
@@ -605,11 +605,20 @@
   return !isHealthy || shared_.endpoints_.IsLeaving(endpoint_.Incarnation());
 }
 
+bool
+EndpointAttempt::NeedsSecondCheck(const LivenessAnswer& aAnswer) const
+{
+  // Nobody can ask for the rest of such a stream. Its events have been passed
+  // on, so only its end waits.
+  const bool isOnlyProof = isEventStream_ && !request_.needsProcess_;
+  return isOnlyProof || IsLeaving(aAnswer);
+}
+
 void
 EndpointAttempt::CheckAgainLater()
 {
   isCheckedAgain_ = true;
-  recheckTimer_.expires_after(kLeavingCheckDelay);
+  recheckTimer_.expires_after(kSecondCheckDelay);
   recheckTimer_.async_wait(
     [weak = weak_from_this()](const boost::system::error_code& aError) {
       const auto self = weak.lock();
--- a/Libraries/LibGateway/EndpointAttempt.h
+++ b/Libraries/LibGateway/EndpointAttempt.h
@@ -121,6 +121,8 @@
   void OnEndChecked(const LivenessAnswer& aAnswer);
   /// @return whether the endpoint's process may end soon.
   [[nodiscard]] bool IsLeaving(const LivenessAnswer& aAnswer) const;
+  /// @return whether it must be seen that the process goes on for a while.
+  [[nodiscard]] bool NeedsSecondCheck(const LivenessAnswer& aAnswer) const;
   void CheckAgainLater();
   /// @return whether a response that ended in order is whole by its head alone:
   ///         it has a length, or a status that says all.
