review: Case 8, a busy server is taken for a crashed one

A request that lost its answer runs at one server more than its route allows, as a connection that a server beyond its limit resets counts as the sign of a crash.

--- a/review/rig-2/Cases.h
+++ b/review/rig-2/Cases.h
@@ -16,4 +16,7 @@
 [[noreturn]] void
 RunSlowReaders(Recorder& aRecorder);
 
+[[noreturn]] void
+RunLostAnswers(Recorder& aRecorder);
+
 } // namespace review
--- a/review/rig-2/ModelServer.cpp
+++ b/review/rig-2/ModelServer.cpp
@@ -44,6 +44,9 @@
 void
 ModelServer::Serve(Connection& aConnection)
 {
+  if (admission_ && !admission_(aConnection)) {
+    return;
+  }
   const auto answer =
     [&](int aStatus, const std::string& aFields, const std::string& aBody) {
       return aConnection.Send(
--- a/review/rig-2/ModelServer.h
+++ b/review/rig-2/ModelServer.h
@@ -18,6 +18,12 @@
               unsigned aSlots,
               RunHandler aRun);
 
+  /// Sets what decides about new connections: whether one is served.
+  void SetAdmission(std::function<bool(Connection&)> aAdmission)
+  {
+    admission_ = std::move(aAdmission);
+  }
+
   /// Registers in the store, and sends a heartbeat about each second from now
   /// on.
   void Register(Store& aStore);
@@ -34,6 +40,7 @@
   std::int64_t born_ = UnixMs();
   std::atomic<int> seq_ = 0;
   RunHandler run_;
+  std::function<bool(Connection&)> admission_;
   std::unique_ptr<Server> server_;
 };
 
