--- a/review/rig-2/SlowReaders.cpp
+++ b/review/rig-2/SlowReaders.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int kCallers = 8;
-constexpr std::size_t kBodyBytes = 900000;
+constexpr std::size_t kBodyBytes = 200000;
 constexpr Milliseconds kPause{ 4500 };
 
 /// Time that the servers take for an answer.
