--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/review-2/review-rig ] && [ -x target/platform/pumiceturn-gateway ] || exit 2
-exec target/review-2/review-rig lost-answers review/8/record.txt
+exec target/review-2/review-rig draining-servers review/8/record.txt
--- a/review/rig-2/Cases.h
+++ b/review/rig-2/Cases.h
@@ -17,6 +17,6 @@
 RunSlowReaders(Recorder& aRecorder);
 
 [[noreturn]] void
-RunLostAnswers(Recorder& aRecorder);
+RunDrainingServers(Recorder& aRecorder);
 
 } // namespace review
--- a/review/rig-2/Main.cpp
+++ b/review/rig-2/Main.cpp
@@ -11,7 +11,7 @@
     { "late-bytes", RunLateBytes },
     { "truncated-streams", RunTruncatedStreams },
     { "failing-items", RunFailingItems },
-    { "lost-answers", RunLostAnswers },
+    { "draining-servers", RunDrainingServers },
     { "slow-readers", RunSlowReaders },
   };
   const auto found = aCount == 3 ? cases.find(aArguments[1]) : cases.end();
--- a/review/rig-2/ModelServer.cpp
+++ b/review/rig-2/ModelServer.cpp
@@ -22,7 +22,7 @@
   return json{
     { "service", service_ }, { "address", server_->Address() },
     { "zone", "a" },         { "version", "v1" },
-    { "slots", slots_ },     { "state", "ready" },
+    { "slots", slots_ },     { "state", isDraining_ ? "draining" : "ready" },
     { "coldLeftMs", 0 },     { "seq", seq_.load() },
     { "born", born_ },       { "phase", "colocated" }
   }.dump();
@@ -41,12 +41,16 @@
   }).detach();
 }
 
+void
+ModelServer::Drain(Store& aStore)
+{
+  isDraining_ = true;
+  aStore.Put("servers/" + id_, Entry());
+}
+
 void
 ModelServer::Serve(Connection& aConnection)
 {
-  if (admission_ && !admission_(aConnection)) {
-    return;
-  }
   const auto answer =
     [&](int aStatus, const std::string& aFields, const std::string& aBody) {
       return aConnection.Send(
--- a/review/rig-2/ModelServer.h
+++ b/review/rig-2/ModelServer.h
@@ -18,15 +18,11 @@
               unsigned aSlots,
               RunHandler aRun);
 
-  /// Sets what decides about new connections: whether one is served.
-  void SetAdmission(std::function<bool(Connection&)> aAdmission)
-  {
-    admission_ = std::move(aAdmission);
-  }
-
   /// Registers in the store, and sends a heartbeat about each second from now
   /// on.
   void Register(Store& aStore);
+  /// Reports that it drains; it goes on serving.
+  void Drain(Store& aStore);
   [[nodiscard]] const std::string& Id() const { return id_; }
   [[nodiscard]] std::string Address() const { return server_->Address(); }
 
@@ -39,8 +35,8 @@
   unsigned slots_;
   std::int64_t born_ = UnixMs();
   std::atomic<int> seq_ = 0;
+  std::atomic<bool> isDraining_ = false;
   RunHandler run_;
-  std::function<bool(Connection&)> admission_;
   std::unique_ptr<Server> server_;
 };
 
