--- a/review/rig-2/DrainingServers.cpp
+++ b/review/rig-2/DrainingServers.cpp
@@ -87,6 +87,27 @@
   return false;
 }
 
+/// @return whether the stream came whole.
+bool
+SendRequest(Recorder& aRecorder, const Deployment& aDeployment)
+{
+  const std::string request = RandomId();
+  const Answer answer = Call(
+    aDeployment.Ip(11),
+    Deployment::kFrontPort,
+    "POST /lookup/name HTTP/1.1\r\nHost: lookup.example\r\n"
+    "Attempt-Id: " +
+      request + "\r\nModel: m\r\nToken-Counts: 250,60\r\nPrompt-Prefix: " +
+      RandomId() + ":250\r\nDeadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi",
+    Milliseconds(6000));
+  const bool isWhole =
+    answer.message_.Status() == 200 && answer.end_ == BodyEnd::Complete;
+  aRecorder.Line("request " + request + " answered " +
+                 std::to_string(answer.message_.Status()) +
+                 (isWhole ? ", complete" : ", not complete"));
+  return isWhole;
+}
+
 } // namespace
 
 void
@@ -123,24 +144,8 @@
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&] {
-      const std::string request = RandomId();
-      const Answer answer = Call(
-        deployment.Ip(11),
-        Deployment::kFrontPort,
-        "POST /lookup/name HTTP/1.1\r\nHost: lookup.example\r\n"
-        "Attempt-Id: " +
-          request + "\r\nModel: m\r\nToken-Counts: 250,60\r\nPrompt-Prefix: " +
-          RandomId() +
-          ":250\r\nDeadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi",
-        Milliseconds(6000));
-      const bool isWhole =
-        answer.message_.Status() == 200 && answer.end_ == BodyEnd::Complete;
-      whole += isWhole ? 1 : 0;
-      aRecorder.Line("request " + request + " answered " +
-                     std::to_string(answer.message_.Status()) +
-                     (isWhole ? ", complete" : ", not complete"));
-    });
+    callers.emplace_back(
+      [&] { whole += SendRequest(aRecorder, deployment) ? 1 : 0; });
   }
   std::this_thread::sleep_for(kUntilDraining);
   if (HasTrouble()) {
--- a/review/rig-2/FailingItems.cpp
+++ b/review/rig-2/FailingItems.cpp
@@ -94,6 +94,63 @@
                           "Content-Length: 0\r\n\r\n");
 }
 
+/// @return the answer to a batch job with one item.
+Answer
+SendJob(const Deployment& aDeployment, const std::string& aJob)
+{
+  const std::string body = json{
+    { "items",
+      json::array(
+        { { { "id", RandomId() },
+            { "path", "/report/1" },
+            { "headers", { { "Model", "m" }, { "Token-Counts", "300,100" } } },
+            { "body", "aGk=" },
+            { "tokens", 400 } } }) }
+  }.dump();
+  return Call(aDeployment.Ip(11),
+              Deployment::kFrontPort,
+              "POST /report/" + aJob +
+                " HTTP/1.1\r\nHost: report.example\r\nAttempt-Id: " + aJob +
+                "\r\nContent-Type: application/json\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body,
+              Milliseconds(4000));
+}
+
+/// @return whether the item's result is listed.
+bool
+IsListed(const Deployment& aDeployment, const std::string& aJob)
+{
+  const Answer answer =
+    Call(aDeployment.Ip(11),
+         Deployment::kFrontPort,
+         "GET /api/lots/" + aJob +
+           "?after=0 HTTP/1.1\r\nHost: report.example\r\n\r\n",
+         Milliseconds(2000));
+  return answer.message_.Status() == 200 &&
+         json::parse(answer.message_.body_).at("next") == 1;
+}
+
+/// Kills the process that runs the job and starts it again.
+/// @return whether one was known.
+bool
+KillOwner(Deployment& aDeployment, const std::string& aJob, Seen& aSeen)
+{
+  const auto state =
+    aDeployment.PlatformStore().Range("pumiceturn/lot/" + aJob);
+  if (state.empty()) {
+    return false;
+  }
+  const std::string owner =
+    json::parse(state.begin()->second).at("owner").get<std::string>();
+  const std::string node = owner.substr(0, owner.find('/'));
+  aDeployment.Kill(node);
+  std::this_thread::sleep_for(kDown);
+  aDeployment.StartAgain(node);
+  const std::lock_guard lock(aSeen.mutex_);
+  aSeen.disruptedAt_ = Clock::now();
+  return true;
+}
+
 } // namespace
 
 void
@@ -126,63 +183,24 @@
   std::this_thread::sleep_for(Milliseconds(3000));
 
   const std::string job = RandomId();
-  const std::string item = RandomId();
-  const std::string body = json{
-    { "items",
-      json::array(
-        { { { "id", item },
-            { "path", "/report/1" },
-            { "headers", { { "Model", "m" }, { "Token-Counts", "300,100" } } },
-            { "body", "aGk=" },
-            { "tokens", 400 } } }) }
-  }.dump();
-  const Answer accepted =
-    Call(deployment.Ip(11),
-         Deployment::kFrontPort,
-         "POST /report/" + job +
-           " HTTP/1.1\r\nHost: report.example\r\nAttempt-Id: " + job +
-           "\r\nContent-Type: application/json\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body,
-         Milliseconds(4000));
+  const Answer accepted = SendJob(deployment, job);
   aRecorder.Line("job " + job + " answered " +
                  std::to_string(accepted.message_.Status()));
   if (accepted.message_.Status() != 202) {
     deployment.Finish(kCouldNotRun);
   }
-  const auto isListed = [&] {
-    const Answer answer =
-      Call(deployment.Ip(11),
-           Deployment::kFrontPort,
-           "GET /api/lots/" + job +
-             "?after=0 HTTP/1.1\r\nHost: report.example\r\n\r\n",
-           Milliseconds(2000));
-    return answer.message_.Status() == 200 &&
-           json::parse(answer.message_.body_).at("next") == 1;
-  };
   int kills = 0;
   auto nextKill = Clock::now() + kUntilFirstKill;
   const auto end = Clock::now() + std::chrono::seconds(85);
-  while (Clock::now() < end && !isListed()) {
+  while (Clock::now() < end && !IsListed(deployment, job)) {
     std::this_thread::sleep_for(Milliseconds(200));
     if (!HasTrouble() || kills == kKills || Clock::now() < nextKill) {
       continue;
     }
     nextKill = Clock::now() + kBetweenKills;
-    const auto state = store.Range("pumiceturn/lot/" + job);
-    if (state.empty()) {
-      continue;
-    }
-    const std::string owner =
-      json::parse(state.begin()->second).at("owner").get<std::string>();
-    const std::string node = owner.substr(0, owner.find('/'));
-    ++kills;
-    deployment.Kill(node);
-    std::this_thread::sleep_for(kDown);
-    deployment.StartAgain(node);
-    const std::lock_guard lock(seen.mutex_);
-    seen.disruptedAt_ = Clock::now();
+    kills += KillOwner(deployment, job, seen) ? 1 : 0;
   }
-  const bool wasListed = isListed();
+  const bool wasListed = IsListed(deployment, job);
   const std::lock_guard lock(seen.mutex_);
   aRecorder.Line("kills " + std::to_string(kills) + ", runs of the item " +
                  std::to_string(seen.arrivals_) + ", answers of 500 " +
--- a/review/rig-2/LateBytes.cpp
+++ b/review/rig-2/LateBytes.cpp
@@ -36,70 +36,132 @@
                { "idleTimeoutMs", 15000 } } } };
 }
 
+/// What the servers did, and what the callers got.
+struct Tally
+{
+  std::mutex mutex_;
+  std::map<std::string, std::string> bodies_; // Of answers, by request.
+  int spoiled_ = 0;
+  int served_ = 0;
+  int wrong_ = 0;
+};
+
+/// Runs requests; sends surplus bytes late if it is the faulty one.
+class Docket
+{
+public:
+  Docket(Recorder& aRecorder, Tally& aTally, std::string aId, bool aIsFaulty)
+    : recorder_(aRecorder)
+    , tally_(aTally)
+    , id_(std::move(aId))
+    , isFaulty_(aIsFaulty)
+  {
+  }
+
+  bool Run(Connection& aConnection, const Message& aRequest)
+  {
+    const std::string request = aRequest.Field("Attempt-Id");
+    const std::string body = "docket of " + request + " by " + id_;
+    const std::string extra = Spoil(aConnection, request, body);
+    if (!extra.empty()) {
+      recorder_.Line("server " + id_ + " sends late bytes before its " +
+                     "answer to " + request);
+      if (!aConnection.Send(extra)) {
+        return false;
+      }
+    }
+    recorder_.Line("server " + id_ + " runs " + request);
+    std::this_thread::sleep_for(Milliseconds(5));
+    return aConnection.Send(
+      "HTTP/1.1 200 OK\r\n" + AnswerFields(aRequest, "seal-" + request) +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+private:
+  /// @return the surplus of the connection's earlier answer, which is late.
+  std::string Spoil(const Connection& aConnection,
+                    const std::string& aRequest,
+                    const std::string& aBody)
+  {
+    const std::lock_guard lock(tally_.mutex_);
+    tally_.bodies_[aRequest] = aBody;
+    const bool isSpoiled = isFaulty_ && ++count_ % kSpoiledOneIn == 0;
+    std::string extra;
+    const auto due = debt_.find(aConnection.Socket());
+    if (due != debt_.end()) {
+      extra = due->second;
+      debt_.erase(due);
+      ++tally_.spoiled_;
+    }
+    if (isSpoiled) {
+      const std::string text = "surplus bytes after " + aRequest;
+      debt_[aConnection.Socket()] =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+        "Content-Length: " +
+        std::to_string(text.size()) + "\r\n\r\n" + text;
+    }
+    return extra;
+  }
+
+  Recorder& recorder_;
+  Tally& tally_;
+  std::string id_;
+  bool isFaulty_;
+  int count_ = 0;
+  std::map<int, std::string> debt_; // Surplus bytes, by connection.
+};
+
+void
+SendRequest(Recorder& aRecorder,
+            const Deployment& aDeployment,
+            Tally& aTally,
+            int aIndex)
+{
+  const std::string request = RandomId();
+  const std::string text = "what " + request + " asks for";
+  const Answer answer =
+    Call(aDeployment.Ip(11),
+         Deployment::kFrontPort,
+         "POST /docket/" + std::to_string(aIndex) +
+           " HTTP/1.1\r\nHost: docket.example\r\nAttempt-Id: " + request +
+           "\r\nDeadline-Ms: 5000\r\nContent-Length: " +
+           std::to_string(text.size()) + "\r\n\r\n" + text,
+         Milliseconds(5500));
+  const int status = answer.message_.Status();
+  const std::string seal = answer.message_.Field("Server-Seal");
+  const bool isSuccess = status >= 200 && status < 300;
+  const std::lock_guard lock(aTally.mutex_);
+  const bool isRight =
+    !isSuccess || (seal == "seal-" + request &&
+                   answer.message_.body_ == aTally.bodies_[request]);
+  aTally.served_ += isSuccess && isRight ? 1 : 0;
+  aTally.wrong_ += isRight ? 0 : 1;
+  aRecorder.Line("request " + request + " answered " + std::to_string(status) +
+                 " seal '" + seal + "' body '" + answer.message_.body_ + "'" +
+                 (isRight ? "" : "  <- not the server's answer"));
+}
+
 } // namespace
 
 void
 RunLateBytes(Recorder& aRecorder)
 {
-  const bool hasTrouble = HasTrouble();
   Deployment& deployment = *new Deployment(aRecorder);
   Store& store = deployment.PlatformStore();
   store.Put("op/config", Configuration().dump());
-
-  std::mutex mutex;
-  std::map<std::string, std::string> bodies; // Of answers, by request.
-  std::map<std::string, int> runs;
-  int spoiled = 0;
-  std::vector<std::unique_ptr<ModelServer>> servers;
+  Tally& tally = *new Tally;
   for (int index = 1; index <= 2; ++index) {
     const std::string id = "i-" + std::to_string(index);
-    auto count = std::make_shared<int>(0);
-    auto debt = std::make_shared<std::map<int, std::string>>();
-    servers.push_back(std::make_unique<ModelServer>(
+    auto* docket = new Docket(aRecorder, tally, id, index == 1 && HasTrouble());
+    auto* server = new ModelServer(
       deployment.Ip(100 + index),
       id,
       "docket",
       8,
-      [&, id, index, count, debt](Connection& aConnection,
-                                  const Message& aRequest) {
-        const std::string request = aRequest.Field("Attempt-Id");
-        const std::string body = "docket of " + request + " by " + id;
-        std::string extra;
-        bool isSpoiled = false;
-        {
-          const std::lock_guard lock(mutex);
-          bodies[request] = body;
-          ++runs[request];
-          isSpoiled = index == 1 && hasTrouble && ++*count % kSpoiledOneIn == 0;
-          // The connection's earlier answer was spoiled: its surplus is late.
-          const auto due = debt->find(aConnection.Socket());
-          if (due != debt->end()) {
-            extra = due->second;
-            debt->erase(due);
-            ++spoiled;
-          }
-          if (isSpoiled) {
-            const std::string text = "surplus bytes after " + request;
-            (*debt)[aConnection.Socket()] =
-              "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
-              "Content-Length: " +
-              std::to_string(text.size()) + "\r\n\r\n" + text;
-          }
-        }
-        if (!extra.empty()) {
-          aRecorder.Line("server " + id + " sends late bytes before its " +
-                         "answer to " + request);
-          if (!aConnection.Send(extra)) {
-            return false;
-          }
-        }
-        aRecorder.Line("server " + id + " runs " + request);
-        std::this_thread::sleep_for(Milliseconds(5));
-        return aConnection.Send(
-          "HTTP/1.1 200 OK\r\n" + AnswerFields(aRequest, "seal-" + request) +
-          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-      }));
-    servers.back()->Register(store);
+      [docket](Connection& aConnection, const Message& aRequest) {
+        return docket->Run(aConnection, aRequest);
+      });
+    server->Register(store);
   }
   deployment.Start("front-1", 11, Role::Front);
   deployment.Start("store-1", 21, Role::Store);
@@ -107,45 +169,17 @@
     aRecorder.Line("the entry host isn't ready");
     deployment.Finish(kCouldNotRun);
   }
-
-  int served = 0;
-  int wrong = 0;
   for (int index = 0; index < kRequests; ++index) {
-    const std::string request = RandomId();
-    const std::string text = "what " + request + " asks for";
-    const Answer answer =
-      Call(deployment.Ip(11),
-           Deployment::kFrontPort,
-           "POST /docket/" + std::to_string(index) +
-             " HTTP/1.1\r\nHost: docket.example\r\nAttempt-Id: " + request +
-             "\r\nDeadline-Ms: 5000\r\nContent-Length: " +
-             std::to_string(text.size()) + "\r\n\r\n" + text,
-           Milliseconds(5500));
-    const int status = answer.message_.Status();
-    const std::string seal = answer.message_.Field("Server-Seal");
-    const bool isSuccess = status >= 200 && status < 300;
-    std::string expected;
-    {
-      const std::lock_guard lock(mutex);
-      expected = bodies[request];
-    }
-    const bool isRight = !isSuccess || (seal == "seal-" + request &&
-                                        answer.message_.body_ == expected);
-    served += isSuccess && isRight ? 1 : 0;
-    wrong += isRight ? 0 : 1;
-    aRecorder.Line("request " + request + " answered " +
-                   std::to_string(status) + " seal '" + seal + "' body '" +
-                   answer.message_.body_ + "'" +
-                   (isRight ? "" : "  <- not the server's answer"));
+    SendRequest(aRecorder, deployment, tally, index);
   }
   aRecorder.Line("requests " + std::to_string(kRequests) + ", served " +
-                 std::to_string(served) + ", late surplus bytes " +
-                 std::to_string(spoiled) + ", wrong successes " +
-                 std::to_string(wrong));
-  if (served < kRequests / 2) {
+                 std::to_string(tally.served_) + ", late surplus bytes " +
+                 std::to_string(tally.spoiled_) + ", wrong successes " +
+                 std::to_string(tally.wrong_));
+  if (tally.served_ < kRequests / 2) {
     deployment.Finish(kCouldNotRun);
   }
-  deployment.Finish(wrong > 0 ? kBroken : kHeld);
+  deployment.Finish(tally.wrong_ > 0 ? kBroken : kHeld);
 }
 
 } // namespace review
--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -276,6 +276,46 @@
   return true;
 }
 
+bool
+Connection::ReadTo(std::size_t aBytes,
+                   std::optional<Clock::time_point> aDeadline,
+                   ReadResult& aResult)
+{
+  while (input_.size() < aBytes) {
+    aResult = ReadMore(aDeadline);
+    if (aResult != ReadResult::Bytes) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+Connection::ReadChunks(std::string& aBody,
+                       std::optional<Clock::time_point> aDeadline,
+                       ReadResult& aResult)
+{
+  for (;;) {
+    std::size_t lineEnd = input_.find("\r\n");
+    while (lineEnd == std::string::npos) {
+      aResult = ReadMore(aDeadline);
+      if (aResult != ReadResult::Bytes) {
+        return false;
+      }
+      lineEnd = input_.find("\r\n");
+    }
+    const std::size_t size = std::stoul(input_.substr(0, lineEnd), nullptr, 16);
+    if (!ReadTo(lineEnd + 2 + size + 2, aDeadline, aResult)) {
+      return false;
+    }
+    aBody.append(input_, lineEnd + 2, size);
+    input_.erase(0, lineEnd + 2 + size + 2);
+    if (size == 0) {
+      return true;
+    }
+  }
+}
+
 Answer
 Connection::ReadAnswer(Clock::time_point aDeadline)
 {
@@ -291,44 +331,15 @@
   }
   answer.hasHead_ = true;
   std::string& body = answer.message_.body_;
-  const auto readTo = [&](std::size_t aBytes) {
-    while (input_.size() < aBytes) {
-      result = ReadMore(aDeadline);
-      if (result != ReadResult::Bytes) {
-        return false;
-      }
-    }
-    return true;
-  };
   if (answer.message_.Field("Transfer-Encoding") == "chunked") {
-    for (;;) {
-      std::size_t lineEnd = input_.find("\r\n");
-      while (lineEnd == std::string::npos) {
-        result = ReadMore(aDeadline);
-        if (result != ReadResult::Bytes) {
-          answer.end_ = endOf(result);
-          return answer;
-        }
-        lineEnd = input_.find("\r\n");
-      }
-      const std::size_t size =
-        std::stoul(input_.substr(0, lineEnd), nullptr, 16);
-      if (!readTo(lineEnd + 2 + size + 2)) {
-        answer.end_ = endOf(result);
-        return answer;
-      }
-      body.append(input_, lineEnd + 2, size);
-      input_.erase(0, lineEnd + 2 + size + 2);
-      if (size == 0) {
-        answer.end_ = BodyEnd::Complete;
-        return answer;
-      }
-    }
+    const bool isWhole = ReadChunks(body, aDeadline, result);
+    answer.end_ = isWhole ? BodyEnd::Complete : endOf(result);
+    return answer;
   }
   const std::string length = answer.message_.Field("Content-Length");
   if (!length.empty()) {
     const std::size_t bytes = std::stoul(length);
-    const bool isWhole = readTo(bytes);
+    const bool isWhole = ReadTo(bytes, aDeadline, result);
     body = input_.substr(0, bytes);
     input_.erase(0, body.size());
     answer.end_ = isWhole ? BodyEnd::Complete : endOf(result);
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -111,6 +111,14 @@
   [[nodiscard]] bool ReadHead(Message& aMessage,
                               std::optional<Clock::time_point> aDeadline,
                               ReadResult& aResult);
+  /// Reads until the input holds this many bytes.
+  [[nodiscard]] bool ReadTo(std::size_t aBytes,
+                            std::optional<Clock::time_point> aDeadline,
+                            ReadResult& aResult);
+  /// Appends all chunks to the body.
+  [[nodiscard]] bool ReadChunks(std::string& aBody,
+                                std::optional<Clock::time_point> aDeadline,
+                                ReadResult& aResult);
 
   int socket_;
   std::string input_;
--- a/review/rig-2/SlowReaders.cpp
+++ b/review/rig-2/SlowReaders.cpp
@@ -44,6 +44,53 @@
                { "idleTimeoutMs", 15000 } } } };
 }
 
+struct Tally
+{
+  std::atomic<int> whole_ = 0;
+  std::atomic<int> cut_ = 0;
+};
+
+bool
+RunRequest(Recorder& aRecorder,
+           const std::string& aServer,
+           Connection& aConnection,
+           const Message& aRequest)
+{
+  const std::string request = aRequest.Field("Attempt-Id");
+  aRecorder.Line("server " + aServer + " runs " + request);
+  std::this_thread::sleep_for(kWork);
+  return aConnection.Send("HTTP/1.1 200 OK\r\n" +
+                          AnswerFields(aRequest, "seal-" + request) +
+                          "Content-Length: " + std::to_string(kBodyBytes) +
+                          "\r\n\r\n" + std::string(kBodyBytes, 'x'));
+}
+
+void
+ReadSlowly(Recorder& aRecorder, const Deployment& aDeployment, Tally& aTally)
+{
+  const int socket = Connect(aDeployment.Ip(11), Deployment::kFrontPort);
+  ::setsockopt(
+    socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof(kReceiveBuffer));
+  Connection connection(socket);
+  const std::string request = RandomId();
+  aRecorder.Line("request " + request + " sent");
+  (void)connection.Send("GET /doc/long HTTP/1.1\r\nHost: doc.example\r\n"
+                        "Attempt-Id: " +
+                        request + "\r\nDeadline-Ms: 10000\r\n\r\n");
+  if (HasTrouble()) {
+    std::this_thread::sleep_for(kPause);
+  }
+  const Answer answer =
+    connection.ReadAnswer(Clock::now() + Milliseconds(6000));
+  const bool isWhole = answer.end_ == BodyEnd::Complete &&
+                       answer.message_.body_.size() == kBodyBytes;
+  ++(isWhole ? aTally.whole_ : aTally.cut_);
+  aRecorder.Line("request " + request + " answered " +
+                 std::to_string(answer.message_.Status()) + ", " +
+                 std::to_string(answer.message_.body_.size()) + " bytes, " +
+                 (isWhole ? "complete" : "cut  <- no complete answer"));
+}
+
 } // namespace
 
 void
@@ -60,13 +107,7 @@
       "doc",
       8,
       [&aRecorder, id](Connection& aConnection, const Message& aRequest) {
-        const std::string request = aRequest.Field("Attempt-Id");
-        aRecorder.Line("server " + id + " runs " + request);
-        std::this_thread::sleep_for(kWork);
-        return aConnection.Send(
-          "HTTP/1.1 200 OK\r\n" + AnswerFields(aRequest, "seal-" + request) +
-          "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n" +
-          std::string(kBodyBytes, 'x'));
+        return RunRequest(aRecorder, id, aConnection, aRequest);
       });
     server->Register(store);
   }
@@ -78,34 +119,11 @@
     deployment.Finish(kCouldNotRun);
   }
   std::this_thread::sleep_for(Milliseconds(3500));
-  std::atomic<int> whole = 0;
-  std::atomic<int> cut = 0;
+  Tally tally;
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
-    callers.emplace_back([&] {
-      const int socket = Connect(deployment.Ip(11), Deployment::kFrontPort);
-      ::setsockopt(
-        socket, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof(kReceiveBuffer));
-      Connection connection(socket);
-      const std::string request = RandomId();
-      aRecorder.Line("request " + request + " sent");
-      (void)connection.Send("GET /doc/long HTTP/1.1\r\nHost: doc.example\r\n"
-                            "Attempt-Id: " +
-                            request + "\r\nDeadline-Ms: 10000\r\n\r\n");
-      if (HasTrouble()) {
-        std::this_thread::sleep_for(kPause);
-      }
-      const Answer answer =
-        connection.ReadAnswer(Clock::now() + Milliseconds(6000));
-      const bool isWhole = answer.end_ == BodyEnd::Complete &&
-                           answer.message_.body_.size() == kBodyBytes;
-      ++(isWhole ? whole : cut);
-      aRecorder.Line("request " + request + " answered " +
-                     std::to_string(answer.message_.Status()) + ", " +
-                     std::to_string(answer.message_.body_.size()) + " bytes, " +
-                     (isWhole ? "complete" : "cut  <- no complete answer"));
-    });
+    callers.emplace_back([&] { ReadSlowly(aRecorder, deployment, tally); });
   }
   std::this_thread::sleep_for(kUntilStop);
   aRecorder.Line("SIGTERM to front-1");
@@ -113,9 +131,9 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  aRecorder.Line("whole " + std::to_string(whole) + ", cut " +
-                 std::to_string(cut));
-  deployment.Finish(cut > 0 ? kBroken : kHeld);
+  aRecorder.Line("whole " + std::to_string(tally.whole_) + ", cut " +
+                 std::to_string(tally.cut_));
+  deployment.Finish(tally.cut_ > 0 ? kBroken : kHeld);
 }
 
 } // namespace review
--- a/review/rig-2/TruncatedStreams.cpp
+++ b/review/rig-2/TruncatedStreams.cpp
@@ -133,6 +133,43 @@
   return ids;
 }
 
+struct Tally
+{
+  std::atomic<int> whole_ = 0;
+  std::atomic<int> wrong_ = 0;
+  std::atomic<int> other_ = 0;
+};
+
+void
+SendRequest(Recorder& aRecorder, const Deployment& aDeployment, Tally& aTally)
+{
+  const std::string request = RandomId();
+  const Answer answer = Call(
+    aDeployment.Ip(11),
+    Deployment::kFrontPort,
+    "POST /lookup/name HTTP/1.1\r\nHost: lookup.example\r\n"
+    "Attempt-Id: " +
+      request + "\r\nModel: m\r\nToken-Counts: 250,24\r\nPrompt-Prefix: " +
+      RandomId() + ":250\r\nDeadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi",
+    Milliseconds(5500));
+  const std::vector<int> ids = EventIds(answer.message_.body_);
+  bool isInOrder = true;
+  for (std::size_t place = 0; place < ids.size(); ++place) {
+    isInOrder = isInOrder && ids[place] == static_cast<int>(place) + 1;
+  }
+  const bool looksWhole =
+    answer.message_.Status() == 200 && answer.end_ == BodyEnd::Complete;
+  const bool isWhole = isInOrder && ids.size() == kEvents;
+  const bool isWrong = !isInOrder || (looksWhole && !isWhole);
+  ++(isWrong ? aTally.wrong_ : looksWhole ? aTally.whole_ : aTally.other_);
+  aRecorder.Line(
+    "request " + request + " answered " +
+    std::to_string(answer.message_.Status()) + ", " +
+    std::to_string(ids.size()) + " events, " +
+    (looksWhole ? "complete" : "not complete") +
+    (isWrong ? "  <- ends as complete before its last piece" : ""));
+}
+
 } // namespace
 
 void
@@ -163,54 +200,27 @@
     deployment.Finish(kCouldNotRun);
   }
 
-  std::atomic<int> whole = 0;
-  std::atomic<int> wrong = 0;
-  std::atomic<int> other = 0;
+  Tally tally;
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&] {
       for (int index = 0; index < kStreamsPerCaller; ++index) {
-        const std::string request = RandomId();
-        const Answer answer =
-          Call(deployment.Ip(11),
-               Deployment::kFrontPort,
-               "POST /lookup/name HTTP/1.1\r\nHost: lookup.example\r\n"
-               "Attempt-Id: " +
-                 request +
-                 "\r\nModel: m\r\nToken-Counts: 250,24\r\nPrompt-Prefix: " +
-                 RandomId() +
-                 ":250\r\nDeadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi",
-               Milliseconds(5500));
-        const std::vector<int> ids = EventIds(answer.message_.body_);
-        bool isInOrder = true;
-        for (std::size_t place = 0; place < ids.size(); ++place) {
-          isInOrder = isInOrder && ids[place] == static_cast<int>(place) + 1;
-        }
-        const bool looksWhole =
-          answer.message_.Status() == 200 && answer.end_ == BodyEnd::Complete;
-        const bool isWhole = isInOrder && ids.size() == kEvents;
-        const bool isWrong = !isInOrder || (looksWhole && !isWhole);
-        ++(isWrong ? wrong : looksWhole ? whole : other);
-        aRecorder.Line(
-          "request " + request + " answered " +
-          std::to_string(answer.message_.Status()) + ", " +
-          std::to_string(ids.size()) + " events, " +
-          (looksWhole ? "complete" : "not complete") +
-          (isWrong ? "  <- ends as complete before its last piece" : ""));
+        SendRequest(aRecorder, deployment, tally);
       }
     });
   }
   for (std::thread& caller : callers) {
     caller.join();
   }
-  aRecorder.Line("streams whole " + std::to_string(whole) +
-                 ", complete before their last piece " + std::to_string(wrong) +
-                 ", other ends " + std::to_string(other));
-  if (whole < kCallers * kStreamsPerCaller / 2) {
+  aRecorder.Line("streams whole " + std::to_string(tally.whole_) +
+                 ", complete before their last piece " +
+                 std::to_string(tally.wrong_) + ", other ends " +
+                 std::to_string(tally.other_));
+  if (tally.whole_ < kCallers * kStreamsPerCaller / 2) {
     deployment.Finish(kCouldNotRun);
   }
-  deployment.Finish(wrong > 0 ? kBroken : kHeld);
+  deployment.Finish(tally.wrong_ > 0 ? kBroken : kHeld);
 }
 
 } // namespace review
