--- /dev/null
+++ b/Tests/Platform/BrokenStreamTest.cpp
@@ -0,0 +1,99 @@
+#include "Tests/Platform/RawServerFixture.h"
+#include "Tests/Platform/TestRoute.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace pumiceturn::adapter {
+
+/// Servers that break streams off before their last event.
+class BrokenStreamFixture : protected RawServerFixture
+{
+protected:
+  /// Starts a host with one route, whose streams can be resumed.
+  void StartWithAttempts(int aMaxAttempts)
+  {
+    nlohmann::json route = MakeTestRoute("resumable", "stream");
+    route["resumable"] = true;
+    route["maxAttempts"] = aMaxAttempts;
+    store_.Put(
+      "op/config",
+      nlohmann::json{
+        { "version", 1 },
+        { "routes", { route } },
+        { "services", { { { "name", "service" }, { "maxConns", 100 } } } } }
+        .dump());
+    host_ = &StartHost("entry", batch::BatchPreference::Fallback);
+    RunUntil([this] {
+      return SendToAndWait(Loopback(host_->statusPort_), "GET", "/api/ready")
+               ->status_ == 200;
+    });
+  }
+
+  /// @return the beginning of a response that is longer.
+  static std::string Beginning(std::uint64_t aLastEvent)
+  {
+    return "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n"
+           "Content-Type: text/event-stream\r\nContent-Length: 9999\r\n\r\n" +
+           EventsFrom(1, aLastEvent);
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    std::size_t count = 0;
+    for (const auto& server : rawServers_) {
+      count += server->Requests().size();
+    }
+    return count;
+  }
+
+  std::unique_ptr<CallerCall> SendStream()
+  {
+    return Send(host_->callerPort_,
+                "POST",
+                "/resumable/1",
+                "Attempt-Id: r1\r\nDeadline-Ms: 4000\r\n");
+  }
+};
+
+// Guards against a request that runs at more endpoints than its route allows,
+// as one that resets new connections is taken for one that ended.
+TEST_CASE_METHOD(BrokenStreamFixture,
+                 "BrokenStream_EndpointResetsNewConnections_CountsAsAttempt")
+{
+  for (const char* name : { "i-1", "i-2" }) {
+    AddRawServer(name, Beginning(2), RawServer::End::Reset)
+      .SetResetsNewConnections(true);
+  }
+  StartWithAttempts(1);
+  CHECK(Call("/resumable/1")->outcome_ != httpstream::CallOutcome::Complete);
+  CHECK(RequestCount() == 1);
+}
+
+// Guards against a stream that isn't continued, as the endpoint's process ended
+// but its listening socket was closed a moment later.
+TEST_CASE_METHOD(BrokenStreamFixture,
+                 "BrokenStream_ListenerClosesLast_GoesOnElsewhere")
+{
+  AddRawServer("i-1", Beginning(2), RawServer::End::ProcessSlowly);
+  StartWithAttempts(1);
+  const auto call = SendStream();
+  RunUntil([this] { return RequestCount() == 1; });
+  AddServer("i-2");
+  RunUntil([&call] { return call->HasEnded(); });
+  CHECK(call->body_ == WholeStream());
+}
+
+// Guards against a stream that isn't continued, as the endpoint's next process
+// answers in its place.
+TEST_CASE_METHOD(BrokenStreamFixture,
+                 "BrokenStream_NextProcessAnswers_GoesOnElsewhere")
+{
+  AddRawServer("i-1", Beginning(2), RawServer::End::Restart);
+  AddServer("i-2").SetEventInterval(std::chrono::milliseconds(1));
+  StartWithAttempts(1);
+  CHECK(CallAtRawServer("/resumable/1")->body_ == WholeStream());
+}
+
+} // namespace pumiceturn::adapter
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -46,6 +46,14 @@
   return std::string(value.substr(0, value.find("\r\n")));
 }
 
+void
+Reset(tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  aSocket.close(ignored);
+}
+
 } // namespace
 
 RawServer::RawServer(asio::io_context& aContext,
@@ -75,7 +83,11 @@
       if (aError) {
         return;
       }
-      Read(std::make_shared<Connection>(Connection{ std::move(aSocket) }));
+      if (resetsNewConnections_ && !requests_.empty()) {
+        Reset(aSocket);
+      } else {
+        Read(std::make_shared<Connection>(Connection{ std::move(aSocket) }));
+      }
       Accept();
     });
 }
@@ -235,12 +247,11 @@
   boost::system::error_code ignored;
   asio::write(aConnection->socket_, asio::buffer(lastBytes_), ignored);
   if (end_ == End::Reset) {
-    aConnection->socket_.set_option(asio::socket_base::linger(true, 0),
-                                    ignored);
+    Reset(aConnection->socket_);
   } else {
     aConnection->socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    aConnection->socket_.close(ignored);
   }
-  aConnection->socket_.close(ignored);
   EndProcess();
 }
 
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -78,6 +78,13 @@
   /// all others.
   void SetRest(std::string aRest) { rest_ = std::move(aRest); }
 
+  /// Sets whether each connection that is made after the first request is
+  /// reset, as by a server that has as many as it takes.
+  void SetResetsNewConnections(bool aResets)
+  {
+    resetsNewConnections_ = aResets;
+  }
+
   /// Sets bytes that are sent right before the end of an answer.
   void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
 
@@ -118,6 +125,7 @@
   Health nextHealth_ = Health::Named;
   bool reportsStart_ = true;
   bool rejectsMisdirectedReports_ = true;
+  bool resetsNewConnections_ = false;
   std::string id_;
   std::string answer_;
   std::optional<std::string> rest_;
