LibGateway: Log what the check of a crash found, and how often an item has failed

The logs couldn't tell apart why a request ran at more endpoints than its route allows, or why an item ran on: the check logged nothing, and the end of an item's run neither the status nor the count. crash_checked (7166) has the check's result and whether the attempt counts, item_run_ended the status, the failures and their maximum; pumiceturn_attempts_beyond_maximum_total counts the attempts that were granted.

--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -105,6 +105,12 @@
     return items_[aItem].possibleCrashes_.size() >= kManyCrashes;
   }
 
+  /// @return how often an item has failed.
+  [[nodiscard]] std::uint32_t FailuresOf(std::size_t aItem) const
+  {
+    return items_[aItem].failures_;
+  }
+
   /// Discards the output so far: the next attempt starts from the beginning.
   void DiscardProgress(std::size_t aItem) { items_[aItem].progress_ = {}; }
 
--- a/Libraries/LibFleet/UnmarkedEnd.cpp
+++ b/Libraries/LibFleet/UnmarkedEnd.cpp
@@ -2,6 +2,24 @@
 
 namespace pumiceturn::fleet {
 
+std::string_view
+NameOf(EndpointCheck aCheck)
+{
+  switch (aCheck) {
+    case EndpointCheck::Unreachable:
+      return "unreachable";
+    case EndpointCheck::Open:
+      return "open";
+    case EndpointCheck::SameProcess:
+      return "same_process";
+    case EndpointCheck::OtherProcess:
+      return "other_process";
+    case EndpointCheck::Unnamed:
+      break;
+  }
+  return "unnamed";
+}
+
 UnmarkedEnd
 Judge(EndpointCheck aCheck, Sender aSender)
 {
--- a/Libraries/LibFleet/UnmarkedEnd.h
+++ b/Libraries/LibFleet/UnmarkedEnd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 namespace pumiceturn::fleet {
 
@@ -14,6 +15,10 @@
   OtherProcess, ///< Another process shows that it runs at the address.
 };
 
+/// @return a check's name, for logs and metrics.
+[[nodiscard]] std::string_view
+NameOf(EndpointCheck aCheck);
+
 /// Whether it is known which process of the endpoint sent a response.
 enum class Sender : std::uint8_t
 {
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -357,32 +357,37 @@
 {
   const std::string job = aAttempt.JobId();
   const std::size_t item = aAttempt.Item();
-  base::Log(kItemAttemptEnded,
-            { { "lot", job },
-              { "item", item },
-              { "endpoint", aAttempt.EndpointId() },
-              { "end", NameOf(aOutcome) },
-              { "last_event", aAttempt.Progress().lastEvent_ } });
   shared_.metrics_
     .GetCounter("pumiceturn_item_runs_total",
                 "Ended runs of lots' items.",
                 fmt::format("end=\"{}\"", NameOf(aOutcome)))
     .Add();
   RecordDuration(aAttempt, aOutcome);
+  const std::uint64_t lastEvent = aAttempt.Progress().lastEvent_;
   batch::PartialOutput progress = aAttempt.ReleaseProgress();
   RemoveAttempt(aAttempt);
   const auto running = runningJobs_.find(job);
   if (running == runningJobs_.end()) {
     return;
   }
-  auto result = running->second.schedule_.End(
-    item, aOutcome, std::move(progress), base::MonotonicNow());
+  batch::ItemSchedule& schedule = running->second.schedule_;
+  auto result =
+    schedule.End(item, aOutcome, std::move(progress), base::MonotonicNow());
+  base::Log(kItemAttemptEnded,
+            { { "lot", job },
+              { "item", item },
+              { "endpoint", aAttempt.EndpointId() },
+              { "end", NameOf(aOutcome) },
+              { "status", aAttempt.Status() },
+              { "last_event", lastEvent },
+              { "failures", schedule.FailuresOf(item) },
+              { "max_attempts", schedule.Limits().maxAttempts_ },
+              { "done", result.has_value() } });
   if (!result) {
     return;
   }
   const base::Instant now = base::MonotonicNow();
-  results_.Add(
-    job, std::move(*result), running->second.schedule_.Limits().dueAt_, now);
+  results_.Add(job, std::move(*result), schedule.Limits().dueAt_, now);
 }
 
 void
--- a/Libraries/LibGateway/EndpointAttempt.cpp
+++ b/Libraries/LibGateway/EndpointAttempt.cpp
@@ -32,24 +32,6 @@
 /// each connection after its answer.
 constexpr std::uint32_t kMaxProcessQueries = 2;
 
-std::string_view
-NameOf(fleet::EndpointCheck aCheck)
-{
-  switch (aCheck) {
-    case fleet::EndpointCheck::Unreachable:
-      return "unreachable";
-    case fleet::EndpointCheck::Open:
-      return "open";
-    case fleet::EndpointCheck::SameProcess:
-      return "same_process";
-    case fleet::EndpointCheck::OtherProcess:
-      return "other_process";
-    case fleet::EndpointCheck::Unnamed:
-      break;
-  }
-  return "unnamed";
-}
-
 std::string_view
 NameOf(fleet::ProcessEvidence aEvidence)
 {
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -414,6 +414,13 @@
   "The endpoints that could go on with a stream are full or can't be reached; "
   "they are asked again after a pause."
 };
+inline constexpr base::Event kCrashChecked{
+  7166,
+  "crash_checked",
+  base::LogLevel::Info,
+  "A request's last attempt broke; its endpoint was checked for whether its "
+  "process ended, in which case the attempt doesn't count."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -73,6 +73,8 @@
     return progress_.lastEvent_ - resumedAfter_;
   }
   [[nodiscard]] base::Instant StartedAt() const { return startedAt_; }
+  /// @return the status of the response; 0 if its head hasn't arrived.
+  [[nodiscard]] unsigned Status() const { return status_; }
   [[nodiscard]] batch::PartialOutput ReleaseProgress()
   {
     return std::move(progress_);
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -152,6 +152,7 @@
   /// refuses connections, and the attempt then doesn't count. Goes on
   /// afterwards.
   void CheckForCrash();
+  void OnCrashChecked(const LivenessAnswer& aAnswer);
   void OnDeadline();
   void RecordBroken(httpstream::CallOutcome aOutcome);
   /// Rejects the request if such ones crash endpoints, and restricts where one
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -1,8 +1,11 @@
 #include "LibGateway/OnlineProxy.h"
 
 #include "LibGateway/CrashReports.h"
+#include "LibGateway/Events.h"
 #include "LibHttpStream/Status.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 #include <variant>
 
@@ -118,11 +121,32 @@
                          return;
                        }
                        proxy->crashProbe_.reset();
-                       proxy->isLostToCrash_ =
-                         aAnswer.check_ == fleet::EndpointCheck::Unreachable ||
-                         aAnswer.check_ == fleet::EndpointCheck::OtherProcess;
-                       proxy->TryNextEndpoint();
+                       proxy->OnCrashChecked(aAnswer);
                      });
 }
 
+void
+OnlineProxy::OnCrashChecked(const LivenessAnswer& aAnswer)
+{
+  isLostToCrash_ = aAnswer.check_ == fleet::EndpointCheck::Unreachable ||
+                   aAnswer.check_ == fleet::EndpointCheck::OtherProcess;
+  base::Log(kCrashChecked,
+            { { "request", call_.requestId_ },
+              { "endpoint", attempt_->Endpoint().id_ },
+              { "born_ms", attempt_->Endpoint().startedAtMs_ },
+              { "check", fleet::NameOf(aAnswer.check_) },
+              { "counted", CountedAttempts() },
+              { "max_attempts", route_.maxAttempts_ },
+              { "ended", isLostToCrash_ } });
+  if (isLostToCrash_) {
+    shared_.metrics_
+      .GetCounter("pumiceturn_attempts_beyond_maximum_total",
+                  "Attempts granted beyond a route's maximum, by what showed "
+                  "that the endpoint's process had ended.",
+                  fmt::format("proof=\"{}\"", fleet::NameOf(aAnswer.check_)))
+      .Add();
+  }
+  TryNextEndpoint();
+}
+
 } // namespace pumiceturn::gateway
