LibGateway: The status of an item's response counts however the response ends

An attempt was classified by how its connection ended, and only then by its status. So broken, silent and unintelligible ends, and attempts that were cancelled for online work or a hand-over, postponed the item and counted nothing.

Now a status that says that the item failed, was rejected or wasn't run counts as soon as its head has come, if the response names the item; a complete response counts as before. Where no status came nothing is counted, so that an item stays owed however often its servers crash, and isn't errored before as many answers of 500 as its route allows.

--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -431,7 +431,7 @@
   isDraining_ = true;
   for (const auto& attempt : std::vector(attempts_)) {
     attempt->Cancel();
-    OnAttemptEnd(*attempt, batch::ItemAttemptOutcome::Preempted);
+    OnAttemptEnd(*attempt, attempt->OutcomeIfCancelled());
   }
   auto pending = std::make_shared<std::size_t>(1);
   const auto finishOne = [pending, done = std::move(aDone)] {
--- a/Libraries/LibGateway/BatchWorkerStarts.cpp
+++ b/Libraries/LibGateway/BatchWorkerStarts.cpp
@@ -411,7 +411,7 @@
   }
   chosen->Cancel();
   shared_.endpoints_.RecordPreemption(aEndpoint, now);
-  OnAttemptEnd(*chosen, batch::ItemAttemptOutcome::Preempted);
+  OnAttemptEnd(*chosen, chosen->OutcomeIfCancelled());
 }
 
 } // namespace pumiceturn::gateway
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -97,6 +97,8 @@
 {
   responseInfo_ = shared_.codec_.ReadResponseInfo(aHead);
   status_ = aHead.result_int();
+  namesItem_ =
+    httpstream::ValueOf(aHead, shared_.codec_.EchoField()) == itemId_;
   isFromOtherEndpoint_ = !responseInfo_.responderId_.empty() &&
                          responseInfo_.responderId_ != endpoint_;
 }
@@ -198,24 +200,20 @@
   if (aOutcome == httpstream::CallOutcome::NotConnected) {
     return batch::ItemAttemptOutcome::NotRun;
   }
+  const bool isComplete = aOutcome == httpstream::CallOutcome::Complete;
+  const auto said = OutcomeByStatus();
+  if (said && (isComplete || namesItem_)) {
+    return *said;
+  }
   if (aOutcome == httpstream::CallOutcome::TimedOut) {
     return batch::ItemAttemptOutcome::Silent;
   }
   if (aOutcome == httpstream::CallOutcome::Unconfirmed) {
     return batch::ItemAttemptOutcome::Unconfirmed;
   }
-  if (aOutcome != httpstream::CallOutcome::Complete) {
+  if (!isComplete) {
     return batch::ItemAttemptOutcome::Interrupted;
   }
-  if (responseInfo_.wasNotRun_) {
-    return batch::ItemAttemptOutcome::NotRun;
-  }
-  if (status_ == httpstream::kStatusUnprocessable) {
-    return batch::ItemAttemptOutcome::Rejected;
-  }
-  if (status_ != httpstream::kStatusOk) {
-    return batch::ItemAttemptOutcome::Failed;
-  }
   if (splitter_.Remainder() > 0 || isFromOtherEndpoint_) {
     return batch::ItemAttemptOutcome::Interrupted;
   }
@@ -227,6 +225,28 @@
                      : batch::ItemAttemptOutcome::Completed;
 }
 
+std::optional<batch::ItemAttemptOutcome>
+ItemAttempt::OutcomeByStatus() const
+{
+  if (responseInfo_.wasNotRun_) {
+    return batch::ItemAttemptOutcome::NotRun;
+  }
+  if (status_ == httpstream::kStatusUnprocessable) {
+    return batch::ItemAttemptOutcome::Rejected;
+  }
+  if (status_ != 0 && status_ != httpstream::kStatusOk) {
+    return batch::ItemAttemptOutcome::Failed;
+  }
+  return std::nullopt;
+}
+
+batch::ItemAttemptOutcome
+ItemAttempt::OutcomeIfCancelled() const
+{
+  const auto said = namesItem_ ? OutcomeByStatus() : std::nullopt;
+  return said.value_or(batch::ItemAttemptOutcome::Preempted);
+}
+
 httpstream::SilenceDecision
 ItemAttempt::OnSilence(const httpstream::Silence& aSilence)
 {
--- a/Libraries/LibGateway/ItemAttempt.h
+++ b/Libraries/LibGateway/ItemAttempt.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,10 @@
   [[nodiscard]] base::Instant StartedAt() const { return startedAt_; }
   /// @return the status of the response; 0 if its head hasn't arrived.
   [[nodiscard]] unsigned Status() const { return status_; }
+  /// @return how the attempt ends if it is cancelled now in favour of other
+  ///         work.
+  [[nodiscard]] batch::ItemAttemptOutcome OutcomeIfCancelled() const;
+
   [[nodiscard]] batch::PartialOutput ReleaseProgress()
   {
     return std::move(progress_);
@@ -110,6 +115,10 @@
                         batch::ItemAttemptOutcome aItemOutcome);
   [[nodiscard]] batch::ItemAttemptOutcome Classify(
     httpstream::CallOutcome aOutcome) const;
+  /// @return the outcome that the status says, however the response ends; empty
+  ///         if it says none.
+  [[nodiscard]] std::optional<batch::ItemAttemptOutcome> OutcomeByStatus()
+    const;
 
   SharedState& shared_;
   EndHandler onEnd_;
@@ -134,6 +143,7 @@
   /// Its version isn't known, so its events aren't joined.
   bool isFromOtherEndpoint_ = false;
   unsigned status_ = 0;
+  bool namesItem_ = false; ///< The response does, so it belongs to this item.
   bool isSilenceLogged_ = false;
 };
 
