LibGateway: An item's failures outlive the owner of its job

The owner counted failures in memory. The next one, also the same host's next process, began at zero, and a hand-over stored partial output only. A final failure was lost with its owner, too, until its result was stored: up to 0.5 s, and as long as the store is away.

Failures are now stored in a record of their own (data/JOB/failures), at once, and an item isn't retried before its failure is stored, so that an owner that is lost, frozen or cut off loses one failure of an item at most. Final failures are in the record as well: the next owner lists such an item without a run. Counts of two owners are merged by the highest; a write expects the job's state and the record as last read, so that neither a former owner's write nor one that takes effect late lowers a count.

Ruled out: the count within the record of partial output. An older process would write it back without, jobs with more than 400 KB of output would never store it, and each failure would write all the output again. An older process ignores the new key, and its retention removes it with the others. Jobs without failures make no call more than before.

FailingItems_* failed before (an item ran three times where two are allowed; a rejected one ran again) and pass. ItemScheduleTest's fixture stores failures as the owner does, as an item now waits for that: its checks are the same.

--- a/Libraries/LibBatch/BatchJob.h
+++ b/Libraries/LibBatch/BatchJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibBatch/ItemFailures.h"
 
 #include <cstdint>
 #include <map>
@@ -89,8 +90,11 @@
   std::map<std::uint32_t, std::vector<ItemResult>> pages_;
   /// Keyed by item ID.
   std::unordered_map<std::string, PartialOutput> progress_;
-  /// Whether the content, results and progress have been read, not only the
-  /// state.
+  FailureCounts failures_;
+  std::uint64_t failuresRevision_ = 0; ///< 0: no record has been read.
+  bool areFailuresUnreadable_ = false; ///< Their record is malformed.
+  /// Whether the content, results, progress and failures have been read, not
+  /// only the state.
   bool isLoaded_ = false;
 
   /// @return whether the job is open: neither cancelled nor finished. Otherwise
--- a/Libraries/LibBatch/BatchJobKeys.cpp
+++ b/Libraries/LibBatch/BatchJobKeys.cpp
@@ -27,6 +27,8 @@
       return statePrefix_ + aKey.job_;
     case KeyKind::Progress:
       return DataPrefix(aKey.job_) + "progress";
+    case KeyKind::Failures:
+      return DataPrefix(aKey.job_) + "failures";
     case KeyKind::Content:
       return fmt::format(
         "{}content/{:06}", DataPrefix(aKey.job_), aKey.number_);
@@ -58,6 +60,10 @@
     key.kind_ = KeyKind::Progress;
     return key;
   }
+  if (rest == "failures") {
+    key.kind_ = KeyKind::Failures;
+    return key;
+  }
   const std::size_t second = rest.find('/');
   if (second == std::string_view::npos) {
     return std::nullopt;
--- a/Libraries/LibBatch/BatchJobKeys.h
+++ b/Libraries/LibBatch/BatchJobKeys.h
@@ -14,6 +14,7 @@
   Content,  ///< One numbered part of the content.
   Results,  ///< A page of results, numbered by its first position.
   Progress, ///< Partial outputs of unfinished items.
+  Failures, ///< How often items failed.
 };
 
 /// A parsed job key.
--- a/Libraries/LibBatch/BatchJobTable.cpp
+++ b/Libraries/LibBatch/BatchJobTable.cpp
@@ -1,5 +1,6 @@
 #include "LibBatch/BatchJobTable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pumiceturn::batch {
@@ -37,11 +38,27 @@
         job.progress_ = std::move(*progress);
       }
       break;
+    case KeyKind::Failures:
+      ApplyFailures(job, aValue, aRevision);
+      break;
   }
   JoinParts(job);
   return key->job_;
 }
 
+void
+BatchJobTable::ApplyFailures(BatchJob& aJob,
+                             std::string_view aValue,
+                             std::uint64_t aRevision)
+{
+  aJob.failuresRevision_ = std::max(aJob.failuresRevision_, aRevision);
+  const auto failures = DecodeFailures(aValue);
+  aJob.areFailuresUnreadable_ = !failures;
+  if (failures) {
+    MergeFailures(aJob.failures_, *failures);
+  }
+}
+
 void
 BatchJobTable::JoinParts(BatchJob& aJob)
 {
--- a/Libraries/LibBatch/BatchJobTable.h
+++ b/Libraries/LibBatch/BatchJobTable.h
@@ -58,6 +58,9 @@
   [[nodiscard]] std::vector<std::string> AllJobs() const;
 
 private:
+  static void ApplyFailures(BatchJob& aJob,
+                            std::string_view aValue,
+                            std::uint64_t aRevision);
   void JoinParts(BatchJob& aJob);
   static void JoinPages(BatchJob& aJob);
 
--- a/Libraries/LibBatch/ItemSchedule.cpp
+++ b/Libraries/LibBatch/ItemSchedule.cpp
@@ -25,6 +25,11 @@
         found != aJob.progress_.end()) {
       item.progress_ = found->second;
     }
+    if (const auto found = aJob.failures_.find(batchItem.id_);
+        found != aJob.failures_.end()) {
+      item.failures_ = found->second;
+      hasFailures_ = true;
+    }
     items_.push_back(std::move(item));
   }
 }
@@ -36,7 +41,8 @@
   std::vector<std::size_t> startable;
   for (std::size_t index = 0; index < items_.size(); ++index) {
     Item& item = items_[index];
-    if (item.phase_ != Phase::Waiting || item.notBefore_ > aNow) {
+    if (item.phase_ != Phase::Waiting || item.notBefore_ > aNow ||
+        item.hasUnstoredFailure_) {
       continue;
     }
     std::erase_if(item.possibleCrashes_,
@@ -74,12 +80,17 @@
       return Finish(
         item, ItemState::Completed, std::move(item.progress_.output_));
     case ItemAttemptOutcome::Rejected:
-      return Finish(item, ItemState::Errored, {});
     case ItemAttemptOutcome::Failed:
-      ++item.failures_;
-      if (item.failures_ >= limits_.maxAttempts_) {
+      hasFailures_ = true;
+      if (aOutcome == ItemAttemptOutcome::Rejected) {
+        item.failures_.isRejected_ = true;
+      } else {
+        ++item.failures_.count_;
+      }
+      if (HasFailedForGood(item)) {
         return Finish(item, ItemState::Errored, {});
       }
+      item.hasUnstoredFailure_ = true;
       Postpone(item, kRetryDelay, aNow);
       break;
     case ItemAttemptOutcome::NotRun:
@@ -135,6 +146,52 @@
   Postpone(aItem, delay, aNow);
 }
 
+bool
+ItemSchedule::HasFailedForGood(const Item& aItem) const
+{
+  return aItem.failures_.isRejected_ ||
+         aItem.failures_.count_ >= limits_.maxAttempts_;
+}
+
+FailureCounts
+ItemSchedule::Failures() const
+{
+  FailureCounts failures;
+  for (const Item& item : items_) {
+    if (item.failures_ != ItemFailures{}) {
+      failures.emplace(item.id_, item.failures_);
+    }
+  }
+  return failures;
+}
+
+void
+ItemSchedule::RecordFailuresStored(const FailureCounts& aStored)
+{
+  for (Item& item : items_) {
+    const auto stored = aStored.find(item.id_);
+    if (stored != aStored.end() &&
+        stored->second.count_ >= item.failures_.count_) {
+      item.hasUnstoredFailure_ = false;
+    }
+  }
+}
+
+std::vector<ItemResult>
+ItemSchedule::FinishFailed()
+{
+  std::vector<ItemResult> results;
+  if (!hasFailures_) {
+    return results;
+  }
+  for (Item& item : items_) {
+    if (item.phase_ == Phase::Waiting && HasFailedForGood(item)) {
+      results.push_back(Finish(item, ItemState::Errored, {}));
+    }
+  }
+  return results;
+}
+
 std::vector<ItemResult>
 ItemSchedule::AbandonWaiting(base::Instant aNow)
 {
--- a/Libraries/LibBatch/ItemSchedule.h
+++ b/Libraries/LibBatch/ItemSchedule.h
@@ -108,7 +108,7 @@
   /// @return how often an item has failed.
   [[nodiscard]] std::uint32_t FailuresOf(std::size_t aItem) const
   {
-    return items_[aItem].failures_;
+    return items_[aItem].failures_.count_;
   }
 
   /// Discards the output so far: the next attempt starts from the beginning.
@@ -125,6 +125,18 @@
                                 PartialOutput aProgress,
                                 base::Instant aNow);
 
+  /// @return the failures of all items.
+  [[nodiscard]] FailureCounts Failures() const;
+
+  /// Records which failures are stored. An item isn't started again before its
+  /// own are, so that its next owner can't run it more often than it should.
+  void RecordFailuresStored(const FailureCounts& aStored);
+
+  /// Ends the waiting items that failed as often as they may, or were rejected,
+  /// at earlier owners. The limits must be those of the job's route.
+  /// @return their results.
+  std::vector<ItemResult> FinishFailed();
+
   /// Abandons all waiting items once abandonAt_ has passed.
   /// @return their results.
   std::vector<ItemResult> AbandonWaiting(base::Instant aNow);
@@ -154,7 +166,8 @@
     std::uint64_t tokens_ = 0;
     Phase phase_ = Phase::Waiting;
     PartialOutput progress_;
-    std::uint32_t failures_ = 0;
+    ItemFailures failures_;
+    bool hasUnstoredFailure_ = false;
     std::string endpoint_; ///< Endpoint of the current attempt.
     std::vector<InterruptedAttempt>
       possibleCrashes_; ///< Interruptions at endpoints not known to have
@@ -162,12 +175,14 @@
     base::Instant notBefore_;
   };
 
+  [[nodiscard]] bool HasFailedForGood(const Item& aItem) const;
   ItemResult Finish(Item& aItem, ItemState aState, std::string aOutput);
   void Postpone(Item& aItem, base::Duration aDelay, base::Instant aNow);
   void RecordPossibleCrash(Item& aItem, base::Instant aNow);
 
   ItemLimits limits_;
   std::vector<Item> items_;
+  bool hasFailures_ = false; ///< Any item has.
 };
 
 } // namespace pumiceturn::batch
--- a/Libraries/LibGateway/BatchWorker.cpp
+++ b/Libraries/LibGateway/BatchWorker.cpp
@@ -89,6 +89,15 @@
              aJobs,
              [this](const std::string& aJob) { onResults_(aJob); })
   , progressWriter_(aStore, aJobs.Keys())
+  , failureWriter_(
+      aStore,
+      aJobs,
+      [this](const std::string& aJob, const batch::FailureCounts& aStored) {
+        const auto running = runningJobs_.find(aJob);
+        if (running != runningJobs_.end()) {
+          running->second.schedule_.RecordFailuresStored(aStored);
+        }
+      })
 {
 }
 
@@ -184,6 +193,8 @@
             { { "lot", aJob.id_ },
               { "items", aJob.state_.itemCount_ },
               { "results", aJob.results_.size() },
+              { "items_failed", aJob.failures_.size() },
+              { "failures_unreadable", aJob.areFailuresUnreadable_ },
               { "revision", aJob.stateRevision_ } });
 }
 
@@ -211,6 +222,7 @@
   runningJobs_.erase(aJob);
   results_.Forget(aJob);
   progressWriter_.Forget(aJob);
+  failureWriter_.Forget(aJob);
   base::Log(kBatchJobReleased, { { "lot", aJob }, { "reason", aReason } });
 }
 
@@ -232,12 +244,10 @@
   for (auto& [id, running] : runningJobs_) {
     if (const batch::BatchJob* job = jobs_.Find(id)) {
       UpdateLimits(*job, running, aNow);
-    }
-    for (batch::ItemResult& result : running.schedule_.AbandonWaiting(aNow)) {
-      results_.Add(
-        id, std::move(result), running.schedule_.Limits().dueAt_, aNow);
+      EndWaitingItems(*job, running, aNow);
     }
   }
+  failureWriter_.Store(hosts_.Count(), aNow);
   results_.Tick(aNow);
   PreemptForOnline(aNow);
   StartAttempts(aNow);
@@ -249,6 +259,34 @@
   }
 }
 
+void
+BatchWorker::EndWaitingItems(const batch::BatchJob& aJob,
+                             RunningJob& aRunning,
+                             base::Instant aNow)
+{
+  const base::Instant dueAt = aRunning.schedule_.Limits().dueAt_;
+  // Without the route its maximum of attempts isn't known.
+  if (RouteOf(aJob) != nullptr) {
+    for (batch::ItemResult& result : aRunning.schedule_.FinishFailed()) {
+      base::Log(kItemNotRunAgain,
+                { { "lot", aJob.id_ }, { "item", result.item_ } });
+      results_.Add(aJob.id_, std::move(result), dueAt, aNow);
+    }
+  }
+  for (batch::ItemResult& result : aRunning.schedule_.AbandonWaiting(aNow)) {
+    results_.Add(aJob.id_, std::move(result), dueAt, aNow);
+  }
+}
+
+void
+BatchWorker::StoreFailures(const std::string& aJob, const RunningJob& aRunning)
+{
+  failureWriter_.Add(aJob, aRunning.schedule_.Failures());
+  if (!isDraining_) {
+    failureWriter_.Store(hosts_.Count(), base::MonotonicNow());
+  }
+}
+
 const fleet::Route*
 BatchWorker::RouteOf(const batch::BatchJob& aJob) const
 {
@@ -383,6 +421,10 @@
               { "failures", schedule.FailuresOf(item) },
               { "max_attempts", schedule.Limits().maxAttempts_ },
               { "done", result.has_value() } });
+  if (aOutcome == batch::ItemAttemptOutcome::Failed ||
+      aOutcome == batch::ItemAttemptOutcome::Rejected) {
+    StoreFailures(job, running->second);
+  }
   if (!result) {
     return;
   }
@@ -460,6 +502,12 @@
       { jobs_.Keys().MakeKey({ id, batch::KeyKind::Progress, 0 }),
         batch::EncodeProgress(running.schedule_.Progress()),
         0 });
+    if (const auto failures = running.schedule_.Failures(); !failures.empty()) {
+      transaction.writes_.push_back(
+        { jobs_.Keys().MakeKey({ id, batch::KeyKind::Failures, 0 }),
+          batch::EncodeFailures(failures),
+          0 });
+    }
     ++*pending;
     base::Log(kBatchJobReleased, { { "lot", id }, { "reason", "leaving" } });
     store_.Commit(
--- a/Libraries/LibGateway/BatchWorker.h
+++ b/Libraries/LibGateway/BatchWorker.h
@@ -6,6 +6,7 @@
 #include "LibBatch/ItemSchedule.h"
 #include "LibBatch/ItemStarter.h"
 #include "LibGateway/BatchJobLoader.h"
+#include "LibGateway/FailureWriter.h"
 #include "LibGateway/ItemAttempt.h"
 #include "LibGateway/LedgerWriter.h"
 #include "LibGateway/ProgressWriter.h"
@@ -186,6 +187,13 @@
   void PreemptForOnline(base::Instant aNow);
   void OnAttemptEnd(ItemAttempt& aAttempt, batch::ItemAttemptOutcome aOutcome);
   void RemoveAttempt(const ItemAttempt& aAttempt);
+  /// Stores failures that an attempt added to its job's.
+  void StoreFailures(const std::string& aJob, const RunningJob& aRunning);
+  /// Ends a job's items that failed too often at earlier owners, and those
+  /// whose time is up.
+  void EndWaitingItems(const batch::BatchJob& aJob,
+                       RunningJob& aRunning,
+                       base::Instant aNow);
   [[nodiscard]] std::vector<BatchJobProgress> CollectProgress() const;
 
   boost::asio::io_context& context_;
@@ -210,6 +218,7 @@
   std::vector<std::shared_ptr<ItemAttempt>> attempts_;
   ResultWriter results_;
   ProgressWriter progressWriter_;
+  FailureWriter failureWriter_;
   bool isDraining_ = false;
 };
 
--- a/Libraries/LibGateway/Events.h
+++ b/Libraries/LibGateway/Events.h
@@ -421,6 +421,26 @@
   "A request's last attempt broke; its endpoint was checked for whether its "
   "process ended, in which case the attempt doesn't count."
 };
+inline constexpr base::Event kItemFailuresStored{
+  7167,
+  "item_failures_stored",
+  base::LogLevel::Info,
+  "How often items of a batch job failed is stored for its next owner."
+};
+inline constexpr base::Event kItemFailuresNotStored{
+  7168,
+  "item_failures_not_stored",
+  base::LogLevel::Warning,
+  "How often items of a batch job failed could not be stored yet; they aren't "
+  "run again before."
+};
+inline constexpr base::Event kItemNotRunAgain{
+  7169,
+  "item_not_run_again",
+  base::LogLevel::Info,
+  "A batch item ends without another run: it failed as often as it may, or was "
+  "rejected, at an earlier owner of its job."
+};
 inline constexpr base::Event kCallerConnectionEnded{
   7180,
   "caller_connection_ended",
--- a/Tests/LibBatch/BatchJobTableTest.cpp
+++ b/Tests/LibBatch/BatchJobTableTest.cpp
@@ -47,6 +47,22 @@
   CHECK(table_.OpenJobs() == std::vector<std::string>{ "lot" });
 }
 
+// Guards against counts that are lost to an older or a malformed record.
+TEST_CASE_METHOD(BatchJobTableFixture,
+                 "BatchJobTable_SeveralRecordsOfFailures_AreMerged")
+{
+  ApplyAll();
+  const FailureCounts newer{ { "a", { 2, false } } };
+  table_.Apply("d/lot/failures", EncodeFailures(newer), 7);
+  table_.Apply("d/lot/failures", EncodeFailures({ { "a", { 1, false } } }), 6);
+  CHECK(table_.Find("lot")->failures_ == newer);
+  CHECK(table_.Find("lot")->failuresRevision_ == 7);
+  table_.Apply("d/lot/failures", "no record", 8);
+  CHECK(table_.Find("lot")->failures_ == newer);
+  CHECK(table_.Find("lot")->failuresRevision_ == 8);
+  CHECK(table_.Find("lot")->areFailuresUnreadable_);
+}
+
 TEST_CASE_METHOD(BatchJobTableFixture,
                  "BatchJobTable_StateUnknown_JobIsNotFound")
 {
--- a/Tests/LibBatch/ItemScheduleTest.cpp
+++ b/Tests/LibBatch/ItemScheduleTest.cpp
@@ -38,7 +38,9 @@
     const auto item = NextItem(aSchedule);
     REQUIRE(item);
     aSchedule.Start(*item, "endpoint");
-    return aSchedule.End(*item, aOutcome, aProgress, now_);
+    auto result = aSchedule.End(*item, aOutcome, aProgress, now_);
+    aSchedule.RecordFailuresStored(aSchedule.Failures());
+    return result;
   }
 
   BatchJob job_;
@@ -79,6 +81,46 @@
   CHECK(result->item_ == "first");
 }
 
+// Guards against an item that its next owner may run more often than it should.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_FailureIsNotStored_ItemWaits")
+{
+  ItemSchedule schedule = MakeSchedule();
+  schedule.Start(0, "endpoint");
+  CHECK_FALSE(schedule.End(0, ItemAttemptOutcome::Failed, {}, now_));
+  now_ += 30s;
+  CHECK(NextItem(schedule) == 1);
+  schedule.RecordFailuresStored({ { "second", { 1, false } } });
+  CHECK(NextItem(schedule) == 1);
+  schedule.RecordFailuresStored({ { "first", { 1, false } } });
+  CHECK(NextItem(schedule) == 0);
+}
+
+// Guards against a next owner that counts failures from zero.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_FailedAtFormerOwner_IsCountedOn")
+{
+  job_.failures_ = { { "first", { 1, false } } };
+  ItemSchedule schedule = MakeSchedule();
+  CHECK(schedule.FinishFailed().empty());
+  CHECK(RunNextItem(schedule, ItemAttemptOutcome::Failed));
+  CHECK(schedule.Failures() == FailureCounts{ { "first", { 2, false } } });
+}
+
+// Guards against an item that runs again, as the result was not stored that a
+// former owner knew.
+TEST_CASE_METHOD(ItemScheduleFixture,
+                 "ItemSchedule_FailedForGoodAtFormerOwner_IsNotRun")
+{
+  job_.failures_ = { { "first", { 2, false } }, { "second", { 0, true } } };
+  ItemSchedule schedule = MakeSchedule();
+  const auto results = schedule.FinishFailed();
+  REQUIRE(results.size() == 2);
+  CHECK(results[0] == ItemResult{ "first", ItemState::Errored, {} });
+  CHECK(results[1] == ItemResult{ "second", ItemState::Errored, {} });
+  CHECK_FALSE(NextItem(schedule));
+}
+
 TEST_CASE_METHOD(ItemScheduleFixture, "ItemSchedule_ItemRejected_ItemIsErrored")
 {
   ItemSchedule schedule = MakeSchedule();
--- a/Tests/Platform/FailingItemsTest.cpp
+++ b/Tests/Platform/FailingItemsTest.cpp
@@ -59,6 +59,16 @@
     REQUIRE_FALSE(store_.Get(std::string(kFailuresKey)).empty());
   }
 
+  /// Waits until the owner has stored a failure, but not for long.
+  void WaitForRecord(std::chrono::milliseconds aTime)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    RunUntil([this, end] {
+      return !store_.Get(std::string(kFailuresKey)).empty() ||
+             std::chrono::steady_clock::now() >= end;
+    });
+  }
+
   void KillWorker()
   {
     hosts_.back()->gateway_.reset();
@@ -92,6 +102,8 @@
   FailNext(2 * kMaxAttempts, 500);
   SubmitToWorker();
   RunUntil([this] { return RequestCount() == 1; });
+  // The item isn't retried before.
+  WaitForRecord(std::chrono::milliseconds(150));
   bool isStopped = false;
   hosts_.back()->gateway_->Stop([&isStopped] { isStopped = true; });
   CheckErroredAfter(kMaxAttempts);
@@ -103,16 +115,11 @@
 TEST_CASE_METHOD(FailingItemsFixture,
                  "FailingItems_OwnerFailsBeforeResultIsStored_IsNotRunAgain")
 {
-  // Results are collected for longer than that.
-  constexpr std::chrono::milliseconds kTimeToStore{ 450 };
   FailNext(2, 422);
   SubmitToWorker();
   RunUntil([this] { return RequestCount() == 1; });
-  const auto end = std::chrono::steady_clock::now() + kTimeToStore;
-  RunUntil([this, end] {
-    return !store_.Get(std::string(kFailuresKey)).empty() ||
-           std::chrono::steady_clock::now() >= end;
-  });
+  // Results are collected for longer than that.
+  WaitForRecord(std::chrono::milliseconds(450));
   KillWorker();
   CheckErroredAfter(1);
 }
@@ -148,6 +155,13 @@
     }
     Start();
     Submit();
+    return CountRuns();
+  }
+
+  /// @return how often the item ran until it was listed; more than enough if it
+  ///         wasn't.
+  std::size_t CountRuns()
+  {
     RunUntil([this] { return IsErrored() || RunCount() > 2 * kMaxAttempts; });
     return RunCount();
   }
@@ -191,4 +205,30 @@
   CHECK(RunItem("422 Impossible", RawServer::End::Orderly) == 1);
 }
 
+// Guards against the same if the job is handed over while the answer's body is
+// awaited.
+TEST_CASE_METHOD(CutFailureFixture, "CutFailure_OwnerShutsDown_IsCounted")
+{
+  constexpr std::chrono::milliseconds kTimeToReadHead{ 300 };
+  const std::string answer =
+    "HTTP/1.1 500 Failed\r\nServer-Seal: seal\r\nAttempt-Id: item-0\r\n"
+    "Content-Length: 100\r\n\r\nshort";
+  AddRawServer("i-1", answer, RawServer::End::Late);
+  AddRawServer("i-2", answer, RawServer::End::Late);
+  Start();
+  TestHost& worker = StartHost("worker", batch::BatchPreference::Worker);
+  RunUntil([this] {
+    return Metrics(*host_).find("pumiceturn_peers_heard 1") !=
+           std::string::npos;
+  });
+  Submit();
+  RunUntil([this] { return RunCount() == 1; });
+  const auto end = std::chrono::steady_clock::now() + kTimeToReadHead;
+  RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  bool isStopped = false;
+  worker.gateway_->Stop([&isStopped] { isStopped = true; });
+  CHECK(CountRuns() == kMaxAttempts);
+  RunUntil([&isStopped] { return isStopped; });
+}
+
 } // namespace pumiceturn::adapter
