Tests: Hosts don't inherit the sockets of a soak

A host that a soak starts kept copies of all sockets that the soak had open: its servers' listening sockets and the callers' connections. A server that ended went on listening in the kernel, so that connections to it weren't refused, and connections that the soak closed stayed open until the host ended.

--- a/Tests/PlatformSoak/ChildProcess.cpp
+++ b/Tests/PlatformSoak/ChildProcess.cpp
@@ -58,6 +58,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A socket of this program would stay open after it was closed here.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     ::execve(arguments.front(), arguments.data(), environment.data());
     ::_exit(kExitExecFailed);
   }
