LibGateway: A batch job's host name has no port

Online requests drop the port before their route is looked for; a job kept it, so that its route was taken for removed. HostNameOf() serves both.

Jobs that an older process accepted with a port aren't mended.

--- a/Libraries/LibBatch/BatchJob.h
+++ b/Libraries/LibBatch/BatchJob.h
@@ -65,7 +65,7 @@
   std::int64_t acceptedAtMs_ = 0; ///< Unix time.
   std::uint32_t itemCount_ = 0;
   std::uint32_t partCount_ = 0; ///< Number of keys that hold the content.
-  std::string hostName_;        ///< Host header of the submitting request.
+  std::string hostName_;        ///< Of the submitting request, without port.
   std::string path_;
   bool isCancelled_ = false; ///< The submitter has cancelled the job.
   bool isFinished_ = false;  ///< Every item has a result.
--- a/Libraries/LibGateway/BatchSubmissionHandler.cpp
+++ b/Libraries/LibGateway/BatchSubmissionHandler.cpp
@@ -112,7 +112,7 @@
   }
   job.state_.acceptedAtMs_ = base::ToUnixMs(base::WallNow());
   job.state_.itemCount_ = static_cast<std::uint32_t>(aItemCount);
-  job.state_.hostName_ = httpstream::ValueOf(aRequest, "Host");
+  job.state_.hostName_ = httpstream::HostNameOf(aRequest);
   job.state_.path_ = std::string(aRequest.target());
   return job;
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -49,12 +49,6 @@
 /// Suggested to callers while this host starts or stops.
 constexpr std::chrono::milliseconds kNotReadyRetryAfter{ 300 };
 
-std::string_view
-WithoutPort(std::string_view aHost)
-{
-  return aHost.substr(0, aHost.rfind(':'));
-}
-
 std::string_view
 WithoutQuery(std::string_view aTarget)
 {
@@ -387,7 +381,7 @@
     return;
   }
   const fleet::Route* route =
-    shared_.routes_.Find(WithoutPort(httpstream::ValueOf(request, "Host")),
+    shared_.routes_.Find(httpstream::HostNameOf(request),
                          WithoutQuery(httpstream::TargetOf(request)));
   if (route == nullptr) {
     aExchange->Respond(
--- a/Libraries/LibHttpStream/Message.h
+++ b/Libraries/LibHttpStream/Message.h
@@ -33,6 +33,14 @@
   return { aRequest.target().data(), aRequest.target().size() };
 }
 
+/// @return the host name of a request, without a port.
+inline std::string_view
+HostNameOf(const Request& aRequest)
+{
+  const std::string_view host = ValueOf(aRequest, "Host");
+  return host.substr(0, host.rfind(':'));
+}
+
 /// @return whether a response is a stream of events.
 inline bool
 IsEventStream(const ResponseHead& aHead)
--- a/Tests/Platform/BatchJobsTest.cpp
+++ b/Tests/Platform/BatchJobsTest.cpp
@@ -25,6 +25,17 @@
   CHECK(Results(other, 3)["results"].size() == 2);
 }
 
+// Guards against items that are given up without a run, as the route of their
+// job is looked for with the port.
+TEST_CASE_METHOD(BatchJobsFixture, "BatchJobs_HostHasPort_ItemsComplete")
+{
+  hostField_ = "a.example:8161";
+  CHECK(Submit(*entry_, 2) == 202);
+  for (const json& result : WaitForAll(*entry_, 2)["results"]) {
+    CHECK(result["state"] == "completed");
+  }
+}
+
 TEST_CASE_METHOD(BatchJobsFixture, "BatchJobs_SubmittedAgain_RunsOnce")
 {
   TestHost& other = StartHost("other", batch::BatchPreference::Fallback);
--- a/Tests/Platform/CallingFixture.h
+++ b/Tests/Platform/CallingFixture.h
@@ -48,14 +48,14 @@
     auto call = std::make_unique<CallerCall>();
     call->connection_ =
       std::make_shared<httpstream::ClientConnection>(context_.get_executor());
-    const std::string bytes =
-      fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\n{}"
-                  "Content-Length: {}\r\n\r\n{}",
-                  aMethod,
-                  aTarget,
-                  aFields,
-                  aBody.size(),
-                  aBody);
+    const std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n{}"
+                                          "Content-Length: {}\r\n\r\n{}",
+                                          aMethod,
+                                          aTarget,
+                                          hostField_,
+                                          aFields,
+                                          aBody.size(),
+                                          aBody);
     call->connection_->Connect(
       aAddress,
       std::chrono::seconds(10),
@@ -90,6 +90,7 @@
   }
 
   boost::asio::io_context context_;
+  std::string hostField_ = "a.example"; ///< Of the calls.
 };
 
 } // namespace pumiceturn::adapter
