platform: An item's field may be larger than a message of the HTTP library takes

Its cause: Boost.Beast throws for a field beyond 16 bits, and nothing catches that below main; the next process is the assigned owner again.

Fields that large are now written into the serialized request beside the message, unless it has one of that name, so the item is sent as submitted.

--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -102,9 +102,11 @@
     const httpstream::Request& aRequest,
     const ForwardOptions& aOptions) const = 0;
 
-  /// @return the request to send to an endpoint for a job's item.
+  /// @return the serialized request to send to an endpoint for a job's item.
+  /// Its
+  ///         fields may be larger than a httpstream::Request can hold.
   /// @param aHostField Host header of the submitting request.
-  [[nodiscard]] virtual httpstream::Request MakeItemRequest(
+  [[nodiscard]] virtual std::string MakeItemRequest(
     const batch::BatchItem& aItem,
     std::string_view aHostField,
     const ForwardOptions& aOptions) const = 0;
--- a/Libraries/LibGateway/ItemAttempt.cpp
+++ b/Libraries/LibGateway/ItemAttempt.cpp
@@ -59,8 +59,8 @@
   startedAt_ = base::MonotonicNow();
   features_ = FeaturesOf(aItem, shared_.codec_);
   httpstream::Call call;
-  call.bytes_ = httpstream::Serialize(
-    shared_.codec_.MakeItemRequest(aItem, aOrigin.hostName_, options));
+  call.bytes_ =
+    shared_.codec_.MakeItemRequest(aItem, aOrigin.hostName_, options);
   call.echoField_ = shared_.codec_.EchoField();
   call.echoValue_ = aItem.id_;
   call.firstByteTimeout_ = kFirstByteTimeout;
--- a/Tests/Platform/BatchJobsTest.cpp
+++ b/Tests/Platform/BatchJobsTest.cpp
@@ -1,5 +1,6 @@
 #include "LibBatch/SpooledJob.h"
 #include "Tests/Platform/BatchJobsFixture.h"
+#include "Tests/Platform/RawServer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,6 +37,37 @@
   }
 }
 
+// Guards against a process that ends each time it runs an item whose field is
+// larger than a message of its HTTP library takes.
+TEST_CASE_METHOD(BatchJobsFixture, "BatchJobs_ItemHasLargeField_IsSent")
+{
+  constexpr std::size_t kLarge = 72'000;
+  RawServer server(context_,
+                   "i-3",
+                   "HTTP/1.1 422 Impossible\r\nServer-Seal: seal\r\n"
+                   "Attempt-Id: item-0\r\nContent-Length: 0\r\n\r\n",
+                   RawServer::End::Orderly);
+  for (const char* name : { "i-1", "i-2" }) {
+    store_.Remove(std::string("servers/") + name);
+  }
+  json entry = json::parse(servers_.front()->Registration("service", "ready"));
+  entry["address"] = server.Address();
+  store_.Put("servers/i-3", entry.dump());
+  json job = json::parse(JobBody(1));
+  job["items"][0]["headers"]["Prompt-Prefix"] = std::string(kLarge, 'a');
+  job["items"][0]["headers"]["Attempt-Id"] = std::string(kLarge, 'b');
+  CHECK(
+    SendAndWait(*entry_, "POST", "/lots/1", "Attempt-Id: lot1\r\n", job.dump())
+      ->status_ == 202);
+  CHECK(WaitForAll(*entry_, 1)["results"][0]["state"] == "errored");
+  REQUIRE(server.Requests().size() == 1);
+  const std::string& request = server.Requests().front();
+  CHECK(request.find("\r\nPrompt-Prefix: " + std::string(kLarge, 'a') +
+                     "\r\n") != std::string::npos);
+  CHECK(request.find("\r\nAttempt-Id: item-0\r\n") != std::string::npos);
+  CHECK(request.find(std::string(kLarge, 'b')) == std::string::npos);
+}
+
 TEST_CASE_METHOD(BatchJobsFixture, "BatchJobs_SubmittedAgain_RunsOnce")
 {
   TestHost& other = StartHost("other", batch::BatchPreference::Fallback);
