LibHttpStream: Skip a late success that names no call

A response without the id was taken for the current call's, unless a call without an id had been made on the connection. Now such a success is skipped if the server has named calls on this connection before. Only successes: a refusal without the id is still accepted, as skipping one would keep its caller waiting.

--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -384,9 +384,8 @@
   const std::string_view echoed = ValueOf(head, call_.echoField_);
   // Servers may send a second response to an earlier call. Passing it on would
   // give one caller's data to another.
-  const bool isOfOtherCall = echoed.empty()
-                               ? hasCarriedUnnamed_ && !call_.echoValue_.empty()
-                               : echoed != call_.echoValue_;
+  const bool isOfOtherCall =
+    echoed.empty() ? MayBeSurplus(head) : echoed != call_.echoValue_;
   isStale_ = !call_.echoField_.empty() && isOfOtherCall;
   if (isStale_ || head.result_int() < 200) {
     return true;
@@ -398,6 +397,15 @@
 }
 
 void
+bool
+ClientConnection::MayBeSurplus(const ResponseHead& aHead) const
+{
+  const bool isSuccess =
+    http::to_status_class(aHead.result()) == http::status_class::successful;
+  return !call_.echoValue_.empty() &&
+         (hasCarriedUnnamed_ || (hasReadEcho_ && isSuccess));
+}
+
 ClientConnection::DeliverBody()
 {
   if (!isHeadReceived_ || !parser_) {
--- a/Libraries/LibHttpStream/ClientConnection.h
+++ b/Libraries/LibHttpStream/ClientConnection.h
@@ -56,8 +56,10 @@
 
   /// Header field that a response echoes, and its expected value. A response
   /// with another value belongs to an earlier call on this connection and is
-  /// skipped. So does one without the field, if an earlier call had no value;
-  /// else it is accepted. If the name is empty, any response is accepted.
+  /// skipped. So does one without the field, if an earlier call had no value,
+  /// or if it is a success and the server has sent the field before on this
+  /// connection; else it is accepted. If the name is empty, any response is
+  /// accepted.
   std::string echoField_;
   std::string echoValue_;
 
@@ -198,6 +200,9 @@
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   void Parse();
   bool AcceptHead();
+  /// @return whether a response that names no call may be one that a faulty
+  ///         server sent in addition to an earlier one.
+  [[nodiscard]] bool MayBeSurplus(const ResponseHead& aHead) const;
   void DeliverBody();
   void OnReadError(const boost::system::error_code& aError);
   void RecordKeepAlive();
@@ -221,6 +226,7 @@
   std::uint64_t timerGeneration_ = 0;
   std::deque<std::string> echoValues_; ///< Of the last calls.
   bool hasCarriedUnnamed_ = false;     ///< A call had no value to be echoed.
+  bool hasReadEcho_ = false;           ///< A response named its call.
   bool wasExtendedForDelay_ = false;   ///< Since the last byte.
   ResponseFraming framing_ = ResponseFraming::Length;
   bool isHeadReceived_ = false;
--- a/Tests/LibHttpStream/ClientConnectionTest.cpp
+++ b/Tests/LibHttpStream/ClientConnectionTest.cpp
@@ -219,6 +219,35 @@
   CHECK(SendRequest(connection, "2").body_ == "new");
 }
 
+// Guards against passing bytes that a faulty server sends late, in the form of
+// a success, to the next caller as the response.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_SurplusSuccessComesLate_IsSkipped")
+{
+  Serve("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 2\r\n\r\nhi",
+        false);
+  const auto connection = Connect();
+  REQUIRE(SendRequest(connection, "1").body_ == "hi");
+  Serve("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus"
+        "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew",
+        false);
+  CHECK(SendRequest(connection, "2").body_ == "new");
+}
+
+// Guards against waiting for a response that a server without names has sent.
+TEST_CASE_METHOD(ClientConnectionFixture,
+                 "ClientConnection_ServerNamesNoCalls_ResponsesAreAccepted")
+{
+  const std::string unnamed = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n"
+                              "Content-Length: 2\r\n\r\nhi";
+  Serve(unnamed, false);
+  const auto connection = Connect();
+  REQUIRE(SendRequest(connection, "1").body_ == "hi");
+  Serve(unnamed, false);
+  CHECK(SendRequest(connection, "2").body_ == "hi");
+}
+
 // Guards against sending a request on a connection whose late responses can't
 // be told from its own.
 TEST_CASE_METHOD(ClientConnectionFixture,
