LibGateway: Ask another endpoint for a rest that the first one doesn't tell of

The question is now put to another endpoint of the version, as a further attempt of the route's; only without one the stream ends as before.

Left: at the request's deadline such a stream still ends as complete, and where the route allows no further attempt.

--- a/Libraries/LibGateway/OnlineProxyRest.cpp
+++ b/Libraries/LibGateway/OnlineProxyRest.cpp
@@ -58,22 +58,20 @@
     return false;
   }
   const bool isOtherProcess = isComplete && responseInfo_.isMisdirected_;
-  if (aOutcome == CallOutcome::TimedOut || (isComplete && !isOtherProcess)) {
-    const bool isFull = isComplete && responseInfo_.wasNotRun_;
-    if (!isFull || !PauseBefore(&OnlineProxy::AskForRest)) {
-      // The process that lives on doesn't say whether there is a rest.
-      CompleteStream();
-    }
+  const bool isFull = isComplete && responseInfo_.wasNotRun_ && !isOtherProcess;
+  if (isFull && PauseBefore(&OnlineProxy::AskForRest)) {
     return true;
   }
   base::Log(kAttemptFailed,
             { { "request", call_.requestId_ },
               { "endpoint", triedEndpoints_.back() },
-              { "cause", NameOf(aOutcome) },
+              { "cause", isComplete ? "status" : NameOf(aOutcome) },
+              { "status", isComplete ? head_->result_int() : 0 },
               { "last_event", stream_.LastEvent() } });
-  // Otherwise the process didn't live on.
-  hasUnmarkedEnd_ =
-    aOutcome == CallOutcome::Malformed || aOutcome == CallOutcome::Unconfirmed;
+  // If the process broke the question off or is another one, it didn't live on.
+  // Else it doesn't say whether there is a rest, and another endpoint may.
+  hasUnmarkedEnd_ = aOutcome != CallOutcome::Broken &&
+                    aOutcome != CallOutcome::NotConnected && !isOtherProcess;
   TryNextEndpoint();
   return true;
 }
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -205,6 +205,10 @@
     base::ParseNumber<int>(FieldOf(aConnection->input_, kDeadlineField));
   const auto arrivedAt = std::chrono::steady_clock::now();
   const bool isForRest = !FieldOf(aConnection->input_, kLastEventField).empty();
+  if (isForRest && isSilentOnRest_) {
+    unanswered_.push_back(aConnection);
+    return;
+  }
   asio::async_write(
     aConnection->socket_,
     asio::buffer(isForRest && rest_ ? *rest_ : answer_),
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -86,6 +86,9 @@
     resetsNewConnections_ = aResets;
   }
 
+  /// Sets whether requests for a rest get no answer.
+  void SetIsSilentOnRest(bool aIsSilent) { isSilentOnRest_ = aIsSilent; }
+
   /// Sets bytes that are sent right before the end of an answer.
   void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
 
@@ -127,6 +130,7 @@
   bool reportsStart_ = true;
   bool rejectsMisdirectedReports_ = true;
   bool resetsNewConnections_ = false;
+  bool isSilentOnRest_ = false;
   std::string id_;
   std::string answer_;
   std::optional<std::string> rest_;
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -98,6 +98,20 @@
   CHECK(server.Requests()[1].find("Last-Event-Id: 6\r\n") != std::string::npos);
 }
 
+// Guards against a truncated stream that ends as complete, as its server
+// doesn't say whether there is a rest.
+TEST_CASE_METHOD(UnframedAnswerFixture,
+                 "UnframedAnswer_ServerDoesNotSayWhetherIsWhole_OtherIsAsked")
+{
+  AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Orderly)
+    .SetIsSilentOnRest(true);
+  AddServer("i-2");
+  Start();
+  const auto call = CallAtRawServer("/resumable/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+}
+
 TEST_CASE_METHOD(UnframedAnswerFixture, "UnframedAnswer_Body_IsPassedOnWhole")
 {
   AddRawServer("i-1",
