LibGateway: Don't ask an endpoint that has left for the rest of a stream

The question went to the endpoint that sent the stream, past the table of endpoints, which lets one that drains have rests for 0.8 s only, and one that is gone none.

Such an endpoint isn't asked; another one of its version is, within the route's attempts, or the stream ends as complete: its process was seen to live on after the end.

--- a/Libraries/LibFleet/EndpointTable.h
+++ b/Libraries/LibFleet/EndpointTable.h
@@ -445,6 +445,11 @@
   ///         under its id, or at its address.
   [[nodiscard]] bool IsReplaced(const EndpointRecord& aEndpoint) const;
 
+  /// @return whether an endpoint may be sent a request for the rest of a stream
+  ///         that it began: not if it has left, or has drained for a while.
+  [[nodiscard]] bool MayGetRests(const EndpointIncarnation& aEndpoint,
+                                 base::Instant aNow) const;
+
   /// @return whether an endpoint leaves or has left, by its registration.
   [[nodiscard]] bool IsLeaving(const EndpointIncarnation& aEndpoint) const;
 
--- a/Libraries/LibFleet/EndpointTableChoice.cpp
+++ b/Libraries/LibFleet/EndpointTableChoice.cpp
@@ -237,6 +237,15 @@
          aNow - *aEndpoint.drainingSince_ < limits_.drainingUse_;
 }
 
+bool
+EndpointTable::MayGetRests(const EndpointIncarnation& aEndpoint,
+                           base::Instant aNow) const
+{
+  const Endpoint* endpoint = Find(aEndpoint);
+  return endpoint != nullptr && (!endpoint->record_.isDraining_ ||
+                                 MayContinueStreams(*endpoint, aNow));
+}
+
 bool
 EndpointTable::IsCandidate(const Endpoint& aEndpoint,
                            Candidates aCandidates,
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -141,7 +141,7 @@
   ///         shows whether there is one: nothing marks the response's end.
   [[nodiscard]] bool MayHaveRest() const;
   /// Asks the endpoint whose process lives on for what follows the last event:
-  /// a whole response has no rest.
+  /// a whole response has no rest. Asks another one if that endpoint leaves.
   void AskForRest();
   /// Handles the end of that question, unless there is a rest or the endpoint
   /// says that there is none.
--- a/Libraries/LibGateway/OnlineProxyRest.cpp
+++ b/Libraries/LibGateway/OnlineProxyRest.cpp
@@ -36,6 +36,11 @@
 OnlineProxy::AskForRest()
 {
   hasUnmarkedEnd_ = true;
+  if (!shared_.endpoints_.MayGetRests(attempt_->Endpoint().Incarnation(),
+                                      base::MonotonicNow())) {
+    TryNextEndpoint();
+    return;
+  }
   isAskingForRest_ = true;
   ++uncountedAttempts_;
   shared_.metrics_
--- a/Tests/LibFleet/EndpointTableTest.cpp
+++ b/Tests/LibFleet/EndpointTableTest.cpp
@@ -186,6 +186,21 @@
   CHECK(Choose(WorkClass::Batch));
 }
 
+// Guards against requests that reach an endpoint long after it began to drain,
+// or has left, as it is asked for the rest of a stream that it began.
+TEST_CASE_METHOD(EndpointTableFixture,
+                 "EndpointTable_EndpointLeaves_GetsRestsForAWhileOnly")
+{
+  Add("a");
+  CHECK(table_.MayGetRests({ "a" }, now_));
+  Add("a", "a", true);
+  CHECK(table_.MayGetRests({ "a" }, now_));
+  now_ += EndpointTable::Limits{}.drainingUse_;
+  CHECK_FALSE(table_.MayGetRests({ "a" }, now_));
+  table_.Remove("a", {}, now_);
+  CHECK_FALSE(table_.MayGetRests({ "a" }, now_));
+}
+
 TEST_CASE_METHOD(EndpointTableFixture,
                  "EndpointTable_DrainingEndpoint_IsNotChosen")
 {
