LibHttpStream: Callers may take a response slowly

TCP_USER_TIMEOUT of 2.5 s was set on callers' connections, too, and Linux applies it to a peer whose window stays closed, though that peer acknowledges each probe.

On connections that peers open it is 60 s now; the connection's own timeouts, which are shorter and see progress, decide. Connections to servers and peers keep 2.5 s.

The cost: a caller whose host vanishes without a reset while it is sent a response is noticed after the idle timeout instead of 2.5 s.

--- a/Libraries/LibHttpStream/ClientConnection.cpp
+++ b/Libraries/LibHttpStream/ClientConnection.cpp
@@ -110,7 +110,7 @@
       self->wasRefused_ = aError == asio::error::connection_refused;
       if (!aError) {
         self->connectedAt_ = base::MonotonicNow();
-        TuneSocket(self->socket_);
+        TuneSocket(self->socket_, Initiator::ThisHost);
       } else {
         self->Cancel();
       }
@@ -387,6 +387,7 @@
   const bool isOfOtherCall =
     echoed.empty() ? MayBeSurplus(head) : echoed != call_.echoValue_;
   isStale_ = !call_.echoField_.empty() && isOfOtherCall;
+  hasReadEcho_ = hasReadEcho_ || !echoed.empty();
   if (isStale_ || head.result_int() < 200) {
     return true;
   }
@@ -396,7 +397,6 @@
   return observer_ != nullptr && !isClosed_;
 }
 
-void
 bool
 ClientConnection::MayBeSurplus(const ResponseHead& aHead) const
 {
@@ -406,6 +406,7 @@
          (hasCarriedUnnamed_ || (hasReadEcho_ && isSuccess));
 }
 
+void
 ClientConnection::DeliverBody()
 {
   if (!isHeadReceived_ || !parser_) {
--- a/Libraries/LibHttpStream/ServerConnection.cpp
+++ b/Libraries/LibHttpStream/ServerConnection.cpp
@@ -181,7 +181,7 @@
 void
 ServerConnection::Start()
 {
-  TuneSocket(socket_);
+  TuneSocket(socket_, Initiator::Peer);
   boost::system::error_code ignored;
   socket_.non_blocking(true, ignored);
   Read();
--- a/Libraries/LibHttpStream/Socket.cpp
+++ b/Libraries/LibHttpStream/Socket.cpp
@@ -13,6 +13,11 @@
 /// which the platform regards a host as out of contact.
 constexpr unsigned kUserTimeoutMs = 2500;
 
+/// The kernel applies the user timeout also to a peer that is there but takes
+/// nothing for a while. How long it may do so is a matter of the connection's
+/// own timeouts, which are shorter.
+constexpr unsigned kPeerUserTimeoutMs = 60'000;
+
 /// The first probe of an idle connection follows after 2 s. The user timeout
 /// applies to unanswered probes as well, so that an unreachable host is
 /// detected within about 3 s.
@@ -23,7 +28,7 @@
 } // namespace
 
 void
-TuneSocket(boost::asio::ip::tcp::socket& aSocket)
+TuneSocket(boost::asio::ip::tcp::socket& aSocket, Initiator aInitiator)
 {
   boost::system::error_code ignored;
   // Errors are ignored: without an option the socket still works and only
@@ -33,7 +38,9 @@
   const auto set = [handle](int aLevel, int aName, int aValue) {
     (void)::setsockopt(handle, aLevel, aName, &aValue, sizeof(aValue));
   };
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUserTimeoutMs));
+  const unsigned userTimeout =
+    aInitiator == Initiator::Peer ? kPeerUserTimeoutMs : kUserTimeoutMs;
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout));
   set(SOL_SOCKET, SO_KEEPALIVE, 1);
   set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
--- a/Libraries/LibHttpStream/Socket.h
+++ b/Libraries/LibHttpStream/Socket.h
@@ -3,13 +3,21 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace pumiceturn::httpstream {
 
+/// Who opened a connection.
+enum class Initiator : std::uint8_t
+{
+  ThisHost,
+  Peer, ///< May take what it is sent as slowly as it likes.
+};
+
 /// Disables Nagle's algorithm, and sets TCP_USER_TIMEOUT and keep-alive
 /// probes. Without these a connection to an unreachable host hangs for minutes.
 void
-TuneSocket(boost::asio::ip::tcp::socket& aSocket);
+TuneSocket(boost::asio::ip::tcp::socket& aSocket, Initiator aInitiator);
 
 /// Closes the socket and ignores errors. Does nothing if it is already closed.
 void
--- a/Tests/LibHttpStream/ListenerTest.cpp
+++ b/Tests/LibHttpStream/ListenerTest.cpp
@@ -1,3 +1,4 @@
+#include "LibHttpStream/Status.h"
 #include "Tests/LibHttpStream/ListenerFixture.h"
 
 #include <vector>
@@ -222,4 +223,22 @@
   }
 }
 
+// Guards against cutting callers that take nothing for a few seconds, but are
+// there, while they read a large response.
+TEST_CASE_METHOD(ListenerFixture, "Listener_CallerPausesReading_GetsAll")
+{
+  // Longer than the kernel waits for a peer that this host connected to.
+  constexpr std::chrono::milliseconds kPause{ 4000 };
+  constexpr std::size_t kBytes = 8'000'000;
+  caller_.set_option(boost::asio::socket_base::receive_buffer_size(16'384));
+  Send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  RunUntil([this] { return !exchanges_.empty(); });
+  exchanges_.front()->Respond(
+    MakeResponse(kStatusOk, std::string(kBytes, 'x')));
+  const auto end = std::chrono::steady_clock::now() + kPause;
+  RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  ReadUntilClosed();
+  CHECK(received_.size() > kBytes);
+}
+
 } // namespace pumiceturn::httpstream
