LibHttpStream: No user timeout on connections that peers open

Without the option the kernel counts probes (2, from 2 s on), and doesn't drop a peer that acknowledges its probes with a closed window. From the kernel's documented behaviour; the time for idle connections wasn't measured.

--- a/Libraries/LibHttpStream/Socket.cpp
+++ b/Libraries/LibHttpStream/Socket.cpp
@@ -13,14 +13,9 @@
 /// which the platform regards a host as out of contact.
 constexpr unsigned kUserTimeoutMs = 2500;
 
-/// The kernel applies the user timeout also to a peer that is there but takes
-/// nothing for a while. How long it may do so is a matter of the connection's
-/// own timeouts, which are shorter.
-constexpr unsigned kPeerUserTimeoutMs = 60'000;
-
-/// The first probe of an idle connection follows after 2 s. The user timeout
-/// applies to unanswered probes as well, so that an unreachable host is
-/// detected within about 3 s.
+/// The first probe of an idle connection follows after 2 s. The user timeout,
+/// if there is one, applies to unanswered probes as well, so that an
+/// unreachable host is detected within 3 to 4 s.
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
@@ -38,9 +33,11 @@
   const auto set = [handle](int aLevel, int aName, int aValue) {
     (void)::setsockopt(handle, aLevel, aName, &aValue, sizeof(aValue));
   };
-  const unsigned userTimeout =
-    aInitiator == Initiator::Peer ? kPeerUserTimeoutMs : kUserTimeoutMs;
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout));
+  // The kernel applies it also to a peer that is there but takes nothing for a
+  // while. How long it may do so is a matter of the connection's own timeouts.
+  if (aInitiator == Initiator::ThisHost) {
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUserTimeoutMs));
+  }
   set(SOL_SOCKET, SO_KEEPALIVE, 1);
   set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
