--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Platform/RawServer.h"
 
 #include "LibBase/Numbers.h"
+#include "Tests/Platform/RawHttp.h"
 #include "platform/Names.h"
 
 #include <boost/asio/read_until.hpp>
@@ -33,27 +34,6 @@
 /// Long enough for a host to notice that it was suspended.
 constexpr std::chrono::milliseconds kTimeToRestart{ 700 };
 
-/// @return the value of a field of a request's head; empty if it isn't there.
-std::string
-FieldOf(std::string_view aHead, std::string_view aName)
-{
-  const std::string start = fmt::format("\r\n{}: ", aName);
-  const auto begin = aHead.find(start);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  const auto value = aHead.substr(begin + start.size());
-  return std::string(value.substr(0, value.find("\r\n")));
-}
-
-void
-Reset(tcp::socket& aSocket)
-{
-  boost::system::error_code ignored;
-  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-  aSocket.close(ignored);
-}
-
 } // namespace
 
 RawServer::RawServer(asio::io_context& aContext,
--- a/Tests/PlatformSoak/FaultyServer.cpp
+++ b/Tests/PlatformSoak/FaultyServer.cpp
@@ -1,6 +1,7 @@
 #include "Tests/PlatformSoak/FaultyServer.h"
 
 #include "LibBase/Numbers.h"
+#include "Tests/Platform/RawHttp.h"
 #include "platform/Names.h"
 #include "platform/Standin/ServerStandin.h"
 
@@ -30,33 +31,12 @@
 constexpr unsigned kOk = 200;
 constexpr int kSlots = 8;
 
-/// @return the value of a field of a request's head; empty if it isn't there.
-std::string
-FieldOf(std::string_view aHead, std::string_view aName)
-{
-  const std::string start = fmt::format("\r\n{}: ", aName);
-  const auto begin = aHead.find(start);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  const auto value = aHead.substr(begin + start.size());
-  return std::string(value.substr(0, value.find("\r\n")));
-}
-
 std::size_t
 NumberOf(std::string_view aHead, std::string_view aName)
 {
   return base::ParseNumber<std::size_t>(FieldOf(aHead, aName)).value_or(0);
 }
 
-void
-Reset(tcp::socket& aSocket)
-{
-  boost::system::error_code ignored;
-  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-  aSocket.close(ignored);
-}
-
 bool
 HasPeerClosed(tcp::socket& aSocket)
 {
