--- a/Libraries/LibGateway/Codec.h
+++ b/Libraries/LibGateway/Codec.h
@@ -102,9 +102,8 @@
     const httpstream::Request& aRequest,
     const ForwardOptions& aOptions) const = 0;
 
-  /// @return the serialized request to send to an endpoint for a job's item.
-  /// Its
-  ///         fields may be larger than a httpstream::Request can hold.
+  /// @return the serialized request to an endpoint for a job's item. Its fields
+  ///         may be larger than a httpstream::Request can hold.
   /// @param aHostField Host header of the submitting request.
   [[nodiscard]] virtual std::string MakeItemRequest(
     const batch::BatchItem& aItem,
