LibGateway: An attempt lost with its endpoint doesn't keep a stream's rest from being asked for

Callers saw a truncated stream end as complete (ORDER). Its first endpoint was killed, the second one truncated it between two events and was full for the 0.75 s in which it was asked for the rest. That used up the route's two attempts, so that no other endpoint was asked, though an endpoint whose process has ended doesn't count as an attempt.

Ruled out: more waiting, as callers leave a stream that brings nothing for 2 s; another attempt without proof, as a request may run at no more endpoints than its route allows (BUDGET).

The process that broke an attempt last is looked for once the attempts are used up and nobody has told of the rest, with the check that a broken attempt gets. RawServer's silence is one case of a later answer.

Left: an endpoint that is silent on the question, with all attempts used up, keeps the stream until the request's deadline.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -437,6 +437,9 @@
   if (IsRetryable()) {
     const bool mayBeCrash =
       aOutcome == httpstream::CallOutcome::Broken && !isLostToCrash_;
+    if (mayBeCrash) {
+      lastBroken_ = attempt_->Endpoint();
+    }
     if (mayBeCrash && CountedAttempts() >= route_.maxAttempts_) {
       CheckForCrash();
     } else {
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -143,14 +143,17 @@
   /// Asks the endpoint whose process lives on for what follows the last event:
   /// a whole response has no rest. Asks another one if that endpoint leaves.
   void AskForRest();
+  /// Asks another endpoint, also as a further attempt if one of those made was
+  /// lost with its endpoint's process.
+  void AskAnotherForRest();
   /// Handles the end of that question, unless there is a rest or the endpoint
   /// says that there is none.
   /// @return whether it did.
   [[nodiscard]] bool EndQuestionForRest(httpstream::CallOutcome aOutcome);
   void OnAttemptRefused();
   void OnAttemptBroken(httpstream::CallOutcome aOutcome);
-  /// Finds out whether the process of the last attempt's endpoint has ended:
-  /// the attempt then doesn't count. Goes on afterwards.
+  /// Finds out whether the process of the endpoint that broke an attempt last
+  /// has ended: the attempt then doesn't count. Goes on afterwards.
   void CheckForCrash();
   void OnCrashChecked(const CrashCheckResult& aResult);
   void OnDeadline();
@@ -195,6 +198,8 @@
   /// An attempt doesn't count, as its endpoint crashed. Only one: a second
   /// crash is rather caused by the request.
   bool isLostToCrash_ = false;
+  /// Broke an attempt last; empty: none did.
+  std::optional<fleet::EndpointRecord> lastBroken_;
   std::shared_ptr<CrashCheck> crashCheck_;
   base::Duration expectedWait_{ 0 }; ///< For a slot, at the latest attempt.
   bool mayHaveRun_ = false;
--- a/Libraries/LibGateway/OnlineProxyCrashes.cpp
+++ b/Libraries/LibGateway/OnlineProxyCrashes.cpp
@@ -108,8 +108,8 @@
   crashCheck_ = std::make_shared<CrashCheck>(
     shared_,
     deadlineTimer_.get_executor(),
-    attempt_->Endpoint(),
-    NeedsProcess() ? attempt_->Endpoint().startedAtMs_ : 0);
+    *lastBroken_,
+    NeedsProcess() ? lastBroken_->startedAtMs_ : 0);
   crashCheck_->Start(
     [weak = weak_from_this()](const CrashCheckResult& aResult) {
       const auto proxy = weak.lock();
@@ -128,8 +128,8 @@
     aResult.proof_ ? fleet::NameOf(*aResult.proof_) : "none";
   base::Log(kCrashChecked,
             { { "request", call_.requestId_ },
-              { "endpoint", attempt_->Endpoint().id_ },
-              { "born_ms", attempt_->Endpoint().startedAtMs_ },
+              { "endpoint", lastBroken_->id_ },
+              { "born_ms", lastBroken_->startedAtMs_ },
               { "proof", proof },
               { "last_check", fleet::NameOf(aResult.lastCheck_) },
               { "checks", aResult.checks_ },
--- a/Libraries/LibGateway/OnlineProxyRest.cpp
+++ b/Libraries/LibGateway/OnlineProxyRest.cpp
@@ -38,7 +38,7 @@
   hasUnmarkedEnd_ = true;
   if (!shared_.endpoints_.MayGetRests(attempt_->Endpoint().Incarnation(),
                                       base::MonotonicNow())) {
-    TryNextEndpoint();
+    AskAnotherForRest();
     return;
   }
   isAskingForRest_ = true;
@@ -77,10 +77,21 @@
   // Else it doesn't say whether there is a rest, and another endpoint may.
   hasUnmarkedEnd_ = aOutcome != CallOutcome::Broken &&
                     aOutcome != CallOutcome::NotConnected && !isOtherProcess;
-  TryNextEndpoint();
+  AskAnotherForRest();
   return true;
 }
 
+void
+OnlineProxy::AskAnotherForRest()
+{
+  const bool mayBeLostToCrash = lastBroken_ && !isLostToCrash_;
+  if (mayBeLostToCrash && CountedAttempts() >= route_.maxAttempts_) {
+    CheckForCrash();
+  } else {
+    TryNextEndpoint();
+  }
+}
+
 bool
 OnlineProxy::WaitForSlot()
 {
--- a/Tests/Platform/BrokenStreamTest.cpp
+++ b/Tests/Platform/BrokenStreamTest.cpp
@@ -85,4 +85,33 @@
   CHECK(CallAtRawServer("/resumable/1")->body_ == WholeStream());
 }
 
+// Guards against a truncated stream that ends as complete, as all attempts of
+// its route are used up, though one of them was lost with its server.
+TEST_CASE_METHOD(BrokenStreamFixture,
+                 "BrokenStream_NextServerTruncatesIt_ThirdIsAskedForRest")
+{
+  // Nearly all streams begin at the first server, and go on at the second.
+  constexpr int kManySlots = 10'000;
+  constexpr int kFewerSlots = 100;
+  const RawServer& ending =
+    MakeRawServer("i-1", Beginning(2), RawServer::End::Process);
+  Register("i-1", ending, "ready", 1, kManySlots);
+  RawServer& truncating =
+    MakeRawServer("i-2", StreamFrom(3, 4), RawServer::End::Orderly);
+  truncating.SetLaterAnswer(
+    1,
+    "HTTP/1.1 503 Unavailable\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n"
+    "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  Register("i-2", truncating, "ready", 1, kFewerSlots);
+  RawServer& whole =
+    MakeRawServer("i-3", StreamFrom(1, 6), RawServer::End::Orderly);
+  whole.SetRest(StreamFrom(5, 6));
+  whole.SetLaterAnswer(1, StreamHead());
+  Register("i-3", whole, "ready", 1, 1);
+  StartWithAttempts(2);
+  const auto call = Call("/resumable/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+}
+
 } // namespace pumiceturn::adapter
--- a/Tests/Platform/RawServer.cpp
+++ b/Tests/Platform/RawServer.cpp
@@ -185,13 +185,15 @@
     base::ParseNumber<int>(FieldOf(aConnection->input_, kDeadlineField));
   const auto arrivedAt = std::chrono::steady_clock::now();
   const bool isForRest = !FieldOf(aConnection->input_, kLastEventField).empty();
-  if (isForRest && isSilentOnRest_) {
+  const bool isLater = firstOnes_ && requests_.size() > *firstOnes_;
+  if (isLater && laterAnswer_.empty()) {
     unanswered_.push_back(aConnection);
     return;
   }
+  const std::string& answer = isForRest && rest_ ? *rest_ : answer_;
   asio::async_write(
     aConnection->socket_,
-    asio::buffer(isForRest && rest_ ? *rest_ : answer_),
+    asio::buffer(isLater ? laterAnswer_ : answer),
     [this, aConnection, arrivedAt, limit](
       const boost::system::error_code& /*aError*/, std::size_t) {
       if (end_ == End::Late || end_ == End::Exit) {
--- a/Tests/Platform/RawServer.h
+++ b/Tests/Platform/RawServer.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -86,8 +87,13 @@
     resetsNewConnections_ = aResets;
   }
 
-  /// Sets whether requests for a rest get no answer.
-  void SetIsSilentOnRest(bool aIsSilent) { isSilentOnRest_ = aIsSilent; }
+  /// Sets the answer to all requests but a number of the first ones.
+  /// @param aAnswer Empty: they get none.
+  void SetLaterAnswer(std::size_t aFirstOnes, std::string aAnswer)
+  {
+    firstOnes_ = aFirstOnes;
+    laterAnswer_ = std::move(aAnswer);
+  }
 
   /// Sets bytes that are sent right before the end of an answer.
   void SetLastBytes(std::string aBytes) { lastBytes_ = std::move(aBytes); }
@@ -130,10 +136,11 @@
   bool reportsStart_ = true;
   bool rejectsMisdirectedReports_ = true;
   bool resetsNewConnections_ = false;
-  bool isSilentOnRest_ = false;
   std::string id_;
   std::string answer_;
   std::optional<std::string> rest_;
+  std::optional<std::size_t> firstOnes_; ///< Empty: there is no later answer.
+  std::string laterAnswer_;
   std::string lastBytes_;
   End end_;
   std::vector<std::string> requests_;
--- a/Tests/Platform/RawServerFixture.h
+++ b/Tests/Platform/RawServerFixture.h
@@ -89,12 +89,13 @@
   void Register(const std::string& aName,
                 const RawServer& aServer,
                 std::string_view aState,
-                std::optional<int> aStart)
+                std::optional<int> aStart,
+                int aSlots = 8)
   {
     nlohmann::json entry{
       { "service", "service" }, { "address", aServer.Address() },
       { "zone", "a" },          { "version", "v1" },
-      { "slots", 8 },           { "state", aState },
+      { "slots", aSlots },      { "state", aState },
       { "coldLeftMs", 0 },      { "seq", 1 }
     };
     if (aStart) {
--- a/Tests/Platform/UnframedAnswerTest.cpp
+++ b/Tests/Platform/UnframedAnswerTest.cpp
@@ -104,7 +104,7 @@
                  "UnframedAnswer_ServerDoesNotSayWhetherIsWhole_OtherIsAsked")
 {
   AddRawServer("i-1", StreamFrom(1, 2), RawServer::End::Orderly)
-    .SetIsSilentOnRest(true);
+    .SetLaterAnswer(1, {});
   AddServer("i-2");
   Start();
   const auto call = CallAtRawServer("/resumable/1");
