Tests: A server of the soak of ORDER that starts again doesn't drain

MayAskForRest() took the next process of a server that had drained and was killed for one that drains still, so that an early end could be counted as undecidable although the server could be asked. Found by reading; no run showed it. The check is stricter by this.

--- a/Tests/PlatformSoak/OrderSoakFixture.cpp
+++ b/Tests/PlatformSoak/OrderSoakFixture.cpp
@@ -219,6 +219,7 @@
       fmt::format("--whole-below=/{}/", kSingleRoute) },
     {});
   aServer.isReady_ = true;
+  aServer.drainsSince_.reset();
   aServer.isLeaving_ = false;
   aServer.hasEntry_ = true;
   // An entry may be written late.
