--- a/Libraries/LibGateway/CrashCheck.h
+++ b/Libraries/LibGateway/CrashCheck.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
