LibGateway: Endpoints that refused a stream before it began don't count for its rest

What callers saw: a resumable stream whose route allows two attempts was cut (or, at a server that ends responses only with the connection and truncated this one, ended as complete) although servers of its version were ready, if the first server it was sent to had refused it as not run.

Cause: CountedAttempts() counts every attempt that was sent, but for refusals after the request ran. A refusal before the stream began stayed counted for its rest, so the order of events decided whether a stream went on.

Why it works: the refusals are counted apart and taken off once the stream has begun, as later ones are (docs/QUESTIONS.md). At how many endpoints a request runs is bounded as before, as nothing ran at those.

--- a/Libraries/LibGateway/OnlineProxy.cpp
+++ b/Libraries/LibGateway/OnlineProxy.cpp
@@ -409,6 +409,8 @@
     // it isn't asked again. What ran elsewhere must go on.
     ++undeliveredAttempts_;
     ++uncountedAttempts_;
+  } else {
+    ++refusedAttempts_;
   }
   TryNextEndpoint();
 }
--- a/Libraries/LibGateway/OnlineProxy.h
+++ b/Libraries/LibGateway/OnlineProxy.h
@@ -195,6 +195,9 @@
   /// endpoint's address, or after another endpoint may have run the request, or
   /// asked an endpoint for the rest of its own response.
   std::uint32_t uncountedAttempts_ = 0;
+  /// Attempts that endpoints refused before a stream began. They don't count
+  /// for its rest, as nothing of it ran there.
+  std::uint32_t refusedAttempts_ = 0;
   /// An attempt doesn't count, as its endpoint crashed. Only one: a second
   /// crash is rather caused by the request.
   bool isLostToCrash_ = false;
--- a/Libraries/LibGateway/OnlineProxyChoice.cpp
+++ b/Libraries/LibGateway/OnlineProxyChoice.cpp
@@ -18,7 +18,9 @@
 std::size_t
 OnlineProxy::CountedAttempts() const
 {
-  return triedEndpoints_.size() - uncountedAttempts_ - (isLostToCrash_ ? 1 : 0);
+  const std::uint32_t uncounted =
+    uncountedAttempts_ + (stream_.HasBegun() ? refusedAttempts_ : 0);
+  return triedEndpoints_.size() - uncounted - (isLostToCrash_ ? 1 : 0);
 }
 
 bool
--- a/Tests/Platform/BrokenStreamTest.cpp
+++ b/Tests/Platform/BrokenStreamTest.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string>
+#include <string_view>
 
 namespace pumiceturn::adapter {
 
@@ -11,6 +13,10 @@
 class BrokenStreamFixture : protected RawServerFixture
 {
 protected:
+  static constexpr std::string_view kNotRun =
+    "HTTP/1.1 503 Unavailable\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n"
+    "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
   /// Starts a host with one route, whose streams can be resumed.
   void StartWithAttempts(int aMaxAttempts)
   {
@@ -85,6 +91,33 @@
   CHECK(CallAtRawServer("/resumable/1")->body_ == WholeStream());
 }
 
+// Guards against a stream that isn't continued, as an endpoint that refused it
+// before it began counts as an attempt.
+TEST_CASE_METHOD(BrokenStreamFixture,
+                 "BrokenStream_FirstEndpointRefusedIt_GoesOnAtThird")
+{
+  // Nearly all streams go to the first server, and then to the second.
+  constexpr int kManySlots = 10'000;
+  constexpr int kFewerSlots = 100;
+  const RawServer& full =
+    MakeRawServer("i-1", std::string(kNotRun), RawServer::End::Orderly);
+  Register("i-1", full, "ready", 1, kManySlots);
+  const RawServer& breaking =
+    MakeRawServer("i-2", Beginning(2), RawServer::End::Reset);
+  Register("i-2", breaking, "ready", 1, kFewerSlots);
+  RawServer& whole =
+    MakeRawServer("i-3", StreamFrom(1, 6), RawServer::End::Orderly);
+  whole.SetRest(StreamFrom(3, 6));
+  whole.SetLaterAnswer(1, StreamHead());
+  Register("i-3", whole, "ready", 1, 1);
+  StartWithAttempts(2);
+  const auto call = Call("/resumable/1");
+  CHECK(call->body_ == WholeStream());
+  CHECK(call->outcome_ == httpstream::CallOutcome::Complete);
+  CHECK(full.Requests().size() == 1);
+  CHECK(breaking.Requests().size() == 1);
+}
+
 // Guards against a truncated stream that ends as complete, as all attempts of
 // its route are used up, though one of them was lost with its server.
 TEST_CASE_METHOD(BrokenStreamFixture,
@@ -98,10 +131,7 @@
   Register("i-1", ending, "ready", 1, kManySlots);
   RawServer& truncating =
     MakeRawServer("i-2", StreamFrom(3, 4), RawServer::End::Orderly);
-  truncating.SetLaterAnswer(
-    1,
-    "HTTP/1.1 503 Unavailable\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n"
-    "Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  truncating.SetLaterAnswer(1, std::string(kNotRun));
   Register("i-2", truncating, "ready", 1, kFewerSlots);
   RawServer& whole =
     MakeRawServer("i-3", StreamFrom(1, 6), RawServer::End::Orderly);
