--- a/Tests/Platform/BrokenStreamTest.cpp
+++ b/Tests/Platform/BrokenStreamTest.cpp
@@ -13,6 +13,10 @@
 class BrokenStreamFixture : protected RawServerFixture
 {
 protected:
+  /// Nearly all streams go to a server with kManySlots first, and then to one
+  /// with kFewerSlots.
+  static constexpr int kManySlots = 10'000;
+  static constexpr int kFewerSlots = 100;
   static constexpr std::string_view kNotRun =
     "HTTP/1.1 503 Unavailable\r\nServer-Seal: seal\r\nAttempt-Id: r1\r\n"
     "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -37,6 +41,19 @@
     });
   }
 
+  /// Adds a server that is asked last.
+  /// @param aFirst The first event of its answer to the first request for a
+  ///   rest; later ones get no event.
+  void AddServerWithRest(const std::string& aName, std::uint64_t aFirst)
+  {
+    RawServer& server = MakeRawServer(aName,
+                                      StreamFrom(1, ServerStandin::kEventCount),
+                                      RawServer::End::Orderly);
+    server.SetRest(StreamFrom(aFirst, ServerStandin::kEventCount));
+    server.SetLaterAnswer(1, StreamHead());
+    Register(aName, server, "ready", 1, 1);
+  }
+
   /// @return the beginning of a response that is longer.
   static std::string Beginning(std::uint64_t aLastEvent)
   {
@@ -96,20 +113,13 @@
 TEST_CASE_METHOD(BrokenStreamFixture,
                  "BrokenStream_FirstEndpointRefusedIt_GoesOnAtThird")
 {
-  // Nearly all streams go to the first server, and then to the second.
-  constexpr int kManySlots = 10'000;
-  constexpr int kFewerSlots = 100;
   const RawServer& full =
     MakeRawServer("i-1", std::string(kNotRun), RawServer::End::Orderly);
   Register("i-1", full, "ready", 1, kManySlots);
   const RawServer& breaking =
     MakeRawServer("i-2", Beginning(2), RawServer::End::Reset);
   Register("i-2", breaking, "ready", 1, kFewerSlots);
-  RawServer& whole =
-    MakeRawServer("i-3", StreamFrom(1, 6), RawServer::End::Orderly);
-  whole.SetRest(StreamFrom(3, 6));
-  whole.SetLaterAnswer(1, StreamHead());
-  Register("i-3", whole, "ready", 1, 1);
+  AddServerWithRest("i-3", 3);
   StartWithAttempts(2);
   const auto call = Call("/resumable/1");
   CHECK(call->body_ == WholeStream());
@@ -123,9 +133,6 @@
 TEST_CASE_METHOD(BrokenStreamFixture,
                  "BrokenStream_NextServerTruncatesIt_ThirdIsAskedForRest")
 {
-  // Nearly all streams begin at the first server, and go on at the second.
-  constexpr int kManySlots = 10'000;
-  constexpr int kFewerSlots = 100;
   const RawServer& ending =
     MakeRawServer("i-1", Beginning(2), RawServer::End::Process);
   Register("i-1", ending, "ready", 1, kManySlots);
@@ -133,11 +140,7 @@
     MakeRawServer("i-2", StreamFrom(3, 4), RawServer::End::Orderly);
   truncating.SetLaterAnswer(1, std::string(kNotRun));
   Register("i-2", truncating, "ready", 1, kFewerSlots);
-  RawServer& whole =
-    MakeRawServer("i-3", StreamFrom(1, 6), RawServer::End::Orderly);
-  whole.SetRest(StreamFrom(5, 6));
-  whole.SetLaterAnswer(1, StreamHead());
-  Register("i-3", whole, "ready", 1, 1);
+  AddServerWithRest("i-3", 5);
   StartWithAttempts(2);
   const auto call = Call("/resumable/1");
   CHECK(call->body_ == WholeStream());
